--- /dev/null
+++ b/lab/report/canvas.go
@@ -0,0 +1,8 @@
+package report
+
+import (
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgsvg"
+)
+
+func drawCanvas(canvas *vgsvg.Canvas) draw.Canvas { return draw.New(canvas) }
--- /dev/null
+++ b/lab/standin/machines.go
@@ -0,0 +1,96 @@
+package standin
+
+import (
+	"net/http"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"github.com/thornwalk/thornwalk/platform"
+	"github.com/thornwalk/thornwalk/transport/machinelist"
+)
+
+// Machines stands in for the platform's machine list. It lags.
+type Machines struct {
+	// Lag is the time after which a change shows.
+	Lag time.Duration
+
+	mutex    sync.Mutex
+	changes  []machineChange
+	down     bool
+	machines map[string]platform.Machine
+}
+
+type machineChange struct {
+	at      time.Time
+	machine platform.Machine
+	removed bool
+}
+
+// NewMachines returns an empty list.
+func NewMachines(lag time.Duration) *Machines {
+	return &Machines{Lag: lag, machines: map[string]platform.Machine{}}
+}
+
+// Add enters or changes a machine.
+func (m *Machines) Add(machine platform.Machine) { m.enter(machine, false) }
+
+// Remove takes a machine off the list.
+func (m *Machines) Remove(name string) { m.enter(platform.Machine{Name: name}, true) }
+
+// SetDown makes the list refuse requests.
+func (m *Machines) SetDown(down bool) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.down = down
+}
+
+func (m *Machines) enter(machine platform.Machine, removed bool) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.changes = append(m.changes, machineChange{at: time.Now().Add(m.Lag), machine: machine, removed: removed})
+}
+
+// list returns the machines whose changes show by now.
+func (m *Machines) list() ([]platform.Machine, bool) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.down {
+		return nil, false
+	}
+	now := time.Now()
+	pending := m.changes[:0]
+	for _, change := range m.changes {
+		switch {
+		case change.at.After(now):
+			pending = append(pending, change)
+		case change.removed:
+			delete(m.machines, change.machine.Name)
+		default:
+			m.machines[change.machine.Name] = change.machine
+		}
+	}
+	m.changes = pending
+	machines := make([]platform.Machine, 0, len(m.machines))
+	for _, machine := range m.machines {
+		machines = append(machines, machine)
+	}
+	sort.Slice(machines, func(i, j int) bool { return machines[i].Name < machines[j].Name })
+	return machines, true
+}
+
+// Handler returns the HTTP side.
+func (m *Machines) Handler() http.Handler {
+	router := mux.NewRouter()
+	router.HandleFunc(machinelist.Path, func(writer http.ResponseWriter, _ *http.Request) {
+		machines, up := m.list()
+		if !up {
+			writer.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		encode(writer, machines)
+	})
+	return router
+}
--- /dev/null
+++ b/lab/standin/service.go
@@ -0,0 +1,145 @@
+package standin
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"github.com/thornwalk/thornwalk/structs"
+	"github.com/thornwalk/thornwalk/transport/backendhttp"
+)
+
+// Service stands in for a plain service, such as a registry of permits.
+type Service struct {
+	ID structs.ReplicaID
+	// CallTime is the time that one call takes.
+	CallTime time.Duration
+	// Slots bounds the calls that run at once; more wait.
+	Slots int
+
+	mutex      sync.Mutex
+	executions map[string]*Execution
+	order      []string
+	running    int
+	waiting    int
+	leaving    bool
+	sequence   uint64
+	misbehave  func(requestID string) Misbehavior
+	slots      chan struct{}
+}
+
+// NewService returns a stand-in.
+func NewService(id structs.ReplicaID, callTime time.Duration, slots int) *Service {
+	return &Service{ID: id, CallTime: callTime, Slots: slots, executions: map[string]*Execution{}, slots: make(chan struct{}, slots)}
+}
+
+// SetMisbehavior sets how requests fail; nil for none.
+func (s *Service) SetMisbehavior(misbehave func(requestID string) Misbehavior) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.misbehave = misbehave
+}
+
+// SetLeaving makes the service report that it is leaving.
+func (s *Service) SetLeaving() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.leaving = true
+}
+
+// Executions returns the records of all calls.
+func (s *Service) Executions() []Execution {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	executions := make([]Execution, 0, len(s.order))
+	for _, id := range s.order {
+		executions = append(executions, *s.executions[id])
+	}
+	return executions
+}
+
+// ServiceAnswer is the body of an answer.
+type ServiceAnswer struct {
+	RequestID string `json:"request_id"`
+	Replica   string `json:"replica"`
+	Method    string `json:"method"`
+	Path      string `json:"path"`
+	Body      string `json:"body"`
+	Execution int    `json:"execution"`
+}
+
+// Handler returns the HTTP side.
+func (s *Service) Handler() http.Handler {
+	router := mux.NewRouter()
+	router.HandleFunc(backendhttp.PathLoad, func(w http.ResponseWriter, _ *http.Request) { encode(w, s.report()) })
+	router.PathPrefix("/").HandlerFunc(s.serveCall)
+	return router
+}
+
+func (s *Service) report() structs.LoadReport {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.sequence++
+	return structs.LoadReport{
+		Replica: s.ID, Sequence: s.sequence, Running: s.running, Waiting: s.waiting, Slots: s.Slots,
+		KVFree: 1, StepTime: s.CallTime, Leaving: s.leaving,
+	}
+}
+
+func (s *Service) serveCall(writer http.ResponseWriter, request *http.Request) {
+	content, err := io.ReadAll(request.Body)
+	if err != nil {
+		return
+	}
+	id := request.Header.Get(backendhttp.HeaderRequestID)
+	execution, misbehavior := s.begin(id, request.Header.Get("Idempotency-Key"), string(content))
+	s.slots <- struct{}{}
+	s.shift(1, -1)
+	time.Sleep(s.CallTime)
+	<-s.slots
+	s.shift(-1, 0)
+	s.mutex.Lock()
+	execution.Done = true
+	count := execution.Count
+	s.mutex.Unlock()
+	switch misbehavior {
+	case DiesBeforeAnswer, ForgetsRequest:
+		panic(http.ErrAbortHandler)
+	case AnswersLate:
+		time.Sleep(LateBy)
+	case DiesMidAnswer:
+		writer.Header().Set("Content-Length", strconv.Itoa(1<<16))
+		_, _ = writer.Write([]byte(`{"request_id":`)) // the connection is closed below
+		_ = http.NewResponseController(writer).Flush()
+		panic(http.ErrAbortHandler)
+	}
+	encode(writer, ServiceAnswer{RequestID: id, Replica: string(s.ID), Method: request.Method, Path: request.URL.RequestURI(), Body: string(content), Execution: count})
+}
+
+func (s *Service) begin(id, key, body string) (*Execution, Misbehavior) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	execution, found := s.executions[id]
+	if !found {
+		execution = &Execution{RequestID: id, Replica: s.ID, Key: key, Body: body, At: time.Now()}
+		s.executions[id] = execution
+		s.order = append(s.order, id)
+	}
+	execution.Count++
+	s.waiting++
+	if s.misbehave == nil {
+		return execution, Behaves
+	}
+	return execution, s.misbehave(id)
+}
+
+func (s *Service) shift(running, waiting int) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.running += running
+	s.waiting += waiting
+}
--- /dev/null
+++ b/node/backend.go
@@ -0,0 +1,252 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/thornwalk/thornwalk/faultpoint"
+	"github.com/thornwalk/thornwalk/protocol/errkind"
+	"github.com/thornwalk/thornwalk/protocol/openai"
+	"github.com/thornwalk/thornwalk/state/answer"
+	"github.com/thornwalk/thornwalk/structs"
+	"github.com/thornwalk/thornwalk/transport/backendhttp"
+	"github.com/thornwalk/thornwalk/transport/oneshot"
+)
+
+const (
+	// resumeWindow is how long a broken answer is asked for again, and
+	// resumePause the time between tries.
+	resumeWindow = 10 * time.Second
+	resumePause  = 100 * time.Millisecond
+	// reorderLimit bounds events that wait for an earlier one.
+	reorderLimit = 256
+	// maximumAnswerBytes bounds one answer.
+	maximumAnswerBytes = 32 << 20
+	// cancelTimeout bounds the message that ends a request at its engine.
+	cancelTimeout = time.Second
+	// serviceChunk is the size of the pieces in which a service's body is read.
+	serviceChunk = 32 << 10
+)
+
+// generate dispatches to an engine and reads the answer to its end, resuming it
+// when the stream breaks. Errors that wrap oneshot.ErrNotSent prove that
+// nothing was sent.
+func (n *Node) generate(x *execution, replica structs.Replica, beforeFirstByte func() error) (structs.Outcome, error) {
+	body, err := x.call.generation.EngineBody(engineModel(x), int(x.request.Rank), x.request.MaxTokens)
+	if err != nil {
+		return structs.OutcomeNotRun, errkind.Wrap(errkind.BadRequest, err)
+	}
+	path := openai.PathCompletions
+	if x.call.generation.Chat {
+		path = openai.PathChat
+	}
+	stream, err := n.adapter.Generate(x.ctx, replica.Address, &backendhttp.Generation{ID: x.request.ID, Path: path, Body: body, BeforeFirstByte: beforeFirstByte})
+	if errors.Is(err, oneshot.ErrNotSent) {
+		return structs.OutcomePending, err
+	}
+	reader := &eventReader{node: n, request: x.request, address: replica.Address, answer: x.answer}
+	outcome, err := reader.read(x.ctx, stream, err)
+	x.tokens = reader.tokens
+	if x.ctx.Err() != nil && outcome == structs.OutcomeUnknown {
+		n.cancelAt(replica.Address, x.request.ID)
+	}
+	return outcome, err
+}
+
+func engineModel(x *execution) string {
+	if x.request.Adapter != "" {
+		return x.request.Adapter
+	}
+	return x.request.Model
+}
+
+// cancelAt ends the request at the engine, best effort.
+func (n *Node) cancelAt(address, id string) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(n.ctx), cancelTimeout)
+	defer cancel()
+	if n.ctx.Err() != nil {
+		return // the process is gone as far as others can tell
+	}
+	_ = n.adapter.Cancel(ctx, address, id)
+}
+
+// eventReader reads the answer of one request from its engine. Events are
+// taken in the order of their numbers, each once; those of another request are
+// dropped.
+type eventReader struct {
+	node    *Node
+	request *structs.Request
+	address string
+	answer  *answer.Answer
+	last    int
+	ahead   map[int][]byte
+	tokens  int
+	bytes   int
+}
+
+// read reads to the end. The stream may be nil with the error that opening it
+// gave; it is then resumed like a broken one.
+func (r *eventReader) read(ctx context.Context, stream *backendhttp.Stream, err error) (structs.Outcome, error) {
+	since := time.Now()
+	for {
+		if stream != nil {
+			before := r.last
+			err = r.consume(ctx, stream)
+			stream.Close()
+			if err == nil {
+				return structs.OutcomeAnswered, nil
+			}
+			if r.last > before {
+				since = time.Now()
+			}
+		}
+		if refused := asRefusal(err); refused != nil {
+			return structs.OutcomeUnknown, refused
+		}
+		if time.Since(since) > resumeWindow || !sleep(ctx, resumePause) {
+			return structs.OutcomeUnknown, errkind.New(errkind.OutcomeUnknown, "the answer broke off: %v", err)
+		}
+		r.node.count("answer.resumed")
+		stream, err = r.node.adapter.Resume(ctx, r.address, r.request.ID, r.last)
+	}
+}
+
+// asRefusal returns an error if the engine itself refused, so that trying again
+// is of no use: it does not know the request, or it answered with an error.
+func asRefusal(err error) error {
+	var status *backendhttp.StatusError
+	if !errors.As(err, &status) {
+		return nil
+	}
+	return errkind.New(errkind.OutcomeUnknown, "the engine answered %s", status.Error())
+}
+
+// consume reads one stream; nil means that the answer is whole.
+func (r *eventReader) consume(ctx context.Context, stream *backendhttp.Stream) error {
+	for {
+		event, err := stream.Next()
+		if errors.Is(err, io.EOF) {
+			if len(r.ahead) > 0 {
+				clear(r.ahead)
+				return io.ErrUnexpectedEOF
+			}
+			return nil
+		}
+		if err != nil {
+			clear(r.ahead)
+			return err
+		}
+		if err := r.take(ctx, event); err != nil {
+			return err
+		}
+	}
+}
+
+func (r *eventReader) take(ctx context.Context, event backendhttp.Event) error {
+	chunk, err := openai.ParseChunk(event.Data)
+	if err != nil || chunk.ID != r.request.ID || event.Number <= r.last {
+		r.node.count("answer.dropped-events")
+		return nil
+	}
+	if event.Number > r.last+1 {
+		if r.ahead == nil {
+			r.ahead = map[int][]byte{}
+		}
+		if len(r.ahead) >= reorderLimit {
+			clear(r.ahead)
+			return io.ErrUnexpectedEOF
+		}
+		r.ahead[event.Number] = event.Data
+		return nil
+	}
+	if err := r.accept(ctx, event.Data, chunk); err != nil {
+		return err
+	}
+	for {
+		data, waiting := r.ahead[r.last+1]
+		if !waiting {
+			return nil
+		}
+		delete(r.ahead, r.last+1)
+		if chunk, err = openai.ParseChunk(data); err != nil {
+			return err
+		}
+		if err := r.accept(ctx, data, chunk); err != nil {
+			return err
+		}
+	}
+}
+
+// accept passes the next event on.
+func (r *eventReader) accept(ctx context.Context, data []byte, chunk *openai.Chunk) error {
+	if err := faultpoint.Reach(ctx, r.node.depend.Faults, faultpoint.Stream, r.request.ID); err != nil {
+		return err
+	}
+	r.last++
+	r.bytes += len(data)
+	if r.bytes > maximumAnswerBytes {
+		return &backendhttp.StatusError{Status: http.StatusBadGateway, Body: "the answer is too large"}
+	}
+	if chunk.HasText() {
+		r.tokens++
+		if r.tokens == 1 {
+			r.node.firstToken(r.request)
+		}
+	}
+	if chunk.Usage != nil {
+		r.tokens = max(r.tokens, chunk.Usage.CompletionTokens)
+	}
+	r.answer.Append(append([]byte(nil), data...))
+	return nil
+}
+
+func (n *Node) firstToken(request *structs.Request) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.scheduler.FirstToken(n.now(), request.ID)
+	n.observe("ttft."+request.Tier, n.now()-request.Arrived)
+}
+
+// callService dispatches to a plain service and reads its response. It can't be
+// resumed: a response that breaks off ends as unknown.
+func (n *Node) callService(x *execution, replica structs.Replica, beforeFirstByte func() error) (structs.Outcome, error) {
+	service := x.call.service
+	response, err := n.adapter.Call(x.ctx, replica.Address, &backendhttp.ServiceCall{
+		ID: x.request.ID, Method: service.method, Path: service.path, Header: service.header, Body: x.call.body, BeforeFirstByte: beforeFirstByte,
+	})
+	if errors.Is(err, oneshot.ErrNotSent) {
+		return structs.OutcomePending, err
+	}
+	if err != nil {
+		return structs.OutcomeUnknown, errkind.New(errkind.OutcomeUnknown, "%v", err)
+	}
+	defer response.Body.Close()
+	x.answer.SetHead(answer.Head{Status: response.StatusCode, Header: response.Header})
+	return n.copyBody(x, response.Body)
+}
+
+func (n *Node) copyBody(x *execution, body io.Reader) (structs.Outcome, error) {
+	total := 0
+	for {
+		if err := faultpoint.Reach(x.ctx, n.depend.Faults, faultpoint.Stream, x.request.ID); err != nil {
+			return structs.OutcomeUnknown, errkind.New(errkind.OutcomeUnknown, "%v", err)
+		}
+		piece := make([]byte, serviceChunk)
+		count, err := body.Read(piece)
+		if total += count; count > 0 {
+			x.answer.Append(piece[:count])
+		}
+		if errors.Is(err, io.EOF) {
+			return structs.OutcomeAnswered, nil
+		}
+		if err == nil && total > maximumAnswerBytes {
+			err = errors.New("the answer is too large")
+		}
+		if err != nil {
+			return structs.OutcomeUnknown, errkind.New(errkind.OutcomeUnknown, "the response broke off after %d bytes: %v", total, err)
+		}
+	}
+}
--- /dev/null
+++ b/node/heartbeat.go
@@ -0,0 +1,267 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/thornwalk/thornwalk/coordination/membership"
+	"github.com/thornwalk/thornwalk/coordination/shedding"
+	"github.com/thornwalk/thornwalk/protocol/errkind"
+	"github.com/thornwalk/thornwalk/protocol/peerwire"
+	"github.com/thornwalk/thornwalk/state/rendezvous"
+	"github.com/thornwalk/thornwalk/structs"
+	"github.com/thornwalk/thornwalk/transport/peer"
+)
+
+const (
+	// probesPerInterval is the members that a node probes at each heartbeat; it
+	// does not grow with the zone.
+	probesPerInterval = 3
+	// indirectProbes is the members asked to probe one that did not answer.
+	indirectProbes = 2
+	// rumorsPerMessage, reportsPerMessage and eventBatchesPerMessage bound a
+	// heartbeat.
+	rumorsPerMessage  = 8
+	reportsPerMessage = 24
+)
+
+// heartbeat is what nodes tell each other; a reply has the same form.
+type heartbeat struct {
+	From       membership.Member    `msgpack:"f"`
+	Generation uint64               `msgpack:"g"`
+	Rumors     []membership.Rumor   `msgpack:"r,omitempty"`
+	Reports    []structs.LoadReport `msgpack:"l,omitempty"`
+}
+
+// probeRequest asks a peer to probe another.
+type probeRequest struct {
+	Target membership.Member `msgpack:"t"`
+}
+
+// probeReply tells whether the target answered.
+type probeReply struct {
+	Answered bool `msgpack:"a"`
+}
+
+// joinReply tells a new node what it needs before it admits work.
+type joinReply struct {
+	Members []membership.Rumor   `msgpack:"m"`
+	Floors  []shedding.Set       `msgpack:"f"`
+	Reports []structs.LoadReport `msgpack:"l"`
+}
+
+// handlePeers registers the handlers of the peer protocol.
+func (n *Node) handlePeers(server *peer.Server) {
+	peer.Handle(server, peerwire.KindHeartbeat, n.serveHeartbeat)
+	peer.Handle(server, peerwire.KindProbe, n.serveProbe)
+	peer.Handle(server, peerwire.KindJoin, n.serveJoin)
+	peer.Handle(server, peerwire.KindSettingsPull, n.serveSettingsPull)
+	peer.Handle(server, peerwire.KindFloorDemand, n.serveFloorDemand)
+	peer.Handle(server, peerwire.KindFloorSet, n.serveFloorSet)
+	peer.Handle(server, peerwire.KindLimitDemand, n.serveLimitDemand)
+	peer.Handle(server, peerwire.KindRegister, n.serveRegister)
+	peer.Handle(server, peerwire.KindRegistryUpdate, n.serveRegistryUpdate)
+	peer.Handle(server, peerwire.KindRegistryLookup, n.serveRegistryLookup)
+}
+
+// heartbeatLoop probes members and spreads news.
+func (n *Node) heartbeatLoop() {
+	for sleep(n.ctx, n.settings.Compiled().Node.HeartbeatInterval) {
+		n.mutex.Lock()
+		targets := n.table.Targets(probesPerInterval)
+		n.mutex.Unlock()
+		for _, target := range targets {
+			n.group.Go(func() { n.probe(target) })
+		}
+	}
+}
+
+// probe sends a heartbeat to the target and, if it does not answer, has others
+// try before the target is suspected.
+func (n *Node) probe(target membership.Member) {
+	values := n.settings.Compiled().Node
+	if n.exchange(target, values.SuspectAfter/2) || n.ctx.Err() != nil {
+		return
+	}
+	if n.probeIndirectly(target, values.SuspectAfter/2) || n.ctx.Err() != nil {
+		return
+	}
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.table.ProbeFailed(n.now(), target.Name)
+}
+
+// exchange sends a heartbeat and merges the reply.
+func (n *Node) exchange(target membership.Member, timeout time.Duration) bool {
+	n.mutex.Lock()
+	message := n.heartbeat()
+	n.mutex.Unlock()
+	ctx, cancel := context.WithTimeout(n.ctx, timeout)
+	defer cancel()
+	var reply heartbeat
+	if err := n.peers.Call(ctx, target.PeerAddress, peerwire.KindHeartbeat, &message, &reply); err != nil {
+		return false
+	}
+	n.takeHeartbeat(&reply)
+	return true
+}
+
+func (n *Node) probeIndirectly(target membership.Member, timeout time.Duration) bool {
+	n.mutex.Lock()
+	helpers := n.table.Targets(indirectProbes)
+	n.mutex.Unlock()
+	answers := make(chan bool, len(helpers))
+	ctx, cancel := context.WithTimeout(n.ctx, timeout)
+	defer cancel()
+	for _, helper := range helpers {
+		n.group.Go(func() {
+			var reply probeReply
+			err := n.peers.Call(ctx, helper.PeerAddress, peerwire.KindProbe, &probeRequest{Target: target}, &reply)
+			answers <- err == nil && reply.Answered
+		})
+	}
+	answered := false
+	for range helpers {
+		answered = <-answers || answered
+	}
+	return answered
+}
+
+// heartbeat composes a message with the news that are due. The mutex is held.
+func (n *Node) heartbeat() heartbeat {
+	return heartbeat{
+		From: n.table.Self(), Generation: n.settings.Compiled().Generation,
+		Rumors: n.table.Rumors(rumorsPerMessage), Reports: n.agedReports(reportsPerMessage),
+	}
+}
+
+// agedReports takes reports from the queue, with their ages as of now. The
+// mutex is held.
+func (n *Node) agedReports(limit int) []structs.LoadReport {
+	now := n.now()
+	dated := n.reports.Take(limit, len(n.table.Live()))
+	reports := make([]structs.LoadReport, len(dated))
+	for i, entry := range dated {
+		reports[i] = entry.report
+		reports[i].Age += now - entry.at
+	}
+	return reports
+}
+
+func (n *Node) serveHeartbeat(_ context.Context, message *heartbeat) (*heartbeat, error) {
+	if message.From.Name == "" {
+		return nil, errkind.New(errkind.BadFrame, "heartbeat without a sender")
+	}
+	n.takeHeartbeat(message)
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	reply := n.heartbeat()
+	return &reply, nil
+}
+
+// takeHeartbeat merges what a peer told.
+func (n *Node) takeHeartbeat(message *heartbeat) {
+	now := n.now()
+	n.mutex.Lock()
+	n.table.Heard(now, message.From)
+	n.table.Merge(now, message.Rumors)
+	n.generations[message.From.Name] = message.Generation
+	if message.From.Zone != n.config.Zone {
+		n.heardZones[message.From.Zone] = now
+	}
+	n.takeReports(message.Reports)
+	n.pump()
+	n.mutex.Unlock()
+	if message.Generation > n.settings.Compiled().Generation {
+		n.pullSettings(message.From.PeerAddress)
+	}
+}
+
+// takeReports applies reports and passes on those that were news. The mutex is held.
+func (n *Node) takeReports(reports []structs.LoadReport) {
+	now := n.now()
+	for _, report := range reports {
+		if n.scheduler.View().Observe(now, report) {
+			n.reports.Put(report.Replica, datedReport{report: report, at: now})
+		}
+	}
+}
+
+func (n *Node) serveProbe(ctx context.Context, message *probeRequest) (*probeReply, error) {
+	n.mutex.Lock()
+	ping := n.heartbeat()
+	n.mutex.Unlock()
+	var reply heartbeat
+	err := n.peers.Call(ctx, message.Target.PeerAddress, peerwire.KindHeartbeat, &ping, &reply)
+	if err == nil {
+		n.takeHeartbeat(&reply)
+	}
+	return &probeReply{Answered: err == nil}, nil
+}
+
+func (n *Node) serveJoin(_ context.Context, message *heartbeat) (*joinReply, error) {
+	now := n.now()
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.table.Heard(now, message.From)
+	reply := &joinReply{Members: n.table.All(), Floors: n.floorMember.Export(now)}
+	for _, replica := range n.scheduler.View().Replicas() {
+		if state, found := n.scheduler.View().Get(replica.ID); found && state.HasReport {
+			report := state.Report
+			report.Age = state.Age(now)
+			reply.Reports = append(reply.Reports, report)
+		}
+	}
+	return reply, nil
+}
+
+// join introduces the node to a peer and takes what it needs from the answer.
+func (n *Node) join(address string) bool {
+	n.mutex.Lock()
+	message := n.heartbeat()
+	n.mutex.Unlock()
+	ctx, cancel := context.WithTimeout(n.ctx, callTimeout)
+	defer cancel()
+	var reply joinReply
+	if err := n.peers.Call(ctx, address, peerwire.KindJoin, &message, &reply); err != nil {
+		return false
+	}
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.table.Merge(n.now(), reply.Members)
+	for _, floor := range reply.Floors {
+		n.floorMember.Apply(n.now(), floor)
+		n.applyFloor(floor.Service)
+	}
+	n.takeReports(reply.Reports)
+	return true
+}
+
+func (n *Node) serveFloorDemand(_ context.Context, demand *shedding.Demand) (*struct{}, error) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.takeDemand(*demand)
+	return &struct{}{}, nil
+}
+
+func (n *Node) serveFloorSet(_ context.Context, set *shedding.Set) (*shedding.Ack, error) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	ack := n.takeSet(*set)
+	return &ack, nil
+}
+
+// delegates is the number of members of a zone that talk to other zones and
+// watch the store. Two at once are harmless; one more covers a loss.
+const delegates = 2
+
+// isDelegate returns whether this node is one of the zone's delegates. The
+// mutex is held.
+func (n *Node) isDelegate() bool {
+	for _, name := range rendezvous.Choose(n.table.LiveNames(), rendezvous.Key("delegate/"+n.config.Zone), delegates) {
+		if name == n.config.Name {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,280 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/thornwalk/thornwalk/coordination/claims"
+	"github.com/thornwalk/thornwalk/coordination/limits"
+	"github.com/thornwalk/thornwalk/coordination/membership"
+	"github.com/thornwalk/thornwalk/coordination/scheduler"
+	"github.com/thornwalk/thornwalk/coordination/settingsync"
+	"github.com/thornwalk/thornwalk/coordination/shedding"
+	"github.com/thornwalk/thornwalk/protocol/receipt"
+	"github.com/thornwalk/thornwalk/state/answer"
+	"github.com/thornwalk/thornwalk/state/gossip"
+	"github.com/thornwalk/thornwalk/state/registry"
+	"github.com/thornwalk/thornwalk/state/settings"
+	"github.com/thornwalk/thornwalk/structs"
+	"github.com/thornwalk/thornwalk/transport/backendhttp"
+	"github.com/thornwalk/thornwalk/transport/peer"
+)
+
+// Bounds of what a node keeps beside the settings' bounds.
+const (
+	maximumReports   = 4096
+	maximumDecisions = 4096
+	maximumTickets   = 20000
+)
+
+// Node is one entry node.
+type Node struct {
+	config   Config
+	depend   Dependencies
+	started  time.Time
+	ctx      context.Context
+	cancel   context.CancelFunc
+	group    sync.WaitGroup
+	sealer   *receipt.Sealer
+	adapter  *backendhttp.Adapter
+	peers    *peer.Client
+	answers  *answer.Store
+	claims   *claims.Committer
+	settings *settingsync.Holder
+	acceptor settingsync.Acceptor
+	metrics  metrics.Registry
+	explains *decisionLog
+	tickets  *ticketBook
+	traffic  *trafficMeter
+
+	callerListener, operatorListener, peerListener net.Listener
+
+	sequence atomic.Uint64
+	draining atomic.Bool
+	refusing atomic.Bool
+	joined   atomic.Bool
+	polled   atomic.Bool
+	storeUp  atomic.Bool
+
+	// mutex guards the passive state machines below.
+	mutex       sync.Mutex
+	scheduler   *scheduler.Scheduler
+	table       *membership.Table
+	registry    *registry.Table
+	floorOwner  *shedding.Owner
+	floorMember *shedding.Member
+	limitOwner  *limits.Owner
+	limitMember *limits.Member
+	executions  map[string]*execution
+	reports     *gossip.Queue[structs.ReplicaID, datedReport]
+	heardZones  map[string]structs.Instant
+	machines    machineView
+	polling     map[structs.ReplicaID]bool
+	cursors     map[structs.ReplicaID]uint64
+	demanded    map[scheduler.Demand]structs.Instant
+	generations map[string]uint64
+	tableSeen   uint64
+}
+
+// datedReport is a report with the time at which its age was right.
+type datedReport struct {
+	report structs.LoadReport
+	at     structs.Instant
+}
+
+// New returns a node that does not run yet. The error is of kind InvalidSettings.
+func New(config Config, depend Dependencies) (*Node, error) {
+	if err := config.Validate(); err != nil {
+		return nil, err
+	}
+	n := &Node{
+		config: config, depend: depend, started: time.Now(),
+		sealer:  receipt.NewSealer(config.ReceiptKeys...),
+		adapter: backendhttp.New(depend.Network),
+		answers: answer.NewStore(), metrics: metrics.NewRegistry(),
+		explains: newDecisionLog(maximumDecisions), tickets: newTicketBook(maximumTickets),
+		executions: map[string]*execution{},
+		reports:    gossip.NewQueue[structs.ReplicaID, datedReport](maximumReports),
+		heardZones: map[string]structs.Instant{}, polling: map[structs.ReplicaID]bool{}, cursors: map[structs.ReplicaID]uint64{},
+		demanded: map[scheduler.Demand]structs.Instant{}, generations: map[string]uint64{},
+	}
+	n.traffic = newTrafficMeter(n.metrics)
+	n.peers = peer.NewClient(n.peerNetwork(), n.traffic)
+	n.acceptor = settingsync.Acceptor{Store: depend.Store, WallTime: depend.WallTime, Faults: depend.Faults}
+	return n, n.initialise()
+}
+
+// initialise builds the state machines from the initial settings.
+func (n *Node) initialise() error {
+	document := n.config.InitialSettings
+	if document == nil {
+		document = &settingsync.Document{}
+	}
+	holder, err := settingsync.NewHolder(document, n.settingsChanged)
+	if err != nil {
+		return err
+	}
+	n.settings = holder
+	compiled := holder.Compiled()
+	random := n.depend.Random
+	if random == nil {
+		random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
+	options := n.schedulerOptions(compiled)
+	n.scheduler = scheduler.New(options, random)
+	n.scheduler.SetOverflow(n.overflowZones)
+	n.floorOwner = shedding.NewOwner(n.processName(), options.LowestRank, options.FloorHold)
+	n.floorMember = shedding.NewMember(n.config.Name, options.LowestRank)
+	n.limitOwner = limits.NewOwner()
+	n.limitMember = limits.NewMember()
+	n.registry = registry.NewTable(compiled.Node.RegistryLimit, compiled.Node.AnswerRetention)
+	return nil
+}
+
+// processName names this process, so that floors of an earlier one under the
+// same name are told apart.
+func (n *Node) processName() string {
+	return fmt.Sprintf("%s/%d", n.config.Name, n.startMilliseconds())
+}
+
+func (n *Node) startMilliseconds() int64 {
+	if n.depend.StartMilliseconds == 0 {
+		n.depend.StartMilliseconds = n.depend.WallTime().UnixMilli()
+	}
+	return n.depend.StartMilliseconds
+}
+
+// now is the node's monotonic time.
+func (n *Node) now() structs.Instant { return time.Since(n.started) }
+
+// Start listens and runs the node until Drain, Kill or the end of the context.
+func (n *Node) Start(ctx context.Context) error {
+	n.ctx, n.cancel = context.WithCancel(ctx)
+	if err := n.listen(); err != nil {
+		n.cancel()
+		return err
+	}
+	self := membership.Member{
+		Name: n.config.Name, Zone: n.config.Zone, PeerAddress: n.PeerAddress(), CallerAddress: n.CallerAddress(),
+		Incarnation: membership.FirstIncarnation(n.startMilliseconds()),
+	}
+	compiled := n.settings.Compiled()
+	n.table = membership.NewTable(self, compiled.Node.DeadAfter-compiled.Node.SuspectAfter, rand.New(rand.NewPCG(uint64(n.startMilliseconds()), 7)))
+	n.claims = claims.NewCommitter(n.ctx, n.depend.Store, n.claimSettings, n.depend.WallTime)
+	n.serve()
+	for _, loop := range []func(){n.tickLoop, n.heartbeatLoop, n.pollLoop, n.machineLoop, n.settingsLoop, n.limitLoop, n.zoneLoop, n.placementLoop} {
+		n.group.Go(loop)
+	}
+	return nil
+}
+
+func (n *Node) listen() error {
+	var err error
+	if n.peerListener, err = n.peerNetwork().Listen(n.config.PeerListen); err != nil {
+		return err
+	}
+	if n.callerListener, err = n.depend.Network.Listen(n.config.CallerListen); err != nil {
+		_ = n.peerListener.Close()
+		return err
+	}
+	if n.operatorListener, err = n.depend.Network.Listen(n.config.OperatorListen); err != nil {
+		_ = n.peerListener.Close()
+		_ = n.callerListener.Close()
+	}
+	return err
+}
+
+// Name returns the node's name.
+func (n *Node) Name() string { return n.config.Name }
+
+// CallerAddress returns where callers reach the node.
+func (n *Node) CallerAddress() string {
+	return advertised(n.config.CallerAdvertise, n.callerListener)
+}
+
+// PeerAddress returns where peers reach the node.
+func (n *Node) PeerAddress() string { return advertised(n.config.PeerAdvertise, n.peerListener) }
+
+// OperatorAddress returns where operators reach the node.
+func (n *Node) OperatorAddress() string { return n.operatorListener.Addr().String() }
+
+func advertised(given string, listener net.Listener) string {
+	if given != "" {
+		return given
+	}
+	return listener.Addr().String()
+}
+
+// Metrics returns the node's metrics.
+func (n *Node) Metrics() metrics.Registry { return n.metrics }
+
+// Settings returns the settings in force.
+func (n *Node) Settings() *settings.Compiled { return n.settings.Compiled() }
+
+// SetReceiptKeys takes changed keys into force without a restart.
+func (n *Node) SetReceiptKeys(keys ...[]byte) { n.sealer.SetKeys(keys...) }
+
+// Ready returns whether the node should get requests from the balancer.
+func (n *Node) Ready() bool {
+	return !n.draining.Load() && n.joined.Load() && n.polled.Load() && n.settings.Compiled().Generation > 0
+}
+
+// Kill ends the node at once, as the death of its process would: requests are
+// cut and nothing is told to anybody.
+func (n *Node) Kill() {
+	n.cancel()
+	n.peers.Close()
+	n.group.Wait()
+	n.claims.Wait()
+}
+
+// drainPoll is the time between looks at what is still in progress.
+const drainPoll = 20 * time.Millisecond
+
+// Drain is a planned stop: it announces the leaving, goes on serving for the
+// grace, refuses new requests as not run, lets every request in progress end,
+// and stops. It returns false if the drain timeout of the settings passed first.
+func (n *Node) Drain(ctx context.Context) bool {
+	n.draining.Store(true)
+	n.mutex.Lock()
+	n.table.SetLeaving()
+	n.mutex.Unlock()
+	deadline := time.Now().Add(n.settings.Compiled().Node.DrainTimeout)
+	sleep(ctx, n.config.DrainGrace)
+	n.refusing.Store(true)
+	clean := false
+	for time.Now().Before(deadline) && ctx.Err() == nil {
+		if clean = n.idle(); clean {
+			break
+		}
+		sleep(ctx, drainPoll)
+	}
+	n.Kill()
+	return clean
+}
+
+// idle returns whether no request is in progress and every answer was read.
+func (n *Node) idle() bool {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return len(n.executions) == 0 && n.traffic.openCallers.Load() == 0
+}
+
+// sleep waits for the duration and returns false if the context ended first.
+func sleep(ctx context.Context, duration time.Duration) bool {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/node/observe.go
@@ -0,0 +1,141 @@
+package node
+
+import (
+	"io"
+	"log"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+	"k8s.io/klog/v2"
+
+	"github.com/thornwalk/thornwalk/protocol/peerwire"
+	"github.com/thornwalk/thornwalk/structs"
+)
+
+// quietLog takes the HTTP servers' complaints of broken connections, which the
+// node counts by itself.
+var quietLog = log.New(io.Discard, "", 0)
+
+// samples is the size of the reservoirs of the histograms, and sampleDecay
+// their preference for recent values.
+const (
+	samples     = 1028
+	sampleDecay = 0.015
+)
+
+func (n *Node) count(name string) { metrics.GetOrRegisterCounter(name, n.metrics).Inc(1) }
+
+// observe records a duration, in microseconds.
+func (n *Node) observe(name string, duration time.Duration) {
+	histogram := n.metrics.GetOrRegister(name+".us", func() metrics.Histogram { return metrics.NewHistogram(metrics.NewExpDecaySample(samples, sampleDecay)) })
+	if typed, isHistogram := histogram.(metrics.Histogram); isHistogram {
+		typed.Update(duration.Microseconds())
+	}
+}
+
+func (n *Node) countOutcome(x *execution, outcome structs.Outcome) {
+	n.count("outcome." + x.request.Tier + "." + outcome.String())
+	if outcome == structs.OutcomeAnswered {
+		n.observe("answer."+x.request.Tier, n.now()-x.request.Arrived)
+	}
+}
+
+// trafficMeter counts the bytes of the peer protocol by kind of message, and
+// the callers that are connected.
+type trafficMeter struct {
+	openCallers atomic.Int64
+	out, in     [64]metrics.Counter
+}
+
+func newTrafficMeter(registry metrics.Registry) *trafficMeter {
+	meter := &trafficMeter{}
+	for kind := range meter.out {
+		name := peerwire.Kind(kind).String()
+		meter.out[kind] = metrics.GetOrRegisterCounter("peer.out."+name, registry)
+		meter.in[kind] = metrics.GetOrRegisterCounter("peer.in."+name, registry)
+	}
+	return meter
+}
+
+// Count implements peer.Traffic.
+func (m *trafficMeter) Count(kind peerwire.Kind, out bool, bytes int) {
+	counters := &m.in
+	if out {
+		counters = &m.out
+	}
+	if int(kind) < len(counters) {
+		counters[kind].Inc(int64(bytes))
+	}
+}
+
+// Decision is one routing decision as it is logged and explained.
+type Decision struct {
+	Time       time.Time           `json:"time"`
+	Node       string              `json:"node"`
+	RequestID  string              `json:"request_id"`
+	Tenant     string              `json:"tenant"`
+	Route      string              `json:"route"`
+	Service    string              `json:"service"`
+	Tier       string              `json:"tier"`
+	Verdict    structs.Verdict     `json:"verdict"`
+	Reason     structs.Reason      `json:"reason,omitempty"`
+	Replica    structs.ReplicaID   `json:"replica,omitempty"`
+	Waited     time.Duration       `json:"waited_ns"`
+	RetryAfter time.Duration       `json:"retry_after_ns,omitempty"`
+	Candidates []structs.Candidate `json:"candidates,omitempty"`
+}
+
+// decisionLog keeps the last decisions. It is safe for concurrent use.
+type decisionLog struct {
+	mutex sync.Mutex
+	ring  []Decision
+	next  int
+}
+
+func newDecisionLog(size int) *decisionLog { return &decisionLog{ring: make([]Decision, 0, size)} }
+
+func (l *decisionLog) add(decision Decision) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if len(l.ring) < cap(l.ring) {
+		l.ring = append(l.ring, decision)
+		return
+	}
+	l.ring[l.next] = decision
+	l.next = (l.next + 1) % len(l.ring)
+}
+
+// of returns the decisions on the request, in the order in which they were made.
+func (l *decisionLog) of(requestID string) []Decision {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	var found []Decision
+	for i := range l.ring {
+		decision := l.ring[(l.next+i)%len(l.ring)]
+		if decision.RequestID == requestID {
+			found = append(found, decision)
+		}
+	}
+	return found
+}
+
+// explain logs the decision and keeps it. The mutex of the node is held.
+func (n *Node) explain(plan structs.Plan) {
+	request := plan.Request
+	decision := Decision{
+		Time: n.depend.WallTime(), Node: n.config.Name, RequestID: request.ID, Tenant: request.Tenant, Route: request.Route,
+		Service: request.Service, Tier: request.Tier, Verdict: plan.Verdict, Reason: plan.Reason, Replica: plan.Replica.ID,
+		Waited: n.now() - request.Arrived, RetryAfter: plan.RetryAfter, Candidates: plan.Candidates,
+	}
+	n.explains.add(decision)
+	n.count("decision." + string(plan.Verdict) + "." + request.Tier)
+	if plan.Reason != structs.ReasonNone {
+		n.count("refused." + string(plan.Reason))
+	}
+	n.observe("waited."+request.Tier, decision.Waited)
+	if n.depend.LogDecisions {
+		klog.InfoS("route", "decision", decision)
+	}
+}
--- /dev/null
+++ b/node/relay.go
@@ -0,0 +1,251 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"github.com/thornwalk/thornwalk/protocol/errkind"
+	"github.com/thornwalk/thornwalk/protocol/peerwire"
+	"github.com/thornwalk/thornwalk/protocol/receipt"
+	"github.com/thornwalk/thornwalk/state/answer"
+	"github.com/thornwalk/thornwalk/structs"
+	"github.com/thornwalk/thornwalk/transport/oneshot"
+)
+
+const kindLookup = peerwire.KindRegistryLookup
+
+// settleTime is how long a status look-up waits for a relayed answer's state.
+const settleTime = 200 * time.Millisecond
+
+// relayPass authorises a node to read an answer at another.
+type relayPass struct {
+	RequestID string `msgpack:"r"`
+	Tenant    string `msgpack:"t"`
+}
+
+// relayLine is one line of a relayed answer; one field is set.
+type relayLine struct {
+	Receipt string       `json:"receipt,omitempty"`
+	Head    *answer.Head `json:"head,omitempty"`
+	Part    []byte       `json:"part,omitempty"`
+	End     *relayEnd    `json:"end,omitempty"`
+}
+
+// relayEnd is the end of a relayed answer.
+type relayEnd struct {
+	Outcome structs.Outcome `json:"outcome"`
+	Code    string          `json:"code,omitempty"`
+	Detail  string          `json:"detail,omitempty"`
+}
+
+// relay returns an answer that is read from the node that has it.
+func (n *Node) relay(address, id, tenant string, chat bool) *answer.Answer {
+	relayed := answer.New(id, tenant, chat)
+	n.group.Go(func() { n.runRelay(relayed, address) })
+	return relayed
+}
+
+func (n *Node) runRelay(relayed *answer.Answer, address string) {
+	err := n.readRelay(relayed, address)
+	view, _ := relayed.Look(0)
+	if view.Ended {
+		return
+	}
+	// The other node is gone or cut off. What it dispatched goes on at the
+	// engine, and can be read there from where the relay broke off.
+	var found receipt.Receipt
+	if view.Receipt == "" || view.Head != nil || n.sealer.Open(view.Receipt, &found) != nil {
+		relayed.End(structs.OutcomeUnknown, errkind.New(errkind.OutcomeUnknown, "request %s: %v", relayed.RequestID, err))
+		return
+	}
+	reader := &eventReader{node: n, request: &structs.Request{ID: relayed.RequestID}, address: found.Address, answer: relayed, last: len(view.Parts)}
+	relayed.End(reader.read(n.ctx, nil, err))
+}
+
+// readRelay reads the lines of another node until the end of the answer.
+func (n *Node) readRelay(relayed *answer.Answer, address string) error {
+	pass, err := n.sealer.Seal(&relayPass{RequestID: relayed.RequestID, Tenant: relayed.Tenant})
+	if err != nil {
+		return err
+	}
+	request, err := http.NewRequestWithContext(n.ctx, http.MethodGet, "http://"+address+PathInternal+relayed.RequestID, nil)
+	if err != nil {
+		return err
+	}
+	request.Header.Set(HeaderReceipt, pass)
+	sender := oneshot.Sender{Network: n.callerNetwork()}
+	dialContext, cancel := context.WithCancel(n.ctx)
+	defer cancel()
+	response, err := sender.Send(dialContext, address, request)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if response.StatusCode != http.StatusOK {
+		return errors.New("the node does not have the answer any more")
+	}
+	decoder := json.NewDecoder(response.Body)
+	for {
+		var line relayLine
+		if err := decoder.Decode(&line); err != nil {
+			return err
+		}
+		if takeLine(relayed, &line) {
+			return nil
+		}
+	}
+}
+
+// takeLine applies a line and returns whether it was the last.
+func takeLine(relayed *answer.Answer, line *relayLine) bool {
+	switch {
+	case line.End != nil:
+		var err error
+		if line.End.Code != "" {
+			kind, known := errkind.ByCode(line.End.Code)
+			if !known {
+				kind = errkind.OutcomeUnknown
+			}
+			err = errkind.New(kind, "%s", line.End.Detail)
+		}
+		relayed.End(line.End.Outcome, err)
+		return true
+	case line.Head != nil:
+		relayed.SetHead(*line.Head)
+	case line.Receipt != "":
+		relayed.SetReceipt(line.Receipt)
+	default:
+		relayed.Append(line.Part)
+	}
+	return false
+}
+
+// serveInternal sends an answer to another node.
+func (n *Node) serveInternal(writer http.ResponseWriter, request *http.Request) {
+	id := mux.Vars(request)["id"]
+	var pass relayPass
+	if err := n.sealer.Open(request.Header.Get(HeaderReceipt), &pass); err != nil || pass.RequestID != id {
+		writer.WriteHeader(http.StatusForbidden)
+		return
+	}
+	found, known := n.answers.Get(id)
+	if !known || found.Tenant != pass.Tenant {
+		writer.WriteHeader(http.StatusNotFound)
+		return
+	}
+	n.traffic.openCallers.Add(1)
+	defer n.traffic.openCallers.Add(-1)
+	n.sendLines(writer, request, found)
+}
+
+func (n *Node) sendLines(writer http.ResponseWriter, request *http.Request, found *answer.Answer) {
+	encoder := json.NewEncoder(writer)
+	sent := 0
+	receiptSent, headSent := false, false
+	for {
+		view, changed := found.Look(sent)
+		if view.Receipt != "" && !receiptSent {
+			receiptSent = true
+			_ = encoder.Encode(relayLine{Receipt: view.Receipt}) // a broken connection shows at the flush
+		}
+		if view.Head != nil && !headSent {
+			headSent = true
+			_ = encoder.Encode(relayLine{Head: view.Head})
+		}
+		for _, part := range view.Parts {
+			sent++
+			_ = encoder.Encode(relayLine{Part: part})
+		}
+		if view.Ended {
+			end := &relayEnd{Outcome: view.Outcome}
+			if view.Err != nil {
+				end.Code, end.Detail = errkind.Of(view.Err).Code, view.Err.Error()
+			}
+			_ = encoder.Encode(relayLine{End: end})
+			return
+		}
+		if http.NewResponseController(writer).Flush() != nil {
+			return
+		}
+		select {
+		case <-changed:
+		case <-request.Context().Done():
+			return
+		case <-n.ctx.Done():
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+// settle waits a moment for a relayed answer to show its state.
+func settle(ctx context.Context, found *answer.Answer) {
+	ctx, cancel := context.WithTimeout(ctx, settleTime)
+	defer cancel()
+	_, _ = found.Await(ctx, 0, 0) // the state as it is then is what is told
+}
+
+// forwardTicket sends a call whose ticket belongs to another process there, and
+// returns false if the ticket is this process's own. The call is sent once: if
+// the way there breaks after its first byte, the outcome is unknown.
+func (n *Node) forwardTicket(writer http.ResponseWriter, request *http.Request, c *call) bool {
+	ticket, err := n.openTicket(c.ticket, c.tenant.Name)
+	if err != nil {
+		n.writeError(writer, err, "", "")
+		return true
+	}
+	if n.ownsTicket(&ticket) {
+		return false
+	}
+	if request.Header.Get(HeaderForwarded) != "" {
+		n.writeError(writer, errkind.New(errkind.OutcomeUnknown, "the process that gave the ticket is gone"), "", "")
+		return true
+	}
+	forwarded, err := http.NewRequestWithContext(request.Context(), request.Method, "http://"+ticket.Address+request.URL.RequestURI(), bytes.NewReader(c.body))
+	if err != nil {
+		n.writeError(writer, errkind.Wrap(errkind.BadRequest, err), "", "")
+		return true
+	}
+	forwarded.Header = request.Header.Clone()
+	forwarded.Header.Set(HeaderForwarded, n.config.Name)
+	sender := oneshot.Sender{Network: n.callerNetwork()}
+	response, err := sender.Send(request.Context(), ticket.Address, forwarded)
+	if err != nil {
+		n.writeError(writer, errkind.New(errkind.OutcomeUnknown, "the process that gave the ticket does not answer: %v", err), "", "")
+		return true
+	}
+	defer response.Body.Close()
+	copyResponse(writer, response)
+	return true
+}
+
+// copyResponse passes a response on as it arrives; if it breaks off, so does
+// the caller's.
+func copyResponse(writer http.ResponseWriter, response *http.Response) {
+	header := writer.Header()
+	for name, values := range forwardHeader(response.Header) {
+		header[name] = values
+	}
+	header.Set("Trailer", HeaderOutcome)
+	writer.WriteHeader(response.StatusCode)
+	piece := make([]byte, serviceChunk)
+	for {
+		count, err := response.Body.Read(piece)
+		_, _ = writer.Write(piece[:count]) // a broken connection shows at the flush
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil || http.NewResponseController(writer).Flush() != nil {
+			panic(http.ErrAbortHandler)
+		}
+	}
+	if outcome := response.Trailer.Get(HeaderOutcome); outcome != "" {
+		header.Set(HeaderOutcome, outcome)
+	}
+}
--- /dev/null
+++ b/node/resolve.go
@@ -0,0 +1,171 @@
+package node
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/thornwalk/thornwalk/protocol/errkind"
+	"github.com/thornwalk/thornwalk/protocol/openai"
+	"github.com/thornwalk/thornwalk/state/prefix"
+	"github.com/thornwalk/thornwalk/state/settings"
+	"github.com/thornwalk/thornwalk/structs"
+)
+
+// Headers of callers, and of answers.
+const (
+	HeaderIdempotencyKey = "Idempotency-Key"
+	HeaderRoute          = "Thornwalk-Route"
+	HeaderDeadline       = "Thornwalk-Deadline-Ms"
+	HeaderTicket         = "Thornwalk-Ticket"
+	HeaderNotRepeatable  = "Thornwalk-Not-Repeatable"
+	HeaderRequestID      = "Thornwalk-Request-Id"
+	HeaderReceipt        = "Thornwalk-Receipt"
+	HeaderOutcome        = "Thornwalk-Outcome"
+	HeaderErrorCode      = "Thornwalk-Error"
+	HeaderForwarded      = "Thornwalk-Forwarded"
+)
+
+// maximumKeyLength bounds an idempotency key, in bytes.
+const maximumKeyLength = 255
+
+// authenticate finds the tenant of the bearer key. The lookup is by the key's
+// hash, so that its time does not depend on how much of a key is right.
+func (n *Node) authenticate(request *http.Request) (*settings.Named, error) {
+	key, isBearer := strings.CutPrefix(request.Header.Get("Authorization"), "Bearer ")
+	if !isBearer || key == "" {
+		return nil, errkind.New(errkind.Unauthorized, "no bearer key")
+	}
+	sum := sha256.Sum256([]byte(key))
+	tenant, found := n.settings.Compiled().TenantByKeyHash(hex.EncodeToString(sum[:]))
+	if !found {
+		return nil, errkind.New(errkind.Unauthorized, "the bearer key belongs to no tenant")
+	}
+	return tenant, nil
+}
+
+// readBody reads the request's body within the tenant's limit.
+func readBody(writer http.ResponseWriter, request *http.Request, limit int) ([]byte, error) {
+	body, err := io.ReadAll(http.MaxBytesReader(writer, request.Body, int64(limit)))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, errkind.New(errkind.TooLarge, "the body exceeds %d bytes", limit)
+	}
+	if err != nil {
+		return nil, errkind.New(errkind.BadRequest, "the body broke off: %v", err)
+	}
+	return body, nil
+}
+
+// resolveCompletion makes a call of an OpenAI-compatible request. Its model
+// names a route.
+func (n *Node) resolveCompletion(request *http.Request, tenant *settings.Named, body []byte, chat bool) (*call, error) {
+	parsed, err := openai.ParseRequest(body, chat)
+	if err != nil {
+		return nil, err
+	}
+	name := parsed.Model
+	if header := request.Header.Get(HeaderRoute); header != "" {
+		name = header
+	}
+	route, found := n.settings.Compiled().Route(name)
+	if !found || route.Values.Model == "" {
+		return nil, errkind.New(errkind.UnknownRoute, "%q is no route to a model", name)
+	}
+	c := &call{tenant: tenant, route: name, values: route.Values, generation: parsed, body: body}
+	return c, c.readHeaders(request)
+}
+
+// resolveService makes a call of a request to a plain service: the route is
+// named by the header, or has the name of the service.
+func (n *Node) resolveService(request *http.Request, tenant *settings.Named, service, path string, body []byte) (*call, error) {
+	name := request.Header.Get(HeaderRoute)
+	if name == "" {
+		name = service
+	}
+	route, found := n.settings.Compiled().Route(name)
+	if !found || route.Values.Service != service || route.Values.Model != "" {
+		return nil, errkind.New(errkind.UnknownRoute, "%q is no route to the plain service %q", name, service)
+	}
+	if request.URL.RawQuery != "" {
+		path += "?" + request.URL.RawQuery
+	}
+	c := &call{
+		tenant: tenant, route: name, values: route.Values, body: body,
+		service: &serviceCall{method: request.Method, path: path, header: forwardHeader(request.Header)},
+	}
+	return c, c.readHeaders(request)
+}
+
+// notForwarded are headers that concern one connection or the caller's key.
+var notForwarded = []string{"Authorization", "Connection", "Keep-Alive", "Proxy-Authorization", "Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", HeaderTicket}
+
+func forwardHeader(header http.Header) http.Header {
+	forwarded := header.Clone()
+	for _, name := range notForwarded {
+		forwarded.Del(name)
+	}
+	return forwarded
+}
+
+func (c *call) readHeaders(request *http.Request) error {
+	c.key = request.Header.Get(HeaderIdempotencyKey)
+	c.ticket = request.Header.Get(HeaderTicket)
+	if len(c.key) > maximumKeyLength {
+		return errkind.New(errkind.BadRequest, "%s has %d bytes, more than %d", HeaderIdempotencyKey, len(c.key), maximumKeyLength)
+	}
+	c.deadline = c.values.Deadline
+	if text := request.Header.Get(HeaderDeadline); text != "" {
+		milliseconds, err := strconv.Atoi(text)
+		if err != nil || milliseconds < 1 || time.Duration(milliseconds) > time.Hour/time.Millisecond {
+			return errkind.New(errkind.BadRequest, "%s is %q: write milliseconds from 1 to 3600000", HeaderDeadline, text)
+		}
+		c.deadline = time.Duration(milliseconds) * time.Millisecond
+	}
+	c.repeatable = c.values.Repeatable && request.Header.Get(HeaderNotRepeatable) != "true"
+	c.bodyHash = hashCall(c, request)
+	return nil
+}
+
+// hashCall tells a resubmission from a different request under the same key.
+func hashCall(c *call, request *http.Request) uint64 {
+	digest := xxhash.New()
+	_, _ = digest.WriteString(request.Method + " " + request.URL.RequestURI() + "\x00" + c.route + "\x00") // never fails
+	_, _ = digest.Write(c.body)
+	return digest.Sum64()
+}
+
+// describe makes the scheduler's view of the call.
+func (n *Node) describe(id string, c *call) *structs.Request {
+	now := n.now()
+	request := &structs.Request{
+		ID: id, Tenant: c.tenant.Name, Route: c.route, Service: c.values.Service, Model: c.values.Model, Adapter: c.values.Adapter,
+		Tier: c.values.Tier, Weight: c.tenant.Values.Weight, MaxTokens: c.values.MaxTokens,
+		Arrived: now, Deadline: now + c.deadline, Repeatable: c.repeatable,
+	}
+	if tier, found := n.settings.Compiled().Tier(c.values.Tier); found {
+		request.Rank = structs.Rank(tier.Values.Rank)
+	}
+	if c.generation != nil {
+		if c.generation.MaxTokens > 0 {
+			request.MaxTokens = min(request.MaxTokens, c.generation.MaxTokens)
+		}
+		request.PromptTokens = prefix.Tokens(len(c.generation.Prompt))
+		request.Prefix = prefix.Chain(engineName(&c.values), c.generation.Prompt)
+	}
+	return request
+}
+
+func engineName(values *settings.Values) string {
+	if values.Adapter != "" {
+		return values.Adapter
+	}
+	return values.Model
+}
--- /dev/null
+++ b/node/respond.go
@@ -0,0 +1,223 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/thornwalk/thornwalk/protocol/errkind"
+	"github.com/thornwalk/thornwalk/protocol/openai"
+	"github.com/thornwalk/thornwalk/state/answer"
+	"github.com/thornwalk/thornwalk/structs"
+)
+
+// keepAliveInterval is the time between comments in a stream that has nothing
+// to say, so that connections in between do not lapse.
+const keepAliveInterval = 15 * time.Second
+
+// writeError tells the caller of an error: its kind, its remedy, what it proves
+// of the request, and when to come back.
+func (n *Node) writeError(writer http.ResponseWriter, err error, requestID, sealed string) {
+	n.writeOutcomeError(writer, err, outcomeOf(err), requestID, sealed)
+}
+
+func (n *Node) writeOutcomeError(writer http.ResponseWriter, err error, outcome structs.Outcome, requestID, sealed string) {
+	kind := errkind.Of(err)
+	header := writer.Header()
+	header.Set(HeaderErrorCode, kind.Code)
+	header.Set(HeaderOutcome, outcome.String())
+	setIfAny(header, HeaderRequestID, requestID)
+	setIfAny(header, HeaderReceipt, sealed)
+	var retry *retryError
+	if errors.As(err, &retry) || kind == errkind.Limited || kind == errkind.Stopping {
+		after := time.Second
+		if retry != nil {
+			after = retry.after
+		}
+		header.Set("Retry-After", strconv.Itoa(max(1, int((after+time.Second-1)/time.Second))))
+	}
+	writeJSON(writer, kind.Status, errorBody(err, outcome, requestID, sealed))
+}
+
+func errorBody(err error, outcome structs.Outcome, requestID, sealed string) openai.ErrorBody {
+	kind := errkind.Of(err)
+	return openai.ErrorBody{Error: openai.ErrorDetail{
+		Message: err.Error(), Type: kind.Code, Code: kind.Code, Outcome: outcome.String(), RequestID: requestID, Receipt: sealed,
+	}}
+}
+
+func setIfAny(header http.Header, name, value string) {
+	if value != "" {
+		header.Set(name, value)
+	}
+}
+
+func lastEventID(request *http.Request) int {
+	number, err := strconv.Atoi(request.Header.Get("Last-Event-ID"))
+	if err != nil || number < 0 {
+		return 0
+	}
+	return number
+}
+
+// writeGeneration sends the answer of an engine, as a stream or whole.
+func (n *Node) writeGeneration(writer http.ResponseWriter, request *http.Request, found *answer.Answer, stream, usage bool, from int) {
+	if stream {
+		n.writeStream(writer, request, found, usage, from)
+		return
+	}
+	view, err := found.AwaitEnd(request.Context())
+	if err != nil {
+		return // the caller hung up
+	}
+	if view.Outcome != structs.OutcomeAnswered {
+		n.writeOutcomeError(writer, view.Err, view.Outcome, found.RequestID, view.Receipt)
+		return
+	}
+	completion, err := openai.Assemble(view.Parts, found.Chat)
+	if err != nil {
+		n.writeOutcomeError(writer, err, structs.OutcomeUnknown, found.RequestID, view.Receipt)
+		return
+	}
+	setAnswerHeader(writer.Header(), found, &view)
+	writer.Header().Set(HeaderOutcome, view.Outcome.String())
+	writeJSON(writer, http.StatusOK, completion)
+}
+
+func setAnswerHeader(header http.Header, found *answer.Answer, view *answer.View) {
+	header.Set(HeaderRequestID, found.RequestID)
+	setIfAny(header, HeaderReceipt, view.Receipt)
+}
+
+// writeStream sends events as they arrive. The head goes out with the receipt,
+// as soon as the request is dispatched; what ends the stream says the outcome.
+func (n *Node) writeStream(writer http.ResponseWriter, request *http.Request, found *answer.Answer, usage bool, from int) {
+	view, err := found.Await(request.Context(), from, 0)
+	if err != nil {
+		return
+	}
+	if view.Ended && view.Outcome != structs.OutcomeAnswered && len(view.Parts) == 0 {
+		n.writeOutcomeError(writer, view.Err, view.Outcome, found.RequestID, view.Receipt)
+		return
+	}
+	header := writer.Header()
+	header.Set("Content-Type", "text/event-stream")
+	header.Set("Cache-Control", "no-cache")
+	header.Set("Trailer", HeaderOutcome)
+	setAnswerHeader(header, found, &view)
+	controller := http.NewResponseController(writer)
+	for {
+		for _, part := range view.Parts {
+			from++
+			writeEvent(writer, from, part, usage)
+		}
+		if view.Ended {
+			break
+		}
+		if controller.Flush() != nil {
+			return
+		}
+		if view, err = n.awaitNext(request, writer, found, from); err != nil {
+			return
+		}
+	}
+	header.Set(HeaderOutcome, view.Outcome.String())
+	if view.Outcome == structs.OutcomeAnswered {
+		fmt.Fprintf(writer, "data: %s\n\n", openai.DoneEvent)
+		return
+	}
+	fmt.Fprintf(writer, "event: error\ndata: %s\n\n", mustJSON(errorBody(view.Err, view.Outcome, found.RequestID, view.Receipt)))
+}
+
+// awaitNext waits for the next part and keeps the connection alive meanwhile.
+func (n *Node) awaitNext(request *http.Request, writer http.ResponseWriter, found *answer.Answer, from int) (answer.View, error) {
+	for {
+		ctx, cancel := context.WithTimeout(request.Context(), keepAliveInterval)
+		view, err := found.Await(ctx, from, 1)
+		cancel()
+		if err == nil || request.Context().Err() != nil {
+			return view, err
+		}
+		fmt.Fprint(writer, ": waiting\n\n")
+		if err := http.NewResponseController(writer).Flush(); err != nil {
+			return view, err
+		}
+	}
+}
+
+func writeEvent(writer http.ResponseWriter, number int, part []byte, usage bool) {
+	if !usage {
+		if chunk, err := openai.ParseChunk(part); err == nil && chunk.Usage != nil && len(chunk.Choices) == 0 {
+			return
+		}
+	}
+	fmt.Fprintf(writer, "id: %d\ndata: %s\n\n", number, part)
+}
+
+// writeService sends the answer of a plain service as it arrives. A caller can
+// tell an answer that broke off: its connection is cut.
+func (n *Node) writeService(writer http.ResponseWriter, request *http.Request, found *answer.Answer) {
+	view, err := awaitHead(request.Context(), found)
+	if err != nil {
+		return
+	}
+	if view.Head == nil {
+		n.writeOutcomeError(writer, view.Err, view.Outcome, found.RequestID, view.Receipt)
+		return
+	}
+	header := writer.Header()
+	for name, values := range forwardHeader(view.Head.Header) {
+		header[name] = values
+	}
+	setAnswerHeader(header, found, &view)
+	header.Set("Trailer", HeaderOutcome)
+	writer.WriteHeader(view.Head.Status)
+	sent := 0
+	for {
+		for _, part := range view.Parts {
+			_, _ = writer.Write(part) // a broken connection shows at the flush
+			sent++
+		}
+		if view.Ended {
+			break
+		}
+		if http.NewResponseController(writer).Flush() != nil {
+			return
+		}
+		if view, err = found.Await(request.Context(), sent, 1); err != nil {
+			return
+		}
+	}
+	if view.Outcome != structs.OutcomeAnswered {
+		panic(http.ErrAbortHandler)
+	}
+	header.Set(HeaderOutcome, view.Outcome.String())
+}
+
+// awaitHead waits past the receipt, until there is a head or the end.
+func awaitHead(ctx context.Context, found *answer.Answer) (answer.View, error) {
+	for {
+		view, changed := found.Look(0)
+		if view.Head != nil || view.Ended {
+			return view, nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return view, ctx.Err()
+		}
+	}
+}
+
+// mustJSON encodes a value of plain fields.
+func mustJSON(value any) []byte {
+	content, err := json.Marshal(value)
+	if err != nil {
+		panic(err) // unreachable for the types that are passed
+	}
+	return content
+}
--- /dev/null
+++ b/node/scheduling.go
@@ -0,0 +1,286 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/thornwalk/thornwalk/coordination/claims"
+	"github.com/thornwalk/thornwalk/coordination/limits"
+	"github.com/thornwalk/thornwalk/coordination/scheduler"
+	"github.com/thornwalk/thornwalk/coordination/shedding"
+	"github.com/thornwalk/thornwalk/protocol/peerwire"
+	"github.com/thornwalk/thornwalk/state/rendezvous"
+	"github.com/thornwalk/thornwalk/state/settings"
+	"github.com/thornwalk/thornwalk/structs"
+)
+
+const (
+	// tickInterval is the time between looks at deadlines and leases.
+	tickInterval = 20 * time.Millisecond
+	// demandInterval is the least time between repeated demands for a floor.
+	demandInterval = 100 * time.Millisecond
+	// callTimeout bounds a call of a peer in the zone.
+	callTimeout = 500 * time.Millisecond
+	// zoneFreshness is how long a zone counts as reachable after its last word.
+	zoneFreshness = 3 * time.Second
+)
+
+// schedulerOptions takes the scheduler's settings from the tree.
+func (n *Node) schedulerOptions(compiled *settings.Compiled) scheduler.Options {
+	lowest := structs.Rank(0)
+	for _, tier := range compiled.Tiers() {
+		lowest = max(lowest, structs.Rank(tier.Values.Rank))
+	}
+	options := scheduler.DefaultOptions(n.config.Zone, lowest)
+	options.HoldAhead = compiled.Node.HoldAhead
+	options.AgingLimit = compiled.Node.AgingLimit
+	options.QueueLimit = compiled.Node.QueueLimit
+	options.SampleSize = compiled.Node.SampleSize
+	options.FloorHold = compiled.Node.FloorHold
+	return options
+}
+
+func (n *Node) claimSettings() claims.Settings {
+	values := n.settings.Compiled().Node
+	return claims.Settings{Shards: values.ClaimShards, Window: values.ClaimBatchWindow, Retention: values.ClaimRetention}
+}
+
+// settingsChanged takes a new generation into force in the state machines.
+func (n *Node) settingsChanged(compiled *settings.Compiled) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	options := n.schedulerOptions(compiled)
+	n.scheduler.SetOptions(options)
+	n.floorOwner.SetTiers(options.LowestRank, options.FloorHold)
+	n.floorMember.SetLowest(options.LowestRank)
+	n.registry.SetLimits(compiled.Node.RegistryLimit, compiled.Node.AnswerRetention)
+	if n.table != nil {
+		n.table.SetDeadAfter(compiled.Node.DeadAfter - compiled.Node.SuspectAfter)
+	}
+	n.applyClosed(compiled)
+	klog.InfoS("settings in force", "node", n.config.Name, "generation", compiled.Generation)
+}
+
+// applyClosed closes and opens replicas by the services' settings. The mutex is held.
+func (n *Node) applyClosed(compiled *settings.Compiled) {
+	closed := map[structs.ReplicaID]bool{}
+	for _, name := range compiled.Services() {
+		if service, found := compiled.Service(name); found {
+			for _, id := range service.Values.Closed {
+				closed[structs.ReplicaID(id)] = true
+			}
+		}
+	}
+	for _, replica := range n.scheduler.View().Replicas() {
+		if state, found := n.scheduler.View().Get(replica.ID); found {
+			state.Closed = closed[replica.ID]
+		}
+	}
+}
+
+// overflowZones names the reachable zones that may take a service's overflow.
+// The mutex is held.
+func (n *Node) overflowZones(service string) []string {
+	named, found := n.settings.Compiled().Service(service)
+	if !found || !named.Values.Overflow {
+		return nil
+	}
+	var zones []string
+	for _, zone := range named.Values.OverflowZones {
+		if heard, known := n.heardZones[zone]; known && n.now()-heard < zoneFreshness {
+			zones = append(zones, zone)
+		}
+	}
+	return zones
+}
+
+// tickLoop moves time-driven state on.
+func (n *Node) tickLoop() {
+	for sleep(n.ctx, tickInterval) {
+		n.tick()
+	}
+}
+
+func (n *Node) tick() {
+	now := n.now()
+	values := n.settings.Compiled().Node
+	n.answers.Sweep(now, values.AnswerRetention, values.AnswerLimitBytes)
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.table.Tick(now)
+	n.followMembership()
+	for _, service := range n.floorMember.Tick(now) {
+		n.applyFloor(service)
+	}
+	for _, service := range n.floorOwner.Services() {
+		n.advanceFloor(service)
+	}
+	n.pump()
+}
+
+// followMembership tells the state machines how many nodes share the zone and
+// moves registry entries to new owners. The mutex is held.
+func (n *Node) followMembership() {
+	if n.table.Version() == n.tableSeen {
+		return
+	}
+	n.tableSeen = n.table.Version()
+	live := len(n.table.Live())
+	n.scheduler.SetLiveNodes(live)
+	n.limitMember.SetLiveNodes(live)
+	n.registerAgain()
+}
+
+// pump carries out what the scheduler plans. The mutex is held.
+func (n *Node) pump() {
+	for _, plan := range n.scheduler.Pump(n.now()) {
+		n.deliver(plan)
+	}
+	n.sendDemands()
+}
+
+// deliver hands a plan to the request's execution. The mutex is held.
+func (n *Node) deliver(plan structs.Plan) {
+	n.explain(plan)
+	if waiting, found := n.executions[plan.Request.ID]; found {
+		waiting.plans <- plan // has room: a request has at most one plan at a time
+	}
+}
+
+// floorOwnerOf returns the member that owns the floor of the service. The
+// mutex is held.
+func (n *Node) floorOwnerOf(service string) string {
+	return rendezvous.Choose(n.table.LiveNames(), rendezvous.Key("floor/"+service), 1)[0]
+}
+
+// sendDemands carries new demands to the owners of the floors. The mutex is held.
+func (n *Node) sendDemands() {
+	now := n.now()
+	for _, demand := range n.scheduler.Demands(now) {
+		if last, sent := n.demanded[demand]; sent && now-last < demandInterval {
+			continue
+		}
+		n.demanded[demand] = now
+		message := shedding.Demand{Service: demand.Service, Rank: demand.Rank, From: n.config.Name}
+		n.tell(n.floorOwnerOf(demand.Service), func(ctx context.Context, address string) error {
+			var nothing struct{}
+			return n.peers.Call(ctx, address, peerwire.KindFloorDemand, message, &nothing)
+		}, func() { n.takeDemand(message) })
+	}
+}
+
+// tell sends a message without waiting, or takes it locally if the member is
+// this node. The mutex is held; remote runs without it.
+func (n *Node) tell(member string, remote func(ctx context.Context, address string) error, local func()) {
+	if member == n.config.Name {
+		local()
+		return
+	}
+	known, found := n.table.Get(member)
+	if !found {
+		return
+	}
+	n.group.Go(func() {
+		ctx, cancel := context.WithTimeout(n.ctx, callTimeout)
+		defer cancel()
+		if err := remote(ctx, known.Member.PeerAddress); err != nil && n.ctx.Err() == nil {
+			klog.V(2).InfoS("peer call failed", "node", n.config.Name, "peer", member, "error", err.Error())
+		}
+	})
+}
+
+// takeDemand is the owner's side of a demand. The mutex is held.
+func (n *Node) takeDemand(demand shedding.Demand) {
+	n.floorOwner.Demand(n.now(), demand)
+	n.advanceFloor(demand.Service)
+}
+
+// advanceFloor sends what the owner's protocol has due. The mutex is held.
+func (n *Node) advanceFloor(service string) {
+	if n.floorOwnerOf(service) != n.config.Name {
+		n.floorOwner.Release(service)
+		return
+	}
+	for _, outgoing := range n.floorOwner.Tick(n.now(), service, n.table.LiveNames()) {
+		set := outgoing.Set
+		n.tell(outgoing.To, func(ctx context.Context, address string) error {
+			var ack shedding.Ack
+			if err := n.peers.Call(ctx, address, peerwire.KindFloorSet, set, &ack); err != nil {
+				return err
+			}
+			n.mutex.Lock()
+			defer n.mutex.Unlock()
+			n.takeAck(ack)
+			return nil
+		}, func() { n.takeAck(n.takeSet(set)) })
+	}
+}
+
+// takeSet applies a floor and returns the acknowledgement. The mutex is held.
+func (n *Node) takeSet(set shedding.Set) shedding.Ack {
+	ack := n.floorMember.Apply(n.now(), set)
+	n.applyFloor(set.Service)
+	return ack
+}
+
+func (n *Node) takeAck(ack shedding.Ack) {
+	n.floorOwner.Ack(ack)
+	n.advanceFloor(ack.Service)
+}
+
+// applyFloor takes the floor that the member's side merged into force. The
+// mutex is held.
+func (n *Node) applyFloor(service string) {
+	floor := n.floorMember.Floor(n.now(), service)
+	if floor == n.scheduler.Floor(service) {
+		return
+	}
+	klog.V(1).InfoS("shed floor", "node", n.config.Name, "service", service, "refuse_from", floor.RefuseFrom, "shed_from", floor.ShedFrom)
+	for _, plan := range n.scheduler.SetFloor(service, floor) {
+		n.deliver(plan)
+	}
+}
+
+// limitLoop reports demands to the owners of the tenants' limits and takes the
+// slices that they grant.
+func (n *Node) limitLoop() {
+	for sleep(n.ctx, limits.ReportInterval) {
+		n.mutex.Lock()
+		reports := n.limitMember.Reports(n.now(), n.config.Name, n.limitOwnerOf)
+		for owner, report := range reports {
+			n.tell(owner, func(ctx context.Context, address string) error {
+				var grant limits.Grant
+				if err := n.peers.Call(ctx, address, peerwire.KindLimitDemand, report, &grant); err != nil {
+					return err
+				}
+				n.mutex.Lock()
+				defer n.mutex.Unlock()
+				n.limitMember.Apply(n.now(), grant)
+				return nil
+			}, func() { n.limitMember.Apply(n.now(), n.divideLimits(report)) })
+		}
+		n.mutex.Unlock()
+	}
+}
+
+func (n *Node) limitOwnerOf(tenant string) string {
+	return rendezvous.Choose(n.table.LiveNames(), rendezvous.Key("limit/"+tenant), 1)[0]
+}
+
+// divideLimits is the owner's side. The mutex is held.
+func (n *Node) divideLimits(report limits.Report) limits.Grant {
+	compiled := n.settings.Compiled()
+	return n.limitOwner.Divide(n.now(), report, func(tenant string) limits.Limit {
+		named, found := compiled.Tenant(tenant)
+		if !found {
+			return limits.Limit{}
+		}
+		return limitOf(&named.Values)
+	})
+}
+
+func limitOf(values *settings.Values) limits.Limit {
+	return limits.Limit{Rate: values.Rate, Burst: values.Burst, Concurrency: values.Concurrency}
+}
--- /dev/null
+++ b/node/settings.go
@@ -0,0 +1,210 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"k8s.io/klog/v2"
+
+	"github.com/thornwalk/thornwalk/coordination/limits"
+	"github.com/thornwalk/thornwalk/coordination/placement"
+	"github.com/thornwalk/thornwalk/coordination/settingsync"
+	"github.com/thornwalk/thornwalk/faultpoint"
+	"github.com/thornwalk/thornwalk/protocol/errkind"
+	"github.com/thornwalk/thornwalk/protocol/peerwire"
+	"github.com/thornwalk/thornwalk/state/rendezvous"
+	"github.com/thornwalk/thornwalk/structs"
+)
+
+const (
+	// watchLimit is how long a delegate waits in one watch before it looks
+	// whether it still is one.
+	watchLimit = 20 * time.Second
+	// storePause is the time between tries while the store fails.
+	storePause = 500 * time.Millisecond
+	// delegateInterval is the time between looks of a node that is no delegate.
+	delegateInterval = 500 * time.Millisecond
+)
+
+// settingsPull asks a peer for a generation above the sender's.
+type settingsPull struct {
+	Have uint64 `msgpack:"h"`
+}
+
+// settingsReply carries the document in force, or nothing if it is not newer.
+type settingsReply struct {
+	Document []byte `msgpack:"d"`
+}
+
+// settingsLoop reads the settings once at the start and watches them while the
+// node is a delegate of its zone.
+func (n *Node) settingsLoop() {
+	revision := int64(0)
+	first := true
+	for n.ctx.Err() == nil {
+		n.mutex.Lock()
+		watching := n.isDelegate()
+		n.mutex.Unlock()
+		var err error
+		switch {
+		case first:
+			revision, err = n.readSettings()
+			first = err != nil
+		case watching:
+			revision, err = n.watchSettings(revision)
+		default:
+			sleep(n.ctx, delegateInterval)
+		}
+		n.storeUp.Store(err == nil)
+		if err != nil && !sleep(n.ctx, storePause) {
+			return
+		}
+	}
+}
+
+func (n *Node) readSettings() (int64, error) {
+	value, err := n.depend.Store.Get(n.ctx, settingsync.Key)
+	if err != nil {
+		return 0, err
+	}
+	n.offerStored(value.Data)
+	return value.Revision, nil
+}
+
+func (n *Node) watchSettings(revision int64) (int64, error) {
+	ctx, cancel := context.WithTimeout(n.ctx, watchLimit)
+	defer cancel()
+	value, err := n.depend.Store.Watch(ctx, settingsync.Key, revision)
+	if ctx.Err() != nil {
+		// A watch may have died without a word; reading settles what was missed.
+		return n.readSettings()
+	}
+	if err != nil {
+		return revision, err
+	}
+	n.offerStored(value.Data)
+	return value.Revision, nil
+}
+
+// offerStored takes a value of the store into force if it is newer. A value
+// that does not parse or compile leaves the last good generation in force.
+func (n *Node) offerStored(data []byte) {
+	if len(data) == 0 {
+		return
+	}
+	document, err := settingsync.Decode(data)
+	if err == nil {
+		_, err = n.settings.Offer(document)
+	}
+	if err != nil {
+		klog.ErrorS(err, "settings in the store refused", "node", n.config.Name, "in_force", n.settings.Compiled().Generation)
+		n.count("settings.refused")
+	}
+}
+
+// pullSettings asks a peer that is ahead for its document.
+func (n *Node) pullSettings(address string) {
+	if err := faultpoint.Reach(n.ctx, n.depend.Faults, faultpoint.ChangeSpread, n.config.Name); err != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(n.ctx, callTimeout)
+	defer cancel()
+	var reply settingsReply
+	message := settingsPull{Have: n.settings.Compiled().Generation}
+	if err := n.peers.Call(ctx, address, peerwire.KindSettingsPull, &message, &reply); err == nil {
+		n.offerStored(reply.Document)
+	}
+}
+
+func (n *Node) serveSettingsPull(_ context.Context, message *settingsPull) (*settingsReply, error) {
+	document := n.settings.Document()
+	if document.Generation <= message.Have {
+		return &settingsReply{}, nil
+	}
+	data, err := document.Encode()
+	return &settingsReply{Document: data}, err
+}
+
+// Change accepts a change of the settings and takes it into force here. Errors
+// are those of settingsync.Acceptor.Accept.
+func (n *Node) Change(ctx context.Context, change settingsync.Change) (settingsync.ChangeRecord, error) {
+	record, document, err := n.acceptor.Accept(ctx, change)
+	if err != nil {
+		if document != nil && errors.Is(err, errkind.Conflict) {
+			_, _ = n.settings.Offer(document) // what conflicts is newer than what is in force here
+		}
+		return record, err
+	}
+	if _, err := n.settings.Offer(document); err != nil {
+		return record, err
+	}
+	return record, nil
+}
+
+func (n *Node) serveLimitDemand(_ context.Context, report *limits.Report) (*limits.Grant, error) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	grant := n.divideLimits(*report)
+	return &grant, nil
+}
+
+// placementLoop coordinates placement for the services that this node is the
+// first candidate of.
+func (n *Node) placementLoop() {
+	coordinators := map[string]*placement.Coordinator{}
+	for sleep(n.ctx, placement.RenewInterval) {
+		for _, service := range n.settings.Compiled().Services() {
+			if len(n.settings.Compiled().Models(service)) == 0 {
+				continue
+			}
+			coordinator, known := coordinators[service]
+			if !known {
+				coordinator = n.newCoordinator(service)
+				coordinators[service] = coordinator
+			}
+			n.mutex.Lock()
+			candidate := rendezvous.Choose(n.table.LiveNames(), rendezvous.Key("placement/"+service), 1)[0] == n.config.Name
+			n.mutex.Unlock()
+			if candidate {
+				coordinator.Step(n.ctx)
+			}
+		}
+	}
+}
+
+func (n *Node) newCoordinator(service string) *placement.Coordinator {
+	return &placement.Coordinator{
+		Store: n.depend.Store, Sender: n.adapter, Zone: n.config.Zone, Service: service, Node: n.config.Name,
+		Now: n.now, World: func() placement.World { return n.placementWorld(service) }, Faults: n.depend.Faults,
+		Log: func(order placement.Order, err error) {
+			n.count("placement.orders")
+			if n.depend.LogDecisions {
+				klog.InfoS("placement", "node", n.config.Name, "service", service, "replica", order.Replica.ID, "model", order.Model, "fence", order.Fence, "error", errorText(err))
+			}
+		},
+	}
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+func (n *Node) placementWorld(service string) placement.World {
+	compiled := n.settings.Compiled()
+	world := placement.World{ReadRate: compiled.Node.WeightReadRate}
+	for _, model := range compiled.Models(service) {
+		world.Demands = append(world.Demands, placement.Demand{Model: model.Name, Replicas: model.Values.Replicas})
+	}
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	for _, state := range n.scheduler.View().Pool(service).States {
+		if state.Replica.Zone == n.config.Zone && state.Replica.Kind == structs.KindEngine && state.HasReport {
+			world.Engines = append(world.Engines, placement.Engine{Replica: state.Replica, Models: state.Report.Models, Running: state.Report.Running})
+		}
+	}
+	return world
+}
--- /dev/null
+++ b/transport/etcdstore/etcdstore.go
@@ -0,0 +1,174 @@
+// Package etcdstore is the adapter to a platform store that speaks the JSON
+// form of the etcd version 3 API: range, transactions that compare a key's
+// modification revision, leases and watches.
+package etcdstore
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/thornwalk/thornwalk/platform"
+	"github.com/thornwalk/thornwalk/protocol/errkind"
+	"github.com/thornwalk/thornwalk/transport/network"
+	"github.com/thornwalk/thornwalk/transport/oneshot"
+)
+
+// Paths of the API.
+const (
+	PathRange     = "/v3/kv/range"
+	PathTxn       = "/v3/kv/txn"
+	PathGrant     = "/v3/lease/grant"
+	PathKeepAlive = "/v3/lease/keepalive"
+	PathRevoke    = "/v3/lease/revoke"
+	PathWatch     = "/v3/watch"
+)
+
+// maximumAnswer bounds an answer of the store; values are at most a megabyte.
+const maximumAnswer = 8 << 20
+
+// Client implements platform.Store.
+type Client struct {
+	sender  oneshot.Sender
+	address string
+	timeout time.Duration
+	calls   metrics.Registry
+}
+
+// New returns a client of the store at the address. Calls other than watches
+// are given up after the timeout. Calls are counted by path in the registry.
+func New(network network.Network, address string, timeout time.Duration, registry metrics.Registry) *Client {
+	return &Client{sender: oneshot.Sender{Network: network}, address: address, timeout: timeout, calls: registry}
+}
+
+// Get implements platform.Store.
+func (c *Client) Get(ctx context.Context, key string) (platform.Value, error) {
+	var answer RangeResponse
+	if err := c.call(ctx, PathRange, RangeRequest{Key: []byte(key)}, &answer, errkind.StoreUnavailable); err != nil {
+		return platform.Value{}, err
+	}
+	if len(answer.KVs) == 0 {
+		return platform.Value{}, nil
+	}
+	return answer.KVs[0].value(), nil
+}
+
+// Swap implements platform.Store.
+func (c *Client) Swap(ctx context.Context, key string, expected int64, data []byte, lease platform.LeaseID) (int64, error) {
+	request := TxnRequest{
+		Compare: []Compare{{Key: []byte(key), Target: "MOD", Result: "EQUAL", ModRevision: expected}},
+		Success: []Operation{{Put: &PutRequest{Key: []byte(key), Value: data, Lease: int64(lease)}}},
+	}
+	var answer TxnResponse
+	if err := c.call(ctx, PathTxn, request, &answer, errkind.StoreUnknown); err != nil {
+		return 0, err
+	}
+	if !answer.Succeeded {
+		return 0, errkind.New(errkind.Conflict, "%s is not at revision %d", key, expected)
+	}
+	return answer.Header.Revision, nil
+}
+
+// Watch implements platform.Store.
+func (c *Client) Watch(ctx context.Context, key string, after int64) (platform.Value, error) {
+	request := WatchRequest{Create: WatchCreate{Key: []byte(key), StartRevision: after + 1}}
+	response, err := c.send(ctx, PathWatch, request, errkind.StoreUnavailable)
+	if err != nil {
+		return platform.Value{}, err
+	}
+	defer response.Body.Close()
+	decoder := json.NewDecoder(response.Body)
+	for {
+		var message WatchResponse
+		if err := decoder.Decode(&message); err != nil {
+			return platform.Value{}, errkind.New(errkind.StoreUnavailable, "watch of %s ended: %v", key, err)
+		}
+		for _, event := range message.Result.Events {
+			if event.Type == "DELETE" {
+				return platform.Value{}, nil
+			}
+			return event.KV.value(), nil
+		}
+	}
+}
+
+// Grant implements platform.Store.
+func (c *Client) Grant(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
+	var answer LeaseResponse
+	seconds := int64((ttl + time.Second - 1) / time.Second)
+	if err := c.call(ctx, PathGrant, LeaseRequest{TTL: seconds}, &answer, errkind.StoreUnknown); err != nil {
+		return 0, err
+	}
+	return platform.LeaseID(answer.ID), nil
+}
+
+// Renew implements platform.Store.
+func (c *Client) Renew(ctx context.Context, lease platform.LeaseID) error {
+	var answer KeepAliveResponse
+	if err := c.call(ctx, PathKeepAlive, LeaseRequest{ID: int64(lease)}, &answer, errkind.StoreUnavailable); err != nil {
+		return err
+	}
+	if answer.Result.TTL <= 0 {
+		return errkind.New(errkind.StaleFence, "lease %d has expired", lease)
+	}
+	return nil
+}
+
+// Revoke implements platform.Store.
+func (c *Client) Revoke(ctx context.Context, lease platform.LeaseID) error {
+	var answer LeaseResponse
+	return c.call(ctx, PathRevoke, LeaseRequest{ID: int64(lease)}, &answer, errkind.StoreUnknown)
+}
+
+// call sends one request; failed is the kind of a failure after the request
+// was sent, when the store may have acted on it.
+func (c *Client) call(ctx context.Context, path string, request, answer any, failed *errkind.Kind) error {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	response, err := c.send(ctx, path, request, failed)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if err := json.NewDecoder(io.LimitReader(response.Body, maximumAnswer)).Decode(answer); err != nil {
+		return errkind.New(failed, "%s: %v", path, err)
+	}
+	return nil
+}
+
+func (c *Client) send(ctx context.Context, path string, request any, failed *errkind.Kind) (*http.Response, error) {
+	if c.calls != nil {
+		metrics.GetOrRegisterCounter("store.calls."+path, c.calls).Inc(1)
+	}
+	content, err := json.Marshal(request)
+	if err != nil {
+		return nil, errkind.Wrap(errkind.BadRequest, err)
+	}
+	message, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.address+path, bytes.NewReader(content))
+	if err != nil {
+		return nil, errkind.Wrap(errkind.BadRequest, err)
+	}
+	message.Header.Set("Content-Type", "application/json")
+	response, err := c.sender.Send(ctx, c.address, message)
+	if errors.Is(err, oneshot.ErrNotSent) {
+		return nil, errkind.Wrap(errkind.StoreUnavailable, err)
+	}
+	if err != nil {
+		return nil, errkind.New(failed, "%s: %v", path, err)
+	}
+	if response.StatusCode == http.StatusOK {
+		return response, nil
+	}
+	_ = response.Body.Close()
+	if response.StatusCode == http.StatusTooManyRequests {
+		failed = errkind.StoreUnavailable // refused before it had any effect
+	}
+	return nil, errkind.New(failed, "%s: status %s", path, strconv.Itoa(response.StatusCode))
+}
