--- a/coordination/scheduler/pump.go
+++ b/coordination/scheduler/pump.go
@@ -50,8 +50,12 @@
 // from replicas that it passed over.
 func (s *Scheduler) pumpPool(now structs.Instant, p *pool, plans []structs.Plan) []structs.Plan {
 	p.held = false
-	room := s.anyRoom(now, p, p.queue.Ranks()[0])
-	for _, item := range p.queue.Order(now, s.options.AgingLimit, scanLimit) {
+	items := p.queue.Order(now, s.options.AgingLimit, scanLimit)
+	if len(items) == 0 {
+		return plans
+	}
+	room := s.anyRoom(now, p, items[0].Request.Rank)
+	for _, item := range items {
 		if !room {
 			p.held = true
 			return plans
--- a/lab/checker/checker.go
+++ b/lab/checker/checker.go
@@ -212,8 +212,8 @@
 // nor may one that was sent after the refusal start within the guard.
 func (h *History) shedOrder() []Violation {
 	started := map[string]time.Time{}
-	for marker, executions := range h.byMarker() {
-		started[marker] = executions[0].At
+	for _, execution := range h.Executions {
+		started[execution.RequestID] = execution.At
 	}
 	var violations []Violation
 	for i := range h.Observations {
@@ -226,7 +226,7 @@
 			if lower.Rank <= shed.Rank || lower.Zone != shed.Zone || lower.Service != shed.Service {
 				continue
 			}
-			at, ran := started[lower.Marker]
+			at, ran := started[lower.RequestID]
 			if ran && inverted(shed, lower, at) {
 				violations = append(violations, Violation{RuleShedOrder, fmt.Sprintf("%s of tier %s was shed while %s of tier %s went on", shed.Marker, shed.Tier, lower.Marker, lower.Tier)})
 				break
--- a/lab/standin/engine.go
+++ b/lab/standin/engine.go
@@ -383,3 +383,10 @@
 	const shortest, spread = 8, 56
 	return min(shortest+int(digest.Sum32()%spread), max(limit, 1))
 }
+
+// SetReportLag changes the age of the load that the engine reports.
+func (e *Engine) SetReportLag(lag time.Duration) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.ReportLag = lag
+}
--- a/node/execute.go
+++ b/node/execute.go
@@ -349,6 +349,6 @@
 func (n *Node) seal(x *execution, replica structs.Replica) (string, error) {
 	return n.sealer.Seal(&receipt.Receipt{
 		RequestID: x.request.ID, Tenant: x.call.tenant.Name, Route: x.call.route, Zone: n.config.Zone, Node: n.config.Name,
-		Incarnation: uint64(n.startMilliseconds()), Replica: replica.ID, Address: replica.Address, Chat: x.answer.Chat,
+		Incarnation: uint64(n.startMilliseconds()), Replica: replica.ID, Address: replica.Address, Engine: x.call.service == nil, Chat: x.answer.Chat,
 	})
 }
--- a/node/identity.go
+++ b/node/identity.go
@@ -252,10 +252,10 @@
 // the claim says that it went.
 func (n *Node) followHolder(x *execution, held *heldClaimError) (structs.Outcome, error) {
 	var found receipt.Receipt
-	if err := n.sealer.Open(held.holder.Receipt, &found); err != nil || found.Tenant != x.call.tenant.Name || x.call.service != nil {
+	if err := n.sealer.Open(held.holder.Receipt, &found); err != nil || found.Tenant != x.call.tenant.Name || !found.Engine {
 		return structs.OutcomeUnknown, held.err
 	}
-	x.answer.SetReceipt(held.holder.Receipt)
+	x.answer.SetSource(found.RequestID, held.holder.Receipt)
 	stream, err := n.adapter.Resume(x.ctx, found.Address, found.RequestID, 0)
 	if err != nil {
 		return structs.OutcomeUnknown, held.err
@@ -288,6 +288,9 @@
 	if kept, known := n.answers.Get(found.RequestID); known {
 		return kept, nil
 	}
+	if !found.Engine {
+		return nil, errkind.New(errkind.OutcomeUnknown, "request %s went to the plain service at %s: look its effect up there", found.RequestID, found.Replica)
+	}
 	adopted := answer.New(found.RequestID, tenant, found.Chat)
 	adopted.SetReceipt(sealed)
 	stream, err := n.adapter.Resume(ctx, found.Address, found.RequestID, 0)
--- a/node/node.go
+++ b/node/node.go
@@ -81,6 +81,7 @@
 	demanded    map[scheduler.Demand]structs.Instant
 	generations map[string]uint64
 	tableSeen   uint64
+	random      *rand.Rand
 }
 
 // datedReport is a report with the time at which its age was right.
@@ -128,6 +129,7 @@
 		random = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	}
 	options := n.schedulerOptions(compiled)
+	n.random = random
 	n.scheduler = scheduler.New(options, random)
 	n.scheduler.SetOverflow(n.overflowZones)
 	n.floorOwner = shedding.NewOwner(n.processName(), options.LowestRank, options.FloorHold)
--- a/node/polling.go
+++ b/node/polling.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -225,7 +224,7 @@
 	picked := make([]platform.Machine, 0, len(zones))
 	for _, zone := range zones {
 		machines := byZone[zone]
-		picked = append(picked, machines[rand.IntN(len(machines))])
+		picked = append(picked, machines[n.random.IntN(len(machines))])
 	}
 	return picked
 }
--- a/node/relay.go
+++ b/node/relay.go
@@ -61,7 +61,7 @@
 	// The other node is gone or cut off. What it dispatched goes on at the
 	// engine, and can be read there from where the relay broke off.
 	var found receipt.Receipt
-	if view.Receipt == "" || view.Head != nil || n.sealer.Open(view.Receipt, &found) != nil {
+	if view.Receipt == "" || n.sealer.Open(view.Receipt, &found) != nil || !found.Engine {
 		relayed.End(structs.OutcomeUnknown, errkind.New(errkind.OutcomeUnknown, "request %s: %v", relayed.RequestID, err))
 		return
 	}
--- a/node/respond.go
+++ b/node/respond.go
@@ -75,21 +75,21 @@
 		return // the caller hung up
 	}
 	if view.Outcome != structs.OutcomeAnswered {
-		n.writeOutcomeError(writer, view.Err, view.Outcome, found.RequestID, view.Receipt)
+		n.writeOutcomeError(writer, view.Err, view.Outcome, view.RequestID, view.Receipt)
 		return
 	}
 	completion, err := openai.Assemble(view.Parts, found.Chat)
 	if err != nil {
-		n.writeOutcomeError(writer, err, structs.OutcomeUnknown, found.RequestID, view.Receipt)
+		n.writeOutcomeError(writer, err, structs.OutcomeUnknown, view.RequestID, view.Receipt)
 		return
 	}
-	setAnswerHeader(writer.Header(), found, &view)
+	setAnswerHeader(writer.Header(), &view)
 	writer.Header().Set(HeaderOutcome, view.Outcome.String())
 	writeJSON(writer, http.StatusOK, completion)
 }
 
-func setAnswerHeader(header http.Header, found *answer.Answer, view *answer.View) {
-	header.Set(HeaderRequestID, found.RequestID)
+func setAnswerHeader(header http.Header, view *answer.View) {
+	header.Set(HeaderRequestID, view.RequestID)
 	setIfAny(header, HeaderReceipt, view.Receipt)
 }
 
@@ -101,14 +101,14 @@
 		return
 	}
 	if view.Ended && view.Outcome != structs.OutcomeAnswered && len(view.Parts) == 0 {
-		n.writeOutcomeError(writer, view.Err, view.Outcome, found.RequestID, view.Receipt)
+		n.writeOutcomeError(writer, view.Err, view.Outcome, view.RequestID, view.Receipt)
 		return
 	}
 	header := writer.Header()
 	header.Set("Content-Type", "text/event-stream")
 	header.Set("Cache-Control", "no-cache")
 	header.Set("Trailer", HeaderOutcome)
-	setAnswerHeader(header, found, &view)
+	setAnswerHeader(header, &view)
 	controller := http.NewResponseController(writer)
 	for {
 		for _, part := range view.Parts {
@@ -130,7 +130,7 @@
 		fmt.Fprintf(writer, "data: %s\n\n", openai.DoneEvent)
 		return
 	}
-	fmt.Fprintf(writer, "event: error\ndata: %s\n\n", mustJSON(errorBody(view.Err, view.Outcome, found.RequestID, view.Receipt)))
+	fmt.Fprintf(writer, "event: error\ndata: %s\n\n", mustJSON(errorBody(view.Err, view.Outcome, view.RequestID, view.Receipt)))
 }
 
 // awaitNext waits for the next part and keeps the connection alive meanwhile.
@@ -166,14 +166,14 @@
 		return
 	}
 	if view.Head == nil {
-		n.writeOutcomeError(writer, view.Err, view.Outcome, found.RequestID, view.Receipt)
+		n.writeOutcomeError(writer, view.Err, view.Outcome, view.RequestID, view.Receipt)
 		return
 	}
 	header := writer.Header()
 	for name, values := range forwardHeader(view.Head.Header) {
 		header[name] = values
 	}
-	setAnswerHeader(header, found, &view)
+	setAnswerHeader(header, &view)
 	header.Set("Trailer", HeaderOutcome)
 	writer.WriteHeader(view.Head.Status)
 	sent := 0
--- a/node/settings.go
+++ b/node/settings.go
@@ -75,6 +75,7 @@
 func (n *Node) watchSettings(revision int64) (int64, error) {
 	ctx, cancel := context.WithTimeout(n.ctx, watchLimit)
 	defer cancel()
+	n.group.Go(func() { n.endWatchOfOthers(ctx, cancel) })
 	value, err := n.depend.Store.Watch(ctx, settingsync.Key, revision)
 	if ctx.Err() != nil {
 		// A watch may have died without a word; reading settles what was missed.
@@ -87,6 +88,20 @@
 	return value.Revision, nil
 }
 
+// endWatchOfOthers ends a watch when the node is no delegate any more: a node
+// that starts knows no others yet and takes itself for one.
+func (n *Node) endWatchOfOthers(ctx context.Context, cancel context.CancelFunc) {
+	for sleep(ctx, delegateInterval) {
+		n.mutex.Lock()
+		watching := n.isDelegate()
+		n.mutex.Unlock()
+		if !watching {
+			cancel()
+			return
+		}
+	}
+}
+
 // offerStored takes a value of the store into force if it is newer. A value
 // that does not parse or compile leaves the last good generation in force.
 func (n *Node) offerStored(data []byte) {
--- a/protocol/receipt/receipt.go
+++ b/protocol/receipt/receipt.go
@@ -25,6 +25,9 @@
 	Incarnation uint64            `msgpack:"i"`
 	Replica     structs.ReplicaID `msgpack:"b"`
 	Address     string            `msgpack:"a"`
+	// Engine is true if the answer can be read again at the back end; a plain
+	// service must not be asked, since asking would be a call.
+	Engine bool `msgpack:"e"`
 	// Chat is true if the answer has the form of a chat completion.
 	Chat bool `msgpack:"c"`
 }
--- a/state/answer/answer.go
+++ b/state/answer/answer.go
@@ -28,6 +28,7 @@
 	Chat      bool
 
 	mutex   sync.Mutex
+	source  string
 	head    *Head
 	receipt string
 	parts   [][]byte
@@ -49,6 +50,15 @@
 	a.changed = make(chan struct{})
 }
 
+// SetSource records that the answer is that of another request, which holds
+// the same key, and where that went.
+func (a *Answer) SetSource(requestID, receipt string) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	a.source, a.receipt = requestID, receipt
+	a.wake()
+}
+
 // SetReceipt records where the request goes, from dispatch on.
 func (a *Answer) SetReceipt(receipt string) {
 	a.mutex.Lock()
@@ -98,8 +108,10 @@
 
 // View is the state of an answer at one moment.
 type View struct {
-	Head    *Head
-	Receipt string
+	// RequestID is that of the request whose answer this is.
+	RequestID string
+	Head      *Head
+	Receipt   string
 	// Parts are those from the number that was asked for.
 	Parts   [][]byte
 	Ended   bool
@@ -112,8 +124,12 @@
 func (a *Answer) Look(from int) (View, <-chan struct{}) {
 	a.mutex.Lock()
 	defer a.mutex.Unlock()
+	source := a.RequestID
+	if a.source != "" {
+		source = a.source
+	}
 	return View{
-		Head: a.head, Receipt: a.receipt, Parts: a.parts[min(from, len(a.parts)):],
+		RequestID: source, Head: a.head, Receipt: a.receipt, Parts: a.parts[min(from, len(a.parts)):],
 		Ended: a.ended, Outcome: a.outcome, Err: a.err,
 	}, a.changed
 }
--- /dev/null
+++ b/test/faultmatrix/variants_test.go
@@ -0,0 +1,254 @@
+package faultmatrix
+
+import (
+	"context"
+	"errors"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"github.com/thornwalk/thornwalk/coordination/placement"
+	"github.com/thornwalk/thornwalk/coordination/scheduler"
+	"github.com/thornwalk/thornwalk/faultpoint"
+	"github.com/thornwalk/thornwalk/lab/checker"
+	"github.com/thornwalk/thornwalk/lab/cluster"
+	"github.com/thornwalk/thornwalk/lab/emulator"
+	"github.com/thornwalk/thornwalk/lab/standin"
+	"github.com/thornwalk/thornwalk/lab/workload"
+	"github.com/thornwalk/thornwalk/platform"
+	"github.com/thornwalk/thornwalk/structs"
+	"github.com/thornwalk/thornwalk/transport/network"
+)
+
+// The checker is worth something only if it catches deliberately broken
+// variants of the system, and the variants break nothing but their promise.
+var _ = ginkgo.Describe("broken variants are caught", func() {
+	quietCell := cell{path: pathRequest, point: faultpoint.Accept, faults: named("machine list down")}
+
+	ginkgo.It("a transport that sends a request twice", func() {
+		violations := runCell(suite, quietCell, func(o *cluster.Options) {
+			o.WrapNetwork = func(inner network.Network) network.Network { return resendingNetwork{inner} }
+		})
+		gomega.Expect(checker.Count(violations, checker.RuleDispatchedOnce)).To(gomega.BeNumerically(">", 0))
+	})
+
+	ginkgo.It("a claim that is always granted", func() {
+		violations := runCell(suite, quietCell, func(o *cluster.Options) {
+			o.WrapStore = func(inner platform.Store) platform.Store { return grantingStore{inner} }
+		})
+		gomega.Expect(checker.Count(violations, checker.RuleDispatchedOnce)).To(gomega.BeNumerically(">", 0))
+	})
+
+	ginkgo.It("a claim of \"not sent\" after the first byte", func() {
+		violations := runCell(suite, quietCell, func(o *cluster.Options) {
+			o.WrapNetwork = func(inner network.Network) network.Network { return lyingNetwork{inner} }
+		})
+		wrong := checker.Count(violations, checker.RuleDispatchedOnce) + checker.Count(violations, checker.RuleNotRunIsTrue)
+		gomega.Expect(wrong).To(gomega.BeNumerically(">", 0))
+	})
+
+	ginkgo.It("shedding any tier without a floor", func() {
+		experiment := emulator.Experiment{
+			Deployment: workload.Coop(), Load: 1.5, Seed: 1, Duration: 60 * time.Second, Policies: []string{"thornwalk"}, Conditions: emulator.DefaultConditions,
+			Adjust: func(o *scheduler.Options) { o.LowestRank = 0 },
+		}
+		results, err := experiment.Run()
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(results[0].ShedInversions).To(gomega.BeNumerically(">", 0))
+	})
+
+	ginkgo.It("a coordinator whose clock stands still while it is paused", func() {
+		gomega.Expect(checker.Count(orderAfterPause(true), checker.RuleFence)).To(gomega.BeNumerically(">", 0))
+	})
+
+	ginkgo.It("but not a coordinator with a clock that goes on", func() {
+		gomega.Expect(orderAfterPause(false)).To(gomega.BeEmpty())
+	})
+
+	ginkgo.It("a generation that falls, and one that stays behind", func() {
+		history := checker.History{Generations: []checker.GenerationSample{{Node: "a", Generation: 5}, {Node: "a", Generation: 4}, {Node: "b", Generation: 4, Accepted: 5}}}
+		violations := history.Check()
+		gomega.Expect(checker.Count(violations, checker.RuleGenerationRises)).To(gomega.Equal(1))
+		gomega.Expect(checker.Count(violations, checker.RuleInForce)).To(gomega.Equal(1))
+	})
+
+	ginkgo.It("a wrong answer, work for a leaving back end and a request cut by a planned stop", func() {
+		left := time.Unix(100, 0)
+		history := checker.History{
+			Observations: []checker.Observation{
+				{Marker: "a", Outcome: structs.OutcomeAnswered},
+				{Marker: "b", Outcome: structs.OutcomeUnknown, Stopped: true},
+				{Marker: "c", Outcome: structs.OutcomePending},
+			},
+			Executions: []standin.Execution{{RequestID: "r", Replica: "e", Count: 1, At: left.Add(checker.LeavingGrace + time.Second)}},
+			Departures: []checker.Departure{{Replica: "e", At: left}},
+			MarkerOf:   cluster.MarkerOf,
+		}
+		violations := history.Check()
+		for _, rule := range []checker.Rule{checker.RuleWholeAnswer, checker.RulePlannedStop, checker.RuleEnded, checker.RuleLeaving} {
+			gomega.Expect(checker.Count(violations, rule)).To(gomega.Equal(1), string(rule))
+		}
+	})
+})
+
+// isDispatch returns whether the bytes begin a dispatch.
+func isDispatch(content []byte) bool { return strings.HasPrefix(string(content), "POST /v1/chat") }
+
+// resendingNetwork sends each dispatch again on another connection.
+type resendingNetwork struct{ network.Network }
+
+func (n resendingNetwork) Dial(ctx context.Context, address string) (net.Conn, error) {
+	connection, err := n.Network.Dial(ctx, address)
+	return &resendingConnection{Conn: connection, outside: n.Network, address: address}, err
+}
+
+type resendingConnection struct {
+	net.Conn
+	outside network.Network
+	address string
+}
+
+func (c *resendingConnection) Write(content []byte) (int, error) {
+	if isDispatch(content) {
+		if again, err := c.outside.Dial(context.Background(), c.address); err == nil {
+			_, _ = again.Write(content)
+			_ = again.Close()
+		}
+	}
+	return c.Conn.Write(content)
+}
+
+// lyingNetwork says of delivered dispatches that nothing was written.
+type lyingNetwork struct{ network.Network }
+
+func (n lyingNetwork) Dial(ctx context.Context, address string) (net.Conn, error) {
+	connection, err := n.Network.Dial(ctx, address)
+	return lyingConnection{connection}, err
+}
+
+type lyingConnection struct{ net.Conn }
+
+func (c lyingConnection) Write(content []byte) (int, error) {
+	count, err := c.Conn.Write(content)
+	if isDispatch(content) {
+		return 0, errors.New("nothing written")
+	}
+	return count, err
+}
+
+// grantingStore grants every claim and keeps none.
+type grantingStore struct{ platform.Store }
+
+func (s grantingStore) Get(ctx context.Context, key string) (platform.Value, error) {
+	if strings.HasPrefix(key, "thornwalk/claims/") {
+		return platform.Value{}, nil
+	}
+	return s.Store.Get(ctx, key)
+}
+
+func (s grantingStore) Swap(ctx context.Context, key string, expected int64, data []byte, lease platform.LeaseID) (int64, error) {
+	if strings.HasPrefix(key, "thornwalk/claims/") {
+		return 0, nil
+	}
+	return s.Store.Swap(ctx, key, expected, data, lease)
+}
+
+// memoryStore is the store's contract without a network, for coordinators.
+type memoryStore struct {
+	platform.Store
+	mutex    sync.Mutex
+	holder   platform.LeaseID
+	expires  time.Time
+	revision int64
+	leases   platform.LeaseID
+}
+
+func (s *memoryStore) Grant(context.Context, time.Duration) (platform.LeaseID, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.leases++
+	return s.leases, nil
+}
+
+func (s *memoryStore) Swap(_ context.Context, _ string, _ int64, _ []byte, lease platform.LeaseID) (int64, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.holder != 0 && time.Now().Before(s.expires) {
+		return 0, errors.New("held")
+	}
+	s.holder, s.expires = lease, time.Now().Add(placement.LeaseTTL)
+	s.revision++
+	return s.revision, nil
+}
+
+func (s *memoryStore) Renew(context.Context, platform.LeaseID) error  { return nil }
+func (s *memoryStore) Revoke(context.Context, platform.LeaseID) error { return nil }
+
+// recordingSender is an engine that checks no fence.
+type recordingSender struct {
+	mutex  sync.Mutex
+	orders []standin.OrderRecord
+}
+
+func (s *recordingSender) Send(_ context.Context, order placement.Order) error {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.orders = append(s.orders, standin.OrderRecord{Model: order.Model, Fence: order.Fence, Accepted: true, At: time.Now()})
+	return nil
+}
+
+// pausingInjector pauses one coordinator before its first order is sent.
+type pausingInjector struct {
+	once  sync.Once
+	pause time.Duration
+}
+
+func (p *pausingInjector) Reach(_ context.Context, point faultpoint.Point, _ string) error {
+	if point == faultpoint.OrderSend {
+		p.once.Do(func() { time.Sleep(p.pause) })
+	}
+	return nil
+}
+
+// orderAfterPause has a coordinator pause between check and order for longer
+// than its lease, while a second one takes over and orders.
+func orderAfterPause(frozenClock bool) (violations []checker.Violation) {
+	synctest.Test(suite, func(*testing.T) {
+		store, sender := &memoryStore{}, &recordingSender{}
+		begun := time.Now()
+		running := func() time.Duration { return time.Since(begun) }
+		clock := running
+		if frozenClock {
+			clock = func() time.Duration { return min(time.Since(begun), 5*time.Second) }
+		}
+		engine := placement.Engine{Replica: structs.Replica{ID: "e"}}
+		world := func() placement.World {
+			return placement.World{Demands: []placement.Demand{{Model: "m", Replicas: 1}}, Engines: []placement.Engine{engine}}
+		}
+		first := &placement.Coordinator{Store: store, Sender: sender, Node: "first", Now: clock, World: world, Faults: &pausingInjector{pause: 25 * time.Second}}
+		second := &placement.Coordinator{Store: store, Sender: sender, Node: "second", Now: running, World: world}
+		var group sync.WaitGroup
+		group.Go(func() {
+			for range 3 {
+				first.Step(context.Background())
+				time.Sleep(2 * time.Second)
+			}
+		})
+		for range 14 {
+			time.Sleep(2 * time.Second)
+			if time.Since(begun) > 6*time.Second {
+				second.Step(context.Background())
+			}
+		}
+		group.Wait()
+		history := checker.History{Orders: []checker.OrderLog{{Replica: "e", Orders: sender.orders}}}
+		violations = history.Check()
+	})
+	return violations
+}
--- a/transport/peer/peer.go
+++ b/transport/peer/peer.go
@@ -84,7 +84,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = connection.Close() })
 	defer stop()
 	defer cancel()
-	shared := &connectionWriter{connection: connection, traffic: s.traffic}
+	shared := newConnectionWriter(connection, s.traffic)
 	slots := make(chan struct{}, handlersPerConnection)
 	var group sync.WaitGroup
 	defer group.Wait()
@@ -118,7 +118,7 @@
 	} else {
 		reply.Body = body
 	}
-	if err := writer.write(reply); err != nil {
+	if err := writer.write(ctx, reply); err != nil {
 		_ = writer.connection.Close()
 	}
 }
@@ -131,14 +131,27 @@
 
 // connectionWriter writes whole frames from several goroutines.
 type connectionWriter struct {
-	mutex      sync.Mutex
+	// turn holds one token; who has it may write. Unlike a mutex it can be
+	// waited for within a context, since a write to a stuck peer takes long.
+	turn       chan struct{}
 	connection net.Conn
 	traffic    Traffic
 }
 
-func (w *connectionWriter) write(envelope *peerwire.Envelope) error {
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
+// errNoTurn means that nothing was written: others kept the connection busy.
+var errNoTurn = errors.New("the connection was busy")
+
+func newConnectionWriter(connection net.Conn, traffic Traffic) *connectionWriter {
+	return &connectionWriter{turn: make(chan struct{}, 1), connection: connection, traffic: traffic}
+}
+
+func (w *connectionWriter) write(ctx context.Context, envelope *peerwire.Envelope) error {
+	select {
+	case w.turn <- struct{}{}:
+	case <-ctx.Done():
+		return errNoTurn
+	}
+	defer func() { <-w.turn }()
 	_ = w.connection.SetWriteDeadline(time.Now().Add(writeTimeout))
 	size, err := peerwire.WriteFrame(w.connection, envelope)
 	if w.traffic != nil {
@@ -163,7 +176,7 @@
 
 // link is one connection to a peer.
 type link struct {
-	writer  connectionWriter
+	writer  *connectionWriter
 	call    atomic.Uint64
 	mutex   sync.Mutex
 	pending map[uint64]chan *peerwire.Envelope
@@ -240,8 +253,7 @@
 		_ = connection.Close()
 		return existing
 	}
-	created := &link{pending: map[uint64]chan *peerwire.Envelope{}}
-	created.writer = connectionWriter{connection: connection, traffic: c.traffic}
+	created := &link{pending: map[uint64]chan *peerwire.Envelope{}, writer: newConnectionWriter(connection, c.traffic)}
 	if c.closed {
 		created.fail()
 		return created
@@ -264,8 +276,10 @@
 		return nil, errors.New("connection is broken")
 	}
 	defer l.forget(call)
-	if err := l.writer.write(&peerwire.Envelope{Call: call, Kind: kind, Body: body}); err != nil {
-		l.fail()
+	if err := l.writer.write(ctx, &peerwire.Envelope{Call: call, Kind: kind, Body: body}); err != nil {
+		if !errors.Is(err, errNoTurn) {
+			l.fail()
+		}
 		return nil, err
 	}
 	select {
