Add the daemon, the command line and runnable example deployments

Cause: the library could only be run by the demo. Change: thornwalkd on ff with YAML, environment and flags; thornwalk with config, status, peers, backends, explain, drain and place; TLS and receipt keys that are read again when they change; node files for both deployments and stand-ins to run them against.

--- /dev/null
+++ b/cmd/thornwalk/inspect.go
@@ -0,0 +1,172 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/thornwalk/thornwalk/coordination/scheduler"
+	"github.com/thornwalk/thornwalk/coordination/settingsync"
+	"github.com/thornwalk/thornwalk/state/settings"
+)
+
+func statusCommand(o *options) *ffcli.Command {
+	return &ffcli.Command{
+		Name: "status", ShortUsage: "thornwalk status", ShortHelp: "show the state of the node",
+		Exec: func(ctx context.Context, _ []string) error {
+			status, err := o.client().Status(ctx)
+			if err != nil {
+				return err
+			}
+			rows := [][]string{
+				{"node", status.Node}, {"zone", status.Zone}, {"ready", fmt.Sprint(status.Ready)}, {"draining", fmt.Sprint(status.Draining)},
+				{"generation", fmt.Sprint(status.Generation)}, {"store answers", fmt.Sprint(status.StoreUp)},
+				{"live nodes of the zone", fmt.Sprint(status.LiveNodes)}, {"in flight", fmt.Sprint(status.InFlight)},
+				{"waiting", fmt.Sprint(status.Waiting)}, {"keys kept", fmt.Sprint(status.Keys)}, {"heap bytes", fmt.Sprint(status.HeapBytes)},
+			}
+			for service, floor := range status.Floors {
+				rows = append(rows, []string{"floor of " + service, floorText(floor)})
+			}
+			return o.print(status, []string{"what", "value"}, rows)
+		},
+	}
+}
+
+func floorText(floor scheduler.Floor) string {
+	if floor.RefuseFrom == scheduler.NoRank {
+		return "none"
+	}
+	return fmt.Sprintf("refuses ranks from %d, sheds from %d", floor.RefuseFrom, floor.ShedFrom)
+}
+
+func peersCommand(o *options) *ffcli.Command {
+	return &ffcli.Command{
+		Name: "peers", ShortUsage: "thornwalk peers", ShortHelp: "show the nodes of the zone as the node sees them",
+		Exec: func(ctx context.Context, _ []string) error {
+			peers, err := o.client().Peers(ctx)
+			if err != nil {
+				return err
+			}
+			var rows [][]string
+			for _, peer := range peers {
+				rows = append(rows, []string{peer.Member.Name, peer.StatusText, fmt.Sprint(peer.Member.Leaving), fmt.Sprint(peer.Generation), peer.Member.PeerAddress, peer.Member.CallerAddress})
+			}
+			return o.print(peers, []string{"node", "status", "leaving", "generation", "peers", "callers"}, rows)
+		},
+	}
+}
+
+func backendsCommand(o *options) *ffcli.Command {
+	return &ffcli.Command{
+		Name: "backends", ShortUsage: "thornwalk backends", ShortHelp: "show the replicas as the node sees them",
+		Exec: func(ctx context.Context, _ []string) error {
+			backends, err := o.client().Backends(ctx)
+			if err != nil {
+				return err
+			}
+			var rows [][]string
+			for _, backend := range backends {
+				rows = append(rows, []string{
+					string(backend.Replica.ID), backend.Replica.Service, backend.Replica.Zone, backend.Replica.Generation,
+					fmt.Sprintf("%d+%d/%d", backend.Report.Running, backend.Report.Waiting, backend.Report.Slots), fmt.Sprint(backend.InFlight),
+					fmt.Sprint(time.Duration(backend.AgeMS) * time.Millisecond), fmt.Sprintf("%.2f", backend.Slowdown), stateText(backend.Replica.Leaving, backend.Closed, backend.Suspended),
+				})
+			}
+			return o.print(backends, []string{"replica", "service", "zone", "generation", "running+waiting/slots", "own", "report age", "slowdown", "state"}, rows)
+		},
+	}
+}
+
+func stateText(leaving, closed, suspended bool) string {
+	switch {
+	case leaving:
+		return "leaving"
+	case closed:
+		return "closed"
+	case suspended:
+		return "suspended"
+	}
+	return "open"
+}
+
+func explainCommand(o *options) *ffcli.Command {
+	return &ffcli.Command{
+		Name: "explain", ShortUsage: "thornwalk explain REQUEST-ID", ShortHelp: "show why the node decided as it did",
+		Exec: func(ctx context.Context, arguments []string) error {
+			if len(arguments) != 1 {
+				return errors.New("name one request id, from the header Thornwalk-Request-Id")
+			}
+			decisions, err := o.client().Explain(ctx, arguments[0])
+			if err != nil {
+				return err
+			}
+			var rows [][]string
+			for _, decision := range decisions {
+				rows = append(rows, []string{decision.Time.Format(time.RFC3339Nano), string(decision.Verdict), string(decision.Reason), string(decision.Replica), decision.Waited.String(), ""})
+				for _, candidate := range decision.Candidates {
+					rows = append(rows, []string{"", "candidate", "", string(candidate.Replica), candidate.Wait.Round(time.Millisecond).String(),
+						fmt.Sprintf("first token %s, whole %s, cached %d, score %.3f", candidate.FirstToken.Round(time.Millisecond), candidate.Completion.Round(time.Millisecond), candidate.CachedTokens, candidate.Score)})
+				}
+			}
+			return o.print(decisions, []string{"time", "verdict", "reason", "replica", "waited", "prediction"}, rows)
+		},
+	}
+}
+
+func drainCommand(o *options) *ffcli.Command {
+	return &ffcli.Command{
+		Name: "drain", ShortUsage: "thornwalk drain", ShortHelp: "stop the node as planned; no request is cut",
+		Exec: func(ctx context.Context, _ []string) error {
+			if err := o.client().Drain(ctx); err != nil {
+				return err
+			}
+			fmt.Println("the node is draining; its daemon ends when the last request has")
+			return nil
+		},
+	}
+}
+
+// placeCommand changes the setting that placement follows, so that the wish
+// lasts and every coordinator sees it.
+func placeCommand(o *options) *ffcli.Command {
+	return &ffcli.Command{
+		Name: "place", ShortUsage: "thornwalk place SERVICE MODEL REPLICAS", ShortHelp: "have a number of engines of each zone hold a model",
+		Exec: func(ctx context.Context, arguments []string) error {
+			if len(arguments) != 3 {
+				return errors.New("name a service, a model and a number of engines")
+			}
+			if _, err := strconv.Atoi(arguments[2]); err != nil {
+				return fmt.Errorf("%q is not a number of engines", arguments[2])
+			}
+			path := strings.Join([]string{settings.SectionServices, arguments[0], "models", arguments[1]}, "/")
+			return o.edit(ctx, true, settingsync.Edit{Path: path, Key: "replicas", Text: arguments[2]})
+		},
+	}
+}
+
+// edit makes a change on top of what is in force.
+func (o *options) edit(ctx context.Context, wait bool, edits ...settingsync.Edit) error {
+	_, reply, err := o.client().Settings(ctx)
+	if err != nil {
+		return err
+	}
+	return o.change(ctx, wait, reply.Generation, edits)
+}
+
+func (o *options) change(ctx context.Context, wait bool, base uint64, edits []settingsync.Edit) error {
+	record, err := o.client().Change(ctx, settingsync.Change{ID: uuid.NewString(), Author: author(), Base: base, Edits: edits})
+	if err != nil {
+		return err
+	}
+	fmt.Printf("accepted as generation %d\n", record.Generation)
+	if !wait {
+		return nil
+	}
+	return o.awaitSpread(ctx, record.Generation)
+}
--- /dev/null
+++ b/cmd/thornwalk/main.go
@@ -0,0 +1,52 @@
+// Command thornwalk is the operators' command line.
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/peterbourgon/ff/v3"
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/thornwalk/thornwalk/operator"
+)
+
+// options are the flags that all commands share.
+type options struct {
+	address string
+	token   string
+	output  string
+}
+
+func (o *options) client() *operator.Client { return operator.New(o.address, o.token) }
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	o := &options{}
+	set := flag.NewFlagSet("thornwalk", flag.ExitOnError)
+	set.StringVar(&o.address, "operator", "127.0.0.1:8081", "operators' address of any node (THORNWALK_OPERATOR)")
+	set.StringVar(&o.token, "token", "", "operators' bearer token (THORNWALK_TOKEN)")
+	set.StringVar(&o.output, "o", "table", "output: table, json or yaml")
+	root := &ffcli.Command{
+		ShortUsage: "thornwalk [flags] <subcommand>", ShortHelp: "operate thornwalk", FlagSet: set,
+		Options: []ff.Option{ff.WithEnvVarPrefix("THORNWALK")},
+		Subcommands: []*ffcli.Command{
+			configCommand(o), statusCommand(o), peersCommand(o), backendsCommand(o), explainCommand(o), drainCommand(o), placeCommand(o),
+		},
+		Exec: func(context.Context, []string) error { return flag.ErrHelp },
+	}
+	err := root.ParseAndRun(ctx, os.Args[1:])
+	if err == nil {
+		return
+	}
+	if !errors.Is(err, flag.ErrHelp) {
+		fmt.Fprintln(os.Stderr, "thornwalk:", err)
+	}
+	os.Exit(1)
+}
--- /dev/null
+++ b/cmd/thornwalkd/main.go
@@ -0,0 +1,191 @@
+// Command thornwalkd is the entry daemon, the one process that an entry machine
+// runs. All of it is the library in package node; this program reads where and
+// who it is from flags, environment or a YAML file.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/peterbourgon/ff/v3"
+	"github.com/peterbourgon/ff/v3/ffyaml"
+	"github.com/rcrowley/go-metrics"
+	"k8s.io/klog/v2"
+
+	"github.com/thornwalk/thornwalk/internal/logging"
+	"github.com/thornwalk/thornwalk/node"
+	"github.com/thornwalk/thornwalk/transport/etcdstore"
+	"github.com/thornwalk/thornwalk/transport/keys"
+	"github.com/thornwalk/thornwalk/transport/machinelist"
+	"github.com/thornwalk/thornwalk/transport/network"
+)
+
+// flags are the daemon's own settings; everything else is in the settings tree.
+type flags struct {
+	name, zone                         string
+	callers, operators, peers          string
+	advertiseCallers, advertisePeers   string
+	store, machines                    string
+	storeTimeout, drainGrace           time.Duration
+	receiptKeys, operatorToken         string
+	callerCertificate, callerKey       string
+	peerCertificate, peerKey, peerRoot string
+	verbosity                          int
+	logDecisions                       bool
+}
+
+func main() {
+	if err := run(os.Args[1:]); err != nil {
+		fmt.Fprintln(os.Stderr, "thornwalkd:", err)
+		os.Exit(1)
+	}
+}
+
+func parse(arguments []string) (*flags, error) {
+	f := &flags{}
+	set := flag.NewFlagSet("thornwalkd", flag.ContinueOnError)
+	set.StringVar(&f.name, "name", "", "name of the node, unique over all zones")
+	set.StringVar(&f.zone, "zone", "", "zone that the machine stands in")
+	set.StringVar(&f.callers, "callers", ":8080", "address to serve callers at")
+	set.StringVar(&f.operators, "operators", "127.0.0.1:8081", "address to serve operators at")
+	set.StringVar(&f.peers, "peers", ":8082", "address to serve other nodes at")
+	set.StringVar(&f.advertiseCallers, "advertise-callers", "", "callers' address as others reach it; default: as listened at")
+	set.StringVar(&f.advertisePeers, "advertise-peers", "", "peers' address as others reach it; default: as listened at")
+	set.StringVar(&f.store, "store", "", "address of the platform's key-value service")
+	set.StringVar(&f.machines, "machines", "", "address of the platform's machine list")
+	set.DurationVar(&f.storeTimeout, "store-timeout", 2*time.Second, "time after which a call of the store is given up")
+	set.DurationVar(&f.drainGrace, "drain-grace", 5*time.Second, "time between announcing a planned stop and refusing requests")
+	set.StringVar(&f.receiptKeys, "receipt-keys", "", "file of secret keys for receipts, one a line, the newest first")
+	set.StringVar(&f.operatorToken, "operator-token", "", "file of the operators' bearer token")
+	set.StringVar(&f.callerCertificate, "caller-certificate", "", "PEM file of the certificate for callers; none: plain HTTP")
+	set.StringVar(&f.callerKey, "caller-key", "", "PEM file of its key")
+	set.StringVar(&f.peerCertificate, "peer-certificate", "", "PEM file of the certificate for other nodes; none: plain TCP")
+	set.StringVar(&f.peerKey, "peer-key", "", "PEM file of its key")
+	set.StringVar(&f.peerRoot, "peer-authorities", "", "PEM file of the authorities of the nodes' certificates")
+	set.IntVar(&f.verbosity, "v", 0, "verbosity of the log, 0 to 2")
+	set.BoolVar(&f.logDecisions, "log-decisions", true, "log a JSON line for each routing and placement decision")
+	set.String("config", "", "YAML file with any of these")
+	err := ff.Parse(set, arguments, ff.WithEnvVarPrefix("THORNWALKD"), ff.WithConfigFileFlag("config"), ff.WithConfigFileParser(ffyaml.Parser))
+	return f, err
+}
+
+func run(arguments []string) error {
+	f, err := parse(arguments)
+	if err != nil {
+		return err
+	}
+	if err := logging.ToJSON(os.Stderr, f.verbosity); err != nil {
+		return err
+	}
+	config, err := f.config()
+	if err != nil {
+		return err
+	}
+	outside := network.TCP{}
+	calls := metrics.NewRegistry()
+	n, err := node.New(config, node.Dependencies{
+		Network: outside, Store: etcdstore.New(outside, f.store, f.storeTimeout, calls), Machines: machinelist.New(outside, f.machines),
+		WallTime: time.Now, LogDecisions: f.logDecisions,
+	})
+	if err != nil {
+		return err
+	}
+	if err := n.Start(context.Background()); err != nil {
+		return err
+	}
+	if err := n.Metrics().Register("store", calls); err != nil {
+		return err
+	}
+	klog.InfoS("serving", "node", f.name, "zone", f.zone, "callers", n.CallerAddress(), "operators", n.OperatorAddress(), "peers", n.PeerAddress())
+	return serve(n, f)
+}
+
+// serve runs until a signal asks for a planned stop; a second one ends it at once.
+func serve(n *node.Node, f *flags) error {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go reloadKeys(ctx, n, f.receiptKeys)
+	select {
+	case <-signals:
+	case <-n.Done():
+		return nil
+	}
+	go func() {
+		<-signals
+		cancel()
+	}()
+	klog.InfoS("planned stop begins", "node", f.name)
+	if !n.Drain(ctx) {
+		return fmt.Errorf("the planned stop ended before every request did: raise the setting drain_timeout")
+	}
+	return nil
+}
+
+// keyInterval is the time between looks at the file of receipt keys.
+const keyInterval = 10 * time.Second
+
+func reloadKeys(ctx context.Context, n *node.Node, file string) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(keyInterval):
+		}
+		secrets, err := keys.LoadSecrets(file)
+		if err != nil {
+			klog.ErrorS(err, "receipt keys not read again; the last good ones stay")
+			continue
+		}
+		n.SetReceiptKeys(secrets...)
+	}
+}
+
+func (f *flags) config() (node.Config, error) {
+	config := node.Config{
+		Name: f.name, Zone: f.zone, CallerListen: f.callers, OperatorListen: f.operators, PeerListen: f.peers,
+		CallerAdvertise: f.advertiseCallers, PeerAdvertise: f.advertisePeers, DrainGrace: f.drainGrace,
+	}
+	var err error
+	if config.ReceiptKeys, err = keys.LoadSecrets(f.receiptKeys); err != nil {
+		return config, err
+	}
+	if f.operatorToken != "" {
+		tokens, err := keys.LoadSecrets(f.operatorToken)
+		if err != nil {
+			return config, err
+		}
+		config.OperatorToken = string(tokens[0])
+	}
+	return config, f.secure(&config)
+}
+
+// secure adds TLS for callers and mutual TLS between nodes, where files are given.
+func (f *flags) secure(config *node.Config) error {
+	if f.callerCertificate != "" {
+		certificate, err := keys.LoadCertificate(f.callerCertificate, f.callerKey)
+		if err != nil {
+			return err
+		}
+		config.CallerTLS = certificate.ServerConfig(nil)
+	}
+	if f.peerCertificate == "" {
+		return nil
+	}
+	certificate, err := keys.LoadCertificate(f.peerCertificate, f.peerKey)
+	if err != nil {
+		return err
+	}
+	authorities, err := keys.LoadAuthorities(f.peerRoot)
+	if err != nil {
+		return err
+	}
+	config.PeerTLS = certificate.MutualConfig(authorities)
+	return nil
+}
--- a/lab/cluster/cluster.go
+++ b/lab/cluster/cluster.go
@@ -39,9 +39,11 @@
 	Zones        []string
 	NodesPerZone int
 	// Engine services and plain services, each with replicas in every zone.
-	EngineService  string
-	Model          string
-	Engines        []enginesim.Spec
+	EngineService string
+	Model         string
+	Engines       []enginesim.Spec
+	// ZoneEngines lists the engines zone by zone instead, if they differ.
+	ZoneEngines    [][]enginesim.Spec
 	PlainService   string
 	PlainReplicas  int
 	CallTime       time.Duration
@@ -54,6 +56,9 @@
 	Host func(name string) network.Network
 	// ListenAddress is the address to listen at, such as "127.0.0.1:0".
 	ListenAddress string
+	// StoreAddress and MachinesAddress are those of the platform's stand-ins;
+	// empty means ListenAddress.
+	StoreAddress, MachinesAddress string
 	// Faults returns the injector of a node; nil for none.
 	Faults       func(node string) faultpoint.Injector
 	Seed         uint64
@@ -95,16 +100,8 @@
 
 // Start starts everything and waits until each node is ready.
 func Start(ctx context.Context, options Options) (*Cluster, error) {
-	c := &Cluster{
-		Options: options, Store: standin.NewStore(), Machines: standin.NewMachines(options.MachineLag),
-		nodes: map[string]*node.Node{}, replicas: map[structs.ReplicaID]*backendServer{},
-	}
-	c.Store.Latency = options.StoreLatency
-	c.ctx, c.cancel = context.WithCancel(ctx)
-	if err := c.startPlatform(); err != nil {
-		return nil, err
-	}
-	if err := c.startBackends(); err != nil {
+	c, err := StartStandins(ctx, options)
+	if err != nil {
 		return nil, err
 	}
 	for _, zone := range options.Zones {
@@ -117,6 +114,20 @@
 	return c, c.awaitReady()
 }
 
+// StartStandins starts the platform and the back ends without nodes.
+func StartStandins(ctx context.Context, options Options) (*Cluster, error) {
+	c := &Cluster{
+		Options: options, Store: standin.NewStore(), Machines: standin.NewMachines(options.MachineLag),
+		nodes: map[string]*node.Node{}, replicas: map[structs.ReplicaID]*backendServer{},
+	}
+	c.Store.Latency = options.StoreLatency
+	c.ctx, c.cancel = context.WithCancel(ctx)
+	if err := c.startPlatform(); err != nil {
+		return nil, err
+	}
+	return c, c.startBackends()
+}
+
 // NodeName returns the name of a node, which is also its host.
 func NodeName(zone string, index int) string { return fmt.Sprintf("%s-n%d", zone, index) }
 
@@ -128,16 +139,20 @@
 	}
 	c.Document = document
 	c.Store.Put(settingsync.Key, data)
-	if c.storeAt, _, err = c.serve(StoreHost, c.Store.Handler()); err != nil {
+	if c.storeAt, _, err = c.serve(StoreHost, c.Options.StoreAddress, c.Store.Handler()); err != nil {
 		return err
 	}
-	c.listAt, _, err = c.serve(MachinesHost, c.Machines.Handler())
+	c.listAt, _, err = c.serve(MachinesHost, c.Options.MachinesAddress, c.Machines.Handler())
 	return err
 }
 
-// serve runs an HTTP server on a host and returns its address.
-func (c *Cluster) serve(host string, handler http.Handler) (string, *http.Server, error) {
-	listener, err := c.Options.Host(host).Listen(c.Options.ListenAddress)
+// serve runs an HTTP server on a host, at the address or, if that is empty, at
+// ListenAddress, and returns where.
+func (c *Cluster) serve(host, address string, handler http.Handler) (string, *http.Server, error) {
+	if address == "" {
+		address = c.Options.ListenAddress
+	}
+	listener, err := c.Options.Host(host).Listen(address)
 	if err != nil {
 		return "", nil, err
 	}
@@ -151,9 +166,13 @@
 }
 
 func (c *Cluster) startBackends() error {
-	for _, zone := range c.Options.Zones {
+	for number, zone := range c.Options.Zones {
 		blocks := enginesim.NewZoneBlocks()
-		for index, spec := range c.Options.Engines {
+		specs := c.Options.Engines
+		if number < len(c.Options.ZoneEngines) {
+			specs = c.Options.ZoneEngines[number]
+		}
+		for index, spec := range specs {
 			if err := c.startEngine(zone, index, spec, blocks); err != nil {
 				return err
 			}
@@ -187,7 +206,7 @@
 }
 
 func (c *Cluster) addBackend(zone string, handler http.Handler, replica structs.Replica) error {
-	address, server, err := c.serve(string(replica.ID), handler)
+	address, server, err := c.serve(string(replica.ID), "", handler)
 	if err != nil {
 		return err
 	}
--- a/lab/workload/deployment.go
+++ b/lab/workload/deployment.go
@@ -38,6 +38,7 @@
 type Deployment struct {
 	Name         string
 	Service      string
+	PlainService string
 	Model        string
 	Zones        []string
 	NodesPerZone []int
@@ -84,7 +85,7 @@
 // Agency is the municipal office: 3 zones, 8 nodes, 9 replicas on 32 engines.
 func Agency() Deployment {
 	return Deployment{
-		Name: "agency", Service: "ezik-servers", Model: "ezik",
+		Name: "agency", Service: "ezik-servers", PlainService: "registar-app", Model: "ezik",
 		Zones:        []string{"trakiya", "kapana", "maritsa"},
 		NodesPerZone: []int{3, 3, 2},
 		Engines: [][]enginesim.Spec{
@@ -107,7 +108,7 @@
 // Coop is the heating co-op: 3 zones, 8 nodes, 12 replicas on 38 engines.
 func Coop() Deployment {
 	return Deployment{
-		Name: "coop", Service: "thornwalk-llm", Model: "oberland",
+		Name: "coop", Service: "thornwalk-llm", PlainService: "member-portal", Model: "oberland",
 		Zones:        []string{"rosenheim", "miesbach", "weilheim"},
 		NodesPerZone: []int{3, 3, 2},
 		Engines: [][]enginesim.Spec{
--- a/node/node.go
+++ b/node/node.go
@@ -220,6 +220,9 @@
 // Settings returns the settings in force.
 func (n *Node) Settings() *settings.Compiled { return n.settings.Compiled() }
 
+// Done is closed when the node has been told to end.
+func (n *Node) Done() <-chan struct{} { return n.ctx.Done() }
+
 // SetReceiptKeys takes changed keys into force without a restart.
 func (n *Node) SetReceiptKeys(keys ...[]byte) { n.sealer.SetKeys(keys...) }
 
--- a/node/operators.go
+++ b/node/operators.go
@@ -93,6 +93,7 @@
 	router.HandleFunc(PathOperatorExplain+"{id}", n.withOperator(n.serveExplain)).Methods(http.MethodGet)
 	router.HandleFunc(PathOperatorSettings, n.withOperator(n.serveSettings)).Methods(http.MethodGet)
 	router.HandleFunc(PathOperatorSettings, n.withOperator(n.serveChange)).Methods(http.MethodPost)
+	router.HandleFunc(PathOperatorSpread, n.withOperator(n.serveSpread)).Methods(http.MethodGet)
 	router.HandleFunc(PathOperatorDrain, n.withOperator(n.serveDrain)).Methods(http.MethodPost)
 	router.HandleFunc("/debug/pprof/profile", n.withOperator(pprof.Profile))
 	router.HandleFunc("/debug/pprof/{name}", n.withOperator(pprof.Index))
--- /dev/null
+++ b/operator/client.go
@@ -0,0 +1,136 @@
+// Package operator is the client of the operators' interface of a node, for the
+// command line and for programs.
+package operator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/thornwalk/thornwalk/coordination/settingsync"
+	"github.com/thornwalk/thornwalk/node"
+	"github.com/thornwalk/thornwalk/protocol/errkind"
+	"github.com/thornwalk/thornwalk/protocol/openai"
+	"github.com/thornwalk/thornwalk/state/settings"
+)
+
+// timeout bounds a call; a change of the settings may take most of it.
+const timeout = 15 * time.Second
+
+// Client talks to one node.
+type Client struct {
+	address string
+	token   string
+	http    *http.Client
+}
+
+// New returns a client of the node whose operators' interface is at the address.
+func New(address, token string) *Client {
+	return &Client{address: address, token: token, http: &http.Client{Timeout: timeout}}
+}
+
+// Status returns the node's state.
+func (c *Client) Status(ctx context.Context) (node.Status, error) {
+	return get[node.Status](ctx, c, node.PathOperatorStatus)
+}
+
+// Peers returns the members of the zone as the node sees them.
+func (c *Client) Peers(ctx context.Context) ([]node.Peer, error) {
+	return get[[]node.Peer](ctx, c, node.PathOperatorPeers)
+}
+
+// Backends returns the replicas as the node sees them.
+func (c *Client) Backends(ctx context.Context) ([]node.Backend, error) {
+	return get[[]node.Backend](ctx, c, node.PathOperatorBackends)
+}
+
+// Explain returns the node's decisions on a request.
+func (c *Client) Explain(ctx context.Context, requestID string) ([]node.Decision, error) {
+	return get[[]node.Decision](ctx, c, node.PathOperatorExplain+url.PathEscape(requestID))
+}
+
+// Settings returns the tree in force at the node, its generation and the last
+// changes.
+func (c *Client) Settings(ctx context.Context) (*settings.Tree, node.SettingsReply, error) {
+	reply, err := get[node.SettingsReply](ctx, c, node.PathOperatorSettings)
+	if err != nil {
+		return nil, reply, err
+	}
+	return settings.NewTree(reply.Branches...), reply, nil
+}
+
+// Change asks for a change and returns its record once it is accepted.
+func (c *Client) Change(ctx context.Context, change settingsync.Change) (settingsync.ChangeRecord, error) {
+	body, err := json.Marshal(change)
+	if err != nil {
+		return settingsync.ChangeRecord{}, err
+	}
+	var reply node.ChangeReply
+	err = c.do(ctx, http.MethodPost, node.PathOperatorSettings, body, &reply)
+	return reply.Record, err
+}
+
+// Spread returns how far a generation has spread, as the node has heard.
+func (c *Client) Spread(ctx context.Context, generation uint64) ([]node.ZoneSpread, error) {
+	return get[[]node.ZoneSpread](ctx, c, fmt.Sprintf("%s?generation=%d", node.PathOperatorSpread, generation))
+}
+
+// Drain begins a planned stop of the node.
+func (c *Client) Drain(ctx context.Context) error {
+	return c.do(ctx, http.MethodPost, node.PathOperatorDrain, nil, nil)
+}
+
+func get[Reply any](ctx context.Context, c *Client, path string) (Reply, error) {
+	var reply Reply
+	err := c.do(ctx, http.MethodGet, path, nil, &reply)
+	return reply, err
+}
+
+func (c *Client) do(ctx context.Context, method, path string, body []byte, reply any) error {
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+c.address+path, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	request.GetBody = nil // never sent twice by itself
+	request.Header.Set("Authorization", "Bearer "+c.token)
+	response, err := c.http.Do(request)
+	if err != nil {
+		return errkind.New(errkind.PeerUnavailable, "node at %s: %v", c.address, err)
+	}
+	defer response.Body.Close()
+	if response.StatusCode >= http.StatusBadRequest {
+		return remoteError(response)
+	}
+	if reply == nil {
+		return nil
+	}
+	return json.NewDecoder(response.Body).Decode(reply)
+}
+
+func remoteError(response *http.Response) error {
+	var body openai.ErrorBody
+	if err := json.NewDecoder(response.Body).Decode(&body); err != nil {
+		return fmt.Errorf("status %s", response.Status)
+	}
+	kind, known := errkind.ByCode(body.Error.Code)
+	if !known {
+		return fmt.Errorf("%s", body.Error.Message)
+	}
+	return &Error{Kind: kind, Message: body.Error.Message}
+}
+
+// Error is an error of the node; its message names the remedy.
+type Error struct {
+	Kind    *errkind.Kind
+	Message string
+}
+
+// Error implements error.
+func (e *Error) Error() string { return e.Message }
+
+// Unwrap lets errors.Is match the kind.
+func (e *Error) Unwrap() error { return e.Kind }
--- a/state/settings/compile.go
+++ b/state/settings/compile.go
@@ -348,3 +348,21 @@
 	sort.Slice(models, func(i, j int) bool { return models[i].Name < models[j].Name })
 	return models
 }
+
+// Lookup returns the text of a value in force at the path and where it comes
+// from. The error is of kind InvalidSettings for a key that the schema lacks.
+func (t *Tree) Lookup(path, key string) (text, origin string, err error) {
+	spec, known := schemaByKey[key]
+	if !known {
+		return "", "", errkind.New(errkind.InvalidSettings, "unknown key %q%s", key, suggestion(key))
+	}
+	text, origin = spec.Default, "default"
+	for _, ancestor := range ancestors(cleanPath(path)) {
+		if branch, found := t.Branch(ancestor); found {
+			if set, has := branch.Get(key); has {
+				text, origin = set, "/"+ancestor
+			}
+		}
+	}
+	return text, origin, nil
+}
--- a/state/settings/schema.go
+++ b/state/settings/schema.go
@@ -192,3 +192,15 @@
 	}
 	return parts
 }
+
+// Range returns the allowed values as text.
+func (s Spec) Range() string {
+	if s.Min == 0 && s.Max == 0 {
+		return "any"
+	}
+	unit := ""
+	if s.Type == TypeDuration {
+		unit = "s"
+	}
+	return fmt.Sprintf("%v%s to %v%s", s.Min, unit, s.Max, unit)
+}
--- a/transport/keys/keys.go
+++ b/transport/keys/keys.go
@@ -83,12 +83,13 @@
 	return config
 }
 
-// ClientConfig returns a configuration for dials to servers of the authorities.
-func (c *Certificate) ClientConfig(servers *x509.CertPool) *tls.Config {
-	return &tls.Config{
-		MinVersion: tls.VersionTLS13, RootCAs: servers,
-		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) { return c.Current(), nil },
-	}
+// MutualConfig returns a configuration for both sides of connections between
+// nodes that all have certificates of the authorities.
+func (c *Certificate) MutualConfig(authorities *x509.CertPool) *tls.Config {
+	config := c.ServerConfig(authorities)
+	config.RootCAs = authorities
+	config.GetClientCertificate = func(*tls.CertificateRequestInfo) (*tls.Certificate, error) { return c.Current(), nil }
+	return config
 }
 
 // LoadAuthorities reads certificates of authorities from a PEM file. The error
