--- /dev/null
+++ b/coordination/membership/membership_test.go
@@ -0,0 +1,63 @@
+package membership
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+)
+
+const deadAfter = time.Second
+
+func table(name string) *Table {
+	return NewTable(Member{Name: name, Zone: "z", Incarnation: FirstIncarnation(1)}, deadAfter, rand.New(rand.NewPCG(1, 1)))
+}
+
+func TestSuspicionBecomesDeathUnlessRefuted(t *testing.T) {
+	g := gomega.NewWithT(t)
+	a, b := table("a"), table("b")
+	a.Heard(0, b.Self())
+	a.ProbeFailed(0, "b")
+	b.Merge(0, a.Rumors(8)) // b hears that it is suspected and refutes
+	a.Merge(time.Millisecond, b.Rumors(8))
+	a.Tick(2 * deadAfter)
+	g.Expect(a.LiveNames()).To(gomega.Equal([]string{"a", "b"}))
+	a.ProbeFailed(2*deadAfter, "b")
+	a.Tick(2*deadAfter + deadAfter + 1)
+	g.Expect(a.LiveNames()).To(gomega.Equal([]string{"a"}))
+}
+
+func TestRestartedProcessIsAliveAgain(t *testing.T) {
+	g := gomega.NewWithT(t)
+	a := table("a")
+	old := Member{Name: "b", Zone: "z", Incarnation: FirstIncarnation(5)}
+	a.Heard(0, old)
+	a.Merge(0, []Rumor{{Member: old, Status: Dead}})
+	a.Heard(1, old) // late news of the dead process
+	g.Expect(a.LiveNames()).To(gomega.Equal([]string{"a"}))
+	a.Heard(2, Member{Name: "b", Zone: "z", Incarnation: FirstIncarnation(6)})
+	g.Expect(a.LiveNames()).To(gomega.Equal([]string{"a", "b"}))
+}
+
+func TestRumorsOfOthersAreBounded(t *testing.T) {
+	g := gomega.NewWithT(t)
+	a := table("a")
+	a.Merge(0, []Rumor{{Member: Member{Name: "x", Zone: "elsewhere", Incarnation: 1}, Status: Alive}, {Member: Member{Zone: "z"}, Status: Alive}, {Member: Member{Name: "y", Zone: "z"}, Status: 9}})
+	g.Expect(a.LiveNames()).To(gomega.Equal([]string{"a"}))
+}
+
+func TestTargetsVisitEachMemberOnce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	a := table("a")
+	for _, name := range []string{"b", "c", "d", "e"} {
+		a.Heard(0, Member{Name: name, Zone: "z", Incarnation: FirstIncarnation(1)})
+	}
+	seen := map[string]int{}
+	for range 2 {
+		for _, target := range a.Targets(2) {
+			seen[target.Name]++
+		}
+	}
+	g.Expect(seen).To(gomega.Equal(map[string]int{"b": 1, "c": 1, "d": 1, "e": 1}))
+}
--- a/coordination/shedding/owner.go
+++ b/coordination/shedding/owner.go
@@ -54,6 +54,8 @@
 	// owner that it does not hear.
 	ShedLease   = 1500 * time.Millisecond
 	RefuseLease = 4 * time.Second
+	// LoosenPause is the least time between two steps that loosen the floor.
+	LoosenPause = 150 * time.Millisecond
 )
 
 // Owner is the owner's side for one node. It is not safe for concurrent use.
@@ -73,6 +75,8 @@
 	acked   map[string]bool
 	sentAt  map[string]structs.Instant
 	idleAt  structs.Instant
+	// changedAt is when the floor was changed last.
+	changedAt structs.Instant
 }
 
 type demandEntry struct {
@@ -147,9 +151,14 @@
 	}
 	owned.settled = owned.allAcked(members)
 	if owned.settled {
-		if next, changed := owned.next(o.target(now, owned), o.lowest); changed {
-			owned.advance(next)
-		} else if o.forgettable(now, owned) {
+		next, changed := owned.next(o.target(now, owned), o.lowest)
+		switch {
+		case changed && owned.loosens(next) && now-owned.changedAt < LoosenPause:
+			// The tier that was refused last is admitted for a while before the
+			// next lower one is.
+		case changed:
+			owned.advance(now, next)
+		case o.forgettable(now, owned):
 			delete(o.services, name)
 			return nil
 		}
@@ -195,15 +204,28 @@
 		return scheduler.Floor{RefuseFrom: wanted.RefuseFrom, ShedFrom: floor.ShedFrom}, true
 	case wanted.ShedFrom > floor.ShedFrom:
 		return scheduler.Floor{RefuseFrom: floor.RefuseFrom, ShedFrom: wanted.ShedFrom}, true
-	case wanted.RefuseFrom != floor.RefuseFrom:
+	case wanted.RefuseFrom < floor.RefuseFrom:
 		return scheduler.Floor{RefuseFrom: wanted.RefuseFrom, ShedFrom: floor.ShedFrom}, true
+	case wanted.RefuseFrom > floor.RefuseFrom:
+		refuse := floor.RefuseFrom + 1 // one tier at a time
+		if refuse > lowest {
+			refuse = wanted.RefuseFrom
+		}
+		return scheduler.Floor{RefuseFrom: refuse, ShedFrom: floor.ShedFrom}, true
 	case wanted.ShedFrom < floor.ShedFrom:
 		return scheduler.Floor{RefuseFrom: floor.RefuseFrom, ShedFrom: wanted.ShedFrom}, true
 	}
 	return floor, false
 }
 
-func (f *ownedFloor) advance(floor scheduler.Floor) {
+// loosens returns whether the floor refuses or sheds less than the current one.
+func (f *ownedFloor) loosens(floor scheduler.Floor) bool {
+	current := f.current.Floor
+	return !f.current.KeepRefuse && (floor.RefuseFrom > current.RefuseFrom || floor.ShedFrom > current.ShedFrom)
+}
+
+func (f *ownedFloor) advance(now structs.Instant, floor scheduler.Floor) {
+	f.changedAt = now
 	f.epoch++
 	f.current.Epoch = f.epoch
 	f.current.KeepRefuse = false
--- /dev/null
+++ b/state/settings/settings_test.go
@@ -0,0 +1,127 @@
+package settings
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+)
+
+func TestSettings(t *testing.T) {
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "settings")
+}
+
+const base = `
+branches:
+  /: {deadline: 20s}
+  /node: {}
+  /tiers/first: {rank: 0}
+  /tiers/second: {rank: 1}
+  /services/llm: {}
+  /routes: {service: llm, tier: second}
+  /routes/slow: {deadline: 1m, model: m}
+  /routes/slow/urgent: {tier: first}
+  /tenants/city: {rate: 50}
+  /tenants/city/couriers: {weight: 3}
+`
+
+func parse(text string) *Tree {
+	tree, err := ParseYAML([]byte(text))
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	return tree
+}
+
+var _ = ginkgo.Describe("a tree", func() {
+	ginkgo.It("inherits along the path unless a branch overrides", func() {
+		compiled, err := parse(base).Compile(7)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		route, found := compiled.Route("slow/urgent")
+		gomega.Expect(found).To(gomega.BeTrue())
+		gomega.Expect(route.Values.Deadline).To(gomega.Equal(time.Minute))
+		gomega.Expect(route.Values.Tier).To(gomega.Equal("first"))
+		gomega.Expect(route.Values.Service).To(gomega.Equal("llm"))
+		tenant, _ := compiled.Tenant("city/couriers")
+		gomega.Expect(tenant.Values.Rate).To(gomega.Equal(50.0))
+		gomega.Expect(tenant.Values.Weight).To(gomega.Equal(3.0))
+	})
+
+	ginkgo.It("inherits again after a value is unset", func() {
+		tree := parse(base).Unset("routes/slow", "deadline")
+		gomega.Expect(tree.Resolve("routes/slow").Deadline).To(gomega.Equal(20 * time.Second))
+		text, origin, err := tree.Lookup("routes/slow", "deadline")
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect([]string{text, origin}).To(gomega.Equal([]string{"20s", "/"}))
+	})
+
+	ginkgo.It("survives its YAML form", func() {
+		tree := parse(base)
+		text, err := FormatYAML(tree)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(Diff(tree, parse(string(text)))).To(gomega.BeEmpty())
+	})
+
+	ginkgo.DescribeTable("is refused with path, value and remedy", func(path, key, text, wanted string) {
+		_, err := parse(base).Set(path, key, text).Compile(1)
+		gomega.Expect(err).To(gomega.MatchError(gomega.And(gomega.ContainSubstring("/"+path), gomega.ContainSubstring(text), gomega.ContainSubstring(wanted))))
+	},
+		ginkgo.Entry("out of range", "tiers/first", "rank", "99", "choose a value in that range"),
+		ginkgo.Entry("wrong type", "routes/slow", "deadline", "soon", "write a number with a unit"),
+		ginkgo.Entry("unknown key", "routes/slow", "deadlin", "3s", "did you mean deadline"),
+		ginkgo.Entry("missing tier", "routes/slow", "tier", "third", "add the branch tiers/third"),
+		ginkgo.Entry("missing service", "routes/slow", "service", "gone", "add the branch services/gone"),
+		ginkgo.Entry("rank twice", "tiers/second", "rank", "0", "give each tier its own"),
+		ginkgo.Entry("unknown section", "zebra/0", "rank", "0", "unknown section"),
+		ginkgo.Entry("a key instead of its hash", "tenants/city", "key_hash", "secret", "64 hexadecimal digits"),
+		ginkgo.Entry("times that exclude each other", "node", "suspect_after", "30s", "lower it"),
+		ginkgo.Entry("not a number", "tenants/city", "weight", "NaN", "is not a number"),
+	)
+
+	ginkgo.DescribeTable("is refused as YAML with the place", func(text, wanted string) {
+		_, err := ParseYAML([]byte(text))
+		gomega.Expect(err).To(gomega.MatchError(gomega.ContainSubstring(wanted)))
+	},
+		ginkgo.Entry("syntax", "branches:\n  /a: {b: [", "["),
+		ginkgo.Entry("an unknown field", "branchs: {}", "branchs"),
+		ginkgo.Entry("a branch twice", "branches:\n  /a/: {}\n  /a: {}\n", "stands twice"),
+		ginkgo.Entry("a nested branch", "branches:\n  /a: {b: {c: 1}}\n", "path of its own"),
+		ginkgo.Entry("a list as branch", "branches:\n  /a: [1]\n", "not a set of values"),
+	)
+
+	ginkgo.It("refuses two tenants with one key", func() {
+		hash := strings.Repeat("a", keyHashLength)
+		_, err := parse(base).Set("tenants/city", "key_hash", hash).Set("tenants/other", "key_hash", hash).Compile(1)
+		gomega.Expect(err).To(gomega.MatchError(gomega.ContainSubstring("give each tenant its own")))
+	})
+})
+
+func FuzzParseYAML(f *testing.F) {
+	f.Add([]byte(base))
+	f.Add([]byte("branches: {/a: {b: [1, 2]}}"))
+	f.Fuzz(func(_ *testing.T, text []byte) {
+		tree, err := ParseYAML(text)
+		if err == nil {
+			_, _ = tree.Compile(1) // must not crash; most trees are refused
+		}
+	})
+}
+
+func BenchmarkLookup(b *testing.B) {
+	var branches []Branch
+	for number := range 1800 {
+		branches = append(branches, Branch{Path: fmt.Sprintf("tenants/t%d", number), Settings: []Setting{{"key_hash", fmt.Sprintf("%064x", number)}}})
+	}
+	compiled, err := NewTree(branches...).Compile(1)
+	if err != nil {
+		b.Fatal(err)
+	}
+	hash := fmt.Sprintf("%064x", 900)
+	for b.Loop() {
+		if _, found := compiled.TenantByKeyHash(hash); !found {
+			b.Fatal("lost")
+		}
+	}
+}
