--- a/coordination/scheduler/scheduler.go
+++ b/coordination/scheduler/scheduler.go
@@ -72,9 +72,9 @@
 	defaultQueueLimit       = 2000
 	defaultSampleSize       = 8
 	defaultFloorHold        = time.Second
-	defaultLengthPercentile = 0.7
-	defaultSlack            = 0.9
-	defaultPatience         = 0.3
+	defaultLengthPercentile = 0.6
+	defaultSlack            = 0.6
+	defaultPatience         = 0.4
 	defaultPrefixCapacity   = 40000
 	lengthKeys              = 4096
 	// initialMeanWork and initialWork serve until answers were observed.
--- a/lab/cluster/cluster.go
+++ b/lab/cluster/cluster.go
@@ -279,7 +279,7 @@
 		ready := true
 		for _, name := range c.Names() {
 			n := c.Node(name)
-			ready = ready && n.Ready() && n.Status().LiveNodes == c.Options.NodesPerZone
+			ready = ready && n.Ready() && n.LiveNodes() == c.Options.NodesPerZone
 		}
 		if ready {
 			return nil
--- a/node/callers.go
+++ b/node/callers.go
@@ -8,6 +8,7 @@
 	"github.com/gorilla/mux"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/thornwalk/thornwalk/coordination/membership"
 	"github.com/thornwalk/thornwalk/protocol/errkind"
 	"github.com/thornwalk/thornwalk/protocol/openai"
 	"github.com/thornwalk/thornwalk/protocol/receipt"
@@ -180,7 +181,7 @@
 }
 
 func (n *Node) serveStatus(writer http.ResponseWriter, request *http.Request, tenant *settings.Named) {
-	found, err := n.findAnswer(request.Context(), mux.Vars(request)["id"], request.Header.Get(HeaderReceipt), tenant.Name, false)
+	found, err := n.findAnswer(request.Context(), mux.Vars(request)["id"], request.Header.Get(HeaderReceipt), tenant.Name)
 	if err != nil {
 		n.writeError(writer, err, mux.Vars(request)["id"], "")
 		return
@@ -190,7 +191,7 @@
 }
 
 func (n *Node) serveAnswer(writer http.ResponseWriter, request *http.Request, tenant *settings.Named) {
-	found, err := n.findAnswer(request.Context(), mux.Vars(request)["id"], request.Header.Get(HeaderReceipt), tenant.Name, false)
+	found, err := n.findAnswer(request.Context(), mux.Vars(request)["id"], request.Header.Get(HeaderReceipt), tenant.Name)
 	if err != nil {
 		n.writeError(writer, err, mux.Vars(request)["id"], "")
 		return
@@ -229,7 +230,7 @@
 
 // findAnswer finds the answer of a request here, at the node that has it, or,
 // by the receipt, at its engine.
-func (n *Node) findAnswer(ctx context.Context, id, sealed, tenant string, chat bool) (*answer.Answer, error) {
+func (n *Node) findAnswer(ctx context.Context, id, sealed, tenant string) (*answer.Answer, error) {
 	if own, found := n.answers.Get(id); found {
 		if own.Tenant != tenant {
 			return nil, errkind.New(errkind.NotFound, "request %s", id)
@@ -241,7 +242,7 @@
 		return nil, errkind.New(errkind.NotFound, "%q is no request id", id)
 	}
 	if address, found := n.addressOf(name, uint64(process)); found {
-		return n.relay(address, id, tenant, chat), nil
+		return n.relay(address, id, tenant, sealed), nil
 	}
 	if sealed == "" {
 		return nil, errkind.New(errkind.NotFound, "the process that took request %s is gone: send the receipt in %s", id, HeaderReceipt)
@@ -262,7 +263,7 @@
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	if known, found := n.table.Get(name); found && name != n.config.Name {
-		return known.Member.CallerAddress, known.Member.Process() == process
+		return known.Member.CallerAddress, known.Member.Process() == process && known.Status != membership.Dead
 	}
 	for _, machine := range n.machines.entries {
 		if machine.Name == name && machine.Zone != n.config.Zone {
--- a/node/execute.go
+++ b/node/execute.go
@@ -118,7 +118,7 @@
 
 func (n *Node) newExecution(c *call) *execution {
 	id := n.newRequestID()
-	x := &execution{call: c, plans: make(chan structs.Plan, 1), answer: answer.New(id, c.tenant.Name, c.generation != nil && c.generation.Chat)}
+	x := &execution{call: c, plans: make(chan structs.Plan, 1), answer: answer.New(id, c.tenant.Name)}
 	x.ctx, x.cancel = context.WithCancel(n.ctx)
 	x.request = n.describe(id, c)
 	return x
@@ -349,6 +349,6 @@
 func (n *Node) seal(x *execution, replica structs.Replica) (string, error) {
 	return n.sealer.Seal(&receipt.Receipt{
 		RequestID: x.request.ID, Tenant: x.call.tenant.Name, Route: x.call.route, Zone: n.config.Zone, Node: n.config.Name,
-		Incarnation: uint64(n.startMilliseconds()), Replica: replica.ID, Address: replica.Address, Engine: x.call.service == nil, Chat: x.answer.Chat,
+		Incarnation: uint64(n.startMilliseconds()), Replica: replica.ID, Address: replica.Address, Engine: x.call.service == nil,
 	})
 }
--- a/node/identity.go
+++ b/node/identity.go
@@ -200,7 +200,7 @@
 			return own, false, nil
 		}
 	} else if n.processLives(holder.Node, holder.Process) {
-		return n.relay(holder.Address, holder.RequestID, x.call.tenant.Name, x.answer.Chat), false, nil
+		return n.relay(holder.Address, holder.RequestID, x.call.tenant.Name, holder.Receipt), false, nil
 	} else if holder.State == registry.Registered {
 		return nil, true, nil
 	}
@@ -348,7 +348,7 @@
 	if !found.Engine {
 		return nil, errkind.New(errkind.OutcomeUnknown, "request %s went to the plain service at %s: look its effect up there", found.RequestID, found.Replica)
 	}
-	adopted := answer.New(found.RequestID, tenant, found.Chat)
+	adopted := answer.New(found.RequestID, tenant)
 	adopted.SetReceipt(sealed)
 	stream, err := n.adapter.Resume(ctx, found.Address, found.RequestID, 0)
 	if err != nil {
--- a/node/relay.go
+++ b/node/relay.go
@@ -45,9 +45,15 @@
 	Detail  string          `json:"detail,omitempty"`
 }
 
-// relay returns an answer that is read from the node that has it.
-func (n *Node) relay(address, id, tenant string, chat bool) *answer.Answer {
-	relayed := answer.New(id, tenant, chat)
+// relay returns an answer that is read from the node that has it or, if that
+// node can't be reached, from the engine that the receipt names. The receipt may
+// be empty; the other node then tells it.
+func (n *Node) relay(address, id, tenant, sealed string) *answer.Answer {
+	relayed := answer.New(id, tenant)
+	var opened receipt.Receipt
+	if n.sealer.Open(sealed, &opened) == nil && opened.RequestID == id && opened.Tenant == tenant {
+		relayed.SetReceipt(sealed)
+	}
 	n.group.Go(func() { n.runRelay(relayed, address) })
 	return relayed
 }
--- a/node/respond.go
+++ b/node/respond.go
@@ -78,7 +78,7 @@
 		n.writeOutcomeError(writer, view.Err, view.Outcome, view.RequestID, view.Receipt)
 		return
 	}
-	completion, err := openai.Assemble(view.Parts, found.Chat)
+	completion, err := openai.Assemble(view.Parts)
 	if err != nil {
 		n.writeOutcomeError(writer, err, structs.OutcomeUnknown, view.RequestID, view.Receipt)
 		return
--- a/protocol/openai/openai.go
+++ b/protocol/openai/openai.go
@@ -222,11 +222,13 @@
 	Content string `json:"content"`
 }
 
-// Assemble joins the events of a whole stream into a completion.
-func Assemble(events [][]byte, chat bool) (*Completion, error) {
+// Assemble joins the events of a whole stream into a completion, of a chat if
+// the events are those of one.
+func Assemble(events [][]byte) (*Completion, error) {
 	var text strings.Builder
 	completion := &Completion{Object: "text_completion", Choices: []CompletionChoice{{}}}
 	choice := &completion.Choices[0]
+	chat := false
 	for _, event := range events {
 		chunk, err := ParseChunk(event)
 		if err != nil {
@@ -239,6 +241,7 @@
 		for _, part := range chunk.Choices {
 			text.WriteString(part.Text)
 			if part.Delta != nil {
+				chat = true
 				text.WriteString(part.Delta.Content)
 			}
 			if part.FinishReason != nil {
--- a/protocol/receipt/receipt.go
+++ b/protocol/receipt/receipt.go
@@ -28,8 +28,6 @@
 	// Engine is true if the answer can be read again at the back end; a plain
 	// service must not be asked, since asking would be a call.
 	Engine bool `msgpack:"e"`
-	// Chat is true if the answer has the form of a chat completion.
-	Chat bool `msgpack:"c"`
 }
 
 // Ticket allows one dispatch by one process.
--- a/state/answer/answer.go
+++ b/state/answer/answer.go
@@ -22,10 +22,9 @@
 
 // Answer is the answer to one request. It is safe for concurrent use.
 type Answer struct {
-	// RequestID, Tenant and Chat describe the request; they do not change.
+	// RequestID and Tenant describe the request; they do not change.
 	RequestID string
 	Tenant    string
-	Chat      bool
 
 	mutex   sync.Mutex
 	source  string
@@ -40,8 +39,8 @@
 }
 
 // New returns an empty answer.
-func New(requestID, tenant string, chat bool) *Answer {
-	return &Answer{RequestID: requestID, Tenant: tenant, Chat: chat, changed: make(chan struct{})}
+func New(requestID, tenant string) *Answer {
+	return &Answer{RequestID: requestID, Tenant: tenant, changed: make(chan struct{})}
 }
 
 // wake lets readers look again. The mutex is held.
--- a/state/registry/registry.go
+++ b/state/registry/registry.go
@@ -4,6 +4,7 @@
 package registry
 
 import (
+	"slices"
 	"time"
 
 	"github.com/thornwalk/thornwalk/protocol/errkind"
@@ -48,7 +49,10 @@
 // Table holds entries for a time after their last change. It is bounded:
 // entries of requests that have not ended are never dropped for new ones.
 type Table struct {
-	entries   map[Key]*kept
+	entries map[Key]*kept
+	// ended lists keys in the order in which they ended; some may have been
+	// taken by new requests or dropped since.
+	ended     []Key
 	limit     int
 	retention time.Duration
 	sweptAt   structs.Instant
@@ -108,6 +112,9 @@
 	}
 	if !found || entry.State >= existing.State {
 		t.entries[entry.Key] = &kept{Entry: entry, at: now}
+		if entry.State == Ended {
+			t.ended = append(t.ended, entry.Key)
+		}
 	}
 	return true
 }
@@ -144,6 +151,10 @@
 		return
 	}
 	t.sweptAt = now
+	t.ended = slices.DeleteFunc(t.ended, func(key Key) bool {
+		entry, found := t.entries[key]
+		return !found || entry.State != Ended
+	})
 	for key, entry := range t.entries {
 		age := now - entry.at
 		if (entry.State == Ended && age > t.retention) || age > openRetentionFactor*t.retention {
@@ -152,17 +163,15 @@
 	}
 }
 
-// dropEnded makes room by dropping the oldest ended entry.
+// dropEnded makes room by dropping the entry that ended first.
 func (t *Table) dropEnded() bool {
-	var oldest *kept
-	for _, entry := range t.entries {
-		if entry.State == Ended && (oldest == nil || entry.at < oldest.at) {
-			oldest = entry
+	for len(t.ended) > 0 {
+		key := t.ended[0]
+		t.ended = t.ended[1:]
+		if entry, found := t.entries[key]; found && entry.State == Ended {
+			delete(t.entries, key)
+			return true
 		}
 	}
-	if oldest == nil {
-		return false
-	}
-	delete(t.entries, oldest.Key)
-	return true
+	return false
 }
