--- a/cmd/thornwalk-lab/main.go
+++ b/cmd/thornwalk-lab/main.go
@@ -21,7 +21,7 @@
 		ShortUsage:  "thornwalk-lab <subcommand> [flags]",
 		ShortHelp:   "run thornwalk against embedded stand-ins",
 		FlagSet:     flag.NewFlagSet("thornwalk-lab", flag.ExitOnError),
-		Subcommands: []*ffcli.Command{demoCommand(), experimentCommand(), standinsCommand(), fleetCommand(), loadCommand()},
+		Subcommands: []*ffcli.Command{demoCommand(), experimentCommand(), standinsCommand(), fleetCommand(), loadCommand(), capacityCommand()},
 		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
 	}
 	err := root.ParseAndRun(ctx, os.Args[1:])
--- a/cmd/thornwalk/config.go
+++ b/cmd/thornwalk/config.go
@@ -23,7 +23,7 @@
 	return &ffcli.Command{
 		Name: "config", ShortUsage: "thornwalk config <subcommand>", ShortHelp: "read and change the settings tree",
 		Subcommands: []*ffcli.Command{
-			getCommand(o), setCommand(o), unsetCommand(o), applyCommand(o), diffCommand(o), historyCommand(o), validateCommand(), schemaCommand(o),
+			getCommand(o), setCommand(o), unsetCommand(o), applyCommand(o), diffCommand(o), historyCommand(o), validateCommand(), schemaCommand(o), referenceCommand(),
 		},
 		Exec: func(context.Context, []string) error { return flag.ErrHelp },
 	}
@@ -310,3 +310,14 @@
 	}
 	return true
 }
+
+// referenceCommand writes docs/SETTINGS.md.
+func referenceCommand() *ffcli.Command {
+	return &ffcli.Command{
+		Name: "reference", ShortUsage: "thornwalk config reference", ShortHelp: "write the settings reference as Markdown",
+		Exec: func(context.Context, []string) error {
+			_, err := os.Stdout.WriteString(settings.Reference())
+			return err
+		},
+	}
+}
--- /dev/null
+++ b/lab/capacity/capacity.go
@@ -0,0 +1,188 @@
+// Package capacity works out the cost of control at the target size from
+// recorded measurements of fleets, by linear fits, and holds it against the
+// budgets.
+package capacity
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"math"
+	"os"
+	"path/filepath"
+	"sort"
+	"strings"
+
+	"gonum.org/v1/gonum/stat"
+
+	"github.com/thornwalk/thornwalk/lab/fleet"
+)
+
+// Target is the size that the system is built towards, for one zone of seven,
+// and the budgets of a node.
+var Target = struct {
+	Nodes, Replicas, Tenants                     float64
+	ClaimsPerZone                                float64
+	CPUShare, HeapBytes, BytesPerSecond          float64
+	StoreReads, StoreWrites, Zones, InForceLimit float64
+}{
+	Nodes: 56, Replicas: 101, Tenants: 1800, ClaimsPerZone: 31,
+	CPUShare: 0.039, HeapBytes: 128e6, BytesPerSecond: 21000,
+	StoreReads: 2000, StoreWrites: 300, Zones: 7, InForceLimit: 5,
+}
+
+// Measurement is one recorded run.
+type Measurement struct {
+	File string
+	fleet.Result
+}
+
+// Load reads the recorded runs of a folder, in the order of their names.
+func Load(folder string) ([]Measurement, error) {
+	files, err := filepath.Glob(filepath.Join(folder, "fleet-*.json"))
+	if err != nil {
+		return nil, err
+	}
+	sort.Strings(files)
+	var measurements []Measurement
+	for _, file := range files {
+		content, err := os.ReadFile(file)
+		if err != nil {
+			return nil, err
+		}
+		m := Measurement{File: filepath.Base(file)}
+		if err := json.Unmarshal(content, &m.Result); err != nil {
+			return nil, fmt.Errorf("%s: %w", file, err)
+		}
+		measurements = append(measurements, m)
+	}
+	return measurements, nil
+}
+
+// metric is one measured figure of a run.
+type metric struct {
+	name, unit string
+	value      func(*Measurement) float64
+	budget     float64
+}
+
+var metrics = []metric{
+	{"processor, share of a core", "%", func(m *Measurement) float64 { return 100 * m.CPUShare }, 100 * Target.CPUShare},
+	{"live heap", "MB", func(m *Measurement) float64 { return float64(m.HeapBytes) / 1e6 }, Target.HeapBytes / 1e6},
+	{"bytes in and out", "KB/s", func(m *Measurement) float64 { return (m.InBytes + m.OutBytes) / 1000 }, Target.BytesPerSecond / 1000},
+	{"store writes of the zone", "/s", writes, Target.StoreWrites / Target.Zones},
+	{"store reads of the zone", "/s", reads, Target.StoreReads / Target.Zones},
+	{"a change in force everywhere", "s", func(m *Measurement) float64 { return m.ChangeInForce.Seconds() }, Target.InForceLimit},
+}
+
+func writes(m *Measurement) float64 {
+	return m.StoreCalls["/v3/kv/txn"] + m.StoreCalls["/v3/lease/grant"] + m.StoreCalls["/v3/lease/revoke"]
+}
+
+func reads(m *Measurement) float64 {
+	return m.StoreCalls["/v3/kv/range"] + m.StoreCalls["/v3/watch"] + m.StoreCalls["/v3/lease/keepalive"]
+}
+
+// series is the runs in which one size varies.
+type series struct {
+	name   string
+	prefix []string
+	size   func(*Measurement) float64
+	target float64
+}
+
+var allSeries = []series{
+	{"nodes of a zone", []string{"fleet-nodes-"}, func(m *Measurement) float64 { return float64(m.Nodes) }, Target.Nodes},
+	{"tenants", []string{"fleet-tenants-", "fleet-nodes-56"}, func(m *Measurement) float64 { return float64(m.Tenants) }, Target.Tenants},
+	{"claims a second in a zone", []string{"fleet-rate-", "fleet-nodes-56"}, func(m *Measurement) float64 { return m.Rate }, Target.ClaimsPerZone},
+}
+
+// Fit is a straight line through measurements of one metric.
+type Fit struct {
+	Intercept, Slope float64
+	// Residual is the root mean square distance of the measurements from it.
+	Residual float64
+}
+
+// At returns the value of the line.
+func (f Fit) At(size float64) float64 { return f.Intercept + f.Slope*size }
+
+func fit(sizes, values []float64) Fit {
+	intercept, slope := stat.LinearRegression(sizes, values, nil, false)
+	line := Fit{Intercept: intercept, Slope: slope}
+	sum := 0.0
+	for i := range sizes {
+		distance := values[i] - line.At(sizes[i])
+		sum += distance * distance
+	}
+	line.Residual = math.Sqrt(sum / float64(len(sizes)))
+	return line
+}
+
+// Write writes the tables as Markdown: the raw figures, the fits and what they
+// give at the target, for each series.
+func Write(writer io.Writer, measurements []Measurement) {
+	for _, s := range allSeries {
+		chosen := s.choose(measurements)
+		if len(chosen) < 3 {
+			fmt.Fprintf(writer, "## By %s\n\nnot measured at three sizes\n\n", s.name)
+			continue
+		}
+		s.write(writer, chosen)
+	}
+	writeWhole(writer, measurements)
+}
+
+func (s *series) choose(measurements []Measurement) []Measurement {
+	var chosen []Measurement
+	for _, m := range measurements {
+		for _, prefix := range s.prefix {
+			if strings.HasPrefix(m.File, prefix) {
+				chosen = append(chosen, m)
+			}
+		}
+	}
+	sort.Slice(chosen, func(i, j int) bool { return s.size(&chosen[i]) < s.size(&chosen[j]) })
+	return chosen
+}
+
+func (s *series) write(writer io.Writer, chosen []Measurement) {
+	fmt.Fprintf(writer, "## By %s\n\n| metric of a node |", s.name)
+	for i := range chosen {
+		fmt.Fprintf(writer, " %.0f |", s.size(&chosen[i]))
+	}
+	fmt.Fprintf(writer, " fit | residual | at %.0f | budget |\n|---|%s---|---|---|---|\n", s.target, strings.Repeat("---:|", len(chosen)))
+	for _, m := range metrics {
+		sizes, values := make([]float64, len(chosen)), make([]float64, len(chosen))
+		for i := range chosen {
+			sizes[i], values[i] = s.size(&chosen[i]), m.value(&chosen[i])
+		}
+		line := fit(sizes, values)
+		fmt.Fprintf(writer, "| %s (%s) |", m.name, m.unit)
+		for _, value := range values {
+			fmt.Fprintf(writer, " %.2f |", value)
+		}
+		fmt.Fprintf(writer, " %.3g + %.3g·n | %.2g | %.2f | %s |\n", line.Intercept, line.Slope, line.Residual, line.At(s.target), verdict(line.At(s.target), m.budget))
+	}
+	fmt.Fprintln(writer)
+}
+
+func verdict(value, budget float64) string {
+	if value > budget {
+		return fmt.Sprintf("%.2f **exceeded**", budget)
+	}
+	return fmt.Sprintf("%.2f", budget)
+}
+
+// writeWhole shows the runs of several zones, which check the fits.
+func writeWhole(writer io.Writer, measurements []Measurement) {
+	fmt.Fprintf(writer, "## Several zones at once\n\n| run | nodes | replicas | zones | claims/s | processor %% | heap MB | KB/s | writes/s | reads/s | change in force s | views agree s |\n|---|---:|---:|---:|---:|---:|---:|---:|---:|---:|---:|---:|\n")
+	for i := range measurements {
+		m := &measurements[i]
+		if m.Zones < 2 {
+			continue
+		}
+		fmt.Fprintf(writer, "| %s | %d | %d | %d | %.0f | %.2f | %.2f | %.1f | %.1f | %.1f | %.2f | %.2f |\n", m.File, m.Nodes, m.Replicas, m.Zones, m.Rate,
+			100*m.CPUShare, float64(m.HeapBytes)/1e6, (m.InBytes+m.OutBytes)/1000, writes(m), reads(m), m.ChangeInForce.Seconds(), m.ViewsAgree.Seconds())
+	}
+}
--- a/state/settings/settings_test.go
+++ b/state/settings/settings_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -125,3 +126,13 @@
 		}
 	}
 }
+
+func TestReferenceIsUpToDate(t *testing.T) {
+	content, err := os.ReadFile("../../docs/SETTINGS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if string(content) != Reference() {
+		t.Fatal("docs/SETTINGS.md is old: write it again with go run ./cmd/thornwalk config reference")
+	}
+}
