--- a/test/caller/caller_test.go
+++ b/test/caller/caller_test.go
@@ -216,6 +216,20 @@
 	})
 }
 
+// TestNodeThatPollsNothingIsReady starts a node when the others poll all
+// replicas already.
+func TestNodeThatPollsNothingIsReady(t *testing.T) {
+	play(t, func(s *scene) {
+		for number := range 4 {
+			s.Expect(s.cluster.StartNode(cluster.NodeName("trakiya", 2+number), "trakiya")).To(gomega.Succeed())
+		}
+		time.Sleep(5 * time.Second)
+		for _, name := range s.cluster.Names() {
+			s.Expect(s.cluster.Node(name).Ready()).To(gomega.BeTrue(), name)
+		}
+	})
+}
+
 func TestTenantLimitSaysWhenToComeBack(t *testing.T) {
 	play(t, func(s *scene) {
 		limited := 0
--- a/test/faultmatrix/variants_test.go
+++ b/test/faultmatrix/variants_test.go
@@ -97,6 +97,17 @@
 	})
 })
 
+// Engines that check no fence have only the coordinators' leases between them
+// and two masters.
+var _ = ginkgo.Describe("orders to engines that check no fence", func() {
+	for _, f := range named(changeFaults...) {
+		c := cell{path: pathOrder, point: faultpoint.OrderSend, faults: []fault{f}, lasts: 15 * time.Second, linger: 20 * time.Second}
+		ginkgo.It(c.name(), func() {
+			gomega.Expect(runCell(suite, c, func(o *cluster.Options) { o.FencelessZones = true })).To(gomega.BeEmpty())
+		})
+	}
+})
+
 // isDispatch returns whether the bytes begin a dispatch.
 func isDispatch(content []byte) bool { return strings.HasPrefix(string(content), "POST /v1/chat") }
 
