Test overflow to another zone and join what stood twice

Cause: overflow had no test; the pause with a context stood three times, the end of both command lines and the way of a resolved call twice. Change: tests of overflow with and without the settings; packages wait and command; Node.take.

--- a/cmd/thornwalk-lab/main.go
+++ b/cmd/thornwalk-lab/main.go
@@ -4,19 +4,14 @@
 
 import (
 	"context"
-	"errors"
 	"flag"
-	"fmt"
-	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/thornwalk/thornwalk/internal/command"
 )
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
 	root := &ffcli.Command{
 		ShortUsage:  "thornwalk-lab <subcommand> [flags]",
 		ShortHelp:   "run thornwalk against embedded stand-ins",
@@ -24,12 +19,5 @@
 		Subcommands: []*ffcli.Command{demoCommand(), experimentCommand(), standinsCommand(), fleetCommand(), loadCommand(), capacityCommand()},
 		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
 	}
-	err := root.ParseAndRun(ctx, os.Args[1:])
-	if err == nil {
-		return
-	}
-	if !errors.Is(err, flag.ErrHelp) {
-		fmt.Fprintln(os.Stderr, "thornwalk-lab:", err)
-	}
-	os.Exit(1)
+	command.Run(root)
 }
--- a/cmd/thornwalk/main.go
+++ b/cmd/thornwalk/main.go
@@ -3,16 +3,12 @@
 
 import (
 	"context"
-	"errors"
 	"flag"
-	"fmt"
-	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/peterbourgon/ff/v3"
 	"github.com/peterbourgon/ff/v3/ffcli"
 
+	"github.com/thornwalk/thornwalk/internal/command"
 	"github.com/thornwalk/thornwalk/operator"
 )
 
@@ -26,8 +22,6 @@
 func (o *options) client() *operator.Client { return operator.New(o.address, o.token) }
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
 	o := &options{}
 	set := flag.NewFlagSet("thornwalk", flag.ExitOnError)
 	set.StringVar(&o.address, "operator", "127.0.0.1:8081", "operators' address of any node (THORNWALK_OPERATOR)")
@@ -41,12 +35,5 @@
 		},
 		Exec: func(context.Context, []string) error { return flag.ErrHelp },
 	}
-	err := root.ParseAndRun(ctx, os.Args[1:])
-	if err == nil {
-		return
-	}
-	if !errors.Is(err, flag.ErrHelp) {
-		fmt.Fprintln(os.Stderr, "thornwalk:", err)
-	}
-	os.Exit(1)
+	command.Run(root)
 }
--- a/coordination/claims/claims.go
+++ b/coordination/claims/claims.go
@@ -18,6 +18,7 @@
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 
+	"github.com/thornwalk/thornwalk/internal/wait"
 	"github.com/thornwalk/thornwalk/platform"
 	"github.com/thornwalk/thornwalk/protocol/errkind"
 )
@@ -142,7 +143,7 @@
 // commitPage commits batches until nothing waits.
 func (c *Committer) commitPage(page Page) {
 	for {
-		if !sleep(c.ctx, c.settings().Window) {
+		if !wait.For(c.ctx, c.settings().Window) {
 			return
 		}
 		batch := c.takeBatch(page)
@@ -177,7 +178,7 @@
 		if settled {
 			return
 		}
-		if !errors.Is(err, errkind.Conflict) && !sleep(c.ctx, attemptPause) {
+		if !errors.Is(err, errkind.Conflict) && !wait.For(c.ctx, attemptPause) {
 			return
 		}
 	}
@@ -319,14 +320,3 @@
 	c.leases.Add(period, lease)
 	return lease, nil
 }
-
-func sleep(ctx context.Context, duration time.Duration) bool {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/coordination/settingsync/settingsync.go
+++ b/coordination/settingsync/settingsync.go
@@ -17,6 +17,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/thornwalk/thornwalk/faultpoint"
+	"github.com/thornwalk/thornwalk/internal/wait"
 	"github.com/thornwalk/thornwalk/platform"
 	"github.com/thornwalk/thornwalk/protocol/errkind"
 	"github.com/thornwalk/thornwalk/state/settings"
@@ -140,7 +141,7 @@
 		if settled {
 			return record, document, err
 		}
-		if !pause(ctx, attemptPause) {
+		if !wait.For(ctx, attemptPause) {
 			if written {
 				return ChangeRecord{}, nil, errkind.New(errkind.StoreUnknown, "change %s: %v", change.ID, err)
 			}
@@ -287,14 +288,3 @@
 	}
 	return true, nil
 }
-
-func pause(ctx context.Context, duration time.Duration) bool {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/node/backend.go
+++ b/node/backend.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/thornwalk/thornwalk/faultpoint"
+	"github.com/thornwalk/thornwalk/internal/wait"
 	"github.com/thornwalk/thornwalk/protocol/errkind"
 	"github.com/thornwalk/thornwalk/protocol/openai"
 	"github.com/thornwalk/thornwalk/state/answer"
@@ -106,7 +107,7 @@
 		if refused := asRefusal(err); refused != nil {
 			return structs.OutcomeUnknown, refused
 		}
-		if time.Since(since) > resumeWindow || !sleep(ctx, resumePause) {
+		if time.Since(since) > resumeWindow || !wait.For(ctx, resumePause) {
 			return structs.OutcomeUnknown, errkind.New(errkind.OutcomeUnknown, "the answer broke off: %v", err)
 		}
 		r.node.count("answer.resumed")
--- a/node/callers.go
+++ b/node/callers.go
@@ -83,19 +83,29 @@
 		return
 	}
 	c, err := n.resolveCompletion(request, tenant, body, chat)
+	found, answered := n.take(writer, request, c, err)
+	if answered {
+		return
+	}
+	n.writeGeneration(writer, request, found, c.generation.Stream, c.generation.IncludeUsage, 0)
+}
+
+// take begins a call that was resolved, or forwards it to the process of its
+// ticket. It returns true if the caller was answered already.
+func (n *Node) take(writer http.ResponseWriter, request *http.Request, c *call, err error) (*answer.Answer, bool) {
 	if err != nil {
 		n.writeError(writer, err, "", "")
-		return
+		return nil, true
 	}
 	if c.ticket != "" && n.forwardTicket(writer, request, c) {
-		return
+		return nil, true
 	}
 	found, err := n.begin(request.Context(), c)
 	if err != nil {
 		n.writeError(writer, err, "", "")
-		return
+		return nil, true
 	}
-	n.writeGeneration(writer, request, found, c.generation.Stream, c.generation.IncludeUsage, 0)
+	return found, false
 }
 
 func (n *Node) serveService(writer http.ResponseWriter, request *http.Request, tenant *settings.Named) {
@@ -110,16 +120,8 @@
 		path = "/"
 	}
 	c, err := n.resolveService(request, tenant, name, path, body)
-	if err != nil {
-		n.writeError(writer, err, "", "")
-		return
-	}
-	if c.ticket != "" && n.forwardTicket(writer, request, c) {
-		return
-	}
-	found, err := n.begin(request.Context(), c)
-	if err != nil {
-		n.writeError(writer, err, "", "")
+	found, answered := n.take(writer, request, c, err)
+	if answered {
 		return
 	}
 	n.writeService(writer, request, found)
--- a/node/node.go
+++ b/node/node.go
@@ -17,6 +17,7 @@
 	"github.com/thornwalk/thornwalk/coordination/scheduler"
 	"github.com/thornwalk/thornwalk/coordination/settingsync"
 	"github.com/thornwalk/thornwalk/coordination/shedding"
+	"github.com/thornwalk/thornwalk/internal/wait"
 	"github.com/thornwalk/thornwalk/protocol/receipt"
 	"github.com/thornwalk/thornwalk/state/answer"
 	"github.com/thornwalk/thornwalk/state/gossip"
@@ -260,14 +261,14 @@
 	n.table.SetLeaving()
 	n.mutex.Unlock()
 	deadline := time.Now().Add(n.settings.Compiled().Node.DrainTimeout)
-	sleep(ctx, n.config.DrainGrace)
+	wait.For(ctx, n.config.DrainGrace)
 	n.refusing.Store(true)
 	clean := false
 	for time.Now().Before(deadline) && ctx.Err() == nil {
 		if clean = n.idle(); clean {
 			break
 		}
-		sleep(ctx, drainPoll)
+		wait.For(ctx, drainPoll)
 	}
 	n.Kill()
 	return clean
@@ -280,18 +281,6 @@
 	return len(n.executions) == 0 && n.traffic.openCallers.Load() == 0
 }
 
-// sleep waits for the duration and returns false if the context ended first.
-func sleep(ctx context.Context, duration time.Duration) bool {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // LiveNodes returns the number of nodes of the zone that this one takes for
 // live, itself included.
 func (n *Node) LiveNodes() int {
--- a/node/polling.go
+++ b/node/polling.go
@@ -8,6 +8,7 @@
 	"k8s.io/klog/v2"
 
 	"github.com/thornwalk/thornwalk/coordination/membership"
+	"github.com/thornwalk/thornwalk/internal/wait"
 	"github.com/thornwalk/thornwalk/platform"
 	"github.com/thornwalk/thornwalk/protocol/peerwire"
 	"github.com/thornwalk/thornwalk/state/rendezvous"
@@ -47,7 +48,7 @@
 		for _, replica := range assigned {
 			n.group.Go(func() { n.poll(replica) })
 		}
-		if !sleep(n.ctx, n.settings.Compiled().Node.PollInterval) {
+		if !wait.For(n.ctx, n.settings.Compiled().Node.PollInterval) {
 			return
 		}
 	}
@@ -121,7 +122,7 @@
 		} else {
 			n.takeMachines(machines)
 		}
-		if !sleep(n.ctx, machineInterval) {
+		if !wait.For(n.ctx, machineInterval) {
 			return
 		}
 	}
@@ -237,7 +238,7 @@
 // zoneLoop exchanges words with other zones, if this node is a delegate: the
 // generation in force and, for overflow, the load of the replicas.
 func (n *Node) zoneLoop() {
-	for sleep(n.ctx, zoneInterval) {
+	for wait.For(n.ctx, zoneInterval) {
 		n.mutex.Lock()
 		var targets []platform.Machine
 		if n.isDelegate() {
--- a/node/scheduling.go
+++ b/node/scheduling.go
@@ -10,6 +10,7 @@
 	"github.com/thornwalk/thornwalk/coordination/limits"
 	"github.com/thornwalk/thornwalk/coordination/scheduler"
 	"github.com/thornwalk/thornwalk/coordination/shedding"
+	"github.com/thornwalk/thornwalk/internal/wait"
 	"github.com/thornwalk/thornwalk/protocol/peerwire"
 	"github.com/thornwalk/thornwalk/state/rendezvous"
 	"github.com/thornwalk/thornwalk/state/settings"
@@ -99,7 +100,7 @@
 
 // tickLoop moves time-driven state on.
 func (n *Node) tickLoop() {
-	for sleep(n.ctx, tickInterval) {
+	for wait.For(n.ctx, tickInterval) {
 		n.tick()
 	}
 }
@@ -247,7 +248,7 @@
 // limitLoop reports demands to the owners of the tenants' limits and takes the
 // slices that they grant.
 func (n *Node) limitLoop() {
-	for sleep(n.ctx, limits.ReportInterval) {
+	for wait.For(n.ctx, limits.ReportInterval) {
 		n.mutex.Lock()
 		reports := n.limitMember.Reports(n.now(), n.config.Name, n.limitOwnerOf)
 		for owner, report := range reports {
--- a/node/settings.go
+++ b/node/settings.go
@@ -11,6 +11,7 @@
 	"github.com/thornwalk/thornwalk/coordination/placement"
 	"github.com/thornwalk/thornwalk/coordination/settingsync"
 	"github.com/thornwalk/thornwalk/faultpoint"
+	"github.com/thornwalk/thornwalk/internal/wait"
 	"github.com/thornwalk/thornwalk/protocol/errkind"
 	"github.com/thornwalk/thornwalk/protocol/peerwire"
 	"github.com/thornwalk/thornwalk/state/rendezvous"
@@ -54,10 +55,10 @@
 		case watching:
 			revision, err = n.watchSettings(revision)
 		default:
-			sleep(n.ctx, delegateInterval)
+			wait.For(n.ctx, delegateInterval)
 		}
 		n.storeUp.Store(err == nil)
-		if err != nil && !sleep(n.ctx, storePause) {
+		if err != nil && !wait.For(n.ctx, storePause) {
 			return
 		}
 	}
@@ -91,7 +92,7 @@
 // endWatchOfOthers ends a watch when the node is no delegate any more: a node
 // that starts knows no others yet and takes itself for one.
 func (n *Node) endWatchOfOthers(ctx context.Context, cancel context.CancelFunc) {
-	for sleep(ctx, delegateInterval) {
+	for wait.For(ctx, delegateInterval) {
 		n.mutex.Lock()
 		watching := n.isDelegate()
 		n.mutex.Unlock()
@@ -168,7 +169,7 @@
 // first candidate of.
 func (n *Node) placementLoop() {
 	coordinators := map[string]*placement.Coordinator{}
-	for sleep(n.ctx, placement.RenewInterval) {
+	for wait.For(n.ctx, placement.RenewInterval) {
 		for _, service := range n.settings.Compiled().Services() {
 			if len(n.settings.Compiled().Models(service)) == 0 {
 				continue
--- a/test/caller/caller_test.go
+++ b/test/caller/caller_test.go
@@ -39,8 +39,9 @@
 
 var engine = enginesim.Spec{Generation: "g", Accelerators: 4, Slots: 8, BaseStep: 5 * time.Millisecond, ChunkTokens: 512, CacheBlocks: 100, KVTokens: 50000}
 
-// play runs the test on a deployment of one zone with two nodes.
-func play(t *testing.T, test func(s *scene)) {
+// play runs the test on a deployment of two zones with two nodes each. Settings
+// are path, key and value in turn.
+func play(t *testing.T, test func(s *scene), settings ...string) {
 	logging.Discard()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
@@ -49,9 +50,12 @@
 			t.Fatal(err)
 		}
 		tree = tree.Set("tenants/public", "max_body_bytes", "2048").Set("tenants/inspectors", "rate", "1").Set("tenants/inspectors", "burst", "2")
+		for i := 0; i+2 < len(settings); i += 3 {
+			tree = tree.Set(settings[i], settings[i+1], settings[i+2])
+		}
 		s := &scene{WithT: gomega.NewWithT(t), fabric: memnet.New()}
 		s.cluster, err = cluster.Start(ctx, cluster.Options{
-			Zones: []string{"trakiya"}, NodesPerZone: 2, EngineService: "ezik-servers", Model: "ezik", Engines: []enginesim.Spec{engine},
+			Zones: []string{"trakiya", "kapana"}, NodesPerZone: 2, EngineService: "ezik-servers", Model: "ezik", Engines: []enginesim.Spec{engine},
 			PlainService: "registar-app", PlainReplicas: 1, CallTime: 10 * time.Millisecond, Settings: tree, Host: s.fabric.Host, ListenAddress: ":0", Seed: 1,
 		})
 		if err != nil {
