Ask every keeper of a key before a dispatch

Cause: a node that could not reach the keepers of a key dispatched all the same; on the other side of a cut the key may have been given to a resubmission. Also: -o was understood only before a subcommand, and a node that had left for good was waited for after each change. Change: every member that a request was registered with has to confirm just before its dispatch, else it ends as not run; PROTOCOL says what is still lost. -o after subcommands; nodes not heard for five seconds are listed apart.

--- a/cmd/thornwalk/config.go
+++ b/cmd/thornwalk/config.go
@@ -31,7 +31,7 @@
 
 func getCommand(o *options) *ffcli.Command {
 	return &ffcli.Command{
-		Name: "get", ShortUsage: "thornwalk config get [PATH [KEY]]", ShortHelp: "show the tree as YAML, a branch, or the value in force with its origin",
+		Name: "get", ShortUsage: "thornwalk config get [PATH [KEY]]", ShortHelp: "show the tree as YAML, a branch, or the value in force with its origin", FlagSet: o.flagSet("get"),
 		Exec: func(ctx context.Context, arguments []string) error {
 			tree, _, err := o.client().Settings(ctx)
 			if err != nil {
@@ -80,7 +80,7 @@
 }
 
 func setCommand(o *options) *ffcli.Command {
-	set := flag.NewFlagSet("set", flag.ExitOnError)
+	set := o.flagSet("set")
 	wait := set.Bool("wait", true, "wait until the change is in force and say where")
 	return &ffcli.Command{
 		Name: "set", ShortUsage: "thornwalk config set PATH KEY=VALUE...", ShortHelp: "set values of a branch", FlagSet: set,
@@ -102,7 +102,7 @@
 }
 
 func unsetCommand(o *options) *ffcli.Command {
-	set := flag.NewFlagSet("unset", flag.ExitOnError)
+	set := o.flagSet("unset")
 	wait := set.Bool("wait", true, "wait until the change is in force and say where")
 	return &ffcli.Command{
 		Name: "unset", ShortUsage: "thornwalk config unset PATH [KEY...]", ShortHelp: "let a branch inherit keys again, or remove it", FlagSet: set,
@@ -123,7 +123,7 @@
 }
 
 func applyCommand(o *options) *ffcli.Command {
-	set := flag.NewFlagSet("apply", flag.ExitOnError)
+	set := o.flagSet("apply")
 	wait := set.Bool("wait", true, "wait until the change is in force and say where")
 	return &ffcli.Command{
 		Name: "apply", ShortUsage: "thornwalk config apply FILE", ShortHelp: "make the tree equal to a YAML file", FlagSet: set,
@@ -177,7 +177,7 @@
 
 func diffCommand(o *options) *ffcli.Command {
 	return &ffcli.Command{
-		Name: "diff", ShortUsage: "thornwalk config diff FILE", ShortHelp: "show what apply would change",
+		Name: "diff", ShortUsage: "thornwalk config diff FILE", ShortHelp: "show what apply would change", FlagSet: o.flagSet("diff"),
 		Exec: func(ctx context.Context, arguments []string) error {
 			wanted, err := readTree(arguments)
 			if err != nil {
@@ -199,7 +199,7 @@
 
 func historyCommand(o *options) *ffcli.Command {
 	return &ffcli.Command{
-		Name: "history", ShortUsage: "thornwalk config history", ShortHelp: "show the last accepted changes",
+		Name: "history", ShortUsage: "thornwalk config history", ShortHelp: "show the last accepted changes", FlagSet: o.flagSet("history"),
 		Exec: func(ctx context.Context, _ []string) error {
 			_, reply, err := o.client().Settings(ctx)
 			if err != nil {
@@ -235,7 +235,7 @@
 
 func schemaCommand(o *options) *ffcli.Command {
 	return &ffcli.Command{
-		Name: "schema", ShortUsage: "thornwalk config schema", ShortHelp: "list the keys with their ranges and defaults",
+		Name: "schema", ShortUsage: "thornwalk config schema", ShortHelp: "list the keys with their ranges and defaults", FlagSet: o.flagSet("schema"),
 		Exec: func(context.Context, []string) error {
 			specs := settings.Schema()
 			var rows [][]string
@@ -304,7 +304,7 @@
 
 func spreadDone(zones []node.ZoneSpread) bool {
 	for _, zone := range zones {
-		if !zone.CutOff && (len(zone.Behind) > 0 || len(zone.Unheard) > 0) {
+		if !zone.CutOff && (len(zone.Behind) > 0 || len(zone.InForce) == 0) {
 			return false
 		}
 	}
--- a/cmd/thornwalk/inspect.go
+++ b/cmd/thornwalk/inspect.go
@@ -18,7 +18,7 @@
 
 func statusCommand(o *options) *ffcli.Command {
 	return &ffcli.Command{
-		Name: "status", ShortUsage: "thornwalk status", ShortHelp: "show the state of the node",
+		Name: "status", ShortUsage: "thornwalk status", ShortHelp: "show the state of the node", FlagSet: o.flagSet("status"),
 		Exec: func(ctx context.Context, _ []string) error {
 			status, err := o.client().Status(ctx)
 			if err != nil {
@@ -47,7 +47,7 @@
 
 func peersCommand(o *options) *ffcli.Command {
 	return &ffcli.Command{
-		Name: "peers", ShortUsage: "thornwalk peers", ShortHelp: "show the nodes of the zone as the node sees them",
+		Name: "peers", ShortUsage: "thornwalk peers", ShortHelp: "show the nodes of the zone as the node sees them", FlagSet: o.flagSet("peers"),
 		Exec: func(ctx context.Context, _ []string) error {
 			peers, err := o.client().Peers(ctx)
 			if err != nil {
@@ -64,7 +64,7 @@
 
 func backendsCommand(o *options) *ffcli.Command {
 	return &ffcli.Command{
-		Name: "backends", ShortUsage: "thornwalk backends", ShortHelp: "show the replicas as the node sees them",
+		Name: "backends", ShortUsage: "thornwalk backends", ShortHelp: "show the replicas as the node sees them", FlagSet: o.flagSet("backends"),
 		Exec: func(ctx context.Context, _ []string) error {
 			backends, err := o.client().Backends(ctx)
 			if err != nil {
@@ -97,7 +97,7 @@
 
 func explainCommand(o *options) *ffcli.Command {
 	return &ffcli.Command{
-		Name: "explain", ShortUsage: "thornwalk explain REQUEST-ID", ShortHelp: "show why the node decided as it did",
+		Name: "explain", ShortUsage: "thornwalk explain REQUEST-ID", ShortHelp: "show why the node decided as it did", FlagSet: o.flagSet("explain"),
 		Exec: func(ctx context.Context, arguments []string) error {
 			if len(arguments) != 1 {
 				return errors.New("name one request id, from the header Thornwalk-Request-Id")
--- a/cmd/thornwalk/main.go
+++ b/cmd/thornwalk/main.go
@@ -21,12 +21,24 @@
 
 func (o *options) client() *operator.Client { return operator.New(o.address, o.token) }
 
+// addOutput adds the flag that is understood before and after a subcommand.
+func (o *options) addOutput(set *flag.FlagSet) {
+	set.StringVar(&o.output, "o", "table", "output: table, json or yaml")
+}
+
+// flagSet returns the flags of a subcommand that has no others.
+func (o *options) flagSet(name string) *flag.FlagSet {
+	set := flag.NewFlagSet(name, flag.ExitOnError)
+	o.addOutput(set)
+	return set
+}
+
 func main() {
 	o := &options{}
 	set := flag.NewFlagSet("thornwalk", flag.ExitOnError)
 	set.StringVar(&o.address, "operator", "127.0.0.1:8081", "operators' address of any node (THORNWALK_OPERATOR)")
 	set.StringVar(&o.token, "token", "", "operators' bearer token (THORNWALK_TOKEN)")
-	set.StringVar(&o.output, "o", "table", "output: table, json or yaml")
+	o.addOutput(set)
 	root := &ffcli.Command{
 		ShortUsage: "thornwalk [flags] <subcommand>", ShortHelp: "operate thornwalk", FlagSet: set,
 		Options: []ff.Option{ff.WithEnvVarPrefix("THORNWALK")},
--- a/lab/demo/demo.go
+++ b/lab/demo/demo.go
@@ -265,6 +265,7 @@
 	r.stops[name] = time.Now()
 	r.mutex.Unlock()
 	clean := r.cluster.Node(name).Drain(ctx)
+	r.cluster.Machines.Remove(name)
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.down[name] = true
--- a/node/execute.go
+++ b/node/execute.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"github.com/thornwalk/thornwalk/coordination/membership"
 	"github.com/thornwalk/thornwalk/coordination/routing/reserve"
 	"github.com/thornwalk/thornwalk/faultpoint"
 	"github.com/thornwalk/thornwalk/protocol/errkind"
@@ -53,6 +54,8 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 	entry   registry.Entry
+	// keepers are the members that the entry was registered with.
+	keepers []membership.Member
 	claimed bool
 	// sent is true from the moment before the first byte is written.
 	sent   bool
@@ -326,11 +329,7 @@
 		return errkind.New(errkind.Stopping, "%v", err)
 	}
 	x.entry.State, x.entry.Receipt = registry.Dispatched, sealed
-	if !n.updateRegistry(x.ctx, x.entry) {
-		x.entry = registry.Entry{}
-		return errkind.New(errkind.Stopping, "the key was taken over by another request")
-	}
-	return nil
+	return n.confirmDispatch(x)
 }
 
 // notPermitted ends a request that was stopped at a gate. One whose key was
--- a/node/heartbeat.go
+++ b/node/heartbeat.go
@@ -188,7 +188,7 @@
 	n.mutex.Lock()
 	n.table.Heard(now, message.From)
 	n.table.Merge(now, message.Rumors)
-	n.generations[message.From.Name] = message.Generation
+	n.generations[message.From.Name] = heardGeneration{generation: message.Generation, at: now}
 	if message.From.Zone != n.config.Zone {
 		n.heardZones[message.From.Zone] = now
 	}
--- a/node/identity.go
+++ b/node/identity.go
@@ -104,12 +104,12 @@
 	}
 	replaces := ""
 	for range takeOverPatience {
-		holder, mine, err := n.register(ctx, entry, replaces)
+		holder, keepers, err := n.register(ctx, entry, replaces)
 		if err != nil {
 			return nil, err
 		}
-		if mine {
-			x.entry = entry
+		if len(keepers) > 0 {
+			x.entry, x.keepers = entry, keepers
 			return nil, nil
 		}
 		joined, gone, err := n.joinEntry(ctx, holder, x)
@@ -122,35 +122,51 @@
 }
 
 // register enters the request with the owner and then the backup; the first
-// that knows another request decides. At least one of them has to answer.
-func (n *Node) register(ctx context.Context, entry registry.Entry, replaces string) (registry.Entry, bool, error) {
-	kept := 0
+// that knows another request decides, and its entry is returned. Otherwise it
+// returns the members that keep this one, of which there is at least one.
+func (n *Node) register(ctx context.Context, entry registry.Entry, replaces string) (registry.Entry, []membership.Member, error) {
+	var kept []membership.Member
 	for _, keeper := range n.keepers(entry.Key) {
 		reply, err := ask(ctx, n, keeper, peerwire.KindRegister, &registerRequest{Entry: entry, Replaces: replaces}, n.serveRegister)
 		switch {
 		case err == nil && !reply.Mine:
-			return reply.Entry, false, nil
+			return reply.Entry, nil, nil
 		case err == nil:
-			kept++
+			kept = append(kept, keeper)
 		case !errors.Is(err, errkind.PeerUnavailable):
-			return registry.Entry{}, false, err
+			return registry.Entry{}, nil, err
 		}
 	}
-	if kept == 0 {
-		return registry.Entry{}, false, errkind.New(errkind.Stopping, "no keeper of the key answers")
+	if len(kept) == 0 {
+		return registry.Entry{}, nil, errkind.New(errkind.Stopping, "no keeper of the key answers")
 	}
-	return entry, true, nil
+	return entry, kept, nil
 }
 
-// updateRegistry tells the keepers of the request's progress. It returns false
-// if one of them has given the key to another request.
-func (n *Node) updateRegistry(ctx context.Context, entry registry.Entry) bool {
-	current := true
+// confirmDispatch tells the members that the request was registered with that
+// it is about to be dispatched. Each of them has to confirm that the key is
+// still the request's: one that can't be reached may be on the other side of a
+// cut, where the key was given to a resubmission.
+func (n *Node) confirmDispatch(x *execution) error {
+	for _, keeper := range x.keepers {
+		reply, err := ask(x.ctx, n, keeper, peerwire.KindRegistryUpdate, &x.entry, n.serveRegistryUpdate)
+		if err != nil {
+			return errkind.New(errkind.Stopping, "%s, which keeps the key, does not answer", keeper.Name)
+		}
+		if !reply.Current {
+			x.entry = registry.Entry{} // it is another request's now
+			return errkind.New(errkind.Stopping, "the key was taken over by another request")
+		}
+	}
+	return nil
+}
+
+// updateRegistry tells the members that keep the key now of the request's
+// progress, best effort.
+func (n *Node) updateRegistry(ctx context.Context, entry registry.Entry) {
 	for _, keeper := range n.keepers(entry.Key) {
-		reply, err := ask(ctx, n, keeper, peerwire.KindRegistryUpdate, &entry, n.serveRegistryUpdate)
-		current = current && (err != nil || reply.Current)
+		_, _ = ask(ctx, n, keeper, peerwire.KindRegistryUpdate, &entry, n.serveRegistryUpdate) // they may be gone
 	}
-	return current
 }
 
 // registerAgain tells the keepers of the live executions' keys after a change
--- a/node/node.go
+++ b/node/node.go
@@ -82,7 +82,7 @@
 	cursors     map[structs.ReplicaID]uint64
 	told        map[structs.ReplicaID]toldReport
 	demanded    map[scheduler.Demand]structs.Instant
-	generations map[string]uint64
+	generations map[string]heardGeneration
 	tableSeen   uint64
 	random      *rand.Rand
 }
@@ -93,6 +93,12 @@
 	at     structs.Instant
 }
 
+// heardGeneration is the generation that a node last told of, and when.
+type heardGeneration struct {
+	generation uint64
+	at         structs.Instant
+}
+
 // toldReport is the last report of a replica whose rare part this node told.
 type toldReport struct {
 	report structs.LoadReport
@@ -113,7 +119,7 @@
 		executions: map[string]*execution{},
 		reports:    gossip.NewQueue[structs.ReplicaID, datedDigest](maximumReports, gossip.SpreadOnce),
 		heardZones: map[string]structs.Instant{}, polling: map[structs.ReplicaID]bool{}, cursors: map[structs.ReplicaID]uint64{}, told: map[structs.ReplicaID]toldReport{}, nudge: make(chan struct{}, 1),
-		demanded: map[scheduler.Demand]structs.Instant{}, generations: map[string]uint64{},
+		demanded: map[scheduler.Demand]structs.Instant{}, generations: map[string]heardGeneration{},
 	}
 	n.traffic = newTrafficMeter(n.metrics)
 	n.peers = peer.NewClient(n.peerNetwork(), n.traffic)
--- a/node/operators.go
+++ b/node/operators.go
@@ -137,7 +137,7 @@
 	defer n.mutex.Unlock()
 	var peers []Peer
 	for _, rumor := range n.table.All() {
-		generation := n.generations[rumor.Member.Name]
+		generation := n.generations[rumor.Member.Name].generation
 		if rumor.Member.Name == n.config.Name {
 			generation = n.settings.Compiled().Generation
 		}
--- a/node/spread.go
+++ b/node/spread.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"sort"
 	"strconv"
+	"time"
 
 	"github.com/thornwalk/thornwalk/coordination/membership"
 	"github.com/thornwalk/thornwalk/protocol/errkind"
@@ -12,6 +13,9 @@
 // PathOperatorSpread tells how far a generation has spread.
 const PathOperatorSpread = "/operator/spread"
 
+// spreadFreshness is how long the last word of a node counts.
+const spreadFreshness = 5 * time.Second
+
 // ZoneSpread is how far a generation has spread in one zone, as this node has
 // heard.
 type ZoneSpread struct {
@@ -20,7 +24,8 @@
 	InForce []string `json:"in_force"`
 	// Behind lists the live nodes that were last heard with a lower one.
 	Behind []string `json:"behind"`
-	// Unheard lists the nodes of the machine list of which nothing is known.
+	// Unheard lists the nodes of the machine list that were not heard lately:
+	// they may be gone, or the zone is large and they were not asked yet.
 	Unheard []string `json:"unheard"`
 	// CutOff is true if nothing was heard of the zone lately.
 	CutOff bool `json:"cut_off"`
@@ -60,8 +65,9 @@
 		if rumor, known := n.table.Get(machine.Name); known && rumor.Status == membership.Dead {
 			continue
 		}
-		if held, heard := n.generations[machine.Name]; heard {
-			n.enter(spread, machine.Name, held, generation)
+		held, heard := n.generations[machine.Name]
+		if heard && (held.generation >= generation || n.now()-held.at < spreadFreshness) {
+			n.enter(spread, machine.Name, held.generation, generation)
 		} else {
 			spread.Unheard = append(spread.Unheard, machine.Name)
 		}
