Tell the zone where prefixes were sent

Cause: the emulator gave cache events to every node, the daemon only to the one that polls the replica. The highest tier may wait 16 times as long inside engines (8 before).

--- a/coordination/scheduler/scheduler.go
+++ b/coordination/scheduler/scheduler.go
@@ -67,7 +67,7 @@
 // Defaults of the options, chosen in the emulator; see docs/decisions.
 const (
 	defaultHoldAhead        = 60 * time.Millisecond
-	defaultHoldShift        = 3
+	defaultHoldShift        = 4
 	defaultAgingLimit       = 5 * time.Second
 	defaultQueueLimit       = 2000
 	defaultSampleSize       = 8
--- a/lab/emulator/thornwalk.go
+++ b/lab/emulator/thornwalk.go
@@ -95,11 +95,30 @@
 	r := n.byID[plan.Request.ID]
 	if plan.Verdict == structs.VerdictDispatch {
 		n.world.dispatch(r, n.world.byID[plan.Replica.ID])
+		n.tellSent(plan.Replica.ID, r.arrival.Chain)
 		return
 	}
 	n.world.refuse(r, plan.Reason)
 }
 
+// newsDelay is the time in which heartbeats carry news to the other nodes.
+const newsDelay = 300 * time.Millisecond
+
+// tellSent tells the other nodes the end of the prefix that a replica was sent.
+func (n *thornwalkNode) tellSent(id structs.ReplicaID, chain []uint64) {
+	if len(chain) == 0 {
+		return
+	}
+	end := chain[len(chain)-1:]
+	n.world.after(newsDelay, func() {
+		for _, name := range n.members {
+			if name != n.name {
+				n.peers[name].scheduler.Prefixes().Sent(id, end)
+			}
+		}
+	})
+}
+
 func (n *thornwalkNode) report(report structs.LoadReport) {
 	if !n.fresh {
 		n.scheduler.View().Observe(n.world.now, report)
--- a/node/heartbeat.go
+++ b/node/heartbeat.go
@@ -22,6 +22,8 @@
 	// rumorsPerMessage and reportsPerMessage bound a heartbeat.
 	rumorsPerMessage  = 8
 	reportsPerMessage = 24
+	// sentPerMessage bounds the prefixes told; of more, the newest are told.
+	sentPerMessage = 16
 )
 
 // heartbeat is what nodes tell each other; a reply has the same form.
@@ -30,6 +32,17 @@
 	Generation uint64             `msgpack:"g"`
 	Rumors     []membership.Rumor `msgpack:"r,omitempty"`
 	Reports    []digest           `msgpack:"l,omitempty"`
+	Sent       []sentPrefix       `msgpack:"s,omitempty"`
+}
+
+// sentPrefix tells that a replica was sent a prompt whose prefix ends with the
+// block, so that every node of the zone knows where a conversation is cached.
+type sentPrefix struct {
+	//lint:ignore U1000 the codec reads the tag
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Replica structs.ReplicaID
+	Block   uint64
 }
 
 // probeRequest asks a peer to probe another.
@@ -155,6 +168,7 @@
 	return heartbeat{
 		From: n.table.Self(), Generation: n.settings.Compiled().Generation,
 		Rumors: n.table.Rumors(rumorsPerMessage), Reports: n.agedReports(reportsPerMessage),
+		Sent: n.sentPrefixes.Take(sentPerMessage, len(n.table.Live())),
 	}
 }
 
@@ -193,6 +207,9 @@
 		n.heardZones[message.From.Zone] = now
 	}
 	n.takeDigests(message.Reports)
+	for _, sent := range message.Sent {
+		n.takeSent(sent)
+	}
 	n.pump()
 	n.mutex.Unlock()
 	if message.Generation > n.settings.Compiled().Generation {
@@ -200,6 +217,17 @@
 	}
 }
 
+// takeSent records a prefix that another node sent and passes it on if it was
+// news. The mutex is held.
+func (n *Node) takeSent(sent sentPrefix) {
+	chain := []uint64{sent.Block}
+	if n.scheduler.Prefixes().CachedTokens(sent.Replica, chain) > 0 {
+		return
+	}
+	n.scheduler.Prefixes().Sent(sent.Replica, chain)
+	n.sentPrefixes.Put(sent.Block, sent)
+}
+
 // takeDigests applies reports and passes on those that were news. The mutex is held.
 func (n *Node) takeDigests(digests []digest) {
 	now := n.now()
--- a/node/node.go
+++ b/node/node.go
@@ -31,6 +31,7 @@
 // Bounds of what a node keeps beside the settings' bounds.
 const (
 	maximumReports   = 4096
+	maximumSent      = 256
 	maximumDecisions = 4096
 	maximumTickets   = 20000
 )
@@ -66,25 +67,26 @@
 	nudge    chan struct{}
 
 	// mutex guards the passive state machines below.
-	mutex       sync.Mutex
-	scheduler   *scheduler.Scheduler
-	table       *membership.Table
-	registry    *registry.Table
-	floorOwner  *shedding.Owner
-	floorMember *shedding.Member
-	limitOwner  *limits.Owner
-	limitMember *limits.Member
-	executions  map[string]*execution
-	reports     *gossip.Queue[structs.ReplicaID, datedDigest]
-	heardZones  map[string]structs.Instant
-	machines    machineView
-	polling     map[structs.ReplicaID]bool
-	cursors     map[structs.ReplicaID]uint64
-	told        map[structs.ReplicaID]toldReport
-	demanded    map[scheduler.Demand]structs.Instant
-	generations map[string]heardGeneration
-	tableSeen   uint64
-	random      *rand.Rand
+	mutex        sync.Mutex
+	scheduler    *scheduler.Scheduler
+	table        *membership.Table
+	registry     *registry.Table
+	floorOwner   *shedding.Owner
+	floorMember  *shedding.Member
+	limitOwner   *limits.Owner
+	limitMember  *limits.Member
+	executions   map[string]*execution
+	reports      *gossip.Queue[structs.ReplicaID, datedDigest]
+	heardZones   map[string]structs.Instant
+	sentPrefixes *gossip.Queue[uint64, sentPrefix]
+	machines     machineView
+	polling      map[structs.ReplicaID]bool
+	cursors      map[structs.ReplicaID]uint64
+	told         map[structs.ReplicaID]toldReport
+	demanded     map[scheduler.Demand]structs.Instant
+	generations  map[string]heardGeneration
+	tableSeen    uint64
+	random       *rand.Rand
 }
 
 // datedDigest is a report with the time at which its age was right.
@@ -116,9 +118,10 @@
 		adapter: backendhttp.New(depend.Network),
 		answers: answer.NewStore(), metrics: metrics.NewRegistry(),
 		explains: newDecisionLog(maximumDecisions), tickets: newTicketBook(maximumTickets),
-		executions: map[string]*execution{},
-		reports:    gossip.NewQueue[structs.ReplicaID, datedDigest](maximumReports, gossip.SpreadOnce),
-		heardZones: map[string]structs.Instant{}, polling: map[structs.ReplicaID]bool{}, cursors: map[structs.ReplicaID]uint64{}, told: map[structs.ReplicaID]toldReport{}, nudge: make(chan struct{}, 1),
+		executions:   map[string]*execution{},
+		reports:      gossip.NewQueue[structs.ReplicaID, datedDigest](maximumReports, gossip.SpreadOnce),
+		sentPrefixes: gossip.NewQueue[uint64, sentPrefix](maximumSent, gossip.SpreadOnce),
+		heardZones:   map[string]structs.Instant{}, polling: map[structs.ReplicaID]bool{}, cursors: map[structs.ReplicaID]uint64{}, told: map[structs.ReplicaID]toldReport{}, nudge: make(chan struct{}, 1),
 		demanded: map[scheduler.Demand]structs.Instant{}, generations: map[string]heardGeneration{},
 	}
 	n.traffic = newTrafficMeter(n.metrics)
--- a/node/scheduling.go
+++ b/node/scheduling.go
@@ -146,6 +146,10 @@
 // deliver hands a plan to the request's execution. The mutex is held.
 func (n *Node) deliver(plan structs.Plan) {
 	n.explain(plan)
+	if chain := plan.Request.Prefix; plan.Verdict == structs.VerdictDispatch && len(chain) > 0 {
+		block := chain[len(chain)-1]
+		n.sentPrefixes.Put(block, sentPrefix{Replica: plan.Replica.ID, Block: block})
+	}
 	if waiting, found := n.executions[plan.Request.ID]; found {
 		waiting.plans <- plan // has room: a request has at most one plan at a time
 	}
--- a/state/prefix/prefix.go
+++ b/state/prefix/prefix.go
@@ -96,38 +96,27 @@
 }
 
 // CachedTokens returns the prompt tokens that the replica is thought to hold.
-// It relies on blocks being held as prefixes and searches by halves.
+// It looks from the end of the chain: of what other nodes sent only the last
+// block is known, and a block that is held stands for all before it.
 func (v *View) CachedTokens(replica structs.ReplicaID, chain []uint64) int {
-	low, high := 0, len(chain)
-	for low < high {
-		middle := (low + high) / 2
-		holders, _ := v.blocks.Peek(chain[middle])
-		if slices.Contains(holders, replica) {
-			low = middle + 1
-		} else {
-			high = middle
+	for index := len(chain) - 1; index >= 0; index-- {
+		holders, known := v.blocks.Peek(chain[index])
+		if known && slices.Contains(holders, replica) {
+			return (index + 1) * structs.BlockTokens
 		}
 	}
-	return low * structs.BlockTokens
+	return 0
 }
 
 // Holders returns the replicas thought to hold the longest known part of the
 // chain. The result must not be changed.
 func (v *View) Holders(chain []uint64) []structs.ReplicaID {
-	low, high := 0, len(chain)
-	for low < high {
-		middle := (low + high) / 2
-		if v.blocks.Contains(chain[middle]) {
-			low = middle + 1
-		} else {
-			high = middle
+	for index := len(chain) - 1; index >= 0; index-- {
+		if holders, known := v.blocks.Peek(chain[index]); known {
+			return holders
 		}
 	}
-	if low == 0 {
-		return nil
-	}
-	holders, _ := v.blocks.Peek(chain[low-1])
-	return holders
+	return nil
 }
 
 // bytesPerToken approximates the length of a token of ordinary text.
