Draw the keys of the claims model before its goroutines start

Cause: the race detector found the model test drawing from one random source in several goroutines; the schedule was then not the seed's alone. Change: keys are drawn in order. Conclusion: the seed fixes the schedule's choices again.

--- a/test/model/model_test.go
+++ b/test/model/model_test.go
@@ -169,9 +169,10 @@
 		committers = append(committers, committer)
 		random := rand.New(rand.NewPCG(seed, uint64(10+client)))
 		for number := range 6 {
+			key := fmt.Sprintf("key-%d", random.IntN(3))
 			group.Go(func() {
 				time.Sleep(time.Duration(number*20) * time.Millisecond)
-				claimOnce(ctx, record, committer, client, fmt.Sprintf("key-%d", random.IntN(3)), fmt.Sprintf("r-%d-%d", client, number))
+				claimOnce(ctx, record, committer, client, key, fmt.Sprintf("r-%d-%d", client, number))
 			})
 		}
 	}
