Move the interfaces to outside systems to package outside

Cause: the folder platform/ is to hold only the names, formats and calls of the users' platform; it held the product's own narrow interfaces. Conclusion: platform/ is free for the adapter.

--- a/cmd/thornwalk-lab/standins.go
+++ b/cmd/thornwalk-lab/standins.go
@@ -11,7 +11,7 @@
 	"github.com/thornwalk/thornwalk/internal/logging"
 	"github.com/thornwalk/thornwalk/lab/cluster"
 	"github.com/thornwalk/thornwalk/lab/workload"
-	"github.com/thornwalk/thornwalk/platform"
+	"github.com/thornwalk/thornwalk/outside"
 	"github.com/thornwalk/thornwalk/transport/network"
 )
 
@@ -61,7 +61,7 @@
 	for zone, count := range deployment.NodesPerZone {
 		for index := range count {
 			name := cluster.NodeName(deployment.Zones[zone], index)
-			c.Machines.Add(platform.Machine{
+			c.Machines.Add(outside.Machine{
 				Name: name, Role: "entry", Zone: deployment.Zones[zone],
 				PeerAddress: fmt.Sprintf("127.0.0.1:%d", peerPortBase+number), CallerAddress: fmt.Sprintf("127.0.0.1:%d", callerPortBase+number),
 			})
--- a/cmd/thornwalkd/main.go
+++ b/cmd/thornwalkd/main.go
@@ -86,10 +86,10 @@
 	if err != nil {
 		return err
 	}
-	outside := network.TCP{}
+	processNetwork := network.TCP{}
 	calls := metrics.NewRegistry()
 	n, err := node.New(config, node.Dependencies{
-		Network: outside, Store: etcdstore.New(outside, f.store, f.storeTimeout, calls), Machines: machinelist.New(outside, f.machines),
+		Network: processNetwork, Store: etcdstore.New(processNetwork, f.store, f.storeTimeout, calls), Machines: machinelist.New(processNetwork, f.machines),
 		WallTime: time.Now, LogDecisions: f.logDecisions,
 	})
 	if err != nil {
--- a/coordination/claims/claims.go
+++ b/coordination/claims/claims.go
@@ -19,7 +19,7 @@
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 
 	"github.com/thornwalk/thornwalk/internal/wait"
-	"github.com/thornwalk/thornwalk/platform"
+	"github.com/thornwalk/thornwalk/outside"
 	"github.com/thornwalk/thornwalk/protocol/errkind"
 )
 
@@ -59,7 +59,7 @@
 
 // Committer groups the claims of a node. It is safe for concurrent use.
 type Committer struct {
-	store    platform.Store
+	store    outside.Store
 	settings func() Settings
 	wallTime func() time.Time
 	ctx      context.Context
@@ -67,16 +67,16 @@
 	mutex   sync.Mutex
 	pending map[Page][]*operation
 	running map[Page]bool
-	cache   *simplelru.LRU[Page, platform.Value]
-	leases  *simplelru.LRU[int64, platform.LeaseID]
+	cache   *simplelru.LRU[Page, outside.Value]
+	leases  *simplelru.LRU[int64, outside.LeaseID]
 	group   sync.WaitGroup
 }
 
 // NewCommitter returns a committer that works until the context ends.
-func NewCommitter(ctx context.Context, store platform.Store, settings func() Settings, wallTime func() time.Time) *Committer {
+func NewCommitter(ctx context.Context, store outside.Store, settings func() Settings, wallTime func() time.Time) *Committer {
 	// The sizes are positive, so that no error is possible.
-	cache, _ := simplelru.NewLRU[Page, platform.Value](cachedPages, nil)
-	leases, _ := simplelru.NewLRU[int64, platform.LeaseID](cachedPages, nil)
+	cache, _ := simplelru.NewLRU[Page, outside.Value](cachedPages, nil)
+	leases, _ := simplelru.NewLRU[int64, outside.LeaseID](cachedPages, nil)
 	return &Committer{
 		store: store, settings: settings, wallTime: wallTime, ctx: ctx,
 		pending: map[Page][]*operation{}, running: map[Page]bool{}, cache: cache, leases: leases,
@@ -225,7 +225,7 @@
 		c.forget(page)
 		return false, err
 	}
-	c.remember(page, platform.Value{Data: data, Revision: revision})
+	c.remember(page, outside.Value{Data: data, Revision: revision})
 	for i, op := range batch {
 		op.done <- outcomes[i]
 	}
@@ -268,7 +268,7 @@
 	}
 }
 
-func (c *Committer) read(page Page) (platform.Value, error) {
+func (c *Committer) read(page Page) (outside.Value, error) {
 	c.mutex.Lock()
 	cached, found := c.cache.Get(page)
 	c.mutex.Unlock()
@@ -278,7 +278,7 @@
 	return c.store.Get(c.ctx, page.Key())
 }
 
-func (c *Committer) remember(page Page, value platform.Value) {
+func (c *Committer) remember(page Page, value outside.Value) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.cache.Add(page, value)
@@ -299,7 +299,7 @@
 
 // lease returns the lease under which a page of dated keys is written, so that
 // it vanishes after its keys are refused. Pages of undated keys have none.
-func (c *Committer) lease(page Page) (platform.LeaseID, error) {
+func (c *Committer) lease(page Page) (outside.LeaseID, error) {
 	if page.Bucket == 0 {
 		return 0, nil
 	}
--- a/coordination/placement/placement.go
+++ b/coordination/placement/placement.go
@@ -15,7 +15,7 @@
 	"time"
 
 	"github.com/thornwalk/thornwalk/faultpoint"
-	"github.com/thornwalk/thornwalk/platform"
+	"github.com/thornwalk/thornwalk/outside"
 	"github.com/thornwalk/thornwalk/protocol/errkind"
 	"github.com/thornwalk/thornwalk/structs"
 )
@@ -110,7 +110,7 @@
 
 // Coordinator is one node's candidacy for one zone and service.
 type Coordinator struct {
-	Store   platform.Store
+	Store   outside.Store
 	Sender  Sender
 	Zone    string
 	Service string
@@ -122,7 +122,7 @@
 	// Log is told each order and its result.
 	Log func(Order, error)
 
-	lease     platform.LeaseID
+	lease     outside.LeaseID
 	fence     int64
 	expires   time.Duration
 	heldSince time.Duration
--- a/coordination/settingsync/settingsync.go
+++ b/coordination/settingsync/settingsync.go
@@ -18,7 +18,7 @@
 
 	"github.com/thornwalk/thornwalk/faultpoint"
 	"github.com/thornwalk/thornwalk/internal/wait"
-	"github.com/thornwalk/thornwalk/platform"
+	"github.com/thornwalk/thornwalk/outside"
 	"github.com/thornwalk/thornwalk/protocol/errkind"
 	"github.com/thornwalk/thornwalk/state/settings"
 )
@@ -124,7 +124,7 @@
 
 // Acceptor accepts changes. It is safe for concurrent use.
 type Acceptor struct {
-	Store    platform.Store
+	Store    outside.Store
 	WallTime func() time.Time
 	Faults   faultpoint.Injector
 }
--- a/lab/cluster/cluster.go
+++ b/lab/cluster/cluster.go
@@ -17,7 +17,7 @@
 	"github.com/thornwalk/thornwalk/lab/enginesim"
 	"github.com/thornwalk/thornwalk/lab/standin"
 	"github.com/thornwalk/thornwalk/node"
-	"github.com/thornwalk/thornwalk/platform"
+	"github.com/thornwalk/thornwalk/outside"
 	"github.com/thornwalk/thornwalk/state/settings"
 	"github.com/thornwalk/thornwalk/structs"
 	"github.com/thornwalk/thornwalk/transport/etcdstore"
@@ -67,7 +67,7 @@
 	// WrapNetwork and WrapStore change what nodes use; nil leaves it. Tests of
 	// the checker break promises with them.
 	WrapNetwork func(network.Network) network.Network
-	WrapStore   func(platform.Store) platform.Store
+	WrapStore   func(outside.Store) outside.Store
 }
 
 // Cluster is a running deployment.
@@ -95,7 +95,7 @@
 // backendServer is the HTTP server of one back end.
 type backendServer struct {
 	server  *http.Server
-	machine platform.Machine
+	machine outside.Machine
 }
 
 // Start starts everything and waits until each node is ready.
@@ -211,7 +211,7 @@
 		return err
 	}
 	replica.Address, replica.Zone = address, zone
-	machine := platform.Machine{Name: string(replica.ID), Role: "backend", Zone: zone, Replica: &replica}
+	machine := outside.Machine{Name: string(replica.ID), Role: "backend", Zone: zone, Replica: &replica}
 	c.replicas[replica.ID] = &backendServer{server: server, machine: machine}
 	c.Machines.Add(machine)
 	return nil
@@ -233,12 +233,12 @@
 	c.starts++
 	start := c.starts
 	c.mutex.Unlock()
-	outside := c.Options.Host(name)
+	hostNetwork := c.Options.Host(name)
 	if c.Options.WrapNetwork != nil {
-		outside = c.Options.WrapNetwork(outside)
+		hostNetwork = c.Options.WrapNetwork(hostNetwork)
 	}
 	const storeTimeout = time.Second
-	var store platform.Store = etcdstore.New(outside, c.storeAt, storeTimeout, nil)
+	var store outside.Store = etcdstore.New(hostNetwork, c.storeAt, storeTimeout, nil)
 	if c.Options.WrapStore != nil {
 		store = c.Options.WrapStore(store)
 	}
@@ -250,7 +250,7 @@
 		Name: name, Zone: zone, CallerListen: c.Options.ListenAddress, OperatorListen: c.Options.ListenAddress, PeerListen: c.Options.ListenAddress,
 		ReceiptKeys: [][]byte{[]byte("a receipt key of the lab")}, OperatorToken: OperatorToken, DrainGrace: c.Options.DrainGrace,
 	}, node.Dependencies{
-		Network: outside, Store: store, Machines: machinelist.New(outside, c.listAt), WallTime: time.Now,
+		Network: hostNetwork, Store: store, Machines: machinelist.New(hostNetwork, c.listAt), WallTime: time.Now,
 		Random: rand.New(rand.NewPCG(c.Options.Seed, uint64(start))), Faults: faults,
 		StartMilliseconds: time.Now().UnixMilli() + start, LogDecisions: c.Options.LogDecisions,
 	})
@@ -266,7 +266,7 @@
 	}
 	c.nodes[name] = created
 	c.mutex.Unlock()
-	c.Machines.Add(platform.Machine{Name: name, Role: "entry", Zone: zone, PeerAddress: created.PeerAddress(), CallerAddress: created.CallerAddress()})
+	c.Machines.Add(outside.Machine{Name: name, Role: "entry", Zone: zone, PeerAddress: created.PeerAddress(), CallerAddress: created.CallerAddress()})
 	return nil
 }
 
--- a/lab/standin/machines.go
+++ b/lab/standin/machines.go
@@ -10,7 +10,7 @@
 
 	"github.com/gorilla/mux"
 
-	"github.com/thornwalk/thornwalk/platform"
+	"github.com/thornwalk/thornwalk/outside"
 	"github.com/thornwalk/thornwalk/transport/machinelist"
 )
 
@@ -22,27 +22,27 @@
 	mutex    sync.Mutex
 	changes  []machineChange
 	down     bool
-	machines map[string]platform.Machine
+	machines map[string]outside.Machine
 	// version rises with each change that shows.
 	version int
 }
 
 type machineChange struct {
 	at      time.Time
-	machine platform.Machine
+	machine outside.Machine
 	removed bool
 }
 
 // NewMachines returns an empty list.
 func NewMachines(lag time.Duration) *Machines {
-	return &Machines{Lag: lag, machines: map[string]platform.Machine{}}
+	return &Machines{Lag: lag, machines: map[string]outside.Machine{}}
 }
 
 // Add enters or changes a machine.
-func (m *Machines) Add(machine platform.Machine) { m.enter(machine, false) }
+func (m *Machines) Add(machine outside.Machine) { m.enter(machine, false) }
 
 // Remove takes a machine off the list.
-func (m *Machines) Remove(name string) { m.enter(platform.Machine{Name: name}, true) }
+func (m *Machines) Remove(name string) { m.enter(outside.Machine{Name: name}, true) }
 
 // SetDown makes the list refuse requests.
 func (m *Machines) SetDown(down bool) {
@@ -51,14 +51,14 @@
 	m.down = down
 }
 
-func (m *Machines) enter(machine platform.Machine, removed bool) {
+func (m *Machines) enter(machine outside.Machine, removed bool) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	m.changes = append(m.changes, machineChange{at: time.Now().Add(m.Lag), machine: machine, removed: removed})
 }
 
 // list returns the machines whose changes show by now.
-func (m *Machines) list() ([]platform.Machine, int, bool) {
+func (m *Machines) list() ([]outside.Machine, int, bool) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
 	if m.down {
@@ -79,7 +79,7 @@
 		}
 	}
 	m.changes = pending
-	machines := make([]platform.Machine, 0, len(m.machines))
+	machines := make([]outside.Machine, 0, len(m.machines))
 	for _, machine := range m.machines {
 		machines = append(machines, machine)
 	}
--- a/node/config.go
+++ b/node/config.go
@@ -7,7 +7,7 @@
 
 	"github.com/thornwalk/thornwalk/coordination/settingsync"
 	"github.com/thornwalk/thornwalk/faultpoint"
-	"github.com/thornwalk/thornwalk/platform"
+	"github.com/thornwalk/thornwalk/outside"
 	"github.com/thornwalk/thornwalk/protocol/errkind"
 	"github.com/thornwalk/thornwalk/transport/network"
 )
@@ -63,8 +63,8 @@
 // Dependencies are the outside of a node. Tests bring their own.
 type Dependencies struct {
 	Network  network.Network
-	Store    platform.Store
-	Machines platform.MachineList
+	Store    outside.Store
+	Machines outside.MachineList
 	// WallTime is used for dates only, never for leases or deadlines.
 	WallTime func() time.Time
 	Random   *rand.Rand
--- a/node/polling.go
+++ b/node/polling.go
@@ -9,7 +9,7 @@
 
 	"github.com/thornwalk/thornwalk/coordination/membership"
 	"github.com/thornwalk/thornwalk/internal/wait"
-	"github.com/thornwalk/thornwalk/platform"
+	"github.com/thornwalk/thornwalk/outside"
 	"github.com/thornwalk/thornwalk/protocol/peerwire"
 	"github.com/thornwalk/thornwalk/state/rendezvous"
 	"github.com/thornwalk/thornwalk/structs"
@@ -35,7 +35,7 @@
 
 // machineView is the machine list as last read.
 type machineView struct {
-	entries []platform.Machine
+	entries []outside.Machine
 	missing map[structs.ReplicaID]structs.Instant
 }
 
@@ -130,7 +130,7 @@
 
 // takeMachines applies a reading of the list: it names back ends, and members
 // to introduce oneself to. Whether members are alive is for heartbeats to say.
-func (n *Node) takeMachines(machines []platform.Machine) {
+func (n *Node) takeMachines(machines []outside.Machine) {
 	var introduce []string
 	n.mutex.Lock()
 	n.machines.entries = n.machines.entries[:0]
@@ -192,7 +192,7 @@
 	return addresses
 }
 
-func (n *Node) takeReplica(machine platform.Machine) {
+func (n *Node) takeReplica(machine outside.Machine) {
 	replica := *machine.Replica
 	replica.Zone = machine.Zone
 	replica.Leaving = replica.Leaving || machine.Leaving
@@ -240,7 +240,7 @@
 func (n *Node) zoneLoop() {
 	for wait.For(n.ctx, zoneInterval) {
 		n.mutex.Lock()
-		var targets []platform.Machine
+		var targets []outside.Machine
 		if n.isDelegate() {
 			targets = n.otherZones()
 		}
@@ -252,8 +252,8 @@
 }
 
 // otherZones picks one random entry machine of each other zone. The mutex is held.
-func (n *Node) otherZones() []platform.Machine {
-	byZone := map[string][]platform.Machine{}
+func (n *Node) otherZones() []outside.Machine {
+	byZone := map[string][]outside.Machine{}
 	var zones []string
 	for _, machine := range n.machines.entries {
 		if machine.Zone == n.config.Zone || machine.Leaving {
@@ -264,7 +264,7 @@
 		}
 		byZone[machine.Zone] = append(byZone[machine.Zone], machine)
 	}
-	picked := make([]platform.Machine, 0, len(zones))
+	picked := make([]outside.Machine, 0, len(zones))
 	for _, zone := range zones {
 		machines := byZone[zone]
 		picked = append(picked, machines[n.random.IntN(len(machines))])
@@ -274,7 +274,7 @@
 
 // greetZone sends the zone's reports, so that the other may overflow here, and
 // merges those of the answer.
-func (n *Node) greetZone(target platform.Machine) {
+func (n *Node) greetZone(target outside.Machine) {
 	n.mutex.Lock()
 	message := heartbeat{From: n.table.Self(), Generation: n.settings.Compiled().Generation, Reports: n.zoneReports()}
 	n.mutex.Unlock()
--- a/platform/platform.go
+++ b/outside/outside.go
@@ -1,7 +1,7 @@
-// Package platform defines the interfaces to the outside systems: the
+// Package outside defines the interfaces to the outside systems: the
 // platform's key-value service and its machine list. Each has an adapter in
 // the transport layer; tests and the lab bring stand-ins.
-package platform
+package outside
 
 import (
 	"context"
--- a/test/faultmatrix/variants_test.go
+++ b/test/faultmatrix/variants_test.go
@@ -21,7 +21,7 @@
 	"github.com/thornwalk/thornwalk/lab/emulator"
 	"github.com/thornwalk/thornwalk/lab/standin"
 	"github.com/thornwalk/thornwalk/lab/workload"
-	"github.com/thornwalk/thornwalk/platform"
+	"github.com/thornwalk/thornwalk/outside"
 	"github.com/thornwalk/thornwalk/structs"
 	"github.com/thornwalk/thornwalk/transport/network"
 )
@@ -40,7 +40,7 @@
 
 	ginkgo.It("a claim that is always granted", func() {
 		violations := runCell(suite, quietCell, func(o *cluster.Options) {
-			o.WrapStore = func(inner platform.Store) platform.Store { return grantingStore{inner} }
+			o.WrapStore = func(inner outside.Store) outside.Store { return grantingStore{inner} }
 		})
 		gomega.Expect(checker.Count(violations, checker.RuleDispatchedOnce)).To(gomega.BeNumerically(">", 0))
 	})
@@ -154,16 +154,16 @@
 }
 
 // grantingStore grants every claim and keeps none.
-type grantingStore struct{ platform.Store }
+type grantingStore struct{ outside.Store }
 
-func (s grantingStore) Get(ctx context.Context, key string) (platform.Value, error) {
+func (s grantingStore) Get(ctx context.Context, key string) (outside.Value, error) {
 	if strings.HasPrefix(key, "thornwalk/claims/") {
-		return platform.Value{}, nil
+		return outside.Value{}, nil
 	}
 	return s.Store.Get(ctx, key)
 }
 
-func (s grantingStore) Swap(ctx context.Context, key string, expected int64, data []byte, lease platform.LeaseID) (int64, error) {
+func (s grantingStore) Swap(ctx context.Context, key string, expected int64, data []byte, lease outside.LeaseID) (int64, error) {
 	if strings.HasPrefix(key, "thornwalk/claims/") {
 		return 0, nil
 	}
@@ -172,22 +172,22 @@
 
 // memoryStore is the store's contract without a network, for coordinators.
 type memoryStore struct {
-	platform.Store
+	outside.Store
 	mutex    sync.Mutex
-	holder   platform.LeaseID
+	holder   outside.LeaseID
 	expires  time.Time
 	revision int64
-	leases   platform.LeaseID
+	leases   outside.LeaseID
 }
 
-func (s *memoryStore) Grant(context.Context, time.Duration) (platform.LeaseID, error) {
+func (s *memoryStore) Grant(context.Context, time.Duration) (outside.LeaseID, error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.leases++
 	return s.leases, nil
 }
 
-func (s *memoryStore) Swap(_ context.Context, _ string, _ int64, _ []byte, lease platform.LeaseID) (int64, error) {
+func (s *memoryStore) Swap(_ context.Context, _ string, _ int64, _ []byte, lease outside.LeaseID) (int64, error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if s.holder != 0 && time.Now().Before(s.expires) {
@@ -198,8 +198,8 @@
 	return s.revision, nil
 }
 
-func (s *memoryStore) Renew(context.Context, platform.LeaseID) error  { return nil }
-func (s *memoryStore) Revoke(context.Context, platform.LeaseID) error { return nil }
+func (s *memoryStore) Renew(context.Context, outside.LeaseID) error  { return nil }
+func (s *memoryStore) Revoke(context.Context, outside.LeaseID) error { return nil }
 
 // recordingSender is an engine that checks no fence.
 type recordingSender struct {
--- a/test/model/model_test.go
+++ b/test/model/model_test.go
@@ -19,18 +19,18 @@
 
 	"github.com/thornwalk/thornwalk/coordination/claims"
 	"github.com/thornwalk/thornwalk/coordination/settingsync"
-	"github.com/thornwalk/thornwalk/platform"
+	"github.com/thornwalk/thornwalk/outside"
 	"github.com/thornwalk/thornwalk/protocol/errkind"
 	"github.com/thornwalk/thornwalk/state/settings"
 )
 
 // flakyStore is a store whose calls take time and fail in every way.
 type flakyStore struct {
-	platform.Store
+	outside.Store
 	mutex    sync.Mutex
 	random   *rand.Rand
 	fault    float64
-	values   map[string]platform.Value
+	values   map[string]outside.Value
 	revision int64
 	late     sync.WaitGroup
 }
@@ -55,18 +55,18 @@
 	return fate(1 + s.random.IntN(3)), delay
 }
 
-func (s *flakyStore) Get(_ context.Context, key string) (platform.Value, error) {
+func (s *flakyStore) Get(_ context.Context, key string) (outside.Value, error) {
 	outcome, delay := s.draw()
 	time.Sleep(delay)
 	if outcome != works {
-		return platform.Value{}, errkind.New(errkind.StoreUnavailable, "get")
+		return outside.Value{}, errkind.New(errkind.StoreUnavailable, "get")
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	return s.values[key], nil
 }
 
-func (s *flakyStore) Swap(_ context.Context, key string, expected int64, data []byte, _ platform.LeaseID) (int64, error) {
+func (s *flakyStore) Swap(_ context.Context, key string, expected int64, data []byte, _ outside.LeaseID) (int64, error) {
 	outcome, delay := s.draw()
 	time.Sleep(delay)
 	switch outcome {
@@ -92,7 +92,7 @@
 		return 0, errkind.New(errkind.Conflict, "swap")
 	}
 	s.revision++
-	s.values[key] = platform.Value{Data: data, Revision: s.revision}
+	s.values[key] = outside.Value{Data: data, Revision: s.revision}
 	return s.revision, nil
 }
 
@@ -157,7 +157,7 @@
 }
 
 func playClaims(record *history, seed uint64, fault float64) {
-	store := &flakyStore{random: rand.New(rand.NewPCG(seed, 1)), fault: fault, values: map[string]platform.Value{}}
+	store := &flakyStore{random: rand.New(rand.NewPCG(seed, 1)), fault: fault, values: map[string]outside.Value{}}
 	ctx, cancel := context.WithCancel(context.Background())
 	config := func() claims.Settings {
 		return claims.Settings{Shards: 2, Window: 5 * time.Millisecond, Retention: time.Hour}
@@ -240,7 +240,7 @@
 }
 
 func playChanges(record *history, seed uint64, fault float64) {
-	store := &flakyStore{random: rand.New(rand.NewPCG(seed, 1)), fault: fault, values: map[string]platform.Value{}}
+	store := &flakyStore{random: rand.New(rand.NewPCG(seed, 1)), fault: fault, values: map[string]outside.Value{}}
 	var group sync.WaitGroup
 	for client := range 3 {
 		acceptor := settingsync.Acceptor{Store: store, WallTime: time.Now}
--- a/transport/etcdstore/etcdstore.go
+++ b/transport/etcdstore/etcdstore.go
@@ -15,7 +15,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
-	"github.com/thornwalk/thornwalk/platform"
+	"github.com/thornwalk/thornwalk/outside"
 	"github.com/thornwalk/thornwalk/protocol/errkind"
 	"github.com/thornwalk/thornwalk/transport/network"
 	"github.com/thornwalk/thornwalk/transport/oneshot"
@@ -34,7 +34,7 @@
 // maximumAnswer bounds an answer of the store; values are at most a megabyte.
 const maximumAnswer = 8 << 20
 
-// Client implements platform.Store.
+// Client implements outside.Store.
 type Client struct {
 	sender  oneshot.Sender
 	address string
@@ -48,20 +48,20 @@
 	return &Client{sender: oneshot.Sender{Network: network}, address: address, timeout: timeout, calls: registry}
 }
 
-// Get implements platform.Store.
-func (c *Client) Get(ctx context.Context, key string) (platform.Value, error) {
+// Get implements outside.Store.
+func (c *Client) Get(ctx context.Context, key string) (outside.Value, error) {
 	var answer RangeResponse
 	if err := c.call(ctx, PathRange, RangeRequest{Key: []byte(key)}, &answer, errkind.StoreUnavailable); err != nil {
-		return platform.Value{}, err
+		return outside.Value{}, err
 	}
 	if len(answer.KVs) == 0 {
-		return platform.Value{}, nil
+		return outside.Value{}, nil
 	}
 	return answer.KVs[0].value(), nil
 }
 
-// Swap implements platform.Store.
-func (c *Client) Swap(ctx context.Context, key string, expected int64, data []byte, lease platform.LeaseID) (int64, error) {
+// Swap implements outside.Store.
+func (c *Client) Swap(ctx context.Context, key string, expected int64, data []byte, lease outside.LeaseID) (int64, error) {
 	request := TxnRequest{
 		Compare: []Compare{{Key: []byte(key), Target: "MOD", Result: "EQUAL", ModRevision: expected}},
 		Success: []Operation{{Put: &PutRequest{Key: []byte(key), Value: data, Lease: int64(lease)}}},
@@ -76,41 +76,41 @@
 	return answer.Header.Revision, nil
 }
 
-// Watch implements platform.Store.
-func (c *Client) Watch(ctx context.Context, key string, after int64) (platform.Value, error) {
+// Watch implements outside.Store.
+func (c *Client) Watch(ctx context.Context, key string, after int64) (outside.Value, error) {
 	request := WatchRequest{Create: WatchCreate{Key: []byte(key), StartRevision: after + 1}}
 	response, err := c.send(ctx, PathWatch, request, errkind.StoreUnavailable)
 	if err != nil {
-		return platform.Value{}, err
+		return outside.Value{}, err
 	}
 	defer response.Body.Close()
 	decoder := json.NewDecoder(response.Body)
 	for {
 		var message WatchResponse
 		if err := decoder.Decode(&message); err != nil {
-			return platform.Value{}, errkind.New(errkind.StoreUnavailable, "watch of %s ended: %v", key, err)
+			return outside.Value{}, errkind.New(errkind.StoreUnavailable, "watch of %s ended: %v", key, err)
 		}
 		for _, event := range message.Result.Events {
 			if event.Type == "DELETE" {
-				return platform.Value{}, nil
+				return outside.Value{}, nil
 			}
 			return event.KV.value(), nil
 		}
 	}
 }
 
-// Grant implements platform.Store.
-func (c *Client) Grant(ctx context.Context, ttl time.Duration) (platform.LeaseID, error) {
+// Grant implements outside.Store.
+func (c *Client) Grant(ctx context.Context, ttl time.Duration) (outside.LeaseID, error) {
 	var answer LeaseResponse
 	seconds := int64((ttl + time.Second - 1) / time.Second)
 	if err := c.call(ctx, PathGrant, LeaseRequest{TTL: seconds}, &answer, errkind.StoreUnknown); err != nil {
 		return 0, err
 	}
-	return platform.LeaseID(answer.ID), nil
+	return outside.LeaseID(answer.ID), nil
 }
 
-// Renew implements platform.Store.
-func (c *Client) Renew(ctx context.Context, lease platform.LeaseID) error {
+// Renew implements outside.Store.
+func (c *Client) Renew(ctx context.Context, lease outside.LeaseID) error {
 	var answer KeepAliveResponse
 	if err := c.call(ctx, PathKeepAlive, LeaseRequest{ID: int64(lease)}, &answer, errkind.StoreUnavailable); err != nil {
 		return err
@@ -121,8 +121,8 @@
 	return nil
 }
 
-// Revoke implements platform.Store.
-func (c *Client) Revoke(ctx context.Context, lease platform.LeaseID) error {
+// Revoke implements outside.Store.
+func (c *Client) Revoke(ctx context.Context, lease outside.LeaseID) error {
 	var answer LeaseResponse
 	return c.call(ctx, PathRevoke, LeaseRequest{ID: int64(lease)}, &answer, errkind.StoreUnknown)
 }
--- a/transport/etcdstore/messages.go
+++ b/transport/etcdstore/messages.go
@@ -1,6 +1,6 @@
 package etcdstore
 
-import "github.com/thornwalk/thornwalk/platform"
+import "github.com/thornwalk/thornwalk/outside"
 
 // The messages are the published JSON forms of the API: keys and values are
 // base64, 64-bit numbers are strings.
@@ -17,8 +17,8 @@
 	ModRevision int64  `json:"mod_revision,string"`
 }
 
-func (kv KeyValue) value() platform.Value {
-	return platform.Value{Data: kv.Value, Revision: kv.ModRevision}
+func (kv KeyValue) value() outside.Value {
+	return outside.Value{Data: kv.Value, Revision: kv.ModRevision}
 }
 
 // RangeRequest asks for one key.
--- a/transport/machinelist/machinelist.go
+++ b/transport/machinelist/machinelist.go
@@ -10,7 +10,7 @@
 	"sync"
 	"time"
 
-	"github.com/thornwalk/thornwalk/platform"
+	"github.com/thornwalk/thornwalk/outside"
 	"github.com/thornwalk/thornwalk/protocol/errkind"
 	"github.com/thornwalk/thornwalk/transport/network"
 	"github.com/thornwalk/thornwalk/transport/oneshot"
@@ -24,14 +24,14 @@
 	maximumList = 8 << 20
 )
 
-// Client implements platform.MachineList.
+// Client implements outside.MachineList.
 type Client struct {
 	sender  oneshot.Sender
 	address string
 
 	mutex sync.Mutex
 	tag   string
-	last  []platform.Machine
+	last  []outside.Machine
 }
 
 // New returns a client of the list at the address.
@@ -39,10 +39,10 @@
 	return &Client{sender: oneshot.Sender{Network: network}, address: address}
 }
 
-// Machines implements platform.MachineList. The error is of kind StoreUnavailable.
+// Machines implements outside.MachineList. The error is of kind StoreUnavailable.
 // A list that did not change is not sent again, if the platform gives it an
 // entity tag; at the target it has 1,100 machines.
-func (c *Client) Machines(ctx context.Context) ([]platform.Machine, error) {
+func (c *Client) Machines(ctx context.Context) ([]outside.Machine, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+c.address+Path, nil)
@@ -66,7 +66,7 @@
 	if response.StatusCode != http.StatusOK {
 		return nil, errkind.New(errkind.StoreUnavailable, "machine list: status %d", response.StatusCode)
 	}
-	var machines []platform.Machine
+	var machines []outside.Machine
 	if err := json.NewDecoder(io.LimitReader(response.Body, maximumList)).Decode(&machines); err != nil {
 		return nil, errkind.New(errkind.StoreUnavailable, "machine list does not parse: %v", err)
 	}
