--- a/cmd/thornwalkd/main.go
+++ b/cmd/thornwalkd/main.go
@@ -40,7 +40,11 @@
 }
 
 func main() {
-	if err := run(os.Args[1:]); err != nil {
+	serve := func() error { return run(os.Args[1:]) }
+	if len(os.Args) > 1 && os.Args[1] == "entry" {
+		serve = runEntry
+	}
+	if err := serve(); err != nil {
 		fmt.Fprintln(os.Stderr, "thornwalkd:", err)
 		os.Exit(1)
 	}
--- /dev/null
+++ b/coordination/liveness/liveness.go
@@ -0,0 +1,142 @@
+// Package liveness holds what a node knows of the other nodes from their
+// heartbeats: who was heard of lately, and where they are. Every node sends to
+// every other one, so that each judges by its own ears whom it can reach.
+//
+// The table is passive: it does no I/O and reads no clock.
+package liveness
+
+import (
+	"sort"
+	"time"
+
+	"github.com/thornwalk/thornwalk/structs"
+)
+
+// Beat is the content of a heartbeat.
+type Beat struct {
+	Name    string `msgpack:"n"`
+	Zone    string `msgpack:"z"`
+	Address string `msgpack:"a"`
+	// Incarnation differs for each start of the node's process.
+	Incarnation uint64 `msgpack:"i"`
+	// Term rises when the process forgot what it had scheduled.
+	Term    uint64 `msgpack:"t"`
+	Leaving bool   `msgpack:"l"`
+	// Version is the configuration's and Latest the revision of the latest
+	// change of the replicas that the node knows.
+	Version int64 `msgpack:"v"`
+	Latest  int64 `msgpack:"r"`
+	// Held counts the node's requests in progress by replica.
+	Held map[string]Held `msgpack:"h"`
+	// Failing names replicas that fail for this node.
+	Failing []string `msgpack:"f"`
+	// Peers are a few nodes that the sender knows.
+	Peers []Peer `msgpack:"p"`
+}
+
+// Held counts requests in progress at one replica.
+type Held struct {
+	// Total is all of them and Foreign those that the node's present scheduler
+	// did not place.
+	Total   int `msgpack:"t"`
+	Foreign int `msgpack:"f"`
+}
+
+// Peer is a node's name and address.
+type Peer struct {
+	Name    string `msgpack:"n"`
+	Address string `msgpack:"a"`
+}
+
+// Member is what is known of another node.
+type Member struct {
+	Beat
+	heard     structs.Instant
+	suspected bool
+	known     bool
+	learned   structs.Instant
+}
+
+// forgetAfter is how long a silent node is still sent to and counted.
+const forgetAfter = 60 * time.Second
+
+// Table is the set of other nodes.
+type Table struct {
+	self    string
+	members map[string]*Member
+}
+
+// NewTable returns a table of a node that knows no other.
+func NewTable(self string) *Table { return &Table{self: self, members: map[string]*Member{}} }
+
+// Heard applies a heartbeat. It returns true if the node was silent, unknown or
+// another process before.
+func (t *Table) Heard(now structs.Instant, beat Beat, deadAfter time.Duration) bool {
+	if beat.Name == t.self || beat.Name == "" {
+		return false
+	}
+	member, found := t.members[beat.Name]
+	if !found {
+		member = &Member{}
+		t.members[beat.Name] = member
+	}
+	news := !found || !member.live(now, deadAfter) || member.Incarnation != beat.Incarnation
+	member.Beat, member.heard, member.suspected, member.known = beat, now, false, true
+	return news
+}
+
+// Learn enters a node that another one told of.
+func (t *Table) Learn(now structs.Instant, peer Peer) {
+	if peer.Name == t.self || peer.Name == "" {
+		return
+	}
+	if _, found := t.members[peer.Name]; !found {
+		t.members[peer.Name] = &Member{Beat: Beat{Name: peer.Name, Address: peer.Address}, learned: now}
+	}
+}
+
+// Suspect takes the node for dead until it is heard of again.
+func (t *Table) Suspect(name string) {
+	if member, found := t.members[name]; found {
+		member.suspected = true
+	}
+}
+
+func (m *Member) live(now structs.Instant, deadAfter time.Duration) bool {
+	return m.known && !m.suspected && now-m.heard < deadAfter
+}
+
+// Live returns the members that were heard of lately, by name.
+func (t *Table) Live(now structs.Instant, deadAfter time.Duration) []*Member {
+	var live []*Member
+	for _, member := range t.members {
+		if member.live(now, deadAfter) {
+			live = append(live, member)
+		}
+	}
+	sort.Slice(live, func(i, j int) bool { return live[i].Name < live[j].Name })
+	return live
+}
+
+// All returns every member that is not forgotten, by name.
+func (t *Table) All(now structs.Instant) []*Member {
+	var all []*Member
+	for name, member := range t.members {
+		if now-max(member.heard, member.learned) > forgetAfter {
+			delete(t.members, name)
+			continue
+		}
+		all = append(all, member)
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].Name < all[j].Name })
+	return all
+}
+
+// Get returns the member with the name.
+func (t *Table) Get(name string) (*Member, bool) {
+	member, found := t.members[name]
+	return member, found
+}
+
+// Silence returns for how long the member has not been heard of.
+func (m *Member) Silence(now structs.Instant) time.Duration { return now - m.heard }
--- /dev/null
+++ b/coordination/quota/quota.go
@@ -0,0 +1,80 @@
+// Package quota holds the token buckets by which tenants' rates are kept over
+// all nodes. One ledger at the scheduling node counts for everybody; a node
+// that reaches no scheduling node counts by a ledger of its own with its share.
+//
+// A bucket may go below zero by one request, so that a request larger than
+// what is left is not refused for ever; the debt delays the next ones.
+package quota
+
+import (
+	"time"
+
+	"github.com/thornwalk/thornwalk/structs"
+)
+
+// Limit is a tenant's quota: units a second, and units on top.
+type Limit struct {
+	Rate  float64
+	Burst float64
+}
+
+// Scaled returns the part of the limit that a share of the nodes may hand out.
+func (l Limit) Scaled(share float64) Limit {
+	return Limit{Rate: l.Rate * share, Burst: l.Burst * share}
+}
+
+type bucket struct {
+	level float64
+	at    structs.Instant
+}
+
+// Ledger is a set of buckets, one a tenant. It is not safe for concurrent use.
+type Ledger struct {
+	buckets map[string]*bucket
+	// start is the share of a burst that a new bucket holds.
+	start float64
+}
+
+// NewLedger returns an empty ledger. A ledger that takes over from another one
+// starts its buckets with only a part of the burst, since the rest may have
+// been handed out already.
+func NewLedger(start float64) *Ledger {
+	return &Ledger{buckets: map[string]*bucket{}, start: start}
+}
+
+// Take takes the cost from the tenant's bucket. If the bucket is empty it
+// returns false and the time after which it will not be.
+func (l *Ledger) Take(now structs.Instant, tenant string, limit Limit, cost float64) (time.Duration, bool) {
+	if limit.Rate <= 0 {
+		return 0, true
+	}
+	held := l.refill(now, tenant, limit)
+	if held.level <= 0 {
+		return time.Duration((1 - held.level) / limit.Rate * float64(time.Second)), false
+	}
+	held.level -= cost
+	return 0, true
+}
+
+// Return gives back the cost of a request that did not run.
+func (l *Ledger) Return(tenant string, cost float64) {
+	if held, found := l.buckets[tenant]; found {
+		held.level += cost
+	}
+}
+
+// Level returns what the tenant may take at once.
+func (l *Ledger) Level(now structs.Instant, tenant string, limit Limit) float64 {
+	return l.refill(now, tenant, limit).level
+}
+
+func (l *Ledger) refill(now structs.Instant, tenant string, limit Limit) *bucket {
+	held, found := l.buckets[tenant]
+	if !found {
+		held = &bucket{level: limit.Burst * l.start, at: now}
+		l.buckets[tenant] = held
+	}
+	held.level = min(limit.Burst, held.level+limit.Rate*(now-held.at).Seconds())
+	held.at = now
+	return held
+}
--- /dev/null
+++ b/entry/attempt.go
@@ -0,0 +1,314 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"net/textproto"
+	"strconv"
+	"time"
+
+	"github.com/thornwalk/thornwalk/coordination/admission"
+	"github.com/thornwalk/thornwalk/state/replicas"
+	"github.com/thornwalk/thornwalk/transport/replicahttp"
+)
+
+// result is what became of one send.
+type result int
+
+const (
+	// resultAnswered means that the caller has the whole answer.
+	resultAnswered result = iota
+	// resultNotSent means that no byte was written.
+	resultNotSent
+	// resultRejected means that the replica proved that it did not run the request.
+	resultRejected
+	// resultBroken means that the request may have run and gave no whole answer.
+	resultBroken
+	// resultFailed means that the replica ran the request and answered a failure
+	// that a repeatable request need not take for final.
+	resultFailed
+	// resultLeft means that the caller is gone.
+	resultLeft
+)
+
+// Bounds of repeated sends.
+const (
+	// maximumSends bounds the sends of one request, rejected ones included.
+	maximumSends = 4
+	// connectTimeout bounds the opening of a connection.
+	connectTimeout = 300 * time.Millisecond
+	// restSafe and restOnce bound how long a connection may have rested that
+	// carries a repeatable request, or one that must not run twice.
+	restSafe = 10 * time.Second
+	restOnce = 1500 * time.Millisecond
+	// patienceShare is the part of the caller's time for which a place is waited for.
+	patienceShare = 0.45
+	// silenceTargets and minimumSilence bound how long callers of streams wait
+	// for an event; see the users' page on requests.
+	silenceTargets = 4
+	silenceGaps    = 8
+	minimumSilence = 2 * time.Second
+)
+
+// serve gets a place, sends, and sends again where that is allowed.
+func (c *call) serve() {
+	var avoid []string
+	runs := 0
+	for {
+		given := c.node.place(c.ctx, c.placeRequest(avoid, c.sends > 0))
+		c.waited += given.Waited
+		if given.Reason != "" {
+			c.unplaced(given, runs)
+			return
+		}
+		outcome, seen := c.attempt(given)
+		if outcome != resultNotSent {
+			c.sends++
+		}
+		c.node.finish(given, seen, outcome == resultNotSent || outcome == resultRejected)
+		c.logSend(given, outcome)
+		if outcome == resultBroken || outcome == resultFailed {
+			runs++
+		}
+		if outcome == resultAnswered || outcome == resultLeft {
+			return
+		}
+		c.resumed = c.resumed || c.headSent
+		avoid = append(avoid, given.Replica.ID)
+		if !c.mayRepeat(outcome, runs, len(avoid)) {
+			c.giveUp(outcome, runs)
+			return
+		}
+	}
+}
+
+// placeRequest describes the request to the scheduling node.
+func (c *call) placeRequest(avoid []string, repeat bool) *placeRequest {
+	node := c.node
+	node.mutex.Lock()
+	avoid = append(append([]string(nil), avoid...), node.health.failing(node.now())...)
+	node.mutex.Unlock()
+	request := &placeRequest{
+		Request: admission.Request{
+			ID:   node.process() + "." + strconv.FormatUint(node.sequence.Add(1), 36),
+			Node: node.process(), Service: c.service, Priority: c.priority(),
+			Prompt: c.prompt, Output: c.output, Avoid: avoid,
+			Target: max(c.route.Target-time.Since(c.arrived), 0), Patience: c.patience(),
+		},
+		Repeat: repeat,
+	}
+	if c.tenant != nil {
+		request.Tenant, request.Rate, request.Burst = c.tenant.Name, c.tenant.Rate, c.tenant.Burst
+		request.Cost = c.cost()
+	}
+	return request
+}
+
+func (c *call) priority() int {
+	if c.tenant != nil && c.tenant.HasPriority {
+		return c.tenant.Priority
+	}
+	return c.route.Priority
+}
+
+// cost is what the request takes of its tenant's quota.
+func (c *call) cost() float64 {
+	switch {
+	case !c.tenant.CountTokens:
+		return 1
+	case c.prompt+c.output > 0:
+		return float64(c.prompt + c.output)
+	default:
+		return float64(c.tenant.PlainTokens)
+	}
+}
+
+// patience is how long the request may wait for a place.
+func (c *call) patience() time.Duration {
+	left := time.Until(c.deadline)
+	if c.route.Kind == catalogStreaming {
+		silence := max(minimumSilence, silenceTargets*c.route.Target, silenceGaps*c.route.TargetGap)
+		left = min(left, silence-time.Since(c.arrived))
+	}
+	return max(time.Duration(float64(left)*patienceShare), 0)
+}
+
+// mayRepeat returns whether the request may be sent to another replica.
+func (c *call) mayRepeat(outcome result, runs, tried int) bool {
+	if c.ctx.Err() != nil || tried >= maximumSends {
+		return false
+	}
+	switch outcome {
+	case resultNotSent, resultRejected:
+		return runs == 0 || c.route.Repeatable()
+	default:
+		return c.route.Repeatable() && runs < c.route.Attempts
+	}
+}
+
+// giveUp answers a request that is not sent again.
+func (c *call) giveUp(outcome result, runs int) {
+	switch {
+	case c.request.Context().Err() != nil:
+		c.end(http.StatusServiceUnavailable, outcomeOf(runs), "caller-left")
+	case runs > 0 && c.ctx.Err() != nil:
+		c.fail(http.StatusGatewayTimeout, "deadline")
+	case runs > 0:
+		c.fail(http.StatusBadGateway, "replica-broke-off")
+	case outcome == resultRejected:
+		c.refuse(http.StatusServiceUnavailable, "replicas-full", retryRejected)
+	default:
+		c.refuse(http.StatusServiceUnavailable, "replicas-unreachable", retryRejected)
+	}
+}
+
+func outcomeOf(runs int) string {
+	if runs > 0 {
+		return "unknown"
+	}
+	return "not-run"
+}
+
+// retryRejected is when a caller should come back whom several replicas rejected.
+const retryRejected = 400 * time.Millisecond
+
+// unplaced answers a request for which there is no place.
+func (c *call) unplaced(given *grant, runs int) {
+	switch {
+	case c.request.Context().Err() != nil:
+		c.end(http.StatusServiceUnavailable, outcomeOf(runs), "caller-left")
+	case runs > 0:
+		c.fail(http.StatusBadGateway, "replica-broke-off")
+	case given.Reason == reasonQuota:
+		c.refuse(http.StatusTooManyRequests, reasonQuota, given.RetryAfter)
+	default:
+		c.refuse(http.StatusServiceUnavailable, given.Reason, max(given.RetryAfter, retryRejected))
+	}
+}
+
+// attempt sends the request to the replica once.
+func (c *call) attempt(given *grant) (result, admission.Observation) {
+	node := c.node
+	rest := restSafe
+	if !c.route.Repeatable() {
+		rest = restOnce
+	}
+	dialContext, cancelDial := context.WithTimeout(c.ctx, connectTimeout)
+	conn, err := node.pool.Connect(dialContext, given.Replica.ID, given.Replica.Address, rest)
+	cancelDial()
+	if err != nil {
+		if c.ctx.Err() == nil {
+			node.noteUnreachable(given.Replica.ID)
+		}
+		return resultNotSent, admission.Observation{Failed: true}
+	}
+	sent := time.Now()
+	sendContext, cancelSend := c.sendContext()
+	defer cancelSend()
+	answer, err := node.pool.Exchange(sendContext, conn, c.replicaRequest(given.Replica))
+	if err != nil {
+		return c.broken(given.Replica.ID, err), admission.Observation{Failed: true}
+	}
+	outcome, seen := c.relay(answer, given.Replica, sent)
+	if outcome == resultAnswered {
+		answer.Done()
+	} else if outcome == resultRejected || outcome == resultFailed {
+		answer.Done()
+	} else {
+		answer.Abandon()
+	}
+	seen.Duration = time.Since(sent)
+	seen.Failed = outcome != resultAnswered
+	return outcome, seen
+}
+
+// firstTryShare is the part of the time left that the first try of a
+// repeatable plain request may take.
+const firstTryShare = 0.45
+
+// sendContext bounds a send so that a silent replica leaves time for another.
+func (c *call) sendContext() (context.Context, context.CancelFunc) {
+	if c.route.Kind == catalogSafe && c.sends+1 < c.route.Attempts {
+		return context.WithTimeout(c.ctx, time.Duration(float64(time.Until(c.deadline))*firstTryShare))
+	}
+	return context.WithCancel(c.ctx)
+}
+
+// broken notes that the replica gave no whole answer.
+func (c *call) broken(id string, _ error) result {
+	if c.request.Context().Err() != nil {
+		return resultLeft
+	}
+	c.node.mutex.Lock()
+	c.node.health.broken(c.node.now(), id)
+	c.node.mutex.Unlock()
+	return resultBroken
+}
+
+func (n *Node) noteUnreachable(id string) {
+	n.mutex.Lock()
+	n.health.unreachable(n.now(), id)
+	n.mutex.Unlock()
+	n.pool.Forget(id)
+}
+
+func (n *Node) noteAnswered(id string, failed bool) {
+	n.mutex.Lock()
+	n.health.answered(n.now(), id, failed)
+	n.mutex.Unlock()
+}
+
+// connectionHeaders concern one connection only and are not passed on.
+var connectionHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect",
+}
+
+// passed returns the headers without those of one connection.
+func passed(given http.Header) http.Header {
+	header := given.Clone()
+	for _, value := range given["Connection"] {
+		for _, name := range splitList(value) {
+			header.Del(name)
+		}
+	}
+	for _, name := range connectionHeaders {
+		header.Del(name)
+	}
+	return header
+}
+
+// replicaRequest is the caller's request as the replica gets it.
+func (c *call) replicaRequest(replica replicas.Replica) *replicahttp.Request {
+	names := &c.node.depend.Headers
+	header := passed(c.request.Header)
+	header.Del("Authorization")
+	header.Del(names.Tenant)
+	if c.tenant != nil {
+		header.Set(names.Tenant, c.tenant.Name)
+	}
+	header.Set(names.ExpectReplica, replica.ID)
+	header.Set(names.Deadline, strconv.FormatInt(max(time.Until(c.deadline).Milliseconds(), 1), 10))
+	if c.lastEvent != "" {
+		header.Set(names.LastEvent, c.lastEvent)
+	}
+	return &replicahttp.Request{
+		Method: c.request.Method, Target: c.request.RequestURI, Host: c.request.Host, Header: header, Body: c.body,
+		HasBody:  c.request.ContentLength >= 0 && c.request.Method != http.MethodGet && c.request.Method != http.MethodHead,
+		IDHeader: textproto.CanonicalMIMEHeaderKey(names.RequestID), ID: c.id,
+	}
+}
+
+// logSend writes the line of one send.
+func (c *call) logSend(given *grant, outcome result) {
+	event := c.event("request.sent")
+	event.Replica, event.Outcome, event.Peer = given.Replica.ID, outcome.String(), given.scheduler
+	event.Revision, event.Count = given.Replica.Revision, c.sends
+	c.node.log.Write(event)
+	c.node.counter("sends." + outcome.String()).Inc(1)
+}
+
+// String returns the name of the result in logs and metrics.
+func (r result) String() string {
+	return [...]string{"answered", "not-sent", "rejected", "broken", "failed", "caller-left"}[r]
+}
--- /dev/null
+++ b/entry/beats.go
@@ -0,0 +1,316 @@
+package entry
+
+import (
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/thornwalk/thornwalk/coordination/admission"
+	"github.com/thornwalk/thornwalk/coordination/liveness"
+	"github.com/thornwalk/thornwalk/internal/eventlog"
+	"github.com/thornwalk/thornwalk/state/rendezvous"
+	"github.com/thornwalk/thornwalk/structs"
+)
+
+// Times of heartbeats. The interval grows with the number of nodes, so that
+// what one node spends on them does not.
+const (
+	beatInterval = 100 * time.Millisecond
+	beatsAtOnce  = 9
+	missedBeats  = 4
+	// frozenAfter is the pause of this process after which others will have
+	// decided in its place.
+	frozenAfter = time.Second
+	// toldPeers is how many other nodes a heartbeat names.
+	toldPeers       = 2
+	maximumDatagram = 4096
+	// silentShare is how much less often a silent node is sent to.
+	silentShare = 5
+)
+
+// interval returns the time between heartbeats among so many nodes.
+func interval(members int) time.Duration {
+	return beatInterval * time.Duration(max(1, (members+beatsAtOnce-1)/beatsAtOnce))
+}
+
+// deadAfter returns the silence after which a node is taken for dead. The
+// caller holds the mutex.
+func (n *Node) deadAfter() time.Duration {
+	return interval(len(n.members.All(n.now()))) * missedBeats
+}
+
+func (n *Node) beatLoop() {
+	last := time.Now()
+	for {
+		n.mutex.Lock()
+		wait := interval(len(n.members.All(n.now())))
+		n.mutex.Unlock()
+		if !n.pause(wait) {
+			return
+		}
+		if time.Since(last) > frozenAfter {
+			n.thawed(time.Since(last))
+		}
+		last = time.Now()
+		n.sendBeats()
+		n.chooseScheduler()
+	}
+}
+
+// thawed handles that the process stood still: what it scheduled before is void.
+func (n *Node) thawed(pause time.Duration) {
+	n.log.Write(eventlog.Event{Kind: "process.paused", Outcome: "schedule forgotten", Age: pause.Milliseconds()})
+	n.mutex.Lock()
+	all := n.table.All()
+	n.mutex.Unlock()
+	term := n.desk.reset(all)
+	n.mutex.Lock()
+	n.term = term
+	n.storeBadAt = n.now()
+	n.mutex.Unlock()
+}
+
+// sendBeats sends a heartbeat to every known node, and to the seeds while few
+// are known. Silent nodes get one in silentShare.
+func (n *Node) sendBeats() {
+	n.mutex.Lock()
+	now := n.now()
+	deadAfter := n.deadAfter()
+	beat := n.beat(now)
+	all := n.members.All(now)
+	addresses := map[string]bool{}
+	for _, member := range all {
+		if member.Silence(now) < deadAfter || n.sequence.Add(1)%silentShare == 0 {
+			addresses[member.Address] = true
+		}
+	}
+	n.mutex.Unlock()
+	if len(addresses) < len(n.settings.Load().Seeds) {
+		for _, seed := range n.seedAddresses() {
+			addresses[seed] = true
+		}
+	}
+	content, err := msgpack.Marshal(beat)
+	if err != nil {
+		return
+	}
+	for address := range addresses {
+		if target, err := net.ResolveUDPAddr("udp4", address); err == nil {
+			_, _ = n.beats.WriteTo(content, target)
+		}
+	}
+}
+
+func (n *Node) selfAddress() string {
+	settings := n.settings.Load()
+	return net.JoinHostPort(settings.Host, strconv.Itoa(settings.PeerPort))
+}
+
+func (n *Node) seedAddresses() []string {
+	settings := n.settings.Load()
+	var addresses []string
+	for _, seed := range settings.Seeds {
+		host, _, err := net.SplitHostPort(seed)
+		if err != nil {
+			host = seed
+		}
+		if host != settings.Host && host != "" {
+			addresses = append(addresses, net.JoinHostPort(host, strconv.Itoa(settings.PeerPort)))
+		}
+	}
+	return addresses
+}
+
+// beat returns this node's heartbeat. The caller holds the mutex.
+func (n *Node) beat(now structs.Instant) liveness.Beat {
+	settings := n.settings.Load()
+	beat := liveness.Beat{
+		Name: settings.Name, Zone: settings.Zone, Address: n.selfAddress(), Incarnation: n.depend.Incarnation,
+		Term: n.term, Leaving: n.stopping.Load() != 0, Latest: n.table.Latest(), Failing: n.health.failing(now),
+		Held: map[string]liveness.Held{},
+	}
+	if current := n.catalog.Load(); current != nil {
+		beat.Version = current.Version
+	}
+	term := n.schedulerTerm()
+	for _, place := range n.held {
+		count := beat.Held[place.replica]
+		count.Total++
+		if place.scheduler != n.scheduler || place.term != term {
+			count.Foreign++
+		}
+		beat.Held[place.replica] = count
+	}
+	all := n.members.All(now)
+	for i := range min(toldPeers, len(all)) {
+		member := all[(int(n.sequence.Add(1))+i)%len(all)]
+		beat.Peers = append(beat.Peers, liveness.Peer{Name: member.Name, Address: member.Address})
+	}
+	return beat
+}
+
+// schedulerTerm returns the term of the present scheduling node. The caller
+// holds the mutex.
+func (n *Node) schedulerTerm() uint64 {
+	if n.scheduler == n.settings.Load().Name {
+		return n.term
+	}
+	if member, found := n.members.Get(n.scheduler); found {
+		return member.Term
+	}
+	return 0
+}
+
+func (n *Node) receiveBeats() {
+	buffer := make([]byte, maximumDatagram)
+	for {
+		size, _, err := n.beats.ReadFrom(buffer)
+		if err != nil {
+			if n.ctx.Err() != nil {
+				return
+			}
+			continue
+		}
+		var beat liveness.Beat
+		if err := msgpack.Unmarshal(buffer[:size], &beat); err != nil {
+			n.counter("beats.malformed").Inc(1)
+			continue
+		}
+		n.heard(beat)
+	}
+}
+
+// heard applies the heartbeat of another node.
+func (n *Node) heard(beat liveness.Beat) {
+	n.mutex.Lock()
+	now := n.now()
+	news := n.members.Heard(now, beat, n.deadAfter())
+	for _, other := range beat.Peers {
+		n.members.Learn(now, other)
+	}
+	behind := n.behind(beat)
+	leads := n.scheduler == n.settings.Load().Name
+	n.mutex.Unlock()
+	if news {
+		n.log.Write(eventlog.Event{Kind: "peer", Peer: beat.Name, Outcome: "heard", Detail: beat.Address})
+		n.chooseScheduler()
+	}
+	counts := map[string]int{}
+	for replica, held := range beat.Held {
+		count := held.Total
+		if leads {
+			count = held.Foreign
+		}
+		if count > 0 {
+			counts[replica] = count
+		}
+	}
+	n.desk.update(func(scheduler *admission.Scheduler) {
+		scheduler.SetForeign(processName(beat.Name, beat.Incarnation), counts)
+	})
+	if behind {
+		go n.pullNews(beat.Address)
+	}
+}
+
+// pullPatience is how long this node's own watch may be behind a peer's.
+const pullPatience = 250 * time.Millisecond
+
+// behind returns whether the peer knows more for so long that this node's own
+// watch will not tell it. The caller holds the mutex.
+func (n *Node) behind(beat liveness.Beat) bool {
+	current := n.catalog.Load()
+	older := current == nil || beat.Version > current.Version || beat.Latest > n.table.Latest()
+	if !older || beat.Version == 0 {
+		n.behindSince = 0
+		return false
+	}
+	now := n.now()
+	if n.behindSince == 0 {
+		n.behindSince = now
+	}
+	if now-n.behindSince < pullPatience && current != nil || now-n.pulledAt < pullPatience {
+		return false
+	}
+	n.pulledAt = now
+	return true
+}
+
+// schedulerKey is the rendezvous key of the node that schedules.
+const schedulerKey = "scheduler"
+
+// chooseScheduler takes the first live node in rendezvous order for the
+// scheduling node.
+func (n *Node) chooseScheduler() {
+	settings := n.settings.Load()
+	n.mutex.Lock()
+	now := n.now()
+	live := n.members.Live(now, n.deadAfter())
+	names := make([]string, 0, len(live)+1)
+	if n.stopping.Load() == 0 {
+		names = append(names, settings.Name)
+	}
+	for _, member := range live {
+		if !member.Leaving {
+			names = append(names, member.Name)
+		}
+	}
+	chosen := settings.Name
+	if len(names) > 0 {
+		chosen = rendezvous.Choose(names, rendezvous.Key(schedulerKey), 1)[0]
+	}
+	moved := chosen != n.scheduler
+	previous := n.scheduler
+	n.scheduler = chosen
+	known := max(len(n.members.All(now)), len(settings.Seeds)-1) + 1
+	share := float64(len(live)+1) / float64(known)
+	avoided := n.avoidedByMany(live)
+	n.mutex.Unlock()
+	if moved {
+		n.log.Write(eventlog.Event{Kind: "scheduler", Peer: chosen, Outcome: "moved", Detail: "from " + previous, Count: len(live) + 1})
+		n.sendBeats()
+	}
+	n.desk.setShare(min(share, 1), settings.retryPolicy(min(share, 1)))
+	n.desk.update(func(scheduler *admission.Scheduler) { scheduler.SetAvoided(avoided) })
+}
+
+// agreeing is how many nodes must find a replica failing for all to avoid it.
+const agreeing = 2
+
+// avoidedByMany returns the replicas that several nodes find failing, unless
+// these were more than half of all. The caller holds the mutex.
+func (n *Node) avoidedByMany(live []*liveness.Member) map[string]bool {
+	votes := map[string]int{}
+	for _, id := range n.health.failing(n.now()) {
+		votes[id]++
+	}
+	for _, member := range live {
+		for _, id := range member.Failing {
+			votes[id]++
+		}
+	}
+	avoided := map[string]bool{}
+	for id, count := range votes {
+		if count >= agreeing {
+			avoided[id] = true
+		}
+	}
+	if len(avoided)*2 > len(n.table.All()) {
+		return map[string]bool{}
+	}
+	return avoided
+}
+
+// releaseEndedNodes frees at the desk what processes held that have ended.
+func (n *Node) releaseEndedNodes() {
+	n.mutex.Lock()
+	now := n.now()
+	live := map[string]bool{n.process(): true}
+	for _, member := range n.members.Live(now, n.deadAfter()*missedBeats) {
+		live[processName(member.Name, member.Incarnation)] = true
+	}
+	n.mutex.Unlock()
+	n.desk.dropEndedNodes(live)
+}
--- /dev/null
+++ b/entry/desk.go
@@ -0,0 +1,200 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/thornwalk/thornwalk/coordination/admission"
+	"github.com/thornwalk/thornwalk/coordination/quota"
+	"github.com/thornwalk/thornwalk/coordination/retrybudget"
+	"github.com/thornwalk/thornwalk/state/replicas"
+	"github.com/thornwalk/thornwalk/structs"
+)
+
+// takeoverBurst is the share of a burst that a scheduling node starts with.
+const takeoverBurst = 0.5
+
+// placed is what the desk must remember of a request to settle its quota.
+type placed struct {
+	tenant string
+	cost   float64
+}
+
+// desk is the scheduling side of a node: it decides for every node that takes
+// this one for the scheduling node, itself included.
+type desk struct {
+	mutex     sync.Mutex
+	clock     func() structs.Instant
+	scheduler *admission.Scheduler
+	quotas    *quota.Ledger
+	budget    *retrybudget.Budget
+	term      uint64
+	// share is the part of the quotas that this side of a partition hands out.
+	share   float64
+	waiters map[string]chan admission.Decision
+	placed  map[string]placed
+	timer   *time.Timer
+}
+
+func newDesk(clock func() structs.Instant, policy retrybudget.Policy) *desk {
+	d := &desk{clock: clock, share: 1, term: 1, budget: retrybudget.New(policy)}
+	d.clear()
+	d.timer = time.AfterFunc(time.Hour, d.wake)
+	return d
+}
+
+func (d *desk) clear() {
+	d.scheduler = admission.New()
+	d.quotas = quota.NewLedger(takeoverBurst)
+	d.waiters = map[string]chan admission.Decision{}
+	d.placed = map[string]placed{}
+}
+
+// reset forgets everything, as a process must that stood still for so long that
+// others decided in its place.
+func (d *desk) reset(all []replicas.Replica) uint64 {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	for _, waiter := range d.waiters {
+		close(waiter)
+	}
+	d.clear()
+	d.scheduler.SetReplicas(all)
+	d.term++
+	return d.term
+}
+
+// setShare takes over which part of the quotas and of the retries may be given.
+func (d *desk) setShare(share float64, policy retrybudget.Policy) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.share = share
+	d.budget.SetPolicy(policy)
+}
+
+// update runs a change of the scheduler and decides what it makes possible.
+func (d *desk) update(change func(*admission.Scheduler)) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	change(d.scheduler)
+	d.decide()
+}
+
+// place waits for a decision on the request.
+func (d *desk) place(ctx context.Context, request *placeRequest) *placeReply {
+	waiter, refused := d.submit(request)
+	if refused != nil {
+		return refused
+	}
+	select {
+	case decision, open := <-waiter:
+		if !open {
+			return &placeReply{Reason: reasonUnreachable}
+		}
+		return &placeReply{
+			Replica: decision.Replica, Reason: string(decision.Reason),
+			RetryAfter: decision.RetryAfter, Waited: decision.Waited, Term: d.currentTerm(),
+		}
+	case <-ctx.Done():
+		d.finish(&finishRequest{ID: request.Request.ID, NotRun: true})
+		return &placeReply{Reason: reasonUnreachable}
+	}
+}
+
+func (d *desk) currentTerm() uint64 {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.term
+}
+
+// submit checks quota and budget and queues the request.
+func (d *desk) submit(request *placeRequest) (chan admission.Decision, *placeReply) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	now := d.clock()
+	if request.Repeat {
+		if !d.budget.Repeat(now, request.Request.Service) {
+			return nil, &placeReply{Reason: reasonRetryBudget, RetryAfter: time.Second}
+		}
+	} else {
+		d.budget.First(now, request.Request.Service)
+	}
+	limit := quota.Limit{Rate: request.Rate, Burst: request.Burst}.Scaled(d.share)
+	if wait, ok := d.quotas.Take(now, request.Tenant, limit, request.Cost); !ok {
+		return nil, &placeReply{Reason: reasonQuota, RetryAfter: wait}
+	}
+	id := request.Request.ID
+	waiter := make(chan admission.Decision, 1)
+	d.waiters[id] = waiter
+	d.placed[id] = placed{tenant: request.Tenant, cost: request.Cost}
+	d.scheduler.Submit(now, request.Request)
+	d.decide()
+	return waiter, nil
+}
+
+// finish frees the place or ends the wait of a request.
+func (d *desk) finish(request *finishRequest) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.scheduler.Finish(request.ID, request.Seen)
+	d.scheduler.Cancel(request.ID)
+	delete(d.waiters, request.ID)
+	if held, found := d.placed[request.ID]; found {
+		delete(d.placed, request.ID)
+		if request.NotRun {
+			d.quotas.Return(held.tenant, held.cost)
+		}
+	}
+	d.decide()
+}
+
+// dropEndedNodes frees what nodes held that live no longer.
+func (d *desk) dropEndedNodes(live map[string]bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	for node := range d.scheduler.Nodes() {
+		if !live[node] {
+			d.scheduler.DropNode(node)
+		}
+	}
+	d.scheduler.Sweep(d.clock())
+	d.decide()
+}
+
+// patienceInterval is the time between looks at requests that waited too long.
+const patienceInterval = 50 * time.Millisecond
+
+func (d *desk) wake() {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.decide()
+}
+
+// decide hands out decisions. The caller holds the mutex.
+func (d *desk) decide() {
+	for _, decision := range d.scheduler.Decide(d.clock()) {
+		waiter, found := d.waiters[decision.ID]
+		if !found {
+			continue
+		}
+		delete(d.waiters, decision.ID)
+		if decision.Reason != admission.ReasonNone {
+			if held, charged := d.placed[decision.ID]; charged {
+				delete(d.placed, decision.ID)
+				d.quotas.Return(held.tenant, held.cost)
+			}
+		}
+		waiter <- decision
+	}
+	if len(d.waiters) > 0 {
+		d.timer.Reset(patienceInterval)
+	}
+}
+
+// counts returns the state of every service.
+func (d *desk) counts() map[string]admission.Count {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.scheduler.Counts()
+}
--- /dev/null
+++ b/entry/doc.go
@@ -0,0 +1,13 @@
+// Package entry is the daemon of an entry machine that stands behind a
+// balancer: it takes requests by host and path, gets a place at a replica from
+// the scheduling node, forwards the request and relays the answer.
+//
+// Read a request's life in this order: handler.go (route, key, body),
+// place.go (a place from the scheduling node), attempt.go (one send),
+// relay.go (the answer), stream.go (events). What a node believes comes from
+// news.go (configuration and replicas), beats.go (other nodes) and health.go
+// (replicas that fail); desk.go is the scheduling node's side of place.go.
+//
+// All state is soft. A process that starts again learns everything from the
+// directory and its peers; nothing is kept on the machine.
+package entry
--- /dev/null
+++ b/entry/handler.go
@@ -0,0 +1,201 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/thornwalk/thornwalk/internal/eventlog"
+	"github.com/thornwalk/thornwalk/state/catalog"
+)
+
+// call is one request of a caller on its way through the node.
+type call struct {
+	node    *Node
+	writer  http.ResponseWriter
+	request *http.Request
+	ctx     context.Context
+	id      string
+	route   *catalog.Route
+	tenant  *catalog.Tenant
+	service string
+	body    []byte
+	// prompt and output are the tokens of the request; both are zero for
+	// requests without a token count.
+	prompt, output int
+	arrived        time.Time
+	// deadline is when the caller or the route gives up, whichever is first.
+	deadline time.Time
+	// headSent is true once the caller has the head of an answer.
+	headSent bool
+	ended    bool
+	sends    int
+	waited   time.Duration
+	// lastEvent is the number of the last event that the caller has, and resumed
+	// is true once the stream went on at another replica.
+	lastEvent string
+	resumed   bool
+}
+
+// defaultDeadline holds for requests that name none.
+const defaultDeadline = 30 * time.Second
+
+// Times after which refused callers should come back.
+const (
+	retryNoConfiguration = 500 * time.Millisecond
+	retryStopping        = 100 * time.Millisecond
+)
+
+// ServeHTTP serves one request of a caller.
+func (n *Node) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	n.inFlight.Add(1)
+	defer n.inFlight.Add(-1)
+	c := &call{node: n, writer: w, request: r, arrived: time.Now(), id: r.Header.Get(n.depend.Headers.RequestID)}
+	if n.stopping.Load() != 0 {
+		w.Header().Set("Connection", "close")
+	}
+	current := n.catalog.Load()
+	if current == nil {
+		c.refuse(http.StatusServiceUnavailable, "no-configuration", retryNoConfiguration)
+		return
+	}
+	if !c.admit(current) {
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+	defer cancel()
+	c.ctx = ctx
+	if !c.readBody(current) {
+		return
+	}
+	if n.stopped() > refuseAfter {
+		c.refuse(http.StatusServiceUnavailable, reasonStopping, retryStopping)
+		return
+	}
+	c.serve()
+}
+
+// admit finds route, tenant and deadline, or answers the request.
+func (c *call) admit(current *catalog.Catalog) bool {
+	names := &c.node.depend.Headers
+	c.route = current.Match(c.request.Host, c.request.URL.EscapedPath())
+	if c.route == nil {
+		c.refuse(http.StatusNotFound, "no-route", 0)
+		return false
+	}
+	if current.RequiresKey(c.route) {
+		key, _ := strings.CutPrefix(c.request.Header.Get("Authorization"), "Bearer ")
+		if c.tenant = current.TenantOfKey(strings.TrimSpace(key)); c.tenant == nil {
+			c.refuse(http.StatusUnauthorized, "unknown-key", 0)
+			return false
+		}
+	}
+	c.service = c.route.Choose(rand.Float64())
+	allowed := defaultDeadline
+	if given, err := strconv.ParseFloat(c.request.Header.Get(names.Deadline), 64); err == nil && given > 0 {
+		allowed = time.Duration(given * float64(time.Millisecond))
+	}
+	if c.route.Timeout > 0 {
+		allowed = min(allowed, c.route.Timeout)
+	}
+	c.deadline = c.arrived.Add(allowed)
+	prompt, output, _ := strings.Cut(c.request.Header.Get(names.TokenUsage), ",")
+	c.prompt = max(number(prompt), 0)
+	c.output = max(number(output), 0)
+	return true
+}
+
+func number(text string) int {
+	value, err := strconv.Atoi(strings.TrimSpace(text))
+	if err != nil {
+		return 0
+	}
+	return value
+}
+
+// readBody reads the whole body, or answers the request.
+func (c *call) readBody(current *catalog.Catalog) bool {
+	limit := current.Limits.BodyBytes
+	if limit <= 0 {
+		limit = defaultBodyLimit
+	}
+	if c.request.ContentLength > limit {
+		c.refuse(http.StatusRequestEntityTooLarge, "body-too-large", 0)
+		return false
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(c.writer, c.request.Body, limit))
+	if err == nil {
+		c.body = body
+		return true
+	}
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		c.refuse(http.StatusRequestEntityTooLarge, "body-too-large", 0)
+	} else {
+		c.refuse(http.StatusBadRequest, "body-unreadable", 0)
+	}
+	return false
+}
+
+// defaultBodyLimit holds for configurations that name none.
+const defaultBodyLimit = 4 << 20
+
+// refuse answers that the request did not run.
+func (c *call) refuse(status int, reason string, retryAfter time.Duration) {
+	if retryAfter > 0 {
+		c.writer.Header().Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 2, 64))
+	}
+	c.end(status, "not-run", reason)
+}
+
+// fail answers that the request may have run.
+func (c *call) fail(status int, reason string) { c.end(status, "unknown", reason) }
+
+// end gives the caller its final answer. If the caller has a part of an answer
+// already, the connection is broken so that it can't be taken for whole.
+func (c *call) end(status int, outcome, reason string) {
+	if c.ended {
+		return
+	}
+	c.ended = true
+	event := c.event("request.ended")
+	event.Outcome, event.Reason, event.Status = outcome, reason, status
+	c.node.log.Write(event)
+	c.node.counter("requests." + outcome).Inc(1)
+	c.node.counter("ended." + reason).Inc(1)
+	if c.headSent {
+		panic(http.ErrAbortHandler)
+	}
+	c.writer.Header()["Content-Type"] = nil
+	c.writer.Header().Set("Content-Length", "0")
+	c.writer.WriteHeader(status)
+}
+
+// answered records that the caller has the whole answer.
+func (c *call) answered(status int, replica string) {
+	c.ended = true
+	event := c.event("request.ended")
+	event.Outcome, event.Status, event.Replica = "answered", status, replica
+	c.node.log.Write(event)
+	c.node.counter("requests.answered").Inc(1)
+}
+
+// event returns a log line with what names the request.
+func (c *call) event(kind string) eventlog.Event {
+	event := eventlog.Event{
+		Kind: kind, Request: c.id, Service: c.service,
+		Took: time.Since(c.arrived).Milliseconds(), Waited: c.waited.Milliseconds(),
+	}
+	if c.route != nil {
+		event.Route = c.route.Name
+	}
+	if c.tenant != nil {
+		event.Tenant = c.tenant.Name
+	}
+	return event
+}
--- /dev/null
+++ b/entry/health.go
@@ -0,0 +1,99 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/thornwalk/thornwalk/structs"
+)
+
+// Bounds of what a node concludes from failures of a replica.
+const (
+	firstBackoff = 400 * time.Millisecond
+	longBackoff  = 3 * time.Second
+	// errorShare is the share of failed answers that makes a replica suspect,
+	// once there were enough of them.
+	errorShare   = 0.4
+	errorWeight  = 0.2
+	enoughErrors = 5
+)
+
+// replicaHealth is what one node saw of one replica.
+type replicaHealth struct {
+	// failures in a row; until is when it may be tried again.
+	failures int
+	until    structs.Instant
+	// errors is the smoothed share of answers that were failures.
+	errors  float64
+	answers int
+}
+
+// healthBook is a node's own view of which replicas fail. It is guarded by the
+// node's mutex.
+type healthBook struct {
+	replicas map[string]*replicaHealth
+}
+
+func newHealthBook() *healthBook { return &healthBook{replicas: map[string]*replicaHealth{}} }
+
+func (b *healthBook) get(id string) *replicaHealth {
+	held, found := b.replicas[id]
+	if !found {
+		held = &replicaHealth{}
+		b.replicas[id] = held
+	}
+	return held
+}
+
+// unreachable records that the replica could not be reached or fell silent.
+func (b *healthBook) unreachable(now structs.Instant, id string) {
+	held := b.get(id)
+	held.failures++
+	backoff := firstBackoff << min(held.failures-1, 5)
+	held.until = now + min(backoff, longBackoff)
+}
+
+// answered records an answer, which may be a failure of the replica's own.
+func (b *healthBook) answered(now structs.Instant, id string, failed bool) {
+	held := b.get(id)
+	held.answers++
+	share := 0.0
+	if failed {
+		share = 1
+	} else {
+		held.failures = 0
+	}
+	held.errors += errorWeight * (share - held.errors)
+	if held.answers >= enoughErrors && held.errors > errorShare {
+		held.until = now + longBackoff
+		held.answers, held.errors = 0, 0
+	}
+}
+
+// broken records an answer that was cut or spoiled.
+func (b *healthBook) broken(now structs.Instant, id string) {
+	held := b.get(id)
+	if held.failures++; held.failures > 1 {
+		held.until = now + firstBackoff
+	}
+	b.answered(now, id, true)
+}
+
+// failing returns the replicas that should not be tried now.
+func (b *healthBook) failing(now structs.Instant) []string {
+	var ids []string
+	for id, held := range b.replicas {
+		if now < held.until {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// forget drops replicas that are no longer known.
+func (b *healthBook) forget(known func(id string) bool) {
+	for id := range b.replicas {
+		if !known(id) {
+			delete(b.replicas, id)
+		}
+	}
+}
--- /dev/null
+++ b/entry/messages.go
@@ -0,0 +1,66 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/thornwalk/thornwalk/coordination/admission"
+	"github.com/thornwalk/thornwalk/state/catalog"
+	"github.com/thornwalk/thornwalk/state/replicas"
+)
+
+// placeRequest asks the scheduling node for a place at a replica.
+type placeRequest struct {
+	Request admission.Request
+	// Tenant, Rate, Burst and Cost are for the quota; Rate zero means none.
+	Tenant string
+	Rate   float64
+	Burst  float64
+	Cost   float64
+	// Repeat is true if the request was sent to a replica before.
+	Repeat bool
+}
+
+// placeReply is the decision on a placeRequest.
+type placeReply struct {
+	Replica    replicas.Replica
+	Reason     string
+	RetryAfter time.Duration
+	Waited     time.Duration
+	// Term is that of the scheduling process.
+	Term uint64
+}
+
+// Reasons of refusals beside those of package admission.
+const (
+	reasonQuota       = "quota"
+	reasonRetryBudget = "retry-budget"
+	reasonUnreachable = "no-scheduler"
+	reasonStopping    = "stopping"
+)
+
+// finishRequest tells that a request with a place ended, or that one is no
+// longer waited for.
+type finishRequest struct {
+	ID string
+	// Seen is what the replica did.
+	Seen admission.Observation
+	// NotRun is true if the replica surely did not run the request; its cost is
+	// given back to the tenant.
+	NotRun bool
+}
+
+type finishReply struct{}
+
+// newsRequest asks a peer for what it knows beyond the versions given.
+type newsRequest struct {
+	Version int64
+	Latest  int64
+}
+
+// newsReply is a peer's knowledge; Catalog is nil if it has none newer.
+type newsReply struct {
+	Catalog  *catalog.Document
+	Replicas []replicas.Replica
+	Removed  map[string]int64
+	Revision int64
+}
--- /dev/null
+++ b/entry/news.go
@@ -0,0 +1,275 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/thornwalk/thornwalk/coordination/admission"
+	"github.com/thornwalk/thornwalk/internal/eventlog"
+	"github.com/thornwalk/thornwalk/outside"
+	"github.com/thornwalk/thornwalk/protocol/errkind"
+	"github.com/thornwalk/thornwalk/protocol/peerwire"
+	"github.com/thornwalk/thornwalk/state/catalog"
+	"github.com/thornwalk/thornwalk/state/replicas"
+)
+
+// Times of the calls to the directory.
+const (
+	readTimeout = 2 * time.Second
+	// watchWait is how long a watch without news is held; each is a priced call.
+	watchWait = 10 * time.Second
+	// watchMargin is added for the answer to arrive.
+	watchMargin  = 2 * time.Second
+	firstPause   = 150 * time.Millisecond
+	longestPause = 1500 * time.Millisecond
+	// rereadAfter bounds the time between two complete reads.
+	rereadAfter = 60 * time.Second
+)
+
+// watchLoop follows the directory: a complete read, then watches from there,
+// and a complete read again whenever a watch fails.
+func (n *Node) watchLoop() {
+	pause := firstPause
+	for n.ctx.Err() == nil {
+		revision, err := n.readAll()
+		if err != nil {
+			n.storeFailed(err)
+			if !n.pause(pause) {
+				return
+			}
+			pause = min(pause*2, longestPause)
+			continue
+		}
+		n.storeAnswered()
+		pause = firstPause
+		n.follow(revision)
+	}
+}
+
+func (n *Node) readAll() (int64, error) {
+	ctx, cancel := context.WithTimeout(n.ctx, readTimeout)
+	defer cancel()
+	update, err := n.depend.Directory.Read(ctx)
+	if err != nil {
+		return 0, err
+	}
+	n.apply(update)
+	return update.Revision, nil
+}
+
+// follow watches from the revision until a watch fails or is due for a read.
+func (n *Node) follow(revision int64) {
+	begun := time.Now()
+	for n.ctx.Err() == nil && time.Since(begun) < rereadAfter {
+		ctx, cancel := context.WithTimeout(n.ctx, watchWait+watchMargin)
+		update, err := n.depend.Directory.Watch(ctx, revision, watchWait)
+		cancel()
+		switch {
+		case errors.Is(err, errkind.StaleFence):
+			n.log.Write(eventlog.Event{Kind: "store.history", Outcome: "gone", Revision: revision})
+			n.markStore()
+			return
+		case err != nil:
+			n.storeFailed(err)
+			n.pause(firstPause)
+			return
+		}
+		n.storeAnswered()
+		n.apply(update)
+		revision = max(revision, update.Revision)
+	}
+}
+
+// markStore records that the store was not well just now.
+func (n *Node) markStore() {
+	n.mutex.Lock()
+	n.storeBadAt = n.now()
+	n.mutex.Unlock()
+}
+
+func (n *Node) storeFailed(err error) {
+	n.markStore()
+	n.mutex.Lock()
+	first := !n.storeDown
+	n.storeDown = true
+	n.mutex.Unlock()
+	n.counter("store.failures").Inc(1)
+	if first && n.ctx.Err() == nil {
+		n.log.Write(eventlog.Event{Kind: "store", Outcome: "lost", Detail: err.Error()})
+	}
+}
+
+func (n *Node) storeAnswered() {
+	n.mutex.Lock()
+	back := n.storeDown
+	n.storeDown = false
+	if back {
+		n.storeBadAt = n.now()
+	}
+	n.mutex.Unlock()
+	if back {
+		n.log.Write(eventlog.Event{Kind: "store", Outcome: "regained"})
+	}
+}
+
+// apply takes an update of the directory into force.
+func (n *Node) apply(update *outside.Update) {
+	for _, problem := range update.Problems {
+		n.log.Write(eventlog.Event{Kind: "directory.entry", Outcome: "kept-out", Detail: problem.Error(), Revision: update.Revision})
+	}
+	if update.Catalog != nil {
+		n.offerCatalog(update.Catalog, "store")
+	}
+	n.mutex.Lock()
+	before := n.table.Version()
+	for _, replica := range update.Replicas {
+		n.logReplica(replica)
+		n.table.Put(replica)
+	}
+	if update.Complete {
+		for _, id := range n.table.Missing(update.Replicas, update.Revision) {
+			n.vanished(outside.Gone{ID: id, Revision: update.Revision})
+		}
+	}
+	for _, gone := range update.Gone {
+		n.vanished(gone)
+	}
+	n.table.SetRevision(update.Revision)
+	n.newsAt = n.now()
+	changed := n.table.Version() != before
+	n.mutex.Unlock()
+	if changed {
+		n.replicasChanged()
+	}
+}
+
+// logReplica tells of a change. The caller holds the mutex.
+func (n *Node) logReplica(replica replicas.Replica) {
+	known, found := n.table.Get(replica.ID)
+	if found && known.Draining == replica.Draining && known.Address == replica.Address {
+		return
+	}
+	outcome := "ready"
+	if replica.Draining {
+		outcome = "draining"
+	}
+	n.log.Write(eventlog.Event{Kind: "replica", Replica: replica.ID, Service: replica.Service, Outcome: outcome, Revision: replica.Revision, Detail: replica.Address})
+}
+
+// vanished handles an entry that is gone. While the store is unwell replicas
+// can't renew their entries, so that it proves little; the replica then stays
+// for as long as the store needs to become well and the replica to come back.
+// The caller holds the mutex.
+func (n *Node) vanished(gone outside.Gone) {
+	if _, known := n.table.Get(gone.ID); !known {
+		n.table.Remove(n.now(), gone.ID, gone.Revision)
+		return
+	}
+	if n.storeUnwell() {
+		n.table.Doubt(gone.ID, n.now()+n.settings.Load().contact()+n.settings.Load().drain())
+		n.log.Write(eventlog.Event{Kind: "replica", Replica: gone.ID, Outcome: "doubted", Revision: gone.Revision, Age: (n.now() - n.storeBadAt).Milliseconds()})
+		return
+	}
+	n.table.Remove(n.now(), gone.ID, gone.Revision)
+	n.log.Write(eventlog.Event{Kind: "replica", Replica: gone.ID, Outcome: "gone", Revision: gone.Revision})
+}
+
+// storeUnwell returns whether the store failed lately. The caller holds the mutex.
+func (n *Node) storeUnwell() bool {
+	return n.now()-n.storeBadAt < n.settings.Load().contact()
+}
+
+func (n *Node) expireReplicas() {
+	n.mutex.Lock()
+	gone := n.table.Expire(n.now())
+	n.table.Forget(n.now())
+	n.mutex.Unlock()
+	for _, id := range gone {
+		n.log.Write(eventlog.Event{Kind: "replica", Replica: id, Outcome: "gone", Reason: "doubt-expired"})
+	}
+	if len(gone) > 0 {
+		n.replicasChanged()
+	}
+}
+
+// replicasChanged tells the desk and drops what belongs to replicas that left.
+func (n *Node) replicasChanged() {
+	n.mutex.Lock()
+	all := n.table.All()
+	n.health.forget(func(id string) bool { _, known := n.table.Get(id); return known })
+	n.mutex.Unlock()
+	n.desk.update(func(scheduler *admission.Scheduler) { scheduler.SetReplicas(all) })
+}
+
+// offerCatalog takes a configuration into force if it is valid and newer.
+func (n *Node) offerCatalog(document *catalog.Document, source string) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	current := n.catalog.Load()
+	if current != nil && document.Version <= current.Version {
+		if document.Version < current.Version {
+			n.log.Write(eventlog.Event{Kind: "configuration", Outcome: "kept-out", Reason: "older", Version: document.Version, Detail: source})
+		}
+		return
+	}
+	compiled, err := catalog.Compile(document)
+	if err != nil {
+		n.log.Write(eventlog.Event{Kind: "configuration", Outcome: "kept-out", Reason: "invalid", Version: document.Version, Detail: err.Error()})
+		return
+	}
+	n.catalog.Store(compiled)
+	n.log.Write(eventlog.Event{Kind: "configuration", Outcome: "in-force", Version: document.Version, Detail: source})
+}
+
+// serveNews answers a peer that is behind.
+func (n *Node) serveNews(_ context.Context, request *newsRequest) (*newsReply, error) {
+	reply := &newsReply{}
+	if current := n.catalog.Load(); current != nil && current.Version > request.Version {
+		reply.Catalog = current.Document
+	}
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if n.table.Latest() > request.Latest {
+		reply.Replicas, reply.Removed = n.table.All(), n.table.Removed()
+		reply.Revision = n.table.Latest()
+	}
+	return reply, nil
+}
+
+// newsTimeout bounds a call to a peer for its news.
+const newsTimeout = 500 * time.Millisecond
+
+// pullNews asks a peer that knows more than this node.
+func (n *Node) pullNews(address string) {
+	ctx, cancel := context.WithTimeout(n.ctx, newsTimeout)
+	defer cancel()
+	request := &newsRequest{}
+	if current := n.catalog.Load(); current != nil {
+		request.Version = current.Version
+	}
+	n.mutex.Lock()
+	request.Latest = n.table.Latest()
+	n.mutex.Unlock()
+	reply := &newsReply{}
+	if err := n.peers.Call(ctx, address, peerwire.KindNews, request, reply); err != nil {
+		return
+	}
+	if reply.Catalog != nil {
+		n.offerCatalog(reply.Catalog, "peer "+address)
+	}
+	n.mutex.Lock()
+	before := n.table.Version()
+	for _, replica := range reply.Replicas {
+		n.logReplica(replica)
+		n.table.Put(replica)
+	}
+	for id, revision := range reply.Removed {
+		n.table.Remove(n.now(), id, revision)
+	}
+	changed := n.table.Version() != before
+	n.mutex.Unlock()
+	if changed {
+		n.replicasChanged()
+	}
+}
--- /dev/null
+++ b/entry/node.go
@@ -0,0 +1,284 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/thornwalk/thornwalk/coordination/liveness"
+	"github.com/thornwalk/thornwalk/internal/eventlog"
+	"github.com/thornwalk/thornwalk/outside"
+	"github.com/thornwalk/thornwalk/protocol/peerwire"
+	"github.com/thornwalk/thornwalk/state/catalog"
+	"github.com/thornwalk/thornwalk/state/replicas"
+	"github.com/thornwalk/thornwalk/structs"
+	"github.com/thornwalk/thornwalk/transport/network"
+	"github.com/thornwalk/thornwalk/transport/peer"
+	"github.com/thornwalk/thornwalk/transport/replicahttp"
+)
+
+// Dependencies are the outside of a node.
+type Dependencies struct {
+	Network   network.Network
+	Directory outside.Directory
+	Headers   outside.HeaderNames
+	// ReadyPath is what the balancer asks.
+	ReadyPath string
+	Log       *eventlog.Log
+	// Incarnation differs for each start of the process.
+	Incarnation uint64
+}
+
+// heldPlace is a request in progress at a replica.
+type heldPlace struct {
+	replica   string
+	scheduler string
+	term      uint64
+}
+
+// Node is one entry node.
+type Node struct {
+	settings atomic.Pointer[Settings]
+	depend   Dependencies
+	log      *eventlog.Log
+	started  time.Time
+	metrics  metrics.Registry
+	pool     *replicahttp.Pool
+	peers    *peer.Client
+	desk     *desk
+	beats    net.PacketConn
+	ctx      context.Context
+	cancel   context.CancelFunc
+	group    sync.WaitGroup
+	servers  []*http.Server
+	sequence atomic.Uint64
+
+	catalog  atomic.Pointer[catalog.Catalog]
+	stopping atomic.Int64
+	inFlight atomic.Int64
+
+	// mutex guards what follows.
+	mutex       sync.Mutex
+	table       *replicas.Table
+	members     *liveness.Table
+	health      *healthBook
+	held        map[string]heldPlace
+	term        uint64
+	scheduler   string
+	storeBadAt  structs.Instant
+	storeDown   bool
+	newsAt      structs.Instant
+	undelivered []undelivered
+	// behindSince is since when a peer knows more, and pulledAt when one was asked.
+	behindSince, pulledAt structs.Instant
+}
+
+// New returns a node that does not run yet.
+func New(settings *Settings, depend Dependencies) *Node {
+	n := &Node{
+		depend: depend, log: depend.Log, started: time.Now(), metrics: metrics.NewRegistry(),
+		pool: replicahttp.NewPool(depend.Network), peers: peer.NewClient(depend.Network, nil),
+		table: replicas.NewTable(), members: liveness.NewTable(settings.Name), health: newHealthBook(),
+		held: map[string]heldPlace{}, term: 1, storeBadAt: -time.Hour,
+	}
+	n.settings.Store(settings)
+	n.desk = newDesk(n.now, settings.retryPolicy(1))
+	n.ctx, n.cancel = context.WithCancel(context.Background())
+	return n
+}
+
+// now is the node's monotonic time.
+func (n *Node) now() structs.Instant { return time.Since(n.started) }
+
+// process names this process to schedulers.
+func (n *Node) process() string { return processName(n.settings.Load().Name, n.depend.Incarnation) }
+
+func processName(name string, incarnation uint64) string {
+	return name + "/" + strconv.FormatUint(incarnation, 36)
+}
+
+// memoryShare is the part of the memory limit at which the collector works harder.
+const memoryShare = 0.6
+
+// Start listens and runs the node.
+func (n *Node) Start() error {
+	settings := n.settings.Load()
+	if settings.Memory > 0 {
+		debug.SetMemoryLimit(int64(float64(settings.Memory) * memoryShare * (1 << 20)))
+	}
+	peerAddress := net.JoinHostPort(settings.Host, strconv.Itoa(settings.PeerPort))
+	if err := n.listenPeers(peerAddress); err != nil {
+		return err
+	}
+	handlers := map[string]http.Handler{
+		settings.Callers: n, settings.Readiness: n.readiness(), settings.Operators: n.operators(),
+	}
+	for address, handler := range handlers {
+		if err := n.listenHTTP(address, handler); err != nil {
+			return err
+		}
+	}
+	for _, loop := range []func(){n.watchLoop, n.beatLoop, n.receiveBeats, n.housekeeping} {
+		n.group.Go(loop)
+	}
+	n.log.Write(eventlog.Event{Kind: "process.start", Detail: peerAddress})
+	return nil
+}
+
+func (n *Node) listenPeers(address string) error {
+	listener, err := n.depend.Network.Listen(address)
+	if err != nil {
+		return fmt.Errorf("listen for peers at %s: %w", address, err)
+	}
+	if n.beats, err = net.ListenPacket("udp4", address); err != nil {
+		return fmt.Errorf("listen for heartbeats at %s: %w", address, err)
+	}
+	server := peer.NewServer(nil)
+	peer.Handle(server, peerwire.KindPlace, func(ctx context.Context, request *placeRequest) (*placeReply, error) {
+		return n.desk.place(ctx, request), nil
+	})
+	peer.Handle(server, peerwire.KindFinish, func(_ context.Context, request *finishRequest) (*finishReply, error) {
+		n.desk.finish(request)
+		return &finishReply{}, nil
+	})
+	peer.Handle(server, peerwire.KindNews, n.serveNews)
+	go server.Serve(n.ctx, listener)
+	return nil
+}
+
+// Time-outs and bounds of the HTTP servers. Callers keep within the limits of
+// the configuration; these are wide enough for any of them.
+const (
+	headerTimeout  = 4 * time.Second
+	idleTimeout    = 40 * time.Second
+	maximumHeaders = 16 << 10
+)
+
+func (n *Node) listenHTTP(address string, handler http.Handler) error {
+	listener, err := n.depend.Network.Listen(address)
+	if err != nil {
+		return fmt.Errorf("listen at %s: %w", address, err)
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maximumHeaders}
+	n.servers = append(n.servers, server)
+	go func() { _ = server.Serve(listener) }()
+	return nil
+}
+
+// Reload takes changed settings into force; addresses stay until a restart.
+func (n *Node) Reload(settings *Settings) {
+	n.settings.Store(settings)
+	n.log.Write(eventlog.Event{Kind: "process.reload", Outcome: "in-force"})
+}
+
+// Ready returns whether the balancer should send requests.
+func (n *Node) Ready() bool {
+	if n.stopping.Load() != 0 || n.catalog.Load() == nil || n.now() < settleTime {
+		return false
+	}
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return len(n.table.All()) > 0
+}
+
+// settleTime is how long a new process listens to heartbeats before it is ready.
+const settleTime = 400 * time.Millisecond
+
+func (n *Node) readiness() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+n.depend.ReadyPath, func(w http.ResponseWriter, _ *http.Request) {
+		if !n.Ready() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})
+	return mux
+}
+
+// Times of a planned stop.
+const (
+	// lookAway is the time in which the balancer learns that the node leaves.
+	lookAway = 2500 * time.Millisecond
+	// refuseAfter is when requests that still come are refused.
+	refuseAfter = 3 * time.Second
+	// stopMargin is kept before the process would be killed.
+	stopMargin = 700 * time.Millisecond
+	stopPoll   = 50 * time.Millisecond
+)
+
+// Stop is a planned stop: not ready at once, then serving until the balancer
+// has looked away and the last answer is out, but no longer than the grace.
+func (n *Node) Stop() {
+	n.stopping.Store(int64(max(n.now(), 1)))
+	n.log.Write(eventlog.Event{Kind: "process.stop", Outcome: "begun", Count: int(n.inFlight.Load())})
+	n.sendBeats()
+	begun := time.Now()
+	limit := n.settings.Load().stopGrace() - stopMargin
+	for time.Since(begun) < limit {
+		if time.Since(begun) > lookAway && n.inFlight.Load() == 0 {
+			break
+		}
+		time.Sleep(stopPoll)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), stopMargin/2)
+	defer cancel()
+	for _, server := range n.servers {
+		_ = server.Shutdown(ctx)
+	}
+	n.log.Write(eventlog.Event{Kind: "process.stop", Outcome: "ended", Count: int(n.inFlight.Load())})
+	n.Kill()
+}
+
+// Kill ends the node at once.
+func (n *Node) Kill() {
+	n.cancel()
+	for _, server := range n.servers {
+		_ = server.Close()
+	}
+	_ = n.beats.Close()
+	n.peers.Close()
+	n.group.Wait()
+}
+
+// stopped returns for how long the node has been stopping, or zero.
+func (n *Node) stopped() time.Duration {
+	begun := n.stopping.Load()
+	if begun == 0 {
+		return 0
+	}
+	return n.now() - time.Duration(begun)
+}
+
+func (n *Node) counter(name string) metrics.Counter {
+	return metrics.GetOrRegisterCounter(name, n.metrics)
+}
+
+// housekeepingInterval is the time between sweeps.
+const housekeepingInterval = 500 * time.Millisecond
+
+// housekeeping sweeps connections, doubted replicas and messages that did not arrive.
+func (n *Node) housekeeping() {
+	for n.pause(housekeepingInterval) {
+		n.pool.Sweep()
+		n.expireReplicas()
+		n.deliverAgain()
+		n.releaseEndedNodes()
+	}
+}
+
+// pause waits, and returns false if the node ended meanwhile.
+func (n *Node) pause(duration time.Duration) bool {
+	select {
+	case <-n.ctx.Done():
+		return false
+	case <-time.After(duration):
+		return true
+	}
+}
--- /dev/null
+++ b/entry/operators.go
@@ -0,0 +1,77 @@
+package entry
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+
+	"github.com/gorilla/mux"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/thornwalk/thornwalk/coordination/admission"
+	"github.com/thornwalk/thornwalk/state/replicas"
+)
+
+// Status is what operators see of one node.
+type Status struct {
+	Name      string                     `json:"name"`
+	Zone      string                     `json:"zone"`
+	Ready     bool                       `json:"ready"`
+	Stopping  bool                       `json:"stopping"`
+	Version   int64                      `json:"configuration_version"`
+	Revision  int64                      `json:"store_revision"`
+	NewsAge   int64                      `json:"news_age_ms"`
+	StoreDown bool                       `json:"store_down"`
+	Scheduler string                     `json:"scheduler"`
+	Live      []string                   `json:"live_peers"`
+	Silent    []string                   `json:"silent_peers"`
+	Failing   []string                   `json:"failing_replicas"`
+	Replicas  []replicas.Replica         `json:"replicas"`
+	Services  map[string]admission.Count `json:"services"`
+}
+
+// Status returns the node's state.
+func (n *Node) Status() *Status {
+	settings := n.settings.Load()
+	status := &Status{Name: settings.Name, Zone: settings.Zone, Ready: n.Ready(), Stopping: n.stopping.Load() != 0, Services: n.desk.counts()}
+	if current := n.catalog.Load(); current != nil {
+		status.Version = current.Version
+	}
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	now := n.now()
+	status.Revision, status.NewsAge, status.StoreDown = n.table.Revision(), (now - n.newsAt).Milliseconds(), n.storeDown
+	status.Scheduler, status.Failing, status.Replicas = n.scheduler, n.health.failing(now), n.table.All()
+	for _, member := range n.members.All(now) {
+		if member.Silence(now) < n.deadAfter() {
+			status.Live = append(status.Live, member.Name)
+		} else {
+			status.Silent = append(status.Silent, member.Name)
+		}
+	}
+	return status
+}
+
+func (n *Node) operators() http.Handler {
+	router := mux.NewRouter()
+	router.HandleFunc("/status", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(n.Status())
+	}).Methods(http.MethodGet)
+	router.HandleFunc("/metrics", n.serveMetrics).Methods(http.MethodGet)
+	return router
+}
+
+// serveMetrics writes the metrics in the text form of common scrapers.
+func (n *Node) serveMetrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+	opened, reused := n.pool.Counts()
+	fmt.Fprintf(w, "thornwalk_connections_opened %d\nthornwalk_connections_reused %d\n", opened, reused)
+	fmt.Fprintf(w, "thornwalk_requests_in_progress %d\nthornwalk_log_lines_lost %d\n", n.inFlight.Load(), n.log.Lost())
+	n.metrics.Each(func(name string, metric any) {
+		if counter, ok := metric.(metrics.Counter); ok {
+			fmt.Fprintf(w, "thornwalk_%s %d\n", strings.NewReplacer(".", "_", "-", "_").Replace(name), counter.Count())
+		}
+	})
+}
--- /dev/null
+++ b/entry/place.go
@@ -0,0 +1,165 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/thornwalk/thornwalk/coordination/admission"
+	"github.com/thornwalk/thornwalk/protocol/peerwire"
+	"github.com/thornwalk/thornwalk/structs"
+)
+
+// grant is a place at a replica, or the reason why there is none.
+type grant struct {
+	*placeReply
+	// id names the place at the scheduling node, which is named by scheduler and address.
+	id        string
+	scheduler string
+	address   string
+}
+
+// maximumSchedulers bounds how many nodes are asked for one place.
+const maximumSchedulers = 3
+
+// place asks the scheduling node for a place. If that node can't be reached,
+// the next one is asked, and in the end this node decides by itself.
+func (n *Node) place(ctx context.Context, request *placeRequest) *grant {
+	base := request.Request.ID
+	begun := time.Now()
+	for try := range maximumSchedulers {
+		request.Request.ID = base + "." + string(rune('a'+try))
+		scheduler, address := n.currentScheduler()
+		if address == "" || try == maximumSchedulers-1 {
+			return n.placeHere(ctx, request)
+		}
+		reply := &placeReply{}
+		err := n.callScheduler(ctx, scheduler, address, request, reply)
+		if err == nil && reply.Reason != reasonUnreachable {
+			return n.hold(&grant{placeReply: reply, id: request.Request.ID, scheduler: scheduler, address: address})
+		}
+		n.deliver(undelivered{address: address, message: &finishRequest{ID: request.Request.ID, NotRun: true}, since: n.now()})
+		if ctx.Err() != nil {
+			return &grant{placeReply: &placeReply{Reason: reasonUnreachable}}
+		}
+		n.counter("scheduler.unreachable").Inc(1)
+		n.mutex.Lock()
+		n.members.Suspect(scheduler)
+		n.mutex.Unlock()
+		n.chooseScheduler()
+		request.Request.Patience = max(request.Request.Patience-time.Since(begun), 0)
+	}
+	return &grant{placeReply: &placeReply{Reason: reasonUnreachable}}
+}
+
+// placeHere lets this node's own desk decide.
+func (n *Node) placeHere(ctx context.Context, request *placeRequest) *grant {
+	reply := n.desk.place(ctx, request)
+	return n.hold(&grant{placeReply: reply, id: request.Request.ID, scheduler: n.settings.Load().Name})
+}
+
+// hold enters a place that was given into this node's own count.
+func (n *Node) hold(given *grant) *grant {
+	if given.Reason != "" {
+		return given
+	}
+	n.mutex.Lock()
+	n.held[given.id] = heldPlace{replica: given.Replica.ID, scheduler: given.scheduler, term: given.Term}
+	n.mutex.Unlock()
+	return given
+}
+
+// currentScheduler returns the scheduling node, with no address if it is this one.
+func (n *Node) currentScheduler() (name, address string) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if n.scheduler == "" || n.scheduler == n.settings.Load().Name {
+		return n.settings.Load().Name, ""
+	}
+	member, found := n.members.Get(n.scheduler)
+	if !found {
+		return n.settings.Load().Name, ""
+	}
+	return n.scheduler, member.Address
+}
+
+// silenceCheck is the time between looks whether the scheduling node still beats.
+const silenceCheck = 100 * time.Millisecond
+
+// callScheduler asks and waits for as long as the scheduling node is heard of.
+func (n *Node) callScheduler(ctx context.Context, scheduler, address string, request *placeRequest, reply *placeReply) error {
+	callContext, cancel := context.WithCancel(ctx)
+	defer cancel()
+	watcher := time.AfterFunc(silenceCheck, func() {})
+	defer watcher.Stop()
+	var check func()
+	check = func() {
+		n.mutex.Lock()
+		member, found := n.members.Get(scheduler)
+		silent := !found || member.Silence(n.now()) > n.deadAfter()
+		n.mutex.Unlock()
+		if silent {
+			cancel()
+			return
+		}
+		if callContext.Err() == nil {
+			time.AfterFunc(silenceCheck, check)
+		}
+	}
+	watcher = time.AfterFunc(silenceCheck, check)
+	return n.peers.Call(callContext, address, peerwire.KindPlace, request, reply)
+}
+
+// undelivered is a message about an ended request that its scheduling node did
+// not confirm.
+type undelivered struct {
+	address string
+	message *finishRequest
+	since   structs.Instant
+}
+
+// Bounds of messages that are sent again.
+const (
+	deliverTimeout     = 400 * time.Millisecond
+	deliverLimit       = 8 * time.Second
+	maximumUndelivered = 2000
+)
+
+// finish ends a place that was given.
+func (n *Node) finish(given *grant, seen admission.Observation, notRun bool) {
+	n.mutex.Lock()
+	delete(n.held, given.id)
+	n.mutex.Unlock()
+	message := &finishRequest{ID: given.id, Seen: seen, NotRun: notRun}
+	if given.address == "" {
+		n.desk.finish(message)
+		return
+	}
+	n.deliver(undelivered{address: given.address, message: message, since: n.now()})
+}
+
+// deliver sends the message in the background and keeps it if that fails.
+func (n *Node) deliver(item undelivered) {
+	go func() {
+		ctx, cancel := context.WithTimeout(n.ctx, deliverTimeout)
+		defer cancel()
+		if err := n.peers.Call(ctx, item.address, peerwire.KindFinish, item.message, &finishReply{}); err == nil {
+			return
+		}
+		n.mutex.Lock()
+		defer n.mutex.Unlock()
+		if n.now()-item.since < deliverLimit && len(n.undelivered) < maximumUndelivered {
+			n.undelivered = append(n.undelivered, item)
+		}
+	}()
+}
+
+// deliverAgain sends what was not confirmed.
+func (n *Node) deliverAgain() {
+	n.mutex.Lock()
+	items := n.undelivered
+	n.undelivered = nil
+	n.mutex.Unlock()
+	for _, item := range items {
+		n.deliver(item)
+	}
+}
--- /dev/null
+++ b/entry/settings.go
@@ -0,0 +1,118 @@
+package entry
+
+import (
+	"os"
+	"time"
+
+	"github.com/goccy/go-yaml"
+
+	"github.com/thornwalk/thornwalk/coordination/retrybudget"
+	"github.com/thornwalk/thornwalk/protocol/errkind"
+)
+
+// Settings is what a process learns from its own file. Fields that are not
+// known are ignored.
+type Settings struct {
+	Name string `yaml:"name"`
+	Zone string `yaml:"zone"`
+	// Callers, Readiness and Operators are the addresses to listen at.
+	Callers   string `yaml:"callers"`
+	Readiness string `yaml:"readiness"`
+	Operators string `yaml:"operators"`
+	// Host is the machine's address and PeerPort the port of other nodes' calls.
+	Host     string `yaml:"host"`
+	PeerPort int    `yaml:"peer_port"`
+	// Seeds are addresses of some nodes; only the host part is used.
+	Seeds []string `yaml:"seeds"`
+	// Store is the address of the store that holds the directory.
+	Store string `yaml:"store"`
+	// StopGrace is the time from the request to stop to the end, in milliseconds.
+	StopGrace int `yaml:"stop_grace_ms"`
+	// Drain is the time within which a leaving replica gets nothing more, and
+	// Contact the time after which a disturbance of the store is forgotten.
+	Drain   int `yaml:"drain_ms"`
+	Contact int `yaml:"contact_ms"`
+	// Memory is the limit of the process in megabytes; zero means none.
+	Memory int `yaml:"memory_mb"`
+	// RetryRatio, RetryWindow (seconds) and RetrySlack bound repeated sends.
+	RetryRatio  float64 `yaml:"retry_ratio"`
+	RetryWindow float64 `yaml:"retry_window_s"`
+	RetrySlack  float64 `yaml:"retry_slack"`
+}
+
+// LoadSettings reads and checks the file. The error is of kind InvalidSettings
+// and names path, value and remedy.
+func LoadSettings(path string) (*Settings, error) {
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errkind.New(errkind.InvalidSettings, "settings file: %v", err)
+	}
+	return ParseSettings(content)
+}
+
+// ParseSettings reads and checks the content of a settings file.
+func ParseSettings(content []byte) (*Settings, error) {
+	settings := &Settings{StopGrace: 8000, Drain: 2000, Contact: 3000, RetryRatio: 0.2, RetryWindow: 10, RetrySlack: 20}
+	if err := yaml.Unmarshal(content, settings); err != nil {
+		return nil, errkind.New(errkind.InvalidSettings, "settings: %s", yaml.FormatError(err, false, true))
+	}
+	return settings, settings.check()
+}
+
+const (
+	highestPort   = 65535
+	minimumMemory = 32
+)
+
+func (s *Settings) check() error {
+	required := []struct{ path, value, remedy string }{
+		{"name", s.Name, "give each node a name of its own"},
+		{"zone", s.Zone, "name the zone that the machine stands in"},
+		{"callers", s.Callers, "name the address to serve callers at, as host:port"},
+		{"readiness", s.Readiness, "name the address to answer the balancer at, as host:port"},
+		{"operators", s.Operators, "name the address to serve operators at, as host:port"},
+		{"host", s.Host, "name the machine's address"},
+		{"store", s.Store, "name the address of the store, as host:port"},
+	}
+	for _, field := range required {
+		if field.value == "" {
+			return errkind.New(errkind.InvalidSettings, "%s: %q is empty: %s", field.path, field.value, field.remedy)
+		}
+	}
+	bounds := []struct {
+		path             string
+		value, low, high float64
+	}{
+		{"peer_port", float64(s.PeerPort), 1, highestPort},
+		{"stop_grace_ms", float64(s.StopGrace), 100, 600_000},
+		{"drain_ms", float64(s.Drain), 1, 600_000},
+		{"contact_ms", float64(s.Contact), 1, 600_000},
+		{"retry_ratio", s.RetryRatio, 0, 10},
+		{"retry_window_s", s.RetryWindow, 0.1, 3600},
+		{"retry_slack", s.RetrySlack, 0, 1_000_000},
+	}
+	for _, field := range bounds {
+		if field.value < field.low || field.value > field.high {
+			return errkind.New(errkind.InvalidSettings, "%s: %v is not in %v to %v", field.path, field.value, field.low, field.high)
+		}
+	}
+	if s.Memory != 0 && s.Memory < minimumMemory {
+		return errkind.New(errkind.InvalidSettings, "memory_mb: %d is less than %d; leave it out for no limit", s.Memory, minimumMemory)
+	}
+	return nil
+}
+
+// safeRetryShare is the part of the retry bounds that is used: a scheduling node
+// that takes over does not know what its predecessor let through.
+const safeRetryShare = 0.5
+
+func (s *Settings) retryPolicy(share float64) retrybudget.Policy {
+	return retrybudget.Policy{
+		Ratio: s.RetryRatio * 0.9, Slack: s.RetrySlack * safeRetryShare * share,
+		Window: time.Duration(s.RetryWindow * float64(time.Second)),
+	}
+}
+
+func (s *Settings) stopGrace() time.Duration { return time.Duration(s.StopGrace) * time.Millisecond }
+func (s *Settings) drain() time.Duration     { return time.Duration(s.Drain) * time.Millisecond }
+func (s *Settings) contact() time.Duration   { return time.Duration(s.Contact) * time.Millisecond }
--- /dev/null
+++ b/internal/eventlog/eventlog.go
@@ -0,0 +1,136 @@
+// Package eventlog writes one JSON line for each decision. Lines are bounded
+// in number and never block: a writer that stalls loses lines, which are
+// counted and told in a line of their own.
+package eventlog
+
+import (
+	"bufio"
+	"encoding/json"
+	"io"
+	"sync/atomic"
+	"time"
+)
+
+// capacity is the number of lines that may wait for the writer.
+const capacity = 2048
+
+// Event is one line. Fields that do not apply are left out.
+type Event struct {
+	// Time is wall time, for people only.
+	Time string `json:"time"`
+	// Uptime is monotonic time since the start of the process, in milliseconds.
+	Uptime int64  `json:"up_ms"`
+	Node   string `json:"node"`
+	// Kind names the decision, as docs/OPERATIONS.md lists them.
+	Kind    string `json:"event"`
+	Request string `json:"request,omitempty"`
+	Route   string `json:"route,omitempty"`
+	Tenant  string `json:"tenant,omitempty"`
+	Service string `json:"service,omitempty"`
+	Replica string `json:"replica,omitempty"`
+	Peer    string `json:"peer,omitempty"`
+	// Outcome is answered, not-run or unknown for requests, and what became
+	// true for all else.
+	Outcome string `json:"outcome,omitempty"`
+	Reason  string `json:"reason,omitempty"`
+	Status  int    `json:"status,omitempty"`
+	// Version is the configuration's and Revision the store's.
+	Version  int64 `json:"version,omitempty"`
+	Revision int64 `json:"revision,omitempty"`
+	// Waited, Took and Age are in milliseconds: time in the queue, time since
+	// the request was received, and age of what decided.
+	Waited int64  `json:"waited_ms,omitempty"`
+	Took   int64  `json:"took_ms,omitempty"`
+	Age    int64  `json:"age_ms,omitempty"`
+	Count  int    `json:"count,omitempty"`
+	Detail string `json:"detail,omitempty"`
+}
+
+// Log is a bounded writer of events.
+type Log struct {
+	node    string
+	started time.Time
+	lines   chan Event
+	lost    atomic.Int64
+	stop    chan struct{}
+	done    chan struct{}
+}
+
+// New starts a log for the node. A nil writer drops everything.
+func New(node string, writer io.Writer) *Log {
+	log := &Log{node: node, started: time.Now(), lines: make(chan Event, capacity), stop: make(chan struct{}), done: make(chan struct{})}
+	if writer == nil {
+		writer = io.Discard
+	}
+	go log.write(writer)
+	return log
+}
+
+// Write enters the event, or counts it as lost if the writer is behind.
+func (l *Log) Write(event Event) {
+	event.Node = l.node
+	event.Uptime = time.Since(l.started).Milliseconds()
+	select {
+	case l.lines <- event:
+	default:
+		l.lost.Add(1)
+	}
+}
+
+// Lost returns how many events were not written.
+func (l *Log) Lost() int64 { return l.lost.Load() }
+
+// closeLimit bounds the wait for a stalled writer at the end.
+const closeLimit = 200 * time.Millisecond
+
+// Close writes what waits, for a short while. Later events are dropped.
+func (l *Log) Close() {
+	close(l.stop)
+	select {
+	case <-l.done:
+	case <-time.After(closeLimit):
+	}
+}
+
+func (l *Log) write(writer io.Writer) {
+	defer close(l.done)
+	buffered := bufio.NewWriterSize(writer, 8192)
+	encoder := json.NewEncoder(buffered)
+	told := int64(0)
+	for {
+		select {
+		case event := <-l.lines:
+			told = l.encode(encoder, event, told)
+		case <-l.stop:
+			l.drain(encoder, told)
+			_ = buffered.Flush()
+			return
+		}
+		if len(l.lines) == 0 {
+			_ = buffered.Flush()
+		}
+	}
+}
+
+// encode writes one event, and a line of its own if some were lost since told.
+func (l *Log) encode(encoder *json.Encoder, event Event, told int64) int64 {
+	event.Time = time.Now().UTC().Format("2006-01-02T15:04:05.000Z")
+	_ = encoder.Encode(event)
+	lost := l.lost.Load()
+	if lost > told {
+		_ = encoder.Encode(Event{Time: event.Time, Uptime: event.Uptime, Node: l.node, Kind: "log.lost", Count: int(lost - told)})
+	}
+	return lost
+}
+
+// drain writes the events that wait.
+func (l *Log) drain(encoder *json.Encoder, told int64) {
+	for {
+		select {
+		case event := <-l.lines:
+			told = l.encode(encoder, event, told)
+		default:
+			return
+		}
+	}
+}
--- /dev/null
+++ b/outside/directory.go
@@ -0,0 +1,61 @@
+package outside
+
+import (
+	"context"
+	"time"
+
+	"github.com/thornwalk/thornwalk/state/catalog"
+	"github.com/thornwalk/thornwalk/state/replicas"
+)
+
+// Gone is news that a replica's entry was removed.
+type Gone struct {
+	ID       string
+	Revision int64
+}
+
+// Update is news of the directory.
+type Update struct {
+	// Revision is the directory's revision up to which the news goes.
+	Revision int64
+	// Complete is true if Replicas lists every replica.
+	Complete bool
+	// Catalog is nil if the configuration did not change.
+	Catalog  *catalog.Document
+	Replicas []replicas.Replica
+	Gone     []Gone
+	// Problems are entries that did not parse and were left out.
+	Problems []error
+}
+
+// Directory is where the configuration and the list of replicas come from.
+type Directory interface {
+	// Read returns everything as of one revision or later. The error is of kind
+	// StoreUnavailable.
+	Read(ctx context.Context) (*Update, error)
+	// Watch returns what changed after the revision as soon as something did,
+	// or an empty update after the wait. The error is of kind StaleFence if the
+	// history is gone, after which only Read helps, and else StoreUnavailable.
+	Watch(ctx context.Context, after int64, wait time.Duration) (*Update, error)
+}
+
+// HeaderNames are the names of the headers that carry what the daemon reads
+// from requests and answers, and what it sets itself.
+type HeaderNames struct {
+	// RequestID names one try of a caller; the replica echoes it.
+	RequestID string
+	// Deadline is the time that the caller waits, in milliseconds.
+	Deadline string
+	// TokenUsage is the tokens of the prompt and the most of the answer.
+	TokenUsage string
+	// ExpectReplica is set to the id of the replica that alone may run the request.
+	ExpectReplica string
+	// Tenant is set to the name of the key's tenant.
+	Tenant string
+	// NotRun marks an answer as the proof that the replica did not run the request.
+	NotRun string
+	// Signature is on every answer that a replica itself made.
+	Signature string
+	// LastEvent is the number of the last event of a stream that the caller has.
+	LastEvent string
+}
--- a/protocol/peerwire/peerwire.go
+++ b/protocol/peerwire/peerwire.go
@@ -32,6 +32,9 @@
 	KindRegistryLookup
 	KindJoin
 	KindClaim
+	KindPlace
+	KindFinish
+	KindNews
 	kindEnd
 )
 
@@ -39,7 +42,7 @@
 	KindHeartbeat: "heartbeat", KindProbe: "probe", KindSettingsPull: "settings-pull",
 	KindFloorDemand: "floor-demand", KindFloorSet: "floor-set", KindLimitDemand: "limit-demand",
 	KindRegister: "register", KindRegistryUpdate: "registry-update", KindRegistryLookup: "registry-lookup",
-	KindJoin: "join", KindClaim: "claim",
+	KindJoin: "join", KindClaim: "claim", KindPlace: "place", KindFinish: "finish", KindNews: "news",
 }
 
 // String returns the name of the kind in metrics and logs.
--- /dev/null
+++ b/state/replicas/replicas.go
@@ -0,0 +1,182 @@
+// Package replicas is a node's view of the replicas that may serve requests.
+// It is a passive table without I/O or clock: news comes from the platform's
+// store and from peers, times are passed in.
+//
+// Guarantees: a replica that announced its drain, or whose entry disappeared
+// while the store was well, is not offered again under the same id, whatever
+// older news arrives later.
+package replicas
+
+import (
+	"sort"
+
+	"github.com/thornwalk/thornwalk/structs"
+)
+
+// Replica is one incarnation of a server of a service.
+type Replica struct {
+	// ID names the incarnation; a restarted server has another.
+	ID      string `msgpack:"i" json:"id"`
+	Service string `msgpack:"s" json:"service"`
+	// Address is IP and port; it may pass to another service later.
+	Address string `msgpack:"a" json:"address"`
+	Zone    string `msgpack:"z" json:"zone"`
+	// Slots is the number of requests that it works on at once.
+	Slots int `msgpack:"n" json:"slots"`
+	// Draining closes the replica to new work.
+	Draining bool `msgpack:"d" json:"draining"`
+	// Revision is the store's revision of the entry.
+	Revision int64 `msgpack:"r" json:"revision"`
+}
+
+// removed remembers a replica that must not come back.
+type removed struct {
+	revision int64
+	at       structs.Instant
+}
+
+// forgetAfter is how long a removal is remembered.
+const forgetAfter = 120_000_000_000
+
+// Table is the set of known replicas.
+type Table struct {
+	// doubted holds replicas whose entries vanished while the store was unwell,
+	// with the time until which they stay usable.
+	doubted map[string]structs.Instant
+	byID    map[string]Replica
+	removed map[string]removed
+	// revision is the store's revision up to which the table is complete.
+	revision int64
+	latest   int64
+	version  uint64
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table {
+	return &Table{doubted: map[string]structs.Instant{}, byID: map[string]Replica{}, removed: map[string]removed{}}
+}
+
+// Revision returns the store's revision up to which the table is complete.
+func (t *Table) Revision() int64 { return t.revision }
+
+// Version rises with each change that matters to placement.
+func (t *Table) Version() uint64 { return t.version }
+
+// SetRevision records that all changes up to the revision were applied.
+func (t *Table) SetRevision(revision int64) { t.revision = max(t.revision, revision) }
+
+// Put applies news of one replica and returns whether it changed anything.
+func (t *Table) Put(replica Replica) bool {
+	if gone, found := t.removed[replica.ID]; found && gone.revision >= replica.Revision {
+		return false
+	}
+	known, found := t.byID[replica.ID]
+	if found && known.Revision >= replica.Revision {
+		return false
+	}
+	if found && known.Draining {
+		replica.Draining = true
+	}
+	t.byID[replica.ID] = replica
+	delete(t.doubted, replica.ID)
+	t.latest = max(t.latest, replica.Revision)
+	t.version++
+	return true
+}
+
+// Remove applies news that the replica's entry is gone.
+func (t *Table) Remove(now structs.Instant, id string, revision int64) bool {
+	known, found := t.byID[id]
+	if found && known.Revision > revision {
+		return false
+	}
+	t.removed[id] = removed{revision: revision, at: now}
+	delete(t.byID, id)
+	delete(t.doubted, id)
+	t.latest = max(t.latest, revision)
+	if found {
+		t.version++
+	}
+	return found
+}
+
+// Doubt records that the replica's entry vanished while the store was unwell,
+// which need not mean that the replica is gone: it stays until Expire is called
+// at or after the time given, unless its entry comes back.
+func (t *Table) Doubt(id string, until structs.Instant) {
+	if known, found := t.byID[id]; !found || known.Draining {
+		return
+	}
+	if _, already := t.doubted[id]; !already {
+		t.doubted[id] = until
+	}
+}
+
+// Expire removes the doubted replicas whose time is over and returns their ids.
+func (t *Table) Expire(now structs.Instant) []string {
+	var gone []string
+	for id, until := range t.doubted {
+		if now >= until {
+			gone = append(gone, id)
+		}
+	}
+	sort.Strings(gone)
+	for _, id := range gone {
+		t.Remove(now, id, max(t.revision, t.byID[id].Revision))
+	}
+	return gone
+}
+
+// Missing returns the known replicas that a complete list as of the revision
+// does not hold.
+func (t *Table) Missing(list []Replica, revision int64) []string {
+	listed := make(map[string]bool, len(list))
+	for _, replica := range list {
+		listed[replica.ID] = true
+	}
+	var gone []string
+	for id, known := range t.byID {
+		if !listed[id] && known.Revision <= revision {
+			gone = append(gone, id)
+		}
+	}
+	sort.Strings(gone)
+	return gone
+}
+
+// Latest returns the revision of the latest change that was applied.
+func (t *Table) Latest() int64 { return t.latest }
+
+// Removed returns the remembered removals with their revisions.
+func (t *Table) Removed() map[string]int64 {
+	gone := make(map[string]int64, len(t.removed))
+	for id, mark := range t.removed {
+		gone[id] = mark.revision
+	}
+	return gone
+}
+
+// Forget drops removals that are too old to matter.
+func (t *Table) Forget(now structs.Instant) {
+	for id, gone := range t.removed {
+		if now-gone.at > forgetAfter {
+			delete(t.removed, id)
+		}
+	}
+}
+
+// Get returns the replica with the id.
+func (t *Table) Get(id string) (Replica, bool) {
+	replica, found := t.byID[id]
+	return replica, found
+}
+
+// All returns every known replica by id.
+func (t *Table) All() []Replica {
+	all := make([]Replica, 0, len(t.byID))
+	for _, replica := range t.byID {
+		all = append(all, replica)
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].ID < all[j].ID })
+	return all
+}
--- a/transport/network/network.go
+++ b/transport/network/network.go
@@ -6,6 +6,8 @@
 import (
 	"context"
 	"net"
+	"syscall"
+	"time"
 )
 
 // Network dials and listens. Addresses are IP and port, or names that the
@@ -18,13 +20,46 @@
 }
 
 // TCP is the operating system's network.
-type TCP struct{}
+type TCP struct {
+	// SilenceLimit is the time after which a connection that this side opened,
+	// and whose other side says nothing at all, not even that it received, is
+	// broken; zero means the system's default.
+	SilenceLimit time.Duration
+}
 
 // Dial implements Network.
-func (TCP) Dial(ctx context.Context, address string) (net.Conn, error) {
+func (t TCP) Dial(ctx context.Context, address string) (net.Conn, error) {
 	var dialer net.Dialer
+	if t.SilenceLimit > 0 {
+		dialer.KeepAliveConfig = t.keepAlive()
+		dialer.Control = t.control
+	}
 	return dialer.DialContext(ctx, "tcp", address)
 }
 
 // Listen implements Network.
-func (TCP) Listen(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+func (t TCP) Listen(address string) (net.Listener, error) {
+	var config net.ListenConfig
+	if t.SilenceLimit > 0 {
+		config.KeepAliveConfig = t.keepAlive()
+	}
+	return config.Listen(context.Background(), "tcp", address)
+}
+
+// probes is the number of unanswered keep-alive probes that break a connection.
+const probes = 3
+
+func (t TCP) keepAlive() net.KeepAliveConfig {
+	interval := max(t.SilenceLimit/probes, time.Second)
+	return net.KeepAliveConfig{Enable: true, Idle: interval, Interval: interval, Count: probes}
+}
+
+// tcpUserTimeout is the number of the socket option TCP_USER_TIMEOUT on Linux.
+const tcpUserTimeout = 18
+
+// control bounds how long written bytes may stay unacknowledged.
+func (t TCP) control(_, _ string, raw syscall.RawConn) error {
+	return raw.Control(func(descriptor uintptr) {
+		_ = syscall.SetsockoptInt(int(descriptor), syscall.IPPROTO_TCP, tcpUserTimeout, int(t.SilenceLimit.Milliseconds()))
+	})
+}
--- a/transport/peer/peer.go
+++ b/transport/peer/peer.go
@@ -27,7 +27,7 @@
 	// far more frequent for any connection in use.
 	idleTimeout = 5 * time.Minute
 	// handlersPerConnection bounds the calls of one peer that run at once.
-	handlersPerConnection = 64
+	handlersPerConnection = 4096
 )
 
 // Traffic counts bytes by kind of message. It is safe for concurrent use.
