--- a/entry/beats.go
+++ b/entry/beats.go
@@ -216,25 +216,34 @@
 }
 
 // pullPatience is how long this node's own watch may be behind a peer's.
-const pullPatience = 250 * time.Millisecond
+const pullPatience = 200 * time.Millisecond
+
+// lag is what peers are known to know more.
+type lag struct {
+	version, latest int64
+	// since is when the first of it was heard of, and pulled when a peer was asked.
+	since, pulled structs.Instant
+}
 
 // behind returns whether the peer knows more for so long that this node's own
 // watch will not tell it. The caller holds the mutex.
 func (n *Node) behind(beat liveness.Beat) bool {
-	current := n.catalog.Load()
-	older := current == nil || beat.Version > current.Version || beat.Latest > n.table.Latest()
-	if !older || beat.Version == 0 {
-		n.behindSince = 0
-		return false
-	}
 	now := n.now()
-	if n.behindSince == 0 {
-		n.behindSince = now
+	version := int64(0)
+	if current := n.catalog.Load(); current != nil {
+		version = current.Version
+	}
+	if version >= n.lag.version && n.table.Latest() >= n.lag.latest {
+		n.lag = lag{version: version, latest: n.table.Latest(), since: now, pulled: n.lag.pulled}
+	}
+	if beat.Version <= version && beat.Latest <= n.table.Latest() {
+		return false
 	}
-	if now-n.behindSince < pullPatience && current != nil || now-n.pulledAt < pullPatience {
+	n.lag.version, n.lag.latest = max(n.lag.version, beat.Version), max(n.lag.latest, beat.Latest)
+	if now-n.lag.since < pullPatience && version > 0 || now-n.lag.pulled < pullPatience {
 		return false
 	}
-	n.pulledAt = now
+	n.lag.pulled = now
 	return true
 }
 
--- a/entry/node.go
+++ b/entry/node.go
@@ -77,8 +77,7 @@
 	storeDown   bool
 	newsAt      structs.Instant
 	undelivered []undelivered
-	// behindSince is since when a peer knows more, and pulledAt when one was asked.
-	behindSince, pulledAt structs.Instant
+	lag         lag
 }
 
 // New returns a node that does not run yet.
