Order by the tenant's priority and then the route's; short answers first

Change: tenant priority ahead of, not instead of, the route's; within one priority those still in time by the caller's length hint.

--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -16,9 +16,14 @@
 	Node     string
 	Service  string
 	Priority int
-	// Prompt and Output count tokens; both are zero for plain services.
+	// Prompt counts tokens and Answer is a guess at those of the answer; both are
+	// zero for plain services.
 	Prompt int
-	Output int
+	Answer int
+	// Yields is true if the request leaves some places free for more urgent ones.
+	Yields bool
+	// Deadline is the time until nobody waits for the answer any more.
+	Deadline time.Duration
 	// Target is what is left of the time within which the first part of the
 	// answer earns its full credit.
 	Target time.Duration
@@ -97,8 +102,6 @@
 
 // Tuning constants, chosen by runs on the bench; see docs/decisions.
 const (
-	// reserveFromPriority is the first priority that leaves places free.
-	reserveFromPriority = 2
 	// reservedShare is the share of a service's places kept for the more urgent.
 	reservedShare = 0.06
 	// fixedTokens is the fixed cost of a request, in prompt tokens.
@@ -320,8 +323,8 @@
 	return decisions
 }
 
-// sortQueue orders by priority, then those that can still be in time by their
-// targets, then the late ones by arrival.
+// sortQueue orders by priority, then those that can still be in time, the
+// shortest answers first, then the late ones by arrival.
 func sortQueue(now structs.Instant, queue []*waiting) {
 	sort.SliceStable(queue, func(i, j int) bool {
 		a, b := queue[i], queue[j]
@@ -332,6 +335,9 @@
 		if aLate != bLate {
 			return bLate
 		}
+		if !aLate && a.Answer != b.Answer {
+			return a.Answer < b.Answer
+		}
 		return a.arrived+a.Target < b.arrived+b.Target
 	})
 }
@@ -438,7 +444,7 @@
 
 // choose returns the best replica with a free place, or nil.
 func (s *Scheduler) choose(held *waiting, room *room) *option {
-	if held.Priority >= reserveFromPriority && float64(room.free) <= reservedShare*float64(room.total) && held.Prompt > 0 {
+	if held.Yields && float64(room.free) <= reservedShare*float64(room.total) && held.Prompt > 0 {
 		return nil
 	}
 	var best *option
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -92,8 +92,9 @@
 		Request: admission.Request{
 			ID:   node.process() + "." + strconv.FormatUint(node.sequence.Add(1), 36),
 			Node: node.process(), Service: c.service, Priority: c.priority(),
-			Prompt: c.prompt, Output: c.output, Avoid: avoid,
-			Target: max(c.route.Target-time.Since(c.arrived), 0), Patience: c.patience(),
+			Prompt: c.prompt, Answer: c.expectedTokens(), Avoid: avoid, Yields: c.route.Priority >= yieldFrom,
+			Deadline: max(time.Until(c.deadline), 0),
+			Target:   max(c.route.Target-time.Since(c.arrived), 0), Patience: c.patience(),
 		},
 		Repeat: repeat,
 	}
@@ -104,13 +105,30 @@
 	return request
 }
 
+// routePriorities is more than any route's priority, so that the tenant's goes
+// ahead of it.
+const routePriorities = 64
+
+// priority orders requests by the tenant's priority and then the route's.
 func (c *call) priority() int {
 	if c.tenant != nil && c.tenant.HasPriority {
-		return c.tenant.Priority
+		return c.tenant.Priority*routePriorities + c.route.Priority
 	}
 	return c.route.Priority
 }
 
+// yieldFrom is the first priority of routes whose requests leave some places
+// free for more urgent ones.
+const yieldFrom = 2
+
+// expectedTokens is the likely length of the answer.
+func (c *call) expectedTokens() int {
+	if c.hint > 0 && c.output > 0 {
+		return min(c.hint, c.output)
+	}
+	return c.hint
+}
+
 // cost is what the request takes of its tenant's quota.
 func (c *call) cost() float64 {
 	switch {
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -28,7 +28,9 @@
 	// prompt and output are the tokens of the request; both are zero for
 	// requests without a token count.
 	prompt, output int
-	arrived        time.Time
+	// hint is the caller's guess at the tokens of the answer.
+	hint    int
+	arrived time.Time
 	// deadline is when the caller or the route gives up, whichever is first.
 	deadline time.Time
 	// headSent is true once the caller has the head of an answer.
@@ -107,6 +109,7 @@
 	prompt, output, _ := strings.Cut(c.request.Header.Get(names.TokenUsage), ",")
 	c.prompt = max(number(prompt), 0)
 	c.output = max(number(output), 0)
+	c.hint = max(number(c.request.Header.Get(names.LengthHint)), 0)
 	return true
 }
 
--- a/outside/directory.go
+++ b/outside/directory.go
@@ -48,6 +48,8 @@
 	Deadline string
 	// TokenUsage is the tokens of the prompt and the most of the answer.
 	TokenUsage string
+	// LengthHint is the caller's guess at the tokens of the answer.
+	LengthHint string
 	// ExpectReplica is set to the id of the replica that alone may run the request.
 	ExpectReplica string
 	// Tenant is set to the name of the key's tenant.
--- a/state/catalog/catalog.go
+++ b/state/catalog/catalog.go
@@ -64,7 +64,9 @@
 
 // Engine describes the model engines of a service.
 type Engine struct {
-	Slots         int  `msgpack:"s"`
+	Slots int `msgpack:"s"`
+	// Stride is the number of tokens in one event of a stream.
+	Stride        int  `msgpack:"d"`
 	TokenCapacity int  `msgpack:"k"`
 	Moves         bool `msgpack:"m"`
 	Backups       bool `msgpack:"b"`
