Read the store now and then, as watches fall silent without failing

Change: the first two nodes in rendezvous order read both prefixes every 0.8 s; the others hear of it by heartbeats and pull.

--- a/entry/beats.go
+++ b/entry/beats.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"slices"
 	"strconv"
 	"time"
 
@@ -267,8 +268,13 @@
 		}
 	}
 	chosen := settings.Name
-	if len(names) > 0 {
-		chosen = rendezvous.Choose(names, rendezvous.Key(schedulerKey), 1)[0]
+	order := rendezvous.Choose(names, rendezvous.Key(schedulerKey), readers)
+	if len(order) > 0 {
+		chosen = order[0]
+	}
+	n.rank = slices.Index(order, settings.Name)
+	if n.rank < 0 {
+		n.rank = len(names)
 	}
 	moved := chosen != n.scheduler
 	previous := n.scheduler
--- a/entry/news.go
+++ b/entry/news.go
@@ -47,6 +47,27 @@
 	}
 }
 
+// Watches may fall silent without failing. So the first nodes in rendezvous
+// order also read everything now and then; the others hear of it from them.
+const (
+	readers      = 2
+	readInterval = 800 * time.Millisecond
+)
+
+func (n *Node) readLoop() {
+	for n.pause(readInterval) {
+		n.mutex.Lock()
+		reads := n.rank < readers && !n.storeDown
+		n.mutex.Unlock()
+		if !reads {
+			continue
+		}
+		if _, err := n.readAll(); err != nil {
+			n.storeFailed(err)
+		}
+	}
+}
+
 func (n *Node) readAll() (int64, error) {
 	ctx, cancel := context.WithTimeout(n.ctx, readTimeout)
 	defer cancel()
--- a/entry/node.go
+++ b/entry/node.go
@@ -66,13 +66,15 @@
 	inFlight atomic.Int64
 
 	// mutex guards what follows.
-	mutex       sync.Mutex
-	table       *replicas.Table
-	members     *liveness.Table
-	health      *healthBook
-	held        map[string]heldPlace
-	term        uint64
-	scheduler   string
+	mutex     sync.Mutex
+	table     *replicas.Table
+	members   *liveness.Table
+	health    *healthBook
+	held      map[string]heldPlace
+	term      uint64
+	scheduler string
+	// rank is this node's place in the rendezvous order of live nodes.
+	rank        int
 	storeBadAt  structs.Instant
 	storeDown   bool
 	newsAt      structs.Instant
@@ -125,7 +127,7 @@
 			return err
 		}
 	}
-	for _, loop := range []func(){n.watchLoop, n.beatLoop, n.receiveBeats, n.housekeeping} {
+	for _, loop := range []func(){n.watchLoop, n.readLoop, n.beatLoop, n.receiveBeats, n.housekeeping} {
 		n.group.Go(loop)
 	}
 	n.log.Write(eventlog.Event{Kind: "process.start", Detail: peerAddress})
