Send long answers only to replicas fast enough for their deadline

Change: a replica is chosen only if the hinted tokens times its learned time a token fit into what is left; if none fits, the request is refused at once.

--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -44,6 +44,8 @@
 	ReasonNoReplica Reason = "no-replica"
 	// ReasonNoPlace means that no place became free in time.
 	ReasonNoPlace Reason = "no-place"
+	// ReasonDeadline means that no replica is fast enough for the answer.
+	ReasonDeadline Reason = "too-long-for-deadline"
 	// ReasonBacklog means that the work ahead takes longer than the request can wait.
 	ReasonBacklog Reason = "backlog"
 )
@@ -65,8 +67,9 @@
 	// Duration to its end; zero if there was none.
 	FirstEvent time.Duration
 	Duration   time.Duration
-	// Events counts the parts of a stream.
+	// Events counts the parts of a stream and Stride the tokens in one of them.
 	Events int
+	Stride int
 	// Failed is true if the replica broke off, failed or was silent.
 	Failed bool
 }
@@ -94,7 +97,7 @@
 
 // speed is what was learned of one replica.
 type speed struct {
-	// step is the mean time between two events of a stream, or the mean time of
+	// step is the mean time between two tokens of a stream, or the mean time of
 	// an answer of a plain service.
 	step    time.Duration
 	samples int
@@ -117,6 +120,8 @@
 	maximumRetry = 2 * time.Second
 	// smoothing is the weight of a new observation.
 	smoothing = 0.15
+	// fitShare is the part of the time left that an answer may be expected to take.
+	fitShare = 0.95
 	// maximumQueue bounds the waiting requests of a service.
 	maximumQueue = 4000
 	// placeLimit is the age at which a place is taken for lost.
@@ -240,7 +245,7 @@
 	pool.duration = smooth(pool.duration, seen.Duration)
 	step := seen.Duration
 	if seen.Events > 1 {
-		step = (seen.Duration - seen.FirstEvent) / time.Duration(seen.Events-1)
+		step = (seen.Duration - seen.FirstEvent) / time.Duration(seen.Events-1) / time.Duration(max(seen.Stride, 1))
 	} else if seen.Events == 1 {
 		return
 	}
@@ -356,6 +361,13 @@
 	used    int
 	unread  int
 	slow    float64
+	// step is the learned time between two tokens; zero if it is not known.
+	step time.Duration
+}
+
+// fits returns whether the answer is likely to be whole before its deadline.
+func (o *option) fits(answer int, left time.Duration) bool {
+	return time.Duration(answer)*o.step <= time.Duration(float64(left)*fitShare)
 }
 
 func (s *Scheduler) measure(now structs.Instant, name string) *room {
@@ -366,7 +378,7 @@
 		if replica.Draining {
 			continue
 		}
-		choice := &option{replica: replica, used: s.usage(replica.ID), slow: s.slowness(replica.ID, fastest)}
+		choice := &option{replica: replica, used: s.usage(replica.ID), slow: s.slowness(replica.ID, fastest), step: s.step(replica.ID)}
 		byID[replica.ID] = choice
 		measured.options = append(measured.options, choice)
 		measured.total += replica.Slots
@@ -400,6 +412,13 @@
 	return fastest
 }
 
+func (s *Scheduler) step(id string) time.Duration {
+	if learned, known := s.speeds[id]; known {
+		return learned.step
+	}
+	return 0
+}
+
 // slowness is how much longer a replica takes than the fastest of its service.
 func (s *Scheduler) slowness(id string, fastest time.Duration) float64 {
 	learned, known := s.speeds[id]
@@ -415,7 +434,12 @@
 		decision.Reason, decision.RetryAfter = ReasonNoReplica, minimumRetry
 		return decision, decision.Waited >= held.Patience
 	}
-	if chosen := s.choose(held, room); chosen != nil {
+	left := held.Deadline - decision.Waited
+	if held.Answer > 0 && !room.canServe(held.Answer, left) {
+		decision.Reason, decision.RetryAfter = ReasonDeadline, maximumRetry
+		return decision, true
+	}
+	if chosen := s.choose(held, room, left); chosen != nil {
 		chosen.used++
 		chosen.unread += held.Prompt
 		room.free--
@@ -442,15 +466,25 @@
 	return time.Duration(float64(r.duration) * float64(ahead+1) / float64(max(r.total, 1)))
 }
 
+// canServe returns whether any replica, even an idle one, is fast enough.
+func (r *room) canServe(answer int, left time.Duration) bool {
+	for _, choice := range r.options {
+		if choice.fits(answer, left) {
+			return true
+		}
+	}
+	return false
+}
+
 // choose returns the best replica with a free place, or nil.
-func (s *Scheduler) choose(held *waiting, room *room) *option {
+func (s *Scheduler) choose(held *waiting, room *room, left time.Duration) *option {
 	if held.Yields && float64(room.free) <= reservedShare*float64(room.total) && held.Prompt > 0 {
 		return nil
 	}
 	var best *option
 	var bestCost float64
 	for _, choice := range room.options {
-		if choice.used >= choice.replica.Slots || s.avoided[choice.replica.ID] || contains(held.Avoid, choice.replica.ID) {
+		if choice.used >= choice.replica.Slots || s.avoided[choice.replica.ID] || contains(held.Avoid, choice.replica.ID) || !choice.fits(held.Answer, left) {
 			continue
 		}
 		cost := choice.cost(held.Prompt)
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -235,11 +235,20 @@
 	} else {
 		answer.Abandon()
 	}
-	seen.Duration = time.Since(sent)
+	seen.Duration, seen.Stride = time.Since(sent), c.stride()
 	seen.Failed = outcome != resultAnswered
 	return outcome, seen
 }
 
+// stride returns the tokens in one event of the service's streams.
+func (c *call) stride() int {
+	current := c.node.catalog.Load()
+	if service := current.Service(c.service); service != nil && service.Engine != nil {
+		return service.Engine.Stride
+	}
+	return 1
+}
+
 // firstTryShare is the part of the time left that the first try of a
 // repeatable plain request may take.
 const firstTryShare = 0.45
