Refuse at once what would be late, and hold what came back

Cause: in a burst, requests that could no longer be in time waited, were answered late for a third of their worth, or were refused after long waits.

--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -29,6 +29,8 @@
 	Target time.Duration
 	// Patience is the longest time to wait for a place.
 	Patience time.Duration
+	// Returned is true if the request was refused before and came back.
+	Returned bool
 	// Avoid names replicas that must not be chosen.
 	Avoid []string
 }
@@ -118,6 +120,12 @@
 	// minimumRetry and maximumRetry bound what a refused caller is told.
 	minimumRetry = 300 * time.Millisecond
 	maximumRetry = 2 * time.Second
+	// retryShare is the part of the time left after which a caller may come back.
+	retryShare = 0.32
+	// refuseShare is the part of the target within which a request that would be
+	// late is refused, and startShare that by which it must have started.
+	refuseShare = 0.18
+	startShare  = 0.75
 	// smoothing is the weight of a new observation.
 	smoothing = 0.15
 	// fitShare is the part of the time left that an answer may be expected to take.
@@ -449,18 +457,26 @@
 		return decision, true
 	}
 	expected := room.wait(ahead)
-	decision.RetryAfter = min(max(expected, minimumRetry), maximumRetry)
+	decision.RetryAfter = retryAfter(expected, left)
 	if decision.Waited >= held.Patience {
 		decision.Reason = ReasonNoPlace
 		return decision, true
 	}
-	if held.arrived == now && expected > held.Patience || ahead > maximumQueue {
+	late := decision.Waited+expected > time.Duration(float64(held.Target)*startShare)
+	if !held.Returned && late && decision.Waited >= time.Duration(float64(held.Target)*refuseShare) || ahead > maximumQueue {
 		decision.Reason = ReasonBacklog
 		return decision, true
 	}
 	return Decision{}, false
 }
 
+// retryAfter tells a refused caller to come back when the work ahead is done,
+// as late as it can be without taking the caller's time for the answer.
+func retryAfter(expected, left time.Duration) time.Duration {
+	longest := time.Duration(float64(left) * retryShare)
+	return min(max(expected, minimumRetry, longest/2), max(longest, minimumRetry))
+}
+
 // wait estimates the time until a place for a request with so many ahead.
 func (r *room) wait(ahead int) time.Duration {
 	return time.Duration(float64(r.duration) * float64(ahead+1) / float64(max(r.total, 1)))
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/thornwalk/thornwalk/coordination/admission"
 	"github.com/thornwalk/thornwalk/state/replicas"
 	"github.com/thornwalk/thornwalk/transport/replicahttp"
@@ -96,7 +98,7 @@
 			Deadline: max(time.Until(c.deadline), 0),
 			Target:   max(c.route.Target-time.Since(c.arrived), 0), Patience: c.patience(),
 		},
-		Repeat: repeat,
+		Fingerprint: c.fingerprint(), Repeat: repeat,
 	}
 	if c.tenant != nil {
 		request.Tenant, request.Rate, request.Burst = c.tenant.Name, c.tenant.Rate, c.tenant.Burst
@@ -105,6 +107,14 @@
 	return request
 }
 
+// fingerprint is equal for a request that the caller sends once more.
+func (c *call) fingerprint() uint64 {
+	digest := xxhash.New()
+	_, _ = digest.WriteString(c.request.Method + c.request.Host + c.request.RequestURI)
+	_, _ = digest.Write(c.body)
+	return digest.Sum64()
+}
+
 // routePriorities is more than any route's priority, so that the tenant's goes
 // ahead of it.
 const routePriorities = 64
--- a/entry/desk.go
+++ b/entry/desk.go
@@ -17,8 +17,9 @@
 
 // placed is what the desk must remember of a request to settle its quota.
 type placed struct {
-	tenant string
-	cost   float64
+	tenant      string
+	cost        float64
+	fingerprint uint64
 }
 
 // desk is the scheduling side of a node: it decides for every node that takes
@@ -34,6 +35,7 @@
 	share   float64
 	waiters map[string]chan admission.Decision
 	placed  map[string]placed
+	refused *refusals
 	timer   *time.Timer
 }
 
@@ -49,6 +51,7 @@
 	d.quotas = quota.NewLedger(takeoverBurst)
 	d.waiters = map[string]chan admission.Decision{}
 	d.placed = map[string]placed{}
+	d.refused = newRefusals()
 }
 
 // reset forgets everything, as a process must that stood still for so long that
@@ -127,7 +130,8 @@
 	id := request.Request.ID
 	waiter := make(chan admission.Decision, 1)
 	d.waiters[id] = waiter
-	d.placed[id] = placed{tenant: request.Tenant, cost: request.Cost}
+	d.placed[id] = placed{tenant: request.Tenant, cost: request.Cost, fingerprint: request.Fingerprint}
+	request.Request.Returned = d.refused.has(now, request.Fingerprint)
 	d.scheduler.Submit(now, request.Request)
 	d.decide()
 	return waiter, nil
@@ -183,6 +187,7 @@
 			if held, charged := d.placed[decision.ID]; charged {
 				delete(d.placed, decision.ID)
 				d.quotas.Return(held.tenant, held.cost)
+				d.refused.add(d.clock(), held.fingerprint)
 			}
 		}
 		waiter <- decision
@@ -198,3 +203,35 @@
 	defer d.mutex.Unlock()
 	return d.scheduler.Counts()
 }
+
+// Bounds of what is remembered of refused requests.
+const (
+	refusalMemory   = 12 * time.Second
+	maximumRefusals = 20000
+)
+
+// refusals remembers which requests were refused lately, in two generations.
+type refusals struct {
+	young, old map[uint64]bool
+	turned     structs.Instant
+}
+
+func newRefusals() *refusals {
+	return &refusals{young: map[uint64]bool{}, old: map[uint64]bool{}}
+}
+
+func (r *refusals) turn(now structs.Instant) {
+	if now-r.turned > refusalMemory/2 || len(r.young) > maximumRefusals {
+		r.old, r.young, r.turned = r.young, map[uint64]bool{}, now
+	}
+}
+
+func (r *refusals) add(now structs.Instant, fingerprint uint64) {
+	r.turn(now)
+	r.young[fingerprint] = true
+}
+
+func (r *refusals) has(now structs.Instant, fingerprint uint64) bool {
+	r.turn(now)
+	return r.young[fingerprint] || r.old[fingerprint]
+}
--- a/entry/messages.go
+++ b/entry/messages.go
@@ -16,6 +16,8 @@
 	Rate   float64
 	Burst  float64
 	Cost   float64
+	// Fingerprint is equal for a request that comes back after a refusal.
+	Fingerprint uint64
 	// Repeat is true if the request was sent to a replica before.
 	Repeat bool
 }
