--- a/entry/handler.go
+++ b/entry/handler.go
@@ -75,13 +75,34 @@
 	if !c.readBody(current) {
 		return
 	}
-	if n.stopped() > refuseAfter {
+	if !c.fitsBeforeStop() {
 		c.refuse(http.StatusServiceUnavailable, reasonStopping, retryStopping)
 		return
 	}
 	c.serve()
 }
 
+// Assumed times of an answer during a planned stop.
+const (
+	stopPlainTime  = time.Second
+	stopTokenTime  = 15 * time.Millisecond
+	stopStreamTime = 1500 * time.Millisecond
+)
+
+// fitsBeforeStop returns whether the answer can be expected before this process
+// ends. Early in a stop every request is taken, as the balancer still sends them.
+func (c *call) fitsBeforeStop() bool {
+	stopped := c.node.stopped()
+	if stopped < refuseAfter {
+		return true
+	}
+	expected := stopPlainTime
+	if c.route.Kind == catalogStreaming {
+		expected = stopStreamTime + time.Duration(c.expectedTokens())*stopTokenTime
+	}
+	return stopped+expected < c.node.settings.Load().stopGrace()-stopMargin
+}
+
 // admit finds route, tenant and deadline, or answers the request.
 func (c *call) admit(current *catalog.Catalog) bool {
 	names := &c.node.depend.Headers
