Reckon with load that no node reports, by the header of answers

Change: a node tells when an answer began and the load in its header; what exceeds the known requests counts as used for 0.8 s; the end of the reading of a prompt is known exactly.

--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -89,6 +89,8 @@
 	replica string
 	prompt  int
 	since   structs.Instant
+	// begun is true once the prompt was read.
+	begun bool
 }
 
 // service is the state of one pool.
@@ -114,7 +116,9 @@
 	// runningTokens is the cost that each running request adds.
 	runningTokens = 300
 	// prefillTime is how long a prompt of a newly placed request counts as unread.
-	prefillTime = 250 * time.Millisecond
+	prefillTime = time.Second
+	// hiddenMemory is how long work that no node reports is reckoned with.
+	hiddenMemory = 800 * time.Millisecond
 	// initialDuration is the assumed time of a request until one was observed.
 	initialDuration = 500 * time.Millisecond
 	// minimumRetry and maximumRetry bound what a refused caller is told.
@@ -146,6 +150,14 @@
 	foreign  map[string]map[string]int
 	speeds   map[string]*speed
 	avoided  map[string]bool
+	hidden   map[string]hiddenLoad
+}
+
+// hiddenLoad is work at a replica that no node reports: it was sent by a process
+// that ended, or by nodes that are cut off.
+type hiddenLoad struct {
+	count int
+	at    structs.Instant
 }
 
 // New returns an empty scheduler.
@@ -153,7 +165,7 @@
 	return &Scheduler{
 		services: map[string]*service{}, places: map[string]*place{}, waits: map[string]*waiting{},
 		replicas: map[string][]replicas.Replica{}, used: map[string]int{}, foreign: map[string]map[string]int{},
-		speeds: map[string]*speed{}, avoided: map[string]bool{},
+		speeds: map[string]*speed{}, avoided: map[string]bool{}, hidden: map[string]hiddenLoad{},
 	}
 }
 
@@ -168,6 +180,7 @@
 	for id := range s.speeds {
 		if !known[id] {
 			delete(s.speeds, id)
+			delete(s.hidden, id)
 		}
 	}
 }
@@ -239,6 +252,21 @@
 	}
 }
 
+// Begun records that the answer to a request began. Load is the number of
+// requests that the replica then said to have, or negative; what exceeds the
+// known ones is work that no node reports.
+func (s *Scheduler) Begun(now structs.Instant, id string, load int) {
+	held, found := s.places[id]
+	if !found {
+		return
+	}
+	held.begun = true
+	if load < 0 {
+		return
+	}
+	s.hidden[held.replica] = hiddenLoad{count: max(0, load-s.reported(held.replica)), at: now}
+}
+
 // Finish frees the place of a request and learns from how it ended.
 func (s *Scheduler) Finish(id string, seen Observation) {
 	held, found := s.places[id]
@@ -386,7 +414,7 @@
 		if replica.Draining {
 			continue
 		}
-		choice := &option{replica: replica, used: s.usage(replica.ID), slow: s.slowness(replica.ID, fastest), step: s.step(replica.ID)}
+		choice := &option{replica: replica, used: s.usage(now, replica.ID), slow: s.slowness(replica.ID, fastest), step: s.step(replica.ID)}
 		byID[replica.ID] = choice
 		measured.options = append(measured.options, choice)
 		measured.total += replica.Slots
@@ -395,14 +423,24 @@
 		}
 	}
 	for _, held := range s.places {
-		if choice, found := byID[held.replica]; found && now-held.since < prefillTime {
+		if choice, found := byID[held.replica]; found && !held.begun && now-held.since < prefillTime {
 			choice.unread += held.prompt
 		}
 	}
 	return measured
 }
 
-func (s *Scheduler) usage(id string) int {
+// usage is the work at the replica, with what no node reports.
+func (s *Scheduler) usage(now structs.Instant, id string) int {
+	used := s.reported(id)
+	if hidden, found := s.hidden[id]; found && now-hidden.at < hiddenMemory {
+		used += hidden.count
+	}
+	return used
+}
+
+// reported is the work at the replica that nodes report.
+func (s *Scheduler) reported(id string) int {
 	used := s.used[id]
 	for _, counts := range s.foreign {
 		used += counts[id]
@@ -538,7 +576,7 @@
 	for name, pool := range s.services {
 		used := map[string]int{}
 		for _, replica := range s.replicas[name] {
-			used[replica.ID] = s.usage(replica.ID)
+			used[replica.ID] = s.reported(replica.ID)
 		}
 		counts[name] = Count{Waiting: len(pool.queue), Used: used}
 	}
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -237,6 +237,7 @@
 	if err != nil {
 		return c.broken(given.Replica.ID, err), admission.Observation{Failed: true}
 	}
+	node.begun(given, c.reportedLoad(answer))
 	outcome, seen := c.relay(answer, given.Replica, sent)
 	if outcome == resultAnswered {
 		answer.Done()
@@ -250,6 +251,15 @@
 	return outcome, seen
 }
 
+// reportedLoad returns the number of requests that the replica said to have, or -1.
+func (c *call) reportedLoad(answer *replicahttp.Answer) int {
+	parts := splitList(answer.Header.Get(c.node.depend.Headers.Load))
+	if len(parts) < 2 {
+		return -1
+	}
+	return number(parts[0]) + number(parts[1])
+}
+
 // stride returns the tokens in one event of the service's streams.
 func (c *call) stride() int {
 	current := c.node.catalog.Load()
--- a/entry/desk.go
+++ b/entry/desk.go
@@ -137,6 +137,13 @@
 	return waiter, nil
 }
 
+// begun notes that an answer began, and the load that came with it.
+func (d *desk) begun(request *begunRequest) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.scheduler.Begun(d.clock(), request.ID, request.Load)
+}
+
 // finish frees the place or ends the wait of a request.
 func (d *desk) finish(request *finishRequest) {
 	d.mutex.Lock()
--- a/entry/messages.go
+++ b/entry/messages.go
@@ -53,6 +53,15 @@
 
 type finishReply struct{}
 
+// begunRequest tells that the answer to a request with a place began.
+type begunRequest struct {
+	ID string
+	// Load is the number of requests that the replica said to have, or -1.
+	Load int
+}
+
+type begunReply struct{}
+
 // newsRequest asks a peer for what it knows beyond the versions given.
 type newsRequest struct {
 	Version int64
--- a/entry/node.go
+++ b/entry/node.go
@@ -150,6 +150,10 @@
 		n.desk.finish(request)
 		return &finishReply{}, nil
 	})
+	peer.Handle(server, peerwire.KindBegun, func(_ context.Context, request *begunRequest) (*begunReply, error) {
+		n.desk.begun(request)
+		return &begunReply{}, nil
+	})
 	peer.Handle(server, peerwire.KindNews, n.serveNews)
 	go server.Serve(n.ctx, listener)
 	return nil
--- a/entry/place.go
+++ b/entry/place.go
@@ -163,3 +163,18 @@
 		n.deliver(item)
 	}
 }
+
+// begun tells the scheduling node that the answer began. It is not sent again
+// if it gets lost.
+func (n *Node) begun(given *grant, load int) {
+	message := &begunRequest{ID: given.id, Load: load}
+	if given.address == "" {
+		n.desk.begun(message)
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(n.ctx, deliverTimeout)
+		defer cancel()
+		_ = n.peers.Call(ctx, given.address, peerwire.KindBegun, message, &begunReply{})
+	}()
+}
--- a/outside/directory.go
+++ b/outside/directory.go
@@ -58,6 +58,8 @@
 	NotRun string
 	// Signature is on every answer that a replica itself made.
 	Signature string
+	// Load is on some answers: requests running, requests waiting and slots.
+	Load string
 	// LastEvent is the number of the last event of a stream that the caller has.
 	LastEvent string
 }
--- a/protocol/peerwire/peerwire.go
+++ b/protocol/peerwire/peerwire.go
@@ -35,6 +35,7 @@
 	KindPlace
 	KindFinish
 	KindNews
+	KindBegun
 	kindEnd
 )
 
@@ -42,7 +43,7 @@
 	KindHeartbeat: "heartbeat", KindProbe: "probe", KindSettingsPull: "settings-pull",
 	KindFloorDemand: "floor-demand", KindFloorSet: "floor-set", KindLimitDemand: "limit-demand",
 	KindRegister: "register", KindRegistryUpdate: "registry-update", KindRegistryLookup: "registry-lookup",
-	KindJoin: "join", KindClaim: "claim", KindPlace: "place", KindFinish: "finish", KindNews: "news",
+	KindJoin: "join", KindClaim: "claim", KindPlace: "place", KindFinish: "finish", KindNews: "news", KindBegun: "begun",
 }
 
 // String returns the name of the kind in metrics and logs.
