Set replicas aside whose requests fail, at the scheduling node

Change: the scheduling node sees how every request ended; a replica whose share of failures is 0.45 and 2.5 times that of the others gets none for 2 to 8 s, then one at a time.

--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -72,6 +72,8 @@
 	// Events counts the parts of a stream and Stride the tokens in one of them.
 	Events int
 	Stride int
+	// Left is true if the caller gave up, which says nothing of the replica.
+	Left bool
 	// Failed is true if the replica broke off, failed or was silent.
 	Failed bool
 }
@@ -151,6 +153,7 @@
 	speeds   map[string]*speed
 	avoided  map[string]bool
 	hidden   map[string]hiddenLoad
+	conducts map[string]*conduct
 }
 
 // hiddenLoad is work at a replica that no node reports: it was sent by a process
@@ -165,7 +168,7 @@
 	return &Scheduler{
 		services: map[string]*service{}, places: map[string]*place{}, waits: map[string]*waiting{},
 		replicas: map[string][]replicas.Replica{}, used: map[string]int{}, foreign: map[string]map[string]int{},
-		speeds: map[string]*speed{}, avoided: map[string]bool{}, hidden: map[string]hiddenLoad{},
+		speeds: map[string]*speed{}, avoided: map[string]bool{}, hidden: map[string]hiddenLoad{}, conducts: map[string]*conduct{},
 	}
 }
 
@@ -180,9 +183,18 @@
 	for id := range s.speeds {
 		if !known[id] {
 			delete(s.speeds, id)
+		}
+	}
+	for id := range s.hidden {
+		if !known[id] {
 			delete(s.hidden, id)
 		}
 	}
+	for id := range s.conducts {
+		if !known[id] {
+			delete(s.conducts, id)
+		}
+	}
 }
 
 // SetAvoided replaces the replicas that no request is sent to.
@@ -268,13 +280,16 @@
 }
 
 // Finish frees the place of a request and learns from how it ended.
-func (s *Scheduler) Finish(id string, seen Observation) {
+func (s *Scheduler) Finish(now structs.Instant, id string, seen Observation) {
 	held, found := s.places[id]
 	if !found {
 		return
 	}
 	s.release(id)
-	if seen.Failed || seen.Duration <= 0 {
+	if !seen.Left {
+		s.judge(now, held.service, held.replica, seen.Failed)
+	}
+	if seen.Failed || seen.Left || seen.Duration <= 0 {
 		return
 	}
 	pool := s.service(held.service)
@@ -411,10 +426,13 @@
 	fastest := s.fastest(name)
 	byID := map[string]*option{}
 	for _, replica := range s.replicas[name] {
-		if replica.Draining {
+		if replica.Draining || s.isAside(now, replica.ID) {
 			continue
 		}
 		choice := &option{replica: replica, used: s.usage(now, replica.ID), slow: s.slowness(replica.ID, fastest), step: s.step(replica.ID)}
+		if s.onTrial(replica.ID) {
+			choice.replica.Slots = 1
+		}
 		byID[replica.ID] = choice
 		measured.options = append(measured.options, choice)
 		measured.total += replica.Slots
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -228,14 +228,14 @@
 		if c.ctx.Err() == nil {
 			node.noteUnreachable(given.Replica.ID)
 		}
-		return resultNotSent, admission.Observation{Failed: true}
+		return resultNotSent, admission.Observation{Left: true}
 	}
 	sent := time.Now()
 	sendContext, cancelSend := c.sendContext()
 	defer cancelSend()
 	answer, err := node.pool.Exchange(sendContext, conn, c.replicaRequest(given.Replica))
 	if err != nil {
-		return c.broken(given.Replica.ID, err), admission.Observation{Failed: true}
+		return c.broken(given.Replica.ID, err), admission.Observation{Failed: true, Left: c.ctx.Err() != nil}
 	}
 	node.begun(given, c.reportedLoad(answer))
 	outcome, seen := c.relay(answer, given.Replica, sent)
@@ -247,6 +247,7 @@
 		answer.Abandon()
 	}
 	seen.Duration, seen.Stride = time.Since(sent), c.stride()
+	seen.Left = outcome == resultLeft || c.ctx.Err() != nil
 	seen.Failed = outcome != resultAnswered
 	return outcome, seen
 }
--- a/entry/desk.go
+++ b/entry/desk.go
@@ -148,7 +148,7 @@
 func (d *desk) finish(request *finishRequest) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	d.scheduler.Finish(request.ID, request.Seen)
+	d.scheduler.Finish(d.clock(), request.ID, request.Seen)
 	d.scheduler.Cancel(request.ID)
 	delete(d.waiters, request.ID)
 	if held, found := d.placed[request.ID]; found {
