Hand out a part of the quotas' tolerance, so that nothing below a quota is refused

Change: half of the overage and 0.45 of the slack of the settings are handed out; a first start begins with full buckets.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -101,7 +101,10 @@
 		Fingerprint: c.fingerprint(), Repeat: repeat,
 	}
 	if c.tenant != nil {
-		request.Tenant, request.Rate, request.Burst = c.tenant.Name, c.tenant.Rate, c.tenant.Burst
+		request.Tenant = c.tenant.Name
+		if c.tenant.Rate > 0 {
+			request.Limit = node.settings.Load().quotaLimit(c.tenant.Rate, c.tenant.Burst)
+		}
 		request.Cost = c.cost()
 	}
 	return request
--- a/entry/desk.go
+++ b/entry/desk.go
@@ -32,15 +32,17 @@
 	budget    *retrybudget.Budget
 	term      uint64
 	// share is the part of the quotas that this side of a partition hands out.
-	share   float64
+	share float64
+	// first is true if no other process can have handed out anything before.
+	first   bool
 	waiters map[string]chan admission.Decision
 	placed  map[string]placed
 	refused *refusals
 	timer   *time.Timer
 }
 
-func newDesk(clock func() structs.Instant, policy retrybudget.Policy) *desk {
-	d := &desk{clock: clock, share: 1, term: 1, budget: retrybudget.New(policy)}
+func newDesk(clock func() structs.Instant, policy retrybudget.Policy, first bool) *desk {
+	d := &desk{clock: clock, share: 1, first: first, term: 1, budget: retrybudget.New(policy)}
 	d.clear()
 	d.timer = time.AfterFunc(time.Hour, d.wake)
 	return d
@@ -48,7 +50,12 @@
 
 func (d *desk) clear() {
 	d.scheduler = admission.New()
-	d.quotas = quota.NewLedger(takeoverBurst)
+	start := takeoverBurst
+	if d.first {
+		start = 1
+		d.first = false
+	}
+	d.quotas = quota.NewLedger(start)
 	d.waiters = map[string]chan admission.Decision{}
 	d.placed = map[string]placed{}
 	d.refused = newRefusals()
@@ -123,7 +130,7 @@
 	} else {
 		d.budget.First(now, request.Request.Service)
 	}
-	limit := quota.Limit{Rate: request.Rate, Burst: request.Burst}.Scaled(d.share)
+	limit := request.Limit.Scaled(d.share)
 	if wait, ok := d.quotas.Take(now, request.Tenant, limit, request.Cost); !ok {
 		return nil, &placeReply{Reason: reasonQuota, RetryAfter: wait}
 	}
--- a/entry/messages.go
+++ b/entry/messages.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/thornwalk/thornwalk/coordination/admission"
+	"github.com/thornwalk/thornwalk/coordination/quota"
 	"github.com/thornwalk/thornwalk/state/catalog"
 	"github.com/thornwalk/thornwalk/state/replicas"
 )
@@ -11,10 +12,9 @@
 // placeRequest asks the scheduling node for a place at a replica.
 type placeRequest struct {
 	Request admission.Request
-	// Tenant, Rate, Burst and Cost are for the quota; Rate zero means none.
+	// Tenant, Limit and Cost are for the quota; a rate of zero means none.
 	Tenant string
-	Rate   float64
-	Burst  float64
+	Limit  quota.Limit
 	Cost   float64
 	// Fingerprint is equal for a request that comes back after a refusal.
 	Fingerprint uint64
--- a/entry/node.go
+++ b/entry/node.go
@@ -91,7 +91,7 @@
 		held: map[string]heldPlace{}, term: 1, storeBadAt: -time.Hour,
 	}
 	n.settings.Store(settings)
-	n.desk = newDesk(n.now, settings.retryPolicy(1))
+	n.desk = newDesk(n.now, settings.retryPolicy(1), settings.FirstStart)
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	return n
 }
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -6,6 +6,7 @@
 
 	"github.com/goccy/go-yaml"
 
+	"github.com/thornwalk/thornwalk/coordination/quota"
 	"github.com/thornwalk/thornwalk/coordination/retrybudget"
 	"github.com/thornwalk/thornwalk/protocol/errkind"
 )
@@ -38,6 +39,13 @@
 	RetryRatio  float64 `yaml:"retry_ratio"`
 	RetryWindow float64 `yaml:"retry_window_s"`
 	RetrySlack  float64 `yaml:"retry_slack"`
+	// QuotaOverage (a share) and QuotaSlack (units) are how much more than a
+	// tenant's quota may be handed out; a part of them is used, so that nothing
+	// below the quota is refused.
+	QuotaOverage float64 `yaml:"quota_overage"`
+	QuotaSlack   float64 `yaml:"quota_slack"`
+	// FirstStart is true on the very first start of the whole system.
+	FirstStart bool `yaml:"first_start"`
 }
 
 // LoadSettings reads and checks the file. The error is of kind InvalidSettings
@@ -90,6 +98,8 @@
 		{"retry_ratio", s.RetryRatio, 0, 10},
 		{"retry_window_s", s.RetryWindow, 0.1, 3600},
 		{"retry_slack", s.RetrySlack, 0, 1_000_000},
+		{"quota_overage", s.QuotaOverage, 0, 10},
+		{"quota_slack", s.QuotaSlack, 0, 1e12},
 	}
 	for _, field := range bounds {
 		if field.value < field.low || field.value > field.high {
@@ -113,6 +123,18 @@
 	}
 }
 
+// Parts of the tolerance of quotas that are used in steady state; the rest is
+// for scheduling nodes that take over from each other.
+const (
+	usedOverage = 0.5
+	usedSlack   = 0.45
+)
+
+// quotaLimit returns what is handed out for a quota.
+func (s *Settings) quotaLimit(rate, burst float64) quota.Limit {
+	return quota.Limit{Rate: rate * (1 + s.QuotaOverage*usedOverage), Burst: burst + s.QuotaSlack*usedSlack}
+}
+
 func (s *Settings) stopGrace() time.Duration { return time.Duration(s.StopGrace) * time.Millisecond }
 func (s *Settings) drain() time.Duration     { return time.Duration(s.Drain) * time.Millisecond }
 func (s *Settings) contact() time.Duration   { return time.Duration(s.Contact) * time.Millisecond }
