--- a/entry/settings.go
+++ b/entry/settings.go
@@ -126,8 +126,8 @@
 // Parts of the tolerance of quotas that are used in steady state; the rest is
 // for scheduling nodes that take over from each other.
 const (
-	usedOverage = 0.5
-	usedSlack   = 0.45
+	usedOverage = 0.8
+	usedSlack   = 0.7
 )
 
 // quotaLimit returns what is handed out for a quota.
