Add stand-ins of the platform and whole-node tests under virtual time

Change: lab/platformsim (store with outage, slowness, silent watches, compaction, refusal, lost answers; replicas that shed, fail, reset, cut, stray, fall silent), lab/entrylab (nodes over them), test/entry. One fault found by them: a resumable stream waited for ever for the head of a silent replica's answer; the wait is now bounded.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -347,9 +347,18 @@
 		Method: c.request.Method, Target: c.request.RequestURI, Host: c.request.Host, Header: header, Body: c.body,
 		HasBody:  c.request.ContentLength >= 0 && c.request.Method != http.MethodGet && c.request.Method != http.MethodHead,
 		IDHeader: textproto.CanonicalMIMEHeaderKey(names.RequestID), ID: c.id,
+		HeadTimeout: c.headTimeout(),
 	}
 }
 
+// headTimeout bounds the wait for an answer that can be had from another replica.
+func (c *call) headTimeout() time.Duration {
+	if c.route.Resumable && c.sends+1 < c.route.Attempts {
+		return stallFirst
+	}
+	return 0
+}
+
 // logSend writes the line of one send.
 func (c *call) logSend(given *grant, outcome result) {
 	event := c.event("request.sent")
--- a/entry/beats.go
+++ b/entry/beats.go
@@ -98,9 +98,7 @@
 		return
 	}
 	for address := range addresses {
-		if target, err := net.ResolveUDPAddr("udp4", address); err == nil {
-			_, _ = n.beats.WriteTo(content, target)
-		}
+		_ = n.beats.Send(address, content)
 	}
 }
 
@@ -167,7 +165,7 @@
 func (n *Node) receiveBeats() {
 	buffer := make([]byte, maximumDatagram)
 	for {
-		size, _, err := n.beats.ReadFrom(buffer)
+		size, err := n.beats.Receive(buffer)
 		if err != nil {
 			if n.ctx.Err() != nil {
 				return
--- a/entry/node.go
+++ b/entry/node.go
@@ -28,6 +28,7 @@
 // Dependencies are the outside of a node.
 type Dependencies struct {
 	Network   network.Network
+	Datagrams network.Datagrams
 	Directory outside.Directory
 	Headers   outside.HeaderNames
 	// ReadyPath is what the balancer asks.
@@ -54,7 +55,7 @@
 	pool     *replicahttp.Pool
 	peers    *peer.Client
 	desk     *desk
-	beats    net.PacketConn
+	beats    network.DatagramSocket
 	ctx      context.Context
 	cancel   context.CancelFunc
 	group    sync.WaitGroup
@@ -139,7 +140,7 @@
 	if err != nil {
 		return fmt.Errorf("listen for peers at %s: %w", address, err)
 	}
-	if n.beats, err = net.ListenPacket("udp4", address); err != nil {
+	if n.beats, err = n.depend.Datagrams.ListenDatagrams(address); err != nil {
 		return fmt.Errorf("listen for heartbeats at %s: %w", address, err)
 	}
 	server := peer.NewServer(nil)
--- a/lab/memnet/memnet.go
+++ b/lab/memnet/memnet.go
@@ -23,6 +23,7 @@
 	paused    map[string]chan struct{}
 	links     map[*link]bool
 	nextPort  int
+	sockets   map[string]*socket
 }
 
 // direction is one way between two hosts.
@@ -39,7 +40,7 @@
 func New() *Fabric {
 	return &Fabric{
 		listeners: map[string]*listener{}, cuts: map[direction]bool{}, paused: map[string]chan struct{}{},
-		links: map[*link]bool{}, nextPort: 1000,
+		links: map[*link]bool{}, nextPort: 1000, sockets: map[string]*socket{},
 	}
 }
 
--- /dev/null
+++ b/lab/platformsim/replica.go
@@ -0,0 +1,326 @@
+package platformsim
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Behavior is how a replica treats one request.
+type Behavior int
+
+// The behaviors.
+const (
+	// Answer runs the request and answers it.
+	Answer Behavior = iota
+	// Shed proves that the request was not run.
+	Shed
+	// Fail runs the request and answers 500.
+	Fail
+	// Reset runs the request and closes the connection without an answer.
+	Reset
+	// Cut runs the request and closes the connection in the middle of the answer.
+	Cut
+	// Surplus answers, and then answers again under another request's id.
+	Surplus
+	// Stray first sends the answer to another request.
+	Stray
+	// Silent runs the request and says nothing.
+	Silent
+	// Unframed answers without a length and ends with the connection.
+	Unframed
+	// Unsigned answers without the replica's signature.
+	Unsigned
+)
+
+// Run is a request that a replica ran.
+type Run struct {
+	ID, Target, Tenant, Host string
+	// Authorization must be empty: the key is not the replica's business.
+	Authorization string
+	LastEvent     string
+	Body          string
+	Deadline      time.Duration
+	// Cancelled is true if the connection closed before the end.
+	Cancelled bool
+}
+
+// Replica is a server of one service. It is safe for concurrent use.
+type Replica struct {
+	ID, Service, Address, Zone string
+	Slots                      int
+	// Events is the number of events of a stream; zero makes a plain answer.
+	Events int
+	// Step is the time between two events, and the time of a plain answer.
+	Step time.Duration
+
+	mutex    sync.Mutex
+	behave   func(request *http.Request) Behavior
+	runs     []*Run
+	running  int
+	arrivals int
+	most     int
+	listener net.Listener
+	conns    map[net.Conn]bool
+}
+
+// SetBehavior sets how requests are treated; nil means Answer.
+func (r *Replica) SetBehavior(behave func(request *http.Request) Behavior) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.behave = behave
+}
+
+// Runs returns what the replica ran.
+func (r *Replica) Runs() []Run {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	runs := make([]Run, len(r.runs))
+	for i, run := range r.runs {
+		runs[i] = *run
+	}
+	return runs
+}
+
+// Arrivals returns how many requests reached the replica, and MostAtOnce how
+// many it ever ran at the same time.
+func (r *Replica) Arrivals() int { r.mutex.Lock(); defer r.mutex.Unlock(); return r.arrivals }
+
+// MostAtOnce returns the largest number of requests that ran at the same time.
+func (r *Replica) MostAtOnce() int { r.mutex.Lock(); defer r.mutex.Unlock(); return r.most }
+
+// Entry is the replica's value in the store.
+type Entry struct {
+	Service  string `json:"service"`
+	Address  string `json:"address"`
+	Zone     string `json:"zone"`
+	Version  string `json:"version"`
+	Slots    int    `json:"slots"`
+	State    string `json:"state"`
+	Sequence int    `json:"sequence"`
+}
+
+// Register writes the replica's entry with the state.
+func (r *Replica) Register(store *Store, state string) int64 {
+	return store.PutJSON("servers/"+r.ID, Entry{Service: r.Service, Address: r.Address, Zone: r.Zone, Version: "v1", Slots: r.Slots, State: state})
+}
+
+// Serve accepts connections until the listener is closed.
+func (r *Replica) Serve(listener net.Listener) {
+	r.mutex.Lock()
+	r.listener, r.conns = listener, map[net.Conn]bool{}
+	r.mutex.Unlock()
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		r.mutex.Lock()
+		r.conns[conn] = true
+		r.mutex.Unlock()
+		go r.serveConn(conn)
+	}
+}
+
+// Crash closes the listener and every connection.
+func (r *Replica) Crash() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	_ = r.listener.Close()
+	for conn := range r.conns {
+		_ = conn.Close()
+	}
+}
+
+func (r *Replica) serveConn(conn net.Conn) {
+	defer func() {
+		_ = conn.Close()
+		r.mutex.Lock()
+		delete(r.conns, conn)
+		r.mutex.Unlock()
+	}()
+	reader := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(request.Body)
+		if err != nil || !r.answer(conn, reader, request, string(body)) {
+			return
+		}
+	}
+}
+
+// answer returns whether the connection may be used again.
+func (r *Replica) answer(conn net.Conn, reader *bufio.Reader, request *http.Request, body string) bool {
+	behavior := r.arrive(request)
+	id := request.Header.Get("X-Attempt-Id")
+	switch {
+	case request.Header.Get("X-Expect-Instance") != r.ID:
+		return write(conn, "HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: "+r.ID+"\r\nContent-Length: 0\r\n\r\n")
+	case behavior == Shed:
+		return write(conn, "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nX-Attempt-Id: "+id+"\r\nContent-Length: 0\r\n\r\n")
+	}
+	run := r.begin(request, body)
+	defer r.end()
+	ctx, stop := r.watchClose(conn, reader, run)
+	again := r.respond(ctx, conn, behavior, id, run)
+	stop()
+	return again
+}
+
+func (r *Replica) arrive(request *http.Request) Behavior {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.arrivals++
+	if r.behave == nil {
+		return Answer
+	}
+	return r.behave(request)
+}
+
+func (r *Replica) begin(request *http.Request, body string) *Run {
+	deadline, _ := strconv.Atoi(request.Header.Get("X-Deadline-Ms"))
+	run := &Run{
+		ID: request.Header.Get("X-Attempt-Id"), Target: request.RequestURI, Host: request.Host, Body: body,
+		Tenant: request.Header.Get("X-Tenant"), Authorization: request.Header.Get("Authorization"),
+		LastEvent: request.Header.Get("Last-Event-Id"), Deadline: time.Duration(deadline) * time.Millisecond,
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.runs = append(r.runs, run)
+	r.running++
+	r.most = max(r.most, r.running)
+	return run
+}
+
+func (r *Replica) end() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.running--
+}
+
+// watchClose notes when the other side closes while the request runs. The stop
+// function ends the watch.
+func (r *Replica) watchClose(conn net.Conn, reader *bufio.Reader, run *Run) (context.Context, func()) {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if _, err := reader.Peek(1); err != nil && ctx.Err() == nil {
+			r.mutex.Lock()
+			run.Cancelled = true
+			r.mutex.Unlock()
+		}
+		cancel()
+	}()
+	return ctx, func() {
+		cancel()
+		_ = conn.SetReadDeadline(time.Unix(1, 0))
+		<-done
+		_ = conn.SetReadDeadline(time.Time{})
+	}
+}
+
+// respond writes the answer and returns whether the connection may be used again.
+func (r *Replica) respond(ctx context.Context, conn net.Conn, behavior Behavior, id string, run *Run) bool {
+	switch behavior {
+	case Silent:
+		<-ctx.Done()
+		return false
+	case Reset:
+		wait(ctx, r.Step)
+		return false
+	case Fail:
+		wait(ctx, r.Step)
+		return write(conn, r.head("500 Internal Server Error", id, "")+"Content-Length: 3\r\n\r\nbad")
+	case Stray:
+		write(conn, r.head("200 OK", "another-request", "")+"Content-Length: 5\r\n\r\nother")
+	}
+	if r.Events > 0 {
+		return r.stream(ctx, conn, behavior, id, run)
+	}
+	wait(ctx, r.Step)
+	return r.plain(conn, behavior, id)
+}
+
+// PlainBody is the answer of a plain service to the request.
+func PlainBody(id string) string { return "answer to " + id }
+
+func (r *Replica) plain(conn net.Conn, behavior Behavior, id string) bool {
+	body := PlainBody(id)
+	switch behavior {
+	case Unframed:
+		write(conn, r.head("200 OK", id, "")+"\r\n"+body)
+		return false
+	case Unsigned:
+		return write(conn, fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nContent-Length: 4\r\n\r\nfake", id))
+	case Cut:
+		write(conn, r.head("200 OK", id, "")+fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body[:len(body)/2]))
+		return false
+	}
+	write(conn, r.head("200 OK", id, "")+fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body))
+	if behavior == Surplus {
+		write(conn, r.head("200 OK", "another-request", "")+"Content-Length: 5\r\n\r\nother")
+	}
+	return true
+}
+
+// Event is the text of one event of a stream.
+func Event(id string, number int) string {
+	return fmt.Sprintf("id: %d\ndata: part %d of %s\n\n", number, number, id)
+}
+
+func (r *Replica) stream(ctx context.Context, conn net.Conn, behavior Behavior, id string, run *Run) bool {
+	first, _ := strconv.Atoi(run.LastEvent)
+	write(conn, r.head("200 OK", id, "text/event-stream")+"Transfer-Encoding: chunked\r\n\r\n")
+	for number := first + 1; number <= r.Events; number++ {
+		if !wait(ctx, r.Step) {
+			return false
+		}
+		event := Event(run.LastEvent+id, number)
+		if run.LastEvent != "" {
+			event = Event(id, number)
+		}
+		if behavior == Cut && number > r.Events/2 {
+			write(conn, chunk(event[:len(event)/2]))
+			return false
+		}
+		if !write(conn, chunk(event)) {
+			return false
+		}
+	}
+	return write(conn, "0\r\n\r\n")
+}
+
+func chunk(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
+
+func (r *Replica) head(status, id, contentType string) string {
+	head := "HTTP/1.1 " + status + "\r\nX-Attempt-Id: " + id + "\r\nX-Server-Stamp: " + r.ID + "\r\n"
+	if contentType != "" {
+		head += "Content-Type: " + contentType + "\r\n"
+	}
+	return head
+}
+
+func write(conn net.Conn, text string) bool {
+	_, err := io.WriteString(conn, text)
+	return err == nil
+}
+
+// wait returns false if the context ended first.
+func wait(ctx context.Context, duration time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(duration):
+		return true
+	}
+}
--- /dev/null
+++ b/test/entry/faults_test.go
@@ -0,0 +1,253 @@
+package entry
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/thornwalk/thornwalk/lab/entrylab"
+	"github.com/thornwalk/thornwalk/lab/platformsim"
+)
+
+// withoutRoute drops the route from the configuration.
+func withoutRoute(name string) func(*entrylab.Configuration) {
+	return func(c *entrylab.Configuration) {
+		kept := c.Routes[:0]
+		for _, route := range c.Routes {
+			if route.Name != name {
+				kept = append(kept, route)
+			}
+		}
+		c.Routes = kept
+	}
+}
+
+// Seen on the bench: agency trouble-1, DRAIN. A node that the store refuses
+// must hear of a drain from its peers, although other peers are behind too.
+func TestNodesRefusedByTheStoreHearOfADrainFromPeers(t *testing.T) {
+	play(t, func(s *scene) {
+		s.lab.Store.Refuse("n1", true)
+		s.lab.Store.Refuse("n2", true)
+		s.breakWatches()
+		time.Sleep(time.Second)
+		s.plain[0].Register(s.lab.Store, "draining")
+		time.Sleep(1500 * time.Millisecond)
+		before := len(s.plain[0].Runs())
+		for i := range 9 {
+			s.Expect(s.get(hosts[i%3], http.MethodGet, "/safe/", nil).status).To(gomega.Equal(200))
+		}
+		s.Expect(s.plain[0].Runs()).To(gomega.HaveLen(before))
+	})
+}
+
+// breakWatches lets the store forget its history, which ends every watch.
+func (s *scene) breakWatches() {
+	s.lab.Store.Put("other/key", []byte("x"))
+	s.lab.Store.Compact()
+}
+
+// Seen on the bench: co-op scale-1, CONFIG. While the store compacts, watches
+// hear nothing and do not fail.
+func TestConfigurationIsInForceAlthoughWatchesAreSilent(t *testing.T) {
+	play(t, func(s *scene) {
+		s.lab.Store.SetSilent(true)
+		s.configure(withoutRoute("safe"))
+		time.Sleep(1900 * time.Millisecond)
+		for _, node := range hosts {
+			s.Expect(s.get(node, http.MethodGet, "/safe/", nil).status).To(gomega.Equal(404), node)
+		}
+	})
+}
+
+func TestConfigurationNeverReverts(t *testing.T) {
+	play(t, func(s *scene) {
+		s.version = 9
+		s.configure(withoutRoute("safe"))
+		time.Sleep(500 * time.Millisecond)
+		s.version = 4
+		s.configure(nil)
+		time.Sleep(3 * time.Second)
+		for _, node := range hosts {
+			s.Expect(s.lab.Node(node).Status().Version).To(gomega.Equal(int64(10)))
+			s.Expect(s.get(node, http.MethodGet, "/safe/", nil).status).To(gomega.Equal(404))
+		}
+	})
+}
+
+func TestConfigurationThatDoesNotParseIsKeptOut(t *testing.T) {
+	play(t, func(s *scene) {
+		s.lab.Store.Put("op/config", []byte(`{"version": 7, "routes": [{"name":"x","kind":"odd","path_prefix":"/"}]`))
+		s.lab.Store.Put("servers/i-bad", []byte(`not json`))
+		time.Sleep(2 * time.Second)
+		s.Expect(s.get("n1", http.MethodGet, "/safe/", nil).status).To(gomega.Equal(200))
+	})
+}
+
+func TestServingGoesOnWhileTheStoreIsDown(t *testing.T) {
+	play(t, func(s *scene) {
+		s.lab.Store.SetDown(true)
+		s.breakWatches()
+		for range 10 {
+			time.Sleep(time.Second)
+			for _, node := range hosts {
+				s.Expect(s.get(node, http.MethodGet, "/safe/", nil).status).To(gomega.Equal(200))
+			}
+		}
+	})
+}
+
+// Entries run out while the store is down, because replicas can't renew them.
+func TestEntriesThatRanOutDuringAnOutageAreNotDepartures(t *testing.T) {
+	play(t, func(s *scene) {
+		s.lab.Store.SetDown(true)
+		s.breakWatches()
+		time.Sleep(4 * time.Second)
+		for _, replica := range s.plain {
+			s.lab.Store.Delete("servers/" + replica.ID)
+		}
+		s.lab.Store.SetDown(false)
+		time.Sleep(2 * time.Second)
+		s.Expect(s.get("n1", http.MethodGet, "/safe/", nil).status).To(gomega.Equal(200))
+		for _, replica := range s.plain {
+			replica.Register(s.lab.Store, "ready")
+		}
+		time.Sleep(8 * time.Second)
+		s.Expect(s.get("n1", http.MethodGet, "/safe/", nil).status).To(gomega.Equal(200))
+	})
+}
+
+func TestEntryThatDisappearsWhileTheStoreIsWellIsADeparture(t *testing.T) {
+	play(t, func(s *scene) {
+		s.lab.Store.Delete("servers/" + s.plain[0].ID)
+		time.Sleep(1500 * time.Millisecond)
+		for i := range 6 {
+			s.Expect(s.get(hosts[i%3], http.MethodGet, "/safe/", nil).status).To(gomega.Equal(200))
+		}
+		s.Expect(s.plain[0].Runs()).To(gomega.BeEmpty())
+	})
+}
+
+func TestNodeThatKnowsNoConfigurationSaysWhenToComeBack(t *testing.T) {
+	play(t, func(s *scene) {
+		s.lab.Store.SetDown(true)
+		for _, node := range hosts {
+			s.lab.Node(node).Kill()
+		}
+		s.Expect(s.lab.StartNode("n1", "east")).To(gomega.Succeed())
+		time.Sleep(time.Second)
+		got := s.get("n1", http.MethodGet, "/safe/", nil)
+		s.Expect(got.status).To(gomega.Equal(503))
+		s.Expect(got.header.Get("Retry-After")).NotTo(gomega.BeEmpty())
+		s.Expect(s.lab.Node("n1").Ready()).To(gomega.BeFalse())
+	})
+}
+
+func TestRestartedNodeLearnsTheConfigurationFromPeersWhileTheStoreIsDown(t *testing.T) {
+	play(t, func(s *scene) {
+		s.lab.Store.SetDown(true)
+		s.breakWatches()
+		s.lab.Node("n2").Kill()
+		s.Expect(s.lab.StartNode("n2", "west")).To(gomega.Succeed())
+		time.Sleep(1500 * time.Millisecond)
+		s.Expect(s.lab.Node("n2").Ready()).To(gomega.BeTrue())
+		s.Expect(s.get("n2", http.MethodGet, "/safe/", nil).status).To(gomega.Equal(200))
+	})
+}
+
+func TestDeathOfTheSchedulingNodeCostsLittle(t *testing.T) {
+	for _, how := range []string{"killed", "cut off", "paused"} {
+		t.Run(how, func(t *testing.T) {
+			play(t, func(s *scene) {
+				scheduler, others := s.scheduler(), s.others()
+				switch how {
+				case "killed":
+					s.lab.Node(scheduler).Kill()
+				case "cut off":
+					s.fabric.CutGroups([]string{scheduler}, others)
+				case "paused":
+					s.fabric.Pause(scheduler)
+				}
+				for i := range 6 {
+					got := s.get(others[i%2], http.MethodGet, "/safe/", nil)
+					s.Expect(got.status).To(gomega.Equal(200))
+					s.Expect(got.took).To(gomega.BeNumerically("<", 800*time.Millisecond))
+				}
+				s.fabric.Resume(scheduler)
+				for id, count := range s.allRuns() {
+					s.Expect(count).To(gomega.Equal(1), id)
+				}
+			})
+		})
+	}
+}
+
+func TestNodesCutOffFromEachOtherGoOnServing(t *testing.T) {
+	play(t, func(s *scene) {
+		s.fabric.CutGroups([]string{"n1"}, []string{"n2", "n3"})
+		time.Sleep(time.Second)
+		for range 3 {
+			for _, node := range hosts {
+				s.Expect(s.get(node, http.MethodPost, "/stream/", nil).status).To(gomega.Equal(200))
+			}
+		}
+		s.fabric.Heal()
+		time.Sleep(2 * time.Second)
+		for _, node := range hosts {
+			s.Expect(s.lab.Node(node).Status().Live).To(gomega.HaveLen(2), node)
+		}
+	})
+}
+
+func TestPlannedStopCutsNothing(t *testing.T) {
+	play(t, func(s *scene) {
+		done := make(chan reply, 4)
+		for range 4 {
+			go func() { done <- s.get("n1", http.MethodPost, "/stream/", nil) }()
+		}
+		time.Sleep(50 * time.Millisecond)
+		stopped := make(chan bool)
+		go func() { s.lab.Node("n1").Stop(); close(stopped) }()
+		time.Sleep(10 * time.Millisecond)
+		s.Expect(s.lab.Node("n1").Ready()).To(gomega.BeFalse())
+		during := s.get("n1", http.MethodGet, "/safe/", nil)
+		s.Expect(during.status).To(gomega.Equal(200))
+		for range 4 {
+			got := <-done
+			s.Expect(got.status).To(gomega.Equal(200))
+			s.Expect(got.whole).To(gomega.BeTrue())
+		}
+		<-stopped
+		s.Expect(s.get("n2", http.MethodGet, "/safe/", nil).status).To(gomega.Equal(200))
+	})
+}
+
+func TestCrashedReplicaIsAvoided(t *testing.T) {
+	play(t, func(s *scene) {
+		s.plain[0].Crash()
+		for i := range 12 {
+			s.Expect(s.get(hosts[i%3], http.MethodPost, "/once/", nil).status).To(gomega.Equal(200))
+		}
+	})
+}
+
+func TestReplicaThatFailsManyRequestsIsSetAside(t *testing.T) {
+	play(t, func(s *scene) {
+		s.plain[0].SetBehavior(always(platformsim.Fail))
+		for i := range 20 {
+			s.get(hosts[i%3], http.MethodPost, "/once/", nil)
+		}
+		s.Expect(len(s.plain[0].Runs())).To(gomega.BeNumerically("<", 8))
+	})
+}
+
+func TestReusedAddressGetsNoRequestOfAnotherService(t *testing.T) {
+	play(t, func(s *scene) {
+		s.plain[0].ID = "i-other"
+		for i := range 6 {
+			s.Expect(s.get(hosts[i%3], http.MethodPost, "/once/", nil).status).To(gomega.Equal(200))
+		}
+		s.Expect(s.plain[0].Runs()).To(gomega.BeEmpty())
+	})
+}
--- /dev/null
+++ b/test/entry/scene_test.go
@@ -0,0 +1,189 @@
+// Package entry drives whole entry nodes over stand-ins of the users' platform
+// under virtual time. Every test here rebuilds a failure seen on the bench, or
+// a promise.
+package entry
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/thornwalk/thornwalk/lab/entrylab"
+	"github.com/thornwalk/thornwalk/lab/memnet"
+	"github.com/thornwalk/thornwalk/lab/platformsim"
+	"github.com/thornwalk/thornwalk/transport/network"
+)
+
+// scene is a small deployment: three nodes in two zones, plain replicas p1 and
+// p2, engines e1 and e2.
+type scene struct {
+	*gomega.WithT
+	fabric  *memnet.Fabric
+	lab     *entrylab.Deployment
+	plain   []*platformsim.Replica
+	engines []*platformsim.Replica
+	version int64
+	ids     atomic.Int64
+}
+
+var hosts = []string{"n1", "n2", "n3"}
+
+func play(t *testing.T, test func(s *scene)) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &scene{WithT: gomega.NewWithT(t), fabric: memnet.New()}
+		var err error
+		s.lab, err = entrylab.Start(entrylab.Options{
+			Hosts: hosts, Zones: []string{"east", "west"}, StoreHost: "store",
+			Network:   func(host string) network.Network { return s.fabric.Host(host) },
+			Datagrams: s.fabric.Datagrams,
+		})
+		s.Expect(err).NotTo(gomega.HaveOccurred())
+		s.configure(nil)
+		for _, host := range []string{"p1", "p2"} {
+			s.plain = append(s.plain, s.replica(host, "registry", 0, 20*time.Millisecond))
+		}
+		for _, host := range []string{"e1", "e2"} {
+			s.engines = append(s.engines, s.replica(host, "engines", 6, 50*time.Millisecond))
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		s.Expect(s.lab.AwaitReady(ctx)).To(gomega.BeTrue())
+		cancel()
+		defer func() {
+			s.fabric.Heal()
+			s.lab.Stop()
+			time.Sleep(time.Minute) // virtual time, in which everything ends
+		}()
+		test(s)
+	})
+}
+
+func (s *scene) replica(host, service string, events int, step time.Duration) *platformsim.Replica {
+	replica := &platformsim.Replica{ID: "i-" + host, Service: service, Zone: "east", Slots: 2, Events: events, Step: step}
+	s.Expect(s.lab.AddReplica(host, replica)).To(gomega.Succeed())
+	return replica
+}
+
+// configure writes a new version of the configuration, changed by the function.
+func (s *scene) configure(change func(*entrylab.Configuration)) {
+	s.version++
+	route := func(name, kind, service string, attempts, priority int, resumable bool) entrylab.Route {
+		return entrylab.Route{
+			Name: name, Host: "service.example", PathPrefix: "/" + name + "/", Kind: kind, Timeout: 4000, Target: 400, TargetGap: 400,
+			Service: service, Attempts: attempts, Priority: priority, Resumable: resumable,
+		}
+	}
+	configuration := entrylab.Configuration{
+		Version: s.version,
+		Routes: []entrylab.Route{
+			route("safe", "safe", "registry", 2, 2, false), route("once", "unsafe", "registry", 1, 2, false),
+			route("stream", "streaming", "engines", 1, 0, false), route("resume", "streaming", "engines", 2, 1, true),
+			route("late", "streaming", "engines", 1, 2, false),
+		},
+		Services: []entrylab.Service{{Name: "registry"}, {Name: "engines"}},
+		Tenants:  []entrylab.Tenant{{Name: "office", Keys: []string{"key-1"}, Unit: "tokens", PlainTokens: 10}},
+	}
+	if change != nil {
+		change(&configuration)
+	}
+	s.lab.Apply(configuration)
+}
+
+// reply is an answer as a caller saw it.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+	// whole is true if the answer ended properly.
+	whole bool
+	took  time.Duration
+}
+
+// get sends a request with the key of the tenant to the node.
+func (s *scene) get(node, method, path string, change func(*http.Request)) reply {
+	id := "r" + strconv.FormatInt(s.ids.Add(1), 10)
+	request, err := http.NewRequest(method, "http://"+entrylab.CallersAddress(node)+path, nil)
+	s.Expect(err).NotTo(gomega.HaveOccurred())
+	if method == http.MethodPost {
+		request.Body, request.ContentLength = io.NopCloser(strings.NewReader("body of "+id)), int64(len("body of "+id))
+	}
+	request.Host = "service.example"
+	request.Header.Set("X-Attempt-Id", id)
+	request.Header.Set("X-Deadline-Ms", "3000")
+	request.Header.Set("Authorization", "Bearer key-1")
+	if change != nil {
+		change(request)
+	}
+	return s.send(request)
+}
+
+func (s *scene) send(request *http.Request) reply {
+	client := &http.Client{Transport: &http.Transport{DialContext: s.dialCaller, DisableKeepAlives: true}}
+	begun := time.Now()
+	response, err := client.Do(request)
+	if err != nil {
+		return reply{took: time.Since(begun)}
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	return reply{status: response.StatusCode, header: response.Header, body: string(body), whole: err == nil, took: time.Since(begun)}
+}
+
+// allRuns returns how often each request ran at any replica.
+func (s *scene) allRuns() map[string]int {
+	counts := map[string]int{}
+	for _, replica := range append(append([]*platformsim.Replica{}, s.plain...), s.engines...) {
+		for _, run := range replica.Runs() {
+			counts[run.ID]++
+		}
+	}
+	return counts
+}
+
+// scheduler returns the node that schedules, as the others see it.
+func (s *scene) scheduler() string { return s.lab.Node("n1").Status().Scheduler }
+
+// others returns the nodes that do not schedule.
+func (s *scene) others() []string {
+	var names []string
+	for _, host := range hosts {
+		if host != s.scheduler() {
+			names = append(names, host)
+		}
+	}
+	return names
+}
+
+func (s *scene) onAll(replicas []*platformsim.Replica, behave func(*http.Request) platformsim.Behavior) {
+	for _, replica := range replicas {
+		replica.SetBehavior(behave)
+	}
+}
+
+// always treats every request alike.
+func always(behavior platformsim.Behavior) func(*http.Request) platformsim.Behavior {
+	return func(*http.Request) platformsim.Behavior { return behavior }
+}
+
+// first treats the first request so, and answers all others.
+func first(behavior platformsim.Behavior) func(*http.Request) platformsim.Behavior {
+	var seen atomic.Bool
+	return func(*http.Request) platformsim.Behavior {
+		if seen.CompareAndSwap(false, true) {
+			return behavior
+		}
+		return platformsim.Answer
+	}
+}
+
+func (s *scene) dialCaller(ctx context.Context, _, address string) (net.Conn, error) {
+	return s.fabric.Host("caller").Dial(ctx, address)
+}
--- a/transport/replicahttp/exchange.go
+++ b/transport/replicahttp/exchange.go
@@ -25,6 +25,9 @@
 	// IDHeader and ID let answers to other requests be told apart.
 	IDHeader string
 	ID       string
+	// HeadTimeout bounds the wait for the head of the answer; zero means that
+	// only the context does.
+	HeadTimeout time.Duration
 }
 
 // Answer is the head of a replica's answer with its body still to be read.
@@ -59,6 +62,9 @@
 			answer.written <- err
 		}()
 	}
+	if request.HeadTimeout > 0 {
+		_ = conn.SetReadDeadline(time.Now().Add(request.HeadTimeout))
+	}
 	response, err := conn.readAnswer(request)
 	if err != nil {
 		answer.Abandon()
