Bound the debt of a quota, and count failures that are passed on

(2) A failure that was passed on to its caller did not count against the replica, and of two replicas none was ever set aside. (3) A caller that gave up was held for 2 s by a peer that stands still. Change: a bucket must hold half of a request's cost; 0.55 of the slack is used, a takeover starts at 0.1; passed-on failures count; one of two may be set aside; the write to a peer ends with its caller's patience.

--- a/coordination/admission/quarantine.go
+++ b/coordination/admission/quarantine.go
@@ -18,7 +18,8 @@
 	enoughRequests = 3
 	firstAside     = 2 * time.Second
 	longestAside   = 8 * time.Second
-	// asideShare is the largest part of a service's replicas that is set aside.
+	// asideShare is the largest part of a service's replicas that is set aside,
+	// unless that is less than one of several.
 	asideShare = 0.4
 )
 
@@ -85,7 +86,8 @@
 			aside++
 		}
 	}
-	return float64(aside) <= asideShare*float64(len(s.replicas[service]))
+	known := len(s.replicas[service])
+	return known > 1 && float64(aside) <= max(1, asideShare*float64(known))
 }
 
 // isAside returns whether the replica gets no requests for now.
--- a/coordination/quota/quota.go
+++ b/coordination/quota/quota.go
@@ -2,8 +2,8 @@
 // all nodes. One ledger at the scheduling node counts for everybody; a node
 // that reaches no scheduling node counts by a ledger of its own with its share.
 //
-// A bucket may go below zero by one request, so that a request larger than
-// what is left is not refused for ever; the debt delays the next ones.
+// A bucket may go into debt by a part of one request, so that large requests are
+// not starved by small ones; the debt delays the next ones.
 package quota
 
 import (
@@ -23,6 +23,9 @@
 	return Limit{Rate: l.Rate * share, Burst: l.Burst * share}
 }
 
+// heldShare is the part of a request's cost that the bucket must hold.
+const heldShare = 0.5
+
 type bucket struct {
 	level float64
 	at    structs.Instant
@@ -42,15 +45,16 @@
 	return &Ledger{buckets: map[string]*bucket{}, start: start}
 }
 
-// Take takes the cost from the tenant's bucket. If the bucket is empty it
-// returns false and the time after which it will not be.
+// Take takes the cost from the tenant's bucket. If the bucket holds too little it
+// returns false and the time after which it will hold enough.
 func (l *Ledger) Take(now structs.Instant, tenant string, limit Limit, cost float64) (time.Duration, bool) {
 	if limit.Rate <= 0 {
 		return 0, true
 	}
 	held := l.refill(now, tenant, limit)
-	if held.level <= 0 {
-		return time.Duration((1 - held.level) / limit.Rate * float64(time.Second)), false
+	needed := min(cost, limit.Burst) * heldShare
+	if held.level < needed {
+		return time.Duration((needed - held.level) / limit.Rate * float64(time.Second)), false
 	}
 	held.level -= cost
 	return 0, true
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -251,7 +251,7 @@
 	}
 	seen.Duration, seen.Stride = time.Since(sent), c.stride()
 	seen.Left = outcome == resultLeft || c.ctx.Err() != nil
-	seen.Failed = outcome != resultAnswered
+	seen.Failed = seen.Failed || outcome != resultAnswered
 	return outcome, seen
 }
 
--- a/entry/desk.go
+++ b/entry/desk.go
@@ -13,7 +13,7 @@
 )
 
 // takeoverBurst is the share of a burst that a scheduling node starts with.
-const takeoverBurst = 0.2
+const takeoverBurst = 0.1
 
 // placed is what the desk must remember of a request to settle its quota.
 type placed struct {
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -77,7 +77,7 @@
 		return resultLeft, admission.Observation{}
 	}
 	c.answered(answer.StatusCode, replica.ID)
-	return resultAnswered, admission.Observation{}
+	return resultAnswered, admission.Observation{Failed: failed}
 }
 
 // copyHead sets the headers of the replica's answer.
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -127,7 +127,7 @@
 // for scheduling nodes that take over from each other.
 const (
 	usedOverage = 0.8
-	usedSlack   = 0.7
+	usedSlack   = 0.55
 )
 
 // quotaLimit returns what is handed out for a quota.
--- a/test/entry/scene_test.go
+++ b/test/entry/scene_test.go
@@ -59,6 +59,9 @@
 		cancel()
 		defer func() {
 			s.fabric.Heal()
+			for _, host := range hosts {
+				s.fabric.Resume(host)
+			}
 			s.lab.Stop()
 			time.Sleep(time.Minute) // virtual time, in which everything ends
 		}()
--- a/transport/peer/peer.go
+++ b/transport/peer/peer.go
@@ -153,6 +153,10 @@
 	}
 	defer func() { <-w.turn }()
 	_ = w.connection.SetWriteDeadline(time.Now().Add(writeTimeout))
+	// A peer that stands still does not hold up a caller that gave up; a frame
+	// that was cut ends the connection.
+	stop := context.AfterFunc(ctx, func() { _ = w.connection.SetWriteDeadline(time.Unix(1, 0)) })
+	defer stop()
 	size, err := peerwire.WriteFrame(w.connection, envelope)
 	if w.traffic != nil {
 		w.traffic.Count(envelope.Kind, true, size)
