--- /dev/null
+++ b/coordination/admission/admission_test.go
@@ -0,0 +1,237 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/thornwalk/thornwalk/state/replicas"
+	"github.com/thornwalk/thornwalk/structs"
+)
+
+const ms = time.Millisecond
+
+func pool(slots ...int) []replicas.Replica {
+	var all []replicas.Replica
+	for i, count := range slots {
+		all = append(all, replicas.Replica{ID: fmt.Sprintf("r%d", i), Service: "s", Slots: count})
+	}
+	return all
+}
+
+func request(id string, priority int) Request {
+	return Request{ID: id, Node: "n", Service: "s", Priority: priority, Target: time.Second, Patience: 2 * time.Second, Deadline: 5 * time.Second, Returned: true}
+}
+
+// placedIDs returns the ids of the decisions that gave a place.
+func placedIDs(decisions []Decision) []string {
+	var ids []string
+	for _, decision := range decisions {
+		if decision.Reason == ReasonNone {
+			ids = append(ids, decision.ID)
+		}
+	}
+	return ids
+}
+
+func TestUrgentGoesFirstAndShortAnswersAmongEquals(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := New()
+	s.SetReplicas(pool(1))
+	s.Submit(0, request("running", 0))
+	g.Expect(placedIDs(s.Decide(0))).To(gomega.Equal([]string{"running"}))
+	long, short := request("long", 1), request("short", 1)
+	long.Answer, short.Answer = 100, 10
+	s.Submit(1*ms, request("low", 2))
+	s.Submit(2*ms, long)
+	s.Submit(3*ms, short)
+	s.Submit(4*ms, request("high", 0))
+	var order []string
+	last := "running"
+	for range 4 {
+		s.Finish(10*ms, last, Observation{Duration: 5 * ms})
+		placed := placedIDs(s.Decide(10 * ms))
+		g.Expect(placed).To(gomega.HaveLen(1))
+		last = placed[0]
+		order = append(order, last)
+	}
+	g.Expect(order).To(gomega.Equal([]string{"high", "short", "long", "low"}))
+}
+
+func TestRequestsOfOtherNodesCountAgainstTheSlots(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := New()
+	s.SetReplicas(pool(2))
+	s.SetForeign("other", map[string]int{"r0": 1})
+	s.Submit(0, request("a", 0))
+	s.Submit(0, request("b", 0))
+	g.Expect(placedIDs(s.Decide(0))).To(gomega.Equal([]string{"a"}))
+	s.SetForeign("other", nil)
+	g.Expect(placedIDs(s.Decide(ms))).To(gomega.Equal([]string{"b"}))
+}
+
+// Seen on the bench: agency trouble days after a power loss, when replicas
+// still worked on what dead processes had sent.
+func TestLoadThatNobodyReportsCountsForAWhile(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := New()
+	s.SetReplicas(pool(3))
+	s.Submit(0, request("a", 0))
+	s.Decide(0)
+	s.Begun(10*ms, "a", 3)
+	s.Submit(10*ms, request("b", 0))
+	g.Expect(placedIDs(s.Decide(10 * ms))).To(gomega.BeEmpty())
+	g.Expect(placedIDs(s.Decide(10*ms + hiddenMemory))).To(gomega.Equal([]string{"b"}))
+}
+
+func TestRequestThatWouldBeLateIsRefusedEarlyOnceAndThenHeld(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := New()
+	s.SetReplicas(pool(1))
+	s.Submit(0, request("running", 0))
+	s.Decide(0)
+	for i := range 4 {
+		s.Submit(0, request(fmt.Sprint("ahead", i), 0))
+	}
+	fresh := request("fresh", 1)
+	fresh.Returned = false
+	s.Submit(0, fresh)
+	g.Expect(s.Decide(0)).To(gomega.BeEmpty())
+	quarter := time.Duration(float64(fresh.Target) * refuseShare)
+	refused := s.Decide(quarter)
+	g.Expect(refused).To(gomega.HaveLen(1))
+	g.Expect(refused[0].ID).To(gomega.Equal("fresh"))
+	g.Expect(refused[0].Reason).To(gomega.Equal(ReasonBacklog))
+	g.Expect(refused[0].RetryAfter).To(gomega.And(gomega.BeNumerically(">=", 500*ms), gomega.BeNumerically("<", 2*time.Second)))
+	back := request("back", 1)
+	s.Submit(quarter, back)
+	g.Expect(s.Decide(2 * quarter)).To(gomega.BeEmpty())
+	late := s.Decide(quarter + back.Patience)
+	g.Expect(late).NotTo(gomega.BeEmpty())
+	g.Expect(late[len(late)-1].Reason).To(gomega.Equal(ReasonNoPlace))
+}
+
+// Seen on the bench: agency scale-1, rulings that ran for 15 s on slow replicas.
+func TestLongAnswersGoOnlyToReplicasFastEnough(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := New()
+	s.SetReplicas(pool(1, 1))
+	teach := func(replica string, step time.Duration) {
+		s.speeds[replica] = &speed{step: step, samples: 9}
+	}
+	teach("r0", 20*ms)
+	teach("r1", 4*ms)
+	long := request("long", 0)
+	long.Answer = 1000
+	s.Submit(0, long)
+	decisions := s.Decide(0)
+	g.Expect(decisions).To(gomega.HaveLen(1))
+	g.Expect(decisions[0].Replica.ID).To(gomega.Equal("r1"))
+	long.ID = "second"
+	s.Submit(0, long)
+	g.Expect(s.Decide(0)).To(gomega.BeEmpty())
+	long.ID, long.Answer = "hopeless", 5000
+	s.Submit(0, long)
+	g.Expect(s.Decide(0)[0].Reason).To(gomega.Equal(ReasonDeadline))
+}
+
+func TestReplicaWithManyFailuresIsSetAsideAndTriedAgain(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := New()
+	s.SetReplicas(pool(4, 4, 4))
+	s.SetAvoided(map[string]bool{"r1": true, "r2": true})
+	now := structs.Instant(0)
+	for i := range 4 {
+		id := fmt.Sprint("f", i)
+		s.Submit(now, request(id, 0))
+		s.Decide(now)
+		s.Finish(now, id, Observation{Failed: true})
+	}
+	s.SetAvoided(nil)
+	s.Submit(now, request("next", 0))
+	g.Expect(s.Decide(now)[0].Replica.ID).NotTo(gomega.Equal("r0"))
+	later := now + firstAside + ms
+	s.SetAvoided(map[string]bool{"r1": true, "r2": true})
+	s.Submit(later, request("trial", 0))
+	s.Submit(later, request("second", 0))
+	g.Expect(placedIDs(s.Decide(later))).To(gomega.Equal([]string{"trial"}))
+}
+
+func TestEndedNodeHoldsNothing(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := New()
+	s.SetReplicas(pool(1))
+	s.Submit(0, request("a", 0))
+	s.Submit(0, request("b", 0))
+	s.Decide(0)
+	s.DropNode("n")
+	g.Expect(s.Nodes()).To(gomega.BeEmpty())
+	other := request("c", 0)
+	other.Node = "m"
+	s.Submit(0, other)
+	g.Expect(placedIDs(s.Decide(0))).To(gomega.Equal([]string{"c"}))
+}
+
+// Whatever happens, no replica gets more than its slots, each request has at
+// most one decision, and nothing less urgent starts before what waits.
+func TestInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := New()
+		all := pool(2, 3)
+		s.SetReplicas(all)
+		now := structs.Instant(0)
+		decided, running, waitingAt := map[string]int{}, map[string]string{}, map[string]int{}
+		for step := range rapid.IntRange(1, 80).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 300).Draw(t, "pause")) * ms
+			switch rapid.IntRange(0, 3).Draw(t, "action") {
+			case 0, 1:
+				one := request(fmt.Sprint(step), rapid.IntRange(0, 2).Draw(t, "priority"))
+				one.Returned = rapid.Bool().Draw(t, "returned")
+				s.Submit(now, one)
+				waitingAt[one.ID] = one.Priority
+			case 2:
+				for id := range running {
+					s.Finish(now, id, Observation{Duration: 50 * ms, Failed: rapid.Bool().Draw(t, "failed")})
+					delete(running, id)
+					break
+				}
+			case 3:
+				for id := range waitingAt {
+					s.Cancel(id)
+					delete(waitingAt, id)
+					break
+				}
+			}
+			placedLowest := -1
+			for _, decision := range s.Decide(now) {
+				priority, waited := waitingAt[decision.ID]
+				if decided[decision.ID]++; decided[decision.ID] > 1 || !waited {
+					t.Fatalf("request %s: %d decisions, waiting %v", decision.ID, decided[decision.ID], waited)
+				}
+				delete(waitingAt, decision.ID)
+				if decision.Reason != ReasonNone {
+					continue
+				}
+				running[decision.ID] = decision.Replica.ID
+				placedLowest = max(placedLowest, priority)
+			}
+			for id, priority := range waitingAt {
+				if priority < placedLowest {
+					t.Fatalf("request %s of priority %d waits behind one of %d", id, priority, placedLowest)
+				}
+			}
+			counts := map[string]int{}
+			for _, replica := range running {
+				counts[replica]++
+			}
+			for _, replica := range all {
+				if counts[replica.ID] > replica.Slots {
+					t.Fatalf("%d requests at %s", counts[replica.ID], replica.ID)
+				}
+			}
+		}
+	})
+}
--- /dev/null
+++ b/entry/settings_test.go
@@ -0,0 +1,108 @@
+package entry
+
+import (
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/onsi/gomega"
+)
+
+// rendered fills the deployment's template by the few forms that it uses.
+func rendered(t testing.TB, values map[string]string) string {
+	template, err := os.ReadFile("../deploy/settings.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	text := strings.ReplaceAll(string(template), "{{#seeds}}{{.|json}}{{,}}{{/seeds}}", values["seeds"])
+	return regexp.MustCompile(`\{\{([a-z_.0-9]+)(\|json)?\}\}`).ReplaceAllStringFunc(text, func(gap string) string {
+		parts := strings.Split(strings.Trim(gap, "{}"), "|")
+		value := values[parts[0]]
+		if len(parts) > 1 {
+			return `"` + value + `"`
+		}
+		return value
+	})
+}
+
+func sample() map[string]string {
+	return map[string]string{
+		"node_name": "edge-1", "zone": "z", "listen.front": "10.0.0.1:80", "listen.readiness": "10.0.0.1:81", "listen.control": "10.0.0.1:82",
+		"ip": "10.0.0.1", "internal_ports.0": "7600", "seeds": `"10.0.0.1:82","10.0.0.2:82"`, "platform.address": "10.9.9.9:83",
+		"bounds.grace_s": "8", "bounds.drain_ms": "2000", "bounds.contact_ms": "3000", "limits.memory_mb": "134",
+		"bounds.retry_budget_ratio": "0.2", "bounds.budget_window_s": "10", "bounds.budget_slack": "58",
+		"bounds.quota_overage": "0.1", "bounds.quota_slack": "72000", "bootstrap": "true",
+	}
+}
+
+func TestTemplateRendersValidSettings(t *testing.T) {
+	g := gomega.NewWithT(t)
+	settings, err := ParseSettings([]byte(rendered(t, sample())))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(settings.Seeds).To(gomega.Equal([]string{"10.0.0.1:82", "10.0.0.2:82"}))
+	g.Expect(settings.StopGrace).To(gomega.Equal(8000))
+	g.Expect(settings.QuotaSlack).To(gomega.Equal(72000.0))
+	g.Expect(settings.FirstStart).To(gomega.BeTrue())
+}
+
+func TestUnknownFieldsPass(t *testing.T) {
+	g := gomega.NewWithT(t)
+	_, err := ParseSettings([]byte(rendered(t, sample()) + "new_field: [1, 2]\n"))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+}
+
+func TestWrongSettingsNamePathValueAndRemedy(t *testing.T) {
+	for _, wrong := range []struct{ field, value, message string }{
+		{"node_name", "", `name: "" is empty: give each node a name of its own`},
+		{"platform.address", "", `store: "" is empty`},
+		{"internal_ports.0", "0", "peer_port: 0 is not in 1 to 65535"},
+		{"limits.memory_mb", "8", "memory_mb: 8 is less than 32"},
+		{"bounds.retry_budget_ratio", "-1", "retry_ratio: -1 is not in 0 to 10"},
+		{"bounds.contact_ms", "soon", "contact_ms"},
+	} {
+		t.Run(wrong.field, func(t *testing.T) {
+			values := sample()
+			values[wrong.field] = wrong.value
+			_, err := ParseSettings([]byte(rendered(t, values)))
+			gomega.NewWithT(t).Expect(err).To(gomega.MatchError(gomega.ContainSubstring(wrong.message)))
+		})
+	}
+}
+
+// FuzzSettings feeds values into the template's output: settings are refused
+// with an error or valid, and never crash the process.
+func FuzzSettings(f *testing.F) {
+	f.Add("edge-1", "7600", "8")
+	f.Add("{", "-1", "9e99")
+	f.Add("\": x", "[", "*a")
+	f.Fuzz(func(t *testing.T, name, port, grace string) {
+		values := sample()
+		values["node_name"], values["internal_ports.0"], values["bounds.grace_s"] = name, port, grace
+		settings, err := ParseSettings([]byte(rendered(t, values)))
+		if err == nil && (settings.Name == "" || settings.PeerPort < 1) {
+			t.Fatalf("accepted %+v", settings)
+		}
+	})
+}
+
+// FuzzEvents cuts a stream at any place: what is passed on are whole events in
+// their order, and the rest stays.
+func FuzzEvents(f *testing.F) {
+	f.Add("id: 1\ndata: a\n\nid: 2\ndata: b\n\n", 7)
+	f.Add("id: 1\r\ndata: a\r\n\r\nid: 2", 3)
+	f.Fuzz(func(t *testing.T, text string, cut int) {
+		cut = max(0, min(cut, len(text)))
+		c, count := &call{}, 0
+		var passed, pending []byte
+		for _, piece := range []string{text[:cut], text[cut:]} {
+			pending = append(pending, piece...)
+			whole := lastEventEnd(pending)
+			passed = append(passed, c.newEvents(pending[:whole], &count)...)
+			pending = append([]byte(nil), pending[whole:]...)
+		}
+		if string(passed)+string(pending) != text {
+			t.Fatalf("%q and %q of %q", passed, pending, text)
+		}
+	})
+}
--- /dev/null
+++ b/state/catalog/catalog_test.go
@@ -0,0 +1,62 @@
+package catalog
+
+import (
+	"errors"
+	"testing"
+
+	"github.com/onsi/gomega"
+
+	"github.com/thornwalk/thornwalk/protocol/errkind"
+)
+
+func document(routes ...Route) *Document {
+	for i := range routes {
+		if routes[i].Kind == "" {
+			routes[i].Kind = KindSafe
+		}
+		if routes[i].Backends == nil {
+			routes[i].Backends = []Backend{{Service: "s", Weight: 1}}
+		}
+	}
+	return &Document{Version: 1, Routes: routes, Tenants: []Tenant{{Name: "t", Keys: []string{"k1", "k2"}}}}
+}
+
+func TestLongestPrefixOfTheHostWins(t *testing.T) {
+	g := gomega.NewWithT(t)
+	compiled, err := Compile(document(
+		Route{Name: "short", Host: "a.example", PathPrefix: "/x/"}, Route{Name: "long", Host: "a.example", PathPrefix: "/x/y/"},
+		Route{Name: "other", Host: "b.example", PathPrefix: "/x/y/z/"},
+	))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(compiled.Match("A.example:80", "/x/y/z").Name).To(gomega.Equal("long"))
+	g.Expect(compiled.Match("a.example", "/x/z").Name).To(gomega.Equal("short"))
+	g.Expect(compiled.Match("a.example", "/x")).To(gomega.BeNil())
+	g.Expect(compiled.Match("c.example", "/x/")).To(gomega.BeNil())
+	g.Expect(compiled.TenantOfKey("k2").Name).To(gomega.Equal("t"))
+	g.Expect(compiled.TenantOfKey("")).To(gomega.BeNil())
+}
+
+func TestWrongDocumentsAreRefusedWithPathAndValue(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for text, wrong := range map[string]*Document{
+		"version: 0":             {},
+		"routes/r/kind: \"odd\"": document(Route{Name: "r", Kind: "odd", PathPrefix: "/"}),
+		"routes/r/path_prefix":   document(Route{Name: "r", PathPrefix: "x"}),
+		"names no service":       document(Route{Name: "r", PathPrefix: "/", Backends: []Backend{}}),
+	} {
+		_, err := Compile(wrong)
+		g.Expect(err).To(gomega.MatchError(gomega.ContainSubstring(text)))
+		g.Expect(errors.Is(err, errkind.InvalidSettings)).To(gomega.BeTrue())
+	}
+}
+
+func TestSplitFollowsTheWeights(t *testing.T) {
+	g := gomega.NewWithT(t)
+	route := Route{Backends: []Backend{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}, {Service: "c"}}}
+	counts := map[string]int{}
+	for i := range 1000 {
+		counts[route.Choose(float64(i)/1000)]++
+	}
+	g.Expect(counts).To(gomega.Equal(map[string]int{"a": 900, "b": 100}))
+	g.Expect((&Route{Backends: []Backend{{Service: "only"}}}).Choose(0.5)).To(gomega.Equal("only"))
+}
