Bound slow bodies, end a node's listeners at once, and test bad input and exchanges

Change: 408 at the deadline; Kill closes the listener itself; the stand-in ends a run when its work is done. Tests for exchanges over loopback, event log, raw input.

--- a/entry/handler.go
+++ b/entry/handler.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -152,11 +153,19 @@
 		c.refuse(http.StatusRequestEntityTooLarge, "body-too-large", 0)
 		return false
 	}
+	control := http.NewResponseController(c.writer)
+	_ = control.SetReadDeadline(c.deadline)
 	body, err := io.ReadAll(http.MaxBytesReader(c.writer, c.request.Body, limit))
+	_ = control.SetReadDeadline(time.Time{})
 	if err == nil {
 		c.body = body
 		return true
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		c.writer.Header().Set("Connection", "close")
+		c.refuse(http.StatusRequestTimeout, "body-too-slow", 0)
+		return false
+	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		c.refuse(http.StatusRequestEntityTooLarge, "body-too-large", 0)
--- a/entry/node.go
+++ b/entry/node.go
@@ -56,6 +56,7 @@
 	peers    *peer.Client
 	desk     *desk
 	beats    network.DatagramSocket
+	inbound  net.Listener
 	ctx      context.Context
 	cancel   context.CancelFunc
 	group    sync.WaitGroup
@@ -156,6 +157,7 @@
 		return &begunReply{}, nil
 	})
 	peer.Handle(server, peerwire.KindNews, n.serveNews)
+	n.inbound = listener
 	go server.Serve(n.ctx, listener)
 	return nil
 }
@@ -248,6 +250,7 @@
 	for _, server := range n.servers {
 		_ = server.Close()
 	}
+	_ = n.inbound.Close()
 	_ = n.beats.Close()
 	n.peers.Close()
 	n.group.Wait()
--- a/lab/entrylab/entrylab.go
+++ b/lab/entrylab/entrylab.go
@@ -101,8 +101,9 @@
 	d.mutex.Lock()
 	d.starts++
 	incarnation := d.starts
-	d.mutex.Unlock()
 	log := eventlog.New(host, d.options.Log)
+	d.closers = append(d.closers, log.Close)
+	d.mutex.Unlock()
 	hostNetwork := d.options.Network(host)
 	node := entry.New(settings, entry.Dependencies{
 		Network: hostNetwork, Datagrams: d.options.Datagrams(host), Directory: platform.NewDirectory(hostNetwork, settings.Store),
@@ -113,7 +114,6 @@
 	}
 	d.mutex.Lock()
 	d.nodes[host] = node
-	d.closers = append(d.closers, log.Close)
 	d.mutex.Unlock()
 	return nil
 }
--- a/lab/platformsim/replica.go
+++ b/lab/platformsim/replica.go
@@ -49,6 +49,7 @@
 	Deadline      time.Duration
 	// Cancelled is true if the connection closed before the end.
 	Cancelled bool
+	over      bool
 }
 
 // Replica is a server of one service. It is safe for concurrent use.
@@ -169,7 +170,7 @@
 		return write(conn, "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nX-Attempt-Id: "+id+"\r\nContent-Length: 0\r\n\r\n")
 	}
 	run := r.begin(request, body)
-	defer r.end()
+	defer r.end(run)
 	ctx, stop := r.watchClose(conn, reader, run)
 	again := r.respond(ctx, conn, behavior, id, run)
 	stop()
@@ -201,10 +202,15 @@
 	return run
 }
 
-func (r *Replica) end() {
+// end counts the run as over, once. A run is over when its work is done, which
+// is before the last bytes of its answer are out.
+func (r *Replica) end(run *Run) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.running--
+	if !run.over {
+		run.over = true
+		r.running--
+	}
 }
 
 // watchClose notes when the other side closes while the request runs. The stop
@@ -248,6 +254,7 @@
 		return r.stream(ctx, conn, behavior, id, run)
 	}
 	wait(ctx, r.Step)
+	r.end(run)
 	return r.plain(conn, behavior, id)
 }
 
@@ -297,6 +304,7 @@
 			return false
 		}
 	}
+	r.end(run)
 	return write(conn, "0\r\n\r\n")
 }
 
--- /dev/null
+++ b/test/entry/input_test.go
@@ -0,0 +1,62 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/thornwalk/thornwalk/lab/entrylab"
+)
+
+const head = "Host: service.example\r\nX-Attempt-Id: raw\r\nX-Deadline-Ms: 2000\r\nAuthorization: Bearer key-1\r\n"
+
+// raw writes the text to a node and returns what comes back.
+func (s *scene) raw(text string) string {
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	conn, err := s.dialCaller(ctx, "tcp", entrylab.CallersAddress("n1"))
+	s.Expect(err).NotTo(gomega.HaveOccurred())
+	defer conn.Close()
+	go func() { _, _ = io.WriteString(conn, text) }()
+	_ = conn.SetReadDeadline(time.Now().Add(10 * time.Second))
+	content, _ := io.ReadAll(conn)
+	return string(content)
+}
+
+func TestMalformedRequestsReachNoReplica(t *testing.T) {
+	for name, one := range map[string]struct{ text, status string }{
+		"two lengths":       {"POST /once/ HTTP/1.1\r\n" + head + "Content-Length: 3\r\nContent-Length: 5\r\n\r\nabcde", "400"},
+		"length and chunks": {"POST /once/ HTTP/1.1\r\n" + head + "Content-Length: x\r\n\r\nabc", "400"},
+		"bad chunk":         {"POST /once/ HTTP/1.1\r\n" + head + "Transfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n0\r\n\r\n", "400"},
+		"unknown encoding":  {"POST /once/ HTTP/1.1\r\n" + head + "Transfer-Encoding: odd\r\n\r\nabc", "501"},
+		"header flood":      {"GET /safe/ HTTP/1.1\r\n" + head + strings.Repeat("X-Y: "+strings.Repeat("z", 1000)+"\r\n", 64) + "\r\n", "431"},
+		"no request":        {"hello\r\n\r\n", "400"},
+		"space in a name":   {"GET /safe/ HTTP/1.1\r\n" + head + "X Y: z\r\n\r\n", "400"},
+		"half a head":       {"GET /safe/ HTTP/1.1\r\nHost: serv", ""},
+		"half a body":       {"POST /once/ HTTP/1.1\r\n" + head + "Content-Length: 100\r\n\r\nabc", "408"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			play(t, func(s *scene) {
+				got := s.raw(one.text)
+				if one.status != "" {
+					s.Expect(got).To(gomega.HavePrefix("HTTP/1.1 " + one.status))
+				}
+				s.Expect(got).NotTo(gomega.ContainSubstring("200 OK"))
+				s.Expect(s.allRuns()).To(gomega.BeEmpty())
+			})
+		})
+	}
+}
+
+// A request hidden behind another's body must not be run as one of its own.
+func TestLengthTogetherWithChunksSmugglesNothing(t *testing.T) {
+	play(t, func(s *scene) {
+		hidden := "GET /safe/hidden HTTP/1.1\r\n" + strings.Replace(head, "raw", "hidden", 1) + "\r\n"
+		s.raw("POST /once/ HTTP/1.1\r\n" + head + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\nConnection: close\r\n\r\n0\r\n\r\n" + hidden)
+		s.Expect(s.allRuns()).NotTo(gomega.HaveKey("hidden"))
+	})
+}
--- /dev/null
+++ b/transport/replicahttp/replicahttp_test.go
@@ -0,0 +1,204 @@
+package replicahttp
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/thornwalk/thornwalk/transport/network"
+)
+
+// serve runs a replica on loopback that treats each connection by the function.
+func serve(t *testing.T, treat func(number int, conn net.Conn, reader *bufio.Reader)) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for number := 0; ; number++ {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go treat(number, conn, bufio.NewReader(conn))
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func newPool() *Pool { return NewPool(network.TCP{SilenceLimit: 3 * time.Second}) }
+
+func exchange(t *testing.T, pool *Pool, address string, body string) (*Answer, string, bool, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	t.Cleanup(cancel)
+	conn, err := pool.Connect(ctx, "replica", address, time.Minute)
+	if err != nil {
+		return nil, "", false, err
+	}
+	reused := conn.Reused
+	answer, err := pool.Exchange(ctx, conn, &Request{Method: http.MethodPost, Target: "/x?y", Host: "h", Header: http.Header{"Id": {"me"}}, Body: []byte(body), HasBody: true, IDHeader: "Id", ID: "me"})
+	if err != nil {
+		return nil, "", reused, err
+	}
+	content, err := io.ReadAll(answer.Body)
+	if err != nil {
+		answer.Abandon()
+		return answer, string(content), reused, err
+	}
+	answer.Done()
+	return answer, string(content), reused, nil
+}
+
+func reply(conn net.Conn, text string) { _, _ = io.WriteString(conn, text) }
+
+const good = "HTTP/1.1 200 OK\r\nId: me\r\nContent-Length: 2\r\n\r\nok"
+
+// readRequest reads one request with its body.
+func readRequest(reader *bufio.Reader) bool {
+	request, err := http.ReadRequest(reader)
+	if err != nil {
+		return false
+	}
+	_, err = io.Copy(io.Discard, request.Body)
+	return err == nil
+}
+
+func TestConnectionIsReusedAfterAWholeAnswer(t *testing.T) {
+	g := gomega.NewWithT(t)
+	address := serve(t, func(_ int, conn net.Conn, reader *bufio.Reader) {
+		for readRequest(reader) {
+			reply(conn, good)
+		}
+	})
+	pool := newPool()
+	_, _, reused, err := exchange(t, pool, address, "body")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(reused).To(gomega.BeFalse())
+	_, content, reused, err := exchange(t, pool, address, "body")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(content).To(gomega.Equal("ok"))
+	g.Expect(reused).To(gomega.BeTrue())
+}
+
+func TestConnectionIsNotReusedAfterAnythingElse(t *testing.T) {
+	for name, text := range map[string]string{
+		"surplus answer":   good + good,
+		"close announced":  "HTTP/1.1 200 OK\r\nId: me\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok",
+		"keep alive of 1s": "HTTP/1.1 200 OK\r\nId: me\r\nKeep-Alive: timeout=1\r\nContent-Length: 2\r\n\r\nok",
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			address := serve(t, func(number int, conn net.Conn, reader *bufio.Reader) {
+				for readRequest(reader) {
+					reply(conn, text)
+				}
+			})
+			pool := newPool()
+			for range 3 {
+				_, content, reused, err := exchange(t, pool, address, "body")
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+				g.Expect(content).To(gomega.Equal("ok"))
+				g.Expect(reused).To(gomega.BeFalse())
+			}
+		})
+	}
+}
+
+// A kept connection that the replica closed, or wrote to, is seen before use.
+func TestRestingConnectionIsLookedAtBeforeUse(t *testing.T) {
+	for name, disturb := range map[string]func(net.Conn){
+		"closed": func(conn net.Conn) { _ = conn.Close() },
+		"late":   func(conn net.Conn) { reply(conn, good) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			disturbed, again := make(chan bool), make(chan bool)
+			address := serve(t, func(number int, conn net.Conn, reader *bufio.Reader) {
+				for readRequest(reader) {
+					reply(conn, good)
+					if number == 0 {
+						<-again
+						disturb(conn)
+						close(disturbed)
+					}
+				}
+			})
+			pool := newPool()
+			_, _, _, err := exchange(t, pool, address, "body")
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			close(again)
+			<-disturbed
+			kept := pool.take("replica")
+			g.Eventually(kept.quiet).WithTimeout(10 * time.Second).Should(gomega.BeFalse())
+		})
+	}
+}
+
+func TestAnswerToAnotherRequestIsSkipped(t *testing.T) {
+	g := gomega.NewWithT(t)
+	address := serve(t, func(_ int, conn net.Conn, reader *bufio.Reader) {
+		for readRequest(reader) {
+			reply(conn, strings.Replace(good, "me", "other", 1)+good)
+		}
+	})
+	answer, content, _, err := exchange(t, newPool(), address, "body")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(answer.Header.Get("Id")).To(gomega.Equal("me"))
+	g.Expect(content).To(gomega.Equal("ok"))
+}
+
+func TestAnswerThatIsCutIsAnError(t *testing.T) {
+	for name, text := range map[string]string{
+		"in the body":  "HTTP/1.1 200 OK\r\nId: me\r\nContent-Length: 9\r\n\r\nok",
+		"in a chunk":   "HTTP/1.1 200 OK\r\nId: me\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nok",
+		"in the head":  "HTTP/1.1 200 OK\r\nId:",
+		"no head":      "",
+		"other bytes":  "%$#\r\n\r\n",
+		"other answer": strings.Replace(good, "me", "other", 1),
+	} {
+		t.Run(name, func(t *testing.T) {
+			address := serve(t, func(_ int, conn net.Conn, reader *bufio.Reader) {
+				readRequest(reader)
+				reply(conn, text)
+				_ = conn.Close()
+			})
+			_, _, _, err := exchange(t, newPool(), address, "body")
+			gomega.NewWithT(t).Expect(err).To(gomega.HaveOccurred())
+		})
+	}
+}
+
+// A rejection may come before the body was read; the connection must then not
+// carry another request, whose bytes would be taken for the rest of the body.
+func TestEarlyAnswerEndsTheConnection(t *testing.T) {
+	g := gomega.NewWithT(t)
+	address := serve(t, func(_ int, conn net.Conn, reader *bufio.Reader) {
+		if _, err := http.ReadRequest(reader); err == nil {
+			reply(conn, good)
+		}
+	})
+	pool := newPool()
+	_, content, _, err := exchange(t, pool, address, strings.Repeat("x", 32<<20))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(content).To(gomega.Equal("ok"))
+	g.Expect(pool.take("replica")).To(gomega.BeNil())
+}
+
+func TestFailedConnectProvesThatNothingWasSent(t *testing.T) {
+	g := gomega.NewWithT(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	address := listener.Addr().String()
+	_ = listener.Close()
+	_, err = newPool().Connect(context.Background(), "replica", address, time.Minute)
+	g.Expect(err).To(gomega.HaveOccurred())
+}
