Let three nodes watch the store and the others pull from them

Change: the first three nodes in rendezvous order that reach the store watch it; news goes out with a heartbeat at once, the others pull. A node that is cut off is first by itself.

--- a/coordination/liveness/liveness.go
+++ b/coordination/liveness/liveness.go
@@ -22,6 +22,8 @@
 	// Term rises when the process forgot what it had scheduled.
 	Term    uint64 `msgpack:"t"`
 	Leaving bool   `msgpack:"l"`
+	// Storeless is true if the node can't reach the store.
+	Storeless bool `msgpack:"s"`
 	// Version is the configuration's and Latest the revision of the latest
 	// change of the replicas that the node knows.
 	Version int64 `msgpack:"v"`
--- a/entry/beats.go
+++ b/entry/beats.go
@@ -127,7 +127,7 @@
 	settings := n.settings.Load()
 	beat := liveness.Beat{
 		Name: settings.Name, Zone: settings.Zone, Address: n.selfAddress(), Incarnation: n.depend.Incarnation,
-		Term: n.term, Leaving: n.stopping.Load() != 0, Latest: n.table.Latest(), Failing: n.health.failing(now),
+		Term: n.term, Leaving: n.stopping.Load() != 0, Storeless: n.storeDown, Latest: n.table.Latest(), Failing: n.health.failing(now),
 		Held: map[string]liveness.Held{},
 	}
 	if current := n.catalog.Load(); current != nil {
@@ -239,7 +239,7 @@
 		return false
 	}
 	n.lag.version, n.lag.latest = max(n.lag.version, beat.Version), max(n.lag.latest, beat.Latest)
-	if now-n.lag.since < pullPatience && version > 0 || now-n.lag.pulled < pullPatience {
+	if n.rank < watchers && now-n.lag.since < pullPatience && version > 0 || now-n.lag.pulled < pullPatience {
 		return false
 	}
 	n.lag.pulled = now
@@ -266,14 +266,10 @@
 		}
 	}
 	chosen := settings.Name
-	order := rendezvous.Choose(names, rendezvous.Key(schedulerKey), readers)
-	if len(order) > 0 {
+	if order := rendezvous.Choose(names, rendezvous.Key(schedulerKey), 1); len(order) > 0 {
 		chosen = order[0]
 	}
-	n.rank = slices.Index(order, settings.Name)
-	if n.rank < 0 {
-		n.rank = len(names)
-	}
+	n.rank = n.storeRank(live)
 	moved := chosen != n.scheduler
 	previous := n.scheduler
 	n.scheduler = chosen
@@ -289,6 +285,23 @@
 	n.desk.update(func(scheduler *admission.Scheduler) { scheduler.SetAvoided(avoided) })
 }
 
+// storeRank returns this node's place among the live nodes that reach the store.
+// The caller holds the mutex.
+func (n *Node) storeRank(live []*liveness.Member) int {
+	self := n.settings.Load().Name
+	names := []string{self}
+	for _, member := range live {
+		if !member.Leaving && !member.Storeless {
+			names = append(names, member.Name)
+		}
+	}
+	order := rendezvous.Choose(names, rendezvous.Key(schedulerKey), watchers)
+	if place := slices.Index(order, self); place >= 0 {
+		return place
+	}
+	return len(names)
+}
+
 // agreeing is how many nodes must find a replica failing for all to avoid it.
 const agreeing = 2
 
--- a/entry/news.go
+++ b/entry/news.go
@@ -27,11 +27,28 @@
 	rereadAfter = 60 * time.Second
 )
 
+// watchers is how many nodes watch the store. Each call is priced, so the others
+// hear of news from these: a heartbeat tells that there is some, a call brings it.
+const watchers = 3
+
+// watches returns whether this node has to follow the store by itself. It does
+// so too while it can't reach the store, to learn when it can.
+func (n *Node) watches() bool {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.rank < watchers || n.storeDown
+}
+
 // watchLoop follows the directory: a complete read, then watches from there,
 // and a complete read again whenever a watch fails.
 func (n *Node) watchLoop() {
 	pause := firstPause
+	known := false
 	for n.ctx.Err() == nil {
+		if known && !n.watches() {
+			n.pause(beatInterval)
+			continue
+		}
 		revision, err := n.readAll()
 		if err != nil {
 			n.storeFailed(err)
@@ -42,7 +59,7 @@
 			continue
 		}
 		n.storeAnswered()
-		pause = firstPause
+		pause, known = firstPause, true
 		n.follow(revision)
 	}
 }
@@ -51,7 +68,7 @@
 // order also read everything now and then; the others hear of it from them.
 const (
 	readers      = 2
-	readInterval = 800 * time.Millisecond
+	readInterval = 900 * time.Millisecond
 )
 
 func (n *Node) readLoop() {
@@ -82,7 +99,7 @@
 // follow watches from the revision until a watch fails or is due for a read.
 func (n *Node) follow(revision int64) {
 	begun := time.Now()
-	for n.ctx.Err() == nil && time.Since(begun) < rereadAfter {
+	for n.ctx.Err() == nil && n.watches() && time.Since(begun) < rereadAfter {
 		ctx, cancel := context.WithTimeout(n.ctx, watchWait+watchMargin)
 		update, err := n.depend.Directory.Watch(ctx, revision, watchWait)
 		cancel()
@@ -163,6 +180,9 @@
 	if changed {
 		n.replicasChanged()
 	}
+	if changed || update.Catalog != nil {
+		n.sendBeats()
+	}
 }
 
 // logReplica tells of a change. The caller holds the mutex.
