Let strong nodes schedule

Cause: on the grown agency the scheduling node had 0.192 cores; in a burst it fell behind for 4 s, its process ended by itself once, 1339 requests ran out. Change: nodes tell their share of processors; only those with three quarters of the most schedule. Settings field 'cores'.

--- a/coordination/liveness/liveness.go
+++ b/coordination/liveness/liveness.go
@@ -17,6 +17,8 @@
 	Name    string `msgpack:"n"`
 	Zone    string `msgpack:"z"`
 	Address string `msgpack:"a"`
+	// Cores is the share of processors that the process may use.
+	Cores float64 `msgpack:"c"`
 	// Incarnation differs for each start of the node's process.
 	Incarnation uint64 `msgpack:"i"`
 	// Term rises when the process forgot what it had scheduled.
@@ -134,6 +136,29 @@
 	return all
 }
 
+// strongShare is the part of the strongest node's cores that a candidate has.
+const strongShare = 0.75
+
+// Candidates returns the names of the nodes that may schedule for all: those
+// that do not leave and are about as strong as the strongest of them. The beats
+// are of live nodes, this one's included.
+func Candidates(beats []Beat) []string {
+	strongest := 0.0
+	for _, beat := range beats {
+		if !beat.Leaving {
+			strongest = max(strongest, beat.Cores)
+		}
+	}
+	var names []string
+	for _, beat := range beats {
+		if !beat.Leaving && beat.Cores >= strongest*strongShare {
+			names = append(names, beat.Name)
+		}
+	}
+	sort.Strings(names)
+	return names
+}
+
 // Get returns the member with the name.
 func (t *Table) Get(name string) (*Member, bool) {
 	member, found := t.members[name]
--- a/entry/beats.go
+++ b/entry/beats.go
@@ -126,7 +126,7 @@
 func (n *Node) beat(now structs.Instant) liveness.Beat {
 	settings := n.settings.Load()
 	beat := liveness.Beat{
-		Name: settings.Name, Zone: settings.Zone, Address: n.selfAddress(), Incarnation: n.depend.Incarnation,
+		Name: settings.Name, Zone: settings.Zone, Address: n.selfAddress(), Cores: settings.Cores, Incarnation: n.depend.Incarnation,
 		Term: n.term, Leaving: n.stopping.Load() != 0, Storeless: n.storeDown, Latest: n.table.Latest(), Failing: n.health.failing(now),
 		Held: map[string]liveness.Held{},
 	}
@@ -256,15 +256,11 @@
 	n.mutex.Lock()
 	now := n.now()
 	live := n.members.Live(now, n.deadAfter())
-	names := make([]string, 0, len(live)+1)
-	if n.stopping.Load() == 0 {
-		names = append(names, settings.Name)
-	}
+	beats := []liveness.Beat{{Name: settings.Name, Cores: settings.Cores, Leaving: n.stopping.Load() != 0}}
 	for _, member := range live {
-		if !member.Leaving {
-			names = append(names, member.Name)
-		}
+		beats = append(beats, member.Beat)
 	}
+	names := liveness.Candidates(beats)
 	chosen := settings.Name
 	if order := rendezvous.Choose(names, rendezvous.Key(schedulerKey), 1); len(order) > 0 {
 		chosen = order[0]
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -35,6 +35,9 @@
 	Contact int `yaml:"contact_ms"`
 	// Memory is the limit of the process in megabytes; zero means none.
 	Memory int `yaml:"memory_mb"`
+	// Cores is the share of processors that the process may use; stronger nodes
+	// are preferred for scheduling.
+	Cores float64 `yaml:"cores"`
 	// RetryRatio, RetryWindow (seconds) and RetrySlack bound repeated sends.
 	RetryRatio  float64 `yaml:"retry_ratio"`
 	RetryWindow float64 `yaml:"retry_window_s"`
@@ -95,6 +98,7 @@
 		{"stop_grace_ms", float64(s.StopGrace), 100, 600_000},
 		{"drain_ms", float64(s.Drain), 1, 600_000},
 		{"contact_ms", float64(s.Contact), 1, 600_000},
+		{"cores", s.Cores, 0, 1024},
 		{"retry_ratio", s.RetryRatio, 0, 10},
 		{"retry_window_s", s.RetryWindow, 0.1, 3600},
 		{"retry_slack", s.RetrySlack, 0, 1_000_000},
