--- a/cmd/thornwalk/inspect.go
+++ b/cmd/thornwalk/inspect.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -13,6 +15,7 @@
 
 	"github.com/thornwalk/thornwalk/coordination/scheduler"
 	"github.com/thornwalk/thornwalk/coordination/settingsync"
+	"github.com/thornwalk/thornwalk/operator/story"
 	"github.com/thornwalk/thornwalk/state/settings"
 )
 
@@ -95,13 +98,42 @@
 	return "open"
 }
 
+// explainLogs tells the story of a request from log files, or from standard
+// input for the name "-".
+func explainLogs(id, names string) error {
+	var readers []io.Reader
+	for _, name := range strings.Split(names, ",") {
+		if name == "-" {
+			readers = append(readers, os.Stdin)
+			continue
+		}
+		file, err := os.Open(name)
+		if err != nil {
+			return err
+		}
+		defer file.Close()
+		readers = append(readers, file)
+	}
+	told, err := story.Read(id, readers...)
+	if err != nil {
+		return err
+	}
+	told.Write(os.Stdout)
+	return nil
+}
+
 func explainCommand(o *options) *ffcli.Command {
+	flags := o.flagSet("explain")
+	logs := flags.String("logs", "", "log files of the nodes, separated by commas; - for standard input")
 	return &ffcli.Command{
-		Name: "explain", ShortUsage: "thornwalk explain REQUEST-ID", ShortHelp: "show why the node decided as it did", FlagSet: o.flagSet("explain"),
+		Name: "explain", ShortUsage: "thornwalk explain [-logs FILE,...] REQUEST-ID", ShortHelp: "show why the nodes decided as they did", FlagSet: flags,
 		Exec: func(ctx context.Context, arguments []string) error {
 			if len(arguments) != 1 {
 				return errors.New("name one request id, from the header Thornwalk-Request-Id")
 			}
+			if *logs != "" {
+				return explainLogs(arguments[0], *logs)
+			}
 			decisions, err := o.client().Explain(ctx, arguments[0])
 			if err != nil {
 				return err
