Let a scheduling node that takes over go on with the buckets of the last

Change: the scheduling node tells in its heartbeats the buckets that are not full, 48 at most; 0.65 of the slack is used, 0.15 of a burst where nothing was heard.

--- a/coordination/liveness/liveness.go
+++ b/coordination/liveness/liveness.go
@@ -34,6 +34,9 @@
 	Held map[string]Held `msgpack:"h"`
 	// Failing names replicas that fail for this node.
 	Failing []string `msgpack:"f"`
+	// Levels tells, if the sender schedules, what tenants may take at once, of those
+	// that are not near their full burst. Who takes over goes on from there.
+	Levels map[string]float64 `msgpack:"q"`
 	// Peers are a few nodes that the sender knows.
 	Peers []Peer `msgpack:"p"`
 }
--- a/coordination/quota/quota.go
+++ b/coordination/quota/quota.go
@@ -29,8 +29,12 @@
 type bucket struct {
 	level float64
 	at    structs.Instant
+	limit Limit
 }
 
+// nearFull is the part of a burst above which a bucket counts as full.
+const nearFull = 0.95
+
 // Ledger is a set of buckets, one a tenant. It is not safe for concurrent use.
 type Ledger struct {
 	buckets map[string]*bucket
@@ -79,6 +83,26 @@
 		l.buckets[tenant] = held
 	}
 	held.level = min(limit.Burst, held.level+limit.Rate*(now-held.at).Seconds())
-	held.at = now
+	held.at, held.limit = now, limit
 	return held
 }
+
+// Levels returns the buckets that are not near their full burst, at most so many.
+func (l *Ledger) Levels(now structs.Instant, most int) map[string]float64 {
+	levels := map[string]float64{}
+	for tenant, held := range l.buckets {
+		if level := held.level + held.limit.Rate*(now-held.at).Seconds(); level < held.limit.Burst*nearFull && len(levels) < most {
+			levels[tenant] = level
+		}
+	}
+	return levels
+}
+
+// Seed lets a new ledger go on from what another one held at the time. Tenants
+// that are not named start with their full burst.
+func (l *Ledger) Seed(at structs.Instant, levels map[string]float64) {
+	l.start = 1
+	for tenant, level := range levels {
+		l.buckets[tenant] = &bucket{level: level, at: at}
+	}
+}
--- a/coordination/quota/quota_test.go
+++ b/coordination/quota/quota_test.go
@@ -71,3 +71,19 @@
 		}
 	})
 }
+
+// Seen on the bench: co-op trouble-3. A scheduling node that took over began
+// with nearly empty buckets and refused what was below the quota.
+func TestLedgerThatTakesOverGoesOnWhereTheOtherWas(t *testing.T) {
+	g := gomega.NewWithT(t)
+	limit := Limit{Rate: 100, Burst: 1000}
+	before := NewLedger(1)
+	before.Take(0, "busy", limit, 900)
+	before.Take(0, "idle", limit, 10)
+	levels := before.Levels(time.Second, 10)
+	g.Expect(levels).To(gomega.HaveLen(1))
+	after := NewLedger(0)
+	after.Seed(time.Second, levels)
+	g.Expect(after.Level(2*time.Second, "busy", limit)).To(gomega.BeNumerically("~", 300, 0.1))
+	g.Expect(after.Level(2*time.Second, "idle", limit)).To(gomega.BeNumerically("~", 1000, 0.1))
+}
--- a/entry/beats.go
+++ b/entry/beats.go
@@ -133,6 +133,9 @@
 	if current := n.catalog.Load(); current != nil {
 		beat.Version = current.Version
 	}
+	if n.scheduler == settings.Name {
+		beat.Levels = n.desk.levels()
+	}
 	term := n.schedulerTerm()
 	for _, place := range n.held {
 		count := beat.Held[place.replica]
@@ -189,6 +192,9 @@
 	for _, other := range beat.Peers {
 		n.members.Learn(now, other)
 	}
+	if beat.Name == n.scheduler {
+		n.levels, n.levelsAt = beat.Levels, now
+	}
 	behind := n.behind(beat)
 	leads := n.scheduler == n.settings.Load().Name
 	n.mutex.Unlock()
@@ -246,6 +252,10 @@
 	return true
 }
 
+// levelsMemory is how long the buckets of another scheduling node are worth
+// going on from.
+const levelsMemory = 10 * time.Second
+
 // schedulerKey is the rendezvous key of the node that schedules.
 const schedulerKey = "scheduler"
 
@@ -269,10 +279,15 @@
 	moved := chosen != n.scheduler
 	previous := n.scheduler
 	n.scheduler = chosen
+	levels, levelsAt := n.levels, n.levelsAt
+	takesOver := moved && chosen == settings.Name && levelsAt > 0 && now-levelsAt < levelsMemory
 	known := max(len(n.members.All(now)), len(settings.Seeds)-1) + 1
 	share := float64(len(live)+1) / float64(known)
 	avoided := n.avoidedByMany(live)
 	n.mutex.Unlock()
+	if takesOver {
+		n.desk.takeOver(levelsAt, levels)
+	}
 	if moved {
 		n.log.Write(eventlog.Event{Kind: "scheduler", Peer: chosen, Outcome: "moved", Detail: "from " + previous, Count: len(live) + 1})
 		n.sendBeats()
--- a/entry/desk.go
+++ b/entry/desk.go
@@ -13,7 +13,7 @@
 )
 
 // takeoverBurst is the share of a burst that a scheduling node starts with.
-const takeoverBurst = 0.1
+const takeoverBurst = 0.15
 
 // placed is what the desk must remember of a request to settle its quota.
 type placed struct {
@@ -83,6 +83,24 @@
 	d.budget.SetPolicy(policy)
 }
 
+// maximumLevels bounds the tenants whose buckets are told to other nodes.
+const maximumLevels = 48
+
+// levels returns the tenants' buckets that another node would have to know.
+func (d *desk) levels() map[string]float64 {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.quotas.Levels(d.clock(), maximumLevels)
+}
+
+// takeOver goes on from the buckets that the last scheduling node told of.
+func (d *desk) takeOver(at structs.Instant, levels map[string]float64) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.quotas = quota.NewLedger(takeoverBurst)
+	d.quotas.Seed(at, levels)
+}
+
 // update runs a change of the scheduler and decides what it makes possible.
 func (d *desk) update(change func(*admission.Scheduler)) {
 	d.mutex.Lock()
--- a/entry/node.go
+++ b/entry/node.go
@@ -82,6 +82,9 @@
 	newsAt      structs.Instant
 	undelivered []undelivered
 	lag         lag
+	// levels is what the last other scheduling node told of the tenants' buckets.
+	levels   map[string]float64
+	levelsAt structs.Instant
 }
 
 // New returns a node that does not run yet.
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -131,7 +131,7 @@
 // for scheduling nodes that take over from each other.
 const (
 	usedOverage = 0.8
-	usedSlack   = 0.55
+	usedSlack   = 0.65
 )
 
 // quotaLimit returns what is handed out for a quota.
