--- /dev/null
+++ b/coordination/admission/decide.go
@@ -0,0 +1,142 @@
+package admission
+
+import (
+	"sort"
+	"time"
+
+	"github.com/thornwalk/thornwalk/structs"
+)
+
+// Decide places and refuses what can be decided now.
+func (s *Scheduler) Decide(now structs.Instant) []Decision {
+	var decisions []Decision
+	names := make([]string, 0, len(s.services))
+	for name, pool := range s.services {
+		if len(pool.queue) > 0 {
+			names = append(names, name)
+		}
+	}
+	sort.Strings(names)
+	for _, name := range names {
+		decisions = s.decideService(now, name, decisions)
+	}
+	return decisions
+}
+
+// Sweep frees places so old that their end must have been lost.
+func (s *Scheduler) Sweep(now structs.Instant) {
+	for id, held := range s.places {
+		if now-held.since > placeLimit {
+			s.release(id)
+		}
+	}
+}
+
+func (s *Scheduler) decideService(now structs.Instant, name string, decisions []Decision) []Decision {
+	pool := s.services[name]
+	room := s.measure(now, name)
+	sortQueue(now, pool.queue)
+	kept := pool.queue[:0]
+	ahead := 0
+	for _, held := range pool.queue {
+		decision, done := s.decideOne(now, held, room, ahead)
+		if !done {
+			kept = append(kept, held)
+			ahead++
+			continue
+		}
+		delete(s.waits, held.ID)
+		decisions = append(decisions, decision)
+	}
+	clear(pool.queue[len(kept):])
+	pool.queue = kept
+	return decisions
+}
+
+// sortQueue orders by priority, then those that can still be in time, the
+// shortest answers first, then the late ones by arrival.
+func sortQueue(now structs.Instant, queue []*waiting) {
+	sort.SliceStable(queue, func(i, j int) bool {
+		a, b := queue[i], queue[j]
+		if a.Priority != b.Priority {
+			return a.Priority < b.Priority
+		}
+		aLate, bLate := now > a.arrived+a.Target, now > b.arrived+b.Target
+		if aLate != bLate {
+			return bLate
+		}
+		if !aLate && a.Answer != b.Answer {
+			return a.Answer < b.Answer
+		}
+		return a.arrived+a.Target < b.arrived+b.Target
+	})
+}
+
+func (s *Scheduler) decideOne(now structs.Instant, held *waiting, room *room, ahead int) (Decision, bool) {
+	decision := Decision{ID: held.ID, Waited: now - held.arrived}
+	if len(room.options) == 0 {
+		decision.Reason, decision.RetryAfter = ReasonNoReplica, minimumRetry
+		return decision, decision.Waited >= held.Patience
+	}
+	left := held.Deadline - decision.Waited
+	if held.Answer > 0 && !room.canServe(held.Answer, left) {
+		decision.Reason, decision.RetryAfter = ReasonDeadline, maximumRetry
+		return decision, true
+	}
+	if chosen := s.choose(held, room, left); chosen != nil {
+		chosen.used++
+		chosen.unread += held.Prompt
+		room.free--
+		s.used[chosen.replica.ID]++
+		s.places[held.ID] = &place{node: held.Node, service: held.Service, replica: chosen.replica.ID, prompt: held.Prompt, since: now}
+		decision.Replica = chosen.replica
+		return decision, true
+	}
+	expected := room.wait(ahead)
+	decision.RetryAfter = retryAfter(expected, left)
+	if decision.Waited >= held.Patience {
+		decision.Reason = ReasonNoPlace
+		return decision, true
+	}
+	late := decision.Waited+expected > time.Duration(float64(held.Target)*startShare)
+	if !held.Returned && late && decision.Waited >= time.Duration(float64(held.Target)*refuseShare) || ahead > maximumQueue {
+		decision.Reason = ReasonBacklog
+		return decision, true
+	}
+	return Decision{}, false
+}
+
+// retryAfter tells a refused caller to come back when the work ahead is done,
+// as late as it can be without taking the caller's time for the answer.
+func retryAfter(expected, left time.Duration) time.Duration {
+	longest := time.Duration(float64(left) * retryShare)
+	return min(max(expected, minimumRetry, longest/2), max(longest, minimumRetry))
+}
+
+// choose returns the best replica with a free place, or nil.
+func (s *Scheduler) choose(held *waiting, room *room, left time.Duration) *option {
+	if held.Yields && float64(room.free) <= reservedShare*float64(room.total) && held.Prompt > 0 {
+		return nil
+	}
+	var best *option
+	var bestCost float64
+	for _, choice := range room.options {
+		if choice.used >= choice.replica.Slots || s.avoided[choice.replica.ID] || contains(held.Avoid, choice.replica.ID) || !choice.fits(held.Answer, left) {
+			continue
+		}
+		cost := choice.cost(held.Prompt)
+		if best == nil || cost < bestCost {
+			best, bestCost = choice, cost
+		}
+	}
+	return best
+}
+
+func contains(ids []string, id string) bool {
+	for _, other := range ids {
+		if other == id {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/coordination/admission/room.go
@@ -0,0 +1,123 @@
+package admission
+
+import (
+	"time"
+
+	"github.com/thornwalk/thornwalk/state/replicas"
+	"github.com/thornwalk/thornwalk/structs"
+)
+
+// room is the state of a service's replicas during one Decide.
+type room struct {
+	options []*option
+	// free counts places and total all slots.
+	free, total int
+	duration    time.Duration
+}
+
+// option is one replica with what is known of it.
+type option struct {
+	replica replicas.Replica
+	used    int
+	unread  int
+	slow    float64
+	// step is the learned time between two tokens; zero if it is not known.
+	step time.Duration
+}
+
+// fits returns whether the answer is likely to be whole before its deadline.
+func (o *option) fits(answer int, left time.Duration) bool {
+	return time.Duration(answer)*o.step <= time.Duration(float64(left)*fitShare)
+}
+
+func (s *Scheduler) measure(now structs.Instant, name string) *room {
+	measured := &room{duration: s.services[name].duration}
+	fastest := s.fastest(name)
+	byID := map[string]*option{}
+	for _, replica := range s.replicas[name] {
+		if replica.Draining || s.isAside(now, replica.ID) {
+			continue
+		}
+		choice := &option{replica: replica, used: s.usage(now, replica.ID), slow: s.slowness(replica.ID, fastest), step: s.step(replica.ID)}
+		if s.onTrial(replica.ID) {
+			choice.replica.Slots = 1
+		}
+		byID[replica.ID] = choice
+		measured.options = append(measured.options, choice)
+		measured.total += replica.Slots
+		if !s.avoided[replica.ID] {
+			measured.free += max(0, replica.Slots-choice.used)
+		}
+	}
+	for _, held := range s.places {
+		if choice, found := byID[held.replica]; found && !held.begun && now-held.since < prefillTime {
+			choice.unread += held.prompt
+		}
+	}
+	return measured
+}
+
+// usage is the work at the replica, with what no node reports.
+func (s *Scheduler) usage(now structs.Instant, id string) int {
+	used := s.reported(id)
+	if hidden, found := s.hidden[id]; found && now-hidden.at < hiddenMemory {
+		used += hidden.count
+	}
+	return used
+}
+
+// reported is the work at the replica that nodes report.
+func (s *Scheduler) reported(id string) int {
+	used := s.used[id]
+	for _, counts := range s.foreign {
+		used += counts[id]
+	}
+	return used
+}
+
+func (s *Scheduler) fastest(name string) time.Duration {
+	var fastest time.Duration
+	for _, replica := range s.replicas[name] {
+		if learned, known := s.speeds[replica.ID]; known && (fastest == 0 || learned.step < fastest) {
+			fastest = learned.step
+		}
+	}
+	return fastest
+}
+
+func (s *Scheduler) step(id string) time.Duration {
+	if learned, known := s.speeds[id]; known {
+		return learned.step
+	}
+	return 0
+}
+
+// slowness is how much longer a replica takes than the fastest of its service.
+func (s *Scheduler) slowness(id string, fastest time.Duration) float64 {
+	learned, known := s.speeds[id]
+	if !known || fastest <= 0 {
+		return 1
+	}
+	return float64(learned.step) / float64(fastest)
+}
+
+// wait estimates the time until a place for a request with so many ahead.
+func (r *room) wait(ahead int) time.Duration {
+	return time.Duration(float64(r.duration) * float64(ahead+1) / float64(max(r.total, 1)))
+}
+
+// canServe returns whether any replica, even an idle one, is fast enough.
+func (r *room) canServe(answer int, left time.Duration) bool {
+	for _, choice := range r.options {
+		if choice.fits(answer, left) {
+			return true
+		}
+	}
+	return false
+}
+
+// cost is the expected time of a prompt at the replica, in tokens that the
+// fastest replica reads meanwhile.
+func (o *option) cost(prompt int) float64 {
+	return o.slow * float64(fixedTokens+o.unread+prompt+o.used*runningTokens)
+}
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -59,6 +59,7 @@
 	for {
 		given := c.node.place(c.ctx, c.placeRequest(avoid, c.sends > 0))
 		c.waited += given.Waited
+		c.node.observe("place_wait_ms", given.Waited)
 		if given.Reason != "" {
 			c.unplaced(given, runs)
 			return
@@ -249,6 +250,9 @@
 	} else {
 		answer.Abandon()
 	}
+	if seen.FirstEvent > 0 {
+		node.observe("first_event_ms", seen.FirstEvent)
+	}
 	seen.Duration, seen.Stride = time.Since(sent), c.stride()
 	seen.Left = outcome == resultLeft || c.ctx.Err() != nil
 	seen.Failed = seen.Failed || outcome != resultAnswered
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -201,6 +201,7 @@
 	c.node.log.Write(event)
 	c.node.counter("requests." + outcome).Inc(1)
 	c.node.counter("ended." + reason).Inc(1)
+	c.node.observe("request_ms."+outcome, time.Since(c.arrived))
 	if c.headSent {
 		panic(http.ErrAbortHandler)
 	}
@@ -216,6 +217,7 @@
 	event.Outcome, event.Status, event.Replica = "answered", status, replica
 	c.node.log.Write(event)
 	c.node.counter("requests.answered").Inc(1)
+	c.node.observe("request_ms.answered", time.Since(c.arrived))
 }
 
 // event returns a log line with what names the request.
--- a/entry/news.go
+++ b/entry/news.go
@@ -88,10 +88,12 @@
 func (n *Node) readAll() (int64, error) {
 	ctx, cancel := context.WithTimeout(n.ctx, readTimeout)
 	defer cancel()
+	begun := time.Now()
 	update, err := n.depend.Directory.Read(ctx)
 	if err != nil {
 		return 0, err
 	}
+	n.observe("store_read_ms", time.Since(begun))
 	n.apply(update)
 	return update.Revision, nil
 }
--- a/entry/node.go
+++ b/entry/node.go
@@ -272,6 +272,21 @@
 	return metrics.GetOrRegisterCounter(name, n.metrics)
 }
 
+// sampleSize is the number of observations that a histogram keeps, and
+// sampleDecay how strongly it prefers the latest.
+const (
+	sampleSize  = 256
+	sampleDecay = 0.015
+)
+
+// observe enters a duration into the histogram with the name, in milliseconds.
+func (n *Node) observe(name string, duration time.Duration) {
+	histogram := n.metrics.GetOrRegister(name, func() metrics.Histogram {
+		return metrics.NewHistogram(metrics.NewExpDecaySample(sampleSize, sampleDecay))
+	}).(metrics.Histogram)
+	histogram.Update(duration.Milliseconds())
+}
+
 // housekeepingInterval is the time between sweeps.
 const housekeepingInterval = 500 * time.Millisecond
 
--- a/entry/operators.go
+++ b/entry/operators.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 
@@ -70,8 +71,23 @@
 	fmt.Fprintf(w, "thornwalk_connections_opened %d\nthornwalk_connections_reused %d\n", opened, reused)
 	fmt.Fprintf(w, "thornwalk_requests_in_progress %d\nthornwalk_log_lines_lost %d\n", n.inFlight.Load(), n.log.Lost())
 	n.metrics.Each(func(name string, metric any) {
-		if counter, ok := metric.(metrics.Counter); ok {
-			fmt.Fprintf(w, "thornwalk_%s %d\n", strings.NewReplacer(".", "_", "-", "_").Replace(name), counter.Count())
+		name = "thornwalk_" + strings.NewReplacer(".", "_", "-", "_").Replace(name)
+		switch kind := metric.(type) {
+		case metrics.Counter:
+			fmt.Fprintf(w, "%s %d\n", name, kind.Count())
+		case metrics.Histogram:
+			writeHistogram(w, name, kind)
 		}
 	})
 }
+
+// quantiles are the parts of the observations that are told of a histogram.
+var quantiles = []float64{0.5, 0.9, 0.99}
+
+func writeHistogram(w io.Writer, name string, histogram metrics.Histogram) {
+	values := histogram.Snapshot().Percentiles(quantiles)
+	for i, quantile := range quantiles {
+		fmt.Fprintf(w, "%s{quantile=\"%v\"} %v\n", name, quantile, values[i])
+	}
+	fmt.Fprintf(w, "%s_count %d\n", name, histogram.Count())
+}
--- a/entry/place.go
+++ b/entry/place.go
@@ -89,10 +89,18 @@
 func (n *Node) callScheduler(ctx context.Context, scheduler, address string, request *placeRequest, reply *placeReply) error {
 	callContext, cancel := context.WithCancel(ctx)
 	defer cancel()
-	watcher := time.AfterFunc(silenceCheck, func() {})
-	defer watcher.Stop()
-	var check func()
-	check = func() {
+	go n.watchSilence(callContext, cancel, scheduler)
+	return n.peers.Call(callContext, address, peerwire.KindPlace, request, reply)
+}
+
+// watchSilence cancels the call when the scheduling node is no longer heard of.
+func (n *Node) watchSilence(ctx context.Context, cancel context.CancelFunc, scheduler string) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(silenceCheck):
+		}
 		n.mutex.Lock()
 		member, found := n.members.Get(scheduler)
 		silent := !found || member.Silence(n.now()) > n.deadAfter()
@@ -101,12 +109,7 @@
 			cancel()
 			return
 		}
-		if callContext.Err() == nil {
-			time.AfterFunc(silenceCheck, check)
-		}
 	}
-	watcher = time.AfterFunc(silenceCheck, check)
-	return n.peers.Call(callContext, address, peerwire.KindPlace, request, reply)
 }
 
 // undelivered is a message about an ended request that its scheduling node did
