--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -90,8 +90,9 @@
 	replica string
 	prompt  int
 	since   structs.Instant
-	// begun is true once the prompt was read.
-	begun bool
+	// begun is true once the prompt was read, and overdue once the answer should
+	// have begun and did not.
+	begun, overdue bool
 }
 
 // service is the state of one pool.
@@ -252,7 +253,7 @@
 		return
 	}
 	s.release(id)
-	if !seen.Left {
+	if !seen.Left && !held.overdue {
 		s.judge(now, held.service, held.replica, seen.Failed)
 	}
 	if seen.Failed || seen.Left || seen.Duration <= 0 {
--- a/coordination/admission/admission_test.go
+++ b/coordination/admission/admission_test.go
@@ -235,3 +235,24 @@
 		}
 	})
 }
+
+// Seen on the bench: agency trouble-2. Replicas whose answers were lost kept
+// getting requests, since a caller that left says nothing of the replica.
+func TestAnswersThatDoNotBeginCountAsFailures(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := New()
+	s.SetReplicas(pool(4, 4, 4))
+	s.SetAvoided(map[string]bool{"r1": true, "r2": true})
+	for i := range 4 {
+		s.Submit(0, request(fmt.Sprint("silent", i), 0))
+	}
+	s.Decide(0)
+	s.SetAvoided(nil)
+	s.Sweep(overdueAfter + ms)
+	s.Submit(overdueAfter+ms, request("next", 0))
+	g.Expect(s.Decide(overdueAfter + ms)[0].Replica.ID).NotTo(gomega.Equal("r0"))
+	for i := range 4 {
+		s.Finish(overdueAfter+2*ms, fmt.Sprint("silent", i), Observation{Left: true})
+	}
+	g.Expect(s.conducts["r0"].requests).To(gomega.BeNumerically("<", enoughRequests))
+}
--- a/coordination/admission/decide.go
+++ b/coordination/admission/decide.go
@@ -23,9 +23,14 @@
 	return decisions
 }
 
-// Sweep frees places so old that their end must have been lost.
+// Sweep frees places so old that their end must have been lost, and counts
+// answers that should have begun against their replicas.
 func (s *Scheduler) Sweep(now structs.Instant) {
 	for id, held := range s.places {
+		if !held.begun && !held.overdue && now-held.since > overdueAfter {
+			held.overdue = true
+			s.judge(now, held.service, held.replica, true)
+		}
 		if now-held.since > placeLimit {
 			s.release(id)
 		}
--- a/coordination/admission/tuning.go
+++ b/coordination/admission/tuning.go
@@ -25,6 +25,8 @@
 	// late is refused, and startShare that by which it must have started.
 	refuseShare = 0.18
 	startShare  = 0.75
+	// overdueAfter is the time in which an answer should begin.
+	overdueAfter = 1200 * time.Millisecond
 	// smoothing is the weight of a new observation.
 	smoothing = 0.15
 	// fitShare is the part of the time left that an answer may be expected to take.
