--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -12,8 +12,10 @@
 	// ID is unique over all nodes and tries.
 	ID string
 	// Node is the process that asks, with its incarnation.
-	Node     string
-	Service  string
+	Node    string
+	Service string
+	// Zone is the asking node's.
+	Zone     string
 	Priority int
 	// Prompt counts tokens and Answer is a guess at those of the answer; both are
 	// zero for plain services.
--- a/coordination/admission/decide.go
+++ b/coordination/admission/decide.go
@@ -130,6 +130,9 @@
 			continue
 		}
 		cost := choice.cost(held.Prompt)
+		if choice.replica.Zone != held.Zone {
+			cost *= otherZoneFactor
+		}
 		if best == nil || cost < bestCost {
 			best, bestCost = choice, cost
 		}
--- a/coordination/admission/tuning.go
+++ b/coordination/admission/tuning.go
@@ -27,6 +27,9 @@
 	startShare  = 0.75
 	// overdueAfter is the time in which an answer should begin.
 	overdueAfter = 1200 * time.Millisecond
+	// otherZoneFactor is how much more a replica in another zone than the node's
+	// costs: a cut between zones breaks what crosses them.
+	otherZoneFactor = 2.0
 	// smoothing is the weight of a new observation.
 	smoothing = 0.15
 	// fitShare is the part of the time left that an answer may be expected to take.
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -94,7 +94,7 @@
 	request := &placeRequest{
 		Request: admission.Request{
 			ID:   node.process() + "." + strconv.FormatUint(node.sequence.Add(1), 36),
-			Node: node.process(), Service: c.service, Priority: c.priority(),
+			Node: node.process(), Zone: node.settings.Load().Zone, Service: c.service, Priority: c.priority(),
 			Prompt: c.prompt, Answer: c.expectedTokens(), Avoid: avoid, Yields: c.route.Priority >= yieldFrom,
 			Deadline: max(time.Until(c.deadline), 0),
 			Target:   max(c.route.Target-time.Since(c.arrived), 0), Patience: c.patience(),
