Decide in rounds of at least 2 ms

Cause: on the grown agency every change (1,300 requests a second, three changes each) sorted the whole queue and measured 140 replicas and 560 places; the scheduling node fell behind, its memory grew over the limit and it ended. Change: a round of decisions serves all changes of 2 ms.

--- a/entry/desk.go
+++ b/entry/desk.go
@@ -39,10 +39,12 @@
 	placed  map[string]placed
 	refused *refusals
 	timer   *time.Timer
+	// decidedAt is when the last round of decisions was made.
+	decidedAt structs.Instant
 }
 
 func newDesk(clock func() structs.Instant, policy retrybudget.Policy, first bool) *desk {
-	d := &desk{clock: clock, share: 1, first: first, term: 1, budget: retrybudget.New(policy)}
+	d := &desk{clock: clock, decidedAt: -decideInterval, share: 1, first: first, term: 1, budget: retrybudget.New(policy)}
 	d.clear()
 	d.timer = time.AfterFunc(time.Hour, d.wake)
 	return d
@@ -207,8 +209,23 @@
 	d.decide()
 }
 
-// decide hands out decisions. The caller holds the mutex.
+// decideInterval is the least time between two rounds of decisions. A round costs
+// as much as there are replicas, places and waiting requests; so under load one
+// round serves many changes.
+const decideInterval = 2 * time.Millisecond
+
+// decide hands out decisions, or sees to it that this happens soon if there was
+// a round just now. The caller holds the mutex.
 func (d *desk) decide() {
+	if len(d.waiters) == 0 {
+		return
+	}
+	now := d.clock()
+	if now-d.decidedAt < decideInterval {
+		d.timer.Reset(decideInterval)
+		return
+	}
+	d.decidedAt = now
 	for _, decision := range d.scheduler.Decide(d.clock()) {
 		waiter, found := d.waiters[decision.ID]
 		if !found {
