Replace the nodes that follow the store at once when it falls silent for them

Also: the end of an exchange took its writer for unfinished when it was only not yet scheduled, and dropped the connection (seen in a -race run of TestConnectionIsReusedAfterAWholeAnswer); a dial of the store's client went on after its caller left. Change: reads end after 0.8 s; trouble is told at once and looked at when heard; Done waits 20 ms for the writer; dials of the store are bounded.

--- a/cmd/thornwalkd/entry.go
+++ b/cmd/thornwalkd/entry.go
@@ -36,7 +36,7 @@
 	defer log.Close()
 	outsideNetwork := network.TCP{SilenceLimit: silenceLimit}
 	node := entry.New(settings, entry.Dependencies{
-		Network: outsideNetwork, Datagrams: outsideNetwork, Directory: platform.NewDirectory(outsideNetwork, settings.Store),
+		Network: outsideNetwork, Datagrams: outsideNetwork, Directory: platform.NewDirectory(network.Bounded{Network: outsideNetwork, Limit: silenceLimit}, settings.Store),
 		Headers: platform.Headers(), ReadyPath: platform.ReadyPath, Log: log, Incarnation: rand.Uint64(),
 	})
 	if err := node.Start(); err != nil {
--- a/entry/beats.go
+++ b/entry/beats.go
@@ -188,6 +188,8 @@
 func (n *Node) heard(beat liveness.Beat) {
 	n.mutex.Lock()
 	now := n.now()
+	before, found := n.members.Get(beat.Name)
+	storeNews := found && before.Storeless != beat.Storeless
 	news := n.members.Heard(now, beat, n.deadAfter())
 	for _, other := range beat.Peers {
 		n.members.Learn(now, other)
@@ -200,6 +202,8 @@
 	n.mutex.Unlock()
 	if news {
 		n.log.Write(eventlog.Event{Kind: "peer", Peer: beat.Name, Outcome: "heard", Detail: beat.Address})
+	}
+	if news || storeNews {
 		n.chooseScheduler()
 	}
 	counts := map[string]int{}
--- a/entry/news.go
+++ b/entry/news.go
@@ -16,7 +16,7 @@
 
 // Times of the calls to the directory.
 const (
-	readTimeout = 2 * time.Second
+	readTimeout = 800 * time.Millisecond
 	// watchWait is how long a watch without news is held; each is a priced call.
 	watchWait = 10 * time.Second
 	// watchMargin is added for the answer to arrive.
@@ -136,6 +136,8 @@
 	n.mutex.Unlock()
 	n.counter("store.failures").Inc(1)
 	if first && n.ctx.Err() == nil {
+		// Others have to follow the store in this node's place.
+		n.sendBeats()
 		n.log.Write(eventlog.Event{Kind: "store", Outcome: "lost", Detail: err.Error()})
 	}
 }
--- a/lab/entrylab/entrylab.go
+++ b/lab/entrylab/entrylab.go
@@ -29,6 +29,9 @@
 	replicaPort   = 8080
 )
 
+// storeDialLimit bounds the opening of a connection to the store.
+const storeDialLimit = 3 * time.Second
+
 // Options describe a deployment.
 type Options struct {
 	// Hosts are the nodes' hosts, one node each, and Zones their zones.
@@ -106,7 +109,7 @@
 	d.mutex.Unlock()
 	hostNetwork := d.options.Network(host)
 	node := entry.New(settings, entry.Dependencies{
-		Network: hostNetwork, Datagrams: d.options.Datagrams(host), Directory: platform.NewDirectory(hostNetwork, settings.Store),
+		Network: hostNetwork, Datagrams: d.options.Datagrams(host), Directory: platform.NewDirectory(network.Bounded{Network: hostNetwork, Limit: storeDialLimit}, settings.Store),
 		Headers: platform.Headers(), ReadyPath: platform.ReadyPath, Log: log, Incarnation: incarnation,
 	})
 	if err := node.Start(); err != nil {
--- a/test/entry/faults_test.go
+++ b/test/entry/faults_test.go
@@ -42,6 +42,23 @@
 	})
 }
 
+// Seen on the bench: grown co-op trouble-1, DRAIN. The nodes that follow the
+// store for all must be replaced at once when it turns away just them.
+func TestOthersFollowTheStoreWhenItFallsSilentForThoseThatDid(t *testing.T) {
+	play(t, func(s *scene) {
+		for _, node := range s.others() {
+			s.fabric.CutGroups([]string{"store"}, []string{node})
+		}
+		time.Sleep(100 * time.Millisecond)
+		s.plain[0].Register(s.lab.Store, "draining")
+		time.Sleep(1900 * time.Millisecond)
+		for i := range 6 {
+			s.Expect(s.get(hosts[i%3], http.MethodGet, "/safe/", nil).status).To(gomega.Equal(200))
+		}
+		s.Expect(s.plain[0].Runs()).To(gomega.BeEmpty())
+	})
+}
+
 // breakWatches lets the store forget its history, which ends every watch.
 func (s *scene) breakWatches() {
 	s.lab.Store.Put("other/key", []byte("x"))
--- a/transport/network/network.go
+++ b/transport/network/network.go
@@ -63,3 +63,17 @@
 		_ = syscall.SetsockoptInt(int(descriptor), syscall.IPPROTO_TCP, tcpUserTimeout, int(t.SilenceLimit.Milliseconds()))
 	})
 }
+
+// Bounded gives up a connection that does not come up within the limit, whoever
+// asks for it: some clients go on dialling after their caller left.
+type Bounded struct {
+	Network
+	Limit time.Duration
+}
+
+// Dial implements Network.
+func (b Bounded) Dial(ctx context.Context, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, b.Limit)
+	defer cancel()
+	return b.Network.Dial(ctx, address)
+}
--- a/transport/replicahttp/exchange.go
+++ b/transport/replicahttp/exchange.go
@@ -145,14 +145,21 @@
 	if !a.whole || a.Close || a.conn.reader.Buffered() > 0 {
 		return false
 	}
+	// The writer of a body that was read to its end is about to say so.
+	timer := time.NewTimer(writerPatience)
+	defer timer.Stop()
 	select {
 	case err := <-a.written:
 		return err == nil
-	default:
+	case <-timer.C:
 		return false
 	}
 }
 
+// writerPatience is how long the end of an exchange waits for its writer; one
+// that takes longer is held up by a body that the replica does not read.
+const writerPatience = 20 * time.Millisecond
+
 // Abandon breaks the connection, by which the replica learns that nobody waits.
 func (a *Answer) Abandon() {
 	a.stop()
