Take a heartbeat interval of a second for no pause, and keep heartbeats in a datagram

Ruled out first: lost or too long datagrams (569 moves of the scheduling node with short ones); the bound on their length stays, as it costs nothing. Change: a pause is a second beyond the interval; a heartbeat over 1,200 bytes leaves out what matters least. Tests: TestHeartbeatsFarApartAreNoPause, TestHeartbeatsStayWithinADatagram.

--- a/coordination/liveness/liveness.go
+++ b/coordination/liveness/liveness.go
@@ -43,6 +43,9 @@
 
 // Held counts requests in progress at one replica.
 type Held struct {
+	//lint:ignore U1000 the codec reads the tag
+	_msgpack struct{} `msgpack:",as_array"`
+
 	// Total is all of them and Foreign those that the node's present scheduler
 	// did not place.
 	Total   int `msgpack:"t"`
--- a/entry/beats.go
+++ b/entry/beats.go
@@ -51,7 +51,7 @@
 		if !n.pause(wait) {
 			return
 		}
-		if time.Since(last) > frozenAfter {
+		if stoodStill(time.Since(last), wait) {
 			n.thawed(time.Since(last))
 		}
 		last = time.Now()
@@ -60,6 +60,10 @@
 	}
 }
 
+// stoodStill returns whether the process paused between two heartbeats that were
+// to be so far apart.
+func stoodStill(since, wait time.Duration) bool { return since > wait+frozenAfter }
+
 // thawed handles that the process stood still: what it scheduled before is void.
 func (n *Node) thawed(pause time.Duration) {
 	n.log.Write(eventlog.Event{Kind: "process.paused", Outcome: "schedule forgotten", Age: pause.Milliseconds()})
@@ -93,7 +97,7 @@
 			addresses[seed] = true
 		}
 	}
-	content, err := msgpack.Marshal(beat)
+	content, err := encodeBeat(beat)
 	if err != nil {
 		return
 	}
@@ -102,6 +106,33 @@
 	}
 }
 
+// datagramBudget is the length of a heartbeat that any network carries whole.
+const datagramBudget = 1200
+
+// encodeBeat encodes the heartbeat. One that is too long leaves out first the
+// requests that the scheduling node placed itself, then the tenants' buckets and
+// the failing replicas: that the node lives matters most.
+func encodeBeat(beat liveness.Beat) ([]byte, error) {
+	content, err := msgpack.Marshal(beat)
+	if err != nil || len(content) <= datagramBudget {
+		return content, err
+	}
+	foreign := map[string]liveness.Held{}
+	for replica, count := range beat.Held {
+		if count.Foreign > 0 {
+			foreign[replica] = count
+		}
+	}
+	beat.Held = foreign
+	for _, shorten := range []func(){func() { beat.Levels = nil }, func() { beat.Failing = nil }, func() { beat.Held = nil }, func() {}} {
+		if content, err = msgpack.Marshal(beat); err != nil || len(content) <= datagramBudget {
+			return content, err
+		}
+		shorten()
+	}
+	return content, err
+}
+
 func (n *Node) selfAddress() string {
 	settings := n.settings.Load()
 	return net.JoinHostPort(settings.Host, strconv.Itoa(settings.PeerPort))
--- /dev/null
+++ b/entry/beats_test.go
@@ -0,0 +1,49 @@
+package entry
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/onsi/gomega"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/thornwalk/thornwalk/coordination/liveness"
+)
+
+// Seen on the bench: grown co-op quiet-1, QUOTA. In a burst the scheduling
+// node's heartbeats grew beyond what a datagram carries and nobody heard it.
+func TestHeartbeatsStayWithinADatagram(t *testing.T) {
+	g := gomega.NewWithT(t)
+	beat := liveness.Beat{Name: "n", Address: "10.0.0.1:7600", Levels: map[string]float64{}, Held: map[string]liveness.Held{"foreign": {Total: 2, Foreign: 1}}}
+	for i := range 100 {
+		beat.Held[fmt.Sprintf("i-%010d", i)] = liveness.Held{Total: 1}
+	}
+	for i := range 20 {
+		beat.Levels[fmt.Sprintf("tenant%d", i)] = 12345.6
+	}
+	content, err := encodeBeat(beat)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(len(content)).To(gomega.BeNumerically("<=", datagramBudget))
+	var heard liveness.Beat
+	g.Expect(msgpack.Unmarshal(content, &heard)).To(gomega.Succeed())
+	g.Expect(heard.Held).To(gomega.Equal(map[string]liveness.Held{"foreign": {Total: 2, Foreign: 1}}))
+	g.Expect(heard.Levels).To(gomega.HaveLen(20))
+	for i := range 200 {
+		beat.Held[fmt.Sprintf("i-%010d", i)] = liveness.Held{Total: 1, Foreign: 1}
+		beat.Failing = append(beat.Failing, fmt.Sprintf("i-%010d", i))
+	}
+	content, err = encodeBeat(beat)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(len(content)).To(gomega.BeNumerically("<=", datagramBudget))
+}
+
+// Seen on the bench: grown co-op, QUOTA and DRAIN. With 83 nodes heartbeats are
+// a second apart, which was taken for a pause each time.
+func TestHeartbeatsFarApartAreNoPause(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for _, members := range []int{1, 9, 65, 83, 390} {
+		wait := interval(members)
+		g.Expect(stoodStill(wait+wait/10, wait)).To(gomega.BeFalse(), fmt.Sprint(members))
+		g.Expect(stoodStill(wait+2*frozenAfter, wait)).To(gomega.BeTrue(), fmt.Sprint(members))
+	}
+}
