--- a/coordination/admission/decide.go
+++ b/coordination/admission/decide.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"slices"
 	"sort"
 	"time"
 
@@ -126,7 +127,7 @@
 	var best *option
 	var bestCost float64
 	for _, choice := range room.options {
-		if choice.used >= choice.replica.Slots || s.avoided[choice.replica.ID] || contains(held.Avoid, choice.replica.ID) || !choice.fits(held.Answer, left) {
+		if choice.used >= choice.replica.Slots || s.avoided[choice.replica.ID] || slices.Contains(held.Avoid, choice.replica.ID) || !choice.fits(held.Answer, left) {
 			continue
 		}
 		cost := choice.cost(held.Prompt)
@@ -139,12 +140,3 @@
 	}
 	return best
 }
-
-func contains(ids []string, id string) bool {
-	for _, other := range ids {
-		if other == id {
-			return true
-		}
-	}
-	return false
-}
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -257,11 +257,10 @@
 	}
 	node.begun(given, c.reportedLoad(answer))
 	outcome, seen := c.relay(answer, given.Replica, sent)
-	if outcome == resultAnswered {
-		answer.Done()
-	} else if outcome == resultRejected || outcome == resultFailed {
+	switch outcome {
+	case resultAnswered, resultRejected, resultFailed:
 		answer.Done()
-	} else {
+	default:
 		answer.Abandon()
 	}
 	if seen.FirstEvent > 0 {
