Take no digest without its rare part for a report

Cause: a load report travels between nodes as a digest whose rare part (models, slots, pace) is sent one time in 16. A node that had no report of a replica yet took a digest without that part for a whole report, so that the engine seemed to hold no model. With fresh reports this ends within a second; with reports that stand still for 5 s every request was refused as no-replica until the next one. Ruled out: the harness (the fault's lag stays after healing, as in a real deployment) and the order of goroutines (it only decides who joins when).

Change: such a digest is left out until a whole one came; a test that fails without it.

Conclusion: the node was at fault, not the harness.

--- a/node/digest.go
+++ b/node/digest.go
@@ -56,6 +56,11 @@
 	return short
 }
 
+// isWhole returns whether the digest gives a whole report to a node that has an
+// earlier report of the replica or not. Without its rare part, and without an
+// earlier report to take that from, the replica would seem to hold no model.
+func (d *digest) isWhole(hasReport bool) bool { return d.Rare != nil || hasReport }
+
 // expand returns the report; what the digest leaves out is as it was before.
 func (d *digest) expand(before *structs.LoadReport) structs.LoadReport {
 	report := *before
--- a/node/digest_test.go
+++ b/node/digest_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
 	"github.com/onsi/gomega"
 
+	"github.com/thornwalk/thornwalk/coordination/scheduler"
 	"github.com/thornwalk/thornwalk/protocol/peerwire"
+	"github.com/thornwalk/thornwalk/state/gossip"
 	"github.com/thornwalk/thornwalk/structs"
 )
 
@@ -28,6 +31,26 @@
 	g.Expect(rareChanged(&sample, &sample)).To(gomega.BeFalse())
 }
 
+// Seen in the fault matrix as "request at gate: load reports stale": a node that
+// joined between two rare parts took the replicas for engines without models,
+// and refused every request until the next report.
+func TestDigestWithoutRarePartIsNoReportByItself(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n := &Node{
+		scheduler: scheduler.New(scheduler.Options{}, rand.New(rand.NewPCG(1, 1))),
+		reports:   gossip.NewQueue[structs.ReplicaID, datedDigest](maximumReports, gossip.SpreadOnce),
+	}
+	n.scheduler.View().Upsert(structs.Replica{ID: sample.Replica, Kind: structs.KindEngine})
+	state, _ := n.scheduler.View().Get(sample.Replica)
+	n.takeDigests([]digest{shorten(&sample, false)})
+	g.Expect(state.HasReport).To(gomega.BeFalse())
+	newer := sample
+	newer.Age = 0
+	n.takeDigests([]digest{shorten(&newer, true)})
+	g.Expect(state.HasReport).To(gomega.BeTrue())
+	g.Expect(state.Report.Models).To(gomega.Equal(sample.Models))
+}
+
 // BenchmarkDigest measures a heartbeat of a full set of digests.
 func BenchmarkDigest(b *testing.B) {
 	message := heartbeat{}
--- a/node/heartbeat.go
+++ b/node/heartbeat.go
@@ -233,7 +233,7 @@
 	now := n.now()
 	for _, short := range digests {
 		state, known := n.scheduler.View().Get(short.Replica)
-		if known && n.scheduler.View().Observe(now, short.expand(&state.Report)) {
+		if known && short.isWhole(state.HasReport) && n.scheduler.View().Observe(now, short.expand(&state.Report)) {
 			n.reports.Put(short.Replica, datedDigest{digest: short, at: now})
 			n.polled.Store(true) // most nodes of a large zone poll no replica themselves
 		}
--- a/test/faultmatrix/harness_test.go
+++ b/test/faultmatrix/harness_test.go
@@ -324,6 +324,7 @@
 		o := w.caller.Send(ctx, &s)
 		cancel()
 		if o.Outcome != structs.OutcomeAnswered {
+			o.Marker += fmt.Sprintf(" (%s %s)", o.Outcome, o.Code)
 			o.Outcome = structs.OutcomePending // shows as a request without an end
 		}
 		w.history.Observations = append(w.history.Observations, o)
