Trust every replica of a service if all are doubted

Two verdicts added up: nodes counted a replica as failing when two answers of five were its own failures, though this service fails one request in five wherever it goes, and the scheduling node set the other one aside.

Change: a node doubts a replica only if it can't reach it or gets cut answers; failures of the replica's own are judged by the scheduling node alone, against the other replicas. What a node doubts comes as 'doubted' apart from 'tried'; doubted replicas are used if there is no other. A request that tried every replica is answered at once instead of waiting for another.

Tests fail without it.

--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -32,8 +32,12 @@
 	Patience time.Duration
 	// Returned is true if the request was refused before and came back.
 	Returned bool
-	// Avoid names replicas that must not be chosen.
-	Avoid []string
+	// Tried names replicas that the request came to before and that must not be
+	// chosen again.
+	Tried []string
+	// Doubted names replicas that the asking node finds failing; they are chosen
+	// only if there is no other.
+	Doubted []string
 }
 
 // Reason says why a request was refused.
--- a/coordination/admission/admission_test.go
+++ b/coordination/admission/admission_test.go
@@ -256,3 +256,47 @@
 	}
 	g.Expect(s.conducts["r0"].requests).To(gomega.BeNumerically("<", enoughRequests))
 }
+
+// Seen on the bench: agency scale-1, a hundred lookups refused in three seconds
+// while both replicas of the service were well. Failures drawn at random had put
+// one aside, and nodes avoided the other.
+func TestReplicasAreTrustedIfAllAreDoubted(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := New()
+	s.SetReplicas(pool(4, 4))
+	s.SetAvoided(map[string]bool{"r1": true})
+	for i := range 4 {
+		id := fmt.Sprint("f", i)
+		s.Submit(0, request(id, 0))
+		s.Decide(0)
+		s.Finish(0, id, Observation{Failed: true})
+	}
+	g.Expect(s.isAside(0, "r0")).To(gomega.BeTrue())
+	s.Submit(0, request("next", 0))
+	g.Expect(placedIDs(s.Decide(0))).To(gomega.Equal([]string{"next"}))
+}
+
+func TestReplicaThatTheNodeDoubtsIsTakenOnlyIfThereIsNoOther(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := New()
+	s.SetReplicas(pool(1, 4))
+	doubting := request("a", 0)
+	doubting.Doubted = []string{"r0"}
+	s.Submit(0, doubting)
+	g.Expect(s.Decide(0)[0].Replica.ID).To(gomega.Equal("r1"))
+	doubting.ID, doubting.Doubted = "b", []string{"r0", "r1"}
+	s.Submit(0, doubting)
+	g.Expect(placedIDs(s.Decide(0))).To(gomega.Equal([]string{"b"}))
+}
+
+func TestRequestThatTriedEveryReplicaIsAnsweredAtOnce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := New()
+	s.SetReplicas(pool(4))
+	tried := request("a", 0)
+	tried.Tried = []string{"r0"}
+	s.Submit(0, tried)
+	decisions := s.Decide(0)
+	g.Expect(decisions).To(gomega.HaveLen(1))
+	g.Expect(decisions[0].Reason).To(gomega.Equal(ReasonNoReplica))
+}
--- a/coordination/admission/decide.go
+++ b/coordination/admission/decide.go
@@ -80,7 +80,12 @@
 
 func (s *Scheduler) decideOne(now structs.Instant, held *waiting, room *room, ahead int) (Decision, bool) {
 	decision := Decision{ID: held.ID, Waited: now - held.arrived}
-	if len(room.options) == 0 {
+	options := room.untried(&held.Request)
+	if len(options) == 0 && len(room.options) > 0 {
+		decision.Reason, decision.RetryAfter = ReasonNoReplica, minimumRetry
+		return decision, true
+	}
+	if len(options) == 0 {
 		decision.Reason, decision.RetryAfter = ReasonNoReplica, minimumRetry
 		return decision, decision.Waited >= held.Patience
 	}
@@ -89,7 +94,7 @@
 		decision.Reason, decision.RetryAfter = ReasonDeadline, maximumRetry
 		return decision, true
 	}
-	if chosen := s.choose(held, room, left); chosen != nil {
+	if chosen := s.choose(held, room, options, left); chosen != nil {
 		chosen.used++
 		chosen.unread += held.Prompt
 		room.free--
@@ -119,15 +124,16 @@
 	return min(max(expected, minimumRetry, longest/2), max(longest, minimumRetry))
 }
 
-// choose returns the best replica with a free place, or nil.
-func (s *Scheduler) choose(held *waiting, room *room, left time.Duration) *option {
+// choose returns the best of the replicas with a free place, or nil.
+func (s *Scheduler) choose(held *waiting, room *room, options []*option, left time.Duration) *option {
 	if held.Yields && float64(room.free) <= reservedShare*float64(room.total) && held.Prompt > 0 {
 		return nil
 	}
+	anyTrusted := slices.ContainsFunc(options, func(o *option) bool { return o.trusts(&held.Request) })
 	var best *option
 	var bestCost float64
-	for _, choice := range room.options {
-		if choice.used >= choice.replica.Slots || s.avoided[choice.replica.ID] || slices.Contains(held.Avoid, choice.replica.ID) || !choice.fits(held.Answer, left) {
+	for _, choice := range options {
+		if choice.used >= choice.replica.Slots || anyTrusted && !choice.trusts(&held.Request) || !choice.fits(held.Answer, left) {
 			continue
 		}
 		cost := choice.cost(held.Prompt)
--- a/coordination/admission/room.go
+++ b/coordination/admission/room.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"slices"
 	"time"
 
 	"github.com/thornwalk/thornwalk/state/replicas"
@@ -23,6 +24,14 @@
 	slow    float64
 	// step is the learned time between two tokens; zero if it is not known.
 	step time.Duration
+	// doubted is true if the replica is set aside or several nodes avoid it; it is
+	// used only if every other one is doubted too.
+	doubted bool
+}
+
+// trusts returns whether nothing speaks against sending the request there.
+func (o *option) trusts(request *Request) bool {
+	return !o.doubted && !slices.Contains(request.Doubted, o.replica.ID)
 }
 
 // fits returns whether the answer is likely to be whole before its deadline.
@@ -35,20 +44,24 @@
 	fastest := s.fastest(name)
 	byID := map[string]*option{}
 	for _, replica := range s.replicas[name] {
-		if replica.Draining || s.isAside(now, replica.ID) {
+		if replica.Draining {
 			continue
 		}
-		choice := &option{replica: replica, used: s.usage(now, replica.ID), slow: s.slowness(replica.ID, fastest), step: s.step(replica.ID)}
+		choice := &option{
+			replica: replica, used: s.usage(now, replica.ID), slow: s.slowness(replica.ID, fastest), step: s.step(replica.ID),
+			doubted: s.avoided[replica.ID] || s.isAside(now, replica.ID),
+		}
 		if s.onTrial(replica.ID) {
 			choice.replica.Slots = 1
 		}
 		byID[replica.ID] = choice
 		measured.options = append(measured.options, choice)
-		measured.total += replica.Slots
-		if !s.avoided[replica.ID] {
+		if !choice.doubted {
+			measured.total += replica.Slots
 			measured.free += max(0, replica.Slots-choice.used)
 		}
 	}
+	measured.trustAllIfNone()
 	for _, held := range s.places {
 		if choice, found := byID[held.replica]; found && !held.begun && now-held.since < prefillTime {
 			choice.unread += held.prompt
@@ -57,6 +70,33 @@
 	return measured
 }
 
+// trustAllIfNone counts the places of all replicas if every one is doubted: a
+// doubtful replica is better than none.
+func (r *room) trustAllIfNone() {
+	if r.total > 0 {
+		return
+	}
+	for _, choice := range r.options {
+		choice.doubted = false
+		r.total += choice.replica.Slots
+		r.free += max(0, choice.replica.Slots-choice.used)
+	}
+}
+
+// untried returns the replicas that the request did not come to before.
+func (r *room) untried(request *Request) []*option {
+	if len(request.Tried) == 0 {
+		return r.options
+	}
+	var options []*option
+	for _, choice := range r.options {
+		if !slices.Contains(request.Tried, choice.replica.ID) {
+			options = append(options, choice)
+		}
+	}
+	return options
+}
+
 // usage is the work at the replica, with what no node reports.
 func (s *Scheduler) usage(now structs.Instant, id string) int {
 	used := s.reported(id)
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -54,19 +54,19 @@
 
 // serve gets a place, sends, and sends again where that is allowed.
 func (c *call) serve() {
-	var avoid []string
+	var tried []string
 	runs := 0
 	for {
-		given := c.node.place(c.ctx, c.placeRequest(avoid, c.sends > 0))
+		given := c.node.place(c.ctx, c.placeRequest(tried, c.sends > 0))
 		c.waited += given.Waited
 		c.node.observe("place_wait_ms", given.Waited)
 		if given.Reason != "" {
 			c.unplaced(given, runs)
 			return
 		}
-		if c.node.knownToLeave(given.Replica.ID) && len(avoid) < maximumSends {
+		if c.node.knownToLeave(given.Replica.ID) && len(tried) < maximumSends {
 			c.node.finish(given, admission.Observation{Left: true}, true)
-			avoid = append(avoid, given.Replica.ID)
+			tried = append(tried, given.Replica.ID)
 			continue
 		}
 		outcome, seen := c.attempt(given)
@@ -82,8 +82,8 @@
 			return
 		}
 		c.resumed = c.resumed || c.headSent
-		avoid = append(avoid, given.Replica.ID)
-		if !c.mayRepeat(outcome, runs, len(avoid)) {
+		tried = append(tried, given.Replica.ID)
+		if !c.mayRepeat(outcome, runs, len(tried)) {
 			c.giveUp(outcome, runs)
 			return
 		}
@@ -100,16 +100,16 @@
 }
 
 // placeRequest describes the request to the scheduling node.
-func (c *call) placeRequest(avoid []string, repeat bool) *placeRequest {
+func (c *call) placeRequest(tried []string, repeat bool) *placeRequest {
 	node := c.node
 	node.mutex.Lock()
-	avoid = append(append([]string(nil), avoid...), node.health.failing(node.now())...)
+	doubted := node.health.failing(node.now())
 	node.mutex.Unlock()
 	request := &placeRequest{
 		Request: admission.Request{
 			ID:   node.process() + "." + strconv.FormatUint(node.sequence.Add(1), 36),
 			Node: node.process(), Zone: node.settings.Load().Zone, Service: c.service, Priority: c.priority(),
-			Prompt: c.prompt, Answer: c.expectedTokens(), Avoid: avoid, Yields: c.route.Priority >= yieldFrom,
+			Prompt: c.prompt, Answer: c.expectedTokens(), Tried: tried, Doubted: doubted, Yields: c.route.Priority >= yieldFrom,
 			Deadline: max(time.Until(c.deadline), 0),
 			Target:   max(c.route.Target-time.Since(c.arrived), 0), Patience: c.patience(),
 		},
@@ -320,9 +320,9 @@
 	n.pool.Forget(id)
 }
 
-func (n *Node) noteAnswered(id string, failed bool) {
+func (n *Node) noteAnswered(id string) {
 	n.mutex.Lock()
-	n.health.answered(n.now(), id, failed)
+	n.health.answered(id)
 	n.mutex.Unlock()
 }
 
--- a/entry/health.go
+++ b/entry/health.go
@@ -10,11 +10,6 @@
 const (
 	firstBackoff = 400 * time.Millisecond
 	longBackoff  = 3 * time.Second
-	// errorShare is the share of failed answers that makes a replica suspect,
-	// once there were enough of them.
-	errorShare   = 0.4
-	errorWeight  = 0.2
-	enoughErrors = 5
 )
 
 // replicaHealth is what one node saw of one replica.
@@ -22,9 +17,6 @@
 	// failures in a row; until is when it may be tried again.
 	failures int
 	until    structs.Instant
-	// errors is the smoothed share of answers that were failures.
-	errors  float64
-	answers int
 }
 
 // healthBook is a node's own view of which replicas fail. It is guarded by the
@@ -52,22 +44,10 @@
 	held.until = now + min(backoff, longBackoff)
 }
 
-// answered records an answer, which may be a failure of the replica's own.
-func (b *healthBook) answered(now structs.Instant, id string, failed bool) {
-	held := b.get(id)
-	held.answers++
-	share := 0.0
-	if failed {
-		share = 1
-	} else {
-		held.failures = 0
-	}
-	held.errors += errorWeight * (share - held.errors)
-	if held.answers >= enoughErrors && held.errors > errorShare {
-		held.until = now + longBackoff
-		held.answers, held.errors = 0, 0
-	}
-}
+// answered records a whole answer. Whether it was a failure of the replica's own
+// is for the scheduling node to judge, which sees all replicas: some services
+// fail one request in five wherever it goes.
+func (b *healthBook) answered(id string) { b.get(id).failures = 0 }
 
 // broken records an answer that was cut or spoiled.
 func (b *healthBook) broken(now structs.Instant, id string) {
@@ -75,7 +55,6 @@
 	if held.failures++; held.failures > 1 {
 		held.until = now + firstBackoff
 	}
-	b.answered(now, id, true)
 }
 
 // failing returns the replicas that should not be tried now.
--- a/entry/relay.go
+++ b/entry/relay.go
@@ -60,7 +60,7 @@
 		return c.broken(replica.ID, err), admission.Observation{}
 	}
 	failed := answer.StatusCode >= http.StatusInternalServerError
-	c.node.noteAnswered(replica.ID, failed)
+	c.node.noteAnswered(replica.ID)
 	if failed && !c.headSent && c.route.Repeatable() && c.sends+1 < c.route.Attempts && c.ctx.Err() == nil {
 		return resultFailed, admission.Observation{}
 	}
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -56,7 +56,7 @@
 		}
 		break
 	}
-	c.node.noteAnswered(replica.ID, false)
+	c.node.noteAnswered(replica.ID)
 	c.sendHead(answer)
 	c.answered(answer.StatusCode, replica.ID)
 	return resultAnswered, seen
