Hand out the tolerance of quotas as rate instead of burst

Half of the tolerance lay on top of the burst, which such a tenant has used up after a second.

Change: the burst is the quota's own; the rate is such that burst and window together stay at 0.94 of what the users allow in a window. The window comes from the settings (quota_window_s).

--- a/entry/settings.go
+++ b/entry/settings.go
@@ -43,8 +43,9 @@
 	RetryWindow float64 `yaml:"retry_window_s"`
 	RetrySlack  float64 `yaml:"retry_slack"`
 	// QuotaOverage (a share) and QuotaSlack (units) are how much more than a
-	// tenant's quota may be handed out; a part of them is used, so that nothing
-	// below the quota is refused.
+	// tenant's quota may be handed out in QuotaWindow (seconds); a part of them is
+	// used, so that nothing below the quota is refused.
+	QuotaWindow  float64 `yaml:"quota_window_s"`
 	QuotaOverage float64 `yaml:"quota_overage"`
 	QuotaSlack   float64 `yaml:"quota_slack"`
 	// FirstStart is true on the very first start of the whole system.
@@ -63,7 +64,7 @@
 
 // ParseSettings reads and checks the content of a settings file.
 func ParseSettings(content []byte) (*Settings, error) {
-	settings := &Settings{StopGrace: 8000, Drain: 2000, Contact: 3000, RetryRatio: 0.2, RetryWindow: 10, RetrySlack: 20}
+	settings := &Settings{StopGrace: 8000, Drain: 2000, Contact: 3000, RetryRatio: 0.2, RetryWindow: 10, RetrySlack: 20, QuotaWindow: 10}
 	if err := yaml.Unmarshal(content, settings); err != nil {
 		return nil, errkind.New(errkind.InvalidSettings, "settings: %s", yaml.FormatError(err, false, true))
 	}
@@ -102,6 +103,7 @@
 		{"retry_ratio", s.RetryRatio, 0, 10},
 		{"retry_window_s", s.RetryWindow, 0.1, 3600},
 		{"retry_slack", s.RetrySlack, 0, 1_000_000},
+		{"quota_window_s", s.QuotaWindow, 0.1, 3600},
 		{"quota_overage", s.QuotaOverage, 0, 10},
 		{"quota_slack", s.QuotaSlack, 0, 1e12},
 	}
@@ -127,16 +129,18 @@
 	}
 }
 
-// Parts of the tolerance of quotas that are used in steady state; the rest is
-// for scheduling nodes that take over from each other.
-const (
-	usedOverage = 0.8
-	usedSlack   = 0.65
-)
+// usedTolerance is the part that is used of what a tenant may take at most in a
+// window; the rest is for scheduling nodes that take over from each other, for the
+// sides of a partition and for requests that take more than the bucket held.
+const usedTolerance = 0.94
 
-// quotaLimit returns what is handed out for a quota.
+// quotaLimit returns what is handed out for a quota. The users allow some more
+// than the quota in a window. That goes into the rate and not on top of the burst:
+// a tenant that asks for too much all the time gets its quota in whole, although
+// the bucket here and the users' count differ by which requests they take.
 func (s *Settings) quotaLimit(rate, burst float64) quota.Limit {
-	return quota.Limit{Rate: rate * (1 + s.QuotaOverage*usedOverage), Burst: burst + s.QuotaSlack*usedSlack}
+	allowed := (rate*s.QuotaWindow+burst)*(1+s.QuotaOverage) + s.QuotaSlack
+	return quota.Limit{Rate: max((allowed*usedTolerance-burst)/s.QuotaWindow, rate), Burst: burst}
 }
 
 func (s *Settings) stopGrace() time.Duration { return time.Duration(s.StopGrace) * time.Millisecond }
--- a/entry/settings_test.go
+++ b/entry/settings_test.go
@@ -32,7 +32,7 @@
 		"ip": "10.0.0.1", "internal_ports.0": "7600", "seeds": `"10.0.0.1:82","10.0.0.2:82"`, "platform.address": "10.9.9.9:83",
 		"bounds.grace_s": "8", "bounds.drain_ms": "2000", "bounds.contact_ms": "3000", "limits.memory_mb": "134", "limits.cpu_share": "0.4",
 		"bounds.retry_budget_ratio": "0.2", "bounds.budget_window_s": "10", "bounds.budget_slack": "58",
-		"bounds.quota_overage": "0.1", "bounds.quota_slack": "72000", "bootstrap": "true",
+		"bounds.quota_window_s": "8", "bounds.quota_overage": "0.1", "bounds.quota_slack": "72000", "bootstrap": "true",
 	}
 }
 
@@ -106,3 +106,18 @@
 		}
 	})
 }
+
+// The bucket must keep within what a window allows, whatever the tenant asks,
+// with something left for scheduling nodes that take over.
+func TestQuotaLimitStaysUnderTheWindow(t *testing.T) {
+	g := gomega.NewWithT(t)
+	settings := &Settings{QuotaWindow: 8, QuotaOverage: 0.1, QuotaSlack: 72000}
+	for _, rate := range []float64{100, 6000, 60000} {
+		limit := settings.quotaLimit(rate, rate)
+		allowed := (rate*8+rate)*1.1 + 72000
+		g.Expect(limit.Burst + limit.Rate*8).To(gomega.BeNumerically("<=", allowed*0.95))
+		g.Expect(limit.Rate).To(gomega.BeNumerically(">=", rate*1.1))
+	}
+	strict := &Settings{QuotaWindow: 8}
+	g.Expect(strict.quotaLimit(60, 60).Rate).To(gomega.BeNumerically(">=", 60), "never less than the quota")
+}
