Let any node read the store once all knowledge of it is old

Which nodes follow the store is decided by each from what it hears; while these views differ nobody may feel called.

Change: heartbeats carry the age of the latest complete read that the sender knows the result of.

Conclusion: kept as a bound on how old anybody's knowledge gets. Unit tests only.

--- a/coordination/liveness/liveness.go
+++ b/coordination/liveness/liveness.go
@@ -30,6 +30,10 @@
 	// change of the replicas that the node knows.
 	Version int64 `msgpack:"v"`
 	Latest  int64 `msgpack:"r"`
+	// Unread is the age of the latest complete read of the store that the sender
+	// has the result of, by itself or from another node, in milliseconds. It is
+	// negative if there was none.
+	Unread int64 `msgpack:"u"`
 	// Held counts the node's requests in progress by replica.
 	Held map[string]Held `msgpack:"h"`
 	// Failing names replicas that fail for this node.
--- a/entry/beats.go
+++ b/entry/beats.go
@@ -158,7 +158,7 @@
 	settings := n.settings.Load()
 	beat := liveness.Beat{
 		Name: settings.Name, Zone: settings.Zone, Address: n.selfAddress(), Cores: settings.Cores, Incarnation: n.depend.Incarnation,
-		Term: n.term, Leaving: n.stopping.Load() != 0, Storeless: n.storeDown, Latest: n.table.Latest(), Failing: n.health.failing(now),
+		Term: n.term, Leaving: n.stopping.Load() != 0, Storeless: n.storeDown, Latest: n.table.Latest(), Unread: n.fresh.age(now), Failing: n.health.failing(now),
 		Held: map[string]liveness.Held{},
 	}
 	if current := n.catalog.Load(); current != nil {
@@ -229,6 +229,7 @@
 		n.levels, n.levelsAt = beat.Levels, now
 	}
 	behind := n.behind(beat)
+	n.noteFreshness(now, beat)
 	leads := n.scheduler == n.settings.Load().Name
 	n.mutex.Unlock()
 	if news {
--- a/entry/news.go
+++ b/entry/news.go
@@ -64,37 +64,19 @@
 	}
 }
 
-// Watches may fall silent without failing. So the first nodes in rendezvous
-// order also read everything now and then; the others hear of it from them.
-const (
-	readers      = 2
-	readInterval = 900 * time.Millisecond
-)
-
-func (n *Node) readLoop() {
-	for n.pause(readInterval) {
-		n.mutex.Lock()
-		reads := n.rank < readers && !n.storeDown
-		n.mutex.Unlock()
-		if !reads {
-			continue
-		}
-		if _, err := n.readAll(); err != nil {
-			n.storeFailed(err)
-		}
-	}
-}
-
 func (n *Node) readAll() (int64, error) {
 	ctx, cancel := context.WithTimeout(n.ctx, readTimeout)
 	defer cancel()
-	begun := time.Now()
+	begun := n.now()
 	update, err := n.depend.Directory.Read(ctx)
 	if err != nil {
 		return 0, err
 	}
-	n.observe("store_read_ms", time.Since(begun))
+	n.observe("store_read_ms", n.now()-begun)
 	n.apply(update)
+	n.mutex.Lock()
+	n.fresh.note(begun)
+	n.mutex.Unlock()
 	return update.Revision, nil
 }
 
--- a/entry/node.go
+++ b/entry/node.go
@@ -82,6 +82,7 @@
 	storeBadAt  structs.Instant
 	storeDown   bool
 	newsAt      structs.Instant
+	fresh       freshness
 	undelivered []undelivered
 	lag         lag
 	// levels is what the last other scheduling node told of the tenants' buckets.
