Play a fault soak with daemons as real processes

Cause: nothing showed the promises on real processes with faults from outside; the whole-node tests run under virtual time in one process.

Change: lab/soak and 'thornwalk-lab soak': three daemons as processes, proxies before the store and each replica, seeded plans of 17 kinds of faults by signals and proxies, several at a time; judged by what callers saw and replicas ran. The daemon waits for signals first of all, as one that came early would have ended it.

--- a/cmd/thornwalkd/entry.go
+++ b/cmd/thornwalkd/entry.go
@@ -27,6 +27,9 @@
 // runEntry serves callers behind a balancer, with the directory in the
 // platform's store.
 func runEntry() error {
+	// First of all, since a signal that nobody waits for ends the process.
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
 	path := os.Getenv(settingsVariable)
 	settings, err := entry.LoadSettings(path)
 	if err != nil {
@@ -42,8 +45,6 @@
 	if err := node.Start(); err != nil {
 		return err
 	}
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
 	poll := time.NewTicker(settingsPoll)
 	defer poll.Stop()
 	for {
--- a/lab/entrylab/entrylab.go
+++ b/lab/entrylab/entrylab.go
@@ -96,7 +96,7 @@
 	settings := &entry.Settings{
 		Name: host, Zone: zone, Callers: at(host, callersPort), Readiness: at(host, readinessPort), Operators: at(host, operatorsPort),
 		Host: host, PeerPort: peerPort, Seeds: seeds, Store: at(d.options.StoreHost, storePort),
-		StopGrace: 8000, Drain: 2000, Contact: 3000, RetryRatio: 0.2, RetryWindow: 10, RetrySlack: 40, FirstStart: true,
+		StopGrace: 8000, Drain: 2000, Contact: 3000, RetryRatio: 0.2, RetryWindow: 10, RetrySlack: 40, QuotaWindow: 8, FirstStart: true,
 	}
 	if d.options.Adjust != nil {
 		d.options.Adjust(settings)
@@ -184,9 +184,12 @@
 }
 
 // Apply writes the configuration as the operator does.
-func (d *Deployment) Apply(configuration Configuration) {
-	configuration.Limits = map[string]int{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}
-	d.Store.PutJSON("op/config", configuration)
+func (d *Deployment) Apply(configuration Configuration) { configuration.Write(d.Store) }
+
+// Write puts the configuration into the store.
+func (c Configuration) Write(store *platformsim.Store) {
+	c.Limits = map[string]int{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}
+	store.PutJSON("op/config", c)
 }
 
 // AwaitReady waits until every node is ready, or returns false.
--- /dev/null
+++ b/lab/soak/inject.go
@@ -0,0 +1,151 @@
+package soak
+
+import (
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/thornwalk/thornwalk/lab/platformsim"
+)
+
+// injector carries out a plan against a deployment.
+type injector struct {
+	deployment *deployment
+	begun      time.Time
+	group      sync.WaitGroup
+
+	mutex sync.Mutex
+	// disturbed are the times in which something unplanned happened.
+	disturbed []span
+	// stops are the planned stops, by node.
+	stops   map[int][]span
+	drained string
+	drainAt time.Time
+	changed bool
+}
+
+// span is a time between two moments.
+type span struct{ from, to time.Time }
+
+func (s span) overlaps(other span) bool { return s.from.Before(other.to) && other.from.Before(s.to) }
+
+// run plays the plan and returns when every fault was healed.
+func (i *injector) run(plan []fault) {
+	for _, next := range plan {
+		time.Sleep(time.Until(i.begun.Add(next.at)))
+		i.group.Go(func() { i.play(next) })
+	}
+	i.group.Wait()
+}
+
+// play holds one fault for its time.
+func (i *injector) play(f fault) {
+	now := time.Now()
+	i.note(f, now)
+	heal := i.apply(f)
+	time.Sleep(f.lasts)
+	heal()
+}
+
+// recovery is the time after a fault in which its effects may still be felt.
+const recovery = 3 * time.Second
+
+// note records what judging has to know of the fault.
+func (i *injector) note(f fault, now time.Time) {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	switch f.kind {
+	case kindStop:
+		i.stops[f.target] = append(i.stops[f.target], span{now, now.Add(stopGrace + restartDelay)})
+	case kindHangUp, kindChange, kindDrain:
+	default:
+		i.disturbed = append(i.disturbed, span{now.Add(-contactBound), now.Add(f.lasts + recovery)})
+	}
+}
+
+// apply starts the fault and returns what ends it.
+func (i *injector) apply(f fault) (heal func()) {
+	d := i.deployment
+	node, storeProxy := d.processes[f.target%nodeCount], d.storeProxies[f.target%nodeCount]
+	nothing := func() {}
+	switch f.kind {
+	case kindKill:
+		node.signal(syscall.SIGKILL, true)
+	case kindStop:
+		node.signal(syscall.SIGTERM, true)
+	case kindHangUp:
+		node.signal(syscall.SIGHUP, false)
+	case kindKillAll:
+		for _, each := range d.processes {
+			each.signal(syscall.SIGKILL, true)
+		}
+	case kindFreeze:
+		node.signal(syscall.SIGSTOP, false)
+		return func() { node.signal(syscall.SIGCONT, false) }
+	case kindStoreReset, kindStoreHang:
+		storeProxy.setMode(map[kind]mode{kindStoreReset: modeReset, kindStoreHang: modeHang}[f.kind])
+		return func() { storeProxy.setMode(modePass) }
+	case kindStoreDown:
+		d.store.SetDown(true)
+		return func() { d.store.SetDown(false) }
+	case kindStoreLost:
+		d.store.SetLost(true)
+		return func() { d.store.SetLost(false) }
+	case kindCompact:
+		d.store.Compact()
+	case kindChange:
+		i.change()
+	case kindDrain:
+		i.drain()
+	default:
+		return i.disturbReplica(f)
+	}
+	return nothing
+}
+
+// disturbReplica lets one replica misbehave.
+func (i *injector) disturbReplica(f fault) (heal func()) {
+	number := f.target % engineCount * 2 // engines and plain replicas by turns
+	number %= len(i.deployment.replicas)
+	replica, between := i.deployment.replicas[number], i.deployment.proxies[number]
+	switch f.kind {
+	case kindReplicaReset, kindReplicaHang:
+		between.setMode(map[kind]mode{kindReplicaReset: modeReset, kindReplicaHang: modeHang}[f.kind])
+		return func() { between.setMode(modePass) }
+	}
+	behaviors := map[kind]platformsim.Behavior{
+		kindReplicaGrey: platformsim.Fail, kindReplicaCut: platformsim.Cut, kindReplicaStray: platformsim.Stray,
+	}
+	replica.SetBehavior(everyThird(behaviors[f.kind]))
+	return func() { replica.SetBehavior(nil) }
+}
+
+// everyThird treats one request in three so and answers the others.
+func everyThird(behavior platformsim.Behavior) func(*http.Request) platformsim.Behavior {
+	var count atomic.Int64
+	return func(*http.Request) platformsim.Behavior {
+		if count.Add(1)%3 == 0 {
+			return behavior
+		}
+		return platformsim.Answer
+	}
+}
+
+// drain lets the last replica leave: it says so and serves on.
+func (i *injector) drain() {
+	last := i.deployment.replicas[len(i.deployment.replicas)-1]
+	last.Register(i.deployment.store, "draining")
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	i.drained, i.drainAt = last.ID, time.Now()
+}
+
+// change replaces the route 'stale' by the route 'fresh'.
+func (i *injector) change() {
+	i.mutex.Lock()
+	defer i.mutex.Unlock()
+	i.deployment.configure(freshRouteName)
+	i.changed = true
+}
--- /dev/null
+++ b/lab/soak/judge.go
@@ -0,0 +1,93 @@
+package soak
+
+import (
+	"fmt"
+	"sort"
+)
+
+// judge enters the violations of the promises.
+func judge(result *Result, d *deployment, c *callers, i *injector) {
+	runs := map[string]int{}
+	for _, replica := range d.replicas {
+		for _, run := range replica.Runs() {
+			runs[run.ID]++
+		}
+	}
+	violate := func(format string, arguments ...any) {
+		result.Violations = append(result.Violations, fmt.Sprintf(format, arguments...))
+	}
+	judgeRequests(result, c, i, runs, violate)
+	judgeEnd(d, c, i, violate)
+	for _, each := range d.processes {
+		for _, failure := range each.failures {
+			violate("%s", failure)
+		}
+	}
+	sort.Strings(result.Violations)
+}
+
+// violation enters one violation.
+type violation func(format string, arguments ...any)
+
+// judgeRequests compares what callers saw with what replicas ran.
+func judgeRequests(result *Result, c *callers, i *injector, runs map[string]int, violate violation) {
+	for _, one := range c.all {
+		result.Counts[string(one.outcome)]++
+		count := runs[one.id]
+		repeatable := one.route == "status" || one.route == "chat"
+		switch {
+		case !repeatable && count > 1:
+			violate("%s (%s) ran %d times", one.id, one.route, count)
+		case one.outcome == outcomeNotRun && !repeatable && count > 0:
+			violate("%s (%s) was told %d not run, but ran", one.id, one.route, one.status)
+		case one.outcome == outcomeAnswered && count == 0:
+			violate("%s (%s) was answered, but no replica ran it", one.id, one.route)
+		case one.outcome == outcomeWrong:
+			violate("%s (%s) got %d: %s", one.id, one.route, one.status, one.detail)
+		case one.outcome == outcomeLost && i.cutByStop(one):
+			violate("%s (%s) was cut by the planned stop of node %d: %s", one.id, one.route, one.node, one.detail)
+		}
+	}
+}
+
+// cutByStop returns whether the request was lost at a node in a planned stop with
+// nothing unplanned near it.
+func (i *injector) cutByStop(one seen) bool {
+	for _, disturbed := range i.disturbed {
+		if disturbed.overlaps(one.span) {
+			return false
+		}
+	}
+	for _, stop := range i.stops[one.node] {
+		if stop.overlaps(one.span) {
+			return true
+		}
+	}
+	return false
+}
+
+// judgeEnd demands that every node serves every route once all is healed, by the
+// newest configuration, and sends nothing to a replica that left.
+func judgeEnd(d *deployment, c *callers, i *injector, violate violation) {
+	left := len(d.replicas) - 1
+	before := len(d.replicas[left].Runs())
+	routes := append([]string{}, mix...)
+	present, gone := staleRouteName, freshRouteName
+	if i.changed {
+		present, gone = gone, present
+	}
+	for node := range nodeCount {
+		for _, route := range append(routes, present) {
+			one := c.one(fmt.Sprintf("end-%d-%s", node, route), route, node)
+			if one.outcome != outcomeAnswered {
+				violate("at the end node %d gives %s %d %s for %s", node, one.outcome, one.status, one.detail, route)
+			}
+		}
+		if one := c.one(fmt.Sprintf("end-%d-%s", node, gone), gone, node); one.status != 404 {
+			violate("at the end node %d gives %d for the route %s, which is not there", node, one.status, gone)
+		}
+	}
+	if i.drained != "" && len(d.replicas[left].Runs()) > before {
+		violate("at the end %s, which drains, still gets requests", i.drained)
+	}
+}
--- /dev/null
+++ b/lab/soak/plan.go
@@ -0,0 +1,86 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"time"
+)
+
+// kind is a kind of fault.
+type kind string
+
+const (
+	kindKill         kind = "kill"          // the process is killed
+	kindStop         kind = "stop"          // a planned stop
+	kindFreeze       kind = "freeze"        // the process stands still
+	kindHangUp       kind = "hup"           // the settings file changed
+	kindKillAll      kind = "kill-all"      // all processes are killed
+	kindStoreReset   kind = "store-reset"   // the store turns one node away
+	kindStoreHang    kind = "store-hang"    // the store says nothing to one node
+	kindStoreDown    kind = "store-down"    // the store answers 503 to all
+	kindStoreLost    kind = "store-lost"    // answers of the store are lost
+	kindCompact      kind = "compact"       // the store forgets its history
+	kindReplicaReset kind = "replica-reset" // connections to a replica are reset
+	kindReplicaHang  kind = "replica-hang"  // a replica is silent
+	kindReplicaGrey  kind = "replica-grey"  // a replica fails every third request
+	kindReplicaCut   kind = "replica-cut"   // a replica cuts every third answer
+	kindReplicaStray kind = "replica-stray" // a replica sends the answers of others
+	kindDrain        kind = "drain"         // a replica leaves
+	kindChange       kind = "change"        // the operator changes the configuration
+)
+
+// kinds are all kinds that a plan draws from.
+var kinds = []kind{
+	kindKill, kindStop, kindFreeze, kindHangUp, kindKillAll, kindStoreReset, kindStoreHang, kindStoreDown, kindStoreLost, kindCompact,
+	kindReplicaReset, kindReplicaHang, kindReplicaGrey, kindReplicaCut, kindReplicaStray, kindDrain, kindChange,
+}
+
+// fault is one entry of a plan.
+type fault struct {
+	kind kind
+	// at is the time from the start of traffic, and lasts how long it holds.
+	at, lasts time.Duration
+	// target is a node or a replica, by number.
+	target int
+}
+
+// String names the fault for reports.
+func (f fault) String() string {
+	return fmt.Sprintf("%.1fs %s #%d for %.1fs", f.at.Seconds(), f.kind, f.target, f.lasts.Seconds())
+}
+
+// Bounds of a plan, as parts of the time of traffic and in milliseconds.
+const (
+	earliestFault  = 0.05
+	latestFault    = 0.75
+	shortestFault  = 300
+	longestFault   = 2500
+	mostDrains     = 1
+	faultsASecond  = 0.8
+	smallestNumber = 3
+)
+
+// newPlan draws the faults of a run from the seed.
+func newPlan(seed uint64, traffic time.Duration, nodes int) []fault {
+	random := rand.New(rand.NewPCG(seed, seed))
+	count := max(smallestNumber, int(traffic.Seconds()*faultsASecond))
+	var plan []fault
+	drains := 0
+	for range count {
+		drawn := fault{
+			kind:   kinds[random.IntN(len(kinds))],
+			at:     time.Duration((earliestFault + (latestFault-earliestFault)*random.Float64()) * float64(traffic)),
+			lasts:  time.Duration(shortestFault+random.IntN(longestFault-shortestFault)) * time.Millisecond,
+			target: random.IntN(nodes),
+		}
+		if drawn.kind == kindDrain {
+			if drains++; drains > mostDrains {
+				continue // some replica of each service has to stay
+			}
+		}
+		plan = append(plan, drawn)
+	}
+	sort.Slice(plan, func(i, j int) bool { return plan[i].at < plan[j].at })
+	return plan
+}
