Introduce nodes to each other at once

Heartbeats are 0.8 to 1 s apart there and name two nodes each, so that for seconds the new processes knew parts of each other only; each part had a scheduling node of its own that handed out whole quotas and all places. Ruled out: the share of a partition (it is reckoned from the nodes known, which are few as well) and the buckets' start.

Change: whoever hears of a node or process for the first time answers with a heartbeat at once; a sender that knows less than half of the nodes is told all; a node that is named for the first time is sent one; the first heartbeat goes out at the start.

--- a/coordination/liveness/liveness.go
+++ b/coordination/liveness/liveness.go
@@ -41,6 +41,8 @@
 	// Levels tells, if the sender schedules, what tenants may take at once, of those
 	// that are not near their full burst. Who takes over goes on from there.
 	Levels map[string]float64 `msgpack:"q"`
+	// Known is how many other nodes the sender has heard of.
+	Known int `msgpack:"k"`
 	// Peers are a few nodes that the sender knows.
 	Peers []Peer `msgpack:"p"`
 }
@@ -99,14 +101,27 @@
 	return news
 }
 
-// Learn enters a node that another one told of.
-func (t *Table) Learn(now structs.Instant, peer Peer) {
+// Learn enters a node that another one told of. It returns true if it was unknown.
+func (t *Table) Learn(now structs.Instant, peer Peer) bool {
 	if peer.Name == t.self || peer.Name == "" {
-		return
+		return false
+	}
+	if _, found := t.members[peer.Name]; found {
+		return false
 	}
-	if _, found := t.members[peer.Name]; !found {
-		t.members[peer.Name] = &Member{Beat: Beat{Name: peer.Name, Address: peer.Address}, learned: now}
+	t.members[peer.Name] = &Member{Beat: Beat{Name: peer.Name, Address: peer.Address}, learned: now}
+	return true
+}
+
+// Known returns how many members were heard of at any time.
+func (t *Table) Known() int {
+	count := 0
+	for _, member := range t.members {
+		if member.known {
+			count++
+		}
 	}
+	return count
 }
 
 // Suspect takes the node for dead until it is heard of again.
--- a/entry/beats.go
+++ b/entry/beats.go
@@ -43,6 +43,7 @@
 }
 
 func (n *Node) beatLoop() {
+	n.sendBeats()
 	last := time.Now()
 	for {
 		n.mutex.Lock()
@@ -158,7 +159,7 @@
 	settings := n.settings.Load()
 	beat := liveness.Beat{
 		Name: settings.Name, Zone: settings.Zone, Address: n.selfAddress(), Cores: settings.Cores, Incarnation: n.depend.Incarnation,
-		Term: n.term, Leaving: n.stopping.Load() != 0, Storeless: n.storeDown, Latest: n.table.Latest(), Unread: n.fresh.age(now), Failing: n.health.failing(now),
+		Term: n.term, Known: n.members.Known(), Leaving: n.stopping.Load() != 0, Storeless: n.storeDown, Latest: n.table.Latest(), Unread: n.fresh.age(now), Failing: n.health.failing(now),
 		Held: map[string]liveness.Held{},
 	}
 	if current := n.catalog.Load(); current != nil {
@@ -222,9 +223,8 @@
 	before, found := n.members.Get(beat.Name)
 	storeNews := found && before.Storeless != beat.Storeless
 	news := n.members.Heard(now, beat, n.deadAfter())
-	for _, other := range beat.Peers {
-		n.members.Learn(now, other)
-	}
+	newcomers := n.learn(now, beat.Peers)
+	newcomer := beat.Known < n.members.Known()*newcomerShare/100
 	if beat.Name == n.scheduler {
 		n.levels, n.levelsAt = beat.Levels, now
 	}
@@ -232,6 +232,12 @@
 	n.noteFreshness(now, beat)
 	leads := n.scheduler == n.settings.Load().Name
 	n.mutex.Unlock()
+	if news {
+		n.introduce(beat.Address, newcomer)
+	}
+	for _, address := range newcomers {
+		n.introduce(address, false)
+	}
 	if news {
 		n.log.Write(eventlog.Event{Kind: "peer", Peer: beat.Name, Outcome: "heard", Detail: beat.Address})
 	}
--- /dev/null
+++ b/test/entry/start_test.go
@@ -0,0 +1,44 @@
+package entry
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/thornwalk/thornwalk/lab/entrylab"
+	"github.com/thornwalk/thornwalk/lab/memnet"
+	"github.com/thornwalk/thornwalk/transport/network"
+)
+
+// Seen on the bench: grown sites, QUOTA after all nodes were killed at once. For
+// seconds nodes that had heard of a few others only each scheduled by themselves
+// and handed out whole quotas.
+func TestManyNodesThatStartAtOnceAgreeOnWhoSchedules(t *testing.T) {
+	const nodes = 40
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		fabric := memnet.New()
+		var names []string
+		for i := range nodes {
+			names = append(names, fmt.Sprintf("n%02d", i))
+		}
+		lab, err := entrylab.Start(entrylab.Options{
+			Hosts: names, Zones: []string{"east", "west"}, StoreHost: "store",
+			Network:   func(host string) network.Network { return fabric.Host(host) },
+			Datagrams: fabric.Datagrams,
+		})
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		time.Sleep(300 * time.Millisecond)
+		scheduler := lab.Node(names[0]).Status().Scheduler
+		for _, name := range names {
+			status := lab.Node(name).Status()
+			g.Expect(status.Live).To(gomega.HaveLen(nodes-1), name)
+			g.Expect(status.Scheduler).To(gomega.Equal(scheduler), name)
+		}
+		lab.Stop()
+		time.Sleep(time.Minute) // virtual time, in which everything ends
+	})
+}
