Tell each decision about a request, and sample whole requests under load

Cause: a request had two lines, its send and its end. From an id one could not see by which configuration it was served, what the scheduling node went by (requests ahead, free places, predicted wait, priority), nor the end of a request whose caller left in the middle of a stream. Under load lines were dropped by chance.

Change: request.received, .placed (granted or refused), .sent and .ended, each with its inputs; above 400 lines a second requests are sampled by the hash of their id, whole, and those that did not end well are always told; log.sampled counts what was left out.

Figures: tests fail without it (three lead from a request to its cause, one floods a node).

--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -70,6 +70,10 @@
 	// RetryAfter tells a refused caller when to come back.
 	RetryAfter time.Duration
 	Waited     time.Duration
+	// Ahead is how many requests were before it, Free the places that were free and
+	// Expected the wait that was predicted.
+	Ahead, Free int
+	Expected    time.Duration
 }
 
 // Observation is how a request with a place ended.
--- a/coordination/admission/decide.go
+++ b/coordination/admission/decide.go
@@ -79,7 +79,7 @@
 }
 
 func (s *Scheduler) decideOne(now structs.Instant, held *waiting, room *room, ahead int) (Decision, bool) {
-	decision := Decision{ID: held.ID, Waited: now - held.arrived}
+	decision := Decision{ID: held.ID, Waited: now - held.arrived, Ahead: ahead, Free: room.free, Expected: room.wait(ahead)}
 	options := room.untried(&held.Request)
 	if len(options) == 0 && len(room.options) > 0 {
 		decision.Reason, decision.RetryAfter = ReasonNoReplica, minimumRetry
@@ -103,7 +103,7 @@
 		decision.Replica = chosen.replica
 		return decision, true
 	}
-	expected := room.wait(ahead)
+	expected := decision.Expected
 	decision.RetryAfter = retryAfter(expected, left)
 	if decision.Waited >= held.Patience {
 		decision.Reason = ReasonNoPlace
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -60,6 +60,7 @@
 		given := c.node.place(c.ctx, c.placeRequest(tried, c.sends > 0))
 		c.waited += given.Waited
 		c.node.observe("place_wait_ms", given.Waited)
+		c.notePlace(given)
 		if given.Reason != "" {
 			c.unplaced(given, runs)
 			return
@@ -74,7 +75,7 @@
 			c.sends++
 		}
 		c.node.finish(given, seen, outcome == resultNotSent || outcome == resultRejected)
-		c.logSend(given, outcome)
+		c.noteSend(given, outcome)
 		if outcome == resultBroken || outcome == resultFailed {
 			runs++
 		}
@@ -211,9 +212,9 @@
 
 func outcomeOf(runs int) string {
 	if runs > 0 {
-		return "unknown"
+		return outcomeUnknown
 	}
-	return "not-run"
+	return outcomeNotRun
 }
 
 // retryRejected is when a caller should come back whom several replicas rejected.
@@ -377,15 +378,6 @@
 	return 0
 }
 
-// logSend writes the line of one send.
-func (c *call) logSend(given *grant, outcome result) {
-	event := c.event("request.sent")
-	event.Replica, event.Outcome, event.Peer = given.Replica.ID, outcome.String(), given.scheduler
-	event.Revision, event.Count = given.Replica.Revision, c.sends
-	c.node.log.Write(event)
-	c.node.counter("sends." + outcome.String()).Inc(1)
-}
-
 // String returns the name of the result in logs and metrics.
 func (r result) String() string {
 	return [...]string{"answered", "not-sent", "rejected", "broken", "failed", "caller-left"}[r]
--- a/entry/desk.go
+++ b/entry/desk.go
@@ -125,6 +125,7 @@
 		return &placeReply{
 			Replica: decision.Replica, Reason: string(decision.Reason),
 			RetryAfter: decision.RetryAfter, Waited: decision.Waited, Term: d.currentTerm(),
+			Waiting: decision.Ahead, Free: decision.Free, Expected: decision.Expected,
 		}
 	case <-ctx.Done():
 		d.finish(&finishRequest{ID: request.Request.ID, NotRun: true})
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -46,6 +46,10 @@
 	// firstEvent is the time from the last send to the first event, and
 	// longestPause the longest time between two events.
 	firstEvent, longestPause time.Duration
+	// kept is true if the request's lines are written in any case; if not, lines
+	// holds them until its end is known.
+	kept  bool
+	lines []eventlog.Event
 }
 
 // defaultDeadline holds for requests that name none.
@@ -62,6 +66,7 @@
 	n.inFlight.Add(1)
 	defer n.inFlight.Add(-1)
 	c := &call{node: n, writer: w, request: r, arrived: time.Now(), id: r.Header.Get(n.depend.Headers.RequestID)}
+	c.kept = n.log.Keep(c.id)
 	if n.stopping.Load() != 0 {
 		w.Header().Set("Connection", "close")
 	}
@@ -73,6 +78,8 @@
 	if !c.admit(current) {
 		return
 	}
+	c.noteReceived(current.Version)
+	defer c.noteLeft()
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	c.ctx = ctx
@@ -182,11 +189,11 @@
 	if retryAfter > 0 {
 		c.writer.Header().Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 2, 64))
 	}
-	c.end(status, "not-run", reason)
+	c.end(status, outcomeNotRun, reason)
 }
 
 // fail answers that the request may have run.
-func (c *call) fail(status int, reason string) { c.end(status, "unknown", reason) }
+func (c *call) fail(status int, reason string) { c.end(status, outcomeUnknown, reason) }
 
 // end gives the caller its final answer. If the caller has a part of an answer
 // already, the connection is broken so that it can't be taken for whole.
@@ -194,13 +201,10 @@
 	if c.ended {
 		return
 	}
-	c.ended = true
 	event := c.event("request.ended")
 	event.Outcome, event.Reason, event.Status = outcome, reason, status
-	c.node.log.Write(event)
-	c.node.counter("requests." + outcome).Inc(1)
+	c.noteEnd(event)
 	c.node.counter("ended." + reason).Inc(1)
-	c.node.observe("request_ms."+outcome, time.Since(c.arrived))
 	if c.headSent {
 		panic(http.ErrAbortHandler)
 	}
@@ -211,26 +215,7 @@
 
 // answered records that the caller has the whole answer.
 func (c *call) answered(status int, replica string) {
-	c.ended = true
 	event := c.event("request.ended")
-	event.Outcome, event.Status, event.Replica = "answered", status, replica
-	c.node.log.Write(event)
-	c.node.counter("requests.answered").Inc(1)
-	c.node.observe("request_ms.answered", time.Since(c.arrived))
-}
-
-// event returns a log line with what names the request.
-func (c *call) event(kind string) eventlog.Event {
-	event := eventlog.Event{
-		Kind: kind, Request: c.id, Service: c.service,
-		Took: time.Since(c.arrived).Milliseconds(), Waited: c.waited.Milliseconds(),
-		First: c.firstEvent.Milliseconds(), Pause: c.longestPause.Milliseconds(), Prompt: c.prompt, Answer: c.expectedTokens(),
-	}
-	if c.route != nil {
-		event.Route = c.route.Name
-	}
-	if c.tenant != nil {
-		event.Tenant = c.tenant.Name
-	}
-	return event
+	event.Outcome, event.Status, event.Replica = outcomeAnswered, status, replica
+	c.noteEnd(event)
 }
--- /dev/null
+++ b/entry/lines.go
@@ -0,0 +1,104 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/thornwalk/thornwalk/internal/eventlog"
+)
+
+// Under load the lines of some requests are held until their end is known: those
+// of a request that went well are then left out, those of all others are written.
+// All other lines are written at once, so that they outlive the process.
+
+// maximumLines bounds the lines that are held for one request.
+const maximumLines = 24
+
+// event returns a line with what names the request.
+func (c *call) event(kind string) eventlog.Event {
+	event := eventlog.Event{
+		Kind: kind, Request: c.id, Service: c.service,
+		Took: time.Since(c.arrived).Milliseconds(), Waited: c.waited.Milliseconds(),
+	}
+	if c.route != nil {
+		event.Route = c.route.Name
+	}
+	if c.tenant != nil {
+		event.Tenant = c.tenant.Name
+	}
+	return event
+}
+
+// note writes a line, or holds it.
+func (c *call) note(event eventlog.Event) {
+	switch {
+	case c.kept:
+		c.node.log.Write(event)
+	case len(c.lines) < maximumLines:
+		c.lines = append(c.lines, c.node.log.Stamp(event))
+	}
+}
+
+// noteReceived tells what the request is and by which configuration it is served.
+func (c *call) noteReceived(version int64) {
+	event := c.event("request.received")
+	event.Version, event.Prompt, event.Answer = version, c.prompt, c.expectedTokens()
+	event.Left = time.Until(c.deadline).Milliseconds()
+	c.note(event)
+}
+
+// notePlace tells the scheduling node's decision and what it went by.
+func (c *call) notePlace(given *grant) {
+	event := c.event("request.placed")
+	event.Peer, event.Priority = given.scheduler, c.priority()
+	event.Waiting, event.Free, event.Expected = given.Waiting, given.Free, given.Expected.Milliseconds()
+	if given.Reason != "" {
+		event.Outcome, event.Reason = "refused", given.Reason
+	} else {
+		event.Outcome, event.Replica, event.Revision = "granted", given.Replica.ID, given.Replica.Revision
+	}
+	c.note(event)
+}
+
+// noteSend tells what became of one send.
+func (c *call) noteSend(given *grant, outcome result) {
+	event := c.event("request.sent")
+	event.Replica, event.Outcome, event.Peer = given.Replica.ID, outcome.String(), given.scheduler
+	event.Revision, event.Count = given.Replica.Revision, c.sends
+	event.First, event.Pause = c.firstEvent.Milliseconds(), c.longestPause.Milliseconds()
+	c.note(event)
+	c.node.counter("sends." + outcome.String()).Inc(1)
+}
+
+// noteEnd writes the last line of the request and those before it.
+func (c *call) noteEnd(event eventlog.Event) {
+	c.ended = true
+	event.First, event.Pause = c.firstEvent.Milliseconds(), c.longestPause.Milliseconds()
+	event.Prompt, event.Answer = c.prompt, c.expectedTokens()
+	c.note(event)
+	c.node.counter("requests." + event.Outcome).Inc(1)
+	c.node.observe("request_ms."+event.Outcome, time.Since(c.arrived))
+	if event.Outcome == outcomeAnswered {
+		c.node.log.LeftOut(len(c.lines))
+		return
+	}
+	for _, line := range c.lines {
+		c.node.log.Write(line)
+	}
+}
+
+// Outcomes of requests in lines and metrics.
+const (
+	outcomeAnswered = "answered"
+	outcomeNotRun   = "not-run"
+	outcomeUnknown  = "unknown"
+)
+
+// noteLeft ends the lines of a request whose caller left in the middle of it.
+func (c *call) noteLeft() {
+	if c.ended {
+		return
+	}
+	event := c.event("request.ended")
+	event.Outcome, event.Reason = outcomeUnknown, "caller-left"
+	c.noteEnd(event)
+}
--- a/entry/messages.go
+++ b/entry/messages.go
@@ -28,6 +28,10 @@
 	Reason     string
 	RetryAfter time.Duration
 	Waited     time.Duration
+	// Waiting, Free and Expected are what the decision went by: the requests ahead,
+	// the free places of the service, and the wait that was predicted.
+	Waiting, Free int
+	Expected      time.Duration
 	// Term is that of the scheduling process.
 	Term uint64
 }
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -46,6 +46,15 @@
 	// Pause the longest time between two events, both in milliseconds.
 	First int64 `json:"first_ms,omitempty"`
 	Pause int64 `json:"pause_ms,omitempty"`
+	// Left is what the caller's or the route's time leaves, and Expected the wait
+	// that was predicted, both in milliseconds.
+	Left     int64 `json:"left_ms,omitempty"`
+	Expected int64 `json:"expected_ms,omitempty"`
+	// Priority is the rank that decided, Waiting the requests ahead and Free the
+	// places that were free then.
+	Priority int `json:"priority,omitempty"`
+	Waiting  int `json:"waiting,omitempty"`
+	Free     int `json:"free,omitempty"`
 	// Prompt and Answer count the request's tokens; Answer is the guess that was
 	// reckoned with.
 	Prompt int    `json:"prompt,omitempty"`
@@ -60,6 +69,7 @@
 	started time.Time
 	lines   chan Event
 	lost    atomic.Int64
+	sampler sampler
 	stop    chan struct{}
 	done    chan struct{}
 }
@@ -70,14 +80,28 @@
 	if writer == nil {
 		writer = io.Discard
 	}
+	log.sampler.share.Store(wholeShare)
 	go log.write(writer)
 	return log
 }
 
-// Write enters the event, or counts it as lost if the writer is behind.
-func (l *Log) Write(event Event) {
+// timeLayout is the form of wall time in the lines.
+const timeLayout = "2006-01-02T15:04:05.000Z"
+
+// Stamp enters node and time into an event that is written later.
+func (l *Log) Stamp(event Event) Event {
 	event.Node = l.node
+	event.Time = time.Now().UTC().Format(timeLayout)
 	event.Uptime = time.Since(l.started).Milliseconds()
+	return event
+}
+
+// Write enters the event, or counts it as lost if the writer is behind.
+func (l *Log) Write(event Event) {
+	if event.Node == "" {
+		event = l.Stamp(event)
+	}
+	l.sampler.offered.Add(1)
 	select {
 	case l.lines <- event:
 	default:
@@ -105,8 +129,14 @@
 	buffered := bufio.NewWriterSize(writer, 8192)
 	encoder := json.NewEncoder(buffered)
 	told := int64(0)
+	second := time.NewTicker(time.Second)
+	defer second.Stop()
 	for {
 		select {
+		case <-second.C:
+			if left := l.sampler.adjust(); left > 0 {
+				told = l.encode(encoder, l.Stamp(Event{Kind: "log.sampled", Outcome: "left-out", Count: int(left)}), told)
+			}
 		case event := <-l.lines:
 			told = l.encode(encoder, event, told)
 		case <-l.stop:
@@ -122,7 +152,6 @@
 
 // encode writes one event, and a line of its own if some were lost since told.
 func (l *Log) encode(encoder *json.Encoder, event Event, told int64) int64 {
-	event.Time = time.Now().UTC().Format("2006-01-02T15:04:05.000Z")
 	_ = encoder.Encode(event)
 	lost := l.lost.Load()
 	if lost > told {
--- a/internal/eventlog/eventlog_test.go
+++ b/internal/eventlog/eventlog_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -48,3 +49,25 @@
 	g.Expect(event.Request).To(gomega.Equal("r1"))
 	g.Expect(event.Node).To(gomega.Equal("n"))
 }
+
+// A burst of ten times the usual must not cost ten times the lines, and the lines
+// of one request are kept or left out together.
+func TestRequestsThatWentWellAreSampledUnderLoad(t *testing.T) {
+	g := gomega.NewWithT(t)
+	log := New("n", nil)
+	defer log.Close()
+	g.Expect(log.Keep("any")).To(gomega.BeTrue())
+	log.LeftOut(10 * linesASecond)
+	g.Expect(log.sampler.adjust()).To(gomega.BeEquivalentTo(10 * linesASecond))
+	kept := 0
+	for i := range 2000 {
+		id := fmt.Sprint("request", i)
+		if log.Keep(id) {
+			kept++
+		}
+		g.Expect(log.Keep(id)).To(gomega.Equal(log.Keep(id)))
+	}
+	g.Expect(kept).To(gomega.BeNumerically("~", 200, 60))
+	log.sampler.adjust()
+	g.Expect(log.Keep("any")).To(gomega.BeTrue(), "quiet again")
+}
--- /dev/null
+++ b/test/entry/lines_test.go
@@ -0,0 +1,132 @@
+package entry
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/thornwalk/thornwalk/lab/platformsim"
+	"github.com/thornwalk/thornwalk/operator/story"
+)
+
+// lines collects what all nodes write.
+type lines struct {
+	mutex  sync.Mutex
+	buffer bytes.Buffer
+}
+
+func (l *lines) Write(content []byte) (int, error) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.buffer.Write(content)
+}
+
+func (l *lines) reader() io.Reader {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return bytes.NewReader(bytes.Clone(l.buffer.Bytes()))
+}
+
+// tell returns the story of the request from the nodes' lines.
+func (s *scene) tell(id string) string {
+	time.Sleep(10 * time.Millisecond) // virtual time, for the writers
+	told, err := story.Read(id, s.lines.reader())
+	s.Expect(err).NotTo(gomega.HaveOccurred())
+	var text strings.Builder
+	told.Write(&text)
+	return text.String()
+}
+
+// named sends the request under the id.
+func named(id string) func(*http.Request) {
+	return func(r *http.Request) { r.Header.Set("X-Attempt-Id", id) }
+}
+
+func TestLinesLeadFromARefusedRequestToItsCause(t *testing.T) {
+	play(t, func(s *scene) {
+		for _, replica := range s.plain {
+			replica.Step = 2 * time.Second
+		}
+		var group sync.WaitGroup
+		for range 4 {
+			group.Go(func() { s.get("n1", http.MethodGet, "/safe/", nil) })
+		}
+		time.Sleep(50 * time.Millisecond)
+		s.Expect(s.get("n2", http.MethodGet, "/safe/", named("refused")).status).To(gomega.Equal(503))
+		told := s.tell("refused")
+		s.Expect(told).To(gomega.And(
+			gomega.ContainSubstring("request.received"), gomega.ContainSubstring("version=1"),
+			gomega.ContainSubstring("request.placed by="+s.scheduler()+" outcome=refused"),
+			gomega.ContainSubstring("never sent to a replica"), gomega.ContainSubstring("add replicas"),
+		))
+		group.Wait()
+	})
+}
+
+func TestLinesLeadFromABrokenRequestToItsCause(t *testing.T) {
+	play(t, func(s *scene) {
+		s.onAll(s.plain, always(platformsim.Reset))
+		s.Expect(s.get("n1", http.MethodPost, "/once/", named("broken")).status).To(gomega.Equal(502))
+		told := s.tell("broken")
+		s.Expect(told).To(gomega.And(
+			gomega.ContainSubstring("outcome=granted"), gomega.MatchRegexp(`request.sent replica=i-p\d by=n\d outcome=broken`),
+			gomega.ContainSubstring("unknown, status 502"), gomega.ContainSubstring("its answer was cut"),
+		))
+	})
+}
+
+func TestLinesOfARequestWhoseCallerLeftHaveAnEnd(t *testing.T) {
+	play(t, func(s *scene) {
+		s.engines[0].Step, s.engines[1].Step = time.Second, time.Second
+		client := &http.Client{Transport: &http.Transport{DialContext: s.dialCaller, DisableKeepAlives: true}, Timeout: 1500 * time.Millisecond}
+		request, err := http.NewRequest(http.MethodPost, "http://n1:8221/stream/", strings.NewReader("body"))
+		s.Expect(err).NotTo(gomega.HaveOccurred())
+		request.Host = "service.example"
+		request.Header.Set("Authorization", "Bearer key-1")
+		request.Header.Set("X-Attempt-Id", "left")
+		response, err := client.Do(request)
+		s.Expect(err).NotTo(gomega.HaveOccurred())
+		_, err = io.ReadAll(response.Body)
+		s.Expect(err).To(gomega.HaveOccurred())
+		time.Sleep(3 * time.Second)
+		s.Expect(s.tell("left")).To(gomega.And(gomega.ContainSubstring("request.ended"), gomega.ContainSubstring("caller closed its connection")))
+	})
+}
+
+// A node that drops the lines of a request that went well says how many, and
+// still tells a request that failed from its first line on.
+func TestSampledLinesKeepFailedRequestsWhole(t *testing.T) {
+	play(t, func(s *scene) {
+		s.onAll(s.plain, func(r *http.Request) platformsim.Behavior {
+			if strings.HasPrefix(r.Header.Get("X-Attempt-Id"), "broken") {
+				return platformsim.Reset
+			}
+			return platformsim.Answer
+		})
+		for range 1500 { // more than the lines that are written in a second
+			s.get("n1", http.MethodGet, "/nowhere/", nil)
+		}
+		time.Sleep(1200 * time.Millisecond)
+		for i := range 40 {
+			s.get("n1", http.MethodGet, "/safe/", named(fmt.Sprint("well", i)))
+			s.get("n1", http.MethodPost, "/once/", named(fmt.Sprint("broken", i)))
+		}
+		time.Sleep(1200 * time.Millisecond)
+		all, err := io.ReadAll(s.lines.reader())
+		s.Expect(err).NotTo(gomega.HaveOccurred())
+		text := string(all)
+		s.Expect(text).To(gomega.ContainSubstring(`"event":"log.sampled"`))
+		for i := range 40 {
+			id := fmt.Sprintf(`"request":"broken%d"`, i)
+			s.Expect(strings.Count(text, id)).To(gomega.BeNumerically(">=", 4), id)
+		}
+		s.Expect(strings.Count(text, `"request":"well`)).To(gomega.BeNumerically("<", 4*40))
+	})
+}
--- a/test/entry/scene_test.go
+++ b/test/entry/scene_test.go
@@ -33,6 +33,7 @@
 	engines []*platformsim.Replica
 	version int64
 	ids     atomic.Int64
+	lines   lines
 }
 
 var hosts = []string{"n1", "n2", "n3"}
@@ -44,7 +45,7 @@
 		s.lab, err = entrylab.Start(entrylab.Options{
 			Hosts: hosts, Zones: []string{"east", "west"}, StoreHost: "store",
 			Network:   func(host string) network.Network { return s.fabric.Host(host) },
-			Datagrams: s.fabric.Datagrams,
+			Datagrams: s.fabric.Datagrams, Log: &s.lines,
 		})
 		s.Expect(err).NotTo(gomega.HaveOccurred())
 		s.configure(nil)
