Check settings and tell the version from the daemon's command line

Cause: an operator could not check an entry node's settings file before a restart. Change: 'thornwalkd entry check-settings [FILE]', 'thornwalkd version', help.

--- /dev/null
+++ b/cmd/thornwalkd/entrycommand_test.go
@@ -0,0 +1,30 @@
+package main
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/onsi/gomega"
+)
+
+func TestCheckSettingsNamesPathValueAndRemedy(t *testing.T) {
+	g := gomega.NewWithT(t)
+	path := filepath.Join(t.TempDir(), "settings.yaml")
+	valid := "name: n1\nzone: east\ncallers: a:1\nreadiness: a:2\noperators: a:3\nhost: a\npeer_port: 7600\nstore: s:1\n"
+	g.Expect(os.WriteFile(path, []byte(valid), 0o600)).To(gomega.Succeed())
+	var output bytes.Buffer
+	g.Expect(runEntryCommand([]string{"check-settings", path}, &output)).To(gomega.Succeed())
+	g.Expect(output.String()).To(gomega.ContainSubstring("valid, node n1 in zone east"))
+	g.Expect(os.WriteFile(path, []byte(valid+"drain_ms: -5\n"), 0o600)).To(gomega.Succeed())
+	g.Expect(runEntryCommand([]string{"check-settings", path}, &output)).To(gomega.MatchError(gomega.ContainSubstring("drain_ms: -5 is not in 1 to 600000")))
+	g.Expect(runEntryCommand([]string{"nothing"}, &output)).To(gomega.MatchError(gomega.ContainSubstring("see thornwalkd entry -h")))
+}
+
+func TestVersionNamesTheToolchain(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var output bytes.Buffer
+	g.Expect(printVersion(&output)).To(gomega.Succeed())
+	g.Expect(output.String()).To(gomega.MatchRegexp("thornwalkd .*revision .*go1"))
+}
--- a/cmd/thornwalkd/main.go
+++ b/cmd/thornwalkd/main.go
@@ -40,16 +40,28 @@
 }
 
 func main() {
-	serve := func() error { return run(os.Args[1:]) }
-	if len(os.Args) > 1 && os.Args[1] == "entry" {
-		serve = runEntry
-	}
-	if err := serve(); err != nil {
+	if err := dispatch(os.Args[1:]); err != nil {
 		fmt.Fprintln(os.Stderr, "thornwalkd:", err)
 		os.Exit(1)
 	}
 }
 
+// dispatch runs what the first argument names; without one it is the daemon whose
+// settings are a tree in the platform's service.
+func dispatch(arguments []string) error {
+	if len(arguments) == 0 {
+		return run(arguments)
+	}
+	switch arguments[0] {
+	case "entry":
+		return runEntryCommand(arguments[1:], os.Stdout)
+	case "version":
+		return printVersion(os.Stdout)
+	default:
+		return run(arguments)
+	}
+}
+
 func parse(arguments []string) (*flags, error) {
 	f := &flags{}
 	set := flag.NewFlagSet("thornwalkd", flag.ContinueOnError)
