Judge each node by the heartbeat interval that it tells

With 83 nodes heartbeats are a second apart and four may be missed.

Change: the first eight nodes that may schedule, in rendezvous order, beat at least every 0.25 s; heartbeats tell the sender's interval, and four of those are the silence after which it is taken for dead.

--- a/coordination/liveness/liveness.go
+++ b/coordination/liveness/liveness.go
@@ -19,6 +19,9 @@
 	Address string `msgpack:"a"`
 	// Cores is the share of processors that the process may use.
 	Cores float64 `msgpack:"c"`
+	// Interval is the time to the sender's next heartbeat, in milliseconds. Nodes
+	// that others wait for beat more often than the rest.
+	Interval int64 `msgpack:"b"`
 	// Incarnation differs for each start of the node's process.
 	Incarnation uint64 `msgpack:"i"`
 	// Term rises when the process forgot what it had scheduled.
@@ -73,6 +76,21 @@
 	learned   structs.Instant
 }
 
+// missedBeats is how many heartbeats a node may miss until it is taken for dead,
+// and defaultInterval holds for nodes that do not tell theirs.
+const (
+	missedBeats     = 4
+	defaultInterval = 100 * time.Millisecond
+)
+
+// Patience is the silence after which the member is taken for dead.
+func (m *Member) Patience() time.Duration {
+	if m.Interval <= 0 {
+		return missedBeats * defaultInterval
+	}
+	return missedBeats * time.Duration(m.Interval) * time.Millisecond
+}
+
 // forgetAfter is how long a silent node is still sent to and counted.
 const forgetAfter = 60 * time.Second
 
@@ -87,7 +105,7 @@
 
 // Heard applies a heartbeat. It returns true if the node was silent, unknown or
 // another process before.
-func (t *Table) Heard(now structs.Instant, beat Beat, deadAfter time.Duration) bool {
+func (t *Table) Heard(now structs.Instant, beat Beat) bool {
 	if beat.Name == t.self || beat.Name == "" {
 		return false
 	}
@@ -96,7 +114,7 @@
 		member = &Member{}
 		t.members[beat.Name] = member
 	}
-	news := !found || !member.live(now, deadAfter) || member.Incarnation != beat.Incarnation
+	news := !found || !member.live(now, 1) || member.Incarnation != beat.Incarnation
 	member.Beat, member.heard, member.suspected, member.known = beat, now, false, true
 	return news
 }
@@ -131,15 +149,26 @@
 	}
 }
 
-func (m *Member) live(now structs.Instant, deadAfter time.Duration) bool {
-	return m.known && !m.suspected && now-m.heard < deadAfter
+// live returns whether the member was heard of within so many times its patience.
+func (m *Member) live(now structs.Instant, times int) bool {
+	return m.known && !m.suspected && now-m.heard < m.Patience()*time.Duration(times)
 }
 
-// Live returns the members that were heard of lately, by name.
-func (t *Table) Live(now structs.Instant, deadAfter time.Duration) []*Member {
+// Live returns the members that are not taken for dead, by name.
+func (t *Table) Live(now structs.Instant) []*Member { return t.within(now, 1) }
+
+// NotLost returns the members that are live or were until a while ago: their
+// processes may still be at work.
+func (t *Table) NotLost(now structs.Instant) []*Member { return t.within(now, lostFactor) }
+
+// lostFactor is how many times its patience a member may be silent until its
+// process is reckoned to have ended.
+const lostFactor = 4
+
+func (t *Table) within(now structs.Instant, times int) []*Member {
 	var live []*Member
 	for _, member := range t.members {
-		if member.live(now, deadAfter) {
+		if member.live(now, times) {
 			live = append(live, member)
 		}
 	}
--- a/entry/beats.go
+++ b/entry/beats.go
@@ -20,7 +20,11 @@
 const (
 	beatInterval = 100 * time.Millisecond
 	beatsAtOnce  = 9
-	missedBeats  = 4
+	// senior is how many of the nodes that may schedule beat often; these are the
+	// first in rendezvous order, and seniorInterval is the longest between two of
+	// their heartbeats.
+	senior         = 8
+	seniorInterval = 250 * time.Millisecond
 	// frozenAfter is the pause of this process after which others will have
 	// decided in its place.
 	frozenAfter = time.Second
@@ -36,10 +40,13 @@
 	return beatInterval * time.Duration(max(1, (members+beatsAtOnce-1)/beatsAtOnce))
 }
 
-// deadAfter returns the silence after which a node is taken for dead. The
-// caller holds the mutex.
-func (n *Node) deadAfter() time.Duration {
-	return interval(len(n.members.All(n.now()))) * missedBeats
+// interval returns the time to this node's next heartbeat. The caller holds the mutex.
+func (n *Node) interval() time.Duration {
+	wait := interval(len(n.members.All(n.now())))
+	if n.senior {
+		wait = min(wait, seniorInterval)
+	}
+	return wait
 }
 
 func (n *Node) beatLoop() {
@@ -47,7 +54,7 @@
 	last := time.Now()
 	for {
 		n.mutex.Lock()
-		wait := interval(len(n.members.All(n.now())))
+		wait := n.interval()
 		n.mutex.Unlock()
 		if !n.pause(wait) {
 			return
@@ -83,12 +90,11 @@
 func (n *Node) sendBeats() {
 	n.mutex.Lock()
 	now := n.now()
-	deadAfter := n.deadAfter()
 	beat := n.beat(now)
 	all := n.members.All(now)
 	addresses := map[string]bool{}
 	for _, member := range all {
-		if member.Silence(now) < deadAfter || n.sequence.Add(1)%silentShare == 0 {
+		if member.Silence(now) < member.Patience() || n.sequence.Add(1)%silentShare == 0 {
 			addresses[member.Address] = true
 		}
 	}
@@ -158,7 +164,7 @@
 func (n *Node) beat(now structs.Instant) liveness.Beat {
 	settings := n.settings.Load()
 	beat := liveness.Beat{
-		Name: settings.Name, Zone: settings.Zone, Address: n.selfAddress(), Cores: settings.Cores, Incarnation: n.depend.Incarnation,
+		Name: settings.Name, Zone: settings.Zone, Address: n.selfAddress(), Cores: settings.Cores, Interval: n.interval().Milliseconds(), Incarnation: n.depend.Incarnation,
 		Term: n.term, Known: n.members.Known(), Leaving: n.stopping.Load() != 0, Storeless: n.storeDown, Latest: n.table.Latest(), Unread: n.fresh.age(now), Failing: n.health.failing(now),
 		Held: map[string]liveness.Held{},
 	}
@@ -222,7 +228,7 @@
 	now := n.now()
 	before, found := n.members.Get(beat.Name)
 	storeNews := found && before.Storeless != beat.Storeless
-	news := n.members.Heard(now, beat, n.deadAfter())
+	news := n.members.Heard(now, beat)
 	newcomers := n.learn(now, beat.Peers)
 	newcomer := beat.Known < n.members.Known()*newcomerShare/100
 	if beat.Name == n.scheduler {
@@ -307,16 +313,18 @@
 	settings := n.settings.Load()
 	n.mutex.Lock()
 	now := n.now()
-	live := n.members.Live(now, n.deadAfter())
+	live := n.members.Live(now)
 	beats := []liveness.Beat{{Name: settings.Name, Cores: settings.Cores, Leaving: n.stopping.Load() != 0}}
 	for _, member := range live {
 		beats = append(beats, member.Beat)
 	}
 	names := liveness.Candidates(beats)
 	chosen := settings.Name
-	if order := rendezvous.Choose(names, rendezvous.Key(schedulerKey), 1); len(order) > 0 {
+	order := rendezvous.Choose(names, rendezvous.Key(schedulerKey), senior)
+	if len(order) > 0 {
 		chosen = order[0]
 	}
+	n.senior = slices.Contains(order, settings.Name)
 	n.rank = n.storeRank(live)
 	moved := chosen != n.scheduler
 	previous := n.scheduler
@@ -387,7 +395,7 @@
 	n.mutex.Lock()
 	now := n.now()
 	live := map[string]bool{n.process(): true}
-	for _, member := range n.members.Live(now, n.deadAfter()*missedBeats) {
+	for _, member := range n.members.NotLost(now) {
 		live[processName(member.Name, member.Incarnation)] = true
 	}
 	n.mutex.Unlock()
--- a/entry/node.go
+++ b/entry/node.go
@@ -77,8 +77,10 @@
 	held      map[string]heldPlace
 	term      uint64
 	scheduler string
-	// rank is this node's place in the rendezvous order of live nodes.
+	// rank is this node's place in the rendezvous order of live nodes, and senior
+	// is true if it is one of the first that may schedule.
 	rank        int
+	senior      bool
 	storeBadAt  structs.Instant
 	storeDown   bool
 	newsAt      structs.Instant
--- a/entry/operators.go
+++ b/entry/operators.go
@@ -45,7 +45,7 @@
 	status.Revision, status.NewsAge, status.StoreDown = n.table.Revision(), (now - n.newsAt).Milliseconds(), n.storeDown
 	status.Scheduler, status.Failing, status.Replicas = n.scheduler, n.health.failing(now), n.table.All()
 	for _, member := range n.members.All(now) {
-		if member.Silence(now) < n.deadAfter() {
+		if member.Silence(now) < member.Patience() {
 			status.Live = append(status.Live, member.Name)
 		} else {
 			status.Silent = append(status.Silent, member.Name)
--- a/entry/place.go
+++ b/entry/place.go
@@ -103,7 +103,7 @@
 		}
 		n.mutex.Lock()
 		member, found := n.members.Get(scheduler)
-		silent := !found || member.Silence(n.now()) > n.deadAfter()
+		silent := !found || member.Silence(n.now()) > member.Patience()
 		n.mutex.Unlock()
 		if silent {
 			cancel()
