Let one node read the store in whole

Cause: two nodes read everything each 0.9 s so that one may fail unnoticed; since any node reads once all knowledge is 1.3 s old, the second is needless. Change: one reader.

--- a/entry/freshness.go
+++ b/entry/freshness.go
@@ -15,7 +15,7 @@
 const (
 	// readInterval is the time between complete reads by the first nodes in
 	// rendezvous order: watches may fall silent without failing.
-	readers      = 2
+	readers      = 1
 	readInterval = 900 * time.Millisecond
 	// staleAfter is the age of the latest read after which any node reads, and
 	// staleStep what each place in the order waits longer, up to staleSteps.
