--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -79,7 +79,11 @@
 		if outcome == resultBroken || outcome == resultFailed {
 			runs++
 		}
-		if outcome == resultAnswered || outcome == resultLeft {
+		if outcome == resultAnswered {
+			c.endAnswered()
+			return
+		}
+		if outcome == resultLeft {
 			return
 		}
 		c.resumed = c.resumed || c.headSent
--- /dev/null
+++ b/entry/choice.go
@@ -0,0 +1,113 @@
+package entry
+
+import (
+	"slices"
+	"time"
+
+	"github.com/thornwalk/thornwalk/coordination/admission"
+	"github.com/thornwalk/thornwalk/coordination/liveness"
+	"github.com/thornwalk/thornwalk/internal/eventlog"
+	"github.com/thornwalk/thornwalk/state/rendezvous"
+)
+
+// levelsMemory is how long the buckets of another scheduling node are worth
+// going on from.
+const levelsMemory = 10 * time.Second
+
+// schedulerKey is the rendezvous key of the node that schedules.
+const schedulerKey = "scheduler"
+
+// chooseScheduler takes the first live node in rendezvous order for the
+// scheduling node.
+func (n *Node) chooseScheduler() {
+	settings := n.settings.Load()
+	n.mutex.Lock()
+	now := n.now()
+	live := n.members.Live(now)
+	beats := []liveness.Beat{{Name: settings.Name, Cores: settings.Cores, Leaving: n.stopping.Load() != 0}}
+	for _, member := range live {
+		beats = append(beats, member.Beat)
+	}
+	names := liveness.Candidates(beats)
+	chosen := settings.Name
+	order := rendezvous.Choose(names, rendezvous.Key(schedulerKey), senior)
+	if len(order) > 0 {
+		chosen = order[0]
+	}
+	n.senior = slices.Contains(order, settings.Name)
+	n.rank = n.storeRank(live)
+	moved := chosen != n.scheduler
+	previous := n.scheduler
+	n.scheduler = chosen
+	levels, levelsAt := n.levels, n.levelsAt
+	takesOver := moved && chosen == settings.Name && levelsAt > 0 && now-levelsAt < levelsMemory
+	known := max(len(n.members.All(now)), len(settings.Seeds)-1) + 1
+	share := float64(len(live)+1) / float64(known)
+	avoided := n.avoidedByMany(live)
+	n.mutex.Unlock()
+	if takesOver {
+		n.desk.takeOver(levelsAt, levels)
+	}
+	if moved {
+		n.log.Write(eventlog.Event{Kind: "scheduler", Peer: chosen, Outcome: "moved", Detail: "from " + previous, Count: len(live) + 1})
+		n.sendBeats()
+	}
+	n.desk.setShare(min(share, 1), settings.retryPolicy(min(share, 1)))
+	n.desk.update(func(scheduler *admission.Scheduler) { scheduler.SetAvoided(avoided) })
+}
+
+// storeRank returns this node's place among the live nodes that reach the store.
+// The caller holds the mutex.
+func (n *Node) storeRank(live []*liveness.Member) int {
+	self := n.settings.Load().Name
+	names := []string{self}
+	for _, member := range live {
+		if !member.Leaving && !member.Storeless {
+			names = append(names, member.Name)
+		}
+	}
+	order := rendezvous.Choose(names, rendezvous.Key(schedulerKey), watchers)
+	if place := slices.Index(order, self); place >= 0 {
+		return place
+	}
+	return len(names)
+}
+
+// agreeing is how many nodes must find a replica failing for all to avoid it.
+const agreeing = 2
+
+// avoidedByMany returns the replicas that several nodes find failing, unless
+// these were more than half of all. The caller holds the mutex.
+func (n *Node) avoidedByMany(live []*liveness.Member) map[string]bool {
+	votes := map[string]int{}
+	for _, id := range n.health.failing(n.now()) {
+		votes[id]++
+	}
+	for _, member := range live {
+		for _, id := range member.Failing {
+			votes[id]++
+		}
+	}
+	avoided := map[string]bool{}
+	for id, count := range votes {
+		if count >= agreeing {
+			avoided[id] = true
+		}
+	}
+	if len(avoided)*2 > len(n.table.All()) {
+		return map[string]bool{}
+	}
+	return avoided
+}
+
+// releaseEndedNodes frees at the desk what processes held that have ended.
+func (n *Node) releaseEndedNodes() {
+	n.mutex.Lock()
+	now := n.now()
+	live := map[string]bool{n.process(): true}
+	for _, member := range n.members.NotLost(now) {
+		live[processName(member.Name, member.Incarnation)] = true
+	}
+	n.mutex.Unlock()
+	n.desk.dropEndedNodes(live)
+}
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -46,6 +46,10 @@
 	// firstEvent is the time from the last send to the first event, and
 	// longestPause the longest time between two events.
 	firstEvent, longestPause time.Duration
+	// answeredStatus and answeredBy are the status that the caller got and the replica
+	// that gave it, once the whole answer is out.
+	answeredStatus int
+	answeredBy     string
 	// kept is true if the request's lines are written in any case; if not, lines
 	// holds them until its end is known.
 	kept  bool
@@ -213,9 +217,15 @@
 	c.writer.WriteHeader(status)
 }
 
-// answered records that the caller has the whole answer.
+// answered records that the caller has the whole answer. Its line follows that of
+// the send.
 func (c *call) answered(status int, replica string) {
+	c.answeredStatus, c.answeredBy = status, replica
+}
+
+// endAnswered writes the last line of an answered request.
+func (c *call) endAnswered() {
 	event := c.event("request.ended")
-	event.Outcome, event.Status, event.Replica = outcomeAnswered, status, replica
+	event.Outcome, event.Status, event.Replica = outcomeAnswered, c.answeredStatus, c.answeredBy
 	c.noteEnd(event)
 }
