Drop the daemon's own headers from callers' requests

Cause: callers send X-Hold, X-Pin-Ms, X-Kv-Backup, Kv-From and Kv-Fetch of their own, and the entry daemon passed on every header but those of one connection. The daemon's are dropped and counted. What tells a replica what to run (id, model, tokens, parts of the prompt) is passed on even if the caller's Connection header names it. The names stand in the adapter. The stand-in replica refuses requests that name memory which it never set aside; both tests failed before.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -332,32 +332,11 @@
 	n.mutex.Unlock()
 }
 
-// connectionHeaders concern one connection only and are not passed on.
-var connectionHeaders = []string{
-	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length", "Expect",
-}
-
-// passed returns the headers without those of one connection.
-func passed(given http.Header) http.Header {
-	header := given.Clone()
-	for _, value := range given["Connection"] {
-		for _, name := range splitList(value) {
-			header.Del(name)
-		}
-	}
-	for _, name := range connectionHeaders {
-		header.Del(name)
-	}
-	return header
-}
-
 // replicaRequest is the caller's request as the replica gets it.
 func (c *call) replicaRequest(replica replicas.Replica) *replicahttp.Request {
 	names := &c.node.depend.Headers
-	header := passed(c.request.Header)
-	header.Del("Authorization")
-	header.Del(names.Tenant)
+	header, dropped := forReplica(c.request.Header, names)
+	c.node.counter("headers.dropped").Inc(int64(dropped))
 	if c.tenant != nil {
 		header.Set(names.Tenant, c.tenant.Name)
 	}
--- a/lab/platformsim/replica.go
+++ b/lab/platformsim/replica.go
@@ -45,8 +45,10 @@
 	// Authorization must be empty: the key is not the replica's business.
 	Authorization string
 	LastEvent     string
-	Body          string
-	Deadline      time.Duration
+	// Header is all that came with the request.
+	Header   http.Header
+	Body     string
+	Deadline time.Duration
 	// Cancelled is true if the connection closed before the end.
 	Cancelled bool
 	over      bool
@@ -166,7 +168,7 @@
 	switch {
 	case request.Header.Get("X-Expect-Instance") != r.ID:
 		return write(conn, "HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: "+r.ID+"\r\nContent-Length: 0\r\n\r\n")
-	case behavior == Shed:
+	case behavior == Shed || namesUnknownMemory(request.Header):
 		return write(conn, "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nX-Attempt-Id: "+id+"\r\nContent-Length: 0\r\n\r\n")
 	}
 	run := r.begin(request, body)
@@ -177,6 +179,12 @@
 	return again
 }
 
+// namesUnknownMemory returns whether the request relies on a slot or on memory that
+// was set aside for it. This replica sets nothing aside, so it refuses all of them.
+func namesUnknownMemory(header http.Header) bool {
+	return header.Get("X-Hold") != "" || header.Get("Kv-From") != ""
+}
+
 func (r *Replica) arrive(request *http.Request) Behavior {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
@@ -192,7 +200,7 @@
 	run := &Run{
 		ID: request.Header.Get("X-Attempt-Id"), Target: request.RequestURI, Host: request.Host, Body: body,
 		Tenant: request.Header.Get("X-Tenant"), Authorization: request.Header.Get("Authorization"),
-		LastEvent: request.Header.Get("Last-Event-Id"), Deadline: time.Duration(deadline) * time.Millisecond,
+		LastEvent: request.Header.Get("Last-Event-Id"), Header: request.Header, Deadline: time.Duration(deadline) * time.Millisecond,
 	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
--- a/outside/directory.go
+++ b/outside/directory.go
@@ -62,4 +62,28 @@
 	Load string
 	// LastEvent is the number of the last event of a stream that the caller has.
 	LastEvent string
+	// Model names the model that has to answer, and Prefix the parts of the prompt.
+	Model, Prefix string
+	// Hold names a slot and memory that were set aside at the replica beforehand.
+	Hold string
+	// KeepFor is how long the replica keeps the memory of an ended run, in milliseconds.
+	KeepFor string
+	// BackupTo is the address of a replica to which the run's memory is copied meanwhile.
+	BackupTo string
+	// ContinueFrom names the copy of an earlier run's memory that the run goes on from.
+	ContinueFrom string
+	// FetchFrom is the address of a replica whose cached parts are copied first.
+	FetchFrom string
+}
+
+// SystemOwned returns the headers that only the daemon sets: what a caller sends
+// under these names must not reach a replica.
+func (h *HeaderNames) SystemOwned() []string {
+	return []string{h.ExpectReplica, h.Tenant, h.Hold, h.KeepFor, h.BackupTo, h.ContinueFrom, h.FetchFrom}
+}
+
+// CallerOwned returns the headers that a replica must get exactly as the caller
+// sent them, even if the caller's Connection header names them.
+func (h *HeaderNames) CallerOwned() []string {
+	return []string{h.RequestID, h.Model, h.TokenUsage, h.Prefix}
 }
--- a/test/entry/input_test.go
+++ b/test/entry/input_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -10,6 +11,7 @@
 	"github.com/onsi/gomega"
 
 	"github.com/thornwalk/thornwalk/lab/entrylab"
+	"github.com/thornwalk/thornwalk/platform"
 )
 
 const head = "Host: service.example\r\nX-Attempt-Id: raw\r\nX-Deadline-Ms: 2000\r\nAuthorization: Bearer key-1\r\n"
@@ -60,3 +62,38 @@
 		s.Expect(s.allRuns()).NotTo(gomega.HaveKey("hidden"))
 	})
 }
+
+// Callers send headers that only the daemon may set. A replica that gets them keeps
+// memory for nobody, or refuses because it knows of no such memory.
+func TestHeadersOfTheDaemonAreNotTakenFromCallers(t *testing.T) {
+	names := platform.Headers()
+	for _, name := range names.SystemOwned() {
+		t.Run(name, func(t *testing.T) {
+			play(t, func(s *scene) {
+				got := s.get("n1", http.MethodPost, "/stream/x", func(r *http.Request) { r.Header.Set(name, "forged") })
+				s.Expect(got.status).To(gomega.Equal(200))
+				runs := append(s.engines[0].Runs(), s.engines[1].Runs()...)
+				s.Expect(runs).To(gomega.HaveLen(1))
+				s.Expect(runs[0].Header.Get(name)).NotTo(gomega.Equal("forged"))
+			})
+		})
+	}
+}
+
+// A Connection header may name any header as one of this connection only; what
+// tells the replica what to run is passed on all the same.
+func TestHeadersThatSayWhatToRunArePassedOn(t *testing.T) {
+	play(t, func(s *scene) {
+		got := s.get("n1", http.MethodPost, "/stream/x", func(r *http.Request) {
+			r.Header.Set("Connection", "X-Model, X-Attempt-Id, X-Other")
+			r.Header.Set("X-Model", "m")
+			r.Header.Set("X-Other", "dropped")
+		})
+		s.Expect(got.status).To(gomega.Equal(200))
+		runs := append(s.engines[0].Runs(), s.engines[1].Runs()...)
+		s.Expect(runs).To(gomega.HaveLen(1))
+		s.Expect(runs[0].ID).NotTo(gomega.BeEmpty())
+		s.Expect(runs[0].Header.Get("X-Model")).To(gomega.Equal("m"))
+		s.Expect(runs[0].Header.Get("X-Other")).To(gomega.BeEmpty())
+	})
+}
