Share the slack of the retry budget among scheduling nodes that follow each other

Change: the slack of a node that begins to schedule is small and grows to the whole within a window; a node that does not schedule uses none.

--- a/coordination/retrybudget/retrybudget.go
+++ b/coordination/retrybudget/retrybudget.go
@@ -1,6 +1,11 @@
 // Package retrybudget bounds how many requests are sent to a second replica, so
 // that retries do not multiply an overload. Within a sliding window, repeats of
-// a service stay under a share of its first sends plus a fixed slack.
+// a service stay under a share of its first sends plus a slack.
+//
+// Each scheduling node counts by a budget of its own. One that takes over does not
+// know what the last one let through, so its slack is small at first and grows to the
+// whole within a window: if the scheduling node changes five times within a window, all
+// of them together give less than two slacks.
 package retrybudget
 
 import (
@@ -28,9 +33,12 @@
 type Budget struct {
 	policy   Policy
 	services map[string]*counter
+	// granting is true from Begin to End, and since is when it began.
+	granting bool
+	since    structs.Instant
 }
 
-// New returns an empty budget.
+// New returns an empty budget without slack until Begin.
 func New(policy Policy) *Budget {
 	return &Budget{policy: policy, services: map[string]*counter{}}
 }
@@ -38,6 +46,25 @@
 // SetPolicy takes changed bounds into force.
 func (b *Budget) SetPolicy(policy Policy) { b.policy = policy }
 
+// startShare is the part of the slack that may be used at once by a node that begins
+// to schedule.
+const startShare = 0.15
+
+// Begin tells that this node schedules from now on.
+func (b *Budget) Begin(now structs.Instant) { b.granting, b.since = true, now }
+
+// End tells that another node schedules from now on.
+func (b *Budget) End() { b.granting = false }
+
+// slack returns the part of the policy's slack that may be used now.
+func (b *Budget) slack(now structs.Instant) float64 {
+	if !b.granting {
+		return 0
+	}
+	grown := min(1, float64(now-b.since)/float64(b.policy.Window))
+	return b.policy.Slack * (startShare + (1-startShare)*grown)
+}
+
 // First counts the first send of a request.
 func (b *Budget) First(now structs.Instant, service string) {
 	held := b.counter(now, service)
@@ -53,7 +80,7 @@
 		first += held.first[i]
 		repeats += held.repeats[i]
 	}
-	if float64(repeats+1) > b.policy.Ratio*float64(first)+b.policy.Slack {
+	if float64(repeats+1) > b.policy.Ratio*float64(first)+b.slack(now) {
 		return false
 	}
 	held.repeats[held.slot%slots]++
--- a/entry/choice.go
+++ b/entry/choice.go
@@ -49,6 +49,7 @@
 		n.desk.takeOver(levelsAt, levels)
 	}
 	if moved {
+		n.desk.lead(chosen == settings.Name)
 		n.log.Write(eventlog.Event{Kind: "scheduler", Peer: chosen, Outcome: "moved", Detail: "from " + previous, Count: len(live) + 1})
 		n.sendBeats()
 	}
--- a/entry/desk.go
+++ b/entry/desk.go
@@ -103,6 +103,17 @@
 	d.quotas.Seed(at, levels)
 }
 
+// lead tells the desk whether this node schedules for the others from now on.
+func (d *desk) lead(schedules bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if schedules {
+		d.budget.Begin(d.clock())
+	} else {
+		d.budget.End()
+	}
+}
+
 // update runs a change of the scheduler and decides what it makes possible.
 func (d *desk) update(change func(*admission.Scheduler)) {
 	d.mutex.Lock()
