Let a bucket go into debt by a bound, so that refusals by quota do not depend on size

Cause: under a constant excess a bucket's level stays near zero. A request had to find half of its cost there, so that long prompts, which are the most urgent route's, were refused twice as often as short ones, and the tenant's quota went to what is less urgent. Change: a request may overdraw the bucket by a part (0.05) of what a window allows; sides of a cut share that, so that the bound stands however large the request. Rate and burst take 0.92 of a window instead of 0.94.

--- a/coordination/quota/quota.go
+++ b/coordination/quota/quota.go
@@ -2,8 +2,9 @@
 // all nodes. One ledger at the scheduling node counts for everybody; a node
 // that reaches no scheduling node counts by a ledger of its own with its share.
 //
-// A bucket may go into debt by a part of one request, so that large requests are
-// not starved by small ones; the debt delays the next ones.
+// A bucket may go into debt up to a bound, so that whether a request passes depends
+// little on its size: under a constant excess the level stays near zero, and a bucket
+// without debt would pass small requests only. The debt delays the next ones.
 package quota
 
 import (
@@ -12,19 +13,21 @@
 	"github.com/thornwalk/thornwalk/structs"
 )
 
-// Limit is a tenant's quota: units a second, and units on top.
+// Limit is a tenant's quota: units a second, units on top, and the units of debt that
+// one request may leave.
 type Limit struct {
 	Rate  float64
 	Burst float64
+	Debt  float64
 }
 
 // Scaled returns the part of the limit that a share of the nodes may hand out.
 func (l Limit) Scaled(share float64) Limit {
-	return Limit{Rate: l.Rate * share, Burst: l.Burst * share}
+	return Limit{Rate: l.Rate * share, Burst: l.Burst * share, Debt: l.Debt * share}
 }
 
-// heldShare is the part of a request's cost that the bucket must hold.
-const heldShare = 0.5
+// leastHeld is what the bucket must hold in units for any request.
+const leastHeld = 1
 
 type bucket struct {
 	level float64
@@ -56,7 +59,7 @@
 		return 0, true
 	}
 	held := l.refill(now, tenant, limit)
-	needed := min(cost, limit.Burst) * heldShare
+	needed := max(min(cost, limit.Burst)-limit.Debt, leastHeld)
 	if held.level < needed {
 		return time.Duration((needed - held.level) / limit.Rate * float64(time.Second)), false
 	}
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -129,10 +129,14 @@
 	}
 }
 
-// usedTolerance is the part that is used of what a tenant may take at most in a
-// window; the rest is for scheduling nodes that take over from each other, for the
-// sides of a partition and for requests that take more than the bucket held.
-const usedTolerance = 0.94
+// usedTolerance is the part of what a tenant may take at most in a window that its
+// bucket hands out, and debtTolerance the part by which one request may overdraw it. The
+// rest is for scheduling nodes that take over from each other and for requests larger
+// than the burst.
+const (
+	usedTolerance = 0.92
+	debtTolerance = 0.05
+)
 
 // quotaLimit returns what is handed out for a quota. The users allow some more
 // than the quota in a window. That goes into the rate and not on top of the burst:
@@ -140,7 +144,11 @@
 // the bucket here and the users' count differ by which requests they take.
 func (s *Settings) quotaLimit(rate, burst float64) quota.Limit {
 	allowed := (rate*s.QuotaWindow+burst)*(1+s.QuotaOverage) + s.QuotaSlack
-	return quota.Limit{Rate: max((allowed*usedTolerance-burst)/s.QuotaWindow, rate), Burst: burst}
+	return quota.Limit{
+		Rate:  max((allowed*usedTolerance-burst)/s.QuotaWindow, rate),
+		Burst: burst,
+		Debt:  allowed * debtTolerance,
+	}
 }
 
 func (s *Settings) stopGrace() time.Duration { return time.Duration(s.StopGrace) * time.Millisecond }
