--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -281,6 +281,17 @@
 	s.learn(held, seen)
 }
 
+// Observe learns from a request of the service that another scheduler placed at the
+// replica, so that this one knows the replicas when it takes over.
+func (s *Scheduler) Observe(service, replica string, prompt int, seen Observation) {
+	if seen.Failed || seen.Left || seen.Duration <= 0 {
+		return
+	}
+	pool := s.service(service)
+	pool.duration = smooth(pool.duration, seen.Duration)
+	s.learn(&place{service: service, replica: replica, prompt: prompt}, seen)
+}
+
 // learn takes the pace of the replica from a request that ended well.
 func (s *Scheduler) learn(held *place, seen Observation) {
 	learned, known := s.speeds[held.replica]
--- a/coordination/admission/admission_test.go
+++ b/coordination/admission/admission_test.go
@@ -428,3 +428,19 @@
 		g.Expect(placedIDs(s.Decide(0))).To(gomega.HaveLen(service.places), service.duration.String())
 	}
 }
+
+// Seen on the bench: further trouble-2. Whenever another node began to schedule, it
+// knew nothing of the replicas and sent long prompts to slow ones.
+func TestReplicasAreKnownFromRequestsThatOthersPlaced(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := New()
+	s.SetReplicas(pool(4, 4))
+	s.Observe("s", "r0", 100, Observation{FirstEvent: 100 * ms, Duration: 1100 * ms, Events: 11, Stride: 1})
+	s.Observe("s", "r1", 100, Observation{FirstEvent: 20 * ms, Duration: 220 * ms, Events: 11, Stride: 1})
+	s.Submit(0, reader("a", 1000))
+	placed := s.Decide(0)
+	g.Expect(placed).To(gomega.HaveLen(1))
+	g.Expect(placed[0].Replica.ID).To(gomega.Equal("r1"))
+	s.Observe("s", "r1", 100, Observation{Failed: true, Duration: time.Second, Events: 2, Stride: 1})
+	g.Expect(s.step("r1")).To(gomega.Equal(20*ms), "a failed request tells no pace")
+}
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -74,6 +74,9 @@
 		if outcome != resultNotSent {
 			c.sends++
 		}
+		if given.address != "" {
+			c.node.desk.observe(c.service, given.Replica.ID, c.prompt, seen)
+		}
 		c.node.finish(given, seen, outcome == resultNotSent || outcome == resultRejected)
 		c.noteSend(given, outcome)
 		if outcome == resultBroken || outcome == resultFailed {
--- a/entry/desk.go
+++ b/entry/desk.go
@@ -186,6 +186,13 @@
 	return waiter, nil
 }
 
+// observe learns from a request of this node that another node placed.
+func (d *desk) observe(service, replica string, prompt int, seen admission.Observation) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.scheduler.Observe(service, replica, prompt, seen)
+}
+
 // begun notes that an answer began, and the load that came with it.
 func (d *desk) begun(request *begunRequest) {
 	d.mutex.Lock()
