--- a/coordination/admission/admission_test.go
+++ b/coordination/admission/admission_test.go
@@ -321,8 +321,9 @@
 	g := gomega.NewWithT(t)
 	s := New()
 	teachReading(s, "r0", 40*time.Microsecond, 8*ms)
-	g.Expect(s.readTime("r0")).To(gomega.BeNumerically("~", 40*time.Microsecond, time.Microsecond))
-	g.Expect(s.readTime("unknown")).To(gomega.BeZero())
+	g.Expect(s.speeds["r0"].reading.perToken()).To(gomega.BeNumerically("~", 40*time.Microsecond, time.Microsecond))
+	g.Expect(s.speeds["r0"].reading.fixed()).To(gomega.BeNumerically("~", 40*ms, ms))
+	g.Expect(new(reading).perToken()).To(gomega.BeZero())
 }
 
 // Seen on the bench: co-op scale-1. One stream in six at a slow replica paused
@@ -442,7 +443,7 @@
 	g.Expect(placed).To(gomega.HaveLen(1))
 	g.Expect(placed[0].Replica.ID).To(gomega.Equal("r1"))
 	s.Observe("s", "r1", 100, Observation{Failed: true, Duration: time.Second, Events: 2, Stride: 1})
-	g.Expect(s.step("r1")).To(gomega.Equal(20*ms), "a failed request tells no pace")
+	g.Expect(s.speeds["r1"].step).To(gomega.Equal(20*ms), "a failed request tells no pace")
 }
 
 // Seen on the bench: further trouble-2. After a restart the replicas that ended no
@@ -466,3 +467,36 @@
 	g.Expect(order[:4]).To(gomega.HaveEach("r1"), "the fast one first, with all its places")
 	g.Expect(order[4]).To(gomega.Equal("r0"), "then the one that is not known")
 }
+
+// Seen on the bench: further scale-2. Long prompts went to slow replicas as soon as the
+// fast ones were full for a moment; 13 to 43% of them were in time there.
+func TestLongPromptWaitsForAReplicaThatReadsItInTime(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := New()
+	s.SetReplicas(pool(1, 4))
+	teachReading(s, "r0", 10*time.Microsecond, 3*ms)
+	teachReading(s, "r1", 60*time.Microsecond, 13*ms)
+	s.Submit(0, reader("running", 100))
+	g.Expect(s.Decide(0)[0].Replica.ID).To(gomega.Equal("r0"))
+	s.Submit(0, reader("long", 20000))
+	s.Submit(0, reader("short", 200))
+	decisions := s.Decide(0)
+	g.Expect(placedIDs(decisions)).To(gomega.Equal([]string{"short"}), "a short one takes the slow replica at once")
+	g.Expect(placedIDs(s.Decide(300 * ms))).To(gomega.BeEmpty())
+	s.Finish(400*ms, "running", Observation{Duration: 400 * ms, Events: 2, Stride: 1, FirstEvent: 10 * ms})
+	decisions = s.Decide(400 * ms)
+	g.Expect(placedIDs(decisions)).To(gomega.Equal([]string{"long"}))
+	g.Expect(decisions[0].Replica.ID).To(gomega.Equal("r0"))
+}
+
+func TestPromptThatNoReplicaReadsInTimeDoesNotWait(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := New()
+	s.SetReplicas(pool(4, 4))
+	teachReading(s, "r0", 60*time.Microsecond, 13*ms)
+	teachReading(s, "r1", 50*time.Microsecond, 11*ms)
+	s.Submit(0, reader("long", 20000))
+	placed := s.Decide(0)
+	g.Expect(placed).To(gomega.HaveLen(1))
+	g.Expect(placed[0].Replica.ID).To(gomega.Equal("r1"))
+}
--- a/coordination/admission/decide.go
+++ b/coordination/admission/decide.go
@@ -124,13 +124,16 @@
 	return min(max(expected, minimumRetry, longest/2), max(longest, minimumRetry))
 }
 
-// choose returns the best of the replicas with a free place, or nil. For a while
-// it leaves out those where the prompt would make other streams pause too long.
+// choose returns the best of the replicas with a free place, or nil. It leaves out
+// those where the request would be late while another one could still have it in time,
+// and for a while those where its prompt would make other streams pause too long.
 func (s *Scheduler) choose(now structs.Instant, held *waiting, room *room, options []*option, left time.Duration) *option {
 	if held.Yields && float64(room.free) <= reservedShare*float64(room.total) && held.Prompt > 0 {
 		return nil
 	}
-	calmOnly := now-held.arrived < time.Duration(float64(held.Target)*calmPatience)
+	waited := now - held.arrived
+	calmOnly := waited < time.Duration(float64(held.Target)*calmPatience)
+	hopeful := slices.ContainsFunc(options, func(o *option) bool { return !o.doubted && !o.late(&held.Request, waited, 0) })
 	anyTrusted := slices.ContainsFunc(options, func(o *option) bool { return o.trusts(&held.Request) })
 	var best *option
 	var bestCost float64
@@ -138,6 +141,9 @@
 		if choice.used >= choice.places || anyTrusted && !choice.trusts(&held.Request) || !choice.fits(held.Answer, left) {
 			continue
 		}
+		if hopeful && choice.late(&held.Request, waited, choice.unread) {
+			continue
+		}
 		cost := choice.cost(held.Prompt)
 		if choice.replica.Zone != held.Zone {
 			cost *= otherZoneFactor
--- a/coordination/admission/reading.go
+++ b/coordination/admission/reading.go
@@ -12,9 +12,12 @@
 	// calmShare is the part of the longest pause in time that a placement may be
 	// expected to cause.
 	calmShare = 0.85
-	// calmPatience is the part of a request's target for which it waits for a
-	// replica where it disturbs nobody.
-	calmPatience = 0.3
+	// calmPatience is the part of a request's target for which it waits for a replica
+	// where it disturbs nobody.
+	calmPatience = 0.9
+	// inTimeShare is the part of a request's target by which its first event has to be
+	// expected for it to count as in time.
+	inTimeShare = 0.9
 	// readingMemory is the weight that the earlier observations keep with each new one.
 	readingMemory = 0.97
 	// enoughReadings is the least weight of observations for an estimate.
@@ -47,6 +50,25 @@
 	return max(time.Duration((r.weight*r.products-r.prompts*r.times)/spread), 0)
 }
 
+// fixed returns the time to the first event of an empty prompt, or zero if it is not
+// known.
+func (r *reading) fixed() time.Duration {
+	if r.weight < enoughReadings {
+		return 0
+	}
+	return max(time.Duration((r.times-float64(r.perToken())*r.prompts)/r.weight), 0)
+}
+
+// late returns whether the first event of the request, which waited for so long, is
+// expected too late if the replica starts now with so many tokens to read before it.
+func (o *option) late(request *Request, waited time.Duration, unread int) bool {
+	if request.Prompt == 0 || o.readTime == 0 {
+		return false
+	}
+	first := o.fixedTime + time.Duration(unread+request.Prompt)*o.readTime
+	return waited+first > time.Duration(float64(request.Target)*inTimeShare)
+}
+
 // pauseWith estimates the longest pause of the streams at the replica while it
 // reads one more prompt beside those that it has still to read.
 func (o *option) pauseWith(prompt, stride int) time.Duration {
--- a/coordination/admission/room.go
+++ b/coordination/admission/room.go
@@ -26,8 +26,9 @@
 	slow   float64
 	// step is the learned time between two tokens; zero if it is not known.
 	step time.Duration
-	// readTime is the learned time to read one token of a prompt; zero if unknown.
-	readTime time.Duration
+	// readTime is the learned time to read one token of a prompt, and fixedTime that to
+	// the first event beside it; zero if unknown.
+	readTime, fixedTime time.Duration
 	// doubted is true if the replica is set aside or several nodes avoid it; it is
 	// used only if every other one is doubted too.
 	doubted bool
@@ -52,9 +53,14 @@
 			continue
 		}
 		choice := &option{
-			replica: replica, places: replica.Slots + s.onTheWay(name, replica.Slots), used: s.usage(now, replica.ID), slow: s.slowness(replica.ID, fastest), step: s.step(replica.ID), readTime: s.readTime(replica.ID),
+			replica: replica, places: replica.Slots + s.onTheWay(name, replica.Slots), used: s.usage(now, replica.ID),
+			slow:    s.slowness(replica.ID, fastest),
 			doubted: s.avoided[replica.ID] || s.isAside(now, replica.ID),
 		}
+		if learned, known := s.speeds[replica.ID]; known {
+			choice.step = learned.step
+			choice.readTime, choice.fixedTime = learned.reading.perToken(), learned.reading.fixed()
+		}
 		if s.onTrial(replica.ID) {
 			choice.places = 1
 		}
@@ -137,20 +143,6 @@
 	return fastest
 }
 
-func (s *Scheduler) step(id string) time.Duration {
-	if learned, known := s.speeds[id]; known {
-		return learned.step
-	}
-	return 0
-}
-
-func (s *Scheduler) readTime(id string) time.Duration {
-	if learned, known := s.speeds[id]; known {
-		return learned.reading.perToken()
-	}
-	return 0
-}
-
 // slowness is how much longer a replica takes than the fastest of its service. One
 // that nothing is known of counts as slow, once others are known: slow replicas are
 // the last to end a request, so that they stay unknown for longest.
