--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -111,7 +111,7 @@
 func (c *call) placeRequest(tried []string, repeat bool) *placeRequest {
 	node := c.node
 	node.mutex.Lock()
-	doubted := node.health.failing(node.now())
+	doubted := append(node.health.failing(node.now()), node.cutReplicas()...)
 	node.mutex.Unlock()
 	request := &placeRequest{
 		Request: admission.Request{
@@ -254,6 +254,7 @@
 	if err != nil {
 		if c.ctx.Err() == nil {
 			node.noteUnreachable(given.Replica.ID)
+			node.noteZone(given.Replica.Zone, false)
 		}
 		return resultNotSent, admission.Observation{Left: true}
 	}
@@ -264,6 +265,7 @@
 	if err != nil {
 		return c.broken(given.Replica.ID, err), admission.Observation{Failed: true, Left: c.ctx.Err() != nil}
 	}
+	node.noteZone(given.Replica.Zone, true)
 	node.begun(given, c.reportedLoad(answer))
 	outcome, seen := c.relay(answer, given.Replica, sent)
 	switch outcome {
--- a/entry/beats.go
+++ b/entry/beats.go
@@ -227,6 +227,7 @@
 	before, found := n.members.Get(beat.Name)
 	storeNews := found && before.Storeless != beat.Storeless
 	news := n.members.Heard(now, beat)
+	n.zones.heard(now, beat)
 	newcomers := n.learn(now, beat.Peers)
 	newcomer := beat.Known < n.members.Known()*newcomerShare/100
 	if beat.Name == n.scheduler {
--- a/entry/choice.go
+++ b/entry/choice.go
@@ -44,6 +44,9 @@
 	known := max(len(n.members.All(now)), len(settings.Seeds)-1) + 1
 	share := float64(len(live)+1) / float64(known)
 	avoided := n.avoidedByMany(live)
+	for _, id := range n.cutReplicas() {
+		avoided[id] = true
+	}
 	n.mutex.Unlock()
 	if takesOver {
 		n.desk.takeOver(levelsAt, levels)
--- a/entry/node.go
+++ b/entry/node.go
@@ -74,6 +74,7 @@
 	table     *replicas.Table
 	members   *liveness.Table
 	health    *healthBook
+	zones     *zoneBook
 	held      map[string]heldPlace
 	term      uint64
 	scheduler string
@@ -105,7 +106,7 @@
 	n := &Node{
 		depend: depend, log: depend.Log, started: time.Now(), metrics: metrics.NewRegistry(),
 		pool: replicahttp.NewPool(depend.Network), peers: peer.NewClient(depend.Network, nil),
-		table: replicas.NewTable(), members: liveness.NewTable(settings.Name), health: newHealthBook(),
+		table: replicas.NewTable(), members: liveness.NewTable(settings.Name), health: newHealthBook(), zones: newZoneBook(),
 		held: map[string]heldPlace{}, term: 1, storeBadAt: -time.Hour,
 	}
 	n.settings.Store(settings)
@@ -147,7 +148,7 @@
 		}
 	}
 	n.callers = n.servers[0]
-	for _, loop := range []func(){n.watchLoop, n.readLoop, n.beatLoop, n.receiveBeats, n.housekeeping} {
+	for _, loop := range []func(){n.watchLoop, n.readLoop, n.beatLoop, n.receiveBeats, n.zoneLoop, n.housekeeping} {
 		n.group.Go(loop)
 	}
 	n.log.Write(eventlog.Event{Kind: "process.start", Detail: peerAddress})
--- a/test/entry/faults_test.go
+++ b/test/entry/faults_test.go
@@ -5,6 +5,8 @@
 	"context"
 	"io"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -407,3 +409,35 @@
 		s.Expect(s.plain[0].Runs()).To(gomega.BeEmpty())
 	})
 }
+
+// Seen on the bench: further, every day with a cut between zones. Replicas across the
+// cut were found one by one, each by callers whose connects hung for 300 ms.
+func TestCutBetweenZonesCostsFewCallersTheirTime(t *testing.T) {
+	play(t, func(s *scene) {
+		for _, host := range []string{"w1", "w2", "w3", "w4"} {
+			replica := &platformsim.Replica{ID: "i-" + host, Service: "registry", Zone: "west", Slots: 2, Step: 20 * time.Millisecond}
+			s.Expect(s.lab.AddReplica(host, replica)).To(gomega.Succeed())
+		}
+		time.Sleep(time.Second)
+		s.fabric.CutGroups([]string{"n2", "w1", "w2", "w3", "w4"}, []string{"n1", "n3", "p1", "p2"})
+		time.Sleep(700 * time.Millisecond)
+		var slow atomic.Int64
+		for range 5 {
+			var group sync.WaitGroup
+			for i := range 8 { // more than the replicas on this side take at once
+				group.Go(func() {
+					got := s.get([]string{"n1", "n3"}[i%2], http.MethodGet, "/safe/", nil)
+					if got.status != 200 || got.took > 250*time.Millisecond {
+						slow.Add(1)
+					}
+				})
+			}
+			group.Wait()
+			time.Sleep(100 * time.Millisecond)
+		}
+		s.Expect(slow.Load()).To(gomega.BeZero())
+		s.fabric.Heal()
+		time.Sleep(time.Second)
+		s.Expect(s.get("n2", http.MethodGet, "/safe/", nil).status).To(gomega.Equal(200))
+	})
+}
