--- /dev/null
+++ b/cmd/thornwalk-lab/losses.go
@@ -0,0 +1,62 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"os"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/thornwalk/thornwalk/lab/losses"
+)
+
+func lossesCommand() *ffcli.Command {
+	flags := flag.NewFlagSet("losses", flag.ExitOnError)
+	kinds := flags.String("kinds", "", "YAML file with the kinds of requests")
+	lines := flags.String("lines", "", "file with the nodes' lines, each as SECONDS NODE JSON")
+	report := flags.String("report", "", "the bench's report on the day; it may be missing")
+	return &ffcli.Command{
+		Name: "losses", ShortUsage: "thornwalk-lab losses -kinds FILE -lines FILE [-report FILE]", FlagSet: flags,
+		ShortHelp: "tell where the worth of a played day was lost, by window, kind and reason",
+		Exec:      func(context.Context, []string) error { return printLosses(*kinds, *lines, *report) },
+	}
+}
+
+func printLosses(kindsPath, linesPath, reportPath string) error {
+	kindsFile, err := os.Open(kindsPath)
+	if err != nil {
+		return err
+	}
+	defer kindsFile.Close()
+	kinds, err := losses.ReadKinds(kindsFile)
+	if err != nil {
+		return err
+	}
+	linesFile, err := os.Open(linesPath)
+	if err != nil {
+		return err
+	}
+	defer linesFile.Close()
+	lines, err := losses.ReadLines(linesFile)
+	if err != nil {
+		return err
+	}
+	report, err := openReport(reportPath, lines)
+	if err != nil {
+		return err
+	}
+	return losses.Tabulate(lines, kinds).Print(os.Stdout, report)
+}
+
+// openReport reads the report, or returns nil if there is none.
+func openReport(path string, lines *losses.Lines) (*losses.Report, error) {
+	if path == "" {
+		return nil, nil
+	}
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer file.Close()
+	return losses.ReadReport(file, lines)
+}
