--- a/lab/capacity/capacity.go
+++ b/lab/capacity/capacity.go
@@ -19,7 +19,8 @@
 )
 
 // Target is the size that the system is built towards, for one zone of seven,
-// and the budgets of a node.
+// and the budgets of a node. The store's rates are those of the largest deployment that
+// the users described so far, of 295 nodes.
 var Target = struct {
 	Nodes, Replicas, Tenants                     float64
 	ClaimsPerZone                                float64
@@ -28,7 +29,7 @@
 }{
 	Nodes: 56, Replicas: 101, Tenants: 1800, ClaimsPerZone: 31,
 	CPUShare: 0.039, HeapBytes: 128e6, BytesPerSecond: 21000,
-	StoreReads: 2000, StoreWrites: 300, Zones: 7, InForceLimit: 5,
+	StoreReads: 16000, StoreWrites: 3200, Zones: 7, InForceLimit: 5,
 }
 
 // Measurement is one recorded run.
