--- a/coordination/admission/admission_test.go
+++ b/coordination/admission/admission_test.go
@@ -328,7 +328,7 @@
 
 // Seen on the bench: co-op scale-1. One stream in six at a slow replica paused
 // for more than 300 ms while other prompts were read beside it.
-func TestPromptWaitsBrieflyWhereItWouldMakeStreamsPause(t *testing.T) {
+func TestPromptWaitsWhereItWouldMakeStreamsPause(t *testing.T) {
 	g := gomega.NewWithT(t)
 	s := New()
 	s.SetReplicas(pool(7))
--- a/coordination/admission/doc.go
+++ b/coordination/admission/doc.go
@@ -14,5 +14,6 @@
 //   - A place is given only while fewer requests are known to be in progress at the
 //     replica than it has slots, and than may be on their way to it.
 //   - A less urgent request does not start while a more urgent one of its
-//     service waits that could use the same place.
+//     service waits that could use the same place: that would be in time there, or
+//     in time nowhere any more, and would not make the streams there pause.
 package admission
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -45,8 +45,8 @@
 	restOnce = 1500 * time.Millisecond
 	// patienceShare is the part of the caller's time for which a place is waited for.
 	patienceShare = 0.45
-	// silenceTargets and minimumSilence bound how long callers of streams wait
-	// for an event; see the users' page on requests.
+	// Callers give a stream up that is silent for the longest of minimumSilence,
+	// silenceTargets times the route's target and silenceGaps times its longest pause.
 	silenceTargets = 4
 	silenceGaps    = 8
 	minimumSilence = 2 * time.Second
--- a/lab/losses/kinds.go
+++ b/lab/losses/kinds.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"io"
 	"math"
-	"time"
 
 	"github.com/goccy/go-yaml"
 )
@@ -70,5 +69,3 @@
 	}
 	return best
 }
-
-func milliseconds(value int64) time.Duration { return time.Duration(value) * time.Millisecond }
--- a/lab/losses/table.go
+++ b/lab/losses/table.go
@@ -43,6 +43,7 @@
 	table := &Table{Windows: map[time.Duration]map[string]float64{}, Kinds: map[string]map[string]float64{}, Whole: map[string]float64{}}
 	byRoute := kindsOfRoutes(lines.Requests, kinds)
 	scale := lines.answeredScale()
+	longest := longestTimes(lines.Requests)
 	for _, request := range lines.Requests {
 		kind := byRoute[request.Route]
 		reason := kind.reason(request)
@@ -54,7 +55,7 @@
 		if request.End != nil && request.End.Outcome == "answered" {
 			worth *= scale[start]
 		}
-		if kind.isAgain(request) {
+		if kind.Pause > 0 && request.Left < longest[routeWindow{request.Route, start}]-clockSlack.Milliseconds() {
 			reason = again + reason
 		}
 		add(table.Windows, start, reason, worth)
@@ -114,9 +115,22 @@
 	return scale
 }
 
-// isAgain returns whether the caller had tried before: its time is no longer whole.
-func (k *Kind) isAgain(request *Request) bool {
-	return k.Pause > 0 && milliseconds(request.Left) < milliseconds(k.Deadline)-clockSlack
+// routeWindow is one route in one window.
+type routeWindow struct {
+	route string
+	start time.Duration
+}
+
+// longestTimes returns the longest time, in milliseconds, that was left to any request
+// of a route in a window: that of a first try, as operators change the routes' times.
+// A caller with clearly less has tried before.
+func longestTimes(requests []*Request) map[routeWindow]int64 {
+	longest := map[routeWindow]int64{}
+	for _, request := range requests {
+		key := routeWindow{request.Route, request.At.Truncate(window)}
+		longest[key] = max(longest[key], request.Left)
+	}
+	return longest
 }
 
 // reason returns how the request ended.
