Let the engines of a zone count their cached blocks at the same time

Cause: the demo of the README ended once beside load with a fatal error: the stand-in engines of a zone share a map of cached blocks and run in goroutines of their own. Change: the count has a mutex.

--- a/lab/enginesim/cache.go
+++ b/lab/enginesim/cache.go
@@ -1,30 +1,44 @@
 package enginesim
 
 import (
+	"sync"
+
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 
 	"github.com/thornwalk/thornwalk/structs"
 )
 
 // ZoneBlocks counts on how many engines of a zone each block is cached, so
-// that prefill which could have been avoided can be measured.
+// that prefill which could have been avoided can be measured. It is safe for
+// concurrent use: the engines of a zone run at the same time.
 type ZoneBlocks struct {
+	mutex  sync.Mutex
 	counts map[uint64]int
 }
 
 // NewZoneBlocks returns an empty count.
 func NewZoneBlocks() *ZoneBlocks { return &ZoneBlocks{counts: map[uint64]int{}} }
 
-func (z *ZoneBlocks) add(block uint64) { z.counts[block]++ }
+func (z *ZoneBlocks) add(block uint64) {
+	z.mutex.Lock()
+	defer z.mutex.Unlock()
+	z.counts[block]++
+}
 
 func (z *ZoneBlocks) remove(block uint64) {
+	z.mutex.Lock()
+	defer z.mutex.Unlock()
 	if z.counts[block]--; z.counts[block] <= 0 {
 		delete(z.counts, block)
 	}
 }
 
 // Holds returns whether any engine of the zone caches the block.
-func (z *ZoneBlocks) Holds(block uint64) bool { return z.counts[block] > 0 }
+func (z *ZoneBlocks) Holds(block uint64) bool {
+	z.mutex.Lock()
+	defer z.mutex.Unlock()
+	return z.counts[block] > 0
+}
 
 // maximumEvents bounds the events kept for a reader that does not come.
 const maximumEvents = 4096
