--- a/cmd/thornwalk-lab/losses.go
+++ b/cmd/thornwalk-lab/losses.go
@@ -15,14 +15,33 @@
 	kinds := flags.String("kinds", "", "YAML file with the kinds of requests")
 	lines := flags.String("lines", "", "file with the nodes' lines, each as SECONDS NODE JSON")
 	report := flags.String("report", "", "the bench's report on the day; it may be missing")
+	versions := flags.Bool("versions", false, "tell instead how long each configuration took to reach all nodes")
 	return &ffcli.Command{
-		Name: "losses", ShortUsage: "thornwalk-lab losses -kinds FILE -lines FILE [-report FILE]", FlagSet: flags,
+		Name: "losses", ShortUsage: "thornwalk-lab losses -lines FILE (-versions | -kinds FILE [-report FILE])", FlagSet: flags,
 		ShortHelp: "tell where the worth of a played day was lost, by window, kind and reason",
-		Exec:      func(context.Context, []string) error { return printLosses(*kinds, *lines, *report) },
+		Exec: func(context.Context, []string) error {
+			read, err := readLines(*lines)
+			if err != nil {
+				return err
+			}
+			if *versions {
+				return read.PrintVersions(os.Stdout)
+			}
+			return printLosses(*kinds, read, *report)
+		},
 	}
 }
 
-func printLosses(kindsPath, linesPath, reportPath string) error {
+func readLines(path string) (*losses.Lines, error) {
+	file, err := os.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	defer file.Close()
+	return losses.ReadLines(file)
+}
+
+func printLosses(kindsPath string, lines *losses.Lines, reportPath string) error {
 	kindsFile, err := os.Open(kindsPath)
 	if err != nil {
 		return err
@@ -32,15 +51,6 @@
 	if err != nil {
 		return err
 	}
-	linesFile, err := os.Open(linesPath)
-	if err != nil {
-		return err
-	}
-	defer linesFile.Close()
-	lines, err := losses.ReadLines(linesFile)
-	if err != nil {
-		return err
-	}
 	report, err := openReport(reportPath, lines)
 	if err != nil {
 		return err
--- a/lab/losses/lines.go
+++ b/lab/losses/lines.go
@@ -35,6 +35,7 @@
 type Lines struct {
 	Requests []*Request
 	leftOut  []leftOut
+	versions versions
 }
 
 // maximumLine bounds one line in bytes.
@@ -42,7 +43,7 @@
 
 // ReadLines reads lines of the form "SECONDS NODE JSON"; others are skipped.
 func ReadLines(reader io.Reader) (*Lines, error) {
-	read := &Lines{}
+	read := &Lines{versions: versions{}}
 	byID := map[string]*Request{}
 	scanner := bufio.NewScanner(reader)
 	scanner.Buffer(make([]byte, 0, bufio.MaxScanTokenSize), maximumLine)
@@ -73,6 +74,10 @@
 }
 
 func (l *Lines) add(byID map[string]*Request, at time.Duration, event *eventlog.Event) {
+	if event.Kind == "configuration" {
+		l.versions.add(at, event)
+		return
+	}
 	if event.Kind == "log.sampled" {
 		l.leftOut = append(l.leftOut, leftOut{at: at, lines: event.Count})
 		return
--- a/lab/losses/losses_test.go
+++ b/lab/losses/losses_test.go
@@ -57,6 +57,21 @@
 	g.Expect(Tabulate(lines, kinds).Print(&text, nil)).To(gomega.Succeed(), "the report may be missing")
 }
 
+func TestVersionsTellHowLongEachTookToReachAll(t *testing.T) {
+	g := gomega.NewWithT(t)
+	lines, err := ReadLines(strings.NewReader(`
+ 1.0 n1 {"event":"configuration","outcome":"in-force","version":4}
+ 1.2 n2 {"event":"configuration","outcome":"in-force","version":4}
+ 3.0 n3 {"event":"configuration","outcome":"in-force","version":4}
+ 3.1 n3 {"event":"configuration","outcome":"kept-out","version":3}
+`))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	var text strings.Builder
+	g.Expect(lines.PrintVersions(&text)).To(gomega.Succeed())
+	g.Expect(text.String()).To(gomega.ContainSubstring("| 4 | 1.00 | 3 | 200 | 2000 | 2000 |"))
+	g.Expect(text.String()).NotTo(gomega.ContainSubstring("\n| 3 |"), "version 3 was kept out")
+}
+
 func TestBadInputIsTold(t *testing.T) {
 	g := gomega.NewWithT(t)
 	_, err := ReadKinds(strings.NewReader("kinds: []"))
