Remove the setting that nothing goes by any more

It goes, with its line in the template; a settings file that still has it is read as before. The test of the command's message takes another wrong value.

--- a/cmd/thornwalkd/entrycommand_test.go
+++ b/cmd/thornwalkd/entrycommand_test.go
@@ -17,8 +17,8 @@
 	var output bytes.Buffer
 	g.Expect(runEntryCommand([]string{"check-settings", path}, &output)).To(gomega.Succeed())
 	g.Expect(output.String()).To(gomega.ContainSubstring("valid, node n1 in zone east"))
-	g.Expect(os.WriteFile(path, []byte(valid+"drain_ms: -5\n"), 0o600)).To(gomega.Succeed())
-	g.Expect(runEntryCommand([]string{"check-settings", path}, &output)).To(gomega.MatchError(gomega.ContainSubstring("drain_ms: -5 is not in 1 to 600000")))
+	g.Expect(os.WriteFile(path, []byte(valid+"retry_ratio: -5\n"), 0o600)).To(gomega.Succeed())
+	g.Expect(runEntryCommand([]string{"check-settings", path}, &output)).To(gomega.MatchError(gomega.ContainSubstring("retry_ratio: -5 is not in 0 to 10")))
 	g.Expect(runEntryCommand([]string{"nothing"}, &output)).To(gomega.MatchError(gomega.ContainSubstring("see thornwalkd entry -h")))
 }
 
--- a/entry/news_test.go
+++ b/entry/news_test.go
@@ -15,7 +15,7 @@
 // cutOffNode is a node that reached the store again just now, with one peer that
 // followed it for the time given.
 func cutOffNode(peerSteady time.Duration) *Node {
-	n := New(&Settings{Name: "n1", Contact: 4000, Drain: 3000}, Dependencies{Log: eventlog.New("n1", nil)})
+	n := New(&Settings{Name: "n1", Contact: 4000}, Dependencies{Log: eventlog.New("n1", nil)})
 	n.takeReplica(replicas.Replica{ID: "r", Service: "s", Revision: 5})
 	n.members.Heard(n.now(), liveness.Beat{Name: "n2", Steady: peerSteady.Milliseconds()})
 	n.storeBadAt = n.now()
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -29,9 +29,8 @@
 	Store string `yaml:"store"`
 	// StopGrace is the time from the request to stop to the end, in milliseconds.
 	StopGrace int `yaml:"stop_grace_ms"`
-	// Drain is the time within which a leaving replica gets nothing more, and
-	// Contact the time after which a disturbance of the store is forgotten.
-	Drain   int `yaml:"drain_ms"`
+	// Contact is the time after which a disturbance of the store is forgotten, in
+	// milliseconds.
 	Contact int `yaml:"contact_ms"`
 	// Memory is the limit of the process in megabytes; zero means none.
 	Memory int `yaml:"memory_mb"`
@@ -67,7 +66,7 @@
 
 // ParseSettings reads and checks the content of a settings file.
 func ParseSettings(content []byte) (*Settings, error) {
-	settings := &Settings{StopGrace: 8000, Drain: 2000, Contact: 3000, RetryRatio: 0.2, RetryWindow: 10, RetrySlack: 20, QuotaWindow: 10}
+	settings := &Settings{StopGrace: 8000, Contact: 3000, RetryRatio: 0.2, RetryWindow: 10, RetrySlack: 20, QuotaWindow: 10}
 	if err := yaml.Unmarshal(content, settings); err != nil {
 		return nil, errkind.New(errkind.InvalidSettings, "settings: %s", yaml.FormatError(err, false, true))
 	}
@@ -100,7 +99,6 @@
 	}{
 		{"peer_port", float64(s.PeerPort), 1, highestPort},
 		{"stop_grace_ms", float64(s.StopGrace), 100, 600_000},
-		{"drain_ms", float64(s.Drain), 1, 600_000},
 		{"contact_ms", float64(s.Contact), 1, 600_000},
 		{"cores", s.Cores, 0, 1024},
 		{"link_mbps", s.Link, 0, 10_000_000},
@@ -156,5 +154,4 @@
 }
 
 func (s *Settings) stopGrace() time.Duration { return time.Duration(s.StopGrace) * time.Millisecond }
-func (s *Settings) drain() time.Duration     { return time.Duration(s.Drain) * time.Millisecond }
 func (s *Settings) contact() time.Duration   { return time.Duration(s.Contact) * time.Millisecond }
--- a/entry/settings_test.go
+++ b/entry/settings_test.go
@@ -30,7 +30,7 @@
 	return map[string]string{
 		"node_name": "edge-1", "zone": "z", "listen.front": "10.0.0.1:80", "listen.readiness": "10.0.0.1:81", "listen.control": "10.0.0.1:82",
 		"ip": "10.0.0.1", "internal_ports.0": "7600", "seeds": `"10.0.0.1:82","10.0.0.2:82"`, "platform.address": "10.9.9.9:83",
-		"bounds.grace_s": "8", "bounds.drain_ms": "2000", "bounds.contact_ms": "3000", "limits.memory_mb": "134", "limits.cpu_share": "0.4", "limits.link_mbps": "1000",
+		"bounds.grace_s": "8", "bounds.contact_ms": "3000", "limits.memory_mb": "134", "limits.cpu_share": "0.4", "limits.link_mbps": "1000",
 		"bounds.retry_budget_ratio": "0.2", "bounds.budget_window_s": "10", "bounds.budget_slack": "58",
 		"bounds.quota_window_s": "8", "bounds.quota_overage": "0.1", "bounds.quota_slack": "72000", "bootstrap": "true",
 	}
--- a/lab/soak/deployment.go
+++ b/lab/soak/deployment.go
@@ -37,7 +37,6 @@
 	registrySlots  = 6
 	registryStep   = 15 * time.Millisecond
 	stopGrace      = 4 * time.Second
-	drainBound     = 2 * time.Second
 	contactBound   = 1500 * time.Millisecond
 	freshRouteName = "fresh"
 	staleRouteName = "stale"
@@ -127,7 +126,7 @@
 	settings := &entry.Settings{
 		Name: fmt.Sprintf("n%d", number), Zone: "east", Host: fmt.Sprintf("%s.%d", block, host), PeerPort: peerPort,
 		Callers: at(block, host, callersPort), Readiness: at(block, host, readinessPort), Operators: at(block, host, operatorsPort),
-		Store: between.address(), StopGrace: int(stopGrace.Milliseconds()), Drain: int(drainBound.Milliseconds()), Contact: int(contactBound.Milliseconds()),
+		Store: between.address(), StopGrace: int(stopGrace.Milliseconds()), Contact: int(contactBound.Milliseconds()),
 		Cores: 1, RetryRatio: 0.2, RetryWindow: 10, RetrySlack: 60, QuotaWindow: 8, QuotaOverage: 0.1, FirstStart: true,
 	}
 	for seed := range nodeCount {
