Ask for the list of replicas only while a zone is cut off

Every placement copied and sorted the whole list of replicas to name those of zones that are cut off, and a loop did so ten times a second, though mostly no zone is. The time of the last failure of a zone was kept and read by nothing, and a failed call of the store locked the node's state twice. Behavior stays.

--- a/entry/news.go
+++ b/entry/news.go
@@ -130,13 +130,6 @@
 	n.mutex.Unlock()
 }
 
-// markStore records that the store was not well just now.
-func (n *Node) markStore() {
-	n.mutex.Lock()
-	n.storeBadAt, n.steady = n.now(), false
-	n.mutex.Unlock()
-}
-
 // setSteady records whether the node follows the store without trouble.
 func (n *Node) setSteady(steady bool) {
 	n.mutex.Lock()
@@ -157,8 +150,8 @@
 }
 
 func (n *Node) storeFailed(err error) {
-	n.markStore()
 	n.mutex.Lock()
+	n.storeBadAt, n.steady = n.now(), false
 	first := !n.storeDown
 	n.storeDown = true
 	endWatch := n.endWatch
--- a/entry/zones.go
+++ b/entry/zones.go
@@ -29,9 +29,9 @@
 
 // zoneState is what is known of the way to one zone.
 type zoneState struct {
-	// beat is when a node of the zone was heard of, answer when a replica of it
-	// answered or accepted a connection, and failure when one last failed to.
-	beat, answer, failure structs.Instant
+	// beat is when a node of the zone was heard of, and answer when a replica of it
+	// answered or accepted a connection.
+	beat, answer structs.Instant
 	// interval is the shortest time between heartbeats of one of its nodes.
 	interval time.Duration
 	cut      bool
@@ -68,7 +68,6 @@
 // failed records that no connection to a replica of the zone came up.
 func (b *zoneBook) failed(now structs.Instant, zone string) {
 	if held, found := b.zones[zone]; found {
-		held.failure = now
 		held.cut = held.cut || held.silent(now)
 	}
 }
@@ -90,6 +89,16 @@
 	return names
 }
 
+// anyCut returns whether some zone can't be reached.
+func (b *zoneBook) anyCut() bool {
+	for _, held := range b.zones {
+		if held.cut {
+			return true
+		}
+	}
+	return false
+}
+
 // isCut returns whether the zone can't be reached.
 func (b *zoneBook) isCut(zone string) bool {
 	held, found := b.zones[zone]
@@ -101,7 +110,10 @@
 	for n.pause(zoneTrial) {
 		n.mutex.Lock()
 		suspects := n.zones.suspects(n.now())
-		all := n.table.All()
+		var all []replicas.Replica
+		if len(suspects) > 0 {
+			all = n.table.All()
+		}
 		n.mutex.Unlock()
 		for _, zone := range suspects {
 			n.tryZone(zone, all)
@@ -155,6 +167,9 @@
 // cutReplicas returns the replicas of the zones that can't be reached. The caller holds
 // the mutex.
 func (n *Node) cutReplicas() []string {
+	if !n.zones.anyCut() {
+		return nil // every placement asks, and the list of replicas is long
+	}
 	var ids []string
 	for _, replica := range n.table.All() {
 		if n.zones.isCut(replica.Zone) {
