Let operators see memory held and news being sent

Cause: beside large configurations a process went over its memory limit, and neither lines nor metrics told what it held. Change: gauges of the heap, of what the process holds of the machine and of the bytes of news being sent; a line "news sending" each half second while 256 KiB or more are. Behavior was not meant to change.

--- a/entry/node.go
+++ b/entry/node.go
@@ -64,6 +64,8 @@
 	// callers is the one of the servers that callers come to.
 	callers  *http.Server
 	sequence atomic.Uint64
+	// newsSending returns the bytes of news that are being sent.
+	newsSending func() int64
 
 	catalog  atomic.Pointer[catalog.Catalog]
 	stopping atomic.Int64
@@ -176,6 +178,7 @@
 		return &begunReply{}, nil
 	})
 	peer.Handle(server, peerwire.KindNews, n.serveNews)
+	n.registerMemory(server)
 	n.inbound = listener
 	go server.Serve(n.ctx, listener)
 	return nil
@@ -313,13 +316,15 @@
 // housekeepingInterval is the time between sweeps.
 const housekeepingInterval = 500 * time.Millisecond
 
-// housekeeping sweeps connections, doubted replicas and messages that did not arrive.
+// housekeeping sweeps connections, doubted replicas and messages that did not arrive,
+// and tells of much memory in use.
 func (n *Node) housekeeping() {
 	for n.pause(housekeepingInterval) {
 		n.pool.Sweep()
 		n.expireReplicas()
 		n.deliverAgain()
 		n.releaseEndedNodes()
+		n.tellMemory()
 	}
 }
 
--- a/entry/operators.go
+++ b/entry/operators.go
@@ -75,6 +75,8 @@
 		switch kind := metric.(type) {
 		case metrics.Counter:
 			fmt.Fprintf(w, "%s %d\n", name, kind.Count())
+		case metrics.Gauge:
+			fmt.Fprintf(w, "%s %d\n", name, kind.Value())
 		case metrics.Histogram:
 			writeHistogram(w, name, kind)
 		}
--- a/test/entry/answers_test.go
+++ b/test/entry/answers_test.go
@@ -253,8 +253,11 @@
 		for _, line := range []string{
 			"thornwalk_requests_answered 1\n", "thornwalk_ended_no_route 1\n", "thornwalk_sends_answered 1\n",
 			`thornwalk_request_ms_answered{quantile="0.99"} 20` + "\n", "thornwalk_place_wait_ms_count 1\n",
+			"thornwalk_news_sending_bytes 0\n",
 		} {
 			s.Expect(metrics).To(gomega.ContainSubstring(line))
 		}
+		s.Expect(metrics).To(gomega.MatchRegexp(`thornwalk_memory_heap_bytes [1-9]`))
+		s.Expect(metrics).To(gomega.MatchRegexp(`thornwalk_memory_held_bytes [1-9]`))
 	})
 }
--- /dev/null
+++ b/test/entry/memory_test.go
@@ -0,0 +1,187 @@
+package entry
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/thornwalk/thornwalk/entry"
+	"github.com/thornwalk/thornwalk/internal/eventlog"
+	"github.com/thornwalk/thornwalk/lab/memnet"
+	"github.com/thornwalk/thornwalk/outside"
+	"github.com/thornwalk/thornwalk/platform"
+	"github.com/thornwalk/thornwalk/state/catalog"
+	"github.com/thornwalk/thornwalk/transport/network"
+)
+
+// The deployment of the test of memory, and what is measured of it.
+const (
+	// largeRoutes is what four changes of 1,400 routes each make.
+	largeRoutes = 4 * 1400
+	// pullRate is what a puller's link carries in bytes a second and pullBurst what it
+	// carries at once: so little that no puller has all for minutes, so that what is
+	// measured is held by the sender.
+	pullRate  = 4 << 10
+	pullBurst = 512
+)
+
+// largeDocument is a configuration as the platform's operators write it, with so
+// many routes.
+func largeDocument(version int64, routes int) *catalog.Document {
+	document := &catalog.Document{
+		Version:  version,
+		Services: []catalog.Service{{Name: "huvo11a", MaxConnections: 690, Engine: &catalog.Engine{Slots: 5, Stride: 5, TokenCapacity: 247876, Moves: true, Backups: true}}, {Name: "wuno96b", MaxConnections: 560}},
+		Tenants:  []catalog.Tenant{{Name: "hule930", Keys: []string{"asnmgkcuyj8pjbvk9m68", "k7b2ex5wa5xwyhks8nbk"}, Priority: 1, HasPriority: true, Rate: 428698, Burst: 428698, CountTokens: true, PlainTokens: 200}},
+		Limits:   catalog.Limits{HeaderBytes: 16384, BodyBytes: 4 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second},
+	}
+	for i := range routes {
+		mixed := uint64(i+1) * 0x9e3779b97f4a7c15 // golden ratio: names that are alike in no part
+		document.Routes = append(document.Routes, catalog.Route{
+			Name: "r-" + strconv.FormatUint(mixed>>29, 36), Host: "ficu95.example", PathPrefix: "/" + strconv.FormatUint(mixed>>20, 36) + "/", Kind: catalog.KindStreaming,
+			Timeout: 6 * time.Second, Target: 800 * time.Millisecond, TargetGap: 400 * time.Millisecond,
+			Backends: []catalog.Backend{{Service: "huvo11a", Weight: 90}, {Service: "wuno96b", Weight: 10}}, Attempts: 1, Sticky: true,
+		})
+	}
+	return document
+}
+
+// fixedDirectory knows one configuration for good.
+type fixedDirectory struct{ document *catalog.Document }
+
+func (d fixedDirectory) Read(context.Context) (*outside.Update, error) {
+	return &outside.Update{Complete: true, Revision: d.document.Version, Catalog: d.document}, nil
+}
+
+func (d fixedDirectory) Watch(ctx context.Context, after int64, wait time.Duration) (*outside.Update, error) {
+	select {
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	case <-time.After(wait):
+		return &outside.Update{Revision: after}, nil
+	}
+}
+
+// slowNetwork gives connections that are read at pullRate, and counts the bytes.
+type slowNetwork struct {
+	network.Network
+	received *atomic.Int64
+}
+
+func (s slowNetwork) Dial(ctx context.Context, address string) (net.Conn, error) {
+	connection, err := s.Network.Dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	return &slowConnection{Conn: connection, received: s.received}, nil
+}
+
+type slowConnection struct {
+	net.Conn
+	received *atomic.Int64
+}
+
+func (s *slowConnection) Read(content []byte) (int, error) {
+	count, err := s.Conn.Read(content[:min(len(content), pullBurst)])
+	s.received.Add(int64(count))
+	time.Sleep(time.Duration(count) * time.Second / pullRate)
+	return count, err
+}
+
+// bareNode is a node with its log.
+type bareNode struct {
+	*entry.Node
+	log *eventlog.Log
+}
+
+// crowd is a node that knows a large configuration, and others that will ask it for
+// that over slow links.
+type crowd struct {
+	*gomega.WithT
+	fabric   *memnet.Fabric
+	sender   bareNode
+	pullers  []bareNode
+	received []atomic.Int64
+	written  io.Writer
+}
+
+// gather starts the nodes. The pullers know an older configuration, and do not hear of
+// the newer one until the fabric is healed. The lines of all are written as given.
+func gather(t *testing.T, pullers int, written io.Writer) *crowd {
+	c := &crowd{written: written, WithT: gomega.NewWithT(t), fabric: memnet.New(), received: make([]atomic.Int64, pullers)}
+	c.sender = c.start("sender", c.fabric.Host("sender"), largeDocument(2, largeRoutes))
+	for i := range pullers {
+		host := fmt.Sprintf("puller-%02d", i)
+		c.fabric.Cut("sender", host)
+		c.pullers = append(c.pullers, c.start(host, slowNetwork{c.fabric.Host(host), &c.received[i]}, largeDocument(1, 1)))
+	}
+	time.Sleep(meetingTime)
+	return c
+}
+
+// meetingTime is longer than nodes need to hear of each other.
+const meetingTime = 3 * time.Second
+
+// start starts a node over a directory that knows the document.
+func (c *crowd) start(host string, seen network.Network, document *catalog.Document) bareNode {
+	settings := &entry.Settings{
+		Name: host, Zone: "east", Callers: host + ":8221", Readiness: host + ":8224", Operators: host + ":8229", Host: host, PeerPort: 7600,
+		Seeds: []string{"sender:8229"}, Store: "store:8225", StopGrace: 8000, Contact: 3000, RetryRatio: 0.2, RetryWindow: 10, RetrySlack: 40, QuotaWindow: 8, FirstStart: true,
+	}
+	log := eventlog.New(host, c.written)
+	node := entry.New(settings, entry.Dependencies{
+		Network: seen, Datagrams: c.fabric.Datagrams(host), Directory: fixedDirectory{document},
+		Headers: platform.Headers(), ReadyPath: platform.ReadyPath, Log: log, Incarnation: 1,
+	})
+	c.Expect(node.Start()).To(gomega.Succeed())
+	return bareNode{node, log}
+}
+
+// stop ends all nodes, and waits for reads that still sleep.
+func (c *crowd) stop() {
+	for _, node := range append(c.pullers, c.sender) {
+		node.Kill()
+		node.log.Close()
+	}
+	time.Sleep(time.Second)
+}
+
+func TestOperatorsSeeNewsThatIsBeingSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		told := &lines{}
+		c := gather(t, 1, told)
+		c.fabric.Heal()
+		time.Sleep(time.Second)
+		synctest.Wait()
+		c.Expect(c.metrics()).To(gomega.MatchRegexp(`thornwalk_news_sending_bytes [1-9][0-9]{5}`))
+		c.stop()
+		content, err := io.ReadAll(told.reader())
+		c.Expect(err).NotTo(gomega.HaveOccurred())
+		c.Expect(string(content)).To(gomega.MatchRegexp(`"node":"sender","event":"news","outcome":"sending","count":[1-9][0-9]{5},"detail":"heap [0-9]+, held [0-9]+"`))
+	})
+}
+
+// metrics returns the sender's metrics as operators get them.
+func (c *crowd) metrics() string {
+	connection, err := c.fabric.Host("operator").Dial(context.Background(), "sender:8229")
+	c.Expect(err).NotTo(gomega.HaveOccurred())
+	defer connection.Close()
+	request, err := http.NewRequest(http.MethodGet, "http://sender:8229/metrics", nil)
+	c.Expect(err).NotTo(gomega.HaveOccurred())
+	go func() { _ = request.Write(connection) }()
+	response, err := http.ReadResponse(bufio.NewReader(connection), request)
+	c.Expect(err).NotTo(gomega.HaveOccurred())
+	defer response.Body.Close()
+	content, err := io.ReadAll(response.Body)
+	c.Expect(err).NotTo(gomega.HaveOccurred())
+	return string(content)
+}
--- a/transport/peer/peer.go
+++ b/transport/peer/peer.go
@@ -42,15 +42,27 @@
 type Server struct {
 	handlers map[peerwire.Kind]handler
 	traffic  Traffic
+	// sending counts the bytes of replies that are being written or wait for it.
+	sending map[peerwire.Kind]*atomic.Int64
 }
 
 // NewServer returns a server with no handlers. Handlers are added before Serve.
 func NewServer(traffic Traffic) *Server {
-	return &Server{handlers: map[peerwire.Kind]handler{}, traffic: traffic}
+	return &Server{handlers: map[peerwire.Kind]handler{}, traffic: traffic, sending: map[peerwire.Kind]*atomic.Int64{}}
+}
+
+// Sending returns the bytes of replies of the kind that are being written or wait
+// for it.
+func (s *Server) Sending(kind peerwire.Kind) int64 {
+	if bytes, known := s.sending[kind]; known {
+		return bytes.Load()
+	}
+	return 0
 }
 
 // Handle sets the handler of a kind of call with typed messages.
 func Handle[Request, Reply any](server *Server, kind peerwire.Kind, serve func(context.Context, *Request) (*Reply, error)) {
+	server.sending[kind] = &atomic.Int64{}
 	server.handlers[kind] = func(ctx context.Context, body msgpack.RawMessage) (msgpack.RawMessage, error) {
 		request := new(Request)
 		if err := peerwire.Unmarshal(body, request); err != nil {
@@ -117,6 +129,9 @@
 		reply.Code, reply.Detail = errkind.Of(err).Code, err.Error()
 	} else {
 		reply.Body = body
+		sending := s.sending[envelope.Kind]
+		sending.Add(int64(len(body)))
+		defer sending.Add(-int64(len(body)))
 	}
 	if err := writer.write(ctx, reply); err != nil {
 		_ = writer.connection.Close()
