--- a/test/entry/memory_test.go
+++ b/test/entry/memory_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strconv"
 	"sync/atomic"
 	"testing"
@@ -28,11 +29,21 @@
 const (
 	// largeRoutes is what four changes of 1,400 routes each make.
 	largeRoutes = 4 * 1400
+	// pullers is the number of nodes that ask one at once; of 83 nodes three follow
+	// the store, and the others spread over these.
+	pullers = 60
 	// pullRate is what a puller's link carries in bytes a second and pullBurst what it
 	// carries at once: so little that no puller has all for minutes, so that what is
 	// measured is held by the sender.
 	pullRate  = 4 << 10
 	pullBurst = 512
+	// heldLimit bounds what the sender holds above its calm heap in bytes: a ninth of
+	// the 112 MB that the smallest machines give a process.
+	heldLimit = 12 << 20
+	// watchedTime is longer than a write may take, so that replies that are given up
+	// and asked for again are seen too; lookInterval is the time between two looks.
+	watchedTime  = 4 * time.Second
+	lookInterval = 50 * time.Millisecond
 )
 
 // largeDocument is a configuration as the platform's operators write it, with so
@@ -155,6 +166,42 @@
 	time.Sleep(time.Second)
 }
 
+// heapInUse returns the bytes of objects that are in use.
+func heapInUse() int64 {
+	runtime.GC()
+	var memory runtime.MemStats
+	runtime.ReadMemStats(&memory)
+	return int64(memory.HeapAlloc)
+}
+
+// Seen on the bench: hgo-thornwalk-grown, LOST. Beside changes of a configuration of
+// some thousand routes a process went over its memory limit, and requests were lost
+// with it. Whole nodes ask here, by whatever messages they use.
+func TestMemoryIsBoundedWhileManyPeersAskForConfiguration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := gather(t, pullers, nil)
+		synctest.Wait()
+		calm := heapInUse()
+		c.fabric.Heal()
+		most := int64(0)
+		for begun := time.Now(); time.Since(begun) < watchedTime; time.Sleep(lookInterval) {
+			synctest.Wait()
+			most = max(most, heapInUse()-calm)
+		}
+		reached := 0
+		for i, node := range c.pullers {
+			c.Expect(node.Status().Version).To(gomega.Equal(int64(1)), "the links are too slow for the whole")
+			if c.received[i].Load() > 0 {
+				reached++
+			}
+		}
+		c.stop()
+		t.Logf("calm %d bytes, at most %d bytes more; %d of %d pullers got something", calm, most, reached, pullers)
+		c.Expect(reached).To(gomega.BeNumerically(">", 0), "news is being sent")
+		c.Expect(most).To(gomega.BeNumerically("<", heldLimit))
+	})
+}
+
 func TestOperatorsSeeNewsThatIsBeingSent(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		told := &lines{}
