Limit the bandwidth of hosts on the network in memory

Cause: links on the network in memory had no width, so that no test under virtual time could show what large messages cost many nodes.

Change: Fabric.SetBandwidth limits the link of a host in each direction. A write that waits for a link ends at its deadline and when either side closes. Hosts without a limit behave as before. The stand-in of the store held its mutex while it wrote a range; a reader with a slow link then held up all others, and under virtual time everything.

--- a/lab/memnet/datagrams.go
+++ b/lab/memnet/datagrams.go
@@ -4,6 +4,7 @@
 	"net"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/thornwalk/thornwalk/transport/network"
 )
@@ -39,18 +40,41 @@
 	fabric := s.host.fabric
 	fabric.WaitResumed(s.host.name)
 	target, _, _ := strings.Cut(address, ":")
-	fabric.mutex.Lock()
-	receiver := fabric.sockets[address]
-	cut := fabric.cuts[direction{s.host.name, target}]
-	fabric.mutex.Unlock()
-	if receiver == nil || cut {
+	receiver, delay := fabric.route(s.host.name, target, address, len(content))
+	if receiver == nil {
 		return nil
 	}
+	message := append([]byte(nil), content...)
+	if delay == 0 {
+		receiver.take(message)
+		return nil
+	}
+	time.AfterFunc(delay, func() { receiver.take(message) })
+	return nil
+}
+
+// route returns who receives a datagram and after what delay, or nil if it is lost.
+func (f *Fabric) route(from, to, address string, bytes int) (*socket, time.Duration) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	receiver := f.sockets[address]
+	sending, sent := f.sendDatagram(from, to, bytes)
+	if !sent || receiver == nil || f.cuts[direction{from, to}] {
+		return nil, 0
+	}
+	receiving, received := f.receiveDatagram(from, to, bytes)
+	if !received {
+		return nil, 0
+	}
+	return receiver, max(sending, receiving)
+}
+
+// take lets a message wait at the socket, or loses it.
+func (s *socket) take(message []byte) {
 	select {
-	case receiver.messages <- append([]byte(nil), content...):
+	case s.messages <- message:
 	default:
 	}
-	return nil
 }
 
 // Receive implements network.DatagramSocket.
--- a/lab/memnet/memnet.go
+++ b/lab/memnet/memnet.go
@@ -1,5 +1,6 @@
 // Package memnet is a network in memory, on which whole nodes run under virtual
-// time. Links between hosts can be cut, one way or both, and hosts paused.
+// time. Links between hosts can be cut, one way or both, and hosts paused; the link of
+// a host may have a limited bandwidth.
 package memnet
 
 import (
@@ -24,6 +25,7 @@
 	links     map[*link]bool
 	nextPort  int
 	sockets   map[string]*socket
+	bandwidth bandwidth
 }
 
 // direction is one way between two hosts.
@@ -34,13 +36,16 @@
 	direction
 	broken bool
 	ends   [2]net.Conn
+	// closed is closed when one of the ends is.
+	closed chan struct{}
+	once   sync.Once
 }
 
 // New returns a fabric without hosts.
 func New() *Fabric {
 	return &Fabric{
 		listeners: map[string]*listener{}, cuts: map[direction]bool{}, paused: map[string]chan struct{}{},
-		links: map[*link]bool{}, nextPort: 1000, sockets: map[string]*socket{},
+		links: map[*link]bool{}, nextPort: 1000, sockets: map[string]*socket{}, bandwidth: newBandwidth(),
 	}
 }
 
@@ -111,7 +116,11 @@
 	}
 }
 
+// end tells writes that wait for the hosts' links that the connection is closed.
+func (l *link) end() { l.once.Do(func() { close(l.closed) }) }
+
 func (l *link) close() {
+	l.end()
 	_ = l.ends[0].Close()
 	_ = l.ends[1].Close()
 }
@@ -170,11 +179,11 @@
 
 func (f *Fabric) connect(from, to string) (net.Conn, net.Conn) {
 	left, right := net.Pipe()
-	l := &link{direction: direction{from, to}, ends: [2]net.Conn{left, right}}
+	l := &link{direction: direction{from, to}, ends: [2]net.Conn{left, right}, closed: make(chan struct{})}
 	f.mutex.Lock()
 	f.links[l] = true
 	f.mutex.Unlock()
-	return &end{Conn: left, fabric: f, link: l, local: from, remote: to}, &end{Conn: right, fabric: f, link: l, local: to, remote: from}
+	return newEnd(f, l, left, from, to), newEnd(f, l, right, to, from)
 }
 
 // end is one end of a connection.
@@ -183,6 +192,13 @@
 	fabric        *Fabric
 	link          *link
 	local, remote string
+	// turn holds one token; who has it may write over a limited link.
+	turn     chan struct{}
+	deadline *writeDeadline
+}
+
+func newEnd(f *Fabric, l *link, conn net.Conn, local, remote string) *end {
+	return &end{Conn: conn, fabric: f, link: l, local: local, remote: remote, turn: make(chan struct{}, 1), deadline: newWriteDeadline()}
 }
 
 // Read waits while the host is paused.
@@ -192,8 +208,18 @@
 	return count, err
 }
 
-// Write loses what is written across a cut.
+// Write loses what is written across a cut. Over a limited link it returns when the
+// content has passed and was read.
 func (e *end) Write(content []byte) (int, error) {
+	if e.fabric.limited(e.local, e.remote) {
+		return e.writePieces(content)
+	}
+	e.fabric.passStream(e.local, e.remote, len(content))
+	return e.deliver(content)
+}
+
+// deliver hands content to the other end once it has passed the links.
+func (e *end) deliver(content []byte) (int, error) {
 	e.fabric.WaitResumed(e.local)
 	e.fabric.mutex.Lock()
 	lost := e.link.broken || e.fabric.cuts[direction{e.local, e.remote}]
@@ -220,8 +246,9 @@
 	if cut {
 		// Closing a pipe wakes both ends; the far end is kept waiting by a
 		// deadline-free read on its own half until the cut heals.
-		return e.Conn.SetDeadline(past)
+		return e.SetDeadline(past)
 	}
+	e.link.end()
 	return e.Conn.Close()
 }
 
--- a/lab/platformsim/store.go
+++ b/lab/platformsim/store.go
@@ -206,7 +206,12 @@
 }
 
 func (s *Store) serveRange(w http.ResponseWriter, r *http.Request) {
-	prefix, after := r.URL.Query().Get("path_prefix"), r.URL.Query().Get("watch_after")
+	answer(w, http.StatusOK, s.page(r.URL.Query().Get("path_prefix"), r.URL.Query().Get("watch_after")))
+}
+
+// page returns the first items after the key. It is written without the mutex: a
+// reader with a slow link holds up nobody else.
+func (s *Store) page(prefix, after string) rangeAnswer {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.expire()
@@ -224,7 +229,7 @@
 	for _, key := range keys {
 		page.Items = append(page.Items, s.items[key])
 	}
-	answer(w, http.StatusOK, page)
+	return page
 }
 
 // watchAnswer is what changed.
