Spread a configuration by its parts, in bounded replies, and read it by few

Cause: the price of a version was the whole document times the nodes. All nodes asked the same node at the same moment, each reply was the whole document, encoded twice for each of them and kept until a slow link took it; who did not get it within 500 ms asked again from nothing, and in the end all read the store whole, over links of 10 Mbit/s. Places, heartbeats and news of replicas waited behind that. Change: a version is a manifest of parts named by their content (state/catalog, coordination/spread). A node names the parts it has and is sent what it lacks, compressed once, in replies of at most 32 kB; what came is kept over a failed call; a node sends to as many as its link bears and names others that have the version. News of replicas goes by a call of its own. The whole store is read by the nodes that follow it; others read the list of replicas only, unless all knowledge of the configuration is old, and then not at once. A process with a narrow link waits 0.3 s for its peers when it starts. A configuration that was decoded is not decoded again. Ruled out: a longer deadline alone (the links stay full, memory grows); reading the store by all (2.4 MB a node).

--- a/coordination/liveness/liveness.go
+++ b/coordination/liveness/liveness.go
@@ -40,6 +40,8 @@
 	// has the result of, by itself or from another node, in milliseconds. It is
 	// negative if there was none.
 	Unread int64 `msgpack:"u"`
+	// ConfigurationUnread is the same for the configuration, which is read more rarely.
+	ConfigurationUnread int64 `msgpack:"x"`
 	// Held counts the node's requests in progress by replica.
 	Held map[string]Held `msgpack:"h"`
 	// Steady is for how long the sender has followed the store without any trouble,
--- /dev/null
+++ b/coordination/spread/library.go
@@ -0,0 +1,267 @@
+package spread
+
+import (
+	"sync"
+
+	"github.com/thornwalk/thornwalk/protocol/errkind"
+	"github.com/thornwalk/thornwalk/state/catalog"
+)
+
+// maximumParts bounds the parts of a manifest: 100,000 routes are some 800 parts.
+const maximumParts = 16384
+
+// Request asks a peer for what the sender lacks of the peer's version.
+type Request struct {
+	// Version is the sender's configuration in force; zero means none.
+	Version int64 `msgpack:"v"`
+	// Held names the parts that the sender has.
+	Held []catalog.Hash `msgpack:"h"`
+	// Address and Zone are the sender's: it will be named to others that ask.
+	Address string `msgpack:"a"`
+	Zone    string `msgpack:"z"`
+}
+
+// Reply is a peer's answer to a Request.
+type Reply struct {
+	// Manifest is of the peer's version in force, and empty if the sender's is no older.
+	Manifest catalog.Manifest `msgpack:"m"`
+	// Content holds compressed parts that the sender lacks, as many as one reply takes.
+	Content [][]byte `msgpack:"c"`
+	// Busy is true if the peer sends to as many others as it may. Nothing else is set
+	// then but Holders, addresses of nodes that have the version from this peer.
+	Busy    bool     `msgpack:"b"`
+	Holders []string `msgpack:"o"`
+}
+
+// entry is one part, as it is used and as it travels.
+type entry struct {
+	part   catalog.Part
+	packed *catalog.Packed
+}
+
+// Library holds the parts of the configuration in force and of the one being fetched.
+type Library struct {
+	mutex    sync.Mutex
+	entries  map[catalog.Hash]entry
+	inForce  catalog.Manifest
+	fetching catalog.Manifest
+	dropped  int
+}
+
+// NewLibrary returns a library without a version.
+func NewLibrary() *Library { return &Library{entries: map[catalog.Hash]entry{}} }
+
+// Publish makes the document, which was compiled, the version in force. Parts that are
+// here already are not compressed again.
+func (l *Library) Publish(document *catalog.Document) error {
+	parts := catalog.Split(document)
+	manifest := catalog.Manifest{Version: document.Version, Parts: make([]catalog.Hash, 0, len(parts))}
+	added := map[catalog.Hash]entry{}
+	for i := range parts {
+		hash, content, err := parts[i].Encode()
+		if err != nil {
+			return err
+		}
+		manifest.Parts = append(manifest.Parts, hash)
+		if _, repeated := added[hash]; repeated || l.has(hash) {
+			continue
+		}
+		packed, err := catalog.Pack(hash, content)
+		if err != nil {
+			return err
+		}
+		added[hash] = entry{part: parts[i], packed: packed}
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	for hash, held := range added {
+		l.entries[hash] = held
+	}
+	if l.lacks(manifest) {
+		return errkind.New(errkind.InvalidSettings, "version %d: parts were dropped while it was published; publish it again", manifest.Version)
+	}
+	l.adopt(manifest)
+	return nil
+}
+
+// Adopt makes the version that Take returned the one in force.
+func (l *Library) Adopt(version int64) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.fetching.Version == version && version > l.inForce.Version {
+		l.adopt(l.fetching)
+	}
+}
+
+// adopt takes the manifest into force unless a newer one is. The caller holds the mutex.
+func (l *Library) adopt(manifest catalog.Manifest) {
+	if manifest.Version <= l.inForce.Version {
+		return
+	}
+	l.inForce = manifest
+	if l.fetching.Version <= manifest.Version {
+		l.fetching = catalog.Manifest{}
+	}
+	l.prune()
+}
+
+// prune drops the parts that no version needs. The caller holds the mutex.
+func (l *Library) prune() {
+	needed := make(map[catalog.Hash]bool, len(l.inForce.Parts))
+	for _, manifest := range []catalog.Manifest{l.inForce, l.fetching} {
+		for _, hash := range manifest.Parts {
+			needed[hash] = true
+		}
+	}
+	for hash := range l.entries {
+		if !needed[hash] {
+			delete(l.entries, hash)
+		}
+	}
+}
+
+func (l *Library) has(hash catalog.Hash) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	_, found := l.entries[hash]
+	return found
+}
+
+// lacks returns whether some part of the manifest is not here. The caller holds the mutex.
+func (l *Library) lacks(manifest catalog.Manifest) bool {
+	for _, hash := range manifest.Parts {
+		if _, found := l.entries[hash]; !found {
+			return true
+		}
+	}
+	return false
+}
+
+// Version returns the version in force; zero means none.
+func (l *Library) Version() int64 {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.inForce.Version
+}
+
+// Held returns the names of all parts that are here.
+func (l *Library) Held() []catalog.Hash {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	held := make([]catalog.Hash, 0, len(l.entries))
+	for hash := range l.entries {
+		held = append(held, hash)
+	}
+	return held
+}
+
+// Size returns the length of all parts that are here before compression, and how many
+// bytes of compressed content are held, both in bytes.
+func (l *Library) Size() (content, compressed int) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	for _, held := range l.entries {
+		content += held.packed.Size
+		compressed += len(held.packed.Content)
+	}
+	return content, compressed
+}
+
+// Dropped returns how many parts came that no manifest names or that did not decode.
+func (l *Library) Dropped() int {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.dropped
+}
+
+// Serve answers a request with parts of at most the budget in bytes, but at least one.
+// Whole is true if the sender has every part of the version once it has the reply.
+func (l *Library) Serve(request *Request, budget int) (reply *Reply, whole bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	reply = &Reply{}
+	if l.inForce.Version <= request.Version {
+		return reply, false
+	}
+	reply.Manifest = l.inForce
+	held := make(map[catalog.Hash]bool, len(request.Held))
+	for _, hash := range request.Held {
+		held[hash] = true
+	}
+	length := 0
+	for _, hash := range l.inForce.Parts {
+		if held[hash] {
+			continue
+		}
+		content := l.entries[hash].packed.Content
+		if length > 0 && length+len(content) > budget {
+			return reply, false
+		}
+		held[hash] = true
+		length += len(content)
+		reply.Content = append(reply.Content, content)
+	}
+	return reply, true
+}
+
+// Take enters what a peer sent and returns the document once nothing of it is missing;
+// until then it returns nil. Progress is true if a part came that was missing. The
+// error is of kind BadFrame for a reply that no correct peer sends; the parts that fit
+// their names are kept all the same.
+func (l *Library) Take(reply *Reply) (document *catalog.Document, progress bool, err error) {
+	if len(reply.Manifest.Parts) > maximumParts {
+		return nil, false, errkind.New(errkind.BadFrame, "a manifest of %d parts exceeds %d", len(reply.Manifest.Parts), maximumParts)
+	}
+	received, err := unpackAll(reply.Content)
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if reply.Manifest.Version <= l.inForce.Version {
+		return nil, false, err
+	}
+	l.fetching = reply.Manifest
+	missing := map[catalog.Hash]bool{}
+	for _, hash := range l.fetching.Parts {
+		if _, found := l.entries[hash]; !found {
+			missing[hash] = true
+		}
+	}
+	for _, part := range received {
+		if !missing[part.packed.Hash] {
+			l.dropped++
+			continue
+		}
+		l.entries[part.packed.Hash] = part
+		progress = true
+	}
+	l.prune()
+	if err != nil {
+		l.dropped++
+		return nil, progress, err
+	}
+	if l.lacks(l.fetching) {
+		return nil, progress, nil
+	}
+	return l.join(l.fetching), progress, nil
+}
+
+// unpackAll decodes the parts up to the first that is not one.
+func unpackAll(contents [][]byte) ([]entry, error) {
+	var received []entry
+	for _, content := range contents {
+		packed, part, err := catalog.Unpack(content)
+		if err != nil {
+			return received, err
+		}
+		received = append(received, entry{part: *part, packed: packed})
+	}
+	return received, nil
+}
+
+// join makes the document of a manifest that lacks nothing. The caller holds the mutex.
+func (l *Library) join(manifest catalog.Manifest) *catalog.Document {
+	parts := make([]catalog.Part, 0, len(manifest.Parts))
+	for _, hash := range manifest.Parts {
+		parts = append(parts, l.entries[hash].part)
+	}
+	return catalog.Join(manifest.Version, parts)
+}
--- a/entry/beats.go
+++ b/entry/beats.go
@@ -163,12 +163,10 @@
 	settings := n.settings.Load()
 	beat := liveness.Beat{
 		Name: settings.Name, Zone: settings.Zone, Address: n.selfAddress(), Cores: settings.Cores, Link: settings.Link, Interval: n.interval().Milliseconds(), Incarnation: n.depend.Incarnation,
-		Term: n.term, Known: n.members.Known(), Leaving: n.stopping.Load() != 0, Storeless: n.storeDown, Latest: n.table.Latest(), Unread: n.fresh.age(now), Steady: n.steadyFor(now).Milliseconds(), Failing: n.health.failing(now),
+		Term: n.term, Known: n.members.Known(), Leaving: n.stopping.Load() != 0, Storeless: n.storeDown, Latest: n.table.Latest(), Unread: n.fresh.age(now), ConfigurationUnread: n.freshConfiguration.age(now), Steady: n.steadyFor(now).Milliseconds(), Failing: n.health.failing(now),
 		Held: map[string]liveness.Held{},
 	}
-	if current := n.catalog.Load(); current != nil {
-		beat.Version = current.Version
-	}
+	beat.Version = n.version()
 	if n.scheduler == settings.Name {
 		beat.Levels = n.desk.levels()
 	}
@@ -233,7 +231,7 @@
 	if beat.Name == n.scheduler {
 		n.levels, n.levelsAt = beat.Levels, now
 	}
-	behind := n.behind(beat)
+	behindReplicas, behindConfiguration := n.behindReplicas(beat), n.behindConfiguration(beat)
 	n.noteFreshness(now, beat)
 	leads := n.scheduler == n.settings.Load().Name
 	n.mutex.Unlock()
@@ -262,7 +260,10 @@
 	n.desk.update(func(scheduler *admission.Scheduler) {
 		scheduler.SetForeign(processName(beat.Name, beat.Incarnation), counts)
 	})
-	if behind {
+	if behindReplicas {
 		go n.pullNews(beat.Address)
 	}
+	if behindConfiguration {
+		go n.fetchConfiguration(beat.Address)
+	}
 }
--- /dev/null
+++ b/entry/configuration.go
@@ -0,0 +1,238 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/thornwalk/thornwalk/coordination/liveness"
+	"github.com/thornwalk/thornwalk/coordination/spread"
+	"github.com/thornwalk/thornwalk/internal/eventlog"
+	"github.com/thornwalk/thornwalk/protocol/peerwire"
+	"github.com/thornwalk/thornwalk/state/catalog"
+)
+
+// A new version of the configuration is read from the store by the few nodes that
+// follow it. All others fetch from these, and from each other, the parts that they lack
+// (package spread).
+
+// Bounds of fetching.
+const (
+	// partsBudget is the length of the parts in one reply, in bytes: 26 ms of a link of
+	// 10 Mbit/s, which is how long smaller messages may have to wait behind it.
+	partsBudget = 32 << 10
+	// partsTimeout bounds one call: the wait for the peer's turn, and the time that a
+	// reply takes on the slowest link while three others share it.
+	partsTimeout = 500 * time.Millisecond
+	// fetchTimeout bounds one fetch; what came is kept for the next.
+	fetchTimeout = 3 * time.Second
+	// busyPause and busyJitter are the time until a node is asked again that was busy:
+	// about what it needs to serve one round of others.
+	busyPause  = 20 * time.Millisecond
+	busyJitter = 40 * time.Millisecond
+	// failuresBorne is how many other nodes are asked in one fetch after one failed.
+	failuresBorne = 3
+)
+
+// errNobodyElse means that no other node is known to have the version.
+var errNobodyElse = errors.New("no other node is known to have the version")
+
+// offerCatalog takes a configuration into force if it is valid and newer.
+func (n *Node) offerCatalog(document *catalog.Document, source string) {
+	n.offers.Lock()
+	defer n.offers.Unlock()
+	if current := n.catalog.Load(); current != nil && document.Version <= current.Version {
+		if document.Version < current.Version {
+			n.log.Write(eventlog.Event{Kind: "configuration", Outcome: "kept-out", Reason: "older", Version: document.Version, Detail: source})
+		}
+		return
+	}
+	compiled, err := catalog.Compile(document)
+	if err != nil {
+		n.newer.reject(document.Version)
+		n.log.Write(eventlog.Event{Kind: "configuration", Outcome: "kept-out", Reason: "invalid", Version: document.Version, Detail: err.Error()})
+		return
+	}
+	n.publish(document)
+	n.catalog.Store(compiled)
+	n.log.Write(eventlog.Event{Kind: "configuration", Outcome: "in-force", Version: document.Version, Count: len(document.Routes), Detail: source})
+}
+
+// publish makes the version available to others. One that was fetched from a peer is in
+// the library already.
+func (n *Node) publish(document *catalog.Document) {
+	n.library.Adopt(document.Version)
+	if n.library.Version() >= document.Version {
+		return
+	}
+	if err := n.library.Publish(document); err != nil {
+		n.log.Write(eventlog.Event{Kind: "configuration", Outcome: "not-published", Version: document.Version, Detail: err.Error()})
+	}
+}
+
+// version returns the version in force; zero means none.
+func (n *Node) version() int64 {
+	if current := n.catalog.Load(); current != nil {
+		return current.Version
+	}
+	return 0
+}
+
+// behindConfiguration returns whether the peer has a newer version and is to be asked
+// for it now. The caller holds the mutex.
+func (n *Node) behindConfiguration(beat liveness.Beat) bool {
+	own, patience := n.version(), n.ownPatience()
+	if own == 0 {
+		patience = 0
+	}
+	n.newer.heard(n.now(), own, beat.Version)
+	return n.versionLag.due(n.now(), own, beat.Version, patience)
+}
+
+// partsReply releases the turn at this node's link once it was sent.
+type partsReply struct {
+	spread.Reply `msgpack:",inline"`
+	release      func()
+}
+
+// Sent implements peer.Tracked.
+func (r *partsReply) Sent() {
+	if r.release != nil {
+		r.release()
+	}
+}
+
+// serveParts sends a peer what it lacks of the version in force.
+func (n *Node) serveParts(ctx context.Context, request *spread.Request) (*partsReply, error) {
+	if n.library.Version() <= request.Version {
+		return &partsReply{}, nil
+	}
+	if !n.senders.enter(ctx) {
+		n.counter("configuration.busy").Inc(1)
+		return &partsReply{Reply: spread.Reply{Busy: true, Holders: n.holders.Name(request)}}, nil
+	}
+	reply, whole := n.library.Serve(request, partsBudget)
+	if whole {
+		n.holders.Note(reply.Manifest.Version, request)
+	}
+	for _, content := range reply.Content {
+		n.counter("configuration.bytes_sent").Inc(int64(len(content)))
+	}
+	return &partsReply{Reply: *reply, release: n.senders.leave}, nil
+}
+
+// fetchConfiguration brings the newer version of a peer into force.
+func (n *Node) fetchConfiguration(address string) {
+	begun, held := n.now(), n.version()
+	progress, err := n.fetch(address)
+	n.mutex.Lock()
+	n.versionLag.ended(n.now(), err == nil || progress)
+	n.mutex.Unlock()
+	took := n.now() - begun
+	if err != nil {
+		if n.ctx.Err() == nil {
+			n.counter("configuration.fetches_failed").Inc(1)
+			n.log.Write(eventlog.Event{Kind: "configuration", Outcome: "not-fetched", Peer: address, Version: held, Took: took.Milliseconds(), Detail: err.Error()})
+		}
+		return
+	}
+	n.observe("configuration_fetch_ms", took)
+}
+
+// fetch asks the peer, and others if it is busy or fails, until nothing of a newer
+// version is missing. Progress is true if some part of it came.
+func (n *Node) fetch(address string) (progress bool, err error) {
+	ctx, cancel := context.WithTimeout(n.ctx, fetchTimeout)
+	defer cancel()
+	failures := 0
+	for {
+		reply, err := n.askForParts(ctx, address)
+		if err == nil && reply.Busy {
+			address = n.nextHolder(reply.Holders, address)
+			if !n.pause(busyPause + rand.N(busyJitter)) {
+				return progress, n.ctx.Err()
+			}
+			continue
+		}
+		came, whole := false, false
+		if err == nil {
+			came, whole, err = n.takeParts(&reply.Reply, address)
+		}
+		progress = progress || came
+		switch {
+		case whole:
+			return true, nil
+		case err == nil && came:
+			continue
+		case err == nil:
+			err = errNobodyElse
+		}
+		failures++
+		next := n.nextHolder(nil, address)
+		if failures > failuresBorne || next == address || ctx.Err() != nil {
+			return progress, err
+		}
+		address = next
+	}
+}
+
+// askForParts makes one call.
+func (n *Node) askForParts(ctx context.Context, address string) (*partsReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, partsTimeout)
+	defer cancel()
+	request := &spread.Request{Version: n.version(), Held: n.library.Held(), Address: n.selfAddress(), Zone: n.settings.Load().Zone}
+	reply := &partsReply{}
+	if err := n.peers.Call(ctx, address, peerwire.KindConfigurationParts, request, reply); err != nil {
+		return nil, err
+	}
+	return reply, nil
+}
+
+// takeParts enters a reply, and the version that it completes. Whole is true if this
+// node then has a version as new as the peer's.
+func (n *Node) takeParts(reply *spread.Reply, address string) (progress, whole bool, err error) {
+	document, progress, err := n.library.Take(reply)
+	if err != nil {
+		n.counter("configuration.parts_bad").Inc(1)
+		return progress, false, err
+	}
+	if document != nil {
+		n.offerCatalog(document, "peer "+address)
+	}
+	return progress, reply.Manifest.Version > 0 && n.version() >= reply.Manifest.Version, nil
+}
+
+// nextHolder returns a node to ask after the one at the address: one of those named, or
+// any live one that tells a newer version, of this zone if there is one; if there is
+// none, the same again.
+func (n *Node) nextHolder(named []string, address string) string {
+	own := n.version()
+	var near, far []string
+	for _, other := range named {
+		if other != address && other != n.selfAddress() {
+			near = append(near, other)
+		}
+	}
+	if len(near) == 0 {
+		zone := n.settings.Load().Zone
+		n.mutex.Lock()
+		for _, member := range n.members.Live(n.now()) {
+			switch {
+			case member.Version <= own || member.Address == address:
+			case member.Zone == zone:
+				near = append(near, member.Address)
+			default:
+				far = append(far, member.Address)
+			}
+		}
+		n.mutex.Unlock()
+	}
+	if len(near) == 0 {
+		near = far
+	}
+	if len(near) == 0 {
+		return address
+	}
+	return near[rand.IntN(len(near))]
+}
--- a/entry/freshness.go
+++ b/entry/freshness.go
@@ -3,8 +3,11 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/thornwalk/thornwalk/coordination/liveness"
 	"github.com/thornwalk/thornwalk/internal/eventlog"
+	"github.com/thornwalk/thornwalk/outside"
 	"github.com/thornwalk/thornwalk/structs"
 )
 
@@ -22,6 +25,18 @@
 	staleAfter = 1300 * time.Millisecond
 	staleStep  = 40 * time.Millisecond
 	staleSteps = 12
+	// longestStaleStep bounds the step for a configuration that takes long to read, and
+	// nodes beyond staleSteps spread their reads over spreadTransfers times the time of
+	// one, but no longer than longestSpread.
+	longestStaleStep = 300 * time.Millisecond
+	spreadTransfers  = 3
+	longestSpread    = 3 * time.Second
+	// spreadParts is the number of moments in that time between which nodes differ.
+	spreadParts = 1024
+	// storeLength is how much longer the configuration is as the store sends it than as
+	// nodes encode it, measured: 2.43 MB and 0.71 MB for 5,600 routes.
+	storeLength = 3.4
+	bitsPerByte = 8
 	// readCheck is the time between looks at whether a read is due.
 	readCheck = 100 * time.Millisecond
 )
@@ -47,48 +62,78 @@
 	return (now - f.at).Milliseconds()
 }
 
-// noteFreshness takes over how fresh a peer's knowledge is, if this node knows no
-// less than the peer. The caller holds the mutex.
+// noteFreshness takes over how fresh a peer's knowledge is, of the replicas and of the
+// configuration, where this node knows no less than the peer. The caller holds the mutex.
 func (n *Node) noteFreshness(now structs.Instant, beat liveness.Beat) {
-	current := n.catalog.Load()
-	if beat.Unread < 0 || beat.Latest > n.table.Latest() || current == nil || beat.Version > current.Version {
-		return
+	if beat.Unread >= 0 && beat.Latest <= n.table.Latest() {
+		n.fresh.note(now - time.Duration(beat.Unread)*time.Millisecond)
+	}
+	if own := n.version(); beat.ConfigurationUnread >= 0 && own > 0 && beat.Version <= own {
+		n.freshConfiguration.note(now - time.Duration(beat.ConfigurationUnread)*time.Millisecond)
+	}
+}
+
+// configurationTransfer is how long the configuration takes on this node's link as the
+// store sends it.
+func (n *Node) configurationTransfer() time.Duration {
+	link := n.settings.Load().Link
+	if link <= 0 {
+		return 0
 	}
-	n.fresh.note(now - time.Duration(beat.Unread)*time.Millisecond)
+	content, _ := n.library.Size()
+	bits := float64(content) * storeLength * bitsPerByte
+	return time.Duration(bits / (link * 1e6) * float64(time.Second))
 }
 
-// readDue returns whether this node should read the store now, given when it last
-// did. The caller holds the mutex.
-func (n *Node) readDue(now, last structs.Instant) bool {
+// readDue returns whether this node should read the store now, given when it last did,
+// and what. The transfer is that of the configuration. The caller holds the mutex.
+func (n *Node) readDue(now, last structs.Instant, transfer time.Duration) (scope outside.Scope, due bool) {
 	if n.storeDown || now-last < readInterval {
-		return false // the watch loop tries again by itself
+		return 0, false // the watch loop tries again by itself
 	}
 	if n.rank < readers {
-		return true
+		return outside.ScopeAll, true
+	}
+	place := time.Duration(min(n.rank, staleSteps))
+	if n.freshConfiguration.known && !n.versionLag.pulling &&
+		now-n.freshConfiguration.at > staleAfter+place*min(staleStep+transfer, longestStaleStep)+n.spreadOver(transfer) {
+		return outside.ScopeAll, true
+	}
+	return outside.ScopeReplicas, n.fresh.known && now-n.fresh.at > staleAfter+place*staleStep
+}
+
+// spreadOver is how much later this node reads the configuration than others of its
+// rank: once the first has read it, the others have it from that one. The caller holds
+// the mutex.
+func (n *Node) spreadOver(transfer time.Duration) time.Duration {
+	if n.rank < staleSteps {
+		return 0
 	}
-	return n.fresh.known && now-n.fresh.at > staleAfter+time.Duration(min(n.rank, staleSteps))*staleStep
+	share := float64(xxhash.Sum64String(n.settings.Load().Name)%spreadParts) / spreadParts
+	return time.Duration(share * float64(min(spreadTransfers*transfer, longestSpread)))
 }
 
 // readLoop reads the store whenever that is due.
 func (n *Node) readLoop() {
 	last := n.now()
 	for n.pause(readCheck) {
+		transfer := n.configurationTransfer()
 		n.mutex.Lock()
 		now := n.now()
-		due, stale := n.readDue(now, last), n.rank >= readers
-		age := n.fresh.age(now)
+		scope, due := n.readDue(now, last, transfer)
+		stale, age := n.rank >= readers, n.fresh.age(now)
 		n.mutex.Unlock()
 		if !due {
 			continue
 		}
 		last = now
-		_, err := n.readAll()
+		_, err := n.read(scope)
 		if err != nil {
 			n.storeFailed(err)
 		}
 		if stale {
 			n.counter("store.stale_reads").Inc(1)
-			n.log.Write(eventlog.Event{Kind: "store", Outcome: "read", Reason: "knowledge-old", Age: age})
+			n.log.Write(eventlog.Event{Kind: "store", Outcome: "read", Reason: "knowledge-old", Age: age, Detail: scope.String()})
 		}
 	}
 }
--- a/entry/memory.go
+++ b/entry/memory.go
@@ -18,9 +18,9 @@
 	releasedFigure = "/memory/classes/heap/released:bytes"
 )
 
-// newsToldFrom is how many bytes of news are being sent when a line tells of it: more
-// than any list of replicas is long, so that only large configurations do.
-const newsToldFrom = 256 << 10
+// newsToldFrom is how many bytes of news are being sent when a line tells of it: half of
+// the longest reply with parts of the configuration.
+const newsToldFrom = partsBudget / 2
 
 // heapInUse returns the bytes of the heap's objects, those included that the collector
 // has yet to find unused.
@@ -41,7 +41,9 @@
 
 // registerMemory enters what the process holds in the node's metrics.
 func (n *Node) registerMemory(server *peer.Server) {
-	n.newsSending = func() int64 { return server.Sending(peerwire.KindNews) }
+	n.newsSending = func() int64 {
+		return server.Sending(peerwire.KindNews) + server.Sending(peerwire.KindConfigurationParts)
+	}
 	for name, value := range map[string]func() int64{
 		"memory.heap_bytes": heapInUse, "memory.held_bytes": memoryHeld, "news.sending_bytes": n.newsSending,
 	} {
--- a/entry/messages.go
+++ b/entry/messages.go
@@ -5,7 +5,6 @@
 
 	"github.com/thornwalk/thornwalk/coordination/admission"
 	"github.com/thornwalk/thornwalk/coordination/quota"
-	"github.com/thornwalk/thornwalk/state/catalog"
 	"github.com/thornwalk/thornwalk/state/replicas"
 )
 
@@ -42,6 +41,8 @@
 	reasonRetryBudget = "retry-budget"
 	reasonUnreachable = "no-scheduler"
 	reasonStopping    = "stopping"
+	// reasonBehind means that this node lacks a newer configuration.
+	reasonBehind = "configuration-behind"
 )
 
 // finishRequest tells that a request with a place ended, or that one is no
@@ -66,15 +67,13 @@
 
 type begunReply struct{}
 
-// newsRequest asks a peer for what it knows beyond the versions given.
+// newsRequest asks a peer for what it knows of the replicas beyond the revision.
 type newsRequest struct {
-	Version int64
-	Latest  int64
+	Latest int64
 }
 
-// newsReply is a peer's knowledge; Catalog is nil if it has none newer.
+// newsReply is what a peer knows of the replicas.
 type newsReply struct {
-	Catalog  *catalog.Document
 	Replicas []replicas.Replica
 	Removed  map[string]int64
 	Revision int64
--- a/entry/news.go
+++ b/entry/news.go
@@ -9,7 +9,6 @@
 	"github.com/thornwalk/thornwalk/internal/eventlog"
 	"github.com/thornwalk/thornwalk/outside"
 	"github.com/thornwalk/thornwalk/protocol/errkind"
-	"github.com/thornwalk/thornwalk/state/catalog"
 	"github.com/thornwalk/thornwalk/state/replicas"
 	"github.com/thornwalk/thornwalk/structs"
 )
@@ -28,6 +27,16 @@
 	longestPause = time.Second
 	// rereadAfter bounds the time between two complete reads.
 	rereadAfter = 60 * time.Second
+	// transferMargin is how many times longer a read may take than the configuration
+	// alone would take on this node's link if nothing else used it.
+	transferMargin = 3
+	// narrowLink is the bandwidth below which a node first waits for its peers, in
+	// megabits a second: 1.4 MB, a configuration of 5,600 routes, take 0.2 s of it.
+	narrowLink = 50
+	// startPatience is how long it does so, which is less than settleTime, and startPoll
+	// the time between looks.
+	startPatience = 300 * time.Millisecond
+	startPoll     = 20 * time.Millisecond
 )
 
 // watchers is how many nodes watch the store. Each call is priced, so the others
@@ -53,7 +62,8 @@
 			n.pause(beatInterval)
 			continue
 		}
-		revision, err := n.readAll()
+		scope := n.scope()
+		revision, err := n.read(scope)
 		if err != nil {
 			n.storeFailed(err)
 			if !n.pause(pause) {
@@ -64,19 +74,53 @@
 		}
 		n.storeAnswered()
 		n.setSteady(true)
-		pause, known = firstPause, true
-		n.follow(revision)
+		pause = firstPause
+		if scope == outside.ScopeReplicas && !n.awaitConfiguration() {
+			continue
+		}
+		known = true
+		if scope == outside.ScopeAll {
+			n.follow(revision)
+		}
 	}
 }
 
-func (n *Node) readAll() (int64, error) {
+// scope returns what the watch loop reads. A large configuration is read by few: by the
+// nodes that follow the store for others, and at the start of a process by those with
+// wide links. All others have it from these, sooner than over their own links, and only
+// look whether the store answers.
+func (n *Node) scope() outside.Scope {
 	n.mutex.Lock()
-	limit := max(n.readLimit, readTimeout)
+	follows := n.rank < watchers
 	n.mutex.Unlock()
+	if n.catalog.Load() != nil && !follows {
+		return outside.ScopeReplicas
+	}
+	link := n.settings.Load().Link
+	if n.catalog.Load() == nil && link > 0 && link < narrowLink && n.now() < startPatience {
+		return outside.ScopeReplicas
+	}
+	return outside.ScopeAll
+}
+
+// awaitConfiguration waits at the start of a process until a peer has sent the
+// configuration, and returns false if none did in time.
+func (n *Node) awaitConfiguration() bool {
+	for n.catalog.Load() == nil {
+		if n.now() >= startPatience || !n.pause(startPoll) {
+			return false
+		}
+	}
+	return true
+}
+
+// read reads the store and takes what it holds into force.
+func (n *Node) read(scope outside.Scope) (int64, error) {
+	limit := n.readTime()
 	ctx, cancel := context.WithTimeout(n.ctx, limit)
 	defer cancel()
 	begun := n.now()
-	update, err := n.depend.Directory.Read(ctx)
+	update, err := n.depend.Directory.Read(ctx, scope, n.catalogRevision.Load())
 	if err != nil {
 		if ctx.Err() != nil {
 			n.setReadLimit(min(2*limit, longestRead))
@@ -88,10 +132,21 @@
 	n.apply(update)
 	n.mutex.Lock()
 	n.fresh.note(begun)
+	if scope == outside.ScopeAll {
+		n.freshConfiguration.note(begun)
+	}
 	n.mutex.Unlock()
 	return update.Revision, nil
 }
 
+// readTime is how long a read may take.
+func (n *Node) readTime() time.Duration {
+	transfer := n.configurationTransfer()
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return max(n.readLimit, readTimeout, min(transferMargin*transfer, longestRead))
+}
+
 func (n *Node) setReadLimit(limit time.Duration) {
 	n.mutex.Lock()
 	n.readLimit = limit
@@ -188,6 +243,7 @@
 	}
 	if update.Catalog != nil {
 		n.offerCatalog(update.Catalog, "store")
+		n.noteCatalogRevision(update.CatalogRevision)
 	}
 	n.mutex.Lock()
 	before := n.table.Version()
@@ -214,6 +270,16 @@
 	}
 }
 
+// noteCatalogRevision records which revision of the configuration this node has decoded.
+func (n *Node) noteCatalogRevision(revision int64) {
+	for {
+		known := n.catalogRevision.Load()
+		if revision <= known || n.catalogRevision.CompareAndSwap(known, revision) {
+			return
+		}
+	}
+}
+
 // takeReplica enters news of a replica and tells of a change. The caller holds the
 // mutex.
 func (n *Node) takeReplica(replica replicas.Replica) {
@@ -297,23 +363,3 @@
 	n.mutex.Unlock()
 	n.desk.update(func(scheduler *admission.Scheduler) { scheduler.SetReplicas(all) })
 }
-
-// offerCatalog takes a configuration into force if it is valid and newer.
-func (n *Node) offerCatalog(document *catalog.Document, source string) {
-	n.mutex.Lock()
-	defer n.mutex.Unlock()
-	current := n.catalog.Load()
-	if current != nil && document.Version <= current.Version {
-		if document.Version < current.Version {
-			n.log.Write(eventlog.Event{Kind: "configuration", Outcome: "kept-out", Reason: "older", Version: document.Version, Detail: source})
-		}
-		return
-	}
-	compiled, err := catalog.Compile(document)
-	if err != nil {
-		n.log.Write(eventlog.Event{Kind: "configuration", Outcome: "kept-out", Reason: "invalid", Version: document.Version, Detail: err.Error()})
-		return
-	}
-	n.catalog.Store(compiled)
-	n.log.Write(eventlog.Event{Kind: "configuration", Outcome: "in-force", Version: document.Version, Detail: source})
-}
--- a/entry/node.go
+++ b/entry/node.go
@@ -14,6 +14,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/thornwalk/thornwalk/coordination/liveness"
+	"github.com/thornwalk/thornwalk/coordination/spread"
 	"github.com/thornwalk/thornwalk/internal/eventlog"
 	"github.com/thornwalk/thornwalk/outside"
 	"github.com/thornwalk/thornwalk/protocol/peerwire"
@@ -67,7 +68,18 @@
 	// newsSending returns the bytes of news that are being sent.
 	newsSending func() int64
 
-	catalog  atomic.Pointer[catalog.Catalog]
+	catalog atomic.Pointer[catalog.Catalog]
+	// offers is held while a version is taken into force.
+	offers sync.Mutex
+	// library has the parts of the version in force, which others are sent through
+	// senders, and holders who was sent all of them.
+	library *spread.Library
+	senders senders
+	holders spread.Holders
+	newer   newerVersions
+	// catalogRevision is the store's revision of the configuration that was decoded last.
+	catalogRevision atomic.Int64
+
 	stopping atomic.Int64
 	inFlight atomic.Int64
 
@@ -92,12 +104,13 @@
 	storeDown bool
 	// readLimit bounds the next complete read of the store, and endWatch ends the watch
 	// that waits now.
-	readLimit   time.Duration
-	endWatch    context.CancelFunc
-	newsAt      structs.Instant
-	fresh       freshness
-	undelivered []undelivered
-	lag         lag
+	readLimit time.Duration
+	endWatch  context.CancelFunc
+	newsAt    structs.Instant
+	// fresh is of the replicas, and freshConfiguration of the configuration.
+	fresh, freshConfiguration freshness
+	undelivered               []undelivered
+	replicaLag, versionLag    lag
 	// levels is what the last other scheduling node told of the tenants' buckets.
 	levels   map[string]float64
 	levelsAt structs.Instant
@@ -110,6 +123,7 @@
 		pool: replicahttp.NewPool(depend.Network), peers: peer.NewClient(depend.Network, nil),
 		table: replicas.NewTable(), members: liveness.NewTable(settings.Name), health: newHealthBook(), zones: newZoneBook(),
 		held: map[string]heldPlace{}, term: 1, storeBadAt: -time.Hour,
+		library: spread.NewLibrary(), senders: newSenders(settings.Link),
 	}
 	n.settings.Store(settings)
 	n.desk = newDesk(n.now, settings.retryPolicy(1), settings.FirstStart)
@@ -178,6 +192,7 @@
 		return &begunReply{}, nil
 	})
 	peer.Handle(server, peerwire.KindNews, n.serveNews)
+	peer.Handle(server, peerwire.KindConfigurationParts, n.serveParts)
 	n.registerMemory(server)
 	n.inbound = listener
 	go server.Serve(n.ctx, listener)
--- a/entry/pull.go
+++ b/entry/pull.go
@@ -13,7 +13,8 @@
 // Nodes that do not follow the store pull its news from those that do. All of them
 // hear of news at the same time. A reply holds only what is new to the asking node, and
 // one that does not come in time is asked for more rarely: replies that nobody waits
-// for any more fill the links, and the news then reaches nobody.
+// for any more fill the links, and the news then reaches nobody. News of replicas and
+// of the configuration go by calls of their own, so that neither waits for the other.
 
 // Times of pulls.
 const (
@@ -26,10 +27,10 @@
 	newsTimeout = 500 * time.Millisecond
 )
 
-// lag is what peers are known to know more.
+// lag is what peers are known to know more of one kind of news.
 type lag struct {
-	version, latest int64
-	// since is when the first of it was heard of.
+	// told is the newest that a peer told of, and since when the first of it was heard of.
+	told  int64
 	since structs.Instant
 	// pulling is true while a peer is asked, next is when one may be asked again, and
 	// pause the time from a pull to the next one.
@@ -38,6 +39,23 @@
 	pause   time.Duration
 }
 
+// due enters what a peer told and returns whether that peer is to be asked now, given
+// what this node has itself, and how long it waits for its own watch to tell it.
+func (l *lag) due(now structs.Instant, own, told int64, patience time.Duration) bool {
+	if own >= l.told {
+		l.told, l.since = own, now
+	}
+	if told <= own {
+		return false
+	}
+	l.told = max(l.told, told)
+	if now-l.since < patience || l.pulling || now < l.next {
+		return false
+	}
+	l.pulling = true
+	return true
+}
+
 // ended records the end of a pull.
 func (l *lag) ended(now structs.Instant, succeeded bool) {
 	l.pulling = false
@@ -49,34 +67,24 @@
 	l.next = now + l.pause
 }
 
-// behind returns whether the peer knows more for so long that this node's own
-// watch will not tell it, and the node is to be asked now. The caller holds the mutex.
-func (n *Node) behind(beat liveness.Beat) bool {
-	now := n.now()
-	version := int64(0)
-	if current := n.catalog.Load(); current != nil {
-		version = current.Version
+// ownPatience is how long this node waits for its own watch. The caller holds the mutex.
+func (n *Node) ownPatience() time.Duration {
+	if n.rank < watchers {
+		return pullPatience
 	}
-	if version >= n.lag.version && n.table.Latest() >= n.lag.latest {
-		n.lag.version, n.lag.latest, n.lag.since = version, n.table.Latest(), now
-	}
-	if beat.Version <= version && beat.Latest <= n.table.Latest() {
-		return false
-	}
-	n.lag.version, n.lag.latest = max(n.lag.version, beat.Version), max(n.lag.latest, beat.Latest)
-	if n.rank < watchers && now-n.lag.since < pullPatience && version > 0 || n.lag.pulling || now < n.lag.next {
-		return false
-	}
-	n.lag.pulling = true
-	return true
+	return 0
+}
+
+// behindReplicas returns whether the peer knows more of the replicas for so long that
+// this node's own watch will not tell it, and the peer is to be asked now. The caller
+// holds the mutex.
+func (n *Node) behindReplicas(beat liveness.Beat) bool {
+	return n.replicaLag.due(n.now(), n.table.Latest(), beat.Latest, n.ownPatience())
 }
 
 // serveNews answers a peer that is behind.
 func (n *Node) serveNews(_ context.Context, request *newsRequest) (*newsReply, error) {
 	reply := &newsReply{}
-	if current := n.catalog.Load(); current != nil && current.Version > request.Version {
-		reply.Catalog = current.Document
-	}
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	if n.table.Latest() > request.Latest {
@@ -86,11 +94,11 @@
 	return reply, nil
 }
 
-// pullNews asks a peer that knows more than this node.
+// pullNews asks a peer that knows more of the replicas than this node.
 func (n *Node) pullNews(address string) {
 	err := n.pull(address)
 	n.mutex.Lock()
-	n.lag.ended(n.now(), err == nil)
+	n.replicaLag.ended(n.now(), err == nil)
 	n.mutex.Unlock()
 	if err != nil && n.ctx.Err() == nil {
 		n.counter("news.pulls_failed").Inc(1)
@@ -98,24 +106,17 @@
 	}
 }
 
-// pull brings a peer's news into force.
+// pull brings a peer's news of the replicas into force.
 func (n *Node) pull(address string) error {
 	ctx, cancel := context.WithTimeout(n.ctx, newsTimeout)
 	defer cancel()
-	request := &newsRequest{}
-	if current := n.catalog.Load(); current != nil {
-		request.Version = current.Version
-	}
 	n.mutex.Lock()
-	request.Latest = n.table.Latest()
+	request := &newsRequest{Latest: n.table.Latest()}
 	n.mutex.Unlock()
 	reply := &newsReply{}
 	if err := n.peers.Call(ctx, address, peerwire.KindNews, request, reply); err != nil {
 		return err
 	}
-	if reply.Catalog != nil {
-		n.offerCatalog(reply.Catalog, "peer "+address)
-	}
 	n.mutex.Lock()
 	before := n.table.Version()
 	for _, replica := range reply.Replicas {
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -32,6 +32,9 @@
 	// Contact is the time after which a disturbance of the store is forgotten, in
 	// milliseconds.
 	Contact int `yaml:"contact_ms"`
+	// ConfigurationBound is the time in which an accepted configuration is to be in force
+	// everywhere, in milliseconds.
+	ConfigurationBound int `yaml:"configuration_bound_ms"`
 	// Memory is the limit of the process in megabytes; zero means none.
 	Memory int `yaml:"memory_mb"`
 	// Cores is the share of processors that the process may use; stronger nodes
@@ -66,7 +69,7 @@
 
 // ParseSettings reads and checks the content of a settings file.
 func ParseSettings(content []byte) (*Settings, error) {
-	settings := &Settings{StopGrace: 8000, Contact: 3000, RetryRatio: 0.2, RetryWindow: 10, RetrySlack: 20, QuotaWindow: 10}
+	settings := &Settings{StopGrace: 8000, Contact: 3000, ConfigurationBound: 2000, RetryRatio: 0.2, RetryWindow: 10, RetrySlack: 20, QuotaWindow: 10}
 	if err := yaml.Unmarshal(content, settings); err != nil {
 		return nil, errkind.New(errkind.InvalidSettings, "settings: %s", yaml.FormatError(err, false, true))
 	}
@@ -100,6 +103,7 @@
 		{"peer_port", float64(s.PeerPort), 1, highestPort},
 		{"stop_grace_ms", float64(s.StopGrace), 100, 600_000},
 		{"contact_ms", float64(s.Contact), 1, 600_000},
+		{"configuration_bound_ms", float64(s.ConfigurationBound), 100, 600_000},
 		{"cores", s.Cores, 0, 1024},
 		{"link_mbps", s.Link, 0, 10_000_000},
 		{"retry_ratio", s.RetryRatio, 0, 10},
@@ -154,4 +158,11 @@
 }
 
 func (s *Settings) stopGrace() time.Duration { return time.Duration(s.StopGrace) * time.Millisecond }
-func (s *Settings) contact() time.Duration   { return time.Duration(s.Contact) * time.Millisecond }
+
+// behindLimit is how long a node goes on serving by its configuration after it heard of
+// a newer one.
+func (s *Settings) behindLimit() time.Duration {
+	return time.Duration(behindShare * float64(s.ConfigurationBound) * float64(time.Millisecond))
+}
+
+func (s *Settings) contact() time.Duration { return time.Duration(s.Contact) * time.Millisecond }
--- a/outside/directory.go
+++ b/outside/directory.go
@@ -20,19 +20,41 @@
 	Revision int64
 	// Complete is true if Replicas lists every replica.
 	Complete bool
-	// Catalog is nil if the configuration did not change.
-	Catalog  *catalog.Document
-	Replicas []replicas.Replica
-	Gone     []Gone
+	// Catalog is nil if the configuration did not change, and CatalogRevision is its
+	// revision.
+	Catalog         *catalog.Document
+	CatalogRevision int64
+	Replicas        []replicas.Replica
+	Gone            []Gone
 	// Problems are entries that did not parse and were left out.
 	Problems []error
 }
 
+// Scope is what a read brings.
+type Scope int
+
+// The scopes of reads.
+const (
+	// ScopeAll is the configuration and the replicas.
+	ScopeAll Scope = iota
+	// ScopeReplicas leaves the configuration out, which may be long.
+	ScopeReplicas
+)
+
+// String names the scope in logs.
+func (s Scope) String() string {
+	if s == ScopeReplicas {
+		return "replicas"
+	}
+	return "all"
+}
+
 // Directory is where the configuration and the list of replicas come from.
 type Directory interface {
-	// Read returns everything as of one revision or later. The error is of kind
+	// Read returns everything of the scope as of one revision or later. A configuration
+	// of the revision that the caller has already is left out. The error is of kind
 	// StoreUnavailable.
-	Read(ctx context.Context) (*Update, error)
+	Read(ctx context.Context, scope Scope, configuration int64) (*Update, error)
 	// Watch returns what changed after the revision as soon as something did,
 	// or an empty update after the wait. The error is of kind StaleFence if the
 	// history is gone, after which only Read helps, and else StoreUnavailable.
--- a/protocol/peerwire/peerwire.go
+++ b/protocol/peerwire/peerwire.go
@@ -36,6 +36,7 @@
 	KindFinish
 	KindNews
 	KindBegun
+	KindConfigurationParts
 	kindEnd
 )
 
@@ -44,6 +45,7 @@
 	KindFloorDemand: "floor-demand", KindFloorSet: "floor-set", KindLimitDemand: "limit-demand",
 	KindRegister: "register", KindRegistryUpdate: "registry-update", KindRegistryLookup: "registry-lookup",
 	KindJoin: "join", KindClaim: "claim", KindPlace: "place", KindFinish: "finish", KindNews: "news", KindBegun: "begun",
+	KindConfigurationParts: "configuration-parts",
 }
 
 // String returns the name of the kind in metrics and logs.
--- a/transport/peer/peer.go
+++ b/transport/peer/peer.go
@@ -36,7 +36,18 @@
 }
 
 // handler answers one kind of call.
-type handler func(ctx context.Context, body msgpack.RawMessage) (msgpack.RawMessage, error)
+type handler func(ctx context.Context, body msgpack.RawMessage) (answer, error)
+
+// answer is an encoded reply. Sent, if it is set, is called once the reply was written,
+// or could not be.
+type answer struct {
+	body msgpack.RawMessage
+	sent func()
+}
+
+// Tracked is a reply whose handler has to know when it has left this node: a slow link
+// may take long to carry it. Sent is called once it was written, or could not be.
+type Tracked interface{ Sent() }
 
 // Server answers calls of peers.
 type Server struct {
@@ -63,16 +74,21 @@
 // Handle sets the handler of a kind of call with typed messages.
 func Handle[Request, Reply any](server *Server, kind peerwire.Kind, serve func(context.Context, *Request) (*Reply, error)) {
 	server.sending[kind] = &atomic.Int64{}
-	server.handlers[kind] = func(ctx context.Context, body msgpack.RawMessage) (msgpack.RawMessage, error) {
+	server.handlers[kind] = func(ctx context.Context, body msgpack.RawMessage) (answer, error) {
 		request := new(Request)
 		if err := peerwire.Unmarshal(body, request); err != nil {
-			return nil, err
+			return answer{}, err
 		}
 		reply, err := serve(ctx, request)
 		if err != nil {
-			return nil, err
+			return answer{}, err
+		}
+		var encoded answer
+		if tracked, is := any(reply).(Tracked); is {
+			encoded.sent = tracked.Sent
 		}
-		return peerwire.Marshal(reply)
+		encoded.body, err = peerwire.Marshal(reply)
+		return encoded, err
 	}
 }
 
@@ -115,23 +131,30 @@
 		slots <- struct{}{}
 		group.Go(func() {
 			defer func() { <-slots }()
-			s.answer(ctx, shared, envelope)
+			s.respond(ctx, shared, envelope)
 		})
 	}
 }
 
-func (s *Server) answer(ctx context.Context, writer *connectionWriter, envelope *peerwire.Envelope) {
+func (s *Server) respond(ctx context.Context, writer *connectionWriter, envelope *peerwire.Envelope) {
 	reply := &peerwire.Envelope{Call: envelope.Call, Kind: envelope.Kind, Reply: true}
 	serve, known := s.handlers[envelope.Kind]
 	if !known {
 		reply.Code, reply.Detail = errkind.BadFrame.Code, "no handler for "+envelope.Kind.String()
-	} else if body, err := serve(ctx, envelope.Body); err != nil {
-		reply.Code, reply.Detail = errkind.Of(err).Code, err.Error()
 	} else {
-		reply.Body = body
+		encoded, err := serve(ctx, envelope.Body)
+		if encoded.sent != nil {
+			defer encoded.sent()
+		}
+		if err != nil {
+			reply.Code, reply.Detail = errkind.Of(err).Code, err.Error()
+		} else {
+			reply.Body = encoded.body
+		}
+		length := int64(len(reply.Body))
 		sending := s.sending[envelope.Kind]
-		sending.Add(int64(len(body)))
-		defer sending.Add(-int64(len(body)))
+		sending.Add(length)
+		defer sending.Add(-length)
 	}
 	if err := writer.write(ctx, reply); err != nil {
 		_ = writer.connection.Close()
