Let callers come back where a newer configuration is known and not here

Cause: a node that heard of a newer version and could not get it answered 404 or 401 by the old one, and went on to serve by it without an end.

--- a/entry/handler.go
+++ b/entry/handler.go
@@ -79,6 +79,10 @@
 		c.refuse(http.StatusServiceUnavailable, "no-configuration", retryNoConfiguration)
 		return
 	}
+	if n.newer.behindFor(n.now(), current.Version) > n.settings.Load().behindLimit() {
+		c.refuse(http.StatusServiceUnavailable, reasonBehind, retryBehind)
+		return
+	}
 	if !c.admit(current) {
 		return
 	}
@@ -119,13 +123,13 @@
 	names := &c.node.depend.Headers
 	c.route = current.Match(c.request.Host, c.request.URL.EscapedPath())
 	if c.route == nil {
-		c.refuse(http.StatusNotFound, "no-route", 0)
+		c.refuseUnknown(current, http.StatusNotFound, "no-route")
 		return false
 	}
 	if current.RequiresKey(c.route) {
 		key, _ := strings.CutPrefix(c.request.Header.Get("Authorization"), "Bearer ")
 		if c.tenant = current.TenantOfKey(strings.TrimSpace(key)); c.tenant == nil {
-			c.refuse(http.StatusUnauthorized, "unknown-key", 0)
+			c.refuseUnknown(current, http.StatusUnauthorized, "unknown-key")
 			return false
 		}
 	}
@@ -145,6 +149,16 @@
 	return true
 }
 
+// refuseUnknown refuses what the configuration in force does not know. If a newer version
+// is known to exist, that one may know it, and the caller is told to come back.
+func (c *call) refuseUnknown(current *catalog.Catalog, status int, reason string) {
+	if c.node.newer.exists(current.Version) {
+		c.refuse(http.StatusServiceUnavailable, reasonBehind, retryBehind)
+		return
+	}
+	c.refuse(status, reason, 0)
+}
+
 func number(text string) int {
 	value, err := strconv.Atoi(strings.TrimSpace(text))
 	if err != nil {
