Let the soak grow the configuration in series beside its other faults

Cause: the soak never made the configuration large, and so could not meet the incident's cause. Change: a kind that adds 1,400 routes in each of three changes.

--- a/lab/soak/deployment.go
+++ b/lab/soak/deployment.go
@@ -28,16 +28,21 @@
 
 // nodeCount is the number of daemons, and the others the shape of the services.
 const (
-	nodeCount      = 3
-	engineCount    = 3
-	engineSlots    = 6
-	engineEvents   = 8
-	engineStep     = 20 * time.Millisecond
-	registryCount  = 3
-	registrySlots  = 6
-	registryStep   = 15 * time.Millisecond
-	stopGrace      = 4 * time.Second
-	contactBound   = 1500 * time.Millisecond
+	nodeCount     = 3
+	engineCount   = 3
+	engineSlots   = 6
+	engineEvents  = 8
+	engineStep    = 20 * time.Millisecond
+	registryCount = 3
+	registrySlots = 6
+	registryStep  = 15 * time.Millisecond
+	stopGrace     = 4 * time.Second
+	contactBound  = 1500 * time.Millisecond
+	// configurationBound is the nodes' setting for how soon a change is in force.
+	configurationBound = 2 * time.Second
+	// addedFactor spreads the names of added routes, so that they compress no better than
+	// those of a real configuration.
+	addedFactor    = 2654435761
 	freshRouteName = "fresh"
 	staleRouteName = "stale"
 )
@@ -52,6 +57,8 @@
 	proxies      []*proxy
 	listeners    []net.Listener
 	version      int64
+	// added is the number of routes that no caller asks for.
+	added int
 }
 
 // at returns the address of a port on the host with the number.
@@ -126,7 +133,7 @@
 	settings := &entry.Settings{
 		Name: fmt.Sprintf("n%d", number), Zone: "east", Host: fmt.Sprintf("%s.%d", block, host), PeerPort: peerPort,
 		Callers: at(block, host, callersPort), Readiness: at(block, host, readinessPort), Operators: at(block, host, operatorsPort),
-		Store: between.address(), StopGrace: int(stopGrace.Milliseconds()), Contact: int(contactBound.Milliseconds()),
+		Store: between.address(), StopGrace: int(stopGrace.Milliseconds()), Contact: int(contactBound.Milliseconds()), ConfigurationBound: int(configurationBound.Milliseconds()),
 		Cores: 1, RetryRatio: 0.2, RetryWindow: 10, RetrySlack: 60, QuotaWindow: 8, QuotaOverage: 0.1, FirstStart: true,
 	}
 	for seed := range nodeCount {
@@ -157,13 +164,17 @@
 			Service: service, Priority: priority, Attempts: attempts, Resumable: resumable,
 		}
 	}
+	routes := []entrylab.Route{
+		route("once", "unsafe", "registry", 1, 1, false), route("status", "safe", "registry", 2, 2, false),
+		route("report", "streaming", "engines", 0, 1, false), route("chat", "streaming", "engines", 2, 2, true),
+		route(extra, "safe", "registry", 2, 2, false),
+	}
+	for i := range d.added {
+		routes = append(routes, route(fmt.Sprintf("added-%x", uint32(i)*addedFactor), "safe", "registry", 2, 2, false))
+	}
 	entrylab.Configuration{
-		Version: d.version,
-		Routes: []entrylab.Route{
-			route("once", "unsafe", "registry", 1, 1, false), route("status", "safe", "registry", 2, 2, false),
-			route("report", "streaming", "engines", 0, 1, false), route("chat", "streaming", "engines", 2, 2, true),
-			route(extra, "safe", "registry", 2, 2, false),
-		},
+		Version:  d.version,
+		Routes:   routes,
 		Services: []entrylab.Service{{Name: "registry"}, {Name: "engines"}},
 		Tenants:  []entrylab.Tenant{{Name: "office", Keys: []string{callersKey}, Unit: "tokens", PlainTokens: 10, Rate: 100000, Burst: 100000}},
 	}.Write(d.store)
--- a/lab/soak/inject.go
+++ b/lab/soak/inject.go
@@ -59,7 +59,7 @@
 	switch f.kind {
 	case kindStop:
 		i.stops[f.target] = append(i.stops[f.target], span{now, now.Add(stopGrace + restartDelay)})
-	case kindHangUp, kindChange, kindDrain:
+	case kindHangUp, kindChange, kindGrow, kindDrain:
 	default:
 		i.disturbed = append(i.disturbed, span{now.Add(-contactBound), now.Add(f.lasts + recovery)})
 	}
@@ -97,6 +97,8 @@
 		d.store.Compact()
 	case kindChange:
 		i.change()
+	case kindGrow:
+		i.grow()
 	case kindDrain:
 		i.drain()
 	default:
@@ -146,6 +148,38 @@
 func (i *injector) change() {
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
-	i.deployment.configure(freshRouteName)
 	i.changed = true
+	i.configure()
+}
+
+// Bounds of a growth of the configuration.
+const (
+	// growthSteps is the number of changes in a series, growthPause the time between two,
+	// and growthRoutes the routes that each adds.
+	growthSteps  = 3
+	growthPause  = 300 * time.Millisecond
+	growthRoutes = 1400
+	// mostRoutes bounds the added routes of a run.
+	mostRoutes = 3 * growthSteps * growthRoutes
+)
+
+// grow adds many routes that no caller asks for.
+func (i *injector) grow() {
+	for range growthSteps {
+		i.mutex.Lock()
+		i.deployment.added = min(i.deployment.added+growthRoutes, mostRoutes)
+		i.configure()
+		i.mutex.Unlock()
+		time.Sleep(growthPause)
+	}
+}
+
+// configure writes the configuration that the changes so far amount to. The caller holds
+// the mutex.
+func (i *injector) configure() {
+	extra := staleRouteName
+	if i.changed {
+		extra = freshRouteName
+	}
+	i.deployment.configure(extra)
 }
--- a/lab/soak/plan.go
+++ b/lab/soak/plan.go
@@ -28,12 +28,13 @@
 	kindReplicaStray kind = "replica-stray" // a replica sends the answers of others
 	kindDrain        kind = "drain"         // a replica leaves
 	kindChange       kind = "change"        // the operator changes the configuration
+	kindGrow         kind = "grow"          // the operator adds many routes, in several changes
 )
 
 // kinds are all kinds that a plan draws from.
 var kinds = []kind{
 	kindKill, kindStop, kindFreeze, kindHangUp, kindKillAll, kindStoreReset, kindStoreHang, kindStoreDown, kindStoreLost, kindCompact,
-	kindReplicaReset, kindReplicaHang, kindReplicaGrey, kindReplicaCut, kindReplicaStray, kindDrain, kindChange,
+	kindReplicaReset, kindReplicaHang, kindReplicaGrey, kindReplicaCut, kindReplicaStray, kindDrain, kindChange, kindGrow,
 }
 
 // fault is one entry of a plan.
