--- a/entry/node.go
+++ b/entry/node.go
@@ -247,68 +247,6 @@
 	return mux
 }
 
-// Times of a planned stop.
-const (
-	// lookAway is the time in which the balancer learns that the node leaves.
-	// Connections that rest are closed then: the callers' next requests come by new
-	// ones, which lead to other nodes.
-	lookAway = 2500 * time.Millisecond
-	// refuseAfter is when requests that still come are refused.
-	refuseAfter = 2900 * time.Millisecond
-	// stopMargin is kept before the process would be killed.
-	stopMargin = 700 * time.Millisecond
-	stopPoll   = 50 * time.Millisecond
-)
-
-// Stop is a planned stop: not ready at once, then serving until the balancer
-// has looked away and the last answer is out, but no longer than the grace.
-func (n *Node) Stop() {
-	n.stopping.Store(int64(max(n.now(), 1)))
-	n.log.Write(eventlog.Event{Kind: "process.stop", Outcome: "begun", Count: int(n.inFlight.Load())})
-	n.sendBeats()
-	begun := time.Now()
-	limit := n.settings.Load().stopGrace() - stopMargin
-	closed := false
-	for time.Since(begun) < limit {
-		if time.Since(begun) > lookAway && !closed {
-			n.callers.SetKeepAlivesEnabled(false)
-			closed = true
-		}
-		if closed && n.inFlight.Load() == 0 {
-			break
-		}
-		time.Sleep(stopPoll)
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), stopMargin/2)
-	defer cancel()
-	for _, server := range n.servers {
-		_ = server.Shutdown(ctx)
-	}
-	n.log.Write(eventlog.Event{Kind: "process.stop", Outcome: "ended", Count: int(n.inFlight.Load())})
-	n.Kill()
-}
-
-// Kill ends the node at once.
-func (n *Node) Kill() {
-	n.cancel()
-	for _, server := range n.servers {
-		_ = server.Close()
-	}
-	_ = n.inbound.Close()
-	_ = n.beats.Close()
-	n.peers.Close()
-	n.group.Wait()
-}
-
-// stopped returns for how long the node has been stopping, or zero.
-func (n *Node) stopped() time.Duration {
-	begun := n.stopping.Load()
-	if begun == 0 {
-		return 0
-	}
-	return n.now() - time.Duration(begun)
-}
-
 func (n *Node) counter(name string) metrics.Counter {
 	return metrics.GetOrRegisterCounter(name, n.metrics)
 }
--- /dev/null
+++ b/entry/store.go
@@ -0,0 +1,239 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/thornwalk/thornwalk/internal/eventlog"
+	"github.com/thornwalk/thornwalk/outside"
+	"github.com/thornwalk/thornwalk/protocol/errkind"
+	"github.com/thornwalk/thornwalk/structs"
+)
+
+// How a node follows the store: complete reads, watches, and what it makes of their
+// failures. What they bring is taken into force in news.go.
+
+// Times of the calls to the directory.
+const (
+	// readTimeout bounds a complete read. Each one that takes longer doubles it, up to
+	// longestRead, since a store that is slow answers in the end.
+	readTimeout = 800 * time.Millisecond
+	longestRead = 3200 * time.Millisecond
+	// watchWait is how long a watch without news is held; each is a priced call.
+	watchWait = 10 * time.Second
+	// watchMargin is added for the answer to arrive.
+	watchMargin  = 2 * time.Second
+	firstPause   = 150 * time.Millisecond
+	longestPause = time.Second
+	// rereadAfter bounds the time between two complete reads.
+	rereadAfter = 60 * time.Second
+	// transferMargin is how many times longer a read may take than the configuration
+	// alone would take on this node's link if nothing else used it.
+	transferMargin = 3
+	// narrowLink is the bandwidth below which a node first waits for its peers, in
+	// megabits a second: a configuration of 5,600 routes, 2.4 MB from the store, takes
+	// 0.4 s of it.
+	narrowLink = 50
+	// startPatience is how long it does so, which is less than settleTime, and startPoll
+	// the time between looks.
+	startPatience = 300 * time.Millisecond
+	startPoll     = 20 * time.Millisecond
+)
+
+// watchers is how many nodes watch the store. Each call is priced, so the others
+// hear of news from these: a heartbeat tells that there is some, a call brings it.
+const watchers = 3
+
+// watches returns whether this node has to follow the store by itself. It does
+// so too while it can't reach the store, to learn when it can.
+func (n *Node) watches() bool {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.rank < watchers || n.storeDown
+}
+
+// watchLoop follows the directory: a complete read, then watches from there,
+// and a complete read again whenever a watch fails.
+func (n *Node) watchLoop() {
+	pause := firstPause
+	known := false
+	for n.ctx.Err() == nil {
+		if known && !n.watches() {
+			n.setSteady(false)
+			n.pause(beatInterval)
+			continue
+		}
+		scope := n.scope()
+		revision, err := n.read(scope)
+		if err != nil {
+			n.storeFailed(err)
+			if !n.pause(pause) {
+				return
+			}
+			pause = min(pause*2, longestPause)
+			continue
+		}
+		n.storeAnswered()
+		n.setSteady(true)
+		pause = firstPause
+		if scope == outside.ScopeReplicas && !n.awaitConfiguration() {
+			continue
+		}
+		known = true
+		if scope == outside.ScopeAll {
+			n.follow(revision)
+		}
+	}
+}
+
+// scope returns what the watch loop reads. A large configuration is read by few: by the
+// nodes that follow the store for others, and at the start of a process by those with
+// wide links. All others have it from these, sooner than over their own links, and only
+// look whether the store answers.
+func (n *Node) scope() outside.Scope {
+	n.mutex.Lock()
+	follows := n.rank < watchers
+	n.mutex.Unlock()
+	if n.catalog.Load() != nil && !follows {
+		return outside.ScopeReplicas
+	}
+	link := n.settings.Load().Link
+	if n.catalog.Load() == nil && link > 0 && link < narrowLink && n.now() < startPatience {
+		return outside.ScopeReplicas
+	}
+	return outside.ScopeAll
+}
+
+// awaitConfiguration waits at the start of a process until a peer has sent the
+// configuration, and returns false if none did in time.
+func (n *Node) awaitConfiguration() bool {
+	for n.catalog.Load() == nil {
+		if n.now() >= startPatience || !n.pause(startPoll) {
+			return false
+		}
+	}
+	return true
+}
+
+// read reads the store and takes what it holds into force.
+func (n *Node) read(scope outside.Scope) (int64, error) {
+	limit := n.readTime()
+	ctx, cancel := context.WithTimeout(n.ctx, limit)
+	defer cancel()
+	begun := n.now()
+	update, err := n.depend.Directory.Read(ctx, scope, n.catalogRevision.Load())
+	if err != nil {
+		if ctx.Err() != nil {
+			n.setReadLimit(min(2*limit, longestRead))
+		}
+		return 0, err
+	}
+	n.setReadLimit(readTimeout)
+	n.observe("store_read_ms", n.now()-begun)
+	n.apply(update)
+	n.mutex.Lock()
+	n.fresh.note(begun)
+	if scope == outside.ScopeAll {
+		n.freshConfiguration.note(begun)
+	}
+	n.mutex.Unlock()
+	return update.Revision, nil
+}
+
+// readTime is how long a read may take.
+func (n *Node) readTime() time.Duration {
+	transfer := n.configurationTransfer()
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return max(n.readLimit, readTimeout, min(transferMargin*transfer, longestRead))
+}
+
+func (n *Node) setReadLimit(limit time.Duration) {
+	n.mutex.Lock()
+	n.readLimit = limit
+	n.mutex.Unlock()
+}
+
+// follow watches from the revision until a watch fails or is due for a read.
+func (n *Node) follow(revision int64) {
+	begun := time.Now()
+	for n.ctx.Err() == nil && n.watches() && time.Since(begun) < rereadAfter {
+		ctx, cancel := context.WithTimeout(n.ctx, watchWait+watchMargin)
+		n.setWatch(cancel)
+		update, err := n.depend.Directory.Watch(ctx, revision, watchWait)
+		cancel()
+		switch {
+		case errors.Is(err, errkind.StaleFence):
+			// Replicas could renew their entries all the while, so this is no trouble
+			// in which entries run out.
+			n.log.Write(eventlog.Event{Kind: "store.history", Outcome: "gone", Revision: revision})
+			return
+		case err != nil:
+			n.storeFailed(err)
+			n.pause(firstPause)
+			return
+		}
+		n.storeAnswered()
+		n.apply(update)
+		revision = max(revision, update.Revision)
+	}
+}
+
+// setWatch records how the watch that waits now can be ended.
+func (n *Node) setWatch(cancel context.CancelFunc) {
+	n.mutex.Lock()
+	n.endWatch = cancel
+	n.mutex.Unlock()
+}
+
+// setSteady records whether the node follows the store without trouble.
+func (n *Node) setSteady(steady bool) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if steady && !n.steady {
+		n.steadyAt = n.now()
+	}
+	n.steady = steady
+}
+
+// steadyFor returns for how long the node has followed the store without trouble.
+// The caller holds the mutex.
+func (n *Node) steadyFor(now structs.Instant) time.Duration {
+	if !n.steady {
+		return 0
+	}
+	return now - n.steadyAt
+}
+
+func (n *Node) storeFailed(err error) {
+	n.mutex.Lock()
+	n.storeBadAt, n.steady = n.now(), false
+	first := !n.storeDown
+	n.storeDown = true
+	endWatch := n.endWatch
+	n.mutex.Unlock()
+	if first && endWatch != nil {
+		// The watch may hang for as long as it may wait, and only its loop tries again.
+		endWatch()
+	}
+	n.counter("store.failures").Inc(1)
+	if first && n.ctx.Err() == nil {
+		// Others have to follow the store in this node's place.
+		n.sendBeats()
+		n.log.Write(eventlog.Event{Kind: "store", Outcome: "lost", Detail: err.Error()})
+	}
+}
+
+func (n *Node) storeAnswered() {
+	n.mutex.Lock()
+	back := n.storeDown
+	n.storeDown = false
+	if back {
+		n.storeBadAt = n.now()
+	}
+	n.mutex.Unlock()
+	if back {
+		n.log.Write(eventlog.Event{Kind: "store", Outcome: "regained"})
+	}
+}
