Find a request's route without looking at each of the host's routes

Change: a map by prefix, asked at the path's slashes; prefixes that end within a segment, which the product allows, stay a list. A test compares it with looking at each route.

--- a/state/catalog/catalog.go
+++ b/state/catalog/catalog.go
@@ -118,17 +118,59 @@
 // Catalog is a compiled document.
 type Catalog struct {
 	*Document
-	byHost   map[string][]*Route
+	byHost   map[string]*hostRoutes
 	byKey    map[string]*Tenant
 	services map[string]*Service
 	tenants  map[string]*Tenant
 }
 
+// hostRoutes finds the routes of one host. There may be thousands, so that a request does
+// not look at each.
+type hostRoutes struct {
+	// byPrefix has the routes whose prefix ends with a slash, and partial the others,
+	// longest first, which may end within a segment of a path.
+	byPrefix map[string]*Route
+	partial  []*Route
+	// longest is the length of the longest prefix in byPrefix.
+	longest int
+}
+
+// add enters a route. Of several with the same prefix the first counts.
+func (h *hostRoutes) add(route *Route) {
+	if !strings.HasSuffix(route.PathPrefix, "/") {
+		h.partial = append(h.partial, route)
+		return
+	}
+	if _, taken := h.byPrefix[route.PathPrefix]; !taken {
+		h.byPrefix[route.PathPrefix] = route
+		h.longest = max(h.longest, len(route.PathPrefix))
+	}
+}
+
+// match returns the route with the longest prefix of the path, or nil.
+func (h *hostRoutes) match(path string) *Route {
+	var longest *Route
+	for end := min(len(path), h.longest); end > 0 && longest == nil; end-- {
+		if path[end-1] == '/' {
+			longest = h.byPrefix[path[:end]]
+		}
+	}
+	for _, route := range h.partial {
+		if longest != nil && len(route.PathPrefix) < len(longest.PathPrefix) {
+			break
+		}
+		if strings.HasPrefix(path, route.PathPrefix) {
+			return route
+		}
+	}
+	return longest
+}
+
 // Compile checks the document and builds its indexes. The error is of kind
 // InvalidSettings and names path, value and remedy.
 func Compile(document *Document) (*Catalog, error) {
 	c := &Catalog{
-		Document: document, byHost: map[string][]*Route{}, byKey: map[string]*Tenant{},
+		Document: document, byHost: map[string]*hostRoutes{}, byKey: map[string]*Tenant{},
 		services: map[string]*Service{}, tenants: map[string]*Tenant{},
 	}
 	if document.Version <= 0 {
@@ -143,7 +185,7 @@
 		}
 	}
 	for _, routes := range c.byHost {
-		sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].PathPrefix) > len(routes[j].PathPrefix) })
+		sort.SliceStable(routes.partial, func(i, j int) bool { return len(routes.partial[i].PathPrefix) > len(routes.partial[j].PathPrefix) })
 	}
 	for i := range document.Tenants {
 		tenant := &document.Tenants[i]
@@ -169,7 +211,12 @@
 	}
 	route.Attempts = max(route.Attempts, 1)
 	host := strings.ToLower(route.Host)
-	c.byHost[host] = append(c.byHost[host], route)
+	routes, known := c.byHost[host]
+	if !known {
+		routes = &hostRoutes{byPrefix: map[string]*Route{}}
+		c.byHost[host] = routes
+	}
+	routes.add(route)
 	return nil
 }
 
@@ -179,12 +226,11 @@
 	if colon := strings.LastIndexByte(host, ':'); colon >= 0 {
 		host = host[:colon]
 	}
-	for _, route := range c.byHost[host] {
-		if strings.HasPrefix(path, route.PathPrefix) {
-			return route
-		}
+	routes, known := c.byHost[host]
+	if !known {
+		return nil
 	}
-	return nil
+	return routes.match(path)
 }
 
 // TenantOfKey returns the tenant that holds the key, or nil.
--- a/state/catalog/catalog_test.go
+++ b/state/catalog/catalog_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"errors"
+	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
 
 	"github.com/thornwalk/thornwalk/protocol/errkind"
 )
@@ -60,3 +63,37 @@
 	g.Expect(counts).To(gomega.Equal(map[string]int{"a": 900, "b": 100}))
 	g.Expect((&Route{Backends: []Backend{{Service: "only"}}}).Choose(0.5)).To(gomega.Equal("only"))
 }
+
+// Any routes and any path: what is found is what looking at each route finds.
+func TestMatchFindsWhatLookingAtEachRouteFinds(t *testing.T) {
+	segment := rapid.SampledFrom([]string{"a", "ab", "b", "", "a b"})
+	rapid.Check(t, func(t *rapid.T) {
+		g := gomega.NewWithT(t)
+		path := func(label string) string {
+			text := "/" + strings.Join(rapid.SliceOfN(segment, 0, 4).Draw(t, label), "/")
+			if rapid.Bool().Draw(t, label+" ends with a slash") {
+				text += "/"
+			}
+			return text
+		}
+		document := &Document{Version: 1}
+		for i := range rapid.IntRange(0, 12).Draw(t, "routes") {
+			document.Routes = append(document.Routes, Route{Name: fmt.Sprint(i), Host: "h", PathPrefix: path("prefix"), Kind: KindSafe, Backends: []Backend{{Service: "s"}}})
+		}
+		compiled, err := Compile(document)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		asked := path("path")
+		var expected *Route
+		for i := range document.Routes {
+			route := &document.Routes[i]
+			if strings.HasPrefix(asked, route.PathPrefix) && (expected == nil || len(route.PathPrefix) > len(expected.PathPrefix)) {
+				expected = route
+			}
+		}
+		if expected == nil {
+			g.Expect(compiled.Match("h", asked)).To(gomega.BeNil())
+			return
+		}
+		g.Expect(compiled.Match("h", asked).Name).To(gomega.Equal(expected.Name))
+	})
+}
--- a/state/catalog/parts_test.go
+++ b/state/catalog/parts_test.go
@@ -141,3 +141,40 @@
 		}
 	})
 }
+
+// BenchmarkCompile tells what taking a version of 5,600 routes into force costs, with
+// routes of one host and of many.
+func BenchmarkCompile(b *testing.B) {
+	for _, hosts := range []int{1, 1000} {
+		b.Run(fmt.Sprint("hosts=", hosts), func(b *testing.B) {
+			document := largeDocument(1, 5600)
+			for i := range document.Routes {
+				document.Routes[i].Host = fmt.Sprint("h", i%hosts, ".example")
+			}
+			b.ReportAllocs()
+			for b.Loop() {
+				if _, err := Compile(document); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkMatch tells what finding the route of a request costs among 5,600 of one host.
+func BenchmarkMatch(b *testing.B) {
+	document := largeDocument(1, 5600)
+	for i := range document.Routes {
+		document.Routes[i].Host = "h.example"
+	}
+	compiled, err := Compile(document)
+	if err != nil {
+		b.Fatal(err)
+	}
+	path := document.Routes[5000].PathPrefix + "status/17"
+	for b.Loop() {
+		if compiled.Match("h.example", path) == nil {
+			b.Fatal("no route")
+		}
+	}
+}
