--- /dev/null
+++ b/entry/configuration_test.go
@@ -0,0 +1,58 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"testing"
+
+	"github.com/onsi/gomega"
+
+	"github.com/thornwalk/thornwalk/coordination/spread"
+	"github.com/thornwalk/thornwalk/state/catalog"
+)
+
+// severalReplies is a number of routes that do not fit one reply.
+const severalReplies = 5600
+
+// fetchedDocument is a configuration that takes several replies.
+func fetchedDocument() *catalog.Document {
+	document := &catalog.Document{Version: 7, Services: []catalog.Service{{Name: "s"}}}
+	for i := range severalReplies {
+		document.Routes = append(document.Routes, catalog.Route{
+			Name: fmt.Sprintf("tenant-%08x-export", uint32(i)*2654435761), Host: fmt.Sprintf("api-%08x.example", uint32(i)*2246822519), PathPrefix: fmt.Sprintf("/%d/", i),
+			Kind: catalog.KindSafe, Backends: []catalog.Backend{{Service: "s", Weight: 1}}, Attempts: 1,
+		})
+	}
+	return document
+}
+
+// A node may read a version from the store while it fetches the same from a peer: so do
+// nodes whose watch is late, and all that start. What it then has in force is whole, and
+// it can send all of it on.
+func TestVersionFromTheStoreDuringItsFetchCanBeSentOn(t *testing.T) {
+	g := gomega.NewWithT(t)
+	peer := spread.NewLibrary()
+	g.Expect(peer.Publish(fetchedDocument())).To(gomega.Succeed())
+	n := freshnessNode(0)
+	reply, whole := peer.Serve(&spread.Request{}, partsBudget)
+	g.Expect(whole).To(gomega.BeFalse(), "the version takes several replies")
+	document, _, err := n.library.Take(reply)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(document).To(gomega.BeNil())
+	n.offerCatalog(fetchedDocument(), "store")
+	g.Expect(n.version()).To(gomega.Equal(int64(7)))
+	g.Expect(func() {
+		asker := spread.NewLibrary()
+		for asker.Version() == 0 {
+			parts, err := n.serveParts(context.Background(), &spread.Request{Version: asker.Version(), Held: asker.Held()})
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			made, progress, err := asker.Take(&parts.Reply)
+			parts.Sent()
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(progress).To(gomega.BeTrue())
+			if made != nil {
+				asker.Adopt(made.Version)
+			}
+		}
+	}).NotTo(gomega.Panic())
+}
