Start all nodes with narrow links again with a large configuration

Cause: nodes that start ask peers and read the store at the same time.

Change: a test, which on the code as it is ends the test process in some of the runs, as nodes do then. No logic changes.

--- /dev/null
+++ b/test/entry/narrow_start_test.go
@@ -0,0 +1,48 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+)
+
+// restartGap is the time within which all machines start, and recoveryLimit the time in
+// which they have to serve again.
+const (
+	restartGap    = 300 * time.Millisecond
+	recoveryLimit = 12 * time.Second
+)
+
+// After a loss of power all nodes start at once and nobody has the configuration. Where
+// no link is wide, all of them read the store and ask each other at the same time. On the
+// code as it was a node that read a version while it fetched it ended when it was asked
+// for a part that it lacked, and the whole test process ends with it.
+func TestAllNodesWithNarrowLinksStartAgainWithALargeConfiguration(t *testing.T) {
+	playLinks(t, narrowEverywhere, func(s *newsScene) {
+		s.add(largeVersions * routesAdded)
+		s.write()
+		time.Sleep(newsWatched)
+		for _, host := range s.nodes {
+			s.lab.Node(host).Kill()
+		}
+		time.Sleep(time.Second)
+		_, before := s.sent()
+		begun := time.Now()
+		for i, host := range s.nodes {
+			s.Expect(s.lab.StartNode(host, newsZones[i%len(newsZones)])).To(gomega.Succeed())
+			time.Sleep(restartGap / newsNodes)
+		}
+		ready := lateness{}
+		for ; time.Since(begun) < recoveryLimit && len(ready) < newsNodes; time.Sleep(lookInterval) {
+			for _, host := range s.nodes {
+				if s.lab.Node(host).Ready() {
+					ready.note(host, time.Since(begun).Seconds())
+				}
+			}
+		}
+		_, after := s.sent()
+		t.Logf("ready: %s; the store sent %.1f MB", ready.worst(), float64(after-before)/1e6)
+		s.Expect(ready).To(gomega.HaveLen(newsNodes), "nodes that are ready within %v of the start", recoveryLimit)
+	})
+}
