Publish only whole versions, and refuse only for versions that a living peer has

Change: the library takes a fetched version into force only if it lacks nothing, publishes under its lock, copies what it keeps, and goes on with the newest version it was told of. Versions that no living peer has are forgotten; a node that refuses for being behind is not ready either, so that callers come to others. A version that is not valid here is fetched once.

--- a/coordination/spread/holders.go
+++ b/coordination/spread/holders.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 )
 
@@ -24,15 +25,16 @@
 	nodes   []holder
 }
 
-// Note records that the sender of the request has the version.
+// Note records that the sender of the request was sent all of the version.
 func (h *Holders) Note(version int64, request *Request) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	if version > h.version {
 		h.version, h.nodes = version, nil
 	}
-	if version == h.version && len(h.nodes) < mostHolders {
-		h.nodes = append(h.nodes, holder{address: request.Address, zone: request.Zone})
+	node := holder{address: request.Address, zone: request.Zone}
+	if version == h.version && len(h.nodes) < mostHolders && !slices.Contains(h.nodes, node) {
+		h.nodes = append(h.nodes, node)
 	}
 }
 
--- a/coordination/spread/library.go
+++ b/coordination/spread/library.go
@@ -54,31 +54,26 @@
 // Publish makes the document, which was compiled, the version in force. Parts that are
 // here already are not compressed again.
 func (l *Library) Publish(document *catalog.Document) error {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
 	parts := catalog.Split(document)
 	manifest := catalog.Manifest{Version: document.Version, Parts: make([]catalog.Hash, 0, len(parts))}
-	added := map[catalog.Hash]entry{}
 	for i := range parts {
 		hash, content, err := parts[i].Encode()
 		if err != nil {
 			return err
 		}
 		manifest.Parts = append(manifest.Parts, hash)
-		if _, repeated := added[hash]; repeated || l.has(hash) {
+		if _, found := l.entries[hash]; found {
 			continue
 		}
 		packed, err := catalog.Pack(hash, content)
 		if err != nil {
 			return err
 		}
-		added[hash] = entry{part: parts[i], packed: packed}
-	}
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	for hash, held := range added {
-		l.entries[hash] = held
-	}
-	if l.lacks(manifest) {
-		return errkind.New(errkind.InvalidSettings, "version %d: parts were dropped while it was published; publish it again", manifest.Version)
+		// A part that shared the document's memory would keep all of it for as long as
+		// later versions have the part.
+		l.entries[hash] = entry{part: parts[i].Clone(), packed: packed}
 	}
 	l.adopt(manifest)
 	return nil
@@ -88,11 +83,19 @@
 func (l *Library) Adopt(version int64) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if l.fetching.Version == version && version > l.inForce.Version {
+	if l.fetching.Version == version && !l.lacks(l.fetching) {
 		l.adopt(l.fetching)
 	}
 }
 
+// Abandon forgets which version is being fetched, as nobody may have all of it any more.
+// The parts that came stay until the next reply tells which of them are needed.
+func (l *Library) Abandon() {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.fetching = catalog.Manifest{}
+}
+
 // adopt takes the manifest into force unless a newer one is. The caller holds the mutex.
 func (l *Library) adopt(manifest catalog.Manifest) {
 	if manifest.Version <= l.inForce.Version {
@@ -120,13 +123,6 @@
 	}
 }
 
-func (l *Library) has(hash catalog.Hash) bool {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	_, found := l.entries[hash]
-	return found
-}
-
 // lacks returns whether some part of the manifest is not here. The caller holds the mutex.
 func (l *Library) lacks(manifest catalog.Manifest) bool {
 	for _, hash := range manifest.Parts {
@@ -144,6 +140,13 @@
 	return l.inForce.Version
 }
 
+// Fetching returns the version that is being fetched; zero means none.
+func (l *Library) Fetching() int64 {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.fetching.Version
+}
+
 // Held returns the names of all parts that are here.
 func (l *Library) Held() []catalog.Hash {
 	l.mutex.Lock()
@@ -218,7 +221,11 @@
 	if reply.Manifest.Version <= l.inForce.Version {
 		return nil, false, err
 	}
-	l.fetching = reply.Manifest
+	// A peer that is itself behind may send parts of the version that is being fetched,
+	// but not lead back to its own.
+	if reply.Manifest.Version > l.fetching.Version {
+		l.fetching = reply.Manifest
+	}
 	missing := map[catalog.Hash]bool{}
 	for _, hash := range l.fetching.Parts {
 		if _, found := l.entries[hash]; !found {
--- a/entry/behind.go
+++ b/entry/behind.go
@@ -21,8 +21,8 @@
 // mostVersions bounds the versions that are remembered as heard of.
 const mostVersions = 64
 
-// newerVersions remembers which versions newer than its own a node has heard of, and
-// when. It is safe for concurrent use.
+// newerVersions remembers which versions newer than its own a node has heard of from
+// peers that still live, and when. It is safe for concurrent use.
 type newerVersions struct {
 	newest   atomic.Int64
 	mutex    sync.Mutex
@@ -30,15 +30,16 @@
 	rejected int64
 }
 
-// heard records that a peer has the version.
-func (v *newerVersions) heard(now structs.Instant, own, version int64) {
+// heard records that a peer has the version. It returns false if this node has it, or
+// can't take it into force.
+func (v *newerVersions) heard(now structs.Instant, own, version int64) bool {
 	if version <= own {
-		return
+		return false
 	}
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
 	if version <= v.rejected {
-		return
+		return false
 	}
 	v.newest.Store(max(v.newest.Load(), version))
 	if v.at == nil {
@@ -52,6 +53,23 @@
 	if _, known := v.at[version]; !known && len(v.at) < mostVersions {
 		v.at[version] = now
 	}
+	return true
+}
+
+// limit forgets the versions above the newest that a living peer has: nobody can have
+// them before the store tells them, and the store may be away.
+func (v *newerVersions) limit(newest int64) {
+	v.mutex.Lock()
+	defer v.mutex.Unlock()
+	if v.newest.Load() <= newest {
+		return
+	}
+	v.newest.Store(newest)
+	for version := range v.at {
+		if version > newest {
+			delete(v.at, version)
+		}
+	}
 }
 
 // reject records that this node can't take the version into force and goes by the last
@@ -63,7 +81,11 @@
 	if v.newest.Load() <= v.rejected {
 		v.newest.Store(0)
 	}
-	clear(v.at)
+	for known := range v.at {
+		if known <= v.rejected {
+			delete(v.at, known)
+		}
+	}
 }
 
 // exists returns whether a version newer than the node's own was heard of.
@@ -84,3 +106,20 @@
 	}
 	return longest
 }
+
+// behindTooLong returns whether this node has lacked a newer configuration for so long
+// that it may not answer by its own any more.
+func (n *Node) behindTooLong() bool {
+	return n.newer.behindFor(n.now(), n.version()) > n.settings.Load().behindLimit()
+}
+
+// forgetVersionsOfDeadPeers drops what no living peer has from the versions heard of.
+func (n *Node) forgetVersionsOfDeadPeers() {
+	newest := int64(0)
+	n.mutex.Lock()
+	for _, member := range n.members.Live(n.now()) {
+		newest = max(newest, member.Version)
+	}
+	n.mutex.Unlock()
+	n.newer.limit(newest)
+}
--- a/entry/configuration.go
+++ b/entry/configuration.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/thornwalk/thornwalk/coordination/liveness"
@@ -38,6 +40,10 @@
 // errNobodyElse means that no other node is known to have the version.
 var errNobodyElse = errors.New("no other node is known to have the version")
 
+// errInvalid means that this node can't take the version into force; others have no
+// other one.
+var errInvalid = errors.New("the version is not valid at this node")
+
 // offerCatalog takes a configuration into force if it is valid and newer.
 func (n *Node) offerCatalog(document *catalog.Document, source string) {
 	n.offers.Lock()
@@ -86,20 +92,22 @@
 	if own == 0 {
 		patience = 0
 	}
-	n.newer.heard(n.now(), own, beat.Version)
+	if !n.newer.heard(n.now(), own, beat.Version) {
+		return false
+	}
 	return n.versionLag.due(n.now(), own, beat.Version, patience)
 }
 
-// partsReply releases the turn at this node's link once it was sent.
+// partsReply gives the turn at this node's link back once it was sent.
 type partsReply struct {
 	spread.Reply `msgpack:",inline"`
-	release      func()
+	sent         func()
 }
 
 // Sent implements peer.Tracked.
 func (r *partsReply) Sent() {
-	if r.release != nil {
-		r.release()
+	if r.sent != nil {
+		r.sent()
 	}
 }
 
@@ -113,19 +121,27 @@
 		return &partsReply{Reply: spread.Reply{Busy: true, Holders: n.holders.Name(request)}}, nil
 	}
 	reply, whole := n.library.Serve(request, partsBudget)
-	if whole {
-		n.holders.Note(reply.Manifest.Version, request)
-	}
 	for _, content := range reply.Content {
 		n.counter("configuration.bytes_sent").Inc(int64(len(content)))
 	}
-	return &partsReply{Reply: *reply, release: n.senders.leave}, nil
+	// A peer that does not read keeps its turn no longer than it waits for the reply.
+	leave := sync.OnceFunc(n.senders.leave)
+	time.AfterFunc(partsTimeout, leave)
+	return &partsReply{Reply: *reply, sent: func() {
+		leave()
+		if whole {
+			n.holders.Note(reply.Manifest.Version, request)
+		}
+	}}, nil
 }
 
 // fetchConfiguration brings the newer version of a peer into force.
 func (n *Node) fetchConfiguration(address string) {
 	begun, held := n.now(), n.version()
 	progress, err := n.fetch(address)
+	if err != nil {
+		n.library.Abandon()
+	}
 	n.mutex.Lock()
 	n.versionLag.ended(n.now(), err == nil || progress)
 	n.mutex.Unlock()
@@ -170,7 +186,7 @@
 		}
 		failures++
 		next := n.nextHolder(nil, address)
-		if failures > failuresBorne || next == address || ctx.Err() != nil {
+		if failures > failuresBorne || next == address || ctx.Err() != nil || errors.Is(err, errInvalid) {
 			return progress, err
 		}
 		address = next
@@ -199,40 +215,37 @@
 	}
 	if document != nil {
 		n.offerCatalog(document, "peer "+address)
+		if n.version() < document.Version {
+			return progress, false, errInvalid
+		}
 	}
 	return progress, reply.Manifest.Version > 0 && n.version() >= reply.Manifest.Version, nil
 }
 
-// nextHolder returns a node to ask after the one at the address: one of those named, or
-// any live one that tells a newer version, of this zone if there is one; if there is
-// none, the same again.
+// nextHolder returns a node to ask after the one at the address: a live one of those
+// named, or that tells the version that is being fetched or any newer than this node's,
+// of this zone if there is one; if there is none, the same again.
 func (n *Node) nextHolder(named []string, address string) string {
-	own := n.version()
-	var near, far []string
-	for _, other := range named {
-		if other != address && other != n.selfAddress() {
-			near = append(near, other)
+	least, zone := max(n.version()+1, n.library.Fetching()), n.settings.Load().Zone
+	var told, near, far []string
+	n.mutex.Lock()
+	for _, member := range n.members.Live(n.now()) {
+		switch {
+		case member.Address == address:
+		case slices.Contains(named, member.Address):
+			told = append(told, member.Address)
+		case member.Version < least:
+		case member.Zone == zone:
+			near = append(near, member.Address)
+		default:
+			far = append(far, member.Address)
 		}
 	}
-	if len(near) == 0 {
-		zone := n.settings.Load().Zone
-		n.mutex.Lock()
-		for _, member := range n.members.Live(n.now()) {
-			switch {
-			case member.Version <= own || member.Address == address:
-			case member.Zone == zone:
-				near = append(near, member.Address)
-			default:
-				far = append(far, member.Address)
-			}
+	n.mutex.Unlock()
+	for _, group := range [][]string{told, near, far} {
+		if len(group) > 0 {
+			return group[rand.IntN(len(group))]
 		}
-		n.mutex.Unlock()
-	}
-	if len(near) == 0 {
-		near = far
-	}
-	if len(near) == 0 {
-		return address
 	}
-	return near[rand.IntN(len(near))]
+	return address
 }
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -79,7 +79,7 @@
 		c.refuse(http.StatusServiceUnavailable, "no-configuration", retryNoConfiguration)
 		return
 	}
-	if n.newer.behindFor(n.now(), current.Version) > n.settings.Load().behindLimit() {
+	if n.behindTooLong() {
 		c.refuse(http.StatusServiceUnavailable, reasonBehind, retryBehind)
 		return
 	}
--- a/entry/node.go
+++ b/entry/node.go
@@ -226,7 +226,7 @@
 
 // Ready returns whether the balancer should send requests.
 func (n *Node) Ready() bool {
-	if n.stopping.Load() != 0 || n.catalog.Load() == nil || n.now() < settleTime {
+	if n.stopping.Load() != 0 || n.catalog.Load() == nil || n.now() < settleTime || n.behindTooLong() {
 		return false
 	}
 	n.mutex.Lock()
@@ -275,6 +275,7 @@
 	for n.pause(housekeepingInterval) {
 		n.pool.Sweep()
 		n.expireReplicas()
+		n.forgetVersionsOfDeadPeers()
 		n.deliverAgain()
 		n.releaseEndedNodes()
 		n.tellMemory()
--- a/state/catalog/parts.go
+++ b/state/catalog/parts.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"compress/flate"
 	"io"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/vmihailenco/msgpack/v5"
@@ -42,6 +43,14 @@
 	Limits *Limits `msgpack:"l,omitempty"`
 }
 
+// Clone returns a part that shares no list with this one.
+func (p *Part) Clone() Part {
+	return Part{
+		Routes: slices.Clone(p.Routes), Services: slices.Clone(p.Services), Tenants: slices.Clone(p.Tenants),
+		Limits: p.Limits,
+	}
+}
+
 // Manifest lists the parts of one version in order.
 type Manifest struct {
 	Version int64  `msgpack:"v"`
