Let a tenth of a link at most go to reading the configuration again

And after an outage of the store every node took itself for the one that reads it for all, as each left out the others that did not reach the store, and not itself. Change: the reader's interval for the configuration is at least ten times what it takes on its link (the list of replicas still every 0.9 s), and what counts as old follows; a node that does not reach the store has no place among those that follow it, and the first senior nodes that reach it again say so at once; at its start a node with a narrow link that does not follow the store waits up to 2.5 s for one that does; a read may take twice as long as the last, as a list that came in time otherwise undid the patience that the configuration needs (TestSlowStoreIsReadInTheEnd failed without).

--- a/entry/choice.go
+++ b/entry/choice.go
@@ -61,10 +61,15 @@
 }
 
 // storeRank returns this node's place among the live nodes that reach the store.
-// Strong ones come first: all others pull the news from the first few. The caller
-// holds the mutex.
+// Strong ones come first: all others pull the news from the first few. A node that does
+// not reach the store has none of these places, also while nobody does: when the store
+// is back, the first to notice tell the others, and not all of them take themselves for
+// the one that reads it for all. The caller holds the mutex.
 func (n *Node) storeRank(live []*liveness.Member) int {
 	settings := n.settings.Load()
+	if n.storeDown {
+		return len(live) + watchers
+	}
 	beats := []liveness.Beat{{Name: settings.Name, Cores: settings.Cores, Link: settings.Link}}
 	for _, member := range live {
 		if !member.Leaving && !member.Storeless {
--- a/entry/freshness.go
+++ b/entry/freshness.go
@@ -20,6 +20,10 @@
 	// rendezvous order: watches may fall silent without failing.
 	readers      = 1
 	readInterval = 900 * time.Millisecond
+	// configurationShare is how many times longer than the configuration takes on the
+	// reading node's link the time between two reads of it is at least: it uses a tenth
+	// of the link. Changes come by the watch; the reads are for watches that fall silent.
+	configurationShare = 10
 	// staleAfter is the age of the latest read after which any node reads, and
 	// staleStep what each place in the order waits longer, up to staleSteps.
 	staleAfter = 1300 * time.Millisecond
@@ -91,12 +95,16 @@
 	if n.storeDown || now-last < readInterval {
 		return 0, false // the watch loop tries again by itself
 	}
+	interval := max(readInterval, configurationShare*transfer)
 	if n.rank < readers {
-		return outside.ScopeAll, true
+		if !n.freshConfiguration.known || now-n.freshConfiguration.at >= interval {
+			return outside.ScopeAll, true
+		}
+		return outside.ScopeReplicas, true
 	}
 	place := time.Duration(min(n.rank, staleSteps))
-	if n.freshConfiguration.known && !n.versionLag.pulling &&
-		now-n.freshConfiguration.at > staleAfter+place*min(staleStep+transfer, longestStaleStep)+n.spreadOver(transfer) {
+	old := staleAfter + interval - readInterval + place*min(staleStep+transfer, longestStaleStep) + n.spreadOver(transfer)
+	if n.freshConfiguration.known && !n.versionLag.pulling && now-n.freshConfiguration.at > old {
 		return outside.ScopeAll, true
 	}
 	return outside.ScopeReplicas, n.fresh.known && now-n.fresh.at > staleAfter+place*staleStep
--- a/entry/store.go
+++ b/entry/store.go
@@ -20,6 +20,8 @@
 	// longestRead, since a store that is slow answers in the end.
 	readTimeout = 800 * time.Millisecond
 	longestRead = 3200 * time.Millisecond
+	// slowMargin is how many times longer than the last read the next one may take.
+	slowMargin = 2
 	// watchWait is how long a watch without news is held; each is a priced call.
 	watchWait = 10 * time.Second
 	// watchMargin is added for the answer to arrive.
@@ -35,10 +37,12 @@
 	// megabits a second: a configuration of 5,600 routes, 2.4 MB from the store, takes
 	// 0.4 s of it.
 	narrowLink = 50
-	// startPatience is how long it does so, which is less than settleTime, and startPoll
-	// the time between looks.
-	startPatience = 300 * time.Millisecond
-	startPoll     = 20 * time.Millisecond
+	// startPatience is how long it does so, which is less than settleTime, if it then
+	// follows the store for others, and followerPatience if others do: as long as one of
+	// these with a narrow link takes. startPoll is the time between looks.
+	startPatience    = 300 * time.Millisecond
+	followerPatience = 2500 * time.Millisecond
+	startPoll        = 20 * time.Millisecond
 )
 
 // watchers is how many nodes watch the store. Each call is priced, so the others
@@ -98,18 +102,34 @@
 	if n.catalog.Load() != nil && !follows {
 		return outside.ScopeReplicas
 	}
-	link := n.settings.Load().Link
-	if n.catalog.Load() == nil && link > 0 && link < narrowLink && n.now() < startPatience {
+	if n.catalog.Load() == nil && n.hasNarrowLink() && n.now() < n.peersPatience() {
 		return outside.ScopeReplicas
 	}
 	return outside.ScopeAll
 }
 
+// hasNarrowLink returns whether a large configuration takes long on this node's link.
+func (n *Node) hasNarrowLink() bool {
+	link := n.settings.Load().Link
+	return link > 0 && link < narrowLink
+}
+
+// peersPatience is the age of the process until which it waits for its peers to send
+// the configuration.
+func (n *Node) peersPatience() time.Duration {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if n.rank < watchers {
+		return startPatience
+	}
+	return followerPatience
+}
+
 // awaitConfiguration waits at the start of a process until a peer has sent the
 // configuration, and returns false if none did in time.
 func (n *Node) awaitConfiguration() bool {
 	for n.catalog.Load() == nil {
-		if n.now() >= startPatience || !n.pause(startPoll) {
+		if n.now() >= n.peersPatience() || !n.pause(startPoll) {
 			return false
 		}
 	}
@@ -118,7 +138,7 @@
 
 // read reads the store and takes what it holds into force.
 func (n *Node) read(scope outside.Scope) (int64, error) {
-	limit := n.readTime()
+	limit := n.readTime(scope)
 	ctx, cancel := context.WithTimeout(n.ctx, limit)
 	defer cancel()
 	begun := n.now()
@@ -129,8 +149,9 @@
 		}
 		return 0, err
 	}
-	n.setReadLimit(readTimeout)
-	n.observe("store_read_ms", n.now()-begun)
+	took := n.now() - begun
+	n.setReadLimit(min(slowMargin*took, longestRead))
+	n.observe("store_read_ms", took)
 	n.apply(update)
 	n.mutex.Lock()
 	n.fresh.note(begun)
@@ -142,8 +163,14 @@
 }
 
 // readTime is how long a read may take.
-func (n *Node) readTime() time.Duration {
-	transfer := n.configurationTransfer()
+func (n *Node) readTime(scope outside.Scope) time.Duration {
+	transfer := time.Duration(0)
+	if scope == outside.ScopeAll {
+		transfer = n.configurationTransfer()
+		if n.catalog.Load() == nil && n.hasNarrowLink() {
+			transfer = longestRead // nothing is known of its length
+		}
+	}
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	return max(n.readLimit, readTimeout, min(transferMargin*transfer, longestRead))
@@ -159,7 +186,9 @@
 func (n *Node) follow(revision int64) {
 	begun := time.Now()
 	for n.ctx.Err() == nil && n.watches() && time.Since(begun) < rereadAfter {
-		ctx, cancel := context.WithTimeout(n.ctx, watchWait+watchMargin)
+		// The configuration comes whole with each change.
+		margin := max(watchMargin, transferMargin*n.configurationTransfer())
+		ctx, cancel := context.WithTimeout(n.ctx, watchWait+margin)
 		n.setWatch(cancel)
 		update, err := n.depend.Directory.Watch(ctx, revision, watchWait)
 		cancel()
@@ -227,12 +256,16 @@
 
 func (n *Node) storeAnswered() {
 	n.mutex.Lock()
-	back := n.storeDown
+	back, tells := n.storeDown, n.senior
 	n.storeDown = false
 	if back {
 		n.storeBadAt = n.now()
 	}
 	n.mutex.Unlock()
+	if back && tells {
+		// Those that follow the store are of the senior nodes.
+		n.sendBeats()
+	}
 	if back {
 		n.log.Write(eventlog.Event{Kind: "store", Outcome: "regained"})
 	}
