Read the configuration at each turn of the reader, and tell a fetch's steps plainly

Cause: the reader found its turn due a moment before the read began, so that an interval counted from the read's begin was never over at the next turn, and a small configuration would have been read at every second one only: others would have found their knowledge old. Change: the interval is over one look earlier; a test holds it. The loop of a fetch has one error and one way out.

--- a/entry/configuration.go
+++ b/entry/configuration.go
@@ -161,36 +161,35 @@
 func (n *Node) fetch(address string) (progress bool, err error) {
 	ctx, cancel := context.WithTimeout(n.ctx, fetchTimeout)
 	defer cancel()
-	failures := 0
-	for {
-		reply, err := n.askForParts(ctx, address)
-		if err == nil && reply.Busy {
+	for failures := 0; failures <= failuresBorne; {
+		var reply *partsReply
+		if reply, err = n.askForParts(ctx, address); err == nil && reply.Busy {
 			address = n.nextHolder(reply.Holders, address)
-			if !n.pause(busyPause + rand.N(busyJitter)) {
-				return progress, n.ctx.Err()
-			}
-			continue
+			n.pause(busyPause + rand.N(busyJitter))
+			continue // once the time is over the next call fails
 		}
 		came, whole := false, false
 		if err == nil {
 			came, whole, err = n.takeParts(&reply.Reply, address)
 		}
 		progress = progress || came
-		switch {
-		case whole:
+		if whole {
 			return true, nil
-		case err == nil && came:
+		}
+		if err == nil && came {
 			continue
-		case err == nil:
+		}
+		if err == nil {
 			err = errNobodyElse
 		}
-		failures++
 		next := n.nextHolder(nil, address)
-		if failures > failuresBorne || next == address || ctx.Err() != nil || errors.Is(err, errInvalid) {
+		if next == address || ctx.Err() != nil || errors.Is(err, errInvalid) {
 			return progress, err
 		}
 		address = next
+		failures++
 	}
+	return progress, err
 }
 
 // askForParts makes one call.
--- a/entry/freshness.go
+++ b/entry/freshness.go
@@ -97,7 +97,8 @@
 	}
 	interval := max(readInterval, configurationShare*transfer)
 	if n.rank < readers {
-		if !n.freshConfiguration.known || now-n.freshConfiguration.at >= interval {
+		// A read begins a little after the moment at which it was found due.
+		if !n.freshConfiguration.known || now-n.freshConfiguration.at > interval-readCheck {
 			return outside.ScopeAll, true
 		}
 		return outside.ScopeReplicas, true
--- a/entry/freshness_test.go
+++ b/entry/freshness_test.go
@@ -83,6 +83,16 @@
 	g.Expect(n.fresh.age(20 * time.Second)).To(gomega.BeEquivalentTo(250))
 }
 
+func TestTheReaderTakesATenthOfItsLinkForTheConfiguration(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n := freshnessNode(0)
+	begun := 20 * time.Second
+	n.freshConfiguration.note(begun + time.Millisecond) // a read begins after it was found due
+	g.Expect(dueScope(n, begun+readInterval, begun, 0)).To(gomega.Equal("all"))
+	g.Expect(dueScope(n, begun+readInterval, begun, time.Second)).To(gomega.Equal("replicas"))
+	g.Expect(dueScope(n, begun+configurationShare*time.Second, begun, time.Second)).To(gomega.Equal("all"))
+}
+
 func TestFirstNodesReadInAnyCase(t *testing.T) {
 	g := gomega.NewWithT(t)
 	n := freshnessNode(0)
