Pull the older daemon's settings once at a time, and off the heartbeat

Change: one pull at a time, beside the heartbeats; the stored form is made once a generation. The settings still go whole (decision 0021).

--- a/coordination/settingsync/settingsync.go
+++ b/coordination/settingsync/settingsync.go
@@ -245,10 +245,16 @@
 	onChange func(*settings.Compiled)
 }
 
-// inForce is one generation in both forms.
+// inForce is one generation in all its forms.
 type inForce struct {
 	document *Document
 	compiled *settings.Compiled
+	// encoded is made once for all peers that ask.
+	encoded func() ([]byte, error)
+}
+
+func newInForce(document *Document, compiled *settings.Compiled) *inForce {
+	return &inForce{document: document, compiled: compiled, encoded: sync.OnceValues(document.Encode)}
 }
 
 // NewHolder returns a holder in which the document is in force; onChange runs
@@ -259,7 +265,7 @@
 		return nil, err
 	}
 	holder := &Holder{onChange: onChange}
-	holder.state.Store(&inForce{document: document, compiled: compiled})
+	holder.state.Store(newInForce(document, compiled))
 	return holder, nil
 }
 
@@ -269,6 +275,16 @@
 // Document returns the document in force. It must not be changed.
 func (h *Holder) Document() *Document { return h.state.Load().document }
 
+// Newer returns the stored form of the document in force if its generation is higher
+// than the one given, and otherwise nil. It must not be changed.
+func (h *Holder) Newer(generation uint64) ([]byte, error) {
+	state := h.state.Load()
+	if state.document.Generation <= generation {
+		return nil, nil
+	}
+	return state.encoded()
+}
+
 // Offer takes the document into force if its generation is higher than the one
 // in force, and returns whether it did. The error is of kind InvalidSettings if
 // it does not compile; the one in force then stays.
@@ -282,7 +298,7 @@
 	if err != nil {
 		return false, err
 	}
-	h.state.Store(&inForce{document: document, compiled: compiled})
+	h.state.Store(newInForce(document, compiled))
 	if h.onChange != nil {
 		h.onChange(compiled)
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -38,23 +38,25 @@
 
 // Node is one entry node.
 type Node struct {
-	config   Config
-	depend   Dependencies
-	started  time.Time
-	ctx      context.Context
-	cancel   context.CancelFunc
-	group    sync.WaitGroup
-	sealer   *receipt.Sealer
-	adapter  *backendhttp.Adapter
-	peers    *peer.Client
-	answers  *answer.Store
-	claims   *claims.Committer
-	settings *settingsync.Holder
-	acceptor settingsync.Acceptor
-	metrics  metrics.Registry
-	explains *decisionLog
-	tickets  *ticketBook
-	traffic  *trafficMeter
+	config  Config
+	depend  Dependencies
+	started time.Time
+	ctx     context.Context
+	cancel  context.CancelFunc
+	group   sync.WaitGroup
+	// pullingSettings is true while a peer is asked for its settings.
+	pullingSettings atomic.Bool
+	sealer          *receipt.Sealer
+	adapter         *backendhttp.Adapter
+	peers           *peer.Client
+	answers         *answer.Store
+	claims          *claims.Committer
+	settings        *settingsync.Holder
+	acceptor        settingsync.Acceptor
+	metrics         metrics.Registry
+	explains        *decisionLog
+	tickets         *ticketBook
+	traffic         *trafficMeter
 
 	callerListener, operatorListener, peerListener net.Listener
 
--- a/node/settings.go
+++ b/node/settings.go
@@ -119,8 +119,20 @@
 	}
 }
 
-// pullSettings asks a peer that is ahead for its document.
+// pullSettings asks a peer that is ahead for its document, one peer at a time: every
+// heartbeat of every peer that is ahead comes here, and each copy takes its time on the
+// link that heartbeats use too.
 func (n *Node) pullSettings(address string) {
+	if !n.pullingSettings.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer n.pullingSettings.Store(false)
+		n.pullSettingsFrom(address)
+	}()
+}
+
+func (n *Node) pullSettingsFrom(address string) {
 	if err := faultpoint.Reach(n.ctx, n.depend.Faults, faultpoint.ChangeSpread, n.config.Name); err != nil {
 		return
 	}
@@ -134,11 +146,7 @@
 }
 
 func (n *Node) serveSettingsPull(_ context.Context, message *settingsPull) (*settingsReply, error) {
-	document := n.settings.Document()
-	if document.Generation <= message.Have {
-		return &settingsReply{}, nil
-	}
-	data, err := document.Encode()
+	data, err := n.settings.Newer(message.Have)
 	return &settingsReply{Document: data}, err
 }
 
--- /dev/null
+++ b/node/settings_test.go
@@ -0,0 +1,53 @@
+package node
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/thornwalk/thornwalk/coordination/settingsync"
+	"github.com/thornwalk/thornwalk/lab/memnet"
+	"github.com/thornwalk/thornwalk/protocol/peerwire"
+	"github.com/thornwalk/thornwalk/transport/peer"
+)
+
+// Every heartbeat of every peer that is ahead asks for the settings. While one peer is
+// sending them over a slow link, heartbeats go on and no other copy is asked for.
+func TestSettingsArePulledOnceAtATimeAndHoldUpNoHeartbeat(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		ctx, cancel := context.WithCancel(context.Background())
+		fabric := memnet.New()
+		listener, err := fabric.Host("ahead").Listen("ahead:7600")
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		var asked atomic.Int64
+		server := peer.NewServer(nil)
+		peer.Handle(server, peerwire.KindSettingsPull, func(context.Context, *settingsPull) (*settingsReply, error) {
+			asked.Add(1)
+			time.Sleep(300 * time.Millisecond) // a long document on a slow link
+			return &settingsReply{}, nil
+		})
+		go server.Serve(ctx, listener)
+		n := &Node{ctx: ctx, peers: peer.NewClient(fabric.Host("n"), nil)}
+		n.settings, err = settingsync.NewHolder(&settingsync.Document{}, nil)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		begun := time.Now()
+		for range 5 {
+			n.pullSettings("ahead:7600")
+		}
+		g.Expect(time.Since(begun)).To(gomega.BeZero(), "the heartbeat that tells of them goes on")
+		time.Sleep(200 * time.Millisecond)
+		g.Expect(asked.Load()).To(gomega.Equal(int64(1)))
+		time.Sleep(200 * time.Millisecond)
+		n.pullSettings("ahead:7600")
+		time.Sleep(time.Second)
+		g.Expect(asked.Load()).To(gomega.Equal(int64(2)), "once the first has ended another one may be asked")
+		cancel()
+		n.peers.Close()
+		time.Sleep(time.Second)
+	})
+}
