Start the tests of narrow and wide links in one place

Cause: the scene of many nodes with links stood twice, as did the check that each version is in force in time; pages and comments told of the first form of the mend. Change: one scene, one check, and the pages.

--- a/test/entry/narrow_start_test.go
+++ b/test/entry/narrow_start_test.go
@@ -15,9 +15,9 @@
 )
 
 // After a loss of power all nodes start at once and nobody has the configuration. Where
-// no link is wide, all of them read the store and ask each other at the same time. On the
-// code as it was a node that read a version while it fetched it ended when it was asked
-// for a part that it lacked, and the whole test process ends with it.
+// no link is wide, nodes read a version from the store while they fetch it from a peer,
+// and are asked for its parts themselves. A node that is asked for a part that it lacks
+// must not end, and with it this test's process.
 func TestAllNodesWithNarrowLinksStartAgainWithALargeConfiguration(t *testing.T) {
 	playLinks(t, narrowEverywhere, func(s *newsScene) {
 		s.add(largeVersions * routesAdded)
--- a/test/entry/news_test.go
+++ b/test/entry/news_test.go
@@ -43,6 +43,9 @@
 	newsWatched = 12 * time.Second
 )
 
+// newsZones are the zones of the nodes, in turns.
+var newsZones = []string{"east", "middle", "west"}
+
 // newsScene is a deployment of its own: many nodes in three zones, most of them with
 // narrow links, and plain replicas p1 and p2.
 type newsScene struct {
@@ -55,19 +58,36 @@
 	written map[int64]time.Time
 }
 
+// playNews plays a test with links of both kinds.
 func playNews(t *testing.T, test func(s *newsScene)) {
+	t.Helper()
+	playLinks(t, func(i int) float64 { return linkOf(nodeName(i)) }, test)
+}
+
+// nodeName returns the name of the node with the number, counted from zero.
+func nodeName(i int) string { return fmt.Sprint("n", i+1) }
+
+// playLinks starts the deployment with links of these bandwidths, in megabits a second,
+// and plays the test.
+func playLinks(t *testing.T, linkOf func(i int) float64, test func(s *newsScene)) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &newsScene{
 			scene:  &scene{WithT: gomega.NewWithT(t), fabric: memnet.New()},
 			random: rand.New(rand.NewPCG(1, 2)), written: map[int64]time.Time{},
 		}
-		s.limitLinks()
+		links := map[string]float64{}
+		for i := range newsNodes {
+			host := nodeName(i)
+			s.nodes, links[host] = append(s.nodes, host), linkOf(i)
+			s.fabric.SetBandwidth(host, links[host]*bitsInMegabit)
+		}
+		s.fabric.SetBandwidth("store", storeLink*bitsInMegabit)
 		var err error
 		s.lab, err = entrylab.Start(entrylab.Options{
-			Hosts: s.nodes, Zones: []string{"east", "middle", "west"}, StoreHost: "store",
+			Hosts: s.nodes, Zones: newsZones, StoreHost: "store",
 			Network:   func(host string) network.Network { return s.fabric.Host(host) },
 			Datagrams: s.fabric.Datagrams, Log: &s.lines,
-			Adjust: func(settings *entry.Settings) { settings.Cores, settings.Link = 1, linkOf(settings.Name) },
+			Adjust: func(settings *entry.Settings) { settings.Cores, settings.Link = 1, links[settings.Name] },
 		})
 		s.Expect(err).NotTo(gomega.HaveOccurred())
 		s.configure(nil)
@@ -78,6 +98,7 @@
 		s.Expect(s.lab.AwaitReady(ctx)).To(gomega.BeTrue())
 		cancel()
 		defer func() {
+			s.fabric.Heal()
 			s.lab.Stop()
 			time.Sleep(time.Minute) // virtual time, in which everything ends
 		}()
@@ -86,16 +107,6 @@
 	})
 }
 
-// limitLinks names the nodes and sets the bandwidths.
-func (s *newsScene) limitLinks() {
-	for i := range newsNodes {
-		host := fmt.Sprint("n", i+1)
-		s.nodes = append(s.nodes, host)
-		s.fabric.SetBandwidth(host, linkOf(host)*bitsInMegabit)
-	}
-	s.fabric.SetBandwidth("store", storeLink*bitsInMegabit)
-}
-
 // linkOf returns the bandwidth of the node in megabits a second.
 func linkOf(host string) float64 {
 	var number int
@@ -223,17 +234,22 @@
 // A new version costs the whole document for each node: all ask the same few nodes at
 // once, and the replies fill the links until nobody waits for them any more.
 func TestLargeConfigurationsReachEveryNodeInTime(t *testing.T) {
-	playNews(t, func(s *newsScene) {
-		s.spread()
-		time.Sleep(newsWatched)
-		var late []string
-		for version := s.version - largeVersions + 1; version <= s.version; version++ {
-			found := s.inForce(version)
-			t.Logf("version %d: %s", version, found.worst())
-			late = append(late, s.late(fmt.Sprint("version ", version), found)...)
-		}
-		s.Expect(late).To(gomega.BeEmpty(), "configurations in force later than %v after they were written", newsLimit)
-	})
+	playNews(t, func(s *newsScene) { s.expectSpreadInTime(t) })
+}
+
+// expectSpreadInTime writes the large versions and demands that each is in force
+// everywhere in time.
+func (s *newsScene) expectSpreadInTime(t *testing.T) {
+	t.Helper()
+	s.spread()
+	time.Sleep(newsWatched)
+	var late []string
+	for version := s.version - largeVersions + 1; version <= s.version; version++ {
+		found := s.inForce(version)
+		t.Logf("version %d: %s", version, found.worst())
+		late = append(late, s.late(fmt.Sprint("version ", version), found)...)
+	}
+	s.Expect(late).To(gomega.BeEmpty(), "configurations in force later than %v after they were written", newsLimit)
 }
 
 // departureAfter is when the replica leaves: shortly after the third of the versions.
--- a/test/entry/outage_test.go
+++ b/test/entry/outage_test.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"fmt"
 	"testing"
 	"time"
 
@@ -15,7 +14,7 @@
 // and lets it come back.
 func playOutage(t *testing.T, after func(s *newsScene)) {
 	t.Helper()
-	playLinks(t, func(i int) float64 { return linkOf(fmt.Sprint("n", i+1)) }, func(s *newsScene) {
+	playNews(t, func(s *newsScene) {
 		s.add(largeVersions * routesAdded)
 		s.write()
 		time.Sleep(newsWatched)
