--- a/entry/news_memory_test.go
+++ b/entry/news_memory_test.go
@@ -4,37 +4,18 @@
 	"context"
 	"fmt"
 	"runtime"
-	"strconv"
 	"testing"
 	"time"
 
 	"github.com/thornwalk/thornwalk/coordination/spread"
 	"github.com/thornwalk/thornwalk/internal/eventlog"
+	"github.com/thornwalk/thornwalk/lab/documents"
 	"github.com/thornwalk/thornwalk/lab/memnet"
 	"github.com/thornwalk/thornwalk/protocol/peerwire"
 	"github.com/thornwalk/thornwalk/state/catalog"
 	"github.com/thornwalk/thornwalk/transport/peer"
 )
 
-// largeCatalog is a configuration as the platform's operators write it, with so many
-// routes.
-func largeCatalog(b *testing.B, routes int) *catalog.Catalog {
-	document := &catalog.Document{Version: 2, Services: []catalog.Service{{Name: "huvo11a", MaxConnections: 690}, {Name: "wuno96b", MaxConnections: 560}}}
-	for i := range routes {
-		mixed := uint64(i+1) * 0x9e3779b97f4a7c15 // golden ratio: names that are alike in no part
-		document.Routes = append(document.Routes, catalog.Route{
-			Name: "r-" + strconv.FormatUint(mixed>>29, 36), Host: "ficu95.example", PathPrefix: "/" + strconv.FormatUint(mixed>>20, 36) + "/", Kind: catalog.KindStreaming,
-			Timeout: 6 * time.Second, Target: 800 * time.Millisecond, TargetGap: 400 * time.Millisecond,
-			Backends: []catalog.Backend{{Service: "huvo11a", Weight: 90}, {Service: "wuno96b", Weight: 10}}, Attempts: 1, Sticky: true,
-		})
-	}
-	compiled, err := catalog.Compile(document)
-	if err != nil {
-		b.Fatal(err)
-	}
-	return compiled
-}
-
 // BenchmarkRepliesHeldForSlowPeers tells how many bytes a server holds while so many
 // peers have each asked so often for a configuration, and read nothing of it.
 func BenchmarkRepliesHeldForSlowPeers(b *testing.B) {
@@ -43,7 +24,7 @@
 			for _, asked := range []int{1, 2} {
 				b.Run(fmt.Sprintf("routes=%d/peers=%d/asked=%d", routes, peers, asked), func(b *testing.B) {
 					for b.Loop() {
-						body, held := heldForSlowPeers(b, largeCatalog(b, routes), peers, asked)
+						body, held := heldForSlowPeers(b, documents.Large(2, routes), peers, asked)
 						b.ReportMetric(float64(body), "body-B")
 						b.ReportMetric(float64(held), "held-B")
 						b.ReportMetric(float64(held)/float64(peers*asked*body), "held/body")
@@ -56,9 +37,9 @@
 
 // heldForSlowPeers returns the length of a reply's body, and the bytes held while
 // the peers do not read.
-func heldForSlowPeers(b *testing.B, current *catalog.Catalog, peers, asked int) (body int, held int64) {
+func heldForSlowPeers(b *testing.B, document *catalog.Document, peers, asked int) (body int, held int64) {
 	n := New(&Settings{Name: "n1", Contact: 4000}, Dependencies{Log: eventlog.New("n1", nil)})
-	n.offerCatalog(current.Document, "test")
+	n.offerCatalog(document, "test")
 	request := &spread.Request{Version: 1}
 	reply, _ := n.library.Serve(request, partsBudget)
 	encoded, err := peerwire.Marshal(reply)
--- a/test/entry/memory_test.go
+++ b/test/entry/memory_test.go
@@ -8,7 +8,6 @@
 	"net"
 	"net/http"
 	"runtime"
-	"strconv"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -18,6 +17,7 @@
 
 	"github.com/thornwalk/thornwalk/entry"
 	"github.com/thornwalk/thornwalk/internal/eventlog"
+	"github.com/thornwalk/thornwalk/lab/documents"
 	"github.com/thornwalk/thornwalk/lab/memnet"
 	"github.com/thornwalk/thornwalk/outside"
 	"github.com/thornwalk/thornwalk/platform"
@@ -46,26 +46,6 @@
 	lookInterval = 50 * time.Millisecond
 )
 
-// largeDocument is a configuration as the platform's operators write it, with so
-// many routes.
-func largeDocument(version int64, routes int) *catalog.Document {
-	document := &catalog.Document{
-		Version:  version,
-		Services: []catalog.Service{{Name: "huvo11a", MaxConnections: 690, Engine: &catalog.Engine{Slots: 5, Stride: 5, TokenCapacity: 247876, Moves: true, Backups: true}}, {Name: "wuno96b", MaxConnections: 560}},
-		Tenants:  []catalog.Tenant{{Name: "hule930", Keys: []string{"asnmgkcuyj8pjbvk9m68", "k7b2ex5wa5xwyhks8nbk"}, Priority: 1, HasPriority: true, Rate: 428698, Burst: 428698, CountTokens: true, PlainTokens: 200}},
-		Limits:   catalog.Limits{HeaderBytes: 16384, BodyBytes: 4 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second},
-	}
-	for i := range routes {
-		mixed := uint64(i+1) * 0x9e3779b97f4a7c15 // golden ratio: names that are alike in no part
-		document.Routes = append(document.Routes, catalog.Route{
-			Name: "r-" + strconv.FormatUint(mixed>>29, 36), Host: "ficu95.example", PathPrefix: "/" + strconv.FormatUint(mixed>>20, 36) + "/", Kind: catalog.KindStreaming,
-			Timeout: 6 * time.Second, Target: 800 * time.Millisecond, TargetGap: 400 * time.Millisecond,
-			Backends: []catalog.Backend{{Service: "huvo11a", Weight: 90}, {Service: "wuno96b", Weight: 10}}, Attempts: 1, Sticky: true,
-		})
-	}
-	return document
-}
-
 // fixedDirectory knows one configuration for good.
 type fixedDirectory struct{ document *catalog.Document }
 
@@ -129,11 +109,11 @@
 // the newer one until the fabric is healed. The lines of all are written as given.
 func gather(t *testing.T, pullers int, written io.Writer) *crowd {
 	c := &crowd{written: written, WithT: gomega.NewWithT(t), fabric: memnet.New(), received: make([]atomic.Int64, pullers)}
-	c.sender = c.start("sender", c.fabric.Host("sender"), largeDocument(2, largeRoutes))
+	c.sender = c.start("sender", c.fabric.Host("sender"), documents.Large(2, largeRoutes))
 	for i := range pullers {
 		host := fmt.Sprintf("puller-%02d", i)
 		c.fabric.Cut("sender", host)
-		c.pullers = append(c.pullers, c.start(host, slowNetwork{c.fabric.Host(host), &c.received[i]}, largeDocument(1, 1)))
+		c.pullers = append(c.pullers, c.start(host, slowNetwork{c.fabric.Host(host), &c.received[i]}, documents.Large(1, 1)))
 	}
 	time.Sleep(meetingTime)
 	return c
