--- a/coordination/spread/library.go
+++ b/coordination/spread/library.go
@@ -158,16 +158,15 @@
 	return held
 }
 
-// Size returns the length of all parts that are here before compression, and how many
-// bytes of compressed content are held, both in bytes.
-func (l *Library) Size() (content, compressed int) {
+// Size returns the length of all parts that are here before compression, in bytes.
+func (l *Library) Size() int {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	size := 0
 	for _, held := range l.entries {
-		content += held.packed.Size
-		compressed += len(held.packed.Content)
+		size += held.packed.Size
 	}
-	return content, compressed
+	return size
 }
 
 // Dropped returns how many parts came that no manifest names or that did not decode.
--- a/entry/freshness.go
+++ b/entry/freshness.go
@@ -84,8 +84,7 @@
 	if link <= 0 {
 		return 0
 	}
-	content, _ := n.library.Size()
-	bits := float64(content) * storeLength * bitsPerByte
+	bits := float64(n.library.Size()) * storeLength * bitsPerByte
 	return time.Duration(bits / (link * 1e6) * float64(time.Second))
 }
 
--- a/entry/messages.go
+++ b/entry/messages.go
@@ -76,5 +76,4 @@
 type newsReply struct {
 	Replicas []replicas.Replica
 	Removed  map[string]int64
-	Revision int64
 }
--- a/entry/news.go
+++ b/entry/news.go
@@ -16,9 +16,9 @@
 	}
 	if update.Catalog != nil {
 		n.offerCatalog(update.Catalog, "store")
-		n.noteCatalogRevision(update.CatalogRevision)
 	}
 	n.mutex.Lock()
+	n.catalogRevision = max(n.catalogRevision, update.CatalogRevision)
 	before := n.table.Version()
 	for _, replica := range update.Replicas {
 		n.takeReplica(replica)
@@ -43,16 +43,6 @@
 	}
 }
 
-// noteCatalogRevision records which revision of the configuration this node has decoded.
-func (n *Node) noteCatalogRevision(revision int64) {
-	for {
-		known := n.catalogRevision.Load()
-		if revision <= known || n.catalogRevision.CompareAndSwap(known, revision) {
-			return
-		}
-	}
-}
-
 // takeReplica enters news of a replica and tells of a change. The caller holds the
 // mutex.
 func (n *Node) takeReplica(replica replicas.Replica) {
--- a/entry/node.go
+++ b/entry/node.go
@@ -77,8 +77,6 @@
 	senders senders
 	holders spread.Holders
 	newer   newerVersions
-	// catalogRevision is the store's revision of the configuration that was decoded last.
-	catalogRevision atomic.Int64
 
 	stopping atomic.Int64
 	inFlight atomic.Int64
@@ -107,6 +105,8 @@
 	readLimit time.Duration
 	endWatch  context.CancelFunc
 	newsAt    structs.Instant
+	// catalogRevision is the store's revision of the configuration that was decoded last.
+	catalogRevision int64
 	// fresh is of the replicas, and freshConfiguration of the configuration.
 	fresh, freshConfiguration freshness
 	undelivered               []undelivered
--- a/entry/pull.go
+++ b/entry/pull.go
@@ -89,7 +89,6 @@
 	defer n.mutex.Unlock()
 	if n.table.Latest() > request.Latest {
 		reply.Replicas, reply.Removed = n.table.Since(request.Latest), n.table.Removed()
-		reply.Revision = n.table.Latest()
 	}
 	return reply, nil
 }
--- a/entry/store.go
+++ b/entry/store.go
@@ -142,7 +142,10 @@
 	ctx, cancel := context.WithTimeout(n.ctx, limit)
 	defer cancel()
 	begun := n.now()
-	update, err := n.depend.Directory.Read(ctx, scope, n.catalogRevision.Load())
+	n.mutex.Lock()
+	decoded := n.catalogRevision
+	n.mutex.Unlock()
+	update, err := n.depend.Directory.Read(ctx, scope, decoded)
 	if err != nil {
 		if ctx.Err() != nil {
 			n.setReadLimit(min(2*limit, longestRead))
@@ -262,11 +265,12 @@
 		n.storeBadAt = n.now()
 	}
 	n.mutex.Unlock()
-	if back && tells {
+	if !back {
+		return
+	}
+	if tells {
 		// Those that follow the store are of the senior nodes.
 		n.sendBeats()
 	}
-	if back {
-		n.log.Write(eventlog.Event{Kind: "store", Outcome: "regained"})
-	}
+	n.log.Write(eventlog.Event{Kind: "store", Outcome: "regained"})
 }
--- a/lab/memnet/bandwidth.go
+++ b/lab/memnet/bandwidth.go
@@ -95,30 +95,34 @@
 	return max(f.bandwidth.outgoing[from].pass(now, bytes), f.bandwidth.incoming[to].pass(now, bytes))
 }
 
+// admit queues a datagram and returns the time until it has passed, or false if the lane
+// drops it, as too much is queued ahead.
+func (l *lane) admit(now time.Time, bytes int) (time.Duration, bool) {
+	if l.queue(now) > datagramPatience {
+		return 0, false
+	}
+	return l.pass(now, bytes), true
+}
+
 // sendDatagram queues a datagram on the sender's link. It returns the time until it
 // has passed, and false if it is dropped. The caller holds the mutex.
 func (f *Fabric) sendDatagram(from, to string, bytes int) (time.Duration, bool) {
-	out, now := f.bandwidth.outgoing[from], time.Now()
 	if from == to {
 		return 0, true
 	}
-	if out.queue(now) > datagramPatience {
-		return 0, false
+	wait, admitted := f.bandwidth.outgoing[from].admit(time.Now(), bytes)
+	if admitted {
+		f.bandwidth.sent[from] += int64(bytes)
 	}
-	f.bandwidth.sent[from] += int64(bytes)
-	return out.pass(now, bytes), true
+	return wait, admitted
 }
 
 // receiveDatagram queues a datagram on the receiver's link, as sendDatagram does.
 func (f *Fabric) receiveDatagram(from, to string, bytes int) (time.Duration, bool) {
-	in, now := f.bandwidth.incoming[to], time.Now()
 	if from == to {
 		return 0, true
 	}
-	if in.queue(now) > datagramPatience {
-		return 0, false
-	}
-	return in.pass(now, bytes), true
+	return f.bandwidth.incoming[to].admit(time.Now(), bytes)
 }
 
 // writePieces writes over limited links, one piece after the other.
--- a/test/entry/news_test.go
+++ b/test/entry/news_test.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
@@ -17,7 +16,6 @@
 	"github.com/thornwalk/thornwalk/internal/eventlog"
 	"github.com/thornwalk/thornwalk/lab/entrylab"
 	"github.com/thornwalk/thornwalk/lab/memnet"
-	"github.com/thornwalk/thornwalk/transport/network"
 )
 
 // The deployment in which large configurations spread.
@@ -82,26 +80,11 @@
 			s.fabric.SetBandwidth(host, links[host]*bitsInMegabit)
 		}
 		s.fabric.SetBandwidth("store", storeLink*bitsInMegabit)
-		var err error
-		s.lab, err = entrylab.Start(entrylab.Options{
-			Hosts: s.nodes, Zones: newsZones, StoreHost: "store",
-			Network:   func(host string) network.Network { return s.fabric.Host(host) },
-			Datagrams: s.fabric.Datagrams, Log: &s.lines,
-			Adjust: func(settings *entry.Settings) { settings.Cores, settings.Link = 1, links[settings.Name] },
+		s.start(s.nodes, newsZones, func(settings *entry.Settings) {
+			settings.Cores, settings.Link = 1, links[settings.Name]
 		})
-		s.Expect(err).NotTo(gomega.HaveOccurred())
-		s.configure(nil)
-		for _, host := range []string{"p1", "p2"} {
-			s.plain = append(s.plain, s.replica(host, "registry", 0, 20*time.Millisecond))
-		}
-		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
-		s.Expect(s.lab.AwaitReady(ctx)).To(gomega.BeTrue())
-		cancel()
-		defer func() {
-			s.fabric.Heal()
-			s.lab.Stop()
-			time.Sleep(time.Minute) // virtual time, in which everything ends
-		}()
+		s.awaitReady()
+		defer s.stop(s.nodes)
 		time.Sleep(3 * time.Second) // heartbeats settle who schedules and who follows the store
 		test(s)
 	})
--- a/test/entry/scene_test.go
+++ b/test/entry/scene_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/onsi/gomega"
 
+	"github.com/thornwalk/thornwalk/entry"
 	"github.com/thornwalk/thornwalk/lab/entrylab"
 	"github.com/thornwalk/thornwalk/lab/memnet"
 	"github.com/thornwalk/thornwalk/lab/platformsim"
@@ -41,35 +42,49 @@
 func play(t *testing.T, test func(s *scene)) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &scene{WithT: gomega.NewWithT(t), fabric: memnet.New()}
-		var err error
-		s.lab, err = entrylab.Start(entrylab.Options{
-			Hosts: hosts, Zones: []string{"east", "west"}, StoreHost: "store",
-			Network:   func(host string) network.Network { return s.fabric.Host(host) },
-			Datagrams: s.fabric.Datagrams, Log: &s.lines,
-		})
-		s.Expect(err).NotTo(gomega.HaveOccurred())
-		s.configure(nil)
-		for _, host := range []string{"p1", "p2"} {
-			s.plain = append(s.plain, s.replica(host, "registry", 0, 20*time.Millisecond))
-		}
+		s.start(hosts, []string{"east", "west"}, nil)
 		for _, host := range []string{"e1", "e2"} {
 			s.engines = append(s.engines, s.replica(host, "engines", 6, 50*time.Millisecond))
 		}
-		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
-		s.Expect(s.lab.AwaitReady(ctx)).To(gomega.BeTrue())
-		cancel()
-		defer func() {
-			s.fabric.Heal()
-			for _, host := range hosts {
-				s.fabric.Resume(host)
-			}
-			s.lab.Stop()
-			time.Sleep(time.Minute) // virtual time, in which everything ends
-		}()
+		s.awaitReady()
+		defer s.stop(hosts)
 		test(s)
 	})
 }
 
+// start starts the nodes, which adjust may give other settings, a first configuration and
+// the plain replicas.
+func (s *scene) start(nodes, zones []string, adjust func(*entry.Settings)) {
+	var err error
+	s.lab, err = entrylab.Start(entrylab.Options{
+		Hosts: nodes, Zones: zones, StoreHost: "store",
+		Network:   func(host string) network.Network { return s.fabric.Host(host) },
+		Datagrams: s.fabric.Datagrams, Log: &s.lines, Adjust: adjust,
+	})
+	s.Expect(err).NotTo(gomega.HaveOccurred())
+	s.configure(nil)
+	for _, host := range []string{"p1", "p2"} {
+		s.plain = append(s.plain, s.replica(host, "registry", 0, 20*time.Millisecond))
+	}
+}
+
+// awaitReady waits until every node is ready.
+func (s *scene) awaitReady() {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	s.Expect(s.lab.AwaitReady(ctx)).To(gomega.BeTrue())
+}
+
+// stop ends all faults and everything that runs.
+func (s *scene) stop(nodes []string) {
+	s.fabric.Heal()
+	for _, host := range nodes {
+		s.fabric.Resume(host)
+	}
+	s.lab.Stop()
+	time.Sleep(time.Minute) // virtual time, in which everything ends
+}
+
 func (s *scene) replica(host, service string, events int, step time.Duration) *platformsim.Replica {
 	replica := &platformsim.Replica{ID: "i-" + host, Service: service, Zone: "east", Slots: 2, Events: events, Step: step}
 	s.Expect(s.lab.AddReplica(host, replica)).To(gomega.Succeed())
