Keep what the scheduler knows of a replica in one record

Cause: a round of decisions looked up nine maps for each replica and, to add up the requests that others had placed, one map a node for each replica. A scheduling node that takes over at 295 nodes spent its whole processor on that until the last of these ended.

Change: one record a replica with the sum of foreign requests kept, prompts being read kept by replica, the options of a round reused, and nothing looked at while no place is free.

--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -44,6 +44,14 @@
 	Doubted []string
 }
 
+// After returns the request as it is once so much time has passed.
+func (r Request) After(passed time.Duration) Request {
+	r.Deadline = max(r.Deadline-passed, 0)
+	r.Target = max(r.Target-passed, 0)
+	r.Patience = max(r.Patience-passed, 0)
+	return r
+}
+
 // Reason says why a request was refused.
 type Reason string
 
@@ -111,92 +119,81 @@
 
 // service is the state of one pool.
 type service struct {
-	queue    []*waiting
+	queue []*waiting
+	// replicas are the listed ones.
+	replicas []*replicaState
 	duration time.Duration
 	// failures is the smoothed share of its requests that fail.
 	failures float64
 }
 
-// speed is what was learned of one replica.
-type speed struct {
-	// step is the mean time between two tokens of a stream, or the mean time of
-	// an answer of a plain service.
-	step    time.Duration
-	samples int
-	reading reading
-}
-
 // Scheduler holds the queues and the places of all services.
 type Scheduler struct {
 	services map[string]*service
 	places   map[string]*place
 	waits    map[string]*waiting
-	replicas map[string][]replicas.Replica
-	used     map[string]int
-	foreign  map[string]map[string]int
-	speeds   map[string]*speed
-	avoided  map[string]bool
-	hidden   map[string]hiddenLoad
-	conducts map[string]*conduct
-}
-
-// hiddenLoad is work at a replica that no node reports: it was sent by a process
-// that ended, or by nodes that are cut off.
-type hiddenLoad struct {
-	count int
-	at    structs.Instant
+	// states has every replica that is listed or that requests are in progress at.
+	states map[string]*replicaState
+	// foreign is what each node has in progress by replica that others placed.
+	foreign map[string]map[string]int
+	// options is used by one round after the other.
+	options []option
 }
 
 // New returns an empty scheduler.
 func New() *Scheduler {
 	return &Scheduler{
 		services: map[string]*service{}, places: map[string]*place{}, waits: map[string]*waiting{},
-		replicas: map[string][]replicas.Replica{}, used: map[string]int{}, foreign: map[string]map[string]int{},
-		speeds: map[string]*speed{}, avoided: map[string]bool{}, hidden: map[string]hiddenLoad{}, conducts: map[string]*conduct{},
+		states: map[string]*replicaState{}, foreign: map[string]map[string]int{},
 	}
 }
 
 // SetReplicas replaces the known replicas.
 func (s *Scheduler) SetReplicas(all []replicas.Replica) {
-	s.replicas = map[string][]replicas.Replica{}
-	known := make(map[string]bool, len(all))
-	for _, replica := range all {
-		known[replica.ID] = true
-		s.replicas[replica.Service] = append(s.replicas[replica.Service], replica)
+	for _, pool := range s.services {
+		pool.replicas = nil
 	}
-	for id := range s.speeds {
-		if !known[id] {
-			delete(s.speeds, id)
-		}
+	for _, state := range s.states {
+		state.listed = false
 	}
-	for id := range s.hidden {
-		if !known[id] {
-			delete(s.hidden, id)
-		}
+	for _, replica := range all {
+		state := s.state(replica.ID)
+		state.replica, state.listed = replica, true
+		pool := s.service(replica.Service)
+		pool.replicas = append(pool.replicas, state)
 	}
-	for id := range s.conducts {
-		if !known[id] {
-			delete(s.conducts, id)
-		}
+	for id := range s.states {
+		s.forgetUnused(id)
 	}
 }
 
 // SetAvoided replaces the replicas that no request is sent to.
-func (s *Scheduler) SetAvoided(ids map[string]bool) { s.avoided = ids }
+func (s *Scheduler) SetAvoided(ids map[string]bool) {
+	for id, state := range s.states {
+		state.avoided = ids[id]
+	}
+}
 
 // SetForeign records how many requests the node has in progress at each replica
 // that were not placed by this scheduler.
 func (s *Scheduler) SetForeign(node string, counts map[string]int) {
-	if len(counts) == 0 {
-		delete(s.foreign, node)
-		return
+	before := s.foreign[node]
+	delete(s.foreign, node)
+	if len(counts) > 0 {
+		s.foreign[node] = counts
+	}
+	for id, count := range counts {
+		s.state(id).foreign += count
+	}
+	for id, count := range before {
+		s.state(id).foreign -= count
+		s.forgetUnused(id)
 	}
-	s.foreign[node] = counts
 }
 
 // DropNode forgets the requests of a node that ended.
 func (s *Scheduler) DropNode(node string) {
-	delete(s.foreign, node)
+	s.SetForeign(node, nil)
 	for id, held := range s.places {
 		if held.node == node {
 			s.release(id)
@@ -260,7 +257,8 @@
 	if load < 0 {
 		return
 	}
-	s.hidden[held.replica] = hiddenLoad{count: max(0, load-s.reported(held.replica)), at: now}
+	state := s.state(held.replica)
+	state.hidden = hiddenLoad{count: max(0, load-state.reported()), at: now}
 }
 
 // Finish frees the place of a request and learns from how it ended.
@@ -294,11 +292,7 @@
 
 // learn takes the pace of the replica from a request that ended well.
 func (s *Scheduler) learn(held *place, seen Observation) {
-	learned, known := s.speeds[held.replica]
-	if !known {
-		learned = &speed{}
-		s.speeds[held.replica] = learned
-	}
+	learned := &s.state(held.replica).speed
 	if seen.Events > 0 && held.prompt > 0 && !held.overdue {
 		learned.reading.observe(held.prompt, seen.FirstEvent)
 	}
@@ -310,7 +304,6 @@
 		return
 	}
 	learned.step = smooth(learned.step, step)
-	learned.samples++
 }
 
 func smooth(before, seen time.Duration) time.Duration {
@@ -320,12 +313,20 @@
 	return before + time.Duration(smoothing*float64(seen-before))
 }
 
+// occupy enters a request that was given a place.
+func (s *Scheduler) occupy(id string, held *place) {
+	s.places[id] = held
+	state := s.state(held.replica)
+	state.used++
+	state.reading = append(state.reading, held)
+}
+
 func (s *Scheduler) release(id string) {
 	held := s.places[id]
 	delete(s.places, id)
-	if s.used[held.replica]--; s.used[held.replica] <= 0 {
-		delete(s.used, held.replica)
-	}
+	held.begun = true // its prompt is no longer read
+	s.state(held.replica).used--
+	s.forgetUnused(held.replica)
 }
 
 func (s *Scheduler) service(name string) *service {
@@ -348,8 +349,8 @@
 	counts := map[string]Count{}
 	for name, pool := range s.services {
 		used := map[string]int{}
-		for _, replica := range s.replicas[name] {
-			used[replica.ID] = s.reported(replica.ID)
+		for _, state := range pool.replicas {
+			used[state.replica.ID] = state.reported()
 		}
 		counts[name] = Count{Waiting: len(pool.queue), Used: used}
 	}
--- a/coordination/admission/admission_test.go
+++ b/coordination/admission/admission_test.go
@@ -121,7 +121,7 @@
 	s := New()
 	s.SetReplicas(pool(1, 1))
 	teach := func(replica string, step time.Duration) {
-		s.speeds[replica] = &speed{step: step, samples: 9}
+		s.state(replica).speed.step = step
 	}
 	teach("r0", 20*ms)
 	teach("r1", 4*ms)
@@ -255,7 +255,7 @@
 	for i := range 4 {
 		s.Finish(overdueAfter+2*ms, fmt.Sprint("silent", i), Observation{Left: true})
 	}
-	g.Expect(s.conducts["r0"].requests).To(gomega.BeNumerically("<", enoughRequests))
+	g.Expect(s.state("r0").conduct.requests).To(gomega.BeNumerically("<", enoughRequests))
 }
 
 // Seen on the bench: agency scale-1, a hundred lookups refused in three seconds
@@ -272,7 +272,7 @@
 		s.Decide(0)
 		s.Finish(0, id, Observation{Failed: true})
 	}
-	g.Expect(s.isAside(0, "r0")).To(gomega.BeTrue())
+	g.Expect(s.state("r0").isAside(0)).To(gomega.BeTrue())
 	s.Submit(0, request("next", 0))
 	g.Expect(placedIDs(s.Decide(0))).To(gomega.Equal([]string{"next"}))
 }
@@ -315,7 +315,7 @@
 		now := structs.Instant(i) * 6 * ms
 		replica := fmt.Sprintf("r%d", i%3)
 		s.judge(now, "s", replica, random.Float64() < 0.2)
-		if s.isAside(now, replica) {
+		if s.state(replica).isAside(now) {
 			aside++
 		}
 	}
@@ -338,7 +338,7 @@
 			s.judge(ms, "s", "r1", random.Float64() < usual)
 			s.judge(ms, "s", "r2", random.Float64() < usual)
 			s.judge(ms, "s", "r0", random.Float64() < 0.65)
-			if s.isAside(ms, "r0") {
+			if s.state("r0").isAside(ms) {
 				found = i + 1
 			}
 		}
--- a/coordination/admission/decide.go
+++ b/coordination/admission/decide.go
@@ -97,10 +97,11 @@
 	if chosen := s.choose(now, held, room, options, left); chosen != nil {
 		chosen.used++
 		chosen.unread += held.Prompt
-		room.free--
-		s.used[chosen.replica.ID]++
-		s.places[held.ID] = &place{node: held.Node, service: held.Service, replica: chosen.replica.ID, prompt: held.Prompt, since: now}
-		decision.Replica = chosen.replica
+		if !chosen.doubted {
+			room.free--
+		}
+		s.occupy(held.ID, &place{node: held.Node, service: held.Service, replica: chosen.state.replica.ID, prompt: held.Prompt, since: now})
+		decision.Replica = chosen.state.replica
 		return decision, true
 	}
 	expected := decision.Expected
@@ -128,6 +129,9 @@
 // those where the request would be late while another one could still have it in time,
 // and for a while those where its prompt would make other streams pause too long.
 func (s *Scheduler) choose(now structs.Instant, held *waiting, room *room, options []*option, left time.Duration) *option {
+	if room.free <= 0 && len(held.Tried) == 0 && len(held.Doubted) == 0 {
+		return nil // in an overload most that wait are looked at in vain
+	}
 	if held.Yields && float64(room.free) <= reservedShare*float64(room.total) && held.Prompt > 0 {
 		return nil
 	}
@@ -145,7 +149,7 @@
 			continue
 		}
 		cost := choice.cost(held.Prompt)
-		if choice.replica.Zone != held.Zone {
+		if choice.state.replica.Zone != held.Zone {
 			cost *= otherZoneFactor
 		}
 		if choice.disturbs(&held.Request) {
--- /dev/null
+++ b/coordination/admission/decide_bench_test.go
@@ -0,0 +1,77 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/thornwalk/thornwalk/state/replicas"
+	"github.com/thornwalk/thornwalk/structs"
+)
+
+// busyScheduler returns a scheduler of so many engines in five zones, six slots each, all
+// of which are known and full, but for one place at one engine in ten if some are free. So
+// many nodes tell of a request that another scheduler placed.
+func busyScheduler(engines, nodes int, free bool) *Scheduler {
+	const slots = 6
+	s := New()
+	zones := []string{"a", "b", "c", "d", "e"}
+	var all []replicas.Replica
+	for i := range engines {
+		all = append(all, replicas.Replica{ID: fmt.Sprintf("i-%010d", i), Service: "s", Slots: slots, Zone: zones[i%len(zones)]})
+	}
+	s.SetReplicas(all)
+	for i := range nodes {
+		s.SetForeign(fmt.Sprint("node", i), map[string]int{all[i%len(all)].ID: 1})
+	}
+	for i, replica := range all {
+		for event := range 10 {
+			prompt := 500 * (event%4 + 1)
+			s.Observe("s", replica.ID, prompt, Observation{
+				FirstEvent: 60*time.Millisecond + time.Duration(prompt)*30*time.Microsecond,
+				Duration:   time.Second, Events: 20, Stride: 6,
+			})
+		}
+		taken := slots - s.state(replica.ID).foreign
+		if free && i%10 == 0 {
+			taken--
+		}
+		for slot := range taken {
+			id := fmt.Sprint(replica.ID, slot)
+			s.occupy(id, &place{node: "n", service: "s", replica: replica.ID, prompt: 1000, begun: slot%2 == 0})
+		}
+	}
+	return s
+}
+
+func benchmarkRequest(id, priority int) Request {
+	return Request{
+		ID: fmt.Sprint("w", id), Node: "n", Service: "s", Zone: "c", Priority: priority, Prompt: 1000 + id%7*300, Answer: 100, Stride: 6,
+		Pause: 600 * time.Millisecond, Target: time.Second, Patience: 2 * time.Second, Deadline: 6 * time.Second, Returned: true,
+	}
+}
+
+// BenchmarkDecide measures a round in which one more request comes, which is placed if a
+// place is free.
+func BenchmarkDecide(b *testing.B) {
+	for _, size := range []struct {
+		engines, nodes, waiting int
+		free                    bool
+	}{{166, 0, 0, true}, {166, 295, 0, true}, {166, 0, 200, false}, {710, 0, 0, true}, {710, 390, 0, true}, {710, 0, 200, false}} {
+		b.Run(fmt.Sprintf("%dreplicas-%dforeign-%dwaiting", size.engines, size.nodes, size.waiting), func(b *testing.B) {
+			s := busyScheduler(size.engines, size.nodes, size.free)
+			for i := range size.waiting {
+				s.Submit(0, benchmarkRequest(-1-i, 2))
+			}
+			b.ReportAllocs()
+			now := structs.Instant(time.Millisecond)
+			for i := range b.N {
+				request := benchmarkRequest(i, 0)
+				s.Submit(now, request)
+				s.Decide(now)
+				s.Finish(now, request.ID, Observation{Left: true})
+				s.Cancel(request.ID)
+			}
+		})
+	}
+}
--- a/coordination/admission/quarantine.go
+++ b/coordination/admission/quarantine.go
@@ -46,11 +46,7 @@
 
 // judge counts one ended request and sets the replica aside if too many failed.
 func (s *Scheduler) judge(now structs.Instant, service, replica string, failed bool) {
-	held, found := s.conducts[replica]
-	if !found {
-		held = &conduct{}
-		s.conducts[replica] = held
-	}
+	held := &s.state(replica).conduct
 	pool := s.service(service)
 	held.requests++
 	held.sum = max(held.sum+evidence(max(pool.failures, leastShare), failed), 0)
@@ -89,24 +85,20 @@
 // mayBeAside returns whether one more replica of the service may be set aside.
 func (s *Scheduler) mayBeAside(now structs.Instant, service string) bool {
 	aside := 1
-	for _, other := range s.replicas[service] {
-		if s.isAside(now, other.ID) {
+	for _, other := range s.service(service).replicas {
+		if other.isAside(now) {
 			aside++
 		}
 	}
-	known := len(s.replicas[service])
+	known := len(s.service(service).replicas)
 	return known > 1 && float64(aside) <= max(1, asideShare*float64(known))
 }
 
 // isAside returns whether the replica gets no requests for now.
-func (s *Scheduler) isAside(now structs.Instant, replica string) bool {
-	held, found := s.conducts[replica]
-	return found && now < held.until
-}
+func (r *replicaState) isAside(now structs.Instant) bool { return now < r.conduct.until }
 
 // onTrial returns whether the replica was set aside lately and has not answered
 // well since; it then gets one request at a time.
-func (s *Scheduler) onTrial(replica string) bool {
-	held, found := s.conducts[replica]
-	return found && held.asides > 0 && held.requests < enoughRequests
+func (r *replicaState) onTrial() bool {
+	return r.conduct.asides > 0 && r.conduct.requests < enoughRequests
 }
--- a/coordination/admission/reading.go
+++ b/coordination/admission/reading.go
@@ -50,13 +50,13 @@
 	return max(time.Duration((r.weight*r.products-r.prompts*r.times)/spread), 0)
 }
 
-// fixed returns the time to the first event of an empty prompt, or zero if it is not
-// known.
-func (r *reading) fixed() time.Duration {
+// fixed returns the time to the first event of an empty prompt, given the time to read
+// one token, or zero if it is not known.
+func (r *reading) fixed(perToken time.Duration) time.Duration {
 	if r.weight < enoughReadings {
 		return 0
 	}
-	return max(time.Duration((r.times-float64(r.perToken())*r.prompts)/r.weight), 0)
+	return max(time.Duration((r.times-float64(perToken)*r.prompts)/r.weight), 0)
 }
 
 // late returns whether the first event of the request, which waited for so long, is
--- a/coordination/admission/reading_test.go
+++ b/coordination/admission/reading_test.go
@@ -10,10 +10,10 @@
 
 // teachReading lets the replica have read prompts at the time a token.
 func teachReading(s *Scheduler, replica string, perToken, step time.Duration) {
-	s.speeds[replica] = &speed{step: step, samples: 9}
+	s.state(replica).speed.step = step
 	for i := range 20 {
 		prompt := 500 + 100*i
-		s.speeds[replica].reading.observe(prompt, 40*ms+time.Duration(prompt)*perToken)
+		s.state(replica).speed.reading.observe(prompt, 40*ms+time.Duration(prompt)*perToken)
 	}
 }
 
@@ -27,8 +27,8 @@
 	g := gomega.NewWithT(t)
 	s := New()
 	teachReading(s, "r0", 40*time.Microsecond, 8*ms)
-	g.Expect(s.speeds["r0"].reading.perToken()).To(gomega.BeNumerically("~", 40*time.Microsecond, time.Microsecond))
-	g.Expect(s.speeds["r0"].reading.fixed()).To(gomega.BeNumerically("~", 40*ms, ms))
+	g.Expect(s.state("r0").speed.reading.perToken()).To(gomega.BeNumerically("~", 40*time.Microsecond, time.Microsecond))
+	g.Expect(s.state("r0").speed.reading.fixed(s.state("r0").speed.reading.perToken())).To(gomega.BeNumerically("~", 40*ms, ms))
 	g.Expect(new(reading).perToken()).To(gomega.BeZero())
 }
 
@@ -87,7 +87,7 @@
 	g.Expect(placed).To(gomega.HaveLen(1))
 	g.Expect(placed[0].Replica.ID).To(gomega.Equal("r1"))
 	s.Observe("s", "r1", 100, Observation{Failed: true, Duration: time.Second, Events: 2, Stride: 1})
-	g.Expect(s.speeds["r1"].step).To(gomega.Equal(20*ms), "a failed request tells no pace")
+	g.Expect(s.state("r1").speed.step).To(gomega.Equal(20*ms), "a failed request tells no pace")
 }
 
 // Seen on the bench: further trouble-2. After a restart the replicas that ended no
--- a/coordination/admission/room.go
+++ b/coordination/admission/room.go
@@ -4,7 +4,6 @@
 	"slices"
 	"time"
 
-	"github.com/thornwalk/thornwalk/state/replicas"
 	"github.com/thornwalk/thornwalk/structs"
 )
 
@@ -18,7 +17,7 @@
 
 // option is one replica with what is known of it.
 type option struct {
-	replica replicas.Replica
+	state *replicaState
 	// places is how many requests may be in progress there.
 	places int
 	used   int
@@ -36,7 +35,7 @@
 
 // trusts returns whether nothing speaks against sending the request there.
 func (o *option) trusts(request *Request) bool {
-	return !o.doubted && !slices.Contains(request.Doubted, o.replica.ID)
+	return !o.doubted && !slices.Contains(request.Doubted, o.state.replica.ID)
 }
 
 // fits returns whether the answer is likely to be whole before its deadline.
@@ -44,27 +43,30 @@
 	return time.Duration(answer)*o.step <= time.Duration(float64(left)*fitShare)
 }
 
+// measure describes the replicas of the service as they are now. What it returns holds
+// until the next call.
 func (s *Scheduler) measure(now structs.Instant, name string) *room {
-	measured := &room{duration: s.services[name].duration}
-	fastest := s.fastest(name)
-	byID := map[string]*option{}
-	for _, replica := range s.replicas[name] {
-		if replica.Draining {
+	pool := s.services[name]
+	measured := &room{duration: pool.duration, options: make([]*option, 0, len(pool.replicas))}
+	fastest := pool.fastest()
+	if cap(s.options) < len(pool.replicas) {
+		s.options = make([]option, len(pool.replicas))
+	}
+	for i, state := range pool.replicas {
+		if state.replica.Draining {
 			continue
 		}
-		choice := &option{
-			replica: replica, places: replica.Slots + s.onTheWay(name, replica.Slots), used: s.usage(now, replica.ID),
-			slow:    s.slowness(replica.ID, fastest),
-			doubted: s.avoided[replica.ID] || s.isAside(now, replica.ID),
-		}
-		if learned, known := s.speeds[replica.ID]; known {
-			choice.step = learned.step
-			choice.readTime, choice.fixedTime = learned.reading.perToken(), learned.reading.fixed()
+		readTime := state.speed.reading.perToken()
+		choice := &s.options[:cap(s.options)][i]
+		*choice = option{
+			state: state, places: state.replica.Slots + pool.onTheWay(state.replica.Slots), used: state.usage(now),
+			unread: state.unread(now), slow: state.slowness(fastest), step: state.speed.step,
+			readTime: readTime, fixedTime: state.speed.reading.fixed(readTime),
+			doubted: state.avoided || state.isAside(now),
 		}
-		if s.onTrial(replica.ID) {
+		if state.onTrial() {
 			choice.places = 1
 		}
-		byID[replica.ID] = choice
 		measured.options = append(measured.options, choice)
 		if !choice.doubted {
 			measured.total += choice.places
@@ -72,11 +74,6 @@
 		}
 	}
 	measured.trustAllIfNone()
-	for _, held := range s.places {
-		if choice, found := byID[held.replica]; found && !held.begun && now-held.since < prefillTime {
-			choice.unread += held.prompt
-		}
-	}
 	return measured
 }
 
@@ -84,8 +81,8 @@
 // be given. Between the end of an answer and the start of the next request in its
 // slot lie the news of the end, the grant and the send; where answers take little
 // longer than that, slots would stand empty. What comes early waits at the replica.
-func (s *Scheduler) onTheWay(name string, slots int) int {
-	return int(float64(slots) * float64(handover) / float64(max(s.services[name].duration, handover)))
+func (s *service) onTheWay(slots int) int {
+	return int(float64(slots) * float64(handover) / float64(max(s.duration, handover)))
 }
 
 // trustAllIfNone counts the places of all replicas if every one is doubted: a
@@ -108,55 +105,13 @@
 	}
 	var options []*option
 	for _, choice := range r.options {
-		if !slices.Contains(request.Tried, choice.replica.ID) {
+		if !slices.Contains(request.Tried, choice.state.replica.ID) {
 			options = append(options, choice)
 		}
 	}
 	return options
 }
 
-// usage is the work at the replica, with what no node reports.
-func (s *Scheduler) usage(now structs.Instant, id string) int {
-	used := s.reported(id)
-	if hidden, found := s.hidden[id]; found && now-hidden.at < hiddenMemory {
-		used += hidden.count
-	}
-	return used
-}
-
-// reported is the work at the replica that nodes report.
-func (s *Scheduler) reported(id string) int {
-	used := s.used[id]
-	for _, counts := range s.foreign {
-		used += counts[id]
-	}
-	return used
-}
-
-func (s *Scheduler) fastest(name string) time.Duration {
-	var fastest time.Duration
-	for _, replica := range s.replicas[name] {
-		if learned, known := s.speeds[replica.ID]; known && learned.step > 0 && (fastest == 0 || learned.step < fastest) {
-			fastest = learned.step
-		}
-	}
-	return fastest
-}
-
-// slowness is how much longer a replica takes than the fastest of its service. One
-// that nothing is known of counts as slow, once others are known: slow replicas are
-// the last to end a request, so that they stay unknown for longest.
-func (s *Scheduler) slowness(id string, fastest time.Duration) float64 {
-	learned, known := s.speeds[id]
-	if fastest <= 0 {
-		return 1
-	}
-	if !known || learned.step <= 0 {
-		return unknownSlowness
-	}
-	return float64(learned.step) / float64(fastest)
-}
-
 // wait estimates the time until a place for a request with so many ahead.
 func (r *room) wait(ahead int) time.Duration {
 	return time.Duration(float64(r.duration) * float64(ahead+1) / float64(max(r.total, 1)))
