Let heartbeats cross a zone's border once, and name all nodes to a start by few

Each of 295 nodes sent its heartbeats to the 236 nodes of other zones, and each node that a new process greeted named all others to it. Removals of two minutes went with each reply with news of replicas.

A node that a call failed to stays suspected until it is heard of without a relay. A newcomer is whoever knows few names. Replies hold removals since the asking node's revision and of the last 15 s.

Others guard it: with 23 of 40 nodes standing still at once nobody leaves the scheduling node; a node that reaches only its own zone goes on serving.

--- a/coordination/liveness/liveness.go
+++ b/coordination/liveness/liveness.go
@@ -1,6 +1,8 @@
 // Package liveness holds what a node knows of the other nodes from their
-// heartbeats: who was heard of lately, and where they are. Every node sends to
-// every other one, so that each judges by its own ears whom it can reach.
+// heartbeats: who was heard of lately, and where they are. Every node's heartbeats
+// come to every other one: directly within a zone and between small zones, else by way
+// of a node of the receiver's zone (relay.go). So each judges by its own ears whom it
+// can reach, and a failed call tells it where a relay reaches farther than it does.
 //
 // The table is passive: it does no I/O and reads no clock.
 package liveness
@@ -52,10 +54,21 @@
 	// Levels tells, if the sender schedules, what tenants may take at once, of those
 	// that are not near their full burst. Who takes over goes on from there.
 	Levels map[string]float64 `msgpack:"q"`
-	// Known is how many other nodes the sender has heard of.
+	// Known is how many other nodes the sender knows by name.
 	Known int `msgpack:"k"`
 	// Peers are a few nodes that the sender knows.
 	Peers []Peer `msgpack:"p"`
+	// Relays is true if the sender passes heartbeats on to its zone when it is asked to.
+	Relays bool `msgpack:"e,omitempty"`
+	// PassOn asks the receiver to send the heartbeat to all nodes of its zone.
+	PassOn bool `msgpack:"y,omitempty"`
+	// Passed is true if the heartbeat came from a node that passed it on.
+	Passed bool `msgpack:"o,omitempty"`
+	// Reached makes this the confirmation of a heartbeat that was to be passed on: it
+	// counts the nodes of the sender's zone that have it now, the sender included.
+	Reached int `msgpack:"j,omitempty"`
+	// Asks is true if the sender wants a heartbeat sent straight back.
+	Asks bool `msgpack:"d,omitempty"`
 }
 
 // Held counts requests in progress at one replica.
@@ -112,7 +125,8 @@
 func NewTable(self string) *Table { return &Table{self: self, members: map[string]*Member{}} }
 
 // Heard applies a heartbeat. It returns true if the node was silent, unknown or
-// another process before.
+// another process before. A suspected node stays suspected until it is heard of without
+// a relay between: the relay may reach it while this node does not.
 func (t *Table) Heard(now structs.Instant, beat Beat) bool {
 	if beat.Name == t.self || beat.Name == "" {
 		return false
@@ -122,8 +136,10 @@
 		member = &Member{}
 		t.members[beat.Name] = member
 	}
-	news := !found || !member.live(now, 1) || member.Incarnation != beat.Incarnation
-	member.Beat, member.heard, member.suspected, member.known = beat, now, false, true
+	sameProcess := found && member.Incarnation == beat.Incarnation
+	stillSuspected := sameProcess && member.suspected && beat.Passed
+	news := !sameProcess || !stillSuspected && !member.live(now, 1)
+	member.Beat, member.heard, member.suspected, member.known = beat, now, stillSuspected, true
 	return news
 }
 
@@ -139,16 +155,8 @@
 	return true
 }
 
-// Known returns how many members were heard of at any time.
-func (t *Table) Known() int {
-	count := 0
-	for _, member := range t.members {
-		if member.known {
-			count++
-		}
-	}
-	return count
-}
+// Known returns how many members the table has, heard of or only learned of.
+func (t *Table) Known() int { return len(t.members) }
 
 // Suspect takes the node for dead until it is heard of again.
 func (t *Table) Suspect(name string) {
@@ -157,6 +165,9 @@
 	}
 }
 
+// Suspected returns whether the member is taken for dead since Suspect was called.
+func (m *Member) Suspected() bool { return m.suspected }
+
 // live returns whether the member was heard of within so many times its patience.
 func (m *Member) live(now structs.Instant, times int) bool {
 	return m.known && !m.suspected && now-m.heard < m.Patience()*time.Duration(times)
--- a/entry/beats.go
+++ b/entry/beats.go
@@ -83,30 +83,47 @@
 	n.mutex.Unlock()
 }
 
-// sendBeats sends a heartbeat to every known node, and to the seeds while few
-// are known. Silent nodes get one in silentShare.
+// sendBeats sends a heartbeat to every known node, by relays where these save much, and
+// to the seeds while few nodes are known. Silent nodes get one in silentShare, and
+// suspected ones each one, which asks for an answer.
 func (n *Node) sendBeats() {
 	n.mutex.Lock()
 	now := n.now()
 	beat := n.beat(now)
-	all := n.members.All(now)
-	addresses := map[string]bool{}
-	for _, member := range all {
-		if member.Silence(now) < member.Patience() || n.sequence.Add(1)%silentShare == 0 {
-			addresses[member.Address] = true
+	routes := n.relays.Routes(now, beat.Zone, n.members.Live(now))
+	var suspected []string
+	known := 0
+	for _, member := range n.members.All(now) {
+		known++
+		switch {
+		case member.Suspected():
+			suspected = append(suspected, member.Address)
+		case member.Silence(now) >= member.Patience() && n.sequence.Add(1)%silentShare == 0:
+			routes.Direct = append(routes.Direct, member.Address)
 		}
 	}
 	n.mutex.Unlock()
-	if len(addresses) < len(n.settings.Load().Seeds) {
-		for _, seed := range n.seedAddresses() {
-			addresses[seed] = true
-		}
+	if known < len(n.settings.Load().Seeds) {
+		routes.Direct = append(routes.Direct, n.seedAddresses()...)
+	}
+	n.sendBeat(beat, routes.Direct)
+	beat.PassOn = true
+	n.sendBeat(beat, routes.PassOn)
+	beat.PassOn, beat.Asks = false, true
+	n.sendBeat(beat, suspected)
+}
+
+// sendBeat sends one heartbeat to the addresses.
+func (n *Node) sendBeat(beat liveness.Beat, addresses []string) {
+	if len(addresses) == 0 {
+		return
 	}
 	content, err := encodeBeat(beat)
 	if err != nil {
+		n.counter("beats.unencodable").Inc(1)
 		return
 	}
-	for address := range addresses {
+	for _, address := range addresses {
 		_ = n.beats.Send(address, content)
 	}
 }
@@ -164,7 +181,7 @@
 	beat := liveness.Beat{
 		Name: settings.Name, Zone: settings.Zone, Address: n.selfAddress(), Cores: settings.Cores, Link: settings.Link, Interval: n.interval().Milliseconds(), Incarnation: n.depend.Incarnation,
 		Term: n.term, Known: n.members.Known(), Leaving: n.stopping.Load() != 0, Storeless: n.storeDown, Latest: n.table.Latest(), Unread: n.fresh.age(now), ConfigurationUnread: n.freshConfiguration.age(now), Steady: n.steadyFor(now).Milliseconds(), Failing: n.health.failing(now),
-		Held: map[string]liveness.Held{},
+		Held: map[string]liveness.Held{}, Relays: true,
 	}
 	beat.Version = n.version()
 	if n.scheduler == settings.Name {
@@ -214,7 +231,7 @@
 			n.counter("beats.malformed").Inc(1)
 			continue
 		}
-		n.heard(beat)
+		n.receive(beat)
 	}
 }
 
--- a/entry/node.go
+++ b/entry/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"runtime/debug"
@@ -85,6 +86,7 @@
 	mutex     sync.Mutex
 	table     *replicas.Table
 	members   *liveness.Table
+	relays    *liveness.Relays
 	health    *healthBook
 	zones     *zoneBook
 	held      map[string]heldPlace
@@ -121,7 +123,7 @@
 	n := &Node{
 		depend: depend, log: depend.Log, started: time.Now(), metrics: metrics.NewRegistry(),
 		pool: replicahttp.NewPool(depend.Network), peers: peer.NewClient(depend.Network, nil),
-		table: replicas.NewTable(), members: liveness.NewTable(settings.Name), health: newHealthBook(), zones: newZoneBook(),
+		table: replicas.NewTable(), members: liveness.NewTable(settings.Name), relays: liveness.NewRelays(rand.IntN), health: newHealthBook(), zones: newZoneBook(),
 		held: map[string]heldPlace{}, term: 1, storeBadAt: -time.Hour,
 		library: spread.NewLibrary(), senders: newSenders(settings.Link),
 	}
--- a/entry/place.go
+++ b/entry/place.go
@@ -52,9 +52,7 @@
 			continue
 		}
 		n.counter("scheduler.unreachable").Inc(1)
-		n.mutex.Lock()
-		n.members.Suspect(scheduler)
-		n.mutex.Unlock()
+		n.suspect(scheduler)
 		n.chooseScheduler()
 	}
 	return &grant{placeReply: &placeReply{Reason: reasonUnreachable}}
--- a/entry/pull.go
+++ b/entry/pull.go
@@ -88,7 +88,7 @@
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	if n.table.Latest() > request.Latest {
-		reply.Replicas, reply.Removed = n.table.Since(request.Latest), n.table.Removed()
+		reply.Replicas, reply.Removed = n.table.Since(request.Latest), n.table.RemovedSince(n.now(), request.Latest)
 	}
 	return reply, nil
 }
--- /dev/null
+++ b/entry/relays.go
@@ -0,0 +1,78 @@
+package entry
+
+import (
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/thornwalk/thornwalk/coordination/liveness"
+)
+
+// Heartbeats cross a zone's border once where the zone is large: one of its nodes, the
+// relay, passes them on and confirms that. coordination/liveness chooses the relay.
+
+// receive handles one heartbeat, for this node or to be passed on.
+func (n *Node) receive(beat liveness.Beat) {
+	if beat.Reached > 0 {
+		n.mutex.Lock()
+		n.relays.Confirmed(beat.Zone, beat.Name, beat.Reached)
+		n.mutex.Unlock()
+		return
+	}
+	if beat.PassOn {
+		n.passOn(beat)
+	}
+	if beat.Asks {
+		n.answerBeat(beat.Address)
+	}
+	n.heard(beat)
+}
+
+// passOn sends another zone's heartbeat to the nodes of this one and confirms it.
+func (n *Node) passOn(beat liveness.Beat) {
+	own := n.settings.Load().Zone
+	if beat.Zone == own {
+		return // the sender reaches them itself
+	}
+	copied := beat
+	copied.PassOn, copied.Passed, copied.Asks = false, true, false
+	// The copy is about as long as the original, which had room in a datagram.
+	content, err := msgpack.Marshal(copied)
+	if err != nil {
+		n.counter("beats.unencodable").Inc(1)
+		return
+	}
+	n.mutex.Lock()
+	var addresses []string
+	for _, member := range n.members.Live(n.now()) {
+		if member.Zone == own {
+			addresses = append(addresses, member.Address)
+		}
+	}
+	n.mutex.Unlock()
+	for _, address := range addresses {
+		_ = n.beats.Send(address, content)
+	}
+	n.counter("beats.passed_on").Inc(1)
+	n.sendBeat(liveness.Beat{Name: n.settings.Load().Name, Zone: own, Reached: len(addresses) + 1}, []string{beat.Address})
+}
+
+// answerBeat sends a heartbeat straight to a node that doubts it can reach this one.
+func (n *Node) answerBeat(address string) {
+	n.mutex.Lock()
+	beat := n.beat(n.now())
+	n.mutex.Unlock()
+	n.sendBeat(beat, []string{address})
+}
+
+// suspect takes the node for dead, and asks it to show at once that this node reaches it.
+func (n *Node) suspect(name string) {
+	n.mutex.Lock()
+	n.members.Suspect(name)
+	member, found := n.members.Get(name)
+	beat := n.beat(n.now())
+	n.mutex.Unlock()
+	if !found {
+		return
+	}
+	beat.Asks = true
+	n.sendBeat(beat, []string{member.Address})
+}
--- a/lab/memnet/bandwidth.go
+++ b/lab/memnet/bandwidth.go
@@ -46,11 +46,11 @@
 // bandwidth is what is known of the hosts' links. Hosts without a lane have no limit.
 type bandwidth struct {
 	outgoing, incoming map[string]*lane
-	sent               map[string]int64
+	sent               map[direction]int64
 }
 
 func newBandwidth() bandwidth {
-	return bandwidth{outgoing: map[string]*lane{}, incoming: map[string]*lane{}, sent: map[string]int64{}}
+	return bandwidth{outgoing: map[string]*lane{}, incoming: map[string]*lane{}, sent: map[direction]int64{}}
 }
 
 // SetBandwidth limits the link of a host to so many bits a second in each direction.
@@ -70,9 +70,21 @@
 // Sent returns how many bytes the host gave to its link, in streams and datagrams and
 // without headers of the network. What it sent to itself does not count.
 func (f *Fabric) Sent(host string) int64 {
+	return f.SentWhere(func(from, _ string) bool { return from == host })
+}
+
+// SentWhere returns how many bytes hosts sent, as Sent does, of the pairs of hosts that
+// the function picks.
+func (f *Fabric) SentWhere(picks func(from, to string) bool) int64 {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	return f.bandwidth.sent[host]
+	total := int64(0)
+	for pair, bytes := range f.bandwidth.sent {
+		if picks(pair.from, pair.to) {
+			total += bytes
+		}
+	}
+	return total
 }
 
 // limited returns whether bytes between the hosts pass a link with a limit.
@@ -91,7 +103,7 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	now := time.Now()
-	f.bandwidth.sent[from] += int64(bytes)
+	f.bandwidth.sent[direction{from, to}] += int64(bytes)
 	return max(f.bandwidth.outgoing[from].pass(now, bytes), f.bandwidth.incoming[to].pass(now, bytes))
 }
 
@@ -112,7 +124,7 @@
 	}
 	wait, admitted := f.bandwidth.outgoing[from].admit(time.Now(), bytes)
 	if admitted {
-		f.bandwidth.sent[from] += int64(bytes)
+		f.bandwidth.sent[direction{from, to}] += int64(bytes)
 	}
 	return wait, admitted
 }
--- a/state/replicas/replicas.go
+++ b/state/replicas/replicas.go
@@ -9,6 +9,7 @@
 
 import (
 	"sort"
+	"time"
 
 	"github.com/thornwalk/thornwalk/structs"
 )
@@ -35,8 +36,16 @@
 	at       structs.Instant
 }
 
-// forgetAfter is how long a removal is remembered.
-const forgetAfter = 120_000_000_000
+const (
+	// forgetAfter is how long a removal is remembered.
+	forgetAfter = 120 * time.Second
+	// toldFor is how long a removal is told to every node that asks for news. After that
+	// only nodes that know nothing as new are told. The revision of a removal that follows
+	// from the store's trouble may lie below what an asking node has already; two looks of
+	// the nodes that follow the store are at most 1 s apart, and an asking node's pulls at
+	// most 1.6 s.
+	toldFor = 15 * time.Second
+)
 
 // Table is the set of known replicas.
 type Table struct {
@@ -142,11 +151,14 @@
 // Latest returns the revision of the latest change that was applied.
 func (t *Table) Latest() int64 { return t.latest }
 
-// Removed returns the remembered removals with their revisions.
-func (t *Table) Removed() map[string]int64 {
-	gone := make(map[string]int64, len(t.removed))
+// RemovedSince returns, with their revisions, the removals after the revision and those of
+// the last moments, which may have come late.
+func (t *Table) RemovedSince(now structs.Instant, revision int64) map[string]int64 {
+	gone := map[string]int64{}
 	for id, mark := range t.removed {
-		gone[id] = mark.revision
+		if mark.revision > revision || now-mark.at < toldFor {
+			gone[id] = mark.revision
+		}
 	}
 	return gone
 }
