Let few nodes call the store

Cause: each node read the store at its start, and each tried a store that failed once a second: nothing bounded the calls that an outage or a start of many costs.

Change: a starting process waits for its peers first; 16 nodes try a store that failed; the others don't read while half of these say that they don't reach it, and spread their reads; a node that hears nobody counts on itself; watches gather news for 80 ms.

--- a/entry/beats.go
+++ b/entry/beats.go
@@ -239,6 +239,7 @@
 func (n *Node) heard(beat liveness.Beat) {
 	n.mutex.Lock()
 	now := n.now()
+	n.heardAt = now
 	before, found := n.members.Get(beat.Name)
 	storeNews := found && before.Storeless != beat.Storeless
 	news := n.members.Heard(now, beat)
--- a/entry/choice.go
+++ b/entry/choice.go
@@ -35,6 +35,7 @@
 		chosen = order[0]
 	}
 	n.senior = slices.Contains(order, settings.Name)
+	n.order = n.storeOrder(live)
 	n.rank = n.storeRank(live)
 	moved := chosen != n.scheduler
 	previous := n.scheduler
@@ -60,37 +61,6 @@
 	n.desk.update(func(scheduler *admission.Scheduler) { scheduler.SetAvoided(avoided) })
 }
 
-// storeRank returns this node's place among the live nodes that reach the store.
-// Strong ones come first: all others pull the news from the first few. A node that does
-// not reach the store has none of these places, also while nobody does: when the store
-// is back, the first to notice tell the others, and not all of them take themselves for
-// the one that reads it for all. The caller holds the mutex.
-func (n *Node) storeRank(live []*liveness.Member) int {
-	settings := n.settings.Load()
-	if n.storeDown {
-		return len(live) + watchers
-	}
-	beats := []liveness.Beat{{Name: settings.Name, Cores: settings.Cores, Link: settings.Link}}
-	for _, member := range live {
-		if !member.Leaving && !member.Storeless {
-			beats = append(beats, member.Beat)
-		}
-	}
-	strong := liveness.Candidates(beats)
-	var weak []string
-	for _, beat := range beats {
-		if !slices.Contains(strong, beat.Name) {
-			weak = append(weak, beat.Name)
-		}
-	}
-	order := rendezvous.Choose(strong, rendezvous.Key(schedulerKey), watchers)
-	order = append(order, rendezvous.Choose(weak, rendezvous.Key(schedulerKey), watchers)...)
-	if place := slices.Index(order, settings.Name); place >= 0 {
-		return place
-	}
-	return len(beats)
-}
-
 // agreeing is how many nodes must find a replica failing for all to avoid it.
 const agreeing = 2
 
--- a/entry/freshness.go
+++ b/entry/freshness.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/thornwalk/thornwalk/coordination/liveness"
 	"github.com/thornwalk/thornwalk/internal/eventlog"
 	"github.com/thornwalk/thornwalk/outside"
@@ -25,18 +23,15 @@
 	// of the link. Changes come by the watch; the reads are for watches that fall silent.
 	configurationShare = 10
 	// staleAfter is the age of the latest read after which any node reads, and
-	// staleStep what each place in the order waits longer, up to staleSteps.
+	// staleStep what each place in the order waits longer.
 	staleAfter = 1300 * time.Millisecond
 	staleStep  = 40 * time.Millisecond
-	staleSteps = 12
 	// longestStaleStep bounds the step for a configuration that takes long to read, and
-	// nodes beyond staleSteps spread their reads over spreadTransfers times the time of
+	// nodes beyond the probers spread their reads over spreadTransfers times the time of
 	// one, but no longer than longestSpread.
 	longestStaleStep = 300 * time.Millisecond
 	spreadTransfers  = 3
 	longestSpread    = 3 * time.Second
-	// spreadParts is the number of moments in that time between which nodes differ.
-	spreadParts = 1024
 	// storeLength is how much longer the configuration is as the store sends it than as
 	// nodes encode it, measured: 2.43 MB and 0.71 MB for 5,600 routes.
 	storeLength = 3.4
@@ -69,6 +64,9 @@
 // noteFreshness takes over how fresh a peer's knowledge is, of the replicas and of the
 // configuration, where this node knows no less than the peer. The caller holds the mutex.
 func (n *Node) noteFreshness(now structs.Instant, beat liveness.Beat) {
+	if beat.Unread >= 0 && beat.Unread < staleAfter.Milliseconds() && !beat.Storeless {
+		n.noteStoreReached(now)
+	}
 	if beat.Unread >= 0 && beat.Latest <= n.table.Latest() {
 		n.fresh.note(now - time.Duration(beat.Unread)*time.Millisecond)
 	}
@@ -102,23 +100,24 @@
 		}
 		return outside.ScopeReplicas, true
 	}
-	place := time.Duration(min(n.rank, staleSteps))
-	old := staleAfter + interval - readInterval + place*min(staleStep+transfer, longestStaleStep) + n.spreadOver(transfer)
-	if n.freshConfiguration.known && !n.versionLag.pulling && now-n.freshConfiguration.at > old {
-		return outside.ScopeAll, true
+	old := staleAfter + interval - readInterval + n.readDelay(now, min(staleStep+transfer, longestStaleStep)) + n.spreadOver(transfer)
+	switch {
+	case n.freshConfiguration.known && !n.versionLag.pulling && now-n.freshConfiguration.at > old:
+		return outside.ScopeAll, !n.awaitsProbers(now)
+	case n.fresh.known && now-n.fresh.at > staleAfter+n.readDelay(now, staleStep):
+		return outside.ScopeReplicas, !n.awaitsProbers(now)
 	}
-	return outside.ScopeReplicas, n.fresh.known && now-n.fresh.at > staleAfter+place*staleStep
+	return outside.ScopeReplicas, false
 }
 
 // spreadOver is how much later this node reads the configuration than others of its
 // rank: once the first has read it, the others have it from that one. The caller holds
 // the mutex.
 func (n *Node) spreadOver(transfer time.Duration) time.Duration {
-	if n.rank < staleSteps {
+	if n.order < probers {
 		return 0
 	}
-	share := float64(xxhash.Sum64String(n.settings.Load().Name)%spreadParts) / spreadParts
-	return time.Duration(share * float64(min(spreadTransfers*transfer, longestSpread)))
+	return time.Duration(n.spreadShare() * float64(min(spreadTransfers*transfer, longestSpread)))
 }
 
 // readLoop reads the store whenever that is due.
--- a/entry/node.go
+++ b/entry/node.go
@@ -92,10 +92,16 @@
 	held      map[string]heldPlace
 	term      uint64
 	scheduler string
-	// rank is this node's place in the rendezvous order of live nodes, and senior
-	// is true if it is one of the first that may schedule.
-	rank       int
-	senior     bool
+	// rank is this node's place among the live nodes that reach the store, and senior is
+	// true if it is one of the first that may schedule.
+	rank   int
+	senior bool
+	// order is this node's place among all live nodes in the order in which they call the
+	// store, and triedAt when it last did.
+	order   int
+	triedAt structs.Instant
+	// heardAt is when any other node was heard of.
+	heardAt    structs.Instant
 	storeBadAt structs.Instant
 	// steady is true while this node follows the store without trouble, which it
 	// has done since steadyAt.
--- a/entry/store.go
+++ b/entry/store.go
@@ -45,25 +45,14 @@
 	startPoll        = 20 * time.Millisecond
 )
 
-// watchers is how many nodes watch the store. Each call is priced, so the others
-// hear of news from these: a heartbeat tells that there is some, a call brings it.
-const watchers = 3
-
-// watches returns whether this node has to follow the store by itself. It does
-// so too while it can't reach the store, to learn when it can.
-func (n *Node) watches() bool {
-	n.mutex.Lock()
-	defer n.mutex.Unlock()
-	return n.rank < watchers || n.storeDown
-}
-
 // watchLoop follows the directory: a complete read, then watches from there,
 // and a complete read again whenever a watch fails.
 func (n *Node) watchLoop() {
 	pause := firstPause
 	known := false
+	n.awaitPeers()
 	for n.ctx.Err() == nil {
-		if known && !n.watches() {
+		if (known || n.isInformed()) && !n.callsStore() {
 			n.setSteady(false)
 			n.pause(beatInterval)
 			continue
@@ -87,7 +76,9 @@
 		known = true
 		if scope == outside.ScopeAll {
 			n.follow(revision)
+			continue
 		}
+		n.pause(firstPause)
 	}
 }
 
@@ -97,7 +88,7 @@
 // look whether the store answers.
 func (n *Node) scope() outside.Scope {
 	n.mutex.Lock()
-	follows := n.rank < watchers
+	follows := n.rank < watchers || n.isolated(n.now())
 	n.mutex.Unlock()
 	if n.catalog.Load() != nil && !follows {
 		return outside.ScopeReplicas
@@ -144,8 +135,13 @@
 	begun := n.now()
 	n.mutex.Lock()
 	decoded := n.catalogRevision
+	n.triedAt = begun
 	n.mutex.Unlock()
 	update, err := n.depend.Directory.Read(ctx, scope, decoded)
+	n.mutex.Lock()
+	// On a link that the answer filled no heartbeat came through.
+	n.heardAt = n.now()
+	n.mutex.Unlock()
 	if err != nil {
 		if ctx.Err() != nil {
 			n.setReadLimit(min(2*limit, longestRead))
@@ -188,7 +184,7 @@
 // follow watches from the revision until a watch fails or is due for a read.
 func (n *Node) follow(revision int64) {
 	begun := time.Now()
-	for n.ctx.Err() == nil && n.watches() && time.Since(begun) < rereadAfter {
+	for n.ctx.Err() == nil && n.callsStore() && time.Since(begun) < rereadAfter {
 		// The configuration comes whole with each change.
 		margin := max(watchMargin, transferMargin*n.configurationTransfer())
 		ctx, cancel := context.WithTimeout(n.ctx, watchWait+margin)
@@ -208,7 +204,10 @@
 		}
 		n.storeAnswered()
 		n.apply(update)
-		revision = max(revision, update.Revision)
+		if update.Revision > revision {
+			revision = update.Revision
+			n.pause(watchGather)
+		}
 	}
 }
 
--- /dev/null
+++ b/entry/storeduty.go
@@ -0,0 +1,185 @@
+package entry
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/thornwalk/thornwalk/coordination/liveness"
+	"github.com/thornwalk/thornwalk/state/rendezvous"
+	"github.com/thornwalk/thornwalk/structs"
+)
+
+// Which nodes call the store. Its calls are paid for and their rate is bounded, so nothing
+// may make every node call at once: not its failure, nor knowledge that grew old, nor a
+// start. A few nodes call it and the others hear from them.
+
+const (
+	// watchers is how many nodes watch the store: a heartbeat tells the others that there
+	// is news, a call brings it.
+	watchers = 3
+	// probers is how many nodes try a store that failed until it answers. If it turns a
+	// third of the nodes away, all of these are among them once in 10 million times.
+	probers = 16
+	// probePause is the time, for each node known, between two trials of one that is not
+	// among the probers: all of them together try once in this time.
+	probePause = time.Second
+	// spreadTime is the time over which nodes that are not among the probers spread their
+	// reads once all knowledge is old, and none of these answers for the store.
+	spreadTime = 2500 * time.Millisecond
+	// introductionTime is the age of a process until which it waits for its peers to tell
+	// it of replicas and the configuration. They take some 50 ms, and the process is not
+	// ready before settleTime in any case.
+	introductionTime = 150 * time.Millisecond
+	// watchGather is the time after news in which a watching node gathers more, so that
+	// changes in quick succession cost no call each.
+	watchGather = 80 * time.Millisecond
+	// isolation is the silence of all other nodes after which a node counts on itself. In
+	// any fleet of more than one it hears several in this time.
+	isolation = 700 * time.Millisecond
+	// spreadParts is the number of moments in a time over which nodes spread their calls.
+	spreadParts = 1024
+)
+
+// storeOrderOf returns the nodes with the beats in the order in which they call the store,
+// as far as probers: strong ones first, as all others hear the news from them.
+func storeOrderOf(beats []liveness.Beat) []string {
+	strong := liveness.Candidates(beats)
+	var weak []string
+	for _, beat := range beats {
+		if !slices.Contains(strong, beat.Name) {
+			weak = append(weak, beat.Name)
+		}
+	}
+	order := rendezvous.Choose(strong, rendezvous.Key(schedulerKey), probers)
+	if len(order) < probers {
+		order = append(order, rendezvous.Choose(weak, rendezvous.Key(schedulerKey), probers-len(order))...)
+	}
+	return order
+}
+
+// storeRank returns this node's place among the live nodes that reach the store. A node
+// that does not reach the store has none of the first places, also while nobody does: when
+// the store is back, the first to notice tell the others, and not all of them take
+// themselves for the one that reads it for all. One that is not among the probers has none
+// either: it hears that the store is back before the probers have told that they reach it.
+// The caller holds the mutex and has set the order.
+func (n *Node) storeRank(live []*liveness.Member) int {
+	if n.storeDown || n.order >= probers {
+		return len(live) + watchers
+	}
+	beats := []liveness.Beat{n.ownStrength()}
+	for _, member := range live {
+		if !member.Leaving && !member.Storeless {
+			beats = append(beats, member.Beat)
+		}
+	}
+	if place := slices.Index(storeOrderOf(beats), n.settings.Load().Name); place >= 0 {
+		return place
+	}
+	return len(beats)
+}
+
+// storeOrder returns this node's place among all live nodes, whether they reach the store
+// or not, or the number of these beyond the probers. The caller holds the mutex.
+func (n *Node) storeOrder(live []*liveness.Member) int {
+	beats := []liveness.Beat{n.ownStrength()}
+	for _, member := range live {
+		beats = append(beats, member.Beat)
+	}
+	if place := slices.Index(storeOrderOf(beats), n.settings.Load().Name); place >= 0 {
+		return place
+	}
+	return len(beats)
+}
+
+// ownStrength is the part of this node's heartbeat by which nodes are chosen.
+func (n *Node) ownStrength() liveness.Beat {
+	settings := n.settings.Load()
+	return liveness.Beat{Name: settings.Name, Cores: settings.Cores, Link: settings.Link}
+}
+
+// isolated returns whether no other node was heard of lately. The caller holds the mutex.
+func (n *Node) isolated(now structs.Instant) bool { return now-n.heardAt > isolation }
+
+// callsStore returns whether this node has to follow the store by itself, or to try a
+// store that failed.
+func (n *Node) callsStore() bool {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	now := n.now()
+	switch {
+	case n.rank < watchers || n.isolated(now):
+		return true
+	case !n.storeDown:
+		return false
+	}
+	return n.order < probers || now-n.triedAt > probePause*time.Duration(n.order)
+}
+
+// readDelay returns how much later than the first node this one reads the store once all
+// knowledge is old. The caller holds the mutex.
+func (n *Node) readDelay(now structs.Instant, step time.Duration) time.Duration {
+	switch {
+	case n.isolated(now):
+		return 0
+	case n.order < probers:
+		return time.Duration(min(n.rank, n.order)) * step
+	}
+	return probers*step + time.Duration(n.spreadShare()*float64(spreadTime))
+}
+
+// awaitsProbers returns whether half of the probers say that they don't reach the store,
+// so that this node, which is none of them, waits until they do. The caller holds the
+// mutex.
+func (n *Node) awaitsProbers(now structs.Instant) bool {
+	if n.order < probers || n.isolated(now) {
+		return false
+	}
+	storeless := map[string]bool{}
+	var beats []liveness.Beat
+	for _, member := range n.members.Live(now) {
+		beats = append(beats, member.Beat)
+		storeless[member.Name] = member.Storeless
+	}
+	failing := 0
+	for _, name := range storeOrderOf(beats) {
+		if storeless[name] {
+			failing++
+		}
+	}
+	return 2*failing >= probers
+}
+
+// noteStoreReached records that another node reached the store lately. A node that does
+// not try it again itself has no other way to learn that. The caller holds the mutex.
+func (n *Node) noteStoreReached(now structs.Instant) {
+	if n.storeDown && n.order >= probers {
+		n.storeDown, n.storeBadAt = false, now
+	}
+}
+
+// isInformed returns whether this node knows a configuration and replicas.
+func (n *Node) isInformed() bool {
+	if n.catalog.Load() == nil {
+		return false
+	}
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.table.Latest() > 0
+}
+
+// awaitPeers gives the peers of a starting process time to tell it what they know.
+func (n *Node) awaitPeers() {
+	for n.now() < introductionTime && !n.isInformed() {
+		if !n.pause(startPoll) {
+			return
+		}
+	}
+}
+
+// spreadShare is a number from zero to one that differs between nodes and stays.
+func (n *Node) spreadShare() float64 {
+	return float64(xxhash.Sum64String(n.settings.Load().Name)%spreadParts) / spreadParts
+}
