Read a small configuration from the store at the start of a process

Half of the 295 nodes had it 1.0 s after they started: a node with a narrow link waits for its peers to send it, as a large one would take long from the store, and then nobody has it. Ruled out: the nodes start within 0.5 s, and the store answers in 4 ms.

Change: a starting node with a narrow link reads the configuration unless the answer is longer than its link carries in 0.1 s; then it waits for its peers as before. It waits for its peers at all only while one is heard of that knows more.

Test: 24 nodes with narrow links that start at once have the version within 0.15 s; before the first node of the list had none.

--- a/entry/node.go
+++ b/entry/node.go
@@ -78,6 +78,8 @@
 	senders senders
 	holders spread.Holders
 	newer   newerVersions
+	// isLarge is true once the store's configuration was found to take long on this link.
+	isLarge atomic.Bool
 
 	stopping atomic.Int64
 	inFlight atomic.Int64
--- a/entry/store.go
+++ b/entry/store.go
@@ -37,6 +37,11 @@
 	// megabits a second: a configuration of 5,600 routes, 2.4 MB from the store, takes
 	// 0.4 s of it.
 	narrowLink = 50
+	// quickRead is how long an answer of the store may occupy a narrow link at the start of
+	// a process. What is longer is left to peers; a configuration of some hundred routes is
+	// not, since after a loss of power peers have it no sooner: then half of 295 nodes
+	// waited for it for a second.
+	quickRead = 100 * time.Millisecond
 	// startPatience is how long it does so, which is less than settleTime, if it then
 	// follows the store for others, and followerPatience if others do: as long as one of
 	// these with a narrow link takes. startPoll is the time between looks.
@@ -59,6 +64,10 @@
 		}
 		scope := n.scope()
 		revision, err := n.read(scope)
+		if errors.Is(err, errkind.TooLarge) {
+			n.isLarge.Store(true)
+			continue
+		}
 		if err != nil {
 			n.storeFailed(err)
 			if !n.pause(pause) {
@@ -93,12 +102,26 @@
 	if n.catalog.Load() != nil && !follows {
 		return outside.ScopeReplicas
 	}
-	if n.catalog.Load() == nil && n.hasNarrowLink() && n.now() < n.peersPatience() {
+	if n.leavesConfigurationToPeers() && n.isLarge.Load() {
 		return outside.ScopeReplicas
 	}
 	return outside.ScopeAll
 }
 
+// leavesConfigurationToPeers returns whether this node starts and has a narrow link, so
+// that a large configuration comes sooner from peers than from the store.
+func (n *Node) leavesConfigurationToPeers() bool {
+	return n.catalog.Load() == nil && n.hasNarrowLink() && n.now() < n.peersPatience()
+}
+
+// longestAnswer bounds the bytes of the store's answer; zero means no bound.
+func (n *Node) longestAnswer(scope outside.Scope) int64 {
+	if scope != outside.ScopeAll || !n.leavesConfigurationToPeers() {
+		return 0
+	}
+	return int64(n.settings.Load().Link * 1e6 / bitsPerByte * quickRead.Seconds())
+}
+
 // hasNarrowLink returns whether a large configuration takes long on this node's link.
 func (n *Node) hasNarrowLink() bool {
 	link := n.settings.Load().Link
@@ -137,7 +160,7 @@
 	decoded := n.catalogRevision
 	n.triedAt = begun
 	n.mutex.Unlock()
-	update, err := n.depend.Directory.Read(ctx, scope, decoded)
+	update, err := n.depend.Directory.Read(ctx, scope, decoded, n.longestAnswer(scope))
 	n.mutex.Lock()
 	// On a link that the answer filled no heartbeat came through.
 	n.heardAt = n.now()
--- a/entry/storeduty.go
+++ b/entry/storeduty.go
@@ -29,9 +29,11 @@
 	// reads once all knowledge is old, and none of these answers for the store.
 	spreadTime = 2500 * time.Millisecond
 	// introductionTime is the age of a process until which it waits for its peers to tell
-	// it of replicas and the configuration. They take some 50 ms, and the process is not
+	// it of replicas and the configuration, and greetingTime that at which one that knows
+	// these has answered if there is any. They take some 50 ms, and the process is not
 	// ready before settleTime in any case.
 	introductionTime = 150 * time.Millisecond
+	greetingTime     = 40 * time.Millisecond
 	// watchGather is the time after news in which a watching node gathers more, so that
 	// changes in quick succession cost no call each.
 	watchGather = 80 * time.Millisecond
@@ -173,12 +175,19 @@
 // awaitPeers gives the peers of a starting process time to tell it what they know.
 func (n *Node) awaitPeers() {
 	for n.now() < introductionTime && !n.isInformed() {
-		if !n.pause(startPoll) {
+		if n.now() >= greetingTime && !n.hasInformedPeer() || !n.pause(startPoll) {
 			return
 		}
 	}
 }
 
+// hasInformedPeer returns whether a live node knows a configuration and replicas.
+func (n *Node) hasInformedPeer() bool {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return slices.ContainsFunc(n.members.Live(n.now()), func(m *liveness.Member) bool { return m.Version > 0 && m.Latest > 0 })
+}
+
 // spreadShare is a number from zero to one that differs between nodes and stays.
 func (n *Node) spreadShare() float64 {
 	return float64(xxhash.Sum64String(n.settings.Load().Name)%spreadParts) / spreadParts
--- a/outside/directory.go
+++ b/outside/directory.go
@@ -53,8 +53,9 @@
 type Directory interface {
 	// Read returns everything of the scope as of one revision or later. A configuration
 	// of the revision that the caller has already is left out. The error is of kind
-	// StoreUnavailable.
-	Read(ctx context.Context, scope Scope, configuration int64) (*Update, error)
+	// TooLarge if an answer has more than the longest number of bytes, unless that is
+	// zero, and else StoreUnavailable.
+	Read(ctx context.Context, scope Scope, configuration, longest int64) (*Update, error)
 	// Watch returns what changed after the revision as soon as something did,
 	// or an empty update after the wait. The error is of kind StaleFence if the
 	// history is gone, after which only Read helps, and else StoreUnavailable.
--- a/test/entry/memory_test.go
+++ b/test/entry/memory_test.go
@@ -49,7 +49,7 @@
 // fixedDirectory knows one configuration for good.
 type fixedDirectory struct{ document *catalog.Document }
 
-func (d fixedDirectory) Read(context.Context, outside.Scope, int64) (*outside.Update, error) {
+func (d fixedDirectory) Read(context.Context, outside.Scope, int64, int64) (*outside.Update, error) {
 	return &outside.Update{Complete: true, Revision: d.document.Version, Catalog: d.document}, nil
 }
 
--- a/test/entry/narrow_start_test.go
+++ b/test/entry/narrow_start_test.go
@@ -46,3 +46,25 @@
 		s.Expect(ready).To(gomega.HaveLen(newsNodes), "nodes that are ready within %v of the start", recoveryLimit)
 	})
 }
+
+// quickStart is the time after the start of the last process within which all have a
+// small configuration.
+const quickStart = 150 * time.Millisecond
+
+// After a loss of power nodes with narrow links waited for their peers to send a
+// configuration that fits into an answer of the store.
+func TestAllNodesWithNarrowLinksStartAgainWithASmallConfigurationAtOnce(t *testing.T) {
+	playLinks(t, narrowEverywhere, func(s *newsScene) {
+		for _, host := range s.nodes {
+			s.lab.Node(host).Kill()
+		}
+		time.Sleep(time.Second)
+		for i, host := range s.nodes {
+			s.Expect(s.lab.StartNode(host, newsZones[i%len(newsZones)])).To(gomega.Succeed())
+		}
+		time.Sleep(quickStart)
+		for _, host := range s.nodes {
+			s.Expect(s.lab.Node(host).Status().Version).To(gomega.Equal(s.version), host)
+		}
+	})
+}
