Ask the seeds again while heartbeats go to few nodes

Cause (found by reading): with relays the seeds were asked only while few nodes were known by name, and no longer while few are live, as before. A node whose peers all fell silent would have waited a minute to look for others.

Change: the seeds are asked while a heartbeat goes to fewer nodes than there are seeds.

Conclusion: as before the relays; tests of test/entry pass.

--- a/entry/beats.go
+++ b/entry/beats.go
@@ -92,9 +92,7 @@
 	beat := n.beat(now)
 	routes := n.relays.Routes(now, beat.Zone, n.members.Live(now))
 	var suspected []string
-	known := 0
 	for _, member := range n.members.All(now) {
-		known++
 		switch {
 		case member.Suspected():
 			suspected = append(suspected, member.Address)
@@ -103,7 +101,7 @@
 		}
 	}
 	n.mutex.Unlock()
-	if known < len(n.settings.Load().Seeds) {
+	if len(routes.Direct)+len(routes.PassOn) < len(n.settings.Load().Seeds) {
 		routes.Direct = append(routes.Direct, n.seedAddresses()...)
 	}
 	n.sendBeat(beat, routes.Direct)
