--- a/coordination/liveness/liveness.go
+++ b/coordination/liveness/liveness.go
@@ -244,6 +244,15 @@
 	return strong
 }
 
+// Beats returns the latest heartbeats of the members.
+func Beats(members []*Member) []Beat {
+	beats := make([]Beat, 0, len(members))
+	for _, member := range members {
+		beats = append(beats, member.Beat)
+	}
+	return beats
+}
+
 // Get returns the member with the name.
 func (t *Table) Get(name string) (*Member, bool) {
 	member, found := t.members[name]
--- a/coordination/liveness/relay.go
+++ b/coordination/liveness/relay.go
@@ -104,12 +104,8 @@
 // widest returns the names of the members with about the widest link. A relay whose link
 // is full of other things loses heartbeats of many.
 func widest(members []*Member) []string {
-	beats := make([]Beat, 0, len(members))
-	for _, member := range members {
-		beats = append(beats, member.Beat)
-	}
 	var names []string
-	for _, beat := range strongest(beats, func(beat *Beat) float64 { return beat.Link }) {
+	for _, beat := range strongest(Beats(members), func(beat *Beat) float64 { return beat.Link }) {
 		names = append(names, beat.Name)
 	}
 	return names
--- a/entry/beats.go
+++ b/entry/beats.go
@@ -121,6 +121,12 @@
 		n.counter("beats.unencodable").Inc(1)
 		return
 	}
+	n.sendAll(content, addresses)
+}
+
+// sendAll sends the encoded heartbeat to the addresses. One that is lost is made up for by
+// the next.
+func (n *Node) sendAll(content []byte, addresses []string) {
 	for _, address := range addresses {
 		_ = n.beats.Send(address, content)
 	}
--- a/entry/choice.go
+++ b/entry/choice.go
@@ -24,10 +24,8 @@
 	n.mutex.Lock()
 	now := n.now()
 	live := n.members.Live(now)
-	beats := []liveness.Beat{{Name: settings.Name, Cores: settings.Cores, Link: settings.Link, Leaving: n.stopping.Load() != 0}}
-	for _, member := range live {
-		beats = append(beats, member.Beat)
-	}
+	own := liveness.Beat{Name: settings.Name, Cores: settings.Cores, Link: settings.Link, Leaving: n.stopping.Load() != 0}
+	beats := append(liveness.Beats(live), own)
 	names := liveness.Candidates(beats)
 	chosen := settings.Name
 	order := rendezvous.Choose(names, rendezvous.Key(schedulerKey), senior)
@@ -35,7 +33,7 @@
 		chosen = order[0]
 	}
 	n.senior = slices.Contains(order, settings.Name)
-	n.order = n.storeOrder(live)
+	n.order = n.storePlace(liveness.Beats(live))
 	n.rank = n.storeRank(live)
 	moved := chosen != n.scheduler
 	previous := n.scheduler
--- a/entry/introduce.go
+++ b/entry/introduce.go
@@ -48,9 +48,7 @@
 		count := min(peersAtOnce, len(others))
 		beat.Peers = append(beat.Peers, others[:count]...)
 		others = others[count:]
-		if content, err := encodeBeat(beat); err == nil {
-			_ = n.beats.Send(address, content)
-		}
+		n.sendBeat(beat, []string{address})
 		beat.Peers = nil
 		if len(others) == 0 {
 			return
--- a/entry/relays.go
+++ b/entry/relays.go
@@ -21,7 +21,7 @@
 		n.passOn(beat)
 	}
 	if beat.Asks {
-		n.answerBeat(beat.Address)
+		n.introduce(beat.Address, false)
 	}
 	n.heard(beat)
 }
@@ -48,21 +48,11 @@
 		}
 	}
 	n.mutex.Unlock()
-	for _, address := range addresses {
-		_ = n.beats.Send(address, content)
-	}
+	n.sendAll(content, addresses)
 	n.counter("beats.passed_on").Inc(1)
 	n.sendBeat(liveness.Beat{Name: n.settings.Load().Name, Zone: own, Reached: len(addresses) + 1}, []string{beat.Address})
 }
 
-// answerBeat sends a heartbeat straight to a node that doubts it can reach this one.
-func (n *Node) answerBeat(address string) {
-	n.mutex.Lock()
-	beat := n.beat(n.now())
-	n.mutex.Unlock()
-	n.sendBeat(beat, []string{address})
-}
-
 // suspect takes the node for dead, and asks it to show at once that this node reaches it.
 func (n *Node) suspect(name string) {
 	n.mutex.Lock()
--- a/entry/store.go
+++ b/entry/store.go
@@ -97,7 +97,7 @@
 // look whether the store answers.
 func (n *Node) scope() outside.Scope {
 	n.mutex.Lock()
-	follows := n.rank < watchers || n.isolated(n.now())
+	follows := n.followsStore(n.now())
 	n.mutex.Unlock()
 	if n.catalog.Load() != nil && !follows {
 		return outside.ScopeReplicas
--- a/entry/storeduty.go
+++ b/entry/storeduty.go
@@ -61,6 +61,17 @@
 	return order
 }
 
+// storePlace returns this node's place in the order in which it and the nodes with the
+// beats call the store, or the number of them all beyond the probers.
+func (n *Node) storePlace(others []liveness.Beat) int {
+	settings := n.settings.Load()
+	beats := append(others, liveness.Beat{Name: settings.Name, Cores: settings.Cores, Link: settings.Link})
+	if place := slices.Index(storeOrderOf(beats), settings.Name); place >= 0 {
+		return place
+	}
+	return len(beats)
+}
+
 // storeRank returns this node's place among the live nodes that reach the store. A node
 // that does not reach the store has none of the first places, also while nobody does: when
 // the store is back, the first to notice tell the others, and not all of them take
@@ -71,40 +82,17 @@
 	if n.storeDown || n.order >= probers {
 		return len(live) + watchers
 	}
-	beats := []liveness.Beat{n.ownStrength()}
-	for _, member := range live {
-		if !member.Leaving && !member.Storeless {
-			beats = append(beats, member.Beat)
-		}
-	}
-	if place := slices.Index(storeOrderOf(beats), n.settings.Load().Name); place >= 0 {
-		return place
-	}
-	return len(beats)
-}
-
-// storeOrder returns this node's place among all live nodes, whether they reach the store
-// or not, or the number of these beyond the probers. The caller holds the mutex.
-func (n *Node) storeOrder(live []*liveness.Member) int {
-	beats := []liveness.Beat{n.ownStrength()}
-	for _, member := range live {
-		beats = append(beats, member.Beat)
-	}
-	if place := slices.Index(storeOrderOf(beats), n.settings.Load().Name); place >= 0 {
-		return place
-	}
-	return len(beats)
-}
-
-// ownStrength is the part of this node's heartbeat by which nodes are chosen.
-func (n *Node) ownStrength() liveness.Beat {
-	settings := n.settings.Load()
-	return liveness.Beat{Name: settings.Name, Cores: settings.Cores, Link: settings.Link}
+	reach := slices.DeleteFunc(slices.Clone(live), func(m *liveness.Member) bool { return m.Leaving || m.Storeless })
+	return n.storePlace(liveness.Beats(reach))
 }
 
 // isolated returns whether no other node was heard of lately. The caller holds the mutex.
 func (n *Node) isolated(now structs.Instant) bool { return now-n.heardAt > isolation }
 
+// followsStore returns whether this node follows the store, for others or because it hears
+// none. The caller holds the mutex.
+func (n *Node) followsStore(now structs.Instant) bool { return n.rank < watchers || n.isolated(now) }
+
 // callsStore returns whether this node has to follow the store by itself, or to try a
 // store that failed.
 func (n *Node) callsStore() bool {
@@ -112,7 +100,7 @@
 	defer n.mutex.Unlock()
 	now := n.now()
 	switch {
-	case n.rank < watchers || n.isolated(now):
+	case n.followsStore(now):
 		return true
 	case !n.storeDown:
 		return false
@@ -139,15 +127,9 @@
 	if n.order < probers || n.isolated(now) {
 		return false
 	}
-	storeless := map[string]bool{}
-	var beats []liveness.Beat
-	for _, member := range n.members.Live(now) {
-		beats = append(beats, member.Beat)
-		storeless[member.Name] = member.Storeless
-	}
 	failing := 0
-	for _, name := range storeOrderOf(beats) {
-		if storeless[name] {
+	for _, name := range storeOrderOf(liveness.Beats(n.members.Live(now))) {
+		if prober, found := n.members.Get(name); found && prober.Storeless {
 			failing++
 		}
 	}
--- a/state/replicas/replicas.go
+++ b/state/replicas/replicas.go
@@ -39,8 +39,8 @@
 const (
 	// forgetAfter is how long a removal is remembered.
 	forgetAfter = 120 * time.Second
-	// toldFor is how long a removal is told to every node that asks for news. After that
-	// only nodes that know nothing as new are told. The revision of a removal that follows
+	// toldFor is how long a removal is told to every node that asks for news; later only to
+	// those that know of nothing as new. The revision of a removal that follows
 	// from the store's trouble may lie below what an asking node has already; two looks of
 	// the nodes that follow the store are at most 1 s apart, and an asking node's pulls at
 	// most 1.6 s.
--- a/test/entry/news_test.go
+++ b/test/entry/news_test.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -144,21 +143,6 @@
 	}
 }
 
-// events returns what the nodes wrote of the kind.
-func (s *newsScene) events(kind string) []eventlog.Event {
-	time.Sleep(10 * time.Millisecond) // virtual time, for the writers
-	var found []eventlog.Event
-	decoder := json.NewDecoder(s.lines.reader())
-	for decoder.More() {
-		var event eventlog.Event
-		s.Expect(decoder.Decode(&event)).To(gomega.Succeed())
-		if event.Kind == kind {
-			found = append(found, event)
-		}
-	}
-	return found
-}
-
 // since returns the seconds from the time to the event.
 func (s *newsScene) since(begun time.Time, event eventlog.Event) float64 {
 	at, err := time.Parse("2006-01-02T15:04:05.000Z", event.Time)
--- a/test/entry/relay_test.go
+++ b/test/entry/relay_test.go
@@ -108,10 +108,7 @@
 }
 
 // moves returns how often nodes took another one for the scheduling node.
-func (s *relayScene) moves() int {
-	news := &newsScene{scene: s.scene}
-	return len(news.events("scheduler"))
-}
+func (s *relayScene) moves() int { return len(s.events("scheduler")) }
 
 // Half of the relays may die at the same moment. The heartbeats of the nodes that live
 // still arrive, so that nobody takes the scheduling node for dead.
@@ -151,9 +148,9 @@
 		var alone string
 		var others []string
 		for _, node := range s.nodes {
-			switch {
-			case relayZone(node) != relayZone(scheduler) && alone == "":
+			if relayZone(node) != relayZone(scheduler) {
 				alone = node
+				break
 			}
 		}
 		for _, node := range s.nodes {
--- a/test/entry/scene_test.go
+++ b/test/entry/scene_test.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"io"
 	"net"
 	"net/http"
@@ -18,6 +19,7 @@
 	"github.com/onsi/gomega"
 
 	"github.com/thornwalk/thornwalk/entry"
+	"github.com/thornwalk/thornwalk/internal/eventlog"
 	"github.com/thornwalk/thornwalk/lab/entrylab"
 	"github.com/thornwalk/thornwalk/lab/memnet"
 	"github.com/thornwalk/thornwalk/lab/platformsim"
@@ -206,3 +208,18 @@
 func (s *scene) dialCaller(ctx context.Context, _, address string) (net.Conn, error) {
 	return s.fabric.Host("caller").Dial(ctx, address)
 }
+
+// events returns what the nodes wrote of the kind.
+func (s *scene) events(kind string) []eventlog.Event {
+	time.Sleep(10 * time.Millisecond) // virtual time, for the writers
+	var found []eventlog.Event
+	decoder := json.NewDecoder(s.lines.reader())
+	for decoder.More() {
+		var event eventlog.Event
+		s.Expect(decoder.Decode(&event)).To(gomega.Succeed())
+		if event.Kind == kind {
+			found = append(found, event)
+		}
+	}
+	return found
+}
