--- a/coordination/admission/admission_test.go
+++ b/coordination/admission/admission_test.go
@@ -74,8 +74,7 @@
 	g.Expect(placedIDs(s.Decide(ms))).To(gomega.Equal([]string{"b"}))
 }
 
-// Seen on the bench: agency trouble days after a power loss, when replicas
-// still worked on what dead processes had sent.
+// After a loss of power replicas still work on what dead processes sent.
 func TestLoadThatNobodyReportsCountsForAWhile(t *testing.T) {
 	g := gomega.NewWithT(t)
 	s := New()
@@ -115,7 +114,7 @@
 	g.Expect(late[len(late)-1].Reason).To(gomega.Equal(ReasonNoPlace))
 }
 
-// Seen on the bench: agency scale-1, rulings that ran for 15 s on slow replicas.
+// Long answers at slow replicas run into their deadline and hold a place until then.
 func TestLongAnswersGoOnlyToReplicasFastEnough(t *testing.T) {
 	g := gomega.NewWithT(t)
 	s := New()
@@ -237,8 +236,8 @@
 	})
 }
 
-// Seen on the bench: agency trouble-2. Replicas whose answers were lost kept
-// getting requests, since a caller that left says nothing of the replica.
+// Replicas whose answers were lost kept getting requests, since a caller that left says
+// nothing of the replica.
 func TestAnswersThatDoNotBeginCountAsFailures(t *testing.T) {
 	g := gomega.NewWithT(t)
 	s := New()
@@ -258,9 +257,8 @@
 	g.Expect(s.state("r0").conduct.requests).To(gomega.BeNumerically("<", enoughRequests))
 }
 
-// Seen on the bench: agency scale-1, a hundred lookups refused in three seconds
-// while both replicas of the service were well. Failures drawn at random had put
-// one aside, and nodes avoided the other.
+// Failures at random may put one of two replicas aside while nodes avoid the other: both
+// are well, and every request would be refused.
 func TestReplicasAreTrustedIfAllAreDoubted(t *testing.T) {
 	g := gomega.NewWithT(t)
 	s := New()
@@ -302,8 +300,8 @@
 	g.Expect(decisions[0].Reason).To(gomega.Equal(ReasonNoReplica))
 }
 
-// Seen on the bench: grown agency scale-1. A plain service that fails one request
-// in five at random had one of two replicas set aside most of the time.
+// A plain service that fails one request in five at random had one of two replicas set
+// aside most of the time.
 func TestRandomFailuresSetNoReplicaAside(t *testing.T) {
 	g := gomega.NewWithT(t)
 	s := New()
@@ -346,8 +344,8 @@
 	}
 }
 
-// Seen on the bench: grown agency scale-1. Slots of a service whose answers take
-// 30 ms stood empty for a fifth of the time, between two requests.
+// Slots of a service whose answers take 30 ms stood empty for a fifth of the time,
+// between two requests.
 func TestShortAnswersLeaveRoomForWhatIsOnTheWay(t *testing.T) {
 	g := gomega.NewWithT(t)
 	for _, service := range []struct {
--- a/coordination/admission/reading_test.go
+++ b/coordination/admission/reading_test.go
@@ -32,8 +32,8 @@
 	g.Expect(new(reading).perToken()).To(gomega.BeZero())
 }
 
-// Seen on the bench: co-op scale-1. One stream in six at a slow replica paused
-// for more than 300 ms while other prompts were read beside it.
+// Without this wait one stream in six at a slow replica pauses for more than 300 ms while
+// other prompts are read beside it.
 func TestPromptWaitsWhereItWouldMakeStreamsPause(t *testing.T) {
 	g := gomega.NewWithT(t)
 	s := New()
@@ -74,8 +74,8 @@
 	g.Expect(counts["r1"]).To(gomega.BeNumerically(">=", 4))
 }
 
-// Seen on the bench: further trouble-2. Whenever another node began to schedule, it
-// knew nothing of the replicas and sent long prompts to slow ones.
+// A node that begins to schedule must not send long prompts to slow replicas for want of
+// knowing them.
 func TestReplicasAreKnownFromRequestsThatOthersPlaced(t *testing.T) {
 	g := gomega.NewWithT(t)
 	s := New()
@@ -90,8 +90,8 @@
 	g.Expect(s.state("r1").speed.step).To(gomega.Equal(20*ms), "a failed request tells no pace")
 }
 
-// Seen on the bench: further trouble-2. After a restart the replicas that ended no
-// request yet, which are the slow ones, counted as fast.
+// After a restart the replicas that have ended no request yet are the slow ones; they must
+// not count as fast.
 func TestUnknownReplicasAreTakenAfterFastOnes(t *testing.T) {
 	g := gomega.NewWithT(t)
 	s := New()
@@ -112,8 +112,8 @@
 	g.Expect(order[4]).To(gomega.Equal("r0"), "then the one that is not known")
 }
 
-// Seen on the bench: further scale-2. Long prompts went to slow replicas as soon as the
-// fast ones were full for a moment; 13 to 43% of them were in time there.
+// Long prompts must not go to slow replicas, where 13 to 43% of them are in time, as soon
+// as the fast ones are full for a moment.
 func TestLongPromptWaitsForAReplicaThatReadsItInTime(t *testing.T) {
 	g := gomega.NewWithT(t)
 	s := New()
--- a/coordination/admission/tuning.go
+++ b/coordination/admission/tuning.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// Tuning constants, chosen by runs on the bench; see docs/decisions.
+// Tuning constants, chosen by measurement; see docs/decisions.
 const (
 	// reservedShare is the share of a service's places kept for the more urgent.
 	reservedShare = 0.06
--- a/coordination/liveness/liveness_test.go
+++ b/coordination/liveness/liveness_test.go
@@ -34,7 +34,7 @@
 	g.Expect(table.All(2 * forgetAfter)).To(gomega.BeEmpty())
 }
 
-// Seen on the bench: grown agency, a burst at a scheduling node of 0.192 cores.
+// A weak node that schedules for all can't keep up in a burst.
 func TestWeakAndLeavingNodesDoNotSchedule(t *testing.T) {
 	g := gomega.NewWithT(t)
 	g.Expect(Candidates([]Beat{{Name: "weak", Cores: 0.2}, {Name: "b", Cores: 0.7}, {Name: "a", Cores: 0.8}, {Name: "left", Cores: 4, Leaving: true}})).To(gomega.Equal([]string{"a", "b"}))
@@ -42,8 +42,7 @@
 	g.Expect(Candidates([]Beat{{Name: "a", Leaving: true}})).To(gomega.BeEmpty())
 }
 
-// Seen on the bench: grown co-op trouble-3. With 83 nodes a dead scheduling node
-// was noticed after four seconds.
+// With 83 nodes a dead scheduling node was noticed after four seconds.
 func TestEachNodeIsJudgedByItsOwnInterval(t *testing.T) {
 	g := gomega.NewWithT(t)
 	table := NewTable("self")
--- a/coordination/quota/quota_test.go
+++ b/coordination/quota/quota_test.go
@@ -10,8 +10,7 @@
 	"github.com/thornwalk/thornwalk/structs"
 )
 
-// Seen on the bench: agency hunt, QUOTA. While a zone was cut off, each side
-// let one large request into debt.
+// While a zone was cut off, each side let one large request into debt.
 func TestBucketGoesIntoDebtByItsBoundAtMost(t *testing.T) {
 	g := gomega.NewWithT(t)
 	ledger := NewLedger(1)
@@ -28,8 +27,7 @@
 	g.Expect(sides).To(gomega.BeNumerically("~", limit.Debt, 0.001), "the sides of a cut share it")
 }
 
-// Seen on the bench: further, a tenant that asked for five times its usual. Large
-// requests had to find more in the bucket than small ones, and it was never that
+// Large requests had to find more in the bucket than small ones, and it was never that
 // full: long prompts of the most urgent route were refused twice as often as short ones.
 func TestUnderAConstantExcessLargeRequestsPassAsOftenAsSmallOnes(t *testing.T) {
 	g := gomega.NewWithT(t)
@@ -96,8 +94,8 @@
 	})
 }
 
-// Seen on the bench: co-op trouble-3. A scheduling node that took over began
-// with nearly empty buckets and refused what was below the quota.
+// A scheduling node that took over began with nearly empty buckets and refused what was
+// below the quota.
 func TestLedgerThatTakesOverGoesOnWhereTheOtherWas(t *testing.T) {
 	g := gomega.NewWithT(t)
 	limit := Limit{Rate: 100, Burst: 1000}
@@ -112,8 +110,8 @@
 	g.Expect(after.Level(2*time.Second, "idle", limit)).To(gomega.BeNumerically("~", 1000, 0.1))
 }
 
-// Seen on the bench: further trouble-3. After all nodes were killed at once, what had
-// piled up meanwhile met nearly empty buckets, although nobody had taken anything.
+// After all nodes were killed at once, what had piled up meanwhile met nearly empty
+// buckets, although nobody had taken anything.
 func TestLedgerOfASystemThatWasDownHoldsWhatCameInMeanwhile(t *testing.T) {
 	g := gomega.NewWithT(t)
 	limit := Limit{Rate: 100, Burst: 200}
@@ -126,9 +124,9 @@
 	g.Expect(full.Level(0, "a", limit)).To(gomega.BeNumerically("~", 200, 0.001), "never more than the burst")
 }
 
-// Seen on the bench: the large agency's trouble-1, 1,210 requests refused for good in the
-// second after all nodes had started again. The scheduling node made its buckets when it
-// had heard few of the nodes whose names it knew.
+// After a start of all nodes the scheduling node makes its buckets when it has heard few
+// of the nodes whose names it knows. What they lack must not come back only at the
+// tenants' rates, when the callers have come and gone.
 func TestBucketsOfAStartGrowWithTheShareOfNodesHeard(t *testing.T) {
 	g := gomega.NewWithT(t)
 	limit := Limit{Rate: 100, Burst: 1000, Debt: 50}
--- a/coordination/retrybudget/retrybudget_test.go
+++ b/coordination/retrybudget/retrybudget_test.go
@@ -55,8 +55,8 @@
 	})
 }
 
-// Seen on the bench: further trouble-2, BUDGET. The nodes were stopped in turn, and
-// each one that became the scheduling node gave a whole slack of its own.
+// The nodes were stopped in turn, and each one that became the scheduling node gave a
+// whole slack of its own.
 func TestSuccessiveSchedulingNodesShareTheirSlack(t *testing.T) {
 	g := gomega.NewWithT(t)
 	policy := Policy{Ratio: 0.2, Slack: 20, Window: 10 * time.Second}
--- a/entry/beats_test.go
+++ b/entry/beats_test.go
@@ -10,8 +10,8 @@
 	"github.com/thornwalk/thornwalk/coordination/liveness"
 )
 
-// Seen on the bench: grown co-op quiet-1, QUOTA. In a burst the scheduling
-// node's heartbeats grew beyond what a datagram carries and nobody heard it.
+// In a burst the scheduling node's heartbeats grew beyond what a datagram carries and
+// nobody heard it.
 func TestHeartbeatsStayWithinADatagram(t *testing.T) {
 	g := gomega.NewWithT(t)
 	beat := liveness.Beat{Name: "n", Address: "10.0.0.1:7600", Levels: map[string]float64{}, Held: map[string]liveness.Held{"foreign": {Total: 2, Foreign: 1}}}
@@ -37,8 +37,7 @@
 	g.Expect(len(content)).To(gomega.BeNumerically("<=", datagramBudget))
 }
 
-// Seen on the bench: grown co-op, QUOTA and DRAIN. With 83 nodes heartbeats are
-// a second apart, which was taken for a pause each time.
+// With 83 nodes heartbeats are a second apart, which was taken for a pause each time.
 func TestHeartbeatsFarApartAreNoPause(t *testing.T) {
 	g := gomega.NewWithT(t)
 	for _, members := range []int{1, 9, 65, 83, 390} {
--- a/entry/desk.go
+++ b/entry/desk.go
@@ -17,7 +17,7 @@
 	// with that does not know what others handed out.
 	takeoverBurst = 0.1
 	// restartTime is the least time from the end of the last processes to the first
-	// requests of those that follow, in which nobody took anything; seen on the bench:
+	// requests of those that follow, in which nobody took anything; measured:
 	// 0.5 s. It is credited for restartCredit from the start of the process; later
 	// others have handed out quotas.
 	restartTime   = 400 * time.Millisecond
--- a/entry/desk_test.go
+++ b/entry/desk_test.go
@@ -13,8 +13,8 @@
 	"github.com/thornwalk/thornwalk/state/replicas"
 )
 
-// Seen on the bench: grown agency scale-1, where a round of decisions for each
-// change kept the scheduling node busy until its memory ran out.
+// A round of decisions for each change would keep the scheduling node busy until its
+// memory runs out.
 func TestManyChangesShareARoundOfDecisions(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := gomega.NewWithT(t)
--- a/entry/freshness_test.go
+++ b/entry/freshness_test.go
@@ -23,8 +23,8 @@
 	return n
 }
 
-// Seen on the bench: grown co-op trouble-1, DRAIN. After a cut of a third of the
-// nodes no node that reached the store felt called to read it for three seconds.
+// After a cut of a third of the nodes no node that reached the store felt called to read
+// it for three seconds.
 func TestNodeReadsByItselfOnceAllKnowledgeIsOld(t *testing.T) {
 	g := gomega.NewWithT(t)
 	n := freshnessNode(5)
--- a/entry/news_test.go
+++ b/entry/news_test.go
@@ -22,9 +22,8 @@
 	return n
 }
 
-// Seen on the bench: grown co-op trouble-1, DRAIN. A replica left without a word
-// shortly after a cut of the scheduling node, which took its own trouble for one of
-// the store and sent to the replica for seven seconds more.
+// A replica left without a word shortly after a cut of the scheduling node, which took
+// its own trouble for one of the store and sent to the replica for seven seconds more.
 func TestEntryThatVanishesIsDoubtedOnlyIfNobodyFollowedTheStore(t *testing.T) {
 	g := gomega.NewWithT(t)
 	n := cutOffNode(time.Second)
--- a/entry/pull_test.go
+++ b/entry/pull_test.go
@@ -14,9 +14,9 @@
 	"github.com/thornwalk/thornwalk/state/replicas"
 )
 
-// Seen on the bench: further-grown hunt, CONFIG. The nodes that follow the store for
-// all were of those with narrow links. 75 others pulled from them every 200 ms, the
-// whole list each time, until their links carried nothing else for eight seconds.
+// The nodes that follow the store for all were of those with narrow links. 75 others
+// pulled from them every 200 ms, the whole list each time, until their links carried
+// nothing else for eight seconds.
 func TestNewsAreFollowedByNodesWithWideLinks(t *testing.T) {
 	g := gomega.NewWithT(t)
 	first := 0
--- a/operator/story/story_test.go
+++ b/operator/story/story_test.go
@@ -10,7 +10,7 @@
 	"github.com/onsi/gomega"
 )
 
-// The lines are of one day on the bench; docs/OPERATIONS.md walks them.
+// The lines are of one recorded day; docs/OPERATIONS.md walks them.
 func TestThreeFailedRequestsFromIDToCause(t *testing.T) {
 	for _, one := range []struct{ file, id, cause string }{
 		{"refused", "e316909fc0efcb50", "not-run, status 503; never sent to a replica; backlog: the request would have been late"},
--- a/test/entry/faults_test.go
+++ b/test/entry/faults_test.go
@@ -85,8 +85,8 @@
 	})
 }
 
-// Seen on the bench: further, every day with a cut between zones. Replicas across the
-// cut were found one by one, each by callers whose connects hung for 300 ms.
+// Replicas across the cut were found one by one, each by callers whose connects hung for
+// 300 ms.
 func TestCutBetweenZonesCostsFewCallersTheirTime(t *testing.T) {
 	play(t, func(s *scene) {
 		for _, host := range []string{"w1", "w2", "w3", "w4"} {
--- a/test/entry/memory_test.go
+++ b/test/entry/memory_test.go
@@ -154,9 +154,9 @@
 	return int64(memory.HeapAlloc)
 }
 
-// Seen on the bench: hgo-thornwalk-grown, LOST. Beside changes of a configuration of
-// some thousand routes a process went over its memory limit, and requests were lost
-// with it. Whole nodes ask here, by whatever messages they use.
+// Beside changes of a configuration of some thousand routes a process went over its
+// memory limit, and requests were lost with it. Whole nodes ask here, by whatever
+// messages they use.
 func TestMemoryIsBoundedWhileManyPeersAskForConfiguration(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := gather(t, pullers, nil)
--- a/test/entry/scene_test.go
+++ b/test/entry/scene_test.go
@@ -1,5 +1,5 @@
 // Package entry drives whole entry nodes over stand-ins of the users' platform
-// under virtual time. Every test here rebuilds a failure seen on the bench, or
+// under virtual time. Every test here rebuilds a failure of a whole deployment, or
 // a promise.
 package entry
 
--- a/test/entry/start_test.go
+++ b/test/entry/start_test.go
@@ -13,9 +13,8 @@
 	"github.com/thornwalk/thornwalk/transport/network"
 )
 
-// Seen on the bench: grown sites, QUOTA after all nodes were killed at once. For
-// seconds nodes that had heard of a few others only each scheduled by themselves
-// and handed out whole quotas.
+// After all nodes were killed at once, nodes that have heard of a few others only must
+// not each schedule by themselves and hand out whole quotas.
 func TestManyNodesThatStartAtOnceAgreeOnWhoSchedules(t *testing.T) {
 	const nodes = 40
 	synctest.Test(t, func(t *testing.T) {
--- a/test/entry/stop_test.go
+++ b/test/entry/stop_test.go
@@ -36,8 +36,7 @@
 	})
 }
 
-// Seen on the bench: agency hunt-1678-11, LOST. A stream taken late in a stop
-// was longer than its hint and got cut.
+// A stream taken late in a stop was longer than its hint and got cut.
 func TestNoStreamIsTakenLateInAPlannedStop(t *testing.T) {
 	play(t, func(s *scene) {
 		for _, engine := range s.engines {
@@ -63,8 +62,7 @@
 	return func(r *http.Request) { r.Header.Set("X-Deadline-Ms", text) }
 }
 
-// Seen on the bench: agency trouble-2, where all nodes stop in turn. Fifty
-// requests came by connections that had rested, late in a stop, and were refused.
+// Fifty requests came by connections that had rested, late in a stop, and were refused.
 func TestRestingConnectionsAreClosedInAPlannedStop(t *testing.T) {
 	play(t, func(s *scene) {
 		for _, engine := range s.engines {
--- a/test/entry/store_test.go
+++ b/test/entry/store_test.go
@@ -23,8 +23,8 @@
 	}
 }
 
-// Seen on the bench: agency trouble-1, DRAIN. A node that the store refuses
-// must hear of a drain from its peers, although other peers are behind too.
+// A node that the store refuses must hear of a drain from its peers, although other
+// peers are behind too.
 func TestNodesRefusedByTheStoreHearOfADrainFromPeers(t *testing.T) {
 	play(t, func(s *scene) {
 		s.lab.Store.Refuse("n1", true)
@@ -41,8 +41,8 @@
 	})
 }
 
-// Seen on the bench: grown co-op trouble-1, DRAIN. The nodes that follow the
-// store for all must be replaced at once when it turns away just them.
+// The nodes that follow the store for all must be replaced at once when it turns away
+// just them.
 func TestOthersFollowTheStoreWhenItFallsSilentForThoseThatDid(t *testing.T) {
 	play(t, func(s *scene) {
 		for _, node := range s.others() {
@@ -58,8 +58,7 @@
 	})
 }
 
-// Seen on the bench: grown co-op trouble-1, DRAIN. What the asking node knows
-// holds even where the scheduling node did not hear of it.
+// What the asking node knows holds even where the scheduling node did not hear of it.
 func TestNodeSendsNothingToAReplicaThatItKnowsToDrain(t *testing.T) {
 	play(t, func(s *scene) {
 		scheduler := s.scheduler()
@@ -81,8 +80,7 @@
 	s.lab.Store.Compact()
 }
 
-// Seen on the bench: co-op scale-1, CONFIG. While the store compacts, watches
-// hear nothing and do not fail.
+// While the store compacts, watches hear nothing and do not fail.
 func TestConfigurationIsInForceAlthoughWatchesAreSilent(t *testing.T) {
 	play(t, func(s *scene) {
 		s.lab.Store.SetSilent(true)
@@ -197,9 +195,8 @@
 	})
 }
 
-// Seen on the bench: further scale-1, DRAIN. The store forgot its history, which says
-// nothing of its replicas; one that left without a word a second later was taken for
-// one that might come back.
+// The store forgot its history, which says nothing of its replicas; one that left
+// without a word a second later was taken for one that might come back.
 func TestDepartureAfterTheStoreForgotItsHistoryIsBelieved(t *testing.T) {
 	play(t, func(s *scene) {
 		s.breakWatches()
