Say in a greeting that somebody tells the names already

Cause: a process that starts is sent the list of all nodes in parts of 18 names. After the first part it greets these 18, and where that is less than half of all it greets them as one that knows few, so that each of them sends the whole list too. Supposed before; shown now among 80 nodes, where it happens at each start. Change: a node that is being sent a list counts the list's names as known.

--- a/coordination/liveness/liveness.go
+++ b/coordination/liveness/liveness.go
@@ -54,7 +54,7 @@
 	// Levels tells, if the sender schedules, what tenants may take at once, of those
 	// that are not near their full burst. Who takes over goes on from there.
 	Levels map[string]float64 `msgpack:"q"`
-	// Known is how many other nodes the sender knows by name.
+	// Known is how many other nodes the sender knows by name or is just being told of.
 	Known int `msgpack:"k"`
 	// Peers are a few nodes that the sender knows.
 	Peers []Peer `msgpack:"p"`
--- a/entry/beats.go
+++ b/entry/beats.go
@@ -184,7 +184,7 @@
 	settings := n.settings.Load()
 	beat := liveness.Beat{
 		Name: settings.Name, Zone: settings.Zone, Address: n.selfAddress(), Cores: settings.Cores, Link: settings.Link, Interval: n.interval().Milliseconds(), Incarnation: n.depend.Incarnation,
-		Term: n.term, Known: n.members.Known(), Leaving: n.stopping.Load() != 0, Storeless: n.storeDown, Latest: n.table.Latest(), Unread: n.fresh.age(now), ConfigurationUnread: n.freshConfiguration.age(now), Steady: n.steadyFor(now).Milliseconds(), Failing: n.health.failing(now),
+		Term: n.term, Known: n.namesKnown(now), Leaving: n.stopping.Load() != 0, Storeless: n.storeDown, Latest: n.table.Latest(), Unread: n.fresh.age(now), ConfigurationUnread: n.freshConfiguration.age(now), Steady: n.steadyFor(now).Milliseconds(), Failing: n.health.failing(now),
 		Held: map[string]liveness.Held{}, Relays: true,
 	}
 	beat.Version = n.version()
@@ -248,6 +248,7 @@
 	storeNews := found && before.Storeless != beat.Storeless
 	news := n.members.Heard(now, beat)
 	n.zones.heard(now, beat)
+	n.noteTelling(now, beat)
 	newcomers := n.learn(now, beat.Peers)
 	newcomer := beat.Known < n.members.Known()*newcomerShare/100
 	if beat.Name == n.scheduler {
--- /dev/null
+++ b/entry/introduce_test.go
@@ -0,0 +1,38 @@
+package entry
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/thornwalk/thornwalk/coordination/liveness"
+	"github.com/thornwalk/thornwalk/internal/eventlog"
+)
+
+// A new process greeted the nodes of the first part of a list while it knew under half of
+// all, so that each of them sent the whole list too.
+func TestANodeThatIsBeingToldTheNamesSaysThatItKnowsThem(t *testing.T) {
+	const names = 39
+	g := gomega.NewWithT(t)
+	n := New(&Settings{Name: "new"}, Dependencies{Log: eventlog.New("new", nil)})
+	part := liveness.Beat{Name: "n0", Known: names}
+	for i := range peersAtOnce + toldPeers {
+		part.Peers = append(part.Peers, liveness.Peer{Name: fmt.Sprint("n", i+1), Address: fmt.Sprint("host", i+1)})
+	}
+	now := n.now()
+	n.noteTelling(now, part)
+	n.learn(now, part.Peers)
+	g.Expect(n.beat(now).Known).To(gomega.Equal(names))
+	g.Expect(n.beat(now+tellingTime+time.Millisecond).Known).To(gomega.Equal(peersAtOnce+toldPeers), "the rest did not come")
+}
+
+// A regular heartbeat names a few nodes. Whoever takes it for a list would not be sent one.
+func TestARegularHeartbeatTellsNoNames(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n := New(&Settings{Name: "new"}, Dependencies{Log: eventlog.New("new", nil)})
+	regular := liveness.Beat{Name: "n0", Known: 39, Peers: []liveness.Peer{{Name: "n1", Address: "h1"}, {Name: "n2", Address: "h2"}}}
+	n.noteTelling(n.now(), regular)
+	g.Expect(n.beat(n.now()).Known).To(gomega.BeZero())
+}
--- a/entry/node.go
+++ b/entry/node.go
@@ -89,6 +89,7 @@
 	table     *replicas.Table
 	members   *liveness.Table
 	relays    *liveness.Relays
+	telling   telling
 	health    *healthBook
 	zones     *zoneBook
 	held      map[string]heldPlace
--- a/test/entry/relay_test.go
+++ b/test/entry/relay_test.go
@@ -42,10 +42,15 @@
 }
 
 func playRelays(t *testing.T, test func(s *relayScene)) {
+	t.Helper()
+	playRelaysAmong(t, relayNodes, test)
+}
+
+func playRelaysAmong(t *testing.T, nodes int, test func(s *relayScene)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		s := &relayScene{scene: &scene{WithT: gomega.NewWithT(t), fabric: memnet.New()}}
-		for i := range relayNodes {
+		for i := range nodes {
 			s.nodes = append(s.nodes, nodeName(i))
 		}
 		s.start(s.nodes, relayZones, nil)
@@ -82,27 +87,48 @@
 	})
 }
 
+const (
+	// toldWatched is the time after the start of a process in which what it is sent is
+	// counted.
+	toldWatched = time.Second
+	// toldLimit is an answer and a regular heartbeat or two from each node, some 400 bytes
+	// each, and a few lists of 3 kB; 68 kB when each node sent the list.
+	toldLimit = 45e3
+)
+
+// toldAtStart starts the last node again and returns the bytes that it is sent.
+func (s *relayScene) toldAtStart() float64 {
+	node := s.nodes[len(s.nodes)-1]
+	toNode := func(_, to string) bool { return to == node }
+	s.lab.Node(node).Kill()
+	time.Sleep(settled)
+	before := s.fabric.SentWhere(toNode)
+	s.Expect(s.lab.StartNode(node, relayZone(node))).To(gomega.Succeed())
+	time.Sleep(toldWatched)
+	s.Expect(s.lab.Node(node).Status().Live).To(gomega.HaveLen(len(s.nodes) - 1))
+	return float64(s.fabric.SentWhere(toNode) - before)
+}
+
 // A process that starts again hears of the nodes from a few, and not from each node that
 // it greets.
 func TestAStartIsToldTheNodesByFew(t *testing.T) {
+	playRelays(t, func(s *relayScene) {
+		got := s.toldAtStart()
+		t.Logf("sent to the new process in its first %v: %.0f bytes", toldWatched, got)
+		s.Expect(got).To(gomega.BeNumerically("<", toldLimit))
+	})
+}
+
+// The first part of a list names 18 nodes. Where that is less than half of all, the process
+// greets these as a newcomer, and each of them sent it the whole list too: 110 kB.
+func TestAStartAmongManyIsToldTheNodesByFew(t *testing.T) {
 	const (
-		watched = time.Second
-		// An answer and a regular heartbeat or two from each node, some 400 bytes each, and
-		// a few lists of 3 kB; 68 kB when each node sent the list.
-		limit = 45e3
+		many  = 80
+		limit = 60e3 // 44 kB where the lists come from a few
 	)
-	playRelays(t, func(s *relayScene) {
-		node := s.nodes[relayNodes-1]
-		toNode := func(_, to string) bool { return to == node }
-		s.lab.Node(node).Kill()
-		time.Sleep(settled)
-		before := s.fabric.SentWhere(toNode)
-		s.Expect(s.lab.StartNode(node, relayZone(node))).To(gomega.Succeed())
-		time.Sleep(watched)
-		status := s.lab.Node(node).Status()
-		got := float64(s.fabric.SentWhere(toNode) - before)
-		t.Logf("sent to the new process in its first %v: %.0f bytes", watched, got)
-		s.Expect(status.Live).To(gomega.HaveLen(relayNodes - 1))
+	playRelaysAmong(t, many, func(s *relayScene) {
+		got := s.toldAtStart()
+		t.Logf("sent to the new process in its first %v: %.0f bytes", toldWatched, got)
 		s.Expect(got).To(gomega.BeNumerically("<", limit))
 	})
 }
