--- a/cmd/thornwalkd/entry.go
+++ b/cmd/thornwalkd/entry.go
@@ -38,8 +38,9 @@
 	log := eventlog.New(settings.Name, os.Stdout)
 	defer log.Close()
 	outsideNetwork := network.TCP{SilenceLimit: silenceLimit}
+	directory := platform.NewDirectory(network.Bounded{Network: outsideNetwork, Limit: silenceLimit}, settings.Store)
 	node := entry.New(settings, entry.Dependencies{
-		Network: outsideNetwork, Datagrams: outsideNetwork, Directory: platform.NewDirectory(network.Bounded{Network: outsideNetwork, Limit: silenceLimit}, settings.Store),
+		Network: outsideNetwork, Datagrams: outsideNetwork, Directory: directory, Rollouts: directory,
 		Headers: platform.Headers(), ReadyPath: platform.ReadyPath, Log: log, Incarnation: rand.Uint64(),
 	})
 	if err := node.Start(); err != nil {
--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -3,7 +3,9 @@
 import (
 	"time"
 
+	"github.com/thornwalk/thornwalk/coordination/rollout"
 	"github.com/thornwalk/thornwalk/state/replicas"
+	"github.com/thornwalk/thornwalk/state/rollouts"
 	"github.com/thornwalk/thornwalk/structs"
 )
 
@@ -14,6 +16,8 @@
 	// Node is the process that asks, with its incarnation.
 	Node    string
 	Service string
+	// Route names the operators' route, on which versions of a service are compared.
+	Route string
 	// Zone is the asking node's.
 	Zone     string
 	Priority int
@@ -109,7 +113,9 @@
 type place struct {
 	node    string
 	service string
+	route   string
 	replica string
+	version string
 	prompt  int
 	since   structs.Instant
 	// begun is true once the prompt was read, and overdue once the answer should
@@ -125,6 +131,9 @@
 	duration time.Duration
 	// failures is the smoothed share of its requests that fail.
 	failures float64
+	// versions says which versions get requests, and trial what those get that are judged.
+	versions rollouts.VersionPolicy
+	trial    *rollout.Exposure
 }
 
 // Scheduler holds the queues and the places of all services.
@@ -227,6 +236,7 @@
 	s.waits[request.ID] = held
 	pool := s.service(request.Service)
 	pool.queue = append(pool.queue, held)
+	pool.trial.Ask(request.Route)
 }
 
 // Cancel ends the wait of a request without a decision.
@@ -261,22 +271,34 @@
 	state.hidden = hiddenLoad{count: max(0, load-state.reported()), at: now}
 }
 
-// Finish frees the place of a request and learns from how it ended.
-func (s *Scheduler) Finish(now structs.Instant, id string, seen Observation) {
+// Ended is a request with a place that ended.
+type Ended struct {
+	Service, Route, Replica string
+	// Version is the replica's.
+	Version string
+	// Prompt counts tokens.
+	Prompt int
+}
+
+// Finish frees the place of a request and learns from how it ended. It returns false if
+// the request had no place here.
+func (s *Scheduler) Finish(now structs.Instant, id string, seen Observation) (Ended, bool) {
 	held, found := s.places[id]
 	if !found {
-		return
+		return Ended{}, false
 	}
+	ended := Ended{Service: held.service, Route: held.route, Replica: held.replica, Version: held.version, Prompt: held.prompt}
 	s.release(id)
 	if !seen.Left && !held.overdue {
 		s.judge(now, held.service, held.replica, seen.Failed)
 	}
 	if seen.Failed || seen.Left || seen.Duration <= 0 {
-		return
+		return ended, true
 	}
 	pool := s.service(held.service)
 	pool.duration = smooth(pool.duration, seen.Duration)
 	s.learn(held, seen)
+	return ended, true
 }
 
 // Observe learns from a request of the service that another scheduler placed at the
--- a/coordination/admission/decide.go
+++ b/coordination/admission/decide.go
@@ -80,6 +80,11 @@
 
 func (s *Scheduler) decideOne(now structs.Instant, held *waiting, room *room, ahead int) (Decision, bool) {
 	decision := Decision{ID: held.ID, Waited: now - held.arrived, Ahead: ahead, Free: room.free, Expected: room.wait(ahead)}
+	if chosen := s.chooseTrial(held, room, held.Deadline-decision.Waited); chosen != nil {
+		s.give(now, held, chosen)
+		decision.Replica = chosen.state.replica
+		return decision, true
+	}
 	options := room.untried(&held.Request)
 	if len(options) == 0 && len(room.options) > 0 {
 		decision.Reason, decision.RetryAfter = ReasonNoReplica, minimumRetry
@@ -95,12 +100,10 @@
 		return decision, true
 	}
 	if chosen := s.choose(now, held, room, options, left); chosen != nil {
-		chosen.used++
-		chosen.unread += held.Prompt
 		if !chosen.doubted {
 			room.free--
 		}
-		s.occupy(held.ID, &place{node: held.Node, service: held.Service, replica: chosen.state.replica.ID, prompt: held.Prompt, since: now})
+		s.give(now, held, chosen)
 		decision.Replica = chosen.state.replica
 		return decision, true
 	}
@@ -118,6 +121,16 @@
 	return Decision{}, false
 }
 
+// give enters that the request got a place at the replica.
+func (s *Scheduler) give(now structs.Instant, held *waiting, chosen *option) {
+	chosen.used++
+	chosen.unread += held.Prompt
+	s.occupy(held.ID, &place{
+		node: held.Node, service: held.Service, route: held.Route, replica: chosen.state.replica.ID, version: chosen.state.replica.Version,
+		prompt: held.Prompt, since: now,
+	})
+}
+
 // retryAfter tells a refused caller to come back when the work ahead is done,
 // as late as it can be without taking the caller's time for the answer.
 func retryAfter(expected, left time.Duration) time.Duration {
--- a/coordination/admission/room.go
+++ b/coordination/admission/room.go
@@ -4,12 +4,15 @@
 	"slices"
 	"time"
 
+	"github.com/thornwalk/thornwalk/state/rollouts"
 	"github.com/thornwalk/thornwalk/structs"
 )
 
 // room is the state of a service's replicas during one Decide.
 type room struct {
 	options []*option
+	// trials are the replicas of a version that is judged, if the next request may go there.
+	trials []*option
 	// free counts places and total all slots.
 	free, total int
 	duration    time.Duration
@@ -49,11 +52,13 @@
 	pool := s.services[name]
 	measured := &room{duration: pool.duration, options: make([]*option, 0, len(pool.replicas))}
 	fastest := pool.fastest()
+	onTrial := pool.trial.Open(now)
 	if cap(s.options) < len(pool.replicas) {
 		s.options = make([]option, len(pool.replicas))
 	}
 	for i, state := range pool.replicas {
-		if state.replica.Draining {
+		use := pool.versions.Use(state.replica.Version)
+		if state.replica.Draining || use == rollouts.UseBarred || use == rollouts.UseBudgeted && !onTrial {
 			continue
 		}
 		readTime := state.speed.reading.perToken()
@@ -67,6 +72,10 @@
 		if state.onTrial() {
 			choice.places = 1
 		}
+		if use == rollouts.UseBudgeted {
+			measured.trials = append(measured.trials, choice)
+			continue
+		}
 		measured.options = append(measured.options, choice)
 		if !choice.doubted {
 			measured.total += choice.places
@@ -74,6 +83,7 @@
 		}
 	}
 	measured.trustAllIfNone()
+	measured.gatherTrials(pool.trial.Turn())
 	return measured
 }
 
--- a/coordination/liveness/liveness.go
+++ b/coordination/liveness/liveness.go
@@ -58,6 +58,9 @@
 	Known int `msgpack:"k"`
 	// Peers are a few nodes that the sender knows.
 	Peers []Peer `msgpack:"p"`
+	// Rollouts tells how far the sender knows each roll-out that is not at its end, by
+	// service.
+	Rollouts map[string]RolloutView `msgpack:"g,omitempty"`
 	// Relays is true if the sender passes heartbeats on to its zone when it is asked to.
 	Relays bool `msgpack:"e,omitempty"`
 	// PassOn asks the receiver to send the heartbeat to all nodes of its zone.
@@ -82,6 +85,18 @@
 	Foreign int `msgpack:"f"`
 }
 
+// RolloutView is what a node knows and does of one roll-out.
+type RolloutView struct {
+	//lint:ignore U1000 the codec reads the tag
+	_msgpack struct{} `msgpack:",as_array"`
+
+	// Order is the store's revision of the order and Phase the phase that the node goes by.
+	Order int64 `msgpack:"o"`
+	Phase uint8 `msgpack:"p"`
+	// Busy counts the node's requests at replicas that get no new ones.
+	Busy int `msgpack:"b"`
+}
+
 // Peer is a node's name and address.
 type Peer struct {
 	Name    string `msgpack:"n"`
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -98,13 +98,13 @@
 	}
 }
 
-// knownToLeave returns whether this node knows that the replica drains, which
-// the scheduling node may not have heard of yet.
+// knownToLeave returns whether this node knows that the replica drains, or that its version
+// gets no new requests, which the scheduling node may not have heard of yet.
 func (n *Node) knownToLeave(id string) bool {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	known, found := n.table.Get(id)
-	return found && known.Draining
+	return found && (known.Draining || n.isBarred(known))
 }
 
 // placeRequest describes the request to the scheduling node.
@@ -116,7 +116,7 @@
 	request := &placeRequest{
 		Request: admission.Request{
 			ID:   node.process() + "." + strconv.FormatUint(node.sequence.Add(1), 36),
-			Node: node.process(), Zone: node.settings.Load().Zone, Service: c.service, Priority: c.priority(),
+			Node: node.process(), Zone: node.settings.Load().Zone, Service: c.service, Route: c.route.Name, Priority: c.priority(),
 			Prompt: c.prompt, Answer: c.expectedTokens(), Tried: tried, Doubted: doubted,
 			Stride: c.stride(), Pause: c.route.TargetGap, Yields: c.route.Priority >= yieldFrom,
 			Deadline: max(time.Until(c.deadline), 0),
--- a/entry/beats.go
+++ b/entry/beats.go
@@ -77,6 +77,7 @@
 	all := n.table.All()
 	n.mutex.Unlock()
 	term := n.desk.reset(all)
+	n.applyPolicies()
 	n.mutex.Lock()
 	n.term = term
 	n.storeBadAt, n.steady = n.now(), false
@@ -184,8 +185,8 @@
 	settings := n.settings.Load()
 	beat := liveness.Beat{
 		Name: settings.Name, Zone: settings.Zone, Address: n.selfAddress(), Cores: settings.Cores, Link: settings.Link, Interval: n.interval().Milliseconds(), Incarnation: n.depend.Incarnation,
-		Term: n.term, Known: n.namesKnown(now), Leaving: n.stopping.Load() != 0, Storeless: n.storeDown, Latest: n.table.Latest(), Unread: n.fresh.age(now), ConfigurationUnread: n.freshConfiguration.age(now), Steady: n.steadyFor(now).Milliseconds(), Failing: n.health.failing(now),
-		Held: map[string]liveness.Held{}, Relays: true,
+		Term: n.term, Known: n.namesKnown(now), Leaving: n.stopping.Load() != 0, Storeless: n.storeDown, Latest: n.latest(), Unread: n.fresh.age(now), ConfigurationUnread: n.freshConfiguration.age(now), Steady: n.steadyFor(now).Milliseconds(), Failing: n.health.failing(now),
+		Held: map[string]liveness.Held{}, Relays: true, Rollouts: n.rolloutViews(),
 	}
 	beat.Version = n.version()
 	if n.scheduler == settings.Name {
--- a/entry/desk.go
+++ b/entry/desk.go
@@ -8,6 +8,7 @@
 	"github.com/thornwalk/thornwalk/coordination/admission"
 	"github.com/thornwalk/thornwalk/coordination/quota"
 	"github.com/thornwalk/thornwalk/coordination/retrybudget"
+	"github.com/thornwalk/thornwalk/coordination/rollout"
 	"github.com/thornwalk/thornwalk/state/replicas"
 	"github.com/thornwalk/thornwalk/structs"
 )
@@ -47,7 +48,12 @@
 	waiters map[string]chan admission.Decision
 	placed  map[string]placed
 	refused *refusals
-	timer   *time.Timer
+	// controllers step the roll-outs of services while this node schedules; longest is how
+	// long the long answers of a service take.
+	rolloutPolicy rollout.Policy
+	controllers   map[string]*rollout.Controller
+	longest       map[string]time.Duration
+	timer         *time.Timer
 	// decidedAt is when the last round of decisions was made.
 	decidedAt structs.Instant
 }
@@ -71,6 +77,7 @@
 	d.waiters = map[string]chan admission.Decision{}
 	d.placed = map[string]placed{}
 	d.refused = newRefusals()
+	d.controllers, d.longest = map[string]*rollout.Controller{}, map[string]time.Duration{}
 }
 
 // reset forgets everything, as a process must that stood still for so long that
@@ -121,6 +128,11 @@
 		d.budget.Begin(d.clock())
 	} else {
 		d.budget.End()
+		// Who schedules next goes on from the record; what was taken here is not used.
+		for service := range d.controllers {
+			d.scheduler.SetTrial(service, nil)
+		}
+		clear(d.controllers)
 	}
 }
 
@@ -205,7 +217,9 @@
 func (d *desk) finish(request *finishRequest) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	d.scheduler.Finish(d.clock(), request.ID, request.Seen)
+	if ended, found := d.scheduler.Finish(d.clock(), request.ID, request.Seen); found {
+		d.noteRollout(ended, request.Seen, request.NotRun)
+	}
 	d.scheduler.Cancel(request.ID)
 	delete(d.waiters, request.ID)
 	if held, found := d.placed[request.ID]; found {
--- a/entry/messages.go
+++ b/entry/messages.go
@@ -6,6 +6,7 @@
 	"github.com/thornwalk/thornwalk/coordination/admission"
 	"github.com/thornwalk/thornwalk/coordination/quota"
 	"github.com/thornwalk/thornwalk/state/replicas"
+	"github.com/thornwalk/thornwalk/state/rollouts"
 )
 
 // placeRequest asks the scheduling node for a place at a replica.
@@ -67,13 +68,19 @@
 
 type begunReply struct{}
 
-// newsRequest asks a peer for what it knows of the replicas beyond the revision.
+// newsRequest asks a peer for what it knows of the replicas beyond one revision, and of the
+// roll-outs beyond another.
 type newsRequest struct {
-	Latest int64
+	Latest   int64
+	Rollouts int64
 }
 
-// newsReply is what a peer knows of the replicas.
+// newsReply is what a peer knows of the replicas and of roll-outs. It knows all roll-outs up
+// to the revision Known.
 type newsReply struct {
 	Replicas []replicas.Replica
 	Removed  map[string]int64
+	Orders   []rollouts.Order
+	Records  []rollouts.Record
+	Known    int64
 }
--- a/entry/news.go
+++ b/entry/news.go
@@ -17,6 +17,11 @@
 	if update.Catalog != nil {
 		n.offerCatalog(update.Catalog, "store")
 	}
+	known := int64(0)
+	if !update.Complete || update.Whole {
+		known = update.Revision
+	}
+	n.takeRollouts(update.Orders, update.Records, known)
 	n.mutex.Lock()
 	n.catalogRevision = max(n.catalogRevision, update.CatalogRevision)
 	before := n.table.Version()
@@ -38,7 +43,7 @@
 	if changed {
 		n.replicasChanged()
 	}
-	if changed || update.Catalog != nil {
+	if changed || update.Catalog != nil || len(update.Orders)+len(update.Records) > 0 {
 		n.sendBeats()
 	}
 }
@@ -125,4 +130,5 @@
 	n.health.forget(func(id string) bool { _, known := n.table.Get(id); return known })
 	n.mutex.Unlock()
 	n.desk.update(func(scheduler *admission.Scheduler) { scheduler.SetReplicas(all) })
+	n.applyPolicies()
 }
--- a/entry/node.go
+++ b/entry/node.go
@@ -21,6 +21,7 @@
 	"github.com/thornwalk/thornwalk/protocol/peerwire"
 	"github.com/thornwalk/thornwalk/state/catalog"
 	"github.com/thornwalk/thornwalk/state/replicas"
+	"github.com/thornwalk/thornwalk/state/rollouts"
 	"github.com/thornwalk/thornwalk/structs"
 	"github.com/thornwalk/thornwalk/transport/network"
 	"github.com/thornwalk/thornwalk/transport/peer"
@@ -32,7 +33,9 @@
 	Network   network.Network
 	Datagrams network.Datagrams
 	Directory outside.Directory
-	Headers   outside.HeaderNames
+	// Rollouts keeps the progress of roll-outs; nil means that there are none.
+	Rollouts outside.Rollouts
+	Headers  outside.HeaderNames
 	// ReadyPath is what the balancer asks.
 	ReadyPath string
 	Log       *eventlog.Log
@@ -85,8 +88,11 @@
 	inFlight atomic.Int64
 
 	// mutex guards what follows.
-	mutex     sync.Mutex
-	table     *replicas.Table
+	mutex    sync.Mutex
+	table    *replicas.Table
+	rollouts *rollouts.Table
+	// policies says which versions get new requests, of services where not all do.
+	policies  map[string]rollouts.VersionPolicy
 	members   *liveness.Table
 	relays    *liveness.Relays
 	telling   telling
@@ -132,13 +138,14 @@
 	n := &Node{
 		depend: depend, log: depend.Log, started: time.Now(), metrics: metrics.NewRegistry(),
 		pool: replicahttp.NewPool(depend.Network), peers: peer.NewClient(depend.Network, nil),
-		table: replicas.NewTable(), members: liveness.NewTable(settings.Name), relays: liveness.NewRelays(rand.IntN), health: newHealthBook(), zones: newZoneBook(),
+		table: replicas.NewTable(), rollouts: rollouts.NewTable(), members: liveness.NewTable(settings.Name), relays: liveness.NewRelays(rand.IntN), health: newHealthBook(), zones: newZoneBook(),
 		held: map[string]heldPlace{}, term: 1, storeBadAt: -time.Hour,
 		library: spread.NewLibrary(), senders: newSenders(settings.Link),
 	}
 	n.settings.Store(settings)
 	n.peers.OnSilence(func(address string) { go n.linkFellSilent(address) })
 	n.desk = newDesk(n.now, settings.retryPolicy(1), settings.FirstStart)
+	n.desk.rolloutPolicy = settings.rolloutPolicy()
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	return n
 }
@@ -176,7 +183,7 @@
 		}
 	}
 	n.callers = n.servers[0]
-	for _, loop := range []func(){n.watchLoop, n.readLoop, n.beatLoop, n.receiveBeats, n.zoneLoop, n.housekeeping} {
+	for _, loop := range []func(){n.watchLoop, n.readLoop, n.beatLoop, n.receiveBeats, n.zoneLoop, n.housekeeping, n.rolloutLoop} {
 		n.group.Go(loop)
 	}
 	n.log.Write(eventlog.Event{Kind: "process.start", Detail: peerAddress})
--- a/entry/operators.go
+++ b/entry/operators.go
@@ -30,6 +30,8 @@
 	Failing   []string                   `json:"failing_replicas"`
 	Replicas  []replicas.Replica         `json:"replicas"`
 	Services  map[string]admission.Count `json:"services"`
+	// Rollouts has the latest record of each service that was ever rolled out.
+	Rollouts map[string]RolloutStatus `json:"rollouts,omitempty"`
 }
 
 // Status returns the node's state.
@@ -44,6 +46,7 @@
 	now := n.now()
 	status.Revision, status.NewsAge, status.StoreDown = n.table.Revision(), (now - n.newsAt).Milliseconds(), n.storeDown
 	status.Scheduler, status.Failing, status.Replicas = n.scheduler, n.health.failing(now), n.table.All()
+	status.Rollouts = n.rolloutStatus(now)
 	for _, member := range n.members.All(now) {
 		if member.Silence(now) < member.Patience() {
 			status.Live = append(status.Live, member.Name)
@@ -54,9 +57,12 @@
 	return status
 }
 
+// PathStatus is where a node serves its Status at the operators' address.
+const PathStatus = "/status"
+
 func (n *Node) operators() http.Handler {
 	router := mux.NewRouter()
-	router.HandleFunc("/status", func(w http.ResponseWriter, _ *http.Request) {
+	router.HandleFunc(PathStatus, func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(n.Status())
 	}).Methods(http.MethodGet)
--- a/entry/pull.go
+++ b/entry/pull.go
@@ -75,18 +75,29 @@
 	return 0
 }
 
-// behindReplicas returns whether the peer knows more of the replicas for so long that
+// latest returns the revision of the latest news that this node knows, of replicas and of
+// roll-outs. News of replicas alone does not count: of a version that a roll-out brings, a
+// node must not know the replicas and not the order. The caller holds the mutex.
+func (n *Node) latest() int64 {
+	if n.rollouts.Known() < n.table.Latest() {
+		return n.rollouts.Known()
+	}
+	return max(n.table.Latest(), n.rollouts.Latest())
+}
+
+// behindReplicas returns whether the peer knows more of the replicas or roll-outs for so long that
 // this node's own watch will not tell it, and the peer is to be asked now. The caller
 // holds the mutex.
 func (n *Node) behindReplicas(beat liveness.Beat) bool {
-	return n.replicaLag.due(n.now(), n.table.Latest(), beat.Latest, n.ownPatience())
+	return n.replicaLag.due(n.now(), n.latest(), beat.Latest, n.ownPatience())
 }
 
 // serveNews answers a peer that is behind.
 func (n *Node) serveNews(_ context.Context, request *newsRequest) (*newsReply, error) {
-	reply := &newsReply{}
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
+	reply := &newsReply{Known: n.rollouts.Known()}
+	reply.Orders, reply.Records = n.rollouts.Since(request.Rollouts)
 	if n.table.Latest() > request.Latest {
 		reply.Replicas, reply.Removed = n.table.Since(request.Latest), n.table.RemovedSince(n.now(), request.Latest)
 	}
@@ -110,12 +121,13 @@
 	ctx, cancel := context.WithTimeout(n.ctx, newsTimeout)
 	defer cancel()
 	n.mutex.Lock()
-	request := &newsRequest{Latest: n.table.Latest()}
+	request := &newsRequest{Latest: n.table.Latest(), Rollouts: n.rollouts.Known()}
 	n.mutex.Unlock()
 	reply := &newsReply{}
 	if err := n.peers.Call(ctx, address, peerwire.KindNews, request, reply); err != nil {
 		return err
 	}
+	n.takeRollouts(reply.Orders, reply.Records, reply.Known)
 	n.mutex.Lock()
 	before := n.table.Version()
 	for _, replica := range reply.Replicas {
--- /dev/null
+++ b/entry/rollout.go
@@ -0,0 +1,407 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/thornwalk/thornwalk/coordination/admission"
+	"github.com/thornwalk/thornwalk/coordination/liveness"
+	"github.com/thornwalk/thornwalk/coordination/rollout"
+	"github.com/thornwalk/thornwalk/internal/eventlog"
+	"github.com/thornwalk/thornwalk/protocol/errkind"
+	"github.com/thornwalk/thornwalk/state/replicas"
+	"github.com/thornwalk/thornwalk/state/rollouts"
+	"github.com/thornwalk/thornwalk/structs"
+)
+
+// How a node takes part in roll-outs. Every node goes by the orders and records that it
+// knows; the one that schedules also steps them (coordination/rollout).
+
+const (
+	// rolloutStep is the time between two looks at the roll-outs.
+	rolloutStep = 100 * time.Millisecond
+	// rolloutWriteLimit bounds one write of a record.
+	rolloutWriteLimit = 800 * time.Millisecond
+)
+
+// takeRollouts takes news of roll-outs into force. Known is the revision up to which the
+// news is whole; zero means that it is not.
+func (n *Node) takeRollouts(orders []rollouts.Order, records []rollouts.Record, known int64) {
+	n.mutex.Lock()
+	now := n.now()
+	changed := n.rollouts.Known() < known
+	for _, order := range orders {
+		if n.rollouts.PutOrder(now, order) {
+			changed = true
+			n.log.Write(eventlog.Event{Kind: "rollout", Service: order.Service, Outcome: "ordered", Revision: order.Revision, Detail: order.Target, Left: order.Duration.Milliseconds()})
+		}
+	}
+	moved := false
+	for _, record := range records {
+		before, _ := n.rollouts.Record(record.Service)
+		if !n.rollouts.PutRecord(now, record) {
+			continue
+		}
+		changed = true
+		if before.Phase != record.Phase || before.Order != record.Order {
+			moved = true
+			n.log.Write(eventlog.Event{Kind: "rollout", Service: record.Service, Outcome: record.Phase.String(), Revision: record.Revision, Detail: record.Target, Reason: record.Reason})
+		}
+	}
+	n.rollouts.SetKnown(known)
+	n.mutex.Unlock()
+	if changed {
+		n.applyPolicies()
+	}
+	if moved {
+		n.sendBeats() // whoever steps the roll-out waits for every node to confirm the phase
+	}
+}
+
+// policyOf returns which versions of the service get new requests. The caller holds the
+// mutex.
+func (n *Node) policyOf(service string, all []replicas.Replica) rollouts.VersionPolicy {
+	order, ordered := n.rollouts.Order(service)
+	policy := n.rollouts.Policy(service, ordered && inService(order, all))
+	unexplained := unexplainedVersions(service, all, n.rollouts.Known())
+	if len(unexplained) > 0 {
+		policy.Service = service
+		policy.Barred = append(append([]string{}, policy.Barred...), unexplained...)
+	}
+	return policy
+}
+
+// inService returns whether the order's target served before the order, and nothing else
+// is left.
+func inService(order rollouts.Order, all []replicas.Replica) bool {
+	served := false
+	for _, replica := range all {
+		switch {
+		case replica.Service != order.Service:
+		case replica.Version != order.Target:
+			return false
+		case replica.Revision < order.Revision:
+			served = true
+		}
+	}
+	return served
+}
+
+// unexplainedVersions returns the versions of the service beside others whose replicas are
+// all newer than what is known of roll-outs: an order may bring them that this node has
+// not heard of.
+func unexplainedVersions(service string, all []replicas.Replica, known int64) []string {
+	oldest := map[string]int64{}
+	for _, replica := range all {
+		if replica.Service != service {
+			continue
+		}
+		if revision, found := oldest[replica.Version]; !found || replica.Revision < revision {
+			oldest[replica.Version] = replica.Revision
+		}
+	}
+	var versions []string
+	for version, revision := range oldest {
+		if revision > known {
+			versions = append(versions, version)
+		}
+	}
+	if len(versions) == len(oldest) {
+		return nil // nothing is known of any of them, as at the start of a process
+	}
+	return versions
+}
+
+// isBarred returns whether the replica's version gets no new requests. The caller holds
+// the mutex.
+func (n *Node) isBarred(replica replicas.Replica) bool {
+	policy, found := n.policies[replica.Service]
+	return found && policy.Use(replica.Version) == rollouts.UseBarred
+}
+
+// applyPolicies tells the desk which versions get new requests.
+func (n *Node) applyPolicies() {
+	n.mutex.Lock()
+	all := n.table.All()
+	services := map[string]bool{}
+	for _, service := range n.rollouts.Services() {
+		services[service] = true
+	}
+	for _, replica := range all {
+		services[replica.Service] = true
+	}
+	policies := map[string]rollouts.VersionPolicy{}
+	for service := range services {
+		if policy := n.policyOf(service, all); policy.Active() {
+			policies[service] = policy
+		}
+	}
+	lifted := n.policies
+	n.policies = policies
+	n.mutex.Unlock()
+	for service := range lifted {
+		if _, still := policies[service]; !still {
+			n.desk.setVersions(service, rollouts.VersionPolicy{})
+		}
+	}
+	for service, policy := range policies {
+		n.desk.setVersions(service, policy)
+	}
+}
+
+// rolloutViews returns what this node's heartbeat tells of roll-outs that are not at their
+// end. The caller holds the mutex.
+func (n *Node) rolloutViews() map[string]liveness.RolloutView {
+	var views map[string]liveness.RolloutView
+	for service, policy := range n.policies {
+		if policy.Phase == 0 || policy.Phase.Ended() {
+			continue
+		}
+		if views == nil {
+			views = map[string]liveness.RolloutView{}
+		}
+		views[service] = liveness.RolloutView{Order: policy.Order, Phase: uint8(policy.Phase), Busy: n.busyAtBarred(service)}
+	}
+	return views
+}
+
+// busyAtBarred counts this node's requests at replicas of the service whose version gets no
+// new ones. The caller holds the mutex.
+func (n *Node) busyAtBarred(service string) int {
+	busy := 0
+	for _, place := range n.held {
+		if replica, known := n.table.Get(place.replica); known && replica.Service == service && n.isBarred(replica) {
+			busy++
+		}
+	}
+	return busy
+}
+
+// rolloutLoop steps the roll-outs while this node schedules.
+func (n *Node) rolloutLoop() {
+	for n.pause(rolloutStep) {
+		if n.depend.Rollouts == nil {
+			return
+		}
+		n.mutex.Lock()
+		leads := n.scheduler == n.settings.Load().Name && n.stopping.Load() == 0
+		var services []string
+		if leads {
+			services = n.rollouts.Services()
+		}
+		n.mutex.Unlock()
+		for _, service := range services {
+			n.stepRollout(service)
+		}
+	}
+}
+
+// stepRollout writes the next record of the service's roll-out if one is due.
+func (n *Node) stepRollout(service string) {
+	situation, record := n.rolloutSituation(service)
+	if situation.Order.Revision == 0 || !n.knowsService(service) {
+		return
+	}
+	next, due := n.desk.proposeRollout(situation, record)
+	if !due {
+		return
+	}
+	ctx, cancel := context.WithTimeout(n.ctx, rolloutWriteLimit)
+	defer cancel()
+	revision, err := n.depend.Rollouts.WriteRollout(ctx, next)
+	n.desk.rolloutWritten(next, revision, err)
+	if err != nil {
+		n.counter("rollouts.writes_failed").Inc(1)
+		n.rereadRollout(ctx, service)
+		return
+	}
+	n.counter("rollouts.writes").Inc(1)
+	next.Revision = revision
+	n.takeRollouts(nil, []rollouts.Record{next}, 0)
+}
+
+// rereadRollout learns what the store holds after a write that did not succeed: another node
+// may have written, or this one without hearing of it.
+func (n *Node) rereadRollout(ctx context.Context, service string) {
+	record, err := n.depend.Rollouts.ReadRollout(ctx, service)
+	if err != nil {
+		n.counter("rollouts.reads_failed").Inc(1)
+		return // the next write fails, and is followed by another read
+	}
+	n.mutex.Lock()
+	n.rollouts.ReplaceRecord(n.now(), record)
+	n.mutex.Unlock()
+	n.applyPolicies()
+}
+
+// knowsService returns whether the configuration names the service.
+func (n *Node) knowsService(service string) bool {
+	current := n.catalog.Load()
+	return current != nil && current.Service(service) != nil
+}
+
+// rolloutSituation returns what the next step of the service's roll-out goes by.
+func (n *Node) rolloutSituation(service string) (rollout.Situation, rollouts.Record) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	now := n.now()
+	order, _ := n.rollouts.Order(service)
+	record, _ := n.rollouts.Record(service)
+	all := n.table.All()
+	seen := rollout.Situation{Order: order, Elapsed: n.rollouts.Elapsed(now, service), InService: inService(order, all)}
+	for _, replica := range all {
+		switch {
+		case replica.Service != service || replica.Draining:
+		case replica.Version == order.Target:
+			seen.TargetSlots += replica.Slots
+		default:
+			seen.OtherSlots += replica.Slots
+		}
+	}
+	seen.Busy, seen.Confirmed = n.busyAtBarred(service), true
+	for _, member := range n.mayServe(now, record.Phase) {
+		view, told := member.Rollouts[service]
+		if !told || view.Order != record.Order || view.Phase != uint8(record.Phase) {
+			seen.Confirmed = false
+		}
+		seen.Busy += view.Busy
+	}
+	return seen, record
+}
+
+// mayServe returns the other nodes that have to confirm the phase. Before replicas stop
+// without a drain these are all whose processes may still be at work, and else those that
+// are heard of: a target that is given up drains. The caller holds the mutex.
+func (n *Node) mayServe(now structs.Instant, phase rollouts.Phase) []*liveness.Member {
+	if phase == rollouts.PhaseSwitching {
+		return n.members.NotLost(now)
+	}
+	return n.members.Live(now)
+}
+
+// RolloutStatus is what operators see of one roll-out.
+type RolloutStatus struct {
+	rollouts.Record
+	Step string `json:"step"`
+	// Left is the time to the deadline in milliseconds; negative once it passed.
+	Left int64 `json:"left_ms"`
+	// Doubt is how far the evidence against the target is at the node that schedules: from
+	// 1 on it is rolled back. DoubtRoute is the route that shows most.
+	Doubt      float64 `json:"doubt"`
+	DoubtRoute string  `json:"doubt_route,omitempty"`
+	// Evidence tells of each route the bad answers of the target and of the others.
+	Evidence []string `json:"evidence,omitempty"`
+}
+
+// rolloutStatus returns what is known of the roll-outs. The caller holds the mutex.
+func (n *Node) rolloutStatus(now structs.Instant) map[string]RolloutStatus {
+	told := map[string]RolloutStatus{}
+	for _, service := range n.rollouts.Services() {
+		record, found := n.rollouts.Record(service)
+		if !found {
+			continue
+		}
+		order, _ := n.rollouts.Order(service)
+		status := RolloutStatus{Record: record, Step: record.Phase.String(), Left: (order.Duration - n.rollouts.Elapsed(now, service)).Milliseconds()}
+		status.Doubt, status.DoubtRoute = n.desk.rolloutDoubt(service)
+		for _, route := range slices.Sorted(maps.Keys(record.Routes)) {
+			status.Evidence = append(status.Evidence, rollout.Describe(route, record.Routes[route]))
+		}
+		told[service] = status
+	}
+	return told
+}
+
+// rolloutDoubt returns the evidence against the target of the service's roll-out; zero at a
+// node that does not step it.
+func (d *desk) rolloutDoubt(service string) (float64, string) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if controller, found := d.controllers[service]; found {
+		return controller.Doubt()
+	}
+	return 0, ""
+}
+
+// setVersions takes over which versions of the service get new requests.
+func (d *desk) setVersions(service string, policy rollouts.VersionPolicy) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.scheduler.SetVersions(service, policy)
+	d.decide()
+}
+
+// proposeRollout returns the record that is to be written next.
+func (d *desk) proposeRollout(seen rollout.Situation, known rollouts.Record) (rollouts.Record, bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	service := seen.Order.Service
+	controller, found := d.controllers[service]
+	if !found {
+		controller = rollout.NewController(d.rolloutPolicy, known)
+		d.controllers[service] = controller
+		d.scheduler.SetTrial(service, controller.Exposure())
+	}
+	controller.Adopt(known)
+	seen.Busy = max(seen.Busy, d.scheduler.HeldAt(service))
+	seen.Longest = d.longest[service]
+	return controller.Propose(d.clock(), seen)
+}
+
+// rolloutWritten enters what became of a write.
+func (d *desk) rolloutWritten(written rollouts.Record, revision int64, err error) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	controller, found := d.controllers[written.Service]
+	if !found {
+		return // this node no longer schedules
+	}
+	switch {
+	case err == nil:
+		controller.Written(d.clock(), written, revision)
+	case errors.Is(err, errkind.StoreUnknown):
+		controller.Unknown(d.clock())
+	default:
+		controller.Refused(d.clock())
+	}
+}
+
+// longestShare is the weight by which the longest known answer of a service yields to a
+// shorter one: after 100 of half its length it is near that.
+const longestShare = 0.02
+
+// noteRollout enters the end of a request into the judgement of its service's versions.
+func (d *desk) noteRollout(ended admission.Ended, seen admission.Observation, notRun bool) {
+	if seen.Duration > 0 {
+		before := d.longest[ended.Service]
+		d.longest[ended.Service] = max(seen.Duration, before-time.Duration(longestShare*float64(before-seen.Duration)))
+	}
+	controller, found := d.controllers[ended.Service]
+	if !found || notRun {
+		return
+	}
+	controller.Ended(answerOf(ended, seen, controller.Record().Target), !seen.Left)
+}
+
+// promptOverhead is the part of the time to a first event that does not depend on the
+// prompt, in tokens that are read meanwhile.
+const promptOverhead = 500
+
+// answerOf describes the end of a request to the judge.
+func answerOf(ended admission.Ended, seen admission.Observation, target string) rollout.Answer {
+	answer := rollout.Answer{
+		Route: ended.Route, Replica: ended.Replica, Target: ended.Version == target, Failed: seen.Failed, Step: seen.Duration,
+	}
+	if seen.Events == 0 {
+		return answer
+	}
+	answer.First = seen.FirstEvent / time.Duration(ended.Prompt+promptOverhead)
+	answer.Step = 0
+	if seen.Events > 1 {
+		answer.Step = (seen.Duration - seen.FirstEvent) / time.Duration(seen.Events-1)
+	}
+	return answer
+}
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -8,6 +8,7 @@
 
 	"github.com/thornwalk/thornwalk/coordination/quota"
 	"github.com/thornwalk/thornwalk/coordination/retrybudget"
+	"github.com/thornwalk/thornwalk/coordination/rollout"
 	"github.com/thornwalk/thornwalk/protocol/errkind"
 )
 
@@ -53,6 +54,10 @@
 	QuotaWindow  float64 `yaml:"quota_window_s"`
 	QuotaOverage float64 `yaml:"quota_overage"`
 	QuotaSlack   float64 `yaml:"quota_slack"`
+	// RolloutShare (a share of a service's requests) and RolloutSlack (requests) bound what a
+	// new version of the service's replicas gets until it is judged.
+	RolloutShare float64 `yaml:"rollout_share"`
+	RolloutSlack float64 `yaml:"rollout_slack"`
 	// FirstStart is true on the very first start of the whole system.
 	FirstStart bool `yaml:"first_start"`
 }
@@ -112,6 +117,8 @@
 		{"quota_window_s", s.QuotaWindow, 0.1, 3600},
 		{"quota_overage", s.QuotaOverage, 0, 10},
 		{"quota_slack", s.QuotaSlack, 0, 1e12},
+		{"rollout_share", s.RolloutShare, 0, 1},
+		{"rollout_slack", s.RolloutSlack, 0, 1_000_000},
 	}
 	for _, field := range bounds {
 		if field.value < field.low || field.value > field.high {
@@ -157,6 +164,10 @@
 	}
 }
 
+func (s *Settings) rolloutPolicy() rollout.Policy {
+	return rollout.Policy{Share: s.RolloutShare, Slack: s.RolloutSlack}
+}
+
 func (s *Settings) stopGrace() time.Duration { return time.Duration(s.StopGrace) * time.Millisecond }
 
 // behindLimit is how long a node goes on serving by its configuration after it heard of
--- a/lab/entrylab/entrylab.go
+++ b/lab/entrylab/entrylab.go
@@ -96,7 +96,7 @@
 	settings := &entry.Settings{
 		Name: host, Zone: zone, Callers: at(host, callersPort), Readiness: at(host, readinessPort), Operators: at(host, operatorsPort),
 		Host: host, PeerPort: peerPort, Seeds: seeds, Store: at(d.options.StoreHost, storePort),
-		StopGrace: 8000, Contact: 3000, ConfigurationBound: 2000, RetryRatio: 0.2, RetryWindow: 10, RetrySlack: 40, QuotaWindow: 8, FirstStart: true,
+		StopGrace: 8000, Contact: 3000, ConfigurationBound: 2000, RetryRatio: 0.2, RetryWindow: 10, RetrySlack: 40, QuotaWindow: 8, RolloutShare: 0.1, RolloutSlack: 50, FirstStart: true,
 	}
 	if d.options.Adjust != nil {
 		d.options.Adjust(settings)
@@ -108,8 +108,9 @@
 	d.closers = append(d.closers, log.Close)
 	d.mutex.Unlock()
 	hostNetwork := d.options.Network(host)
+	directory := platform.NewDirectory(network.Bounded{Network: hostNetwork, Limit: storeDialLimit}, settings.Store)
 	node := entry.New(settings, entry.Dependencies{
-		Network: hostNetwork, Datagrams: d.options.Datagrams(host), Directory: platform.NewDirectory(network.Bounded{Network: hostNetwork, Limit: storeDialLimit}, settings.Store),
+		Network: hostNetwork, Datagrams: d.options.Datagrams(host), Directory: directory, Rollouts: directory,
 		Headers: platform.Headers(), ReadyPath: platform.ReadyPath, Log: log, Incarnation: incarnation,
 	})
 	if err := node.Start(); err != nil {
--- a/lab/platformsim/replica.go
+++ b/lab/platformsim/replica.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -57,7 +58,9 @@
 // Replica is a server of one service. It is safe for concurrent use.
 type Replica struct {
 	ID, Service, Address, Zone string
-	Slots                      int
+	// Version is that of its software; empty means the first.
+	Version string
+	Slots   int
 	// Events is the number of events of a stream; zero makes a plain answer.
 	Events int
 	// Step is the time between two events, and the time of a plain answer.
@@ -109,9 +112,12 @@
 	Sequence int    `json:"sequence"`
 }
 
+// firstVersion is that of replicas that name none.
+const firstVersion = "v1"
+
 // Register writes the replica's entry with the state.
 func (r *Replica) Register(store *Store, state string) int64 {
-	return store.PutJSON("servers/"+r.ID, Entry{Service: r.Service, Address: r.Address, Zone: r.Zone, Version: "v1", Slots: r.Slots, State: state})
+	return store.PutJSON("servers/"+r.ID, Entry{Service: r.Service, Address: r.Address, Zone: r.Zone, Version: cmp.Or(r.Version, firstVersion), Slots: r.Slots, State: state})
 }
 
 // Serve accepts connections until the listener is closed.
--- a/lab/platformsim/store.go
+++ b/lab/platformsim/store.go
@@ -69,6 +69,13 @@
 	return s.Put(key, content)
 }
 
+// Value returns the value of the key, or nothing.
+func (s *Store) Value(key string) []byte {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.items[key].Value
+}
+
 // Delete removes the key.
 func (s *Store) Delete(key string) {
 	s.mutex.Lock()
--- a/operator/client.go
+++ b/operator/client.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/thornwalk/thornwalk/coordination/settingsync"
+	"github.com/thornwalk/thornwalk/entry"
 	"github.com/thornwalk/thornwalk/node"
 	"github.com/thornwalk/thornwalk/protocol/errkind"
 	"github.com/thornwalk/thornwalk/protocol/openai"
@@ -38,6 +39,12 @@
 	return get[node.Status](ctx, c, node.PathOperatorStatus)
 }
 
+// EntryStatus returns the state of an entry daemon, which serves it to anybody who reaches
+// its operators' address.
+func (c *Client) EntryStatus(ctx context.Context) (*entry.Status, error) {
+	return get[*entry.Status](ctx, c, entry.PathStatus)
+}
+
 // Peers returns the members of the zone as the node sees them.
 func (c *Client) Peers(ctx context.Context) ([]node.Peer, error) {
 	return get[[]node.Peer](ctx, c, node.PathOperatorPeers)
--- a/outside/directory.go
+++ b/outside/directory.go
@@ -6,6 +6,7 @@
 
 	"github.com/thornwalk/thornwalk/state/catalog"
 	"github.com/thornwalk/thornwalk/state/replicas"
+	"github.com/thornwalk/thornwalk/state/rollouts"
 )
 
 // Gone is news that a replica's entry was removed.
@@ -18,14 +19,18 @@
 type Update struct {
 	// Revision is the directory's revision up to which the news goes.
 	Revision int64
-	// Complete is true if Replicas lists every replica.
-	Complete bool
+	// Complete is true if Replicas lists every replica, and Whole if also Orders and Records
+	// list every one.
+	Complete, Whole bool
 	// Catalog is nil if the configuration did not change, and CatalogRevision is its
 	// revision.
 	Catalog         *catalog.Document
 	CatalogRevision int64
 	Replicas        []replicas.Replica
 	Gone            []Gone
+	// Orders and Records are of roll-outs.
+	Orders  []rollouts.Order
+	Records []rollouts.Record
 	// Problems are entries that did not parse and were left out.
 	Problems []error
 }
@@ -62,6 +67,19 @@
 	Watch(ctx context.Context, after int64, wait time.Duration) (*Update, error)
 }
 
+// Rollouts keeps the progress of roll-outs and tells it to the operators.
+type Rollouts interface {
+	// WriteRollout writes the record and the status that operators read, both or neither,
+	// if the store's record has the revision that this one names. It returns the new
+	// revision. The error is of kind Conflict if the store's record has another revision,
+	// StoreUnavailable if surely nothing was written, and StoreUnknown if the write may have
+	// taken effect or may do so later.
+	WriteRollout(ctx context.Context, record rollouts.Record) (int64, error)
+	// ReadRollout returns the service's record as it is now, with revision zero if there is
+	// none. The error is of kind StoreUnavailable.
+	ReadRollout(ctx context.Context, service string) (rollouts.Record, error)
+}
+
 // HeaderNames are the names of the headers that carry what the daemon reads
 // from requests and answers, and what it sets itself.
 type HeaderNames struct {
--- a/state/replicas/replicas.go
+++ b/state/replicas/replicas.go
@@ -22,6 +22,8 @@
 	// Address is IP and port; it may pass to another service later.
 	Address string `msgpack:"a" json:"address"`
 	Zone    string `msgpack:"z" json:"zone"`
+	// Version is that of its software.
+	Version string `msgpack:"v" json:"version,omitempty"`
 	// Slots is the number of requests that it works on at once.
 	Slots int `msgpack:"n" json:"slots"`
 	// Draining closes the replica to new work.
--- /dev/null
+++ b/state/rollouts/policy.go
@@ -0,0 +1,101 @@
+package rollouts
+
+import "slices"
+
+// Use says how a replica of some version may be used.
+type Use uint8
+
+// The uses of a version's replicas.
+const (
+	// UseFree: like any other replica.
+	UseFree Use = iota
+	// UseBudgeted: only for a request that is counted against what the version may get
+	// until it is judged.
+	UseBudgeted
+	// UseBarred: for no new request.
+	UseBarred
+)
+
+// VersionPolicy says which versions of a service's replicas get new requests. The zero
+// value lets all of them. Without a phase only Barred counts.
+type VersionPolicy struct {
+	// Service is empty if no roll-out of the service is known.
+	Service string
+	// Order is the revision of the order that the policy follows from.
+	Order          int64
+	Target, Stable string
+	Barred         []string
+	Phase          Phase
+}
+
+// Active returns whether any version is restricted.
+func (p *VersionPolicy) Active() bool { return p.Service != "" }
+
+// Use returns how a replica of the version may be used.
+func (p *VersionPolicy) Use(version string) Use {
+	switch {
+	case !p.Active():
+		return UseFree
+	case p.Phase != 0 && version == p.Target:
+		return p.useOfTarget()
+	case p.Phase == PhaseSwitching || p.Phase == PhaseCompleted || slices.Contains(p.Barred, version):
+		return UseBarred
+	}
+	return UseFree
+}
+
+func (p *VersionPolicy) useOfTarget() Use {
+	switch p.Phase {
+	case PhaseSwitching, PhaseCompleted:
+		return UseFree
+	case PhaseJudging:
+		return UseBudgeted
+	}
+	return UseBarred
+}
+
+// Policy returns the policy for the service. An order that nobody has recorded yet is a
+// roll-out that begins: its target gets nothing but what is counted, unless it is in
+// service already.
+func (t *Table) Policy(service string, inService bool) VersionPolicy {
+	order, ordered := t.orders[service]
+	record, recorded := t.records[service]
+	if !ordered && !recorded {
+		return VersionPolicy{}
+	}
+	if !recorded || ordered && record.Order < order.Revision {
+		record = Begin(order, record, inService)
+	}
+	return VersionPolicy{
+		Service: service, Order: record.Order, Target: record.Target, Stable: record.Stable, Barred: record.Barred, Phase: record.Phase,
+	}
+}
+
+// maximumBarred bounds the versions that a record remembers as not to be used.
+const maximumBarred = 8
+
+// Begin returns the first record of the order, which follows the service's earlier one;
+// that one may be empty. A version whose roll-out did not end well stays barred, and the
+// service goes back to the version that it had before, or to the one that was completed.
+// A target that the service has already, or that had replicas before the order, needs no
+// judgement.
+func Begin(order Order, before Record, inService bool) Record {
+	record := Record{Service: order.Service, Order: order.Revision, Target: order.Target, Stable: before.Stable, Phase: PhaseJudging}
+	barred := slices.Clone(before.Barred)
+	switch {
+	case before.Target == "":
+	case before.Phase == PhaseCompleted || before.Phase == PhaseSwitching:
+		if before.Stable != "" {
+			barred = append(barred, before.Stable)
+		}
+		record.Stable = before.Target
+	default:
+		barred = append(barred, before.Target)
+	}
+	barred = slices.DeleteFunc(barred, func(version string) bool { return version == order.Target || version == record.Stable })
+	record.Barred = barred[max(0, len(barred)-maximumBarred):]
+	if order.Target == record.Stable || inService && !slices.Contains(before.Barred, order.Target) && order.Target != before.Target {
+		record.Phase = PhaseSwitching
+	}
+	return record
+}
--- /dev/null
+++ b/state/rollouts/rollouts.go
@@ -0,0 +1,216 @@
+// Package rollouts is a node's view of the operators' roll-outs: which service moves to
+// which version of its replicas, and how far that is. It is a passive table without I/O or
+// clock: news comes from the platform's store and from peers.
+//
+// Guarantees: of two orders for a service the later one by the store's revision holds, and
+// of two records of progress likewise, whatever older news arrives later. A replica of a
+// version that nothing here explains yet is not used (Policy, VersionPolicy.Allows).
+package rollouts
+
+import (
+	"slices"
+	"time"
+
+	"github.com/thornwalk/thornwalk/structs"
+)
+
+// Order is the operators' request to move a service to a version.
+type Order struct {
+	Service string `msgpack:"s" json:"service"`
+	Target  string `msgpack:"t" json:"target_version"`
+	// Duration is the time in which the service is to be moved.
+	Duration time.Duration `msgpack:"d" json:"duration"`
+	// Revision is the store's revision of the order.
+	Revision int64 `msgpack:"r" json:"revision"`
+}
+
+// Phase is how far a roll-out is.
+type Phase uint8
+
+// The phases of a roll-out, in their order.
+const (
+	// PhaseJudging: a bounded share of the requests goes to the target version.
+	PhaseJudging Phase = iota + 1
+	// PhaseSwitching: the target was found good and gets every new request; requests still
+	// run at the other versions.
+	PhaseSwitching
+	// PhaseCompleted: nothing runs at the other versions, which stop.
+	PhaseCompleted
+	// PhaseReturning: the target was found bad or could not be judged and gets no new
+	// request, which not every node may know yet.
+	PhaseReturning
+	// PhaseRolledBack: no node sends to the target any more.
+	PhaseRolledBack
+)
+
+// String returns the name of the phase in logs and for operators.
+func (p Phase) String() string {
+	names := [...]string{"none", "judging", "switching", "completed", "returning", "rolled-back"}
+	if int(p) < len(names) {
+		return names[p]
+	}
+	return "unknown"
+}
+
+// Ended returns whether nothing is left to do.
+func (p Phase) Ended() bool { return p == PhaseCompleted || p == PhaseRolledBack }
+
+// Evidence counts the answers on one route while the target was judged.
+type Evidence struct {
+	// Good and Bad are of the target's answers, OldGood and OldBad of the others'.
+	Good    int `msgpack:"g" json:"good"`
+	Bad     int `msgpack:"b" json:"bad"`
+	OldGood int `msgpack:"h" json:"old_good"`
+	OldBad  int `msgpack:"c" json:"old_bad"`
+}
+
+// Plus returns the sum of both.
+func (e Evidence) Plus(other Evidence) Evidence {
+	return Evidence{Good: e.Good + other.Good, Bad: e.Bad + other.Bad, OldGood: e.OldGood + other.OldGood, OldBad: e.OldBad + other.OldBad}
+}
+
+// Record is the progress of a roll-out as it lies in the store. It is written only under
+// the condition that nobody wrote it since it was read.
+type Record struct {
+	Service string `msgpack:"s" json:"service"`
+	// Order is the revision of the order.
+	Order  int64  `msgpack:"o" json:"order"`
+	Target string `msgpack:"t" json:"target"`
+	// Stable is the version that the service goes back to, and Barred are versions that
+	// were rolled back or whose roll-out was replaced before its end.
+	Stable string   `msgpack:"v" json:"stable"`
+	Barred []string `msgpack:"x" json:"barred,omitempty"`
+	Phase  Phase    `msgpack:"p" json:"phase"`
+	// Reason says why the roll-out went the way it did.
+	Reason string `msgpack:"y" json:"reason,omitempty"`
+	// Requests counts those that reached the service since the order, as far as they were
+	// reported, and Exposed those that may have been sent to the target: it rises before
+	// they are sent.
+	Requests int `msgpack:"n" json:"requests"`
+	Exposed  int `msgpack:"e" json:"exposed"`
+	// Elapsed is the time from the order to the write, at least.
+	Elapsed time.Duration `msgpack:"l" json:"elapsed"`
+	// Routes has the evidence by the name of the route.
+	Routes map[string]Evidence `msgpack:"u" json:"routes,omitempty"`
+	// Revision is the store's revision of the record; zero means that there is none.
+	Revision int64 `msgpack:"r" json:"-"`
+}
+
+// seen is when this process first heard of something.
+type seen struct{ order, record structs.Instant }
+
+// Table is the set of known roll-outs, by service.
+type Table struct {
+	orders  map[string]Order
+	records map[string]Record
+	seen    map[string]seen
+	// known is the revision up to which all orders and records are known.
+	known int64
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table {
+	return &Table{orders: map[string]Order{}, records: map[string]Record{}, seen: map[string]seen{}}
+}
+
+// Known returns the revision up to which all orders and records are known.
+func (t *Table) Known() int64 { return t.known }
+
+// SetKnown records that all changes up to the revision were applied.
+func (t *Table) SetKnown(revision int64) { t.known = max(t.known, revision) }
+
+// PutOrder applies news of an order and returns whether it was news.
+func (t *Table) PutOrder(now structs.Instant, order Order) bool {
+	if t.orders[order.Service].Revision >= order.Revision {
+		return false
+	}
+	t.orders[order.Service] = order
+	at := t.seen[order.Service]
+	at.order = now
+	t.seen[order.Service] = at
+	return true
+}
+
+// PutRecord applies news of a record and returns whether it was news.
+func (t *Table) PutRecord(now structs.Instant, record Record) bool {
+	if t.records[record.Service].Revision >= record.Revision {
+		return false
+	}
+	t.records[record.Service] = record
+	at := t.seen[record.Service]
+	at.record = now
+	t.seen[record.Service] = at
+	return true
+}
+
+// ReplaceRecord takes over what the store itself just said of the record, also if that is
+// older than what was known.
+func (t *Table) ReplaceRecord(now structs.Instant, record Record) {
+	delete(t.records, record.Service)
+	t.PutRecord(now, record)
+}
+
+// Order and Record return what is known of the service's latest roll-out.
+func (t *Table) Order(service string) (Order, bool) {
+	order, found := t.orders[service]
+	return order, found
+}
+
+// Record returns the latest record of the service.
+func (t *Table) Record(service string) (Record, bool) {
+	record, found := t.records[service]
+	return record, found
+}
+
+// Elapsed returns the time since the service's order, at least: a process that started
+// later goes by the record, which names the time until it was written.
+func (t *Table) Elapsed(now structs.Instant, service string) time.Duration {
+	at := t.seen[service]
+	elapsed := now - at.order
+	if record, found := t.records[service]; found && record.Order == t.orders[service].Revision {
+		elapsed = max(elapsed, record.Elapsed+now-at.record)
+	}
+	return elapsed
+}
+
+// Services returns the services with an order or a record, sorted.
+func (t *Table) Services() []string {
+	var names []string
+	for name := range t.orders {
+		names = append(names, name)
+	}
+	for name := range t.records {
+		if _, found := t.orders[name]; !found {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
+
+// Since returns the orders and records that changed after the revision, by service.
+func (t *Table) Since(revision int64) ([]Order, []Record) {
+	var orders []Order
+	var records []Record
+	for _, service := range t.Services() {
+		if order := t.orders[service]; order.Revision > revision {
+			orders = append(orders, order)
+		}
+		if record := t.records[service]; record.Revision > revision {
+			records = append(records, record)
+		}
+	}
+	return orders, records
+}
+
+// Latest returns the revision of the latest order or record.
+func (t *Table) Latest() int64 {
+	latest := int64(0)
+	for _, order := range t.orders {
+		latest = max(latest, order.Revision)
+	}
+	for _, record := range t.records {
+		latest = max(latest, record.Revision)
+	}
+	return latest
+}
