--- a/coordination/rollout/explore_test.go
+++ b/coordination/rollout/explore_test.go
@@ -264,7 +264,7 @@
 
 // explore plays all courses up to the depth beyond each beginning and returns the first
 // that breaks a promise, and how many states there were.
-func explore(faults faults, depth int) ([]move, error, int) {
+func explore(faults faults, depth int) ([]move, int, error) {
 	known := map[string]bool{}
 	level := beginnings()
 	for range depth {
@@ -282,7 +282,7 @@
 						changed = e.step(step.node, step.act)
 					}
 					if e.problem != nil {
-						return longer, e.problem, len(known)
+						return longer, len(known), e.problem
 					}
 					if key := e.key(); changed && !known[key] {
 						known[key] = true
@@ -293,13 +293,13 @@
 		}
 		level = next
 	}
-	return nil, nil, len(known)
+	return nil, len(known), nil
 }
 
 func TestNoCourseOfASmallDeploymentBreaksAPromise(t *testing.T) {
 	const depth = 5
 	g := gomega.NewWithT(t)
-	course, problem, states := explore(faults{}, depth)
+	course, states, problem := explore(faults{}, depth)
 	t.Logf("%d states up to depth %d", states, depth)
 	g.Expect(problem).NotTo(gomega.HaveOccurred(), fmt.Sprint(course))
 }
@@ -315,7 +315,7 @@
 		t.Run(name, func(t *testing.T) {
 			const depth = 6
 			g := gomega.NewWithT(t)
-			course, problem, states := explore(broken, depth)
+			course, states, problem := explore(broken, depth)
 			t.Logf("after %d states: %v by %v", states, problem, course)
 			g.Expect(problem).To(gomega.HaveOccurred())
 		})
--- a/coordination/rollout/judge_test.go
+++ b/coordination/rollout/judge_test.go
@@ -79,7 +79,6 @@
 	count, route   int
 	target         bool
 	replica        int
-	usualFailures  float64
 	failed, slowed bool
 }
 
