Look doubted replicas up once a round instead of once a request

Cause: each waiting request searched its list of doubted replicas by name for each replica with a free place, and the short cut for "nothing is free" was off while any were doubted. A round may come each 2 ms. Change: requests of one node share one list; its replicas are looked up when replicas change; a round marks each list once; the short cut compares counts. What remains is the sort of the queue and one pass a list.

--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -107,6 +107,8 @@
 type waiting struct {
 	Request
 	arrived structs.Instant
+	// doubt is the request's Doubted, shared with others of its node.
+	doubt *doubtList
 }
 
 // place is a request in progress.
@@ -145,6 +147,10 @@
 	states map[string]*replicaState
 	// foreign is what each node has in progress by replica that others placed.
 	foreign map[string]map[string]int
+	// doubts has the list of the latest request of each node that doubts replicas.
+	doubts map[string]*doubtList
+	// changes counts the changes of which states there are.
+	changes int
 	// options is used by one round after the other.
 	options []option
 }
@@ -153,7 +159,7 @@
 func New() *Scheduler {
 	return &Scheduler{
 		services: map[string]*service{}, places: map[string]*place{}, waits: map[string]*waiting{},
-		states: map[string]*replicaState{}, foreign: map[string]map[string]int{},
+		states: map[string]*replicaState{}, foreign: map[string]map[string]int{}, doubts: map[string]*doubtList{},
 	}
 }
 
@@ -203,6 +209,7 @@
 // DropNode forgets the requests of a node that ended.
 func (s *Scheduler) DropNode(node string) {
 	s.SetForeign(node, nil)
+	delete(s.doubts, node)
 	for id, held := range s.places {
 		if held.node == node {
 			s.release(id)
@@ -233,6 +240,7 @@
 // Submit queues the request. The next Decide may end its wait.
 func (s *Scheduler) Submit(now structs.Instant, request Request) {
 	held := &waiting{Request: request, arrived: now}
+	held.doubt = s.shareDoubt(&held.Request)
 	s.waits[request.ID] = held
 	pool := s.service(request.Service)
 	pool.queue = append(pool.queue, held)
--- a/coordination/admission/decide.go
+++ b/coordination/admission/decide.go
@@ -100,9 +100,7 @@
 		return decision, true
 	}
 	if chosen := s.choose(now, held, room, options, left); chosen != nil {
-		if !chosen.doubted {
-			room.free--
-		}
+		room.taken(chosen)
 		s.give(now, held, chosen)
 		decision.Replica = chosen.state.replica
 		return decision, true
@@ -142,8 +140,12 @@
 // those where the request would be late while another one could still have it in time,
 // and for a while those where its prompt would make other streams pause too long.
 func (s *Scheduler) choose(now structs.Instant, held *waiting, room *room, options []*option, left time.Duration) *option {
-	if room.free <= 0 && len(held.Tried) == 0 && len(held.Doubted) == 0 {
-		return nil // in an overload most that wait are looked at in vain
+	if len(held.Tried) == 0 && room.noneFree(len(held.Doubted)) {
+		return nil
+	}
+	view := s.trustOf(room, held.doubt)
+	if view.free <= 0 && view.trusted > 0 && len(held.Tried) == 0 {
+		return nil
 	}
 	if held.Yields && float64(room.free) <= reservedShare*float64(room.total) && held.Prompt > 0 {
 		return nil
@@ -151,11 +153,11 @@
 	waited := now - held.arrived
 	calmOnly := waited < time.Duration(float64(held.Target)*calmPatience)
 	hopeful := slices.ContainsFunc(options, func(o *option) bool { return !o.doubted && !o.late(&held.Request, waited, 0) })
-	anyTrusted := slices.ContainsFunc(options, func(o *option) bool { return o.trusts(&held.Request) })
+	anyTrusted := slices.ContainsFunc(options, func(o *option) bool { return room.trusts(view, o) })
 	var best *option
 	var bestCost float64
 	for _, choice := range options {
-		if choice.used >= choice.places || anyTrusted && !choice.trusts(&held.Request) || !choice.fits(held.Answer, left) {
+		if choice.used >= choice.places || anyTrusted && !room.trusts(view, choice) || !choice.fits(held.Answer, left) {
 			continue
 		}
 		if hopeful && choice.late(&held.Request, waited, choice.unread) {
--- a/coordination/admission/decide_bench_test.go
+++ b/coordination/admission/decide_bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -75,3 +76,60 @@
 		})
 	}
 }
+
+// doubtedIDs names every so-manieth replica.
+func doubtedIDs(engines, every int) []string {
+	var ids []string
+	for i := 0; every > 0 && i < engines; i += every {
+		ids = append(ids, fmt.Sprintf("i-%010d", i))
+	}
+	return ids
+}
+
+// emptyReplicas ends what is in progress at the replicas.
+func emptyReplicas(s *Scheduler, ids map[string]bool) {
+	for id, held := range s.places {
+		if ids[held.replica] {
+			s.release(id)
+		}
+	}
+}
+
+// BenchmarkDecideWhileNodesDoubtReplicas measures a round in which nothing is free, many
+// wait, and the nodes that ask find a part of the replicas failing, as when engines crash:
+// so many nodes that none is used, or, unshared, each for itself.
+func BenchmarkDecideWhileNodesDoubtReplicas(b *testing.B) {
+	const nodes = 79
+	for _, engines := range []int{140, 710} {
+		for _, waiting := range []int{300, 1000} {
+			for _, doubt := range []struct {
+				name   string
+				every  int
+				byMany bool
+			}{{"none", 0, false}, {"quarter", 4, true}, {"quarter-unshared", 4, false}, {"half", 2, true}, {"half-unshared", 2, false}} {
+				b.Run(fmt.Sprintf("%dreplicas-%dwaiting-%s", engines, waiting, doubt.name), func(b *testing.B) {
+					s := busyScheduler(engines, 0, false)
+					doubted := doubtedIDs(engines, doubt.every)
+					failing := map[string]bool{}
+					for _, id := range doubted {
+						failing[id] = true
+					}
+					if doubt.byMany {
+						s.SetAvoided(failing)
+					}
+					emptyReplicas(s, failing)
+					for i := range waiting {
+						request := benchmarkRequest(-1-i, 2)
+						request.Node, request.Doubted = fmt.Sprint("n", i%nodes), slices.Clone(doubted)
+						s.Submit(0, request)
+					}
+					b.ReportAllocs()
+					now := structs.Instant(time.Millisecond)
+					for b.Loop() {
+						s.Decide(now)
+					}
+				})
+			}
+		}
+	}
+}
--- /dev/null
+++ b/coordination/admission/doubt_test.go
@@ -0,0 +1,68 @@
+package admission
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/thornwalk/thornwalk/state/replicas"
+)
+
+// What a round believes of the lists of doubted replicas is what a search by name would
+// say, also after places were given and while replicas come and go.
+func TestTrustIsThatOfASearchByName(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		count := rapid.IntRange(1, 8).Draw(t, "replicas")
+		id := rapid.Custom(func(t *rapid.T) string { return fmt.Sprint("r", rapid.IntRange(0, 9).Draw(t, "replica")) })
+		s := New()
+		s.SetReplicas(pool(slices.Repeat([]int{2}, count)...))
+		for round := range 3 {
+			s.SetAvoided(map[string]bool{id.Draw(t, "avoided"): true})
+			for i := range rapid.IntRange(0, 6).Draw(t, "requests") {
+				asked := request(fmt.Sprint(round, "-", i), 1)
+				asked.Node = fmt.Sprint("n", i%2)
+				asked.Doubted = rapid.SliceOfNDistinct(id, 0, 6, rapid.ID[string]).Draw(t, "doubted")
+				s.Submit(0, asked)
+			}
+			room := s.measure(0, "s")
+			for _, held := range s.service("s").queue {
+				expectTrust(t, s, room, held)
+			}
+			if len(room.options) > 0 {
+				chosen := room.options[rapid.IntRange(0, len(room.options)-1).Draw(t, "given")]
+				if chosen.used < chosen.places {
+					chosen.used++
+					room.taken(chosen)
+				}
+			}
+			for _, held := range s.service("s").queue {
+				expectTrust(t, s, room, held)
+			}
+			gone := rapid.IntRange(0, count).Draw(t, "left")
+			s.SetReplicas(slices.DeleteFunc(pool(slices.Repeat([]int{2}, count)...), func(r replicas.Replica) bool { return r.ID == fmt.Sprint("r", gone) }))
+		}
+	})
+}
+
+func expectTrust(t *rapid.T, s *Scheduler, room *room, held *waiting) {
+	view := s.trustOf(room, held.doubt)
+	free, trusted := 0, 0
+	for _, choice := range room.options {
+		trusts := !choice.doubted && !slices.Contains(held.Doubted, choice.state.replica.ID)
+		if room.trusts(view, choice) != trusts {
+			t.Fatalf("%s: trusted %v, by name %v", choice.state.replica.ID, !trusts, trusts)
+		}
+		if trusts {
+			trusted++
+			free += max(0, choice.places-choice.used)
+		}
+	}
+	if view.free != free || view.trusted != trusted {
+		t.Fatalf("%d free at %d replicas, by name %d at %d", view.free, view.trusted, free, trusted)
+	}
+	if room.noneFree(len(held.Doubted)) && (free > 0 || trusted == 0) {
+		t.Fatalf("takes none for free, by name %d at %d replicas", free, trusted)
+	}
+}
--- a/coordination/admission/replica.go
+++ b/coordination/admission/replica.go
@@ -24,6 +24,8 @@
 	conduct conduct
 	// avoided is true if several nodes find the replica failing.
 	avoided bool
+	// number is its place among the options of the latest room that it was in.
+	number int
 }
 
 // hiddenLoad is work at a replica that no node reports: it was sent by a process
@@ -47,6 +49,7 @@
 	if !found {
 		state = &replicaState{}
 		s.states[id] = state
+		s.changes++
 	}
 	return state
 }
@@ -60,6 +63,7 @@
 	}
 	if state.used <= 0 && state.foreign <= 0 {
 		delete(s.states, id)
+		s.changes++
 		return
 	}
 	state.speed, state.conduct, state.hidden = speed{}, conduct{}, hiddenLoad{}
--- a/coordination/admission/room.go
+++ b/coordination/admission/room.go
@@ -13,14 +13,19 @@
 	options []*option
 	// trials are the replicas of a version that is judged, if the next request may go there.
 	trials []*option
-	// free counts places and total all slots.
-	free, total int
-	duration    time.Duration
+	// free counts places and total all slots, of the replicas that are not doubted, and
+	// undoubted these replicas.
+	free, total, undoubted int
+	duration               time.Duration
+	// views has what requests trust, by their lists of doubted replicas.
+	views map[*doubtList]*trust
 }
 
 // option is one replica with what is known of it.
 type option struct {
 	state *replicaState
+	// number is the place among the options of the room.
+	number int
 	// places is how many requests may be in progress there.
 	places int
 	used   int
@@ -36,11 +41,6 @@
 	doubted bool
 }
 
-// trusts returns whether nothing speaks against sending the request there.
-func (o *option) trusts(request *Request) bool {
-	return !o.doubted && !slices.Contains(request.Doubted, o.state.replica.ID)
-}
-
 // fits returns whether the answer is likely to be whole before its deadline.
 func (o *option) fits(answer int, left time.Duration) bool {
 	return time.Duration(answer)*o.step <= time.Duration(float64(left)*fitShare)
@@ -50,7 +50,7 @@
 // until the next call.
 func (s *Scheduler) measure(now structs.Instant, name string) *room {
 	pool := s.services[name]
-	measured := &room{duration: pool.duration, options: make([]*option, 0, len(pool.replicas))}
+	measured := &room{duration: pool.duration, views: map[*doubtList]*trust{}, options: make([]*option, 0, len(pool.replicas))}
 	fastest := pool.fastest()
 	onTrial := pool.trial.Open(now)
 	if cap(s.options) < len(pool.replicas) {
@@ -76,8 +76,10 @@
 			measured.trials = append(measured.trials, choice)
 			continue
 		}
+		choice.number, state.number = len(measured.options), len(measured.options)
 		measured.options = append(measured.options, choice)
 		if !choice.doubted {
+			measured.undoubted++
 			measured.total += choice.places
 			measured.free += max(0, choice.places-choice.used)
 		}
@@ -103,6 +105,7 @@
 	}
 	for _, choice := range r.options {
 		choice.doubted = false
+		r.undoubted++
 		r.total += choice.places
 		r.free += max(0, choice.places-choice.used)
 	}
--- a/coordination/admission/trial.go
+++ b/coordination/admission/trial.go
@@ -81,7 +81,7 @@
 		return nil
 	}
 	for _, choice := range room.trials {
-		if choice.used < choice.places && choice.trusts(&held.Request) && choice.fits(held.Answer, left) {
+		if choice.used < choice.places && !choice.doubted && !slices.Contains(held.Doubted, choice.state.replica.ID) && choice.fits(held.Answer, left) {
 			pool.trial.Spend(held.Route)
 			return choice
 		}
