Let a scheduling node that turns slow give way

Cause: the scheduling node was replaced for silence only. On a machine six times slower its decisions took 28 ms at the half after one second, 86 after two and 513 after five, where they take 5, and callers who came again added to it. Change: nodes that may schedule measure how late their timers are and how long a fixed piece of work takes, and say in their heartbeats if they are slow; the first that is not schedules.

--- a/coordination/liveness/liveness.go
+++ b/coordination/liveness/liveness.go
@@ -32,6 +32,8 @@
 	// Term rises when the process forgot what it had scheduled.
 	Term    uint64 `msgpack:"t"`
 	Leaving bool   `msgpack:"l"`
+	// Slow is true if the node is too slow to schedule for others.
+	Slow bool `msgpack:"sl,omitempty"`
 	// Storeless is true if the node can't reach the store.
 	Storeless bool `msgpack:"s"`
 	// Version is the configuration's and Latest the revision of the latest
@@ -242,6 +244,24 @@
 	return names
 }
 
+// FirstCalm returns the first of the ordered nodes that is not slow, or the first of all if
+// every one is. It is empty if there is none.
+func FirstCalm(order []string, beats []Beat) string {
+	slow := map[string]bool{}
+	for i := range beats {
+		slow[beats[i].Name] = beats[i].Slow
+	}
+	for _, name := range order {
+		if !slow[name] {
+			return name
+		}
+	}
+	if len(order) == 0 {
+		return ""
+	}
+	return order[0]
+}
+
 // strongest returns the beats of nodes that do not leave and have about the most.
 func strongest(beats []Beat, strength func(*Beat) float64) []Beat {
 	most := 0.0
--- a/entry/beats.go
+++ b/entry/beats.go
@@ -185,7 +185,7 @@
 	settings := n.settings.Load()
 	beat := liveness.Beat{
 		Name: settings.Name, Zone: settings.Zone, Address: n.selfAddress(), Cores: settings.Cores, Link: settings.Link, Interval: n.interval().Milliseconds(), Incarnation: n.depend.Incarnation,
-		Term: n.term, Known: n.namesKnown(now), Leaving: n.stopping.Load() != 0, Storeless: n.storeDown, Latest: n.latest(), Unread: n.fresh.age(now), ConfigurationUnread: n.freshConfiguration.age(now), Steady: n.steadyFor(now).Milliseconds(), Failing: n.health.failing(now),
+		Term: n.term, Known: n.namesKnown(now), Leaving: n.stopping.Load() != 0, Slow: n.slowness.Slow(), Storeless: n.storeDown, Latest: n.latest(), Unread: n.fresh.age(now), ConfigurationUnread: n.freshConfiguration.age(now), Steady: n.steadyFor(now).Milliseconds(), Failing: n.health.failing(now),
 		Held: map[string]liveness.Held{}, Relays: true, Rollouts: n.rolloutViews(),
 	}
 	beat.Version = n.version()
@@ -246,7 +246,7 @@
 	now := n.now()
 	n.heardAt = now
 	before, found := n.members.Get(beat.Name)
-	storeNews := found && before.Storeless != beat.Storeless
+	rankNews := found && (before.Storeless != beat.Storeless || before.Slow != beat.Slow)
 	news := n.members.Heard(now, beat)
 	n.zones.heard(now, beat)
 	n.noteTelling(now, beat)
@@ -268,7 +268,7 @@
 	if news {
 		n.log.Write(eventlog.Event{Kind: "peer", Peer: beat.Name, Outcome: "heard", Detail: beat.Address})
 	}
-	if news || storeNews {
+	if news || rankNews {
 		n.chooseScheduler()
 	}
 	counts := map[string]int{}
--- a/entry/choice.go
+++ b/entry/choice.go
@@ -17,20 +17,20 @@
 // schedulerKey is the rendezvous key of the node that schedules.
 const schedulerKey = "scheduler"
 
-// chooseScheduler takes the first live node in rendezvous order for the
+// chooseScheduler takes the first live node in rendezvous order that is not slow for the
 // scheduling node.
 func (n *Node) chooseScheduler() {
 	settings := n.settings.Load()
 	n.mutex.Lock()
 	now := n.now()
 	live := n.members.Live(now)
-	own := liveness.Beat{Name: settings.Name, Cores: settings.Cores, Link: settings.Link, Leaving: n.stopping.Load() != 0}
+	own := liveness.Beat{Name: settings.Name, Cores: settings.Cores, Link: settings.Link, Leaving: n.stopping.Load() != 0, Slow: n.slowness.Slow()}
 	beats := append(liveness.Beats(live), own)
 	names := liveness.Candidates(beats)
 	chosen := settings.Name
 	order := rendezvous.Choose(names, rendezvous.Key(schedulerKey), senior)
-	if len(order) > 0 {
-		chosen = order[0]
+	if first := liveness.FirstCalm(order, beats); first != "" {
+		chosen = first
 	}
 	n.senior = slices.Contains(order, settings.Name)
 	n.order = n.storePlace(liveness.Beats(live))
--- /dev/null
+++ b/entry/lag.go
@@ -0,0 +1,77 @@
+package entry
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/thornwalk/thornwalk/coordination/liveness"
+	"github.com/thornwalk/thornwalk/internal/eventlog"
+)
+
+// lagLoop measures by how much the timers of a node that may schedule are late, and tells
+// all nodes at once when it turns slow or well.
+func (n *Node) lagLoop() {
+	gauge := newGauge()
+	sleep := n.depend.Sleep
+	if sleep == nil {
+		sleep = oversleep
+	}
+	for n.ctx.Err() == nil {
+		n.mutex.Lock()
+		senior := n.senior
+		n.mutex.Unlock()
+		if !senior {
+			// Others schedule while any of the senior nodes lives.
+			n.pause(patienceInterval)
+			continue
+		}
+		late, took := sleep(liveness.LagInterval), gauge.run()
+		n.mutex.Lock()
+		changed := n.slowness.Observe(n.now(), late, took)
+		state := n.slowness
+		n.mutex.Unlock()
+		if changed {
+			n.noteSlow(state)
+		}
+	}
+}
+
+// oversleep pauses and returns how late that ended.
+func oversleep(pause time.Duration) time.Duration {
+	begun := time.Now()
+	time.Sleep(pause)
+	return time.Since(begun) - pause
+}
+
+// gaugeBytes is what the fixed work goes over: 2 to 3 microseconds on a machine in order,
+// fifty times a second.
+const gaugeBytes = 16 << 10
+
+// gauge is a fixed piece of work that needs a processor and nothing else.
+type gauge struct {
+	content []byte
+	sum     uint64
+}
+
+func newGauge() *gauge { return &gauge{content: make([]byte, gaugeBytes)} }
+
+// run does the work and returns how long it took.
+func (g *gauge) run() time.Duration {
+	begun := time.Now()
+	g.sum += xxhash.Sum64(g.content)
+	return time.Since(begun)
+}
+
+// noteSlow tells that this node turned slow, or is not any more.
+func (n *Node) noteSlow(state liveness.Slowness) {
+	outcome := "well"
+	if state.Slow() {
+		outcome = "slow"
+		n.counter("slowness.turned_slow").Inc(1)
+	}
+	n.log.Write(eventlog.Event{Kind: "slowness", Outcome: outcome, Detail: fmt.Sprintf("timers %v late, work %.1f times as long", state.Lag(), state.Pace())})
+	n.sendBeats()
+	n.chooseScheduler()
+}
--- a/entry/node.go
+++ b/entry/node.go
@@ -41,6 +41,8 @@
 	Log       *eventlog.Log
 	// Incarnation differs for each start of the process.
 	Incarnation uint64
+	// Sleep returns how late it returned after so much time; nil means the timer's own.
+	Sleep func(time.Duration) time.Duration
 }
 
 // heldPlace is a request in progress at a replica.
@@ -101,6 +103,8 @@
 	held      map[string]heldPlace
 	term      uint64
 	scheduler string
+	// slowness tells whether this node is too slow to schedule.
+	slowness liveness.Slowness
 	// rank is this node's place among the live nodes that reach the store, and senior is
 	// true if it is one of the first that may schedule.
 	rank   int
@@ -183,7 +187,7 @@
 		}
 	}
 	n.callers = n.servers[0]
-	for _, loop := range []func(){n.watchLoop, n.readLoop, n.beatLoop, n.receiveBeats, n.zoneLoop, n.housekeeping, n.rolloutLoop} {
+	for _, loop := range []func(){n.watchLoop, n.readLoop, n.beatLoop, n.receiveBeats, n.zoneLoop, n.housekeeping, n.rolloutLoop, n.lagLoop} {
 		n.group.Go(loop)
 	}
 	n.log.Write(eventlog.Event{Kind: "process.start", Detail: peerAddress})
--- a/lab/entrylab/entrylab.go
+++ b/lab/entrylab/entrylab.go
@@ -45,6 +45,8 @@
 	Log io.Writer
 	// Adjust changes the settings of each node before it starts.
 	Adjust func(settings *entry.Settings)
+	// Sleep gives the timer by which a node measures how slow it is; nil means its own.
+	Sleep func(host string) func(time.Duration) time.Duration
 }
 
 // Deployment is a running set of nodes with their stand-ins.
@@ -109,7 +111,12 @@
 	d.mutex.Unlock()
 	hostNetwork := d.options.Network(host)
 	directory := platform.NewDirectory(network.Bounded{Network: hostNetwork, Limit: storeDialLimit}, settings.Store)
+	var sleep func(time.Duration) time.Duration
+	if d.options.Sleep != nil {
+		sleep = d.options.Sleep(host)
+	}
 	node := entry.New(settings, entry.Dependencies{
+		Sleep:   sleep,
 		Network: hostNetwork, Datagrams: d.options.Datagrams(host), Directory: directory, Rollouts: directory,
 		Headers: platform.Headers(), ReadyPath: platform.ReadyPath, Log: log, Incarnation: incarnation,
 	})
