--- a/entry/rollout.go
+++ b/entry/rollout.go
@@ -2,16 +2,11 @@
 
 import (
 	"context"
-	"errors"
-	"maps"
-	"slices"
 	"time"
 
-	"github.com/thornwalk/thornwalk/coordination/admission"
 	"github.com/thornwalk/thornwalk/coordination/liveness"
 	"github.com/thornwalk/thornwalk/coordination/rollout"
 	"github.com/thornwalk/thornwalk/internal/eventlog"
-	"github.com/thornwalk/thornwalk/protocol/errkind"
 	"github.com/thornwalk/thornwalk/state/replicas"
 	"github.com/thornwalk/thornwalk/state/rollouts"
 	"github.com/thornwalk/thornwalk/structs"
@@ -281,127 +276,3 @@
 	}
 	return n.members.Live(now)
 }
-
-// RolloutStatus is what operators see of one roll-out.
-type RolloutStatus struct {
-	rollouts.Record
-	Step string `json:"step"`
-	// Left is the time to the deadline in milliseconds; negative once it passed.
-	Left int64 `json:"left_ms"`
-	// Doubt is how far the evidence against the target is at the node that schedules: from
-	// 1 on it is rolled back. DoubtRoute is the route that shows most.
-	Doubt      float64 `json:"doubt"`
-	DoubtRoute string  `json:"doubt_route,omitempty"`
-	// Evidence tells of each route the bad answers of the target and of the others.
-	Evidence []string `json:"evidence,omitempty"`
-}
-
-// rolloutStatus returns what is known of the roll-outs. The caller holds the mutex.
-func (n *Node) rolloutStatus(now structs.Instant) map[string]RolloutStatus {
-	told := map[string]RolloutStatus{}
-	for _, service := range n.rollouts.Services() {
-		record, found := n.rollouts.Record(service)
-		if !found {
-			continue
-		}
-		order, _ := n.rollouts.Order(service)
-		status := RolloutStatus{Record: record, Step: record.Phase.String(), Left: (order.Duration - n.rollouts.Elapsed(now, service)).Milliseconds()}
-		status.Doubt, status.DoubtRoute = n.desk.rolloutDoubt(service)
-		for _, route := range slices.Sorted(maps.Keys(record.Routes)) {
-			status.Evidence = append(status.Evidence, rollout.Describe(route, record.Routes[route]))
-		}
-		told[service] = status
-	}
-	return told
-}
-
-// rolloutDoubt returns the evidence against the target of the service's roll-out; zero at a
-// node that does not step it.
-func (d *desk) rolloutDoubt(service string) (float64, string) {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	if controller, found := d.controllers[service]; found {
-		return controller.Doubt()
-	}
-	return 0, ""
-}
-
-// setVersions takes over which versions of the service get new requests.
-func (d *desk) setVersions(service string, policy rollouts.VersionPolicy) {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	d.scheduler.SetVersions(service, policy)
-	d.decide()
-}
-
-// proposeRollout returns the record that is to be written next.
-func (d *desk) proposeRollout(seen rollout.Situation, known rollouts.Record) (rollouts.Record, bool) {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	service := seen.Order.Service
-	controller, found := d.controllers[service]
-	if !found {
-		controller = rollout.NewController(d.rolloutPolicy, known)
-		d.controllers[service] = controller
-		d.scheduler.SetTrial(service, controller.Exposure())
-	}
-	controller.Adopt(known)
-	seen.Busy = max(seen.Busy, d.scheduler.HeldAt(service))
-	seen.Longest = d.longest[service]
-	return controller.Propose(d.clock(), seen)
-}
-
-// rolloutWritten enters what became of a write.
-func (d *desk) rolloutWritten(written rollouts.Record, revision int64, err error) {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	controller, found := d.controllers[written.Service]
-	if !found {
-		return // this node no longer schedules
-	}
-	switch {
-	case err == nil:
-		controller.Written(d.clock(), written, revision)
-	case errors.Is(err, errkind.StoreUnknown):
-		controller.Unknown(d.clock())
-	default:
-		controller.Refused(d.clock())
-	}
-}
-
-// longestShare is the weight by which the longest known answer of a service yields to a
-// shorter one: after 100 of half its length it is near that.
-const longestShare = 0.02
-
-// noteRollout enters the end of a request into the judgement of its service's versions.
-func (d *desk) noteRollout(ended admission.Ended, seen admission.Observation, notRun bool) {
-	if seen.Duration > 0 {
-		before := d.longest[ended.Service]
-		d.longest[ended.Service] = max(seen.Duration, before-time.Duration(longestShare*float64(before-seen.Duration)))
-	}
-	controller, found := d.controllers[ended.Service]
-	if !found || notRun {
-		return
-	}
-	controller.Ended(answerOf(ended, seen, controller.Record().Target), !seen.Left)
-}
-
-// promptOverhead is the part of the time to a first event that does not depend on the
-// prompt, in tokens that are read meanwhile.
-const promptOverhead = 500
-
-// answerOf describes the end of a request to the judge.
-func answerOf(ended admission.Ended, seen admission.Observation, target string) rollout.Answer {
-	answer := rollout.Answer{
-		Route: ended.Route, Replica: ended.Replica, Target: ended.Version == target, Failed: seen.Failed, Step: seen.Duration,
-	}
-	if seen.Events == 0 {
-		return answer
-	}
-	answer.First = seen.FirstEvent / time.Duration(ended.Prompt+promptOverhead)
-	answer.Step = 0
-	if seen.Events > 1 {
-		answer.Step = (seen.Duration - seen.FirstEvent) / time.Duration(seen.Events-1)
-	}
-	return answer
-}
--- /dev/null
+++ b/entry/rolloutdesk.go
@@ -0,0 +1,105 @@
+package entry
+
+import (
+	"errors"
+	"time"
+
+	"github.com/thornwalk/thornwalk/coordination/admission"
+	"github.com/thornwalk/thornwalk/coordination/rollout"
+	"github.com/thornwalk/thornwalk/protocol/errkind"
+	"github.com/thornwalk/thornwalk/state/rollouts"
+)
+
+// The desk's part in roll-outs: it holds the controllers, lets the scheduler go by the
+// versions' policies and enters how requests ended.
+
+// rolloutDoubt returns the evidence against the target of the service's roll-out; zero at a
+// node that does not step it.
+func (d *desk) rolloutDoubt(service string) (float64, string) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if controller, found := d.controllers[service]; found {
+		return controller.Doubt()
+	}
+	return 0, ""
+}
+
+// setVersions takes over which versions of the service get new requests.
+func (d *desk) setVersions(service string, policy rollouts.VersionPolicy) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.scheduler.SetVersions(service, policy)
+	d.decide()
+}
+
+// proposeRollout returns the record that is to be written next.
+func (d *desk) proposeRollout(seen rollout.Situation, known rollouts.Record) (rollouts.Record, bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	service := seen.Order.Service
+	controller, found := d.controllers[service]
+	if !found {
+		controller = rollout.NewController(d.rolloutPolicy, known)
+		d.controllers[service] = controller
+		d.scheduler.SetTrial(service, controller.Exposure())
+	}
+	controller.Adopt(known)
+	seen.Busy = max(seen.Busy, d.scheduler.HeldAt(service))
+	seen.Longest = d.longest[service]
+	return controller.Propose(d.clock(), seen)
+}
+
+// rolloutWritten enters what became of a write.
+func (d *desk) rolloutWritten(written rollouts.Record, revision int64, err error) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	controller, found := d.controllers[written.Service]
+	if !found {
+		return // this node no longer schedules
+	}
+	switch {
+	case err == nil:
+		controller.Written(d.clock(), written, revision)
+	case errors.Is(err, errkind.StoreUnknown):
+		controller.Unknown(d.clock())
+	default:
+		controller.Refused(d.clock())
+	}
+}
+
+// longestShare is the weight by which the longest known answer of a service yields to a
+// shorter one: after 100 of half its length it is near that.
+const longestShare = 0.02
+
+// noteRollout enters the end of a request into the judgement of its service's versions.
+func (d *desk) noteRollout(ended admission.Ended, seen admission.Observation, notRun bool) {
+	if seen.Duration > 0 {
+		before := d.longest[ended.Service]
+		d.longest[ended.Service] = max(seen.Duration, before-time.Duration(longestShare*float64(before-seen.Duration)))
+	}
+	controller, found := d.controllers[ended.Service]
+	if !found || notRun {
+		return
+	}
+	controller.Ended(answerOf(ended, seen, controller.Record().Target), !seen.Left)
+}
+
+// promptOverhead is the part of the time to a first event that does not depend on the
+// prompt, in tokens that are read meanwhile.
+const promptOverhead = 500
+
+// answerOf describes the end of a request to the judge.
+func answerOf(ended admission.Ended, seen admission.Observation, target string) rollout.Answer {
+	answer := rollout.Answer{
+		Route: ended.Route, Replica: ended.Replica, Target: ended.Version == target, Failed: seen.Failed, Step: seen.Duration,
+	}
+	if seen.Events == 0 {
+		return answer
+	}
+	answer.First = seen.FirstEvent / time.Duration(ended.Prompt+promptOverhead)
+	answer.Step = 0
+	if seen.Events > 1 {
+		answer.Step = (seen.Duration - seen.FirstEvent) / time.Duration(seen.Events-1)
+	}
+	return answer
+}
