Look rarely at what a node has no part in

Cause: each node looked every 50 ms whether it had become senior, and every 100 ms at roll-outs that there were none of: 2,200 wake-ups a second among 79 nodes. Change: looks each second, and each half second, but at the node that steps a roll-out.

--- a/entry/lag.go
+++ b/entry/lag.go
@@ -10,6 +10,11 @@
 	"github.com/thornwalk/thornwalk/internal/eventlog"
 )
 
+// juniorPause is the time between looks whether a node that is not senior has become so. Each
+// look wakes the process, which is paid for: with 50 ms, and 100 ms for roll-outs that there
+// were none of, 79 nodes woke 2,200 times a second, and a day took a third longer to play.
+const juniorPause = time.Second
+
 // lagLoop measures by how much the timers of a node that may schedule are late, and tells
 // all nodes at once when it turns slow or well.
 func (n *Node) lagLoop() {
@@ -24,7 +29,7 @@
 		n.mutex.Unlock()
 		if !senior {
 			// Others schedule while any of the senior nodes lives.
-			n.pause(patienceInterval)
+			n.pause(juniorPause)
 			continue
 		}
 		late, took := sleep(liveness.LagInterval), gauge.run()
--- a/entry/rollout.go
+++ b/entry/rollout.go
@@ -16,8 +16,10 @@
 // knows; the one that schedules also steps them (coordination/rollout).
 
 const (
-	// rolloutStep is the time between two looks at the roll-outs.
+	// rolloutStep is the time between two looks at the roll-outs at the node that steps them,
+	// and rolloutRest elsewhere and while there are none.
 	rolloutStep = 100 * time.Millisecond
+	rolloutRest = 500 * time.Millisecond
 	// rolloutWriteLimit bounds one write of a record.
 	rolloutWriteLimit = 800 * time.Millisecond
 )
@@ -177,21 +179,30 @@
 
 // rolloutLoop steps the roll-outs while this node schedules.
 func (n *Node) rolloutLoop() {
-	for n.pause(rolloutStep) {
-		if n.depend.Rollouts == nil {
-			return
-		}
-		n.mutex.Lock()
-		leads := n.scheduler == n.settings.Load().Name && n.stopping.Load() == 0
-		var services []string
-		if leads {
-			services = n.rollouts.Services()
-		}
-		n.mutex.Unlock()
+	if n.depend.Rollouts == nil {
+		return
+	}
+	wait := rolloutRest
+	for n.pause(wait) {
+		services := n.steppedRollouts()
 		for _, service := range services {
 			n.stepRollout(service)
 		}
+		wait = rolloutRest
+		if len(services) > 0 {
+			wait = rolloutStep
+		}
+	}
+}
+
+// steppedRollouts returns the services whose roll-outs this node steps.
+func (n *Node) steppedRollouts() []string {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if n.scheduler != n.settings.Load().Name || n.stopping.Load() != 0 {
+		return nil
 	}
+	return n.rollouts.Services()
 }
 
 // stepRollout writes the next record of the service's roll-out if one is due.
--- a/state/rollouts/rollouts.go
+++ b/state/rollouts/rollouts.go
@@ -150,7 +150,7 @@
 	t.PutRecord(now, record)
 }
 
-// Order and Record return what is known of the service's latest roll-out.
+// Order returns the latest order for the service.
 func (t *Table) Order(service string) (Order, bool) {
 	order, found := t.orders[service]
 	return order, found
