Count for exposure only what was placed after the order

Cause: requests that ran when an order came were counted when they ended, as if they had reached the service after it. Ten of them allowed one more request to the target; some 500 run at once on the shifted site, where the slack is 50. Found by reading: the exploration places no request before the order. Change: an end counts only if its request was placed since the controller knows the order. Figures: 1,000 ends of earlier requests gave 1,000 counted requests before and none now (test).

--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -286,6 +286,8 @@
 	Version string
 	// Prompt counts tokens.
 	Prompt int
+	// Placed is when it got its place.
+	Placed structs.Instant
 }
 
 // Finish frees the place of a request and learns from how it ended. It returns false if
@@ -295,7 +297,7 @@
 	if !found {
 		return Ended{}, false
 	}
-	ended := Ended{Service: held.service, Route: held.route, Replica: held.replica, Version: held.version, Prompt: held.prompt}
+	ended := Ended{Service: held.service, Route: held.route, Replica: held.replica, Version: held.version, Prompt: held.prompt, Placed: held.since}
 	s.release(id)
 	if !seen.Left && !held.overdue {
 		s.judge(now, held.service, held.replica, seen.Failed)
--- a/coordination/rollout/controller.go
+++ b/coordination/rollout/controller.go
@@ -57,7 +57,7 @@
 	Elapsed time.Duration
 	// TargetSlots and OtherSlots count the slots of the listed replicas that do not leave.
 	TargetSlots, OtherSlots int
-	// InService is true if the target had replicas before the order.
+	// InService is true if the target had replicas before the order and nothing else is left.
 	InService bool
 	// Longest is how long an answer of the service takes, of the long ones.
 	Longest time.Duration
@@ -72,12 +72,15 @@
 	policy Policy
 	record rollouts.Record
 	judge  *Judge
-	// Exposure is what may be sent to the target now.
+	// exposure is what may be sent to the target now.
 	exposure Exposure
 	// fresh was reported since the last write began, and sent is what that write holds
 	// while its outcome is not known.
 	fresh, sent report
 	wroteAt     structs.Instant
+	// countsFrom is when the earliest request was placed that counts: one that ran when the
+	// order came did not reach the service after it.
+	countsFrom structs.Instant
 }
 
 // report is what nodes reported of ended requests: those that reached the service, and
@@ -108,8 +111,8 @@
 }
 
 // NewController returns a controller that goes on from the record, which may be empty.
-func NewController(policy Policy, record rollouts.Record) *Controller {
-	c := &Controller{policy: policy, wroteAt: -writePause}
+func NewController(policy Policy, now structs.Instant, record rollouts.Record) *Controller {
+	c := &Controller{policy: policy, wroteAt: now - writePause, countsFrom: now}
 	c.adopt(record)
 	return c
 }
@@ -144,6 +147,9 @@
 // Ended enters the end of a request that reached the service. Told is false if its end
 // says nothing of the replica, as when the caller left.
 func (c *Controller) Ended(answer Answer, told bool) {
+	if answer.Begun < c.countsFrom {
+		return
+	}
 	c.fresh.requests++
 	if !told || c.record.Phase != rollouts.PhaseJudging {
 		return
@@ -291,6 +297,9 @@
 
 // Written enters that the store acknowledged the proposed record at the revision.
 func (c *Controller) Written(now structs.Instant, written rollouts.Record, revision int64) {
+	if written.Order != c.record.Order {
+		c.countsFrom = now
+	}
 	taken := 0
 	if written.Order == c.record.Order && written.Phase == rollouts.PhaseJudging {
 		taken = written.Exposed - c.record.Exposed
--- a/coordination/rollout/controller_test.go
+++ b/coordination/rollout/controller_test.go
@@ -18,7 +18,7 @@
 
 // begun returns a controller whose first record was written.
 func begun(g *gomega.WithT) *Controller {
-	c := NewController(testPolicy, rollouts.Record{})
+	c := NewController(testPolicy, 0, rollouts.Record{})
 	next, due := c.Propose(0, Situation{Order: testOrder(), TargetSlots: 8, OtherSlots: 8})
 	g.Expect(due).To(gomega.BeTrue())
 	g.Expect(next.Phase).To(gomega.Equal(rollouts.PhaseJudging))
@@ -102,9 +102,24 @@
 	}
 }
 
+// Requests that ran when the order came ended after it, and each ten of them allowed one more
+// request than the service had got since.
+func TestRequestsFromBeforeTheOrderAllowNoExposure(t *testing.T) {
+	g := gomega.NewWithT(t)
+	c := begun(g)
+	early := Answer{Route: "r", Replica: "a", Begun: -time.Second, Step: 20 * time.Millisecond}
+	for range 1000 {
+		c.Ended(early, true)
+	}
+	next, due := c.Propose(time.Second, at(time.Second))
+	g.Expect(due).To(gomega.BeTrue())
+	g.Expect(next.Requests).To(gomega.BeZero())
+	g.Expect(float64(next.Exposed)).To(gomega.BeNumerically("<=", testPolicy.Slack))
+}
+
 func TestNothingMovesForAVersionThatNobodyHasOrADeadlineThatPassed(t *testing.T) {
 	g := gomega.NewWithT(t)
-	c := NewController(testPolicy, rollouts.Record{})
+	c := NewController(testPolicy, 0, rollouts.Record{})
 	_, due := c.Propose(0, Situation{Order: testOrder(), OtherSlots: 8})
 	g.Expect(due).To(gomega.BeFalse())
 	_, due = c.Propose(0, at(testOrder().Duration))
--- a/coordination/rollout/explore_test.go
+++ b/coordination/rollout/explore_test.go
@@ -77,7 +77,7 @@
 func (e *exploration) start(i int) {
 	table := rollouts.NewTable()
 	table.PutOrder(0, testOrder())
-	e.nodes[i] = &exploredNode{controller: NewController(exploredPolicy, e.record), table: table}
+	e.nodes[i] = &exploredNode{controller: NewController(exploredPolicy, e.now, e.record), table: table}
 	e.news(i)
 }
 
@@ -182,7 +182,7 @@
 	}
 	node.answers++
 	for n := range 2 * neededAnswers {
-		node.controller.Ended(Answer{Route: "r", Replica: fmt.Sprint(n % 4), Target: n%2 == 0, Failed: failed && n%2 == 0, Step: time.Millisecond}, true)
+		node.controller.Ended(Answer{Route: "r", Replica: fmt.Sprint(n % 4), Target: n%2 == 0, Begun: e.now, Failed: failed && n%2 == 0, Step: time.Millisecond}, true)
 	}
 	return true
 }
--- a/coordination/rollout/judge.go
+++ b/coordination/rollout/judge.go
@@ -4,6 +4,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/thornwalk/thornwalk/structs"
 )
 
 // Whether the answers of the target are worse than those of the other versions is told by a
@@ -50,6 +52,8 @@
 type Answer struct {
 	Route   string
 	Replica string
+	// Begun is when the request was placed.
+	Begun structs.Instant
 	// Target is true if the replica has the version that is judged.
 	Target bool
 	Failed bool
--- a/entry/rolloutdesk.go
+++ b/entry/rolloutdesk.go
@@ -39,7 +39,7 @@
 	service := seen.Order.Service
 	controller, found := d.controllers[service]
 	if !found {
-		controller = rollout.NewController(d.rolloutPolicy, known)
+		controller = rollout.NewController(d.rolloutPolicy, d.clock(), known)
 		d.controllers[service] = controller
 		d.scheduler.SetTrial(service, controller.Exposure())
 	}
@@ -91,7 +91,7 @@
 // answerOf describes the end of a request to the judge.
 func answerOf(ended admission.Ended, seen admission.Observation, target string) rollout.Answer {
 	answer := rollout.Answer{
-		Route: ended.Route, Replica: ended.Replica, Target: ended.Version == target, Failed: seen.Failed, Step: seen.Duration,
+		Route: ended.Route, Replica: ended.Replica, Begun: ended.Placed, Target: ended.Version == target, Failed: seen.Failed, Step: seen.Duration,
 	}
 	if seen.Events == 0 {
 		return answer
