Tell the desk the policies of versions before their replicas

Cause: news of replicas reached the desk before the policy that bars a version nobody has explained yet, and a node that had stood still forgot its policies with its schedule for the moment until they were applied again. In these moments a judged version could get requests that were not counted. Found by reading; no test can hit the moments, and none was seen. Change: policies first; the reset takes them over.

--- a/entry/beats.go
+++ b/entry/beats.go
@@ -74,10 +74,9 @@
 func (n *Node) thawed(pause time.Duration) {
 	n.log.Write(eventlog.Event{Kind: "process.paused", Outcome: "schedule forgotten", Age: pause.Milliseconds()})
 	n.mutex.Lock()
-	all := n.table.All()
+	all, policies := n.table.All(), n.policies
 	n.mutex.Unlock()
-	term := n.desk.reset(all)
-	n.applyPolicies()
+	term := n.desk.reset(all, policies)
 	n.mutex.Lock()
 	n.term = term
 	n.storeBadAt, n.steady = n.now(), false
--- a/entry/desk.go
+++ b/entry/desk.go
@@ -10,6 +10,7 @@
 	"github.com/thornwalk/thornwalk/coordination/retrybudget"
 	"github.com/thornwalk/thornwalk/coordination/rollout"
 	"github.com/thornwalk/thornwalk/state/replicas"
+	"github.com/thornwalk/thornwalk/state/rollouts"
 	"github.com/thornwalk/thornwalk/structs"
 )
 
@@ -82,13 +83,16 @@
 
 // reset forgets everything, as a process must that stood still for so long that
 // others decided in its place.
-func (d *desk) reset(all []replicas.Replica) uint64 {
+func (d *desk) reset(all []replicas.Replica, policies map[string]rollouts.VersionPolicy) uint64 {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	for _, waiter := range d.waiters {
 		close(waiter)
 	}
 	d.clear()
+	for service, policy := range policies {
+		d.scheduler.SetVersions(service, policy)
+	}
 	d.scheduler.SetReplicas(all)
 	d.term++
 	return d.term
--- a/entry/news.go
+++ b/entry/news.go
@@ -129,6 +129,6 @@
 	all := n.table.All()
 	n.health.forget(func(id string) bool { _, known := n.table.Get(id); return known })
 	n.mutex.Unlock()
+	n.applyPolicies() // first: a replica that the desk knows and no policy gets requests
 	n.desk.update(func(scheduler *admission.Scheduler) { scheduler.SetReplicas(all) })
-	n.applyPolicies()
 }
