Apply and step only what can change

Cause: each news of the store worked out the policies of all services again, also where no version is restricted, and the scheduling node looked each tenth of a second at roll-outs that had ended. Change: both are left out where nothing can come of them.

--- a/entry/rollout.go
+++ b/entry/rollout.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/thornwalk/thornwalk/coordination/liveness"
@@ -29,7 +30,8 @@
 func (n *Node) takeRollouts(orders []rollouts.Order, records []rollouts.Record, known int64) {
 	n.mutex.Lock()
 	now := n.now()
-	changed := n.rollouts.Known() < known
+	// What is known farther explains versions that were barred; where none is, nothing changes.
+	changed := n.rollouts.Known() < known && len(n.policies) > 0
 	for _, order := range orders {
 		if n.rollouts.PutOrder(now, order) {
 			changed = true
@@ -195,14 +197,16 @@
 	}
 }
 
-// steppedRollouts returns the services whose roll-outs this node steps.
+// steppedRollouts returns the services whose roll-outs this node steps: those that are not
+// at their end.
 func (n *Node) steppedRollouts() []string {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	if n.scheduler != n.settings.Load().Name || n.stopping.Load() != 0 {
 		return nil
 	}
-	return n.rollouts.Services()
+	isEnded := func(service string) bool { return n.policies[service].Phase.Ended() }
+	return slices.DeleteFunc(n.rollouts.Services(), isEnded)
 }
 
 // stepRollout writes the next record of the service's roll-out if one is due.
