--- a/coordination/admission/trial.go
+++ b/coordination/admission/trial.go
@@ -3,10 +3,10 @@
 import (
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/thornwalk/thornwalk/coordination/rollout"
 	"github.com/thornwalk/thornwalk/state/rollouts"
-	"github.com/thornwalk/thornwalk/structs"
 )
 
 // While the replicas of a new version are judged, a bounded number of requests goes to
@@ -52,9 +52,8 @@
 	}
 	slices.SortFunc(r.trials, func(a, b *option) int { return strings.Compare(a.state.replica.ID, b.state.replica.ID) })
 	count := min(len(r.trials), max(leastTrials, int(trialShare*float64(len(r.options)))+1))
-	r.trials = r.trials[:count]
 	first := turn % count
-	r.trials = append(r.trials[first:], r.trials[:first]...)
+	r.trials = slices.Concat(r.trials[first:count], r.trials[:first])
 	usual := r.usualUse()
 	for _, choice := range r.trials {
 		choice.places = min(choice.places, usual+1)
@@ -72,7 +71,7 @@
 
 // chooseTrial returns the judged replica that the request goes to, or nil. A request that
 // came to a replica before goes to one that is known to be good.
-func (s *Scheduler) chooseTrial(held *waiting, room *room, left structs.Instant) *option {
+func (s *Scheduler) chooseTrial(held *waiting, room *room, left time.Duration) *option {
 	if len(room.trials) == 0 || len(held.Tried) > 0 {
 		return nil
 	}
--- a/coordination/rollout/controller.go
+++ b/coordination/rollout/controller.go
@@ -254,9 +254,6 @@
 
 // objection returns what speaks against completing the roll-out, or nothing.
 func (c *Controller) objection(next rollouts.Record, seen Situation) string {
-	if seen.TargetSlots > 0 && seen.OtherSlots == 0 {
-		return c.objectionWithoutOthers(next)
-	}
 	if !c.carries(seen) {
 		return ReasonNoCapacity
 	}
@@ -271,6 +268,9 @@
 	if answers < neededAnswers {
 		return ReasonNoEvidence
 	}
+	if seen.OtherSlots == 0 {
+		return "" // nothing is left to compare the routes with
+	}
 	for _, evidence := range next.Routes {
 		if float64(evidence.OldGood+evidence.OldBad) >= usualShare*float64(others) && evidence.Good+evidence.Bad < neededOnRoute {
 			return ReasonNoEvidence
@@ -279,22 +279,6 @@
 	return ""
 }
 
-// objectionWithoutOthers judges where nothing is left to compare with: failures are all
-// that tells.
-func (c *Controller) objectionWithoutOthers(next rollouts.Record) string {
-	if doubt, route := c.judge.Doubt(); doubt > acceptedDoubt {
-		return ReasonDoubtful + route
-	}
-	answers := 0
-	for _, evidence := range next.Routes {
-		answers += evidence.Good + evidence.Bad
-	}
-	if answers < neededAnswers {
-		return ReasonNoEvidence
-	}
-	return ""
-}
-
 // Written enters that the store acknowledged the proposed record at the revision.
 func (c *Controller) Written(now structs.Instant, written rollouts.Record, revision int64) {
 	if written.Order != c.record.Order {
--- a/coordination/rollout/exposure.go
+++ b/coordination/rollout/exposure.go
@@ -66,17 +66,15 @@
 
 // Open returns whether the next request may go to the target.
 func (e *Exposure) Open(now structs.Instant) bool {
+	if e == nil {
+		return false
+	}
 	left := e.Left(now)
-	switch {
-	case left == 0:
-		if e != nil {
-			e.open = false
-		}
-	case !e.open && left >= burstSize:
-		e.open = true
+	if !e.open && left >= burstSize {
 		e.turn++
 	}
-	return left > 0 && e.open
+	e.open = left >= burstSize || e.open && left > 0
+	return e.open
 }
 
 // Spent returns whether nothing is left.
--- a/coordination/rollout/judge.go
+++ b/coordination/rollout/judge.go
@@ -20,8 +20,8 @@
 	// othersSum is what has to be left of the sum without the replica that weighs most in
 	// it, so that one failing replica is not taken for its version: exp(-7.5), or one in
 	// 1,800, is the chance that good ones show as much beside it. With 4 one play in ten
-	// ended so, with 6.5 one in forty, with 7.5 one in a hundred. aloneFactor is how much larger the sum has to
-	// be where the target has answered from one replica only.
+	// ended so, with 6.5 one in forty, with 7.5 one in a hundred. aloneFactor is how much
+	// larger the sum has to be where the target has answered from one replica only.
 	othersSum   = 7.5
 	aloneFactor = 1.5
 	// badMargin is by how much at least the share of bad answers of a bad version exceeds
--- a/state/rollouts/rollouts.go
+++ b/state/rollouts/rollouts.go
@@ -4,7 +4,7 @@
 //
 // Guarantees: of two orders for a service the later one by the store's revision holds, and
 // of two records of progress likewise, whatever older news arrives later. A replica of a
-// version that nothing here explains yet is not used (Policy, VersionPolicy.Allows).
+// version that nothing here explains yet is not used (Policy, VersionPolicy.Use).
 package rollouts
 
 import (
