Keep what is known of a service's roll-out in one record

Cause: orders, records and when each was heard of lay in three maps by service, and each use put them together again. Change: one record a service. Conclusion: behaviour is the same; no test changed.

--- a/state/rollouts/policy.go
+++ b/state/rollouts/policy.go
@@ -58,8 +58,8 @@
 // roll-out that begins: its target gets nothing but what is counted, unless it is in
 // service already.
 func (t *Table) Policy(service string, inService bool) VersionPolicy {
-	order, ordered := t.orders[service]
-	record, recorded := t.records[service]
+	order, ordered := t.Order(service)
+	record, recorded := t.Record(service)
 	if !ordered && !recorded {
 		return VersionPolicy{}
 	}
--- a/state/rollouts/rollouts.go
+++ b/state/rollouts/rollouts.go
@@ -96,91 +96,99 @@
 	Revision int64 `msgpack:"r" json:"-"`
 }
 
-// seen is when this process first heard of something.
-type seen struct{ order, record structs.Instant }
+// known is what is known of one service: its latest order and record, and when this process
+// heard of each.
+type known struct {
+	order             Order
+	record            Record
+	orderAt, recordAt structs.Instant
+}
 
 // Table is the set of known roll-outs, by service.
 type Table struct {
-	orders  map[string]Order
-	records map[string]Record
-	seen    map[string]seen
-	// known is the revision up to which all orders and records are known.
-	known int64
+	services map[string]*known
+	// knownTo is the revision up to which all orders and records are known.
+	knownTo int64
 }
 
 // NewTable returns an empty table.
-func NewTable() *Table {
-	return &Table{orders: map[string]Order{}, records: map[string]Record{}, seen: map[string]seen{}}
+func NewTable() *Table { return &Table{services: map[string]*known{}} }
+
+// of returns what is known of the service, which may be nothing yet.
+func (t *Table) of(service string) *known {
+	held, found := t.services[service]
+	if !found {
+		held = &known{}
+		t.services[service] = held
+	}
+	return held
 }
 
 // Known returns the revision up to which all orders and records are known.
-func (t *Table) Known() int64 { return t.known }
+func (t *Table) Known() int64 { return t.knownTo }
 
 // SetKnown records that all changes up to the revision were applied.
-func (t *Table) SetKnown(revision int64) { t.known = max(t.known, revision) }
+func (t *Table) SetKnown(revision int64) { t.knownTo = max(t.knownTo, revision) }
 
 // PutOrder applies news of an order and returns whether it was news.
 func (t *Table) PutOrder(now structs.Instant, order Order) bool {
-	if t.orders[order.Service].Revision >= order.Revision {
+	held := t.of(order.Service)
+	if held.order.Revision >= order.Revision {
 		return false
 	}
-	t.orders[order.Service] = order
-	at := t.seen[order.Service]
-	at.order = now
-	t.seen[order.Service] = at
+	held.order, held.orderAt = order, now
 	return true
 }
 
 // PutRecord applies news of a record and returns whether it was news.
 func (t *Table) PutRecord(now structs.Instant, record Record) bool {
-	if t.records[record.Service].Revision >= record.Revision {
+	held := t.of(record.Service)
+	if held.record.Revision >= record.Revision {
 		return false
 	}
-	t.records[record.Service] = record
-	at := t.seen[record.Service]
-	at.record = now
-	t.seen[record.Service] = at
+	held.record, held.recordAt = record, now
 	return true
 }
 
 // ReplaceRecord takes over what the store itself just said of the record, also if that is
-// older than what was known.
+// older than what was known, or nothing.
 func (t *Table) ReplaceRecord(now structs.Instant, record Record) {
-	delete(t.records, record.Service)
-	t.PutRecord(now, record)
+	held := t.of(record.Service)
+	held.record, held.recordAt = record, now
 }
 
 // Order returns the latest order for the service.
 func (t *Table) Order(service string) (Order, bool) {
-	order, found := t.orders[service]
-	return order, found
+	if held, found := t.services[service]; found {
+		return held.order, held.order.Revision > 0
+	}
+	return Order{}, false
 }
 
 // Record returns the latest record of the service.
 func (t *Table) Record(service string) (Record, bool) {
-	record, found := t.records[service]
-	return record, found
+	if held, found := t.services[service]; found {
+		return held.record, held.record.Revision > 0
+	}
+	return Record{}, false
 }
 
 // Elapsed returns the time since the service's order, at least: a process that started
 // later goes by the record, which names the time until it was written.
 func (t *Table) Elapsed(now structs.Instant, service string) time.Duration {
-	at := t.seen[service]
-	elapsed := now - at.order
-	if record, found := t.records[service]; found && record.Order == t.orders[service].Revision {
-		elapsed = max(elapsed, record.Elapsed+now-at.record)
+	held := t.of(service)
+	elapsed := now - held.orderAt
+	if held.record.Revision > 0 && held.record.Order == held.order.Revision {
+		elapsed = max(elapsed, held.record.Elapsed+now-held.recordAt)
 	}
 	return elapsed
 }
 
 // Services returns the services with an order or a record, sorted.
 func (t *Table) Services() []string {
-	var names []string
-	for name := range t.orders {
-		names = append(names, name)
-	}
-	for name := range t.records {
-		if _, found := t.orders[name]; !found {
+	names := make([]string, 0, len(t.services))
+	for name, held := range t.services {
+		if held.order.Revision > 0 || held.record.Revision > 0 {
 			names = append(names, name)
 		}
 	}
@@ -193,11 +201,12 @@
 	var orders []Order
 	var records []Record
 	for _, service := range t.Services() {
-		if order := t.orders[service]; order.Revision > revision {
-			orders = append(orders, order)
+		held := t.services[service]
+		if held.order.Revision > revision {
+			orders = append(orders, held.order)
 		}
-		if record := t.records[service]; record.Revision > revision {
-			records = append(records, record)
+		if held.record.Revision > revision {
+			records = append(records, held.record)
 		}
 	}
 	return orders, records
@@ -206,11 +215,8 @@
 // Latest returns the revision of the latest order or record.
 func (t *Table) Latest() int64 {
 	latest := int64(0)
-	for _, order := range t.orders {
-		latest = max(latest, order.Revision)
-	}
-	for _, record := range t.records {
-		latest = max(latest, record.Revision)
+	for _, held := range t.services {
+		latest = max(latest, held.order.Revision, held.record.Revision)
 	}
 	return latest
 }
