Tell in a request's lines what it asks for and how a send broke

Cause: the lines of the incident could not tell whether the same content came again, nor whether a broken send was closed by the replica, given up by the node or spoiled; the causes of errors were dropped on the way (errkind.Wrap kept their text only). Change: a fingerprint of caller, method, host, target and body in placed, sent and ended; the cause of a broken send in the line and in a counter; Wrap keeps the chain of errors. The fingerprint also recognises requests that come back after a refusal, and has the caller in it now: one caller's request is no longer taken for another's.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -7,9 +7,8 @@
 	"strconv"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/thornwalk/thornwalk/coordination/admission"
+	"github.com/thornwalk/thornwalk/state/fingerprint"
 	"github.com/thornwalk/thornwalk/state/replicas"
 	"github.com/thornwalk/thornwalk/transport/replicahttp"
 )
@@ -122,7 +121,7 @@
 			Deadline: max(time.Until(c.deadline), 0),
 			Target:   max(c.route.Target-time.Since(c.arrived), 0), Patience: c.patience(),
 		},
-		Fingerprint: c.fingerprint(), Repeat: repeat,
+		Fingerprint: c.fingerprint, Repeat: repeat,
 	}
 	if c.tenant != nil {
 		request.Tenant = c.tenant.Name
@@ -134,12 +133,13 @@
 	return request
 }
 
-// fingerprint is equal for a request that the caller sends once more.
-func (c *call) fingerprint() uint64 {
-	digest := xxhash.New()
-	_, _ = digest.WriteString(c.request.Method + c.request.Host + c.request.RequestURI)
-	_, _ = digest.Write(c.body)
-	return digest.Sum64()
+// identify takes the request's fingerprint, once its body is read.
+func (c *call) identify() {
+	caller := ""
+	if c.tenant != nil {
+		caller = c.tenant.Name
+	}
+	c.fingerprint = fingerprint.Of(caller, c.request.Method, c.request.Host, c.request.RequestURI, c.body)
 }
 
 // routePriorities is more than any route's priority, so that the tenant's goes
@@ -244,6 +244,7 @@
 // attempt sends the request to the replica once.
 func (c *call) attempt(given *grant) (result, admission.Observation) {
 	node := c.node
+	c.broke = breakNone
 	rest := restSafe
 	if !c.route.Repeatable() {
 		rest = restOnce
@@ -313,11 +314,13 @@
 	return context.WithCancel(c.ctx)
 }
 
-// broken notes that the replica gave no whole answer.
-func (c *call) broken(id string, _ error) result {
+// broken notes that the replica gave no whole answer, and why.
+func (c *call) broken(id string, err error) result {
 	if c.request.Context().Err() != nil {
 		return resultLeft
 	}
+	c.broke = causeOf(err)
+	c.node.counter("breaks." + string(c.broke)).Inc(1)
 	c.node.mutex.Lock()
 	c.node.health.broken(c.node.now(), id)
 	c.node.mutex.Unlock()
--- a/entry/desk.go
+++ b/entry/desk.go
@@ -9,6 +9,7 @@
 	"github.com/thornwalk/thornwalk/coordination/quota"
 	"github.com/thornwalk/thornwalk/coordination/retrybudget"
 	"github.com/thornwalk/thornwalk/coordination/rollout"
+	"github.com/thornwalk/thornwalk/state/fingerprint"
 	"github.com/thornwalk/thornwalk/state/replicas"
 	"github.com/thornwalk/thornwalk/state/rollouts"
 	"github.com/thornwalk/thornwalk/structs"
@@ -30,7 +31,7 @@
 type placed struct {
 	tenant      string
 	cost        float64
-	fingerprint uint64
+	fingerprint fingerprint.Fingerprint
 }
 
 // desk is the scheduling side of a node: it decides for every node that takes
@@ -309,26 +310,26 @@
 
 // refusals remembers which requests were refused lately, in two generations.
 type refusals struct {
-	young, old map[uint64]bool
+	young, old map[fingerprint.Fingerprint]bool
 	turned     structs.Instant
 }
 
 func newRefusals() *refusals {
-	return &refusals{young: map[uint64]bool{}, old: map[uint64]bool{}}
+	return &refusals{young: map[fingerprint.Fingerprint]bool{}, old: map[fingerprint.Fingerprint]bool{}}
 }
 
 func (r *refusals) turn(now structs.Instant) {
 	if now-r.turned > refusalMemory/2 || len(r.young) > maximumRefusals {
-		r.old, r.young, r.turned = r.young, map[uint64]bool{}, now
+		r.old, r.young, r.turned = r.young, map[fingerprint.Fingerprint]bool{}, now
 	}
 }
 
-func (r *refusals) add(now structs.Instant, fingerprint uint64) {
+func (r *refusals) add(now structs.Instant, content fingerprint.Fingerprint) {
 	r.turn(now)
-	r.young[fingerprint] = true
+	r.young[content] = true
 }
 
-func (r *refusals) has(now structs.Instant, fingerprint uint64) bool {
+func (r *refusals) has(now structs.Instant, content fingerprint.Fingerprint) bool {
 	r.turn(now)
-	return r.young[fingerprint] || r.old[fingerprint]
+	return r.young[content] || r.old[content]
 }
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -13,6 +13,7 @@
 
 	"github.com/thornwalk/thornwalk/internal/eventlog"
 	"github.com/thornwalk/thornwalk/state/catalog"
+	"github.com/thornwalk/thornwalk/state/fingerprint"
 )
 
 // call is one request of a caller on its way through the node.
@@ -26,6 +27,10 @@
 	tenant  *catalog.Tenant
 	service string
 	body    []byte
+	// fingerprint is known once the body is read.
+	fingerprint fingerprint.Fingerprint
+	// broke is how the last send broke.
+	broke breakCause
 	// prompt and output are the tokens of the request; both are zero for
 	// requests without a token count.
 	prompt, output int
@@ -94,6 +99,7 @@
 	if !c.readBody(current) {
 		return
 	}
+	c.identify()
 	if !c.fitsBeforeStop() {
 		c.refuse(http.StatusServiceUnavailable, reasonStopping, retryStopping)
 		return
--- a/entry/lines.go
+++ b/entry/lines.go
@@ -25,6 +25,9 @@
 	if c.tenant != nil {
 		event.Tenant = c.tenant.Name
 	}
+	if !c.fingerprint.IsZero() {
+		event.Content = c.fingerprint.String()
+	}
 	return event
 }
 
@@ -63,7 +66,7 @@
 func (c *call) noteSend(given *grant, outcome result) {
 	event := c.event("request.sent")
 	event.Replica, event.Outcome, event.Peer = given.Replica.ID, outcome.String(), given.scheduler
-	event.Revision, event.Count = given.Replica.Revision, c.sends
+	event.Revision, event.Count, event.Reason = given.Replica.Revision, c.sends, string(c.broke)
 	event.First, event.Pause = c.firstEvent.Milliseconds(), c.longestPause.Milliseconds()
 	c.note(event)
 	c.node.counter("sends." + outcome.String()).Inc(1)
--- a/entry/messages.go
+++ b/entry/messages.go
@@ -5,6 +5,7 @@
 
 	"github.com/thornwalk/thornwalk/coordination/admission"
 	"github.com/thornwalk/thornwalk/coordination/quota"
+	"github.com/thornwalk/thornwalk/state/fingerprint"
 	"github.com/thornwalk/thornwalk/state/replicas"
 	"github.com/thornwalk/thornwalk/state/rollouts"
 )
@@ -17,7 +18,7 @@
 	Limit  quota.Limit
 	Cost   float64
 	// Fingerprint is equal for a request that comes back after a refusal.
-	Fingerprint uint64
+	Fingerprint fingerprint.Fingerprint
 	// Repeat is true if the request was sent to a replica before.
 	Repeat bool
 }
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -24,6 +24,8 @@
 	// Kind names the decision, as docs/OPERATIONS.md lists them.
 	Kind    string `json:"event"`
 	Request string `json:"request,omitempty"`
+	// Content is the fingerprint of what the request asks for, equal for all its tries.
+	Content string `json:"content,omitempty"`
 	Route   string `json:"route,omitempty"`
 	Tenant  string `json:"tenant,omitempty"`
 	Service string `json:"service,omitempty"`
--- a/protocol/errkind/errkind.go
+++ b/protocol/errkind/errkind.go
@@ -72,12 +72,12 @@
 	return merry.Wrap(fmt.Errorf("%s: %w", detail, kind), merry.WithHTTPCode(kind.Status), merry.NoCaptureStack())
 }
 
-// Wrap returns cause as an error of the kind; cause is kept in the message.
+// Wrap returns cause as an error of the kind. Both are found by errors.Is, the kind first.
 func Wrap(kind *Kind, cause error) error {
 	if cause == nil {
 		return nil
 	}
-	return New(kind, "%v", cause)
+	return merry.Wrap(fmt.Errorf("%[2]w: %[1]w", kind, cause), merry.WithHTTPCode(kind.Status), merry.NoCaptureStack())
 }
 
 // Of returns the kind of err, or OutcomeUnknown's kind when err has none:
