Show in a test that a request under which replicas end is sent on and on

Cause: nothing connects a request with the replicas that ended under it; the content comes again under other ids, each time as a first send (hypothesis 1; every send was the first of its try and placed by the one scheduling node, against hypotheses 2 and 3).

--- a/lab/entrylab/entrylab.go
+++ b/lab/entrylab/entrylab.go
@@ -58,6 +58,7 @@
 	replicas []*platformsim.Replica
 	closers  []func()
 	starts   uint64
+	isOver   bool
 }
 
 // Start starts the store and the nodes.
@@ -215,10 +216,17 @@
 	return false
 }
 
+func (d *Deployment) stopped() bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.isOver
+}
+
 // Stop ends everything at once.
 func (d *Deployment) Stop() {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
+	d.isOver = true
 	for _, node := range d.nodes {
 		node.Kill()
 	}
--- a/lab/platformsim/replica.go
+++ b/lab/platformsim/replica.go
@@ -38,10 +38,17 @@
 	Unframed
 	// Unsigned answers without the replica's signature.
 	Unsigned
+	// End begins to run the request, and then the whole replica ends.
+	End
 )
 
+// endDelay is how long a replica runs a request under which it ends.
+const endDelay = 40 * time.Millisecond
+
 // Run is a request that a replica ran.
 type Run struct {
+	// At is when it began.
+	At                       time.Time
 	ID, Target, Tenant, Host string
 	// Authorization must be empty: the key is not the replica's business.
 	Authorization string
@@ -60,7 +67,11 @@
 	ID, Service, Address, Zone string
 	// Version is that of its software; empty means the first.
 	Version string
-	Slots   int
+	// Born is the Unix millisecond of its start, and zero if it tells none.
+	Born int64
+	// OnEnd is called, if it is not nil, when the replica ended under a request.
+	OnEnd func()
+	Slots int
 	// Events is the number of events of a stream; zero makes a plain answer.
 	Events int
 	// Step is the time between two events, and the time of a plain answer.
@@ -74,6 +85,7 @@
 	most     int
 	listener net.Listener
 	conns    map[net.Conn]bool
+	ended    bool
 }
 
 // SetBehavior sets how requests are treated; nil means Answer.
@@ -110,6 +122,7 @@
 	Slots    int    `json:"slots"`
 	State    string `json:"state"`
 	Sequence int    `json:"sequence"`
+	Born     int64  `json:"born,omitempty"`
 }
 
 // firstVersion is that of replicas that name none.
@@ -117,7 +130,7 @@
 
 // Register writes the replica's entry with the state.
 func (r *Replica) Register(store *Store, state string) int64 {
-	return store.PutJSON("servers/"+r.ID, Entry{Service: r.Service, Address: r.Address, Zone: r.Zone, Version: cmp.Or(r.Version, firstVersion), Slots: r.Slots, State: state})
+	return store.PutJSON("servers/"+r.ID, Entry{Service: r.Service, Address: r.Address, Zone: r.Zone, Version: cmp.Or(r.Version, firstVersion), Slots: r.Slots, State: state, Born: r.Born})
 }
 
 // Serve accepts connections until the listener is closed.
@@ -137,14 +150,24 @@
 	}
 }
 
-// Crash closes the listener and every connection.
-func (r *Replica) Crash() {
+// Crash closes the listener and every connection. It returns false if that was done before.
+func (r *Replica) Crash() bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	_ = r.listener.Close()
 	for conn := range r.conns {
 		_ = conn.Close()
 	}
+	first := !r.ended
+	r.ended = true
+	return first
+}
+
+// endUnder crashes the replica under a request, which several may do at once.
+func (r *Replica) endUnder() {
+	if r.Crash() && r.OnEnd != nil {
+		r.OnEnd()
+	}
 }
 
 func (r *Replica) serveConn(conn net.Conn) {
@@ -204,6 +227,7 @@
 func (r *Replica) begin(request *http.Request, body string) *Run {
 	deadline, _ := strconv.Atoi(request.Header.Get("X-Deadline-Ms"))
 	run := &Run{
+		At: time.Now(),
 		ID: request.Header.Get("X-Attempt-Id"), Target: request.RequestURI, Host: request.Host, Body: body,
 		Tenant: request.Header.Get("X-Tenant"), Authorization: request.Header.Get("Authorization"),
 		LastEvent: request.Header.Get("Last-Event-Id"), Header: request.Header, Deadline: time.Duration(deadline) * time.Millisecond,
@@ -258,6 +282,11 @@
 	case Reset:
 		wait(ctx, r.Step)
 		return false
+	case End:
+		if wait(ctx, endDelay) {
+			r.endUnder()
+		}
+		return false
 	case Fail:
 		wait(ctx, r.Step)
 		return write(conn, r.head("500 Internal Server Error", id, "")+"Content-Length: 3\r\n\r\nbad")
