--- /dev/null
+++ b/cmd/thornwalk/barred.go
@@ -0,0 +1,52 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+)
+
+// barredCommand lists the requests that are not sent since replicas ended under them, and
+// lifts the verdict on one of them.
+func barredCommand(o *options) *ffcli.Command {
+	lift := &ffcli.Command{
+		Name: "lift", ShortUsage: "thornwalk barred lift CONTENT", FlagSet: o.flagSet("lift"),
+		ShortHelp: "let a barred request be sent again, at all entry nodes",
+		Exec: func(ctx context.Context, arguments []string) error {
+			if len(arguments) != 1 {
+				return fmt.Errorf("name one request by its content, as thornwalk barred lists it")
+			}
+			if err := o.client().Lift(ctx, arguments[0]); err != nil {
+				return err
+			}
+			fmt.Println("lifted; it is barred again if three more replicas end under it")
+			return nil
+		},
+	}
+	return &ffcli.Command{
+		Name: "barred", ShortUsage: "thornwalk barred [lift CONTENT]", FlagSet: o.flagSet("barred"), Subcommands: []*ffcli.Command{lift},
+		ShortHelp: "show the requests that are not sent since replicas ended under them, as an entry node sees them",
+		Exec: func(ctx context.Context, arguments []string) error {
+			if len(arguments) > 0 {
+				return fmt.Errorf("%q is no command of thornwalk barred: see thornwalk barred -h", arguments[0])
+			}
+			status, err := o.client().EntryStatus(ctx)
+			if err != nil {
+				return err
+			}
+			var rows [][]string
+			for _, barred := range status.Barred {
+				var lives []string
+				for _, life := range barred.Lives {
+					lives = append(lives, string(life))
+				}
+				unchanged := time.Duration(barred.Unchanged) * time.Millisecond
+				rows = append(rows, []string{barred.Content.String(), barred.Service, barred.Route, strings.Join(lives, " "), fmt.Sprint(barred.Trials), unchanged.String()})
+			}
+			return o.print(status.Barred, []string{"content", "service", "route", "replicas that ended", "trials", "unchanged for"}, rows)
+		},
+	}
+}
--- a/cmd/thornwalkd/entry.go
+++ b/cmd/thornwalkd/entry.go
@@ -40,7 +40,7 @@
 	outsideNetwork := network.TCP{SilenceLimit: silenceLimit}
 	directory := platform.NewDirectory(network.Bounded{Network: outsideNetwork, Limit: silenceLimit}, settings.Store)
 	node := entry.New(settings, entry.Dependencies{
-		Network: outsideNetwork, Datagrams: outsideNetwork, Directory: directory, Rollouts: directory,
+		Network: outsideNetwork, Datagrams: outsideNetwork, Directory: directory, Rollouts: directory, Contents: directory,
 		Headers: platform.Headers(), ReadyPath: platform.ReadyPath, Log: log, Incarnation: rand.Uint64(),
 	})
 	if err := node.Start(); err != nil {
--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -3,7 +3,9 @@
 import (
 	"time"
 
+	"github.com/thornwalk/thornwalk/coordination/poison"
 	"github.com/thornwalk/thornwalk/coordination/rollout"
+	"github.com/thornwalk/thornwalk/state/fingerprint"
 	"github.com/thornwalk/thornwalk/state/replicas"
 	"github.com/thornwalk/thornwalk/state/rollouts"
 	"github.com/thornwalk/thornwalk/structs"
@@ -40,6 +42,8 @@
 	Patience time.Duration
 	// Returned is true if the request was refused before and came back.
 	Returned bool
+	// Content is equal for requests that ask for the same.
+	Content fingerprint.Fingerprint
 	// Tried names replicas that the request came to before and that must not be
 	// chosen again.
 	Tried []string
@@ -71,6 +75,10 @@
 	ReasonDeadline Reason = "too-long-for-deadline"
 	// ReasonBacklog means that the work ahead takes longer than the request can wait.
 	ReasonBacklog Reason = "backlog"
+	// ReasonSuspect means that another try of the request, under which a replica ended, runs.
+	ReasonSuspect Reason = "suspect"
+	// ReasonBarred means that too many replicas ended under the request.
+	ReasonBarred Reason = "barred"
 )
 
 // Decision ends the wait of a request.
@@ -79,6 +87,8 @@
 	Replica replicas.Replica
 	// Reason is empty if the replica was given.
 	Reason Reason
+	// Trial is true if the request is barred and was given the replica all the same.
+	Trial bool
 	// RetryAfter tells a refused caller when to come back.
 	RetryAfter time.Duration
 	Waited     time.Duration
@@ -101,6 +111,8 @@
 	Left bool
 	// Failed is true if the replica broke off, failed or was silent.
 	Failed bool
+	// Whole is true if the replica gave its whole answer, be it a failure.
+	Whole bool
 }
 
 // waiting is a request without a place.
@@ -113,6 +125,7 @@
 
 // place is a request in progress.
 type place struct {
+	content fingerprint.Fingerprint
 	node    string
 	service string
 	route   string
@@ -153,16 +166,24 @@
 	changes int
 	// options is used by one round after the other.
 	options []option
+	// contents says which requests replicas ended under, and running counts the places of
+	// the requests that ask for the same.
+	contents *poison.Ledger
+	running  map[fingerprint.Fingerprint]int
 }
 
-// New returns an empty scheduler.
+// New returns an empty scheduler that bars no request.
 func New() *Scheduler {
 	return &Scheduler{
+		contents: poison.NewLedger(poison.Policy{}), running: map[fingerprint.Fingerprint]int{},
 		services: map[string]*service{}, places: map[string]*place{}, waits: map[string]*waiting{},
 		states: map[string]*replicaState{}, foreign: map[string]map[string]int{}, doubts: map[string]*doubtList{},
 	}
 }
 
+// SetContents has the scheduler go by the ledger of requests that replicas ended under.
+func (s *Scheduler) SetContents(contents *poison.Ledger) { s.contents = contents }
+
 // SetReplicas replaces the known replicas.
 func (s *Scheduler) SetReplicas(all []replicas.Replica) {
 	for _, pool := range s.services {
@@ -281,6 +302,7 @@
 
 // Ended is a request with a place that ended.
 type Ended struct {
+	Content                 fingerprint.Fingerprint
 	Service, Route, Replica string
 	// Version is the replica's.
 	Version string
@@ -297,7 +319,7 @@
 	if !found {
 		return Ended{}, false
 	}
-	ended := Ended{Service: held.service, Route: held.route, Replica: held.replica, Version: held.version, Prompt: held.prompt, Placed: held.since}
+	ended := Ended{Content: held.content, Service: held.service, Route: held.route, Replica: held.replica, Version: held.version, Prompt: held.prompt, Placed: held.since}
 	s.release(id)
 	if !seen.Left && !held.overdue {
 		s.judge(now, held.service, held.replica, seen.Failed)
@@ -348,6 +370,7 @@
 // occupy enters a request that was given a place.
 func (s *Scheduler) occupy(id string, held *place) {
 	s.places[id] = held
+	s.running[held.content]++
 	state := s.state(held.replica)
 	state.used++
 	state.reading = append(state.reading, held)
@@ -356,6 +379,9 @@
 func (s *Scheduler) release(id string) {
 	held := s.places[id]
 	delete(s.places, id)
+	if s.running[held.content]--; s.running[held.content] <= 0 {
+		delete(s.running, held.content)
+	}
 	held.begun = true // its prompt is no longer read
 	s.state(held.replica).used--
 	s.forgetUnused(held.replica)
--- a/coordination/admission/decide.go
+++ b/coordination/admission/decide.go
@@ -5,6 +5,7 @@
 	"sort"
 	"time"
 
+	"github.com/thornwalk/thornwalk/coordination/poison"
 	"github.com/thornwalk/thornwalk/structs"
 )
 
@@ -45,7 +46,14 @@
 	kept := pool.queue[:0]
 	ahead := 0
 	for _, held := range pool.queue {
-		decision, done := s.decideOne(now, held, room, ahead)
+		decision, done := s.decideContent(now, held)
+		if !done && decision.Reason != ReasonNone {
+			kept = append(kept, held) // nobody else waits for it
+			continue
+		}
+		if !done {
+			decision, done = s.decideOne(now, held, room, ahead)
+		}
 		if !done {
 			kept = append(kept, held)
 			ahead++
@@ -81,7 +89,7 @@
 func (s *Scheduler) decideOne(now structs.Instant, held *waiting, room *room, ahead int) (Decision, bool) {
 	decision := Decision{ID: held.ID, Waited: now - held.arrived, Ahead: ahead, Free: room.free, Expected: room.wait(ahead)}
 	if chosen := s.chooseTrial(held, room, held.Deadline-decision.Waited); chosen != nil {
-		s.give(now, held, chosen)
+		decision.Trial = s.give(now, held, chosen)
 		decision.Replica = chosen.state.replica
 		return decision, true
 	}
@@ -101,7 +109,7 @@
 	}
 	if chosen := s.choose(now, held, room, options, left); chosen != nil {
 		room.taken(chosen)
-		s.give(now, held, chosen)
+		decision.Trial = s.give(now, held, chosen)
 		decision.Replica = chosen.state.replica
 		return decision, true
 	}
@@ -119,14 +127,20 @@
 	return Decision{}, false
 }
 
-// give enters that the request got a place at the replica.
-func (s *Scheduler) give(now structs.Instant, held *waiting, chosen *option) {
+// give enters that the request got a place at the replica, and returns whether that is the
+// trial of a barred one.
+func (s *Scheduler) give(now structs.Instant, held *waiting, chosen *option) bool {
 	chosen.used++
 	chosen.unread += held.Prompt
+	standing, _ := s.contents.Standing(now, held.Content)
+	if standing == poison.OnTrial {
+		s.contents.Try(now, held.Content)
+	}
 	s.occupy(held.ID, &place{
-		node: held.Node, service: held.Service, route: held.Route, replica: chosen.state.replica.ID, version: chosen.state.replica.Version,
+		content: held.Content, node: held.Node, service: held.Service, route: held.Route, replica: chosen.state.replica.ID, version: chosen.state.replica.Version,
 		prompt: held.Prompt, since: now,
 	})
+	return standing == poison.OnTrial
 }
 
 // retryAfter tells a refused caller to come back when the work ahead is done,
--- a/coordination/liveness/liveness.go
+++ b/coordination/liveness/liveness.go
@@ -63,6 +63,9 @@
 	// Rollouts tells how far the sender knows each roll-out that is not at its end, by
 	// service.
 	Rollouts map[string]RolloutView `msgpack:"g,omitempty"`
+	// Contents marks what the sender knows of requests that replicas ended under; nil if it
+	// knows none.
+	Contents *ContentsMark `msgpack:"ct,omitempty"`
 	// Relays is true if the sender passes heartbeats on to its zone when it is asked to.
 	Relays bool `msgpack:"e,omitempty"`
 	// PassOn asks the receiver to send the heartbeat to all nodes of its zone.
@@ -87,6 +90,16 @@
 	Foreign int `msgpack:"f"`
 }
 
+// ContentsMark tells whether two nodes know the same of requests that replicas ended under.
+type ContentsMark struct {
+	//lint:ignore U1000 the codec reads the tag
+	_msgpack struct{} `msgpack:",as_array"`
+
+	// Weight rises with all that is learned, and Digest differs if what is known does.
+	Weight int64
+	Digest uint64
+}
+
 // RolloutView is what a node knows and does of one roll-out.
 type RolloutView struct {
 	//lint:ignore U1000 the codec reads the tag
--- /dev/null
+++ b/coordination/poison/ledger.go
@@ -0,0 +1,394 @@
+package poison
+
+import (
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/thornwalk/thornwalk/state/fingerprint"
+	"github.com/thornwalk/thornwalk/structs"
+)
+
+// Policy says when a request is barred.
+type Policy struct {
+	// Ends is how many lives end under a request until it is barred; zero bars none.
+	Ends int
+	// Trials is how often a barred request is sent all the same, and FirstTrial and
+	// NextTrial the times until the first one and from one to the next.
+	Trials                int
+	FirstTrial, NextTrial time.Duration
+}
+
+// maximumTrials bounds Policy.Trials.
+const maximumTrials = 2
+
+// DefaultPolicy bars after the third end. The operators count what is sent later than a few
+// seconds after it and allow three; two trials leave one for a scheduling node that died
+// before it told of a trial. The first comes soon, as many replicas that end at once for a
+// reason of their own bar what runs at three of them; a trial that finds no replica that is up
+// goes on until it does. The second is late enough for what struck the first to be over.
+func DefaultPolicy() Policy {
+	return Policy{Ends: 3, Trials: maximumTrials, FirstTrial: 500 * time.Millisecond, NextTrial: 10 * time.Second}
+}
+
+// Standing is what may be done with a request.
+type Standing int
+
+// The standings.
+const (
+	// Clear means that nothing speaks against the request.
+	Clear Standing = iota
+	// Suspect means that it may run at one replica at a time.
+	Suspect
+	// OnTrial means that it is barred and may be sent once.
+	OnTrial
+	// Barred means that it must not be sent.
+	Barred
+)
+
+// String names the standing in logs.
+func (s Standing) String() string { return [...]string{"clear", "suspect", "on-trial", "barred"}[s] }
+
+// Bounds of the ledger.
+const (
+	// maximumRecords bounds the records. Each suspect costs a caller a share in a replica's
+	// end and each barred request the ends of three, so that nobody fills the ledger cheaply;
+	// a record has about 300 bytes.
+	maximumRecords = 4096
+	// recordMemory is how long a suspect is remembered that is not asked for again, and that
+	// a request was cleared: a caller that returns every some seconds is known again, the
+	// many that were at a replica by chance are forgotten, and no node that has not heard
+	// that a request was cleared bars it again.
+	recordMemory = 2 * time.Minute
+	// recentMemory is how long what this node saw is passed on with each try: some changes of
+	// the scheduling node.
+	recentMemory = 10 * time.Second
+	// forgettingTime is by how much nodes may forget a record one after the other.
+	forgettingTime = 5 * time.Second
+	// barredRetry is when the caller of a barred request should come back once there are no
+	// more trials.
+	barredRetry = time.Minute
+	// toldLives is from how many lives on all nodes are told of a suspect. Those of one life
+	// are many, as each end has some; the scheduling node and those that saw it end know them.
+	toldLives = 2
+)
+
+// entry is a record with what this node alone knows of it.
+type entry struct {
+	Record
+	// changed is when something was learned of it, endedAt when the last life was, and
+	// nextTrial when the next trial may be.
+	changed, endedAt, nextTrial structs.Instant
+	// open is true while the last trial came to no replica.
+	open bool
+	// told is true once other nodes hear of the record unasked; they are then also told
+	// that it was cleared.
+	told bool
+}
+
+// Ledger holds the records of one node. It is not safe for concurrent use.
+type Ledger struct {
+	policy  Policy
+	entries map[fingerprint.Fingerprint]*entry
+	// tries is false while this node must not try barred requests: another one may do so.
+	tries bool
+	// mark is of all records that others are told, unless it is stale.
+	mark  Mark
+	stale bool
+}
+
+// NewLedger returns an empty ledger that tries nothing until SetTries.
+func NewLedger(policy Policy) *Ledger {
+	return &Ledger{policy: policy, entries: map[fingerprint.Fingerprint]*entry{}}
+}
+
+// SetPolicy takes another policy into force.
+func (l *Ledger) SetPolicy(policy Policy) { l.policy = policy }
+
+// SetTries records whether this node may try barred requests: the node that schedules for
+// more than half of all nodes does. Parts of a fleet that are cut off from each other would
+// else try each for itself, and end a replica with each.
+func (l *Ledger) SetTries(tries bool) { l.tries = tries }
+
+// Ended enters that the life ended while it ran the request that was placed then, and
+// returns the request's standing and whether that is news. A request that was placed after
+// the life's end was known cannot have run in that life: the replica had started again under
+// its id, and this node has not heard of it.
+func (l *Ledger) Ended(now structs.Instant, of Record, life Life, placed structs.Instant) (Standing, bool) {
+	if l.policy.Ends <= 0 || of.Content.IsZero() {
+		return Clear, false
+	}
+	held := l.get(now, of)
+	if slices.Contains(held.Lives, life) && placed > held.endedAt {
+		life += Life("+" + strconv.Itoa(len(held.Lives)))
+	}
+	if !held.add(life) {
+		return l.standing(held), false
+	}
+	held.changed, held.endedAt = now, now
+	l.settle(now, held)
+	return l.standing(held), true
+}
+
+// Answered enters that a replica gave its whole answer to the request, and returns whether
+// that cleared it.
+func (l *Ledger) Answered(now structs.Instant, content fingerprint.Fingerprint) bool {
+	held, found := l.entries[content]
+	if !found || len(held.Lives) == 0 {
+		return false
+	}
+	l.clear(now, held)
+	return true
+}
+
+// Lift clears a request as the operators ask. It returns false if nothing is known of it.
+func (l *Ledger) Lift(now structs.Instant, content fingerprint.Fingerprint) bool {
+	return l.Answered(now, content)
+}
+
+func (l *Ledger) clear(now structs.Instant, held *entry) {
+	held.Record.clear()
+	held.changed, held.nextTrial, held.open = now, 0, false
+	l.stale = true
+}
+
+// Standing returns what may be done with the request, and, if it is barred, when its caller
+// should come back.
+func (l *Ledger) Standing(now structs.Instant, content fingerprint.Fingerprint) (Standing, time.Duration) {
+	held, found := l.entries[content]
+	if !found || l.policy.Ends <= 0 {
+		return Clear, 0
+	}
+	standing := l.standing(held)
+	switch {
+	case standing != Barred:
+		return standing, 0
+	case held.open:
+		return OnTrial, 0
+	case held.Trials >= l.policy.Trials:
+		return Barred, barredRetry
+	case !l.tries || now < held.nextTrial:
+		return Barred, max(held.nextTrial-now, l.policy.FirstTrial)
+	}
+	return OnTrial, 0
+}
+
+func (l *Ledger) standing(held *entry) Standing {
+	switch {
+	case len(held.Lives) == 0:
+		return Clear
+	case len(held.Lives) < l.policy.Ends:
+		return Suspect
+	}
+	return Barred
+}
+
+// Try enters that a barred request is being sent.
+func (l *Ledger) Try(now structs.Instant, content fingerprint.Fingerprint) {
+	held, found := l.entries[content]
+	if !found {
+		return
+	}
+	if !held.open {
+		held.Trials++
+		l.stale = true
+	}
+	held.open = false
+	held.changed, held.nextTrial = now, now+l.policy.NextTrial
+}
+
+// NotTried enters that a trial came to no replica: the one that was chosen was down. The same
+// trial may go on at another.
+func (l *Ledger) NotTried(content fingerprint.Fingerprint) {
+	if held, found := l.entries[content]; found {
+		held.open = held.Trials > 0 && l.standing(held) == Barred
+	}
+}
+
+// get returns the request's entry, which may be a new one.
+func (l *Ledger) get(now structs.Instant, of Record) *entry {
+	held, found := l.entries[of.Content]
+	if !found {
+		l.makeRoom()
+		held = &entry{Record: Record{Content: of.Content, Service: of.Service, Route: of.Route}, changed: now}
+		l.entries[of.Content] = held
+	}
+	return held
+}
+
+// settle enters what follows from a change of the record's lives.
+func (l *Ledger) settle(now structs.Instant, held *entry) {
+	l.stale = true
+	held.told = held.told || held.Kept || len(held.Lives) >= toldLives
+	switch {
+	case l.standing(held) != Barred:
+		held.nextTrial = 0
+	case held.nextTrial == 0:
+		held.Kept, held.nextTrial = true, now+l.policy.FirstTrial
+	}
+}
+
+// Merge enters what another node or the store tells, and returns the requests that are
+// barred since.
+func (l *Ledger) Merge(now structs.Instant, records []Record) []Record {
+	var barred []Record
+	for i := range records {
+		if !l.takes(&records[i]) {
+			continue
+		}
+		held := l.get(now, records[i])
+		before := l.standing(held)
+		if held.Generation > records[i].Generation && !held.told {
+			held.told, l.stale = true, true // whoever told this has not heard that it was cleared
+		}
+		if !held.merge(&records[i]) {
+			continue
+		}
+		held.changed = now - min(time.Duration(records[i].Age)*time.Millisecond, recordMemory)
+		held.endedAt, held.told = now, true
+		l.settle(now, held)
+		if before != Barred && l.standing(held) == Barred {
+			barred = append(barred, held.copy())
+		}
+	}
+	return barred
+}
+
+// takes returns whether the record is to be merged. One that this node does not have and
+// that is about to be forgotten by all is left out: nodes would else have it from each other
+// for ever.
+func (l *Ledger) takes(record *Record) bool {
+	if record.Content.IsZero() || l.policy.Ends <= 0 {
+		return false
+	}
+	if _, found := l.entries[record.Content]; found || record.Kept && len(record.Lives) >= l.policy.Ends {
+		return true
+	}
+	return time.Duration(record.Age)*time.Millisecond < recordMemory-forgettingTime
+}
+
+// Get returns the request's record.
+func (l *Ledger) Get(content fingerprint.Fingerprint) (Record, bool) {
+	held, found := l.entries[content]
+	if !found {
+		return Record{}, false
+	}
+	return held.copy(), true
+}
+
+// Recent returns the request's record if something spoke against it lately. Whoever asks for
+// a place passes it on: the scheduling node may have died before it told what it knew. What
+// is older was told since, or made up for by an answer that this node did not see.
+func (l *Ledger) Recent(now structs.Instant, content fingerprint.Fingerprint) *Record {
+	held, found := l.entries[content]
+	if !found || len(held.Lives) == 0 || now-held.endedAt > recentMemory {
+		return nil
+	}
+	record := held.copy()
+	return &record
+}
+
+// copy returns the record without what is shared.
+func (e *entry) copy() Record {
+	record := e.Record
+	record.Lives = slices.Clone(record.Lives)
+	return record
+}
+
+// Told returns what other nodes are to know.
+func (l *Ledger) Told(now structs.Instant) []Record {
+	return l.pick(now, func(held *entry) bool { return held.told })
+}
+
+// Lasting returns what has to outlive all nodes.
+func (l *Ledger) Lasting(now structs.Instant) []Record {
+	return l.pick(now, func(held *entry) bool { return held.Kept })
+}
+
+// Barred returns the requests that are barred.
+func (l *Ledger) Barred(now structs.Instant) []Record {
+	return l.pick(now, func(held *entry) bool { return l.standing(held) == Barred })
+}
+
+// pick returns the records for which the function is true, in the order of their contents.
+func (l *Ledger) pick(now structs.Instant, picks func(*entry) bool) []Record {
+	var picked []Record
+	for _, held := range l.entries {
+		if !picks(held) {
+			continue
+		}
+		record := held.copy()
+		record.Age = (now - held.changed).Milliseconds()
+		picked = append(picked, record)
+	}
+	slices.SortFunc(picked, func(a, b Record) int { return slices.Compare(a.Content[:], b.Content[:]) })
+	return picked
+}
+
+// Mark tells ledgers that know the same apart from others: Weight rises with all that is
+// learned, and Digest differs between records that differ.
+type Mark struct {
+	Weight int64
+	Digest uint64
+}
+
+// Mark returns that of what Told returns.
+func (l *Ledger) Mark() Mark {
+	if l.stale {
+		l.stale, l.mark = false, Mark{}
+		for _, held := range l.entries {
+			if held.told {
+				l.mark.add(&held.Record)
+			}
+		}
+	}
+	return l.mark
+}
+
+// MarkOf returns that of the records.
+func MarkOf(records []Record) Mark {
+	var mark Mark
+	for i := range records {
+		mark.add(&records[i])
+	}
+	return mark
+}
+
+func (m *Mark) add(record *Record) {
+	m.Weight += record.weight()
+	m.Digest ^= record.digest()
+}
+
+// Sweep forgets suspects that were not seen again and what was cleared long ago. A barred
+// request is forgotten only when there is no room for it.
+func (l *Ledger) Sweep(now structs.Instant) {
+	for content, held := range l.entries {
+		if l.standing(held) != Barred && now-held.changed > recordMemory {
+			delete(l.entries, content)
+			l.stale = true
+		}
+	}
+}
+
+// makeRoom drops the record that says least if there are too many: one that is not barred
+// before one that is, and the oldest of these.
+func (l *Ledger) makeRoom() {
+	if len(l.entries) < maximumRecords {
+		return
+	}
+	var least *entry
+	for _, held := range l.entries {
+		if least == nil || saysLess(held, least) {
+			least = held
+		}
+	}
+	delete(l.entries, least.Content)
+	l.stale = true
+}
+
+func saysLess(held, other *entry) bool {
+	if held.Kept != other.Kept {
+		return other.Kept
+	}
+	return held.changed < other.changed
+}
--- /dev/null
+++ b/coordination/poison/ledger_test.go
@@ -0,0 +1,222 @@
+package poison
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/thornwalk/thornwalk/state/fingerprint"
+	"github.com/thornwalk/thornwalk/structs"
+)
+
+// named returns the record of a request.
+func named(name string) Record {
+	return Record{Content: fingerprint.Of("office", "POST", "a.example", "/"+name, nil), Service: "engines", Route: "chat"}
+}
+
+// ledger returns one that tries barred requests.
+func ledger() *Ledger {
+	l := NewLedger(DefaultPolicy())
+	l.SetTries(true)
+	return l
+}
+
+// end enters as many ends of lives under the request, each placed when the last was known.
+func end(l *Ledger, of Record, count int) {
+	for i := range count {
+		at := structs.Instant(i+1) * time.Second
+		l.Ended(at, of, Life(fmt.Sprint(of.Content, i)), at-time.Millisecond)
+	}
+}
+
+func (l *Ledger) standingAt(now structs.Instant, of Record) Standing {
+	standing, _ := l.Standing(now, of.Content)
+	return standing
+}
+
+func TestARequestIsBarredAfterThreeLivesAndNotAfterThreeTries(t *testing.T) {
+	g := gomega.NewWithT(t)
+	l, of := ledger(), named("x")
+	g.Expect(l.standingAt(0, of)).To(gomega.Equal(Clear))
+	for range 5 {
+		_, _ = l.Ended(time.Second, of, "a/1", 0) // five tries ran in one life
+	}
+	g.Expect(l.standingAt(time.Second, of)).To(gomega.Equal(Suspect))
+	_, _ = l.Ended(2*time.Second, of, "b/1", 0)
+	g.Expect(l.standingAt(2*time.Second, of)).To(gomega.Equal(Suspect))
+	standing, news := l.Ended(3*time.Second, of, "c/1", 0)
+	g.Expect(standing).To(gomega.Equal(Barred))
+	g.Expect(news).To(gomega.BeTrue())
+	g.Expect(l.standingAt(3*time.Second, named("y"))).To(gomega.Equal(Clear))
+}
+
+// A replica that starts again under its id may end again before this node has heard that it
+// started: what was placed after the first end ran in another life.
+func TestALifeThatThisNodeHasNotHeardOfCounts(t *testing.T) {
+	g := gomega.NewWithT(t)
+	l, of := ledger(), named("x")
+	for i := range 3 {
+		at := structs.Instant(i+1) * time.Second
+		_, _ = l.Ended(at, of, "a/1", at-100*time.Millisecond)
+	}
+	g.Expect(l.standingAt(4*time.Second, of)).To(gomega.Equal(Barred))
+}
+
+func TestAnAnswerClearsARequest(t *testing.T) {
+	g := gomega.NewWithT(t)
+	l, of := ledger(), named("x")
+	end(l, of, 2)
+	g.Expect(l.Answered(3*time.Second, of.Content)).To(gomega.BeTrue())
+	g.Expect(l.standingAt(3*time.Second, of)).To(gomega.Equal(Clear))
+	_, _ = l.Ended(4*time.Second, of, "late", 0)
+	g.Expect(l.standingAt(4*time.Second, of)).To(gomega.Equal(Suspect))
+	g.Expect(l.Answered(5*time.Second, named("y").Content)).To(gomega.BeFalse())
+}
+
+func TestABarredRequestIsTriedTwiceAndNoMore(t *testing.T) {
+	g := gomega.NewWithT(t)
+	l, of := ledger(), named("x")
+	end(l, of, 3)
+	tried := 0
+	for now := 3 * time.Second; now < 10*time.Minute; now += 100 * time.Millisecond {
+		standing, comeBack := l.Standing(now, of.Content)
+		if standing == OnTrial {
+			l.Try(now, of.Content)
+			tried++
+			_, _ = l.Ended(now, of, Life(fmt.Sprint("trial", tried)), now)
+		} else {
+			g.Expect(comeBack).To(gomega.BeNumerically(">=", DefaultPolicy().FirstTrial))
+		}
+		l.Sweep(now)
+	}
+	g.Expect(tried).To(gomega.Equal(DefaultPolicy().Trials))
+	g.Expect(l.standingAt(10*time.Minute, of)).To(gomega.Equal(Barred), "it is not forgotten")
+}
+
+// A trial that finds its replica down is no trial, and the next replica gets it at once.
+func TestATrialThatCameToNoReplicaGoesOn(t *testing.T) {
+	g := gomega.NewWithT(t)
+	l, of := ledger(), named("x")
+	end(l, of, 3)
+	now := 3*time.Second + DefaultPolicy().FirstTrial
+	g.Expect(l.standingAt(now, of)).To(gomega.Equal(OnTrial))
+	l.Try(now, of.Content)
+	g.Expect(l.standingAt(now, of)).To(gomega.Equal(Barred))
+	l.NotTried(of.Content)
+	g.Expect(l.standingAt(now, of)).To(gomega.Equal(OnTrial))
+	l.Try(now, of.Content)
+	g.Expect(l.Told(now)[0].Trials).To(gomega.Equal(1))
+	g.Expect(l.Answered(now, of.Content)).To(gomega.BeTrue())
+	g.Expect(l.standingAt(now, of)).To(gomega.Equal(Clear))
+}
+
+func TestOnlyANodeThatSchedulesForMostTriesABarredRequest(t *testing.T) {
+	g := gomega.NewWithT(t)
+	l, of := ledger(), named("x")
+	end(l, of, 3)
+	l.SetTries(false)
+	g.Expect(l.standingAt(time.Hour, of)).To(gomega.Equal(Barred))
+}
+
+func TestAPolicyOfNoEndsBarsNothing(t *testing.T) {
+	g := gomega.NewWithT(t)
+	l, of := ledger(), named("x")
+	end(l, of, 3)
+	l.SetPolicy(Policy{})
+	g.Expect(l.standingAt(4*time.Second, of)).To(gomega.Equal(Clear))
+	end(l, named("y"), 3)
+	_, found := l.Get(named("y").Content)
+	g.Expect(found).To(gomega.BeFalse())
+}
+
+// Ledgers that heard of the same records are the same, in whatever order and however often
+// they heard of them, and a cleared request does not come back by an older record.
+func TestLedgersAgreeWhateverTheOrderOfNews(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		nodes := []*Ledger{ledger(), ledger(), ledger()}
+		contents := []Record{named("x"), named("y")}
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			node := nodes[rapid.IntRange(0, 2).Draw(t, "node")]
+			of := contents[rapid.IntRange(0, 1).Draw(t, "content")]
+			switch rapid.IntRange(0, 4).Draw(t, "step") {
+			case 0, 1:
+				_, _ = node.Ended(0, of, Life(fmt.Sprint("life", rapid.IntRange(0, 9).Draw(t, "life"))), -1)
+			case 2:
+				node.Answered(0, of.Content)
+			case 3:
+				node.Try(0, of.Content)
+			case 4:
+				node.Merge(0, nodes[rapid.IntRange(0, 2).Draw(t, "from")].Told(0))
+			}
+		}
+		for range 2 {
+			for _, node := range nodes {
+				for _, other := range nodes {
+					node.Merge(0, other.Told(0))
+				}
+			}
+		}
+		for _, node := range nodes[1:] {
+			for _, of := range contents {
+				first, _ := nodes[0].Get(of.Content)
+				here, _ := node.Get(of.Content)
+				if told := first.Kept || len(first.Lives) >= toldLives; told && fmt.Sprint(first.Lives, first.Generation, first.Trials) != fmt.Sprint(here.Lives, here.Generation, here.Trials) {
+					t.Fatalf("%v and %v", first, here)
+				}
+			}
+		}
+	})
+}
+
+func TestAClearedRequestIsNotBarredAgainByOldNews(t *testing.T) {
+	g := gomega.NewWithT(t)
+	l, other, of := ledger(), ledger(), named("x")
+	end(l, of, 3)
+	other.Merge(4*time.Second, l.Told(4*time.Second))
+	g.Expect(other.standingAt(4*time.Second, of)).To(gomega.Equal(Barred))
+	l.Lift(5*time.Second, of.Content)
+	l.Merge(6*time.Second, other.Told(6*time.Second))
+	g.Expect(l.standingAt(6*time.Second, of)).To(gomega.Equal(Clear))
+	g.Expect(l.Mark()).NotTo(gomega.Equal(other.Mark()))
+	other.Merge(6*time.Second, l.Told(6*time.Second))
+	g.Expect(other.standingAt(6*time.Second, of)).To(gomega.Equal(Clear))
+	g.Expect(l.Mark()).To(gomega.Equal(other.Mark()))
+}
+
+// Two nodes that forget a suspect one after the other must not have it from each other for
+// ever.
+func TestAllNodesForgetASuspect(t *testing.T) {
+	g := gomega.NewWithT(t)
+	l, other, of := ledger(), ledger(), named("x")
+	end(l, of, 2)
+	for now := 3 * time.Second; now < 2*recordMemory+time.Minute; now += time.Second {
+		other.Merge(now, l.Told(now))
+		l.Merge(now+300*time.Millisecond, other.Told(now))
+		l.Sweep(now)
+		other.Sweep(now + 300*time.Millisecond)
+	}
+	g.Expect(l.Told(0)).To(gomega.BeEmpty())
+	g.Expect(other.Told(0)).To(gomega.BeEmpty())
+}
+
+// A caller that makes up requests can't push out what is barred.
+func TestTheLedgerIsBoundedAndKeepsWhatIsBarred(t *testing.T) {
+	g := gomega.NewWithT(t)
+	l := ledger()
+	end(l, named("barred"), 3)
+	for i := range 2 * maximumRecords {
+		end(l, named(fmt.Sprint(i)), 1)
+	}
+	g.Expect(len(l.entries)).To(gomega.BeNumerically("<=", maximumRecords))
+	g.Expect(l.standingAt(0, named("barred"))).To(gomega.Equal(Barred))
+}
+
+func TestNoCallOfAnotherCountsAsOnesOwn(t *testing.T) {
+	g := gomega.NewWithT(t)
+	l := ledger()
+	_, news := l.Ended(0, Record{}, "a/1", 0)
+	g.Expect(news).To(gomega.BeFalse(), "a request whose content is not known is nobody's")
+}
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/thornwalk/thornwalk/coordination/admission"
+	"github.com/thornwalk/thornwalk/coordination/poison"
 	"github.com/thornwalk/thornwalk/state/fingerprint"
 	"github.com/thornwalk/thornwalk/state/replicas"
 	"github.com/thornwalk/thornwalk/transport/replicahttp"
@@ -65,7 +66,7 @@
 			return
 		}
 		if c.node.knownToLeave(given.Replica.ID) && len(tried) < maximumSends {
-			c.node.finish(given, admission.Observation{Left: true}, true)
+			c.node.finish(given, &finishRequest{Seen: admission.Observation{Left: true}, NotRun: true})
 			tried = append(tried, given.Replica.ID)
 			continue
 		}
@@ -73,10 +74,7 @@
 		if outcome != resultNotSent {
 			c.sends++
 		}
-		if given.address != "" {
-			c.node.desk.observe(c.service, given.Replica.ID, c.prompt, seen)
-		}
-		c.node.finish(given, seen, outcome == resultNotSent || outcome == resultRejected)
+		c.finish(given, outcome, seen)
 		c.noteSend(given, outcome)
 		if outcome == resultBroken || outcome == resultFailed {
 			runs++
@@ -97,6 +95,20 @@
 	}
 }
 
+// finish tells the scheduling node, and this node's own desk if that is another, how the
+// send ended.
+func (c *call) finish(given *grant, outcome result, seen admission.Observation) {
+	finished := &finishRequest{ID: given.id, Seen: seen, NotRun: outcome == resultNotSent || outcome == resultRejected, Content: c.fingerprint}
+	finished.Seen.Whole = outcome == resultAnswered || outcome == resultFailed
+	if outcome == resultBroken && c.broke == breakClosed && c.node.hasEnded(given.Replica) {
+		finished.Ended = &lifeEnded{Life: poison.LifeOf(given.Replica.ID, given.Replica.Born), Service: c.service, Route: c.route.Name}
+	}
+	if given.address != "" {
+		c.node.desk.observe(c.service, c.prompt, finished, given.Replica.ID)
+	}
+	c.node.finish(given, finished)
+}
+
 // knownToLeave returns whether this node knows that the replica drains, or that its version
 // gets no new requests, which the scheduling node may not have heard of yet.
 func (n *Node) knownToLeave(id string) bool {
@@ -116,12 +128,12 @@
 		Request: admission.Request{
 			ID:   node.process() + "." + strconv.FormatUint(node.sequence.Add(1), 36),
 			Node: node.process(), Zone: node.settings.Load().Zone, Service: c.service, Route: c.route.Name, Priority: c.priority(),
-			Prompt: c.prompt, Answer: c.expectedTokens(), Tried: tried, Doubted: doubted,
+			Content: c.fingerprint, Prompt: c.prompt, Answer: c.expectedTokens(), Tried: tried, Doubted: doubted,
 			Stride: c.stride(), Pause: c.route.TargetGap, Yields: c.route.Priority >= yieldFrom,
 			Deadline: max(time.Until(c.deadline), 0),
 			Target:   max(c.route.Target-time.Since(c.arrived), 0), Patience: c.patience(),
 		},
-		Fingerprint: c.fingerprint, Repeat: repeat,
+		Repeat: repeat, Known: node.desk.knownOf(c.fingerprint),
 	}
 	if c.tenant != nil {
 		request.Tenant = c.tenant.Name
--- a/entry/beats.go
+++ b/entry/beats.go
@@ -188,6 +188,9 @@
 		Held: map[string]liveness.Held{}, Relays: true, Rollouts: n.rolloutViews(),
 	}
 	beat.Version = n.version()
+	if mark := n.desk.contentsMark(); mark.Weight > 0 {
+		beat.Contents = &liveness.ContentsMark{Weight: mark.Weight, Digest: mark.Digest}
+	}
 	if n.scheduler == settings.Name {
 		beat.Levels = n.desk.levels()
 	}
@@ -255,6 +258,7 @@
 		n.levels, n.levelsAt = beat.Levels, now
 	}
 	behindReplicas, behindConfiguration := n.behindReplicas(beat), n.behindConfiguration(beat)
+	behindContents := n.behindContents(now, beat)
 	n.noteFreshness(now, beat)
 	leads := n.scheduler == n.settings.Load().Name
 	n.mutex.Unlock()
@@ -286,6 +290,9 @@
 	if behindReplicas {
 		go n.pullNews(beat.Address)
 	}
+	if behindContents {
+		go n.pullContents(beat.Address)
+	}
 	if behindConfiguration {
 		go n.fetchConfiguration(beat.Address)
 	}
--- /dev/null
+++ b/entry/contents.go
@@ -0,0 +1,208 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/thornwalk/thornwalk/coordination/liveness"
+	"github.com/thornwalk/thornwalk/coordination/poison"
+	"github.com/thornwalk/thornwalk/internal/eventlog"
+	"github.com/thornwalk/thornwalk/protocol/errkind"
+	"github.com/thornwalk/thornwalk/protocol/peerwire"
+	"github.com/thornwalk/thornwalk/state/replicas"
+	"github.com/thornwalk/thornwalk/structs"
+	"github.com/thornwalk/thornwalk/transport/network"
+)
+
+// How a node learns and tells under which requests replicas end (coordination/poison). What
+// a node sees goes to the scheduling node with the end of the request; from there all nodes
+// hear of it by heartbeat and fetch it, and what is barred is written to the store, which
+// outlives a loss of power of all nodes.
+
+const (
+	// endedDial bounds the look whether a replica ended that broke a request off. A host
+	// that can't be reached says nothing, and a caller waits meanwhile.
+	endedDial = 100 * time.Millisecond
+	// contentsStep is the time between two looks at whether the store knows what is barred.
+	contentsStep = 250 * time.Millisecond
+	// contentsWriteLimit bounds a write or read of what is barred.
+	contentsWriteLimit = 800 * time.Millisecond
+)
+
+// hasEnded returns whether the replica, which broke off a request, has ended: nobody listens
+// at its address any more. A reset alone, a cut link or a planned end say nothing of the
+// request: a replica that drains, or whose entry is gone, was to end anyway.
+func (n *Node) hasEnded(replica replicas.Replica) bool {
+	n.mutex.Lock()
+	known, listed := n.table.Get(replica.ID)
+	n.mutex.Unlock()
+	if !listed || known.Draining {
+		return false
+	}
+	if known.Born > replica.Born {
+		return true // it has started again already
+	}
+	ctx, cancel := context.WithTimeout(n.ctx, endedDial)
+	defer cancel()
+	conn, err := n.depend.Network.Dial(ctx, replica.Address)
+	if err == nil {
+		_ = conn.Close()
+		return false
+	}
+	return network.IsRefused(err)
+}
+
+// noteContent tells of a change of a request's standing.
+func (n *Node) noteContent(outcome string, record poison.Record) {
+	n.counter("contents." + outcome).Inc(1)
+	lives := make([]string, 0, len(record.Lives))
+	for _, life := range record.Lives {
+		lives = append(lives, string(life))
+	}
+	n.log.Write(eventlog.Event{
+		Kind: "content", Outcome: outcome, Content: record.Content.String(), Service: record.Service, Route: record.Route,
+		Count: len(record.Lives), Detail: strings.Join(lives, " "),
+	})
+}
+
+// behindContents returns whether the peer knows more of barred requests and is to be asked
+// now. The caller holds the mutex.
+func (n *Node) behindContents(now structs.Instant, beat liveness.Beat) bool {
+	if beat.Contents == nil {
+		return false
+	}
+	own := n.desk.contentsMark()
+	told := beat.Contents.Weight
+	if told == own.Weight && beat.Contents.Digest != own.Digest {
+		told++ // as much, but not the same
+	}
+	return n.contentsLag.due(now, own.Weight, told, 0)
+}
+
+// contentsRequest asks a peer for what it knows of requests that replicas ended under.
+type contentsRequest struct{}
+
+type contentsReply struct{ Records []poison.Record }
+
+func (n *Node) serveContents(context.Context, *contentsRequest) (*contentsReply, error) {
+	return &contentsReply{Records: n.desk.toldContents()}, nil
+}
+
+// pullContents asks a peer that knows more than this node. One that brought nothing new is
+// followed by a longer pause, as one that failed is.
+func (n *Node) pullContents(address string) {
+	ctx, cancel := context.WithTimeout(n.ctx, newsTimeout)
+	defer cancel()
+	before := n.desk.contentsMark()
+	reply := &contentsReply{}
+	err := n.peers.Call(ctx, address, peerwire.KindContents, &contentsRequest{}, reply)
+	if err == nil {
+		n.desk.mergeContents(reply.Records)
+	} else if n.ctx.Err() == nil {
+		n.counter("contents.pulls_failed").Inc(1)
+	}
+	news := n.desk.contentsMark() != before
+	n.mutex.Lock()
+	n.contentsLag.ended(n.now(), news)
+	n.mutex.Unlock()
+	if news {
+		n.sendBeats()
+	}
+}
+
+// storedContents is what the store is known to hold.
+type storedContents struct {
+	revision int64
+	mark     poison.Mark
+}
+
+// takeContents takes what the store holds into force.
+func (n *Node) takeContents(records []poison.Record, revision int64) {
+	if revision == 0 {
+		return
+	}
+	n.mutex.Lock()
+	if revision > n.contentsStored.revision {
+		n.contentsStored = storedContents{revision: revision, mark: poison.MarkOf(records)}
+	}
+	n.mutex.Unlock()
+	n.desk.mergeContents(records)
+}
+
+// contentsLoop sees to it, while this node schedules, that the store holds what is barred.
+func (n *Node) contentsLoop() {
+	for n.pause(contentsStep) {
+		lasting := n.desk.lastingContents()
+		if n.depend.Contents == nil || !n.schedules() {
+			continue
+		}
+		n.mutex.Lock()
+		stored := n.contentsStored
+		n.mutex.Unlock()
+		if poison.MarkOf(lasting) != stored.mark {
+			n.storeContents(lasting, stored.revision)
+		}
+	}
+}
+
+// schedules returns whether this node schedules and goes on to do so.
+func (n *Node) schedules() bool {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.scheduler == n.settings.Load().Name && n.stopping.Load() == 0
+}
+
+// storeContents writes what is barred. If the store holds something else than this node
+// thought, that is merged, and written with the next step.
+func (n *Node) storeContents(lasting []poison.Record, revision int64) {
+	ctx, cancel := context.WithTimeout(n.ctx, contentsWriteLimit)
+	defer cancel()
+	written, err := n.depend.Contents.WriteContents(ctx, lasting, revision)
+	if err == nil {
+		n.counter("contents.writes").Inc(1)
+		n.takeContents(lasting, written)
+		return
+	}
+	n.counter("contents.writes_failed").Inc(1)
+	if errors.Is(err, errkind.StoreUnavailable) {
+		return // nothing was written, and the store is not asked twice in one step
+	}
+	records, found, err := n.depend.Contents.ReadContents(ctx)
+	if err != nil {
+		n.counter("contents.reads_failed").Inc(1)
+		return
+	}
+	n.takeContents(records, found)
+}
+
+// ContentStatus is what operators see of a barred request.
+type ContentStatus struct {
+	poison.Record
+	// Unchanged is for how long nothing was learned of it, in milliseconds.
+	Unchanged int64 `json:"unchanged_ms"`
+}
+
+// contentStatus returns what is barred.
+func (n *Node) contentStatus() []ContentStatus {
+	var told []ContentStatus
+	for _, record := range n.desk.barredContents() {
+		told = append(told, ContentStatus{Record: record, Unchanged: record.Age})
+	}
+	return told
+}
+
+// Lift lets a barred request be sent again, at all nodes.
+func (n *Node) Lift(content string) error {
+	var wanted poison.Record
+	if err := wanted.Content.UnmarshalText([]byte(content)); err != nil {
+		return err
+	}
+	if !n.desk.liftContent(wanted.Content) {
+		return fmt.Errorf("%s: nothing speaks against this request here", content)
+	}
+	n.sendBeats()
+	return nil
+}
--- a/entry/desk.go
+++ b/entry/desk.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/thornwalk/thornwalk/coordination/admission"
+	"github.com/thornwalk/thornwalk/coordination/poison"
 	"github.com/thornwalk/thornwalk/coordination/quota"
 	"github.com/thornwalk/thornwalk/coordination/retrybudget"
 	"github.com/thornwalk/thornwalk/coordination/rollout"
@@ -53,15 +54,20 @@
 	// controllers step the roll-outs of services while this node schedules; longest is how
 	// long the long answers of a service take.
 	rolloutPolicy rollout.Policy
-	controllers   map[string]*rollout.Controller
-	longest       map[string]time.Duration
-	timer         *time.Timer
+	// contents says which requests replicas ended under. It outlives what the desk forgets:
+	// what a request did is true whoever schedules.
+	contents *poison.Ledger
+	// tell is called with each change of a request's standing.
+	tell        func(outcome string, record poison.Record)
+	controllers map[string]*rollout.Controller
+	longest     map[string]time.Duration
+	timer       *time.Timer
 	// decidedAt is when the last round of decisions was made.
 	decidedAt structs.Instant
 }
 
 func newDesk(clock func() structs.Instant, policy retrybudget.Policy, first bool) *desk {
-	d := &desk{clock: clock, decidedAt: -decideInterval, share: 1, first: first, term: 1, budget: retrybudget.New(policy)}
+	d := &desk{clock: clock, decidedAt: -decideInterval, share: 1, first: first, term: 1, budget: retrybudget.New(policy), contents: poison.NewLedger(poison.DefaultPolicy()), tell: func(string, poison.Record) {}}
 	d.clear()
 	d.quotas.CreditIdle(restartTime, clock()+restartCredit)
 	d.timer = time.AfterFunc(time.Hour, d.wake)
@@ -70,6 +76,7 @@
 
 func (d *desk) clear() {
 	d.scheduler = admission.New()
+	d.scheduler.SetContents(d.contents)
 	start := takeoverBurst
 	if d.first {
 		start = 1
@@ -99,10 +106,14 @@
 	return d.term
 }
 
+// majority is the part of all nodes beyond which no other part can be as large.
+const majority = 0.5
+
 // setShare takes over which part of the quotas and of the retries may be given.
 func (d *desk) setShare(share float64, policy retrybudget.Policy) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
+	d.contents.SetTries(share > majority)
 	d.share = share
 	d.budget.SetPolicy(policy)
 }
@@ -182,6 +193,9 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	now := d.clock()
+	if request.Known != nil {
+		d.merge(now, []poison.Record{*request.Known})
+	}
 	if request.Repeat {
 		if !d.budget.Repeat(now, request.Request.Service) {
 			return nil, &placeReply{Reason: reasonRetryBudget, RetryAfter: time.Second}
@@ -196,18 +210,19 @@
 	id := request.Request.ID
 	waiter := make(chan admission.Decision, 1)
 	d.waiters[id] = waiter
-	d.placed[id] = placed{tenant: request.Tenant, cost: request.Cost, fingerprint: request.Fingerprint}
-	request.Request.Returned = d.refused.has(now, request.Fingerprint)
+	d.placed[id] = placed{tenant: request.Tenant, cost: request.Cost, fingerprint: request.Request.Content}
+	request.Request.Returned = d.refused.has(now, request.Request.Content)
 	d.scheduler.Submit(now, request.Request)
 	d.decide()
 	return waiter, nil
 }
 
 // observe learns from a request of this node that another node placed.
-func (d *desk) observe(service, replica string, prompt int, seen admission.Observation) {
+func (d *desk) observe(service string, prompt int, finished *finishRequest, replica string) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	d.scheduler.Observe(service, replica, prompt, seen)
+	d.scheduler.Observe(service, replica, prompt, finished.Seen)
+	d.noteContent(admission.Ended{}, finished)
 }
 
 // begun notes that an answer began, and the load that came with it.
@@ -222,9 +237,11 @@
 func (d *desk) finish(request *finishRequest) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	if ended, found := d.scheduler.Finish(d.clock(), request.ID, request.Seen); found {
+	ended, found := d.scheduler.Finish(d.clock(), request.ID, request.Seen)
+	if found {
 		d.noteRollout(ended, request.Seen, request.NotRun)
 	}
+	d.noteContent(ended, request)
 	d.scheduler.Cancel(request.ID)
 	delete(d.waiters, request.ID)
 	if held, found := d.placed[request.ID]; found {
@@ -281,6 +298,9 @@
 			continue
 		}
 		delete(d.waiters, decision.ID)
+		if decision.Trial {
+			d.tellOf(contentTried, d.placed[decision.ID].fingerprint)
+		}
 		if decision.Reason != admission.ReasonNone {
 			if held, charged := d.placed[decision.ID]; charged {
 				delete(d.placed, decision.ID)
--- a/entry/messages.go
+++ b/entry/messages.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/thornwalk/thornwalk/coordination/admission"
+	"github.com/thornwalk/thornwalk/coordination/poison"
 	"github.com/thornwalk/thornwalk/coordination/quota"
 	"github.com/thornwalk/thornwalk/state/fingerprint"
 	"github.com/thornwalk/thornwalk/state/replicas"
@@ -17,10 +18,11 @@
 	Tenant string
 	Limit  quota.Limit
 	Cost   float64
-	// Fingerprint is equal for a request that comes back after a refusal.
-	Fingerprint fingerprint.Fingerprint
 	// Repeat is true if the request was sent to a replica before.
 	Repeat bool
+	// Known is what the asking node saw lately of replicas that ended under the request; nil
+	// if it saw none.
+	Known *poison.Record
 }
 
 // placeReply is the decision on a placeRequest.
@@ -56,6 +58,16 @@
 	// NotRun is true if the replica surely did not run the request; its cost is
 	// given back to the tenant.
 	NotRun bool
+	// Content is what was asked for.
+	Content fingerprint.Fingerprint
+	// Ended tells that the replica's life ended under the request; nil if it did not.
+	Ended *lifeEnded
+}
+
+// lifeEnded tells that a replica ended while a request was there.
+type lifeEnded struct {
+	Life           poison.Life
+	Service, Route string
 }
 
 type finishReply struct{}
--- a/entry/news.go
+++ b/entry/news.go
@@ -22,6 +22,7 @@
 		known = update.Revision
 	}
 	n.takeRollouts(update.Orders, update.Records, known)
+	n.takeContents(update.Contents, update.ContentsRevision)
 	n.mutex.Lock()
 	n.catalogRevision = max(n.catalogRevision, update.CatalogRevision)
 	before := n.table.Version()
--- a/entry/node.go
+++ b/entry/node.go
@@ -35,6 +35,8 @@
 	Directory outside.Directory
 	// Rollouts keeps the progress of roll-outs; nil means that there are none.
 	Rollouts outside.Rollouts
+	// Contents keeps what is known of barred requests; nil means that it ends with the nodes.
+	Contents outside.Contents
 	Headers  outside.HeaderNames
 	// ReadyPath is what the balancer asks.
 	ReadyPath string
@@ -132,6 +134,9 @@
 	fresh, freshConfiguration freshness
 	undelivered               []undelivered
 	replicaLag, versionLag    lag
+	contentsLag               lag
+	// contentsStored is what the store is known to hold of barred requests.
+	contentsStored storedContents
 	// levels is what the last other scheduling node told of the tenants' buckets.
 	levels   map[string]float64
 	levelsAt structs.Instant
@@ -150,6 +155,8 @@
 	n.peers.OnSilence(func(address string) { go n.linkFellSilent(address) })
 	n.desk = newDesk(n.now, settings.retryPolicy(1), settings.FirstStart)
 	n.desk.rolloutPolicy = settings.rolloutPolicy()
+	n.desk.setContentPolicy(settings.contentPolicy())
+	n.desk.tell = n.noteContent
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	return n
 }
@@ -187,7 +194,7 @@
 		}
 	}
 	n.callers = n.servers[0]
-	for _, loop := range []func(){n.watchLoop, n.readLoop, n.beatLoop, n.receiveBeats, n.zoneLoop, n.housekeeping, n.rolloutLoop, n.lagLoop} {
+	for _, loop := range []func(){n.watchLoop, n.readLoop, n.beatLoop, n.receiveBeats, n.zoneLoop, n.housekeeping, n.rolloutLoop, n.contentsLoop, n.lagLoop} {
 		n.group.Go(loop)
 	}
 	n.log.Write(eventlog.Event{Kind: "process.start", Detail: peerAddress})
@@ -216,6 +223,7 @@
 		return &begunReply{}, nil
 	})
 	peer.Handle(server, peerwire.KindNews, n.serveNews)
+	peer.Handle(server, peerwire.KindContents, n.serveContents)
 	peer.Handle(server, peerwire.KindConfigurationParts, n.serveParts)
 	n.registerMemory(server)
 	n.inbound = listener
@@ -245,6 +253,7 @@
 // Reload takes changed settings into force; addresses stay until a restart.
 func (n *Node) Reload(settings *Settings) {
 	n.settings.Store(settings)
+	n.desk.setContentPolicy(settings.contentPolicy())
 	n.log.Write(eventlog.Event{Kind: "process.reload", Outcome: "in-force"})
 }
 
--- a/entry/operators.go
+++ b/entry/operators.go
@@ -32,12 +32,14 @@
 	Services  map[string]admission.Count `json:"services"`
 	// Rollouts has the latest record of each service that was ever rolled out.
 	Rollouts map[string]RolloutStatus `json:"rollouts,omitempty"`
+	// Barred are the requests that are not sent since replicas ended under them.
+	Barred []ContentStatus `json:"barred,omitempty"`
 }
 
 // Status returns the node's state.
 func (n *Node) Status() *Status {
 	settings := n.settings.Load()
-	status := &Status{Name: settings.Name, Zone: settings.Zone, Ready: n.Ready(), Stopping: n.stopping.Load() != 0, Services: n.desk.counts()}
+	status := &Status{Name: settings.Name, Zone: settings.Zone, Ready: n.Ready(), Stopping: n.stopping.Load() != 0, Services: n.desk.counts(), Barred: n.contentStatus()}
 	if current := n.catalog.Load(); current != nil {
 		status.Version = current.Version
 	}
@@ -57,8 +59,13 @@
 	return status
 }
 
-// PathStatus is where a node serves its Status at the operators' address.
-const PathStatus = "/status"
+// Paths at the operators' address.
+const (
+	// PathStatus is where a node serves its Status.
+	PathStatus = "/status"
+	// PathLift, with a barred request's fingerprint behind it, lets that be sent again.
+	PathLift = "/barred/lift/"
+)
 
 func (n *Node) operators() http.Handler {
 	router := mux.NewRouter()
@@ -66,6 +73,11 @@
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(n.Status())
 	}).Methods(http.MethodGet)
+	router.HandleFunc(PathLift+"{content}", func(w http.ResponseWriter, r *http.Request) {
+		if err := n.Lift(mux.Vars(r)["content"]); err != nil {
+			http.Error(w, err.Error(), http.StatusNotFound)
+		}
+	}).Methods(http.MethodPost)
 	router.HandleFunc("/metrics", n.serveMetrics).Methods(http.MethodGet)
 	return router
 }
--- a/entry/place.go
+++ b/entry/place.go
@@ -5,7 +5,6 @@
 	"errors"
 	"time"
 
-	"github.com/thornwalk/thornwalk/coordination/admission"
 	"github.com/thornwalk/thornwalk/protocol/peerwire"
 	"github.com/thornwalk/thornwalk/structs"
 	"github.com/thornwalk/thornwalk/transport/peer"
@@ -135,11 +134,11 @@
 )
 
 // finish ends a place that was given.
-func (n *Node) finish(given *grant, seen admission.Observation, notRun bool) {
+func (n *Node) finish(given *grant, message *finishRequest) {
 	n.mutex.Lock()
 	delete(n.held, given.id)
 	n.mutex.Unlock()
-	message := &finishRequest{ID: given.id, Seen: seen, NotRun: notRun}
+	message.ID = given.id
 	if given.address == "" {
 		n.desk.finish(message)
 		return
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -6,6 +6,7 @@
 
 	"github.com/goccy/go-yaml"
 
+	"github.com/thornwalk/thornwalk/coordination/poison"
 	"github.com/thornwalk/thornwalk/coordination/quota"
 	"github.com/thornwalk/thornwalk/coordination/retrybudget"
 	"github.com/thornwalk/thornwalk/coordination/rollout"
@@ -58,6 +59,9 @@
 	// new version of the service's replicas gets until it is judged.
 	RolloutShare float64 `yaml:"rollout_share"`
 	RolloutSlack float64 `yaml:"rollout_slack"`
+	// BarredAfter is under how many ends of replicas a request is no longer sent; zero
+	// switches that off.
+	BarredAfter int `yaml:"barred_after_ends"`
 	// FirstStart is true on the very first start of the whole system.
 	FirstStart bool `yaml:"first_start"`
 }
@@ -74,7 +78,7 @@
 
 // ParseSettings reads and checks the content of a settings file.
 func ParseSettings(content []byte) (*Settings, error) {
-	settings := &Settings{StopGrace: 8000, Contact: 3000, ConfigurationBound: 2000, RetryRatio: 0.2, RetryWindow: 10, RetrySlack: 20, QuotaWindow: 10}
+	settings := &Settings{StopGrace: 8000, Contact: 3000, ConfigurationBound: 2000, RetryRatio: 0.2, RetryWindow: 10, RetrySlack: 20, QuotaWindow: 10, BarredAfter: poison.DefaultPolicy().Ends}
 	if err := yaml.Unmarshal(content, settings); err != nil {
 		return nil, errkind.New(errkind.InvalidSettings, "settings: %s", yaml.FormatError(err, false, true))
 	}
@@ -119,6 +123,7 @@
 		{"quota_slack", s.QuotaSlack, 0, 1e12},
 		{"rollout_share", s.RolloutShare, 0, 1},
 		{"rollout_slack", s.RolloutSlack, 0, 1_000_000},
+		{"barred_after_ends", float64(s.BarredAfter), 0, poison.MostEnds},
 	}
 	for _, field := range bounds {
 		if field.value < field.low || field.value > field.high {
@@ -168,6 +173,12 @@
 	return rollout.Policy{Share: s.RolloutShare, Slack: s.RolloutSlack}
 }
 
+func (s *Settings) contentPolicy() poison.Policy {
+	policy := poison.DefaultPolicy()
+	policy.Ends = s.BarredAfter
+	return policy
+}
+
 func (s *Settings) stopGrace() time.Duration { return time.Duration(s.StopGrace) * time.Millisecond }
 
 // behindLimit is how long a node goes on serving by its configuration after it heard of
--- a/lab/entrylab/entrylab.go
+++ b/lab/entrylab/entrylab.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/thornwalk/thornwalk/entry"
@@ -58,7 +59,8 @@
 	replicas []*platformsim.Replica
 	closers  []func()
 	starts   uint64
-	isOver   bool
+	// isOver is true once the deployment stops. It is read without the mutex, which Stop holds.
+	isOver atomic.Bool
 }
 
 // Start starts the store and the nodes.
@@ -99,7 +101,7 @@
 	settings := &entry.Settings{
 		Name: host, Zone: zone, Callers: at(host, callersPort), Readiness: at(host, readinessPort), Operators: at(host, operatorsPort),
 		Host: host, PeerPort: peerPort, Seeds: seeds, Store: at(d.options.StoreHost, storePort),
-		StopGrace: 8000, Contact: 3000, ConfigurationBound: 2000, RetryRatio: 0.2, RetryWindow: 10, RetrySlack: 40, QuotaWindow: 8, RolloutShare: 0.1, RolloutSlack: 50, FirstStart: true,
+		StopGrace: 8000, Contact: 3000, ConfigurationBound: 2000, RetryRatio: 0.2, RetryWindow: 10, RetrySlack: 40, QuotaWindow: 8, RolloutShare: 0.1, RolloutSlack: 50, BarredAfter: 3, FirstStart: true,
 	}
 	if d.options.Adjust != nil {
 		d.options.Adjust(settings)
@@ -118,7 +120,7 @@
 	}
 	node := entry.New(settings, entry.Dependencies{
 		Sleep:   sleep,
-		Network: hostNetwork, Datagrams: d.options.Datagrams(host), Directory: directory, Rollouts: directory,
+		Network: hostNetwork, Datagrams: d.options.Datagrams(host), Directory: directory, Rollouts: directory, Contents: directory,
 		Headers: platform.Headers(), ReadyPath: platform.ReadyPath, Log: log, Incarnation: incarnation,
 	})
 	if err := node.Start(); err != nil {
@@ -216,17 +218,11 @@
 	return false
 }
 
-func (d *Deployment) stopped() bool {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	return d.isOver
-}
-
 // Stop ends everything at once.
 func (d *Deployment) Stop() {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	d.isOver = true
+	d.isOver.Store(true)
 	for _, node := range d.nodes {
 		node.Kill()
 	}
--- a/lab/entrylab/keeper.go
+++ b/lab/entrylab/keeper.go
@@ -64,7 +64,7 @@
 	k.ends = append(k.ends, time.Now())
 	k.mutex.Unlock()
 	time.AfterFunc(restartPause, func() {
-		if k.deployment.stopped() {
+		if k.deployment.isOver.Load() {
 			return
 		}
 		if err := k.start(); err != nil {
@@ -86,6 +86,14 @@
 	}
 }
 
+// Mend has the present life and all later ones answer every request.
+func (k *Keeper) Mend() {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	k.Behave = nil
+	k.lives[len(k.lives)-1].SetBehavior(nil)
+}
+
 // Ends returns when the replica ended.
 func (k *Keeper) Ends() []time.Time {
 	k.mutex.Lock()
--- a/lab/memnet/memnet.go
+++ b/lab/memnet/memnet.go
@@ -5,12 +5,12 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/thornwalk/thornwalk/transport/network"
@@ -159,7 +159,7 @@
 }
 
 // errRefused is what dialling an address without a listener gives.
-var errRefused = errors.New("connection refused")
+var errRefused error = syscall.ECONNREFUSED
 
 // Dial implements network.Network. Across a cut it waits for the context.
 func (h host) Dial(ctx context.Context, address string) (net.Conn, error) {
--- a/operator/client.go
+++ b/operator/client.go
@@ -45,6 +45,11 @@
 	return get[*entry.Status](ctx, c, entry.PathStatus)
 }
 
+// Lift lets a request be sent again that an entry daemon bars.
+func (c *Client) Lift(ctx context.Context, content string) error {
+	return c.do(ctx, http.MethodPost, entry.PathLift+url.PathEscape(content), nil, nil)
+}
+
 // Peers returns the members of the zone as the node sees them.
 func (c *Client) Peers(ctx context.Context) ([]node.Peer, error) {
 	return get[[]node.Peer](ctx, c, node.PathOperatorPeers)
--- a/operator/story/story.go
+++ b/operator/story/story.go
@@ -43,17 +43,23 @@
 	sort.SliceStable(all, func(i, j int) bool { return all[i].Time < all[j].Time })
 	story := &Story{}
 	named := map[string]bool{}
+	contents := map[string]bool{}
 	for _, event := range all {
 		if event.Request == id {
+			contents[event.Content] = true
 			story.Request = append(story.Request, event)
 			named[event.Replica], named[event.Peer], named[event.Node] = true, true, true
 		}
 	}
 	delete(named, "")
+	delete(contents, "")
 	if len(story.Request) == 0 {
 		return nil, fmt.Errorf("no line names the request %q: give the logs of every node, and the id of the try", id)
 	}
 	for _, event := range all {
+		if event.Kind == "content" && contents[event.Content] {
+			story.Beliefs = append(story.Beliefs, event) // whichever node saw it
+		}
 		if beliefs[event.Kind] && named[event.Node] && (named[event.Replica] || named[event.Peer] || event.Replica == "" && event.Peer == "") {
 			story.Beliefs = append(story.Beliefs, event)
 		}
@@ -136,6 +142,8 @@
 	"too-long-for-deadline": "no replica is fast enough for the expected answer before the deadline",
 	"replicas-full":         "the replicas rejected the request although places were free here: see their load",
 	"replicas-unreachable":  "no connection to the chosen replicas could be opened: see the replica lines and the links",
+	"barred":                "too many replicas ended under this request, see the content lines: thornwalk barred lists it, thornwalk barred lift lets it be sent again",
+	"suspect":               "a replica ended under this request, and another try of it ran: one at a time is sent, see the content lines",
 	"replica-broke-off":     "a replica ran the request and its answer was cut, spoiled or a failure",
 	"deadline":              "the time of the caller or the route ran out while a replica had the request",
 	"no-configuration":      "the node knew no configuration yet: see its store lines",
--- a/outside/directory.go
+++ b/outside/directory.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/thornwalk/thornwalk/coordination/poison"
 	"github.com/thornwalk/thornwalk/state/catalog"
 	"github.com/thornwalk/thornwalk/state/replicas"
 	"github.com/thornwalk/thornwalk/state/rollouts"
@@ -31,6 +32,10 @@
 	// Orders and Records are of roll-outs.
 	Orders  []rollouts.Order
 	Records []rollouts.Record
+	// Contents are the requests that replicas ended under, as the store's record of that
+	// revision names them; zero means that the update tells nothing of them.
+	Contents         []poison.Record
+	ContentsRevision int64
 	// Problems are entries that did not parse and were left out.
 	Problems []error
 }
@@ -80,6 +85,16 @@
 	ReadRollout(ctx context.Context, service string) (rollouts.Record, error)
 }
 
+// Contents keeps which requests are barred since replicas ended under them.
+type Contents interface {
+	// WriteContents writes the records if the store's have the revision; zero means that it
+	// has none. It returns the new revision. Its errors are those of Rollouts.WriteRollout.
+	WriteContents(ctx context.Context, records []poison.Record, revision int64) (int64, error)
+	// ReadContents returns the records and their revision, which is zero if there are none.
+	// The error is of kind StoreUnavailable.
+	ReadContents(ctx context.Context) ([]poison.Record, int64, error)
+}
+
 // HeaderNames are the names of the headers that carry what the daemon reads
 // from requests and answers, and what it sets itself.
 type HeaderNames struct {
--- a/protocol/peerwire/peerwire.go
+++ b/protocol/peerwire/peerwire.go
@@ -37,6 +37,7 @@
 	KindNews
 	KindBegun
 	KindConfigurationParts
+	KindContents
 	kindEnd
 )
 
@@ -45,7 +46,7 @@
 	KindFloorDemand: "floor-demand", KindFloorSet: "floor-set", KindLimitDemand: "limit-demand",
 	KindRegister: "register", KindRegistryUpdate: "registry-update", KindRegistryLookup: "registry-lookup",
 	KindJoin: "join", KindClaim: "claim", KindPlace: "place", KindFinish: "finish", KindNews: "news", KindBegun: "begun",
-	KindConfigurationParts: "configuration-parts",
+	KindConfigurationParts: "configuration-parts", KindContents: "contents",
 }
 
 // String returns the name of the kind in metrics and logs.
--- a/state/replicas/replicas.go
+++ b/state/replicas/replicas.go
@@ -30,6 +30,9 @@
 	Draining bool `msgpack:"d" json:"draining"`
 	// Revision is the store's revision of the entry.
 	Revision int64 `msgpack:"r" json:"revision"`
+	// Born is when it started, in Unix milliseconds by its own clock; zero if it tells none.
+	// One that starts again may take the id that it had.
+	Born int64 `msgpack:"b,omitempty" json:"born,omitempty"`
 }
 
 // removed remembers a replica that must not come back.
--- a/test/entry/crashes_test.go
+++ b/test/entry/crashes_test.go
@@ -262,3 +262,84 @@
 		s.Expect(s.others[http.StatusOK]).To(gomega.Equal(87))
 	})
 }
+
+// All replicas of a service end at once, as in a loss of power, while a popular request runs
+// at each of them. That speaks against it as much as anything can; it must be served again
+// as soon as replicas are back.
+func TestAPopularRequestIsServedAgainAfterAllReplicasEndedAtOnce(t *testing.T) {
+	playCrashes(t, crashCase{route: "safe"}, func(s *crashScene) {
+		for range 2 {
+			for i := range 48 { // at every replica some are under way
+				s.sendBehind(hosts[i%3], "safe", "popular")
+			}
+			time.Sleep(10 * time.Millisecond)
+			for _, keeper := range s.kept {
+				keeper.End()
+			}
+			s.group.Wait()
+			time.Sleep(5 * time.Second)
+			clear(s.others)
+			for i := range 30 {
+				s.sendBehind(hosts[i%3], "safe", "popular")
+				time.Sleep(50 * time.Millisecond)
+			}
+			s.group.Wait()
+			t.Logf("answers 5 s after the end of all: %v", s.others)
+			s.Expect(s.others[http.StatusOK]).To(gomega.BeNumerically(">=", 28))
+		}
+	})
+}
+
+// Other requests for the service go on while replicas end under one.
+func TestOtherRequestsAreServedWhileOneEndsReplicas(t *testing.T) {
+	for _, route := range []string{"stream", "once"} {
+		t.Run(route, func(t *testing.T) {
+			playCrashes(t, crashCase{route: route}, func(s *crashScene) {
+				const count = 120
+				for i := range count {
+					s.sendBehind(hosts[i%3], route, fmt.Sprint("other", i))
+					if i%3 == 0 {
+						s.sendBehind(hosts[i%3], route, deadlyPath)
+					}
+					time.Sleep(100 * time.Millisecond)
+				}
+				s.group.Wait()
+				t.Logf("%d replicas ended; answers to others %v", len(s.ends()), s.others)
+				s.Expect(s.others[http.StatusOK]).To(gomega.BeNumerically(">=", count-12), "at most those beside it at the replicas that ended")
+			})
+		})
+	}
+}
+
+func TestOperatorsSeeAndLiftWhatIsBarred(t *testing.T) {
+	course := crashCase{route: "stream"}
+	playCrashes(t, course, func(s *crashScene) {
+		for i := range enoughEnds {
+			s.ask(hosts[i%3], "stream", deadlyPath)
+		}
+		time.Sleep(300 * time.Millisecond) // three heartbeats, and before the first trial
+		for _, host := range hosts {
+			s.Expect(s.lab.Node(host).Status().Barred).To(gomega.HaveLen(1), host)
+		}
+		barred := s.lab.Node("n1").Status().Barred[0]
+		s.Expect(barred.Lives).To(gomega.HaveLen(enoughEnds))
+		s.Expect(barred.Route).To(gomega.Equal("stream"))
+		refused := s.ask("n2", "stream", deadlyPath)
+		s.Expect(refused.status).To(gomega.Equal(http.StatusServiceUnavailable))
+		s.Expect(refused.header.Get("Retry-After")).NotTo(gomega.BeEmpty())
+		s.Expect(refused.took).To(gomega.BeNumerically("<", 100*time.Millisecond))
+		s.Expect(s.lab.Node("n1").Lift("nothing")).NotTo(gomega.Succeed())
+		s.Expect(s.lab.Node("n1").Lift(barred.Content.String())).To(gomega.Succeed())
+		s.Expect(s.lab.Node("n1").Lift(barred.Content.String())).NotTo(gomega.Succeed(), "nothing is left to lift")
+		time.Sleep(500 * time.Millisecond)
+		for _, host := range hosts {
+			s.Expect(s.lab.Node(host).Status().Barred).To(gomega.BeEmpty(), host)
+		}
+		for _, keeper := range s.kept {
+			keeper.Mend()
+		}
+		time.Sleep(3 * time.Second)
+		s.Expect(s.ask("n3", "stream", deadlyPath).status).To(gomega.Equal(http.StatusOK))
+		s.Expect(s.events("content")).NotTo(gomega.BeEmpty())
+	})
+}
--- a/transport/network/network.go
+++ b/transport/network/network.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"syscall"
 	"time"
@@ -19,6 +20,10 @@
 	Listen(address string) (net.Listener, error)
 }
 
+// IsRefused returns whether the error of a Dial says that nobody listens at the address, as
+// against a host that can't be reached.
+func IsRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
 // TCP is the operating system's network.
 type TCP struct {
 	// SilenceLimit is the time after which a connection that this side opened,
--- a/transport/replicahttp/pool.go
+++ b/transport/replicahttp/pool.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"net"
 	"strconv"
 	"strings"
@@ -70,7 +71,7 @@
 	p.count(&p.opened)
 	opened, err := p.network.Dial(ctx, address)
 	if err != nil {
-		return nil, errkind.New(errkind.NoReplica, "connect to %s: %v", address, err)
+		return nil, errkind.Wrap(errkind.NoReplica, fmt.Errorf("connect to %s: %w", address, err))
 	}
 	return &Conn{Conn: opened, reader: bufio.NewReaderSize(opened, readBuffer), key: key}, nil
 }
