Close a connection between nodes on which a frame was cut

A late interruption could also cut the next writer's frame. Change: whoever cuts a frame closes the connection; the interruption of one write has ended before the next begins. Conclusion: traced and mended; a call that was given up unwritten leaves the connection.

--- /dev/null
+++ b/transport/peer/cut_test.go
@@ -0,0 +1,60 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/thornwalk/thornwalk/protocol/errkind"
+	"github.com/thornwalk/thornwalk/protocol/peerwire"
+)
+
+// A peer that stood still and went on dropped the connection with a bad frame, from a node
+// that runs the same version. A call that was given up while its frame was being written left
+// the first part of it on the connection, and the next call's frame followed.
+func TestAFrameThatWasCutEndsItsConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		near, far := net.Pipe()
+		writer := newConnectionWriter(near, nil)
+		ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+		defer cancel()
+		received := make(chan error, 1)
+		go func() {
+			_, _ = io.ReadFull(far, make([]byte, 6)) // then the peer stands still
+			time.Sleep(time.Second)
+			_, _, err := peerwire.ReadFrame(far)
+			received <- err
+		}()
+		g.Expect(writer.write(ctx, &peerwire.Envelope{Call: 1, Kind: peerwire.KindPlace})).NotTo(gomega.Succeed())
+		_ = writer.write(context.Background(), &peerwire.Envelope{Call: 2, Kind: peerwire.KindPlace})
+		err := <-received
+		g.Expect(errors.Is(err, errkind.BadFrame)).To(gomega.BeFalse(), "%v", err)
+		g.Expect(err).To(gomega.MatchError(io.EOF))
+	})
+}
+
+// A call that was given up before a byte of it was out leaves the connection to others.
+func TestACallThatWasGivenUpUnwrittenLeavesTheConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		near, far := net.Pipe()
+		writer := newConnectionWriter(near, nil)
+		ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+		defer cancel()
+		g.Expect(writer.write(ctx, &peerwire.Envelope{Call: 1, Kind: peerwire.KindPlace})).NotTo(gomega.Succeed())
+		received := make(chan *peerwire.Envelope, 1)
+		go func() {
+			envelope, _, _ := peerwire.ReadFrame(far)
+			received <- envelope
+		}()
+		g.Expect(writer.write(context.Background(), &peerwire.Envelope{Call: 2, Kind: peerwire.KindPlace})).To(gomega.Succeed())
+		g.Expect((<-received).Call).To(gomega.Equal(uint64(2)))
+	})
+}
--- a/transport/peer/link.go
+++ b/transport/peer/link.go
@@ -41,10 +41,13 @@
 	}
 	defer l.forget(call)
 	if err := l.writer.write(ctx, &peerwire.Envelope{Call: call, Kind: kind, Body: body}); err != nil {
-		if errors.Is(err, errNoTurn) || ctx.Err() != nil {
+		isLeft := errors.Is(err, errNoTurn) || ctx.Err() != nil
+		if !isLeft || errors.Is(err, errFrameCut) {
+			l.fail()
+		}
+		if isLeft {
 			return nil, err
 		}
-		l.fail()
 		return nil, ErrLinkBroken
 	}
 	return l.await(ctx, answers)
@@ -99,7 +102,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), pingPatience)
 	defer cancel()
 	// A ping that can't be written is missing like one that is not answered.
-	_ = l.writer.write(ctx, &peerwire.Envelope{Call: l.call.Add(1), Kind: kindPing})
+	if err := l.writer.write(ctx, &peerwire.Envelope{Call: l.call.Add(1), Kind: kindPing}); errors.Is(err, errFrameCut) {
+		l.fail()
+	}
 }
 
 // Read implements io.Reader and notes that the peer was heard.
--- a/transport/peer/peer.go
+++ b/transport/peer/peer.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"time"
 
@@ -52,8 +53,13 @@
 	traffic    Traffic
 }
 
-// errNoTurn means that nothing was written: others kept the connection busy.
-var errNoTurn = errors.New("the connection was busy")
+var (
+	// errNoTurn means that nothing was written: others kept the connection busy.
+	errNoTurn = errors.New("the connection was busy")
+	// errFrameCut means that a part of a frame was written. The connection is closed: what
+	// followed would be read as the rest of that frame.
+	errFrameCut = errors.New("a frame was cut")
+)
 
 func newConnectionWriter(connection net.Conn, traffic Traffic) *connectionWriter {
 	return &connectionWriter{turn: make(chan struct{}, 1), connection: connection, traffic: traffic}
@@ -67,13 +73,23 @@
 	}
 	defer func() { <-w.turn }()
 	_ = w.connection.SetWriteDeadline(time.Now().Add(writeTimeout))
-	// A peer that stands still does not hold up a caller that gave up; a frame
-	// that was cut ends the connection.
-	stop := context.AfterFunc(ctx, func() { _ = w.connection.SetWriteDeadline(time.Unix(1, 0)) })
-	defer stop()
+	// A peer that stands still does not hold up a caller that gave up. Whoever writes next
+	// sets a deadline of its own, which this one must not replace.
+	interrupted := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		_ = w.connection.SetWriteDeadline(time.Unix(1, 0))
+		close(interrupted)
+	})
 	size, err := peerwire.WriteFrame(w.connection, envelope)
+	if !stop() {
+		<-interrupted
+	}
 	if w.traffic != nil {
 		w.traffic.Count(envelope.Kind, true, size)
 	}
+	if err != nil && size > 0 {
+		_ = w.connection.Close()
+		return fmt.Errorf("%w: %w", errFrameCut, err)
+	}
 	return err
 }
