Count the time for which a machine was suspended

Cause: everything that ages at a node went by the steady clock, which stands still while the machine is suspended: after seconds it took news, schedule, shares and requests for fresh. Conclusion: a suspension is now what a stop of the process was.

--- a/cmd/thornwalkd/entry.go
+++ b/cmd/thornwalkd/entry.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/thornwalk/thornwalk/entry"
+	"github.com/thornwalk/thornwalk/internal/clock"
 	"github.com/thornwalk/thornwalk/internal/eventlog"
 	"github.com/thornwalk/thornwalk/platform"
 	"github.com/thornwalk/thornwalk/transport/network"
@@ -37,11 +38,15 @@
 	}
 	log := eventlog.New(settings.Name, os.Stdout)
 	defer log.Close()
+	steady, err := clock.New()
+	if err != nil {
+		log.Write(eventlog.Event{Kind: "clock", Outcome: "suspensions are not noticed", Detail: err.Error()})
+	}
 	outsideNetwork := network.TCP{SilenceLimit: silenceLimit}
 	directory := platform.NewDirectory(network.Bounded{Network: outsideNetwork, Limit: silenceLimit}, settings.Store)
 	node := entry.New(settings, entry.Dependencies{
 		Network: outsideNetwork, Datagrams: outsideNetwork, Directory: directory, Rollouts: directory, Contents: directory,
-		Headers: platform.Headers(), ReadyPath: platform.ReadyPath, Log: log, Incarnation: rand.Uint64(),
+		Headers: platform.Headers(), ReadyPath: platform.ReadyPath, Now: steady.Now, Log: log, Incarnation: rand.Uint64(),
 	})
 	if err := node.Start(); err != nil {
 		return err
@@ -57,6 +62,7 @@
 			}
 			reloadEntry(node, path, log, true)
 		case <-poll.C:
+			steady.Look()
 			reloadEntry(node, path, log, false)
 		}
 	}
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -130,8 +130,8 @@
 			Node: node.process(), Zone: node.settings.Load().Zone, Service: c.service, Route: c.route.Name, Priority: c.priority(),
 			Content: c.fingerprint, Prompt: c.prompt, Answer: c.expectedTokens(), Tried: tried, Doubted: doubted,
 			Stride: c.stride(), Pause: c.route.TargetGap, Yields: c.route.Priority >= yieldFrom,
-			Deadline: max(time.Until(c.deadline), 0),
-			Target:   max(c.route.Target-time.Since(c.arrived), 0), Patience: c.patience(),
+			Deadline: c.left(),
+			Target:   max(c.route.Target-c.age(), 0), Patience: c.patience(),
 		},
 		Repeat: repeat, Known: node.desk.knownOf(c.fingerprint),
 	}
@@ -192,10 +192,10 @@
 
 // patience is how long the request may wait for a place.
 func (c *call) patience() time.Duration {
-	left := time.Until(c.deadline)
+	left := c.left()
 	if c.route.Kind == catalogStreaming {
 		silence := max(minimumSilence, silenceTargets*c.route.Target, silenceGaps*c.route.TargetGap)
-		left = min(left, silence-time.Since(c.arrived))
+		left = min(left, silence-c.age())
 	}
 	return max(time.Duration(float64(left)*patienceShare), 0)
 }
@@ -321,7 +321,7 @@
 // sendContext bounds a send so that a silent replica leaves time for another.
 func (c *call) sendContext() (context.Context, context.CancelFunc) {
 	if c.route.Kind == catalogSafe && c.sends+1 < c.route.Attempts {
-		return context.WithTimeout(c.ctx, time.Duration(float64(time.Until(c.deadline))*firstTryShare))
+		return context.WithTimeout(c.ctx, time.Duration(float64(c.left())*firstTryShare))
 	}
 	return context.WithCancel(c.ctx)
 }
@@ -361,7 +361,7 @@
 		header.Set(names.Tenant, c.tenant.Name)
 	}
 	header.Set(names.ExpectReplica, replica.ID)
-	header.Set(names.Deadline, strconv.FormatInt(max(time.Until(c.deadline).Milliseconds(), 1), 10))
+	header.Set(names.Deadline, strconv.FormatInt(max(c.left().Milliseconds(), 1), 10))
 	if c.lastEvent != "" {
 		header.Set(names.LastEvent, c.lastEvent)
 	}
--- a/entry/beats.go
+++ b/entry/beats.go
@@ -49,7 +49,7 @@
 
 func (n *Node) beatLoop() {
 	n.sendBeats()
-	last := time.Now()
+	last := n.now()
 	for {
 		n.mutex.Lock()
 		wait := n.interval()
@@ -57,22 +57,39 @@
 		if !n.pause(wait) {
 			return
 		}
-		if stoodStill(time.Since(last), wait) {
-			n.thawed(time.Since(last))
-		}
-		last = time.Now()
+		last = n.noticePause(last, wait)
 		n.sendBeats()
 		n.chooseScheduler()
 	}
 }
 
-// stoodStill returns whether the process paused between two heartbeats that were
-// to be so far apart.
+// stoodStill returns whether the process paused between two rounds of a loop that were to be
+// so far apart.
 func stoodStill(since, wait time.Duration) bool { return since > wait+frozenAfter }
 
-// thawed handles that the process stood still: what it scheduled before is void.
+// noticePause handles a pause of the process since a loop's last round, which was to be so
+// long ago, unless another loop has done so, and returns the time of this round.
+func (n *Node) noticePause(last structs.Instant, wait time.Duration) structs.Instant {
+	now := n.now()
+	n.mutex.Lock()
+	isNew := stoodStill(now-last, wait) && n.thawedAt <= last
+	if isNew {
+		n.thawedAt = now
+	}
+	n.mutex.Unlock()
+	if isNew {
+		n.thawed(now - last)
+	}
+	return n.now()
+}
+
+// thawed handles that the process stood still or the machine was suspended: what it scheduled
+// before is void, requests whose time went by meanwhile end, and connections to replicas that
+// rested may be gone without a word.
 func (n *Node) thawed(pause time.Duration) {
-	n.log.Write(eventlog.Event{Kind: "process.paused", Outcome: "schedule forgotten", Age: pause.Milliseconds()})
+	overdue := n.calls.endOverdue(n.now())
+	n.pool.CloseRested(0)
+	n.log.Write(eventlog.Event{Kind: "process.paused", Outcome: "schedule forgotten", Age: pause.Milliseconds(), Count: overdue})
 	n.mutex.Lock()
 	all, policies := n.table.All(), n.policies
 	n.mutex.Unlock()
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -14,6 +14,7 @@
 	"github.com/thornwalk/thornwalk/internal/eventlog"
 	"github.com/thornwalk/thornwalk/state/catalog"
 	"github.com/thornwalk/thornwalk/state/fingerprint"
+	"github.com/thornwalk/thornwalk/structs"
 )
 
 // call is one request of a caller on its way through the node.
@@ -36,9 +37,9 @@
 	prompt, output int
 	// hint is the caller's guess at the tokens of the answer.
 	hint    int
-	arrived time.Time
+	arrived structs.Instant
 	// deadline is when the caller or the route gives up, whichever is first.
-	deadline time.Time
+	deadline structs.Instant
 	// headSent is true once the caller has the head of an answer.
 	headSent bool
 	ended    bool
@@ -74,7 +75,7 @@
 func (n *Node) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	n.inFlight.Add(1)
 	defer n.inFlight.Add(-1)
-	c := &call{node: n, writer: w, request: r, arrived: time.Now(), id: r.Header.Get(n.depend.Headers.RequestID)}
+	c := &call{node: n, writer: w, request: r, arrived: n.now(), id: r.Header.Get(n.depend.Headers.RequestID)}
 	c.kept = n.log.Keep(c.id)
 	if n.stopping.Load() != 0 {
 		w.Header().Set("Connection", "close")
@@ -93,9 +94,10 @@
 	}
 	c.noteReceived(current.Version)
 	defer c.noteLeft()
-	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+	ctx, cancel := context.WithTimeout(r.Context(), c.left())
 	defer cancel()
 	c.ctx = ctx
+	defer n.calls.add(c, cancel)()
 	if !c.readBody(current) {
 		return
 	}
@@ -147,7 +149,7 @@
 	if c.route.Timeout > 0 {
 		allowed = min(allowed, c.route.Timeout)
 	}
-	c.deadline = c.arrived.Add(allowed)
+	c.deadline = c.arrived + allowed
 	prompt, output, _ := strings.Cut(c.request.Header.Get(names.TokenUsage), ",")
 	c.prompt = max(number(prompt), 0)
 	c.output = max(number(output), 0)
@@ -184,7 +186,7 @@
 		return false
 	}
 	control := http.NewResponseController(c.writer)
-	_ = control.SetReadDeadline(c.deadline)
+	_ = control.SetReadDeadline(time.Now().Add(c.left()))
 	body, err := io.ReadAll(http.MaxBytesReader(c.writer, c.request.Body, limit))
 	_ = control.SetReadDeadline(time.Time{})
 	if err == nil {
--- a/entry/lines.go
+++ b/entry/lines.go
@@ -1,8 +1,6 @@
 package entry
 
 import (
-	"time"
-
 	"github.com/thornwalk/thornwalk/internal/eventlog"
 )
 
@@ -17,7 +15,7 @@
 func (c *call) event(kind string) eventlog.Event {
 	event := eventlog.Event{
 		Kind: kind, Request: c.id, Service: c.service,
-		Took: time.Since(c.arrived).Milliseconds(), Waited: c.waited.Milliseconds(),
+		Took: c.age().Milliseconds(), Waited: c.waited.Milliseconds(),
 	}
 	if c.route != nil {
 		event.Route = c.route.Name
@@ -45,7 +43,7 @@
 func (c *call) noteReceived(version int64) {
 	event := c.event("request.received")
 	event.Version, event.Prompt, event.Answer = version, c.prompt, c.expectedTokens()
-	event.Left = time.Until(c.deadline).Milliseconds()
+	event.Left = c.left().Milliseconds()
 	c.note(event)
 }
 
@@ -79,7 +77,7 @@
 	event.Prompt, event.Answer = c.prompt, c.expectedTokens()
 	c.note(event)
 	c.node.counter("requests." + event.Outcome).Inc(1)
-	c.node.observe("request_ms."+event.Outcome, time.Since(c.arrived))
+	c.node.observe("request_ms."+event.Outcome, c.age())
 	if event.Outcome == outcomeAnswered {
 		c.node.log.LeftOut(len(c.lines))
 		return
--- a/entry/node.go
+++ b/entry/node.go
@@ -43,6 +43,8 @@
 	Log       *eventlog.Log
 	// Incarnation differs for each start of the process.
 	Incarnation uint64
+	// Now is time that goes on while the machine is suspended; nil means the steady clock.
+	Now func() time.Duration
 	// Sleep returns how late it returned after so much time; nil means the timer's own.
 	Sleep func(time.Duration) time.Duration
 }
@@ -59,17 +61,18 @@
 	settings atomic.Pointer[Settings]
 	depend   Dependencies
 	log      *eventlog.Log
-	started  time.Time
-	metrics  metrics.Registry
-	pool     *replicahttp.Pool
-	peers    *peer.Client
-	desk     *desk
-	beats    network.DatagramSocket
-	inbound  net.Listener
-	ctx      context.Context
-	cancel   context.CancelFunc
-	group    sync.WaitGroup
-	servers  []*http.Server
+	// startedAt is what the clock told at the start.
+	startedAt time.Duration
+	metrics   metrics.Registry
+	pool      *replicahttp.Pool
+	peers     *peer.Client
+	desk      *desk
+	beats     network.DatagramSocket
+	inbound   net.Listener
+	ctx       context.Context
+	cancel    context.CancelFunc
+	group     sync.WaitGroup
+	servers   []*http.Server
 	// callers is the one of the servers that callers come to.
 	callers  *http.Server
 	sequence atomic.Uint64
@@ -90,6 +93,8 @@
 
 	stopping atomic.Int64
 	inFlight atomic.Int64
+	// calls has the requests of callers in progress.
+	calls callSet
 
 	// mutex guards what follows.
 	mutex    sync.Mutex
@@ -135,6 +140,10 @@
 	undelivered               []undelivered
 	replicaLag, versionLag    lag
 	contentsLag               lag
+	// problems are the entries of the store that did not parse and were told of.
+	problems map[string]bool
+	// thawedAt is when a pause of the process was last noticed.
+	thawedAt structs.Instant
 	// contentsStored is what the store is known to hold of barred requests.
 	contentsStored storedContents
 	// levels is what the last other scheduling node told of the tenants' buckets.
@@ -145,12 +154,17 @@
 // New returns a node that does not run yet.
 func New(settings *Settings, depend Dependencies) *Node {
 	n := &Node{
-		depend: depend, log: depend.Log, started: time.Now(), metrics: metrics.NewRegistry(),
+		depend: depend, log: depend.Log, metrics: metrics.NewRegistry(),
 		pool: replicahttp.NewPool(depend.Network), peers: peer.NewClient(depend.Network, nil),
 		table: replicas.NewTable(), rollouts: rollouts.NewTable(), members: liveness.NewTable(settings.Name), relays: liveness.NewRelays(rand.IntN), health: newHealthBook(), zones: newZoneBook(),
-		held: map[string]heldPlace{}, term: 1, storeBadAt: -time.Hour,
+		held: map[string]heldPlace{}, problems: map[string]bool{}, term: 1, storeBadAt: -time.Hour,
 		library: spread.NewLibrary(), senders: newSenders(settings.Link),
 	}
+	if n.depend.Now == nil {
+		started := time.Now()
+		n.depend.Now = func() time.Duration { return time.Since(started) }
+	}
+	n.startedAt = n.depend.Now()
 	n.settings.Store(settings)
 	n.peers.OnSilence(func(address string) { go n.linkFellSilent(address) })
 	n.desk = newDesk(n.now, settings.retryPolicy(1), settings.FirstStart)
@@ -161,8 +175,9 @@
 	return n
 }
 
-// now is the node's monotonic time.
-func (n *Node) now() structs.Instant { return time.Since(n.started) }
+// now is the time since the node started. It goes on while the machine is suspended, unlike
+// timers and time.Since: everything that ages goes by it.
+func (n *Node) now() structs.Instant { return n.depend.Now() - n.startedAt }
 
 // process names this process to schedulers.
 func (n *Node) process() string { return processName(n.settings.Load().Name, n.depend.Incarnation) }
@@ -305,7 +320,9 @@
 // housekeeping sweeps connections, doubted replicas and messages that did not arrive,
 // and tells of much memory in use.
 func (n *Node) housekeeping() {
+	last := n.now()
 	for n.pause(housekeepingInterval) {
+		last = n.noticePause(last, housekeepingInterval)
 		n.pool.Sweep()
 		n.expireReplicas()
 		n.forgetVersionsOfDeadPeers()
--- a/entry/place.go
+++ b/entry/place.go
@@ -27,10 +27,10 @@
 // this node decides by itself.
 func (n *Node) place(ctx context.Context, request *placeRequest) *grant {
 	asked := request.Request
-	begun := time.Now()
+	begun := n.now()
 	askedAgain := false
 	for try, left := 0, maximumSchedulers; left > 0; try, left = try+1, left-1 {
-		request.Request = asked.After(time.Since(begun))
+		request.Request = asked.After(n.now() - begun)
 		request.Request.ID = asked.ID + "." + string(rune('a'+try))
 		scheduler, address := n.currentScheduler()
 		if address == "" || left == 1 {
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -26,11 +26,11 @@
 	n.stopping.Store(int64(max(n.now(), 1)))
 	n.log.Write(eventlog.Event{Kind: "process.stop", Outcome: "begun", Count: int(n.inFlight.Load())})
 	n.sendBeats()
-	begun := time.Now()
+	begun := n.now()
 	limit := n.settings.Load().stopGrace() - stopMargin
 	closed := false
-	for time.Since(begun) < limit {
-		if time.Since(begun) > lookAway && !closed {
+	for n.now()-begun < limit {
+		if n.now()-begun > lookAway && !closed {
 			n.callers.SetKeepAlivesEnabled(false)
 			closed = true
 		}
--- a/entry/store.go
+++ b/entry/store.go
@@ -206,8 +206,8 @@
 
 // follow watches from the revision until a watch fails or is due for a read.
 func (n *Node) follow(revision int64) {
-	begun := time.Now()
-	for n.ctx.Err() == nil && n.callsStore() && time.Since(begun) < rereadAfter {
+	begun := n.now()
+	for n.ctx.Err() == nil && n.callsStore() && n.now()-begun < rereadAfter {
 		// The configuration comes whole with each change.
 		margin := max(watchMargin, transferMargin*n.configurationTransfer())
 		ctx, cancel := context.WithTimeout(n.ctx, watchWait+margin)
--- /dev/null
+++ b/test/entry/suspended_test.go
@@ -0,0 +1,137 @@
+package entry
+
+import (
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/thornwalk/thornwalk/lab/entrylab"
+	"github.com/thornwalk/thornwalk/lab/memnet"
+	"github.com/thornwalk/thornwalk/lab/platformsim"
+)
+
+// A machine that is suspended for seconds goes on where it was: its timers and its steady
+// clock know nothing of the time that went by, while others decided in its place and callers
+// gave up. Here the clock of a node that counts such time jumps, and nothing else does.
+
+const suspension = 4 * time.Second
+
+// suspendable is the clock of a node.
+type suspendable struct{ suspended atomic.Int64 }
+
+// clocks gives each host one.
+type clocks struct {
+	mutex sync.Mutex
+	hosts map[string]*suspendable
+}
+
+func (c *clocks) of(host string) *suspendable {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.hosts[host] == nil {
+		c.hosts[host] = &suspendable{}
+	}
+	return c.hosts[host]
+}
+
+func (c *clocks) now(host string) func() time.Duration {
+	clock, started := c.of(host), time.Now()
+	return func() time.Duration { return time.Since(started) + time.Duration(clock.suspended.Load()) }
+}
+
+// suspend has the time go by that a machine was suspended for.
+func (c *clocks) suspend(host string) { c.of(host).suspended.Add(int64(suspension)) }
+
+func playSuspensions(t *testing.T, test func(s *scene, c *clocks)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		c := &clocks{hosts: map[string]*suspendable{}}
+		s := &scene{WithT: gomega.NewWithT(t), fabric: memnet.New(), now: c.now}
+		s.start(hosts, []string{"east", "west"}, nil)
+		for _, host := range []string{"e1", "e2"} {
+			s.engines = append(s.engines, s.replica(host, "engines", 6, 50*time.Millisecond))
+		}
+		s.awaitReady()
+		defer s.stop(hosts)
+		time.Sleep(time.Second)
+		test(s, c)
+	})
+}
+
+func TestASuspendedSchedulingNodeForgetsItsSchedule(t *testing.T) {
+	playSuspensions(t, func(s *scene, c *clocks) {
+		scheduler := s.scheduler()
+		var group sync.WaitGroup
+		for i := range 12 { // more than the engines take at once, so that some wait
+			group.Go(func() {
+				s.Expect(s.get(s.others()[i%2], http.MethodPost, "/stream/", nil).status).To(gomega.BeElementOf(200, 503))
+			})
+		}
+		time.Sleep(50 * time.Millisecond)
+		c.suspend(scheduler)
+		group.Wait()
+		paused := s.events("process.paused")
+		s.Expect(paused).To(gomega.HaveLen(1), "noticed once")
+		s.Expect(paused[0].Node).To(gomega.Equal(scheduler))
+		s.Expect(paused[0].Age).To(gomega.BeNumerically(">=", suspension.Milliseconds()))
+		for i := range 6 {
+			s.Expect(s.get(hosts[i%3], http.MethodGet, "/safe/", nil).status).To(gomega.Equal(200))
+		}
+		for id, count := range s.allRuns() {
+			s.Expect(count).To(gomega.Equal(1), id)
+		}
+	})
+}
+
+// A caller whose time went by while the machine was suspended got its answer seconds late, as
+// the timer stood still that was to end its request.
+func TestRequestsWhoseTimeWentByEndAtOnce(t *testing.T) {
+	for _, path := range []string{"/once/", "/stream/"} {
+		t.Run(path, func(t *testing.T) {
+			playSuspensions(t, func(s *scene, c *clocks) {
+				s.onAll(append(append([]*platformsim.Replica{}, s.plain...), s.engines...), always(platformsim.Silent))
+				node := s.others()[0]
+				var group sync.WaitGroup
+				group.Go(func() {
+					got := s.get(node, http.MethodPost, path, nil)
+					s.Expect(got.status).To(gomega.Equal(http.StatusGatewayTimeout))
+					s.Expect(got.took).To(gomega.BeNumerically("<", 900*time.Millisecond), "one look at the clock after the machine went on")
+				})
+				time.Sleep(200 * time.Millisecond)
+				c.suspend(node)
+				group.Wait()
+			})
+		})
+	}
+}
+
+// What a node believed before it was suspended is old afterwards: it asks the store and its
+// peers, and is as good as they are within a second.
+func TestASuspendedNodeLearnsWhatChangedMeanwhile(t *testing.T) {
+	playSuspensions(t, func(s *scene, c *clocks) {
+		node := s.others()[0]
+		others := []string{}
+		for _, host := range hosts {
+			if host != node {
+				others = append(others, host)
+			}
+		}
+		s.fabric.CutGroups([]string{node}, append(others, "store"))
+		s.configure(func(configuration *entrylab.Configuration) { configuration.Routes = configuration.Routes[:2] })
+		s.lab.Store.Delete("servers/" + s.plain[0].ID)
+		c.suspend(node)
+		s.fabric.Heal()
+		time.Sleep(time.Second)
+		status := s.lab.Node(node).Status()
+		s.Expect(status.Version).To(gomega.Equal(s.version))
+		for _, replica := range status.Replicas {
+			s.Expect(replica.ID).NotTo(gomega.Equal(s.plain[0].ID))
+		}
+		s.Expect(s.get(node, http.MethodGet, "/safe/", nil).status).To(gomega.Equal(200))
+	})
+}
