--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -194,6 +194,9 @@
 	}
 	for _, replica := range all {
 		state := s.state(replica.ID)
+		if state.replica.ID != "" && !state.replica.IsSameLife(replica) {
+			state.forget() // nothing that was learned of the life before holds
+		}
 		state.replica, state.listed = replica, true
 		pool := s.service(replica.Service)
 		pool.replicas = append(pool.replicas, state)
--- a/coordination/admission/admission_test.go
+++ b/coordination/admission/admission_test.go
@@ -361,3 +361,24 @@
 		g.Expect(placedIDs(s.Decide(0))).To(gomega.HaveLen(service.places), service.duration.String())
 	}
 }
+
+// What was learned and judged of a replica does not hold for its next life under the same id.
+func TestAReplicaThatStartsAgainUnderItsIDIsJudgedAnew(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := New()
+	first := replicas.Replica{ID: "a", Service: "s", Slots: 4, Born: 1}
+	other := replicas.Replica{ID: "b", Service: "s", Slots: 4, Born: 1}
+	s.SetReplicas([]replicas.Replica{first, other})
+	for range 20 {
+		s.judge(time.Second, "s", "a", true)
+	}
+	s.learn(&place{service: "s", replica: "a"}, Observation{Duration: time.Minute})
+	g.Expect(s.state("a").isAside(time.Second)).To(gomega.BeTrue())
+	first.Revision = 2
+	s.SetReplicas([]replicas.Replica{first, other})
+	g.Expect(s.state("a").isAside(time.Second)).To(gomega.BeTrue(), "the same life")
+	first.Born = 2
+	s.SetReplicas([]replicas.Replica{first, other})
+	g.Expect(s.state("a").isAside(time.Second)).To(gomega.BeFalse())
+	g.Expect(s.state("a").speed).To(gomega.Equal(speed{}))
+}
--- a/coordination/admission/replica.go
+++ b/coordination/admission/replica.go
@@ -66,7 +66,13 @@
 		s.changes++
 		return
 	}
-	state.speed, state.conduct, state.hidden = speed{}, conduct{}, hiddenLoad{}
+	state.forget()
+}
+
+// forget drops what was learned of the replica. What is in progress there stays until it is
+// told to have ended.
+func (r *replicaState) forget() {
+	r.speed, r.conduct, r.hidden, r.avoided = speed{}, conduct{}, hiddenLoad{}, false
 }
 
 // reported is the work at the replica that nodes report.
--- a/entry/contents.go
+++ b/entry/contents.go
@@ -42,7 +42,7 @@
 	if !listed || known.Draining {
 		return false
 	}
-	if known.Born > replica.Born {
+	if !known.IsSameLife(replica) {
 		return true // it has started again already
 	}
 	ctx, cancel := context.WithTimeout(n.ctx, endedDial)
--- a/entry/health.go
+++ b/entry/health.go
@@ -57,6 +57,9 @@
 	}
 }
 
+// renew drops what is known of a replica that started again under its id.
+func (b *healthBook) renew(id string) { delete(b.replicas, id) }
+
 // failing returns the replicas that should not be tried now.
 func (b *healthBook) failing(now structs.Instant) []string {
 	var ids []string
--- a/entry/news.go
+++ b/entry/news.go
@@ -11,9 +11,7 @@
 
 // apply takes an update of the directory into force.
 func (n *Node) apply(update *outside.Update) {
-	for _, problem := range update.Problems {
-		n.log.Write(eventlog.Event{Kind: "directory.entry", Outcome: "kept-out", Detail: problem.Error(), Revision: update.Revision})
-	}
+	n.noteProblems(update)
 	if update.Catalog != nil {
 		n.offerCatalog(update.Catalog, "store")
 	}
@@ -49,6 +47,28 @@
 	}
 }
 
+// toldProblems bounds the entries that don't parse which a node remembers to have told of.
+const toldProblems = 256
+
+// noteProblems tells of entries that did not parse, of each once: complete reads bring them
+// again and again.
+func (n *Node) noteProblems(update *outside.Update) {
+	for _, problem := range update.Problems {
+		text := problem.Error()
+		n.mutex.Lock()
+		known := n.problems[text]
+		if len(n.problems) >= toldProblems {
+			n.problems = map[string]bool{}
+		}
+		n.problems[text] = true
+		n.mutex.Unlock()
+		if !known {
+			n.counter("directory.kept_out").Inc(1)
+			n.log.Write(eventlog.Event{Kind: "directory.entry", Outcome: "kept-out", Detail: text, Revision: update.Revision})
+		}
+	}
+}
+
 // takeReplica enters news of a replica and tells of a change. The caller holds the
 // mutex.
 func (n *Node) takeReplica(replica replicas.Replica) {
@@ -56,7 +76,12 @@
 	if !n.table.Put(replica) {
 		return
 	}
-	if found && known.Draining == replica.Draining && known.Address == replica.Address {
+	isNewLife := found && !known.IsSameLife(replica)
+	if isNewLife {
+		n.health.renew(replica.ID)
+		n.pool.Forget(replica.ID)
+	}
+	if found && !isNewLife && known.Draining == replica.Draining && known.Address == replica.Address {
 		return
 	}
 	outcome := "ready"
--- a/state/replicas/replicas.go
+++ b/state/replicas/replicas.go
@@ -3,8 +3,9 @@
 // store and from peers, times are passed in.
 //
 // Guarantees: a replica that announced its drain, or whose entry disappeared
-// while the store was well, is not offered again under the same id, whatever
-// older news arrives later.
+// while the store was well, is not offered again in that life, whatever older news
+// arrives later. One that starts again under its id is another life: nothing of the one
+// before holds for it.
 package replicas
 
 import (
@@ -14,9 +15,9 @@
 	"github.com/thornwalk/thornwalk/structs"
 )
 
-// Replica is one incarnation of a server of a service.
+// Replica is one life of a server of a service.
 type Replica struct {
-	// ID names the incarnation; a restarted server has another.
+	// ID names the server; one that starts again has another id or another Born.
 	ID      string `msgpack:"i" json:"id"`
 	Service string `msgpack:"s" json:"service"`
 	// Address is IP and port; it may pass to another service later.
@@ -35,6 +36,10 @@
 	Born int64 `msgpack:"b,omitempty" json:"born,omitempty"`
 }
 
+// IsSameLife returns whether both are of one start of the server. Starts are told apart and
+// not put in order: the server's clock may have been set back between them.
+func (r *Replica) IsSameLife(other Replica) bool { return r.ID == other.ID && r.Born == other.Born }
+
 // removed remembers a replica that must not come back.
 type removed struct {
 	revision int64
@@ -87,7 +92,7 @@
 	if found && known.Revision >= replica.Revision {
 		return false
 	}
-	if found && known.Draining {
+	if found && known.Draining && known.IsSameLife(replica) {
 		replica.Draining = true
 	}
 	t.byID[replica.ID] = replica
--- a/state/replicas/replicas_test.go
+++ b/state/replicas/replicas_test.go
@@ -44,3 +44,21 @@
 	g.Expect(table.RemoveDoubted(6 * time.Second)).To(gomega.BeEmpty())
 	g.Expect(table.All()).To(gomega.HaveLen(2))
 }
+
+// A replica that drained and ended may start again under the id that it had.
+func TestAReplicaThatStartsAgainUnderItsIDIsOfferedAgain(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table := NewTable()
+	first := Replica{ID: "a", Service: "s", Revision: 1, Born: 1000}
+	table.Put(first)
+	first.Draining, first.Revision = true, 2
+	table.Put(first)
+	first.Draining, first.Revision = false, 3
+	table.Put(first)
+	known, _ := table.Get("a")
+	g.Expect(known.Draining).To(gomega.BeTrue(), "a drain is not taken back in the same life")
+	table.Put(Replica{ID: "a", Service: "s", Revision: 4, Born: 900}) // its clock was set back
+	known, _ = table.Get("a")
+	g.Expect(known.Draining).To(gomega.BeFalse())
+	g.Expect(known.IsSameLife(first)).To(gomega.BeFalse())
+}
