Group replicas by service once for the policies of versions

Cause: each change of replicas went over all replicas three times for each service, and the lists of their services stood in two places. Change: one grouping by service, read in the same step in which the policies are replaced. Conclusion: the cost follows the replicas, not replicas times services.

--- a/entry/rollout.go
+++ b/entry/rollout.go
@@ -60,12 +60,12 @@
 	}
 }
 
-// policyOf returns which versions of the service get new requests. The caller holds the
-// mutex.
-func (n *Node) policyOf(service string, all []replicas.Replica) rollouts.VersionPolicy {
+// policyOf returns which versions of the service, which has these replicas, get new
+// requests. The caller holds the mutex.
+func (n *Node) policyOf(service string, pool []replicas.Replica) rollouts.VersionPolicy {
 	order, ordered := n.rollouts.Order(service)
-	policy := n.rollouts.Policy(service, ordered && inService(order, all))
-	unexplained := unexplainedVersions(service, all, n.rollouts.Known())
+	policy := n.rollouts.Policy(service, ordered && inService(order, pool))
+	unexplained := unexplainedVersions(pool, n.rollouts.Known())
 	if len(unexplained) > 0 {
 		policy.Service = service
 		policy.Barred = append(append([]string{}, policy.Barred...), unexplained...)
@@ -74,30 +74,24 @@
 }
 
 // inService returns whether the order's target served before the order, and nothing else
-// is left.
-func inService(order rollouts.Order, all []replicas.Replica) bool {
+// is left of the service's replicas.
+func inService(order rollouts.Order, pool []replicas.Replica) bool {
 	served := false
-	for _, replica := range all {
-		switch {
-		case replica.Service != order.Service:
-		case replica.Version != order.Target:
+	for _, replica := range pool {
+		if replica.Version != order.Target {
 			return false
-		case replica.Revision < order.Revision:
-			served = true
 		}
+		served = served || replica.Revision < order.Revision
 	}
 	return served
 }
 
-// unexplainedVersions returns the versions of the service beside others whose replicas are
+// unexplainedVersions returns the versions of a service beside others whose replicas are
 // all newer than what is known of roll-outs: an order may bring them that this node has
 // not heard of.
-func unexplainedVersions(service string, all []replicas.Replica, known int64) []string {
+func unexplainedVersions(pool []replicas.Replica, known int64) []string {
 	oldest := map[string]int64{}
-	for _, replica := range all {
-		if replica.Service != service {
-			continue
-		}
+	for _, replica := range pool {
 		if revision, found := oldest[replica.Version]; !found || replica.Revision < revision {
 			oldest[replica.Version] = replica.Revision
 		}
@@ -121,20 +115,28 @@
 	return found && policy.Use(replica.Version) == rollouts.UseBarred
 }
 
-// applyPolicies tells the desk which versions get new requests.
+// poolsOf groups the replicas by their service.
+func poolsOf(all []replicas.Replica) map[string][]replicas.Replica {
+	pools := map[string][]replicas.Replica{}
+	for _, replica := range all {
+		pools[replica.Service] = append(pools[replica.Service], replica)
+	}
+	return pools
+}
+
+// applyPolicies tells the desk which versions get new requests. The replicas are read in the
+// same step in which the policies are replaced: older ones must not replace newer ones.
 func (n *Node) applyPolicies() {
 	n.mutex.Lock()
-	all := n.table.All()
-	services := map[string]bool{}
+	pools := poolsOf(n.table.All())
 	for _, service := range n.rollouts.Services() {
-		services[service] = true
-	}
-	for _, replica := range all {
-		services[replica.Service] = true
+		if _, found := pools[service]; !found {
+			pools[service] = nil // a service without replicas has a policy too
+		}
 	}
 	policies := map[string]rollouts.VersionPolicy{}
-	for service := range services {
-		if policy := n.policyOf(service, all); policy.Active() {
+	for service, pool := range pools {
+		if policy := n.policyOf(service, pool); policy.Active() {
 			policies[service] = policy
 		}
 	}
@@ -260,11 +262,11 @@
 	now := n.now()
 	order, _ := n.rollouts.Order(service)
 	record, _ := n.rollouts.Record(service)
-	all := n.table.All()
-	seen := rollout.Situation{Order: order, Elapsed: n.rollouts.Elapsed(now, service), InService: inService(order, all)}
-	for _, replica := range all {
+	pool := poolsOf(n.table.All())[service]
+	seen := rollout.Situation{Order: order, Elapsed: n.rollouts.Elapsed(now, service), InService: inService(order, pool)}
+	for _, replica := range pool {
 		switch {
-		case replica.Service != service || replica.Draining:
+		case replica.Draining:
 		case replica.Version == order.Target:
 			seen.TargetSlots += replica.Slots
 		default:
