--- /dev/null
+++ b/entry/serve.go
@@ -0,0 +1,214 @@
+package entry
+
+// How a request is served: a place, one send (attempt.go), and once more where that is allowed.
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/thornwalk/thornwalk/coordination/admission"
+	"github.com/thornwalk/thornwalk/coordination/poison"
+	"github.com/thornwalk/thornwalk/state/fingerprint"
+)
+
+// serve gets a place, sends, and sends again where that is allowed.
+func (c *call) serve() {
+	var tried []string
+	runs := 0
+	for {
+		given := c.node.place(c.ctx, c.placeRequest(tried, c.sends > 0))
+		c.waited += given.Waited
+		c.node.observe("place_wait_ms", given.Waited)
+		c.notePlace(given)
+		if given.Reason != "" {
+			c.unplaced(given, runs)
+			return
+		}
+		if c.node.knownToLeave(given.Replica.ID) && len(tried) < maximumSends {
+			c.node.finish(given, &finishRequest{Seen: admission.Observation{Left: true}, NotRun: true})
+			tried = append(tried, given.Replica.ID)
+			continue
+		}
+		outcome, seen := c.attempt(given)
+		if outcome != resultNotSent {
+			c.sends++
+		}
+		c.finish(given, outcome, seen)
+		c.noteSend(given, outcome)
+		if outcome == resultBroken || outcome == resultFailed {
+			runs++
+		}
+		if outcome == resultAnswered {
+			c.endAnswered()
+			return
+		}
+		if outcome == resultLeft {
+			return
+		}
+		c.resumed = c.resumed || c.headSent
+		tried = append(tried, given.Replica.ID)
+		if !c.mayRepeat(outcome, runs, len(tried)-c.refusedConnects) {
+			c.giveUp(outcome, runs)
+			return
+		}
+	}
+}
+
+// finish tells the scheduling node, and this node's own desk if that is another, how the
+// send ended.
+func (c *call) finish(given *grant, outcome result, seen admission.Observation) {
+	finished := &finishRequest{ID: given.id, Seen: seen, NotRun: outcome == resultNotSent || outcome == resultRejected, Content: c.fingerprint}
+	finished.Seen.Whole = outcome == resultAnswered || outcome == resultFailed
+	if outcome == resultBroken && c.broke == breakClosed && c.node.hasEnded(given.Replica) {
+		finished.Ended = &lifeEnded{Life: poison.LifeOf(given.Replica.ID, given.Replica.Born), Service: c.service, Route: c.route.Name}
+	}
+	if given.address != "" {
+		c.node.desk.observe(c.service, c.prompt, finished, given.Replica.ID)
+	}
+	c.node.finish(given, finished)
+}
+
+// knownToLeave returns whether this node knows that the replica drains, or that its version
+// gets no new requests, which the scheduling node may not have heard of yet.
+func (n *Node) knownToLeave(id string) bool {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	known, found := n.table.Get(id)
+	return found && (known.Draining || n.isBarred(known))
+}
+
+// placeRequest describes the request to the scheduling node.
+func (c *call) placeRequest(tried []string, repeat bool) *placeRequest {
+	node := c.node
+	node.mutex.Lock()
+	doubted := append(node.health.failing(node.now()), node.cutReplicas()...)
+	node.mutex.Unlock()
+	request := &placeRequest{
+		Request: admission.Request{
+			ID:   node.process() + "." + strconv.FormatUint(node.sequence.Add(1), 36),
+			Node: node.process(), Zone: node.settings.Load().Zone, Service: c.service, Route: c.route.Name, Priority: c.priority(),
+			Content: c.fingerprint, Prompt: c.prompt, Answer: c.expectedTokens(), Tried: tried, Doubted: doubted,
+			Stride: c.stride(), Pause: c.route.TargetGap, Yields: c.route.Priority >= yieldFrom,
+			Deadline: c.left(),
+			Target:   max(c.route.Target-c.age(), 0), Patience: c.patience(),
+		},
+		Repeat: repeat, Known: node.desk.knownOf(c.fingerprint),
+	}
+	if c.tenant != nil {
+		request.Tenant = c.tenant.Name
+		if c.tenant.Rate > 0 {
+			request.Limit = node.settings.Load().quotaLimit(c.tenant.Rate, c.tenant.Burst)
+		}
+		request.Cost = c.cost()
+	}
+	return request
+}
+
+// identify takes the request's fingerprint, once its body is read.
+func (c *call) identify() {
+	caller := ""
+	if c.tenant != nil {
+		caller = c.tenant.Name
+	}
+	c.fingerprint = fingerprint.Of(caller, c.request.Method, c.request.Host, c.request.RequestURI, c.body)
+}
+
+// routePriorities is more than any route's priority, so that the tenant's goes
+// ahead of it.
+const routePriorities = 64
+
+// priority orders requests by the tenant's priority and then the route's.
+func (c *call) priority() int {
+	if c.tenant != nil && c.tenant.HasPriority {
+		return c.tenant.Priority*routePriorities + c.route.Priority
+	}
+	return c.route.Priority
+}
+
+// yieldFrom is the first priority of routes whose requests leave some places
+// free for more urgent ones.
+const yieldFrom = 2
+
+// expectedTokens is the likely length of the answer.
+func (c *call) expectedTokens() int {
+	if c.hint > 0 && c.output > 0 {
+		return min(c.hint, c.output)
+	}
+	return c.hint
+}
+
+// cost is what the request takes of its tenant's quota.
+func (c *call) cost() float64 {
+	switch {
+	case !c.tenant.CountTokens:
+		return 1
+	case c.prompt+c.output > 0:
+		return float64(c.prompt + c.output)
+	default:
+		return float64(c.tenant.PlainTokens)
+	}
+}
+
+// patience is how long the request may wait for a place.
+func (c *call) patience() time.Duration {
+	left := c.left()
+	if c.route.Kind == catalogStreaming {
+		silence := max(minimumSilence, silenceTargets*c.route.Target, silenceGaps*c.route.TargetGap)
+		left = min(left, silence-c.age())
+	}
+	return max(time.Duration(float64(left)*patienceShare), 0)
+}
+
+// mayRepeat returns whether the request may be sent to another replica.
+func (c *call) mayRepeat(outcome result, runs, tried int) bool {
+	if c.ctx.Err() != nil || tried >= maximumSends || c.refusedConnects >= maximumRefusedConnects {
+		return false
+	}
+	switch outcome {
+	case resultNotSent, resultRejected:
+		return runs == 0 || c.route.Repeatable()
+	default:
+		return c.route.Repeatable() && runs < c.route.Attempts
+	}
+}
+
+// giveUp answers a request that is not sent again.
+func (c *call) giveUp(outcome result, runs int) {
+	switch {
+	case c.request.Context().Err() != nil:
+		c.end(http.StatusServiceUnavailable, outcomeOf(runs), "caller-left")
+	case runs > 0 && c.ctx.Err() != nil:
+		c.fail(http.StatusGatewayTimeout, "deadline")
+	case runs > 0:
+		c.fail(http.StatusBadGateway, "replica-broke-off")
+	case outcome == resultRejected:
+		c.refuse(http.StatusServiceUnavailable, "replicas-full", retryRejected)
+	default:
+		c.refuse(http.StatusServiceUnavailable, "replicas-unreachable", retryRejected)
+	}
+}
+
+func outcomeOf(runs int) string {
+	if runs > 0 {
+		return outcomeUnknown
+	}
+	return outcomeNotRun
+}
+
+// retryRejected is when a caller should come back whom several replicas rejected.
+const retryRejected = 400 * time.Millisecond
+
+// unplaced answers a request for which there is no place.
+func (c *call) unplaced(given *grant, runs int) {
+	switch {
+	case c.request.Context().Err() != nil:
+		c.end(http.StatusServiceUnavailable, outcomeOf(runs), "caller-left")
+	case runs > 0:
+		c.fail(http.StatusBadGateway, "replica-broke-off")
+	case given.Reason == reasonQuota:
+		c.refuse(http.StatusTooManyRequests, reasonQuota, given.RetryAfter)
+	default:
+		c.refuse(http.StatusServiceUnavailable, given.Reason, max(given.RetryAfter, retryRejected))
+	}
+}
