Let the soak's daemons bar requests under which replicas end

Cause: the soak writes every setting, and the new one was zero there, which switches it off. Change: the setting of the soak is the default.

--- a/lab/soak/deployment.go
+++ b/lab/soak/deployment.go
@@ -134,7 +134,7 @@
 		Name: fmt.Sprintf("n%d", number), Zone: "east", Host: fmt.Sprintf("%s.%d", block, host), PeerPort: peerPort,
 		Callers: at(block, host, callersPort), Readiness: at(block, host, readinessPort), Operators: at(block, host, operatorsPort),
 		Store: between.address(), StopGrace: int(stopGrace.Milliseconds()), Contact: int(contactBound.Milliseconds()), ConfigurationBound: int(configurationBound.Milliseconds()),
-		Cores: 1, RetryRatio: 0.2, RetryWindow: 10, RetrySlack: 60, QuotaWindow: 8, QuotaOverage: 0.1, FirstStart: true,
+		Cores: 1, RetryRatio: 0.2, RetryWindow: 10, RetrySlack: 60, QuotaWindow: 8, QuotaOverage: 0.1, BarredAfter: 3, FirstStart: true,
 	}
 	for seed := range nodeCount {
 		settings.Seeds = append(settings.Seeds, at(block, seed+1, operatorsPort))
