Test the operators' way to a barred request over HTTP and in explain

Cause: lift was tested by a call inside the process, explain not at all. Change: tests only. Conclusion: status, lift and explain are covered.

--- a/operator/story/story_test.go
+++ b/operator/story/story_test.go
@@ -43,3 +43,20 @@
 	_, err = Read("r", io.MultiReader())
 	g.Expect(err).To(gomega.HaveOccurred())
 }
+
+// What replicas did under earlier tries of the same request is part of its story, whichever
+// node saw it.
+func TestARefusedRequestIsExplainedByTheReplicasThatEndedUnderIt(t *testing.T) {
+	g := gomega.NewWithT(t)
+	logs := `{"time":"t1","node":"b","event":"content","content":"c1","outcome":"barred","count":3,"detail":"i-1/a i-2/a i-3/a"}
+{"time":"t2","node":"b","event":"content","content":"c2","outcome":"barred","detail":"i-9/a"}
+{"time":"t3","node":"a","event":"request.ended","request":"r","content":"c1","outcome":"not-run","reason":"barred","status":503}
+`
+	told, err := Read("r", strings.NewReader(logs))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	var text strings.Builder
+	told.Write(&text)
+	g.Expect(text.String()).To(gomega.ContainSubstring("i-1/a i-2/a i-3/a"))
+	g.Expect(text.String()).NotTo(gomega.ContainSubstring("i-9/a"))
+	g.Expect(told.Cause()).To(gomega.ContainSubstring("too many replicas ended under this request"))
+}
--- a/test/entry/crashes_test.go
+++ b/test/entry/crashes_test.go
@@ -311,6 +311,13 @@
 	}
 }
 
+// lift asks the node as the operators' command line does, and returns the status.
+func (s *crashScene) lift(node, content string) int {
+	request, err := http.NewRequest(http.MethodPost, "http://"+entrylab.OperatorsAddress(node)+entry.PathLift+content, nil)
+	s.Expect(err).NotTo(gomega.HaveOccurred())
+	return s.scene.send(request).status
+}
+
 func TestOperatorsSeeAndLiftWhatIsBarred(t *testing.T) {
 	course := crashCase{route: "stream"}
 	playCrashes(t, course, func(s *crashScene) {
@@ -328,9 +335,9 @@
 		s.Expect(refused.status).To(gomega.Equal(http.StatusServiceUnavailable))
 		s.Expect(refused.header.Get("Retry-After")).NotTo(gomega.BeEmpty())
 		s.Expect(refused.took).To(gomega.BeNumerically("<", 100*time.Millisecond))
-		s.Expect(s.lab.Node("n1").Lift("nothing")).NotTo(gomega.Succeed())
-		s.Expect(s.lab.Node("n1").Lift(barred.Content.String())).To(gomega.Succeed())
-		s.Expect(s.lab.Node("n1").Lift(barred.Content.String())).NotTo(gomega.Succeed(), "nothing is left to lift")
+		s.Expect(s.lift("n1", "nothing")).To(gomega.Equal(http.StatusNotFound))
+		s.Expect(s.lift("n1", barred.Content.String())).To(gomega.Equal(http.StatusOK))
+		s.Expect(s.lift("n1", barred.Content.String())).To(gomega.Equal(http.StatusNotFound), "nothing is left to lift")
 		time.Sleep(500 * time.Millisecond)
 		for _, host := range hosts {
 			s.Expect(s.lab.Node(host).Status().Barred).To(gomega.BeEmpty(), host)
