Count an end that is found later against the request

Cause: the look whether a replica ended under a request it broke off is lost on a bad link, and of a replica that falls silent nothing is heard; that end did not count. Conclusion: one path less by which an end is missed.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -72,7 +72,7 @@
 		if c.ctx.Err() == nil {
 			node.noteUnreachable(given.Replica.ID)
 			node.noteZone(given.Replica.Zone, false)
-			c.noteConnect(err)
+			c.noteConnect(given.Replica, err)
 		}
 		return resultNotSent, admission.Observation{Left: true}
 	}
@@ -102,11 +102,14 @@
 }
 
 // noteConnect counts a connect that failed, by whether the replica's host refused it.
-func (c *call) noteConnect(err error) {
+func (c *call) noteConnect(replica replicas.Replica, err error) {
 	c.broke = breakUnreachable
 	if network.IsRefused(err) {
 		c.refusedConnects++
 		c.broke = breakRefused
+		c.node.mutex.Lock()
+		c.node.explainBreaks(replica)
+		c.node.mutex.Unlock()
 	}
 	c.node.counter("breaks." + string(c.broke)).Inc(1)
 }
--- a/entry/contents.go
+++ b/entry/contents.go
@@ -32,27 +32,41 @@
 	contentsWriteLimit = 800 * time.Millisecond
 )
 
-// hasEnded returns whether the replica, which broke off a request, has ended: nobody listens
-// at its address any more. A reset alone, a cut link or a planned end say nothing of the
-// request: a replica that drains, or whose entry is gone, was to end anyway.
-func (n *Node) hasEnded(replica replicas.Replica) bool {
+// lifeState is what is known of the life of a replica that broke a request off.
+type lifeState int
+
+const (
+	// lifeGoesOn means that the request can't have ended it: it goes on, or was to end anyway.
+	lifeGoesOn lifeState = iota
+	lifeEnded
+	// lifeUnknown means that the replica can't be reached, which need not be its own doing.
+	lifeUnknown
+)
+
+// lifeOf looks whether the replica, which broke off a request, has ended: nobody listens at
+// its address any more. A reset alone, a cut link or a planned end say nothing of the request:
+// a replica that drains, or whose entry is gone, was to end anyway.
+func (n *Node) lifeOf(replica replicas.Replica) lifeState {
 	n.mutex.Lock()
 	known, listed := n.table.Get(replica.ID)
 	n.mutex.Unlock()
 	if !listed || known.Draining {
-		return false
+		return lifeGoesOn
 	}
 	if !known.IsSameLife(replica) {
-		return true // it has started again already
+		return lifeEnded // it has started again already
 	}
 	ctx, cancel := context.WithTimeout(n.ctx, endedDial)
 	defer cancel()
 	conn, err := n.depend.Network.Dial(ctx, replica.Address)
-	if err == nil {
+	switch {
+	case err == nil:
 		_ = conn.Close()
-		return false
+		return lifeGoesOn
+	case network.IsRefused(err):
+		return lifeEnded
 	}
-	return network.IsRefused(err)
+	return lifeUnknown
 }
 
 // noteContent tells of a change of a request's standing.
--- a/entry/messages.go
+++ b/entry/messages.go
@@ -61,11 +61,11 @@
 	// Content is what was asked for.
 	Content fingerprint.Fingerprint
 	// Ended tells that the replica's life ended under the request; nil if it did not.
-	Ended *lifeEnded
+	Ended *endedLife
 }
 
-// lifeEnded tells that a replica ended while a request was there.
-type lifeEnded struct {
+// endedLife tells that a replica ended while a request was there.
+type endedLife struct {
 	Life           poison.Life
 	Service, Route string
 }
--- a/entry/news.go
+++ b/entry/news.go
@@ -78,6 +78,7 @@
 	}
 	isNewLife := found && !known.IsSameLife(replica)
 	if isNewLife {
+		n.explainBreaks(known)
 		n.health.renew(replica.ID)
 		n.pool.Forget(replica.ID)
 	}
@@ -110,10 +111,19 @@
 		n.log.Write(eventlog.Event{Kind: "replica", Replica: gone.ID, Outcome: "doubted", Revision: gone.Revision, Age: (n.now() - n.storeBadAt).Milliseconds()})
 		return
 	}
-	n.table.Remove(n.now(), gone.ID, gone.Revision)
+	n.remove(gone.ID, gone.Revision)
 	n.log.Write(eventlog.Event{Kind: "replica", Replica: gone.ID, Outcome: "gone", Revision: gone.Revision})
 }
 
+// remove takes the replica out of the table. One that did not say that it leaves has ended.
+// The caller holds the mutex.
+func (n *Node) remove(id string, revision int64) {
+	known, found := n.table.Get(id)
+	if n.table.Remove(n.now(), id, revision) && found && !known.Draining {
+		n.explainBreaks(known)
+	}
+}
+
 // storeUnwell returns whether the store fails, or failed so lately that replicas
 // which lost their entries need not have written them again. If another node followed
 // it without trouble all the while, only this node was cut off from it. The caller
--- a/entry/node.go
+++ b/entry/node.go
@@ -142,6 +142,8 @@
 	contentsLag               lag
 	// problems are the entries of the store that did not parse and were told of.
 	problems map[string]bool
+	// breaks are requests that replicas broke off which may have ended under them.
+	breaks []unexplainedBreak
 	// thawedAt is when a pause of the process was last noticed.
 	thawedAt structs.Instant
 	// contentsStored is what the store is known to hold of barred requests.
--- a/entry/pull.go
+++ b/entry/pull.go
@@ -134,7 +134,7 @@
 		n.takeReplica(replica)
 	}
 	for id, revision := range reply.Removed {
-		n.table.Remove(n.now(), id, revision)
+		n.remove(id, revision)
 	}
 	changed := n.table.Version() != before
 	n.mutex.Unlock()
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -60,8 +60,8 @@
 func (c *call) finish(given *grant, outcome result, seen admission.Observation) {
 	finished := &finishRequest{ID: given.id, Seen: seen, NotRun: outcome == resultNotSent || outcome == resultRejected, Content: c.fingerprint}
 	finished.Seen.Whole = outcome == resultAnswered || outcome == resultFailed
-	if outcome == resultBroken && c.broke == breakClosed && c.node.hasEnded(given.Replica) {
-		finished.Ended = &lifeEnded{Life: poison.LifeOf(given.Replica.ID, given.Replica.Born), Service: c.service, Route: c.route.Name}
+	if outcome == resultBroken {
+		c.noteLife(given, finished)
 	}
 	if given.address != "" {
 		c.node.desk.observe(c.service, c.prompt, finished, given.Replica.ID)
@@ -69,6 +69,25 @@
 	c.node.finish(given, finished)
 }
 
+// noteLife finds out whether the replica that broke the request off ended under it. Where that
+// can't be told yet, it is remembered.
+func (c *call) noteLife(given *grant, finished *finishRequest) {
+	ended := &endedLife{Life: poison.LifeOf(given.Replica.ID, given.Replica.Born), Service: c.service, Route: c.route.Name}
+	state := lifeUnknown // of one that fell silent
+	switch c.broke {
+	case breakClosed:
+		state = c.node.lifeOf(given.Replica)
+	case breakSpoiled:
+		return
+	}
+	switch state {
+	case lifeEnded:
+		finished.Ended = ended
+	case lifeUnknown:
+		c.node.rememberBreak(unexplainedBreak{replica: given.Replica, content: c.fingerprint, ended: ended})
+	}
+}
+
 // knownToLeave returns whether this node knows that the replica drains, or that its version
 // gets no new requests, which the scheduling node may not have heard of yet.
 func (n *Node) knownToLeave(id string) bool {
--- /dev/null
+++ b/entry/unexplained_test.go
@@ -0,0 +1,58 @@
+package entry
+
+import (
+	"testing"
+	"testing/synctest"
+
+	"github.com/onsi/gomega"
+
+	"github.com/thornwalk/thornwalk/coordination/poison"
+	"github.com/thornwalk/thornwalk/internal/eventlog"
+	"github.com/thornwalk/thornwalk/outside"
+	"github.com/thornwalk/thornwalk/state/fingerprint"
+	"github.com/thornwalk/thornwalk/state/replicas"
+)
+
+// An end that could not be told at once speaks against the request once it is found, and
+// nothing else does.
+func TestAnEndThatIsFoundLaterSpeaksAgainstTheRequest(t *testing.T) {
+	for name, course := range map[string]struct {
+		happens func(n *Node, replica replicas.Replica)
+		counts  bool
+	}{
+		"the entry is gone": {func(n *Node, replica replicas.Replica) { n.vanished(outside.Gone{ID: replica.ID, Revision: 9}) }, true},
+		"it has started again": {func(n *Node, replica replicas.Replica) {
+			replica.Born, replica.Revision = 2, 9
+			n.takeReplica(replica)
+		}, true},
+		"it drained before its entry is gone": {func(n *Node, replica replicas.Replica) {
+			replica.Draining, replica.Revision = true, 8
+			n.takeReplica(replica)
+			n.vanished(outside.Gone{ID: replica.ID, Revision: 9})
+		}, false},
+		"another replica's entry is gone": {func(n *Node, replica replicas.Replica) {
+			n.vanished(outside.Gone{ID: "other", Revision: 9})
+		}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := gomega.NewWithT(t)
+				log := eventlog.New("n", nil)
+				defer log.Close()
+				n := New(&Settings{Name: "n", BarredAfter: 3}, Dependencies{Log: log})
+				defer n.desk.timer.Stop()
+				replica := replicas.Replica{ID: "r", Service: "s", Revision: 1, Born: 1}
+				n.takeReplica(replica)
+				n.takeReplica(replicas.Replica{ID: "other", Service: "s", Revision: 2})
+				content := fingerprint.Of("office", "POST", "a.example", "/x", nil)
+				n.rememberBreak(unexplainedBreak{replica: replica, content: content, ended: &endedLife{Life: poison.LifeOf("r", 1)}})
+				n.mutex.Lock()
+				course.happens(n, replica)
+				n.mutex.Unlock()
+				synctest.Wait()
+				_, counted := n.desk.contents.Get(content)
+				g.Expect(counted).To(gomega.Equal(course.counts))
+			})
+		})
+	}
+}
