Bound what the store holds of barred requests, and look rarely at nodes that don't schedule

Cause: thousands of barred requests would not fit one value of the store, after which none would be written; every node woke four times a second for what only one node does. Change: the 1,024 that changed last are written; the loop rests a second elsewhere, old records are dropped by the housekeeping.

--- a/coordination/poison/ledger.go
+++ b/coordination/poison/ledger.go
@@ -1,6 +1,7 @@
 package poison
 
 import (
+	"cmp"
 	"slices"
 	"strconv"
 	"time"
@@ -55,6 +56,9 @@
 	// end and each barred request the ends of three, so that nobody fills the ledger cheaply;
 	// a record has about 300 bytes.
 	maximumRecords = 4096
+	// maximumLasting bounds what is written to the store: half a megabyte as it is encoded
+	// there, where one value may have a whole one.
+	maximumLasting = 1024
 	// recordMemory is how long a suspect is remembered that is not asked for again, and that
 	// a request was cleared: a caller that returns every some seconds is known again, the
 	// many that were at a replica by chance are forgotten, and no node that has not heard
@@ -303,9 +307,14 @@
 	return l.pick(now, func(held *entry) bool { return held.told })
 }
 
-// Lasting returns what has to outlive all nodes.
+// Lasting returns what has to outlive all nodes; of too many, the ones that changed last.
 func (l *Ledger) Lasting(now structs.Instant) []Record {
-	return l.pick(now, func(held *entry) bool { return held.Kept })
+	lasting := l.pick(now, func(held *entry) bool { return held.Kept })
+	if len(lasting) <= maximumLasting {
+		return lasting
+	}
+	slices.SortStableFunc(lasting, func(a, b Record) int { return cmp.Compare(a.Age, b.Age) })
+	return lasting[:maximumLasting]
 }
 
 // Barred returns the requests that are barred.
--- a/coordination/poison/ledger_test.go
+++ b/coordination/poison/ledger_test.go
@@ -212,6 +212,10 @@
 	}
 	g.Expect(len(l.entries)).To(gomega.BeNumerically("<=", maximumRecords))
 	g.Expect(l.standingAt(0, named("barred"))).To(gomega.Equal(Barred))
+	for i := range maximumLasting + 10 {
+		end(l, named(fmt.Sprint("more", i)), 3)
+	}
+	g.Expect(l.Lasting(0)).To(gomega.HaveLen(maximumLasting), "what the store takes in one value")
 }
 
 func TestNoCallOfAnotherCountsAsOnesOwn(t *testing.T) {
--- a/entry/contentdesk.go
+++ b/entry/contentdesk.go
@@ -98,14 +98,20 @@
 	return d.contents.Told(d.clock())
 }
 
-// lastingContents returns what has to outlive all nodes, and forgets what is old.
+// lastingContents returns what has to outlive all nodes.
 func (d *desk) lastingContents() []poison.Record {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	d.contents.Sweep(d.clock())
 	return d.contents.Lasting(d.clock())
 }
 
+// forgetContents drops what is old.
+func (d *desk) forgetContents() {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.contents.Sweep(d.clock())
+}
+
 // barredContents returns the requests that are barred.
 func (d *desk) barredContents() []poison.Record {
 	d.mutex.Lock()
--- a/entry/contents.go
+++ b/entry/contents.go
@@ -26,8 +26,11 @@
 	// endedDial bounds the look whether a replica ended that broke a request off. A host
 	// that can't be reached says nothing, and a caller waits meanwhile.
 	endedDial = 100 * time.Millisecond
-	// contentsStep is the time between two looks at whether the store knows what is barred.
+	// contentsStep is the time between two looks at whether the store knows what is barred, at
+	// the node that schedules; contentsRest is that at all others, as each look wakes the
+	// process.
 	contentsStep = 250 * time.Millisecond
+	contentsRest = time.Second
 	// contentsWriteLimit bounds a write or read of what is barred.
 	contentsWriteLimit = 800 * time.Millisecond
 )
@@ -148,11 +151,17 @@
 
 // contentsLoop sees to it, while this node schedules, that the store holds what is barred.
 func (n *Node) contentsLoop() {
-	for n.pause(contentsStep) {
-		lasting := n.desk.lastingContents()
-		if n.depend.Contents == nil || !n.schedules() {
+	if n.depend.Contents == nil {
+		return
+	}
+	wait := contentsRest
+	for n.pause(wait) {
+		wait = contentsRest
+		if !n.schedules() {
 			continue
 		}
+		wait = contentsStep
+		lasting := n.desk.lastingContents()
 		n.mutex.Lock()
 		stored := n.contentsStored
 		n.mutex.Unlock()
--- a/entry/node.go
+++ b/entry/node.go
@@ -330,6 +330,7 @@
 		n.forgetVersionsOfDeadPeers()
 		n.deliverAgain()
 		n.releaseEndedNodes()
+		n.desk.forgetContents()
 		n.tellMemory()
 	}
 }
