--- a/test/entry/crashes_test.go
+++ b/test/entry/crashes_test.go
@@ -396,3 +396,21 @@
 		s.Expect(state).To(gomega.Equal("completed"))
 	})
 }
+
+// Two requests end replicas at the same time, so that each is beside ends of the other.
+func TestTwoRequestsThatEndReplicasAreBothFound(t *testing.T) {
+	playCrashes(t, crashCase{route: "stream"}, func(s *crashScene) {
+		contents := []string{deadlyPath + "-a", deadlyPath + "-b"}
+		const count = 80
+		for i := range count {
+			s.sendBehind(hosts[i%3], "stream", contents[i%2])
+			s.sendBehind(hosts[(i+1)%3], "stream", fmt.Sprint("other", i))
+			time.Sleep(150 * time.Millisecond)
+		}
+		s.group.Wait()
+		t.Logf("%d replicas ended; answers %v", len(s.ends()), s.others)
+		s.Expect(len(s.ends())).To(gomega.BeNumerically("<=", 12), "three lives and two trials each, and one for luck")
+		s.Expect(s.others[http.StatusOK]).To(gomega.BeNumerically(">=", count-24), "two others at most at each of twelve replicas")
+		s.Expect(s.lab.Node("n1").Status().Barred).To(gomega.HaveLen(2))
+	})
+}
