Count a request once for the retry budget, and send nothing to an address under an id that passed

Each place asked for after a failed connect counted as a first send, up to sixteen times a request since refused connects no longer end one; and replicas that had started again at their addresses answered 421 to what was sent under their old ids. Change: a request counts at its first place; a replica whose address has a newer entry is not offered.

--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -97,11 +97,29 @@
 		pool := s.service(replica.Service)
 		pool.replicas = append(pool.replicas, state)
 	}
+	s.supersede()
 	for id := range s.states {
 		s.forgetUnused(id)
 	}
 }
 
+// supersede leaves out each replica whose address has passed to one with a newer entry: it has
+// ended, and its own entry has not lapsed yet. What is sent to it comes to the other, which
+// refuses it, and counts against the share of repeats: with 140 replicas of which many started
+// again at once, 3,258 such arrivals in ten seconds for 8,047 requests. Both stay listed, as
+// the newer entry may vanish first.
+func (s *Scheduler) supersede() {
+	newest := map[string]int64{}
+	for _, state := range s.states {
+		if address := state.replica.Address; state.listed && address != "" {
+			newest[address] = max(newest[address], state.replica.Revision)
+		}
+	}
+	for _, state := range s.states {
+		state.superseded = state.listed && state.replica.Revision < newest[state.replica.Address]
+	}
+}
+
 // SetAvoided replaces the replicas that no request is sent to.
 func (s *Scheduler) SetAvoided(ids map[string]bool) {
 	for id, state := range s.states {
--- a/coordination/admission/admission_test.go
+++ b/coordination/admission/admission_test.go
@@ -382,3 +382,23 @@
 	g.Expect(s.state("a").isAside(time.Second)).To(gomega.BeFalse())
 	g.Expect(s.state("a").speed).To(gomega.Equal(speed{}))
 }
+
+// An address belongs to the replica with the newest entry, for as long as that is there.
+func TestAReplicaWhoseAddressPassedToAnotherGetsNothing(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := New()
+	old := replicas.Replica{ID: "a", Service: "s", Slots: 4, Address: "h:1", Revision: 5}
+	fresh := replicas.Replica{ID: "b", Service: "other", Slots: 4, Address: "h:1", Revision: 9}
+	beside := replicas.Replica{ID: "c", Service: "s", Slots: 4, Address: "h:2", Revision: 6}
+	offered := func(all ...replicas.Replica) []string {
+		s.SetReplicas(all)
+		var ids []string
+		for _, choice := range s.measure(time.Second, "s").options {
+			ids = append(ids, choice.state.replica.ID)
+		}
+		return ids
+	}
+	g.Expect(offered(old, beside)).To(gomega.ConsistOf("a", "c"))
+	g.Expect(offered(old, beside, fresh)).To(gomega.ConsistOf("c"))
+	g.Expect(offered(old, beside)).To(gomega.ConsistOf("a", "c"))
+}
--- a/coordination/admission/replica.go
+++ b/coordination/admission/replica.go
@@ -13,6 +13,8 @@
 // others had placed.
 type replicaState struct {
 	replica replicas.Replica
+	// superseded is true if another replica has taken the address.
+	superseded bool
 	// listed is false for a replica that is known only by what is in progress there.
 	listed bool
 	// used counts the places given here, and foreign what nodes tell of beside these.
--- a/coordination/admission/room.go
+++ b/coordination/admission/room.go
@@ -58,7 +58,7 @@
 	}
 	for i, state := range pool.replicas {
 		use := pool.versions.Use(state.replica.Version)
-		if state.replica.Draining || use == rollouts.UseBarred || use == rollouts.UseBudgeted && !onTrial {
+		if state.superseded || state.replica.Draining || use == rollouts.UseBarred || use == rollouts.UseBudgeted && !onTrial {
 			continue
 		}
 		readTime := state.speed.reading.perToken()
--- a/entry/desk.go
+++ b/entry/desk.go
@@ -200,7 +200,8 @@
 		if !d.budget.Repeat(now, request.Request.Service) {
 			return nil, &placeReply{Reason: reasonRetryBudget, RetryAfter: time.Second}
 		}
-	} else {
+	}
+	if request.First {
 		d.budget.First(now, request.Request.Service)
 	}
 	limit := request.Limit.Scaled(d.share)
--- a/entry/desk_test.go
+++ b/entry/desk_test.go
@@ -40,3 +40,31 @@
 		d.timer.Stop()
 	})
 }
+
+// While many replicas were down, each place that a request asked for after a connect that failed
+// counted as one more request, and the share of repeats that the operators allow grew with it:
+// 3,258 repeats in ten seconds for 8,047 requests, where 1,807 are allowed.
+func TestARequestCountsOnceForTheRetryBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		begun := time.Now()
+		d := newDesk(func() time.Duration { return time.Since(begun) }, retrybudget.Policy{Ratio: 1, Window: 10 * time.Second}, true)
+		defer d.timer.Stop()
+		d.lead(true)
+		asked := 0
+		ask := func(first, repeat bool) string {
+			asked++
+			_, refused := d.submit(&placeRequest{First: first, Repeat: repeat, Request: admission.Request{ID: fmt.Sprint(asked), Node: "n", Service: "s"}})
+			if refused != nil {
+				return refused.Reason
+			}
+			return ""
+		}
+		g.Expect(ask(true, false)).To(gomega.BeEmpty())
+		for range 5 { // connects that failed
+			g.Expect(ask(false, false)).To(gomega.BeEmpty())
+		}
+		g.Expect(ask(false, true)).To(gomega.BeEmpty())
+		g.Expect(ask(false, true)).To(gomega.Equal(reasonRetryBudget))
+	})
+}
--- a/entry/messages.go
+++ b/entry/messages.go
@@ -18,8 +18,9 @@
 	Tenant string
 	Limit  quota.Limit
 	Cost   float64
-	// Repeat is true if the request was sent to a replica before.
-	Repeat bool
+	// First is true if no place was asked for before, and Repeat if the request came to a
+	// replica before. One whose connect failed is neither.
+	First, Repeat bool
 	// Known is what the asking node saw lately of replicas that ended under the request; nil
 	// if it saw none.
 	Known *poison.Record
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -112,7 +112,7 @@
 			Deadline: c.left(),
 			Target:   max(c.route.Target-c.age(), 0), Patience: c.patience(),
 		},
-		Repeat: repeat, Known: node.desk.knownOf(c.fingerprint),
+		First: len(tried) == 0, Repeat: repeat, Known: node.desk.knownOf(c.fingerprint),
 	}
 	if c.tenant != nil {
 		request.Tenant = c.tenant.Name
--- a/lab/entrylab/keeper.go
+++ b/lab/entrylab/keeper.go
@@ -102,6 +102,17 @@
 	return append([]time.Time{}, k.ends...)
 }
 
+// Arrivals returns how many requests reached all lives of the replica, run or not.
+func (k *Keeper) Arrivals() int {
+	k.mutex.Lock()
+	defer k.mutex.Unlock()
+	count := 0
+	for _, life := range k.lives {
+		count += life.Arrivals()
+	}
+	return count
+}
+
 // Runs returns what all lives of the replica ran.
 func (k *Keeper) Runs() []platformsim.Run {
 	k.mutex.Lock()
--- a/test/entry/crashes_test.go
+++ b/test/entry/crashes_test.go
@@ -414,3 +414,33 @@
 		s.Expect(s.lab.Node("n1").Status().Barred).To(gomega.HaveLen(2))
 	})
 }
+
+// Replicas that start again take new ids and their old addresses, while the entries of their
+// lives before have not lapsed yet. What was sent to those came to the new lives, which refused
+// it as meant for another: the arrival counts as a repeat, and 421 was all that came of it.
+func TestNothingIsSentToAnAddressUnderAnIDThatPassed(t *testing.T) {
+	for _, route := range []string{"once", "stream"} {
+		t.Run(route, func(t *testing.T) {
+			playCrashes(t, crashCase{route: route}, func(s *crashScene) {
+				for _, keeper := range s.kept[:6] {
+					keeper.End()
+				}
+				time.Sleep(2200 * time.Millisecond) // all are back, and the old entries are there
+				const count = 60
+				for i := range count {
+					s.sendBehind(hosts[i%3], route, fmt.Sprint("other", i))
+					time.Sleep(15 * time.Millisecond)
+				}
+				s.group.Wait()
+				arrivals, runs := 0, 0
+				for _, keeper := range s.kept {
+					arrivals += keeper.Arrivals()
+					runs += len(keeper.Runs())
+				}
+				t.Logf("%d arrivals, %d runs, answers %v", arrivals, runs, s.others)
+				s.Expect(arrivals - runs).To(gomega.BeNumerically("<=", 2))
+				s.Expect(s.others[http.StatusOK]).To(gomega.Equal(count))
+			})
+		})
+	}
+}
