--- a/lab/soak/deployment.go
+++ b/lab/soak/deployment.go
@@ -93,7 +93,7 @@
 }
 
 func (d *deployment) startStore(block string) error {
-	listener, err := net.Listen("tcp", at(block, storeHost, storePort))
+	listener, err := listen(at(block, storeHost, storePort))
 	if err != nil {
 		return err
 	}
@@ -107,7 +107,7 @@
 	if number >= engineCount {
 		replica.Service, replica.Slots, replica.Events, replica.Step = "registry", registrySlots, 0, registryStep
 	}
-	listener, err := net.Listen("tcp", at(block, firstReplica+number, replicaPort))
+	listener, err := listen(at(block, firstReplica+number, replicaPort))
 	if err != nil {
 		return err
 	}
--- a/lab/soak/proxy.go
+++ b/lab/soak/proxy.go
@@ -31,7 +31,7 @@
 
 // newProxy listens at the address and leads to the target.
 func newProxy(address, target string) (*proxy, error) {
-	listener, err := net.Listen("tcp", address)
+	listener, err := listen(address)
 	if err != nil {
 		return nil, err
 	}
