Send nothing to zones that are emptied, and little to replicas that are cold

Change: evacuations are a table ordered by the store's place, told by every heartbeat, kept by the scheduling node and looked at once more by the node that sends. Cold replicas get requests only from a scheduler that leads and reaches most nodes, out of a bank that begins empty: half of the bound each, as two such nodes may exist at a time. A zone that is taken back counts as cold.

--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -32,6 +32,8 @@
 	// begun is true once the prompt was read, and overdue once the answer should
 	// have begun and did not.
 	begun, overdue bool
+	// isCold is true if the replica was cold when the request got the place.
+	isCold bool
 }
 
 // service is the state of one pool.
@@ -45,6 +47,8 @@
 	// versions says which versions get requests, and trial what those get that are judged.
 	versions rollouts.VersionPolicy
 	trial    *rollout.Exposure
+	// warming bounds what cold replicas get; nil means that it is not known.
+	warming *Warming
 }
 
 // Scheduler holds the queues and the places of all services.
@@ -66,6 +70,11 @@
 	// the requests that ask for the same.
 	contents *poison.Ledger
 	running  map[fingerprint.Fingerprint]int
+	// emptied are the zones whose replicas get nothing.
+	emptied map[string]bool
+	// warms is true if cold replicas may be given requests, which began or ended at warmsSince.
+	warms      bool
+	warmsSince structs.Instant
 }
 
 // New returns an empty scheduler that bars no request.
@@ -81,7 +90,7 @@
 func (s *Scheduler) SetContents(contents *poison.Ledger) { s.contents = contents }
 
 // SetReplicas replaces the known replicas.
-func (s *Scheduler) SetReplicas(all []replicas.Replica) {
+func (s *Scheduler) SetReplicas(now structs.Instant, all []replicas.Replica) {
 	for _, pool := range s.services {
 		pool.replicas = nil
 	}
@@ -93,6 +102,9 @@
 		if state.replica.ID != "" && !state.replica.IsSameLife(replica) {
 			state.forget() // nothing that was learned of the life before holds
 		}
+		if state.replica.Revision != replica.Revision {
+			state.warmth.until = now + replica.Warmup
+		}
 		state.replica, state.listed = replica, true
 		pool := s.service(replica.Service)
 		pool.replicas = append(pool.replicas, state)
--- a/coordination/admission/admission_test.go
+++ b/coordination/admission/admission_test.go
@@ -41,7 +41,7 @@
 func TestUrgentGoesFirstAndShortAnswersAmongEquals(t *testing.T) {
 	g := gomega.NewWithT(t)
 	s := New()
-	s.SetReplicas(pool(1))
+	s.SetReplicas(0, pool(1))
 	s.Submit(0, request("running", 0))
 	g.Expect(placedIDs(s.Decide(0))).To(gomega.Equal([]string{"running"}))
 	long, short := request("long", 1), request("short", 1)
@@ -65,7 +65,7 @@
 func TestRequestsOfOtherNodesCountAgainstTheSlots(t *testing.T) {
 	g := gomega.NewWithT(t)
 	s := New()
-	s.SetReplicas(pool(2))
+	s.SetReplicas(0, pool(2))
 	s.SetForeign("other", map[string]int{"r0": 1})
 	s.Submit(0, request("a", 0))
 	s.Submit(0, request("b", 0))
@@ -78,7 +78,7 @@
 func TestLoadThatNobodyReportsCountsForAWhile(t *testing.T) {
 	g := gomega.NewWithT(t)
 	s := New()
-	s.SetReplicas(pool(3))
+	s.SetReplicas(0, pool(3))
 	s.Submit(0, request("a", 0))
 	s.Decide(0)
 	s.Begun(10*ms, "a", 3)
@@ -90,7 +90,7 @@
 func TestRequestThatWouldBeLateIsRefusedEarlyOnceAndThenHeld(t *testing.T) {
 	g := gomega.NewWithT(t)
 	s := New()
-	s.SetReplicas(pool(1))
+	s.SetReplicas(0, pool(1))
 	s.Submit(0, request("running", 0))
 	s.Decide(0)
 	for i := range 4 {
@@ -118,7 +118,7 @@
 func TestLongAnswersGoOnlyToReplicasFastEnough(t *testing.T) {
 	g := gomega.NewWithT(t)
 	s := New()
-	s.SetReplicas(pool(1, 1))
+	s.SetReplicas(0, pool(1, 1))
 	teach := func(replica string, step time.Duration) {
 		s.state(replica).speed.step = step
 	}
@@ -141,7 +141,7 @@
 func TestReplicaWithManyFailuresIsSetAsideAndTriedAgain(t *testing.T) {
 	g := gomega.NewWithT(t)
 	s := New()
-	s.SetReplicas(pool(4, 4, 4))
+	s.SetReplicas(0, pool(4, 4, 4))
 	s.SetAvoided(map[string]bool{"r1": true, "r2": true})
 	now := structs.Instant(0)
 	for i := range 4 {
@@ -163,7 +163,7 @@
 func TestEndedNodeHoldsNothing(t *testing.T) {
 	g := gomega.NewWithT(t)
 	s := New()
-	s.SetReplicas(pool(1))
+	s.SetReplicas(0, pool(1))
 	s.Submit(0, request("a", 0))
 	s.Submit(0, request("b", 0))
 	s.Decide(0)
@@ -181,7 +181,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		s := New()
 		all := pool(2, 3)
-		s.SetReplicas(all)
+		s.SetReplicas(0, all)
 		now := structs.Instant(0)
 		decided, running, waitingAt := map[string]int{}, map[string]string{}, map[string]int{}
 		for step := range rapid.IntRange(1, 80).Draw(t, "steps") {
@@ -241,7 +241,7 @@
 func TestAnswersThatDoNotBeginCountAsFailures(t *testing.T) {
 	g := gomega.NewWithT(t)
 	s := New()
-	s.SetReplicas(pool(4, 4, 4))
+	s.SetReplicas(0, pool(4, 4, 4))
 	s.SetAvoided(map[string]bool{"r1": true, "r2": true})
 	for i := range 4 {
 		s.Submit(0, request(fmt.Sprint("silent", i), 0))
@@ -262,7 +262,7 @@
 func TestReplicasAreTrustedIfAllAreDoubted(t *testing.T) {
 	g := gomega.NewWithT(t)
 	s := New()
-	s.SetReplicas(pool(4, 4))
+	s.SetReplicas(0, pool(4, 4))
 	s.SetAvoided(map[string]bool{"r1": true})
 	for i := range 4 {
 		id := fmt.Sprint("f", i)
@@ -278,7 +278,7 @@
 func TestReplicaThatTheNodeDoubtsIsTakenOnlyIfThereIsNoOther(t *testing.T) {
 	g := gomega.NewWithT(t)
 	s := New()
-	s.SetReplicas(pool(1, 4))
+	s.SetReplicas(0, pool(1, 4))
 	doubting := request("a", 0)
 	doubting.Doubted = []string{"r0"}
 	s.Submit(0, doubting)
@@ -291,7 +291,7 @@
 func TestRequestThatTriedEveryReplicaIsAnsweredAtOnce(t *testing.T) {
 	g := gomega.NewWithT(t)
 	s := New()
-	s.SetReplicas(pool(4))
+	s.SetReplicas(0, pool(4))
 	tried := request("a", 0)
 	tried.Tried = []string{"r0"}
 	s.Submit(0, tried)
@@ -305,7 +305,7 @@
 func TestRandomFailuresSetNoReplicaAside(t *testing.T) {
 	g := gomega.NewWithT(t)
 	s := New()
-	s.SetReplicas(pool(6, 6, 6))
+	s.SetReplicas(0, pool(6, 6, 6))
 	random := rand.New(rand.NewPCG(1, 2))
 	aside := 0
 	const requests = 6000
@@ -327,7 +327,7 @@
 	random := rand.New(rand.NewPCG(3, 4))
 	for _, usual := range []float64{0, 0.2} {
 		s := New()
-		s.SetReplicas(pool(6, 6, 6))
+		s.SetReplicas(0, pool(6, 6, 6))
 		for i := range 300 {
 			s.judge(0, "s", fmt.Sprintf("r%d", i%3), random.Float64() < usual)
 		}
@@ -353,7 +353,7 @@
 		places   int
 	}{{30 * ms, 8}, {800 * ms, 6}} {
 		s := New()
-		s.SetReplicas(pool(6))
+		s.SetReplicas(0, pool(6))
 		s.service("s").duration = service.duration
 		for i := range 10 {
 			s.Submit(0, request(fmt.Sprint(i), 0))
@@ -368,17 +368,17 @@
 	s := New()
 	first := replicas.Replica{ID: "a", Service: "s", Slots: 4, Born: 1}
 	other := replicas.Replica{ID: "b", Service: "s", Slots: 4, Born: 1}
-	s.SetReplicas([]replicas.Replica{first, other})
+	s.SetReplicas(0, []replicas.Replica{first, other})
 	for range 20 {
 		s.judge(time.Second, "s", "a", true)
 	}
 	s.learn(&place{service: "s", replica: "a"}, Observation{Duration: time.Minute})
 	g.Expect(s.state("a").isAside(time.Second)).To(gomega.BeTrue())
 	first.Revision = 2
-	s.SetReplicas([]replicas.Replica{first, other})
+	s.SetReplicas(0, []replicas.Replica{first, other})
 	g.Expect(s.state("a").isAside(time.Second)).To(gomega.BeTrue(), "the same life")
 	first.Born = 2
-	s.SetReplicas([]replicas.Replica{first, other})
+	s.SetReplicas(0, []replicas.Replica{first, other})
 	g.Expect(s.state("a").isAside(time.Second)).To(gomega.BeFalse())
 	g.Expect(s.state("a").speed).To(gomega.Equal(speed{}))
 }
@@ -391,7 +391,7 @@
 	fresh := replicas.Replica{ID: "b", Service: "other", Slots: 4, Address: "h:1", Revision: 9}
 	beside := replicas.Replica{ID: "c", Service: "s", Slots: 4, Address: "h:2", Revision: 6}
 	offered := func(all ...replicas.Replica) []string {
-		s.SetReplicas(all)
+		s.SetReplicas(0, all)
 		var ids []string
 		for _, choice := range s.measure(time.Second, "s").options {
 			ids = append(ids, choice.state.replica.ID)
--- a/coordination/admission/decide.go
+++ b/coordination/admission/decide.go
@@ -106,6 +106,11 @@
 	}
 	if len(options) == 0 {
 		decision.Reason, decision.RetryAfter = ReasonNoReplica, minimumRetry
+		if room.emptied > 0 {
+			// The operators take a zone back after seconds at the soonest.
+			decision.Reason, decision.RetryAfter = ReasonEmptied, maximumRetry
+			return decision, true
+		}
 		return decision, decision.Waited >= held.Patience
 	}
 	left := held.Deadline - decision.Waited
@@ -144,8 +149,11 @@
 	}
 	s.occupy(held.ID, &place{
 		content: held.Content, node: held.Node, service: held.Service, route: held.Route, replica: chosen.state.replica.ID, version: chosen.state.replica.Version,
-		prompt: held.Prompt, since: now,
+		prompt: held.Prompt, since: now, isCold: chosen.isCold,
 	})
+	if chosen.isCold {
+		chosen.state.warmth.bank--
+	}
 	return standing == poison.OnTrial
 }
 
--- a/coordination/admission/decide_bench_test.go
+++ b/coordination/admission/decide_bench_test.go
@@ -21,14 +21,14 @@
 	for i := range engines {
 		all = append(all, replicas.Replica{ID: fmt.Sprintf("i-%010d", i), Service: "s", Slots: slots, Zone: zones[i%len(zones)]})
 	}
-	s.SetReplicas(all)
+	s.SetReplicas(0, all)
 	for i := range nodes {
 		s.SetForeign(fmt.Sprint("node", i), map[string]int{all[i%len(all)].ID: 1})
 	}
 	for i, replica := range all {
 		for event := range 10 {
 			prompt := 500 * (event%4 + 1)
-			s.Observe("s", replica.ID, prompt, Observation{
+			s.Observe(0, "s", replica.ID, prompt, Observation{
 				FirstEvent: 60*time.Millisecond + time.Duration(prompt)*30*time.Microsecond,
 				Duration:   time.Second, Events: 20, Stride: 6,
 			})
--- a/coordination/admission/doubt_test.go
+++ b/coordination/admission/doubt_test.go
@@ -17,7 +17,7 @@
 		count := rapid.IntRange(1, 8).Draw(t, "replicas")
 		id := rapid.Custom(func(t *rapid.T) string { return fmt.Sprint("r", rapid.IntRange(0, 9).Draw(t, "replica")) })
 		s := New()
-		s.SetReplicas(pool(slices.Repeat([]int{2}, count)...))
+		s.SetReplicas(0, pool(slices.Repeat([]int{2}, count)...))
 		for round := range 3 {
 			s.SetAvoided(map[string]bool{id.Draw(t, "avoided"): true})
 			for i := range rapid.IntRange(0, 6).Draw(t, "requests") {
@@ -41,7 +41,7 @@
 				expectTrust(t, s, room, held)
 			}
 			gone := rapid.IntRange(0, count).Draw(t, "left")
-			s.SetReplicas(slices.DeleteFunc(pool(slices.Repeat([]int{2}, count)...), func(r replicas.Replica) bool { return r.ID == fmt.Sprint("r", gone) }))
+			s.SetReplicas(0, slices.DeleteFunc(pool(slices.Repeat([]int{2}, count)...), func(r replicas.Replica) bool { return r.ID == fmt.Sprint("r", gone) }))
 		}
 	})
 }
--- a/coordination/admission/messages.go
+++ b/coordination/admission/messages.go
@@ -73,6 +73,8 @@
 	ReasonBacklog Reason = "backlog"
 	// ReasonSuspect means that another try of the request, under which a replica ended, runs.
 	ReasonSuspect Reason = "suspect"
+	// ReasonEmptied means that all usable replicas are in zones that the operators emptied.
+	ReasonEmptied Reason = "zone-emptied"
 	// ReasonBarred means that too many replicas ended under the request.
 	ReasonBarred Reason = "barred"
 )
--- a/coordination/admission/places.go
+++ b/coordination/admission/places.go
@@ -60,18 +60,18 @@
 
 // Observe learns from a request of the service that another scheduler placed at the
 // replica, so that this one knows the replicas when it takes over.
-func (s *Scheduler) Observe(service, replica string, prompt int, seen Observation) {
+func (s *Scheduler) Observe(now structs.Instant, service, replica string, prompt int, seen Observation) {
 	if seen.Failed || seen.Left || seen.Duration <= 0 {
 		return
 	}
 	pool := s.service(service)
 	pool.duration = smooth(pool.duration, seen.Duration)
-	s.learn(&place{service: service, replica: replica, prompt: prompt}, seen)
+	s.learn(&place{service: service, replica: replica, prompt: prompt, isCold: s.state(replica).isCold(now, pool)}, seen)
 }
 
 // learn takes the pace of the replica from a request that ended well.
 func (s *Scheduler) learn(held *place, seen Observation) {
-	learned := &s.state(held.replica).speed
+	learned := s.state(held.replica).pace(held.isCold)
 	if seen.Events > 0 && held.prompt > 0 && !held.overdue {
 		learned.reading.observe(held.prompt, seen.FirstEvent)
 	}
--- a/coordination/admission/reading_test.go
+++ b/coordination/admission/reading_test.go
@@ -37,7 +37,7 @@
 func TestPromptWaitsWhereItWouldMakeStreamsPause(t *testing.T) {
 	g := gomega.NewWithT(t)
 	s := New()
-	s.SetReplicas(pool(7))
+	s.SetReplicas(0, pool(7))
 	teachReading(s, "r0", 44*time.Microsecond, 8*ms)
 	s.Submit(0, reader("streaming", 500))
 	s.Decide(0)
@@ -59,7 +59,7 @@
 func TestFastReplicaReadsWithoutDisturbing(t *testing.T) {
 	g := gomega.NewWithT(t)
 	s := New()
-	s.SetReplicas(pool(7, 7))
+	s.SetReplicas(0, pool(7, 7))
 	teachReading(s, "r0", 44*time.Microsecond, 8*ms)
 	teachReading(s, "r1", 15*time.Microsecond, 3*ms)
 	for i := range 5 {
@@ -79,14 +79,14 @@
 func TestReplicasAreKnownFromRequestsThatOthersPlaced(t *testing.T) {
 	g := gomega.NewWithT(t)
 	s := New()
-	s.SetReplicas(pool(4, 4))
-	s.Observe("s", "r0", 100, Observation{FirstEvent: 100 * ms, Duration: 1100 * ms, Events: 11, Stride: 1})
-	s.Observe("s", "r1", 100, Observation{FirstEvent: 20 * ms, Duration: 220 * ms, Events: 11, Stride: 1})
+	s.SetReplicas(0, pool(4, 4))
+	s.Observe(0, "s", "r0", 100, Observation{FirstEvent: 100 * ms, Duration: 1100 * ms, Events: 11, Stride: 1})
+	s.Observe(0, "s", "r1", 100, Observation{FirstEvent: 20 * ms, Duration: 220 * ms, Events: 11, Stride: 1})
 	s.Submit(0, reader("a", 1000))
 	placed := s.Decide(0)
 	g.Expect(placed).To(gomega.HaveLen(1))
 	g.Expect(placed[0].Replica.ID).To(gomega.Equal("r1"))
-	s.Observe("s", "r1", 100, Observation{Failed: true, Duration: time.Second, Events: 2, Stride: 1})
+	s.Observe(0, "s", "r1", 100, Observation{Failed: true, Duration: time.Second, Events: 2, Stride: 1})
 	g.Expect(s.state("r1").speed.step).To(gomega.Equal(20*ms), "a failed request tells no pace")
 }
 
@@ -95,11 +95,11 @@
 func TestUnknownReplicasAreTakenAfterFastOnes(t *testing.T) {
 	g := gomega.NewWithT(t)
 	s := New()
-	s.SetReplicas(pool(2, 4, 2))
+	s.SetReplicas(0, pool(2, 4, 2))
 	s.Submit(0, reader("explores", 100))
 	g.Expect(s.Decide(0)[0].Replica.ID).To(gomega.Equal("r0"))
-	s.Observe("s", "r1", 100, Observation{FirstEvent: 20 * ms, Duration: 220 * ms, Events: 11, Stride: 1})
-	s.Observe("s", "r2", 100, Observation{FirstEvent: 90 * ms, Duration: 990 * ms, Events: 11, Stride: 1})
+	s.Observe(0, "s", "r1", 100, Observation{FirstEvent: 20 * ms, Duration: 220 * ms, Events: 11, Stride: 1})
+	s.Observe(0, "s", "r2", 100, Observation{FirstEvent: 90 * ms, Duration: 990 * ms, Events: 11, Stride: 1})
 	var order []string
 	for i := range 6 {
 		s.Submit(ms, reader(fmt.Sprint(i), 100))
@@ -117,7 +117,7 @@
 func TestLongPromptWaitsForAReplicaThatReadsItInTime(t *testing.T) {
 	g := gomega.NewWithT(t)
 	s := New()
-	s.SetReplicas(pool(1, 4))
+	s.SetReplicas(0, pool(1, 4))
 	teachReading(s, "r0", 10*time.Microsecond, 3*ms)
 	teachReading(s, "r1", 60*time.Microsecond, 13*ms)
 	s.Submit(0, reader("running", 100))
@@ -136,7 +136,7 @@
 func TestPromptThatNoReplicaReadsInTimeDoesNotWait(t *testing.T) {
 	g := gomega.NewWithT(t)
 	s := New()
-	s.SetReplicas(pool(4, 4))
+	s.SetReplicas(0, pool(4, 4))
 	teachReading(s, "r0", 60*time.Microsecond, 13*ms)
 	teachReading(s, "r1", 50*time.Microsecond, 11*ms)
 	s.Submit(0, reader("long", 20000))
--- a/coordination/admission/replica.go
+++ b/coordination/admission/replica.go
@@ -22,8 +22,10 @@
 	hidden        hiddenLoad
 	// reading has the places whose prompts may not be read yet.
 	reading []*place
-	speed   speed
-	conduct conduct
+	// speed was learned while the replica was warm, and coldSpeed while it was cold.
+	speed, coldSpeed speed
+	warmth           warmth
+	conduct          conduct
 	// avoided is true if several nodes find the replica failing.
 	avoided bool
 	// number is its place among the options of the latest room that it was in.
@@ -74,7 +76,7 @@
 // forget drops what was learned of the replica. What is in progress there stays until it is
 // told to have ended.
 func (r *replicaState) forget() {
-	r.speed, r.conduct, r.hidden, r.avoided = speed{}, conduct{}, hiddenLoad{}, false
+	r.speed, r.coldSpeed, r.conduct, r.hidden, r.avoided = speed{}, speed{}, conduct{}, hiddenLoad{}, false
 }
 
 // reported is the work at the replica that nodes report.
@@ -107,14 +109,14 @@
 // slowness is how much longer the replica takes than the fastest of its service. One
 // that nothing is known of counts as slow, once others are known: slow replicas are
 // the last to end a request, so that they stay unknown for longest.
-func (r *replicaState) slowness(fastest time.Duration) float64 {
+func (s *speed) slowness(fastest time.Duration) float64 {
 	if fastest <= 0 {
 		return 1
 	}
-	if r.speed.step <= 0 {
+	if s.step <= 0 {
 		return unknownSlowness
 	}
-	return float64(r.speed.step) / float64(fastest)
+	return float64(s.step) / float64(fastest)
 }
 
 // fastest returns the shortest step of the service's replicas, or zero if none is known.
--- a/coordination/admission/room.go
+++ b/coordination/admission/room.go
@@ -16,7 +16,9 @@
 	// free counts places and total all slots, of the replicas that are not doubted, and
 	// undoubted these replicas.
 	free, total, undoubted int
-	duration               time.Duration
+	// emptied counts the replicas left out as the operators emptied their zones.
+	emptied  int
+	duration time.Duration
 	// views has what requests trust, by their lists of doubted replicas.
 	views map[*doubtList]*trust
 }
@@ -39,6 +41,8 @@
 	// doubted is true if the replica is set aside or several nodes avoid it; it is
 	// used only if every other one is doubted too.
 	doubted bool
+	// isCold is true if the replica started lately and bears few requests.
+	isCold bool
 }
 
 // fits returns whether the answer is likely to be whole before its deadline.
@@ -58,20 +62,29 @@
 	}
 	for i, state := range pool.replicas {
 		use := pool.versions.Use(state.replica.Version)
+		if s.emptied[state.replica.Zone] {
+			measured.emptied++
+			continue
+		}
 		if state.superseded || state.replica.Draining || use == rollouts.UseBarred || use == rollouts.UseBudgeted && !onTrial {
 			continue
 		}
-		readTime := state.speed.reading.perToken()
+		isCold := state.isCold(now, pool)
+		learned := state.pace(isCold)
+		readTime := learned.reading.perToken()
 		choice := &s.options[:cap(s.options)][i]
 		*choice = option{
 			state: state, places: state.replica.Slots + pool.onTheWay(state.replica.Slots), used: state.usage(now),
-			unread: state.unread(now), slow: state.slowness(fastest), step: state.speed.step,
-			readTime: readTime, fixedTime: state.speed.reading.fixed(readTime),
-			doubted: state.avoided || state.isAside(now),
+			unread: state.unread(now), slow: learned.slowness(fastest), step: learned.step,
+			readTime: readTime, fixedTime: learned.reading.fixed(readTime),
+			doubted: state.avoided || state.isAside(now), isCold: isCold,
 		}
 		if state.onTrial() {
 			choice.places = 1
 		}
+		if isCold {
+			choice.places = min(choice.places, choice.used+s.coldRoom(now, state, pool))
+		}
 		if use == rollouts.UseBudgeted {
 			measured.trials = append(measured.trials, choice)
 			continue
--- /dev/null
+++ b/coordination/admission/warming_test.go
@@ -0,0 +1,230 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/thornwalk/thornwalk/state/replicas"
+	"github.com/thornwalk/thornwalk/structs"
+)
+
+// warming is the bound of a service whose cold replicas bear 19 requests in a second.
+var warming = NewWarming(19, 3*time.Second)
+
+// coldPool returns replicas that say to stay cold for so long, in the zone "east".
+func coldPool(count int, left time.Duration) []replicas.Replica {
+	all := pool(make([]int, count)...)
+	for i := range all {
+		all[i].Slots, all[i].Zone, all[i].Warmup, all[i].Revision = 1000, "east", left, structs.Place(i+1)
+	}
+	return all
+}
+
+// ask submits so many requests and returns how many got a place.
+func ask(s *Scheduler, now structs.Instant, count int) int {
+	for range count {
+		s.Submit(now, request(fmt.Sprint(now, "-", len(s.waits), "-", len(s.places)), 0))
+	}
+	return len(placedIDs(s.Decide(now)))
+}
+
+func TestAColdReplicaGetsFewRequestsUntilItIsWarm(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := New()
+	s.SetWarming("s", warming)
+	s.SetReplicas(0, coldPool(1, 2*time.Second))
+	g.Expect(ask(s, 0, 50)).To(gomega.BeZero(), "this scheduler does not lead")
+	s.SetWarms(0, true)
+	given := 0
+	for now := structs.Instant(0); now < time.Second; now += 10 * ms {
+		given += len(placedIDs(s.Decide(now)))
+	}
+	g.Expect(given).To(gomega.BeNumerically("~", warming.Rate, 1))
+	g.Expect(placedIDs(s.Decide(2*time.Second))).To(gomega.HaveLen(50-given), "it is warm")
+}
+
+// As long as the configuration is not known, nobody knows what a cold replica bears.
+func TestAColdReplicaGetsNothingWhileItsBoundIsNotKnown(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := New()
+	s.SetWarms(0, true)
+	s.SetReplicas(0, coldPool(1, 2*time.Second))
+	g.Expect(ask(s, time.Second, 10)).To(gomega.BeZero())
+	s.SetWarming("s", Warming{})
+	g.Expect(placedIDs(s.Decide(time.Second))).To(gomega.HaveLen(10), "there is none")
+}
+
+func TestWarmReplicasTakeTheRest(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := New()
+	s.SetWarming("s", warming)
+	s.SetWarms(0, true)
+	all := coldPool(2, 2*time.Second)
+	all[1].Warmup = 0
+	s.SetReplicas(0, all)
+	ask(s, time.Second, 100)
+	g.Expect(s.states["r0"].used).To(gomega.BeNumerically("<=", warming.Burst))
+	g.Expect(s.states["r0"].used + s.states["r1"].used).To(gomega.Equal(100))
+}
+
+func TestAnEmptiedZoneGetsNothingAndComesBackCold(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := New()
+	s.SetWarming("s", warming)
+	s.SetWarms(0, true)
+	s.SetReplicas(0, coldPool(1, 0))
+	s.SetEmptied(0, map[string]bool{"east": true, "nowhere": true})
+	s.Submit(0, request("a", 0))
+	decisions := s.Decide(0)
+	g.Expect(decisions).To(gomega.HaveLen(1))
+	g.Expect(decisions[0].Reason).To(gomega.Equal(ReasonEmptied), "it is refused at once")
+	back := time.Minute
+	s.SetEmptied(back, map[string]bool{"nowhere": true})
+	g.Expect(ask(s, back, 50)).To(gomega.BeNumerically("<=", warming.Burst), "the banks were idle")
+	g.Expect(ask(s, back+warming.Time-ms, 50)).To(gomega.BeNumerically("<=", warming.Burst))
+	g.Expect(ask(s, back+warming.Time, 10)).To(gomega.Equal(58), "it is warm")
+}
+
+// What a cold replica is seen to do says nothing of it once it is warm.
+func TestTheSpeedOfAColdReplicaIsLearnedApart(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := New()
+	s.SetWarming("s", warming)
+	s.SetReplicas(0, coldPool(1, 2*time.Second))
+	s.Observe(time.Second, "s", "r0", 0, Observation{Duration: 900 * ms})
+	g.Expect(s.states["r0"].speed.step).To(gomega.BeZero())
+	g.Expect(s.states["r0"].coldSpeed.step).To(gomega.Equal(900 * ms))
+	s.Observe(3*time.Second, "s", "r0", 0, Observation{Duration: 30 * ms})
+	g.Expect(s.states["r0"].speed.step).To(gomega.Equal(30 * ms))
+}
+
+// coldFleet is schedulers that lead in any order before one cold replica, as a run of the check
+// draws it.
+type coldFleet struct {
+	schedulers []*Scheduler
+	// leading are one or two of them: a second one leads while it does not know of the first.
+	leading []int
+	now     structs.Instant
+	given   []structs.Instant
+	// keeps is true if a scheduler keeps its banks from one time it leads to the next.
+	keeps bool
+}
+
+func newColdFleet() *coldFleet {
+	f := &coldFleet{}
+	for range 4 {
+		f.schedulers = append(f.schedulers, f.create())
+	}
+	f.lead(0)
+	return f
+}
+
+func (f *coldFleet) create() *Scheduler {
+	s := New()
+	s.SetWarming("s", warming)
+	s.SetReplicas(f.now, coldPool(1, time.Hour))
+	return s
+}
+
+// begin has the scheduler lead.
+func (f *coldFleet) begin(which int) {
+	held := f.schedulers[which].states["r0"].warmth
+	f.schedulers[which].SetWarms(f.now, true)
+	if f.keeps {
+		f.schedulers[which].warmsSince = 0
+		f.schedulers[which].states["r0"].warmth = held
+	}
+}
+
+func (f *coldFleet) lead(which int) {
+	for _, other := range f.leading {
+		f.schedulers[other].SetWarms(f.now, false)
+	}
+	f.begin(which)
+	f.leading = []int{which}
+}
+
+func (f *coldFleet) split(which int) {
+	if len(f.leading) == 1 && f.leading[0] != which {
+		f.begin(which)
+		f.leading = append(f.leading, which)
+	}
+}
+
+func (f *coldFleet) ask(which, count int) {
+	placed := ask(f.schedulers[which], f.now, count)
+	for range placed {
+		f.given = append(f.given, f.now)
+	}
+	for id := range f.schedulers[which].waits {
+		f.schedulers[which].Cancel(id)
+	}
+}
+
+// check looks at every second.
+func (f *coldFleet) check() error {
+	for _, from := range f.given {
+		count := 0
+		for _, at := range f.given {
+			if at >= from && at < from+time.Second {
+				count++
+			}
+		}
+		if count > 19 {
+			return fmt.Errorf("%d requests in the second from %v", count, from)
+		}
+	}
+	return nil
+}
+
+// Whoever leads and however often that changes, a cold replica gets no more than the bound.
+func TestNoSecondHoldsMoreThanTheBoundWhoeverLeads(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newColdFleet()
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			f.now += time.Duration(rapid.IntRange(0, 200).Draw(t, "gap")) * ms
+			which := rapid.IntRange(0, len(f.schedulers)-1).Draw(t, "scheduler")
+			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			case 0:
+				f.lead(which)
+			case 1:
+				f.split(which)
+			case 2:
+				f.schedulers[which] = f.create() // a process that starts again
+				f.lead(which)
+			default:
+				f.ask(which, rapid.IntRange(1, 30).Draw(t, "requests"))
+			}
+		}
+		if err := f.check(); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+// The check must see what it is for: banks that a scheduler keeps while others lead break the bound.
+func TestKeptBanksOverloadAColdReplica(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for _, keeps := range []bool{false, true} {
+		f := newColdFleet()
+		f.keeps = keeps
+		for which := range f.schedulers {
+			f.lead(which)
+			f.now += time.Second
+			f.ask(which, 0)
+			f.schedulers[which].coldRoom(f.now, f.schedulers[which].states["r0"], f.schedulers[which].service("s"))
+		}
+		for range 4 {
+			for which := range f.schedulers {
+				f.lead(which)
+				f.ask(which, 30)
+				f.now += 100 * ms
+			}
+		}
+		g.Expect(f.check() != nil).To(gomega.Equal(keeps))
+	}
+}
--- a/coordination/liveness/liveness.go
+++ b/coordination/liveness/liveness.go
@@ -11,6 +11,7 @@
 	"sort"
 	"time"
 
+	"github.com/thornwalk/thornwalk/state/evacuations"
 	"github.com/thornwalk/thornwalk/structs"
 )
 
@@ -71,6 +72,8 @@
 	// Rollouts tells how far the sender knows each roll-out that is not at its end, by
 	// service.
 	Rollouts map[string]RolloutView `msgpack:"g,omitempty"`
+	// Evacuations are the orders to empty zones, and to take them back, that the sender knows.
+	Evacuations []evacuations.Order `msgpack:"ev,omitempty"`
 	// Contents marks what the sender knows of requests that replicas ended under; nil if it
 	// knows none.
 	Contents *ContentsMark `msgpack:"ct,omitempty"`
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -76,6 +76,10 @@
 		}
 		return resultNotSent, admission.Observation{Left: true}
 	}
+	if node.mayNotSend(given.Replica.Zone) {
+		_ = conn.Close()
+		return resultNotSent, admission.Observation{Left: true}
+	}
 	sent := time.Now()
 	sendContext, cancelSend := c.sendContext()
 	defer cancelSend()
--- a/entry/beats.go
+++ b/entry/beats.go
@@ -204,7 +204,7 @@
 		Term: n.term, Known: n.namesKnown(now), Leaving: n.stopping.Load() != 0, Slow: n.slowness.Slow(), Storeless: n.storeDown, Latest: n.latest(), Unread: n.fresh.age(now), ConfigurationUnread: n.freshConfiguration.age(now), Steady: n.steadyFor(now).Milliseconds(), Failing: n.health.Failing(now),
 		Held: map[string]liveness.Held{}, Relays: true, Rollouts: n.rolloutViews(),
 	}
-	beat.Version = n.version()
+	beat.Version, beat.Evacuations = n.version(), n.evacuations.All()
 	n.tellEra(now, &beat)
 	if mark := n.desk.contentsMark(); mark.Weight > 0 {
 		beat.Contents = &liveness.ContentsMark{Weight: mark.Weight, Digest: mark.Digest}
@@ -262,6 +262,7 @@
 
 // heard applies the heartbeat of another node.
 func (n *Node) heard(beat liveness.Beat) {
+	n.heardEvacuations(&beat)
 	n.mutex.Lock()
 	now := n.now()
 	n.heardAt = now
--- a/entry/configuration.go
+++ b/entry/configuration.go
@@ -61,6 +61,7 @@
 		return
 	}
 	n.publish(document)
+	n.desk.setWarmings(n.settings.Load().warmings(document.Services))
 	n.catalog.Store(compiled)
 	n.log.Write(eventlog.Event{Kind: "configuration", Outcome: "in-force", Version: document.Version, Count: len(document.Routes), Detail: source})
 }
--- a/entry/desk.go
+++ b/entry/desk.go
@@ -52,8 +52,13 @@
 	quotas    *quota.Ledger
 	budget    *retrybudget.Budget
 	term      uint64
-	// share is the part of the quotas that this side of a partition hands out.
+	// share is the part of the quotas that this side of a partition hands out, and leads is true
+	// while this node schedules for the others.
 	share float64
+	leads bool
+	// emptied are the zones that get nothing, and warmings bounds what cold replicas get, by service.
+	emptied  map[string]bool
+	warmings map[string]admission.Warming
 	// first is true if no other process can have handed out anything before.
 	first   bool
 	waiters map[string]chan admission.Decision
@@ -85,6 +90,8 @@
 func (d *desk) clear() {
 	d.scheduler = admission.New()
 	d.scheduler.SetContents(d.contents)
+	d.scheduler.SetEmptied(d.clock(), d.emptied)
+	d.applyWarmings()
 	start := takeoverBurst
 	if d.first {
 		start = 1
@@ -113,7 +120,8 @@
 	for service, policy := range policies {
 		d.scheduler.SetVersions(service, policy)
 	}
-	d.scheduler.SetReplicas(all)
+	d.scheduler.SetReplicas(d.clock(), all)
+	d.setWarms()
 	d.term++
 	return d.term
 }
@@ -127,6 +135,7 @@
 	defer d.mutex.Unlock()
 	d.contents.SetTries(share > majority)
 	d.share = share
+	d.setWarms()
 	d.budget.SetPolicy(policy)
 }
 
@@ -175,6 +184,8 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	d.sendRepeatsAway()
+	d.leads = schedules
+	d.setWarms()
 	if schedules {
 		d.budget.Begin()
 	} else {
@@ -277,7 +288,7 @@
 func (d *desk) observe(service string, prompt int, finished *finishRequest, replica string) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	d.scheduler.Observe(service, replica, prompt, finished.Seen)
+	d.scheduler.Observe(d.clock(), service, replica, prompt, finished.Seen)
 	d.noteContent(admission.Ended{}, finished)
 }
 
--- a/entry/desk_test.go
+++ b/entry/desk_test.go
@@ -20,7 +20,9 @@
 		g := gomega.NewWithT(t)
 		begun := time.Now()
 		d := newDesk(func() time.Duration { return time.Since(begun) }, retrybudget.Policy{Window: time.Second}, true)
-		d.update(func(s *admission.Scheduler) { s.SetReplicas([]replicas.Replica{{ID: "r", Service: "s", Slots: 100}}) })
+		d.update(func(s *admission.Scheduler) {
+			s.SetReplicas(0, []replicas.Replica{{ID: "r", Service: "s", Slots: 100}})
+		})
 		done := make(chan *placeReply, 50)
 		for i := range 50 {
 			go func() {
--- a/entry/era.go
+++ b/entry/era.go
@@ -113,6 +113,7 @@
 func (n *Node) setRestored(restored structs.Restored, since structs.Instant) {
 	n.era.restored, n.era.since = restored, since
 	n.table.SetRestored(restored)
+	n.evacuations.SetRestored(restored)
 	n.rollouts.SetRestored(restored)
 }
 
--- /dev/null
+++ b/entry/evacuation.go
@@ -0,0 +1,91 @@
+package entry
+
+import (
+	"github.com/thornwalk/thornwalk/coordination/liveness"
+	"github.com/thornwalk/thornwalk/internal/eventlog"
+	"github.com/thornwalk/thornwalk/outside"
+	"github.com/thornwalk/thornwalk/state/evacuations"
+	"github.com/thornwalk/thornwalk/structs"
+)
+
+// How a node goes by the operators' orders to empty a zone. The nodes that follow the store hear
+// of an order; every heartbeat names all that its sender knows, so that whoever hears of the
+// replicas or the configuration has heard of the orders before. The scheduling node gives no place
+// in such a zone, and the node that sends looks once more just before it writes: the place may be
+// of a scheduling node that did not know yet.
+
+// takeEvacuations takes what the store tells of emptied zones into force.
+func (n *Node) takeEvacuations(update *outside.Update) {
+	n.mutex.Lock()
+	orders := update.Evacuations
+	if update.Whole {
+		orders = append(orders, n.evacuations.Missing(orders, update.Revision)...)
+	}
+	n.mutex.Unlock()
+	if n.putEvacuations(orders, "store") {
+		n.sendBeats()
+	}
+}
+
+// heardEvacuations takes what a peer knows of emptied zones into force.
+func (n *Node) heardEvacuations(beat *liveness.Beat) {
+	if len(beat.Evacuations) > 0 {
+		n.putEvacuations(beat.Evacuations[:min(len(beat.Evacuations), evacuations.MostZones)], beat.Name)
+	}
+}
+
+// putEvacuations enters the orders and returns whether any zone was emptied or taken back by them.
+func (n *Node) putEvacuations(orders []evacuations.Order, source string) bool {
+	var changed []evacuations.Order
+	n.mutex.Lock()
+	for _, order := range orders {
+		if n.evacuations.Put(order) {
+			changed = append(changed, order)
+		}
+	}
+	if len(changed) > 0 {
+		n.desk.setEmptied(n.evacuations.Emptied()) // in one step with the table: the later state stays
+	}
+	n.mutex.Unlock()
+	for _, order := range changed {
+		outcome := "emptied"
+		if order.Lifted {
+			outcome = "taken-back"
+		}
+		n.counter("evacuations." + outcome).Inc(1)
+		n.log.Write(eventlog.Event{Kind: "evacuation", Outcome: outcome, Detail: order.Zone, Peer: source, Revision: order.Place.Revision(), Era: order.Place.Era()})
+	}
+	return len(changed) > 0
+}
+
+// mayNotSend returns whether nothing may be sent to the replica by the operators' order.
+func (n *Node) mayNotSend(zone string) bool {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.evacuations.IsEmptied(zone)
+}
+
+// evacuationsStatus returns what operators see of the orders. The caller holds the mutex.
+func (n *Node) evacuationsStatus() []EvacuationStatus {
+	var told []EvacuationStatus
+	for _, order := range n.evacuations.All() {
+		status := EvacuationStatus{Zone: order.Zone, Emptied: !order.Lifted, Place: order.Place}
+		for _, place := range n.held {
+			if replica, known := n.table.Get(place.replica); known && replica.Zone == order.Zone {
+				status.InProgress++
+			}
+		}
+		told = append(told, status)
+	}
+	return told
+}
+
+// EvacuationStatus is what operators see of a zone that is, or was, emptied.
+type EvacuationStatus struct {
+	Zone    string `json:"zone"`
+	Emptied bool   `json:"emptied"`
+	// Place is where the order stands in the store's history.
+	Place structs.Place `json:"place"`
+	// InProgress counts the requests of this node that still run there.
+	InProgress int `json:"in_progress"`
+}
--- a/entry/news.go
+++ b/entry/news.go
@@ -20,6 +20,7 @@
 		return false
 	}
 	n.noteProblems(update)
+	n.takeEvacuations(update) // first: whoever hears of what follows has heard of it
 	if update.Catalog != nil {
 		n.offerCatalog(update.Catalog, "store")
 	}
@@ -178,5 +179,5 @@
 	n.health.Forget(func(id string) bool { _, known := n.table.Get(id); return known })
 	n.mutex.Unlock()
 	n.applyPolicies() // first: a replica that the desk knows and no policy gets requests
-	n.desk.update(func(scheduler *admission.Scheduler) { scheduler.SetReplicas(all) })
+	n.desk.update(func(scheduler *admission.Scheduler) { scheduler.SetReplicas(n.now(), all) })
 }
--- a/entry/node.go
+++ b/entry/node.go
@@ -22,6 +22,7 @@
 	"github.com/thornwalk/thornwalk/outside"
 	"github.com/thornwalk/thornwalk/protocol/peerwire"
 	"github.com/thornwalk/thornwalk/state/catalog"
+	"github.com/thornwalk/thornwalk/state/evacuations"
 	"github.com/thornwalk/thornwalk/state/replicas"
 	"github.com/thornwalk/thornwalk/state/rollouts"
 	"github.com/thornwalk/thornwalk/structs"
@@ -99,9 +100,10 @@
 	calls callSet
 
 	// mutex guards what follows.
-	mutex    sync.Mutex
-	table    *replicas.Table
-	rollouts *rollouts.Table
+	mutex       sync.Mutex
+	table       *replicas.Table
+	evacuations *evacuations.Table
+	rollouts    *rollouts.Table
 	// policies says which versions get new requests, of services where not all do.
 	policies  map[string]rollouts.VersionPolicy
 	members   *liveness.Table
@@ -166,7 +168,7 @@
 	n := &Node{
 		depend: depend, log: depend.Log, metrics: metrics.NewRegistry(),
 		pool: replicahttp.NewPool(depend.Network), peers: peer.NewClient(depend.Network, nil),
-		table: replicas.NewTable(), rollouts: rollouts.NewTable(), members: liveness.NewTable(settings.Name), relays: liveness.NewRelays(rand.IntN), health: replicahealth.NewBook(), zones: zones.NewBook(),
+		table: replicas.NewTable(), evacuations: evacuations.NewTable(), rollouts: rollouts.NewTable(), members: liveness.NewTable(settings.Name), relays: liveness.NewRelays(rand.IntN), health: replicahealth.NewBook(), zones: zones.NewBook(),
 		held: map[string]heldPlace{}, problems: map[string]bool{}, term: 1, storeBadAt: -time.Hour, ledAt: -time.Hour,
 		library: spread.NewLibrary(), senders: newSenders(settings.Link),
 	}
--- a/entry/operators.go
+++ b/entry/operators.go
@@ -35,6 +35,8 @@
 	Failing   []string                   `json:"failing_replicas"`
 	Replicas  []replicas.Replica         `json:"replicas"`
 	Services  map[string]admission.Count `json:"services"`
+	// Evacuations are the zones that the operators emptied or took back.
+	Evacuations []EvacuationStatus `json:"evacuations,omitempty"`
 	// Rollouts has the latest record of each service that was ever rolled out.
 	Rollouts map[string]RolloutStatus `json:"rollouts,omitempty"`
 	// Barred are the requests that are not sent since replicas ended under them.
@@ -54,7 +56,7 @@
 	status.Revision, status.Era, status.Restored = n.table.Revision().Revision(), n.era.present, n.era.restoredFor(now).Milliseconds()
 	status.NewsAge, status.StoreDown = (now - n.newsAt).Milliseconds(), n.storeDown
 	status.Scheduler, status.Failing, status.Replicas = n.scheduler, n.health.Failing(now), n.table.All()
-	status.Rollouts = n.rolloutStatus(now)
+	status.Rollouts, status.Evacuations = n.rolloutStatus(now), n.evacuationsStatus()
 	for _, member := range n.members.All(now) {
 		if member.Silence(now) < member.Patience() {
 			status.Live = append(status.Live, member.Name)
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -25,9 +25,14 @@
 			c.unplaced(given, runs)
 			return
 		}
-		if c.node.knownToLeave(given.Replica.ID) && len(tried) < maximumSends {
+		isEmptied := c.node.mayNotSend(given.Replica.Zone)
+		if isEmptied || c.node.knownToLeave(given.Replica.ID) && len(tried) < maximumSends {
 			c.node.finish(given, &finishRequest{Seen: admission.Observation{Left: true}, NotRun: true})
 			tried = append(tried, given.Replica.ID)
+			if isEmptied && len(tried) >= maximumSends {
+				c.giveUp(resultNotSent, runs)
+				return
+			}
 			continue
 		}
 		outcome, seen := c.attempt(given)
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -6,11 +6,13 @@
 
 	"github.com/goccy/go-yaml"
 
+	"github.com/thornwalk/thornwalk/coordination/admission"
 	"github.com/thornwalk/thornwalk/coordination/poison"
 	"github.com/thornwalk/thornwalk/coordination/quota"
 	"github.com/thornwalk/thornwalk/coordination/retrybudget"
 	"github.com/thornwalk/thornwalk/coordination/rollout"
 	"github.com/thornwalk/thornwalk/protocol/errkind"
+	"github.com/thornwalk/thornwalk/state/catalog"
 	"github.com/thornwalk/thornwalk/state/contents"
 )
 
@@ -60,6 +62,11 @@
 	// new version of the service's replicas gets until it is judged.
 	RolloutShare float64 `yaml:"rollout_share"`
 	RolloutSlack float64 `yaml:"rollout_slack"`
+	// ColdOverage (a factor) and ColdSlack (requests) are how much more than a service's cold
+	// replicas bear in a second one of them may get in any; zero for both means that they are
+	// not spared.
+	ColdOverage float64 `yaml:"cold_overage"`
+	ColdSlack   float64 `yaml:"cold_slack"`
 	// BarredAfter is under how many ends of replicas a request is no longer sent; zero
 	// switches that off.
 	BarredAfter int `yaml:"barred_after_ends"`
@@ -124,6 +131,8 @@
 		{"quota_slack", s.QuotaSlack, 0, 1e12},
 		{"rollout_share", s.RolloutShare, 0, 1},
 		{"rollout_slack", s.RolloutSlack, 0, 1_000_000},
+		{"cold_overage", s.ColdOverage, 0, 1000},
+		{"cold_slack", s.ColdSlack, 0, 1_000_000},
 		{"barred_after_ends", float64(s.BarredAfter), 0, contents.MostLives},
 	}
 	for _, field := range bounds {
@@ -175,6 +184,20 @@
 	return rollout.Policy{Share: s.RolloutShare, Slack: s.RolloutSlack}
 }
 
+// warmings returns what cold replicas get of each service. Where the settings bound nothing, or a
+// service's replicas are never cold, that is not bounded.
+func (s *Settings) warmings(services []catalog.Service) map[string]admission.Warming {
+	warmings := make(map[string]admission.Warming, len(services))
+	for _, service := range services {
+		allowed := service.ColdRate*s.ColdOverage + s.ColdSlack
+		if service.ColdRate <= 0 || s.ColdOverage <= 0 {
+			allowed = 0
+		}
+		warmings[service.Name] = admission.NewWarming(allowed, service.ColdTime)
+	}
+	return warmings
+}
+
 func (s *Settings) contentPolicy() poison.Policy {
 	policy := poison.DefaultPolicy()
 	policy.Ends = s.BarredAfter
--- a/lab/entrylab/entrylab.go
+++ b/lab/entrylab/entrylab.go
@@ -105,7 +105,7 @@
 	settings := &entry.Settings{
 		Name: host, Zone: zone, Callers: at(host, callersPort), Readiness: at(host, readinessPort), Operators: at(host, operatorsPort),
 		Host: host, PeerPort: peerPort, Seeds: seeds, Store: at(d.options.StoreHost, storePort),
-		StopGrace: 8000, Contact: 3000, ConfigurationBound: 2000, RetryRatio: 0.2, RetryWindow: 10, RetrySlack: 40, QuotaWindow: 8, RolloutShare: 0.1, RolloutSlack: 50, BarredAfter: 3, FirstStart: true,
+		StopGrace: 8000, Contact: 3000, ConfigurationBound: 2000, RetryRatio: 0.2, RetryWindow: 10, RetrySlack: 40, QuotaWindow: 8, RolloutShare: 0.1, RolloutSlack: 50, ColdOverage: 1.5, ColdSlack: 5, BarredAfter: 3, FirstStart: true,
 	}
 	if d.options.Adjust != nil {
 		d.options.Adjust(settings)
@@ -196,6 +196,9 @@
 // Service is a pool of replicas.
 type Service struct {
 	Name string `json:"name"`
+	// ColdTime (seconds) and ColdRate (requests a second) are of replicas that started lately.
+	ColdTime float64 `json:"cold_start_s"`
+	ColdRate float64 `json:"cold_per_s"`
 }
 
 // Tenant is a holder of keys with a quota.
--- a/lab/platformsim/replica.go
+++ b/lab/platformsim/replica.go
@@ -75,6 +75,8 @@
 	Version string
 	// Born is the Unix millisecond of its start, and zero if it tells none.
 	Born int64
+	// Warmup is how long it says to stay cold, as its entry is written.
+	Warmup time.Duration
 	// OnEnd is called, if it is not nil, when the replica ended under a request.
 	OnEnd func()
 	Slots int
@@ -136,6 +138,7 @@
 	State    string `json:"state"`
 	Sequence int    `json:"sequence"`
 	Born     int64  `json:"born,omitempty"`
+	Warmup   int64  `json:"warmup_left_ms"`
 }
 
 // firstVersion is that of replicas that name none.
@@ -143,7 +146,7 @@
 
 // Register writes the replica's entry with the state.
 func (r *Replica) Register(store *Store, state string) int64 {
-	return store.PutJSON("servers/"+r.ID, Entry{Service: r.Service, Address: r.Address, Zone: r.Zone, Version: cmp.Or(r.Version, firstVersion), Slots: r.Slots, State: state, Born: r.Born})
+	return store.PutJSON("servers/"+r.ID, Entry{Service: r.Service, Address: r.Address, Zone: r.Zone, Version: cmp.Or(r.Version, firstVersion), Slots: r.Slots, State: state, Born: r.Born, Warmup: r.Warmup.Milliseconds()})
 }
 
 // Serve accepts connections until the listener is closed.
--- a/outside/directory.go
+++ b/outside/directory.go
@@ -2,10 +2,11 @@
 
 import (
 	"context"
-	"github.com/thornwalk/thornwalk/state/contents"
 	"time"
 
 	"github.com/thornwalk/thornwalk/state/catalog"
+	"github.com/thornwalk/thornwalk/state/contents"
+	"github.com/thornwalk/thornwalk/state/evacuations"
 	"github.com/thornwalk/thornwalk/state/replicas"
 	"github.com/thornwalk/thornwalk/state/rollouts"
 	"github.com/thornwalk/thornwalk/structs"
@@ -21,8 +22,8 @@
 type Update struct {
 	// Revision is the place in the directory's history up to which the news goes.
 	Revision structs.Place
-	// Complete is true if Replicas lists every replica, and Whole if also Orders and Records
-	// list every one.
+	// Complete is true if Replicas lists every replica, and Whole if also Orders, Records and
+	// Evacuations list every one.
 	Complete, Whole bool
 	// Catalog is nil if the configuration did not change, and CatalogRevision is its
 	// revision.
@@ -30,6 +31,9 @@
 	CatalogRevision structs.Place
 	Replicas        []replicas.Replica
 	Gone            []Gone
+	// Evacuations are the orders to empty zones, and to take them back; a whole update lists
+	// every zone that is emptied.
+	Evacuations []evacuations.Order
 	// Orders and Records are of roll-outs.
 	Orders  []rollouts.Order
 	Records []rollouts.Record
--- a/state/catalog/catalog.go
+++ b/state/catalog/catalog.go
@@ -76,6 +76,10 @@
 type Service struct {
 	Name           string `msgpack:"n"`
 	MaxConnections int    `msgpack:"c"`
+	// ColdTime is how long a replica stays cold after its start, and ColdRate the requests a
+	// second that it bears meanwhile; zero means any.
+	ColdTime time.Duration `msgpack:"ct,omitempty"`
+	ColdRate float64       `msgpack:"cr,omitempty"`
 	// Engine is nil for plain services.
 	Engine *Engine `msgpack:"e"`
 }
--- a/state/replicas/replicas.go
+++ b/state/replicas/replicas.go
@@ -34,6 +34,8 @@
 	// Born is when it started, in Unix milliseconds by its own clock; zero if it tells none.
 	// One that starts again may take the id that it had.
 	Born int64 `msgpack:"b,omitempty" json:"born,omitempty"`
+	// Warmup is for how much longer the replica stayed cold when it wrote the entry.
+	Warmup time.Duration `msgpack:"w,omitempty" json:"warmup,omitempty"`
 }
 
 // IsSameLife returns whether both are of one start of the server. Starts are told apart and
