--- /dev/null
+++ b/coordination/liveness/delegates.go
@@ -0,0 +1,162 @@
+package liveness
+
+import (
+	"slices"
+
+	"github.com/thornwalk/thornwalk/structs"
+)
+
+// In a small fleet every node knows every other one. Were that so in a large one, the work of each
+// node would grow with the fleet, and that of a start of all nodes with its cube. So in a large
+// fleet a few nodes of each zone, its delegates, beat to all nodes, and are the only ones that do
+// work for all; the others beat to the delegates of their own zone and to the scheduling node.
+// Each node finds by itself whether it is a delegate, from the delegates of its zone that it hears.
+
+const (
+	// largeFleet is the number of nodes from which a fleet is large: where all beat to all, each
+	// node hears some 90 heartbeats a second at any size, and at this one they are 1.2 s apart, so
+	// that the death of a node is noticed after 5 s. smallAgain is the number below which a large
+	// fleet is small again.
+	largeFleet = 100
+	smallAgain = 80
+	// delegates is how many nodes of a zone speak for it: with a third of the nodes lost at once,
+	// one in eighty zones loses all of them, and finds new ones within some heartbeats.
+	delegates = 4
+	// namesOfOwnZone is how many nodes of the asking node's zone a list names, so that a zone
+	// whose delegates are all lost finds itself again.
+	namesOfOwnZone = 16
+)
+
+// IsLarge returns whether a fleet of so many nodes, which was taken for large before or not, is
+// large now.
+func IsLarge(nodes int, before bool) bool {
+	if before {
+		return nodes >= smallAgain
+	}
+	return nodes > largeFleet
+}
+
+// ToldFleet returns how many nodes the fleet has as its delegates tell. One of them alone may be
+// wrong: of two or more the second largest number counts.
+func ToldFleet(members []*Member) int {
+	largest, second := 0, 0
+	for _, member := range Delegates(members) {
+		if member.Fleet > largest {
+			largest, second = member.Fleet, largest
+		} else {
+			second = max(second, member.Fleet)
+		}
+	}
+	if second == 0 {
+		return largest
+	}
+	return second
+}
+
+// Delegates returns the members that may do work for all.
+func Delegates(members []*Member) []*Member {
+	var core []*Member
+	for _, member := range members {
+		if !member.Ordinary {
+			core = append(core, member)
+		}
+	}
+	return core
+}
+
+// IsDelegate returns whether the node with the beat speaks for its zone in a large fleet, given
+// the delegates that it hears.
+func IsDelegate(own *Beat, heard []*Member) bool {
+	zone := []*Beat{own}
+	for _, member := range heard {
+		if member.Zone == own.Zone && !member.Ordinary {
+			zone = append(zone, &member.Beat)
+		}
+	}
+	return slices.Contains(Order(zone, delegates), own.Name)
+}
+
+// Names returns what a node of the zone is told of the fleet: the delegates of each zone, and some
+// more nodes of its own.
+func Names(live []*Member, zone string) []Peer {
+	zones := map[string][]*Member{}
+	for _, member := range live {
+		zones[member.Zone] = append(zones[member.Zone], member)
+	}
+	var peers []Peer
+	for name, members := range zones {
+		peers = append(peers, namesOf(members, name == zone)...)
+	}
+	return peers
+}
+
+func namesOf(members []*Member, ownZone bool) []Peer {
+	byName := map[string]*Member{}
+	for _, member := range members {
+		byName[member.Name] = member
+	}
+	wanted := Order(Beats(Delegates(members)), delegates)
+	if ownZone {
+		for _, member := range members[:min(len(members), namesOfOwnZone)] {
+			if !slices.Contains(wanted, member.Name) {
+				wanted = append(wanted, member.Name)
+			}
+		}
+	}
+	peers := make([]Peer, 0, len(wanted))
+	for _, name := range wanted {
+		peers = append(peers, Peer{Name: name, Address: byName[name].Address})
+	}
+	return peers
+}
+
+// Size is how many nodes a fleet has.
+type Size struct {
+	// Live are those that are heard of, by this node or the delegates of their zone, and Known
+	// also those that fell silent lately.
+	Live, Known int
+}
+
+// Size returns the size of a large fleet as this node of the zone, which counts itself, and the
+// delegates of each zone know it.
+func (t *Table) Size(now structs.Instant, own string) Size {
+	type count struct{ live, known, toldLive, toldKnown int }
+	zones := map[string]*count{own: {live: 1, known: 1}}
+	for _, member := range t.members {
+		if !member.known {
+			continue // nobody told its zone
+		}
+		zone, found := zones[member.Zone]
+		if !found {
+			zone = &count{}
+			zones[member.Zone] = zone
+		}
+		zone.known++
+		zone.toldKnown = max(zone.toldKnown, member.ZoneKnown)
+		if member.live(now, 1) {
+			zone.live++
+			zone.toldLive = max(zone.toldLive, member.ZoneLive)
+		}
+	}
+	var size Size
+	for _, zone := range zones {
+		size.Live += max(zone.live, zone.toldLive)
+		size.Known += max(zone.known, zone.toldKnown)
+	}
+	return size
+}
+
+// ZoneSize returns the size of the zone of this node, which counts itself, by its own ears.
+func (t *Table) ZoneSize(now structs.Instant, own string) Size {
+	size := Size{Live: 1, Known: 1}
+	for _, member := range t.members {
+		if member.Zone != own {
+			continue
+		}
+		size.Known++
+		if member.live(now, 1) {
+			size.Live++
+		}
+	}
+	return size
+}
--- a/coordination/liveness/liveness.go
+++ b/coordination/liveness/liveness.go
@@ -8,7 +8,8 @@
 package liveness
 
 import (
-	"sort"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/thornwalk/thornwalk/state/evacuations"
@@ -77,6 +78,13 @@
 	// Contents marks what the sender knows of requests that replicas ended under; nil if it
 	// knows none.
 	Contents *ContentsMark `msgpack:"ct,omitempty"`
+	// Ordinary is true if the sender does no work for all: others of its zone are its delegates.
+	Ordinary bool `msgpack:"od,omitempty"`
+	// ZoneLive and ZoneKnown are how many nodes of its zone the sender hears, and knows.
+	ZoneLive  int `msgpack:"zl,omitempty"`
+	ZoneKnown int `msgpack:"zk,omitempty"`
+	// Fleet is how many nodes the sender takes the fleet to have.
+	Fleet int `msgpack:"fl,omitempty"`
 	// Relays is true if the sender passes heartbeats on to its zone when it is asked to.
 	Relays bool `msgpack:"e,omitempty"`
 	// PassOn asks the receiver to send the heartbeat to all nodes of its zone.
@@ -86,8 +94,10 @@
 	// Reached makes this the confirmation of a heartbeat that was to be passed on: it
 	// counts the nodes of the sender's zone that have it now, the sender included.
 	Reached int `msgpack:"j,omitempty"`
-	// Asks is true if the sender wants a heartbeat sent straight back.
-	Asks bool `msgpack:"d,omitempty"`
+	// Asks is true if the sender wants a heartbeat sent straight back, and AsksNames if that is to
+	// name other nodes.
+	Asks      bool `msgpack:"d,omitempty"`
+	AsksNames bool `msgpack:"dn,omitempty"`
 }
 
 // Held counts requests in progress at one replica.
@@ -160,6 +170,10 @@
 type Table struct {
 	self    string
 	members map[string]*Member
+	// ordered has the members by name.
+	ordered []*Member
+	// learned counts the members that were never heard of.
+	learned int
 }
 
 // NewTable returns a table of a node that knows no other.
@@ -174,28 +188,52 @@
 	}
 	member, found := t.members[beat.Name]
 	if !found {
-		member = &Member{}
-		t.members[beat.Name] = member
+		member = &Member{Beat: Beat{Name: beat.Name}}
+		t.add(member)
 	}
 	sameProcess := found && member.Incarnation == beat.Incarnation
 	stillSuspected := sameProcess && member.suspected && beat.Passed
 	news := !sameProcess || !stillSuspected && !member.live(now, 1)
+	if found && !member.known {
+		t.learned--
+	}
 	member.Beat, member.heard, member.suspected, member.known = beat, now, stillSuspected, true
 	return news
 }
 
+// mostLearned bounds the nodes that a table holds by what others tell: a node that tells false
+// names must not fill the memory of all.
+const mostLearned = 1024
+
 // Learn enters a node that another one told of. It returns true if it was unknown.
 func (t *Table) Learn(now structs.Instant, peer Peer) bool {
 	if peer.Name == t.self || peer.Name == "" {
 		return false
 	}
-	if _, found := t.members[peer.Name]; found {
+	if _, found := t.members[peer.Name]; found || t.learned >= mostLearned {
 		return false
 	}
-	t.members[peer.Name] = &Member{Beat: Beat{Name: peer.Name, Address: peer.Address}, learned: now}
+	t.learned++
+	t.add(&Member{Beat: Beat{Name: peer.Name, Address: peer.Address}, learned: now})
 	return true
 }
 
+// add enters a new member where its name belongs: the members are gone through far more often
+// than new ones come.
+func (t *Table) add(member *Member) {
+	t.members[member.Name] = member
+	place, _ := slices.BinarySearchFunc(t.ordered, member.Name, compareName)
+	t.ordered = slices.Insert(t.ordered, place, member)
+}
+
+func compareName(member *Member, name string) int { return strings.Compare(member.Name, name) }
+
+// IsSilent returns whether the node is known and nothing is heard of it.
+func (t *Table) IsSilent(now structs.Instant, name string) bool {
+	member, found := t.members[name]
+	return found && !member.live(now, 1)
+}
+
 // Known returns how many members the table has, heard of or only learned of.
 func (t *Table) Known() int { return len(t.members) }
 
@@ -227,89 +265,41 @@
 
 func (t *Table) within(now structs.Instant, times int) []*Member {
 	var live []*Member
-	for _, member := range t.members {
+	for _, member := range t.ordered {
 		if member.live(now, times) {
 			live = append(live, member)
 		}
 	}
-	sort.Slice(live, func(i, j int) bool { return live[i].Name < live[j].Name })
 	return live
 }
 
 // All returns every member that is not forgotten, by name.
 func (t *Table) All(now structs.Instant) []*Member {
-	var all []*Member
-	for name, member := range t.members {
-		if now-max(member.heard, member.learned) > forgetAfter {
-			delete(t.members, name)
-			continue
+	t.ordered = slices.DeleteFunc(t.ordered, func(member *Member) bool {
+		isForgotten := now-max(member.heard, member.learned) > forgetAfter
+		if isForgotten {
+			t.forget(member)
 		}
-		all = append(all, member)
-	}
-	sort.Slice(all, func(i, j int) bool { return all[i].Name < all[j].Name })
-	return all
+		return isForgotten
+	})
+	return slices.Clone(t.ordered)
 }
 
-// strongShare is the part of the strongest node's cores, and of the widest link, that a
-// candidate has.
-const strongShare = 0.75
-
-// Candidates returns the names of the nodes that may do work for all: those that do
-// not leave and are about as strong as the strongest of them, of these the ones with
-// about the widest link. The beats are of live nodes, this one's included.
-func Candidates(beats []Beat) []string {
-	strong := strongest(beats, func(beat *Beat) float64 { return beat.Cores })
-	strong = strongest(strong, func(beat *Beat) float64 { return beat.Link })
-	names := make([]string, 0, len(strong))
-	for _, beat := range strong {
-		names = append(names, beat.Name)
-	}
-	sort.Strings(names)
-	return names
-}
-
-// FirstCalm returns the first of the ordered nodes that is not slow, or the first of all if
-// every one is. It is empty if there is none.
-func FirstCalm(order []string, beats []Beat) string {
-	slow := map[string]bool{}
-	for i := range beats {
-		slow[beats[i].Name] = beats[i].Slow
-	}
-	for _, name := range order {
-		if !slow[name] {
-			return name
-		}
-	}
-	if len(order) == 0 {
-		return ""
-	}
-	return order[0]
-}
-
-// strongest returns the beats of nodes that do not leave and have about the most.
-func strongest(beats []Beat, strength func(*Beat) float64) []Beat {
-	most := 0.0
-	for i := range beats {
-		if !beats[i].Leaving {
-			most = max(most, strength(&beats[i]))
-		}
-	}
-	var strong []Beat
-	for i := range beats {
-		if !beats[i].Leaving && strength(&beats[i]) >= most*strongShare {
-			strong = append(strong, beats[i])
-		}
+// Some returns up to so many members, others with each number.
+func (t *Table) Some(number, count int) []Peer {
+	var peers []Peer
+	for i := range min(count, len(t.ordered)) {
+		member := t.ordered[(number+i)%len(t.ordered)]
+		peers = append(peers, Peer{Name: member.Name, Address: member.Address})
 	}
-	return strong
+	return peers
 }
 
-// Beats returns the latest heartbeats of the members.
-func Beats(members []*Member) []Beat {
-	beats := make([]Beat, 0, len(members))
-	for _, member := range members {
-		beats = append(beats, member.Beat)
+func (t *Table) forget(member *Member) {
+	if !member.known {
+		t.learned--
 	}
-	return beats
+	delete(t.members, member.Name)
 }
 
 // Get returns the member with the name.
--- a/coordination/liveness/liveness_test.go
+++ b/coordination/liveness/liveness_test.go
@@ -37,9 +37,9 @@
 // A weak node that schedules for all can't keep up in a burst.
 func TestWeakAndLeavingNodesDoNotSchedule(t *testing.T) {
 	g := gomega.NewWithT(t)
-	g.Expect(Candidates([]Beat{{Name: "weak", Cores: 0.2}, {Name: "b", Cores: 0.7}, {Name: "a", Cores: 0.8}, {Name: "left", Cores: 4, Leaving: true}})).To(gomega.Equal([]string{"a", "b"}))
-	g.Expect(Candidates([]Beat{{Name: "a"}, {Name: "b"}})).To(gomega.Equal([]string{"a", "b"}))
-	g.Expect(Candidates([]Beat{{Name: "a", Leaving: true}})).To(gomega.BeEmpty())
+	g.Expect(Candidates([]*Beat{{Name: "weak", Cores: 0.2}, {Name: "b", Cores: 0.7}, {Name: "a", Cores: 0.8}, {Name: "left", Cores: 4, Leaving: true}})).To(gomega.Equal([]string{"a", "b"}))
+	g.Expect(Candidates([]*Beat{{Name: "a"}, {Name: "b"}})).To(gomega.Equal([]string{"a", "b"}))
+	g.Expect(Candidates([]*Beat{{Name: "a", Leaving: true}})).To(gomega.BeEmpty())
 }
 
 // With 83 nodes a dead scheduling node was noticed after four seconds.
--- a/coordination/liveness/relay.go
+++ b/coordination/liveness/relay.go
@@ -17,6 +17,10 @@
 	// relayCandidates is how many relays a heartbeat goes to while none is known to work:
 	// with half of the nodes just killed, seven in eight such heartbeats still arrive.
 	relayCandidates = 3
+	// relayPatience is how many heartbeats in a row no delegate of a zone confirms until the zone
+	// is sent to directly, and relayRetry how many go there so for one that tries relays again.
+	relayPatience = 3
+	relayRetry    = 4
 	// recentShare is the part of a zone's nodes, those heard of last, among which a new
 	// relay is looked for: after many died at once these are the likeliest to live.
 	recentShare = 4
@@ -36,6 +40,8 @@
 	// the heartbeat that it was given since.
 	name    string
 	waiting bool
+	// unconfirmed counts the heartbeats that were given out since the last confirmation.
+	unconfirmed int
 	// nodes is how many live nodes the zone had when a heartbeat went there last, and wide
 	// names those with about the widest link.
 	nodes int
@@ -53,8 +59,9 @@
 }
 
 // Routes returns the addresses for one heartbeat from a node of the zone to the live
-// members.
-func (r *Relays) Routes(now structs.Instant, own string, live []*Member) Routes {
+// members. In a large fleet the delegates of a zone are its relays, which alone know all its
+// nodes; a zone where none is heard of is sent to directly.
+func (r *Relays) Routes(now structs.Instant, own string, live []*Member, isLarge bool) Routes {
 	var routes Routes
 	zones := map[string][]*Member{}
 	for _, member := range live {
@@ -65,11 +72,15 @@
 		zones[member.Zone] = append(zones[member.Zone], member)
 	}
 	for zone, members := range zones {
-		if len(members) < relayFrom {
+		relays := members
+		if isLarge {
+			relays = Delegates(members)
+		}
+		if len(relays) == 0 || !isLarge && len(members) < relayFrom || isLarge && r.isLost(zone) {
 			routes.Direct = append(routes.Direct, addresses(members)...)
 			continue
 		}
-		routes.PassOn = append(routes.PassOn, addresses(r.choose(now, zone, members))...)
+		routes.PassOn = append(routes.PassOn, addresses(r.choose(now, zone, relays))...)
 	}
 	return routes
 }
@@ -90,6 +101,7 @@
 		r.zones[zone] = known
 	}
 	known.nodes, known.wide = len(members), widest(members)
+	known.unconfirmed++
 	if !known.waiting {
 		known.waiting = true
 		for _, member := range members {
@@ -101,6 +113,17 @@
 	return r.candidates(now, known, members)
 }
 
+// isLost returns whether none of a zone's relays confirms any more: its delegates may all have died,
+// and its other nodes hear of it by nobody else. Each relayRetry-th heartbeat tries them again.
+func (r *Relays) isLost(zone string) bool {
+	known, found := r.zones[zone]
+	if !found || known.unconfirmed < relayPatience {
+		return false
+	}
+	known.unconfirmed++
+	return known.unconfirmed%relayRetry != 0
+}
+
 // widest returns the names of the members with about the widest link. A relay whose link
 // is full of other things loses heartbeats of many.
 func widest(members []*Member) []string {
@@ -147,6 +170,7 @@
 	if !found || 2*reached < known.nodes {
 		return
 	}
+	known.unconfirmed = 0
 	if known.waiting || slices.Contains(known.wide, name) {
 		known.name, known.waiting = name, false
 	}
--- a/coordination/liveness/relay_test.go
+++ b/coordination/liveness/relay_test.go
@@ -38,13 +38,13 @@
 	live := relayTable(20, 1).Live(100 * time.Millisecond)
 	relays := NewRelays(last)
 	now := 100 * time.Millisecond
-	first := relays.Routes(now, "own", live)
+	first := relays.Routes(now, "own", live, false)
 	g.Expect(first.Direct).To(gomega.ConsistOf("own0", "own1"))
 	g.Expect(first.PassOn).To(gomega.HaveLen(relayCandidates))
 	g.Expect(first.PassOn).To(gomega.ContainElement("other00"), "the one with a wide link")
 	relays.Confirmed("other", first.PassOn[1], 20)
-	g.Expect(relays.Routes(now, "own", live).PassOn).To(gomega.Equal(first.PassOn[1:2]))
-	again := relays.Routes(now, "own", live).PassOn
+	g.Expect(relays.Routes(now, "own", live, false).PassOn).To(gomega.Equal(first.PassOn[1:2]))
+	again := relays.Routes(now, "own", live, false).PassOn
 	g.Expect(again).To(gomega.HaveLen(relayCandidates), "the relay did not confirm")
 	g.Expect(again).NotTo(gomega.ContainElement(first.PassOn[1]))
 }
@@ -53,32 +53,32 @@
 	g := gomega.NewWithT(t)
 	live := relayTable(20, 1).Live(100 * time.Millisecond)
 	relays := NewRelays(last)
-	tried := relays.Routes(0, "own", live).PassOn
+	tried := relays.Routes(0, "own", live, false).PassOn
 	narrow := tried[slices.IndexFunc(tried, func(name string) bool { return name != "other00" })]
 	relays.Confirmed("other", narrow, 20)
 	relays.Confirmed("other", "other00", 20)
 	relays.Confirmed("other", narrow, 20)
-	g.Expect(relays.Routes(0, "own", live).PassOn).To(gomega.Equal([]string{"other00"}))
+	g.Expect(relays.Routes(0, "own", live, false).PassOn).To(gomega.Equal([]string{"other00"}))
 }
 
 func TestARelayThatReachesFewIsNotUsed(t *testing.T) {
 	g := gomega.NewWithT(t)
 	live := relayTable(20, 1).Live(100 * time.Millisecond)
 	relays := NewRelays(last)
-	relays.Routes(0, "own", live)
+	relays.Routes(0, "own", live, false)
 	relays.Confirmed("other", "other00", 9)
-	g.Expect(relays.Routes(0, "own", live).PassOn).To(gomega.HaveLen(relayCandidates))
+	g.Expect(relays.Routes(0, "own", live, false).PassOn).To(gomega.HaveLen(relayCandidates))
 	relays.Confirmed("elsewhere", "x", 100) // of a zone that nothing was sent to
 }
 
 func TestSmallZonesAndNodesThatDoNotRelayAreSentToDirectly(t *testing.T) {
 	g := gomega.NewWithT(t)
-	small := NewRelays(last).Routes(0, "own", relayTable(relayFrom-1, 1).Live(0))
+	small := NewRelays(last).Routes(0, "own", relayTable(relayFrom-1, 1).Live(0), false)
 	g.Expect(small.PassOn).To(gomega.BeEmpty())
 	g.Expect(small.Direct).To(gomega.HaveLen(2 + relayFrom - 1))
 	table := relayTable(20, 1)
 	table.Heard(0, Beat{Name: "older", Address: "older", Zone: "other", Interval: 1000})
-	g.Expect(NewRelays(last).Routes(0, "own", table.Live(0)).Direct).To(gomega.ConsistOf("own0", "own1", "older"))
+	g.Expect(NewRelays(last).Routes(0, "own", table.Live(0), false).Direct).To(gomega.ConsistOf("own0", "own1", "older"))
 }
 
 // A relay may reach a node that this one does not reach.
--- a/coordination/liveness/slowness_test.go
+++ b/coordination/liveness/slowness_test.go
@@ -108,7 +108,7 @@
 
 func TestSlowNodesAreChosenOnlyIfAllAreSlow(t *testing.T) {
 	g := gomega.NewWithT(t)
-	beats := []Beat{{Name: "a", Cores: 1, Slow: true}, {Name: "b", Cores: 1}, {Name: "c", Cores: 1}, {Name: "weak", Cores: 0.2}}
+	beats := []*Beat{{Name: "a", Cores: 1, Slow: true}, {Name: "b", Cores: 1}, {Name: "c", Cores: 1}, {Name: "weak", Cores: 0.2}}
 	order := Candidates(beats)
 	g.Expect(order).To(gomega.Equal([]string{"a", "b", "c"}), "calls of the store stay with the same nodes")
 	g.Expect(FirstCalm(order, beats)).To(gomega.Equal("b"))
--- a/entry/beats.go
+++ b/entry/beats.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"math"
+	"math/rand/v2"
 	"net"
 	"strconv"
 	"time"
@@ -23,14 +25,20 @@
 	// their heartbeats.
 	senior         = 8
 	seniorInterval = 250 * time.Millisecond
+	// seniorOfLarge is senior in a large fleet, whose nodes beat each largeInterval: the death of
+	// a delegate is known after four of them.
+	seniorOfLarge = 3
+	largeInterval = time.Second
 	// frozenAfter is the pause of this process after which others will have
 	// decided in its place.
 	frozenAfter = time.Second
 	// toldPeers is how many other nodes a heartbeat names.
 	toldPeers       = 2
 	maximumDatagram = 4096
-	// silentShare is how much less often a silent node is sent to.
+	// silentShare is how much less often a silent node is sent to, and mostSilent how many of a
+	// large fleet one heartbeat goes to.
 	silentShare = 5
+	mostSilent  = 20
 )
 
 // interval returns the time between heartbeats among so many nodes.
@@ -40,7 +48,10 @@
 
 // interval returns the time to this node's next heartbeat. The caller holds the mutex.
 func (n *Node) interval() time.Duration {
-	wait := interval(len(n.members.All(n.now())))
+	wait := largeInterval
+	if !n.isLarge {
+		wait = interval(n.members.Known())
+	}
 	if n.senior {
 		wait = min(wait, seniorInterval)
 	}
@@ -100,32 +111,78 @@
 	n.mutex.Unlock()
 }
 
-// sendBeats sends a heartbeat to every known node, by relays where these save much, and
-// to the seeds while few nodes are known. Silent nodes get one in silentShare, and
-// suspected ones each one, which asks for an answer.
+// sendBeats sends a heartbeat to every node that this one beats to, by relays where these save
+// much, and to the seeds while few nodes are known. Suspected nodes get each one, which asks for an
+// answer.
 func (n *Node) sendBeats() {
 	n.mutex.Lock()
 	now := n.now()
 	beat := n.beat(now)
-	routes := n.relays.Routes(now, beat.Zone, n.members.Live(now))
+	routes := n.beatRoutes(now)
 	var suspected []string
 	for _, member := range n.members.All(now) {
-		switch {
-		case member.Suspected():
+		if member.Suspected() {
 			suspected = append(suspected, member.Address)
-		case member.Silence(now) >= member.Patience() && n.sequence.Add(1)%silentShare == 0:
-			routes.Direct = append(routes.Direct, member.Address)
 		}
 	}
+	asksNames := n.isAskDue(now)
 	n.mutex.Unlock()
 	if len(routes.Direct)+len(routes.PassOn) < len(n.settings.Load().Seeds) {
 		routes.Direct = append(routes.Direct, n.seedAddresses()...)
 	}
+	n.sendRoutes(beat, routes)
+	beat.PassOn, beat.Asks = false, true
+	n.sendBeat(beat, suspected)
+	if asksNames {
+		n.askForNames(beat, append(routes.Direct, routes.PassOn...))
+	}
+}
+
+// sendRoutes sends a heartbeat directly and by relays.
+func (n *Node) sendRoutes(beat liveness.Beat, routes liveness.Routes) {
 	n.sendBeat(beat, routes.Direct)
 	beat.PassOn = true
 	n.sendBeat(beat, routes.PassOn)
-	beat.PassOn, beat.Asks = false, true
-	n.sendBeat(beat, suspected)
+}
+
+// beatRoutes returns whom this node beats to. The caller holds the mutex.
+func (n *Node) beatRoutes(now structs.Instant) liveness.Routes {
+	live := n.members.Live(now)
+	if n.isOrdinary {
+		return liveness.Routes{Direct: n.superiors(live)}
+	}
+	routes := n.relays.Routes(now, n.settings.Load().Zone, live, n.isLarge)
+	routes.Direct = append(routes.Direct, n.silentMembers(now)...)
+	return routes
+}
+
+// superiors returns the addresses of the delegates of this node's zone and of the scheduling node.
+func (n *Node) superiors(live []*liveness.Member) []string {
+	var addresses []string
+	for _, member := range liveness.Delegates(live) {
+		if member.Zone == n.settings.Load().Zone || member.Name == n.scheduler {
+			addresses = append(addresses, member.Address)
+		}
+	}
+	return addresses
+}
+
+// silentMembers returns some of the nodes that fell silent: they may be back, or a cut healed. Each
+// gets one heartbeat in silentShare, and in a large fleet a bounded number of them. The caller holds
+// the mutex.
+func (n *Node) silentMembers(now structs.Instant) []string {
+	var addresses []string
+	for _, member := range n.members.All(now) {
+		isWanted := !n.isLarge || !member.Ordinary || member.Zone == n.settings.Load().Zone
+		if isWanted && !member.Suspected() && member.Silence(now) >= member.Patience() && n.sequence.Add(1)%silentShare == 0 {
+			addresses = append(addresses, member.Address)
+		}
+	}
+	if n.isLarge && len(addresses) > mostSilent {
+		rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+		addresses = addresses[:mostSilent]
+	}
+	return addresses
 }
 
 // sendBeat sends one heartbeat to the addresses.
@@ -221,11 +278,12 @@
 		}
 		beat.Held[place.replica] = count
 	}
-	all := n.members.All(now)
-	for i := range min(toldPeers, len(all)) {
-		member := all[(int(n.sequence.Add(1))+i)%len(all)]
-		beat.Peers = append(beat.Peers, liveness.Peer{Name: member.Name, Address: member.Address})
+	beat.Ordinary, beat.Fleet = n.isOrdinary, n.size.Known
+	if n.isLarge {
+		beat.ZoneLive, beat.ZoneKnown = n.zone.Live, n.zone.Known
+		return beat
 	}
+	beat.Peers = n.members.Some(int(n.sequence.Add(1)%math.MaxInt32), toldPeers)
 	return beat
 }
 
@@ -267,12 +325,20 @@
 	now := n.now()
 	n.heardAt = now
 	before, found := n.members.Get(beat.Name)
-	rankNews := found && (before.Storeless != beat.Storeless || before.Slow != beat.Slow)
+	rankNews := found && (before.Storeless != beat.Storeless || before.Slow != beat.Slow || before.Ordinary != beat.Ordinary)
 	news := n.members.Heard(now, beat)
+	n.noteFleet(&beat)
 	n.zones.Heard(now, beat)
 	n.noteTelling(now, beat)
-	newcomers := n.learn(now, beat.Peers)
-	newcomer := beat.Known < n.members.Known()*newcomerShare/100
+	var newcomers []string
+	if n.isLarge {
+		n.noteNamed(beat)
+	} else {
+		newcomers = n.learn(now, beat.Peers)
+	}
+	newcomer := n.isNewcomer(beat)
+	greets := news && !(n.isOrdinary && beat.Passed)
+	chooses := news && (!n.isLarge || !beat.Ordinary) || rankNews
 	follows := n.noteLevels(now, beat)
 	levelsUntil := n.levelsUntil
 	asksAll := n.heardEra(beat)
@@ -284,17 +350,17 @@
 	if leads && beat.Levels != nil || follows {
 		n.takeLevels(leads, levelsUntil, beat.Levels)
 	}
-	if news {
-		n.introduce(beat.Address, newcomer)
+	if greets {
+		n.introduce(beat.Address, beat.Zone, newcomer)
 	}
 	for _, address := range newcomers {
-		n.introduce(address, false)
+		n.introduce(address, "", false)
 	}
 	if news {
 		n.log.Write(eventlog.Event{Kind: "peer", Peer: beat.Name, Outcome: "heard", Detail: beat.Address})
 	}
-	if news || rankNews {
-		n.chooseScheduler()
+	if chooses {
+		n.chooseSoon()
 	}
 	counts := map[string]int{}
 	for replica, held := range beat.Held {
--- a/entry/choice.go
+++ b/entry/choice.go
@@ -3,11 +3,12 @@
 import (
 	"fmt"
 	"slices"
+	"time"
 
 	"github.com/thornwalk/thornwalk/coordination/admission"
 	"github.com/thornwalk/thornwalk/coordination/liveness"
 	"github.com/thornwalk/thornwalk/internal/eventlog"
-	"github.com/thornwalk/thornwalk/state/rendezvous"
+	"github.com/thornwalk/thornwalk/structs"
 )
 
 // hearingTime is how long a process that starts takes itself to be in touch with all nodes,
@@ -15,8 +16,55 @@
 // buckets that it adopted would be cut to a part, and tenants below their quotas refused.
 const hearingTime = beatInterval
 
-// schedulerKey is the rendezvous key of the node that schedules.
-const schedulerKey = "scheduler"
+// chooseGather is the least time between two choices that follow from news of nodes in a large
+// fleet. A choice looks at all nodes that are heard of, and when many nodes start at once each of
+// them is news.
+const chooseGather = 10 * time.Millisecond
+
+// role is what this node is among the others.
+type role struct {
+	// scheduler is the node that schedules.
+	scheduler string
+	// isLarge is true in a large fleet, and isOrdinary if this node is none of its delegates
+	// there.
+	isLarge, isOrdinary bool
+	// size is that of the fleet as far as this node and its delegates hear, and fleet also what
+	// others take its size to be. zone is the size of this node's zone by its own ears.
+	size, zone liveness.Size
+	fleet      int
+	// rank is this node's place among the live nodes that reach the store, and senior is
+	// true if it is one of the first that may schedule.
+	rank   int
+	senior bool
+	// order is this node's place among all live nodes in the order in which they call the
+	// store.
+	order int
+}
+
+// share is the part of the quotas and repeats that the nodes in touch may hand out.
+func (r *role) share() float64 { return min(float64(r.size.Live)/float64(r.size.Known), 1) }
+
+// chooseSoon has the scheduling node chosen by news of nodes, of which many may come at once.
+func (n *Node) chooseSoon() {
+	n.mutex.Lock()
+	wait := n.chosenAt + chooseGather - n.now()
+	if !n.isLarge {
+		wait = 0
+	}
+	isDue, isAwaited := wait <= 0, n.isChoiceAwaited
+	n.isChoiceAwaited = isAwaited || !isDue
+	n.mutex.Unlock()
+	switch {
+	case isDue:
+		n.chooseScheduler()
+	case !isAwaited:
+		time.AfterFunc(wait, func() {
+			if n.ctx.Err() == nil {
+				n.chooseScheduler()
+			}
+		})
+	}
+}
 
 // chooseScheduler takes the first live node in rendezvous order that is not slow for the
 // scheduling node.
@@ -24,32 +72,21 @@
 	settings := n.settings.Load()
 	n.mutex.Lock()
 	now := n.now()
+	n.chosenAt, n.isChoiceAwaited = now, false
 	live := n.members.Live(now)
-	own := liveness.Beat{Name: settings.Name, Cores: settings.Cores, Link: settings.Link, Leaving: n.stopping.Load() != 0, Slow: n.slowness.Slow()}
-	beats := append(liveness.Beats(live), own)
-	names := liveness.Candidates(beats)
-	chosen := settings.Name
-	order := rendezvous.Choose(names, rendezvous.Key(schedulerKey), senior)
-	if first := liveness.FirstCalm(order, beats); first != "" {
-		chosen = first
-	}
-	n.senior = slices.Contains(order, settings.Name)
-	n.order = n.storePlace(liveness.Beats(live))
-	n.rank = n.storeRank(live)
-	moved := chosen != n.scheduler
-	previous := n.scheduler
-	n.scheduler = chosen
+	previous := n.role
+	n.takeRole(now, live)
+	moved := n.scheduler != previous.scheduler
 	levels, levelsAt, levelsUntil := n.levels, n.levelsAt, n.levelsUntil
-	if previous == settings.Name {
+	if previous.scheduler == settings.Name {
 		n.ledAt = now
 	}
-	takesOver := moved && chosen == settings.Name && levels != nil && now-levelsAt < levelsMemory
-	known := max(len(n.members.All(now)), len(settings.Seeds)-1) + 1
-	share := float64(len(live)+1) / float64(known)
+	takesOver := moved && n.scheduler == settings.Name && levels != nil && now-levelsAt < levelsMemory
+	share := n.role.share()
 	if now < hearingTime {
 		share = 1
 	}
-	if known-len(live)-1 > 1 {
+	if n.size.Known-n.size.Live > 1 {
 		// More than the scheduling node was lost: it may be on the other side of a cut, where it
 		// hands out until it finds so.
 		levelsUntil = now
@@ -58,22 +95,126 @@
 	for _, id := range n.cutReplicas() {
 		avoided[id] = true
 	}
+	chosen := n.role
+	held := now - n.roleAt
+	if moved || chosen.isOrdinary != previous.isOrdinary {
+		n.roleAt = now
+	}
 	n.mutex.Unlock()
 	if takesOver {
 		n.desk.takeOver(levelsUntil, levels)
 	}
 	if moved {
-		if previous == settings.Name {
+		if previous.scheduler == settings.Name {
 			n.noteRepeats()
 		}
-		n.desk.lead(chosen == settings.Name)
-		n.log.Write(eventlog.Event{Kind: "scheduler", Peer: chosen, Outcome: "moved", Detail: "from " + previous, Count: len(live) + 1})
-		n.sendBeats()
+		n.desk.lead(chosen.scheduler == settings.Name)
+		n.log.Write(eventlog.Event{Kind: "scheduler", Peer: chosen.scheduler, Outcome: "moved", Detail: "from " + previous.scheduler, Count: chosen.size.Live})
+	}
+	if chosen.isOrdinary != previous.isOrdinary {
+		n.noteRole(chosen, held)
+	}
+	if moved {
+		n.tellScheduler(chosen)
 	}
-	n.desk.setShare(min(share, 1), settings.retryPolicy(min(share, 1)))
+	n.desk.setShare(share, settings.retryPolicy(share))
 	n.desk.update(func(scheduler *admission.Scheduler) { scheduler.SetAvoided(avoided) })
 }
 
+// takeRole finds what this node is among the live ones. The caller holds the mutex.
+func (n *Node) takeRole(now structs.Instant, live []*liveness.Member) {
+	settings := n.settings.Load()
+	own := n.ownBeat()
+	n.takeSize(now, live)
+	n.isOrdinary = n.isLarge && !liveness.IsDelegate(own, live)
+	core := liveness.Delegates(live)
+	beats := liveness.Beats(core)
+	if !n.isOrdinary {
+		beats = append(beats, own)
+	}
+	n.scheduler = settings.Name
+	order := liveness.Schedulers(beats, senior)
+	if first := liveness.FirstCalm(order, beats); first != "" {
+		n.scheduler = first
+	}
+	if n.isLarge {
+		order = order[:min(len(order), seniorOfLarge)]
+	}
+	n.senior = slices.Contains(order, settings.Name)
+	n.order = n.storePlace(liveness.Beats(core))
+	n.rank = n.storeRank(core)
+}
+
+// takeSize finds how large the fleet is. The caller holds the mutex.
+func (n *Node) takeSize(now structs.Instant, live []*liveness.Member) {
+	settings := n.settings.Load()
+	n.size = n.members.Size(now, settings.Zone)
+	n.fleet = max(n.size.Known, liveness.ToldFleet(live))
+	if n.isLarge = liveness.IsLarge(n.fleet, n.isLarge); n.isLarge {
+		n.zone = n.members.ZoneSize(now, settings.Zone)
+		return
+	}
+	// Every node hears every other one.
+	n.size = liveness.Size{Live: len(live) + 1, Known: max(len(n.members.All(now)), len(settings.Seeds)-1) + 1}
+}
+
+// noteFleet finds from a heartbeat that the fleet is large, before the next choice: in the first
+// moments of a start of all, whoever takes it for small would be told all names and greet all nodes.
+// The caller holds the mutex.
+func (n *Node) noteFleet(beat *liveness.Beat) {
+	if fleet := max(n.members.Known()+1, beat.Known, beat.Fleet); !n.isLarge && liveness.IsLarge(fleet, false) {
+		n.isLarge, n.fleet = true, fleet
+	}
+}
+
+// ownBeat returns what this node is chosen by. The caller holds the mutex.
+func (n *Node) ownBeat() *liveness.Beat {
+	settings := n.settings.Load()
+	return &liveness.Beat{
+		Name: settings.Name, Zone: settings.Zone, Cores: settings.Cores, Link: settings.Link,
+		Leaving: n.stopping.Load() != 0, Slow: n.slowness.Slow(),
+	}
+}
+
+// tellScheduler has the node that schedules from now on hear of this one, and in a small fleet, or
+// if it is this one, all nodes.
+func (n *Node) tellScheduler(chosen role) {
+	if !chosen.isLarge || chosen.scheduler == n.settings.Load().Name {
+		n.sendBeats()
+		return
+	}
+	n.mutex.Lock()
+	beat := n.beat(n.now())
+	member, found := n.members.Get(chosen.scheduler)
+	n.mutex.Unlock()
+	if found {
+		n.sendBeat(beat, []string{member.Address})
+	}
+}
+
+// noteRole handles that this node became a delegate of its zone, or is none any more. Who takes it
+// for one would beat to it in vain, so that one that all nodes have heard of tells them at once. What
+// else changed goes with the next heartbeat: at a start of all, each node finds that it is none.
+func (n *Node) noteRole(chosen role, held time.Duration) {
+	outcome := "taken-up"
+	if chosen.isOrdinary {
+		outcome = "laid-down"
+	}
+	n.log.Write(eventlog.Event{Kind: "delegate", Outcome: outcome, Count: chosen.fleet})
+	if !chosen.isOrdinary || held < delegateKnown {
+		return
+	}
+	n.mutex.Lock()
+	now := n.now()
+	beat := n.beat(now)
+	routes := n.relays.Routes(now, beat.Zone, n.members.Live(now), chosen.isLarge)
+	n.mutex.Unlock()
+	n.sendRoutes(beat, routes)
+}
+
+// delegateKnown is the time after which all nodes have heard of a delegate.
+const delegateKnown = 2 * largeInterval
+
 // noteRepeats tells what this node's retry budget gave while it scheduled: whether the repeats of
 // several scheduling nodes add up can be seen from their lines together.
 func (n *Node) noteRepeats() {
@@ -103,7 +244,7 @@
 			avoided[id] = true
 		}
 	}
-	if len(avoided)*2 > len(n.table.All()) {
+	if len(avoided)*2 > n.table.Count() {
 		return map[string]bool{}
 	}
 	return avoided
--- a/entry/configuration.go
+++ b/entry/configuration.go
@@ -89,8 +89,8 @@
 // behindConfiguration returns whether the peer has a newer version and is to be asked
 // for it now. The caller holds the mutex.
 func (n *Node) behindConfiguration(beat liveness.Beat) bool {
-	own, patience := n.version(), n.ownPatience()
-	if own == 0 {
+	own, patience := n.version(), n.pullPatienceWith(beat)
+	if own == 0 && !n.isOrdinary {
 		patience = 0
 	}
 	if !n.newer.heard(n.now(), own, beat.Version) {
--- a/entry/introduce.go
+++ b/entry/introduce.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/thornwalk/thornwalk/coordination/liveness"
@@ -10,15 +12,29 @@
 // Heartbeats are the rarer the more nodes there are, and name two others each, so
 // that many nodes that start at once would need seconds to agree on who schedules.
 // So whoever hears of a node for the first time, or of a new process, answers with
-// a heartbeat at once, and a newcomer is told all that are known.
+// a heartbeat at once, and a newcomer is told all that are known. In a large fleet it is told the
+// delegates, and each node asks for them now and then: that is how it finds those that changed
+// while it heard of none.
 const (
 	// newcomerShare is the part, in percent, of the nodes known here below which a
 	// sender counts as a newcomer.
 	newcomerShare = 50
+	// greetGather is the time in which names told in a large fleet are gathered, mostNamed how
+	// many of them are greeted then, and informedShare the part, in percent, of the fleet that is
+	// known to the best informed that others have to know for their names to count beside.
+	greetGather   = 50 * time.Millisecond
+	mostNamed     = 64
+	informedShare = 90
 	// peersAtOnce is how many nodes one heartbeat to a newcomer names, and
 	// introductions how many such heartbeats it gets at most.
 	peersAtOnce   = 16
 	introductions = 26
+	// askPause is the time between two questions for names in a large fleet, and unsettledPause
+	// that for the time unsettled after a start or a change of roles, in which the delegates are
+	// found.
+	askPause       = 4 * time.Second
+	unsettledPause = 300 * time.Millisecond
+	unsettled      = 3 * time.Second
 )
 
 // learn enters the nodes that a peer named and returns the addresses of those that
@@ -33,6 +49,53 @@
 	return addresses
 }
 
+// namedPeers are the nodes that others named in a large fleet and that are to be greeted.
+type namedPeers struct {
+	peers []liveness.Peer
+	// fleet is how large those who named them take the fleet to be.
+	fleet int
+	// isAwaited is true if they are about to be greeted.
+	isAwaited bool
+}
+
+// noteNamed keeps the names that a peer told for a moment: at a start of all, every node has its own
+// idea of who the delegates will be, and that of whoever knows most nodes is the best. The caller
+// holds the mutex.
+func (n *Node) noteNamed(beat liveness.Beat) {
+	if len(beat.Peers) == 0 || beat.Fleet < n.named.fleet {
+		return
+	}
+	if beat.Fleet*informedShare/100 > n.named.fleet {
+		n.named.peers = nil
+	}
+	n.named.fleet = beat.Fleet
+	n.named.peers = append(n.named.peers, beat.Peers[:min(len(beat.Peers), max(mostNamed-len(n.named.peers), 0))]...)
+	if !n.named.isAwaited {
+		n.named.isAwaited = true
+		time.AfterFunc(greetGather, n.greetNamed)
+	}
+}
+
+// greetNamed greets the named nodes that this one hears nothing of.
+func (n *Node) greetNamed() {
+	n.mutex.Lock()
+	now := n.now()
+	var addresses []string
+	for _, peer := range n.named.peers {
+		if n.members.Learn(now, peer) || n.members.IsSilent(now, peer.Name) {
+			addresses = append(addresses, peer.Address)
+		}
+	}
+	n.named = namedPeers{}
+	n.mutex.Unlock()
+	slices.Sort(addresses)
+	for _, address := range slices.Compact(addresses) {
+		if n.ctx.Err() == nil {
+			n.introduce(address, "", false)
+		}
+	}
+}
+
 // tellingTime is how long a node waits for the rest of a list of names. The heartbeats that
 // carry it are sent in one go; 0.2 s is what the queue of a narrow link adds at most.
 const tellingTime = 200 * time.Millisecond
@@ -70,9 +133,45 @@
 	return max(n.members.Known(), n.namesBeingTold(now))
 }
 
+// isNewcomer returns whether the sender knows so little of the fleet that it is told the names of
+// others. The caller holds the mutex.
+func (n *Node) isNewcomer(beat liveness.Beat) bool {
+	if n.isLarge {
+		return beat.Fleet < n.size.Known*newcomerShare/100
+	}
+	return beat.Known < n.members.Known()*newcomerShare/100
+}
+
+// isAskDue returns whether this node asks for names with its next heartbeat. The caller holds the
+// mutex.
+func (n *Node) isAskDue(now structs.Instant) bool {
+	pause := askPause
+	if now-n.roleAt < unsettled {
+		pause = unsettledPause
+	}
+	if !n.isLarge || now-n.askedAt < pause {
+		return false
+	}
+	n.askedAt = now
+	return true
+}
+
+// askForNames asks one of the nodes at the addresses, or a seed, for the names of others: all that
+// this node hears of may be one side of a cut that has healed.
+func (n *Node) askForNames(beat liveness.Beat, addresses []string) {
+	if seeds := n.seedAddresses(); len(seeds) > 0 {
+		addresses = append(addresses, seeds[rand.IntN(len(seeds))])
+	}
+	if len(addresses) == 0 {
+		return
+	}
+	beat.PassOn, beat.Asks, beat.AsksNames = false, false, true
+	n.sendBeat(beat, []string{addresses[rand.IntN(len(addresses))]})
+}
+
 // introduce sends a heartbeat to the address at once, and to a newcomer as many as
-// it takes to name the other nodes.
-func (n *Node) introduce(address string, newcomer bool) {
+// it takes to name the other nodes. The zone is that of the node there, if it is known.
+func (n *Node) introduce(address, zone string, newcomer bool) {
 	n.mutex.Lock()
 	now := n.now()
 	beat := n.beat(now)
@@ -81,15 +180,15 @@
 	}
 	var others []liveness.Peer
 	if newcomer {
-		for _, member := range n.members.All(now) {
-			others = append(others, liveness.Peer{Name: member.Name, Address: member.Address})
-		}
+		others = n.namesFor(now, zone)
 	}
 	n.mutex.Unlock()
 	for range introductions {
 		count := min(peersAtOnce, len(others))
 		beat.Peers = append(beat.Peers, others[:count]...)
 		others = others[count:]
+		if newcomer {
+		}
 		n.sendBeat(beat, []string{address})
 		beat.Peers = nil
 		if len(others) == 0 {
@@ -97,3 +196,15 @@
 		}
 	}
 }
+
+// namesFor returns the nodes that one of the zone is told of. The caller holds the mutex.
+func (n *Node) namesFor(now structs.Instant, zone string) []liveness.Peer {
+	if n.isLarge {
+		return liveness.Names(n.members.Live(now), zone)
+	}
+	var others []liveness.Peer
+	for _, member := range n.members.All(now) {
+		others = append(others, liveness.Peer{Name: member.Name, Address: member.Address})
+	}
+	return others
+}
--- a/entry/node.go
+++ b/entry/node.go
@@ -91,8 +91,8 @@
 	senders senders
 	holders spread.Holders
 	newer   newerVersions
-	// isLarge is true once the store's configuration was found to take long on this link.
-	isLarge atomic.Bool
+	// isConfigurationLarge is true once the store's configuration was found to take long on this link.
+	isConfigurationLarge atomic.Bool
 
 	stopping atomic.Int64
 	inFlight atomic.Int64
@@ -105,25 +105,27 @@
 	evacuations *evacuations.Table
 	rollouts    *rollouts.Table
 	// policies says which versions get new requests, of services where not all do.
-	policies  map[string]rollouts.VersionPolicy
-	members   *liveness.Table
-	relays    *liveness.Relays
-	telling   telling
-	health    *replicahealth.Book
-	zones     *zones.Book
-	held      map[string]heldPlace
-	term      uint64
-	scheduler string
+	policies map[string]rollouts.VersionPolicy
+	members  *liveness.Table
+	relays   *liveness.Relays
+	telling  telling
+	named    namedPeers
+	health   *replicahealth.Book
+	zones    *zones.Book
+	held     map[string]heldPlace
+	term     uint64
+	role
+	// chosenAt is when the scheduling node was chosen last, and isChoiceAwaited is true if that is
+	// about to be done again.
+	chosenAt structs.Instant
+	// roleAt is when this node's role or the scheduling node changed last.
+	roleAt          structs.Instant
+	isChoiceAwaited bool
 	// slowness tells whether this node is too slow to schedule.
 	slowness liveness.Slowness
-	// rank is this node's place among the live nodes that reach the store, and senior is
-	// true if it is one of the first that may schedule.
-	rank   int
-	senior bool
-	// order is this node's place among all live nodes in the order in which they call the
-	// store, and triedAt when it last did.
-	order   int
-	triedAt structs.Instant
+	// triedAt is when this node last called the store, and askedAt when it last asked for names
+	// of others.
+	triedAt, askedAt structs.Instant
 	// heardAt is when any other node was heard of.
 	heardAt    structs.Instant
 	storeBadAt structs.Instant
@@ -169,7 +171,7 @@
 		depend: depend, log: depend.Log, metrics: metrics.NewRegistry(),
 		pool: replicahttp.NewPool(depend.Network), peers: peer.NewClient(depend.Network, nil),
 		table: replicas.NewTable(), evacuations: evacuations.NewTable(), rollouts: rollouts.NewTable(), members: liveness.NewTable(settings.Name), relays: liveness.NewRelays(rand.IntN), health: replicahealth.NewBook(), zones: zones.NewBook(),
-		held: map[string]heldPlace{}, problems: map[string]bool{}, term: 1, storeBadAt: -time.Hour, ledAt: -time.Hour,
+		held: map[string]heldPlace{}, problems: map[string]bool{}, term: 1, storeBadAt: -time.Hour, ledAt: -time.Hour, chosenAt: -time.Hour, askedAt: -time.Hour,
 		library: spread.NewLibrary(), senders: newSenders(settings.Link),
 	}
 	if n.depend.Now == nil {
@@ -291,7 +293,7 @@
 	}
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	return len(n.table.All()) > 0
+	return n.table.Count() > 0
 }
 
 // settleTime is how long a new process listens to heartbeats before it is ready.
--- a/entry/operators.go
+++ b/entry/operators.go
@@ -24,17 +24,21 @@
 	// Revision is the store's up to which the replicas are known, in its Era; Restored is for how
 	// many milliseconds the node has known that the store came back from a copy, while writers may
 	// not have written again what that lost, and else zero.
-	Revision  int64                      `json:"store_revision"`
-	Era       int64                      `json:"store_era"`
-	Restored  int64                      `json:"store_restored_ms,omitempty"`
-	NewsAge   int64                      `json:"news_age_ms"`
-	StoreDown bool                       `json:"store_down"`
-	Scheduler string                     `json:"scheduler"`
-	Live      []string                   `json:"live_peers"`
-	Silent    []string                   `json:"silent_peers"`
-	Failing   []string                   `json:"failing_replicas"`
-	Replicas  []replicas.Replica         `json:"replicas"`
-	Services  map[string]admission.Count `json:"services"`
+	Revision  int64  `json:"store_revision"`
+	Era       int64  `json:"store_era"`
+	Restored  int64  `json:"store_restored_ms,omitempty"`
+	NewsAge   int64  `json:"news_age_ms"`
+	StoreDown bool   `json:"store_down"`
+	Scheduler string `json:"scheduler"`
+	// Ordinary is true if other nodes of its zone speak for it, and Fleet is how many nodes it
+	// takes the fleet to have.
+	Ordinary bool                       `json:"ordinary"`
+	Fleet    int                        `json:"fleet"`
+	Live     []string                   `json:"live_peers"`
+	Silent   []string                   `json:"silent_peers"`
+	Failing  []string                   `json:"failing_replicas"`
+	Replicas []replicas.Replica         `json:"replicas"`
+	Services map[string]admission.Count `json:"services"`
 	// Evacuations are the zones that the operators emptied or took back.
 	Evacuations []EvacuationStatus `json:"evacuations,omitempty"`
 	// Rollouts has the latest record of each service that was ever rolled out.
@@ -56,6 +60,7 @@
 	status.Revision, status.Era, status.Restored = n.table.Revision().Revision(), n.era.present, n.era.restoredFor(now).Milliseconds()
 	status.NewsAge, status.StoreDown = (now - n.newsAt).Milliseconds(), n.storeDown
 	status.Scheduler, status.Failing, status.Replicas = n.scheduler, n.health.Failing(now), n.table.All()
+	status.Ordinary, status.Fleet = n.isOrdinary, n.fleet
 	status.Rollouts, status.Evacuations = n.rolloutStatus(now), n.evacuationsStatus()
 	for _, member := range n.members.All(now) {
 		if member.Silence(now) < member.Patience() {
--- a/entry/pull.go
+++ b/entry/pull.go
@@ -21,6 +21,9 @@
 	// pullPatience is how long this node's own watch may be behind a peer's, and the
 	// least time between two pulls.
 	pullPatience = 200 * time.Millisecond
+	// delegatesPullTime is how long news take from the nodes that follow the store to the delegates
+	// of a zone. What a zone's nodes pull from these crosses no border.
+	delegatesPullTime = 400 * time.Millisecond
 	// longestPullPause bounds the time between pulls, which doubles with each that fails.
 	longestPullPause = 1600 * time.Millisecond
 	// newsTimeout bounds a call to a peer for its news.
@@ -67,9 +70,14 @@
 	l.next = now + l.pause
 }
 
-// ownPatience is how long this node waits for its own watch. The caller holds the mutex.
-func (n *Node) ownPatience() time.Duration {
-	if n.rank < watchers {
+// pullPatienceWith is how long this node waits before it asks the sender of the heartbeat for its
+// news: for its own watch, or, where a zone's delegates will have the news as well, for these. The
+// caller holds the mutex.
+func (n *Node) pullPatienceWith(beat liveness.Beat) time.Duration {
+	switch {
+	case n.isOrdinary && beat.Zone != n.settings.Load().Zone:
+		return delegatesPullTime
+	case n.rank < watchers:
 		return pullPatience
 	}
 	return 0
@@ -89,7 +97,7 @@
 // this node's own watch will not tell it, and the peer is to be asked now. The caller
 // holds the mutex.
 func (n *Node) behindReplicas(beat liveness.Beat) bool {
-	return n.replicaLag.due(n.now(), n.latest(), beat.Latest, n.ownPatience())
+	return n.replicaLag.due(n.now(), n.latest(), beat.Latest, n.pullPatienceWith(beat))
 }
 
 // serveNews answers a peer that is behind.
--- a/entry/relays.go
+++ b/entry/relays.go
@@ -20,8 +20,8 @@
 	if beat.PassOn {
 		n.passOn(beat)
 	}
-	if beat.Asks {
-		n.introduce(beat.Address, false)
+	if beat.Asks || beat.AsksNames {
+		n.introduce(beat.Address, beat.Zone, beat.AsksNames)
 	}
 	n.heard(beat)
 }
@@ -33,7 +33,7 @@
 		return // the sender reaches them itself
 	}
 	copied := beat
-	copied.PassOn, copied.Passed, copied.Asks = false, true, false
+	copied.PassOn, copied.Passed, copied.Asks, copied.AsksNames = false, true, false, false
 	// The copy is about as long as the original, which had room in a datagram.
 	content, err := msgpack.Marshal(copied)
 	if err != nil {
--- a/entry/store.go
+++ b/entry/store.go
@@ -57,7 +57,7 @@
 	known := false
 	n.awaitPeers()
 	for n.ctx.Err() == nil {
-		if (known || n.isInformed()) && !n.callsStore() {
+		if (known || n.isInformed() || n.awaitsDelegates()) && !n.callsStore() {
 			n.setSteady(false)
 			n.pause(beatInterval)
 			continue
@@ -65,7 +65,7 @@
 		scope := n.scope()
 		revision, err := n.read(scope)
 		if errors.Is(err, errkind.TooLarge) {
-			n.isLarge.Store(true)
+			n.isConfigurationLarge.Store(true)
 			continue
 		}
 		if errors.Is(err, errkind.OtherEra) {
@@ -106,7 +106,7 @@
 	if n.catalog.Load() != nil && !follows {
 		return outside.ScopeReplicas
 	}
-	if n.leavesConfigurationToPeers() && n.isLarge.Load() {
+	if n.leavesConfigurationToPeers() && n.isConfigurationLarge.Load() {
 		return outside.ScopeReplicas
 	}
 	return outside.ScopeAll
--- a/entry/storeduty.go
+++ b/entry/storeduty.go
@@ -7,7 +7,6 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/thornwalk/thornwalk/coordination/liveness"
-	"github.com/thornwalk/thornwalk/state/rendezvous"
 	"github.com/thornwalk/thornwalk/structs"
 )
 
@@ -44,32 +43,16 @@
 	spreadParts = 1024
 )
 
-// storeOrderOf returns the nodes with the beats in the order in which they call the store,
-// as far as probers: strong ones first, as all others hear the news from them.
-func storeOrderOf(beats []liveness.Beat) []string {
-	strong := liveness.Candidates(beats)
-	var weak []string
-	for _, beat := range beats {
-		if !slices.Contains(strong, beat.Name) {
-			weak = append(weak, beat.Name)
-		}
-	}
-	order := rendezvous.Choose(strong, rendezvous.Key(schedulerKey), probers)
-	if len(order) < probers {
-		order = append(order, rendezvous.Choose(weak, rendezvous.Key(schedulerKey), probers-len(order))...)
-	}
-	return order
-}
-
 // storePlace returns this node's place in the order in which it and the nodes with the
-// beats call the store, or the number of them all beyond the probers.
-func (n *Node) storePlace(others []liveness.Beat) int {
-	settings := n.settings.Load()
-	beats := append(others, liveness.Beat{Name: settings.Name, Cores: settings.Cores, Link: settings.Link})
-	if place := slices.Index(storeOrderOf(beats), settings.Name); place >= 0 {
-		return place
+// beats call the store, or the number of them all beyond the probers. The caller holds the mutex.
+func (n *Node) storePlace(others []*liveness.Beat) int {
+	if !n.isOrdinary {
+		order := liveness.Order(append(slices.Clone(others), n.ownBeat()), probers)
+		if place := slices.Index(order, n.settings.Load().Name); place >= 0 {
+			return place
+		}
 	}
-	return len(beats)
+	return max(len(others)+1, n.size.Known, probers)
 }
 
 // storeRank returns this node's place among the live nodes that reach the store. A node
@@ -100,6 +83,8 @@
 	defer n.mutex.Unlock()
 	now := n.now()
 	switch {
+	case n.findsDelegates(now):
+		return false
 	case n.followsStore(now):
 		return true
 	case !n.storeDown:
@@ -128,7 +113,7 @@
 		return false
 	}
 	failing := 0
-	for _, name := range storeOrderOf(liveness.Beats(n.members.Live(now))) {
+	for _, name := range liveness.Order(liveness.Beats(liveness.Delegates(n.members.Live(now))), probers) {
 		if prober, found := n.members.Get(name); found && prober.Storeless {
 			failing++
 		}
@@ -163,6 +148,30 @@
 	}
 }
 
+// delegatesPatience is the age of the process until which a node of a large fleet that is none of
+// its delegates leaves it to these to read the store, if it hears them.
+const delegatesPatience = 8 * time.Second
+
+// delegatesFound is the age of the process at which the nodes of a large fleet that starts at once
+// know which of them are its delegates.
+const delegatesFound = 600 * time.Millisecond
+
+// awaitsDelegates returns whether the delegates will tell this process what the store holds. Were
+// each node of a large fleet to read that at a start of all, the store would have to answer the
+// square of the fleet.
+func (n *Node) awaitsDelegates() bool {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	now := n.now()
+	return n.findsDelegates(now) || n.isOrdinary && now < delegatesPatience
+}
+
+// findsDelegates returns whether the nodes of a large fleet that may have started just now don't
+// know yet which of them are its delegates. The caller holds the mutex.
+func (n *Node) findsDelegates(now structs.Instant) bool {
+	return n.isLarge && now < delegatesFound && !n.isolated(now)
+}
+
 // hasInformedPeer returns whether a live node knows a configuration and replicas.
 func (n *Node) hasInformedPeer() bool {
 	n.mutex.Lock()
--- a/state/replicas/replicas.go
+++ b/state/replicas/replicas.go
@@ -217,6 +217,9 @@
 	return changed
 }
 
+// Count returns how many replicas are known.
+func (t *Table) Count() int { return len(t.byID) }
+
 // All returns every known replica by id.
 func (t *Table) All() []Replica {
 	all := make([]Replica, 0, len(t.byID))
