Let the longest answers go first once their kind leaves them behind

Chosen is a bound that adapts: by route it is counted which share of the longest tenth, and of the fifth below it, gets a place; they go first while that is under 0.65 of the route's.

--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -17,6 +17,11 @@
 	arrived structs.Instant
 	// doubt is the request's Doubted, shared with others of its node.
 	doubt *doubtList
+	// sizes is what is known of the lengths of its route's answers, of which it is in the band.
+	sizes *sizes
+	band  band
+	// size is the length that it is ordered by in this round.
+	size int
 }
 
 // place is a request in progress.
@@ -47,6 +52,8 @@
 	// versions says which versions get requests, and trial what those get that are judged.
 	versions rollouts.VersionPolicy
 	trial    *rollout.Exposure
+	// routes has what is known of the lengths of answers by route.
+	routes map[string]*sizes
 	// warming bounds what cold replicas get; nil means that it is not known.
 	warming *Warming
 }
@@ -189,10 +196,11 @@
 
 // Submit queues the request. The next Decide may end its wait.
 func (s *Scheduler) Submit(now structs.Instant, request Request) {
-	held := &waiting{Request: request, arrived: now}
+	pool := s.service(request.Service)
+	held := &waiting{Request: request, arrived: now, sizes: pool.sizesOf(request.Route)}
+	held.band = held.sizes.note(request.Answer)
 	held.doubt = s.shareDoubt(&held.Request)
 	s.waits[request.ID] = held
-	pool := s.service(request.Service)
 	pool.queue = append(pool.queue, held)
 	pool.trial.Ask(request.Route)
 }
@@ -216,7 +224,7 @@
 func (s *Scheduler) service(name string) *service {
 	pool, found := s.services[name]
 	if !found {
-		pool = &service{duration: initialDuration, failures: leastShare}
+		pool = &service{duration: initialDuration, failures: leastShare, routes: map[string]*sizes{}}
 		s.services[name] = pool
 	}
 	return pool
--- a/coordination/admission/decide.go
+++ b/coordination/admission/decide.go
@@ -65,6 +65,7 @@
 			ahead++
 			continue
 		}
+		held.sizes.decided(held.band, decision.Reason == ReasonNone)
 		delete(s.waits, held.ID)
 		decisions = append(decisions, decision)
 	}
@@ -74,8 +75,12 @@
 }
 
 // sortQueue orders by priority, then those that can still be in time, the
-// shortest answers first, then the late ones by arrival.
+// shortest answers first and before them long ones that fell behind, then the late
+// ones by arrival.
 func sortQueue(now structs.Instant, queue []*waiting) {
+	for _, held := range queue {
+		held.size = held.order()
+	}
 	sort.SliceStable(queue, func(i, j int) bool {
 		a, b := queue[i], queue[j]
 		if a.Priority != b.Priority {
@@ -85,8 +90,8 @@
 		if aLate != bLate {
 			return bLate
 		}
-		if !aLate && a.Answer != b.Answer {
-			return a.Answer < b.Answer
+		if !aLate && a.size != b.size {
+			return a.size < b.size
 		}
 		return a.arrived+a.Target < b.arrived+b.Target
 	})
