Keep work in its region while that serves it in time

Change: the settings name each zone's region, and a replica of another region costs three times one of another zone.

--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -77,6 +77,8 @@
 	// the requests that ask for the same.
 	contents *poison.Ledger
 	running  map[fingerprint.Fingerprint]int
+	// regions has the region of each zone; a zone that it lacks is one by itself.
+	regions map[string]string
 	// emptied are the zones whose replicas get nothing.
 	emptied map[string]bool
 	// warms is true if cold replicas may be given requests, which began or ended at warmsSince.
@@ -96,6 +98,20 @@
 // SetContents has the scheduler go by the ledger of requests that replicas ended under.
 func (s *Scheduler) SetContents(contents *poison.Ledger) { s.contents = contents }
 
+// SetRegions tells which region each zone is in.
+func (s *Scheduler) SetRegions(regions map[string]string) { s.regions = regions }
+
+// distance is how much more a replica costs by where it stands.
+func (s *Scheduler) distance(from, to string) float64 {
+	switch {
+	case from == to:
+		return 1
+	case s.regions[from] == s.regions[to]:
+		return otherZoneFactor
+	}
+	return otherRegionFactor
+}
+
 // SetReplicas replaces the known replicas.
 func (s *Scheduler) SetReplicas(now structs.Instant, all []replicas.Replica) {
 	for _, pool := range s.services {
--- a/coordination/admission/decide.go
+++ b/coordination/admission/decide.go
@@ -197,9 +197,7 @@
 			continue
 		}
 		cost := choice.cost(held.Prompt)
-		if choice.state.replica.Zone != held.Zone {
-			cost *= otherZoneFactor
-		}
+		cost *= s.distance(held.Zone, choice.state.replica.Zone)
 		if choice.disturbs(&held.Request) {
 			if calmOnly {
 				continue
--- a/coordination/admission/tuning.go
+++ b/coordination/admission/tuning.go
@@ -38,6 +38,9 @@
 	// otherZoneFactor is how much more a replica in another zone than the node's
 	// costs: a cut between zones breaks what crosses them.
 	otherZoneFactor = 2.0
+	// otherRegionFactor is the same for another region: what goes there takes longer and is paid
+	// for, so that work stays in its region as long as that serves it in time.
+	otherRegionFactor = 6.0
 	// smoothing is the weight of a new observation.
 	smoothing = 0.15
 	// fitShare is the part of the time left that an answer may be expected to take.
--- a/entry/desk.go
+++ b/entry/desk.go
@@ -56,6 +56,8 @@
 	// while this node schedules for the others.
 	share float64
 	leads bool
+	// regions has the region of each zone.
+	regions map[string]string
 	// emptied are the zones that get nothing, and warmings bounds what cold replicas get, by service.
 	emptied  map[string]bool
 	warmings map[string]admission.Warming
@@ -90,6 +92,7 @@
 func (d *desk) clear() {
 	d.scheduler = admission.New()
 	d.scheduler.SetContents(d.contents)
+	d.scheduler.SetRegions(d.regions)
 	d.scheduler.SetEmptied(d.clock(), d.emptied)
 	d.applyWarmings()
 	start := takeoverBurst
@@ -179,6 +182,14 @@
 	return d.budget.Uses(d.clock())
 }
 
+// setRegions takes over which region each zone is in.
+func (d *desk) setRegions(regions map[string]string) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.regions = regions
+	d.scheduler.SetRegions(regions)
+}
+
 // lead tells the desk whether this node schedules for the others from now on.
 func (d *desk) lead(schedules bool) {
 	d.mutex.Lock()
--- a/entry/node.go
+++ b/entry/node.go
@@ -183,6 +183,7 @@
 	n.peers.OnSilence(func(address string) { go n.linkFellSilent(address) })
 	n.desk = newDesk(n.now, settings.retryPolicy(1), settings.FirstStart)
 	n.desk.rolloutPolicy = settings.rolloutPolicy()
+	n.desk.setRegions(settings.Regions)
 	n.desk.setContentPolicy(settings.contentPolicy())
 	n.desk.tell = n.noteContent
 	n.ctx, n.cancel = context.WithCancel(context.Background())
@@ -283,6 +284,7 @@
 func (n *Node) Reload(settings *Settings) {
 	n.settings.Store(settings)
 	n.desk.setContentPolicy(settings.contentPolicy())
+	n.desk.setRegions(settings.Regions)
 	n.log.Write(eventlog.Event{Kind: "process.reload", Outcome: "in-force"})
 }
 
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -21,6 +21,8 @@
 type Settings struct {
 	Name string `yaml:"name"`
 	Zone string `yaml:"zone"`
+	// Regions has the region of each zone.
+	Regions map[string]string `yaml:"regions"`
 	// Callers, Readiness and Operators are the addresses to listen at.
 	Callers   string `yaml:"callers"`
 	Readiness string `yaml:"readiness"`
--- a/entry/settings_test.go
+++ b/entry/settings_test.go
@@ -16,6 +16,7 @@
 		t.Fatal(err)
 	}
 	text := strings.ReplaceAll(string(template), "{{#seeds}}{{.|json}}{{,}}{{/seeds}}", values["seeds"])
+	text = strings.ReplaceAll(text, "{{#zones}}\"{{@}}\": {{.|json}}{{,}}{{/zones}}", values["zones"])
 	return regexp.MustCompile(`\{\{([a-z_.0-9]+)(\|json)?\}\}`).ReplaceAllStringFunc(text, func(gap string) string {
 		parts := strings.Split(strings.Trim(gap, "{}"), "|")
 		value := values[parts[0]]
@@ -28,7 +29,7 @@
 
 func sample() map[string]string {
 	return map[string]string{
-		"node_name": "edge-1", "zone": "z", "listen.front": "10.0.0.1:80", "listen.readiness": "10.0.0.1:81", "listen.control": "10.0.0.1:82",
+		"node_name": "edge-1", "zone": "z", "zones": `"z": "r", "y": "r"`, "listen.front": "10.0.0.1:80", "listen.readiness": "10.0.0.1:81", "listen.control": "10.0.0.1:82",
 		"ip": "10.0.0.1", "internal_ports.0": "7600", "seeds": `"10.0.0.1:82","10.0.0.2:82"`, "platform.address": "10.9.9.9:83",
 		"bounds.grace_s": "8", "bounds.contact_ms": "3000", "limits.memory_mb": "134", "limits.cpu_share": "0.4", "limits.link_mbps": "1000",
 		"bounds.retry_budget_ratio": "0.2", "bounds.budget_window_s": "10", "bounds.budget_slack": "58",
@@ -41,6 +42,7 @@
 	settings, err := ParseSettings([]byte(rendered(t, sample())))
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(settings.Seeds).To(gomega.Equal([]string{"10.0.0.1:82", "10.0.0.2:82"}))
+	g.Expect(settings.Regions).To(gomega.Equal(map[string]string{"z": "r", "y": "r"}))
 	g.Expect(settings.StopGrace).To(gomega.Equal(8000))
 	g.Expect(settings.QuotaSlack).To(gomega.Equal(72000.0))
 	g.Expect(settings.FirstStart).To(gomega.BeTrue())
