Look at a long list by one call, and find delegates that all died sooner

At a start, nodes that had heard of nobody, or of a seed that knew few, read the store by themselves. And a zone whose delegates all died found new ones after up to ten seconds: each knows its zone by names only, and sent to one in five of these.

Change: where a read takes several calls one call asks for the store's revision; the watch, which is of all keys, has brought everything up to there or all is read. A process waits 0.25 s for any peer, and asks a seed again while it starts. While roles change, a delegate beats each 0.3 s and to all silent nodes it knows.

--- a/entry/beats.go
+++ b/entry/beats.go
@@ -49,8 +49,11 @@
 // interval returns the time to this node's next heartbeat. The caller holds the mutex.
 func (n *Node) interval() time.Duration {
 	wait := largeInterval
-	if !n.isLarge {
+	switch {
+	case !n.isLarge:
 		wait = interval(n.members.Known())
+	case !n.isOrdinary && n.isUnsettled(n.now()):
+		wait = unsettledPause
 	}
 	if n.senior {
 		wait = min(wait, seniorInterval)
@@ -125,7 +128,7 @@
 			suspected = append(suspected, member.Address)
 		}
 	}
-	asksNames := n.isAskDue(now)
+	asksNames, isStarting := n.isAskDue(now), !n.isLarge && now < settleTime
 	n.mutex.Unlock()
 	if len(routes.Direct)+len(routes.PassOn) < len(n.settings.Load().Seeds) {
 		routes.Direct = append(routes.Direct, n.seedAddresses()...)
@@ -133,8 +136,11 @@
 	n.sendRoutes(beat, routes)
 	beat.PassOn, beat.Asks = false, true
 	n.sendBeat(beat, suspected)
-	if asksNames {
+	switch {
+	case asksNames:
 		n.askForNames(beat, append(routes.Direct, routes.PassOn...))
+	case isStarting:
+		n.askSeed(beat)
 	}
 }
 
@@ -168,13 +174,14 @@
 }
 
 // silentMembers returns some of the nodes that fell silent: they may be back, or a cut healed. Each
-// gets one heartbeat in silentShare, and in a large fleet a bounded number of them. The caller holds
-// the mutex.
+// gets one heartbeat in silentShare, and in a large fleet a bounded number of them each, while roles
+// change there: who becomes a delegate knows its zone by names only. The caller holds the mutex.
 func (n *Node) silentMembers(now structs.Instant) []string {
 	var addresses []string
 	for _, member := range n.members.All(now) {
 		isWanted := !n.isLarge || !member.Ordinary || member.Zone == n.settings.Load().Zone
-		if isWanted && !member.Suspected() && member.Silence(now) >= member.Patience() && n.sequence.Add(1)%silentShare == 0 {
+		isDue := n.isLarge && n.isUnsettled(now) || n.sequence.Add(1)%silentShare == 0
+		if isWanted && !member.Suspected() && member.Silence(now) >= member.Patience() && isDue {
 			addresses = append(addresses, member.Address)
 		}
 	}
--- a/entry/freshness.go
+++ b/entry/freshness.go
@@ -134,6 +134,11 @@
 			continue
 		}
 		last = now
+		if !stale && !n.watchMisses() {
+			n.counter("store.reads_spared").Inc(1)
+			last -= 2 * watchDelay // it tells so much later than a read: others must not find theirs due
+			continue
+		}
 		_, err := n.read(scope)
 		if err != nil {
 			n.storeFailed(err)
--- a/entry/introduce.go
+++ b/entry/introduce.go
@@ -142,11 +142,15 @@
 	return beat.Known < n.members.Known()*newcomerShare/100
 }
 
+// isUnsettled returns whether this node started or roles changed so lately that the delegates of a
+// large fleet may not have found each other. The caller holds the mutex.
+func (n *Node) isUnsettled(now structs.Instant) bool { return now-n.roleAt < unsettled }
+
 // isAskDue returns whether this node asks for names with its next heartbeat. The caller holds the
 // mutex.
 func (n *Node) isAskDue(now structs.Instant) bool {
 	pause := askPause
-	if now-n.roleAt < unsettled {
+	if n.isUnsettled(now) {
 		pause = unsettledPause
 	}
 	if !n.isLarge || now-n.askedAt < pause {
@@ -156,6 +160,15 @@
 	return true
 }
 
+// askSeed asks a seed how large the fleet is by now: one that starts among many heard of few when it
+// answered first.
+func (n *Node) askSeed(beat liveness.Beat) {
+	if seeds := n.seedAddresses(); len(seeds) > 0 {
+		beat.PassOn, beat.Asks = false, true
+		n.sendBeat(beat, []string{seeds[rand.IntN(len(seeds))]})
+	}
+}
+
 // askForNames asks one of the nodes at the addresses, or a seed, for the names of others: all that
 // this node hears of may be one side of a cut that has healed.
 func (n *Node) askForNames(beat liveness.Beat, addresses []string) {
--- a/entry/node.go
+++ b/entry/node.go
@@ -36,6 +36,9 @@
 	Network   network.Network
 	Datagrams network.Datagrams
 	Directory outside.Directory
+	// Revisions tells cheaply how far the directory's history goes; nil means that only Directory
+	// does.
+	Revisions outside.Revisions
 	// Rollouts keeps the progress of roll-outs; nil means that there are none.
 	Rollouts outside.Rollouts
 	// Contents keeps what is known of barred requests; nil means that it ends with the nodes.
@@ -123,6 +126,8 @@
 	isChoiceAwaited bool
 	// slowness tells whether this node is too slow to schedule.
 	slowness liveness.Slowness
+	// readCalls is how many calls the latest complete read took.
+	readCalls int
 	// triedAt is when this node last called the store, and askedAt when it last asked for names
 	// of others.
 	triedAt, askedAt structs.Instant
--- a/entry/store.go
+++ b/entry/store.go
@@ -25,7 +25,10 @@
 	// watchWait is how long a watch without news is held; each is a priced call.
 	watchWait = 10 * time.Second
 	// watchMargin is added for the answer to arrive.
-	watchMargin  = 2 * time.Second
+	watchMargin = 2 * time.Second
+	// watchDelay is how much later than a call's answer the watch may bring what came before it:
+	// it gathers news for watchGather.
+	watchDelay   = watchGather + 40*time.Millisecond
 	firstPause   = 150 * time.Millisecond
 	longestPause = time.Second
 	// rereadAfter bounds the time between two complete reads.
@@ -182,12 +185,44 @@
 		return 0, errkind.New(errkind.StoreUnavailable, "the store answers in era %d, which is over", update.Revision.Era())
 	}
 	n.mutex.Lock()
+	n.readCalls = update.Calls
+	n.noteRead(begun, scope)
+	n.mutex.Unlock()
+	return update.Revision, nil
+}
+
+// noteRead records that all of the scope is known as of the instant. The caller holds the mutex.
+func (n *Node) noteRead(begun structs.Instant, scope outside.Scope) {
 	n.fresh.note(begun)
 	if scope == outside.ScopeAll {
 		n.freshConfiguration.note(begun)
 	}
+}
+
+// watchMisses returns whether this node's watch may have missed a change, and so all has to be read
+// anew. Where a complete read takes many calls, one call tells: the watch brings every change of the
+// store, so that nothing was missed up to the revision that it has reached.
+func (n *Node) watchMisses() bool {
+	n.mutex.Lock()
+	isWorth := n.readCalls > 1 && n.steady && n.depend.Revisions != nil
+	begun := n.now()
 	n.mutex.Unlock()
-	return update.Revision, nil
+	if !isWorth {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(n.ctx, readTimeout)
+	defer cancel()
+	latest, err := n.depend.Revisions.Revision(ctx)
+	if err != nil || !n.pause(watchDelay) {
+		return true
+	}
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if n.table.Revision() < latest || latest.Era() != n.era.present {
+		return true
+	}
+	n.noteRead(begun, outside.ScopeAll) // the watch is of all keys
+	return false
 }
 
 // readTime is how long a read may take.
--- a/entry/storeduty.go
+++ b/entry/storeduty.go
@@ -30,9 +30,11 @@
 	// introductionTime is the age of a process until which it waits for its peers to tell
 	// it of replicas and the configuration, and greetingTime that at which one that knows
 	// these has answered if there is any. They take some 50 ms, and the process is not
-	// ready before settleTime in any case.
+	// ready before settleTime in any case. Until aloneTime it waits to hear of any other: where many
+	// start at once, it learns so that the fleet is large and that others read the store for it.
 	introductionTime = 150 * time.Millisecond
 	greetingTime     = 40 * time.Millisecond
+	aloneTime        = 250 * time.Millisecond
 	// watchGather is the time after news in which a watching node gathers more, so that
 	// changes in quick succession cost no call each.
 	watchGather = 80 * time.Millisecond
@@ -141,13 +143,27 @@
 
 // awaitPeers gives the peers of a starting process time to tell it what they know.
 func (n *Node) awaitPeers() {
-	for n.now() < introductionTime && !n.isInformed() {
-		if n.now() >= greetingTime && !n.hasInformedPeer() || !n.pause(startPoll) {
+	for !n.isInformed() {
+		limit := introductionTime
+		switch {
+		case n.hearsNobody():
+			limit = aloneTime
+		case !n.hasInformedPeer():
+			limit = greetingTime
+		}
+		if n.now() >= limit || !n.pause(startPoll) {
 			return
 		}
 	}
 }
 
+// hearsNobody returns whether no other node was heard of since the start.
+func (n *Node) hearsNobody() bool {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.heardAt == 0
+}
+
 // delegatesPatience is the age of the process until which a node of a large fleet that is none of
 // its delegates leaves it to these to read the store, if it hears them.
 const delegatesPatience = 8 * time.Second
--- a/outside/directory.go
+++ b/outside/directory.go
@@ -25,6 +25,8 @@
 	// Complete is true if Replicas lists every replica, and Whole if also Orders, Records and
 	// Evacuations list every one.
 	Complete, Whole bool
+	// Calls is how many calls the update took.
+	Calls int
 	// Catalog is nil if the configuration did not change, and CatalogRevision is its
 	// revision.
 	Catalog         *catalog.Document
@@ -79,6 +81,12 @@
 	Watch(ctx context.Context, after structs.Place, wait time.Duration) (*Update, error)
 }
 
+// Revisions tells how far the directory's history goes, at the cost of one small call.
+type Revisions interface {
+	// Revision returns the place of the latest change. The error is of kind StoreUnavailable.
+	Revision(ctx context.Context) (structs.Place, error)
+}
+
 // Rollouts keeps the progress of roll-outs and tells it to the operators.
 type Rollouts interface {
 	// WriteRollout writes the record and the status that operators read, both or neither,
