Give what a node knows of the age of its knowledge a package, and the desk's quotas a file

entry/ had 36 files of one package. What peers have that a node lacks, when the store was read last and which newer versions exist go to coordination/staleness, the bound on replies under way to coordination/spread; the desk's part in quotas gets a file. Nothing decides otherwise; the test of pauses moved with what it tests.

--- a/entry/senders.go
+++ b/coordination/spread/senders.go
@@ -1,4 +1,4 @@
-package entry
+package spread
 
 import (
 	"context"
@@ -17,21 +17,21 @@
 	turnWait = 100 * time.Millisecond
 )
 
-// senders bounds the replies with parts of the configuration that are under way at
+// Senders bounds the replies with parts of the configuration that are under way at
 // once, so that other messages of this node keep most of its link.
-type senders chan struct{}
+type Senders chan struct{}
 
-// newSenders returns the bound for a link of so many megabits a second.
-func newSenders(link float64) senders {
+// NewSenders returns the bound for a link of so many megabits a second.
+func NewSenders(link float64) Senders {
 	count := unknownSenders
 	if link > 0 {
 		count = min(max(int(link/senderShare), 1), mostSenders)
 	}
-	return make(senders, count)
+	return make(Senders, count)
 }
 
-// enter waits a while for a turn and returns whether there was one.
-func (s senders) enter(ctx context.Context) bool {
+// Enter waits a while for a turn and returns whether there was one.
+func (s Senders) Enter(ctx context.Context) bool {
 	select {
 	case s <- struct{}{}:
 		return true
@@ -47,5 +47,5 @@
 	}
 }
 
-// leave ends a turn.
-func (s senders) leave() { <-s }
+// Leave ends a turn.
+func (s Senders) Leave() { <-s }
--- a/entry/configuration.go
+++ b/entry/configuration.go
@@ -56,7 +56,7 @@
 	}
 	compiled, err := catalog.Compile(document)
 	if err != nil {
-		n.newer.reject(document.Version)
+		n.newer.Reject(document.Version)
 		n.log.Write(eventlog.Event{Kind: "configuration", Outcome: "kept-out", Reason: "invalid", Version: document.Version, Detail: err.Error()})
 		return
 	}
@@ -93,10 +93,10 @@
 	if own == 0 && !n.isOrdinary {
 		patience = 0
 	}
-	if !n.newer.heard(n.now(), own, beat.Version) {
+	if !n.newer.Heard(n.now(), own, beat.Version) {
 		return false
 	}
-	return n.versionLag.due(n.now(), own, beat.Version, patience)
+	return n.versionLag.Due(n.now(), own, beat.Version, patience)
 }
 
 // partsReply gives the turn at this node's link back once it was sent.
@@ -117,7 +117,7 @@
 	if n.library.Version() <= request.Version {
 		return &partsReply{}, nil
 	}
-	if !n.senders.enter(ctx) {
+	if !n.senders.Enter(ctx) {
 		n.counter("configuration.busy").Inc(1)
 		return &partsReply{Reply: spread.Reply{Busy: true, Holders: n.holders.Name(request)}}, nil
 	}
@@ -126,7 +126,7 @@
 		n.counter("configuration.bytes_sent").Inc(int64(len(content)))
 	}
 	// A peer that does not read keeps its turn no longer than it waits for the reply.
-	leave := sync.OnceFunc(n.senders.leave)
+	leave := sync.OnceFunc(n.senders.Leave)
 	time.AfterFunc(partsTimeout, leave)
 	return &partsReply{Reply: *reply, sent: func() {
 		leave()
@@ -144,7 +144,7 @@
 		n.library.Abandon()
 	}
 	n.mutex.Lock()
-	n.versionLag.ended(n.now(), err == nil || progress)
+	n.versionLag.Ended(n.now(), err == nil || progress)
 	n.mutex.Unlock()
 	took := n.now() - begun
 	if err != nil {
--- a/entry/contents.go
+++ b/entry/contents.go
@@ -96,7 +96,7 @@
 	if told == own.Weight && beat.Contents.Digest != own.Digest {
 		told++ // as much, but not the same
 	}
-	return n.contentsLag.due(now, own.Weight, told, 0)
+	return n.contentsLag.Due(now, own.Weight, told, 0)
 }
 
 // contentsRequest asks a peer for what it knows of requests that replicas ended under.
@@ -123,7 +123,7 @@
 	}
 	news := n.desk.contentsMark() != before
 	n.mutex.Lock()
-	n.contentsLag.ended(n.now(), news)
+	n.contentsLag.Ended(n.now(), news)
 	n.mutex.Unlock()
 	if news {
 		n.sendBeats()
--- a/entry/desk.go
+++ b/entry/desk.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/thornwalk/thornwalk/coordination/admission"
-	"github.com/thornwalk/thornwalk/coordination/liveness"
 	"github.com/thornwalk/thornwalk/coordination/poison"
 	"github.com/thornwalk/thornwalk/coordination/quota"
 	"github.com/thornwalk/thornwalk/coordination/retrybudget"
@@ -148,61 +147,6 @@
 	d.budget.SetPolicy(policy)
 }
 
-// maximumLevels bounds the tenants whose buckets are told to other nodes.
-const maximumLevels = 48
-
-// levels returns the tenants' buckets that another node would have to know, or nil. One that
-// hands out a small share has small buckets, which say nothing of the tenants' own.
-func (d *desk) levels() map[string]float64 {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	if d.share <= majority {
-		return nil
-	}
-	return d.quotas.Levels(d.clock(), maximumLevels)
-}
-
-// takeOver goes on from the buckets that the last scheduling node told of, which may have handed
-// out until the time given. Were all the time since it told credited, nodes killed each 0.8 s
-// would hand out a tenth of a window too much; were none, tenants below their quotas were refused.
-func (d *desk) takeOver(until structs.Instant, levels map[string]float64) {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	d.quotas = quota.NewLedger(takeoverBurst)
-	d.quotas.Seed(until, levels)
-}
-
-// adopt takes account of what another node handed out that schedules as well, or did until
-// just now. A process that starts on the first node of the order schedules at once and knows
-// nothing: killed each 0.8 s, it handed out a third more than the quotas allow.
-func (d *desk) adopt(until structs.Instant, levels map[string]float64) {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	d.quotas.Adopt(d.clock(), until, levels)
-}
-
-// ledgerView returns what this desk handed out since it began to schedule.
-func (d *desk) ledgerView() *liveness.LedgerView {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	now := d.clock()
-	return &liveness.LedgerView{Epoch: d.epoch, Led: (now - d.ledSince).Milliseconds(), Taken: d.quotas.Taken(now, maximumLevels)}
-}
-
-// charge takes account of what other scheduling nodes handed out while this one schedules.
-func (d *desk) charge(handed quota.Handed) {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	d.quotas.Charge(handed)
-}
-
-// ledFor returns for how long this node has scheduled, or has since it last began to.
-func (d *desk) ledFor() time.Duration {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
-	return d.clock() - d.ledSince
-}
-
 // repeats returns what this desk counted for the retry budget, by service.
 func (d *desk) repeats() map[string]retrybudget.Use {
 	d.mutex.Lock()
--- a/entry/freshness.go
+++ b/entry/freshness.go
@@ -40,27 +40,6 @@
 	readCheck = 100 * time.Millisecond
 )
 
-// freshness is when the newest complete read of the store that this node knows
-// the result of began.
-type freshness struct {
-	at    structs.Instant
-	known bool
-}
-
-func (f *freshness) note(at structs.Instant) {
-	if !f.known || at > f.at {
-		f.at, f.known = at, true
-	}
-}
-
-// age returns the age in milliseconds, or -1 if there was no read.
-func (f *freshness) age(now structs.Instant) int64 {
-	if !f.known {
-		return -1
-	}
-	return (now - f.at).Milliseconds()
-}
-
 // noteFreshness takes over how fresh a peer's knowledge is, of the replicas and of the
 // configuration, where this node knows no less than the peer. The caller holds the mutex.
 func (n *Node) noteFreshness(now structs.Instant, beat liveness.Beat) {
@@ -68,10 +47,10 @@
 		n.noteStoreReached(now)
 	}
 	if beat.Unread >= 0 && !n.isOfEarlierEra(beat) && beat.Latest <= n.table.Latest() {
-		n.fresh.note(now - time.Duration(beat.Unread)*time.Millisecond)
+		n.fresh.Note(now - time.Duration(beat.Unread)*time.Millisecond)
 	}
 	if own := n.version(); beat.ConfigurationUnread >= 0 && own > 0 && beat.Version <= own {
-		n.freshConfiguration.note(now - time.Duration(beat.ConfigurationUnread)*time.Millisecond)
+		n.freshConfiguration.Note(now - time.Duration(beat.ConfigurationUnread)*time.Millisecond)
 	}
 }
 
@@ -95,16 +74,16 @@
 	interval := max(readInterval, configurationShare*transfer)
 	if n.rank < readers {
 		// A read begins a little after the moment at which it was found due.
-		if !n.freshConfiguration.known || now-n.freshConfiguration.at > interval-readCheck {
+		if !n.freshConfiguration.Known() || now-n.freshConfiguration.At() > interval-readCheck {
 			return outside.ScopeAll, true
 		}
 		return outside.ScopeReplicas, true
 	}
 	old := staleAfter + interval - readInterval + n.readDelay(now, min(staleStep+transfer, longestStaleStep)) + n.spreadOver(transfer)
 	switch {
-	case n.freshConfiguration.known && !n.versionLag.pulling && now-n.freshConfiguration.at > old:
+	case n.freshConfiguration.Known() && !n.versionLag.IsPulling() && now-n.freshConfiguration.At() > old:
 		return outside.ScopeAll, !n.awaitsProbers(now)
-	case n.fresh.known && now-n.fresh.at > staleAfter+n.readDelay(now, staleStep):
+	case n.fresh.Known() && now-n.fresh.At() > staleAfter+n.readDelay(now, staleStep):
 		return outside.ScopeReplicas, !n.awaitsProbers(now)
 	}
 	return outside.ScopeReplicas, false
@@ -128,7 +107,7 @@
 		n.mutex.Lock()
 		now := n.now()
 		scope, due := n.readDue(now, last, transfer)
-		stale, age := n.rank >= readers, n.fresh.age(now)
+		stale, age := n.rank >= readers, n.fresh.Age(now)
 		n.mutex.Unlock()
 		if !due {
 			continue
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -162,7 +162,7 @@
 // refuseUnknown refuses what the configuration in force does not know. If a newer version
 // is known to exist, that one may know it, and the caller is told to come back.
 func (c *call) refuseUnknown(current *catalog.Catalog, status int, reason string) {
-	if c.node.newer.exists(current.Version) {
+	if c.node.newer.Exists(current.Version) {
 		c.refuse(http.StatusServiceUnavailable, reasonBehind, retryBehind)
 		return
 	}
--- a/entry/node.go
+++ b/entry/node.go
@@ -18,6 +18,7 @@
 
 	"github.com/thornwalk/thornwalk/coordination/liveness"
 	"github.com/thornwalk/thornwalk/coordination/spread"
+	"github.com/thornwalk/thornwalk/coordination/staleness"
 	"github.com/thornwalk/thornwalk/internal/eventlog"
 	"github.com/thornwalk/thornwalk/outside"
 	"github.com/thornwalk/thornwalk/protocol/peerwire"
@@ -91,9 +92,9 @@
 	// library has the parts of the version in force, which others are sent through
 	// senders, and holders who was sent all of them.
 	library *spread.Library
-	senders senders
+	senders spread.Senders
 	holders spread.Holders
-	newer   newerVersions
+	newer   staleness.Versions
 	// isConfigurationLarge is true once the store's configuration was found to take long on this link.
 	isConfigurationLarge atomic.Bool
 
@@ -151,10 +152,10 @@
 	// era is what is known of the store's present era.
 	era era
 	// fresh is of the replicas, and freshConfiguration of the configuration.
-	fresh, freshConfiguration freshness
+	fresh, freshConfiguration staleness.Freshness
 	undelivered               []undelivered
-	replicaLag                lag[structs.Place]
-	versionLag, contentsLag   lag[int64]
+	replicaLag                staleness.Lag[structs.Place]
+	versionLag, contentsLag   staleness.Lag[int64]
 	// problems are the entries of the store that did not parse and were told of.
 	problems map[string]bool
 	// breaks are requests that replicas broke off which may have ended under them.
@@ -179,7 +180,7 @@
 		pool: replicahttp.NewPool(depend.Network), peers: peer.NewClient(depend.Network, nil),
 		table: replicas.NewTable(), evacuations: evacuations.NewTable(), rollouts: rollouts.NewTable(), members: liveness.NewTable(settings.Name), relays: liveness.NewRelays(rand.IntN), health: replicahealth.NewBook(), zones: zones.NewBook(),
 		held: map[string]heldPlace{}, ledgers: map[string]heardLedger{}, problems: map[string]bool{}, term: 1, storeBadAt: -time.Hour, ledAt: -time.Hour, chosenAt: -time.Hour, askedAt: -time.Hour,
-		library: spread.NewLibrary(), senders: newSenders(settings.Link),
+		library: spread.NewLibrary(), senders: spread.NewSenders(settings.Link),
 	}
 	if n.depend.Now == nil {
 		started := time.Now()
--- a/entry/pull.go
+++ b/entry/pull.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/thornwalk/thornwalk/coordination/liveness"
+	"github.com/thornwalk/thornwalk/coordination/staleness"
 	"github.com/thornwalk/thornwalk/internal/eventlog"
 	"github.com/thornwalk/thornwalk/protocol/peerwire"
 	"github.com/thornwalk/thornwalk/structs"
@@ -18,58 +19,15 @@
 
 // Times of pulls.
 const (
-	// pullPatience is how long this node's own watch may be behind a peer's, and the
-	// least time between two pulls.
-	pullPatience = 200 * time.Millisecond
+	// pullPatience is how long this node's own watch may be behind a peer's.
+	pullPatience = staleness.LeastPause
 	// delegatesPullTime is how long news take from the nodes that follow the store to the delegates
 	// of a zone. What a zone's nodes pull from these crosses no border.
 	delegatesPullTime = 400 * time.Millisecond
-	// longestPullPause bounds the time between pulls, which doubles with each that fails.
-	longestPullPause = 1600 * time.Millisecond
 	// newsTimeout bounds a call to a peer for its news.
 	newsTimeout = 500 * time.Millisecond
 )
 
-// lag is what peers are known to know more of one kind of news.
-type lag[N ~int64] struct {
-	// told is the newest that a peer told of, and since when the first of it was heard of.
-	told  N
-	since structs.Instant
-	// pulling is true while a peer is asked, next is when one may be asked again, and
-	// pause the time from a pull to the next one.
-	pulling bool
-	next    structs.Instant
-	pause   time.Duration
-}
-
-// due enters what a peer told and returns whether that peer is to be asked now, given
-// what this node has itself, and how long it waits for its own watch to tell it.
-func (l *lag[N]) due(now structs.Instant, own, told N, patience time.Duration) bool {
-	if own >= l.told {
-		l.told, l.since = own, now
-	}
-	if told <= own {
-		return false
-	}
-	l.told = max(l.told, told)
-	if now-l.since < patience || l.pulling || now < l.next {
-		return false
-	}
-	l.pulling = true
-	return true
-}
-
-// ended records the end of a pull.
-func (l *lag[N]) ended(now structs.Instant, succeeded bool) {
-	l.pulling = false
-	if succeeded {
-		l.pause = pullPatience
-	} else {
-		l.pause = min(max(2*l.pause, pullPatience), longestPullPause)
-	}
-	l.next = now + l.pause
-}
-
 // pullPatienceWith is how long this node waits before it asks the sender of the heartbeat for its
 // news: for its own watch, or, where a zone's delegates will have the news as well, for these. The
 // caller holds the mutex.
@@ -97,7 +55,7 @@
 // this node's own watch will not tell it, and the peer is to be asked now. The caller
 // holds the mutex.
 func (n *Node) behindReplicas(beat liveness.Beat) bool {
-	return n.replicaLag.due(n.now(), n.latest(), beat.Latest, n.pullPatienceWith(beat))
+	return n.replicaLag.Due(n.now(), n.latest(), beat.Latest, n.pullPatienceWith(beat))
 }
 
 // serveNews answers a peer that is behind.
@@ -119,7 +77,7 @@
 	n.mutex.Unlock()
 	err := n.pull(address, request)
 	n.mutex.Lock()
-	n.replicaLag.ended(n.now(), err == nil)
+	n.replicaLag.Ended(n.now(), err == nil)
 	n.mutex.Unlock()
 	n.noteNotPulled(address, err)
 }
--- a/entry/store.go
+++ b/entry/store.go
@@ -193,9 +193,9 @@
 
 // noteRead records that all of the scope is known as of the instant. The caller holds the mutex.
 func (n *Node) noteRead(begun structs.Instant, scope outside.Scope) {
-	n.fresh.note(begun)
+	n.fresh.Note(begun)
 	if scope == outside.ScopeAll {
-		n.freshConfiguration.note(begun)
+		n.freshConfiguration.Note(begun)
 	}
 }
 
