Count a zone once, send one heartbeat for an update, and play many nodes by one function in the tests

Cause: read again as a newcomer. An empty branch stood in introduce, left of a count that was taken out. The size of a node's own zone was counted by two walks over the same table at each choice; an update of the store that emptied a zone beat twice, once for the order and once for the rest; IsDelegate had a filter beside Delegates; the tests of large fleets set up their nodes as those of relays do, line for line.

Change: Table.Size returns both sizes; takeEvacuations tells whether anything changed and apply beats once, after all of the update is in force; one filter; playNodes for both tests. No bound, check or expectation changed.

--- a/coordination/liveness/delegates.go
+++ b/coordination/liveness/delegates.go
@@ -68,8 +68,8 @@
 // the delegates that it hears.
 func IsDelegate(own *Beat, heard []*Member) bool {
 	zone := []*Beat{own}
-	for _, member := range heard {
-		if member.Zone == own.Zone && !member.Ordinary {
+	for _, member := range Delegates(heard) {
+		if member.Zone == own.Zone {
 			zone = append(zone, &member.Beat)
 		}
 	}
@@ -118,45 +118,29 @@
 }
 
 // Size returns the size of a large fleet as this node of the zone, which counts itself, and the
-// delegates of each zone know it.
-func (t *Table) Size(now structs.Instant, own string) Size {
-	type count struct{ live, known, toldLive, toldKnown int }
-	zones := map[string]*count{own: {live: 1, known: 1}}
+// delegates of each zone know it, and the size of its own zone by its own ears.
+func (t *Table) Size(now structs.Instant, own string) (fleet, zone Size) {
+	type count struct{ heard, told Size }
+	zones := map[string]*count{own: {heard: Size{Live: 1, Known: 1}}}
 	for _, member := range t.members {
 		if !member.known {
 			continue // nobody told its zone
 		}
-		zone, found := zones[member.Zone]
+		counted, found := zones[member.Zone]
 		if !found {
-			zone = &count{}
-			zones[member.Zone] = zone
+			counted = &count{}
+			zones[member.Zone] = counted
 		}
-		zone.known++
-		zone.toldKnown = max(zone.toldKnown, member.ZoneKnown)
+		counted.heard.Known++
+		counted.told.Known = max(counted.told.Known, member.ZoneKnown)
 		if member.live(now, 1) {
-			zone.live++
-			zone.toldLive = max(zone.toldLive, member.ZoneLive)
+			counted.heard.Live++
+			counted.told.Live = max(counted.told.Live, member.ZoneLive)
 		}
 	}
-	var size Size
-	for _, zone := range zones {
-		size.Live += max(zone.live, zone.toldLive)
-		size.Known += max(zone.known, zone.toldKnown)
+	for _, counted := range zones {
+		fleet.Live += max(counted.heard.Live, counted.told.Live)
+		fleet.Known += max(counted.heard.Known, counted.told.Known)
 	}
-	return size
-}
-
-// ZoneSize returns the size of the zone of this node, which counts itself, by its own ears.
-func (t *Table) ZoneSize(now structs.Instant, own string) Size {
-	size := Size{Live: 1, Known: 1}
-	for _, member := range t.members {
-		if member.Zone != own {
-			continue
-		}
-		size.Known++
-		if member.live(now, 1) {
-			size.Live++
-		}
-	}
-	return size
+	return fleet, zones[own].heard
 }
--- a/entry/choice.go
+++ b/entry/choice.go
@@ -148,10 +148,9 @@
 // takeSize finds how large the fleet is. The caller holds the mutex.
 func (n *Node) takeSize(now structs.Instant, live []*liveness.Member) {
 	settings := n.settings.Load()
-	n.size = n.members.Size(now, settings.Zone)
+	n.size, n.zone = n.members.Size(now, settings.Zone)
 	n.fleet = max(n.size.Known, liveness.ToldFleet(live))
 	if n.isLarge = liveness.IsLarge(n.fleet, n.isLarge); n.isLarge {
-		n.zone = n.members.ZoneSize(now, settings.Zone)
 		return
 	}
 	// Every node hears every other one.
--- a/entry/evacuation.go
+++ b/entry/evacuation.go
@@ -14,17 +14,16 @@
 // in such a zone, and the node that sends looks once more just before it writes: the place may be
 // of a scheduling node that did not know yet.
 
-// takeEvacuations takes what the store tells of emptied zones into force.
-func (n *Node) takeEvacuations(update *outside.Update) {
+// takeEvacuations takes what the store tells of emptied zones into force, and returns whether any
+// was emptied or taken back.
+func (n *Node) takeEvacuations(update *outside.Update) bool {
 	n.mutex.Lock()
 	orders := update.Evacuations
 	if update.Whole {
 		orders = append(orders, n.evacuations.Missing(orders, update.Revision)...)
 	}
 	n.mutex.Unlock()
-	if n.putEvacuations(orders, "store") {
-		n.sendBeats()
-	}
+	return n.putEvacuations(orders, "store")
 }
 
 // heardEvacuations takes what a peer knows of emptied zones into force.
--- a/entry/introduce.go
+++ b/entry/introduce.go
@@ -200,8 +200,6 @@
 		count := min(peersAtOnce, len(others))
 		beat.Peers = append(beat.Peers, others[:count]...)
 		others = others[count:]
-		if newcomer {
-		}
 		n.sendBeat(beat, []string{address})
 		beat.Peers = nil
 		if len(others) == 0 {
--- a/entry/news.go
+++ b/entry/news.go
@@ -20,7 +20,7 @@
 		return false
 	}
 	n.noteProblems(update)
-	n.takeEvacuations(update) // first: whoever hears of what follows has heard of it
+	emptied := n.takeEvacuations(update) // first: whoever hears of what follows has heard of it
 	if update.Catalog != nil {
 		n.offerCatalog(update.Catalog, "store")
 	}
@@ -51,7 +51,7 @@
 	if changed {
 		n.replicasChanged()
 	}
-	if changed || update.Catalog != nil || len(update.Orders)+len(update.Records) > 0 {
+	if changed || emptied || update.Catalog != nil || len(update.Orders)+len(update.Records) > 0 {
 		n.sendBeats()
 	}
 	return true
--- a/entry/node.go
+++ b/entry/node.go
@@ -119,8 +119,8 @@
 	held     map[string]heldPlace
 	term     uint64
 	role
-	// chosenAt is when the scheduling node was chosen last, and isChoiceAwaited is true if that is
-	// about to be done again.
+	// chosenAt is the instant of the latest choice of the scheduling node, and isChoiceAwaited is
+	// true if another one is about to follow.
 	chosenAt structs.Instant
 	// roleAt is when this node's role or the scheduling node changed last.
 	roleAt          structs.Instant
--- a/test/entry/large_fleet_test.go
+++ b/test/entry/large_fleet_test.go
@@ -5,13 +5,11 @@
 	"net/http"
 	"slices"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/onsi/gomega"
 
 	"github.com/thornwalk/thornwalk/entry"
-	"github.com/thornwalk/thornwalk/lab/memnet"
 )
 
 // The deployment that is large enough for delegates: four zones, three strong nodes in each.
@@ -25,22 +23,12 @@
 // playLarge plays a large fleet whose nodes all start at once.
 func playLarge(t *testing.T, nodes int, test func(s *relayScene)) {
 	t.Helper()
-	synctest.Test(t, func(t *testing.T) {
-		s := &relayScene{scene: &scene{WithT: gomega.NewWithT(t), fabric: memnet.New()}}
-		for i := range nodes {
-			s.nodes = append(s.nodes, nodeName(i))
+	playNodes(t, nodes, func(s *relayScene, settings *entry.Settings) {
+		settings.Cores, settings.Link = 0.2, 20
+		if slices.Index(s.nodes, settings.Name)%(nodes/strongNodes) < 1 {
+			settings.Cores, settings.Link = 0.8, 200
 		}
-		s.start(s.nodes, relayZones, func(settings *entry.Settings) {
-			settings.Cores, settings.Link = 0.2, 20
-			if slices.Index(s.nodes, settings.Name)%(nodes/strongNodes) < 1 {
-				settings.Cores, settings.Link = 0.8, 200
-			}
-		})
-		s.awaitReady()
-		defer s.stop(s.nodes)
-		time.Sleep(startTime)
-		test(s)
-	})
+	}, startTime, test)
 }
 
 // schedulers returns the nodes that any of the nodes takes for the scheduling one.
--- a/test/entry/relay_test.go
+++ b/test/entry/relay_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/onsi/gomega"
 
+	"github.com/thornwalk/thornwalk/entry"
 	"github.com/thornwalk/thornwalk/lab/memnet"
 )
 
@@ -47,16 +48,26 @@
 }
 
 func playRelaysAmong(t *testing.T, nodes int, test func(s *relayScene)) {
+	t.Helper()
+	playNodes(t, nodes, nil, settled, test)
+}
+
+// playNodes plays so many nodes, which adjust may give other settings, once they had time to settle.
+func playNodes(t *testing.T, nodes int, adjust func(*relayScene, *entry.Settings), settle time.Duration, test func(s *relayScene)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		s := &relayScene{scene: &scene{WithT: gomega.NewWithT(t), fabric: memnet.New()}}
 		for i := range nodes {
 			s.nodes = append(s.nodes, nodeName(i))
 		}
-		s.start(s.nodes, relayZones, nil)
+		s.start(s.nodes, relayZones, func(settings *entry.Settings) {
+			if adjust != nil {
+				adjust(s, settings)
+			}
+		})
 		s.awaitReady()
 		defer s.stop(s.nodes)
-		time.Sleep(settled)
+		time.Sleep(settle)
 		test(s)
 	})
 }
