Read what replicas say in their answers to hold requests back, and write it down

Now platform.ReadAnswer decodes the head of an answer once (a rate limit, that the replica leaves, a pause), state/pushback keeps what changed, and a line 'replica.said' and a counter tell each change. What can't be read is counted and told once. Nothing acts on it yet: requests go where they went.

--- a/cmd/thornwalkd/entry.go
+++ b/cmd/thornwalkd/entry.go
@@ -46,7 +46,7 @@
 	directory := platform.NewDirectory(network.Bounded{Network: outsideNetwork, Limit: silenceLimit}, settings.Store)
 	node := entry.New(settings, entry.Dependencies{
 		Network: outsideNetwork, Datagrams: outsideNetwork, Directory: directory, Revisions: directory, Rollouts: directory, Contents: directory,
-		Headers: platform.Headers(), ReadyPath: platform.ReadyPath, Now: steady.Now, Log: log, Incarnation: rand.Uint64(),
+		Headers: platform.Headers(), ReadAnswer: platform.ReadAnswer, ReadyPath: platform.ReadyPath, Now: steady.Now, Log: log, Incarnation: rand.Uint64(),
 	})
 	if err := node.Start(); err != nil {
 		return err
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -80,7 +80,7 @@
 		_ = conn.Close()
 		return resultNotSent, admission.Observation{Left: true}
 	}
-	sent := time.Now()
+	sent, sentAt := time.Now(), node.now()
 	sendContext, cancelSend := c.sendContext()
 	defer cancelSend()
 	answer, err := node.pool.Exchange(sendContext, conn, c.replicaRequest(given.Replica))
@@ -88,6 +88,7 @@
 		return c.broken(given.Replica.ID, err), admission.Observation{Failed: true, Left: c.ctx.Err() != nil}
 	}
 	node.noteZone(given.Replica.Zone, true)
+	node.heed(answer, given.Replica, sentAt)
 	node.begun(given, c.reportedLoad(answer))
 	outcome, seen := c.relay(answer, given.Replica, sent)
 	switch outcome {
--- a/entry/news.go
+++ b/entry/news.go
@@ -57,7 +57,7 @@
 	return true
 }
 
-// toldProblems bounds the entries that don't parse which a node remembers to have told of.
+// toldProblems bounds what did not parse that a node remembers to have told of.
 const toldProblems = 256
 
 // noteProblems tells of entries that did not parse, of each once: complete reads bring them
@@ -66,19 +66,25 @@
 	for _, problem := range update.Problems {
 		text := problem.Error()
 		n.mutex.Lock()
-		known := n.problems[text]
-		if len(n.problems) >= toldProblems {
-			n.problems = map[string]bool{}
-		}
-		n.problems[text] = true
+		isNew := n.isNewProblem(text)
 		n.mutex.Unlock()
-		if !known {
+		if isNew {
 			n.counter("directory.kept_out").Inc(1)
 			n.log.Write(eventlog.Event{Kind: "directory.entry", Outcome: "kept-out", Detail: text, Revision: update.Revision.Revision(), Era: update.Revision.Era()})
 		}
 	}
 }
 
+// isNewProblem returns whether the problem is told for the first time. The caller holds the mutex.
+func (n *Node) isNewProblem(text string) bool {
+	known := n.problems[text]
+	if len(n.problems) >= toldProblems {
+		n.problems = map[string]bool{}
+	}
+	n.problems[text] = true
+	return !known
+}
+
 // takeReplica enters news of a replica and tells of a change. The caller holds the
 // mutex.
 func (n *Node) takeReplica(replica replicas.Replica) {
@@ -90,6 +96,7 @@
 	if isNewLife {
 		n.explainBreaks(known)
 		n.health.Renew(replica.ID)
+		n.pushback.Renew(replica.ID)
 		n.pool.Forget(replica.ID)
 	}
 	if found && !isNewLife && known.Draining == replica.Draining && known.Address == replica.Address {
@@ -176,7 +183,9 @@
 func (n *Node) replicasChanged() {
 	n.mutex.Lock()
 	all := n.table.All()
-	n.health.Forget(func(id string) bool { _, known := n.table.Get(id); return known })
+	isKnown := func(id string) bool { _, known := n.table.Get(id); return known }
+	n.health.Forget(isKnown)
+	n.pushback.Forget(n.now(), isKnown)
 	n.mutex.Unlock()
 	n.applyPolicies() // first: a replica that the desk knows and no policy gets requests
 	n.desk.update(func(scheduler *admission.Scheduler) { scheduler.SetReplicas(n.now(), all) })
--- a/entry/node.go
+++ b/entry/node.go
@@ -24,6 +24,7 @@
 	"github.com/thornwalk/thornwalk/protocol/peerwire"
 	"github.com/thornwalk/thornwalk/state/catalog"
 	"github.com/thornwalk/thornwalk/state/evacuations"
+	"github.com/thornwalk/thornwalk/state/pushback"
 	"github.com/thornwalk/thornwalk/state/replicas"
 	"github.com/thornwalk/thornwalk/state/rollouts"
 	"github.com/thornwalk/thornwalk/structs"
@@ -45,6 +46,9 @@
 	// Contents keeps what is known of barred requests; nil means that it ends with the nodes.
 	Contents outside.Contents
 	Headers  outside.HeaderNames
+	// ReadAnswer returns what the head of a replica's answer says to hold requests back, and an
+	// error that names each part that can't be read.
+	ReadAnswer func(status int, header http.Header) (pushback.Statement, error)
 	// ReadyPath is what the balancer asks.
 	ReadyPath string
 	Log       *eventlog.Log
@@ -115,6 +119,8 @@
 	telling  telling
 	named    namedPeers
 	health   *replicahealth.Book
+	// pushback is what replicas said to this node to hold requests back.
+	pushback *pushback.Book
 	zones    *zones.Book
 	held     map[string]heldPlace
 	term     uint64
@@ -156,7 +162,8 @@
 	undelivered               []undelivered
 	replicaLag                staleness.Lag[structs.Place]
 	versionLag, contentsLag   staleness.Lag[int64]
-	// problems are the entries of the store that did not parse and were told of.
+	// problems are the entries of the store and the parts of answers that did not parse and were
+	// told of.
 	problems map[string]bool
 	// breaks are requests that replicas broke off which may have ended under them.
 	breaks []unexplainedBreak
@@ -178,7 +185,7 @@
 	n := &Node{
 		depend: depend, log: depend.Log, metrics: metrics.NewRegistry(),
 		pool: replicahttp.NewPool(depend.Network), peers: peer.NewClient(depend.Network, nil),
-		table: replicas.NewTable(), evacuations: evacuations.NewTable(), rollouts: rollouts.NewTable(), members: liveness.NewTable(settings.Name), relays: liveness.NewRelays(rand.IntN), health: replicahealth.NewBook(), zones: zones.NewBook(),
+		table: replicas.NewTable(), evacuations: evacuations.NewTable(), rollouts: rollouts.NewTable(), members: liveness.NewTable(settings.Name), relays: liveness.NewRelays(rand.IntN), health: replicahealth.NewBook(), pushback: pushback.NewBook(), zones: zones.NewBook(),
 		held: map[string]heldPlace{}, ledgers: map[string]heardLedger{}, problems: map[string]bool{}, term: 1, storeBadAt: -time.Hour, ledAt: -time.Hour, chosenAt: -time.Hour, askedAt: -time.Hour,
 		library: spread.NewLibrary(), senders: spread.NewSenders(settings.Link),
 	}
--- /dev/null
+++ b/entry/pushback.go
@@ -0,0 +1,57 @@
+package entry
+
+import (
+	"strconv"
+
+	"github.com/thornwalk/thornwalk/internal/eventlog"
+	"github.com/thornwalk/thornwalk/state/pushback"
+	"github.com/thornwalk/thornwalk/state/replicas"
+	"github.com/thornwalk/thornwalk/structs"
+	"github.com/thornwalk/thornwalk/transport/replicahttp"
+)
+
+// What a replica says of itself in its answers (state/pushback).
+
+// heed enters what the answer to a request says that was sent at the instant.
+func (n *Node) heed(answer *replicahttp.Answer, replica replicas.Replica, sent structs.Instant) {
+	said, err := n.depend.ReadAnswer(answer.StatusCode, answer.Header)
+	if err != nil {
+		n.noteUnreadableAnswer(replica, err)
+	}
+	n.mutex.Lock()
+	change := n.pushback.Hear(n.now(), sent, replica.ID, said)
+	n.mutex.Unlock()
+	n.notePushback(replica, said, change)
+}
+
+// notePushback writes a line for each thing that an answer changed.
+func (n *Node) notePushback(replica replicas.Replica, said pushback.Statement, change pushback.Change) {
+	tell := func(outcome, detail string) {
+		n.counter("pushback." + outcome).Inc(1)
+		n.log.Write(eventlog.Event{Kind: "replica.said", Service: replica.Service, Replica: replica.ID, Outcome: outcome, Detail: detail})
+	}
+	if change.Left {
+		tell("leaving", "")
+	}
+	switch {
+	case change.Limited && said.Limit.State == pushback.LimitNamed:
+		tell("limited", strconv.FormatFloat(said.Limit.PerSecond, 'g', 6, 64)+" a second")
+	case change.Limited:
+		tell("unlimited", "")
+	}
+	if change.Paused {
+		tell("pause", said.Pause.String())
+	}
+}
+
+// noteUnreadableAnswer counts an answer that can't be read in part, and tells of the first from
+// each replica.
+func (n *Node) noteUnreadableAnswer(replica replicas.Replica, err error) {
+	n.counter("pushback.unreadable").Inc(1)
+	n.mutex.Lock()
+	isNew := n.isNewProblem(replica.ID + " answers: " + err.Error())
+	n.mutex.Unlock()
+	if isNew {
+		n.log.Write(eventlog.Event{Kind: "replica.said", Service: replica.Service, Replica: replica.ID, Outcome: "unreadable", Detail: err.Error()})
+	}
+}
--- a/lab/entrylab/entrylab.go
+++ b/lab/entrylab/entrylab.go
@@ -129,7 +129,7 @@
 	node := entry.New(settings, entry.Dependencies{
 		Sleep: sleep, Now: now,
 		Network: hostNetwork, Datagrams: d.options.Datagrams(host), Directory: directory, Revisions: directory, Rollouts: directory, Contents: directory,
-		Headers: platform.Headers(), ReadyPath: platform.ReadyPath, Log: log, Incarnation: incarnation,
+		Headers: platform.Headers(), ReadAnswer: platform.ReadAnswer, ReadyPath: platform.ReadyPath, Log: log, Incarnation: incarnation,
 	})
 	if err := node.Start(); err != nil {
 		return err
--- a/test/entry/memory_test.go
+++ b/test/entry/memory_test.go
@@ -132,7 +132,7 @@
 	log := eventlog.New(host, c.written)
 	node := entry.New(settings, entry.Dependencies{
 		Network: seen, Datagrams: c.fabric.Datagrams(host), Directory: fixedDirectory{document},
-		Headers: platform.Headers(), ReadyPath: platform.ReadyPath, Log: log, Incarnation: 1,
+		Headers: platform.Headers(), ReadAnswer: platform.ReadAnswer, ReadyPath: platform.ReadyPath, Log: log, Incarnation: 1,
 	})
 	c.Expect(node.Start()).To(gomega.Succeed())
 	return bareNode{node, log}
