Reproduce that nodes exceed the rate limit that a replica names

The stand-in of a replica says what holds requests back, and the checker judges by the users' rules what it got. The test plays seven whole nodes, 40 requests a second, a replica that names 1 or 6 a second, alone or beside two others, through nine courses (store down, list from a copy, scheduling node killed, paused, unheard by others, network cut).

--- a/lab/platformsim/replica.go
+++ b/lab/platformsim/replica.go
@@ -60,12 +60,44 @@
 	// Cancelled is true if the connection closed before the end.
 	Cancelled bool
 	over      bool
+	// arrival is the number of the run's arrival.
+	arrival int
+}
+
+// Pushback is what a replica says in all its answers to hold requests back, as the values of the
+// headers; empty ones are left out.
+type Pushback struct {
+	// Limit is the requests a second that it takes from all nodes together.
+	Limit string
+	// Leaving is "1" if it leaves.
+	Leaving string
+	// RetryAfter is the seconds of rest that it asks for where it refuses.
+	RetryAfter string
+}
+
+// lines are the header lines of an answer.
+func (p Pushback) lines(refuses bool) string {
+	lines := ""
+	for _, header := range []struct{ name, value string }{{"Server-Limit", p.Limit}, {"Server-Leaving", p.Leaving}} {
+		if header.value != "" {
+			lines += header.name + ": " + header.value + "\r\n"
+		}
+	}
+	if refuses && p.RetryAfter != "" {
+		lines += "Retry-After: " + p.RetryAfter + "\r\n"
+	}
+	return lines
 }
 
 // Arrival is a request that reached a replica, run or not.
 type Arrival struct {
 	ID string
 	At time.Time
+	// Said is what the answer says, whose head was written at HeadAt; zero if there was none.
+	// Refused is true if it proves that nothing was run.
+	Said    Pushback
+	HeadAt  time.Time
+	Refused bool
 }
 
 // Replica is a server of one service. It is safe for concurrent use.
@@ -87,6 +119,7 @@
 
 	mutex    sync.Mutex
 	behave   func(request *http.Request) Behavior
+	says     Pushback
 	runs     []*Run
 	running  int
 	arrivals []Arrival
@@ -103,6 +136,13 @@
 	r.behave = behave
 }
 
+// Say sets what the replica says in all its answers from now on.
+func (r *Replica) Say(says Pushback) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.says = says
+}
+
 // Runs returns what the replica ran.
 func (r *Replica) Runs() []Run {
 	r.mutex.Lock()
@@ -208,15 +248,16 @@
 
 // answer returns whether the connection may be used again.
 func (r *Replica) answer(conn net.Conn, reader *bufio.Reader, request *http.Request, body string) bool {
-	behavior := r.arrive(request)
+	behavior, arrival := r.arrive(request)
 	id := request.Header.Get("X-Attempt-Id")
 	switch {
 	case request.Header.Get("X-Expect-Instance") != r.ID:
 		return write(conn, "HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: "+r.ID+"\r\nContent-Length: 0\r\n\r\n")
 	case behavior == Shed || namesUnknownMemory(request.Header):
-		return write(conn, "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nX-Attempt-Id: "+id+"\r\nContent-Length: 0\r\n\r\n")
+		return write(conn, "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nX-Attempt-Id: "+id+"\r\n"+r.tell(arrival, true)+"Content-Length: 0\r\n\r\n")
 	}
 	run := r.begin(request, body)
+	run.arrival = arrival
 	defer r.end(run)
 	ctx, stop := r.watchClose(conn, reader, run)
 	again := r.respond(ctx, conn, behavior, id, run)
@@ -230,14 +271,25 @@
 	return header.Get("X-Hold") != "" || header.Get("Kv-From") != ""
 }
 
-func (r *Replica) arrive(request *http.Request) Behavior {
+// arrive enters the request and returns how it is treated, and the number of the arrival.
+func (r *Replica) arrive(request *http.Request) (Behavior, int) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.arrivals = append(r.arrivals, Arrival{ID: request.Header.Get("X-Attempt-Id"), At: time.Now()})
+	number := len(r.arrivals) - 1
 	if r.behave == nil {
-		return Answer
+		return Answer, number
 	}
-	return r.behave(request)
+	return r.behave(request), number
+}
+
+// tell records what the answer says whose head is written now, and returns its lines.
+func (r *Replica) tell(arrival int, refuses bool) string {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	told := &r.arrivals[arrival]
+	told.Said, told.HeadAt, told.Refused = r.says, time.Now(), refuses
+	return r.says.lines(refuses)
 }
 
 func (r *Replica) begin(request *http.Request, body string) *Run {
@@ -305,36 +357,36 @@
 		return false
 	case Fail:
 		wait(ctx, r.Step)
-		return write(conn, r.head("500 Internal Server Error", id, "")+"Content-Length: 3\r\n\r\nbad")
+		return write(conn, r.head("500 Internal Server Error", id, "", run)+"Content-Length: 3\r\n\r\nbad")
 	case Stray:
-		write(conn, r.head("200 OK", "another-request", "")+"Content-Length: 5\r\n\r\nother")
+		write(conn, r.head("200 OK", "another-request", "", nil)+"Content-Length: 5\r\n\r\nother")
 	}
 	if r.Events > 0 {
 		return r.stream(ctx, conn, behavior, id, run)
 	}
 	wait(ctx, r.Step)
 	r.end(run)
-	return r.plain(conn, behavior, id)
+	return r.plain(conn, behavior, id, run)
 }
 
 // PlainBody is the answer of a plain service to the request.
 func PlainBody(id string) string { return "answer to " + id }
 
-func (r *Replica) plain(conn net.Conn, behavior Behavior, id string) bool {
+func (r *Replica) plain(conn net.Conn, behavior Behavior, id string, run *Run) bool {
 	body := PlainBody(id)
 	switch behavior {
 	case Unframed:
-		write(conn, r.head("200 OK", id, "")+"\r\n"+body)
+		write(conn, r.head("200 OK", id, "", run)+"\r\n"+body)
 		return false
 	case Unsigned:
 		return write(conn, fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nContent-Length: 4\r\n\r\nfake", id))
 	case Cut:
-		write(conn, r.head("200 OK", id, "")+fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body[:len(body)/2]))
+		write(conn, r.head("200 OK", id, "", run)+fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body[:len(body)/2]))
 		return false
 	}
-	write(conn, r.head("200 OK", id, "")+fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body))
+	write(conn, r.head("200 OK", id, "", run)+fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(body), body))
 	if behavior == Surplus {
-		write(conn, r.head("200 OK", "another-request", "")+"Content-Length: 5\r\n\r\nother")
+		write(conn, r.head("200 OK", "another-request", "", nil)+"Content-Length: 5\r\n\r\nother")
 	}
 	return true
 }
@@ -346,7 +398,7 @@
 
 func (r *Replica) stream(ctx context.Context, conn net.Conn, behavior Behavior, id string, run *Run) bool {
 	first, _ := strconv.Atoi(run.LastEvent)
-	write(conn, r.head("200 OK", id, "text/event-stream")+"Transfer-Encoding: chunked\r\n\r\n")
+	write(conn, r.head("200 OK", id, "text/event-stream", run)+"Transfer-Encoding: chunked\r\n\r\n")
 	for number := first + 1; number <= r.Events; number++ {
 		if !wait(ctx, r.Step) {
 			return false
@@ -369,11 +421,15 @@
 
 func chunk(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
 
-func (r *Replica) head(status, id, contentType string) string {
+// head returns the head of the answer to a run; one that belongs to no run says nothing beside.
+func (r *Replica) head(status, id, contentType string, run *Run) string {
 	head := "HTTP/1.1 " + status + "\r\nX-Attempt-Id: " + id + "\r\nX-Server-Stamp: " + r.ID + "\r\n"
 	if contentType != "" {
 		head += "Content-Type: " + contentType + "\r\n"
 	}
+	if run != nil {
+		head += r.tell(run.arrival, false)
+	}
 	return head
 }
 
--- /dev/null
+++ b/test/entry/pushback_test.go
@@ -0,0 +1,208 @@
+package entry
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/thornwalk/thornwalk/lab/checker"
+	"github.com/thornwalk/thornwalk/lab/entrylab"
+	"github.com/thornwalk/thornwalk/lab/memnet"
+	"github.com/thornwalk/thornwalk/lab/platformsim"
+)
+
+// Bounds and load of the replicas that say in their answers to hold requests back.
+const (
+	pushbackContact = 3 * time.Second
+	pushbackDrain   = 2 * time.Second
+	pushbackGap     = 25 * time.Millisecond
+	pushbackTime    = 18 * time.Second
+)
+
+// pushbackScene is seven nodes in three zones and replicas of one service, of which the first says
+// what it takes. Which node a request was sent to tells who sent it on.
+type pushbackScene struct {
+	scene
+	nodes    []string
+	replicas []*platformsim.Replica
+	group    sync.WaitGroup
+	mutex    sync.Mutex
+	nodeOf   map[string]string
+	askedAt  map[string]time.Time
+	replies  []reply
+}
+
+// playPushback plays a course under load before so many replicas.
+func playPushback(t *testing.T, replicas int, says platformsim.Pushback, course func(s *pushbackScene), judge func(s *pushbackScene)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		s := &pushbackScene{scene: scene{WithT: gomega.NewWithT(t), fabric: memnet.New()}, nodeOf: map[string]string{}, askedAt: map[string]time.Time{}}
+		s.nodes = []string{"n1", "n2", "n3", "n4", "n5", "n6", "n7"}
+		s.start(s.nodes, successionZones, nil)
+		s.configure(func(c *entrylab.Configuration) {
+			c.Routes = []entrylab.Route{{Name: "safe", Host: "service.example", PathPrefix: "/safe/", Kind: "safe", Timeout: 4000, Target: 400, Service: "pool", Attempts: 2}}
+			c.Services = append(c.Services, entrylab.Service{Name: "pool"})
+		})
+		for i := range replicas {
+			host := fmt.Sprint("x", i)
+			replica := &platformsim.Replica{ID: "i-" + host, Service: "pool", Zone: successionZones[i%len(successionZones)], Slots: 4, Step: 50 * time.Millisecond}
+			s.Expect(s.lab.AddReplica(host, replica)).To(gomega.Succeed())
+			s.replicas = append(s.replicas, replica)
+		}
+		s.awaitReady()
+		s.load(time.Second)
+		s.replicas[0].Say(says)
+		if says.RetryAfter != "" {
+			s.replicas[0].SetBehavior(always(platformsim.Shed))
+		}
+		s.group.Go(func() { course(s) })
+		s.load(pushbackTime)
+		s.group.Wait()
+		s.stop(s.nodes)
+		judge(s)
+	})
+}
+
+// load sends requests to the nodes in turn until the time is over.
+func (s *pushbackScene) load(passed time.Duration) {
+	for i := range int(passed / pushbackGap) {
+		node := s.nodes[i%len(s.nodes)]
+		s.group.Go(func() {
+			got := s.get(node, http.MethodGet, "/safe/x", func(request *http.Request) {
+				s.mutex.Lock()
+				defer s.mutex.Unlock()
+				id := request.Header.Get("X-Attempt-Id")
+				s.nodeOf[id], s.askedAt[id] = node, time.Now()
+			})
+			s.mutex.Lock()
+			defer s.mutex.Unlock()
+			s.replies = append(s.replies, got)
+		})
+		time.Sleep(pushbackGap)
+	}
+}
+
+// sent returns what reached the replica, with the nodes that it came from.
+func (s *pushbackScene) sent(replica *platformsim.Replica) []checker.Sent {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	var sent []checker.Sent
+	for _, arrival := range replica.Arrived() {
+		sent = append(sent, checker.Sent{Arrival: arrival, Node: s.nodeOf[arrival.ID], Asked: s.askedAt[arrival.ID]})
+	}
+	return sent
+}
+
+// answers counts the replies by status.
+func (s *pushbackScene) answers() map[int]int {
+	counts := map[int]int{}
+	for _, one := range s.replies {
+		counts[one.status]++
+	}
+	return counts
+}
+
+// strictly judges without excuses: what is allowed to nodes that were disturbed is needless.
+var strictly = checker.Pushback{Contact: pushbackContact, Drain: pushbackDrain, Excused: func(string, time.Time, time.Time) bool { return false }}
+
+// pushbackCourses are what may happen to those who keep what a replica says.
+var pushbackCourses = map[string]func(s *pushbackScene){
+	"calm":               func(*pushbackScene) {},
+	"the store is down":  func(s *pushbackScene) { s.lab.Store.SetDown(true) },
+	"the list is copied": func(s *pushbackScene) { copied := s.lab.Store.Copy(); time.Sleep(time.Second); s.lab.Store.Restore(copied) },
+	"the scheduling node ends again and again": func(s *pushbackScene) {
+		for range 12 {
+			time.Sleep(1300 * time.Millisecond)
+			s.startAgain(s.scheduling())
+		}
+	},
+	"each node ends in turn": func(s *pushbackScene) {
+		for round := range 16 {
+			time.Sleep(time.Second)
+			s.startAgain(s.nodes[round%len(s.nodes)])
+		}
+	},
+	"all nodes end": func(s *pushbackScene) {
+		time.Sleep(6 * time.Second)
+		for _, node := range s.nodes {
+			s.startAgain(node)
+		}
+	},
+	"the scheduling node stands still again and again": func(s *pushbackScene) {
+		for range 5 {
+			time.Sleep(1500 * time.Millisecond)
+			node := s.scheduling()
+			s.fabric.Pause(node)
+			time.Sleep(1500 * time.Millisecond)
+			s.fabric.Resume(node)
+		}
+	},
+	"the network is cut again and again": func(s *pushbackScene) {
+		for round := range 4 {
+			time.Sleep(2 * time.Second)
+			s.fabric.CutGroups(s.nodes[:3+round%2], s.nodes[3+round%2:])
+			time.Sleep(2 * time.Second)
+			s.fabric.Heal()
+		}
+	},
+	"the scheduling node and the next one don't hear each other": func(s *pushbackScene) {
+		time.Sleep(4 * time.Second)
+		first := s.scheduling()
+		for _, node := range s.nodes {
+			if node != first {
+				s.fabric.CutGroups([]string{first}, []string{node})
+				time.Sleep(2 * time.Second)
+				s.fabric.Heal()
+			}
+		}
+	},
+}
+
+// scheduling returns the node that most nodes take for the scheduling one.
+func (s *pushbackScene) scheduling() string {
+	votes, most := map[string]int{}, ""
+	for _, node := range s.nodes {
+		name := s.lab.Node(node).Status().Scheduler
+		if votes[name]++; votes[name] > votes[most] {
+			most = name
+		}
+	}
+	return most
+}
+
+// startAgain kills the node and starts it anew.
+func (s *pushbackScene) startAgain(node string) {
+	s.lab.Node(node).Kill()
+	for i, name := range s.nodes {
+		if name == node {
+			s.Expect(s.lab.StartNode(node, successionZones[i%len(successionZones)])).To(gomega.Succeed())
+		}
+	}
+}
+
+// everyPushback plays all courses, with the replica alone and beside two others.
+func everyPushback(t *testing.T, says platformsim.Pushback, judge func(s *pushbackScene)) {
+	for name, course := range pushbackCourses {
+		for _, replicas := range []int{1, 3} {
+			t.Run(fmt.Sprintf("%s, %d replicas", name, replicas), func(t *testing.T) {
+				playPushback(t, replicas, says, course, judge)
+			})
+		}
+	}
+}
+
+// Guards against more requests to a replica than the rate that it names, from all nodes together.
+func TestTheRateLimitOfAReplicaIsKeptByAllNodesTogether(t *testing.T) {
+	for _, limit := range []string{"1", "6"} {
+		t.Run(limit+" a second", func(t *testing.T) {
+			everyPushback(t, platformsim.Pushback{Limit: limit}, func(s *pushbackScene) {
+				s.Expect(strictly.RateLimit(s.sent(s.replicas[0]))).To(gomega.BeEmpty())
+			})
+		})
+	}
+}
