Keep the rate limit that a replica names, over all nodes together

No node can keep it by itself, as it is a sum over all.

Now the node that hears a limit tells the scheduling node, with the answer's begin and in each request for a place, and that gives places at the replica out of a bank. The part of the rate that is paid in is the part of all nodes that follow this scheduler, told in heartbeats: each node follows one at a time, so the parts sum to one but for nodes that went over unheard (1.5 s). A scheduler begins with empty banks. The sender looks before it writes: a place that was given by a node that didn't know of the limit goes back. An answer ends a limit only if its request was sent after that was heard. The wait that callers are refused by goes by what the limits allow.

TestNoPlatformName now knows the two headers.

--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -84,6 +84,10 @@
 	// warms is true if cold replicas may be given requests, which began or ended at warmsSince.
 	warms      bool
 	warmsSince structs.Instant
+	// part is that of all nodes which follow this scheduler, zero if it does not lead, which it
+	// does since leadsSince.
+	part       float64
+	leadsSince structs.Instant
 }
 
 // New returns an empty scheduler that bars no request.
--- a/coordination/admission/decide.go
+++ b/coordination/admission/decide.go
@@ -100,8 +100,7 @@
 func (s *Scheduler) decideOne(now structs.Instant, held *waiting, room *room, ahead int) (Decision, bool) {
 	decision := Decision{ID: held.ID, Waited: now - held.arrived, Ahead: ahead, Free: room.free, Expected: room.wait(ahead)}
 	if chosen := s.chooseTrial(held, room, held.Deadline-decision.Waited); chosen != nil {
-		decision.Trial = s.give(now, held, chosen)
-		decision.Replica = chosen.state.replica
+		s.place(now, held, chosen, &decision)
 		return decision, true
 	}
 	options := room.untried(&held.Request)
@@ -125,8 +124,7 @@
 	}
 	if chosen := s.choose(now, held, room, options, left); chosen != nil {
 		room.taken(chosen)
-		decision.Trial = s.give(now, held, chosen)
-		decision.Replica = chosen.state.replica
+		s.place(now, held, chosen, &decision)
 		return decision, true
 	}
 	expected := decision.Expected
@@ -143,6 +141,12 @@
 	return Decision{}, false
 }
 
+// place gives the request a place at the replica.
+func (s *Scheduler) place(now structs.Instant, held *waiting, chosen *option, decision *Decision) {
+	decision.Trial = s.give(now, held, chosen)
+	decision.Replica, decision.Limit = chosen.state.replica, chosen.state.limit.known
+}
+
 // give enters that the request got a place at the replica, and returns whether that is the
 // trial of a barred one.
 func (s *Scheduler) give(now structs.Instant, held *waiting, chosen *option) bool {
@@ -157,7 +161,10 @@
 		prompt: held.Prompt, since: now, isCold: chosen.isCold,
 	})
 	if chosen.isCold {
-		chosen.state.warmth.bank--
+		chosen.state.warmth.bank.take()
+	}
+	if chosen.isLimited {
+		chosen.state.limit.bank.take()
 	}
 	return standing == poison.OnTrial
 }
--- a/coordination/admission/doubt.go
+++ b/coordination/admission/doubt.go
@@ -111,6 +111,9 @@
 		return
 	}
 	r.free--
+	if choice.isLimited {
+		r.banked--
+	}
 	for _, view := range r.views {
 		if r.trusts(view, choice) {
 			view.free--
--- a/coordination/admission/messages.go
+++ b/coordination/admission/messages.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/thornwalk/thornwalk/state/fingerprint"
+	"github.com/thornwalk/thornwalk/state/pushback"
 	"github.com/thornwalk/thornwalk/state/replicas"
 )
 
@@ -83,6 +84,9 @@
 type Decision struct {
 	ID      string
 	Replica replicas.Replica
+	// Limit is what is known of the replica's rate limit. If there is one, the place counts
+	// against it.
+	Limit pushback.Known
 	// Reason is empty if the replica was given.
 	Reason Reason
 	// Trial is true if the request is barred and was given the replica all the same.
--- /dev/null
+++ b/coordination/admission/ratelimit_test.go
@@ -0,0 +1,269 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"github.com/thornwalk/thornwalk/state/pushback"
+	"github.com/thornwalk/thornwalk/structs"
+)
+
+func named(perSecond float64) pushback.Limit {
+	return pushback.Limit{State: pushback.LimitNamed, PerSecond: perSecond}
+}
+
+// limitedScheduler leads for all nodes, and its only replica names the limit.
+func limitedScheduler(now structs.Instant, perSecond float64) *Scheduler {
+	s := New()
+	s.SetReplicas(now, coldPool(1, 0))
+	s.SetPart(now, 1)
+	s.HearLimit(now, pushback.Note{Replica: "r0", Limit: named(perSecond)})
+	return s
+}
+
+func TestALimitedReplicaGetsItsRate(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := limitedScheduler(0, 10)
+	given := ask(s, 0, 5)
+	g.Expect(given).To(gomega.BeZero(), "its bank begins empty")
+	for now := 10 * ms; now <= 10*time.Second; now += 10 * ms {
+		given += ask(s, now, 1)
+	}
+	g.Expect(given).To(gomega.BeNumerically("~", 10*paidShare*10, 1))
+}
+
+// A scheduler that nobody follows gives nothing: what it would give is in nobody's bank.
+func TestAScheduleThatDoesNotLeadGivesNothingToALimitedReplica(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := limitedScheduler(0, 10)
+	s.SetPart(time.Second, 0)
+	g.Expect(ask(s, 2*time.Second, 10)).To(gomega.BeZero())
+	s.SetPart(3*time.Second, 0.5)
+	g.Expect(ask(s, 3*time.Second, 10)).To(gomega.BeZero(), "it begins to lead with empty banks")
+	g.Expect(placedIDs(s.Decide(4 * time.Second))).NotTo(gomega.BeEmpty())
+}
+
+// The higher tier and the earlier deadline go first where all replicas are limited; who waits longer
+// than the rate allows is told when to come back.
+func TestWhoeverMattersMoreGetsALimitedReplica(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := limitedScheduler(0, 2)
+	for i := range 10 {
+		s.Submit(0, newcomer(fmt.Sprint("lower", i), 2))
+	}
+	s.Submit(0, newcomer("higher", 0))
+	var placed []string
+	for now := structs.Instant(0); now < 2*time.Second; now += 50 * ms {
+		for _, decision := range s.Decide(now) {
+			if decision.Reason == ReasonNone {
+				placed = append(placed, decision.ID)
+				continue
+			}
+			g.Expect(decision.RetryAfter).To(gomega.BeNumerically(">", 0), decision.ID)
+		}
+	}
+	g.Expect(placed).To(gomega.HaveLen(1), "the rest is told to come back within its target")
+	g.Expect(placed[0]).To(gomega.Equal("higher"))
+}
+
+// newcomer is a request that was not refused before.
+func newcomer(id string, priority int) Request {
+	r := request(id, priority)
+	r.Returned = false
+	return r
+}
+
+// An answer to a request that was placed before the limit was heard says nothing of it.
+func TestOnlyAnAnswerToALaterRequestEndsALimit(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := New()
+	s.SetReplicas(0, coldPool(1, 0))
+	s.SetPart(0, 1)
+	s.Submit(time.Second, request("before", 0))
+	g.Expect(placedIDs(s.Decide(time.Second))).To(gomega.ConsistOf("before"))
+	s.HearLimit(2*time.Second, pushback.Note{Replica: "r0", Limit: named(1), Age: 100 * ms})
+	s.LimitBegun(3*time.Second, "before", pushback.Limit{State: pushback.LimitNone})
+	g.Expect(ask(s, 3*time.Second, 5)).To(gomega.BeZero(), "the limit holds")
+	s.HearLimit(5*time.Second, pushback.Note{Replica: "r0", Limit: pushback.Limit{State: pushback.LimitNone}, Age: time.Second})
+	g.Expect(s.states["r0"].limit.known.IsNamed()).To(gomega.BeFalse())
+	s.HearLimit(6*time.Second, pushback.Note{Replica: "r0", Limit: named(1), Age: 4 * time.Second})
+	g.Expect(s.states["r0"].limit.known.IsNamed()).To(gomega.BeFalse(), "older than the end")
+}
+
+// A replica that starts again is another one, and one that is not listed names nothing.
+func TestALimitEndsWithTheLifeOfItsReplica(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := limitedScheduler(0, 1)
+	again := coldPool(1, 0)
+	again[0].Born, again[0].Revision = 7, 9
+	s.SetReplicas(time.Second, again)
+	g.Expect(s.states["r0"].limit.known.IsNamed()).To(gomega.BeFalse())
+	s.HearLimit(time.Second, pushback.Note{Replica: "elsewhere", Limit: named(1)})
+	g.Expect(s.states).NotTo(gomega.HaveKey("elsewhere"))
+}
+
+// limitedFleet is schedulers that nodes follow in any order, before one replica that names a limit, as
+// a run of the check draws it.
+type limitedFleet struct {
+	perSecond  float64
+	schedulers []*Scheduler
+	// follows has the scheduler of each node, and counted the time until which each scheduler counts
+	// each node as following it.
+	follows []int
+	counted []map[int]structs.Instant
+	// unheardAt is when each node last went over without the scheduler that it left hearing of it.
+	unheardAt []structs.Instant
+	now       structs.Instant
+	given     []structs.Instant
+	// believes is true if a scheduler goes by its belief that it leads, and not by who follows it.
+	believes bool
+}
+
+const (
+	fleetNodes      = 5
+	fleetSchedulers = 3
+	// limitWindow is the time in which requests are counted.
+	limitWindow = 4 * time.Second
+)
+
+func newLimitedFleet(perSecond float64) *limitedFleet {
+	f := &limitedFleet{perSecond: perSecond, now: time.Hour}
+	for range fleetSchedulers {
+		f.schedulers = append(f.schedulers, nil)
+		f.counted = append(f.counted, map[int]structs.Instant{})
+	}
+	for which := range f.schedulers {
+		f.start(which)
+	}
+	for node := range fleetNodes {
+		f.follows = append(f.follows, 0)
+		f.unheardAt = append(f.unheardAt, 0)
+		f.counted[0][node] = 1 << 62
+	}
+	f.setParts()
+	return f
+}
+
+// start starts the scheduler anew. Who follows it tells so at once.
+func (f *limitedFleet) start(which int) {
+	f.schedulers[which] = limitedScheduler(f.now, f.perSecond)
+	f.schedulers[which].SetPart(f.now, 0)
+	clear(f.counted[which])
+	for node, follows := range f.follows {
+		if follows == which {
+			f.counted[which][node] = 1 << 62
+		}
+	}
+}
+
+// goOver has the node follow another scheduler. The one that it left counts it for a while if it does
+// not hear of that, which happens once in a window.
+func (f *limitedFleet) goOver(node, to int, unheard bool) {
+	from := f.follows[node]
+	if from == to {
+		return
+	}
+	delete(f.counted[from], node)
+	if unheard && f.now-f.unheardAt[node] > limitWindow+FollowTime {
+		f.counted[from][node], f.unheardAt[node] = f.now+FollowTime, f.now
+	}
+	f.follows[node] = to
+	f.counted[to][node] = 1 << 62
+}
+
+func (f *limitedFleet) setParts() {
+	for which, scheduler := range f.schedulers {
+		count := 0
+		for _, until := range f.counted[which] {
+			if f.now < until {
+				count++
+			}
+		}
+		part := float64(count) / fleetNodes
+		if f.believes && count > 0 {
+			part = 1
+		}
+		scheduler.SetPart(f.now, part)
+	}
+}
+
+// ask has the node ask its scheduler for places.
+func (f *limitedFleet) ask(node, count int) {
+	s := f.schedulers[f.follows[node]]
+	for range ask(s, f.now, count) {
+		f.given = append(f.given, f.now)
+	}
+	for id := range s.waits {
+		s.Cancel(id)
+	}
+}
+
+// check looks at every window.
+func (f *limitedFleet) check() error {
+	allowed := 1.5*f.perSecond*limitWindow.Seconds() + 5
+	for i, from := range f.given {
+		count := 0
+		for _, at := range f.given[i:] {
+			if at < from+limitWindow {
+				count++
+			}
+		}
+		if float64(count) > allowed {
+			return fmt.Errorf("%d requests in %v from %v, %.1f allowed", count, limitWindow, from, allowed)
+		}
+	}
+	return nil
+}
+
+// Whoever schedules for whom and however often that changes, a limited replica gets no more than the
+// bound from all nodes together.
+func TestNoWindowHoldsMoreThanARateLimitAllowsWhoeverSchedules(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newLimitedFleet(rapid.SampledFrom([]float64{0, 0.3, 1, 2.5, 10, 100}).Draw(t, "limit"))
+		for range rapid.IntRange(1, 100).Draw(t, "steps") {
+			f.now += time.Duration(rapid.IntRange(0, 300).Draw(t, "gap")) * ms
+			f.setParts()
+			node := rapid.IntRange(0, fleetNodes-1).Draw(t, "node")
+			which := rapid.IntRange(0, fleetSchedulers-1).Draw(t, "scheduler")
+			switch rapid.IntRange(0, 7).Draw(t, "step") {
+			case 0:
+				f.start(which)
+			case 1:
+				f.goOver(node, which, rapid.Bool().Draw(t, "unheard"))
+			case 2:
+				for each := range fleetNodes {
+					f.goOver(each, which, rapid.Bool().Draw(t, "unheard"))
+				}
+			default:
+				f.ask(node, rapid.IntRange(1, 60).Draw(t, "requests"))
+			}
+			f.setParts()
+		}
+		if err := f.check(); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+// The check must see what it is for: schedulers that each believe to lead for all exceed the limit.
+func TestSchedulersThatBelieveToLeadForAllExceedARateLimit(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for _, believes := range []bool{false, true} {
+		f := newLimitedFleet(100)
+		f.believes = believes
+		f.goOver(3, 1, false)
+		f.goOver(4, 1, false)
+		for range 100 {
+			f.now += 50 * ms
+			f.setParts()
+			for node := range fleetNodes {
+				f.ask(node, 20)
+			}
+		}
+		g.Expect(f.check() != nil).To(gomega.Equal(believes))
+	}
+}
--- a/coordination/admission/replica.go
+++ b/coordination/admission/replica.go
@@ -25,6 +25,7 @@
 	// speed was learned while the replica was warm, and coldSpeed while it was cold.
 	speed, coldSpeed speed
 	warmth           warmth
+	limit            rateLimit
 	conduct          conduct
 	// avoided is true if several nodes find the replica failing.
 	avoided bool
@@ -77,6 +78,7 @@
 // told to have ended.
 func (r *replicaState) forget() {
 	r.speed, r.coldSpeed, r.conduct, r.hidden, r.avoided = speed{}, speed{}, conduct{}, hiddenLoad{}, false
+	r.limit = rateLimit{}
 }
 
 // reported is the work at the replica that nodes report.
--- a/coordination/admission/room.go
+++ b/coordination/admission/room.go
@@ -16,6 +16,9 @@
 	// free counts places and total all slots, of the replicas that are not doubted, and
 	// undoubted these replicas.
 	free, total, undoubted int
+	// capacity is how many requests the undoubted replicas serve at a time, on average, and banked
+	// counts those that limited ones of these may be given beside that.
+	capacity, banked float64
 	// emptied counts the replicas left out as the operators emptied their zones.
 	emptied  int
 	duration time.Duration
@@ -41,8 +44,9 @@
 	// doubted is true if the replica is set aside or several nodes avoid it; it is
 	// used only if every other one is doubted too.
 	doubted bool
-	// isCold is true if the replica started lately and bears few requests.
-	isCold bool
+	// isCold is true if the replica started lately and bears few requests, and isLimited if it
+	// names the rate that it takes.
+	isCold, isLimited bool
 }
 
 // fits returns whether the answer is likely to be whole before its deadline.
@@ -77,7 +81,7 @@
 			state: state, places: state.replica.Slots + pool.onTheWay(state.replica.Slots), used: state.usage(now),
 			unread: state.unread(now), slow: learned.slowness(fastest), step: learned.step,
 			readTime: readTime, fixedTime: learned.reading.fixed(readTime),
-			doubted: state.avoided || state.isAside(now), isCold: isCold,
+			doubted: state.avoided || state.isAside(now), isCold: isCold, isLimited: state.limit.known.IsNamed(),
 		}
 		if state.onTrial() {
 			choice.places = 1
@@ -85,6 +89,9 @@
 		if isCold {
 			choice.places = min(choice.places, choice.used+s.coldRoom(now, state, pool))
 		}
+		if choice.isLimited {
+			choice.places = min(choice.places, choice.used+s.limitedRoom(now, state))
+		}
 		if use == rollouts.UseBudgeted {
 			measured.trials = append(measured.trials, choice)
 			continue
@@ -92,12 +99,10 @@
 		choice.number, state.number = len(measured.options), len(measured.options)
 		measured.options = append(measured.options, choice)
 		if !choice.doubted {
-			measured.undoubted++
-			measured.total += choice.places
-			measured.free += max(0, choice.places-choice.used)
+			measured.enter(choice, s.part)
 		}
 	}
-	measured.trustAllIfNone()
+	measured.trustAllIfNone(s.part)
 	measured.gatherTrials(pool.trial.Turn())
 	return measured
 }
@@ -112,16 +117,29 @@
 
 // trustAllIfNone counts the places of all replicas if every one is doubted: a
 // doubtful replica is better than none.
-func (r *room) trustAllIfNone() {
+func (r *room) trustAllIfNone(part float64) {
 	if r.total > 0 {
 		return
 	}
+	r.undoubted, r.capacity, r.banked = 0, 0, 0
 	for _, choice := range r.options {
 		choice.doubted = false
-		r.undoubted++
-		r.total += choice.places
-		r.free += max(0, choice.places-choice.used)
+		r.enter(choice, part)
+	}
+}
+
+// enter counts the places of an undoubted replica. One that names its rate serves no more at a time
+// than come in the time of a request.
+func (r *room) enter(choice *option, part float64) {
+	r.undoubted++
+	r.total += choice.places
+	r.free += max(0, choice.places-choice.used)
+	capacity := float64(choice.places)
+	if choice.isLimited {
+		capacity = min(float64(choice.state.replica.Slots), choice.state.limit.paid(part)*r.duration.Seconds())
+		r.banked += choice.state.limit.bank.held
 	}
+	r.capacity += capacity
 }
 
 // untried returns the replicas that the request did not come to before.
@@ -138,9 +156,16 @@
 	return options
 }
 
+// longestWait bounds the estimate of a wait.
+const longestWait = time.Hour
+
 // wait estimates the time until a place for a request with so many ahead.
 func (r *room) wait(ahead int) time.Duration {
-	return time.Duration(float64(r.duration) * float64(ahead+1) / float64(max(r.total, 1)))
+	if r.capacity <= 0 {
+		return r.duration * time.Duration(ahead+1)
+	}
+	requests := max(float64(ahead+1)-r.banked, 0)
+	return time.Duration(min(float64(r.duration)*requests/r.capacity, float64(longestWait)))
 }
 
 // canServe returns whether any replica, even an idle one, is fast enough.
--- a/coordination/admission/warming.go
+++ b/coordination/admission/warming.go
@@ -48,9 +48,7 @@
 	// until is when it is warm by its own account, and returns until when it counts as cold
 	// since its zone was taken back.
 	until, returns structs.Instant
-	// bank holds the requests that it may get, as of paidAt.
-	bank   float64
-	paidAt structs.Instant
+	bank           bank
 }
 
 // SetWarming replaces the bound for the service's cold replicas. Until it was called they get
@@ -99,13 +97,8 @@
 	if !s.warms || pool.warming == nil {
 		return 0
 	}
-	held := &state.warmth
-	if held.paidAt < s.warmsSince {
-		held.bank, held.paidAt = 0, s.warmsSince
-	}
-	held.bank = min(held.bank+pool.warming.Rate*(now-held.paidAt).Seconds(), pool.warming.Burst)
-	held.paidAt = now
-	return int(held.bank)
+	state.warmth.bank.fill(now, s.warmsSince, pool.warming.Rate, pool.warming.Burst)
+	return state.warmth.bank.room()
 }
 
 // pace returns what was learned of the replica while it was as warm or cold as it is.
--- a/coordination/liveness/liveness.go
+++ b/coordination/liveness/liveness.go
@@ -34,6 +34,8 @@
 	// Term rises when the process forgot what it had scheduled.
 	Term    uint64 `msgpack:"t"`
 	Leaving bool   `msgpack:"l"`
+	// Follows is the node that schedules for the sender.
+	Follows string `msgpack:"fo,omitempty"`
 	// Slow is true if the node is too slow to schedule for others.
 	Slow bool `msgpack:"sl,omitempty"`
 	// Storeless is true if the node can't reach the store.
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -76,7 +76,7 @@
 		}
 		return resultNotSent, admission.Observation{Left: true}
 	}
-	if node.mayNotSend(given.Replica.Zone) {
+	if node.mayNotSend(given.Replica.Zone) || !node.isCounted(given) {
 		_ = conn.Close()
 		return resultNotSent, admission.Observation{Left: true}
 	}
@@ -88,8 +88,7 @@
 		return c.broken(given.Replica.ID, err), admission.Observation{Failed: true, Left: c.ctx.Err() != nil}
 	}
 	node.noteZone(given.Replica.Zone, true)
-	node.heed(answer, given.Replica, sentAt)
-	node.begun(given, c.reportedLoad(answer))
+	node.begun(given, c.reportedLoad(answer), node.heed(answer, given.Replica, sentAt))
 	outcome, seen := c.relay(answer, given.Replica, sent)
 	switch outcome {
 	case resultAnswered, resultRejected, resultFailed:
--- a/entry/beats.go
+++ b/entry/beats.go
@@ -269,7 +269,7 @@
 	settings := n.settings.Load()
 	beat := liveness.Beat{
 		Name: settings.Name, Zone: settings.Zone, Address: n.selfAddress(), Cores: settings.Cores, Link: settings.Link, Interval: n.interval().Milliseconds(), Incarnation: n.depend.Incarnation,
-		Term: n.term, Known: n.namesKnown(now), Leaving: n.stopping.Load() != 0, Slow: n.slowness.Slow(), Storeless: n.storeDown, Latest: n.latest(), Unread: n.fresh.Age(now), ConfigurationUnread: n.freshConfiguration.Age(now), Steady: n.steadyFor(now).Milliseconds(), Failing: n.health.Failing(now),
+		Term: n.term, Follows: n.scheduler, Known: n.namesKnown(now), Leaving: n.stopping.Load() != 0, Slow: n.slowness.Slow(), Storeless: n.storeDown, Latest: n.latest(), Unread: n.fresh.Age(now), ConfigurationUnread: n.freshConfiguration.Age(now), Steady: n.steadyFor(now).Milliseconds(), Failing: n.health.Failing(now),
 		Held: map[string]liveness.Held{}, Relays: true, Rollouts: n.rolloutViews(),
 	}
 	beat.Version, beat.Evacuations = n.version(), n.evacuations.All()
--- a/entry/choice.go
+++ b/entry/choice.go
@@ -44,6 +44,22 @@
 // share is the part of the quotas and repeats that the nodes in touch may hand out.
 func (r *role) share() float64 { return min(float64(r.size.Live)/float64(r.size.Known), 1) }
 
+// followers returns the part of all nodes that go by this one when it schedules, and zero if it does
+// not. The caller holds the mutex.
+func (n *Node) followers(now structs.Instant, live []*liveness.Member) float64 {
+	name := n.settings.Load().Name
+	if n.scheduler != name {
+		return 0
+	}
+	count := 1
+	for _, member := range live {
+		if member.Follows == name && member.Silence(now) < admission.FollowTime {
+			count++
+		}
+	}
+	return min(float64(count)/float64(n.size.Known), 1)
+}
+
 // chooseSoon has the scheduling node chosen by news of nodes, of which many may come at once.
 func (n *Node) chooseSoon() {
 	n.mutex.Lock()
@@ -95,7 +111,7 @@
 	for _, id := range n.cutReplicas() {
 		avoided[id] = true
 	}
-	chosen := n.role
+	chosen, followers := n.role, n.followers(now, live)
 	held := now - n.roleAt
 	if moved || chosen.isOrdinary != previous.isOrdinary {
 		n.roleAt = now
@@ -115,10 +131,13 @@
 		n.noteRole(chosen, held)
 	}
 	if moved {
-		n.tellScheduler(chosen)
+		n.tellScheduler(chosen, previous.scheduler)
 	}
 	n.desk.setShare(share, settings.retryPolicy(share))
-	n.desk.update(func(scheduler *admission.Scheduler) { scheduler.SetAvoided(avoided) })
+	n.desk.update(func(scheduler *admission.Scheduler) {
+		scheduler.SetAvoided(avoided)
+		scheduler.SetPart(now, followers)
+	})
 }
 
 // takeRole finds what this node is among the live ones. The caller holds the mutex.
@@ -175,20 +194,23 @@
 	}
 }
 
-// tellScheduler has the node that schedules from now on hear of this one, and in a small fleet, or
-// if it is this one, all nodes.
-func (n *Node) tellScheduler(chosen role) {
+// tellScheduler has the node that schedules from now on, and the one that did, hear of this one, and
+// in a small fleet, or if it is this one, all nodes.
+func (n *Node) tellScheduler(chosen role, previous string) {
 	if !chosen.isLarge || chosen.scheduler == n.settings.Load().Name {
 		n.sendBeats()
 		return
 	}
 	n.mutex.Lock()
 	beat := n.beat(n.now())
-	member, found := n.members.Get(chosen.scheduler)
-	n.mutex.Unlock()
-	if found {
-		n.sendBeat(beat, []string{member.Address})
+	var addresses []string
+	for _, name := range []string{chosen.scheduler, previous} {
+		if member, found := n.members.Get(name); found {
+			addresses = append(addresses, member.Address)
+		}
 	}
+	n.mutex.Unlock()
+	n.sendBeat(beat, addresses)
 }
 
 // noteRole handles that this node became a delegate of its zone, or is none any more. Who takes it
--- a/entry/desk.go
+++ b/entry/desk.go
@@ -13,6 +13,7 @@
 	"github.com/thornwalk/thornwalk/coordination/retrybudget"
 	"github.com/thornwalk/thornwalk/coordination/rollout"
 	"github.com/thornwalk/thornwalk/state/fingerprint"
+	"github.com/thornwalk/thornwalk/state/pushback"
 	"github.com/thornwalk/thornwalk/state/replicas"
 	"github.com/thornwalk/thornwalk/state/rollouts"
 	"github.com/thornwalk/thornwalk/structs"
@@ -219,6 +220,7 @@
 			return &placeReply{Reason: reasonUnreachable}
 		}
 		return &placeReply{
+			Limit:   d.limitNote(decision),
 			Replica: decision.Replica, Reason: string(decision.Reason),
 			RetryAfter: decision.RetryAfter, Waited: decision.Waited, Term: d.currentTerm(),
 			Waiting: decision.Ahead, Free: decision.Free, Expected: decision.Expected,
@@ -229,6 +231,15 @@
 	}
 }
 
+// limitNote returns what is known of the rate limit of the replica that was given, or nil.
+func (d *desk) limitNote(decision admission.Decision) *pushback.Note {
+	if decision.Limit.Limit.State == pushback.LimitUnknown {
+		return nil
+	}
+	note := decision.Limit.NoteOf(d.clock(), decision.Replica.ID)
+	return &note
+}
+
 func (d *desk) currentTerm() uint64 {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
@@ -243,6 +254,9 @@
 	if request.Known != nil {
 		d.merge(now, []contents.Record{*request.Known})
 	}
+	for _, note := range request.Limits {
+		d.scheduler.HearLimit(now, note)
+	}
 	if request.First {
 		d.budget.First(now, request.Request.Service)
 	}
@@ -281,7 +295,11 @@
 func (d *desk) begun(request *begunRequest) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	d.scheduler.Begun(d.clock(), request.ID, request.Load)
+	now := d.clock()
+	d.scheduler.Begun(now, request.ID, request.Load)
+	if request.Limit != nil {
+		d.scheduler.LimitBegun(now, request.ID, *request.Limit)
+	}
 	d.decide()
 }
 
--- a/entry/messages.go
+++ b/entry/messages.go
@@ -7,6 +7,7 @@
 	"github.com/thornwalk/thornwalk/coordination/quota"
 	"github.com/thornwalk/thornwalk/state/contents"
 	"github.com/thornwalk/thornwalk/state/fingerprint"
+	"github.com/thornwalk/thornwalk/state/pushback"
 	"github.com/thornwalk/thornwalk/state/replicas"
 	"github.com/thornwalk/thornwalk/state/rollouts"
 	"github.com/thornwalk/thornwalk/structs"
@@ -22,6 +23,9 @@
 	// First is true if no place was asked for before, and Repeat if the request came to a
 	// replica before. One whose connect failed is neither.
 	First, Repeat bool
+	// Limits are the rate limits that replicas of the service named to the asking node, and those
+	// that ended lately.
+	Limits []pushback.Note `msgpack:",omitempty"`
 	// Known is what the asking node saw lately of replicas that ended under the request; nil
 	// if it saw none.
 	Known *contents.Record
@@ -39,6 +43,9 @@
 	Expected      time.Duration
 	// Term is that of the scheduling process.
 	Term uint64
+	// Limit is what the scheduling node knows of the replica's rate limit, nil if it knows of none.
+	// If there is one, the place counts against it.
+	Limit *pushback.Note `msgpack:",omitempty"`
 }
 
 // Reasons of refusals beside those of package admission.
@@ -79,6 +86,8 @@
 	ID string
 	// Load is the number of requests that the replica said to have, or -1.
 	Load int
+	// Limit is the rate limit that the answer names or ends, nil if it does neither.
+	Limit *pushback.Limit `msgpack:",omitempty"`
 }
 
 type begunReply struct{}
--- a/entry/place.go
+++ b/entry/place.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/thornwalk/thornwalk/protocol/peerwire"
+	"github.com/thornwalk/thornwalk/state/pushback"
 	"github.com/thornwalk/thornwalk/structs"
 	"github.com/thornwalk/thornwalk/transport/peer"
 )
@@ -75,6 +76,9 @@
 	}
 	n.mutex.Lock()
 	n.held[given.id] = heldPlace{replica: given.Replica.ID, scheduler: given.scheduler, term: given.Term}
+	if given.Limit != nil {
+		n.pushback.HearLimit(n.now(), *given.Limit)
+	}
 	n.mutex.Unlock()
 	return given
 }
@@ -180,8 +184,8 @@
 
 // begun tells the scheduling node that the answer began. It is not sent again
 // if it gets lost.
-func (n *Node) begun(given *grant, load int) {
-	message := &begunRequest{ID: given.id, Load: load}
+func (n *Node) begun(given *grant, load int, limit *pushback.Limit) {
+	message := &begunRequest{ID: given.id, Load: load, Limit: limit}
 	if given.address == "" {
 		n.desk.begun(message)
 		return
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -25,7 +25,7 @@
 			c.unplaced(given, runs)
 			return
 		}
-		isEmptied := c.node.mayNotSend(given.Replica.Zone)
+		isEmptied := c.node.mayNotSend(given.Replica.Zone) || !c.node.isCounted(given)
 		if isEmptied || c.node.knownToLeave(given.Replica.ID) && len(tried) < maximumSends {
 			c.node.finish(given, &finishRequest{Seen: admission.Observation{Left: true}, NotRun: true})
 			tried = append(tried, given.Replica.ID)
@@ -117,7 +117,7 @@
 			Deadline: c.left(),
 			Target:   max(c.route.Target-c.age(), 0), Patience: c.patience(),
 		},
-		First: len(tried) == 0, Repeat: repeat, Known: node.desk.knownOf(c.fingerprint),
+		First: len(tried) == 0, Repeat: repeat, Limits: node.limitsOf(c.service), Known: node.desk.knownOf(c.fingerprint),
 	}
 	if c.tenant != nil {
 		request.Tenant = c.tenant.Name
--- a/state/pushback/pushback.go
+++ b/state/pushback/pushback.go
@@ -41,12 +41,46 @@
 	Pause time.Duration
 }
 
+// Known is a limit with the instant as of which it holds.
+type Known struct {
+	Limit Limit
+	AsOf  structs.Instant
+}
+
+// Put takes the limit over if it is later than the one that is held, and returns whether it is
+// another one.
+func (k *Known) Put(limit Limit, asOf structs.Instant) bool {
+	if limit.State == LimitUnknown || k.Limit.State != LimitUnknown && asOf <= k.AsOf {
+		return false
+	}
+	before := k.Limit
+	k.Limit, k.AsOf = limit, asOf
+	return limit != before && (limit.State == LimitNamed || before.State == LimitNamed)
+}
+
+// IsNamed returns whether there is a limit.
+func (k *Known) IsNamed() bool { return k.Limit.State == LimitNamed }
+
+// Note is what a node tells another one of a replica.
+type Note struct {
+	//lint:ignore U1000 the codec reads the tag
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Replica string
+	// Limit is of so long ago.
+	Limit Limit
+	Age   time.Duration
+}
+
+// NoteOf returns what is known of the replica's limit.
+func (k *Known) NoteOf(now structs.Instant, replica string) Note {
+	return Note{Replica: replica, Limit: k.Limit, Age: now - k.AsOf}
+}
+
 // record is what one replica said to this node.
 type record struct {
-	leaving bool
-	limit   Limit
-	// limitAt is the instant as of which the limit holds.
-	limitAt     structs.Instant
+	leaving     bool
+	limit       Known
 	pausedUntil structs.Instant
 	heardAt     structs.Instant
 }
@@ -89,24 +123,46 @@
 	if said.Limit.State == LimitNone {
 		asOf = sent
 	}
-	change.Limited = held.put(said.Limit, asOf)
+	change.Limited = held.limit.Put(said.Limit, asOf)
 	return change
 }
 
-// put takes the limit over if it is later than the one that is held, and returns whether it is
-// another one.
-func (r *record) put(limit Limit, asOf structs.Instant) bool {
-	if limit.State == LimitUnknown || asOf <= r.limitAt {
-		return false
+// HearLimit enters what another node knows of a replica's limit.
+func (b *Book) HearLimit(now structs.Instant, note Note) {
+	held := b.records[note.Replica]
+	if held == nil {
+		if note.Limit.State != LimitNamed {
+			return
+		}
+		held = &record{}
+		b.records[note.Replica] = held
 	}
-	before := r.limit
-	if before.State == LimitUnknown {
-		before.State = LimitNone
+	held.heardAt = now
+	held.limit.Put(note.Limit, now-note.Age)
+}
+
+// IsLimited returns whether the replica names a limit.
+func (b *Book) IsLimited(id string) bool {
+	held := b.records[id]
+	return held != nil && held.limit.IsNamed()
+}
+
+// Notes returns what the node that schedules has to know of those replicas that are picked. A limit
+// that ended is told for as long as another node may still take it for valid.
+func (b *Book) Notes(now structs.Instant, picks func(id string) bool) []Note {
+	var notes []Note
+	for id, held := range b.records {
+		isTold := held.limit.IsNamed() || held.limit.Limit.State == LimitNone && now-held.limit.AsOf < endToldFor
+		if isTold && picks(id) {
+			notes = append(notes, held.limit.NoteOf(now, id))
+		}
 	}
-	r.limit, r.limitAt = limit, asOf
-	return limit != before
+	return notes
 }
 
+// endToldFor is how long the end of a limit is told.
+const endToldFor = 30 * time.Second
+
 // Renew drops what is held of a replica that started again under its id.
 func (b *Book) Renew(id string) { delete(b.records, id) }
 
--- a/test/entry/pushback_test.go
+++ b/test/entry/pushback_test.go
@@ -71,9 +71,9 @@
 // load sends requests to the nodes in turn until the time is over.
 func (s *pushbackScene) load(passed time.Duration) {
 	for i := range int(passed / pushbackGap) {
-		node := s.nodes[i%len(s.nodes)]
+		node, path := s.nodes[i%len(s.nodes)], fmt.Sprintf("/safe/%v/%d", passed, i) // each asks for something else
 		s.group.Go(func() {
-			got := s.get(node, http.MethodGet, "/safe/x", func(request *http.Request) {
+			got := s.get(node, http.MethodGet, path, func(request *http.Request) {
 				s.mutex.Lock()
 				defer s.mutex.Unlock()
 				id := request.Header.Get("X-Attempt-Id")
@@ -206,3 +206,72 @@
 		})
 	}
 }
+
+// A replica that names its limit gets close to that, steadily, and who can't be served is told so at
+// once, with a time to come back.
+func TestALimitedReplicaIsUsedSteadily(t *testing.T) {
+	for limit, perSecond := range map[string]float64{"1": 1, "6": 6} {
+		t.Run(limit+" a second", func(t *testing.T) {
+			playPushback(t, 1, platformsim.Pushback{Limit: limit}, func(*pushbackScene) {}, func(s *pushbackScene) {
+				begun, used := s.replicas[0].Arrived()[0].At.Add(time.Second+pushbackContact), 0
+				seconds := map[int]int{}
+				for _, arrival := range s.replicas[0].Arrived() {
+					if passed := arrival.At.Sub(begun); passed >= 0 && passed < 12*time.Second {
+						used++
+						seconds[int(passed/(3*time.Second))]++
+					}
+				}
+				s.Expect(used).To(gomega.BeNumerically(">=", 0.8*perSecond*12))
+				for part := range 4 {
+					s.Expect(seconds[part]).To(gomega.BeNumerically(">=", 0.6*perSecond*3), "in each three seconds")
+				}
+				for _, one := range s.replies {
+					if one.status != http.StatusOK {
+						s.Expect(one.status).To(gomega.Equal(http.StatusServiceUnavailable))
+						s.Expect(one.header.Get("Retry-After")).NotTo(gomega.BeEmpty())
+						s.Expect(one.took).To(gomega.BeNumerically("<", 250*time.Millisecond))
+					}
+				}
+			})
+		})
+	}
+}
+
+// Each answer tells the limit as it is; the replica gets more as soon as it takes more.
+func TestTheEndOfALimitIsNoticed(t *testing.T) {
+	for name, after := range map[string]platformsim.Pushback{"it ends": {}, "it is high": {Limit: "10000"}} {
+		for _, before := range []string{"0", "0.5", "4"} {
+			t.Run(fmt.Sprintf("%s after %s a second", name, before), func(t *testing.T) {
+				var changed time.Time
+				playPushback(t, 1, platformsim.Pushback{Limit: before}, func(s *pushbackScene) {
+					time.Sleep(4 * time.Second)
+					changed = time.Now()
+					s.replicas[0].Say(after)
+				}, func(s *pushbackScene) {
+					// At a limit of zero one request in ten seconds finds out.
+					s.Expect(arrivedAfter(s.replicas, changed.Add(11*time.Second))).To(gomega.BeNumerically(">", 80))
+				})
+			})
+		}
+	}
+}
+
+// A limit that falls to a tenth, and one that nobody can read.
+func TestALimitThatChanges(t *testing.T) {
+	playPushback(t, 3, platformsim.Pushback{Limit: "10"}, func(s *pushbackScene) {
+		time.Sleep(6 * time.Second)
+		s.replicas[0].Say(platformsim.Pushback{Limit: "1"})
+		s.replicas[1].Say(platformsim.Pushback{Limit: "-3"})
+		s.replicas[2].Say(platformsim.Pushback{Limit: "NaN"})
+	}, func(s *pushbackScene) {
+		var after []checker.Sent
+		for _, one := range s.sent(s.replicas[0]) {
+			if one.Said.Limit == "1" {
+				after = append(after, one)
+			}
+		}
+		s.Expect(strictly.RateLimit(after)).To(gomega.BeEmpty())
+		s.Expect(s.answers()).To(gomega.HaveLen(1), "the others take what this one can't")
+		s.Expect(s.events("replica.said")).To(gomega.ContainElement(gomega.HaveField("Outcome", "unreadable")))
+	})
+}
--- a/test/names/names_test.go
+++ b/test/names/names_test.go
@@ -17,7 +17,7 @@
 const root = "../.."
 
 // fixed are names of paths and keys that no other folder may know.
-var fixed = []string{"kv-txn", "kv-watch", "kv-range", "kv-key", "kv-lease", "op/config", "servers/", "api/readyz", "api/report", "tls_key", "path_prefix\""}
+var fixed = []string{"kv-txn", "kv-watch", "kv-range", "kv-key", "kv-lease", "op/config", "servers/", "api/readyz", "api/report", "tls_key", "path_prefix\"", "Server-Limit", "Server-Leaving"}
 
 // exempt are folders of stand-ins and tests, which speak for the platform.
 var exempt = []string{"platform/", "lab/", "test/"}
