Reproduce that replicas that leave or ask for a pause get requests

Seven whole nodes, 40 requests a second, nine courses, with the replica alone and beside two others. A replica that leaves gets requests later than 2 s after it told their node so in all 18 plays, also while nothing else is wrong and while the store is down. One that refuses and asks for 3 s gets 14 and 15 requests of a node in that time in each play in which it is alone (2 are allowed), and 3 or 4 in some beside others.

--- a/test/entry/pushback_test.go
+++ b/test/entry/pushback_test.go
@@ -33,15 +33,18 @@
 	group    sync.WaitGroup
 	mutex    sync.Mutex
 	nodeOf   map[string]string
+	lifeOf   map[string]string
 	askedAt  map[string]time.Time
 	replies  []reply
+	// starts counts how often each node started again.
+	starts map[string]int
 }
 
 // playPushback plays a course under load before so many replicas.
 func playPushback(t *testing.T, replicas int, says platformsim.Pushback, course func(s *pushbackScene), judge func(s *pushbackScene)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		s := &pushbackScene{scene: scene{WithT: gomega.NewWithT(t), fabric: memnet.New()}, nodeOf: map[string]string{}, askedAt: map[string]time.Time{}}
+		s := &pushbackScene{scene: scene{WithT: gomega.NewWithT(t), fabric: memnet.New()}, nodeOf: map[string]string{}, lifeOf: map[string]string{}, askedAt: map[string]time.Time{}, starts: map[string]int{}}
 		s.nodes = []string{"n1", "n2", "n3", "n4", "n5", "n6", "n7"}
 		s.start(s.nodes, successionZones, nil)
 		s.configure(func(c *entrylab.Configuration) {
@@ -78,6 +81,7 @@
 				defer s.mutex.Unlock()
 				id := request.Header.Get("X-Attempt-Id")
 				s.nodeOf[id], s.askedAt[id] = node, time.Now()
+				s.lifeOf[id] = fmt.Sprint(node, "/", s.starts[node])
 			})
 			s.mutex.Lock()
 			defer s.mutex.Unlock()
@@ -98,6 +102,16 @@
 	return sent
 }
 
+// sentByLives is sent, with each start of a node as a node of its own: one that starts again knows
+// nothing of what was told to it before.
+func (s *pushbackScene) sentByLives(replica *platformsim.Replica) []checker.Sent {
+	sent := s.sent(replica)
+	for i := range sent {
+		sent[i].Node = s.lifeOf[sent[i].ID]
+	}
+	return sent
+}
+
 // answers counts the replies by status.
 func (s *pushbackScene) answers() map[int]int {
 	counts := map[int]int{}
@@ -178,6 +192,9 @@
 // startAgain kills the node and starts it anew.
 func (s *pushbackScene) startAgain(node string) {
 	s.lab.Node(node).Kill()
+	s.mutex.Lock()
+	s.starts[node]++
+	s.mutex.Unlock()
 	for i, name := range s.nodes {
 		if name == node {
 			s.Expect(s.lab.StartNode(node, successionZones[i%len(successionZones)])).To(gomega.Succeed())
@@ -275,3 +292,18 @@
 		s.Expect(s.events("replica.said")).To(gomega.ContainElement(gomega.HaveField("Outcome", "unreadable")))
 	})
 }
+
+// Guards against requests to a replica that has told their node in an answer that it leaves, whatever
+// the store says.
+func TestAReplicaThatSaysItLeavesGetsNothingFromThoseItTold(t *testing.T) {
+	everyPushback(t, platformsim.Pushback{Leaving: "1"}, func(s *pushbackScene) {
+		s.Expect(strictly.Leaving(s.sentByLives(s.replicas[0]))).To(gomega.BeEmpty())
+	})
+}
+
+// Guards against requests to a replica within the time in which it has asked their node to send none.
+func TestAReplicaThatAsksForAPauseGetsOne(t *testing.T) {
+	everyPushback(t, platformsim.Pushback{RetryAfter: "3"}, func(s *pushbackScene) {
+		s.Expect(strictly.Pauses(s.sentByLives(s.replicas[0]))).To(gomega.BeEmpty())
+	})
+}
