Send nothing to a replica that has said in an answer that it leaves

Now the node that hears it sends nothing there in that start of the replica, whatever the store lists and whether the answers go on saying so, and tells the scheduling node with the answer's begin and with each request for a place; that gives no more places there. The sender looks again before it writes, in one function with the emptied zone, the drain, the barred version and the rate limit (mayNotSend).

Of the same class, found by reading: a node that knew better than the scheduling node gave three places back and used the fourth. It gives that back as well now, and refuses.

--- a/coordination/admission/ratelimit.go
+++ b/coordination/admission/ratelimit.go
@@ -63,27 +63,31 @@
 	s.part = part
 }
 
-// HearLimit enters what a node knows of the limit of a replica. What it tells of others than those
-// that are listed is told again once they are.
-func (s *Scheduler) HearLimit(now structs.Instant, note pushback.Note) {
+// Hear enters what a replica said to a node. What it tells of others than those that are listed is
+// told again once they are.
+func (s *Scheduler) Hear(now structs.Instant, note pushback.Note) {
 	state, found := s.states[note.Replica]
-	if found && state.listed {
-		state.hearLimit(now, note.Limit, now-note.Age)
+	if !found || !state.listed {
+		return
 	}
+	state.leaving = state.leaving || note.Leaving
+	state.hearLimit(now, note.Limit, now-note.Age)
 }
 
-// LimitBegun enters what the answer to a request with a place says of its replica's limit. An answer
-// ends a limit only if its request was placed after that was heard.
-func (s *Scheduler) LimitBegun(now structs.Instant, id string, limit pushback.Limit) {
+// Said enters what the answer to a request with a place says of its replica. An answer ends a limit
+// only if its request was placed after that was heard.
+func (s *Scheduler) Said(now structs.Instant, id string, said pushback.Statement) {
 	held, found := s.places[id]
 	if !found {
 		return
 	}
 	asOf := now
-	if limit.State == pushback.LimitNone {
+	if said.Limit.State == pushback.LimitNone {
 		asOf = held.since
 	}
-	s.state(held.replica).hearLimit(now, limit, asOf)
+	state := s.state(held.replica)
+	state.leaving = state.leaving || said.Leaving
+	state.hearLimit(now, said.Limit, asOf)
 }
 
 func (r *replicaState) hearLimit(now structs.Instant, limit pushback.Limit, asOf structs.Instant) {
--- a/coordination/admission/replica.go
+++ b/coordination/admission/replica.go
@@ -26,7 +26,9 @@
 	speed, coldSpeed speed
 	warmth           warmth
 	limit            rateLimit
-	conduct          conduct
+	// leaving is true if the replica said in an answer that it takes no new requests.
+	leaving bool
+	conduct conduct
 	// avoided is true if several nodes find the replica failing.
 	avoided bool
 	// number is its place among the options of the latest room that it was in.
@@ -78,7 +80,7 @@
 // told to have ended.
 func (r *replicaState) forget() {
 	r.speed, r.coldSpeed, r.conduct, r.hidden, r.avoided = speed{}, speed{}, conduct{}, hiddenLoad{}, false
-	r.limit = rateLimit{}
+	r.limit, r.leaving = rateLimit{}, false
 }
 
 // reported is the work at the replica that nodes report.
--- a/coordination/admission/room.go
+++ b/coordination/admission/room.go
@@ -70,7 +70,7 @@
 			measured.emptied++
 			continue
 		}
-		if state.superseded || state.replica.Draining || use == rollouts.UseBarred || use == rollouts.UseBudgeted && !onTrial {
+		if state.superseded || state.leaving || state.replica.Draining || use == rollouts.UseBarred || use == rollouts.UseBudgeted && !onTrial {
 			continue
 		}
 		isCold := state.isCold(now, pool)
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -76,7 +76,7 @@
 		}
 		return resultNotSent, admission.Observation{Left: true}
 	}
-	if node.mayNotSend(given.Replica.Zone) || !node.isCounted(given) {
+	if node.mayNotSend(given) {
 		_ = conn.Close()
 		return resultNotSent, admission.Observation{Left: true}
 	}
--- a/entry/desk.go
+++ b/entry/desk.go
@@ -254,8 +254,8 @@
 	if request.Known != nil {
 		d.merge(now, []contents.Record{*request.Known})
 	}
-	for _, note := range request.Limits {
-		d.scheduler.HearLimit(now, note)
+	for _, note := range request.Heard {
+		d.scheduler.Hear(now, note)
 	}
 	if request.First {
 		d.budget.First(now, request.Request.Service)
@@ -297,8 +297,8 @@
 	defer d.mutex.Unlock()
 	now := d.clock()
 	d.scheduler.Begun(now, request.ID, request.Load)
-	if request.Limit != nil {
-		d.scheduler.LimitBegun(now, request.ID, *request.Limit)
+	if request.Said != nil {
+		d.scheduler.Said(now, request.ID, *request.Said)
 	}
 	d.decide()
 }
--- a/entry/evacuation.go
+++ b/entry/evacuation.go
@@ -57,13 +57,6 @@
 	return len(changed) > 0
 }
 
-// mayNotSend returns whether nothing may be sent to the replica by the operators' order.
-func (n *Node) mayNotSend(zone string) bool {
-	n.mutex.Lock()
-	defer n.mutex.Unlock()
-	return n.evacuations.IsEmptied(zone)
-}
-
 // evacuationsStatus returns what operators see of the orders. The caller holds the mutex.
 func (n *Node) evacuationsStatus() []EvacuationStatus {
 	var told []EvacuationStatus
--- a/entry/messages.go
+++ b/entry/messages.go
@@ -23,9 +23,8 @@
 	// First is true if no place was asked for before, and Repeat if the request came to a
 	// replica before. One whose connect failed is neither.
 	First, Repeat bool
-	// Limits are the rate limits that replicas of the service named to the asking node, and those
-	// that ended lately.
-	Limits []pushback.Note `msgpack:",omitempty"`
+	// Heard is what replicas of the service said to the asking node to hold requests back.
+	Heard []pushback.Note `msgpack:",omitempty"`
 	// Known is what the asking node saw lately of replicas that ended under the request; nil
 	// if it saw none.
 	Known *contents.Record
@@ -86,8 +85,8 @@
 	ID string
 	// Load is the number of requests that the replica said to have, or -1.
 	Load int
-	// Limit is the rate limit that the answer names or ends, nil if it does neither.
-	Limit *pushback.Limit `msgpack:",omitempty"`
+	// Said is what the answer says to hold requests back, nil if it changes nothing.
+	Said *pushback.Statement `msgpack:",omitempty"`
 }
 
 type begunReply struct{}
--- a/entry/place.go
+++ b/entry/place.go
@@ -184,8 +184,8 @@
 
 // begun tells the scheduling node that the answer began. It is not sent again
 // if it gets lost.
-func (n *Node) begun(given *grant, load int, limit *pushback.Limit) {
-	message := &begunRequest{ID: given.id, Load: load, Limit: limit}
+func (n *Node) begun(given *grant, load int, said *pushback.Statement) {
+	message := &begunRequest{ID: given.id, Load: load, Said: said}
 	if given.address == "" {
 		n.desk.begun(message)
 		return
--- a/entry/pushback.go
+++ b/entry/pushback.go
@@ -12,9 +12,9 @@
 
 // What a replica says of itself in its answers (state/pushback).
 
-// heed enters what the answer to a request says that was sent at the instant. It returns the
-// replica's limit if the node that schedules has to hear of it.
-func (n *Node) heed(answer *replicahttp.Answer, replica replicas.Replica, sent structs.Instant) *pushback.Limit {
+// heed enters what the answer to a request says that was sent at the instant. It returns that if the
+// node that schedules has to hear of it, and else nil.
+func (n *Node) heed(answer *replicahttp.Answer, replica replicas.Replica, sent structs.Instant) *pushback.Statement {
 	said, err := n.depend.ReadAnswer(answer.StatusCode, answer.Header)
 	if err != nil {
 		n.noteUnreadableAnswer(replica, err)
@@ -23,30 +23,22 @@
 	change := n.pushback.Hear(n.now(), sent, replica.ID, said)
 	n.mutex.Unlock()
 	n.notePushback(replica, said, change)
-	if said.Limit.State == pushback.LimitNamed || change.Limited {
-		return &said.Limit
+	if said.Leaving || said.Limit.State == pushback.LimitNamed || change.Limited {
+		return &said
 	}
 	return nil
 }
 
-// limitsOf returns what the node that schedules has to know of the limits of the service's replicas.
-func (n *Node) limitsOf(service string) []pushback.Note {
+// heardOf returns what the node that schedules has to know of the service's replicas.
+func (n *Node) heardOf(service string) []pushback.Note {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	return n.pushback.Notes(n.now(), func(id string) bool {
 		known, found := n.table.Get(id)
-		return found && known.Service == service
+		return found && known.Service == service && !known.Draining // whoever schedules knows those that drain
 	})
 }
 
-// isCounted returns whether the place counts against the rate limit that its replica named to this
-// node, if it did: the place may be of a scheduling node that did not know yet.
-func (n *Node) isCounted(given *grant) bool {
-	n.mutex.Lock()
-	defer n.mutex.Unlock()
-	return given.Limit != nil && given.Limit.Limit.State == pushback.LimitNamed || !n.pushback.IsLimited(given.Replica.ID)
-}
-
 // notePushback writes a line for each thing that an answer changed.
 func (n *Node) notePushback(replica replicas.Replica, said pushback.Statement, change pushback.Change) {
 	tell := func(outcome, detail string) {
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -10,6 +10,7 @@
 	"github.com/thornwalk/thornwalk/coordination/admission"
 	"github.com/thornwalk/thornwalk/state/contents"
 	"github.com/thornwalk/thornwalk/state/fingerprint"
+	"github.com/thornwalk/thornwalk/state/pushback"
 )
 
 // serve gets a place, sends, and sends again where that is allowed.
@@ -25,11 +26,10 @@
 			c.unplaced(given, runs)
 			return
 		}
-		isEmptied := c.node.mayNotSend(given.Replica.Zone) || !c.node.isCounted(given)
-		if isEmptied || c.node.knownToLeave(given.Replica.ID) && len(tried) < maximumSends {
+		if c.node.mayNotSend(given) {
 			c.node.finish(given, &finishRequest{Seen: admission.Observation{Left: true}, NotRun: true})
 			tried = append(tried, given.Replica.ID)
-			if isEmptied && len(tried) >= maximumSends {
+			if len(tried) >= maximumSends {
 				c.giveUp(resultNotSent, runs)
 				return
 			}
@@ -93,13 +93,17 @@
 	}
 }
 
-// knownToLeave returns whether this node knows that the replica drains, or that its version
-// gets no new requests, which the scheduling node may not have heard of yet.
-func (n *Node) knownToLeave(id string) bool {
+// mayNotSend returns whether the place must go back: the operators emptied the replica's zone, it
+// leaves, its version gets no new requests, or it named a rate limit that the place does not count
+// against. The scheduling node that gave the place may not have known of it.
+func (n *Node) mayNotSend(given *grant) bool {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
+	id := given.Replica.ID
 	known, found := n.table.Get(id)
-	return found && (known.Draining || n.isBarred(known))
+	isCounted := given.Limit != nil && given.Limit.Limit.State == pushback.LimitNamed
+	return n.evacuations.IsEmptied(given.Replica.Zone) || n.pushback.IsLeaving(id) ||
+		found && (known.Draining || n.isBarred(known)) || n.pushback.IsLimited(id) && !isCounted
 }
 
 // placeRequest describes the request to the scheduling node.
@@ -117,7 +121,7 @@
 			Deadline: c.left(),
 			Target:   max(c.route.Target-c.age(), 0), Patience: c.patience(),
 		},
-		First: len(tried) == 0, Repeat: repeat, Limits: node.limitsOf(c.service), Known: node.desk.knownOf(c.fingerprint),
+		First: len(tried) == 0, Repeat: repeat, Heard: node.heardOf(c.service), Known: node.desk.knownOf(c.fingerprint),
 	}
 	if c.tenant != nil {
 		request.Tenant = c.tenant.Name
--- a/state/pushback/pushback.go
+++ b/state/pushback/pushback.go
@@ -70,6 +70,8 @@
 	// Limit is of so long ago.
 	Limit Limit
 	Age   time.Duration
+	// Leaving is true if the replica takes no new requests.
+	Leaving bool
 }
 
 // NoteOf returns what is known of the replica's limit.
@@ -147,19 +149,37 @@
 	return held != nil && held.limit.IsNamed()
 }
 
-// Notes returns what the node that schedules has to know of those replicas that are picked. A limit
-// that ended is told for as long as another node may still take it for valid.
+// IsLeaving returns whether the replica said that it leaves.
+func (b *Book) IsLeaving(id string) bool {
+	held := b.records[id]
+	return held != nil && held.leaving
+}
+
+// Notes returns what the node that schedules has to know of those replicas that are picked.
 func (b *Book) Notes(now structs.Instant, picks func(id string) bool) []Note {
 	var notes []Note
 	for id, held := range b.records {
-		isTold := held.limit.IsNamed() || held.limit.Limit.State == LimitNone && now-held.limit.AsOf < endToldFor
-		if isTold && picks(id) {
-			notes = append(notes, held.limit.NoteOf(now, id))
+		if !held.isWorthTelling(now) || !picks(id) {
+			continue
+		}
+		note := held.limit.NoteOf(now, id)
+		note.Leaving = held.leaving
+		if notes = append(notes, note); len(notes) == mostNotes {
+			break
 		}
 	}
 	return notes
 }
 
+// mostNotes bounds what is told with one request. Places that are given for want of the rest go back.
+const mostNotes = 64
+
+// isWorthTelling returns whether the record holds requests back, or did until lately: the end of a
+// limit is told for as long as another node may take it for valid.
+func (r *record) isWorthTelling(now structs.Instant) bool {
+	return r.leaving || r.limit.IsNamed() || r.limit.Limit.State == LimitNone && now-r.limit.AsOf < endToldFor
+}
+
 // endToldFor is how long the end of a limit is told.
 const endToldFor = 30 * time.Second
 
--- a/test/entry/pushback_test.go
+++ b/test/entry/pushback_test.go
@@ -126,9 +126,13 @@
 
 // pushbackCourses are what may happen to those who keep what a replica says.
 var pushbackCourses = map[string]func(s *pushbackScene){
-	"calm":               func(*pushbackScene) {},
-	"the store is down":  func(s *pushbackScene) { s.lab.Store.SetDown(true) },
-	"the list is copied": func(s *pushbackScene) { copied := s.lab.Store.Copy(); time.Sleep(time.Second); s.lab.Store.Restore(copied) },
+	"calm":              func(*pushbackScene) {},
+	"the store is down": func(s *pushbackScene) { s.lab.Store.SetDown(true) },
+	"the list is copied": func(s *pushbackScene) {
+		copied := s.lab.Store.Copy()
+		time.Sleep(time.Second)
+		s.lab.Store.Restore(copied)
+	},
 	"the scheduling node ends again and again": func(s *pushbackScene) {
 		for range 12 {
 			time.Sleep(1300 * time.Millisecond)
@@ -307,3 +311,35 @@
 		s.Expect(strictly.Pauses(s.sentByLives(s.replicas[0]))).To(gomega.BeEmpty())
 	})
 }
+
+// That a replica leaves holds for one start of it: it gets nothing though it says so no longer and the
+// store lists it as ready, and serves again once it has started again under its id.
+func TestAReplicaThatLeftServesOnceItStartedAgain(t *testing.T) {
+	var silent, again time.Time
+	playPushback(t, 2, platformsim.Pushback{Leaving: "1"}, func(s *pushbackScene) {
+		time.Sleep(3 * time.Second)
+		s.replicas[0].Say(platformsim.Pushback{})
+		silent = time.Now()
+		time.Sleep(4 * time.Second)
+		s.replicas[0].Born = time.Now().UnixMilli()
+		again = time.Now()
+		s.replicas[0].Register(s.lab.Store, "ready")
+	}, func(s *pushbackScene) {
+		left := s.replicas[:1]
+		s.Expect(arrivedAfter(left, silent)).To(gomega.Equal(arrivedAfter(left, again)), "while it leaves")
+		s.Expect(arrivedAfter(left, again)).To(gomega.BeNumerically(">", 50))
+		s.Expect(s.answers()).To(gomega.HaveLen(1), "the other one serves all")
+	})
+}
+
+// With no other replica left, callers are told when to come back.
+func TestCallersAreRefusedWhenAllReplicasLeave(t *testing.T) {
+	playPushback(t, 1, platformsim.Pushback{Leaving: "1"}, func(*pushbackScene) {}, func(s *pushbackScene) {
+		for _, one := range s.replies {
+			if one.status != http.StatusOK {
+				s.Expect(one.status).To(gomega.Equal(http.StatusServiceUnavailable))
+				s.Expect(one.header.Get("Retry-After")).NotTo(gomega.BeEmpty())
+			}
+		}
+	})
+}
