Send nothing to a replica that has asked this node to pause

Now the node keeps the time and looks before it writes; it tells the scheduling node, which leaves the replica out for that node only, also for requests that wait. When the time is over one request at a time finds out whether the replica takes more, so that not all that were held back come at once. Where every replica pauses, the caller is told at once when the first pause ends.

--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -88,6 +88,8 @@
 	// does since leadsSince.
 	part       float64
 	leadsSince structs.Instant
+	// pauses are those that replicas asked nodes for.
+	pauses map[asker]pauses
 }
 
 // New returns an empty scheduler that bars no request.
@@ -95,7 +97,7 @@
 	return &Scheduler{
 		contents: poison.NewLedger(poison.Policy{}), running: map[fingerprint.Fingerprint]int{},
 		services: map[string]*service{}, places: map[string]*place{}, waits: map[string]*waiting{},
-		states: map[string]*replicaState{}, foreign: map[string]map[string]int{}, doubts: map[string]*doubtList{},
+		states: map[string]*replicaState{}, pauses: map[asker]pauses{}, foreign: map[string]map[string]int{}, doubts: map[string]*doubtList{},
 	}
 }
 
@@ -187,6 +189,7 @@
 func (s *Scheduler) DropNode(node string) {
 	s.SetForeign(node, nil)
 	delete(s.doubts, node)
+	s.dropPauses(node)
 	for id, held := range s.places {
 		if held.node == node {
 			s.release(id)
--- a/coordination/admission/decide.go
+++ b/coordination/admission/decide.go
@@ -99,13 +99,17 @@
 
 func (s *Scheduler) decideOne(now structs.Instant, held *waiting, room *room, ahead int) (Decision, bool) {
 	decision := Decision{ID: held.ID, Waited: now - held.arrived, Ahead: ahead, Free: room.free, Expected: room.wait(ahead)}
-	if chosen := s.chooseTrial(held, room, held.Deadline-decision.Waited); chosen != nil {
+	if chosen := s.chooseTrial(now, held, room, held.Deadline-decision.Waited); chosen != nil {
 		s.place(now, held, chosen, &decision)
 		return decision, true
 	}
-	options := room.untried(&held.Request)
+	paused := s.pauses[asker{held.Node, held.Service}]
+	options := room.untried(now, &held.Request, paused)
 	if len(options) == 0 && len(room.options) > 0 {
 		decision.Reason, decision.RetryAfter = ReasonNoReplica, minimumRetry
+		if left := room.untried(now, &held.Request, nil); len(left) > 0 {
+			decision.Reason, decision.RetryAfter = ReasonPaused, max(paused.soonest(now, left), minimumRetry)
+		}
 		return decision, true
 	}
 	if len(options) == 0 {
--- a/coordination/admission/messages.go
+++ b/coordination/admission/messages.go
@@ -66,6 +66,8 @@
 	ReasonNone Reason = ""
 	// ReasonNoReplica means that the service has no usable replica.
 	ReasonNoReplica Reason = "no-replica"
+	// ReasonPaused means that every usable replica has asked the request's node to pause.
+	ReasonPaused Reason = "replicas-pause"
 	// ReasonNoPlace means that no place became free in time.
 	ReasonNoPlace Reason = "no-place"
 	// ReasonDeadline means that no replica is fast enough for the answer.
--- a/coordination/admission/ratelimit.go
+++ b/coordination/admission/ratelimit.go
@@ -63,10 +63,10 @@
 	s.part = part
 }
 
-// Hear enters what a replica said to a node. What it tells of others than those that are listed is
-// told again once they are.
+// Hear enters what a replica said to a node. What it tells of lives that are not listed is told again
+// once they are.
 func (s *Scheduler) Hear(now structs.Instant, note pushback.Note) {
-	state, found := s.states[note.Replica]
+	state, found := s.states[note.Life.Replica]
 	if !found || !state.listed {
 		return
 	}
@@ -85,6 +85,9 @@
 	if said.Limit.State == pushback.LimitNone {
 		asOf = held.since
 	}
+	if said.Pause > 0 {
+		s.pause(asker{held.node, held.service}, held.replica, now+said.Pause)
+	}
 	state := s.state(held.replica)
 	state.leaving = state.leaving || said.Leaving
 	state.hearLimit(now, said.Limit, asOf)
@@ -92,9 +95,6 @@
 
 func (r *replicaState) hearLimit(now structs.Instant, limit pushback.Limit, asOf structs.Instant) {
 	wasNamed := r.limit.known.IsNamed()
-	if limit.State == pushback.LimitNone && !wasNamed {
-		return
-	}
 	if r.limit.known.Put(limit, asOf) && !wasNamed {
 		r.limit.since = now
 	}
--- a/coordination/admission/ratelimit_test.go
+++ b/coordination/admission/ratelimit_test.go
@@ -21,7 +21,7 @@
 	s := New()
 	s.SetReplicas(now, coldPool(1, 0))
 	s.SetPart(now, 1)
-	s.Hear(now, pushback.Note{Replica: "r0", Limit: named(perSecond)})
+	s.Hear(now, pushback.Note{Life: pushback.Life{Replica: "r0"}, Limit: named(perSecond)})
 	return s
 }
 
@@ -85,12 +85,12 @@
 	s.SetPart(0, 1)
 	s.Submit(time.Second, request("before", 0))
 	g.Expect(placedIDs(s.Decide(time.Second))).To(gomega.ConsistOf("before"))
-	s.Hear(2*time.Second, pushback.Note{Replica: "r0", Limit: named(1), Age: 100 * ms})
+	s.Hear(2*time.Second, pushback.Note{Life: pushback.Life{Replica: "r0"}, Limit: named(1), Age: 100 * ms})
 	s.Said(3*time.Second, "before", pushback.Statement{Limit: pushback.Limit{State: pushback.LimitNone}})
 	g.Expect(ask(s, 3*time.Second, 5)).To(gomega.BeZero(), "the limit holds")
-	s.Hear(5*time.Second, pushback.Note{Replica: "r0", Limit: pushback.Limit{State: pushback.LimitNone}, Age: time.Second})
+	s.Hear(5*time.Second, pushback.Note{Life: pushback.Life{Replica: "r0"}, Limit: pushback.Limit{State: pushback.LimitNone}, Age: time.Second})
 	g.Expect(s.states["r0"].limit.known.IsNamed()).To(gomega.BeFalse())
-	s.Hear(6*time.Second, pushback.Note{Replica: "r0", Limit: named(1), Age: 4 * time.Second})
+	s.Hear(6*time.Second, pushback.Note{Life: pushback.Life{Replica: "r0"}, Limit: named(1), Age: 4 * time.Second})
 	g.Expect(s.states["r0"].limit.known.IsNamed()).To(gomega.BeFalse(), "older than the end")
 }
 
@@ -102,7 +102,7 @@
 	again[0].Born, again[0].Revision = 7, 9
 	s.SetReplicas(time.Second, again)
 	g.Expect(s.states["r0"].limit.known.IsNamed()).To(gomega.BeFalse())
-	s.Hear(time.Second, pushback.Note{Replica: "elsewhere", Limit: named(1)})
+	s.Hear(time.Second, pushback.Note{Life: pushback.Life{Replica: "elsewhere"}, Limit: named(1)})
 	g.Expect(s.states).NotTo(gomega.HaveKey("elsewhere"))
 }
 
@@ -272,8 +272,8 @@
 	g := gomega.NewWithT(t)
 	s := New()
 	s.SetReplicas(0, coldPool(2, 0))
-	s.Hear(0, pushback.Note{Replica: "r0", Leaving: true})
-	s.Hear(time.Second, pushback.Note{Replica: "r0"})
+	s.Hear(0, pushback.Note{Life: pushback.Life{Replica: "r0"}, Leaving: true})
+	s.Hear(time.Second, pushback.Note{Life: pushback.Life{Replica: "r0"}})
 	g.Expect(ask(s, time.Second, 20)).To(gomega.Equal(20))
 	g.Expect(s.states["r0"].used).To(gomega.BeZero())
 	again := coldPool(2, 0)
--- a/coordination/admission/room.go
+++ b/coordination/admission/room.go
@@ -142,14 +142,15 @@
 	r.capacity += capacity
 }
 
-// untried returns the replicas that the request did not come to before.
-func (r *room) untried(request *Request) []*option {
-	if len(request.Tried) == 0 {
+// untried returns the replicas that the request did not come to before and that its node does not
+// pause at.
+func (r *room) untried(now structs.Instant, request *Request, paused pauses) []*option {
+	if len(request.Tried)+len(paused) == 0 {
 		return r.options
 	}
 	var options []*option
 	for _, choice := range r.options {
-		if !slices.Contains(request.Tried, choice.state.replica.ID) {
+		if id := choice.state.replica.ID; !slices.Contains(request.Tried, id) && !paused.hold(now, id) {
 			options = append(options, choice)
 		}
 	}
--- a/coordination/admission/trial.go
+++ b/coordination/admission/trial.go
@@ -7,6 +7,7 @@
 
 	"github.com/thornwalk/thornwalk/coordination/rollout"
 	"github.com/thornwalk/thornwalk/state/rollouts"
+	"github.com/thornwalk/thornwalk/structs"
 )
 
 // While the replicas of a new version are judged, a bounded number of requests goes to
@@ -71,7 +72,7 @@
 
 // chooseTrial returns the judged replica that the request goes to, or nil. A request that
 // came to a replica before goes to one that is known to be good.
-func (s *Scheduler) chooseTrial(held *waiting, room *room, left time.Duration) *option {
+func (s *Scheduler) chooseTrial(now structs.Instant, held *waiting, room *room, left time.Duration) *option {
 	if len(room.trials) == 0 || len(held.Tried) > 0 {
 		return nil
 	}
@@ -79,7 +80,11 @@
 	if pool.trial.Spent() || !pool.trial.Fair(held.Route) {
 		return nil
 	}
+	paused := s.pauses[asker{held.Node, held.Service}]
 	for _, choice := range room.trials {
+		if paused.hold(now, choice.state.replica.ID) {
+			continue
+		}
 		if choice.used < choice.places && !choice.doubted && !slices.Contains(held.Doubted, choice.state.replica.ID) && choice.fits(held.Answer, left) {
 			pool.trial.Spend(held.Route)
 			return choice
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -76,7 +76,7 @@
 		}
 		return resultNotSent, admission.Observation{Left: true}
 	}
-	if node.mayNotSend(given) {
+	if !node.beginSend(given) {
 		_ = conn.Close()
 		return resultNotSent, admission.Observation{Left: true}
 	}
--- a/entry/desk.go
+++ b/entry/desk.go
@@ -236,7 +236,7 @@
 	if decision.Limit.Limit.State == pushback.LimitUnknown {
 		return nil
 	}
-	note := decision.Limit.NoteOf(d.clock(), decision.Replica.ID)
+	note := decision.Limit.NoteOf(d.clock(), pushback.LifeOf(decision.Replica))
 	return &note
 }
 
@@ -257,6 +257,7 @@
 	for _, note := range request.Heard {
 		d.scheduler.Hear(now, note)
 	}
+	d.scheduler.SetPauses(now, request.Request.Node, request.Request.Service, request.Heard)
 	if request.First {
 		d.budget.First(now, request.Request.Service)
 	}
--- a/entry/news.go
+++ b/entry/news.go
@@ -6,6 +6,7 @@
 	"github.com/thornwalk/thornwalk/coordination/admission"
 	"github.com/thornwalk/thornwalk/internal/eventlog"
 	"github.com/thornwalk/thornwalk/outside"
+	"github.com/thornwalk/thornwalk/state/pushback"
 	"github.com/thornwalk/thornwalk/state/replicas"
 	"github.com/thornwalk/thornwalk/structs"
 )
@@ -96,7 +97,6 @@
 	if isNewLife {
 		n.explainBreaks(known)
 		n.health.Renew(replica.ID)
-		n.pushback.Renew(replica.ID)
 		n.pool.Forget(replica.ID)
 	}
 	if found && !isNewLife && known.Draining == replica.Draining && known.Address == replica.Address {
@@ -183,9 +183,11 @@
 func (n *Node) replicasChanged() {
 	n.mutex.Lock()
 	all := n.table.All()
-	isKnown := func(id string) bool { _, known := n.table.Get(id); return known }
-	n.health.Forget(isKnown)
-	n.pushback.Forget(n.now(), isKnown)
+	n.health.Forget(func(id string) bool { _, known := n.table.Get(id); return known })
+	n.pushback.Forget(n.now(), func(life pushback.Life) bool {
+		known, found := n.table.Get(life.Replica)
+		return found && pushback.LifeOf(known) == life
+	})
 	n.mutex.Unlock()
 	n.applyPolicies() // first: a replica that the desk knows and no policy gets requests
 	n.desk.update(func(scheduler *admission.Scheduler) { scheduler.SetReplicas(n.now(), all) })
--- a/entry/pushback.go
+++ b/entry/pushback.go
@@ -20,10 +20,10 @@
 		n.noteUnreadableAnswer(replica, err)
 	}
 	n.mutex.Lock()
-	change := n.pushback.Hear(n.now(), sent, replica.ID, said)
+	change := n.pushback.Hear(n.now(), sent, pushback.LifeOf(replica), said)
 	n.mutex.Unlock()
 	n.notePushback(replica, said, change)
-	if said.Leaving || said.Limit.State == pushback.LimitNamed || change.Limited {
+	if said.Leaving || change.Paused || said.Limit.State == pushback.LimitNamed || change.Limited {
 		return &said
 	}
 	return nil
@@ -33,9 +33,9 @@
 func (n *Node) heardOf(service string) []pushback.Note {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	return n.pushback.Notes(n.now(), func(id string) bool {
-		known, found := n.table.Get(id)
-		return found && known.Service == service && !known.Draining // whoever schedules knows those that drain
+	return n.pushback.Notes(n.now(), func(life pushback.Life) bool {
+		known, found := n.table.Get(life.Replica)
+		return found && known.Service == service && pushback.LifeOf(known) == life && !known.Draining // whoever schedules knows those that drain
 	})
 }
 
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -26,7 +26,7 @@
 			c.unplaced(given, runs)
 			return
 		}
-		if c.node.mayNotSend(given) {
+		if !c.node.maySend(given) {
 			c.node.finish(given, &finishRequest{Seen: admission.Observation{Left: true}, NotRun: true})
 			tried = append(tried, given.Replica.ID)
 			if len(tried) >= maximumSends {
@@ -93,17 +93,38 @@
 	}
 }
 
-// mayNotSend returns whether the place must go back: the operators emptied the replica's zone, it
-// leaves, its version gets no new requests, or it named a rate limit that the place does not count
-// against. The scheduling node that gave the place may not have known of it.
-func (n *Node) mayNotSend(given *grant) bool {
+// maySend returns whether the place may be used. It goes back if the operators emptied the replica's
+// zone, if the replica leaves, has asked this node to pause or has named a rate limit that the place
+// does not count against, or if its version gets no new requests: the scheduling node that gave the
+// place may not have known of it.
+func (n *Node) maySend(given *grant) bool {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	id := given.Replica.ID
-	known, found := n.table.Get(id)
+	return n.isOpen(given)
+}
+
+// beginSend is maySend just before the request is written, and enters that it is.
+func (n *Node) beginSend(given *grant) bool {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if !n.isOpen(given) {
+		return false
+	}
+	n.pushback.Sent(n.now(), pushback.LifeOf(given.Replica))
+	return true
+}
+
+// isOpen is maySend for who holds the mutex.
+func (n *Node) isOpen(given *grant) bool {
+	life := pushback.LifeOf(given.Replica)
+	if n.evacuations.IsEmptied(given.Replica.Zone) || n.pushback.IsLeaving(life) || n.pushback.PauseLeft(n.now(), life) > 0 {
+		return false
+	}
+	if known, found := n.table.Get(life.Replica); found && (known.Draining || n.isBarred(known)) {
+		return false
+	}
 	isCounted := given.Limit != nil && given.Limit.Limit.State == pushback.LimitNamed
-	return n.evacuations.IsEmptied(given.Replica.Zone) || n.pushback.IsLeaving(id) ||
-		found && (known.Draining || n.isBarred(known)) || n.pushback.IsLimited(id) && !isCounted
+	return isCounted || !n.pushback.IsLimited(life)
 }
 
 // placeRequest describes the request to the scheduling node.
--- a/state/pushback/pushback.go
+++ b/state/pushback/pushback.go
@@ -6,6 +6,7 @@
 import (
 	"time"
 
+	"github.com/thornwalk/thornwalk/state/replicas"
 	"github.com/thornwalk/thornwalk/structs"
 )
 
@@ -48,35 +49,52 @@
 }
 
 // Put takes the limit over if it is later than the one that is held, and returns whether it is
-// another one.
+// another one. What was never named does not end.
 func (k *Known) Put(limit Limit, asOf structs.Instant) bool {
-	if limit.State == LimitUnknown || k.Limit.State != LimitUnknown && asOf <= k.AsOf {
+	isFirst := k.Limit.State == LimitUnknown
+	if limit.State == LimitUnknown || isFirst && limit.State == LimitNone || !isFirst && asOf <= k.AsOf {
 		return false
 	}
 	before := k.Limit
 	k.Limit, k.AsOf = limit, asOf
-	return limit != before && (limit.State == LimitNamed || before.State == LimitNamed)
+	return limit != before
 }
 
 // IsNamed returns whether there is a limit.
 func (k *Known) IsNamed() bool { return k.Limit.State == LimitNamed }
 
+// Life is one start of a replica. One that starts again under its id says nothing of what it said
+// before.
+type Life struct {
+	//lint:ignore U1000 the codec reads the tag
+	_msgpack struct{} `msgpack:",as_array"`
+
+	Replica string
+	// Born is when it started, in Unix milliseconds by its own clock; zero if it tells none.
+	Born int64
+}
+
+// LifeOf returns the life of the replica as it is listed.
+func LifeOf(replica replicas.Replica) Life { return Life{Replica: replica.ID, Born: replica.Born} }
+
 // Note is what a node tells another one of a replica.
 type Note struct {
 	//lint:ignore U1000 the codec reads the tag
 	_msgpack struct{} `msgpack:",as_array"`
 
-	Replica string
+	Life Life
 	// Limit is of so long ago.
 	Limit Limit
 	Age   time.Duration
 	// Leaving is true if the replica takes no new requests.
 	Leaving bool
+	// Pause is for how long the node that tells of it sends nothing.
+	Pause time.Duration
 }
 
 // NoteOf returns what is known of the replica's limit.
-func (k *Known) NoteOf(now structs.Instant, replica string) Note {
-	return Note{Replica: replica, Limit: k.Limit, Age: now - k.AsOf}
+func (k *Known) NoteOf(now structs.Instant, life Life) Note {
+	return Note{Life: life, Limit: k.Limit, Age: now - k.AsOf}
 }
 
 // record is what one replica said to this node.
@@ -84,16 +102,32 @@
 	leaving     bool
 	limit       Known
 	pausedUntil structs.Instant
-	heardAt     structs.Instant
+	// isOnTrial is true from a pause on until an answer asks for none; one request at a time, the
+	// last at triedAt, then finds out.
+	isOnTrial bool
+	triedAt   structs.Instant
+	heardAt   structs.Instant
+}
+
+// pauseLeft returns for how long nothing is to be sent.
+func (r *record) pauseLeft(now structs.Instant) time.Duration {
+	until := r.pausedUntil
+	if r.isOnTrial && r.triedAt >= until {
+		until = r.triedAt + trialTime
+	}
+	return max(until-now, 0)
 }
 
+// trialTime is how long the answer to a request on trial is waited for before the next one.
+const trialTime = time.Second
+
 // Book is what replicas said to one node. It is not safe for concurrent use.
 type Book struct {
-	records map[string]*record
+	records map[Life]*record
 }
 
 // NewBook returns an empty book.
-func NewBook() *Book { return &Book{records: map[string]*record{}} }
+func NewBook() *Book { return &Book{records: map[Life]*record{}} }
 
 // Change is what an answer changed of what the book holds of a replica.
 type Change struct {
@@ -108,19 +142,19 @@
 // Hear enters what an answer says that arrived now to a request sent at the given instant. An
 // answer without a limit ends one only if its request was sent after that was heard: answers
 // overtake each other.
-func (b *Book) Hear(now, sent structs.Instant, id string, said Statement) Change {
-	held := b.records[id]
+func (b *Book) Hear(now, sent structs.Instant, life Life, said Statement) Change {
+	held := b.records[life]
 	if held == nil {
 		if !said.Leaving && said.Pause <= 0 && said.Limit.State != LimitNamed {
 			return Change{}
 		}
 		held = &record{}
-		b.records[id] = held
+		b.records[life] = held
 	}
 	held.heardAt = now
 	change := Change{Left: said.Leaving && !held.leaving, Paused: said.Pause > 0}
 	held.leaving = held.leaving || said.Leaving
-	held.pausedUntil = max(held.pausedUntil, now+said.Pause)
+	held.hearPause(now, sent, said)
 	asOf := now
 	if said.Limit.State == LimitNone {
 		asOf = sent
@@ -129,41 +163,69 @@
 	return change
 }
 
+// hearPause begins or ends a pause. Answers to requests that were sent before its end say nothing of
+// what comes after.
+func (r *record) hearPause(now, sent structs.Instant, said Statement) {
+	switch {
+	case said.Pause > 0:
+		r.pausedUntil, r.isOnTrial = max(r.pausedUntil, now+said.Pause), true
+	case sent >= r.pausedUntil && said != (Statement{}):
+		r.isOnTrial = false
+	}
+}
+
+// PauseLeft returns for how long this node is to send nothing to the replica.
+func (b *Book) PauseLeft(now structs.Instant, life Life) time.Duration {
+	held := b.records[life]
+	if held == nil {
+		return 0
+	}
+	return held.pauseLeft(now)
+}
+
+// Sent enters that a request is sent to the replica. After a pause it is the only one for a while, so
+// that not all that were held back come at once.
+func (b *Book) Sent(now structs.Instant, life Life) {
+	if held := b.records[life]; held != nil && held.isOnTrial {
+		held.triedAt = now
+	}
+}
+
 // HearLimit enters what another node knows of a replica's limit.
 func (b *Book) HearLimit(now structs.Instant, note Note) {
-	held := b.records[note.Replica]
+	held := b.records[note.Life]
 	if held == nil {
 		if note.Limit.State != LimitNamed {
 			return
 		}
 		held = &record{}
-		b.records[note.Replica] = held
+		b.records[note.Life] = held
 	}
 	held.heardAt = now
 	held.limit.Put(note.Limit, now-note.Age)
 }
 
 // IsLimited returns whether the replica names a limit.
-func (b *Book) IsLimited(id string) bool {
-	held := b.records[id]
+func (b *Book) IsLimited(life Life) bool {
+	held := b.records[life]
 	return held != nil && held.limit.IsNamed()
 }
 
 // IsLeaving returns whether the replica said that it leaves.
-func (b *Book) IsLeaving(id string) bool {
-	held := b.records[id]
+func (b *Book) IsLeaving(life Life) bool {
+	held := b.records[life]
 	return held != nil && held.leaving
 }
 
 // Notes returns what the node that schedules has to know of those replicas that are picked.
-func (b *Book) Notes(now structs.Instant, picks func(id string) bool) []Note {
+func (b *Book) Notes(now structs.Instant, picks func(life Life) bool) []Note {
 	var notes []Note
-	for id, held := range b.records {
-		if !held.isWorthTelling(now) || !picks(id) {
+	for life, held := range b.records {
+		if !held.isWorthTelling(now) || !picks(life) {
 			continue
 		}
-		note := held.limit.NoteOf(now, id)
-		note.Leaving = held.leaving
+		note := held.limit.NoteOf(now, life)
+		note.Leaving, note.Pause = held.leaving, held.pauseLeft(now)
 		if notes = append(notes, note); len(notes) == mostNotes {
 			break
 		}
@@ -177,24 +239,21 @@
 // isWorthTelling returns whether the record holds requests back, or did until lately: the end of a
 // limit is told for as long as another node may take it for valid.
 func (r *record) isWorthTelling(now structs.Instant) bool {
-	return r.leaving || r.limit.IsNamed() || r.limit.Limit.State == LimitNone && now-r.limit.AsOf < endToldFor
+	return r.leaving || r.pauseLeft(now) > 0 || r.limit.IsNamed() || r.limit.Limit.State == LimitNone && now-r.limit.AsOf < endToldFor
 }
 
 // endToldFor is how long the end of a limit is told.
 const endToldFor = 30 * time.Second
 
-// Renew drops what is held of a replica that started again under its id.
-func (b *Book) Renew(id string) { delete(b.records, id) }
-
 // memory is how long the book holds what a replica said that is no longer known. An entry that
 // lapsed while the store was away comes back, and what left does not.
 const memory = 10 * time.Minute
 
 // Forget drops replicas that are no longer known, some time after they last said anything.
-func (b *Book) Forget(now structs.Instant, known func(id string) bool) {
-	for id, held := range b.records {
-		if now-held.heardAt > memory && !known(id) {
-			delete(b.records, id)
+func (b *Book) Forget(now structs.Instant, isKnown func(life Life) bool) {
+	for life, held := range b.records {
+		if now-held.heardAt > memory && !isKnown(life) {
+			delete(b.records, life)
 		}
 	}
 }
--- a/test/entry/pushback_test.go
+++ b/test/entry/pushback_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -323,6 +324,7 @@
 		time.Sleep(4 * time.Second)
 		s.replicas[0].Born = time.Now().UnixMilli()
 		again = time.Now()
+		time.Sleep(time.Millisecond)
 		s.replicas[0].Register(s.lab.Store, "ready")
 	}, func(s *pushbackScene) {
 		left := s.replicas[:1]
@@ -343,3 +345,41 @@
 		}
 	})
 }
+
+// Where every replica asks for a pause, callers are told at once when the first of them is over, and
+// not all that were held back come when it is.
+func TestCallersAreToldWhenPausesEnd(t *testing.T) {
+	playPushback(t, 1, platformsim.Pushback{RetryAfter: "3"}, func(s *pushbackScene) {
+		time.Sleep(5 * time.Second)
+		s.replicas[0].SetBehavior(nil)
+	}, func(s *pushbackScene) {
+		arrived := s.replicas[0].Arrived()
+		for i, one := range arrived {
+			if !one.Refused {
+				continue
+			}
+			count := 0
+			for _, other := range arrived[i+1:] {
+				if other.At.Sub(one.At) < time.Second && other.At.Sub(arrived[0].At) > 4*time.Second {
+					count++
+				}
+			}
+			s.Expect(count).To(gomega.BeNumerically("<=", len(s.nodes)), "each node finds out by itself")
+		}
+		soon := 0
+		for _, one := range s.replies {
+			if one.status == http.StatusOK {
+				continue
+			}
+			s.Expect(one.took).To(gomega.BeNumerically("<", 250*time.Millisecond))
+			after, err := strconv.ParseFloat(one.header.Get("Retry-After"), 64)
+			s.Expect(err).NotTo(gomega.HaveOccurred())
+			s.Expect(after).To(gomega.BeNumerically("<=", 3.01))
+			if after < 1 {
+				soon++
+			}
+		}
+		s.Expect(soon).To(gomega.BeNumerically(">", 0), "the time runs down")
+		s.Expect(s.answers()[http.StatusOK]).To(gomega.BeNumerically(">", 350), "it serves again")
+	})
+}
