Take what a replica said for one start of it only

Cause: a node that had not heard of the new start told the scheduling node that the replica leaves, and that took it for the new one, where nothing ends it. Ruled out: an answer of the old start that came late (there was none in progress). Now what was said names the start (id and born), and the scheduling node drops what is of another one.

--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -31,6 +31,8 @@
 	service string
 	route   string
 	replica string
+	// born is that of the replica's life.
+	born    int64
 	version string
 	prompt  int
 	since   structs.Instant
--- a/coordination/admission/decide.go
+++ b/coordination/admission/decide.go
@@ -161,7 +161,7 @@
 		s.contents.Try(now, held.Content)
 	}
 	s.occupy(held.ID, &place{
-		content: held.Content, node: held.Node, service: held.Service, route: held.Route, replica: chosen.state.replica.ID, version: chosen.state.replica.Version,
+		content: held.Content, node: held.Node, service: held.Service, route: held.Route, replica: chosen.state.replica.ID, born: chosen.state.replica.Born, version: chosen.state.replica.Version,
 		prompt: held.Prompt, since: now, isCold: chosen.isCold,
 	})
 	if chosen.isCold {
--- a/coordination/admission/ratelimit.go
+++ b/coordination/admission/ratelimit.go
@@ -67,7 +67,7 @@
 // once they are.
 func (s *Scheduler) Hear(now structs.Instant, note pushback.Note) {
 	state, found := s.states[note.Life.Replica]
-	if !found || !state.listed {
+	if !found || !state.listed || pushback.LifeOf(state.replica) != note.Life {
 		return
 	}
 	state.leaving = state.leaving || note.Leaving
@@ -88,9 +88,10 @@
 	if said.Pause > 0 {
 		s.pause(asker{held.node, held.service}, held.replica, now+said.Pause)
 	}
-	state := s.state(held.replica)
-	state.leaving = state.leaving || said.Leaving
-	state.hearLimit(now, said.Limit, asOf)
+	if state := s.state(held.replica); state.replica.Born == held.born {
+		state.leaving = state.leaving || said.Leaving
+		state.hearLimit(now, said.Limit, asOf)
+	}
 }
 
 func (r *replicaState) hearLimit(now structs.Instant, limit pushback.Limit, asOf structs.Instant) {
--- a/coordination/admission/ratelimit_test.go
+++ b/coordination/admission/ratelimit_test.go
@@ -279,6 +279,7 @@
 	again := coldPool(2, 0)
 	again[0].Born, again[0].Revision = 7, 9
 	s.SetReplicas(2*time.Second, again)
+	s.Hear(2*time.Second, pushback.Note{Life: pushback.Life{Replica: "r0"}, Leaving: true}) // of the life before
 	ask(s, 2*time.Second, 20)
 	g.Expect(s.states["r0"].used).NotTo(gomega.BeZero())
 }
