Have the soak's replicas hold requests back, and judge what nodes make of it

Nothing in lab/ said Server-Limit, Server-Leaving or Retry-After, so no soak could show that they were ignored. With -pushback one engine leaves and one names its rate, one plain replica names its rate and one refuses and asks for pauses, beside the usual faults by signals and proxies; the judge goes by the users' three rules, and each start of a node counts as a node of its own.

The plans of the other soaks draw what they drew.

--- a/cmd/thornwalk-lab/soak.go
+++ b/cmd/thornwalk-lab/soak.go
@@ -28,6 +28,7 @@
 	rate := flags.Float64("rate", 60, "requests a second")
 	previous := flags.String("previous", "", "path of another version's thornwalkd, which all nodes run at first and are replaced with forth and back")
 	bounds := flags.Bool("bounds", false, "strike what keeps repeats and quotas in bounds, and the store, in place of the usual mix")
+	pushback := flags.Bool("pushback", false, "have replicas name rates, leave and ask for pauses in their answers, beside the other faults")
 	logs := flags.String("log", "", "folder for the daemons' lines; empty drops them")
 	return &ffcli.Command{
 		Name: "soak", ShortUsage: "thornwalk-lab soak [flags]", FlagSet: flags,
@@ -38,7 +39,7 @@
 				return err
 			}
 			defer clean()
-			options := soak.Options{Daemon: path, Traffic: *traffic, Rate: *rate, LogFolder: *logs, Previous: *previous, Bounds: *bounds}
+			options := soak.Options{Daemon: path, Traffic: *traffic, Rate: *rate, LogFolder: *logs, Previous: *previous, Bounds: *bounds, Pushback: *pushback}
 			return runSoak(ctx, options, *first, *seeds, *workers)
 		},
 	}
--- a/lab/soak/inject.go
+++ b/lab/soak/inject.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -20,10 +21,13 @@
 	// disturbed are the times in which something unplanned happened.
 	disturbed []span
 	// stops are the planned stops, by node.
-	stops   map[int][]span
-	drained string
-	drainAt time.Time
-	changed bool
+	stops map[int][]span
+	// ends are the times from when the process of each node was told to end until the next one runs,
+	// and freezes those in which it stood still.
+	ends, freezes map[int][]span
+	drained       string
+	drainAt       time.Time
+	changed       bool
 }
 
 // span is a time between two moments.
@@ -56,10 +60,23 @@
 func (i *injector) note(f fault, now time.Time) {
 	i.mutex.Lock()
 	defer i.mutex.Unlock()
+	killed, stopped := span{now, now.Add(restartDelay)}, span{now, now.Add(stopGrace + restartDelay)}
+	switch node := f.target % nodeCount; f.kind {
+	case kindKill:
+		i.ends[node] = append(i.ends[node], killed)
+	case kindStop, kindReplace:
+		i.ends[node] = append(i.ends[node], stopped)
+	case kindKillAll:
+		for each := range nodeCount {
+			i.ends[each] = append(i.ends[each], killed)
+		}
+	case kindFreeze:
+		i.freezes[node] = append(i.freezes[node], span{now, now.Add(f.lasts + recovery)})
+	}
 	switch f.kind {
 	case kindStop, kindReplace:
-		i.stops[f.target] = append(i.stops[f.target], span{now, now.Add(stopGrace + restartDelay)})
-	case kindHangUp, kindChange, kindGrow, kindDrain:
+		i.stops[f.target] = append(i.stops[f.target], stopped)
+	case kindHangUp, kindChange, kindGrow, kindDrain, kindReplicaLeaves, kindReplicaLimits, kindReplicaPauses:
 	default:
 		i.disturbed = append(i.disturbed, span{now.Add(-contactBound), now.Add(f.lasts + recovery)})
 	}
@@ -107,6 +124,12 @@
 		i.grow()
 	case kindDrain:
 		i.drain()
+	case kindReplicaLeaves:
+		d.replicas[f.target].Say(platformsim.Pushback{Leaving: "1"})
+	case kindReplicaLimits:
+		d.replicas[f.target].Say(platformsim.Pushback{Limit: strconv.Itoa(f.perSecond)})
+	case kindReplicaPauses:
+		return pause(d.replicas[f.target])
 	default:
 		return i.disturbReplica(f)
 	}
@@ -135,6 +158,19 @@
 	}
 }
 
+// restAsked is the time for which a replica that refuses asks a node to pause, in seconds.
+const restAsked = "1.5"
+
+// pause has the replica refuse everything and ask for a pause.
+func pause(replica *platformsim.Replica) (heal func()) {
+	replica.Say(platformsim.Pushback{RetryAfter: restAsked})
+	replica.SetBehavior(func(*http.Request) platformsim.Behavior { return platformsim.Shed })
+	return func() {
+		replica.SetBehavior(nil)
+		replica.Say(platformsim.Pushback{})
+	}
+}
+
 // rewriteTime is within which writers have written again what the store lost.
 const rewriteTime = 2 * time.Second
 
--- a/lab/soak/judge.go
+++ b/lab/soak/judge.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 	"time"
 
@@ -25,6 +26,9 @@
 	if options.Bounds {
 		judgeQuota(result, d, violate)
 	}
+	if options.Pushback {
+		judgePushback(result, d, c, i, violate)
+	}
 	judgeEnd(d, c, i, violate)
 	for _, each := range d.processes {
 		for _, failure := range each.failures {
@@ -85,6 +89,57 @@
 	}
 }
 
+// drainBound is the time after which a replica that said that it leaves gets nothing from a node that
+// it told so.
+const drainBound = 2 * time.Second
+
+// judgePushback looks whether what replicas said in their answers was kept. Each start of a node is a
+// node of its own; of a request that crossed an end it can't be told which one sent it.
+func judgePushback(result *Result, d *deployment, c *callers, i *injector, violate violation) {
+	type origin struct {
+		node, life int
+		asked      time.Time
+	}
+	origins := map[string]origin{}
+	for _, one := range c.all {
+		life := 0
+		for _, end := range i.ends[one.node] {
+			if end.overlaps(one.span) {
+				life = -1
+				break
+			}
+			if one.span.from.After(end.to) {
+				life++
+			}
+		}
+		if life >= 0 {
+			origins[one.id] = origin{one.node, life, one.span.from}
+		}
+	}
+	nodes := map[string]int{}
+	rule := checker.Pushback{Contact: contactBound, Drain: drainBound, Excused: func(name string, from, to time.Time) bool {
+		return slices.ContainsFunc(i.freezes[nodes[name]], func(frozen span) bool { return frozen.overlaps(span{from, to}) })
+	}}
+	for _, replica := range d.replicas {
+		var sent []checker.Sent
+		for _, arrival := range replica.Arrived() {
+			from, known := origins[arrival.ID]
+			if !known {
+				continue
+			}
+			name := fmt.Sprintf("node %d start %d", from.node, from.life)
+			nodes[name] = from.node
+			sent = append(sent, checker.Sent{Arrival: arrival, Node: name, Asked: from.asked})
+		}
+		if excess := rule.RateLimit(sent); excess != "" {
+			violate("%s got %s", replica.ID, excess)
+		}
+		for _, broken := range slices.Concat(rule.Leaving(sent), rule.Pauses(sent)) {
+			violate("%s: %s", replica.ID, broken)
+		}
+	}
+}
+
 // judgeQuota counts what the tenant's requests took that ran.
 func judgeQuota(result *Result, d *deployment, violate violation) {
 	var taken []checker.Mark
--- a/lab/soak/plan.go
+++ b/lab/soak/plan.go
@@ -42,6 +42,9 @@
 	kindReplicasRefuse kind = "replicas-refuse" // all replicas of a service refuse most requests
 	kindStoreCopy      kind = "store-copy"      // the store goes away and comes back from a copy
 	kindReplace        kind = "replace"         // a process is stopped and the other version started
+	kindReplicaLeaves  kind = "replica-leaves"  // a replica says in its answers that it leaves
+	kindReplicaLimits  kind = "replica-limits"  // a replica names the rate that it takes
+	kindReplicaPauses  kind = "replica-pauses"  // a replica refuses and asks nodes to pause
 )
 
 // boundKinds strike what bounds all nodes together, and those who keep the bounds.
@@ -70,6 +73,23 @@
 	return plan
 }
 
+// pushbacks returns faults by which replicas hold requests back in their answers, each of a replica of
+// its own. One that left or named its rate goes on saying so to the end.
+func pushbacks(seed uint64, traffic time.Duration) []fault {
+	random := rand.New(rand.NewPCG(seed, ^seed))
+	at := func() time.Duration { return time.Duration((earliestFault + random.Float64()/3) * float64(traffic)) }
+	engines, registry := random.Perm(engineCount), random.Perm(registryCount-1) // the last one drains
+	plan := []fault{
+		{kind: kindReplicaLeaves, at: at(), target: engines[0]},
+		{kind: kindReplicaLimits, at: at(), target: engines[1], perSecond: 1 + random.IntN(8)},
+		{kind: kindReplicaLimits, at: at(), target: engineCount + registry[0], perSecond: 1 + random.IntN(8)},
+	}
+	for range 2 {
+		plan = append(plan, fault{kind: kindReplicaPauses, at: at(), lasts: time.Duration(shortestFault+random.IntN(longestFault)) * time.Millisecond, target: engineCount + registry[1]})
+	}
+	return plan
+}
+
 // fault is one entry of a plan.
 type fault struct {
 	kind kind
@@ -77,6 +97,8 @@
 	at, lasts time.Duration
 	// target is a node or a replica, by number.
 	target int
+	// perSecond is the rate that a replica names.
+	perSecond int
 }
 
 // String names the fault for reports.
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -27,6 +27,9 @@
 	// Bounds plays faults against the bounds of repeats and quotas and against the store, in
 	// place of the usual mix, and gives the tenant a quota that it exceeds.
 	Bounds bool
+	// Pushback has replicas hold requests back by what they say in their answers, beside the other
+	// faults.
+	Pushback bool
 	// LogFolder takes the lines of the daemons; empty drops them.
 	LogFolder string
 }
@@ -65,12 +68,15 @@
 		return nil, err
 	}
 	c := &callers{block: options.Block, client: http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, DisableCompression: true}}}
-	i := &injector{deployment: d, begun: time.Now(), stops: map[int][]span{}}
+	i := &injector{deployment: d, begun: time.Now(), stops: map[int][]span{}, ends: map[int][]span{}, freezes: map[int][]span{}}
 	plan := newPlan(options.Seed, options.Traffic, nodeCount, kindsOf(&options))
 	if options.Previous != "" {
 		plan = append(plan, replacements(options.Traffic, nodeCount)...)
-		sort.Slice(plan, func(i, j int) bool { return plan[i].at < plan[j].at })
 	}
+	if options.Pushback {
+		plan = append(plan, pushbacks(options.Seed, options.Traffic)...)
+	}
+	sort.SliceStable(plan, func(i, j int) bool { return plan[i].at < plan[j].at })
 	done := make(chan struct{})
 	go func() { i.run(plan); close(done) }()
 	c.send(ctx, options.Traffic, options.Rate)
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -86,6 +86,11 @@
 	play(t, soak.Options{Daemon: daemon(t, buildPresent), Seed: 1, Traffic: 8 * time.Second, Rate: 80, Block: "127.0.33", Bounds: true})
 }
 
+// Replicas that hold requests back by what they say in their answers, while nodes end and freeze.
+func TestShortSoakOfPushback(t *testing.T) {
+	play(t, soak.Options{Daemon: daemon(t, buildPresent), Seed: 1, Traffic: 10 * time.Second, Rate: 80, Block: "127.0.36", Pushback: true})
+}
+
 // The version before runs everywhere at first; nodes are replaced forth and back.
 func TestShortSoakOfTwoVersions(t *testing.T) {
 	play(t, soak.Options{Daemon: daemon(t, buildPresent), Previous: daemon(t, buildPrevious), Seed: 1, Traffic: 8 * time.Second, Rate: 60, Block: "127.0.34"})
