--- a/coordination/admission/pauses.go
+++ b/coordination/admission/pauses.go
@@ -17,17 +17,13 @@
 
 // SetPauses replaces the pauses of a node at the replicas of a service.
 func (s *Scheduler) SetPauses(now structs.Instant, node, service string, notes []pushback.Note) {
-	held := pauses{}
+	who := asker{node, service}
+	delete(s.pauses, who)
 	for _, note := range notes {
 		if note.Pause > 0 {
-			held[note.Life.Replica] = now + note.Pause
+			s.pause(who, note.Life.Replica, now+note.Pause)
 		}
 	}
-	if len(held) == 0 {
-		delete(s.pauses, asker{node, service})
-		return
-	}
-	s.pauses[asker{node, service}] = held
 }
 
 // pause begins one pause of an asker.
--- a/entry/operators.go
+++ b/entry/operators.go
@@ -39,6 +39,8 @@
 	Failing  []string                   `json:"failing_replicas"`
 	Replicas []replicas.Replica         `json:"replicas"`
 	Services map[string]admission.Count `json:"services"`
+	// Pushback is what replicas said to this node to hold requests back.
+	Pushback []PushbackStatus `json:"pushback,omitempty"`
 	// Evacuations are the zones that the operators emptied or took back.
 	Evacuations []EvacuationStatus `json:"evacuations,omitempty"`
 	// Rollouts has the latest record of each service that was ever rolled out.
@@ -61,6 +63,7 @@
 	status.NewsAge, status.StoreDown = (now - n.newsAt).Milliseconds(), n.storeDown
 	status.Scheduler, status.Failing, status.Replicas = n.scheduler, n.health.Failing(now), n.table.All()
 	status.Ordinary, status.Fleet = n.isOrdinary, n.fleet
+	status.Pushback = n.pushbackStatus(now)
 	status.Rollouts, status.Evacuations = n.rolloutStatus(now), n.evacuationsStatus()
 	for _, member := range n.members.All(now) {
 		if member.Silence(now) < member.Patience() {
--- a/entry/pushback.go
+++ b/entry/pushback.go
@@ -1,7 +1,9 @@
 package entry
 
 import (
+	"slices"
 	"strconv"
+	"strings"
 
 	"github.com/thornwalk/thornwalk/internal/eventlog"
 	"github.com/thornwalk/thornwalk/state/pushback"
@@ -70,3 +72,27 @@
 		n.log.Write(eventlog.Event{Kind: "replica.said", Service: replica.Service, Replica: replica.ID, Outcome: "unreadable", Detail: err.Error()})
 	}
 }
+
+// PushbackStatus is what operators see of a replica that holds requests back.
+type PushbackStatus struct {
+	Replica string `json:"replica"`
+	Leaving bool   `json:"leaving,omitempty"`
+	// Limit is the requests a second that it takes from all nodes together; nil if it names none.
+	Limit *float64 `json:"limit_per_s,omitempty"`
+	// Pause is for how many milliseconds this node sends it nothing.
+	Pause int64 `json:"pause_ms,omitempty"`
+}
+
+// pushbackStatus returns what operators see. The caller holds the mutex.
+func (n *Node) pushbackStatus(now structs.Instant) []PushbackStatus {
+	var told []PushbackStatus
+	for _, note := range n.pushback.Notes(now, func(pushback.Life) bool { return true }) {
+		status := PushbackStatus{Replica: note.Life.Replica, Leaving: note.Leaving, Pause: note.Pause.Milliseconds()}
+		if note.Limit.State == pushback.LimitNamed {
+			status.Limit = &note.Limit.PerSecond
+		}
+		told = append(told, status)
+	}
+	slices.SortFunc(told, func(a, b PushbackStatus) int { return strings.Compare(a.Replica, b.Replica) })
+	return told
+}
--- a/test/entry/pushback_test.go
+++ b/test/entry/pushback_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/onsi/gomega"
 
+	"github.com/thornwalk/thornwalk/entry"
 	"github.com/thornwalk/thornwalk/lab/checker"
 	"github.com/thornwalk/thornwalk/lab/entrylab"
 	"github.com/thornwalk/thornwalk/lab/memnet"
@@ -39,6 +40,8 @@
 	replies  []reply
 	// starts counts how often each node started again.
 	starts map[string]int
+	// shown is what a node shows its operators at the end of the load.
+	shown []entry.PushbackStatus
 }
 
 // playPushback plays a course under load before so many replicas.
@@ -66,6 +69,7 @@
 		}
 		s.group.Go(func() { course(s) })
 		s.load(pushbackTime)
+		s.shown = s.lab.Node(s.nodes[0]).Status().Pushback
 		s.group.Wait()
 		s.stop(s.nodes)
 		judge(s)
@@ -294,6 +298,7 @@
 		}
 		s.Expect(strictly.RateLimit(after)).To(gomega.BeEmpty())
 		s.Expect(s.answers()).To(gomega.HaveLen(1), "the others take what this one can't")
+		s.Expect(s.shown).To(gomega.ContainElement(gomega.And(gomega.HaveField("Replica", "i-x0"), gomega.HaveField("Limit", gomega.HaveValue(gomega.Equal(1.0))))))
 		s.Expect(s.events("replica.said")).To(gomega.ContainElement(gomega.HaveField("Outcome", "unreadable")))
 	})
 }
