entry: keep a former scheduler's bucket levels from replacing current ones

Callers saw: a tenant over its quota got up to 3,330 tokens of 3,000 while the network was partitioned into zones again and again, at the expense of the others. Cause: a node reports its bucket levels for a second after it stopped scheduling. They rise at the full rate, since nobody takes from them; other nodes restored whichever levels arrived last. Change: levels of a node that does not schedule count only if none came within the last second. TestLevelsOfAFormerSchedulerDoNotReplaceThoseOfTheCurrentOne failed before.

--- a/entry/bucket_levels.go
+++ b/entry/bucket_levels.go
@@ -23,12 +23,18 @@
 
 // recordBucketLevels keeps the bucket levels of a heartbeat that are newer than the known ones, and
 // reports whether this node restores its own buckets from them. It doesn't while it still reports
-// its own levels as a former scheduler. The caller holds the mutex.
+// its own levels as a former scheduler. Levels of a former scheduler count only if there are no
+// others, as its buckets refill while another node grants from the quotas. The caller holds the
+// mutex.
 func (n *Node) recordBucketLevels(now structs.Instant, heartbeat liveness.Heartbeat) bool {
 	reportedAt := now - time.Duration(heartbeat.BucketLevelsAgeMS)*time.Millisecond
 	if heartbeat.BucketLevels == nil || reportedAt < n.bucketLevelsAt {
 		return false
 	}
+	isFormer := heartbeat.BucketLevelsAgeMS == 0 && heartbeat.Scheduler != heartbeat.Name
+	if isFormer && now-n.bucketLevelsAt < formerSchedulerReportTime {
+		return false
+	}
 	n.bucketLevels, n.bucketLevelsAt, n.bucketLevelsUntil = heartbeat.BucketLevels, reportedAt, reportedAt
 	if heartbeat.BucketLevelsAgeMS == 0 {
 		n.bucketLevelsUntil += time.Duration(heartbeat.IntervalMS) * time.Millisecond
--- /dev/null
+++ b/entry/bucket_levels_test.go
@@ -0,0 +1,26 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/thornwalk/thornwalk/coordination/liveness"
+	"github.com/thornwalk/thornwalk/internal/eventlog"
+)
+
+// Guards against a successor that starts from the buckets of a former scheduling node: nothing is
+// taken from these any more, so they refill while the current one grants from the quotas.
+func TestLevelsOfAFormerSchedulerDoNotReplaceThoseOfTheCurrentOne(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n := New(&Settings{Name: "n", LinkMbps: 10}, Dependencies{Log: eventlog.New("n", nil)})
+	now := 20 * time.Second
+	current := liveness.Heartbeat{Name: "a", Scheduler: "a", BucketLevels: map[string]float64{"tenant": 3}}
+	former := liveness.Heartbeat{Name: "b", Scheduler: "a", BucketLevels: map[string]float64{"tenant": 300}}
+	g.Expect(n.recordBucketLevels(now, former)).To(gomega.BeTrue(), "no other node has reported levels")
+	g.Expect(n.recordBucketLevels(now, current)).To(gomega.BeTrue())
+	g.Expect(n.recordBucketLevels(now+100*time.Millisecond, former)).To(gomega.BeFalse())
+	g.Expect(n.bucketLevels).To(gomega.Equal(current.BucketLevels))
+	g.Expect(n.recordBucketLevels(now+2*formerSchedulerReportTime, former)).To(gomega.BeTrue(), "the current one is silent")
+}
