quota: keep the level of a restored bucket until its limit is known

Callers saw: 429 for a tenant below its quota after the scheduling node changed in a partition. Cause: a restored bucket has no limit until its first use; a second report merged meanwhile refilled it to a burst of zero, and reports left it out as if it were full. Change: a bucket without a limit is reported as it is, and a merged level replaces it. TestRestoredBucketKeepsItsLevelUntilItsFirstUse failed before.

--- a/coordination/quota/quota.go
+++ b/coordination/quota/quota.go
@@ -44,7 +44,9 @@
 	// tokens.
 	initialShare float64
 	refilledAt   structs.Instant
-	limit        Limit
+	// limit is that of the last use. It is unknown, with a rate of zero, while a restored bucket has
+	// not been used.
+	limit Limit
 	// used is the usage since the bucket was created. busyUsage is the usage since busySince, the
 	// start of the last busy period: requests less than idleGap apart.
 	used, busyUsage       float64
@@ -181,7 +183,7 @@
 	}
 	levels := map[string]float64{}
 	for tenant, bucket := range b.buckets {
-		if level := bucket.level + bucket.limit.Rate*(now-bucket.refilledAt).Seconds(); level < bucket.limit.Burst*nearFullFraction {
+		if level := bucket.levelAt(now); !bucket.isNearFull(level) {
 			if len(levels) == maxCount {
 				return nil
 			}
@@ -191,6 +193,18 @@
 	return levels
 }
 
+// levelAt returns the level at now, which may exceed the burst.
+func (b *tokenBucket) levelAt(now structs.Instant) float64 {
+	return b.level + b.limit.Rate*(now-b.refilledAt).Seconds()
+}
+
+// isNearFull reports whether the level is close to the burst. It is false while the limit is unknown.
+func (b *tokenBucket) isNearFull(level float64) bool {
+	return b.hasLimit() && level >= b.limit.Burst*nearFullFraction
+}
+
+func (b *tokenBucket) hasLimit() bool { return b.limit.Rate > 0 }
+
 // SetAuthoritativeAt sets the time until which other nodes may report usage from before the
 // buckets were created. It is for a process that starts or resumes after a suspension.
 func (b *Buckets) SetAuthoritativeAt(at structs.Instant) { b.authoritativeAt = at }
@@ -221,7 +235,7 @@
 	}
 	for tenant, level := range levels {
 		bucket, found := b.buckets[tenant]
-		if !found {
+		if !found || !bucket.hasLimit() {
 			b.buckets[tenant] = &tokenBucket{level: level, refilledAt: until, initialShare: 1}
 			continue
 		}
@@ -235,8 +249,7 @@
 func (b *Buckets) Usage(now structs.Instant, maxCount int) map[string]float64 {
 	usage := map[string]float64{}
 	for tenant, bucket := range b.buckets {
-		level := bucket.level + bucket.limit.Rate*(now-bucket.refilledAt).Seconds()
-		if bucket.used > 0 && level < bucket.limit.Burst*nearFullFraction && len(usage) < maxCount {
+		if bucket.used > 0 && !bucket.isNearFull(bucket.levelAt(now)) && len(usage) < maxCount {
 			usage[tenant] = bucket.used
 		}
 	}
--- a/coordination/quota/quota_test.go
+++ b/coordination/quota/quota_test.go
@@ -189,3 +189,17 @@
 	g.Expect(buckets.Level(2*time.Second, "own", limit)).To(gomega.BeNumerically("~", 300, 0.001))
 	g.Expect(buckets.Level(2*time.Second, "other", limit)).To(gomega.BeNumerically("~", 7, 0.001))
 }
+
+// Guards against a restored bucket without a limit until its first use: it counted as full in reports and
+// as empty when other levels were merged.
+func TestRestoredBucketKeepsItsLevelUntilItsFirstUse(t *testing.T) {
+	g := gomega.NewWithT(t)
+	limit := Limit{Rate: 100, Burst: 1000}
+	buckets := NewBuckets(0.1)
+	buckets.Restore(0, map[string]float64{"a": 500, "b": 400})
+	g.Expect(buckets.Levels(0, 10)).To(gomega.Equal(map[string]float64{"a": 500, "b": 400}))
+	buckets.MergeRemote(time.Second, time.Second, map[string]float64{"a": 550})
+	g.Expect(buckets.Levels(time.Second, 10)).To(gomega.HaveKeyWithValue("a", 550.0), "a later level replaces the restored one")
+	g.Expect(buckets.Level(2*time.Second, "a", limit)).To(gomega.BeNumerically("~", 650, 0.001))
+	g.Expect(buckets.Level(2*time.Second, "b", limit)).To(gomega.BeNumerically("~", 600, 0.001))
+}
