quota: keep the level of a bucket when the node's share shrinks

Cause: refill cut the level to the burst scaled by the share; a side that was small for half a second lost the rest, and was charged in full for what the other sides granted. Change: the share bounds what the level grows to, and no longer cuts it. TestLevelIsKeptWhenTheShareShrinks failed before.

--- a/coordination/quota/quota.go
+++ b/coordination/quota/quota.go
@@ -141,12 +141,19 @@
 		bucket.initialShare = share
 	}
 	elapsed := (now - bucket.refilledAt).Seconds()
-	bucket.level = min(limit.Burst, bucket.level+limit.Rate*elapsed)
+	bucket.add(limit.Rate*elapsed, limit)
 	bucket.reserve(now, limit, elapsed)
 	bucket.refilledAt, bucket.limit = now, limit
 	return bucket
 }
 
+// add adds tokens up to the burst. A burst that shrank with the node's share doesn't cut the level: the
+// nodes that were lost take over only their share of it, and what they grant is charged later.
+func (b *tokenBucket) add(tokens float64, limit Limit) {
+	largest := max(limit.Burst, min(b.level, limit.Burst/limit.share()))
+	b.level = min(b.level+tokens, largest)
+}
+
 // reserve adds the tokens that accrued for the other nodes in the elapsed seconds. They are dropped
 // reservedRetention after all nodes are in contact again, as these have reported their usage by then.
 func (b *tokenBucket) reserve(now structs.Instant, limit Limit, elapsed float64) {
--- a/coordination/quota/remote_test.go
+++ b/coordination/quota/remote_test.go
@@ -85,3 +85,16 @@
 	g.Expect(buckets.Level(0, "a", Limit{Rate: 100, Burst: 100})).To(gomega.BeNumerically("~", 30, 0.1))
 	g.Expect(buckets.Level(0, "b", Limit{Rate: 100, Burst: 100})).To(gomega.BeNumerically("~", 100, 0.1))
 }
+
+// Guards against a node that loses its tokens when its side of a partition is small: the nodes that it
+// lost take over their share of the level themselves, and their usage is charged later.
+func TestLevelIsKeptWhenTheShareShrinks(t *testing.T) {
+	g := gomega.NewWithT(t)
+	limit := Limit{Rate: 100, Burst: 1000}
+	buckets := NewBuckets(1)
+	buckets.Take(0, "a", limit, 100)
+	g.Expect(buckets.Level(time.Second, "a", limit.Scaled(0.3))).To(gomega.BeNumerically("~", 900, 0.001), "nor does it grow beyond the share of the burst")
+	g.Expect(buckets.Level(2*time.Second, "a", limit)).To(gomega.BeNumerically("~", 1000, 0.001))
+	buckets.Take(2*time.Second, "a", limit.Scaled(0.3), 900)
+	g.Expect(buckets.Level(time.Minute, "a", limit.Scaled(0.3))).To(gomega.BeNumerically("~", 300, 0.001))
+}
