entry: charge usage whoever began to schedule first, merge levels only without it

Callers saw: quotas exceeded by up to 5 in 100 and 429 below the quota while another half of the nodes was partitioned every 0.5 s. Cause: of two scheduling nodes only the earlier one charged the other's usage. In place of that the lower of both levels was taken from each heartbeat, also from forwarded ones, although such a level is one side's part. Change: usage is charged from the last report on, whoever began first; levels are merged only by a process that just started or if the usage is unknown. TestUsageIsChargedWhoeverBeganToScheduleFirst failed before.

--- a/coordination/quota/quota.go
+++ b/coordination/quota/quota.go
@@ -216,6 +216,9 @@
 // buckets were created. It is for a process that starts or resumes after a suspension.
 func (b *Buckets) SetAuthoritativeAt(at structs.Instant) { b.authoritativeAt = at }
 
+// IsAuthoritative reports whether the buckets include all usage from before they were created.
+func (b *Buckets) IsAuthoritative(now structs.Instant) bool { return now >= b.authoritativeAt }
+
 // Restore initializes new buckets with the levels that another scheduler had at until, the last time
 // at which it may have granted anything. Tenants without a level start with their full burst.
 func (b *Buckets) Restore(until structs.Instant, levels map[string]float64) {
--- a/entry/bucket_levels.go
+++ b/entry/bucket_levels.go
@@ -59,21 +59,20 @@
 	amounts            map[string]float64
 }
 
-// recordUsage keeps the quota usage in a heartbeat and returns the part of it that this node still
-// has to charge. That is empty if the sender has been active for longer than this node: of two
-// active schedulers only the earlier one charges the other's usage, as the later one started from
-// bucket levels that include it. The caller holds the mutex.
-func (n *Node) recordUsage(now structs.Instant, heartbeat liveness.Heartbeat) quota.RemoteUsage {
+// recordUsage keeps the quota usage in a heartbeat. It returns the part of it that this node's buckets
+// don't include yet, and whether that is known. It isn't if the sender began to schedule before this
+// node and reported no usage since: the buckets may include some of it. The caller holds the mutex.
+func (n *Node) recordUsage(now structs.Instant, heartbeat liveness.Heartbeat) (usage quota.RemoteUsage, isKnown bool) {
 	if heartbeat.Usage == nil {
-		return quota.RemoteUsage{}
+		return quota.RemoteUsage{}, false
 	}
 	reported := receivedUsage{incarnation: heartbeat.Incarnation, epoch: heartbeat.Usage.Epoch, amounts: heartbeat.Usage.Taken}
 	before, found := n.peerUsage[heartbeat.Name]
 	n.peerUsage[heartbeat.Name] = reported
 	isSame := found && before.incarnation == reported.incarnation && before.epoch == reported.epoch
 	activeFor := time.Duration(heartbeat.Usage.Led) * time.Millisecond
-	if activeFor >= n.scheduling.activeFor() {
-		return quota.RemoteUsage{}
+	if !isSame && activeFor >= n.scheduling.activeFor() {
+		return quota.RemoteUsage{}, false
 	}
 	uncharged := quota.RemoteUsage{Since: now - activeFor, Amounts: map[string]float64{}, Levels: heartbeat.BucketLevels}
 	for tenant, amount := range reported.amounts {
@@ -85,5 +84,5 @@
 			uncharged.Amounts[tenant] = amount - known
 		}
 	}
-	return uncharged
+	return uncharged, true
 }
--- a/entry/bucket_levels_test.go
+++ b/entry/bucket_levels_test.go
@@ -24,3 +24,18 @@
 	g.Expect(n.bucketLevels).To(gomega.Equal(current.BucketLevels))
 	g.Expect(n.recordBucketLevels(now+2*formerSchedulerReportTime, former)).To(gomega.BeTrue(), "the current one is silent")
 }
+
+// Guards against usage that no scheduling node counts: the one that began later did not charge what the
+// earlier one granted, as if its levels always included that.
+func TestUsageIsChargedWhoeverBeganToScheduleFirst(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n := New(&Settings{Name: "n", LinkMbps: 10}, Dependencies{Log: eventlog.New("n", nil)})
+	report := func(taken float64) liveness.Heartbeat {
+		return liveness.Heartbeat{Name: "a", Incarnation: 1, Usage: &liveness.QuotaUsage{Epoch: 1, Led: time.Hour.Milliseconds(), Taken: map[string]float64{"tenant": taken}}}
+	}
+	_, isKnown := n.recordUsage(0, report(70))
+	g.Expect(isKnown).To(gomega.BeFalse(), "the levels that this node started from may include it")
+	usage, isKnown := n.recordUsage(0, report(95))
+	g.Expect(isKnown).To(gomega.BeTrue())
+	g.Expect(usage.Amounts).To(gomega.Equal(map[string]float64{"tenant": 25}))
+}
--- a/entry/heartbeats.go
+++ b/entry/heartbeats.go
@@ -352,7 +352,7 @@
 	isNewcomer := n.isNewcomer(heartbeat)
 	answers := isNew && !(n.isNonDelegate && heartbeat.Relayed)
 	needsSelection := isNew && (!n.isLarge || !heartbeat.NonDelegate) || rankChanged
-	uncharged := n.recordUsage(now, heartbeat)
+	uncharged, isUsageKnown := n.recordUsage(now, heartbeat)
 	restoresLevels := n.recordBucketLevels(now, heartbeat)
 	levelsUntil := n.bucketLevelsUntil
 	pullsAll := n.mergePeerEra(heartbeat)
@@ -364,7 +364,7 @@
 	if isActive && len(uncharged.Amounts) > 0 {
 		n.scheduling.chargeRemoteUsage(uncharged)
 	}
-	if isActive && heartbeat.BucketLevels != nil || restoresLevels {
+	if isActive && heartbeat.BucketLevels != nil && (heartbeat.Usage != nil && !isUsageKnown || !n.scheduling.areBucketsAuthoritative()) || !isActive && restoresLevels {
 		n.applyBucketLevels(isActive, levelsUntil, heartbeat.BucketLevels)
 	}
 	if answers {
--- a/entry/scheduling_quota.go
+++ b/entry/scheduling_quota.go
@@ -44,6 +44,13 @@
 	s.quotas.MergeRemote(s.clock(), until, levels)
 }
 
+// areBucketsAuthoritative reports whether the buckets include all usage before this node became active.
+func (s *schedulingService) areBucketsAuthoritative() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.quotas.IsAuthoritative(s.clock())
+}
+
 // quotaUsage returns what this node granted since it became active.
 func (s *schedulingService) quotaUsage() *liveness.QuotaUsage {
 	s.mutex.Lock()
