quota: report usage since the bucket was last near full

Callers saw: 429 for seconds for a tenant below its quota after two nodes scheduled at a time. Cause: reports leave out buckets that are near full, and then hold all that these ever used. Change: usage counts from when the bucket was last near full. TestUsageBeforeTheBucketWasFullIsNotReported failed before.

--- a/coordination/quota/quota.go
+++ b/coordination/quota/quota.go
@@ -47,9 +47,11 @@
 	// limit is that of the last use. It is unknown, with a rate of zero, while a restored bucket has
 	// not been used.
 	limit Limit
-	// used is the usage since the bucket was created. busyUsage is the usage since busySince, the
-	// start of the last busy period: requests less than idleGap apart.
-	used, busyUsage       float64
+	// used is the usage since the bucket was created, and usedWhenFull what it was when the bucket
+	// was last near full. busyUsage is the usage since busySince, the start of the last busy period:
+	// requests less than idleGap apart.
+	used, usedWhenFull    float64
+	busyUsage             float64
 	lastUsedAt, busySince structs.Instant
 	// reserved is the tokens left to nodes that are out of contact, and reservedAt when they were
 	// last added to.
@@ -254,13 +256,16 @@
 	}
 }
 
-// Usage returns the usage of the buckets that are not nearly full since they were created, by
-// tenant, for at most maxCount of them.
+// Usage returns, by tenant, the usage of at most maxCount buckets since they were last near full; what
+// was used before has been refilled.
 func (b *Buckets) Usage(now structs.Instant, maxCount int) map[string]float64 {
 	usage := map[string]float64{}
 	for tenant, bucket := range b.buckets {
-		if bucket.used > 0 && !bucket.isNearFull(bucket.levelAt(now)) && len(usage) < maxCount {
-			usage[tenant] = bucket.used
+		if bucket.isNearFull(bucket.levelAt(now)) {
+			bucket.usedWhenFull = bucket.used
+		}
+		if used := bucket.used - bucket.usedWhenFull; used > 0 && len(usage) < maxCount {
+			usage[tenant] = used
 		}
 	}
 	return usage
--- a/coordination/quota/remote_test.go
+++ b/coordination/quota/remote_test.go
@@ -98,3 +98,18 @@
 	buckets.Take(2*time.Second, "a", limit.Scaled(0.3), 900)
 	g.Expect(buckets.Level(time.Minute, "a", limit.Scaled(0.3))).To(gomega.BeNumerically("~", 300, 0.001))
 }
+
+// Guards against charges for tokens that were refilled long ago: reports leave out buckets that are
+// near full, and a bucket that was left out seemed to have used nothing before.
+func TestUsageBeforeTheBucketWasFullIsNotReported(t *testing.T) {
+	g := gomega.NewWithT(t)
+	limit := Limit{Rate: 100, Burst: 100}
+	buckets := NewBuckets(1)
+	now := structs.Instant(0)
+	for range 100 {
+		now += 2 * time.Second
+		buckets.Take(now, "a", limit, 50)
+		g.Expect(buckets.Usage(now, 10)).To(gomega.Equal(map[string]float64{"a": 50}))
+		g.Expect(buckets.Usage(now+time.Second, 10)).To(gomega.BeEmpty())
+	}
+}
