--- a/coordination/quota/quota.go
+++ b/coordination/quota/quota.go
@@ -196,7 +196,7 @@
 			if len(levels) == maxCount {
 				return nil
 			}
-			levels[tenant] = level
+			levels[tenant] = max(level, level/bucket.limit.share())
 		}
 	}
 	return levels
--- a/coordination/quota/remote_test.go
+++ b/coordination/quota/remote_test.go
@@ -113,3 +113,15 @@
 		g.Expect(buckets.Usage(now+time.Second, 10)).To(gomega.BeEmpty())
 	}
 }
+
+// Guards against successors that take the part of a level that one side of a partition holds for the
+// whole: after a few partitions nothing would be left.
+func TestReportedLevelIsThatOfAllNodes(t *testing.T) {
+	g := gomega.NewWithT(t)
+	limit := Limit{Rate: 100, Burst: 1000}
+	buckets := NewBuckets(1)
+	buckets.Restore(0, map[string]float64{"a": 100, "b": -20})
+	buckets.Level(0, "a", limit.Scaled(0.25))
+	buckets.Level(0, "b", limit.Scaled(0.25))
+	g.Expect(buckets.Levels(0, 10)).To(gomega.Equal(map[string]float64{"a": 400, "b": -20}))
+}
