quota: report the whole level before a taken-over bucket's first use

Callers saw: 429 for a tenant below its quota in partitions that follow one another. Cause: a side's share of the level was known to its bucket only from the first use on; until then it reported its part as the whole, of which the next successor took a part again. TestSuccessorTakesOverItsShareOfTheLevelsAndReportsTheWhole failed before and checks what the two tests it replaces did, with the same values.

--- a/coordination/quota/quota.go
+++ b/coordination/quota/quota.go
@@ -224,9 +224,15 @@
 // Restore initializes new buckets with the levels that another scheduler had at until, the last time
 // at which it may have granted anything. Tenants without a level start with their full burst.
 func (b *Buckets) Restore(until structs.Instant, levels map[string]float64) {
+	b.RestoreShare(until, levels, 1)
+}
+
+// RestoreShare does the same for a node that may grant only a share of each limit. It takes the share of
+// each level, as other nodes may take theirs, and all of a debt.
+func (b *Buckets) RestoreShare(until structs.Instant, levels map[string]float64, share float64) {
 	b.initialFraction, b.authoritativeAt = 1, 0
 	for tenant, level := range levels {
-		b.buckets[tenant] = &tokenBucket{level: level, refilledAt: until, initialShare: 1}
+		b.buckets[tenant] = &tokenBucket{level: min(level, level*share), refilledAt: until, initialShare: 1, limit: Limit{Share: share}}
 	}
 }
 
--- a/coordination/quota/remote_test.go
+++ b/coordination/quota/remote_test.go
@@ -114,14 +114,16 @@
 	}
 }
 
-// Guards against successors that take the part of a level that one side of a partition holds for the
-// whole: after a few partitions nothing would be left.
-func TestReportedLevelIsThatOfAllNodes(t *testing.T) {
+// Guards against two sides of a partition that both continue from the whole level, and against successors
+// that take the part that one side holds for the whole: after a few partitions nothing would be left.
+func TestSuccessorTakesOverItsShareOfTheLevelsAndReportsTheWhole(t *testing.T) {
 	g := gomega.NewWithT(t)
 	limit := Limit{Rate: 100, Burst: 1000}
 	buckets := NewBuckets(1)
-	buckets.Restore(0, map[string]float64{"a": 100, "b": -20})
-	buckets.Level(0, "a", limit.Scaled(0.25))
-	buckets.Level(0, "b", limit.Scaled(0.25))
-	g.Expect(buckets.Levels(0, 10)).To(gomega.Equal(map[string]float64{"a": 400, "b": -20}))
+	levels := map[string]float64{"a": 400, "b": -20}
+	buckets.RestoreShare(0, levels, 0.25)
+	g.Expect(buckets.Levels(0, 10)).To(gomega.Equal(levels), "before their first use")
+	g.Expect(buckets.Level(0, "a", limit.Scaled(0.25))).To(gomega.BeNumerically("~", 100, 0.001))
+	g.Expect(buckets.Level(0, "b", limit.Scaled(0.25))).To(gomega.BeNumerically("~", -20, 0.001))
+	g.Expect(buckets.Levels(0, 10)).To(gomega.Equal(levels))
 }
--- a/entry/bucket_levels.go
+++ b/entry/bucket_levels.go
@@ -50,16 +50,7 @@
 		n.scheduling.mergeBucketLevels(until, levels)
 		return
 	}
-	n.scheduling.restoreBucketLevels(until, levels)
-}
-
-// shareOfLevels returns the node's share of the tokens. Debts are returned whole.
-func shareOfLevels(levels map[string]float64, share float64) map[string]float64 {
-	scaled := make(map[string]float64, len(levels))
-	for tenant, level := range levels {
-		scaled[tenant] = min(level, level*share)
-	}
-	return scaled
+	n.scheduling.restoreBucketLevels(until, levels, 1)
 }
 
 // receivedUsage is the quota usage that another node last reported.
--- a/entry/bucket_levels_test.go
+++ b/entry/bucket_levels_test.go
@@ -39,9 +39,3 @@
 	g.Expect(isKnown).To(gomega.BeTrue())
 	g.Expect(usage.Amounts).To(gomega.Equal(map[string]float64{"tenant": 25}))
 }
-
-// Guards against two sides of a partition that both continue from the whole level.
-func TestSuccessorTakesOverItsShareOfTheLevels(t *testing.T) {
-	g := gomega.NewWithT(t)
-	g.Expect(shareOfLevels(map[string]float64{"a": 200, "b": -50}, 0.25)).To(gomega.Equal(map[string]float64{"a": 50, "b": -50}))
-}
--- a/entry/scheduler_selection.go
+++ b/entry/scheduler_selection.go
@@ -116,7 +116,7 @@
 	}
 	n.mutex.Unlock()
 	if restoresLevels {
-		n.scheduling.restoreBucketLevels(levelsUntil, shareOfLevels(levels, share))
+		n.scheduling.restoreBucketLevels(levelsUntil, levels, share)
 	}
 	if schedulerChanged {
 		if previous.scheduler == settings.Name {
--- a/entry/scheduling_quota.go
+++ b/entry/scheduling_quota.go
@@ -26,13 +26,13 @@
 	return s.quotas.Levels(s.clock(), maxReportedBuckets)
 }
 
-// restoreBucketLevels replaces the buckets by those that the previous scheduling node reported.
-// Until the given time that node may have granted quotas, so no refill is credited before it.
-func (s *schedulingService) restoreBucketLevels(until structs.Instant, levels map[string]float64) {
+// restoreBucketLevels replaces the buckets by the given share of those that the previous scheduling node
+// reported. Until the given time that node may have granted quotas, so no refill is credited before it.
+func (s *schedulingService) restoreBucketLevels(until structs.Instant, levels map[string]float64, share float64) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.quotas = quota.NewBuckets(takeoverBurstShare)
-	s.quotas.Restore(until, levels)
+	s.quotas.RestoreShare(until, levels, share)
 }
 
 // mergeBucketLevels applies the bucket levels of another node that schedules at the same time or
