entry: grant the quota share of nodes in contact only

Callers saw: up to 3,050 tokens of 3,000 where another half of the nodes is partitioned every 0.5 s. Cause: a node's share counted nodes until their failure timeout of 0.4 s, so that the shares of both sides added up to 1.28 and more for most of the time. Change: the share counts nodes heard within half of the failure timeout; selections and retries keep theirs, and large fleets keep live nodes.

--- a/coordination/liveness/liveness.go
+++ b/coordination/liveness/liveness.go
@@ -271,6 +271,16 @@
 	return m.confirmed && !m.suspected && now-m.lastHeartbeatAt < m.FailureTimeout()*time.Duration(timeouts)
 }
 
+// contactTimeoutDivisor makes the time without heartbeats after which a member counts as out of contact a
+// part of its failure timeout.
+const contactTimeoutDivisor = 2
+
+// IsInContact reports whether the member's last heartbeat is so recent that no partition is likely. Each
+// side of one would otherwise grant the other's share of the quotas until the failure timeout.
+func (m *Member) IsInContact(now structs.Instant) bool {
+	return m.confirmed && !m.suspected && now-m.lastHeartbeatAt < m.FailureTimeout()/contactTimeoutDivisor
+}
+
 // Live returns the members that don't count as failed, by name.
 func (t *Table) Live(now structs.Instant) []*Member { return t.liveWithin(now, 1) }
 
--- a/coordination/liveness/liveness_test.go
+++ b/coordination/liveness/liveness_test.go
@@ -55,3 +55,15 @@
 	g.Expect(names(table.PossiblyRunning(1100 * time.Millisecond))).To(gomega.Equal([]string{"often", "rarely"}))
 	g.Expect(table.Live(4 * time.Second)).To(gomega.BeEmpty())
 }
+
+// Guards against quotas granted by both sides of a partition until the failure timeout: a silent node
+// must be out of contact well before.
+func TestSilentNodeIsOutOfContactBeforeItCountsAsFailed(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table := NewTable("self")
+	table.Observe(0, Heartbeat{Name: "a", IntervalMS: 100})
+	member, _ := table.Get("a")
+	g.Expect(member.IsInContact(150 * time.Millisecond)).To(gomega.BeTrue(), "one heartbeat may be late")
+	g.Expect(member.IsInContact(200 * time.Millisecond)).To(gomega.BeFalse())
+	g.Expect(table.Live(200 * time.Millisecond)).To(gomega.HaveLen(1))
+}
--- a/entry/scheduler_selection.go
+++ b/entry/scheduler_selection.go
@@ -41,6 +41,21 @@
 // liveShare is the share of the quotas and retries that the live nodes may grant.
 func (r *role) liveShare() float64 { return min(float64(r.size.Live)/float64(r.size.Known), 1) }
 
+// quotaShareAmong returns the share of the quotas that this node may grant, that of the nodes whose
+// heartbeats arrived recently. In a large fleet it is that of the live nodes. The caller holds the mutex.
+func (n *Node) quotaShareAmong(now structs.Instant, live []*liveness.Member) float64 {
+	if n.isLarge {
+		return n.liveShare()
+	}
+	count := 1
+	for _, member := range live {
+		if member.IsInContact(now) {
+			count++
+		}
+	}
+	return min(float64(count)/float64(n.size.Known), 1)
+}
+
 // followerShare returns the share of all nodes that use this node's assignments, and zero if it
 // does not schedule. The caller holds the mutex.
 func (n *Node) followerShare(now structs.Instant, live []*liveness.Member) float64 {
@@ -96,9 +111,9 @@
 		n.lastActiveAt = now
 	}
 	restoresLevels := schedulerChanged && n.scheduler == settings.Name && levels != nil && now-levelsAt < bucketLevelsRetention
-	share := n.role.liveShare()
+	share, quotaShare := n.role.liveShare(), n.quotaShareAmong(now, live)
 	if now < startupFullShareTime {
-		share = 1
+		share, quotaShare = 1, 1
 	}
 	if n.size.Known-n.size.Live > 1 {
 		// More nodes than the scheduling node were lost: it may be partitioned and grant quotas
@@ -116,7 +131,7 @@
 	}
 	n.mutex.Unlock()
 	if restoresLevels {
-		n.scheduling.restoreBucketLevels(levelsUntil, levels, share)
+		n.scheduling.restoreBucketLevels(levelsUntil, levels, quotaShare)
 	}
 	if schedulerChanged {
 		if previous.scheduler == settings.Name {
@@ -131,7 +146,7 @@
 	if schedulerChanged {
 		n.announceSelection(current, previous.scheduler)
 	}
-	n.scheduling.setShare(share, settings.retryPolicy(share))
+	n.scheduling.setShare(quotaShare, settings.retryPolicy(share))
 	n.scheduling.update(func(scheduler *admission.Scheduler) {
 		scheduler.SetEjected(ejected)
 		scheduler.SetFollowerShare(now, followers)
