replicas: ignore a removal before the tombstone's position

Callers saw: requests sent to a replica that was removed, back by an old entry. Cause: Remove compared with the present entry only, and replaced a later tombstone. Change: a removal before the tombstone's position is ignored. Measured: TestOlderRemovalDoesNotReplaceTheTombstone failed before and passes; the other tables keep one position each and compare it (read).

--- a/state/replicas/replicas.go
+++ b/state/replicas/replicas.go
@@ -118,12 +118,15 @@
 }
 
 // Remove applies the removal of a replica's entry at the position, and reports whether the replica was
-// known. It ignores a removal that is earlier than the replica's present entry.
+// known. It ignores a removal that is earlier than the replica's present entry or its tombstone.
 func (t *Table) Remove(now structs.Instant, id string, position structs.StorePosition) bool {
 	current, found := t.byID[id]
 	if found && t.restoreWindow.IsBefore(position, current.Position) {
 		return false
 	}
+	if removal, buried := t.tombstones[id]; buried && t.restoreWindow.IsBefore(position, removal.position) {
+		return false
+	}
 	t.tombstones[id] = tombstone{position: position, removedAt: now}
 	delete(t.byID, id)
 	delete(t.unconfirmed, id)
--- a/state/replicas/replicas_test.go
+++ b/state/replicas/replicas_test.go
@@ -225,3 +225,16 @@
 	}
 	g.Expect(failures).To(gomega.BeNumerically(">", 10))
 }
+
+// Guards against a removed replica that comes back: a removal that arrives late must not replace the
+// tombstone of a later one.
+func TestOlderRemovalDoesNotReplaceTheTombstone(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table := NewTable()
+	table.Put(Replica{ID: "a", Position: 5})
+	table.Remove(0, "a", 10)
+	table.Remove(time.Second, "a", 3)
+	g.Expect(table.Put(Replica{ID: "a", Position: 5})).To(gomega.BeFalse())
+	g.Expect(table.All()).To(gomega.BeEmpty())
+	g.Expect(table.RemovalsSince(0, 0)).To(gomega.HaveKeyWithValue("a", structs.StorePosition(10)))
+}
