admission: bound the doublings of the quarantine time

Callers saw: requests sent at once to a replica that fails all the time, from its 33rd quarantine on. Cause: the time was shifted by the count of quarantines and bounded afterwards; the shift overflows. Change: the exponent is bounded before the shift. Other shifts by a variable were looked at.

--- a/coordination/admission/quarantine.go
+++ b/coordination/admission/quarantine.go
@@ -23,9 +23,11 @@
 	// failureShareWeight is the weight of a new outcome in the usual failure share.
 	failureShareWeight = 0.01
 	// minProbes is the number of requests that must end before a replica leaves probing.
-	minProbes         = 3
-	minQuarantineTime = 2 * time.Second
-	maxQuarantineTime = 8 * time.Second
+	minProbes = 3
+	// The time of a quarantine doubles with each one in a row, up to maxQuarantineTime.
+	minQuarantineTime      = 2 * time.Second
+	maxQuarantineDoublings = 2
+	maxQuarantineTime      = minQuarantineTime << maxQuarantineDoublings
 	// maxQuarantinedShare limits the quarantined replicas of a service. One of several may always be
 	// quarantined.
 	maxQuarantinedShare = 0.4
@@ -56,7 +58,7 @@
 	if health.cusum < quarantineThreshold || now < health.quarantinedUntil || !s.mayQuarantine(now, service) {
 		return
 	}
-	health.quarantinedUntil = now + min(minQuarantineTime<<health.consecutiveQuarantines, maxQuarantineTime)
+	health.quarantinedUntil = now + minQuarantineTime<<min(health.consecutiveQuarantines, maxQuarantineDoublings)
 	health.consecutiveQuarantines++
 	health.requestsSinceQuarantine, health.cusum = 0, quarantineThreshold/2
 }
