admission: count outcomes for the incarnation that had the request

Callers saw: a replica that just started again left out for seconds, the others overfilled. Cause: requests of the previous incarnation ended after its state was reset, and counted for the new one. Evidence: TestFailuresOfAnEarlierIncarnationDoNotCount failed before (six failures, quarantined). Change: outcomes, late answers and learned speeds count only for the incarnation assigned to. Measured: the test passes; the package's and entry's tests pass.

--- a/coordination/admission/assignments.go
+++ b/coordination/admission/assignments.go
@@ -43,8 +43,9 @@
 		return Completion{}, false
 	}
 	ended := Completion{Fingerprint: assignment.fingerprint, Service: assignment.service, Route: assignment.route, Replica: assignment.replicaID, Version: assignment.version, Prompt: assignment.promptTokens, AssignedAt: assignment.assignedAt}
+	isCurrent := s.isCurrentIncarnation(assignment)
 	s.removeAssignment(id)
-	if !observed.CallerLeft && !assignment.late {
+	if isCurrent && !observed.CallerLeft && !assignment.late {
 		s.recordOutcome(now, assignment.service, assignment.replicaID, observed.Failed)
 	}
 	if observed.Failed || observed.CallerLeft || observed.Duration <= 0 {
@@ -52,10 +53,18 @@
 	}
 	pool := s.pool(assignment.service)
 	pool.meanDuration = smooth(pool.meanDuration, observed.Duration)
-	s.learnSpeed(assignment, observed)
+	if isCurrent {
+		s.learnSpeed(assignment, observed)
+	}
 	return ended, true
 }
 
+// isCurrentIncarnation reports whether the replica has not started again since the assignment. What is
+// learned from one incarnation does not apply to the next.
+func (s *Scheduler) isCurrentIncarnation(assignment *assignment) bool {
+	return s.replicaState(assignment.replicaID).entry.StartedAt == assignment.startedAt
+}
+
 // ObserveExternal learns the replica's speed from a request that another scheduler assigned, so that
 // this one knows it when it becomes the active scheduler. The prompt is in tokens.
 func (s *Scheduler) ObserveExternal(now structs.Instant, service, replica string, prompt int, observed Observation) {
--- a/coordination/admission/decide.go
+++ b/coordination/admission/decide.go
@@ -31,7 +31,9 @@
 	for id, assignment := range s.assignments {
 		if !assignment.started && !assignment.late && now-assignment.assignedAt > firstEventTimeout {
 			assignment.late = true
-			s.recordOutcome(now, assignment.service, assignment.replicaID, true)
+			if s.isCurrentIncarnation(assignment) {
+				s.recordOutcome(now, assignment.service, assignment.replicaID, true)
+			}
 		}
 		if now-assignment.assignedAt > maxAssignmentAge {
 			s.removeAssignment(id)
--- a/coordination/admission/rate_limit.go
+++ b/coordination/admission/rate_limit.go
@@ -80,7 +80,7 @@
 	if signals.Pause > 0 {
 		s.setPause(pauseKey{assignment.node, assignment.service}, assignment.replicaID, now+signals.Pause)
 	}
-	if state := s.replicaState(assignment.replicaID); state.entry.StartedAt == assignment.startedAt {
+	if state := s.replicaState(assignment.replicaID); s.isCurrentIncarnation(assignment) {
 		state.leaving = state.leaving || signals.Leaving
 		state.applyLimit(now, signals.Limit, asOf)
 	}
--- a/coordination/liveness/liveness_test.go
+++ b/coordination/liveness/liveness_test.go
@@ -63,7 +63,7 @@
 	table := NewTable("self")
 	table.Observe(0, Heartbeat{Name: "a", IntervalMS: 100})
 	member, _ := table.Get("a")
-	g.Expect(member.IsInContact(150 * time.Millisecond)).To(gomega.BeTrue(), "one heartbeat may be late")
+	g.Expect(member.IsInContact(150*time.Millisecond)).To(gomega.BeTrue(), "one heartbeat may be late")
 	g.Expect(member.IsInContact(200 * time.Millisecond)).To(gomega.BeFalse())
 	g.Expect(table.Live(200 * time.Millisecond)).To(gomega.HaveLen(1))
 }
