replicahealth: keep a longer backoff after a broken response

Callers saw: requests sent to a replica that can't be reached, 0.4 s after a truncated answer. Cause: a broken response replaced the end of the backoff, whatever it was. Evidence: TestBrokenResponseKeepsALongerBackoff failed before: not avoided within the 3 s. Change: the end of a backoff only moves to a later time, for both kinds of failure. Measured: the test passes.

--- a/coordination/replicahealth/replicahealth.go
+++ b/coordination/replicahealth/replicahealth.go
@@ -44,7 +44,7 @@
 	health := t.get(id)
 	health.consecutiveFailures++
 	backoff := minBackoff << min(health.consecutiveFailures-1, 5)
-	health.retryAt = now + min(backoff, maxBackoff)
+	health.retryAt = max(health.retryAt, now+min(backoff, maxBackoff))
 }
 
 // RecordSuccess records a complete response, also if it is an error: whether the replica or the
@@ -57,7 +57,7 @@
 func (t *Tracker) RecordBroken(now structs.Instant, id string) {
 	health := t.get(id)
 	if health.consecutiveFailures++; health.consecutiveFailures > 1 {
-		health.retryAt = now + minBackoff
+		health.retryAt = max(health.retryAt, now+minBackoff)
 	}
 }
 
