liveness: count a heartbeat that retries relays once

Operators saw: while no relay of a zone confirms, relays tried each third heartbeat. Cause: the retried heartbeat was counted by the decision and by the choice of relays. Evidence: TestUnconfirmedHeartbeatCountsOnce failed before (1-4, 7, 10, 13, 16 by relay). Change: the decision counts direct heartbeats only. Measured: 1-4, 8, 12, 16 by relay.

--- a/coordination/liveness/relay.go
+++ b/coordination/liveness/relay.go
@@ -115,14 +115,17 @@
 }
 
 // shouldSendDirectly reports whether a heartbeat goes directly to the zone's nodes because no
-// relay confirms any more: all delegates of the zone may have failed. It counts such heartbeats.
+// relay confirms any more: all delegates of the zone may have failed. It counts a direct heartbeat.
 func (r *Relays) shouldSendDirectly(zone string) bool {
 	state, found := r.zones[zone]
 	if !found || state.unconfirmedHeartbeats < relayFailureThreshold {
 		return false
 	}
+	if (state.unconfirmedHeartbeats+1)%relayRetryHeartbeats == 0 {
+		return false // chooseRelays counts it
+	}
 	state.unconfirmedHeartbeats++
-	return state.unconfirmedHeartbeats%relayRetryHeartbeats != 0
+	return true
 }
 
 // namesWithWideLinks returns the names of the members with close to the largest link bandwidth. A
--- a/coordination/liveness/relay_test.go
+++ b/coordination/liveness/relay_test.go
@@ -101,3 +101,18 @@
 	g.Expect(table.Observe(30*time.Millisecond, Heartbeat{Name: "a", Incarnation: 2, Relayed: true})).To(gomega.BeTrue(), "a new process")
 	g.Expect(names(table.Live(30 * time.Millisecond))).To(gomega.Equal([]string{"a"}))
 }
+
+// Guards against heartbeats sent directly to a large zone too early and tried by relay too often: a
+// heartbeat by which relays are tried again must count once.
+func TestUnconfirmedHeartbeatCountsOnce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	live := relayTable(20, 1).Live(100 * time.Millisecond)
+	relays := NewRelays(drawLast)
+	var byRelay []int
+	for heartbeat := 1; heartbeat <= 16; heartbeat++ {
+		if len(relays.Recipients(100*time.Millisecond, "own", live, true).Relays) > 0 {
+			byRelay = append(byRelay, heartbeat)
+		}
+	}
+	g.Expect(byRelay).To(gomega.Equal([]int{1, 2, 3, 4, 8, 12, 16}))
+}
