liveness: compare a relay's confirmation with the zone's live nodes

Operators saw: nodes of a large fleet's zone that miss heartbeats, and failures detected late. Cause: the confirmation was compared with half of the delegates, from which relays are chosen. Evidence: TestRelayThatReachesFewNodesOfALargeZoneIsNotConfirmed failed before (2 of 8 nodes). Change: it is compared with half of the zone's live nodes as the delegates report them. Measured: the test passes.

--- a/coordination/liveness/relay.go
+++ b/coordination/liveness/relay.go
@@ -41,8 +41,8 @@
 	awaitsConfirmation bool
 	// unconfirmedHeartbeats counts the heartbeats since the last confirmation.
 	unconfirmedHeartbeats int
-	// nodeCount is the number of nodes that the relay was last chosen from, and wideLinkNames
-	// lists those with close to the largest link bandwidth.
+	// nodeCount is the number of live nodes in the zone, and wideLinkNames lists those, of the nodes
+	// that the relay was last chosen from, with close to the largest link bandwidth.
 	nodeCount     int
 	wideLinkNames []string
 }
@@ -81,7 +81,7 @@
 			recipients.Direct = append(recipients.Direct, addresses(members)...)
 			continue
 		}
-		recipients.Relays = append(recipients.Relays, addresses(r.chooseRelays(now, zone, relays))...)
+		recipients.Relays = append(recipients.Relays, addresses(r.chooseRelays(now, zone, relays, zoneSize(members)))...)
 	}
 	return recipients
 }
@@ -94,14 +94,24 @@
 	return result
 }
 
+// zoneSize returns the number of live nodes in a zone: of a large fleet's zone the sender may know only
+// the delegates, which report it.
+func zoneSize(members []*Member) int {
+	size := len(members)
+	for _, member := range members {
+		size = max(size, member.ZoneLive)
+	}
+	return size
+}
+
 // chooseRelays returns the confirmed relay of the zone, or some candidates if there is none.
-func (r *Relays) chooseRelays(now structs.Instant, zone string, members []*Member) []*Member {
+func (r *Relays) chooseRelays(now structs.Instant, zone string, members []*Member, zoneSize int) []*Member {
 	state, found := r.zones[zone]
 	if !found {
 		state = &zoneRelay{awaitsConfirmation: true}
 		r.zones[zone] = state
 	}
-	state.nodeCount, state.wideLinkNames = len(members), namesWithWideLinks(members)
+	state.nodeCount, state.wideLinkNames = zoneSize, namesWithWideLinks(members)
 	state.unconfirmedHeartbeats++
 	if !state.awaitsConfirmation {
 		state.awaitsConfirmation = true
@@ -168,8 +178,8 @@
 }
 
 // Confirmed records that the node relayed a heartbeat to the given number of nodes of its zone.
-// It is ignored if that is less than half of the nodes that the relay was chosen from: such a
-// node doesn't know the others yet.
+// It is ignored if that is less than half of the zone's live nodes: such a node doesn't know the
+// others yet.
 func (r *Relays) Confirmed(zone, name string, reached int) {
 	state, found := r.zones[zone]
 	if !found || 2*reached < state.nodeCount {
--- a/coordination/liveness/relay_test.go
+++ b/coordination/liveness/relay_test.go
@@ -116,3 +116,21 @@
 	}
 	g.Expect(byRelay).To(gomega.Equal([]int{1, 2, 3, 4, 8, 12, 16}))
 }
+
+// Guards against a relay that knows few nodes of its zone: a node outside knows only the zone's
+// delegates, and must compare with the size that they report.
+func TestRelayThatReachesFewNodesOfALargeZoneIsNotConfirmed(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table := NewTable("self")
+	for i := range 4 {
+		name := fmt.Sprint("delegate", i)
+		table.Observe(0, Heartbeat{Name: name, Address: name, Zone: "other", LinkMbps: float64(20 + 200*(1-min(i, 1))), CanRelay: true, IntervalMS: 1000, ZoneLive: 8})
+	}
+	relays := NewRelays(drawLast)
+	first := relays.Recipients(0, "own", table.Live(0), true).Relays
+	g.Expect(first).To(gomega.HaveLen(relayCandidateCount))
+	relays.Confirmed("other", first[0], 2)
+	g.Expect(relays.Recipients(0, "own", table.Live(0), true).Relays).To(gomega.HaveLen(relayCandidateCount), "two of eight nodes")
+	relays.Confirmed("other", first[1], 4)
+	g.Expect(relays.Recipients(0, "own", table.Live(0), true).Relays).To(gomega.Equal(first[1:2]))
+}
