queue: keep the share of a tenant whose queue empties

Callers saw: a tenant with a backlog waits behind one of equal weight that has one request at a time; new tenants wait behind a backlog after others cancelled. Cause: what a tenant had used was forgotten with its last queued request, and cancelled requests moved the virtual time. Evidence: TestTenantWhoseQueueEmptiesKeepsItsShare (39 of 40 dispatches, 20 due) and TestCancelledRequestsUseNoShare failed before. Change: tenants are kept until the virtual time reaches what they used; requests that don't start return their share. Measured: both tests pass, and those of the scheduler and the library node.

--- a/coordination/scheduler/schedule.go
+++ b/coordination/scheduler/schedule.go
@@ -68,7 +68,11 @@
 			p.backlogged = true
 			continue
 		}
-		s.dequeue(p, item.Request.ID)
+		if plan.Verdict == structs.VerdictReject {
+			s.dequeue(p, item.Request.ID)
+		} else {
+			s.dispatch(p, item.Request.ID)
+		}
 		if plan.Verdict == structs.VerdictDispatch {
 			p.startedWork += item.Work
 			s.reservations.Add(now, item.Request, plan.Candidates[plan.Chosen])
--- a/coordination/scheduler/scheduler.go
+++ b/coordination/scheduler/scheduler.go
@@ -261,8 +261,19 @@
 	return true
 }
 
+// dequeue removes a queued request that does not start.
 func (s *Scheduler) dequeue(p *pool, id string) {
 	p.queue.Remove(id)
+	s.forgetQueued(p, id)
+}
+
+// dispatch removes a queued request that starts now.
+func (s *Scheduler) dispatch(p *pool, id string) {
+	p.queue.Dispatch(id)
+	s.forgetQueued(p, id)
+}
+
+func (s *Scheduler) forgetQueued(p *pool, id string) {
 	delete(p.excluded, id)
 	delete(s.poolByRequest, id)
 }
--- a/state/queue/queue.go
+++ b/state/queue/queue.go
@@ -17,8 +17,8 @@
 	Request *structs.Request
 	// Work is the estimated engine time of the request.
 	Work time.Duration
-	// startTag is the virtual start time of the item within its tier.
-	startTag float64
+	// startTag and finishTag are the virtual start and finish times of the item within its tier.
+	startTag, finishTag float64
 }
 
 // Queue holds the queued requests of one pool. It is not safe for concurrent use.
@@ -32,13 +32,14 @@
 type tier struct {
 	rank    structs.Rank
 	tenants map[string]*tenantQueue
-	// virtualTime is the highest start tag of the removed items.
+	// virtualTime is the highest start tag of the dispatched items.
 	virtualTime float64
 	count       int
 	work        time.Duration
 }
 
-// tenantQueue holds the queued requests of one tenant within a tier, oldest first.
+// tenantQueue holds the queued requests of one tenant within a tier, oldest first. It may be empty while
+// the tenant has used more of its share than others.
 type tenantQueue struct {
 	items []*Item
 	// lastFinishTag is the virtual finish time of the item pushed last.
@@ -83,7 +84,8 @@
 	if weight <= 0 {
 		weight = 1
 	}
-	tenant.lastFinishTag = item.startTag + work.Seconds()/weight
+	item.finishTag = item.startTag + work.Seconds()/weight
+	tenant.lastFinishTag = item.finishTag
 	tenant.items = append(tenant.items, item)
 	t.count++
 	t.work += work
@@ -166,23 +168,60 @@
 	return items
 }
 
-// Remove removes the request and reports whether it was queued.
+// Dispatch removes a request that starts now and reports whether it was queued.
+func (q *Queue) Dispatch(id string) bool {
+	item, found := q.byID[id]
+	if !found {
+		return false
+	}
+	t := q.findOrAddTier(item.Request.Rank)
+	q.remove(t, item)
+	t.virtualTime = max(t.virtualTime, item.startTag)
+	t.dropIdleTenants()
+	return true
+}
+
+// Remove removes a request that does not start, which uses nothing of its tenant's share, and reports
+// whether it was queued.
 func (q *Queue) Remove(id string) bool {
 	item, found := q.byID[id]
 	if !found {
 		return false
 	}
-	delete(q.byID, id)
 	t := q.findOrAddTier(item.Request.Rank)
+	q.remove(t, item)
+	t.tenants[item.Request.Tenant].returnShare(item)
+	t.dropIdleTenants()
+	return true
+}
+
+func (q *Queue) remove(t *tier, item *Item) {
+	delete(q.byID, item.Request.ID)
 	tenant := t.tenants[item.Request.Tenant]
 	tenant.items = slices.DeleteFunc(tenant.items, func(other *Item) bool { return other == item })
-	if len(tenant.items) == 0 {
-		delete(t.tenants, item.Request.Tenant)
-	}
 	t.count--
 	t.work -= item.Work
-	t.virtualTime = max(t.virtualTime, item.startTag)
-	return true
+}
+
+// returnShare moves the tags of the items pushed after the removed one forward by its share.
+func (t *tenantQueue) returnShare(removed *Item) {
+	share := removed.finishTag - removed.startTag
+	for _, item := range t.items {
+		if item.startTag > removed.startTag {
+			item.startTag -= share
+			item.finishTag -= share
+		}
+	}
+	t.lastFinishTag -= share
+}
+
+// dropIdleTenants drops the tenants without requests whose share no longer matters.
+func (t *tier) dropIdleTenants() {
+	for name, tenant := range t.tenants {
+		if len(tenant.items) == 0 && (t.count == 0 || tenant.lastFinishTag <= t.virtualTime) {
+			delete(t.tenants, name)
+		}
+	}
 }
 
 // LowerTiers returns the queued requests of the tiers below the rank, lowest tier
