liveness: count suspected nodes as possibly running

Callers saw: replicas overfilled after a call to the scheduling node failed, as the assignments of a process that still runs were released; a roll-out could be judged while old requests run. Cause: PossiblyRunning left out members that one call failed to reach. Evidence: TestSuspectedNodeIsPossiblyRunning failed before. Change: a member possibly runs for four failure timeouts from its last heartbeat, suspected or not.

--- a/coordination/liveness/delegates.go
+++ b/coordination/liveness/delegates.go
@@ -131,7 +131,7 @@
 		}
 		count.observed.Known++
 		count.reported.Known = max(count.reported.Known, member.ZoneKnown)
-		if member.isLive(now, 1) {
+		if member.isLive(now) {
 			count.observed.Live++
 			count.reported.Live = max(count.reported.Live, member.ZoneLive)
 		}
--- a/coordination/liveness/liveness.go
+++ b/coordination/liveness/liveness.go
@@ -210,7 +210,7 @@
 	}
 	isSameProcess := found && member.Incarnation == heartbeat.Incarnation
 	isStillSuspected := isSameProcess && member.suspected && heartbeat.Relayed
-	hasAppeared := !isSameProcess || !isStillSuspected && !member.isLive(now, 1)
+	hasAppeared := !isSameProcess || !isStillSuspected && !member.isLive(now)
 	if found && !member.confirmed {
 		t.unconfirmedCount--
 	}
@@ -248,7 +248,7 @@
 // IsSilent reports whether the node is known but not live.
 func (t *Table) IsSilent(now structs.Instant, name string) bool {
 	member, found := t.members[name]
-	return found && !member.isLive(now, 1)
+	return found && !member.isLive(now)
 }
 
 // Known returns the number of members, including unconfirmed ones.
@@ -265,10 +265,16 @@
 // Suspected reports whether the member was marked by Suspect and has not been cleared since.
 func (m *Member) Suspected() bool { return m.suspected }
 
-// isLive reports whether the member is not suspected and its last heartbeat is more recent than
-// the given number of failure timeouts.
-func (m *Member) isLive(now structs.Instant, timeouts int) bool {
-	return m.confirmed && !m.suspected && now-m.lastHeartbeatAt < m.FailureTimeout()*time.Duration(timeouts)
+// isLive reports whether the member is not suspected and its last heartbeat is more recent than the
+// failure timeout.
+func (m *Member) isLive(now structs.Instant) bool {
+	return !m.suspected && m.wasHeardWithin(now, 1)
+}
+
+// wasHeardWithin reports whether the last heartbeat is more recent than the given number of failure
+// timeouts.
+func (m *Member) wasHeardWithin(now structs.Instant, timeouts int) bool {
+	return m.confirmed && now-m.lastHeartbeatAt < m.FailureTimeout()*time.Duration(timeouts)
 }
 
 // contactTimeoutDivisor makes the time without heartbeats after which a member counts as out of contact a
@@ -282,28 +288,32 @@
 }
 
 // Live returns the members that don't count as failed, by name.
-func (t *Table) Live(now structs.Instant) []*Member { return t.liveWithin(now, 1) }
-
-// PossiblyRunning returns the live members and those that were live recently, whose processes may
-// still be running, by name. Suspected members are left out.
-func (t *Table) PossiblyRunning(now structs.Instant) []*Member {
-	return t.liveWithin(now, possiblyRunningTimeouts)
-}
-
-// possiblyRunningTimeouts is the number of failure timeouts after which a silent member's process
-// is assumed to have ended.
-const possiblyRunningTimeouts = 4
-
-func (t *Table) liveWithin(now structs.Instant, timeouts int) []*Member {
+func (t *Table) Live(now structs.Instant) []*Member {
 	var live []*Member
 	for _, member := range t.sortedByName {
-		if member.isLive(now, timeouts) {
+		if member.isLive(now) {
 			live = append(live, member)
 		}
 	}
 	return live
 }
 
+// PossiblyRunning returns the members whose heartbeats arrived recently, by name. Their processes may
+// still be running, also those of suspected members: a node that can't be reached may reach replicas.
+func (t *Table) PossiblyRunning(now structs.Instant) []*Member {
+	var running []*Member
+	for _, member := range t.sortedByName {
+		if member.wasHeardWithin(now, possiblyRunningTimeouts) {
+			running = append(running, member)
+		}
+	}
+	return running
+}
+
+// possiblyRunningTimeouts is the number of failure timeouts after which a silent member's process
+// is assumed to have ended.
+const possiblyRunningTimeouts = 4
+
 // All removes members that have been silent for too long and returns the others by name.
 func (t *Table) All(now structs.Instant) []*Member {
 	t.sortedByName = slices.DeleteFunc(t.sortedByName, func(member *Member) bool {
--- a/coordination/liveness/liveness_test.go
+++ b/coordination/liveness/liveness_test.go
@@ -67,3 +67,15 @@
 	g.Expect(member.IsInContact(200 * time.Millisecond)).To(gomega.BeFalse())
 	g.Expect(table.Live(200 * time.Millisecond)).To(gomega.HaveLen(1))
 }
+
+// Guards against assignments released while their requests run: a process that could not be reached
+// once may still be running.
+func TestSuspectedNodeIsPossiblyRunning(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table := NewTable("self")
+	table.Observe(0, Heartbeat{Name: "a", IntervalMS: 100})
+	table.Suspect("a")
+	g.Expect(table.Live(100 * time.Millisecond)).To(gomega.BeEmpty())
+	g.Expect(table.PossiblyRunning(100 * time.Millisecond)).To(gomega.HaveLen(1))
+	g.Expect(table.PossiblyRunning(1600 * time.Millisecond)).To(gomega.BeEmpty())
+}
