entry: credit a successor's share of the refill from when nobody else grants it

Cause: a node that takes over in a partition got its share of the last levels and no refill since, and what was queued while the predecessor was silent arrives at once. Change: the refill counts from when the predecessor's side is out of contact and its share computed.

--- a/coordination/liveness/liveness.go
+++ b/coordination/liveness/liveness.go
@@ -284,9 +284,12 @@
 // IsInContact reports whether the member's last heartbeat is so recent that no partition is likely. Each
 // side of one would otherwise grant the other's share of the quotas until the failure timeout.
 func (m *Member) IsInContact(now structs.Instant) bool {
-	return m.confirmed && !m.suspected && now-m.lastHeartbeatAt < m.FailureTimeout()/contactTimeoutDivisor
+	return m.confirmed && !m.suspected && now-m.lastHeartbeatAt < m.ContactTimeout()
 }
 
+// ContactTimeout returns the time without heartbeats after which the member is out of contact.
+func (m *Member) ContactTimeout() time.Duration { return m.FailureTimeout() / contactTimeoutDivisor }
+
 // Live returns the members that don't count as failed, by name.
 func (t *Table) Live(now structs.Instant) []*Member {
 	var live []*Member
--- a/entry/bucket_levels_test.go
+++ b/entry/bucket_levels_test.go
@@ -39,3 +39,15 @@
 	g.Expect(isKnown).To(gomega.BeTrue())
 	g.Expect(usage.Amounts).To(gomega.Equal(map[string]float64{"tenant": 25}))
 }
+
+// Guards against queued requests of a tenant below its quota that are rejected by a successor, to which
+// nothing was credited for the time in which nobody granted its share.
+func TestSuccessorIsCreditedFromWhenThePredecessorGrantsOnlyItsShare(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n := New(&Settings{Name: "n", LinkMbps: 10}, Dependencies{Log: eventlog.New("n", nil)})
+	n.members.Observe(0, liveness.Heartbeat{Name: "a", IntervalMS: 100})
+	g.Expect(n.shareTimeoutOf("a")).To(gomega.Equal(300*time.Millisecond), "out of contact after two intervals, computed within another")
+	g.Expect(n.shareTimeoutOf("unknown")).To(gomega.Equal(bucketLevelsRetention))
+	n.isLarge = true
+	g.Expect(n.shareTimeoutOf("a")).To(gomega.Equal(400*time.Millisecond), "large fleets go by the failure timeout")
+}
--- a/entry/scheduler_selection.go
+++ b/entry/scheduler_selection.go
@@ -56,6 +56,20 @@
 	return min(float64(count)/float64(n.size.Known), 1)
 }
 
+// shareTimeoutOf returns the time after which the node named grants only the share of its side when a
+// partition separates it from this node. It computes that once per heartbeat. The caller holds the mutex.
+func (n *Node) shareTimeoutOf(name string) time.Duration {
+	member, found := n.members.Get(name)
+	switch {
+	case !found:
+		return bucketLevelsRetention
+	case n.isLarge:
+		return member.FailureTimeout()
+	default:
+		return member.ContactTimeout() + time.Duration(member.IntervalMS)*time.Millisecond
+	}
+}
+
 // followerShare returns the share of all nodes that use this node's assignments, and zero if it
 // does not schedule. The caller holds the mutex.
 func (n *Node) followerShare(now structs.Instant, live []*liveness.Member) float64 {
@@ -116,9 +130,9 @@
 		share, quotaShare = 1, 1
 	}
 	if n.size.Known-n.size.Live > 1 {
-		// More nodes than the scheduling node were lost: it may be partitioned and grant quotas
-		// until it detects that.
-		levelsUntil = now
+		// More nodes than the scheduling node were lost: it may be partitioned, and grants this
+		// node's share until it is out of contact.
+		levelsUntil = min(levelsUntil+n.shareTimeoutOf(previous.scheduler), now)
 	}
 	ejected := n.ejectedReplicas(live)
 	for _, id := range n.unreachableZoneReplicas() {
