entry: name the condition under which an active scheduler merges levels

Cause: a condition of five terms in applyHeartbeat stopped a reader. Change: needsRemoteLevels with its reason; no behaviour changes. Measured: the tests of entry and state/replicas pass.

--- a/entry/bucket_levels.go
+++ b/entry/bucket_levels.go
@@ -53,6 +53,16 @@
 	n.scheduling.restoreBucketLevels(until, levels, 1)
 }
 
+// needsRemoteLevels reports whether the buckets of this active scheduler lack usage that only the
+// heartbeat's levels show: this process just started, or the sender's usage is unknown. Other levels are
+// not merged, as they are those of one side of a partition.
+func (n *Node) needsRemoteLevels(heartbeat liveness.Heartbeat, isUsageKnown bool) bool {
+	if heartbeat.BucketLevels == nil {
+		return false
+	}
+	return heartbeat.Usage != nil && !isUsageKnown || !n.scheduling.areBucketsAuthoritative()
+}
+
 // receivedUsage is the quota usage that another node last reported.
 type receivedUsage struct {
 	incarnation, epoch uint64
--- a/entry/heartbeats.go
+++ b/entry/heartbeats.go
@@ -364,7 +364,7 @@
 	if isActive && len(uncharged.Amounts) > 0 {
 		n.scheduling.chargeRemoteUsage(uncharged)
 	}
-	if isActive && heartbeat.BucketLevels != nil && (heartbeat.Usage != nil && !isUsageKnown || !n.scheduling.areBucketsAuthoritative()) || !isActive && restoresLevels {
+	if isActive && n.needsRemoteLevels(heartbeat, isUsageKnown) || !isActive && restoresLevels {
 		n.applyBucketLevels(isActive, levelsUntil, heartbeat.BucketLevels)
 	}
 	if answers {
--- a/state/replicas/replicas.go
+++ b/state/replicas/replicas.go
@@ -124,7 +124,7 @@
 	if found && t.restoreWindow.IsBefore(position, current.Position) {
 		return false
 	}
-	if removal, buried := t.tombstones[id]; buried && t.restoreWindow.IsBefore(position, removal.position) {
+	if removal, isRemoved := t.tombstones[id]; isRemoved && t.restoreWindow.IsBefore(position, removal.position) {
 		return false
 	}
 	t.tombstones[id] = tombstone{position: position, removedAt: now}
