--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -74,6 +74,7 @@
 	// snapshotBuffer is the memory of the current snapshot, reused by each snapshot.
 	snapshotBuffer []replicaSnapshot
 	poisonTracker  *poison.Tracker
+	policy         Policy
 	// assignmentCounts counts the assignments by fingerprint.
 	assignmentCounts map[fingerprint.Fingerprint]int
 	// regionByZone may lack zones.
--- a/coordination/admission/decide.go
+++ b/coordination/admission/decide.go
@@ -136,7 +136,8 @@
 		return decision, true
 	}
 	expectedWait := decision.ExpectedWait
-	decision.RetryAfter = retryAfter(expectedWait, remaining)
+	decision.RetryAfter, decision.LatestReturn = retryAfter(expectedWait, remaining), latestReturn(remaining)
+	decision.CompletionRate = snapshot.completionRate()
 	if decision.Waited >= request.Patience {
 		decision.Reason = ReasonNoSlot
 		return decision, true
@@ -181,7 +182,12 @@
 // depend on the remaining time so that most of it is left for the answer.
 func retryAfter(expectedWait, remaining time.Duration) time.Duration {
 	latest := time.Duration(float64(remaining) * retryAfterShare)
-	return min(max(expectedWait, minRetryAfter, latest/2), max(latest, minRetryAfter))
+	return min(max(expectedWait, minRetryAfter, latest/2), latestReturn(remaining))
+}
+
+// latestReturn returns the latest useful time for a rejected caller to come back.
+func latestReturn(remaining time.Duration) time.Duration {
+	return max(time.Duration(float64(remaining)*retryAfterShare), minRetryAfter)
 }
 
 // chooseReplica returns the cheapest of the eligible replicas with a free slot, or nil if the request
--- a/coordination/admission/messages.go
+++ b/coordination/admission/messages.go
@@ -19,6 +19,10 @@
 	Route string
 	// Zone is the zone of Node.
 	Zone string
+	// Tenant shares a service that is full with others of its priority, in proportion to Weight, whose
+	// mean over tenants is 1. Both are empty in messages of nodes without tenant shares.
+	Tenant string  `msgpack:",omitempty"`
+	Weight float64 `msgpack:",omitempty"`
 	// Priority orders requests; lower values go first.
 	Priority int
 	// PromptTokens is the number of prompt tokens and AnswerTokens the expected number of answer tokens.
@@ -39,6 +43,8 @@
 	Patience time.Duration
 	// WasRejected is true if the request was rejected before and sent again.
 	WasRejected bool `msgpack:"Returned"`
+	// HasReservation is true if the caller came back when it was told to. The scheduling node sets it.
+	HasReservation bool `msgpack:"-"`
 	// Fingerprint is equal for requests with the same content.
 	Fingerprint fingerprint.Fingerprint `msgpack:"Content"`
 	// Tried holds the replicas that were tried before. They are not chosen again.
@@ -94,6 +100,11 @@
 	Trial bool
 	// RetryAfter is when a rejected caller should come back.
 	RetryAfter time.Duration
+	// LatestReturn is the longest useful RetryAfter of a request that was rejected for lack of slots, and
+	// zero for other reasons. CompletionRate is the number of requests per second that the service is
+	// expected to complete.
+	LatestReturn   time.Duration
+	CompletionRate float64
 	// Waited is the time in the queue.
 	Waited time.Duration
 	// QueuedAhead is the number of requests before it, FreeSlots the number of free slots of healthy
--- a/coordination/admission/snapshot.go
+++ b/coordination/admission/snapshot.go
@@ -166,6 +166,12 @@
 	return time.Duration(min(float64(p.meanDuration)*requests/p.capacity, float64(maxExpectedWait)))
 }
 
+// completionRate returns the number of requests that the healthy replicas are expected to complete per
+// second while all their slots are occupied.
+func (p *poolSnapshot) completionRate() float64 {
+	return p.capacity / max(p.meanDuration, time.Millisecond).Seconds()
+}
+
 // canAnyFinish reports whether any replica, busy or not, is fast enough to finish the answer.
 func (p *poolSnapshot) canAnyFinish(answerTokens int, remaining time.Duration) bool {
 	for _, replica := range p.replicas {
--- a/entry/node.go
+++ b/entry/node.go
@@ -204,6 +204,7 @@
 	n.scheduling = newSchedulingService(n.now, settings.retryPolicy(1), settings.FirstStart)
 	n.scheduling.rolloutPolicy = settings.rolloutPolicy()
 	n.scheduling.setRegions(settings.Regions)
+	n.scheduling.setPolicy(settings.schedulingPolicy())
 	n.scheduling.setPoisonPolicy(settings.poisonPolicy())
 	n.scheduling.onPoisonTransition = n.logPoisonTransition
 	n.ctx, n.cancel = context.WithCancel(context.Background())
@@ -307,6 +308,7 @@
 	n.settings.Store(settings)
 	n.scheduling.setPoisonPolicy(settings.poisonPolicy())
 	n.scheduling.setRegions(settings.Regions)
+	n.scheduling.setPolicy(settings.schedulingPolicy())
 	n.log.Write(eventlog.Event{Kind: "process.reload", Outcome: "in-force"})
 }
 
--- /dev/null
+++ b/entry/scheduling_policy.go
@@ -0,0 +1,28 @@
+package entry
+
+import "github.com/thornwalk/thornwalk/coordination/admission"
+
+// schedulingPolicy is the part of the settings that determines the order of requests and returns.
+type schedulingPolicy struct {
+	admission      admission.Policy
+	plannedReturns bool
+}
+
+func (s *Settings) schedulingPolicy() schedulingPolicy {
+	return schedulingPolicy{
+		admission: admission.Policy{
+			TenantShares:  s.TenantShares == SharesEqual || s.TenantShares == SharesByQuota,
+			FeasibleOrder: s.QueueOrder == OrderFeasible,
+		},
+		plannedReturns: s.PlannedReturns,
+	}
+}
+
+// setPolicy sets the order of requests and returns.
+func (s *schedulingService) setPolicy(policy schedulingPolicy) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.policy = policy
+	s.scheduler.SetPolicy(policy.admission)
+	s.decide()
+}
--- a/entry/scheduling_service.go
+++ b/entry/scheduling_service.go
@@ -66,6 +66,7 @@
 	slowStarts     map[string]admission.SlowStart
 	// isFirst is true if no other process can have granted quotas before.
 	isFirst bool
+	policy  schedulingPolicy
 	// pending has, by ID, the channels on which the decisions on queued requests are sent.
 	pending          map[string]chan admission.Decision
 	charges          map[string]requestCharge
@@ -99,6 +100,7 @@
 	s.scheduler = admission.New()
 	s.scheduler.SetPoisonTracker(s.poisonTracker)
 	s.scheduler.SetRegions(s.regions)
+	s.scheduler.SetPolicy(s.policy.admission)
 	s.scheduler.SetEvacuatedZones(s.clock(), s.evacuatedZones)
 	s.applySlowStarts()
 	start := takeoverBurstShare
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -144,7 +144,7 @@
 		First: len(tried) == 0, Repeat: isRetry, PushbackReports: node.pushbackReports(c.service), Known: node.scheduling.poisonRecordOf(c.fingerprint),
 	}
 	if c.tenant != nil {
-		request.Tenant = c.tenant.Name
+		request.Tenant, request.Request.Tenant = c.tenant.Name, c.tenant.Name
 		if c.tenant.Rate > 0 {
 			request.Limit = node.settings.Load().quotaLimit(c.tenant.Rate, c.tenant.Burst)
 		}
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -2,6 +2,8 @@
 
 import (
 	"os"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/goccy/go-yaml"
@@ -71,10 +73,39 @@
 	// BlockedAfter is the number of replica crashes after which a request is blocked; zero
 	// disables blocking.
 	BlockedAfter int `yaml:"barred_after_ends"`
+	// TenantShares selects how tenants of equal priority share a service that is full.
+	TenantShares TenantShares `yaml:"tenant_shares"`
+	// QueueOrder selects the order of queued requests.
+	QueueOrder QueueOrder `yaml:"queue_order"`
+	// PlannedReturns spreads the Retry-After of rejected requests over the time in which slots are
+	// expected, and lets callers that come back when told go ahead of new ones.
+	PlannedReturns bool `yaml:"planned_returns"`
 	// FirstStart is true at the first start of the whole system.
 	FirstStart bool `yaml:"first_start"`
 }
 
+// TenantShares is how tenants of equal priority share a service that is full.
+type TenantShares string
+
+const (
+	// SharesOff queues requests without regard to their tenant.
+	SharesOff TenantShares = "off"
+	// SharesEqual gives all tenants equal shares.
+	SharesEqual TenantShares = "equal"
+	// SharesByQuota gives tenants shares in proportion to their quota.
+	SharesByQuota TenantShares = "quota"
+)
+
+// QueueOrder is the order of the queued requests of equal priority.
+type QueueOrder string
+
+const (
+	// OrderByTarget puts the earliest target first among requests with answers of equal length.
+	OrderByTarget QueueOrder = "target"
+	// OrderFeasible puts requests first that can still meet their target by their expected finish.
+	OrderFeasible QueueOrder = "feasible"
+)
+
 // LoadSettings reads and checks the settings file. Its errors are of kind InvalidSettings and name
 // the field, the value and the remedy.
 func LoadSettings(path string) (*Settings, error) {
@@ -88,7 +119,7 @@
 // ParseSettings parses and checks the content of a settings file. Its errors are like those of
 // LoadSettings; after a failed check the settings are returned too.
 func ParseSettings(content []byte) (*Settings, error) {
-	settings := &Settings{StopGrace: 8000, StoreRecoveryWindow: 3000, ConfigurationBound: 2000, RetryRatio: 0.2, RetryWindow: 10, RetrySlack: 20, QuotaWindow: 10, BlockedAfter: poison.DefaultPolicy().CrashThreshold}
+	settings := &Settings{StopGrace: 8000, StoreRecoveryWindow: 3000, ConfigurationBound: 2000, RetryRatio: 0.2, RetryWindow: 10, RetrySlack: 20, QuotaWindow: 10, BlockedAfter: poison.DefaultPolicy().CrashThreshold, TenantShares: SharesOff, QueueOrder: OrderByTarget}
 	if err := yaml.Unmarshal(content, settings); err != nil {
 		return nil, errkind.New(errkind.InvalidSettings, "settings: %s", yaml.FormatError(err, false, true))
 	}
@@ -115,6 +146,9 @@
 			return errkind.New(errkind.InvalidSettings, "%s: %q is empty: %s", field.path, field.value, field.remedy)
 		}
 	}
+	if err := s.checkChoices(); err != nil {
+		return err
+	}
 	bounds := []struct {
 		path                      string
 		value, minValue, maxValue float64
@@ -148,6 +182,23 @@
 	return nil
 }
 
+// checkChoices checks the settings that are one of a few words.
+func (s *Settings) checkChoices() error {
+	choices := []struct {
+		path, value string
+		valid       []string
+	}{
+		{"tenant_shares", string(s.TenantShares), []string{string(SharesOff), string(SharesEqual), string(SharesByQuota)}},
+		{"queue_order", string(s.QueueOrder), []string{string(OrderByTarget), string(OrderFeasible)}},
+	}
+	for _, choice := range choices {
+		if !slices.Contains(choice.valid, choice.value) {
+			return errkind.New(errkind.InvalidSettings, "%s: %q is not one of %s", choice.path, choice.value, strings.Join(choice.valid, ", "))
+		}
+	}
+	return nil
+}
+
 // retryRatioShare is the share of the allowed ratio that is used. The rest covers retries that
 // were permitted shortly before a window begins and sent in it.
 const retryRatioShare = 0.9
--- a/entry/settings_test.go
+++ b/entry/settings_test.go
@@ -50,6 +50,14 @@
 	g.Expect(settings.FirstStart).To(gomega.BeTrue())
 }
 
+// Guards against new scheduling decisions in a deployment whose settings do not ask for them.
+func TestSchedulingPolicyIsOffByDefault(t *testing.T) {
+	g := gomega.NewWithT(t)
+	settings, err := ParseSettings([]byte("{name: n, zone: z, callers: 'h:1', readiness: 'h:2', operators: 'h:3', host: h, peer_port: 4, store: 'h:5'}"))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(settings.schedulingPolicy()).To(gomega.Equal(schedulingPolicy{}))
+}
+
 // Guards against a node that fails to start because of settings for a later version.
 func TestUnknownSettingsAreIgnored(t *testing.T) {
 	g := gomega.NewWithT(t)
@@ -66,6 +74,8 @@
 		{"limits.memory_mb", "8", "memory_mb: 8 is less than 32"},
 		{"bounds.retry_budget_ratio", "-1", "retry_ratio: -1 is not in 0 to 10"},
 		{"bounds.contact_ms", "soon", "contact_ms"},
+		{"bootstrap", "true\ntenant_shares: weighted", `tenant_shares: "weighted" is not one of off, equal, quota`},
+		{"bootstrap", "true\nqueue_order: fifo", `queue_order: "fifo" is not one of target, feasible`},
 	} {
 		t.Run(invalid.field, func(t *testing.T) {
 			values := templateValues()
