--- a/cmd/thornwalk-lab/losses.go
+++ b/cmd/thornwalk-lab/losses.go
@@ -18,8 +18,9 @@
 	lines := flags.String("lines", "", "file with the nodes' lines, each as SECONDS NODE JSON")
 	report := flags.String("report", "", "the bench's report on the day; it may be missing")
 	versions := flags.Bool("versions", false, "tell instead how long each configuration took to reach all nodes")
+	tenants := flags.Bool("tenants", false, "tell instead what the attempts of each tenant got")
 	return &ffcli.Command{
-		Name: "losses", ShortUsage: "thornwalk-lab losses -lines FILE (-versions | -kinds FILE [-report FILE])", FlagSet: flags,
+		Name: "losses", ShortUsage: "thornwalk-lab losses -lines FILE (-versions | -tenants | -kinds FILE [-report FILE])", FlagSet: flags,
 		ShortHelp: "tell where the worth of a played day was lost, by window, kind and reason",
 		Exec: func(context.Context, []string) error {
 			parsed, err := readLines(*lines)
@@ -29,6 +30,9 @@
 			if *versions {
 				return parsed.PrintVersions(os.Stdout)
 			}
+			if *tenants {
+				return parsed.PrintTenants(os.Stdout)
+			}
 			return printLosses(*kinds, parsed, *report)
 		},
 	}
--- a/lab/losses/losses_test.go
+++ b/lab/losses/losses_test.go
@@ -76,6 +76,25 @@
 	g.Expect(text.String()).NotTo(gomega.ContainSubstring("\n| 3 |"), "version 3 was kept out")
 }
 
+// Guards against a tenant whose refusals are hidden behind those of others or of another service.
+func TestPrintTenantsShowsWhatEachTenantGot(t *testing.T) {
+	g := gomega.NewWithT(t)
+	lines, err := ReadLines(strings.NewReader(`
+ 1.0 n1 {"event":"request.received","node":"n1","request":"a"}
+ 1.1 n1 {"event":"request.ended","node":"n1","request":"a","service":"s","tenant":"large","outcome":"answered"}
+ 1.0 n1 {"event":"request.received","node":"n1","request":"b"}
+ 1.1 n1 {"event":"request.ended","node":"n1","request":"b","service":"s","tenant":"large","outcome":"not-run","reason":"backlog"}
+ 1.0 n1 {"event":"request.received","node":"n1","request":"c"}
+ 1.1 n1 {"event":"request.ended","node":"n1","request":"c","service":"s","tenant":"small","outcome":"not-run","reason":"quota"}
+ 1.0 n1 {"event":"request.received","node":"n1","request":"d"}
+ 1.1 n1 {"event":"request.ended","node":"n1","request":"d","outcome":"not-run","reason":"no-route"}
+`))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	var text strings.Builder
+	g.Expect(lines.PrintTenants(&text)).To(gomega.Succeed())
+	g.Expect(text.String()).To(gomega.HaveSuffix("| s | large | 2 | 1 | 0.50 | backlog 1 |\n| s | small | 1 | 0 | 0.00 | quota 1 |\n"))
+}
+
 // Guards against an empty table from files that can't be read.
 func TestInvalidInputReturnsAnError(t *testing.T) {
 	g := gomega.NewWithT(t)
