Use planned returns at the scheduling node

Cause: planned_returns had no effect. Change: the scheduling service plans the return of requests rejected for lack of slots and sets HasReservation for callers that come back when told. Counters returns.planned, .unplanned, .on_time and .early; request.placed logs retry_after_ms. The minimum Retry-After of rejections is the planner's, so that no planned time changes at the entry node.

--- a/entry/node.go
+++ b/entry/node.go
@@ -207,6 +207,7 @@
 	n.scheduling.setPolicy(settings.schedulingPolicy())
 	n.scheduling.setPoisonPolicy(settings.poisonPolicy())
 	n.scheduling.onPoisonTransition = n.logPoisonTransition
+	n.scheduling.onReturn = n.countReturn
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	return n
 }
--- a/entry/request_log.go
+++ b/entry/request_log.go
@@ -57,6 +57,7 @@
 	event.QueuedAhead, event.FreeSlots, event.ExpectedWaitMS = granted.Waiting, granted.Free, granted.Expected.Milliseconds()
 	if granted.Reason != "" {
 		event.Outcome, event.Reason = "refused", granted.Reason
+		event.RetryAfterMS = granted.retryAfter().Milliseconds()
 	} else {
 		event.Outcome, event.Replica = "granted", granted.Replica.ID
 		event.Revision, event.Era = granted.Replica.Position.Revision(), granted.Replica.Position.Era()
--- a/entry/scheduling_policy.go
+++ b/entry/scheduling_policy.go
@@ -22,6 +22,9 @@
 func (s *schedulingService) setPolicy(policy schedulingPolicy) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	if !policy.plannedReturns {
+		s.clearReturns()
+	}
 	s.policy = policy
 	s.scheduler.SetPolicy(policy.admission)
 	s.decide()
--- a/entry/scheduling_service.go
+++ b/entry/scheduling_service.go
@@ -10,6 +10,7 @@
 	"github.com/thornwalk/thornwalk/coordination/quota"
 	"github.com/thornwalk/thornwalk/coordination/rejections"
 	"github.com/thornwalk/thornwalk/coordination/retrybudget"
+	"github.com/thornwalk/thornwalk/coordination/returns"
 	"github.com/thornwalk/thornwalk/coordination/rollout"
 	"github.com/thornwalk/thornwalk/state/fingerprint"
 	"github.com/thornwalk/thornwalk/state/poisonrecords"
@@ -38,6 +39,8 @@
 	tenant      string
 	cost        float64
 	fingerprint fingerprint.Fingerprint
+	service     string
+	priority    int
 	// retryPermit is the permit of the retry budget until the request is assigned.
 	retryPermit retrybudget.Permit
 }
@@ -71,7 +74,11 @@
 	pending          map[string]chan admission.Decision
 	charges          map[string]requestCharge
 	recentRejections *rejections.Recent
-	rolloutPolicy    rollout.Policy
+	// returnPlanner is used if the policy has planned returns, and onReturn is called, with the mutex
+	// held, with each of its outcomes.
+	returnPlanner *returns.Planner
+	onReturn      func(returns.Outcome)
+	rolloutPolicy rollout.Policy
 	// poisonTracker holds the poison records. Reset keeps it: a crash stays true whichever node
 	// schedules.
 	poisonTracker *poison.Tracker
@@ -89,7 +96,7 @@
 }
 
 func newSchedulingService(clock func() structs.Instant, policy retrybudget.Policy, isFirst bool) *schedulingService {
-	s := &schedulingService{clock: clock, decidedAt: -minDecideInterval, quotaShare: 1, isFirst: isFirst, term: 1, retryBudget: retrybudget.New(policy, isFirst), poisonTracker: poison.NewTracker(poison.DefaultPolicy()), onPoisonTransition: func(string, poisonrecords.Record) {}}
+	s := &schedulingService{clock: clock, decidedAt: -minDecideInterval, quotaShare: 1, isFirst: isFirst, term: 1, retryBudget: retrybudget.New(policy, isFirst), poisonTracker: poison.NewTracker(poison.DefaultPolicy()), onPoisonTransition: func(string, poisonrecords.Record) {}, onReturn: func(returns.Outcome) {}}
 	s.clearState()
 	s.quotas.CreditDowntime(minRestartTime, clock()+restartCreditTime)
 	s.timer = time.AfterFunc(time.Hour, s.decideOnTimer)
@@ -115,6 +122,7 @@
 	s.pending = map[string]chan admission.Decision{}
 	s.charges = map[string]requestCharge{}
 	s.recentRejections = rejections.New()
+	s.clearReturns()
 	s.controllers, s.maxResponseTimes = map[string]*rollout.Controller{}, map[string]time.Duration{}
 }
 
@@ -283,8 +291,9 @@
 	id := request.Request.ID
 	decided := make(chan admission.Decision, 1)
 	s.pending[id] = decided
-	s.charges[id] = requestCharge{tenant: request.Tenant, cost: request.Cost, fingerprint: request.Request.Fingerprint, retryPermit: permit}
+	s.charges[id] = requestCharge{tenant: request.Tenant, cost: request.Cost, fingerprint: request.Request.Fingerprint, service: request.Request.Service, priority: request.Request.Priority, retryPermit: permit}
 	request.Request.WasRejected = s.recentRejections.Has(now, request.Request.Fingerprint)
+	request.Request.HasReservation = s.redeemReturn(now, request)
 	s.scheduler.Submit(now, request.Request)
 	s.decide()
 	return decided, nil
@@ -342,6 +351,7 @@
 		}
 	}
 	s.scheduler.Sweep(s.clock())
+	s.returnPlanner.Expire(s.clock())
 	s.decide()
 }
 
@@ -385,6 +395,7 @@
 				s.quotas.Refund(charge.tenant, charge.cost)
 				s.retryBudget.Cancel(charge.retryPermit)
 				s.recentRejections.Add(s.clock(), charge.fingerprint)
+				s.planReturn(now, charge, &decision)
 			}
 		} else if charge, charged := s.charges[decision.ID]; charged {
 			s.retryBudget.Commit(charge.retryPermit)
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/thornwalk/thornwalk/coordination/admission"
+	"github.com/thornwalk/thornwalk/coordination/returns"
 	"github.com/thornwalk/thornwalk/state/fingerprint"
 	"github.com/thornwalk/thornwalk/state/poisonrecords"
 	"github.com/thornwalk/thornwalk/state/pushback"
@@ -244,8 +245,17 @@
 	return outcomeNotRun
 }
 
-// retryAfterRejected is the minimum Retry-After of requests that replicas or the scheduler rejected.
-const retryAfterRejected = 400 * time.Millisecond
+// retryAfterRejected is the minimum Retry-After of requests that replicas or the scheduler rejected. A
+// planned return is never earlier, so that the caller is told the planned time.
+const retryAfterRejected = returns.MinDelay
+
+// retryAfter returns the Retry-After of a request without an assignment.
+func (g *grant) retryAfter() time.Duration {
+	if g.Reason == reasonQuota {
+		return g.RetryAfter
+	}
+	return max(g.RetryAfter, retryAfterRejected)
+}
 
 // endUnassigned ends a request that got no assignment.
 func (c *call) endUnassigned(granted *grant, executions int) {
@@ -255,8 +265,8 @@
 	case executions > 0:
 		c.endOutcomeUnknown(http.StatusBadGateway, "replica-broke-off")
 	case granted.Reason == reasonQuota:
-		c.endNotRun(http.StatusTooManyRequests, reasonQuota, granted.RetryAfter)
+		c.endNotRun(http.StatusTooManyRequests, reasonQuota, granted.retryAfter())
 	default:
-		c.endNotRun(http.StatusServiceUnavailable, granted.Reason, max(granted.RetryAfter, retryAfterRejected))
+		c.endNotRun(http.StatusServiceUnavailable, granted.Reason, granted.retryAfter())
 	}
 }
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -49,9 +49,10 @@
 	FirstEventMS int64 `json:"first_ms,omitempty"`
 	MaxPauseMS   int64 `json:"pause_ms,omitempty"`
 	// RemainingMS is the time until the deadline of the caller or the route, ExpectedWaitMS the predicted
-	// wait, both in milliseconds.
+	// wait, RetryAfterMS the time after which a rejected caller should come back, all in milliseconds.
 	RemainingMS    int64 `json:"left_ms,omitempty"`
 	ExpectedWaitMS int64 `json:"expected_ms,omitempty"`
+	RetryAfterMS   int64 `json:"retry_after_ms,omitempty"`
 	// Priority is the rank that was used, QueuedAhead the number of requests queued ahead, FreeSlots the
 	// number of free slots at the time of the decision.
 	Priority    int `json:"priority,omitempty"`
--- a/operator/story/story.go
+++ b/operator/story/story.go
@@ -124,7 +124,7 @@
 		value int64
 	}{{"status", int64(event.Status)}, {"waited_ms", event.WaitedMS}, {"took_ms", event.TookMS}, {"age_ms", event.AgeMS}, {"revision", event.Revision}, {"version", event.Version},
 		{"left_ms", event.RemainingMS}, {"priority", int64(event.Priority)}, {"prompt", int64(event.Prompt)}, {"answer", int64(event.Answer)},
-		{"waiting", int64(event.QueuedAhead)}, {"free", int64(event.FreeSlots)}, {"expected_ms", event.ExpectedWaitMS},
+		{"waiting", int64(event.QueuedAhead)}, {"free", int64(event.FreeSlots)}, {"expected_ms", event.ExpectedWaitMS}, {"retry_after_ms", event.RetryAfterMS},
 		{"first_ms", event.FirstEventMS}, {"pause_ms", event.MaxPauseMS},
 	} {
 		if part.value != 0 {
