Test planned returns of requests with short deadlines

Cause: with a deadline of 1.5 s returns are useful within 70 ms, less than a bucket, which no test covered.

--- a/coordination/returns/returns_test.go
+++ b/coordination/returns/returns_test.go
@@ -105,6 +105,27 @@
 	g.Expect(r.counts[Planned]).To(gomega.BeNumerically(">=", 8000)) // of 9,000 places in 30 s
 }
 
+// Guards against requests with a short deadline that get hardly any reservations: with 1.5 s, returns are
+// useful from 0.4 to 0.47 s only, which is always less than a bucket.
+func TestShortUsefulTimesUseTheirPlaces(t *testing.T) {
+	g := gomega.NewWithT(t)
+	r := newRecorded()
+	planned := map[int64]int{}
+	for now := time.Second; now < 6*time.Second; now += time.Millisecond {
+		refusal := refusalOf(now)
+		refusal.LatestReturn, refusal.CompletionRate = 473*time.Millisecond, 800
+		if delay, isPlanned := r.plan(now, refusal); isPlanned {
+			g.Expect(delay).To(gomega.BeNumerically("<=", 470*time.Millisecond))
+			planned[bucketOf(now+delay)]++
+		}
+	}
+	t.Logf("%d planned of 5,000 refused, in %d buckets", r.counts[Planned], len(planned))
+	g.Expect(r.counts[Planned]).To(gomega.BeNumerically(">=", 1900)) // of 40 places in each of 50 buckets
+	for bucket, count := range planned {
+		g.Expect(count).To(gomega.BeNumerically("<=", 40), "bucket %d", bucket)
+	}
+}
+
 // Guards against a caller that is not recognized although it came when told, or that uses a reservation
 // several times or at another time.
 func TestReservationServesOnceWithinItsTime(t *testing.T) {
