state/fairshare: start-time fair queueing as a package; state/queue uses it

Cause: fair shares between tenants are needed in a second place, and the arithmetic was part of state/queue. Change: fairshare.Ledger holds the virtual time and the accounts of tenants; state/queue computes its start tags from it when it orders its items, so nothing has to be moved when one is removed.

--- a/state/queue/queue.go
+++ b/state/queue/queue.go
@@ -1,6 +1,6 @@
 // Package queue orders the requests that are queued at a node for one pool of
 // replicas. Tiers have strict priority. Within a tier tenants share by weight
-// (start-time fair queueing), except that requests queued longer than an aging limit
+// (package fairshare), except that requests queued longer than an aging limit
 // come first, oldest first.
 package queue
 
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"github.com/thornwalk/thornwalk/state/fairshare"
 	"github.com/thornwalk/thornwalk/structs"
 )
 
@@ -17,8 +18,16 @@
 	Request *structs.Request
 	// Work is the estimated engine time of the request.
 	Work time.Duration
-	// startTag and finishTag are the virtual start and finish times of the item within its tier.
-	startTag, finishTag float64
+	// startTag is the virtual start time of the item within its tier, as of the latest NextItems.
+	startTag float64
+}
+
+// cost returns the item's share of its tier. A weight that is not positive counts as 1.
+func (i *Item) cost() float64 {
+	if i.Request.Weight <= 0 {
+		return i.Work.Seconds()
+	}
+	return i.Work.Seconds() / i.Request.Weight
 }
 
 // Queue holds the queued requests of one pool. It is not safe for concurrent use.
@@ -32,18 +41,15 @@
 type tier struct {
 	rank    structs.Rank
 	tenants map[string]*tenantQueue
-	// virtualTime is the highest start tag of the dispatched items.
-	virtualTime float64
-	count       int
-	work        time.Duration
+	shares  *fairshare.Ledger[string]
+	count   int
+	work    time.Duration
 }
 
-// tenantQueue holds the queued requests of one tenant within a tier, oldest first. It may be empty while
-// the tenant has used more of its share than others.
+// tenantQueue holds the queued requests of one tenant within a tier, oldest first. It is not empty.
 type tenantQueue struct {
-	items []*Item
-	// lastFinishTag is the virtual finish time of the item pushed last.
-	lastFinishTag float64
+	items   []*Item
+	account *fairshare.Account[string]
 }
 
 func New() *Queue { return &Queue{byID: map[string]*Item{}} }
@@ -79,13 +85,8 @@
 		tenant = &tenantQueue{}
 		t.tenants[request.Tenant] = tenant
 	}
-	item := &Item{Request: request, Work: work, startTag: max(t.virtualTime, tenant.lastFinishTag)}
-	weight := request.Weight
-	if weight <= 0 {
-		weight = 1
-	}
-	item.finishTag = item.startTag + work.Seconds()/weight
-	tenant.lastFinishTag = item.finishTag
+	tenant.account = t.shares.Enqueue(request.Tenant)
+	item := &Item{Request: request, Work: work}
 	tenant.items = append(tenant.items, item)
 	t.count++
 	t.work += work
@@ -106,7 +107,11 @@
 // the queues of the tenants.
 func (t *tier) appendOrdered(now structs.Instant, agingLimit time.Duration, maxItems int, items []*Item) []*Item {
 	pending := make([][]*Item, 0, len(t.tenants))
+	t.shares.BeginOrder()
 	for _, tenant := range t.tenants {
+		for _, item := range tenant.items {
+			item.startTag = tenant.account.NextTag(item.cost())
+		}
 		pending = append(pending, tenant.items)
 	}
 	for len(items) < maxItems {
@@ -174,10 +179,9 @@
 	if !found {
 		return false
 	}
-	t := q.findOrAddTier(item.Request.Rank)
-	q.remove(t, item)
-	t.virtualTime = max(t.virtualTime, item.startTag)
-	t.dropIdleTenants()
+	account := q.remove(item)
+	account.Dispatch(item.cost())
+	account.Complete(0) // the end of a request is not reported here
 	return true
 }
 
@@ -188,40 +192,22 @@
 	if !found {
 		return false
 	}
-	t := q.findOrAddTier(item.Request.Rank)
-	q.remove(t, item)
-	t.tenants[item.Request.Tenant].returnShare(item)
-	t.dropIdleTenants()
+	q.remove(item).Withdraw()
 	return true
 }
 
-func (q *Queue) remove(t *tier, item *Item) {
+// remove removes the item and returns the account of its tenant.
+func (q *Queue) remove(item *Item) *fairshare.Account[string] {
 	delete(q.byID, item.Request.ID)
+	t := q.findOrAddTier(item.Request.Rank)
 	tenant := t.tenants[item.Request.Tenant]
 	tenant.items = slices.DeleteFunc(tenant.items, func(other *Item) bool { return other == item })
+	if len(tenant.items) == 0 {
+		delete(t.tenants, item.Request.Tenant)
+	}
 	t.count--
 	t.work -= item.Work
-}
-
-// returnShare moves the tags of the items pushed after the removed one forward by its share.
-func (t *tenantQueue) returnShare(removed *Item) {
-	share := removed.finishTag - removed.startTag
-	for _, item := range t.items {
-		if item.startTag > removed.startTag {
-			item.startTag -= share
-			item.finishTag -= share
-		}
-	}
-	t.lastFinishTag -= share
-}
-
-// dropIdleTenants drops the tenants without requests whose share no longer matters.
-func (t *tier) dropIdleTenants() {
-	for name, tenant := range t.tenants {
-		if len(tenant.items) == 0 && (t.count == 0 || tenant.lastFinishTag <= t.virtualTime) {
-			delete(t.tenants, name)
-		}
-	}
+	return tenant.account
 }
 
 // LowerTiers returns the queued requests of the tiers below the rank, lowest tier
@@ -266,7 +252,7 @@
 	if t := q.findTier(rank); t != nil {
 		return t
 	}
-	t := &tier{rank: rank, tenants: map[string]*tenantQueue{}}
+	t := &tier{rank: rank, tenants: map[string]*tenantQueue{}, shares: fairshare.New[string]()}
 	index, _ := slices.BinarySearchFunc(q.tiers, rank, func(other *tier, r structs.Rank) int { return int(other.rank - r) })
 	q.tiers = slices.Insert(q.tiers, index, t)
 	return t
