coordination/admission: fair shares between tenants of equal priority

Cause: the excess load of one tenant reduces the service of all tenants equally. Change: with Policy.TenantShares each service has a ledger by priority. Requests count with their expected work, from learned durations, at their assignment, and with what they took at their end. orderByShares merges the tenants by start tag within each run of equal priority and lateness. Invalid weights count as 1. No slot was free while a request waited.

--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -20,8 +20,13 @@
 	// lengths belongs to the route, and band is the band of the expected answer in it.
 	lengths *responseLengths
 	band    lengthBand
-	// sortLength is the effective length in the current round.
+	// sortLength is the effective length in the current round, and late is true if the request can no
+	// longer meet its target.
 	sortLength int
+	late       bool
+	// startTag is the start tag by the tenant's share in the current round.
+	startTag float64
+	share    share
 }
 
 // assignment is a request that was assigned to a replica and has not ended.
@@ -40,6 +45,7 @@
 	started, late bool
 	// isCold is true if the replica was cold at the assignment.
 	isCold bool
+	share  share
 }
 
 // servicePool is the queue and the replicas of one service.
@@ -54,6 +60,9 @@
 	// canaryBudget may be nil.
 	canaryBudget   *rollout.CanaryBudget
 	lengthsByRoute map[string]*responseLengths
+	work           workEstimator
+	// ledgers has the tenants' shares by priority, and no ledger in which all tenants are equal.
+	ledgers map[int]*shareLedger
 	// slowStart is nil until it is set; cold replicas get no requests until then.
 	slowStart *SlowStart
 }
@@ -75,6 +84,8 @@
 	snapshotBuffer []replicaSnapshot
 	poisonTracker  *poison.Tracker
 	policy         Policy
+	// decidedAt is the time of the latest round of decisions.
+	decidedAt structs.Instant
 	// assignmentCounts counts the assignments by fingerprint.
 	assignmentCounts map[fingerprint.Fingerprint]int
 	// regionByZone may lack zones.
@@ -191,6 +202,7 @@
 	s.dropPauses(node)
 	for id, assignment := range s.assignments {
 		if assignment.node == node {
+			assignment.share.settle(assignment.workOf(s.decidedAt, 0))
 			s.removeAssignment(id)
 		}
 	}
@@ -235,6 +247,7 @@
 		return
 	}
 	delete(s.queued, id)
+	request.share.withdraw()
 	pool := s.pool(request.Service)
 	for i, other := range pool.queue {
 		if other == request {
--- a/coordination/admission/assignments.go
+++ b/coordination/admission/assignments.go
@@ -44,6 +44,7 @@
 	}
 	ended := Completion{Fingerprint: assignment.fingerprint, Service: assignment.service, Route: assignment.route, Replica: assignment.replicaID, Version: assignment.version, Prompt: assignment.promptTokens, AssignedAt: assignment.assignedAt}
 	isCurrent := s.isCurrentIncarnation(assignment)
+	assignment.share.settle(assignment.workOf(now, observed.Duration))
 	s.removeAssignment(id)
 	if isCurrent && !observed.CallerLeft && !assignment.late {
 		s.recordOutcome(now, assignment.service, assignment.replicaID, observed.Failed)
@@ -53,6 +54,7 @@
 	}
 	pool := s.pool(assignment.service)
 	pool.meanDuration = smooth(pool.meanDuration, observed.Duration)
+	pool.work.observe(assignment.promptTokens, observed)
 	if isCurrent {
 		s.learnSpeed(assignment, observed)
 	}
@@ -73,6 +75,7 @@
 	}
 	pool := s.pool(service)
 	pool.meanDuration = smooth(pool.meanDuration, observed.Duration)
+	pool.work.observe(prompt, observed)
 	s.learnSpeed(&assignment{service: service, replicaID: replica, promptTokens: prompt, isCold: s.replicaState(replica).isCold(now, pool)}, observed)
 }
 
@@ -111,6 +114,7 @@
 func (s *Scheduler) removeAssignment(id string) {
 	assignment := s.assignments[id]
 	delete(s.assignments, id)
+	assignment.share.settle(assignment.share.work) // the time that it took is unknown
 	if s.assignmentCounts[assignment.fingerprint]--; s.assignmentCounts[assignment.fingerprint] <= 0 {
 		delete(s.assignmentCounts, assignment.fingerprint)
 	}
--- a/coordination/admission/decide.go
+++ b/coordination/admission/decide.go
@@ -11,6 +11,7 @@
 
 // Decide assigns or rejects every queued request that can be decided now. The others stay queued.
 func (s *Scheduler) Decide(now structs.Instant) []Decision {
+	s.decidedAt = now
 	var decisions []Decision
 	names := make([]string, 0, len(s.pools))
 	for name, pool := range s.pools {
@@ -39,6 +40,7 @@
 			s.removeAssignment(id)
 		}
 	}
+	s.dropIdleLedgers()
 }
 
 // decidePool appends the decisions on one service's queue.
@@ -46,6 +48,9 @@
 	pool := s.pools[service]
 	snapshot := s.snapshot(now, service)
 	sortQueue(now, pool.queue)
+	if s.policy.TenantShares {
+		pool.orderByShares(pool.queue)
+	}
 	undecided := pool.queue[:0]
 	queuedAhead := 0
 	// The queue may hold a thousand requests: skip their lookups while nothing is tracked.
@@ -68,6 +73,9 @@
 			queuedAhead++
 			continue
 		}
+		if decision.Reason != ReasonNone {
+			request.share.withdraw()
+		}
 		request.lengths.recordDecision(request.band, decision.Reason == ReasonNone)
 		delete(s.queued, request.ID)
 		decisions = append(decisions, decision)
@@ -83,17 +91,17 @@
 func sortQueue(now structs.Instant, queue []*queuedRequest) {
 	for _, request := range queue {
 		request.sortLength = request.effectiveLength()
+		request.late = now > request.submittedAt+request.Target
 	}
 	sort.SliceStable(queue, func(i, j int) bool {
 		a, b := queue[i], queue[j]
 		if a.Priority != b.Priority {
 			return a.Priority < b.Priority
 		}
-		aLate, bLate := now > a.submittedAt+a.Target, now > b.submittedAt+b.Target
-		if aLate != bLate {
-			return bLate
+		if a.late != b.late {
+			return b.late
 		}
-		if !aLate && a.sortLength != b.sortLength {
+		if !a.late && a.sortLength != b.sortLength {
 			return a.sortLength < b.sortLength
 		}
 		return a.submittedAt+a.Target < b.submittedAt+b.Target
@@ -167,8 +175,9 @@
 	}
 	s.addAssignment(request.ID, &assignment{
 		fingerprint: request.Fingerprint, node: request.Node, service: request.Service, route: request.Route, replicaID: replica.state.entry.ID, startedAt: replica.state.entry.StartedAt, version: replica.state.entry.Version,
-		promptTokens: request.PromptTokens, assignedAt: now, isCold: replica.isCold,
+		promptTokens: request.PromptTokens, assignedAt: now, isCold: replica.isCold, share: request.share,
 	})
+	request.share.dispatch()
 	if replica.isCold {
 		replica.state.warmUp.bucket.consume()
 	}
--- a/coordination/admission/policy.go
+++ b/coordination/admission/policy.go
@@ -10,4 +10,9 @@
 }
 
 // SetPolicy sets the policy of all services.
-func (s *Scheduler) SetPolicy(policy Policy) { s.policy = policy }
+func (s *Scheduler) SetPolicy(policy Policy) {
+	s.policy = policy
+	if !policy.TenantShares {
+		s.dropShares()
+	}
+}
--- /dev/null
+++ b/coordination/admission/shares_test.go
@@ -0,0 +1,608 @@
+package admission
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"sort"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/onsi/gomega"
+
+	"github.com/thornwalk/thornwalk/state/replicas"
+	"github.com/thornwalk/thornwalk/structs"
+)
+
+// tenantLoad is a load without a network on a plain service of three replicas of six slots, in which a
+// request takes 30 ms.
+type tenantLoad struct {
+	policy Policy
+	// rates has the requests per second of each tenant, usualRates what it usually sends, and weights
+	// their weights.
+	rates, usualRates, weights []float64
+	seconds                    int
+	seed                       uint64
+}
+
+// tenantResult counts the requests of one tenant and those of them that were answered in time or late.
+type tenantResult struct{ requested, inTime, late int }
+
+const (
+	tenantLoadReplicas    = 3
+	tenantLoadSlots       = 6
+	tenantLoadDuration    = 30 * time.Millisecond
+	tenantLoadTarget      = 200 * time.Millisecond
+	tenantLoadDeadline    = 2500 * time.Millisecond
+	tenantLoadMaxReturn   = 0.32
+	tenantLoadReportDelay = 2 * time.Millisecond
+)
+
+// tenantLoadRequest is a request in a tenantLoad, or its retry.
+type tenantLoadRequest struct {
+	tenant, attempt int
+	arrived         structs.Instant
+	returnsAt       structs.Instant
+}
+
+// tenantLoadRun is a request at a replica, whose end is reported at end.
+type tenantLoadRun struct {
+	id         string
+	start, end structs.Instant
+}
+
+// run returns the results of the tenants, and the number of rounds after which a healthy replica had a
+// free slot while a request waited.
+func (l *tenantLoad) run(t *testing.T) (results []tenantResult, idleRounds int) {
+	t.Helper()
+	random := rand.New(rand.NewPCG(l.seed, 2))
+	s := New()
+	s.SetPolicy(l.policy)
+	var all []replicas.Replica
+	freeAt := map[string][]structs.Instant{}
+	for i := range tenantLoadReplicas {
+		id := fmt.Sprint("r", i)
+		all = append(all, replicas.Replica{ID: id, Service: "s", Slots: tenantLoadSlots})
+		freeAt[id] = make([]structs.Instant, tenantLoadSlots)
+	}
+	s.SetReplicas(0, all)
+	results = make([]tenantResult, len(l.rates))
+	requests, running, returning := map[string]*tenantLoadRequest{}, []tenantLoadRun{}, []*tenantLoadRequest{}
+	count := 0
+	submit := func(now structs.Instant, r *tenantLoadRequest) {
+		count++
+		id := fmt.Sprint(count)
+		requests[id] = r
+		elapsed := now - r.arrived
+		s.Submit(now, Request{ID: id, Node: "n", Service: "s", Tenant: fmt.Sprint("tenant", r.tenant), Weight: l.weights[r.tenant], Deadline: tenantLoadDeadline, Target: tenantLoadTarget, Patience: tenantLoadDeadline / 2, WasRejected: r.attempt > 0}.WithElapsed(elapsed))
+	}
+	for now := structs.Instant(0); now < time.Duration(l.seconds)*time.Second; now += time.Millisecond {
+		running = slices.DeleteFunc(running, func(ended tenantLoadRun) bool {
+			if ended.end > now {
+				return false
+			}
+			r := requests[ended.id]
+			if now-r.arrived <= tenantLoadTarget {
+				results[r.tenant].inTime++
+			} else {
+				results[r.tenant].late++
+			}
+			s.Finish(now, ended.id, Observation{Duration: ended.end - tenantLoadReportDelay - ended.start, Whole: true})
+			delete(requests, ended.id)
+			return true
+		})
+		for tenant, rate := range l.rates {
+			if random.Float64() < rate*time.Millisecond.Seconds() {
+				results[tenant].requested++
+				submit(now, &tenantLoadRequest{tenant: tenant, arrived: now})
+			}
+		}
+		returning = slices.DeleteFunc(returning, func(r *tenantLoadRequest) bool {
+			if r.returnsAt <= now {
+				submit(now, r)
+			}
+			return r.returnsAt <= now
+		})
+		for _, decision := range s.Decide(now) {
+			r := requests[decision.ID]
+			if decision.Reason == ReasonNone {
+				slots := freeAt[decision.Replica.ID]
+				first := slices.Index(slots, slices.Min(slots))
+				slots[first] = max(slots[first], now) + tenantLoadDuration
+				running = append(running, tenantLoadRun{decision.ID, now, slots[first] + tenantLoadReportDelay})
+				continue
+			}
+			delete(requests, decision.ID)
+			remaining := tenantLoadDeadline - (now - r.arrived)
+			if r.attempt == 0 && decision.RetryAfter < time.Duration(float64(remaining)*tenantLoadMaxReturn)+time.Millisecond {
+				r.attempt, r.returnsAt = 1, now+decision.RetryAfter
+				returning = append(returning, r)
+			}
+		}
+		if snapshot := s.snapshot(now, "s"); snapshot.freeSlots > 0 && len(s.queued) > 0 {
+			idleRounds++
+		}
+	}
+	return results, idleRounds
+}
+
+// worstTenth returns the mean answered share of all tenants and of the worst tenth of them, at least one.
+// What a tenant requests beyond its usual load is left out, and so is what is answered beyond that.
+func (l *tenantLoad) worstTenth(results []tenantResult) (mean, worst float64) {
+	var shares []float64
+	for tenant, result := range results {
+		requested := min(float64(result.requested), l.usualRates[tenant]*float64(l.seconds))
+		share := min(float64(result.inTime+result.late)/requested, 1)
+		shares = append(shares, share)
+		mean += share / float64(len(results))
+	}
+	slices.Sort(shares)
+	count := max(1, len(shares)/10)
+	for _, share := range shares[:count] {
+		worst += share / float64(count)
+	}
+	return mean, worst
+}
+
+// excessTenantLoad returns a load of 16 tenants of different size, whose usual load is the given share of the
+// capacity, while one of the largest sends nine times its usual load. Weights are by usual load if
+// byQuota is true.
+func excessTenantLoad(policy Policy, usualLoad float64, byQuota bool, seed uint64) *tenantLoad {
+	const tenants, excessTenant = 16, 3
+	l := &tenantLoad{policy: policy, seconds: 10, seed: seed}
+	capacity := tenantLoadReplicas * tenantLoadSlots / tenantLoadDuration.Seconds()
+	total := 0.0
+	for i := range tenants {
+		size := 1.0
+		if byQuota {
+			size = 0.5 + float64(i%4)/3
+		}
+		l.rates, l.weights = append(l.rates, size), append(l.weights, size)
+		total += size
+	}
+	for i := range tenants {
+		l.rates[i] *= usualLoad * capacity / total
+		if byQuota {
+			l.weights[i] *= tenants / total
+		}
+	}
+	l.usualRates = slices.Clone(l.rates)
+	l.rates[excessTenant] *= 9
+	return l
+}
+
+// Guards against one tenant that takes the share of the others with nine times its usual load, and
+// against slots that are kept free for a tenant's share while requests wait.
+func TestTenantsKeepTheirShareWhileOneSendsNineTimesItsLoad(t *testing.T) {
+	for _, usualLoad := range []float64{0.7, 0.95, 1.2} {
+		for _, byQuota := range []bool{false, true} {
+			t.Run(fmt.Sprintf("usual %.2f, by quota %t", usualLoad, byQuota), func(t *testing.T) {
+				t.Parallel()
+				g := gomega.NewWithT(t)
+				for seed := range uint64(2) {
+					load := excessTenantLoad(Policy{TenantShares: true}, usualLoad, byQuota, seed)
+					results, idleRounds := load.run(t)
+					mean, worst := load.worstTenth(results)
+					t.Logf("seed %d: mean %.3f, worst tenth %.3f", seed, mean, worst)
+					g.Expect(worst).To(gomega.BeNumerically(">=", 0.9*mean), fmt.Sprint(results))
+					g.Expect(idleRounds).To(gomega.BeZero())
+					if seed > 0 {
+						continue
+					}
+					load.policy = Policy{}
+					withoutResults, _ := load.run(t)
+					withoutMean, withoutWorst := load.worstTenth(withoutResults)
+					t.Logf("without shares: mean %.3f, worst tenth %.3f", withoutMean, withoutWorst)
+					g.Expect(withoutMean).To(gomega.BeNumerically("<", mean), "the load is no excess that shares help against")
+				}
+			})
+		}
+	}
+}
+
+// sharesScheduler returns a scheduler with tenant shares and one replica without slots, so that requests
+// are queued.
+func sharesScheduler(slots int) *Scheduler {
+	s := New()
+	s.SetPolicy(Policy{TenantShares: true})
+	s.SetReplicas(0, []replicas.Replica{{ID: "r", Service: "s", Slots: slots}})
+	s.pool("s").meanDuration = time.Second
+	return s
+}
+
+func tenantRequest(id, tenant string, priority int) Request {
+	return Request{ID: id, Node: "n", Service: "s", Tenant: tenant, Weight: 1, Priority: priority, Deadline: time.Minute, Target: 10 * time.Second, Patience: 30 * time.Second}
+}
+
+// Guards against shares that put a request before one of a higher priority, a late one before one in
+// time, or change the order of the requests of a tenant.
+func TestSharesKeepPrioritiesLatenessAndTheOrderWithinATenant(t *testing.T) {
+	g := gomega.NewWithT(t)
+	pool := sharesScheduler(0).pool("s")
+	random := rand.New(rand.NewPCG(1, 3))
+	for range 200 {
+		var queue []*queuedRequest
+		for i := range 40 {
+			request := &queuedRequest{Request: tenantRequest(fmt.Sprint(i), fmt.Sprint(random.IntN(4)), random.IntN(3)), late: random.IntN(2) == 0}
+			request.Weight = math.Exp(2 * (random.Float64() - 0.5))
+			queue = append(queue, request)
+		}
+		sort.SliceStable(queue, func(i, j int) bool {
+			a, b := queue[i], queue[j]
+			return a.Priority < b.Priority || a.Priority == b.Priority && !a.late && b.late
+		})
+		before := slices.Clone(queue)
+		pool.orderByShares(queue)
+		group := func(queue []*queuedRequest, tenant string) []string {
+			var ids []string
+			for _, request := range queue {
+				if tenant == "" {
+					ids = append(ids, fmt.Sprint(request.Priority, request.late))
+				} else if request.Tenant == tenant {
+					ids = append(ids, request.ID)
+				}
+			}
+			return ids
+		}
+		for _, tenant := range []string{"", "0", "1", "2", "3"} {
+			g.Expect(group(queue, tenant)).To(gomega.Equal(group(before, tenant)))
+		}
+	}
+}
+
+// Guards against tenants that alternate although their weights differ, and against a tenant that gets
+// more for requests that are many and short.
+func TestSharesAreByWorkAndWeight(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := sharesScheduler(0)
+	pool := s.pool("s")
+	pool.work.stepTime = 10 * time.Millisecond
+	for i := range 30 {
+		for _, tenant := range []struct {
+			name         string
+			weight       float64
+			answerTokens int
+		}{{"long", 1, 100}, {"short", 1, 50}, {"heavy", 2, 100}} {
+			request := tenantRequest(fmt.Sprint(tenant.name, i), tenant.name, 0)
+			request.Weight, request.PromptTokens, request.AnswerTokens = tenant.weight, 1, tenant.answerTokens
+			s.Submit(0, request)
+		}
+	}
+	sortQueue(0, pool.queue)
+	pool.orderByShares(pool.queue)
+	counts := map[string]int{}
+	for _, request := range pool.queue[:50] {
+		counts[request.Tenant]++
+	}
+	g.Expect(counts["long"]).To(gomega.BeNumerically("~", 10, 1))
+	g.Expect(counts["short"]).To(gomega.BeNumerically("~", 20, 1))
+	g.Expect(counts["heavy"]).To(gomega.BeNumerically("~", 20, 1))
+}
+
+// Guards against a tenant that gets a second share with a request that was refused and sent again.
+func TestRefusedRequestsAddNoShare(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := sharesScheduler(1)
+	s.Submit(0, tenantRequest("used", "again", 0))
+	g.Expect(s.Decide(0)).To(gomega.HaveLen(1))
+	for i := range 5 {
+		request := tenantRequest(fmt.Sprint("refused", i), "again", 0)
+		request.Patience = 0
+		s.Submit(0, request)
+		g.Expect(s.Decide(0)).To(gomega.HaveLen(1))
+	}
+	s.Submit(0, tenantRequest("again", "again", 0))
+	s.Submit(0, tenantRequest("other", "other", 0))
+	g.Expect(s.Decide(0)).To(gomega.BeEmpty())
+	s.Finish(time.Second, "used", Observation{Duration: time.Second})
+	decisions := s.Decide(time.Second)
+	g.Expect(decisions).To(gomega.HaveLen(1))
+	g.Expect(decisions[0].ID).To(gomega.Equal("other"))
+}
+
+// leadOf returns the lead of the tenant at priority zero.
+func leadOf(s *Scheduler, tenant string) float64 {
+	for _, level := range s.ShareLevels(100) {
+		if level.Tenant == xxhash.Sum64String(tenant) && level.Priority == 0 {
+			return level.Lead
+		}
+	}
+	return 0
+}
+
+// Guards against a tenant that stays charged with the estimate of a request, however it ended.
+func TestWorkIsCorrectedHoweverARequestEnds(t *testing.T) {
+	ends := []struct {
+		name string
+		end  func(s *Scheduler)
+		work float64
+	}{
+		{"answered", func(s *Scheduler) { s.Finish(5*time.Second, "r", Observation{Duration: 3 * time.Second}) }, 3},
+		{"failed", func(s *Scheduler) { s.Finish(5*time.Second, "r", Observation{Failed: true}) }, 5},
+		{"not run", func(s *Scheduler) {
+			s.ReturnShare("r")
+			s.Finish(5*time.Second, "r", Observation{Failed: true})
+		}, 0},
+		{"node ended", func(s *Scheduler) {
+			s.Decide(4 * time.Second)
+			s.DropNode("n")
+		}, 4},
+		{"end lost", func(s *Scheduler) { s.Sweep(2 * maxAssignmentAge) }, 1},
+	}
+	for _, end := range ends {
+		t.Run(end.name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			s := sharesScheduler(2)
+			other := tenantRequest("other", "other", 0)
+			other.Node = "n2"
+			s.Submit(0, other)
+			g.Expect(s.Decide(0)).To(gomega.HaveLen(1))
+			s.assignments["other"].assignedAt = 2 * maxAssignmentAge // stays in progress
+			s.Submit(0, tenantRequest("r", "tenant", 0))
+			g.Expect(s.Decide(0)).To(gomega.HaveLen(1))
+			g.Expect(leadOf(s, "tenant")).To(gomega.BeNumerically("~", 1), "the mean duration")
+			end.end(s)
+			g.Expect(s.assignments).To(gomega.HaveLen(1))
+			g.Expect(leadOf(s, "tenant")).To(gomega.BeNumerically("~", end.work))
+		})
+	}
+}
+
+// Guards against weights of other nodes that starve tenants or give one all slots.
+func TestInvalidWeightsCountAsOne(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for _, weight := range []float64{0, -1, math.NaN(), math.Inf(1), math.Inf(-1), 0.001, 1000} {
+		request := Request{Tenant: "t", Weight: weight}
+		checked, isValid := request.CheckedWeight()
+		g.Expect(checked).To(gomega.Equal(1.0), fmt.Sprint(weight))
+		g.Expect(isValid).To(gomega.BeFalse(), fmt.Sprint(weight))
+	}
+	for _, weight := range []float64{0.01, 1, 100} {
+		request := Request{Tenant: "t", Weight: weight}
+		checked, isValid := request.CheckedWeight()
+		g.Expect(checked).To(gomega.Equal(weight))
+		g.Expect(isValid).To(gomega.BeTrue())
+	}
+	earlierVersion := Request{}
+	checked, isValid := earlierVersion.CheckedWeight()
+	g.Expect(checked).To(gomega.Equal(1.0))
+	g.Expect(isValid).To(gomega.BeTrue(), "nodes of the earlier version send neither tenant nor weight")
+	s := sharesScheduler(1)
+	for i, weight := range []float64{math.NaN(), 1e300, -5, 1} {
+		request := tenantRequest(fmt.Sprint(i), fmt.Sprint(i), 0)
+		request.Weight = weight
+		s.Submit(0, request)
+	}
+	s.Decide(0)
+	for _, request := range s.pool("s").queue {
+		g.Expect(request.startTag).To(gomega.BeZero(), "each tenant's first request")
+	}
+}
+
+// Guards against requests without a tenant that have an account each, or none.
+func TestRequestsWithoutTenantShareOneAccount(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := sharesScheduler(0)
+	for i := range 3 {
+		request := tenantRequest(fmt.Sprint(i), "", 0)
+		request.Weight = 0
+		s.Submit(0, request)
+	}
+	pool := s.pool("s")
+	pool.orderByShares(pool.queue)
+	g.Expect(pool.ledgers[0].Len()).To(gomega.Equal(1))
+	g.Expect(pool.queue[2].startTag).To(gomega.BeNumerically("~", 2))
+}
+
+// Guards against a successor that starts all tenants equal, so that one that used more than its share
+// goes first again, or that keeps what it knew before.
+func TestSuccessorContinuesFromTheLevels(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := sharesScheduler(3)
+	for i := range 3 {
+		s.Submit(0, tenantRequest(fmt.Sprint(i), "ahead", 0))
+		s.Decide(0)
+	}
+	levels := s.ShareLevels(48)
+	g.Expect(levels).To(gomega.HaveLen(1))
+	successor := sharesScheduler(1)
+	g.Expect(successor.RestoreShareLevels([]ShareLevel{{"s", 0, xxhash.Sum64String("stale"), 20}})).To(gomega.BeZero())
+	g.Expect(successor.RestoreShareLevels(levels)).To(gomega.BeZero())
+	g.Expect(successor.ShareLevels(48)).To(gomega.Equal(levels))
+	successor.Submit(0, tenantRequest("ahead", "ahead", 0))
+	successor.Submit(0, tenantRequest("stale", "stale", 0))
+	decisions := successor.Decide(0)
+	g.Expect(decisions).To(gomega.HaveLen(1))
+	g.Expect(decisions[0].ID).To(gomega.Equal("stale"))
+	// A process that was suspended adds them to what it dispatched since.
+	resumed := sharesScheduler(1)
+	resumed.Submit(0, tenantRequest("own", "ahead", 0))
+	resumed.Decide(0)
+	g.Expect(resumed.MergeShareLevels(levels)).To(gomega.BeZero())
+	g.Expect(leadOf(resumed, "ahead")).To(gomega.BeNumerically("~", levels[0].Lead+1))
+}
+
+// Guards against levels that shut a tenant out, or create the state of services that do not exist.
+func TestImplausibleLevelsAreIgnored(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := sharesScheduler(1)
+	invalid := []ShareLevel{{"unknown", 0, 1, 1}, {"s", 0, 1, -1}, {"s", 0, 2, math.NaN()}, {"s", 0, 3, math.Inf(1)}, {"s", 0, 4, maxLead + 1}}
+	g.Expect(s.RestoreShareLevels(append(invalid, ShareLevel{"s", 0, 5, 2}))).To(gomega.Equal(len(invalid)))
+	g.Expect(s.ShareLevels(10)).To(gomega.Equal([]ShareLevel{{"s", 0, 5, 2}}))
+	g.Expect(s.pools).To(gomega.HaveLen(1))
+	s.SetPolicy(Policy{})
+	g.Expect(s.RestoreShareLevels([]ShareLevel{{"s", 0, 5, 2}})).To(gomega.BeZero())
+	g.Expect(s.ShareLevels(10)).To(gomega.BeEmpty(), "tenant shares are off")
+}
+
+// Guards against two schedulers, on both sides of a partition, of which one shares by nothing, and
+// against a tenant that is shut out once the partition ends.
+func TestTwoSchedulersShareByWhatTheySee(t *testing.T) {
+	g := gomega.NewWithT(t)
+	sides := []*Scheduler{sharesScheduler(1), sharesScheduler(1)}
+	served := []map[string]int{{}, {}}
+	for side, s := range sides {
+		for i := range 40 {
+			for _, tenant := range []string{"a", "b"} {
+				// The first side gets four times as many requests of a.
+				for k := range 4 {
+					if k == 0 || tenant == "a" && side == 0 {
+						request := tenantRequest(fmt.Sprint(tenant, i, ".", k), tenant, 0)
+						request.WasRejected = true // waits for its patience
+						s.Submit(0, request)
+					}
+				}
+			}
+		}
+		for round := range 40 {
+			now := structs.Instant(round) * time.Second / 10
+			for _, decision := range s.Decide(now) {
+				g.Expect(decision.Reason).To(gomega.Equal(ReasonNone))
+				served[side][decision.ID[:1]]++
+				s.Finish(now, decision.ID, Observation{Duration: time.Second})
+			}
+		}
+		g.Expect(served[side]["a"]).To(gomega.BeNumerically("~", served[side]["b"], 1))
+	}
+	for _, level := range sides[1].ShareLevels(48) {
+		g.Expect(level.Lead).To(gomega.BeNumerically("<=", 1), "at most one request")
+	}
+}
+
+// Guards against memory that grows with the number of tenants, most of which are idle, or with their
+// names of four kilobytes.
+func TestIdleTenantsUseNoMemory(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := sharesScheduler(4)
+	name := string(make([]byte, 4096))
+	most := 0
+	for i := range 20000 {
+		now := structs.Instant(i) * 10 * time.Millisecond
+		tenant := i % 2000
+		if i%3 == 0 {
+			tenant = i % 20
+		}
+		id := fmt.Sprint(i)
+		s.Submit(now, tenantRequest(id, fmt.Sprint(tenant, name), i%3))
+		for _, decision := range s.Decide(now) {
+			s.Finish(now, decision.ID, Observation{Duration: 30 * time.Millisecond})
+		}
+		if i%100 == 0 {
+			s.Sweep(now)
+		}
+		count := 0
+		for _, ledger := range s.pool("s").ledgers {
+			count += ledger.Len()
+		}
+		most = max(most, count)
+	}
+	g.Expect(most).To(gomega.BeNumerically("<=", 200))
+	g.Expect(len(s.ShareLevels(48))).To(gomega.BeNumerically("<=", 48))
+	s.Sweep(time.Hour)
+	g.Expect(s.pool("s").ledgers).To(gomega.BeEmpty())
+}
+
+// Guards against accounts that are wrong after the setting changes while requests are queued and
+// assigned.
+func TestSharesAreSwitchedWhileRequestsWait(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := sharesScheduler(1)
+	for i := range 6 {
+		s.Submit(0, tenantRequest(fmt.Sprint(i), fmt.Sprint(i%2), 0))
+	}
+	for i := range 6 {
+		s.SetPolicy(Policy{TenantShares: i%2 == 1})
+		decisions := s.Decide(structs.Instant(i) * time.Second)
+		g.Expect(decisions).To(gomega.HaveLen(1))
+		s.SetPolicy(Policy{TenantShares: i%3 == 1})
+		s.Finish(structs.Instant(i)*time.Second, decisions[0].ID, Observation{Duration: time.Second})
+	}
+	s.Sweep(time.Minute)
+	g.Expect(s.pool("s").ledgers).To(gomega.BeEmpty())
+}
+
+// Guards against accounts that keep requests which ended, were cancelled or whose node ended: their tenants
+// would never be dropped.
+func TestAccountsHoldExactlyTheRequestsQueuedAndAssigned(t *testing.T) {
+	g := gomega.NewWithT(t)
+	random := rand.New(rand.NewPCG(1, 5))
+	s := sharesScheduler(3)
+	var ids []string
+	for step := range 5000 {
+		now := structs.Instant(step) * 20 * time.Millisecond
+		id := fmt.Sprint(step)
+		if len(ids) > 0 && random.IntN(2) == 0 {
+			id = ids[random.IntN(len(ids))]
+		}
+		switch random.IntN(12) {
+		case 0:
+			s.Cancel(id)
+		case 1:
+			s.DropNode(fmt.Sprint("n", random.IntN(3)))
+		case 2:
+			s.Sweep(now)
+		case 3:
+			s.ReturnShare(id)
+		case 4, 5:
+			s.Finish(now, id, Observation{Duration: time.Second, Failed: random.IntN(4) == 0})
+		default:
+			request := tenantRequest(fmt.Sprint(step), fmt.Sprint(random.IntN(8)), random.IntN(2))
+			request.Node, request.Patience = fmt.Sprint("n", random.IntN(3)), time.Duration(random.IntN(1000))*time.Millisecond
+			s.Submit(now, request)
+			ids = append(ids, request.ID)
+		}
+		s.Decide(now)
+	}
+	for node := range 3 {
+		s.DropNode(fmt.Sprint("n", node))
+	}
+	s.Sweep(time.Hour)
+	g.Expect(s.pool("s").ledgers).To(gomega.BeEmpty())
+}
+
+// Guards against an order that depends on tenants, or differs from the one by priority, lateness, length
+// and target, while tenant shares are off.
+func TestOrderIsUnchangedWithoutShares(t *testing.T) {
+	g := gomega.NewWithT(t)
+	random := rand.New(rand.NewPCG(1, 4))
+	for range 50 {
+		s := New()
+		s.SetReplicas(0, []replicas.Replica{{ID: "r", Service: "s", Slots: 1}})
+		now := 5 * time.Second
+		var expected []*queuedRequest
+		for i := range 60 {
+			request := tenantRequest(fmt.Sprint(i), fmt.Sprint(random.IntN(4)), random.IntN(3))
+			request.Weight, request.AnswerTokens, request.Target = 100*random.Float64(), 100*random.IntN(4), time.Duration(1+random.IntN(10))*time.Second
+			request.PromptTokens, request.WasRejected = request.AnswerTokens, true
+			s.Submit(0, request)
+			expected = append(expected, s.queued[request.ID])
+		}
+		sort.SliceStable(expected, func(i, j int) bool {
+			a, b := expected[i], expected[j]
+			if a.Priority != b.Priority {
+				return a.Priority < b.Priority
+			}
+			aLate, bLate := now > a.Target, now > b.Target
+			if aLate != bLate {
+				return bLate
+			}
+			if !aLate && a.effectiveLength() != b.effectiveLength() {
+				return a.effectiveLength() < b.effectiveLength()
+			}
+			return a.Target < b.Target
+		})
+		expected = slices.Clone(expected)
+		s.Decide(now)
+		queue := s.pool("s").queue
+		g.Expect(len(queue)).To(gomega.BeNumerically(">=", 50))
+		remaining := map[string]bool{}
+		for _, request := range queue {
+			remaining[request.ID] = true
+		}
+		expected = slices.DeleteFunc(expected, func(request *queuedRequest) bool { return !remaining[request.ID] })
+		g.Expect(queue).To(gomega.Equal(expected))
+		g.Expect(s.pool("s").ledgers).To(gomega.BeNil())
+	}
+}
