entry: weights of tenants, and share levels in heartbeats

Cause: shares of tenants need the weights of the configuration, and a successor would start all tenants equal. Change: a request carries the weight of its tenant, by the mean rate that the catalog computes once. The active scheduler reports the 48 largest leads, by hashes of the tenants' names; its followers restore their ledgers from them, a process that started or resumed adds them once, and two schedulers each go by their own. Levels that don't fit are shortened before other parts of the heartbeat. A retry uses the tenant of the active configuration.

--- a/coordination/admission/shares.go
+++ b/coordination/admission/shares.go
@@ -18,8 +18,8 @@
 // from its assignment, and with the time that it took from its end.
 
 const (
-	// Weights outside of these bounds count as 1, the mean.
-	minWeight, maxWeight = 0.01, 100
+	// Weights below MinWeight or above MaxWeight count as 1, the mean.
+	MinWeight, MaxWeight = 0.01, 100
 	// maxLead is the longest plausible lead of a tenant, in seconds of work at weight 1. Longer ones are
 	// reported as this.
 	maxLead = 60
@@ -46,7 +46,7 @@
 // CheckedWeight returns the weight of the request's tenant, and false if it is invalid and counts as 1.
 // Requests of nodes without tenant shares have neither tenant nor weight.
 func (r *Request) CheckedWeight() (float64, bool) {
-	if r.Weight >= minWeight && r.Weight <= maxWeight { // not if it is not a number
+	if r.Weight >= MinWeight && r.Weight <= MaxWeight { // not if it is not a number
 		return r.Weight, true
 	}
 	return 1, r.Weight == 0 && r.Tenant == ""
--- a/coordination/liveness/liveness.go
+++ b/coordination/liveness/liveness.go
@@ -69,6 +69,9 @@
 	// Usage is what the sender granted of the tenants' quotas. It is sent while the sender
 	// schedules and for a short time afterwards; otherwise it is nil.
 	Usage *QuotaUsage `msgpack:"lg,omitempty"`
+	// ShareLevels are the leads of tenants with tenant shares on. They are sent while the sender
+	// schedules and for a short time afterwards; otherwise they are nil.
+	ShareLevels *ShareLevels `msgpack:"ts,omitempty"`
 	// KnownNodes is the number of other nodes that the sender knows by name, or the length of a
 	// peer list that it is receiving, if that is larger.
 	KnownNodes int `msgpack:"k"`
--- a/entry/heartbeats.go
+++ b/entry/heartbeats.go
@@ -223,8 +223,8 @@
 const maxHeartbeatBytes = 1200
 
 // encodeHeartbeat encodes the heartbeat within maxHeartbeatBytes. To that end it leaves out, in
-// this order, the counts of requests that the scheduling node itself assigned, the bucket levels
-// and quota usage, the failing replicas and the other counts of requests.
+// this order, the counts of requests that the scheduling node itself assigned, the smaller share
+// levels, the bucket levels and quota usage, the failing replicas and the other counts of requests.
 func encodeHeartbeat(heartbeat liveness.Heartbeat) ([]byte, error) {
 	content, err := msgpack.Marshal(heartbeat)
 	if err != nil || len(content) <= maxHeartbeatBytes {
@@ -237,6 +237,12 @@
 		}
 	}
 	heartbeat.InFlight = external
+	for heartbeat.ShareLevels != nil {
+		if content, err = msgpack.Marshal(heartbeat); err != nil || len(content) <= maxHeartbeatBytes {
+			return content, err
+		}
+		heartbeat.ShareLevels = heartbeat.ShareLevels.LargerHalf()
+	}
 	for _, shorten := range []func(){func() { heartbeat.BucketLevels, heartbeat.Usage = nil, nil }, func() { heartbeat.FailingReplicas = nil }, func() { heartbeat.InFlight = nil }, func() {}} {
 		if content, err = msgpack.Marshal(heartbeat); err != nil || len(content) <= maxHeartbeatBytes {
 			return content, err
@@ -281,6 +287,7 @@
 	}
 	if n.scheduler == settings.Name || now-n.lastActiveAt < formerSchedulerReportTime {
 		heartbeat.BucketLevels, heartbeat.Usage = n.scheduling.bucketLevels(), n.scheduling.quotaUsage()
+		heartbeat.ShareLevels = n.scheduling.shareLevels()
 	}
 	term := n.schedulerTerm()
 	for _, assigned := range n.assignments {
@@ -355,6 +362,7 @@
 	uncharged, isUsageKnown := n.recordUsage(now, heartbeat)
 	restoresLevels := n.recordBucketLevels(now, heartbeat)
 	levelsUntil := n.bucketLevelsUntil
+	takesShareLevels := n.takesShareLevels(now, &heartbeat)
 	pullsAll := n.mergePeerEra(heartbeat)
 	pullsReplicas, pullsConfiguration := n.replicaPullDue(heartbeat), n.configurationPullDue(heartbeat)
 	pullsPoison := n.poisonPullDue(now, heartbeat)
@@ -367,6 +375,9 @@
 	if isActive && n.needsRemoteLevels(heartbeat, isUsageKnown) || !isActive && restoresLevels {
 		n.applyBucketLevels(isActive, levelsUntil, heartbeat.BucketLevels)
 	}
+	if takesShareLevels {
+		n.applyShareLevels(isActive, heartbeat.ShareLevels)
+	}
 	if answers {
 		n.sendDiscoveryHeartbeat(heartbeat.Address, heartbeat.Zone, isNewcomer)
 	}
--- a/entry/node.go
+++ b/entry/node.go
@@ -207,6 +207,7 @@
 	n.scheduling.setPolicy(settings.schedulingPolicy())
 	n.scheduling.setPoisonPolicy(settings.poisonPolicy())
 	n.scheduling.onPoisonTransition = n.logPoisonTransition
+	n.scheduling.onInvalidWeight = func() { n.counter("weights.invalid").Inc(1) }
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	return n
 }
--- a/entry/scheduling_service.go
+++ b/entry/scheduling_service.go
@@ -67,6 +67,7 @@
 	// isFirst is true if no other process can have granted quotas before.
 	isFirst bool
 	policy  schedulingPolicy
+	shareLevelState
 	// pending has, by ID, the channels on which the decisions on queued requests are sent.
 	pending          map[string]chan admission.Decision
 	charges          map[string]requestCharge
@@ -112,6 +113,7 @@
 	if start < 1 {
 		s.quotas.SetAuthoritativeAt(s.clock() + quotaSettleTime)
 	}
+	s.awaitShareLevels()
 	s.pending = map[string]chan admission.Decision{}
 	s.charges = map[string]requestCharge{}
 	s.recentRejections = rejections.New()
@@ -172,6 +174,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.releaseQueuedRetries()
+	s.changeSharing(isActive)
 	s.isActive = isActive
 	s.updateColdTraffic()
 	if isActive {
@@ -285,6 +288,7 @@
 	s.pending[id] = decided
 	s.charges[id] = requestCharge{tenant: request.Tenant, cost: request.Cost, fingerprint: request.Request.Fingerprint, retryPermit: permit}
 	request.Request.WasRejected = s.recentRejections.Has(now, request.Request.Fingerprint)
+	s.checkWeight(&request.Request)
 	s.scheduler.Submit(now, request.Request)
 	s.decide()
 	return decided, nil
@@ -315,6 +319,9 @@
 func (s *schedulingService) finish(request *finishRequest) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	if request.NotRun {
+		s.scheduler.ReturnShare(request.ID)
+	}
 	ended, found := s.scheduler.Finish(s.clock(), request.ID, request.Observation)
 	if found {
 		s.recordRolloutResult(ended, request.Observation, request.NotRun)
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -129,6 +129,9 @@
 // newAssignRequest returns the request for an assignment; tried are the replicas of earlier ones.
 func (c *call) newAssignRequest(tried []string, isRetry bool) *assignRequest {
 	node := c.node
+	if len(tried) > 0 {
+		c.refreshTenant()
+	}
 	node.mutex.Lock()
 	suspected := append(node.health.Failing(node.now()), node.unreachableZoneReplicas()...)
 	node.mutex.Unlock()
@@ -145,6 +148,7 @@
 	}
 	if c.tenant != nil {
 		request.Tenant, request.Request.Tenant = c.tenant.Name, c.tenant.Name
+		request.Request.Weight = node.settings.Load().tenantWeight(node.catalog.Load(), c.tenant)
 		if c.tenant.Rate > 0 {
 			request.Limit = node.settings.Load().quotaLimit(c.tenant.Rate, c.tenant.Burst)
 		}
--- a/state/catalog/catalog.go
+++ b/state/catalog/catalog.go
@@ -5,6 +5,7 @@
 package catalog
 
 import (
+	"math"
 	"sort"
 	"strings"
 	"time"
@@ -129,6 +130,9 @@
 	byKey    map[string]*Tenant
 	services map[string]*Service
 	tenants  map[string]*Tenant
+	// meanTokenRate and meanRequestRate are the mean rates of the tenants that have one, which counts
+	// tokens or requests.
+	meanTokenRate, meanRequestRate float64
 }
 
 // hostRoutes indexes the routes of one host. There may be thousands, so match must
@@ -204,9 +208,38 @@
 			c.byKey[key] = tenant
 		}
 	}
+	c.meanTokenRate, c.meanRequestRate = meanRate(document.Tenants, true), meanRate(document.Tenants, false)
 	return c, nil
 }
 
+// hasRate reports whether the rate is usable in a ratio.
+func (t *Tenant) hasRate() bool { return t.Rate > 0 && !math.IsInf(t.Rate, 1) }
+
+// meanRate returns the mean rate of the tenants whose rate counts tokens, or requests.
+func meanRate(tenants []Tenant, countTokens bool) float64 {
+	mean, count := 0.0, 0.0
+	for i := range tenants {
+		if tenant := &tenants[i]; tenant.hasRate() && tenant.CountTokens == countTokens {
+			count++
+			mean += (tenant.Rate - mean) / count // a sum could overflow
+		}
+	}
+	return mean
+}
+
+// RelativeRate returns the rate of the tenant divided by the mean rate of all tenants with a rate in the
+// same unit. It is 1 for a tenant without a rate.
+func (c *Catalog) RelativeRate(tenant *Tenant) float64 {
+	mean := c.meanRequestRate
+	if tenant.CountTokens {
+		mean = c.meanTokenRate
+	}
+	if !tenant.hasRate() || mean <= 0 {
+		return 1
+	}
+	return tenant.Rate / mean
+}
+
 func (c *Catalog) addRoute(route *Route) error {
 	switch route.Kind {
 	case KindSafe, KindUnsafe, KindStreaming:
