admission: let the test of late requests use a known response time

Cause: its requests had no target at all, so that the rule for requests in time rejected them as well. Change: their response time is learned and longer than their target. Measured: the test fails if late requests are never or always rejected at once.

--- a/coordination/admission/feasible_test.go
+++ b/coordination/admission/feasible_test.go
@@ -233,7 +233,8 @@
 	g := gomega.NewWithT(t)
 	s, now := overloadedScheduler(g)
 	late, returned := newCaller("late", 0), newRequest("returned", 0)
-	late.Target, returned.Target = 0, 0
+	late.Target, returned.Target = 100*ms, 100*ms
+	learnResponseTime(s, 200*ms)
 	s.Submit(now, newCaller("in-time", 0))
 	s.Submit(now, late)
 	s.Submit(now, returned)
@@ -246,6 +247,7 @@
 
 	s = newFeasibleScheduler(1)
 	occupy(s, 1)
+	learnResponseTime(s, 200*ms)
 	s.Submit(0, newRequest("in-time", 0))
 	s.Submit(0, late)
 	g.Expect(s.Decide(0)).To(gomega.BeEmpty(), "not overloaded")
