admission: check the fairness between lengths with the feasible order as well

Cause: newest first and early rejections could starve the longest responses. Change: the test of long responses under overload plays both orders.

--- a/coordination/admission/response_lengths_test.go
+++ b/coordination/admission/response_lengths_test.go
@@ -21,7 +21,7 @@
 // servedUnderOverload simulates four replicas with four slots each, which get twice as many requests of
 // one route as they can serve. One answer in ten is ten times as long as the others. It returns the
 // served share of the short and of the long ones.
-func servedUnderOverload(span time.Duration) (short, long float64) {
+func servedUnderOverload(policy Policy, span time.Duration) (short, long float64) {
 	const (
 		shortAnswer, longAnswer = 60, 600
 		step                    = 5 * ms
@@ -31,6 +31,7 @@
 	)
 	random := rand.New(rand.NewPCG(1, 2))
 	s := New()
+	s.SetPolicy(policy)
 	s.SetReplicas(0, replicasWithSlots(4, 4, 4, 4))
 	submitted, served := map[int]int{}, map[int]int{}
 	answers := map[string]int{}
@@ -68,9 +69,11 @@
 // that of all requests.
 func TestLongestAnswersAreServedUnderOverload(t *testing.T) {
 	g := gomega.NewWithT(t)
-	short, long := servedUnderOverload(time.Minute)
-	all := 0.9*short + 0.1*long
-	t.Logf("served share: %.2f of the short answers, %.2f of the long ones", short, long)
-	g.Expect(all).To(gomega.BeNumerically(">", 0.4), "the slots are used")
-	g.Expect(long).To(gomega.BeNumerically(">", all/2))
+	for _, policy := range []Policy{{}, {FeasibleOrder: true}} {
+		short, long := servedUnderOverload(policy, time.Minute)
+		all := 0.9*short + 0.1*long
+		t.Logf("%+v: served share: %.2f of the short answers, %.2f of the long ones", policy, short, long)
+		g.Expect(all).To(gomega.BeNumerically(">", 0.4), "the slots are used")
+		g.Expect(long).To(gomega.BeNumerically(">", all/2))
+	}
 }
