admission: let no request with a long target undo a detected overload

Cause: among requests of one priority with different targets the last one decided whether overload lasts. Measured: the test of the hysteresis has such a request and fails without the change.

--- a/coordination/admission/feasible.go
+++ b/coordination/admission/feasible.go
@@ -100,13 +100,13 @@
 }
 
 // updateOverload determines the overloaded priorities by the requests that stayed queued after a round of
-// decisions.
+// decisions, which are sorted by priority.
 func (p *servicePool) updateOverload(now structs.Instant, snapshot *poolSnapshot) {
 	var updated map[int]overload
+	var lasting *queuedRequest
 	for _, request := range p.queue {
-		before, wasAbove := p.overloads[request.Priority]
 		share := overloadEnterShare
-		if before.isLasting {
+		if request.isOverloaded {
 			share = overloadLeaveShare
 		}
 		// A request that waits while slots are free waits for a suitable replica. One with little or no
@@ -114,14 +114,21 @@
 		if request.Target <= 0 || len(request.Tried) > 0 || now-request.submittedAt <= shareOf(request.Target, share) || !snapshot.isFullFor(&request.Request) {
 			continue
 		}
-		if updated == nil {
-			updated = map[int]overload{}
+		if lasting != nil && lasting.Priority == request.Priority {
+			continue
 		}
+		state, wasAbove := p.overloads[request.Priority]
 		if !wasAbove {
-			before.since = now
+			state.since = now
+		}
+		state.isLasting = state.isLasting || now-state.since >= shareOf(request.Target, overloadEnterTime)
+		if state.isLasting {
+			lasting = request
+		}
+		if updated == nil {
+			updated = map[int]overload{}
 		}
-		before.isLasting = before.isLasting || now-before.since >= shareOf(request.Target, overloadEnterTime)
-		updated[request.Priority] = before
+		updated[request.Priority] = state
 	}
 	p.overloads = updated
 }
--- a/coordination/admission/feasible_test.go
+++ b/coordination/admission/feasible_test.go
@@ -273,15 +273,22 @@
 	pool := New().pool("s")
 	full := &poolSnapshot{}
 	now := structs.Instant(10 * time.Second)
+	below, above, between := overloadEnterShare-0.05, overloadEnterShare+0.05, overloadLeaveShare+0.05
 	// play has the oldest request wait for that share of its target in each round, and returns how often
 	// the state changed.
 	play := func(span time.Duration, snapshot *poolSnapshot, shares ...float64) int {
 		changes, round := 0, 0
 		for end := now + span; now < end; now += 10 * ms {
 			before := pool.overloads[3].isLasting
-			request := &queuedRequest{Request: Request{Priority: 3, Target: time.Second}}
+			request := &queuedRequest{Request: Request{Priority: 3, Target: time.Second}, lengths: pool.lengthsOf("")}
 			request.submittedAt = now - shareOf(request.Target, shares[round%len(shares)])
+			// A second request with a longer target must not undo what the first one shows.
+			patient := &queuedRequest{Request: Request{Priority: 3, Target: 4 * time.Second}, submittedAt: now - 2*time.Second, lengths: pool.lengthsOf("")}
 			pool.queue = []*queuedRequest{request}
+			if shares[0] == above {
+				pool.queue = append(pool.queue, patient)
+			}
+			pool.sortFeasible(now)
 			pool.updateOverload(now, snapshot)
 			if pool.overloads[3].isLasting != before {
 				changes++
@@ -290,7 +297,6 @@
 		}
 		return changes
 	}
-	below, above, between := overloadEnterShare-0.05, overloadEnterShare+0.05, overloadLeaveShare+0.05
 	enterTime := shareOf(time.Second, overloadEnterTime)
 	g.Expect(play(10*time.Second, full, below)).To(gomega.Equal(0))
 	g.Expect(play(enterTime-20*ms, full, above)).To(gomega.Equal(0), "a burst")
