--- a/coordination/admission/assignments.go
+++ b/coordination/admission/assignments.go
@@ -55,6 +55,10 @@
 	pool := s.pool(assignment.service)
 	pool.meanDuration = smooth(pool.meanDuration, observed.Duration)
 	pool.work.observe(assignment.promptTokens, observed)
+	if !assignment.late {
+		pool.responseTimes.observe(assignment.promptTokens, observed)
+	}
+	pool.responseTimes.observeTransfer(now - assignment.assignedAt - observed.Duration)
 	if isCurrent {
 		s.learnSpeed(assignment, observed)
 	}
@@ -76,6 +80,7 @@
 	pool := s.pool(service)
 	pool.meanDuration = smooth(pool.meanDuration, observed.Duration)
 	pool.work.observe(prompt, observed)
+	pool.responseTimes.observe(prompt, observed)
 	s.learnSpeed(&assignment{service: service, replicaID: replica, promptTokens: prompt, isCold: s.replicaState(replica).isCold(now, pool)}, observed)
 }
 
--- a/coordination/admission/shares_test.go
+++ b/coordination/admission/shares_test.go
@@ -270,7 +270,7 @@
 			s.Submit(0, request)
 		}
 	}
-	sortQueue(0, pool.queue)
+	sortByTarget(0, pool.queue)
 	pool.orderByShares(pool.queue)
 	counts := map[string]int{}
 	for _, request := range pool.queue[:50] {
