Place requests and learn speeds by the work times that replicas report

Cause: replicas that share machines take 2.5 times as long for less than a second. Placement doesn't know it, and the speeds learned from such responses count the replica as slow long afterwards. Change: the work time of the load report goes to the scheduling node with the start and, in case that message is lost or another node schedules, the end of the response; both fields are omitted if the replica reports none. Admission keeps the factor over the replica's mean speed; its effect ends 600 ms after the report. It scales the cost of a placement over the expected duration, and is taken out of prefill and step times. It excludes no replica. Reports are ordered by the time since the assignment, so that a late message doesn't replace a newer report. loads.unreadable counts reports that can't be read; status shows recent factors.

--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -39,7 +39,8 @@
 	// started is true once the answer has started, and late if it did not start in time.
 	started, late bool
 	// isCold is true if the replica was cold at the assignment.
-	isCold bool
+	isCold   bool
+	workTime responseWorkTime
 }
 
 // servicePool is the queue and the replicas of one service.
@@ -259,17 +260,19 @@
 	Queued int `json:"waiting"`
 	// InFlight counts the reported requests by replica.
 	InFlight map[string]int `json:"used"`
+	// WorkTimeFactors has the factors by replica of those that recently reported their work time.
+	WorkTimeFactors map[string]float64 `json:"work_time_factors,omitempty"`
 }
 
 // Counts returns the state of every service by name.
-func (s *Scheduler) Counts() map[string]ServiceStatus {
+func (s *Scheduler) Counts(now structs.Instant) map[string]ServiceStatus {
 	counts := map[string]ServiceStatus{}
 	for name, pool := range s.pools {
 		inFlight := map[string]int{}
 		for _, state := range pool.replicas {
 			inFlight[state.entry.ID] = state.reportedInFlight()
 		}
-		counts[name] = ServiceStatus{Queued: len(pool.queue), InFlight: inFlight}
+		counts[name] = ServiceStatus{Queued: len(pool.queue), InFlight: inFlight, WorkTimeFactors: pool.workTimeFactors(now)}
 	}
 	return counts
 }
--- a/coordination/admission/assignments.go
+++ b/coordination/admission/assignments.go
@@ -44,6 +44,9 @@
 	}
 	ended := Completion{Fingerprint: assignment.fingerprint, Service: assignment.service, Route: assignment.route, Replica: assignment.replicaID, Version: assignment.version, Prompt: assignment.promptTokens, AssignedAt: assignment.assignedAt}
 	isCurrent := s.isCurrentIncarnation(assignment)
+	if isCurrent {
+		s.concludeWorkTime(now, assignment, observed)
+	}
 	s.removeAssignment(id)
 	if isCurrent && !observed.CallerLeft && !assignment.late {
 		s.recordOutcome(now, assignment.service, assignment.replicaID, observed.Failed)
@@ -73,14 +76,17 @@
 	}
 	pool := s.pool(service)
 	pool.meanDuration = smooth(pool.meanDuration, observed.Duration)
-	s.learnSpeed(&assignment{service: service, replicaID: replica, promptTokens: prompt, isCold: s.replicaState(replica).isCold(now, pool)}, observed)
+	ended := &assignment{service: service, replicaID: replica, promptTokens: prompt, assignedAt: now - observed.Duration, isCold: s.replicaState(replica).isCold(now, pool)}
+	s.concludeWorkTime(now, ended, observed)
+	s.learnSpeed(ended, observed)
 }
 
-// learnSpeed updates the replica's speed from a request that succeeded.
+// learnSpeed updates the replica's speed from a request that succeeded. Times count as they would have
+// been at the mean of the speeds that the replica reports.
 func (s *Scheduler) learnSpeed(assignment *assignment, observed Observation) {
 	speed := s.replicaState(assignment.replicaID).speedFor(assignment.isCold)
 	if observed.Events > 0 && assignment.promptTokens > 0 && !assignment.late {
-		speed.prefill.observe(assignment.promptTokens, observed.FirstEvent)
+		speed.prefill.observe(assignment.promptTokens, atMeanSpeed(observed.FirstEvent, assignment.workTime.atStart))
 	}
 	step := observed.Duration
 	switch {
@@ -89,7 +95,7 @@
 	case observed.Events == 1:
 		return
 	}
-	speed.stepTime = smooth(speed.stepTime, step)
+	speed.stepTime = smooth(speed.stepTime, atMeanSpeed(step, assignment.workTime.steps))
 }
 
 // smooth returns the exponential moving average after one more observation.
--- a/coordination/admission/decide.go
+++ b/coordination/admission/decide.go
@@ -219,7 +219,7 @@
 		if canMeetTarget && replica.wouldMissTarget(&request.Request, waited, replica.unreadTokens) {
 			continue
 		}
-		cost := replica.cost(request.PromptTokens)
+		cost := replica.cost(now, &request.Request)
 		cost *= s.localityFactor(request.Zone, replica.state.entry.Zone)
 		if replica.wouldDelayStreams(&request.Request) {
 			if protectStreams {
--- a/coordination/admission/messages.go
+++ b/coordination/admission/messages.go
@@ -128,4 +128,8 @@
 	Failed bool
 	// Whole is true if the replica sent a complete answer, even one that reports a failure.
 	Whole bool
+	// WorkTime is the work time that the replica reported, in percent of its usual one, and HeadDelay the
+	// time from the send to that report. WorkTime is zero if the replica reported none.
+	WorkTime  int           `msgpack:",omitempty"`
+	HeadDelay time.Duration `msgpack:",omitempty"`
 }
--- a/coordination/admission/replica.go
+++ b/coordination/admission/replica.go
@@ -24,6 +24,7 @@
 	prefilling []*assignment
 	// speed was learned while the replica was warm, and coldSpeed while it was cold.
 	speed, coldSpeed speed
+	workTime         workTime
 	warmUp           warmUp
 	limit            rateLimit
 	// leaving is true if the replica has announced that it takes no new requests.
@@ -80,6 +81,7 @@
 func (r *replicaState) forget() {
 	r.speed, r.coldSpeed, r.health, r.unreported, r.ejected = speed{}, speed{}, health{}, unreportedLoad{}, false
 	r.limit, r.leaving = rateLimit{}, false
+	r.workTime.forget()
 }
 
 // reportedInFlight counts the requests at the replica that nodes report.
--- a/coordination/admission/snapshot.go
+++ b/coordination/admission/snapshot.go
@@ -46,6 +46,8 @@
 	isUnhealthy bool
 	// isLimited is true if the replica has announced a rate limit.
 	isCold, isLimited bool
+	// hasWorkTime is true if the replica recently reported its work time.
+	hasWorkTime bool
 }
 
 // canFinish reports whether an answer of that many tokens is likely to be complete within the
@@ -82,6 +84,7 @@
 			unreadTokens: state.unreadTokens(now), slowdown: speed.slowdown(fastest), stepTime: speed.stepTime,
 			prefillTimePerToken: timePerToken, prefillFixedTime: speed.prefill.fixedTime(timePerToken),
 			isUnhealthy: state.ejected || state.isQuarantined(now), isCold: isCold, isLimited: state.limit.known.IsSet(),
+			hasWorkTime: state.workTime.isRecent(now),
 		}
 		if state.isProbing() {
 			replica.maxInFlight = 1
@@ -182,7 +185,12 @@
 	return false
 }
 
-// cost returns the cost of running the prompt at the replica, in prompt tokens of the fastest replica.
-func (r *replicaSnapshot) cost(promptTokens int) float64 {
-	return r.slowdown * float64(requestCostTokens+r.unreadTokens+promptTokens+r.inFlight*inFlightCostTokens)
+// cost returns the cost of running the request at the replica, in prompt tokens of the fastest replica.
+func (r *replicaSnapshot) cost(now structs.Instant, request *Request) float64 {
+	cost := r.slowdown * float64(requestCostTokens+r.unreadTokens+request.PromptTokens+r.inFlight*inFlightCostTokens)
+	if !r.hasWorkTime {
+		return cost
+	}
+	duration := time.Duration(request.AnswerTokens)*r.stepTime + time.Duration(request.PromptTokens)*r.prefillTimePerToken
+	return cost * r.state.workTime.factorDuring(now, duration)
 }
--- a/entry/assignment.go
+++ b/entry/assignment.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/thornwalk/thornwalk/protocol/peerwire"
-	"github.com/thornwalk/thornwalk/state/pushback"
 	"github.com/thornwalk/thornwalk/structs"
 	"github.com/thornwalk/thornwalk/transport/peer"
 )
@@ -191,8 +190,8 @@
 
 // reportFirstEvent reports the start of a response to the scheduling node, in the background. It is
 // not sent again if it is lost.
-func (n *Node) reportFirstEvent(granted *grant, load int, signals *pushback.Signals) {
-	message := &firstEventRequest{ID: granted.id, Load: load, Pushback: signals}
+func (n *Node) reportFirstEvent(granted *grant, message *firstEventRequest) {
+	message.ID = granted.id
 	if granted.address == "" {
 		n.scheduling.recordFirstEvent(message)
 		return
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/thornwalk/thornwalk/coordination/admission"
+	"github.com/thornwalk/thornwalk/state/loadreport"
 	"github.com/thornwalk/thornwalk/state/replicas"
 	"github.com/thornwalk/thornwalk/transport/network"
 	"github.com/thornwalk/thornwalk/transport/replicahttp"
@@ -58,6 +59,7 @@
 // attempt sends the request to the granted replica once.
 func (c *call) attempt(granted *grant) (result, admission.Observation) {
 	node := c.node
+	grantedAt := node.now()
 	c.lastFailure = causeNone
 	maxIdle := maxIdleRepeatable
 	if !c.route.Repeatable() {
@@ -86,8 +88,15 @@
 		return c.recordIncomplete(granted.Replica.ID, err), admission.Observation{Failed: true, CallerLeft: c.ctx.Err() != nil}
 	}
 	node.recordZoneContact(granted.Replica.Zone, true)
-	node.reportFirstEvent(granted, c.reportedLoad(answer), node.applyPushback(answer, granted.Replica, sentAt))
+	load, workTime := c.reportedLoad(answer)
+	started := &firstEventRequest{Load: load, WorkTime: workTime, Pushback: node.applyPushback(answer, granted.Replica, sentAt)}
+	var headDelay time.Duration
+	if workTime > 0 {
+		headDelay, started.SinceGrant = time.Since(sentTime), node.now()-grantedAt
+	}
+	node.reportFirstEvent(granted, started)
 	outcome, observed := c.relay(answer, granted.Replica, sentTime)
+	observed.WorkTime, observed.HeadDelay = workTime, headDelay
 	switch outcome {
 	case resultAnswered, resultRejected, resultServerError:
 		answer.Done()
@@ -116,13 +125,23 @@
 	c.node.counter("breaks." + string(c.lastFailure)).Inc(1)
 }
 
-// reportedLoad returns the number of requests that the replica reported, or -1 if it reported none.
-func (c *call) reportedLoad(answer *replicahttp.Answer) int {
-	parts := splitList(answer.Header.Get(c.node.dependencies.Headers.Load))
-	if len(parts) < 2 {
-		return -1
+// reportedLoad returns the number of requests and the work time that the replica reported. The number is
+// -1 if it reported none, and the work time zero. A report that can't be read is counted and ignored.
+func (c *call) reportedLoad(answer *replicahttp.Answer) (load, workTime int) {
+	names := &c.node.dependencies.Headers
+	text := answer.Header.Get(names.Load)
+	if text == "" {
+		return -1, 0
+	}
+	report, err := loadreport.Parse(text)
+	if err != nil {
+		c.node.counter("loads.unreadable").Inc(1)
+		return -1, 0
+	}
+	if answer.StatusCode == http.StatusMisdirectedRequest || answer.Header.Get(names.Signature) == "" && answer.Header.Get(names.NotRun) == "" {
+		return report.InFlight(), 0 // another server may have sent it, whose work time isn't the replica's
 	}
-	return parseIntOrZero(parts[0]) + parseIntOrZero(parts[1])
+	return report.InFlight(), report.WorkTime
 }
 
 // tokensPerEvent returns the number of tokens in one event of the service's streams.
--- a/entry/messages.go
+++ b/entry/messages.go
@@ -82,6 +82,10 @@
 	ID string
 	// Load is the number of requests that the replica reported, or -1.
 	Load int
+	// WorkTime is the work time that the replica reported, in percent of its usual one, zero if it reported
+	// none. SinceGrant is the time from the assignment's arrival at the node to the report.
+	WorkTime   int           `msgpack:",omitempty"`
+	SinceGrant time.Duration `msgpack:",omitempty"`
 	// Pushback holds the pushback signals of the response, nil if the scheduling node doesn't need them.
 	Pushback *pushback.Signals `msgpack:"Said,omitempty"`
 }
--- a/entry/scheduling_service.go
+++ b/entry/scheduling_service.go
@@ -305,6 +305,7 @@
 	defer s.mutex.Unlock()
 	now := s.clock()
 	s.scheduler.RecordFirstEvent(now, request.ID, request.Load)
+	s.scheduler.RecordWorkTime(now, request.ID, request.WorkTime, request.SinceGrant)
 	if request.Pushback != nil {
 		s.scheduler.ApplyPushback(now, request.ID, *request.Pushback)
 	}
@@ -402,5 +403,5 @@
 func (s *schedulingService) counts() map[string]admission.ServiceStatus {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.scheduler.Counts()
+	return s.scheduler.Counts(s.clock())
 }
--- a/lab/platformsim/replica.go
+++ b/lab/platformsim/replica.go
@@ -118,6 +118,7 @@
 	mutex      sync.Mutex
 	behaviorOf func(request *http.Request) Behavior
 	pushback   Pushback
+	workTime   int
 	runs       []*Run
 	running    int
 	arrivals   []Arrival
@@ -142,6 +143,14 @@
 	r.pushback = pushback
 }
 
+// SetWorkTime sets the work time that all further answers report in a load header, in percent of the
+// usual. Without it they have no such header. It does not change how long runs take.
+func (r *Replica) SetWorkTime(workTime int) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.workTime = workTime
+}
+
 // Runs returns copies of the requests that the replica ran, in the order of their start.
 func (r *Replica) Runs() []Run {
 	r.mutex.Lock()
@@ -430,11 +439,21 @@
 		head += "Content-Type: " + contentType + "\r\n"
 	}
 	if run != nil {
-		head += r.pushbackLines(run.arrival, false)
+		head += r.pushbackLines(run.arrival, false) + r.loadLine()
 	}
 	return head
 }
 
+// loadLine returns the load header line of an answer, empty if the replica reports no work time.
+func (r *Replica) loadLine() string {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.workTime == 0 {
+		return ""
+	}
+	return fmt.Sprintf("X-Server-Load: %d,0,%d,%d\r\n", r.running, r.Slots, r.workTime)
+}
+
 func writeText(conn net.Conn, text string) bool {
 	_, err := io.WriteString(conn, text)
 	return err == nil
