--- a/coordination/admission/doc.go
+++ b/coordination/admission/doc.go
@@ -11,6 +11,7 @@
 //   - A queued request gets exactly one decision, and none after Cancel.
 //   - A replica is assigned a request only while its known in-flight requests are fewer than its
 //     slots plus a few extra ones that bridge the time between two requests in a slot.
+//   - The work time that a replica reports changes its cost only: it never makes a request wait.
 //   - A request is not assigned before a more urgent one of its service that could use the same slot: one
 //     that is expected to meet its target there, or at no replica, and whose prompt does not delay the
 //     streams there too long.
--- a/coordination/admission/work_time.go
+++ b/coordination/admission/work_time.go
@@ -16,7 +16,7 @@
 const (
 	// workTimeDecay is the age at which a report has no effect. Where a state lasts about 600 ms, the share
 	// of replicas that are still in the reported one falls about linearly to zero in that time. Decays of
-	// 400 to 800 ms gave the same response times within 2 % (docs/decisions/0031).
+	// 300 to 1,000 ms gave the same response times within 2 % (docs/decisions/0031).
 	workTimeDecay = 600 * time.Millisecond
 	// minReportedSpeed and maxReportedSpeed bound the speeds that follow from reports, so that an
 	// implausible one doesn't outweigh all that was learned. Disturbed work takes 2.5 times as long, a speed
