Answer /tenants and /explain at the operators' address of every entry node

Change: the scheduling service records submissions, decisions, ends and rejections by quota and retry budget, which happen before the queue. Any node answers operators by asking the scheduling node, with a new kind of peer message and a time-out of 2 s. The query uses a connection of its own: a node of the earlier version closes a connection on a kind that it doesn't know, which would break the assignments that wait on the one in use. The entry node sends the caller's request ID, shortened, in a new field that is left out when it is empty. Counter tenants.refused.REASON and gauge tenants.active.

--- a/entry/messages.go
+++ b/entry/messages.go
@@ -23,6 +23,8 @@
 	// First is true for the first assignment of a request, and Repeat if an earlier attempt reached
 	// a replica. Neither is true after a failed connect.
 	First, Repeat bool
+	// RequestID is the caller's ID of the request, shortened, for the reports to operators.
+	RequestID string `msgpack:",omitempty"`
 	// PushbackReports are the pushback reports on the service's replicas that the asking node knows.
 	PushbackReports []pushback.Report `msgpack:"Heard,omitempty"`
 	// Known is the asking node's recent poison record of the request, nil if there is none.
--- a/entry/node.go
+++ b/entry/node.go
@@ -207,6 +207,7 @@
 	n.scheduling.setPolicy(settings.schedulingPolicy())
 	n.scheduling.setPoisonPolicy(settings.poisonPolicy())
 	n.scheduling.onPoisonTransition = n.logPoisonTransition
+	n.registerTenantMetrics()
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	return n
 }
@@ -279,6 +280,7 @@
 	peer.Handle(server, peerwire.KindUpdates, n.serveUpdates)
 	peer.Handle(server, peerwire.KindPoisonRecords, n.servePoisonRecords)
 	peer.Handle(server, peerwire.KindConfigurationParts, n.serveParts)
+	peer.Handle(server, peerwire.KindTenantReport, n.serveTenantReport)
 	n.registerMemoryMetrics(server)
 	n.peerListener = listener
 	go server.Serve(n.ctx, listener)
--- a/entry/operators.go
+++ b/entry/operators.go
@@ -94,6 +94,7 @@
 			http.Error(w, err.Error(), http.StatusNotFound)
 		}
 	}).Methods(http.MethodPost)
+	n.handleTenantReports(router)
 	router.HandleFunc("/metrics", n.serveMetrics).Methods(http.MethodGet)
 	return router
 }
--- a/entry/scheduling_service.go
+++ b/entry/scheduling_service.go
@@ -11,6 +11,7 @@
 	"github.com/thornwalk/thornwalk/coordination/rejections"
 	"github.com/thornwalk/thornwalk/coordination/retrybudget"
 	"github.com/thornwalk/thornwalk/coordination/rollout"
+	"github.com/thornwalk/thornwalk/coordination/tenantstats"
 	"github.com/thornwalk/thornwalk/state/fingerprint"
 	"github.com/thornwalk/thornwalk/state/poisonrecords"
 	"github.com/thornwalk/thornwalk/state/pushback"
@@ -71,7 +72,11 @@
 	pending          map[string]chan admission.Decision
 	charges          map[string]requestCharge
 	recentRejections *rejections.Recent
-	rolloutPolicy    rollout.Policy
+	// stats counts by tenant for operators, since the state was last cleared or the role changed.
+	stats *tenantstats.Recorder
+	// onRejection is called, with the mutex held, with the reason of each rejection.
+	onRejection   func(reason string)
+	rolloutPolicy rollout.Policy
 	// poisonTracker holds the poison records. Reset keeps it: a crash stays true whichever node
 	// schedules.
 	poisonTracker *poison.Tracker
@@ -89,7 +94,7 @@
 }
 
 func newSchedulingService(clock func() structs.Instant, policy retrybudget.Policy, isFirst bool) *schedulingService {
-	s := &schedulingService{clock: clock, decidedAt: -minDecideInterval, quotaShare: 1, isFirst: isFirst, term: 1, retryBudget: retrybudget.New(policy, isFirst), poisonTracker: poison.NewTracker(poison.DefaultPolicy()), onPoisonTransition: func(string, poisonrecords.Record) {}}
+	s := &schedulingService{clock: clock, decidedAt: -minDecideInterval, quotaShare: 1, isFirst: isFirst, term: 1, retryBudget: retrybudget.New(policy, isFirst), poisonTracker: poison.NewTracker(poison.DefaultPolicy()), onPoisonTransition: func(string, poisonrecords.Record) {}, onRejection: func(string) {}}
 	s.clearState()
 	s.quotas.CreditDowntime(minRestartTime, clock()+restartCreditTime)
 	s.timer = time.AfterFunc(time.Hour, s.decideOnTimer)
@@ -115,6 +120,7 @@
 	s.pending = map[string]chan admission.Decision{}
 	s.charges = map[string]requestCharge{}
 	s.recentRejections = rejections.New()
+	s.stats = tenantstats.New(s.clock())
 	s.controllers, s.maxResponseTimes = map[string]*rollout.Controller{}, map[string]time.Duration{}
 }
 
@@ -173,6 +179,7 @@
 	defer s.mutex.Unlock()
 	s.releaseQueuedRetries()
 	s.isActive = isActive
+	s.stats = tenantstats.New(s.clock())
 	s.updateColdTraffic()
 	if isActive {
 		s.epoch++
@@ -271,20 +278,21 @@
 	if request.Repeat {
 		reserved, ok := s.retryBudget.Reserve(now, request.Request.Service)
 		if !ok {
-			return nil, &assignReply{Reason: reasonRetryBudget, RetryAfter: time.Second}
+			return nil, s.rejectUnqueued(now, request, reasonRetryBudget, time.Second, quota.Limit{})
 		}
 		permit = reserved
 	}
 	limit := request.Limit.Scaled(s.quotaShare)
 	if wait, ok := s.quotas.Take(now, request.Tenant, limit, request.Cost); !ok {
 		s.retryBudget.Cancel(permit)
-		return nil, &assignReply{Reason: reasonQuota, RetryAfter: wait}
+		return nil, s.rejectUnqueued(now, request, reasonQuota, wait, limit)
 	}
 	id := request.Request.ID
 	decided := make(chan admission.Decision, 1)
 	s.pending[id] = decided
 	s.charges[id] = requestCharge{tenant: request.Tenant, cost: request.Cost, fingerprint: request.Request.Fingerprint, retryPermit: permit}
 	request.Request.WasRejected = s.recentRejections.Has(now, request.Request.Fingerprint)
+	s.recordSubmission(now, request)
 	s.scheduler.Submit(now, request.Request)
 	s.decide()
 	return decided, nil
@@ -320,6 +328,7 @@
 		s.recordRolloutResult(ended, request.Observation, request.NotRun)
 	}
 	s.recordPoisonResult(ended, request)
+	s.recordFinish(s.clock(), request)
 	s.scheduler.Cancel(request.ID)
 	delete(s.pending, request.ID)
 	if charge, found := s.charges[request.ID]; found {
@@ -339,9 +348,11 @@
 	for node := range s.scheduler.Nodes() {
 		if !live[node] {
 			s.scheduler.DropNode(node)
+			s.stats.NodeEnded(s.clock(), node)
 		}
 	}
 	s.scheduler.Sweep(s.clock())
+	s.stats.Sweep(s.clock())
 	s.decide()
 }
 
@@ -376,6 +387,7 @@
 			continue
 		}
 		delete(s.pending, decision.ID)
+		s.recordDecision(now, decision)
 		if decision.Trial {
 			s.reportPoisonTransition(poisonTrial, s.charges[decision.ID].fingerprint)
 		}
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/thornwalk/thornwalk/coordination/admission"
+	"github.com/thornwalk/thornwalk/coordination/tenantstats"
 	"github.com/thornwalk/thornwalk/state/fingerprint"
 	"github.com/thornwalk/thornwalk/state/poisonrecords"
 	"github.com/thornwalk/thornwalk/state/pushback"
@@ -141,7 +142,7 @@
 			Deadline: c.remaining(),
 			Target:   max(c.route.TargetLatency-c.age(), 0), Patience: c.maxQueueWait(),
 		},
-		First: len(tried) == 0, Repeat: isRetry, PushbackReports: node.pushbackReports(c.service), Known: node.scheduling.poisonRecordOf(c.fingerprint),
+		First: len(tried) == 0, Repeat: isRetry, RequestID: tenantstats.ShortName(c.id), PushbackReports: node.pushbackReports(c.service), Known: node.scheduling.poisonRecordOf(c.fingerprint),
 	}
 	if c.tenant != nil {
 		request.Tenant, request.Request.Tenant = c.tenant.Name, c.tenant.Name
--- /dev/null
+++ b/entry/tenant_report_test.go
@@ -0,0 +1,62 @@
+package entry
+
+import (
+	"net"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+
+	"github.com/onsi/gomega"
+
+	"github.com/thornwalk/thornwalk/lab/memnet"
+	"github.com/thornwalk/thornwalk/protocol/peerwire"
+)
+
+// serveAsEarlierVersion answers pings and closes a connection with any other message, as a node does whose
+// version doesn't know the kind of the message.
+func serveAsEarlierVersion(listener net.Listener, opened *atomic.Int64) {
+	for {
+		connection, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		opened.Add(1)
+		go func() {
+			defer connection.Close()
+			for {
+				envelope, _, err := peerwire.ReadFrame(connection)
+				if err != nil || envelope.Kind != peerwire.KindProbe {
+					return
+				}
+				envelope.Reply = true
+				if _, err := peerwire.WriteFrame(connection, envelope); err != nil {
+					return
+				}
+			}
+		}()
+	}
+}
+
+// Guards against a report that breaks the connection of the assignments, if the scheduling node has an
+// earlier version, and against an unclear answer.
+func TestTenantReportOfAnEarlierVersionKeepsTheConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		fabric := memnet.New()
+		listener, err := fabric.Host("n2").Listen("n2:7600")
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		var opened atomic.Int64
+		go serveAsEarlierVersion(listener, &opened)
+		node := New(&Settings{Name: "n1"}, Dependencies{Network: fabric.Host("n1")})
+		defer node.scheduling.timer.Stop()
+		for asked := range int64(3) {
+			_, err = node.askTenantReport(node.ctx, "n2", "n2:7600", &tenantReportRequest{})
+			g.Expect(err).To(gomega.MatchError(gomega.And(gomega.ContainSubstring("n2 closed the connection"), gomega.ContainSubstring("once all nodes are updated"))))
+			g.Expect(opened.Load()).To(gomega.Equal(1 + asked + 1))
+		}
+		g.Expect(node.peers.Ping(node.ctx, "n2:7600")).To(gomega.Succeed())
+		g.Expect(opened.Load()).To(gomega.BeNumerically("==", 4), "the connection of the assignments is still the first one")
+		node.peers.Close()
+		g.Expect(listener.Close()).To(gomega.Succeed())
+	})
+}
--- a/protocol/peerwire/peerwire.go
+++ b/protocol/peerwire/peerwire.go
@@ -39,6 +39,7 @@
 	KindFirstEvent
 	KindConfigurationParts
 	KindPoisonRecords
+	KindTenantReport
 	kindEnd
 )
 
@@ -47,7 +48,7 @@
 	KindFloorDemand: "floor-demand", KindFloorSet: "floor-set", KindLimitDemand: "limit-demand",
 	KindRegister: "register", KindRegistryUpdate: "registry-update", KindRegistryLookup: "registry-lookup",
 	KindJoin: "join", KindClaim: "claim", KindAssign: "place", KindFinish: "finish", KindUpdates: "news", KindFirstEvent: "begun",
-	KindConfigurationParts: "configuration-parts", KindPoisonRecords: "contents",
+	KindConfigurationParts: "configuration-parts", KindPoisonRecords: "contents", KindTenantReport: "tenants",
 }
 
 // String returns the name of the kind for metrics and logs.
