Add thornwalk tenants, and explain rejections of entry nodes

Cause: operators had no command for the reports by tenant.

Change: operator.Client has Tenants and Rejections. thornwalk tenants prints the table; thornwalk explain takes the id or the content of a request and asks an entry node first, and a node of the other daemon as before.

--- a/cmd/thornwalk/inspect.go
+++ b/cmd/thornwalk/inspect.go
@@ -15,6 +15,7 @@
 
 	"github.com/thornwalk/thornwalk/coordination/scheduler"
 	"github.com/thornwalk/thornwalk/coordination/settingsync"
+	"github.com/thornwalk/thornwalk/operator"
 	"github.com/thornwalk/thornwalk/operator/story"
 	"github.com/thornwalk/thornwalk/state/settings"
 )
@@ -126,14 +127,21 @@
 	flags := o.flagSet("explain")
 	logs := flags.String("logs", "", "log files of the nodes, separated by commas; - for standard input")
 	return &ffcli.Command{
-		Name: "explain", ShortUsage: "thornwalk explain [-logs FILE,...] REQUEST-ID", ShortHelp: "show why the nodes decided as they did", FlagSet: flags,
+		Name: "explain", ShortUsage: "thornwalk explain [-logs FILE,...] REQUEST|CONTENT", ShortHelp: "show why the nodes decided as they did; at entry nodes, why a request was rejected", FlagSet: flags,
 		Exec: func(ctx context.Context, arguments []string) error {
 			if len(arguments) != 1 {
-				return errors.New("name exactly one request id, from the header Thornwalk-Request-Id")
+				return errors.New("name exactly one request: by its id, from the header Thornwalk-Request-Id, or at entry nodes by the id or content of its log lines")
 			}
 			if *logs != "" {
 				return explainLogs(arguments[0], *logs)
 			}
+			found, err := o.client().Rejections(ctx, arguments[0])
+			if err == nil {
+				return o.printRejections(found)
+			}
+			if !errors.Is(err, operator.ErrNoSuchPath) {
+				return err
+			}
 			decisions, err := o.client().Explain(ctx, arguments[0])
 			if err != nil {
 				return err
--- a/cmd/thornwalk/main.go
+++ b/cmd/thornwalk/main.go
@@ -44,7 +44,7 @@
 		ShortUsage: "thornwalk [flags] <subcommand>", ShortHelp: "operate thornwalk", FlagSet: set,
 		Options: []ff.Option{ff.WithEnvVarPrefix("THORNWALK")},
 		Subcommands: []*ffcli.Command{
-			configCommand(o), statusCommand(o), peersCommand(o), backendsCommand(o), explainCommand(o), drainCommand(o), placeCommand(o), rolloutCommand(o), barredCommand(o), evacuationsCommand(o), storeCommand(o),
+			configCommand(o), statusCommand(o), peersCommand(o), backendsCommand(o), explainCommand(o), tenantsCommand(o), drainCommand(o), placeCommand(o), rolloutCommand(o), barredCommand(o), evacuationsCommand(o), storeCommand(o),
 		},
 		Exec: func(context.Context, []string) error { return flag.ErrHelp },
 	}
--- a/operator/client.go
+++ b/operator/client.go
@@ -6,9 +6,12 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"net/url"
+	"strings"
 	"time"
 
 	"github.com/thornwalk/thornwalk/coordination/settingsync"
@@ -45,6 +48,17 @@
 	return get[*entry.Status](ctx, c, entry.PathStatus)
 }
 
+// Tenants returns what the tenants of each service get, from an entry daemon. It needs no token.
+func (c *Client) Tenants(ctx context.Context) (*entry.TenantTable, error) {
+	return get[*entry.TenantTable](ctx, c, entry.PathTenants)
+}
+
+// Rejections returns the remembered rejections of a request from an entry daemon. The request is named
+// by its fingerprint or the caller's ID. The error matches ErrNoSuchPath if the node is no entry daemon.
+func (c *Client) Rejections(ctx context.Context, request string) (*entry.Rejections, error) {
+	return get[*entry.Rejections](ctx, c, entry.PathExplain+url.PathEscape(request))
+}
+
 // Unblock unblocks a poison request at an entry daemon, by its fingerprint.
 func (c *Client) Unblock(ctx context.Context, fingerprint string) error {
 	return c.do(ctx, http.MethodPost, entry.PathUnblock+url.PathEscape(fingerprint), nil, nil)
@@ -124,9 +138,26 @@
 	return json.NewDecoder(response.Body).Decode(reply)
 }
 
+// ErrNoSuchPath is matched by errors of calls that the node's kind or version does not have.
+var ErrNoSuchPath = errors.New("status 404 Not Found: the node's kind or version does not have this call")
+
+const (
+	// maxErrorBytes bounds the body of an error that is read.
+	maxErrorBytes = 1 << 20
+	// routerNotFound is the text with which net/http answers paths without a handler.
+	routerNotFound = "404 page not found"
+)
+
 func remoteError(response *http.Response) error {
 	var body openai.ErrorBody
-	if err := json.NewDecoder(response.Body).Decode(&body); err != nil {
+	content, err := io.ReadAll(io.LimitReader(response.Body, maxErrorBytes))
+	if err == nil {
+		err = json.Unmarshal(content, &body)
+	}
+	if err != nil {
+		if response.StatusCode == http.StatusNotFound && strings.TrimSpace(string(content)) == routerNotFound {
+			return fmt.Errorf("call node: %w", ErrNoSuchPath)
+		}
 		return fmt.Errorf("call node: status %s", response.Status)
 	}
 	kind, known := errkind.ByCode(body.Error.Code)
