--- a/entry/doc.go
+++ b/entry/doc.go
@@ -13,6 +13,8 @@
 //
 // Other nodes: heartbeats.go, heartbeat_relay.go, discovery.go, scheduler_selection.go (roles) and
 // slow_node.go. scheduling_service.go is the scheduling node's side of assignment.go, with
-// scheduling_quota.go, scheduling_slow_start.go, scheduling_poison.go and scheduling_rollout.go;
-// bucket_levels.go, poison_sync.go and rollout.go exchange its state with other nodes.
+// scheduling_quota.go, scheduling_slow_start.go, scheduling_poison.go, scheduling_rollout.go and
+// scheduling_stats.go;
+// bucket_levels.go, poison_sync.go and rollout.go exchange its state with other
+// nodes, and tenant_report.go reports its counts by tenant to operators at any node.
 package entry
