Give operators the remedy that fits a missing report by tenant

Cause: a trial of the commands against the entry demo showed errors with the remedies of the other daemon (answer_retention, thornwalk peers), twice where the error came from the scheduling node.

Change: the asked node writes the message. Rejections that a node decided on its own are looked up there also if the scheduling node knows of none.

--- a/coordination/tenantstats/table.go
+++ b/coordination/tenantstats/table.go
@@ -48,7 +48,7 @@
 			waits[request.account] = max(waits[request.account], now-request.submittedAt)
 		}
 	}
-	var rows []Row
+	rows := []Row{} // an empty list in JSON too
 	for _, name := range slices.Sorted(maps.Keys(r.services)) {
 		rows = append(rows, r.services[name].rows(now, name, waits)...)
 	}
--- a/entry/scheduling_stats_test.go
+++ b/entry/scheduling_stats_test.go
@@ -174,9 +174,9 @@
 	g.Expect(json.Unmarshal(reply.JSON, &table)).To(gomega.Succeed())
 	g.Expect(table.Tenants).To(gomega.HaveLen(1))
 	g.Expect(table.Tenants[0].Refused).To(gomega.HaveKeyWithValue(reasonRetryBudget, int64(1)))
-	_, err = node.serveTenantReport(t.Context(), &tenantReportRequest{Request: "unknown"})
+	_, err = node.tenantReport(t.Context(), &tenantReportRequest{Request: "unknown"})
 	g.Expect(errors.Is(err, errkind.NotFound)).To(gomega.BeTrue())
-	g.Expect(err).To(gomega.MatchError(gomega.ContainSubstring("the latest of the last")))
+	g.Expect(err).To(gomega.MatchError(gomega.And(gomega.ContainSubstring(`n1, which schedules and has counted for 0s, remembers no rejection of "unknown"`), gomega.Not(gomega.ContainSubstring("answer_retention")))))
 	g.Expect(node.counter("tenants.refused." + reasonRetryBudget).Count()).To(gomega.BeNumerically("==", 1))
 }
 
--- a/entry/tenant_report.go
+++ b/entry/tenant_report.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"net/http"
 	"time"
 
@@ -55,10 +56,24 @@
 // tenantReportTimeout bounds the query to the scheduling node.
 const tenantReportTimeout = 2 * time.Second
 
+// reportError is an error of a report with a message for operators.
+type reportError struct {
+	kind    *errkind.Kind
+	message string
+}
+
+func newReportError(kind *errkind.Kind, format string, arguments ...any) error {
+	return &reportError{kind: kind, message: fmt.Sprintf(format, arguments...)}
+}
+
+func (e *reportError) Error() string { return e.message }
+
+func (e *reportError) Unwrap() error { return e.kind }
+
 // serveTenantReport answers the query of another node. It fails if this node does not schedule.
 func (n *Node) serveTenantReport(_ context.Context, request *tenantReportRequest) (*tenantReportReply, error) {
 	if scheduler, address := n.currentScheduler(); address != "" {
-		return nil, errkind.New(errkind.PeerUnavailable, "this node does not schedule any more, %s does", scheduler)
+		return nil, newReportError(errkind.PeerUnavailable, "it does not schedule any more, %s does", scheduler)
 	}
 	report, err := n.localTenantReport(request)
 	return &tenantReportReply{JSON: report}, err
@@ -74,10 +89,6 @@
 	}
 	found := n.scheduling.explain(request.Request)
 	found.Scheduler = name
-	if len(found.Rejections) == 0 {
-		counted := (time.Duration(found.CountedMS) * time.Millisecond).Round(time.Second)
-		return nil, errkind.New(errkind.NotFound, "%s, which schedules, remembers no rejection of %.80q: it has the latest of the last %s; look for older ones, and for requests that no scheduling node rejected, with thornwalk explain -logs", name, request.Request, counted)
-	}
 	return json.Marshal(found)
 }
 
@@ -85,16 +96,30 @@
 // or can't be reached, those that this node decided on its own are looked up too.
 func (n *Node) tenantReport(ctx context.Context, request *tenantReportRequest) ([]byte, error) {
 	scheduler, address := n.currentScheduler()
+	ask := func() ([]byte, error) { return n.askTenantReport(ctx, scheduler, address, request) }
 	if address == "" {
-		return n.localTenantReport(request)
+		ask = func() ([]byte, error) { return n.localTenantReport(request) }
+	}
+	report, err := ask()
+	if request.Request == "" || err == nil && hasRejections(report) {
+		return report, err
+	}
+	if own, ownErr := n.localTenantReport(request); ownErr == nil && hasRejections(own) {
+		return own, nil
 	}
-	report, err := n.askTenantReport(ctx, scheduler, address, request)
-	if err != nil && request.Request != "" {
-		if local, localErr := n.localTenantReport(request); localErr == nil {
-			return local, nil
-		}
+	if err != nil {
+		return nil, err
 	}
-	return report, err
+	var none Rejections
+	_ = json.Unmarshal(report, &none)
+	counted := (time.Duration(none.CountedMS) * time.Millisecond).Round(time.Second)
+	return nil, newReportError(errkind.NotFound, "%s, which schedules and has counted for %s, remembers no rejection of %.80q: it keeps the latest ones only, and none of requests that were rejected without a scheduling node; look for these with thornwalk explain -logs", none.Scheduler, counted, request.Request)
+}
+
+// hasRejections reports whether a report has rejections.
+func hasRejections(report []byte) bool {
+	var found Rejections
+	return json.Unmarshal(report, &found) == nil && len(found.Rejections) > 0
 }
 
 // askTenantReport asks the scheduling node over a connection of its own: a node of a version without
@@ -113,11 +138,11 @@
 	}
 	switch {
 	case errors.Is(err, peer.ErrLinkBroken):
-		return nil, errkind.New(errkind.PeerUnavailable, "the scheduling node %s closed the connection: it has ended, or its version does not count by tenant; ask again once all nodes are updated", scheduler)
-	case errors.Is(err, errkind.PeerUnavailable):
-		return nil, errkind.New(errkind.PeerUnavailable, "the scheduling node %s gave no report by tenant (%v): ask again, since another node schedules soon if it has ended", scheduler, err)
+		return nil, newReportError(errkind.PeerUnavailable, "the scheduling node %s closed the connection: it has ended, or its version does not count by tenant; ask again once all nodes are updated", scheduler)
+	case err != nil:
+		return nil, newReportError(errkind.PeerUnavailable, "the scheduling node %s gave no report by tenant: ask again, since another node schedules soon if it has ended (%v)", scheduler, err)
 	}
-	return reply.JSON, err
+	return reply.JSON, nil
 }
 
 // Paths of the reports by tenant at the operators' address.
--- a/entry/tenant_report_test.go
+++ b/entry/tenant_report_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"errors"
 	"net"
 	"sync/atomic"
 	"testing"
@@ -8,7 +9,9 @@
 
 	"github.com/onsi/gomega"
 
+	"github.com/thornwalk/thornwalk/coordination/liveness"
 	"github.com/thornwalk/thornwalk/lab/memnet"
+	"github.com/thornwalk/thornwalk/protocol/errkind"
 	"github.com/thornwalk/thornwalk/protocol/peerwire"
 )
 
@@ -60,3 +63,32 @@
 		g.Expect(listener.Close()).To(gomega.Succeed())
 	})
 }
+
+// Guards against rejections that a node decided on its own, as no scheduling node answered it, and that
+// nobody can explain, and against a follower that answers others as if it scheduled.
+func TestRejectionsOfANodeOnItsOwnAreExplainedThere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		fabric := memnet.New()
+		node := New(&Settings{Name: "n1"}, Dependencies{Network: fabric.Host("n1")})
+		defer node.scheduling.timer.Stop()
+		request := statsRequest("1", "a")
+		request.Repeat = true
+		_, rejected := node.scheduling.submit(request)
+		g.Expect(rejected.Reason).To(gomega.Equal(reasonRetryBudget))
+		node.members.Observe(0, liveness.Heartbeat{Name: "n2", Address: "n2:7600", IntervalMS: 100})
+		node.scheduler = "n2"
+		report, err := node.tenantReport(node.ctx, &tenantReportRequest{Request: "caller-1"})
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(string(report)).To(gomega.ContainSubstring(`"scheduler":"n1"`))
+		for _, query := range []string{"", "caller-2"} {
+			_, err = node.tenantReport(node.ctx, &tenantReportRequest{Request: query})
+			g.Expect(errors.Is(err, errkind.PeerUnavailable)).To(gomega.BeTrue(), query)
+			g.Expect(err).To(gomega.MatchError(gomega.ContainSubstring("the scheduling node n2 gave no report")))
+		}
+		_, err = node.serveTenantReport(node.ctx, &tenantReportRequest{})
+		g.Expect(errors.Is(err, errkind.PeerUnavailable)).To(gomega.BeTrue())
+		g.Expect(err).To(gomega.MatchError("it does not schedule any more, n2 does"))
+		node.peers.Close()
+	})
+}
