Test that the use of tenants that share a row is kept

Cause: a variant that loses the use of a replaced account passed the tests. Change: the sum of the use over the rows is checked. Measured: the variant fails TestManyTenantsAreListedInBoundedSpace.

--- a/coordination/tenantstats/recorder_test.go
+++ b/coordination/tenantstats/recorder_test.go
@@ -134,12 +134,14 @@
 	g.Expect(rows[0].Tenant).To(gomega.Equal("heavier"))
 	g.Expect(rows[1].Tenant).To(gomega.Equal("heavy"))
 	g.Expect(rows[MaxTenants].Others).To(gomega.BeTrue())
-	answered, share := int64(0), 0.0
+	answered, share, used := int64(0), 0.0, 0.0
 	for _, row := range rows {
 		answered += row.Answered
+		used += row.Used
 		share += row.Share
 	}
 	g.Expect(answered).To(gomega.BeNumerically("==", requests))
+	g.Expect(used).To(gomega.BeNumerically("~", 6+3*2, 0.01), "6,000 requests of 1 ms and 3 of 2 s so far")
 	g.Expect(share).To(gomega.BeNumerically("~", 1, 1e-9))
 	g.Expect(len(r.services["s"].byName)).To(gomega.BeNumerically("<=", maxAccounts))
 	g.Expect(r.services["s"].list).To(gomega.HaveLen(len(r.services["s"].byName)))
