--- a/test/entry/tenants_test.go
+++ b/test/entry/tenants_test.go
@@ -24,6 +24,10 @@
 // be reached.
 const reportTimeout = 4 * time.Second
 
+// finishTime is the time after a response until the scheduling node has been told its end, which nodes do
+// in the background.
+const finishTime = 100 * time.Millisecond
+
 // configureTenants gives the tenant "small" no quota and "large" one of 2 requests per second.
 func (s *scenario) configureTenants() {
 	s.configure(func(c *entrylab.Configuration) {
@@ -92,6 +96,7 @@
 			time.Sleep(50 * time.Millisecond)
 		}
 		group.Wait()
+		time.Sleep(finishTime)
 		s.Expect(len(rejected)).To(gomega.BeNumerically(">", 10))
 		contents := map[string]string{}
 		for _, event := range s.loggedEvents("request.ended") {
@@ -153,6 +158,7 @@
 				s.configureTenants()
 				scheduler, followers := s.scheduler(), s.followers()
 				s.Expect(s.sendAs(followers[0], "key-small", "before").status).To(gomega.Equal(http.StatusOK))
+				time.Sleep(finishTime)
 				before := s.tenantTable(followers[0])
 				s.Expect(rowOf(before, "small").Answered).To(gomega.BeNumerically("==", 1))
 				away(s, scheduler)
@@ -170,6 +176,7 @@
 				s.Expect(after.Tenants).To(gomega.BeEmpty())
 				s.Expect(after.CountedMS).To(gomega.And(gomega.BeNumerically(">", 0), gomega.BeNumerically("<", time.Since(awayAt).Milliseconds())))
 				s.Expect(s.sendAs(followers[1], "key-small", "after").status).To(gomega.Equal(http.StatusOK))
+				time.Sleep(finishTime)
 				for _, node := range followers {
 					s.Expect(rowOf(s.tenantTable(node), "small").Answered).To(gomega.BeNumerically("==", 1))
 				}
@@ -201,7 +208,7 @@
 		s.Expect(row.Running).To(gomega.Equal(4))
 		s.Expect(row.Queued).To(gomega.BeNumerically(">", 0))
 		group.Wait()
-		time.Sleep(100 * time.Millisecond)
+		time.Sleep(finishTime)
 		row = rowOf(s.tenantTable("n1"), tenantstats.ShortName(long))
 		s.Expect(row.Queued + row.Running).To(gomega.BeZero())
 		s.Expect(len(row.Tenant)).To(gomega.BeNumerically("<=", 64))
