Record the time to return as the caller was told it

Cause: the entry node raises Retry-After of rejections other than by quota to 0.4 s, and a planner of returns may change it after the decision; the recorded time was the one before. Change: the decision is recorded last, with the raised time.

--- a/entry/scheduling_service.go
+++ b/entry/scheduling_service.go
@@ -387,7 +387,6 @@
 			continue
 		}
 		delete(s.pending, decision.ID)
-		s.recordDecision(now, decision)
 		if decision.Trial {
 			s.reportPoisonTransition(poisonTrial, s.charges[decision.ID].fingerprint)
 		}
@@ -403,6 +402,7 @@
 			charge.retryPermit = retrybudget.Permit{}
 			s.charges[decision.ID] = charge
 		}
+		s.recordDecision(now, decision)
 		decided <- decision
 	}
 	if len(s.pending) > 0 {
--- a/entry/scheduling_stats.go
+++ b/entry/scheduling_stats.go
@@ -38,7 +38,8 @@
 	s.onRejection(rejection.Reason)
 }
 
-// recordDecision records the decision on a queued request.
+// recordDecision records the decision on a queued request. The entry node tells callers to come back after
+// retryAfterRejected at least.
 func (s *schedulingService) recordDecision(now structs.Instant, decision admission.Decision) {
 	if decision.Reason == admission.ReasonNone {
 		s.stats.Assigned(now, decision.ID)
@@ -46,7 +47,7 @@
 	}
 	s.recordRejection(now, decision.ID, tenantstats.Rejection{
 		Reason: string(decision.Reason), QueuedAhead: decision.QueuedAhead, FreeSlots: decision.FreeSlots,
-		ExpectedWait: decision.ExpectedWait, Waited: decision.Waited, RetryAfter: decision.RetryAfter,
+		ExpectedWait: decision.ExpectedWait, Waited: decision.Waited, RetryAfter: max(decision.RetryAfter, retryAfterRejected),
 	})
 }
 
