--- a/entry/node.go
+++ b/entry/node.go
@@ -209,6 +209,7 @@
 	n.scheduling.onPoisonTransition = n.logPoisonTransition
 	n.scheduling.onReturn = n.countReturn
 	n.scheduling.onInvalidWeight = func() { n.counter("weights.invalid").Inc(1) }
+	n.registerTenantMetrics()
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	return n
 }
@@ -281,6 +282,7 @@
 	peer.Handle(server, peerwire.KindUpdates, n.serveUpdates)
 	peer.Handle(server, peerwire.KindPoisonRecords, n.servePoisonRecords)
 	peer.Handle(server, peerwire.KindConfigurationParts, n.serveParts)
+	peer.Handle(server, peerwire.KindTenantReport, n.serveTenantReport)
 	n.registerMemoryMetrics(server)
 	n.peerListener = listener
 	go server.Serve(n.ctx, listener)
--- a/entry/scheduling_service.go
+++ b/entry/scheduling_service.go
@@ -12,6 +12,7 @@
 	"github.com/thornwalk/thornwalk/coordination/retrybudget"
 	"github.com/thornwalk/thornwalk/coordination/returns"
 	"github.com/thornwalk/thornwalk/coordination/rollout"
+	"github.com/thornwalk/thornwalk/coordination/tenantstats"
 	"github.com/thornwalk/thornwalk/state/fingerprint"
 	"github.com/thornwalk/thornwalk/state/poisonrecords"
 	"github.com/thornwalk/thornwalk/state/pushback"
@@ -79,6 +80,10 @@
 	// held, with each of its outcomes.
 	returnPlanner *returns.Planner
 	onReturn      func(returns.Outcome)
+	// stats counts by tenant for operators, since the state was last cleared or the role changed.
+	stats *tenantstats.Recorder
+	// onRejection is called, with the mutex held, with the reason of each rejection.
+	onRejection   func(reason string)
 	rolloutPolicy rollout.Policy
 	// poisonTracker holds the poison records. Reset keeps it: a crash stays true whichever node
 	// schedules.
@@ -97,7 +102,11 @@
 }
 
 func newSchedulingService(clock func() structs.Instant, policy retrybudget.Policy, isFirst bool) *schedulingService {
-	s := &schedulingService{clock: clock, decidedAt: -minDecideInterval, quotaShare: 1, isFirst: isFirst, term: 1, retryBudget: retrybudget.New(policy, isFirst), poisonTracker: poison.NewTracker(poison.DefaultPolicy()), onPoisonTransition: func(string, poisonrecords.Record) {}, onReturn: func(returns.Outcome) {}}
+	s := &schedulingService{
+		clock: clock, decidedAt: -minDecideInterval, quotaShare: 1, isFirst: isFirst, term: 1,
+		retryBudget: retrybudget.New(policy, isFirst), poisonTracker: poison.NewTracker(poison.DefaultPolicy()),
+		onPoisonTransition: func(string, poisonrecords.Record) {}, onReturn: func(returns.Outcome) {}, onRejection: func(string) {},
+	}
 	s.clearState()
 	s.quotas.CreditDowntime(minRestartTime, clock()+restartCreditTime)
 	s.timer = time.AfterFunc(time.Hour, s.decideOnTimer)
@@ -125,6 +134,7 @@
 	s.charges = map[string]requestCharge{}
 	s.recentRejections = rejections.New()
 	s.clearReturns()
+	s.stats = tenantstats.New(s.clock())
 	s.controllers, s.maxResponseTimes = map[string]*rollout.Controller{}, map[string]time.Duration{}
 }
 
@@ -184,6 +194,7 @@
 	s.releaseQueuedRetries()
 	s.changeSharing(isActive)
 	s.isActive = isActive
+	s.stats = tenantstats.New(s.clock())
 	s.updateColdTraffic()
 	if isActive {
 		s.epoch++
@@ -282,14 +293,14 @@
 	if request.Repeat {
 		reserved, ok := s.retryBudget.Reserve(now, request.Request.Service)
 		if !ok {
-			return nil, &assignReply{Reason: reasonRetryBudget, RetryAfter: time.Second}
+			return nil, s.rejectUnqueued(now, request, reasonRetryBudget, time.Second, quota.Limit{})
 		}
 		permit = reserved
 	}
 	limit := request.Limit.Scaled(s.quotaShare)
 	if wait, ok := s.quotas.Take(now, request.Tenant, limit, request.Cost); !ok {
 		s.retryBudget.Cancel(permit)
-		return nil, &assignReply{Reason: reasonQuota, RetryAfter: wait}
+		return nil, s.rejectUnqueued(now, request, reasonQuota, wait, limit)
 	}
 	id := request.Request.ID
 	decided := make(chan admission.Decision, 1)
@@ -298,6 +309,7 @@
 	request.Request.WasRejected = s.recentRejections.Has(now, request.Request.Fingerprint)
 	request.Request.HasReservation = s.redeemReturn(now, request)
 	s.checkWeight(&request.Request)
+	s.recordSubmission(now, request)
 	s.scheduler.Submit(now, request.Request)
 	s.decide()
 	return decided, nil
@@ -337,6 +349,7 @@
 		s.recordRolloutResult(ended, request.Observation, request.NotRun)
 	}
 	s.recordPoisonResult(ended, request)
+	s.recordFinish(s.clock(), request)
 	s.scheduler.Cancel(request.ID)
 	delete(s.pending, request.ID)
 	if charge, found := s.charges[request.ID]; found {
@@ -356,10 +369,12 @@
 	for node := range s.scheduler.Nodes() {
 		if !live[node] {
 			s.scheduler.DropNode(node)
+			s.stats.NodeEnded(s.clock(), node)
 		}
 	}
 	s.scheduler.Sweep(s.clock())
 	s.returnPlanner.Expire(s.clock())
+	s.stats.Sweep(s.clock())
 	s.decide()
 }
 
@@ -410,6 +425,7 @@
 			charge.retryPermit = retrybudget.Permit{}
 			s.charges[decision.ID] = charge
 		}
+		s.recordDecision(now, decision)
 		decided <- decision
 	}
 	if len(s.pending) > 0 {
