admission: reject new requests early also as the first in the queue

Cause: with the feasible order a new request that was first in the queue of a rate-limited replica waited for all of its patience, as the first in the queue was exempt from all early rejections.

--- a/coordination/admission/feasible.go
+++ b/coordination/admission/feasible.go
@@ -187,16 +187,13 @@
 }
 
 // isHopeless reports whether the request, for which no slot was found, is rejected instead of waiting
-// on. The first in the queue is not, because the next slot is its own.
+// on. The rules against overload do not apply to the first in the queue, because the next slot is its own.
 func (p *servicePool) isHopeless(request *queuedRequest, snapshot *poolSnapshot, waited time.Duration, queuedAhead int) bool {
-	if queuedAhead == 0 {
-		return false
-	}
 	// The time until those ahead have slots is the least that it has to wait.
 	if queuedAhead > maxQueueLength || waited+snapshot.expectedWait(queuedAhead-1) > request.Patience {
 		return true
 	}
-	isOverloaded := request.isOverloaded && snapshot.isFullFor(&request.Request)
+	isOverloaded := queuedAhead > 0 && request.isOverloaded && snapshot.isFullFor(&request.Request)
 	if request.late {
 		return isOverloaded
 	}
--- a/coordination/admission/feasible_test.go
+++ b/coordination/admission/feasible_test.go
@@ -253,8 +253,9 @@
 	g.Expect(s.Decide(0)).To(gomega.BeEmpty(), "not overloaded")
 }
 
-// Guards against callers that wait for all of their patience although those ahead alone need longer, and
-// against rejecting the first in the queue by an expected wait.
+// Guards against callers that wait for all of their patience although those ahead alone need longer,
+// against new ones that wait for a slot that comes too late, also as the first in the queue, and against
+// rejecting a returned caller there by an expected wait.
 func TestRequestsWithoutProspectAreRejectedAtOnce(t *testing.T) {
 	g := gomega.NewWithT(t)
 	s := newFeasibleScheduler(1)
@@ -263,6 +264,12 @@
 	s.Submit(0, newRequest("first", 0))
 	s.Submit(0, newRequest("second", 0))
 	g.Expect(reasons(s.Decide(0))).To(gomega.Equal(map[string]Reason{"second": ReasonBacklog}))
+	g.Expect(s.Decide(time.Second)).To(gomega.BeEmpty())
+
+	s.Cancel("first")
+	s.Submit(2*time.Second, newCaller("new", 0))
+	g.Expect(s.Decide(2 * time.Second)).To(gomega.BeEmpty())
+	g.Expect(reasons(s.Decide(2180 * ms))).To(gomega.Equal(map[string]Reason{"new": ReasonBacklog}))
 }
 
 // Guards against an order that alternates: a priority becomes overloaded only if requests always wait too
