--- a/coordination/admission/feasible.go
+++ b/coordination/admission/feasible.go
@@ -18,7 +18,7 @@
 	// until all of them wait for less than overloadLeaveShare. A caller that is rejected within a quarter
 	// of its target can still be answered in time when it returns, so under lasting overload a request
 	// that would wait for longer is better rejected before. In a short burst it is better served late in
-	// the target: without overloadEnterTime the highest priority loses 4 % of its responses in time, as it
+	// the target: without overloadEnterTime the highest priority loses 2 % of its responses in time, as it
 	// has such bursts whenever lower ones occupy the other slots.
 	overloadEnterShare = 0.25
 	overloadLeaveShare = 0.05
