admission: spread fractional extra requests over replicas for a handover time from the settings

Cause: a slot of an engine stays idle from the end of a response to the start of the next request: report, round of decisions, reply, connection. The requests beyond the slots that cover this are rounded down to zero where responses take longer than four handovers. Change: the setting slot_handover_ms (0, the default, keeps the rule); with it fractions are spread over the replicas.

--- a/coordination/admission/feasible.go
+++ b/coordination/admission/feasible.go
@@ -15,11 +15,11 @@
 const (
 	// A priority of a service becomes overloaded when for overloadEnterTime targets there is always a
 	// request that has waited for a slot for more than overloadEnterShare of its target, and stays so
-	// until all of them wait for less than overloadLeaveShare. A caller that is rejected within a quarter
-	// of its target can still be answered in time when it returns, so under lasting overload a request
-	// that would wait for longer is better rejected before. In a short burst it is better served late in
-	// the target: without overloadEnterTime the highest priority loses 2 % of its responses in time, as it
-	// has such bursts whenever lower ones occupy the other slots.
+	// until all of them wait for less than overloadLeaveShare. Under lasting overload a request that would
+	// wait for longer takes the slots of newer ones, and is better rejected while most of its deadline is
+	// left for a return. In a short burst it is better served late in the target: without overloadEnterTime
+	// the highest priority loses 2 % of its responses in time, as it has such bursts whenever lower ones
+	// occupy the other slots.
 	overloadEnterShare = 0.25
 	overloadLeaveShare = 0.05
 	overloadEnterTime  = 2
--- a/coordination/admission/snapshot.go
+++ b/coordination/admission/snapshot.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -80,7 +81,7 @@
 		timePerToken := speed.prefill.timePerToken()
 		replica := &s.snapshotBuffer[:cap(s.snapshotBuffer)][i]
 		*replica = replicaSnapshot{
-			state: state, maxInFlight: state.entry.Slots + pool.extraSlots(state.entry.Slots), inFlight: state.inFlight(now),
+			state: state, maxInFlight: state.entry.Slots + s.extraSlots(pool, state.entry.Slots, i), inFlight: state.inFlight(now),
 			unreadTokens: state.unreadTokens(now), slowdown: speed.slowdown(fastest), stepTime: speed.stepTime,
 			prefillTimePerToken: timePerToken, prefillFixedTime: speed.prefill.fixedTime(timePerToken),
 			isUnhealthy: state.ejected || state.isQuarantined(now), isCold: isCold, isLimited: state.limit.known.IsSet(),
@@ -117,6 +118,29 @@
 	return int(float64(slots) * float64(slotHandoverTime) / float64(max(p.meanDuration, slotHandoverTime)))
 }
 
+// extraSlots returns how many requests beyond its slots the replica at the index in the pool may be
+// assigned. With Policy.SlotHandover the fractional part is spread over the replicas: where responses take
+// longer, each replica has room for less than one extra request, and rounding down would leave all their
+// slots idle at each handover.
+func (s *Scheduler) extraSlots(pool *servicePool, slots, index int) int {
+	if s.policy.SlotHandover <= 0 {
+		return pool.extraSlots(slots)
+	}
+	extra := float64(slots) * float64(s.policy.SlotHandover) / float64(max(pool.meanDuration, s.policy.SlotHandover))
+	whole := math.Floor(extra)
+	if _, position := math.Modf(firstPosition + float64(index)*goldenRatio); position < extra-whole {
+		whole++
+	}
+	return int(whole)
+}
+
+// The replicas of a pool have positions between 0 and 1, which are spread evenly by multiples of the
+// fractional part of the golden ratio. The first is in the middle, so that a single replica is rounded.
+const (
+	firstPosition = 0.5
+	goldenRatio   = 0.6180339887498949
+)
+
 // useUnhealthyIfNoHealthySlots treats all replicas as healthy if no healthy one has a slot, free or not: an
 // unhealthy replica is better than none.
 func (p *poolSnapshot) useUnhealthyIfNoHealthySlots(followerShare float64) {
--- a/entry/scheduling_policy.go
+++ b/entry/scheduling_policy.go
@@ -1,6 +1,10 @@
 package entry
 
-import "github.com/thornwalk/thornwalk/coordination/admission"
+import (
+	"time"
+
+	"github.com/thornwalk/thornwalk/coordination/admission"
+)
 
 // schedulingPolicy is the part of the settings that determines the order of requests and returns.
 type schedulingPolicy struct {
@@ -13,6 +17,7 @@
 		admission: admission.Policy{
 			TenantShares:  s.TenantShares == SharesEqual || s.TenantShares == SharesByQuota,
 			FeasibleOrder: s.QueueOrder == OrderFeasible,
+			SlotHandover:  time.Duration(s.SlotHandover * float64(time.Millisecond)),
 		},
 		plannedReturns: s.PlannedReturns,
 	}
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -80,6 +80,9 @@
 	// PlannedReturns spreads the Retry-After of rejected requests over the time in which slots are
 	// expected, and lets callers that come back when told go ahead of new ones.
 	PlannedReturns bool `yaml:"planned_returns"`
+	// SlotHandover is the time from the end of a response to the start of the next request in its slot, in
+	// milliseconds; see admission.Policy. Zero means the built-in time.
+	SlotHandover float64 `yaml:"slot_handover_ms"`
 	// FirstStart is true at the first start of the whole system.
 	FirstStart bool `yaml:"first_start"`
 }
@@ -169,6 +172,7 @@
 		{"rollout_slack", s.RolloutSlack, 0, 1_000_000},
 		{"cold_overage", s.SlowStartOverage, 0, 1000},
 		{"cold_slack", s.SlowStartSlack, 0, 1_000_000},
+		{"slot_handover_ms", s.SlotHandover, 0, 1000},
 		{"barred_after_ends", float64(s.BlockedAfter), 0, poisonrecords.MaxIncarnations},
 	}
 	for _, field := range bounds {
--- a/entry/settings_test.go
+++ b/entry/settings_test.go
@@ -75,6 +75,7 @@
 		{"bounds.retry_budget_ratio", "-1", "retry_ratio: -1 is not in 0 to 10"},
 		{"bounds.contact_ms", "soon", "contact_ms"},
 		{"bootstrap", "true\ntenant_shares: weighted", `tenant_shares: "weighted" is not one of off, equal, quota`},
+		{"bootstrap", "true\nslot_handover_ms: -1", "slot_handover_ms: -1 is not in 0 to 1000"},
 		{"bootstrap", "true\nqueue_order: fifo", `queue_order: "fifo" is not one of target, feasible`},
 	} {
 		t.Run(invalid.field, func(t *testing.T) {
