entry: accept empty choices in the settings

Cause: the soak's settings files have tenant_shares and queue_order without a value, which was rejected as no known word: the daemons of TestShortSoak and TestShortSoakOfTwoVersionsAtTheirBounds ended by themselves. Change: an empty choice has its default.

--- a/entry/settings.go
+++ b/entry/settings.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"os"
 	"slices"
 	"strings"
@@ -186,8 +187,10 @@
 	return nil
 }
 
-// checkChoices checks the settings that are one of a few words.
+// checkChoices checks the settings that are one of a few words. Empty ones have their default, as the
+// platform renders fields that it does not have as nothing.
 func (s *Settings) checkChoices() error {
+	s.TenantShares, s.QueueOrder = cmp.Or(s.TenantShares, SharesOff), cmp.Or(s.QueueOrder, OrderByTarget)
 	choices := []struct {
 		path, value string
 		valid       []string
--- a/entry/settings_test.go
+++ b/entry/settings_test.go
@@ -56,6 +56,9 @@
 	settings, err := ParseSettings([]byte("{name: n, zone: z, callers: 'h:1', readiness: 'h:2', operators: 'h:3', host: h, peer_port: 4, store: 'h:5'}"))
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(settings.schedulingPolicy()).To(gomega.Equal(schedulingPolicy{}))
+	settings, err = ParseSettings([]byte(renderTemplate(t, templateValues()) + "tenant_shares: \nqueue_order: \nplanned_returns: \nslot_handover_ms: \n"))
+	g.Expect(err).NotTo(gomega.HaveOccurred(), "fields that the platform renders as nothing")
+	g.Expect(settings.schedulingPolicy()).To(gomega.Equal(schedulingPolicy{}))
 }
 
 // Guards against a node that fails to start because of settings for a later version.
