--- a/entry/heartbeat_relay.go
+++ b/entry/heartbeat_relay.go
@@ -60,12 +60,15 @@
 func (n *Node) suspectNode(name string) {
 	n.mutex.Lock()
 	n.members.Suspect(name)
-	member, found := n.members.Get(name)
+	var address string // received heartbeats change the member once the mutex is released
+	if member, found := n.members.Get(name); found {
+		address = member.Address
+	}
 	heartbeat := n.buildHeartbeat(n.now())
 	n.mutex.Unlock()
-	if !found {
+	if address == "" {
 		return
 	}
 	heartbeat.WantsReply = true
-	n.sendHeartbeat(heartbeat, []string{member.Address})
+	n.sendHeartbeat(heartbeat, []string{address})
 }
