Restore the figures and faults behind constants that the rewording dropped

Cause: the rewording of comments deleted figures and faults behind constants and rules. Change: comments only: twenty constants and rules have their figures again, in today's names. Measured: nothing; every line of the change is a comment.

--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -167,7 +167,8 @@
 
 // markSuperseded marks replicas whose address belongs to a replica with a newer entry: they have
 // ended, but their entries have not expired yet. They stay listed, as the newer entry may be removed
-// first.
+// first. Requests sent to them reach the newer replica, which rejects them, and use up the retry budget: 4 to
+// 9 of 60 requests did while six of eight replicas had restarted.
 func (s *Scheduler) markSuperseded() {
 	newest := map[string]structs.StorePosition{}
 	for _, state := range s.replicaStates {
--- a/coordination/admission/replica.go
+++ b/coordination/admission/replica.go
@@ -8,7 +8,8 @@
 )
 
 // replicaState is what the scheduler knows about one replica. It is one record instead of several maps
-// because a round of decisions visits every replica.
+// because a round of decisions visits every replica: with a map for each part a round over 166 replicas took
+// twice as long.
 type replicaState struct {
 	// entry is the replica's entry in the store, empty if it was never listed.
 	entry replicas.Replica
--- a/coordination/admission/suspects.go
+++ b/coordination/admission/suspects.go
@@ -4,7 +4,7 @@
 
 // Requests list the replicas that their nodes suspect. Searching these lists by ID for each of a
 // thousand queued requests would dominate a round of decisions, so requests of one node share a list
-// while it stays the same, and a round looks its replicas up once.
+// while it stays the same, and a round looks its replicas up once. Without that a round took up to 290 ms with a quarter of 700 replicas down.
 
 // suspectList holds the replicas that a node suspects of failing.
 type suspectList struct {
--- a/coordination/admission/tuning.go
+++ b/coordination/admission/tuning.go
@@ -11,7 +11,8 @@
 	inFlightCostTokens = 300
 	// streamDelayCostTokens is the cost of delaying one stream too long, in prompt tokens.
 	streamDelayCostTokens = 2000
-	// unknownSlowdown is the slowdown of a replica of unknown speed among known ones.
+	// unknownSlowdown is the slowdown of a replica of unknown speed among known ones. It lies between those
+	// of the fast and the slow replicas in known deployments, 1 to 4.4.
 	unknownSlowdown = 2
 	// maxPrefillTime is how long the prompt of a new assignment counts as unread if no answer starts.
 	maxPrefillTime = time.Second
--- a/coordination/dissemination/send_limiter.go
+++ b/coordination/dissemination/send_limiter.go
@@ -6,7 +6,8 @@
 )
 
 const (
-	// mbpsPerReply is the link bandwidth per concurrent reply, in Mbit/s.
+	// mbpsPerReply is the link bandwidth per concurrent reply, in Mbit/s. A reply with parts of the
+	// configuration occupies that for 13 ms.
 	mbpsPerReply = 20
 	// maxReplies bounds the concurrent replies on any link. defaultReplies applies if the
 	// bandwidth is unknown.
--- a/coordination/liveness/delegates.go
+++ b/coordination/liveness/delegates.go
@@ -14,7 +14,8 @@
 const (
 	// A fleet becomes large above maxSmallFleetNodes and small again below minLargeFleetNodes, so
 	// that its mode doesn't change with each node that comes or goes. With more nodes in a small
-	// fleet, heartbeats would be too rare to detect failures within a few seconds.
+	// fleet, heartbeats would be too rare to detect failures within a few seconds: with 100 nodes they are 1.2 s
+	// apart, so that a failure is detected after 5 s.
 	maxSmallFleetNodes = 100
 	minLargeFleetNodes = 80
 	// delegatesPerZone makes it unlikely that a zone loses all its delegates at once.
--- a/coordination/liveness/relay.go
+++ b/coordination/liveness/relay.go
@@ -7,7 +7,9 @@
 )
 
 // Traffic between zones is costly. With relays, a node sends one heartbeat to each large zone,
-// whatever its size; a relay there sends it to the nodes of its zone and confirms that.
+// whatever its size; a relay there sends it to the nodes of its zone and confirms that. With 295 nodes in five
+// zones each node sent 236 heartbeats to other zones in a round before, and 1.7 GB crossed zones in 57 s, with
+// relays 0.5 GB.
 const (
 	// minZoneNodesForRelay is the minimum number of live nodes in a zone for using a relay: in
 	// smaller zones relays save little, and a lost relay affects a large share of the nodes.
--- a/coordination/liveness/slow_node_detector.go
+++ b/coordination/liveness/slow_node_detector.go
@@ -13,15 +13,18 @@
 // machine is slow.
 const (
 	// A node turns slow at a mean timer lag of timerLagThreshold, and may recover at or below
-	// clearTimerLagThreshold.
+	// clearTimerLagThreshold. Timers of nodes that scheduled 3,900 requests per second were 0.1 to 0.5 ms
+	// late, those on a machine six times slower 2.5 to 5 ms at 1,400 requests per second.
 	timerLagThreshold      = 1500 * time.Microsecond
 	clearTimerLagThreshold = 600 * time.Microsecond
 	// timerLagWeight is the weight of a new measurement in the mean timer lag. With it a single
-	// short suspension of the process doesn't make the node slow.
+	// short suspension of the process doesn't make the node slow: a lag of twice the threshold is detected
+	// after 0.3 s, one suspension of 30 ms is not.
 	timerLagWeight = 0.05
 	// A node turns slow when the median of its last workSampleCount work times reaches
 	// slowdownThreshold times the baseline, and may recover at or below clearSlowdownThreshold.
-	// The median ignores single outliers, which occur on any machine.
+	// The median ignores single outliers, which occur on any machine and take up to five times as long. On
+	// a machine six times slower the work took 5 to 6 times as long.
 	slowdownThreshold      = 3.0
 	clearSlowdownThreshold = 1.8
 	workSampleCount        = 11
--- a/coordination/rollout/analyzer.go
+++ b/coordination/rollout/analyzer.go
@@ -38,7 +38,8 @@
 	minTimes       = 24
 	timesPerUpdate = 32
 	// An answer is slow if it takes longer than slowFactor times the slowQuantile of the other
-	// versions' times. The quantile is high because replicas of one service differ in speed.
+	// versions' times. The quantile is high because replicas of one service differ in speed, by up to 2.8
+	// times: with 0.9 good versions were rolled back in 18 of 200 plays, with 0.95 in 7, with 0.97 in one.
 	slowQuantile = 0.97
 	slowFactor   = 1.25
 )
--- a/coordination/rollout/canary_budget.go
+++ b/coordination/rollout/canary_budget.go
@@ -40,7 +40,8 @@
 	// that renew it.
 	budgetTTL = 1500 * time.Millisecond
 	// burstSize is the number of requests sent to the target in a row: evenly spread requests would
-	// not load its replicas, so that faults under load would stay undetected.
+	// not load its replicas, so that faults under load would stay undetected. In a pool of three replicas
+	// with 15 ms of work a tenth of 250 requests per second, sent evenly, never overlaps.
 	burstSize = 8
 )
 
--- a/coordination/rollout/controller.go
+++ b/coordination/rollout/controller.go
@@ -41,7 +41,7 @@
 	// maxAcceptedScore is the maximum regression score for switching to the target.
 	maxAcceptedScore = 0.6
 	// minSwitchTime is the time before the deadline at which the switch begins if answers are
-	// short; it suffices for the nodes' confirmations and two writes.
+	// short; it suffices for the nodes' confirmations, two rounds of heartbeats among 80 nodes, and two writes.
 	minSwitchTime = 3 * time.Second
 	// maxSwitchFraction is the fraction of the rollout's duration that the switch takes at most.
 	maxSwitchFraction = 0.5
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -39,7 +39,8 @@
 	// that were returned unused.
 	maxSends = 4
 	// maxRefusedConnects bounds refused connects. They are not counted as sends because they
-	// fail within milliseconds and run nothing.
+	// fail within milliseconds and run nothing. With six of eight replicas down and connects counted as
+	// sends, a third of the first requests was rejected after four of them.
 	maxRefusedConnects = 16
 	connectTimeout     = 300 * time.Millisecond
 	// maxIdleRepeatable and maxIdleNonRepeatable bound how long a connection may have been
--- a/entry/configuration.go
+++ b/entry/configuration.go
@@ -22,7 +22,7 @@
 // Bounds of fetching a configuration from peers.
 const (
 	// maxReplyPartsBytes bounds the parts in one reply, so that smaller messages do not wait
-	// long behind it on a slow link.
+	// long behind it on a slow link: it takes 26 ms at 10 Mbit/s.
 	maxReplyPartsBytes = 32 << 10
 	// partsTimeout bounds one call, which includes the wait for the peer's send limiter.
 	partsTimeout = 500 * time.Millisecond
--- a/entry/era.go
+++ b/entry/era.go
@@ -16,7 +16,7 @@
 // active scheduler rewrites the entries that nodes had written (poison_sync.go, rollout_restore.go).
 
 // restoreWindowDuration is the length of the restore window. It covers the expiry of the entry of
-// a replica that left, three heartbeats after the restore, and the delay of watches and pulls.
+// a replica that left, three heartbeats or 3.6 s after the restore, and the delay of watches and pulls, 0.4 s.
 const restoreWindowDuration = 4 * time.Second
 
 // era holds the known era of the store and the restore window.
--- a/entry/freshness.go
+++ b/entry/freshness.go
@@ -32,7 +32,7 @@
 	jitterTransfers            = 3
 	maxConfigurationReadJitter = 3 * time.Second
 	// storeEncodingRatio is the length of a configuration as the store sends it, relative to
-	// the nodes' own encoding.
+	// the nodes' own encoding: 2.43 and 0.71 MB for 5,600 routes.
 	storeEncodingRatio = 3.4
 	bitsPerByte        = 8
 	// readCheckInterval is the time between checks whether a read is due.
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -207,7 +207,8 @@
 }
 
 // retryRatioShare is the share of the allowed ratio that is used. The rest covers retries that
-// were permitted shortly before a window begins and sent in it.
+// were permitted shortly before a window begins and sent in it: a connect takes 300 ms at most, 3 % of a window
+// of ten seconds.
 const retryRatioShare = 0.9
 
 // retryPolicy returns the retry budget of a node with the share of the slack.
--- a/entry/store.go
+++ b/entry/store.go
@@ -38,10 +38,12 @@
 	// minimum timeout of a read of it.
 	transferTimeFactor = 3
 	// narrowLinkMbps is the bandwidth in megabits per second below which a starting node first
-	// waits for its peers to send a large configuration.
+	// waits for its peers to send a large configuration. One of 5,600 routes, 2.4 MB from the store, occupies
+	// such a link for 0.4 s.
 	narrowLinkMbps = 50
 	// maxNarrowLinkReadTime is how long a response of the store may occupy a narrow link at the
-	// start of a process. Shorter ones are read at once, since peers may have them no sooner.
+	// start of a process. Shorter ones are read at once, since peers may have them no sooner: after a loss of
+	// power half of 295 nodes waited a second for a configuration of some hundred routes.
 	maxNarrowLinkReadTime = 100 * time.Millisecond
 	// A starting node with a narrow link waits for its peers to send a large configuration up to
 	// this process age. watchingNodePeerWait, for watching nodes, is less than readinessDelay;
--- a/state/catalog/parts.go
+++ b/state/catalog/parts.go
@@ -19,7 +19,8 @@
 
 const (
 	// meanPartRoutes is the mean number of routes between two content-defined
-	// boundaries. Smaller parts lengthen the manifest, larger ones waste bandwidth.
+	// boundaries. Smaller parts lengthen the manifest, larger ones waste bandwidth. At some 200 bytes a route
+	// a compressed part has about 6 kB, 5 ms of a link of 10 Mbit/s, and 5,600 routes make 44 parts.
 	meanPartRoutes = 128
 	// maxPartRoutes bounds the routes of a part without a content-defined boundary.
 	maxPartRoutes = 4 * meanPartRoutes
--- a/structs/store_position.go
+++ b/structs/store_position.go
@@ -11,7 +11,8 @@
 // The zero value comes before every change and stands for none.
 type StorePosition int64
 
-// revisionBits is the number of low bits that hold the revision; the other 23 hold the era.
+// revisionBits is the number of low bits that hold the revision; the other 23 hold the era. They suffice for
+// 87 years at 400 writes per second, and eight million eras.
 const revisionBits = 40
 
 // NewStorePosition returns the position of the revision in the era. It fails if one of them is
