--- a/entry/serve.go
+++ b/entry/serve.go
@@ -254,10 +254,13 @@
 // planned return is never earlier, so that the caller is told the planned time.
 const retryAfterRejected = returns.MinDelay
 
+// minRetryAfterHeader is the shortest time in the Retry-After header, which has two decimals.
+const minRetryAfterHeader = 10 * time.Millisecond
+
 // retryAfter returns the Retry-After of a request without an assignment.
 func (g *grant) retryAfter() time.Duration {
 	if g.Reason == reasonQuota {
-		return g.RetryAfter
+		return max(g.RetryAfter, minRetryAfterHeader)
 	}
 	return max(g.RetryAfter, retryAfterRejected)
 }
