admission: with the feasible order, put long responses first at a smaller deficit

Early rejections leave a long request fewer rounds in which it goes first. Change: with the feasible order a length band goes first below 0.8 of its route's served share, 0.65 as before otherwise.

--- a/coordination/admission/decide.go
+++ b/coordination/admission/decide.go
@@ -102,7 +102,7 @@
 // underserved length band before all others; late ones by the time their target ended.
 func sortByTarget(now structs.Instant, queue []*queuedRequest) {
 	for _, request := range queue {
-		request.sortLength = request.effectiveLength()
+		request.sortLength = request.effectiveLength(minServedRatio)
 		request.late, request.responseTime = now > request.submittedAt+request.Target, 0
 	}
 	sort.SliceStable(queue, func(i, j int) bool {
--- a/coordination/admission/feasible.go
+++ b/coordination/admission/feasible.go
@@ -153,7 +153,7 @@
 func (p *servicePool) sortFeasible(now structs.Instant) {
 	estimate := p.responseTimes.safeEstimate()
 	for _, request := range p.queue {
-		request.sortLength = request.effectiveLength()
+		request.sortLength = request.effectiveLength(minFeasibleServedRatio)
 		request.responseTime = estimate.of(request.PromptTokens)
 		request.late = now+request.responseTime > request.submittedAt+request.Target
 		request.isOverloaded = p.overloads[request.Priority].isLasting
--- a/coordination/admission/response_lengths.go
+++ b/coordination/admission/response_lengths.go
@@ -14,6 +14,9 @@
 	// minServedRatio is the ratio of a band's served share to the route's below which the band goes
 	// first.
 	minServedRatio = 0.65
+	// minFeasibleServedRatio is that with Policy.FeasibleOrder, which rejects requests early: a long one has
+	// fewer rounds in which it goes first, so that its share falls further before it catches up.
+	minFeasibleServedRatio = 0.8
 	// maxRecentLengths is the number of requests from which the bands are computed, and
 	// thresholdInterval the number of requests between two computations.
 	maxRecentLengths  = 200
@@ -83,9 +86,10 @@
 	l.totalServedShare += servedShareWeight * (share - l.totalServedShare)
 }
 
-// isUnderserved reports whether requests of the band go first.
-func (l *responseLengths) isUnderserved(band lengthBand) bool {
-	return band != bandUsual && l.servedShare[band] < minServedRatio*l.totalServedShare
+// isUnderserved reports whether requests of the band go first, by the ratio of its served share to the
+// route's.
+func (l *responseLengths) isUnderserved(band lengthBand, minRatio float64) bool {
+	return band != bandUsual && l.servedShare[band] < minRatio*l.totalServedShare
 }
 
 // lengthsOf returns the response lengths of the route, and creates them if needed.
@@ -99,8 +103,8 @@
 }
 
 // effectiveLength returns the answer length to sort the request by: zero if its band is underserved.
-func (r *queuedRequest) effectiveLength() int {
-	if r.lengths.isUnderserved(r.band) {
+func (r *queuedRequest) effectiveLength(minRatio float64) int {
+	if r.lengths.isUnderserved(r.band, minRatio) {
 		return 0
 	}
 	return r.AnswerTokens
--- a/coordination/admission/shares_test.go
+++ b/coordination/admission/shares_test.go
@@ -594,7 +594,7 @@
 			if aLate != bLate {
 				return bLate
 			}
-			if !aLate && a.effectiveLength() != b.effectiveLength() {
+			if !aLate && a.effectiveLength(minServedRatio) != b.effectiveLength(minServedRatio) {
 				return a.effectiveLength() < b.effectiveLength()
 			}
 			return a.Target < b.Target
