entry: cover the messages of reports by tenant and the new fields by the wire tests

The wire tests compare each message with the recording of the previous version, so a message that that version lacks could not be listed. Messages of addedMessages are encoded, decoded, recorded and fuzzed like the others, and the comparison leaves them out until a recording exists, which the test demands to be noticed.

They fail if HasReservation is sent or if WorkTime is sent as zero.

--- a/entry/wire_test.go
+++ b/entry/wire_test.go
@@ -4,9 +4,11 @@
 	"encoding/json"
 	"flag"
 	"fmt"
+	"maps"
 	"os"
 	"path/filepath"
 	"reflect"
+	"slices"
 	"testing"
 
 	"github.com/onsi/gomega"
@@ -38,14 +40,32 @@
 	"contents":      func() any { return &poisonReply{} },
 	"parts-request": func() any { return &dissemination.Request{} },
 	"parts-reply":   func() any { return &dissemination.Reply{} },
+
+	"tenants-request": func() any { return &tenantReportRequest{} },
+	"tenants-reply":   func() any { return &tenantReportReply{} },
 }
 
+// addedMessages are the messages that the previous version does not have. They are removed from here once
+// testdata/previous has them.
+var addedMessages = map[string]bool{"tenants-request": true, "tenants-reply": true}
+
 // storedValues creates, by name, empty values that two versions share in the store, as JSON.
 var storedValues = map[string]func() any{
 	"rollout-record": func() any { return &rollouts.Record{} },
 	"barred":         func() any { return &[]poisonrecords.Record{} },
 }
 
+// forEachRecorded calls test for every message and stored value that the previous version has.
+func forEachRecorded(g *gomega.WithT, test func(name string, create func() any)) {
+	forEachShared(func(name string, create func() any) {
+		if addedMessages[name] {
+			g.Expect(filepath.Join("testdata", "previous", name)).NotTo(gomega.BeAnExistingFile(), "remove it from addedMessages")
+			return
+		}
+		test(name, create)
+	})
+}
+
 // fill sets every exported field to a value other than zero.
 func fill(value reflect.Value, depth int) {
 	switch value.Kind() {
@@ -205,7 +225,7 @@
 // forwards a value.
 func TestPreviousVersionMessagesAreDecodedWithoutLoss(t *testing.T) {
 	g := gomega.NewWithT(t)
-	forEachShared(func(name string, create func() any) {
+	forEachRecorded(g, func(name string, create func() any) {
 		content := readPrevious(g, name)
 		decoded := create()
 		g.Expect(decodeShared(name, content, decoded)).To(gomega.Succeed(), name)
@@ -219,13 +239,51 @@
 // or, in lists by position, their number changed.
 func TestPreviousVersionCanDecodeCurrentMessages(t *testing.T) {
 	g := gomega.NewWithT(t)
-	forEachShared(func(name string, create func() any) {
+	forEachRecorded(g, func(name string, create func() any) {
 		content, err := encodeShared(name, filled(create))
 		g.Expect(err).NotTo(gomega.HaveOccurred(), name)
 		g.Expect(wireDifferences(name, decodeGeneric(g, name, readPrevious(g, name)), decodeGeneric(g, name, content), false)).To(gomega.BeEmpty())
 	})
 }
 
+// wireKeys returns the keys of the map at the path in the encoded message.
+func wireKeys(g *gomega.WithT, message any, path ...string) []string {
+	content, err := msgpack.Marshal(message)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	value := decodeGeneric(g, "message", content)
+	for _, key := range path {
+		value = value.(map[string]any)[key]
+	}
+	return slices.Collect(maps.Keys(value.(map[string]any)))
+}
+
+// Guards against optional fields that are sent when they have no value, which costs bytes in every
+// message, that lose their name on the wire, or that are the scheduling node's own and are sent.
+func TestOptionalFieldsAreSentOnlyWithAValue(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for _, message := range []struct {
+		empty  any
+		path   []string
+		fields []string
+	}{
+		{&assignRequest{}, []string{"Request"}, []string{"Tenant", "Weight"}},
+		{&assignRequest{}, nil, []string{"RequestID"}},
+		{&firstEventRequest{}, nil, []string{"WorkTime", "SinceGrant"}},
+		{&finishRequest{}, []string{"Seen"}, []string{"WorkTime", "HeadDelay"}},
+		{&liveness.Heartbeat{}, nil, []string{"ts"}},
+		{&tenantReportRequest{}, nil, []string{"Request"}},
+	} {
+		full := filled(func() any { return reflect.New(reflect.TypeOf(message.empty).Elem()).Interface() })
+		for _, field := range message.fields {
+			g.Expect(wireKeys(g, message.empty, message.path...)).NotTo(gomega.ContainElement(field))
+			g.Expect(wireKeys(g, full, message.path...)).To(gomega.ContainElement(field))
+		}
+	}
+	own := wireKeys(g, filled(func() any { return &assignRequest{} }), "Request")
+	g.Expect(own).To(gomega.ContainElement("Tenant"))
+	g.Expect(own).NotTo(gomega.ContainElement("HasReservation"))
+}
+
 // Guards against a comparison that misses a field whose kind changed, a removed field or a longer list.
 func TestDifferencesBetweenVersionsAreDetected(t *testing.T) {
 	g := gomega.NewWithT(t)
