entry: keep explanations of rejections when the role of the node changes

Each change of the scheduling node made the recorder of every node start anew, explanations included. Only the counts start anew now. A suspension still clears both.

TestRejectionsAreExplainedAfterTheRoleChanged: 0 of 1 explanations before, 1 of 1 after.

--- a/coordination/tenantstats/recorder.go
+++ b/coordination/tenantstats/recorder.go
@@ -102,6 +102,14 @@
 	return &Recorder{since: now, services: map[string]*serviceAccounts{}, requests: map[string]*request{}}
 }
 
+// Restart makes the recorder count anew from now on. It keeps the explanations: the rejections happened,
+// whichever node schedules now.
+func (r *Recorder) Restart(now structs.Instant) {
+	explanations := r.explanations
+	*r = *New(now)
+	r.explanations = explanations
+}
+
 // Since returns when the recorder began to count.
 func (r *Recorder) Since() structs.Instant { return r.since }
 
--- a/entry/scheduling_service.go
+++ b/entry/scheduling_service.go
@@ -80,7 +80,8 @@
 	// held, with each of its outcomes.
 	returnPlanner *returns.Planner
 	onReturn      func(returns.Outcome)
-	// stats counts by tenant for operators, since the state was last cleared or the role changed.
+	// stats counts by tenant for operators, since the state was last cleared or the role changed. It keeps
+	// the explanations of rejections when the role changes.
 	stats *tenantstats.Recorder
 	// onRejection is called, with the mutex held, with the reason of each rejection.
 	onRejection   func(reason string)
@@ -194,7 +195,7 @@
 	s.releaseQueuedRetries()
 	s.changeSharing(isActive)
 	s.isActive = isActive
-	s.stats = tenantstats.New(s.clock())
+	s.stats.Restart(s.clock())
 	s.updateColdTraffic()
 	if isActive {
 		s.epoch++
--- a/entry/scheduling_stats_test.go
+++ b/entry/scheduling_stats_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -133,6 +134,29 @@
 	})
 }
 
+// Guards against rejections that a node decided while it reached no scheduling node, or before another one
+// took over, and that nobody can explain once the role of the node has changed.
+func TestRejectionsAreExplainedAfterTheRoleChanged(t *testing.T) {
+	runStats(t, func(g *gomega.WithT, service *schedulingService) {
+		for i, isActive := range []bool{true, false} {
+			service.setActive(isActive)
+			id := fmt.Sprint(i)
+			request := statsRequest(id, "a")
+			request.Repeat = true
+			service.retryBudget.Deactivate() // permits no retry
+			_, rejected := service.submit(request)
+			g.Expect(rejected.Reason).To(gomega.Equal(reasonRetryBudget))
+			service.setActive(false)
+			g.Expect(service.explain("caller-" + id).Rejections).To(gomega.HaveLen(1))
+			g.Expect(service.tenantTable().Tenants).To(gomega.BeEmpty())
+		}
+		service.setActive(true)
+		g.Expect(service.explain("caller-0").Rejections).To(gomega.HaveLen(1))
+		service.reset(nil, nil)
+		g.Expect(service.explain("caller-0").Rejections).To(gomega.BeEmpty())
+	})
+}
+
 // Guards against a request without the caller's ID, from a node of the earlier version, that can't be
 // explained by its content, and against fields that change on the wire.
 func TestRequestsOfTheEarlierVersionAreExplainedByContent(t *testing.T) {
--- a/entry/tenant_report.go
+++ b/entry/tenant_report.go
@@ -35,7 +35,8 @@
 
 // Rejections are the remembered rejections of one request, the latest first.
 type Rejections struct {
-	// Scheduler is the node that decided, and CountedMS the time in milliseconds since it began to count.
+	// Scheduler is the node that decided, and CountedMS the time in milliseconds since it began to count. A
+	// rejection may be older: nodes remember it when their role changes.
 	Scheduler  string                    `json:"scheduler"`
 	CountedMS  int64                     `json:"counted_for_ms"`
 	Rejections []tenantstats.Explanation `json:"rejections"`
