entry: find rejections by any ID of a caller at the operators' address

The router redirects paths with "//" or ".." to shorter ones, so that thornwalk explain of such an ID found nothing, or another request: "a/../b" asked for "b". The router now takes paths as they are.

TestRequestsAreExplainedByAnyID: status 301 before, 200 after.

--- a/entry/operators.go
+++ b/entry/operators.go
@@ -84,7 +84,7 @@
 )
 
 func (n *Node) operatorsHandler() http.Handler {
-	router := mux.NewRouter()
+	router := mux.NewRouter().SkipClean(true) // IDs of requests may have any characters, "//" and ".." too
 	router.HandleFunc(PathStatus, func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(n.Status())
--- a/entry/tenant_report_test.go
+++ b/entry/tenant_report_test.go
@@ -1,8 +1,13 @@
 package entry
 
 import (
+	"encoding/json"
 	"errors"
+	"fmt"
 	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/url"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -92,3 +97,24 @@
 		node.peers.Close()
 	})
 }
+
+// Guards against callers' IDs of requests that the router takes for paths to shorten, so that their
+// rejections are not found.
+func TestRequestsAreExplainedByAnyID(t *testing.T) {
+	g := gomega.NewWithT(t)
+	node := New(&Settings{Name: "n1"}, Dependencies{})
+	defer node.scheduling.timer.Stop()
+	for i, id := range []string{"a/b", "a//b", "/a", "a/../b", "..", "50%?#"} {
+		request := statsRequest(fmt.Sprint(i), "a")
+		request.Repeat, request.RequestID = true, id
+		_, rejected := node.scheduling.submit(request)
+		g.Expect(rejected).NotTo(gomega.BeNil())
+		recorder := httptest.NewRecorder()
+		node.operatorsHandler().ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, PathExplain+url.PathEscape(id), nil))
+		g.Expect(recorder.Code).To(gomega.Equal(http.StatusOK), id)
+		var found Rejections
+		g.Expect(json.Unmarshal(recorder.Body.Bytes(), &found)).To(gomega.Succeed())
+		g.Expect(found.Rejections).To(gomega.HaveLen(1))
+		g.Expect(found.Rejections[0].Request).To(gomega.Equal(id))
+	}
+}
