entry: record no time to come back for callers that are told none

A request that may have run at a replica ends with 502 or 504 and without Retry-After when its retry is refused. The scheduling node did not know that: it planned a return and kept a place for it, explain named a time that nobody was told, and so did retry_after_ms of the log lines.

TestRefusedRetryHasNoTimeToComeBack: retry_after_ms 1000 before, 0 after, in log lines and explanations. TestRequestsThatMayHaveRunAreNotPlanned: 1 planned return without the check, 0 with it.

--- a/entry/messages.go
+++ b/entry/messages.go
@@ -23,6 +23,9 @@
 	// First is true for the first assignment of a request, and Repeat if an earlier attempt reached
 	// a replica. Neither is true after a failed connect.
 	First, Repeat bool
+	// MayHaveRun is true if a replica may have run the request before. If it is rejected now, its caller is
+	// not told when to come back.
+	MayHaveRun bool `msgpack:",omitempty"`
 	// RequestID is the caller's ID of the request, shortened, for the reports to operators.
 	RequestID string `msgpack:",omitempty"`
 	// PushbackReports are the pushback reports on the service's replicas that the asking node knows.
--- a/entry/request_log.go
+++ b/entry/request_log.go
@@ -47,8 +47,8 @@
 	c.logEvent(event)
 }
 
-// logAssignment logs the scheduling node's decision and its grounds.
-func (c *call) logAssignment(granted *grant) {
+// logAssignment logs the scheduling node's decision and its grounds, after some executions of the request.
+func (c *call) logAssignment(granted *grant, executions int) {
 	event := c.newEvent("request.placed")
 	event.Peer, event.Priority, event.IsRetry = granted.scheduler, c.priority(), c.sends > 0
 	if granted.schedulerCalls > 1 {
@@ -57,7 +57,9 @@
 	event.QueuedAhead, event.FreeSlots, event.ExpectedWaitMS = granted.Waiting, granted.Free, granted.Expected.Milliseconds()
 	if granted.Reason != "" {
 		event.Outcome, event.Reason = "refused", granted.Reason
-		event.RetryAfterMS = granted.retryAfter().Milliseconds()
+		if executions == 0 { // otherwise the caller is not told
+			event.RetryAfterMS = granted.retryAfter().Milliseconds()
+		}
 	} else {
 		event.Outcome, event.Replica = "granted", granted.Replica.ID
 		event.Revision, event.Era = granted.Replica.Position.Revision(), granted.Replica.Position.Era()
--- a/entry/scheduling_returns.go
+++ b/entry/scheduling_returns.go
@@ -12,9 +12,10 @@
 }
 
 // planReturn replaces the time after which the caller of a request that was rejected for lack of slots
-// should come back by a planned one. The caller holds the mutex.
+// should come back by a planned one. Callers whose requests may have run are not told a time. The caller
+// holds the mutex.
 func (s *schedulingService) planReturn(now structs.Instant, charge requestCharge, decision *admission.Decision) {
-	if !s.policy.plannedReturns || decision.LatestReturn <= 0 {
+	if !s.policy.plannedReturns || decision.LatestReturn <= 0 || charge.mayHaveRun {
 		return
 	}
 	decision.RetryAfter = s.returnPlanner.Plan(now, returns.Refusal{
--- a/entry/scheduling_returns_test.go
+++ b/entry/scheduling_returns_test.go
@@ -165,6 +165,21 @@
 	})
 }
 
+// Guards against places that are kept for callers which are not told a time, since their request may have
+// run and its outcome is unknown.
+func TestRequestsThatMayHaveRunAreNotPlanned(t *testing.T) {
+	runFullService(t, true, func(s *fullService) {
+		retry := s.request("a")
+		retry.First, retry.Repeat, retry.MayHaveRun = false, true, true
+		s.Expect(s.decided(retry).Reason).To(gomega.Equal(admission.ReasonNoSlot))
+		s.Expect(s.counts).To(gomega.BeEmpty())
+		retry = s.request("b")
+		retry.First, retry.Repeat = false, true
+		s.Expect(s.decided(retry).Reason).To(gomega.Equal(admission.ReasonNoSlot))
+		s.Expect(s.counts).To(gomega.Equal(map[returns.Outcome]int{returns.Planned: 1}), "a replica rejected it")
+	})
+}
+
 // Guards against planned times for rejections that more slots would not have avoided.
 func TestOnlyRejectionsForLackOfSlotsArePlanned(t *testing.T) {
 	runFullService(t, true, func(s *fullService) {
--- a/entry/scheduling_service.go
+++ b/entry/scheduling_service.go
@@ -44,6 +44,8 @@
 	priority    int
 	// retryPermit is the permit of the retry budget until the request is assigned.
 	retryPermit retrybudget.Permit
+	// mayHaveRun is that of the assignRequest.
+	mayHaveRun bool
 }
 
 // schedulingService is the scheduling side of a node: it assigns the requests of every node that
@@ -306,7 +308,7 @@
 	id := request.Request.ID
 	decided := make(chan admission.Decision, 1)
 	s.pending[id] = decided
-	s.charges[id] = requestCharge{tenant: request.Tenant, cost: request.Cost, fingerprint: request.Request.Fingerprint, service: request.Request.Service, priority: request.Request.Priority, retryPermit: permit}
+	s.charges[id] = requestCharge{tenant: request.Tenant, cost: request.Cost, fingerprint: request.Request.Fingerprint, service: request.Request.Service, priority: request.Request.Priority, retryPermit: permit, mayHaveRun: request.MayHaveRun}
 	request.Request.WasRejected = s.recentRejections.Has(now, request.Request.Fingerprint)
 	request.Request.HasReservation = s.redeemReturn(now, request)
 	s.checkWeight(&request.Request)
@@ -413,8 +415,10 @@
 		if decision.Trial {
 			s.reportPoisonTransition(poisonTrial, s.charges[decision.ID].fingerprint)
 		}
+		var mayHaveRun bool
 		if decision.Reason != admission.ReasonNone {
 			if charge, charged := s.charges[decision.ID]; charged {
+				mayHaveRun = charge.mayHaveRun
 				delete(s.charges, decision.ID)
 				s.quotas.Refund(charge.tenant, charge.cost)
 				s.retryBudget.Cancel(charge.retryPermit)
@@ -426,7 +430,7 @@
 			charge.retryPermit = retrybudget.Permit{}
 			s.charges[decision.ID] = charge
 		}
-		s.recordDecision(now, decision)
+		s.recordDecision(now, decision, mayHaveRun)
 		decided <- decision
 	}
 	if len(s.pending) > 0 {
--- a/entry/scheduling_stats.go
+++ b/entry/scheduling_stats.go
@@ -25,7 +25,7 @@
 // one that it exceeds, and zero if no quota rejected it.
 func (s *schedulingService) rejectUnqueued(now structs.Instant, request *assignRequest, reason string, retryAfter time.Duration, limit quota.Limit) *assignReply {
 	s.recordSubmission(now, request)
-	rejection := tenantstats.Rejection{Reason: reason, RetryAfter: retryAfter}
+	rejection := tenantstats.Rejection{Reason: reason, RetryAfter: toldRetryAfter(retryAfter, request.MayHaveRun)}
 	if limit.Rate > 0 {
 		rejection.QuotaRate, rejection.Cost = limit.Rate, request.Cost
 	}
@@ -33,6 +33,14 @@
 	return &assignReply{Reason: reason, RetryAfter: retryAfter}
 }
 
+// toldRetryAfter returns the Retry-After that the caller is told, which is none if its request may have run.
+func toldRetryAfter(retryAfter time.Duration, mayHaveRun bool) time.Duration {
+	if mayHaveRun {
+		return 0
+	}
+	return retryAfter
+}
+
 func (s *schedulingService) recordRejection(now structs.Instant, id string, rejection tenantstats.Rejection) {
 	s.stats.Rejected(now, id, rejection)
 	s.onRejection(rejection.Reason)
@@ -40,14 +48,14 @@
 
 // recordDecision records the decision on a queued request. The entry node tells callers to come back after
 // retryAfterRejected at least.
-func (s *schedulingService) recordDecision(now structs.Instant, decision admission.Decision) {
+func (s *schedulingService) recordDecision(now structs.Instant, decision admission.Decision, mayHaveRun bool) {
 	if decision.Reason == admission.ReasonNone {
 		s.stats.Assigned(now, decision.ID)
 		return
 	}
 	s.recordRejection(now, decision.ID, tenantstats.Rejection{
 		Reason: string(decision.Reason), QueuedAhead: decision.QueuedAhead, FreeSlots: decision.FreeSlots,
-		ExpectedWait: decision.ExpectedWait, Waited: decision.Waited, RetryAfter: max(decision.RetryAfter, retryAfterRejected),
+		ExpectedWait: decision.ExpectedWait, Waited: decision.Waited, RetryAfter: toldRetryAfter(max(decision.RetryAfter, retryAfterRejected), mayHaveRun),
 	})
 }
 
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -20,10 +20,12 @@
 	var tried []string
 	executions := 0
 	for {
-		granted := c.node.requestAssignment(c.ctx, c.newAssignRequest(tried, c.sends > 0))
+		request := c.newAssignRequest(tried, c.sends > 0)
+		request.MayHaveRun = executions > 0
+		granted := c.node.requestAssignment(c.ctx, request)
 		c.waited += granted.Waited
 		c.node.recordDuration("place_wait_ms", granted.Waited)
-		c.logAssignment(granted)
+		c.logAssignment(granted, executions)
 		if granted.Reason != "" {
 			c.endUnassigned(granted, executions)
 			return
--- a/entry/wire_test.go
+++ b/entry/wire_test.go
@@ -267,7 +267,7 @@
 		fields []string
 	}{
 		{&assignRequest{}, []string{"Request"}, []string{"Tenant", "Weight"}},
-		{&assignRequest{}, nil, []string{"RequestID"}},
+		{&assignRequest{}, nil, []string{"RequestID", "MayHaveRun"}},
 		{&firstEventRequest{}, nil, []string{"WorkTime", "SinceGrant"}},
 		{&finishRequest{}, []string{"Seen"}, []string{"WorkTime", "HeadDelay"}},
 		{&liveness.Heartbeat{}, nil, []string{"ts"}},
--- a/test/entry/tenants_test.go
+++ b/test/entry/tenants_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/onsi/gomega"
@@ -17,6 +18,8 @@
 	"github.com/thornwalk/thornwalk/coordination/tenantstats"
 	"github.com/thornwalk/thornwalk/entry"
 	"github.com/thornwalk/thornwalk/lab/entrylab"
+	"github.com/thornwalk/thornwalk/lab/memnet"
+	"github.com/thornwalk/thornwalk/lab/platformsim"
 	"github.com/thornwalk/thornwalk/protocol/openai"
 )
 
@@ -216,3 +219,34 @@
 		s.Expect(metrics.status).To(gomega.Equal(http.StatusUnauthorized))
 	})
 }
+
+// Guards against log lines and explanations that name a time to come back which the caller was not told: a
+// request that may have run is answered without one when its retry is refused.
+func TestRefusedRetryHasNoTimeToComeBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &scenario{WithT: gomega.NewWithT(t), fabric: memnet.New()}
+		s.start(hosts, []string{"east", "west"}, func(settings *entry.Settings) { settings.RetryRatio, settings.RetrySlack = 0, 0 })
+		s.awaitReady()
+		defer s.stop(hosts)
+		s.setBehavior(s.plainReplicas, always(platformsim.Reset))
+		for i := range 10 {
+			got := s.do(hosts[i%len(hosts)], http.MethodGet, fmt.Sprint("/safe/", i), withRequestID(fmt.Sprint("broken", i)))
+			s.Expect(got.status).To(gomega.Equal(http.StatusBadGateway))
+			s.Expect(got.header).NotTo(gomega.HaveKey("Retry-After"))
+		}
+		refused := 0
+		for _, event := range s.loggedEvents("request.placed") {
+			if event.Outcome != "refused" {
+				continue
+			}
+			refused++
+			s.Expect(event.Reason).To(gomega.Equal("retry-budget"))
+			s.Expect(event.RetryAfterMS).To(gomega.BeZero())
+			var found entry.Rejections
+			s.Expect(s.askOperators("n2", entry.PathExplain+event.Request, &found).status).To(gomega.Equal(http.StatusOK))
+			s.Expect(found.Rejections).To(gomega.HaveLen(1))
+			s.Expect(found.Rejections[0].RetryAfterMS).To(gomega.BeZero())
+		}
+		s.Expect(refused).To(gomega.BeNumerically(">", 0))
+	})
+}
