--- a/cmd/thornwalk/tenants.go
+++ b/cmd/thornwalk/tenants.go
@@ -5,8 +5,10 @@
 	"context"
 	"fmt"
 	"maps"
+	"math"
 	"os"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -101,5 +103,10 @@
 	if e.QuotaRate <= 0 {
 		return ""
 	}
-	return fmt.Sprintf("cost %g of %g per second", e.Cost, e.QuotaRate)
+	return fmt.Sprintf("cost %s of %s per second", decimal(e.Cost), decimal(e.QuotaRate))
+}
+
+// decimal returns the number without exponent and with at most two decimals.
+func decimal(number float64) string {
+	return strconv.FormatFloat(math.Round(100*number)/100, 'f', -1, 64)
 }
--- a/cmd/thornwalk/tenants_test.go
+++ b/cmd/thornwalk/tenants_test.go
@@ -102,3 +102,17 @@
 	g.Expect(refusedText(map[string]int64{"a": 1, "c": 2, "b": 2})).To(gomega.Equal("b 2, c 2, a 1"))
 	g.Expect(tenantRow(tenantstats.Row{Others: true})[1]).To(gomega.Equal("(others)"))
 }
+
+// Guards against quotas in notations that operators don't compare with their configuration: exponents, and
+// digits that come from the share of a node.
+func TestQuotaIsPrintedAsConfigured(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for rate, text := range map[float64]string{
+		1_404_038:       "cost 2914 of 1404038 per second",
+		1_404_038.0 / 3: "cost 2914 of 468012.67 per second",
+		0.5:             "cost 2914 of 0.5 per second",
+	} {
+		g.Expect(quotaText(tenantstats.Explanation{Cost: 2914, QuotaRate: rate})).To(gomega.Equal(text))
+	}
+	g.Expect(quotaText(tenantstats.Explanation{Cost: 2914})).To(gomega.BeEmpty())
+}
