test/entry: expect every planned caller to come back on time

TestPlannedReturnsAreToldExactlyAndSpread says that callers which return when told are recognized, but expected just one of them.

--- a/test/entry/planned_returns_test.go
+++ b/test/entry/planned_returns_test.go
@@ -131,13 +131,19 @@
 				s.do(hosts[(i+1)%3], http.MethodGet, path, nil)
 			})
 		}
+		var refused map[string]int
+		group.Go(func() {
+			time.Sleep(400 * time.Millisecond)
+			refused = s.returnCounts(hosts...)
+		})
 		group.Wait()
 		counts := s.returnCounts(hosts...)
-		t.Logf("%v", counts)
+		t.Logf("%v, before the first return %v", counts, refused)
+		s.Expect(refused["planned"] + refused["unplanned"]).To(gomega.Equal(callers))
+		s.Expect(counts["on_time"]).To(gomega.Equal(refused["planned"]), "each caller with a reservation came back when told")
 		s.Expect(counts["planned"]).To(gomega.BeNumerically(">", 0))
 		s.Expect(counts["unplanned"]).To(gomega.BeNumerically(">", 0))
 		s.Expect(counts["early"]).To(gomega.BeZero())
-		s.Expect(counts["on_time"]).To(gomega.BeNumerically(">", 0))
 		s.Expect(mostTogether(returned, 20*time.Millisecond)).To(gomega.BeNumerically("<=", callers/4))
 		t.Logf("first return after %v, at most %d in 20 ms", slices.MinFunc(returned, time.Time.Compare).Sub(began), mostTogether(returned, 20*time.Millisecond))
 	})
