--- a/coordination/admission/shares_test.go
+++ b/coordination/admission/shares_test.go
@@ -595,7 +595,7 @@
 				return bLate
 			}
 			if !aLate && a.effectiveLength(minServedRatio) != b.effectiveLength(minServedRatio) {
-				return a.effectiveLength() < b.effectiveLength()
+				return a.effectiveLength(minServedRatio) < b.effectiveLength(minServedRatio)
 			}
 			return a.Target < b.Target
 		})
