admission: bound the learned time per prompt token so that the fixed part is not negative

Where nearly all prompts of a service have the same length, the slope of the fitted line followed from rounding errors, and the fixed part was cut off at zero. The line then no longer passed through the mean: the expected time of prompts of 1,800 tokens that took 100 to 140 ms was up to 1.9 s, and was over 200 ms after 745 of 5,000 observations. Requests counted as late and were refused although they could be in time.

The slope is at most the mean time over the mean number of tokens. The new test failed before the change and passes with it; the tests of the package pass.

--- a/coordination/admission/prefill.go
+++ b/coordination/admission/prefill.go
@@ -44,13 +44,16 @@
 	}
 }
 
-// timePerToken returns the slope of the fitted line, or zero if it is unknown.
+// timePerToken returns the slope of the fitted line, or zero if it is unknown. It is bounded so that the
+// time of an empty prompt is not negative: where nearly all prompts have the same length, rounding errors
+// determine the slope, and a larger one would give that length many times its mean time.
 func (e *prefillEstimator) timePerToken() time.Duration {
 	spread := e.weight*e.promptSquareSum - e.promptSum*e.promptSum
 	if e.weight < minPrefillWeight || spread <= 0 {
 		return 0
 	}
-	return max(time.Duration((e.weight*e.promptTimeSum-e.promptSum*e.timeSum)/spread), 0)
+	slope := min((e.weight*e.promptTimeSum-e.promptSum*e.timeSum)/spread, e.timeSum/e.promptSum)
+	return max(time.Duration(slope), 0)
 }
 
 // fixedTime returns the time to the first event of an empty prompt for the given slope, or zero if it
