admission: bound the expected work of a request by its time to the deadline

Callers state the tokens of their responses in a header. The product of a very large number with the time per token overflowed to negative work, which moved the tenant's next requests before those of all other tenants; lengths of 1,000,000 counted with 6,350 s of work.

No request counts with more than the time to its deadline, and none with less than zero.

--- a/coordination/admission/shares.go
+++ b/coordination/admission/shares.go
@@ -198,12 +198,14 @@
 }
 
 // expected returns the expected work of the request: for streams by the tokens of prompt and answer, and
-// where these or the speed are unknown the mean duration of the service's requests.
+// where these or the speed are unknown the mean duration of the service's requests. Callers state the
+// tokens, and may state any number: no more counts than the time to the deadline.
 func (e *workEstimate) expected(request *Request) time.Duration {
 	if request.PromptTokens <= 0 || request.AnswerTokens <= 0 || e.stepTime <= 0 {
 		return e.meanDuration
 	}
-	return e.prefillFixedTime + time.Duration(request.PromptTokens)*e.prefillTimePerToken + time.Duration(request.AnswerTokens)*e.stepTime
+	work := float64(e.prefillFixedTime) + float64(request.PromptTokens)*float64(e.prefillTimePerToken) + float64(request.AnswerTokens)*float64(e.stepTime)
+	return time.Duration(min(work, float64(max(request.Deadline, 0))))
 }
 
 // ShareLevel is the lead of a tenant over those of its service and priority that have used the least of
--- a/coordination/admission/shares_test.go
+++ b/coordination/admission/shares_test.go
@@ -281,6 +281,31 @@
 	g.Expect(counts["heavy"]).To(gomega.BeNumerically("~", 20, 1))
 }
 
+// Guards against callers that state lengths for which the expected work overflows or exceeds any plausible
+// time: with negative work, the other requests of their tenant went before those of all others.
+func TestExpectedWorkOfStatedLengthsIsBounded(t *testing.T) {
+	for _, answerTokens := range []int{1_000_000, 1 << 40, 1 << 62, math.MaxInt} {
+		for _, stepTime := range []time.Duration{3, 7 * time.Microsecond, 6350 * time.Microsecond} {
+			g := gomega.NewWithT(t)
+			s := sharesScheduler(0)
+			pool := s.pool("s")
+			pool.work.stepTime = stepTime
+			for i := range 4 {
+				request := tenantRequest(fmt.Sprint("stated", i), "stated", 0)
+				request.PromptTokens, request.AnswerTokens = 1, answerTokens
+				s.Submit(0, request)
+				s.Submit(0, tenantRequest(fmt.Sprint("other", i), fmt.Sprint("other", i), 0))
+			}
+			sortByTarget(0, pool.queue)
+			pool.orderByShares(pool.queue)
+			for _, request := range pool.queue {
+				g.Expect(request.startTag).To(gomega.BeNumerically(">=", 0), fmt.Sprint(answerTokens, stepTime))
+				g.Expect(request.share.work).To(gomega.And(gomega.BeNumerically(">=", 0), gomega.BeNumerically("<=", request.Deadline.Seconds())), fmt.Sprint(answerTokens, stepTime))
+			}
+		}
+	}
+}
+
 // Guards against a tenant that gets a second share with a request that was refused and sent again.
 func TestRefusedRequestsAddNoShare(t *testing.T) {
 	g := gomega.NewWithT(t)
