admission: forget an overload that no recent round of decisions confirmed

The overloads of a service are determined by rounds of decisions, which end when its last queued request is cancelled, and not updated while queue_order is target. The next late request was rejected at once by an overload from any time before.

Overloads hold for 2 s after the latest round.

--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -70,9 +70,10 @@
 	ledgers map[int]*shareLedger
 	// slowStart is nil until it is set; cold replicas get no requests until then.
 	slowStart *SlowStart
-	// responseTimes and overloads, by priority, are used by Policy.FeasibleOrder.
+	// responseTimes and overloads, by priority and as of overloadsAt, are used by Policy.FeasibleOrder.
 	responseTimes responseTimes
 	overloads     map[int]overload
+	overloadsAt   structs.Instant
 	// oldestFirst keeps the oldest of equal requests first under overload, for comparisons in tests.
 	oldestFirst bool
 }
--- a/coordination/admission/feasible.go
+++ b/coordination/admission/feasible.go
@@ -23,6 +23,9 @@
 	overloadEnterShare = 0.25
 	overloadLeaveShare = 0.05
 	overloadEnterTime  = 2
+	// overloadRetention is how long the overloads of the latest round hold. Rounds follow each other in
+	// 50 ms or less while requests are queued; after the last one is cancelled there are none.
+	overloadRetention = 2 * time.Second
 	// responseDecay is the factor on the weight of earlier response times at each new one. It is closer
 	// to 1 than prefillDecay because all replicas of the service are observed together.
 	responseDecay = 0.995
@@ -130,7 +133,7 @@
 		}
 		updated[request.Priority] = state
 	}
-	p.overloads = updated
+	p.overloads, p.overloadsAt = updated, now
 }
 
 func shareOf(target time.Duration, share float64) time.Duration {
@@ -151,6 +154,9 @@
 // newest goes first if the priority is overloaded, as the oldest would then be served just too late.
 // Otherwise, and among late ones, the one whose target ends first goes first.
 func (p *servicePool) sortFeasible(now structs.Instant) {
+	if now-p.overloadsAt > overloadRetention {
+		p.overloads = nil
+	}
 	estimate := p.responseTimes.safeEstimate()
 	for _, request := range p.queue {
 		request.sortLength = request.effectiveLength()
--- a/coordination/admission/feasible_test.go
+++ b/coordination/admission/feasible_test.go
@@ -316,6 +316,26 @@
 	g.Expect(pool.overloads).To(gomega.BeEmpty(), "states of other priorities are not kept")
 }
 
+// Guards against an overload of long ago, after which no request was queued or the feasible order was off:
+// late requests were rejected at once by it.
+func TestOverloadOfLongAgoIsForgotten(t *testing.T) {
+	for _, switched := range []bool{false, true} {
+		g := gomega.NewWithT(t)
+		s, now := overloadedScheduler(g)
+		if switched {
+			s.SetPolicy(Policy{})
+			s.SetPolicy(Policy{FeasibleOrder: true})
+		}
+		now += time.Hour
+		learnResponseTime(s, 200*ms)
+		late := newCaller("late", 0)
+		late.Target = 100 * ms
+		s.Submit(now, newRequest("first", 0))
+		s.Submit(now, late)
+		g.Expect(s.Decide(now)).To(gomega.BeEmpty())
+	}
+}
+
 // Guards against a wrong order among equals: the oldest first, the newest first while overloaded, and
 // callers that returned when told before both.
 func TestNewestGoFirstWhileOverloaded(t *testing.T) {
