admission: let the tests of switched tenant shares assert the accounts

The test of a setting that changes while requests wait ended with shares off, where no ledger exists: its last check held whatever the accounts were. It passed with dropShares not clearing the queued requests.

It now ends with shares on and checks that queued requests get accounts in the new ledger, that those assigned before count for nothing and that tenants alternate. It fails for that fault and passes with the code as it is. The test of random ends is played a second time with random changes of the setting.

--- a/coordination/admission/shares_test.go
+++ b/coordination/admission/shares_test.go
@@ -535,28 +535,55 @@
 	g.Expect(s.pool("s").ledgers).To(gomega.BeEmpty())
 }
 
-// Guards against accounts that are wrong after the setting changes while requests are queued and
-// assigned.
+// Guards against accounts that are wrong after the setting changes while requests are queued and assigned:
+// those of requests that were assigned before must not be charged or refunded in the new ledgers.
 func TestSharesAreSwitchedWhileRequestsWait(t *testing.T) {
 	g := gomega.NewWithT(t)
-	s := sharesScheduler(1)
-	for i := range 6 {
-		s.Submit(0, tenantRequest(fmt.Sprint(i), fmt.Sprint(i%2), 0))
+	s := sharesScheduler(2)
+	for i := range 8 {
+		for _, tenant := range []string{"first", "second"} {
+			request := tenantRequest(fmt.Sprint(tenant, i), tenant, 0)
+			request.WasRejected = true // waits for its patience
+			s.Submit(0, request)
+		}
 	}
-	for i := range 6 {
-		s.SetPolicy(Policy{TenantShares: i%2 == 1})
-		decisions := s.Decide(structs.Instant(i) * time.Second)
-		g.Expect(decisions).To(gomega.HaveLen(1))
-		s.SetPolicy(Policy{TenantShares: i%3 == 1})
-		s.Finish(structs.Instant(i)*time.Second, decisions[0].ID, Observation{Duration: time.Second})
+	before := assignedIDs(s.Decide(0))
+	g.Expect(before).To(gomega.ConsistOf("first0", "second0"))
+	s.SetPolicy(Policy{})
+	g.Expect(s.Decide(0)).To(gomega.BeEmpty())
+	s.SetPolicy(Policy{TenantShares: true})
+	g.Expect(s.Decide(0)).To(gomega.BeEmpty())
+	g.Expect(s.pool("s").ledgers[0].Len()).To(gomega.Equal(2), "queued requests have accounts again")
+	for _, id := range before {
+		s.Finish(3*time.Second, id, Observation{Duration: 3 * time.Second})
 	}
+	g.Expect(s.ShareLevels(10)).To(gomega.BeEmpty(), "requests assigned before count for nothing")
+	for round := range 7 {
+		now := structs.Instant(3+round) * time.Second
+		assigned := assignedIDs(s.Decide(now))
+		g.Expect(assigned).To(gomega.HaveLen(2))
+		g.Expect(assigned[0][:1]).NotTo(gomega.Equal(assigned[1][:1]), "one request of each tenant")
+		for _, id := range assigned {
+			s.Finish(now+time.Second, id, Observation{Duration: time.Second})
+		}
+	}
+	g.Expect(s.queued).To(gomega.BeEmpty())
 	s.Sweep(time.Minute)
 	g.Expect(s.pool("s").ledgers).To(gomega.BeEmpty())
 }
 
 // Guards against accounts that keep requests which ended, were cancelled or whose node ended: their tenants
-// would never be dropped.
+// would never be dropped. The setting changes meanwhile in one of the plays.
 func TestAccountsHoldExactlyTheRequestsQueuedAndAssigned(t *testing.T) {
+	for _, switched := range []bool{false, true} {
+		playAccounts(t, switched)
+	}
+}
+
+// playAccounts submits and ends random requests, and expects no account afterwards. With switched the
+// setting changes meanwhile, and is on at the end.
+func playAccounts(t *testing.T, switched bool) {
+	t.Helper()
 	g := gomega.NewWithT(t)
 	random := rand.New(rand.NewPCG(1, 5))
 	s := sharesScheduler(3)
@@ -584,8 +611,13 @@
 			s.Submit(now, request)
 			ids = append(ids, request.ID)
 		}
+		if switched && random.IntN(10) == 0 {
+			s.SetPolicy(Policy{TenantShares: random.IntN(2) == 0})
+		}
 		s.Decide(now)
 	}
+	s.SetPolicy(Policy{TenantShares: true})
+	s.Decide(5000 * 20 * time.Millisecond)
 	for node := range 3 {
 		s.DropNode(fmt.Sprint("n", node))
 	}
