admission: reject stated lengths for which the expected time overflows

The product of a very large number of tokens, which callers state, with the time per token overflowed, and the request was assigned although no replica can finish it. The new test failed before the change for 1<<42 tokens and more, and passes with it.

--- a/coordination/admission/shares_test.go
+++ b/coordination/admission/shares_test.go
@@ -329,6 +329,19 @@
 	}
 }
 
+// Guards against a stated length for which the expected time overflows, so that a request which no replica
+// can finish is not rejected.
+func TestNoReplicaFinishesAnImplausiblyLongResponse(t *testing.T) {
+	g := gomega.NewWithT(t)
+	replica := &replicaSnapshot{stepTime: 3 * time.Millisecond}
+	g.Expect(replica.canFinish(100, time.Second)).To(gomega.BeTrue())
+	for _, answerTokens := range []int{1000, 1 << 42, 1 << 45, math.MaxInt} {
+		g.Expect(replica.canFinish(answerTokens, time.Second)).To(gomega.BeFalse(), fmt.Sprint(answerTokens))
+	}
+	unknown := &replicaSnapshot{}
+	g.Expect(unknown.canFinish(math.MaxInt, time.Second)).To(gomega.BeTrue())
+}
+
 // Guards against a tenant that gets a second share with a request that was refused and sent again.
 func TestRefusedRequestsAddNoShare(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/coordination/admission/snapshot.go
+++ b/coordination/admission/snapshot.go
@@ -53,10 +53,10 @@
 	hasWorkTime bool
 }
 
-// canFinish reports whether an answer of that many tokens is likely to be complete within the
-// remaining time.
+// canFinish reports whether an answer of that many tokens, which callers may state as any number, is likely
+// to be complete within the remaining time.
 func (r *replicaSnapshot) canFinish(answerTokens int, remaining time.Duration) bool {
-	return time.Duration(answerTokens)*r.stepTime <= time.Duration(float64(remaining)*maxDeadlineShare)
+	return float64(answerTokens)*float64(r.stepTime) <= float64(remaining)*maxDeadlineShare
 }
 
 // snapshot returns the current state of the service's replicas. The result is valid until the next
