--- a/cmd/thornwalk-lab/soak.go
+++ b/cmd/thornwalk-lab/soak.go
@@ -107,7 +107,7 @@
 }
 
 func printSoakResult(result *soak.Result) {
-	fmt.Printf("seed %d: %v; at worst %v\n", result.Seed, result.Counts, result.Worst)
+	fmt.Printf("seed %d: %v; at worst %v; %s\n", result.Seed, result.Counts, result.Worst, result.Policies)
 	if len(result.Violations) == 0 {
 		return
 	}
--- a/lab/soak/deployment.go
+++ b/lab/soak/deployment.go
@@ -171,21 +171,13 @@
 }
 
 func (d *deployment) startNode(options *Options, folder string, number int) error {
-	block, host := options.Block, number+1
+	block := options.Block
 	faultProxy, err := newProxy(hostAddress(block, storeHost, firstStoreProxyPort+number), hostAddress(block, storeHost, storePort))
 	if err != nil {
 		return err
 	}
 	d.storeProxies = append(d.storeProxies, faultProxy)
-	settings := &entry.Settings{
-		Name: fmt.Sprintf("n%d", number), Zone: "east", Host: fmt.Sprintf("%s.%d", block, host), PeerPort: peerPort,
-		Callers: hostAddress(block, host, callersPort), Readiness: hostAddress(block, host, readinessPort), Operators: hostAddress(block, host, operatorsPort),
-		Store: faultProxy.address(), StopGrace: int(stopGrace.Milliseconds()), StoreRecoveryWindow: int(storeRecoveryWindow.Milliseconds()), ConfigurationBound: int(configurationBound.Milliseconds()),
-		Cores: 1, RetryRatio: retryBound.Ratio, RetryWindow: retryBound.Window.Seconds(), RetrySlack: retryBound.Slack, QuotaWindow: quotaWindow.Seconds(), QuotaOverage: quotaOverage, QuotaSlack: quotaSlack, BlockedAfter: 3, FirstStart: true,
-	}
-	for seed := range nodeCount {
-		settings.Seeds = append(settings.Seeds, hostAddress(block, seed+1, operatorsPort))
-	}
+	settings := nodeSettings(options, number, faultProxy.address())
 	log := io.Discard
 	if options.LogFolder != "" {
 		file, err := os.Create(fmt.Sprintf("%s/seed-%d-%s.log", options.LogFolder, options.Seed, settings.Name))
@@ -206,6 +198,22 @@
 	return nil
 }
 
+// nodeSettings returns the settings of the node with the number, which reaches the store at the address.
+func nodeSettings(options *Options, number int, store string) *entry.Settings {
+	block, host := options.Block, number+1
+	settings := &entry.Settings{
+		Name: fmt.Sprintf("n%d", number), Zone: "east", Host: fmt.Sprintf("%s.%d", block, host), PeerPort: peerPort,
+		Callers: hostAddress(block, host, callersPort), Readiness: hostAddress(block, host, readinessPort), Operators: hostAddress(block, host, operatorsPort),
+		Store: store, StopGrace: int(stopGrace.Milliseconds()), StoreRecoveryWindow: int(storeRecoveryWindow.Milliseconds()), ConfigurationBound: int(configurationBound.Milliseconds()),
+		Cores: 1, RetryRatio: retryBound.Ratio, RetryWindow: retryBound.Window.Seconds(), RetrySlack: retryBound.Slack, QuotaWindow: quotaWindow.Seconds(), QuotaOverage: quotaOverage, QuotaSlack: quotaSlack, BlockedAfter: 3, FirstStart: true,
+	}
+	for seed := range nodeCount {
+		settings.Seeds = append(settings.Seeds, hostAddress(block, seed+1, operatorsPort))
+	}
+	drawPolicies(options.Seed).apply(settings)
+	return settings
+}
+
 // writeConfiguration writes a new version of the configuration with the extra route.
 func (d *deployment) writeConfiguration(extraRoute string) {
 	d.version++
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -35,8 +35,10 @@
 
 // Result is the outcome of one run.
 type Result struct {
-	Seed   uint64
-	Faults []string
+	Seed uint64
+	// Policies describes the scheduling policies that the seed has drawn.
+	Policies string
+	Faults   []string
 	// Counts is the number of requests by outcome.
 	Counts     map[string]int
 	Violations []string
@@ -82,7 +84,7 @@
 	c.sendTraffic(ctx, options.Traffic, options.Rate)
 	<-done
 	time.Sleep(settleTime)
-	result := &Result{Seed: options.Seed, Counts: map[string]int{}, Worst: map[string]string{}}
+	result := &Result{Seed: options.Seed, Policies: drawPolicies(options.Seed).String(), Counts: map[string]int{}, Worst: map[string]string{}}
 	for _, planned := range plan {
 		result.Faults = append(result.Faults, planned.String())
 	}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -68,7 +68,7 @@
 	g := gomega.NewWithT(t)
 	result, err := soak.Run(context.Background(), options)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
-	t.Log(result.Counts, result.Worst)
+	t.Log(result.Counts, result.Worst, result.Policies)
 	g.Expect(result.Violations).To(gomega.BeEmpty(), "faults: %v", result.Faults)
 	g.Expect(result.Counts["answered"]).To(gomega.BeNumerically(">", 50))
 }
