soak: judge the shares of two tenants and priorities

Nothing judged with real processes that a tenant below its share is answered regardless of the excess of another one. With -tenants a second tenant of equal priority and quota sends 1.5 times what the engines answer, follows Retry-After once, and goes on for 10 s after the last fault starts. Requests without a fault of a node, a replica or the store are judged: the tenant below its share and the route of higher priority lose at most 2 requests and a sample error of chance refusals. Tenants are judged where tenant_shares is on and no previous version runs, priorities always.

--- a/cmd/thornwalk-lab/soak.go
+++ b/cmd/thornwalk-lab/soak.go
@@ -32,6 +32,7 @@
 	previous := flags.String("previous", "", "path of another version's thornwalkd, which all nodes run at first and are replaced with forth and back")
 	bounds := flags.Bool("bounds", false, "strike what keeps repeats and quotas in bounds, and the store, in place of the usual mix")
 	pushback := flags.Bool("pushback", false, "have replicas name rates, leave and ask for pauses in their answers, beside the other faults")
+	tenants := flags.Bool("tenants", false, "have a second tenant send more than the engines can answer, and judge the shares of the tenants")
 	logs := flags.String("log", "", "folder for the daemons' lines; empty drops them")
 	return &ffcli.Command{
 		Name: "soak", ShortUsage: "thornwalk-lab soak [flags]", FlagSet: flags,
@@ -42,7 +43,7 @@
 				return err
 			}
 			defer cleanup()
-			options := soak.Options{Daemon: path, Traffic: *traffic, Rate: *rate, LogFolder: *logs, Previous: *previous, Bounds: *bounds, Pushback: *pushback}
+			options := soak.Options{Daemon: path, Traffic: *traffic, Rate: *rate, LogFolder: *logs, Previous: *previous, Bounds: *bounds, Pushback: *pushback, Tenants: *tenants}
 			return runSoak(ctx, options, *first, *seeds, *workers)
 		},
 	}
--- a/lab/soak/callers.go
+++ b/lab/soak/callers.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -18,7 +19,7 @@
 const (
 	routeHost         = "soak.example"
 	tenantKey         = "soak-key"
-	requestDeadlineMS = "3000"
+	requestDeadlineMS = 3000
 	// callerTimeout is when a caller abandons its request regardless of the deadline.
 	callerTimeout = 5 * time.Second
 )
@@ -38,12 +39,23 @@
 
 // callResult is one request and its result as the caller saw it.
 type callResult struct {
+	outgoing
+	outcome outcome
+	status  int
+	detail  string
+	span    span
+	// retryAfter is the time to come back of a rejection, zero without one.
+	retryAfter time.Duration
+}
+
+// outgoing is a request to a node.
+type outgoing struct {
 	id, route string
 	node      int
-	outcome   outcome
-	status    int
-	detail    string
-	span      span
+	// key is the key of its tenant.
+	key string
+	// body is that of a request with POST.
+	body string
 }
 
 // callers sends requests and records their results.
@@ -77,24 +89,29 @@
 	c.results = append(c.results, result)
 }
 
-// sendOne sends one request to the node and classifies the answer.
+// sendOne sends one request of the first tenant to the node and classifies the answer.
 func (c *callers) sendOne(id, route string, node int) callResult {
-	result := callResult{id: id, route: route, node: node, span: span{from: time.Now()}}
+	return c.send(outgoing{id: id, route: route, node: node, key: tenantKey, body: "soak"})
+}
+
+// send sends the request and classifies the answer.
+func (c *callers) send(sent outgoing) callResult {
+	result := callResult{outgoing: sent, span: span{from: time.Now()}}
 	method, body := http.MethodGet, []byte(nil)
-	if route == "once" || route == "report" || route == "chat" {
-		method, body = http.MethodPost, []byte("soak")
+	if sent.route == "once" || sent.route == "report" || sent.route == "chat" {
+		method, body = http.MethodPost, []byte(sent.body)
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), callerTimeout)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+hostAddress(c.block, node+1, callersPort)+"/"+route+"/", bytes.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+hostAddress(c.block, sent.node+1, callersPort)+"/"+sent.route+"/", bytes.NewReader(body))
 	if err != nil {
 		result.outcome, result.detail = outcomeWrong, err.Error()
 		return result
 	}
 	request.Host, request.GetBody = routeHost, nil
-	request.Header.Set("X-Attempt-Id", id)
-	request.Header.Set("X-Deadline-Ms", requestDeadlineMS)
-	request.Header.Set("Authorization", "Bearer "+tenantKey)
+	request.Header.Set("X-Attempt-Id", sent.id)
+	request.Header.Set("X-Deadline-Ms", strconv.Itoa(requestDeadlineMS))
+	request.Header.Set("Authorization", "Bearer "+sent.key)
 	response, err := c.client.Do(request)
 	if err != nil {
 		result.outcome, result.detail = outcomeOfError(err), err.Error()
@@ -128,7 +145,7 @@
 			r.outcome, r.detail = outcomeWrong, fmt.Sprintf("%.80q", body)
 		}
 	case r.status == http.StatusServiceUnavailable || r.status == http.StatusTooManyRequests || r.status == http.StatusRequestTimeout:
-		r.outcome = outcomeNotRun
+		r.outcome, r.retryAfter = outcomeNotRun, parseRetryAfter(response.Header.Get("Retry-After"))
 		if response.Header.Get("Retry-After") == "" {
 			r.outcome, r.detail = outcomeWrong, "refused without a time to come back"
 		}
--- a/lab/soak/checks_test.go
+++ b/lab/soak/checks_test.go
@@ -13,7 +13,7 @@
 	g := gomega.NewWithT(t)
 	start := time.Now()
 	lost := func(id string, after time.Duration) callResult {
-		return callResult{id: id, route: "status", outcome: outcomeLost, span: span{start, start.Add(after)}}
+		return callResult{outgoing: outgoing{id: id, route: "status"}, outcome: outcomeLost, span: span{start, start.Add(after)}}
 	}
 	i := &injector{plannedStops: map[int][]span{0: {{start.Add(-time.Second), start.Add(time.Second)}}}}
 	c := &callers{results: []callResult{lost("crossed", 2*time.Millisecond), lost("queued", 400*time.Millisecond), lost("ran", 2*time.Millisecond)}}
--- a/lab/soak/deployment.go
+++ b/lab/soak/deployment.go
@@ -79,6 +79,8 @@
 	addedRoutes int
 	// rate is the tenant's quota in tokens per second, burst that in tokens.
 	rate, burst float64
+	// hasSurgeTenant is true if there is a second tenant with the same quota.
+	hasSurgeTenant bool
 	// mutex guards the last written configuration and the states of replicas that are not ready.
 	mutex         sync.Mutex
 	configuration entrylab.Configuration
@@ -118,7 +120,7 @@
 // startDeployment starts the store, the replicas and the nodes on loopback addresses of
 // options.Block. The caller closes the deployment also when an error is returned.
 func startDeployment(options *Options, folder string) (*deployment, error) {
-	d := &deployment{store: platformsim.NewStore(), rate: unreachableRate, burst: unreachableRate, states: map[int]string{}}
+	d := &deployment{store: platformsim.NewStore(), rate: unreachableRate, burst: unreachableRate, states: map[int]string{}, hasSurgeTenant: options.Tenants}
 	if options.Bounds {
 		d.rate, d.burst = quotaRate, quotaBurst
 	}
@@ -237,6 +239,9 @@
 		Services: []entrylab.Service{{Name: "registry"}, {Name: "engines"}},
 		Tenants:  []entrylab.Tenant{{Name: "office", Keys: []string{tenantKey}, Unit: "tokens", PlainTokens: tokensPerRequest, Rate: d.rate, Burst: d.burst}},
 	}
+	if d.hasSurgeTenant {
+		configuration.Tenants = append(configuration.Tenants, entrylab.Tenant{Name: "surge", Keys: []string{surgeTenantKey}, Unit: "tokens", PlainTokens: tokensPerRequest, Rate: d.rate, Burst: d.burst})
+	}
 	d.mutex.Lock()
 	d.configuration = configuration
 	d.mutex.Unlock()
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/http"
 	"os"
@@ -29,6 +30,10 @@
 	Bounds bool
 	// Pushback adds faults in which replicas send pushback.
 	Pushback bool
+	// Tenants adds a second tenant whose requests exceed what the engines can answer, and sends
+	// requests for calmTime after the faults. It excludes Bounds, as the second tenant has no quota
+	// that it exceeds.
+	Tenants bool
 	// LogFolder is where the daemons' logs are written; empty discards them.
 	LogFolder string
 }
@@ -56,6 +61,9 @@
 // Run starts a deployment, sends requests while it injects the faults of the seed's plan, and checks
 // the promises. Broken promises are in the result; an error means that the run could not start.
 func Run(ctx context.Context, options Options) (*Result, error) {
+	if options.Bounds && options.Tenants {
+		return nil, errors.New("options Bounds and Tenants exclude each other: play them in two runs")
+	}
 	folder, err := os.MkdirTemp("", "thornwalk-soak")
 	if err != nil {
 		return nil, err
@@ -81,7 +89,12 @@
 	sort.SliceStable(plan, func(i, j int) bool { return plan[i].offset < plan[j].offset })
 	done := make(chan struct{})
 	go func() { i.run(plan); close(done) }()
-	c.sendTraffic(ctx, options.Traffic, options.Rate)
+	traffic := options.Traffic
+	if options.Tenants {
+		traffic += calmTime
+		c.group.Go(func() { c.sendSurge(ctx, traffic, options.Rate/float64(len(trafficRoutes))) })
+	}
+	c.sendTraffic(ctx, traffic, options.Rate)
 	<-done
 	time.Sleep(settleTime)
 	result := &Result{Seed: options.Seed, Policies: drawPolicies(options.Seed).String(), Counts: map[string]int{}, Worst: map[string]string{}}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -106,3 +106,9 @@
 func TestShortSoakOfTwoVersionsAtTheirBounds(t *testing.T) {
 	runSeed(t, soak.Options{Daemon: buildOrFail(t, buildPresent), Previous: buildOrFail(t, buildPrevious), Seed: 1, Traffic: 8 * time.Second, Rate: 80, Block: "127.0.35", Bounds: true})
 }
+
+// Guards against a tenant below its share that is refused because of the excess of another one, and
+// against requests of lower priority ahead of higher ones, after faults under the same load.
+func TestShortSoakOfTenants(t *testing.T) {
+	runSeed(t, soak.Options{Daemon: buildOrFail(t, buildPresent), Seed: 1, Traffic: 6 * time.Second, Rate: 60, Block: "127.0.37", Tenants: true})
+}
