--- a/lab/soak/deployment.go
+++ b/lab/soak/deployment.go
@@ -79,6 +79,8 @@
 	addedRoutes int
 	// rate is the tenant's quota in tokens per second, burst that in tokens.
 	rate, burst float64
+	// hasSurgeTenant is true if there is a second tenant with the same quota.
+	hasSurgeTenant bool
 	// mutex guards the last written configuration and the states of replicas that are not ready.
 	mutex         sync.Mutex
 	configuration entrylab.Configuration
@@ -118,7 +120,7 @@
 // startDeployment starts the store, the replicas and the nodes on loopback addresses of
 // options.Block. The caller closes the deployment also when an error is returned.
 func startDeployment(options *Options, folder string) (*deployment, error) {
-	d := &deployment{store: platformsim.NewStore(), rate: unreachableRate, burst: unreachableRate, states: map[int]string{}}
+	d := &deployment{store: platformsim.NewStore(), rate: unreachableRate, burst: unreachableRate, states: map[int]string{}, hasSurgeTenant: options.Tenants}
 	if options.Bounds {
 		d.rate, d.burst = quotaRate, quotaBurst
 	}
@@ -171,21 +173,13 @@
 }
 
 func (d *deployment) startNode(options *Options, folder string, number int) error {
-	block, host := options.Block, number+1
+	block := options.Block
 	faultProxy, err := newProxy(hostAddress(block, storeHost, firstStoreProxyPort+number), hostAddress(block, storeHost, storePort))
 	if err != nil {
 		return err
 	}
 	d.storeProxies = append(d.storeProxies, faultProxy)
-	settings := &entry.Settings{
-		Name: fmt.Sprintf("n%d", number), Zone: "east", Host: fmt.Sprintf("%s.%d", block, host), PeerPort: peerPort,
-		Callers: hostAddress(block, host, callersPort), Readiness: hostAddress(block, host, readinessPort), Operators: hostAddress(block, host, operatorsPort),
-		Store: faultProxy.address(), StopGrace: int(stopGrace.Milliseconds()), StoreRecoveryWindow: int(storeRecoveryWindow.Milliseconds()), ConfigurationBound: int(configurationBound.Milliseconds()),
-		Cores: 1, RetryRatio: retryBound.Ratio, RetryWindow: retryBound.Window.Seconds(), RetrySlack: retryBound.Slack, QuotaWindow: quotaWindow.Seconds(), QuotaOverage: quotaOverage, QuotaSlack: quotaSlack, BlockedAfter: 3, FirstStart: true,
-	}
-	for seed := range nodeCount {
-		settings.Seeds = append(settings.Seeds, hostAddress(block, seed+1, operatorsPort))
-	}
+	settings := nodeSettings(options, number, faultProxy.address())
 	log := io.Discard
 	if options.LogFolder != "" {
 		file, err := os.Create(fmt.Sprintf("%s/seed-%d-%s.log", options.LogFolder, options.Seed, settings.Name))
@@ -206,6 +200,22 @@
 	return nil
 }
 
+// nodeSettings returns the settings of the node with the number, which reaches the store at the address.
+func nodeSettings(options *Options, number int, store string) *entry.Settings {
+	block, host := options.Block, number+1
+	settings := &entry.Settings{
+		Name: fmt.Sprintf("n%d", number), Zone: "east", Host: fmt.Sprintf("%s.%d", block, host), PeerPort: peerPort,
+		Callers: hostAddress(block, host, callersPort), Readiness: hostAddress(block, host, readinessPort), Operators: hostAddress(block, host, operatorsPort),
+		Store: store, StopGrace: int(stopGrace.Milliseconds()), StoreRecoveryWindow: int(storeRecoveryWindow.Milliseconds()), ConfigurationBound: int(configurationBound.Milliseconds()),
+		Cores: 1, RetryRatio: retryBound.Ratio, RetryWindow: retryBound.Window.Seconds(), RetrySlack: retryBound.Slack, QuotaWindow: quotaWindow.Seconds(), QuotaOverage: quotaOverage, QuotaSlack: quotaSlack, BlockedAfter: 3, FirstStart: true,
+	}
+	for seed := range nodeCount {
+		settings.Seeds = append(settings.Seeds, hostAddress(block, seed+1, operatorsPort))
+	}
+	drawPolicies(options.Seed).apply(settings)
+	return settings
+}
+
 // writeConfiguration writes a new version of the configuration with the extra route.
 func (d *deployment) writeConfiguration(extraRoute string) {
 	d.version++
@@ -229,6 +239,9 @@
 		Services: []entrylab.Service{{Name: "registry"}, {Name: "engines"}},
 		Tenants:  []entrylab.Tenant{{Name: "office", Keys: []string{tenantKey}, Unit: "tokens", PlainTokens: tokensPerRequest, Rate: d.rate, Burst: d.burst}},
 	}
+	if d.hasSurgeTenant {
+		configuration.Tenants = append(configuration.Tenants, entrylab.Tenant{Name: "surge", Keys: []string{surgeTenantKey}, Unit: "tokens", PlainTokens: tokensPerRequest, Rate: d.rate, Burst: d.burst})
+	}
 	d.mutex.Lock()
 	d.configuration = configuration
 	d.mutex.Unlock()
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -68,7 +68,7 @@
 	g := gomega.NewWithT(t)
 	result, err := soak.Run(context.Background(), options)
 	g.Expect(err).NotTo(gomega.HaveOccurred())
-	t.Log(result.Counts, result.Worst)
+	t.Log(result.Counts, result.Worst, result.Policies)
 	g.Expect(result.Violations).To(gomega.BeEmpty(), "faults: %v", result.Faults)
 	g.Expect(result.Counts["answered"]).To(gomega.BeNumerically(">", 50))
 }
@@ -106,3 +106,9 @@
 func TestShortSoakOfTwoVersionsAtTheirBounds(t *testing.T) {
 	runSeed(t, soak.Options{Daemon: buildOrFail(t, buildPresent), Previous: buildOrFail(t, buildPrevious), Seed: 1, Traffic: 8 * time.Second, Rate: 80, Block: "127.0.35", Bounds: true})
 }
+
+// Guards against a tenant below its share that is refused because of the excess of another one, and
+// against requests of lower priority ahead of higher ones, after faults under the same load.
+func TestShortSoakOfTenants(t *testing.T) {
+	runSeed(t, soak.Options{Daemon: buildOrFail(t, buildPresent), Seed: 1, Traffic: 6 * time.Second, Rate: 60, Block: "127.0.37", Tenants: true})
+}
