admission: compute the time per token of a stream in one place

Cause: the shares' work estimate repeated the arithmetic with which replicas' speeds are learned; two comments told of measuring. Change: Observation.tokenTime for both; two comments.

--- a/coordination/admission/assignments.go
+++ b/coordination/admission/assignments.go
@@ -89,6 +89,11 @@
 	s.learnSpeed(ended, observed)
 }
 
+// tokenTime returns the mean time between two tokens of a stream with more than one event.
+func (o *Observation) tokenTime() time.Duration {
+	return (o.Duration - o.FirstEvent) / time.Duration(o.Events-1) / time.Duration(max(o.TokensPerEvent, 1))
+}
+
 // learnSpeed updates the replica's speed from a request that succeeded. Times count as they would have
 // been at the mean of the speeds that the replica reports.
 func (s *Scheduler) learnSpeed(assignment *assignment, observed Observation) {
@@ -99,7 +104,7 @@
 	step := observed.Duration
 	switch {
 	case observed.Events > 1:
-		step = (observed.Duration - observed.FirstEvent) / time.Duration(observed.Events-1) / time.Duration(max(observed.TokensPerEvent, 1))
+		step = observed.tokenTime()
 	case observed.Events == 1:
 		return
 	}
--- a/coordination/admission/shares.go
+++ b/coordination/admission/shares.go
@@ -182,8 +182,7 @@
 		e.prefill.observe(promptTokens, observed.FirstEvent)
 	}
 	if observed.Events > 1 {
-		tokens := (observed.Events - 1) * max(observed.TokensPerEvent, 1)
-		e.stepTime = smooth(e.stepTime, (observed.Duration-observed.FirstEvent)/time.Duration(tokens))
+		e.stepTime = smooth(e.stepTime, observed.tokenTime())
 	}
 }
 
--- a/coordination/tenantstats/window.go
+++ b/coordination/tenantstats/window.go
@@ -7,7 +7,7 @@
 )
 
 const (
-	// Window is the time over which use and the longest wait are measured. It is as long as some
+	// Window is the time over which use and the longest wait are computed. It is as long as some
 	// responses take, and short enough to show the present.
 	Window = 10 * time.Second
 	// bucketTime is the length of one bucket of a window. There is one bucket more than fit into the
--- a/entry/scheduling_service.go
+++ b/entry/scheduling_service.go
@@ -26,7 +26,8 @@
 	// does not know what others granted.
 	takeoverBurstShare = 0.1
 	// minRestartTime is the minimum time between the end of all processes and the first requests of
-	// the next ones, in which no quota was granted; 0.5 s was measured. It is credited only until restartCreditTime
+	// the next ones, in which no quota was granted; processes take about 0.5 s. It is credited only until
+	// restartCreditTime
 	// after the start, as other nodes may have granted quotas later.
 	minRestartTime    = 400 * time.Millisecond
 	restartCreditTime = 3 * time.Second
