entry: log and measure requested complete reads of the store

Cause: nothing told that a complete read was requested, why, nor whether and when it followed. A request that was lost looked like a slow read, or like none. Change: event store.reread (requested, done), counter store.rereads, histogram store_reread_ms, store_reread in the status. A read answers the requests made before its start, compared by sequence number, as both may fall in one instant. At most 8 requests are kept one by one; further ones are merged. When reads happen and when a request is cleared is unchanged. The mutex is taken once more after each watch.

--- a/entry/node.go
+++ b/entry/node.go
@@ -155,6 +155,8 @@
 	cancelWatch     context.CancelFunc
 	// isRereadRequested is true if the watch was ended for a complete read.
 	isRereadRequested bool
+	// rereads tracks the requests for a complete read.
+	rereads rereads
 	// updatedAt is when an update of the store was last applied.
 	updatedAt structs.Instant
 	// catalogPosition is the store position of the latest decoded configuration.
--- a/entry/operators.go
+++ b/entry/operators.go
@@ -39,6 +39,8 @@
 	Failing     []string                           `json:"failing_replicas"`
 	Replicas    []replicas.Replica                 `json:"replicas"`
 	Services    map[string]admission.ServiceStatus `json:"services"`
+	// Reread is set while requests for a complete read of the store are pending.
+	Reread *RereadStatus `json:"store_reread,omitempty"`
 	// Pushback is what replicas reported to this node to limit requests.
 	Pushback []PushbackStatus `json:"pushback,omitempty"`
 	// Evacuations are the zones that operators evacuated, and the orders that were lifted.
@@ -61,6 +63,7 @@
 	now := n.now()
 	status.Revision, status.Era, status.Restored = n.table.CompleteTo().Revision(), n.era.current, n.era.restoreWindowAge(now).Milliseconds()
 	status.UpdatesAge, status.StoreDown = (now - n.updatedAt).Milliseconds(), n.isStoreDown
+	status.Reread = n.rereads.status(now)
 	status.Scheduler, status.Failing, status.Replicas = n.scheduler, n.health.Failing(now), n.table.All()
 	status.NonDelegate, status.Fleet = n.isNonDelegate, n.fleetSize
 	status.Pushback = n.pushbackStatus(now)
--- a/entry/store.go
+++ b/entry/store.go
@@ -163,7 +163,7 @@
 	defer cancel()
 	startedAt := n.now()
 	n.mutex.Lock()
-	decoded := n.catalogPosition
+	decoded, lastReread := n.catalogPosition, n.rereads.last
 	n.storeCalledAt = startedAt
 	n.mutex.Unlock()
 	update, err := n.dependencies.Directory.Read(ctx, scope, decoded, n.maxReadBytes(scope))
@@ -186,6 +186,9 @@
 	n.mutex.Lock()
 	n.readCalls = update.Calls
 	n.recordRead(startedAt, scope)
+	if scope == outside.ScopeAll {
+		n.recordRereads(lastReread, update.Position)
+	}
 	n.mutex.Unlock()
 	return update.Position, nil
 }
@@ -255,6 +258,7 @@
 		n.setCancelWatch(cancel)
 		update, err := n.dependencies.Directory.Watch(ctx, position, watchDuration)
 		cancel()
+		n.recordWatchEnd()
 		switch {
 		case errors.Is(err, errkind.StaleFence), errors.Is(err, errkind.OtherEra):
 			// Replicas could renew their entries, so the store counts as healthy. A new era
@@ -283,11 +287,20 @@
 func (n *Node) setCancelWatch(cancel context.CancelFunc) {
 	n.mutex.Lock()
 	n.cancelWatch, n.isRereadRequested = cancel, false
+	n.rereads.isWatching = true
+	n.mutex.Unlock()
+}
+
+// recordWatchEnd records that no watch is in progress.
+func (n *Node) recordWatchEnd() {
+	n.mutex.Lock()
+	n.rereads.isWatching = false
 	n.mutex.Unlock()
 }
 
 // requestReread ends the current watch, so that a complete read follows. The caller holds the mutex.
-func (n *Node) requestReread() {
+func (n *Node) requestReread(reason rereadReason) {
+	n.recordRereadRequest(reason)
 	n.isRereadRequested = true
 	if n.cancelWatch != nil {
 		n.cancelWatch()
@@ -327,6 +340,9 @@
 	isFirst := !n.isStoreDown
 	n.isStoreDown = true
 	cancelWatch := n.cancelWatch
+	if isFirst && cancelWatch != nil && n.ctx.Err() == nil {
+		n.recordRereadRequest(rereadStoreFailed)
+	}
 	n.mutex.Unlock()
 	if isFirst && cancelWatch != nil {
 		// The watch may hang until its timeout, and only the watch loop retries.
