entry: keep a request to read the store again until a complete read answers it

Cause: requestReread set a flag and canceled the stored watch. Between two watches that watch has ended, and setCancelWatch cleared the flag when the next one began; the flag was read only when a watch failed, so that one which returned an update at that moment lost the request as well, and so did a read that had begun before it. recordStoreFailure canceled the same way. The reading node's regular read hides it in a small store; mayHaveMissedChanges spares that read in a large one, as the watch has missed nothing. Change: a request is pending until a complete read of the watch loop that began after it was applied (for a new era: one of that era), and no watch begins while one is pending, so no moment is left in which it can be lost. All complete reads of the loop have a reason, a line, a counter and a duration; a gauge shows the age of a pending request. A failure recorded by another call requests a read too. mayHaveMissedChanges does not spare a read while a request is pending.

--- a/entry/node.go
+++ b/entry/node.go
@@ -149,14 +149,10 @@
 	watchHealthy      bool
 	watchHealthySince structs.Instant
 	isStoreDown       bool
-	// nextReadTimeout bounds the next complete read of the store, and cancelWatch ends the
-	// current watch.
+	// nextReadTimeout bounds the next complete read of the store, and rereads holds the requests for
+	// one.
 	nextReadTimeout time.Duration
-	cancelWatch     context.CancelFunc
-	// isRereadRequested is true if the watch was ended for a complete read.
-	isRereadRequested bool
-	// rereads tracks the requests for a complete read.
-	rereads rereads
+	rereads         rereads
 	// updatedAt is when an update of the store was last applied.
 	updatedAt structs.Instant
 	// catalogPosition is the store position of the latest decoded configuration.
@@ -212,6 +208,7 @@
 	n.scheduling.onReturn = n.countReturn
 	n.scheduling.onInvalidWeight = func() { n.counter("weights.invalid").Inc(1) }
 	n.registerTenantMetrics()
+	n.registerRereadMetrics()
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	return n
 }
--- a/entry/reread.go
+++ b/entry/reread.go
@@ -1,6 +1,10 @@
 package entry
 
 import (
+	"context"
+
+	"github.com/rcrowley/go-metrics"
+
 	"github.com/thornwalk/thornwalk/internal/eventlog"
 	"github.com/thornwalk/thornwalk/structs"
 )
@@ -9,59 +13,111 @@
 type rereadReason string
 
 const (
+	// rereadWatchStarted: the process started, or the node began to watch the store.
+	rereadWatchStarted       rereadReason = "watch-started"
 	rereadNewEra             rereadReason = "new-era"
 	rereadRestoreWindowEnded rereadReason = "restore-window-ended"
 	rereadStoreFailed        rereadReason = "store-failed"
+	// rereadHistoryGone: the store no longer has the changes after the watch's position.
+	rereadHistoryGone rereadReason = "history-gone"
+	// rereadDue: the store was watched for fullReadInterval.
+	rereadDue rereadReason = "due"
 )
 
-// maxPendingRereads bounds the requests that are kept one by one. A node that does not watch the
-// store may go without a complete read for any time.
-const maxPendingRereads = 8
+// rereadReasons are all reasons, in the order of log lines.
+var rereadReasons = []rereadReason{
+	rereadWatchStarted, rereadNewEra, rereadRestoreWindowEnded, rereadStoreFailed, rereadHistoryGone, rereadDue,
+}
 
-// rereadRequest is a request for a complete read of the store.
+// rereadRequest is a request for a complete read of the store. It stands for all pending ones of its
+// reason.
 type rereadRequest struct {
-	// number is the sequence number of the request, or of the latest one if it stands for several.
-	number      uint64
-	reason      rereadReason
+	reason rereadReason
+	// number and era are the sequence number and the known era of the latest request.
+	number uint64
+	era    int64
+	// requestedAt is the time of the oldest request, count the number of requests.
 	requestedAt structs.Instant
-	// count is the number of requests that it stands for.
-	count int
+	count       int
+}
+
+// isAnsweredBy reports whether the request is answered by a complete read of the era, given the
+// sequence number of the latest request at its start. Instants can't tell which came first: a read may
+// start in the instant of a request. A response of a new era answers the request for it even if the
+// read started earlier.
+func (r *rereadRequest) isAnsweredBy(lastAtStart uint64, era int64) bool {
+	return r.number <= lastAtStart || r.reason == rereadNewEra && r.era <= era
 }
 
-// rereads tracks requests for a complete read of the store until a read that started after the
-// request is applied. It only observes: it does not cause reads.
+// rereads holds the requests for a complete read of the store, and the watch that they end.
+//
+// Guarantee: a request is pending until a complete read of the watch loop answers it, and no watch begins
+// while one is pending. So none is lost, whatever the watch loop does when it is made.
 type rereads struct {
-	// isWatching is true while a watch is in progress.
-	isWatching bool
 	// last is the sequence number of the latest request.
-	last uint64
-	// pending are the requests without such a read, oldest first.
-	pending []rereadRequest
+	last    uint64
+	pending map[rereadReason]rereadRequest
+	// cancelWatch ends the watch in progress; nil if there is none.
+	cancelWatch context.CancelFunc
+	// isWatchCanceled is true if a request ended the latest watch.
+	isWatchCanceled bool
 }
 
-// add adds a request. Beyond maxPendingRereads, it is merged into the latest pending one.
-func (r *rereads) add(now structs.Instant, reason rereadReason) {
+// request adds a request and ends the watch in progress. It reports whether there was one.
+func (r *rereads) request(now structs.Instant, reason rereadReason, era int64) (wasWatching bool) {
 	r.last++
-	if len(r.pending) < maxPendingRereads {
-		r.pending = append(r.pending, rereadRequest{number: r.last, reason: reason, requestedAt: now, count: 1})
-		return
+	added, isPending := r.pending[reason]
+	if !isPending {
+		added = rereadRequest{reason: reason, requestedAt: now}
+	}
+	added.number, added.era = r.last, era
+	added.count++
+	if r.pending == nil {
+		r.pending = map[rereadReason]rereadRequest{}
+	}
+	r.pending[reason] = added
+	if r.cancelWatch == nil {
+		return false
+	}
+	r.isWatchCanceled = true
+	r.cancelWatch()
+	return true
+}
+
+// drop removes all requests, for a node that stops to watch the store: it reads the store before it
+// watches again.
+func (r *rereads) drop() { clear(r.pending) }
+
+// isPending reports whether a request is pending.
+func (r *rereads) isPending() bool { return len(r.pending) > 0 }
+
+// beginWatch records the start of a watch, which cancel ends. It returns false, and records nothing, if
+// a request is pending.
+func (r *rereads) beginWatch(cancel context.CancelFunc) bool {
+	if r.isPending() {
+		return false
 	}
-	latest := &r.pending[len(r.pending)-1]
-	latest.number = r.last
-	latest.count++
-}
-
-// complete removes and returns the requests that a complete read answers, given the sequence number
-// of the latest request at its start. Instants can't tell which came first: a read may start in
-// the instant of a request.
-func (r *rereads) complete(lastAtStart uint64) []rereadRequest {
-	answered := 0
-	for answered < len(r.pending) && r.pending[answered].number <= lastAtStart {
-		answered++
+	r.cancelWatch, r.isWatchCanceled = cancel, false
+	return true
+}
+
+// endWatch records the end of the watch, and reports whether a request ended it.
+func (r *rereads) endWatch() bool {
+	r.cancelWatch = nil
+	return r.isWatchCanceled
+}
+
+// answer removes and returns the requests that are answered by a complete read of the era, given the
+// sequence number of the latest request at its start.
+func (r *rereads) answer(lastAtStart uint64, era int64) []rereadRequest {
+	var answered []rereadRequest
+	for _, reason := range rereadReasons {
+		if request, found := r.pending[reason]; found && request.isAnsweredBy(lastAtStart, era) {
+			answered = append(answered, request)
+			delete(r.pending, reason)
+		}
 	}
-	completed := r.pending[:answered:answered]
-	r.pending = r.pending[answered:]
-	return completed
+	return answered
 }
 
 // RereadStatus describes the requests for a complete read of the store that no read has answered.
@@ -74,39 +130,106 @@
 
 // status returns the pending requests, or nil if there are none.
 func (r *rereads) status(now structs.Instant) *RereadStatus {
-	if len(r.pending) == 0 {
+	if !r.isPending() {
 		return nil
 	}
-	status := &RereadStatus{Reason: string(r.pending[0].reason), AgeMS: (now - r.pending[0].requestedAt).Milliseconds()}
-	for _, request := range r.pending {
+	status := &RereadStatus{AgeMS: -1}
+	for _, reason := range rereadReasons {
+		request, found := r.pending[reason]
+		if !found {
+			continue
+		}
 		status.Count += request.count
+		if age := (now - request.requestedAt).Milliseconds(); age > status.AgeMS {
+			status.Reason, status.AgeMS = string(reason), age
+		}
 	}
 	return status
 }
 
-// recordRereadRequest records that a complete read was requested. The caller holds the mutex.
-func (n *Node) recordRereadRequest(reason rereadReason) {
-	n.rereads.add(n.now(), reason)
-	n.counter("store.rereads").Inc(1)
+// requestReread requests a complete read of the store by the watch loop, which ends its current watch.
+// The caller holds the mutex.
+func (n *Node) requestReread(reason rereadReason) {
 	detail := "no watch in progress"
-	if n.rereads.isWatching {
+	if n.rereads.request(n.now(), reason, n.era.current) {
 		detail = "watch in progress"
 	}
 	n.log.Write(eventlog.Event{Kind: "store.reread", Outcome: "requested", Reason: string(reason), Era: n.era.current, Detail: detail})
 }
 
-// recordRereads records that a complete read was applied, given its position and the sequence
-// number of the latest request at its start. The caller holds the mutex.
-func (n *Node) recordRereads(lastAtStart uint64, position structs.StorePosition) {
-	now := n.now()
-	for _, request := range n.rereads.complete(lastAtStart) {
+// registerRereadMetrics registers the gauge of the age of requests.
+func (n *Node) registerRereadMetrics() {
+	// Registration fails only for a name in use, and a node registers once.
+	_ = n.metrics.Register("store_reread_age_ms", metrics.NewFunctionalGauge(n.rereadAgeMS))
+}
+
+// rereadAgeMS returns the age in milliseconds of the oldest request for a complete read that no read has
+// answered, or zero if there is none.
+func (n *Node) rereadAgeMS() int64 {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if status := n.rereads.status(n.now()); status != nil {
+		return status.AgeMS
+	}
+	return 0
+}
+
+// beginReread returns the sequence number of the latest request for a complete read, for a read of the
+// watch loop that starts now.
+func (n *Node) beginReread() uint64 {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if !n.rereads.isPending() {
+		n.rereads.request(n.now(), rereadWatchStarted, n.era.current)
+	}
+	return n.rereads.last
+}
+
+// endWatching leaves complete reads to the nodes that watch the store.
+func (n *Node) endWatching() {
+	n.setWatchHealthy(false)
+	n.mutex.Lock()
+	n.rereads.drop()
+	n.mutex.Unlock()
+}
+
+// recordReread records the requests that are answered by the complete read of the watch loop, given its
+// position and the sequence number of the latest request at its start.
+func (n *Node) recordReread(lastAtStart uint64, position structs.StorePosition) {
+	n.mutex.Lock()
+	now, answered := n.now(), n.rereads.answer(lastAtStart, position.Era())
+	n.mutex.Unlock()
+	for _, request := range answered {
 		delay := now - request.requestedAt
-		for range request.count {
-			n.recordDuration("store_reread_ms", delay)
-		}
+		n.counter("store.rereads." + string(request.reason)).Inc(1)
+		n.recordDuration("store_reread_ms", delay)
 		n.log.Write(eventlog.Event{
 			Kind: "store.reread", Outcome: "done", Reason: string(request.reason), Count: request.count,
 			Era: position.Era(), Revision: position.Revision(), AgeMS: delay.Milliseconds(),
 		})
 	}
 }
+
+// requireReread makes the watch loop's next call a complete read, for a reason that the loop itself found.
+func (n *Node) requireReread(reason rereadReason) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.rereads.request(n.now(), reason, n.era.current)
+}
+
+// beginWatch records the start of a watch, which cancel ends. It returns false if a complete read is
+// requested instead.
+func (n *Node) beginWatch(cancel context.CancelFunc) bool {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.rereads.beginWatch(cancel)
+}
+
+// endWatch records the end of the watch. It reports whether a request for a complete read ended it while
+// the store was reachable.
+func (n *Node) endWatch() bool {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	isCanceled := n.rereads.endWatch()
+	return isCanceled && !n.isStoreDown
+}
--- a/entry/reread_test.go
+++ b/entry/reread_test.go
@@ -1,118 +1,538 @@
 package entry
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
+	"fmt"
+	"runtime"
+	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/onsi/gomega"
 
+	"github.com/thornwalk/thornwalk/coordination/liveness"
 	"github.com/thornwalk/thornwalk/internal/eventlog"
 	"github.com/thornwalk/thornwalk/outside"
+	"github.com/thornwalk/thornwalk/protocol/errkind"
+	"github.com/thornwalk/thornwalk/state/catalog"
+	"github.com/thornwalk/thornwalk/state/replicas"
 	"github.com/thornwalk/thornwalk/structs"
 )
 
-// Guards against a read that started before a request being recorded as its answer, even if both
-// happen in the same instant.
-func TestRereadIsAnsweredOnlyByALaterRead(t *testing.T) {
-	g := gomega.NewWithT(t)
-	var r rereads
-	g.Expect(r.status(time.Second)).To(gomega.BeNil())
-	beforeBoth := r.last
-	r.add(time.Second, rereadNewEra)
-	between := r.last
-	r.add(time.Second, rereadRestoreWindowEnded)
-	g.Expect(r.complete(beforeBoth)).To(gomega.BeEmpty())
-	g.Expect(r.status(3 * time.Second)).To(gomega.Equal(&RereadStatus{Reason: "new-era", AgeMS: 2000, Count: 2}))
-	g.Expect(r.complete(between)).To(gomega.Equal([]rereadRequest{{number: 1, reason: rereadNewEra, requestedAt: time.Second, count: 1}}))
-	g.Expect(r.status(3 * time.Second)).To(gomega.Equal(&RereadStatus{Reason: "restore-window-ended", AgeMS: 2000, Count: 1}))
-	g.Expect(r.complete(between)).To(gomega.BeEmpty(), "answered twice")
-	g.Expect(r.complete(r.last)).To(gomega.HaveLen(1))
-	g.Expect(r.status(3 * time.Second)).To(gomega.BeNil())
-}
-
-// Guards against requests that accumulate without a bound, or are lost, at a node that makes no
-// complete read.
-func TestPendingRereadsAreBounded(t *testing.T) {
-	g := gomega.NewWithT(t)
-	var r rereads
-	for i := range 100 {
-		r.add(time.Duration(i)*time.Second, rereadStoreFailed)
-	}
-	beforeLast := r.last - 1
-	g.Expect(r.pending).To(gomega.HaveLen(maxPendingRereads))
-	g.Expect(r.status(100 * time.Second)).To(gomega.Equal(&RereadStatus{Reason: "store-failed", AgeMS: 100_000, Count: 100}))
-	g.Expect(r.complete(beforeLast)).To(gomega.HaveLen(maxPendingRereads-1), "the merged requests include one that is later than the read")
-	g.Expect(r.status(100 * time.Second).Count).To(gomega.Equal(100 - maxPendingRereads + 1))
-	g.Expect(r.complete(r.last)).To(gomega.HaveLen(1))
-}
-
-// rereadDirectory is a directory whose complete reads call onRead before they return.
-type rereadDirectory struct {
-	outside.Directory
-	onRead func()
-}
-
-func (d *rereadDirectory) Read(context.Context, outside.Scope, structs.StorePosition, int64) (*outside.Update, error) {
-	d.onRead()
-	return &outside.Update{Complete: true}, nil
-}
-
-// Guards against requests that leave no trace in the log and the metrics, and against reads recorded
-// as their answer that do not cover the whole store or started earlier.
-func TestRereadIsLoggedAndMeasured(t *testing.T) {
-	g := gomega.NewWithT(t)
-	var output bytes.Buffer
-	log := eventlog.New("n", &output)
-	now := time.Duration(0)
-	directory := &rereadDirectory{onRead: func() {}}
-	n := New(&Settings{Name: "n"}, Dependencies{Log: log, Directory: directory, Now: func() time.Duration { return now }})
-	request := func(reason rereadReason) {
-		n.mutex.Lock()
-		defer n.mutex.Unlock()
-		n.requestReread(reason)
-	}
-	read := func(scope outside.Scope) {
-		now += 100 * time.Millisecond
-		_, err := n.read(scope)
-		g.Expect(err).NotTo(gomega.HaveOccurred())
-	}
-	n.setCancelWatch(func() {})
-	request(rereadNewEra)
-	n.recordWatchEnd()
-	read(outside.ScopeReplicas)
-	directory.onRead = func() { request(rereadRestoreWindowEnded) }
-	read(outside.ScopeAll)
-	g.Expect(n.Status().Reread).To(gomega.Equal(&RereadStatus{Reason: "restore-window-ended", Count: 1}))
-	directory.onRead = func() {}
-	read(outside.ScopeAll)
-	g.Expect(n.Status().Reread).To(gomega.BeNil())
-	g.Expect(n.counter("store.rereads").Count()).To(gomega.Equal(int64(2)))
-	histogram := n.metrics.Get("store_reread_ms").(interface {
-		Count() int64
-		Max() int64
+// These tests run the watch loop alone, on a scripted directory, and place a request for a complete
+// read at each point of the loop.
+
+const (
+	// maxRereadDelay is the time from a request, or from the end of the read that is in progress
+	// then, to the start of the requested read: a batch of changes, a backoff and some slack.
+	maxRereadDelay = watchBatchTime + minBackoff + 70*time.Millisecond
+	// slowReadTime is the duration of a read that a request overlaps.
+	slowReadTime = 400 * time.Millisecond
+	// settledAge is the process age at which the loop is in its first watch.
+	settledAge = 2 * time.Second
+)
+
+// directoryCall is one call that the watch loop made.
+type directoryCall struct {
+	kind             string
+	started, ended   time.Duration
+	position, answer structs.StorePosition
+	err              error
+}
+
+// readAll is the kind of a complete read.
+const readAll = "read all"
+
+// scriptedDirectory answers reads after readTime with what it listed when they arrived, and watches
+// as soon as its position is past theirs.
+type scriptedDirectory struct {
+	now func() time.Duration
+
+	mutex    sync.Mutex
+	calls    []*directoryCall
+	position structs.StorePosition
+	changed  chan struct{}
+	readTime time.Duration
+	// cancelTime is how long a watch takes to return after it was canceled.
+	cancelTime time.Duration
+	// removedAt is the position at which the replica's entry was removed, or zero.
+	removedAt structs.StorePosition
+	// problem, if set, is part of the next update of a watch, and of the next read if
+	// reportsInRead is true.
+	problem       error
+	reportsInRead bool
+	// beforeWatchReturns, if set, is called once, before the next watch returns an update.
+	beforeWatchReturns func()
+}
+
+func (d *scriptedDirectory) begin(kind string, position structs.StorePosition) *directoryCall {
+	call := &directoryCall{kind: kind, started: d.now(), ended: -1, position: position}
+	d.calls = append(d.calls, call)
+	return call
+}
+
+func (d *scriptedDirectory) end(call *directoryCall, answer structs.StorePosition, err error) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	call.ended, call.answer, call.err = d.now(), answer, err
+}
+
+// Read implements outside.Directory.
+func (d *scriptedDirectory) Read(ctx context.Context, scope outside.Scope, _ structs.StorePosition, _ int64) (*outside.Update, error) {
+	d.mutex.Lock()
+	call := d.begin("read "+scope.String(), 0)
+	update := &outside.Update{
+		Position: d.position, Complete: true, FullSnapshot: scope == outside.ScopeAll, Calls: 1,
+		Replicas: []replicas.Replica{{ID: "r", Service: "s", Address: "r:1", Slots: 1, Position: rereadPosition(2, 10)}},
+	}
+	if d.removedAt > 0 {
+		update.Replicas = nil
+	}
+	if d.reportsInRead && d.problem != nil {
+		update.Problems, d.problem = []error{d.problem}, nil
+	}
+	readTime := d.readTime
+	d.mutex.Unlock()
+	select {
+	case <-time.After(readTime):
+		d.end(call, update.Position, nil)
+		return update, nil
+	case <-ctx.Done():
+		err := errkind.Wrap(errkind.StoreUnavailable, ctx.Err())
+		d.end(call, 0, err)
+		return nil, err
+	}
+}
+
+// Watch implements outside.Directory.
+func (d *scriptedDirectory) Watch(ctx context.Context, after structs.StorePosition, wait time.Duration) (*outside.Update, error) {
+	d.mutex.Lock()
+	call := d.begin("watch", after)
+	d.mutex.Unlock()
+	timeout := time.After(wait)
+	for isOver := false; ; {
+		d.mutex.Lock()
+		update := &outside.Update{Position: max(after, d.position)}
+		isOver = isOver || d.position.Revision() > after.Revision()
+		changed := d.changed
+		var hook func()
+		if isOver && d.position.Era() != after.Era() {
+			d.mutex.Unlock()
+			err := errkind.New(errkind.OtherEra, "watch store: a watch of era %d was answered in era %d", after.Era(), d.position.Era())
+			d.end(call, 0, err)
+			return nil, err
+		}
+		if isOver {
+			if d.removedAt > after {
+				update.Removed = []outside.RemovedReplica{{ID: "r", Position: d.removedAt}}
+			}
+			hook, d.beforeWatchReturns = d.beforeWatchReturns, nil
+			if d.problem != nil && !d.reportsInRead {
+				update.Problems, d.problem = []error{d.problem}, nil
+			}
+		}
+		d.mutex.Unlock()
+		if isOver {
+			if hook != nil {
+				hook()
+			}
+			d.end(call, update.Position, nil)
+			return update, nil
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			isOver = true
+		case <-ctx.Done():
+			d.mutex.Lock()
+			cancelTime := d.cancelTime
+			d.mutex.Unlock()
+			time.Sleep(cancelTime)
+			err := errkind.Wrap(errkind.StoreUnavailable, ctx.Err())
+			d.end(call, 0, err)
+			return nil, err
+		}
+	}
+}
+
+// set changes the script.
+func (d *scriptedDirectory) set(change func(d *scriptedDirectory)) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	change(d)
+}
+
+// change writes an entry, which ends the watch.
+func (d *scriptedDirectory) change() { d.commit(false) }
+
+// removeReplica removes the replica's entry.
+func (d *scriptedDirectory) removeReplica() { d.commit(true) }
+
+func (d *scriptedDirectory) commit(removes bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.position++
+	if removes {
+		d.removedAt = d.position
+	}
+	close(d.changed)
+	d.changed = make(chan struct{})
+}
+
+// problemFunc is an error whose text is computed by the function. A node asks for it while it applies
+// the update that contains the error.
+type problemFunc func() string
+
+// Error implements error.
+func (f problemFunc) Error() string { return f() }
+
+func rereadPosition(era, revision int64) structs.StorePosition {
+	position, err := structs.NewStorePosition(era, revision)
+	if err != nil {
+		panic(err)
+	}
+	return position
+}
+
+// rereadScenario is a node whose watch loop runs on a scripted directory.
+type rereadScenario struct {
+	*gomega.WithT
+	t         *testing.T
+	node      *Node
+	directory *scriptedDirectory
+	// onWatchStart, if set, is called once, when the loop leaves the complete read for its watches.
+	onWatchStart atomic.Pointer[func()]
+	requests     []requestedRead
+}
+
+// requestedRead is a request for a complete read.
+type requestedRead struct {
+	at time.Duration
+	// calls is the number of calls that the loop had made; inProgress is the latest of them if it had
+	// not ended.
+	calls      int
+	inProgress *directoryCall
+}
+
+// String returns the time of the request and what the loop was doing.
+func (r requestedRead) String() string {
+	if r.inProgress == nil {
+		return fmt.Sprintf("%v between calls", r.at)
+	}
+	return fmt.Sprintf("%v during %s", r.at, r.inProgress.kind)
+}
+
+// runReread runs the test in virtual time, while the loop is in its first watch.
+func runReread(t *testing.T, test func(s *rereadScenario)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		elapsed := func() time.Duration { return time.Since(began) }
+		s := &rereadScenario{WithT: gomega.NewWithT(t), t: t}
+		s.directory = &scriptedDirectory{now: elapsed, position: rereadPosition(2, 20), changed: make(chan struct{})}
+		log := eventlog.New("n1", nil)
+		s.node = New(&Settings{Name: "n1", StoreRecoveryWindow: 3000}, Dependencies{Log: log, Directory: s.directory, Now: func() time.Duration {
+			if hook := s.onWatchStart.Load(); hook != nil && isCalledByWatch() && s.onWatchStart.CompareAndSwap(hook, nil) {
+				(*hook)()
+			}
+			return elapsed()
+		}})
+		s.node.catalog.Store(&catalog.Catalog{Document: &catalog.Document{Version: 1}})
+		s.node.loops.Go(s.node.watchLoop)
+		defer log.Close()
+		defer s.node.loops.Wait()
+		defer s.node.cancel()
+		time.Sleep(settledAge)
+		synctest.Wait()
+		s.Expect(s.directory.inProgress()).To(gomega.Equal("watch"))
+		test(s)
 	})
-	g.Expect(histogram.Count()).To(gomega.Equal(int64(2)))
-	g.Expect(histogram.Max()).To(gomega.Equal(int64(200)))
-	log.Close()
-	type line struct {
-		outcome, reason, detail string
-		ageMS                   int64
-	}
-	var lines []line
-	for decoder := json.NewDecoder(&output); decoder.More(); {
-		var event eventlog.Event
-		g.Expect(decoder.Decode(&event)).To(gomega.Succeed())
-		if event.Kind == "store.reread" {
-			lines = append(lines, line{event.Outcome, event.Reason, event.Detail, event.AgeMS})
+}
+
+// atWatchStart makes the loop call the hook as it leaves its next complete read.
+func (s *rereadScenario) atWatchStart(hook func()) { s.onWatchStart.Store(&hook) }
+
+// isCalledByWatch reports whether Node.watch is the direct caller of Node.now.
+func isCalledByWatch() bool {
+	callers := make([]uintptr, 8)
+	frames := runtime.CallersFrames(callers[:runtime.Callers(1, callers)])
+	for frame, more := frames.Next(); more; frame, more = frames.Next() {
+		if strings.HasSuffix(frame.Function, "(*Node).now") {
+			frame, _ = frames.Next()
+			return strings.HasSuffix(frame.Function, "(*Node).watch")
 		}
 	}
-	g.Expect(lines).To(gomega.Equal([]line{
-		{"requested", "new-era", "watch in progress", 0},
-		{"requested", "restore-window-ended", "no watch in progress", 0},
-		{"done", "new-era", "", 200},
-		{"done", "restore-window-ended", "", 100},
-	}))
+	return false
+}
+
+// inProgress returns the kind of the call in progress, or "" if there is none.
+func (d *scriptedDirectory) inProgress() string {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if last := d.calls[len(d.calls)-1]; last.ended < 0 {
+		return last.kind
+	}
+	return ""
+}
+
+// endWindow ends a restore window, which requests a complete read.
+func (s *rereadScenario) endWindow() {
+	s.node.mutex.Lock()
+	s.node.era.isKnown, s.node.era.current = true, 2
+	s.node.setRestoreWindow(structs.RestoreWindow{Base: 1, Era: 2, Listed: 20}, s.node.now()-restoreWindowDuration)
+	s.node.mutex.Unlock()
+	s.recordRequest()
+	s.node.endRestoreWindow()
+}
+
+// restoreStore restores the store without lost revisions, which a peer reports.
+func (s *rereadScenario) restoreStore() {
+	s.directory.mutex.Lock()
+	revision := s.directory.position.Revision()
+	s.directory.position = rereadPosition(3, revision)
+	s.directory.mutex.Unlock()
+	s.recordRequest()
+	s.node.mutex.Lock()
+	defer s.node.mutex.Unlock()
+	s.node.mergePeerEra(liveness.Heartbeat{Name: "n2", Era: 3, RestoreWindow: &structs.RestoreWindow{Base: 2, Era: 3, Listed: revision}})
+}
+
+// failCall reports the failure of a store call other than the loop's.
+func (s *rereadScenario) failCall() {
+	s.recordRequest()
+	s.node.recordStoreFailure(errkind.New(errkind.StoreUnavailable, "read store: connection reset"))
+}
+
+func (s *rereadScenario) recordRequest() {
+	s.directory.mutex.Lock()
+	defer s.directory.mutex.Unlock()
+	calls := s.directory.calls
+	request := requestedRead{at: s.directory.now(), calls: len(calls)}
+	if last := calls[len(calls)-1]; last.ended < 0 {
+		request.inProgress = last
+	}
+	s.requests = append(s.requests, request)
+}
+
+// expectReread waits for more than fullReadInterval, and checks that a complete read started soon
+// after the last request or, if a read was in progress then, after the end of that read.
+func (s *rereadScenario) expectReread() {
+	s.t.Helper()
+	time.Sleep(fullReadInterval + 2*watchDuration)
+	synctest.Wait()
+	s.directory.mutex.Lock()
+	defer s.directory.mutex.Unlock()
+	s.Expect(s.requests).NotTo(gomega.BeEmpty(), "the request was not made")
+	last := s.requests[len(s.requests)-1]
+	due, reread := last.at, time.Duration(-1)
+	if last.inProgress != nil && last.inProgress.kind == readAll {
+		due = last.inProgress.ended
+	}
+	for _, call := range s.directory.calls[last.calls:] {
+		if call.kind == readAll {
+			reread = call.started
+			break
+		}
+	}
+	s.t.Logf("requested at %v, complete read at %v, %v later\n%s", s.requests, reread, reread-last.at, s.directory.trace())
+	s.Expect(reread).To(gomega.BeNumerically(">", 0), "no complete read followed")
+	s.Expect(reread-due).To(gomega.BeNumerically("<=", maxRereadDelay), "delay of the complete read")
+}
+
+// trace returns the calls in order of time. The caller holds the mutex.
+func (d *scriptedDirectory) trace() string {
+	var text strings.Builder
+	for _, call := range d.calls {
+		fmt.Fprintf(&text, "%8v to %8v  %s from %v: ", call.started, call.ended, call.kind, call.position)
+		switch {
+		case call.ended < 0:
+			text.WriteString("in progress\n")
+		case call.err != nil:
+			fmt.Fprintf(&text, "%v\n", call.err)
+		default:
+			fmt.Fprintf(&text, "update to %v\n", call.answer)
+		}
+	}
+	return text.String()
+}
+
+// Guards against a request for a complete read that is lost unless it meets a watch in progress, so
+// that what a restored store lists counts up to fullReadInterval late.
+func TestRequestedCompleteReadFollowsAtOnce(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		run  func(s *rereadScenario)
+	}{
+		{"during a watch", func(s *rereadScenario) {
+			s.endWindow()
+		}},
+		{"between two watches, while changes accumulate", func(s *rereadScenario) {
+			s.directory.change()
+			time.Sleep(watchBatchTime / 2)
+			s.Expect(s.directory.inProgress()).To(gomega.BeEmpty())
+			s.endWindow()
+		}},
+		{"while an update is applied", func(s *rereadScenario) {
+			s.directory.set(func(d *scriptedDirectory) {
+				d.problem = problemFunc(func() string { s.endWindow(); return "entry is invalid" })
+			})
+			s.directory.change()
+		}},
+		{"as a watch returns an update", func(s *rereadScenario) {
+			s.directory.set(func(d *scriptedDirectory) { d.beforeWatchReturns = s.endWindow })
+			s.directory.change()
+		}},
+		{"as a watch returns without an update", func(s *rereadScenario) {
+			s.directory.set(func(d *scriptedDirectory) { d.beforeWatchReturns = s.endWindow })
+		}},
+		{"between a complete read and the first watch", func(s *rereadScenario) {
+			s.atWatchStart(s.endWindow)
+			s.endWindow()
+		}},
+		{"while a complete read is applied", func(s *rereadScenario) {
+			s.directory.set(func(d *scriptedDirectory) { d.reportsInRead = true })
+			s.directory.set(func(d *scriptedDirectory) {
+				d.problem = problemFunc(func() string { s.endWindow(); return "entry is invalid" })
+			})
+			s.endWindow()
+		}},
+		{"while a complete read is in progress", func(s *rereadScenario) {
+			s.directory.set(func(d *scriptedDirectory) { d.readTime = slowReadTime })
+			s.endWindow()
+			time.Sleep(slowReadTime / 2)
+			s.Expect(s.directory.inProgress()).To(gomega.Equal(readAll))
+			s.endWindow()
+		}},
+		{"twice during one watch", func(s *rereadScenario) {
+			s.directory.set(func(d *scriptedDirectory) { d.cancelTime = watchBatchTime / 4 })
+			s.endWindow()
+			s.endWindow()
+		}},
+		{"twice between two watches", func(s *rereadScenario) {
+			s.directory.change()
+			time.Sleep(watchBatchTime / 4)
+			s.endWindow()
+			time.Sleep(watchBatchTime / 4)
+			s.Expect(s.directory.inProgress()).To(gomega.BeEmpty())
+			s.endWindow()
+		}},
+		{"new era, during a watch", func(s *rereadScenario) {
+			s.restoreStore()
+		}},
+		{"new era, between two watches", func(s *rereadScenario) {
+			s.directory.change()
+			time.Sleep(watchBatchTime / 2)
+			s.Expect(s.directory.inProgress()).To(gomega.BeEmpty())
+			s.restoreStore()
+		}},
+		{"new era, while a complete read is in progress", func(s *rereadScenario) {
+			s.directory.set(func(d *scriptedDirectory) { d.readTime = slowReadTime })
+			s.endWindow()
+			time.Sleep(slowReadTime / 2)
+			s.Expect(s.directory.inProgress()).To(gomega.Equal(readAll))
+			s.restoreStore()
+		}},
+		{"between two watches and during the next one", func(s *rereadScenario) {
+			s.directory.change()
+			time.Sleep(watchBatchTime / 2)
+			s.endWindow()
+			time.Sleep(watchBatchTime)
+			s.Expect(s.directory.inProgress()).To(gomega.Equal("watch"))
+			s.endWindow()
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			runReread(t, func(s *rereadScenario) {
+				test.run(s)
+				s.expectReread()
+			})
+		})
+	}
+}
+
+// Guards against a failed store call after which the loop watches on instead of reading the store
+// again, so that the node regards the store as down until the watch ends.
+func TestCompleteReadFollowsFailedStoreCall(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		run  func(s *rereadScenario)
+	}{
+		{"during a watch", func(s *rereadScenario) {
+			s.failCall()
+		}},
+		{"between two watches", func(s *rereadScenario) {
+			s.directory.change()
+			time.Sleep(watchBatchTime / 2)
+			s.Expect(s.directory.inProgress()).To(gomega.BeEmpty())
+			s.failCall()
+		}},
+		{"while an update is applied", func(s *rereadScenario) {
+			s.directory.set(func(d *scriptedDirectory) {
+				d.problem = problemFunc(func() string { s.failCall(); return "entry is invalid" })
+			})
+			s.directory.change()
+		}},
+		{"as a watch returns an update", func(s *rereadScenario) {
+			s.directory.set(func(d *scriptedDirectory) { d.beforeWatchReturns = s.failCall })
+			s.directory.change()
+		}},
+		{"between a complete read and the first watch", func(s *rereadScenario) {
+			s.atWatchStart(s.failCall)
+			s.endWindow()
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			runReread(t, func(s *rereadScenario) {
+				test.run(s)
+				time.Sleep(2 * maxRereadDelay)
+				synctest.Wait()
+				isDown := func() bool {
+					s.node.mutex.Lock()
+					defer s.node.mutex.Unlock()
+					return s.node.isStoreDown
+				}
+				downAfterDelay, requested := isDown(), s.requests
+				for isDown() {
+					time.Sleep(10 * time.Millisecond)
+				}
+				t.Logf("failed at %v, store regarded as up by %v", requested, s.directory.now())
+				s.expectReread()
+				s.Expect(downAfterDelay).To(gomega.BeFalse(), "store is regarded as down")
+			})
+		})
+	}
+}
+
+// Guards against a replica that is used on after it left, because the node still regards the store as
+// down after one failed call. No peer watches the store.
+func TestReplicaThatLeftAfterAFailedStoreCallIsRemovedAtOnce(t *testing.T) {
+	const timeAfterFailure = 6 * time.Second
+	for name, batchTime := range map[string]time.Duration{"failed during a watch": 2 * watchBatchTime, "failed between two watches": watchBatchTime / 2} {
+		t.Run(name, func(t *testing.T) {
+			runReread(t, func(s *rereadScenario) {
+				s.node.sendingBytes = func() int64 { return 0 }
+				s.node.loops.Go(s.node.housekeeping)
+				s.directory.change()
+				time.Sleep(batchTime)
+				s.failCall()
+				time.Sleep(timeAfterFailure)
+				left := s.directory.now()
+				s.directory.removeReplica()
+				for isKnown := true; isKnown; {
+					time.Sleep(10 * time.Millisecond)
+					s.node.mutex.Lock()
+					_, isKnown = s.node.table.Get("r")
+					s.node.mutex.Unlock()
+				}
+				removed := s.directory.now() - left
+				s.directory.mutex.Lock()
+				defer s.directory.mutex.Unlock()
+				t.Logf("call failed at %v, the entry was removed at %v, the node removed the replica %v later\n%s", s.requests, left, removed, s.directory.trace())
+				s.Expect(removed).To(gomega.BeNumerically("<=", maxRereadDelay))
+			})
+		})
+	}
 }
--- a/entry/store.go
+++ b/entry/store.go
@@ -61,11 +61,11 @@
 	n.awaitPeers()
 	for n.ctx.Err() == nil {
 		if (hasRead || n.hasConfigurationAndReplicas() || n.waitsForDelegates()) && !n.shouldCallStore() {
-			n.setWatchHealthy(false)
+			n.endWatching()
 			n.sleep(heartbeatInterval)
 			continue
 		}
-		scope := n.readScope()
+		scope, lastReread := n.readScope(), n.beginReread()
 		position, err := n.read(scope)
 		if errors.Is(err, errkind.TooLarge) {
 			n.isConfigurationLarge.Store(true)
@@ -91,6 +91,7 @@
 		}
 		hasRead = true
 		if scope == outside.ScopeAll {
+			n.recordReread(lastReread, position)
 			n.watch(position)
 			continue
 		}
@@ -163,7 +164,7 @@
 	defer cancel()
 	startedAt := n.now()
 	n.mutex.Lock()
-	decoded, lastReread := n.catalogPosition, n.rereads.last
+	decoded := n.catalogPosition
 	n.storeCalledAt = startedAt
 	n.mutex.Unlock()
 	update, err := n.dependencies.Directory.Read(ctx, scope, decoded, n.maxReadBytes(scope))
@@ -186,9 +187,6 @@
 	n.mutex.Lock()
 	n.readCalls = update.Calls
 	n.recordRead(startedAt, scope)
-	if scope == outside.ScopeAll {
-		n.recordRereads(lastReread, update.Position)
-	}
 	n.mutex.Unlock()
 	return update.Position, nil
 }
@@ -206,7 +204,7 @@
 // instead: a watch that has reached it has missed nothing.
 func (n *Node) mayHaveMissedChanges() bool {
 	n.mutex.Lock()
-	canCheck := n.readCalls > 1 && n.watchHealthy && n.dependencies.Revisions != nil
+	canCheck := n.readCalls > 1 && n.watchHealthy && !n.rereads.isPending() && n.dependencies.Revisions != nil
 	startedAt := n.now()
 	n.mutex.Unlock()
 	if !canCheck {
@@ -220,7 +218,7 @@
 	}
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	if n.table.CompleteTo() < latest || latest.Era() != n.era.current {
+	if n.table.CompleteTo() < latest || latest.Era() != n.era.current || n.rereads.isPending() {
 		return true
 	}
 	n.recordRead(startedAt, outside.ScopeAll) // the watch covers all keys
@@ -248,24 +246,32 @@
 	n.mutex.Unlock()
 }
 
-// watch watches the store from the position until a watch fails or a complete read is due.
+// watch watches the store from the position until a watch fails or a complete read is due or requested.
 func (n *Node) watch(position structs.StorePosition) {
 	startedAt := n.now()
-	for n.ctx.Err() == nil && n.shouldCallStore() && n.now()-startedAt < fullReadInterval {
+	for n.ctx.Err() == nil && n.shouldCallStore() {
+		if n.now()-startedAt >= fullReadInterval {
+			n.requireReread(rereadDue)
+			return
+		}
 		// An update contains the whole configuration if it changed.
 		margin := max(watchMargin, transferTimeFactor*n.configurationTransferTime())
 		ctx, cancel := context.WithTimeout(n.ctx, watchDuration+margin)
-		n.setCancelWatch(cancel)
+		if !n.beginWatch(cancel) {
+			cancel()
+			return
+		}
 		update, err := n.dependencies.Directory.Watch(ctx, position, watchDuration)
 		cancel()
-		n.recordWatchEnd()
+		isCanceled := n.endWatch()
 		switch {
 		case errors.Is(err, errkind.StaleFence), errors.Is(err, errkind.OtherEra):
 			// Replicas could renew their entries, so the store counts as healthy. A new era
 			// is detected by the complete read that follows.
 			n.log.Write(eventlog.Event{Kind: "store.history", Outcome: "gone", Revision: position.Revision(), Era: position.Era()})
+			n.requireReread(rereadHistoryGone)
 			return
-		case err != nil && n.rereadRequested():
+		case err != nil && isCanceled:
 			return
 		case err != nil:
 			n.recordStoreFailure(err)
@@ -283,37 +289,6 @@
 	}
 }
 
-// setCancelWatch sets the function that ends the current watch.
-func (n *Node) setCancelWatch(cancel context.CancelFunc) {
-	n.mutex.Lock()
-	n.cancelWatch, n.isRereadRequested = cancel, false
-	n.rereads.isWatching = true
-	n.mutex.Unlock()
-}
-
-// recordWatchEnd records that no watch is in progress.
-func (n *Node) recordWatchEnd() {
-	n.mutex.Lock()
-	n.rereads.isWatching = false
-	n.mutex.Unlock()
-}
-
-// requestReread ends the current watch, so that a complete read follows. The caller holds the mutex.
-func (n *Node) requestReread(reason rereadReason) {
-	n.recordRereadRequest(reason)
-	n.isRereadRequested = true
-	if n.cancelWatch != nil {
-		n.cancelWatch()
-	}
-}
-
-// rereadRequested reports whether the watch was ended for a complete read.
-func (n *Node) rereadRequested() bool {
-	n.mutex.Lock()
-	defer n.mutex.Unlock()
-	return n.isRereadRequested
-}
-
 // setWatchHealthy records whether the node watches the store without failures.
 func (n *Node) setWatchHealthy(healthy bool) {
 	n.mutex.Lock()
@@ -339,15 +314,11 @@
 	n.storeFailedAt, n.watchHealthy = n.now(), false
 	isFirst := !n.isStoreDown
 	n.isStoreDown = true
-	cancelWatch := n.cancelWatch
-	if isFirst && cancelWatch != nil && n.ctx.Err() == nil {
-		n.recordRereadRequest(rereadStoreFailed)
-	}
-	n.mutex.Unlock()
-	if isFirst && cancelWatch != nil {
+	if isFirst && n.ctx.Err() == nil {
 		// The watch may hang until its timeout, and only the watch loop retries.
-		cancelWatch()
+		n.requestReread(rereadStoreFailed)
 	}
+	n.mutex.Unlock()
 	n.counter("store.failures").Inc(1)
 	if isFirst && n.ctx.Err() == nil {
 		// Other nodes must watch the store in this node's place.
