entry: log each request for a complete read alike, and name requests dropped at a role change

The test of the event log looks at the three reasons of a restore by name: since every complete read has a line, watch-started comes with the era before the restore.

--- a/entry/era.go
+++ b/entry/era.go
@@ -125,7 +125,7 @@
 		Kind: "store.era", Outcome: "restored", Era: window.Era, Revision: window.Listed, Peer: source,
 		Detail: fmt.Sprintf("%d after %d: changes after revision %d may be lost", window.Era, window.Base, window.Listed),
 	})
-	n.requestReread(rereadNewEra) // the watch waits for revisions of the previous history
+	n.requestRereadLocked(rereadNewEra) // the watch waits for revisions of the previous history
 }
 
 // endRestoreWindow ends the restore window once its time is over, and requests a complete read,
@@ -135,7 +135,7 @@
 	due := n.era.restoreWindow.Era > n.era.restoreWindow.Base && !n.era.isInRestoreWindow(n.now())
 	if due {
 		n.setRestoreWindow(structs.RestoreWindow{}, n.era.restoredAt)
-		n.requestReread(rereadRestoreWindowEnded)
+		n.requestRereadLocked(rereadRestoreWindowEnded)
 	}
 	n.mutex.Unlock()
 	if due {
--- a/entry/reread.go
+++ b/entry/reread.go
@@ -13,11 +13,13 @@
 type rereadReason string
 
 const (
-	// rereadWatchStarted: the process started, or the node began to watch the store.
+	// rereadWatchStarted: the process started, or the node began to watch or to probe the store.
 	rereadWatchStarted       rereadReason = "watch-started"
 	rereadNewEra             rereadReason = "new-era"
 	rereadRestoreWindowEnded rereadReason = "restore-window-ended"
 	rereadStoreFailed        rereadReason = "store-failed"
+	// rereadResumed: the process or machine was suspended.
+	rereadResumed rereadReason = "resumed"
 	// rereadHistoryGone: the store no longer has the changes after the watch's position.
 	rereadHistoryGone rereadReason = "history-gone"
 	// rereadDue: the store was watched for fullReadInterval.
@@ -26,7 +28,7 @@
 
 // rereadReasons are all reasons, in the order of log lines.
 var rereadReasons = []rereadReason{
-	rereadWatchStarted, rereadNewEra, rereadRestoreWindowEnded, rereadStoreFailed, rereadHistoryGone, rereadDue,
+	rereadWatchStarted, rereadNewEra, rereadRestoreWindowEnded, rereadStoreFailed, rereadResumed, rereadHistoryGone, rereadDue,
 }
 
 // rereadRequest is a request for a complete read of the store. It stands for all pending ones of its
@@ -45,14 +47,15 @@
 // sequence number of the latest request at its start. Instants can't tell which came first: a read may
 // start in the instant of a request. A response of a new era answers the request for it even if the
 // read started earlier.
-func (r *rereadRequest) isAnsweredBy(lastAtStart uint64, era int64) bool {
+func (r rereadRequest) isAnsweredBy(lastAtStart uint64, era int64) bool {
 	return r.number <= lastAtStart || r.reason == rereadNewEra && r.era <= era
 }
 
 // rereads holds the requests for a complete read of the store, and the watch that they end.
 //
 // Guarantee: a request is pending until a complete read of the watch loop answers it, and no watch begins
-// while one is pending. So none is lost, whatever the watch loop does when it is made.
+// while one is pending, so none is lost, whatever the watch loop does when it is made. A node that stops to
+// watch drops its requests: it reads the store before it watches again.
 type rereads struct {
 	// last is the sequence number of the latest request.
 	last    uint64
@@ -84,9 +87,8 @@
 	return true
 }
 
-// drop removes all requests, for a node that stops to watch the store: it reads the store before it
-// watches again.
-func (r *rereads) drop() { clear(r.pending) }
+// drop removes and returns all requests.
+func (r *rereads) drop() []rereadRequest { return r.remove(func(rereadRequest) bool { return true }) }
 
 // isPending reports whether a request is pending.
 func (r *rereads) isPending() bool { return len(r.pending) > 0 }
@@ -110,14 +112,19 @@
 // answer removes and returns the requests that are answered by a complete read of the era, given the
 // sequence number of the latest request at its start.
 func (r *rereads) answer(lastAtStart uint64, era int64) []rereadRequest {
-	var answered []rereadRequest
+	return r.remove(func(request rereadRequest) bool { return request.isAnsweredBy(lastAtStart, era) })
+}
+
+// remove removes and returns the requests that match, in the order of rereadReasons.
+func (r *rereads) remove(matches func(rereadRequest) bool) []rereadRequest {
+	var removed []rereadRequest
 	for _, reason := range rereadReasons {
-		if request, found := r.pending[reason]; found && request.isAnsweredBy(lastAtStart, era) {
-			answered = append(answered, request)
+		if request, found := r.pending[reason]; found && matches(request) {
+			removed = append(removed, request)
 			delete(r.pending, reason)
 		}
 	}
-	return answered
+	return removed
 }
 
 // RereadStatus describes the requests for a complete read of the store that no read has answered.
@@ -147,9 +154,16 @@
 	return status
 }
 
-// requestReread requests a complete read of the store by the watch loop, which ends its current watch.
-// The caller holds the mutex.
+// requestReread requests a complete read of the store by the watch loop.
 func (n *Node) requestReread(reason rereadReason) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.requestRereadLocked(reason)
+}
+
+// requestRereadLocked requests a complete read of the store by the watch loop, which ends its current
+// watch. The caller holds the mutex.
+func (n *Node) requestRereadLocked(reason rereadReason) {
 	detail := "no watch in progress"
 	if n.rereads.request(n.now(), reason, n.era.current) {
 		detail = "watch in progress"
@@ -174,13 +188,13 @@
 	return 0
 }
 
-// beginReread returns the sequence number of the latest request for a complete read, for a read of the
-// watch loop that starts now.
+// beginReread records the start of a read by the watch loop, and a request for it if there is none. It
+// returns the sequence number of the latest request.
 func (n *Node) beginReread() uint64 {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	if !n.rereads.isPending() {
-		n.rereads.request(n.now(), rereadWatchStarted, n.era.current)
+		n.requestRereadLocked(rereadWatchStarted)
 	}
 	return n.rereads.last
 }
@@ -189,8 +203,14 @@
 func (n *Node) endWatching() {
 	n.setWatchHealthy(false)
 	n.mutex.Lock()
-	n.rereads.drop()
+	now, dropped := n.now(), n.rereads.drop()
 	n.mutex.Unlock()
+	for _, request := range dropped {
+		n.log.Write(eventlog.Event{
+			Kind: "store.reread", Outcome: "dropped", Reason: string(request.reason), Count: request.count,
+			Era: request.era, AgeMS: (now - request.requestedAt).Milliseconds(),
+		})
+	}
 }
 
 // recordReread records the requests that are answered by the complete read of the watch loop, given its
@@ -210,13 +230,6 @@
 	}
 }
 
-// requireReread makes the watch loop's next call a complete read, for a reason that the loop itself found.
-func (n *Node) requireReread(reason rereadReason) {
-	n.mutex.Lock()
-	defer n.mutex.Unlock()
-	n.rereads.request(n.now(), reason, n.era.current)
-}
-
 // beginWatch records the start of a watch, which cancel ends. It returns false if a complete read is
 // requested instead.
 func (n *Node) beginWatch(cancel context.CancelFunc) bool {
--- a/entry/store.go
+++ b/entry/store.go
@@ -251,7 +251,7 @@
 	startedAt := n.now()
 	for n.ctx.Err() == nil && n.shouldCallStore() {
 		if n.now()-startedAt >= fullReadInterval {
-			n.requireReread(rereadDue)
+			n.requestReread(rereadDue)
 			return
 		}
 		// An update contains the whole configuration if it changed.
@@ -269,7 +269,7 @@
 			// Replicas could renew their entries, so the store counts as healthy. A new era
 			// is detected by the complete read that follows.
 			n.log.Write(eventlog.Event{Kind: "store.history", Outcome: "gone", Revision: position.Revision(), Era: position.Era()})
-			n.requireReread(rereadHistoryGone)
+			n.requestReread(rereadHistoryGone)
 			return
 		case err != nil && isCanceled:
 			return
@@ -316,7 +316,7 @@
 	n.isStoreDown = true
 	if isFirst && n.ctx.Err() == nil {
 		// The watch may hang until its timeout, and only the watch loop retries.
-		n.requestReread(rereadStoreFailed)
+		n.requestRereadLocked(rereadStoreFailed)
 	}
 	n.mutex.Unlock()
 	n.counter("store.failures").Inc(1)
