--- a/entry/reread_test.go
+++ b/entry/reread_test.go
@@ -66,6 +66,9 @@
 	reportsInRead bool
 	// beforeWatchReturns, if set, is called once, before the next watch returns an update.
 	beforeWatchReturns func()
+	// beforeReadReturns, if set, is called once, before the next read returns. Its position or error,
+	// unless zero, replaces that of the read.
+	beforeReadReturns func() (structs.StorePosition, error)
 }
 
 func (d *scriptedDirectory) begin(kind string, position structs.StorePosition) *directoryCall {
@@ -98,6 +101,20 @@
 	d.mutex.Unlock()
 	select {
 	case <-time.After(readTime):
+		d.mutex.Lock()
+		hook := d.beforeReadReturns
+		d.beforeReadReturns = nil
+		d.mutex.Unlock()
+		if hook != nil {
+			position, err := hook()
+			if err != nil {
+				d.end(call, 0, err)
+				return nil, err
+			}
+			if position != 0 {
+				update.Position = position
+			}
+		}
 		d.end(call, update.Position, nil)
 		return update, nil
 	case <-ctx.Done():
