entry: record each complete read, also one whose requests were made again meanwhile

What was seen: a complete read left no line, counter or duration if each of its requests was made again while it was in progress (1 counted of 2). No request was lost. Cause: requests of a reason were merged under the number of the latest, so that the earlier ones waited for the next read. Change: a pending entry knows how many of its requests came since the latest read began; sequence numbers go. A request for a new era is answered by a response of that era only, where it relied before on responses of earlier eras not being applied. TestPendingRereadsAreBounded expects the 99 requests made before the read to be answered, not all 100 to wait.

--- a/entry/reread.go
+++ b/entry/reread.go
@@ -35,20 +35,32 @@
 // reason.
 type rereadRequest struct {
 	reason rereadReason
-	// number and era are the sequence number and the known era of the latest request.
-	number uint64
-	era    int64
+	// era is the known era of the latest request.
+	era int64
 	// requestedAt is the time of the oldest request, count the number of requests.
 	requestedAt structs.Instant
 	count       int
+	// newCount is how many of the requests were made since the latest read began, the first of them at
+	// newRequestedAt.
+	newCount       int
+	newRequestedAt structs.Instant
 }
 
-// isAnsweredBy reports whether the request is answered by a complete read of the era, given the
-// sequence number of the latest request at its start. Instants can't tell which came first: a read may
-// start in the instant of a request. A response of a new era answers the request for it even if the
-// read started earlier.
-func (r rereadRequest) isAnsweredBy(lastAtStart uint64, era int64) bool {
-	return r.number <= lastAtStart || r.reason == rereadNewEra && r.era <= era
+// split returns the requests that are answered by the latest read, if it is complete and of the era, and
+// those that remain. A read answers the requests made before it began. One of a new era answers the
+// request for that era whenever it began, and none of an earlier era does.
+func (r rereadRequest) split(era int64) (answered, remaining rereadRequest) {
+	answered, remaining = r, r
+	switch {
+	case r.reason == rereadNewEra && r.era <= era:
+		remaining.count = 0
+	case r.reason == rereadNewEra:
+		answered.count = 0
+	default:
+		answered.count -= r.newCount
+		remaining.count, remaining.requestedAt = r.newCount, r.newRequestedAt
+	}
+	return answered, remaining
 }
 
 // rereads holds the requests for a complete read of the store, and the watch that they end.
@@ -57,8 +69,6 @@
 // while one is pending, so none is lost, whatever the watch loop does when it is made. A node that stops to
 // watch drops its requests: it reads the store before it watches again.
 type rereads struct {
-	// last is the sequence number of the latest request.
-	last    uint64
 	pending map[rereadReason]rereadRequest
 	// cancelWatch ends the watch in progress; nil if there is none.
 	cancelWatch context.CancelFunc
@@ -68,13 +78,16 @@
 
 // request adds a request and ends the watch in progress. It reports whether there was one.
 func (r *rereads) request(now structs.Instant, reason rereadReason, era int64) (wasWatching bool) {
-	r.last++
 	added, isPending := r.pending[reason]
 	if !isPending {
 		added = rereadRequest{reason: reason, requestedAt: now}
 	}
-	added.number, added.era = r.last, era
+	if added.newCount == 0 {
+		added.newRequestedAt = now
+	}
+	added.era = era
 	added.count++
+	added.newCount++
 	if r.pending == nil {
 		r.pending = map[rereadReason]rereadRequest{}
 	}
@@ -88,7 +101,42 @@
 }
 
 // drop removes and returns all requests.
-func (r *rereads) drop() []rereadRequest { return r.remove(func(rereadRequest) bool { return true }) }
+func (r *rereads) drop() []rereadRequest {
+	var dropped []rereadRequest
+	for _, reason := range rereadReasons {
+		if request, found := r.pending[reason]; found {
+			dropped = append(dropped, request)
+		}
+	}
+	clear(r.pending)
+	return dropped
+}
+
+// beginRead records the start of a read, which answers no request made later.
+func (r *rereads) beginRead() {
+	for reason, request := range r.pending {
+		request.newCount = 0
+		r.pending[reason] = request
+	}
+}
+
+// answer removes and returns the requests that are answered by the latest read, which was complete and of
+// the era.
+func (r *rereads) answer(era int64) []rereadRequest {
+	var allAnswered []rereadRequest
+	for _, reason := range rereadReasons {
+		answered, remaining := r.pending[reason].split(era)
+		if answered.count > 0 {
+			allAnswered = append(allAnswered, answered)
+		}
+		if remaining.count == 0 {
+			delete(r.pending, reason)
+		} else {
+			r.pending[reason] = remaining
+		}
+	}
+	return allAnswered
+}
 
 // isPending reports whether a request is pending.
 func (r *rereads) isPending() bool { return len(r.pending) > 0 }
@@ -109,24 +157,6 @@
 	return r.isWatchCanceled
 }
 
-// answer removes and returns the requests that are answered by a complete read of the era, given the
-// sequence number of the latest request at its start.
-func (r *rereads) answer(lastAtStart uint64, era int64) []rereadRequest {
-	return r.remove(func(request rereadRequest) bool { return request.isAnsweredBy(lastAtStart, era) })
-}
-
-// remove removes and returns the requests that match, in the order of rereadReasons.
-func (r *rereads) remove(matches func(rereadRequest) bool) []rereadRequest {
-	var removed []rereadRequest
-	for _, reason := range rereadReasons {
-		if request, found := r.pending[reason]; found && matches(request) {
-			removed = append(removed, request)
-			delete(r.pending, reason)
-		}
-	}
-	return removed
-}
-
 // RereadStatus describes the requests for a complete read of the store that no read has answered.
 type RereadStatus struct {
 	// Reason and AgeMS are those of the oldest request, Count is the number of requests.
@@ -188,15 +218,14 @@
 	return 0
 }
 
-// beginReread records the start of a read by the watch loop, and a request for it if there is none. It
-// returns the sequence number of the latest request.
-func (n *Node) beginReread() uint64 {
+// beginReread records the start of a read by the watch loop, and a request for it if there is none.
+func (n *Node) beginReread() {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	if !n.rereads.isPending() {
 		n.requestRereadLocked(rereadWatchStarted)
 	}
-	return n.rereads.last
+	n.rereads.beginRead()
 }
 
 // endWatching leaves complete reads to the nodes that watch the store.
@@ -214,10 +243,10 @@
 }
 
 // recordReread records the requests that are answered by the complete read of the watch loop, given its
-// position and the sequence number of the latest request at its start.
-func (n *Node) recordReread(lastAtStart uint64, position structs.StorePosition) {
+// position.
+func (n *Node) recordReread(position structs.StorePosition) {
 	n.mutex.Lock()
-	now, answered := n.now(), n.rereads.answer(lastAtStart, position.Era())
+	now, answered := n.now(), n.rereads.answer(position.Era())
 	n.mutex.Unlock()
 	for _, request := range answered {
 		delay := now - request.requestedAt
--- a/entry/store.go
+++ b/entry/store.go
@@ -65,7 +65,8 @@
 			n.sleep(heartbeatInterval)
 			continue
 		}
-		scope, lastReread := n.readScope(), n.beginReread()
+		scope := n.readScope()
+		n.beginReread()
 		position, err := n.read(scope)
 		if errors.Is(err, errkind.TooLarge) {
 			n.isConfigurationLarge.Store(true)
@@ -91,7 +92,7 @@
 		}
 		hasRead = true
 		if scope == outside.ScopeAll {
-			n.recordReread(lastReread, position)
+			n.recordReread(position)
 			n.watch(position)
 			continue
 		}
