entry: ignore an answer from before a restore as proof of what the store has

What was seen: after a restore no node wrote the poison records again, none in ten minutes; they would have been lost if all nodes had ended. Cause: the answer to a write from before the restore arrived after the new era was known and set poisonStored again. Evidence: a forced order, 10 of 10 plays; with the answer before the restore the records are written. Change: applyPoisonRecords notes positions of the known era only. Measured: the test failed before and passes 10 times; the tests of poison records and of entry pass.

--- a/entry/poison_sync.go
+++ b/entry/poison_sync.go
@@ -137,13 +137,13 @@
 }
 
 // applyPoisonRecords merges the records that the store has at the position. It does nothing if the
-// position is zero.
+// position is zero. The answer to a call from before a restore does not tell what the restored store has.
 func (n *Node) applyPoisonRecords(records []poisonrecords.Record, position structs.StorePosition) {
 	if position == 0 {
 		return
 	}
 	n.mutex.Lock()
-	if position > n.poisonStored.position {
+	if position > n.poisonStored.position && position.Era() >= n.era.current {
 		n.poisonStored = storedPoisonRecords{position: position, summary: poisonrecords.SummaryOf(records)}
 	}
 	n.mutex.Unlock()
