entry: let nodes that do not watch the store pull everything after a restore window

What callers saw: a healthy replica that the restored store listed, and whose entry had been lost before the restore, got no request from nodes that do not watch the store: 4 to 6 of 9 nodes lacked it for 5 minutes, and nothing was sent to it if one of them scheduled. Cause: such entries count again at the end of the restore window, but keep their positions. A pull asks for changes after the requester's latest position, which any later write had raised; serveUpdates sends nothing else. Change: a node that watches the store has completed an era once its restore window has ended and a complete read that began after that has been applied. Heartbeats and replies to pulls name the era that their sender has completed (msgpack, omitted without a restore). A node outside a restore window that hears of a later completed era than its own pulls everything, not only later changes, and has completed the era when such a reply says so and no restore window was in force while it was pulled. That is a level: failed pulls, peers that enter another window and processes that start later all lead to another try. Nodes that have completed it serve others; the zone's delegates are preferred as for other pulls, and the pulls are spread over up to a second. 2 s after the window such a peer's freshness no longer counts as this node's, so that failing pulls end in its own read. Watching nodes of a version without the field name no era: everything is pulled from one of them 5 s after the window, and once more when one has watched the store without failure for longer than the interval between complete reads.

--- a/entry/era.go
+++ b/entry/era.go
@@ -109,6 +109,9 @@
 // the mutex.
 func (n *Node) setRestoreWindow(window structs.RestoreWindow, restoredAt structs.Instant) {
 	n.era.restoreWindow, n.era.restoredAt = window, restoredAt
+	if n.era.isWindowSet() {
+		n.eraCompletion.completed = min(n.eraCompletion.completed, window.Base)
+	}
 	n.table.SetRestoreWindow(window)
 	n.evacuations.SetRestoreWindow(window)
 	n.rollouts.SetRestoreWindow(window)
@@ -129,11 +132,12 @@
 }
 
 // endRestoreWindow ends the restore window once its time is over, and requests a complete read,
-// which is authoritative.
+// which is authoritative. Nodes that do not watch the store pull its result (era_completion.go).
 func (n *Node) endRestoreWindow() {
 	n.mutex.Lock()
 	due := n.era.restoreWindow.Era > n.era.restoreWindow.Base && !n.era.isInRestoreWindow(n.now())
 	if due {
+		n.eraCompletion.ended, n.eraCompletion.endedAt, n.eraCompletion.hasPulledUnreported = n.era.restoreWindow.Era, n.now(), false
 		n.setRestoreWindow(structs.RestoreWindow{}, n.era.restoredAt)
 		n.requestRereadLocked(rereadRestoreWindowEnded)
 	}
@@ -154,7 +158,7 @@
 // this node lacks the earlier state, so that two such processes do not pull from each other. The
 // caller holds the mutex.
 func (n *Node) addEra(now structs.Instant, heartbeat *liveness.Heartbeat) {
-	heartbeat.Era = n.era.current
+	heartbeat.Era, heartbeat.CompletedEra = n.era.current, n.eraCompletion.completed
 	if n.era.isInRestoreWindow(now) && !n.era.lacksEarlierState {
 		window := n.era.restoreWindow
 		heartbeat.RestoreWindow, heartbeat.RestoreAgeMS = &window, (now - n.era.restoredAt).Milliseconds()
--- a/entry/update_pull.go
+++ b/entry/update_pull.go
@@ -50,8 +50,12 @@
 }
 
 // replicaPullDue reports whether to pull replicas and roll-outs from the sender of the heartbeat now.
-// If so, the caller must call pullUpdates. The caller holds the mutex.
+// If so, the caller must call pullUpdates. Everything is pulled instead from a peer that has completed a
+// later era. The caller holds the mutex.
 func (n *Node) replicaPullDue(heartbeat liveness.Heartbeat) bool {
+	if n.lacksCompletionOf(heartbeat) {
+		return false
+	}
 	return n.replicaPull.ShouldPull(n.now(), n.latestPosition(), heartbeat.LatestPosition, n.pullDelay(heartbeat))
 }
 
@@ -59,7 +63,7 @@
 func (n *Node) serveUpdates(_ context.Context, request *updatesRequest) (*updatesReply, error) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	reply := &updatesReply{Known: n.rollouts.CompleteTo()}
+	reply := &updatesReply{Known: n.rollouts.CompleteTo(), CompletedEra: n.eraCompletion.completed}
 	reply.Orders, reply.Records = n.rollouts.Since(request.Rollouts)
 	if n.table.LatestPosition() > request.Latest {
 		reply.Replicas, reply.Removed = n.table.Since(request.Latest), n.table.RemovalsSince(n.now(), request.Latest)
@@ -72,7 +76,7 @@
 	n.mutex.Lock()
 	request := &updatesRequest{Latest: n.table.LatestPosition(), Rollouts: n.rollouts.CompleteTo()}
 	n.mutex.Unlock()
-	err := n.pull(address, request)
+	_, err := n.pull(address, request)
 	n.mutex.Lock()
 	n.replicaPull.PullDone(n.now(), err == nil)
 	n.mutex.Unlock()
@@ -81,7 +85,7 @@
 
 // pullAll pulls all replicas and roll-outs, including those from before a restore.
 func (n *Node) pullAll(address string) {
-	err := n.pull(address, &updatesRequest{})
+	_, err := n.pull(address, &updatesRequest{})
 	n.mutex.Lock()
 	n.era.isPullingAll = false
 	n.era.lacksEarlierState = n.era.lacksEarlierState && err != nil
@@ -97,13 +101,13 @@
 	}
 }
 
-// pull requests updates from a peer and applies them.
-func (n *Node) pull(address string, request *updatesRequest) error {
+// pull requests updates from a peer, applies and returns them.
+func (n *Node) pull(address string, request *updatesRequest) (*updatesReply, error) {
 	ctx, cancel := context.WithTimeout(n.ctx, updatesTimeout)
 	defer cancel()
 	reply := &updatesReply{}
 	if err := n.peers.Call(ctx, address, peerwire.KindUpdates, request, reply); err != nil {
-		return err
+		return nil, err
 	}
 	n.applyRollouts(reply.Orders, reply.Records, reply.Known)
 	n.mutex.Lock()
@@ -119,5 +123,5 @@
 	if changed {
 		n.handleReplicaChange()
 	}
-	return nil
+	return reply, nil
 }
--- a/entry/wire_test.go
+++ b/entry/wire_test.go
@@ -270,7 +270,8 @@
 		{&assignRequest{}, nil, []string{"RequestID", "MayHaveRun"}},
 		{&firstEventRequest{}, nil, []string{"WorkTime", "SinceGrant"}},
 		{&finishRequest{}, []string{"Seen"}, []string{"WorkTime", "HeadDelay"}},
-		{&liveness.Heartbeat{}, nil, []string{"ts"}},
+		{&liveness.Heartbeat{}, nil, []string{"ts", "ec"}},
+		{&updatesReply{}, nil, []string{"CompletedEra"}},
 		{&tenantReportRequest{}, nil, []string{"Request"}},
 	} {
 		full := filled(func() any { return reflect.New(reflect.TypeOf(message.empty).Elem()).Interface() })
