entry: do not enter a restore window again that is over

What callers saw: a node that was cut off during a restore and learned of it 10 s late made the others lack replicas that had registered since: 2 of 100 requests were not answered. Cause: mergePeerEra took any node without a restore window of the reported era for a process that started after the restore. A node that had ended its window has none either, so that it entered the late node's window and ordered entries up to its revision as those of the backup. Change: a report of an era is ignored by a node that has ended its restore window, or has pulled everything from a node that had (isWindowOver). A process that knows neither still enters its peers' window, also if it has read the restored store. Evidence: TestNodeThatLearnsOfARestoreLateChangesNothingAtOthers (a node cut off) and TestEndedRestoreWindowIsNotEnteredAgain failed before, one run each.

--- a/entry/era.go
+++ b/entry/era.go
@@ -83,7 +83,7 @@
 		return false
 	}
 	reported, restoredAt := *heartbeat.RestoreWindow, n.now()-time.Duration(heartbeat.RestoreAgeMS)*time.Millisecond
-	if n.now()-restoredAt >= restoreWindowDuration || n.era.isKnown && reported.Era < n.era.current {
+	if n.now()-restoredAt >= restoreWindowDuration || n.era.isKnown && reported.Era < n.era.current || n.eraCompletion.isWindowOver(reported.Era) {
 		return false
 	}
 	switch {
@@ -93,7 +93,7 @@
 	case reported.Era > n.era.current:
 		reported.Base = min(reported.Base, n.baseEra())
 		n.enterEra(reported, restoredAt, heartbeat.Name)
-	case n.era.restoreWindow.Era < reported.Era: // this process started after the restore
+	case n.era.restoreWindow.Era < reported.Era: // this process started after the restore, and does not know whether the window is over
 		n.era.lacksEarlierState = true
 		n.setRestoreWindow(reported, restoredAt)
 	case n.era.restoreWindow.Base > reported.Base || n.era.restoreWindow.Listed > reported.Listed: // the peer knows more of the earlier state
--- a/entry/era_completion.go
+++ b/entry/era_completion.go
@@ -41,6 +41,10 @@
 	hasPulledUnreported bool
 }
 
+// isWindowOver reports whether the restore window of the era is over, as this node or a peer that it pulled
+// everything from has ended it. A node that learned of the restore late may still report it.
+func (c *eraCompletion) isWindowOver(era int64) bool { return era <= max(c.ended, c.completed) }
+
 // isWindowSet reports whether entries are ordered by a restore window, which may be over but not yet ended.
 func (e *era) isWindowSet() bool { return e.restoreWindow != structs.RestoreWindow{} }
 
