--- a/entry/reread_test.go
+++ b/entry/reread_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/thornwalk/thornwalk/coordination/liveness"
 	"github.com/thornwalk/thornwalk/internal/eventlog"
+	"github.com/thornwalk/thornwalk/lab/memnet"
 	"github.com/thornwalk/thornwalk/outside"
 	"github.com/thornwalk/thornwalk/protocol/errkind"
 	"github.com/thornwalk/thornwalk/state/catalog"
@@ -252,6 +253,10 @@
 		s.directory = &scriptedDirectory{now: elapsed, position: rereadPosition(2, 20), changed: make(chan struct{})}
 		log := eventlog.New("n1", nil)
 		s.node = New(&Settings{Name: "n1", StoreRecoveryWindow: 3000}, Dependencies{Log: log, Directory: s.directory, Now: elapsed})
+		var err error
+		s.node.heartbeatConn, err = memnet.New().Datagrams("n1").ListenDatagrams("n1:1")
+		s.Expect(err).NotTo(gomega.HaveOccurred())
+		defer func() { _ = s.node.heartbeatConn.Close() }()
 		s.Expect(s.node.metrics.Register("store_reread_ms", answerHistogram{metrics.NilHistogram{}, s.leaveRead})).To(gomega.Succeed())
 		s.node.catalog.Store(&catalog.Catalog{Document: &catalog.Document{Version: 1}})
 		s.node.loops.Go(s.node.watchLoop)
