--- a/entry/reread_orders_test.go
+++ b/entry/reread_orders_test.go
@@ -99,7 +99,7 @@
 	for name, isDuringRead := range map[string]bool{"new era known before the read": false, "new era reported during the read": true} {
 		t.Run(name, func(t *testing.T) {
 			runReread(t, func(s *rereadScenario) {
-				earlier := rereadPosition(2, 20)
+				earlier := positionInEra(2, 20)
 				s.directory.set(func(d *scriptedDirectory) {
 					d.readTime = slowReadTime
 					d.beforeReadReturns = func() (structs.StorePosition, error) {
