--- a/coordination/liveness/liveness.go
+++ b/coordination/liveness/liveness.go
@@ -47,10 +47,6 @@
 	Era           int64                  `msgpack:"er,omitempty"`
 	RestoreWindow *structs.RestoreWindow `msgpack:"rs,omitempty"`
 	RestoreAgeMS  int64                  `msgpack:"ra,omitempty"`
-	// CompletedEra is the latest era of which the sender knows what the store lists after the restore
-	// window: it has made a complete read since, or pulled everything from a node that had.
-	// It is zero if there was no restore, and from versions without it.
-	CompletedEra int64 `msgpack:"ec,omitempty"`
 	// ReplicasAgeMS is the age of the latest complete read of the replicas from the store whose
 	// result the sender has, from its own read or from another node, in milliseconds. It is
 	// negative if there was none.
--- a/entry/era.go
+++ b/entry/era.go
@@ -83,7 +83,7 @@
 		return false
 	}
 	reported, restoredAt := *heartbeat.RestoreWindow, n.now()-time.Duration(heartbeat.RestoreAgeMS)*time.Millisecond
-	if n.now()-restoredAt >= restoreWindowDuration || n.era.isKnown && reported.Era < n.era.current || n.eraCompletion.isWindowOver(reported.Era) {
+	if n.now()-restoredAt >= restoreWindowDuration || n.era.isKnown && reported.Era < n.era.current {
 		return false
 	}
 	switch {
@@ -93,7 +93,7 @@
 	case reported.Era > n.era.current:
 		reported.Base = min(reported.Base, n.baseEra())
 		n.enterEra(reported, restoredAt, heartbeat.Name)
-	case n.era.restoreWindow.Era < reported.Era: // this process started after the restore, and does not know whether the window is over
+	case n.era.restoreWindow.Era < reported.Era: // this process started after the restore
 		n.era.lacksEarlierState = true
 		n.setRestoreWindow(reported, restoredAt)
 	case n.era.restoreWindow.Base > reported.Base || n.era.restoreWindow.Listed > reported.Listed: // the peer knows more of the earlier state
@@ -109,9 +109,6 @@
 // the mutex.
 func (n *Node) setRestoreWindow(window structs.RestoreWindow, restoredAt structs.Instant) {
 	n.era.restoreWindow, n.era.restoredAt = window, restoredAt
-	if n.era.isWindowSet() {
-		n.eraCompletion.completed = min(n.eraCompletion.completed, window.Base)
-	}
 	n.table.SetRestoreWindow(window)
 	n.evacuations.SetRestoreWindow(window)
 	n.rollouts.SetRestoreWindow(window)
@@ -132,12 +129,11 @@
 }
 
 // endRestoreWindow ends the restore window once its time is over, and requests a complete read,
-// which is authoritative. Nodes that do not watch the store pull its result (era_completion.go).
+// which is authoritative.
 func (n *Node) endRestoreWindow() {
 	n.mutex.Lock()
 	due := n.era.restoreWindow.Era > n.era.restoreWindow.Base && !n.era.isInRestoreWindow(n.now())
 	if due {
-		n.eraCompletion.ended, n.eraCompletion.endedAt, n.eraCompletion.hasPulledUnreported = n.era.restoreWindow.Era, n.now(), false
 		n.setRestoreWindow(structs.RestoreWindow{}, n.era.restoredAt)
 		n.requestRereadLocked(rereadRestoreWindowEnded)
 	}
@@ -158,7 +154,7 @@
 // this node lacks the earlier state, so that two such processes do not pull from each other. The
 // caller holds the mutex.
 func (n *Node) addEra(now structs.Instant, heartbeat *liveness.Heartbeat) {
-	heartbeat.Era, heartbeat.CompletedEra = n.era.current, n.eraCompletion.completed
+	heartbeat.Era = n.era.current
 	if n.era.isInRestoreWindow(now) && !n.era.lacksEarlierState {
 		window := n.era.restoreWindow
 		heartbeat.RestoreWindow, heartbeat.RestoreAgeMS = &window, (now - n.era.restoredAt).Milliseconds()
--- a/entry/freshness.go
+++ b/entry/freshness.go
@@ -45,7 +45,7 @@
 	if heartbeat.ReplicasAgeMS >= 0 && heartbeat.ReplicasAgeMS < staleAfter.Milliseconds() && !heartbeat.StoreUnreachable {
 		n.recordStoreReached(now)
 	}
-	if heartbeat.ReplicasAgeMS >= 0 && !n.isFromEarlierEra(heartbeat) && !n.isStaleAgainst(heartbeat) && heartbeat.LatestPosition <= n.table.LatestPosition() {
+	if heartbeat.ReplicasAgeMS >= 0 && !n.isFromEarlierEra(heartbeat) && heartbeat.LatestPosition <= n.table.LatestPosition() {
 		n.replicaFreshness.Observe(now - time.Duration(heartbeat.ReplicasAgeMS)*time.Millisecond)
 	}
 	if own := n.version(); heartbeat.ConfigurationAgeMS >= 0 && own > 0 && heartbeat.Version <= own {
--- a/entry/heartbeats.go
+++ b/entry/heartbeats.go
@@ -366,7 +366,6 @@
 	levelsUntil := n.bucketLevelsUntil
 	takesShareLevels := n.takesShareLevels(now, &heartbeat)
 	pullsAll := n.mergePeerEra(heartbeat)
-	pullsCompletion := n.completionPullDue(heartbeat)
 	pullsReplicas, pullsConfiguration := n.replicaPullDue(heartbeat), n.configurationPullDue(heartbeat)
 	pullsPoison := n.poisonPullDue(now, heartbeat)
 	n.recordFreshness(now, heartbeat)
@@ -409,9 +408,6 @@
 	if pullsAll {
 		go n.pullAll(heartbeat.Address)
 	}
-	if pullsCompletion {
-		go n.pullCompletion(heartbeat)
-	}
 	if pullsReplicas {
 		go n.pullUpdates(heartbeat.Address)
 	}
--- a/entry/messages.go
+++ b/entry/messages.go
@@ -112,6 +112,4 @@
 	Orders   []rollouts.Order
 	Records  []rollouts.Record
 	Known    structs.StorePosition
-	// CompletedEra is that of the peer's heartbeat when it collected the changes.
-	CompletedEra int64 `msgpack:",omitempty"`
 }
--- a/entry/node.go
+++ b/entry/node.go
@@ -157,14 +157,13 @@
 	updatedAt structs.Instant
 	// catalogPosition is the store position of the latest decoded configuration.
 	catalogPosition structs.StorePosition
-	// era is the known era of the store, and eraCompletion what this node did after its restore window.
-	era           era
-	eraCompletion eraCompletion
+	// era is the known era of the store.
+	era era
 	// replicaFreshness and configurationFreshness track the age of the replicas and configuration.
 	replicaFreshness, configurationFreshness staleness.Freshness
 	unackedFinishes                          []unackedFinish
 	replicaPull                              staleness.PullTracker[structs.StorePosition]
-	versionPull, poisonPull, completionPull  staleness.PullTracker[int64]
+	versionPull, poisonPull                  staleness.PullTracker[int64]
 	// loggedProblems are the store entries and parts of responses that failed to parse and were
 	// logged.
 	loggedProblems map[string]bool
--- a/entry/store.go
+++ b/entry/store.go
@@ -93,7 +93,6 @@
 		hasRead = true
 		if scope == outside.ScopeAll {
 			n.recordReread(position)
-			n.completeEraByRead(position)
 			n.watch(position)
 			continue
 		}
--- a/entry/update_pull.go
+++ b/entry/update_pull.go
@@ -50,12 +50,8 @@
 }
 
 // replicaPullDue reports whether to pull replicas and roll-outs from the sender of the heartbeat now.
-// If so, the caller must call pullUpdates. Everything is pulled instead from a peer that has completed a
-// later era. The caller holds the mutex.
+// If so, the caller must call pullUpdates. The caller holds the mutex.
 func (n *Node) replicaPullDue(heartbeat liveness.Heartbeat) bool {
-	if n.lacksCompletionOf(heartbeat) {
-		return false
-	}
 	return n.replicaPull.ShouldPull(n.now(), n.latestPosition(), heartbeat.LatestPosition, n.pullDelay(heartbeat))
 }
 
@@ -63,7 +59,7 @@
 func (n *Node) serveUpdates(_ context.Context, request *updatesRequest) (*updatesReply, error) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	reply := &updatesReply{Known: n.rollouts.CompleteTo(), CompletedEra: n.eraCompletion.completed}
+	reply := &updatesReply{Known: n.rollouts.CompleteTo()}
 	reply.Orders, reply.Records = n.rollouts.Since(request.Rollouts)
 	if n.table.LatestPosition() > request.Latest {
 		reply.Replicas, reply.Removed = n.table.Since(request.Latest), n.table.RemovalsSince(n.now(), request.Latest)
@@ -76,7 +72,7 @@
 	n.mutex.Lock()
 	request := &updatesRequest{Latest: n.table.LatestPosition(), Rollouts: n.rollouts.CompleteTo()}
 	n.mutex.Unlock()
-	_, err := n.pull(address, request)
+	err := n.pull(address, request)
 	n.mutex.Lock()
 	n.replicaPull.PullDone(n.now(), err == nil)
 	n.mutex.Unlock()
@@ -85,7 +81,7 @@
 
 // pullAll pulls all replicas and roll-outs, including those from before a restore.
 func (n *Node) pullAll(address string) {
-	_, err := n.pull(address, &updatesRequest{})
+	err := n.pull(address, &updatesRequest{})
 	n.mutex.Lock()
 	n.era.isPullingAll = false
 	n.era.lacksEarlierState = n.era.lacksEarlierState && err != nil
@@ -101,13 +97,13 @@
 	}
 }
 
-// pull requests updates from a peer, applies and returns them.
-func (n *Node) pull(address string, request *updatesRequest) (*updatesReply, error) {
+// pull requests updates from a peer and applies them.
+func (n *Node) pull(address string, request *updatesRequest) error {
 	ctx, cancel := context.WithTimeout(n.ctx, updatesTimeout)
 	defer cancel()
 	reply := &updatesReply{}
 	if err := n.peers.Call(ctx, address, peerwire.KindUpdates, request, reply); err != nil {
-		return nil, err
+		return err
 	}
 	n.applyRollouts(reply.Orders, reply.Records, reply.Known)
 	n.mutex.Lock()
@@ -123,5 +119,5 @@
 	if changed {
 		n.handleReplicaChange()
 	}
-	return reply, nil
+	return nil
 }
--- a/entry/wire_test.go
+++ b/entry/wire_test.go
@@ -270,8 +270,7 @@
 		{&assignRequest{}, nil, []string{"RequestID", "MayHaveRun"}},
 		{&firstEventRequest{}, nil, []string{"WorkTime", "SinceGrant"}},
 		{&finishRequest{}, []string{"Seen"}, []string{"WorkTime", "HeadDelay"}},
-		{&liveness.Heartbeat{}, nil, []string{"ts", "ec"}},
-		{&updatesReply{}, nil, []string{"CompletedEra"}},
+		{&liveness.Heartbeat{}, nil, []string{"ts"}},
 		{&tenantReportRequest{}, nil, []string{"Request"}},
 	} {
 		full := filled(func() any { return reflect.New(reflect.TypeOf(message.empty).Elem()).Interface() })
