entry: do not enter a restore window again that this process has ended

What callers saw: a node that was partitioned during a restore and learned of it late made all others enter the restore window again; for 4 s they lacked the replicas that had registered since, and 2 of 100 requests were not answered. Cause: a node whose window has ended has none set, so that mergePeerEra took the peer's report for news to a process that had started after the restore, set the peer's window and pulled the peer's old state. Change: a process remembers the era of the window that it ended, and ignores reports of that window.

--- a/entry/era.go
+++ b/entry/era.go
@@ -27,6 +27,8 @@
 	// restoreWindow describes the latest restore, which this node counts from restoredAt.
 	restoreWindow structs.RestoreWindow
 	restoredAt    structs.Instant
+	// endedWindow is the era of the latest restore window that this process ended.
+	endedWindow int64
 	// lacksEarlierState is true if this process has seen only the restored store and has not yet
 	// pulled the earlier state from a peer; isPullingAll is true while it does.
 	lacksEarlierState, isPullingAll bool
@@ -83,8 +85,8 @@
 		return false
 	}
 	reported, restoredAt := *heartbeat.RestoreWindow, n.now()-time.Duration(heartbeat.RestoreAgeMS)*time.Millisecond
-	if n.now()-restoredAt >= restoreWindowDuration || n.era.isKnown && reported.Era < n.era.current {
-		return false
+	if n.now()-restoredAt >= restoreWindowDuration || n.era.isKnown && reported.Era < n.era.current || reported.Era <= n.era.endedWindow {
+		return false // a peer that learned of the restore late still reports a window that is over
 	}
 	switch {
 	case !n.era.isKnown:
@@ -134,6 +136,7 @@
 	n.mutex.Lock()
 	due := n.era.restoreWindow.Era > n.era.restoreWindow.Base && !n.era.isInRestoreWindow(n.now())
 	if due {
+		n.era.endedWindow = n.era.restoreWindow.Era
 		n.setRestoreWindow(structs.RestoreWindow{}, n.era.restoredAt)
 		n.requestRereadLocked(rereadRestoreWindowEnded)
 	}
