--- a/test/entry/store_reread_courses_test.go
+++ b/test/entry/store_reread_courses_test.go
@@ -197,3 +197,7 @@
 // Guards against replicas that nodes do not use although a restored store lists them, because a
 // complete read did not follow the restore window. All three nodes watch the store.
 func TestListedReplicasAreUsedOnRestoreCourses(t *testing.T) { runRestoreCourses(t, 3) }
+
+// Guards against listed replicas that do not reach the nodes that pull updates instead of watching the
+// store: two of the five.
+func TestListedReplicasReachAllNodesOnRestoreCourses(t *testing.T) { runRestoreCourses(t, 5) }
