--- a/test/entry/store_restore_followers_test.go
+++ b/test/entry/store_restore_followers_test.go
@@ -14,6 +14,13 @@
 // fleetHosts are more nodes than watch the store.
 var fleetHosts = []string{"n1", "n2", "n3", "n4", "n5", "n6", "n7", "n8", "n9"}
 
+// startFleet starts the deployment with the nodes of fleetHosts.
+func startFleet(t *testing.T) *restoreScenario {
+	s := &restoreScenario{scenario: &scenario{WithT: gomega.NewWithT(t), fabric: memnet.New()}, writes: map[string]func(){}}
+	s.scenario.start(fleetHosts, []string{"east", "west"}, nil)
+	return s
+}
+
 // maxUnusedTime bounds the time from the end of the restore window until every node knows the replicas that
 // the store lists.
 const maxUnusedTime = 2 * time.Second
@@ -25,8 +32,7 @@
 	for name, writesLater := range map[string]bool{"no later change": false, "a later change": true} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				s := &restoreScenario{scenario: &scenario{WithT: gomega.NewWithT(t), fabric: memnet.New()}, writes: map[string]func(){}}
-				s.scenario.start(fleetHosts, []string{"east", "west"}, nil)
+				s := startFleet(t)
 				defer s.stop(fleetHosts)
 				s.awaitReady()
 				s.backup = s.deployment.Store.Backup()
--- a/test/entry/store_restore_narrow_test.go
+++ b/test/entry/store_restore_narrow_test.go
@@ -9,7 +9,6 @@
 
 	"github.com/onsi/gomega"
 
-	"github.com/thornwalk/thornwalk/lab/memnet"
 	"github.com/thornwalk/thornwalk/lab/platformsim"
 	"github.com/thornwalk/thornwalk/state/replicas"
 )
@@ -20,8 +19,7 @@
 	for _, megabits := range []float64{5, 2} {
 		t.Run(fmt.Sprint(megabits, " Mbps"), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				s := &restoreScenario{scenario: &scenario{WithT: gomega.NewWithT(t), fabric: memnet.New()}, writes: map[string]func(){}}
-				s.scenario.start(fleetHosts, []string{"east", "west"}, nil)
+				s := startFleet(t)
 				defer s.stop(fleetHosts)
 				for i := range 2 * replicaCount {
 					(&platformsim.Replica{ID: fmt.Sprint("other", i), Service: "others", Address: fmt.Sprintf("10.0.%d.%d:80", i/200, i%200), Zone: "east", Slots: 1}).Register(s.deployment.Store, "ready")
--- a/test/entry/store_restore_restart_test.go
+++ b/test/entry/store_restore_restart_test.go
@@ -9,7 +9,6 @@
 
 	"github.com/onsi/gomega"
 
-	"github.com/thornwalk/thornwalk/lab/memnet"
 	"github.com/thornwalk/thornwalk/state/replicas"
 )
 
@@ -17,8 +16,7 @@
 func runFleetRestore(t *testing.T, test func(s *restoreScenario)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		s := &restoreScenario{scenario: &scenario{WithT: gomega.NewWithT(t), fabric: memnet.New()}, writes: map[string]func(){}}
-		s.scenario.start(fleetHosts, []string{"east", "west"}, nil)
+		s := startFleet(t)
 		defer s.stop(fleetHosts)
 		s.awaitReady()
 		s.backup = s.deployment.Store.Backup()
