entry: record which replicas this node fails to reach

Cause: the logs of the incident show refused sends, but not whether a replica or the path of one node was at fault, nor how many replicas a node reaches. Change: coordination/reachability keeps the replicas that the last connect did not reach; a log event "path" when one is lost or regained, counters connects.<outcome>, the gauge replicas.unreached and unreached_replicas in the status of a node. No decision depends on it.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -67,8 +67,12 @@
 		maxIdle = maxIdleNonRepeatable
 	}
 	dialContext, cancelDial := context.WithTimeout(c.ctx, connectTimeout)
+	dialedAt := time.Now()
 	conn, err := node.pool.Connect(dialContext, granted.Replica.ID, granted.Replica.Address, maxIdle)
 	cancelDial()
+	if c.ctx.Err() == nil && (err != nil || !conn.Reused) {
+		node.recordConnect(granted.Replica.ID, err, time.Since(dialedAt))
+	}
 	if err != nil {
 		if c.ctx.Err() == nil {
 			node.recordUnreachable(granted.Replica.ID)
--- a/entry/node.go
+++ b/entry/node.go
@@ -16,6 +16,7 @@
 
 	"github.com/thornwalk/thornwalk/coordination/dissemination"
 	"github.com/thornwalk/thornwalk/coordination/liveness"
+	"github.com/thornwalk/thornwalk/coordination/reachability"
 	"github.com/thornwalk/thornwalk/coordination/replicahealth"
 	"github.com/thornwalk/thornwalk/coordination/staleness"
 	"github.com/thornwalk/thornwalk/coordination/zones"
@@ -119,6 +120,8 @@
 	incomingPeers incomingPeerList
 	discovered    discoveredPeers
 	health        *replicahealth.Tracker
+	// paths tracks which replicas this node reaches.
+	paths *reachability.Tracker
 	// pushback holds what replicas reported to this node to limit requests.
 	pushback    *pushback.Tracker
 	zones       *zones.Tracker
@@ -188,7 +191,7 @@
 	n := &Node{
 		dependencies: dependencies, log: dependencies.Log, metrics: metrics.NewRegistry(),
 		pool: replicahttp.NewPool(dependencies.Network), peers: peer.NewClient(dependencies.Network, nil),
-		table: replicas.NewTable(), evacuations: evacuations.NewTable(), rollouts: rollouts.NewTable(), members: liveness.NewTable(settings.Name), relays: liveness.NewRelays(rand.IntN), health: replicahealth.NewTracker(), pushback: pushback.NewTracker(), zones: zones.NewTracker(),
+		table: replicas.NewTable(), evacuations: evacuations.NewTable(), rollouts: rollouts.NewTable(), members: liveness.NewTable(settings.Name), relays: liveness.NewRelays(rand.IntN), health: replicahealth.NewTracker(), paths: reachability.NewTracker(), pushback: pushback.NewTracker(), zones: zones.NewTracker(),
 		assignments: map[string]assignment{}, peerUsage: map[string]receivedUsage{}, loggedProblems: map[string]bool{}, term: 1, storeFailedAt: -time.Hour, lastActiveAt: -time.Hour, selectedAt: -time.Hour, peersRequestedAt: -time.Hour,
 		parts: dissemination.NewPartStore(), sendLimiter: dissemination.NewSendLimiter(settings.LinkMbps),
 	}
@@ -209,6 +212,7 @@
 	n.scheduling.onInvalidWeight = func() { n.counter("weights.invalid").Inc(1) }
 	n.registerTenantMetrics()
 	n.registerRereadMetrics()
+	n.registerPathMetrics()
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	return n
 }
--- a/entry/operators.go
+++ b/entry/operators.go
@@ -32,13 +32,15 @@
 	Scheduler  string `json:"scheduler"`
 	// NonDelegate is true if this node is no delegate of its zone, and Fleet is the estimated
 	// number of nodes.
-	NonDelegate bool                               `json:"ordinary"`
-	Fleet       int                                `json:"fleet"`
-	Live        []string                           `json:"live_peers"`
-	Silent      []string                           `json:"silent_peers"`
-	Failing     []string                           `json:"failing_replicas"`
-	Replicas    []replicas.Replica                 `json:"replicas"`
-	Services    map[string]admission.ServiceStatus `json:"services"`
+	NonDelegate bool     `json:"ordinary"`
+	Fleet       int      `json:"fleet"`
+	Live        []string `json:"live_peers"`
+	Silent      []string `json:"silent_peers"`
+	Failing     []string `json:"failing_replicas"`
+	// Unreached are the replicas that the last connect of this node did not reach.
+	Unreached []string                           `json:"unreached_replicas"`
+	Replicas  []replicas.Replica                 `json:"replicas"`
+	Services  map[string]admission.ServiceStatus `json:"services"`
 	// Reread is set while requests for a complete read of the store are pending.
 	Reread *RereadStatus `json:"store_reread,omitempty"`
 	// Pushback is what replicas reported to this node to limit requests.
@@ -65,6 +67,7 @@
 	status.UpdatesAge, status.StoreDown = (now - n.updatedAt).Milliseconds(), n.isStoreDown
 	status.Reread = n.rereads.status(now)
 	status.Scheduler, status.Failing, status.Replicas = n.scheduler, n.health.Failing(now), n.table.All()
+	status.Unreached = n.paths.Lost()
 	status.NonDelegate, status.Fleet = n.isNonDelegate, n.fleetSize
 	status.Pushback = n.pushbackStatus(now)
 	status.Rollouts, status.Evacuations = n.rolloutStatus(now), n.evacuationStatus()
--- a/entry/updates.go
+++ b/entry/updates.go
@@ -179,7 +179,9 @@
 func (n *Node) handleReplicaChange() {
 	n.mutex.Lock()
 	all := n.table.All()
-	n.health.Forget(func(id string) bool { _, known := n.table.Get(id); return known })
+	isListed := func(id string) bool { _, known := n.table.Get(id); return known }
+	n.health.Forget(isListed)
+	n.paths.Forget(isListed)
 	n.pushback.Sweep(n.now(), func(incarnation pushback.Incarnation) bool {
 		known, found := n.table.Get(incarnation.Replica)
 		return found && pushback.IncarnationOf(known) == incarnation
