test: add a failing test of nodes that lose their paths to all replicas

No test could cut a node from the replicas alone. Change: memnet.CutPaths cuts the paths between hosts in four ways: silent, reset, and new connections refused or silent while open ones work. The test sends callers to nine nodes of which 1 to 8 have no path.

--- a/lab/memnet/memnet.go
+++ b/lab/memnet/memnet.go
@@ -21,6 +21,7 @@
 	mutex        sync.Mutex
 	listeners    map[string]*listener
 	blockedLinks map[hostPair]bool
+	cutPaths     map[hostPair]PathCut
 	paused       map[string]chan struct{}
 	connections  map[*connection]bool
 	nextPort     int
@@ -45,7 +46,7 @@
 // New returns a fabric without hosts.
 func New() *Fabric {
 	return &Fabric{
-		listeners: map[string]*listener{}, blockedLinks: map[hostPair]bool{}, paused: map[string]chan struct{}{},
+		listeners: map[string]*listener{}, blockedLinks: map[hostPair]bool{}, cutPaths: map[hostPair]PathCut{}, paused: map[string]chan struct{}{},
 		connections: map[*connection]bool{}, nextPort: 1000, sockets: map[string]*socket{}, hostLinks: newHostLinks(),
 	}
 }
@@ -71,10 +72,11 @@
 	}
 }
 
-// Heal unblocks all links. Connections that lost data are closed.
+// Heal unblocks all links and ends all cuts of paths. Connections that lost data are closed.
 func (f *Fabric) Heal() {
 	f.mutex.Lock()
 	clear(f.blockedLinks)
+	clear(f.cutPaths)
 	var broken []*connection
 	for c := range f.connections {
 		if c.broken {
@@ -168,12 +170,10 @@
 	h.fabric.WaitResumed(h.name)
 	target, _, _ := strings.Cut(address, ":")
 	h.fabric.mutex.Lock()
-	blocked := h.fabric.blockedLinks[hostPair{h.name, target}] || h.fabric.blockedLinks[hostPair{target, h.name}]
 	found := h.fabric.listeners[address]
 	h.fabric.mutex.Unlock()
-	if blocked {
-		<-ctx.Done()
-		return nil, ctx.Err()
+	if err := h.awaitPath(ctx, target, address); err != nil {
+		return nil, err
 	}
 	if found == nil {
 		return nil, fmt.Errorf("dial %s: %w", address, errRefused)
