entry: have peers forward the connections to replicas that a node does not reach

Callers saw: at nodes that had lost their links to all replicas 58 of 166 first tries were served (later 8 of 80), at the others 123 of 124 (198 of 201). Cause: reachability was taken as a property of a replica or its zone. A node that failed to connect tried each replica in turn and had no other way, while every other node reached them. The same cause made failures of one node's paths count against replicas: a refused connection proved a crash, two cut nodes ejected a replica for all, late answers on cut paths quarantined replicas, and connects of 300 ms held slots. Change: a peer opens the connection and forwards its bytes (transport/forward, a stream on the peers' listener). The node itself writes the request, after the peer confirmed the connection, so what proves that a request was not sent stays as it was. coordination/reachability decides when: a path is forwarded once a peer reached the replica; with two such paths and no replica reached since, the node is partitioned and all its connections are forwarded; three successful probes in a row end that, and paths return spread over 2 s. Heartbeats say how many connections a node forwards; one that reaches no replica forwards none. Forwarders are drawn by room, in the zone first; isolated nodes of a large fleet ask others for forwarders. A refusal proves a crash only if a peer that reaches another replica gets it too.

--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -110,6 +110,8 @@
 	followerShare float64
 	activeSince   structs.Instant
 	pauses        map[pauseKey]replicaPauses
+	// isolatedNodes are the processes that can't reach replicas.
+	isolatedNodes map[string]bool
 }
 
 // New returns a scheduler without replicas and requests, which blocks no requests.
@@ -125,6 +127,10 @@
 // it and uses it without locking.
 func (s *Scheduler) SetPoisonTracker(tracker *poison.Tracker) { s.poisonTracker = tracker }
 
+// SetIsolatedNodes sets the processes that can't reach replicas. Their late answers don't count against
+// these.
+func (s *Scheduler) SetIsolatedNodes(processes map[string]bool) { s.isolatedNodes = processes }
+
 // SetRegions sets the region of each zone. Zones that are not in the map count as one region.
 func (s *Scheduler) SetRegions(regionByZone map[string]string) { s.regionByZone = regionByZone }
 
--- a/coordination/admission/decide.go
+++ b/coordination/admission/decide.go
@@ -27,12 +27,12 @@
 }
 
 // Sweep removes assignments whose end was probably lost, and counts answers that have not started
-// within firstEventTimeout as failures of their replicas.
+// within firstEventTimeout as failures of their replicas, unless the node is isolated from these.
 func (s *Scheduler) Sweep(now structs.Instant) {
 	for id, assignment := range s.assignments {
 		if !assignment.started && !assignment.late && now-assignment.assignedAt > firstEventTimeout {
 			assignment.late = true
-			if s.isCurrentIncarnation(assignment) {
+			if s.isCurrentIncarnation(assignment) && !s.isolatedNodes[assignment.node] {
 				s.recordOutcome(now, assignment.service, assignment.replicaID, true)
 			}
 		}
--- a/coordination/liveness/liveness.go
+++ b/coordination/liveness/liveness.go
@@ -90,6 +90,10 @@
 	ZoneKnown int `msgpack:"zk,omitempty"`
 	// FleetSize is the sender's estimate of the number of nodes in the fleet.
 	FleetSize int `msgpack:"fl,omitempty"`
+	// ForwardCapacity is the number of further connections to replicas that the sender forwards for nodes
+	// that can't reach them. Isolated is true if the sender has lately reached none itself.
+	ForwardCapacity int  `msgpack:"fc,omitempty"`
+	Isolated        bool `msgpack:"is,omitempty"`
 	// CanRelay is true if the sender relays heartbeats to its zone on request.
 	CanRelay bool `msgpack:"e,omitempty"`
 	// RelayRequested asks the receiver to relay the heartbeat to all nodes of its zone.
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -42,7 +42,6 @@
 	// fail within milliseconds and run nothing. With six of eight replicas down and connects counted as
 	// sends, a third of the first requests was rejected after four of them.
 	maxRefusedConnects = 16
-	connectTimeout     = 300 * time.Millisecond
 	// maxIdleRepeatable and maxIdleNonRepeatable bound how long a connection may have been
 	// idle before it is reused for a request that may, or must not, run twice.
 	maxIdleRepeatable    = 10 * time.Second
@@ -66,13 +65,7 @@
 	if !c.route.Repeatable() {
 		maxIdle = maxIdleNonRepeatable
 	}
-	dialContext, cancelDial := context.WithTimeout(c.ctx, connectTimeout)
-	dialedAt := time.Now()
-	conn, err := node.pool.Connect(dialContext, granted.Replica.ID, granted.Replica.Address, maxIdle)
-	cancelDial()
-	if c.ctx.Err() == nil && (err != nil || !conn.Reused) {
-		node.recordConnect(granted.Replica.ID, err, time.Since(dialedAt))
-	}
+	conn, err := c.connect(granted.Replica, maxIdle)
 	if err != nil {
 		if c.ctx.Err() == nil {
 			node.recordUnreachable(granted.Replica.ID)
@@ -85,13 +78,16 @@
 		_ = conn.Close()
 		return resultNotSent, admission.Observation{CallerLeft: true}
 	}
+	c.forwarder = conn.Forwarder
+	defer node.exchanges.begin(conn, granted.Replica)()
 	sentTime, sentAt := time.Now(), node.now()
 	sendContext, cancelSend := c.sendContext()
 	defer cancelSend()
 	answer, err := node.pool.Exchange(sendContext, conn, c.replicaRequest(granted.Replica))
 	if err != nil {
-		return c.recordIncomplete(granted.Replica.ID, err), admission.Observation{Failed: true, CallerLeft: c.ctx.Err() != nil}
+		return c.recordIncomplete(err), admission.Observation{Failed: true, CallerLeft: c.ctx.Err() != nil}
 	}
+	c.recordReceived()
 	node.recordZoneContact(granted.Replica.Zone, true)
 	load, workTime := c.reportedLoad(answer)
 	started := &firstEventRequest{Load: load, WorkTime: workTime, Pushback: node.applyPushback(answer, granted.Replica, sentAt)}
@@ -123,6 +119,8 @@
 	if network.IsRefused(err) {
 		c.refusedConnects++
 		c.lastFailure = causeRefused
+	}
+	if c.node.hasDisconnects(replica) && c.node.provesEnd(c.ctx, replica, err) {
 		c.node.mutex.Lock()
 		c.node.resolveDisconnects(replica)
 		c.node.mutex.Unlock()
@@ -170,20 +168,31 @@
 	return context.WithCancel(c.ctx)
 }
 
-// recordIncomplete records that the replica gave no complete response because of err, which
-// is nil for an invalid response. It returns resultCallerLeft if the caller caused the failure.
-func (c *call) recordIncomplete(id string, err error) result {
+// recordIncomplete records why no complete response arrived. The error is nil for an invalid response. It
+// returns resultCallerLeft if the caller caused the failure.
+func (c *call) recordIncomplete(err error) result {
 	if c.request.Context().Err() != nil {
 		return resultCallerLeft
 	}
 	c.lastFailure = failureCauseOf(err)
 	c.node.counter("breaks." + string(c.lastFailure)).Inc(1)
-	c.node.mutex.Lock()
-	c.node.health.RecordBroken(c.node.now(), id)
-	c.node.mutex.Unlock()
 	return resultIncomplete
 }
 
+// recordBroken records that the replica gave an incomplete or malformed response.
+func (n *Node) recordBroken(id string) {
+	n.mutex.Lock()
+	n.health.RecordBroken(n.now(), id)
+	n.mutex.Unlock()
+}
+
+// recordReceived records that bytes of the response arrived.
+func (c *call) recordReceived() {
+	if c.forwarder == "" {
+		c.node.exchanges.recordReceived()
+	}
+}
+
 // recordUnreachable records that no connection to the replica could be opened.
 func (n *Node) recordUnreachable(id string) {
 	n.mutex.Lock()
--- a/entry/disconnects.go
+++ b/entry/disconnects.go
@@ -40,6 +40,13 @@
 	}
 }
 
+// hasDisconnects reports whether the replica broke requests off that may still be found to be crashes.
+func (n *Node) hasDisconnects(replica replicas.Replica) bool {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return slices.ContainsFunc(n.disconnects, func(kept unresolvedDisconnect) bool { return kept.replica.IsSameIncarnation(replica) })
+}
+
 // resolveDisconnects reports the requests that the replica broke off as crashes, now that its
 // incarnation is known to have ended. The caller holds the mutex.
 func (n *Node) resolveDisconnects(replica replicas.Replica) {
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -32,6 +32,8 @@
 	fingerprint fingerprint.Fingerprint
 	// lastFailure is the failure cause of the last send.
 	lastFailure failureCause
+	// forwarder is the peer that forwards the connection of the last send, empty if it is direct.
+	forwarder string
 	// refusedConnects counts the connects that were refused.
 	refusedConnects int
 	// promptTokens and outputTokens are the tokens of the request; both are zero for
--- a/entry/heartbeats.go
+++ b/entry/heartbeats.go
@@ -282,6 +282,7 @@
 		Term: n.term, Scheduler: n.scheduler, KnownNodes: n.knownPeerCount(now), Leaving: n.stoppingSince.Load() != 0, Slow: n.slowness.Slow(), StoreUnreachable: n.isStoreDown, LatestPosition: n.latestPosition(), ReplicasAgeMS: n.replicaFreshness.Age(now), ConfigurationAgeMS: n.configurationFreshness.Age(now), StoreHealthyMS: n.watchHealthyFor(now).Milliseconds(), FailingReplicas: n.health.Failing(now),
 		InFlight: map[string]liveness.InFlightCount{}, CanRelay: true, Rollouts: n.rolloutViews(),
 	}
+	heartbeat.ForwardCapacity, heartbeat.Isolated = n.forwardCapacity(), n.paths.IsIsolated()
 	heartbeat.Version, heartbeat.Evacuations = n.version(), n.evacuations.All()
 	n.addEra(now, &heartbeat)
 	if summary := n.scheduling.poisonSummary(); summary.ChangeCount > 0 {
--- a/entry/node.go
+++ b/entry/node.go
@@ -105,6 +105,12 @@
 
 	stoppingSince atomic.Int64
 	inFlight      atomic.Int64
+	// forwarded counts the connections that this node forwards for peers.
+	forwarded atomic.Int64
+	// isPathSilent is true if the last failed connect to a replica timed out.
+	isPathSilent atomic.Bool
+	// exchanges are the exchanges with replicas in progress.
+	exchanges *exchanges
 	// calls holds the callers' requests in progress.
 	calls activeCalls
 
@@ -121,7 +127,8 @@
 	discovered    discoveredPeers
 	health        *replicahealth.Tracker
 	// paths tracks which replicas this node reaches.
-	paths *reachability.Tracker
+	paths           *reachability.Tracker
+	namedForwarders namedForwarders
 	// pushback holds what replicas reported to this node to limit requests.
 	pushback    *pushback.Tracker
 	zones       *zones.Tracker
@@ -191,7 +198,7 @@
 	n := &Node{
 		dependencies: dependencies, log: dependencies.Log, metrics: metrics.NewRegistry(),
 		pool: replicahttp.NewPool(dependencies.Network), peers: peer.NewClient(dependencies.Network, nil),
-		table: replicas.NewTable(), evacuations: evacuations.NewTable(), rollouts: rollouts.NewTable(), members: liveness.NewTable(settings.Name), relays: liveness.NewRelays(rand.IntN), health: replicahealth.NewTracker(), paths: reachability.NewTracker(), pushback: pushback.NewTracker(), zones: zones.NewTracker(),
+		table: replicas.NewTable(), evacuations: evacuations.NewTable(), rollouts: rollouts.NewTable(), members: liveness.NewTable(settings.Name), relays: liveness.NewRelays(rand.IntN), health: replicahealth.NewTracker(), paths: reachability.NewTracker(rand.Float64), pushback: pushback.NewTracker(), zones: zones.NewTracker(),
 		assignments: map[string]assignment{}, peerUsage: map[string]receivedUsage{}, loggedProblems: map[string]bool{}, term: 1, storeFailedAt: -time.Hour, lastActiveAt: -time.Hour, selectedAt: -time.Hour, peersRequestedAt: -time.Hour,
 		parts: dissemination.NewPartStore(), sendLimiter: dissemination.NewSendLimiter(settings.LinkMbps),
 	}
@@ -202,6 +209,7 @@
 	n.startedAt = n.dependencies.Now()
 	n.settings.Store(settings)
 	n.peers.OnSilence(func(address string) { go n.handleSilentConnection(address) })
+	n.exchanges = newExchanges(n.now)
 	n.scheduling = newSchedulingService(n.now, settings.retryPolicy(1), settings.FirstStart)
 	n.scheduling.rolloutPolicy = settings.rolloutPolicy()
 	n.scheduling.setRegions(settings.Regions)
@@ -213,6 +221,7 @@
 	n.registerTenantMetrics()
 	n.registerRereadMetrics()
 	n.registerPathMetrics()
+	n.registerForwardMetrics()
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	return n
 }
@@ -254,7 +263,7 @@
 		}
 	}
 	n.callerServer = n.servers[0]
-	for _, loop := range []func(){n.watchLoop, n.readLoop, n.heartbeatLoop, n.receiveHeartbeats, n.zoneLoop, n.housekeeping, n.rolloutLoop, n.poisonSyncLoop, n.slowNodeLoop} {
+	for _, loop := range []func(){n.watchLoop, n.readLoop, n.heartbeatLoop, n.receiveHeartbeats, n.zoneLoop, n.pathLoop, n.housekeeping, n.rolloutLoop, n.poisonSyncLoop, n.slowNodeLoop} {
 		n.loops.Go(loop)
 	}
 	n.log.Write(eventlog.Event{Kind: "process.start", Detail: peerAddress})
@@ -286,6 +295,8 @@
 	peer.Handle(server, peerwire.KindPoisonRecords, n.servePoisonRecords)
 	peer.Handle(server, peerwire.KindConfigurationParts, n.serveParts)
 	peer.Handle(server, peerwire.KindTenantReport, n.serveTenantReport)
+	peer.HandleStream(server, peerwire.KindForward, n.serveForward)
+	peer.Handle(server, peerwire.KindForwarders, n.serveForwarders)
 	n.registerMemoryMetrics(server)
 	n.peerListener = listener
 	go server.Serve(n.ctx, listener)
@@ -372,6 +383,7 @@
 	for n.sleep(housekeepingInterval) {
 		last = n.detectSuspension(last, housekeepingInterval)
 		n.pool.Sweep()
+		n.closeForwardedByEnding()
 		n.endRestoreWindow()
 		n.removeUnconfirmed()
 		n.dropVersionsOfDeadPeers()
--- a/entry/operators.go
+++ b/entry/operators.go
@@ -38,9 +38,13 @@
 	Silent      []string `json:"silent_peers"`
 	Failing     []string `json:"failing_replicas"`
 	// Unreached are the replicas that the last connect of this node did not reach.
-	Unreached []string                           `json:"unreached_replicas"`
-	Replicas  []replicas.Replica                 `json:"replicas"`
-	Services  map[string]admission.ServiceStatus `json:"services"`
+	Unreached []string `json:"unreached_replicas"`
+	// Partitioned is true if peers forward this node's connections to all replicas. Forwarding is the
+	// number of connections that this node forwards for peers.
+	Partitioned bool                               `json:"partitioned"`
+	Forwarding  int64                              `json:"forwarding"`
+	Replicas    []replicas.Replica                 `json:"replicas"`
+	Services    map[string]admission.ServiceStatus `json:"services"`
 	// Reread is set while requests for a complete read of the store are pending.
 	Reread *RereadStatus `json:"store_reread,omitempty"`
 	// Pushback is what replicas reported to this node to limit requests.
@@ -67,7 +71,7 @@
 	status.UpdatesAge, status.StoreDown = (now - n.updatedAt).Milliseconds(), n.isStoreDown
 	status.Reread = n.rereads.status(now)
 	status.Scheduler, status.Failing, status.Replicas = n.scheduler, n.health.Failing(now), n.table.All()
-	status.Unreached = n.paths.Lost()
+	status.Unreached, status.Partitioned, status.Forwarding = n.paths.Lost(), n.paths.IsPartitioned(), n.forwarded.Load()
 	status.NonDelegate, status.Fleet = n.isNonDelegate, n.fleetSize
 	status.Pushback = n.pushbackStatus(now)
 	status.Rollouts, status.Evacuations = n.rolloutStatus(now), n.evacuationStatus()
--- a/entry/poison_sync.go
+++ b/entry/poison_sync.go
@@ -43,12 +43,14 @@
 	incarnationEnded
 	// incarnationUnknown means that the replica is unreachable, which proves no crash.
 	incarnationUnknown
+	// incarnationReachedByPeer means that a peer reaches the replica and this node does not.
+	incarnationReachedByPeer
 )
 
-// probeIncarnation finds out whether the replica that broke a request off has crashed: connections
-// to its address are refused, or it has a new incarnation. A replica that drains or whose entry is
-// gone was to end anyway, and a reset or partition alone proves nothing. It blocks up to
-// crashProbeTimeout.
+// probeIncarnation finds out whether the replica that broke a request off has crashed: it has a new
+// incarnation, or its address refuses the connections of this node and of a peer that reaches other
+// replicas. A replica that drains or whose entry is gone was to end anyway, and a reset, a partition or a
+// refusal that only this node gets proves nothing. It blocks up to crashProbeTimeout.
 func (n *Node) probeIncarnation(replica replicas.Replica) incarnationState {
 	n.mutex.Lock()
 	known, listed := n.table.Get(replica.ID)
@@ -61,17 +63,32 @@
 	}
 	ctx, cancel := context.WithTimeout(n.ctx, crashProbeTimeout)
 	defer cancel()
-	conn, err := n.dependencies.Network.Dial(ctx, replica.Address)
-	switch {
-	case err == nil:
+	conn, err := n.dialReplica(ctx, replica, crashProbeTimeout/2)
+	if err == nil {
 		_ = conn.Close()
 		return incarnationNotCrashed
-	case network.IsRefused(err):
+	}
+	conn, _, peerErr := n.openThroughPeer(ctx, replica)
+	if peerErr == nil {
+		_ = conn.Close()
+		return incarnationReachedByPeer
+	}
+	if n.provesEnd(ctx, replica, errors.Join(err, peerErr)) {
 		return incarnationEnded
 	}
 	return incarnationUnknown
 }
 
+// provesEnd reports whether the error of a connect, direct and through peers, proves that the replica has
+// ended. Without peers that forward connections, this node must reach another replica.
+func (n *Node) provesEnd(ctx context.Context, replica replicas.Replica, err error) bool {
+	var failed *forwardError
+	if errors.As(err, &failed) {
+		return failed.outcome == forwardRefused
+	}
+	return network.IsRefused(err) && n.reachesAnother(ctx, replica.ID)
+}
+
 // logPoisonTransition counts and logs a change of a request's poison state.
 func (n *Node) logPoisonTransition(outcome string, record poisonrecords.Record) {
 	n.counter("contents." + outcome).Inc(1)
--- a/entry/response.go
+++ b/entry/response.go
@@ -30,7 +30,7 @@
 	case notRun:
 		return c.handleRejection(answer, replica)
 	case answer.Header.Get(names.Signature) == "" || success && answer.Header.Get("Content-Encoding") != "":
-		return c.recordIncomplete(replica.ID, nil), admission.Observation{}
+		return c.recordIncomplete(nil), admission.Observation{}
 	case success && strings.HasPrefix(answer.Header.Get("Content-Type"), eventStreamType):
 		return c.relayStream(answer, replica, sentTime)
 	}
@@ -57,7 +57,7 @@
 func (c *call) relayBuffered(answer *replicahttp.Answer, replica replicas.Replica, success bool) (result, admission.Observation) {
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxPlainResponseBytes))
 	if err != nil || len(body) == maxPlainResponseBytes {
-		return c.recordIncomplete(replica.ID, err), admission.Observation{}
+		return c.recordIncomplete(err), admission.Observation{}
 	}
 	failed := answer.StatusCode >= http.StatusInternalServerError
 	c.node.recordSuccess(replica.ID)
--- a/entry/scheduler_selection.go
+++ b/entry/scheduler_selection.go
@@ -275,13 +275,19 @@
 const minFailureReports = 2
 
 // ejectedReplicas returns the replicas that several nodes find failing, or none if these are more
-// than half of all replicas. The caller holds the mutex.
+// than half of all replicas. Isolated nodes can't tell whether a replica fails. The caller
+// holds the mutex.
 func (n *Node) ejectedReplicas(live []*liveness.Member) map[string]bool {
 	reports := map[string]int{}
-	for _, id := range n.health.Failing(n.now()) {
-		reports[id]++
+	if !n.paths.IsIsolated() {
+		for _, id := range n.health.Failing(n.now()) {
+			reports[id]++
+		}
 	}
 	for _, member := range live {
+		if member.Isolated {
+			continue
+		}
 		for _, id := range member.FailingReplicas {
 			reports[id]++
 		}
@@ -303,10 +309,12 @@
 func (n *Node) releaseDeadNodes() {
 	n.mutex.Lock()
 	now := n.now()
-	live := map[string]bool{n.process(): true}
+	live, isolated := map[string]bool{n.process(): true}, map[string]bool{n.process(): n.paths.IsIsolated()}
 	for _, member := range n.members.PossiblyRunning(now) {
-		live[processName(member.Name, member.Incarnation)] = true
+		process := processName(member.Name, member.Incarnation)
+		live[process], isolated[process] = true, member.Isolated
 	}
 	n.mutex.Unlock()
+	n.scheduling.setIsolatedNodes(isolated)
 	n.scheduling.dropEndedNodes(live)
 }
--- a/entry/scheduling_service.go
+++ b/entry/scheduling_service.go
@@ -366,6 +366,13 @@
 	s.decide()
 }
 
+// setIsolatedNodes sets the processes that can't reach replicas.
+func (s *schedulingService) setIsolatedNodes(processes map[string]bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.scheduler.SetIsolatedNodes(processes)
+}
+
 // dropEndedNodes ends the assignments of processes that are not live.
 func (s *schedulingService) dropEndedNodes(live map[string]bool) {
 	s.mutex.Lock()
--- a/entry/send_failure.go
+++ b/entry/send_failure.go
@@ -7,6 +7,8 @@
 	"net"
 	"os"
 	"syscall"
+
+	"github.com/thornwalk/thornwalk/transport/forward"
 )
 
 // failureCause is why a send to a replica failed.
@@ -26,6 +28,8 @@
 	causeUnreachable failureCause = "unreachable"
 	// causeInvalidResponse means that what arrived is no valid response to the request.
 	causeInvalidResponse failureCause = "spoiled"
+	// causeForwarderLost means that the connection to the peer that forwarded the request broke.
+	causeForwarderLost failureCause = "forwarder-lost"
 )
 
 // connectionClosedErrors are the errors of a connection that the other side closed.
@@ -38,6 +42,8 @@
 	switch {
 	case err == nil:
 		return causeInvalidResponse
+	case errors.Is(err, forward.ErrForwarderLost):
+		return causeForwarderLost
 	case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, context.DeadlineExceeded), errors.Is(err, net.ErrClosed):
 		return causeTimeout
 	case errors.As(err, &timeout) && timeout.Timeout():
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -13,6 +13,7 @@
 	"github.com/thornwalk/thornwalk/state/fingerprint"
 	"github.com/thornwalk/thornwalk/state/poisonrecords"
 	"github.com/thornwalk/thornwalk/state/pushback"
+	"github.com/thornwalk/thornwalk/state/replicas"
 )
 
 // serve requests an assignment and sends, with retries, until the request has ended.
@@ -69,8 +70,10 @@
 func (c *call) finish(granted *grant, outcome result, observed admission.Observation) {
 	message := &finishRequest{ID: granted.id, Observation: observed, NotRun: outcome == resultNotSent || outcome == resultRejected, Fingerprint: c.fingerprint}
 	message.Observation.Whole = outcome == resultAnswered || outcome == resultServerError
-	if outcome == resultIncomplete {
-		c.checkReplicaCrash(granted, message)
+	if outcome == resultIncomplete && c.isReplicaAtFault(granted, message) {
+		c.node.recordBroken(granted.Replica.ID)
+	} else if outcome == resultIncomplete {
+		message.Observation.CallerLeft = true // counts neither for nor against the replica
 	}
 	if granted.address != "" {
 		c.node.scheduling.observe(c.service, c.promptTokens, message, granted.Replica.ID)
@@ -78,23 +81,33 @@
 	c.node.reportFinish(granted, message)
 }
 
-// checkReplicaCrash determines whether the replica that failed the request has crashed. It enters
-// the crash into the message, or defers the finding if the replica's state is unknown.
-func (c *call) checkReplicaCrash(granted *grant, message *finishRequest) {
+// isReplicaAtFault reports whether the replica failed the request, and not the path to it. It determines
+// whether the replica has crashed, and enters the crash into the message, or defers the finding if the
+// replica's state is unknown.
+func (c *call) isReplicaAtFault(granted *grant, message *finishRequest) bool {
 	crashed := &crashedIncarnation{Incarnation: poisonrecords.IncarnationOf(granted.Replica.ID, granted.Replica.StartedAt), Service: c.service, Route: c.route.Name}
 	state := incarnationUnknown // also after a timeout
 	switch c.lastFailure {
 	case causeClosed:
 		state = c.node.probeIncarnation(granted.Replica)
 	case causeInvalidResponse:
-		return
+		return true
+	case causeForwarderLost:
+		return false
+	case causeTimeout:
+		if c.node.isPathLost(granted.Replica.ID) {
+			return false
+		}
 	}
 	switch state {
+	case incarnationReachedByPeer:
+		return false
 	case incarnationEnded:
 		message.Ended = crashed
 	case incarnationUnknown:
 		c.node.deferDisconnect(unresolvedDisconnect{replica: granted.Replica, fingerprint: c.fingerprint, crash: crashed})
 	}
+	return true
 }
 
 // maySend reports whether the assignment may still be used. It must be returned if the zone is
@@ -119,15 +132,22 @@
 
 // maySendLocked is maySend for callers that hold the mutex.
 func (n *Node) maySendLocked(granted *grant) bool {
-	incarnation := pushback.IncarnationOf(granted.Replica)
-	if n.evacuations.IsEvacuated(granted.Replica.Zone) || n.pushback.IsLeaving(incarnation) || n.pushback.PauseLeft(n.now(), incarnation) > 0 {
+	if !n.acceptsRequestsLocked(granted.Replica) {
 		return false
 	}
-	if known, found := n.table.Get(incarnation.Replica); found && (known.Draining || n.isExcluded(known)) {
+	isCounted := granted.Limit != nil && granted.Limit.Limit.State == pushback.LimitSet
+	return isCounted || !n.pushback.IsLimited(pushback.IncarnationOf(granted.Replica))
+}
+
+// acceptsRequestsLocked reports whether the replica may get requests, apart from its rate limit. The caller
+// holds the mutex.
+func (n *Node) acceptsRequestsLocked(replica replicas.Replica) bool {
+	incarnation := pushback.IncarnationOf(replica)
+	if n.evacuations.IsEvacuated(replica.Zone) || n.pushback.IsLeaving(incarnation) || n.pushback.PauseLeft(n.now(), incarnation) > 0 {
 		return false
 	}
-	isCounted := granted.Limit != nil && granted.Limit.Limit.State == pushback.LimitSet
-	return isCounted || !n.pushback.IsLimited(incarnation)
+	known, found := n.table.Get(replica.ID)
+	return !found || !known.Draining && !n.isExcluded(known)
 }
 
 // newAssignRequest returns the request for an assignment; tried are the replicas of earlier ones.
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -34,7 +34,7 @@
 			n.callerServer.SetKeepAlivesEnabled(false)
 			keepAlivesClosed = true
 		}
-		if keepAlivesClosed && n.inFlight.Load() == 0 {
+		if keepAlivesClosed && n.inFlight.Load() == 0 && n.forwarded.Load() == 0 {
 			break
 		}
 		time.Sleep(stopPollInterval)
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -34,6 +34,9 @@
 	for {
 		c.setEventTimeout(answer, observed.Events)
 		count, err := answer.Body.Read(buffer)
+		if count > 0 {
+			c.recordReceived()
+		}
 		pending = append(pending, buffer[:count]...)
 		complete := completeEventsLength(pending)
 		if complete > 0 {
@@ -51,13 +54,13 @@
 			}
 		}
 		if len(pending) > maxEventBytes {
-			return c.recordIncomplete(replica.ID, err), observed
+			return c.recordIncomplete(err), observed
 		}
 		if err == nil {
 			continue
 		}
 		if !answer.Ended(err) || len(pending) > 0 {
-			return c.recordIncomplete(replica.ID, err), observed
+			return c.recordIncomplete(err), observed
 		}
 		break
 	}
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -31,6 +31,8 @@
 	Service     string `json:"service,omitempty"`
 	Replica     string `json:"replica,omitempty"`
 	Peer        string `json:"peer,omitempty"`
+	// Forwarder is the node that forwarded the connection of a send, if that was not direct.
+	Forwarder string `json:"forwarder,omitempty"`
 	// Outcome is answered, not-run or unknown for requests, and the new state for other events.
 	Outcome string `json:"outcome,omitempty"`
 	Reason  string `json:"reason,omitempty"`
--- a/protocol/peerwire/peerwire.go
+++ b/protocol/peerwire/peerwire.go
@@ -40,6 +40,8 @@
 	KindConfigurationParts
 	KindPoisonRecords
 	KindTenantReport
+	KindForward
+	KindForwarders
 	kindEnd
 )
 
@@ -48,7 +50,7 @@
 	KindFloorDemand: "floor-demand", KindFloorSet: "floor-set", KindLimitDemand: "limit-demand",
 	KindRegister: "register", KindRegistryUpdate: "registry-update", KindRegistryLookup: "registry-lookup",
 	KindJoin: "join", KindClaim: "claim", KindAssign: "place", KindFinish: "finish", KindUpdates: "news", KindFirstEvent: "begun",
-	KindConfigurationParts: "configuration-parts", KindPoisonRecords: "contents", KindTenantReport: "tenants",
+	KindConfigurationParts: "configuration-parts", KindPoisonRecords: "contents", KindTenantReport: "tenants", KindForward: "forward", KindForwarders: "forwarders",
 }
 
 // String returns the name of the kind for metrics and logs.
--- a/transport/peer/client.go
+++ b/transport/peer/client.go
@@ -68,6 +68,49 @@
 	return err
 }
 
+// Open makes a call on a connection of its own and returns the connection, which belongs to the caller and
+// carries bytes of both sides from then on. If it returns an error, of kind PeerUnavailable or the kind of
+// the peer's error, the connection is closed.
+func (c *Client) Open(ctx context.Context, address string, kind peerwire.Kind, message, reply any) (net.Conn, error) {
+	body, err := peerwire.Marshal(message)
+	if err != nil {
+		return nil, err
+	}
+	connection, err := c.network.Dial(ctx, address)
+	if err != nil {
+		return nil, errkind.New(errkind.PeerUnavailable, "connect to %s: %v", address, err)
+	}
+	stop := context.AfterFunc(ctx, func() { _ = connection.Close() })
+	err = c.openStream(ctx, connection, &peerwire.Envelope{Call: 1, Kind: kind, Body: body}, reply)
+	if !stop() && err == nil {
+		err = ctx.Err()
+	}
+	if err != nil {
+		_ = connection.Close()
+		return nil, callError(kind, address, err)
+	}
+	return connection, nil
+}
+
+// openStream makes the call on the connection.
+func (c *Client) openStream(ctx context.Context, connection net.Conn, call *peerwire.Envelope, reply any) error {
+	if err := newConnectionWriter(connection, c.traffic).write(ctx, call); err != nil {
+		return err
+	}
+	_ = connection.SetWriteDeadline(time.Time{})
+	answer, size, err := peerwire.ReadFrame(connection)
+	if err != nil {
+		return err
+	}
+	if c.traffic != nil {
+		c.traffic.Count(answer.Kind, false, size)
+	}
+	if answer.Code != "" {
+		return remoteError(answer)
+	}
+	return peerwire.Unmarshal(answer.Body, reply)
+}
+
 // Ping returns an error unless the peer replies within the context, over the established connection
 // or a new one.
 func (c *Client) Ping(ctx context.Context, address string) error {
--- a/transport/peer/server.go
+++ b/transport/peer/server.go
@@ -29,9 +29,14 @@
 // may take long over a slow link. Sent is called once the reply was written or the write failed.
 type SendObserver interface{ Sent() }
 
+// streamHandler answers a call that turns its connection into a stream of bytes. If it returns a function,
+// the stream begins after the reply; the connection is closed when the function returns.
+type streamHandler func(ctx context.Context, body msgpack.RawMessage) (msgpack.RawMessage, func(net.Conn), error)
+
 // Server answers calls of peers.
 type Server struct {
 	handlers map[peerwire.Kind]handler
+	streams  map[peerwire.Kind]streamHandler
 	traffic  Traffic
 	// sendingBytes counts the bytes of replies that are queued or being written, by kind.
 	sendingBytes map[peerwire.Kind]*atomic.Int64
@@ -41,7 +46,7 @@
 // NewServer returns a server without handlers. All handlers must be added before Serve. traffic may
 // be nil.
 func NewServer(traffic Traffic) *Server {
-	return &Server{handlers: map[peerwire.Kind]handler{}, traffic: traffic, sendingBytes: map[peerwire.Kind]*atomic.Int64{}, inbound: newInbound()}
+	return &Server{handlers: map[peerwire.Kind]handler{}, streams: map[peerwire.Kind]streamHandler{}, traffic: traffic, sendingBytes: map[peerwire.Kind]*atomic.Int64{}, inbound: newInbound()}
 }
 
 // OnReplaced sets the function that is called when a peer opens a connection while another of its
@@ -78,6 +83,20 @@
 	}
 }
 
+// HandleStream adds the handler for a kind of call that Client.Open makes. If it returns a function, this
+// gets the connection after the reply and may use it until it returns.
+func HandleStream[Request, Reply any](server *Server, kind peerwire.Kind, serve func(context.Context, *Request) (*Reply, func(net.Conn))) {
+	server.streams[kind] = func(ctx context.Context, body msgpack.RawMessage) (msgpack.RawMessage, func(net.Conn), error) {
+		request := new(Request)
+		if err := peerwire.Unmarshal(body, request); err != nil {
+			return nil, nil, err
+		}
+		reply, stream := serve(ctx, request)
+		encoded, err := peerwire.Marshal(reply)
+		return encoded, stream, err
+	}
+}
+
 // Serve accepts connections until the context ends or the listener fails. It returns after all its
 // connections are closed and all handlers have returned.
 func (s *Server) Serve(ctx context.Context, listener net.Listener) {
@@ -94,38 +113,78 @@
 	}
 }
 
+// serveConnection serves calls until the connection ends. If the first one is for a stream, the connection
+// is used for that alone.
 func (s *Server) serveConnection(ctx context.Context, connection net.Conn) {
 	ctx, cancel := context.WithCancel(ctx)
 	stop := context.AfterFunc(ctx, func() { _ = connection.Close() })
 	defer stop()
 	defer cancel()
+	defer connection.Close()
+	first, err := s.readCall(connection)
+	if err != nil {
+		return
+	}
+	if serve, isStream := s.streams[first.Kind]; isStream {
+		s.serveStream(ctx, connection, first, serve)
+		return
+	}
+	s.serveCalls(ctx, cancel, connection, first)
+}
+
+// readCall reads the next call. An error ends the connection.
+func (s *Server) readCall(connection net.Conn) (*peerwire.Envelope, error) {
+	_ = connection.SetReadDeadline(time.Now().Add(idleTimeout))
+	envelope, size, err := peerwire.ReadFrame(connection)
+	if err != nil {
+		if errors.Is(err, errkind.BadFrame) {
+			klog.ErrorS(err, "closing peer connection after an invalid frame", "remote", connection.RemoteAddr().String())
+		}
+		return nil, err
+	}
+	s.count(envelope.Kind, false, size)
+	return envelope, nil
+}
+
+// serveCalls serves the first call and all others on the connection, concurrently.
+func (s *Server) serveCalls(ctx context.Context, cancel context.CancelFunc, connection net.Conn, first *peerwire.Envelope) {
 	writer := newConnectionWriter(connection, s.traffic)
 	slots := make(chan struct{}, maxHandlersPerConnection)
 	var group sync.WaitGroup
 	defer group.Wait()
-	defer connection.Close()
+	defer cancel()
 	lastReceived := s.inbound.add(remoteHost(connection))
 	defer s.inbound.remove(remoteHost(connection), lastReceived)
-	for {
-		_ = connection.SetReadDeadline(time.Now().Add(idleTimeout))
-		envelope, size, err := peerwire.ReadFrame(connection)
+	for call, err := first, error(nil); err == nil; call, err = s.readCall(connection) {
 		s.inbound.recordReceived(lastReceived)
-		if err != nil {
-			if errors.Is(err, errkind.BadFrame) {
-				klog.ErrorS(err, "closing peer connection after an invalid frame", "remote", connection.RemoteAddr().String())
-			}
-			cancel()
-			return
-		}
-		s.count(envelope.Kind, false, size)
 		slots <- struct{}{}
 		group.Go(func() {
 			defer func() { <-slots }()
-			s.respond(ctx, writer, envelope)
+			s.respond(ctx, writer, call)
 		})
 	}
 }
 
+// serveStream answers the call and lets its handler use the connection.
+func (s *Server) serveStream(ctx context.Context, connection net.Conn, call *peerwire.Envelope, serve streamHandler) {
+	reply := &peerwire.Envelope{Call: call.Call, Kind: call.Kind, Reply: true}
+	body, stream, err := serve(ctx, call.Body)
+	if err != nil {
+		reply.Code, reply.Detail = errkind.Of(err).Code, err.Error()
+	}
+	reply.Body = body
+	writer := newConnectionWriter(connection, s.traffic)
+	if err := writer.write(ctx, reply); err != nil || stream == nil {
+		if stream != nil {
+			_ = connection.Close()
+			stream(connection)
+		}
+		return
+	}
+	_ = connection.SetDeadline(time.Time{})
+	stream(connection)
+}
+
 func (s *Server) respond(ctx context.Context, writer *connectionWriter, envelope *peerwire.Envelope) {
 	reply := &peerwire.Envelope{Call: envelope.Call, Kind: envelope.Kind, Reply: true}
 	serve, known := s.handlers[envelope.Kind]
--- a/transport/replicahttp/pool.go
+++ b/transport/replicahttp/pool.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"strconv"
@@ -32,50 +33,91 @@
 type Pool struct {
 	network network.Network
 	mutex   sync.Mutex
-	idle    map[string][]*Conn
+	idle    map[poolKey][]*Conn
 	opened  uint64
 	reused  uint64
 }
 
+// poolKey identifies the idle connections that can replace each other.
+type poolKey struct {
+	replica     string
+	isForwarded bool
+}
+
 // NewPool returns an empty pool. Callers must call Sweep regularly to close expired connections.
 func NewPool(network network.Network) *Pool {
-	return &Pool{network: network, idle: map[string][]*Conn{}}
+	return &Pool{network: network, idle: map[poolKey][]*Conn{}}
 }
 
 // Conn is a connection to a replica, for one exchange at a time.
 type Conn struct {
 	net.Conn
 	reader *bufio.Reader
-	key    string
+	key    poolKey
+	// Forwarder is the name of the peer that forwards the connection, empty if it is direct.
+	Forwarder string
 	// Reused is true if the connection was used by an earlier exchange.
 	Reused      bool
 	idleSince   time.Time
 	idleTimeout time.Duration
 }
 
-// Connect returns a connection that has been idle for less than maxIdle and is still open, or a new
-// one. An error, of kind NoReplica, proves that nothing was sent. The key identifies the replica
-// and its incarnation, so that a new replica at a reused address gets no connection of the previous
-// one.
-func (p *Pool) Connect(ctx context.Context, key, address string, maxIdle time.Duration) (*Conn, error) {
+// Connect returns a direct connection that has been idle for less than maxIdle and is still open, or a new
+// one. An error, of kind NoReplica, proves that nothing was sent. The replica's ID identifies its
+// incarnation, so that a new replica at a reused address gets no connection of the previous one.
+func (p *Pool) Connect(ctx context.Context, replica, address string, maxIdle time.Duration) (*Conn, error) {
+	if idle := p.TakeIdle(replica, maxIdle); idle != nil {
+		return idle, nil
+	}
+	return p.Dial(ctx, replica, address)
+}
+
+// TakeIdle removes and returns a direct connection that has been idle for less than maxIdle and is still
+// open, or nil.
+func (p *Pool) TakeIdle(replica string, maxIdle time.Duration) *Conn {
+	return p.takeReusable(poolKey{replica: replica}, maxIdle)
+}
+
+// TakeIdleForwarded is TakeIdle for forwarded connections.
+func (p *Pool) TakeIdleForwarded(replica string, maxIdle time.Duration) *Conn {
+	return p.takeReusable(poolKey{replica: replica, isForwarded: true}, maxIdle)
+}
+
+func (p *Pool) takeReusable(key poolKey, maxIdle time.Duration) *Conn {
 	for {
 		idle := p.takeIdle(key)
 		if idle == nil {
-			break
+			return nil
 		}
 		if time.Since(idle.idleSince) < min(idle.idleTimeout, maxIdle) && idle.isReusable() {
 			idle.Reused = true
 			p.count(&p.reused)
-			return idle, nil
+			return idle
 		}
 		_ = idle.Close()
 	}
+}
+
+// Dial opens a direct connection. An error, of kind NoReplica, proves that nothing was sent.
+func (p *Pool) Dial(ctx context.Context, replica, address string) (*Conn, error) {
 	p.count(&p.opened)
 	opened, err := p.network.Dial(ctx, address)
 	if err != nil {
 		return nil, errkind.Wrap(errkind.NoReplica, fmt.Errorf("connect to %s: %w", address, err))
 	}
-	return &Conn{Conn: opened, reader: bufio.NewReaderSize(opened, readBufferBytes), key: key}, nil
+	return newConn(opened, poolKey{replica: replica}), nil
+}
+
+// AddForwarded returns a new connection that the named peer forwards to the replica.
+func (p *Pool) AddForwarded(opened net.Conn, replica, forwarder string) *Conn {
+	p.count(&p.opened)
+	conn := newConn(opened, poolKey{replica: replica, isForwarded: true})
+	conn.Forwarder = forwarder
+	return conn
+}
+
+func newConn(opened net.Conn, key poolKey) *Conn {
+	return &Conn{Conn: opened, reader: bufio.NewReaderSize(opened, readBufferBytes), key: key}
 }
 
 func (p *Pool) count(counter *uint64) {
@@ -92,7 +134,7 @@
 }
 
 // takeIdle removes and returns the most recently used idle connection of the key, or nil.
-func (p *Pool) takeIdle(key string) *Conn {
+func (p *Pool) takeIdle(key poolKey) *Conn {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	idle := p.idle[key]
@@ -126,15 +168,20 @@
 	p.closeIdleIf(func(conn *Conn) bool { return time.Since(conn.idleSince) >= conn.idleTimeout })
 }
 
-// Forget closes the idle connections with the key.
-func (p *Pool) Forget(key string) {
-	p.mutex.Lock()
-	idle := p.idle[key]
-	delete(p.idle, key)
-	p.mutex.Unlock()
-	for _, conn := range idle {
-		_ = conn.Close()
-	}
+// Forget closes the idle connections to the replica.
+func (p *Pool) Forget(replica string) {
+	p.closeIdleIf(func(conn *Conn) bool { return conn.key.replica == replica })
+}
+
+// ForgetDirect closes the idle direct connections to the replicas for which matches returns true.
+func (p *Pool) ForgetDirect(matches func(replica string) bool) {
+	p.closeIdleIf(func(conn *Conn) bool { return !conn.key.isForwarded && matches(conn.key.replica) })
+}
+
+// ForgetForwarded closes the idle connections that are forwarded by peers for which isForwarder returns
+// false.
+func (p *Pool) ForgetForwarded(isForwarder func(name string) bool) {
+	p.closeIdleIf(func(conn *Conn) bool { return conn.key.isForwarded && !isForwarder(conn.Forwarder) })
 }
 
 // CloseIdle closes the connections that have been idle for minIdle or longer, and returns how
@@ -189,11 +236,17 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
+	if withBuffer, ok := c.Conn.(interface{ Buffered() int }); ok && withBuffer.Buffered() > 0 {
+		return false
+	}
 	withRaw, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return true
 	}
 	raw, err := withRaw.SyscallConn()
+	if errors.Is(err, errors.ErrUnsupported) {
+		return true
+	}
 	if err != nil {
 		return false
 	}
--- a/transport/replicahttp/replicahttp_test.go
+++ b/transport/replicahttp/replicahttp_test.go
@@ -143,7 +143,7 @@
 			g.Expect(err).NotTo(gomega.HaveOccurred())
 			close(proceed)
 			<-disturbed
-			idle := pool.takeIdle("replica")
+			idle := pool.takeIdle(poolKey{replica: "replica"})
 			g.Eventually(idle.isReusable).WithTimeout(10 * time.Second).Should(gomega.BeFalse())
 		})
 	}
@@ -198,7 +198,7 @@
 	_, content, _, err := exchange(t, pool, address, strings.Repeat("x", 32<<20))
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(content).To(gomega.Equal("ok"))
-	g.Expect(pool.takeIdle("replica")).To(gomega.BeNil())
+	g.Expect(pool.takeIdle(poolKey{replica: "replica"})).To(gomega.BeNil())
 }
 
 // A connection that can't be established must fail in Connect, whose error proves that nothing was
