--- a/lab/entrylab/restarter.go
+++ b/lab/entrylab/restarter.go
@@ -27,6 +27,8 @@
 	SameID bool
 	// Behave chooses how each request is treated; nil means platformsim.Answer.
 	Behave func(*http.Request) platformsim.Behavior
+	// Brittleness makes all incarnations brittle unless it is nil; SetBrittleness changes it.
+	Brittleness *platformsim.Brittleness
 
 	deployment   *Deployment
 	host         string
@@ -53,6 +55,7 @@
 	}
 	replica.OnCrash = func() { r.handleEnd(replica) }
 	replica.SetBehavior(r.Behave)
+	replica.SetBrittleness(r.Brittleness)
 	r.incarnations = append(r.incarnations, replica)
 	r.mutex.Unlock()
 	return r.deployment.AddReplica(r.host, replica)
@@ -95,6 +98,15 @@
 	r.incarnations[len(r.incarnations)-1].SetBehavior(nil)
 }
 
+// SetBrittleness makes the current incarnation and all later ones brittle, or no longer brittle if it is
+// nil.
+func (r *Restarter) SetBrittleness(brittleness *platformsim.Brittleness) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.Brittleness = brittleness
+	r.incarnations[len(r.incarnations)-1].SetBrittleness(brittleness)
+}
+
 // Ends returns the times at which the replica ended.
 func (r *Restarter) Ends() []time.Time {
 	r.mutex.Lock()
--- a/lab/platformsim/replica.go
+++ b/lab/platformsim/replica.go
@@ -126,6 +126,10 @@
 	listener   net.Listener
 	conns      map[net.Conn]bool
 	crashed    bool
+	// brittleness is nil unless the replica is brittle, and rejections are its recent rejections for lack of
+	// room.
+	brittleness *Brittleness
+	rejections  []time.Time
 }
 
 // SetBehavior sets the function that chooses how each request is treated; nil means Answer. It is
@@ -262,7 +266,7 @@
 	switch {
 	case request.Header.Get("X-Expect-Instance") != r.ID:
 		return writeText(conn, "HTTP/1.1 421 Misdirected Request\r\nX-Instance-Id: "+r.ID+"\r\nContent-Length: 0\r\n\r\n")
-	case behavior == Shed || requiresReservation(request.Header):
+	case behavior == Shed || requiresReservation(request.Header) || r.lacksRoom():
 		return writeText(conn, "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nX-Attempt-Id: "+id+"\r\n"+r.pushbackLines(arrival, true)+"Content-Length: 0\r\n\r\n")
 	}
 	run := r.beginRun(request, body)
@@ -299,7 +303,7 @@
 	defer r.mutex.Unlock()
 	recorded := &r.arrivals[arrival]
 	recorded.Pushback, recorded.HeadAt, recorded.Rejected = r.pushback, time.Now(), rejects
-	return r.pushback.headerLines(rejects)
+	return r.pushback.headerLines(rejects) + r.brittleLine()
 }
 
 func (r *Replica) beginRun(request *http.Request, body string) *Run {
