admission: bound the rejections by brittle replicas

Cause: nothing read the header by which a replica says that it is brittle, and rejections are a sum that no node keeps: two schedulers fill the same slots, and slots that the entry states and the replica lacks are tried again with every request. Change: the header is parsed as a rejection limit and reported to the scheduling node like rate limits.

--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -47,6 +47,9 @@
 	assignedAt   structs.Instant
 	// started is true once the answer has started, and late if it did not start in time.
 	started, late bool
+	// isAccepted is true once a brittle replica can no longer reject the request, and isRejected if it
+	// rejected it.
+	isAccepted, isRejected bool
 	// isCold is true if the replica was cold at the assignment.
 	isCold   bool
 	workTime responseWorkTime
@@ -108,6 +111,7 @@
 	// followerShare is the share of all nodes that use this scheduler's assignments, zero if it is not
 	// the active scheduler. It is the active one since activeSince.
 	followerShare float64
+	settledShare  settledShare
 	activeSince   structs.Instant
 	pauses        map[pauseKey]replicaPauses
 	// isolatedNodes are the processes that can't reach replicas.
--- a/coordination/admission/assignments.go
+++ b/coordination/admission/assignments.go
@@ -134,6 +134,7 @@
 	if s.assignmentCounts[assignment.fingerprint]--; s.assignmentCounts[assignment.fingerprint] <= 0 {
 		delete(s.assignmentCounts, assignment.fingerprint)
 	}
+	assignment.isAccepted = true
 	assignment.started = true // excludes its prompt from replicaState.unreadTokens
 	s.replicaState(assignment.replicaID).assigned--
 	s.forgetUnused(assignment.replicaID)
--- a/coordination/admission/decide.go
+++ b/coordination/admission/decide.go
@@ -193,10 +193,14 @@
 	if state == poison.OnTrial {
 		s.poisonTracker.RecordTrial(now, request.Fingerprint)
 	}
-	s.addAssignment(request.ID, &assignment{
+	assigned := &assignment{
 		fingerprint: request.Fingerprint, node: request.Node, service: request.Service, route: request.Route, replicaID: replica.state.entry.ID, startedAt: replica.state.entry.StartedAt, version: replica.state.entry.Version,
 		promptTokens: request.PromptTokens, assignedAt: now, isCold: replica.isCold, share: request.share,
-	})
+	}
+	s.addAssignment(request.ID, assigned)
+	if replica.isBrittle {
+		replica.state.rejections.atRisk = append(replica.state.rejections.atRisk, assigned)
+	}
 	if replica.isCold {
 		replica.state.warmUp.bucket.consume()
 	}
--- a/coordination/admission/rate_limit.go
+++ b/coordination/admission/rate_limit.go
@@ -53,6 +53,7 @@
 		s.activeSince = now
 	}
 	s.followerShare = share
+	s.settledShare.set(now, share)
 }
 
 // ApplyPushbackReport applies the pushback that a node reports of a replica. It ignores reports of
@@ -73,16 +74,14 @@
 	if !found {
 		return
 	}
-	asOf := now
-	if signals.Limit.State == pushback.LimitNone {
-		asOf = assignment.assignedAt
-	}
+	asOf, rejectionLimitAsOf := signals.Limit.AsOf(now, assignment.assignedAt), signals.RejectionLimit.AsOf(now, assignment.assignedAt)
 	if signals.Pause > 0 {
 		s.setPause(pauseKey{assignment.node, assignment.service}, assignment.replicaID, now+signals.Pause)
 	}
 	if state := s.replicaState(assignment.replicaID); s.isCurrentIncarnation(assignment) {
 		state.leaving = state.leaving || signals.Leaving
 		state.applyLimit(now, signals.Limit, asOf)
+		state.rejections.known.Update(signals.RejectionLimit, rejectionLimitAsOf)
 	}
 }
 
--- a/coordination/admission/replica.go
+++ b/coordination/admission/replica.go
@@ -28,6 +28,7 @@
 	workTime         workTime
 	warmUp           warmUp
 	limit            rateLimit
+	rejections       rejectionLimit
 	// leaving is true if the replica has announced that it takes no new requests.
 	leaving bool
 	health  health
@@ -81,7 +82,7 @@
 // reported.
 func (r *replicaState) forget() {
 	r.speed, r.coldSpeed, r.health, r.unreported, r.ejected = speed{}, speed{}, health{}, unreportedLoad{}, false
-	r.limit, r.leaving = rateLimit{}, false
+	r.limit, r.rejections, r.leaving = rateLimit{}, rejectionLimit{}, false
 	r.workTime.forget()
 }
 
--- a/coordination/admission/snapshot.go
+++ b/coordination/admission/snapshot.go
@@ -45,6 +45,10 @@
 	// isUnhealthy is true if the replica is quarantined or ejected. It is used only if no healthy replica
 	// has a slot, or no eligible one is both healthy and unsuspected.
 	isUnhealthy bool
+	// isBrittle is true if a rejection limit applies. The replica is then believed to have room for that many
+	// requests.
+	isBrittle bool
+	room      int
 	// currentStepTime is stepTime at the speed of this moment.
 	currentStepTime time.Duration
 	// isLimited is true if the replica has announced a rate limit.
@@ -66,6 +70,7 @@
 	snapshot := &poolSnapshot{meanDuration: pool.meanDuration, suspectViews: map[*suspectList]*suspectView{}, replicas: make([]*replicaSnapshot, 0, len(pool.replicas))}
 	fastest := pool.fastestStep()
 	inBurst := pool.canaryBudget.InBurst(now)
+	lowestRejectionLimit, isPoolBrittle := pool.brittleness()
 	if cap(s.snapshotBuffer) < len(pool.replicas) {
 		s.snapshotBuffer = make([]replicaSnapshot, len(pool.replicas))
 	}
@@ -101,6 +106,9 @@
 		if replica.isLimited {
 			replica.maxInFlight = min(replica.maxInFlight, replica.inFlight+s.limitedTokens(now, state))
 		}
+		if limit, isBrittle := state.rejectionLimitOf(lowestRejectionLimit, isPoolBrittle); isBrittle {
+			s.limitRejections(now, replica, limit)
+		}
 		if access == rollouts.AccessBudgeted {
 			snapshot.canaries = append(snapshot.canaries, replica)
 			continue
@@ -166,6 +174,9 @@
 	p.totalSlots += replica.maxInFlight
 	p.freeSlots += max(0, replica.maxInFlight-replica.inFlight)
 	capacity := float64(replica.maxInFlight)
+	if replica.isBrittle {
+		capacity = float64(replica.room)
+	}
 	if replica.isLimited {
 		capacity = min(float64(replica.state.entry.Slots), replica.state.limit.refillRate(followerShare)*p.meanDuration.Seconds())
 		p.limitedTokens += replica.state.limit.bucket.tokens
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -60,7 +60,7 @@
 func (c *call) attempt(granted *grant) (result, admission.Observation) {
 	node := c.node
 	grantedAt := node.now()
-	c.lastFailure = causeNone
+	c.lastFailure, c.lackedRoom = causeNone, false
 	maxIdle := maxIdleRepeatable
 	if !c.route.Repeatable() {
 		maxIdle = maxIdleNonRepeatable
@@ -88,9 +88,10 @@
 		return c.recordIncomplete(err), admission.Observation{Failed: true, CallerLeft: c.ctx.Err() != nil}
 	}
 	c.recordReceived()
+	c.lackedRoom = c.isRejection(answer) && answer.StatusCode == http.StatusServiceUnavailable
 	node.recordZoneContact(granted.Replica.Zone, true)
 	load, workTime := c.reportedLoad(answer)
-	started := &firstEventRequest{Load: load, WorkTime: workTime, Pushback: node.applyPushback(answer, granted.Replica, sentAt)}
+	started := &firstEventRequest{Load: load, Rejected: c.lackedRoom, WorkTime: workTime, Pushback: node.applyPushback(answer, granted.Replica, sentAt)}
 	var headDelay time.Duration
 	if workTime > 0 {
 		headDelay, started.SinceGrant = time.Since(sentTime), node.now()-grantedAt
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -34,6 +34,8 @@
 	lastFailure failureCause
 	// forwarder is the peer that forwards the connection of the last send, empty if it is direct.
 	forwarder string
+	// lackedRoom is true if the last send was rejected by the replica for lack of room.
+	lackedRoom bool
 	// refusedConnects counts the connects that were refused.
 	refusedConnects int
 	// promptTokens and outputTokens are the tokens of the request; both are zero for
--- a/entry/messages.go
+++ b/entry/messages.go
@@ -30,6 +30,8 @@
 	RequestID string `msgpack:",omitempty"`
 	// PushbackReports are the pushback reports on the service's replicas that the asking node knows.
 	PushbackReports []pushback.Report `msgpack:"Heard,omitempty"`
+	// RejectionLimits are the rejection limits of the service's replicas that the asking node knows.
+	RejectionLimits []pushback.Report `msgpack:"Brittle,omitempty"`
 	// Known is the asking node's recent poison record of the request, nil if there is none.
 	Known *poisonrecords.Record
 }
@@ -68,7 +70,9 @@
 	Observation admission.Observation `msgpack:"Seen"`
 	// NotRun is true if the replica certainly did not run the request; its cost is refunded to the
 	// tenant.
-	NotRun      bool
+	NotRun bool
+	// Rejected is true if the replica rejected the request for lack of room.
+	Rejected    bool                    `msgpack:",omitempty"`
 	Fingerprint fingerprint.Fingerprint `msgpack:"Content"`
 	// Ended is the incarnation that crashed under the request, nil if none did.
 	Ended *crashedIncarnation
@@ -87,6 +91,8 @@
 	ID string
 	// Load is the number of requests that the replica reported, or -1.
 	Load int
+	// Rejected is true if the response is a rejection for lack of room.
+	Rejected bool `msgpack:",omitempty"`
 	// WorkTime is the work time that the replica reported, in percent of its usual one, zero if it reported
 	// none. SinceGrant is the time from the assignment's arrival at the node to the report.
 	WorkTime   int           `msgpack:",omitempty"`
--- a/entry/operators.go
+++ b/entry/operators.go
@@ -41,10 +41,12 @@
 	Unreached []string `json:"unreached_replicas"`
 	// Partitioned is true if peers forward this node's connections to all replicas. Forwarding is the
 	// number of connections that this node forwards for peers.
-	Partitioned bool                               `json:"partitioned"`
-	Forwarding  int64                              `json:"forwarding"`
-	Replicas    []replicas.Replica                 `json:"replicas"`
-	Services    map[string]admission.ServiceStatus `json:"services"`
+	Partitioned bool  `json:"partitioned"`
+	Forwarding  int64 `json:"forwarding"`
+	// Isolated are the live peers that have lately reached no replica.
+	Isolated []string                           `json:"isolated_peers,omitempty"`
+	Replicas []replicas.Replica                 `json:"replicas"`
+	Services map[string]admission.ServiceStatus `json:"services"`
 	// Reread is set while requests for a complete read of the store are pending.
 	Reread *RereadStatus `json:"store_reread,omitempty"`
 	// Pushback is what replicas reported to this node to limit requests.
@@ -78,6 +80,9 @@
 	for _, member := range n.members.All(now) {
 		if member.SinceHeartbeat(now) < member.FailureTimeout() {
 			status.Live = append(status.Live, member.Name)
+			if member.Isolated {
+				status.Isolated = append(status.Isolated, member.Name)
+			}
 		} else {
 			status.Silent = append(status.Silent, member.Name)
 		}
--- a/entry/pushback.go
+++ b/entry/pushback.go
@@ -25,7 +25,8 @@
 	change := n.pushback.Observe(n.now(), sentAt, pushback.IncarnationOf(replica), signals)
 	n.mutex.Unlock()
 	n.logPushback(replica, signals, change)
-	if signals.Leaving || change.PauseRequested || signals.Limit.State == pushback.LimitSet || change.LimitChanged {
+	isLimited := signals.Limit.State == pushback.LimitSet || signals.RejectionLimit.State == pushback.LimitSet
+	if signals.Leaving || change.PauseRequested || isLimited || change.LimitChanged || change.RejectionLimitChanged {
 		return &signals
 	}
 	return nil
@@ -35,10 +36,23 @@
 func (n *Node) pushbackReports(service string) []pushback.Report {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	return n.pushback.Reports(n.now(), func(incarnation pushback.Incarnation) bool {
+	return n.pushback.Reports(n.now(), n.isReported(service))
+}
+
+// rejectionLimits returns the reports of the rejection limits of the service's replicas.
+func (n *Node) rejectionLimits(service string) []pushback.Report {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.pushback.RejectionLimits(n.now(), n.isReported(service))
+}
+
+// isReported returns the condition for reports on the service's replicas. The caller of the condition holds
+// the mutex.
+func (n *Node) isReported(service string) func(incarnation pushback.Incarnation) bool {
+	return func(incarnation pushback.Incarnation) bool {
 		known, found := n.table.Get(incarnation.Replica)
 		return found && known.Service == service && pushback.IncarnationOf(known) == incarnation && !known.Draining // the scheduling node knows the draining ones
-	})
+	}
 }
 
 // logPushback counts and logs each change that a response caused.
@@ -56,6 +70,12 @@
 	case change.LimitChanged:
 		log("unlimited", "")
 	}
+	switch {
+	case change.RejectionLimitChanged && signals.RejectionLimit.State == pushback.LimitSet:
+		log("brittle", strconv.FormatFloat(signals.RejectionLimit.PerSecond, 'g', 6, 64)+" rejections a second")
+	case change.RejectionLimitChanged:
+		log("not-brittle", "")
+	}
 	if change.PauseRequested {
 		log("pause", signals.Pause.String())
 	}
@@ -80,6 +100,9 @@
 	// Limit is the number of requests per second that the replica accepts from all nodes together;
 	// nil if it sets none.
 	Limit *float64 `json:"limit_per_s,omitempty"`
+	// RejectionLimit is the number of requests per second that the replica may reject for lack of room
+	// without crashing; nil if it is not brittle.
+	RejectionLimit *float64 `json:"rejections_per_s,omitempty"`
 	// Pause is the time for which this node sends the replica nothing, in milliseconds.
 	Pause int64 `json:"pause_ms,omitempty"`
 }
@@ -95,6 +118,11 @@
 		}
 		statuses = append(statuses, status)
 	}
+	for _, report := range n.pushback.RejectionLimits(now, func(pushback.Incarnation) bool { return true }) {
+		if report.Limit.State == pushback.LimitSet {
+			statuses = append(statuses, PushbackStatus{Replica: report.Incarnation.Replica, RejectionLimit: &report.Limit.PerSecond})
+		}
+	}
 	slices.SortFunc(statuses, func(a, b PushbackStatus) int { return strings.Compare(a.Replica, b.Replica) })
 	return statuses
 }
--- a/entry/replica_paths.go
+++ b/entry/replica_paths.go
@@ -155,7 +155,10 @@
 	n.mutex.Lock()
 	event.Count = len(n.paths.Lost())
 	n.mutex.Unlock()
-	event.Kind, event.Replica, event.Outcome = "path", replica, pathOutcomes[change]
+	event.Kind, event.Outcome = "path", pathOutcomes[change]
+	if change != reachability.Partitioned && change != reachability.Restored {
+		event.Replica = replica
+	}
 	n.log.Write(event)
 }
 
--- a/entry/response.go
+++ b/entry/response.go
@@ -24,10 +24,9 @@
 // relay forwards the replica's response to the caller.
 func (c *call) relay(answer *replicahttp.Answer, replica replicas.Replica, sentTime time.Time) (result, admission.Observation) {
 	names := &c.node.dependencies.Headers
-	notRun := answer.Header.Get(names.NotRun) != "" || answer.StatusCode == http.StatusMisdirectedRequest
 	success := answer.StatusCode >= http.StatusOK && answer.StatusCode < http.StatusMultipleChoices
 	switch {
-	case notRun:
+	case c.isRejection(answer):
 		return c.handleRejection(answer, replica)
 	case answer.Header.Get(names.Signature) == "" || success && answer.Header.Get("Content-Encoding") != "":
 		return c.recordIncomplete(nil), admission.Observation{}
@@ -37,6 +36,11 @@
 	return c.relayBuffered(answer, replica, success)
 }
 
+// isRejection reports whether the response proves that the replica did not run the request.
+func (c *call) isRejection(answer *replicahttp.Answer) bool {
+	return answer.Header.Get(c.node.dependencies.Headers.NotRun) != "" || answer.StatusCode == http.StatusMisdirectedRequest
+}
+
 // eventStreamType is the content type of event streams.
 const eventStreamType = "text/event-stream"
 
--- a/entry/scheduling_service.go
+++ b/entry/scheduling_service.go
@@ -289,6 +289,9 @@
 	for _, report := range request.PushbackReports {
 		s.scheduler.ApplyPushbackReport(now, report)
 	}
+	for _, report := range request.RejectionLimits {
+		s.scheduler.ApplyRejectionLimit(now, report)
+	}
 	s.scheduler.SetPauses(now, request.Request.Node, request.Request.Service, request.PushbackReports)
 	if request.First {
 		s.retryBudget.RecordRequest(now, request.Request.Service)
@@ -333,6 +336,11 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	now := s.clock()
+	if request.Rejected {
+		s.scheduler.RecordRejection(now, request.ID)
+	} else {
+		s.scheduler.RecordAccepted(request.ID)
+	}
 	s.scheduler.RecordFirstEvent(now, request.ID, request.Load)
 	s.scheduler.RecordWorkTime(now, request.ID, request.WorkTime, request.SinceGrant)
 	if request.Pushback != nil {
@@ -348,6 +356,9 @@
 	if request.NotRun {
 		s.scheduler.ReturnShare(request.ID)
 	}
+	if request.Rejected {
+		s.scheduler.RecordRejection(s.clock(), request.ID)
+	}
 	ended, found := s.scheduler.Finish(s.clock(), request.ID, request.Observation)
 	if found {
 		s.recordRolloutResult(ended, request.Observation, request.NotRun)
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -68,7 +68,7 @@
 // finish reports the end of the send to the scheduling node, and lets this node's own scheduling
 // service observe it if the scheduling node is another one.
 func (c *call) finish(granted *grant, outcome result, observed admission.Observation) {
-	message := &finishRequest{ID: granted.id, Observation: observed, NotRun: outcome == resultNotSent || outcome == resultRejected, Fingerprint: c.fingerprint}
+	message := &finishRequest{ID: granted.id, Observation: observed, NotRun: outcome == resultNotSent || outcome == resultRejected, Rejected: c.lackedRoom, Fingerprint: c.fingerprint}
 	message.Observation.Whole = outcome == resultAnswered || outcome == resultServerError
 	if outcome == resultIncomplete && c.isReplicaAtFault(granted, message) {
 		c.node.recordBroken(granted.Replica.ID)
@@ -168,7 +168,7 @@
 			Deadline: c.remaining(),
 			Target:   max(c.route.TargetLatency-c.age(), 0), Patience: c.maxQueueWait(),
 		},
-		First: len(tried) == 0, Repeat: isRetry, RequestID: tenantstats.ShortName(c.id), PushbackReports: node.pushbackReports(c.service), Known: node.scheduling.poisonRecordOf(c.fingerprint),
+		First: len(tried) == 0, Repeat: isRetry, RequestID: tenantstats.ShortName(c.id), PushbackReports: node.pushbackReports(c.service), RejectionLimits: node.rejectionLimits(c.service), Known: node.scheduling.poisonRecordOf(c.fingerprint),
 	}
 	if c.tenant != nil {
 		request.Tenant, request.Request.Tenant = c.tenant.Name, c.tenant.Name
--- a/operator/story/story.go
+++ b/operator/story/story.go
@@ -19,7 +19,7 @@
 
 // relatedKinds are the kinds of events that belong to a story if they are about a replica or node
 // that takes part in the request.
-var relatedKinds = map[string]bool{"replica": true, "peer": true, "scheduler": true, "process.start": true, "process.stop": true, "process.paused": true, "store": true}
+var relatedKinds = map[string]bool{"replica": true, "peer": true, "scheduler": true, "process.start": true, "process.stop": true, "process.paused": true, "store": true, "path": true}
 
 // Story is the history of one request.
 type Story struct {
@@ -49,7 +49,7 @@
 		if event.Request == id {
 			fingerprints[event.Fingerprint] = true
 			story.Request = append(story.Request, event)
-			participants[event.Replica], participants[event.Peer], participants[event.Node] = true, true, true
+			participants[event.Replica], participants[event.Peer], participants[event.Node], participants[event.Forwarder] = true, true, true, true
 		}
 	}
 	delete(participants, "")
@@ -113,7 +113,7 @@
 func Line(event eventlog.Event) string {
 	text := fmt.Sprintf("%s %s %s", event.Time, event.Node, event.Kind)
 	for _, part := range []struct{ name, value string }{
-		{"replica", event.Replica}, {"by", event.Peer}, {"outcome", event.Outcome}, {"because", event.Reason}, {"detail", event.Detail},
+		{"replica", event.Replica}, {"by", event.Peer}, {"forwarder", event.Forwarder}, {"outcome", event.Outcome}, {"because", event.Reason}, {"detail", event.Detail},
 	} {
 		if part.value != "" {
 			text += fmt.Sprintf(" %s=%s", part.name, part.value)
--- a/state/pushback/pushback.go
+++ b/state/pushback/pushback.go
@@ -1,5 +1,6 @@
 // Package pushback tracks the signals by which replicas limit their load, which they send in responses:
-// that they are leaving, a rate limit over all nodes, and a pause for the node that got the response.
+// that they are leaving, a rate limit over all nodes, a limit on how many requests they may have to reject,
+// and a pause for the node that got the response.
 // It has no I/O and no clock, and does not enforce the signals.
 package pushback
 
@@ -37,6 +38,9 @@
 	// Leaving is true if the replica accepts no new requests until it ends.
 	Leaving bool
 	Limit   Limit
+	// RejectionLimit is set by a brittle replica, which crashes if it has to reject more requests for lack
+	// of room, from all nodes together.
+	RejectionLimit Limit `msgpack:"Brittle"`
 	// Pause is the time during which the node that got the response is to send no request.
 	Pause time.Duration
 }
@@ -101,9 +105,11 @@
 
 // replicaState is the pushback of one incarnation.
 type replicaState struct {
-	leaving     bool
-	limit       TimedLimit
-	pausedUntil structs.Instant
+	leaving bool
+	limit   TimedLimit
+	// rejectionLimit is that of Signals.
+	rejectionLimit TimedLimit
+	pausedUntil    structs.Instant
 	// isProbing is true from the start of a pause until a later response asks for none. Once the
 	// pause is over, one request at a time is sent as a probe, the last one at probedAt.
 	isProbing bool
@@ -136,8 +142,9 @@
 type Change struct {
 	// StartedLeaving is true if this is the first response of the incarnation with Leaving.
 	StartedLeaving bool
-	// LimitChanged is true if the limit has another value than before, or ended.
-	LimitChanged bool
+	// LimitChanged is true if the limit has another value than before, or ended, and RejectionLimitChanged
+	// the same for the rejection limit.
+	LimitChanged, RejectionLimitChanged bool
 	// PauseRequested is true if the response asks for a pause.
 	PauseRequested bool
 }
@@ -148,7 +155,7 @@
 func (t *Tracker) Observe(now, sent structs.Instant, incarnation Incarnation, signals Signals) Change {
 	state := t.states[incarnation]
 	if state == nil {
-		if !signals.Leaving && signals.Pause <= 0 && signals.Limit.State != LimitSet {
+		if !signals.Leaving && signals.Pause <= 0 && signals.Limit.State != LimitSet && signals.RejectionLimit.State != LimitSet {
 			return Change{}
 		}
 		state = &replicaState{}
@@ -158,14 +165,20 @@
 	change := Change{StartedLeaving: signals.Leaving && !state.leaving, PauseRequested: signals.Pause > 0}
 	state.leaving = state.leaving || signals.Leaving
 	state.updatePause(now, sent, signals)
-	asOf := now
-	if signals.Limit.State == LimitNone {
-		asOf = sent
-	}
-	change.LimitChanged = state.limit.Update(signals.Limit, asOf)
+	change.LimitChanged = state.limit.Update(signals.Limit, signals.Limit.AsOf(now, sent))
+	change.RejectionLimitChanged = state.rejectionLimit.Update(signals.RejectionLimit, signals.RejectionLimit.AsOf(now, sent))
 	return change
 }
 
+// AsOf returns the instant since which the limit of a response applies: when it arrived, or, without a
+// limit, when its request was sent.
+func (l Limit) AsOf(now, sent structs.Instant) structs.Instant {
+	if l.State == LimitNone {
+		return sent
+	}
+	return now
+}
+
 // updatePause starts or extends a pause, or ends its probing. Responses without any signal, and those to
 // requests sent before the end of the pause, do not end it.
 func (s *replicaState) updatePause(now, sent structs.Instant, signals Signals) {
@@ -237,6 +250,18 @@
 	return reports
 }
 
+// RejectionLimits returns reports of the rejection limits of the incarnations for which include is true, in
+// no order and at most maxReports.
+func (t *Tracker) RejectionLimits(now structs.Instant, include func(incarnation Incarnation) bool) []Report {
+	var reports []Report
+	for incarnation, state := range t.states {
+		if len(reports) < maxReports && state.rejectionLimit.needsReport(now) && include(incarnation) {
+			reports = append(reports, state.rejectionLimit.ReportOf(now, incarnation))
+		}
+	}
+	return reports
+}
+
 // maxReports bounds the reports sent with one request. Without the others the scheduling node may grant
 // a slot that this node can't use and returns.
 const maxReports = 64
@@ -244,7 +269,12 @@
 // needsReport reports whether the replica limits its load, or ended a limit within
 // limitEndReportPeriod.
 func (s *replicaState) needsReport(now structs.Instant) bool {
-	return s.leaving || s.pauseLeft(now) > 0 || s.limit.IsSet() || s.limit.Limit.State == LimitNone && now-s.limit.AsOf < limitEndReportPeriod
+	return s.leaving || s.pauseLeft(now) > 0 || s.limit.needsReport(now)
+}
+
+// needsReport reports whether the limit is set, or ended within limitEndReportPeriod.
+func (l *TimedLimit) needsReport(now structs.Instant) bool {
+	return l.IsSet() || l.Limit.State == LimitNone && now-l.AsOf < limitEndReportPeriod
 }
 
 // limitEndReportPeriod is how long the end of a limit is reported, as other nodes may still have the
--- a/test/names/names_test.go
+++ b/test/names/names_test.go
@@ -17,7 +17,7 @@
 const repositoryRoot = "../.."
 
 // pathsAndKeys are the platform's paths and keys, which no other folder may contain.
-var pathsAndKeys = []string{"kv-txn", "kv-watch", "kv-range", "kv-key", "kv-lease", "op/config", "servers/", "api/readyz", "api/report", "tls_key", "path_prefix\"", "Server-Limit", "Server-Leaving"}
+var pathsAndKeys = []string{"kv-txn", "kv-watch", "kv-range", "kv-key", "kv-lease", "op/config", "servers/", "api/readyz", "api/report", "tls_key", "path_prefix\"", "Server-Limit", "Server-Leaving", "Server-Brittle"}
 
 // exemptFolders may contain the names: the adapter, stand-ins of the platform and tests.
 var exemptFolders = []string{"platform/", "lab/", "test/"}
