--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -60,7 +60,7 @@
 func (c *call) attempt(granted *grant) (result, admission.Observation) {
 	node := c.node
 	grantedAt := node.now()
-	c.lastFailure, c.lackedRoom = causeNone, false
+	c.lastFailure, c.lackedRoom, c.forwarder = causeNone, false, ""
 	maxIdle := maxIdleRepeatable
 	if !c.route.Repeatable() {
 		maxIdle = maxIdleNonRepeatable
--- a/entry/forwarding.go
+++ b/entry/forwarding.go
@@ -312,6 +312,9 @@
 // closeForwardedByEnding closes the idle connections that are forwarded by nodes that are stopping,
 // isolated or gone, so that these can end, and no request is sent over them.
 func (n *Node) closeForwardedByEnding() {
+	if !n.pool.HasIdleForwarded() {
+		return
+	}
 	n.mutex.Lock()
 	isForwarder := map[string]bool{}
 	for _, named := range n.forwarders(n.now()) {
--- a/entry/replica_paths.go
+++ b/entry/replica_paths.go
@@ -252,9 +252,9 @@
 	}
 }
 
-// isPathLost reports whether the last connect of this node did not reach the replica.
-func (n *Node) isPathLost(replica string) bool {
+// isPathForwarded reports whether the path to the replica is at fault, so that peers forward connections to it.
+func (n *Node) isPathForwarded(replica string) bool {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	return n.paths.IsLost(replica)
+	return n.paths.IsForwarded(n.now(), replica)
 }
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -95,13 +95,13 @@
 	case causeForwarderLost:
 		return false
 	case causeTimeout:
-		if c.node.isPathLost(granted.Replica.ID) {
+		if c.forwarder == "" && c.node.isPathForwarded(granted.Replica.ID) {
 			return false
 		}
 	}
 	switch state {
 	case incarnationReachedByPeer:
-		return false
+		return c.forwarder != ""
 	case incarnationEnded:
 		message.Ended = crashed
 	case incarnationUnknown:
--- a/entry/wire_test.go
+++ b/entry/wire_test.go
@@ -41,13 +41,18 @@
 	"parts-request": func() any { return &dissemination.Request{} },
 	"parts-reply":   func() any { return &dissemination.Reply{} },
 
+	"forward-request":    func() any { return &forwardRequest{} },
+	"forward-reply":      func() any { return &forwardReply{} },
+	"forwarders-request": func() any { return &forwardersRequest{} },
+	"forwarders-reply":   func() any { return &forwardersReply{} },
+
 	"tenants-request": func() any { return &tenantReportRequest{} },
 	"tenants-reply":   func() any { return &tenantReportReply{} },
 }
 
 // addedMessages are the messages that the previous version does not have. They are removed from here once
 // testdata/previous has them.
-var addedMessages = map[string]bool{}
+var addedMessages = map[string]bool{"forward-request": true, "forward-reply": true, "forwarders-request": true, "forwarders-reply": true}
 
 // storedValues creates, by name, empty values that two versions share in the store, as JSON.
 var storedValues = map[string]func() any{
--- a/test/entry/forwarding_test.go
+++ b/test/entry/forwarding_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -309,3 +310,31 @@
 		}
 	}
 }
+
+// Guards against a replica that breaks off requests and keeps getting them, because the connections of the
+// node that sends them are forwarded and the failures are taken for those of the path.
+func TestReplicaThatBreaksOffForwardedRequestsIsQuarantined(t *testing.T) {
+	runPathScenario(t, func(s *pathScenario) {
+		listed := fleetHosts[:1]
+		s.cutAndDetect(listed, memnet.CutReset)
+		counts := map[*platformsim.Replica]int{}
+		for _, replica := range s.plainReplicas {
+			counts[replica] = replica.Arrivals()
+		}
+		for range 20 {
+			s.do(listed[0], http.MethodPost, "/once/", nil)
+		}
+		broken := slices.MaxFunc(s.plainReplicas, func(a, b *platformsim.Replica) int {
+			return a.Arrivals() - counts[a] - b.Arrivals() + counts[b]
+		})
+		broken.SetBehavior(always(platformsim.Reset))
+		before := broken.Arrivals()
+		for range 100 {
+			s.do(listed[0], http.MethodPost, "/once/", nil)
+			time.Sleep(20 * time.Millisecond)
+		}
+		s.Expect(s.deployment.Node(listed[0]).Status().Partitioned).To(gomega.BeTrue())
+		s.Expect(broken.Arrivals() - before).To(gomega.BeNumerically(">", 0))
+		s.Expect(broken.Arrivals()-before).To(gomega.BeNumerically("<=", 15), "of 100 requests")
+	})
+}
--- a/test/entry/silent_replicas_test.go
+++ b/test/entry/silent_replicas_test.go
@@ -75,7 +75,7 @@
 		defer resume.Stop()
 		load.duration = silentTime + limit
 		_, tries := load.run(s, nil)
-		s.Expect(tries.sent-tries.served).To(gomega.BeNumerically("<=", 2))
+		s.Expect(tries.sent - tries.served).To(gomega.BeNumerically("<=", 2))
 		before := len(s.engines[0].Runs())
 		load.duration = 2 * time.Second
 		load.run(s, nil)
--- a/transport/forward/forward_test.go
+++ b/transport/forward/forward_test.go
@@ -166,3 +166,54 @@
 		_ = far.Close()
 	})
 }
+
+// acceptedPair returns the two sides of a connection of the operating system.
+func acceptedPair(t testing.TB) (dialed, accepted *net.TCPConn) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	opened, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	received, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return opened.(*net.TCPConn), received.(*net.TCPConn)
+}
+
+// Guards against a reset by the replica, or a forwarder that ends, that looks like the end of a response on
+// connections of the operating system.
+func TestResetsOfRealConnectionsAreToldApart(t *testing.T) {
+	for name, test := range map[string]struct {
+		end  func(replica, forwarder *net.TCPConn)
+		want error
+	}{
+		"closed by the replica": {func(replica, _ *net.TCPConn) { _ = replica.Close() }, nil},
+		"reset by the replica":  {func(replica, _ *net.TCPConn) { _ = replica.SetLinger(0); _ = replica.Close() }, syscall.ECONNRESET},
+		"forwarder ends":        {func(_, forwarder *net.TCPConn) { _ = forwarder.Close() }, ErrForwarderLost},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			nodeSide, forwarderNode := acceptedPair(t)
+			forwarderReplica, replica := acceptedPair(t)
+			go Splice(forwarderNode, forwarderReplica)
+			node := NewConn(nodeSide)
+			defer node.Close()
+			_, err := io.WriteString(replica, "part")
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			_, err = io.ReadFull(node, make([]byte, len("part")))
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			test.end(replica, forwarderNode)
+			_, err = io.ReadAll(node)
+			if test.want == nil {
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+				return
+			}
+			g.Expect(errors.Is(err, test.want)).To(gomega.BeTrue(), "%v", err)
+		})
+	}
+}
--- a/transport/replicahttp/pool.go
+++ b/transport/replicahttp/pool.go
@@ -178,6 +178,18 @@
 	p.closeIdleIf(func(conn *Conn) bool { return !conn.key.isForwarded && matches(conn.key.replica) })
 }
 
+// HasIdleForwarded reports whether any idle connection is forwarded.
+func (p *Pool) HasIdleForwarded() bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for key := range p.idle {
+		if key.isForwarded {
+			return true
+		}
+	}
+	return false
+}
+
 // ForgetForwarded closes the idle connections that are forwarded by peers for which isForwarder returns
 // false.
 func (p *Pool) ForgetForwarded(isForwarder func(name string) bool) {
