--- a/entry/doc.go
+++ b/entry/doc.go
@@ -4,8 +4,9 @@
 // nothing is kept on the machine.
 //
 // The path of a request: handler.go (route, key, body), assignment.go (a slot from the scheduling
-// node), serve.go (attempts and retries), attempt.go (one attempt), headers.go (forwarded headers),
-// response.go, stream.go (events) and request_log.go.
+// node), serve.go (attempts and retries), attempt.go (one attempt), replica_paths.go (connections and
+// which replicas are reached), headers.go (forwarded headers), response.go, stream.go (events) and
+// request_log.go. forwarding.go has connections that peers forward, and exchanges.go finds silent paths.
 //
 // Configuration and replicas: store.go, store_watchers.go, updates.go and configuration.go (from
 // the store), update_pull.go (from peers), freshness.go (their age), era.go (a restored store),
