soak: cut paths of single nodes to all replicas, and let slow nodes forward where there are no others

Change: slow nodes are the last choice in place of none. The soak's option -cuts runs the entry command of thornwalk-lab, an entry daemon whose paths a file cuts in four ways (lab/pathfault), and judges that callers of cut nodes are served like others.

--- a/cmd/thornwalk-lab/soak.go
+++ b/cmd/thornwalk-lab/soak.go
@@ -23,7 +23,7 @@
 // range of seeds.
 func soakCommand() *ffcli.Command {
 	flags := flag.NewFlagSet("soak", flag.ExitOnError)
-	daemon := flags.String("daemon", "", "path of thornwalkd; it is built if this is empty")
+	daemon := flags.String("daemon", "", "path of thornwalkd, or of thornwalk-lab with -cuts; it is built if this is empty")
 	first := flags.Uint64("seed", 1, "first seed")
 	seeds := flags.Int("seeds", 1, "number of seeds")
 	workers := flags.Int("workers", 1, "seeds that are played at the same time")
@@ -34,25 +34,30 @@
 	pushback := flags.Bool("pushback", false, "have replicas name rates, leave and ask for pauses in their answers, beside the other faults")
 	tenants := flags.Bool("tenants", false, "have a second tenant send more than the engines can answer, and judge the shares of the tenants")
 	restore := flags.Bool("restore", false, "restore a store of many entries under steady writes, and judge that replicas which it lists again are used")
+	cuts := flags.Bool("cuts", false, "cut the paths of nodes to all replicas, and judge that their callers are served like others")
 	logs := flags.String("log", "", "folder for the daemons' lines; empty drops them")
 	return &ffcli.Command{
 		Name: "soak", ShortUsage: "thornwalk-lab soak [flags]", FlagSet: flags,
 		ShortHelp: "run daemons as processes, inject faults by signals and proxies, and judge the promises",
 		Exec: func(ctx context.Context, _ []string) error {
-			path, cleanup, err := buildDaemon(*daemon)
+			command := "thornwalkd"
+			if *cuts {
+				command = "thornwalk-lab"
+			}
+			path, cleanup, err := buildDaemon(*daemon, command)
 			if err != nil {
 				return err
 			}
 			defer cleanup()
-			options := soak.Options{Daemon: path, Traffic: *traffic, Rate: *rate, LogFolder: *logs, Previous: *previous, Bounds: *bounds, Pushback: *pushback, Tenants: *tenants, Restore: *restore}
+			options := soak.Options{Daemon: path, Traffic: *traffic, Rate: *rate, LogFolder: *logs, Previous: *previous, Bounds: *bounds, Pushback: *pushback, Tenants: *tenants, Restore: *restore, Cuts: *cuts}
 			return runSoak(ctx, options, *first, *seeds, *workers)
 		},
 	}
 }
 
-// buildDaemon returns builtPath, or builds the daemon into a temporary folder if that is empty.
+// buildDaemon returns builtPath, or builds the command into a temporary folder if that is empty.
 // The caller must call cleanup, which removes the folder, unless it is nil.
-func buildDaemon(builtPath string) (path string, cleanup func(), err error) {
+func buildDaemon(builtPath, command string) (path string, cleanup func(), err error) {
 	if builtPath != "" {
 		return builtPath, func() {}, nil
 	}
@@ -61,8 +66,8 @@
 		return "", nil, err
 	}
 	cleanup = func() { _ = os.RemoveAll(folder) }
-	path = filepath.Join(folder, "thornwalkd")
-	build := exec.Command("go", "build", "-o", path, "github.com/thornwalk/thornwalk/cmd/thornwalkd")
+	path = filepath.Join(folder, command)
+	build := exec.Command("go", "build", "-o", path, "github.com/thornwalk/thornwalk/cmd/"+command)
 	build.Stderr = os.Stderr
 	return path, cleanup, build.Run()
 }
--- a/cmd/thornwalkd/entrycommand.go
+++ b/cmd/thornwalkd/entrycommand.go
@@ -11,6 +11,7 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"github.com/thornwalk/thornwalk/entry"
+	"github.com/thornwalk/thornwalk/internal/entrydaemon"
 )
 
 // runEntryCommand runs 'thornwalkd entry' or one of its subcommands with the arguments after
@@ -18,27 +19,27 @@
 func runEntryCommand(arguments []string, output io.Writer) error {
 	check := &ffcli.Command{
 		Name: "check-settings", ShortUsage: "thornwalkd entry check-settings [FILE]",
-		ShortHelp: "check a settings file, by default the one that " + settingsPathVariable + " names",
+		ShortHelp: "check a settings file, by default the one that " + entrydaemon.SettingsPathVariable + " names",
 		Exec:      func(_ context.Context, files []string) error { return checkSettings(files, output) },
 	}
 	root := &ffcli.Command{
 		Name: "entry", ShortUsage: "thornwalkd entry [check-settings]",
-		ShortHelp: "serve callers behind a balancer, by the settings file that " + settingsPathVariable + " names",
+		ShortHelp: "serve callers behind a balancer, by the settings file that " + entrydaemon.SettingsPathVariable + " names",
 		FlagSet:   flag.NewFlagSet("entry", flag.ContinueOnError), Subcommands: []*ffcli.Command{check},
 		Exec: func(_ context.Context, rest []string) error {
 			if len(rest) > 0 {
 				return fmt.Errorf("unknown subcommand %q of thornwalkd entry: see thornwalkd entry -h", rest[0])
 			}
-			return runEntry()
+			return entrydaemon.Run(nil)
 		},
 	}
 	return root.ParseAndRun(context.Background(), arguments)
 }
 
-// checkSettings validates the named settings file, or the one that settingsPathVariable names if
+// checkSettings validates the named settings file, or the one that entrydaemon.SettingsPathVariable names if
 // files is empty.
 func checkSettings(files []string, output io.Writer) error {
-	path := os.Getenv(settingsPathVariable)
+	path := os.Getenv(entrydaemon.SettingsPathVariable)
 	if len(files) > 0 {
 		path = files[0]
 	}
--- a/coordination/reachability/reachability_test.go
+++ b/coordination/reachability/reachability_test.go
@@ -238,6 +238,11 @@
 	g.Expect(chosen.Name).To(gomega.Equal("near"))
 	chosen, _ = ChooseForwarder(candidates, "east", "east", func(name string) bool { return name == "near" }, func(n int) int { return n - 1 })
 	g.Expect(chosen.Name).To(gomega.Equal("far"), "the more room of two among the rest")
+	slow := append([]Forwarder{{Name: "slow", Zone: "east", Free: 256, IsSlow: true}}, candidates[3])
+	chosen, _ = ChooseForwarder(append(slow, candidates[2]), "east", "east", none, func(int) int { return 0 })
+	g.Expect(chosen.Name).To(gomega.Equal("far"), "rather than a slow one")
+	chosen, _ = ChooseForwarder(slow, "east", "east", none, func(int) int { return 0 })
+	g.Expect(chosen.Name).To(gomega.Equal("slow"), "rather than none")
 	_, found = ChooseForwarder(candidates[3:], "east", "east", none, func(int) int { return 0 })
 	g.Expect(found).To(gomega.BeFalse(), "without room")
 }
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -60,7 +60,7 @@
 func (c *call) attempt(granted *grant) (result, admission.Observation) {
 	node := c.node
 	grantedAt := node.now()
-	c.lastFailure, c.lackedRoom, c.forwarder = causeNone, false, ""
+	c.lastFailure, c.connectError, c.lackedRoom, c.forwarder = causeNone, "", false, ""
 	maxIdle := maxIdleRepeatable
 	if !c.route.Repeatable() {
 		maxIdle = maxIdleNonRepeatable
@@ -116,7 +116,7 @@
 
 // recordConnectFailure records the failure cause of a connect that failed with err.
 func (c *call) recordConnectFailure(replica replicas.Replica, err error) {
-	c.lastFailure = causeUnreachable
+	c.lastFailure, c.connectError = causeUnreachable, err.Error()
 	if network.IsRefused(err) {
 		c.refusedConnects++
 		c.lastFailure = causeRefused
--- a/entry/forwarding.go
+++ b/entry/forwarding.go
@@ -166,8 +166,8 @@
 func (n *Node) forwarders(now structs.Instant) []reachability.Forwarder {
 	var found []reachability.Forwarder
 	for _, member := range n.members.Live(now) {
-		if member.ForwardCapacity > 0 && !member.Leaving && !member.Slow {
-			found = append(found, reachability.Forwarder{Name: member.Name, Address: member.Address, Zone: member.Zone, Free: member.ForwardCapacity})
+		if member.ForwardCapacity > 0 && !member.Leaving {
+			found = append(found, reachability.Forwarder{Name: member.Name, Address: member.Address, Zone: member.Zone, Free: member.ForwardCapacity, IsSlow: member.Slow})
 		}
 	}
 	if !n.isLarge {
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -32,6 +32,8 @@
 	fingerprint fingerprint.Fingerprint
 	// lastFailure is the failure cause of the last send.
 	lastFailure failureCause
+	// connectError is why the last connect failed, for the log.
+	connectError string
 	// forwarder is the peer that forwards the connection of the last send, empty if it is direct.
 	forwarder string
 	// lackedRoom is true if the last send was rejected by the replica for lack of room.
--- a/cmd/thornwalkd/entry.go
+++ b/internal/entrydaemon/daemon.go
@@ -1,4 +1,6 @@
-package main
+// Package entrydaemon runs an entry node as a process: it reads the settings file, handles signals and
+// connects the node to the operating system.
+package entrydaemon
 
 import (
 	"fmt"
@@ -15,8 +17,8 @@
 	"github.com/thornwalk/thornwalk/transport/network"
 )
 
-// settingsPathVariable is the environment variable that holds the settings file's path.
-const settingsPathVariable = "THORNWALK_CONFIG"
+// SettingsPathVariable is the environment variable that holds the settings file's path.
+const SettingsPathVariable = "THORNWALK_CONFIG"
 
 // silenceLimit is the time after which dialling the store fails, and after which a connection
 // without any packet from the other end is broken.
@@ -26,14 +28,14 @@
 // without a signal.
 const settingsPollInterval = 2 * time.Second
 
-// runEntry serves callers behind a load balancer, with the replica directory in the platform's
+// Run serves callers behind a load balancer, with the replica directory in the platform's
 // store. It returns after a planned stop, which SIGINT and SIGTERM start; SIGHUP reloads the
-// settings.
-func runEntry() error {
+// settings. If wrap is not nil, it returns the network by which the node reaches replicas and peers.
+func Run(wrap func(network.Network) network.Network) error {
 	// Before anything else: an unhandled signal ends the process.
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
-	path := os.Getenv(settingsPathVariable)
+	path := os.Getenv(SettingsPathVariable)
 	settings, err := entry.LoadSettings(path)
 	if err != nil {
 		return err
@@ -45,9 +47,13 @@
 		log.Write(eventlog.Event{Kind: "clock", Outcome: "suspensions are not noticed", Detail: err.Error()})
 	}
 	tcp := network.TCP{SilenceLimit: silenceLimit}
+	var reached network.Network = tcp
+	if wrap != nil {
+		reached = wrap(tcp)
+	}
 	directory := platform.NewDirectory(network.Bounded{Network: tcp, Limit: silenceLimit}, settings.Store)
 	node := entry.New(settings, entry.Dependencies{
-		Network: tcp, Datagrams: tcp, Directory: directory, Revisions: directory, Rollouts: directory, PoisonRecords: directory,
+		Network: reached, Datagrams: tcp, Directory: directory, Revisions: directory, Rollouts: directory, PoisonRecords: directory,
 		Headers: platform.Headers(), ParsePushback: platform.ParsePushback, ReadyPath: platform.ReadyPath, Now: bootClock.Now, Log: log, Incarnation: rand.Uint64(),
 	})
 	if err := node.Start(); err != nil {
--- a/lab/soak/checks.go
+++ b/lab/soak/checks.go
@@ -29,6 +29,9 @@
 	if options.Pushback {
 		checkPushback(result, d, c, i, violate)
 	}
+	if options.Cuts {
+		checkCuts(result, c, i, violate)
+	}
 	if options.Tenants {
 		checkShares(result, options, c, i, violate)
 	}
--- a/lab/soak/inject.go
+++ b/lab/soak/inject.go
@@ -27,6 +27,8 @@
 	restarts, suspensions map[int][]span
 	// delays are the spans in which a fault may delay the nodes' reads of the store.
 	delays []span
+	// cuts are the cuts of paths to replicas.
+	cuts []cutSpan
 	// restoredAt is when the store was restored the last time.
 	restoredAt     time.Time
 	drainedReplica string
@@ -134,6 +136,8 @@
 		d.replicas[f.target].SetPushback(platformsim.Pushback{Leaving: "1"})
 	case kindReplicaLimits:
 		d.replicas[f.target].SetPushback(platformsim.Pushback{Limit: strconv.Itoa(f.ratePerSecond)})
+	case kindPathCut:
+		return i.cutPaths(f)
 	case kindReplicaPauses:
 		return pauseReplica(d.replicas[f.target])
 	default:
--- a/lab/soak/plan.go
+++ b/lab/soak/plan.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"sort"
 	"time"
+
+	"github.com/thornwalk/thornwalk/lab/pathfault"
 )
 
 // kind is a kind of fault.
@@ -45,6 +47,7 @@
 	kindReplicaLeaves  kind = "replica-leaves"  // a replica sends Server-Leaving
 	kindReplicaLimits  kind = "replica-limits"  // a replica sends Server-Limit
 	kindReplicaPauses  kind = "replica-pauses"  // a replica rejects requests with Retry-After
+	kindPathCut        kind = "path-cut"        // some nodes lose their paths to all replicas
 )
 
 // boundKinds affect the bounds that hold for all nodes together, and the nodes that enforce them.
@@ -102,11 +105,17 @@
 	offset, duration time.Duration
 	// target is the number of a node or a replica.
 	target int
+	// nodes are those whose paths to replicas are cut, and mode is how.
+	nodes []int
+	mode  pathfault.Mode
 	// ratePerSecond is the limit that a replica sends, in requests per second.
 	ratePerSecond int
 }
 
 func (f fault) String() string {
+	if f.kind == kindPathCut {
+		return fmt.Sprintf("%.1fs %s (%s) of nodes %v for %.1fs", f.offset.Seconds(), f.kind, f.mode, f.nodes, f.duration.Seconds())
+	}
 	return fmt.Sprintf("%.1fs %s #%d for %.1fs", f.offset.Seconds(), f.kind, f.target, f.duration.Seconds())
 }
 
--- a/lab/soak/process.go
+++ b/lab/soak/process.go
@@ -13,11 +13,10 @@
 	"github.com/goccy/go-yaml"
 
 	"github.com/thornwalk/thornwalk/entry"
+	"github.com/thornwalk/thornwalk/internal/entrydaemon"
+	"github.com/thornwalk/thornwalk/lab/pathfault"
 )
 
-// settingsPathVariable is the environment variable with the settings file's path.
-const settingsPathVariable = "THORNWALK_CONFIG"
-
 // restartDelay is the time from the exit of a process to its next start.
 const restartDelay = 200 * time.Millisecond
 
@@ -26,8 +25,10 @@
 	// daemon is the path of the version that is started next, alternate that of the other version.
 	daemon, alternate string
 	settings          *entry.Settings
-	path              string
-	log               io.Writer
+	// path is that of the settings file, and cutsPath that of the file with the cuts of its paths, which
+	// only the daemon of thornwalk-lab reads.
+	path, cutsPath string
+	log            io.Writer
 
 	mutex   sync.Mutex
 	command *exec.Cmd
@@ -41,7 +42,7 @@
 
 // newProcess writes the settings file into the folder and starts the daemon.
 func newProcess(daemon, alternate, folder string, settings *entry.Settings, log io.Writer) (*process, error) {
-	p := &process{daemon: daemon, alternate: alternate, settings: settings, path: filepath.Join(folder, settings.Name+".yaml"), log: log}
+	p := &process{daemon: daemon, alternate: alternate, settings: settings, path: filepath.Join(folder, settings.Name+".yaml"), cutsPath: filepath.Join(folder, settings.Name+".cuts"), log: log}
 	if err := p.writeSettings(); err != nil {
 		return nil, err
 	}
@@ -62,7 +63,7 @@
 	daemon := p.daemon
 	p.mutex.Unlock()
 	command := exec.Command(daemon, "entry")
-	command.Env = append(os.Environ(), settingsPathVariable+"="+p.path)
+	command.Env = append(os.Environ(), entrydaemon.SettingsPathVariable+"="+p.path, pathfault.FileVariable+"="+p.cutsPath)
 	command.Stdout, command.Stderr = p.log, p.log
 	if err := command.Start(); err != nil {
 		return err
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -39,6 +39,9 @@
 	// to these replicas are sent until there are enough to judge. It excludes Bounds, which has restores
 	// of its own, and Previous, which may not know eras.
 	Restore bool
+	// Cuts adds faults in which some nodes lose their paths to all replicas. Daemon must be thornwalk-lab, whose
+	// entry command can cut paths.
+	Cuts bool
 	// LogFolder is where the daemons' logs are written; empty discards them.
 	LogFolder string
 }
@@ -97,6 +100,9 @@
 	if options.Pushback {
 		plan = append(plan, pushbackFaults(options.Seed, options.Traffic)...)
 	}
+	if options.Cuts {
+		plan = append(plan, cutFaults(options.Seed, options.Traffic)...)
+	}
 	if options.Restore {
 		plan = append(plan, drawRestore(options.Seed).restore)
 	}
--- a/test/entry/forwarding_test.go
+++ b/test/entry/forwarding_test.go
@@ -338,3 +338,18 @@
 		s.Expect(broken.Arrivals()-before).To(gomega.BeNumerically("<=", 15), "of 100 requests")
 	})
 }
+
+// Guards against a node without paths to replicas that is not served because all other nodes are slow.
+func TestSlowNodesForwardWhereThereAreNoOthers(t *testing.T) {
+	runWithDelayedTimers(t, func(s *scenario, timers map[string]*delayedTimers) {
+		for _, host := range hosts {
+			timers[host].delay.Store(int64(3 * time.Millisecond))
+		}
+		time.Sleep(time.Second)
+		s.fabric.CutPaths(hosts[:1], []string{"p1", "p2"}, memnet.CutReset)
+		for range 20 {
+			s.Expect(s.do(hosts[0], http.MethodPost, "/once/", nil).status).To(gomega.Equal(http.StatusOK))
+			time.Sleep(50 * time.Millisecond)
+		}
+	})
+}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -31,12 +31,15 @@
 	os.Exit(code)
 }
 
-// buildPresent builds the daemon of this version and buildPrevious that of the version before,
-// each once for all tests.
+// buildPresent builds the daemon of this version, buildLab the one whose paths can be cut, and buildPrevious
+// that of the version before, each once for all tests.
 var (
 	buildPresent = sync.OnceValues(func() (string, error) {
 		return build("present", "go", "build", "-o", filepath.Join(buildFolder, "present")+"/", "github.com/thornwalk/thornwalk/cmd/thornwalkd")
 	})
+	buildLab = sync.OnceValues(func() (string, error) {
+		return build("lab", "go", "build", "-o", filepath.Join(buildFolder, "lab")+"/thornwalkd", "github.com/thornwalk/thornwalk/cmd/thornwalk-lab")
+	})
 	buildPrevious = sync.OnceValues(func() (string, error) {
 		return build("previous", "../../.ci/previous", filepath.Join(buildFolder, "previous"))
 	})
@@ -119,3 +122,9 @@
 func TestShortSoakOfTenants(t *testing.T) {
 	runSeed(t, soak.Options{Daemon: buildOrFail(t, buildPresent), Seed: 1, Traffic: 6 * time.Second, Rate: 60, Block: "127.0.37", Tenants: true})
 }
+
+// Guards against nodes that lose their paths to all replicas and don't serve their callers, while processes end
+// and are suspended.
+func TestShortSoakOfCuts(t *testing.T) {
+	runSeed(t, soak.Options{Daemon: buildOrFail(t, buildLab), Seed: 1, Traffic: 18 * time.Second, Rate: 60, Block: "127.0.39", Cuts: true})
+}
