replicahttp: reset the connections of exchanges that are given up

A request that is given up closed its connection, and the kernel went on sending the bytes that the path held back: they arrived when the path was back. Change: a connection is reset where the request is given up; a forwarder passes a reset on as one. TestAbandonedExchangeResetsItsConnection failed before.

--- a/lab/pathfault/pathfault.go
+++ b/lab/pathfault/pathfault.go
@@ -222,6 +222,11 @@
 	return c.Conn.Close()
 }
 
+// SetLinger sets what happens to unsent bytes at the close, as for a TCP connection.
+func (c *conn) SetLinger(seconds int) error {
+	return c.Conn.(interface{ SetLinger(seconds int) error }).SetLinger(seconds)
+}
+
 // SyscallConn implements syscall.Conn.
 func (c *conn) SyscallConn() (syscall.RawConn, error) {
 	return c.Conn.(syscall.Conn).SyscallConn()
--- a/transport/forward/forward.go
+++ b/transport/forward/forward.go
@@ -5,7 +5,8 @@
 //
 // Guarantees:
 //   - A read on the node's side returns io.EOF only if the replica closed its connection properly.
-//   - When the node closes its connection, or it breaks, the replica's connection is closed.
+//   - When the node closes its connection, the replica's connection is closed; when the node resets it, or
+//     it breaks, the replica's connection is reset.
 //   - Each direction holds at most one buffer of bytes, so that a slow reader holds back the sender.
 package forward
 
@@ -46,7 +47,9 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		forwardRequests(node, replica)
+		if err := forwardRequests(node, replica); err != io.EOF {
+			setNoLinger(replica)
+		}
 		_ = replica.Close()
 	}()
 	if forwardResponses(node, replica) == nil {
@@ -58,9 +61,17 @@
 	_ = node.Close()
 }
 
-// forwardRequests copies bytes to the replica until the node closes its connection. If the replica takes no
-// more, the rest is discarded, as the replica's response may still be on its way to the node.
-func forwardRequests(node io.Reader, replica io.Writer) {
+// setNoLinger makes a close reset the connection: what the node has given up must not be sent any more.
+func setNoLinger(connection net.Conn) {
+	if withLinger, ok := connection.(interface{ SetLinger(seconds int) error }); ok {
+		_ = withLinger.SetLinger(0)
+	}
+}
+
+// forwardRequests copies bytes to the replica until the node's connection ends, and returns io.EOF if the node
+// closed it. If the replica takes no more, the rest is discarded, as the replica's response may still be on its way
+// to the node.
+func forwardRequests(node io.Reader, replica io.Writer) error {
 	buffer := make([]byte, requestBufferBytes)
 	isAccepting := true
 	for {
@@ -70,7 +81,7 @@
 			isAccepting = writeErr == nil
 		}
 		if err != nil {
-			return
+			return err
 		}
 	}
 }
@@ -171,6 +182,15 @@
 // Buffered returns the number of bytes that can be read without blocking, lengths included.
 func (c *Conn) Buffered() int { return c.left + c.reader.Buffered() }
 
+// SetLinger sets what happens to unsent bytes at the close of the connection to the peer, as for a TCP
+// connection.
+func (c *Conn) SetLinger(seconds int) error {
+	if withLinger, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		return withLinger.SetLinger(seconds)
+	}
+	return errors.ErrUnsupported
+}
+
 // SyscallConn implements syscall.Conn. Its error is errors.ErrUnsupported if the connection to the peer has
 // no file descriptor.
 func (c *Conn) SyscallConn() (syscall.RawConn, error) {
--- a/transport/forward/forward_test.go
+++ b/transport/forward/forward_test.go
@@ -217,3 +217,26 @@
 		})
 	}
 }
+
+// Guards against a request that the node has given up and the forwarder still sends: a reset by the node must
+// reset the replica's connection, and only that.
+func TestResetByTheNodeReachesTheReplica(t *testing.T) {
+	for name, test := range map[string]struct {
+		end  func(node *Conn)
+		want error
+	}{
+		"closed": {func(node *Conn) { _ = node.Close() }, io.EOF},
+		"reset":  {func(node *Conn) { _ = node.SetLinger(0); _ = node.Close() }, syscall.ECONNRESET},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			nodeSide, forwarderNode := acceptedPair(t)
+			forwarderReplica, replica := acceptedPair(t)
+			go Splice(forwarderNode, forwarderReplica)
+			test.end(NewConn(nodeSide))
+			_, err := replica.Read(make([]byte, 1))
+			g.Expect(errors.Is(err, test.want)).To(gomega.BeTrue(), "%v", err)
+			_ = replica.Close()
+		})
+	}
+}
--- a/transport/replicahttp/exchange.go
+++ b/transport/replicahttp/exchange.go
@@ -50,11 +50,11 @@
 const maxStrayBodyBytes = 1 << 20
 
 // Exchange writes the request and reads the head of its answer. After an error, of kind
-// OutcomeUnknown, the connection is closed and the request may have run. The end of the context
-// closes the connection.
+// OutcomeUnknown, the connection is reset and the request may have run. The end of the context
+// resets the connection.
 func (p *Pool) Exchange(ctx context.Context, conn *Conn, request *Request) (*Answer, error) {
 	answer := &Answer{conn: conn, pool: p, writeResult: make(chan error, 1)}
-	answer.stopCancel = context.AfterFunc(ctx, func() { _ = conn.Close() })
+	answer.stopCancel = context.AfterFunc(ctx, conn.abort)
 	head := request.head()
 	if len(request.Body) == 0 {
 		_, err := conn.Write(head)
@@ -166,10 +166,10 @@
 // takes longer is blocked, since the replica doesn't read the body.
 const writeEndTimeout = 20 * time.Millisecond
 
-// Abandon closes the connection, which cancels the request at the replica.
+// Abandon resets the connection, which cancels the request at the replica.
 func (a *Answer) Abandon() {
 	a.stopCancel()
-	_ = a.conn.Close()
+	a.conn.abort()
 }
 
 // SetReadDeadline bounds the wait for the next bytes; the zero time removes the bound.
--- a/transport/replicahttp/pool.go
+++ b/transport/replicahttp/pool.go
@@ -62,6 +62,15 @@
 	idleTimeout time.Duration
 }
 
+// abort resets the connection. A close would have the kernel go on sending what a silent path holds back, so that
+// a request could reach the replica long after it was given up.
+func (c *Conn) abort() {
+	if withLinger, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = withLinger.SetLinger(0)
+	}
+	_ = c.Close()
+}
+
 // Connect returns a direct connection that has been idle for less than maxIdle and is still open, or a new
 // one. An error, of kind NoReplica, proves that nothing was sent. The replica's ID identifies its
 // incarnation, so that a new replica at a reused address gets no connection of the previous one.
--- a/transport/replicahttp/replicahttp_test.go
+++ b/transport/replicahttp/replicahttp_test.go
@@ -3,10 +3,12 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -212,3 +214,32 @@
 	_, err = newPool().Connect(context.Background(), "replica", address, time.Minute)
 	g.Expect(err).To(gomega.HaveOccurred())
 }
+
+// Guards against a request that reaches the replica long after it was given up, because a silent path held its
+// bytes back and the kernel went on sending them: the connection must be reset, not closed.
+func TestAbandonedExchangeResetsItsConnection(t *testing.T) {
+	for name, abandon := range map[string]func(answer *Answer, cancel func()){
+		"the answer is abandoned": func(answer *Answer, _ func()) { answer.Abandon() },
+		"the context ends":        func(_ *Answer, cancel func()) { cancel() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			ended := make(chan error, 1)
+			address := serve(t, func(_ int, conn net.Conn, reader *bufio.Reader) {
+				readRequest(reader)
+				reply(conn, "HTTP/1.1 200 OK\r\nId: me\r\nContent-Length: 4\r\n\r\nok")
+				_, err := reader.ReadByte()
+				ended <- err
+			})
+			pool := newPool()
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			conn, err := pool.Connect(ctx, "replica", address, time.Minute)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			answer, err := pool.Exchange(ctx, conn, &Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}, IDHeader: "Id", ID: "me"})
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			abandon(answer, cancel)
+			g.Expect(errors.Is(<-ended, syscall.ECONNRESET)).To(gomega.BeTrue())
+		})
+	}
+}
