--- a/entry/forwarding.go
+++ b/entry/forwarding.go
@@ -192,11 +192,11 @@
 	at    structs.Instant
 }
 
-// In a large fleet a node knows few others. While it is isolated, it asks namingPeers of them for the
+// In a large fleet a node knows few others. While it is isolated, it asks maxReferrers of them for the
 // forwarders that they know, at most maxNamedForwarders each, every forwardersInterval. What they name is used for
 // namedForwardersLifetime.
 const (
-	namingPeers             = 2
+	maxReferrers            = 2
 	maxNamedForwarders      = 16
 	forwardersInterval      = time.Second
 	namedForwardersLifetime = 3 * time.Second
@@ -233,7 +233,7 @@
 	n.mutex.Unlock()
 	rand.Shuffle(len(asked), func(i, j int) { asked[i], asked[j] = asked[j], asked[i] })
 	var named []reachability.Forwarder
-	for _, address := range asked[:min(len(asked), namingPeers)] {
+	for _, address := range asked[:min(len(asked), maxReferrers)] {
 		ctx, cancel := context.WithTimeout(n.ctx, forwardTimeout)
 		reply := &forwardersReply{}
 		if err := n.peers.Call(ctx, address, peerwire.KindForwarders, &forwardersRequest{}, reply); err == nil {
@@ -309,9 +309,9 @@
 	return n.pool.AddForwarded(connection, replica.ID, forwarder), nil
 }
 
-// closeForwardedByEnding closes the idle connections that are forwarded by nodes that are stopping,
-// isolated or gone, so that these can end, and no request is sent over them.
-func (n *Node) closeForwardedByEnding() {
+// forgetEndingForwarders closes the idle connections that are forwarded by nodes that are stopping, so that
+// these can end, and by nodes that are isolated or gone, so that no request is sent over them.
+func (n *Node) forgetEndingForwarders() {
 	if !n.pool.HasIdleForwarded() {
 		return
 	}
--- a/entry/node.go
+++ b/entry/node.go
@@ -383,7 +383,7 @@
 	for n.sleep(housekeepingInterval) {
 		last = n.detectSuspension(last, housekeepingInterval)
 		n.pool.Sweep()
-		n.closeForwardedByEnding()
+		n.forgetEndingForwarders()
 		n.endRestoreWindow()
 		n.removeUnconfirmed()
 		n.dropVersionsOfDeadPeers()
