--- a/transport/peer/server.go
+++ b/transport/peer/server.go
@@ -177,7 +177,7 @@
 	if err := writer.write(ctx, reply); err != nil || stream == nil {
 		if stream != nil {
 			_ = connection.Close()
-			stream(connection)
+			stream(connection) // it ends at once and frees what it holds
 		}
 		return
 	}
