--- a/lab/platformsim/replica.go
+++ b/lab/platformsim/replica.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -166,6 +167,11 @@
 	return runs
 }
 
+// Unfinished returns copies of the requests that the replica is running, in the order of their start.
+func (r *Replica) Unfinished() []Run {
+	return slices.DeleteFunc(r.Runs(), func(run Run) bool { return run.finished })
+}
+
 // Arrivals returns the number of requests that reached the replica, run or not.
 func (r *Replica) Arrivals() int { r.mutex.Lock(); defer r.mutex.Unlock(); return len(r.arrivals) }
 
