entry, replicahttp: open direct connections in one place, and forget connections by key

Cause: the last read of the change found one thing written twice. connectDirect and dialReplica both dialed a replica and recorded the connect; forward and replicahttp set SO_LINGER by the same lines; Pool.Connect was called by tests alone; and Pool.Forget walked the idle connections of all replicas where it had taken one key before connections were forwarded.

Change: connectDirect uses dialReplica and adds the connection to the pool, which no longer dials; network.ResetOnClose serves both packages; Forget and ForgetDirect take the keys of their replica. thornwalk_connections_opened no longer counts connects that failed; connects.* count them by outcome.

TestConnectFailsIfNothingListens checked the dial of the pool, which is gone; TestDialIsRefusedIfNothingListens checks the dial that took its place, and also that the error says refused, on which attempts rely. TestForgetClosesTheConnectionsOfItsReplicaOnly is new. No behaviour towards callers or replicas is meant to change.

--- a/entry/node.go
+++ b/entry/node.go
@@ -197,7 +197,7 @@
 func New(settings *Settings, dependencies Dependencies) *Node {
 	n := &Node{
 		dependencies: dependencies, log: dependencies.Log, metrics: metrics.NewRegistry(),
-		pool: replicahttp.NewPool(dependencies.Network), peers: peer.NewClient(dependencies.Network, nil),
+		pool: replicahttp.NewPool(), peers: peer.NewClient(dependencies.Network, nil),
 		table: replicas.NewTable(), evacuations: evacuations.NewTable(), rollouts: rollouts.NewTable(), members: liveness.NewTable(settings.Name), relays: liveness.NewRelays(rand.IntN), health: replicahealth.NewTracker(), paths: reachability.NewTracker(rand.Float64), pushback: pushback.NewTracker(), zones: zones.NewTracker(),
 		assignments: map[string]assignment{}, peerUsage: map[string]receivedUsage{}, loggedProblems: map[string]bool{}, term: 1, storeFailedAt: -time.Hour, lastActiveAt: -time.Hour, selectedAt: -time.Hour, peersRequestedAt: -time.Hour,
 		parts: dissemination.NewPartStore(), sendLimiter: dissemination.NewSendLimiter(settings.LinkMbps),
--- a/entry/replica_paths.go
+++ b/entry/replica_paths.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -88,19 +89,16 @@
 	return conn, nil
 }
 
-// connectDirect opens a direct connection to the replica.
+// connectDirect opens a direct connection to the replica for requests.
 func (n *Node) connectDirect(ctx context.Context, replica replicas.Replica, timeout time.Duration) (*replicahttp.Conn, error) {
-	dialContext, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	startedAt := n.now()
-	conn, err := n.pool.Dial(dialContext, replica.ID, replica.Address)
-	if err == nil || ctx.Err() == nil {
-		n.recordConnect(replica.ID, err, n.now()-startedAt)
+	opened, err := n.dialReplica(ctx, replica, timeout)
+	if err != nil {
+		return nil, errkind.Wrap(errkind.NoReplica, fmt.Errorf("connect to %s: %w", replica.Address, err))
 	}
-	return conn, err
+	return n.pool.AddDirect(opened, replica.ID), nil
 }
 
-// dialReplica opens a direct connection to the replica outside of the pool.
+// dialReplica opens a direct connection to the replica and records what the connect shows of the path.
 func (n *Node) dialReplica(ctx context.Context, replica replicas.Replica, timeout time.Duration) (net.Conn, error) {
 	dialContext, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
@@ -123,7 +121,7 @@
 	n.isPathSilent.Store(outcome == connectTimedOut)
 	if outcome == connectTimedOut {
 		// A request on an open connection may be lost as well.
-		n.pool.ForgetDirect(func(id string) bool { return id == replica })
+		n.pool.ForgetDirect(replica)
 	}
 	n.handlePathChange(replica, change, eventlog.Event{Reason: string(outcome), TookMS: took.Milliseconds()})
 }
@@ -150,7 +148,7 @@
 		return
 	}
 	if change == reachability.Partitioned && n.isPathSilent.Load() {
-		n.pool.ForgetDirect(func(string) bool { return true })
+		n.pool.ForgetAllDirect()
 	}
 	n.mutex.Lock()
 	event.Count = len(n.paths.Lost())
--- a/transport/forward/forward.go
+++ b/transport/forward/forward.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"github.com/thornwalk/thornwalk/protocol/errkind"
+	"github.com/thornwalk/thornwalk/transport/network"
 )
 
 const (
@@ -48,7 +49,8 @@
 	go func() {
 		defer close(done)
 		if err := forwardRequests(node, replica); err != io.EOF {
-			setNoLinger(replica)
+			// What the node has given up must not reach the replica any more.
+			network.ResetOnClose(replica)
 		}
 		_ = replica.Close()
 	}()
@@ -61,13 +63,6 @@
 	_ = node.Close()
 }
 
-// setNoLinger makes a close reset the connection: what the node has given up must not be sent any more.
-func setNoLinger(connection net.Conn) {
-	if withLinger, ok := connection.(interface{ SetLinger(seconds int) error }); ok {
-		_ = withLinger.SetLinger(0)
-	}
-}
-
 // forwardRequests copies bytes to the replica until the node's connection ends, and returns io.EOF if the node
 // closed it. If the replica takes no more, the rest is discarded, as the replica's response may still be on its way
 // to the node.
--- a/transport/network/network.go
+++ b/transport/network/network.go
@@ -23,6 +23,14 @@
 // listens at the address.
 func IsRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
 
+// ResetOnClose makes a later Close reset the connection, so that the kernel doesn't go on sending what was
+// written. It has no effect on connections without that option.
+func ResetOnClose(connection net.Conn) {
+	if withLinger, ok := connection.(interface{ SetLinger(seconds int) error }); ok {
+		_ = withLinger.SetLinger(0)
+	}
+}
+
 // TCP is the operating system's network.
 type TCP struct {
 	// SilenceLimit is how long the other side may send nothing at all, not even acknowledgements,
--- a/transport/network/sockets_test.go
+++ b/transport/network/sockets_test.go
@@ -45,3 +45,16 @@
 		g.Expect(option(g, connection, syscall.TCP_KEEPCNT)).To(gomega.Equal(maxUnansweredProbes))
 	}
 }
+
+// Guards against a request that is taken for sent although nothing listens: the connect itself must fail, as
+// refused.
+func TestDialIsRefusedIfNothingListens(t *testing.T) {
+	g := gomega.NewWithT(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	address := listener.Addr().String()
+	g.Expect(listener.Close()).To(gomega.Succeed())
+	_, err = TCP{SilenceLimit: 3 * time.Second}.Dial(context.Background(), address)
+	g.Expect(err).To(gomega.HaveOccurred())
+	g.Expect(IsRefused(err)).To(gomega.BeTrue())
+}
--- a/transport/replicahttp/doc.go
+++ b/transport/replicahttp/doc.go
@@ -4,7 +4,6 @@
 //
 // Guarantees:
 //   - One Exchange writes a request at most once.
-//   - An error of Connect proves that no byte of the request was written.
 //   - An answer with the ID of another request is never returned.
 //   - An exchange that is given up resets its connection, so that nothing of it is sent later.
 //   - A connection is reused only after a complete answer that no further bytes follow.
--- a/transport/replicahttp/pool.go
+++ b/transport/replicahttp/pool.go
@@ -2,9 +2,7 @@
 
 import (
 	"bufio"
-	"context"
 	"errors"
-	"fmt"
 	"net"
 	"strconv"
 	"strings"
@@ -12,7 +10,6 @@
 	"syscall"
 	"time"
 
-	"github.com/thornwalk/thornwalk/protocol/errkind"
 	"github.com/thornwalk/thornwalk/transport/network"
 )
 
@@ -31,11 +28,10 @@
 
 // Pool keeps idle connections to replicas. It is safe for concurrent use.
 type Pool struct {
-	network network.Network
-	mutex   sync.Mutex
-	idle    map[poolKey][]*Conn
-	opened  uint64
-	reused  uint64
+	mutex  sync.Mutex
+	idle   map[poolKey][]*Conn
+	opened uint64
+	reused uint64
 }
 
 // poolKey identifies the idle connections that can replace each other.
@@ -45,8 +41,8 @@
 }
 
 // NewPool returns an empty pool. Callers must call Sweep regularly to close expired connections.
-func NewPool(network network.Network) *Pool {
-	return &Pool{network: network, idle: map[poolKey][]*Conn{}}
+func NewPool() *Pool {
+	return &Pool{idle: map[poolKey][]*Conn{}}
 }
 
 // Conn is a connection to a replica, for one exchange at a time.
@@ -65,22 +61,10 @@
 // abort resets the connection. A close would have the kernel go on sending what a silent path holds back, so that
 // a request could reach the replica long after it was given up.
 func (c *Conn) abort() {
-	if withLinger, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
-		_ = withLinger.SetLinger(0)
-	}
+	network.ResetOnClose(c.Conn)
 	_ = c.Close()
 }
 
-// Connect returns a direct connection that has been idle for less than maxIdle and is still open, or a new
-// one. An error, of kind NoReplica, proves that nothing was sent. The replica's ID identifies its
-// incarnation, so that a new replica at a reused address gets no connection of the previous one.
-func (p *Pool) Connect(ctx context.Context, replica, address string, maxIdle time.Duration) (*Conn, error) {
-	if idle := p.TakeIdle(replica, maxIdle); idle != nil {
-		return idle, nil
-	}
-	return p.Dial(ctx, replica, address)
-}
-
 // TakeIdle removes and returns a direct connection that has been idle for less than maxIdle and is still
 // open, or nil.
 func (p *Pool) TakeIdle(replica string, maxIdle time.Duration) *Conn {
@@ -107,14 +91,11 @@
 	}
 }
 
-// Dial opens a direct connection. An error, of kind NoReplica, proves that nothing was sent.
-func (p *Pool) Dial(ctx context.Context, replica, address string) (*Conn, error) {
+// AddDirect returns a new direct connection to the replica. The replica's ID identifies its incarnation, so that a
+// new replica at a reused address gets no connection of the previous one.
+func (p *Pool) AddDirect(opened net.Conn, replica string) *Conn {
 	p.count(&p.opened)
-	opened, err := p.network.Dial(ctx, address)
-	if err != nil {
-		return nil, errkind.Wrap(errkind.NoReplica, fmt.Errorf("connect to %s: %w", address, err))
-	}
-	return newConn(opened, poolKey{replica: replica}), nil
+	return newConn(opened, poolKey{replica: replica})
 }
 
 // AddForwarded returns a new connection that the named peer forwards to the replica.
@@ -135,7 +116,7 @@
 	p.mutex.Unlock()
 }
 
-// Counts returns the numbers of dials and of reuses of idle connections.
+// Counts returns the numbers of new connections and of reuses of idle ones.
 func (p *Pool) Counts() (opened, reused uint64) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
@@ -179,12 +160,27 @@
 
 // Forget closes the idle connections to the replica.
 func (p *Pool) Forget(replica string) {
-	p.closeIdleIf(func(conn *Conn) bool { return conn.key.replica == replica })
+	p.ForgetDirect(replica)
+	p.closeAll(poolKey{replica: replica, isForwarded: true})
+}
+
+// ForgetDirect closes the idle direct connections to the replica.
+func (p *Pool) ForgetDirect(replica string) { p.closeAll(poolKey{replica: replica}) }
+
+// ForgetAllDirect closes the idle direct connections to all replicas.
+func (p *Pool) ForgetAllDirect() {
+	p.closeIdleIf(func(conn *Conn) bool { return !conn.key.isForwarded })
 }
 
-// ForgetDirect closes the idle direct connections to the replicas for which matches returns true.
-func (p *Pool) ForgetDirect(matches func(replica string) bool) {
-	p.closeIdleIf(func(conn *Conn) bool { return !conn.key.isForwarded && matches(conn.key.replica) })
+// closeAll closes the idle connections of the key.
+func (p *Pool) closeAll(key poolKey) {
+	p.mutex.Lock()
+	closing := p.idle[key]
+	delete(p.idle, key)
+	p.mutex.Unlock()
+	for _, conn := range closing {
+		_ = conn.Close()
+	}
 }
 
 // HasIdleForwarded reports whether any idle connection is forwarded.
--- a/transport/replicahttp/replicahttp_test.go
+++ b/transport/replicahttp/replicahttp_test.go
@@ -37,7 +37,17 @@
 	return listener.Addr().String()
 }
 
-func newPool() *Pool { return NewPool(network.TCP{SilenceLimit: 3 * time.Second}) }
+// connect returns an idle connection to the replica, or a new one.
+func connect(ctx context.Context, pool *Pool, address string) (*Conn, error) {
+	if idle := pool.TakeIdle("replica", time.Minute); idle != nil {
+		return idle, nil
+	}
+	opened, err := network.TCP{SilenceLimit: 3 * time.Second}.Dial(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	return pool.AddDirect(opened, "replica"), nil
+}
 
 // exchange sends one request and returns its answer, the body, and whether the connection was
 // reused.
@@ -45,7 +55,7 @@
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	t.Cleanup(cancel)
-	conn, err := pool.Connect(ctx, "replica", address, time.Minute)
+	conn, err := connect(ctx, pool, address)
 	if err != nil {
 		return nil, "", false, err
 	}
@@ -85,7 +95,7 @@
 			reply(conn, completeAnswer)
 		}
 	})
-	pool := newPool()
+	pool := NewPool()
 	_, _, reused, err := exchange(t, pool, address, "body")
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(reused).To(gomega.BeFalse())
@@ -110,7 +120,7 @@
 					reply(conn, text)
 				}
 			})
-			pool := newPool()
+			pool := NewPool()
 			for range 3 {
 				_, content, reused, err := exchange(t, pool, address, "body")
 				g.Expect(err).NotTo(gomega.HaveOccurred())
@@ -140,7 +150,7 @@
 					}
 				}
 			})
-			pool := newPool()
+			pool := NewPool()
 			_, _, _, err := exchange(t, pool, address, "body")
 			g.Expect(err).NotTo(gomega.HaveOccurred())
 			close(proceed)
@@ -159,7 +169,7 @@
 			reply(conn, strings.Replace(completeAnswer, "me", "other", 1)+completeAnswer)
 		}
 	})
-	answer, content, _, err := exchange(t, newPool(), address, "body")
+	answer, content, _, err := exchange(t, NewPool(), address, "body")
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(answer.Header.Get("Id")).To(gomega.Equal("me"))
 	g.Expect(content).To(gomega.Equal("ok"))
@@ -181,7 +191,7 @@
 				reply(conn, text)
 				_ = conn.Close()
 			})
-			_, _, _, err := exchange(t, newPool(), address, "body")
+			_, _, _, err := exchange(t, NewPool(), address, "body")
 			gomega.NewWithT(t).Expect(err).To(gomega.HaveOccurred())
 		})
 	}
@@ -196,23 +206,47 @@
 			reply(conn, completeAnswer)
 		}
 	})
-	pool := newPool()
+	pool := NewPool()
 	_, content, _, err := exchange(t, pool, address, strings.Repeat("x", 32<<20))
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(content).To(gomega.Equal("ok"))
 	g.Expect(pool.takeIdle(poolKey{replica: "replica"})).To(gomega.BeNil())
 }
 
-// A connection that can't be established must fail in Connect, whose error proves that nothing was
-// sent.
-func TestConnectFailsIfNothingListens(t *testing.T) {
-	g := gomega.NewWithT(t)
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	g.Expect(err).NotTo(gomega.HaveOccurred())
-	address := listener.Addr().String()
-	_ = listener.Close()
-	_, err = newPool().Connect(context.Background(), "replica", address, time.Minute)
-	g.Expect(err).To(gomega.HaveOccurred())
+// Guards against connections that stay idle although their replica or the path to it was found at fault, and
+// against closing those of others.
+func TestForgetClosesTheConnectionsOfItsReplicaOnly(t *testing.T) {
+	for name, test := range map[string]struct {
+		forget                                      func(pool *Pool)
+		keepsDirect, keepsForwarded, keepsElsewhere bool
+	}{
+		"replica":             {func(pool *Pool) { pool.Forget("replica") }, false, false, true},
+		"direct":              {func(pool *Pool) { pool.ForgetDirect("replica") }, false, true, true},
+		"direct to every one": {(*Pool).ForgetAllDirect, false, true, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			pool := NewPool()
+			var ends []net.Conn
+			add := func(add func(opened net.Conn) *Conn) {
+				ours, replicas := net.Pipe()
+				ends = append(ends, replicas)
+				pool.putIdle(add(ours), "timeout=60")
+			}
+			add(func(opened net.Conn) *Conn { return pool.AddDirect(opened, "replica") })
+			add(func(opened net.Conn) *Conn { return pool.AddForwarded(opened, "replica", "peer") })
+			add(func(opened net.Conn) *Conn { return pool.AddDirect(opened, "other") })
+			test.forget(pool)
+			g.Expect(pool.TakeIdle("replica", time.Minute) != nil).To(gomega.Equal(test.keepsDirect), "direct")
+			g.Expect(pool.TakeIdleForwarded("replica", time.Minute) != nil).To(gomega.Equal(test.keepsForwarded), "forwarded")
+			g.Expect(pool.TakeIdle("other", time.Minute) != nil).To(gomega.Equal(test.keepsElsewhere), "of another replica")
+			for i, isKept := range []bool{test.keepsDirect, test.keepsForwarded, test.keepsElsewhere} {
+				_ = ends[i].SetReadDeadline(time.Now().Add(10 * time.Millisecond)) // fails if the other end is closed
+				_, err := ends[i].Read(make([]byte, 1))
+				g.Expect(err == io.EOF).To(gomega.Equal(!isKept), "closed")
+			}
+		})
+	}
 }
 
 // Guards against a request that reaches the replica long after it was given up, because a silent path held its
@@ -231,10 +265,10 @@
 				_, err := reader.ReadByte()
 				ended <- err
 			})
-			pool := newPool()
+			pool := NewPool()
 			ctx, cancel := context.WithCancel(context.Background())
 			defer cancel()
-			conn, err := pool.Connect(ctx, "replica", address, time.Minute)
+			conn, err := connect(ctx, pool, address)
 			g.Expect(err).NotTo(gomega.HaveOccurred())
 			answer, err := pool.Exchange(ctx, conn, &Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}, IDHeader: "Id", ID: "me"})
 			g.Expect(err).NotTo(gomega.HaveOccurred())
