soak: don't judge cut nodes while all other nodes are suspended

Change: calls at cut nodes don't count while each of the other nodes is suspended during a part of them. Nodes that are killed, restarted or in a planned stop change nothing, and the bounds stand.

--- a/lab/soak/cuts.go
+++ b/lab/soak/cuts.go
@@ -86,6 +86,9 @@
 			}
 			counted := &atOthers
 			if slices.Contains(cut.fault.nodes, call.node) {
+				if i.areAllOthersSuspended(cut.fault.nodes, call.span) {
+					continue
+				}
 				counted = &atCut
 			}
 			counted.sent++
@@ -102,6 +105,17 @@
 	}
 }
 
+// areAllOthersSuspended reports whether each node outside of the cut was suspended during a part of the span, so that
+// no node could reach replicas throughout it.
+func (i *injector) areAllOthersSuspended(cutNodes []int, call span) bool {
+	for node := range nodeCount {
+		if !slices.Contains(cutNodes, node) && !slices.ContainsFunc(i.suspensions[node], call.overlaps) {
+			return false
+		}
+	}
+	return true
+}
+
 // isNodeDisturbed reports whether the node's process ended or was suspended around the span.
 func (i *injector) isNodeDisturbed(node int, around span) bool {
 	widened := span{around.from.Add(-cutGraceTime), around.to}
