test: add a failing test of the planned stop of the only node with paths to replicas

Nodes 0 and 2 had lost their paths, node 1 got its SIGTERM 0.9 s before the cut ended. It served its own callers for three more seconds, and forwarded no connection from the signal on: all requests of the other two ended with no-replica.

--- a/test/entry/forwarding_test.go
+++ b/test/entry/forwarding_test.go
@@ -202,6 +202,24 @@
 	})
 }
 
+// Guards against nodes without paths that reject their callers although the only node with paths serves its own:
+// it is in a planned stop.
+func TestStoppingNodeForwardsWhereThereAreNoOthers(t *testing.T) {
+	const servingTime = 2 * time.Second // a stopping node serves its callers for longer than that
+	runPathScenario(t, func(s *pathScenario) {
+		listed := fleetHosts[1:]
+		s.cutAndDetect(listed, memnet.CutReset)
+		var stop sync.WaitGroup
+		stop.Go(s.deployment.Node(fleetHosts[0]).Stop)
+		load := pathLoad{rate: 60, duration: servingTime, callPaths: mixedPaths}
+		atListed, atOthers := load.run(s, listed)
+		stop.Wait()
+		t.Logf("first tries served at nodes without a path: %d of %d, at the stopping node: %d of %d", atListed.served, atListed.sent, atOthers.served, atOthers.sent)
+		s.Expect(atListed.sent - atListed.served).To(gomega.BeNumerically("<=", atListed.mayFail()))
+		s.Expect(atListed.servedShare()).To(gomega.BeNumerically(">=", atOthers.servedShare()*2/3))
+	})
+}
+
 // disturbForwarders kills, suspends and cuts nodes in turn for the duration, drawn with the seed.
 func (s *pathScenario) disturbForwarders(random *rand.Rand, duration time.Duration) {
 	for end := time.Now().Add(duration); time.Now().Before(end); {
