entry: forward connections in a planned stop as long as the node serves its own callers

Cause: a node said from the first moment of its stop that it forwards nothing, and peers did not ask it. But it serves new requests until the balancer has taken it out, for 2.5 s, and waits for the end of forwarded connections as for its own.

Change: a stopping node forwards for these 2.5 s, and peers choose it after all others. Idle connections over it are closed as before, so that it can end. Class of the fault: a property of the whole node (it leaves) was used where that of one more request counts.

ChooseForwarder's test says the order.

--- a/coordination/reachability/reachability_test.go
+++ b/coordination/reachability/reachability_test.go
@@ -243,6 +243,11 @@
 	g.Expect(chosen.Name).To(gomega.Equal("far"), "rather than a slow one")
 	chosen, _ = ChooseForwarder(slow, "east", "east", none, func(int) int { return 0 })
 	g.Expect(chosen.Name).To(gomega.Equal("slow"), "rather than none")
+	stopping := []Forwarder{{Name: "stopping", Zone: "east", Free: 256, IsStopping: true}}
+	chosen, _ = ChooseForwarder(append(stopping, slow...), "east", "east", none, func(int) int { return 0 })
+	g.Expect(chosen.Name).To(gomega.Equal("slow"), "rather than a stopping one")
+	chosen, _ = ChooseForwarder(append(stopping, candidates[3]), "east", "east", none, func(int) int { return 0 })
+	g.Expect(chosen.Name).To(gomega.Equal("stopping"), "rather than none")
 	_, found = ChooseForwarder(candidates[3:], "east", "east", none, func(int) int { return 0 })
 	g.Expect(found).To(gomega.BeFalse(), "without room")
 }
--- a/entry/forwarding.go
+++ b/entry/forwarding.go
@@ -58,7 +58,7 @@
 	forwardRefused
 	// forwardUnreached means that the peer did not reach the replica either.
 	forwardUnreached
-	// forwardUnavailable means that the peer forwards no connections now: it is stopping, isolated from
+	// forwardUnavailable means that the peer forwards no connections now: it is about to end, isolated from
 	// the replicas itself or forwards as many as it may.
 	forwardUnavailable
 	// forwardExcluded means that the replica must get no requests as far as the peer knows, or is
@@ -96,10 +96,10 @@
 	return nil
 }
 
-// forwardCapacity returns the number of further connections that this node forwards. The caller holds the
-// mutex.
+// forwardCapacity returns the number of further connections that this node forwards. In a planned stop it
+// forwards as long as it serves new requests of its own callers. The caller holds the mutex.
 func (n *Node) forwardCapacity() int {
-	if n.stoppingSince.Load() != 0 || n.paths.IsIsolated() {
+	if n.stoppingFor() > balancerUpdateTime || n.paths.IsIsolated() {
 		return 0
 	}
 	return max(maxForwardedConnections-int(n.forwarded.Load()), 0)
@@ -166,8 +166,11 @@
 func (n *Node) forwarders(now structs.Instant) []reachability.Forwarder {
 	var found []reachability.Forwarder
 	for _, member := range n.members.Live(now) {
-		if member.ForwardCapacity > 0 && !member.Leaving {
-			found = append(found, reachability.Forwarder{Name: member.Name, Address: member.Address, Zone: member.Zone, Free: member.ForwardCapacity, IsSlow: member.Slow})
+		if member.ForwardCapacity > 0 {
+			found = append(found, reachability.Forwarder{
+				Name: member.Name, Address: member.Address, Zone: member.Zone, Free: member.ForwardCapacity,
+				IsSlow: member.Slow, IsStopping: member.Leaving,
+			})
 		}
 	}
 	if !n.isLarge {
