entry: give each silent node its turn among five rounds of heartbeats

Cause: two nodes that regard each other as failed only get the heartbeats to silent nodes, one in five. The five were counted by a sequence that all members of a round and the heartbeat itself advance, and requests too. In a fleet with a multiple of five nodes, such as 40, a round advances it by a multiple of five: the same members got all heartbeats and four in five members none.

Change: each member has its own turn, by the order in which members were added, and rounds have a counter of their own.

--- a/coordination/liveness/liveness.go
+++ b/coordination/liveness/liveness.go
@@ -170,6 +170,8 @@
 	suspected       bool
 	confirmed       bool
 	addedAt         structs.Instant
+	// ordinal is the number of members that the table had added before.
+	ordinal uint64
 }
 
 // missedHeartbeats is the number of consecutive heartbeats that a node may miss until it counts
@@ -198,6 +200,8 @@
 	sortedByName []*Member
 	// unconfirmedCount is the number of members that sent no heartbeat yet.
 	unconfirmedCount int
+	// addedCount is the number of members that were ever added.
+	addedCount uint64
 }
 
 // NewTable returns an empty table for the node self.
@@ -245,6 +249,8 @@
 
 // add keeps the members sorted on insertion, because they are iterated far more often.
 func (t *Table) add(member *Member) {
+	member.ordinal = t.addedCount
+	t.addedCount++
 	t.members[member.Name] = member
 	index, _ := slices.BinarySearchFunc(t.sortedByName, member.Name, compareName)
 	t.sortedByName = slices.Insert(t.sortedByName, index, member)
@@ -269,6 +275,10 @@
 	}
 }
 
+// IsDue reports whether it is the member's turn in the round if each member has its turn in one of the given number
+// of rounds. It has it once in as many consecutive rounds, whatever members come and go.
+func (m *Member) IsDue(round, rounds uint64) bool { return (round+m.ordinal)%rounds == 0 }
+
 // Suspected reports whether the member was marked by Suspect and has not been cleared since.
 func (m *Member) Suspected() bool { return m.suspected }
 
--- a/coordination/liveness/liveness_test.go
+++ b/coordination/liveness/liveness_test.go
@@ -1,6 +1,7 @@
 package liveness
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -79,3 +80,27 @@
 	g.Expect(table.PossiblyRunning(100 * time.Millisecond)).To(gomega.HaveLen(1))
 	g.Expect(table.PossiblyRunning(1600 * time.Millisecond)).To(gomega.BeEmpty())
 }
+
+// Guards against members that never have their turn, or have it too often, while others are added.
+func TestEachMemberHasItsTurnOnceInFiveRounds(t *testing.T) {
+	const rounds = 5
+	g := gomega.NewWithT(t)
+	table := NewTable("self")
+	lastTurns := map[string]uint64{}
+	for round := range uint64(100) {
+		table.AddPeer(0, Peer{Name: fmt.Sprint("n", round%40)})
+		for _, member := range table.All(0) {
+			if !member.IsDue(round, rounds) {
+				continue
+			}
+			if last, found := lastTurns[member.Name]; found {
+				g.Expect(round-last).To(gomega.BeEquivalentTo(rounds), member.Name)
+			}
+			lastTurns[member.Name] = round
+		}
+	}
+	g.Expect(lastTurns).To(gomega.HaveLen(40))
+	for name, last := range lastTurns {
+		g.Expect(last).To(gomega.BeNumerically(">=", 100-rounds), name)
+	}
+}
--- a/entry/heartbeats.go
+++ b/entry/heartbeats.go
@@ -190,15 +190,16 @@
 	return addresses
 }
 
-// silentNodeAddresses returns the addresses of the silent nodes that get the next heartbeat: they
+// silentNodeAddresses begins a round and returns the addresses of the silent nodes that get its heartbeat: they
 // may be back, or a partition may have healed. In a large fleet all of them get each heartbeat while
 // roles change, as a new delegate knows its zone's nodes by name only, but never more than
 // maxSilentRecipients. The caller holds the mutex.
 func (n *Node) silentNodeAddresses(now structs.Instant) []string {
 	var addresses []string
+	n.heartbeatRounds++
 	for _, member := range n.members.All(now) {
 		isWanted := !n.isLarge || !member.NonDelegate || member.Zone == n.settings.Load().Zone
-		isDue := n.isLarge && n.isSettling(now) || n.sequence.Add(1)%silentNodeRounds == 0
+		isDue := n.isLarge && n.isSettling(now) || member.IsDue(n.heartbeatRounds, silentNodeRounds)
 		if isWanted && !member.Suspected() && member.SinceHeartbeat(now) >= member.FailureTimeout() && isDue {
 			addresses = append(addresses, member.Address)
 		}
--- a/entry/node.go
+++ b/entry/node.go
@@ -120,12 +120,14 @@
 	evacuations *evacuations.Table
 	rollouts    *rollouts.Table
 	// policies states which versions get new requests, for services where not all do.
-	policies      map[string]rollouts.VersionPolicy
-	members       *liveness.Table
-	relays        *liveness.Relays
-	incomingPeers incomingPeerList
-	discovered    discoveredPeers
-	health        *replicahealth.Tracker
+	policies map[string]rollouts.VersionPolicy
+	members  *liveness.Table
+	relays   *liveness.Relays
+	// heartbeatRounds counts the heartbeats to the recipients of all zones.
+	heartbeatRounds uint64
+	incomingPeers   incomingPeerList
+	discovered      discoveredPeers
+	health          *replicahealth.Tracker
 	// paths tracks which replicas this node reaches.
 	paths           *reachability.Tracker
 	namedForwarders namedForwarders
