lab: keep the log lines of several nodes apart

Cause: a node's event log passes on full buffers of 8 KiB, which end within a line. The lab writes the logs of all nodes into one, so that bursts of more than that at several nodes mixed lines, and tests that read the log failed on them: 7 of 20 plays of a new test of a large fleet, "invalid character 't' after object key". Change: lab/entrylab passes on whole lines for each node. Daemons have a log each.

--- a/lab/entrylab/entrylab.go
+++ b/lab/entrylab/entrylab.go
@@ -113,7 +113,11 @@
 	d.mutex.Lock()
 	d.lastIncarnation++
 	incarnation := d.lastIncarnation
-	log := eventlog.New(host, d.options.Log)
+	var writer io.Writer // nil discards
+	if d.options.Log != nil {
+		writer = &lineWriter{writer: d.options.Log}
+	}
+	log := eventlog.New(host, writer)
 	d.closers = append(d.closers, log.Close)
 	d.mutex.Unlock()
 	hostNetwork := d.options.Network(host)
