--- a/test/entry/event_log_test.go
+++ b/test/entry/event_log_test.go
@@ -28,11 +28,21 @@
 	return b.buffer.Write(content)
 }
 
+// size returns the number of bytes logged so far.
+func (b *logBuffer) size() int {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.buffer.Len()
+}
+
 // reader returns a reader of a copy of the logs.
-func (b *logBuffer) reader() io.Reader {
+func (b *logBuffer) reader() io.Reader { return b.readerFrom(0) }
+
+// readerFrom returns a reader of a copy of the logs without the first bytes.
+func (b *logBuffer) readerFrom(offset int) io.Reader {
 	b.mutex.Lock()
 	defer b.mutex.Unlock()
-	return bytes.NewReader(bytes.Clone(b.buffer.Bytes()))
+	return bytes.NewReader(bytes.Clone(b.buffer.Bytes()[offset:]))
 }
 
 // requestHistory returns the operators' report on the request, built from the nodes' logs.
--- a/test/entry/relay_failures_test.go
+++ b/test/entry/relay_failures_test.go
@@ -65,11 +65,10 @@
 	}},
 }
 
-// schedulerChangesAt describes the scheduler changes that the nodes logged after the first skipped ones of all
-// nodes.
-func (s *relayScenario) schedulerChangesAt(nodes []string, skipped int) []string {
+// schedulerChangesAt describes the scheduler changes that the nodes logged from the offset on.
+func (s *relayScenario) schedulerChangesAt(nodes []string, offset int) []string {
 	var changes []string
-	for _, event := range s.loggedEvents("scheduler")[skipped:] {
+	for _, event := range s.loggedEventsFrom(offset, "scheduler") {
 		if slices.Contains(nodes, event.Node) {
 			changes = append(changes, fmt.Sprintf("%s at %d ms: %s, %s", event.Node, event.Uptime, event.Peer, event.Detail))
 		}
@@ -101,7 +100,7 @@
 				runRelaysWithNodes(t, nodes, func(s *relayScenario) {
 					scheduler := s.scheduler()
 					running := slices.Clone(s.nodes)
-					before := s.schedulerChanges()
+					offset := s.logs.size()
 					for _, failed := range failure.steps(s, scheduler) {
 						for _, node := range failed {
 							s.fabric.Pause(node)
@@ -110,9 +109,38 @@
 						s.checkRunningNodes(scheduler, running, relayFailureStep)
 					}
 					s.checkRunningNodes(scheduler, running, relayFailureWatchTime)
-					s.Expect(s.schedulerChangesAt(running, before)).To(gomega.BeEmpty(), "scheduler changes at running nodes")
+					s.Expect(s.schedulerChangesAt(running, offset)).To(gomega.BeEmpty(), "scheduler changes at running nodes")
 				})
 			})
 		}
 	}
 }
+
+// Guards against nodes of a large fleet that lose the scheduling node when most delegates fail, which
+// relay its heartbeats.
+func TestRunningNodesOfALargeFleetKeepTheirSchedulingNodeWhenDelegatesFail(t *testing.T) {
+	for _, together := range []bool{true, false} {
+		t.Run(fmt.Sprintf("at once %v", together), func(t *testing.T) {
+			runLargeFleet(t, largeNodes, func(s *relayScenario) {
+				scheduler := s.scheduler()
+				running, left := slices.Clone(s.nodes), map[string]bool{}
+				offset := s.logs.size()
+				for _, node := range s.delegates() {
+					if node == scheduler || !left[zoneOf(node)] {
+						left[zoneOf(node)] = true
+						continue
+					}
+					s.fabric.Pause(node)
+					running = slices.DeleteFunc(running, func(other string) bool { return other == node })
+					if !together {
+						time.Sleep(relayFailureStep)
+					}
+				}
+				time.Sleep(relayFailureWatchTime)
+				t.Logf("%d of %d nodes run", len(running), largeNodes)
+				s.Expect(s.schedulerChangesAt(running, offset)).To(gomega.BeEmpty(), "scheduler changes at running nodes")
+				s.Expect(s.schedulers(running)).To(gomega.Equal([]string{scheduler}))
+			})
+		})
+	}
+}
--- a/test/entry/scenario_test.go
+++ b/test/entry/scenario_test.go
@@ -218,10 +218,13 @@
 }
 
 // loggedEvents returns the events of the kind in the logs of all nodes.
-func (s *scenario) loggedEvents(kind string) []eventlog.Event {
+func (s *scenario) loggedEvents(kind string) []eventlog.Event { return s.loggedEventsFrom(0, kind) }
+
+// loggedEventsFrom returns the events of the kind in the logs without the first bytes.
+func (s *scenario) loggedEventsFrom(offset int, kind string) []eventlog.Event {
 	time.Sleep(10 * time.Millisecond) // lets the log writers finish
 	var found []eventlog.Event
-	decoder := json.NewDecoder(s.logs.reader())
+	decoder := json.NewDecoder(s.logs.readerFrom(offset))
 	for decoder.More() {
 		var event eventlog.Event
 		s.Expect(decoder.Decode(&event)).To(gomega.Succeed())
