entry: log why the scheduling node changes and when relays fail

Cause: a scheduling node that was missed for a second and one that failed left the same lines: "moved", without a reason. The loss of relays left none.

--- a/coordination/liveness/relay.go
+++ b/coordination/liveness/relay.go
@@ -98,16 +98,22 @@
 // In a large fleet only the delegates of a zone can be its relays, as they alone know all its
 // nodes; a zone without a live delegate gets direct heartbeats.
 func (r *Relays) Recipients(now structs.Instant, ownZone string, live []*Member, isLarge bool) Recipients {
-	return r.recipients(now, ownZone, live, isLarge, true)
+	return r.recipients(heartbeatRound{now: now, isLarge: isLarge, isPeriodic: true}, ownZone, live)
 }
 
 // ExtraRecipients returns the addresses for a heartbeat between the periodic ones. Confirmations of the previous
 // one may still arrive, so that it does not count as unconfirmed.
 func (r *Relays) ExtraRecipients(now structs.Instant, ownZone string, live []*Member, isLarge bool) Recipients {
-	return r.recipients(now, ownZone, live, isLarge, false)
+	return r.recipients(heartbeatRound{now: now, isLarge: isLarge}, ownZone, live)
 }
 
-func (r *Relays) recipients(now structs.Instant, ownZone string, live []*Member, isLarge, isPeriodic bool) Recipients {
+// heartbeatRound is the sending of one heartbeat to all zones, in a large or a small fleet.
+type heartbeatRound struct {
+	now                 structs.Instant
+	isLarge, isPeriodic bool
+}
+
+func (r *Relays) recipients(round heartbeatRound, ownZone string, live []*Member) Recipients {
 	var recipients Recipients
 	zones := map[string][]*Member{}
 	for _, member := range live {
@@ -118,33 +124,41 @@
 		zones[member.Zone] = append(zones[member.Zone], member)
 	}
 	for zone, members := range zones {
-		relays := members
-		if isLarge {
-			relays = Delegates(members)
-		}
-		if len(relays) == 0 || !isLarge && len(members) < minZoneNodesForRelay {
+		if relays := round.possibleRelays(members); len(relays) > 0 {
+			r.addZone(&recipients, round, zone, members, relays)
+		} else {
 			recipients.Direct = append(recipients.Direct, addresses(members)...)
-			continue
 		}
-		r.addZone(&recipients, now, zone, members, relays, isLarge, isPeriodic)
 	}
 	return recipients
 }
 
-// addZone adds the recipients in a zone with these live members, of which some can be relays.
-func (r *Relays) addZone(recipients *Recipients, now structs.Instant, zone string, members, relays []*Member, isLarge, isPeriodic bool) {
+// possibleRelays returns those of a zone's live members that can relay heartbeats to it; none if the zone gets
+// direct heartbeats.
+func (r *heartbeatRound) possibleRelays(members []*Member) []*Member {
+	switch {
+	case r.isLarge:
+		return Delegates(members)
+	case len(members) < minZoneNodesForRelay:
+		return nil
+	default:
+		return members
+	}
+}
+
+// addZone adds the recipients in a zone with these live members.
+func (r *Relays) addZone(recipients *Recipients, round heartbeatRound, zone string, members, relays []*Member) {
 	state, found := r.zones[zone]
 	if !found {
 		state = &zoneRelay{asked: map[string]bool{}}
 		r.zones[zone] = state
 	}
 	state.nodeCount, state.wideLinkNames = zoneSize(members), namesWithWideLinks(relays)
-	isOverdue := state.isOverdue(isPeriodic)
-	if isPeriodic && isOverdue {
-		recipients.Unconfirmed = append(recipients.Unconfirmed, UnconfirmedZone{Zone: zone, Relay: state.name, Heartbeats: state.unconfirmedHeartbeats})
-	}
-	sendsDirectly := isLarge && state.sendsDirectly()
-	if isPeriodic {
+	isOverdue, sendsDirectly := state.isOverdue(round.isPeriodic), round.isLarge && state.sendsDirectly()
+	if round.isPeriodic {
+		if isOverdue {
+			recipients.Unconfirmed = append(recipients.Unconfirmed, UnconfirmedZone{Zone: zone, Relay: state.name, Heartbeats: state.unconfirmedHeartbeats})
+		}
 		state.unconfirmedHeartbeats++
 		state.broadcastCredit = min(state.broadcastCredit+1, maxBroadcastCredit)
 	}
@@ -152,9 +166,9 @@
 		recipients.Direct = append(recipients.Direct, addresses(members)...)
 		return
 	}
-	chosen := r.chooseRelays(now, state, relays, isOverdue)
+	chosen := r.chooseRelays(round.now, state, relays, isOverdue)
 	recipients.Relays = append(recipients.Relays, addresses(chosen)...)
-	if isPeriodic && isOverdue && !isLarge && state.spendBroadcast() {
+	if round.isPeriodic && isOverdue && !round.isLarge && state.spendBroadcast() {
 		recipients.Broadcasts++
 		recipients.Direct = append(recipients.Direct, addresses(without(members, chosen))...)
 	}
@@ -168,8 +182,13 @@
 	return result
 }
 
+// where returns the members for which keep returns true, in the same order.
+func where(members []*Member, keep func(*Member) bool) []*Member {
+	return slices.DeleteFunc(slices.Clone(members), func(member *Member) bool { return !keep(member) })
+}
+
 func without(members, excluded []*Member) []*Member {
-	return slices.DeleteFunc(slices.Clone(members), func(member *Member) bool { return slices.Contains(excluded, member) })
+	return where(members, func(member *Member) bool { return !slices.Contains(excluded, member) })
 }
 
 // zoneSize returns the number of live nodes in a zone: of a large fleet's zone the sender may know only
@@ -211,7 +230,10 @@
 // chooseRelays returns the confirmed relay of the zone, or some candidates if there is none or its
 // confirmation is overdue.
 func (r *Relays) chooseRelays(now structs.Instant, state *zoneRelay, members []*Member, isOverdue bool) []*Member {
-	chosen := slices.DeleteFunc(slices.Clone(members), func(member *Member) bool { return isOverdue || member.Name != state.name })
+	var chosen []*Member
+	if !isOverdue {
+		chosen = where(members, func(member *Member) bool { return member.Name == state.name })
+	}
 	if len(chosen) == 0 {
 		chosen = r.pickCandidates(now, state, members)
 	}
@@ -235,19 +257,19 @@
 // with the most recent heartbeats. Members that were not asked since the last confirmation go first, so that
 // each is asked after a bounded number of heartbeats.
 func (r *Relays) pickCandidates(now structs.Instant, state *zoneRelay, members []*Member) []*Member {
-	isAsked := func(member *Member) bool { return state.asked[member.Name] }
-	if !slices.ContainsFunc(members, func(member *Member) bool { return !isAsked(member) }) {
+	members = slices.Clone(members)
+	slices.SortStableFunc(members, func(a, b *Member) int { return cmp.Compare(a.SinceHeartbeat(now), b.SinceHeartbeat(now)) })
+	notAsked := where(members, func(member *Member) bool { return !state.asked[member.Name] })
+	if len(notAsked) == 0 {
 		state.askedRounds++
 		clear(state.asked)
+		notAsked = members
+	}
+	drawn := r.drawRecent(where(notAsked, func(member *Member) bool { return slices.Contains(state.wideLinkNames, member.Name) }), 1)
+	for _, others := range [][]*Member{notAsked, members} {
+		drawn = append(drawn, r.drawRecent(without(others, drawn), relayCandidateCount-len(drawn))...)
 	}
-	remaining := slices.Clone(members)
-	slices.SortStableFunc(remaining, func(a, b *Member) int { return cmp.Compare(a.SinceHeartbeat(now), b.SinceHeartbeat(now)) })
-	hasNarrowLink := func(member *Member) bool { return !slices.Contains(state.wideLinkNames, member.Name) }
-	drawn := r.drawRecent(slices.DeleteFunc(slices.Clone(remaining), func(member *Member) bool { return isAsked(member) || hasNarrowLink(member) }), 1)
-	remaining = without(remaining, drawn)
-	drawn = append(drawn, r.drawRecent(slices.DeleteFunc(slices.Clone(remaining), isAsked), relayCandidateCount-len(drawn))...)
-	remaining = without(remaining, drawn)
-	return append(drawn, r.drawRecent(remaining, relayCandidateCount-len(drawn))...)
+	return drawn
 }
 
 // drawRecent returns up to count random members of the most recently received ones. The members are
--- a/coordination/liveness/relay_exploration_test.go
+++ b/coordination/liveness/relay_exploration_test.go
@@ -177,7 +177,7 @@
 func (m *relayModel) sendHeartbeat(variant *relayVariant, isPeriodic bool, visit visitRelayState) {
 	for _, preferred := range m.preferences() {
 		relays := m.relays()
-		recipients := relays.recipients(time.Second, "own", m.members(preferred), false, isPeriodic)
+		recipients := relays.recipients(heartbeatRound{now: time.Second, isPeriodic: isPeriodic}, "own", m.members(preferred))
 		isRelayUsed := len(recipients.Relays) == 1
 		if variant != nil {
 			variant.change(m, &recipients)
--- a/entry/node.go
+++ b/entry/node.go
@@ -122,7 +122,9 @@
 	// policies states which versions get new requests, for services where not all do.
 	policies map[string]rollouts.VersionPolicy
 	members  *liveness.Table
-	relays   *liveness.Relays
+	// failedScheduler is kept to tell a node that was missed for a short time from one that failed.
+	failedScheduler failedScheduler
+	relays          *liveness.Relays
 	// heartbeatRounds counts the heartbeats to the recipients of all zones.
 	heartbeatRounds uint64
 	incomingPeers   incomingPeerList
--- a/entry/scheduler_selection.go
+++ b/entry/scheduler_selection.go
@@ -143,6 +143,10 @@
 	if schedulerChanged || current.isNonDelegate != previous.isNonDelegate {
 		n.roleAt = now
 	}
+	var change eventlog.Event
+	if schedulerChanged {
+		change = n.describeSchedulerChange(now, previous.scheduler)
+	}
 	n.mutex.Unlock()
 	if restoresLevels {
 		n.scheduling.restoreBucketLevels(levelsUntil, levels, quotaShare)
@@ -152,7 +156,7 @@
 			n.logRetryBudget()
 		}
 		n.scheduling.setActive(current.scheduler == settings.Name)
-		n.log.Write(eventlog.Event{Kind: "scheduler", Peer: current.scheduler, Outcome: "moved", Detail: "from " + previous.scheduler, Count: current.size.Live})
+		n.log.Write(change)
 	}
 	if current.isNonDelegate != previous.isNonDelegate {
 		n.announceRole(current, roleTime)
--- a/test/entry/relay_failures_test.go
+++ b/test/entry/relay_failures_test.go
@@ -144,3 +144,66 @@
 		})
 	}
 }
+
+// Guards against logs in which a scheduling node that was missed for a short time looks like one that failed.
+func TestLogTellsAMissedSchedulingNodeFromAFailedOne(t *testing.T) {
+	runRelaysWithNodes(t, 9, func(s *relayScenario) {
+		reasons := func(node string, offset int) []string {
+			var found []string
+			for _, event := range s.loggedEventsFrom(offset, "scheduler") {
+				if event.Node == node {
+					found = append(found, event.Reason)
+				}
+			}
+			return found
+		}
+		scheduler := s.scheduler()
+		follower := s.nodesWhere(scheduler, func(string, int) bool { return true })[0]
+		offset := s.logs.size()
+		s.fabric.Partition([]string{scheduler}, []string{follower})
+		time.Sleep(time.Second)
+		s.Expect(reasons(follower, offset)).To(gomega.Equal([]string{"silent"}))
+		s.fabric.Heal()
+		time.Sleep(pairReunionTime)
+		s.Expect(reasons(follower, offset)).To(gomega.Equal([]string{"silent", "heard-again"}))
+		offset = s.logs.size()
+		s.deployment.Node(scheduler).Kill()
+		time.Sleep(settleTime)
+		s.Expect(reasons(follower, offset)).To(gomega.Equal([]string{"silent"}))
+		offset = s.logs.size()
+		s.Expect(s.deployment.StartNode(scheduler, zoneOf(scheduler))).To(gomega.Succeed())
+		time.Sleep(settleTime)
+		s.Expect(reasons(follower, offset)).To(gomega.Equal([]string{"preferred"}))
+	})
+}
+
+// Guards against relays that fail without a trace in the logs.
+func TestLogTellsWhenRelaysFailAndWhoRelaysThen(t *testing.T) {
+	runRelays(t, func(s *relayScenario) {
+		scheduler := s.scheduler()
+		failing := s.nodesWhere(scheduler, func(_ string, rank int) bool { return rank < 5 })
+		offset := s.logs.size()
+		time.Sleep(settleTime)
+		s.Expect(s.loggedEventsFrom(offset, "relay")).To(gomega.BeEmpty(), "while all relays run")
+		for _, node := range failing {
+			s.fabric.Pause(node)
+		}
+		time.Sleep(2 * relayFailureStep)
+		unconfirmed := map[string]bool{}
+		confirmed := 0
+		for _, event := range s.loggedEventsFrom(offset, "relay") {
+			if slices.Contains(failing, event.Node) {
+				continue
+			}
+			if event.Outcome == "unconfirmed" {
+				s.Expect(failing).To(gomega.ContainElement(event.Peer))
+				unconfirmed[event.Node+event.Detail] = true
+				continue
+			}
+			s.Expect(failing).NotTo(gomega.ContainElement(event.Peer))
+			s.Expect(unconfirmed).To(gomega.HaveKey(event.Node + event.Detail))
+			confirmed++
+		}
+		s.Expect(confirmed).To(gomega.BeNumerically(">", 0))
+	})
+}
