liveness: ask one node at a time in a zone that never confirms

Change: once all live nodes of a zone of a small fleet were asked twice, heartbeats go to one at a time, in turn.

--- a/coordination/liveness/relay.go
+++ b/coordination/liveness/relay.go
@@ -166,7 +166,7 @@
 		recipients.Direct = append(recipients.Direct, addresses(members)...)
 		return
 	}
-	chosen := r.chooseRelays(round.now, state, relays, isOverdue)
+	chosen := r.chooseRelays(round, state, relays, isOverdue)
 	recipients.Relays = append(recipients.Relays, addresses(chosen)...)
 	if round.isPeriodic && isOverdue && !round.isLarge && state.spendBroadcast() {
 		recipients.Broadcasts++
@@ -216,11 +216,14 @@
 	return z.unconfirmedHeartbeats >= relayFailureThreshold && (z.unconfirmedHeartbeats+1)%relayRetryHeartbeats != 0
 }
 
+// isUnanswered reports whether all live nodes of the zone were asked maxAskedRounds times without
+// confirmation: those that run can't be reached, or can't answer, and are not worth much traffic.
+func (z *zoneRelay) isUnanswered() bool { return z.askedRounds >= maxAskedRounds }
+
 // spendBroadcast reports whether to send this heartbeat to all live nodes of the zone, and if so spends the
-// credit for it. It does not once all were asked to relay more than once: those that run can't be reached,
-// or can't answer, and are not worth the traffic.
+// credit for it.
 func (z *zoneRelay) spendBroadcast() bool {
-	if z.askedRounds >= maxAskedRounds || z.broadcastCredit < broadcastCost {
+	if z.isUnanswered() || z.broadcastCredit < broadcastCost {
 		return false
 	}
 	z.broadcastCredit -= broadcastCost
@@ -229,13 +232,17 @@
 
 // chooseRelays returns the confirmed relay of the zone, or some candidates if there is none or its
 // confirmation is overdue.
-func (r *Relays) chooseRelays(now structs.Instant, state *zoneRelay, members []*Member, isOverdue bool) []*Member {
+func (r *Relays) chooseRelays(round heartbeatRound, state *zoneRelay, members []*Member, isOverdue bool) []*Member {
 	var chosen []*Member
 	if !isOverdue {
 		chosen = where(members, func(member *Member) bool { return member.Name == state.name })
 	}
 	if len(chosen) == 0 {
-		chosen = r.pickCandidates(now, state, members)
+		count := relayCandidateCount
+		if !round.isLarge && state.isUnanswered() {
+			count = 1
+		}
+		chosen = r.pickCandidates(round.now, state, members, count)
 	}
 	for _, member := range chosen {
 		state.asked[member.Name] = true
@@ -253,10 +260,10 @@
 	return names
 }
 
-// pickCandidates returns one of the members with a wide link and others, all of them drawn from those
+// pickCandidates returns count members, one with a wide link and others, all of them drawn from those
 // with the most recent heartbeats. Members that were not asked since the last confirmation go first, so that
 // each is asked after a bounded number of heartbeats.
-func (r *Relays) pickCandidates(now structs.Instant, state *zoneRelay, members []*Member) []*Member {
+func (r *Relays) pickCandidates(now structs.Instant, state *zoneRelay, members []*Member, count int) []*Member {
 	members = slices.Clone(members)
 	slices.SortStableFunc(members, func(a, b *Member) int { return cmp.Compare(a.SinceHeartbeat(now), b.SinceHeartbeat(now)) })
 	notAsked := where(members, func(member *Member) bool { return !state.asked[member.Name] })
@@ -267,7 +274,7 @@
 	}
 	drawn := r.drawRecent(where(notAsked, func(member *Member) bool { return slices.Contains(state.wideLinkNames, member.Name) }), 1)
 	for _, others := range [][]*Member{notAsked, members} {
-		drawn = append(drawn, r.drawRecent(without(others, drawn), relayCandidateCount-len(drawn))...)
+		drawn = append(drawn, r.drawRecent(without(others, drawn), count-len(drawn))...)
 	}
 	return drawn
 }
--- a/coordination/liveness/relay_test.go
+++ b/coordination/liveness/relay_test.go
@@ -201,6 +201,9 @@
 			broadcasts = append(broadcasts, heartbeat)
 		}
 		g.Expect(len(recipients.Unconfirmed)).To(gomega.Equal(min(heartbeat, 1)))
+		if heartbeat > 2*20/relayCandidateCount+2 {
+			g.Expect(recipients.Relays).To(gomega.HaveLen(1))
+		}
 	}
 	g.Expect(broadcasts).To(gomega.Equal([]int{1, 2, 4, 7, 10, 13}))
 }
