liveness: explore every choice of the one node that is asked at a time

Cause: the exploration tried one order of the nodes where a single one is asked, as that was the confirmed relay. Change: orders are left out only if the confirmed relay is used.

--- a/coordination/liveness/relay_exploration_test.go
+++ b/coordination/liveness/relay_exploration_test.go
@@ -182,8 +182,9 @@
 func (m *relayModel) sendHeartbeat(variant *relayVariant, isPeriodic bool, visit visitRelayState) {
 	for _, preferred := range m.preferences() {
 		relays := m.relays()
+		state := relays.zones["other"]
+		usesRelay := state.name != "" && !state.isOverdue(isPeriodic)
 		recipients := relays.recipients(heartbeatRound{now: time.Second, isPeriodic: isPeriodic}, "own", m.members(preferred))
-		isRelayUsed := len(recipients.Relays) == 1
 		if variant != nil {
 			variant.change(m, &recipients)
 		}
@@ -193,7 +194,7 @@
 		}
 		sent.record(relays)
 		sent.deliver(&recipients, isPeriodic, visit)
-		if isRelayUsed {
+		if usesRelay {
 			return // the other preferences have the same recipients
 		}
 	}
