liveness, lab: choose the confirmed relay without a copy, and say three things once

No behavior changes. - chooseRelays copied a zone's members with every heartbeat to find the confirmed relay, also in calm; it looks it up now. - isHeardAgain checked for an empty name that can't be one of a known member. - lineWriter had two paths for a partial line, and entrylab a branch for a log that nobody wants: one of each. - test/entry: others() replaces three loops that leave out one node, and schedulerChangesAt returns events, which the test of reasons collected by a loop of its own. Checks are the same. Measured: the tests of coordination/liveness and lab/entrylab, and five plays each of the tests of relays, silent nodes, scheduler changes and heartbeat traffic pass.

--- a/coordination/liveness/relay.go
+++ b/coordination/liveness/relay.go
@@ -234,10 +234,9 @@
 // confirmation is overdue.
 func (r *Relays) chooseRelays(round heartbeatRound, state *zoneRelay, members []*Member, isOverdue bool) []*Member {
 	var chosen []*Member
-	if !isOverdue {
-		chosen = where(members, func(member *Member) bool { return member.Name == state.name })
-	}
-	if len(chosen) == 0 {
+	if index := slices.IndexFunc(members, func(member *Member) bool { return member.Name == state.name }); index >= 0 && !isOverdue {
+		chosen = members[index : index+1]
+	} else {
 		count := relayCandidateCount
 		if !round.isLarge && state.isUnanswered() {
 			count = 1
--- a/entry/scheduler_change.go
+++ b/entry/scheduler_change.go
@@ -68,5 +68,5 @@
 // ago. The caller holds the mutex.
 func (n *Node) isHeardAgain(now structs.Instant, incarnation uint64) bool {
 	failed := n.failedScheduler
-	return failed.name == n.scheduler && failed.incarnation == incarnation && failed.name != "" && now-failed.at < schedulerReturnTime
+	return failed.name == n.scheduler && failed.incarnation == incarnation && now-failed.at < schedulerReturnTime
 }
--- a/lab/entrylab/entrylab.go
+++ b/lab/entrylab/entrylab.go
@@ -69,6 +69,9 @@
 
 // Start starts the store and the nodes. After an error, what was started is left running.
 func Start(options Options) (*Deployment, error) {
+	if options.Log == nil {
+		options.Log = io.Discard
+	}
 	d := &Deployment{options: options, Store: platformsim.NewStore(), nodes: map[string]*entry.Node{}}
 	listener, err := options.Network(options.StoreHost).Listen(hostAddress(options.StoreHost, storePort))
 	if err != nil {
@@ -113,11 +116,7 @@
 	d.mutex.Lock()
 	d.lastIncarnation++
 	incarnation := d.lastIncarnation
-	var writer io.Writer // nil discards
-	if d.options.Log != nil {
-		writer = &lineWriter{writer: d.options.Log}
-	}
-	log := eventlog.New(host, writer)
+	log := eventlog.New(host, &lineWriter{writer: d.options.Log})
 	d.closers = append(d.closers, log.Close)
 	d.mutex.Unlock()
 	hostNetwork := d.options.Network(host)
--- a/lab/entrylab/line_writer.go
+++ b/lab/entrylab/line_writer.go
@@ -9,21 +9,15 @@
 // concurrent use.
 type lineWriter struct {
 	writer io.Writer
-	// partial is the beginning of a line.
+	// partial is the beginning of a line that is not passed on yet.
 	partial []byte
 }
 
 // Write implements io.Writer.
 func (w *lineWriter) Write(content []byte) (int, error) {
-	end := bytes.LastIndexByte(content, '\n') + 1
-	if end == 0 {
-		w.partial = append(w.partial, content...)
-		return len(content), nil
-	}
-	lines := append(w.partial, content[:end]...)
-	w.partial = bytes.Clone(content[end:])
-	if _, err := w.writer.Write(lines); err != nil {
-		return 0, err
-	}
-	return len(content), nil
+	w.partial = append(w.partial, content...)
+	end := bytes.LastIndexByte(w.partial, '\n') + 1
+	_, err := w.writer.Write(w.partial[:end])
+	w.partial = append(w.partial[:0], w.partial[end:]...)
+	return len(content), err
 }
--- a/test/entry/relay_failures_test.go
+++ b/test/entry/relay_failures_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/onsi/gomega"
+
+	"github.com/thornwalk/thornwalk/internal/eventlog"
 )
 
 const (
@@ -30,10 +32,7 @@
 func (s *relayScenario) nodesWhere(scheduler string, matches func(node string, rank int) bool) []string {
 	var selected []string
 	ranks := map[string]int{}
-	for _, node := range s.nodes {
-		if node == scheduler {
-			continue
-		}
+	for _, node := range s.others(scheduler) {
 		if matches(node, ranks[zoneOf(node)]) {
 			selected = append(selected, node)
 		}
@@ -42,6 +41,11 @@
 	return selected
 }
 
+// others returns the nodes other than the given one.
+func (s *relayScenario) others(node string) []string {
+	return slices.DeleteFunc(slices.Clone(s.nodes), func(other string) bool { return other == node })
+}
+
 var relayFailures = []relayFailure{
 	{name: "half of all nodes", steps: func(s *relayScenario, scheduler string) [][]string {
 		return [][]string{s.nodesWhere(scheduler, func(_ string, rank int) bool { return rank%2 == 0 })}
@@ -65,26 +69,18 @@
 	}},
 }
 
-// schedulerChangesAt describes the scheduler changes that the nodes logged from the offset on.
-func (s *relayScenario) schedulerChangesAt(nodes []string, offset int) []string {
-	var changes []string
-	for _, event := range s.loggedEventsFrom(offset, "scheduler") {
-		if slices.Contains(nodes, event.Node) {
-			changes = append(changes, fmt.Sprintf("%s at %d ms: %s, %s", event.Node, event.Uptime, event.Peer, event.Detail))
-		}
-	}
-	return changes
+// schedulerChangesAt returns the scheduler changes that the nodes logged from the offset on.
+func (s *relayScenario) schedulerChangesAt(nodes []string, offset int) []eventlog.Event {
+	changes := s.loggedEventsFrom(offset, "scheduler")
+	return slices.DeleteFunc(changes, func(event eventlog.Event) bool { return !slices.Contains(nodes, event.Node) })
 }
 
-// checkRunningNodes checks for the time that the scheduling node and the running nodes hear each other.
+// checkRunningNodes checks for the time that the scheduling node and the other running nodes hear each other.
 func (s *relayScenario) checkRunningNodes(scheduler string, running []string, duration time.Duration) {
 	for range duration / livenessCheckInterval {
 		time.Sleep(livenessCheckInterval)
 		status := s.deployment.Node(scheduler).Status()
 		for _, node := range running {
-			if node == scheduler {
-				continue
-			}
 			s.Expect(status.Live).To(gomega.ContainElement(node), "live nodes at the scheduling node")
 			s.Expect(s.deployment.Node(node).Status().Live).To(gomega.ContainElement(scheduler), "live nodes at %s", node)
 		}
@@ -99,7 +95,7 @@
 			t.Run(fmt.Sprintf("%d nodes, %s", nodes, failure.name), func(t *testing.T) {
 				runRelaysWithNodes(t, nodes, func(s *relayScenario) {
 					scheduler := s.scheduler()
-					running := slices.Clone(s.nodes)
+					running := s.others(scheduler)
 					offset := s.logs.size()
 					for _, failed := range failure.steps(s, scheduler) {
 						for _, node := range failed {
@@ -109,7 +105,7 @@
 						s.checkRunningNodes(scheduler, running, relayFailureStep)
 					}
 					s.checkRunningNodes(scheduler, running, relayFailureWatchTime)
-					s.Expect(s.schedulerChangesAt(running, offset)).To(gomega.BeEmpty(), "scheduler changes at running nodes")
+					s.Expect(s.schedulerChangesAt(append(running, scheduler), offset)).To(gomega.BeEmpty(), "scheduler changes at running nodes")
 				})
 			})
 		}
@@ -150,15 +146,13 @@
 	runRelaysWithNodes(t, 9, func(s *relayScenario) {
 		reasons := func(node string, offset int) []string {
 			var found []string
-			for _, event := range s.loggedEventsFrom(offset, "scheduler") {
-				if event.Node == node {
-					found = append(found, event.Reason)
-				}
+			for _, event := range s.schedulerChangesAt([]string{node}, offset) {
+				found = append(found, event.Reason)
 			}
 			return found
 		}
 		scheduler := s.scheduler()
-		follower := s.nodesWhere(scheduler, func(string, int) bool { return true })[0]
+		follower := s.others(scheduler)[0]
 		offset := s.logs.size()
 		s.fabric.Partition([]string{scheduler}, []string{follower})
 		time.Sleep(time.Second)
--- a/test/entry/silent_nodes_test.go
+++ b/test/entry/silent_nodes_test.go
@@ -21,8 +21,7 @@
 // first pair has the scheduling node.
 func (s *relayScenario) cutPairs() [][2]string {
 	scheduler := s.scheduler()
-	rest := slices.DeleteFunc(slices.Clone(s.nodes), func(node string) bool { return node == scheduler })
-	rest = append([]string{scheduler}, rest...)
+	rest := append([]string{scheduler}, s.others(scheduler)...)
 	var pairs [][2]string
 	for len(rest) > 1 {
 		partner := slices.IndexFunc(rest, func(node string) bool { return crossesZones(rest[0], node) })
