entry: log the software version of replicas and what resumed streams name

Cause: callers saw streams that held events of two software versions of one service. The lines of a request name the replica, not its version, and neither tell that a send continues a stream within its answer nor that the caller takes a stream up. So the log can't tell a continuation by the node from one by the caller.

Change: replica_version in request.placed and request.sent, last_event in a send that continues a stream, resumes and last_event in request.received, and a counter of each kind.

--- a/entry/request_log.go
+++ b/entry/request_log.go
@@ -44,6 +44,11 @@
 	event := c.newEvent("request.received")
 	event.Version, event.Prompt, event.Answer = version, c.promptTokens, c.expectedOutputTokens()
 	event.RemainingMS = c.remaining().Milliseconds()
+	names := &c.node.dependencies.Headers
+	event.ResumedRequest, event.LastEvent = c.request.Header.Get(names.ResumedRequest), c.request.Header.Get(names.LastEvent)
+	if event.ResumedRequest != "" || event.LastEvent != "" {
+		c.node.counter("streams.resumed_by_caller").Inc(1)
+	}
 	c.logEvent(event)
 }
 
@@ -61,7 +66,7 @@
 			event.RetryAfterMS = granted.retryAfter().Milliseconds()
 		}
 	} else {
-		event.Outcome, event.Replica = "granted", granted.Replica.ID
+		event.Outcome, event.Replica, event.ReplicaVersion = "granted", granted.Replica.ID, granted.Replica.Version
 		event.Revision, event.Era = granted.Replica.Position.Revision(), granted.Replica.Position.Era()
 	}
 	c.logEvent(event)
@@ -70,7 +75,11 @@
 // logSend logs and counts the outcome of one send.
 func (c *call) logSend(granted *grant, outcome result) {
 	event := c.newEvent("request.sent")
-	event.Replica, event.Outcome, event.Peer = granted.Replica.ID, outcome.String(), granted.scheduler
+	event.Replica, event.ReplicaVersion, event.Outcome, event.Peer = granted.Replica.ID, granted.Replica.Version, outcome.String(), granted.scheduler
+	if c.resumed {
+		event.LastEvent = c.lastEventID
+		c.node.counter("streams.continued").Inc(1)
+	}
 	event.Revision, event.Era = granted.Replica.Position.Revision(), granted.Replica.Position.Era()
 	event.Count, event.Reason, event.Forwarder = c.sends, string(c.lastFailure), c.forwarder
 	event.Detail = c.connectError
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -30,7 +30,13 @@
 	Tenant      string `json:"tenant,omitempty"`
 	Service     string `json:"service,omitempty"`
 	Replica     string `json:"replica,omitempty"`
-	Peer        string `json:"peer,omitempty"`
+	// ReplicaVersion is the version of the replica's software.
+	ReplicaVersion string `json:"replica_version,omitempty"`
+	// ResumedRequest and LastEvent are what is known of the stream that the request resumes: the ID of the
+	// request that began it, and the ID of the last event that the caller has.
+	ResumedRequest string `json:"resumes,omitempty"`
+	LastEvent      string `json:"last_event,omitempty"`
+	Peer           string `json:"peer,omitempty"`
 	// Forwarder is the node that forwarded the connection of a send, if that was not direct.
 	Forwarder string `json:"forwarder,omitempty"`
 	// Outcome is answered, not-run or unknown for requests, and the new state for other events.
--- a/outside/directory.go
+++ b/outside/directory.go
@@ -133,6 +133,9 @@
 	Load string
 	// LastEvent is the number of the last event of a stream that the caller received.
 	LastEvent string
+	// ResumedRequest is the ID of the request whose response brought the first event of the stream that
+	// the caller resumes.
+	ResumedRequest string
 	// Model is the name of the requested model. PromptPrefix identifies the leading parts of the
 	// prompt.
 	Model, PromptPrefix string
