--- a/lab/platformsim/replica.go
+++ b/lab/platformsim/replica.go
@@ -102,7 +102,8 @@
 // Replica is a server of one service. Its methods are safe for concurrent use.
 type Replica struct {
 	ID, Service, Address, Zone string
-	// Version is the version in its entry; empty means v1.
+	// Version is the version in its entry; empty means v1. If it is set, each event of a stream names it in a
+	// comment.
 	Version string
 	// StartedAt is the time of its start in Unix milliseconds; zero leaves it out of the entry.
 	StartedAt int64
@@ -427,6 +428,7 @@
 		if run.LastEventID != "" {
 			event = Event(id, number)
 		}
+		event = r.versionComment() + event
 		if behavior == Cut && number > r.Events/2 {
 			writeText(conn, chunk(event[:len(event)/2]))
 			return false
@@ -439,6 +441,16 @@
 	return writeText(conn, "0\r\n\r\n")
 }
 
+// VersionComment is the prefix of the comment by which an event names the version of its replica.
+const VersionComment = ": version "
+
+func (r *Replica) versionComment() string {
+	if r.Version == "" {
+		return ""
+	}
+	return VersionComment + r.Version + "\n"
+}
+
 func chunk(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
 
 // responseHead returns the status line and common headers of a response. Without a run it contains no
