streams: let a stream go on only at the software version that began it

Cause: callers got streams with events of two software versions of one service, within one answer and over their tries. Nothing bound a stream to a version: a continuation asked for any replica, the name that callers send was read nowhere, and the assignment dropped the version that it knew.

Change: the node that relays the first event records the version of the replica, once, before the caller has the event, and reports it to up to six nodes that a hash of the stream's name chooses. A node at which a caller resumes a stream asks these; without a record the stream goes on only where the service has had one version since it can have begun, and is refused otherwise. The check stands just before the send, so it does not depend on what the scheduling node knows. Requests bound to a version go first where others can go elsewhere.

Why it holds: a record is written when the event is there and never changes, so messages that are late, lost or repeated leave it right or missing, and what is missing is refused.

--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"slices"
 	"time"
 
 	"github.com/thornwalk/thornwalk/coordination/poison"
@@ -31,6 +32,21 @@
 	responseTime time.Duration
 	// isOverloaded is true if its priority is overloaded in the current round.
 	isOverloaded bool
+	// isConfined is true if the request is bound to a version and the service has replicas of others in the
+	// current round.
+	isConfined bool
+}
+
+// isBound reports whether only replicas of one version may run the request.
+func (r *queuedRequest) isBound() bool { return r.Version != "" }
+
+// markConfined determines which queued requests are confined to a part of the replicas.
+func (p *servicePool) markConfined() {
+	for _, request := range p.queue {
+		request.isConfined = request.isBound() && slices.ContainsFunc(p.replicas, func(state *replicaState) bool {
+			return state.entry.Version != request.Version
+		})
+	}
 }
 
 // assignment is a request that was assigned to a replica and has not ended.
--- a/coordination/admission/canary.go
+++ b/coordination/admission/canary.go
@@ -72,9 +72,9 @@
 }
 
 // chooseCanary returns the canary for the request and consumes budget for it, or returns nil. A request
-// that was tried elsewhere before gets no canary.
+// that was tried elsewhere before, or is bound to a version, gets no canary.
 func (s *Scheduler) chooseCanary(now structs.Instant, request *queuedRequest, snapshot *poolSnapshot, remaining time.Duration) *replicaSnapshot {
-	if len(snapshot.canaries) == 0 || len(request.Tried) > 0 {
+	if len(snapshot.canaries) == 0 || len(request.Tried) > 0 || request.isBound() {
 		return nil
 	}
 	pool := s.pool(request.Service)
--- a/coordination/admission/decide.go
+++ b/coordination/admission/decide.go
@@ -47,6 +47,7 @@
 func (s *Scheduler) decidePool(now structs.Instant, service string, decisions []Decision) []Decision {
 	pool := s.pools[service]
 	snapshot := s.snapshot(now, service)
+	pool.markConfined()
 	s.sortQueue(now, pool)
 	undecided := pool.queue[:0]
 	queuedAhead := 0
@@ -67,7 +68,9 @@
 		}
 		if !done {
 			undecided = append(undecided, request)
-			queuedAhead++
+			if !request.isConfined {
+				queuedAhead++
+			}
 			continue
 		}
 		if decision.Reason != ReasonNone {
@@ -97,7 +100,8 @@
 	}
 }
 
-// sortByTarget orders requests by priority, then those that can still meet their target before late
+// sortByTarget orders requests by priority, then those confined to a part of the
+// replicas, as others can go elsewhere, then those that can still meet their target before late
 // ones. The former are ordered by the length of their answers, shortest first, but those of an
 // underserved length band before all others; late ones by the time their target ended.
 func sortByTarget(now structs.Instant, queue []*queuedRequest) {
@@ -110,6 +114,9 @@
 		if a.Priority != b.Priority {
 			return a.Priority < b.Priority
 		}
+		if a.isConfined != b.isConfined {
+			return a.isConfined
+		}
 		if a.late != b.late {
 			return b.late
 		}
@@ -131,6 +138,9 @@
 	eligible := snapshot.eligible(now, &request.Request, pauses)
 	if len(eligible) == 0 && len(snapshot.replicas) > 0 {
 		decision.Reason, decision.RetryAfter = ReasonNoReplica, minRetryAfter
+		if request.isBound() {
+			decision.Reason = ReasonNoVersion
+		}
 		if paused := snapshot.eligible(now, &request.Request, nil); len(paused) > 0 {
 			decision.Reason, decision.RetryAfter = ReasonPaused, max(pauses.shortestRemaining(now, paused), minRetryAfter)
 		}
@@ -152,6 +162,9 @@
 	}
 	if replica := s.chooseReplica(now, request, snapshot, eligible, remaining); replica != nil {
 		snapshot.updateCounts(replica)
+		if budget := s.pool(request.Service).canaryBudget; replica.isBudgeted && budget != nil {
+			budget.Consume(request.Route)
+		}
 		s.assign(now, request, replica, &decision)
 		return decision, true
 	}
@@ -162,6 +175,9 @@
 		decision.Reason = ReasonNoSlot
 		return decision, true
 	}
+	if request.isConfined {
+		return Decision{}, false // the rules against overload look at all replicas
+	}
 	if s.policy.FeasibleOrder {
 		if s.pools[request.Service].isHopeless(request, snapshot, decision.Waited, queuedAhead) {
 			decision.Reason = ReasonBacklog
@@ -226,11 +242,12 @@
 // should wait. It skips replicas where the request would miss its target if another one could still
 // meet it, and at first those where its prompt would delay other streams too long.
 func (s *Scheduler) chooseReplica(now structs.Instant, request *queuedRequest, snapshot *poolSnapshot, eligible []*replicaSnapshot, remaining time.Duration) *replicaSnapshot {
-	if len(request.Tried) == 0 && snapshot.hasNoPreferredSlot(len(request.Doubted)) {
+	isRestricted := len(request.Tried) > 0 || request.isBound()
+	if !isRestricted && snapshot.hasNoPreferredSlot(len(request.Doubted)) {
 		return nil
 	}
 	view := s.suspectView(snapshot, request.suspects)
-	if view.freeSlots <= 0 && view.preferredReplicas > 0 && len(request.Tried) == 0 {
+	if view.freeSlots <= 0 && view.preferredReplicas > 0 && !isRestricted {
 		return nil
 	}
 	if request.Yields && float64(snapshot.freeSlots) <= reservedSlotShare*float64(snapshot.totalSlots) && request.PromptTokens > 0 {
--- a/coordination/admission/feasible.go
+++ b/coordination/admission/feasible.go
@@ -148,7 +148,8 @@
 	return p.freeSlots <= 0
 }
 
-// sortFeasible classifies the requests and orders them by priority, then those in time before late ones,
+// sortFeasible classifies the requests and orders them by priority, then those confined to a part of the
+// replicas, as others can go elsewhere, then those in time before late ones,
 // then callers that returned when told before others. Requests in time are ordered by the length of their
 // responses, shortest first, but those of an underserved length band before all others. Among equals the
 // newest goes first if the priority is overloaded, as the oldest would then be served just too late.
@@ -168,6 +169,9 @@
 		if order := cmp.Compare(a.Priority, b.Priority); order != 0 {
 			return order
 		}
+		if a.isConfined != b.isConfined {
+			return trueFirst(a.isConfined)
+		}
 		if a.late != b.late {
 			return trueFirst(b.late)
 		}
--- a/coordination/admission/messages.go
+++ b/coordination/admission/messages.go
@@ -47,6 +47,9 @@
 	HasReservation bool `msgpack:"-"`
 	// Fingerprint is equal for requests with the same content.
 	Fingerprint fingerprint.Fingerprint `msgpack:"Content"`
+	// Version is the only version of the replicas' software at which the request may run; empty means any. It is set
+	// for streams whose callers have events. Scheduling nodes of earlier releases ignore it.
+	Version string `msgpack:",omitempty"`
 	// Tried holds the replicas that were tried before. They are not chosen again.
 	Tried []string
 	// Doubted holds the replicas that the node suspects. They are chosen only if there are no others.
@@ -71,6 +74,8 @@
 	ReasonNone Reason = ""
 	// ReasonNoReplica means that the service has no usable replica, or none that was not tried yet.
 	ReasonNoReplica Reason = "no-replica"
+	// ReasonNoVersion means that no usable replica, or none that was not tried yet, has the request's version.
+	ReasonNoVersion Reason = "no-replica-of-version"
 	// ReasonPaused means that every usable replica has asked the request's node to pause.
 	ReasonPaused Reason = "replicas-pause"
 	// ReasonNoSlot means that no slot became free in time.
--- a/coordination/admission/snapshot.go
+++ b/coordination/admission/snapshot.go
@@ -15,6 +15,8 @@
 	replicas []*replicaSnapshot
 	// canaries are replicas of a version in its canary phase, during a burst of canary requests.
 	canaries []*replicaSnapshot
+	// budgeted are all replicas of a version in its canary phase. They are not among replicas.
+	budgeted []*replicaSnapshot
 	// totalSlots is the sum of maxInFlight over the healthy replicas, and freeSlots the sum of what is
 	// left of it.
 	freeSlots, totalSlots, healthyReplicas int
@@ -30,8 +32,9 @@
 // replicaSnapshot describes one replica in a poolSnapshot.
 type replicaSnapshot struct {
 	state *replicaState
-	// index is the position in poolSnapshot.replicas.
-	index int
+	// index is the position in poolSnapshot.replicas, and negative for those that are in poolSnapshot.budgeted.
+	index      int
+	isBudgeted bool
 	// maxInFlight bounds inFlight by the replica's slots, extra slots and current limits.
 	maxInFlight  int
 	inFlight     int
@@ -80,7 +83,7 @@
 			snapshot.evacuatedReplicas++
 			continue
 		}
-		if state.superseded || state.leaving || state.entry.Draining || access == rollouts.AccessDenied || access == rollouts.AccessBudgeted && !inBurst {
+		if state.superseded || state.leaving || state.entry.Draining || access == rollouts.AccessDenied {
 			continue
 		}
 		isCold := state.isCold(now, pool)
@@ -110,7 +113,11 @@
 			s.limitRejections(now, replica, limit)
 		}
 		if access == rollouts.AccessBudgeted {
-			snapshot.canaries = append(snapshot.canaries, replica)
+			replica.isBudgeted, replica.index = true, -1
+			snapshot.budgeted = append(snapshot.budgeted, replica)
+			if inBurst {
+				snapshot.canaries = append(snapshot.canaries, replica)
+			}
 			continue
 		}
 		replica.index, state.index = len(snapshot.replicas), len(snapshot.replicas)
@@ -184,13 +191,21 @@
 	p.capacity += capacity
 }
 
-// eligible returns the replicas that the request has not tried and that its node has no pause for.
+// eligible returns the replicas that the request has not tried and that its node has no pause for. A request
+// that is bound to a version may also use those that get only some of the new requests.
 func (p *poolSnapshot) eligible(now structs.Instant, request *Request, pauses replicaPauses) []*replicaSnapshot {
-	if len(request.Tried)+len(pauses) == 0 {
+	if len(request.Tried)+len(pauses) == 0 && request.Version == "" {
 		return p.replicas
 	}
+	candidates := p.replicas
+	if request.Version != "" && len(p.budgeted) > 0 {
+		candidates = slices.Concat(p.replicas, p.budgeted)
+	}
 	var eligible []*replicaSnapshot
-	for _, replica := range p.replicas {
+	for _, replica := range candidates {
+		if request.Version != "" && replica.state.entry.Version != request.Version {
+			continue
+		}
 		if id := replica.state.entry.ID; !slices.Contains(request.Tried, id) && !pauses.isPaused(now, id) {
 			eligible = append(eligible, replica)
 		}
--- a/coordination/admission/suspects.go
+++ b/coordination/admission/suspects.go
@@ -101,13 +101,16 @@
 			}
 		}
 	}
+	if replica.isBudgeted {
+		return !slices.Contains(view.suspected, replica.state)
+	}
 	return !view.isSuspected[replica.index]
 }
 
 // updateCounts updates the counts of the snapshot and its views after a request was assigned to the
 // replica.
 func (p *poolSnapshot) updateCounts(replica *replicaSnapshot) {
-	if replica.isUnhealthy {
+	if replica.isUnhealthy || replica.isBudgeted {
 		return
 	}
 	p.freeSlots--
--- a/coordination/liveness/liveness.go
+++ b/coordination/liveness/liveness.go
@@ -94,6 +94,8 @@
 	// that can't reach them. Isolated is true if the sender has lately reached none itself.
 	ForwardCapacity int  `msgpack:"fc,omitempty"`
 	Isolated        bool `msgpack:"is,omitempty"`
+	// KeepsStreamOrigins is true if the sender keeps the origins of streams for other nodes.
+	KeepsStreamOrigins bool `msgpack:"so,omitempty"`
 	// CanRelay is true if the sender relays heartbeats to its zone on request.
 	CanRelay bool `msgpack:"e,omitempty"`
 	// RelayRequested asks the receiver to relay the heartbeat to all nodes of its zone.
--- a/entry/assignment.go
+++ b/entry/assignment.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/thornwalk/thornwalk/protocol/peerwire"
+	"github.com/thornwalk/thornwalk/state/streamorigins"
 	"github.com/thornwalk/thornwalk/structs"
 	"github.com/thornwalk/thornwalk/transport/peer"
 )
@@ -19,6 +20,8 @@
 	id        string
 	scheduler string
 	address   string
+	// origin is that of the stream that the request goes on with, if its caller has events.
+	origin streamorigins.Origin
 	// schedulerCalls is the number of calls to scheduling services until there was a decision.
 	schedulerCalls int
 }
--- a/entry/era.go
+++ b/entry/era.go
@@ -122,6 +122,7 @@
 	n.setRestoreWindow(window, restoredAt)
 	n.storeFailedAt, n.watchHealthy = n.now(), false // entries are missing until they are written again
 	n.poisonStored = storedPoisonRecords{}
+	n.versionHistory.Restart()
 	n.counter("store.eras").Inc(1)
 	n.log.Write(eventlog.Event{
 		Kind: "store.era", Outcome: "restored", Era: window.Era, Revision: window.Listed, Peer: source,
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -58,6 +58,7 @@
 	// is true once the stream continued at another replica.
 	lastEventID string
 	resumed     bool
+	streamState
 	// firstEventDelay is the time from the last send to the first event, and
 	// maxEventGap the longest time between two events.
 	firstEventDelay, maxEventGap time.Duration
@@ -115,6 +116,9 @@
 		c.endNotRun(http.StatusServiceUnavailable, reasonStopping, retryAfterStopping)
 		return
 	}
+	if !c.bindResumedStream(current) {
+		return
+	}
 	c.serve()
 }
 
--- a/entry/heartbeats.go
+++ b/entry/heartbeats.go
@@ -116,6 +116,7 @@
 	n.mutex.Lock()
 	n.term = term
 	n.storeFailedAt, n.watchHealthy = n.now(), false
+	n.versionHistory.Restart()
 	n.requestRereadLocked(rereadResumed)
 	n.mutex.Unlock()
 }
@@ -291,7 +292,7 @@
 	heartbeat := liveness.Heartbeat{
 		Name: settings.Name, Zone: settings.Zone, Address: n.selfAddress(), Cores: settings.Cores, LinkMbps: settings.LinkMbps, IntervalMS: n.nextHeartbeatInterval().Milliseconds(), Incarnation: n.dependencies.Incarnation,
 		Term: n.term, Scheduler: n.scheduler, KnownNodes: n.knownPeerCount(now), Leaving: n.stoppingSince.Load() != 0, Slow: n.slowness.Slow(), StoreUnreachable: n.isStoreDown, LatestPosition: n.latestPosition(), ReplicasAgeMS: n.replicaFreshness.Age(now), ConfigurationAgeMS: n.configurationFreshness.Age(now), StoreHealthyMS: n.watchHealthyFor(now).Milliseconds(), FailingReplicas: n.health.Failing(now),
-		InFlight: map[string]liveness.InFlightCount{}, CanRelay: true, Rollouts: n.rolloutViews(),
+		InFlight: map[string]liveness.InFlightCount{}, CanRelay: true, KeepsStreamOrigins: true, Rollouts: n.rolloutViews(),
 	}
 	heartbeat.ForwardCapacity, heartbeat.Isolated = n.forwardCapacity(), n.paths.IsIsolated()
 	heartbeat.Version, heartbeat.Evacuations = n.version(), n.evacuations.All()
--- a/entry/node.go
+++ b/entry/node.go
@@ -28,6 +28,7 @@
 	"github.com/thornwalk/thornwalk/state/pushback"
 	"github.com/thornwalk/thornwalk/state/replicas"
 	"github.com/thornwalk/thornwalk/state/rollouts"
+	"github.com/thornwalk/thornwalk/state/streamorigins"
 	"github.com/thornwalk/thornwalk/structs"
 	"github.com/thornwalk/thornwalk/transport/network"
 	"github.com/thornwalk/thornwalk/transport/peer"
@@ -185,6 +186,10 @@
 	disconnects []unresolvedDisconnect
 	// resumedAt is when a suspension of the process was last detected.
 	resumedAt structs.Instant
+	// streamOrigins has the origins of streams that this node relayed or keeps, and versionHistory the versions
+	// that services have had.
+	streamOrigins  *streamorigins.Registry
+	versionHistory *streamorigins.VersionHistory
 	// poisonStored is what the store is known to hold of poison records.
 	poisonStored storedPoisonRecords
 	// bucketLevels are the tenants' bucket levels that another scheduling node last reported.
@@ -204,6 +209,7 @@
 		pool: replicahttp.NewPool(), peers: peer.NewClient(dependencies.Network, nil),
 		table: replicas.NewTable(), evacuations: evacuations.NewTable(), rollouts: rollouts.NewTable(), members: liveness.NewTable(settings.Name), relays: liveness.NewRelays(rand.IntN), health: replicahealth.NewTracker(), paths: reachability.NewTracker(rand.Float64), pushback: pushback.NewTracker(), zones: zones.NewTracker(),
 		assignments: map[string]assignment{}, peerUsage: map[string]receivedUsage{}, loggedProblems: map[string]bool{}, term: 1, storeFailedAt: -time.Hour, lastActiveAt: -time.Hour, selectedAt: -time.Hour, peersRequestedAt: -time.Hour,
+		streamOrigins: streamorigins.NewRegistry(maxStreamOrigins), versionHistory: streamorigins.NewVersionHistory(),
 		parts: dissemination.NewPartStore(), sendLimiter: dissemination.NewSendLimiter(settings.LinkMbps),
 	}
 	if n.dependencies.Now == nil {
@@ -226,6 +232,7 @@
 	n.registerRereadMetrics()
 	n.registerPathMetrics()
 	n.registerForwardMetrics()
+	n.registerStreamMetrics()
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	return n
 }
@@ -301,6 +308,8 @@
 	peer.Handle(server, peerwire.KindTenantReport, n.serveTenantReport)
 	peer.HandleStream(server, peerwire.KindForward, n.serveForward)
 	peer.Handle(server, peerwire.KindForwarders, n.serveForwarders)
+	peer.Handle(server, peerwire.KindStreamOrigins, n.serveStreamOrigins)
+	peer.Handle(server, peerwire.KindStreamOrigin, n.serveStreamOrigin)
 	n.registerMemoryMetrics(server)
 	n.peerListener = listener
 	go server.Serve(n.ctx, listener)
@@ -394,6 +403,7 @@
 		n.resendFinishes()
 		n.releaseDeadNodes()
 		n.scheduling.expirePoison()
+		n.confirmVersionHistory()
 		n.logSendingMemory()
 	}
 }
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -26,6 +26,7 @@
 		granted := c.node.requestAssignment(c.ctx, request)
 		c.waited += granted.Waited
 		c.node.recordDuration("place_wait_ms", granted.Waited)
+		granted.origin = c.origin
 		c.logAssignment(granted, executions)
 		if granted.Reason != "" {
 			c.endUnassigned(granted, executions)
@@ -112,7 +113,8 @@
 
 // maySend reports whether the assignment may still be used. It must be returned if the zone is
 // evacuated, or if the replica leaves, asked for a pause, reported a rate limit that the assignment
-// does not count against, or has an excluded version. The scheduling node may not know of it yet.
+// does not count against, or has an excluded version or one at which a begun stream must not go on. The
+// scheduling node may not know of it yet.
 func (n *Node) maySend(granted *grant) bool {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
@@ -132,7 +134,7 @@
 
 // maySendLocked is maySend for callers that hold the mutex.
 func (n *Node) maySendLocked(granted *grant) bool {
-	if !n.acceptsRequestsLocked(granted.Replica) {
+	if !n.acceptsRequestsLocked(granted.Replica) || !n.mayGoOnAtLocked(granted) {
 		return false
 	}
 	isCounted := granted.Limit != nil && granted.Limit.Limit.State == pushback.LimitSet
@@ -165,8 +167,8 @@
 			Node: node.process(), Zone: node.settings.Load().Zone, Service: c.service, Route: c.route.Name, Priority: c.priority(),
 			Fingerprint: c.fingerprint, PromptTokens: c.promptTokens, AnswerTokens: c.expectedOutputTokens(), Tried: tried, Doubted: suspected,
 			TokensPerEvent: c.tokensPerEvent(), MaxEventGap: c.route.TargetEventGap, Yields: c.route.Priority >= minYieldPriority,
-			Deadline: c.remaining(),
-			Target:   max(c.route.TargetLatency-c.age(), 0), Patience: c.maxQueueWait(),
+			Deadline: c.remaining(), Version: c.origin.Version,
+			Target: max(c.route.TargetLatency-c.age(), 0), Patience: c.maxQueueWait(),
 		},
 		First: len(tried) == 0, Repeat: isRetry, RequestID: tenantstats.ShortName(c.id), PushbackReports: node.pushbackReports(c.service), RejectionLimits: node.rejectionLimits(c.service), Known: node.scheduling.poisonRecordOf(c.fingerprint),
 	}
@@ -230,14 +232,15 @@
 	remaining := c.remaining()
 	if c.route.Kind == kindStreaming {
 		silence := max(minSilence, silenceTargetLatencies*c.route.TargetLatency, silenceEventGaps*c.route.TargetEventGap)
-		remaining = min(remaining, silence-c.age())
+		silentSince := max(c.arrived, c.lastEventAt)
+		remaining = min(remaining, silence-(c.node.now()-silentSince))
 	}
 	return max(time.Duration(float64(remaining)*queueWaitShare), 0)
 }
 
 // mayRetry reports whether the request may be sent to another replica.
 func (c *call) mayRetry(outcome result, executions, tried int) bool {
-	if c.ctx.Err() != nil || tried >= maxSends || c.refusedConnects >= maxRefusedConnects {
+	if c.isOriginUncertain() || c.ctx.Err() != nil || tried >= maxSends || c.refusedConnects >= maxRefusedConnects {
 		return false
 	}
 	switch outcome {
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -49,6 +49,9 @@
 			last = time.Now()
 			ready := c.unsentEvents(pending[:complete], &observed.Events)
 			pending = append(pending[:0], pending[complete:]...)
+			if len(ready) > 0 {
+				c.recordOrigin(replica)
+			}
 			if !c.sendEvents(answer, ready, flusher) {
 				return resultCallerLeft, observed
 			}
--- /dev/null
+++ b/entry/stream_origin.go
@@ -0,0 +1,291 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/thornwalk/thornwalk/coordination/liveness"
+	"github.com/thornwalk/thornwalk/coordination/streams"
+	"github.com/thornwalk/thornwalk/protocol/peerwire"
+	"github.com/thornwalk/thornwalk/state/catalog"
+	"github.com/thornwalk/thornwalk/state/replicas"
+	"github.com/thornwalk/thornwalk/state/streamorigins"
+	"github.com/thornwalk/thornwalk/structs"
+)
+
+// A stream goes on only at the software version that began it (coordination/streams). The node that relays the
+// first event records its version and reports it to the keepers of the stream, before the caller has the
+// event. A node at which a caller resumes the stream asks its keepers.
+
+const (
+	// maxStreamOrigins bounds the origins that a node keeps; each takes about 200 bytes.
+	maxStreamOrigins = 1 << 15
+	// originLookupTimeout bounds one round of questions to the keepers, and originLookupRounds the rounds, which are
+	// originLookupPause apart: the first event may have arrived so recently that the reports are still on their way.
+	originLookupTimeout = 250 * time.Millisecond
+	originLookupRounds  = 2
+	originLookupPause   = 50 * time.Millisecond
+	// Streams begin and break off within this many times their route's timeout before they are resumed.
+	streamLifetimeTimeouts = 2
+)
+
+// streamState is what a call knows of its stream.
+type streamState struct {
+	// origin is set once the caller has an event. hasOrigin is true from then on, also if the version that
+	// began the stream is uncertain.
+	origin    streamorigins.Origin
+	hasOrigin bool
+	// originKey names the stream. originRecordedAt is when its origin was last recorded by this call.
+	originKey        streamorigins.Key
+	originRecordedAt structs.Instant
+	// lastEventAt is when the caller was last sent an event; zero if it was sent none.
+	lastEventAt structs.Instant
+}
+
+// streamOriginsReport has the origins of streams, for a node that keeps them.
+type (
+	streamOriginsReport struct{ Records []streamorigins.Record }
+	streamOriginsReply  struct{}
+)
+
+// streamOriginQuestion asks for the origin of a stream.
+type (
+	streamOriginQuestion struct{ Key streamorigins.Key }
+	streamOriginAnswer   struct {
+		Origin    streamorigins.Origin
+		Knowledge streamorigins.Knowledge
+	}
+)
+
+func (n *Node) serveStreamOrigins(_ context.Context, report *streamOriginsReport) (*streamOriginsReply, error) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	for _, record := range report.Records {
+		n.streamOrigins.Put(n.now(), record)
+	}
+	return &streamOriginsReply{}, nil
+}
+
+func (n *Node) serveStreamOrigin(_ context.Context, question *streamOriginQuestion) (*streamOriginAnswer, error) {
+	origin, knowledge := n.knownOrigin(question.Key)
+	return &streamOriginAnswer{Origin: origin, Knowledge: knowledge}, nil
+}
+
+// knownOrigin returns what this node itself knows of the stream's origin.
+func (n *Node) knownOrigin(key streamorigins.Key) (streamorigins.Origin, streamorigins.Knowledge) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.streamOrigins.Get(n.now(), key)
+}
+
+// tenantName returns the name of the request's tenant, or "" if it has none.
+func (c *call) tenantName() string {
+	if c.tenant == nil {
+		return ""
+	}
+	return c.tenant.Name
+}
+
+// bindResumedStream binds a stream that the caller resumes to the version that began it. If it returns
+// false, it has ended the request.
+func (c *call) bindResumedStream(current *catalog.Catalog) bool {
+	names := &c.node.dependencies.Headers
+	first, lastEvent := c.request.Header.Get(names.ResumedRequest), c.request.Header.Get(names.LastEvent)
+	if c.route.Kind != kindStreaming || first == "" && lastEvent == "" {
+		c.originKey = streamorigins.KeyOf(c.tenantName(), c.id)
+		return true
+	}
+	evidence := streams.Evidence{Services: c.route.Services(), OnlyVersion: c.onlyVersion}
+	if first != "" {
+		c.originKey = streamorigins.KeyOf(c.tenantName(), first)
+		evidence.Origin, evidence.Knowledge = c.findOrigin(c.originKey)
+	}
+	origin, refusal := streams.Bind(evidence)
+	c.logResumed(origin, evidence.Knowledge, refusal)
+	if refusal != streams.RefusalNone {
+		c.endNotRun(http.StatusServiceUnavailable, string(refusal), retryAfterRejected)
+		return false
+	}
+	c.service, c.origin, c.hasOrigin = origin.Service, origin, true
+	return true
+}
+
+// onlyVersion returns the version of all replicas of the service that may have begun the caller's stream, if it
+// is the same for all.
+func (c *call) onlyVersion(service string) (string, bool) {
+	n := c.node
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.confirmVersionHistoryLocked()
+	window := streamLifetimeTimeouts * c.route.Timeout
+	if window <= 0 {
+		window = streamorigins.Retention
+	}
+	return n.versionHistory.OnlyVersion(n.now(), service, window)
+}
+
+// confirmVersionHistory tells the history of versions how old this node's view of the replicas is.
+func (n *Node) confirmVersionHistory() {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.confirmVersionHistoryLocked()
+}
+
+func (n *Node) confirmVersionHistoryLocked() {
+	now := n.now()
+	n.versionHistory.Confirm(now, time.Duration(n.replicaFreshness.Age(now))*time.Millisecond)
+}
+
+// findOrigin looks for the stream's origin at this node and at its keepers.
+func (c *call) findOrigin(key streamorigins.Key) (streamorigins.Origin, streamorigins.Knowledge) {
+	for round := range originLookupRounds {
+		if round > 0 {
+			select {
+			case <-c.ctx.Done():
+				return streamorigins.Origin{}, streamorigins.Unknown
+			case <-time.After(originLookupPause):
+			}
+		}
+		if origin, knowledge := c.node.knownOrigin(key); knowledge != streamorigins.Unknown {
+			return origin, knowledge
+		}
+		if origin, knowledge := c.node.askKeepers(c.ctx, key); knowledge != streamorigins.Unknown {
+			return origin, knowledge
+		}
+	}
+	return streamorigins.Origin{}, streamorigins.Unknown
+}
+
+// askKeepers asks all keepers of the stream at once and returns the first answer of one that knows it. Origins
+// don't change, so no further answer is needed.
+func (n *Node) askKeepers(ctx context.Context, key streamorigins.Key) (streamorigins.Origin, streamorigins.Knowledge) {
+	ctx, cancel := context.WithTimeout(ctx, originLookupTimeout)
+	defer cancel()
+	var asked sync.WaitGroup
+	answers := make(chan *streamOriginAnswer)
+	for _, keeper := range n.streamKeepers(key) {
+		asked.Go(func() {
+			answer := &streamOriginAnswer{}
+			if err := n.peers.Call(ctx, keeper.Address, peerwire.KindStreamOrigin, &streamOriginQuestion{Key: key}, answer); err != nil {
+				n.counter("streams.questions_failed").Inc(1)
+				return
+			}
+			if answer.Knowledge == streamorigins.Unknown {
+				return
+			}
+			select {
+			case answers <- answer:
+			case <-ctx.Done():
+			}
+		})
+	}
+	go func() {
+		asked.Wait()
+		close(answers)
+	}()
+	if answer, found := <-answers; found {
+		return answer.Origin, answer.Knowledge
+	}
+	return streamorigins.Origin{}, streamorigins.Unknown
+}
+
+// streamKeepers returns the other nodes that keep the stream's origin.
+func (n *Node) streamKeepers(key streamorigins.Key) []streams.Node {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	var nodes []streams.Node
+	// Every node of a large fleet knows the same delegates, and only some of the other nodes.
+	for _, member := range liveness.Delegates(n.members.Live(n.now())) {
+		if member.KeepsStreamOrigins {
+			nodes = append(nodes, streams.Node{Name: member.Name, Zone: member.Zone, Address: member.Address})
+		}
+	}
+	return streams.Keepers(nodes, n.settings.Load().Zone, key)
+}
+
+// recordOrigin records, before the caller gets an event of the replica, at which version the stream began. Of a
+// stream that goes on for long it records this again now and then.
+func (c *call) recordOrigin(replica replicas.Replica) {
+	n := c.node
+	now := n.now()
+	c.lastEventAt = now
+	if c.originRecordedAt > 0 && now-c.originRecordedAt < streamorigins.RefreshInterval || !c.route.Resumable {
+		return
+	}
+	c.originRecordedAt = now
+	n.mutex.Lock()
+	if !c.hasOrigin {
+		listed, isListed := n.table.Get(replica.ID)
+		c.origin, c.hasOrigin = streams.OriginAt(replica, listed, isListed), true
+	}
+	record := streamorigins.Record{Key: c.originKey, Origin: c.origin}
+	if !record.Key.IsZero() {
+		n.streamOrigins.Put(now, record)
+	}
+	n.mutex.Unlock()
+	if !record.Key.IsZero() {
+		n.reportOrigin(record)
+	}
+}
+
+// reportOrigin reports the origin of a stream to its keepers, in the background. A report that is lost is not sent
+// again: the others suffice.
+func (n *Node) reportOrigin(record streamorigins.Record) {
+	for _, keeper := range n.streamKeepers(record.Key) {
+		go func() {
+			ctx, cancel := context.WithTimeout(n.ctx, reportTimeout)
+			defer cancel()
+			report := &streamOriginsReport{Records: []streamorigins.Record{record}}
+			if err := n.peers.Call(ctx, keeper.Address, peerwire.KindStreamOrigins, report, &streamOriginsReply{}); err != nil {
+				n.counter("streams.reports_failed").Inc(1)
+			}
+		}()
+	}
+}
+
+// isOriginUncertain reports whether the caller has events of a version that is not certain, so that the
+// stream can't go on.
+func (c *call) isOriginUncertain() bool { return c.hasOrigin && c.origin.Version == "" }
+
+// mayGoOnAtLocked reports whether the request may be sent to the assigned replica as far as the origin of
+// its stream is concerned. The caller holds the mutex.
+func (n *Node) mayGoOnAtLocked(granted *grant) bool {
+	if granted.origin == (streamorigins.Origin{}) {
+		return true // the caller has no events
+	}
+	listed, isListed := n.table.Get(granted.Replica.ID)
+	return streams.MayGoOnAt(granted.origin, granted.Replica, listed, isListed)
+}
+
+// logResumed logs and counts the decision on a stream that the caller resumes.
+func (c *call) logResumed(origin streamorigins.Origin, knowledge streamorigins.Knowledge, refusal streams.Refusal) {
+	event := c.newEvent("stream.resumed")
+	names := &c.node.dependencies.Headers
+	event.ResumedRequest, event.LastEvent = c.request.Header.Get(names.ResumedRequest), c.request.Header.Get(names.LastEvent)
+	event.ReplicaVersion, event.Detail = origin.Version, "origin "+knowledge.String()
+	event.Outcome, event.Reason = "bound", string(refusal)
+	if refusal != streams.RefusalNone {
+		event.Outcome = "refused"
+	}
+	c.logEvent(event)
+	c.node.counter("streams.resumed_" + event.Outcome).Inc(1)
+}
+
+// registerStreamMetrics registers the gauges of the origins of streams.
+func (n *Node) registerStreamMetrics() {
+	for name, value := range map[string]func() int64{
+		"streams.origins":         func() int64 { return int64(n.streamOrigins.Count()) },
+		"streams.origins_dropped": n.streamOrigins.Dropped,
+	} {
+		// Registration fails only for a name in use, and a node registers once.
+		_ = n.metrics.Register(name, metrics.NewFunctionalGauge(func() int64 {
+			n.mutex.Lock()
+			defer n.mutex.Unlock()
+			return value()
+		}))
+	}
+}
--- a/entry/updates.go
+++ b/entry/updates.go
@@ -179,6 +179,7 @@
 func (n *Node) handleReplicaChange() {
 	n.mutex.Lock()
 	all := n.table.All()
+	n.versionHistory.Update(n.now(), all)
 	isListed := func(id string) bool { _, known := n.table.Get(id); return known }
 	n.health.Forget(isListed)
 	n.paths.Forget(isListed)
--- a/protocol/peerwire/peerwire.go
+++ b/protocol/peerwire/peerwire.go
@@ -42,6 +42,8 @@
 	KindTenantReport
 	KindForward
 	KindForwarders
+	KindStreamOrigins
+	KindStreamOrigin
 	kindEnd
 )
 
@@ -51,6 +53,7 @@
 	KindRegister: "register", KindRegistryUpdate: "registry-update", KindRegistryLookup: "registry-lookup",
 	KindJoin: "join", KindClaim: "claim", KindAssign: "place", KindFinish: "finish", KindUpdates: "news", KindFirstEvent: "begun",
 	KindConfigurationParts: "configuration-parts", KindPoisonRecords: "contents", KindTenantReport: "tenants", KindForward: "forward", KindForwarders: "forwarders",
+	KindStreamOrigins: "stream-origins", KindStreamOrigin: "stream-origin",
 }
 
 // String returns the name of the kind for metrics and logs.
--- a/state/catalog/catalog.go
+++ b/state/catalog/catalog.go
@@ -6,6 +6,7 @@
 
 import (
 	"math"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -289,6 +290,20 @@
 // RequiresKey reports whether requests of the route need a tenant's API key.
 func (c *Catalog) RequiresKey(route *Route) bool { return len(c.Tenants) > 0 && !route.Public }
 
+// Services returns the names of the services to which the route leads.
+func (r *Route) Services() []string {
+	var names []string
+	for _, backend := range r.Backends {
+		if backend.Weight > 0 && !slices.Contains(names, backend.Service) {
+			names = append(names, backend.Service)
+		}
+	}
+	if len(names) == 0 {
+		names = []string{r.Backends[0].Service}
+	}
+	return names
+}
+
 // PickService returns the name of a service, chosen by weight. The caller passes a
 // random number draw that is uniform over [0, 1).
 func (r *Route) PickService(draw float64) string {
--- /dev/null
+++ b/state/streamorigins/registry.go
@@ -0,0 +1,91 @@
+package streamorigins
+
+import (
+	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
+	"github.com/thornwalk/thornwalk/structs"
+)
+
+// Retention is how long an origin is kept after it was last recorded. It is longer than callers take to come
+// back to a stream that was broken off.
+const Retention = time.Minute
+
+// RefreshInterval is how often a stream that goes on is recorded again, so that its origin is kept.
+const RefreshInterval = Retention / 3
+
+// Knowledge is what is known of a stream's origin.
+type Knowledge uint8
+
+const (
+	// Unknown means that there is no record.
+	Unknown Knowledge = iota
+	// Known means that all records agree.
+	Known
+	// Ambiguous means that two records differ: two requests had the same ID.
+	Ambiguous
+)
+
+// String returns the name of the state in logs and metrics.
+func (k Knowledge) String() string { return [...]string{"unknown", "known", "ambiguous"}[k] }
+
+type entry struct {
+	origin      Origin
+	isAmbiguous bool
+	recordedAt  structs.Instant
+}
+
+// Registry holds the origins of recent streams, up to a capacity. If it is full, the origin that was recorded
+// longest ago is dropped. It is not safe for concurrent use.
+type Registry struct {
+	entries *simplelru.LRU[Key, entry]
+	dropped int64
+}
+
+// NewRegistry returns an empty registry. The capacity is at least 1.
+func NewRegistry(capacity int) *Registry {
+	entries, _ := simplelru.NewLRU[Key, entry](max(capacity, 1), nil) // fails only for a capacity below 1
+	return &Registry{entries: entries}
+}
+
+// Put records the origin of a stream. It reports whether the stream was unknown before.
+func (r *Registry) Put(now structs.Instant, record Record) bool {
+	r.expire(now)
+	before, found := r.entries.Peek(record.Key)
+	isAmbiguous := found && (before.isAmbiguous || before.origin != record.Origin)
+	if r.entries.Add(record.Key, entry{origin: record.Origin, isAmbiguous: isAmbiguous, recordedAt: now}) {
+		r.dropped++
+	}
+	return !found
+}
+
+// Get returns the origin of the stream, which is valid only if it is known.
+func (r *Registry) Get(now structs.Instant, key Key) (Origin, Knowledge) {
+	r.expire(now)
+	found, isFound := r.entries.Peek(key)
+	switch {
+	case !isFound:
+		return Origin{}, Unknown
+	case found.isAmbiguous:
+		return Origin{}, Ambiguous
+	}
+	return found.origin, Known
+}
+
+// Count returns the number of streams.
+func (r *Registry) Count() int { return r.entries.Len() }
+
+// Dropped returns how many origins were dropped before their retention ended.
+func (r *Registry) Dropped() int64 { return r.dropped }
+
+// expire removes what was recorded longer than Retention ago. Entries are in the order of their recording.
+func (r *Registry) expire(now structs.Instant) {
+	for {
+		_, oldest, found := r.entries.GetOldest()
+		if !found || now-oldest.recordedAt <= Retention {
+			return
+		}
+		r.entries.RemoveOldest()
+	}
+}
--- /dev/null
+++ b/state/streamorigins/streamorigins_test.go
@@ -0,0 +1,141 @@
+package streamorigins
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/thornwalk/thornwalk/state/replicas"
+)
+
+var (
+	firstOrigin  = Origin{Service: "engines", Version: "v1"}
+	secondOrigin = Origin{Service: "engines", Version: "v2"}
+)
+
+// Guards against an origin that changes by a later record.
+func TestOriginNeverChanges(t *testing.T) {
+	g := gomega.NewWithT(t)
+	registry := NewRegistry(10)
+	key := KeyOf("tenant", "r1")
+	g.Expect(registry.Put(0, Record{key, firstOrigin})).To(gomega.BeTrue())
+	g.Expect(registry.Put(0, Record{key, firstOrigin})).To(gomega.BeFalse())
+	origin, knowledge := registry.Get(0, key)
+	g.Expect(origin).To(gomega.Equal(firstOrigin))
+	g.Expect(knowledge).To(gomega.Equal(Known))
+	for range 2 {
+		registry.Put(0, Record{key, secondOrigin})
+		_, knowledge = registry.Get(0, key)
+		g.Expect(knowledge).To(gomega.Equal(Ambiguous))
+	}
+	registry.Put(0, Record{key, firstOrigin})
+	_, knowledge = registry.Get(0, key)
+	g.Expect(knowledge).To(gomega.Equal(Ambiguous))
+}
+
+// Guards against names by which one tenant reaches another's stream.
+func TestStreamIsKnownToItsTenantOnly(t *testing.T) {
+	g := gomega.NewWithT(t)
+	registry := NewRegistry(10)
+	registry.Put(0, Record{KeyOf("tenant", "r1"), firstOrigin})
+	for _, key := range []Key{KeyOf("other", "r1"), KeyOf("", "r1"), KeyOf("tenant", "r2"), KeyOf("tenantr", "1")} {
+		_, knowledge := registry.Get(0, key)
+		g.Expect(knowledge).To(gomega.Equal(Unknown))
+	}
+}
+
+// Guards against a registry that grows without bound, or that drops streams which go on.
+func TestOriginsAreKeptForAWhileOnly(t *testing.T) {
+	g := gomega.NewWithT(t)
+	registry := NewRegistry(3)
+	for i := range 5 {
+		registry.Put(time.Duration(i), Record{KeyOf("", fmt.Sprint(i)), firstOrigin})
+		registry.Put(time.Duration(i), Record{KeyOf("", "long"), firstOrigin})
+	}
+	g.Expect(registry.Count()).To(gomega.Equal(3))
+	g.Expect(registry.Dropped()).To(gomega.Equal(int64(3)))
+	_, knowledge := registry.Get(5, KeyOf("", "long"))
+	g.Expect(knowledge).To(gomega.Equal(Known))
+	registry.Put(Retention, Record{KeyOf("", "long"), firstOrigin})
+	_, knowledge = registry.Get(Retention+10, KeyOf("", "4"))
+	g.Expect(knowledge).To(gomega.Equal(Unknown))
+	_, knowledge = registry.Get(Retention+10, KeyOf("", "long"))
+	g.Expect(knowledge).To(gomega.Equal(Known))
+}
+
+const window = 10 * time.Second
+
+func replicasOf(versions ...string) []replicas.Replica {
+	var all []replicas.Replica
+	for i, version := range versions {
+		all = append(all, replicas.Replica{ID: fmt.Sprint("r", i), Service: "engines", Version: version})
+	}
+	return all
+}
+
+// confirmUntil confirms the view of the replicas each second.
+func confirmUntil(history *VersionHistory, from, to time.Duration) {
+	for at := from; at <= to; at += time.Second {
+		history.Confirm(at, time.Second)
+	}
+}
+
+// Guards against a version that is taken for the only one although a stream may have begun at another.
+func TestOnlyVersionOfAService(t *testing.T) {
+	for name, testCase := range map[string]struct {
+		course func(history *VersionHistory)
+		isOnly bool
+	}{
+		"one version all the time": {func(h *VersionHistory) { confirmUntil(h, 0, 20*time.Second) }, true},
+		"a new process":            {func(h *VersionHistory) { confirmUntil(h, 15*time.Second, 20*time.Second) }, false},
+		"another version is there": {func(h *VersionHistory) {
+			confirmUntil(h, 0, 20*time.Second)
+			h.Update(20*time.Second, replicasOf("v1", "v2"))
+		}, false},
+		"another version went in the window": {func(h *VersionHistory) {
+			h.Update(0, replicasOf("v1", "v2"))
+			confirmUntil(h, 0, 20*time.Second)
+			h.Update(11*time.Second, replicasOf("v1"))
+		}, false},
+		"another version went before the window": {func(h *VersionHistory) {
+			h.Update(0, replicasOf("v1", "v2"))
+			h.Update(9*time.Second, replicasOf("v1"))
+			confirmUntil(h, 0, 20*time.Second)
+		}, true},
+		"the view was old": {func(h *VersionHistory) {
+			confirmUntil(h, 0, 12*time.Second)
+			h.Confirm(13*time.Second, 5*time.Second)
+			confirmUntil(h, 14*time.Second, 20*time.Second)
+		}, false},
+		"the view is old": {func(h *VersionHistory) {
+			confirmUntil(h, 0, 19*time.Second)
+			h.Confirm(20*time.Second, 5*time.Second)
+		}, false},
+		"the process was suspended": {func(h *VersionHistory) {
+			confirmUntil(h, 0, 12*time.Second)
+			confirmUntil(h, 18*time.Second, 20*time.Second)
+		}, false},
+		"the store was restored": {func(h *VersionHistory) {
+			confirmUntil(h, 0, 18*time.Second)
+			h.Restart()
+			h.Confirm(20*time.Second, 0)
+		}, false},
+		"no view": {func(h *VersionHistory) { h.Confirm(20*time.Second, -1) }, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			history := NewVersionHistory()
+			history.Update(0, replicasOf("v1", "v1"))
+			testCase.course(history)
+			version, isOnly := history.OnlyVersion(20*time.Second, "engines", window)
+			g.Expect(isOnly).To(gomega.Equal(testCase.isOnly))
+			if isOnly {
+				g.Expect(version).To(gomega.Equal("v1"))
+			}
+			_, isOnly = history.OnlyVersion(20*time.Second, "others", window)
+			g.Expect(isOnly).To(gomega.BeFalse())
+		})
+	}
+}
