entry: log the shared parts of a prompt

Cause: callers saw engines end one after the other under requests of one route and caller, no two alike. The lines tell which requests broke off at which engine, but not what these had in common, as their fingerprints differ.

Change: request.received names the shared parts of the prompt. With first_ms of request.sent, which tells whether an answer had begun, they show what all ends of replicas have in common. state/promptparts reads the list of parts within bounds.

--- a/entry/request_log.go
+++ b/entry/request_log.go
@@ -1,7 +1,10 @@
 package entry
 
 import (
+	"strings"
+
 	"github.com/thornwalk/thornwalk/internal/eventlog"
+	"github.com/thornwalk/thornwalk/state/promptparts"
 )
 
 // Under load the events of some requests are buffered until the request ends. Those of answered
@@ -45,6 +48,7 @@
 	event.Version, event.Prompt, event.Answer = version, c.promptTokens, c.expectedOutputTokens()
 	event.RemainingMS = c.remaining().Milliseconds()
 	names := &c.node.dependencies.Headers
+	event.Parts = strings.Join(promptparts.Shared(c.request.Header.Get(names.PromptPrefix)), ",")
 	event.ResumedRequest, event.LastEvent = c.request.Header.Get(names.ResumedRequest), c.request.Header.Get(names.LastEvent)
 	if event.ResumedRequest != "" || event.LastEvent != "" {
 		c.node.counter("streams.resumed_by_caller").Inc(1)
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -29,7 +29,9 @@
 	Route       string `json:"route,omitempty"`
 	Tenant      string `json:"tenant,omitempty"`
 	Service     string `json:"service,omitempty"`
-	Replica     string `json:"replica,omitempty"`
+	// Parts are the IDs of the shared parts of the prompt, separated by commas.
+	Parts   string `json:"parts,omitempty"`
+	Replica string `json:"replica,omitempty"`
 	// ReplicaVersion is the version of the replica's software.
 	ReplicaVersion string `json:"replica_version,omitempty"`
 	// ResumedRequest and LastEvent are what is known of the stream that the request resumes: the ID of the
