poison: block a part of prompts under which replicas crash

Cause: callers of one tenant and route lost their answers for half a minute, and others beside them, while engine after engine ended under requests that share one part of their prompts. Crashes were counted by whole request, and no two were alike, so no count passed one.

Change: each shared part of a prompt has a record of its own in the tracker of poison requests, by tenant and service. A crash is blamed on the parts that no replica has answered yet, under requests whose answer had not run for 0.25 s; if all were answered before, three crashes in a row without an answer count. Suspect parts run one at a time, blocked ones get two trials. Lines, thornwalk barred and explain name the part.

Why it holds: a part that crashes replicas is never answered, so it is never acquitted, whoever schedules; a part that sound requests share is answered again and again. Records merge and are stored as those of requests.

--- a/cmd/thornwalk/barred.go
+++ b/cmd/thornwalk/barred.go
@@ -44,9 +44,9 @@
 					incarnations = append(incarnations, string(incarnation))
 				}
 				unchanged := time.Duration(record.Unchanged) * time.Millisecond
-				rows = append(rows, []string{record.Fingerprint.String(), record.Service, record.Route, strings.Join(incarnations, " "), fmt.Sprint(record.Trials), unchanged.String()})
+				rows = append(rows, []string{record.Fingerprint.String(), record.Part, record.Tenant, record.Service, record.Route, strings.Join(incarnations, " "), fmt.Sprint(record.Trials), unchanged.String()})
 			}
-			return o.print(status.Blocked, []string{"content", "service", "route", "replicas that ended", "trials", "unchanged for"}, rows)
+			return o.print(status.Blocked, []string{"content", "part", "tenant", "service", "route", "replicas that ended", "trials", "unchanged for"}, rows)
 		},
 	}
 }
--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -52,10 +52,12 @@
 // assignment is a request that was assigned to a replica and has not ended.
 type assignment struct {
 	fingerprint fingerprint.Fingerprint
-	node        string
-	service     string
-	route       string
-	replicaID   string
+	// parts are the keys of the shared parts of the prompt.
+	parts     []fingerprint.Fingerprint
+	node      string
+	service   string
+	route     string
+	replicaID string
 	// startedAt identifies the replica's incarnation.
 	startedAt    int64
 	version      string
@@ -116,7 +118,7 @@
 	policy         Policy
 	// decidedAt is the time of the latest round of decisions.
 	decidedAt structs.Instant
-	// assignmentCounts counts the assignments by fingerprint.
+	// assignmentCounts counts the assignments by fingerprint and by part.
 	assignmentCounts map[fingerprint.Fingerprint]int
 	// regionByZone may lack zones.
 	regionByZone   map[string]string
--- a/coordination/admission/assignments.go
+++ b/coordination/admission/assignments.go
@@ -26,6 +26,7 @@
 // Completion describes an assigned request that ended.
 type Completion struct {
 	Fingerprint             fingerprint.Fingerprint
+	Parts                   []fingerprint.Fingerprint
 	Service, Route, Replica string
 	// Version is the replica's.
 	Version string
@@ -42,7 +43,7 @@
 	if !found {
 		return Completion{}, false
 	}
-	ended := Completion{Fingerprint: assignment.fingerprint, Service: assignment.service, Route: assignment.route, Replica: assignment.replicaID, Version: assignment.version, Prompt: assignment.promptTokens, AssignedAt: assignment.assignedAt}
+	ended := Completion{Fingerprint: assignment.fingerprint, Parts: assignment.parts, Service: assignment.service, Route: assignment.route, Replica: assignment.replicaID, Version: assignment.version, Prompt: assignment.promptTokens, AssignedAt: assignment.assignedAt}
 	isCurrent := s.isCurrentIncarnation(assignment)
 	assignment.settleFinished(now, observed.Duration)
 	if isCurrent {
@@ -121,7 +122,9 @@
 
 func (s *Scheduler) addAssignment(id string, assignment *assignment) {
 	s.assignments[id] = assignment
-	s.assignmentCounts[assignment.fingerprint]++
+	for key := range assignment.keys() {
+		s.assignmentCounts[key]++
+	}
 	state := s.replicaState(assignment.replicaID)
 	state.assigned++
 	state.prefilling = append(state.prefilling, assignment)
@@ -131,8 +134,10 @@
 	assignment := s.assignments[id]
 	delete(s.assignments, id)
 	assignment.share.settle(assignment.share.work) // only of a lost end, for which the estimate stands
-	if s.assignmentCounts[assignment.fingerprint]--; s.assignmentCounts[assignment.fingerprint] <= 0 {
-		delete(s.assignmentCounts, assignment.fingerprint)
+	for key := range assignment.keys() {
+		if s.assignmentCounts[key]--; s.assignmentCounts[key] <= 0 {
+			delete(s.assignmentCounts, key)
+		}
 	}
 	assignment.isAccepted = true
 	assignment.started = true // excludes its prompt from replicaState.unreadTokens
--- a/coordination/admission/decide.go
+++ b/coordination/admission/decide.go
@@ -5,7 +5,7 @@
 	"sort"
 	"time"
 
-	"github.com/thornwalk/thornwalk/coordination/poison"
+	"github.com/thornwalk/thornwalk/state/fingerprint"
 	"github.com/thornwalk/thornwalk/structs"
 )
 
@@ -195,22 +195,19 @@
 
 // assign assigns the request to the replica and completes the decision.
 func (s *Scheduler) assign(now structs.Instant, request *queuedRequest, replica *replicaSnapshot, decision *Decision) {
-	decision.Trial = s.recordAssignment(now, request, replica)
+	decision.Trials = s.recordAssignment(now, request, replica)
 	decision.Replica, decision.Limit = replica.state.entry, replica.state.limit.known
 }
 
 // recordAssignment records the assignment with the replica's limits and the poison tracker. It
-// reports whether this is the trial of a blocked request.
-func (s *Scheduler) recordAssignment(now structs.Instant, request *queuedRequest, replica *replicaSnapshot) bool {
+// returns the keys of what is tried with it.
+func (s *Scheduler) recordAssignment(now structs.Instant, request *queuedRequest, replica *replicaSnapshot) []fingerprint.Fingerprint {
 	request.share.dispatch(request.Deadline - (now - request.submittedAt))
 	replica.inFlight++
 	replica.unreadTokens += request.PromptTokens
-	state, _ := s.poisonTracker.State(now, request.Fingerprint)
-	if state == poison.OnTrial {
-		s.poisonTracker.RecordTrial(now, request.Fingerprint)
-	}
+	trials := s.recordTrials(now, request)
 	assigned := &assignment{
-		fingerprint: request.Fingerprint, node: request.Node, service: request.Service, route: request.Route, replicaID: replica.state.entry.ID, startedAt: replica.state.entry.StartedAt, version: replica.state.entry.Version,
+		fingerprint: request.Fingerprint, parts: request.Parts, node: request.Node, service: request.Service, route: request.Route, replicaID: replica.state.entry.ID, startedAt: replica.state.entry.StartedAt, version: replica.state.entry.Version,
 		promptTokens: request.PromptTokens, assignedAt: now, isCold: replica.isCold, share: request.share,
 	}
 	s.addAssignment(request.ID, assigned)
@@ -223,7 +220,7 @@
 	if replica.isLimited {
 		replica.state.limit.bucket.consume()
 	}
-	return state == poison.OnTrial
+	return trials
 }
 
 // retryAfter returns when a rejected caller should come back: after the expected wait, within limits that
--- a/coordination/admission/messages.go
+++ b/coordination/admission/messages.go
@@ -47,6 +47,8 @@
 	HasReservation bool `msgpack:"-"`
 	// Fingerprint is equal for requests with the same content.
 	Fingerprint fingerprint.Fingerprint `msgpack:"Content"`
+	// Parts are the keys of the shared parts of the prompt, see promptparts.Key.
+	Parts []fingerprint.Fingerprint `msgpack:",omitempty"`
 	// Version is the only version of the replicas' software at which the request may run; empty means any. It is set
 	// for streams whose callers have events. Scheduling nodes of earlier releases ignore it.
 	Version string `msgpack:",omitempty"`
@@ -101,8 +103,11 @@
 	Limit pushback.TimedLimit
 	// Reason is ReasonNone if the request was assigned.
 	Reason Reason
-	// Trial is true if a blocked request was assigned as a trial.
-	Trial bool
+	// Trials are the keys of what was blocked and is tried with this assignment: the request, parts of its
+	// prompt, or both.
+	Trials []fingerprint.Fingerprint
+	// BlockedBy is the key because of which the request was rejected as blocked or suspect.
+	BlockedBy fingerprint.Fingerprint
 	// RetryAfter is when a rejected caller should come back.
 	RetryAfter time.Duration
 	// LatestReturn is the longest useful RetryAfter of a request that was rejected for lack of slots, and
@@ -138,3 +143,11 @@
 	WorkTime  int           `msgpack:",omitempty"`
 	HeadDelay time.Duration `msgpack:",omitempty"`
 }
+
+// minProvenTime is how long a replica has written an answer once it is certain that the prompt does not crash it.
+const minProvenTime = 250 * time.Millisecond
+
+// ProvesPrompt reports whether the replica wrote an answer to the prompt and survived it.
+func (o *Observation) ProvesPrompt() bool {
+	return o.Whole && !o.Failed || o.Events > 0 && o.Duration-o.FirstEvent >= minProvenTime
+}
--- a/coordination/poison/tracker.go
+++ b/coordination/poison/tracker.go
@@ -86,6 +86,7 @@
 	policy        Policy
 	entries       map[fingerprint.Fingerprint]*entry
 	trialsAllowed bool
+	parts         *partHistory
 	// summary covers the shared records; it is outdated while summaryStale is true.
 	summary      poisonrecords.Summary
 	summaryStale bool
@@ -93,7 +94,7 @@
 
 // NewTracker returns an empty tracker that allows no trials until SetTrialsAllowed.
 func NewTracker(policy Policy) *Tracker {
-	return &Tracker{policy: policy, entries: map[fingerprint.Fingerprint]*entry{}}
+	return &Tracker{policy: policy, entries: map[fingerprint.Fingerprint]*entry{}, parts: newPartHistory()}
 }
 
 // SetPolicy replaces the policy.
@@ -135,6 +136,15 @@
 	return true
 }
 
+// TrialDueFor returns for how long a trial of the request has been due; negative if none is due yet.
+func (t *Tracker) TrialDueFor(now structs.Instant, request fingerprint.Fingerprint) time.Duration {
+	e, found := t.entries[request]
+	if !found {
+		return 0
+	}
+	return now - e.nextTrialAt
+}
+
 // Unblock clears the request on behalf of an operator. It reports whether there was a crash to clear.
 func (t *Tracker) Unblock(now structs.Instant, request fingerprint.Fingerprint) bool {
 	return t.RecordSuccess(now, request)
@@ -207,7 +217,7 @@
 	e, found := t.entries[request.Fingerprint]
 	if !found {
 		t.evictIfFull()
-		e = &entry{Record: poisonrecords.Record{Fingerprint: request.Fingerprint, Service: request.Service, Route: request.Route}, changedAt: now}
+		e = &entry{Record: poisonrecords.Record{Fingerprint: request.Fingerprint, Service: request.Service, Route: request.Route, Tenant: request.Tenant, Part: request.Part}, changedAt: now}
 		t.entries[request.Fingerprint] = e
 	}
 	return e
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"github.com/thornwalk/thornwalk/coordination/poison"
 	"github.com/thornwalk/thornwalk/internal/eventlog"
 	"github.com/thornwalk/thornwalk/state/catalog"
 	"github.com/thornwalk/thornwalk/state/fingerprint"
@@ -28,8 +29,9 @@
 	tenant  *catalog.Tenant
 	service string
 	body    []byte
-	// fingerprint is set once the body is read.
+	// fingerprint is set once the body is read, and parts are the shared parts of the prompt.
 	fingerprint fingerprint.Fingerprint
+	parts       []poison.Part
 	// lastFailure is the failure cause of the last send.
 	lastFailure failureCause
 	// connectError is why the last connect failed, for the log.
@@ -116,9 +118,10 @@
 		c.endNotRun(http.StatusServiceUnavailable, reasonStopping, retryAfterStopping)
 		return
 	}
-	if !c.bindResumedStream(current) {
+	if !c.bindResumedStream() {
 		return
 	}
+	c.readParts()
 	c.serve()
 }
 
--- a/entry/messages.go
+++ b/entry/messages.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/thornwalk/thornwalk/coordination/admission"
+	"github.com/thornwalk/thornwalk/coordination/poison"
 	"github.com/thornwalk/thornwalk/coordination/quota"
 	"github.com/thornwalk/thornwalk/state/fingerprint"
 	"github.com/thornwalk/thornwalk/state/poisonrecords"
@@ -32,8 +33,10 @@
 	PushbackReports []pushback.Report `msgpack:"Heard,omitempty"`
 	// RejectionLimits are the rejection limits of the service's replicas that the asking node knows.
 	RejectionLimits []pushback.Report `msgpack:"Brittle,omitempty"`
-	// Known is the asking node's recent poison record of the request, nil if there is none.
-	Known *poisonrecords.Record
+	// Known is the asking node's recent poison record of the request, nil if there is none, and KnownParts are
+	// those of the parts of its prompt.
+	Known      *poisonrecords.Record
+	KnownParts []poisonrecords.Record `msgpack:",omitempty"`
 }
 
 // assignReply is the decision on an assignRequest. Reason is empty if a replica was assigned.
@@ -46,6 +49,9 @@
 	// service's free slots and the predicted wait.
 	Waiting, Free int
 	Expected      time.Duration
+	// BlockedBy is the fingerprint, of the request or of a part of its prompt, because of which it was rejected
+	// as blocked or suspect; nil otherwise.
+	BlockedBy *fingerprint.Fingerprint `msgpack:",omitempty"`
 	// Term is the term of the scheduling node.
 	Term uint64
 	// Limit is the replica's rate limit as the scheduling node knows it, nil if it knows of none.
@@ -82,6 +88,10 @@
 type crashedIncarnation struct {
 	Incarnation    poisonrecords.Incarnation `msgpack:"Life"`
 	Service, Route string
+	// Parts are the shared parts of the prompt if the replica had not written an answer to it, and Tenant is the
+	// tenant of the request then.
+	Parts  []poison.Part `msgpack:",omitempty"`
+	Tenant string        `msgpack:",omitempty"`
 }
 
 type finishReply struct{}
--- a/entry/poison_sync.go
+++ b/entry/poison_sync.go
@@ -97,7 +97,7 @@
 		incarnations = append(incarnations, string(incarnation))
 	}
 	n.log.Write(eventlog.Event{
-		Kind: "content", Outcome: outcome, Fingerprint: record.Fingerprint.String(), Service: record.Service, Route: record.Route,
+		Kind: "content", Outcome: outcome, Fingerprint: record.Fingerprint.String(), Service: record.Service, Route: record.Route, Tenant: record.Tenant, Parts: record.Part,
 		Count: len(record.Incarnations), Detail: strings.Join(incarnations, " "),
 	})
 }
--- a/entry/request_log.go
+++ b/entry/request_log.go
@@ -66,6 +66,9 @@
 	event.QueuedAhead, event.FreeSlots, event.ExpectedWaitMS = granted.Waiting, granted.Free, granted.Expected.Milliseconds()
 	if granted.Reason != "" {
 		event.Outcome, event.Reason = "refused", granted.Reason
+		if granted.BlockedBy != nil {
+			event.BlockedBy = granted.BlockedBy.String()
+		}
 		if executions == 0 { // otherwise the caller is not told
 			event.RetryAfterMS = granted.retryAfter().Milliseconds()
 		}
--- a/entry/scheduling_poison.go
+++ b/entry/scheduling_poison.go
@@ -31,6 +31,11 @@
 // is zero if another node assigned the request. The caller holds the mutex.
 func (s *schedulingService) recordPoisonResult(completion admission.Completion, finished *finishRequest) {
 	now := s.clock()
+	if finished.Observation.ProvesPrompt() {
+		for _, key := range s.poisonTracker.RecordPartAnswer(now, completion.Parts) {
+			s.reportPoisonTransition(poisonCleared, key)
+		}
+	}
 	switch {
 	case finished.Ended != nil:
 		assignedAt := completion.AssignedAt
@@ -38,17 +43,17 @@
 			assignedAt = -1 // unknown, so that an incarnation counts once
 		}
 		record := poisonrecords.Record{Fingerprint: finished.Fingerprint, Service: finished.Ended.Service, Route: finished.Ended.Route}
+		s.recordPartCrash(now, record, finished.Ended, assignedAt)
 		state, changed := s.poisonTracker.RecordCrash(now, record, finished.Ended.Incarnation, assignedAt)
 		if !changed {
 			return
 		}
-		outcome := poisonSuspected
-		if state == poison.Blocked {
-			outcome = poisonBlocked
-		}
-		s.reportPoisonTransition(outcome, finished.Fingerprint)
+		s.reportPoisonTransition(outcomeOf(state), finished.Fingerprint)
 	case finished.NotRun:
 		s.poisonTracker.CancelTrial(completion.Fingerprint)
+		for _, part := range completion.Parts {
+			s.poisonTracker.CancelTrial(part)
+		}
 	case finished.Observation.Whole:
 		if s.poisonTracker.RecordSuccess(now, finished.Fingerprint) {
 			s.onPoisonTransition(poisonCleared, poisonrecords.Record{Fingerprint: finished.Fingerprint, Service: completion.Service, Route: completion.Route})
@@ -56,6 +61,23 @@
 	}
 }
 
+// recordPartCrash records the crash against the parts of the request's prompt, none if the replica had written an
+// answer. The caller holds the mutex.
+func (s *schedulingService) recordPartCrash(now structs.Instant, request poisonrecords.Record, crashed *crashedIncarnation, assignedAt structs.Instant) {
+	request.Tenant = crashed.Tenant
+	for _, change := range s.poisonTracker.RecordPartCrash(now, request, crashed.Parts, crashed.Incarnation, assignedAt) {
+		s.reportPoisonTransition(outcomeOf(change.State), change.Key)
+	}
+}
+
+// outcomeOf returns the name in logs of the state that a crash led to.
+func outcomeOf(state poison.State) string {
+	if state == poison.Blocked {
+		return poisonBlocked
+	}
+	return poisonSuspected
+}
+
 // reportPoisonTransition reports a change of the request's poison state. The caller holds the
 // mutex.
 func (s *schedulingService) reportPoisonTransition(outcome string, key fingerprint.Fingerprint) {
@@ -88,6 +110,19 @@
 	return s.poisonTracker.Recent(s.clock(), key)
 }
 
+// poisonRecordsOf returns the poison records of the parts that this node changed recently.
+func (s *schedulingService) poisonRecordsOf(parts []poison.Part) []poisonrecords.Record {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	var records []poisonrecords.Record
+	for _, part := range parts {
+		if record := s.poisonTracker.Recent(s.clock(), part.Key); record != nil {
+			records = append(records, *record)
+		}
+	}
+	return records
+}
+
 // poisonSummary returns the summary of the records that are shared with other nodes.
 func (s *schedulingService) poisonSummary() poisonrecords.Summary {
 	s.mutex.Lock()
--- a/entry/scheduling_service.go
+++ b/entry/scheduling_service.go
@@ -254,6 +254,7 @@
 			Replica: decision.Replica, Reason: string(decision.Reason),
 			RetryAfter: decision.RetryAfter, Waited: decision.Waited, Term: s.currentTerm(),
 			Waiting: decision.QueuedAhead, Free: decision.FreeSlots, Expected: decision.ExpectedWait,
+			BlockedBy: blockedBy(decision),
 		}
 	case <-ctx.Done():
 		s.finish(&finishRequest{ID: request.Request.ID, NotRun: true})
@@ -261,6 +262,14 @@
 	}
 }
 
+// blockedBy returns the key because of which the request was rejected as blocked or suspect, or nil.
+func blockedBy(decision admission.Decision) *fingerprint.Fingerprint {
+	if decision.BlockedBy.IsZero() {
+		return nil
+	}
+	return &decision.BlockedBy
+}
+
 // limitReport returns what is known of the rate limit of the assigned replica, or nil.
 func (s *schedulingService) limitReport(decision admission.Decision) *pushback.Report {
 	if decision.Limit.Limit.State == pushback.LimitUnknown {
@@ -286,6 +295,7 @@
 	if request.Known != nil {
 		s.mergePoisonLocked(now, []poisonrecords.Record{*request.Known})
 	}
+	s.mergePoisonLocked(now, request.KnownParts)
 	for _, report := range request.PushbackReports {
 		s.scheduler.ApplyPushbackReport(now, report)
 	}
@@ -323,11 +333,11 @@
 }
 
 // observe records the end of a request of this node that another node assigned.
-func (s *schedulingService) observe(service string, prompt int, finished *finishRequest, replica string) {
+func (s *schedulingService) observe(service string, prompt int, finished *finishRequest, replica string, parts []fingerprint.Fingerprint) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.scheduler.ObserveExternal(s.clock(), service, replica, prompt, finished.Observation)
-	s.recordPoisonResult(admission.Completion{}, finished)
+	s.recordPoisonResult(admission.Completion{Parts: parts}, finished)
 }
 
 // recordFirstEvent records the start of a response and the load and pushback signals that came with
@@ -431,8 +441,8 @@
 			continue
 		}
 		delete(s.pending, decision.ID)
-		if decision.Trial {
-			s.reportPoisonTransition(poisonTrial, s.charges[decision.ID].fingerprint)
+		for _, key := range decision.Trials {
+			s.reportPoisonTransition(poisonTrial, key)
 		}
 		var mayHaveRun bool
 		if decision.Reason != admission.ReasonNone {
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -8,10 +8,12 @@
 	"time"
 
 	"github.com/thornwalk/thornwalk/coordination/admission"
+	"github.com/thornwalk/thornwalk/coordination/poison"
 	"github.com/thornwalk/thornwalk/coordination/returns"
 	"github.com/thornwalk/thornwalk/coordination/tenantstats"
 	"github.com/thornwalk/thornwalk/state/fingerprint"
 	"github.com/thornwalk/thornwalk/state/poisonrecords"
+	"github.com/thornwalk/thornwalk/state/promptparts"
 	"github.com/thornwalk/thornwalk/state/pushback"
 	"github.com/thornwalk/thornwalk/state/replicas"
 )
@@ -77,7 +79,7 @@
 		message.Observation.CallerLeft = true // counts neither for nor against the replica
 	}
 	if granted.address != "" {
-		c.node.scheduling.observe(c.service, c.promptTokens, message, granted.Replica.ID)
+		c.node.scheduling.observe(c.service, c.promptTokens, message, granted.Replica.ID, c.partKeys())
 	}
 	c.node.reportFinish(granted, message)
 }
@@ -87,6 +89,9 @@
 // replica's state is unknown.
 func (c *call) isReplicaAtFault(granted *grant, message *finishRequest) bool {
 	crashed := &crashedIncarnation{Incarnation: poisonrecords.IncarnationOf(granted.Replica.ID, granted.Replica.StartedAt), Service: c.service, Route: c.route.Name}
+	if !message.Observation.ProvesPrompt() {
+		crashed.Parts, crashed.Tenant = c.parts, c.tenantName()
+	}
 	state := incarnationUnknown // also after a timeout
 	switch c.lastFailure {
 	case causeClosed:
@@ -167,10 +172,10 @@
 			Node: node.process(), Zone: node.settings.Load().Zone, Service: c.service, Route: c.route.Name, Priority: c.priority(),
 			Fingerprint: c.fingerprint, PromptTokens: c.promptTokens, AnswerTokens: c.expectedOutputTokens(), Tried: tried, Doubted: suspected,
 			TokensPerEvent: c.tokensPerEvent(), MaxEventGap: c.route.TargetEventGap, Yields: c.route.Priority >= minYieldPriority,
-			Deadline: c.remaining(), Version: c.origin.Version,
+			Deadline: c.remaining(), Parts: c.partKeys(), Version: c.origin.Version,
 			Target: max(c.route.TargetLatency-c.age(), 0), Patience: c.maxQueueWait(),
 		},
-		First: len(tried) == 0, Repeat: isRetry, RequestID: tenantstats.ShortName(c.id), PushbackReports: node.pushbackReports(c.service), RejectionLimits: node.rejectionLimits(c.service), Known: node.scheduling.poisonRecordOf(c.fingerprint),
+		First: len(tried) == 0, Repeat: isRetry, RequestID: tenantstats.ShortName(c.id), PushbackReports: node.pushbackReports(c.service), RejectionLimits: node.rejectionLimits(c.service), Known: node.scheduling.poisonRecordOf(c.fingerprint), KnownParts: node.scheduling.poisonRecordsOf(c.parts),
 	}
 	if c.tenant != nil {
 		request.Tenant, request.Request.Tenant = c.tenant.Name, c.tenant.Name
@@ -185,11 +190,23 @@
 
 // computeFingerprint sets the request's fingerprint. The body must have been read.
 func (c *call) computeFingerprint() {
-	tenant := ""
-	if c.tenant != nil {
-		tenant = c.tenant.Name
+	c.fingerprint = fingerprint.Of(c.tenantName(), c.request.Method, c.request.Host, c.request.RequestURI, c.body)
+}
+
+// readParts reads the shared parts of the prompt. The service must be set.
+func (c *call) readParts() {
+	for _, id := range promptparts.Shared(c.request.Header.Get(c.node.dependencies.Headers.PromptPrefix)) {
+		c.parts = append(c.parts, poison.Part{Key: promptparts.Key(c.tenantName(), c.service, id), ID: id})
+	}
+}
+
+// partKeys returns the keys of the shared parts of the prompt.
+func (c *call) partKeys() []fingerprint.Fingerprint {
+	keys := make([]fingerprint.Fingerprint, len(c.parts))
+	for i, part := range c.parts {
+		keys[i] = part.Key
 	}
-	c.fingerprint = fingerprint.Of(tenant, c.request.Method, c.request.Host, c.request.RequestURI, c.body)
+	return keys
 }
 
 // routePriorityRange is above any route's priority, so that the tenant's priority has precedence.
--- a/entry/stream_origin.go
+++ b/entry/stream_origin.go
@@ -11,7 +11,6 @@
 	"github.com/thornwalk/thornwalk/coordination/liveness"
 	"github.com/thornwalk/thornwalk/coordination/streams"
 	"github.com/thornwalk/thornwalk/protocol/peerwire"
-	"github.com/thornwalk/thornwalk/state/catalog"
 	"github.com/thornwalk/thornwalk/state/replicas"
 	"github.com/thornwalk/thornwalk/state/streamorigins"
 	"github.com/thornwalk/thornwalk/structs"
@@ -92,7 +91,7 @@
 
 // bindResumedStream binds a stream that the caller resumes to the version that began it. If it returns
 // false, it has ended the request.
-func (c *call) bindResumedStream(current *catalog.Catalog) bool {
+func (c *call) bindResumedStream() bool {
 	names := &c.node.dependencies.Headers
 	first, lastEvent := c.request.Header.Get(names.ResumedRequest), c.request.Header.Get(names.LastEvent)
 	if c.route.Kind != kindStreaming || first == "" && lastEvent == "" {
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -26,9 +26,11 @@
 	Request string `json:"request,omitempty"`
 	// Fingerprint is the fingerprint of the request, equal for all its attempts.
 	Fingerprint string `json:"content,omitempty"`
-	Route       string `json:"route,omitempty"`
-	Tenant      string `json:"tenant,omitempty"`
-	Service     string `json:"service,omitempty"`
+	// BlockedBy is the fingerprint because of which a request was rejected: its own, or that of a part of its prompt.
+	BlockedBy string `json:"barred_by,omitempty"`
+	Route     string `json:"route,omitempty"`
+	Tenant    string `json:"tenant,omitempty"`
+	Service   string `json:"service,omitempty"`
 	// Parts are the IDs of the shared parts of the prompt, separated by commas.
 	Parts   string `json:"parts,omitempty"`
 	Replica string `json:"replica,omitempty"`
--- a/operator/story/story.go
+++ b/operator/story/story.go
@@ -47,7 +47,7 @@
 	fingerprints := map[string]bool{}
 	for _, event := range all {
 		if event.Request == id {
-			fingerprints[event.Fingerprint] = true
+			fingerprints[event.Fingerprint], fingerprints[event.BlockedBy] = true, true
 			story.Request = append(story.Request, event)
 			participants[event.Replica], participants[event.Peer], participants[event.Node], participants[event.Forwarder] = true, true, true, true
 		}
@@ -143,7 +143,7 @@
 	"too-long-for-deadline": "no replica is fast enough for the expected answer before the deadline",
 	"replicas-full":         "the replicas rejected the request although places were free here: see their load",
 	"replicas-unreachable":  "no connection to the chosen replicas could be opened: see the replica lines and the links",
-	"barred":                "too many replicas ended under this request, see the content lines: thornwalk barred lists it, thornwalk barred lift lets it be sent again",
+	"barred":                "too many replicas ended under this request or under a part of its prompt (barred_by), see the content lines: thornwalk barred lists it, thornwalk barred lift lets it be sent again",
 	"suspect":               "a replica ended under this request, and another try of it ran: one at a time is sent, see the content lines",
 	"replica-broke-off":     "a replica ran the request and its answer was cut, spoiled or a failure",
 	"deadline":              "the time of the caller or the route ran out while a replica had the request",
--- a/state/poisonrecords/record.go
+++ b/state/poisonrecords/record.go
@@ -28,12 +28,16 @@
 	MaxTrials = 2
 )
 
-// Record is the crash history of one request. Of two records of a request, the one with the higher
+// Record is the crash history of one request, or of all requests of a tenant with one part in their prompts. Of two records of a request, the one with the higher
 // generation replaces the other; records of the same generation are merged.
 type Record struct {
 	Fingerprint fingerprint.Fingerprint `msgpack:"c" json:"content"`
 	Service     string                  `msgpack:"s" json:"service"`
 	Route       string                  `msgpack:"r" json:"route"`
+	// Part is the ID of a part of prompts, and Tenant the tenant whose prompts have it. Both are empty in the
+	// record of a whole request.
+	Part   string `msgpack:"p,omitempty" json:"part,omitempty"`
+	Tenant string `msgpack:"n,omitempty" json:"tenant,omitempty"`
 	// Generation is the number of times the record was cleared.
 	Generation uint32 `msgpack:"g" json:"generation"`
 	// Incarnations are those that crashed under the request in this generation, sorted.
@@ -55,9 +59,10 @@
 	case other.Generation > r.Generation:
 		r.Generation, r.Trials, r.Incarnations = other.Generation, other.Trials, slices.Clone(other.Incarnations)
 		r.IsPersistent = r.IsPersistent || other.IsPersistent
-		r.Service, r.Route = cmp.Or(r.Service, other.Service), cmp.Or(r.Route, other.Route)
+		r.addNames(other)
 		return true
 	}
+	r.addNames(other)
 	changed := other.Trials > r.Trials || other.IsPersistent && !r.IsPersistent
 	r.Trials, r.IsPersistent = max(r.Trials, other.Trials), r.IsPersistent || other.IsPersistent
 	for _, incarnation := range other.Incarnations {
@@ -66,6 +71,12 @@
 	return changed
 }
 
+// addNames adds the names that r lacks: nodes of earlier releases drop some of them.
+func (r *Record) addNames(other *Record) {
+	r.Service, r.Route = cmp.Or(r.Service, other.Service), cmp.Or(r.Route, other.Route)
+	r.Part, r.Tenant = cmp.Or(r.Part, other.Part), cmp.Or(r.Tenant, other.Tenant)
+}
+
 // Add adds the incarnation, and reports whether the record changed. Above MaxIncarnations it keeps the
 // first in sort order, so that all nodes keep the same ones.
 func (r *Record) Add(incarnation Incarnation) bool {
