--- a/lab/platformsim/replica.go
+++ b/lab/platformsim/replica.go
@@ -34,8 +34,10 @@
 	Stray
 	// Silent runs the request and sends no answer.
 	Silent
-	// Unframed answers without a length; the end of the connection ends the answer.
+	// Unframed answers without a length and without chunks; the end of the connection ends the answer.
 	Unframed
+	// UnframedCut is Unframed for streams, with the connection closed in the middle of an event.
+	UnframedCut
 	// Unsigned answers without X-Server-Stamp.
 	Unsigned
 	// End begins to run the request, and then the replica crashes.
@@ -419,7 +421,12 @@
 
 func (r *Replica) writeStream(ctx context.Context, conn net.Conn, behavior Behavior, id string, run *Run) bool {
 	lastEvent, _ := strconv.Atoi(run.LastEventID)
-	writeText(conn, r.responseHead("200 OK", id, "text/event-stream", run)+"Transfer-Encoding: chunked\r\n\r\n")
+	framing, frame, end := "Transfer-Encoding: chunked\r\n", chunk, "0\r\n\r\n"
+	isUnframed := behavior == Unframed || behavior == UnframedCut
+	if isUnframed {
+		framing, frame, end = "", func(text string) string { return text }, ""
+	}
+	writeText(conn, r.responseHead("200 OK", id, "text/event-stream", run)+framing+"\r\n")
 	for number := lastEvent + 1; number <= r.Events; number++ {
 		if !sleep(ctx, r.Step) {
 			return false
@@ -429,16 +436,16 @@
 			event = Event(id, number)
 		}
 		event = r.versionComment() + event
-		if behavior == Cut && number > r.Events/2 {
-			writeText(conn, chunk(event[:len(event)/2]))
+		if (behavior == Cut || behavior == UnframedCut) && number > r.Events/2 {
+			writeText(conn, frame(event[:len(event)/2]))
 			return false
 		}
-		if !writeText(conn, chunk(event)) {
+		if !writeText(conn, frame(event)) {
 			return false
 		}
 	}
 	r.endRun(run)
-	return writeText(conn, "0\r\n\r\n")
+	return writeText(conn, end) && !isUnframed
 }
 
 // VersionComment is the prefix of the comment by which an event names the version of its replica.
