soak: judge that streams keep to their software version and go on

Cause: no soak had replicas of several versions or callers that resume streams, so none of its faults could show streams of two versions.

Change: option -versions adds a service with two replicas of each of two versions; every third stream breaks off on its first try and is resumed by its caller at the other nodes, with the name of the first request. At most two streams may have events of two versions, whatever happens; outside of unplanned faults resumed ones must go on half as often as new ones begin.

--- a/cmd/thornwalk-lab/soak.go
+++ b/cmd/thornwalk-lab/soak.go
@@ -35,6 +35,7 @@
 	tenants := flags.Bool("tenants", false, "have a second tenant send more than the engines can answer, and judge the shares of the tenants")
 	restore := flags.Bool("restore", false, "restore a store of many entries under steady writes, and judge that replicas which it lists again are used")
 	cuts := flags.Bool("cuts", false, "cut the paths of nodes to all replicas, and judge that their callers are served like others")
+	versions := flags.Bool("versions", false, "break off streams of a service with two software versions, and judge that they go on at the one that began them")
 	logs := flags.String("log", "", "folder for the daemons' lines; empty drops them")
 	return &ffcli.Command{
 		Name: "soak", ShortUsage: "thornwalk-lab soak [flags]", FlagSet: flags,
@@ -49,7 +50,7 @@
 				return err
 			}
 			defer cleanup()
-			options := soak.Options{Daemon: path, Traffic: *traffic, Rate: *rate, LogFolder: *logs, Previous: *previous, Bounds: *bounds, Pushback: *pushback, Tenants: *tenants, Restore: *restore, Cuts: *cuts}
+			options := soak.Options{Daemon: path, Traffic: *traffic, Rate: *rate, LogFolder: *logs, Previous: *previous, Bounds: *bounds, Pushback: *pushback, Tenants: *tenants, Restore: *restore, Cuts: *cuts, Versions: *versions}
 			return runSoak(ctx, options, *first, *seeds, *workers)
 		},
 	}
--- a/lab/soak/callers.go
+++ b/lab/soak/callers.go
@@ -65,6 +65,8 @@
 	group   sync.WaitGroup
 	mutex   sync.Mutex
 	results []callResult
+	// streams are those of sendVersioned.
+	streams []versionedStream
 }
 
 // trafficRoutes are the routes that callers use in rotation.
--- a/lab/soak/checks.go
+++ b/lab/soak/checks.go
@@ -38,6 +38,9 @@
 	if options.Restore {
 		checkRelisted(result, c, i, violate)
 	}
+	if options.Versions {
+		checkVersions(result, c, i, violate)
+	}
 	checkRecovery(d, c, i, violate)
 	for _, p := range d.processes {
 		for _, failure := range p.failures {
--- a/lab/soak/deployment.go
+++ b/lab/soak/deployment.go
@@ -84,6 +84,8 @@
 	// relisted are the replicas whose entries are deleted between the backup of the store and its restore,
 	// and are not written again. They serve relistedRoute only and are not among replicas.
 	relisted []*platformsim.Replica
+	// versioned are the replicas of versionedRoute. They are not among replicas.
+	versioned []*platformsim.Replica
 	// mutex guards the last written configuration and the states of replicas that are not ready.
 	mutex         sync.Mutex
 	configuration entrylab.Configuration
@@ -107,6 +109,9 @@
 	for number := range d.replicas {
 		d.registerReplica(number)
 	}
+	for _, replica := range d.versioned {
+		replica.Register(d.store, "ready")
+	}
 }
 
 // hostAddress returns the address of a port on the host with the number in the address block.
@@ -120,6 +125,8 @@
 	firstReplicaHost = 20
 	// firstRelistedHost is behind the hosts of the other replicas.
 	firstRelistedHost = 40
+	// firstVersionedHost is behind these.
+	firstVersionedHost = 50
 )
 
 // startDeployment starts the store, the replicas and the nodes on loopback addresses of
@@ -137,6 +144,11 @@
 			return d, err
 		}
 	}
+	if options.Versions {
+		if err := d.startVersioned(options.Block); err != nil {
+			return d, err
+		}
+	}
 	d.writeConfiguration(staleRouteName)
 	for number := range engineCount + registryCount {
 		if err := d.startReplica(options.Block, number); err != nil {
@@ -253,6 +265,10 @@
 		configuration.Routes = append(configuration.Routes, route(relistedRoute, "unsafe", relistedService, 1, 1, false))
 		configuration.Services = append(configuration.Services, entrylab.Service{Name: relistedService})
 	}
+	if len(d.versioned) > 0 {
+		configuration.Routes = append(configuration.Routes, route(versionedRoute, "streaming", versionedService, 1, 2, true))
+		configuration.Services = append(configuration.Services, entrylab.Service{Name: versionedService})
+	}
 	if d.hasSurgeTenant {
 		configuration.Tenants = append(configuration.Tenants, entrylab.Tenant{Name: "surge", Keys: []string{surgeTenantKey}, Unit: "tokens", PlainTokens: tokensPerRequest, Rate: d.rate, Burst: d.burst})
 	}
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -42,6 +42,9 @@
 	// Cuts adds faults in which some nodes lose their paths to all replicas. Daemon must be thornwalk-lab, whose
 	// entry command can cut paths.
 	Cuts bool
+	// Versions adds a service with replicas of two software versions, whose streams break off and are resumed. It
+	// excludes Previous, which mixes them.
+	Versions bool
 	// LogFolder is where the daemons' logs are written; empty discards them.
 	LogFolder string
 }
@@ -75,6 +78,9 @@
 	if options.Restore && (options.Bounds || options.Previous != "") {
 		return nil, errors.New("option Restore excludes Bounds and Previous: play them in two runs")
 	}
+	if options.Versions && options.Previous != "" {
+		return nil, errors.New("option Versions excludes Previous: play them in two runs")
+	}
 	folder, err := os.MkdirTemp("", "thornwalk-soak")
 	if err != nil {
 		return nil, err
@@ -117,6 +123,9 @@
 	if options.Restore {
 		c.group.Go(func() { c.sendRelisted(ctx, i) })
 	}
+	if options.Versions {
+		c.group.Go(func() { c.sendVersioned(ctx, traffic) })
+	}
 	c.sendTraffic(ctx, traffic, options.Rate)
 	<-done
 	time.Sleep(settleTime)
--- /dev/null
+++ b/lab/soak/versions.go
@@ -0,0 +1,204 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/thornwalk/thornwalk/lab/platformsim"
+)
+
+// With Options.Versions a service has replicas of two software versions. Some streams break off, and their callers
+// resume them at other nodes.
+const (
+	versionedService, versionedRoute = "versioned", "versioned"
+	// versionedCount is the number of replicas, half of them of each version.
+	versionedCount = 4
+	versionedSlots = 6
+	// versionedRate is the number of new streams per second, of which every brokenStreams-th breaks off on its first try.
+	versionedRate = 20
+	brokenStreams = 3
+	versionTries  = 4
+)
+
+// The rules on streams and versions.
+const (
+	// maxMixedStreams is the number of streams that may have events of two versions, over all nodes.
+	maxMixedStreams = 2
+	// minResumedStreams is the least number of resumed streams that are judged, and minGoOnShare the least share of them
+	// that go on, in relation to the share of new streams that begin.
+	minResumedStreams = 12
+	minGoOnShare      = 0.5
+)
+
+// versionedStream is a stream as its caller saw it over all tries.
+type versionedStream struct {
+	id       string
+	versions []string
+	// began is true once the caller has an event, resumed if it resumed the stream, and wentOn if that brought an event.
+	began, resumed, wentOn bool
+	lastEvent              string
+	span                   span
+}
+
+// startVersioned starts the replicas of both versions.
+func (d *deployment) startVersioned(block string) error {
+	for number := range versionedCount {
+		listener, err := listen(hostAddress(block, firstVersionedHost+number, replicaPort))
+		if err != nil {
+			return err
+		}
+		d.replicaListeners = append(d.replicaListeners, listener)
+		replica := &platformsim.Replica{
+			ID: fmt.Sprintf("versioned-%d", number), Service: versionedService, Address: listener.Addr().String(), Zone: "east",
+			Version: fmt.Sprintf("v%d", 1+number%2), Slots: versionedSlots, Events: engineEvents, Step: engineStep,
+		}
+		replica.SetBehavior(breakOffFirstTries)
+		go replica.Serve(listener)
+		replica.Register(d.store, "ready")
+		d.versioned = append(d.versioned, replica)
+	}
+	return nil
+}
+
+// breakOffFirstTries cuts the first tries of the streams whose IDs say so.
+func breakOffFirstTries(request *http.Request) platformsim.Behavior {
+	if id := request.Header.Get("X-Attempt-Id"); strings.HasPrefix(id, "broken") && strings.HasSuffix(id, "-0") {
+		return platformsim.Cut
+	}
+	return platformsim.Answer
+}
+
+// sendVersioned begins streams for the duration. It returns when it started all.
+func (c *callers) sendVersioned(ctx context.Context, duration time.Duration) {
+	end := time.Now().Add(duration)
+	for number := 0; time.Now().Before(end) && ctx.Err() == nil; number++ {
+		name := fmt.Sprintf("sound%06d", number)
+		if number%brokenStreams == 0 {
+			name = fmt.Sprintf("broken%06d", number)
+		}
+		c.group.Go(func() {
+			stream := c.sendStream(name, number%nodeCount)
+			c.mutex.Lock()
+			defer c.mutex.Unlock()
+			c.streams = append(c.streams, stream)
+		})
+		time.Sleep(time.Second / versionedRate)
+	}
+}
+
+// sendStream sends a stream to the node and resumes it at the others until it is complete or its time is over.
+func (c *callers) sendStream(name string, node int) versionedStream {
+	stream := versionedStream{id: name, span: span{from: time.Now()}}
+	first := ""
+	for try := range versionTries {
+		id := fmt.Sprintf("%s-%d", name, try)
+		resumes := stream.began
+		isComplete, retryAfter := c.tryStream(&stream, id, first, (node+try)%nodeCount)
+		if first == "" && stream.began {
+			first = id
+		}
+		stream.resumed = stream.resumed || resumes
+		if isComplete || time.Since(stream.span.from)+retryAfter > requestDeadlineMS*time.Millisecond {
+			break
+		}
+		time.Sleep(retryAfter)
+	}
+	stream.span.to = time.Now()
+	return stream
+}
+
+// tryStream sends one try, which resumes the stream that the request first began unless that is empty. It reports
+// whether the stream is complete, and when to come back if not.
+func (c *callers) tryStream(stream *versionedStream, id, first string, node int) (isComplete bool, retryAfter time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), callerTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+hostAddress(c.block, node+1, callersPort)+"/"+versionedRoute+"/", strings.NewReader(stream.id))
+	if err != nil {
+		return false, 0
+	}
+	request.Host, request.GetBody = routeHost, nil
+	left := requestDeadlineMS*time.Millisecond - time.Since(stream.span.from)
+	request.Header.Set("X-Attempt-Id", id)
+	request.Header.Set("X-Deadline-Ms", strconv.FormatInt(left.Milliseconds(), 10))
+	request.Header.Set("Authorization", "Bearer "+tenantKey)
+	if first != "" {
+		request.Header.Set("Resumes", first)
+		request.Header.Set("Last-Event-Id", stream.lastEvent)
+	}
+	response, err := c.client.Do(request)
+	if err != nil {
+		return false, 0
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if response.StatusCode != http.StatusOK {
+		return false, parseRetryAfter(response.Header.Get("Retry-After"))
+	}
+	stream.add(string(body), first != "")
+	return err == nil, 0
+}
+
+// add adds the events of a try.
+func (s *versionedStream) add(body string, resumed bool) {
+	for line := range strings.Lines(body) {
+		if version, found := strings.CutPrefix(line, platformsim.VersionComment); found && !slices.Contains(s.versions, strings.TrimSpace(version)) {
+			s.versions = append(s.versions, strings.TrimSpace(version))
+		}
+		if id, found := strings.CutPrefix(line, "id: "); found {
+			s.lastEvent, s.began, s.wentOn = strings.TrimSpace(id), true, s.wentOn || resumed
+		}
+	}
+}
+
+// streamTally counts streams.
+type streamTally struct{ sent, began, resumed, wentOn int }
+
+func (t *streamTally) add(stream versionedStream) {
+	t.sent++
+	for _, count := range []struct {
+		applies bool
+		counter *int
+	}{{stream.began, &t.began}, {stream.resumed, &t.resumed}, {stream.wentOn, &t.wentOn}} {
+		if count.applies {
+			*count.counter++
+		}
+	}
+}
+
+func (t streamTally) String() string {
+	return fmt.Sprintf("%d of %d began, %d of %d resumed ones went on", t.began, t.sent, t.wentOn, t.resumed)
+}
+
+// goesOnTooSeldom reports whether resumed streams go on less than minGoOnShare as often as new ones begin.
+func (t streamTally) goesOnTooSeldom() bool {
+	return t.resumed >= minResumedStreams && float64(t.wentOn)/float64(t.resumed) < minGoOnShare*float64(t.began)/float64(t.sent)
+}
+
+// checkVersions checks that streams keep to the version that began them, whatever happens, and that resumed streams
+// go on outside of unplanned faults.
+func checkVersions(result *Result, c *callers, i *injector, violate reportViolation) {
+	var mixed []string
+	var all, undisturbed streamTally
+	for _, stream := range c.streams {
+		if len(stream.versions) > 1 {
+			mixed = append(mixed, stream.id)
+		}
+		all.add(stream)
+		if !slices.ContainsFunc(i.unplanned, stream.span.overlaps) {
+			undisturbed.add(stream)
+		}
+	}
+	result.Worst["versions"] = fmt.Sprintf("%d streams of two versions; %v; outside of faults %v", len(mixed), all, undisturbed)
+	if len(mixed) > maxMixedStreams {
+		violate("%d streams have events of two versions: %v", len(mixed), mixed)
+	}
+	if undisturbed.goesOnTooSeldom() {
+		violate("streams are resumed too seldom: %v", undisturbed)
+	}
+}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -128,3 +128,9 @@
 func TestShortSoakOfCuts(t *testing.T) {
 	runSeed(t, soak.Options{Daemon: buildOrFail(t, buildLab), Seed: 1, Traffic: 18 * time.Second, Rate: 60, Block: "127.0.39", Cuts: true})
 }
+
+// Guards against streams with events of two software versions, and resumed streams that are refused, while nodes
+// end and are suspended and the store fails.
+func TestShortSoakOfVersions(t *testing.T) {
+	runSeed(t, soak.Options{Daemon: buildOrFail(t, buildPresent), Seed: 1, Traffic: 8 * time.Second, Rate: 40, Block: "127.0.40", Versions: true})
+}
