poison: a refusal by a replica does not prove a prompt

Cause: found by reading. A complete answer with a status of 4xx counted as a replica's answer to the prompt, though it may have refused the request before it read the prompt. One such answer would have acquitted a part of prompts under which replicas crash.

Measured: TestPromptIsProvedByAnAnswer has the case.

--- a/coordination/admission/messages.go
+++ b/coordination/admission/messages.go
@@ -136,8 +136,10 @@
 	CallerLeft bool `msgpack:"Left"`
 	// Failed is true if the replica failed, broke off the answer or did not answer.
 	Failed bool
-	// Whole is true if the replica sent a complete answer, even one that reports a failure.
-	Whole bool
+	// Whole is true if the replica sent a complete answer, even one that reports a failure, and Succeeded if that
+	// has a status of success.
+	Whole     bool
+	Succeeded bool `msgpack:",omitempty"`
 	// WorkTime is the work time that the replica reported, in percent of its usual one, and HeadDelay the
 	// time from the send to that report. WorkTime is zero if the replica reported none.
 	WorkTime  int           `msgpack:",omitempty"`
@@ -149,5 +151,5 @@
 
 // ProvesPrompt reports whether the replica wrote an answer to the prompt and survived it.
 func (o *Observation) ProvesPrompt() bool {
-	return o.Whole && !o.Failed || o.Events > 0 && o.Duration-o.FirstEvent >= minProvenTime
+	return o.Succeeded || o.Events > 0 && o.Duration-o.FirstEvent >= minProvenTime
 }
--- a/coordination/admission/parts_test.go
+++ b/coordination/admission/parts_test.go
@@ -119,8 +119,9 @@
 		observed Observation
 		proves   bool
 	}{
-		"whole answer":                 {Observation{Whole: true}, true},
+		"whole answer":                 {Observation{Whole: true, Succeeded: true}, true},
 		"whole failure":                {Observation{Whole: true, Failed: true}, false},
+		"refused by the replica":       {Observation{Whole: true}, false},
 		"broken off before it began":   {Observation{Failed: true, Duration: time.Second}, false},
 		"broken off at once":           {Observation{Failed: true, Events: 1, FirstEvent: time.Second, Duration: time.Second + 100*ms}, false},
 		"broken off long after":        {Observation{Failed: true, Events: 9, FirstEvent: time.Second, Duration: 2 * time.Second}, true},
--- a/entry/doc.go
+++ b/entry/doc.go
@@ -4,7 +4,8 @@
 // nothing is kept on the machine.
 //
 // The path of a request: handler.go (route, key, body), assignment.go (a slot from the scheduling
-// node), serve.go (attempts and retries), attempt.go (one attempt), replica_paths.go (connections and
+// node), serve.go (attempts and retries), attempt.go (one attempt), stream_origin.go (where a begun stream may
+// go on), replica_paths.go (connections and
 // which replicas are reached), headers.go (forwarded headers), response.go, stream.go (events) and
 // request_log.go. forwarding.go has connections that peers forward, and exchanges.go finds silent paths.
 //
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -73,6 +73,7 @@
 func (c *call) finish(granted *grant, outcome result, observed admission.Observation) {
 	message := &finishRequest{ID: granted.id, Observation: observed, NotRun: outcome == resultNotSent || outcome == resultRejected, Rejected: c.lackedRoom, Fingerprint: c.fingerprint}
 	message.Observation.Whole = outcome == resultAnswered || outcome == resultServerError
+	message.Observation.Succeeded = outcome == resultAnswered && c.answeredStatus < http.StatusMultipleChoices
 	if outcome == resultIncomplete && c.isReplicaAtFault(granted, message) {
 		c.node.recordBroken(granted.Replica.ID)
 	} else if outcome == resultIncomplete {
