test: a stream that is resumed twice

Cause: no course resumed a stream whose second try breaks off as well, where the caller still names the first request.

Change: a course of TestStreamsGoOnOnlyAtTheVersionThatBeganThem.

--- a/test/entry/stream_versions_test.go
+++ b/test/entry/stream_versions_test.go
@@ -74,7 +74,8 @@
 type mixingCase struct {
 	// newer is the number of engines with the second version.
 	newer int
-	// breaks is how many sends of a broken stream break off, one after the other.
+	// breaks is 1 if the first send of a broken stream breaks off, 2 if all of the first try do, and 3 if those of the
+	// second try do too.
 	breaks int
 	// fault runs from the fifth second on; it may be nil.
 	fault func(s *versionsScenario)
@@ -117,12 +118,15 @@
 	return replica
 }
 
-// breakOff cuts the sends of a caller's first try of the streams whose path says so: the first one, or all.
+// breakOff cuts sends of the streams whose path says so: the first one of a caller's first try, both of them, or
+// also those of its second try.
 func breakOff(breaks int) func(*http.Request) platformsim.Behavior {
 	return func(request *http.Request) platformsim.Behavior {
-		isFirstTry := strings.HasSuffix(request.Header.Get("X-Attempt-Id"), "-0")
+		id := request.Header.Get("X-Attempt-Id")
+		isFirstTry, isSecondTry := strings.HasSuffix(id, "-0"), strings.HasSuffix(id, "-1")
 		isFirstSend := request.Header.Get("Last-Event-Id") == ""
-		if strings.Contains(request.URL.Path, "broken") && isFirstTry && (isFirstSend || breaks > 1) {
+		breaks := isFirstTry && (isFirstSend || breaks > 1) || isSecondTry && breaks > 2
+		if strings.Contains(request.URL.Path, "broken") && breaks {
 			return platformsim.Cut
 		}
 		return platformsim.Answer
@@ -290,6 +294,7 @@
 	for name, testCase := range map[string]mixingCase{
 		"broken off once":                   {newer: 5, breaks: 1, minGoOnShare: 0.95},
 		"broken off twice":                  {newer: 5, breaks: 2, minGoOnShare: 0.95},
+		"resumed twice":                     {newer: 5, breaks: 3, minGoOnShare: 0.95},
 		"two engines of the second version": {newer: 2, breaks: 2, minGoOnShare: 0.95},
 		"the scheduling node is killed":     {newer: 5, breaks: 2, fault: killSchedulingNode, minGoOnShare: 0.95},
 		"the scheduling node is paused":     {newer: 5, breaks: 2, fault: pauseSchedulingNode, minGoOnShare: 0.95},
