entry, admission, poison: parse parts once, and drop what can be derived

The parts of a prompt were parsed twice for each request, their keys built anew for each use and looked up under two locks; the key of a stream was hashed for plain requests too; two fields repeated what others tell; gauges under the mutex and reports to peers were written again beside the same code.

Change: parts are parsed with the other headers, and their keys computed once; one call returns a request's recent poison records; the key of a stream is made with its first event. The flag that a stream has an origin and the index of replicas outside of the pool are gone. registerGauges and report serve the old and the new code; blame takes parts; Completion.PoisonKeys replaces a second loop. No behavior changes.

--- a/coordination/admission/poison.go
+++ b/coordination/admission/poison.go
@@ -33,6 +33,11 @@
 	}
 }
 
+// PoisonKeys yields the fingerprint of the request and the parts of its prompt.
+func (c *Completion) PoisonKeys() iter.Seq[fingerprint.Fingerprint] {
+	return poisonKeys(c.Fingerprint, c.Parts)
+}
+
 func (a *assignment) keys() iter.Seq[fingerprint.Fingerprint] {
 	return poisonKeys(a.fingerprint, a.parts)
 }
--- a/coordination/admission/snapshot.go
+++ b/coordination/admission/snapshot.go
@@ -32,7 +32,8 @@
 // replicaSnapshot describes one replica in a poolSnapshot.
 type replicaSnapshot struct {
 	state *replicaState
-	// index is the position in poolSnapshot.replicas, and negative for those that are in poolSnapshot.budgeted.
+	// index is the position in poolSnapshot.replicas, unless isBudgeted is true: then the replica is in
+	// poolSnapshot.budgeted.
 	index      int
 	isBudgeted bool
 	// maxInFlight bounds inFlight by the replica's slots, extra slots and current limits.
@@ -113,7 +114,7 @@
 			s.limitRejections(now, replica, limit)
 		}
 		if access == rollouts.AccessBudgeted {
-			replica.isBudgeted, replica.index = true, -1
+			replica.isBudgeted = true
 			snapshot.budgeted = append(snapshot.budgeted, replica)
 			if inBurst {
 				snapshot.canaries = append(snapshot.canaries, replica)
--- a/coordination/admission/suspects.go
+++ b/coordination/admission/suspects.go
@@ -93,6 +93,9 @@
 	if len(view.suspected) == 0 {
 		return true
 	}
+	if replica.isBudgeted {
+		return !slices.Contains(view.suspected, replica.state)
+	}
 	if view.isSuspected == nil {
 		view.isSuspected = make([]bool, len(p.replicas))
 		for _, state := range view.suspected {
@@ -101,9 +104,6 @@
 			}
 		}
 	}
-	if replica.isBudgeted {
-		return !slices.Contains(view.suspected, replica.state)
-	}
 	return !view.isSuspected[replica.index]
 }
 
--- a/coordination/poison/parts.go
+++ b/coordination/poison/parts.go
@@ -20,6 +20,12 @@
 	minStrikeGap = 250 * time.Millisecond
 )
 
+// Part is a shared part of a prompt: its key, and its ID for operators.
+type Part struct {
+	Key fingerprint.Fingerprint `msgpack:"k"`
+	ID  string                  `msgpack:"i"`
+}
+
 // provenPart is a part with which a replica wrote an answer.
 type provenPart struct {
 	// strikes are the incarnations that crashed since, under requests whose parts were all proven.
@@ -50,36 +56,30 @@
 // blame returns the parts that are blamed for a crash, each with the incarnations that count against it. These
 // are the parts that no replica has answered yet. If there are none, each part gets a strike, and is no longer
 // proven after as many as the threshold.
-func (h *partHistory) blame(now structs.Instant, parts []fingerprint.Fingerprint, incarnation poisonrecords.Incarnation, threshold int) map[fingerprint.Fingerprint][]poisonrecords.Incarnation {
+func (h *partHistory) blame(now structs.Instant, parts []Part, incarnation poisonrecords.Incarnation, threshold int) map[fingerprint.Fingerprint][]poisonrecords.Incarnation {
 	blamed := map[fingerprint.Fingerprint][]poisonrecords.Incarnation{}
 	for _, part := range parts {
-		if !h.proven.Contains(part) {
-			blamed[part] = []poisonrecords.Incarnation{incarnation}
+		if !h.proven.Contains(part.Key) {
+			blamed[part.Key] = []poisonrecords.Incarnation{incarnation}
 		}
 	}
 	if len(blamed) > 0 {
 		return blamed
 	}
 	for _, part := range parts {
-		known, _ := h.proven.Peek(part)
+		known, _ := h.proven.Peek(part.Key)
 		if slices.Contains(known.strikes, incarnation) || len(known.strikes) > 0 && now-known.lastStrikeAt < minStrikeGap {
 			continue
 		}
 		known.strikes, known.lastStrikeAt = append(known.strikes, incarnation), now
 		if len(known.strikes) >= threshold {
-			blamed[part] = known.strikes
-			h.proven.Remove(part)
+			blamed[part.Key] = known.strikes
+			h.proven.Remove(part.Key)
 		}
 	}
 	return blamed
 }
 
-// Part is a shared part of a prompt: its key, and its ID for operators.
-type Part struct {
-	Key fingerprint.Fingerprint `msgpack:"k"`
-	ID  string                  `msgpack:"i"`
-}
-
 // PartChange is a change of the state of a part.
 type PartChange struct {
 	Key   fingerprint.Fingerprint
@@ -101,11 +101,7 @@
 	if slices.ContainsFunc(parts, isBlocked) {
 		suspects = slices.DeleteFunc(slices.Clone(parts), func(part Part) bool { return !isBlocked(part) })
 	}
-	keys := make([]fingerprint.Fingerprint, len(suspects))
-	for i, part := range suspects {
-		keys[i] = part.Key
-	}
-	blamed := t.parts.blame(now, keys, incarnation, t.policy.CrashThreshold)
+	blamed := t.parts.blame(now, suspects, incarnation, t.policy.CrashThreshold)
 	var changes []PartChange
 	for _, part := range suspects {
 		changed := false
--- a/coordination/streams/binding.go
+++ b/coordination/streams/binding.go
@@ -1,6 +1,8 @@
 package streams
 
 import (
+	"slices"
+
 	"github.com/thornwalk/thornwalk/state/replicas"
 	"github.com/thornwalk/thornwalk/state/streamorigins"
 )
@@ -56,12 +58,10 @@
 	if origin.Version == "" {
 		return origin, RefusalNoVersion
 	}
-	for _, service := range services {
-		if service == origin.Service {
-			return origin, RefusalNone
-		}
+	if !slices.Contains(services, origin.Service) {
+		return origin, RefusalOtherService
 	}
-	return origin, RefusalOtherService
+	return origin, RefusalNone
 }
 
 // OriginAt returns the origin of a stream whose first event the replica brought. Listed is what the node knows
--- a/entry/assignment.go
+++ b/entry/assignment.go
@@ -150,6 +150,14 @@
 	maxUnackedFinishes = 2000
 )
 
+// report sends the message to the peer and waits for its reply, for reportTimeout at most. The error is of kind
+// PeerUnavailable, or the peer's.
+func (n *Node) report(address string, kind peerwire.Kind, message, reply any) error {
+	ctx, cancel := context.WithTimeout(n.ctx, reportTimeout)
+	defer cancel()
+	return n.peers.Call(ctx, address, kind, message, reply)
+}
+
 // reportFinish ends a granted assignment, here and at its scheduling node.
 func (n *Node) reportFinish(granted *grant, message *finishRequest) {
 	n.mutex.Lock()
@@ -167,9 +175,7 @@
 // resendFinishes, up to finishRetryWindow after the request's end.
 func (n *Node) sendFinish(item unackedFinish) {
 	go func() {
-		ctx, cancel := context.WithTimeout(n.ctx, reportTimeout)
-		defer cancel()
-		if err := n.peers.Call(ctx, item.address, peerwire.KindFinish, item.message, &finishReply{}); err == nil {
+		if err := n.report(item.address, peerwire.KindFinish, item.message, &finishReply{}); err == nil {
 			return
 		}
 		n.mutex.Lock()
@@ -199,9 +205,5 @@
 		n.scheduling.recordFirstEvent(message)
 		return
 	}
-	go func() {
-		ctx, cancel := context.WithTimeout(n.ctx, reportTimeout)
-		defer cancel()
-		_ = n.peers.Call(ctx, granted.address, peerwire.KindFirstEvent, message, &firstEventReply{})
-	}()
+	go func() { _ = n.report(granted.address, peerwire.KindFirstEvent, message, &firstEventReply{}) }()
 }
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -11,10 +11,10 @@
 	"strings"
 	"time"
 
-	"github.com/thornwalk/thornwalk/coordination/poison"
 	"github.com/thornwalk/thornwalk/internal/eventlog"
 	"github.com/thornwalk/thornwalk/state/catalog"
 	"github.com/thornwalk/thornwalk/state/fingerprint"
+	"github.com/thornwalk/thornwalk/state/promptparts"
 	"github.com/thornwalk/thornwalk/structs"
 )
 
@@ -29,9 +29,11 @@
 	tenant  *catalog.Tenant
 	service string
 	body    []byte
-	// fingerprint is set once the body is read, and parts are the shared parts of the prompt.
+	// fingerprint is set once the body is read. partIDs name the shared parts of the prompt, and partKeys are their
+	// keys, set with the service that serves the request.
 	fingerprint fingerprint.Fingerprint
-	parts       []poison.Part
+	partIDs     []string
+	partKeys    []fingerprint.Fingerprint
 	// lastFailure is the failure cause of the last send.
 	lastFailure failureCause
 	// connectError is why the last connect failed, for the log.
@@ -121,7 +123,7 @@
 	if !c.bindResumedStream() {
 		return
 	}
-	c.readParts()
+	c.computePartKeys()
 	c.serve()
 }
 
@@ -170,6 +172,7 @@
 	c.promptTokens = max(parseIntOrZero(prompt), 0)
 	c.outputTokens = max(parseIntOrZero(output), 0)
 	c.lengthHint = max(parseIntOrZero(c.request.Header.Get(names.LengthHint)), 0)
+	c.partIDs = promptparts.Shared(c.request.Header.Get(names.PromptPrefix))
 	return true
 }
 
--- a/entry/node.go
+++ b/entry/node.go
@@ -371,6 +371,18 @@
 	return metrics.GetOrRegisterCounter(name, n.metrics)
 }
 
+// registerGauges registers gauges by name, whose values are read with the mutex held.
+func (n *Node) registerGauges(values map[string]func() int64) {
+	for name, value := range values {
+		// Registration fails only for a name in use, and a node registers once.
+		_ = n.metrics.Register(name, metrics.NewFunctionalGauge(func() int64 {
+			n.mutex.Lock()
+			defer n.mutex.Unlock()
+			return value()
+		}))
+	}
+}
+
 // histogramSampleSize is the number of observations that a histogram keeps, and
 // histogramDecay how strongly it prefers recent ones.
 const (
--- a/entry/replica_paths.go
+++ b/entry/replica_paths.go
@@ -9,8 +9,6 @@
 	"slices"
 	"time"
 
-	"github.com/rcrowley/go-metrics"
-
 	"github.com/thornwalk/thornwalk/coordination/reachability"
 	"github.com/thornwalk/thornwalk/internal/eventlog"
 	"github.com/thornwalk/thornwalk/protocol/errkind"
@@ -163,7 +161,7 @@
 // registerPathMetrics registers the gauges of the replicas that the last connect did not reach, and of
 // whether this node is partitioned from the replicas.
 func (n *Node) registerPathMetrics() {
-	gauges := map[string]func() int64{
+	n.registerGauges(map[string]func() int64{
 		"replicas.unreached": func() int64 { return int64(len(n.paths.Lost())) },
 		"replicas.partitioned": func() int64 {
 			if n.paths.IsPartitioned() {
@@ -171,15 +169,7 @@
 			}
 			return 0
 		},
-	}
-	for name, value := range gauges {
-		// Registration fails only for a name in use, and a node registers once.
-		_ = n.metrics.Register(name, metrics.NewFunctionalGauge(func() int64 {
-			n.mutex.Lock()
-			defer n.mutex.Unlock()
-			return value()
-		}))
-	}
+	})
 }
 
 // pathLoop probes the paths that peers forward, and verifies paths while replicas are silent, outside of
--- a/entry/request_log.go
+++ b/entry/request_log.go
@@ -4,7 +4,6 @@
 	"strings"
 
 	"github.com/thornwalk/thornwalk/internal/eventlog"
-	"github.com/thornwalk/thornwalk/state/promptparts"
 )
 
 // Under load the events of some requests are buffered until the request ends. Those of answered
@@ -47,9 +46,8 @@
 	event := c.newEvent("request.received")
 	event.Version, event.Prompt, event.Answer = version, c.promptTokens, c.expectedOutputTokens()
 	event.RemainingMS = c.remaining().Milliseconds()
-	names := &c.node.dependencies.Headers
-	event.Parts = strings.Join(promptparts.Shared(c.request.Header.Get(names.PromptPrefix)), ",")
-	event.ResumedRequest, event.LastEvent = c.request.Header.Get(names.ResumedRequest), c.request.Header.Get(names.LastEvent)
+	event.Parts = strings.Join(c.partIDs, ",")
+	event.ResumedRequest, event.LastEvent = c.resumedStream()
 	if event.ResumedRequest != "" || event.LastEvent != "" {
 		c.node.counter("streams.resumed_by_caller").Inc(1)
 	}
--- a/entry/scheduling_poison.go
+++ b/entry/scheduling_poison.go
@@ -50,9 +50,8 @@
 		}
 		s.reportPoisonTransition(outcomeOf(state), finished.Fingerprint)
 	case finished.NotRun:
-		s.poisonTracker.CancelTrial(completion.Fingerprint)
-		for _, part := range completion.Parts {
-			s.poisonTracker.CancelTrial(part)
+		for key := range completion.PoisonKeys() {
+			s.poisonTracker.CancelTrial(key)
 		}
 	case finished.Observation.Whole:
 		if s.poisonTracker.RecordSuccess(now, finished.Fingerprint) {
@@ -70,6 +69,14 @@
 	}
 }
 
+// blockedBy returns the key because of which the request was rejected as blocked or suspect, or nil.
+func blockedBy(decision admission.Decision) *fingerprint.Fingerprint {
+	if decision.BlockedBy.IsZero() {
+		return nil
+	}
+	return &decision.BlockedBy
+}
+
 // outcomeOf returns the name in logs of the state that a crash led to.
 func outcomeOf(state poison.State) string {
 	if state == poison.Blocked {
@@ -102,25 +109,19 @@
 	s.decide()
 }
 
-// poisonRecordOf returns the request's poison record if this node changed it recently, and nil
-// otherwise.
-func (s *schedulingService) poisonRecordOf(key fingerprint.Fingerprint) *poisonrecords.Record {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	return s.poisonTracker.Recent(s.clock(), key)
-}
-
-// poisonRecordsOf returns the poison records of the parts that this node changed recently.
-func (s *schedulingService) poisonRecordsOf(parts []poison.Part) []poisonrecords.Record {
+// recentPoisonRecords returns the poison record of the request, nil if this node did not change it recently, and
+// those of the parts of its prompt that it did.
+func (s *schedulingService) recentPoisonRecords(request fingerprint.Fingerprint, parts []fingerprint.Fingerprint) (*poisonrecords.Record, []poisonrecords.Record) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	var records []poisonrecords.Record
+	now := s.clock()
+	var ofParts []poisonrecords.Record
 	for _, part := range parts {
-		if record := s.poisonTracker.Recent(s.clock(), part.Key); record != nil {
-			records = append(records, *record)
+		if record := s.poisonTracker.Recent(now, part); record != nil {
+			ofParts = append(ofParts, *record)
 		}
 	}
-	return records
+	return s.poisonTracker.Recent(now, request), ofParts
 }
 
 // poisonSummary returns the summary of the records that are shared with other nodes.
--- a/entry/scheduling_service.go
+++ b/entry/scheduling_service.go
@@ -262,14 +262,6 @@
 	}
 }
 
-// blockedBy returns the key because of which the request was rejected as blocked or suspect, or nil.
-func blockedBy(decision admission.Decision) *fingerprint.Fingerprint {
-	if decision.BlockedBy.IsZero() {
-		return nil
-	}
-	return &decision.BlockedBy
-}
-
 // limitReport returns what is known of the rate limit of the assigned replica, or nil.
 func (s *schedulingService) limitReport(decision admission.Decision) *pushback.Report {
 	if decision.Limit.Limit.State == pushback.LimitUnknown {
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -80,7 +80,7 @@
 		message.Observation.CallerLeft = true // counts neither for nor against the replica
 	}
 	if granted.address != "" {
-		c.node.scheduling.observe(c.service, c.promptTokens, message, granted.Replica.ID, c.partKeys())
+		c.node.scheduling.observe(c.service, c.promptTokens, message, granted.Replica.ID, c.partKeys)
 	}
 	c.node.reportFinish(granted, message)
 }
@@ -91,7 +91,7 @@
 func (c *call) isReplicaAtFault(granted *grant, message *finishRequest) bool {
 	crashed := &crashedIncarnation{Incarnation: poisonrecords.IncarnationOf(granted.Replica.ID, granted.Replica.StartedAt), Service: c.service, Route: c.route.Name}
 	if !message.Observation.ProvesPrompt() {
-		crashed.Parts, crashed.Tenant = c.parts, c.tenantName()
+		crashed.Parts, crashed.Tenant = c.promptParts(), c.tenantName()
 	}
 	state := incarnationUnknown // also after a timeout
 	switch c.lastFailure {
@@ -173,11 +173,12 @@
 			Node: node.process(), Zone: node.settings.Load().Zone, Service: c.service, Route: c.route.Name, Priority: c.priority(),
 			Fingerprint: c.fingerprint, PromptTokens: c.promptTokens, AnswerTokens: c.expectedOutputTokens(), Tried: tried, Doubted: suspected,
 			TokensPerEvent: c.tokensPerEvent(), MaxEventGap: c.route.TargetEventGap, Yields: c.route.Priority >= minYieldPriority,
-			Deadline: c.remaining(), Parts: c.partKeys(), Version: c.origin.Version,
+			Deadline: c.remaining(), Parts: c.partKeys, Version: c.origin.Version,
 			Target: max(c.route.TargetLatency-c.age(), 0), Patience: c.maxQueueWait(),
 		},
-		First: len(tried) == 0, Repeat: isRetry, RequestID: tenantstats.ShortName(c.id), PushbackReports: node.pushbackReports(c.service), RejectionLimits: node.rejectionLimits(c.service), Known: node.scheduling.poisonRecordOf(c.fingerprint), KnownParts: node.scheduling.poisonRecordsOf(c.parts),
+		First: len(tried) == 0, Repeat: isRetry, RequestID: tenantstats.ShortName(c.id), PushbackReports: node.pushbackReports(c.service), RejectionLimits: node.rejectionLimits(c.service),
 	}
+	request.Known, request.KnownParts = node.scheduling.recentPoisonRecords(c.fingerprint, c.partKeys)
 	if c.tenant != nil {
 		request.Tenant, request.Request.Tenant = c.tenant.Name, c.tenant.Name
 		request.Request.Weight = node.settings.Load().tenantWeight(node.catalog.Load(), c.tenant)
@@ -194,20 +195,20 @@
 	c.fingerprint = fingerprint.Of(c.tenantName(), c.request.Method, c.request.Host, c.request.RequestURI, c.body)
 }
 
-// readParts reads the shared parts of the prompt. The service must be set.
-func (c *call) readParts() {
-	for _, id := range promptparts.Shared(c.request.Header.Get(c.node.dependencies.Headers.PromptPrefix)) {
-		c.parts = append(c.parts, poison.Part{Key: promptparts.Key(c.tenantName(), c.service, id), ID: id})
+// computePartKeys sets the keys of the shared parts of the prompt. The service must be set.
+func (c *call) computePartKeys() {
+	for _, id := range c.partIDs {
+		c.partKeys = append(c.partKeys, promptparts.Key(c.tenantName(), c.service, id))
 	}
 }
 
-// partKeys returns the keys of the shared parts of the prompt.
-func (c *call) partKeys() []fingerprint.Fingerprint {
-	keys := make([]fingerprint.Fingerprint, len(c.parts))
-	for i, part := range c.parts {
-		keys[i] = part.Key
+// promptParts returns the shared parts of the prompt.
+func (c *call) promptParts() []poison.Part {
+	parts := make([]poison.Part, len(c.partIDs))
+	for i, id := range c.partIDs {
+		parts[i] = poison.Part{Key: c.partKeys[i], ID: id}
 	}
-	return keys
+	return parts
 }
 
 // routePriorityRange is above any route's priority, so that the tenant's priority has precedence.
--- a/entry/stream_origin.go
+++ b/entry/stream_origin.go
@@ -6,8 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/rcrowley/go-metrics"
-
 	"github.com/thornwalk/thornwalk/coordination/liveness"
 	"github.com/thornwalk/thornwalk/coordination/streams"
 	"github.com/thornwalk/thornwalk/protocol/peerwire"
@@ -34,11 +32,11 @@
 
 // streamState is what a call knows of its stream.
 type streamState struct {
-	// origin is set once the caller has an event. hasOrigin is true from then on, also if the version that
-	// began the stream is uncertain.
-	origin    streamorigins.Origin
-	hasOrigin bool
-	// originKey names the stream. originRecordedAt is when its origin was last recorded by this call.
+	// origin is set once the caller has an event. Its version is empty if it is uncertain which one began the
+	// stream.
+	origin streamorigins.Origin
+	// originKey names the stream; it is zero before the first event, and for a resumed stream that its caller did
+	// not name. originRecordedAt is when its origin was last recorded by this call.
 	originKey        streamorigins.Key
 	originRecordedAt structs.Instant
 	// lastEventAt is when the caller was last sent an event; zero if it was sent none.
@@ -89,13 +87,18 @@
 	return c.tenant.Name
 }
 
+// resumedStream returns what the caller sent of a stream that it resumes: the ID of the request that began it and that
+// of the last event that it has. Both are empty for a new stream.
+func (c *call) resumedStream() (first, lastEvent string) {
+	names := &c.node.dependencies.Headers
+	return c.request.Header.Get(names.ResumedRequest), c.request.Header.Get(names.LastEvent)
+}
+
 // bindResumedStream binds a stream that the caller resumes to the version that began it. If it returns
 // false, it has ended the request.
 func (c *call) bindResumedStream() bool {
-	names := &c.node.dependencies.Headers
-	first, lastEvent := c.request.Header.Get(names.ResumedRequest), c.request.Header.Get(names.LastEvent)
+	first, lastEvent := c.resumedStream()
 	if c.route.Kind != kindStreaming || first == "" && lastEvent == "" {
-		c.originKey = streamorigins.KeyOf(c.tenantName(), c.id)
 		return true
 	}
 	evidence := streams.Evidence{Services: c.route.Services(), OnlyVersion: c.onlyVersion}
@@ -109,7 +112,7 @@
 		c.endNotRun(http.StatusServiceUnavailable, string(refusal), retryAfterRejected)
 		return false
 	}
-	c.service, c.origin, c.hasOrigin = origin.Service, origin, true
+	c.service, c.origin = origin.Service, origin
 	return true
 }
 
@@ -216,30 +219,28 @@
 		return
 	}
 	c.originRecordedAt = now
-	n.mutex.Lock()
-	if !c.hasOrigin {
+	if c.origin.IsZero() {
+		n.mutex.Lock()
 		listed, isListed := n.table.Get(replica.ID)
-		c.origin, c.hasOrigin = streams.OriginAt(replica, listed, isListed), true
-	}
-	record := streamorigins.Record{Key: c.originKey, Origin: c.origin}
-	if !record.Key.IsZero() {
-		n.streamOrigins.Put(now, record)
+		n.mutex.Unlock()
+		c.origin = streams.OriginAt(replica, listed, isListed)
+		c.originKey = streamorigins.KeyOf(c.tenantName(), c.id)
 	}
-	n.mutex.Unlock()
-	if !record.Key.IsZero() {
-		n.reportOrigin(record)
+	if !c.originKey.IsZero() {
+		n.keepOrigin(streamorigins.Record{Key: c.originKey, Origin: c.origin})
 	}
 }
 
-// reportOrigin reports the origin of a stream to its keepers, in the background. A report that is lost is not sent
-// again: the others suffice.
-func (n *Node) reportOrigin(record streamorigins.Record) {
+// keepOrigin records the origin of a stream here and, in the background, at its keepers. A report that is lost is
+// not sent again: the others suffice.
+func (n *Node) keepOrigin(record streamorigins.Record) {
+	n.mutex.Lock()
+	n.streamOrigins.Put(n.now(), record)
+	n.mutex.Unlock()
+	report := &streamOriginsReport{Records: []streamorigins.Record{record}}
 	for _, keeper := range n.streamKeepers(record.Key) {
 		go func() {
-			ctx, cancel := context.WithTimeout(n.ctx, reportTimeout)
-			defer cancel()
-			report := &streamOriginsReport{Records: []streamorigins.Record{record}}
-			if err := n.peers.Call(ctx, keeper.Address, peerwire.KindStreamOrigins, report, &streamOriginsReply{}); err != nil {
+			if err := n.report(keeper.Address, peerwire.KindStreamOrigins, report, &streamOriginsReply{}); err != nil {
 				n.counter("streams.reports_failed").Inc(1)
 			}
 		}()
@@ -248,12 +249,12 @@
 
 // isOriginUncertain reports whether the caller has events of a version that is not certain, so that the
 // stream can't go on.
-func (c *call) isOriginUncertain() bool { return c.hasOrigin && c.origin.Version == "" }
+func (c *call) isOriginUncertain() bool { return !c.origin.IsZero() && c.origin.Version == "" }
 
 // mayGoOnAtLocked reports whether the request may be sent to the assigned replica as far as the origin of
 // its stream is concerned. The caller holds the mutex.
 func (n *Node) mayGoOnAtLocked(granted *grant) bool {
-	if granted.origin == (streamorigins.Origin{}) {
+	if granted.origin.IsZero() {
 		return true // the caller has no events
 	}
 	listed, isListed := n.table.Get(granted.Replica.ID)
@@ -263,8 +264,7 @@
 // logResumed logs and counts the decision on a stream that the caller resumes.
 func (c *call) logResumed(origin streamorigins.Origin, knowledge streamorigins.Knowledge, refusal streams.Refusal) {
 	event := c.newEvent("stream.resumed")
-	names := &c.node.dependencies.Headers
-	event.ResumedRequest, event.LastEvent = c.request.Header.Get(names.ResumedRequest), c.request.Header.Get(names.LastEvent)
+	event.ResumedRequest, event.LastEvent = c.resumedStream()
 	event.ReplicaVersion, event.Detail = origin.Version, "origin "+knowledge.String()
 	event.Outcome, event.Reason = "bound", string(refusal)
 	if refusal != streams.RefusalNone {
@@ -276,15 +276,8 @@
 
 // registerStreamMetrics registers the gauges of the origins of streams.
 func (n *Node) registerStreamMetrics() {
-	for name, value := range map[string]func() int64{
+	n.registerGauges(map[string]func() int64{
 		"streams.origins":         func() int64 { return int64(n.streamOrigins.Count()) },
 		"streams.origins_dropped": n.streamOrigins.Dropped,
-	} {
-		// Registration fails only for a name in use, and a node registers once.
-		_ = n.metrics.Register(name, metrics.NewFunctionalGauge(func() int64 {
-			n.mutex.Lock()
-			defer n.mutex.Unlock()
-			return value()
-		}))
-	}
+	})
 }
--- a/state/streamorigins/origin.go
+++ b/state/streamorigins/origin.go
@@ -25,6 +25,9 @@
 	Version string `msgpack:"v"`
 }
 
+// IsZero reports whether the stream has no origin, as its caller has no events.
+func (o Origin) IsZero() bool { return o == Origin{} }
+
 // Record is the origin of one stream.
 type Record struct {
 	Key    Key    `msgpack:"k"`
