test, lab: one piece for faults, crash scenarios and the reading of streams

Change: faults take a scenario, with the time of a partition, and serve all three tables; newCrashScenario and lateRuns serve whole requests and parts; platformsim.ReadEvents serves the test and the soak. Assertions, bounds and courses are as before, but that all nodes are killed a second later in the course of streams.

--- a/coordination/admission/bound_versions_test.go
+++ b/coordination/admission/bound_versions_test.go
@@ -27,6 +27,17 @@
 	return request
 }
 
+// newSchedulerWithBusyVersion returns a scheduler with a replica of each of two versions, of which that of v2 is
+// busy with the request "running".
+func newSchedulerWithBusyVersion(g *gomega.WithT, policy Policy) *Scheduler {
+	s := New()
+	s.SetPolicy(policy)
+	s.SetReplicas(0, replicasOfVersions("v1", "v2"))
+	s.Submit(0, newBoundRequest("running", "v2"))
+	g.Expect(assignedIDs(s.Decide(0))).To(gomega.Equal([]string{"running"}))
+	return s
+}
+
 // Guards against streams that go on at a replica of another version.
 func TestBoundRequestsRunAtTheirVersionOnly(t *testing.T) {
 	g := gomega.NewWithT(t)
@@ -63,11 +74,7 @@
 func TestBoundRequestsGoFirstAndHoldNobodyUp(t *testing.T) {
 	for _, policy := range []Policy{{}, {FeasibleOrder: true}} {
 		g := gomega.NewWithT(t)
-		s := New()
-		s.SetPolicy(policy)
-		s.SetReplicas(0, replicasOfVersions("v1", "v2"))
-		s.Submit(0, newBoundRequest("running", "v2"))
-		g.Expect(assignedIDs(s.Decide(0))).To(gomega.Equal([]string{"running"}))
+		s := newSchedulerWithBusyVersion(g, policy)
 		s.Submit(ms, newRequest("new", 1))
 		s.Submit(2*ms, newBoundRequest("waiting", "v2"))
 		decisions := s.Decide(2 * ms)
@@ -84,11 +91,7 @@
 func TestBoundRequestsWaitForTheirPatience(t *testing.T) {
 	for _, policy := range []Policy{{}, {FeasibleOrder: true}} {
 		g := gomega.NewWithT(t)
-		s := New()
-		s.SetPolicy(policy)
-		s.SetReplicas(0, replicasOfVersions("v1", "v2"))
-		s.Submit(0, newBoundRequest("running", "v2"))
-		s.Decide(0)
+		s := newSchedulerWithBusyVersion(g, policy)
 		late := newBoundRequest("late", "v2")
 		late.Target, late.WasRejected = 0, false
 		s.Submit(ms, late)
--- a/lab/platformsim/replica.go
+++ b/lab/platformsim/replica.go
@@ -414,52 +414,6 @@
 	return true
 }
 
-// Event returns the text of one event of a streamed answer.
-func Event(id string, number int) string {
-	return fmt.Sprintf("id: %d\ndata: part %d of %s\n\n", number, number, id)
-}
-
-func (r *Replica) writeStream(ctx context.Context, conn net.Conn, behavior Behavior, id string, run *Run) bool {
-	lastEvent, _ := strconv.Atoi(run.LastEventID)
-	framing, frame, end := "Transfer-Encoding: chunked\r\n", chunk, "0\r\n\r\n"
-	isUnframed := behavior == Unframed || behavior == UnframedCut
-	if isUnframed {
-		framing, frame, end = "", func(text string) string { return text }, ""
-	}
-	writeText(conn, r.responseHead("200 OK", id, "text/event-stream", run)+framing+"\r\n")
-	for number := lastEvent + 1; number <= r.Events; number++ {
-		if !sleep(ctx, r.Step) {
-			return false
-		}
-		event := Event(run.LastEventID+id, number)
-		if run.LastEventID != "" {
-			event = Event(id, number)
-		}
-		event = r.versionComment() + event
-		if (behavior == Cut || behavior == UnframedCut) && number > r.Events/2 {
-			writeText(conn, frame(event[:len(event)/2]))
-			return false
-		}
-		if !writeText(conn, frame(event)) {
-			return false
-		}
-	}
-	r.endRun(run)
-	return writeText(conn, end) && !isUnframed
-}
-
-// VersionComment is the prefix of the comment by which an event names the version of its replica.
-const VersionComment = ": version "
-
-func (r *Replica) versionComment() string {
-	if r.Version == "" {
-		return ""
-	}
-	return VersionComment + r.Version + "\n"
-}
-
-func chunk(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
-
 // responseHead returns the status line and common headers of a response. Without a run it contains no
 // pushback headers.
 func (r *Replica) responseHead(status, id, contentType string, run *Run) string {
--- a/lab/soak/versions.go
+++ b/lab/soak/versions.go
@@ -38,11 +38,10 @@
 
 // versionedStream is a stream as its caller saw it over all tries.
 type versionedStream struct {
-	id       string
-	versions []string
+	id     string
+	events platformsim.Events
 	// began is true once the caller has an event, resumed if it resumed the stream, and wentOn if that brought an event.
 	began, resumed, wentOn bool
-	lastEvent              string
 	span                   span
 }
 
@@ -129,7 +128,7 @@
 	request.Header.Set("Authorization", "Bearer "+tenantKey)
 	if first != "" {
 		request.Header.Set("Resumes", first)
-		request.Header.Set("Last-Event-Id", stream.lastEvent)
+		request.Header.Set("Last-Event-Id", strconv.Itoa(stream.events.LastID))
 	}
 	response, err := c.client.Do(request)
 	if err != nil {
@@ -146,14 +145,9 @@
 
 // add adds the events of a try.
 func (s *versionedStream) add(body string, resumed bool) {
-	for line := range strings.Lines(body) {
-		if version, found := strings.CutPrefix(line, platformsim.VersionComment); found && !slices.Contains(s.versions, strings.TrimSpace(version)) {
-			s.versions = append(s.versions, strings.TrimSpace(version))
-		}
-		if id, found := strings.CutPrefix(line, "id: "); found {
-			s.lastEvent, s.began, s.wentOn = strings.TrimSpace(id), true, s.wentOn || resumed
-		}
-	}
+	events := platformsim.ReadEvents(body)
+	s.events.Add(events)
+	s.began, s.wentOn = s.began || events.LastID > 0, s.wentOn || resumed && events.LastID > 0
 }
 
 // streamTally counts streams.
@@ -186,7 +180,7 @@
 	var mixed []string
 	var all, undisturbed streamTally
 	for _, stream := range c.streams {
-		if len(stream.versions) > 1 {
+		if len(stream.events.Versions) > 1 {
 			mixed = append(mixed, stream.id)
 		}
 		all.add(stream)
--- a/test/entry/poison_parts_test.go
+++ b/test/entry/poison_parts_test.go
@@ -42,7 +42,7 @@
 	standsFirst bool
 	// otherCrashes makes a replica crash for another reason each 1.2 s, and allAtOnce all of them twice.
 	otherCrashes, allAtOnce bool
-	fault                   func(s *crashScenario)
+	fault                   func(s *scenario)
 }
 
 // partScenario is a crashScenario with sound requests.
@@ -57,8 +57,12 @@
 	served bool
 }
 
+func hasPoisonPart(header http.Header) bool {
+	return strings.Contains(header.Get("X-Prompt-Prefix"), poisonPart)
+}
+
 func crashOnPoisonPart(request *http.Request) platformsim.Behavior {
-	if strings.Contains(request.Header.Get("X-Prompt-Prefix"), poisonPart) {
+	if hasPoisonPart(request.Header) {
 		return platformsim.End
 	}
 	return platformsim.Answer
@@ -68,19 +72,7 @@
 func runPartCrashes(t *testing.T, test func(s *partScenario)) {
 	t.Helper()
 	runScenario(t, func(base *scenario) {
-		s := &partScenario{crashScenario: &crashScenario{scenario: base, poisonReplies: map[int]int{}, otherReplies: map[int]int{}}}
-		for i := range partEngines {
-			restarter := &entrylab.Restarter{
-				ID: fmt.Sprint("i-k", i), Service: "engines", Zone: []string{"east", "west"}[i%2], Slots: 4, Events: 6, Step: 30 * time.Millisecond, Behave: crashOnPoisonPart,
-			}
-			s.Expect(s.deployment.Keep(fmt.Sprint("k", i), restarter)).To(gomega.Succeed())
-			s.restarters = append(s.restarters, restarter)
-		}
-		for _, replica := range s.engines {
-			replica.Crash() // only replicas that restart are used
-			s.deployment.Store.Delete("servers/" + replica.ID)
-		}
-		time.Sleep(time.Second)
+		s := &partScenario{crashScenario: newCrashScenario(base, partEngines, &entrylab.Restarter{Service: "engines", Events: 6, Behave: crashOnPoisonPart})}
 		test(s)
 		s.group.Wait()
 	})
@@ -154,7 +146,7 @@
 		time.Sleep(testCase.interval)
 		if !faulted && len(s.crashTimes()) >= crashesToBlock {
 			faulted = true
-			s.group.Go(func() { testCase.fault(s.crashScenario) })
+			s.group.Go(func() { testCase.fault(s.scenario) })
 		}
 	}
 	close(done)
@@ -177,35 +169,15 @@
 	}
 }
 
-// partSends returns the times at which requests with the part arrived at replicas, and partCrashes those at which
-// a replica crashed under one.
-func (s *partScenario) partSends() []time.Time {
-	var sends []time.Time
-	for _, restarter := range s.restarters {
-		for _, run := range restarter.Runs() {
-			if strings.Contains(run.Header.Get("X-Prompt-Prefix"), poisonPart) {
-				sends = append(sends, run.At)
-			}
-		}
-	}
-	return sends
-}
-
 // expectPartBlocked checks the bounds on requests with the part and on sound ones.
 func (s *partScenario) expectPartBlocked(t *testing.T, began, ended time.Time) {
 	t.Helper()
 	crashes := s.crashTimes()
-	late, after := 0, began
+	late := s.lateRuns(partCrashesBeforeBound, func(run platformsim.Run) bool { return hasPoisonPart(run.Header) })
+	after := began
 	if len(crashes) > 0 {
 		after = crashes[min(partCrashesBeforeBound, len(crashes))-1]
 	}
-	if len(crashes) >= partCrashesBeforeBound {
-		for _, at := range s.partSends() {
-			if at.Sub(after) > maxBlockDelay {
-				late++
-			}
-		}
-	}
 	before, servedBefore, sentBefore := s.soundShare(began.Add(-time.Hour), began)
 	share, served, sent := s.soundShare(after.Add(2*maxBlockDelay), ended)
 	t.Logf("%s: %d crashes, %d requests with the part late; sound ones served: %d of %d before, %d of %d after", t.Name(), len(crashes), late, servedBefore, sentBefore, served, sent)
@@ -227,7 +199,7 @@
 		"each 3 s":                            {route: "stream", interval: 3 * time.Second},
 		"the scheduling node is killed":       {route: "stream", interval: shortInterval, fault: killScheduler},
 		"the scheduling node is paused":       {route: "stream", interval: shortInterval, fault: pauseScheduler},
-		"the nodes are partitioned":           {route: "stream", interval: shortInterval, fault: partitionNodes},
+		"the nodes are partitioned":           {route: "stream", interval: shortInterval, fault: partitionNodesFor(2 * time.Second)},
 		"each node restarts":                  {route: "stream", interval: shortInterval, fault: restartNodesInTurn},
 		"all nodes restart":                   {route: "stream", interval: shortInterval, fault: restartAllNodes},
 		"the store is down":                   {route: "stream", interval: shortInterval, fault: failStore},
--- a/test/entry/poison_test.go
+++ b/test/entry/poison_test.go
@@ -52,36 +52,43 @@
 	// nodesAtOnce is the number of nodes that receive the request at the same time; 0 means one.
 	nodesAtOnce int
 	// fault runs after crashesToBlock replicas have crashed; it may be nil.
-	fault func(s *crashScenario)
+	fault func(s *scenario)
 }
 
 // runCrashes runs the test with eight replicas of the route's service that crash under poisonPath.
 func runCrashes(t *testing.T, testCase crashCase, test func(s *crashScenario)) {
 	t.Helper()
 	runScenario(t, func(base *scenario) {
-		s := &crashScenario{scenario: base, poisonReplies: map[int]int{}, otherReplies: map[int]int{}}
 		service, events := "engines", 6
 		if testCase.route == "once" || testCase.route == "safe" {
 			service, events = "registry", 0
 		}
-		for i := range 8 {
-			restarter := &entrylab.Restarter{
-				ID: fmt.Sprint("i-k", i), Service: service, Zone: []string{"east", "west"}[i%2], Slots: 4, Events: events, Step: 30 * time.Millisecond,
-				SameID: testCase.sameID, Behave: crashOnPoison,
-			}
-			s.Expect(s.deployment.Keep(fmt.Sprint("k", i), restarter)).To(gomega.Succeed())
-			s.restarters = append(s.restarters, restarter)
-		}
-		for _, replica := range append(append([]*platformsim.Replica{}, s.engines...), s.plainReplicas...) {
-			replica.Crash() // only replicas that restart are used
-			s.deployment.Store.Delete("servers/" + replica.ID)
-		}
-		time.Sleep(time.Second)
+		s := newCrashScenario(base, 8, &entrylab.Restarter{Service: service, Events: events, SameID: testCase.sameID, Behave: crashOnPoison})
 		test(s)
 		s.group.Wait()
 	})
 }
 
+// newCrashScenario replaces the replicas of the scenario by as many that restart, each with the fields of the given
+// one.
+func newCrashScenario(base *scenario, count int, fields *entrylab.Restarter) *crashScenario {
+	s := &crashScenario{scenario: base, poisonReplies: map[int]int{}, otherReplies: map[int]int{}}
+	for i := range count {
+		restarter := &entrylab.Restarter{
+			ID: fmt.Sprint("i-k", i), Service: fields.Service, Zone: []string{"east", "west"}[i%2], Slots: 4, Events: fields.Events, Step: 30 * time.Millisecond,
+			SameID: fields.SameID, Behave: fields.Behave,
+		}
+		s.Expect(s.deployment.Keep(fmt.Sprint("k", i), restarter)).To(gomega.Succeed())
+		s.restarters = append(s.restarters, restarter)
+	}
+	for _, replica := range append(append([]*platformsim.Replica{}, s.engines...), s.plainReplicas...) {
+		replica.Crash() // only replicas that restart are used
+		s.deployment.Store.Delete("servers/" + replica.ID)
+	}
+	time.Sleep(time.Second)
+	return s
+}
+
 // crashOnPoison is the behavior of a replica that crashes under poison requests.
 func crashOnPoison(request *http.Request) platformsim.Behavior {
 	if strings.Contains(request.URL.Path, poisonPath) {
@@ -128,7 +135,7 @@
 		time.Sleep(testCase.interval)
 		if !faultStarted && len(s.crashTimes()) >= crashesToBlock {
 			faultStarted = true
-			s.group.Go(func() { testCase.fault(s) })
+			s.group.Go(func() { testCase.fault(s.scenario) })
 		}
 	}
 }
@@ -143,17 +150,21 @@
 	return all
 }
 
-// poisonRuns returns the times at which the poison request started to run.
-func (s *crashScenario) poisonRuns() []time.Time {
-	var all []time.Time
+// isPoison reports whether the run is that of the poison request.
+func isPoison(run platformsim.Run) bool { return strings.Contains(run.Target, poisonPath) }
+
+// lateRuns returns the number of the matching runs that started later than maxBlockDelay after the crash with the
+// number, which is counted from one; zero if there was none.
+func (s *crashScenario) lateRuns(crash int, matches func(platformsim.Run) bool) int {
+	crashes, late := s.crashTimes(), 0
 	for _, restarter := range s.restarters {
 		for _, run := range restarter.Runs() {
-			if strings.Contains(run.Target, poisonPath) {
-				all = append(all, run.At)
+			if len(crashes) >= crash && matches(run) && run.At.Sub(crashes[crash-1]) > maxBlockDelay {
+				late++
 			}
 		}
 	}
-	return all
+	return late
 }
 
 // expectBlocked checks that the poison request was sent at most maxLateSends times after
@@ -162,35 +173,30 @@
 	t.Helper()
 	crashes := s.crashTimes()
 	s.Expect(len(crashes)).To(gomega.BeNumerically(">=", crashesToBlock), "too few crashes to block the request")
-	late := 0
-	for _, at := range s.poisonRuns() {
-		if at.Sub(crashes[crashesToBlock-1]) > maxBlockDelay {
-			late++
-		}
-	}
+	late := s.lateRuns(crashesToBlock, isPoison)
 	t.Logf("%d crashes, %d sends later than %v after the third; replies %v", len(crashes), late, maxBlockDelay, s.poisonReplies)
 	s.Expect(late).To(gomega.BeNumerically("<=", maxLateSends), "sends after every node must have blocked the request")
 }
 
-func killScheduler(s *crashScenario) { s.deployment.Node(s.anyStatus().Scheduler).Kill() }
+func killScheduler(s *scenario) { s.deployment.Node(s.scheduler()).Kill() }
 
-// anyStatus returns the status of n1.
-func (s *crashScenario) anyStatus() *entry.Status { return s.deployment.Node("n1").Status() }
-
-func pauseScheduler(s *crashScenario) {
-	scheduler := s.anyStatus().Scheduler
+func pauseScheduler(s *scenario) {
+	scheduler := s.scheduler()
 	s.fabric.Pause(scheduler)
 	time.Sleep(3 * time.Second)
 	s.fabric.Resume(scheduler)
 }
 
-func partitionNodes(s *crashScenario) {
-	s.fabric.Partition([]string{"n1"}, []string{"n2", "n3"})
-	time.Sleep(2 * time.Second)
-	s.fabric.Heal()
+// partitionNodesFor partitions n1 from the others for the duration.
+func partitionNodesFor(duration time.Duration) func(s *scenario) {
+	return func(s *scenario) {
+		s.fabric.Partition([]string{"n1"}, []string{"n2", "n3"})
+		time.Sleep(duration)
+		s.fabric.Heal()
+	}
 }
 
-func restartNodesInTurn(s *crashScenario) {
+func restartNodesInTurn(s *scenario) {
 	for i, host := range hosts {
 		s.deployment.Node(host).Kill()
 		time.Sleep(200 * time.Millisecond)
@@ -199,7 +205,7 @@
 	}
 }
 
-func restartAllNodes(s *crashScenario) {
+func restartAllNodes(s *scenario) {
 	time.Sleep(time.Second)
 	for _, host := range hosts {
 		s.deployment.Node(host).Kill()
@@ -210,7 +216,7 @@
 	}
 }
 
-func failStore(s *crashScenario) {
+func failStore(s *scenario) {
 	s.deployment.Store.SetDown(true)
 	time.Sleep(5 * time.Second)
 	s.deployment.Store.SetDown(false)
@@ -229,7 +235,7 @@
 		"at all nodes at once":              {route: "stream", interval: shortInterval, nodesAtOnce: 3},
 		"the scheduling node is killed":     {route: "stream", interval: shortInterval, fault: killScheduler},
 		"the scheduling node is paused":     {route: "stream", interval: shortInterval, fault: pauseScheduler},
-		"the nodes are partitioned":         {route: "stream", interval: shortInterval, fault: partitionNodes},
+		"the nodes are partitioned":         {route: "stream", interval: shortInterval, fault: partitionNodesFor(2 * time.Second)},
 		"each node restarts":                {route: "stream", interval: shortInterval, fault: restartNodesInTurn},
 		"all nodes restart":                 {route: "stream", interval: shortInterval, fault: restartAllNodes},
 		"the store is down":                 {route: "stream", interval: shortInterval, fault: failStore},
--- a/test/entry/stream_versions_test.go
+++ b/test/entry/stream_versions_test.go
@@ -35,9 +35,7 @@
 
 // callerStream is a stream as its caller sees it, over all tries.
 type callerStream struct {
-	// versions are those named by the events, in order and without repetitions.
-	versions  []string
-	lastEvent int
+	events platformsim.Events
 	// began is true once the caller has an event. wasResumed is true if it resumed the stream at least once, and
 	// wentOn if an event arrived after that.
 	began, wasResumed, wentOn bool
@@ -46,17 +44,9 @@
 
 // add adds the events of one try.
 func (c *callerStream) add(body string, resumed bool) {
-	for line := range strings.Lines(body) {
-		if version, found := strings.CutPrefix(line, platformsim.VersionComment); found {
-			if version = strings.TrimSpace(version); !slices.Contains(c.versions, version) {
-				c.versions = append(c.versions, version)
-			}
-		}
-		if id, found := strings.CutPrefix(line, "id: "); found {
-			c.lastEvent, _ = strconv.Atoi(strings.TrimSpace(id))
-			c.began, c.wentOn = true, c.wentOn || resumed
-		}
-	}
+	events := platformsim.ReadEvents(body)
+	c.events.Add(events)
+	c.began, c.wentOn = c.began || events.LastID > 0, c.wentOn || resumed && events.LastID > 0
 }
 
 // versionsScenario is a scenario whose engines have two versions.
@@ -149,7 +139,7 @@
 			request.Header.Set("X-Attempt-Id", id)
 			request.Header.Set("X-Deadline-Ms", strconv.FormatInt(left.Milliseconds(), 10))
 			if resumed {
-				request.Header.Set("Last-Event-Id", strconv.Itoa(stream.lastEvent))
+				request.Header.Set("Last-Event-Id", strconv.Itoa(stream.events.LastID))
 				if !s.omitsResumed {
 					request.Header.Set("Resumes", began)
 				}
@@ -208,7 +198,7 @@
 			counter *int
 		}{
 			{stream.began, &counts.began}, {stream.wasResumed, &counts.resumed}, {stream.wentOn, &counts.wentOn},
-			{len(stream.versions) > 1, &counts.mixed}, {stream.complete, &counts.complete},
+			{len(stream.events.Versions) > 1, &counts.mixed}, {stream.complete, &counts.complete},
 		} {
 			if count.applies {
 				*count.counter++
@@ -226,19 +216,9 @@
 	return float64(c.wentOn) / float64(c.resumed) / (float64(c.began) / float64(c.sent))
 }
 
-func killSchedulingNode(s *versionsScenario) { s.deployment.Node(s.scheduler()).Kill() }
-
-func pauseSchedulingNode(s *versionsScenario) {
-	scheduler := s.scheduler()
-	s.fabric.Pause(scheduler)
-	time.Sleep(3 * time.Second)
-	s.fabric.Resume(scheduler)
-}
-
-func partitionOneNode(s *versionsScenario) {
-	s.fabric.Partition([]string{"n1"}, []string{"n2", "n3"})
-	time.Sleep(3 * time.Second)
-	s.fabric.Heal()
+// onScenario returns the fault as one of a versionsScenario.
+func onScenario(fault func(*scenario)) func(*versionsScenario) {
+	return func(s *versionsScenario) { fault(s.scenario) }
 }
 
 // killNodesInTurn kills and restarts each node, twice.
@@ -252,22 +232,6 @@
 	}
 }
 
-func killAllNodes(s *versionsScenario) {
-	for _, host := range hosts {
-		s.deployment.Node(host).Kill()
-	}
-	time.Sleep(300 * time.Millisecond)
-	for i, host := range hosts {
-		s.Expect(s.deployment.StartNode(host, []string{"east", "west"}[i%2])).To(gomega.Succeed())
-	}
-}
-
-func stopStore(s *versionsScenario) {
-	s.deployment.Store.SetDown(true)
-	time.Sleep(5 * time.Second)
-	s.deployment.Store.SetDown(false)
-}
-
 // replaceEngines replaces the engines of the first version by ones of the second, one after the other.
 func replaceEngines(s *versionsScenario) {
 	s.mutex.Lock()
@@ -296,12 +260,12 @@
 		"broken off twice":                  {newer: 5, breaks: 2, minGoOnShare: 0.95},
 		"resumed twice":                     {newer: 5, breaks: 3, minGoOnShare: 0.95},
 		"two engines of the second version": {newer: 2, breaks: 2, minGoOnShare: 0.95},
-		"the scheduling node is killed":     {newer: 5, breaks: 2, fault: killSchedulingNode, minGoOnShare: 0.95},
-		"the scheduling node is paused":     {newer: 5, breaks: 2, fault: pauseSchedulingNode, minGoOnShare: 0.95},
-		"a node is partitioned":             {newer: 5, breaks: 2, fault: partitionOneNode, minGoOnShare: 0.95},
+		"the scheduling node is killed":     {newer: 5, breaks: 2, fault: onScenario(killScheduler), minGoOnShare: 0.95},
+		"the scheduling node is paused":     {newer: 5, breaks: 2, fault: onScenario(pauseScheduler), minGoOnShare: 0.95},
+		"a node is partitioned":             {newer: 5, breaks: 2, fault: onScenario(partitionNodesFor(3 * time.Second)), minGoOnShare: 0.95},
 		"nodes are killed in turn":          {newer: 5, breaks: 2, fault: killNodesInTurn, minGoOnShare: 0.95},
-		"all nodes are killed":              {newer: 5, breaks: 2, fault: killAllNodes, minGoOnShare: 0.5},
-		"the store is down":                 {newer: 5, breaks: 2, fault: stopStore, minGoOnShare: 0.95},
+		"all nodes are killed":              {newer: 5, breaks: 2, fault: onScenario(restartAllNodes), minGoOnShare: 0.5},
+		"the store is down":                 {newer: 5, breaks: 2, fault: onScenario(failStore), minGoOnShare: 0.95},
 		"engines are replaced":              {newer: 2, breaks: 2, fault: replaceEngines, minGoOnShare: 0.5},
 		"callers don't name the first try":  {newer: 5, breaks: 2, omitsResumed: true},
 	} {
@@ -325,8 +289,8 @@
 		"named":                     {breaks: 2, minGoOnShare: 0.95},
 		"nodes are killed in turn":  {breaks: 2, fault: killNodesInTurn, minGoOnShare: 0.95},
 		"callers don't name them":   {breaks: 2, omitsResumed: true, minGoOnShare: 0.95},
-		"the store is down":         {breaks: 2, omitsResumed: true, fault: stopStore, minGoOnShare: 0.5},
-		"the scheduling node fails": {breaks: 2, omitsResumed: true, fault: killSchedulingNode, minGoOnShare: 0.95},
+		"the store is down":         {breaks: 2, omitsResumed: true, fault: onScenario(failStore), minGoOnShare: 0.5},
+		"the scheduling node fails": {breaks: 2, omitsResumed: true, fault: onScenario(killScheduler), minGoOnShare: 0.95},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
