review: case 2, a replica back cold during an outage of the store gets full traffic

Cause: nodes learn that a replica is cold from its store entry alone, and not from X-Cold-Ms on its health path. While the store is down, a replica that comes back cold under its id counts as the warm one that was known.

What the case does: six daemons, three plain replicas, 30 clients, 120 requests a second. The store answers 503 for 4.5 s; meanwhile one replica is down for 1.5 s and comes back cold.

--- a/review/harness/cold.go
+++ b/review/harness/cold.go
@@ -69,7 +69,7 @@
 	callers.start(coldClients, time.Now().Add(coldTraffic), client{path: plainPath, body: []byte("{}"), deadline: plainTimeout})
 	time.Sleep(coldWarmup)
 	if run.trouble {
-		run.setStoreDown(!run.hasNoOutage)
+		run.setStoreDown(true)
 		time.Sleep(crashAfter)
 		ledgers[0].crash()
 		time.Sleep(crashTime)
--- a/review/harness/deployment.go
+++ b/review/harness/deployment.go
@@ -62,7 +62,6 @@
 	garbler  *garbler
 	// hasSlowStart puts the bounds of cold replicas into the settings.
 	hasSlowStart bool
-	hasNoOutage  bool
 	// mutex guards closers, and the writes of entries that wait for the store while it is down.
 	mutex         sync.Mutex
 	isStoreDown   bool
@@ -80,7 +79,6 @@
 		return nil, err
 	}
 	run := &caseRun{record: &record{file: file, started: time.Now()}, trouble: trouble, folder: folder, store: platformsim.NewStore()}
-	run.hasNoOutage = os.Getenv("OUTAGE") == "0"
 	run.garbler = &garbler{run: run, spoiled: map[string]bool{}}
 	run.record.write("trouble: %v", trouble)
 	return run, run.findBlock()
--- a/review/harness/replica.go
+++ b/review/harness/replica.go
@@ -40,7 +40,7 @@
 	return &plainReplica{run: run, id: fmt.Sprintf("i-%d", host), zone: zone, address: run.address(host, replicaPort)}
 }
 
-// start starts the replica and writes its entry, once the store is up.
+// start starts the replica, under its id, and writes its entry once the store is up.
 func (p *plainReplica) start(isCold bool) error {
 	listener, err := net.Listen("tcp", p.address)
 	if err != nil {
@@ -70,6 +70,9 @@
 func (p *plainReplica) writeEntry() {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	if !p.isRunning {
+		return
+	}
 	left := max(time.Until(p.coldUntil), 0)
 	p.run.store.PutJSON("servers/"+p.id, platformsim.Entry{Service: "ledger", Address: p.address, Zone: p.zone, Version: "v1", Slots: plainSlots, State: "ready", Sequence: 1, StartedAt: p.startedAt.UnixMilli(), WarmupLeft: left.Milliseconds()})
 	p.run.record.write("replica: %s wrote its entry, warmup_left_ms %d", p.id, left.Milliseconds())
@@ -147,10 +150,10 @@
 func (p *plainReplica) fallOver() {
 	p.mutex.Lock()
 	wasRunning := p.isRunning
-	p.isRunning = false
 	if wasRunning {
 		p.fallen++
 	}
+	p.isRunning = false
 	p.mutex.Unlock()
 	if !wasRunning {
 		return
