--- a/review/harness/cold.go
+++ b/review/harness/cold.go
@@ -16,12 +16,12 @@
 	coldBound = coldRate*coldOverage + coldSlack
 )
 
-// Times of the case: the store is down for outageTime, a replica crashes crashAfter its start and starts again
-// crashTime later. It falls over again at fallOverFactor times the bound.
+// Times of the case: the store is down for outageTime, and a replica becomes cold coldAfter its start. It falls over at
+// fallOverFactor times the bound, and starts again, cold, crashTime later.
 const (
 	coldWarmup     = 5 * time.Second
 	outageTime     = 4500 * time.Millisecond
-	crashAfter     = 500 * time.Millisecond
+	coldAfter      = time.Second
 	crashTime      = 1500 * time.Millisecond
 	coldTraffic    = 20 * time.Second
 	coldClients    = 10
@@ -59,7 +59,7 @@
 	return ledgers, r.start()
 }
 
-// runCold has a replica crash and come back cold, under its id, while the store is down.
+// runCold has a replica become cold again, once while the store is down, or while it is up without the disruption.
 func runCold(run *caseRun) (bool, error) {
 	ledgers, err := run.startColdSite()
 	if err != nil {
@@ -68,17 +68,11 @@
 	callers := &clients{run: run}
 	callers.start(coldClients, time.Now().Add(coldTraffic), client{path: plainPath, body: []byte("{}"), deadline: plainTimeout})
 	time.Sleep(coldWarmup)
-	if run.trouble {
-		run.setStoreDown(true)
-		time.Sleep(crashAfter)
-		ledgers[0].crash()
-		time.Sleep(crashTime)
-		if err := ledgers[0].start(true); err != nil {
-			return false, err
-		}
-		time.Sleep(outageTime - crashAfter - crashTime)
-		run.setStoreDown(false)
-	}
+	run.setStoreDown(run.trouble)
+	time.Sleep(coldAfter)
+	ledgers[0].turnCold()
+	time.Sleep(outageTime - coldAfter)
+	run.setStoreDown(false)
 	return run.judgeFailback(callers.sentAll(), ledgers), nil
 }
 
--- a/review/harness/replica.go
+++ b/review/harness/replica.go
@@ -56,15 +56,22 @@
 	p.mutex.Unlock()
 	go func() { _ = server.Serve(listener) }()
 	p.run.mutex.Lock()
-	defer p.run.mutex.Unlock()
 	p.run.closers = append(p.run.closers, func() { _ = server.Close() })
+	p.run.mutex.Unlock()
 	p.run.record.write("replica: %s starts, cold %v", p.id, isCold)
+	p.announce()
+	return nil
+}
+
+// announce writes the entry, once the store is up.
+func (p *plainReplica) announce() {
+	p.run.mutex.Lock()
+	defer p.run.mutex.Unlock()
 	if p.run.isStoreDown {
 		p.run.delayedWrites = append(p.run.delayedWrites, p.writeEntry)
-	} else {
-		p.writeEntry()
+		return
 	}
-	return nil
+	p.writeEntry()
 }
 
 func (p *plainReplica) writeEntry() {
@@ -78,6 +85,15 @@
 	p.run.record.write("replica: %s wrote its entry, warmup_left_ms %d", p.id, left.Milliseconds())
 }
 
+// turnCold makes the running replica cold for coldTime. It writes its entry, once the store is up.
+func (p *plainReplica) turnCold() {
+	p.mutex.Lock()
+	p.coldUntil, p.coldArrivals = time.Now().Add(coldTime), nil
+	p.mutex.Unlock()
+	p.run.record.write("replica: %s is cold again", p.id)
+	p.announce()
+}
+
 // crash ends the replica with all its connections.
 func (p *plainReplica) crash() {
 	p.mutex.Lock()
