review: case 2, a stream goes on at another software version during an outage of the store

Cause: where a stream may go on is decided by the version in the last store entry known. While the store is down, an engine that was replaced in place by another version still counts as the old one.

What the case does: six daemons, six engines of two versions, 51 clients. The store answers 503 for 4.5 s; one of two engines of the old version is replaced in place, and the other one crashes with its slots taken. Judged is ORDER by the versions that the events name.

--- a/review/harness/client.go
+++ b/review/harness/client.go
@@ -29,6 +29,8 @@
 	status     int
 	isSigned   bool
 	isComplete bool
+	// versions are the software versions that the events of the answer name.
+	versions []string
 	// isBroken is true if the connection ended, by the node's side, before a complete answer.
 	isBroken bool
 	// hasGivenUp is true if the client closed the connection after its deadline.
@@ -49,9 +51,10 @@
 	callers *clients
 	zone    string
 	path    string
-	body    []byte
 	// deadline is how long it waits for an answer.
 	deadline time.Duration
+	// events is the number of events of a whole answer.
+	events   int
 	conn     net.Conn
 	reader   *bufio.Reader
 	node     *node
@@ -120,8 +123,9 @@
 // exchange sends the request and reads the answer.
 func (c *client) exchange(s *sent) error {
 	s.sentAt = time.Now()
-	head := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: %d\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n", s.path, routeHost, s.id, s.deadline.Milliseconds(), clientKey, len(c.body))
-	if _, err := c.conn.Write(append([]byte(head), c.body...)); err != nil {
+	body := fmt.Sprintf(`{"subject":%q}`, s.id)
+	head := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: %d\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n", s.path, routeHost, s.id, s.deadline.Milliseconds(), clientKey, len(body))
+	if _, err := c.conn.Write([]byte(head + body)); err != nil {
 		return err
 	}
 	s.sentAt = time.Now()
@@ -132,11 +136,12 @@
 	}
 	s.status, s.isSigned = response.StatusCode, response.Header.Get("X-Server-Stamp") != ""
 	content, err := io.ReadAll(response.Body)
+	s.versions = versionsOf(string(content))
 	if err != nil {
 		return err
 	}
 	isStream := strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream")
-	s.isComplete = !isStream || platformsim.ReadEvents(string(content)).LastID == streamEvents
+	s.isComplete = !isStream || platformsim.ReadEvents(string(content)).LastID == c.events
 	if response.Close {
 		c.disconnect()
 	}
--- a/review/harness/cold.go
+++ b/review/harness/cold.go
@@ -66,7 +66,7 @@
 		return false, err
 	}
 	callers := &clients{run: run}
-	callers.start(coldClients, time.Now().Add(coldTraffic), client{path: plainPath, body: []byte("{}"), deadline: plainTimeout})
+	callers.start(coldClients, time.Now().Add(coldTraffic), client{path: plainPath, deadline: plainTimeout})
 	time.Sleep(coldWarmup)
 	run.setStoreDown(run.trouble)
 	time.Sleep(coldAfter)
--- a/review/harness/garble.go
+++ b/review/harness/garble.go
@@ -31,18 +31,20 @@
 // clientsPerZone is the number of clients of each zone. They occupy about 26 of the 42 slots of the engines.
 const clientsPerZone = 10
 
-// prefillTime is the time until an engine has read a prompt and begins to answer.
+// prefillTime is the prefill of the engines in the garble case.
 const prefillTime = 600 * time.Millisecond
 
 // garbler decides which answers of its engines are spoiled.
 type garbler struct {
-	run     *caseRun
-	active  atomic.Bool
+	run    *caseRun
+	active atomic.Bool
+	// prefill is the time until an engine has read a prompt and begins to answer.
+	prefill time.Duration
 	mutex   sync.Mutex
 	spoiled map[string]bool
 }
 
-// engineListener accepts connections on which answers begin after prefillTime and may be spoiled.
+// engineListener accepts connections on which answers begin after the prefill and may be spoiled.
 type engineListener struct {
 	net.Listener
 	garbler *garbler
@@ -70,7 +72,7 @@
 	if !bytes.HasPrefix(content, []byte("HTTP/1.1 200")) {
 		return c.Conn.Write(content)
 	}
-	time.Sleep(prefillTime)
+	time.Sleep(c.listener.garbler.prefill)
 	if c.listener.spoils(content) {
 		return 0, c.writeGarbage()
 	}
@@ -105,6 +107,7 @@
 
 // runGarble has clients keep streams running on kept connections while some engines spoil some answers.
 func runGarble(run *caseRun) (bool, error) {
+	run.garbler.prefill = prefillTime
 	if err := run.addSmallSite(); err != nil {
 		return false, err
 	}
@@ -113,7 +116,7 @@
 	}
 	callers := &clients{run: run}
 	total := garbleWarmup + garbleRounds*(garbleTime+garblePause)
-	callers.start(clientsPerZone, time.Now().Add(total), client{path: streamPath, body: []byte("{}"), deadline: streamDeadline})
+	callers.start(clientsPerZone, time.Now().Add(total), client{path: streamPath, deadline: streamDeadline, events: streamEvents})
 	time.Sleep(garbleWarmup)
 	for range garbleRounds {
 		run.garbler.active.Store(run.trouble)
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -12,7 +12,7 @@
 // scenario runs a case and reports whether the rule held.
 type scenario func(run *caseRun) (held bool, err error)
 
-var scenarios = map[string]scenario{"garble": runGarble, "cold": runCold}
+var scenarios = map[string]scenario{"garble": runGarble, "cold": runCold, "versions": runVersions}
 
 func main() {
 	os.Exit(runCase(os.Args[1:]))
