--- a/review/harness/balancer.go
+++ b/review/harness/balancer.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"net/http"
 	"time"
+
+	"github.com/thornwalk/thornwalk/platform"
 )
 
 // balance asks each node once a second whether it is ready. After two misses a node gets no new connections
@@ -26,7 +28,7 @@
 func (n *node) ask(client *http.Client) {
 	ctx, cancel := context.WithTimeout(context.Background(), 900*time.Millisecond)
 	defer cancel()
-	request, _ := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.run.address(n.number, readinessPort)+"/api/readyz", nil)
+	request, _ := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.run.address(n.number, readinessPort)+platform.ReadyPath, nil)
 	response, err := client.Do(request)
 	isReady := err == nil && response.StatusCode == http.StatusOK
 	if err == nil {
--- a/review/harness/client.go
+++ b/review/harness/client.go
@@ -14,8 +14,12 @@
 	"time"
 
 	"github.com/thornwalk/thornwalk/lab/platformsim"
+	"github.com/thornwalk/thornwalk/platform"
 )
 
+// headers are the names of the headers that clients, nodes and replicas use.
+var headers = platform.Headers()
+
 // sent is one request of a client and what it saw.
 type sent struct {
 	id, path string
@@ -124,7 +128,7 @@
 func (c *client) exchange(s *sent) error {
 	s.sentAt = time.Now()
 	body := fmt.Sprintf(`{"subject":%q}`, s.id)
-	head := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nX-Attempt-Id: %s\r\nX-Deadline-Ms: %d\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n", s.path, routeHost, s.id, s.deadline.Milliseconds(), clientKey, len(body))
+	head := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n", s.path, routeHost, headers.RequestID, s.id, headers.Deadline, s.deadline.Milliseconds(), clientKey, len(body))
 	if _, err := c.conn.Write([]byte(head + body)); err != nil {
 		return err
 	}
@@ -134,7 +138,7 @@
 	if err != nil {
 		return err
 	}
-	s.status, s.isSigned = response.StatusCode, response.Header.Get("X-Server-Stamp") != ""
+	s.status, s.isSigned = response.StatusCode, response.Header.Get(headers.Signature) != ""
 	content, err := io.ReadAll(response.Body)
 	s.versions = versionsOf(string(content))
 	if err != nil {
--- a/review/harness/cold.go
+++ b/review/harness/cold.go
@@ -31,15 +31,14 @@
 )
 
 func (r *caseRun) configureCold() {
-	r.store.PutJSON("op/config", entrylab.Configuration{
+	entrylab.Configuration{
 		Version: 1,
 		Routes: []entrylab.Route{
 			{Name: "pay-submit", Host: routeHost, PathPrefix: "/pay/", Kind: "unsafe", Timeout: 1000, Target: 150, Service: "ledger", Attempts: 1},
 		},
 		Services: []entrylab.Service{{Name: "ledger", ColdTime: coldTime.Seconds(), ColdRate: coldRate}},
 		Tenants:  []entrylab.Tenant{{Name: "office", Keys: []string{clientKey}, Unit: "tokens", PlainTokens: 200, Rate: 100_000, Burst: 100_000}},
-		Limits:   map[string]int{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-	})
+	}.Write(r.store)
 }
 
 // startColdSite starts two machines and one replica in each zone, and returns the replicas.
--- a/review/harness/garble.go
+++ b/review/harness/garble.go
@@ -84,7 +84,7 @@
 	if !l.canSpoil || !l.garbler.active.Load() || l.answers.Add(1)%garbleEach != 0 {
 		return false
 	}
-	_, rest, _ := strings.Cut(string(head), "X-Attempt-Id: ")
+	_, rest, _ := strings.Cut(string(head), headers.RequestID+": ")
 	id, _, _ := strings.Cut(rest, "\r\n")
 	l.garbler.mutex.Lock()
 	l.garbler.spoiled[id] = true
--- a/review/harness/replica.go
+++ b/review/harness/replica.go
@@ -81,7 +81,8 @@
 		return
 	}
 	left := max(time.Until(p.coldUntil), 0)
-	p.run.store.PutJSON("servers/"+p.id, platformsim.Entry{Service: "ledger", Address: p.address, Zone: p.zone, Version: "v1", Slots: plainSlots, State: "ready", Sequence: 1, StartedAt: p.startedAt.UnixMilli(), WarmupLeft: left.Milliseconds()})
+	entry := platformsim.Replica{ID: p.id, Service: "ledger", Address: p.address, Zone: p.zone, Slots: plainSlots, StartedAt: p.startedAt.UnixMilli(), Warmup: left}
+	entry.Register(p.run.store, "ready")
 	p.run.record.write("replica: %s wrote its entry, warmup_left_ms %d", p.id, left.Milliseconds())
 }
 
@@ -110,20 +111,20 @@
 		w.Header().Set("X-Instance-Id", p.id)
 		w.Header().Set("X-Cold-Ms", fmt.Sprint(p.coldLeft().Milliseconds()))
 		return
-	case r.Header.Get("X-Expect-Instance") != p.id:
+	case r.Header.Get(headers.ExpectReplica) != p.id:
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	id := r.Header.Get("X-Attempt-Id")
+	id := r.Header.Get(headers.RequestID)
 	if p.arrive(id) {
 		go p.fallOver()
 		panic(http.ErrAbortHandler)
 	}
-	w.Header().Set("X-Attempt-Id", id)
+	w.Header().Set(headers.RequestID, id)
 	select {
 	case p.queued <- struct{}{}:
 	default:
-		w.Header().Set("X-Not-Executed", "1")
+		w.Header().Set(headers.NotRun, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -132,7 +133,7 @@
 	defer func() { <-p.slots }()
 	p.run.record.write("replica: %s runs %s", p.id, id)
 	time.Sleep(plainWork)
-	w.Header().Set("X-Server-Stamp", p.id)
+	w.Header().Set(headers.Signature, p.id)
 	_, _ = w.Write([]byte("done"))
 }
 
--- a/review/harness/site.go
+++ b/review/harness/site.go
@@ -26,15 +26,14 @@
 
 // configure writes the configuration: a streaming route whose requests may not run twice.
 func (r *caseRun) configure() {
-	r.store.PutJSON("op/config", entrylab.Configuration{
+	entrylab.Configuration{
 		Version: 1,
 		Routes: []entrylab.Route{
 			{Name: "permit-appeal", Host: routeHost, PathPrefix: "/appeal/", Kind: "streaming", Timeout: 8000, Target: 1000, TargetGap: 400, Service: "engines", Attempts: 1},
 		},
 		Services: []entrylab.Service{{Name: "engines"}},
 		Tenants:  []entrylab.Tenant{{Name: "office", Keys: []string{clientKey}, Unit: "tokens", PlainTokens: 200, Rate: 100_000, Burst: 100_000}},
-		Limits:   map[string]int{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-	})
+	}.Write(r.store)
 }
 
 // addSmallSite adds the machines and engines of all zones.
--- a/review/harness/versions.go
+++ b/review/harness/versions.go
@@ -35,15 +35,14 @@
 )
 
 func (r *caseRun) configureVersions() {
-	r.store.PutJSON("op/config", entrylab.Configuration{
+	entrylab.Configuration{
 		Version: 1,
 		Routes: []entrylab.Route{
 			{Name: "inspection-summary", Host: routeHost, PathPrefix: "/report/", Kind: "streaming", Timeout: 8000, Target: 800, TargetGap: 400, Service: "engines", Attempts: 2, Resumable: true},
 		},
 		Services: []entrylab.Service{{Name: "engines"}},
 		Tenants:  []entrylab.Tenant{{Name: "office", Keys: []string{clientKey}, Unit: "tokens", PlainTokens: 200, Rate: 100_000, Burst: 100_000}},
-		Limits:   map[string]int{"max_header_bytes": 16384, "max_body_bytes": 4194304, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
-	})
+	}.Write(r.store)
 }
 
 // startVersionsSite starts two machines and two engines in each zone.
