--- a/lab/memnet/memnet.go
+++ b/lab/memnet/memnet.go
@@ -120,6 +120,13 @@
 	}
 }
 
+// IsPaused reports whether the host is paused.
+func (f *Fabric) IsPaused(name string) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.paused[name] != nil
+}
+
 // WaitResumed blocks while the host is paused.
 func (f *Fabric) WaitResumed(name string) {
 	f.mutex.Lock()
--- a/lab/platformsim/stream.go
+++ b/lab/platformsim/stream.go
@@ -56,10 +56,11 @@
 func chunk(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
 
 // Events is what a body of a stream shows: the versions named by its events, in order and each once, and the ID of the
-// last event, 0 if there is none.
+// last event, 0 if there is none, and the number of events.
 type Events struct {
 	Versions []string
 	LastID   int
+	Count    int
 }
 
 // ReadEvents reads the events of a body.
@@ -72,6 +73,7 @@
 		}
 		if id, found := strings.CutPrefix(line, "id: "); found {
 			events.LastID, _ = strconv.Atoi(id)
+			events.Count++
 		}
 	}
 	return events
@@ -85,4 +87,5 @@
 		}
 	}
 	e.LastID = max(e.LastID, continuation.LastID)
+	e.Count += continuation.Count
 }
