--- a/test/entry/silent_streams_test.go
+++ b/test/entry/silent_streams_test.go
@@ -35,7 +35,7 @@
 type silentScenario struct {
 	*scenario
 	engineHosts []string
-	work workObserver
+	work        workObserver
 }
 
 // runSilent starts the engines, which have a few more slots than there are streams, and runs the test.
