entry: log whether the caller's connection was closed, and why a retry was refused

request.ended said replica-broke-off alike for an answer with status 502 and for a connection that was closed in the middle of an answer, and did not say why the request went nowhere else. It now has closed and retry_refused, and the counters closed.REASON count the closed ones.

--- a/entry/handler.go
+++ b/entry/handler.go
@@ -38,6 +38,8 @@
 	lastFailure failureCause
 	// connectError is why the last connect failed, for the log.
 	connectError string
+	// retryRefusal is why the last assignment was refused, if a replica had the request before.
+	retryRefusal string
 	// forwarder is the peer that forwards the connection of the last send, empty if it is direct.
 	forwarder string
 	// lackedRoom is true if the last send was rejected by the replica for lack of room.
@@ -249,9 +251,11 @@
 	}
 	event := c.newEvent("request.ended")
 	event.Outcome, event.Reason, event.Status = outcome, reason, status
+	event.IsClosed, event.RetryRefusal = c.headSent, c.retryRefusal
 	c.recordEnd(event)
 	c.node.counter("ended." + reason).Inc(1)
 	if c.headSent {
+		c.node.counter("closed." + reason).Inc(1)
 		panic(http.ErrAbortHandler)
 	}
 	c.writer.Header()["Content-Type"] = nil
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -31,6 +31,9 @@
 		granted.origin = c.origin
 		c.logAssignment(granted, executions)
 		if granted.Reason != "" {
+			if c.sends > 0 {
+				c.retryRefusal = granted.Reason
+			}
 			c.endUnassigned(granted, executions)
 			return
 		}
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -47,6 +47,10 @@
 	Outcome string `json:"outcome,omitempty"`
 	Reason  string `json:"reason,omitempty"`
 	Status  int    `json:"status,omitempty"`
+	// IsClosed is true if the caller's connection was closed as it had a part of the answer, so that it did not get
+	// the status. RetryRefusal is why the request was not sent to another replica.
+	IsClosed     bool   `json:"closed,omitempty"`
+	RetryRefusal string `json:"retry_refused,omitempty"`
 	// Version is that of the configuration, Revision that of the store in its Era.
 	Version  int64 `json:"version,omitempty"`
 	Revision int64 `json:"revision,omitempty"`
