handover: tell the replica that was replaced from the one that replaced it

CurrentSpoke and CurrentBroke did not say which replica they are about. After a successor had answered and replaced the silent replica, steps of the replaced one counted as steps of the new one: bytes read just before its connection was reset got the verdict Keep, and the error of the reset connection made the request one that no replica has, with nothing to go on at. The comment of CurrentSpoke promised the opposite. Seen by a test of one request, before the change: after the answer of the successor CurrentSpoke returned Keep, and CurrentBroke false with HasCurrent false. Begin after End made the request one that a replica has.

Begin returns a token, zero if the request has ended, and CurrentSpoke and CurrentBroke take it; a successor keeps its token once it is current. CurrentBroke reports whether the request goes on without that replica, which includes a successor that has replaced it. The signatures change, as nothing else tells the two replicas apart.

--- a/coordination/handover/handover.go
+++ b/coordination/handover/handover.go
@@ -28,8 +28,9 @@
 // String returns the name of the phase in logs and metrics.
 func (p Phase) String() string { return [...]string{"none", "requested", "sent"}[p] }
 
-// Token identifies one successor of a request. Steps of a successor that was given up have no effect. The zero
-// token identifies none.
+// Token identifies one replica that has the request or one successor; a successor keeps its token once it is the
+// current replica. Steps of a replica that was replaced or given up have no effect: what it sent may have been read
+// just before its connection was reset. The zero token identifies none.
 type Token uint32
 
 // Verdict is what must be done with the replica that took a step.
@@ -46,52 +47,67 @@
 // use.
 type Handover struct {
 	phase Phase
-	token Token
-	// hasCurrent is true while a replica has the request, and hasEnded once it goes on nowhere.
-	hasCurrent, hasEnded bool
+	// latest is the latest token that was given out.
+	latest Token
+	// current is the replica that has the request, and successor the one that is looked for or was sent it. They are
+	// zero if there is none.
+	current, successor Token
+	// hasEnded is true once the request goes on nowhere.
+	hasEnded bool
 }
 
-// Begin records that a replica has the request. It must have no other one.
-func (h *Handover) Begin() { h.hasCurrent = true }
+// Begin records that a replica gets the request, and returns its token. The request must have no other replica. If the
+// token is zero, the request has ended and must not be sent.
+func (h *Handover) Begin() Token {
+	if h.hasEnded {
+		return 0
+	}
+	h.latest++
+	h.current = h.latest
+	return h.current
+}
 
 // Phase returns how far the search for a successor is.
 func (h *Handover) Phase() Phase { return h.phase }
 
 // HasCurrent reports whether a replica has the request.
-func (h *Handover) HasCurrent() bool { return h.hasCurrent }
+func (h *Handover) HasCurrent() bool { return h.current != 0 }
 
 // RequestSuccessor records that the current replica has been silent for so long that a successor is looked for. If it
 // returns a token other than zero, the caller must request one.
 func (h *Handover) RequestSuccessor() Token {
-	if h.hasEnded || !h.hasCurrent || h.phase != NoSuccessor {
+	if h.current == 0 || h.phase != NoSuccessor {
 		return 0
 	}
-	h.token++
-	h.phase = Requested
-	return h.token
+	h.latest++
+	h.successor, h.phase = h.latest, Requested
+	return h.successor
 }
 
-// CurrentSpoke records that the current replica sent something. If the verdict is GiveUp, the request has gone on at
-// the successor: what was sent must be discarded. Otherwise a successor, if phase is not NoSuccessor, must be given up:
-// its assignment returned or, if it was Sent, its connection reset.
-func (h *Handover) CurrentSpoke() (verdict Verdict, phase Phase) {
-	if h.hasEnded || !h.hasCurrent {
+// CurrentSpoke records that the replica that the request was sent to, or went on at, sent something. If the verdict is
+// GiveUp, the request has ended or gone on at a successor: what was sent must be discarded. Otherwise a successor, if
+// phase is not NoSuccessor, must be given up: its assignment returned or, if it was Sent, its connection reset.
+func (h *Handover) CurrentSpoke(token Token) (verdict Verdict, phase Phase) {
+	if !h.isCurrent(token) {
 		return GiveUp, NoSuccessor
 	}
 	return Keep, h.dropSuccessor()
 }
 
-// CurrentBroke records that the current replica ended the exchange without a complete answer, or rejected the request.
-// It reports whether there is a successor that the request may go on at.
-func (h *Handover) CurrentBroke() bool {
-	h.hasCurrent = false
-	return h.phase != NoSuccessor
+// CurrentBroke records that the replica that the request was sent to, or went on at, ended the exchange without a
+// complete answer, or rejected the request. It reports whether the request goes on without it: at the successor that
+// replaced it, or at one that is looked for.
+func (h *Handover) CurrentBroke(token Token) bool {
+	if h.isCurrent(token) {
+		h.current = 0
+	}
+	return h.current != 0 || h.phase != NoSuccessor
 }
 
 // MaySend must be called just before the request is written to the successor. If the verdict is GiveUp, nothing may be
 // written and the assignment must be returned.
 func (h *Handover) MaySend(token Token) Verdict {
-	if !h.isCurrent(token) || h.phase != Requested {
+	if !h.isSuccessor(token) || h.phase != Requested {
 		return GiveUp
 	}
 	h.phase = Sent
@@ -102,37 +118,37 @@
 // now the current replica; the former one, if replaced is true, must be reset at once. Otherwise the successor must
 // be reset.
 func (h *Handover) SuccessorAnswered(token Token) (verdict Verdict, replaced bool) {
-	if !h.isCurrent(token) || h.phase != Sent {
+	if !h.isSuccessor(token) || h.phase != Sent {
 		return GiveUp, false
 	}
-	replaced = h.hasCurrent
-	h.phase, h.hasCurrent = NoSuccessor, true
+	replaced = h.current != 0
+	h.dropSuccessor()
+	h.current = token
 	return Keep, replaced
 }
 
 // SuccessorFailed records that there is no assignment, that the successor was not reached, rejected the request or
 // broke it off.
 func (h *Handover) SuccessorFailed(token Token) {
-	if h.isCurrent(token) {
-		h.phase = NoSuccessor
+	if h.isSuccessor(token) {
+		h.dropSuccessor()
 	}
 }
 
 // End records that the request ended: its caller has the answer or left, its time is over or the process stops. It
 // returns the phase of the successor that must be given up.
 func (h *Handover) End() Phase {
-	h.hasEnded, h.hasCurrent = true, false
+	h.hasEnded, h.current = true, 0
 	return h.dropSuccessor()
 }
 
-func (h *Handover) isCurrent(token Token) bool { return !h.hasEnded && token != 0 && token == h.token }
+func (h *Handover) isCurrent(token Token) bool { return token != 0 && token == h.current }
+
+func (h *Handover) isSuccessor(token Token) bool { return token != 0 && token == h.successor }
 
 // dropSuccessor voids the token of the successor, if there is one, and returns its phase.
 func (h *Handover) dropSuccessor() Phase {
 	phase := h.phase
-	if phase != NoSuccessor {
-		h.token++
-		h.phase = NoSuccessor
-	}
+	h.phase, h.successor = NoSuccessor, 0
 	return phase
 }
