handover: keep a replaced replica from ending a request that is sent again

CurrentBroke reported that the request goes on nowhere, as at this moment no replica has it, so that its caller would end the request beside the send that is under way.

A replica that was replaced no longer decides: CurrentBroke reports that the request goes on unless it has ended. The test failed before the change and passes.

--- a/coordination/handover/handover.go
+++ b/coordination/handover/handover.go
@@ -95,13 +95,15 @@
 }
 
 // CurrentBroke records that the replica that the request was sent to, or went on at, ended the exchange without a
-// complete answer, or rejected the request. It reports whether the request goes on without it: at the successor that
-// replaced it, or at one that is looked for.
+// complete answer, or rejected the request. It reports whether the request goes on without it: at a successor that is
+// looked for, or because a successor replaced it, whose end then decides. Otherwise the caller must send the request
+// again or end it, unless it has ended.
 func (h *Handover) CurrentBroke(token Token) bool {
-	if h.isCurrent(token) {
-		h.current = 0
+	if !h.isCurrent(token) {
+		return !h.hasEnded
 	}
-	return h.current != 0 || h.phase != NoSuccessor
+	h.current = 0
+	return h.phase != NoSuccessor
 }
 
 // MaySend must be called just before the request is written to the successor. If the verdict is GiveUp, nothing may be
--- a/coordination/handover/keeps_replica_test.go
+++ b/coordination/handover/keeps_replica_test.go
@@ -81,6 +81,18 @@
 	g.Expect(verdict).To(gomega.Equal(Keep))
 }
 
+// Guards against a request that is ended by the error of a replaced replica, while it is being sent again because the
+// one that replaced it broke off.
+func TestErrorOfAReplacedReplicaDoesNotEndTheRequestBeforeARetry(t *testing.T) {
+	g := gomega.NewWithT(t)
+	request, replaced, successor := sentSuccessor(g)
+	_, _ = request.SuccessorAnswered(successor)
+	g.Expect(request.CurrentBroke(successor)).To(gomega.BeFalse())
+	g.Expect(request.CurrentBroke(replaced)).To(gomega.BeTrue())
+	request.End()
+	g.Expect(request.CurrentBroke(replaced)).To(gomega.BeFalse())
+}
+
 // Guards against replicas that work on a request that has ended.
 func TestEndedRequestGoesOnNowhere(t *testing.T) {
 	g := gomega.NewWithT(t)
