platformsim: set a run's arrival before others can read the run

The race detector found it in TestRequestsSurviveASilentSecondOfTheirReplica, which reads the unfinished runs; the field was written after the run had been entered without the mutex.

--- a/lab/platformsim/replica.go
+++ b/lab/platformsim/replica.go
@@ -278,8 +278,7 @@
 	case behavior == Shed || requiresReservation(request.Header) || r.lacksRoom():
 		return writeText(conn, "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nX-Attempt-Id: "+id+"\r\n"+r.pushbackLines(arrival, true)+"Content-Length: 0\r\n\r\n")
 	}
-	run := r.beginRun(request, body)
-	run.arrival = arrival
+	run := r.beginRun(request, body, arrival)
 	defer r.endRun(run)
 	ctx, stop := r.watchDisconnect(conn, reader, run)
 	reusable := r.writeResponse(ctx, conn, behavior, id, run)
@@ -315,13 +314,14 @@
 	return r.pushback.headerLines(rejects) + r.brittleLine()
 }
 
-func (r *Replica) beginRun(request *http.Request, body string) *Run {
+func (r *Replica) beginRun(request *http.Request, body string, arrival int) *Run {
 	deadline, _ := strconv.Atoi(request.Header.Get("X-Deadline-Ms"))
 	run := &Run{
 		At: time.Now(),
 		ID: request.Header.Get("X-Attempt-Id"), Target: request.RequestURI, Host: request.Host, Body: body,
 		Tenant: request.Header.Get("X-Tenant"), Authorization: request.Header.Get("Authorization"),
 		LastEventID: request.Header.Get("Last-Event-Id"), Header: request.Header, Deadline: time.Duration(deadline) * time.Millisecond,
+		arrival: arrival,
 	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
