entry: keep a stream at its silent replica until another one has begun to answer

Cause: after 1.2 s without a byte (1.5 s before the first event) the node reset the connection to the replica, and asked for a second assignment only then. Where that was refused (retry budget, backlog, no place), nothing was left to go on with. The conditions of the timeout were a part of those of the retry.

Change: a timer takes the place of the read deadline. A refused search is repeated while the silence lasts.

Streams of engines that stay silent go on elsewhere as before (TestStreamsGoOnWithoutEnginesThatStaySilent).

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"net/textproto"
 	"strconv"
 	"time"
 
 	"github.com/thornwalk/thornwalk/coordination/admission"
+	"github.com/thornwalk/thornwalk/coordination/handover"
 	"github.com/thornwalk/thornwalk/state/loadreport"
 	"github.com/thornwalk/thornwalk/state/replicas"
 	"github.com/thornwalk/thornwalk/transport/network"
@@ -31,6 +33,8 @@
 	resultServerError
 	// resultCallerLeft means that the caller closed its connection.
 	resultCallerLeft
+	// resultNotNeeded means that the replica was the successor of one that was silent and then went on.
+	resultNotNeeded
 )
 
 // Bounds of the sends of one request.
@@ -56,8 +60,38 @@
 	minSilence             = 2 * time.Second
 )
 
-// attempt sends the request to the granted replica once.
-func (c *call) attempt(granted *grant) (result, admission.Observation) {
+// send is a request that was written to a replica, which has begun to answer it.
+type send struct {
+	granted   *grant
+	answer    *replicahttp.Answer
+	forwarder string
+	// token identifies a successor that the request goes on at.
+	token handover.Token
+	// startedAt is when the request was written, and headDelay the time from then to the head, measured if the
+	// replica reported its workTime.
+	startedAt time.Time
+	headDelay time.Duration
+	workTime  int
+	// release must be called once the exchange has ended.
+	release func()
+}
+
+// attempt sends the request to the granted replica once, or goes on with a send to it that has begun.
+func (c *call) attempt(granted *grant, begun *send) (result, admission.Observation) {
+	if begun != nil {
+		c.lastFailure, c.connectError, c.lackedRoom, c.forwarder = causeNone, "", false, begun.forwarder
+		return c.complete(begun)
+	}
+	begun, outcome, observed := c.begin(granted)
+	if begun == nil {
+		return outcome, observed
+	}
+	return c.complete(begun)
+}
+
+// begin sends the request to the granted replica and waits for the head of its answer. If there is none, it returns
+// nil and the outcome of the send.
+func (c *call) begin(granted *grant) (*send, result, admission.Observation) {
 	node := c.node
 	grantedAt := node.now()
 	c.lastFailure, c.connectError, c.lackedRoom, c.forwarder = causeNone, "", false, ""
@@ -72,43 +106,89 @@
 			node.recordZoneContact(granted.Replica.Zone, false)
 			c.recordConnectFailure(granted.Replica, err)
 		}
-		return resultNotSent, admission.Observation{CallerLeft: true}
+		return nil, resultNotSent, admission.Observation{CallerLeft: true}
 	}
-	if !node.beginSend(granted) {
+	if !c.mayWrite() || !node.beginSend(granted) {
 		_ = conn.Close()
-		return resultNotSent, admission.Observation{CallerLeft: true}
+		return nil, resultNotSent, admission.Observation{CallerLeft: true}
 	}
-	c.forwarder = conn.Forwarder
-	defer node.exchanges.begin(conn, granted.Replica)()
-	sentTime, sentAt := time.Now(), node.now()
+	endExchange := node.exchanges.begin(conn, granted.Replica)
 	sendContext, cancelSend := c.sendContext()
-	defer cancelSend()
-	answer, err := node.pool.Exchange(sendContext, conn, c.replicaRequest(granted.Replica))
-	if err != nil {
-		return c.recordIncomplete(err), admission.Observation{Failed: true, CallerLeft: c.ctx.Err() != nil}
+	begun := &send{granted: granted, forwarder: conn.Forwarder, startedAt: time.Now(), release: func() {
+		cancelSend()
+		endExchange()
+	}}
+	c.forwarder = begun.forwarder
+	sentAt := node.now()
+	c.awaitHead(granted.Replica, cancelSend)
+	begun.answer, err = node.pool.Exchange(sendContext, conn, c.replicaRequest(granted.Replica))
+	if err = c.headArrived(begun.answer, err); err != nil {
+		begun.release()
+		return nil, c.recordIncomplete(err), admission.Observation{Failed: true, CallerLeft: c.ctx.Err() != nil}
 	}
 	c.recordReceived()
-	c.lackedRoom = c.isRejection(answer) && answer.StatusCode == http.StatusServiceUnavailable
+	c.lackedRoom = c.isRejection(begun.answer) && begun.answer.StatusCode == http.StatusServiceUnavailable
 	node.recordZoneContact(granted.Replica.Zone, true)
-	load, workTime := c.reportedLoad(answer)
-	started := &firstEventRequest{Load: load, Rejected: c.lackedRoom, WorkTime: workTime, Pushback: node.applyPushback(answer, granted.Replica, sentAt)}
-	var headDelay time.Duration
-	if workTime > 0 {
-		headDelay, started.SinceGrant = time.Since(sentTime), node.now()-grantedAt
+	load, workTime := c.reportedLoad(begun.answer)
+	started := &firstEventRequest{Load: load, Rejected: c.lackedRoom, WorkTime: workTime, Pushback: node.applyPushback(begun.answer, granted.Replica, sentAt)}
+	if begun.workTime = workTime; workTime > 0 {
+		begun.headDelay, started.SinceGrant = time.Since(begun.startedAt), node.now()-grantedAt
 	}
 	node.reportFirstEvent(granted, started)
-	outcome, observed := c.relay(answer, granted.Replica, sentTime)
-	observed.WorkTime, observed.HeadDelay = workTime, headDelay
+	return begun, resultAnswered, admission.Observation{}
+}
+
+// mayWrite reports whether the request may be written, just before it is.
+func (c *call) mayWrite() bool {
+	return c.successorToken == 0 || c.silence.maySend(c.successorToken)
+}
+
+// awaitHead makes the replica the current one, unless it is a successor, and begins to watch it; reset resets the
+// connection to it.
+func (c *call) awaitHead(replica replicas.Replica, reset context.CancelFunc) {
+	if c.successorToken != 0 {
+		return
+	}
+	c.currentReplica = replica.ID
+	c.silence.begin(reset)
+	c.silence.wait(c.silenceLimit(false))
+}
+
+// errReplaced means that the request has gone on at another replica.
+var errReplaced = errors.New("the request has gone on at another replica")
+
+// headArrived records the result of the wait for the head of the answer, and returns its error. The error is
+// errReplaced if the answer must not be used.
+func (c *call) headArrived(answer *replicahttp.Answer, err error) error {
+	switch {
+	case c.successorToken != 0:
+		return err
+	case err != nil:
+		c.silence.interrupted()
+		return err
+	case !c.silence.received():
+		answer.Abandon()
+		return errReplaced
+	}
+	return nil
+}
+
+// complete forwards the rest of the answer to the caller.
+func (c *call) complete(begun *send) (result, admission.Observation) {
+	defer begun.release()
+	c.currentReplica = begun.granted.Replica.ID
+	outcome, observed := c.relay(begun.answer, begun.granted.Replica, begun.startedAt)
+	observed.WorkTime, observed.HeadDelay = begun.workTime, begun.headDelay
 	switch outcome {
 	case resultAnswered, resultRejected, resultServerError:
-		answer.Done()
+		begun.answer.Done()
 	default:
-		answer.Abandon()
+		begun.answer.Abandon()
 	}
 	if observed.FirstEvent > 0 {
-		node.recordDuration("first_event_ms", observed.FirstEvent)
+		c.node.recordDuration("first_event_ms", observed.FirstEvent)
 	}
-	observed.Duration, observed.TokensPerEvent = time.Since(sentTime), c.tokensPerEvent()
+	observed.Duration, observed.TokensPerEvent = time.Since(begun.startedAt), c.tokensPerEvent()
 	observed.CallerLeft = outcome == resultCallerLeft || c.ctx.Err() != nil
 	observed.Failed = observed.Failed || outcome != resultAnswered
 	return outcome, observed
@@ -172,10 +252,16 @@
 // recordIncomplete records why no complete response arrived. The error is nil for an invalid response. It
 // returns resultCallerLeft if the caller caused the failure.
 func (c *call) recordIncomplete(err error) result {
-	if c.request.Context().Err() != nil {
+	switch {
+	case c.request.Context().Err() != nil:
 		return resultCallerLeft
+	case c.successorToken != 0 && c.ctx.Err() != nil:
+		return resultNotNeeded
 	}
 	c.lastFailure = failureCauseOf(err)
+	if c.successorToken == 0 && c.silence.isReplaced() {
+		c.lastFailure = causeTimeout // this node reset the connection
+	}
 	c.node.counter("breaks." + string(c.lastFailure)).Inc(1)
 	return resultIncomplete
 }
@@ -226,20 +312,10 @@
 		Method: c.request.Method, Target: c.request.RequestURI, Host: c.request.Host, Header: header, Body: c.body,
 		HasBody:  c.request.ContentLength >= 0 && c.request.Method != http.MethodGet && c.request.Method != http.MethodHead,
 		IDHeader: textproto.CanonicalMIMEHeaderKey(names.RequestID), ID: c.id,
-		HeadTimeout: c.headTimeout(),
-	}
-}
-
-// headTimeout returns how long to wait for the response head, or zero for no limit. It limits
-// only streams that can continue at another replica.
-func (c *call) headTimeout() time.Duration {
-	if c.route.Resumable && c.sends+1 < c.route.MaxAttempts {
-		return firstEventTimeout
 	}
-	return 0
 }
 
 // String returns the name of the result in logs and metrics.
 func (r result) String() string {
-	return [...]string{"answered", "not-sent", "rejected", "broken", "failed", "caller-left"}[r]
+	return [...]string{"answered", "not-sent", "rejected", "broken", "failed", "caller-left", "not-needed"}[r]
 }
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"github.com/thornwalk/thornwalk/coordination/handover"
 	"github.com/thornwalk/thornwalk/internal/eventlog"
 	"github.com/thornwalk/thornwalk/state/catalog"
 	"github.com/thornwalk/thornwalk/state/fingerprint"
@@ -58,6 +59,15 @@
 	headSent bool
 	ended    bool
 	sends    int
+	// executions is the number of sends under which the request may have run, tried has the replicas of all
+	// assignments that have ended, and currentReplica is that of the current one.
+	executions     int
+	tried          []string
+	currentReplica string
+	// silence watches the current replica. The copy of a call with which a successor is looked for has the
+	// successorToken, which is zero otherwise.
+	silence        *silenceWatch
+	successorToken handover.Token
 	// waited is the total time in queues.
 	waited time.Duration
 	// lastEventID is the ID of the last event that the caller has, and resumed
@@ -92,6 +102,7 @@
 	n.inFlight.Add(1)
 	defer n.inFlight.Add(-1)
 	c := &call{node: n, writer: w, request: r, arrived: n.now(), id: r.Header.Get(n.dependencies.Headers.RequestID)}
+	c.silence = &silenceWatch{call: c}
 	c.alwaysLogged = n.log.Keep(c.id)
 	if n.stoppingSince.Load() != 0 {
 		w.Header().Set("Connection", "close")
--- /dev/null
+++ b/entry/handover.go
@@ -0,0 +1,361 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/thornwalk/thornwalk/coordination/admission"
+	"github.com/thornwalk/thornwalk/coordination/handover"
+	"github.com/thornwalk/thornwalk/internal/eventlog"
+	"github.com/thornwalk/thornwalk/transport/replicahttp"
+)
+
+// A request whose replica is silent is sent to a second one, its successor, while the first keeps it
+// (coordination/handover). The goroutine of the call reads from the current replica; the search for a successor, and
+// the send to it up to the head of its answer, run in another one, with a copy of the call.
+
+const (
+	// successorInterval is the time between a failed search for a successor and the next. It is spread by
+	// successorJitter, as the replicas of many requests may have fallen silent together.
+	successorInterval = 600 * time.Millisecond
+	successorJitter   = 200 * time.Millisecond
+)
+
+// silenceWatch looks for a successor while the current replica of a call is silent. The call's goroutine calls wait
+// before it blocks on the replica, and received or interrupted afterwards, before it touches the call; in between
+// the watch may read the call. It is safe for concurrent use.
+type silenceWatch struct {
+	call *call
+
+	mutex    sync.Mutex
+	handover handover.Handover
+	// token is that of the replica from which the call reads.
+	token handover.Token
+	// timer calls search after the limit of the current wait, if isWaiting.
+	timer     *time.Timer
+	isWaiting bool
+	// resetCurrent resets the connection to the current replica, and cancelSuccessor ends the search or resets the
+	// connection to the successor.
+	resetCurrent, cancelSuccessor context.CancelFunc
+	// winner is the send to the successor that replaced the current replica, until the call goes on with it.
+	winner *send
+	// searched is closed when the latest search has ended, and ended are the searches that the call does not count
+	// yet.
+	searched chan struct{}
+	ended    []successorSearch
+}
+
+// successorSearch is what a call has to count of a search that has ended.
+type successorSearch struct {
+	// replica is the one that was assigned, empty if there was none, and refusal is why there was none.
+	replica, refusal string
+	// isSent is true if the request was written to it, and mayHaveRun if it may have run there.
+	isSent, mayHaveRun bool
+	isConnectRefused   bool
+	waited             time.Duration
+	events             []eventlog.Event
+}
+
+// begin records that the current replica is about to get the request; reset resets the connection to it.
+func (w *silenceWatch) begin(reset context.CancelFunc) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.resetCurrent = reset
+	w.token = w.handover.Begin()
+}
+
+// wait records that the call begins to wait for the current replica. A limit of zero means that no successor is looked
+// for.
+func (w *silenceWatch) wait(limit time.Duration) {
+	if limit <= 0 {
+		return
+	}
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.countSearches()
+	w.isWaiting = true
+	if w.timer == nil {
+		w.timer = time.AfterFunc(limit, w.search)
+	} else {
+		w.timer.Reset(limit)
+	}
+}
+
+// isReplaced reports whether the request has gone on at the successor.
+func (w *silenceWatch) isReplaced() bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.winner != nil
+}
+
+// received records that the current replica sent something, and resets a successor. It returns false if the request
+// has gone on at the successor, so that what was received must be discarded.
+func (w *silenceWatch) received() bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.stopWaiting()
+	verdict, phase := w.handover.CurrentSpoke(w.token)
+	w.giveUpSuccessor(phase)
+	return verdict == handover.Keep
+}
+
+// interrupted records that the exchange with the current replica failed.
+func (w *silenceWatch) interrupted() {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.stopWaiting()
+}
+
+func (w *silenceWatch) stopWaiting() {
+	w.isWaiting = false
+	if w.timer != nil {
+		w.timer.Stop()
+	}
+}
+
+func (w *silenceWatch) giveUpSuccessor(phase handover.Phase) {
+	if phase != handover.NoSuccessor {
+		w.call.node.counter("successors.not_needed").Inc(1)
+		w.cancelSuccessor()
+	}
+}
+
+// next returns the send with which the call goes on after the current replica ended the exchange or was replaced, or
+// nil. It waits for a search that is under way.
+func (w *silenceWatch) next() *send {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if w.handover.CurrentBroke(w.token) {
+		searched := w.searched
+		w.mutex.Unlock()
+		<-searched
+		w.mutex.Lock()
+	}
+	w.countSearches()
+	next := w.winner
+	if w.winner = nil; next != nil {
+		w.token = next.token
+	}
+	return next
+}
+
+// end resets a successor of a call that has ended.
+func (w *silenceWatch) end() {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.stopWaiting()
+	w.giveUpSuccessor(w.handover.End())
+	if w.winner != nil {
+		w.winner.answer.Abandon()
+		w.winner.release()
+		w.winner = nil
+	}
+}
+
+// countSearches counts the searches that have ended. The mutex must be held, and the call must not be in use elsewhere.
+func (w *silenceWatch) countSearches() {
+	for _, ended := range w.ended {
+		w.call.countSearch(ended)
+	}
+	w.ended = nil
+}
+
+// search looks for a successor, now that the current replica has been silent for the limit.
+func (w *silenceWatch) search() {
+	w.mutex.Lock()
+	successor := w.beginSearch()
+	searched, release := w.searched, w.cancelSuccessor
+	w.mutex.Unlock()
+	if successor == nil {
+		return
+	}
+	found, ended := successor.findSuccessor()
+	w.finishSearch(successor.successorToken, found, ended)
+	if found == nil {
+		release()
+	}
+	close(searched)
+}
+
+// beginSearch returns a copy of the call with which a successor is looked for, or nil if none may be. The mutex must be
+// held.
+func (w *silenceWatch) beginSearch() *call {
+	if !w.isWaiting || w.winner != nil {
+		return nil
+	}
+	w.countSearches()
+	if !w.call.mayHaveSuccessor() {
+		return nil
+	}
+	token := w.handover.RequestSuccessor()
+	if token == 0 {
+		return nil
+	}
+	successor := w.call.copyForSuccessor(token)
+	successor.ctx, w.cancelSuccessor = context.WithCancel(w.call.ctx)
+	w.searched = make(chan struct{})
+	return successor
+}
+
+// finishSearch records the end of a search, and starts the timer of the next one if it failed.
+func (w *silenceWatch) finishSearch(token handover.Token, found *send, ended successorSearch) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.ended = append(w.ended, ended)
+	if found != nil {
+		return
+	}
+	w.handover.SuccessorFailed(token)
+	if w.isWaiting && w.winner == nil && w.handover.Phase() == handover.NoSuccessor {
+		w.timer.Reset(successorInterval + rand.N(successorJitter))
+	}
+}
+
+// maySend reports whether the request may be written to the successor.
+func (w *silenceWatch) maySend(token handover.Token) bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.handover.MaySend(token) == handover.Keep
+}
+
+// answered records that the successor began to answer with success. If it returns true, the request goes on there and
+// the connection to the former replica is reset.
+func (w *silenceWatch) answered(token handover.Token, begun *send) bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	verdict, isReplaced := w.handover.SuccessorAnswered(token)
+	if verdict == handover.GiveUp {
+		return false
+	}
+	if isReplaced {
+		w.resetCurrent()
+	}
+	begun.token = token
+	w.resetCurrent, w.winner = w.cancelSuccessor, begun
+	return true
+}
+
+// mayHaveSuccessor reports whether the request may be sent to another replica in place of the silent one.
+func (c *call) mayHaveSuccessor() bool {
+	return c.mayRetry(resultIncomplete, c.executions+1, len(c.tried)+1-c.refusedConnects)
+}
+
+// copyForSuccessor returns a copy of the call with which a successor is looked for. It has no caller.
+func (c *call) copyForSuccessor(token handover.Token) *call {
+	successor := *c
+	successor.writer = nil
+	successor.successorToken = token
+	successor.bufferedEvents = nil
+	successor.waited = 0
+	successor.sends++
+	successor.executions++
+	successor.resumed = c.resumed || c.headSent
+	successor.tried = append(slices.Clone(c.tried), c.currentReplica)
+	return &successor
+}
+
+// findSuccessor requests an assignment and sends the request. It returns the send if the request goes on there.
+func (c *call) findSuccessor() (*send, successorSearch) {
+	c.node.counter("successors.requested").Inc(1)
+	request := c.newAssignRequest(c.tried, true)
+	request.MayHaveRun = true
+	granted := c.node.requestAssignment(c.ctx, request)
+	c.waited += granted.Waited
+	granted.origin = c.origin
+	if granted.Reason != "" {
+		if c.ctx.Err() == nil {
+			c.node.counter("successors.refused").Inc(1)
+			c.logAssignment(granted)
+		}
+		return nil, successorSearch{refusal: granted.Reason, waited: c.waited, events: c.bufferedEvents}
+	}
+	c.logAssignment(granted)
+	return c.trySuccessor(granted)
+}
+
+// trySuccessor sends the request to the assigned successor.
+func (c *call) trySuccessor(granted *grant) (*send, successorSearch) {
+	refusedBefore := c.refusedConnects
+	outcome, observed := resultNotSent, admission.Observation{CallerLeft: true}
+	var begun *send
+	if c.node.maySend(granted) && !slices.Contains(c.tried, granted.Replica.ID) {
+		begun, outcome, observed = c.begin(granted)
+	}
+	if begun != nil {
+		if outcome, observed = c.judgeSuccessor(begun); outcome == resultAnswered {
+			c.node.counter("successors.took_over").Inc(1)
+			return begun, successorSearch{waited: c.waited, events: c.bufferedEvents}
+		}
+		begun.answer.Abandon()
+		begun.release()
+	}
+	if outcome != resultNotSent {
+		c.sends++
+	}
+	c.finish(granted, outcome, observed)
+	c.logSend(granted, outcome)
+	return nil, successorSearch{
+		replica: granted.Replica.ID, isSent: outcome != resultNotSent, mayHaveRun: outcome != resultNotSent && outcome != resultRejected,
+		isConnectRefused: c.refusedConnects > refusedBefore, waited: c.waited, events: c.bufferedEvents,
+	}
+}
+
+// judgeSuccessor returns resultAnswered if the request goes on at the successor, whose answer has begun.
+func (c *call) judgeSuccessor(begun *send) (result, admission.Observation) {
+	switch {
+	case c.isRejection(begun.answer):
+		return c.handleRejection(begun.answer, begun.granted.Replica)
+	case !c.isUsableSuccess(begun.answer):
+		return c.recordIncomplete(nil), admission.Observation{}
+	case !c.silence.answered(c.successorToken, begun):
+		return resultNotNeeded, admission.Observation{}
+	}
+	return resultAnswered, admission.Observation{}
+}
+
+// isUsableSuccess reports whether the head of the successor's answer shows that it runs the request.
+func (c *call) isUsableSuccess(answer *replicahttp.Answer) bool {
+	if answer.Header.Get(c.node.dependencies.Headers.Signature) == "" || answer.StatusCode >= http.StatusInternalServerError {
+		return false
+	}
+	return c.route.Kind != kindStreaming || strings.HasPrefix(answer.Header.Get("Content-Type"), eventStreamType)
+}
+
+// countSearch adds what happened in a search for a successor to the call.
+func (c *call) countSearch(ended successorSearch) {
+	c.waited += ended.waited
+	c.bufferedEvents = append(c.bufferedEvents, ended.events...)
+	if ended.refusal != "" {
+		c.retryRefusal = ended.refusal
+	}
+	if ended.replica != "" {
+		c.tried = append(c.tried, ended.replica)
+	}
+	if ended.isConnectRefused {
+		c.refusedConnects++
+	}
+	if ended.isSent {
+		c.sends++
+	}
+	if ended.mayHaveRun {
+		c.executions++
+	}
+}
+
+// silenceLimit returns how long the current replica may be silent until a successor is looked for, or zero if none may
+// be. hasEvents is true once the replica sent an event.
+func (c *call) silenceLimit(hasEvents bool) time.Duration {
+	switch {
+	case c.successorToken != 0 || !c.route.Resumable || !c.mayHaveSuccessor():
+		return 0
+	case hasEvents:
+		return nextEventTimeout
+	default:
+		return firstEventTimeout
+	}
+}
--- a/entry/request_log.go
+++ b/entry/request_log.go
@@ -54,8 +54,8 @@
 	c.logEvent(event)
 }
 
-// logAssignment logs the scheduling node's decision and its grounds, after some executions of the request.
-func (c *call) logAssignment(granted *grant, executions int) {
+// logAssignment logs the scheduling node's decision and its grounds.
+func (c *call) logAssignment(granted *grant) {
 	event := c.newEvent("request.placed")
 	event.Peer, event.Priority, event.IsRetry = granted.scheduler, c.priority(), c.sends > 0
 	if granted.schedulerCalls > 1 {
@@ -67,7 +67,7 @@
 		if granted.BlockedBy != nil {
 			event.BlockedBy = granted.BlockedBy.String()
 		}
-		if executions == 0 { // otherwise the caller is not told
+		if c.executions == 0 { // otherwise the caller is not told
 			event.RetryAfterMS = granted.retryAfter().Milliseconds()
 		}
 	} else {
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -20,40 +20,21 @@
 
 // serve requests an assignment and sends, with retries, until the request has ended.
 func (c *call) serve() {
-	var tried []string
-	executions := 0
+	defer c.silence.end()
+	var begun *send
 	for {
-		request := c.newAssignRequest(tried, c.sends > 0)
-		request.MayHaveRun = executions > 0
-		granted := c.node.requestAssignment(c.ctx, request)
-		c.waited += granted.Waited
-		c.node.recordDuration("place_wait_ms", granted.Waited)
-		granted.origin = c.origin
-		c.logAssignment(granted, executions)
-		if granted.Reason != "" {
-			if c.sends > 0 {
-				c.retryRefusal = granted.Reason
-			}
-			c.endUnassigned(granted, executions)
+		granted := c.assign(begun)
+		if granted == nil {
 			return
 		}
-		if !c.node.maySend(granted) {
-			c.node.reportFinish(granted, &finishRequest{Observation: admission.Observation{CallerLeft: true}, NotRun: true})
-			tried = append(tried, granted.Replica.ID)
-			if len(tried) >= maxSends {
-				c.endUnanswered(resultNotSent, executions)
-				return
-			}
-			continue
-		}
-		outcome, observed := c.attempt(granted)
+		outcome, observed := c.attempt(granted, begun)
 		if outcome != resultNotSent {
 			c.sends++
 		}
 		c.finish(granted, outcome, observed)
 		c.logSend(granted, outcome)
 		if outcome == resultIncomplete || outcome == resultServerError {
-			executions++
+			c.executions++
 		}
 		if outcome == resultAnswered {
 			c.endAnswered()
@@ -63,14 +44,47 @@
 			return
 		}
 		c.resumed = c.resumed || c.headSent
-		tried = append(tried, granted.Replica.ID)
-		if !c.mayRetry(outcome, executions, len(tried)-c.refusedConnects) {
-			c.endUnanswered(outcome, executions)
+		c.tried = append(c.tried, granted.Replica.ID)
+		if begun = c.silence.next(); begun == nil && !c.mayRetry(outcome, c.executions, len(c.tried)-c.refusedConnects) {
+			c.endUnanswered(outcome)
 			return
 		}
 	}
 }
 
+// assign returns the assignment of the next send, which is that of the send that has begun, if there is one. If it
+// returns nil, it has ended the request.
+func (c *call) assign(begun *send) *grant {
+	if begun != nil {
+		return begun.granted
+	}
+	for {
+		request := c.newAssignRequest(c.tried, c.sends > 0)
+		request.MayHaveRun = c.executions > 0
+		granted := c.node.requestAssignment(c.ctx, request)
+		c.waited += granted.Waited
+		c.node.recordDuration("place_wait_ms", granted.Waited)
+		granted.origin = c.origin
+		c.logAssignment(granted)
+		if granted.Reason != "" {
+			if c.sends > 0 {
+				c.retryRefusal = granted.Reason
+			}
+			c.endUnassigned(granted)
+			return nil
+		}
+		if c.node.maySend(granted) {
+			return granted
+		}
+		c.node.reportFinish(granted, &finishRequest{Observation: admission.Observation{CallerLeft: true}, NotRun: true})
+		c.tried = append(c.tried, granted.Replica.ID)
+		if len(c.tried) >= maxSends {
+			c.endUnanswered(resultNotSent)
+			return nil
+		}
+	}
+}
+
 // finish reports the end of the send to the scheduling node, and lets this node's own scheduling
 // service observe it if the scheduling node is another one.
 func (c *call) finish(granted *grant, outcome result, observed admission.Observation) {
@@ -274,13 +288,13 @@
 }
 
 // endUnanswered ends a request that is not retried.
-func (c *call) endUnanswered(outcome result, executions int) {
+func (c *call) endUnanswered(outcome result) {
 	switch {
 	case c.request.Context().Err() != nil:
-		c.end(http.StatusServiceUnavailable, outcomeForExecutions(executions), "caller-left")
-	case executions > 0 && c.ctx.Err() != nil:
+		c.end(http.StatusServiceUnavailable, outcomeForExecutions(c.executions), "caller-left")
+	case c.executions > 0 && c.ctx.Err() != nil:
 		c.endOutcomeUnknown(http.StatusGatewayTimeout, "deadline")
-	case executions > 0:
+	case c.executions > 0:
 		c.endOutcomeUnknown(http.StatusBadGateway, "replica-broke-off")
 	case outcome == resultRejected:
 		c.endNotRun(http.StatusServiceUnavailable, "replicas-full", retryAfterRejected)
@@ -313,11 +327,11 @@
 }
 
 // endUnassigned ends a request that got no assignment.
-func (c *call) endUnassigned(granted *grant, executions int) {
+func (c *call) endUnassigned(granted *grant) {
 	switch {
 	case c.request.Context().Err() != nil:
-		c.end(http.StatusServiceUnavailable, outcomeForExecutions(executions), "caller-left")
-	case executions > 0:
+		c.end(http.StatusServiceUnavailable, outcomeForExecutions(c.executions), "caller-left")
+	case c.executions > 0:
 		c.endOutcomeUnknown(http.StatusBadGateway, "replica-broke-off")
 	case granted.Reason == reasonQuota:
 		c.endNotRun(http.StatusTooManyRequests, reasonQuota, granted.retryAfter())
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"net/http"
 	"strconv"
 	"strings"
@@ -17,8 +18,8 @@
 	streamBufferBytes = 4096
 	// maxEventBytes bounds the bytes of one event.
 	maxEventBytes = 1 << 20
-	// firstEventTimeout and nextEventTimeout are the times without bytes after which a
-	// resumable stream continues at another replica.
+	// firstEventTimeout and nextEventTimeout are the times without bytes after which another replica is looked for,
+	// at which a resumable stream could continue.
 	firstEventTimeout = 1500 * time.Millisecond
 	nextEventTimeout  = 1200 * time.Millisecond
 )
@@ -32,8 +33,10 @@
 	flusher := http.NewResponseController(c.writer)
 	last := sentTime
 	for {
-		c.setEventTimeout(answer, observed.Events)
-		count, err := answer.Body.Read(buffer)
+		count, err := c.readWatched(answer, buffer, observed.Events > 0)
+		if errors.Is(err, errReplaced) {
+			return c.recordIncomplete(err), observed
+		}
 		if count > 0 {
 			c.recordReceived()
 		}
@@ -74,16 +77,19 @@
 	return resultAnswered, observed
 }
 
-// setEventTimeout limits the wait for the next bytes if the stream can continue at another replica.
-func (c *call) setEventTimeout(answer *replicahttp.Answer, events int) {
-	if !c.route.Resumable || c.sends+1 >= c.route.MaxAttempts {
-		return
+// readWatched reads from the answer while the silence of its replica is watched. The error is errReplaced if the request
+// has gone on at another replica; nothing that was read must be used then.
+func (c *call) readWatched(answer *replicahttp.Answer, buffer []byte, hasEvents bool) (int, error) {
+	c.silence.wait(c.silenceLimit(hasEvents))
+	count, err := answer.Body.Read(buffer)
+	if count == 0 && err != nil && !answer.Ended(err) {
+		c.silence.interrupted()
+		return 0, err
 	}
-	timeout := nextEventTimeout
-	if events == 0 {
-		timeout = firstEventTimeout
+	if !c.silence.received() {
+		return 0, errReplaced
 	}
-	answer.SetReadDeadline(time.Now().Add(timeout))
+	return count, err
 }
 
 // sendHead sends the head of the response unless one was sent already.
--- a/transport/replicahttp/exchange.go
+++ b/transport/replicahttp/exchange.go
@@ -26,9 +26,6 @@
 	// another ID are skipped.
 	IDHeader string
 	ID       string
-	// HeadTimeout bounds the wait for the head of the answer; zero means that only the context
-	// bounds it. The deadline also applies to reads of the body until SetReadDeadline replaces it.
-	HeadTimeout time.Duration
 }
 
 // Answer is the head of a replica's answer and its unread body. The caller must call Done or
@@ -67,9 +64,6 @@
 			answer.writeResult <- err
 		}()
 	}
-	if request.HeadTimeout > 0 {
-		_ = conn.SetReadDeadline(time.Now().Add(request.HeadTimeout))
-	}
 	response, err := conn.readAnswer(request)
 	if err != nil {
 		answer.Abandon()
@@ -172,8 +166,5 @@
 	a.conn.abort()
 }
 
-// SetReadDeadline bounds the wait for the next bytes; the zero time removes the bound.
-func (a *Answer) SetReadDeadline(at time.Time) { _ = a.conn.SetReadDeadline(at) }
-
 // Ended reports whether the error of a read of the body means that the body is complete.
 func (a *Answer) Ended(err error) bool { return err == io.EOF && a.complete }
