entry: keep a replica's server error until another replica has answered

Cause: the answer was discarded before another replica was asked for; where that was refused the request had nothing left.

Change: the answer is kept, and sent if no other replica answers.

--- a/entry/handler.go
+++ b/entry/handler.go
@@ -78,6 +78,9 @@
 	// firstEventDelay is the time from the last send to the first event, and
 	// maxEventGap the longest time between two events.
 	firstEventDelay, maxEventGap time.Duration
+	// serverError is the last complete answer with a server error, nil if there is none. The caller gets it if no other
+	// replica answers.
+	serverError *bufferedAnswer
 	// answeredStatus and answeredBy are the status of the complete response and the
 	// ID of the replica that sent it.
 	answeredStatus int
@@ -260,6 +263,10 @@
 	if c.ended {
 		return
 	}
+	if c.serverError != nil && !c.headSent && c.request.Context().Err() == nil {
+		c.endWithServerError()
+		return
+	}
 	event := c.newEvent("request.ended")
 	event.Outcome, event.Reason, event.Status = outcome, reason, status
 	event.IsClosed, event.RetryRefusal = c.headSent, c.retryRefusal
@@ -274,6 +281,13 @@
 	c.writer.WriteHeader(status)
 }
 
+// endWithServerError sends the answer with a server error, as there is no other one.
+func (c *call) endWithServerError() {
+	if c.sendBuffered(c.serverError) {
+		c.endAnswered()
+	}
+}
+
 // recordAnswer records the complete response, which endAnswered logs after the send.
 func (c *call) recordAnswer(status int, replica string) {
 	c.answeredStatus, c.answeredBy = status, replica
@@ -282,6 +296,6 @@
 // endAnswered logs the end of an answered request.
 func (c *call) endAnswered() {
 	event := c.newEvent("request.ended")
-	event.Outcome, event.Status, event.Replica = outcomeAnswered, c.answeredStatus, c.answeredBy
+	event.Outcome, event.Status, event.Replica, event.RetryRefusal = outcomeAnswered, c.answeredStatus, c.answeredBy, c.retryRefusal
 	c.recordEnd(event)
 }
--- a/entry/response.go
+++ b/entry/response.go
@@ -65,25 +65,42 @@
 	}
 	failed := answer.StatusCode >= http.StatusInternalServerError
 	c.node.recordSuccess(replica.ID)
-	if failed && !c.headSent && c.route.Repeatable() && c.sends+1 < c.route.MaxAttempts && c.ctx.Err() == nil {
-		return resultServerError, admission.Observation{}
-	}
 	if c.headSent {
 		return resultIncomplete, admission.Observation{}
 	}
-	c.copyHeader(answer)
-	if len(body) > 0 || c.request.Method != http.MethodHead {
-		c.writer.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	whole := &bufferedAnswer{Answer: answer, body: body, replica: replica.ID}
+	if failed && c.mayHaveSuccessor() {
+		c.serverError = whole
+		return resultServerError, admission.Observation{}
 	}
-	c.headSent = true
-	c.writer.WriteHeader(answer.StatusCode)
-	if _, err := c.writer.Write(body); err != nil {
+	if !c.sendBuffered(whole) {
 		return resultCallerLeft, admission.Observation{}
 	}
-	c.recordAnswer(answer.StatusCode, replica.ID)
 	return resultAnswered, admission.Observation{Failed: failed}
 }
 
+// bufferedAnswer is a complete answer of a replica.
+type bufferedAnswer struct {
+	*replicahttp.Answer
+	body    []byte
+	replica string
+}
+
+// sendBuffered sends the answer to the caller. It returns false if the caller left.
+func (c *call) sendBuffered(answer *bufferedAnswer) bool {
+	c.copyHeader(answer.Answer)
+	if len(answer.body) > 0 || c.request.Method != http.MethodHead {
+		c.writer.Header().Set("Content-Length", strconv.Itoa(len(answer.body)))
+	}
+	c.headSent = true
+	c.writer.WriteHeader(answer.StatusCode)
+	if _, err := c.writer.Write(answer.body); err != nil {
+		return false
+	}
+	c.recordAnswer(answer.StatusCode, answer.replica)
+	return true
+}
+
 // copyHeader sets the caller's response headers to those of the replica's.
 func (c *call) copyHeader(answer *replicahttp.Answer) {
 	header := c.writer.Header()
