entry: keep a repeatable plain request at its silent replica until another one answers

What callers saw: 502 for safe requests whose replica was silent for 2.3 s of their 3 s and then went on; both courses of TestSafeRequestIsAnsweredByItsSilentReplicaIfNoOtherIsFree.

Cause: the same as for streams. After 45% of the remaining time the send was given up, and only then another replica asked for.

Change: the silence watch of streams now serves these requests too. A server error of either replica does not end the search for another answer.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -113,7 +113,7 @@
 		return nil, resultNotSent, admission.Observation{CallerLeft: true}
 	}
 	endExchange := node.exchanges.begin(conn, granted.Replica)
-	sendContext, cancelSend := c.sendContext()
+	sendContext, cancelSend := context.WithCancel(c.ctx)
 	begun := &send{granted: granted, forwarder: conn.Forwarder, startedAt: time.Now(), release: func() {
 		cancelSend()
 		endExchange()
@@ -150,6 +150,7 @@
 		return
 	}
 	c.currentReplica = replica.ID
+	c.plainSilenceEnd = c.node.now() + time.Duration(float64(c.remaining())*plainSilenceShare)
 	c.silence.begin(reset)
 	c.silence.wait(c.silenceLimit(false))
 }
@@ -166,6 +167,9 @@
 	case err != nil:
 		c.silence.interrupted()
 		return err
+	case !c.isUsableSuccess(answer):
+		c.silence.interrupted() // a successor may still answer with success
+		return nil
 	case !c.silence.received():
 		answer.Abandon()
 		return errReplaced
@@ -237,18 +241,6 @@
 	return 1
 }
 
-// retryableSendShare is the share of the remaining time that a send of a repeatable plain request
-// may take while a retry is allowed.
-const retryableSendShare = 0.45
-
-// sendContext returns a context that leaves time for a retry if one is allowed.
-func (c *call) sendContext() (context.Context, context.CancelFunc) {
-	if c.route.Kind == kindSafe && c.sends+1 < c.route.MaxAttempts {
-		return context.WithTimeout(c.ctx, time.Duration(float64(c.remaining())*retryableSendShare))
-	}
-	return context.WithCancel(c.ctx)
-}
-
 // recordIncomplete records why no complete response arrived. The error is nil for an invalid response. It
 // returns resultCallerLeft if the caller caused the failure.
 func (c *call) recordIncomplete(err error) result {
--- a/entry/handover.go
+++ b/entry/handover.go
@@ -24,6 +24,9 @@
 	// successorJitter, as the replicas of many requests may have fallen silent together.
 	successorInterval = 600 * time.Millisecond
 	successorJitter   = 200 * time.Millisecond
+	// plainSilenceShare is the share of the remaining time that the replica of a repeatable plain request may take
+	// until a successor is looked for, so that time is left for that.
+	plainSilenceShare = 0.45
 )
 
 // silenceWatch looks for a successor while the current replica of a call is silent. The call's goroutine calls wait
@@ -318,7 +321,8 @@
 	return resultAnswered, admission.Observation{}
 }
 
-// isUsableSuccess reports whether the head of the successor's answer shows that it runs the request.
+// isUsableSuccess reports whether the head of the answer shows that its replica runs the request, or has run it without
+// a server error.
 func (c *call) isUsableSuccess(answer *replicahttp.Answer) bool {
 	if answer.Header.Get(c.node.dependencies.Headers.Signature) == "" || answer.StatusCode >= http.StatusInternalServerError {
 		return false
@@ -351,8 +355,10 @@
 // be. hasEvents is true once the replica sent an event.
 func (c *call) silenceLimit(hasEvents bool) time.Duration {
 	switch {
-	case c.successorToken != 0 || !c.route.Resumable || !c.mayHaveSuccessor():
+	case c.successorToken != 0 || !c.route.Repeatable() || !c.mayHaveSuccessor():
 		return 0
+	case c.route.Kind == kindSafe:
+		return max(c.plainSilenceEnd-c.node.now(), time.Millisecond)
 	case hasEvents:
 		return nextEventTimeout
 	default:
--- a/entry/response.go
+++ b/entry/response.go
@@ -59,7 +59,7 @@
 // relayBuffered reads the complete response before sending any of it, so that a truncated
 // response never reaches the caller.
 func (c *call) relayBuffered(answer *replicahttp.Answer, replica replicas.Replica, success bool) (result, admission.Observation) {
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxPlainResponseBytes))
+	body, err := io.ReadAll(io.LimitReader(c.bodyOf(answer), maxPlainResponseBytes))
 	if err != nil || len(body) == maxPlainResponseBytes {
 		return c.recordIncomplete(err), admission.Observation{}
 	}
@@ -79,6 +79,20 @@
 	return resultAnswered, admission.Observation{Failed: failed}
 }
 
+// bodyOf returns the body of a plain answer, which is read while the silence of its replica is watched. A server error
+// does not keep a successor from answering.
+func (c *call) bodyOf(answer *replicahttp.Answer) io.Reader {
+	if answer.StatusCode >= http.StatusInternalServerError {
+		return answer.Body
+	}
+	return readerFunc(func(buffer []byte) (int, error) { return c.readWatched(answer, buffer, false) })
+}
+
+// readerFunc is a function as an io.Reader.
+type readerFunc func([]byte) (int, error)
+
+func (f readerFunc) Read(buffer []byte) (int, error) { return f(buffer) }
+
 // bufferedAnswer is a complete answer of a replica.
 type bufferedAnswer struct {
 	*replicahttp.Answer
