scheduling: let a cancellation hold for a request that is handled after it

Seen: after a pause of the scheduling node, a request and its cancellation that arrive together leave a slot occupied for up to a minute, so that other callers wait or are rejected while the replica is idle.

Cause: the frames of a connection are handled concurrently, and a finish of an unknown request did nothing. A request handled after its cancellation was assigned, and nobody ended the assignment until it was 60 s old.

--- a/entry/scheduling_service.go
+++ b/entry/scheduling_service.go
@@ -76,8 +76,10 @@
 	policy  schedulingPolicy
 	shareLevelState
 	// pending has, by ID, the channels on which the decisions on queued requests are sent.
-	pending          map[string]chan admission.Decision
-	charges          map[string]requestCharge
+	pending map[string]chan admission.Decision
+	charges map[string]requestCharge
+	// cancellations are kept when the state is cleared: a cancelled request stays so in every term.
+	cancellations    cancellations
 	recentRejections *rejections.Recent
 	// returnPlanner is used if the policy has planned returns, and onReturn is called, with the mutex
 	// held, with each of its outcomes.
@@ -279,7 +281,7 @@
 
 // submit charges the quota and the retry budget and queues the request. It returns the channel of
 // the decision, which is closed without one if the request has to ask another node, or the
-// rejection.
+// rejection. A request that is already cancelled is charged nothing and rejected.
 func (s *schedulingService) submit(request *assignRequest) (chan admission.Decision, *assignReply) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -298,6 +300,9 @@
 	if request.First {
 		s.retryBudget.RecordRequest(now, request.Request.Service)
 	}
+	if s.cancellations.has(now, request.Request.ID) {
+		return nil, &assignReply{Reason: reasonUnreachable}
+	}
 	var permit retrybudget.Permit
 	if request.Repeat {
 		reserved, ok := s.retryBudget.Reserve(now, request.Request.Service)
@@ -351,7 +356,8 @@
 	s.decide()
 }
 
-// finish ends an assignment or removes a queued request.
+// finish ends an assignment or removes a queued request. A cancellation of an unknown request is remembered, as
+// the request itself may be handled after it.
 func (s *schedulingService) finish(request *finishRequest) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -375,6 +381,8 @@
 		if request.NotRun {
 			s.quotas.Refund(charge.tenant, charge.cost)
 		}
+	} else if request.NotRun {
+		s.cancellations.add(s.clock(), request.ID)
 	}
 	s.decide()
 }
