scheduling: end the call of a queued request that is cancelled

Seen: each request that another node cancels while it is queued leaves its call at the scheduling node open until the connection between the nodes ends. After 4,096 of them the scheduling node reads nothing more on that connection, so that assignments and finishes of that node time out.

Cause: finish removed the queued request, but nothing was sent on its channel nor was it closed, and the handler waited on it. A connection serves 4,096 calls at a time.

Evidence: TestCallOfACancelledQueuedRequestReturns: no reply after a minute.

Change: finish closes the channel; the call is answered like one whose request has to ask another node.

--- a/entry/scheduling_cancel_order_test.go
+++ b/entry/scheduling_cancel_order_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"testing/synctest"
@@ -105,3 +106,23 @@
 	g.Expect(remembered.current).To(gomega.BeEmpty())
 	g.Expect(remembered.previous).To(gomega.BeEmpty())
 }
+
+// Guards against calls of cancelled requests that stay open until their connection ends. A connection serves a limited
+// number of calls at a time and is stuck once all of them stay open.
+func TestCallOfACancelledQueuedRequestReturns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		service := newActiveService(1)
+		defer service.timer.Stop()
+		connection, closeConnection := context.WithCancel(t.Context())
+		defer closeConnection()
+		g.Expect(service.assign(connection, newTenantRetry("running")).Reason).To(gomega.BeEmpty())
+		replies := make(chan *assignReply, 1)
+		go func() { replies <- service.assign(connection, newTenantRetry("queued")) }()
+		time.Sleep(100 * time.Millisecond)
+		service.finish(&finishRequest{ID: "queued", NotRun: true})
+		time.Sleep(time.Minute)
+		g.Expect(replies).To(gomega.HaveLen(1))
+		g.Expect((<-replies).Reason).To(gomega.Equal(reasonUnreachable))
+	})
+}
--- a/entry/scheduling_service.go
+++ b/entry/scheduling_service.go
@@ -374,7 +374,10 @@
 	s.recordPoisonResult(ended, request)
 	s.recordFinish(s.clock(), request)
 	s.scheduler.Cancel(request.ID)
-	delete(s.pending, request.ID)
+	if decided, isPending := s.pending[request.ID]; isPending {
+		delete(s.pending, request.ID)
+		close(decided) // its call would stay open until the connection ends
+	}
 	if charge, found := s.charges[request.ID]; found {
 		delete(s.charges, request.ID)
 		s.retryBudget.Cancel(charge.retryPermit)
