retrybudget: apply the refill before a queued retry is assigned

Cause: a bucket is refilled when it is next used. Commit freed the reserved capacity without a refill, so that tokens which time had added while the bucket was full to its capacity were kept by the next use.

Change: Commit takes the time and refills first. Cancel does not change what the bucket holds and needs none.

Result: TestTokensAddedWhileRetriesWereQueuedCountAgainstCapacity: none is permitted; it fails without the change.

--- a/coordination/retrybudget/retrybudget.go
+++ b/coordination/retrybudget/retrybudget.go
@@ -131,24 +131,28 @@
 }
 
 // Commit records that the request was assigned to a replica.
-func (b *Budget) Commit(permit Permit) { b.release(permit) }
+func (b *Budget) Commit(now structs.Instant, permit Permit) {
+	if b.isVoid(permit) {
+		return
+	}
+	// What time added until now must not fill the capacity that the reservation leaves.
+	b.refill(now, permit.service).reserved--
+}
 
 // Cancel returns the permit of a request that was not assigned.
 func (b *Budget) Cancel(permit Permit) {
-	if bucket := b.release(permit); bucket != nil {
-		bucket.tokens++
-		bucket.stats.Retries--
+	if b.isVoid(permit) {
+		return
 	}
+	bucket := b.buckets[permit.service]
+	bucket.reserved--
+	bucket.tokens++
+	bucket.stats.Retries--
 }
 
-// release ends the reservation and returns its bucket, or nil if the permit is void.
-func (b *Budget) release(permit Permit) *tokenBucket {
-	bucket, found := b.buckets[permit.service]
-	if !found || permit.term != b.term {
-		return nil
-	}
-	bucket.reserved--
-	return bucket
+// isVoid reports whether the permit is of an earlier term, or of no retry.
+func (b *Budget) isVoid(permit Permit) bool {
+	return permit.term != b.term || b.buckets[permit.service] == nil
 }
 
 // Stats returns the statistics by service.
--- a/coordination/retrybudget/retrybudget_test.go
+++ b/coordination/retrybudget/retrybudget_test.go
@@ -22,7 +22,7 @@
 		if !ok {
 			return count
 		}
-		budget.Commit(permit)
+		budget.Commit(now, permit)
 	}
 	return limit
 }
@@ -70,6 +70,26 @@
 	g.Expect(retryAll(budget, 0, 20)).To(gomega.BeZero())
 }
 
+// What time added while retries were queued must not follow them beyond the capacity once they are assigned.
+func TestTokensAddedWhileRetriesWereQueuedCountAgainstCapacity(t *testing.T) {
+	g := gomega.NewWithT(t)
+	budget := New(tenSecondPolicy, false)
+	budget.Activate()
+	for range 200 {
+		budget.RecordRequest(0, "s")
+	}
+	var queued []Permit
+	for range 18 {
+		permit, ok := budget.Reserve(0, "s")
+		g.Expect(ok).To(gomega.BeTrue())
+		queued = append(queued, permit)
+	}
+	for _, permit := range queued {
+		budget.Commit(30*time.Second, permit)
+	}
+	g.Expect(retryAll(budget, 30*time.Second, 20)).To(gomega.BeZero())
+}
+
 // Retries that are still queued must count against the capacity: otherwise a window gets them in
 // addition to those of a full bucket.
 func TestQueuedRetryCountsAgainstCapacityUntilSent(t *testing.T) {
@@ -92,7 +112,7 @@
 	g.Expect(retryAll(budget, 0, 20)).To(gomega.BeZero(), "the whole capacity is reserved")
 	budget.Cancel(queued[0])
 	g.Expect(retryAll(budget, 0, 20)).To(gomega.Equal(1))
-	budget.Commit(queued[1])
+	budget.Commit(0, queued[1])
 	recordRequests()
 	g.Expect(retryAll(budget, 0, 20)).To(gomega.Equal(2))
 	budget.Activate()
@@ -198,7 +218,7 @@
 // sendQueued sends all queued retries.
 func (f *fleet) sendQueued() {
 	for _, retry := range f.queued {
-		f.budgets[retry.node].Commit(retry.permit)
+		f.budgets[retry.node].Commit(f.now, retry.permit)
 		f.retries = append(f.retries, f.now)
 	}
 	f.queued = nil
--- a/entry/scheduling_service.go
+++ b/entry/scheduling_service.go
@@ -458,7 +458,7 @@
 				s.planReturn(now, charge, &decision)
 			}
 		} else if charge, charged := s.charges[decision.ID]; charged {
-			s.retryBudget.Commit(charge.retryPermit)
+			s.retryBudget.Commit(now, charge.retryPermit)
 			charge.retryPermit = retrybudget.Permit{}
 			s.charges[decision.ID] = charge
 		}
