scheduling: credit the permit of a retry that was never sent

Seen: retries are refused with retry-budget although few of them arrived at replicas: grants that nodes returned unsent had used up the permits.

Cause: a permit was used up by the grant. A finish with NotRun does not tell whether the replica rejected the request, which counts as an arrival, or whether nothing was written.

Change: finishRequest has an optional field Unsent. Commit returns the used permit, and Credit gives its token back, once and in its term only. Nodes of the version before don't send the field, and nothing is credited then. A grant that is made while the call that waits for it ends is also credited.

--- a/coordination/retrybudget/retrybudget.go
+++ b/coordination/retrybudget/retrybudget.go
@@ -5,10 +5,13 @@
 //
 // The bound holds without coordination: retries only use tokens of the node's own bucket, which is
 // refilled by requests and slowly by time. A node that becomes scheduler starts with empty buckets,
-// and one that stops loses its tokens, so that no token is used twice.
+// and one that stops loses its tokens, so that no token is used twice. A token comes back only from a retry that never
+// arrived at a replica, once, in the same term, and while the bucket has kept room for it: tokens, queued retries
+// and those that may still come back never exceed the capacity together.
 package retrybudget
 
 import (
+	"slices"
 	"time"
 
 	"github.com/thornwalk/thornwalk/structs"
@@ -36,14 +39,19 @@
 // minCapacity in tokens lets a bucket permit a retry however small the slack is.
 const minCapacity = 1
 
-// oneRetry is the tokens needed for a retry, reduced by the tolerance for rounding errors.
-const oneRetry = 1 - 1e-9
+// roundingTolerance is the tolerance for rounding errors, in tokens.
+const roundingTolerance = 1e-9
+
+// oneRetry is the tokens needed for a retry.
+const oneRetry = 1 - roundingTolerance
 
 // tokenBucket holds the tokens of one service, one for each retry.
 type tokenBucket struct {
 	tokens float64
 	// reserved counts the retries of requests that are still queued.
-	reserved   int
+	reserved int
+	// creditable has the serials of assigned retries whose tokens may still come back, oldest first.
+	creditable []uint64
 	refilledAt structs.Instant
 	stats      Stats
 }
@@ -62,6 +70,13 @@
 	term    uint64
 }
 
+// UsedPermit is the permit of a retry that was assigned to a replica. The zero value is of no retry.
+type UsedPermit struct {
+	service string
+	term    uint64
+	serial  uint64
+}
+
 // Budget issues permits by service. It is not safe for concurrent use.
 type Budget struct {
 	policy  Policy
@@ -70,6 +85,8 @@
 	// voids earlier permits.
 	isActive bool
 	term     uint64
+	// serial is that of the latest used permit.
+	serial uint64
 	// isFirst is true if no node can have issued permits before this node's first term.
 	isFirst bool
 }
@@ -131,12 +148,33 @@
 }
 
 // Commit records that the request was assigned to a replica.
-func (b *Budget) Commit(now structs.Instant, permit Permit) {
+func (b *Budget) Commit(now structs.Instant, permit Permit) UsedPermit {
 	if b.isVoid(permit) {
-		return
+		return UsedPermit{}
 	}
 	// What time added until now must not fill the capacity that the reservation leaves.
-	b.refill(now, permit.service).reserved--
+	bucket := b.refill(now, permit.service)
+	bucket.reserved--
+	b.serial++
+	bucket.creditable = append(bucket.creditable, b.serial)
+	b.dropExcess(bucket)
+	return UsedPermit{service: permit.service, term: permit.term, serial: b.serial}
+}
+
+// Credit returns the token of an assigned retry that certainly did not arrive at a replica. It does nothing if the
+// permit is void, was credited before, or if new tokens have taken the place of its token.
+func (b *Budget) Credit(permit UsedPermit) {
+	bucket, found := b.buckets[permit.service]
+	if !found || permit.term != b.term {
+		return
+	}
+	index, found := slices.BinarySearch(bucket.creditable, permit.serial)
+	if !found {
+		return
+	}
+	bucket.creditable = slices.Delete(bucket.creditable, index, index+1)
+	bucket.tokens++
+	bucket.stats.Retries--
 }
 
 // Cancel returns the permit of a request that was not assigned.
@@ -185,6 +223,17 @@
 // add adds tokens up to the capacity. It also drops tokens in excess of a reduced capacity.
 func (b *Budget) add(bucket *tokenBucket, tokens float64) {
 	bucket.tokens = max(min(bucket.tokens+tokens, b.capacity()-float64(bucket.reserved)), 0)
+	b.dropExcess(bucket)
+}
+
+// dropExcess voids the oldest creditable retries for which the bucket has no room. New tokens have precedence, since
+// most of these retries do arrive.
+func (b *Budget) dropExcess(bucket *tokenBucket) {
+	room := b.capacity() - float64(bucket.reserved) - bucket.tokens
+	excess := len(bucket.creditable) - int(max(room+roundingTolerance, 0))
+	if excess > 0 {
+		bucket.creditable = slices.Delete(bucket.creditable, 0, excess)
+	}
 }
 
 // capacity returns the maximum number of tokens in a bucket, including reserved ones.
--- a/coordination/retrybudget/retrybudget_test.go
+++ b/coordination/retrybudget/retrybudget_test.go
@@ -120,6 +120,77 @@
 	g.Expect(retryAll(budget, 0, 20)).To(gomega.BeZero(), "the permit is of an earlier term")
 }
 
+// A retry that was assigned and never sent must give its token back, once, and only in its term: otherwise returned
+// assignments use up the budget of retries that are sent.
+func TestUnsentRetryIsCreditedOnceInItsTerm(t *testing.T) {
+	g := gomega.NewWithT(t)
+	budget := New(tenSecondPolicy, false)
+	budget.Activate()
+	assign := func() UsedPermit {
+		permit, ok := budget.Reserve(0, "s")
+		g.Expect(ok).To(gomega.BeTrue())
+		return budget.Commit(0, permit)
+	}
+	for range 10 {
+		budget.RecordRequest(0, "s")
+	}
+	sent, unsent := assign(), assign()
+	g.Expect(retryAll(budget, 0, 1)).To(gomega.BeZero())
+	for range 3 {
+		budget.Credit(unsent)
+		budget.Credit(UsedPermit{})
+		budget.Credit(UsedPermit{service: "other", term: unsent.term, serial: unsent.serial})
+	}
+	g.Expect(budget.Stats(0)["s"]).To(gomega.Equal(Stats{Requests: 10, Retries: 1, Rejected: 1, Available: 1}))
+	g.Expect(retryAll(budget, 0, 5)).To(gomega.Equal(1))
+	for _, change := range []func(){budget.Activate, budget.Reset, func() { budget.Deactivate(); budget.Activate() }} {
+		for range 5 {
+			budget.RecordRequest(0, "s")
+		}
+		unsent = assign()
+		change()
+		budget.RecordRequest(0, "s")
+		budget.Credit(sent)
+		budget.Credit(unsent)
+		g.Expect(retryAll(budget, 0, 5)).To(gomega.BeZero(), "the permits are of an earlier term")
+	}
+	voided := budget.Commit(0, Permit{service: "s", term: 1})
+	budget.Credit(voided)
+	g.Expect(retryAll(budget, 0, 5)).To(gomega.BeZero(), "the permit was void")
+}
+
+// Tokens that requests or time added since must not be followed by those of unsent retries beyond the capacity:
+// a window would get both.
+func TestCreditsDoNotExceedTheCapacity(t *testing.T) {
+	g := gomega.NewWithT(t)
+	budget := New(tenSecondPolicy, false)
+	budget.Activate()
+	recordRequests := func(count int) {
+		for range count {
+			budget.RecordRequest(0, "s")
+		}
+	}
+	recordRequests(200)
+	var assigned []UsedPermit
+	for range 18 {
+		permit, _ := budget.Reserve(0, "s")
+		assigned = append(assigned, budget.Commit(0, permit))
+	}
+	recordRequests(50)
+	for _, permit := range assigned {
+		budget.Credit(permit)
+	}
+	g.Expect(budget.Stats(0)["s"].Available).To(gomega.BeNumerically("~", 18, 1e-6), "8 of 18 tokens came back")
+	g.Expect(budget.Stats(0)["s"].Retries).To(gomega.Equal(10))
+	recordRequests(200)
+	g.Expect(retryAll(budget, 0, 50)).To(gomega.Equal(18))
+	for _, permit := range assigned {
+		budget.Credit(permit)
+	}
+	g.Expect(retryAll(budget, 0, 50)).To(gomega.BeZero())
+	g.Expect(len(budget.buckets["s"].creditable)).To(gomega.BeNumerically("<=", 18))
+}
+
 // The first scheduler of a new system must start with full buckets, but only in its first term.
 func TestOnlyFirstTermOfFirstSchedulerStartsWithFullBuckets(t *testing.T) {
 	g := gomega.NewWithT(t)
@@ -142,10 +213,21 @@
 	requests   []structs.Instant
 	retries    []structs.Instant
 	queued     []reservation
-	newBudget  func() *Budget
+	// assigned are the retries of which it is open whether they arrive.
+	assigned  []assignedRetry
+	newBudget func() *Budget
 	// keepsBuckets is true if nodes keep their buckets when they stop or start to schedule, which
 	// breaks the bound.
 	keepsBuckets bool
+	// creditsWithoutRoom is true if tokens come back whatever took their place, which breaks the bound.
+	creditsWithoutRoom bool
+}
+
+// assignedRetry is a retry that was assigned, and counts as arrived at that time unless it is credited.
+type assignedRetry struct {
+	node   int
+	permit UsedPermit
+	at     structs.Instant
 }
 
 type reservation struct {
@@ -215,15 +297,39 @@
 	}
 }
 
-// sendQueued sends all queued retries.
-func (f *fleet) sendQueued() {
+// assignQueued assigns all queued retries.
+func (f *fleet) assignQueued() {
 	for _, retry := range f.queued {
-		f.budgets[retry.node].Commit(f.now, retry.permit)
-		f.retries = append(f.retries, f.now)
+		f.assigned = append(f.assigned, assignedRetry{node: retry.node, permit: f.budgets[retry.node].Commit(f.now, retry.permit), at: f.now})
 	}
 	f.queued = nil
 }
 
+// sendQueued sends all queued and assigned retries.
+func (f *fleet) sendQueued() {
+	f.assignQueued()
+	for _, retry := range f.assigned {
+		f.retries = append(f.retries, retry.at)
+	}
+	f.assigned = nil
+}
+
+// returnAssigned returns up to count assigned retries unsent, the oldest first. The messages arrive that many times.
+func (f *fleet) returnAssigned(count, messages int) {
+	count = min(count, len(f.assigned))
+	for _, retry := range f.assigned[:count] {
+		budget := f.budgets[retry.node]
+		if f.creditsWithoutRoom {
+			budget.buckets["s"].tokens++
+			continue
+		}
+		for range messages {
+			budget.Credit(retry.permit)
+		}
+	}
+	f.assigned = f.assigned[count:]
+}
+
 // check returns an error if a window has more retries than the policy allows.
 func (f *fleet) check(policy Policy) error {
 	for _, from := range f.retries {
@@ -250,7 +356,7 @@
 	for range draw(1, 150, "steps") {
 		f.now += time.Duration(draw(0, 150, "gap")) * time.Millisecond
 		node := draw(0, len(f.budgets)-1, "node")
-		switch draw(0, 11, "step") {
+		switch draw(0, 15, "step") {
 		case 0, 1:
 			f.setScheduler(node)
 		case 2:
@@ -265,6 +371,10 @@
 			f.sendQueued()
 		case 6:
 			f.recordRequests(node, draw(1, 100, "requests"))
+		case 7, 8:
+			f.assignQueued()
+		case 9, 10:
+			f.returnAssigned(draw(1, 30, "returned"), draw(0, 2, "messages"))
 		default:
 			f.queueRetries(node, draw(1, 30, "retries"))
 			if draw(0, 1, "slots are free") == 1 {
@@ -287,6 +397,38 @@
 	})
 }
 
+// The bound must hold in every window while two nodes schedule and assigned retries are returned unsent much later, or
+// more than once. The courses are built of steps that matter for it.
+func TestNoWindowExceedsTheBoundWhateverIsReturned(t *testing.T) {
+	policy := Policy{Ratio: 0.2, Slack: 20, Window: 2 * time.Second}
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(func() *Budget { return New(policy, false) })
+		f.addScheduler(1)
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			for node := range 2 {
+				switch rapid.IntRange(0, 5).Draw(t, "step") {
+				case 0:
+					f.recordRequests(node, 100)
+				case 1:
+					f.queueRetries(node, 30)
+				case 2:
+					f.assignQueued()
+				case 3:
+					f.returnAssigned(30, rapid.IntRange(1, 2).Draw(t, "messages"))
+				case 4:
+					f.sendQueued()
+				case 5:
+					f.now += policy.Window / 2
+				}
+			}
+		}
+		f.sendQueued()
+		if err := f.check(policy); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
 // Guards the check above: it must fail for nodes that keep their buckets from one term to the next.
 func TestKeptBucketsBreakTheBound(t *testing.T) {
 	g := gomega.NewWithT(t)
@@ -307,3 +449,34 @@
 		g.Expect(f.check(policy) != nil).To(gomega.Equal(keepsBuckets))
 	}
 }
+
+// Guards the check above: it must fail if tokens come back although others have taken their place.
+func TestCreditsWithoutRoomBreakTheBound(t *testing.T) {
+	g := gomega.NewWithT(t)
+	policy := Policy{Ratio: 0.2, Slack: 20, Window: 2 * time.Second}
+	for _, creditsWithoutRoom := range []bool{false, true} {
+		f := newFleet(func() *Budget { return New(policy, false) })
+		f.creditsWithoutRoom = creditsWithoutRoom
+		f.addScheduler(1)
+		for node := range 2 {
+			f.recordRequests(node, 100)
+			f.queueRetries(node, 30)
+			f.assignQueued()
+			f.recordRequests(node, 100)
+		}
+		f.now += 2 * policy.Window
+		for node := range 2 {
+			f.queueRetries(node, 30)
+		}
+		unsent := f.assigned
+		f.assigned = nil
+		f.sendQueued()
+		f.assigned = unsent
+		f.returnAssigned(len(unsent), 1)
+		for node := range 2 {
+			f.queueRetries(node, 30)
+		}
+		f.sendQueued()
+		g.Expect(f.check(policy) != nil).To(gomega.Equal(creditsWithoutRoom))
+	}
+}
--- a/entry/messages.go
+++ b/entry/messages.go
@@ -77,6 +77,9 @@
 	// NotRun is true if the replica certainly did not run the request; its cost is refunded to the
 	// tenant.
 	NotRun bool
+	// Unsent is true if no byte of the request was written to the replica; its permit of the retry budget is credited.
+	// Nodes of earlier releases don't send it.
+	Unsent bool `msgpack:",omitempty"`
 	// Rejected is true if the replica rejected the request for lack of room.
 	Rejected    bool                    `msgpack:",omitempty"`
 	Fingerprint fingerprint.Fingerprint `msgpack:"Content"`
--- a/entry/scheduling_service.go
+++ b/entry/scheduling_service.go
@@ -43,8 +43,9 @@
 	fingerprint fingerprint.Fingerprint
 	service     string
 	priority    int
-	// retryPermit is the permit of the retry budget until the request is assigned.
+	// retryPermit is the permit of the retry budget until the request is assigned, and usedPermit is it from then on.
 	retryPermit retrybudget.Permit
+	usedPermit  retrybudget.UsedPermit
 	// mayHaveRun is that of the assignRequest.
 	mayHaveRun bool
 }
@@ -259,7 +260,7 @@
 			BlockedBy: blockedBy(decision),
 		}
 	case <-ctx.Done():
-		s.finish(&finishRequest{ID: request.Request.ID, NotRun: true})
+		s.finish(&finishRequest{ID: request.Request.ID, NotRun: true, Unsent: true}) // a grant made meanwhile is not delivered
 		return &assignReply{Reason: reasonUnreachable}
 	}
 }
@@ -381,6 +382,9 @@
 	if charge, found := s.charges[request.ID]; found {
 		delete(s.charges, request.ID)
 		s.retryBudget.Cancel(charge.retryPermit)
+		if request.NotRun && request.Unsent && !request.Rejected {
+			s.retryBudget.Credit(charge.usedPermit)
+		}
 		if request.NotRun {
 			s.quotas.Refund(charge.tenant, charge.cost)
 		}
@@ -458,7 +462,7 @@
 				s.planReturn(now, charge, &decision)
 			}
 		} else if charge, charged := s.charges[decision.ID]; charged {
-			s.retryBudget.Commit(now, charge.retryPermit)
+			charge.usedPermit = s.retryBudget.Commit(now, charge.retryPermit)
 			charge.retryPermit = retrybudget.Permit{}
 			s.charges[decision.ID] = charge
 		}
--- a/entry/wire_test.go
+++ b/entry/wire_test.go
@@ -274,6 +274,7 @@
 		{&assignRequest{}, []string{"Request"}, []string{"Tenant", "Weight"}},
 		{&assignRequest{}, nil, []string{"RequestID", "MayHaveRun"}},
 		{&firstEventRequest{}, nil, []string{"WorkTime", "SinceGrant"}},
+		{&finishRequest{}, nil, []string{"Unsent"}},
 		{&finishRequest{}, []string{"Seen"}, []string{"WorkTime", "HeadDelay"}},
 		{&liveness.Heartbeat{}, nil, []string{"ts"}},
 		{&tenantReportRequest{}, nil, []string{"Request"}},
