--- a/entry/scheduling_service.go
+++ b/entry/scheduling_service.go
@@ -43,8 +43,9 @@
 	fingerprint fingerprint.Fingerprint
 	service     string
 	priority    int
-	// retryPermit is the permit of the retry budget until the request is assigned.
+	// retryPermit is the permit of the retry budget until the request is assigned, and usedPermit is it from then on.
 	retryPermit retrybudget.Permit
+	usedPermit  retrybudget.UsedPermit
 	// mayHaveRun is that of the assignRequest.
 	mayHaveRun bool
 }
@@ -76,8 +77,10 @@
 	policy  schedulingPolicy
 	shareLevelState
 	// pending has, by ID, the channels on which the decisions on queued requests are sent.
-	pending          map[string]chan admission.Decision
-	charges          map[string]requestCharge
+	pending map[string]chan admission.Decision
+	charges map[string]requestCharge
+	// cancellations are kept when the state is cleared: a cancelled request stays so in every term.
+	cancellations    cancellations
 	recentRejections *rejections.Recent
 	// returnPlanner is used if the policy has planned returns, and onReturn is called, with the mutex
 	// held, with each of its outcomes.
@@ -257,7 +260,7 @@
 			BlockedBy: blockedBy(decision),
 		}
 	case <-ctx.Done():
-		s.finish(&finishRequest{ID: request.Request.ID, NotRun: true})
+		s.finish(&finishRequest{ID: request.Request.ID, NotRun: true, Unsent: true}) // a grant made meanwhile is not delivered
 		return &assignReply{Reason: reasonUnreachable}
 	}
 }
@@ -279,7 +282,7 @@
 
 // submit charges the quota and the retry budget and queues the request. It returns the channel of
 // the decision, which is closed without one if the request has to ask another node, or the
-// rejection.
+// rejection. A request that is already cancelled is charged nothing and rejected.
 func (s *schedulingService) submit(request *assignRequest) (chan admission.Decision, *assignReply) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -298,6 +301,9 @@
 	if request.First {
 		s.retryBudget.RecordRequest(now, request.Request.Service)
 	}
+	if s.cancellations.has(now, request.Request.ID) {
+		return nil, &assignReply{Reason: reasonUnreachable}
+	}
 	var permit retrybudget.Permit
 	if request.Repeat {
 		reserved, ok := s.retryBudget.Reserve(now, request.Request.Service)
@@ -351,7 +357,8 @@
 	s.decide()
 }
 
-// finish ends an assignment or removes a queued request.
+// finish ends an assignment or removes a queued request. A cancellation of an unknown request is remembered, as
+// the request itself may be handled after it.
 func (s *schedulingService) finish(request *finishRequest) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -368,13 +375,21 @@
 	s.recordPoisonResult(ended, request)
 	s.recordFinish(s.clock(), request)
 	s.scheduler.Cancel(request.ID)
-	delete(s.pending, request.ID)
+	if decided, isPending := s.pending[request.ID]; isPending {
+		delete(s.pending, request.ID)
+		close(decided) // its call would stay open until the connection ends
+	}
 	if charge, found := s.charges[request.ID]; found {
 		delete(s.charges, request.ID)
 		s.retryBudget.Cancel(charge.retryPermit)
+		if request.NotRun && request.Unsent && !request.Rejected {
+			s.retryBudget.Credit(charge.usedPermit)
+		}
 		if request.NotRun {
 			s.quotas.Refund(charge.tenant, charge.cost)
 		}
+	} else if request.NotRun {
+		s.cancellations.add(s.clock(), request.ID)
 	}
 	s.decide()
 }
@@ -447,7 +462,7 @@
 				s.planReturn(now, charge, &decision)
 			}
 		} else if charge, charged := s.charges[decision.ID]; charged {
-			s.retryBudget.Commit(charge.retryPermit)
+			charge.usedPermit = s.retryBudget.Commit(now, charge.retryPermit)
 			charge.retryPermit = retrybudget.Permit{}
 			s.charges[decision.ID] = charge
 		}
