entry: don't count a planned end as a crash under a request that was left before

Callers of a request that several silent replicas had been given up for are refused it as one that crashes replicas (three such ends within the retention bar it on all nodes), although each replica had drained and ended as planned.

Cause: a request that is given up without proof is deferred for 10 s, and counted as a crash once the incarnation has ended. Only the removal of the entry looked at whether the replica was draining. A restart under the same id, and a refused connection to a replica that drains or whose entry is gone after it drained, counted.

resolveDisconnects, which all three ends pass through, now looks at the drain itself, and drops what it resolves.

Three cases in TestCrashFoundLaterCountsAgainstTheRequest fail without the change and pass with it, as do the four that were there before.

--- a/entry/disconnects.go
+++ b/entry/disconnects.go
@@ -47,15 +47,20 @@
 	return slices.ContainsFunc(n.disconnects, func(kept unresolvedDisconnect) bool { return kept.replica.IsSameIncarnation(replica) })
 }
 
-// resolveDisconnects reports the requests that the replica broke off as crashes, now that its
-// incarnation is known to have ended. The caller holds the mutex.
+// resolveDisconnects ends the deferral of the requests that the replica broke off, now that its incarnation is
+// known to have ended. They are reported as crashes, unless it drained: then it was to end anyway. The caller holds
+// the mutex.
 func (n *Node) resolveDisconnects(replica replicas.Replica) {
 	now := n.now()
+	known, isListed := n.table.Get(replica.ID)
+	isPlanned := replica.Draining || isListed && known.Draining && known.IsSameIncarnation(replica)
 	n.disconnects = slices.DeleteFunc(n.disconnects, func(kept unresolvedDisconnect) bool {
 		if !kept.replica.IsSameIncarnation(replica) || now-kept.at > disconnectRetention {
 			return false
 		}
-		go n.reportCrash(&finishRequest{Fingerprint: kept.fingerprint, Ended: kept.crash})
+		if !isPlanned {
+			go n.reportCrash(&finishRequest{Fingerprint: kept.fingerprint, Ended: kept.crash})
+		}
 		return true
 	})
 }
--- a/entry/disconnects_test.go
+++ b/entry/disconnects_test.go
@@ -32,6 +32,25 @@
 			n.applyReplicaLocked(replica)
 			n.handleEntryRemovedLocked(outside.RemovedReplica{ID: replica.ID, Position: 9})
 		}, false},
+		"it drained before it restarted": {func(n *Node, replica replicas.Replica) {
+			replica.Draining, replica.Position = true, 8
+			n.applyReplicaLocked(replica)
+			replica.Draining, replica.StartedAt, replica.Position = false, 2, 9
+			n.applyReplicaLocked(replica)
+		}, false},
+		"it drained before its address refuses connections": {func(n *Node, replica replicas.Replica) {
+			draining := replica
+			draining.Draining, draining.Position = true, 8
+			n.applyReplicaLocked(draining)
+			n.resolveDisconnects(replica)
+		}, false},
+		"it drained and its entry is gone before its address refuses connections": {func(n *Node, replica replicas.Replica) {
+			draining := replica
+			draining.Draining, draining.Position = true, 8
+			n.applyReplicaLocked(draining)
+			n.handleEntryRemovedLocked(outside.RemovedReplica{ID: replica.ID, Position: 9})
+			n.resolveDisconnects(replica)
+		}, false},
 		"another replica's entry is gone": {func(n *Node, replica replicas.Replica) {
 			n.handleEntryRemovedLocked(outside.RemovedReplica{ID: "other", Position: 9})
 		}, false},
--- a/entry/updates.go
+++ b/entry/updates.go
@@ -128,11 +128,11 @@
 	n.log.Write(eventlog.Event{Kind: "replica", Replica: removed.ID, Outcome: "gone", Revision: removed.Position.Revision(), Era: removed.Position.Era()})
 }
 
-// removeReplica removes the replica from the table. If it was not draining, it has crashed, and its
-// deferred disconnects are resolved. The caller holds the mutex.
+// removeReplica removes the replica from the table and resolves its deferred disconnects. The caller holds the
+// mutex.
 func (n *Node) removeReplica(id string, position structs.StorePosition) {
 	known, found := n.table.Get(id)
-	if n.table.Remove(n.now(), id, position) && found && !known.Draining {
+	if n.table.Remove(n.now(), id, position) && found {
 		n.resolveDisconnects(known)
 	}
 }
