entry: don't count the end of a replica that survived a request as a crash under it

Callers of a request under which several replicas had been silent are refused it, or wait for one replica at a time, as if it crashed replicas. The replicas had gone on, served others and later ended without a notice, as the platform allows: the entry disappears and the replica serves for a while.

Cause: silence defers the finding for 10 s, and the removal of an entry that was not draining counts as the proof of a crash, whatever the replica did in between.

Evidence: 24 streams of one content, three of eight engines silent for 1.9 s, which then answer other requests and end.

Crashes without such a proof count as before (table tests, TestPoison of test/entry).

Left: a replica that is silent for longer than its entry lives, answers nothing afterwards, and whose request nobody answered counts as crashed, and so does one whose request was answered through another node only.

--- a/entry/assignment.go
+++ b/entry/assignment.go
@@ -164,6 +164,9 @@
 	delete(n.assignments, granted.id)
 	n.mutex.Unlock()
 	message.ID = granted.id
+	if message.Observation.Whole {
+		n.dismissAnswered(message.Fingerprint)
+	}
 	if granted.address == "" {
 		n.scheduling.finish(message)
 		return
