entry: bound each page of a complete read of the store, not all of them together

Nodes that start while the store is slow never become ready, and their callers get 503 for as long as it lasts, although the store answers every call: with five pages (2,000 replicas) and 0.8 s for each answer no node is ready after 30 s.

Cause: a complete read is given up after 0.8 to 3.2 s, whatever has arrived, and begun anew with the first page. Once the pages together take longer than 3.2 s, no read ends.

Change: the timeout, unchanged in length, starts anew when a page has arrived and another one is asked for. A lost answer is noticed no later than before.

One answer that takes more than 3.2 s is still given up: it can't be told from a lost one.

--- a/entry/store.go
+++ b/entry/store.go
@@ -16,8 +16,9 @@
 
 // Timeouts and intervals of the calls to the directory.
 const (
-	// readTimeout bounds a complete read. The timeout doubles with each read that exceeds it, up
-	// to maxReadTimeout, so that a slow store can still be read.
+	// readTimeout bounds each part of a complete read: a store that answers slowly, in several pages, would never
+	// be read if it bounded them together. The timeout doubles with each read that exceeds it, up to
+	// maxReadTimeout, so that a slow store can still be read.
 	readTimeout    = 800 * time.Millisecond
 	maxReadTimeout = 3200 * time.Millisecond
 	// readTimeFactor times the duration of the last read is the minimum timeout of the next one.
@@ -161,7 +162,7 @@
 // read reads the store, applies the update and returns its position.
 func (n *Node) read(scope outside.Scope) (structs.StorePosition, error) {
 	timeout := n.scopeReadTimeout(scope)
-	ctx, cancel := context.WithTimeout(n.ctx, timeout)
+	ctx, cancel := contextWithProgress(n.ctx, timeout)
 	defer cancel()
 	startedAt := n.now()
 	n.mutex.Lock()
@@ -192,6 +193,18 @@
 	return update.Position, nil
 }
 
+// contextWithProgress returns a context for a read of the store that ends once no part of the answer has arrived for
+// the timeout.
+func contextWithProgress(parent context.Context, timeout time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(parent)
+	timer := time.AfterFunc(timeout, func() { cancel(context.DeadlineExceeded) })
+	ctx = outside.WithReadProgress(ctx, func() { timer.Reset(timeout) })
+	return ctx, func() {
+		timer.Stop()
+		cancel(nil)
+	}
+}
+
 // recordRead records that the scope is known as of startedAt. The caller holds the mutex.
 func (n *Node) recordRead(startedAt structs.Instant, scope outside.Scope) {
 	n.replicaFreshness.Observe(startedAt)
--- a/outside/directory.go
+++ b/outside/directory.go
@@ -65,6 +65,22 @@
 	return "all"
 }
 
+// progressKey is the key of the function of WithReadProgress in a context.
+type progressKey struct{}
+
+// WithReadProgress returns a context for Directory.Read, which calls report each time that a part of the answer has
+// arrived and more is to come.
+func WithReadProgress(ctx context.Context, report func()) context.Context {
+	return context.WithValue(ctx, progressKey{}, report)
+}
+
+// ReportReadProgress calls the function of WithReadProgress, if the context has one.
+func ReportReadProgress(ctx context.Context) {
+	if report, found := ctx.Value(progressKey{}).(func()); found {
+		report()
+	}
+}
+
 // Directory is the source of the configuration and of the list of replicas.
 type Directory interface {
 	// Read returns all entries of the scope as of one store position or a later one. It omits the
