--- a/entry/assignment.go
+++ b/entry/assignment.go
@@ -52,7 +52,7 @@
 		if err == nil && reply.Reason != reasonUnreachable {
 			return n.recordGrant(&grant{assignReply: reply, id: request.Request.ID, scheduler: scheduler, address: address, schedulerCalls: attempt + 1})
 		}
-		n.sendFinish(unackedFinish{address: address, message: &finishRequest{ID: request.Request.ID, NotRun: true}, since: n.now()})
+		n.sendFinish(unackedFinish{address: address, message: &finishRequest{ID: request.Request.ID, NotRun: true, Unsent: true}, since: n.now()})
 		if ctx.Err() != nil {
 			break
 		}
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -76,7 +76,7 @@
 		if c.node.maySend(granted) {
 			return granted
 		}
-		c.node.reportFinish(granted, &finishRequest{Observation: admission.Observation{CallerLeft: true}, NotRun: true})
+		c.node.reportFinish(granted, &finishRequest{Observation: admission.Observation{CallerLeft: true}, NotRun: true, Unsent: true})
 		c.tried = append(c.tried, granted.Replica.ID)
 		if len(c.tried) >= maxSends {
 			c.endUnanswered(resultNotSent)
@@ -88,7 +88,7 @@
 // finish reports the end of the send to the scheduling node, and lets this node's own scheduling
 // service observe it if the scheduling node is another one.
 func (c *call) finish(granted *grant, outcome result, observed admission.Observation) {
-	message := &finishRequest{ID: granted.id, Observation: observed, NotRun: outcome == resultNotSent || outcome == resultRejected, Rejected: c.lackedRoom, Fingerprint: c.fingerprint}
+	message := &finishRequest{ID: granted.id, Observation: observed, NotRun: outcome == resultNotSent || outcome == resultRejected, Unsent: outcome == resultNotSent, Rejected: c.lackedRoom, Fingerprint: c.fingerprint}
 	message.Observation.Whole = outcome == resultAnswered || outcome == resultServerError
 	message.Observation.Succeeded = outcome == resultAnswered && c.answeredStatus < http.StatusMultipleChoices
 	if outcome == resultIncomplete && c.isReplicaAtFault(granted, message) {
