--- a/entry/handover.go
+++ b/entry/handover.go
@@ -271,11 +271,13 @@
 	c.waited += granted.Waited
 	granted.origin = c.origin
 	if granted.Reason != "" {
+		ended := successorSearch{waited: c.waited}
 		if c.ctx.Err() == nil {
 			c.node.counter("successors.refused").Inc(1)
 			c.logAssignment(granted)
+			ended.refusal, ended.events = granted.Reason, c.bufferedEvents
 		}
-		return nil, successorSearch{refusal: granted.Reason, waited: c.waited, events: c.bufferedEvents}
+		return nil, ended
 	}
 	c.logAssignment(granted)
 	return c.trySuccessor(granted)
