entry: don't wait for a successor after a send that was not written

Callers whose first two connects failed waited until their connection ended, since a second send that was not written looked like one that a successor had replaced. TestCallWithoutSearchHasNoSuccessor fails without the change.

--- a/entry/handover.go
+++ b/entry/handover.go
@@ -37,7 +37,7 @@
 
 	mutex    sync.Mutex
 	handover handover.Handover
-	// token is that of the replica from which the call reads.
+	// token is that of the replica from which the call reads; zero if there is none.
 	token handover.Token
 	// timer calls search after the limit of the current wait, if isWaiting.
 	timer     *time.Timer
@@ -133,6 +133,9 @@
 func (w *silenceWatch) next() *send {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
+	if w.token == 0 { // nothing was written
+		return nil
+	}
 	if w.handover.CurrentBroke(w.token) {
 		searched := w.searched
 		w.mutex.Unlock()
@@ -141,7 +144,8 @@
 	}
 	w.countSearches()
 	next := w.winner
-	if w.winner = nil; next != nil {
+	w.winner, w.token = nil, 0
+	if next != nil {
 		w.token = next.token
 	}
 	return next
