retrybudget: let a credited permit fill what time has left of the capacity

A part of a token that time had added took the place of a whole one: the budget of a service with few retries shrank with every retry that was returned unsent. TestCreditFillsWhatTimeLeft fails without the change.

--- a/coordination/retrybudget/retrybudget.go
+++ b/coordination/retrybudget/retrybudget.go
@@ -11,6 +11,7 @@
 package retrybudget
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -173,7 +174,7 @@
 		return
 	}
 	bucket.creditable = slices.Delete(bucket.creditable, index, index+1)
-	bucket.tokens++
+	bucket.tokens++ // what exceeds the capacity is dropped before the next use
 	bucket.stats.Retries--
 }
 
@@ -226,11 +227,11 @@
 	b.dropExcess(bucket)
 }
 
-// dropExcess voids the oldest creditable retries for which the bucket has no room. New tokens have precedence, since
-// most of these retries do arrive.
+// dropExcess voids the oldest creditable retries for which the bucket has no room; of the oldest one that is left, there
+// may be room for a part. New tokens have precedence, since most of these retries do arrive.
 func (b *Budget) dropExcess(bucket *tokenBucket) {
-	room := b.capacity() - float64(bucket.reserved) - bucket.tokens
-	excess := len(bucket.creditable) - int(max(room+roundingTolerance, 0))
+	room := max(b.capacity()-float64(bucket.reserved)-bucket.tokens, 0)
+	excess := len(bucket.creditable) - int(math.Ceil(room-roundingTolerance))
 	if excess > 0 {
 		bucket.creditable = slices.Delete(bucket.creditable, 0, excess)
 	}
--- a/coordination/retrybudget/retrybudget_test.go
+++ b/coordination/retrybudget/retrybudget_test.go
@@ -191,6 +191,27 @@
 	g.Expect(len(budget.buckets["s"].creditable)).To(gomega.BeNumerically("<=", 18))
 }
 
+// A part of a token that time added must not take the place of a whole one: the budget of a service with few retries
+// would shrink with every retry that is returned unsent.
+func TestCreditFillsWhatTimeLeft(t *testing.T) {
+	g := gomega.NewWithT(t)
+	budget := New(tenSecondPolicy, true)
+	budget.Activate()
+	for i := range 50 {
+		now := time.Duration(i) * 100 * time.Millisecond
+		var assigned []UsedPermit
+		for range 3 {
+			permit, _ := budget.Reserve(now, "s")
+			assigned = append(assigned, budget.Commit(now, permit))
+		}
+		budget.Stats(now + 50*time.Millisecond)
+		for _, permit := range assigned {
+			budget.Credit(permit)
+		}
+		g.Expect(budget.Stats(now + 50*time.Millisecond)["s"]).To(gomega.Equal(Stats{Available: 18}))
+	}
+}
+
 // The first scheduler of a new system must start with full buckets, but only in its first term.
 func TestOnlyFirstTermOfFirstSchedulerStartsWithFullBuckets(t *testing.T) {
 	g := gomega.NewWithT(t)
