admission: let requests that a silent replica has wait behind all others

Seen: when all replicas of a service pause, nodes request a second replica for their streams. Such requests, 150 within 100 ms and cancelled 100 to 300 ms later, have first requests rejected that are served without them.

Cause: they were queued like other requests: before those of lower priorities, for which they count as backlog. By target they also took slots that first requests had left for a more suitable one, as they have no target to meet.

Change: admission.Request has an optional field Held. Held requests are ordered behind all others, leave a slot to a first request of the same or a higher priority that waits, and don't count as unserved answers of their length. The entry node does not set the field yet.

--- a/coordination/admission/decide.go
+++ b/coordination/admission/decide.go
@@ -70,13 +70,16 @@
 			undecided = append(undecided, request)
 			if !request.isConfined {
 				queuedAhead++
+				snapshot.addWaiting(&request.Request)
 			}
 			continue
 		}
 		if decision.Reason != ReasonNone {
 			request.share.withdraw()
 		}
-		request.lengths.recordDecision(request.band, decision.Reason == ReasonNone)
+		if !request.Held {
+			request.lengths.recordDecision(request.band, decision.Reason == ReasonNone)
+		}
 		delete(s.queued, request.ID)
 		decisions = append(decisions, decision)
 	}
@@ -100,8 +103,8 @@
 	}
 }
 
-// sortByTarget orders requests by priority, then those confined to a part of the
-// replicas, as others can go elsewhere, then those that can still meet their target before late
+// sortByTarget orders requests that no replica has before held ones, then by priority, then those confined to a
+// part of the replicas, as others can go elsewhere, then those that can still meet their target before late
 // ones. The former are ordered by the length of their answers, shortest first, but those of an
 // underserved length band before all others; late ones by the time their target ended.
 func sortByTarget(now structs.Instant, queue []*queuedRequest) {
@@ -111,6 +114,9 @@
 	}
 	sort.SliceStable(queue, func(i, j int) bool {
 		a, b := queue[i], queue[j]
+		if a.Held != b.Held {
+			return b.Held
+		}
 		if a.Priority != b.Priority {
 			return a.Priority < b.Priority
 		}
@@ -239,6 +245,9 @@
 // should wait. It skips replicas where the request would miss its target if another one could still
 // meet it, and at first those where its prompt would delay other streams too long.
 func (s *Scheduler) chooseReplica(now structs.Instant, request *queuedRequest, snapshot *poolSnapshot, eligible []*replicaSnapshot, remaining time.Duration) *replicaSnapshot {
+	if request.Held && snapshot.mustYield(request.Priority) {
+		return nil
+	}
 	isRestricted := len(request.Tried) > 0 || request.isBound()
 	if !isRestricted && snapshot.hasNoPreferredSlot(len(request.Doubted)) {
 		return nil
--- a/coordination/admission/feasible.go
+++ b/coordination/admission/feasible.go
@@ -148,8 +148,8 @@
 	return p.freeSlots <= 0
 }
 
-// sortFeasible classifies the requests and orders them by priority, then those confined to a part of the
-// replicas, as others can go elsewhere, then those in time before late ones,
+// sortFeasible classifies the requests and orders those that no replica has before held ones, then by priority,
+// then those confined to a part of the replicas, as others can go elsewhere, then those in time before late ones,
 // then callers that returned when told before others. Requests in time are ordered by the length of their
 // responses, shortest first, but those of an underserved length band before all others. Among equals the
 // newest goes first if the priority is overloaded, as the oldest would then be served just too late.
@@ -166,6 +166,9 @@
 		request.isOverloaded = p.overloads[request.Priority].isLasting
 	}
 	slices.SortStableFunc(p.queue, func(a, b *queuedRequest) int {
+		if a.Held != b.Held {
+			return trueFirst(b.Held)
+		}
 		if order := cmp.Compare(a.Priority, b.Priority); order != 0 {
 			return order
 		}
--- a/coordination/admission/shares.go
+++ b/coordination/admission/shares.go
@@ -79,15 +79,15 @@
 }
 
 // orderByShares merges the requests of the tenants by their shares, within each run of requests that are
-// equal by priority and by late. It expects the queue to be sorted by these, and keeps the order of the
+// equal by Held, Priority and late. It expects the queue to be sorted by these, and keeps the order of the
 // requests of a tenant.
 func (p *servicePool) orderByShares(queue []*queuedRequest) {
 	work := p.work.estimate(p.meanDuration)
 	for start := 0; start < len(queue); {
-		priority, end := queue[start].Priority, start
+		isHeld, priority, end := queue[start].Held, queue[start].Priority, start
 		ledger := p.ledger(priority)
 		ledger.BeginOrder()
-		for ; end < len(queue) && queue[end].Priority == priority; end++ {
+		for ; end < len(queue) && queue[end].Held == isHeld && queue[end].Priority == priority; end++ {
 			request := queue[end]
 			if request.share.account == nil {
 				weight, _ := request.CheckedWeight()
--- a/coordination/admission/snapshot.go
+++ b/coordination/admission/snapshot.go
@@ -26,7 +26,11 @@
 	// evacuatedReplicas counts the replicas left out because their zone is evacuated.
 	evacuatedReplicas int
 	meanDuration      time.Duration
-	suspectViews      map[*suspectList]*suspectView
+	// waitingPriority is the highest priority of the first requests that stay queued in this round, if hasWaiting is
+	// true.
+	waitingPriority int
+	hasWaiting      bool
+	suspectViews    map[*suspectList]*suspectView
 }
 
 // replicaSnapshot describes one replica in a poolSnapshot.
@@ -214,6 +218,19 @@
 	return eligible
 }
 
+// addWaiting records that the request stays queued. First requests are decided in the order of their priorities.
+func (p *poolSnapshot) addWaiting(request *Request) {
+	if len(request.Tried) == 0 && !request.Held && !p.hasWaiting {
+		p.hasWaiting, p.waitingPriority = true, request.Priority
+	}
+}
+
+// mustYield reports whether a held request of the priority must not take a slot, as a first request of the same or a
+// higher priority waits for a more suitable one.
+func (p *poolSnapshot) mustYield(priority int) bool {
+	return p.hasWaiting && p.waitingPriority <= priority
+}
+
 const maxExpectedWait = time.Hour
 
 // expectedWait estimates the time until a request with that many queued ahead of it gets a slot.
--- a/entry/wire_test.go
+++ b/entry/wire_test.go
@@ -271,7 +271,7 @@
 		path   []string
 		fields []string
 	}{
-		{&assignRequest{}, []string{"Request"}, []string{"Tenant", "Weight"}},
+		{&assignRequest{}, []string{"Request"}, []string{"Tenant", "Weight", "Held"}},
 		{&assignRequest{}, nil, []string{"RequestID", "MayHaveRun"}},
 		{&firstEventRequest{}, nil, []string{"WorkTime", "SinceGrant"}},
 		{&finishRequest{}, nil, []string{"Unsent"}},
