entry: mark the first search for a successor as held

The first search of a silence now waits behind all others, for 0.6 s at most; when the silence goes on, the next ones are like any retry, so that a stream whose replica is gone still gets its turn on a busy service.

--- a/entry/handler.go
+++ b/entry/handler.go
@@ -68,8 +68,11 @@
 	plainSilenceEnd structs.Instant
 	// silence watches the current replica. The copy of a call with which a successor is looked for has the
 	// successorToken, which is zero otherwise.
+	// Its isHeld is true in the first search of a silence: short pauses are frequent, and such a request must not delay
+	// others that no replica has.
 	silence        *silenceWatch
 	successorToken handover.Token
+	isHeld         bool
 	// waited is the total time in queues.
 	waited time.Duration
 	// lastEventID is the ID of the last event that the caller has, and resumed
--- a/entry/handover.go
+++ b/entry/handover.go
@@ -12,6 +12,7 @@
 	"github.com/thornwalk/thornwalk/coordination/admission"
 	"github.com/thornwalk/thornwalk/coordination/handover"
 	"github.com/thornwalk/thornwalk/internal/eventlog"
+	"github.com/thornwalk/thornwalk/structs"
 	"github.com/thornwalk/thornwalk/transport/replicahttp"
 )
 
@@ -20,8 +21,9 @@
 // the send to it up to the head of its answer, run in another one, with a copy of the call.
 
 const (
-	// successorInterval is the time between a failed search for a successor and the next. It is spread by
-	// successorJitter, as the replicas of many requests may have fallen silent together.
+	// successorInterval is the time from the beginning of a search for a successor that fails to the next, at least
+	// up to successorJitter after its end. Searches are spread, as the replicas of many requests may have fallen silent
+	// together.
 	successorInterval = 600 * time.Millisecond
 	successorJitter   = 200 * time.Millisecond
 	// plainSilenceShare is the share of the remaining time that the replica of a repeatable plain request may take
@@ -47,10 +49,12 @@
 	resetCurrent, cancelSuccessor context.CancelFunc
 	// winner is the send to the successor that replaced the current replica, until the call goes on with it.
 	winner *send
-	// searched is closed when the latest search has ended, and ended are the searches that the call does not count
-	// yet.
-	searched chan struct{}
-	ended    []successorSearch
+	// searches is the number of searches in the current silence, and searchedAt when the latest began. searched is
+	// closed when it has ended, and ended are the searches that the call does not count yet.
+	searches   int
+	searchedAt structs.Instant
+	searched   chan struct{}
+	ended      []successorSearch
 }
 
 // successorSearch is what a call has to count of a search that has ended.
@@ -102,6 +106,7 @@
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	w.stopWaiting()
+	w.searches = 0
 	verdict, phase := w.handover.CurrentSpoke(w.token)
 	w.giveUpSuccessor(phase)
 	return verdict == handover.Keep
@@ -204,6 +209,9 @@
 		return nil
 	}
 	successor := w.call.copyForSuccessor(token)
+	successor.isHeld = w.searches == 0
+	w.searches++
+	w.searchedAt = w.call.node.now()
 	successor.ctx, w.cancelSuccessor = context.WithCancel(w.call.ctx)
 	w.searched = make(chan struct{})
 	return successor
@@ -219,7 +227,8 @@
 	}
 	w.handover.SuccessorFailed(token)
 	if w.isWaiting && w.winner == nil && w.handover.Phase() == handover.NoSuccessor {
-		w.timer.Reset(successorInterval + rand.N(successorJitter))
+		sinceSearch := w.call.node.now() - w.searchedAt
+		w.timer.Reset(max(successorInterval-sinceSearch, 0) + rand.N(successorJitter))
 	}
 }
 
@@ -271,6 +280,9 @@
 	c.node.counter("successors.requested").Inc(1)
 	request := c.newAssignRequest(c.tried, true)
 	request.MayHaveRun = true
+	if c.isHeld {
+		request.Request.Held, request.Request.Patience = true, min(request.Request.Patience, successorInterval)
+	}
 	granted := c.node.requestAssignment(c.ctx, request)
 	c.waited += granted.Waited
 	granted.origin = c.origin
