entry: log and count the silences of replicas

From lines and counters an operator can't tell a replica that was silent and went on from one that nobody could replace, nor a broken answer from one whose time was over during a silence, nor how many requests wait for a silent replica now.

Change: a line request.silent for each search for a successor and for the end of the silence, with its outcome, length, searches, last refusal, and how far a search under way was. Counters silences.OUTCOME and successors.refused.REASON, the histogram silence_ms, gauges silences.current and silences.longest_ms, and silent_requests by service in /status. The lines go through the call's log, so those of sampled requests are dropped with its others. A line is written by the call's goroutine, or by the watch under its mutex while the call waits.

Not counted: waits of requests for which no successor may be looked for.

--- a/entry/handover.go
+++ b/entry/handover.go
@@ -12,6 +12,7 @@
 	"github.com/thornwalk/thornwalk/coordination/admission"
 	"github.com/thornwalk/thornwalk/coordination/handover"
 	"github.com/thornwalk/thornwalk/internal/eventlog"
+	"github.com/thornwalk/thornwalk/structs"
 	"github.com/thornwalk/thornwalk/transport/replicahttp"
 )
 
@@ -45,6 +46,9 @@
 	// resetCurrent resets the connection to the current replica, and cancelSuccessor ends the search or resets the
 	// connection to the successor.
 	resetCurrent, cancelSuccessor context.CancelFunc
+	// waitingSince is when the current wait began, and silent is set once a successor was looked for during it.
+	waitingSince structs.Instant
+	silent       *silence
 	// winner is the send to the successor that replaced the current replica, until the call goes on with it.
 	winner *send
 	// searched is closed when the latest search has ended, and ended are the searches that the call does not count
@@ -81,7 +85,7 @@
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	w.countSearches()
-	w.isWaiting = true
+	w.isWaiting, w.waitingSince = true, w.call.node.now()
 	if w.timer == nil {
 		w.timer = time.AfterFunc(limit, w.search)
 	} else {
@@ -103,6 +107,11 @@
 	defer w.mutex.Unlock()
 	w.stopWaiting()
 	verdict, phase := w.handover.CurrentSpoke(w.token)
+	if verdict == handover.Keep {
+		w.endSilence(silenceWentOn, phase)
+	} else {
+		w.endSilence(w.interruption(), phase)
+	}
 	w.giveUpSuccessor(phase)
 	return verdict == handover.Keep
 }
@@ -112,6 +121,7 @@
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	w.stopWaiting()
+	w.endSilence(w.interruption(), w.handover.Phase())
 }
 
 func (w *silenceWatch) stopWaiting() {
@@ -164,6 +174,9 @@
 func (w *silenceWatch) countSearches() {
 	for _, ended := range w.ended {
 		w.call.countSearch(ended)
+		if w.silent != nil && ended.refusal != "" {
+			w.silent.refusal = ended.refusal
+		}
 	}
 	w.ended = nil
 }
@@ -202,6 +215,7 @@
 	successor := w.call.copyForSuccessor(token)
 	successor.ctx, w.cancelSuccessor = context.WithCancel(w.call.ctx)
 	w.searched = make(chan struct{})
+	w.recordSearch()
 	return successor
 }
 
@@ -273,6 +287,7 @@
 	if granted.Reason != "" {
 		if c.ctx.Err() == nil {
 			c.node.counter("successors.refused").Inc(1)
+			c.node.counter("successors.refused." + granted.Reason).Inc(1)
 			c.logAssignment(granted)
 		}
 		return nil, successorSearch{refusal: granted.Reason, waited: c.waited, events: c.bufferedEvents}
--- a/entry/node.go
+++ b/entry/node.go
@@ -114,6 +114,8 @@
 	exchanges *exchanges
 	// calls holds the callers' requests in progress.
 	calls activeCalls
+	// silences holds the requests whose replica is silent.
+	silences silences
 
 	// mutex guards all fields below.
 	mutex       sync.Mutex
@@ -233,6 +235,7 @@
 	n.registerPathMetrics()
 	n.registerForwardMetrics()
 	n.registerStreamMetrics()
+	n.registerSilenceMetrics()
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	return n
 }
--- a/entry/operators.go
+++ b/entry/operators.go
@@ -47,6 +47,8 @@
 	Isolated []string                           `json:"isolated_peers,omitempty"`
 	Replicas []replicas.Replica                 `json:"replicas"`
 	Services map[string]admission.ServiceStatus `json:"services"`
+	// SilentRequests describes the requests whose replica is silent, by service.
+	SilentRequests map[string]SilenceStatus `json:"silent_requests,omitempty"`
 	// Reread is set while requests for a complete read of the store are pending.
 	Reread *RereadStatus `json:"store_reread,omitempty"`
 	// Pushback is what replicas reported to this node to limit requests.
@@ -66,6 +68,7 @@
 	if current := n.catalog.Load(); current != nil {
 		status.Version = current.Version
 	}
+	status.SilentRequests = n.silences.status(n.now())
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	now := n.now()
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -51,6 +51,12 @@
 	// the status. RetryRefusal is why the request was not sent to another replica.
 	IsClosed     bool   `json:"closed,omitempty"`
 	RetryRefusal string `json:"retry_refused,omitempty"`
+	// SilentMS is how long the replica has been silent, in milliseconds. HasEvents is true if the caller has a part of
+	// the answer, Search is how far the search for another replica was, and Successor the replica that took over.
+	SilentMS  int64  `json:"silent_ms,omitempty"`
+	HasEvents bool   `json:"has_events,omitempty"`
+	Search    string `json:"search,omitempty"`
+	Successor string `json:"successor,omitempty"`
 	// Version is that of the configuration, Revision that of the store in its Era.
 	Version  int64 `json:"version,omitempty"`
 	Revision int64 `json:"revision,omitempty"`
