entry: don't record a refusal of a search that was cancelled

A stream whose replica went on while a successor was requested ends with retry_refused no-scheduler, although a scheduling node was there and refused nothing.

Cause: a cancelled request for an assignment returns that reason, which was recorded without a look at the context.

TestCancelledSearchIsNoRefusal fails without the change (no-scheduler) and passes with it.

--- a/entry/handover.go
+++ b/entry/handover.go
@@ -285,12 +285,14 @@
 	c.waited += granted.Waited
 	granted.origin = c.origin
 	if granted.Reason != "" {
+		refusal := ""
 		if c.ctx.Err() == nil {
+			refusal = granted.Reason
 			c.node.counter("successors.refused").Inc(1)
-			c.node.counter("successors.refused." + granted.Reason).Inc(1)
+			c.node.counter("successors.refused." + refusal).Inc(1)
 			c.logAssignment(granted)
 		}
-		return nil, successorSearch{refusal: granted.Reason, waited: c.waited, events: c.bufferedEvents}
+		return nil, successorSearch{refusal: refusal, waited: c.waited, events: c.bufferedEvents}
 	}
 	c.logAssignment(granted)
 	return c.trySuccessor(granted)
--- a/test/entry/silence_log_test.go
+++ b/test/entry/silence_log_test.go
@@ -185,6 +185,30 @@
 	})
 }
 
+// Guards against a refusal that is recorded of a search that was only cancelled, as its engine went on before the
+// scheduling node had decided.
+func TestCancelledSearchIsNoRefusal(t *testing.T) {
+	runSilent(t, func(s *silentScenario) {
+		scheduler := s.scheduler()
+		s.Expect(scheduler).NotTo(gomega.Equal("n1"))
+		defer s.pauseOthers(-1, s.fabric.Resume)
+		silent, await := s.startStream(context.Background(), silentDeadline)
+		time.Sleep(1100 * time.Millisecond)
+		s.fabric.Pause(scheduler)
+		time.Sleep(200 * time.Millisecond)
+		s.fabric.Resume(s.engineHosts[silent])
+		time.Sleep(300 * time.Millisecond)
+		s.fabric.Resume(scheduler)
+		s.Expect(isWholeStream(await())).To(gomega.BeTrue())
+		_, end := s.expectEnd("went-on", silent)
+		s.Expect(end.Search).To(gomega.Equal("requested"))
+		s.Expect(end.RetryRefusal).To(gomega.BeEmpty())
+		s.Expect(s.endOf().RetryRefusal).To(gomega.BeEmpty())
+		s.Expect(s.counterTotal("successors_not_needed")).To(gomega.Equal(1))
+		s.Expect(s.counterTotal("successors_refused")).To(gomega.BeZero())
+	})
+}
+
 // Guards against an engine that breaks a stream off after a silence and reads as one that was given up, or of which
 // nobody can tell whether another one was being looked for.
 func TestSilenceIsLoggedIfTheEngineBreaksOff(t *testing.T) {
