entry: write the end of sampled requests with many lines

The line request.ended of a request that did not end well is missing if the log was sampled and more than 23 events of the request came before it, as in a silence of 20 s or more with a search each 0.7 s. Lines of its end and sends are lost as well.

Cause: the end passes through the bounded buffer, which repeated searches fill; events of ended searches were added without a bound.

Change: the end is written directly after the buffered events. Events of searches are buffered up to 16 of 24, so that the end of the silence and the sends find room.

TestSilenceLinesDoNotDisplaceTheEndOfASampledStream (a silence of 40 s) fails without the change, with no request.ended in the log, and passes with it.

--- a/entry/handover.go
+++ b/entry/handover.go
@@ -350,7 +350,7 @@
 // countSearch adds what happened in a search for a successor to the call.
 func (c *call) countSearch(ended successorSearch) {
 	c.waited += ended.waited
-	c.bufferedEvents = append(c.bufferedEvents, ended.events...)
+	c.logSearchEvents(ended.events...)
 	if ended.refusal != "" {
 		c.retryRefusal = ended.refusal
 	}
--- a/entry/request_log.go
+++ b/entry/request_log.go
@@ -10,8 +10,13 @@
 // requests are then dropped, all others are logged. All other events are logged at once, so that
 // they survive a crash of the process.
 
-// maxBufferedEvents bounds the buffered events of one request.
-const maxBufferedEvents = 24
+// maxBufferedEvents bounds the buffered events of one request, and maxBufferedSearchEvents those up to which events of
+// searches for a successor are buffered. Searches recur while a replica is silent; what ends the silence and the sends
+// must find room after them.
+const (
+	maxBufferedEvents       = 24
+	maxBufferedSearchEvents = 16
+)
 
 // newEvent returns an event of the kind with the fields that identify the request.
 func (c *call) newEvent(kind string) eventlog.Event {
@@ -32,12 +37,21 @@
 }
 
 // logEvent logs the event, or buffers it.
-func (c *call) logEvent(event eventlog.Event) {
-	switch {
-	case c.alwaysLogged:
-		c.node.log.Write(event)
-	case len(c.bufferedEvents) < maxBufferedEvents:
-		c.bufferedEvents = append(c.bufferedEvents, c.node.log.Stamp(event))
+func (c *call) logEvent(event eventlog.Event) { c.logUpTo(maxBufferedEvents, event) }
+
+// logSearchEvents logs or buffers events of a search for a successor.
+func (c *call) logSearchEvents(events ...eventlog.Event) {
+	c.logUpTo(maxBufferedSearchEvents, events...)
+}
+
+func (c *call) logUpTo(maxBuffered int, events ...eventlog.Event) {
+	for _, event := range events {
+		switch {
+		case c.alwaysLogged:
+			c.node.log.Write(event)
+		case len(c.bufferedEvents) < maxBuffered:
+			c.bufferedEvents = append(c.bufferedEvents, c.node.log.Stamp(event))
+		}
 	}
 }
 
@@ -98,16 +112,16 @@
 	c.ended = true
 	event.FirstEventMS, event.MaxPauseMS = c.firstEventDelay.Milliseconds(), c.maxEventGap.Milliseconds()
 	event.Prompt, event.Answer = c.promptTokens, c.expectedOutputTokens()
-	c.logEvent(event)
 	c.node.counter("requests." + event.Outcome).Inc(1)
 	c.node.recordDuration("request_ms."+event.Outcome, c.age())
-	if event.Outcome == outcomeAnswered {
-		c.node.log.LeftOut(len(c.bufferedEvents))
+	if event.Outcome == outcomeAnswered && !c.alwaysLogged {
+		c.node.log.LeftOut(len(c.bufferedEvents) + 1)
 		return
 	}
 	for _, line := range c.bufferedEvents {
 		c.node.log.Write(line)
 	}
+	c.node.log.Write(event)
 }
 
 // Outcomes of requests in logs and metrics.
--- a/entry/silence_log.go
+++ b/entry/silence_log.go
@@ -70,7 +70,11 @@
 	if outcome == silenceReplaced {
 		event.Successor = w.winner.granted.Replica.ID
 	}
-	w.call.logEvent(event)
+	if outcome == silenceSearching {
+		w.call.logSearchEvents(event)
+	} else {
+		w.call.logEvent(event)
+	}
 }
 
 // interruption returns the outcome of a silence that ends as the exchange with the current replica fails.
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -116,8 +116,11 @@
 // timeLayout is the format of Event.Time.
 const timeLayout = "2006-01-02T15:04:05.000Z"
 
-// Stamp returns the event with the node and the current time, for events that are written later.
+// Stamp returns the event with the node and the current time, unless it has them, for events that are written later.
 func (l *Log) Stamp(event Event) Event {
+	if event.Node != "" {
+		return event
+	}
 	event.Node = l.node
 	event.Time = time.Now().UTC().Format(timeLayout)
 	event.Uptime = time.Since(l.started).Milliseconds()
@@ -127,9 +130,7 @@
 // Write enqueues the event, stamped if it isn't yet, or counts it as lost if the queue is full. It
 // doesn't block.
 func (l *Log) Write(event Event) {
-	if event.Node == "" {
-		event = l.Stamp(event)
-	}
+	event = l.Stamp(event)
 	l.sampler.offered.Add(1)
 	select {
 	case l.events <- event:
--- a/test/entry/silence_log_test.go
+++ b/test/entry/silence_log_test.go
@@ -300,3 +300,58 @@
 		s.Expect(lines).To(gomega.Equal(4 * silentStreams))
 	})
 }
+
+// overloadLogs logs more lines than the nodes write in a second, so that requests which begin in the next one are
+// sampled.
+func (s *scenario) overloadLogs() {
+	for _, host := range hosts {
+		for range 1500 {
+			s.do(host, http.MethodGet, "/nowhere/", nil)
+		}
+	}
+	time.Sleep(1100 * time.Millisecond)
+}
+
+// Guards against a long silence whose many lines displace the one that tells how its stream ended.
+func TestSilenceLinesDoNotDisplaceTheEndOfASampledStream(t *testing.T) {
+	runSilent(t, func(s *silentScenario) {
+		defer s.pauseOthers(-1, s.fabric.Resume)
+		const deadline = 40 * time.Second
+		s.configure(func(configuration *entrylab.Configuration) {
+			for i := range configuration.Routes {
+				configuration.Routes[i].Timeout = int(deadline.Milliseconds())
+			}
+		})
+		s.overloadLogs()
+		silent, await := s.startStream(context.Background(), deadline)
+		s.removeOthers(silent)
+		s.Expect(await().complete).To(gomega.BeFalse())
+		s.Expect(s.endOf()).To(gomega.And(gomega.HaveField("Reason", "deadline"), gomega.HaveField("IsClosed", true)))
+		_, ends := s.silenceLines()
+		s.Expect(ends).To(gomega.HaveLen(1))
+	})
+}
+
+// Guards against a silence of a whole service that fills the log with lines of streams that end well.
+func TestSilenceLinesOfAnsweredStreamsAreSampled(t *testing.T) {
+	runSilent(t, func(s *silentScenario) {
+		s.overloadLogs()
+		await := s.startStreams(silentStreams)
+		s.silence(s.engineHosts, 1900*time.Millisecond)
+		for _, got := range await() {
+			s.Expect(isWholeStream(got)).To(gomega.BeTrue())
+		}
+		logged, all := map[string]bool{}, map[string]bool{}
+		for _, event := range s.loggedEvents("request.silent") {
+			logged[event.Request] = true
+		}
+		for _, event := range s.loggedEvents("request.ended") {
+			if event.Route == "resume" {
+				all[event.Request] = true
+			}
+		}
+		s.Expect(s.counterTotal("silence_ms_count")).To(gomega.BeNumerically(">=", silentStreams))
+		s.Expect(logged).To(gomega.Equal(all), "streams of which a part of the lines is logged")
+		s.Expect(len(logged)).To(gomega.BeNumerically("<", silentStreams*2/3))
+	})
+}
