operator/story: describe the silences of a request's replicas

thornwalk explain -logs prints a sentence for each silence before the cause: the replica, how long it was silent, how often another one was looked for and why it was refused, and how it ended. Its lines show silent_ms, retry_refused, search, successor and count.

Tested with the recorded lines of seven streams of the scenarios in test/entry.

--- a/operator/story/story.go
+++ b/operator/story/story.go
@@ -89,7 +89,7 @@
 // maxRelatedEvents bounds the related events that Write prints; it prints the latest.
 const maxRelatedEvents = 12
 
-// Write prints the events up to the request's last one as text, then the cause.
+// Write prints the events up to the request's last one as text, then the silences of its replicas and the cause.
 func (s *Story) Write(writer io.Writer) {
 	last := s.Request[len(s.Request)-1]
 	var related []eventlog.Event
@@ -106,6 +106,9 @@
 	for _, event := range lines {
 		fmt.Fprintln(writer, Line(event))
 	}
+	for _, silence := range s.Silences() {
+		fmt.Fprintln(writer, silence)
+	}
 	fmt.Fprintln(writer, s.Cause())
 }
 
@@ -113,7 +116,8 @@
 func Line(event eventlog.Event) string {
 	text := fmt.Sprintf("%s %s %s", event.Time, event.Node, event.Kind)
 	for _, part := range []struct{ name, value string }{
-		{"replica", event.Replica}, {"by", event.Peer}, {"forwarder", event.Forwarder}, {"outcome", event.Outcome}, {"because", event.Reason}, {"detail", event.Detail},
+		{"replica", event.Replica}, {"by", event.Peer}, {"forwarder", event.Forwarder}, {"outcome", event.Outcome}, {"because", event.Reason},
+		{"retry_refused", event.RetryRefusal}, {"search", event.Search}, {"successor", event.Successor}, {"detail", event.Detail},
 	} {
 		if part.value != "" {
 			text += fmt.Sprintf(" %s=%s", part.name, part.value)
@@ -125,7 +129,7 @@
 	}{{"status", int64(event.Status)}, {"waited_ms", event.WaitedMS}, {"took_ms", event.TookMS}, {"age_ms", event.AgeMS}, {"revision", event.Revision}, {"version", event.Version},
 		{"left_ms", event.RemainingMS}, {"priority", int64(event.Priority)}, {"prompt", int64(event.Prompt)}, {"answer", int64(event.Answer)},
 		{"waiting", int64(event.QueuedAhead)}, {"free", int64(event.FreeSlots)}, {"expected_ms", event.ExpectedWaitMS}, {"retry_after_ms", event.RetryAfterMS},
-		{"first_ms", event.FirstEventMS}, {"pause_ms", event.MaxPauseMS},
+		{"first_ms", event.FirstEventMS}, {"pause_ms", event.MaxPauseMS}, {"silent_ms", event.SilentMS}, {"count", int64(event.Count)},
 	} {
 		if part.value != 0 {
 			text += fmt.Sprintf(" %s=%d", part.name, part.value)
--- a/test/entry/silence_log_test.go
+++ b/test/entry/silence_log_test.go
@@ -142,6 +142,7 @@
 		s.Expect(end.Successor).NotTo(gomega.Or(gomega.BeEmpty(), gomega.Equal(s.engines[silent].ID)))
 		s.Expect(end.Successor).To(gomega.Equal(s.endOf().Replica))
 		s.Expect(s.counterTotal("successors_took_over")).To(gomega.Equal(1))
+		s.Expect(s.requestHistory(loggedStream)).To(gomega.MatchRegexp(`replica %s silent for 1\.2 s; another one was looked for; %s took over`, end.Replica, end.Successor))
 	})
 }
 
@@ -162,6 +163,7 @@
 		s.Expect(s.counterTotal("successors_refused")).To(gomega.Equal(len(searches)))
 		s.Expect(s.counterTotal("successors_refused_no_replica_of_version")).To(gomega.Equal(len(searches)))
 		s.Expect(s.counterTotal("successors_not_needed")).To(gomega.BeZero())
+		s.Expect(s.requestHistory(loggedStream)).To(gomega.MatchRegexp(`replica %s silent for 2\.2 s; another one was looked for 2 times and refused \(no-replica-of-version\); %[1]s went on`, end.Replica))
 	})
 }
 
@@ -182,6 +184,7 @@
 		s.Expect(end.RetryRefusal).To(gomega.BeEmpty())
 		s.Expect(s.counterTotal("successors_not_needed")).To(gomega.Equal(1))
 		s.Expect(s.counterTotal("successors_refused")).To(gomega.BeZero())
+		s.Expect(s.requestHistory(loggedStream)).To(gomega.MatchRegexp(`replica %s silent for 1\.5 s; another one was looked for; %[1]s went on before it answered`, end.Replica))
 	})
 }
 
@@ -217,8 +220,10 @@
 			runSilent(t, func(s *silentScenario) {
 				defer s.pauseOthers(-1, s.fabric.Resume)
 				silent, await := s.startStream(context.Background(), silentDeadline)
+				summary := `silent for 1\.5 s; another one was looked for; .* broke off before it answered`
 				if search == "" {
 					s.removeOthers(silent)
+					summary = `silent for 1\.5 s; another one was looked for and refused \(no-replica-of-version\); .* broke off`
 				} else {
 					s.pauseOthers(silent, s.fabric.Pause)
 					time.Sleep(300 * time.Millisecond)
@@ -236,6 +241,7 @@
 					s.Expect(s.endOf().Reason).To(gomega.Equal("replica-broke-off"))
 					s.Expect(s.counterTotal("closed_replica_broke_off")).To(gomega.Equal(1))
 				}
+				s.Expect(s.requestHistory(loggedStream)).To(gomega.MatchRegexp(summary))
 			})
 		})
 	}
@@ -262,6 +268,7 @@
 		s.Expect(end.SilentMS).To(gomega.BeNumerically("~", 3630, 60))
 		s.Expect(s.endOf()).To(gomega.And(gomega.HaveField("Reason", "deadline"), gomega.HaveField("IsClosed", true)))
 		s.Expect(s.counterTotal("closed_deadline")).To(gomega.Equal(1))
+		s.Expect(s.requestHistory(loggedStream)).To(gomega.MatchRegexp(`replica %s silent for 3\.6 s; another one was looked for \d times and refused \(no-replica-of-version\); the time of the request was over`, end.Replica))
 	})
 }
 
@@ -279,6 +286,7 @@
 		_, end := s.expectEnd("caller-left", silent)
 		s.Expect(end.SilentMS).To(gomega.BeNumerically("~", 2030, 60))
 		s.Expect(s.endOf().Reason).To(gomega.Equal("caller-left"))
+		s.Expect(s.requestHistory(loggedStream)).To(gomega.MatchRegexp(`replica %s silent for 2\.\d s; .*; the caller left`, end.Replica))
 	})
 }
 
