--- a/cmd/thornwalk-lab/losses.go
+++ b/cmd/thornwalk-lab/losses.go
@@ -19,8 +19,9 @@
 	report := flags.String("report", "", "the bench's report on the day; it may be missing")
 	versions := flags.Bool("versions", false, "tell instead how long each configuration took to reach all nodes")
 	tenants := flags.Bool("tenants", false, "tell instead what the attempts of each tenant got")
+	closed := flags.Bool("closed", false, "tell instead how many answers were closed unfinished, by reason")
 	return &ffcli.Command{
-		Name: "losses", ShortUsage: "thornwalk-lab losses -lines FILE (-versions | -tenants | -kinds FILE [-report FILE])", FlagSet: flags,
+		Name: "losses", ShortUsage: "thornwalk-lab losses -lines FILE (-versions | -tenants | -closed | -kinds FILE [-report FILE])", FlagSet: flags,
 		ShortHelp: "tell where the worth of a played day was lost, by window, kind and reason",
 		Exec: func(context.Context, []string) error {
 			parsed, err := readLines(*lines)
@@ -33,6 +34,9 @@
 			if *tenants {
 				return parsed.PrintTenants(os.Stdout)
 			}
+			if *closed {
+				return parsed.PrintClosed(os.Stdout)
+			}
 			return printLosses(*kinds, parsed, *report)
 		},
 	}
--- a/lab/losses/lines.go
+++ b/lab/losses/lines.go
@@ -23,6 +23,8 @@
 	Prompt, Answer int
 	// Placed is the time from its arrival to its last assignment in milliseconds.
 	Placed int64
+	// IsSearched is true if another replica was looked for while the one that had the request was silent.
+	IsSearched bool
 	// End is the event that ended it, or nil if the node ended first.
 	End *eventlog.Event
 }
@@ -99,6 +101,8 @@
 	switch event.Kind {
 	case "request.placed":
 		request.Placed = event.TookMS
+	case "request.silent":
+		request.IsSearched = true
 	case "request.ended":
 		request.End = event
 	}
