--- a/entry/handover.go
+++ b/entry/handover.go
@@ -47,11 +47,13 @@
 	// resetCurrent resets the connection to the current replica, and cancelSuccessor ends the search or resets the
 	// connection to the successor.
 	resetCurrent, cancelSuccessor context.CancelFunc
+	// waitingSince is when the current wait began, and silent is set once a successor was looked for during it.
+	waitingSince structs.Instant
+	silent       *silence
 	// winner is the send to the successor that replaced the current replica, until the call goes on with it.
 	winner *send
-	// searches is the number of searches in the current silence, and searchedAt when the latest began. searched is
-	// closed when it has ended, and ended are the searches that the call does not count yet.
-	searches   int
+	// searchedAt is when the latest search began. searched is closed when it has ended, and ended are the searches that
+	// the call does not count yet.
 	searchedAt structs.Instant
 	searched   chan struct{}
 	ended      []successorSearch
@@ -85,7 +87,7 @@
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	w.countSearches()
-	w.isWaiting = true
+	w.isWaiting, w.waitingSince = true, w.call.node.now()
 	if w.timer == nil {
 		w.timer = time.AfterFunc(limit, w.search)
 	} else {
@@ -106,8 +108,12 @@
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	w.stopWaiting()
-	w.searches = 0
 	verdict, phase := w.handover.CurrentSpoke(w.token)
+	if verdict == handover.Keep {
+		w.endSilence(silenceWentOn, phase)
+	} else {
+		w.endSilence(w.interruption(), phase)
+	}
 	w.giveUpSuccessor(phase)
 	return verdict == handover.Keep
 }
@@ -117,6 +123,7 @@
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	w.stopWaiting()
+	w.endSilence(w.interruption(), w.handover.Phase())
 }
 
 func (w *silenceWatch) stopWaiting() {
@@ -173,6 +180,9 @@
 func (w *silenceWatch) countSearches() {
 	for _, ended := range w.ended {
 		w.call.countSearch(ended)
+		if w.silent != nil && ended.refusal != "" {
+			w.silent.refusal = ended.refusal
+		}
 	}
 	w.ended = nil
 }
@@ -209,11 +219,11 @@
 		return nil
 	}
 	successor := w.call.copyForSuccessor(token)
-	successor.isHeld = w.searches == 0
-	w.searches++
+	successor.isHeld = w.silent == nil
 	w.searchedAt = w.call.node.now()
 	successor.ctx, w.cancelSuccessor = context.WithCancel(w.call.ctx)
 	w.searched = make(chan struct{})
+	w.recordSearch()
 	return successor
 }
 
@@ -287,13 +297,14 @@
 	c.waited += granted.Waited
 	granted.origin = c.origin
 	if granted.Reason != "" {
-		ended := successorSearch{waited: c.waited}
+		refusal := ""
 		if c.ctx.Err() == nil {
+			refusal = granted.Reason
 			c.node.counter("successors.refused").Inc(1)
+			c.node.counter("successors.refused." + refusal).Inc(1)
 			c.logAssignment(granted)
-			ended.refusal, ended.events = granted.Reason, c.bufferedEvents
 		}
-		return nil, ended
+		return nil, successorSearch{refusal: refusal, waited: c.waited, events: c.bufferedEvents}
 	}
 	c.logAssignment(granted)
 	return c.trySuccessor(granted)
@@ -351,7 +362,7 @@
 // countSearch adds what happened in a search for a successor to the call.
 func (c *call) countSearch(ended successorSearch) {
 	c.waited += ended.waited
-	c.bufferedEvents = append(c.bufferedEvents, ended.events...)
+	c.logSearchEvents(ended.events...)
 	if ended.refusal != "" {
 		c.retryRefusal = ended.refusal
 	}
