lab: record when a stand-in replica's run ended, and cancel it on a failed write

Cause: a soak that judges two replicas at work on one request needs the end of each run, and whether the run was completed, cancelled by the node or broken off by the replica. A replica process that was suspended while the node closed the connection wrote its next event before it read the close: the write failed and the run counted as neither completed nor cancelled.

Change: Run has EndedAt and Completed; a failed write of an event marks the run as cancelled. StreamBody returns a whole streamed answer. A configuration of entrylab may set the limit on idle connections.

--- a/lab/entrylab/entrylab.go
+++ b/lab/entrylab/entrylab.go
@@ -3,6 +3,7 @@
 package entrylab
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -179,6 +180,8 @@
 	Services []Service      `json:"services"`
 	Limits   map[string]int `json:"limits"`
 	Tenants  []Tenant       `json:"tenants,omitempty"`
+	// IdleTimeout is the limit on idle connections in milliseconds; zero means the default.
+	IdleTimeout int `json:"-"`
 }
 
 // Route is a route of a configuration. Its times are in milliseconds.
@@ -221,7 +224,7 @@
 
 // Write writes the configuration with default limits to the store.
 func (c Configuration) Write(store *platformsim.Store) {
-	c.Limits = map[string]int{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": 15000}
+	c.Limits = map[string]int{"max_header_bytes": 16384, "max_body_bytes": 1 << 20, "header_timeout_ms": 3000, "idle_timeout_ms": cmp.Or(c.IdleTimeout, 15000)}
 	store.PutJSON("op/config", c)
 }
 
--- a/lab/platformsim/replica.go
+++ b/lab/platformsim/replica.go
@@ -61,6 +61,9 @@
 	Deadline time.Duration
 	// Cancelled is true if the node closed the connection before the run finished.
 	Cancelled bool
+	// Completed is true if the run did all of its work, and EndedAt is when it ended, completed or not; zero while it runs.
+	Completed bool
+	EndedAt   time.Time
 	finished  bool
 	// arrival is the index of the run's arrival in Replica.arrivals.
 	arrival int
@@ -337,11 +340,26 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	if !run.finished {
-		run.finished = true
+		run.finished, run.EndedAt = true, time.Now()
 		r.running--
 	}
 }
 
+// completeRun marks the run as finished with all of its work done.
+func (r *Replica) completeRun(run *Run) {
+	r.endRun(run)
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	run.Completed = true
+}
+
+// cancelRun marks the run as one whose connection the node closed.
+func (r *Replica) cancelRun(run *Run) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	run.Cancelled = true
+}
+
 // watchDisconnect sets run.Cancelled if the peer closes the connection during the run. The context ends
 // when the peer closes or sends more data; the returned function stops the watch and waits for its end.
 func (r *Replica) watchDisconnect(conn net.Conn, reader *bufio.Reader, run *Run) (context.Context, func()) {
@@ -350,9 +368,7 @@
 	go func() {
 		defer close(done)
 		if _, err := reader.Peek(1); err != nil && ctx.Err() == nil {
-			r.mutex.Lock()
-			run.Cancelled = true
-			r.mutex.Unlock()
+			r.cancelRun(run)
 		}
 		cancel()
 	}()
@@ -387,7 +403,9 @@
 	if r.Events > 0 {
 		return r.writeStream(ctx, conn, behavior, id, run)
 	}
-	sleep(ctx, r.Step)
+	if sleep(ctx, r.Step) {
+		r.completeRun(run)
+	}
 	r.endRun(run)
 	return r.writePlain(conn, behavior, id, run)
 }
--- a/lab/platformsim/stream.go
+++ b/lab/platformsim/stream.go
@@ -30,27 +30,38 @@
 		if run.LastEventID != "" {
 			event = Event(id, number)
 		}
-		event = r.versionComment() + event
+		event = versionComment(r.Version) + event
 		if (behavior == Cut || behavior == UnframedCut) && number > r.Events/2 {
 			writeText(conn, frame(event[:len(event)/2]))
 			return false
 		}
 		if !writeText(conn, frame(event)) {
+			// After a suspension the write may notice the close before watchDisconnect does.
+			r.cancelRun(run)
 			return false
 		}
 	}
-	r.endRun(run)
+	r.completeRun(run)
 	return writeText(conn, end) && !isUnframed
 }
 
 // VersionComment is the prefix of the comment by which an event names the version of its replica.
 const VersionComment = ": version "
 
-func (r *Replica) versionComment() string {
-	if r.Version == "" {
+func versionComment(version string) string {
+	if version == "" {
 		return ""
 	}
-	return VersionComment + r.Version + "\n"
+	return VersionComment + version + "\n"
+}
+
+// StreamBody returns the body of a complete streamed answer of a replica with the version.
+func StreamBody(id, version string, events int) string {
+	var text strings.Builder
+	for number := 1; number <= events; number++ {
+		text.WriteString(versionComment(version) + Event(id, number))
+	}
+	return text.String()
 }
 
 func chunk(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
