soak: hold up replicas as processes and judge that no answer ends unfinished for it

Cause: nodes closed streams whose healthy engines were silent for 1.2 s (docs/incidents/silent-streams-closed.md). No soak had replicas that fall silent and go on: the stand-ins were in its own process, where only a proxy could hold back bytes.

Change: option -silence adds services whose replicas are processes of thornwalk-lab (subcommand replica), stopped with SIGSTOP and continued with SIGCONT by their ids. Beside the usual faults of a soak come series of configurations (idle limit, timeouts, a route moved, routes added), SIGHUP, SIGTERM, kills and suspensions of nodes, and cuts and resets of their paths to half of the replicas; half of these hit the scheduling node, and in a third of the series it is suspended or killed just before the first hold. All runs of a program share 148 processes; one that needs more than is left waits. An interrupted soak starts no further fault and ends its processes; if it is killed, the kernel continues and hangs up the stopped ones.

The judge uses what callers and replicas saw: LOST, TWICE (side by side for more than 400 ms, or a second run of what must not repeat), REFUSED and ORDER, none allowed. The result tells why unfinished requests were excused. Each rule has a test with records that break it and that don't.

--- a/cmd/thornwalk-lab/main.go
+++ b/cmd/thornwalk-lab/main.go
@@ -16,7 +16,7 @@
 		ShortUsage:  "thornwalk-lab <subcommand> [flags]",
 		ShortHelp:   "run thornwalk against embedded stand-ins",
 		FlagSet:     flag.NewFlagSet("thornwalk-lab", flag.ExitOnError),
-		Subcommands: []*ffcli.Command{demoCommand(), entryDemoCommand(), experimentCommand(), standinsCommand(), fleetCommand(), loadCommand(), capacityCommand(), soakCommand(), lossesCommand(), cutEntryCommand()},
+		Subcommands: []*ffcli.Command{demoCommand(), entryDemoCommand(), experimentCommand(), standinsCommand(), fleetCommand(), loadCommand(), capacityCommand(), soakCommand(), lossesCommand(), cutEntryCommand(), replicaCommand()},
 		Exec:        func(context.Context, []string) error { return flag.ErrHelp },
 	}
 	command.Run(root)
--- a/lab/soak/cuts.go
+++ b/lab/soak/cuts.go
@@ -41,7 +41,7 @@
 	return plan
 }
 
-// cutPaths cuts the paths between the fault's nodes and all replicas.
+// cutPaths cuts the paths between the fault's nodes and its held replicas, or all replicas if it has none.
 func (i *injector) cutPaths(f fault) (heal func()) {
 	write := func(mode pathfault.Mode, addresses []string) {
 		for _, node := range f.nodes {
@@ -54,6 +54,12 @@
 	for _, replicaProxy := range i.deployment.replicaProxies {
 		addresses = append(addresses, replicaProxy.address())
 	}
+	if len(f.replicas) > 0 {
+		addresses = nil
+	}
+	for _, number := range f.replicas {
+		addresses = append(addresses, i.deployment.held[number].options.Address)
+	}
 	now := time.Now()
 	write(f.mode, addresses)
 	i.mutex.Lock()
@@ -78,6 +84,9 @@
 // checkCuts checks that callers of nodes without paths to replicas were served like those of other nodes.
 func checkCuts(result *Result, c *callers, i *injector, violate reportViolation) {
 	for _, cut := range i.cuts {
+		if len(cut.fault.replicas) > 0 {
+			continue // other replicas can be reached
+		}
 		judged := span{cut.from.Add(cutGraceTime), cut.to}
 		var atCut, atOthers servedCount
 		for _, call := range c.results {
--- a/lab/soak/deployment.go
+++ b/lab/soak/deployment.go
@@ -86,6 +86,10 @@
 	relisted []*platformsim.Replica
 	// versioned are the replicas of versionedRoute. They are not among replicas.
 	versioned []*platformsim.Replica
+	// held are the replicas that can be stopped, and heldConfiguration the state of their routes. They are not among
+	// replicas.
+	held              []*heldReplica
+	heldConfiguration heldConfiguration
 	// mutex guards the last written configuration and the states of replicas that are not ready.
 	mutex         sync.Mutex
 	configuration entrylab.Configuration
@@ -112,6 +116,7 @@
 	for _, replica := range d.versioned {
 		replica.Register(d.store, "ready")
 	}
+	d.registerHeld()
 }
 
 // hostAddress returns the address of a port on the host with the number in the address block.
@@ -132,7 +137,7 @@
 // startDeployment starts the store, the replicas and the nodes on loopback addresses of
 // options.Block. The caller closes the deployment also when an error is returned.
 func startDeployment(options *Options, folder string) (*deployment, error) {
-	d := &deployment{store: platformsim.NewStore(), rate: unreachableRate, burst: unreachableRate, states: map[int]string{}, hasSurgeTenant: options.Tenants}
+	d := &deployment{store: platformsim.NewStore(), rate: unreachableRate, burst: unreachableRate, states: map[int]string{}, hasSurgeTenant: options.Tenants, heldConfiguration: heldConfiguration{timeout: maxHeldTimeout}}
 	if options.Bounds {
 		d.rate, d.burst = quotaRate, quotaBurst
 	}
@@ -149,6 +154,11 @@
 			return d, err
 		}
 	}
+	if options.Silence {
+		if err := d.startHeld(options); err != nil {
+			return d, err
+		}
+	}
 	d.writeConfiguration(staleRouteName)
 	for number := range engineCount + registryCount {
 		if err := d.startReplica(options.Block, number); err != nil {
@@ -226,7 +236,7 @@
 func nodeSettings(options *Options, number int, store string) *entry.Settings {
 	block, host := options.Block, number+1
 	settings := &entry.Settings{
-		Name: fmt.Sprintf("n%d", number), Zone: "east", Host: fmt.Sprintf("%s.%d", block, host), PeerPort: peerPort,
+		Name: nodeName(number), Zone: "east", Host: fmt.Sprintf("%s.%d", block, host), PeerPort: peerPort,
 		Callers: hostAddress(block, host, callersPort), Readiness: hostAddress(block, host, readinessPort), Operators: hostAddress(block, host, operatorsPort),
 		Store: store, StopGrace: int(stopGrace.Milliseconds()), StoreRecoveryWindow: int(storeRecoveryWindow.Milliseconds()), ConfigurationBound: int(configurationBound.Milliseconds()),
 		Cores: 1, RetryRatio: retryBound.Ratio, RetryWindow: retryBound.Window.Seconds(), RetrySlack: retryBound.Slack, QuotaWindow: quotaWindow.Seconds(), QuotaOverage: quotaOverage, QuotaSlack: quotaSlack, BlockedAfter: 3, FirstStart: true,
@@ -234,6 +244,9 @@
 	for seed := range nodeCount {
 		settings.Seeds = append(settings.Seeds, hostAddress(block, seed+1, operatorsPort))
 	}
+	if options.Silence {
+		settings.RetrySlack = heldRetrySlack
+	}
 	drawPolicies(options.Seed).apply(settings)
 	return settings
 }
@@ -269,6 +282,9 @@
 		configuration.Routes = append(configuration.Routes, route(versionedRoute, "streaming", versionedService, 1, 2, true))
 		configuration.Services = append(configuration.Services, entrylab.Service{Name: versionedService})
 	}
+	if len(d.held) > 0 {
+		d.heldConfiguration.addTo(&configuration, route)
+	}
 	if d.hasSurgeTenant {
 		configuration.Tenants = append(configuration.Tenants, entrylab.Tenant{Name: "surge", Keys: []string{surgeTenantKey}, Unit: "tokens", PlainTokens: tokensPerRequest, Rate: d.rate, Burst: d.burst})
 	}
@@ -278,11 +294,15 @@
 	configuration.Write(d.store)
 }
 
+// nodeName returns the name of the node with the number.
+func nodeName(number int) string { return fmt.Sprintf("n%d", number) }
+
 // close stops the processes and closes the proxies and listeners.
 func (d *deployment) close() {
 	for _, p := range d.processes {
 		p.close()
 	}
+	d.collectHeld()
 	// A forked process holds copies of all open sockets until exec, which would keep the
 	// addresses in use.
 	syscall.ForkLock.RLock()
--- /dev/null
+++ b/lab/soak/held_replica.go
@@ -0,0 +1,201 @@
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/thornwalk/thornwalk/lab/platformsim"
+)
+
+// ReplicaCommand is the subcommand of thornwalk-lab that runs ServeReplica.
+const ReplicaCommand = "replica"
+
+// replicaOptions describe the replica of one process.
+type replicaOptions struct {
+	ID, Service, Address, Version string
+	Slots, Events                 int
+	Step                          time.Duration
+}
+
+// replica returns the stand-in that the options describe.
+func (o replicaOptions) replica() *platformsim.Replica {
+	return &platformsim.Replica{ID: o.ID, Service: o.Service, Address: o.Address, Zone: "east", Version: o.Version, Slots: o.Slots, Events: o.Events, Step: o.Step}
+}
+
+// replicaRun is a request that the replica of a process ran.
+type replicaRun struct {
+	ID string
+	// At is its start. EndedAt is zero if it did not end.
+	At, EndedAt time.Time
+	// Cancelled is true if the node closed the connection, Completed if the run did all of its work.
+	Cancelled, Completed bool
+}
+
+// ServeReplica serves one replica, whose options it reads from the input, until the input ends. Then it writes
+// the runs to the output.
+func ServeReplica(input io.Reader, output io.Writer) error {
+	var options replicaOptions
+	if err := json.NewDecoder(input).Decode(&options); err != nil {
+		return fmt.Errorf("read the replica's options: %w", err)
+	}
+	listener, err := listen(options.Address)
+	if err != nil {
+		return err
+	}
+	replica := options.replica()
+	go replica.Serve(listener)
+	encoder := json.NewEncoder(output)
+	if err := encoder.Encode(options); err != nil { // tells the parent that it listens
+		return err
+	}
+	_, _ = io.Copy(io.Discard, input)
+	_ = listener.Close()
+	runs := []replicaRun{}
+	for _, run := range replica.Runs() {
+		runs = append(runs, replicaRun{ID: run.ID, At: run.At, EndedAt: run.EndedAt, Cancelled: run.Cancelled, Completed: run.Completed})
+	}
+	return encoder.Encode(runs)
+}
+
+// replicaExitTimeout is the time in which a process has to write its runs and exit.
+const replicaExitTimeout = 10 * time.Second
+
+// heldReplica is a replica in a process of its own, which can be stopped and continued.
+type heldReplica struct {
+	options replicaOptions
+	command *exec.Cmd
+	input   io.WriteCloser
+	output  *json.Decoder
+
+	mutex sync.Mutex
+	// activeHolds is the number of holds in effect, heldSince the start of the first of them.
+	activeHolds int
+	heldSince   time.Time
+	// holds are the spans in which the process was stopped.
+	holds []span
+	// isClosed is true once collect was called, runs and failure are what it found.
+	isClosed bool
+	runs     []replicaRun
+	failure  error
+}
+
+// startHeldReplica starts the process and waits until it listens.
+func startHeldReplica(program string, options replicaOptions) (*heldReplica, error) {
+	command := exec.Command(program, ReplicaCommand)
+	command.Stderr = os.Stderr
+	// In a group of its own, the kernel sends SIGHUP and SIGCONT to a stopped process whose parent has died.
+	command.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
+	command.Env = append(os.Environ(), "GOMAXPROCS=1")
+	input, err := command.StdinPipe()
+	if err != nil {
+		return nil, err
+	}
+	output, err := command.StdoutPipe()
+	if err != nil {
+		return nil, err
+	}
+	if err := command.Start(); err != nil {
+		return nil, err
+	}
+	h := &heldReplica{options: options, command: command, input: input, output: json.NewDecoder(output)}
+	if err := json.NewEncoder(input).Encode(options); err != nil {
+		h.collect()
+		return nil, err
+	}
+	var listening replicaOptions
+	if err := h.output.Decode(&listening); err != nil {
+		h.collect()
+		return nil, fmt.Errorf("start replica %s: %w", options.ID, err)
+	}
+	return h, nil
+}
+
+// hold stops the process unless it is stopped already.
+func (h *heldReplica) hold() {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if h.activeHolds++; h.activeHolds == 1 && !h.isClosed {
+		h.heldSince = time.Now()
+		_ = h.command.Process.Signal(syscall.SIGSTOP)
+	}
+}
+
+// release ends a hold. The process continues once all holds ended.
+func (h *heldReplica) release() {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if h.activeHolds--; h.activeHolds == 0 && !h.isClosed {
+		_ = h.command.Process.Signal(syscall.SIGCONT)
+		h.holds = append(h.holds, span{h.heldSince, time.Now()})
+	}
+}
+
+// collect continues the process, has it write its runs and waits until it is gone. Further calls have no effect.
+func (h *heldReplica) collect() {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if h.isClosed {
+		return
+	}
+	h.isClosed = true
+	_ = h.command.Process.Signal(syscall.SIGCONT)
+	if h.activeHolds > 0 {
+		h.holds = append(h.holds, span{h.heldSince, time.Now()})
+	}
+	_ = h.input.Close()
+	timer := time.AfterFunc(replicaExitTimeout, func() { _ = h.command.Process.Kill() })
+	defer timer.Stop()
+	decodeErr := h.output.Decode(&h.runs)
+	if h.failure = h.command.Wait(); h.failure == nil {
+		h.failure = decodeErr
+	}
+}
+
+// startHeld starts the replicas that can be held, each as a process, and registers them.
+func (d *deployment) startHeld(options *Options) error {
+	plan := drawSilence(options.Seed, options.Traffic)
+	started := make([]*heldReplica, plan.engines+plan.plain)
+	errs := make([]error, len(started))
+	limit := make(chan struct{}, maxConcurrentStarts)
+	var group sync.WaitGroup
+	for number := range started {
+		group.Go(func() {
+			limit <- struct{}{}
+			defer func() { <-limit }()
+			started[number], errs[number] = startHeldReplica(options.Daemon, plan.replicaOptions(options.Block, number))
+		})
+	}
+	group.Wait()
+	for number, replica := range started {
+		if replica != nil {
+			d.held = append(d.held, replica)
+		}
+		if errs[number] != nil {
+			return errs[number]
+		}
+	}
+	d.registerHeld()
+	return nil
+}
+
+// registerHeld writes the store entries of the held replicas.
+func (d *deployment) registerHeld() {
+	for _, held := range d.held {
+		held.options.replica().Register(d.store, "ready")
+	}
+}
+
+// collectHeld ends the held replicas and waits until they are gone.
+func (d *deployment) collectHeld() {
+	var group sync.WaitGroup
+	for _, held := range d.held {
+		group.Go(held.collect)
+	}
+	group.Wait()
+}
--- a/lab/soak/inject.go
+++ b/lab/soak/inject.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"context"
 	"net/http"
 	"strconv"
 	"sync"
@@ -25,6 +26,9 @@
 	// restarts are the spans from the signal that ends a node's process until the next process
 	// runs, suspensions those in which it is suspended; both by node.
 	restarts, suspensions map[int][]span
+	// kills are the spans from the kill of a node's process until the next one runs, frozen those in which it was
+	// suspended without the time of recovery; both by node.
+	kills, frozen map[int][]span
 	// delays are the spans in which a fault may delay the nodes' reads of the store.
 	delays []span
 	// cuts are the cuts of paths to replicas.
@@ -40,10 +44,17 @@
 
 func (s span) overlaps(other span) bool { return s.from.Before(other.to) && other.from.Before(s.to) }
 
-// run injects the faults of the plan, sorted by offset, and returns when every fault is healed.
-func (i *injector) run(plan []fault) {
+// run injects the faults of the plan, sorted by offset, and returns when every fault is healed. It starts none once
+// the context ends.
+func (i *injector) run(ctx context.Context, plan []fault) {
 	for _, planned := range plan {
-		time.Sleep(time.Until(i.startedAt.Add(planned.offset)))
+		select {
+		case <-ctx.Done():
+		case <-time.After(time.Until(i.startedAt.Add(planned.offset))):
+		}
+		if ctx.Err() != nil {
+			break
+		}
 		i.group.Go(func() { i.inject(planned) })
 	}
 	i.group.Wait()
@@ -51,6 +62,7 @@
 
 // inject starts one fault, waits for its duration and heals it.
 func (i *injector) inject(f fault) {
+	f = i.resolveTarget(f)
 	now := time.Now()
 	i.recordSpans(f, now)
 	heal := i.start(f)
@@ -69,11 +81,13 @@
 	switch node := f.target % nodeCount; f.kind {
 	case kindKill:
 		i.restarts[node] = append(i.restarts[node], killed)
+		i.kills[node] = append(i.kills[node], killed)
 	case kindStop, kindReplace:
 		i.restarts[node] = append(i.restarts[node], stopped)
 	case kindKillAll:
 		for each := range nodeCount {
 			i.restarts[each] = append(i.restarts[each], killed)
+			i.kills[each] = append(i.kills[each], killed)
 		}
 	case kindFreeze:
 		i.suspensions[node] = append(i.suspensions[node], span{now, now.Add(f.duration + recoveryTime)})
@@ -84,7 +98,7 @@
 	switch f.kind {
 	case kindStop, kindReplace:
 		i.plannedStops[f.target] = append(i.plannedStops[f.target], stopped)
-	case kindHangUp, kindChange, kindGrow, kindDrain, kindReplicaLeaves, kindReplicaLimits, kindReplicaPauses:
+	case kindHangUp, kindChange, kindGrow, kindDrain, kindReplicaLeaves, kindReplicaLimits, kindReplicaPauses, kindHold, kindReconfigure:
 	default:
 		i.unplanned = append(i.unplanned, span{now.Add(-storeRecoveryWindow), now.Add(f.duration + recoveryTime)})
 	}
@@ -113,8 +127,11 @@
 			each.signal(syscall.SIGKILL, true)
 		}
 	case kindFreeze:
-		node.signal(syscall.SIGSTOP, false)
-		return func() { node.signal(syscall.SIGCONT, false) }
+		return i.freeze(f)
+	case kindHold:
+		return i.holdReplicas(f)
+	case kindReconfigure:
+		i.reconfigure(f)
 	case kindStoreReset, kindStoreHang:
 		storeProxy.setMode(map[kind]mode{kindStoreReset: modeReset, kindStoreHang: modeHang}[f.kind])
 		return func() { storeProxy.setMode(modePass) }
--- a/lab/soak/plan.go
+++ b/lab/soak/plan.go
@@ -60,6 +60,9 @@
 	switch {
 	case options.Restore:
 		return drawRestore(options.Seed).kinds()
+	case options.Silence && !options.Bounds:
+		plan := drawSilence(options.Seed, options.Traffic)
+		return plan.kinds()
 	case !options.Bounds:
 		return kinds
 	case options.Previous != "":
@@ -108,15 +111,35 @@
 	// nodes are those whose paths to replicas are cut, and mode is how.
 	nodes []int
 	mode  pathfault.Mode
+	// replicas are the numbers of the held replicas that are stopped or whose paths are cut, and changes those of
+	// the configuration.
+	replicas []int
+	changes  []change
+	// onScheduler replaces the target by the scheduling node at the start of the fault.
+	onScheduler bool
 	// ratePerSecond is the limit that a replica sends, in requests per second.
 	ratePerSecond int
 }
 
 func (f fault) String() string {
-	if f.kind == kindPathCut {
+	switch {
+	case f.kind == kindHold:
+		return fmt.Sprintf("%.1fs %s of replicas %v for %.1fs", f.offset.Seconds(), f.kind, f.replicas, f.duration.Seconds())
+	case f.kind == kindReconfigure:
+		return fmt.Sprintf("%.1fs %s %v", f.offset.Seconds(), f.kind, f.changes)
+	case f.kind == kindPathCut && len(f.replicas) > 0:
+		return fmt.Sprintf("%.1fs %s (%s) of nodes %v%s from replicas %v for %.1fs", f.offset.Seconds(), f.kind, f.mode, f.nodes, f.schedulerNote(), f.replicas, f.duration.Seconds())
+	case f.kind == kindPathCut:
 		return fmt.Sprintf("%.1fs %s (%s) of nodes %v for %.1fs", f.offset.Seconds(), f.kind, f.mode, f.nodes, f.duration.Seconds())
 	}
-	return fmt.Sprintf("%.1fs %s #%d for %.1fs", f.offset.Seconds(), f.kind, f.target, f.duration.Seconds())
+	return fmt.Sprintf("%.1fs %s #%d%s for %.1fs", f.offset.Seconds(), f.kind, f.target, f.schedulerNote(), f.duration.Seconds())
+}
+
+func (f fault) schedulerNote() string {
+	if f.onScheduler {
+		return " (or the scheduling node)"
+	}
+	return ""
 }
 
 // Bounds of a plan. Shares are of the duration of traffic.
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -45,6 +45,9 @@
 	// Versions adds a service with replicas of two software versions, whose streams break off and are resumed. It
 	// excludes Previous, which mixes them.
 	Versions bool
+	// Silence adds services whose replicas are processes, which are stopped and continued beside the other faults
+	// and some of its own. Daemon must be thornwalk-lab, which also runs these replicas. It excludes Previous.
+	Silence bool
 	// LogFolder is where the daemons' logs are written; empty discards them.
 	LogFolder string
 }
@@ -81,6 +84,16 @@
 	if options.Versions && options.Previous != "" {
 		return nil, errors.New("option Versions excludes Previous: play them in two runs")
 	}
+	if options.Silence && options.Previous != "" {
+		return nil, errors.New("option Silence excludes Previous: play them in two runs")
+	}
+	silence := drawSilence(options.Seed, options.Traffic)
+	if options.Silence {
+		if err := processBudget.Acquire(ctx, int64(silence.processes())); err != nil {
+			return nil, err
+		}
+		defer processBudget.Release(int64(silence.processes()))
+	}
 	folder, err := os.MkdirTemp("", "thornwalk-soak")
 	if err != nil {
 		return nil, err
@@ -98,7 +111,7 @@
 		return nil, err
 	}
 	c := &callers{block: options.Block, client: http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4, DisableCompression: true}}}
-	i := &injector{deployment: d, startedAt: time.Now(), plannedStops: map[int][]span{}, restarts: map[int][]span{}, suspensions: map[int][]span{}}
+	i := &injector{deployment: d, startedAt: time.Now(), plannedStops: map[int][]span{}, restarts: map[int][]span{}, suspensions: map[int][]span{}, frozen: map[int][]span{}, kills: map[int][]span{}}
 	plan := newPlan(options.Seed, options.Traffic, nodeCount, kindsFor(&options))
 	if options.Previous != "" {
 		plan = append(plan, replacementFaults(options.Traffic, nodeCount)...)
@@ -109,12 +122,15 @@
 	if options.Cuts {
 		plan = append(plan, cutFaults(options.Seed, options.Traffic)...)
 	}
+	if options.Silence {
+		plan = append(plan, silence.faults...)
+	}
 	if options.Restore {
 		plan = append(plan, drawRestore(options.Seed).restore)
 	}
 	sort.SliceStable(plan, func(i, j int) bool { return plan[i].offset < plan[j].offset })
 	done := make(chan struct{})
-	go func() { i.run(plan); close(done) }()
+	go func() { i.run(ctx, plan); close(done) }()
 	traffic := options.Traffic
 	if options.Tenants {
 		traffic += calmTime
@@ -126,17 +142,24 @@
 	if options.Versions {
 		c.group.Go(func() { c.sendVersioned(ctx, traffic) })
 	}
+	held := newHeldCallers(options.Block, &silence)
+	if options.Silence {
+		c.group.Go(func() { held.send(ctx, traffic) })
+	}
 	c.sendTraffic(ctx, traffic, options.Rate)
 	<-done
 	time.Sleep(settleTime)
 	result := &Result{Seed: options.Seed, Policies: drawPolicies(options.Seed).String(), Counts: map[string]int{}, Worst: map[string]string{}}
+	if options.Silence {
+		result.Worst["silence"] = silence.String()
+	}
 	if options.Restore {
 		result.Worst["restore"] = drawRestore(options.Seed).String()
 	}
 	for _, planned := range plan {
 		result.Faults = append(result.Faults, planned.String())
 	}
-	checkRun(result, &options, d, c, i)
+	checkRun(result, &options, d, c, held, i)
 	return result, nil
 }
 
