--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -134,3 +134,9 @@
 func TestShortSoakOfVersions(t *testing.T) {
 	runSeed(t, soak.Options{Daemon: buildOrFail(t, buildPresent), Seed: 1, Traffic: 8 * time.Second, Rate: 40, Block: "127.0.32", Versions: true})
 }
+
+// Guards against answers that end unfinished, or that two replicas work on at the same time, because healthy replicas
+// are silent for a while, beside changes of the configuration, restarts of nodes and cuts.
+func TestShortSoakOfSilence(t *testing.T) {
+	runSeed(t, soak.Options{Daemon: buildOrFail(t, buildLab), Seed: 1, Traffic: 12 * time.Second, Rate: 40, Block: "127.0.28", Silence: true})
+}
