entry: let the end of an earlier search leave the timer alone

A search that had been given up could end after the next wait had begun, and then shortened the silence after which the next search began. SuccessorFailed now tells whether the successor was still looked for.

--- a/coordination/handover/handover.go
+++ b/coordination/handover/handover.go
@@ -130,11 +130,13 @@
 }
 
 // SuccessorFailed records that there is no assignment, that the successor was not reached, rejected the request or
-// broke it off.
-func (h *Handover) SuccessorFailed(token Token) {
-	if h.isSuccessor(token) {
-		h.dropSuccessor()
+// broke it off. It returns false if the successor had been given up before.
+func (h *Handover) SuccessorFailed(token Token) bool {
+	if !h.isSuccessor(token) {
+		return false
 	}
+	h.dropSuccessor()
+	return true
 }
 
 // End records that the request ended: its caller has the answer or left, its time is over or the process stops. It
--- a/entry/handover.go
+++ b/entry/handover.go
@@ -232,11 +232,7 @@
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	w.ended = append(w.ended, ended)
-	if found != nil {
-		return
-	}
-	w.handover.SuccessorFailed(token)
-	if w.isWaiting && w.winner == nil && w.handover.Phase() == handover.NoSuccessor {
+	if found == nil && w.handover.SuccessorFailed(token) && w.isWaiting {
 		sinceSearch := w.call.node.now() - w.searchedAt
 		w.timer.Reset(max(successorInterval-sinceSearch, 0) + rand.N(successorJitter))
 	}
