--- a/entry/handover.go
+++ b/entry/handover.go
@@ -109,11 +109,7 @@
 	defer w.mutex.Unlock()
 	w.stopWaiting()
 	verdict, phase := w.handover.CurrentSpoke(w.token)
-	if verdict == handover.Keep {
-		w.endSilence(silenceWentOn, phase)
-	} else {
-		w.endSilence(w.interruption(), phase)
-	}
+	w.endSilence(verdict == handover.Keep, phase)
 	w.giveUpSuccessor(phase)
 	return verdict == handover.Keep
 }
@@ -123,7 +119,7 @@
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	w.stopWaiting()
-	w.endSilence(w.interruption(), w.handover.Phase())
+	w.endSilence(false, w.handover.Phase())
 }
 
 func (w *silenceWatch) stopWaiting() {
--- a/entry/silence_log.go
+++ b/entry/silence_log.go
@@ -41,12 +41,16 @@
 	w.silent.searches++
 }
 
-// endSilence logs and counts the end of the silence, if there is one. phase is how far the search for a successor was.
-// The mutex must be held by the call's goroutine.
-func (w *silenceWatch) endSilence(outcome string, phase handover.Phase) {
+// endSilence logs and counts the end of the silence, if there is one, as the replica went on or the exchange with it
+// failed. phase is how far the search for a successor was. The mutex must be held by the call's goroutine.
+func (w *silenceWatch) endSilence(wentOn bool, phase handover.Phase) {
 	if w.silent == nil {
 		return
 	}
+	outcome := silenceWentOn
+	if !wentOn {
+		outcome = w.interruption()
+	}
 	w.countSearches()
 	w.logSilence(outcome, phase)
 	node := w.call.node
