--- a/entry/handover.go
+++ b/entry/handover.go
@@ -27,8 +27,10 @@
 	successorInterval = 600 * time.Millisecond
 	successorJitter   = 200 * time.Millisecond
 	// plainSilenceShare is the share of the remaining time that the replica of a repeatable plain request may take
-	// until a successor is looked for, so that time is left for that.
+	// until a successor is looked for, so that time is left for that. After that time, parts of an answer may still
+	// arrive minPlainSilence apart.
 	plainSilenceShare = 0.45
+	minPlainSilence   = 100 * time.Millisecond
 )
 
 // silenceWatch looks for a successor while the current replica of a call is silent. The call's goroutine calls wait
@@ -379,7 +381,7 @@
 	case c.successorToken != 0 || !c.route.Repeatable() || !c.mayHaveSuccessor():
 		return 0
 	case c.route.Kind == kindSafe:
-		return max(c.plainSilenceEnd-c.node.now(), time.Millisecond)
+		return max(c.plainSilenceEnd-c.node.now(), minPlainSilence)
 	case hasEvents:
 		return nextEventTimeout
 	default:
