soak: a connection that a killed node forwarded ends with it

The excuse holds only for nodes with a cut path during the request or 3 s before, and for 0.3 s after the kill.

--- a/lab/soak/silence_checks.go
+++ b/lab/soak/silence_checks.go
@@ -89,10 +89,33 @@
 		return "grace time over"
 	case r.isCut(call, sound, call.span):
 		return "path cut"
+	case r.isForwarderKilled(call):
+		return "forwarder killed"
 	}
 	return ""
 }
 
+// forwarderLossTime is the time from the kill of a node to the end of what it forwarded.
+const forwarderLossTime = 300 * time.Millisecond
+
+// isForwarderKilled reports whether another node was killed just before the call ended, while the call's node may have
+// had connections forwarded: a node that loses some of its paths may have peers forward all of its connections.
+func (r *silenceRecord) isForwarderKilled(call *heldCall) bool {
+	mayBeForwarded := slices.ContainsFunc(r.cuts, func(cut cutSpan) bool {
+		return slices.Contains(cut.fault.nodes, call.node) && call.span.overlaps(span{cut.from, cut.to.Add(recoveryTime)})
+	})
+	if !mayBeForwarded {
+		return false
+	}
+	end := span{call.span.to.Add(-forwarderLossTime), call.span.to}
+	for node, kills := range r.kills {
+		if node != call.node && slices.ContainsFunc(kills, func(kill span) bool { return end.overlaps(span{kill.from, kill.from.Add(time.Nanosecond)}) }) {
+			return true
+		}
+	}
+	return false
+}
+
 // isStopEnding reports whether a planned stop of the call's node had no grace time left as the call ended.
 func (r *silenceRecord) isStopEnding(call *heldCall) bool {
 	return slices.ContainsFunc(r.stops[call.node], func(stop span) bool {
