entry: keep what either replica has in the remaining orders of a search for a successor

Found by an independent review with tests that failed (successor_answers, successor_limits, successor_kinds, entry/ handover_limits): - the slot of a successor stayed occupied if the caller left as it took over - a successor that was silent as well kept the request until its deadline although the route allowed a third replica - a server error or rejection whose body stalled was waited for until the deadline - a client error of a successor did not reach the caller, and a server error was recorded as a spoiled answer and dropped - a successor's answer with a content encoding, or a plain one that broke off after its head, ended the request - a plain answer that arrived in steady pieces was taken for silent after a share of the time - a successor that was given up was not counted before the next replica was chosen - a timer that had fired before the replica went on began a search - events of searches were buffered without a bound and stamped anew - retry_refused stayed set after another replica had the request, and refused searches counted as refused requests.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -121,7 +121,7 @@
 	c.forwarder = begun.forwarder
 	sentAt := node.now()
 	c.awaitHead(granted.Replica, cancelSend)
-	begun.answer, err = node.pool.Exchange(sendContext, conn, c.replicaRequest(granted.Replica))
+	begun.answer, err = c.exchange(sendContext, cancelSend, conn, granted.Replica)
 	if err = c.headArrived(begun.answer, err); err != nil {
 		begun.release()
 		return nil, c.recordIncomplete(err), admission.Observation{Failed: true, CallerLeft: c.ctx.Err() != nil}
@@ -138,6 +138,23 @@
 	return begun, resultAnswered, admission.Observation{}
 }
 
+// exchange writes the request and reads the head of its answer; reset resets the connection.
+func (c *call) exchange(ctx context.Context, reset context.CancelFunc, conn *replicahttp.Conn, replica replicas.Replica) (*replicahttp.Answer, error) {
+	limit := c.successorLimit()
+	if limit == 0 {
+		return c.node.pool.Exchange(ctx, conn, c.replicaRequest(replica))
+	}
+	timer := time.AfterFunc(limit, reset)
+	answer, err := c.node.pool.Exchange(ctx, conn, c.replicaRequest(replica))
+	if timer.Stop() {
+		return answer, err
+	}
+	if err == nil {
+		answer.Abandon()
+	}
+	return nil, context.DeadlineExceeded
+}
+
 // mayWrite reports whether the request may be written, just before it is.
 func (c *call) mayWrite() bool {
 	return c.successorToken == 0 || c.silence.maySend(c.successorToken)
@@ -150,7 +167,6 @@
 		return
 	}
 	c.currentReplica = replica.ID
-	c.plainSilenceEnd = c.node.now() + time.Duration(float64(c.remaining())*plainSilenceShare)
 	c.silence.begin(reset)
 	c.silence.wait(c.silenceLimit(false))
 }
@@ -167,7 +183,7 @@
 	case err != nil:
 		c.silence.interrupted()
 		return err
-	case !c.isUsableSuccess(answer):
+	case !c.isUsable(answer):
 		c.silence.interrupted() // a successor may still answer with success
 		return nil
 	case !c.silence.received():
@@ -183,12 +199,7 @@
 	c.currentReplica = begun.granted.Replica.ID
 	outcome, observed := c.relay(begun.answer, begun.granted.Replica, begun.startedAt)
 	observed.WorkTime, observed.HeadDelay = begun.workTime, begun.headDelay
-	switch outcome {
-	case resultAnswered, resultRejected, resultServerError:
-		begun.answer.Done()
-	default:
-		begun.answer.Abandon()
-	}
+	c.endExchange(begun, outcome)
 	if observed.FirstEvent > 0 {
 		c.node.recordDuration("first_event_ms", observed.FirstEvent)
 	}
@@ -198,6 +209,16 @@
 	return outcome, observed
 }
 
+// endExchange ends the exchange after a send with the outcome. The connection may be used again if the answer is complete.
+func (c *call) endExchange(begun *send, outcome result) {
+	switch outcome {
+	case resultAnswered, resultRejected, resultServerError:
+		begun.answer.Done()
+	default:
+		begun.answer.Abandon()
+	}
+}
+
 // recordConnectFailure records the failure cause of a connect that failed with err.
 func (c *call) recordConnectFailure(replica replicas.Replica, err error) {
 	c.lastFailure, c.connectError = causeUnreachable, err.Error()
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -64,8 +64,6 @@
 	executions     int
 	tried          []string
 	currentReplica string
-	// plainSilenceEnd is when a successor is looked for if the replica of a repeatable plain request is silent.
-	plainSilenceEnd structs.Instant
 	// silence watches the current replica. The copy of a call with which a successor is looked for has the
 	// successorToken, which is zero otherwise.
 	// Its isHeld is true in the first search of a silence: short pauses are frequent, and such a request must not delay
--- a/entry/handover.go
+++ b/entry/handover.go
@@ -1,11 +1,12 @@
 package entry
 
 import (
+	"bytes"
 	"context"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -27,10 +28,8 @@
 	successorInterval = 600 * time.Millisecond
 	successorJitter   = 200 * time.Millisecond
 	// plainSilenceShare is the share of the remaining time that the replica of a repeatable plain request may take
-	// until a successor is looked for, so that time is left for that. After that time, parts of an answer may still
-	// arrive minPlainSilence apart.
+	// until a successor is looked for, so that time is left for that.
 	plainSilenceShare = 0.45
-	minPlainSilence   = 100 * time.Millisecond
 )
 
 // silenceWatch looks for a successor while the current replica of a call is silent. The call's goroutine calls wait
@@ -43,8 +42,9 @@
 	handover handover.Handover
 	// token is that of the replica from which the call reads; zero if there is none.
 	token handover.Token
-	// timer calls search after the limit of the current wait, if isWaiting.
+	// timer calls search at dueAt, if isWaiting. A call that comes earlier belongs to a wait that has ended.
 	timer     *time.Timer
+	dueAt     time.Time
 	isWaiting bool
 	// resetCurrent resets the connection to the current replica, and cancelSuccessor ends the search or resets the
 	// connection to the successor.
@@ -68,8 +68,10 @@
 	// isSent is true if the request was written to it, and mayHaveRun if it may have run there.
 	isSent, mayHaveRun bool
 	isConnectRefused   bool
-	waited             time.Duration
-	events             []eventlog.Event
+	// serverError is the complete answer of a replica that failed the request, nil if there is none.
+	serverError *bufferedAnswer
+	waited      time.Duration
+	events      []eventlog.Event
 }
 
 // begin records that the current replica is about to get the request; reset resets the connection to it.
@@ -90,10 +92,16 @@
 	defer w.mutex.Unlock()
 	w.countSearches()
 	w.isWaiting, w.waitingSince = true, w.call.node.now()
+	w.startTimer(limit)
+}
+
+// startTimer has search called after the time.
+func (w *silenceWatch) startTimer(after time.Duration) {
+	w.dueAt = time.Now().Add(after)
 	if w.timer == nil {
-		w.timer = time.AfterFunc(limit, w.search)
+		w.timer = time.AfterFunc(after, w.search)
 	} else {
-		w.timer.Reset(limit)
+		w.timer.Reset(after)
 	}
 }
 
@@ -131,11 +139,18 @@
 	}
 }
 
+// giveUpSuccessor cancels the search, and counts a send at once: the search may end later than the call looks for the
+// next successor.
 func (w *silenceWatch) giveUpSuccessor(phase handover.Phase) {
-	if phase != handover.NoSuccessor {
-		w.call.node.counter("successors.not_needed").Inc(1)
-		w.cancelSuccessor()
+	if phase == handover.NoSuccessor {
+		return
 	}
+	if phase == handover.Sent {
+		w.call.sends++
+		w.call.executions++
+	}
+	w.call.node.counter("successors.not_needed").Inc(1)
+	w.cancelSuccessor()
 }
 
 // next returns the send with which the call goes on after the current replica ended the exchange or was replaced, or
@@ -157,6 +172,7 @@
 	w.winner, w.token = nil, 0
 	if next != nil {
 		w.token = next.token
+		w.call.retryRefusal = ""
 	}
 	return next
 }
@@ -170,6 +186,7 @@
 	if w.winner != nil {
 		w.winner.answer.Abandon()
 		w.winner.release()
+		w.call.finish(w.winner.granted, resultCallerLeft, admission.Observation{CallerLeft: true})
 		w.winner = nil
 	}
 }
@@ -205,7 +222,7 @@
 // beginSearch returns a copy of the call with which a successor is looked for, or nil if none may be. The mutex must be
 // held.
 func (w *silenceWatch) beginSearch() *call {
-	if !w.isWaiting || w.winner != nil {
+	if !w.isWaiting || w.winner != nil || time.Now().Before(w.dueAt) {
 		return nil
 	}
 	w.countSearches()
@@ -229,10 +246,14 @@
 func (w *silenceWatch) finishSearch(token handover.Token, found *send, ended successorSearch) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
+	isGivenUp := found == nil && !w.handover.SuccessorFailed(token)
+	if isGivenUp {
+		ended.isSent, ended.mayHaveRun = false, false // counted when it was given up
+	}
 	w.ended = append(w.ended, ended)
-	if found == nil && w.handover.SuccessorFailed(token) && w.isWaiting {
+	if found == nil && !isGivenUp && w.isWaiting {
 		sinceSearch := w.call.node.now() - w.searchedAt
-		w.timer.Reset(max(successorInterval-sinceSearch, 0) + rand.N(successorJitter))
+		w.startTimer(max(successorInterval-sinceSearch, 0) + rand.N(successorJitter))
 	}
 }
 
@@ -283,7 +304,7 @@
 func (c *call) findSuccessor() (*send, successorSearch) {
 	c.node.counter("successors.requested").Inc(1)
 	request := c.newAssignRequest(c.tried, true)
-	request.MayHaveRun = true
+	request.MayHaveRun, request.IsSearch = true, true
 	if c.isHeld {
 		request.Request.Held, request.Request.Patience = true, min(request.Request.Patience, successorInterval)
 	}
@@ -312,12 +333,13 @@
 	if c.node.maySend(granted) && !slices.Contains(c.tried, granted.Replica.ID) {
 		begun, outcome, observed = c.begin(granted)
 	}
+	var serverError *bufferedAnswer
 	if begun != nil {
-		if outcome, observed = c.judgeSuccessor(begun); outcome == resultAnswered {
+		if outcome, serverError = c.judgeSuccessor(begun); outcome == resultAnswered {
 			c.node.counter("successors.took_over").Inc(1)
 			return begun, successorSearch{waited: c.waited, events: c.bufferedEvents}
 		}
-		begun.answer.Abandon()
+		c.endExchange(begun, outcome)
 		begun.release()
 	}
 	if outcome != resultNotSent {
@@ -327,39 +349,67 @@
 	c.logSend(granted, outcome)
 	return nil, successorSearch{
 		replica: granted.Replica.ID, isSent: outcome != resultNotSent, mayHaveRun: outcome != resultNotSent && outcome != resultRejected,
-		isConnectRefused: c.refusedConnects > refusedBefore, waited: c.waited, events: c.bufferedEvents,
+		isConnectRefused: c.refusedConnects > refusedBefore, serverError: serverError, waited: c.waited, events: c.bufferedEvents,
 	}
 }
 
-// judgeSuccessor returns resultAnswered if the request goes on at the successor, whose answer has begun.
-func (c *call) judgeSuccessor(begun *send) (result, admission.Observation) {
+// judgeSuccessor returns resultAnswered if the request goes on at the successor, whose answer has begun. Its answer with a
+// server error, if complete, is returned for the case that there is no other one.
+func (c *call) judgeSuccessor(begun *send) (result, *bufferedAnswer) {
+	answer, replica := begun.answer, begun.granted.Replica
 	switch {
-	case c.isRejection(begun.answer):
-		return c.handleRejection(begun.answer, begun.granted.Replica)
-	case !c.isUsableSuccess(begun.answer):
-		return c.recordIncomplete(nil), admission.Observation{}
-	case !c.silence.answered(c.successorToken, begun):
-		return resultNotNeeded, admission.Observation{}
-	}
-	return resultAnswered, admission.Observation{}
+	case c.isRejection(answer):
+		outcome, _ := c.handleRejection(answer, replica)
+		return outcome, nil
+	case answer.Header.Get(c.node.dependencies.Headers.Signature) != "" && answer.StatusCode >= http.StatusInternalServerError:
+		body, err := readPlainBody(answer.Body)
+		if err != nil {
+			return c.recordIncomplete(err), nil
+		}
+		c.node.recordSuccess(replica.ID)
+		return resultServerError, &bufferedAnswer{Answer: answer, body: body, replica: replica.ID}
+	case !c.isUsable(answer):
+		return c.recordIncomplete(nil), nil
+	}
+	if !isEventStream(answer) {
+		// The caller gets nothing of a plain answer before it is complete, so the other replica may go on until then.
+		body, err := readPlainBody(answer.Body)
+		if err != nil {
+			return c.recordIncomplete(err), nil
+		}
+		answer.Body = io.NopCloser(bytes.NewReader(body))
+	}
+	if !c.silence.answered(c.successorToken, begun) {
+		return resultNotNeeded, nil
+	}
+	return resultAnswered, nil
 }
 
-// isUsableSuccess reports whether the head of the answer shows that its replica runs the request, or has run it without
-// a server error.
-func (c *call) isUsableSuccess(answer *replicahttp.Answer) bool {
-	if answer.Header.Get(c.node.dependencies.Headers.Signature) == "" || answer.StatusCode >= http.StatusInternalServerError {
+// isUsable reports whether the head of the answer shows that the caller can get the answer, or a part of it.
+func (c *call) isUsable(answer *replicahttp.Answer) bool {
+	isSuccess := answer.StatusCode < http.StatusMultipleChoices
+	switch {
+	case answer.Header.Get(c.node.dependencies.Headers.Signature) == "", answer.StatusCode >= http.StatusInternalServerError:
+		return false
+	case c.isRejection(answer), isSuccess && answer.Header.Get("Content-Encoding") != "":
 		return false
+	case c.headSent: // the caller has a part of a stream
+		return isSuccess && isEventStream(answer)
 	}
-	return c.route.Kind != kindStreaming || strings.HasPrefix(answer.Header.Get("Content-Type"), eventStreamType)
+	return true
 }
 
 // countSearch adds what happened in a search for a successor to the call.
 func (c *call) countSearch(ended successorSearch) {
 	c.waited += ended.waited
-	c.logSearchEvents(ended.events...)
+	room := max(maxBufferedSearchEvents-len(c.bufferedEvents), 0)
+	c.bufferedEvents = append(c.bufferedEvents, ended.events[:min(len(ended.events), room)]...)
 	if ended.refusal != "" {
 		c.retryRefusal = ended.refusal
 	}
+	if ended.serverError != nil {
+		c.serverError = ended.serverError
+	}
 	if ended.replica != "" {
 		c.tried = append(c.tried, ended.replica)
 	}
@@ -381,10 +431,28 @@
 	case c.successorToken != 0 || !c.route.Repeatable() || !c.mayHaveSuccessor():
 		return 0
 	case c.route.Kind == kindSafe:
-		return max(c.plainSilenceEnd-c.node.now(), minPlainSilence)
+		return c.plainSilenceLimit()
 	case hasEvents:
 		return nextEventTimeout
 	default:
 		return firstEventTimeout
 	}
 }
+
+// plainSilenceLimit is the silenceLimit of plain requests.
+func (c *call) plainSilenceLimit() time.Duration {
+	return time.Duration(float64(c.remaining()) * plainSilenceShare)
+}
+
+// successorLimit returns how long a successor may take to begin its answer until it is given up, or zero if it may take
+// all the time, as no further replica may get the request.
+func (c *call) successorLimit() time.Duration {
+	switch {
+	case c.successorToken == 0 || !c.mayHaveSuccessor():
+		return 0
+	case c.route.Kind == kindSafe:
+		return c.plainSilenceLimit()
+	default:
+		return firstEventTimeout
+	}
+}
--- a/entry/messages.go
+++ b/entry/messages.go
@@ -27,6 +27,8 @@
 	// MayHaveRun is true if a replica may have run the request before. If it is rejected now, its caller is
 	// not told when to come back.
 	MayHaveRun bool `msgpack:",omitempty"`
+	// IsSearch is true if a replica still has the request, so that its caller does not notice a rejection.
+	IsSearch bool `msgpack:"Search,omitempty"`
 	// RequestID is the caller's ID of the request, shortened, for the reports to operators.
 	RequestID string `msgpack:",omitempty"`
 	// PushbackReports are the pushback reports on the service's replicas that the asking node knows.
--- a/entry/request_log.go
+++ b/entry/request_log.go
@@ -39,19 +39,15 @@
 // logEvent logs the event, or buffers it.
 func (c *call) logEvent(event eventlog.Event) { c.logUpTo(maxBufferedEvents, event) }
 
-// logSearchEvents logs or buffers events of a search for a successor.
-func (c *call) logSearchEvents(events ...eventlog.Event) {
-	c.logUpTo(maxBufferedSearchEvents, events...)
-}
+// logSearchEvent logs or buffers an event of a search for a successor.
+func (c *call) logSearchEvent(event eventlog.Event) { c.logUpTo(maxBufferedSearchEvents, event) }
 
-func (c *call) logUpTo(maxBuffered int, events ...eventlog.Event) {
-	for _, event := range events {
-		switch {
-		case c.alwaysLogged:
-			c.node.log.Write(event)
-		case len(c.bufferedEvents) < maxBuffered:
-			c.bufferedEvents = append(c.bufferedEvents, c.node.log.Stamp(event))
-		}
+func (c *call) logUpTo(maxBuffered int, event eventlog.Event) {
+	switch {
+	case c.alwaysLogged:
+		c.node.log.Write(event)
+	case len(c.bufferedEvents) < maxBuffered:
+		c.bufferedEvents = append(c.bufferedEvents, c.node.log.Stamp(event))
 	}
 }
 
--- a/entry/response.go
+++ b/entry/response.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -30,7 +31,7 @@
 		return c.handleRejection(answer, replica)
 	case answer.Header.Get(names.Signature) == "" || success && answer.Header.Get("Content-Encoding") != "":
 		return c.recordIncomplete(nil), admission.Observation{}
-	case success && strings.HasPrefix(answer.Header.Get("Content-Type"), eventStreamType):
+	case success && isEventStream(answer):
 		return c.relayStream(answer, replica, sentTime)
 	}
 	return c.relayBuffered(answer, replica, success)
@@ -44,23 +45,35 @@
 // eventStreamType is the content type of event streams.
 const eventStreamType = "text/event-stream"
 
+// isEventStream reports whether the answer is an event stream.
+func isEventStream(answer *replicahttp.Answer) bool {
+	return strings.HasPrefix(answer.Header.Get("Content-Type"), eventStreamType)
+}
+
 // handleRejection handles a response that proves that the replica did not run the request.
 func (c *call) handleRejection(answer *replicahttp.Answer, replica replicas.Replica) (result, admission.Observation) {
+	timer := time.AfterFunc(rejectionBodyTimeout, answer.Abandon)
 	_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, maxRejectionBytes))
+	timer.Stop()
 	if answer.StatusCode == http.StatusMisdirectedRequest {
 		c.node.recordUnreachable(replica.ID)
 	}
 	return resultRejected, admission.Observation{}
 }
 
-// maxRejectionBytes bounds what is read of a rejection.
-const maxRejectionBytes = 64 << 10
+// maxRejectionBytes and rejectionBodyTimeout bound what is read of a rejection. Its body matters only for the further use
+// of the connection.
+const (
+	maxRejectionBytes    = 64 << 10
+	rejectionBodyTimeout = 100 * time.Millisecond
+)
 
 // relayBuffered reads the complete response before sending any of it, so that a truncated
 // response never reaches the caller.
 func (c *call) relayBuffered(answer *replicahttp.Answer, replica replicas.Replica, success bool) (result, admission.Observation) {
-	body, err := io.ReadAll(io.LimitReader(c.bodyOf(answer), maxPlainResponseBytes))
-	if err != nil || len(body) == maxPlainResponseBytes {
+	isUsable := c.isUsable(answer)
+	body, err := readPlainBody(readerFunc(func(buffer []byte) (int, error) { return c.readWatched(answer, buffer, false, isUsable) }))
+	if err != nil {
 		return c.recordIncomplete(err), admission.Observation{}
 	}
 	failed := answer.StatusCode >= http.StatusInternalServerError
@@ -79,13 +92,16 @@
 	return resultAnswered, admission.Observation{Failed: failed}
 }
 
-// bodyOf returns the body of a plain answer, which is read while the silence of its replica is watched. A server error
-// does not keep a successor from answering.
-func (c *call) bodyOf(answer *replicahttp.Answer) io.Reader {
-	if answer.StatusCode >= http.StatusInternalServerError {
-		return answer.Body
+// errBodyTooLarge means that a plain answer has maxPlainResponseBytes or more.
+var errBodyTooLarge = errors.New("read answer: the body is too large")
+
+// readPlainBody reads the body of a plain answer to its end.
+func readPlainBody(body io.Reader) ([]byte, error) {
+	content, err := io.ReadAll(io.LimitReader(body, maxPlainResponseBytes))
+	if err == nil && len(content) == maxPlainResponseBytes {
+		err = errBodyTooLarge
 	}
-	return readerFunc(func(buffer []byte) (int, error) { return c.readWatched(answer, buffer, false) })
+	return content, err
 }
 
 // readerFunc is a function as an io.Reader.
--- a/entry/scheduling_stats.go
+++ b/entry/scheduling_stats.go
@@ -12,8 +12,11 @@
 // What the scheduling service records for operators by tenant. The callers of its methods hold the mutex
 // unless said otherwise.
 
-// recordSubmission records a request that waits for a decision.
+// recordSubmission records a request that waits for a decision, unless a replica has it already.
 func (s *schedulingService) recordSubmission(now structs.Instant, request *assignRequest) {
+	if request.IsSearch {
+		return
+	}
 	s.stats.Submitted(now, tenantstats.Submission{
 		ID: request.Request.ID, Node: request.Request.Node, Service: request.Request.Service, Route: request.Request.Route,
 		Tenant: request.Tenant, Priority: request.Request.Priority / routePriorityRange, Weight: request.Request.Weight,
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -74,6 +74,7 @@
 			return nil
 		}
 		if c.node.maySend(granted) {
+			c.retryRefusal = ""
 			return granted
 		}
 		c.node.reportFinish(granted, &finishRequest{Observation: admission.Observation{CallerLeft: true}, NotRun: true, Unsent: true})
--- a/entry/silence_log.go
+++ b/entry/silence_log.go
@@ -75,7 +75,7 @@
 		event.Successor = w.winner.granted.Replica.ID
 	}
 	if outcome == silenceSearching {
-		w.call.logSearchEvents(event)
+		w.call.logSearchEvent(event)
 	} else {
 		w.call.logEvent(event)
 	}
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -33,7 +33,7 @@
 	flusher := http.NewResponseController(c.writer)
 	last := sentTime
 	for {
-		count, err := c.readWatched(answer, buffer, observed.Events > 0)
+		count, err := c.readWatched(answer, buffer, observed.Events > 0, true)
 		if errors.Is(err, errReplaced) {
 			return c.recordIncomplete(err), observed
 		}
@@ -78,15 +78,18 @@
 }
 
 // readWatched reads from the answer while the silence of its replica is watched. The error is errReplaced if the request
-// has gone on at another replica; nothing that was read must be used then.
-func (c *call) readWatched(answer *replicahttp.Answer, buffer []byte, hasEvents bool) (int, error) {
+// has gone on at another replica; nothing that was read must be used then. An answer that is not usable does not keep a
+// successor from answering.
+func (c *call) readWatched(answer *replicahttp.Answer, buffer []byte, hasEvents, isUsable bool) (int, error) {
 	c.silence.wait(c.silenceLimit(hasEvents))
 	count, err := answer.Body.Read(buffer)
 	if count == 0 && err != nil && !answer.Ended(err) {
 		c.silence.interrupted()
 		return 0, err
 	}
-	if !c.silence.received() {
+	if !isUsable {
+		c.silence.interrupted()
+	} else if !c.silence.received() {
 		return 0, errReplaced
 	}
 	return count, err
