rollout: continue the analysis after a change of the scheduling node

Callers: all requests of a service could go to a doubtful version, which should have been rolled back at the deadline, if the scheduling node changed or was suspended for about a second during the canary phase.

Cause: the regression score lived in the scheduling node's memory only. Its successor began with a score of zero, while the counts in the stored record, which say how much was observed but hardly how good it was, met the minimums for the switch.

Evidence: TestDoubtfulVersionIsNotSwitchedToAfterAChangeOfTheSchedulingNode failed in each run.

Change: the record holds, in the canary phase, the state of the analysis by route: the sum, its eight largest contributions by replica, the baseline's bad-answer shares and the limits of slow answers. A successor continues from it. Where both sides of a partition have a score, the higher one applies. Counts of a record without a valid analysis, as nodes of the version before write it, begin anew with the score.

--- a/coordination/rollout/analyzer.go
+++ b/coordination/rollout/analyzer.go
@@ -1,10 +1,13 @@
 package rollout
 
 import (
+	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
 
+	"github.com/thornwalk/thornwalk/state/rollouts"
 	"github.com/thornwalk/thornwalk/structs"
 )
 
@@ -42,6 +45,9 @@
 	// times: with 0.9 good versions were rolled back in 18 of 200 plays, with 0.95 in 7, with 0.97 in one.
 	slowQuantile = 0.97
 	slowFactor   = 1.25
+	// maxReplicaSums bounds the replicas of a route in the record. The score depends on the largest sum
+	// only.
+	maxReplicaSums = 8
 )
 
 // Sample is the result of one request, as far as it depends on the replica.
@@ -146,13 +152,73 @@
 	return min(r.sum/alarmThreshold, (r.sum-highest)/otherReplicasThreshold)
 }
 
+// State returns the analysis of the routes with evidence and of the route with the highest score.
+func (a *Analyzer) State(evidenceByRoute map[string]rollouts.Evidence) map[string]rollouts.Analysis {
+	_, highest := a.RegressionScore()
+	states := map[string]rollouts.Analysis{}
+	for name, route := range a.routes {
+		if _, hasEvidence := evidenceByRoute[name]; hasEvidence || name == highest {
+			states[name] = route.state()
+		}
+	}
+	return states
+}
+
+func (r *routeAnalyzer) state() rollouts.Analysis {
+	replicas := slices.SortedFunc(maps.Keys(r.replicaSums), func(x, y string) int {
+		return cmp.Or(cmp.Compare(r.replicaSums[y], r.replicaSums[x]), cmp.Compare(x, y))
+	})
+	sums := map[string]float64{}
+	for _, replica := range replicas[:min(len(replicas), maxReplicaSums)] {
+		sums[replica] = r.replicaSums[replica]
+	}
+	return rollouts.Analysis{
+		Sum: r.sum, SumByReplica: sums, SlowMean: r.slowMean, FastMean: r.fastMean,
+		FirstEventLimit: r.firstTimes.slowLimit, EventIntervalLimit: r.stepTimes.slowLimit,
+	}
+}
+
+// Restore continues from the analysis of another scheduling node. On routes that both analyzed, as during
+// a partition, the higher score applies.
+func (a *Analyzer) Restore(states map[string]rollouts.Analysis) {
+	for name, state := range states {
+		if !isValid(state) {
+			continue
+		}
+		restored := &routeAnalyzer{
+			firstTimes: recentTimes{slowLimit: state.FirstEventLimit}, stepTimes: recentTimes{slowLimit: state.EventIntervalLimit},
+			slowMean: state.SlowMean, fastMean: state.FastMean, sum: state.Sum, replicaSums: map[string]float64{},
+		}
+		maps.Copy(restored.replicaSums, state.SumByReplica)
+		route, found := a.routes[name]
+		switch {
+		case !found:
+			a.routes[name] = restored
+		case restored.regressionScore() > route.regressionScore():
+			route.sum, route.replicaSums = restored.sum, restored.replicaSums
+		}
+	}
+}
+
+// isValid reports whether scores can be computed from the analysis.
+func isValid(state rollouts.Analysis) bool {
+	isFinite := func(value float64) bool { return !math.IsNaN(value) && !math.IsInf(value, 0) }
+	for _, sum := range state.SumByReplica {
+		if !isFinite(sum) {
+			return false
+		}
+	}
+	return state.Sum >= 0 && isFinite(state.Sum) && isFinite(state.SlowMean) && isFinite(state.FastMean)
+}
+
 // recentTimes holds the latest times of the baseline's answers.
 type recentTimes struct {
 	times []time.Duration
 	// next is the index to overwrite once times is full.
 	next        int
 	sinceUpdate int
-	// slowLimit is the time above which an answer is slow; zero if there are too few times.
+	// slowLimit is the time above which an answer is slow; zero if there are too few times. It may be that of
+	// another scheduling node at first.
 	slowLimit time.Duration
 }
 
--- a/coordination/rollout/controller.go
+++ b/coordination/rollout/controller.go
@@ -112,7 +112,7 @@
 // NewController returns a controller that continues from the record, which may be empty.
 func NewController(policy Policy, now structs.Instant, record rollouts.Record) *Controller {
 	c := &Controller{policy: policy, lastWriteAt: now - minWriteInterval, countsFrom: now}
-	c.applyRecord(record)
+	c.continueFrom(record)
 	return c
 }
 
@@ -129,7 +129,25 @@
 // ApplyRecord replaces the current record if the store position differs.
 func (c *Controller) ApplyRecord(record rollouts.Record) {
 	if record.Position != c.record.Position {
-		c.applyRecord(record)
+		c.continueFrom(record)
+	}
+}
+
+// continueFrom replaces the record by one that another scheduling node may have written, and restores
+// its analysis.
+func (c *Controller) continueFrom(record rollouts.Record) {
+	c.applyRecord(record)
+	if record.Phase != rollouts.PhaseCanary {
+		return
+	}
+	c.analyzer.Restore(record.AnalysisByRoute)
+	for route := range record.EvidenceByRoute {
+		// The counts say how much was observed, not whether it was good: without the analysis, as in
+		// records of earlier versions, they must not let the target pass.
+		if state, found := record.AnalysisByRoute[route]; !found || !isValid(state) {
+			c.record.EvidenceByRoute = nil
+			return
+		}
 	}
 }
 
@@ -218,6 +236,7 @@
 // proposeCanary ends the canary phase if the result is due, or raises the budget.
 func (c *Controller) proposeCanary(now structs.Instant, next rollouts.Record, inputs Inputs) (rollouts.Record, bool) {
 	c.accumulate(&next)
+	next.AnalysisByRoute = nil // not needed after the canary phase
 	score, route := c.analyzer.RegressionScore()
 	if score >= 1 {
 		next.Phase, next.Reason = rollouts.PhaseRollingBack, ReasonBad+route
@@ -237,7 +256,11 @@
 	}
 	allowed := int(budgetFraction * (c.policy.Slack + c.policy.Share*float64(next.Requests)))
 	next.Exposed = max(next.Exposed, allowed)
-	return next, next.Exposed > c.record.Exposed
+	if next.Exposed <= c.record.Exposed {
+		return next, false
+	}
+	next.AnalysisByRoute = c.analyzer.State(next.EvidenceByRoute)
+	return next, true
 }
 
 // accumulate adds the pending evidence to the record.
--- a/state/rollouts/rollouts.go
+++ b/state/rollouts/rollouts.go
@@ -68,6 +68,20 @@
 	return Evidence{Good: e.Good + other.Good, Bad: e.Bad + other.Bad, BaselineGood: e.BaselineGood + other.BaselineGood, BaselineBad: e.BaselineBad + other.BaselineBad}
 }
 
+// Analysis is the state of the comparison of the target with other versions on one route. It lets another
+// scheduling node continue the comparison.
+type Analysis struct {
+	// Sum is the evidence against the target, SumByReplica the largest contributions of its replicas.
+	Sum          float64            `msgpack:"s" json:"sum"`
+	SumByReplica map[string]float64 `msgpack:"r,omitempty" json:"replicas,omitempty"`
+	// SlowMean and FastMean are the moving averages of the other versions' bad-answer share.
+	SlowMean float64 `msgpack:"m" json:"slow_mean"`
+	FastMean float64 `msgpack:"f" json:"fast_mean"`
+	// FirstEventLimit and EventIntervalLimit are the times above which an answer is slow; zero if unknown.
+	FirstEventLimit    time.Duration `msgpack:"l" json:"first_event_limit"`
+	EventIntervalLimit time.Duration `msgpack:"i" json:"event_interval_limit"`
+}
+
 // Record is the progress of a rollout as the store holds it. It is written only if it has not changed
 // since it was read.
 type Record struct {
@@ -91,6 +105,9 @@
 	Elapsed time.Duration `msgpack:"l" json:"elapsed"`
 	// EvidenceByRoute holds the evidence by route name.
 	EvidenceByRoute map[string]Evidence `msgpack:"u" json:"routes,omitempty"`
+	// AnalysisByRoute holds, in the canary phase, the analysis that covers the evidence, by route name.
+	// Nodes of versions without this field drop it when they write the record.
+	AnalysisByRoute map[string]Analysis `msgpack:"a,omitempty" json:"analysis,omitempty"`
 	// Position is the store position of the record; zero means that there is no record.
 	Position structs.StorePosition `msgpack:"r" json:"-"`
 }
