test: count the slots that are occupied after callers left as a successor answered

The free slots of the placing line depend on whether engines are quarantined, of which one slot counts (9 and 2 of 16 were seen with none occupied), so the comparison of three plays failed by chance. The occupied slots at the scheduling node are stricter: none may be left.

--- a/test/entry/successor_limits_test.go
+++ b/test/entry/successor_limits_test.go
@@ -110,19 +110,12 @@
 // Guards against the slot of a successor that stays occupied because the caller leaves at the moment in which the
 // successor answers.
 func TestCallerLeavingAsTheSuccessorAnswersFreesItsSlot(t *testing.T) {
-	free := map[time.Duration]int{}
 	const answersAfter = 2 * time.Second
 	for _, leaveAfter := range []time.Duration{answersAfter - 100*time.Millisecond, answersAfter, answersAfter + 100*time.Millisecond} {
 		runScenario(t, func(s *scenario) {
 			s.setAttempts(2)
 			const rounds, count = 30, 4
-			ended := false
 			replicas := s.replaceReplicas("engines", 2, func(_ int, exchange *scriptedExchange) {
-				if ended {
-					exchange.write(exchange.head("200 OK", eventStreamLines))
-					exchange.events(3, 10*time.Millisecond)
-					return
-				}
 				started := exchange.from.Truncate(time.Second)
 				if exchange.from.Sub(started) < 500*time.Millisecond { // not a successor
 					exchange.silent()
@@ -140,16 +133,13 @@
 				time.Sleep(500 * time.Millisecond)
 			}
 			time.Sleep(15 * time.Second)
-			ended = true
-			offset := s.logs.size()
-			s.do("n1", http.MethodPost, "/resume/", nil)
-			placed := s.loggedEventsFrom(offset, "request.placed")
-			free[leaveAfter] = placed[len(placed)-1].FreeSlots
+			occupied := 0
+			for _, count := range s.deployment.Node(s.scheduler()).Status().Services["engines"].InFlight {
+				occupied += count
+			}
+			s.Expect(occupied).To(gomega.BeZero(), "occupied slots after callers that left after %v", leaveAfter)
 		})
 	}
-	for leaveAfter, slots := range free {
-		gomega.NewWithT(t).Expect(slots).To(gomega.Equal(free[answersAfter-100*time.Millisecond]), "free slots after callers that left after %v", leaveAfter)
-	}
 }
 
 // unfinished returns the number of exchanges that have not ended.
