--- a/coordination/handover/exploration_test.go
+++ b/coordination/handover/exploration_test.go
@@ -836,7 +836,9 @@
 // failsFormerSuccessor takes the failure of a successor that was given up for one of the next one.
 type failsFormerSuccessor struct{ design }
 
-func (v failsFormerSuccessor) SuccessorFailed(Token) bool { return v.design.SuccessorFailed(v.successor) }
+func (v failsFormerSuccessor) SuccessorFailed(Token) bool {
+	return v.design.SuccessorFailed(v.successor)
+}
 
 // beginsAfterEnd sends a request again that has ended.
 type beginsAfterEnd struct{ design }
--- a/coordination/handover/handover.go
+++ b/coordination/handover/handover.go
@@ -70,9 +70,6 @@
 // Phase returns how far the search for a successor is.
 func (h *Handover) Phase() Phase { return h.phase }
 
-// HasCurrent reports whether a replica has the request.
-func (h *Handover) HasCurrent() bool { return h.current != 0 }
-
 // RequestSuccessor records that the current replica has been silent for so long that a successor is looked for. If it
 // returns a token other than zero, the caller must request one.
 func (h *Handover) RequestSuccessor() Token {
--- a/coordination/handover/keeps_replica_test.go
+++ b/coordination/handover/keeps_replica_test.go
@@ -114,3 +114,6 @@
 	g.Expect(requested.End()).To(gomega.Equal(Requested))
 	g.Expect(requested.MaySend(successor)).To(gomega.Equal(GiveUp))
 }
+
+// HasCurrent reports whether a replica has the request.
+func (h *Handover) HasCurrent() bool { return h.current != 0 }
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -82,16 +82,16 @@
 		c.lastFailure, c.connectError, c.lackedRoom, c.forwarder = causeNone, "", false, begun.forwarder
 		return c.complete(begun)
 	}
-	begun, outcome, observed := c.begin(granted)
+	begun, outcome, observed := c.startSend(granted)
 	if begun == nil {
 		return outcome, observed
 	}
 	return c.complete(begun)
 }
 
-// begin sends the request to the granted replica and waits for the head of its answer. If there is none, it returns
+// startSend sends the request to the granted replica and waits for the head of its answer. If there is none, it returns
 // nil and the outcome of the send.
-func (c *call) begin(granted *grant) (*send, result, admission.Observation) {
+func (c *call) startSend(granted *grant) (*send, result, admission.Observation) {
 	node := c.node
 	grantedAt := node.now()
 	c.lastFailure, c.connectError, c.lackedRoom, c.forwarder = causeNone, "", false, ""
@@ -120,7 +120,7 @@
 	}}
 	c.forwarder = begun.forwarder
 	sentAt := node.now()
-	c.awaitHead(granted.Replica, cancelSend)
+	c.watchCurrent(granted.Replica, cancelSend)
 	begun.answer, err = c.exchange(sendContext, cancelSend, conn, granted.Replica)
 	if err = c.headArrived(begun.answer, err); err != nil {
 		begun.release()
@@ -160,14 +160,14 @@
 	return c.successorToken == 0 || c.silence.maySend(c.successorToken)
 }
 
-// awaitHead makes the replica the current one, unless it is a successor, and begins to watch it; reset resets the
+// watchCurrent makes the replica the current one, unless it is a successor, and begins to watch it; reset resets the
 // connection to it.
-func (c *call) awaitHead(replica replicas.Replica, reset context.CancelFunc) {
+func (c *call) watchCurrent(replica replicas.Replica, reset context.CancelFunc) {
 	if c.successorToken != 0 {
 		return
 	}
 	c.currentReplica = replica.ID
-	c.silence.begin(reset)
+	c.silence.setCurrent(reset)
 	c.silence.wait(c.silenceLimit(false))
 }
 
--- a/entry/handover_limits_test.go
+++ b/entry/handover_limits_test.go
@@ -16,7 +16,7 @@
 	g := gomega.NewWithT(t)
 	c := &call{}
 	for range 10 * maxBufferedEvents {
-		c.countSearch(successorSearch{refusal: "backlog", events: []eventlog.Event{{Kind: "request.placed"}}})
+		c.countSearch(searchResult{refusal: "backlog", events: []eventlog.Event{{Kind: "request.placed"}}})
 	}
 	g.Expect(len(c.bufferedEvents)).To(gomega.BeNumerically("<=", maxBufferedEvents))
 }
@@ -27,7 +27,7 @@
 	g := gomega.NewWithT(t)
 	c := &call{node: newForwardingNode(), ctx: context.Background(), route: &catalog.Route{Kind: catalog.KindStreaming, Resumable: true, MaxAttempts: 3}}
 	c.silence = &silenceWatch{call: c}
-	c.silence.begin(func() {})
+	c.silence.setCurrent(func() {})
 	c.silence.wait(time.Hour)
 	g.Expect(c.silence.received()).To(gomega.BeTrue())
 	c.silence.wait(time.Hour)
@@ -43,11 +43,11 @@
 	c := &call{node: newForwardingNode(), ctx: context.Background()}
 	c.silence = &silenceWatch{call: c, searched: make(chan struct{})}
 	close(c.silence.searched)
-	c.silence.begin(func() {})
-	c.silence.ended = []successorSearch{{refusal: "backlog"}}
+	c.silence.setCurrent(func() {})
+	c.silence.searchResults = []searchResult{{refusal: "backlog"}}
 	token := c.silence.handover.RequestSuccessor()
 	g.Expect(c.silence.maySend(token)).To(gomega.BeTrue())
-	g.Expect(c.silence.answered(token, &send{})).To(gomega.BeTrue())
+	g.Expect(c.silence.takeOver(token, &send{})).To(gomega.BeTrue())
 	g.Expect(c.silence.next()).NotTo(gomega.BeNil())
 	g.Expect(c.retryRefusal).To(gomega.BeEmpty())
 }
--- a/entry/handover_test.go
+++ b/entry/handover_test.go
@@ -12,7 +12,7 @@
 	g := gomega.NewWithT(t)
 	watch := &silenceWatch{call: &call{}}
 	g.Expect(watch.next()).To(gomega.BeNil(), "before anything was written")
-	watch.begin(func() {})
+	watch.setCurrent(func() {})
 	watch.interrupted()
 	g.Expect(watch.next()).To(gomega.BeNil(), "after its replica broke off")
 	g.Expect(watch.next()).To(gomega.BeNil(), "after a second send that was not written")
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -18,10 +18,10 @@
 	streamBufferBytes = 4096
 	// maxEventBytes bounds the bytes of one event.
 	maxEventBytes = 1 << 20
-	// firstEventTimeout and nextEventTimeout are the times without bytes after which another replica is looked for,
+	// firstEventSilence and nextEventSilence are the times without bytes after which another replica is looked for,
 	// at which a resumable stream could continue.
-	firstEventTimeout = 1500 * time.Millisecond
-	nextEventTimeout  = 1200 * time.Millisecond
+	firstEventSilence = 1500 * time.Millisecond
+	nextEventSilence  = 1200 * time.Millisecond
 )
 
 // relayStream forwards complete events as they arrive. The head is sent with the first event, so
