soak: what a node forwards ends with its grace time

It waits for what it forwards for as long as it may. The excuse holds as for forwarders that are killed.

--- a/lab/soak/silence_checks_test.go
+++ b/lab/soak/silence_checks_test.go
@@ -137,6 +137,8 @@
 		{"another node's grace time was over", closed().stop(1, 2*second-stopGrace).record, true},
 		{"its node was suspended", closed().freeze(0, halfSecond, second).record, true},
 		{"its forwarder was killed", closed().cut(0, 7, -second, 0).kill(1, 2*second-forwarderLossTime/2).record, false},
+		{"its forwarder's grace time was over", closed().cut(0, 7, -second, 0).stop(1, 2*second-stopGrace).record, false},
+		{"its forwarder had grace time", closed().cut(0, 7, -second, 0).stop(1, halfSecond).record, true},
 		{"its forwarder was killed earlier", closed().cut(0, 7, -second, 0).kill(1, 2*second-2*forwarderLossTime).record, true},
 		{"another node was killed long after a cut", closed().cut(0, 7, -2*recoveryTime, -recoveryTime-second).kill(1, 2*second-forwarderLossTime/2).record, true},
 		{"another node with a cut was killed", closed().cut(1, 7, -second, 0).kill(1, 2*second-forwarderLossTime/2).record, true},
