entry: one limit of silence for a replica and its successor, one check of signatures

Cause: the limit before the first event stood twice, the reset of what is known of the last send twice, the check for a signature three times; relayBuffered had a parameter that nothing read. Change: firstSilenceLimit, resetSendState and isSigned serve all of them.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -79,7 +79,8 @@
 // attempt sends the request to the granted replica once, or goes on with a send to it that has begun.
 func (c *call) attempt(granted *grant, begun *send) (result, admission.Observation) {
 	if begun != nil {
-		c.lastFailure, c.connectError, c.lackedRoom, c.forwarder = causeNone, "", false, begun.forwarder
+		c.resetSendState()
+		c.forwarder = begun.forwarder
 		return c.complete(begun)
 	}
 	begun, outcome, observed := c.startSend(granted)
@@ -89,12 +90,17 @@
 	return c.complete(begun)
 }
 
+// resetSendState clears what is known of the last send.
+func (c *call) resetSendState() {
+	c.lastFailure, c.connectError, c.lackedRoom, c.forwarder = causeNone, "", false, ""
+}
+
 // startSend sends the request to the granted replica and waits for the head of its answer. If there is none, it returns
 // nil and the outcome of the send.
 func (c *call) startSend(granted *grant) (*send, result, admission.Observation) {
 	node := c.node
 	grantedAt := node.now()
-	c.lastFailure, c.connectError, c.lackedRoom, c.forwarder = causeNone, "", false, ""
+	c.resetSendState()
 	maxIdle := maxIdleRepeatable
 	if !c.route.Repeatable() {
 		maxIdle = maxIdleNonRepeatable
--- a/entry/response.go
+++ b/entry/response.go
@@ -24,17 +24,16 @@
 
 // relay forwards the replica's response to the caller.
 func (c *call) relay(answer *replicahttp.Answer, replica replicas.Replica, sentTime time.Time) (result, admission.Observation) {
-	names := &c.node.dependencies.Headers
 	success := answer.StatusCode >= http.StatusOK && answer.StatusCode < http.StatusMultipleChoices
 	switch {
 	case c.isRejection(answer):
 		return c.handleRejection(answer, replica)
-	case answer.Header.Get(names.Signature) == "" || success && answer.Header.Get("Content-Encoding") != "":
+	case !c.isSigned(answer) || success && answer.Header.Get("Content-Encoding") != "":
 		return c.recordIncomplete(nil), admission.Observation{}
 	case success && isEventStream(answer):
 		return c.relayStream(answer, replica, sentTime)
 	}
-	return c.relayBuffered(answer, replica, success)
+	return c.relayBuffered(answer, replica)
 }
 
 // isRejection reports whether the response proves that the replica did not run the request.
@@ -70,7 +69,7 @@
 
 // relayBuffered reads the complete response before sending any of it, so that a truncated
 // response never reaches the caller.
-func (c *call) relayBuffered(answer *replicahttp.Answer, replica replicas.Replica, success bool) (result, admission.Observation) {
+func (c *call) relayBuffered(answer *replicahttp.Answer, replica replicas.Replica) (result, admission.Observation) {
 	isUsable := c.isUsable(answer)
 	body, err := readPlainBody(readerFunc(func(buffer []byte) (int, error) { return c.readWatched(answer, buffer, false, isUsable) }))
 	if err != nil {
--- a/entry/successor.go
+++ b/entry/successor.go
@@ -95,7 +95,7 @@
 	case c.isRejection(answer):
 		outcome, _ := c.handleRejection(answer, replica)
 		return outcome, nil
-	case answer.Header.Get(c.node.dependencies.Headers.Signature) != "" && answer.StatusCode >= http.StatusInternalServerError:
+	case c.isSigned(answer) && answer.StatusCode >= http.StatusInternalServerError:
 		body, err := readPlainBody(answer.Body)
 		if err != nil {
 			return c.recordIncomplete(err), nil
@@ -119,11 +119,16 @@
 	return resultAnswered, nil
 }
 
+// isSigned reports whether the answer has the signature of a replica that ran the request.
+func (c *call) isSigned(answer *replicahttp.Answer) bool {
+	return answer.Header.Get(c.node.dependencies.Headers.Signature) != ""
+}
+
 // isUsable reports whether the head of the answer shows that the caller can get the answer, or a part of it.
 func (c *call) isUsable(answer *replicahttp.Answer) bool {
 	isSuccess := answer.StatusCode < http.StatusMultipleChoices
 	switch {
-	case answer.Header.Get(c.node.dependencies.Headers.Signature) == "", answer.StatusCode >= http.StatusInternalServerError:
+	case !c.isSigned(answer), answer.StatusCode >= http.StatusInternalServerError:
 		return false
 	case c.isRejection(answer), isSuccess && answer.Header.Get("Content-Encoding") != "":
 		return false
@@ -164,29 +169,25 @@
 	switch {
 	case c.successorToken != 0 || !c.route.Repeatable() || !c.mayHaveSuccessor():
 		return 0
-	case c.route.Kind == kindSafe:
-		return c.plainSilenceLimit()
 	case hasEvents:
 		return nextEventSilence
-	default:
-		return firstEventSilence
 	}
+	return c.firstSilenceLimit()
 }
 
-// plainSilenceLimit is the silenceLimit of plain requests.
-func (c *call) plainSilenceLimit() time.Duration {
-	return time.Duration(float64(c.remaining()) * plainSilenceShare)
+// firstSilenceLimit returns how long a replica may be silent before its first event, or within a plain answer.
+func (c *call) firstSilenceLimit() time.Duration {
+	if c.route.Kind == kindSafe {
+		return time.Duration(float64(c.remaining()) * plainSilenceShare)
+	}
+	return firstEventSilence
 }
 
 // successorLimit returns how long a successor may take to begin its answer until it is given up, or zero if it may take
 // all the time, as no further replica may get the request.
 func (c *call) successorLimit() time.Duration {
-	switch {
-	case c.successorToken == 0 || !c.mayHaveSuccessor():
+	if c.successorToken == 0 || !c.mayHaveSuccessor() {
 		return 0
-	case c.route.Kind == kindSafe:
-		return c.plainSilenceLimit()
-	default:
-		return firstEventSilence
 	}
+	return c.firstSilenceLimit()
 }
