entry: register the gauges of silences like the others

Cause: registerSilenceMetrics repeated what registerGauges does, and total walked the silences a second way. No behavior changes.

--- a/entry/silence_log.go
+++ b/entry/silence_log.go
@@ -2,9 +2,6 @@
 
 import (
 	"sync"
-	"time"
-
-	"github.com/rcrowley/go-metrics"
 
 	"github.com/thornwalk/thornwalk/coordination/handover"
 	"github.com/thornwalk/thornwalk/structs"
@@ -141,25 +138,20 @@
 	return services
 }
 
-// total returns the number of silent requests and the longest silence.
-func (s *silences) total(now structs.Instant) (count int, longest time.Duration) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	for _, request := range s.silent {
-		longest = max(longest, now-request.since)
+// total returns the silences of all services together.
+func (s *silences) total(now structs.Instant) SilenceStatus {
+	var total SilenceStatus
+	for _, service := range s.status(now) {
+		total.Requests += service.Requests
+		total.LongestMS = max(total.LongestMS, service.LongestMS)
 	}
-	return len(s.silent), longest
+	return total
 }
 
 // registerSilenceMetrics registers the gauges of the requests whose replicas are silent.
 func (n *Node) registerSilenceMetrics() {
-	// Registration fails only for a name in use, and a node registers once.
-	_ = n.metrics.Register("silences.current", metrics.NewFunctionalGauge(func() int64 {
-		count, _ := n.silences.total(n.now())
-		return int64(count)
-	}))
-	_ = n.metrics.Register("silences.longest_ms", metrics.NewFunctionalGauge(func() int64 {
-		_, longest := n.silences.total(n.now())
-		return longest.Milliseconds()
-	}))
+	n.registerGauges(map[string]func() int64{
+		"silences.current":    func() int64 { return int64(n.silences.total(n.now()).Requests) },
+		"silences.longest_ms": func() int64 { return n.silences.total(n.now()).LongestMS },
+	})
 }
