replicahttp: limit the heads of answers in bytes, lines and time

Cause: http.ReadResponse holds a line of any length, and readAnswer reads from the plain connection. Evidence: 92 of 100 bytes of heap profiles are textproto.readLineSlice below readAnswer.

Change: transport/httphead limits what the buffered reader gets while heads are read: 16 KiB and 128 lines of all heads until the answer, provisional ones included, and 2 s from the first bytes to the end of a head. What follows the head is not limited. Errors are typed and quote 80 bytes at most. The first bytes may still come late.

--- a/transport/replicahttp/exchange.go
+++ b/transport/replicahttp/exchange.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/thornwalk/thornwalk/protocol/errkind"
+	"github.com/thornwalk/thornwalk/transport/httphead"
 )
 
 // Request is a request to a replica.
@@ -26,6 +27,8 @@
 	// another ID are skipped.
 	IDHeader string
 	ID       string
+	// HeadLimits bound the heads that are read until the answer. Zero fields have the defaults.
+	HeadLimits httphead.Limits
 }
 
 // Answer is the head of a replica's answer and its unread body. The caller must call Done or
@@ -47,7 +50,8 @@
 const maxStrayBodyBytes = 1 << 20
 
 // Exchange writes the request and reads the head of its answer. After an error, of kind
-// OutcomeUnknown, the connection is reset and the request may have run. The end of the context
+// OutcomeUnknown, the connection is reset and the request may have run; an *httphead.Error or
+// ErrOnlyStrayAnswers shows that the replica sent bytes that are no answer. The end of the context
 // resets the connection.
 func (p *Pool) Exchange(ctx context.Context, conn *Conn, request *Request) (*Answer, error) {
 	answer := &Answer{conn: conn, pool: p, writeResult: make(chan error, 1)}
@@ -74,12 +78,14 @@
 	return answer, nil
 }
 
-var errOnlyStrayAnswers = errors.New("read answer: the connection has only answers to other requests")
+// ErrOnlyStrayAnswers means that the replica sent answers to other requests.
+var ErrOnlyStrayAnswers = errors.New("read answer: the connection has only answers to other requests")
 
 // readAnswer reads heads until one has the ID of the request, or none.
 func (c *Conn) readAnswer(request *Request) (*http.Response, error) {
+	c.reader.Begin(request.HeadLimits.WithDefaults())
 	for range maxAnswerHeads {
-		response, err := http.ReadResponse(c.reader, &http.Request{Method: request.Method})
+		response, err := c.reader.ReadResponse(&http.Request{Method: request.Method})
 		if err != nil {
 			return nil, err
 		}
@@ -98,7 +104,7 @@
 			break
 		}
 	}
-	return nil, errOnlyStrayAnswers
+	return nil, ErrOnlyStrayAnswers
 }
 
 // head returns the encoded request line and headers.
--- a/transport/replicahttp/pool.go
+++ b/transport/replicahttp/pool.go
@@ -1,7 +1,6 @@
 package replicahttp
 
 import (
-	"bufio"
 	"errors"
 	"net"
 	"strconv"
@@ -10,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"github.com/thornwalk/thornwalk/transport/httphead"
 	"github.com/thornwalk/thornwalk/transport/network"
 )
 
@@ -48,7 +48,7 @@
 // Conn is a connection to a replica, for one exchange at a time.
 type Conn struct {
 	net.Conn
-	reader *bufio.Reader
+	reader *httphead.Reader
 	key    poolKey
 	// Forwarder is the name of the peer that forwards the connection, empty if it is direct.
 	Forwarder string
@@ -107,7 +107,7 @@
 }
 
 func newConn(opened net.Conn, key poolKey) *Conn {
-	return &Conn{Conn: opened, reader: bufio.NewReaderSize(opened, readBufferBytes), key: key}
+	return &Conn{Conn: opened, reader: httphead.NewReader(opened, readBufferBytes), key: key}
 }
 
 func (p *Pool) count(counter *uint64) {
