entry: one budget for what requests and answers hold, and a name for each wrong answer

Callers would see: the same end of a node's process by many answers or request bodies that are each below their limit. A plain answer may have 8 MB, an event 1 MB, a request 4 MB; hundreds of them at once had no limit in sum.

Change: state/memorybudget. What bodies, events and heads hold beyond 4 kB is reserved before it is held. If the budget (buffer_mb, a sixth of memory_mb unless set) is exhausted, those that hold most are ended: a request whose body is still being read gets 503 with Retry-After, as it has not run; an answer's exchange is reset, and its request goes on elsewhere or gets 502, outcome unknown; a write to a slow caller is interrupted. It counts neither for nor against the replica. Limits of the head, body and event of an answer are settings. What is wrong with an answer is in the request.sent line (detail, 160 bytes at most) and counted by name (answers.invalid.*). A long event is no longer scanned again from its start with each read.

Tests: 16 forms of spoiled answers on four kinds of routes (64 cases): a final answer at once, 502 without a repeat or 200 of another replica.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -11,6 +11,7 @@
 	"github.com/thornwalk/thornwalk/coordination/admission"
 	"github.com/thornwalk/thornwalk/coordination/handover"
 	"github.com/thornwalk/thornwalk/state/loadreport"
+	"github.com/thornwalk/thornwalk/state/memorybudget"
 	"github.com/thornwalk/thornwalk/state/replicas"
 	"github.com/thornwalk/thornwalk/transport/network"
 	"github.com/thornwalk/thornwalk/transport/replicahttp"
@@ -72,6 +73,8 @@
 	startedAt time.Time
 	headDelay time.Duration
 	workTime  int
+	// memory is what the answer holds.
+	memory *memorybudget.Account
 	// release must be called once the exchange has ended.
 	release func()
 }
@@ -92,7 +95,7 @@
 
 // resetSendState clears what is known of the last send.
 func (c *call) resetSendState() {
-	c.lastFailure, c.connectError, c.lackedRoom, c.forwarder = causeNone, "", false, ""
+	c.lastFailure, c.failureDetail, c.lackedRoom, c.forwarder = causeNone, "", false, ""
 }
 
 // startSend sends the request to the granted replica and waits for the head of its answer. If there is none, it returns
@@ -120,10 +123,13 @@
 	}
 	endExchange := node.exchanges.begin(conn, granted.Replica)
 	sendContext, cancelSend := context.WithCancel(c.ctx)
-	begun := &send{granted: granted, forwarder: conn.Forwarder, startedAt: time.Now(), release: func() {
+	memory := node.memory.Open(cancelSend)
+	begun := &send{granted: granted, forwarder: conn.Forwarder, startedAt: time.Now(), memory: memory, release: func() {
 		cancelSend()
 		endExchange()
+		memory.Close()
 	}}
+	c.answerMemory = memory
 	c.forwarder = begun.forwarder
 	sentAt := node.now()
 	c.watchCurrent(granted.Replica, cancelSend)
@@ -202,7 +208,7 @@
 // complete forwards the rest of the answer to the caller.
 func (c *call) complete(begun *send) (result, admission.Observation) {
 	defer begun.release()
-	c.currentReplica = begun.granted.Replica.ID
+	c.currentReplica, c.answerMemory = begun.granted.Replica.ID, begun.memory
 	outcome, observed := c.relay(begun.answer, begun.granted.Replica, begun.startedAt)
 	observed.WorkTime, observed.HeadDelay = begun.workTime, begun.headDelay
 	c.endExchange(begun, outcome)
@@ -227,7 +233,7 @@
 
 // recordConnectFailure records the failure cause of a connect that failed with err.
 func (c *call) recordConnectFailure(replica replicas.Replica, err error) {
-	c.lastFailure, c.connectError = causeUnreachable, err.Error()
+	c.lastFailure, c.failureDetail = causeUnreachable, shortened(err)
 	if network.IsRefused(err) {
 		c.refusedConnects++
 		c.lastFailure = causeRefused
@@ -275,8 +281,8 @@
 	return 1
 }
 
-// recordIncomplete records why no complete response arrived. The error is nil for an invalid response. It
-// returns resultCallerLeft if the caller caused the failure.
+// recordIncomplete records why no complete response arrived. It returns resultCallerLeft if the caller caused the
+// failure.
 func (c *call) recordIncomplete(err error) result {
 	switch {
 	case c.request.Context().Err() != nil:
@@ -285,8 +291,14 @@
 		return resultNotNeeded
 	}
 	c.lastFailure = failureCauseOf(err)
-	if c.successorToken == 0 && c.silence.isReplaced() {
+	switch {
+	case c.successorToken == 0 && c.silence.isReplaced():
 		c.lastFailure = causeTimeout // this node reset the connection
+	case c.answerMemory.IsEvicted() || c.isEvicted():
+		c.lastFailure = causeMemoryFull // so did it here
+	case c.lastFailure == causeInvalidResponse:
+		c.failureDetail = shortened(err)
+		c.node.counter("answers.invalid." + violationOf(err)).Inc(1)
 	}
 	c.node.counter("breaks." + string(c.lastFailure)).Inc(1)
 	return resultIncomplete
@@ -336,8 +348,9 @@
 	}
 	return &replicahttp.Request{
 		Method: c.request.Method, Target: c.request.RequestURI, Host: c.request.Host, Header: header, Body: c.body,
-		HasBody:  c.request.ContentLength >= 0 && c.request.Method != http.MethodGet && c.request.Method != http.MethodHead,
-		IDHeader: textproto.CanonicalMIMEHeaderKey(names.RequestID), ID: c.id,
+		HasBody:    c.request.ContentLength >= 0 && c.request.Method != http.MethodGet && c.request.Method != http.MethodHead,
+		HeadLimits: c.node.settings.Load().headLimits(c.answerMemory),
+		IDHeader:   textproto.CanonicalMIMEHeaderKey(names.RequestID), ID: c.id,
 	}
 }
 
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"os"
@@ -15,6 +14,7 @@
 	"github.com/thornwalk/thornwalk/internal/eventlog"
 	"github.com/thornwalk/thornwalk/state/catalog"
 	"github.com/thornwalk/thornwalk/state/fingerprint"
+	"github.com/thornwalk/thornwalk/state/memorybudget"
 	"github.com/thornwalk/thornwalk/state/promptparts"
 	"github.com/thornwalk/thornwalk/structs"
 )
@@ -37,8 +37,10 @@
 	partKeys    []fingerprint.Fingerprint
 	// lastFailure is the failure cause of the last send.
 	lastFailure failureCause
-	// connectError is why the last connect failed, for the log.
-	connectError string
+	// failureDetail is why the last connect or read failed, for the log.
+	failureDetail string
+	// memory is what the request holds, and answerMemory what the answer of the current send does.
+	memory, answerMemory *memorybudget.Account
 	// retryRefusal is why the last assignment was refused, if a replica had the request before.
 	retryRefusal string
 	// forwarder is the peer that forwards the connection of the last send, empty if it is direct.
@@ -131,9 +133,15 @@
 	defer cancel()
 	c.ctx = ctx
 	defer n.calls.add(c, cancel)()
+	c.memory = n.memory.Open(c.interruptBody)
+	defer c.memory.Close()
 	if !c.readBody(current) {
 		return
 	}
+	if !c.memory.OnEvict(cancel) {
+		c.endEvicted()
+		return
+	}
 	c.computeFingerprint()
 	if !c.canFinishBeforeStop() {
 		c.endNotRun(http.StatusServiceUnavailable, reasonStopping, retryAfterStopping)
@@ -226,7 +234,13 @@
 	}
 	control := http.NewResponseController(c.writer)
 	_ = control.SetReadDeadline(time.Now().Add(c.remaining()))
-	body, err := io.ReadAll(http.MaxBytesReader(c.writer, c.request.Body, limit))
+	body, err := readHeld(http.MaxBytesReader(c.writer, c.request.Body, limit), c.memory, c.request.ContentLength, limit+1)
+	if c.isEvicted() {
+		// The caller may read the response only once it has sent more of the body.
+		_ = control.SetReadDeadline(time.Now().Add(rejectedBodyTimeout))
+		c.endEvicted()
+		return false
+	}
 	_ = control.SetReadDeadline(time.Time{})
 	if err == nil {
 		c.body = body
@@ -246,6 +260,9 @@
 	return false
 }
 
+// rejectedBodyTimeout is how long the rest of a body is read and dropped after its request was rejected.
+const rejectedBodyTimeout = 500 * time.Millisecond
+
 // defaultMaxBodyBytes applies to configurations without a limit.
 const defaultMaxBodyBytes = 4 << 20
 
--- a/entry/node.go
+++ b/entry/node.go
@@ -25,6 +25,7 @@
 	"github.com/thornwalk/thornwalk/protocol/peerwire"
 	"github.com/thornwalk/thornwalk/state/catalog"
 	"github.com/thornwalk/thornwalk/state/evacuations"
+	"github.com/thornwalk/thornwalk/state/memorybudget"
 	"github.com/thornwalk/thornwalk/state/pushback"
 	"github.com/thornwalk/thornwalk/state/replicas"
 	"github.com/thornwalk/thornwalk/state/rollouts"
@@ -104,6 +105,9 @@
 	// isConfigurationLarge is true once a read found that the configuration exceeds maxReadBytes.
 	isConfigurationLarge atomic.Bool
 
+	// memory bounds what requests and answers hold together.
+	memory *memorybudget.Budget
+
 	stoppingSince atomic.Int64
 	inFlight      atomic.Int64
 	// forwarded counts the connections that this node forwards for peers.
@@ -212,7 +216,8 @@
 		table: replicas.NewTable(), evacuations: evacuations.NewTable(), rollouts: rollouts.NewTable(), members: liveness.NewTable(settings.Name), relays: liveness.NewRelays(rand.IntN), health: replicahealth.NewTracker(), paths: reachability.NewTracker(rand.Float64), pushback: pushback.NewTracker(), zones: zones.NewTracker(),
 		assignments: map[string]assignment{}, peerUsage: map[string]receivedUsage{}, loggedProblems: map[string]bool{}, term: 1, storeFailedAt: -time.Hour, lastActiveAt: -time.Hour, selectedAt: -time.Hour, peersRequestedAt: -time.Hour,
 		streamOrigins: streamorigins.NewRegistry(maxStreamOrigins), versionHistory: streamorigins.NewVersionHistory(),
-		parts: dissemination.NewPartStore(), sendLimiter: dissemination.NewSendLimiter(settings.LinkMbps),
+		memory: memorybudget.New(settings.bufferBytes()),
+		parts:  dissemination.NewPartStore(), sendLimiter: dissemination.NewSendLimiter(settings.LinkMbps),
 	}
 	if n.dependencies.Now == nil {
 		started := time.Now()
@@ -236,6 +241,7 @@
 	n.registerForwardMetrics()
 	n.registerStreamMetrics()
 	n.registerSilenceMetrics()
+	n.registerHeldMemoryMetrics()
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	return n
 }
@@ -340,6 +346,7 @@
 // Reload activates changed settings. Addresses do not change until a restart.
 func (n *Node) Reload(settings *Settings) {
 	n.settings.Store(settings)
+	n.memory.SetLimit(settings.bufferBytes())
 	n.scheduling.setPoisonPolicy(settings.poisonPolicy())
 	n.scheduling.setRegions(settings.Regions)
 	n.scheduling.setPolicy(settings.schedulingPolicy())
--- a/entry/request_log.go
+++ b/entry/request_log.go
@@ -97,7 +97,7 @@
 	}
 	event.Revision, event.Era = granted.Replica.Position.Revision(), granted.Replica.Position.Era()
 	event.Count, event.Reason, event.Forwarder = c.sends, string(c.lastFailure), c.forwarder
-	event.Detail = c.connectError
+	event.Detail = c.failureDetail
 	event.FirstEventMS, event.MaxPauseMS = c.firstEventDelay.Milliseconds(), c.maxEventGap.Milliseconds()
 	c.logEvent(event)
 	c.node.counter("sends." + outcome.String()).Inc(1)
--- a/entry/response.go
+++ b/entry/response.go
@@ -1,7 +1,7 @@
 package entry
 
 import (
-	"errors"
+	"cmp"
 	"io"
 	"net/http"
 	"strconv"
@@ -10,6 +10,7 @@
 
 	"github.com/thornwalk/thornwalk/coordination/admission"
 	"github.com/thornwalk/thornwalk/state/catalog"
+	"github.com/thornwalk/thornwalk/state/memorybudget"
 	"github.com/thornwalk/thornwalk/state/replicas"
 	"github.com/thornwalk/thornwalk/transport/replicahttp"
 )
@@ -19,8 +20,8 @@
 	kindSafe      = catalog.KindSafe
 )
 
-// maxPlainResponseBytes bounds a plain service's response, which is buffered in memory.
-const maxPlainResponseBytes = 8 << 20
+// defaultMaxAnswerBytes bounds a plain service's response, which is buffered in memory, unless the settings do.
+const defaultMaxAnswerBytes = 8 << 20
 
 // relay forwards the replica's response to the caller.
 func (c *call) relay(answer *replicahttp.Answer, replica replicas.Replica, sentTime time.Time) (result, admission.Observation) {
@@ -28,8 +29,10 @@
 	switch {
 	case c.isRejection(answer):
 		return c.handleRejection(answer, replica)
-	case !c.isSigned(answer) || success && answer.Header.Get("Content-Encoding") != "":
-		return c.recordIncomplete(nil), admission.Observation{}
+	case !c.isSigned(answer):
+		return c.recordIncomplete(errUnsigned), admission.Observation{}
+	case success && answer.Header.Get("Content-Encoding") != "":
+		return c.recordIncomplete(errEncoded), admission.Observation{}
 	case success && isEventStream(answer):
 		return c.relayStream(answer, replica, sentTime)
 	}
@@ -71,7 +74,10 @@
 // response never reaches the caller.
 func (c *call) relayBuffered(answer *replicahttp.Answer, replica replicas.Replica) (result, admission.Observation) {
 	isUsable := c.isUsable(answer)
-	body, err := readPlainBody(readerFunc(func(buffer []byte) (int, error) { return c.readWatched(answer, buffer, false, isUsable) }))
+	body, err := c.readPlainBody(answer, readerFunc(func(buffer []byte) (int, error) { return c.readWatched(answer, buffer, false, isUsable) }))
+	if err == nil && !c.interruptWriteOnEviction() {
+		err = memorybudget.ErrEvicted
+	}
 	if err != nil {
 		return c.recordIncomplete(err), admission.Observation{}
 	}
@@ -82,7 +88,7 @@
 	}
 	whole := &bufferedAnswer{Answer: answer, body: body, replica: replica.ID}
 	if failed && c.mayHaveSuccessor() {
-		c.serverError = whole
+		c.keepServerError(whole)
 		return resultServerError, admission.Observation{}
 	}
 	if !c.sendBuffered(whole) {
@@ -91,16 +97,10 @@
 	return resultAnswered, admission.Observation{Failed: failed}
 }
 
-// errBodyTooLarge means that a plain answer has maxPlainResponseBytes or more.
-var errBodyTooLarge = errors.New("read answer: the body is too large")
-
 // readPlainBody reads the body of a plain answer to its end.
-func readPlainBody(body io.Reader) ([]byte, error) {
-	content, err := io.ReadAll(io.LimitReader(body, maxPlainResponseBytes))
-	if err == nil && len(content) == maxPlainResponseBytes {
-		err = errBodyTooLarge
-	}
-	return content, err
+func (c *call) readPlainBody(answer *replicahttp.Answer, body io.Reader) ([]byte, error) {
+	limit := cmp.Or(c.node.settings.Load().AnswerBodyBytes, defaultMaxAnswerBytes)
+	return readHeld(body, c.answerMemory, answer.ContentLength, int64(limit))
 }
 
 // readerFunc is a function as an io.Reader.
--- a/entry/send_failure.go
+++ b/entry/send_failure.go
@@ -28,6 +28,8 @@
 	causeUnreachable failureCause = "unreachable"
 	// causeInvalidResponse means that what arrived is no valid response to the request.
 	causeInvalidResponse failureCause = "spoiled"
+	// causeMemoryFull means that this node ended the exchange, as the answer held most of its memory for answers.
+	causeMemoryFull failureCause = "memory-full"
 	// causeForwarderLost means that the connection to the peer that forwarded the request broke.
 	causeForwarderLost failureCause = "forwarder-lost"
 )
@@ -35,13 +37,10 @@
 // connectionClosedErrors are the errors of a connection that the other side closed.
 var connectionClosedErrors = []error{io.EOF, io.ErrUnexpectedEOF, io.ErrClosedPipe, syscall.ECONNRESET, syscall.EPIPE}
 
-// failureCauseOf returns the failure cause for the error of an exchange with a replica. A nil
-// error means that the response was invalid.
+// failureCauseOf returns the failure cause for the error of an exchange with a replica.
 func failureCauseOf(err error) failureCause {
 	var timeout net.Error
 	switch {
-	case err == nil:
-		return causeInvalidResponse
 	case errors.Is(err, forward.ErrForwarderLost):
 		return causeForwarderLost
 	case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, context.DeadlineExceeded), errors.Is(err, net.ErrClosed):
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -117,7 +117,7 @@
 		state = c.node.probeIncarnation(granted.Replica)
 	case causeInvalidResponse:
 		return true
-	case causeForwarderLost:
+	case causeForwarderLost, causeMemoryFull:
 		return false
 	case causeTimeout:
 		if c.forwarder == "" && c.node.isPathForwarded(granted.Replica.ID) {
@@ -293,6 +293,10 @@
 	switch {
 	case c.request.Context().Err() != nil:
 		c.end(http.StatusServiceUnavailable, outcomeForExecutions(c.executions), "caller-left")
+	case c.isEvicted():
+		c.endEvicted()
+	case c.executions > 0 && c.lastFailure == causeMemoryFull:
+		c.endOutcomeUnknown(http.StatusBadGateway, reasonMemoryFull)
 	case c.executions > 0 && c.ctx.Err() != nil:
 		c.endOutcomeUnknown(http.StatusGatewayTimeout, "deadline")
 	case c.executions > 0:
@@ -332,6 +336,8 @@
 	switch {
 	case c.request.Context().Err() != nil:
 		c.end(http.StatusServiceUnavailable, outcomeForExecutions(c.executions), "caller-left")
+	case c.isEvicted():
+		c.endEvicted()
 	case c.executions > 0:
 		c.endOutcomeUnknown(http.StatusBadGateway, "replica-broke-off")
 	case granted.Reason == reasonQuota:
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -46,6 +46,16 @@
 	ConfigurationBound int `yaml:"configuration_bound_ms"`
 	// MemoryLimitMB is the memory limit of the process in megabytes; zero means none.
 	MemoryLimitMB int `yaml:"memory_mb"`
+	// BufferMB bounds what requests and answers hold together, in megabytes; zero means a sixth of MemoryLimitMB.
+	BufferMB int `yaml:"buffer_mb"`
+	// AnswerHeaderBytes, AnswerHeaderLines and AnswerHeaderTimeout (milliseconds from its first bytes) bound the head of
+	// a replica's answer, AnswerBodyBytes the body of a plain answer and AnswerEventBytes one event of a stream. Zero
+	// means the built-in limit.
+	AnswerHeaderBytes   int `yaml:"answer_header_bytes"`
+	AnswerHeaderLines   int `yaml:"answer_header_lines"`
+	AnswerHeaderTimeout int `yaml:"answer_header_timeout_ms"`
+	AnswerBodyBytes     int `yaml:"answer_body_bytes"`
+	AnswerEventBytes    int `yaml:"answer_event_bytes"`
 	// Cores is the number of processors that the process may use; nodes with more are preferred
 	// for scheduling.
 	Cores float64 `yaml:"cores"`
@@ -161,6 +171,12 @@
 		{"stop_grace_ms", float64(s.StopGrace), 100, 600_000},
 		{"contact_ms", float64(s.StoreRecoveryWindow), 1, 600_000},
 		{"configuration_bound_ms", float64(s.ConfigurationBound), 100, 600_000},
+		{"buffer_mb", float64(s.BufferMB), 0, 1 << 20},
+		{"answer_header_bytes", float64(s.AnswerHeaderBytes), 0, 1 << 20},
+		{"answer_header_lines", float64(s.AnswerHeaderLines), 0, 10_000},
+		{"answer_header_timeout_ms", float64(s.AnswerHeaderTimeout), 0, 600_000},
+		{"answer_body_bytes", float64(s.AnswerBodyBytes), 0, 1 << 30},
+		{"answer_event_bytes", float64(s.AnswerEventBytes), 0, 1 << 30},
 		{"cores", s.Cores, 0, 1024},
 		{"link_mbps", s.LinkMbps, 0, 10_000_000},
 		{"retry_ratio", s.RetryRatio, 0, 10},
@@ -264,6 +280,24 @@
 	return policy
 }
 
+const (
+	// bufferShare is the share of the memory limit that requests and answers may hold together.
+	bufferShare = 1.0 / 6
+	// defaultBufferMB applies without a memory limit.
+	defaultBufferMB = 256
+)
+
+// bufferBytes returns what requests and answers may hold together.
+func (s *Settings) bufferBytes() int64 {
+	switch {
+	case s.BufferMB > 0:
+		return int64(s.BufferMB) << 20
+	case s.MemoryLimitMB > 0:
+		return int64(float64(s.MemoryLimitMB) * bufferShare * (1 << 20))
+	}
+	return defaultBufferMB << 20
+}
+
 // stopGrace returns StopGrace as a duration.
 func (s *Settings) stopGrace() time.Duration { return time.Duration(s.StopGrace) * time.Millisecond }
 
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"errors"
 	"net/http"
 	"strconv"
@@ -16,8 +17,8 @@
 // Limits of a stream.
 const (
 	streamBufferBytes = 4096
-	// maxEventBytes bounds the bytes of one event.
-	maxEventBytes = 1 << 20
+	// defaultMaxEventBytes bounds the bytes of one event unless the settings do.
+	defaultMaxEventBytes = 1 << 20
 	// firstEventSilence and nextEventSilence are the times without bytes after which another replica is looked for,
 	// at which a resumable stream could continue.
 	firstEventSilence = 1500 * time.Millisecond
@@ -28,7 +29,7 @@
 // that a replica that fails before it can be replaced.
 func (c *call) relayStream(answer *replicahttp.Answer, replica replicas.Replica, sentTime time.Time) (result, admission.Observation) {
 	var observed admission.Observation
-	var pending []byte
+	pending := eventBuffer{memory: c.answerMemory, maxBytes: cmp.Or(c.node.settings.Load().AnswerEventBytes, defaultMaxEventBytes)}
 	buffer := make([]byte, streamBufferBytes)
 	flusher := http.NewResponseController(c.writer)
 	last := sentTime
@@ -40,9 +41,10 @@
 		if count > 0 {
 			c.recordReceived()
 		}
-		pending = append(pending, buffer[:count]...)
-		complete := completeEventsLength(pending)
-		if complete > 0 {
+		if memoryErr := pending.add(buffer[:count]); memoryErr != nil {
+			return c.recordIncomplete(memoryErr), observed
+		}
+		if events := pending.completeEvents(); len(events) > 0 {
 			if observed.Events == 0 {
 				observed.FirstEvent = time.Since(sentTime)
 				c.firstEventDelay = observed.FirstEvent
@@ -50,8 +52,8 @@
 				c.maxEventGap = max(c.maxEventGap, time.Since(last))
 			}
 			last = time.Now()
-			ready := c.unsentEvents(pending[:complete], &observed.Events)
-			pending = append(pending[:0], pending[complete:]...)
+			ready := c.unsentEvents(events, &observed.Events)
+			pending.discard(len(events))
 			if len(ready) > 0 {
 				c.recordOrigin(replica)
 			}
@@ -59,13 +61,13 @@
 				return resultCallerLeft, observed
 			}
 		}
-		if len(pending) > maxEventBytes {
-			return c.recordIncomplete(err), observed
+		if pending.isTooLong() {
+			return c.recordIncomplete(errEventTooLong), observed
 		}
 		if err == nil {
 			continue
 		}
-		if !answer.Ended(err) || len(pending) > 0 {
+		if !answer.Ended(err) || len(pending.content) > 0 {
 			return c.recordIncomplete(err), observed
 		}
 		break
--- a/entry/successor.go
+++ b/entry/successor.go
@@ -96,18 +96,18 @@
 		outcome, _ := c.handleRejection(answer, replica)
 		return outcome, nil
 	case c.isSigned(answer) && answer.StatusCode >= http.StatusInternalServerError:
-		body, err := readPlainBody(answer.Body)
+		body, err := c.readPlainBody(answer, answer.Body)
 		if err != nil {
 			return c.recordIncomplete(err), nil
 		}
 		c.node.recordSuccess(replica.ID)
 		return resultServerError, &bufferedAnswer{Answer: answer, body: body, replica: replica.ID}
 	case !c.isUsable(answer):
-		return c.recordIncomplete(nil), nil
+		return c.recordIncomplete(errUnsigned), nil
 	}
 	if !isEventStream(answer) {
 		// The caller gets nothing of a plain answer before it is complete, so the other replica may go on until then.
-		body, err := readPlainBody(answer.Body)
+		body, err := c.readPlainBody(answer, answer.Body)
 		if err != nil {
 			return c.recordIncomplete(err), nil
 		}
@@ -147,7 +147,7 @@
 		c.retryRefusal = result.refusal
 	}
 	if result.serverError != nil {
-		c.serverError = result.serverError
+		c.keepServerError(result.serverError)
 	}
 	if result.replica != "" {
 		c.tried = append(c.tried, result.replica)
--- /dev/null
+++ b/test/entry/spoiled_answers_test.go
@@ -0,0 +1,254 @@
+package entry
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/thornwalk/thornwalk/entry"
+	"github.com/thornwalk/thornwalk/lab/memnet"
+)
+
+// writeEndless writes the start, and then the part over and over until the node closes the connection or 16 MB are
+// written.
+func (e *scriptedExchange) writeEndless(start, part string) {
+	block := strings.Repeat(part, 64<<10/len(part)+1)
+	for sent := 0; sent < 16<<20 && e.write(start); sent += len(block) {
+		start = block
+	}
+}
+
+// trickle writes the start, and then a byte of the text every 100 ms until the node closes the connection.
+func (e *scriptedExchange) trickle(start, text string) {
+	for e.write(start) && e.sleep(100*time.Millisecond) {
+		start = text
+	}
+}
+
+// spoiledAnswers are bytes that are no answer, by form, with the violation that is recorded.
+var spoiledAnswers = map[string]struct {
+	write     func(*scriptedExchange)
+	violation string
+}{
+	"first line":     {func(e *scriptedExchange) { e.writeEndless("", "x") }, "head-too-long"},
+	"header line":    {func(e *scriptedExchange) { e.writeEndless("HTTP/1.1 200 OK\r\nA: ", "x") }, "head-too-long"},
+	"header lines":   {func(e *scriptedExchange) { e.writeEndless("HTTP/1.1 200 OK\r\n", "A: b\r\n") }, "head-too-many-lines"},
+	"interim head":   {func(e *scriptedExchange) { e.writeEndless("HTTP/1.1 103 Early\r\n", "A: b\r\n") }, "head-too-many-lines"},
+	"interim heads":  {func(e *scriptedExchange) { e.writeEndless("", "HTTP/1.1 103 Early\r\n\r\n") }, "other-answers"},
+	"nonsense":       {func(e *scriptedExchange) { e.write("nonsense\r\n\r\n") }, "head-malformed"},
+	"trickling head": {func(e *scriptedExchange) { e.trickle("HTTP/1.1 200 OK\r\nA: ", "x") }, "head-too-slow"},
+	"other answers": {func(e *scriptedExchange) {
+		e.writeEndless("", "HTTP/1.1 200 OK\r\nX-Attempt-Id: x\r\nContent-Length: 0\r\n\r\n")
+	}, "other-answers"},
+	"unsigned":         {func(e *scriptedExchange) { e.write("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno") }, "unsigned"},
+	"encoded":          {func(e *scriptedExchange) { e.write(e.plain("200 OK", "Content-Encoding: gzip\r\n", "packed")) }, "encoded"},
+	"body":             {func(e *scriptedExchange) { e.writeEndless(e.head("200 OK", "Connection: close\r\n"), "x") }, "body-too-long"},
+	"body of an error": {func(e *scriptedExchange) { e.writeEndless(e.head("500 Failed", "Connection: close\r\n"), "x") }, "body-too-long"},
+	"chunk size":       {func(e *scriptedExchange) { e.writeEndless(e.head("200 OK", "Transfer-Encoding: chunked\r\n"), "0") }, "body-malformed"},
+	"chunk extension": {func(e *scriptedExchange) {
+		e.writeEndless(e.head("200 OK", "Transfer-Encoding: chunked\r\n")+"1;", "a")
+	}, "body-malformed"},
+	"trailer": {func(e *scriptedExchange) {
+		e.writeEndless(e.head("200 OK", "Transfer-Encoding: chunked\r\n")+"0\r\n", "A: b\r\n")
+	}, "body-malformed"},
+	"event": {func(e *scriptedExchange) {
+		e.writeEndless(e.head("200 OK", "Content-Type: text/event-stream\r\n"), "x")
+	}, "event-too-long"},
+}
+
+// Guards against a spoiled answer whose caller waits, gets a part of it or is told something untrue, a request that
+// runs twice though it must not, and one that does not go on at another replica though it may.
+func TestCallersGetTrueEndsOfSpoiledAnswers(t *testing.T) {
+	for name, spoiled := range spoiledAnswers {
+		for _, route := range []struct {
+			path, method, service string
+			mayRepeat             bool
+		}{
+			{"/once/", http.MethodPost, "registry", false}, {"/safe/", http.MethodGet, "registry", true},
+			{"/stream/", http.MethodPost, "engines", false}, {"/resume/", http.MethodPost, "engines", true},
+		} {
+			t.Run(name+route.path, func(t *testing.T) {
+				runScenario(t, func(s *scenario) {
+					replicas := s.replaceReplicas(route.service, 3, func(number int, exchange *scriptedExchange) {
+						if number == 1 {
+							spoiled.write(exchange)
+							exchange.silent()
+							return
+						}
+						exchange.write(exchange.plain("200 OK", "Content-Type: text/event-stream\r\n", "id: 1\ndata: sound\n\n"))
+					})
+					defer replicas.close()
+					got := s.do("n1", route.method, route.path, nil)
+					s.Expect(got.took).To(gomega.BeNumerically("<=", 2500*time.Millisecond))
+					s.Expect(got.complete).To(gomega.BeTrue())
+					if route.mayRepeat {
+						s.Expect(got.status).To(gomega.Equal(http.StatusOK))
+						s.Expect(got.body).To(gomega.ContainSubstring("sound"))
+						return
+					}
+					s.Expect(got.status).To(gomega.Equal(http.StatusBadGateway))
+					s.Expect(got.body).To(gomega.BeEmpty())
+					s.Expect(got.header.Get("X-Server-Stamp")).To(gomega.BeEmpty())
+					s.Expect(replicas.count()).To(gomega.Equal(1), "it may have run")
+					s.Expect(s.counters("answers_invalid_" + strings.ReplaceAll(spoiled.violation, "-", "_") + " ")).To(gomega.Equal(1))
+				})
+			})
+		}
+	}
+}
+
+// Guards against log lines, which repeat at length what a replica sent.
+func TestLinesOfSpoiledAnswersAreShort(t *testing.T) {
+	runScenario(t, func(s *scenario) {
+		replicas := s.replaceReplicas("registry", 1, func(_ int, exchange *scriptedExchange) {
+			exchange.write("HTTP/1.1 " + strings.Repeat("\x00x", 3000) + "\r\n\r\n")
+		})
+		defer replicas.close()
+		s.do("n1", http.MethodPost, "/once/", nil)
+		sent := s.loggedEvents("request.sent")
+		s.Expect(sent).To(gomega.HaveLen(1))
+		s.Expect(sent[0].Reason).To(gomega.Equal("spoiled"))
+		s.Expect(sent[0].Detail).To(gomega.ContainSubstring("head-malformed after "))
+		s.Expect(len(sent[0].Detail)).To(gomega.BeNumerically("<=", 160))
+	})
+}
+
+// Sizes of the tests of the budget.
+const (
+	budgetMB = 8
+	// largeAnswers are answered at once, each by answerBytes, which are below the limit of one answer.
+	largeAnswers = 48
+	answerBytes  = 3 << 20
+	// maxOverBudget allows for answers that were ended and are not collected yet, and for the streams.
+	maxOverBudget = 12 << 20
+)
+
+// runWithBudget runs the test with nodes that hold budgetMB of requests and answers at most.
+func runWithBudget(t *testing.T, test func(s *scenario)) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &scenario{WithT: gomega.NewWithT(t), fabric: memnet.New()}
+		s.start(hosts, []string{"east", "west"}, func(settings *entry.Settings) { settings.BufferMB = budgetMB })
+		for _, host := range []string{"e1", "e2"} {
+			s.engines = append(s.engines, s.addReplica(host, "engines", 6, 50*time.Millisecond))
+		}
+		s.awaitReady()
+		defer s.stop(hosts)
+		test(s)
+	})
+}
+
+// heldGauge returns the most bytes that a node has held.
+func (s *scenario) heldGauge() int { return s.counters("buffers_max_held_bytes ") }
+
+// Guards against answers that are each below their limit and together over the memory of the process, and against an
+// end of small answers for it.
+func TestAnswersTogetherHoldNoMoreThanTheBudget(t *testing.T) {
+	runWithBudget(t, func(s *scenario) {
+		replicas := s.replaceReplicas("registry", largeAnswers/4, func(_ int, exchange *scriptedExchange) {
+			if strings.HasPrefix(exchange.request.URL.Path, "/safe/small") {
+				exchange.sleep(500 * time.Millisecond)
+				exchange.write(exchange.plain("200 OK", "", "small"))
+				return
+			}
+			exchange.write(exchange.head("200 OK", fmt.Sprintf("Content-Length: %d\r\n", answerBytes)))
+			for sent := 0; sent < answerBytes && exchange.write(strings.Repeat("x", 64<<10)); sent += 64 << 10 {
+				exchange.sleep(20 * time.Millisecond)
+			}
+		})
+		defer replicas.close()
+		baseline := heapInUse()
+		var group sync.WaitGroup
+		answered := make(chan reply, largeAnswers)
+		for range largeAnswers {
+			group.Go(func() { answered <- s.do("n1", http.MethodPost, "/once/", nil) })
+		}
+		small := make(chan reply, 4)
+		for range cap(small) {
+			group.Go(func() { small <- s.do("n1", http.MethodGet, "/safe/small", nil) })
+		}
+		most := int64(0)
+		for range 20 {
+			time.Sleep(100 * time.Millisecond)
+			most = max(most, heapInUse()-baseline)
+		}
+		group.Wait()
+		close(answered)
+		close(small)
+		statuses := map[int]int{}
+		for got := range answered {
+			s.Expect(got.complete).To(gomega.BeTrue())
+			statuses[got.status]++
+		}
+		t.Logf("statuses %v, heap at most %d bytes more, held at most %d", statuses, most, s.heldGauge())
+		s.Expect(statuses[http.StatusBadGateway]).To(gomega.BeNumerically(">", 0), "ended for the budget")
+		s.Expect(statuses[http.StatusOK]).To(gomega.BeNumerically(">", 0), "within the budget")
+		for got := range small {
+			s.Expect(got.status).To(gomega.Or(gomega.Equal(http.StatusOK), gomega.Equal(http.StatusServiceUnavailable)))
+		}
+		s.Expect(s.heldGauge()).To(gomega.BeNumerically("<=", budgetMB<<20))
+		s.Expect(most).To(gomega.BeNumerically("<=", budgetMB<<20+maxOverBudget))
+		s.Expect(s.counters("ended_memory_full ")).To(gomega.Equal(statuses[http.StatusBadGateway]))
+	})
+}
+
+// Guards against bodies of requests that are each below their limit and together over the memory of the process, and
+// against an untrue promise to those that are ended: none of them has run.
+func TestRequestBodiesTogetherHoldNoMoreThanTheBudget(t *testing.T) {
+	runWithBudget(t, func(s *scenario) {
+		var group sync.WaitGroup
+		answered := make(chan reply, 24)
+		for number := range cap(answered) {
+			group.Go(func() {
+				answered <- s.do("n1", http.MethodPost, "/once/large", func(request *http.Request) {
+					body := &slowBody{left: 1 << 20}
+					request.Body, request.ContentLength = body, int64(body.left)
+					request.Header.Set("X-Attempt-Id", "large"+strconv.Itoa(number))
+				})
+			})
+		}
+		group.Wait()
+		close(answered)
+		statuses := map[int]int{}
+		for got := range answered {
+			statuses[got.status]++
+			if got.status == http.StatusServiceUnavailable {
+				s.Expect(got.header.Get("Retry-After")).NotTo(gomega.BeEmpty())
+			}
+		}
+		ran := 0
+		for id := range s.runCounts() {
+			if strings.HasPrefix(id, "large") {
+				ran++
+			}
+		}
+		t.Logf("statuses %v, %d ran, held at most %d", statuses, ran, s.heldGauge())
+		s.Expect(s.counters("ended_memory_full ")).To(gomega.BeNumerically(">", 0))
+		// A connection may end without a response (status 0) if the rest of its body does not arrive in time.
+		s.Expect(statuses[http.StatusOK] + statuses[http.StatusServiceUnavailable] + statuses[0]).To(gomega.Equal(cap(answered)))
+		s.Expect(ran).To(gomega.Equal(statuses[http.StatusOK]))
+		s.Expect(s.heldGauge()).To(gomega.BeNumerically("<=", budgetMB<<20))
+	})
+}
+
+// slowBody is a body of bytes that come in 50 parts over a second.
+type slowBody struct{ left int }
+
+func (b *slowBody) Read(into []byte) (int, error) {
+	if b.left == 0 {
+		return 0, io.EOF
+	}
+	time.Sleep(time.Second / 50)
+	count := min(len(into), b.left, 1<<20/50+1)
+	b.left -= count
+	return count, nil
+}
+
+func (b *slowBody) Close() error { return nil }
