msgpackcheck: check declared counts before the codec allocates for them

A node reads heartbeats from an open UDP port, frames from an open TCP port, and values of the store. Nested values of a frame took a stack as deep as the frame is long.

Change: Check walks the content without allocations or recursion before it is decoded: counts of at most 65,536 that the remaining bytes can hold, 64 levels. Used for frames, heartbeats, parts of the configuration, stored settings and claims.

--- a/coordination/claims/page.go
+++ b/coordination/claims/page.go
@@ -11,6 +11,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/thornwalk/thornwalk/protocol/errkind"
+	"github.com/thornwalk/thornwalk/protocol/msgpackcheck"
 )
 
 // MaxPageBytes bounds an encoded page; the store accepts values of one megabyte.
@@ -96,7 +97,7 @@
 	if len(data) == 0 {
 		return content, nil
 	}
-	err := msgpack.Unmarshal(data, &content)
+	err := msgpackcheck.Unmarshal(data, &content)
 	return content, errkind.Wrap(errkind.StoreUnavailable, err)
 }
 
--- a/coordination/settingsync/settingsync.go
+++ b/coordination/settingsync/settingsync.go
@@ -19,6 +19,7 @@
 	"github.com/thornwalk/thornwalk/internal/wait"
 	"github.com/thornwalk/thornwalk/outside"
 	"github.com/thornwalk/thornwalk/protocol/errkind"
+	"github.com/thornwalk/thornwalk/protocol/msgpackcheck"
 	"github.com/thornwalk/thornwalk/state/settings"
 )
 
@@ -68,7 +69,7 @@
 // Decode decodes a stored document. The error is of kind InvalidSettings.
 func Decode(data []byte) (*Document, error) {
 	document := &Document{}
-	if err := msgpack.Unmarshal(data, document); err != nil {
+	if err := msgpackcheck.Unmarshal(data, document); err != nil {
 		return nil, errkind.New(errkind.InvalidSettings, "decoding the stored settings: %v", err)
 	}
 	return document, nil
--- a/entry/heartbeats.go
+++ b/entry/heartbeats.go
@@ -12,6 +12,7 @@
 	"github.com/thornwalk/thornwalk/coordination/admission"
 	"github.com/thornwalk/thornwalk/coordination/liveness"
 	"github.com/thornwalk/thornwalk/internal/eventlog"
+	"github.com/thornwalk/thornwalk/protocol/msgpackcheck"
 	"github.com/thornwalk/thornwalk/structs"
 )
 
@@ -344,7 +345,7 @@
 			continue
 		}
 		var heartbeat liveness.Heartbeat
-		if err := msgpack.Unmarshal(buffer[:size], &heartbeat); err != nil {
+		if err := msgpackcheck.Unmarshal(buffer[:size], &heartbeat); err != nil {
 			n.counter("beats.malformed").Inc(1)
 			continue
 		}
--- a/protocol/peerwire/peerwire.go
+++ b/protocol/peerwire/peerwire.go
@@ -11,6 +11,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/thornwalk/thornwalk/protocol/errkind"
+	"github.com/thornwalk/thornwalk/protocol/msgpackcheck"
 )
 
 // MaxFrameBytes bounds the encoded envelope of a frame; a longer one ends the
@@ -117,7 +118,7 @@
 		return nil, 0, errkind.New(errkind.BadFrame, "read frame: ends after %d of %d bytes", content.Len(), length)
 	}
 	envelope := &Envelope{}
-	if err := msgpack.Unmarshal(content.Bytes(), envelope); err != nil {
+	if err := msgpackcheck.Unmarshal(content.Bytes(), envelope); err != nil {
 		return nil, 0, errkind.Wrap(errkind.BadFrame, err)
 	}
 	if envelope.Kind == 0 || envelope.Kind >= kindEnd {
--- a/state/catalog/parts.go
+++ b/state/catalog/parts.go
@@ -10,6 +10,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"github.com/thornwalk/thornwalk/protocol/errkind"
+	"github.com/thornwalk/thornwalk/protocol/msgpackcheck"
 )
 
 // Nodes exchange a configuration in parts that are identified by the hash of their
@@ -154,7 +155,7 @@
 		return nil, nil, errkind.New(errkind.BadFrame, "decompress configuration part: content exceeds the maximum of %d bytes", MaxPartBytes)
 	}
 	part := &Part{}
-	if err := msgpack.Unmarshal(content, part); err != nil {
+	if err := msgpackcheck.Unmarshal(content, part); err != nil {
 		return nil, nil, errkind.Wrap(errkind.BadFrame, err)
 	}
 	compressedPart := &CompressedPart{Hash: Hash(xxhash.Sum64(content)), Content: compressed, Size: len(content)}
