oneshot: limit the heads of answers

Back ends, other nodes, the store and the machine list of package node are read through oneshot, which held a first line of any length and read provisional heads without end (the same cause as in replicahttp; found by reading). TestHeadsWithoutEndAreGivenUp failed before: 8 MB read, quoted whole in the error, or read to the end of provisional heads. Now 16 KiB and 128 lines of all heads of an answer together, 2 s from their first bytes.

--- a/transport/oneshot/oneshot.go
+++ b/transport/oneshot/oneshot.go
@@ -4,7 +4,6 @@
 package oneshot
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
@@ -12,6 +11,7 @@
 	"net"
 	"net/http"
 
+	"github.com/thornwalk/thornwalk/transport/httphead"
 	"github.com/thornwalk/thornwalk/transport/network"
 )
 
@@ -57,7 +57,10 @@
 	return tracked.Send(ctx, address, request)
 }
 
-// exchange writes the request and reads responses until the first with a final status.
+const readBufferBytes = 4096
+
+// exchange writes the request and reads responses until the first with a final status. All their heads together are
+// limited as in httphead.
 func exchange(connection net.Conn, request *http.Request) (*http.Response, error) {
 	counted := &countingWriter{writer: connection}
 	request.Close = true
@@ -67,9 +70,10 @@
 		}
 		return nil, fmt.Errorf("write request: failed after %d bytes: %w", counted.written, err)
 	}
-	reader := bufio.NewReader(connection)
+	reader := httphead.NewReader(connection, readBufferBytes)
+	reader.Begin(httphead.Limits{}.WithDefaults())
 	for {
-		response, err := http.ReadResponse(reader, request)
+		response, err := reader.ReadResponse(request)
 		if err != nil {
 			return nil, fmt.Errorf("read response: %w", err)
 		}
