jsonstream: limit the length of each value of a stream

A message of the store's watch, a line of a relayed answer and a reply to the command line were decoded without a limit: json.Decoder holds a value without end. Now 8 MB for a message of a watch and a line, 256 MB for a reply at the command line; the values together have no limit.

--- a/node/relay.go
+++ b/node/relay.go
@@ -11,6 +11,7 @@
 
 	"github.com/gorilla/mux"
 
+	"github.com/thornwalk/thornwalk/internal/jsonstream"
 	"github.com/thornwalk/thornwalk/protocol/errkind"
 	"github.com/thornwalk/thornwalk/protocol/peerwire"
 	"github.com/thornwalk/thornwalk/protocol/receipt"
@@ -30,6 +31,9 @@
 	Tenant    string `msgpack:"t"`
 }
 
+// maxRelayLineBytes bounds a line, which has at most one event.
+const maxRelayLineBytes = 8 << 20
+
 // relayLine is one line of a relayed answer, of which one field is set.
 type relayLine struct {
 	Receipt string               `json:"receipt,omitempty"`
@@ -97,7 +101,7 @@
 	if response.StatusCode != http.StatusOK {
 		return errors.New("the node no longer has the answer")
 	}
-	decoder := json.NewDecoder(response.Body)
+	decoder := jsonstream.NewDecoder(response.Body, maxRelayLineBytes)
 	for {
 		var line relayLine
 		if err := decoder.Decode(&line); err != nil {
--- a/operator/client.go
+++ b/operator/client.go
@@ -16,6 +16,7 @@
 
 	"github.com/thornwalk/thornwalk/coordination/settingsync"
 	"github.com/thornwalk/thornwalk/entry"
+	"github.com/thornwalk/thornwalk/internal/jsonstream"
 	"github.com/thornwalk/thornwalk/node"
 	"github.com/thornwalk/thornwalk/protocol/errkind"
 	"github.com/thornwalk/thornwalk/protocol/openai"
@@ -135,13 +136,15 @@
 	if reply == nil {
 		return nil
 	}
-	return json.NewDecoder(response.Body).Decode(reply)
+	return jsonstream.NewDecoder(response.Body, maxReplyBytes).Decode(reply)
 }
 
 // ErrNoSuchPath is matched by errors of calls that the node's kind or version does not have.
 var ErrNoSuchPath = errors.New("status 404 Not Found: the node's kind or version does not have this call")
 
 const (
+	// maxReplyBytes bounds the body of a reply.
+	maxReplyBytes = 256 << 20
 	// maxErrorBytes bounds the body of an error that is read.
 	maxErrorBytes = 1 << 20
 	// routerNotFound is the text with which net/http answers paths without a handler.
--- a/transport/etcdstore/etcdstore.go
+++ b/transport/etcdstore/etcdstore.go
@@ -14,6 +14,7 @@
 
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/thornwalk/thornwalk/internal/jsonstream"
 	"github.com/thornwalk/thornwalk/outside"
 	"github.com/thornwalk/thornwalk/protocol/errkind"
 	"github.com/thornwalk/thornwalk/transport/network"
@@ -30,7 +31,7 @@
 	PathWatch     = "/v3/watch"
 )
 
-// maxAnswerBytes bounds an answer of the store; a value has at most a megabyte.
+// maxAnswerBytes bounds an answer of the store, and each message of a watch; a value has at most a megabyte.
 const maxAnswerBytes = 8 << 20
 
 // Client implements outside.Store. It is safe for concurrent use.
@@ -83,7 +84,7 @@
 		return outside.Value{}, err
 	}
 	defer response.Body.Close()
-	decoder := json.NewDecoder(response.Body)
+	decoder := jsonstream.NewDecoder(response.Body, maxAnswerBytes)
 	for {
 		var message WatchResponse
 		if err := decoder.Decode(&message); err != nil {
