--- a/transport/backendhttp/backendhttp.go
+++ b/transport/backendhttp/backendhttp.go
@@ -36,6 +36,11 @@
 // maxLineBytes bounds one line of an event stream.
 const maxLineBytes = 1 << 20
 
+// maxEventBytes bounds the data of one event, which may have many lines.
+const maxEventBytes = 4 << 20
+
+var errEventTooLong = errors.New("read event: its data is too long")
+
 // maxReportBytes bounds a load report or a batch of cache events.
 const maxReportBytes = 4 << 20
 
@@ -258,6 +263,9 @@
 		case string(field) == "id":
 			event.Number, _ = strconv.Atoi(string(value)) // an invalid number is zero, which callers see as a gap
 		case string(field) == "data":
+			if len(event.Data)+len(value) > maxEventBytes {
+				return Event{}, errEventTooLong
+			}
 			event.Data = append(event.Data, value...)
 		}
 	}
