entry: limit the IDs of events, and what log lines have of others' texts

The ID of an event may be as long as the event, 1 MB; it was kept for the stream, sent to the replica at which the stream goes on, as a header, and logged. Now a stream with an ID over 1,024 bytes is a spoiled answer (event-id-too-long); the events before it are delivered. The log cuts names at 256 bytes, details at 512 and parts at 2,048 bytes.

Tests: the form 'event ID' of TestCallersGetTrueEndsOfSpoiledAnswers, TestTextsOfOthersAreCut.

--- a/entry/held_memory.go
+++ b/entry/held_memory.go
@@ -34,6 +34,7 @@
 	violationBodyTooLong   = "body-too-long"
 	violationBodyMalformed = "body-malformed"
 	violationEventTooLong  = "event-too-long"
+	violationEventID       = "event-id-too-long"
 )
 
 // invalidAnswerError means that the bytes that a replica sent are no answer to the request.
@@ -46,6 +47,8 @@
 	errEncoded      = &invalidAnswerError{violationEncoded}
 	errBodyTooLong  = &invalidAnswerError{violationBodyTooLong}
 	errEventTooLong = &invalidAnswerError{violationEventTooLong}
+
+	errEventIDTooLong = &invalidAnswerError{violationEventID}
 )
 
 // violationOf returns the name of what is wrong with an answer of which the read failed with err.
--- a/entry/settings_test.go
+++ b/entry/settings_test.go
@@ -3,10 +3,13 @@
 import (
 	"os"
 	"regexp"
+	"slices"
 	"strings"
 	"testing"
 
 	"github.com/onsi/gomega"
+
+	"github.com/thornwalk/thornwalk/state/memorybudget"
 )
 
 // renderTemplate renders the deployment's settings template, for the few forms that it uses.
@@ -117,23 +120,41 @@
 	})
 }
 
-// FuzzEvents cuts a stream at any position: complete events are forwarded in order, and the
-// remaining bytes stay pending.
+// FuzzEvents cuts a stream into parts: complete events are forwarded in order, and the remaining bytes, in which no
+// event ends, stay in the buffer.
 func FuzzEvents(f *testing.F) {
 	f.Add("id: 1\ndata: a\n\nid: 2\ndata: b\n\n", 7)
 	f.Add("id: 1\r\ndata: a\r\n\r\nid: 2", 3)
-	f.Fuzz(func(t *testing.T, text string, cut int) {
-		cut = max(0, min(cut, len(text)))
+	f.Add(strings.Repeat("x", 3*maxKeptBufferBytes)+"\r\n\r\ny", 1000)
+	f.Fuzz(func(t *testing.T, text string, partBytes int) {
+		partBytes = max(1, min(partBytes, len(text)))
 		c, count := &call{}, 0
-		var forwarded, pending []byte
-		for _, chunk := range []string{text[:cut], text[cut:]} {
-			pending = append(pending, chunk...)
-			complete := completeEventsLength(pending)
-			forwarded = append(forwarded, c.unsentEvents(pending[:complete], &count)...)
-			pending = append([]byte(nil), pending[complete:]...)
+		var forwarded []byte
+		budget := memorybudget.New(0)
+		buffer := eventBuffer{memory: budget.Open(func() {})}
+		for part := range slices.Chunk([]byte(text), partBytes) {
+			if err := buffer.add(part); err != nil {
+				t.Fatal(err)
+			}
+			events := buffer.completeEvents()
+			if len(events) == 0 {
+				continue
+			}
+			fresh, err := c.unsentEvents(events, &count)
+			if err != nil {
+				return // an ID is too long
+			}
+			forwarded = append(forwarded, fresh...)
+			buffer.discard(len(events))
+		}
+		if string(forwarded)+string(buffer.content) != text {
+			t.Fatalf("%q and %q of %q", forwarded, buffer.content, text)
+		}
+		if completeEventsLength(buffer.content) > 0 {
+			t.Fatalf("an event ends in %q", buffer.content)
 		}
-		if string(forwarded)+string(pending) != text {
-			t.Fatalf("%q and %q of %q", forwarded, pending, text)
+		if held, _ := budget.Held(); held > copiesOfEvents*2*int64(len(text)+freeHeldBytes) {
+			t.Fatalf("%d bytes are held of %d", held, len(text))
 		}
 	})
 }
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -52,14 +52,17 @@
 				c.maxEventGap = max(c.maxEventGap, time.Since(last))
 			}
 			last = time.Now()
-			ready := c.unsentEvents(events, &observed.Events)
+			ready, idErr := c.unsentEvents(events, &observed.Events)
 			pending.discard(len(events))
 			if len(ready) > 0 {
 				c.recordOrigin(replica)
 			}
-			if !c.sendEvents(answer, ready, flusher) {
+			if (idErr == nil || len(ready) > 0) && !c.sendEvents(answer, ready, flusher) {
 				return resultCallerLeft, observed
 			}
+			if idErr != nil {
+				return c.recordIncomplete(idErr), observed
+			}
 		}
 		if pending.isTooLong() {
 			return c.recordIncomplete(errEventTooLong), observed
@@ -137,9 +140,12 @@
 	return end
 }
 
+// maxEventIDBytes bounds the ID of an event, which is kept and sent to the replica at which the stream goes on.
+const maxEventIDBytes = 1024
+
 // unsentEvents returns the events that the caller does not have yet from an earlier replica. It
-// counts all events and records the last ID.
-func (c *call) unsentEvents(text []byte, count *int) []byte {
+// counts all events and records the last ID. The error is errEventIDTooLong if the event after them has such an ID.
+func (c *call) unsentEvents(text []byte, count *int) ([]byte, error) {
 	fresh := make([]byte, 0, len(text))
 	for len(text) > 0 {
 		end := firstEventLength(text)
@@ -147,6 +153,9 @@
 		text = text[end:]
 		*count++
 		id := eventID(event)
+		if len(id) > maxEventIDBytes {
+			return fresh, errEventIDTooLong
+		}
 		if id != "" && c.lastEventID != "" && c.resumed && !isLaterEventID(id, c.lastEventID) {
 			continue
 		}
@@ -155,7 +164,7 @@
 		}
 		fresh = append(fresh, event...)
 	}
-	return fresh
+	return fresh, nil
 }
 
 // firstEventLength returns the length of the first event, or of the text if no event ends in it.
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -116,17 +116,37 @@
 // timeLayout is the format of Event.Time.
 const timeLayout = "2006-01-02T15:04:05.000Z"
 
-// Stamp returns the event with the node and the current time, unless it has them, for events that are written later.
+// Stamp returns the event, with long texts cut, with the node and the current time, unless it has them, for events that are written later.
 func (l *Log) Stamp(event Event) Event {
 	if event.Node != "" {
 		return event
 	}
+	event.shorten()
 	event.Node = l.node
 	event.Time = time.Now().UTC().Format(timeLayout)
 	event.Uptime = time.Since(l.started).Milliseconds()
 	return event
 }
 
+// Maximum lengths of fields that have text of others, in bytes.
+const (
+	maxNameBytes   = 256
+	maxDetailBytes = 512
+	maxPartsBytes  = 2048
+)
+
+// shorten cuts the fields that have text of others.
+func (e *Event) shorten() {
+	for _, field := range []struct {
+		text     *string
+		maxBytes int
+	}{{&e.Request, maxNameBytes}, {&e.ResumedRequest, maxNameBytes}, {&e.LastEvent, maxNameBytes}, {&e.Detail, maxDetailBytes}, {&e.Parts, maxPartsBytes}} {
+		if len(*field.text) > field.maxBytes {
+			*field.text = (*field.text)[:field.maxBytes]
+		}
+	}
+}
+
 // Write enqueues the event, stamped if it isn't yet, or counts it as lost if the queue is full. It
 // doesn't block.
 func (l *Log) Write(event Event) {
--- a/internal/eventlog/eventlog_test.go
+++ b/internal/eventlog/eventlog_test.go
@@ -73,3 +73,15 @@
 	log.sampler.adjust()
 	g.Expect(log.Keep("any")).To(gomega.BeTrue(), "load is back to normal")
 }
+
+// Guards against log lines that repeat at length what others sent.
+func TestTextsOfOthersAreCut(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var buffer bytes.Buffer
+	log := New("n", &buffer)
+	long := strings.Repeat("y", 1<<20)
+	log.Write(Event{Kind: "x", Detail: long, LastEvent: long, ResumedRequest: long, Request: long, Parts: long})
+	log.Close()
+	g.Expect(buffer.Len()).To(gomega.BeNumerically("<", 4<<10))
+	g.Expect(buffer.String()).To(gomega.HavePrefix(`{"time"`))
+}
--- a/test/entry/spoiled_answers_test.go
+++ b/test/entry/spoiled_answers_test.go
@@ -62,6 +62,9 @@
 	"event": {func(e *scriptedExchange) {
 		e.writeEndless(e.head("200 OK", "Content-Type: text/event-stream\r\n"), "x")
 	}, "event-too-long"},
+	"event ID": {func(e *scriptedExchange) {
+		e.write(e.head("200 OK", "Content-Type: text/event-stream\r\n") + "id: " + strings.Repeat("1", 2000) + "\n\n")
+	}, "event-id-too-long"},
 }
 
 // Guards against a spoiled answer whose caller waits, gets a part of it or is told something untrue, a request that
