soak: replicas that send bytes that are no answer, judged from outside

Judged: the resident memory of each process, answers lost without a disturbance of their node, repeats of what must not be repeated.

--- a/cmd/thornwalk-lab/soak.go
+++ b/cmd/thornwalk-lab/soak.go
@@ -23,7 +23,7 @@
 // range of seeds.
 func soakCommand() *ffcli.Command {
 	flags := flag.NewFlagSet("soak", flag.ExitOnError)
-	daemon := flags.String("daemon", "", "path of thornwalkd, or of thornwalk-lab with -cuts or -silence; it is built if this is empty")
+	daemon := flags.String("daemon", "", "path of thornwalkd, or of thornwalk-lab with -cuts, -silence or -spoiled; it is built if this is empty")
 	first := flags.Uint64("seed", 1, "first seed")
 	seeds := flags.Int("seeds", 1, "number of seeds")
 	workers := flags.Int("workers", 1, "seeds that are played at the same time")
@@ -37,13 +37,14 @@
 	cuts := flags.Bool("cuts", false, "cut the paths of nodes to all replicas, and judge that their callers are served like others")
 	versions := flags.Bool("versions", false, "break off streams of a service with two software versions, and judge that they go on at the one that began them")
 	silence := flags.Bool("silence", false, "stop and continue the processes of replicas beside changes, restarts and cuts, and judge that no answer ends unfinished for it")
+	spoiled := flags.Bool("spoiled", false, "have replicas send bytes that are no answer, in all forms, beside restarts and cuts, and judge memory and that no other answer is lost for it")
 	logs := flags.String("log", "", "folder for the daemons' lines; empty drops them")
 	return &ffcli.Command{
 		Name: "soak", ShortUsage: "thornwalk-lab soak [flags]", FlagSet: flags,
 		ShortHelp: "run daemons as processes, inject faults by signals and proxies, and judge the promises",
 		Exec: func(ctx context.Context, _ []string) error {
 			command := "thornwalkd"
-			if *cuts || *silence {
+			if *cuts || *silence || *spoiled {
 				command = "thornwalk-lab"
 			}
 			path, cleanup, err := buildDaemon(*daemon, command)
@@ -51,7 +52,7 @@
 				return err
 			}
 			defer cleanup()
-			options := soak.Options{Daemon: path, Traffic: *traffic, Rate: *rate, LogFolder: *logs, Previous: *previous, Bounds: *bounds, Pushback: *pushback, Tenants: *tenants, Restore: *restore, Cuts: *cuts, Versions: *versions, Silence: *silence}
+			options := soak.Options{Daemon: path, Traffic: *traffic, Rate: *rate, LogFolder: *logs, Previous: *previous, Bounds: *bounds, Pushback: *pushback, Tenants: *tenants, Restore: *restore, Cuts: *cuts, Versions: *versions, Silence: *silence, Spoiled: *spoiled}
 			return runSoak(ctx, options, *first, *seeds, *workers)
 		},
 	}
--- a/lab/platformsim/replica.go
+++ b/lab/platformsim/replica.go
@@ -42,6 +42,8 @@
 	Unsigned
 	// End begins to run the request, and then the replica crashes.
 	End
+	// Spoil runs the request and sends bytes that are no answer, in the form of SetSpoiledForm.
+	Spoil
 )
 
 // crashDelay is the time from the start of a run with behavior End to the crash.
@@ -64,7 +66,9 @@
 	// Completed is true if the run did all of its work, and EndedAt is when it ended, completed or not; zero while it runs.
 	Completed bool
 	EndedAt   time.Time
-	finished  bool
+	// Spoiled is true if bytes that are no answer were sent.
+	Spoiled  bool
+	finished bool
 	// arrival is the index of the run's arrival in Replica.arrivals.
 	arrival int
 }
@@ -126,13 +130,15 @@
 	behaviorOf func(request *http.Request) Behavior
 	pushback   Pushback
 	workTime   int
-	runs       []*Run
-	running    int
-	arrivals   []Arrival
-	maxRunning int
-	listener   net.Listener
-	conns      map[net.Conn]bool
-	crashed    bool
+	// spoiledForm is that of answers with behavior Spoil.
+	spoiledForm SpoiledForm
+	runs        []*Run
+	running     int
+	arrivals    []Arrival
+	maxRunning  int
+	listener    net.Listener
+	conns       map[net.Conn]bool
+	crashed     bool
 	// brittleness is nil unless the replica is brittle, and rejections are its recent rejections for lack of
 	// room.
 	brittleness *Brittleness
@@ -410,6 +416,10 @@
 	case Fail:
 		sleep(ctx, r.step())
 		return writeText(conn, r.responseHead("500 Internal Server Error", id, "", run)+"Content-Length: 3\r\n\r\nbad")
+	case Spoil:
+		sleep(ctx, r.step())
+		r.writeSpoiled(ctx, conn, id, run)
+		return false
 	case Stray:
 		writeText(conn, r.responseHead("200 OK", "another-request", "", nil)+"Content-Length: 5\r\n\r\nother")
 	}
--- a/lab/soak/deployment.go
+++ b/lab/soak/deployment.go
@@ -244,6 +244,9 @@
 	for seed := range nodeCount {
 		settings.Seeds = append(settings.Seeds, hostAddress(block, seed+1, operatorsPort))
 	}
+	if options.Spoiled {
+		settings.MemoryLimitMB = daemonMemoryMB
+	}
 	if options.Silence {
 		settings.RetrySlack = heldRetrySlack
 	}
--- a/lab/soak/inject.go
+++ b/lab/soak/inject.go
@@ -98,7 +98,7 @@
 	switch f.kind {
 	case kindStop, kindReplace:
 		i.plannedStops[f.target] = append(i.plannedStops[f.target], stopped)
-	case kindHangUp, kindChange, kindGrow, kindDrain, kindReplicaLeaves, kindReplicaLimits, kindReplicaPauses, kindHold, kindReconfigure:
+	case kindHangUp, kindChange, kindGrow, kindDrain, kindReplicaLeaves, kindReplicaLimits, kindReplicaPauses, kindHold, kindReconfigure, kindReplicaSpoils:
 	default:
 		i.unplanned = append(i.unplanned, span{now.Add(-storeRecoveryWindow), now.Add(f.duration + recoveryTime)})
 	}
@@ -155,6 +155,8 @@
 		d.replicas[f.target].SetPushback(platformsim.Pushback{Limit: strconv.Itoa(f.ratePerSecond)})
 	case kindPathCut:
 		return i.cutPaths(f)
+	case kindReplicaSpoils:
+		return i.spoilAnswers(f)
 	case kindReplicaPauses:
 		return pauseReplica(d.replicas[f.target])
 	default:
--- a/lab/soak/plan.go
+++ b/lab/soak/plan.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/thornwalk/thornwalk/lab/pathfault"
+	"github.com/thornwalk/thornwalk/lab/platformsim"
 )
 
 // kind is a kind of fault.
@@ -48,6 +49,7 @@
 	kindReplicaLimits  kind = "replica-limits"  // a replica sends Server-Limit
 	kindReplicaPauses  kind = "replica-pauses"  // a replica rejects requests with Retry-After
 	kindPathCut        kind = "path-cut"        // some nodes lose their paths to all replicas
+	kindReplicaSpoils  kind = "replica-spoils"  // two replicas send bytes that are no answer
 )
 
 // boundKinds affect the bounds that hold for all nodes together, and the nodes that enforce them.
@@ -63,6 +65,8 @@
 	case options.Silence && !options.Bounds:
 		plan := drawSilence(options.Seed, options.Traffic)
 		return plan.kinds()
+	case options.Spoiled && !options.Bounds:
+		return spoiledKinds
 	case !options.Bounds:
 		return kinds
 	case options.Previous != "":
@@ -117,6 +121,9 @@
 	changes  []change
 	// onScheduler replaces the target by the scheduling node at the start of the fault.
 	onScheduler bool
+	// form is that of spoiled answers, and isTotal is true if all replicas spoil all of their answers.
+	form    platformsim.SpoiledForm
+	isTotal bool
 	// ratePerSecond is the limit that a replica sends, in requests per second.
 	ratePerSecond int
 }
@@ -125,6 +132,10 @@
 	switch {
 	case f.kind == kindHold:
 		return fmt.Sprintf("%.1fs %s of replicas %v for %.1fs", f.offset.Seconds(), f.kind, f.replicas, f.duration.Seconds())
+	case f.isTotal:
+		return fmt.Sprintf("%.1fs %s (%s) of all replicas for %.1fs", f.offset.Seconds(), f.kind, f.form, f.duration.Seconds())
+	case f.kind == kindReplicaSpoils:
+		return fmt.Sprintf("%.1fs %s (%s) #%d for %.1fs", f.offset.Seconds(), f.kind, f.form, f.target, f.duration.Seconds())
 	case f.kind == kindReconfigure:
 		return fmt.Sprintf("%.1fs %s %v", f.offset.Seconds(), f.kind, f.changes)
 	case f.kind == kindPathCut && len(f.replicas) > 0:
--- a/lab/soak/process.go
+++ b/lab/soak/process.go
@@ -35,6 +35,8 @@
 	// exitExpected is true after a signal that ends the process.
 	exitExpected bool
 	closed       bool
+	// peakBytes is the highest resident memory of any process so far.
+	peakBytes int64
 	// failures describe unexpected exits and failed starts.
 	failures    []string
 	supervisors sync.WaitGroup
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -48,6 +48,9 @@
 	// Silence adds services whose replicas are processes, which are stopped and continued beside the other faults
 	// and some of its own. Daemon must be thornwalk-lab, which also runs these replicas. It excludes Previous.
 	Silence bool
+	// Spoiled adds faults in which replicas send bytes that are no answer, in all forms, and cuts as Cuts does; the
+	// daemons have a memory limit that is judged. Daemon must be thornwalk-lab. It excludes Previous.
+	Spoiled bool
 	// LogFolder is where the daemons' logs are written; empty discards them.
 	LogFolder string
 }
@@ -87,6 +90,9 @@
 	if options.Silence && options.Previous != "" {
 		return nil, errors.New("option Silence excludes Previous: play them in two runs")
 	}
+	if options.Spoiled && options.Previous != "" {
+		return nil, errors.New("option Spoiled excludes Previous, which may not limit answers: play them in two runs")
+	}
 	silence := drawSilence(options.Seed, options.Traffic)
 	if options.Silence {
 		if err := processBudget.Acquire(ctx, int64(silence.processes())); err != nil {
@@ -119,7 +125,11 @@
 	if options.Pushback {
 		plan = append(plan, pushbackFaults(options.Seed, options.Traffic)...)
 	}
-	if options.Cuts {
+	if options.Spoiled {
+		plan = append(plan, spoiledFaults(options.Seed, options.Traffic)...)
+		defer d.watchMemory()()
+	}
+	if options.Cuts || options.Spoiled {
 		plan = append(plan, cutFaults(options.Seed, options.Traffic)...)
 	}
 	if options.Silence {
--- a/operator/story/story.go
+++ b/operator/story/story.go
@@ -150,6 +150,7 @@
 	"barred":                "too many replicas ended under this request or under a part of its prompt (barred_by), see the content lines: thornwalk barred lists it, thornwalk barred lift lets it be sent again",
 	"suspect":               "a replica ended under this request, and another try of it ran: one at a time is sent, see the content lines",
 	"replica-broke-off":     "a replica ran the request and its answer was cut, spoiled or a failure",
+	"memory-full":           "requests and answers together held more than buffer_mb of this node, and this one most of it; its replica is not at fault: see the gauges buffers.* and the size of answers",
 	"deadline":              "the time of the caller or the route ran out while a replica had the request",
 	"no-configuration":      "the node knew no configuration yet: see its store lines",
 	"no-scheduler":          "no scheduling node answered in time: see the scheduler and peer lines",
@@ -187,5 +188,10 @@
 	if remedy, found := remedies[last.Reason]; found {
 		text += "; " + last.Reason + ": " + remedy
 	}
+	for _, event := range s.Request {
+		if event.Kind == "request.sent" && event.Reason == "spoiled" {
+			text += fmt.Sprintf("; %s sent bytes that are no answer (%s): see the replica's own log, and answers.invalid in the metrics for how often", event.Replica, event.Detail)
+		}
+	}
 	return text
 }
--- a/operator/story/story_test.go
+++ b/operator/story/story_test.go
@@ -62,3 +62,21 @@
 	g.Expect(text.String()).NotTo(gomega.ContainSubstring("i-9/a"))
 	g.Expect(story.Cause()).To(gomega.ContainSubstring("too many replicas ended under this request"))
 }
+
+// Guards against an explanation that doesn't say that a replica sent bytes that are no answer, or that the node ended
+// the request for its memory.
+func TestSpoiledAndEvictedAnswersAreExplained(t *testing.T) {
+	g := gomega.NewWithT(t)
+	logs := `{"time":"t1","node":"a","event":"request.sent","request":"r","replica":"i-1","outcome":"broken","reason":"spoiled","detail":"read head of answer: head-too-long after 16384 bytes"}
+{"time":"t2","node":"a","event":"request.ended","request":"r","outcome":"unknown","reason":"replica-broke-off","status":502}
+{"time":"t1","node":"a","event":"request.sent","request":"s","replica":"i-2","outcome":"broken","reason":"memory-full"}
+{"time":"t2","node":"a","event":"request.ended","request":"s","outcome":"unknown","reason":"memory-full","status":502}
+`
+	spoiled, err := Read("r", strings.NewReader(logs))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(spoiled.Cause()).To(gomega.ContainSubstring("i-1 sent bytes that are no answer (read head of answer: head-too-long after 16384 bytes)"))
+	evicted, err := Read("s", strings.NewReader(logs))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(evicted.Cause()).To(gomega.ContainSubstring("memory-full: requests and answers together"))
+	g.Expect(evicted.Cause()).NotTo(gomega.ContainSubstring("no answer"))
+}
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -140,3 +140,9 @@
 func TestShortSoakOfSilence(t *testing.T) {
 	runSeed(t, soak.Options{Daemon: buildOrFail(t, buildLab), Seed: 1, Traffic: 12 * time.Second, Rate: 40, Block: "127.0.28", Silence: true})
 }
+
+// Guards against a node that takes more memory than it may, or loses an answer, because replicas send bytes that are no
+// answer, beside restarts of nodes and cuts.
+func TestShortSoakOfSpoiledAnswers(t *testing.T) {
+	runSeed(t, soak.Options{Daemon: buildOrFail(t, buildLab), Seed: 1, Traffic: 12 * time.Second, Rate: 60, Block: "127.0.27", Spoiled: true})
+}
