entry: limit the connections of callers that serve no request

Callers' heads have 16 kB each, and connections had no limit but that of descriptors: 4,100 of them take more than the 134 MB of a process. Above a quarter of memory_mb, at 40 kB a connection, a new connection replaces the one that has been idle, or has not sent a whole head, for longest; its caller can tell that no request was read. A connection that serves a request is never closed. Gauges callers.connections and callers.replaced.

Test: TestNewConnectionsReplaceThoseThatServeNoRequest, with the race detector.

--- a/entry/handler.go
+++ b/entry/handler.go
@@ -109,6 +109,7 @@
 func (n *Node) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	n.inFlight.Add(1)
 	defer n.inFlight.Add(-1)
+	defer beginRequest(r.Context())()
 	c := &call{node: n, writer: w, request: r, arrived: n.now(), id: r.Header.Get(n.dependencies.Headers.RequestID)}
 	c.silence = &silenceWatch{call: c}
 	c.alwaysLogged = n.log.Keep(c.id)
--- a/entry/node.go
+++ b/entry/node.go
@@ -105,6 +105,8 @@
 	// isConfigurationLarge is true once a read found that the configuration exceeds maxReadBytes.
 	isConfigurationLarge atomic.Bool
 
+	// callerConnections limits the connections of callers.
+	callerConnections *callerConnections
 	// memory bounds what requests and answers hold together.
 	memory *memorybudget.Budget
 
@@ -216,8 +218,8 @@
 		table: replicas.NewTable(), evacuations: evacuations.NewTable(), rollouts: rollouts.NewTable(), members: liveness.NewTable(settings.Name), relays: liveness.NewRelays(rand.IntN), health: replicahealth.NewTracker(), paths: reachability.NewTracker(rand.Float64), pushback: pushback.NewTracker(), zones: zones.NewTracker(),
 		assignments: map[string]assignment{}, peerUsage: map[string]receivedUsage{}, loggedProblems: map[string]bool{}, term: 1, storeFailedAt: -time.Hour, lastActiveAt: -time.Hour, selectedAt: -time.Hour, peersRequestedAt: -time.Hour,
 		streamOrigins: streamorigins.NewRegistry(maxStreamOrigins), versionHistory: streamorigins.NewVersionHistory(),
-		memory: memorybudget.New(settings.bufferBytes()),
-		parts:  dissemination.NewPartStore(), sendLimiter: dissemination.NewSendLimiter(settings.LinkMbps),
+		memory: memorybudget.New(settings.bufferBytes()), callerConnections: newCallerConnections(settings.maxConnections()),
+		parts: dissemination.NewPartStore(), sendLimiter: dissemination.NewSendLimiter(settings.LinkMbps),
 	}
 	if n.dependencies.Now == nil {
 		started := time.Now()
@@ -242,6 +244,7 @@
 	n.registerStreamMetrics()
 	n.registerSilenceMetrics()
 	n.registerHeldMemoryMetrics()
+	n.registerCallerConnectionMetrics()
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	return n
 }
@@ -276,9 +279,10 @@
 	listeners := []struct {
 		address string
 		handler http.Handler
-	}{{settings.Callers, n}, {settings.Readiness, n.readinessHandler()}, {settings.Operators, n.operatorsHandler()}}
+		track   *callerConnections
+	}{{settings.Callers, n, n.callerConnections}, {settings.Readiness, n.readinessHandler(), nil}, {settings.Operators, n.operatorsHandler(), nil}}
 	for _, listener := range listeners {
-		if err := n.listenHTTP(listener.address, listener.handler); err != nil {
+		if err := n.listenHTTP(listener.address, listener.handler, listener.track); err != nil {
 			return err
 		}
 	}
@@ -332,12 +336,15 @@
 	maxHeaderBytes = 16 << 10
 )
 
-func (n *Node) listenHTTP(address string, handler http.Handler) error {
+func (n *Node) listenHTTP(address string, handler http.Handler, track *callerConnections) error {
 	listener, err := n.dependencies.Network.Listen(address)
 	if err != nil {
 		return fmt.Errorf("listen at %s: %w", address, err)
 	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+	if track != nil {
+		server.ConnContext, server.ConnState = track.add, track.observe
+	}
 	n.servers = append(n.servers, server)
 	go func() { _ = server.Serve(listener) }()
 	return nil
