httphead: tests of lines that follow a head and of what errors quote

Two of 25 broken variants of the limits passed the tests: lines of the body that were counted, and errors that quote a line whole. Both are found now.

--- a/transport/httphead/httphead_test.go
+++ b/transport/httphead/httphead_test.go
@@ -105,13 +105,29 @@
 func TestHeadAtItsLimitsIsRead(t *testing.T) {
 	g := gomega.NewWithT(t)
 	const head = "HTTP/1.1 200 OK\r\nA: b\r\n\r\n"
-	reader := newScripted([]byte(head+strings.Repeat("\n", 5000)), 5000)
-	reader.Begin(Limits{Bytes: len(head), Lines: 3})
-	_, err := reader.ReadResponse(&http.Request{Method: http.MethodGet})
-	g.Expect(err).NotTo(gomega.HaveOccurred())
-	rest, err := io.ReadAll(reader)
-	g.Expect(err).NotTo(gomega.HaveOccurred())
-	g.Expect(rest).To(gomega.HaveLen(5000))
+	for _, maxBytes := range []int{len(head), 2 * bufferBytes} {
+		reader := newScripted([]byte(head+strings.Repeat("\n", 5000)), 5000)
+		reader.Begin(Limits{Bytes: maxBytes, Lines: 3})
+		_, err := reader.ReadResponse(&http.Request{Method: http.MethodGet})
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		rest, err := io.ReadAll(reader)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(rest).To(gomega.HaveLen(5000))
+	}
+}
+
+// Guards against an error that repeats at length what the other side sent.
+func TestErrorsQuoteLittle(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for _, line := range []string{strings.Repeat("x", 3000), "HTTP/1.1 " + strings.Repeat("\x00", 3000), "HTTP/1.1 200 OK\r\n" + strings.Repeat("y", 3000)} {
+		reader := newScripted([]byte(line+"\r\n\r\n"), 5000)
+		reader.Begin(Limits{}.WithDefaults())
+		_, err := reader.ReadResponse(&http.Request{Method: http.MethodGet})
+		var failed *Error
+		g.Expect(errors.As(err, &failed)).To(gomega.BeTrue(), "%.100v", err)
+		g.Expect(failed.Violation).To(gomega.Equal(Malformed))
+		g.Expect(len(err.Error())).To(gomega.BeNumerically("<", 5*maxQuotedBytes))
+	}
 }
 
 // Guards against limits of one head that provisional heads evade.
