--- a/lab/pathfault/pathfault.go
+++ b/lab/pathfault/pathfault.go
@@ -41,9 +41,14 @@
 // pollInterval is the time between reads of the file, and between checks of a connection that is held back.
 const pollInterval = 10 * time.Millisecond
 
+// writing serializes writes, as cuts of one process may overlap.
+var writing sync.Mutex
+
 // Write cuts the paths to the addresses for the process that reads the file. Without addresses it ends the
 // cut.
 func Write(path string, mode Mode, addresses []string) error {
+	writing.Lock()
+	defer writing.Unlock()
 	next := path + ".next"
 	content := strings.Join(append([]string{string(mode)}, addresses...), "\n")
 	if err := os.WriteFile(next, []byte(content), 0o600); err != nil {
