entry: an evicted answer frees its memory although its caller is slow

A write to a caller that does not read was interrupted for plain answers only, and by a function that no longer reset the connection to the replica. Now eviction does both for every answer. Large bodies of requests are no longer copied behind their head for each send, which the budget did not count. The command line's replies have heads of 64 KiB at most.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -73,8 +73,9 @@
 	startedAt time.Time
 	headDelay time.Duration
 	workTime  int
-	// memory is what the answer holds.
+	// memory is what the answer holds, and reset resets the connection to the replica.
 	memory *memorybudget.Account
+	reset  context.CancelFunc
 	// release must be called once the exchange has ended.
 	release func()
 }
@@ -124,7 +125,7 @@
 	endExchange := node.exchanges.begin(conn, granted.Replica)
 	sendContext, cancelSend := context.WithCancel(c.ctx)
 	memory := node.memory.Open(cancelSend)
-	begun := &send{granted: granted, forwarder: conn.Forwarder, startedAt: time.Now(), memory: memory, release: func() {
+	begun := &send{granted: granted, forwarder: conn.Forwarder, startedAt: time.Now(), memory: memory, reset: cancelSend, release: func() {
 		cancelSend()
 		endExchange()
 		memory.Close()
@@ -209,6 +210,11 @@
 func (c *call) complete(begun *send) (result, admission.Observation) {
 	defer begun.release()
 	c.currentReplica, c.answerMemory = begun.granted.Replica.ID, begun.memory
+	// If it is evicted already, its connection is reset and the read fails.
+	_ = begun.memory.OnEvict(func() {
+		begun.reset()
+		c.interruptWrite()
+	})
 	outcome, observed := c.relay(begun.answer, begun.granted.Replica, begun.startedAt)
 	observed.WorkTime, observed.HeadDelay = begun.workTime, begun.headDelay
 	c.endExchange(begun, outcome)
@@ -296,6 +302,7 @@
 		c.lastFailure = causeTimeout // this node reset the connection
 	case c.answerMemory.IsEvicted() || c.isEvicted():
 		c.lastFailure = causeMemoryFull // so did it here
+		c.resumeWrites()
 	case c.lastFailure == causeInvalidResponse:
 		c.failureDetail = shortened(err)
 		c.node.counter("answers.invalid." + violationOf(err)).Inc(1)
--- a/entry/held_memory.go
+++ b/entry/held_memory.go
@@ -144,12 +144,16 @@
 	c.endNotRun(http.StatusServiceUnavailable, reasonMemoryFull, retryAfterMemoryFull)
 }
 
-// interruptWriteOnEviction makes the eviction of the answer interrupt its write to the caller, which may be slow. It
-// returns false if the answer is evicted already.
-func (c *call) interruptWriteOnEviction() bool {
-	return c.answerMemory.OnEvict(func() {
-		_ = http.NewResponseController(c.writer).SetWriteDeadline(time.Unix(1, 0))
-	})
+// interruptWrite ends a write of the answer to the caller, which may be slow.
+func (c *call) interruptWrite() {
+	_ = http.NewResponseController(c.writer).SetWriteDeadline(time.Unix(1, 0))
+}
+
+// resumeWrites lets writes to the caller go on after interruptWrite, unless one was interrupted.
+func (c *call) resumeWrites() {
+	if c.writer != nil { // a search for a successor has no caller
+		_ = http.NewResponseController(c.writer).SetWriteDeadline(time.Time{})
+	}
 }
 
 // keepServerError keeps the answer with a server error until the request ends.
--- a/entry/response.go
+++ b/entry/response.go
@@ -75,7 +75,7 @@
 func (c *call) relayBuffered(answer *replicahttp.Answer, replica replicas.Replica) (result, admission.Observation) {
 	isUsable := c.isUsable(answer)
 	body, err := c.readPlainBody(answer, readerFunc(func(buffer []byte) (int, error) { return c.readWatched(answer, buffer, false, isUsable) }))
-	if err == nil && !c.interruptWriteOnEviction() {
+	if err == nil && c.answerMemory.IsEvicted() {
 		err = memorybudget.ErrEvicted
 	}
 	if err != nil {
--- a/operator/client.go
+++ b/operator/client.go
@@ -36,7 +36,9 @@
 
 // New returns a client of the node whose operator API is at the address.
 func New(address, token string) *Client {
-	return &Client{address: address, token: token, http: &http.Client{Timeout: callTimeout}}
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	transport.MaxResponseHeaderBytes = maxHeadBytes
+	return &Client{address: address, token: token, http: &http.Client{Timeout: callTimeout, Transport: transport}}
 }
 
 // Status returns the node's state.
@@ -143,6 +145,8 @@
 var ErrNoSuchPath = errors.New("status 404 Not Found: the node's kind or version does not have this call")
 
 const (
+	// maxHeadBytes bounds the heads of a reply.
+	maxHeadBytes = 64 << 10
 	// maxReplyBytes bounds the body of a reply.
 	maxReplyBytes = 256 << 20
 	// maxErrorBytes bounds the body of an error that is read.
--- a/test/entry/spoiled_answers_test.go
+++ b/test/entry/spoiled_answers_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -14,6 +15,7 @@
 	"github.com/onsi/gomega"
 
 	"github.com/thornwalk/thornwalk/entry"
+	"github.com/thornwalk/thornwalk/lab/entrylab"
 	"github.com/thornwalk/thornwalk/lab/memnet"
 )
 
@@ -241,6 +243,32 @@
 	})
 }
 
+// Guards against the promise "not run" to a request that is ended for its body while a replica may have run it.
+func TestEvictedRequestThatMayHaveRunIsNotPromisedOtherwise(t *testing.T) {
+	runWithBudget(t, func(s *scenario) {
+		replicas := s.replaceReplicas("registry", 12, func(_ int, exchange *scriptedExchange) { exchange.silent() })
+		defer replicas.close()
+		send := func(bytes int) reply {
+			return s.do("n1", http.MethodPost, "/once/", func(request *http.Request) {
+				request.Body, request.ContentLength = io.NopCloser(strings.NewReader(strings.Repeat("x", bytes))), int64(bytes)
+			})
+		}
+		largest := make(chan reply, 1)
+		go func() { largest <- send(1 << 20) }()
+		time.Sleep(100 * time.Millisecond)
+		s.Expect(replicas.count()).To(gomega.Equal(1))
+		var group sync.WaitGroup
+		for range budgetMB {
+			group.Go(func() { send(1<<20 - 32<<10) })
+		}
+		group.Wait()
+		got := <-largest
+		s.Expect(got.status).To(gomega.Equal(http.StatusBadGateway))
+		s.Expect(got.took).To(gomega.BeNumerically("<", time.Second))
+		s.Expect(s.counters("ended_memory_full ")).To(gomega.Equal(1))
+	})
+}
+
 // slowBody is a body of bytes that come in 50 parts over a second.
 type slowBody struct{ left int }
 
@@ -255,3 +283,30 @@
 }
 
 func (b *slowBody) Close() error { return nil }
+
+// Guards against an answer that stays in memory since its caller does not read it, while others need the memory.
+func TestAnswerToASlowCallerGivesWay(t *testing.T) {
+	runWithBudget(t, func(s *scenario) {
+		const slowBytes, bytes = 5 << 20, 4 << 20
+		replicas := s.replaceReplicas("registry", 3, func(_ int, exchange *scriptedExchange) {
+			size := bytes
+			if strings.HasPrefix(exchange.request.URL.Path, "/once/slow") {
+				size = slowBytes
+			}
+			exchange.write(exchange.plain("200 OK", "", strings.Repeat("x", size)))
+		})
+		defer replicas.close()
+		slow, err := s.fabric.Host("caller").Dial(context.Background(), entrylab.CallersAddress("n1"))
+		s.Expect(err).NotTo(gomega.HaveOccurred())
+		defer slow.Close()
+		_, err = io.WriteString(slow, "GET /once/slow HTTP/1.1\r\nHost: service.example\r\nX-Attempt-Id: slow\r\nX-Deadline-Ms: 3000\r\nAuthorization: Bearer key-1\r\n\r\n")
+		s.Expect(err).NotTo(gomega.HaveOccurred())
+		time.Sleep(300 * time.Millisecond) // the caller reads nothing
+		got := s.do("n1", http.MethodPost, "/once/", nil)
+		s.Expect(got.status).To(gomega.Equal(http.StatusOK))
+		s.Expect(got.body).To(gomega.HaveLen(bytes))
+		s.Expect(s.counters("buffers_evicted ")).To(gomega.Equal(1))
+		rest, _ := io.ReadAll(slow)
+		s.Expect(len(rest)).To(gomega.BeNumerically("<", slowBytes), "its connection ends before the whole answer")
+	})
+}
--- a/transport/replicahttp/exchange.go
+++ b/transport/replicahttp/exchange.go
@@ -64,8 +64,7 @@
 		// The answer may arrive before the replica has read the body, so write and read run
 		// concurrently.
 		go func() {
-			_, err := conn.Write(append(head, request.Body...))
-			answer.writeResult <- err
+			answer.writeResult <- conn.writeRequest(head, request.Body)
 		}()
 	}
 	response, err := conn.readAnswer(request)
@@ -78,6 +77,21 @@
 	return answer, nil
 }
 
+// maxCopiedBodyBytes bounds the bodies that are copied behind the head to be sent with it.
+const maxCopiedBodyBytes = 64 << 10
+
+// writeRequest writes the head and the body.
+func (c *Conn) writeRequest(head, body []byte) error {
+	if len(body) <= maxCopiedBodyBytes {
+		head, body = append(head, body...), nil
+	}
+	_, err := c.Write(head)
+	if err == nil && len(body) > 0 {
+		_, err = c.Write(body)
+	}
+	return err
+}
+
 // ErrOnlyStrayAnswers means that the replica sent answers to other requests.
 var ErrOnlyStrayAnswers = errors.New("read answer: the connection has only answers to other requests")
 
