--- a/entry/held_memory.go
+++ b/entry/held_memory.go
@@ -30,6 +30,7 @@
 const (
 	violationUnsigned      = "unsigned"
 	violationEncoded       = "encoded"
+	violationNotAStream    = "not-a-stream"
 	violationOtherAnswers  = "other-answers"
 	violationBodyTooLong   = "body-too-long"
 	violationBodyMalformed = "body-malformed"
@@ -45,9 +46,10 @@
 var (
 	errUnsigned     = &invalidAnswerError{violationUnsigned}
 	errEncoded      = &invalidAnswerError{violationEncoded}
+	errNotAStream   = &invalidAnswerError{violationNotAStream}
 	errBodyTooLong  = &invalidAnswerError{violationBodyTooLong}
 	errEventTooLong = &invalidAnswerError{violationEventTooLong}
-
+	// errEventIDTooLong is the error of an event whose ID can't be kept.
 	errEventIDTooLong = &invalidAnswerError{violationEventID}
 )
 
--- a/entry/response.go
+++ b/entry/response.go
@@ -29,10 +29,8 @@
 	switch {
 	case c.isRejection(answer):
 		return c.handleRejection(answer, replica)
-	case !c.isSigned(answer):
-		return c.recordIncomplete(errUnsigned), admission.Observation{}
-	case success && answer.Header.Get("Content-Encoding") != "":
-		return c.recordIncomplete(errEncoded), admission.Observation{}
+	case !c.isSigned(answer) || success && answer.Header.Get("Content-Encoding") != "":
+		return c.recordIncomplete(c.unusableError(answer)), admission.Observation{}
 	case success && isEventStream(answer):
 		return c.relayStream(answer, replica, sentTime)
 	}
--- a/entry/successor.go
+++ b/entry/successor.go
@@ -103,7 +103,7 @@
 		c.node.recordSuccess(replica.ID)
 		return resultServerError, &bufferedAnswer{Answer: answer, body: body, replica: replica.ID}
 	case !c.isUsable(answer):
-		return c.recordIncomplete(errUnsigned), nil
+		return c.recordIncomplete(c.unusableError(answer)), nil
 	}
 	if !isEventStream(answer) {
 		// The caller gets nothing of a plain answer before it is complete, so the other replica may go on until then.
@@ -138,6 +138,17 @@
 	return true
 }
 
+// unusableError returns why an answer that is neither a rejection nor a server error is not usable.
+func (c *call) unusableError(answer *replicahttp.Answer) error {
+	switch {
+	case !c.isSigned(answer):
+		return errUnsigned
+	case answer.Header.Get("Content-Encoding") != "":
+		return errEncoded
+	}
+	return errNotAStream
+}
+
 // countSearch adds what happened in a search for a successor to the call.
 func (c *call) countSearch(result searchResult) {
 	c.waited += result.waited
