--- a/transport/replicahttp/limits_test.go
+++ b/transport/replicahttp/limits_test.go
@@ -54,7 +54,7 @@
 }
 
 // exchangeCounted sends a request over a new connection. It returns the error and the number of bytes that were read.
-func exchangeCounted(t *testing.T, address string) (error, int64) {
+func exchangeCounted(t *testing.T, address string) (received int64, err error) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
@@ -67,7 +67,7 @@
 	if err == nil {
 		answer.Abandon()
 	}
-	return err, counted.received.Load()
+	return counted.received.Load(), err
 }
 
 // Guards against a node that keeps the bytes of a head without end until its process is over its memory limit.
@@ -88,7 +88,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
-			err, received := exchangeCounted(t, serveEndless(t, test.start, test.part))
+			received, err := exchangeCounted(t, serveEndless(t, test.start, test.part))
 			g.Expect(err).To(gomega.HaveOccurred())
 			g.Expect(received).To(gomega.BeNumerically("<=", maxReadBytes), fmt.Sprintf("%.100v", err))
 		})
