--- a/state/memorybudget/memorybudget_test.go
+++ b/state/memorybudget/memorybudget_test.go
@@ -73,3 +73,28 @@
 	g.Expect(budget.accounts).To(gomega.BeEmpty())
 	g.Expect(budget.Evicted()).To(gomega.BeNumerically(">", 0))
 }
+
+// Guards against an eviction that interrupts what follows on the connection of an account that was closed meanwhile.
+func TestClosedAccountIsNotInterrupted(t *testing.T) {
+	g := gomega.NewWithT(t)
+	budget := New(100)
+	isInterrupted := false
+	second := budget.Open(func() { isInterrupted = true })
+	first := budget.Open(second.Close) // evicted before the second one, as it holds more
+	g.Expect(first.Reserve(60)).To(gomega.Succeed())
+	g.Expect(second.Reserve(40)).To(gomega.Succeed())
+	g.Expect(budget.Open(func() {}).Reserve(30)).To(gomega.Succeed())
+	g.Expect(isInterrupted).To(gomega.BeFalse())
+	g.Expect(second.IsEvicted()).To(gomega.BeFalse(), "the first was enough")
+
+	isInterrupted = false
+	budget = New(100)
+	second = budget.Open(func() { isInterrupted = true })
+	first = budget.Open(second.Close)
+	g.Expect(first.Reserve(50)).To(gomega.Succeed())
+	g.Expect(second.Reserve(40)).To(gomega.Succeed())
+	budget.SetLimit(10)
+	g.Expect(budget.Open(func() {}).Reserve(5)).To(gomega.Succeed())
+	g.Expect(second.IsEvicted()).To(gomega.BeTrue())
+	g.Expect(isInterrupted).To(gomega.BeFalse(), "it was closed before its turn")
+}
