msgpackcheck: the fuzz test accepts a refusal only beyond a limit

Change: the test derives from the codec alone whether the value is over a limit; seeds at and one over each limit.

--- a/protocol/msgpackcheck/msgpackcheck_test.go
+++ b/protocol/msgpackcheck/msgpackcheck_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/onsi/gomega"
 	"github.com/vmihailenco/msgpack/v5"
+	"github.com/vmihailenco/msgpack/v5/msgpcode"
 
 	"github.com/thornwalk/thornwalk/protocol/errkind"
 )
@@ -66,24 +67,50 @@
 	f.Add(content)
 	f.Add([]byte{0xdc, 0, 2, 0xc0, 0xc0})
 	f.Add([]byte{0xc7, 1, 5, 0})
+	for _, depth := range []int{maxDepth, maxDepth + 1} {
+		f.Add(append(bytes.Repeat([]byte{0x91}, depth), 0xc0))
+	}
+	for _, count := range []int{maxElements, maxElements + 1} {
+		f.Add(append([]byte{0xdd, 0, byte(count >> 16), byte(count >> 8), byte(count)}, bytes.Repeat([]byte{0xc0}, count)...))
+	}
 	f.Fuzz(func(t *testing.T, content []byte) {
 		// The codec skips a value with the same structure; 0xc1 is not used by the format.
 		decoder := msgpack.NewDecoder(bytes.NewReader(content))
 		if bytes.IndexByte(content, 0xc1) >= 0 {
 			return
 		}
-		skipErr, err := decoder.Skip(), Check(content)
-		if skipErr == nil && err != nil && mayExceedLimits(content) {
-			return
-		}
-		if (skipErr == nil) != (err == nil) {
-			t.Errorf("skip: %v, check: %v", skipErr, err)
+		codecErr, err := decoder.Skip(), Check(content)
+		isValid := codecErr == nil && !exceedsLimits(msgpack.NewDecoder(bytes.NewReader(content)), 0)
+		if isValid != (err == nil) {
+			t.Errorf("codec: %v, check: %v", codecErr, err)
 		}
 	})
 }
 
-// mayExceedLimits reports whether the content may be valid and over a limit of Check.
-func mayExceedLimits(content []byte) bool { return len(content) > maxDepth }
+// exceedsLimits reports whether the value, which is valid, is over a limit of Check at the depth.
+func exceedsLimits(decoder *msgpack.Decoder, depth int) bool {
+	code, _ := decoder.PeekCode()
+	if !isContainer(code) {
+		_ = decoder.Skip()
+		return false
+	}
+	var count int
+	if msgpcode.IsFixedArray(code) || code == msgpcode.Array16 || code == msgpcode.Array32 {
+		count, _ = decoder.DecodeArrayLen()
+	} else {
+		count, _ = decoder.DecodeMapLen()
+		count *= 2
+	}
+	if depth == maxDepth || count > maxElements {
+		return true
+	}
+	for range count {
+		if exceedsLimits(decoder, depth+1) {
+			return true
+		}
+	}
+	return false
+}
 
 // BenchmarkUnmarshal compares decoding with and without the check.
 func BenchmarkUnmarshal(b *testing.B) {
