test/entry: start scenarios with adjusted settings in one place

Cause: the tests of the budget repeated the start of a scenario for one setting. Change: runAdjusted, which runScenario calls too; assertions as they were. Measured: the tests of spoiled answers, the budget, successors and tenants pass.

--- a/test/entry/scenario_test.go
+++ b/test/entry/scenario_test.go
@@ -46,10 +46,13 @@
 var hosts = []string{"n1", "n2", "n3"}
 
 // runScenario starts the deployment, waits until all nodes are ready and runs the test in virtual time.
-func runScenario(t *testing.T, test func(s *scenario)) {
+func runScenario(t *testing.T, test func(s *scenario)) { runAdjusted(t, nil, test) }
+
+// runAdjusted is runScenario with settings that adjust changes, if it is not nil.
+func runAdjusted(t *testing.T, adjust func(*entry.Settings), test func(s *scenario)) {
 	synctest.Test(t, func(t *testing.T) {
 		s := &scenario{WithT: gomega.NewWithT(t), fabric: memnet.New()}
-		s.start(hosts, []string{"east", "west"}, nil)
+		s.start(hosts, []string{"east", "west"}, adjust)
 		for _, host := range []string{"e1", "e2"} {
 			s.engines = append(s.engines, s.addReplica(host, "engines", 6, 50*time.Millisecond))
 		}
--- a/test/entry/spoiled_answers_test.go
+++ b/test/entry/spoiled_answers_test.go
@@ -9,14 +9,12 @@
 	"strings"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/onsi/gomega"
 
 	"github.com/thornwalk/thornwalk/entry"
 	"github.com/thornwalk/thornwalk/lab/entrylab"
-	"github.com/thornwalk/thornwalk/lab/memnet"
 )
 
 // writeEndless writes the start, and then the part over and over until the node closes the connection or 16 MB are
@@ -138,16 +136,7 @@
 
 // runWithBudget runs the test with nodes that hold budgetMB of requests and answers at most.
 func runWithBudget(t *testing.T, test func(s *scenario)) {
-	synctest.Test(t, func(t *testing.T) {
-		s := &scenario{WithT: gomega.NewWithT(t), fabric: memnet.New()}
-		s.start(hosts, []string{"east", "west"}, func(settings *entry.Settings) { settings.BufferMB = budgetMB })
-		for _, host := range []string{"e1", "e2"} {
-			s.engines = append(s.engines, s.addReplica(host, "engines", 6, 50*time.Millisecond))
-		}
-		s.awaitReady()
-		defer s.stop(hosts)
-		test(s)
-	})
+	runAdjusted(t, func(settings *entry.Settings) { settings.BufferMB = budgetMB }, test)
 }
 
 // heldGauge returns the most bytes that a node has held.
