entry: register the gauges of buffers and callers like the others

Cause: two loops registered functional gauges by hand beside registerGauges. Change: both call it; names and values are as they were.

--- a/entry/caller_connections.go
+++ b/entry/caller_connections.go
@@ -6,8 +6,6 @@
 	"net/http"
 	"sync"
 	"time"
-
-	"github.com/rcrowley/go-metrics"
 )
 
 const (
@@ -110,16 +108,17 @@
 	s.isServing, s.since = isServing, time.Now()
 }
 
+// counts returns the number of open connections and of those that were replaced.
+func (c *callerConnections) counts() (open, replaced int64) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return int64(len(c.open)), c.closed
+}
+
 // registerCallerConnectionMetrics registers the gauges of open connections and of those that were replaced.
 func (n *Node) registerCallerConnectionMetrics() {
-	gauge := func(value func(*callerConnections) int64) metrics.Gauge {
-		return metrics.NewFunctionalGauge(func() int64 {
-			n.callerConnections.mutex.Lock()
-			defer n.callerConnections.mutex.Unlock()
-			return value(n.callerConnections)
-		})
-	}
-	// Registration fails only for a name in use, and a node registers once.
-	_ = n.metrics.Register("callers.connections", gauge(func(c *callerConnections) int64 { return int64(len(c.open)) }))
-	_ = n.metrics.Register("callers.replaced", gauge(func(c *callerConnections) int64 { return c.closed }))
+	n.registerGauges(map[string]func() int64{
+		"callers.connections": func() int64 { open, _ := n.callerConnections.counts(); return open },
+		"callers.replaced":    func() int64 { _, replaced := n.callerConnections.counts(); return replaced },
+	})
 }
--- a/entry/held_memory.go
+++ b/entry/held_memory.go
@@ -6,8 +6,6 @@
 	"net/http"
 	"time"
 
-	"github.com/rcrowley/go-metrics"
-
 	"github.com/thornwalk/thornwalk/state/memorybudget"
 	"github.com/thornwalk/thornwalk/transport/httphead"
 	"github.com/thornwalk/thornwalk/transport/replicahttp"
@@ -168,12 +166,9 @@
 
 // registerHeldMemoryMetrics registers the gauges of the memory that requests and answers hold.
 func (n *Node) registerHeldMemoryMetrics() {
-	for name, value := range map[string]func() int64{
+	n.registerGauges(map[string]func() int64{
 		"buffers.held_bytes":     func() int64 { held, _ := n.memory.Held(); return held },
 		"buffers.max_held_bytes": func() int64 { _, most := n.memory.Held(); return most },
 		"buffers.evicted":        n.memory.Evicted,
-	} {
-		// Registration fails only for a name in use, and a node registers once.
-		_ = n.metrics.Register(name, metrics.NewFunctionalGauge(value))
-	}
+	})
 }
