test/entry: streams that go on at replicas replaced in place while the store is away

Callers get streams with events of two software versions in one answer: a replica that ended and started again under its ID and address, with another version, is taken for the incarnation of the last entry known.

--- a/lab/entrylab/entrylab.go
+++ b/lab/entrylab/entrylab.go
@@ -151,9 +151,18 @@
 	return d.nodes[host]
 }
 
-// AddReplica sets the replica's address, starts it on the host and registers it as ready. It starts
-// nothing once the deployment stops.
+// AddReplica starts the replica on the host and registers it as ready.
 func (d *Deployment) AddReplica(host string, replica *platformsim.Replica) error {
+	if err := d.StartReplica(host, replica); err != nil || d.isStopping.Load() {
+		return err
+	}
+	replica.Register(d.Store, "ready")
+	return nil
+}
+
+// StartReplica sets the replica's address and starts it on the host without a store entry. It starts nothing once the
+// deployment stops.
+func (d *Deployment) StartReplica(host string, replica *platformsim.Replica) error {
 	replica.Address = hostAddress(host, replicaPort)
 	listener, err := d.options.Network(host).Listen(replica.Address)
 	if err != nil {
@@ -169,7 +178,6 @@
 		return listener.Close()
 	}
 	go replica.Serve(listener)
-	replica.Register(d.Store, "ready")
 	return nil
 }
 
