--- /dev/null
+++ b/coordination/incarnations/tracker.go
@@ -0,0 +1,183 @@
+package incarnations
+
+import (
+	"maps"
+	"time"
+
+	"github.com/thornwalk/thornwalk/state/replicas"
+	"github.com/thornwalk/thornwalk/structs"
+)
+
+const (
+	// EntryDelay is how much later than the start of a replica, or than the store's return, the store may still list the
+	// replica's former incarnation.
+	EntryDelay = 4 * time.Second
+	// maxViewGap is the time between two views of the store from which on it may have been away in between, and
+	// maxViewAge the age up to which a view counts as current.
+	maxViewGap = 1500 * time.Millisecond
+	maxViewAge = 1500 * time.Millisecond
+	// minReplacementTime is the least time in which a replica ends and its successor accepts connections.
+	minReplacementTime = 250 * time.Millisecond
+)
+
+// Incarnation is one run of a replica's process.
+type Incarnation struct {
+	Replica string
+	// StartedAt is the start in Unix milliseconds by the replica's clock; zero if it states none.
+	StartedAt int64
+}
+
+// Of returns the incarnation that the entry describes.
+func Of(replica replicas.Replica) Incarnation {
+	return Incarnation{Replica: replica.ID, StartedAt: replica.StartedAt}
+}
+
+// Connection is a connection that was opened to the address of an incarnation while this node had its entry.
+type Connection struct {
+	Incarnation Incarnation
+	OpenedAt    structs.Instant
+}
+
+// Proof is what shows that a connection leads to the incarnation for which it was opened.
+type Proof string
+
+const (
+	// ProofNone means that nothing shows it.
+	ProofNone Proof = ""
+	// ProofEntry means that the store listed the incarnation when a successor that had started before the connection
+	// would have replaced the entry.
+	ProofEntry Proof = "entry"
+	// ProofAnswers means that a connection which leads to the incarnation was alive after this one was opened.
+	ProofAnswers Proof = "answers"
+	// ProofReport means that the process stated the start of the incarnation after the connection was opened.
+	ProofReport Proof = "report"
+	// ProofAssumed means that the incarnation was known recently, and that nothing has failed at it since.
+	ProofAssumed Proof = "assumed"
+)
+
+// Verdict is what is known of a connection.
+type Verdict struct {
+	Proof Proof
+	// Age is the time since the latest statement on the incarnation, or zero if there is none.
+	Age time.Duration
+	// DoubtAge is the time since the latest sign that the incarnation may have ended, or zero if there is none after the
+	// latest statement.
+	DoubtAge time.Duration
+}
+
+// IsProven reports whether the connection leads to the incarnation for certain.
+func (v Verdict) IsProven() bool { return v.Proof != ProofNone && v.Proof != ProofAssumed }
+
+// knowledge is what is known of one incarnation beside the views of the store.
+type knowledge struct {
+	// confirmedAt is the latest instant at which it is known to have been the process at its address, by the proof; the
+	// proof is ProofNone if there is no such instant.
+	confirmedAt structs.Instant
+	proof       Proof
+	// doubtedAt is the instant of the latest sign that it may have ended, if isDoubted.
+	doubtedAt structs.Instant
+	isDoubted bool
+}
+
+// Tracker keeps what is known of incarnations. It is not safe for concurrent use.
+type Tracker struct {
+	// viewAsOf is the instant of the latest complete view of the store, and steadySince that from which on there were
+	// views without a gap.
+	hasView               bool
+	viewAsOf, steadySince structs.Instant
+	// interruptedAt is when views were last known to be no proof, if isInterrupted; later views end that.
+	interruptedAt structs.Instant
+	isInterrupted bool
+	// coversUntil is the instant before which no successor of a listed incarnation can have started, if hasCover.
+	coversUntil structs.Instant
+	hasCover    bool
+	known       map[Incarnation]knowledge
+}
+
+// NewTracker returns a tracker that knows nothing.
+func NewTracker() *Tracker { return &Tracker{known: map[Incarnation]knowledge{}} }
+
+// ObserveView records that the known entries are those of the store as of the instant. Earlier views have no effect.
+func (t *Tracker) ObserveView(asOf structs.Instant) {
+	if t.hasView && asOf <= t.viewAsOf || t.isInterrupted && asOf <= t.interruptedAt {
+		return
+	}
+	if !t.hasView || t.isInterrupted || asOf-t.viewAsOf > maxViewGap {
+		t.steadySince = asOf
+	}
+	t.hasView, t.isInterrupted, t.viewAsOf = true, false, asOf
+	if covered := asOf - EntryDelay; covered >= t.steadySince {
+		t.coversUntil, t.hasCover = covered, true
+	}
+}
+
+// Interrupt records that entries may have been replaced unseen: the store failed, was restored, or this process was
+// suspended.
+func (t *Tracker) Interrupt(now structs.Instant) {
+	t.interruptedAt, t.isInterrupted = now, true
+}
+
+// Doubt records a sign that the incarnation may have ended: a connection that it closed, refused or did not answer.
+func (t *Tracker) Doubt(at structs.Instant, incarnation Incarnation) {
+	known := t.known[incarnation]
+	if !known.isDoubted || at > known.doubtedAt {
+		known.doubtedAt, known.isDoubted = at, true
+	}
+	t.known[incarnation] = known
+}
+
+// ConfirmByReport records that the process at the incarnation's address stated its start, over a connection that
+// was open at the instant.
+func (t *Tracker) ConfirmByReport(at structs.Instant, incarnation Incarnation) {
+	t.confirm(at, incarnation, ProofReport)
+}
+
+// Received records that bytes of a response arrived over the connection. isListed is as for Verdict.
+func (t *Tracker) Received(at structs.Instant, connection Connection, isListed bool) {
+	if t.Verdict(at, connection, isListed).IsProven() {
+		t.confirm(at, connection.Incarnation, ProofAnswers)
+	}
+}
+
+func (t *Tracker) confirm(at structs.Instant, incarnation Incarnation, proof Proof) {
+	known := t.known[incarnation]
+	if known.proof == ProofNone || at > known.confirmedAt {
+		known.confirmedAt, known.proof = at, proof
+	}
+	t.known[incarnation] = known
+}
+
+// Verdict returns what is known of the connection. isListed is true if this node has the incarnation's entry, and the
+// store listed it in the latest view.
+func (t *Tracker) Verdict(now structs.Instant, connection Connection, isListed bool) Verdict {
+	known := t.known[connection.Incarnation]
+	stated, proof := known.confirmedAt, known.proof
+	if isListed && t.hasCover && (proof == ProofNone || t.coversUntil > stated) {
+		stated, proof = t.coversUntil, ProofEntry
+	}
+	verdict := Verdict{}
+	if proof != ProofNone {
+		verdict.Age = now - stated
+	}
+	isDoubted := known.isDoubted && (proof == ProofNone || known.doubtedAt > stated)
+	if isDoubted {
+		verdict.DoubtAge = max(now-known.doubtedAt, 1)
+	}
+	switch {
+	case proof != ProofNone && connection.OpenedAt <= stated:
+		verdict.Proof = proof
+	case !isDoubted && (isListed && t.isCurrent(now) || proof != ProofNone && verdict.Age <= minReplacementTime):
+		verdict.Proof = ProofAssumed
+	}
+	return verdict
+}
+
+// isCurrent reports whether the latest view is recent and nothing has interrupted the views since.
+func (t *Tracker) isCurrent(now structs.Instant) bool {
+	return t.hasView && !t.isInterrupted && now-t.viewAsOf <= maxViewAge
+}
+
+// Forget drops what is known of the incarnations that are not kept.
+func (t *Tracker) Forget(isKept func(Incarnation) bool) {
+	maps.DeleteFunc(t.known, func(incarnation Incarnation, _ knowledge) bool { return !isKept(incarnation) })
+}
