entry: say which incarnation a send was meant for, and what shows that it got there

Cause: the lines of a send name the version of the known entry. Whether the process that answered is the one that the entry describes can't be told from them, so that the hypotheses on streams with events of two versions can't be told apart.

Change: the tracker of coordination/incarnations observes views of the store (own reads and those that heartbeats tell, outside restore windows), what interrupts them, connections that a replica closed, refused or left unanswered, 421, and heads of answers. The line of a send has the start of the incarnation, the proof and the age of the latest statement; replica.identity says that a replica was doubted. Counters for each proof and doubt, a gauge of the doubted replicas. Connections to replicas have the incarnation for which they were opened and the instant. Nothing is decided by it.

The head of an answer counts as of the write of its request: the process was alive then. Bytes of a body may have been sent long before they are read and count for nothing.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -10,6 +10,7 @@
 
 	"github.com/thornwalk/thornwalk/coordination/admission"
 	"github.com/thornwalk/thornwalk/coordination/handover"
+	"github.com/thornwalk/thornwalk/coordination/incarnations"
 	"github.com/thornwalk/thornwalk/state/loadreport"
 	"github.com/thornwalk/thornwalk/state/memorybudget"
 	"github.com/thornwalk/thornwalk/state/replicas"
@@ -66,6 +67,9 @@
 	granted   *grant
 	answer    *replicahttp.Answer
 	forwarder string
+	// identity is what was known, just before the request was written, of whether the connection leads to the replica's
+	// incarnation.
+	identity incarnations.Verdict
 	// token identifies a successor that the request goes on at.
 	token handover.Token
 	// startedAt is when the request was written, and headDelay the time from then to the head, zero unless the
@@ -84,7 +88,7 @@
 func (c *call) attempt(granted *grant, begun *send) (result, admission.Observation) {
 	if begun != nil {
 		c.resetSendState()
-		c.forwarder = begun.forwarder
+		c.forwarder, c.identity = begun.forwarder, begun.identity
 		return c.complete(begun)
 	}
 	begun, outcome, observed := c.startSend(granted)
@@ -97,6 +101,7 @@
 // resetSendState clears what is known of the last send.
 func (c *call) resetSendState() {
 	c.lastFailure, c.failureDetail, c.lackedRoom, c.forwarder = causeNone, "", false, ""
+	c.identity = incarnations.Verdict{}
 }
 
 // startSend sends the request to the granted replica and waits for the head of its answer. If there is none, it returns
@@ -118,6 +123,7 @@
 		}
 		return nil, resultNotSent, admission.Observation{CallerLeft: true}
 	}
+	c.identity = node.identityOf(conn)
 	if !c.mayWrite() || !node.beginSend(granted) {
 		_ = conn.Close()
 		return nil, resultNotSent, admission.Observation{CallerLeft: true}
@@ -125,7 +131,7 @@
 	endExchange := node.exchanges.begin(conn, granted.Replica)
 	sendContext, cancelSend := context.WithCancel(c.ctx)
 	memory := node.memory.Open(cancelSend)
-	begun := &send{granted: granted, forwarder: conn.Forwarder, startedAt: time.Now(), memory: memory, reset: cancelSend, release: func() {
+	begun := &send{granted: granted, forwarder: conn.Forwarder, identity: c.identity, startedAt: time.Now(), memory: memory, reset: cancelSend, release: func() {
 		cancelSend()
 		endExchange()
 		memory.Close()
@@ -140,6 +146,7 @@
 		return nil, c.recordIncomplete(err), admission.Observation{Failed: true, CallerLeft: c.ctx.Err() != nil}
 	}
 	c.recordReceived()
+	node.recordAnswerHead(begun.answer, conn, sentAt)
 	c.lackedRoom = c.isRejection(begun.answer) && begun.answer.StatusCode == http.StatusServiceUnavailable
 	node.recordZoneContact(granted.Replica.Zone, true)
 	load, workTime := c.reportedLoad(begun.answer)
@@ -240,6 +247,7 @@
 // recordConnectFailure records the failure cause of a connect that failed with err.
 func (c *call) recordConnectFailure(replica replicas.Replica, err error) {
 	c.lastFailure, c.failureDetail = causeUnreachable, shortened(err)
+	c.node.recordDoubt(incarnations.Of(replica))
 	if network.IsRefused(err) {
 		c.refusedConnects++
 		c.lastFailure = causeRefused
--- a/entry/era.go
+++ b/entry/era.go
@@ -121,6 +121,7 @@
 	n.era = era{isKnown: true, current: window.Era}
 	n.setRestoreWindow(window, restoredAt)
 	n.storeFailedAt, n.watchHealthy = n.now(), false // entries are missing until they are written again
+	n.identities.Interrupt(n.now())
 	n.poisonStored = storedPoisonRecords{}
 	n.versionHistory.Restart()
 	n.counter("store.eras").Inc(1)
@@ -138,6 +139,7 @@
 	due := n.era.restoreWindow.Era > n.era.restoreWindow.Base && !n.era.isInRestoreWindow(n.now())
 	if due {
 		n.era.endedWindow = n.era.restoreWindow.Era
+		n.identities.Interrupt(n.now())
 		n.setRestoreWindow(structs.RestoreWindow{}, n.era.restoredAt)
 		n.requestRereadLocked(rereadRestoreWindowEnded)
 	}
--- a/entry/forwarding.go
+++ b/entry/forwarding.go
@@ -309,7 +309,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return n.pool.AddForwarded(connection, replica.ID, forwarder), nil
+	return n.pool.AddForwarded(connection, incarnationOf(replica), n.now(), forwarder), nil
 }
 
 // forgetEndingForwarders closes the idle connections that are forwarded by nodes that are stopping, so that
--- a/entry/freshness.go
+++ b/entry/freshness.go
@@ -46,7 +46,7 @@
 		n.recordStoreReached(now)
 	}
 	if heartbeat.ReplicasAgeMS >= 0 && !n.isFromEarlierEra(heartbeat) && heartbeat.LatestPosition <= n.table.LatestPosition() {
-		n.replicaFreshness.Observe(now - time.Duration(heartbeat.ReplicasAgeMS)*time.Millisecond)
+		n.observeView(now - time.Duration(heartbeat.ReplicasAgeMS)*time.Millisecond)
 	}
 	if own := n.version(); heartbeat.ConfigurationAgeMS >= 0 && own > 0 && heartbeat.Version <= own {
 		n.configurationFreshness.Observe(now - time.Duration(heartbeat.ConfigurationAgeMS)*time.Millisecond)
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/thornwalk/thornwalk/coordination/handover"
+	"github.com/thornwalk/thornwalk/coordination/incarnations"
 	"github.com/thornwalk/thornwalk/internal/eventlog"
 	"github.com/thornwalk/thornwalk/state/catalog"
 	"github.com/thornwalk/thornwalk/state/fingerprint"
@@ -45,6 +46,8 @@
 	retryRefusal string
 	// forwarder is the peer that forwards the connection of the last send, empty if it is direct.
 	forwarder string
+	// identity is what was known, at the last send, of whether its connection leads to the replica's incarnation.
+	identity incarnations.Verdict
 	// lackedRoom is true if the last send was rejected by the replica for lack of room.
 	lackedRoom bool
 	// refusedConnects counts the connects that were refused.
--- a/entry/heartbeats.go
+++ b/entry/heartbeats.go
@@ -117,6 +117,7 @@
 	n.mutex.Lock()
 	n.term = term
 	n.storeFailedAt, n.watchHealthy = n.now(), false
+	n.identities.Interrupt(n.now())
 	n.versionHistory.Restart()
 	n.requestRereadLocked(rereadResumed)
 	n.mutex.Unlock()
--- a/entry/node.go
+++ b/entry/node.go
@@ -198,6 +198,8 @@
 	// that services have had.
 	streamOrigins  *streamorigins.Registry
 	versionHistory *streamorigins.VersionHistory
+	// identities decides which connections lead to the incarnations of the known entries.
+	identities *replicaIdentities
 	// poisonStored is what the store is known to hold of poison records.
 	poisonStored storedPoisonRecords
 	// bucketLevels are the tenants' bucket levels that another scheduling node last reported.
@@ -217,7 +219,7 @@
 		pool: replicahttp.NewPool(), peers: peer.NewClient(dependencies.Network, nil),
 		table: replicas.NewTable(), evacuations: evacuations.NewTable(), rollouts: rollouts.NewTable(), members: liveness.NewTable(settings.Name), relays: liveness.NewRelays(rand.IntN), health: replicahealth.NewTracker(), paths: reachability.NewTracker(rand.Float64), pushback: pushback.NewTracker(), zones: zones.NewTracker(),
 		assignments: map[string]assignment{}, peerUsage: map[string]receivedUsage{}, loggedProblems: map[string]bool{}, term: 1, storeFailedAt: -time.Hour, lastActiveAt: -time.Hour, selectedAt: -time.Hour, peersRequestedAt: -time.Hour,
-		streamOrigins: streamorigins.NewRegistry(maxStreamOrigins), versionHistory: streamorigins.NewVersionHistory(),
+		streamOrigins: streamorigins.NewRegistry(maxStreamOrigins), versionHistory: streamorigins.NewVersionHistory(), identities: newReplicaIdentities(),
 		memory: memorybudget.New(settings.bufferBytes()), callerConnections: newCallerConnections(settings.maxConnections()),
 		parts: dissemination.NewPartStore(), sendLimiter: dissemination.NewSendLimiter(settings.LinkMbps),
 	}
@@ -242,6 +244,7 @@
 	n.registerPathMetrics()
 	n.registerForwardMetrics()
 	n.registerStreamMetrics()
+	n.registerIdentityMetrics()
 	n.registerSilenceMetrics()
 	n.registerHeldMemoryMetrics()
 	n.registerCallerConnectionMetrics()
--- /dev/null
+++ b/entry/replica_identity.go
@@ -0,0 +1,143 @@
+package entry
+
+import (
+	"maps"
+	"time"
+
+	"github.com/thornwalk/thornwalk/coordination/incarnations"
+	"github.com/thornwalk/thornwalk/internal/eventlog"
+	"github.com/thornwalk/thornwalk/state/replicas"
+	"github.com/thornwalk/thornwalk/structs"
+	"github.com/thornwalk/thornwalk/transport/replicahttp"
+)
+
+// A replica may end and start again at its address and under its ID, with another software version. What this node
+// observes of replicas shows whether a connection leads to the incarnation of the known entry (coordination/incarnations).
+
+// identityLogInterval is the minimum time between two log lines on one incarnation with the same outcome.
+const identityLogInterval = 2 * time.Second
+
+// identityOutcome is what was found out about the process at a replica's address.
+type identityOutcome string
+
+// Outcomes in logs and metrics.
+const (
+	// identityDoubted means that the incarnation may have ended.
+	identityDoubted identityOutcome = "doubted"
+)
+
+// replicaIdentities holds what this node knows of the processes at the replicas' addresses. The node's mutex guards it.
+type replicaIdentities struct {
+	*incarnations.Tracker
+	loggedAt map[identityLine]structs.Instant
+}
+
+// identityLine is a kind of log line on one incarnation.
+type identityLine struct {
+	incarnation incarnations.Incarnation
+	outcome     identityOutcome
+}
+
+func newReplicaIdentities() *replicaIdentities {
+	return &replicaIdentities{Tracker: incarnations.NewTracker(), loggedAt: map[identityLine]structs.Instant{}}
+}
+
+// forget drops what is known of the incarnations that are not kept.
+func (i *replicaIdentities) forget(isKept func(incarnations.Incarnation) bool) {
+	i.Forget(isKept)
+	maps.DeleteFunc(i.loggedAt, func(line identityLine, _ structs.Instant) bool { return !isKept(line.incarnation) })
+}
+
+// mayLog reports whether a line may be logged now, and records it if so.
+func (i *replicaIdentities) mayLog(now structs.Instant, line identityLine) bool {
+	if last, found := i.loggedAt[line]; found && now-last < identityLogInterval {
+		return false
+	}
+	i.loggedAt[line] = now
+	return true
+}
+
+// incarnationOf returns the incarnation for which a connection to the replica is opened.
+func incarnationOf(replica replicas.Replica) replicahttp.Incarnation {
+	return replicahttp.Incarnation(incarnations.Of(replica))
+}
+
+func connectionOf(conn *replicahttp.Conn) incarnations.Connection {
+	return incarnations.Connection{Incarnation: incarnations.Incarnation(conn.Incarnation), OpenedAt: conn.OpenedAt}
+}
+
+// identityOf returns what is known of whether the connection leads to the incarnation for which it was opened.
+func (n *Node) identityOf(conn *replicahttp.Conn) incarnations.Verdict {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.verdictLocked(connectionOf(conn))
+}
+
+func (n *Node) verdictLocked(connection incarnations.Connection) incarnations.Verdict {
+	return n.identities.Verdict(n.now(), connection, n.isListedLocked(connection.Incarnation))
+}
+
+// isListedLocked reports whether the incarnation's entry is known and did not vanish.
+func (n *Node) isListedLocked(incarnation incarnations.Incarnation) bool {
+	known, found := n.table.Get(incarnation.Replica)
+	return found && incarnations.Of(known) == incarnation && !n.table.IsUnconfirmed(known.ID)
+}
+
+// observeView records that the known replicas are those of the store as of the instant. The caller holds the mutex.
+func (n *Node) observeView(asOf structs.Instant) {
+	n.replicaFreshness.Observe(asOf)
+	if !n.era.isInRestoreWindow(n.now()) {
+		n.identities.ObserveView(asOf)
+	}
+}
+
+// recordAnswerHead records that the head of an answer to a request arrived that was written over the connection at the
+// instant. The process at its other end was alive then; when it sent the bytes is not known.
+func (n *Node) recordAnswerHead(answer *replicahttp.Answer, conn *replicahttp.Conn, sentAt structs.Instant) {
+	if !n.isFromReplica(answer) {
+		return
+	}
+	connection := connectionOf(conn)
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.identities.Received(sentAt, connection, n.isListedLocked(connection.Incarnation))
+}
+
+// recordDoubt records a sign that the incarnation may have ended.
+func (n *Node) recordDoubt(incarnation incarnations.Incarnation) {
+	n.mutex.Lock()
+	n.identities.Doubt(n.now(), incarnation)
+	n.mutex.Unlock()
+	n.reportIdentity(identityDoubted, incarnation, eventlog.Event{})
+}
+
+// reportIdentity counts what was found out about the incarnation, and logs it with the fields of the event.
+func (n *Node) reportIdentity(outcome identityOutcome, incarnation incarnations.Incarnation, event eventlog.Event) {
+	n.counter("streams.identity_" + string(outcome)).Inc(1)
+	n.mutex.Lock()
+	known, _ := n.table.Get(incarnation.Replica)
+	mayLog := n.identities.mayLog(n.now(), identityLine{incarnation: incarnation, outcome: outcome})
+	verdict := n.verdictLocked(incarnations.Connection{Incarnation: incarnation, OpenedAt: n.now()})
+	n.mutex.Unlock()
+	if !mayLog {
+		return
+	}
+	event.Kind, event.Replica, event.Service, event.Outcome = "replica.identity", incarnation.Replica, known.Service, string(outcome)
+	event.StartedAt, event.ReplicaVersion, event.IdentityAgeMS = incarnation.StartedAt, known.Version, verdict.Age.Milliseconds()
+	n.log.Write(event)
+}
+
+// registerIdentityMetrics registers the gauges of the incarnations of replicas.
+func (n *Node) registerIdentityMetrics() {
+	n.registerGauges(map[string]func() int64{
+		"streams.identity_doubts": func() int64 {
+			doubted := int64(0)
+			for _, replica := range n.table.All() {
+				if n.verdictLocked(incarnations.Connection{Incarnation: incarnations.Of(replica), OpenedAt: n.now()}).DoubtAge > 0 {
+					doubted++
+				}
+			}
+			return doubted
+		},
+	})
+}
--- a/entry/request_log.go
+++ b/entry/request_log.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"strings"
 
 	"github.com/thornwalk/thornwalk/internal/eventlog"
@@ -96,11 +97,13 @@
 		c.node.counter("streams.continued").Inc(1)
 	}
 	event.Revision, event.Era = granted.Replica.Position.Revision(), granted.Replica.Position.Era()
+	event.StartedAt, event.Identity, event.IdentityAgeMS = granted.Replica.StartedAt, string(c.identity.Proof), c.identity.Age.Milliseconds()
 	event.Count, event.Reason, event.Forwarder = c.sends, string(c.lastFailure), c.forwarder
 	event.Detail = c.failureDetail
 	event.FirstEventMS, event.MaxPauseMS = c.firstEventDelay.Milliseconds(), c.maxEventGap.Milliseconds()
 	c.logEvent(event)
 	c.node.counter("sends." + outcome.String()).Inc(1)
+	c.node.counter("streams.identity_sends." + cmp.Or(event.Identity, "none")).Inc(1)
 }
 
 // recordEnd logs the end of the request, and the buffered events unless it was answered.
--- a/entry/response.go
+++ b/entry/response.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/thornwalk/thornwalk/coordination/admission"
+	"github.com/thornwalk/thornwalk/coordination/incarnations"
 	"github.com/thornwalk/thornwalk/state/catalog"
 	"github.com/thornwalk/thornwalk/state/memorybudget"
 	"github.com/thornwalk/thornwalk/state/replicas"
@@ -57,6 +58,7 @@
 	timer.Stop()
 	if answer.StatusCode == http.StatusMisdirectedRequest {
 		c.node.recordUnreachable(replica.ID)
+		c.node.recordDoubt(incarnations.Of(replica))
 	}
 	return resultRejected, admission.Observation{}
 }
--- a/entry/send_failure.go
+++ b/entry/send_failure.go
@@ -34,6 +34,9 @@
 	causeForwarderLost failureCause = "forwarder-lost"
 )
 
+// isDoubt reports whether the replica may have ended, as the failure of an exchange with it is one that its end causes.
+func (c failureCause) isDoubt() bool { return c == causeClosed || c == causeTimeout }
+
 // connectionClosedErrors are the errors of a connection that the other side closed.
 var connectionClosedErrors = []error{io.EOF, io.ErrUnexpectedEOF, io.ErrClosedPipe, syscall.ECONNRESET, syscall.EPIPE}
 
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/thornwalk/thornwalk/coordination/admission"
+	"github.com/thornwalk/thornwalk/coordination/incarnations"
 	"github.com/thornwalk/thornwalk/coordination/poison"
 	"github.com/thornwalk/thornwalk/coordination/returns"
 	"github.com/thornwalk/thornwalk/coordination/tenantstats"
@@ -89,6 +90,9 @@
 // finish reports the end of the send to the scheduling node, and lets this node's own scheduling
 // service observe it if the scheduling node is another one.
 func (c *call) finish(granted *grant, outcome result, observed admission.Observation) {
+	if outcome == resultIncomplete && c.lastFailure.isDoubt() {
+		c.node.recordDoubt(incarnations.Of(granted.Replica))
+	}
 	message := &finishRequest{ID: granted.id, Observation: observed, NotRun: outcome == resultNotSent || outcome == resultRejected, Unsent: outcome == resultNotSent, Rejected: c.lackedRoom, Fingerprint: c.fingerprint}
 	message.Observation.Whole = outcome == resultAnswered || outcome == resultServerError
 	message.Observation.Succeeded = outcome == resultAnswered && c.answeredStatus < http.StatusMultipleChoices
--- a/entry/store.go
+++ b/entry/store.go
@@ -207,7 +207,7 @@
 
 // recordRead records that the scope is known as of startedAt. The caller holds the mutex.
 func (n *Node) recordRead(startedAt structs.Instant, scope outside.Scope) {
-	n.replicaFreshness.Observe(startedAt)
+	n.observeView(startedAt)
 	if scope == outside.ScopeAll {
 		n.configurationFreshness.Observe(startedAt)
 	}
@@ -326,6 +326,7 @@
 func (n *Node) recordStoreFailure(err error) {
 	n.mutex.Lock()
 	n.storeFailedAt, n.watchHealthy = n.now(), false
+	n.identities.Interrupt(n.now())
 	isFirst := !n.isStoreDown
 	n.isStoreDown = true
 	if isFirst && n.ctx.Err() == nil {
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -36,6 +36,11 @@
 	Replica string `json:"replica,omitempty"`
 	// ReplicaVersion is the version of the replica's software.
 	ReplicaVersion string `json:"replica_version,omitempty"`
+	// StartedAt is the start of the replica's incarnation as the node knows it, in Unix milliseconds. Identity is what
+	// shows that the connection leads to it, and IdentityAgeMS the age of the latest statement on it, in milliseconds.
+	StartedAt     int64  `json:"born,omitempty"`
+	Identity      string `json:"identity,omitempty"`
+	IdentityAgeMS int64  `json:"identity_age_ms,omitempty"`
 	// ResumedRequest and LastEvent are what is known of the stream that the request resumes: the ID of the
 	// request that began it, and the ID of the last event that the caller has.
 	ResumedRequest string `json:"resumes,omitempty"`
--- a/state/replicas/replicas.go
+++ b/state/replicas/replicas.go
@@ -146,6 +146,9 @@
 	}
 }
 
+// IsUnconfirmed reports whether the replica's entry vanished while the store was unhealthy.
+func (t *Table) IsUnconfirmed(id string) bool { return t.unconfirmed[id] }
+
 // RemoveUnconfirmed removes the unconfirmed replicas and returns their IDs, sorted.
 func (t *Table) RemoveUnconfirmed(now structs.Instant) []string {
 	ids := make([]string, 0, len(t.unconfirmed))
--- a/transport/replicahttp/limits_test.go
+++ b/transport/replicahttp/limits_test.go
@@ -63,7 +63,7 @@
 		t.Fatal(err)
 	}
 	pool, counted := NewPool(), &countingConn{Conn: opened}
-	answer, err := pool.Exchange(ctx, pool.AddDirect(counted, "replica"), &Request{Method: http.MethodGet, Target: "/", Host: "h", IDHeader: "Id", ID: "me"})
+	answer, err := pool.Exchange(ctx, pool.AddDirect(counted, Incarnation{Replica: "replica"}, 0), &Request{Method: http.MethodGet, Target: "/", Host: "h", IDHeader: "Id", ID: "me"})
 	if err == nil {
 		answer.Abandon()
 	}
--- a/transport/replicahttp/pool.go
+++ b/transport/replicahttp/pool.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"github.com/thornwalk/thornwalk/structs"
 	"github.com/thornwalk/thornwalk/transport/httphead"
 	"github.com/thornwalk/thornwalk/transport/network"
 )
@@ -45,11 +46,21 @@
 	return &Pool{idle: map[poolKey][]*Conn{}}
 }
 
+// Incarnation is one run of a replica's process.
+type Incarnation struct {
+	Replica string
+	// StartedAt is its start in Unix milliseconds by the replica's clock; zero if it states none.
+	StartedAt int64
+}
+
 // Conn is a connection to a replica, for one exchange at a time.
 type Conn struct {
 	net.Conn
 	reader *httphead.Reader
 	key    poolKey
+	// Incarnation is the one for which the connection was opened, by OpenedAt.
+	Incarnation Incarnation
+	OpenedAt    structs.Instant
 	// Forwarder is the name of the peer that forwards the connection, empty if it is direct.
 	Forwarder string
 	// Reused is true if the connection was used by an earlier exchange.
@@ -91,23 +102,24 @@
 	}
 }
 
-// AddDirect returns a new direct connection to the replica. The replica's ID identifies its incarnation, so that a
-// new replica at a reused address gets no connection of the previous one.
-func (p *Pool) AddDirect(opened net.Conn, replica string) *Conn {
+// AddDirect returns a new direct connection, opened by the instant for the incarnation. The replica's ID identifies the
+// connections that can replace each other, so that a new replica at a reused address gets no connection of the previous
+// one.
+func (p *Pool) AddDirect(opened net.Conn, incarnation Incarnation, openedAt structs.Instant) *Conn {
 	p.count(&p.opened)
-	return newConn(opened, poolKey{replica: replica})
+	return newConn(opened, poolKey{replica: incarnation.Replica}, incarnation, openedAt)
 }
 
-// AddForwarded returns a new connection that the named peer forwards to the replica.
-func (p *Pool) AddForwarded(opened net.Conn, replica, forwarder string) *Conn {
+// AddForwarded is AddDirect for a connection that the named peer forwards.
+func (p *Pool) AddForwarded(opened net.Conn, incarnation Incarnation, openedAt structs.Instant, forwarder string) *Conn {
 	p.count(&p.opened)
-	conn := newConn(opened, poolKey{replica: replica, isForwarded: true})
+	conn := newConn(opened, poolKey{replica: incarnation.Replica, isForwarded: true}, incarnation, openedAt)
 	conn.Forwarder = forwarder
 	return conn
 }
 
-func newConn(opened net.Conn, key poolKey) *Conn {
-	return &Conn{Conn: opened, reader: httphead.NewReader(opened, readBufferBytes), key: key}
+func newConn(opened net.Conn, key poolKey, incarnation Incarnation, openedAt structs.Instant) *Conn {
+	return &Conn{Conn: opened, reader: httphead.NewReader(opened, readBufferBytes), key: key, Incarnation: incarnation, OpenedAt: openedAt}
 }
 
 func (p *Pool) count(counter *uint64) {
--- a/transport/replicahttp/replicahttp_test.go
+++ b/transport/replicahttp/replicahttp_test.go
@@ -46,7 +46,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return pool.AddDirect(opened, "replica"), nil
+	return pool.AddDirect(opened, Incarnation{Replica: "replica"}, 0), nil
 }
 
 // exchange sends one request and returns its answer, the body, and whether the connection was
@@ -233,9 +233,9 @@
 				ends = append(ends, replicas)
 				pool.putIdle(add(ours), "timeout=60")
 			}
-			add(func(opened net.Conn) *Conn { return pool.AddDirect(opened, "replica") })
-			add(func(opened net.Conn) *Conn { return pool.AddForwarded(opened, "replica", "peer") })
-			add(func(opened net.Conn) *Conn { return pool.AddDirect(opened, "other") })
+			add(func(opened net.Conn) *Conn { return pool.AddDirect(opened, Incarnation{Replica: "replica"}, 0) })
+			add(func(opened net.Conn) *Conn { return pool.AddForwarded(opened, Incarnation{Replica: "replica"}, 0, "peer") })
+			add(func(opened net.Conn) *Conn { return pool.AddDirect(opened, Incarnation{Replica: "other"}, 0) })
 			test.forget(pool)
 			g.Expect(pool.TakeIdle("replica", time.Minute) != nil).To(gomega.Equal(test.keepsDirect), "direct")
 			g.Expect(pool.TakeIdleForwarded("replica", time.Minute) != nil).To(gomega.Equal(test.keepsForwarded), "forwarded")
