replicahttp: keep the connections of incarnations apart

Cause: idle connections were kept by the ID of the replica. One that was opened to a former incarnation of a replica whose entry had gone meanwhile could be taken for the next; and nothing said which incarnation a connection was opened for.

Change: the pool keeps connections by ID and start, with the instant by which each was opened. Forwarded ones are the same: the peer opens the connection to the replica when it is asked, and splices it to one connection of the node, so that it leads to one process and ends with it (read in transport/forward; nothing pools at the forwarder).

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -117,7 +117,7 @@
 	conn, err := c.connect(granted.Replica, maxIdle)
 	if err != nil {
 		if c.ctx.Err() == nil {
-			node.recordUnreachable(granted.Replica.ID)
+			node.recordUnreachable(granted.Replica)
 			node.recordZoneContact(granted.Replica.Zone, false)
 			c.recordConnectFailure(granted.Replica, err)
 		}
@@ -334,11 +334,11 @@
 }
 
 // recordUnreachable records that no connection to the replica could be opened.
-func (n *Node) recordUnreachable(id string) {
+func (n *Node) recordUnreachable(replica replicas.Replica) {
 	n.mutex.Lock()
-	n.health.RecordUnreachable(n.now(), id)
+	n.health.RecordUnreachable(n.now(), replica.ID)
 	n.mutex.Unlock()
-	n.pool.Forget(id)
+	n.pool.Forget(incarnationOf(replica))
 }
 
 // recordSuccess records a complete response of the replica.
--- a/entry/forwarding.go
+++ b/entry/forwarding.go
@@ -302,7 +302,7 @@
 
 // connectThroughPeer returns an idle or a new connection to the replica that a peer forwards.
 func (n *Node) connectThroughPeer(ctx context.Context, replica replicas.Replica, maxIdle time.Duration) (*replicahttp.Conn, error) {
-	if idle := n.pool.TakeIdleForwarded(replica.ID, maxIdle); idle != nil {
+	if idle := n.pool.TakeIdleForwarded(incarnationOf(replica), maxIdle); idle != nil {
 		return idle, nil
 	}
 	connection, forwarder, err := n.openThroughPeer(ctx, replica)
--- a/entry/replica_identity.go
+++ b/entry/replica_identity.go
@@ -63,7 +63,7 @@
 }
 
 func connectionOf(conn *replicahttp.Conn) incarnations.Connection {
-	return incarnations.Connection{Incarnation: incarnations.Incarnation(conn.Incarnation), OpenedAt: conn.OpenedAt}
+	return incarnations.Connection{Incarnation: incarnations.Incarnation(conn.Incarnation()), OpenedAt: conn.OpenedAt}
 }
 
 // identityOf returns what is known of whether the connection leads to the incarnation for which it was opened.
--- a/entry/replica_paths.go
+++ b/entry/replica_paths.go
@@ -61,7 +61,7 @@
 // proves that nothing was sent.
 func (c *call) connect(replica replicas.Replica, maxIdle time.Duration) (*replicahttp.Conn, error) {
 	node := c.node
-	if idle := node.pool.TakeIdle(replica.ID, maxIdle); idle != nil {
+	if idle := node.pool.TakeIdle(incarnationOf(replica), maxIdle); idle != nil {
 		return idle, nil
 	}
 	ctx, cancel := context.WithTimeout(c.ctx, connectTimeout)
@@ -103,25 +103,25 @@
 	startedAt := n.now()
 	conn, err := n.dependencies.Network.Dial(dialContext, replica.Address)
 	if err == nil || ctx.Err() == nil {
-		n.recordConnect(replica.ID, err, n.now()-startedAt)
+		n.recordConnect(replica, err, n.now()-startedAt)
 	}
 	return conn, err
 }
 
 // recordConnect counts a direct connect to the replica that ended with err after the time, and records
 // what it shows of the path.
-func (n *Node) recordConnect(replica string, err error, took time.Duration) {
+func (n *Node) recordConnect(replica replicas.Replica, err error, took time.Duration) {
 	outcome := connectOutcomeOf(err)
 	n.counter("connects." + string(outcome)).Inc(1)
 	n.mutex.Lock()
-	change := n.paths.RecordConnect(n.now(), replica, err == nil)
+	change := n.paths.RecordConnect(n.now(), replica.ID, err == nil)
 	n.mutex.Unlock()
 	n.isPathSilent.Store(outcome == connectTimedOut)
 	if outcome == connectTimedOut {
 		// A request on an open connection may be lost as well.
-		n.pool.ForgetDirect(replica)
+		n.pool.ForgetDirect(incarnationOf(replica))
 	}
-	n.handlePathChange(replica, change, eventlog.Event{Reason: string(outcome), TookMS: took.Milliseconds()})
+	n.handlePathChange(replica.ID, change, eventlog.Event{Reason: string(outcome), TookMS: took.Milliseconds()})
 }
 
 // recordForwarded records that a peer opened a connection to the replica for this node.
--- a/entry/response.go
+++ b/entry/response.go
@@ -57,7 +57,7 @@
 	_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, maxRejectionBytes))
 	timer.Stop()
 	if answer.StatusCode == http.StatusMisdirectedRequest {
-		c.node.recordUnreachable(replica.ID)
+		c.node.recordUnreachable(replica)
 		c.node.recordDoubt(incarnations.Of(replica))
 	}
 	return resultRejected, admission.Observation{}
--- a/entry/updates.go
+++ b/entry/updates.go
@@ -96,7 +96,7 @@
 	if isNewIncarnation {
 		n.resolveDisconnects(known)
 		n.health.Reset(replica.ID)
-		n.pool.Forget(replica.ID)
+		n.pool.Forget(incarnationOf(known))
 	}
 	if found && !isNewIncarnation && known.Draining == replica.Draining && known.Address == replica.Address {
 		return
--- a/transport/replicahttp/pool.go
+++ b/transport/replicahttp/pool.go
@@ -37,7 +37,7 @@
 
 // poolKey identifies the idle connections that can replace each other.
 type poolKey struct {
-	replica     string
+	incarnation Incarnation
 	isForwarded bool
 }
 
@@ -58,9 +58,8 @@
 	net.Conn
 	reader *httphead.Reader
 	key    poolKey
-	// Incarnation is the one for which the connection was opened, by OpenedAt.
-	Incarnation Incarnation
-	OpenedAt    structs.Instant
+	// OpenedAt is when the connection had been opened.
+	OpenedAt structs.Instant
 	// Forwarder is the name of the peer that forwards the connection, empty if it is direct.
 	Forwarder string
 	// Reused is true if the connection was used by an earlier exchange.
@@ -78,13 +77,13 @@
 
 // TakeIdle removes and returns a direct connection that has been idle for less than maxIdle and is still
 // open, or nil.
-func (p *Pool) TakeIdle(replica string, maxIdle time.Duration) *Conn {
-	return p.takeReusable(poolKey{replica: replica}, maxIdle)
+func (p *Pool) TakeIdle(incarnation Incarnation, maxIdle time.Duration) *Conn {
+	return p.takeReusable(poolKey{incarnation: incarnation}, maxIdle)
 }
 
 // TakeIdleForwarded is TakeIdle for forwarded connections.
-func (p *Pool) TakeIdleForwarded(replica string, maxIdle time.Duration) *Conn {
-	return p.takeReusable(poolKey{replica: replica, isForwarded: true}, maxIdle)
+func (p *Pool) TakeIdleForwarded(incarnation Incarnation, maxIdle time.Duration) *Conn {
+	return p.takeReusable(poolKey{incarnation: incarnation, isForwarded: true}, maxIdle)
 }
 
 func (p *Pool) takeReusable(key poolKey, maxIdle time.Duration) *Conn {
@@ -102,24 +101,27 @@
 	}
 }
 
-// AddDirect returns a new direct connection, opened by the instant for the incarnation. The replica's ID identifies the
-// connections that can replace each other, so that a new replica at a reused address gets no connection of the previous
-// one.
+// AddDirect returns a new direct connection, which was opened for the incarnation by the instant. Only connections of
+// one incarnation replace each other: a later one may run other software, and a connection that was opened before its
+// start can't lead to it.
 func (p *Pool) AddDirect(opened net.Conn, incarnation Incarnation, openedAt structs.Instant) *Conn {
 	p.count(&p.opened)
-	return newConn(opened, poolKey{replica: incarnation.Replica}, incarnation, openedAt)
+	return newConn(opened, poolKey{incarnation: incarnation}, openedAt)
 }
 
 // AddForwarded is AddDirect for a connection that the named peer forwards.
 func (p *Pool) AddForwarded(opened net.Conn, incarnation Incarnation, openedAt structs.Instant, forwarder string) *Conn {
 	p.count(&p.opened)
-	conn := newConn(opened, poolKey{replica: incarnation.Replica, isForwarded: true}, incarnation, openedAt)
+	conn := newConn(opened, poolKey{incarnation: incarnation, isForwarded: true}, openedAt)
 	conn.Forwarder = forwarder
 	return conn
 }
 
-func newConn(opened net.Conn, key poolKey, incarnation Incarnation, openedAt structs.Instant) *Conn {
-	return &Conn{Conn: opened, reader: httphead.NewReader(opened, readBufferBytes), key: key, Incarnation: incarnation, OpenedAt: openedAt}
+// Incarnation returns the incarnation for which the connection was opened.
+func (c *Conn) Incarnation() Incarnation { return c.key.incarnation }
+
+func newConn(opened net.Conn, key poolKey, openedAt structs.Instant) *Conn {
+	return &Conn{Conn: opened, reader: httphead.NewReader(opened, readBufferBytes), key: key, OpenedAt: openedAt}
 }
 
 func (p *Pool) count(counter *uint64) {
@@ -170,14 +172,14 @@
 	p.closeIdleIf(func(conn *Conn) bool { return time.Since(conn.idleSince) >= conn.idleTimeout })
 }
 
-// Forget closes the idle connections to the replica.
-func (p *Pool) Forget(replica string) {
-	p.ForgetDirect(replica)
-	p.closeAll(poolKey{replica: replica, isForwarded: true})
+// Forget closes the idle connections of the incarnation.
+func (p *Pool) Forget(incarnation Incarnation) {
+	p.ForgetDirect(incarnation)
+	p.closeAll(poolKey{incarnation: incarnation, isForwarded: true})
 }
 
-// ForgetDirect closes the idle direct connections to the replica.
-func (p *Pool) ForgetDirect(replica string) { p.closeAll(poolKey{replica: replica}) }
+// ForgetDirect closes the idle direct connections of the incarnation.
+func (p *Pool) ForgetDirect(incarnation Incarnation) { p.closeAll(poolKey{incarnation: incarnation}) }
 
 // ForgetAllDirect closes the idle direct connections to all replicas.
 func (p *Pool) ForgetAllDirect() {
--- a/transport/replicahttp/replicahttp_test.go
+++ b/transport/replicahttp/replicahttp_test.go
@@ -39,7 +39,7 @@
 
 // connect returns an idle connection to the replica, or a new one.
 func connect(ctx context.Context, pool *Pool, address string) (*Conn, error) {
-	if idle := pool.TakeIdle("replica", time.Minute); idle != nil {
+	if idle := pool.TakeIdle(Incarnation{Replica: "replica"}, time.Minute); idle != nil {
 		return idle, nil
 	}
 	opened, err := network.TCP{SilenceLimit: 3 * time.Second}.Dial(ctx, address)
@@ -155,7 +155,7 @@
 			g.Expect(err).NotTo(gomega.HaveOccurred())
 			close(proceed)
 			<-disturbed
-			idle := pool.takeIdle(poolKey{replica: "replica"})
+			idle := pool.takeIdle(poolKey{incarnation: Incarnation{Replica: "replica"}})
 			g.Eventually(idle.isReusable).WithTimeout(10 * time.Second).Should(gomega.BeFalse())
 		})
 	}
@@ -210,7 +210,7 @@
 	_, content, _, err := exchange(t, pool, address, strings.Repeat("x", 32<<20))
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(content).To(gomega.Equal("ok"))
-	g.Expect(pool.takeIdle(poolKey{replica: "replica"})).To(gomega.BeNil())
+	g.Expect(pool.takeIdle(poolKey{incarnation: Incarnation{Replica: "replica"}})).To(gomega.BeNil())
 }
 
 // Guards against connections that stay idle although their replica or the path to it was found at fault, and
@@ -220,8 +220,8 @@
 		forget                                      func(pool *Pool)
 		keepsDirect, keepsForwarded, keepsElsewhere bool
 	}{
-		"replica":             {func(pool *Pool) { pool.Forget("replica") }, false, false, true},
-		"direct":              {func(pool *Pool) { pool.ForgetDirect("replica") }, false, true, true},
+		"replica":             {func(pool *Pool) { pool.Forget(Incarnation{Replica: "replica"}) }, false, false, true},
+		"direct":              {func(pool *Pool) { pool.ForgetDirect(Incarnation{Replica: "replica"}) }, false, true, true},
 		"direct to every one": {(*Pool).ForgetAllDirect, false, true, false},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -234,12 +234,14 @@
 				pool.putIdle(add(ours), "timeout=60")
 			}
 			add(func(opened net.Conn) *Conn { return pool.AddDirect(opened, Incarnation{Replica: "replica"}, 0) })
-			add(func(opened net.Conn) *Conn { return pool.AddForwarded(opened, Incarnation{Replica: "replica"}, 0, "peer") })
+			add(func(opened net.Conn) *Conn {
+				return pool.AddForwarded(opened, Incarnation{Replica: "replica"}, 0, "peer")
+			})
 			add(func(opened net.Conn) *Conn { return pool.AddDirect(opened, Incarnation{Replica: "other"}, 0) })
 			test.forget(pool)
-			g.Expect(pool.TakeIdle("replica", time.Minute) != nil).To(gomega.Equal(test.keepsDirect), "direct")
-			g.Expect(pool.TakeIdleForwarded("replica", time.Minute) != nil).To(gomega.Equal(test.keepsForwarded), "forwarded")
-			g.Expect(pool.TakeIdle("other", time.Minute) != nil).To(gomega.Equal(test.keepsElsewhere), "of another replica")
+			g.Expect(pool.TakeIdle(Incarnation{Replica: "replica"}, time.Minute) != nil).To(gomega.Equal(test.keepsDirect), "direct")
+			g.Expect(pool.TakeIdleForwarded(Incarnation{Replica: "replica"}, time.Minute) != nil).To(gomega.Equal(test.keepsForwarded), "forwarded")
+			g.Expect(pool.TakeIdle(Incarnation{Replica: "other"}, time.Minute) != nil).To(gomega.Equal(test.keepsElsewhere), "of another replica")
 			for i, isKept := range []bool{test.keepsDirect, test.keepsForwarded, test.keepsElsewhere} {
 				_ = ends[i].SetReadDeadline(time.Now().Add(10 * time.Millisecond)) // fails if the other end is closed
 				_, err := ends[i].Read(make([]byte, 1))
@@ -277,3 +279,25 @@
 		})
 	}
 }
+
+// Guards against a request that is sent over a connection of a former incarnation of its replica.
+func TestConnectionsOfIncarnationsAreKeptApart(t *testing.T) {
+	g := gomega.NewWithT(t)
+	pool := NewPool()
+	former, next := Incarnation{Replica: "replica", StartedAt: 1}, Incarnation{Replica: "replica", StartedAt: 2}
+	for _, forwarder := range []string{"", "peer"} {
+		ours, theirs := net.Pipe()
+		defer func() { _ = theirs.Close() }()
+		conn, take := pool.AddDirect(ours, former, time.Second), pool.TakeIdle
+		if forwarder != "" {
+			conn, take = pool.AddForwarded(ours, former, time.Second, forwarder), pool.TakeIdleForwarded
+		}
+		pool.putIdle(conn, "")
+		g.Expect(take(next, time.Minute)).To(gomega.BeNil())
+		pool.Forget(next)
+		taken := take(former, time.Minute)
+		g.Expect(taken).To(gomega.BeIdenticalTo(conn))
+		g.Expect(taken.OpenedAt).To(gomega.Equal(time.Second))
+		g.Expect(taken.Incarnation()).To(gomega.Equal(former))
+	}
+}
