entry: a stream goes on only over a connection of which something shows where it leads

What callers saw: events of two software versions in one stream, where replicas are replaced in place while the store is away.

Cause: the check before the send of a stream that goes on compares versions of entries. An entry was kept as proof though the process that it describes may have ended since, as the address and the ID stay the same.

Change: at the send, a stream that goes on needs one of - proof that the connection leads to the incarnation of the entry (coordination/incarnations). Idle connections of which that is known are taken first; - else a report of the process over that very connection, where the service's replicas give them: the same start proves it; for another start the connection is closed and the replica is doubted. A service whose replica answers without a start is not asked for 30 s, a replica that does not answer for 2 s; - else a connection that was opened less than 250 ms after one that leads to the incarnation was alive ("unbroken"; no replica ends and starts again faster, an assumption that the package had), or a recent view without any doubt. Otherwise the assignment is returned, the replica is named as tried, and does not count as a send, up to 16 times. Replicas that this node can't show anything of are named as tried at once. New streams and plain requests are sent as before.

A replica that accepts a connection right after it closed one is not doubted: the probe for crashes finds that out, and its connection is kept for use.

--- a/coordination/incarnations/tracker.go
+++ b/coordination/incarnations/tracker.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"time"
 
 	"github.com/thornwalk/thornwalk/state/replicas"
@@ -51,6 +52,9 @@
 	ProofAnswers Proof = "answers"
 	// ProofReport means that the process stated the start of the incarnation after the connection was opened.
 	ProofReport Proof = "report"
+	// ProofUnbroken means that a connection which leads to the incarnation was alive less than minReplacementTime before
+	// this one was opened.
+	ProofUnbroken Proof = "unbroken"
 	// ProofAssumed means that the incarnation was known recently, and that nothing has failed at it since.
 	ProofAssumed Proof = "assumed"
 )
@@ -66,7 +70,9 @@
 }
 
 // IsProven reports whether the connection leads to the incarnation for certain.
-func (v Verdict) IsProven() bool { return v.Proof != ProofNone && v.Proof != ProofAssumed }
+func (v Verdict) IsProven() bool {
+	return v.Proof != ProofNone && v.Proof != ProofUnbroken && v.Proof != ProofAssumed
+}
 
 // knowledge is what is known of one incarnation beside the views of the store.
 type knowledge struct {
@@ -77,6 +83,9 @@
 	// doubtedAt is the instant of the latest sign that it may have ended, if isDoubted.
 	doubtedAt structs.Instant
 	isDoubted bool
+	// aliveAt is the latest instant at which a connection was alive that is proven or unbroken, if wasAlive.
+	aliveAt  structs.Instant
+	wasAlive bool
 }
 
 // Tracker keeps what is known of incarnations. It is not safe for concurrent use.
@@ -139,6 +148,33 @@
 	}
 }
 
+// Alive records that the process at the other end of the connection was alive at the instant. isListed is as for
+// Verdict.
+func (t *Tracker) Alive(at structs.Instant, connection Connection, isListed bool) {
+	verdict := t.Verdict(at, connection, isListed)
+	if !verdict.IsProven() && verdict.Proof != ProofUnbroken {
+		return
+	}
+	known := t.known[connection.Incarnation]
+	if !known.wasAlive || at > known.aliveAt {
+		known.aliveAt, known.wasAlive = at, true
+	}
+	t.known[connection.Incarnation] = known
+}
+
+// KnownUntil returns the latest instant such that connections opened by then are proven or unbroken. It is false if
+// there is none.
+func (t *Tracker) KnownUntil(now structs.Instant, incarnation Incarnation, isListed bool) (structs.Instant, bool) {
+	until, isKnown := structs.Instant(0), false
+	if verdict := t.Verdict(now, Connection{Incarnation: incarnation, OpenedAt: math.MinInt64}, isListed); verdict.IsProven() {
+		until, isKnown = now-verdict.Age, true
+	}
+	if known := t.known[incarnation]; known.wasAlive && (!isKnown || known.aliveAt+minReplacementTime > until) {
+		until, isKnown = known.aliveAt+minReplacementTime, true
+	}
+	return until, isKnown
+}
+
 func (t *Tracker) confirm(at structs.Instant, incarnation Incarnation, proof Proof) {
 	known := t.known[incarnation]
 	if known.proof == ProofNone || at > known.confirmedAt {
@@ -166,6 +202,8 @@
 	switch {
 	case proof != ProofNone && connection.OpenedAt <= stated:
 		verdict.Proof = proof
+	case known.wasAlive && connection.OpenedAt <= known.aliveAt+minReplacementTime:
+		verdict.Proof = ProofUnbroken
 	case !isDoubted && (isListed && t.isCurrent(now) || proof != ProofNone && verdict.Age <= minReplacementTime):
 		verdict.Proof = ProofAssumed
 	}
--- a/coordination/incarnations/tracker_test.go
+++ b/coordination/incarnations/tracker_test.go
@@ -66,3 +66,33 @@
 	g.Expect(tracker.Verdict(20*time.Second, late, false).Proof).To(gomega.Equal(ProofAnswers))
 	g.Expect(tracker.Verdict(20*time.Second, Connection{first, 14 * time.Second}, true).Proof).To(gomega.Equal(ProofNone))
 }
+
+// Guards against streams that can't go on while the store is away, although the replica accepts a connection right after
+// it closed one, and against a connection that counts as unbroken after a time in which a successor can start.
+func TestConnectionsOpenedWithoutABreakLeadToTheIncarnation(t *testing.T) {
+	g := gomega.NewWithT(t)
+	tracker := NewTracker()
+	observeSteadily(tracker, 0, 10*time.Second)
+	tracker.Interrupt(10 * time.Second)
+	now := 20 * time.Second
+	old, next := Connection{first, time.Second}, Connection{first, now + minReplacementTime}
+	g.Expect(tracker.Verdict(now, old, true).IsProven()).To(gomega.BeTrue())
+	tracker.Alive(now, next, true)
+	g.Expect(tracker.Verdict(now, next, true).Proof).To(gomega.Equal(ProofNone), "it proves itself")
+	tracker.Alive(now, old, true)
+	tracker.Doubt(now+1, first)
+	verdict := tracker.Verdict(now+time.Second, next, false)
+	g.Expect(verdict.Proof).To(gomega.Equal(ProofUnbroken))
+	g.Expect(verdict.IsProven()).To(gomega.BeFalse())
+	late := Connection{first, next.OpenedAt + 1}
+	g.Expect(tracker.Verdict(now+time.Second, late, false).Proof).To(gomega.Equal(ProofNone))
+	tracker.Alive(now+time.Second, late, true)
+	g.Expect(tracker.Verdict(now+time.Second, late, true).Proof).To(gomega.Equal(ProofNone))
+	tracker.Alive(now+time.Second, next, true)
+	g.Expect(tracker.Verdict(now+time.Second, late, true).Proof).To(gomega.Equal(ProofUnbroken))
+	until, isKnown := tracker.KnownUntil(now+time.Second, first, true)
+	g.Expect(isKnown).To(gomega.BeTrue())
+	g.Expect(until).To(gomega.Equal(now + time.Second + minReplacementTime))
+	_, isKnown = tracker.KnownUntil(now, Incarnation{Replica: "other"}, false)
+	g.Expect(isKnown).To(gomega.BeFalse())
+}
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -48,6 +48,9 @@
 	// fail within milliseconds and run nothing. With six of eight replicas down and connects counted as
 	// sends, a third of the first requests was rejected after four of them.
 	maxRefusedConnects = 16
+	// maxUnproven bounds the replicas that a stream did not go on at, as nothing showed their version. Nothing is written
+	// to them, so they are not counted as sends either.
+	maxUnproven = 16
 	// maxIdleRepeatable and maxIdleNonRepeatable bound how long a connection may have been
 	// idle before it is reused for a request that may, or must not, run twice.
 	maxIdleRepeatable    = 10 * time.Second
@@ -69,7 +72,8 @@
 	forwarder string
 	// identity is what was known, just before the request was written, of whether the connection leads to the replica's
 	// incarnation.
-	identity incarnations.Verdict
+	identity   incarnations.Verdict
+	connection incarnations.Connection
 	// token identifies a successor that the request goes on at.
 	token handover.Token
 	// startedAt is when the request was written, and headDelay the time from then to the head, zero unless the
@@ -114,7 +118,13 @@
 	if !c.route.Repeatable() {
 		maxIdle = maxIdleNonRepeatable
 	}
-	conn, err := c.connect(granted.Replica, maxIdle)
+	conn, err := c.connectProven(granted, maxIdle)
+	if errors.Is(err, errUnproven) {
+		c.lastFailure, c.failureDetail = causeUnproven, shortened(err)
+		c.unproven++
+		node.counter("streams.identity_unproven").Inc(1)
+		return nil, resultNotSent, admission.Observation{CallerLeft: true}
+	}
 	if err != nil {
 		if c.ctx.Err() == nil {
 			node.recordUnreachable(granted.Replica)
@@ -123,7 +133,6 @@
 		}
 		return nil, resultNotSent, admission.Observation{CallerLeft: true}
 	}
-	c.identity = node.identityOf(conn)
 	if !c.mayWrite() || !node.beginSend(granted) {
 		_ = conn.Close()
 		return nil, resultNotSent, admission.Observation{CallerLeft: true}
@@ -131,7 +140,7 @@
 	endExchange := node.exchanges.begin(conn, granted.Replica)
 	sendContext, cancelSend := context.WithCancel(c.ctx)
 	memory := node.memory.Open(cancelSend)
-	begun := &send{granted: granted, forwarder: conn.Forwarder, identity: c.identity, startedAt: time.Now(), memory: memory, reset: cancelSend, release: func() {
+	begun := &send{granted: granted, forwarder: conn.Forwarder, identity: c.identity, connection: connectionOf(conn), startedAt: time.Now(), memory: memory, reset: cancelSend, release: func() {
 		cancelSend()
 		endExchange()
 		memory.Close()
@@ -217,6 +226,7 @@
 func (c *call) complete(begun *send) (result, admission.Observation) {
 	defer begun.release()
 	c.currentReplica, c.answerMemory = begun.granted.Replica.ID, begun.memory
+	c.connection, c.connectionAliveAt = begun.connection, 0
 	// If it is evicted already, its connection is reset and the read fails.
 	_ = begun.memory.OnEvict(func() {
 		begun.reset()
--- a/entry/forwarding.go
+++ b/entry/forwarding.go
@@ -301,8 +301,9 @@
 }
 
 // connectThroughPeer returns an idle or a new connection to the replica that a peer forwards.
-func (n *Node) connectThroughPeer(ctx context.Context, replica replicas.Replica, maxIdle time.Duration) (*replicahttp.Conn, error) {
-	if idle := n.pool.TakeIdleForwarded(incarnationOf(replica), maxIdle); idle != nil {
+func (n *Node) connectThroughPeer(ctx context.Context, granted *grant, maxIdle time.Duration) (*replicahttp.Conn, error) {
+	replica := granted.Replica
+	if idle := n.takeIdle(granted, maxIdle, n.pool.TakeIdleForwarded); idle != nil {
 		return idle, nil
 	}
 	connection, forwarder, err := n.openThroughPeer(ctx, replica)
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -46,8 +46,13 @@
 	retryRefusal string
 	// forwarder is the peer that forwards the connection of the last send, empty if it is direct.
 	forwarder string
+	// unproven is the number of replicas that the stream did not go on at, as nothing showed their version.
+	unproven int
 	// identity is what was known, at the last send, of whether its connection leads to the replica's incarnation.
 	identity incarnations.Verdict
+	// connection is the one from which the answer is read, and connectionAliveAt when it was last recorded to be alive.
+	connection        incarnations.Connection
+	connectionAliveAt structs.Instant
 	// lackedRoom is true if the last send was rejected by the replica for lack of room.
 	lackedRoom bool
 	// refusedConnects counts the connects that were refused.
--- a/entry/node.go
+++ b/entry/node.go
@@ -52,6 +52,10 @@
 	// ParsePushback parses the pushback signals in the head of a replica's response. Its error
 	// names each part that can't be parsed; the signals of the other parts are still returned.
 	ParsePushback func(status int, header http.Header) (pushback.Signals, error)
+	// ReportPath is the path of the report of a replica on itself, and ParseReport returns the start that the answer with
+	// the status and the body states, in Unix milliseconds. It is nil if replicas give no reports.
+	ReportPath  string
+	ParseReport func(status int, body []byte) (startedAt int64, err error)
 	// ReadyPath is the path of the balancer's readiness check.
 	ReadyPath string
 	Log       *eventlog.Log
--- a/entry/replica_identity.go
+++ b/entry/replica_identity.go
@@ -24,12 +24,17 @@
 const (
 	// identityDoubted means that the incarnation may have ended.
 	identityDoubted identityOutcome = "doubted"
+	// identityConfirmed means that the process stated the start of the incarnation, and identityReplaced that it stated
+	// another one.
+	identityConfirmed identityOutcome = "confirmed"
+	identityReplaced  identityOutcome = "replaced"
 )
 
 // replicaIdentities holds what this node knows of the processes at the replicas' addresses. The node's mutex guards it.
 type replicaIdentities struct {
 	*incarnations.Tracker
-	loggedAt map[identityLine]structs.Instant
+	reporters reporters
+	loggedAt  map[identityLine]structs.Instant
 }
 
 // identityLine is a kind of log line on one incarnation.
@@ -39,12 +44,13 @@
 }
 
 func newReplicaIdentities() *replicaIdentities {
-	return &replicaIdentities{Tracker: incarnations.NewTracker(), loggedAt: map[identityLine]structs.Instant{}}
+	return &replicaIdentities{Tracker: incarnations.NewTracker(), reporters: newReporters(), loggedAt: map[identityLine]structs.Instant{}}
 }
 
 // forget drops what is known of the incarnations that are not kept.
 func (i *replicaIdentities) forget(isKept func(incarnations.Incarnation) bool) {
 	i.Forget(isKept)
+	maps.DeleteFunc(i.reporters.unanswered, func(incarnation incarnations.Incarnation, _ structs.Instant) bool { return !isKept(incarnation) })
 	maps.DeleteFunc(i.loggedAt, func(line identityLine, _ structs.Instant) bool { return !isKept(line.incarnation) })
 }
 
@@ -100,7 +106,29 @@
 	connection := connectionOf(conn)
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	n.identities.Received(sentAt, connection, n.isListedLocked(connection.Incarnation))
+	isListed := n.isListedLocked(connection.Incarnation)
+	n.identities.Received(sentAt, connection, isListed)
+	n.identities.Alive(sentAt, connection, isListed)
+}
+
+const (
+	// minBlockedRead is the time after which a read has certainly waited for bytes: they were not buffered when it began.
+	minBlockedRead = 5 * time.Millisecond
+	// aliveInterval is the minimum time between two records that a connection is alive while its stream goes on.
+	aliveInterval = 100 * time.Millisecond
+)
+
+// readEnded records that a read of the body, which began at the instant, returned bytes, or that the replica closed the
+// connection. A read that had to wait shows that the process was alive when it began.
+func (c *call) readEnded(beganAt structs.Instant, isClosed bool) {
+	n := c.node
+	if n.now()-beganAt < minBlockedRead || !isClosed && beganAt-c.connectionAliveAt < aliveInterval {
+		return
+	}
+	c.connectionAliveAt = beganAt
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.identities.Alive(beganAt, c.connection, n.isListedLocked(c.connection.Incarnation))
 }
 
 // recordDoubt records a sign that the incarnation may have ended.
--- a/entry/replica_paths.go
+++ b/entry/replica_paths.go
@@ -59,9 +59,9 @@
 
 // connect returns an idle or a new connection to the replica, direct or forwarded by a peer. An error
 // proves that nothing was sent.
-func (c *call) connect(replica replicas.Replica, maxIdle time.Duration) (*replicahttp.Conn, error) {
-	node := c.node
-	if idle := node.pool.TakeIdle(incarnationOf(replica), maxIdle); idle != nil {
+func (c *call) connect(granted *grant, maxIdle time.Duration) (*replicahttp.Conn, error) {
+	node, replica := c.node, granted.Replica
+	if idle := node.takeIdle(granted, maxIdle, node.pool.TakeIdle); idle != nil {
 		return idle, nil
 	}
 	ctx, cancel := context.WithTimeout(c.ctx, connectTimeout)
@@ -80,7 +80,7 @@
 			return conn, directErr
 		}
 	}
-	conn, err := node.connectThroughPeer(ctx, replica, maxIdle)
+	conn, err := node.connectThroughPeer(ctx, granted, maxIdle)
 	if err != nil {
 		return nil, errkind.Wrap(errkind.NoReplica, errors.Join(directErr, err))
 	}
--- /dev/null
+++ b/entry/replica_report.go
@@ -0,0 +1,210 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/thornwalk/thornwalk/coordination/incarnations"
+	"github.com/thornwalk/thornwalk/internal/eventlog"
+	"github.com/thornwalk/thornwalk/state/replicas"
+	"github.com/thornwalk/thornwalk/state/streamorigins"
+	"github.com/thornwalk/thornwalk/structs"
+	"github.com/thornwalk/thornwalk/transport/replicahttp"
+)
+
+// A stream goes on only over a connection of which something shows that it leads to the incarnation whose version began
+// the stream. New streams and plain requests need no proof.
+
+const (
+	// reportQueryTimeout bounds the query for a report of a replica.
+	reportQueryTimeout = 300 * time.Millisecond
+	maxReportBytes     = 64 << 10
+	// A service whose replica answers without a start is not asked again for withoutReportsTime, and a replica that does
+	// not answer for reportRetryTime.
+	withoutReportsTime = 30 * time.Second
+	reportRetryTime    = 2 * time.Second
+	// maxUnprovable bounds the replicas that a request for an assignment excludes.
+	maxUnprovable = 256
+)
+
+// reporters holds which replicas give reports. The node's mutex guards it.
+type reporters struct {
+	// withoutReports is when a replica of the service last answered without a start, and unanswered when the incarnation
+	// last did not answer.
+	withoutReports map[string]structs.Instant
+	unanswered     map[incarnations.Incarnation]structs.Instant
+}
+
+func newReporters() reporters {
+	return reporters{withoutReports: map[string]structs.Instant{}, unanswered: map[incarnations.Incarnation]structs.Instant{}}
+}
+
+// givesReports reports whether the replica may be asked for a report with which its entry can be compared.
+func (r *reporters) givesReports(now structs.Instant, replica replicas.Replica) bool {
+	without, isWithout := r.withoutReports[replica.Service]
+	failed, hasFailed := r.unanswered[incarnations.Of(replica)]
+	isAsked := (!isWithout || now-without >= withoutReportsTime) && (!hasFailed || now-failed >= reportRetryTime)
+	return replica.StartedAt != 0 && isAsked
+}
+
+// takeIdle takes an idle connection for the assignment with take, for a stream that goes on preferably one of
+// which is known where it leads.
+func (n *Node) takeIdle(granted *grant, maxIdle time.Duration, take func(replicahttp.Incarnation, time.Duration, structs.Instant) *replicahttp.Conn) *replicahttp.Conn {
+	incarnation := incarnationOf(granted.Replica)
+	if !granted.origin.IsZero() {
+		n.mutex.Lock()
+		knownUntil, isKnown := n.knownUntilLocked(incarnations.Of(granted.Replica))
+		n.mutex.Unlock()
+		if isKnown {
+			if idle := take(incarnation, maxIdle, knownUntil); idle != nil {
+				return idle
+			}
+		}
+	}
+	return take(incarnation, maxIdle, replicahttp.AnyTime)
+}
+
+// knownUntilLocked returns the instant such that connections to the incarnation opened by then are proven or unbroken,
+// if there is one.
+func (n *Node) knownUntilLocked(incarnation incarnations.Incarnation) (structs.Instant, bool) {
+	return n.identities.KnownUntil(n.now(), incarnation, n.isListedLocked(incarnation))
+}
+
+// unprovableReplicas returns replicas of the origin's version over a connection to which a stream can't go on now, as
+// far as this node can show. The caller holds the mutex.
+func (n *Node) unprovableReplicas(origin streamorigins.Origin) []string {
+	var unprovable []string
+	now := n.now()
+	for _, replica := range n.table.All() {
+		if replica.Service != origin.Service || replica.Version != origin.Version || replica.Draining {
+			continue
+		}
+		incarnation := incarnations.Of(replica)
+		if n.verdictLocked(incarnations.Connection{Incarnation: incarnation, OpenedAt: now}).Proof != incarnations.ProofNone || n.givesReportsLocked(replica) {
+			continue
+		}
+		if knownUntil, isKnown := n.knownUntilLocked(incarnation); isKnown && n.pool.HasIdle(incarnationOf(replica), knownUntil) {
+			continue
+		}
+		if unprovable = append(unprovable, replica.ID); len(unprovable) == maxUnprovable {
+			break
+		}
+	}
+	return unprovable
+}
+
+// errUnproven means that nothing shows which incarnation of the replica the connection leads to, errClosedAfterReport
+// that the replica closed the connection after a report that shows it.
+var (
+	errUnproven          = errors.New("nothing shows which incarnation it is")
+	errClosedAfterReport = errors.New("the replica closed the connection after its report")
+)
+
+// connectProven is connect for streams that go on: it returns a connection only if something shows which incarnation it
+// leads to. The error is errUnproven if nothing does. For other requests any connection will do.
+func (c *call) connectProven(granted *grant, maxIdle time.Duration) (*replicahttp.Conn, error) {
+	conn, err := c.connect(granted, maxIdle)
+	if err != nil {
+		return nil, err
+	}
+	err = c.prove(conn, granted)
+	if errors.Is(err, errClosedAfterReport) {
+		if conn, err = c.connect(granted, maxIdle); err != nil {
+			return nil, err
+		}
+		err = c.requireProof(conn)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return conn, nil
+}
+
+// prove records what is known of the incarnation at the other end of the connection, and finds it out if the request
+// needs it. After an error, the connection is closed.
+func (c *call) prove(conn *replicahttp.Conn, granted *grant) error {
+	n := c.node
+	c.identity = n.identityOf(conn)
+	if granted.origin.IsZero() || c.identity.IsProven() {
+		return nil
+	}
+	n.mutex.Lock()
+	givesReports := n.givesReportsLocked(granted.Replica)
+	n.mutex.Unlock()
+	if givesReports {
+		if err := n.queryReport(c.ctx, conn, granted.Replica); err != nil {
+			return err
+		}
+	}
+	return c.requireProof(conn)
+}
+
+// requireProof records what is known of the incarnation at the other end of the connection, and closes it if that is
+// nothing.
+func (c *call) requireProof(conn *replicahttp.Conn) error {
+	c.identity = c.node.identityOf(conn)
+	if c.identity.Proof == incarnations.ProofNone {
+		_ = conn.Close()
+		return errUnproven
+	}
+	return nil
+}
+
+// givesReportsLocked reports whether the replica may be asked for a report.
+func (n *Node) givesReportsLocked(replica replicas.Replica) bool {
+	return n.dependencies.ParseReport != nil && n.identities.reporters.givesReports(n.now(), replica)
+}
+
+// queryReport asks the process at the other end of the connection for its start, and records the answer. After an error
+// the connection is closed. A replica that gives no reports is no error.
+func (n *Node) queryReport(callerContext context.Context, conn *replicahttp.Conn, replica replicas.Replica) error {
+	ctx, cancel := context.WithTimeout(callerContext, reportQueryTimeout)
+	defer cancel()
+	incarnation := incarnations.Of(replica)
+	sentAt := n.now()
+	answer, err := n.pool.Query(ctx, conn, &replicahttp.Request{
+		Method: http.MethodGet, Target: n.dependencies.ReportPath, Host: replica.Address, Header: http.Header{}, IDHeader: n.dependencies.Headers.RequestID,
+	}, maxReportBytes)
+	if err != nil && callerContext.Err() != nil {
+		return errUnproven
+	}
+	if err != nil {
+		n.counter("streams.identity_reports.failed").Inc(1)
+		n.mutex.Lock()
+		n.identities.reporters.unanswered[incarnation] = n.now()
+		n.mutex.Unlock()
+		n.recordDoubt(incarnation)
+		return fmt.Errorf("%w: query its report: %w", errUnproven, err)
+	}
+	startedAt, err := n.dependencies.ParseReport(answer.StatusCode, answer.Body)
+	switch {
+	case err != nil:
+		n.counter("streams.identity_reports.none").Inc(1)
+		n.mutex.Lock()
+		n.identities.reporters.withoutReports[replica.Service] = n.now()
+		n.mutex.Unlock()
+		if !answer.IsOpen {
+			return fmt.Errorf("%w: closed after an answer without its start: %w", errUnproven, err)
+		}
+		return nil
+	case startedAt != replica.StartedAt:
+		n.mutex.Lock()
+		n.identities.Doubt(n.now(), incarnation)
+		n.mutex.Unlock()
+		n.reportIdentity(identityReplaced, incarnation, eventlog.Event{Detail: fmt.Sprint("started at ", startedAt)})
+		_ = conn.Close()
+		n.pool.Forget(incarnationOf(replica))
+		return fmt.Errorf("%w: another one started at %d", errUnproven, startedAt)
+	}
+	n.mutex.Lock()
+	n.identities.ConfirmByReport(sentAt, incarnation)
+	n.mutex.Unlock()
+	n.reportIdentity(identityConfirmed, incarnation, eventlog.Event{})
+	if !answer.IsOpen {
+		return errClosedAfterReport
+	}
+	return nil
+}
--- a/entry/send_failure.go
+++ b/entry/send_failure.go
@@ -32,6 +32,9 @@
 	causeMemoryFull failureCause = "memory-full"
 	// causeForwarderLost means that the connection to the peer that forwarded the request broke.
 	causeForwarderLost failureCause = "forwarder-lost"
+	// causeUnproven means that nothing showed which incarnation of the replica the connection leads to, so that the
+	// stream did not go on there. Nothing was sent.
+	causeUnproven failureCause = "unproven"
 )
 
 // isDoubt reports whether the replica may have ended, as the failure of an exchange with it is one that its end causes.
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -4,6 +4,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -46,7 +47,7 @@
 		}
 		c.resumed = c.resumed || c.headSent
 		c.tried = append(c.tried, granted.Replica.ID)
-		if begun = c.silence.next(); begun == nil && !c.mayRetry(outcome, c.executions, len(c.tried)-c.refusedConnects) {
+		if begun = c.silence.next(); begun == nil && !c.mayRetry(outcome, c.executions, c.countedTries()) {
 			c.endUnanswered(outcome)
 			return
 		}
@@ -80,7 +81,7 @@
 		}
 		c.node.reportFinish(granted, &finishRequest{Observation: admission.Observation{CallerLeft: true}, NotRun: true, Unsent: true})
 		c.tried = append(c.tried, granted.Replica.ID)
-		if len(c.tried) >= maxSends {
+		if len(c.tried)-c.unproven >= maxSends {
 			c.endUnanswered(resultNotSent)
 			return nil
 		}
@@ -90,9 +91,6 @@
 // finish reports the end of the send to the scheduling node, and lets this node's own scheduling
 // service observe it if the scheduling node is another one.
 func (c *call) finish(granted *grant, outcome result, observed admission.Observation) {
-	if outcome == resultIncomplete && c.lastFailure.isDoubt() {
-		c.node.recordDoubt(incarnations.Of(granted.Replica))
-	}
 	message := &finishRequest{ID: granted.id, Observation: observed, NotRun: outcome == resultNotSent || outcome == resultRejected, Unsent: outcome == resultNotSent, Rejected: c.lackedRoom, Fingerprint: c.fingerprint}
 	message.Observation.Whole = outcome == resultAnswered || outcome == resultServerError
 	message.Observation.Succeeded = outcome == resultAnswered && c.answeredStatus < http.StatusMultipleChoices
@@ -128,6 +126,10 @@
 			return false
 		}
 	}
+	// A replica that accepts connections right after it closed one has not been replaced.
+	if c.lastFailure.isDoubt() && state != incarnationNotCrashed && state != incarnationReachedByPeer {
+		c.node.recordDoubt(incarnations.Of(granted.Replica))
+	}
 	switch state {
 	case incarnationReachedByPeer:
 		return c.forwarder != ""
@@ -183,11 +185,15 @@
 // newAssignRequest returns the request for an assignment; tried are the replicas of earlier ones.
 func (c *call) newAssignRequest(tried []string, isRetry bool) *assignRequest {
 	node := c.node
-	if len(tried) > 0 {
+	isFirst := len(tried) == 0
+	if !isFirst {
 		c.refreshTenant()
 	}
 	node.mutex.Lock()
 	suspected := append(node.health.Failing(node.now()), node.unreachableZoneReplicas()...)
+	if !c.origin.IsZero() {
+		tried = append(slices.Clone(tried), node.unprovableReplicas(c.origin)...)
+	}
 	node.mutex.Unlock()
 	request := &assignRequest{
 		Request: admission.Request{
@@ -198,7 +204,7 @@
 			Deadline: c.remaining(), Parts: c.partKeys, Version: c.origin.Version,
 			Target: max(c.route.TargetLatency-c.age(), 0), Patience: c.maxQueueWait(),
 		},
-		First: len(tried) == 0, Repeat: isRetry, RequestID: tenantstats.ShortName(c.id), PushbackReports: node.pushbackReports(c.service), RejectionLimits: node.rejectionLimits(c.service),
+		First: isFirst, Repeat: isRetry, RequestID: tenantstats.ShortName(c.id), PushbackReports: node.pushbackReports(c.service), RejectionLimits: node.rejectionLimits(c.service),
 	}
 	request.Known, request.KnownParts = node.scheduling.recentPoisonRecords(c.fingerprint, c.partKeys)
 	if c.tenant != nil {
@@ -279,9 +285,12 @@
 	return max(time.Duration(float64(remaining)*queueWaitShare), 0)
 }
 
+// countedTries returns the number of replicas that count as sends of the request.
+func (c *call) countedTries() int { return len(c.tried) - c.refusedConnects - c.unproven }
+
 // mayRetry reports whether the request may be sent to another replica.
 func (c *call) mayRetry(outcome result, executions, tried int) bool {
-	if c.isOriginUncertain() || c.ctx.Err() != nil || tried >= maxSends || c.refusedConnects >= maxRefusedConnects {
+	if c.isOriginUncertain() || c.ctx.Err() != nil || tried >= maxSends || c.refusedConnects >= maxRefusedConnects || c.unproven >= maxUnproven {
 		return false
 	}
 	switch outcome {
@@ -307,6 +316,8 @@
 		c.endOutcomeUnknown(http.StatusBadGateway, "replica-broke-off")
 	case outcome == resultRejected:
 		c.endNotRun(http.StatusServiceUnavailable, "replicas-full", retryAfterRejected)
+	case c.lastFailure == causeUnproven:
+		c.endNotRun(http.StatusServiceUnavailable, "replicas-unproven", retryAfterRejected)
 	default:
 		c.endNotRun(http.StatusServiceUnavailable, "replicas-unreachable", retryAfterRejected)
 	}
--- a/entry/silence_watch.go
+++ b/entry/silence_watch.go
@@ -63,6 +63,7 @@
 	// isSent is true if the request was written to it, and mayHaveRun if it may have run there.
 	isSent, mayHaveRun bool
 	isConnectRefused   bool
+	isUnproven         bool
 	// serverError is the complete answer of a replica that failed the request, nil if there is none.
 	serverError *bufferedAnswer
 	waited      time.Duration
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -87,9 +87,13 @@
 // successor from answering.
 func (c *call) readWatched(answer *replicahttp.Answer, buffer []byte, hasEvents, isUsable bool) (int, error) {
 	c.silence.wait(c.silenceLimit(hasEvents))
+	beganAt := c.node.now()
 	count, err := answer.Body.Read(buffer)
 	if count == 0 && err != nil && !answer.Ended(err) {
 		c.silence.interrupted()
+		if failureCauseOf(err) == causeClosed {
+			c.readEnded(beganAt, true)
+		}
 		return 0, err
 	}
 	if !isUsable {
@@ -97,6 +101,7 @@
 	} else if !c.silence.received() {
 		return 0, errReplaced
 	}
+	c.readEnded(beganAt, false)
 	return count, err
 }
 
--- a/entry/successor.go
+++ b/entry/successor.go
@@ -17,7 +17,7 @@
 
 // mayHaveSuccessor reports whether the request may be sent to another replica in place of the silent one.
 func (c *call) mayHaveSuccessor() bool {
-	return c.mayRetry(resultIncomplete, c.executions+1, len(c.tried)+1-c.refusedConnects)
+	return c.mayRetry(resultIncomplete, c.executions+1, c.countedTries()+1)
 }
 
 // copyForSuccessor returns a copy of the call with which a successor is looked for. It has no caller.
@@ -61,7 +61,7 @@
 
 // trySuccessor sends the request to the assigned successor.
 func (c *call) trySuccessor(granted *grant) (*send, searchResult) {
-	refusedBefore := c.refusedConnects
+	refusedBefore, unprovenBefore := c.refusedConnects, c.unproven
 	outcome, observed := resultNotSent, admission.Observation{CallerLeft: true}
 	var begun *send
 	if c.node.maySend(granted) && !slices.Contains(c.tried, granted.Replica.ID) {
@@ -83,7 +83,7 @@
 	c.logSend(granted, outcome)
 	return nil, searchResult{
 		replica: granted.Replica.ID, isSent: outcome != resultNotSent, mayHaveRun: outcome != resultNotSent && outcome != resultRejected,
-		isConnectRefused: c.refusedConnects > refusedBefore, serverError: serverError, waited: c.waited, events: c.bufferedEvents,
+		isConnectRefused: c.refusedConnects > refusedBefore, isUnproven: c.unproven > unprovenBefore, serverError: serverError, waited: c.waited, events: c.bufferedEvents,
 	}
 }
 
@@ -166,6 +166,9 @@
 	if result.isConnectRefused {
 		c.refusedConnects++
 	}
+	if result.isUnproven {
+		c.unproven++
+	}
 	if result.isSent {
 		c.sends++
 	}
--- a/test/entry/replaced_in_place_test.go
+++ b/test/entry/replaced_in_place_test.go
@@ -54,7 +54,7 @@
 	time.Sleep(inPlaceDelay)
 	next := &platformsim.Replica{
 		ID: ended.ID, Service: ended.Service, Zone: ended.Zone, Version: version, Slots: ended.Slots, Events: ended.Events, Step: ended.Step,
-		StartedAt: time.Now().UnixMilli(),
+		StartedAt: time.Now().UnixMilli(), GivesReports: ended.GivesReports,
 	}
 	next.SetBehavior(breakOff(2))
 	s.Expect(s.deployment.StartReplica(ended.ID[len("i-"):], next)).To(gomega.Succeed())
@@ -148,8 +148,8 @@
 }
 
 // runInPlace plays the course and returns its counts.
-func runInPlace(t *testing.T, testCase inPlaceCase, check func(s *inPlaceScenario, counts mixingCounts)) {
-	course := mixingCase{newer: 7, breaks: 2}
+func runInPlace(t *testing.T, testCase inPlaceCase, givesReports bool, check func(s *inPlaceScenario, counts mixingCounts)) {
+	course := mixingCase{newer: 7, breaks: 2, givesReports: givesReports}
 	runMixing(t, course, func(base *versionsScenario) {
 		s := &inPlaceScenario{versionsScenario: base}
 		course.fault = func(*versionsScenario) { testCase.fault(s) }
@@ -164,12 +164,14 @@
 // new entry is known.
 func TestStreamsDoNotGoOnAtReplicasReplacedInPlace(t *testing.T) {
 	for name, testCase := range inPlaceCases {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			runInPlace(t, testCase, func(s *inPlaceScenario, counts mixingCounts) {
-				s.Expect(counts.mixed).To(gomega.BeNumerically("<=", mixedStreamsAllowed), "streams with events of two versions")
-				s.Expect(counts.goOnShare()).To(gomega.BeNumerically(">=", testCase.minGoOnShare), "resumed streams that go on")
+		for kind, givesReports := range map[string]bool{"": false, ", engines give reports": true} {
+			t.Run(name+kind, func(t *testing.T) {
+				t.Parallel()
+				runInPlace(t, testCase, givesReports, func(s *inPlaceScenario, counts mixingCounts) {
+					s.Expect(counts.mixed).To(gomega.BeNumerically("<=", mixedStreamsAllowed), "streams with events of two versions")
+					s.Expect(counts.goOnShare()).To(gomega.BeNumerically(">=", testCase.minGoOnShare), "resumed streams that go on")
+				})
 			})
-		})
+		}
 	}
 }
--- a/test/entry/stream_versions_test.go
+++ b/test/entry/stream_versions_test.go
@@ -58,6 +58,8 @@
 	streams []*callerStream
 	// omitsResumed makes callers resume streams without naming the request that began them.
 	omitsResumed bool
+	// givesReports makes the engines answer queries for reports.
+	givesReports bool
 }
 
 // mixingCase describes a course.
@@ -73,13 +75,15 @@
 	// that begin.
 	minGoOnShare float64
 	omitsResumed bool
+	// givesReports makes the engines answer queries for reports.
+	givesReports bool
 }
 
 // runMixing starts the engines and runs the test.
 func runMixing(t *testing.T, testCase mixingCase, test func(s *versionsScenario)) {
 	t.Helper()
 	runScenario(t, func(base *scenario) {
-		s := &versionsScenario{scenario: base, omitsResumed: testCase.omitsResumed}
+		s := &versionsScenario{scenario: base, omitsResumed: testCase.omitsResumed, givesReports: testCase.givesReports}
 		for _, replica := range s.engines {
 			replica.Crash()
 			s.deployment.Store.Delete("servers/" + replica.ID)
@@ -99,7 +103,10 @@
 
 // startEngine starts an engine of the version on the host.
 func (s *versionsScenario) startEngine(host, version string, behave func(*http.Request) platformsim.Behavior) *platformsim.Replica {
-	replica := &platformsim.Replica{ID: "i-" + host, Service: "engines", Zone: "east", Version: version, Slots: 4, Events: 6, Step: 60 * time.Millisecond}
+	replica := &platformsim.Replica{ID: "i-" + host, Service: "engines", Zone: "east", Version: version, Slots: 4, Events: 6, Step: 60 * time.Millisecond, GivesReports: s.givesReports}
+	if s.givesReports {
+		replica.StartedAt = time.Now().UnixMilli()
+	}
 	replica.SetBehavior(behave)
 	s.Expect(s.deployment.AddReplica(host, replica)).To(gomega.Succeed())
 	s.mutex.Lock()
--- a/transport/replicahttp/pool.go
+++ b/transport/replicahttp/pool.go
@@ -2,7 +2,9 @@
 
 import (
 	"errors"
+	"math"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -75,20 +77,37 @@
 	_ = c.Close()
 }
 
-// TakeIdle removes and returns a direct connection that has been idle for less than maxIdle and is still
-// open, or nil.
-func (p *Pool) TakeIdle(incarnation Incarnation, maxIdle time.Duration) *Conn {
-	return p.takeReusable(poolKey{incarnation: incarnation}, maxIdle)
+// AnyTime is later than the opening of any connection.
+const AnyTime = structs.Instant(math.MaxInt64)
+
+// TakeIdle removes and returns a direct connection that was open by the instant, has been idle for less than maxIdle and
+// is still open, or nil.
+func (p *Pool) TakeIdle(incarnation Incarnation, maxIdle time.Duration, openedBy structs.Instant) *Conn {
+	return p.takeReusable(poolKey{incarnation: incarnation}, maxIdle, openedBy)
 }
 
 // TakeIdleForwarded is TakeIdle for forwarded connections.
-func (p *Pool) TakeIdleForwarded(incarnation Incarnation, maxIdle time.Duration) *Conn {
-	return p.takeReusable(poolKey{incarnation: incarnation, isForwarded: true}, maxIdle)
+func (p *Pool) TakeIdleForwarded(incarnation Incarnation, maxIdle time.Duration, openedBy structs.Instant) *Conn {
+	return p.takeReusable(poolKey{incarnation: incarnation, isForwarded: true}, maxIdle, openedBy)
 }
 
-func (p *Pool) takeReusable(key poolKey, maxIdle time.Duration) *Conn {
+// HasIdle reports whether a connection of the incarnation that was open by the instant is idle.
+func (p *Pool) HasIdle(incarnation Incarnation, openedBy structs.Instant) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for _, isForwarded := range []bool{false, true} {
+		if slices.ContainsFunc(p.idle[poolKey{incarnation: incarnation, isForwarded: isForwarded}], func(conn *Conn) bool {
+			return conn.OpenedAt <= openedBy && time.Since(conn.idleSince) < conn.idleTimeout
+		}) {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *Pool) takeReusable(key poolKey, maxIdle time.Duration, openedBy structs.Instant) *Conn {
 	for {
-		idle := p.takeIdle(key)
+		idle := p.takeIdle(key, openedBy)
 		if idle == nil {
 			return nil
 		}
@@ -137,19 +156,23 @@
 	return p.opened, p.reused
 }
 
-// takeIdle removes and returns the most recently used idle connection of the key, or nil.
-func (p *Pool) takeIdle(key poolKey) *Conn {
+// takeIdle removes and returns the most recently used idle connection of the key that was open by the instant, or nil.
+func (p *Pool) takeIdle(key poolKey, openedBy structs.Instant) *Conn {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	idle := p.idle[key]
-	if len(idle) == 0 {
-		return nil
+	for i, conn := range slices.Backward(idle) {
+		if conn.OpenedAt <= openedBy {
+			p.idle[key] = slices.Delete(idle, i, i+1)
+			return conn
+		}
 	}
-	last := idle[len(idle)-1]
-	p.idle[key] = idle[:len(idle)-1]
-	return last
+	return nil
 }
 
+// Keep puts a connection without an exchange in progress into the pool.
+func (p *Pool) Keep(conn *Conn) { p.putIdle(conn, "") }
+
 // putIdle returns a connection to the pool after a complete answer, or closes it if the pool is
 // full for its key or its idle timeout is not positive. keepAlive is the answer's Keep-Alive
 // header.
--- a/transport/replicahttp/replicahttp_test.go
+++ b/transport/replicahttp/replicahttp_test.go
@@ -39,7 +39,7 @@
 
 // connect returns an idle connection to the replica, or a new one.
 func connect(ctx context.Context, pool *Pool, address string) (*Conn, error) {
-	if idle := pool.TakeIdle(Incarnation{Replica: "replica"}, time.Minute); idle != nil {
+	if idle := pool.TakeIdle(Incarnation{Replica: "replica"}, time.Minute, AnyTime); idle != nil {
 		return idle, nil
 	}
 	opened, err := network.TCP{SilenceLimit: 3 * time.Second}.Dial(ctx, address)
@@ -155,7 +155,7 @@
 			g.Expect(err).NotTo(gomega.HaveOccurred())
 			close(proceed)
 			<-disturbed
-			idle := pool.takeIdle(poolKey{incarnation: Incarnation{Replica: "replica"}})
+			idle := pool.takeIdle(poolKey{incarnation: Incarnation{Replica: "replica"}}, AnyTime)
 			g.Eventually(idle.isReusable).WithTimeout(10 * time.Second).Should(gomega.BeFalse())
 		})
 	}
@@ -210,7 +210,7 @@
 	_, content, _, err := exchange(t, pool, address, strings.Repeat("x", 32<<20))
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(content).To(gomega.Equal("ok"))
-	g.Expect(pool.takeIdle(poolKey{incarnation: Incarnation{Replica: "replica"}})).To(gomega.BeNil())
+	g.Expect(pool.takeIdle(poolKey{incarnation: Incarnation{Replica: "replica"}}, AnyTime)).To(gomega.BeNil())
 }
 
 // Guards against connections that stay idle although their replica or the path to it was found at fault, and
@@ -239,9 +239,9 @@
 			})
 			add(func(opened net.Conn) *Conn { return pool.AddDirect(opened, Incarnation{Replica: "other"}, 0) })
 			test.forget(pool)
-			g.Expect(pool.TakeIdle(Incarnation{Replica: "replica"}, time.Minute) != nil).To(gomega.Equal(test.keepsDirect), "direct")
-			g.Expect(pool.TakeIdleForwarded(Incarnation{Replica: "replica"}, time.Minute) != nil).To(gomega.Equal(test.keepsForwarded), "forwarded")
-			g.Expect(pool.TakeIdle(Incarnation{Replica: "other"}, time.Minute) != nil).To(gomega.Equal(test.keepsElsewhere), "of another replica")
+			g.Expect(pool.TakeIdle(Incarnation{Replica: "replica"}, time.Minute, AnyTime) != nil).To(gomega.Equal(test.keepsDirect), "direct")
+			g.Expect(pool.TakeIdleForwarded(Incarnation{Replica: "replica"}, time.Minute, AnyTime) != nil).To(gomega.Equal(test.keepsForwarded), "forwarded")
+			g.Expect(pool.TakeIdle(Incarnation{Replica: "other"}, time.Minute, AnyTime) != nil).To(gomega.Equal(test.keepsElsewhere), "of another replica")
 			for i, isKept := range []bool{test.keepsDirect, test.keepsForwarded, test.keepsElsewhere} {
 				_ = ends[i].SetReadDeadline(time.Now().Add(10 * time.Millisecond)) // fails if the other end is closed
 				_, err := ends[i].Read(make([]byte, 1))
@@ -293,9 +293,10 @@
 			conn, take = pool.AddForwarded(ours, former, time.Second, forwarder), pool.TakeIdleForwarded
 		}
 		pool.putIdle(conn, "")
-		g.Expect(take(next, time.Minute)).To(gomega.BeNil())
+		g.Expect(take(next, time.Minute, AnyTime)).To(gomega.BeNil())
 		pool.Forget(next)
-		taken := take(former, time.Minute)
+		g.Expect(take(former, time.Minute, time.Second-1)).To(gomega.BeNil())
+		taken := take(former, time.Minute, time.Second)
 		g.Expect(taken).To(gomega.BeIdenticalTo(conn))
 		g.Expect(taken.OpenedAt).To(gomega.Equal(time.Second))
 		g.Expect(taken.Incarnation()).To(gomega.Equal(former))
