entry: doubts of other nodes come with assignments

Cause: a node that did not itself see a replica end assumes by its latest view that it is still there, up to 1.5 s after that view. The node whose connection broke knows better, and the scheduling node hears of it with the end of the send.

Change: the message on an ended send names the incarnation that the node doubts, with the age of the doubt; the scheduling node records it, and sends the age of its doubt with each assignment; the assigned node records that before it decides. So the news is not later than the assignment that it concerns. Both fields are new: nodes of the release before leave them out and pass over them.

--- a/entry/assignment.go
+++ b/entry/assignment.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/thornwalk/thornwalk/coordination/incarnations"
 	"github.com/thornwalk/thornwalk/protocol/peerwire"
 	"github.com/thornwalk/thornwalk/state/streamorigins"
 	"github.com/thornwalk/thornwalk/structs"
@@ -82,6 +83,9 @@
 	}
 	n.mutex.Lock()
 	n.assignments[granted.id] = assignment{replica: granted.Replica.ID, scheduler: granted.scheduler, term: granted.Term}
+	if granted.DoubtAge > 0 {
+		n.identities.Doubt(n.now()-granted.DoubtAge, incarnations.Of(granted.Replica))
+	}
 	if granted.Limit != nil {
 		n.pushback.MergeLimit(n.now(), *granted.Limit)
 	}
--- /dev/null
+++ b/entry/doubt_news.go
@@ -0,0 +1,48 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/thornwalk/thornwalk/coordination/incarnations"
+	"github.com/thornwalk/thornwalk/state/replicas"
+)
+
+// The scheduling node hears of failed sends of all nodes. It tells the node that gets an assignment how long ago the
+// replica was doubted, so that a stream does not go on at a replica that another node found ended.
+
+func (n *Node) serveAssign(ctx context.Context, request *assignRequest) (*assignReply, error) {
+	reply := n.scheduling.assign(ctx, request)
+	if reply.Reason == "" {
+		reply.DoubtAge = n.doubtAge(reply.Replica)
+	}
+	return reply, nil
+}
+
+func (n *Node) serveFinish(_ context.Context, request *finishRequest) (*finishReply, error) {
+	if doubted := request.Doubted; doubted != nil {
+		n.mutex.Lock()
+		n.identities.Doubt(n.now()-max(doubted.Age, 0), incarnations.Incarnation{Replica: doubted.Replica, StartedAt: doubted.StartedAt})
+		n.mutex.Unlock()
+		n.counter("streams.identity_doubts_heard").Inc(1)
+	}
+	n.scheduling.finish(request)
+	return &finishReply{}, nil
+}
+
+// doubtAge returns the time since the latest sign that the replica may have ended, or zero if there is none since it was
+// last known to live.
+func (n *Node) doubtAge(replica replicas.Replica) time.Duration {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.verdictLocked(incarnations.Connection{Incarnation: incarnations.Of(replica), OpenedAt: n.now()}).DoubtAge
+}
+
+// doubtOf returns the doubt of the replica's incarnation, or nil if there is none.
+func (n *Node) doubtOf(replica replicas.Replica) *doubtedIncarnation {
+	age := n.doubtAge(replica)
+	if age == 0 {
+		return nil
+	}
+	return &doubtedIncarnation{Replica: replica.ID, StartedAt: replica.StartedAt, Age: age}
+}
--- a/entry/messages.go
+++ b/entry/messages.go
@@ -56,6 +56,9 @@
 	BlockedBy *fingerprint.Fingerprint `msgpack:",omitempty"`
 	// Term is the term of the scheduling node.
 	Term uint64
+	// DoubtAge is the time since the latest sign that the replica may have ended, as far as the scheduling node knows;
+	// zero if it knows of none. Nodes of earlier releases don't send it.
+	DoubtAge time.Duration `msgpack:",omitempty"`
 	// Limit is the replica's rate limit as the scheduling node knows it, nil if it knows of none.
 	// The assignment counts against it.
 	Limit *pushback.Report `msgpack:",omitempty"`
@@ -87,6 +90,17 @@
 	Fingerprint fingerprint.Fingerprint `msgpack:"Content"`
 	// Ended is the incarnation that crashed under the request, nil if none did.
 	Ended *crashedIncarnation
+	// Doubted is the incarnation that may have ended as far as the sending node knows, nil if there is none. Nodes of
+	// earlier releases don't send it.
+	Doubted *doubtedIncarnation `msgpack:",omitempty"`
+}
+
+// doubtedIncarnation is an incarnation of a replica that may have ended.
+type doubtedIncarnation struct {
+	Replica   string
+	StartedAt int64
+	// Age is the time since the latest sign of it.
+	Age time.Duration
 }
 
 // crashedIncarnation is an incarnation of a replica that crashed under a request.
--- a/entry/node.go
+++ b/entry/node.go
@@ -313,13 +313,8 @@
 	}
 	server := peer.NewServer(nil)
 	server.OnReplaced(func() { n.closeIdle("a peer replaced its connection") })
-	peer.Handle(server, peerwire.KindAssign, func(ctx context.Context, request *assignRequest) (*assignReply, error) {
-		return n.scheduling.assign(ctx, request), nil
-	})
-	peer.Handle(server, peerwire.KindFinish, func(_ context.Context, request *finishRequest) (*finishReply, error) {
-		n.scheduling.finish(request)
-		return &finishReply{}, nil
-	})
+	peer.Handle(server, peerwire.KindAssign, n.serveAssign)
+	peer.Handle(server, peerwire.KindFinish, n.serveFinish)
 	peer.Handle(server, peerwire.KindFirstEvent, func(_ context.Context, request *firstEventRequest) (*firstEventReply, error) {
 		n.scheduling.recordFirstEvent(request)
 		return &firstEventReply{}, nil
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -102,6 +102,9 @@
 	if granted.address != "" {
 		c.node.scheduling.observe(c.service, c.promptTokens, message, granted.Replica.ID, c.partKeys)
 	}
+	if outcome != resultAnswered {
+		message.Doubted = c.node.doubtOf(granted.Replica)
+	}
 	c.node.reportFinish(granted, message)
 }
 
