incarnations: an interruption told late does not hide a later one

Cause: Interrupt replaced the instant of a later interruption by that of an earlier one, so that a view from between the two counted as one after both. Change: the latest instant counts. The new test failed before.

--- a/coordination/incarnations/tracker.go
+++ b/coordination/incarnations/tracker.go
@@ -112,9 +112,11 @@
 }
 
 // Interrupt records that entries may have been replaced unseen: the store failed, was restored, or this process was
-// suspended.
+// suspended. One that is told late does not hide a later one.
 func (t *Tracker) Interrupt(now structs.Instant) {
-	t.interruptedAt, t.isInterrupted = now, true
+	if !t.isInterrupted || now > t.interruptedAt {
+		t.interruptedAt, t.isInterrupted = now, true
+	}
 }
 
 // Doubt records a sign that the incarnation may have ended: a connection that it closed, refused or did not answer.
--- a/coordination/incarnations/tracker_test.go
+++ b/coordination/incarnations/tracker_test.go
@@ -52,6 +52,17 @@
 	g.Expect(tracker.Verdict(11*time.Second, Connection{first, 11 * time.Second}, true).Proof).To(gomega.Equal(ProofAssumed))
 }
 
+// Guards against an interruption that is forgotten because an earlier one is told after it.
+func TestLateInterruptionKeepsALaterOne(t *testing.T) {
+	g := gomega.NewWithT(t)
+	tracker := NewTracker()
+	observeSteadily(tracker, 0, 10*time.Second)
+	tracker.Interrupt(12 * time.Second)
+	tracker.Interrupt(10 * time.Second)
+	tracker.ObserveView(11 * time.Second)
+	g.Expect(tracker.Verdict(12*time.Second, Connection{first, 11 * time.Second}, true).Proof).To(gomega.Equal(ProofNone))
+}
+
 // Guards against connections that lose their proof while the store is away, although the replica goes on answering.
 func TestAnswersRenewTheProofWithoutTheStore(t *testing.T) {
 	g := gomega.NewWithT(t)
