incarnations: an entry proves nothing that a short outage may have delayed

Cause: views of up to maxViewGap apart count as steady, but the store may have been away in between. A successor that started then writes its entry up to maxViewGap later than EntryDelay after its start, and a view from in between proved its connections to be those of the former process. Order found: the successor starts; the store goes away; a connection is opened; the store returns within the gap; a view EntryDelay after the start still lists the former entry. Change: the proof reaches back EntryDelay + maxViewGap. The assumption on the delay is stated so that it covers outages.

--- a/coordination/incarnations/doc.go
+++ b/coordination/incarnations/doc.go
@@ -4,9 +4,11 @@
 // no I/O and no clock; callers pass in what they observe, and when.
 //
 // Assumptions:
-//   - A connection leads to one process for as long as it lives.
-//   - A replica replaces the entry of its former incarnation within EntryDelay of its start while it reaches the store,
-//     and within EntryDelay of the store's return otherwise.
+//   - A connection leads to one process for as long as it lives, and one process at a time is at an address. An
+//     incarnation has an ID or a start of its own.
+//   - A replica replaces the entry of its former incarnation once it has reached the store for EntryDelay since its
+//     start. An outage that no call of this node notices is shorter than maxViewGap, and delays it by its length.
+//     Two of them do not follow each other within that time.
 //   - No replica ends and starts again within minReplacementTime.
 //
 // Guarantee: a verdict of ProofEntry, ProofAnswers or ProofReport is true, whatever is late or lost and whatever ends,
--- a/coordination/incarnations/tracker.go
+++ b/coordination/incarnations/tracker.go
@@ -88,7 +88,8 @@
 	// interruptedAt is when views were last known to be no proof, if isInterrupted; later views end that.
 	interruptedAt structs.Instant
 	isInterrupted bool
-	// coversUntil is the instant before which no successor of a listed incarnation can have started, if hasCover.
+	// coversUntil is the instant before which no successor of a listed incarnation can have started, if hasCover. An
+	// outage of up to maxViewGap may have delayed the entry unnoticed.
 	coversUntil structs.Instant
 	hasCover    bool
 	known       map[Incarnation]knowledge
@@ -106,7 +107,7 @@
 		t.steadySince = asOf
 	}
 	t.hasView, t.isInterrupted, t.viewAsOf = true, false, asOf
-	if covered := asOf - EntryDelay; covered >= t.steadySince {
+	if covered := asOf - EntryDelay - maxViewGap; covered >= t.steadySince {
 		t.coversUntil, t.hasCover = covered, true
 	}
 }
--- a/coordination/incarnations/tracker_test.go
+++ b/coordination/incarnations/tracker_test.go
@@ -26,16 +26,18 @@
 	verdict := func(now, openedAt structs.Instant) Proof {
 		return tracker.Verdict(now, Connection{first, openedAt}, true).Proof
 	}
-	g.Expect(verdict(10*time.Second, 6*time.Second)).To(gomega.Equal(ProofEntry))
-	g.Expect(verdict(10*time.Second, 7*time.Second)).To(gomega.Equal(ProofAssumed))
+	g.Expect(verdict(10*time.Second, 4*time.Second)).To(gomega.Equal(ProofEntry))
+	g.Expect(verdict(10*time.Second, 5*time.Second)).To(gomega.Equal(ProofAssumed), "a short outage may have delayed the entry")
 	g.Expect(verdict(13*time.Second, 7*time.Second)).To(gomega.Equal(ProofNone), "the view is old")
 	tracker.ObserveView(13 * time.Second)
-	g.Expect(verdict(13*time.Second, 6*time.Second)).To(gomega.Equal(ProofEntry))
+	g.Expect(verdict(13*time.Second, 4*time.Second)).To(gomega.Equal(ProofEntry))
 	g.Expect(verdict(13*time.Second, 7*time.Second)).To(gomega.Equal(ProofAssumed))
 	observeSteadily(tracker, 14*time.Second, 16*time.Second)
 	g.Expect(verdict(16*time.Second, 7*time.Second)).To(gomega.Equal(ProofAssumed), "the store's return is too recent")
 	observeSteadily(tracker, 17*time.Second, 18*time.Second)
-	g.Expect(verdict(18*time.Second, 7*time.Second)).To(gomega.Equal(ProofEntry))
+	g.Expect(verdict(18*time.Second, 7*time.Second)).To(gomega.Equal(ProofAssumed), "the store's return is too recent")
+	observeSteadily(tracker, 19*time.Second, 19*time.Second)
+	g.Expect(verdict(19*time.Second, 7*time.Second)).To(gomega.Equal(ProofEntry))
 }
 
 // Guards against a connection that counts as one to the listed incarnation after a sign of its end.
@@ -46,7 +48,7 @@
 	tracker.Doubt(10*time.Second, first)
 	connection := Connection{first, 10 * time.Second}
 	g.Expect(tracker.Verdict(10*time.Second, connection, true).Proof).To(gomega.Equal(ProofNone))
-	g.Expect(tracker.Verdict(10*time.Second, Connection{first, 5 * time.Second}, true).Proof).To(gomega.Equal(ProofEntry), "it was opened before")
+	g.Expect(tracker.Verdict(10*time.Second, Connection{first, 4 * time.Second}, true).Proof).To(gomega.Equal(ProofEntry), "it was opened before")
 	tracker.ConfirmByReport(10*time.Second+1, first)
 	g.Expect(tracker.Verdict(11*time.Second, connection, true).Proof).To(gomega.Equal(ProofReport))
 	g.Expect(tracker.Verdict(11*time.Second, Connection{first, 11 * time.Second}, true).Proof).To(gomega.Equal(ProofAssumed))
@@ -69,7 +71,7 @@
 	tracker := NewTracker()
 	observeSteadily(tracker, 0, 10*time.Second)
 	tracker.Interrupt(10 * time.Second)
-	old, late := Connection{first, 5 * time.Second}, Connection{first, 12 * time.Second}
+	old, late := Connection{first, 4 * time.Second}, Connection{first, 12 * time.Second}
 	g.Expect(tracker.Verdict(12*time.Second, late, true).Proof).To(gomega.Equal(ProofNone))
 	tracker.Received(13*time.Second, late, true)
 	g.Expect(tracker.Verdict(13*time.Second, late, true).Proof).To(gomega.Equal(ProofNone), "it proves itself")
