incarnations: former views prove nothing of a restored entry

Cause: what views covered was kept over interruptions for all listed entries. A restore lists an entry again that had been replaced; with the cover of the time of its successor, connections to the successor were proven to lead to it. Order found: the successor starts; a connection is opened; the entry is written; views list the successor; the store is restored; a view lists the former entry. Change: Restore, besides Interrupt, which keeps the cover. The callers have to call it at a new era, before they observe a view of it. The new test failed before (by Interrupt).

--- a/coordination/incarnations/tracker.go
+++ b/coordination/incarnations/tracker.go
@@ -112,14 +112,20 @@
 	}
 }
 
-// Interrupt records that entries may have been replaced unseen: the store failed, was restored, or this process was
-// suspended. One that is told late does not hide a later one.
+// Interrupt records that entries may have been replaced unseen: the store failed, or this process was suspended. One that is told late does not hide a later one.
 func (t *Tracker) Interrupt(now structs.Instant) {
 	if !t.isInterrupted || now > t.interruptedAt {
 		t.interruptedAt, t.isInterrupted = now, true
 	}
 }
 
+// Restore records that the store was restored from a backup, before a view of it: it may list incarnations again that it
+// had listed as replaced before. What former views proved of entries does not hold for these.
+func (t *Tracker) Restore(now structs.Instant) {
+	t.Interrupt(now)
+	t.hasCover = false
+}
+
 // Doubt records a sign that the incarnation may have ended: a connection that it closed, refused or did not answer.
 func (t *Tracker) Doubt(at structs.Instant, incarnation Incarnation) {
 	known := t.known[incarnation]
--- a/coordination/incarnations/tracker_test.go
+++ b/coordination/incarnations/tracker_test.go
@@ -54,6 +54,18 @@
 	g.Expect(tracker.Verdict(11*time.Second, Connection{first, 11 * time.Second}, true).Proof).To(gomega.Equal(ProofAssumed))
 }
 
+// Guards against the entry of a backup that counts as proof, as former views seemed to list it.
+func TestRestoredEntryIsNotProvenByFormerViews(t *testing.T) {
+	g := gomega.NewWithT(t)
+	tracker := NewTracker()
+	toSuccessor := Connection{first, 4 * time.Second}
+	observeSteadily(tracker, 0, 10*time.Second)
+	g.Expect(tracker.Verdict(10*time.Second, toSuccessor, false).IsProven()).To(gomega.BeFalse())
+	tracker.Restore(10 * time.Second)
+	tracker.ObserveView(11 * time.Second)
+	g.Expect(tracker.Verdict(11*time.Second, toSuccessor, true).IsProven()).To(gomega.BeFalse())
+}
+
 // Guards against an interruption that is forgotten because an earlier one is told after it.
 func TestLateInterruptionKeepsALaterOne(t *testing.T) {
 	g := gomega.NewWithT(t)
