incarnations: an entry ends a doubt only once that of an ended replica would be gone

Cause: a view that shows that no successor had started by an instant ended doubts from before it. The process may have ended by then, and its successor have started later. A doubt at the very instant of a statement counts now. Change: views end a doubt that is older than twice the delay; answers and reports end it at once, as before. The new test failed before.

--- a/coordination/incarnations/doc.go
+++ b/coordination/incarnations/doc.go
@@ -9,6 +9,7 @@
 //   - A replica replaces the entry of its former incarnation once it has reached the store for EntryDelay since its
 //     start. An outage that no call of this node notices is shorter than maxViewGap, and delays it by its length.
 //     Two of them do not follow each other within that time.
+//   - The entry of a replica that has ended is removed within EntryDelay too, unless its successor starts before.
 //   - No replica ends and starts again within minReplacementTime.
 //
 // Guarantee: a verdict of ProofEntry, ProofAnswers or ProofReport is true, whatever is late or lost and whatever ends,
--- a/coordination/incarnations/tracker.go
+++ b/coordination/incarnations/tracker.go
@@ -60,8 +60,8 @@
 	Proof Proof
 	// Age is the time since the latest statement on the incarnation, or zero if there is none.
 	Age time.Duration
-	// DoubtAge is the time since the latest sign that the incarnation may have ended, or zero if there is none after the
-	// latest statement.
+	// DoubtAge is the time since the latest sign that the incarnation may have ended, or zero if it is known to have
+	// lived on after it.
 	DoubtAge time.Duration
 }
 
@@ -92,7 +92,11 @@
 	// outage of up to maxViewGap may have delayed the entry unnoticed.
 	coversUntil structs.Instant
 	hasCover    bool
-	known       map[Incarnation]knowledge
+	// livedUntil is an instant until which the process of a listed incarnation had not ended, if hasLived. The entry of
+	// one that has ended stays for a while, and its successor may start at the end of it.
+	livedUntil structs.Instant
+	hasLived   bool
+	known      map[Incarnation]knowledge
 }
 
 // NewTracker returns a tracker that knows nothing.
@@ -110,6 +114,9 @@
 	if covered := asOf - EntryDelay - maxViewGap; covered >= t.steadySince {
 		t.coversUntil, t.hasCover = covered, true
 	}
+	if lived := asOf - 2*(EntryDelay+maxViewGap); lived >= t.steadySince {
+		t.livedUntil, t.hasLived = lived, true
+	}
 }
 
 // Interrupt records that entries may have been replaced unseen: the store failed, or this process was suspended. One that is told late does not hide a later one.
@@ -123,7 +130,7 @@
 // had listed as replaced before. What former views proved of entries does not hold for these.
 func (t *Tracker) Restore(now structs.Instant) {
 	t.Interrupt(now)
-	t.hasCover = false
+	t.hasCover, t.hasLived = false, false
 }
 
 // Doubt records a sign that the incarnation may have ended: a connection that it closed, refused or did not answer.
@@ -161,6 +168,10 @@
 func (t *Tracker) Verdict(now structs.Instant, connection Connection, isListed bool) Verdict {
 	known := t.known[connection.Incarnation]
 	stated, proof := known.confirmedAt, known.proof
+	isDoubted := known.isDoubted && (proof == ProofNone || known.doubtedAt >= stated)
+	if isListed && t.hasLived && known.doubtedAt < t.livedUntil {
+		isDoubted = false
+	}
 	if isListed && t.hasCover && (proof == ProofNone || t.coversUntil > stated) {
 		stated, proof = t.coversUntil, ProofEntry
 	}
@@ -168,7 +179,6 @@
 	if proof != ProofNone {
 		verdict.Age = now - stated
 	}
-	isDoubted := known.isDoubted && (proof == ProofNone || known.doubtedAt > stated)
 	if isDoubted {
 		verdict.DoubtAge = max(now-known.doubtedAt, 1)
 	}
--- a/coordination/incarnations/tracker_test.go
+++ b/coordination/incarnations/tracker_test.go
@@ -77,6 +77,20 @@
 	g.Expect(tracker.Verdict(12*time.Second, Connection{first, 11 * time.Second}, true).Proof).To(gomega.Equal(ProofNone))
 }
 
+// Guards against a doubt that ends because no successor had started yet: the process may have ended all the same.
+func TestEntryEndsADoubtOnlyOnceItWouldBeGone(t *testing.T) {
+	g := gomega.NewWithT(t)
+	tracker := NewTracker()
+	observeSteadily(tracker, 0, 10*time.Second)
+	tracker.Doubt(10*time.Second, first)
+	for at := 11 * time.Second; at <= 21*time.Second; at += time.Second {
+		tracker.ObserveView(at)
+		g.Expect(tracker.Verdict(at, Connection{first, at}, true).Proof).To(gomega.Equal(ProofNone), at.String())
+	}
+	tracker.ObserveView(22 * time.Second)
+	g.Expect(tracker.Verdict(22*time.Second, Connection{first, 22 * time.Second}, true).Proof).To(gomega.Equal(ProofAssumed))
+}
+
 // Guards against connections that lose their proof while the store is away, although the replica goes on answering.
 func TestAnswersRenewTheProofWithoutTheStore(t *testing.T) {
 	g := gomega.NewWithT(t)
