incarnations: nothing is assumed right after the store's return

Cause: the first view after an outage counted as current, though the store lists former entries until their successors have written theirs. The package's comment admitted only the age of the view. Change: assumed needs views that are steady for EntryDelay + maxViewGap. The comment says exactly when it may be wrong.

--- a/coordination/incarnations/doc.go
+++ b/coordination/incarnations/doc.go
@@ -13,6 +13,6 @@
 //   - No replica ends and starts again within minReplacementTime.
 //
 // Guarantee: a verdict of ProofEntry, ProofAnswers or ProofReport is true, whatever is late or lost and whatever ends,
-// under the first two assumptions. ProofAssumed is wrong only if a replica was replaced within the age of the latest
-// view, and nothing that this node knows of has failed at it.
+// under the first two assumptions. ProofAssumed is wrong only if a successor started at most EntryDelay + maxViewGap
+// + maxViewAge before, and this node was told of nothing that failed at the replica since its end.
 package incarnations
--- a/coordination/incarnations/tracker.go
+++ b/coordination/incarnations/tracker.go
@@ -51,7 +51,8 @@
 	ProofAnswers Proof = "answers"
 	// ProofReport means that the process stated the start of the incarnation after the connection was opened.
 	ProofReport Proof = "report"
-	// ProofAssumed means that the incarnation was known recently, and that nothing has failed at it since.
+	// ProofAssumed means that a successor, if there is one, started at most EntryDelay + maxViewGap + maxViewAge before,
+	// and that nothing has failed at the incarnation since it was last known to live.
 	ProofAssumed Proof = "assumed"
 )
 
@@ -191,9 +192,10 @@
 	return verdict
 }
 
-// isCurrent reports whether the latest view is recent and nothing has interrupted the views since.
+// isCurrent reports whether the latest view is recent, and views have been steady for so long that it lists no
+// incarnation which was replaced before.
 func (t *Tracker) isCurrent(now structs.Instant) bool {
-	return t.hasView && !t.isInterrupted && now-t.viewAsOf <= maxViewAge
+	return t.hasView && !t.isInterrupted && now-t.viewAsOf <= maxViewAge && t.viewAsOf-t.steadySince >= EntryDelay+maxViewGap
 }
 
 // Forget drops what is known of the incarnations that are not kept.
