incarnations: evidence dates from the request, not from its answer

Cause: answers and reports were to count from their arrival. Bytes that a process sent may be read after its end, while connections opened since lead to its successor. Order found by the exploration: the former process answers; it ends; the successor starts; a connection is opened; the answer is read, and proves the connection to be one to the former process. Change: the instant that callers pass is that at which the request was written. The signatures stay.

--- a/coordination/incarnations/tracker.go
+++ b/coordination/incarnations/tracker.go
@@ -47,9 +47,10 @@
 	// ProofEntry means that the store listed the incarnation when a successor that had started before the connection
 	// would have replaced the entry.
 	ProofEntry Proof = "entry"
-	// ProofAnswers means that a connection which leads to the incarnation was alive after this one was opened.
+	// ProofAnswers means that a request, written after this connection was opened, was answered over one that leads to
+	// the incarnation.
 	ProofAnswers Proof = "answers"
-	// ProofReport means that the process stated the start of the incarnation after the connection was opened.
+	// ProofReport means that the process, asked after this connection was opened, stated the start of the incarnation.
 	ProofReport Proof = "report"
 	// ProofAssumed means that a successor, if there is one, started at most EntryDelay + maxViewGap + maxViewAge before,
 	// and that nothing has failed at the incarnation since it was last known to live.
@@ -143,16 +144,17 @@
 	t.known[incarnation] = known
 }
 
-// ConfirmByReport records that the process at the incarnation's address stated its start, over a connection that
-// was open at the instant.
-func (t *Tracker) ConfirmByReport(at structs.Instant, incarnation Incarnation) {
-	t.confirm(at, incarnation, ProofReport)
+// ConfirmByReport records that the process at the incarnation's address stated its start in answer to a request that
+// was written at the instant. The process may have ended by the time the answer is read.
+func (t *Tracker) ConfirmByReport(writtenAt structs.Instant, incarnation Incarnation) {
+	t.confirm(writtenAt, incarnation, ProofReport)
 }
 
-// Received records that bytes of a response arrived over the connection. isListed is as for Verdict.
-func (t *Tracker) Received(at structs.Instant, connection Connection, isListed bool) {
-	if t.Verdict(at, connection, isListed).IsProven() {
-		t.confirm(at, connection.Incarnation, ProofAnswers)
+// Received records that bytes of the response to a request that was written over the connection at the instant
+// arrived. The process may have ended by the time they are read. isListed is as for Verdict.
+func (t *Tracker) Received(writtenAt structs.Instant, connection Connection, isListed bool) {
+	if t.Verdict(writtenAt, connection, isListed).IsProven() {
+		t.confirm(writtenAt, connection.Incarnation, ProofAnswers)
 	}
 }
 
