--- a/coordination/incarnations/tracker.go
+++ b/coordination/incarnations/tracker.go
@@ -17,6 +17,8 @@
 	// maxViewAge the age up to which a view counts as current.
 	maxViewGap = 1500 * time.Millisecond
 	maxViewAge = 1500 * time.Millisecond
+	// settleTime is how long after the store's return it may still list former incarnations.
+	settleTime = EntryDelay + maxViewGap
 	// minReplacementTime is the least time in which a replica ends and its successor accepts connections.
 	minReplacementTime = 250 * time.Millisecond
 )
@@ -48,14 +50,16 @@
 	// ProofEntry means that the store listed the incarnation when a successor that had started before the connection
 	// would have replaced the entry.
 	ProofEntry Proof = "entry"
-	// ProofAnswers means that a connection which leads to the incarnation was alive after this one was opened.
+	// ProofAnswers means that a request, written after this connection was opened, was answered over one that leads to
+	// the incarnation.
 	ProofAnswers Proof = "answers"
-	// ProofReport means that the process stated the start of the incarnation after the connection was opened.
+	// ProofReport means that the process, asked after this connection was opened, stated the start of the incarnation.
 	ProofReport Proof = "report"
 	// ProofUnbroken means that a connection which leads to the incarnation, or was assumed to when it was opened, was
 	// alive less than minReplacementTime before this one was opened.
 	ProofUnbroken Proof = "unbroken"
-	// ProofAssumed means that the incarnation was known recently, and that nothing has failed at it since.
+	// ProofAssumed means that a successor, if there is one, started at most EntryDelay + maxViewGap + maxViewAge before,
+	// and that nothing has failed at the incarnation since it was last known to live.
 	ProofAssumed Proof = "assumed"
 )
 
@@ -64,8 +68,8 @@
 	Proof Proof
 	// Age is the time since the latest statement on the incarnation, or zero if there is none.
 	Age time.Duration
-	// DoubtAge is the time since the latest sign that the incarnation may have ended, or zero if there is none after the
-	// latest statement.
+	// DoubtAge is the time since the latest sign that the incarnation may have ended, or zero if it is known to have
+	// lived on after it.
 	DoubtAge time.Duration
 }
 
@@ -98,10 +102,20 @@
 	// interruptedAt is when views were last known to be no proof, if isInterrupted; later views end that.
 	interruptedAt structs.Instant
 	isInterrupted bool
-	// coversUntil is the instant before which no successor of a listed incarnation can have started, if hasCover.
+	// wasAway is true once the store was away as far as this process knows. A new process knows of no time before.
+	wasAway bool
+	// healthyAt is when a peer last told that it had watched the store for settleTime without a failure, if hasHealthyPeer.
+	healthyAt      structs.Instant
+	hasHealthyPeer bool
+	// coversUntil is the instant before which no successor of a listed incarnation can have started, if hasCover. An
+	// outage of up to maxViewGap may have delayed the entry unnoticed.
 	coversUntil structs.Instant
 	hasCover    bool
-	known       map[Incarnation]knowledge
+	// livedUntil is an instant until which the process of a listed incarnation had not ended, if hasLived. The entry of
+	// one that has ended stays for a while, and its successor may start at the end of it.
+	livedUntil structs.Instant
+	hasLived   bool
+	known      map[Incarnation]knowledge
 }
 
 // NewTracker returns a tracker that knows nothing.
@@ -114,17 +128,30 @@
 	}
 	if !t.hasView || t.isInterrupted || asOf-t.viewAsOf > maxViewGap {
 		t.steadySince = asOf
+		t.wasAway = t.wasAway || t.hasView
 	}
 	t.hasView, t.isInterrupted, t.viewAsOf = true, false, asOf
-	if covered := asOf - EntryDelay; covered >= t.steadySince {
+	if covered := asOf - EntryDelay - maxViewGap; covered >= t.steadySince {
 		t.coversUntil, t.hasCover = covered, true
 	}
+	if lived := asOf - 2*(EntryDelay+maxViewGap); lived >= t.steadySince {
+		t.livedUntil, t.hasLived = lived, true
+	}
 }
 
-// Interrupt records that entries may have been replaced unseen: the store failed, was restored, or this process was
-// suspended.
+// Interrupt records that entries may have been replaced unseen: the store failed, or this process was suspended. One that is told late does not hide a later one.
 func (t *Tracker) Interrupt(now structs.Instant) {
-	t.interruptedAt, t.isInterrupted = now, true
+	t.wasAway = t.wasAway || t.hasView
+	if !t.isInterrupted || now > t.interruptedAt {
+		t.interruptedAt, t.isInterrupted = now, true
+	}
+}
+
+// Restore records that the store was restored from a backup, before a view of it: it may list incarnations again that it
+// had listed as replaced before. What former views proved of entries does not hold for these.
+func (t *Tracker) Restore(now structs.Instant) {
+	t.Interrupt(now)
+	t.hasCover, t.hasLived = false, false
 }
 
 // Doubt records a sign that the incarnation may have ended: a connection that it closed, refused or did not answer.
@@ -136,16 +163,17 @@
 	t.known[incarnation] = known
 }
 
-// ConfirmByReport records that the process at the incarnation's address stated its start, over a connection that
-// was open at the instant.
-func (t *Tracker) ConfirmByReport(at structs.Instant, incarnation Incarnation) {
-	t.confirm(at, incarnation, ProofReport)
+// ConfirmByReport records that the process at the incarnation's address stated its start in answer to a request that
+// was written at the instant. The process may have ended by the time the answer is read.
+func (t *Tracker) ConfirmByReport(writtenAt structs.Instant, incarnation Incarnation) {
+	t.confirm(writtenAt, incarnation, ProofReport)
 }
 
-// Received records that bytes of a response arrived over the connection. isListed is as for Verdict.
-func (t *Tracker) Received(at structs.Instant, connection Connection, isListed bool) {
-	if t.Verdict(at, connection, isListed).IsProven() {
-		t.confirm(at, connection.Incarnation, ProofAnswers)
+// Received records that bytes of the response to a request that was written over the connection at the instant
+// arrived. The process may have ended by the time they are read. isListed is as for Verdict.
+func (t *Tracker) Received(writtenAt structs.Instant, connection Connection, isListed bool) {
+	if t.Verdict(writtenAt, connection, isListed).IsProven() {
+		t.confirm(writtenAt, connection.Incarnation, ProofAnswers)
 	}
 }
 
@@ -198,6 +226,10 @@
 func (t *Tracker) Verdict(now structs.Instant, connection Connection, isListed bool) Verdict {
 	known := t.known[connection.Incarnation]
 	stated, proof := known.confirmedAt, known.proof
+	isDoubted := known.isDoubted && (proof == ProofNone || known.doubtedAt >= stated)
+	if isListed && t.hasLived && known.doubtedAt < t.livedUntil {
+		isDoubted = false
+	}
 	if isListed && t.hasCover && (proof == ProofNone || t.coversUntil > stated) {
 		stated, proof = t.coversUntil, ProofEntry
 	}
@@ -205,7 +237,6 @@
 	if proof != ProofNone {
 		verdict.Age = now - stated
 	}
-	isDoubted := known.isDoubted && (proof == ProofNone || known.doubtedAt > stated)
 	if isDoubted {
 		verdict.DoubtAge = max(now-known.doubtedAt, 1)
 	}
@@ -220,9 +251,20 @@
 	return verdict
 }
 
-// isCurrent reports whether the latest view is recent and nothing has interrupted the views since.
+// isCurrent reports whether the latest view is recent, and views have been steady for so long since the store was away
+// that it lists no incarnation which was replaced before. A new process has to take the first view as it is: otherwise no
+// stream that began elsewhere could go on at it for seconds.
 func (t *Tracker) isCurrent(now structs.Instant) bool {
-	return t.hasView && !t.isInterrupted && now-t.viewAsOf <= maxViewAge
+	isSettled := !t.wasAway || t.viewAsOf-t.steadySince >= settleTime || t.hasHealthyPeer && t.viewAsOf-t.healthyAt <= maxViewAge
+	return t.hasView && !t.isInterrupted && now-t.viewAsOf <= maxViewAge && isSettled
+}
+
+// ObserveHealthy records that a peer has watched the store for the time without a failure: if this process did not reach
+// it, it was not away.
+func (t *Tracker) ObserveHealthy(now structs.Instant, watched time.Duration) {
+	if watched >= settleTime {
+		t.healthyAt, t.hasHealthyPeer = now, true
+	}
 }
 
 // Forget drops what is known of the incarnations that are not kept.
--- a/entry/freshness.go
+++ b/entry/freshness.go
@@ -45,6 +45,9 @@
 	if heartbeat.ReplicasAgeMS >= 0 && heartbeat.ReplicasAgeMS < staleAfter.Milliseconds() && !heartbeat.StoreUnreachable {
 		n.recordStoreReached(now)
 	}
+	if !n.isFromEarlierEra(heartbeat) {
+		n.identities.ObserveHealthy(now, time.Duration(heartbeat.StoreHealthyMS)*time.Millisecond)
+	}
 	if heartbeat.ReplicasAgeMS >= 0 && !n.isFromEarlierEra(heartbeat) && heartbeat.LatestPosition <= n.table.LatestPosition() {
 		n.observeView(now - time.Duration(heartbeat.ReplicasAgeMS)*time.Millisecond)
 	}
