streamorigins: knowledge of an origin only grows

Cause: an uncertain and a certain record of one stream made its origin ambiguous for good, so that an origin could not become certain later. Change: findings are a lattice: unknown, uncertain, certain, ambiguous; the registry joins records. On the wire an uncertain origin stays Known without a version, which nodes without this change refuse to go on with; they make uncertain and certain ambiguous, which is refused too. An answer with a state that is not known counts as ambiguous, and not as unknown.

--- a/state/streamorigins/origin.go
+++ b/state/streamorigins/origin.go
@@ -1,9 +1,9 @@
 // Package streamorigins keeps which software version of a service began a stream, so that whoever sends the
 // stream on can keep to that version. It has no I/O and no clock; callers pass in the time.
 //
-// Guarantee: the origin of a stream never changes. It is recorded once the replica has brought the first
-// event, and a second, different record of the same stream makes the origin ambiguous for good. A Registry that
-// forgets an origin reports it as unknown and never as another one.
+// Guarantee: the origin of a stream never changes. It is recorded once the replica has brought the first event, without
+// a version while that is uncertain. Knowledge of it only grows (Finding): a record with another version or service makes
+// the origin ambiguous for good. A Registry that forgets an origin reports it as unknown and never as another one.
 package streamorigins
 
 import "github.com/thornwalk/thornwalk/state/fingerprint"
--- a/state/streamorigins/registry.go
+++ b/state/streamorigins/registry.go
@@ -21,19 +21,26 @@
 const (
 	// Unknown means that there is no record.
 	Unknown Knowledge = iota
-	// Known means that all records agree.
+	// Known means that all records agree. The version is that of those that state one.
 	Known
 	// Ambiguous means that two records differ: two requests had the same ID.
 	Ambiguous
 )
 
 // String returns the name of the state in logs and metrics.
-func (k Knowledge) String() string { return [...]string{"unknown", "known", "ambiguous"}[k] }
+func (k Knowledge) String() string {
+	switch k {
+	case Unknown:
+		return "unknown"
+	case Known:
+		return "known"
+	}
+	return "ambiguous"
+}
 
 type entry struct {
-	origin      Origin
-	isAmbiguous bool
-	recordedAt  structs.Instant
+	finding    Finding
+	recordedAt structs.Instant
 }
 
 // Registry holds the origins of recent streams, up to a capacity. If it is full, the origin that was recorded
@@ -49,12 +56,11 @@
 	return &Registry{entries: entries}
 }
 
-// Put records the origin of a stream. It reports whether the stream was unknown before.
+// Put joins the record with what is known of the stream's origin. It reports whether the stream was unknown before.
 func (r *Registry) Put(now structs.Instant, record Record) bool {
 	r.expire(now)
 	before, found := r.entries.Peek(record.Key)
-	isAmbiguous := found && (before.isAmbiguous || before.origin != record.Origin)
-	if r.entries.Add(record.Key, entry{origin: record.Origin, isAmbiguous: isAmbiguous, recordedAt: now}) {
+	if r.entries.Add(record.Key, entry{finding: before.finding.Join(findingOf(record.Origin)), recordedAt: now}) {
 		r.dropped++
 	}
 	return !found
@@ -63,14 +69,8 @@
 // Get returns the origin of the stream, which is valid only if it is known.
 func (r *Registry) Get(now structs.Instant, key Key) (Origin, Knowledge) {
 	r.expire(now)
-	found, isFound := r.entries.Peek(key)
-	switch {
-	case !isFound:
-		return Origin{}, Unknown
-	case found.isAmbiguous:
-		return Origin{}, Ambiguous
-	}
-	return found.origin, Known
+	found, _ := r.entries.Peek(key)
+	return found.finding.Origin, found.finding.Knowledge
 }
 
 // Count returns the number of streams.
