--- a/coordination/incarnations/tracker.go
+++ b/coordination/incarnations/tracker.go
@@ -121,7 +121,8 @@
 	}
 }
 
-// Interrupt records that entries may have been replaced unseen: the store failed, or this process was suspended. One that is told late does not hide a later one.
+// Interrupt records that entries may have been replaced unseen: the store failed, or this process was suspended. One
+// that is told late does not hide a later one.
 func (t *Tracker) Interrupt(now structs.Instant) {
 	if !t.isInterrupted || now > t.interruptedAt {
 		t.interruptedAt, t.isInterrupted = now, true
