streamorigins: no only version while a replica is doubted or after one was replaced in place

Cause: the history of versions knows entries only. A replica replaced in place may run another version before its entry says so, and be replaced again. Order found by the exploration of streams: a stream begins; version 2 appears in place; the first event comes of it; the node ends; version 2 goes; the other node sees the new entry, of version 1; the stream is resumed there without a record, and goes on at version 1. Change: SetDoubted, called before OnlyVersion; a replacement under an ID starts the history of the service again. Price: streams without a record are refused for a window after a replica started again under its ID.

--- a/state/streamorigins/streamorigins_test.go
+++ b/state/streamorigins/streamorigins_test.go
@@ -75,6 +75,12 @@
 	return all
 }
 
+// restarted returns the replicas with another incarnation of the first one.
+func restarted(all []replicas.Replica) []replicas.Replica {
+	all[0].StartedAt++
+	return all
+}
+
 // confirmUntil confirms the view of the replicas each second.
 func confirmUntil(history *VersionHistory, from, to time.Duration) {
 	for at := from; at <= to; at += time.Second {
@@ -122,6 +128,32 @@
 			h.Restart()
 			h.Confirm(20*time.Second, 0)
 		}, false},
+		"a replica is doubted": {func(h *VersionHistory) {
+			confirmUntil(h, 0, 20*time.Second)
+			h.SetDoubted("engines", true)
+		}, false},
+		"a doubt ended": {func(h *VersionHistory) {
+			h.SetDoubted("engines", true)
+			confirmUntil(h, 0, 20*time.Second)
+			h.SetDoubted("engines", false)
+		}, true},
+		"a replica of another service is doubted": {func(h *VersionHistory) {
+			confirmUntil(h, 0, 20*time.Second)
+			h.SetDoubted("others", true)
+		}, true},
+		"a replica was replaced under its ID in the window": {func(h *VersionHistory) {
+			confirmUntil(h, 0, 20*time.Second)
+			h.Update(11*time.Second, restarted(replicasOf("v1", "v1")))
+		}, false},
+		"a replica was replaced after its entry was gone": {func(h *VersionHistory) {
+			confirmUntil(h, 0, 20*time.Second)
+			h.Update(5*time.Second, replicasOf("v1", "v1")[1:])
+			h.Update(11*time.Second, restarted(replicasOf("v1", "v1")))
+		}, false},
+		"a replica was replaced under its ID before the window": {func(h *VersionHistory) {
+			confirmUntil(h, 0, 20*time.Second)
+			h.Update(9*time.Second, restarted(replicasOf("v1", "v1")))
+		}, true},
 		"no view": {func(h *VersionHistory) { h.Confirm(20*time.Second, -1) }, false},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/state/streamorigins/versions.go
+++ b/state/streamorigins/versions.go
@@ -21,6 +21,12 @@
 	// were last listed.
 	listed     map[string]map[string]bool
 	lastListed map[serviceVersion]structs.Instant
+	// incarnations has the latest incarnation of each ID, and replacedAt when one of the service's was last found to have
+	// been replaced under its ID. Others may have run in between, unseen.
+	incarnations map[string]seenIncarnation
+	replacedAt   map[string]structs.Instant
+	// doubted has the services of which a replica is doubted.
+	doubted map[string]bool
 	// isComplete is true if every change since completeSince was seen.
 	isComplete    bool
 	completeSince structs.Instant
@@ -29,9 +35,18 @@
 
 type serviceVersion struct{ service, version string }
 
+// seenIncarnation is an incarnation by its start, and when it was last listed.
+type seenIncarnation struct {
+	startedAt int64
+	at        structs.Instant
+}
+
 // NewVersionHistory returns a history that knows nothing.
 func NewVersionHistory() *VersionHistory {
-	return &VersionHistory{listed: map[string]map[string]bool{}, lastListed: map[serviceVersion]structs.Instant{}}
+	return &VersionHistory{
+		listed: map[string]map[string]bool{}, lastListed: map[serviceVersion]structs.Instant{},
+		incarnations: map[string]seenIncarnation{}, replacedAt: map[string]structs.Instant{}, doubted: map[string]bool{},
+	}
 }
 
 // Update applies the list of all known replicas after it changed.
@@ -48,7 +63,23 @@
 			h.listed[replica.Service] = map[string]bool{}
 		}
 		h.listed[replica.Service][replica.Version] = true
+		if before, found := h.incarnations[replica.ID]; found && before.startedAt != replica.StartedAt {
+			h.replacedAt[replica.Service] = now
+		}
+		h.incarnations[replica.ID] = seenIncarnation{startedAt: replica.StartedAt, at: now}
 	}
+	maps.DeleteFunc(h.incarnations, func(_ string, seen seenIncarnation) bool { return now-seen.at > maxHistory })
+	maps.DeleteFunc(h.replacedAt, func(_ string, at structs.Instant) bool { return now-at > maxHistory })
+}
+
+// SetDoubted states whether one of the service's replicas is doubted: it may have been replaced by one of another version
+// that the list does not show yet.
+func (h *VersionHistory) SetDoubted(service string, isDoubted bool) {
+	if isDoubted {
+		h.doubted[service] = true
+		return
+	}
+	delete(h.doubted, service)
 }
 
 // Confirm states how old the view of the replicas is; a negative age means that there is none. The history
@@ -65,12 +96,15 @@
 func (h *VersionHistory) Restart() { h.isComplete = false }
 
 // OnlyVersion returns the version of all replicas that the service had in the window before now. It returns
-// false if there were several versions or none, if the version is not stated, or if the history does not cover
-// the window. The caller calls Confirm before.
+// false if there were several versions or none, if the version is not stated, if the history does not cover the window,
+// or if a replica is doubted or was replaced under its ID in the window. The caller calls Confirm and SetDoubted before.
 func (h *VersionHistory) OnlyVersion(now structs.Instant, service string, window time.Duration) (string, bool) {
 	if !h.isComplete || now-h.completeSince < window || window > maxHistory {
 		return "", false
 	}
+	if at, wasReplaced := h.replacedAt[service]; h.doubted[service] || wasReplaced && now-at <= window {
+		return "", false
+	}
 	versions := map[string]bool{}
 	maps.Copy(versions, h.listed[service])
 	for former, listedAt := range h.lastListed {
