streams: an uncertain origin is refused until it is certain

Bind takes a state that it does not know as ambiguous; it counted as a stream without a record before.

--- a/coordination/streams/binding.go
+++ b/coordination/streams/binding.go
@@ -18,7 +18,7 @@
 	RefusalUnknown Refusal = "stream-unknown"
 	// RefusalAmbiguous means that two streams have the same name.
 	RefusalAmbiguous Refusal = "stream-ambiguous"
-	// RefusalNoVersion means that the version that began the stream is not certain.
+	// RefusalNoVersion means that the version that began the stream is not certain yet.
 	RefusalNoVersion Refusal = "stream-version-uncertain"
 	// RefusalOtherService means that the route does not lead to the service that began the stream.
 	RefusalOtherService Refusal = "stream-of-other-service"
@@ -32,7 +32,7 @@
 	// Services are those to which the route leads.
 	Services []string
 	// OnlyVersion returns the version of all replicas that may have begun the stream if it is one of the service,
-	// see streamorigins.VersionHistory.OnlyVersion.
+	// see streamorigins.VersionHistory.OnlyVersion. It is asked only if there is no record, not if that is uncertain.
 	OnlyVersion func(service string) (string, bool)
 }
 
@@ -43,7 +43,14 @@
 		return streamorigins.Origin{}, RefusalAmbiguous
 	case streamorigins.Known:
 		return bindToRecord(evidence.Origin, evidence.Services)
+	case streamorigins.Unknown:
+		return bindToHistory(evidence)
 	}
+	return streamorigins.Origin{}, RefusalAmbiguous // a state of a later version of this program
+}
+
+// bindToHistory binds a stream without a record.
+func bindToHistory(evidence Evidence) (streamorigins.Origin, Refusal) {
 	if len(evidence.Services) != 1 {
 		return streamorigins.Origin{}, RefusalUnknown // it may have begun at any of them
 	}
--- a/coordination/streams/exploration_test.go
+++ b/coordination/streams/exploration_test.go
@@ -14,7 +14,9 @@
 // The exploration visits every state that one stream can reach at two nodes and two versions, without a network:
 // events, reports that arrive late or never, sends that break off, nodes that end and start again, versions that
 // appear and go, scheduling nodes that ignore the version, and callers that resume the stream at either node, with
-// and without its name. The decisions are those of the package and of the registry.
+// and without its name. A version may appear in place, under the entry of another one: then a node that does not see it
+// doubts a replica, and the origin of a stream that began there is uncertain, and may become certain later. The decisions
+// are those of the package and of the registry.
 
 const (
 	modelNodes = 2
@@ -26,23 +28,30 @@
 // modelNode is one node.
 type modelNode struct {
 	isRunning bool
-	// record is what its registry has: noVersion, a version, or ambiguous.
+	// record is what its registry has: noVersion, a version, uncertain or ambiguous.
 	record int8
+	// isDoubted is true if a replica of the service is doubted.
+	isDoubted bool
 	// coversStream is true if its version history covers the time since the stream can have begun; has are the
 	// versions in the history.
 	coversStream bool
 	has          [modelVersions + 1]bool
 }
 
-const ambiguous = 3
+const (
+	ambiguous = 3
+	uncertain = 4
+	// modelRecords is the number of the records that are reported.
+	modelRecords = uncertain + 1
+)
 
 // modelState is comparable, so that visited states are recognized.
 type modelState struct {
 	nodes [modelNodes]modelNode
 	// listed are the versions that have replicas.
 	listed [modelVersions + 1]bool
-	// reports are the reports under way to each node, by version.
-	reports [modelNodes][modelVersions + 1]bool
+	// reports are the reports under way to each node, by version or uncertain.
+	reports [modelNodes][modelRecords]bool
 	// held are the versions of the caller's events.
 	held [modelVersions + 1]bool
 	// active is the node that serves the caller, plus one; zero if none does. bound is the version of the
@@ -69,10 +78,15 @@
 	ignoresCoverage bool
 	// overwrites makes the latest record count.
 	overwrites bool
+	// recordsUnproven records the version that a node knows of the replica, though its process may be another one.
+	recordsUnproven bool
+	// ignoresDoubts takes the versions that a node has seen for all there were, though it doubts a replica.
+	// ignoresReplacements does so though a replica was replaced in place, perhaps more than once.
+	ignoresDoubts, ignoresReplacements bool
 }
 
 func versionName(version int8) string {
-	if version == noVersion {
+	if version == noVersion || version == uncertain {
 		return ""
 	}
 	return fmt.Sprint("v", version)
@@ -89,6 +103,7 @@
 	if version == noVersion {
 		return streamorigins.Origin{}
 	}
+	// An uncertain origin has the service only.
 	return streamorigins.Origin{Service: "engines", Version: versionName(version)}
 }
 
@@ -107,8 +122,11 @@
 	}
 	registry.Put(0, streamorigins.Record{Key: key, Origin: originOf(version)})
 	origin, knowledge := registry.Get(0, key)
-	if knowledge == streamorigins.Ambiguous {
+	switch {
+	case knowledge == streamorigins.Ambiguous:
 		return ambiguous
+	case origin.Version == "":
+		return uncertain
 	}
 	return versionOf(origin.Version)
 }
@@ -117,6 +135,9 @@
 func (m *modelState) evidence(variant *streamVariant, node int, isNamed, isAsked bool) Evidence {
 	evidence := Evidence{Services: []string{"engines"}, OnlyVersion: func(string) (string, bool) {
 		known := &m.nodes[node]
+		if known.isDoubted && !variant.ignoresDoubts {
+			return "", false
+		}
 		if !known.coversStream && !variant.ignoresCoverage || known.has[1] == known.has[2] {
 			return "", false
 		}
@@ -157,8 +178,9 @@
 	if m.active > 0 {
 		m.addSends(variant, add)
 	}
+	m.addProof(variant, add)
 	m.addReports(variant, add)
-	m.addFaults(add)
+	m.addFaults(variant, add)
 	return steps
 }
 
@@ -217,18 +239,51 @@
 		add("the try ends", next)
 		return
 	}
+	m.addEvents(variant, add)
+	next := m
+	next.sentTo = noVersion
+	add("broken off", next)
+}
+
+// addEvents adds that the replica brings an event. The node can't always tell the version of the process that does.
+func (m modelState) addEvents(variant *streamVariant, add func(string, modelState)) {
+	node := int(m.active - 1)
 	next := m
 	next.held[m.sentTo] = true
-	if m.bound == noVersion {
-		next.bound = m.sentTo
+	if m.bound != noVersion {
+		add("event", next)
+		return
+	}
+	origins := []int8{m.sentTo, uncertain}
+	if variant.recordsAtAssignment {
+		origins = origins[:1]
+	}
+	if variant.recordsUnproven {
+		origins = append(origins, 1, 2)
+	}
+	for _, origin := range origins {
+		next := next
+		next.bound = origin
 		if !variant.recordsAtAssignment {
-			next.record(variant, node, m.sentTo)
+			next.record(variant, node, origin)
+		}
+		add(fmt.Sprint("event, recorded as ", origin), next)
+	}
+}
+
+// addProof adds that the uncertain origin of the served stream becomes certain.
+func (m modelState) addProof(variant *streamVariant, add func(string, modelState)) {
+	if m.active == 0 || m.bound != uncertain {
+		return
+	}
+	for version := int8(1); version <= modelVersions; version++ {
+		if m.held[version] {
+			next := m
+			next.bound = version
+			next.record(variant, int(m.active-1), version)
+			add(fmt.Sprint("the origin is certain: ", version), next)
 		}
 	}
-	add("event", next)
-	next = m
-	next.sentTo = noVersion
-	add("broken off", next)
 }
 
 // record records the origin at the node and reports it to the other.
@@ -240,7 +295,7 @@
 // addReports adds that a report arrives, or is lost.
 func (m modelState) addReports(variant *streamVariant, add func(string, modelState)) {
 	for node := range m.nodes {
-		for version := int8(1); version <= modelVersions; version++ {
+		for version := range int8(modelRecords) {
 			if !m.reports[node][version] {
 				continue
 			}
@@ -256,7 +311,18 @@
 }
 
 // addFaults adds nodes that end and start, and versions that appear and go.
-func (m modelState) addFaults(add func(string, modelState)) {
+func (m modelState) addFaults(variant *streamVariant, add func(string, modelState)) {
+	for node := range m.nodes {
+		if m.nodes[node].isDoubted && m.nodes[node].isRunning {
+			next := m
+			next.nodes[node].isDoubted = false
+			next.nodes[node].coversStream = m.nodes[node].coversStream && variant.ignoresReplacements
+			for version := range next.listed {
+				next.nodes[node].has[version] = next.nodes[node].has[version] || next.listed[version]
+			}
+			add(fmt.Sprintf("node %d sees the new entry", node), next)
+		}
+	}
 	for node := range m.nodes {
 		next := m
 		next.nodes[node] = modelNode{isRunning: !m.nodes[node].isRunning}
@@ -274,18 +340,25 @@
 			add(fmt.Sprintf("version %d goes", version), next)
 			continue
 		}
-		// Each running node sees the version, or its view is not current, which ends the coverage.
+		// Each running node sees the version, or its view is not current, which ends the coverage, or it notices the end of
+		// the process that was replaced.
 		for seen := range 1 << modelNodes {
-			next := m
-			next.listed[version] = true
-			for node := range next.nodes {
-				if seen>>node&1 == 1 && next.nodes[node].isRunning {
-					next.nodes[node].has[version] = true
-				} else {
-					next.nodes[node].coversStream = false
+			for _, isInPlace := range []bool{false, true} {
+				next := m
+				next.listed[version] = true
+				for node := range next.nodes {
+					known := &next.nodes[node]
+					switch {
+					case seen>>node&1 == 1 && known.isRunning:
+						known.has[version] = true
+					case isInPlace:
+						known.isDoubted = true
+					default:
+						known.coversStream = false
+					}
 				}
+				add(fmt.Sprintf("version %d appears, in place %t", version, isInPlace), next)
 			}
-			add(fmt.Sprintf("version %d appears", version), next)
 		}
 	}
 }
@@ -351,6 +424,15 @@
 		{name: "the origin is recorded with the assignment", recordsAtAssignment: true},
 		{name: "the scheduling node's choice is not checked", trustsScheduler: true},
 		{name: "a new process takes what it sees for all there was", ignoresCoverage: true},
+		{name: "a stream without a record goes on while a replica is doubted", ignoresDoubts: true},
+		{name: "a stream without a record goes on after a replica was replaced in place", ignoresReplacements: true},
+		{name: "an origin is recorded without proof", recordsUnproven: true},
+		{name: "an uncertain origin counts as no record", bind: func(evidence Evidence) (streamorigins.Origin, Refusal) {
+			if evidence.Origin.Version == "" {
+				return streamorigins.Origin{Service: "engines"}, RefusalNone
+			}
+			return Bind(evidence)
+		}},
 	} {
 		t.Run(variant.name, func(t *testing.T) {
 			states, course := explore(variant)
