--- a/coordination/incarnations/tracker.go
+++ b/coordination/incarnations/tracker.go
@@ -102,8 +102,8 @@
 	// interruptedAt is when views were last known to be no proof, if isInterrupted; later views end that.
 	interruptedAt structs.Instant
 	isInterrupted bool
-	// wasAway is true once the store was away as far as this process knows. A new process knows of no time before.
-	wasAway bool
+	// presumesUp is true while the store is presumed to have been up before the views began.
+	presumesUp bool
 	// healthyAt is when a peer last told that it had watched the store for settleTime without a failure, if hasHealthyPeer.
 	healthyAt      structs.Instant
 	hasHealthyPeer bool
@@ -128,7 +128,7 @@
 	}
 	if !t.hasView || t.isInterrupted || asOf-t.viewAsOf > maxViewGap {
 		t.steadySince = asOf
-		t.wasAway = t.wasAway || t.hasView
+		t.presumesUp = t.presumesUp && !t.hasView
 	}
 	t.hasView, t.isInterrupted, t.viewAsOf = true, false, asOf
 	if covered := asOf - EntryDelay - maxViewGap; covered >= t.steadySince {
@@ -139,9 +139,10 @@
 	}
 }
 
-// Interrupt records that entries may have been replaced unseen: the store failed, or this process was suspended. One that is told late does not hide a later one.
+// Interrupt records that entries may have been replaced unseen: the store failed, or this process was suspended. One
+// that is told late does not hide a later one.
 func (t *Tracker) Interrupt(now structs.Instant) {
-	t.wasAway = t.wasAway || t.hasView
+	t.presumesUp = false
 	if !t.isInterrupted || now > t.interruptedAt {
 		t.interruptedAt, t.isInterrupted = now, true
 	}
@@ -251,14 +252,18 @@
 	return verdict
 }
 
-// isCurrent reports whether the latest view is recent, and views have been steady for so long since the store was away
-// that it lists no incarnation which was replaced before. A new process has to take the first view as it is: otherwise no
-// stream that began elsewhere could go on at it for seconds.
+// isCurrent reports whether the latest view is recent, and the store was up for so long that it lists no incarnation
+// which was replaced before.
 func (t *Tracker) isCurrent(now structs.Instant) bool {
-	isSettled := !t.wasAway || t.viewAsOf-t.steadySince >= settleTime || t.hasHealthyPeer && t.viewAsOf-t.healthyAt <= maxViewAge
+	isSettled := t.presumesUp || t.viewAsOf-t.steadySince >= settleTime || t.hasHealthyPeer && t.viewAsOf-t.healthyAt <= maxViewAge
 	return t.hasView && !t.isInterrupted && now-t.viewAsOf <= maxViewAge && isSettled
 }
 
+// PresumeUp has the tracker of a new process presume that the store was up before the first view, until there is a sign
+// to the contrary. Otherwise no stream that began elsewhere could go on at the process for settleTime, and none at all
+// after a start of all nodes. If the store has just come back, ProofAssumed is wrong of what was replaced meanwhile.
+func (t *Tracker) PresumeUp() { t.presumesUp = true }
+
 // ObserveHealthy records that a peer has watched the store for the time without a failure: if this process did not reach
 // it, it was not away.
 func (t *Tracker) ObserveHealthy(now structs.Instant, watched time.Duration) {
--- a/entry/doubt_news.go
+++ b/entry/doubt_news.go
@@ -30,12 +30,11 @@
 	return &finishReply{}, nil
 }
 
-// doubtAge returns the time since the latest sign that the replica may have ended, or zero if there is none since it was
-// last known to live.
+// doubtAge is doubtAgeLocked for callers that do not hold the mutex.
 func (n *Node) doubtAge(replica replicas.Replica) time.Duration {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	return n.verdictLocked(incarnations.Connection{Incarnation: incarnations.Of(replica), OpenedAt: n.now()}).DoubtAge
+	return n.doubtAgeLocked(replica)
 }
 
 // doubtOf returns the doubt of the replica's incarnation, or nil if there is none.
--- a/entry/replica_identity.go
+++ b/entry/replica_identity.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/thornwalk/thornwalk/coordination/incarnations"
@@ -45,7 +46,9 @@
 }
 
 func newReplicaIdentities() *replicaIdentities {
-	return &replicaIdentities{Tracker: incarnations.NewTracker(), reporters: newReporters(), loggedAt: map[identityLine]structs.Instant{}}
+	tracker := incarnations.NewTracker()
+	tracker.PresumeUp()
+	return &replicaIdentities{Tracker: tracker, reporters: newReporters(), loggedAt: map[identityLine]structs.Instant{}}
 }
 
 // forget drops what is known of the incarnations that are not kept.
@@ -169,6 +172,19 @@
 	n.reportIdentity(identityDoubted, incarnation, eventlog.Event{})
 }
 
+// isAnyDoubtedLocked reports whether a replica of the service may have ended.
+func (n *Node) isAnyDoubtedLocked(service string) bool {
+	return slices.ContainsFunc(n.table.All(), func(replica replicas.Replica) bool {
+		return replica.Service == service && n.doubtAgeLocked(replica) > 0
+	})
+}
+
+// doubtAgeLocked returns the time since the latest sign that the replica may have ended, or zero if there is none since
+// it was last known to live.
+func (n *Node) doubtAgeLocked(replica replicas.Replica) time.Duration {
+	return n.verdictLocked(incarnations.Connection{Incarnation: incarnations.Of(replica), OpenedAt: n.now()}).DoubtAge
+}
+
 // reportIdentity counts what was found out about the incarnation, and logs it with the fields of the event.
 func (n *Node) reportIdentity(outcome identityOutcome, incarnation incarnations.Incarnation, event eventlog.Event) {
 	n.counter("streams.identity_" + string(outcome)).Inc(1)
@@ -191,7 +207,7 @@
 		"streams.identity_doubts": func() int64 {
 			doubted := int64(0)
 			for _, replica := range n.table.All() {
-				if n.verdictLocked(incarnations.Connection{Incarnation: incarnations.Of(replica), OpenedAt: n.now()}).DoubtAge > 0 {
+				if n.doubtAgeLocked(replica) > 0 {
 					doubted++
 				}
 			}
--- a/entry/stream_origin.go
+++ b/entry/stream_origin.go
@@ -125,6 +125,7 @@
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	n.confirmVersionHistoryLocked()
+	n.versionHistory.SetDoubted(service, n.isAnyDoubtedLocked(service))
 	window := streamLifetimeTimeouts * c.route.Timeout
 	if window <= 0 {
 		window = streamorigins.Retention
@@ -146,7 +147,7 @@
 
 // findOrigin looks for the stream's origin at this node and at its keepers.
 func (c *call) findOrigin(key streamorigins.Key) (streamorigins.Origin, streamorigins.Knowledge) {
-	found := &streamOriginAnswer{}
+	var found streamorigins.Finding
 	for round := range originLookupRounds {
 		if round > 0 {
 			select {
@@ -155,32 +156,29 @@
 			case <-time.After(originLookupPause):
 			}
 		}
-		if origin, knowledge := c.node.knownOrigin(key); found.learn(origin, knowledge) {
-			return origin, knowledge
+		origin, knowledge := c.node.knownOrigin(key)
+		if found = found.Join(streamorigins.Finding{Origin: origin, Knowledge: knowledge}); !mayLearnMore(found) {
+			break
 		}
-		if origin, knowledge := c.node.askKeepers(c.ctx, key); found.learn(origin, knowledge) {
-			return origin, knowledge
+		if found = found.Join(c.node.askKeepers(c.ctx, key)); !mayLearnMore(found) {
+			break
 		}
 	}
 	return found.Origin, found.Knowledge
 }
 
-// learn adds what was found of the stream, and reports whether nothing more can be learned.
-func (a *streamOriginAnswer) learn(origin streamorigins.Origin, knowledge streamorigins.Knowledge) bool {
-	learned := streamOriginAnswer{Origin: origin, Knowledge: knowledge}
-	if knowledge != streamorigins.Unknown {
-		*a = learned
-	}
-	return knowledge != streamorigins.Unknown && !learned.isUncertain()
+// mayLearnMore reports whether others may know more of the stream's origin.
+func mayLearnMore(found streamorigins.Finding) bool {
+	return !found.IsCertain() && found.Knowledge != streamorigins.Ambiguous
 }
 
-// askKeepers asks all keepers of the stream at once and returns the first answer of one that is certain of it. Certain
-// origins don't change, so no further answer is needed.
-func (n *Node) askKeepers(ctx context.Context, key streamorigins.Key) (streamorigins.Origin, streamorigins.Knowledge) {
+// askKeepers asks all keepers of the stream at once and returns what they know, up to the first answer of one that is
+// certain of it. Certain origins don't change, so no further answer is needed.
+func (n *Node) askKeepers(ctx context.Context, key streamorigins.Key) streamorigins.Finding {
 	ctx, cancel := context.WithTimeout(ctx, originLookupTimeout)
 	defer cancel()
 	var asked sync.WaitGroup
-	answers := make(chan *streamOriginAnswer)
+	answers := make(chan streamorigins.Finding)
 	for _, keeper := range n.streamKeepers(key) {
 		asked.Go(func() {
 			answer := &streamOriginAnswer{}
@@ -192,7 +190,7 @@
 				return
 			}
 			select {
-			case answers <- answer:
+			case answers <- streamorigins.Finding{Origin: answer.Origin, Knowledge: answer.Knowledge}:
 			case <-ctx.Done():
 			}
 		})
@@ -201,19 +199,13 @@
 		asked.Wait()
 		close(answers)
 	}()
-	uncertain := &streamOriginAnswer{}
+	var found streamorigins.Finding
 	for answer := range answers {
-		if !answer.isUncertain() {
-			return answer.Origin, answer.Knowledge
+		if found = found.Join(answer); !mayLearnMore(found) {
+			break
 		}
-		uncertain = answer
 	}
-	return uncertain.Origin, uncertain.Knowledge
-}
-
-// isUncertain reports whether the stream is known, and the version that began it is not certain.
-func (a *streamOriginAnswer) isUncertain() bool {
-	return a.Knowledge == streamorigins.Known && a.Origin.Version == ""
+	return found
 }
 
 // streamKeepers returns the other nodes that keep the stream's origin.
