test/entry: views of the store stay recent in a large fleet

Streams go on without a proof only while the latest view is at most 1.5 s old, and views count as interrupted from a gap of 1.5 s on. If views get older than that in normal operation, streams are refused for it.

The bounds of the tracker hold and stay as they are. The status of a node has the age of its view.

--- a/entry/operators.go
+++ b/entry/operators.go
@@ -24,12 +24,14 @@
 	// Revision is the store revision up to which the replicas are known, in Era. Restored is the
 	// time in milliseconds since the store was restored from a backup, and zero outside the
 	// restore window.
-	Revision   int64  `json:"store_revision"`
-	Era        int64  `json:"store_era"`
-	Restored   int64  `json:"store_restored_ms,omitempty"`
-	UpdatesAge int64  `json:"news_age_ms"`
-	StoreDown  bool   `json:"store_down"`
-	Scheduler  string `json:"scheduler"`
+	Revision   int64 `json:"store_revision"`
+	Era        int64 `json:"store_era"`
+	Restored   int64 `json:"store_restored_ms,omitempty"`
+	UpdatesAge int64 `json:"news_age_ms"`
+	// ViewAge is the age of the latest view of the store's replicas in milliseconds, or -1 if there was none.
+	ViewAge   int64  `json:"view_age_ms"`
+	StoreDown bool   `json:"store_down"`
+	Scheduler string `json:"scheduler"`
 	// NonDelegate is true if this node is no delegate of its zone, and Fleet is the estimated
 	// number of nodes.
 	NonDelegate bool     `json:"ordinary"`
@@ -74,6 +76,7 @@
 	now := n.now()
 	status.Revision, status.Era, status.Restored = n.table.CompleteTo().Revision(), n.era.current, n.era.restoreWindowAge(now).Milliseconds()
 	status.UpdatesAge, status.StoreDown = (now - n.updatedAt).Milliseconds(), n.isStoreDown
+	status.ViewAge = n.replicaFreshness.Age(now)
 	status.Reread = n.rereads.status(now)
 	status.Scheduler, status.Failing, status.Replicas = n.scheduler, n.health.Failing(now), n.table.All()
 	status.Unreached, status.Partitioned, status.Forwarding = n.paths.Lost(), n.paths.IsPartitioned(), n.forwarded.Load()
--- a/test/entry/large_fleet_test.go
+++ b/test/entry/large_fleet_test.go
@@ -170,3 +170,29 @@
 		s.Expect(s.schedulers(s.nodes)).To(gomega.HaveLen(1), fmt.Sprint(s.delegates()))
 	})
 }
+
+// Guards against streams that can't go on in normal operation, as nodes take their views of the store for old or for
+// interrupted: a view counts for 1.5 s, and two of them may be that far apart.
+func TestViewsStayRecentInALargeFleet(t *testing.T) {
+	const (
+		maxViewAge = 1500
+		rounds     = 100
+	)
+	for _, nodes := range []int{20, largeNodes} {
+		t.Run(fmt.Sprint(nodes), func(t *testing.T) {
+			runNodes(t, nodes, nil, startDuration, func(s *relayScenario) {
+				var ages []int64
+				for range rounds {
+					for _, node := range s.nodes {
+						ages = append(ages, s.deployment.Node(node).Status().ViewAge)
+					}
+					time.Sleep(97 * time.Millisecond)
+				}
+				slices.Sort(ages)
+				t.Logf("ages of views: median %d ms, 99%% %d ms, longest %d ms", ages[len(ages)/2], ages[len(ages)*99/100], ages[len(ages)-1])
+				s.Expect(ages[0]).To(gomega.BeNumerically(">=", 0))
+				s.Expect(ages[len(ages)-1]).To(gomega.BeNumerically("<=", maxViewAge))
+			})
+		})
+	}
+}
