--- a/test/entry/replaced_in_place_test.go
+++ b/test/entry/replaced_in_place_test.go
@@ -181,3 +181,34 @@
 		}
 	}
 }
+
+// reports returns the number of reports that the engines gave.
+func (s *versionsScenario) reports() int {
+	reports := 0
+	for _, engine := range s.mixed {
+		reports += engine.Reports()
+	}
+	return reports
+}
+
+// Guards against queries for reports on behalf of streams that don't go on anywhere, or more than one for each that does.
+func TestReportsAreAskedForStreamsThatGoOnOnly(t *testing.T) {
+	for name, breaks := range map[string]int{"no stream is broken off": 0, "a fifth is broken off": 2} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			course := mixingCase{newer: 5, breaks: breaks, givesReports: true}
+			runMixing(t, course, func(s *versionsScenario) {
+				if breaks == 0 {
+					for _, engine := range s.mixed {
+						engine.SetBehavior(nil)
+					}
+				}
+				s.streamRepeatedly(course)
+				counts := s.counts()
+				t.Logf("%+v, %d reports", counts, s.reports())
+				s.Expect(counts.complete).To(gomega.Equal(counts.sent))
+				s.Expect(s.reports()).To(gomega.BeNumerically("<=", breaks*counts.resumed), "one for each send that goes on")
+			})
+		})
+	}
+}
