--- a/coordination/incarnations/doc.go
+++ b/coordination/incarnations/doc.go
@@ -4,12 +4,16 @@
 // no I/O and no clock; callers pass in what they observe, and when.
 //
 // Assumptions:
-//   - A connection leads to one process for as long as it lives.
-//   - A replica replaces the entry of its former incarnation within EntryDelay of its start while it reaches the store,
-//     and within EntryDelay of the store's return otherwise.
+//   - A connection leads to one process for as long as it lives, and one process at a time is at an address. An
+//     incarnation has an ID or a start of its own.
+//   - A replica replaces the entry of its former incarnation once it has reached the store for EntryDelay since its
+//     start. An outage that no call of this node notices is shorter than maxViewGap, and delays it by its length.
+//     Two of them do not follow each other within that time.
+//   - The entry of a replica that has ended is removed within EntryDelay too, unless its successor starts before.
 //   - No replica ends and starts again within minReplacementTime.
 //
 // Guarantee: a verdict of ProofEntry, ProofAnswers or ProofReport is true, whatever is late or lost and whatever ends,
-// under the first two assumptions. ProofAssumed is wrong only if a replica was replaced within the age of the latest
-// view, and nothing that this node knows of has failed at it.
+// under the first two assumptions. ProofAssumed is wrong only if a successor started at most EntryDelay + maxViewGap
+// + maxViewAge before, and this node was told of nothing that failed at the replica since its end. ProofUnbroken is true
+// under all assumptions if no connection in its row was wrongly assumed to lead to the incarnation when it was opened.
 package incarnations
--- a/coordination/incarnations/tracker.go
+++ b/coordination/incarnations/tracker.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"time"
 
 	"github.com/thornwalk/thornwalk/state/replicas"
@@ -16,6 +17,8 @@
 	// maxViewAge the age up to which a view counts as current.
 	maxViewGap = 1500 * time.Millisecond
 	maxViewAge = 1500 * time.Millisecond
+	// settleTime is how long after the store's return it may still list former incarnations.
+	settleTime = EntryDelay + maxViewGap
 	// minReplacementTime is the least time in which a replica ends and its successor accepts connections.
 	minReplacementTime = 250 * time.Millisecond
 )
@@ -47,11 +50,16 @@
 	// ProofEntry means that the store listed the incarnation when a successor that had started before the connection
 	// would have replaced the entry.
 	ProofEntry Proof = "entry"
-	// ProofAnswers means that a connection which leads to the incarnation was alive after this one was opened.
+	// ProofAnswers means that a request, written after this connection was opened, was answered over one that leads to
+	// the incarnation.
 	ProofAnswers Proof = "answers"
-	// ProofReport means that the process stated the start of the incarnation after the connection was opened.
+	// ProofReport means that the process, asked after this connection was opened, stated the start of the incarnation.
 	ProofReport Proof = "report"
-	// ProofAssumed means that the incarnation was known recently, and that nothing has failed at it since.
+	// ProofUnbroken means that a connection which leads to the incarnation, or was assumed to when it was opened, was
+	// alive less than minReplacementTime before this one was opened.
+	ProofUnbroken Proof = "unbroken"
+	// ProofAssumed means that a successor, if there is one, started at most EntryDelay + maxViewGap + maxViewAge before,
+	// and that nothing has failed at the incarnation since it was last known to live.
 	ProofAssumed Proof = "assumed"
 )
 
@@ -60,13 +68,15 @@
 	Proof Proof
 	// Age is the time since the latest statement on the incarnation, or zero if there is none.
 	Age time.Duration
-	// DoubtAge is the time since the latest sign that the incarnation may have ended, or zero if there is none after the
-	// latest statement.
+	// DoubtAge is the time since the latest sign that the incarnation may have ended, or zero if it is known to have
+	// lived on after it.
 	DoubtAge time.Duration
 }
 
 // IsProven reports whether the connection leads to the incarnation for certain.
-func (v Verdict) IsProven() bool { return v.Proof != ProofNone && v.Proof != ProofAssumed }
+func (v Verdict) IsProven() bool {
+	return v.Proof != ProofNone && v.Proof != ProofUnbroken && v.Proof != ProofAssumed
+}
 
 // knowledge is what is known of one incarnation beside the views of the store.
 type knowledge struct {
@@ -77,6 +87,10 @@
 	// doubtedAt is the instant of the latest sign that it may have ended, if isDoubted.
 	doubtedAt structs.Instant
 	isDoubted bool
+	// aliveAt is the latest instant at which a connection was alive that is proven or unbroken, or opened that was
+	// assumed to lead to the incarnation, if wasAlive.
+	aliveAt  structs.Instant
+	wasAlive bool
 }
 
 // Tracker keeps what is known of incarnations. It is not safe for concurrent use.
@@ -88,10 +102,20 @@
 	// interruptedAt is when views were last known to be no proof, if isInterrupted; later views end that.
 	interruptedAt structs.Instant
 	isInterrupted bool
-	// coversUntil is the instant before which no successor of a listed incarnation can have started, if hasCover.
+	// presumesUp is true while the store is presumed to have been up before the views began.
+	presumesUp bool
+	// healthyAt is when a peer last told that it had watched the store for settleTime without a failure, if hasHealthyPeer.
+	healthyAt      structs.Instant
+	hasHealthyPeer bool
+	// coversUntil is the instant before which no successor of a listed incarnation can have started, if hasCover. An
+	// outage of up to maxViewGap may have delayed the entry unnoticed.
 	coversUntil structs.Instant
 	hasCover    bool
-	known       map[Incarnation]knowledge
+	// livedUntil is an instant until which the process of a listed incarnation had not ended, if hasLived. The entry of
+	// one that has ended stays for a while, and its successor may start at the end of it.
+	livedUntil structs.Instant
+	hasLived   bool
+	known      map[Incarnation]knowledge
 }
 
 // NewTracker returns a tracker that knows nothing.
@@ -104,17 +128,31 @@
 	}
 	if !t.hasView || t.isInterrupted || asOf-t.viewAsOf > maxViewGap {
 		t.steadySince = asOf
+		t.presumesUp = t.presumesUp && !t.hasView
 	}
 	t.hasView, t.isInterrupted, t.viewAsOf = true, false, asOf
-	if covered := asOf - EntryDelay; covered >= t.steadySince {
+	if covered := asOf - EntryDelay - maxViewGap; covered >= t.steadySince {
 		t.coversUntil, t.hasCover = covered, true
 	}
+	if lived := asOf - 2*(EntryDelay+maxViewGap); lived >= t.steadySince {
+		t.livedUntil, t.hasLived = lived, true
+	}
 }
 
-// Interrupt records that entries may have been replaced unseen: the store failed, was restored, or this process was
-// suspended.
+// Interrupt records that entries may have been replaced unseen: the store failed, or this process was suspended. One
+// that is told late does not hide a later one.
 func (t *Tracker) Interrupt(now structs.Instant) {
-	t.interruptedAt, t.isInterrupted = now, true
+	t.presumesUp = false
+	if !t.isInterrupted || now > t.interruptedAt {
+		t.interruptedAt, t.isInterrupted = now, true
+	}
+}
+
+// Restore records that the store was restored from a backup, before a view of it: it may list incarnations again that it
+// had listed as replaced before. What former views proved of entries does not hold for these.
+func (t *Tracker) Restore(now structs.Instant) {
+	t.Interrupt(now)
+	t.hasCover, t.hasLived = false, false
 }
 
 // Doubt records a sign that the incarnation may have ended: a connection that it closed, refused or did not answer.
@@ -126,19 +164,56 @@
 	t.known[incarnation] = known
 }
 
-// ConfirmByReport records that the process at the incarnation's address stated its start, over a connection that
-// was open at the instant.
-func (t *Tracker) ConfirmByReport(at structs.Instant, incarnation Incarnation) {
-	t.confirm(at, incarnation, ProofReport)
+// ConfirmByReport records that the process at the incarnation's address stated its start in answer to a request that
+// was written at the instant. The process may have ended by the time the answer is read.
+func (t *Tracker) ConfirmByReport(writtenAt structs.Instant, incarnation Incarnation) {
+	t.confirm(writtenAt, incarnation, ProofReport)
 }
 
-// Received records that bytes of a response arrived over the connection. isListed is as for Verdict.
-func (t *Tracker) Received(at structs.Instant, connection Connection, isListed bool) {
-	if t.Verdict(at, connection, isListed).IsProven() {
-		t.confirm(at, connection.Incarnation, ProofAnswers)
+// Received records that bytes of the response to a request that was written over the connection at the instant
+// arrived. The process may have ended by the time they are read. isListed is as for Verdict.
+func (t *Tracker) Received(writtenAt structs.Instant, connection Connection, isListed bool) {
+	if t.Verdict(writtenAt, connection, isListed).IsProven() {
+		t.confirm(writtenAt, connection.Incarnation, ProofAnswers)
 	}
 }
 
+// Alive records that the process at the other end of the connection was alive at the instant. isListed is as for
+// Verdict.
+func (t *Tracker) Alive(at structs.Instant, connection Connection, isListed bool) {
+	if verdict := t.Verdict(at, connection, isListed); verdict.IsProven() || verdict.Proof == ProofUnbroken {
+		t.keepAlive(at, connection.Incarnation)
+	}
+}
+
+// Opened records that the connection was opened just now. What is assumed of it then holds for as long as it lives.
+func (t *Tracker) Opened(connection Connection, isListed bool) {
+	if t.Verdict(connection.OpenedAt, connection, isListed).Proof != ProofNone {
+		t.keepAlive(connection.OpenedAt, connection.Incarnation)
+	}
+}
+
+func (t *Tracker) keepAlive(at structs.Instant, incarnation Incarnation) {
+	known := t.known[incarnation]
+	if !known.wasAlive || at > known.aliveAt {
+		known.aliveAt, known.wasAlive = at, true
+	}
+	t.known[incarnation] = known
+}
+
+// KnownUntil returns the latest instant such that connections opened by then are proven or unbroken. It is false if
+// there is none.
+func (t *Tracker) KnownUntil(now structs.Instant, incarnation Incarnation, isListed bool) (structs.Instant, bool) {
+	until, isKnown := structs.Instant(0), false
+	if verdict := t.Verdict(now, Connection{Incarnation: incarnation, OpenedAt: math.MinInt64}, isListed); verdict.IsProven() {
+		until, isKnown = now-verdict.Age, true
+	}
+	if known := t.known[incarnation]; known.wasAlive && (!isKnown || known.aliveAt+minReplacementTime > until) {
+		until, isKnown = known.aliveAt+minReplacementTime, true
+	}
+	return until, isKnown
+}
+
 func (t *Tracker) confirm(at structs.Instant, incarnation Incarnation, proof Proof) {
 	known := t.known[incarnation]
 	if known.proof == ProofNone || at > known.confirmedAt {
@@ -152,6 +227,10 @@
 func (t *Tracker) Verdict(now structs.Instant, connection Connection, isListed bool) Verdict {
 	known := t.known[connection.Incarnation]
 	stated, proof := known.confirmedAt, known.proof
+	isDoubted := known.isDoubted && (proof == ProofNone || known.doubtedAt >= stated)
+	if isListed && t.hasLived && known.doubtedAt < t.livedUntil {
+		isDoubted = false
+	}
 	if isListed && t.hasCover && (proof == ProofNone || t.coversUntil > stated) {
 		stated, proof = t.coversUntil, ProofEntry
 	}
@@ -159,22 +238,38 @@
 	if proof != ProofNone {
 		verdict.Age = now - stated
 	}
-	isDoubted := known.isDoubted && (proof == ProofNone || known.doubtedAt > stated)
 	if isDoubted {
 		verdict.DoubtAge = max(now-known.doubtedAt, 1)
 	}
 	switch {
 	case proof != ProofNone && connection.OpenedAt <= stated:
 		verdict.Proof = proof
+	case known.wasAlive && connection.OpenedAt <= known.aliveAt+minReplacementTime:
+		verdict.Proof = ProofUnbroken
 	case !isDoubted && (isListed && t.isCurrent(now) || proof != ProofNone && verdict.Age <= minReplacementTime):
 		verdict.Proof = ProofAssumed
 	}
 	return verdict
 }
 
-// isCurrent reports whether the latest view is recent and nothing has interrupted the views since.
+// isCurrent reports whether the latest view is recent, and the store was up for so long that it lists no incarnation
+// which was replaced before.
 func (t *Tracker) isCurrent(now structs.Instant) bool {
-	return t.hasView && !t.isInterrupted && now-t.viewAsOf <= maxViewAge
+	isSettled := t.presumesUp || t.viewAsOf-t.steadySince >= settleTime || t.hasHealthyPeer && t.viewAsOf-t.healthyAt <= maxViewAge
+	return t.hasView && !t.isInterrupted && now-t.viewAsOf <= maxViewAge && isSettled
+}
+
+// PresumeUp has the tracker of a new process presume that the store was up before the first view, until there is a sign
+// to the contrary. Otherwise no stream that began elsewhere could go on at the process for settleTime, and none at all
+// after a start of all nodes. If the store has just come back, ProofAssumed is wrong of what was replaced meanwhile.
+func (t *Tracker) PresumeUp() { t.presumesUp = true }
+
+// ObserveHealthy records that a peer has watched the store for the time without a failure: if this process did not reach
+// it, it was not away.
+func (t *Tracker) ObserveHealthy(now structs.Instant, watched time.Duration) {
+	if watched >= settleTime {
+		t.healthyAt, t.hasHealthyPeer = now, true
+	}
 }
 
 // Forget drops what is known of the incarnations that are not kept.
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -10,6 +10,7 @@
 
 	"github.com/thornwalk/thornwalk/coordination/admission"
 	"github.com/thornwalk/thornwalk/coordination/handover"
+	"github.com/thornwalk/thornwalk/coordination/incarnations"
 	"github.com/thornwalk/thornwalk/state/loadreport"
 	"github.com/thornwalk/thornwalk/state/memorybudget"
 	"github.com/thornwalk/thornwalk/state/replicas"
@@ -47,6 +48,9 @@
 	// fail within milliseconds and run nothing. With six of eight replicas down and connects counted as
 	// sends, a third of the first requests was rejected after four of them.
 	maxRefusedConnects = 16
+	// maxUnproven bounds the replicas that a stream did not go on at, as nothing showed their version. Nothing is written
+	// to them, so they are not counted as sends either.
+	maxUnproven = 16
 	// maxIdleRepeatable and maxIdleNonRepeatable bound how long a connection may have been
 	// idle before it is reused for a request that may, or must not, run twice.
 	maxIdleRepeatable    = 10 * time.Second
@@ -66,6 +70,10 @@
 	granted   *grant
 	answer    *replicahttp.Answer
 	forwarder string
+	// identity is what was known, just before the request was written, of whether the connection leads to the replica's
+	// incarnation.
+	identity   incarnations.Verdict
+	connection incarnations.Connection
 	// token identifies a successor that the request goes on at.
 	token handover.Token
 	// startedAt is when the request was written, and headDelay the time from then to the head, zero unless the
@@ -84,7 +92,7 @@
 func (c *call) attempt(granted *grant, begun *send) (result, admission.Observation) {
 	if begun != nil {
 		c.resetSendState()
-		c.forwarder = begun.forwarder
+		c.forwarder, c.identity = begun.forwarder, begun.identity
 		return c.complete(begun)
 	}
 	begun, outcome, observed := c.startSend(granted)
@@ -97,6 +105,7 @@
 // resetSendState clears what is known of the last send.
 func (c *call) resetSendState() {
 	c.lastFailure, c.failureDetail, c.lackedRoom, c.forwarder = causeNone, "", false, ""
+	c.identity = incarnations.Verdict{}
 }
 
 // startSend sends the request to the granted replica and waits for the head of its answer. If there is none, it returns
@@ -109,10 +118,16 @@
 	if !c.route.Repeatable() {
 		maxIdle = maxIdleNonRepeatable
 	}
-	conn, err := c.connect(granted.Replica, maxIdle)
+	conn, err := c.connectProven(granted, maxIdle)
+	if errors.Is(err, errUnproven) {
+		c.lastFailure, c.failureDetail = causeUnproven, shortened(err)
+		c.unproven++
+		node.counter("streams.identity_unproven").Inc(1)
+		return nil, resultNotSent, admission.Observation{CallerLeft: true}
+	}
 	if err != nil {
 		if c.ctx.Err() == nil {
-			node.recordUnreachable(granted.Replica.ID)
+			node.recordUnreachable(granted.Replica)
 			node.recordZoneContact(granted.Replica.Zone, false)
 			c.recordConnectFailure(granted.Replica, err)
 		}
@@ -125,7 +140,7 @@
 	endExchange := node.exchanges.begin(conn, granted.Replica)
 	sendContext, cancelSend := context.WithCancel(c.ctx)
 	memory := node.memory.Open(cancelSend)
-	begun := &send{granted: granted, forwarder: conn.Forwarder, startedAt: time.Now(), memory: memory, reset: cancelSend, release: func() {
+	begun := &send{granted: granted, forwarder: conn.Forwarder, identity: c.identity, connection: connectionOf(conn), startedAt: time.Now(), memory: memory, reset: cancelSend, release: func() {
 		cancelSend()
 		endExchange()
 		memory.Close()
@@ -140,6 +155,7 @@
 		return nil, c.recordIncomplete(err), admission.Observation{Failed: true, CallerLeft: c.ctx.Err() != nil}
 	}
 	c.recordReceived()
+	node.recordAnswerHead(begun.answer, conn, sentAt)
 	c.lackedRoom = c.isRejection(begun.answer) && begun.answer.StatusCode == http.StatusServiceUnavailable
 	node.recordZoneContact(granted.Replica.Zone, true)
 	load, workTime := c.reportedLoad(begun.answer)
@@ -210,6 +226,7 @@
 func (c *call) complete(begun *send) (result, admission.Observation) {
 	defer begun.release()
 	c.currentReplica, c.answerMemory = begun.granted.Replica.ID, begun.memory
+	c.connection, c.connectionAliveAt = begun.connection, 0
 	// If it is evicted already, its connection is reset and the read fails.
 	_ = begun.memory.OnEvict(func() {
 		begun.reset()
@@ -240,6 +257,7 @@
 // recordConnectFailure records the failure cause of a connect that failed with err.
 func (c *call) recordConnectFailure(replica replicas.Replica, err error) {
 	c.lastFailure, c.failureDetail = causeUnreachable, shortened(err)
+	c.node.recordDoubt(incarnations.Of(replica))
 	if network.IsRefused(err) {
 		c.refusedConnects++
 		c.lastFailure = causeRefused
@@ -326,11 +344,11 @@
 }
 
 // recordUnreachable records that no connection to the replica could be opened.
-func (n *Node) recordUnreachable(id string) {
+func (n *Node) recordUnreachable(replica replicas.Replica) {
 	n.mutex.Lock()
-	n.health.RecordUnreachable(n.now(), id)
+	n.health.RecordUnreachable(n.now(), replica.ID)
 	n.mutex.Unlock()
-	n.pool.Forget(id)
+	n.pool.Forget(incarnationOf(replica))
 }
 
 // recordSuccess records a complete response of the replica.
--- a/entry/forwarding.go
+++ b/entry/forwarding.go
@@ -301,15 +301,16 @@
 }
 
 // connectThroughPeer returns an idle or a new connection to the replica that a peer forwards.
-func (n *Node) connectThroughPeer(ctx context.Context, replica replicas.Replica, maxIdle time.Duration) (*replicahttp.Conn, error) {
-	if idle := n.pool.TakeIdleForwarded(replica.ID, maxIdle); idle != nil {
+func (n *Node) connectThroughPeer(ctx context.Context, granted *grant, maxIdle time.Duration) (*replicahttp.Conn, error) {
+	replica := granted.Replica
+	if idle := n.takeIdle(granted, maxIdle, n.pool.TakeIdleForwarded); idle != nil {
 		return idle, nil
 	}
 	connection, forwarder, err := n.openThroughPeer(ctx, replica)
 	if err != nil {
 		return nil, err
 	}
-	return n.pool.AddForwarded(connection, replica.ID, forwarder), nil
+	return n.addForwarded(connection, replica, forwarder), nil
 }
 
 // forgetEndingForwarders closes the idle connections that are forwarded by nodes that are stopping, so that
--- a/entry/node.go
+++ b/entry/node.go
@@ -52,6 +52,10 @@
 	// ParsePushback parses the pushback signals in the head of a replica's response. Its error
 	// names each part that can't be parsed; the signals of the other parts are still returned.
 	ParsePushback func(status int, header http.Header) (pushback.Signals, error)
+	// ReportPath is the path of the report of a replica on itself, and ParseReport returns the start that the answer with
+	// the status and the body states, in Unix milliseconds. It is nil if replicas give no reports.
+	ReportPath  string
+	ParseReport func(status int, body []byte) (startedAt int64, err error)
 	// ReadyPath is the path of the balancer's readiness check.
 	ReadyPath string
 	Log       *eventlog.Log
@@ -198,6 +202,10 @@
 	// that services have had.
 	streamOrigins  *streamorigins.Registry
 	versionHistory *streamorigins.VersionHistory
+	// identities decides which connections lead to the incarnations of the known entries.
+	identities *replicaIdentities
+	// unresolvedOrigins are the origins of streams that are not certain yet.
+	unresolvedOrigins unresolvedOrigins
 	// poisonStored is what the store is known to hold of poison records.
 	poisonStored storedPoisonRecords
 	// bucketLevels are the tenants' bucket levels that another scheduling node last reported.
@@ -217,7 +225,7 @@
 		pool: replicahttp.NewPool(), peers: peer.NewClient(dependencies.Network, nil),
 		table: replicas.NewTable(), evacuations: evacuations.NewTable(), rollouts: rollouts.NewTable(), members: liveness.NewTable(settings.Name), relays: liveness.NewRelays(rand.IntN), health: replicahealth.NewTracker(), paths: reachability.NewTracker(rand.Float64), pushback: pushback.NewTracker(), zones: zones.NewTracker(),
 		assignments: map[string]assignment{}, peerUsage: map[string]receivedUsage{}, loggedProblems: map[string]bool{}, term: 1, storeFailedAt: -time.Hour, lastActiveAt: -time.Hour, selectedAt: -time.Hour, peersRequestedAt: -time.Hour,
-		streamOrigins: streamorigins.NewRegistry(maxStreamOrigins), versionHistory: streamorigins.NewVersionHistory(),
+		streamOrigins: streamorigins.NewRegistry(maxStreamOrigins), versionHistory: streamorigins.NewVersionHistory(), identities: newReplicaIdentities(), unresolvedOrigins: newUnresolvedOrigins(),
 		memory: memorybudget.New(settings.bufferBytes()), callerConnections: newCallerConnections(settings.maxConnections()),
 		parts: dissemination.NewPartStore(), sendLimiter: dissemination.NewSendLimiter(settings.LinkMbps),
 	}
@@ -242,6 +250,7 @@
 	n.registerPathMetrics()
 	n.registerForwardMetrics()
 	n.registerStreamMetrics()
+	n.registerIdentityMetrics()
 	n.registerSilenceMetrics()
 	n.registerHeldMemoryMetrics()
 	n.registerCallerConnectionMetrics()
@@ -304,13 +313,8 @@
 	}
 	server := peer.NewServer(nil)
 	server.OnReplaced(func() { n.closeIdle("a peer replaced its connection") })
-	peer.Handle(server, peerwire.KindAssign, func(ctx context.Context, request *assignRequest) (*assignReply, error) {
-		return n.scheduling.assign(ctx, request), nil
-	})
-	peer.Handle(server, peerwire.KindFinish, func(_ context.Context, request *finishRequest) (*finishReply, error) {
-		n.scheduling.finish(request)
-		return &finishReply{}, nil
-	})
+	peer.Handle(server, peerwire.KindAssign, n.serveAssign)
+	peer.Handle(server, peerwire.KindFinish, n.serveFinish)
 	peer.Handle(server, peerwire.KindFirstEvent, func(_ context.Context, request *firstEventRequest) (*firstEventReply, error) {
 		n.scheduling.recordFirstEvent(request)
 		return &firstEventReply{}, nil
@@ -433,6 +437,7 @@
 		n.releaseDeadNodes()
 		n.scheduling.expirePoison()
 		n.confirmVersionHistory()
+		n.resolveOrigins()
 		n.logSendingMemory()
 	}
 }
--- a/entry/response.go
+++ b/entry/response.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/thornwalk/thornwalk/coordination/admission"
+	"github.com/thornwalk/thornwalk/coordination/incarnations"
 	"github.com/thornwalk/thornwalk/state/catalog"
 	"github.com/thornwalk/thornwalk/state/memorybudget"
 	"github.com/thornwalk/thornwalk/state/replicas"
@@ -56,7 +57,8 @@
 	_, _ = io.Copy(io.Discard, io.LimitReader(answer.Body, maxRejectionBytes))
 	timer.Stop()
 	if answer.StatusCode == http.StatusMisdirectedRequest {
-		c.node.recordUnreachable(replica.ID)
+		c.node.recordUnreachable(replica)
+		c.node.recordDoubt(incarnations.Of(replica))
 	}
 	return resultRejected, admission.Observation{}
 }
--- a/entry/stream_origin.go
+++ b/entry/stream_origin.go
@@ -39,6 +39,8 @@
 	// not name. originRecordedAt is when its origin was last recorded by this call.
 	originKey        streamorigins.Key
 	originRecordedAt structs.Instant
+	// unresolved is what the origin is if that is uncertain and may become certain.
+	unresolved unresolvedOrigin
 	// lastEventAt is when the caller was last sent an event; zero if it was sent none.
 	lastEventAt structs.Instant
 }
@@ -123,6 +125,7 @@
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	n.confirmVersionHistoryLocked()
+	n.versionHistory.SetDoubted(service, n.isAnyDoubtedLocked(service))
 	window := streamLifetimeTimeouts * c.route.Timeout
 	if window <= 0 {
 		window = streamorigins.Retention
@@ -144,31 +147,38 @@
 
 // findOrigin looks for the stream's origin at this node and at its keepers.
 func (c *call) findOrigin(key streamorigins.Key) (streamorigins.Origin, streamorigins.Knowledge) {
+	var found streamorigins.Finding
 	for round := range originLookupRounds {
 		if round > 0 {
 			select {
 			case <-c.ctx.Done():
-				return streamorigins.Origin{}, streamorigins.Unknown
+				return found.Origin, found.Knowledge
 			case <-time.After(originLookupPause):
 			}
 		}
-		if origin, knowledge := c.node.knownOrigin(key); knowledge != streamorigins.Unknown {
-			return origin, knowledge
+		origin, knowledge := c.node.knownOrigin(key)
+		if found = found.Join(streamorigins.Finding{Origin: origin, Knowledge: knowledge}); !mayLearnMore(found) {
+			break
 		}
-		if origin, knowledge := c.node.askKeepers(c.ctx, key); knowledge != streamorigins.Unknown {
-			return origin, knowledge
+		if found = found.Join(c.node.askKeepers(c.ctx, key)); !mayLearnMore(found) {
+			break
 		}
 	}
-	return streamorigins.Origin{}, streamorigins.Unknown
+	return found.Origin, found.Knowledge
 }
 
-// askKeepers asks all keepers of the stream at once and returns the first answer of one that knows it. Origins
-// don't change, so no further answer is needed.
-func (n *Node) askKeepers(ctx context.Context, key streamorigins.Key) (streamorigins.Origin, streamorigins.Knowledge) {
+// mayLearnMore reports whether others may know more of the stream's origin.
+func mayLearnMore(found streamorigins.Finding) bool {
+	return !found.IsCertain() && found.Knowledge != streamorigins.Ambiguous
+}
+
+// askKeepers asks all keepers of the stream at once and returns what they know, up to the first answer of one that is
+// certain of it. Certain origins don't change, so no further answer is needed.
+func (n *Node) askKeepers(ctx context.Context, key streamorigins.Key) streamorigins.Finding {
 	ctx, cancel := context.WithTimeout(ctx, originLookupTimeout)
 	defer cancel()
 	var asked sync.WaitGroup
-	answers := make(chan *streamOriginAnswer)
+	answers := make(chan streamorigins.Finding)
 	for _, keeper := range n.streamKeepers(key) {
 		asked.Go(func() {
 			answer := &streamOriginAnswer{}
@@ -180,7 +190,7 @@
 				return
 			}
 			select {
-			case answers <- answer:
+			case answers <- streamorigins.Finding{Origin: answer.Origin, Knowledge: answer.Knowledge}:
 			case <-ctx.Done():
 			}
 		})
@@ -189,10 +199,13 @@
 		asked.Wait()
 		close(answers)
 	}()
-	if answer, found := <-answers; found {
-		return answer.Origin, answer.Knowledge
+	var found streamorigins.Finding
+	for answer := range answers {
+		if found = found.Join(answer); !mayLearnMore(found) {
+			break
+		}
 	}
-	return streamorigins.Origin{}, streamorigins.Unknown
+	return found
 }
 
 // streamKeepers returns the other nodes that keep the stream's origin.
@@ -215,16 +228,16 @@
 	n := c.node
 	now := n.now()
 	c.lastEventAt = now
-	if c.originRecordedAt > 0 && now-c.originRecordedAt < streamorigins.RefreshInterval || !c.route.Resumable {
+	if !c.route.Resumable {
+		return
+	}
+	isResolved := c.isOriginUncertain() && c.resolveOrigin()
+	if c.originRecordedAt > 0 && !isResolved && now-c.originRecordedAt < streamorigins.RefreshInterval {
 		return
 	}
 	c.originRecordedAt = now
 	if c.origin.IsZero() {
-		n.mutex.Lock()
-		listed, isListed := n.table.Get(replica.ID)
-		n.mutex.Unlock()
-		c.origin = streams.OriginAt(replica, listed, isListed)
-		c.originKey = streamorigins.KeyOf(c.tenantName(), c.id)
+		c.beginOrigin(replica)
 	}
 	if !c.originKey.IsZero() {
 		n.keepOrigin(streamorigins.Record{Key: c.originKey, Origin: c.origin})
--- a/entry/updates.go
+++ b/entry/updates.go
@@ -95,7 +95,7 @@
 	if isNewIncarnation {
 		n.resolveDisconnects(known)
 		n.health.Reset(replica.ID)
-		n.pool.Forget(replica.ID)
+		n.pool.Forget(incarnationOf(known))
 	}
 	if found && !isNewIncarnation && known.Draining == replica.Draining && known.Address == replica.Address {
 		return
@@ -183,6 +183,7 @@
 	isListed := func(id string) bool { _, known := n.table.Get(id); return known }
 	n.health.Forget(isListed)
 	n.paths.Forget(isListed)
+	n.forgetFormerIncarnations()
 	n.pushback.Sweep(n.now(), func(incarnation pushback.Incarnation) bool {
 		known, found := n.table.Get(incarnation.Replica)
 		return found && pushback.IncarnationOf(known) == incarnation
--- a/state/streamorigins/streamorigins_test.go
+++ b/state/streamorigins/streamorigins_test.go
@@ -35,6 +35,36 @@
 	g.Expect(knowledge).To(gomega.Equal(Ambiguous))
 }
 
+// Guards against a stream that can't be resumed although its version became certain, and against an uncertain record, which
+// may arrive late, that takes the place of a certain one.
+func TestCertainVersionTakesThePlaceOfAnUncertainOne(t *testing.T) {
+	uncertain := Origin{Service: firstOrigin.Service}
+	for name, testCase := range map[string]struct {
+		records   []Origin
+		origin    Origin
+		knowledge Knowledge
+	}{
+		"uncertain":                 {[]Origin{uncertain, uncertain}, uncertain, Known},
+		"became certain":            {[]Origin{uncertain, firstOrigin, firstOrigin}, firstOrigin, Known},
+		"the uncertain one is late": {[]Origin{firstOrigin, uncertain}, firstOrigin, Known},
+		"two versions":              {[]Origin{uncertain, firstOrigin, secondOrigin}, Origin{}, Ambiguous},
+		"two versions before":       {[]Origin{firstOrigin, secondOrigin, uncertain}, Origin{}, Ambiguous},
+		"another service":           {[]Origin{{Service: "others"}, firstOrigin}, Origin{}, Ambiguous},
+		"another uncertain service": {[]Origin{firstOrigin, {Service: "others"}}, Origin{}, Ambiguous},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			registry := NewRegistry(10)
+			for _, origin := range testCase.records {
+				registry.Put(0, Record{KeyOf("tenant", "r1"), origin})
+			}
+			origin, knowledge := registry.Get(0, KeyOf("tenant", "r1"))
+			g.Expect(origin).To(gomega.Equal(testCase.origin))
+			g.Expect(knowledge).To(gomega.Equal(testCase.knowledge))
+		})
+	}
+}
+
 // Guards against names by which one tenant reaches another's stream.
 func TestStreamIsKnownToItsTenantOnly(t *testing.T) {
 	g := gomega.NewWithT(t)
@@ -75,6 +105,12 @@
 	return all
 }
 
+// restarted returns the replicas with another incarnation of the first one.
+func restarted(all []replicas.Replica) []replicas.Replica {
+	all[0].StartedAt++
+	return all
+}
+
 // confirmUntil confirms the view of the replicas each second.
 func confirmUntil(history *VersionHistory, from, to time.Duration) {
 	for at := from; at <= to; at += time.Second {
@@ -122,6 +158,32 @@
 			h.Restart()
 			h.Confirm(20*time.Second, 0)
 		}, false},
+		"a replica is doubted": {func(h *VersionHistory) {
+			confirmUntil(h, 0, 20*time.Second)
+			h.SetDoubted("engines", true)
+		}, false},
+		"a doubt ended": {func(h *VersionHistory) {
+			h.SetDoubted("engines", true)
+			confirmUntil(h, 0, 20*time.Second)
+			h.SetDoubted("engines", false)
+		}, true},
+		"a replica of another service is doubted": {func(h *VersionHistory) {
+			confirmUntil(h, 0, 20*time.Second)
+			h.SetDoubted("others", true)
+		}, true},
+		"a replica was replaced under its ID in the window": {func(h *VersionHistory) {
+			confirmUntil(h, 0, 20*time.Second)
+			h.Update(11*time.Second, restarted(replicasOf("v1", "v1")))
+		}, false},
+		"a replica was replaced after its entry was gone": {func(h *VersionHistory) {
+			confirmUntil(h, 0, 20*time.Second)
+			h.Update(5*time.Second, replicasOf("v1", "v1")[1:])
+			h.Update(11*time.Second, restarted(replicasOf("v1", "v1")))
+		}, false},
+		"a replica was replaced under its ID before the window": {func(h *VersionHistory) {
+			confirmUntil(h, 0, 20*time.Second)
+			h.Update(9*time.Second, restarted(replicasOf("v1", "v1")))
+		}, true},
 		"no view": {func(h *VersionHistory) { h.Confirm(20*time.Second, -1) }, false},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/test/entry/replaced_in_place_test.go
+++ b/test/entry/replaced_in_place_test.go
@@ -23,6 +23,8 @@
 	// entryWriteDelay is the time from the return of the store to the write of a replica that waits for it.
 	entryWriteDelay = time.Second
 	storePoll       = 50 * time.Millisecond
+	// minGoOnWithReports is the least share of resumed streams that go on if engines give reports, as for minGoOnShare.
+	minGoOnWithReports = 0.5
 )
 
 // inPlaceScenario is a versionsScenario with a store that may be away.
@@ -54,7 +56,7 @@
 	time.Sleep(inPlaceDelay)
 	next := &platformsim.Replica{
 		ID: ended.ID, Service: ended.Service, Zone: ended.Zone, Version: version, Slots: ended.Slots, Events: ended.Events, Step: ended.Step,
-		StartedAt: time.Now().UnixMilli(),
+		StartedAt: time.Now().UnixMilli(), GivesReports: ended.GivesReports,
 	}
 	next.SetBehavior(breakOff(2))
 	s.Expect(s.deployment.StartReplica(ended.ID[len("i-"):], next)).To(gomega.Succeed())
@@ -148,8 +150,8 @@
 }
 
 // runInPlace plays the course and returns its counts.
-func runInPlace(t *testing.T, testCase inPlaceCase, check func(s *inPlaceScenario, counts mixingCounts)) {
-	course := mixingCase{newer: 7, breaks: 2}
+func runInPlace(t *testing.T, testCase inPlaceCase, givesReports bool, check func(s *inPlaceScenario, counts mixingCounts)) {
+	course := mixingCase{newer: 7, breaks: 2, givesReports: givesReports}
 	runMixing(t, course, func(base *versionsScenario) {
 		s := &inPlaceScenario{versionsScenario: base}
 		course.fault = func(*versionsScenario) { testCase.fault(s) }
@@ -164,11 +166,48 @@
 // new entry is known.
 func TestStreamsDoNotGoOnAtReplicasReplacedInPlace(t *testing.T) {
 	for name, testCase := range inPlaceCases {
+		for kind, givesReports := range map[string]bool{"": false, ", engines give reports": true} {
+			minGoOnShare := testCase.minGoOnShare
+			if givesReports {
+				minGoOnShare = max(minGoOnShare, minGoOnWithReports)
+			}
+			t.Run(name+kind, func(t *testing.T) {
+				t.Parallel()
+				runInPlace(t, testCase, givesReports, func(s *inPlaceScenario, counts mixingCounts) {
+					s.Expect(counts.mixed).To(gomega.BeNumerically("<=", mixedStreamsAllowed), "streams with events of two versions")
+					s.Expect(counts.goOnShare()).To(gomega.BeNumerically(">=", minGoOnShare), "resumed streams that go on")
+				})
+			})
+		}
+	}
+}
+
+// reports returns the number of reports that the engines gave.
+func (s *versionsScenario) reports() int {
+	reports := 0
+	for _, engine := range s.mixed {
+		reports += engine.Reports()
+	}
+	return reports
+}
+
+// Guards against queries for reports on behalf of streams that don't go on anywhere, or more than one for each that does.
+func TestReportsAreAskedForStreamsThatGoOnOnly(t *testing.T) {
+	for name, breaks := range map[string]int{"no stream is broken off": 0, "a fifth is broken off": 2} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			runInPlace(t, testCase, func(s *inPlaceScenario, counts mixingCounts) {
-				s.Expect(counts.mixed).To(gomega.BeNumerically("<=", mixedStreamsAllowed), "streams with events of two versions")
-				s.Expect(counts.goOnShare()).To(gomega.BeNumerically(">=", testCase.minGoOnShare), "resumed streams that go on")
+			course := mixingCase{newer: 5, breaks: breaks, givesReports: true}
+			runMixing(t, course, func(s *versionsScenario) {
+				if breaks == 0 {
+					for _, engine := range s.mixed {
+						engine.SetBehavior(nil)
+					}
+				}
+				s.streamRepeatedly(course)
+				counts := s.counts()
+				t.Logf("%+v, %d reports", counts, s.reports())
+				s.Expect(counts.complete).To(gomega.Equal(counts.sent))
+				s.Expect(s.reports()).To(gomega.BeNumerically("<=", breaks*counts.resumed), "one for each send that goes on")
 			})
 		})
 	}
--- a/transport/replicahttp/pool.go
+++ b/transport/replicahttp/pool.go
@@ -2,13 +2,16 @@
 
 import (
 	"errors"
+	"math"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/thornwalk/thornwalk/structs"
 	"github.com/thornwalk/thornwalk/transport/httphead"
 	"github.com/thornwalk/thornwalk/transport/network"
 )
@@ -36,7 +39,7 @@
 
 // poolKey identifies the idle connections that can replace each other.
 type poolKey struct {
-	replica     string
+	incarnation Incarnation
 	isForwarded bool
 }
 
@@ -45,11 +48,20 @@
 	return &Pool{idle: map[poolKey][]*Conn{}}
 }
 
+// Incarnation is one run of a replica's process.
+type Incarnation struct {
+	Replica string
+	// StartedAt is its start in Unix milliseconds by the replica's clock; zero if it states none.
+	StartedAt int64
+}
+
 // Conn is a connection to a replica, for one exchange at a time.
 type Conn struct {
 	net.Conn
 	reader *httphead.Reader
 	key    poolKey
+	// OpenedAt is when the connection had been opened.
+	OpenedAt structs.Instant
 	// Forwarder is the name of the peer that forwards the connection, empty if it is direct.
 	Forwarder string
 	// Reused is true if the connection was used by an earlier exchange.
@@ -65,20 +77,37 @@
 	_ = c.Close()
 }
 
-// TakeIdle removes and returns a direct connection that has been idle for less than maxIdle and is still
-// open, or nil.
-func (p *Pool) TakeIdle(replica string, maxIdle time.Duration) *Conn {
-	return p.takeReusable(poolKey{replica: replica}, maxIdle)
+// AnyTime is later than the opening of any connection.
+const AnyTime = structs.Instant(math.MaxInt64)
+
+// TakeIdle removes and returns a direct connection that was open by the instant, has been idle for less than maxIdle and
+// is still open, or nil.
+func (p *Pool) TakeIdle(incarnation Incarnation, maxIdle time.Duration, openedBy structs.Instant) *Conn {
+	return p.takeReusable(poolKey{incarnation: incarnation}, maxIdle, openedBy)
 }
 
 // TakeIdleForwarded is TakeIdle for forwarded connections.
-func (p *Pool) TakeIdleForwarded(replica string, maxIdle time.Duration) *Conn {
-	return p.takeReusable(poolKey{replica: replica, isForwarded: true}, maxIdle)
+func (p *Pool) TakeIdleForwarded(incarnation Incarnation, maxIdle time.Duration, openedBy structs.Instant) *Conn {
+	return p.takeReusable(poolKey{incarnation: incarnation, isForwarded: true}, maxIdle, openedBy)
+}
+
+// HasIdle reports whether a connection of the incarnation that was open by the instant is idle.
+func (p *Pool) HasIdle(incarnation Incarnation, openedBy structs.Instant) bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for _, isForwarded := range []bool{false, true} {
+		if slices.ContainsFunc(p.idle[poolKey{incarnation: incarnation, isForwarded: isForwarded}], func(conn *Conn) bool {
+			return conn.OpenedAt <= openedBy && time.Since(conn.idleSince) < conn.idleTimeout
+		}) {
+			return true
+		}
+	}
+	return false
 }
 
-func (p *Pool) takeReusable(key poolKey, maxIdle time.Duration) *Conn {
+func (p *Pool) takeReusable(key poolKey, maxIdle time.Duration, openedBy structs.Instant) *Conn {
 	for {
-		idle := p.takeIdle(key)
+		idle := p.takeIdle(key, openedBy)
 		if idle == nil {
 			return nil
 		}
@@ -91,23 +120,27 @@
 	}
 }
 
-// AddDirect returns a new direct connection to the replica. The replica's ID identifies its incarnation, so that a
-// new replica at a reused address gets no connection of the previous one.
-func (p *Pool) AddDirect(opened net.Conn, replica string) *Conn {
+// AddDirect returns a new direct connection, which was opened for the incarnation by the instant. Only connections of
+// one incarnation replace each other: a later one may run other software, and a connection that was opened before its
+// start can't lead to it.
+func (p *Pool) AddDirect(opened net.Conn, incarnation Incarnation, openedAt structs.Instant) *Conn {
 	p.count(&p.opened)
-	return newConn(opened, poolKey{replica: replica})
+	return newConn(opened, poolKey{incarnation: incarnation}, openedAt)
 }
 
-// AddForwarded returns a new connection that the named peer forwards to the replica.
-func (p *Pool) AddForwarded(opened net.Conn, replica, forwarder string) *Conn {
+// AddForwarded is AddDirect for a connection that the named peer forwards.
+func (p *Pool) AddForwarded(opened net.Conn, incarnation Incarnation, openedAt structs.Instant, forwarder string) *Conn {
 	p.count(&p.opened)
-	conn := newConn(opened, poolKey{replica: replica, isForwarded: true})
+	conn := newConn(opened, poolKey{incarnation: incarnation, isForwarded: true}, openedAt)
 	conn.Forwarder = forwarder
 	return conn
 }
 
-func newConn(opened net.Conn, key poolKey) *Conn {
-	return &Conn{Conn: opened, reader: httphead.NewReader(opened, readBufferBytes), key: key}
+// Incarnation returns the incarnation for which the connection was opened.
+func (c *Conn) Incarnation() Incarnation { return c.key.incarnation }
+
+func newConn(opened net.Conn, key poolKey, openedAt structs.Instant) *Conn {
+	return &Conn{Conn: opened, reader: httphead.NewReader(opened, readBufferBytes), key: key, OpenedAt: openedAt}
 }
 
 func (p *Pool) count(counter *uint64) {
@@ -123,19 +156,23 @@
 	return p.opened, p.reused
 }
 
-// takeIdle removes and returns the most recently used idle connection of the key, or nil.
-func (p *Pool) takeIdle(key poolKey) *Conn {
+// takeIdle removes and returns the most recently used idle connection of the key that was open by the instant, or nil.
+func (p *Pool) takeIdle(key poolKey, openedBy structs.Instant) *Conn {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	idle := p.idle[key]
-	if len(idle) == 0 {
-		return nil
+	for i, conn := range slices.Backward(idle) {
+		if conn.OpenedAt <= openedBy {
+			p.idle[key] = slices.Delete(idle, i, i+1)
+			return conn
+		}
 	}
-	last := idle[len(idle)-1]
-	p.idle[key] = idle[:len(idle)-1]
-	return last
+	return nil
 }
 
+// Keep puts a connection without an exchange in progress into the pool.
+func (p *Pool) Keep(conn *Conn) { p.putIdle(conn, "") }
+
 // putIdle returns a connection to the pool after a complete answer, or closes it if the pool is
 // full for its key or its idle timeout is not positive. keepAlive is the answer's Keep-Alive
 // header.
@@ -158,14 +195,14 @@
 	p.closeIdleIf(func(conn *Conn) bool { return time.Since(conn.idleSince) >= conn.idleTimeout })
 }
 
-// Forget closes the idle connections to the replica.
-func (p *Pool) Forget(replica string) {
-	p.ForgetDirect(replica)
-	p.closeAll(poolKey{replica: replica, isForwarded: true})
+// Forget closes the idle connections of the incarnation.
+func (p *Pool) Forget(incarnation Incarnation) {
+	p.ForgetDirect(incarnation)
+	p.closeAll(poolKey{incarnation: incarnation, isForwarded: true})
 }
 
-// ForgetDirect closes the idle direct connections to the replica.
-func (p *Pool) ForgetDirect(replica string) { p.closeAll(poolKey{replica: replica}) }
+// ForgetDirect closes the idle direct connections of the incarnation.
+func (p *Pool) ForgetDirect(incarnation Incarnation) { p.closeAll(poolKey{incarnation: incarnation}) }
 
 // ForgetAllDirect closes the idle direct connections to all replicas.
 func (p *Pool) ForgetAllDirect() {
--- a/transport/replicahttp/replicahttp_test.go
+++ b/transport/replicahttp/replicahttp_test.go
@@ -39,14 +39,14 @@
 
 // connect returns an idle connection to the replica, or a new one.
 func connect(ctx context.Context, pool *Pool, address string) (*Conn, error) {
-	if idle := pool.TakeIdle("replica", time.Minute); idle != nil {
+	if idle := pool.TakeIdle(Incarnation{Replica: "replica"}, time.Minute, AnyTime); idle != nil {
 		return idle, nil
 	}
 	opened, err := network.TCP{SilenceLimit: 3 * time.Second}.Dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
-	return pool.AddDirect(opened, "replica"), nil
+	return pool.AddDirect(opened, Incarnation{Replica: "replica"}, 0), nil
 }
 
 // exchange sends one request and returns its answer, the body, and whether the connection was
@@ -155,7 +155,7 @@
 			g.Expect(err).NotTo(gomega.HaveOccurred())
 			close(proceed)
 			<-disturbed
-			idle := pool.takeIdle(poolKey{replica: "replica"})
+			idle := pool.takeIdle(poolKey{incarnation: Incarnation{Replica: "replica"}}, AnyTime)
 			g.Eventually(idle.isReusable).WithTimeout(10 * time.Second).Should(gomega.BeFalse())
 		})
 	}
@@ -210,7 +210,7 @@
 	_, content, _, err := exchange(t, pool, address, strings.Repeat("x", 32<<20))
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(content).To(gomega.Equal("ok"))
-	g.Expect(pool.takeIdle(poolKey{replica: "replica"})).To(gomega.BeNil())
+	g.Expect(pool.takeIdle(poolKey{incarnation: Incarnation{Replica: "replica"}}, AnyTime)).To(gomega.BeNil())
 }
 
 // Guards against connections that stay idle although their replica or the path to it was found at fault, and
@@ -220,8 +220,8 @@
 		forget                                      func(pool *Pool)
 		keepsDirect, keepsForwarded, keepsElsewhere bool
 	}{
-		"replica":             {func(pool *Pool) { pool.Forget("replica") }, false, false, true},
-		"direct":              {func(pool *Pool) { pool.ForgetDirect("replica") }, false, true, true},
+		"replica":             {func(pool *Pool) { pool.Forget(Incarnation{Replica: "replica"}) }, false, false, true},
+		"direct":              {func(pool *Pool) { pool.ForgetDirect(Incarnation{Replica: "replica"}) }, false, true, true},
 		"direct to every one": {(*Pool).ForgetAllDirect, false, true, false},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -233,13 +233,15 @@
 				ends = append(ends, replicas)
 				pool.putIdle(add(ours), "timeout=60")
 			}
-			add(func(opened net.Conn) *Conn { return pool.AddDirect(opened, "replica") })
-			add(func(opened net.Conn) *Conn { return pool.AddForwarded(opened, "replica", "peer") })
-			add(func(opened net.Conn) *Conn { return pool.AddDirect(opened, "other") })
+			add(func(opened net.Conn) *Conn { return pool.AddDirect(opened, Incarnation{Replica: "replica"}, 0) })
+			add(func(opened net.Conn) *Conn {
+				return pool.AddForwarded(opened, Incarnation{Replica: "replica"}, 0, "peer")
+			})
+			add(func(opened net.Conn) *Conn { return pool.AddDirect(opened, Incarnation{Replica: "other"}, 0) })
 			test.forget(pool)
-			g.Expect(pool.TakeIdle("replica", time.Minute) != nil).To(gomega.Equal(test.keepsDirect), "direct")
-			g.Expect(pool.TakeIdleForwarded("replica", time.Minute) != nil).To(gomega.Equal(test.keepsForwarded), "forwarded")
-			g.Expect(pool.TakeIdle("other", time.Minute) != nil).To(gomega.Equal(test.keepsElsewhere), "of another replica")
+			g.Expect(pool.TakeIdle(Incarnation{Replica: "replica"}, time.Minute, AnyTime) != nil).To(gomega.Equal(test.keepsDirect), "direct")
+			g.Expect(pool.TakeIdleForwarded(Incarnation{Replica: "replica"}, time.Minute, AnyTime) != nil).To(gomega.Equal(test.keepsForwarded), "forwarded")
+			g.Expect(pool.TakeIdle(Incarnation{Replica: "other"}, time.Minute, AnyTime) != nil).To(gomega.Equal(test.keepsElsewhere), "of another replica")
 			for i, isKept := range []bool{test.keepsDirect, test.keepsForwarded, test.keepsElsewhere} {
 				_ = ends[i].SetReadDeadline(time.Now().Add(10 * time.Millisecond)) // fails if the other end is closed
 				_, err := ends[i].Read(make([]byte, 1))
@@ -277,3 +279,26 @@
 		})
 	}
 }
+
+// Guards against a request that is sent over a connection of a former incarnation of its replica.
+func TestConnectionsOfIncarnationsAreKeptApart(t *testing.T) {
+	g := gomega.NewWithT(t)
+	pool := NewPool()
+	former, next := Incarnation{Replica: "replica", StartedAt: 1}, Incarnation{Replica: "replica", StartedAt: 2}
+	for _, forwarder := range []string{"", "peer"} {
+		ours, theirs := net.Pipe()
+		defer func() { _ = theirs.Close() }()
+		conn, take := pool.AddDirect(ours, former, time.Second), pool.TakeIdle
+		if forwarder != "" {
+			conn, take = pool.AddForwarded(ours, former, time.Second, forwarder), pool.TakeIdleForwarded
+		}
+		pool.putIdle(conn, "")
+		g.Expect(take(next, time.Minute, AnyTime)).To(gomega.BeNil())
+		pool.Forget(next)
+		g.Expect(take(former, time.Minute, time.Second-1)).To(gomega.BeNil())
+		taken := take(former, time.Minute, time.Second)
+		g.Expect(taken).To(gomega.BeIdenticalTo(conn))
+		g.Expect(taken.OpenedAt).To(gomega.Equal(time.Second))
+		g.Expect(taken.Incarnation()).To(gomega.Equal(former))
+	}
+}
