staleness, catalog: a rejected version does not hide earlier ones

Cause: a node that could not activate a version ignored all up to it. A configuration of the largest version that a node gets from a peer of the release before, which takes it, would make it ignore every version of its peers. Change: only the rejected versions themselves are ignored, the latest 64 of them. A catalog's version is at most 2^53 - 1, also if it comes from a peer. TestRejectedVersionDoesNotHideOthers failed before: the valid version 4 was not known any more after the largest one was rejected.

--- a/coordination/staleness/newer_versions.go
+++ b/coordination/staleness/newer_versions.go
@@ -1,6 +1,7 @@
 package staleness
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -8,7 +9,7 @@
 	"github.com/thornwalk/thornwalk/structs"
 )
 
-// maxVersions bounds the versions whose first observation is remembered.
+// maxVersions bounds the versions whose first observation is remembered, and those that were rejected.
 const maxVersions = 64
 
 // NewerVersions records which newer versions of the configuration live peers have, and when they
@@ -17,7 +18,8 @@
 	newest     atomic.Int64
 	mutex      sync.Mutex
 	observedAt map[int64]structs.Instant
-	rejected   int64
+	// rejected are the latest versions that this node can't activate, at most maxVersions.
+	rejected []int64
 }
 
 // Observe records that a peer has the version. It reports whether the version is newer than own
@@ -28,7 +30,7 @@
 	}
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
-	if version <= v.rejected {
+	if slices.Contains(v.rejected, version) {
 		return false
 	}
 	v.newest.Store(max(v.newest.Load(), version))
@@ -62,20 +64,21 @@
 	}
 }
 
-// Reject records that this node can't activate the version and keeps its last valid one. Versions
-// up to the rejected one no longer count as newer.
+// Reject records that this node can't activate the version and keeps its last valid one. The version no longer counts as
+// newer; others do, also earlier ones: a version that is not valid says nothing of them.
 func (v *NewerVersions) Reject(version int64) {
 	v.mutex.Lock()
 	defer v.mutex.Unlock()
-	v.rejected = max(v.rejected, version)
-	if v.newest.Load() <= v.rejected {
-		v.newest.Store(0)
+	if !slices.Contains(v.rejected, version) {
+		v.rejected = append(v.rejected, version)
+		v.rejected = v.rejected[max(0, len(v.rejected)-maxVersions):]
 	}
+	delete(v.observedAt, version)
+	newest := int64(0)
 	for observed := range v.observedAt {
-		if observed <= v.rejected {
-			delete(v.observedAt, observed)
-		}
+		newest = max(newest, observed)
 	}
+	v.newest.Store(newest)
 }
 
 // HasNewer reports whether a version newer than own was observed.
--- a/state/catalog/catalog.go
+++ b/state/catalog/catalog.go
@@ -113,6 +113,10 @@
 	IdleTimeout   time.Duration `msgpack:"i"`
 }
 
+// MaxVersion is the highest version of a configuration. JSON numbers beyond it are not exact for all writers, and no
+// version could follow the highest integer.
+const MaxVersion = 1<<53 - 1
+
 // Document is the form in which nodes exchange a configuration.
 type Document struct {
 	// Version increases with each accepted change; zero means no configuration.
@@ -186,8 +190,8 @@
 		Document: document, byHost: map[string]*hostRoutes{}, byKey: map[string]*Tenant{},
 		services: map[string]*Service{}, tenants: map[string]*Tenant{},
 	}
-	if document.Version <= 0 {
-		return nil, errkind.New(errkind.InvalidSettings, "version: %d is not positive", document.Version)
+	if document.Version <= 0 || document.Version > MaxVersion {
+		return nil, errkind.New(errkind.InvalidSettings, "version: %d is not in 1 to %d", document.Version, int64(MaxVersion))
 	}
 	for i := range document.Services {
 		c.services[document.Services[i].Name] = &document.Services[i]
