--- a/lab/soak/odd_entries_test.go
+++ b/lab/soak/odd_entries_test.go
@@ -19,7 +19,7 @@
 	// oddEntriesBlock is the block of addresses of the test's deployment.
 	oddEntriesBlock = "127.79.1"
 	// oddEntryBytes is the length of the large parts of odd entries.
-	oddEntryBytes = 1 << 18
+	oddEntryBytes = 1 << 20
 	// crowd is the number of sound replicas beside the odd entries.
 	crowd           = 1500
 	oddEntryMemory  = daemonMemoryMB
