entry: a head without framing and body is no answer

What callers saw: a replica that closed the connection behind the head of an answer without a length or chunks left its caller with 200, an empty body and the mark of a whole answer; on routes that may be repeated too.

Cause: the close of the connection was taken for the proof that the answer is whole. Without framing nothing else shows it, and a replica that breaks off behind the head closes in the same way.

Change: an answer without framing whose body is empty, or which has no event, is broken off (answers.invalid.nothing-before-close). One with framing and no event stays whole: a continuation of which only the last chunk was missing has none (TestFramedStreamWithoutEventsIsWhole).

--- a/entry/held_memory.go
+++ b/entry/held_memory.go
@@ -34,6 +34,7 @@
 	violationBodyMalformed = "body-malformed"
 	violationEventTooLong  = "event-too-long"
 	violationEventID       = "event-id-too-long"
+	violationNothingSent   = "nothing-before-close"
 )
 
 // invalidAnswerError means that the bytes that a replica sent are no answer to the request.
@@ -49,6 +50,8 @@
 	errEventTooLong = &invalidAnswerError{violationEventTooLong}
 	// errEventIDTooLong is the error of an event whose ID can't be kept.
 	errEventIDTooLong = &invalidAnswerError{violationEventID}
+	// errNothingSent is the error of an answer without framing whose connection was closed right after the head.
+	errNothingSent = &invalidAnswerError{violationNothingSent}
 )
 
 // violationOf returns the name of what is wrong with an answer of which the read failed with err.
--- a/entry/response.go
+++ b/entry/response.go
@@ -98,7 +98,11 @@
 // readPlainBody reads the body of a plain answer to its end.
 func (c *call) readPlainBody(answer *replicahttp.Answer, body io.Reader) ([]byte, error) {
 	limit := cmp.Or(c.node.settings.Load().AnswerBodyBytes, defaultMaxAnswerBytes)
-	return readHeld(body, c.answerMemory, answer.ContentLength, int64(limit))
+	content, err := readHeld(body, c.answerMemory, answer.ContentLength, int64(limit))
+	if err == nil && len(content) == 0 && answer.IsUnframed {
+		err = errNothingSent
+	}
+	return content, err
 }
 
 // readerFunc is a function as an io.Reader.
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -73,6 +73,9 @@
 		if !answer.Ended(err) || len(pending.content) > 0 {
 			return c.recordIncomplete(err), observed
 		}
+		if answer.IsUnframed && observed.Events == 0 {
+			return c.recordIncomplete(errNothingSent), observed
+		}
 		break
 	}
 	c.node.recordSuccess(replica.ID)
--- a/test/entry/scripted_replicas_test.go
+++ b/test/entry/scripted_replicas_test.go
@@ -52,6 +52,9 @@
 	return e.head(status, lines+fmt.Sprintf("Content-Length: %d\r\n", len(body))) + body
 }
 
+// close closes the connection as a replica does that ends the answer with it.
+func (e *scriptedExchange) close() { _ = e.conn.Close() }
+
 // silent waits until the node closes the connection.
 func (e *scriptedExchange) silent() { <-e.ended }
 
--- a/transport/replicahttp/exchange.go
+++ b/transport/replicahttp/exchange.go
@@ -40,6 +40,8 @@
 	writeResult chan error
 	stopCancel  func() bool
 	complete    bool
+	// IsUnframed is true if the body has neither a length nor chunks, so that only the close of the connection ends it.
+	IsUnframed bool
 }
 
 // maxAnswerHeads bounds the heads that are read until the answer: provisional responses, answers to
@@ -73,6 +75,7 @@
 		return nil, errkind.Wrap(errkind.OutcomeUnknown, err)
 	}
 	answer.Response = response
+	answer.IsUnframed = response.Body != http.NoBody && response.ContentLength < 0 && len(response.TransferEncoding) == 0
 	response.Body = &bodyReader{body: response.Body, answer: answer}
 	return answer, nil
 }
