entry, replicahttp: the echoed ID proves whose answer it is

What callers saw: after an answer that does not echo the request's ID, then the true one, the first one's events or body, complete: those of another request. A late rejection of that form (421, or X-Not-Executed) made a request that ran look as if it had not, so that it was sent to another replica.

Cause: an answer without the echo counted as the request's, on kept connections as well, where it may be a surplus answer to an earlier request. A second ID in the head was not looked at. On a connection whose latest request had the same ID, or none, the ID shows nothing.

Anything else without it is no answer (answers.invalid.no-id), at once, as no further one is to be expected. - Answers without a signature are refused at once as before, with or without the echo. - A head with several IDs must have no other one. - A request without an ID, and one with the ID of the latest request of the connection, takes a new connection.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -357,7 +357,7 @@
 		Method: c.request.Method, Target: c.request.RequestURI, Host: c.request.Host, Header: header, Body: c.body,
 		HasBody:    c.request.ContentLength >= 0 && c.request.Method != http.MethodGet && c.request.Method != http.MethodHead,
 		HeadLimits: c.node.settings.Load().headLimits(c.answerMemory),
-		IDHeader:   textproto.CanonicalMIMEHeaderKey(names.RequestID), ID: c.id,
+		IDHeader:   textproto.CanonicalMIMEHeaderKey(names.RequestID), ID: c.id, AcceptsWithoutID: c.acceptsWithoutID,
 	}
 }
 
--- a/entry/forwarding.go
+++ b/entry/forwarding.go
@@ -300,11 +300,8 @@
 	return nil, &forwardError{forwarder: chosen.Name, outcome: reply.Outcome}
 }
 
-// connectThroughPeer returns an idle or a new connection to the replica that a peer forwards.
-func (n *Node) connectThroughPeer(ctx context.Context, replica replicas.Replica, maxIdle time.Duration) (*replicahttp.Conn, error) {
-	if idle := n.pool.TakeIdleForwarded(replica.ID, maxIdle); idle != nil {
-		return idle, nil
-	}
+// connectThroughPeer returns a new connection to the replica that a peer forwards.
+func (n *Node) connectThroughPeer(ctx context.Context, replica replicas.Replica) (*replicahttp.Conn, error) {
 	connection, forwarder, err := n.openThroughPeer(ctx, replica)
 	if err != nil {
 		return nil, err
--- a/entry/held_memory.go
+++ b/entry/held_memory.go
@@ -30,6 +30,7 @@
 	violationEncoded       = "encoded"
 	violationNotAStream    = "not-a-stream"
 	violationOtherAnswers  = "other-answers"
+	violationNoID          = "no-id"
 	violationBodyTooLong   = "body-too-long"
 	violationBodyMalformed = "body-malformed"
 	violationEventTooLong  = "event-too-long"
@@ -65,6 +66,8 @@
 		return invalid.violation
 	case errors.Is(err, replicahttp.ErrOnlyStrayAnswers):
 		return violationOtherAnswers
+	case errors.Is(err, replicahttp.ErrNoID):
+		return violationNoID
 	default:
 		return violationBodyMalformed
 	}
--- a/entry/replica_paths.go
+++ b/entry/replica_paths.go
@@ -61,7 +61,7 @@
 // proves that nothing was sent.
 func (c *call) connect(replica replicas.Replica, maxIdle time.Duration) (*replicahttp.Conn, error) {
 	node := c.node
-	if idle := node.pool.TakeIdle(replica.ID, maxIdle); idle != nil {
+	if idle := c.takeIdle(node.pool.TakeIdle, replica, maxIdle); idle != nil {
 		return idle, nil
 	}
 	ctx, cancel := context.WithTimeout(c.ctx, connectTimeout)
@@ -80,13 +80,26 @@
 			return conn, directErr
 		}
 	}
-	conn, err := node.connectThroughPeer(ctx, replica, maxIdle)
+	if idle := c.takeIdle(node.pool.TakeIdleForwarded, replica, maxIdle); idle != nil {
+		return idle, nil
+	}
+	conn, err := node.connectThroughPeer(ctx, replica)
 	if err != nil {
 		return nil, errkind.Wrap(errkind.NoReplica, errors.Join(directErr, err))
 	}
 	return conn, nil
 }
 
+// takeIdle returns an idle connection that the request may use, or nil.
+func (c *call) takeIdle(take func(replica string, maxIdle time.Duration) *replicahttp.Conn, replica replicas.Replica, maxIdle time.Duration) *replicahttp.Conn {
+	idle := take(replica.ID, maxIdle)
+	if idle == nil || idle.MayCarry(c.id) {
+		return idle
+	}
+	_ = idle.Close()
+	return nil
+}
+
 // connectDirect opens a direct connection to the replica for requests.
 func (n *Node) connectDirect(ctx context.Context, replica replicas.Replica, timeout time.Duration) (*replicahttp.Conn, error) {
 	opened, err := n.dialReplica(ctx, replica, timeout)
--- a/entry/response.go
+++ b/entry/response.go
@@ -39,7 +39,21 @@
 
 // isRejection reports whether the response proves that the replica did not run the request.
 func (c *call) isRejection(answer *replicahttp.Answer) bool {
-	return answer.Header.Get(c.node.dependencies.Headers.NotRun) != "" || answer.StatusCode == http.StatusMisdirectedRequest
+	return c.isRejectionHead(answer.Response)
+}
+
+func (c *call) isRejectionHead(head *http.Response) bool {
+	return head.Header.Get(c.node.dependencies.Headers.NotRun) != "" || head.StatusCode == http.StatusMisdirectedRequest
+}
+
+// acceptsWithoutID reports whether an answer that does not echo the request's ID is used. A rejection is on a new
+// connection, where it can be no earlier request's: another server at the replica's address may not know the header.
+// Answers without a signature are not used in any case, and accepted here for the sake of their reason.
+func (c *call) acceptsWithoutID(head *http.Response, isReused bool) bool {
+	if c.isRejectionHead(head) {
+		return !isReused
+	}
+	return head.Header.Get(c.node.dependencies.Headers.Signature) == ""
 }
 
 // eventStreamType is the content type of event streams.
--- a/test/entry/scripted_replicas_test.go
+++ b/test/entry/scripted_replicas_test.go
@@ -153,6 +153,17 @@
 	return len(r.exchanges)
 }
 
+// connections returns the number of connections with exchanges.
+func (r *scriptedReplicas) connections() int {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	used := map[net.Conn]bool{}
+	for _, exchange := range r.exchanges {
+		used[exchange.conn] = true
+	}
+	return len(used)
+}
+
 // sharedWork returns for how long the first two exchanges were at work together.
 func (r *scriptedReplicas) sharedWork() time.Duration {
 	r.mutex.Lock()
--- a/transport/replicahttp/exchange.go
+++ b/transport/replicahttp/exchange.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -24,9 +25,12 @@
 	// HasBody is true if the request needs a Content-Length even if the body is empty.
 	HasBody bool
 	// IDHeader is the name of the header by which replicas echo the ID of a request. Answers with
-	// another ID are skipped.
+	// another ID are skipped, and so are those without one on a connection that was used before.
 	IDHeader string
 	ID       string
+	// AcceptsWithoutID reports whether an answer that does not echo the ID is returned all the same. It may be nil, for
+	// none. Answers to requests without an ID need none.
+	AcceptsWithoutID func(head *http.Response, isReused bool) bool
 	// HeadLimits bound the heads that are read until the answer. Zero fields have the defaults.
 	HeadLimits httphead.Limits
 }
@@ -52,11 +56,12 @@
 const maxStrayBodyBytes = 1 << 20
 
 // Exchange writes the request and reads the head of its answer. After an error, of kind
-// OutcomeUnknown, the connection is reset and the request may have run; an *httphead.Error or
-// ErrOnlyStrayAnswers shows that the replica sent bytes that are no answer. The end of the context
-// resets the connection.
+// OutcomeUnknown, the connection is reset and the request may have run; an *httphead.Error,
+// ErrOnlyStrayAnswers or ErrNoID shows that the replica sent bytes that are no answer. The end of the
+// context resets the connection.
 func (p *Pool) Exchange(ctx context.Context, conn *Conn, request *Request) (*Answer, error) {
 	answer := &Answer{conn: conn, pool: p, writeResult: make(chan error, 1)}
+	conn.lastID = request.ID
 	answer.stopCancel = context.AfterFunc(ctx, conn.abort)
 	head := request.head()
 	if len(request.Body) == 0 {
@@ -98,9 +103,13 @@
 // ErrOnlyStrayAnswers means that the replica sent answers to other requests.
 var ErrOnlyStrayAnswers = errors.New("read answer: the connection has only answers to other requests")
 
-// readAnswer reads heads until one has the ID of the request, or none.
+// ErrNoID means that the replica sent an answer that does not echo the ID of the request.
+var ErrNoID = errors.New("read answer: it does not echo the ID of the request")
+
+// readAnswer reads heads until one is that of an answer to the request.
 func (c *Conn) readAnswer(request *Request) (*http.Response, error) {
 	c.reader.Begin(request.HeadLimits.WithDefaults())
+	missing := ErrOnlyStrayAnswers
 	for range maxAnswerHeads {
 		response, err := c.reader.ReadResponse(&http.Request{Method: request.Method})
 		if err != nil {
@@ -109,9 +118,14 @@
 		if response.StatusCode < http.StatusOK {
 			continue
 		}
-		echoed := response.Header.Get(request.IDHeader)
-		if echoed == "" || echoed == request.ID {
+		switch hasID := len(request.echoedIDs(response)) > 0; {
+		case request.isAnsweredBy(response, c.Reused):
 			return response, nil
+		case !hasID && !c.Reused:
+			// No earlier request can have left an answer, so no other one follows.
+			return nil, ErrNoID
+		case !hasID:
+			missing = ErrNoID
 		}
 		skipped, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxStrayBodyBytes))
 		if err != nil {
@@ -121,7 +135,22 @@
 			break
 		}
 	}
-	return nil, ErrOnlyStrayAnswers
+	return nil, missing
+}
+
+// isAnsweredBy reports whether the head is that of an answer to the request, on a connection that earlier requests used
+// or not.
+func (r *Request) isAnsweredBy(head *http.Response, isReused bool) bool {
+	echoed := r.echoedIDs(head)
+	if len(echoed) == 0 {
+		return r.ID == "" || r.AcceptsWithoutID != nil && r.AcceptsWithoutID(head, isReused)
+	}
+	return !slices.ContainsFunc(echoed, func(id string) bool { return id != r.ID })
+}
+
+// echoedIDs returns the IDs that the head echoes: mostly one.
+func (r *Request) echoedIDs(head *http.Response) []string {
+	return slices.DeleteFunc(slices.Clone(head.Header[r.IDHeader]), func(id string) bool { return id == "" })
 }
 
 // head returns the encoded request line and headers.
--- a/transport/replicahttp/pool.go
+++ b/transport/replicahttp/pool.go
@@ -53,11 +53,19 @@
 	// Forwarder is the name of the peer that forwards the connection, empty if it is direct.
 	Forwarder string
 	// Reused is true if the connection was used by an earlier exchange.
-	Reused      bool
+	Reused bool
+	// lastID is the ID of the latest request.
+	lastID      string
 	idleSince   time.Time
 	idleTimeout time.Duration
 }
 
+// MayCarry reports whether answers to a request with the ID can be told from late ones to the latest request of the
+// connection.
+func (c *Conn) MayCarry(id string) bool {
+	return !c.Reused || id != "" && id != c.lastID
+}
+
 // abort resets the connection. A close would have the kernel go on sending what a silent path holds back, so that
 // a request could reach the replica long after it was given up.
 func (c *Conn) abort() {
