entry: events are relayed while their IDs rise

What callers saw: all events of an answer whose IDs fall or repeat (1, 2, 3, 2, 3), so that pieces came twice; and a continuation that begins after a gap, complete, so that a piece was missing.

Cause: IDs were compared with those of an earlier replica only, where they lie in an overlap. Within one answer nothing was compared, and a later ID was always the next one.

Change: the IDs of one answer rise; from the first that does not, the answer is malformed (answers.invalid.event-ids-not-rising): what came before stays with the caller, the rest is not relayed, and the stream goes on elsewhere or is broken off. Falling IDs in a continuation were dropped one by one before; now they end it too. Where the caller has two events or more and all of their IDs are consecutive, a continuation that does not begin with the next one lacks a piece (answers.invalid.event-missing). One event does not show how IDs are counted, and a replica may count what its events hold, so IDs that were not consecutive are not checked, nor is a gap within one answer. IDs that are no integers, and an overlap at the start of a continuation, work as before.

--- /dev/null
+++ b/entry/event_order.go
@@ -0,0 +1,49 @@
+package entry
+
+// eventOrder checks that the IDs of the events of one answer rise. IDs that are no integers have no order.
+type eventOrder struct {
+	last    int64
+	hasLast bool
+}
+
+// next returns errEventOrder if the ID of the next event does not rise.
+func (o *eventOrder) next(id string) error {
+	number, isNumber := numericEventID(id)
+	if !isNumber {
+		return nil
+	}
+	if o.hasLast && number <= o.last {
+		return errEventOrder
+	}
+	o.last, o.hasLast = number, true
+	return nil
+}
+
+// relayedIDs are the IDs of the events that the caller has. While all of them are consecutive, the next one is known, so
+// that a continuation that begins after it lacks an event. Otherwise nothing shows that.
+type relayedIDs struct {
+	last int64
+	// count is that of the events with an ID, and isIrregular is true once an ID did not follow the one before.
+	count       int
+	isIrregular bool
+	// isNewAnswer is true before the first event of an answer.
+	isNewAnswer bool
+}
+
+// minConsecutiveIDs is the number of consecutive IDs that show how they are counted: a replica may number events, or
+// what they hold.
+const minConsecutiveIDs = 2
+
+// next records the ID of the next event. It returns errEventGap if the event begins a continuation and another event is
+// missing before it. A gap within an answer is the replica's own way to count.
+func (r *relayedIDs) next(id string) error {
+	number, isNumber := numericEventID(id)
+	follows := isNumber && (r.count == 0 || number == r.last+1)
+	if r.isNewAnswer && !follows && isNumber && !r.isIrregular && r.count >= minConsecutiveIDs {
+		return errEventGap
+	}
+	r.isIrregular = r.isIrregular || !follows
+	r.last, r.isNewAnswer = number, false
+	r.count++
+	return nil
+}
--- a/entry/held_memory.go
+++ b/entry/held_memory.go
@@ -35,6 +35,8 @@
 	violationBodyMalformed = "body-malformed"
 	violationEventTooLong  = "event-too-long"
 	violationEventID       = "event-id-too-long"
+	violationEventOrder    = "event-ids-not-rising"
+	violationEventGap      = "event-missing"
 	violationNothingSent   = "nothing-before-close"
 )
 
@@ -51,6 +53,10 @@
 	errEventTooLong = &invalidAnswerError{violationEventTooLong}
 	// errEventIDTooLong is the error of an event whose ID can't be kept.
 	errEventIDTooLong = &invalidAnswerError{violationEventID}
+	// errEventOrder is the error of an event whose ID is not higher than the one before in the same answer.
+	errEventOrder = &invalidAnswerError{violationEventOrder}
+	// errEventGap is the error of a continuation that begins with a later event than the next one.
+	errEventGap = &invalidAnswerError{violationEventGap}
 	// errNothingSent is the error of an answer without framing whose connection was closed right after the head.
 	errNothingSent = &invalidAnswerError{violationNothingSent}
 )
--- a/entry/settings_test.go
+++ b/entry/settings_test.go
@@ -130,6 +130,7 @@
 		partBytes = max(1, min(partBytes, len(text)))
 		c, count := &call{}, 0
 		var forwarded []byte
+		var order eventOrder
 		budget := memorybudget.New(0)
 		buffer := eventBuffer{memory: budget.Open(func() {})}
 		for part := range slices.Chunk([]byte(text), partBytes) {
@@ -140,11 +141,14 @@
 			if len(events) == 0 {
 				continue
 			}
-			fresh, err := c.unsentEvents(events, &count)
-			if err != nil {
-				return // an ID is too long
-			}
+			fresh, err := c.unsentEvents(events, &count, &order)
 			forwarded = append(forwarded, fresh...)
+			if err != nil { // an ID is too long or does not rise
+				if !strings.HasPrefix(text, string(forwarded)) || !strings.HasSuffix(string(forwarded), "\n") && len(forwarded) > 0 {
+					t.Fatalf("%q of %q before %v", forwarded, text, err)
+				}
+				return
+			}
 			buffer.discard(len(events))
 		}
 		if string(forwarded)+string(buffer.content) != text {
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -33,6 +33,7 @@
 	buffer := make([]byte, streamBufferBytes)
 	flusher := http.NewResponseController(c.writer)
 	last := sentTime
+	var order eventOrder
 	for {
 		count, err := c.readWatched(answer, buffer, observed.Events > 0, true)
 		if errors.Is(err, errReplaced) {
@@ -52,7 +53,8 @@
 				c.maxEventGap = max(c.maxEventGap, time.Since(last))
 			}
 			last = time.Now()
-			ready, idErr := c.unsentEvents(events, &observed.Events)
+			c.relayedIDs.isNewAnswer = c.relayedIDs.isNewAnswer || observed.Events == 0
+			ready, idErr := c.unsentEvents(events, &observed.Events, &order)
 			pending.discard(len(events))
 			if len(ready) > 0 {
 				c.recordOrigin(replica)
@@ -147,8 +149,9 @@
 const maxEventIDBytes = 1024
 
 // unsentEvents returns the events that the caller does not have yet from an earlier replica. It
-// counts all events and records the last ID. The error is errEventIDTooLong if the event after them has such an ID.
-func (c *call) unsentEvents(text []byte, count *int) ([]byte, error) {
+// counts all events and records the last ID. The error is errEventIDTooLong or that of the order if the event after
+// them must not be relayed.
+func (c *call) unsentEvents(text []byte, count *int, order *eventOrder) ([]byte, error) {
 	fresh := make([]byte, 0, len(text))
 	for len(text) > 0 {
 		end := firstEventLength(text)
@@ -159,10 +162,16 @@
 		if len(id) > maxEventIDBytes {
 			return fresh, errEventIDTooLong
 		}
+		if err := order.next(id); err != nil {
+			return fresh, err
+		}
 		if id != "" && c.lastEventID != "" && c.resumed && !isLaterEventID(id, c.lastEventID) {
 			continue
 		}
 		if id != "" {
+			if err := c.relayedIDs.next(id); err != nil {
+				return fresh, err
+			}
 			c.lastEventID = id
 		}
 		fresh = append(fresh, event...)
@@ -195,7 +204,13 @@
 
 // isLaterEventID reports whether the ID is greater than the earlier one or either is not a number.
 func isLaterEventID(id, earlier string) bool {
-	a, errID := strconv.ParseInt(id, 10, 64)
-	b, errEarlier := strconv.ParseInt(earlier, 10, 64)
-	return errID != nil || errEarlier != nil || a > b
+	a, isNumber := numericEventID(id)
+	b, isEarlierNumber := numericEventID(earlier)
+	return !isNumber || !isEarlierNumber || a > b
+}
+
+// numericEventID returns the number that the ID is, if it is one.
+func numericEventID(id string) (int64, bool) {
+	number, err := strconv.ParseInt(id, 10, 64)
+	return number, err == nil
 }
--- a/entry/stream_origin.go
+++ b/entry/stream_origin.go
@@ -41,6 +41,8 @@
 	originRecordedAt structs.Instant
 	// lastEventAt is when the caller was last sent an event; zero if it was sent none.
 	lastEventAt structs.Instant
+	// relayedIDs are the IDs of the events that the caller was sent.
+	relayedIDs relayedIDs
 }
 
 // streamOriginsReport has the origins of streams, for a node that keeps them.
