entry: a stream that is broken off resets connections of HTTP/1.0

What callers saw: a stream that was cut, for a caller that speaks HTTP/1.0: the events so far and the end of the connection, as of a whole one. The same where the node that relays it is killed.

Cause: without chunks only the end of the connection ends the response, and net/http closes it in the same way after a whole response and after http.ErrAbortHandler.

Callers of HTTP/1.1 see the missing last chunk, with Connection: close as well, as before.

Change: from the head of such a response until its end any close of the connection is a reset (SO_LINGER zero), so the end of the process is one too. A reset may cost events that the caller has not read yet. Responses with a length need none. The fabric of the tests has resets and the close of one direction now; a node's resets of exchanges with replicas reach the stand-ins as such too.

--- a/entry/stream.go
+++ b/entry/stream.go
@@ -82,6 +82,7 @@
 	}
 	c.node.recordSuccess(replica.ID)
 	c.sendHead(answer)
+	c.endUnframed()
 	c.node.recordDuration("pause_ms", c.maxEventGap)
 	c.recordAnswer(answer.StatusCode, replica.ID)
 	return resultAnswered, observed
@@ -112,6 +113,7 @@
 	}
 	c.copyHeader(answer)
 	c.headSent = true
+	c.beginUnframed()
 	c.writer.WriteHeader(answer.StatusCode)
 }
 
--- a/lab/memnet/memnet.go
+++ b/lab/memnet/memnet.go
@@ -6,10 +6,12 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -41,6 +43,8 @@
 	// closed is closed when either endpoint is closed.
 	closed chan struct{}
 	once   sync.Once
+	// isReset is true once an endpoint was closed by a reset.
+	isReset atomic.Bool
 }
 
 // New returns a fabric without hosts.
@@ -202,7 +206,9 @@
 	f.mutex.Lock()
 	f.connections[c] = true
 	f.mutex.Unlock()
-	return newEndpoint(f, c, left, from, to), newEndpoint(f, c, right, to, from)
+	near, far := newEndpoint(f, c, left, from, to), newEndpoint(f, c, right, to, from)
+	near.other, far.other = far, near
+	return near, far
 }
 
 // endpoint is a host's side of a connection.
@@ -214,6 +220,11 @@
 	// writeSlot is a semaphore of size one for writes over limited links.
 	writeSlot chan struct{}
 	deadline  *writeDeadline
+	// other is the other endpoint.
+	other *endpoint
+	// resetsOnClose makes Close a reset, isClosed is true once it was called, and hasEnded once the other endpoint
+	// closed its direction.
+	resetsOnClose, isClosed, hasEnded atomic.Bool
 }
 
 func newEndpoint(f *Fabric, c *connection, conn net.Conn, local, remote string) *endpoint {
@@ -222,11 +233,33 @@
 
 // Read implements net.Conn. It blocks while the host is paused.
 func (e *endpoint) Read(content []byte) (int, error) {
-	count, err := e.Conn.Read(content)
+	count, err := 0, io.EOF
+	if !e.hasEnded.Load() {
+		count, err = e.Conn.Read(content)
+	}
 	e.fabric.WaitResumed(e.local)
+	switch {
+	case err == nil || e.isClosed.Load():
+	case e.connection.isReset.Load():
+		err = syscall.ECONNRESET
+	case e.hasEnded.Load():
+		err = io.EOF
+	}
 	return count, err
 }
 
+// SetLinger makes Close a reset if the seconds are zero, as for a TCP connection.
+func (e *endpoint) SetLinger(seconds int) error {
+	e.resetsOnClose.Store(seconds == 0)
+	return nil
+}
+
+// CloseWrite ends the direction to the other endpoint, as for a TCP connection.
+func (e *endpoint) CloseWrite() error {
+	e.other.hasEnded.Store(true)
+	return e.other.Conn.SetReadDeadline(pastTime) // wakes a read in progress
+}
+
 // Write implements net.Conn. Content written over a blocked link is lost without an error. Over
 // a limited link, Write returns when the content has been transmitted and read.
 func (e *endpoint) Write(content []byte) (int, error) {
@@ -256,6 +289,7 @@
 // Close implements net.Conn. Over a blocked link, or on a broken connection, the peer is not
 // notified.
 func (e *endpoint) Close() error {
+	isFirst := !e.isClosed.Swap(true)
 	e.fabric.mutex.Lock()
 	isLost := e.connection.broken || e.fabric.blockedLinks[hostPair{e.local, e.remote}]
 	if isLost {
@@ -269,6 +303,11 @@
 		// blocked in its read until the link is unblocked.
 		return e.SetDeadline(pastTime)
 	}
+	if isFirst && e.resetsOnClose.Load() {
+		e.connection.isReset.Store(true)
+		e.connection.close()
+		return nil
+	}
 	e.connection.signalClosed()
 	return e.Conn.Close()
 }
--- a/transport/network/network.go
+++ b/transport/network/network.go
@@ -25,9 +25,16 @@
 
 // ResetOnClose makes a later Close reset the connection, so that the kernel doesn't go on sending what was
 // written. It has no effect on connections without that option.
-func ResetOnClose(connection net.Conn) {
+func ResetOnClose(connection net.Conn) { setLinger(connection, 0) }
+
+// FlushOnClose undoes ResetOnClose.
+func FlushOnClose(connection net.Conn) { setLinger(connection, -1) }
+
+// setLinger sets the time for which a close waits for unsent bytes: 0 resets the connection, and -1 has the kernel go on
+// sending.
+func setLinger(connection net.Conn, seconds int) {
 	if withLinger, ok := connection.(interface{ SetLinger(seconds int) error }); ok {
-		_ = withLinger.SetLinger(0)
+		_ = withLinger.SetLinger(seconds)
 	}
 }
 
