entry: callers that close their direction get no complete response

What callers saw: a caller that closes its direction of the connection and reads on got 200 with an empty body, framed as whole, if the node had sent no head yet, or the events so far and the last chunk. Beside a request that may have run it could get 503, which promises that it has not.

Cause: the node takes the caller for one that left and cancels the request; the handler then returned, whereupon net/http completes the response, or begins and completes one with status 200.

Evidence: TestCallersThatCloseTheirDirectionSeeNoCompleteResponse failed before in 16 of 20 cases (all but streams of HTTP/1.0 that had begun, which are reset), TestCallerThatClosesItsDirectionBesideASilentReplicaIsPromisedNothing with status 200.

Change: the handler of a request whose caller left ends with http.ErrAbortHandler, so that the connection is closed; so does the end of a request that may have run if its caller left.

--- a/entry/handler.go
+++ b/entry/handler.go
@@ -279,7 +279,8 @@
 func (c *call) endOutcomeUnknown(status int, reason string) { c.end(status, outcomeUnknown, reason) }
 
 // end logs the end of the request and sends the status. If a part of a response was sent already,
-// it aborts the connection instead, so that the caller detects the truncation.
+// it aborts the connection instead, so that the caller detects the truncation, and so it does if the caller left a
+// request that may have run.
 func (c *call) end(status int, outcome, reason string) {
 	if c.ended {
 		return
@@ -295,13 +296,20 @@
 	c.node.counter("ended." + reason).Inc(1)
 	if c.headSent {
 		c.node.counter("closed." + reason).Inc(1)
-		panic(http.ErrAbortHandler)
+		c.abort()
+	}
+	if outcome == outcomeUnknown && c.request.Context().Err() != nil {
+		c.abort()
 	}
 	c.writer.Header()["Content-Type"] = nil
 	c.writer.Header().Set("Content-Length", "0")
 	c.writer.WriteHeader(status)
 }
 
+// abort closes the caller's connection. A caller that left may have closed its direction only and read on, and the end of
+// the handler would complete its response.
+func (c *call) abort() { panic(http.ErrAbortHandler) }
+
 // endWithServerError sends the answer with a server error, as there is no other one.
 func (c *call) endWithServerError() {
 	if c.sendBuffered(c.serverError) {
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -41,7 +41,7 @@
 			return
 		}
 		if outcome == resultCallerLeft {
-			return
+			c.abort()
 		}
 		c.resumed = c.resumed || c.headSent
 		c.tried = append(c.tried, granted.Replica.ID)
--- a/test/entry/caller_ends_test.go
+++ b/test/entry/caller_ends_test.go
@@ -13,6 +13,7 @@
 	"github.com/onsi/gomega"
 
 	"github.com/thornwalk/thornwalk/lab/entrylab"
+	"github.com/thornwalk/thornwalk/lab/platformsim"
 )
 
 // rawCall sends a request of the protocol version with the header lines, and reads the response as a caller does that
@@ -88,3 +89,43 @@
 		s.Expect(got.complete).To(gomega.BeFalse())
 	})
 }
+
+// Guards against a response that looks complete, or that promises that the request has not run, to a caller that has
+// closed its direction of the connection and reads on: the node takes it for one that left, and cancels the request.
+func TestCallersThatCloseTheirDirectionSeeNoCompleteResponse(t *testing.T) {
+	for protocol, request := range callerProtocols {
+		for name, course := range map[string]struct {
+			path  string
+			after time.Duration
+		}{
+			"before the head": {"/stream/", 20 * time.Millisecond}, "between events": {"/stream/", 120 * time.Millisecond},
+			"resumable": {"/resume/", 120 * time.Millisecond}, "plain": {"/once/", 10 * time.Millisecond}, "safe": {"/safe/", 10 * time.Millisecond},
+		} {
+			t.Run(protocol+" "+name, func(t *testing.T) {
+				runScenario(t, func(s *scenario) {
+					got := s.rawCall(course.path, request[0], request[1], func(connection net.Conn) {
+						time.Sleep(course.after)
+						_ = connection.(interface{ CloseWrite() error }).CloseWrite()
+					})
+					s.Expect(got.status == http.StatusOK && got.complete).To(gomega.BeFalse(), got.body)
+					s.Expect(got.status).NotTo(gomega.Equal(http.StatusServiceUnavailable))
+				})
+			})
+		}
+	}
+}
+
+// Guards against a request that ends with a promise that it has not run, or as complete, for its caller closed its
+// direction while the replica that has it is silent.
+func TestCallerThatClosesItsDirectionBesideASilentReplicaIsPromisedNothing(t *testing.T) {
+	for _, path := range []string{"/once/", "/safe/", "/stream/", "/resume/"} {
+		runScenario(t, func(s *scenario) {
+			s.setBehavior(append(s.engines, s.plainReplicas...), always(platformsim.Silent))
+			got := s.rawCall(path, "HTTP/1.1", "", func(connection net.Conn) {
+				time.Sleep(100 * time.Millisecond)
+				_ = connection.(interface{ CloseWrite() error }).CloseWrite()
+			})
+			s.Expect(got.status).To(gomega.Equal(0), path)
+		})
+	}
+}
