entry: an end without framing needs a replica that is still there

What callers saw: an answer without a length and chunks whose replica was killed between two events, or anywhere in a plain body, complete, and in the last case with a length that this node had put on it.

But the kernel closes the connections of a killed process with a FIN where it has read all that was sent, as at the end of a whole answer.

Change: such an end counts if the replica's process accepts a connection afterwards, direct or through a peer, and has no newer entry; it takes longer to be replaced in place. Otherwise the answer is broken off (answers.invalid.end-not-proven, reason closed-by-replica): a stream that may be resumed is verified at another replica, where it ends at once if it was whole, a repeatable request is sent again. The connection is kept for the next request, as the answer's own is closed, so that 4 such answers need 5 connections (TestConnectionThatProvesAnEndIsUsed).

The tests that ask that a close between events counts as whole stand as they are: their replicas serve on.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -306,6 +306,9 @@
 	case c.lastFailure == causeInvalidResponse:
 		c.failureDetail = shortened(err)
 		c.node.counter("answers.invalid." + violationOf(err)).Inc(1)
+	case errors.Is(err, errEndNotProven):
+		c.failureDetail = shortened(err)
+		c.node.counter("answers.invalid." + violationEndNotProven).Inc(1)
 	}
 	c.node.counter("breaks." + string(c.lastFailure)).Inc(1)
 	return resultIncomplete
--- a/entry/response.go
+++ b/entry/response.go
@@ -86,7 +86,7 @@
 // response never reaches the caller.
 func (c *call) relayBuffered(answer *replicahttp.Answer, replica replicas.Replica) (result, admission.Observation) {
 	isUsable := c.isUsable(answer)
-	body, err := c.readPlainBody(answer, readerFunc(func(buffer []byte) (int, error) { return c.readWatched(answer, buffer, false, isUsable) }))
+	body, err := c.readPlainBody(answer, replica, readerFunc(func(buffer []byte) (int, error) { return c.readWatched(answer, buffer, false, isUsable) }))
 	if err == nil && c.answerMemory.IsEvicted() {
 		err = memorybudget.ErrEvicted
 	}
@@ -109,14 +109,14 @@
 	return resultAnswered, admission.Observation{Failed: failed}
 }
 
-// readPlainBody reads the body of a plain answer to its end.
-func (c *call) readPlainBody(answer *replicahttp.Answer, body io.Reader) ([]byte, error) {
+// readPlainBody reads the body of a plain answer of the replica to its end.
+func (c *call) readPlainBody(answer *replicahttp.Answer, replica replicas.Replica, body io.Reader) ([]byte, error) {
 	limit := cmp.Or(c.node.settings.Load().AnswerBodyBytes, defaultMaxAnswerBytes)
 	content, err := readHeld(body, c.answerMemory, answer.ContentLength, int64(limit))
-	if err == nil && len(content) == 0 && answer.IsUnframed {
-		err = errNothingSent
+	if err != nil {
+		return content, err
 	}
-	return content, err
+	return content, c.checkEnd(answer, replica, len(content) > 0)
 }
 
 // readerFunc is a function as an io.Reader.
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -75,8 +75,8 @@
 		if !answer.Ended(err) || len(pending.content) > 0 {
 			return c.recordIncomplete(err), observed
 		}
-		if answer.IsUnframed && observed.Events == 0 {
-			return c.recordIncomplete(errNothingSent), observed
+		if endErr := c.checkEnd(answer, replica, observed.Events > 0); endErr != nil {
+			return c.recordIncomplete(endErr), observed
 		}
 		break
 	}
--- a/entry/successor.go
+++ b/entry/successor.go
@@ -96,7 +96,7 @@
 		outcome, _ := c.handleRejection(answer, replica)
 		return outcome, nil
 	case c.isSigned(answer) && answer.StatusCode >= http.StatusInternalServerError:
-		body, err := c.readPlainBody(answer, answer.Body)
+		body, err := c.readPlainBody(answer, replica, answer.Body)
 		if err != nil {
 			return c.recordIncomplete(err), nil
 		}
@@ -107,11 +107,11 @@
 	}
 	if !isEventStream(answer) {
 		// The caller gets nothing of a plain answer before it is complete, so the other replica may go on until then.
-		body, err := c.readPlainBody(answer, answer.Body)
+		body, err := c.readPlainBody(answer, replica, answer.Body)
 		if err != nil {
 			return c.recordIncomplete(err), nil
 		}
-		answer.Body = io.NopCloser(bytes.NewReader(body))
+		answer.Body, answer.IsUnframed = io.NopCloser(bytes.NewReader(body)), false // its end is proven
 	}
 	if !c.silence.takeOver(c.successorToken, begun) {
 		return resultNotNeeded, nil
--- a/lab/platformsim/replica.go
+++ b/lab/platformsim/replica.go
@@ -243,6 +243,9 @@
 		}
 		r.mutex.Lock()
 		r.conns[conn] = true
+		if r.crashed { // accepted as it crashed
+			_ = conn.Close()
+		}
 		r.mutex.Unlock()
 		go r.serveConn(conn)
 	}
--- a/test/entry/scripted_replicas_test.go
+++ b/test/entry/scripted_replicas_test.go
@@ -20,6 +20,8 @@
 	replica, id string
 	request     *http.Request
 	conn        net.Conn
+	// listener is that of the replica.
+	listener net.Listener
 	// ended is closed when the node closes the connection.
 	ended chan struct{}
 	// from and to are when the script began and when it returned or the connection ended.
@@ -55,6 +57,12 @@
 // close closes the connection as a replica does that ends the answer with it.
 func (e *scriptedExchange) close() { _ = e.conn.Close() }
 
+// end ends the replica as a kernel does that closes the sockets of a killed process.
+func (e *scriptedExchange) end() {
+	_ = e.listener.Close()
+	e.close()
+}
+
 // silent waits until the node closes the connection.
 func (e *scriptedExchange) silent() { <-e.ended }
 
@@ -63,6 +71,7 @@
 	mutex     sync.Mutex
 	exchanges []*scriptedExchange
 	closers   []io.Closer
+	isClosed  bool
 	script    func(number int, exchange *scriptedExchange)
 }
 
@@ -89,7 +98,7 @@
 				if err != nil {
 					return
 				}
-				go group.serve(replica.ID, conn)
+				go group.serve(replica.ID, listener, conn)
 			}
 		}()
 		replica.Register(s.deployment.Store, "ready")
@@ -99,11 +108,15 @@
 }
 
 // serve runs the script for each request of the connection.
-func (r *scriptedReplicas) serve(replica string, conn net.Conn) {
+func (r *scriptedReplicas) serve(replica string, listener net.Listener, conn net.Conn) {
 	defer conn.Close()
 	r.mutex.Lock()
 	r.closers = append(r.closers, conn)
+	isLate := r.isClosed
 	r.mutex.Unlock()
+	if isLate { // accepted as the group was closed
+		return
+	}
 	requests, ended := make(chan *http.Request, 1), make(chan struct{})
 	go func() {
 		defer close(ended)
@@ -124,7 +137,7 @@
 		case <-ended:
 			return
 		case request := <-requests:
-			exchange := &scriptedExchange{replica: replica, id: request.Header.Get("X-Attempt-Id"), request: request, conn: conn, ended: ended, from: time.Now()}
+			exchange := &scriptedExchange{replica: replica, id: request.Header.Get("X-Attempt-Id"), request: request, conn: conn, listener: listener, ended: ended, from: time.Now()}
 			r.mutex.Lock()
 			r.exchanges = append(r.exchanges, exchange)
 			number := len(r.exchanges)
@@ -141,6 +154,7 @@
 func (r *scriptedReplicas) close() {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	r.isClosed = true
 	for _, closer := range r.closers {
 		_ = closer.Close()
 	}
--- a/transport/replicahttp/exchange.go
+++ b/transport/replicahttp/exchange.go
@@ -193,6 +193,9 @@
 	a.pool.putIdle(a.conn, a.Header.Get("Keep-Alive"))
 }
 
+// Keep puts a new connection into the pool that has carried no request.
+func (p *Pool) Keep(conn *Conn) { p.putIdle(conn, "") }
+
 func (a *Answer) reusable() bool {
 	if !a.complete || a.Close || a.conn.reader.Buffered() > 0 {
 		return false
