--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -324,6 +324,9 @@
 	case c.lastFailure == causeInvalidResponse:
 		c.failureDetail = shortened(err)
 		c.node.counter("answers.invalid." + violationOf(err)).Inc(1)
+	case errors.Is(err, errEndNotProven):
+		c.failureDetail = shortened(err)
+		c.node.counter("answers.invalid." + violationEndNotProven).Inc(1)
 	}
 	c.node.counter("breaks." + string(c.lastFailure)).Inc(1)
 	return resultIncomplete
@@ -375,7 +378,7 @@
 		Method: c.request.Method, Target: c.request.RequestURI, Host: c.request.Host, Header: header, Body: c.body,
 		HasBody:    c.request.ContentLength >= 0 && c.request.Method != http.MethodGet && c.request.Method != http.MethodHead,
 		HeadLimits: c.node.settings.Load().headLimits(c.answerMemory),
-		IDHeader:   textproto.CanonicalMIMEHeaderKey(names.RequestID), ID: c.id,
+		IDHeader:   textproto.CanonicalMIMEHeaderKey(names.RequestID), ID: c.id, AcceptsWithoutID: c.acceptsWithoutID,
 	}
 }
 
--- a/entry/forwarding.go
+++ b/entry/forwarding.go
@@ -300,12 +300,8 @@
 	return nil, &forwardError{forwarder: chosen.Name, outcome: reply.Outcome}
 }
 
-// connectThroughPeer returns an idle or a new connection to the replica that a peer forwards.
-func (n *Node) connectThroughPeer(ctx context.Context, granted *grant, maxIdle time.Duration) (*replicahttp.Conn, error) {
-	replica := granted.Replica
-	if idle := n.takeIdle(granted, maxIdle, n.pool.TakeIdleForwarded); idle != nil {
-		return idle, nil
-	}
+// connectThroughPeer returns a new connection to the replica that a peer forwards.
+func (n *Node) connectThroughPeer(ctx context.Context, replica replicas.Replica) (*replicahttp.Conn, error) {
 	connection, forwarder, err := n.openThroughPeer(ctx, replica)
 	if err != nil {
 		return nil, err
--- a/entry/held_memory.go
+++ b/entry/held_memory.go
@@ -30,10 +30,14 @@
 	violationEncoded       = "encoded"
 	violationNotAStream    = "not-a-stream"
 	violationOtherAnswers  = "other-answers"
+	violationNoID          = "no-id"
 	violationBodyTooLong   = "body-too-long"
 	violationBodyMalformed = "body-malformed"
 	violationEventTooLong  = "event-too-long"
 	violationEventID       = "event-id-too-long"
+	violationEventOrder    = "event-ids-not-rising"
+	violationEventGap      = "event-missing"
+	violationNothingSent   = "nothing-before-close"
 )
 
 // invalidAnswerError means that the bytes that a replica sent are no answer to the request.
@@ -49,6 +53,12 @@
 	errEventTooLong = &invalidAnswerError{violationEventTooLong}
 	// errEventIDTooLong is the error of an event whose ID can't be kept.
 	errEventIDTooLong = &invalidAnswerError{violationEventID}
+	// errEventOrder is the error of an event whose ID is not higher than the one before in the same answer.
+	errEventOrder = &invalidAnswerError{violationEventOrder}
+	// errEventGap is the error of a continuation that begins with a later event than the next one.
+	errEventGap = &invalidAnswerError{violationEventGap}
+	// errNothingSent is the error of an answer without framing whose connection was closed right after the head.
+	errNothingSent = &invalidAnswerError{violationNothingSent}
 )
 
 // violationOf returns the name of what is wrong with an answer of which the read failed with err.
@@ -62,6 +72,8 @@
 		return invalid.violation
 	case errors.Is(err, replicahttp.ErrOnlyStrayAnswers):
 		return violationOtherAnswers
+	case errors.Is(err, replicahttp.ErrNoID):
+		return violationNoID
 	default:
 		return violationBodyMalformed
 	}
--- a/entry/replica_paths.go
+++ b/entry/replica_paths.go
@@ -61,7 +61,7 @@
 // proves that nothing was sent.
 func (c *call) connect(granted *grant, maxIdle time.Duration) (*replicahttp.Conn, error) {
 	node, replica := c.node, granted.Replica
-	if idle := node.takeIdle(granted, maxIdle, node.pool.TakeIdle); idle != nil {
+	if idle := c.takeIdle(granted, maxIdle, node.pool.TakeIdle); idle != nil {
 		return idle, nil
 	}
 	ctx, cancel := context.WithTimeout(c.ctx, connectTimeout)
@@ -80,13 +80,26 @@
 			return conn, directErr
 		}
 	}
-	conn, err := node.connectThroughPeer(ctx, granted, maxIdle)
+	if idle := c.takeIdle(granted, maxIdle, node.pool.TakeIdleForwarded); idle != nil {
+		return idle, nil
+	}
+	conn, err := node.connectThroughPeer(ctx, replica)
 	if err != nil {
 		return nil, errkind.Wrap(errkind.NoReplica, errors.Join(directErr, err))
 	}
 	return conn, nil
 }
 
+// takeIdle takes an idle connection with take that the request may use, or returns nil.
+func (c *call) takeIdle(granted *grant, maxIdle time.Duration, take takeConnection) *replicahttp.Conn {
+	idle := c.node.takeIdle(granted, maxIdle, take)
+	if idle == nil || idle.MayCarry(c.id) {
+		return idle
+	}
+	_ = idle.Close()
+	return nil
+}
+
 // connectDirect opens a direct connection to the replica for requests.
 func (n *Node) connectDirect(ctx context.Context, replica replicas.Replica, timeout time.Duration) (*replicahttp.Conn, error) {
 	opened, err := n.dialReplica(ctx, replica, timeout)
--- a/entry/replica_report.go
+++ b/entry/replica_report.go
@@ -50,9 +50,13 @@
 	return replica.StartedAt != 0 && isAsked
 }
 
+// takeConnection takes an idle connection to the incarnation from the pool that has been idle for less than maxIdle and was
+// opened by the instant.
+type takeConnection func(incarnation replicahttp.Incarnation, maxIdle time.Duration, openedBy structs.Instant) *replicahttp.Conn
+
 // takeIdle takes an idle connection for the assignment with take, for a stream that goes on preferably one of
 // which is known where it leads.
-func (n *Node) takeIdle(granted *grant, maxIdle time.Duration, take func(replicahttp.Incarnation, time.Duration, structs.Instant) *replicahttp.Conn) *replicahttp.Conn {
+func (n *Node) takeIdle(granted *grant, maxIdle time.Duration, take takeConnection) *replicahttp.Conn {
 	incarnation := incarnationOf(granted.Replica)
 	if !granted.origin.IsZero() {
 		n.mutex.Lock()
--- a/entry/response.go
+++ b/entry/response.go
@@ -40,7 +40,21 @@
 
 // isRejection reports whether the response proves that the replica did not run the request.
 func (c *call) isRejection(answer *replicahttp.Answer) bool {
-	return answer.Header.Get(c.node.dependencies.Headers.NotRun) != "" || answer.StatusCode == http.StatusMisdirectedRequest
+	return c.isRejectionHead(answer.Response)
+}
+
+func (c *call) isRejectionHead(head *http.Response) bool {
+	return head.Header.Get(c.node.dependencies.Headers.NotRun) != "" || head.StatusCode == http.StatusMisdirectedRequest
+}
+
+// acceptsWithoutID reports whether an answer that does not echo the request's ID is used. A rejection is on a new
+// connection, where it can be no earlier request's: another server at the replica's address may not know the header.
+// Answers without a signature are not used in any case, and accepted here for the sake of their reason.
+func (c *call) acceptsWithoutID(head *http.Response, isReused bool) bool {
+	if c.isRejectionHead(head) {
+		return !isReused
+	}
+	return head.Header.Get(c.node.dependencies.Headers.Signature) == ""
 }
 
 // eventStreamType is the content type of event streams.
@@ -74,7 +88,7 @@
 // response never reaches the caller.
 func (c *call) relayBuffered(answer *replicahttp.Answer, replica replicas.Replica) (result, admission.Observation) {
 	isUsable := c.isUsable(answer)
-	body, err := c.readPlainBody(answer, readerFunc(func(buffer []byte) (int, error) { return c.readWatched(answer, buffer, false, isUsable) }))
+	body, err := c.readPlainBody(answer, replica, readerFunc(func(buffer []byte) (int, error) { return c.readWatched(answer, buffer, false, isUsable) }))
 	if err == nil && c.answerMemory.IsEvicted() {
 		err = memorybudget.ErrEvicted
 	}
@@ -97,10 +111,14 @@
 	return resultAnswered, admission.Observation{Failed: failed}
 }
 
-// readPlainBody reads the body of a plain answer to its end.
-func (c *call) readPlainBody(answer *replicahttp.Answer, body io.Reader) ([]byte, error) {
+// readPlainBody reads the body of a plain answer of the replica to its end.
+func (c *call) readPlainBody(answer *replicahttp.Answer, replica replicas.Replica, body io.Reader) ([]byte, error) {
 	limit := cmp.Or(c.node.settings.Load().AnswerBodyBytes, defaultMaxAnswerBytes)
-	return readHeld(body, c.answerMemory, answer.ContentLength, int64(limit))
+	content, err := readHeld(body, c.answerMemory, answer.ContentLength, int64(limit))
+	if err != nil {
+		return content, err
+	}
+	return content, c.checkEnd(answer, replica, len(content) > 0)
 }
 
 // readerFunc is a function as an io.Reader.
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -43,7 +43,7 @@
 			return
 		}
 		if outcome == resultCallerLeft {
-			return
+			c.abort()
 		}
 		c.resumed = c.resumed || c.headSent
 		c.tried = append(c.tried, granted.Replica.ID)
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -33,6 +33,7 @@
 	buffer := make([]byte, streamBufferBytes)
 	flusher := http.NewResponseController(c.writer)
 	last := sentTime
+	var order eventOrder
 	for {
 		count, err := c.readWatched(answer, buffer, observed.Events > 0, true)
 		if errors.Is(err, errReplaced) {
@@ -52,7 +53,8 @@
 				c.maxEventGap = max(c.maxEventGap, time.Since(last))
 			}
 			last = time.Now()
-			ready, idErr := c.unsentEvents(events, &observed.Events)
+			c.relayedIDs.isNewAnswer = c.relayedIDs.isNewAnswer || observed.Events == 0
+			ready, idErr := c.unsentEvents(events, &observed.Events, &order)
 			pending.discard(len(events))
 			if len(ready) > 0 {
 				c.recordOrigin(replica)
@@ -73,10 +75,14 @@
 		if !answer.Ended(err) || len(pending.content) > 0 {
 			return c.recordIncomplete(err), observed
 		}
+		if endErr := c.checkEnd(answer, replica, observed.Events > 0); endErr != nil {
+			return c.recordIncomplete(endErr), observed
+		}
 		break
 	}
 	c.node.recordSuccess(replica.ID)
 	c.sendHead(answer)
+	c.endUnframed()
 	c.node.recordDuration("pause_ms", c.maxEventGap)
 	c.recordAnswer(answer.StatusCode, replica.ID)
 	return resultAnswered, observed
@@ -112,6 +118,7 @@
 	}
 	c.copyHeader(answer)
 	c.headSent = true
+	c.beginUnframed()
 	c.writer.WriteHeader(answer.StatusCode)
 }
 
@@ -149,8 +156,9 @@
 const maxEventIDBytes = 1024
 
 // unsentEvents returns the events that the caller does not have yet from an earlier replica. It
-// counts all events and records the last ID. The error is errEventIDTooLong if the event after them has such an ID.
-func (c *call) unsentEvents(text []byte, count *int) ([]byte, error) {
+// counts all events and records the last ID. The error is errEventIDTooLong or that of the order if the event after
+// them must not be relayed.
+func (c *call) unsentEvents(text []byte, count *int, order *eventOrder) ([]byte, error) {
 	fresh := make([]byte, 0, len(text))
 	for len(text) > 0 {
 		end := firstEventLength(text)
@@ -161,10 +169,16 @@
 		if len(id) > maxEventIDBytes {
 			return fresh, errEventIDTooLong
 		}
+		if err := order.next(id); err != nil {
+			return fresh, err
+		}
 		if id != "" && c.lastEventID != "" && c.resumed && !isLaterEventID(id, c.lastEventID) {
 			continue
 		}
 		if id != "" {
+			if err := c.relayedIDs.next(id); err != nil {
+				return fresh, err
+			}
 			c.lastEventID = id
 		}
 		fresh = append(fresh, event...)
@@ -197,7 +211,13 @@
 
 // isLaterEventID reports whether the ID is greater than the earlier one or either is not a number.
 func isLaterEventID(id, earlier string) bool {
-	a, errID := strconv.ParseInt(id, 10, 64)
-	b, errEarlier := strconv.ParseInt(earlier, 10, 64)
-	return errID != nil || errEarlier != nil || a > b
+	a, isNumber := numericEventID(id)
+	b, isEarlierNumber := numericEventID(earlier)
+	return !isNumber || !isEarlierNumber || a > b
+}
+
+// numericEventID returns the number that the ID is, if it is one.
+func numericEventID(id string) (int64, bool) {
+	number, err := strconv.ParseInt(id, 10, 64)
+	return number, err == nil
 }
