admission: slow start for replicas that start again in place while the store is away

What callers saw: a replica that ended and started again under its ID while the store was away got its full share of the requests at once, though it was cold. Such a replica may fall over, with the requests that it runs.

Cause: coldness came from store entries alone. The entry of the former incarnation, which says that it is warm, was kept as a statement on its successor.

Change: a node that finds a replica crashed under a request, or its address refusing connections, while the store can't tell of a new start, says so in the end of the send. The scheduling node takes the next incarnation for cold: from the end on, and for the cold time of the service after the first answer to a request that was assigned later, which is never earlier than its start. A new entry replaces that. Services without a slow start are unaffected. This is what is done for replicas of a zone whose evacuation is lifted, for the same reason.

--- a/coordination/admission/assignments.go
+++ b/coordination/admission/assignments.go
@@ -16,10 +16,11 @@
 		return
 	}
 	assignment.started = true
+	state := s.replicaState(assignment.replicaID)
+	state.recordAnswer(now, assignment.assignedAt, s.pool(assignment.service))
 	if load < 0 {
 		return
 	}
-	state := s.replicaState(assignment.replicaID)
 	state.unreported = unreportedLoad{count: max(0, load-state.reportedInFlight()), observedAt: now}
 }
 
@@ -82,6 +83,7 @@
 		return
 	}
 	pool := s.pool(service)
+	s.replicaState(replica).recordAnswer(now, now-observed.Duration, pool)
 	pool.meanDuration = smooth(pool.meanDuration, observed.Duration)
 	pool.work.observe(prompt, observed)
 	pool.responseTimes.observe(prompt, observed)
--- a/coordination/admission/replica.go
+++ b/coordination/admission/replica.go
@@ -83,6 +83,7 @@
 func (r *replicaState) forget() {
 	r.speed, r.coldSpeed, r.health, r.unreported, r.ejected = speed{}, speed{}, health{}, unreportedLoad{}, false
 	r.limit, r.rejections, r.leaving = rateLimit{}, rejectionLimit{}, false
+	r.warmUp.hasEnded, r.warmUp.startedUntil = false, 0
 	r.workTime.forget()
 }
 
--- a/coordination/admission/slow_start.go
+++ b/coordination/admission/slow_start.go
@@ -7,7 +7,8 @@
 )
 
 // A replica that started recently is cold: it can handle only a few requests a second from all nodes
-// together. Replicas also count as cold after the evacuation of their zone is lifted.
+// together. Replicas also count as cold after the evacuation of their zone is lifted, and if they may have
+// started without their new entry being known.
 //
 // The bound holds because cold replicas get requests only from active schedulers that reach most
 // nodes. At most two of these exist at a time. Each uses half of the bound, from buckets that are empty
@@ -49,7 +50,27 @@
 	// until is the end of the warm-up that the replica's entry states, and liftedUntil the end of the
 	// cold time since an evacuation of its zone was lifted.
 	until, liftedUntil structs.Instant
-	bucket             tokenBucket
+	// endedAt is when the replica was last found to have ended, if hasEnded: its next incarnation may start
+	// without a known entry. startedUntil is the end of the cold time of such an incarnation.
+	hasEnded              bool
+	endedAt, startedUntil structs.Instant
+	bucket                tokenBucket
+}
+
+// RecordEnd records that the replica was found to have ended. If it starts again before its new entry is known, it is
+// cold for the ColdTime of its service.
+func (s *Scheduler) RecordEnd(now structs.Instant, replicaID string) {
+	if state, found := s.replicaStates[replicaID]; found && state.listed {
+		state.warmUp.hasEnded, state.warmUp.endedAt = true, now
+	}
+}
+
+// recordAnswer records that the replica answers a request that was assigned at the instant. If it had ended before,
+// its next incarnation has started by now.
+func (r *replicaState) recordAnswer(now, assignedAt structs.Instant, pool *servicePool) {
+	if r.warmUp.hasEnded && assignedAt >= r.warmUp.endedAt {
+		r.warmUp.hasEnded, r.warmUp.startedUntil = false, now+pool.coldTime()
+	}
 }
 
 // SetSlowStart sets the limit for cold replicas of the service. Until the first call they get no
@@ -88,7 +109,7 @@
 
 // isCold reports whether the replica of the pool is cold and limited, or its limit is not known yet.
 func (r *replicaState) isCold(now structs.Instant, pool *servicePool) bool {
-	if now >= max(r.warmUp.until, r.warmUp.liftedUntil) {
+	if !r.warmUp.hasEnded && now >= max(r.warmUp.until, r.warmUp.liftedUntil, r.warmUp.startedUntil) {
 		return false
 	}
 	return pool.slowStart == nil || pool.slowStart.isLimited()
--- a/coordination/admission/slow_start_test.go
+++ b/coordination/admission/slow_start_test.go
@@ -234,3 +234,50 @@
 		g.Expect(f.check() != nil).To(gomega.Equal(keepsBuckets))
 	}
 }
+
+// Guards against full traffic to a replica that started again in place while its new entry is not known.
+func TestReplicaThatStartsAgainUnseenIsCold(t *testing.T) {
+	ended := 10 * time.Second
+	answered := ended + time.Second
+	for name, test := range map[string]struct {
+		before, after func(s *Scheduler)
+		warmAt        structs.Instant
+	}{
+		"its first answer tells that it runs": {warmAt: answered + testSlowStart.ColdTime},
+		"a later answer changes nothing": {after: func(s *Scheduler) {
+			s.ObserveExternal(answered+time.Second, "s", "r0", 0, Observation{Duration: 10 * ms})
+		}, warmAt: answered + testSlowStart.ColdTime},
+		"an answer of before its end tells nothing": {before: func(s *Scheduler) {
+			s.ObserveExternal(ended+100*ms, "s", "r0", 0, Observation{Duration: time.Second})
+		}, warmAt: answered + testSlowStart.ColdTime},
+		"its new entry says that it is warm": {after: func(s *Scheduler) {
+			entry := coldPool(1, 0)
+			entry[0].StartedAt, entry[0].Position = 7, 9
+			s.SetReplicas(answered+time.Second, entry)
+		}, warmAt: answered + time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			s := New()
+			s.SetSlowStart("s", testSlowStart)
+			s.SetColdTrafficAllowed(0, true)
+			s.SetReplicas(0, coldPool(1, 0))
+			isCold := func(now structs.Instant) bool { return s.replicaStates["r0"].isCold(now, s.pool("s")) }
+			g.Expect(isCold(ended)).To(gomega.BeFalse())
+			s.RecordEnd(ended, "r0")
+			if test.before != nil {
+				test.before(s)
+			}
+			g.Expect(isCold(ended+time.Minute)).To(gomega.BeTrue(), "it may start at any moment")
+			g.Expect(submitAndAssign(s, ended+500*ms, 50)).To(gomega.BeNumerically("<=", testSlowStart.Burst))
+			for id := range s.assignments {
+				s.RecordFirstEvent(answered, id, -1)
+			}
+			if test.after != nil {
+				test.after(s)
+			}
+			g.Expect(isCold(test.warmAt - 1)).To(gomega.BeTrue())
+			g.Expect(isCold(test.warmAt)).To(gomega.BeFalse())
+		})
+	}
+}
--- a/entry/messages.go
+++ b/entry/messages.go
@@ -85,6 +85,9 @@
 	// Unsent is true if no byte of the request was written to the replica; its permit of the retry budget is credited.
 	// Nodes of earlier releases don't send it.
 	Unsent bool `msgpack:",omitempty"`
+	// HasReplicaEnded is true if the replica crashed or refused the connection while the store could not tell whether
+	// it starts again. Nodes of earlier releases don't send it.
+	HasReplicaEnded bool `msgpack:"Gone,omitempty"`
 	// Rejected is true if the replica rejected the request for lack of room.
 	Rejected    bool                    `msgpack:",omitempty"`
 	Fingerprint fingerprint.Fingerprint `msgpack:"Content"`
--- a/entry/scheduling_service.go
+++ b/entry/scheduling_service.go
@@ -335,6 +335,9 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.scheduler.ObserveExternal(s.clock(), service, replica, prompt, finished.Observation)
+	if finished.HasReplicaEnded {
+		s.scheduler.RecordEnd(s.clock(), replica)
+	}
 	s.recordPoisonResult(admission.Completion{Parts: parts}, finished)
 }
 
@@ -372,6 +375,9 @@
 	if found {
 		s.recordRolloutResult(ended, request.Observation, request.NotRun)
 	}
+	if found && request.HasReplicaEnded {
+		s.scheduler.RecordEnd(s.clock(), ended.Replica)
+	}
 	s.recordPoisonResult(ended, request)
 	s.recordFinish(s.clock(), request)
 	s.scheduler.Cancel(request.ID)
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -99,6 +99,8 @@
 	} else if outcome == resultIncomplete {
 		message.Observation.CallerLeft = true // counts neither for nor against the replica
 	}
+	hasEnded := message.Ended != nil || outcome == resultNotSent && c.lastFailure == causeRefused
+	message.HasReplicaEnded = hasEnded && c.node.mayStartUnseen()
 	if granted.address != "" {
 		c.node.scheduling.observe(c.service, c.promptTokens, message, granted.Replica.ID, c.partKeys)
 	}
--- a/entry/updates.go
+++ b/entry/updates.go
@@ -156,6 +156,13 @@
 	return true
 }
 
+// mayStartUnseen reports whether a replica may start without its entry being known soon afterwards.
+func (n *Node) mayStartUnseen() bool {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.isStoreUnhealthy()
+}
+
 // removeUnconfirmed removes the unconfirmed replicas once the store has been healthy for long enough
 // for them to rewrite their entries.
 func (n *Node) removeUnconfirmed() {
--- a/entry/wire_test.go
+++ b/entry/wire_test.go
@@ -274,7 +274,7 @@
 		{&assignRequest{}, []string{"Request"}, []string{"Tenant", "Weight", "Held"}},
 		{&assignRequest{}, nil, []string{"RequestID", "MayHaveRun"}},
 		{&firstEventRequest{}, nil, []string{"WorkTime", "SinceGrant"}},
-		{&finishRequest{}, nil, []string{"Unsent"}},
+		{&finishRequest{}, nil, []string{"Unsent", "Gone"}},
 		{&finishRequest{}, []string{"Seen"}, []string{"WorkTime", "HeadDelay"}},
 		{&liveness.Heartbeat{}, nil, []string{"ts"}},
 		{&tenantReportRequest{}, nil, []string{"Request"}},
