story: explain what allowed a stream to go on

Cause: thornwalk explain said at which replicas a stream was, and not what showed that these were still the processes of their entries, nor how old that was. Reasons of streams that were not resumed had no remedy.

Change: a sentence for each send of a stream with the version, the start, the proof and the age of the latest statement; one for a replica at which it did not go on as nothing was proved, and one for a resumed stream that was bound or refused, which names the request that began it. replica.identity lines of the request's replicas belong to its story. The reasons stream-*, no-replica-of-version and replicas-unproven have remedies. Lines of nodes that don't state it yet say so.

--- a/operator/story/story.go
+++ b/operator/story/story.go
@@ -19,7 +19,7 @@
 
 // relatedKinds are the kinds of events that belong to a story if they are about a replica or node
 // that takes part in the request.
-var relatedKinds = map[string]bool{"replica": true, "peer": true, "scheduler": true, "process.start": true, "process.stop": true, "process.paused": true, "store": true, "path": true}
+var relatedKinds = map[string]bool{"replica": true, "replica.identity": true, "peer": true, "scheduler": true, "process.start": true, "process.stop": true, "process.paused": true, "store": true, "path": true}
 
 // Story is the history of one request.
 type Story struct {
@@ -89,7 +89,8 @@
 // maxRelatedEvents bounds the related events that Write prints; it prints the latest.
 const maxRelatedEvents = 12
 
-// Write prints the events up to the request's last one as text, then the silences of its replicas and the cause.
+// Write prints the events up to the request's last one as text, then what showed which processes its replicas were, their
+// silences and the cause.
 func (s *Story) Write(writer io.Writer) {
 	last := s.Request[len(s.Request)-1]
 	var related []eventlog.Event
@@ -106,6 +107,9 @@
 	for _, event := range lines {
 		fmt.Fprintln(writer, Line(event))
 	}
+	for _, identity := range s.Identities() {
+		fmt.Fprintln(writer, identity)
+	}
 	for _, silence := range s.Silences() {
 		fmt.Fprintln(writer, silence)
 	}
@@ -117,7 +121,8 @@
 	text := fmt.Sprintf("%s %s %s", event.Time, event.Node, event.Kind)
 	for _, part := range []struct{ name, value string }{
 		{"replica", event.Replica}, {"by", event.Peer}, {"forwarder", event.Forwarder}, {"outcome", event.Outcome}, {"because", event.Reason},
-		{"retry_refused", event.RetryRefusal}, {"search", event.Search}, {"successor", event.Successor}, {"detail", event.Detail},
+		{"retry_refused", event.RetryRefusal}, {"search", event.Search}, {"successor", event.Successor},
+		{"replica_version", event.ReplicaVersion}, {"identity", event.Identity}, {"resumes", event.ResumedRequest}, {"last_event", event.LastEvent}, {"detail", event.Detail},
 	} {
 		if part.value != "" {
 			text += fmt.Sprintf(" %s=%s", part.name, part.value)
@@ -126,7 +131,7 @@
 	for _, part := range []struct {
 		name  string
 		value int64
-	}{{"status", int64(event.Status)}, {"waited_ms", event.WaitedMS}, {"took_ms", event.TookMS}, {"age_ms", event.AgeMS}, {"revision", event.Revision}, {"version", event.Version},
+	}{{"status", int64(event.Status)}, {"waited_ms", event.WaitedMS}, {"took_ms", event.TookMS}, {"age_ms", event.AgeMS}, {"born", event.StartedAt}, {"identity_age_ms", event.IdentityAgeMS}, {"revision", event.Revision}, {"version", event.Version},
 		{"left_ms", event.RemainingMS}, {"priority", int64(event.Priority)}, {"prompt", int64(event.Prompt)}, {"answer", int64(event.Answer)},
 		{"waiting", int64(event.QueuedAhead)}, {"free", int64(event.FreeSlots)}, {"expected_ms", event.ExpectedWaitMS}, {"retry_after_ms", event.RetryAfterMS},
 		{"first_ms", event.FirstEventMS}, {"pause_ms", event.MaxPauseMS}, {"silent_ms", event.SilentMS}, {"count", int64(event.Count)},
@@ -140,27 +145,33 @@
 
 // remedies explains the reasons of rejections and failures to operators.
 var remedies = map[string]string{
-	"quota":                 "the tenant was over its quota over all nodes: raise it or tell the tenant",
-	"backlog":               "the request would have been late; it was told to come back: add replicas",
-	"no-place":              "no replica of the service had a free place while the request waited: add replicas",
-	"no-replica":            "no usable replica of the service was known: see the replica lines",
-	"too-long-for-deadline": "no replica is fast enough for the expected answer before the deadline",
-	"replicas-full":         "the replicas rejected the request although places were free here: see their load",
-	"replicas-unreachable":  "no connection to the chosen replicas could be opened: see the replica lines and the links",
-	"barred":                "too many replicas ended under this request or under a part of its prompt (barred_by), see the content lines: thornwalk barred lists it, thornwalk barred lift lets it be sent again",
-	"suspect":               "a replica ended under this request, and another try of it ran: one at a time is sent, see the content lines",
-	"replica-broke-off":     "a replica ran the request and its answer was cut, spoiled or a failure",
-	"memory-full":           "requests and answers together held more than buffer_mb of this node, and this one most of it; its replica is not at fault: see the gauges buffers.* and the size of answers",
-	"deadline":              "the time of the caller or the route ran out while a replica had the request",
-	"no-configuration":      "the node knew no configuration yet: see its store lines",
-	"no-scheduler":          "no scheduling node answered in time: see the scheduler and peer lines",
-	"stopping":              "the node was stopping and the answer would not have ended before",
-	"caller-left":           "the caller closed its connection",
-	"unknown-key":           "the key belongs to no tenant of the configuration in force",
-	"no-route":              "no route of the configuration in force matches",
-	"body-too-slow":         "the body did not come before the deadline",
-	"body-too-large":        "the body is over the limit of the configuration",
-	"body-unreadable":       "the body was malformed or cut by the caller",
+	"quota":                    "the tenant was over its quota over all nodes: raise it or tell the tenant",
+	"backlog":                  "the request would have been late; it was told to come back: add replicas",
+	"no-place":                 "no replica of the service had a free place while the request waited: add replicas",
+	"no-replica":               "no usable replica of the service was known: see the replica lines",
+	"too-long-for-deadline":    "no replica is fast enough for the expected answer before the deadline",
+	"replicas-full":            "the replicas rejected the request although places were free here: see their load",
+	"replicas-unreachable":     "no connection to the chosen replicas could be opened: see the replica lines and the links",
+	"barred":                   "too many replicas ended under this request or under a part of its prompt (barred_by), see the content lines: thornwalk barred lists it, thornwalk barred lift lets it be sent again",
+	"suspect":                  "a replica ended under this request, and another try of it ran: one at a time is sent, see the content lines",
+	"replicas-unproven":        "nothing showed that the replicas of the stream's version are still the processes of their entries: see the replica.identity and store lines",
+	"no-replica-of-version":    "no replica of the version that began the stream could be used, or be shown to have it still: see the replica and replica.identity lines",
+	"stream-unknown":           "no node that keeps origins knew the stream, and its service has or lately had several versions",
+	"stream-ambiguous":         "two streams have the id that the caller names: callers must not use an id twice",
+	"stream-of-other-service":  "the route leads to another service than the one that began the stream",
+	"stream-version-uncertain": "nothing showed at which version the stream began: explain the request that began it, and see the replica.identity lines of its replica",
+	"replica-broke-off":        "a replica ran the request and its answer was cut, spoiled or a failure",
+	"memory-full":              "requests and answers together held more than buffer_mb of this node, and this one most of it; its replica is not at fault: see the gauges buffers.* and the size of answers",
+	"deadline":                 "the time of the caller or the route ran out while a replica had the request",
+	"no-configuration":         "the node knew no configuration yet: see its store lines",
+	"no-scheduler":             "no scheduling node answered in time: see the scheduler and peer lines",
+	"stopping":                 "the node was stopping and the answer would not have ended before",
+	"caller-left":              "the caller closed its connection",
+	"unknown-key":              "the key belongs to no tenant of the configuration in force",
+	"no-route":                 "no route of the configuration in force matches",
+	"body-too-slow":            "the body did not come before the deadline",
+	"body-too-large":           "the body is over the limit of the configuration",
+	"body-unreadable":          "the body was malformed or cut by the caller",
 }
 
 // Cause returns the outcome of the request, the replicas that it was sent to, and the reason with
--- a/test/entry/event_log_test.go
+++ b/test/entry/event_log_test.go
@@ -95,6 +95,27 @@
 	})
 }
 
+// Guards against event logs that don't show what allowed a stream to go on within its answer, and at another node.
+func TestEventLogExplainsWhatAllowedAStreamToGoOn(t *testing.T) {
+	runScenario(t, func(s *scenario) {
+		time.Sleep(8 * time.Second) // until the views of the store reach back far enough
+		s.setBehavior(s.engines, func(r *http.Request) platformsim.Behavior {
+			if r.Header.Get("Last-Event-Id") == "" && r.Header.Get("X-Attempt-Id") == "within" {
+				return platformsim.Cut
+			}
+			return platformsim.Answer
+		})
+		s.Expect(s.do("n1", http.MethodPost, "/resume/", withRequestID("within")).status).To(gomega.Equal(http.StatusOK))
+		s.Expect(s.requestHistory("within")).To(gomega.MatchRegexp(`the stream went on at i-e\d of version v1: .*\((assumed|entry|answers|unbroken|report)\); the latest statement on it was \d+\.\d s old`))
+		s.Expect(s.do("n2", http.MethodPost, "/resume/", func(r *http.Request) {
+			withRequestID("resumed")(r)
+			r.Header.Set("Last-Event-Id", "2")
+			r.Header.Set("Resumes", "within")
+		}).status).To(gomega.Equal(http.StatusOK))
+		s.Expect(s.requestHistory("resumed")).To(gomega.MatchRegexp(`the stream of within may go on at version v1 alone: origin known\n.*the stream went on at i-e\d of version v1: `))
+	})
+}
+
 // Guards against an event log without the end of a request whose caller has left.
 func TestEventLogRecordsTheEndOfARequestWhoseCallerLeft(t *testing.T) {
 	runScenario(t, func(s *scenario) {
