liveness: ignore late heartbeats of a former process

What callers saw: nothing that was reported. A heartbeat of a former process, which a relay or a slow link delays beyond the start of its successor, replaced what the successor had said. Until the successor's next heartbeat the scheduling node took it for ended, dropped its requests and gave their slots away.

Cause: processes of one node are told apart by a random number, without an order. Whatever heartbeat came last counted.

Evidence: TestLateHeartbeatOfAFormerProcessDropsNoRequests and TestLateHeartbeatsOfAFormerProcessAreIgnored fail without the comparison (no request of the successor is left; the former incarnation is the known one).

Change: heartbeats state the uptime of the process. One of another process that had started before the known one is late and is dropped, while the known one is heard; it is counted in beats.of_former_process. A delay makes a start look later, never earlier, so that a successor is not taken for a former process unless a clock goes wrong, and then for a failure timeout. Heartbeats of earlier releases state no uptime and count as before.

--- a/coordination/liveness/liveness.go
+++ b/coordination/liveness/liveness.go
@@ -28,6 +28,8 @@
 	IntervalMS int64 `msgpack:"b"`
 	// Incarnation differs for each start of the node's process.
 	Incarnation uint64 `msgpack:"i"`
+	// UptimeMS is the time since the process started, in milliseconds. Nodes of earlier releases don't send it.
+	UptimeMS int64 `msgpack:"up,omitempty"`
 	// Term increases when the process discards its scheduling state.
 	Term    uint64 `msgpack:"t"`
 	Leaving bool   `msgpack:"l"`
@@ -172,6 +174,8 @@
 	suspected       bool
 	confirmed       bool
 	addedAt         structs.Instant
+	// startedBy is the earliest known instant by which the process had started, if it states its uptime.
+	startedBy structs.Instant
 	// ordinal is the number of members that the table had added before.
 	ordinal uint64
 }
@@ -221,16 +225,40 @@
 		member = &Member{Heartbeat: Heartbeat{Name: heartbeat.Name}}
 		t.add(member)
 	}
+	if t.IsOfFormerProcess(now, heartbeat) {
+		return false
+	}
 	isSameProcess := found && member.Incarnation == heartbeat.Incarnation
+	startedBy := heartbeat.startedBy(now)
+	if isSameProcess && member.confirmed {
+		startedBy = min(startedBy, member.startedBy)
+	}
 	isStillSuspected := isSameProcess && member.suspected && heartbeat.Relayed
 	hasAppeared := !isSameProcess || !isStillSuspected && !member.isLive(now)
 	if found && !member.confirmed {
 		t.unconfirmedCount--
 	}
 	member.Heartbeat, member.lastHeartbeatAt, member.suspected, member.confirmed = heartbeat, now, isStillSuspected, true
+	member.startedBy = startedBy
 	return hasAppeared
 }
 
+// startedBy returns an instant by which the sender of a heartbeat that arrives now had started. It is later than the
+// start by the time for which the heartbeat was on its way.
+func (h *Heartbeat) startedBy(now structs.Instant) structs.Instant {
+	return now - structs.Instant(h.UptimeMS)*time.Millisecond
+}
+
+// IsOfFormerProcess reports whether the heartbeat is a late one of a process whose successor was heard lately: it is of
+// another process than the node's known one, which had started earlier.
+func (t *Table) IsOfFormerProcess(now structs.Instant, heartbeat Heartbeat) bool {
+	member, found := t.members[heartbeat.Name]
+	if !found || member.Incarnation == heartbeat.Incarnation || !member.wasHeardWithin(now, 1) {
+		return false
+	}
+	return member.UptimeMS > 0 && heartbeat.UptimeMS > 0 && heartbeat.startedBy(now) < member.startedBy
+}
+
 // maxUnconfirmedPeers bounds the members known only from peers, so that a node that sends wrong
 // peer lists can't exhaust the memory of others.
 const maxUnconfirmedPeers = 1024
--- a/coordination/liveness/liveness_test.go
+++ b/coordination/liveness/liveness_test.go
@@ -36,6 +36,45 @@
 	g.Expect(table.All(2 * memberRetention)).To(gomega.BeEmpty())
 }
 
+// Guards against a heartbeat of a former process, which a relay or a slow link delayed, that replaces what its successor
+// said: the requests of the successor would be dropped as those of a process that ended.
+func TestLateHeartbeatsOfAFormerProcessAreIgnored(t *testing.T) {
+	for name, test := range map[string]struct {
+		heartbeats []Heartbeat
+		expected   uint64
+	}{
+		"a late one":                                {[]Heartbeat{{Incarnation: 7, UptimeMS: 9000}, {Incarnation: 3, UptimeMS: 100}, {Incarnation: 7, UptimeMS: 9400}}, 3},
+		"a late one that is relayed":                {[]Heartbeat{{Incarnation: 7, UptimeMS: 9000}, {Incarnation: 3, UptimeMS: 100}, {Incarnation: 7, UptimeMS: 9400, Relayed: true}}, 3},
+		"the successor itself":                      {[]Heartbeat{{Incarnation: 7, UptimeMS: 9000}, {Incarnation: 3, UptimeMS: 100}}, 3},
+		"the late one comes first":                  {[]Heartbeat{{Incarnation: 7, UptimeMS: 9000}, {Incarnation: 3, UptimeMS: 400}}, 3},
+		"nodes of earlier releases state no uptime": {[]Heartbeat{{Incarnation: 7}, {Incarnation: 3}, {Incarnation: 7}}, 7},
+		"a successor of an earlier release":         {[]Heartbeat{{Incarnation: 7, UptimeMS: 9000}, {Incarnation: 3}}, 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			table := NewTable("self")
+			for i, heartbeat := range test.heartbeats {
+				heartbeat.Name = "a"
+				table.Observe(time.Duration(i)*100*time.Millisecond, heartbeat)
+			}
+			member, _ := table.Get("a")
+			g.Expect(member.Incarnation).To(gomega.Equal(test.expected))
+		})
+	}
+}
+
+// Guards against a process that stays ignored since a clock of its machine went wrong.
+func TestProcessIsHeardOnceItsPredecessorIsSilent(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table := NewTable("self")
+	table.Observe(0, Heartbeat{Name: "a", Incarnation: 7, UptimeMS: 100})
+	next := Heartbeat{Name: "a", Incarnation: 3, UptimeMS: 9000}
+	g.Expect(table.Observe(failureTimeout-1, next)).To(gomega.BeFalse())
+	g.Expect(table.Observe(failureTimeout, next)).To(gomega.BeTrue())
+	member, _ := table.Get("a")
+	g.Expect(member.Incarnation).To(gomega.Equal(uint64(3)))
+}
+
 // Guards against scheduling on a node that is too weak for bursts, or leaving.
 func TestWeakAndLeavingNodesAreNotEligible(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/entry/heartbeats.go
+++ b/entry/heartbeats.go
@@ -292,7 +292,7 @@
 func (n *Node) buildHeartbeat(now structs.Instant) liveness.Heartbeat {
 	settings := n.settings.Load()
 	heartbeat := liveness.Heartbeat{
-		Name: settings.Name, Zone: settings.Zone, Address: n.selfAddress(), Cores: settings.Cores, LinkMbps: settings.LinkMbps, IntervalMS: n.nextHeartbeatInterval().Milliseconds(), Incarnation: n.dependencies.Incarnation,
+		Name: settings.Name, Zone: settings.Zone, Address: n.selfAddress(), Cores: settings.Cores, LinkMbps: settings.LinkMbps, IntervalMS: n.nextHeartbeatInterval().Milliseconds(), Incarnation: n.dependencies.Incarnation, UptimeMS: max(now.Milliseconds(), 1),
 		Term: n.term, Scheduler: n.scheduler, KnownNodes: n.knownPeerCount(now), Leaving: n.stoppingSince.Load() != 0, Slow: n.slowness.Slow(), StoreUnreachable: n.isStoreDown, LatestPosition: n.latestPosition(), ReplicasAgeMS: n.replicaFreshness.Age(now), ConfigurationAgeMS: n.configurationFreshness.Age(now), StoreHealthyMS: n.watchHealthyFor(now).Milliseconds(), FailingReplicas: n.health.Failing(now),
 		InFlight: map[string]liveness.InFlightCount{}, CanRelay: true, KeepsStreamOrigins: true, Rollouts: n.rolloutViews(),
 	}
@@ -360,6 +360,11 @@
 	n.mergeEvacuations(&heartbeat)
 	n.mutex.Lock()
 	now := n.now()
+	if n.members.IsOfFormerProcess(now, heartbeat) {
+		n.mutex.Unlock()
+		n.counter("beats.of_former_process").Inc(1)
+		return
+	}
 	n.lastContactAt = now
 	before, found := n.members.Get(heartbeat.Name)
 	rankChanged := found && (before.StoreUnreachable != heartbeat.StoreUnreachable || before.Slow != heartbeat.Slow || before.NonDelegate != heartbeat.NonDelegate)
--- a/entry/heartbeats_test.go
+++ b/entry/heartbeats_test.go
@@ -3,11 +3,17 @@
 import (
 	"fmt"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/onsi/gomega"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"github.com/thornwalk/thornwalk/coordination/admission"
 	"github.com/thornwalk/thornwalk/coordination/liveness"
+	"github.com/thornwalk/thornwalk/internal/eventlog"
+	"github.com/thornwalk/thornwalk/lab/memnet"
+	"github.com/thornwalk/thornwalk/state/replicas"
 )
 
 // Guards against heartbeats of a busy scheduling node that exceed a datagram and never arrive.
@@ -45,3 +51,35 @@
 		g.Expect(isSuspension(wait+2*suspensionThreshold, wait)).To(gomega.BeTrue(), fmt.Sprint(members))
 	}
 }
+
+// Guards against requests of a process that are dropped, and whose slots are given away, since a late heartbeat of the
+// former process of its node came in between.
+func TestLateHeartbeatOfAFormerProcessDropsNoRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		log := eventlog.New("n", nil)
+		defer log.Close()
+		started := time.Now()
+		n := New(&Settings{Name: "n"}, Dependencies{Log: log, Now: func() time.Duration { return time.Since(started) }})
+		defer n.scheduling.timer.Stop()
+		var err error
+		n.heartbeatConn, err = memnet.New().Datagrams("n").ListenDatagrams("n:1")
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		defer func() { _ = n.heartbeatConn.Close() }()
+		former := liveness.Heartbeat{Name: "m", Incarnation: 7, UptimeMS: 60000}
+		n.applyHeartbeat(former)
+		next := liveness.Heartbeat{Name: "m", Incarnation: 3, UptimeMS: 100}
+		n.applyHeartbeat(next)
+		n.scheduling.update(func(s *admission.Scheduler) {
+			s.SetReplicas(0, []replicas.Replica{{ID: "r", Service: "s", Slots: 1}})
+			s.SetSlowStart("s", admission.SlowStart{})
+		})
+		process := processName("m", next.Incarnation)
+		reply := n.scheduling.assign(t.Context(), &assignRequest{Request: admission.Request{ID: "1", Node: process, Service: "s", Deadline: time.Minute, Patience: time.Minute}})
+		g.Expect(reply.Reason).To(gomega.BeEmpty())
+		former.UptimeMS += 100 // sent before its end, 100 ms ago
+		n.applyHeartbeat(former)
+		n.releaseDeadNodes()
+		n.scheduling.update(func(s *admission.Scheduler) { g.Expect(s.Nodes()).To(gomega.HaveKey(process)) })
+	})
+}
