rollout: no evidence from answers of a replica whose incarnation has ended

What callers saw: a bad version may stay in use, or a good one be rolled back, as answers of a replica that was replaced in place while the store is away counted for the version of its old entry.

Cause: a result was counted for the version of the entry at the assignment, though the incarnation of that entry was known to have ended.

Evidence: TestAnswersOfAnUnknownSuccessorAreNoEvidence: a failure of the successor is evidence against v1, the version of the entry, in two of five cases.

Change: from the end of an incarnation on, as nodes report it while the store is away, assignments to the replica may be of a successor. Their results count as requests and are no evidence, until a new entry is known or the store has been healthy for long enough to list one.

Result: the five cases pass; a request that was sent before the end stays evidence.

--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -69,9 +69,11 @@
 	// rejected it.
 	isAccepted, isRejected bool
 	// isCold is true if the replica was cold at the assignment.
-	isCold   bool
-	workTime responseWorkTime
-	share    share
+	isCold bool
+	// mayBeSuccessor is true if the replica had ended before, so that another incarnation may have got the request.
+	mayBeSuccessor bool
+	workTime       responseWorkTime
+	share          share
 }
 
 // servicePool is the queue and the replicas of one service.
@@ -134,6 +136,8 @@
 	pauses        map[pauseKey]replicaPauses
 	// isolatedNodes are the processes that can't reach replicas.
 	isolatedNodes map[string]bool
+	// mayHaveSuccessors is true if the incarnation of an entry may have been replaced.
+	mayHaveSuccessors bool
 }
 
 // New returns a scheduler without replicas and requests, which blocks no requests.
--- a/coordination/admission/assignments.go
+++ b/coordination/admission/assignments.go
@@ -29,8 +29,10 @@
 	Fingerprint             fingerprint.Fingerprint
 	Parts                   []fingerprint.Fingerprint
 	Service, Route, Replica string
-	// Version is the replica's.
-	Version string
+	// Version is that of the replica's entry at the assignment. MayBeOfSuccessor is true if another incarnation, and so
+	// another version, may have got the request.
+	Version          string
+	MayBeOfSuccessor bool
 	// Prompt is the number of prompt tokens.
 	Prompt int
 	// AssignedAt is the time of the assignment.
@@ -44,7 +46,7 @@
 	if !found {
 		return Completion{}, false
 	}
-	ended := Completion{Fingerprint: assignment.fingerprint, Parts: assignment.parts, Service: assignment.service, Route: assignment.route, Replica: assignment.replicaID, Version: assignment.version, Prompt: assignment.promptTokens, AssignedAt: assignment.assignedAt}
+	ended := Completion{Fingerprint: assignment.fingerprint, Parts: assignment.parts, Service: assignment.service, Route: assignment.route, Replica: assignment.replicaID, Version: assignment.version, MayBeOfSuccessor: assignment.mayBeSuccessor, Prompt: assignment.promptTokens, AssignedAt: assignment.assignedAt}
 	isCurrent := s.isCurrentIncarnation(assignment)
 	assignment.settleFinished(now, observed.Duration)
 	if isCurrent {
--- a/coordination/admission/decide.go
+++ b/coordination/admission/decide.go
@@ -214,7 +214,7 @@
 	trials := s.recordTrials(now, request)
 	assigned := &assignment{
 		fingerprint: request.Fingerprint, parts: request.Parts, node: request.Node, service: request.Service, route: request.Route, replicaID: replica.state.entry.ID, startedAt: replica.state.entry.StartedAt, version: replica.state.entry.Version,
-		promptTokens: request.PromptTokens, assignedAt: now, isCold: replica.isCold, share: request.share,
+		promptTokens: request.PromptTokens, assignedAt: now, isCold: replica.isCold, mayBeSuccessor: replica.state.mayBeSuccessor, share: request.share,
 	}
 	s.addAssignment(request.ID, assigned)
 	if replica.isBrittle {
--- a/coordination/admission/replica.go
+++ b/coordination/admission/replica.go
@@ -31,8 +31,10 @@
 	rejections       rejectionLimit
 	// leaving is true if the replica has announced that it takes no new requests.
 	leaving bool
-	health  health
-	ejected bool
+	// mayBeSuccessor is true if the incarnation of the entry has ended, and the next one may have started.
+	mayBeSuccessor bool
+	health         health
+	ejected        bool
 	// index is the replica's index in poolSnapshot.replicas, in the latest snapshot that has it there.
 	index int
 }
@@ -83,7 +85,7 @@
 func (r *replicaState) forget() {
 	r.speed, r.coldSpeed, r.health, r.unreported, r.ejected = speed{}, speed{}, health{}, unreportedLoad{}, false
 	r.limit, r.rejections, r.leaving = rateLimit{}, rejectionLimit{}, false
-	r.warmUp.hasEnded, r.warmUp.startedUntil = false, 0
+	r.mayBeSuccessor, r.warmUp.hasEnded, r.warmUp.startedUntil = false, false, 0
 	r.workTime.forget()
 }
 
--- a/coordination/admission/slow_start.go
+++ b/coordination/admission/slow_start.go
@@ -58,13 +58,25 @@
 }
 
 // RecordEnd records that the replica was found to have ended. If it starts again before its new entry is known, it is
-// cold for the ColdTime of its service.
+// cold for the ColdTime of its service, and its version is not known.
 func (s *Scheduler) RecordEnd(now structs.Instant, replicaID string) {
 	if state, found := s.replicaStates[replicaID]; found && state.listed {
-		state.warmUp.hasEnded, state.warmUp.endedAt = true, now
+		state.mayBeSuccessor, state.warmUp.hasEnded, state.warmUp.endedAt = true, true, now
+		s.mayHaveSuccessors = true
 	}
 }
 
+// ConfirmEntries records that the listed entries are those of the replicas that run now.
+func (s *Scheduler) ConfirmEntries() {
+	if !s.mayHaveSuccessors {
+		return
+	}
+	for _, state := range s.replicaStates {
+		state.mayBeSuccessor = false
+	}
+	s.mayHaveSuccessors = false
+}
+
 // recordAnswer records that the replica answers a request that was assigned at the instant. If it had ended before,
 // its next incarnation has started by now.
 func (r *replicaState) recordAnswer(now, assignedAt structs.Instant, pool *servicePool) {
--- a/entry/scheduling_rollout.go
+++ b/entry/scheduling_rollout.go
@@ -84,7 +84,7 @@
 	if !found || isNotRun {
 		return
 	}
-	controller.RecordResult(sampleOf(ended, observed, controller.Record().Target), !observed.CallerLeft)
+	controller.RecordResult(sampleOf(ended, observed, controller.Record().Target), !observed.CallerLeft && !ended.MayBeOfSuccessor)
 }
 
 // promptOverheadTokens is the part of the time to the first event that does not depend on the
--- a/entry/scheduling_rollout_test.go
+++ b/entry/scheduling_rollout_test.go
@@ -11,6 +11,7 @@
 	"github.com/thornwalk/thornwalk/coordination/admission"
 	"github.com/thornwalk/thornwalk/coordination/retrybudget"
 	"github.com/thornwalk/thornwalk/coordination/rollout"
+	"github.com/thornwalk/thornwalk/state/replicas"
 	"github.com/thornwalk/thornwalk/state/rollouts"
 )
 
@@ -76,3 +77,76 @@
 		})
 	}
 }
+
+// Guards against a version that is judged by answers of another one, which replaced one of its replicas in place while
+// its new entry is not known.
+func TestAnswersOfAnUnknownSuccessorAreNoEvidence(t *testing.T) {
+	old, next := replicas.Replica{ID: "r", Service: "s", Slots: 4, Version: "v1", StartedAt: 1, Position: 1}, replicas.Replica{ID: "r", Service: "s", Slots: 4, Version: "v2", StartedAt: 2, Position: 9}
+	for name, test := range map[string]struct {
+		before, after func(s *schedulingService)
+		isEvidence    bool
+	}{
+		"the replica goes on": {isEvidence: true},
+		"it has ended":        {before: func(s *schedulingService) { s.finish(&finishRequest{ID: "ended", HasReplicaEnded: true, NotRun: true}) }},
+		"it has ended, and its new entry comes before the answer": {
+			before: func(s *schedulingService) { s.finish(&finishRequest{ID: "ended", HasReplicaEnded: true, NotRun: true}) },
+			after: func(s *schedulingService) {
+				s.update(func(a *admission.Scheduler) { a.SetReplicas(s.clock(), []replicas.Replica{next}) })
+			},
+		},
+		"it only refused a connection": {before: func(s *schedulingService) {
+			s.finish(&finishRequest{ID: "ended", HasReplicaEnded: true, NotRun: true})
+			s.confirmEntries()
+		}, isEvidence: true},
+		"it ends under the request": {after: func(s *schedulingService) { s.finish(&finishRequest{ID: "ended", HasReplicaEnded: true, NotRun: true}) }, isEvidence: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				g := gomega.NewWithT(t)
+				start := time.Now()
+				s := newSchedulingService(func() time.Duration { return time.Since(start) }, retrybudget.Policy{Window: time.Second}, true)
+				defer s.timer.Stop()
+				s.rolloutPolicy = rollout.Policy{Share: 0.1, Slack: 50}
+				s.setActive(true)
+				s.update(func(a *admission.Scheduler) {
+					a.SetReplicas(0, []replicas.Replica{old})
+					a.SetSlowStart("s", admission.SlowStart{})
+				})
+				inputs := rollout.Inputs{
+					Order: rollouts.Order{Service: "s", Target: "v2", Duration: 20 * time.Second, Position: 5}, TargetSlots: 8, OtherSlots: 8, Confirmed: true,
+				}
+				var record rollouts.Record
+				write := func() {
+					next, due := s.proposeRollout(inputs, record)
+					g.Expect(due).To(gomega.BeTrue())
+					next.Position = max(record.Position, inputs.Order.Position) + 1
+					s.recordRolloutWrite(next, next.Position, nil)
+					record = next
+				}
+				write()
+				assign := func(id string) {
+					request := admission.Request{ID: id, Node: "n", Service: "s", Route: "route", Deadline: time.Minute, Patience: time.Minute}
+					g.Expect(s.assign(t.Context(), &assignRequest{Request: request}).Replica.ID).To(gomega.Equal("r"))
+				}
+				assign("ended")
+				if test.before != nil {
+					test.before(s)
+				}
+				time.Sleep(time.Second)
+				assign("judged")
+				if test.after != nil {
+					test.after(s)
+				}
+				s.finish(&finishRequest{ID: "judged", Observation: admission.Observation{Failed: true, Duration: 20 * time.Millisecond}})
+				time.Sleep(10 * time.Second)
+				inputs.Elapsed = s.clock()
+				write()
+				if test.isEvidence {
+					g.Expect(record.EvidenceByRoute).To(gomega.HaveKeyWithValue("route", rollouts.Evidence{BaselineBad: 1}))
+				} else {
+					g.Expect(record.EvidenceByRoute).To(gomega.BeEmpty())
+				}
+			})
+		})
+	}
+}
--- a/entry/scheduling_slow_start.go
+++ b/entry/scheduling_slow_start.go
@@ -28,6 +28,13 @@
 	}
 }
 
+// confirmEntries records that the listed entries are those of the replicas that run now.
+func (s *schedulingService) confirmEntries() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.scheduler.ConfirmEntries()
+}
+
 // updateColdTraffic lets the scheduler send to cold replicas only while this node is active and its
 // share of the quotas is a majority, so that few nodes do so at a time. The caller holds the mutex.
 func (s *schedulingService) updateColdTraffic() {
--- a/entry/updates.go
+++ b/entry/updates.go
@@ -168,11 +168,15 @@
 func (n *Node) removeUnconfirmed() {
 	var removed []string
 	n.mutex.Lock()
-	if !n.isStoreUnhealthy() {
+	isHealthy := !n.isStoreUnhealthy()
+	if isHealthy {
 		removed = n.table.RemoveUnconfirmed(n.now())
 	}
 	n.table.SweepTombstones(n.now())
 	n.mutex.Unlock()
+	if isHealthy {
+		n.scheduling.confirmEntries()
+	}
 	for _, id := range removed {
 		n.log.Write(eventlog.Event{Kind: "replica", Replica: id, Outcome: "gone", Reason: "doubt-expired"})
 	}
