entry: no revision of an earlier era in the status of a node

What operators saw: a revision that goes back.

Cause: the era is that of the latest answer, and the revision that of the known replicas, from before the restore.

Evidence: TestNumbersThatOperatorsSeeDoNotFall: revision 10 of era 2 after revision 171 of era 2, in 3 of 8 cases (a restore after an outage, two restores, a restore while a node is cut off). Versions and eras did not fall in any.

Change: the revision is zero while the replicas are known from an earlier era only. Lines and heartbeats have era and revision of one position already.

Result: none falls in the eight cases.

--- a/entry/operators.go
+++ b/entry/operators.go
@@ -21,7 +21,8 @@
 	Ready    bool   `json:"ready"`
 	Stopping bool   `json:"stopping"`
 	Version  int64  `json:"configuration_version"`
-	// Revision is the store revision up to which the replicas are known, in Era. Restored is the
+	// Revision is the store revision up to which the replicas are known, in Era, and zero while they are
+	// known only from an earlier era. Restored is the
 	// time in milliseconds since the store was restored from a backup, and zero outside the
 	// restore window.
 	Revision   int64 `json:"store_revision"`
@@ -74,7 +75,10 @@
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	now := n.now()
-	status.Revision, status.Era, status.Restored = n.table.CompleteTo().Revision(), n.era.current, n.era.restoreWindowAge(now).Milliseconds()
+	if known := n.table.CompleteTo(); known.Era() == n.era.current {
+		status.Revision = known.Revision()
+	}
+	status.Era, status.Restored = n.era.current, n.era.restoreWindowAge(now).Milliseconds()
 	status.UpdatesAge, status.StoreDown = (now - n.updatedAt).Milliseconds(), n.isStoreDown
 	status.ViewAge = n.replicaFreshness.Age(now)
 	status.Reread = n.rereads.status(now)
