entry: an answer of a possible successor does not clear a former incarnation of a crash

What callers saw: a request under which a replica ended without a notice, as by a loss of power, was sent on to other replicas, as the crash was not counted: the replica's successor in place answered something before its entry was known.

Cause: an answer under the same entry was taken for a proof that the incarnation had survived. Without the store, an entry does not tell whose answer it is.

Evidence: the case "what answers without the store may be its successor" of TestCrashFoundLaterIsNotCountedAfterAProofToTheContrary: the crash is not counted.

Change: while the store is away, an answer shows survival if its connection was opened before the request was broken off, or if something shows that it leads to the incarnation (coordination/incarnations). With the store nothing changes.

Result: the case passes, and so do those in which the replica goes on: over a connection of before, and with a report.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -159,7 +159,7 @@
 	c.lackedRoom = c.isRejection(begun.answer) && begun.answer.StatusCode == http.StatusServiceUnavailable
 	node.recordZoneContact(granted.Replica.Zone, true)
 	load, workTime := c.reportedLoad(begun.answer)
-	started := &firstEventRequest{Load: load, Rejected: c.lackedRoom, WorkTime: workTime, Pushback: node.applyPushback(begun.answer, granted.Replica, sentAt)}
+	started := &firstEventRequest{Load: load, Rejected: c.lackedRoom, WorkTime: workTime, Pushback: node.applyPushback(begun.answer, granted.Replica, begun.connection, sentAt)}
 	if begun.workTime = workTime; workTime > 0 {
 		begun.headDelay, started.SinceGrant = time.Since(begun.startedAt), node.now()-grantedAt
 	}
--- a/entry/disconnects.go
+++ b/entry/disconnects.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/thornwalk/thornwalk/coordination/incarnations"
 	"github.com/thornwalk/thornwalk/state/fingerprint"
 	"github.com/thornwalk/thornwalk/state/replicas"
 	"github.com/thornwalk/thornwalk/structs"
@@ -42,10 +43,15 @@
 }
 
 // dismissSurvived drops the requests that the replica broke off before sentAt, the time of a request that it
-// answered. The caller holds the mutex.
-func (n *Node) dismissSurvived(replica replicas.Replica, sentAt structs.Instant) {
+// answered over the connection. While the store is away, the answer may be a successor's under the same entry. The
+// caller holds the mutex.
+func (n *Node) dismissSurvived(replica replicas.Replica, connection incarnations.Connection, sentAt structs.Instant) {
+	if len(n.disconnects) == 0 {
+		return
+	}
+	isIncarnation := !n.isStoreUnhealthy() || n.verdictLocked(connection).Proof != incarnations.ProofNone
 	n.disconnects = slices.DeleteFunc(n.disconnects, func(kept unresolvedDisconnect) bool {
-		return kept.at < sentAt && kept.replica.IsSameIncarnation(replica)
+		return kept.at < sentAt && kept.replica.IsSameIncarnation(replica) && (isIncarnation || connection.OpenedAt <= kept.at)
 	})
 }
 
--- a/entry/disconnects_test.go
+++ b/entry/disconnects_test.go
@@ -9,6 +9,7 @@
 	"github.com/onsi/gomega"
 
 	"github.com/thornwalk/thornwalk/coordination/admission"
+	"github.com/thornwalk/thornwalk/coordination/incarnations"
 	"github.com/thornwalk/thornwalk/internal/eventlog"
 	"github.com/thornwalk/thornwalk/outside"
 	"github.com/thornwalk/thornwalk/state/fingerprint"
@@ -92,9 +93,14 @@
 		n.reportFinish(&grant{id: "a", assignReply: &assignReply{}}, &finishRequest{Fingerprint: request, Observation: observed})
 	}
 	signed, unsigned := http.Header{"X-Stamp": {"x"}}, http.Header{}
+	answeredOver := func(n *Node, replica replicas.Replica, openedAt time.Duration, status int, header http.Header, sentAt time.Duration) {
+		connection := incarnations.Connection{Incarnation: incarnations.Of(replica), OpenedAt: openedAt}
+		n.applyPushback(&replicahttp.Answer{Response: &http.Response{StatusCode: status, Header: header}}, replica, connection, sentAt)
+	}
 	answered := func(n *Node, replica replicas.Replica, status int, header http.Header, sentAt time.Duration) {
-		n.applyPushback(&replicahttp.Answer{Response: &http.Response{StatusCode: status, Header: header}}, replica, sentAt)
+		answeredOver(n, replica, sentAt, status, header, sentAt)
 	}
+	loseStore := func(n *Node) { n.isStoreDown, n.storeFailedAt = true, 0 }
 	for name, test := range map[string]struct {
 		proof     func(n *Node, replica replicas.Replica)
 		isCounted bool
@@ -117,6 +123,19 @@
 			replica.StartedAt = 2
 			answered(n, replica, http.StatusOK, signed, leftAt+1)
 		}, true},
+		"what answers without the store may be its successor": {func(n *Node, replica replicas.Replica) {
+			loseStore(n)
+			answered(n, replica, http.StatusOK, signed, leftAt+1)
+		}, true},
+		"it answers without the store over a connection of before": {func(n *Node, replica replicas.Replica) {
+			loseStore(n)
+			answeredOver(n, replica, leftAt, http.StatusOK, signed, leftAt+1)
+		}, false},
+		"it answers without the store and states its start": {func(n *Node, replica replicas.Replica) {
+			loseStore(n)
+			n.identities.ConfirmByReport(leftAt+1, incarnations.Of(replica))
+			answered(n, replica, http.StatusOK, signed, leftAt+1)
+		}, false},
 		"the request is answered elsewhere": {func(n *Node, _ replicas.Replica) {
 			ended(n, key, admission.Observation{Whole: true})
 		}, false},
@@ -144,6 +163,7 @@
 				n.deferDisconnect(unresolvedDisconnect{replica: replica, fingerprint: key, crash: &crashedIncarnation{Incarnation: poisonrecords.IncarnationOf("r", 1)}})
 				now += time.Second
 				test.proof(n, replica)
+				n.isStoreDown, n.storeFailedAt = false, -time.Hour
 				n.mutex.Lock()
 				n.handleEntryRemovedLocked(outside.RemovedReplica{ID: replica.ID, Position: 9})
 				n.mutex.Unlock()
--- a/entry/pushback.go
+++ b/entry/pushback.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"strings"
 
+	"github.com/thornwalk/thornwalk/coordination/incarnations"
 	"github.com/thornwalk/thornwalk/internal/eventlog"
 	"github.com/thornwalk/thornwalk/state/pushback"
 	"github.com/thornwalk/thornwalk/state/replicas"
@@ -14,9 +15,9 @@
 
 // Pushback that replicas send in their responses (state/pushback).
 
-// applyPushback applies the pushback signals in the response to a request that was sent at the
+// applyPushback applies the pushback signals in the response to a request that was sent over the connection at the
 // given time. It returns the signals if the scheduling node needs them, and nil otherwise.
-func (n *Node) applyPushback(answer *replicahttp.Answer, replica replicas.Replica, sentAt structs.Instant) *pushback.Signals {
+func (n *Node) applyPushback(answer *replicahttp.Answer, replica replicas.Replica, connection incarnations.Connection, sentAt structs.Instant) *pushback.Signals {
 	signals, err := n.dependencies.ParsePushback(answer.StatusCode, answer.Header)
 	if err != nil {
 		n.recordUnreadablePushback(replica, err)
@@ -24,7 +25,7 @@
 	isFromReplica := n.isFromReplica(answer)
 	n.mutex.Lock()
 	if isFromReplica {
-		n.dismissSurvived(replica, sentAt)
+		n.dismissSurvived(replica, connection, sentAt)
 	}
 	change := n.pushback.Observe(n.now(), sentAt, pushback.IncarnationOf(replica), signals)
 	n.mutex.Unlock()
