rollouts: an order in the backup of a restored store is the known one

What callers saw: after a restore of the store, a version that had been rolled back got requests again, and a roll-out in progress lost its counts and evidence and got another canary budget, if its order was older than the backup.

Cause: orders are told apart by their position. A restored store has the order at its revision in a newer era, and nobody writes again what was not lost. Once the restore window had ended, that counted as another order. A record of the backup also names its order by the position of before.

Evidence: TestRolloutInTheBackupIsNotRepeatedAfterARestore: 23 requests at a version that was rolled back.

Change: an order with the target and the time of the known one and at its revision, in a newer era, is that order; it takes the record with it, and a record that names it by the former era is of it. An order at the revision with another target or time is another one.

The tests of state/rollouts, coordination/rollout and of test/entry on roll-outs pass.

--- a/state/rollouts/rollouts.go
+++ b/state/rollouts/rollouts.go
@@ -173,10 +173,11 @@
 	return true
 }
 
-// isRecreated reports whether the order is the current one, written again after a restore lost it. It
-// must not start another rollout.
+// isRecreated reports whether the order is the current one, written again after a restore lost it, or in the backup with
+// its revision. It must not start another rollout.
 func (t *Table) isRecreated(current, order Order) bool {
-	return t.restoreWindow.Era > t.restoreWindow.Base && current.Position > 0 && current.Position.Era() < order.Position.Era() &&
+	isRestored := t.restoreWindow.Era > t.restoreWindow.Base || current.Position.Revision() == order.Position.Revision()
+	return isRestored && current.Position > 0 && current.Position.Era() < order.Position.Era() &&
 		current.Target == order.Target && current.Duration == order.Duration
 }
 
@@ -195,10 +196,19 @@
 	if !t.restoreWindow.IsBefore(state.record.Position, record.Position) {
 		return false
 	}
-	state.record, state.recordReceivedAt, state.isRebased = record, now, false
+	state.setRecord(now, record)
 	return true
 }
 
+// setRecord sets the record. One of a restored store may name its order by the position before the restore.
+func (s *serviceState) setRecord(now structs.Instant, record Record) {
+	s.record, s.recordReceivedAt, s.isRebased = record, now, false
+	isOfOrder := record.OrderPosition.Revision() == s.order.Position.Revision() && record.Target == s.order.Target
+	if record.Position > 0 && isOfOrder && record.OrderPosition.Era() < s.order.Position.Era() {
+		s.record.OrderPosition, s.isRebased = s.order.Position, true
+	}
+}
+
 // ServicesToRewrite returns the services, sorted, whose records the store may have lost or hold with an
 // outdated order position. era is the store's present era.
 func (t *Table) ServicesToRewrite(era int64) []string {
@@ -224,8 +234,7 @@
 // OverwriteRecord sets the record of its service to the one read from the store, also if that is older than
 // the present one. A record with zero Position removes it.
 func (t *Table) OverwriteRecord(now structs.Instant, record Record) {
-	state := t.stateOf(record.Service)
-	state.record, state.recordReceivedAt, state.isRebased = record, now, false
+	t.stateOf(record.Service).setRecord(now, record)
 }
 
 // Order returns the latest order for the service, and whether there is one.
--- a/test/entry/store_restore_test.go
+++ b/test/entry/store_restore_test.go
@@ -303,6 +303,21 @@
 	})
 }
 
+// Guards against a version that is judged again, with requests, after a restore from a backup that has its order: nobody
+// writes that again.
+func TestRolloutInTheBackupIsNotRepeatedAfterARestore(t *testing.T) {
+	runRollout(t, func(s *rolloutScenario) {
+		s.orderRollout("v2", s.failOneIn(2))
+		s.Expect(s.awaitRolloutState("rolled_back", rolloutDuration)).To(gomega.BeTrue(), s.rolloutState())
+		time.Sleep(time.Second)
+		s.deployment.Store.Restore(s.deployment.Store.Backup())
+		before := arrivalCount(s.newReplicas)
+		time.Sleep(15 * time.Second)
+		s.Expect(s.rolloutState()).To(gomega.Equal("rolled_back"))
+		s.Expect(arrivalCount(s.newReplicas)).To(gomega.Equal(before), "requests at a version that was rolled back")
+	})
+}
+
 // Guards against a blocked poison request that is forgotten when a restore loses its record.
 func TestPoisonRecordMissingFromTheBackupIsWrittenAgain(t *testing.T) {
 	runCrashes(t, crashCase{route: "stream", interval: 300 * time.Millisecond}, func(s *crashScenario) {
