test/entry: a target that replaces a replica in place without the store exceeds its canary budget

What would have to decide it, the version of the new process, is stated by nobody while the store is away; to send nothing to a replica that has ended during a roll-out would take its capacity away for the outage.

--- a/test/entry/former_incarnations_test.go
+++ b/test/entry/former_incarnations_test.go
@@ -110,3 +110,26 @@
 		s.deployment.Store.SetDown(false)
 	})
 }
+
+// Guards against a target that gets more than its canary share, as it has replaced one of the old replicas in place while
+// the store is away.
+func TestTargetThatReplacesAReplicaInPlaceStaysWithinItsBudget(t *testing.T) {
+	runRollout(t, func(s *rolloutScenario) {
+		before := arrivalCount(s.plainReplicas)
+		s.orderRollout("v2", nil)
+		s.Expect(s.awaitRolloutState("running", 2*time.Second)).To(gomega.BeTrue())
+		time.Sleep(2 * time.Second)
+		s.deployment.Store.SetDown(true)
+		time.Sleep(500 * time.Millisecond)
+		former := s.plainReplicas[0]
+		former.Crash()
+		s.plainReplicas[1].SetStep(40 * time.Millisecond) // serves 50 of 120 requests a second
+		time.Sleep(time.Second)
+		next := startInPlace(s.scenario, "p1", former)
+		s.newReplicas = append(s.newReplicas, next)
+		time.Sleep(6 * time.Second)
+		t.Logf("%d requests at the replacement", next.Arrivals())
+		s.expectCanaryWithinBudget(before)
+		s.deployment.Store.SetDown(false)
+	})
+}
