admission: keep what is known of warm-ups after a suspension

What callers saw: after the scheduling node was suspended, replicas that had started with a warm-up in their entry got a few requests a second again, for the whole warm-up, though they were warm; one that was cold since its zone's evacuation had been lifted, or since it may have started again unseen, got its full share.

Cause: the scheduler is made anew after a suspension. It counted the warm-up of an entry from then on, as if the entry were new, and forgot the other reasons.

Evidence: TestReplacedSchedulerKnowsWhoIsWarm and TestReplacedSchedulerKnowsWhoIsCold fail without the knowledge of the former scheduler.

Change: the new scheduler takes over the warm-ups of listed replicas whose entry has the same position; its buckets are empty.

--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -136,6 +136,8 @@
 	pauses        map[pauseKey]replicaPauses
 	// isolatedNodes are the processes that can't reach replicas.
 	isolatedNodes map[string]bool
+	// keptWarmUps are the warm-ups of a scheduler that this one replaced, by replica, until SetReplicas.
+	keptWarmUps map[string]keptWarmUp
 	// mayHaveSuccessors is true if the incarnation of an entry may have been replaced.
 	mayHaveSuccessors bool
 }
@@ -186,12 +188,13 @@
 			state.forget()
 		}
 		if state.entry.Position != replica.Position {
-			state.warmUp.until = now + replica.Warmup
+			s.beginWarmUp(now, state, replica)
 		}
 		state.entry, state.listed = replica, true
 		pool := s.pool(replica.Service)
 		pool.replicas = append(pool.replicas, state)
 	}
+	s.keptWarmUps = nil
 	s.markSuperseded()
 	for id := range s.replicaStates {
 		s.forgetUnused(id)
--- a/coordination/admission/slow_start.go
+++ b/coordination/admission/slow_start.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/thornwalk/thornwalk/state/replicas"
 	"github.com/thornwalk/thornwalk/structs"
 )
 
@@ -66,6 +67,37 @@
 	}
 }
 
+// keptWarmUp is what another scheduler knew of the warm-up that the entry at the position states.
+type keptWarmUp struct {
+	position structs.StorePosition
+	warmUp   warmUp
+	// mayBeSuccessor is that of the replica's state.
+	mayBeSuccessor bool
+}
+
+// KeepWarmUps takes over what the other scheduler knows of the warm-ups of its replicas, apart from the requests that it
+// assigned to them. It must be called before SetReplicas.
+func (s *Scheduler) KeepWarmUps(other *Scheduler) {
+	s.keptWarmUps = map[string]keptWarmUp{}
+	for id, state := range other.replicaStates {
+		if state.listed {
+			kept := keptWarmUp{position: state.entry.Position, warmUp: state.warmUp, mayBeSuccessor: state.mayBeSuccessor}
+			kept.warmUp.bucket = tokenBucket{}
+			s.keptWarmUps[id] = kept
+		}
+	}
+	s.mayHaveSuccessors = other.mayHaveSuccessors
+}
+
+// beginWarmUp sets until when the replica with the new entry is cold.
+func (s *Scheduler) beginWarmUp(now structs.Instant, state *replicaState, entry replicas.Replica) {
+	if kept, found := s.keptWarmUps[entry.ID]; found && state.entry.ID == "" && kept.position == entry.Position {
+		state.warmUp, state.mayBeSuccessor = kept.warmUp, kept.mayBeSuccessor
+		return
+	}
+	state.warmUp.until = now + entry.Warmup
+}
+
 // ConfirmEntries records that the listed entries are those of the replicas that run now.
 func (s *Scheduler) ConfirmEntries() {
 	if !s.mayHaveSuccessors {
--- a/coordination/admission/slow_start_test.go
+++ b/coordination/admission/slow_start_test.go
@@ -281,3 +281,48 @@
 		})
 	}
 }
+
+// Guards against warm replicas that count as cold again, as their entries still state the warm-up, since a scheduler was
+// replaced.
+func TestReplacedSchedulerKnowsWhoIsWarm(t *testing.T) {
+	for name, test := range map[string]struct {
+		change func(entry *replicas.Replica)
+		isCold bool
+	}{
+		"the same entry":  {func(*replicas.Replica) {}, false},
+		"a later entry":   {func(entry *replicas.Replica) { entry.Position = 9 }, true},
+		"another replica": {func(entry *replicas.Replica) { entry.ID = "other" }, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			former := New()
+			entry := coldPool(1, 2*time.Second)
+			former.SetReplicas(0, entry)
+			s := New()
+			s.KeepWarmUps(former)
+			s.SetSlowStart("s", testSlowStart)
+			test.change(&entry[0])
+			s.SetReplicas(10*time.Second, entry)
+			g.Expect(s.replicaStates[entry[0].ID].isCold(10*time.Second, s.pool("s"))).To(gomega.Equal(test.isCold))
+		})
+	}
+}
+
+// Guards against a replica that is warm too early, as its scheduler was replaced while it was cold.
+func TestReplacedSchedulerKnowsWhoIsCold(t *testing.T) {
+	g := gomega.NewWithT(t)
+	former := New()
+	former.SetSlowStart("s", testSlowStart)
+	former.SetReplicas(0, coldPool(2, 0))
+	former.RecordEnd(time.Second, "r0")
+	former.SetEvacuatedZones(time.Second, map[string]bool{"east": true})
+	former.SetEvacuatedZones(2*time.Second, nil)
+	s := New()
+	s.KeepWarmUps(former)
+	s.SetSlowStart("s", testSlowStart)
+	s.SetReplicas(3*time.Second, coldPool(2, 0))
+	isCold := func(id string, now structs.Instant) bool { return s.replicaStates[id].isCold(now, s.pool("s")) }
+	g.Expect(isCold("r0", time.Minute)).To(gomega.BeTrue(), "it may start at any moment")
+	g.Expect(isCold("r1", 4*time.Second)).To(gomega.BeTrue(), "its zone was evacuated")
+	g.Expect(isCold("r1", 5*time.Second)).To(gomega.BeFalse())
+}
--- a/entry/scheduling_service.go
+++ b/entry/scheduling_service.go
@@ -121,7 +121,11 @@
 }
 
 func (s *schedulingService) clearState() {
+	former := s.scheduler
 	s.scheduler = admission.New()
+	if former != nil {
+		s.scheduler.KeepWarmUps(former)
+	}
 	s.scheduler.SetPoisonTracker(s.poisonTracker)
 	s.scheduler.SetRegions(s.regions)
 	s.scheduler.SetPolicy(s.policy.admission)
