--- a/coordination/admission/assignments.go
+++ b/coordination/admission/assignments.go
@@ -16,10 +16,11 @@
 		return
 	}
 	assignment.started = true
+	state := s.replicaState(assignment.replicaID)
+	state.recordAnswer(now, assignment.assignedAt, s.pool(assignment.service))
 	if load < 0 {
 		return
 	}
-	state := s.replicaState(assignment.replicaID)
 	state.unreported = unreportedLoad{count: max(0, load-state.reportedInFlight()), observedAt: now}
 }
 
@@ -28,8 +29,10 @@
 	Fingerprint             fingerprint.Fingerprint
 	Parts                   []fingerprint.Fingerprint
 	Service, Route, Replica string
-	// Version is the replica's.
-	Version string
+	// Version is that of the replica's entry at the assignment. MayBeOfSuccessor is true if another incarnation, and so
+	// another version, may have got the request.
+	Version          string
+	MayBeOfSuccessor bool
 	// Prompt is the number of prompt tokens.
 	Prompt int
 	// AssignedAt is the time of the assignment.
@@ -43,7 +46,7 @@
 	if !found {
 		return Completion{}, false
 	}
-	ended := Completion{Fingerprint: assignment.fingerprint, Parts: assignment.parts, Service: assignment.service, Route: assignment.route, Replica: assignment.replicaID, Version: assignment.version, Prompt: assignment.promptTokens, AssignedAt: assignment.assignedAt}
+	ended := Completion{Fingerprint: assignment.fingerprint, Parts: assignment.parts, Service: assignment.service, Route: assignment.route, Replica: assignment.replicaID, Version: assignment.version, MayBeOfSuccessor: assignment.mayBeSuccessor, Prompt: assignment.promptTokens, AssignedAt: assignment.assignedAt}
 	isCurrent := s.isCurrentIncarnation(assignment)
 	assignment.settleFinished(now, observed.Duration)
 	if isCurrent {
@@ -82,6 +85,7 @@
 		return
 	}
 	pool := s.pool(service)
+	s.replicaState(replica).recordAnswer(now, now-observed.Duration, pool)
 	pool.meanDuration = smooth(pool.meanDuration, observed.Duration)
 	pool.work.observe(prompt, observed)
 	pool.responseTimes.observe(prompt, observed)
--- a/entry/scheduling_service.go
+++ b/entry/scheduling_service.go
@@ -121,7 +121,11 @@
 }
 
 func (s *schedulingService) clearState() {
+	former := s.scheduler
 	s.scheduler = admission.New()
+	if former != nil {
+		s.scheduler.KeepWarmUps(former)
+	}
 	s.scheduler.SetPoisonTracker(s.poisonTracker)
 	s.scheduler.SetRegions(s.regions)
 	s.scheduler.SetPolicy(s.policy.admission)
@@ -335,6 +339,9 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.scheduler.ObserveExternal(s.clock(), service, replica, prompt, finished.Observation)
+	if finished.HasReplicaEnded {
+		s.scheduler.RecordEnd(s.clock(), replica)
+	}
 	s.recordPoisonResult(admission.Completion{Parts: parts}, finished)
 }
 
@@ -372,6 +379,9 @@
 	if found {
 		s.recordRolloutResult(ended, request.Observation, request.NotRun)
 	}
+	if found && request.HasReplicaEnded {
+		s.scheduler.RecordEnd(s.clock(), ended.Replica)
+	}
 	s.recordPoisonResult(ended, request)
 	s.recordFinish(s.clock(), request)
 	s.scheduler.Cancel(request.ID)
--- a/entry/updates.go
+++ b/entry/updates.go
@@ -156,16 +156,27 @@
 	return true
 }
 
+// mayStartUnseen reports whether a replica may start without its entry being known soon afterwards.
+func (n *Node) mayStartUnseen() bool {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.isStoreUnhealthy()
+}
+
 // removeUnconfirmed removes the unconfirmed replicas once the store has been healthy for long enough
 // for them to rewrite their entries.
 func (n *Node) removeUnconfirmed() {
 	var removed []string
 	n.mutex.Lock()
-	if !n.isStoreUnhealthy() {
+	isHealthy := !n.isStoreUnhealthy()
+	if isHealthy {
 		removed = n.table.RemoveUnconfirmed(n.now())
 	}
 	n.table.SweepTombstones(n.now())
 	n.mutex.Unlock()
+	if isHealthy {
+		n.scheduling.confirmEntries()
+	}
 	for _, id := range removed {
 		n.log.Write(eventlog.Event{Kind: "replica", Replica: id, Outcome: "gone", Reason: "doubt-expired"})
 	}
