platformsim: replicas report their start and name their incarnation in events

Cause: a replica that starts again in place can't be told from the former one by what callers get. Change: events name the incarnation in a comment, GET /api/report answers born, a hook sees each run before it works, and ParseEvents reads the whole events of a body. All are off unless set.

--- a/lab/platformsim/replica.go
+++ b/lab/platformsim/replica.go
@@ -116,6 +116,13 @@
 	Version string
 	// StartedAt is the time of its start in Unix milliseconds; zero leaves it out of the entry.
 	StartedAt int64
+	// Incarnation names this start of the replica. If it is set, each event of a stream names it in a comment.
+	Incarnation string
+	// HasReport is true if the replica answers GET /api/report, with BornAt as its start in Unix milliseconds.
+	HasReport bool
+	BornAt    int64
+	// OnRun, if not nil, is called before each run does any work, from several goroutines.
+	OnRun func(Run)
 	// Warmup is the remaining warm-up time that Register writes.
 	Warmup time.Duration
 	// OnCrash, if not nil, is called after the replica crashed by behavior End.
@@ -292,6 +299,9 @@
 
 // serveRequest answers one request and reports whether the connection may be used again.
 func (r *Replica) serveRequest(conn net.Conn, reader *bufio.Reader, request *http.Request, body string) bool {
+	if request.URL.Path == reportPath {
+		return r.writeReport(conn)
+	}
 	behavior, arrival := r.recordArrival(request)
 	id := request.Header.Get("X-Attempt-Id")
 	switch {
@@ -302,6 +312,9 @@
 	}
 	run := r.beginRun(request, body, arrival)
 	defer r.endRun(run)
+	if r.OnRun != nil {
+		r.OnRun(*run)
+	}
 	ctx, stop := r.watchDisconnect(conn, reader, run)
 	reusable := r.writeResponse(ctx, conn, behavior, id, run)
 	stop()
--- a/lab/platformsim/store.go
+++ b/lab/platformsim/store.go
@@ -115,6 +115,13 @@
 // SetDown makes the store answer every call with 503.
 func (s *Store) SetDown(down bool) { s.update(func() { s.down = down }) }
 
+// IsDown reports whether the store answers every call with 503.
+func (s *Store) IsDown() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.down
+}
+
 // SetDelay delays every answer.
 func (s *Store) SetDelay(delay time.Duration) { s.update(func() { s.delay = delay }) }
 
--- a/lab/platformsim/stream.go
+++ b/lab/platformsim/stream.go
@@ -30,7 +30,7 @@
 		if run.LastEventID != "" {
 			event = Event(id, number)
 		}
-		event = versionComment(r.Version) + event
+		event = versionComment(r.Version) + incarnationComment(r.Incarnation) + event
 		if (behavior == Cut || behavior == UnframedCut) && number > r.Events/2 {
 			writeText(conn, frame(event[:len(event)/2]))
 			return false
@@ -55,6 +55,16 @@
 	return VersionComment + version + "\n"
 }
 
+// IncarnationComment is the prefix of the comment by which an event names the incarnation of its replica.
+const IncarnationComment = ": incarnation "
+
+func incarnationComment(incarnation string) string {
+	if incarnation == "" {
+		return ""
+	}
+	return IncarnationComment + incarnation + "\n"
+}
+
 // StreamBody returns the body of a complete streamed answer of a replica with the version.
 func StreamBody(id, version string, events int) string {
 	var text strings.Builder
@@ -100,3 +110,62 @@
 	e.LastID = max(e.LastID, continuation.LastID)
 	e.Count += continuation.Count
 }
+
+// StreamEvent is an event of a streamed answer.
+type StreamEvent struct {
+	// Number is its ID, counted from 1.
+	Number int
+	// Request is the ID of the request that it answers, Version and Incarnation name the replica that sent it.
+	Request, Version, Incarnation string
+}
+
+// ParseEvents returns the whole events of a body and the text after the last one, which is empty if the body ends
+// between two events. An error says that a whole event is not one of a replica.
+func ParseEvents(body string) (events []StreamEvent, rest string, err error) {
+	for {
+		text, after, isWhole := strings.Cut(body, "\n\n")
+		if !isWhole {
+			return events, body, nil
+		}
+		event, err := parseEvent(text)
+		if err != nil {
+			return events, body, err
+		}
+		events, body = append(events, event), after
+	}
+}
+
+func parseEvent(text string) (StreamEvent, error) {
+	var event StreamEvent
+	part := 0
+	for line := range strings.SplitSeq(text, "\n") {
+		switch key, value := cutField(line); key {
+		case VersionComment:
+			event.Version = value
+		case IncarnationComment:
+			event.Incarnation = value
+		case "id: ":
+			event.Number, _ = strconv.Atoi(value)
+		case "data: ":
+			if _, err := fmt.Sscanf(value, "part %d of %s", &part, &event.Request); err != nil {
+				return event, fmt.Errorf("event with the data %.80q: %w", value, err)
+			}
+		default:
+			return event, fmt.Errorf("event with the line %.80q", line)
+		}
+	}
+	if event.Number == 0 || event.Number != part {
+		return event, fmt.Errorf("event with the ID %d and the data of %d", event.Number, part)
+	}
+	return event, nil
+}
+
+// cutField returns the prefix of the line that is known in events, empty if there is none, and what follows it.
+func cutField(line string) (key, value string) {
+	for _, key := range []string{VersionComment, IncarnationComment, "id: ", "data: "} {
+		if value, found := strings.CutPrefix(line, key); found {
+			return key, value
+		}
+	}
+	return "", ""
+}
--- a/lab/platformsim/stream_test.go
+++ b/lab/platformsim/stream_test.go
@@ -79,3 +79,36 @@
 		})
 	}
 }
+
+// Guards against a judge of streams that reads a cut or foreign event as a whole one.
+func TestParseEventsFindsWholeEventsOnly(t *testing.T) {
+	g := gomega.NewWithT(t)
+	text := versionComment("v2") + incarnationComment("i-1.3") + Event("r1", 1)
+	events, rest, err := ParseEvents(text + Event("r1", 2)[:12])
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(events).To(gomega.Equal([]StreamEvent{{Number: 1, Request: "r1", Version: "v2", Incarnation: "i-1.3"}}))
+	g.Expect(rest).To(gomega.Equal(Event("r1", 2)[:12]))
+	for _, foreign := range []string{"hello\n\n", "id: 1\ndata: part 2 of r1\n\n", "id: 1\ndata: x\n\n", "data: part 1 of r1\n\n", "id: 1\n\n"} {
+		_, _, err := ParseEvents(foreign)
+		g.Expect(err).To(gomega.HaveOccurred(), "%q", foreign)
+	}
+}
+
+// Guards against a replica whose report does not tell the start of its process, or that has one without being set to.
+func TestReportTellsTheStart(t *testing.T) {
+	g := gomega.NewWithT(t)
+	for _, hasReport := range []bool{true, false} {
+		client, server := net.Pipe()
+		replica := &Replica{ID: "i-1", HasReport: hasReport, BornAt: 1234}
+		go func() { replica.writeReport(server) }()
+		response, err := http.ReadResponse(bufio.NewReader(client), nil)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		body, err := io.ReadAll(response.Body)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		if hasReport {
+			g.Expect(string(body)).To(gomega.MatchJSON(`{"born":1234,"running":0}`))
+		} else {
+			g.Expect(response.StatusCode).To(gomega.Equal(http.StatusNotFound))
+		}
+	}
+}
