soak: end replicas and start them again in place, and judge their streams

Cause: no soak of real processes had a replica that starts again at its address and under its ID with another software version, so streams that went on there while the store was away were not seen. Change: soak -replaced runs engines of two versions as processes, kills or closes them and starts them again in series, beside outages of the store, cuts of paths and faults of nodes, and judges streams event by event from outside. Result: go test ./lab/soak passes; each broken promise is found in made-up results.

--- a/cmd/thornwalk-lab/soak.go
+++ b/cmd/thornwalk-lab/soak.go
@@ -15,15 +15,15 @@
 	"github.com/thornwalk/thornwalk/lab/soak"
 )
 
-// firstLoopbackOctet is the third octet of the first worker's loopback addresses; each further
+// defaultLoopbackOctet is the third octet of the first worker's loopback addresses; each further
 // worker uses the next one.
-const firstLoopbackOctet = 40
+const defaultLoopbackOctet = 40
 
 // soakCommand injects faults into daemon processes and checks the guarantees to callers, for a
 // range of seeds.
 func soakCommand() *ffcli.Command {
 	flags := flag.NewFlagSet("soak", flag.ExitOnError)
-	daemon := flags.String("daemon", "", "path of thornwalkd, or of thornwalk-lab with -cuts, -silence or -spoiled; it is built if this is empty")
+	daemon := flags.String("daemon", "", "path of thornwalkd, or of thornwalk-lab with -cuts, -silence, -spoiled or -replaced; it is built if this is empty")
 	first := flags.Uint64("seed", 1, "first seed")
 	seeds := flags.Int("seeds", 1, "number of seeds")
 	workers := flags.Int("workers", 1, "seeds that are played at the same time")
@@ -38,13 +38,15 @@
 	versions := flags.Bool("versions", false, "break off streams of a service with two software versions, and judge that they go on at the one that began them")
 	silence := flags.Bool("silence", false, "stop and continue the processes of replicas beside changes, restarts and cuts, and judge that no answer ends unfinished for it")
 	spoiled := flags.Bool("spoiled", false, "have replicas send bytes that are no answer, in all forms, beside restarts and cuts, and judge memory and that no other answer is lost for it")
+	replaced := flags.Bool("replaced", false, "end replicas and start them again in place, often with another version, beside outages of the store and the other faults, and judge their streams")
+	octet := flags.Int("octet", defaultLoopbackOctet, "third number of the first worker's loopback addresses; further workers use the next ones, and soaks at the same time need others")
 	logs := flags.String("log", "", "folder for the daemons' lines; empty drops them")
 	return &ffcli.Command{
 		Name: "soak", ShortUsage: "thornwalk-lab soak [flags]", FlagSet: flags,
 		ShortHelp: "run daemons as processes, inject faults by signals and proxies, and judge the promises",
 		Exec: func(ctx context.Context, _ []string) error {
 			command := "thornwalkd"
-			if *cuts || *silence || *spoiled {
+			if *cuts || *silence || *spoiled || *replaced {
 				command = "thornwalk-lab"
 			}
 			path, cleanup, err := buildDaemon(*daemon, command)
@@ -52,8 +54,11 @@
 				return err
 			}
 			defer cleanup()
-			options := soak.Options{Daemon: path, Traffic: *traffic, Rate: *rate, LogFolder: *logs, Previous: *previous, Bounds: *bounds, Pushback: *pushback, Tenants: *tenants, Restore: *restore, Cuts: *cuts, Versions: *versions, Silence: *silence, Spoiled: *spoiled}
-			return runSoak(ctx, options, *first, *seeds, *workers)
+			options := soak.Options{Daemon: path, Traffic: *traffic, Rate: *rate, LogFolder: *logs, Previous: *previous, Bounds: *bounds, Pushback: *pushback, Tenants: *tenants, Restore: *restore, Cuts: *cuts, Versions: *versions, Silence: *silence, Spoiled: *spoiled, Replaced: *replaced}
+			if options.ReplicaProgram, err = os.Executable(); err != nil {
+				return err
+			}
+			return runSoak(ctx, options, *first, *seeds, *workers, *octet)
 		},
 	}
 }
@@ -77,7 +82,7 @@
 
 // runSoak runs the seeds, as many at a time as there are workers. It returns an error if a seed
 // failed to run or a guarantee was violated.
-func runSoak(ctx context.Context, options soak.Options, first uint64, seeds, workers int) error {
+func runSoak(ctx context.Context, options soak.Options, first uint64, seeds, workers, octet int) error {
 	seedQueue := make(chan uint64)
 	var group sync.WaitGroup
 	var mutex sync.Mutex
@@ -85,7 +90,7 @@
 	for worker := range workers {
 		group.Go(func() {
 			workerOptions := options
-			workerOptions.Block = fmt.Sprintf("127.0.%d", firstLoopbackOctet+worker)
+			workerOptions.Block = fmt.Sprintf("127.0.%d", octet+worker)
 			for seed := range seedQueue {
 				workerOptions.Seed = seed
 				result, err := soak.Run(ctx, workerOptions)
--- a/lab/soak/checks.go
+++ b/lab/soak/checks.go
@@ -11,7 +11,7 @@
 )
 
 // checkRun checks all promises and adds their violations to the result, sorted.
-func checkRun(result *Result, options *Options, d *deployment, c *callers, held *heldCallers, i *injector) {
+func checkRun(result *Result, options *Options, d *deployment, c *callers, held *heldCallers, streams *replacedCallers, i *injector) {
 	runs := map[string]int{}
 	for _, replica := range d.allReplicas() {
 		for _, run := range replica.Runs() {
@@ -47,6 +47,9 @@
 	if options.Silence {
 		checkSilence(result, d, held, i, violate)
 	}
+	if options.Replaced {
+		checkReplaced(result, d, streams, i, violate)
+	}
 	checkRecovery(d, c, i, violate)
 	for _, p := range d.processes {
 		for _, failure := range p.failures {
--- a/lab/soak/cuts.go
+++ b/lab/soak/cuts.go
@@ -41,7 +41,7 @@
 	return plan
 }
 
-// cutPaths cuts the paths between the fault's nodes and its held replicas, or all replicas if it has none.
+// cutPaths cuts the paths between the fault's nodes and its replicas with processes, or all replicas if it has none.
 func (i *injector) cutPaths(f fault) (heal func()) {
 	write := func(mode pathfault.Mode, addresses []string) {
 		for _, node := range f.nodes {
@@ -58,7 +58,7 @@
 		addresses = nil
 	}
 	for _, number := range f.replicas {
-		addresses = append(addresses, i.deployment.held[number].options.Address)
+		addresses = append(addresses, i.deployment.processAddress(number))
 	}
 	now := time.Now()
 	write(f.mode, addresses)
--- a/lab/soak/deployment.go
+++ b/lab/soak/deployment.go
@@ -90,6 +90,8 @@
 	// replicas.
 	held              []*heldReplica
 	heldConfiguration heldConfiguration
+	// reincarnated are the replicas that start again in place. They are not among replicas.
+	reincarnated []*reincarnatedReplica
 	// mutex guards the last written configuration and the states of replicas that are not ready.
 	mutex         sync.Mutex
 	configuration entrylab.Configuration
@@ -159,6 +161,11 @@
 			return d, err
 		}
 	}
+	if options.Replaced {
+		if err := d.startReincarnated(options); err != nil {
+			return d, err
+		}
+	}
 	d.writeConfiguration(staleRouteName)
 	for number := range engineCount + registryCount {
 		if err := d.startReplica(options.Block, number); err != nil {
@@ -288,6 +295,10 @@
 	if len(d.held) > 0 {
 		d.heldConfiguration.addTo(&configuration, route)
 	}
+	if len(d.reincarnated) > 0 {
+		configuration.Routes = append(configuration.Routes, replacedRoutes(route)...)
+		configuration.Services = append(configuration.Services, entrylab.Service{Name: replacedService})
+	}
 	if d.hasSurgeTenant {
 		configuration.Tenants = append(configuration.Tenants, entrylab.Tenant{Name: "surge", Keys: []string{surgeTenantKey}, Unit: "tokens", PlainTokens: tokensPerRequest, Rate: d.rate, Burst: d.burst})
 	}
@@ -306,6 +317,7 @@
 		p.close()
 	}
 	d.collectHeld()
+	d.endReincarnated()
 	// A forked process holds copies of all open sockets until exec, which would keep the
 	// addresses in use.
 	syscall.ForkLock.RLock()
--- a/lab/soak/held_replica.go
+++ b/lab/soak/held_replica.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"os"
 	"os/exec"
 	"sync"
@@ -21,11 +22,21 @@
 	ID, Service, Address, Version string
 	Slots, Events                 int
 	Step                          time.Duration
+	// Incarnation names the start of the replica in its events, StartedAt is its time in Unix milliseconds. The report
+	// tells it if HasReport is true.
+	Incarnation string `json:",omitempty"`
+	StartedAt   int64  `json:",omitempty"`
+	HasReport   bool   `json:",omitempty"`
+	// WritesRuns has the process write each run before it does any work, and none at its end.
+	WritesRuns bool `json:",omitempty"`
 }
 
 // replica returns the stand-in that the options describe.
 func (o replicaOptions) replica() *platformsim.Replica {
-	return &platformsim.Replica{ID: o.ID, Service: o.Service, Address: o.Address, Zone: "east", Version: o.Version, Slots: o.Slots, Events: o.Events, Step: o.Step}
+	return &platformsim.Replica{
+		ID: o.ID, Service: o.Service, Address: o.Address, Zone: "east", Version: o.Version, Slots: o.Slots, Events: o.Events, Step: o.Step,
+		Incarnation: o.Incarnation, HasReport: o.HasReport, BornAt: o.StartedAt,
+	}
 }
 
 // replicaRun is a request that the replica of a process ran.
@@ -37,8 +48,8 @@
 	Cancelled, Completed bool
 }
 
-// ServeReplica serves one replica, whose options it reads from the input, until the input ends. Then it writes
-// the runs to the output.
+// ServeReplica serves one replica, whose options it reads from the input, until the input ends. It writes the runs to
+// the output: each as it begins if the options say so, else all at the end.
 func ServeReplica(input io.Reader, output io.Writer) error {
 	var options replicaOptions
 	if err := json.NewDecoder(input).Decode(&options); err != nil {
@@ -49,11 +60,15 @@
 		return err
 	}
 	replica := options.replica()
-	go replica.Serve(listener)
 	encoder := json.NewEncoder(output)
 	if err := encoder.Encode(options); err != nil { // tells the parent that it listens
 		return err
 	}
+	if options.WritesRuns {
+		serveWritingRuns(replica, listener, input, encoder)
+		return nil
+	}
+	go replica.Serve(listener)
 	_, _ = io.Copy(io.Discard, input)
 	_ = listener.Close()
 	runs := []replicaRun{}
@@ -63,6 +78,20 @@
 	return encoder.Encode(runs)
 }
 
+// serveWritingRuns serves the replica until the input ends and writes each run as it begins. The exit of the process
+// closes the connections.
+func serveWritingRuns(replica *platformsim.Replica, listener net.Listener, input io.Reader, encoder *json.Encoder) {
+	var mutex sync.Mutex
+	replica.OnRun = func(run platformsim.Run) {
+		mutex.Lock()
+		defer mutex.Unlock()
+		_ = encoder.Encode(replicaRun{ID: run.ID, At: run.At}) // fails only if the parent is gone
+	}
+	go replica.Serve(listener)
+	_, _ = io.Copy(io.Discard, input)
+	_ = listener.Close()
+}
+
 // replicaExitTimeout is the time in which a process has to write its runs and exit.
 const replicaExitTimeout = 10 * time.Second
 
--- a/lab/soak/inject.go
+++ b/lab/soak/inject.go
@@ -31,6 +31,8 @@
 	kills, frozen map[int][]span
 	// delays are the spans in which a fault may delay the nodes' reads of the store.
 	delays []span
+	// storeFaults are the spans in which a fault may keep nodes or replicas from the store.
+	storeFaults []span
 	// cuts are the cuts of paths to replicas.
 	cuts []cutSpan
 	// restoredAt is when the store was restored the last time.
@@ -95,10 +97,13 @@
 	if delay, isDelay := f.delay(now); isDelay {
 		i.delays = append(i.delays, delay)
 	}
+	if f.kind.hitsStore() {
+		i.storeFaults = append(i.storeFaults, span{now, now.Add(f.duration + recoveryTime)})
+	}
 	switch f.kind {
 	case kindStop, kindReplace:
 		i.plannedStops[f.target] = append(i.plannedStops[f.target], stopped)
-	case kindHangUp, kindChange, kindGrow, kindDrain, kindReplicaLeaves, kindReplicaLimits, kindReplicaPauses, kindHold, kindReconfigure, kindReplicaSpoils:
+	case kindHangUp, kindChange, kindGrow, kindDrain, kindReplicaLeaves, kindReplicaLimits, kindReplicaPauses, kindHold, kindReconfigure, kindReplicaSpoils, kindReincarnate:
 	default:
 		i.unplanned = append(i.unplanned, span{now.Add(-storeRecoveryWindow), now.Add(f.duration + recoveryTime)})
 	}
@@ -155,6 +160,10 @@
 		d.replicas[f.target].SetPushback(platformsim.Pushback{Limit: strconv.Itoa(f.ratePerSecond)})
 	case kindPathCut:
 		return i.cutPaths(f)
+	case kindReincarnate:
+		return i.reincarnate(f)
+	case kindStoreCut:
+		return i.cutStore(f)
 	case kindReplicaSpoils:
 		return i.spoilAnswers(f)
 	case kindReplicaPauses:
--- a/lab/soak/plan.go
+++ b/lab/soak/plan.go
@@ -50,6 +50,8 @@
 	kindReplicaPauses  kind = "replica-pauses"  // a replica rejects requests with Retry-After
 	kindPathCut        kind = "path-cut"        // some nodes lose their paths to all replicas
 	kindReplicaSpoils  kind = "replica-spoils"  // two replicas send bytes that are no answer
+	kindReincarnate    kind = "reincarnate"     // a replica ends and starts again in place
+	kindStoreCut       kind = "store-cut"       // some nodes lose the store
 )
 
 // boundKinds affect the bounds that hold for all nodes together, and the nodes that enforce them.
@@ -67,6 +69,8 @@
 		return plan.kinds()
 	case options.Spoiled && !options.Bounds:
 		return spoiledKinds
+	case options.Replaced:
+		return drawReplaced(options.Seed, options.Traffic).kinds()
 	case !options.Bounds:
 		return kinds
 	case options.Previous != "":
@@ -121,6 +125,13 @@
 	changes  []change
 	// onScheduler replaces the target by the scheduling node at the start of the fault.
 	onScheduler bool
+	// version is that with which a replica starts again, and entryDelay the time until it writes its entry. It closes
+	// its connections and exits if closes is true, else it is killed.
+	version    string
+	entryDelay time.Duration
+	closes     bool
+	// hangs is true if the nodes without the store get no answers, else their connections are reset.
+	hangs bool
 	// form is that of spoiled answers, and isTotal is true if all replicas spoil all of their answers.
 	form    platformsim.SpoiledForm
 	isTotal bool
@@ -132,6 +143,10 @@
 	switch {
 	case f.kind == kindHold:
 		return fmt.Sprintf("%.1fs %s of replicas %v for %.1fs", f.offset.Seconds(), f.kind, f.replicas, f.duration.Seconds())
+	case f.kind == kindReincarnate:
+		return fmt.Sprintf("%.1fs %s #%d as %s after %.2fs, closes %t, entry after %.2fs", f.offset.Seconds(), f.kind, f.target, f.version, f.duration.Seconds(), f.closes, f.entryDelay.Seconds())
+	case f.kind == kindStoreCut:
+		return fmt.Sprintf("%.1fs %s of nodes %v%s, hangs %t, for %.1fs", f.offset.Seconds(), f.kind, f.nodes, f.schedulerNote(), f.hangs, f.duration.Seconds())
 	case f.isTotal:
 		return fmt.Sprintf("%.1fs %s (%s) of all replicas for %.1fs", f.offset.Seconds(), f.kind, f.form, f.duration.Seconds())
 	case f.kind == kindReplicaSpoils:
--- a/lab/soak/soak.go
+++ b/lab/soak/soak.go
@@ -51,6 +51,12 @@
 	// Spoiled adds faults in which replicas send bytes that are no answer, in all forms, and cuts as Cuts does; the
 	// daemons have a memory limit that is judged. Daemon must be thornwalk-lab. It excludes Previous.
 	Spoiled bool
+	// Replaced adds a service with replicas of two software versions, which are processes that end and start again in
+	// place, often with the other version, beside outages of the store and the other faults. Requests to them are sent for
+	// replacedCalm after the faults. Daemon must be thornwalk-lab. It excludes Bounds, Previous, Restore and Silence.
+	Replaced bool
+	// ReplicaProgram is the path of the thornwalk-lab that runs the replicas of Replaced; empty means Daemon.
+	ReplicaProgram string
 	// LogFolder is where the daemons' logs are written; empty discards them.
 	LogFolder string
 }
@@ -93,6 +99,16 @@
 	if options.Spoiled && options.Previous != "" {
 		return nil, errors.New("option Spoiled excludes Previous, which may not limit answers: play them in two runs")
 	}
+	if options.Replaced && (options.Bounds || options.Previous != "" || options.Restore || options.Silence) {
+		return nil, errors.New("option Replaced excludes Bounds, Previous, Restore and Silence: play them in two runs")
+	}
+	replaced := drawReplaced(options.Seed, options.Traffic)
+	if options.Replaced {
+		if err := processBudget.Acquire(ctx, int64(replaced.processes())); err != nil {
+			return nil, err
+		}
+		defer processBudget.Release(int64(replaced.processes()))
+	}
 	silence := drawSilence(options.Seed, options.Traffic)
 	if options.Silence {
 		if err := processBudget.Acquire(ctx, int64(silence.processes())); err != nil {
@@ -135,6 +151,9 @@
 	if options.Silence {
 		plan = append(plan, silence.faults...)
 	}
+	if options.Replaced {
+		plan = append(plan, replaced.faults...)
+	}
 	if options.Restore {
 		plan = append(plan, drawRestore(options.Seed).restore)
 	}
@@ -156,6 +175,10 @@
 	if options.Silence {
 		c.group.Go(func() { held.send(ctx, traffic) })
 	}
+	streams := newReplacedCallers(options.Block, &replaced)
+	if options.Replaced {
+		c.group.Go(func() { streams.send(ctx, traffic+replacedCalm) })
+	}
 	c.sendTraffic(ctx, traffic, options.Rate)
 	<-done
 	time.Sleep(settleTime)
@@ -163,13 +186,16 @@
 	if options.Silence {
 		result.Worst["silence"] = silence.String()
 	}
+	if options.Replaced {
+		result.Worst["replaced"] = replaced.String()
+	}
 	if options.Restore {
 		result.Worst["restore"] = drawRestore(options.Seed).String()
 	}
 	for _, planned := range plan {
 		result.Faults = append(result.Faults, planned.String())
 	}
-	checkRun(result, &options, d, c, held, i)
+	checkRun(result, &options, d, c, held, streams, i)
 	return result, nil
 }
 
