soak: outages of the store during replacements last longer, and refusals name a time to come back

Cause: outages of up to 4 s leave replicas that started again unlisted too briefly to judge whether they are served. Change: up to 7 s, at most 1.5 s beyond their series; the judge finds refusals without Retry-After. Result: go test ./lab/soak passes.

--- a/lab/soak/replaced.go
+++ b/lab/soak/replaced.go
@@ -54,7 +54,8 @@
 	minAgainGap, maxAgainGap           = 100 * time.Millisecond, 400 * time.Millisecond
 	maxEntryDelay                      = time.Second
 	maxStoreLead, maxStoreLag          = 700 * time.Millisecond, 300 * time.Millisecond
-	minStoreOutage, maxStoreOutage     = 800 * time.Millisecond, 4 * time.Second
+	minStoreOutage, maxStoreOutage     = 800 * time.Millisecond, 7 * time.Second
+	maxStoreTail                       = 1500 * time.Millisecond
 	minStoreGap, maxStoreGap           = 200 * time.Millisecond, 1200 * time.Millisecond
 	maxStoreOutages                    = 3
 	minVersionShare                    = 1.0 / 4
@@ -197,7 +198,7 @@
 	}
 	offset := max(0, between(random, start-maxStoreLead, start+maxStoreLag))
 	for range maxStoreOutages {
-		outage.offset, outage.duration = offset, between(random, minStoreOutage, maxStoreOutage)
+		outage.offset, outage.duration = offset, min(between(random, minStoreOutage, maxStoreOutage), end+maxStoreTail-offset)
 		p.faults = append(p.faults, outage)
 		offset += outage.duration + between(random, minStoreGap, maxStoreGap)
 		if offset > end {
--- a/lab/soak/replaced_callers.go
+++ b/lab/soak/replaced_callers.go
@@ -24,8 +24,8 @@
 	// it elsewhere.
 	leavingEach = 4
 	// namelessEach is how many streams there are for one whose caller resumes it without the name of the first request.
-	namelessEach  = 5
-	maxReplacedID = 8
+	namelessEach     = 5
+	maxReplacedTries = 8
 	// replacedDeadline is the time of a caller over all tries, replacedSilence the silence after which it leaves a try:
 	// the longest of 2 s, 4 times the objective and 8 times the objective for gaps.
 	replacedDeadline = 7 * time.Second
@@ -51,7 +51,9 @@
 	// isBroken is true if the connection ended before the answer was complete, hasLeft if the caller gave up, and
 	// isUnconnected if it got no connection.
 	isBroken, hasLeft, isUnconnected bool
-	retryAfter                       time.Duration
+	// retryAfter is the time to come back, hasRetryAfter true if the answer named one.
+	retryAfter    time.Duration
+	hasRetryAfter bool
 }
 
 // isComplete reports whether the answer ended as a complete one.
@@ -143,7 +145,7 @@
 // time is over, and records it.
 func (c *replacedCallers) sendStream(stream *replacedStreamCall, node int) {
 	deadline := time.Now().Add(replacedDeadline)
-	for number := range maxReplacedID {
+	for number := range maxReplacedTries {
 		try := c.sendTry(stream, number, (node+number)%nodeCount, deadline)
 		stream.tries = append(stream.tries, try)
 		mayRepeat := stream.isResumable() || try.isRefused() || try.isUnconnected
@@ -199,7 +201,7 @@
 func (t *replacedTry) read(response *http.Response, leaveAfter int, heard func()) error {
 	defer response.Body.Close()
 	t.status, t.stamp = response.StatusCode, response.Header.Get("X-Server-Stamp")
-	t.retryAfter = parseRetryAfter(response.Header.Get("Retry-After"))
+	t.retryAfter, t.hasRetryAfter = parseRetryAfter(response.Header.Get("Retry-After")), response.Header.Get("Retry-After") != ""
 	var text strings.Builder
 	reader := bufio.NewReader(response.Body)
 	events := 0
--- a/lab/soak/replaced_checks.go
+++ b/lab/soak/replaced_checks.go
@@ -88,6 +88,7 @@
 var replacedRules = []replacedRule{
 	{"VERSIONS", maxMixedStreams, (*replacedRecord).mixed}, {"ORDER", 0, (*replacedRecord).misordered}, {"ORDER", 0, (*replacedRecord).joined},
 	{"MIXED", 0, (*replacedRecord).foreign}, {"TWICE", 0, (*replacedRecord).repeated}, {"REFUSED", 0, (*replacedRecord).refusedButRun},
+	{"REFUSED", 0, (*replacedRecord).refusedWithoutReturn},
 	{"LOST", maxLostStreams, (*replacedRecord).lost},
 }
 
@@ -165,6 +166,16 @@
 	return ""
 }
 
+// refusedWithoutReturn finds a request whose caller was refused without a time to come back.
+func (r *replacedRecord) refusedWithoutReturn(stream *replacedStreamCall) string {
+	for _, try := range stream.tries {
+		if try.isRefused() && !try.hasRetryAfter && try.status != http.StatusMisdirectedRequest {
+			return fmt.Sprintf("request %s was answered %d without a time to come back", try.id, try.status)
+		}
+	}
+	return ""
+}
+
 // lost finds a request that a sound replica ran and that ended unfinished although no fault explains it.
 func (r *replacedRecord) lost(stream *replacedStreamCall) string {
 	for number := range stream.tries {
--- a/lab/soak/replaced_checks_test.go
+++ b/lab/soak/replaced_checks_test.go
@@ -114,7 +114,7 @@
 	all := numbersFrom(1, replacedEvents)
 	resumable := func() *replacedBuilder { return newReplacedCase(replacedRoute) }
 	lasting := func() *replacedBuilder { return newReplacedCase(lastingRoute) }
-	refused := func(try *replacedTry) { try.status, try.events, try.stamp = 503, nil, "" }
+	refused := func(try *replacedTry) { try.status, try.events, try.stamp, try.hasRetryAfter = 503, nil, "", true }
 	cases := []struct {
 		name  string
 		made  *replacedBuilder
@@ -150,6 +150,7 @@
 		{"refused and not run", lasting().try(1, "again-0.0").with(func(try *replacedTry) { refused(try); try.id = "rs1-9" }), nil},
 		{"refused and run", lasting().try(1, "again-0.0").with(refused), []string{"REFUSED"}},
 		{"refused and run, where it may run twice", resumable().try(1, "again-0.0").with(refused), nil},
+		{"refused without a time to come back", resumable().try(1, "again-0.0").with(func(try *replacedTry) { try.status, try.stamp = 503, "" }), []string{"REFUSED"}},
 		{"lost at a sound replica", resumable().try(1, "again-1.0", 1, 2).broken(), []string{"LOST"}},
 		{"lost with 502 at a sound replica", resumable().try(1, "again-1.0").with(func(try *replacedTry) { try.status = 502 }), []string{"LOST"}},
 		{"lost as the replica ended", lasting().try(4.5, "again-0.0", 1, 2).broken(), nil},
