--- a/lab/soak/held_replica.go
+++ b/lab/soak/held_replica.go
@@ -22,11 +22,11 @@
 	ID, Service, Address, Version string
 	Slots, Events                 int
 	Step                          time.Duration
-	// Incarnation names the start of the replica in its events, StartedAt is its time in Unix milliseconds. The report
-	// tells it if HasReport is true.
-	Incarnation string `json:",omitempty"`
-	StartedAt   int64  `json:",omitempty"`
-	HasReport   bool   `json:",omitempty"`
+	// Incarnation names the start of the replica in its events, StartedAt is its time in Unix milliseconds. Reports tell it
+	// if GivesReports is true.
+	Incarnation  string `json:",omitempty"`
+	StartedAt    int64  `json:",omitempty"`
+	GivesReports bool   `json:",omitempty"`
 	// WritesRuns has the process write each run before it does any work, and none at its end.
 	WritesRuns bool `json:",omitempty"`
 }
@@ -35,7 +35,7 @@
 func (o replicaOptions) replica() *platformsim.Replica {
 	return &platformsim.Replica{
 		ID: o.ID, Service: o.Service, Address: o.Address, Zone: "east", Version: o.Version, Slots: o.Slots, Events: o.Events, Step: o.Step,
-		Incarnation: o.Incarnation, HasReport: o.HasReport, BornAt: o.StartedAt,
+		Incarnation: o.Incarnation, StartedAt: o.StartedAt, GivesReports: o.GivesReports,
 	}
 }
 
--- a/lab/soak/reincarnated_replica.go
+++ b/lab/soak/reincarnated_replica.go
@@ -120,8 +120,8 @@
 		return false
 	}
 	replica := p.options.replica()
-	if p.statesStart {
-		replica.StartedAt = p.options.StartedAt
+	if !p.statesStart {
+		replica.StartedAt = 0
 	}
 	replica.Register(store, "ready")
 	p.listedAt = time.Now()
@@ -197,7 +197,7 @@
 	for number, version := range plan.versions {
 		replica := &reincarnatedReplica{program: program, statesStart: plan.statesStart, base: replicaOptions{
 			ID: fmt.Sprintf("again-%d", number), Service: replacedService, Address: hostAddress(options.Block, firstHeldHost+number, replicaPort),
-			Slots: replacedSlots, Events: replacedEvents, Step: replacedStep, HasReport: plan.hasReports, WritesRuns: true,
+			Slots: replacedSlots, Events: replacedEvents, Step: replacedStep, GivesReports: plan.givesReports, WritesRuns: true,
 		}}
 		d.reincarnated = append(d.reincarnated, replica)
 		group.Go(func() {
--- a/lab/soak/replaced.go
+++ b/lab/soak/replaced.go
@@ -66,8 +66,8 @@
 type replacedPlan struct {
 	// versions are those of the replicas at the start.
 	versions []string
-	// hasReports is true if the replicas answer GET /api/report, statesStart if their entries state their start.
-	hasReports, statesStart bool
+	// givesReports is true if the replicas answer GET /api/report, statesStart if their entries state their start.
+	givesReports, statesStart bool
 	// hasNodeFaults is true if the other faults include those of nodes and of the store.
 	hasNodeFaults bool
 	faults        []fault
@@ -80,7 +80,7 @@
 	random := rand.New(rand.NewPCG(seed, replacedStream))
 	size := replacedSizes[random.IntN(len(replacedSizes))]
 	plan := replacedPlan{
-		hasReports: random.Float64() < reportShare, statesStart: random.Float64() < startStatedShare, hasNodeFaults: random.Float64() < nodeFaultsShare,
+		givesReports: random.Float64() < reportShare, statesStart: random.Float64() < startStatedShare, hasNodeFaults: random.Float64() < nodeFaultsShare,
 		free: make([]time.Duration, size),
 	}
 	for number := range size {
@@ -250,7 +250,7 @@
 }
 
 func (p replacedPlan) String() string {
-	return fmt.Sprintf("%d replicas, reports %t, start stated %t, faults of nodes and the store %t", len(p.versions), p.hasReports, p.statesStart, p.hasNodeFaults)
+	return fmt.Sprintf("%d replicas, reports %t, start stated %t, faults of nodes and the store %t", len(p.versions), p.givesReports, p.statesStart, p.hasNodeFaults)
 }
 
 // hitsStore reports whether the fault may keep nodes or replicas from the store.
