--- a/lab/soak/replaced_checks.go
+++ b/lab/soak/replaced_checks.go
@@ -235,9 +235,9 @@
 	return values
 }
 
-// check applies all rules and returns the number of streams that each of them finds.
-func (r *replacedRecord) check(violate reportViolation) map[string]int {
-	counts := map[string]int{}
+// check applies all rules. It returns the number of streams that each of them finds, and those that it allows.
+func (r *replacedRecord) check(violate reportViolation) (counts map[string]int, allowed []string) {
+	counts = map[string]int{}
 	for _, rule := range replacedRules {
 		var found []string
 		for _, stream := range r.streams {
@@ -247,6 +247,7 @@
 		}
 		counts[rule.name] += len(found)
 		if len(found) <= rule.allowed {
+			allowed = append(allowed, found...)
 			continue
 		}
 		violate("%s: %d streams in all, %d allowed", rule.name, len(found), rule.allowed)
@@ -254,7 +255,7 @@
 			violate("%s", line)
 		}
 	}
-	return counts
+	return counts, allowed
 }
 
 // replacements are the spans from the end of a replica until its successor is listed, with the time of recovery.
@@ -425,7 +426,10 @@
 			process.mutex.Unlock()
 		}
 	}
-	counts := record.check(violate)
+	counts, allowed := record.check(violate)
+	if len(allowed) > 0 {
+		result.Worst["allowed"] = strings.Join(allowed, " | ")
+	}
 	shares := record.checkShares(violate)
 	checkReplacedRepeats(result, record, violate)
 	result.Worst["replaced"] += fmt.Sprintf("; %d starts, %d streams, %d of two versions; found %v; %s", starts, len(record.streams), counts["VERSIONS"], counts, shares)
--- a/lab/soak/replaced_checks_test.go
+++ b/lab/soak/replaced_checks_test.go
@@ -193,10 +193,14 @@
 		violations = append(violations, fmt.Sprintf(format, arguments...))
 	}
 	made.record.streams = slices.Repeat(made.record.streams, maxMixedStreams)
-	g.Expect(made.record.check(violate)["VERSIONS"]).To(gomega.Equal(maxMixedStreams))
+	counts, allowed := made.record.check(violate)
+	g.Expect(counts["VERSIONS"]).To(gomega.Equal(maxMixedStreams))
+	g.Expect(allowed).To(gomega.HaveLen(maxMixedStreams))
 	g.Expect(violations).To(gomega.BeEmpty())
 	made.record.streams = append(made.record.streams, made.stream)
-	g.Expect(made.record.check(violate)["VERSIONS"]).To(gomega.Equal(maxMixedStreams + 1))
+	counts, allowed = made.record.check(violate)
+	g.Expect(counts["VERSIONS"]).To(gomega.Equal(maxMixedStreams + 1))
+	g.Expect(allowed).To(gomega.BeEmpty())
 	g.Expect(violations).To(gomega.HaveLen(1 + maxMixedStreams + 1))
 }
 
