soak: say when the replicas of a mixed stream started and were listed

Cause: whether a stream goes on wrongly before or after the entry is written could not be seen from its line. Change: the line names the runs with their times. Result: go test ./lab/soak passes.

--- a/lab/soak/replaced_checks.go
+++ b/lab/soak/replaced_checks.go
@@ -97,7 +97,13 @@
 	if len(distinct(stream.events(), func(event platformsim.StreamEvent) string { return event.Version })) < 2 {
 		return ""
 	}
-	return "has events of two versions: " + describeEvents(stream)
+	problem := "has events of two versions: " + describeEvents(stream)
+	for _, try := range stream.tries {
+		if len(try.events) > 0 {
+			problem += "; " + try.id + ": " + r.describeRuns(try.id)
+		}
+	}
+	return problem
 }
 
 // misordered finds a stream with an event that is missing, comes twice or out of order, or that ends as complete before
@@ -205,7 +211,14 @@
 func (r *replacedRecord) describeRuns(id string) string {
 	var parts []string
 	for _, run := range r.runs[id] {
-		parts = append(parts, fmt.Sprintf("%s (%s) at %.2f s", run.incarnation.name, run.incarnation.version, run.at.Sub(r.startedAt).Seconds()))
+		part := fmt.Sprintf("%s (%s) at %.2f s", run.incarnation.name, run.incarnation.version, run.at.Sub(r.startedAt).Seconds())
+		if !run.incarnation.isFirst {
+			part += fmt.Sprintf(" up since %.2f s", run.incarnation.startedAt.Sub(r.startedAt).Seconds())
+			if !run.incarnation.listedAt.IsZero() {
+				part += fmt.Sprintf(" and listed at %.2f s", run.incarnation.listedAt.Sub(r.startedAt).Seconds())
+			}
+		}
+		parts = append(parts, part)
 	}
 	return "it ran at " + cmp.Or(strings.Join(parts, ", "), "no replica")
 }
