--- a/lab/platformsim/replica.go
+++ b/lab/platformsim/replica.go
@@ -114,6 +114,8 @@
 	// Version is the version in its entry; empty means v1. If it is set, each event of a stream names it in a
 	// comment.
 	Version string
+	// Incarnation names this start of the replica. If it is set, each event of a stream names it in a comment.
+	Incarnation string
 	// StartedAt is the time of its start in Unix milliseconds; zero leaves it out of the entry.
 	StartedAt int64
 	// Warmup is the remaining warm-up time that Register writes.
@@ -128,6 +130,8 @@
 	Events int
 	// Step is the time before each event, and the duration of a plain run.
 	Step time.Duration
+	// OnRun, if not nil, is called before each run does any work, from several goroutines.
+	OnRun func(Run)
 
 	mutex      sync.Mutex
 	behaviorOf func(request *http.Request) Behavior
@@ -312,6 +316,9 @@
 	}
 	run := r.beginRun(request, body, arrival)
 	defer r.endRun(run)
+	if r.OnRun != nil {
+		r.OnRun(*run)
+	}
 	ctx, stop := r.watchDisconnect(conn, reader, run)
 	reusable := r.writeResponse(ctx, conn, behavior, id, run)
 	stop()
