test/entry: explain of a stream whose version is uncertain

With lines of nodes: a stream that began at a replica which had been replaced in place while the store is away, and the try of its caller to resume it, which gets 503. The explanation of the second names the first, and that of the first says that nothing showed which process it began at.

--- a/test/entry/event_log_test.go
+++ b/test/entry/event_log_test.go
@@ -116,6 +116,36 @@
 	})
 }
 
+// Guards against event logs that don't show why a stream was not resumed, and what was known where it began.
+func TestEventLogExplainsAStreamOfUncertainVersion(t *testing.T) {
+	runScenario(t, func(s *scenario) {
+		time.Sleep(8 * time.Second) // until the views of the store reach back far enough
+		s.deployment.Store.SetDown(true)
+		time.Sleep(2 * time.Second)
+		for i, host := range []string{"e1", "e2"} {
+			s.engines[i].Crash()
+			time.Sleep(time.Second)
+			next := startInPlace(s, host, s.engines[i])
+			next.SetBehavior(always(platformsim.Cut))
+		}
+		time.Sleep(4 * time.Second)
+		s.Expect(s.do("n1", http.MethodPost, "/resume/", withRequestID("began")).complete).To(gomega.BeFalse())
+		refused := s.do("n2", http.MethodPost, "/resume/", func(r *http.Request) {
+			withRequestID("again")(r)
+			r.Header.Set("Last-Event-Id", "2")
+			r.Header.Set("Resumes", "began")
+		})
+		s.Expect(refused.status).To(gomega.Equal(http.StatusServiceUnavailable))
+		s.Expect(refused.header.Get("Retry-After")).NotTo(gomega.BeEmpty())
+		s.Expect(s.requestHistory("again")).To(gomega.And(
+			gomega.ContainSubstring("the stream of began may not go on (stream-version-uncertain): explain that request too"),
+			gomega.ContainSubstring("nothing showed at which version the stream began"),
+		))
+		s.Expect(s.requestHistory("began")).To(gomega.MatchRegexp(`the stream began at i-e\d of version v1.*: nothing showed then that it was still this process; the latest statement on it was \d+\.\d s old`))
+		s.deployment.Store.SetDown(false)
+	})
+}
+
 // Guards against an event log without the end of a request whose caller has left.
 func TestEventLogRecordsTheEndOfARequestWhoseCallerLeft(t *testing.T) {
 	runScenario(t, func(s *scenario) {
