entry: an idle connection that the replica closed is no doubt of it

Cause: a query for a report over a kept connection that the replica had closed counted as a replica that does not answer: it was doubted, not asked for 2 s, and the stream did not go on there. Found by reading; a kept connection may be closed at any time.

Change: up to three more connections are tried.

--- a/entry/replica_report.go
+++ b/entry/replica_report.go
@@ -97,12 +97,17 @@
 }
 
 // errUnproven means that nothing shows which incarnation of the replica the connection leads to, errClosedAfterReport
-// that the replica closed the connection after a report that shows it.
+// that the replica closed the connection after a report that shows it, and errClosedIdle that it closed the connection
+// before it was used again.
 var (
 	errUnproven          = errors.New("nothing shows which incarnation it is")
 	errClosedAfterReport = errors.New("the replica closed the connection after its report")
+	errClosedIdle        = errors.New("the replica closed the idle connection")
 )
 
+// maxClosedIdle bounds the idle connections that are tried in a row.
+const maxClosedIdle = 3
+
 // connectProven is connect for streams that go on: it returns a connection only if something shows which incarnation it
 // leads to. The error is errUnproven if nothing does. For other requests any connection will do.
 func (c *call) connectProven(granted *grant, maxIdle time.Duration) (*replicahttp.Conn, error) {
@@ -111,6 +116,15 @@
 		return nil, err
 	}
 	err = c.prove(conn, granted)
+	for range maxClosedIdle {
+		if !errors.Is(err, errClosedIdle) {
+			break
+		}
+		if conn, err = c.connect(granted, maxIdle); err != nil {
+			return nil, err
+		}
+		err = c.prove(conn, granted)
+	}
 	if errors.Is(err, errClosedAfterReport) {
 		if conn, err = c.connect(granted, maxIdle); err != nil {
 			return nil, err
@@ -171,6 +185,9 @@
 	if err != nil && callerContext.Err() != nil {
 		return errUnproven
 	}
+	if err != nil && conn.Reused && failureCauseOf(err) == causeClosed {
+		return fmt.Errorf("%w: %w", errUnproven, errClosedIdle)
+	}
 	if err != nil {
 		n.counter("streams.identity_reports.failed").Inc(1)
 		n.mutex.Lock()
