poison: odd records are kept out

Cause: records of the store and of peers were merged whatever they held. One of the highest generation could never be cleared, as the next one is zero; a list of 100,000 incarnations, texts of megabytes and trials out of range were kept and sent on. Change: a record that no node can have written is ignored; those beside it count.

--- a/coordination/poison/tracker.go
+++ b/coordination/poison/tracker.go
@@ -261,10 +261,11 @@
 	return blocked
 }
 
-// accepts reports whether the received record is to be merged. Unknown records that are about to
+// accepts reports whether the received record is to be merged. Others may write to the store, so invalid ones are ignored.
+// Unknown records that are about to
 // expire are ignored: otherwise nodes would keep restoring them from each other.
 func (t *Tracker) accepts(record *poisonrecords.Record) bool {
-	if record.Fingerprint.IsZero() || t.policy.CrashThreshold <= 0 {
+	if record.Fingerprint.IsZero() || t.policy.CrashThreshold <= 0 || !record.IsValid() {
 		return false
 	}
 	if _, found := t.entries[record.Fingerprint]; found || record.IsPersistent && len(record.Incarnations) >= t.policy.CrashThreshold {
--- a/state/poisonrecords/record.go
+++ b/state/poisonrecords/record.go
@@ -26,6 +26,12 @@
 	MaxIncarnations = 8
 	// MaxTrials bounds the trials of a blocked request.
 	MaxTrials = 2
+	// maxGeneration leaves room for clears: a record whose generation overflows could not be cleared any more.
+	maxGeneration = 1 << 31
+	// maxRecordedTrials is far above MaxTrials, which nodes may exceed by trials that cross each other.
+	maxRecordedTrials = 1 << 10
+	// maxTextBytes bounds each text of a record. The longest are IDs from the head of a request, which has as many bytes.
+	maxTextBytes = 16 << 10
 )
 
 // Record is the crash history of one request, or of all requests of a tenant with one part in their prompts. Of two records of a request, the one with the higher
@@ -51,6 +57,14 @@
 	Age int64 `msgpack:"a" json:"-"`
 }
 
+// IsValid reports whether a record that was received can have been written by a node.
+func (r *Record) IsValid() bool {
+	isLong := func(text string) bool { return len(text) > maxTextBytes }
+	return r.Generation <= maxGeneration && r.Trials >= 0 && r.Trials <= maxRecordedTrials && len(r.Incarnations) <= MaxIncarnations &&
+		!slices.ContainsFunc([]string{r.Service, r.Route, r.Part, r.Tenant}, isLong) &&
+		!slices.ContainsFunc(r.Incarnations, func(incarnation Incarnation) bool { return isLong(string(incarnation)) })
+}
+
 // Merge merges another record of the same request, and reports whether r changed.
 func (r *Record) Merge(other *Record) bool {
 	switch {
