oneshot: an end without framing needs a server that is still there

What callers saw: a plain service's response without a length and chunks whose server was killed in the middle, or that was closed behind its head, counted as answered by package node.

Cause: the same as in package entry: the close of the connection was taken for the proof that the body is whole.

Change: a body without framing ends with io.EOF only if it is not empty and the server accepts another connection; otherwise with io.ErrUnexpectedEOF. Clients that read one JSON value stop before the end and are not affected: the value shows its own end, and every prefix of an answer of the store is an error (TestCutAnswersAreErrors in etcdstore, which passes before too).

--- a/transport/oneshot/oneshot.go
+++ b/transport/oneshot/oneshot.go
@@ -1,6 +1,10 @@
 // Package oneshot sends an HTTP request at most once, over a connection of its own. Unlike the
 // transport of net/http, it never resends and follows no redirects, and its errors show whether any
 // byte was written. It doesn't reuse connections.
+//
+// Reads of a response's body end with io.EOF only if the body is complete: by its length or its last chunk; without these, if
+// it is not empty and the server accepts another connection after it closed this one, as the kernel closes the connections of
+// a killed process in the same way.
 package oneshot
 
 import (
@@ -10,6 +14,7 @@
 	"io"
 	"net"
 	"net/http"
+	"time"
 
 	"github.com/thornwalk/thornwalk/transport/httphead"
 	"github.com/thornwalk/thornwalk/transport/network"
@@ -47,10 +52,29 @@
 		_ = connection.Close()
 		return nil, err
 	}
-	response.Body = &body{ReadCloser: response.Body, connection: connection, stopCancel: stop}
+	wrapped := &body{ReadCloser: response.Body, connection: connection, stopCancel: stop}
+	if response.Body != http.NoBody && response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+		wrapped.isStillServing = func() bool { return s.accepts(ctx, address) }
+	}
+	response.Body = wrapped
 	return response, nil
 }
 
+// endProofTimeout bounds the connect that shows whether a server is still there after it closed a connection.
+const endProofTimeout = 100 * time.Millisecond
+
+// accepts reports whether the server accepts a connection.
+func (s *Sender) accepts(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, endProofTimeout)
+	defer cancel()
+	connection, err := s.Network.Dial(ctx, address)
+	if err != nil {
+		return false
+	}
+	_ = connection.Close()
+	return true
+}
+
 // SendTracked is Send with beforeFirstByte in place of the sender's hook.
 func (s *Sender) SendTracked(ctx context.Context, address string, request *http.Request, beforeFirstByte func() error) (*http.Response, error) {
 	tracked := Sender{Network: s.Network, BeforeFirstByte: beforeFirstByte}
@@ -100,6 +124,19 @@
 	io.ReadCloser
 	connection net.Conn
 	stopCancel func() bool
+	// isStillServing is nil if the body has a length or chunks, and hasContent is true once a byte was read.
+	isStillServing func() bool
+	hasContent     bool
+}
+
+// Read implements io.Reader.
+func (b *body) Read(into []byte) (int, error) {
+	count, err := b.ReadCloser.Read(into)
+	b.hasContent = b.hasContent || count > 0
+	if err == io.EOF && b.isStillServing != nil && (!b.hasContent || !b.isStillServing()) {
+		err = io.ErrUnexpectedEOF
+	}
+	return count, err
 }
 
 func (b *body) Close() error {
