incarnations: a suspension of this process is no outage of the store

The lines of the first sends have no proof from the end of the suspension to 5.5 s later, and replica.identity is silent.

Change: after a suspension the store is presumed to have been up, as by a new process, if the last view before it was settled. The first view after it is still asked for.

--- a/coordination/incarnations/tracker.go
+++ b/coordination/incarnations/tracker.go
@@ -104,6 +104,10 @@
 	isInterrupted bool
 	// presumesUp is true while the store is presumed to have been up before the views began.
 	presumesUp bool
+	// settledAsOf is the instant of the latest view by which the store had been up for settleTime, or was presumed to, if
+	// wasSettled.
+	settledAsOf structs.Instant
+	wasSettled  bool
 	// healthyAt is when a peer last told that it had watched the store for settleTime without a failure, if hasHealthyPeer.
 	healthyAt      structs.Instant
 	hasHealthyPeer bool
@@ -128,9 +132,12 @@
 	}
 	if !t.hasView || t.isInterrupted || asOf-t.viewAsOf > maxViewGap {
 		t.steadySince = asOf
-		t.presumesUp = t.presumesUp && !t.hasView
+		t.presumesUp = t.presumesUp && (!t.hasView || t.isInterrupted)
 	}
 	t.hasView, t.isInterrupted, t.viewAsOf = true, false, asOf
+	if t.isSettled() {
+		t.settledAsOf, t.wasSettled = asOf, true
+	}
 	if covered := asOf - EntryDelay - maxViewGap; covered >= t.steadySince {
 		t.coversUntil, t.hasCover = covered, true
 	}
@@ -255,8 +262,12 @@
 // isCurrent reports whether the latest view is recent, and the store was up for so long that it lists no incarnation
 // which was replaced before.
 func (t *Tracker) isCurrent(now structs.Instant) bool {
-	isSettled := t.presumesUp || t.viewAsOf-t.steadySince >= settleTime || t.hasHealthyPeer && t.viewAsOf-t.healthyAt <= maxViewAge
-	return t.hasView && !t.isInterrupted && now-t.viewAsOf <= maxViewAge && isSettled
+	return t.hasView && !t.isInterrupted && now-t.viewAsOf <= maxViewAge && t.isSettled()
+}
+
+// isSettled reports whether the store had been up for settleTime by the latest view, or is presumed to.
+func (t *Tracker) isSettled() bool {
+	return t.presumesUp || t.viewAsOf-t.steadySince >= settleTime || t.hasHealthyPeer && t.viewAsOf-t.healthyAt <= maxViewAge
 }
 
 // PresumeUp has the tracker of a new process presume that the store was up before the first view, until there is a sign
@@ -264,6 +275,13 @@
 // after a start of all nodes. If the store has just come back, ProofAssumed is wrong of what was replaced meanwhile.
 func (t *Tracker) PresumeUp() { t.presumesUp = true }
 
+// Suspended records that this process was suspended between the instants. What it knew is interrupted, but the store is
+// presumed to have been up meanwhile if it was before, as by PresumeUp.
+func (t *Tracker) Suspended(since, until structs.Instant) {
+	t.Interrupt(until)
+	t.presumesUp = t.wasSettled && t.settledAsOf >= since-maxViewGap
+}
+
 // ObserveHealthy records that a peer has watched the store for the time without a failure: if this process did not reach
 // it, it was not away.
 func (t *Tracker) ObserveHealthy(now structs.Instant, watched time.Duration) {
--- a/coordination/incarnations/tracker_test.go
+++ b/coordination/incarnations/tracker_test.go
@@ -168,7 +168,27 @@
 		"a new process whose first call failed": {func(tracker *Tracker) { tracker.PresumeUp(); tracker.Interrupt(0) }, false},
 		"a process that presumes too much":      {func(tracker *Tracker) { tracker.PresumeUp(); tracker.ObserveView(0) }, false},
 		"a call failed":                         {func(tracker *Tracker) { tracker.ObserveView(0); tracker.Interrupt(time.Second) }, false},
-		"views had a gap":                       {func(tracker *Tracker) { tracker.ObserveView(0) }, false},
+		"a suspended process": {func(tracker *Tracker) {
+			observeSteadily(tracker, 0, 10*time.Second)
+			tracker.Suspended(11*time.Second, back-time.Second)
+		}, true},
+		"a suspended process that got late news first": {func(tracker *Tracker) {
+			observeSteadily(tracker, 0, 10*time.Second)
+			tracker.ObserveView(back - time.Second)
+			tracker.Suspended(11*time.Second, back-time.Second)
+		}, true},
+		"suspended while the store was away": {func(tracker *Tracker) {
+			observeSteadily(tracker, 0, 10*time.Second)
+			tracker.Interrupt(11 * time.Second)
+			tracker.ObserveView(12 * time.Second)
+			tracker.Suspended(15*time.Second, back-time.Second)
+		}, false},
+		"a call failed after a suspension": {func(tracker *Tracker) {
+			observeSteadily(tracker, 0, 10*time.Second)
+			tracker.Suspended(11*time.Second, back-time.Second)
+			tracker.Interrupt(back - time.Millisecond)
+		}, false},
+		"views had a gap": {func(tracker *Tracker) { tracker.ObserveView(0) }, false},
 		"steady since": {func(tracker *Tracker) {
 			tracker.ObserveView(0)
 			observeSteadily(tracker, back-settleTime, back)
--- a/entry/heartbeats.go
+++ b/entry/heartbeats.go
@@ -117,7 +117,7 @@
 	n.mutex.Lock()
 	n.term = term
 	n.storeFailedAt, n.watchHealthy = n.now(), false
-	n.identities.Interrupt(n.now())
+	n.identities.Suspended(n.now()-suspended, n.now())
 	n.versionHistory.Restart()
 	n.requestRereadLocked(rereadResumed)
 	n.mutex.Unlock()
