entry: a refused probe of a path is a doubt of its replica

Cause: a connect outside of a request, as of the loop that verifies paths, marked the path as lost, but not the replica as possibly ended. The connection that a peer forwarded then counted as unbroken.

Change: a refused connect is a doubt, whatever it was for. Timeouts count for sends only, as before: a partition is no sign of an end.

--- a/entry/replica_paths.go
+++ b/entry/replica_paths.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"github.com/thornwalk/thornwalk/coordination/incarnations"
 	"github.com/thornwalk/thornwalk/coordination/reachability"
 	"github.com/thornwalk/thornwalk/internal/eventlog"
 	"github.com/thornwalk/thornwalk/protocol/errkind"
@@ -130,6 +131,9 @@
 	change := n.paths.RecordConnect(n.now(), replica.ID, err == nil)
 	n.mutex.Unlock()
 	n.isPathSilent.Store(outcome == connectTimedOut)
+	if outcome == connectRefused {
+		n.recordDoubt(incarnations.Of(replica))
+	}
 	if outcome == connectTimedOut {
 		// A request on an open connection may be lost as well.
 		n.pool.ForgetDirect(incarnationOf(replica))
--- a/entry/replica_report_test.go
+++ b/entry/replica_report_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -106,6 +107,29 @@
 	}
 }
 
+// refusingNetwork refuses all connections.
+type refusingNetwork struct{ reportNetwork }
+
+func (*refusingNetwork) Dial(context.Context, string) (net.Conn, error) {
+	return nil, syscall.ECONNREFUSED
+}
+
+// Guards against a stream that goes on, over a connection that a peer forwards, at a replica whose address has refused a
+// connection outside of a request.
+func TestRefusedProbeOfAPathIsADoubt(t *testing.T) {
+	g := gomega.NewWithT(t)
+	log := eventlog.New("self", nil)
+	defer log.Close()
+	replica := replicas.Replica{ID: "first", Service: "engines", Version: "v1", Address: "a:1", StartedAt: 7}
+	n := New(&Settings{Name: "self", Zone: "east"}, Dependencies{Network: &refusingNetwork{}, Log: log})
+	n.table.Put(replica)
+	_, err := n.dialReplica(t.Context(), replica, time.Second)
+	g.Expect(err).To(gomega.HaveOccurred())
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	g.Expect(n.verdictLocked(incarnations.Connection{Incarnation: incarnations.Of(replica), OpenedAt: n.now()}).DoubtAge).To(gomega.BeNumerically(">", 0))
+}
+
 // Guards against queries and waits for requests of which no caller has an event.
 func TestNewStreamsNeedNoProof(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
