entry: late heartbeats are no recent views of the store

What callers saw: nothing yet; found in review. A stream could go on at another version at a node that learns of the store from its peers' heartbeats.

Cause: a heartbeat states the age of its sender's view as of the sending, and the receiver counted from the arrival. One that was on its way for 3 s made the view 3 s younger than it was. A few of them right after the store went away bridged the gap that ends a row of views, so that an entry proved an incarnation whose successor had had less than EntryDelay with the store.

Change: heartbeats state their sender's uptime since the check for former processes, so how much longer than the fastest one of its process one was on its way is known; the age of its view grows by that. A lasting delay stops counting at 1 s in 20. Heartbeats of earlier releases, which state no uptime, count as before.

--- a/coordination/liveness/liveness.go
+++ b/coordination/liveness/liveness.go
@@ -174,7 +174,8 @@
 	suspected       bool
 	confirmed       bool
 	addedAt         structs.Instant
-	// startedBy is the earliest known instant by which the process had started, if it states its uptime.
+	// startedBy is the earliest known instant by which the process had started, if it states its uptime. It rises slowly
+	// while heartbeats show only later ones.
 	startedBy structs.Instant
 	// ordinal is the number of members that the table had added before.
 	ordinal uint64
@@ -231,7 +232,7 @@
 	isSameProcess := found && member.Incarnation == heartbeat.Incarnation
 	startedBy := heartbeat.startedBy(now)
 	if isSameProcess && member.confirmed {
-		startedBy = min(startedBy, member.startedBy)
+		startedBy = min(startedBy, member.startedBy+(now-member.lastHeartbeatAt)/delayDecay)
 	}
 	isStillSuspected := isSameProcess && member.suspected && heartbeat.Relayed
 	hasAppeared := !isSameProcess || !isStillSuspected && !member.isLive(now)
@@ -249,6 +250,20 @@
 	return now - structs.Instant(h.UptimeMS)*time.Millisecond
 }
 
+// delayDecay is in how much time a unit of a lasting delay stops counting: all heartbeats of a process come later once its
+// path is a longer one, or its clock stood still.
+const delayDecay = 20
+
+// Delay returns for how much longer than the fastest one of its process the heartbeat, which arrives now and was observed,
+// was on its way. It is zero if the sender does not state its uptime.
+func (t *Table) Delay(now structs.Instant, heartbeat Heartbeat) time.Duration {
+	member, found := t.members[heartbeat.Name]
+	if !found || !member.confirmed || member.Incarnation != heartbeat.Incarnation || heartbeat.UptimeMS <= 0 {
+		return 0
+	}
+	return max(heartbeat.startedBy(now)-member.startedBy, 0)
+}
+
 // IsOfFormerProcess reports whether the heartbeat is a late one of a process whose successor was heard lately: it is of
 // another process than the node's known one, which had started earlier.
 func (t *Table) IsOfFormerProcess(now structs.Instant, heartbeat Heartbeat) bool {
--- a/coordination/liveness/liveness_test.go
+++ b/coordination/liveness/liveness_test.go
@@ -63,6 +63,28 @@
 	}
 }
 
+// Guards against a late heartbeat that counts as recent, and against a process whose heartbeats count as late for ever once
+// its path became longer.
+func TestDelayOfHeartbeats(t *testing.T) {
+	g := gomega.NewWithT(t)
+	table := NewTable("self")
+	receive := func(sentAt, arrivesAt time.Duration) time.Duration {
+		heartbeat := Heartbeat{Name: "a", Incarnation: 7, UptimeMS: sentAt.Milliseconds()}
+		table.Observe(arrivesAt, heartbeat)
+		return table.Delay(arrivesAt, heartbeat)
+	}
+	g.Expect(receive(time.Second, 1010*time.Millisecond)).To(gomega.BeZero())
+	g.Expect(receive(1100*time.Millisecond, 3110*time.Millisecond)).To(gomega.BeNumerically("~", 2*time.Second, 150*time.Millisecond))
+	g.Expect(receive(3200*time.Millisecond, 3210*time.Millisecond)).To(gomega.BeZero())
+	delay := time.Duration(0)
+	for at := 4 * time.Second; at < time.Minute; at += 100 * time.Millisecond {
+		delay = receive(at, at+2*time.Second)
+	}
+	g.Expect(delay).To(gomega.BeZero())
+	g.Expect(table.Delay(time.Minute, Heartbeat{Name: "a", Incarnation: 7})).To(gomega.BeZero(), "no uptime")
+	g.Expect(table.Delay(time.Minute, Heartbeat{Name: "a", Incarnation: 3, UptimeMS: 100})).To(gomega.BeZero(), "another process")
+}
+
 // Guards against a process that stays ignored since a clock of its machine went wrong.
 func TestProcessIsHeardOnceItsPredecessorIsSilent(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/entry/freshness.go
+++ b/entry/freshness.go
@@ -40,16 +40,18 @@
 )
 
 // recordFreshness merges the age of a peer's replicas and configuration, each only if this node's
-// are at least as new. The caller holds the mutex.
+// are at least as new. Ages are as of the sending: of a heartbeat that was late, the replicas are older by its delay. The
+// caller holds the mutex.
 func (n *Node) recordFreshness(now structs.Instant, heartbeat liveness.Heartbeat) {
+	sentAt := now - n.members.Delay(now, heartbeat)
 	if heartbeat.ReplicasAgeMS >= 0 && heartbeat.ReplicasAgeMS < staleAfter.Milliseconds() && !heartbeat.StoreUnreachable {
 		n.recordStoreReached(now)
 	}
 	if !n.isFromEarlierEra(heartbeat) {
-		n.identities.ObserveHealthy(now, time.Duration(heartbeat.StoreHealthyMS)*time.Millisecond)
+		n.identities.ObserveHealthy(sentAt, time.Duration(heartbeat.StoreHealthyMS)*time.Millisecond)
 	}
 	if heartbeat.ReplicasAgeMS >= 0 && !n.isFromEarlierEra(heartbeat) && heartbeat.LatestPosition <= n.table.LatestPosition() {
-		n.observeView(now - time.Duration(heartbeat.ReplicasAgeMS)*time.Millisecond)
+		n.observeView(sentAt - time.Duration(heartbeat.ReplicasAgeMS)*time.Millisecond)
 	}
 	if own := n.version(); heartbeat.ConfigurationAgeMS >= 0 && own > 0 && heartbeat.Version <= own {
 		n.configurationFreshness.Observe(now - time.Duration(heartbeat.ConfigurationAgeMS)*time.Millisecond)
