replicahttp: a surplus answer to a query does not take the place of the next one

What callers saw: a stream that should go on was sent to another replica, or broken off.

Cause: a connection that had carried a query only did not count as used, so that a late second answer to the query, which has no ID, ended the next exchange with ErrNoID in place of being skipped.

Evidence: TestSurplusAnswerToAQueryIsSkipped failed before with ErrNoID.

Change: a query marks its connection as used.

Result: ./transport/replicahttp passes.

--- a/transport/replicahttp/query.go
+++ b/transport/replicahttp/query.go
@@ -37,6 +37,7 @@
 }
 
 func (c *Conn) query(request *Request, maxBody int64) (*QueryAnswer, error) {
+	c.Reused = true // a surplus answer to the query may come before that to the next request
 	if _, err := c.Write(request.head()); err != nil {
 		return nil, err
 	}
--- a/transport/replicahttp/query_test.go
+++ b/transport/replicahttp/query_test.go
@@ -57,3 +57,26 @@
 		})
 	}
 }
+
+// Guards against a surplus answer to a query, which comes later, in place of the answer to the next request of the connection.
+func TestSurplusAnswerToAQueryIsSkipped(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno"
+	address := serve(t, func(_ int, conn net.Conn, reader *bufio.Reader) {
+		if readRequest(reader) {
+			reply(conn, answer)
+		}
+		if readRequest(reader) {
+			reply(conn, answer+completeAnswer)
+		}
+	})
+	pool := NewPool()
+	conn, err := connect(t.Context(), pool, address)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	_, err = pool.Query(t.Context(), conn, &Request{Method: http.MethodGet, Target: "/report", Host: "h", Header: http.Header{}, IDHeader: "Id"}, 4)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	next, err := pool.Exchange(t.Context(), conn, &Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}, IDHeader: "Id", ID: "me"})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer next.Abandon()
+	g.Expect(next.Header.Get("Id")).To(gomega.Equal("me"))
+}
