entry: a replica that ends at its head is doubted

What callers saw: a stream could go on at a successor of another version that started in place, after the former process was killed behind a head without framing, or within the status line.

Cause: these two ends counted as answers that are not valid, which say nothing of the process, and not as a connection that the replica closed. The parser takes a cut status line for a whole one; the head without framing had an error of its own. So the replica was not probed, and without a doubt the known entry is assumed to hold.

Change: both errors are of a closed connection. They are counted by violation as before (answers.invalid.nothing-before-close), the cut status line no longer as malformed; their reason is closed-by-replica.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -324,9 +324,9 @@
 	case c.lastFailure == causeInvalidResponse:
 		c.failureDetail = shortened(err)
 		c.node.counter("answers.invalid." + violationOf(err)).Inc(1)
-	case errors.Is(err, errEndNotProven):
+	case errors.Is(err, errEndNotProven), errors.Is(err, errNothingSent):
 		c.failureDetail = shortened(err)
-		c.node.counter("answers.invalid." + violationEndNotProven).Inc(1)
+		c.node.counter("answers.invalid." + violationOf(err)).Inc(1)
 	}
 	c.node.counter("breaks." + string(c.lastFailure)).Inc(1)
 	return resultIncomplete
--- a/entry/held_memory.go
+++ b/entry/held_memory.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -58,7 +59,7 @@
 	// errEventGap is the error of a continuation that begins with a later event than the next one.
 	errEventGap = &invalidAnswerError{violationEventGap}
 	// errNothingSent is the error of an answer without framing whose connection was closed right after the head.
-	errNothingSent = &invalidAnswerError{violationNothingSent}
+	errNothingSent = fmt.Errorf("%w: %w", &invalidAnswerError{violationNothingSent}, io.ErrUnexpectedEOF)
 )
 
 // violationOf returns the name of what is wrong with an answer of which the read failed with err.
@@ -66,6 +67,8 @@
 	var head *httphead.Error
 	var invalid *invalidAnswerError
 	switch {
+	case errors.Is(err, errEndNotProven):
+		return violationEndNotProven
 	case errors.As(err, &head):
 		return string(head.Violation)
 	case errors.As(err, &invalid):
--- a/test/entry/unproven_ends_test.go
+++ b/test/entry/unproven_ends_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -160,3 +161,44 @@
 		s.Expect(s.counters("connections_opened ") - before).To(gomega.Equal(5))
 	})
 }
+
+// Guards against a stream that goes on at the successor of a replica which was killed right behind a head, or within it:
+// the end has to raise a doubt as that between two events does.
+func TestReplicaKilledAtItsHeadIsDoubted(t *testing.T) {
+	for name, cut := range map[string]func(head string) string{
+		"behind the head":           func(head string) string { return head },
+		"before the head's end":     func(head string) string { return head[:len(head)-2] },
+		"within a line of the head": func(head string) string { return head[:len(head)-8] },
+		"within the status line":    func(head string) string { return head[:10] },
+		"in the first chunk": func(head string) string {
+			return strings.TrimSuffix(head, "\r\n") + "Transfer-Encoding: chunked\r\n\r\n40\r\nid: 1\n"
+		},
+		"in the length of a chunk": func(head string) string {
+			return strings.TrimSuffix(head, "\r\n") + "Transfer-Encoding: chunked\r\n\r\n4"
+		},
+	} {
+		for isKilled, doubted := range map[bool]int{true: 1, false: 0} {
+			t.Run(fmt.Sprint(name, ", killed ", isKilled), func(t *testing.T) {
+				runScenario(t, func(s *scenario) {
+					route := answerRoutes[3]
+					replicas := s.replaceReplicas(route.service, 3, func(number int, exchange *scriptedExchange) {
+						if number > 1 {
+							route.wholeAnswer(exchange)
+							return
+						}
+						exchange.write(cut(exchange.head("200 OK", "Content-Type: text/event-stream\r\n")))
+						if isKilled {
+							exchange.end()
+						} else {
+							exchange.close()
+						}
+					})
+					defer replicas.close()
+					got := s.do("n1", route.method, route.path, nil)
+					s.Expect(got.body).To(gomega.Equal(route.wholeBody(got)))
+					s.Expect(s.counters("streams_identity_doubted ")).To(gomega.Equal(doubted))
+				})
+			})
+		}
+	}
+}
--- a/transport/httphead/httphead.go
+++ b/transport/httphead/httphead.go
@@ -235,6 +235,12 @@
 		return s.limitErr
 	case errors.Is(err, io.ErrUnexpectedEOF), s.readErr != nil && errors.Is(err, s.readErr):
 		return err
+	case s.readErr != nil && !s.isComplete:
+		// The parser takes what was received of the status line for a whole one.
+		if errors.Is(s.readErr, io.EOF) {
+			return io.ErrUnexpectedEOF
+		}
+		return s.readErr
 	}
 	text := err.Error()
 	return &Error{Violation: Malformed, Bytes: s.received, Detail: fmt.Sprintf("%q", text[:min(len(text), maxQuotedBytes)])}
