entry: a replica without a report does not speak for its service

What callers saw: streams that were to go on at a replica that had been doubted were broken off, or refused with 503, for half a minute after one replica of the service had given a faulty report, or none, as one of an earlier release.

Cause: any answer without a start counted for the whole service, so that no replica of it was asked.

Evidence: TestReplicaWithoutAReportDoesNotSpeakForItsService failed before.

Change: if another replica of the service stated its start within the last 30 s, only the replica itself is not asked again, for 2 s. A service without reports is asked once in 30 s as before.

--- a/entry/replica_identity_test.go
+++ b/entry/replica_identity_test.go
@@ -1,6 +1,11 @@
 package entry
 
 import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"net/http"
 	"testing"
 	"time"
 
@@ -8,6 +13,8 @@
 
 	"github.com/thornwalk/thornwalk/coordination/incarnations"
 	"github.com/thornwalk/thornwalk/coordination/liveness"
+	"github.com/thornwalk/thornwalk/internal/eventlog"
+	"github.com/thornwalk/thornwalk/state/replicas"
 )
 
 // Guards against a log that is flooded by the doubts of one replica.
@@ -48,3 +55,35 @@
 	g.Expect(verdictOf(storeAwayAt - incarnations.EntryDelay + time.Second).Proof).To(gomega.Equal(incarnations.ProofNone))
 	g.Expect(verdictOf(4 * time.Second).Proof).To(gomega.Equal(incarnations.ProofEntry))
 }
+
+// Guards against one replica without a report, or with a faulty one, because of which no other replica of its service is
+// asked for half a minute, so that streams are broken off that could go on.
+func TestReplicaWithoutAReportDoesNotSpeakForItsService(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n := New(&Settings{Name: "n"}, Dependencies{Log: eventlog.New("n", nil), ReportPath: "/report", ParseReport: func(status int, _ []byte) (int64, error) {
+		if status != http.StatusOK {
+			return 0, errors.New("no report")
+		}
+		return 1000, nil
+	}})
+	query := func(replica replicas.Replica, status string) error {
+		ours, theirs := net.Pipe()
+		defer func() { _ = theirs.Close() }()
+		go func() {
+			if _, err := http.ReadRequest(bufio.NewReader(theirs)); err == nil {
+				_, _ = io.WriteString(theirs, "HTTP/1.1 "+status+"\r\nContent-Length: 0\r\n\r\n")
+			}
+		}()
+		return n.queryReport(t.Context(), n.addDirect(ours, replica), replica)
+	}
+	sound := replicas.Replica{ID: "a", Service: "s", StartedAt: 1000}
+	faulty := replicas.Replica{ID: "b", Service: "s", StartedAt: 2000}
+	g.Expect(query(sound, "200 OK")).To(gomega.Succeed())
+	g.Expect(query(faulty, "500 Failed")).To(gomega.Succeed())
+	g.Expect(n.givesReportsLocked(sound)).To(gomega.BeTrue())
+	g.Expect(n.givesReportsLocked(faulty)).To(gomega.BeFalse())
+	unreported := replicas.Replica{ID: "c", Service: "without", StartedAt: 3000}
+	g.Expect(query(unreported, "404 Not Found")).To(gomega.Succeed())
+	unreported.ID = "d"
+	g.Expect(n.givesReportsLocked(unreported)).To(gomega.BeFalse(), "no replica of the service stated its start")
+}
--- a/entry/replica_report.go
+++ b/entry/replica_report.go
@@ -22,8 +22,8 @@
 	// reportQueryTimeout bounds the query for a report of a replica.
 	reportQueryTimeout = 300 * time.Millisecond
 	maxReportBytes     = 64 << 10
-	// A service whose replica answers without a start is not asked again for withoutReportsTime, and a replica that does
-	// not answer for reportRetryTime.
+	// A service whose replica answers without a start is not asked again for withoutReportsTime, unless another one stated
+	// its start within that time. A replica that gives no report, of a service that does, is not asked for reportRetryTime.
 	withoutReportsTime = 30 * time.Second
 	reportRetryTime    = 2 * time.Second
 	// maxUnprovable bounds the replicas that a request for an assignment excludes.
@@ -32,14 +32,29 @@
 
 // reporters holds which replicas give reports. The node's mutex guards it.
 type reporters struct {
-	// withoutReports is when a replica of the service last answered without a start, and unanswered when the incarnation
-	// last did not answer.
+	// withoutReports is when a replica of the service last answered without a start, withReports when one last stated its
+	// start, and unanswered when the incarnation last gave no report, of a service whose others may.
 	withoutReports map[string]structs.Instant
+	withReports    map[string]structs.Instant
 	unanswered     map[incarnations.Incarnation]structs.Instant
 }
 
 func newReporters() reporters {
-	return reporters{withoutReports: map[string]structs.Instant{}, unanswered: map[incarnations.Incarnation]structs.Instant{}}
+	return reporters{withoutReports: map[string]structs.Instant{}, withReports: map[string]structs.Instant{}, unanswered: map[incarnations.Incarnation]structs.Instant{}}
+}
+
+// recordReport records that the replica stated its start.
+func (r *reporters) recordReport(now structs.Instant, replica replicas.Replica) {
+	r.withReports[replica.Service] = now
+}
+
+// recordNoStart records that the replica answered without its start.
+func (r *reporters) recordNoStart(now structs.Instant, replica replicas.Replica) {
+	if reported, hasReported := r.withReports[replica.Service]; hasReported && now-reported < withoutReportsTime {
+		r.unanswered[incarnations.Of(replica)] = now
+		return
+	}
+	r.withoutReports[replica.Service] = now
 }
 
 // givesReports reports whether the replica may be asked for a report with which its entry can be compared.
@@ -188,7 +203,7 @@
 	case err != nil:
 		n.counter("streams.identity_reports.none").Inc(1)
 		n.mutex.Lock()
-		n.identities.reporters.withoutReports[replica.Service] = n.now()
+		n.identities.reporters.recordNoStart(n.now(), replica)
 		n.mutex.Unlock()
 		if !answer.IsOpen {
 			return fmt.Errorf("%w: closed after an answer without its start: %w", errUnproven, err)
@@ -197,6 +212,7 @@
 	case startedAt != replica.StartedAt:
 		n.mutex.Lock()
 		n.identities.Doubt(n.now(), incarnation)
+		n.identities.reporters.recordReport(n.now(), replica)
 		n.mutex.Unlock()
 		n.reportIdentity(identityReplaced, incarnation, eventlog.Event{Detail: fmt.Sprint("started at ", startedAt)})
 		_ = conn.Close()
@@ -205,6 +221,7 @@
 	}
 	n.mutex.Lock()
 	n.identities.ConfirmByReport(sentAt, incarnation)
+	n.identities.reporters.recordReport(n.now(), replica)
 	n.mutex.Unlock()
 	n.reportIdentity(identityConfirmed, incarnation, eventlog.Event{})
 	n.resolveOrigins()
