replicahttp, entry: an idle connection that ends before its time is a doubt

What callers saw: a stream could go on, or its origin be recorded, at the wrong version, where a replica ended and started again in place while no request was at it.

Cause: what a node found closed in its pool was dropped silently, and the next connection was assumed to lead to the known incarnation. In virtual time this does not show: connections of lab/memnet can't be examined, so the next request fails.

Evidence: TestIdleConnectionThatEndsEarlyIsADoubt, over TCP; before, no doubt after a close.

Change: a connection that the other side closed, not reset, before the idle timeout that it stated raises a doubt, before the next one is opened. A reset may be that of one connection too many, and without a stated timeout a close says nothing.

--- a/entry/node.go
+++ b/entry/node.go
@@ -15,6 +15,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/thornwalk/thornwalk/coordination/dissemination"
+	"github.com/thornwalk/thornwalk/coordination/incarnations"
 	"github.com/thornwalk/thornwalk/coordination/liveness"
 	"github.com/thornwalk/thornwalk/coordination/reachability"
 	"github.com/thornwalk/thornwalk/coordination/replicahealth"
@@ -245,6 +246,7 @@
 	n.scheduling.onPoisonTransition = n.logPoisonTransition
 	n.scheduling.onReturn = n.countReturn
 	n.scheduling.onInvalidWeight = func() { n.counter("weights.invalid").Inc(1) }
+	n.pool.OnEarlyEnd(func(incarnation replicahttp.Incarnation) { n.recordDoubt(incarnations.Incarnation(incarnation)) })
 	n.registerTenantMetrics()
 	n.registerRereadMetrics()
 	n.registerPathMetrics()
--- a/entry/replica_identity_test.go
+++ b/entry/replica_identity_test.go
@@ -15,6 +15,8 @@
 	"github.com/thornwalk/thornwalk/coordination/liveness"
 	"github.com/thornwalk/thornwalk/internal/eventlog"
 	"github.com/thornwalk/thornwalk/state/replicas"
+	"github.com/thornwalk/thornwalk/transport/network"
+	"github.com/thornwalk/thornwalk/transport/replicahttp"
 )
 
 // Guards against a log that is flooded by the doubts of one replica.
@@ -87,3 +89,53 @@
 	unreported.ID = "d"
 	g.Expect(n.givesReportsLocked(unreported)).To(gomega.BeFalse(), "no replica of the service stated its start")
 }
+
+// Guards against a stream that goes on at the successor of a replica that ended while no request was at it: its idle
+// connections are all that shows its end. Not at a connection that was idle for as long as the replica states.
+func TestIdleConnectionThatEndsEarlyIsADoubt(t *testing.T) {
+	for name, testCase := range map[string]struct {
+		keepAlive string
+		disturb   func(conn net.Conn)
+		isDoubted bool
+	}{
+		"closed":                    {"Keep-Alive: timeout=30\r\n", func(conn net.Conn) { _ = conn.Close() }, true},
+		"open":                      {"Keep-Alive: timeout=30\r\n", func(net.Conn) {}, false},
+		"closed, no timeout stated": {"", func(conn net.Conn) { _ = conn.Close() }, false},
+		"reset, as one too many": {"Keep-Alive: timeout=30\r\n", func(conn net.Conn) {
+			network.ResetOnClose(conn)
+			_ = conn.Close()
+		}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			defer func() { _ = listener.Close() }()
+			ours, err := net.Dial("tcp", listener.Addr().String())
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			theirs, err := listener.Accept()
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			defer func() { _ = theirs.Close() }()
+			replica := replicas.Replica{ID: "first", Service: "engines", Version: "v1", StartedAt: 1}
+			n := New(&Settings{Name: "n"}, Dependencies{Log: eventlog.New("n", nil), Now: func() time.Duration { return time.Second }})
+			n.table.Put(replica)
+			go func() {
+				if _, err := http.ReadRequest(bufio.NewReader(theirs)); err == nil {
+					_, _ = io.WriteString(theirs, "HTTP/1.1 200 OK\r\n"+testCase.keepAlive+"Content-Length: 0\r\n\r\n")
+				}
+			}()
+			request := &replicahttp.Request{Method: http.MethodGet, Target: "/", Host: "h", Header: http.Header{}, IDHeader: "Id"}
+			answer, err := n.pool.Exchange(t.Context(), n.addDirect(ours, replica), request)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			_, err = io.Copy(io.Discard, answer.Body)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			answer.Done()
+			testCase.disturb(theirs)
+			time.Sleep(50 * time.Millisecond) // the loopback has delivered the end
+			if idle := n.pool.TakeIdle(incarnationOf(replica), time.Minute, replicahttp.AnyTime); idle != nil {
+				_ = idle.Close()
+			}
+			g.Expect(n.doubtOf(replica) != nil).To(gomega.Equal(testCase.isDoubted))
+		})
+	}
+}
--- a/transport/replicahttp/pool.go
+++ b/transport/replicahttp/pool.go
@@ -35,6 +35,8 @@
 	idle   map[poolKey][]*Conn
 	opened uint64
 	reused uint64
+	// onEarlyEnd is called with the incarnation of an idle connection that was found ended before its time.
+	onEarlyEnd func(Incarnation)
 }
 
 // poolKey identifies the idle connections that can replace each other.
@@ -45,9 +47,13 @@
 
 // NewPool returns an empty pool. Callers must call Sweep regularly to close expired connections.
 func NewPool() *Pool {
-	return &Pool{idle: map[poolKey][]*Conn{}}
+	return &Pool{idle: map[poolKey][]*Conn{}, onEarlyEnd: func(Incarnation) {}}
 }
 
+// OnEarlyEnd has the function called before TakeIdle returns if an idle connection of the incarnation was found to have
+// been closed, and not reset, before the idle timeout that the replica stated. It must be called before the pool is used.
+func (p *Pool) OnEarlyEnd(call func(Incarnation)) { p.onEarlyEnd = call }
+
 // Incarnation is one run of a replica's process.
 type Incarnation struct {
 	Replica string
@@ -70,6 +76,8 @@
 	lastID      string
 	idleSince   time.Time
 	idleTimeout time.Duration
+	// isTimeoutStated is true if the idle timeout is that of an answer.
+	isTimeoutStated bool
 }
 
 // MayCarry reports whether answers to a request with the ID can be told from late ones to the latest request of the
@@ -119,11 +127,15 @@
 		if idle == nil {
 			return nil
 		}
-		if time.Since(idle.idleSince) < min(idle.idleTimeout, maxIdle) && idle.isReusable() {
+		state := idle.state()
+		if time.Since(idle.idleSince) < min(idle.idleTimeout, maxIdle) && state == connIdle {
 			idle.Reused = true
 			p.count(&p.reused)
 			return idle
 		}
+		if state == connEnded && idle.isTimeoutStated && time.Since(idle.idleSince) < idle.idleTimeout {
+			p.onEarlyEnd(key.incarnation)
+		}
 		_ = idle.Close()
 	}
 }
@@ -185,7 +197,7 @@
 // full for its key or its idle timeout is not positive. keepAlive is the answer's Keep-Alive
 // header.
 func (p *Pool) putIdle(conn *Conn, keepAlive string) {
-	conn.idleTimeout = parseIdleTimeout(keepAlive)
+	conn.idleTimeout, conn.isTimeoutStated = parseIdleTimeout(keepAlive)
 	conn.idleSince = time.Now()
 	p.mutex.Lock()
 	isFull := len(p.idle[conn.key]) >= maxIdlePerReplica
@@ -278,46 +290,69 @@
 	return len(closing)
 }
 
-// parseIdleTimeout returns the timeout of a Keep-Alive header less the margin, or the default.
-func parseIdleTimeout(header string) time.Duration {
+// parseIdleTimeout returns the timeout of a Keep-Alive header less the margin, or the default and false.
+func parseIdleTimeout(header string) (timeout time.Duration, isStated bool) {
 	for _, part := range strings.Split(header, ",") {
 		text, found := strings.CutPrefix(strings.TrimSpace(strings.ToLower(part)), keepAliveTimeoutKey)
 		if !found {
 			continue
 		}
 		if seconds, err := strconv.Atoi(text); err == nil {
-			return time.Duration(seconds)*time.Second - idleMargin
+			return time.Duration(seconds)*time.Second - idleMargin, true
 		}
 	}
-	return defaultIdleTimeout
+	return defaultIdleTimeout, false
 }
 
-// isReusable reports whether the connection is open and has no bytes to read, without blocking. For
-// a connection without a file descriptor it only checks the buffered bytes.
-func (c *Conn) isReusable() bool {
+// connState is the state of a connection without an exchange in progress.
+type connState int
+
+const (
+	// connIdle means that it is open and has no bytes to read.
+	connIdle connState = iota
+	// connEnded means that the other side closed it.
+	connEnded
+	// connUnusable means that it was reset, has bytes to read or can't be examined.
+	connUnusable
+)
+
+// isReusable reports whether the connection may carry a request.
+func (c *Conn) isReusable() bool { return c.state() == connIdle }
+
+// state returns the connection's state without blocking. For a connection without a file descriptor it only checks the
+// buffered bytes.
+func (c *Conn) state() connState {
 	if c.reader.Buffered() > 0 {
-		return false
+		return connUnusable
 	}
 	if withBuffer, ok := c.Conn.(interface{ Buffered() int }); ok && withBuffer.Buffered() > 0 {
-		return false
+		return connUnusable
 	}
 	withRaw, ok := c.Conn.(syscall.Conn)
 	if !ok {
-		return true
+		return connIdle
 	}
 	raw, err := withRaw.SyscallConn()
 	if errors.Is(err, errors.ErrUnsupported) {
-		return true
+		return connIdle
 	}
 	if err != nil {
-		return false
+		return connUnusable
 	}
-	isIdle := false
+	state := connUnusable
 	err = raw.Read(func(descriptor uintptr) bool {
 		var buffer [1]byte
 		count, readErr := syscall.Read(int(descriptor), buffer[:])
-		isIdle = count < 0 && (readErr == syscall.EAGAIN || readErr == syscall.EWOULDBLOCK)
+		switch {
+		case count < 0 && (readErr == syscall.EAGAIN || readErr == syscall.EWOULDBLOCK):
+			state = connIdle
+		case count == 0 && readErr == nil:
+			state = connEnded
+		}
 		return true
 	})
-	return err == nil && isIdle
+	if err != nil {
+		return connUnusable
+	}
+	return state
 }
