--- a/coordination/incarnations/tracker.go
+++ b/coordination/incarnations/tracker.go
@@ -121,7 +121,8 @@
 // NewTracker returns a tracker that knows nothing.
 func NewTracker() *Tracker { return &Tracker{known: map[Incarnation]knowledge{}} }
 
-// ObserveView records that the known entries are those of the store as of the instant. Earlier views have no effect.
+// ObserveView records that the known entries are those of the store as of the instant, or later ones: an instant that is too
+// late makes proofs of entries that prove nothing. Earlier views have no effect.
 func (t *Tracker) ObserveView(asOf structs.Instant) {
 	if t.hasView && asOf <= t.viewAsOf || t.isInterrupted && asOf <= t.interruptedAt {
 		return
