entry: a query for a report that fails over a new connection is a failure of the replica

A query marks its connection as used, so that a late second answer to it is skipped; and a close over a used connection is taken for the end of an idle one, after which another is tried. The mark came before the check, so that a replica that closes or does not answer was asked again at once, up to three times.

Change: the connection counts as idle if it was used before the query.

--- a/entry/replica_report.go
+++ b/entry/replica_report.go
@@ -197,14 +197,14 @@
 	ctx, cancel := context.WithTimeout(callerContext, reportQueryTimeout)
 	defer cancel()
 	incarnation := incarnations.Of(replica)
-	sentAt := n.now()
+	sentAt, wasIdle := n.now(), conn.Reused // a query marks its connection as used
 	answer, err := n.pool.Query(ctx, conn, &replicahttp.Request{
 		Method: http.MethodGet, Target: n.dependencies.ReportPath, Host: replica.Address, Header: http.Header{}, IDHeader: n.dependencies.Headers.RequestID,
 	}, maxReportBytes)
 	if err != nil && callerContext.Err() != nil {
 		return errUnproven
 	}
-	if err != nil && conn.Reused && failureCauseOf(err) == causeClosed {
+	if err != nil && wasIdle && failureCauseOf(err) == causeClosed {
 		return fmt.Errorf("%w: %w", errUnproven, errClosedIdle)
 	}
 	if err != nil {
