--- a/test/entry/brittle_test.go
+++ b/test/entry/brittle_test.go
@@ -144,6 +144,7 @@
 	for _, missing := range []int{0, 2} {
 		for seed := *firstCourse; seed < *firstCourse+uint64(*courseCount); seed++ {
 			t.Run(fmt.Sprintf("%d slots missing, seed %d", missing, seed), func(t *testing.T) {
+				t.Parallel()
 				runBrittle(t, 60, missing, disturbSchedulers(seed), func(s *brittleScenario, run brittleRun) {
 					t.Logf("served %d of %d, %d crashes", run.served, run.sent, run.crashes)
 					s.Expect(run.crashes).To(gomega.BeNumerically("<=", maxCrashes))
@@ -160,6 +161,7 @@
 		for _, missing := range []int{0, 2} {
 			capacity := brittleReplicas * (brittleSlots - missing) * int(time.Second/brittleStep)
 			t.Run(fmt.Sprintf("load %v, %d slots missing", load, missing), func(t *testing.T) {
+				t.Parallel()
 				runBrittle(t, int(load*float64(capacity)), missing, nil, func(s *brittleScenario, run brittleRun) {
 					t.Logf("served %d of %d, %d crashes", run.served, run.sent, run.crashes)
 					s.Expect(run.crashes).To(gomega.BeNumerically("<=", maxCrashes))
--- a/test/entry/evacuation_test.go
+++ b/test/entry/evacuation_test.go
@@ -196,6 +196,7 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			runEvacuation(t, func(s *evacuationScenario) {
 				s.load(time.Second, 400)
 				started := time.Now()
--- a/test/entry/forwarding_test.go
+++ b/test/entry/forwarding_test.go
@@ -101,6 +101,7 @@
 	const limit = 5 * time.Second
 	for _, cut := range memnet.PathCuts {
 		t.Run(cut.String(), func(t *testing.T) {
+			t.Parallel()
 			runPathScenario(t, func(s *pathScenario) {
 				listed := fleetHosts[:3]
 				s.cutAndDetect(listed, cut)
@@ -257,6 +258,7 @@
 func TestForwardedRequestsRunOnceOnDisturbedCourses(t *testing.T) {
 	for seed := *firstCourse; seed < *firstCourse+uint64(*courseCount); seed++ {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
 			runPathScenario(t, func(s *pathScenario) {
 				random := rand.New(rand.NewPCG(seed, 1))
 				var mutex sync.Mutex
--- a/test/entry/large_fleet_test.go
+++ b/test/entry/large_fleet_test.go
@@ -101,6 +101,7 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			runLargeFleet(t, largeNodes, func(s *relayScenario) {
 				killed := victims(s)
 				for _, node := range killed {
