entry, platform: changes longer than an answer may be don't make the store count as lost

Cause: a watch returns all changes since its position. Where these took more than 16 MB, the client failed with store-unavailable, so that the node gave up its place among the watching nodes, told its peers, read the replicas only and waited until its knowledge was old before it read the configuration.

Evidence: the lines of the play that failed: "store lost, read store answer: more than the limit of bytes" at all three nodes, 1.2 s after the configuration was written, then a read of the replicas that took 1.8 s, then the read "knowledge-old" at 4.2 s, which had begun before the configuration came.

--- a/entry/reread.go
+++ b/entry/reread.go
@@ -22,13 +22,15 @@
 	rereadResumed rereadReason = "resumed"
 	// rereadHistoryGone: the store no longer has the changes after the watch's position.
 	rereadHistoryGone rereadReason = "history-gone"
+	// rereadHistoryLong: the changes after the watch's position are longer than an answer may be.
+	rereadHistoryLong rereadReason = "history-long"
 	// rereadDue: the store was watched for fullReadInterval.
 	rereadDue rereadReason = "due"
 )
 
 // rereadReasons are all reasons, in the order of log lines.
 var rereadReasons = []rereadReason{
-	rereadWatchStarted, rereadNewEra, rereadRestoreWindowEnded, rereadStoreFailed, rereadResumed, rereadHistoryGone, rereadDue,
+	rereadWatchStarted, rereadNewEra, rereadRestoreWindowEnded, rereadStoreFailed, rereadResumed, rereadHistoryGone, rereadHistoryLong, rereadDue,
 }
 
 // rereadRequest is a request for a complete read of the store. It stands for all pending ones of its
--- a/entry/store.go
+++ b/entry/store.go
@@ -285,6 +285,11 @@
 			n.log.Write(eventlog.Event{Kind: "store.history", Outcome: "gone", Revision: position.Revision(), Era: position.Era()})
 			n.requestReread(rereadHistoryGone)
 			return
+		case errors.Is(err, errkind.TooLarge):
+			// A complete read has each entry once, so its length does not grow with the number of changes.
+			n.log.Write(eventlog.Event{Kind: "store.history", Outcome: "too-long", Revision: position.Revision(), Era: position.Era(), Detail: err.Error()})
+			n.requestReread(rereadHistoryLong)
+			return
 		case err != nil && isCanceled:
 			return
 		case err != nil:
--- a/outside/directory.go
+++ b/outside/directory.go
@@ -90,8 +90,9 @@
 	Read(ctx context.Context, scope Scope, configuration structs.StorePosition, maxBytes int64) (*Update, error)
 	// Watch blocks until something changed after the given position and returns the changes, or
 	// returns an empty update after the wait. Errors: StaleFence if the store no longer has the
-	// history after that position and OtherEra if the store was restored, both of which require a
-	// new Read; otherwise StoreUnavailable.
+	// history after that position, TooLarge if that history is longer than an answer may be and
+	// OtherEra if the store was restored, all of which require a new Read; otherwise
+	// StoreUnavailable.
 	Watch(ctx context.Context, after structs.StorePosition, wait time.Duration) (*Update, error)
 }
 
--- a/test/entry/store_test.go
+++ b/test/entry/store_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"bytes"
 	"net/http"
 	"testing"
 	"time"
@@ -252,3 +253,27 @@
 		s.Expect(s.do("n2", http.MethodGet, "/safe/", nil).status).To(gomega.Equal(200))
 	})
 }
+
+// Guards against nodes that take a store for lost, and learn of its changes late, as the changes since their last look
+// take more bytes than one answer may have.
+func TestLargeChangesOfOthersDoNotMakeTheStoreCountAsLost(t *testing.T) {
+	runScenario(t, func(s *scenario) {
+		const values, valueBytes, pause = 20, 1 << 20, 300 * time.Millisecond
+		time.Sleep(time.Second)
+		before := len(s.loggedEvents("store"))
+		s.deployment.Store.Put("servers/odd", []byte("x")) // the watches return, and pause before the next calls
+		time.Sleep(10 * time.Millisecond)
+		value := bytes.Repeat([]byte("x"), valueBytes)
+		for range values {
+			s.deployment.Store.Put("servers/odd", value)
+		}
+		s.configure(withoutRoute("safe"))
+		time.Sleep(pause)
+		for _, node := range hosts {
+			s.Expect(s.do(node, http.MethodGet, "/safe/", nil).status).To(gomega.Equal(http.StatusNotFound), node)
+		}
+		for _, event := range s.loggedEvents("store")[before:] {
+			s.Expect(event.Outcome).NotTo(gomega.Equal("lost"), event.Detail)
+		}
+	})
+}
