lab/platformsim: write the answer of a watch event by event

The stand-in encoded all changes before it sent the first byte: up to 200 MB for each node that watched beside large odd entries, of which a node reads 16 MB.

--- a/lab/platformsim/store.go
+++ b/lab/platformsim/store.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/json"
+	"fmt"
+	"io"
 	"net/http"
 	"sort"
 	"strconv"
@@ -278,7 +280,7 @@
 		changed, restored := s.changed, s.restored
 		s.mutex.Unlock()
 		if len(changes.Events) > 0 {
-			writeJSON(w, http.StatusOK, changes)
+			writeWatchAnswer(w, changes)
 			return
 		}
 		select {
@@ -294,6 +296,22 @@
 	}
 }
 
+// writeWatchAnswer writes the answer event by event, up to the first that the client doesn't read: together the values
+// may take hundreds of megabytes.
+func writeWatchAnswer(w http.ResponseWriter, answer watchAnswer) {
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = fmt.Fprintf(w, `{"at":%d,"events":[`, answer.At)
+	for i, event := range answer.Events {
+		if i > 0 {
+			_, _ = io.WriteString(w, ",")
+		}
+		if json.NewEncoder(w).Encode(event) != nil {
+			return
+		}
+	}
+	_, _ = io.WriteString(w, "]}")
+}
+
 func (s *Store) changesSince(prefix string, after int64) watchAnswer {
 	changes := watchAnswer{Events: []Item{}, At: s.revision}
 	for _, item := range s.history {
