lab/platformsim: a page of a range has about a megabyte at most

Cause: the stand-in's pages had up to 500 items of any length, where the store's protocol says about a megabyte. If the odd value that the test wrote last under thornwalk/barred was the longest, in the order of a map, the last page had more than 16 MB, and each complete read failed: a page that the store can't send.

Change: pages end at a megabyte, or after the first item. The test writes the longest value last, so that the case is no matter of chance, and the model of requests for reads counts the new reason.

--- a/entry/reread_model_test.go
+++ b/entry/reread_model_test.go
@@ -16,7 +16,7 @@
 const maxModelEra = 3
 
 // modelReasonCount is the number of reasons.
-const modelReasonCount = 7
+const modelReasonCount = 8
 
 // loopPhase is the next step of the watch loop.
 type loopPhase int
--- a/lab/platformsim/store.go
+++ b/lab/platformsim/store.go
@@ -1,6 +1,7 @@
 package platformsim
 
 import (
+	"encoding/base64"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -22,8 +23,11 @@
 	Deleted  bool   `json:"gone,omitempty"`
 }
 
-// maxPageItems is the maximum number of items of one range answer.
-const maxPageItems = 500
+// maxPageItems and maxPageBytes bound the items of one range answer and their values, as the store's protocol says.
+const (
+	maxPageItems = 500
+	maxPageBytes = 1 << 20
+)
 
 // Store is the platform's key-value store in memory. It is safe for concurrent use.
 type Store struct {
@@ -245,10 +249,13 @@
 		}
 	}
 	sort.Strings(keys)
-	if len(keys) > maxPageItems {
-		keys, page.More = keys[:maxPageItems], true
-	}
+	bytes := 0
 	for _, key := range keys {
+		bytes += base64.StdEncoding.EncodedLen(len(s.items[key].Value))
+		if len(page.Items) == maxPageItems || bytes > maxPageBytes && len(page.Items) > 0 {
+			page.More = true
+			break
+		}
 		page.Items = append(page.Items, s.items[key])
 	}
 	return page
--- a/lab/soak/odd_entries_test.go
+++ b/lab/soak/odd_entries_test.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net/http"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -85,7 +87,10 @@
 	expectFollowing(g, d, "in a watch")
 
 	valid := d.store.Value("op/config")
-	for name, value := range oddValues() {
+	values := oddValues()
+	// The longest value comes last, and stays beside the other odd entries.
+	for _, name := range slices.SortedFunc(maps.Keys(values), func(a, b string) int { return len(values[a]) - len(values[b]) }) {
+		value := values[name]
 		d.store.Put("op/config", []byte(value))
 		d.store.Put("thornwalk/barred", []byte(value))
 		time.Sleep(oddRewritePause)
