state/rollouts, entry: a record of a backup replaces none with more progress

Cause, traced with a line at each write and read: the scheduling node (n2) steps the roll-out before it knows of the restore. Its write names the revision of its record in era 1 (1.25, 420 requests); the store, already in era 2, refuses it as a conflict, and the read that follows returns the backup's record (2.23, 360). rereadRollout did not look at the era and replaced the record. The restored record is then the latest in the store as well, so that nothing is written again. By the same rule a complete read after the restore window replaced a record that was not written again by then, at every node, and a restored store without a record removed it.

Change: the table keeps the present record if the store was restored since it was written and returns an earlier state of it (order, phase, requests, exposed, elapsed), by a read of the record or by a list; it is then one to write again. Reads of a record return the store's position, so that one which finds nothing tells the era. A record written since the restore counts as before; so that nodes which know a later one than the scheduling node don't wait for it for good, the scheduling node also writes the backup's record again.

--- a/entry/rollout.go
+++ b/entry/rollout.go
@@ -239,15 +239,17 @@
 }
 
 // rereadRollout reads the record from the store after a failed write: another node may have written
-// it, or the write's outcome is unknown.
+// it, the write's outcome is unknown, or the store was restored and has an earlier record.
 func (n *Node) rereadRollout(ctx context.Context, service string) {
-	record, err := n.dependencies.Rollouts.ReadRollout(ctx, service)
+	record, readAt, err := n.dependencies.Rollouts.ReadRollout(ctx, service)
 	if err != nil {
 		n.counter("rollouts.reads_failed").Inc(1)
 		return // the next write fails as well and is followed by another read
 	}
 	n.mutex.Lock()
-	n.rollouts.OverwriteRecord(n.now(), record)
+	if n.checkEra(readAt) {
+		n.rollouts.OverwriteRecord(n.now(), record, readAt)
+	}
 	n.mutex.Unlock()
 	n.applyPolicies()
 }
--- a/entry/rollout_restore.go
+++ b/entry/rollout_restore.go
@@ -17,13 +17,13 @@
 	return n.rollouts.ServicesToRewrite(n.era.current)
 }
 
-// restoreRollout writes a record again that the restored store lacks, unless the store has a newer
-// one. Until then the roll-out is not stepped, as the record's position may belong to another value
-// in the restored store.
+// restoreRollout writes a record again that the restored store lacks or has from its backup, unless it has
+// been written there since. Until then the roll-out is not stepped, as the record's position may belong to
+// another value in the restored store.
 func (n *Node) restoreRollout(service string) {
 	ctx, cancel := context.WithTimeout(n.ctx, rolloutWriteTimeout)
 	defer cancel()
-	stored, err := n.dependencies.Rollouts.ReadRollout(ctx, service)
+	stored, readAt, err := n.dependencies.Rollouts.ReadRollout(ctx, service)
 	if err != nil {
 		n.counter("rollouts.reads_failed").Inc(1)
 		return
@@ -32,18 +32,21 @@
 	now := n.now()
 	record, known := n.rollouts.Record(service)
 	isCurrent := stored.Position == 0 || n.checkEra(stored.Position)
-	switch {
-	case !known || !isCurrent:
+	if !known || !isCurrent {
 		n.mutex.Unlock()
 		return
-	case stored.Position > 0 && !stored.IsOlderThan(record):
-		n.rollouts.OverwriteRecord(now, stored)
-		n.mutex.Unlock()
-		n.applyPolicies()
-		return
 	}
+	if stored.Position > 0 && !stored.IsOlderThan(record) {
+		n.rollouts.OverwriteRecord(now, stored, readAt)
+		record, _ = n.rollouts.Record(service)
+	}
+	isDue := n.rollouts.NeedsRewrite(service, n.era.current)
 	record.Elapsed = n.rollouts.Elapsed(now, service)
 	n.mutex.Unlock()
+	n.applyPolicies()
+	if !isDue {
+		return
+	}
 	record.Position = stored.Position
 	written, err := n.dependencies.Rollouts.WriteRollout(ctx, record)
 	if err != nil {
--- a/outside/directory.go
+++ b/outside/directory.go
@@ -109,9 +109,9 @@
 	// StoreUnknown if the write may have taken effect or may still do so. StoreUnknown also covers
 	// a write that succeeded in another era, where the expected revision belongs to another value.
 	WriteRollout(ctx context.Context, record rollouts.Record) (structs.StorePosition, error)
-	// ReadRollout returns the service's stored record, with position zero if there is none. The
-	// error is of kind StoreUnavailable.
-	ReadRollout(ctx context.Context, service string) (rollouts.Record, error)
+	// ReadRollout returns the service's stored record, with position zero if there is none, and the
+	// store's position at the read. The error is of kind StoreUnavailable.
+	ReadRollout(ctx context.Context, service string) (rollouts.Record, structs.StorePosition, error)
 }
 
 // PoisonRecordStore stores the poison records: the requests that are blocked because replicas crashed under
--- a/state/rollouts/rollouts.go
+++ b/state/rollouts/rollouts.go
@@ -3,10 +3,12 @@
 // store and from peers. It does not advance rollouts: coordination/rollout does.
 //
 // Guarantee: of two orders for a service, or two records, the one with the later store position is
-// kept, in whichever sequence they arrive.
+// kept, in whichever sequence they arrive. A record that a restored store has from its backup never
+// replaces one of the same order with more progress.
 package rollouts
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -127,8 +129,9 @@
 	services map[string]*serviceState
 	// completeTo is the position up to which all orders and records were applied.
 	completeTo structs.StorePosition
-	// restoreWindow is the zero value unless the store was restored recently.
-	restoreWindow structs.RestoreWindow
+	// restoreWindow is the zero value unless the store was restored recently. latestRestore is the latest one that was not
+	// zero: it tells the records of a backup from later ones also after its end.
+	restoreWindow, latestRestore structs.RestoreWindow
 }
 
 // NewTable returns an empty table.
@@ -156,7 +159,17 @@
 // SetRestoreWindow sets by which restore window orders and records are compared. While it is set, entries
 // from the backup do not replace later ones, and an order equal to the present one counts as that order,
 // written again. The zero value ends it.
-func (t *Table) SetRestoreWindow(window structs.RestoreWindow) { t.restoreWindow = window }
+func (t *Table) SetRestoreWindow(window structs.RestoreWindow) {
+	t.restoreWindow = window
+	if window != (structs.RestoreWindow{}) {
+		t.latestRestore = window
+	}
+}
+
+// mayBeOfBackup reports whether what the store has at the position may be from the backup of its latest restore.
+func (t *Table) mayBeOfBackup(position structs.StorePosition) bool {
+	return t.latestRestore.OrderingPosition(position) != position
+}
 
 // PutOrder applies an order, and reports whether the table changed. It ignores an order that is not later
 // than the present one.
@@ -190,32 +203,56 @@
 }
 
 // PutRecord applies a record, and reports whether the table changed. It ignores a record that is not later
-// than the present one.
+// than the present one, and one of a backup with less progress.
 func (t *Table) PutRecord(now structs.Instant, record Record) bool {
 	state := t.stateOf(record.Service)
 	if !t.restoreWindow.IsBefore(state.record.Position, record.Position) {
 		return false
 	}
+	if t.mayBeOfBackup(record.Position) && state.isSetBack(record, record.Position.Era()) {
+		return false
+	}
 	state.setRecord(now, record)
 	return true
 }
 
-// setRecord sets the record. One of a restored store may name its order by the position before the restore.
+// setRecord sets the record.
 func (s *serviceState) setRecord(now structs.Instant, record Record) {
 	s.record, s.recordReceivedAt, s.isRebased = record, now, false
+	s.record.OrderPosition = s.orderPositionOf(record)
+	s.isRebased = s.record.OrderPosition != record.OrderPosition
+}
+
+// orderPositionOf returns the position of the record's order. A record of a restored store may name the order by its
+// position before the restore.
+func (s *serviceState) orderPositionOf(record Record) structs.StorePosition {
 	isOfOrder := record.OrderPosition.Revision() == s.order.Position.Revision() && record.Target == s.order.Target
 	if record.Position > 0 && isOfOrder && record.OrderPosition.Era() < s.order.Position.Era() {
-		s.record.OrderPosition, s.isRebased = s.order.Position, true
+		return s.order.Position
 	}
+	return record.OrderPosition
 }
 
-// ServicesToRewrite returns the services, sorted, whose records the store may have lost or hold with an
-// outdated order position. era is the store's present era.
+// isSetBack reports whether the record, as the store has it in the era, is of an earlier state than the present one,
+// since the store was restored.
+func (s *serviceState) isSetBack(record Record, era int64) bool {
+	record.OrderPosition = s.orderPositionOf(record)
+	return s.record.Position > 0 && s.record.Position.Era() < era && record.IsOlderThan(s.record)
+}
+
+// NeedsRewrite reports whether the store, which is in the era, may have lost the service's record, has it from its
+// backup, or holds it with an outdated order position. One of the backup is written again since other nodes, which may
+// know a later one, go by it only then.
+func (t *Table) NeedsRewrite(service string, era int64) bool {
+	state, found := t.services[service]
+	return found && state.record.Position > 0 && (state.isRebased || state.record.Position.Era() < era || t.mayBeOfBackup(state.record.Position))
+}
+
+// ServicesToRewrite returns the services, sorted, whose records need a rewrite.
 func (t *Table) ServicesToRewrite(era int64) []string {
 	var names []string
 	for _, service := range t.Services() {
-		state := t.services[service]
-		if state.record.Position > 0 && (state.isRebased || state.record.Position.Era() < era) {
+		if t.NeedsRewrite(service, era) {
 			names = append(names, service)
 		}
 	}
@@ -223,18 +260,21 @@
 }
 
 // IsOlderThan reports whether the record is of an earlier state than the other: of an earlier order, or of
-// an earlier phase or a shorter elapsed time of the same order. It ignores the records' own positions.
+// an earlier phase, fewer requests or a shorter elapsed time of the same order. It ignores the records' own positions.
 func (r *Record) IsOlderThan(other Record) bool {
-	if r.OrderPosition != other.OrderPosition {
-		return r.OrderPosition < other.OrderPosition
-	}
-	return r.Phase < other.Phase || r.Phase == other.Phase && r.Elapsed < other.Elapsed
+	return cmp.Or(
+		cmp.Compare(r.OrderPosition, other.OrderPosition), cmp.Compare(r.Phase, other.Phase), cmp.Compare(r.Requests, other.Requests),
+		cmp.Compare(r.Exposed, other.Exposed), cmp.Compare(r.Elapsed, other.Elapsed),
+	) < 0
 }
 
-// OverwriteRecord sets the record of its service to the one read from the store, also if that is older than
-// the present one. A record with zero Position removes it.
-func (t *Table) OverwriteRecord(now structs.Instant, record Record) {
-	t.stateOf(record.Service).setRecord(now, record)
+// OverwriteRecord sets the record of its service to the one that a read of the store at the position returned, also if
+// that is older than the present one. A record with zero Position removes it. If the store has been restored since the
+// present record was written and returned an earlier state, or none, the present one is kept for ServicesToRewrite.
+func (t *Table) OverwriteRecord(now structs.Instant, record Record, readAt structs.StorePosition) {
+	if state := t.stateOf(record.Service); !state.isSetBack(record, readAt.Era()) {
+		state.setRecord(now, record)
+	}
 }
 
 // Order returns the latest order for the service, and whether there is one.
