entry: a roll-out is not stepped while its record is to be written again

What operators would see: a roll-out that begins anew, 0 requests after 420, and a target that gets its first share of requests a second time, about four seconds after a restore of the store from a backup that has the order.

Cause: the loop asks once which records the restored store may lack or hold with the order's former position, then steps the others. The complete read at the end of the restore window moves the order to its position in the new era; if that comes in between, for which other services' writes leave up to 0.8 s each, the controller, which has the same record at the same position, takes the order for a later one and proposes a first record, which the store takes.

Change: the inputs of a step have no order while the record has to be written again; both are decided under one lock.

The tests' node has a configuration, without which it steps nothing.

--- a/entry/rollout.go
+++ b/entry/rollout.go
@@ -192,7 +192,7 @@
 		for _, service := range lost {
 			n.restoreRollout(service)
 		}
-		services := slices.DeleteFunc(n.rolloutsInProgress(), func(service string) bool { return slices.Contains(lost, service) })
+		services := n.rolloutsInProgress()
 		for _, service := range services {
 			n.stepRollout(service)
 		}
@@ -261,10 +261,14 @@
 }
 
 // rolloutInputs returns the inputs of the next step of the service's roll-out, and its current
-// record.
+// record. They have no order while the record has to be written again: it may be outdated in the store, or
+// name the order by a former position, so that the order would count as another one.
 func (n *Node) rolloutInputs(service string) (rollout.Inputs, rollouts.Record) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
+	if n.rollouts.NeedsRewrite(service, n.era.current) {
+		return rollout.Inputs{}, rollouts.Record{}
+	}
 	now := n.now()
 	order, _ := n.rollouts.Order(service)
 	record, _ := n.rollouts.Record(service)
--- a/entry/rollout_restore_test.go
+++ b/entry/rollout_restore_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/thornwalk/thornwalk/internal/eventlog"
 	"github.com/thornwalk/thornwalk/protocol/errkind"
+	"github.com/thornwalk/thornwalk/state/catalog"
 	"github.com/thornwalk/thornwalk/state/replicas"
 	"github.com/thornwalk/thornwalk/state/rollouts"
 	"github.com/thornwalk/thornwalk/structs"
@@ -65,10 +66,13 @@
 func runRolloutNode(t *testing.T, test func(g *gomega.WithT, n *Node, store *rolloutStore)) {
 	synctest.Test(t, func(t *testing.T) {
 		g := gomega.NewWithT(t)
+		compiled, err := catalog.Compile(&catalog.Document{Version: 1, Services: []catalog.Service{{Name: "s"}}})
+		g.Expect(err).NotTo(gomega.HaveOccurred())
 		log := eventlog.New("n", nil)
 		store := &rolloutStore{record: recordWith(420, positionInEra(1, 25)), position: positionInEra(1, 30)}
 		n := New(&Settings{Name: "n"}, Dependencies{Rollouts: store, Log: log})
 		defer func() { n.cancel(); log.Close() }()
+		n.catalog.Store(compiled)
 		n.mutex.Lock()
 		n.scheduler = "n"
 		n.checkEra(store.position)
@@ -124,3 +128,26 @@
 		g.Expect(n.lostRollouts()).To(gomega.BeEmpty())
 	})
 }
+
+// Guards against a roll-out that begins anew, with a second canary budget, as its order gets its position in the restored
+// store between the check for lost records and the step.
+func TestRolloutIsNotSteppedUntilItsRecordNamesTheOrderOfTheRestoredStore(t *testing.T) {
+	runRolloutNode(t, func(g *gomega.WithT, n *Node, store *rolloutStore) {
+		n.stepRollout("s") // its controller has the record
+		store.restore(n.knownRecord(), 40)
+		n.checkEraOf(store.position)
+		n.restoreRollout("s")
+		n.stepRollout("s")
+		before := store.record
+		g.Expect(n.lostRollouts()).To(gomega.BeEmpty())
+		time.Sleep(restoreWindowDuration)
+		n.endRestoreWindow()
+		n.applyRollouts([]rollouts.Order{{Service: "s", Target: "v2", Duration: time.Minute, Position: positionInEra(2, 6)}}, nil, 0)
+		n.stepRollout("s")
+		g.Expect(store.record.Requests).To(gomega.BeNumerically(">=", before.Requests))
+		n.restoreRollout("s")
+		g.Expect(store.record.OrderPosition).To(gomega.Equal(positionInEra(2, 6)))
+		g.Expect(store.record.Exposed).To(gomega.Equal(before.Exposed))
+		g.Expect(n.lostRollouts()).To(gomega.BeEmpty())
+	})
+}
