entry: a restore found by the read of a roll-out's record covers the whole backup

What operators would see: entries of a backup that count as written since the restore, such as a replica that left and is offered again, where a node learns of a restore by the read before it writes a record again, as in the second of two restores.

Cause: the node took the record's own revision for that of the answer. Its restore window then ended before the later entries of the backup. An answer without a record was not checked at all.

Change: the era is checked by the store's position at the read.

Result: the test passes, and the tests of roll-outs of ./entry, three times.

--- a/entry/rollout_restore.go
+++ b/entry/rollout_restore.go
@@ -31,8 +31,7 @@
 	n.mutex.Lock()
 	now := n.now()
 	record, known := n.rollouts.Record(service)
-	isCurrent := stored.Position == 0 || n.checkEra(stored.Position)
-	if !known || !isCurrent {
+	if !n.checkEra(readAt) || !known {
 		n.mutex.Unlock()
 		return
 	}
--- a/entry/rollout_restore_test.go
+++ b/entry/rollout_restore_test.go
@@ -151,3 +151,13 @@
 		g.Expect(n.lostRollouts()).To(gomega.BeEmpty())
 	})
 }
+
+// Guards against a restore that is noticed by the read of a record, after which what the backup lists counts as written
+// since, as the record's own revision passes for that of the read.
+func TestRestoreFoundByTheReadOfARecordCoversTheWholeBackup(t *testing.T) {
+	runRolloutNode(t, func(g *gomega.WithT, n *Node, store *rolloutStore) {
+		store.restore(recordWith(300, positionInEra(1, 21)), 23)
+		n.restoreRollout("s")
+		g.Expect(n.era.restoreWindow).To(gomega.Equal(structs.RestoreWindow{Base: 1, Era: 2, Listed: 23}))
+	})
+}
