coordination/rollout: an order keeps its evidence when the store is restored

Answers that spoke against a bad version, up to those of the outage, no longer did.

Cause: when the restore window ends, the order gets its position in the new era, and the record names it by that. The controller takes a record with another order position for one of another order: it drops the analysis, the evidence that is not written yet and the budget.

Evidence: TestEvidenceIsKeptWhenTheOrderGetsItsPositionInTheRestoredStore, which fails in the score and, without that check, in the requests (420, not 426).

Change: the table keeps the former position of an order that was recreated or found in the backup, and the controller takes it over before the record.

TestOrderOfARestoredStoreIsTheKnownOne also checks the former position.

--- a/coordination/rollout/controller.go
+++ b/coordination/rollout/controller.go
@@ -54,6 +54,8 @@
 // Inputs is the state of the system that a step depends on in addition to the record.
 type Inputs struct {
 	Order rollouts.Order
+	// FormerOrderPosition is the position that the order had before the store was restored; zero if it had no other one.
+	FormerOrderPosition structs.StorePosition
 	// Elapsed is a lower bound of the time since the order.
 	Elapsed time.Duration
 	// TargetSlots and OtherSlots count the slots of the listed replicas that are not leaving.
@@ -126,6 +128,14 @@
 // The target is bad from a score of 1 on.
 func (c *Controller) RegressionScore() (float64, string) { return c.analyzer.RegressionScore() }
 
+// RebaseOrder records that the order at the former position has another one in the restored store: it is no other order,
+// and its evidence stays. It does nothing if the current record is of another order.
+func (c *Controller) RebaseOrder(former, position structs.StorePosition) {
+	if former > 0 && c.record.OrderPosition == former {
+		c.record.OrderPosition = position
+	}
+}
+
 // ApplyRecord replaces the current record if the store position differs.
 func (c *Controller) ApplyRecord(record rollouts.Record) {
 	if record.Position != c.record.Position {
--- a/entry/rollout.go
+++ b/entry/rollout.go
@@ -273,7 +273,7 @@
 	order, _ := n.rollouts.Order(service)
 	record, _ := n.rollouts.Record(service)
 	pool := groupByService(n.table.All())[service]
-	inputs := rollout.Inputs{Order: order, Elapsed: n.rollouts.Elapsed(now, service), InService: isInService(order, pool)}
+	inputs := rollout.Inputs{Order: order, FormerOrderPosition: n.rollouts.FormerOrderPosition(service), Elapsed: n.rollouts.Elapsed(now, service), InService: isInService(order, pool)}
 	for _, replica := range pool {
 		switch {
 		case replica.Draining:
--- a/entry/rollout_restore_test.go
+++ b/entry/rollout_restore_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/onsi/gomega"
 
+	"github.com/thornwalk/thornwalk/coordination/admission"
+	"github.com/thornwalk/thornwalk/coordination/rollout"
 	"github.com/thornwalk/thornwalk/internal/eventlog"
 	"github.com/thornwalk/thornwalk/protocol/errkind"
 	"github.com/thornwalk/thornwalk/state/catalog"
@@ -161,3 +164,34 @@
 		g.Expect(n.era.restoreWindow).To(gomega.Equal(structs.RestoreWindow{Base: 1, Era: 2, Listed: 23}))
 	})
 }
+
+// Guards against a roll-out that forgets the answers since its latest record, and so may let a bad version pass, as its
+// order gets its position in the restored store.
+func TestEvidenceIsKeptWhenTheOrderGetsItsPositionInTheRestoredStore(t *testing.T) {
+	runRolloutNode(t, func(g *gomega.WithT, n *Node, store *rolloutStore) {
+		n.scheduling.rolloutPolicy = rollout.Policy{Share: 0.1, Slack: 100}
+		n.stepRollout("s")
+		store.restore(n.knownRecord(), 40)
+		n.checkEraOf(store.position)
+		n.restoreRollout("s")
+		n.stepRollout("s")
+		for i := range 6 {
+			n.scheduling.mutex.Lock()
+			n.scheduling.recordRolloutResult(admission.Completion{Service: "s", Route: "r", Replica: fmt.Sprint("b", i%2), Version: "v2", AssignedAt: n.now()},
+				admission.Observation{Duration: 20 * time.Millisecond, Failed: true}, false)
+			n.scheduling.mutex.Unlock()
+		}
+		before, _ := n.scheduling.regressionScore("s")
+		g.Expect(before).To(gomega.BeNumerically(">", 0.5))
+		time.Sleep(restoreWindowDuration)
+		n.endRestoreWindow()
+		n.applyRollouts([]rollouts.Order{{Service: "s", Target: "v2", Duration: time.Minute, Position: positionInEra(2, 6)}}, nil, 0)
+		n.restoreRollout("s")
+		requests := store.record.Requests
+		n.stepRollout("s")
+		after, _ := n.scheduling.regressionScore("s")
+		g.Expect(after).To(gomega.Equal(before))
+		g.Expect(store.record.OrderPosition).To(gomega.Equal(positionInEra(2, 6)))
+		g.Expect(store.record.Requests).To(gomega.Equal(requests+6), "those since the record")
+	})
+}
--- a/entry/scheduling_rollout.go
+++ b/entry/scheduling_rollout.go
@@ -45,6 +45,7 @@
 		s.controllers[service] = controller
 		s.scheduler.SetCanaryBudget(service, controller.CanaryBudget())
 	}
+	controller.RebaseOrder(inputs.FormerOrderPosition, inputs.Order.Position)
 	controller.ApplyRecord(known)
 	inputs.InFlightElsewhere = max(inputs.InFlightElsewhere, s.scheduler.InFlightAt(service))
 	inputs.LongAnswerTime = s.maxResponseTimes[service]
--- a/state/rollouts/rollouts.go
+++ b/state/rollouts/rollouts.go
@@ -116,7 +116,9 @@
 
 // serviceState is the latest order and record of one service, and when this process received them.
 type serviceState struct {
-	order                             Order
+	order Order
+	// formerOrderPosition is that of the order before the store was restored; zero if it had no other one.
+	formerOrderPosition               structs.StorePosition
 	record                            Record
 	orderReceivedAt, recordReceivedAt structs.Instant
 	// isRebased is true if the record here has the new position of a recreated order, but the record in
@@ -182,7 +184,7 @@
 		state.rebase(order.Position)
 		return true
 	}
-	state.order, state.orderReceivedAt = order, now
+	state.order, state.formerOrderPosition, state.orderReceivedAt = order, 0, now
 	return true
 }
 
@@ -199,7 +201,16 @@
 	if s.record.Position > 0 && s.record.OrderPosition == s.order.Position {
 		s.record.OrderPosition, s.isRebased = position, true
 	}
-	s.order.Position = position
+	s.order.Position, s.formerOrderPosition = position, s.order.Position
+}
+
+// FormerOrderPosition returns the position that the service's order had before the store was restored; zero if it had
+// no other one.
+func (t *Table) FormerOrderPosition(service string) structs.StorePosition {
+	if state, found := t.services[service]; found {
+		return state.formerOrderPosition
+	}
+	return 0
 }
 
 // PutRecord applies a record, and reports whether the table changed. It ignores a record that is not later
--- a/state/rollouts/rollouts_test.go
+++ b/state/rollouts/rollouts_test.go
@@ -39,6 +39,7 @@
 			g.Expect(table.PutOrder(time.Second, order)).To(gomega.BeTrue())
 			record, _ := table.Record("s")
 			g.Expect(record.OrderPosition == order.Position).To(gomega.Equal(test.isSame))
+			g.Expect(table.FormerOrderPosition("s") == known.Position).To(gomega.Equal(test.isSame))
 			g.Expect(table.ServicesToRewrite(1) != nil).To(gomega.Equal(test.isSame), "the store's record has the old position")
 		})
 	}
