entry: blocked requests are written again after their key was removed

What operators saw: after the key of the blocked requests is removed from the store, none that is blocked later is ever written there, so that none outlives the nodes; the scheduling node writes and reads four times a second.

Cause: each write expects the position that the store last had the records at, is refused, and the read that follows finds none, which changed nothing.

A restore does not lead there, as a new era drops the position.

Change: a read that finds none after a refused write drops the position that the write expected.

Result: one refused write, then the record is in the store.

--- a/entry/poison_sync.go
+++ b/entry/poison_sync.go
@@ -216,9 +216,22 @@
 		n.counter("contents.reads_failed").Inc(1)
 		return
 	}
+	if found == 0 {
+		n.forgetStoredPoisonRecords(position)
+	}
 	n.applyPoisonRecords(records, found)
 }
 
+// forgetStoredPoisonRecords records that the store has no poison records any more, unless it was known to have some at a
+// later position than this.
+func (n *Node) forgetStoredPoisonRecords(position structs.StorePosition) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if n.poisonStored.position == position {
+		n.poisonStored = storedPoisonRecords{}
+	}
+}
+
 // PoisonStatus is a blocked request as shown to operators.
 type PoisonStatus struct {
 	poisonrecords.Record
--- a/entry/poison_sync_test.go
+++ b/entry/poison_sync_test.go
@@ -90,3 +90,52 @@
 		})
 	}
 }
+
+// emptiedRecordStore is a store of poison records whose key can be removed.
+type emptiedRecordStore struct {
+	revision, position structs.StorePosition
+	writes             int
+}
+
+func (s *emptiedRecordStore) WritePoisonRecords(_ context.Context, _ []poisonrecords.Record, expected structs.StorePosition) (structs.StorePosition, error) {
+	s.writes++
+	if expected != s.position {
+		return 0, errkind.New(errkind.Conflict, "write poison records: the key is not at %v", expected)
+	}
+	s.revision++
+	s.position = s.revision
+	return s.position, nil
+}
+
+func (s *emptiedRecordStore) ReadPoisonRecords(context.Context) ([]poisonrecords.Record, structs.StorePosition, error) {
+	return nil, s.position, nil
+}
+
+// Guards against blocked requests that never reach the store again, and a write four times a second, after their key was
+// removed: each write expects the former position, and the read that follows finds none.
+func TestPoisonRecordsAreWrittenAfterTheirKeyWasRemoved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		store, log := &emptiedRecordStore{revision: positionInEra(1, 30)}, eventlog.New("n", nil)
+		n := New(&Settings{Name: "n", BlockedAfter: 2}, Dependencies{PoisonRecords: store, Log: log})
+		defer func() { n.cancel(); n.loops.Wait(); log.Close() }()
+		n.mutex.Lock()
+		n.scheduler = "n"
+		n.checkEra(positionInEra(1, 10))
+		n.mutex.Unlock()
+		block := func(number byte) {
+			n.scheduling.mergePoisonRecords([]poisonrecords.Record{{
+				Fingerprint: fingerprint.Fingerprint{number}, Service: "s", Route: "r", IsPersistent: true, Incarnations: []poisonrecords.Incarnation{"a/1", "b/1"},
+			}})
+			time.Sleep(2 * poisonIdleInterval)
+			synctest.Wait()
+		}
+		n.loops.Go(n.poisonSyncLoop)
+		block(1)
+		g.Expect(store.position).NotTo(gomega.BeZero())
+		store.position, store.writes = 0, 0
+		block(2)
+		g.Expect(store.position).NotTo(gomega.BeZero(), "%d writes", store.writes)
+		g.Expect(store.writes).To(gomega.Equal(2))
+	})
+}
