--- a/entry/rollout.go
+++ b/entry/rollout.go
@@ -192,7 +192,7 @@
 		for _, service := range lost {
 			n.restoreRollout(service)
 		}
-		services := slices.DeleteFunc(n.rolloutsInProgress(), func(service string) bool { return slices.Contains(lost, service) })
+		services := n.rolloutsInProgress()
 		for _, service := range services {
 			n.stepRollout(service)
 		}
@@ -239,15 +239,17 @@
 }
 
 // rereadRollout reads the record from the store after a failed write: another node may have written
-// it, or the write's outcome is unknown.
+// it, the write's outcome is unknown, or the store was restored and has an earlier record.
 func (n *Node) rereadRollout(ctx context.Context, service string) {
-	record, err := n.dependencies.Rollouts.ReadRollout(ctx, service)
+	record, readAt, err := n.dependencies.Rollouts.ReadRollout(ctx, service)
 	if err != nil {
 		n.counter("rollouts.reads_failed").Inc(1)
 		return // the next write fails as well and is followed by another read
 	}
 	n.mutex.Lock()
-	n.rollouts.OverwriteRecord(n.now(), record)
+	if n.checkEra(readAt) {
+		n.rollouts.OverwriteRecord(n.now(), record, readAt)
+	}
 	n.mutex.Unlock()
 	n.applyPolicies()
 }
@@ -259,15 +261,19 @@
 }
 
 // rolloutInputs returns the inputs of the next step of the service's roll-out, and its current
-// record.
+// record. They have no order while the record has to be written again: it may be outdated in the store, or
+// name the order by a former position, so that the order would count as another one.
 func (n *Node) rolloutInputs(service string) (rollout.Inputs, rollouts.Record) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
+	if n.rollouts.NeedsRewrite(service, n.era.current) {
+		return rollout.Inputs{}, rollouts.Record{}
+	}
 	now := n.now()
 	order, _ := n.rollouts.Order(service)
 	record, _ := n.rollouts.Record(service)
 	pool := groupByService(n.table.All())[service]
-	inputs := rollout.Inputs{Order: order, Elapsed: n.rollouts.Elapsed(now, service), InService: isInService(order, pool)}
+	inputs := rollout.Inputs{Order: order, FormerOrderPosition: n.rollouts.FormerOrderPosition(service), Elapsed: n.rollouts.Elapsed(now, service), InService: isInService(order, pool)}
 	for _, replica := range pool {
 		switch {
 		case replica.Draining:
