node: a response that is broken off resets connections of HTTP/1.0

What callers saw: a caller of package node that speaks HTTP/1.0 got 200, the head of a service's answer and a part of its body, or none of it, and the end of the connection, as of a whole answer, where the replica had closed its connection in the middle; the same through a node that forwards the request to the owner of its ticket.

Cause: such a response has no length and no chunks, and http.ErrAbortHandler closes the connection as after a whole one. Package entry resets it, package node did not.

Evidence: a stand-in replica whose answer is cut at every byte, with a length and in chunks. Before, the three cases of HTTP/1.0 in TestServiceAnswersCutAtEveryByteAreNotWhole and TestForwardedServiceAnswersThatAreCutAreNotWhole failed, those of HTTP/1.1 passed. An answer that is cut in its head was no whole one before either.

Change: package entry's mechanism is transport/unframed now, which both packages use: from the head on any close is a reset, until the response is flushed to its end. Over TLS, which only package node has, the reset takes the connection below, as the close of TLS states that nothing is missing; http.Server.Close does that too, so the unfinished ones are closed before.

--- a/entry/caller_connections.go
+++ b/entry/caller_connections.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"github.com/thornwalk/thornwalk/transport/network"
+	"github.com/thornwalk/thornwalk/transport/unframed"
 )
 
 const (
@@ -28,12 +28,13 @@
 	max    int
 	open   map[net.Conn]*callerConnection
 	closed int64
+	// responses are those of which only the close of the connection shows the end.
+	responses unframed.Connections
 }
 
 // callerConnection is the state of one connection.
 type callerConnection struct {
 	connections *callerConnections
-	connection  net.Conn
 	isServing   bool
 	// since is when the connection was opened or last served a request.
 	since time.Time
@@ -55,7 +56,7 @@
 
 // add registers a new connection and returns the context of its requests. It implements http.Server.ConnContext.
 func (c *callerConnections) add(ctx context.Context, connection net.Conn) context.Context {
-	added := &callerConnection{connections: c, connection: connection, since: time.Now()}
+	added := &callerConnection{connections: c, since: time.Now()}
 	c.mutex.Lock()
 	replaced := c.longestIdle()
 	if replaced != nil {
@@ -67,7 +68,7 @@
 	if replaced != nil {
 		_ = replaced.Close()
 	}
-	return context.WithValue(ctx, callerConnectionKey{}, added)
+	return context.WithValue(c.responses.Add(ctx, connection), callerConnectionKey{}, added)
 }
 
 // longestIdle returns the connection that serves no request for longest, or nil below the limit or if all serve one.
@@ -105,25 +106,6 @@
 	return func() { state.setServing(false) }
 }
 
-// beginUnframed prepares a response whose end only the close of the connection shows, to a caller that speaks HTTP/1.0.
-// Until endUnframed any close is a reset, also by the end of the process: the caller would take another one for the end
-// of the response.
-func (c *call) beginUnframed() {
-	if state, isTracked := c.request.Context().Value(callerConnectionKey{}).(*callerConnection); isTracked && !c.isFramed() {
-		network.ResetOnClose(state.connection)
-	}
-}
-
-// endUnframed lets the connection be closed, as the response is complete.
-func (c *call) endUnframed() {
-	if state, isTracked := c.request.Context().Value(callerConnectionKey{}).(*callerConnection); isTracked && !c.isFramed() {
-		network.FlushOnClose(state.connection)
-	}
-}
-
-// isFramed reports whether a stream is sent to the caller in chunks.
-func (c *call) isFramed() bool { return c.request.ProtoAtLeast(1, 1) }
-
 func (s *callerConnection) setServing(isServing bool) {
 	s.connections.mutex.Lock()
 	defer s.connections.mutex.Unlock()
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -18,6 +18,7 @@
 	"github.com/thornwalk/thornwalk/state/memorybudget"
 	"github.com/thornwalk/thornwalk/state/promptparts"
 	"github.com/thornwalk/thornwalk/structs"
+	"github.com/thornwalk/thornwalk/transport/unframed"
 )
 
 // call is one caller's request in progress.
@@ -316,7 +317,7 @@
 
 // abort closes the caller's connection. A caller that left may have closed its direction only and read on, and the end of
 // the handler would complete its response.
-func (c *call) abort() { panic(http.ErrAbortHandler) }
+func (c *call) abort() { unframed.Abort(c.request) }
 
 // endWithServerError sends the answer with a server error, as there is no other one.
 func (c *call) endWithServerError() {
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -12,6 +12,7 @@
 	"github.com/thornwalk/thornwalk/coordination/admission"
 	"github.com/thornwalk/thornwalk/state/replicas"
 	"github.com/thornwalk/thornwalk/transport/replicahttp"
+	"github.com/thornwalk/thornwalk/transport/unframed"
 )
 
 // Limits of a stream.
@@ -82,7 +83,7 @@
 	}
 	c.node.recordSuccess(replica.ID)
 	c.sendHead(answer)
-	c.endUnframed()
+	unframed.End(c.writer, c.request)
 	c.node.recordDuration("pause_ms", c.maxEventGap)
 	c.recordAnswer(answer.StatusCode, replica.ID)
 	return resultAnswered, observed
@@ -118,7 +119,7 @@
 	}
 	c.copyHeader(answer)
 	c.headSent = true
-	c.beginUnframed()
+	unframed.Begin(c.request)
 	c.writer.WriteHeader(answer.StatusCode)
 }
 
--- a/node/relay.go
+++ b/node/relay.go
@@ -18,6 +18,7 @@
 	"github.com/thornwalk/thornwalk/state/answer"
 	"github.com/thornwalk/thornwalk/structs"
 	"github.com/thornwalk/thornwalk/transport/oneshot"
+	"github.com/thornwalk/thornwalk/transport/unframed"
 )
 
 const kindLookup = peerwire.KindRegistryLookup
@@ -190,7 +191,7 @@
 		case <-request.Context().Done():
 			return
 		case <-n.ctx.Done():
-			panic(http.ErrAbortHandler)
+			unframed.Abort(request)
 		}
 	}
 }
@@ -232,18 +233,19 @@
 		return true
 	}
 	defer response.Body.Close()
-	copyResponse(writer, response)
+	copyResponse(writer, request, response)
 	return true
 }
 
 // copyResponse forwards a response as it arrives. If it breaks, the caller's
 // connection is aborted.
-func copyResponse(writer http.ResponseWriter, response *http.Response) {
+func copyResponse(writer http.ResponseWriter, request *http.Request, response *http.Response) {
 	header := writer.Header()
 	for name, values := range forwardedHeader(response.Header) {
 		header[name] = values
 	}
 	header.Set("Trailer", HeaderOutcome)
+	unframed.Begin(request)
 	writer.WriteHeader(response.StatusCode)
 	chunk := make([]byte, serviceChunkBytes)
 	for {
@@ -253,10 +255,11 @@
 			break
 		}
 		if err != nil || http.NewResponseController(writer).Flush() != nil {
-			panic(http.ErrAbortHandler)
+			unframed.Abort(request)
 		}
 	}
 	if outcome := response.Trailer.Get(HeaderOutcome); outcome != "" {
 		header.Set(HeaderOutcome, outcome)
 	}
+	unframed.End(writer, request)
 }
--- a/node/respond.go
+++ b/node/respond.go
@@ -13,6 +13,7 @@
 	"github.com/thornwalk/thornwalk/protocol/openai"
 	"github.com/thornwalk/thornwalk/state/answer"
 	"github.com/thornwalk/thornwalk/structs"
+	"github.com/thornwalk/thornwalk/transport/unframed"
 )
 
 // keepAliveInterval is the time between comments in a stream without events, which
@@ -114,6 +115,7 @@
 	header.Set("Trailer", HeaderOutcome)
 	setAnswerHeader(header, &view)
 	controller := http.NewResponseController(writer)
+	unframed.Begin(request)
 	for {
 		for _, part := range view.Parts {
 			from++
@@ -132,9 +134,10 @@
 	header.Set(HeaderOutcome, view.Outcome.String())
 	if view.Outcome == structs.OutcomeAnswered {
 		fmt.Fprintf(writer, "data: %s\n\n", openai.DoneEvent)
-		return
+	} else {
+		fmt.Fprintf(writer, "event: error\ndata: %s\n\n", mustJSON(errorBody(view.Err, view.Outcome, view.RequestID, view.Receipt)))
 	}
-	fmt.Fprintf(writer, "event: error\ndata: %s\n\n", mustJSON(errorBody(view.Err, view.Outcome, view.RequestID, view.Receipt)))
+	unframed.End(writer, request)
 }
 
 // awaitNext waits for the next part and sends keep-alive comments meanwhile.
@@ -181,6 +184,7 @@
 	}
 	setAnswerHeader(header, &view)
 	header.Set("Trailer", HeaderOutcome)
+	unframed.Begin(request)
 	writer.WriteHeader(view.Head.Status)
 	sent := 0
 	for {
@@ -199,9 +203,10 @@
 		}
 	}
 	if view.Outcome != structs.OutcomeAnswered {
-		panic(http.ErrAbortHandler)
+		unframed.Abort(request)
 	}
 	header.Set(HeaderOutcome, view.Outcome.String())
+	unframed.End(writer, request)
 }
 
 // awaitHead waits until the answer has response headers or has ended.
--- a/node/serve.go
+++ b/node/serve.go
@@ -9,6 +9,7 @@
 
 	"github.com/thornwalk/thornwalk/transport/network"
 	"github.com/thornwalk/thornwalk/transport/peer"
+	"github.com/thornwalk/thornwalk/transport/unframed"
 )
 
 // Bounds of the HTTP servers against slow callers and large headers.
@@ -55,14 +56,17 @@
 
 // serveHTTP starts a server. It closes all connections when the node's context ends.
 func (n *Node) serveHTTP(listener net.Listener, handler http.Handler) {
+	var responses unframed.Connections
 	server := &http.Server{
 		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		BaseContext: func(net.Listener) context.Context { return n.ctx },
+		ConnContext: responses.Add,
 		ErrorLog:    discardLog,
 	}
 	n.group.Go(func() { _ = server.Serve(listener) }) // always returns an error, also after Close
 	n.group.Go(func() {
 		<-n.ctx.Done()
+		responses.Abort()
 		_ = server.Close()
 	})
 }
