lab/memnet: two closes of one side at once are one reset

The fabric's fault, not a caller's: the kernel closes once.

Cause: only the first Close of an endpoint was a reset. http.Server.Close and the connection's own goroutine close at the same time, and the second one closed the pipe before the first had marked the reset.

Change: each Close of an endpoint that resets marks the reset before it closes the pipe. SetLinger after a Close fails, as on a socket, so that an ordinary close doesn't become a reset.

--- a/lab/memnet/memnet.go
+++ b/lab/memnet/memnet.go
@@ -250,6 +250,9 @@
 
 // SetLinger makes Close a reset if the seconds are zero, as for a TCP connection.
 func (e *endpoint) SetLinger(seconds int) error {
+	if e.isClosed.Load() {
+		return net.ErrClosed
+	}
 	e.resetsOnClose.Store(seconds == 0)
 	return nil
 }
@@ -289,7 +292,7 @@
 // Close implements net.Conn. Over a blocked link, or on a broken connection, the peer is not
 // notified.
 func (e *endpoint) Close() error {
-	isFirst := !e.isClosed.Swap(true)
+	e.isClosed.Store(true)
 	e.fabric.mutex.Lock()
 	isLost := e.connection.broken || e.fabric.blockedLinks[hostPair{e.local, e.remote}]
 	if isLost {
@@ -303,7 +306,7 @@
 		// blocked in its read until the link is unblocked.
 		return e.SetDeadline(pastTime)
 	}
-	if isFirst && e.resetsOnClose.Load() {
+	if e.resetsOnClose.Load() {
 		e.connection.isReset.Store(true)
 		e.connection.close()
 		return nil
