node: a handler whose request ends does not complete the response

What callers saw: 200 with an empty body and Content-Length 0, or the last chunk after a part of the answer, in all versions of HTTP, from a node that ended while they waited, and each time where the caller had closed its direction of the connection and read on.

Cause: the writers of answers returned when the request's context ended, and net/http completes the response of a handler that returns. They took that end for a caller that is gone. The context also ends with the node, whose server closes the connection only afterwards, and with the end of the caller's direction.

A stream of an engine that ends with an event that tells the error counts as told.

Change: the writers abort the connection there, as package entry does.

--- a/node/answer_ends_test.go
+++ b/node/answer_ends_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -112,6 +113,8 @@
 type rawCall struct {
 	// version is that of the protocol.
 	version, method, path, key, lines, body string
+	// meanwhile, if it is not nil, is called once the request is sent.
+	meanwhile func(connection net.Conn)
 }
 
 func (d *deployment) send(index int, call rawCall) response {
@@ -121,6 +124,9 @@
 	_, err = fmt.Fprintf(connection, "%s %s %s\r\nHost: service.example\r\nAuthorization: Bearer %s\r\n%sContent-Length: %d\r\n\r\n%s",
 		call.method, call.path, call.version, call.key, call.lines, len(call.body), call.body)
 	d.Expect(err).NotTo(gomega.HaveOccurred())
+	if call.meanwhile != nil {
+		go call.meanwhile(connection)
+	}
 	got, err := http.ReadResponse(bufio.NewReader(connection), nil)
 	if err != nil {
 		return response{}
@@ -209,3 +215,62 @@
 		})
 	}
 }
+
+// endlessAnswer writes a head and a chunk each 50 ms until the connection ends.
+func endlessAnswer(connection net.Conn) {
+	_, err := io.WriteString(connection, chunkedHead)
+	for err == nil {
+		time.Sleep(50 * time.Millisecond)
+		_, err = io.WriteString(connection, "4\r\nbody\r\n")
+	}
+}
+
+// silentAnswer writes nothing for longer than any caller waits in these tests.
+func silentAnswer(net.Conn) { time.Sleep(5 * time.Second) }
+
+// interruptedCalls are calls that are in progress for 200 ms at least.
+func interruptedCalls(version string) map[string]rawCall {
+	return map[string]rawCall{
+		"stream of an engine": engineCall(version, true), "completion of an engine": engineCall(version, false),
+		"answer of a service": plainCall(version), "silent service": plainCall(version),
+	}
+}
+
+// expectInterrupted runs each interrupted call with the interruption in the middle, and expects no response that looks
+// whole. A stream of an engine may also end with an event that tells the error.
+func expectInterrupted(t *testing.T, interrupt func(d *deployment, connection net.Conn)) {
+	for _, version := range versions {
+		for name, call := range interruptedCalls(version) {
+			t.Run(version+" "+name, func(t *testing.T) {
+				runWithScriptedReplica(t, func(d *deployment) {
+					d.serve = endlessAnswer
+					if strings.HasPrefix(name, "silent") {
+						d.serve = silentAnswer
+					}
+					call.meanwhile = func(connection net.Conn) {
+						time.Sleep(175 * time.Millisecond)
+						interrupt(d, connection)
+					}
+					got := d.send(0, call)
+					tellsItself := strings.Contains(got.body, "event: error")
+					d.Expect(got.status == http.StatusOK && got.isWhole && !tellsItself).To(gomega.BeFalse(), "%d bytes", len(got.body))
+				})
+			})
+		}
+	}
+}
+
+// Guards against a response that looks whole, an empty one too, as the node that writes it ends.
+func TestEndedNodeLeavesNoResponseThatLooksWhole(t *testing.T) {
+	for range 5 { // the handlers and the server end in any order
+		expectInterrupted(t, func(d *deployment, _ net.Conn) { d.node(0).Kill() })
+	}
+}
+
+// Guards against a response that looks whole, an empty one too, to a caller that has closed its direction of the
+// connection and reads on: the node takes it for one that left, and ends the request.
+func TestCallersThatCloseTheirDirectionSeeNoWholeResponse(t *testing.T) {
+	expectInterrupted(t, func(_ *deployment, connection net.Conn) {
+		_ = connection.(interface{ CloseWrite() error }).CloseWrite()
+	})
+}
--- a/node/callers.go
+++ b/node/callers.go
@@ -16,6 +16,7 @@
 	"github.com/thornwalk/thornwalk/state/registry"
 	"github.com/thornwalk/thornwalk/state/settings"
 	"github.com/thornwalk/thornwalk/structs"
+	"github.com/thornwalk/thornwalk/transport/unframed"
 )
 
 // Paths of the callers' interface, in addition to those of package openai.
@@ -201,7 +202,7 @@
 	}
 	view, err := ans.Await(request.Context(), 0, 0)
 	if err != nil {
-		return
+		unframed.Abort(request)
 	}
 	if view.Head != nil {
 		n.writeService(writer, request, ans)
--- a/node/relay.go
+++ b/node/relay.go
@@ -184,13 +184,11 @@
 			return
 		}
 		if http.NewResponseController(writer).Flush() != nil {
-			return
+			unframed.Abort(request)
 		}
 		select {
 		case <-changed:
 		case <-request.Context().Done():
-			return
-		case <-n.ctx.Done():
 			unframed.Abort(request)
 		}
 	}
--- a/node/respond.go
+++ b/node/respond.go
@@ -68,7 +68,9 @@
 }
 
 // writeGeneration sends the answer of an engine, as a stream after the event
-// number from, or as one body.
+// number from, or as one body. Like the other writers of answers, it aborts if the
+// request's context ends: the caller may have closed its direction only and read on,
+// and a handler that returns completes the response.
 func (n *Node) writeGeneration(writer http.ResponseWriter, request *http.Request, ans *answer.Answer, stream, usage bool, from int) {
 	if stream {
 		n.writeStream(writer, request, ans, usage, from)
@@ -76,7 +78,7 @@
 	}
 	view, err := ans.AwaitEnd(request.Context())
 	if err != nil {
-		return // the caller disconnected
+		unframed.Abort(request)
 	}
 	if view.Outcome != structs.OutcomeAnswered {
 		n.writeOutcomeError(writer, view.Err, view.Outcome, view.RequestID, view.Receipt)
@@ -103,7 +105,7 @@
 func (n *Node) writeStream(writer http.ResponseWriter, request *http.Request, ans *answer.Answer, usage bool, from int) {
 	view, err := ans.Await(request.Context(), from, 0)
 	if err != nil {
-		return
+		unframed.Abort(request)
 	}
 	if view.Ended && view.Outcome != structs.OutcomeAnswered && len(view.Parts) == 0 {
 		n.writeOutcomeError(writer, view.Err, view.Outcome, view.RequestID, view.Receipt)
@@ -125,10 +127,10 @@
 			break
 		}
 		if controller.Flush() != nil {
-			return
+			unframed.Abort(request)
 		}
 		if view, err = n.awaitNext(request, writer, ans, from); err != nil {
-			return
+			unframed.Abort(request)
 		}
 	}
 	header.Set(HeaderOutcome, view.Outcome.String())
@@ -172,7 +174,7 @@
 func (n *Node) writeService(writer http.ResponseWriter, request *http.Request, ans *answer.Answer) {
 	view, err := awaitHead(request.Context(), ans)
 	if err != nil {
-		return
+		unframed.Abort(request)
 	}
 	if view.Head == nil {
 		n.writeOutcomeError(writer, view.Err, view.Outcome, view.RequestID, view.Receipt)
@@ -196,10 +198,10 @@
 			break
 		}
 		if http.NewResponseController(writer).Flush() != nil {
-			return
+			unframed.Abort(request)
 		}
 		if view, err = ans.Await(request.Context(), sent, 1); err != nil {
-			return
+			unframed.Abort(request)
 		}
 	}
 	if view.Outcome != structs.OutcomeAnswered {
