node: responses of JSON have a length

What callers saw: a caller that speaks HTTP/1.0 got a completion of more than 2,048 bytes without a length, of which the close of the connection was the end, also where its node was killed in the middle.

Cause: net/http adds a length to what fits its buffer only, and has no chunks for HTTP/1.0.

Evidence: TestCompletionsHaveALength failed for HTTP/1.0 (a completion of 100 tokens had no length). A cut in the middle was not tried; a parser of JSON notices it.

Change: the value is encoded first, and its length stated. A value that can't be encoded, of which there is none, would end the connection and not an empty 200.

--- a/node/answer_ends_test.go
+++ b/node/answer_ends_test.go
@@ -104,9 +104,10 @@
 
 // response is what a caller got: its status, or zero without a head, its body so far, and whether the body seems whole.
 type response struct {
-	status  int
-	body    string
-	isWhole bool
+	status    int
+	hasLength bool
+	body      string
+	isWhole   bool
 }
 
 // rawCall is a request of a caller that takes the end of the connection for the end of a response without framing.
@@ -132,16 +133,16 @@
 		return response{}
 	}
 	body, err := io.ReadAll(got.Body)
-	return response{status: got.StatusCode, body: string(body), isWhole: err == nil}
+	return response{status: got.StatusCode, hasLength: got.ContentLength >= 0, body: string(body), isWhole: err == nil}
 }
 
 func plainCall(version string) rawCall {
 	return rawCall{version: version, method: http.MethodPost, path: "/services/" + plainService + "/x", key: "restaurants-key"}
 }
 
-// engineCall is a call for a stream of ten events or more, over half a second, or for one completion.
-func engineCall(version string, isStream bool) rawCall {
-	body := fmt.Sprintf(`{"model":"ruling","lab_output_tokens":10,"stream":%t,"messages":[{"role":"user","content":"May I cross?"}]}`, isStream)
+// engineCall is a call for a stream of as many events as tokens or more, one each 50 ms, or for one completion.
+func engineCall(version string, isStream bool, tokens int) rawCall {
+	body := fmt.Sprintf(`{"model":"ruling","lab_output_tokens":%d,"stream":%t,"messages":[{"role":"user","content":"May I cross?"}]}`, tokens, isStream)
 	return rawCall{version: version, method: http.MethodPost, path: "/v1/chat/completions", key: "couriers-key", body: body}
 }
 
@@ -168,7 +169,7 @@
 						d.serve = func(connection net.Conn) { _, _ = io.WriteString(connection, whole[:length]) }
 						got := d.send(0, plainCall(version))
 						if length == len(whole) {
-							d.Expect(got).To(gomega.Equal(response{http.StatusOK, answerBody, true}))
+							d.Expect(got).To(gomega.Equal(response{status: http.StatusOK, body: answerBody, isWhole: true}))
 							continue
 						}
 						d.Expect(got.status == http.StatusOK && got.isWhole).To(gomega.BeFalse(), "cut after %q: %q", whole[:length], got.body)
@@ -208,7 +209,7 @@
 func TestWholeStreamsOfEnginesEndInAllProtocols(t *testing.T) {
 	for _, version := range versions {
 		runWithScriptedReplica(t, func(d *deployment) {
-			got := d.send(0, engineCall(version, true))
+			got := d.send(0, engineCall(version, true, 10))
 			d.Expect(got.status).To(gomega.Equal(http.StatusOK), version)
 			d.Expect(got.isWhole).To(gomega.BeTrue(), version)
 			d.Expect(got.body).To(gomega.HaveSuffix("data: [DONE]\n\n"), version)
@@ -216,6 +217,19 @@
 	}
 }
 
+// Guards against a completion that is cut by the end of its node and looks whole to a caller of a protocol without chunks.
+func TestCompletionsHaveALength(t *testing.T) {
+	const tokens = 100 // more than net/http buffers, after which it can't add the length
+	for _, version := range versions {
+		runWithScriptedReplica(t, func(d *deployment) {
+			got := d.send(0, engineCall(version, false, tokens))
+			d.Expect(got.status).To(gomega.Equal(http.StatusOK), "%s: %s", version, got.body)
+			d.Expect(len(got.body)).To(gomega.BeNumerically(">", 2048))
+			d.Expect(got.isWhole && got.hasLength).To(gomega.BeTrue(), version)
+		})
+	}
+}
+
 // endlessAnswer writes a head and a chunk each 50 ms until the connection ends.
 func endlessAnswer(connection net.Conn) {
 	_, err := io.WriteString(connection, chunkedHead)
@@ -231,7 +245,7 @@
 // interruptedCalls are calls that are in progress for 200 ms at least.
 func interruptedCalls(version string) map[string]rawCall {
 	return map[string]rawCall{
-		"stream of an engine": engineCall(version, true), "completion of an engine": engineCall(version, false),
+		"stream of an engine": engineCall(version, true, 10), "completion of an engine": engineCall(version, false, 10),
 		"answer of a service": plainCall(version), "silent service": plainCall(version),
 	}
 }
--- a/node/callers.go
+++ b/node/callers.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
+	"strconv"
 
 	"github.com/gorilla/mux"
 	"github.com/rcrowley/go-metrics"
@@ -289,9 +289,11 @@
 }
 
 func writeJSON(writer http.ResponseWriter, status int, value any) {
+	content := append(mustJSON(value), '\n')
 	writer.Header().Set("Content-Type", "application/json")
+	writer.Header().Set("Content-Length", strconv.Itoa(len(content)))
 	writer.WriteHeader(status)
-	_ = json.NewEncoder(writer).Encode(value) // fails only if the caller has disconnected
+	_, _ = writer.Write(content) // fails only if the caller has disconnected
 }
 
 // outcomeOf returns the outcome that an error proves.
