entry: the scheduling node hears of background reports that name another start

What callers saw: nothing was measured with callers. By reading: a stream of theirs may go on from another node at a replica that has been replaced in place, as that node goes by the entry until it asks or sends itself.

Cause: a node tells the scheduling node of its doubts in the message about a send that failed. A report that is asked for before a stream goes on belongs to such a send. One that is asked for in the background, because a new stream began over a connection of which nothing shows where it leads, does not: the stream is answered, and the doubt stays at its node.

Change: after such a report the node sends the scheduling node a message with the doubt alone, that of an ended request with an empty ID, which nodes of earlier releases read as one that ended nothing. A background report that fails, or comes late, tells nothing: a slow replica would lose its streams at all nodes.

A replica that only its report shows to be another is still not cold for the scheduling node (design/replica-identity.md).

--- a/entry/doubt_news.go
+++ b/entry/doubt_news.go
@@ -8,7 +8,7 @@
 	"github.com/thornwalk/thornwalk/state/replicas"
 )
 
-// The scheduling node hears of failed sends of all nodes. It tells the node that gets an assignment how long ago the
+// The scheduling node hears of failed sends of all nodes, and of reports that name another start. It tells the node that gets an assignment how long ago the
 // replica was doubted, so that a stream does not go on at a replica that another node found ended.
 
 func (n *Node) serveAssign(ctx context.Context, request *assignRequest) (*assignReply, error) {
@@ -30,6 +30,14 @@
 	return &finishReply{}, nil
 }
 
+// reportDoubt tells the scheduling node of the doubt of the replica's incarnation, if there is one.
+func (n *Node) reportDoubt(replica replicas.Replica) {
+	doubted := n.doubtOf(replica)
+	if _, address := n.currentScheduler(); doubted != nil && address != "" {
+		n.sendFinish(unackedFinish{address: address, message: &finishRequest{Doubted: doubted}, since: n.now()})
+	}
+}
+
 // doubtAge is doubtAgeLocked for callers that do not hold the mutex.
 func (n *Node) doubtAge(replica replicas.Replica) time.Duration {
 	n.mutex.Lock()
--- a/entry/messages.go
+++ b/entry/messages.go
@@ -76,6 +76,7 @@
 
 // finishRequest reports that an assigned request ended, or that a queued one was given up.
 type finishRequest struct {
+	// ID is empty if the message only reports a doubt.
 	ID string
 	// Observation is what the sending node observed of the response.
 	Observation admission.Observation `msgpack:"Seen"`
--- a/entry/replica_report.go
+++ b/entry/replica_report.go
@@ -115,11 +115,12 @@
 	return unprovable
 }
 
-// errUnproven means that nothing shows which incarnation of the replica the connection leads to, errClosedAfterReport
-// that the replica closed the connection after a report that shows it, and errClosedIdle that it closed the connection
-// before it was used again.
+// errUnproven means that nothing shows which incarnation of the replica the connection leads to, errAnotherStart that
+// its report shows that it is another one, errClosedAfterReport that the replica closed the connection after a report that
+// shows it, and errClosedIdle that it closed the connection before it was used again.
 var (
 	errUnproven          = errors.New("nothing shows which incarnation it is")
+	errAnotherStart      = errors.New("another one has started")
 	errClosedAfterReport = errors.New("the replica closed the connection after its report")
 	errClosedIdle        = errors.New("the replica closed the idle connection")
 )
@@ -234,7 +235,7 @@
 		n.reportIdentity(identityReplaced, incarnation, eventlog.Event{Detail: fmt.Sprint("started at ", startedAt)})
 		_ = conn.Close()
 		n.pool.Forget(incarnationOf(replica))
-		return fmt.Errorf("%w: another one started at %d", errUnproven, startedAt)
+		return fmt.Errorf("%w: %w at %d", errUnproven, errAnotherStart, startedAt)
 	}
 	n.mutex.Lock()
 	n.identities.ConfirmByReport(sentAt, incarnation)
--- a/entry/uncertain_origin.go
+++ b/entry/uncertain_origin.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"errors"
 	"time"
 
 	"github.com/thornwalk/thornwalk/coordination/incarnations"
@@ -120,7 +121,8 @@
 	}
 }
 
-// queryOriginReport asks the replica for a report over an idle or a new direct connection.
+// queryOriginReport asks the replica for a report over an idle or a new direct connection. No send fails if it names
+// another start, so that the scheduling node hears of it here.
 func (n *Node) queryOriginReport(replica replicas.Replica) {
 	conn := n.pool.TakeIdle(incarnationOf(replica), maxIdleNonRepeatable, replicahttp.AnyTime)
 	if conn == nil {
@@ -130,7 +132,11 @@
 		}
 		conn = opened
 	}
-	if err := n.queryReport(n.ctx, conn, replica); err == nil {
+	err := n.queryReport(n.ctx, conn, replica)
+	switch {
+	case err == nil:
 		n.pool.Keep(conn)
+	case errors.Is(err, errAnotherStart):
+		n.reportDoubt(replica)
 	}
 }
