entry: a resumed stream's first event shows how its IDs are counted

What callers saw: a caller with event 5 resumed its stream, got event 6, and then, as the replica broke off, 8 from another one, in a stream that looked whole: event 7 was missing.

Cause: a continuation that does not begin with the next event is refused once two consecutive IDs show which that is. Only events of the caller's own response counted. The caller states the ID of one more.

Change: if the first event has the ID after that of the caller's last one, the two are consecutive. Any other first ID is judged without the caller's, as before: IDs may begin anew, overlap, or count what events hold.

The rule of two consecutive IDs stays.

--- a/entry/event_order.go
+++ b/entry/event_order.go
@@ -28,8 +28,14 @@
 	isIrregular bool
 	// isNewAnswer is true before the first event of an answer.
 	isNewAnswer bool
+	// hadBefore is the ID of the last event that the caller had before its request, if it is a number.
+	hadBefore    int64
+	hasHadBefore bool
 }
 
+// resumeAfter records the ID of the last event that the caller has of a stream that it resumes.
+func (r *relayedIDs) resumeAfter(id string) { r.hadBefore, r.hasHadBefore = numericEventID(id) }
+
 // minConsecutiveIDs is the number of consecutive IDs that show how they are counted: a replica may number events, or
 // what they hold.
 const minConsecutiveIDs = 2
@@ -38,6 +44,9 @@
 // missing before it. A gap within an answer is the replica's own way to count.
 func (r *relayedIDs) next(id string) error {
 	number, isNumber := numericEventID(id)
+	if r.count == 0 && isNumber && r.hasHadBefore && number == r.hadBefore+1 {
+		r.last, r.count = r.hadBefore, 1
+	}
 	follows := isNumber && (r.count == 0 || number == r.last+1)
 	if r.isNewAnswer && !follows && isNumber && !r.isIrregular && r.count >= minConsecutiveIDs {
 		return errEventGap
--- a/entry/stream_origin.go
+++ b/entry/stream_origin.go
@@ -43,7 +43,7 @@
 	unresolved unresolvedOrigin
 	// lastEventAt is when the caller was last sent an event; zero if it was sent none.
 	lastEventAt structs.Instant
-	// relayedIDs are the IDs of the events that the caller was sent.
+	// relayedIDs are the IDs of the events that the caller has.
 	relayedIDs relayedIDs
 }
 
@@ -117,6 +117,7 @@
 		return false
 	}
 	c.service, c.origin = origin.Service, origin
+	c.relayedIDs.resumeAfter(lastEvent)
 	return true
 }
 
--- a/test/entry/event_order_test.go
+++ b/test/entry/event_order_test.go
@@ -32,6 +32,8 @@
 
 // streamCourse is what the first replica sends, before it breaks off or ends the stream, and what the second does.
 type streamCourse struct {
+	// callerHas is the ID of the last event that the caller has of a stream that it resumes, empty for a new one.
+	callerHas           string
 	first, continuation string
 	isFirstWhole        bool
 	// want are the events that the caller has, and isComplete whether they look complete.
@@ -45,6 +47,13 @@
 	runScenario(t, func(s *scenario) {
 		replicas := s.replaceReplicas("engines", 2, func(number int, exchange *scriptedExchange) {
 			exchange.write(exchange.head("200 OK", eventStreamLines))
+			if c.callerHas != "" {
+				number--
+			}
+			if number == 0 {
+				exchange.write(eventsWith(c.callerHas) + "0\r\n\r\n")
+				return
+			}
 			if number == 1 {
 				exchange.write(eventsWith(c.first))
 				if c.isFirstWhole {
@@ -56,7 +65,15 @@
 			exchange.write(eventsWith(c.continuation) + "0\r\n\r\n")
 		})
 		defer replicas.close()
-		got := s.do("n1", http.MethodPost, path, nil)
+		resume := func(*http.Request) {}
+		if c.callerHas != "" {
+			s.Expect(s.do("n1", http.MethodPost, path, withRequestID("began")).status).To(gomega.Equal(http.StatusOK))
+			resume = func(request *http.Request) {
+				request.Header.Set("Last-Event-Id", c.callerHas)
+				request.Header.Set("Resumes", "began")
+			}
+		}
+		got := s.do("n1", http.MethodPost, path, resume)
 		s.Expect(got.status).To(gomega.Equal(http.StatusOK))
 		s.Expect(idsOf(got.body)).To(gomega.Equal(c.want))
 		s.Expect(got.complete).To(gomega.Equal(c.isComplete))
@@ -108,3 +125,23 @@
 		t.Run(name, func(t *testing.T) { course.play(t, "/resume/") })
 	}
 }
+
+// Guards against a continuation that lacks the next event and looks complete where only the caller's last event and one
+// more show how IDs are counted, and against one that is refused because the caller's last event shows nothing.
+func TestContinuationsOfResumedStreamsBeginWithTheNextEvent(t *testing.T) {
+	const violation = "event_missing"
+	for name, course := range map[string]*streamCourse{
+		"gap":                                   {callerHas: "5", first: "6", continuation: "8", want: "6", violation: violation},
+		"gap after more events":                 {callerHas: "5", first: "6 7", continuation: "9", want: "6 7", violation: violation},
+		"gap after an overlap with the caller":  {callerHas: "5", first: "4 5 6", continuation: "8", want: "4 5 6", violation: violation},
+		"next":                                  {callerHas: "5", first: "6", continuation: "7 8", want: "6 7 8", isComplete: true},
+		"overlap":                               {callerHas: "5", first: "6", continuation: "5 6 7", want: "6 7", isComplete: true},
+		"gap where IDs don't follow the last":   {callerHas: "5", first: "8", continuation: "11", want: "8 11", isComplete: true},
+		"gap where the last ID is no integer":   {callerHas: "x", first: "6", continuation: "8", want: "6 8", isComplete: true},
+		"gap right behind the caller's last":    {callerHas: "5", first: "8 9", isFirstWhole: true, want: "8 9", isComplete: true},
+		"IDs that begin anew for the caller":    {callerHas: "5", first: "1 2", continuation: "3", want: "1 2 3", isComplete: true},
+		"IDs that begin anew and leave out one": {callerHas: "5", first: "1 2", continuation: "4", want: "1 2", violation: violation},
+	} {
+		t.Run(name, func(t *testing.T) { course.play(t, "/resume/") })
+	}
+}
