node: an answer that is fetched before a service has begun it is the service's

What callers saw: a caller that fetched the answer to its request to a plain service (GET /v1/requests/ID/answer) while the service was still at work, or from another node a moment after, got 502 with an unknown outcome, although the first call got the answer, whole. By reading: with Accept: text/event-stream it got 200, pieces of the body as events, and [DONE].

Cause: whether an answer is an engine's was decided by whether a head was there. A request that is dispatched has a receipt before the service sends a head, and a node that relays an answer gets the receipt in a line of its own.

Change: the receipt tells which of the two it is, as it does when a stream is resumed by it.

--- a/node/answer_ends_test.go
+++ b/node/answer_ends_test.go
@@ -217,6 +217,38 @@
 	}
 }
 
+// Guards against the answer of a plain service that is taken for an engine's, and lost, as its caller fetches it, at its node
+// or another one, before the service has begun to answer.
+func TestAnswersOfServicesAreFetchedBeforeTheyBegin(t *testing.T) {
+	for name, index := range map[string]int{"its node": 0, "another node": 1} {
+		t.Run(name, func(t *testing.T) {
+			runWithScriptedReplica(t, func(d *deployment) {
+				d.serve = func(connection net.Conn) {
+					time.Sleep(500 * time.Millisecond)
+					_, _ = io.WriteString(connection, wholeAnswers["length"])
+				}
+				first := plainCall("HTTP/1.1")
+				first.lines = node.HeaderIdempotencyKey + ": k\r\n"
+				answered := make(chan response)
+				go func() { answered <- d.send(0, first) }()
+				time.Sleep(100 * time.Millisecond)
+				fetched := d.send(index, d.fetchCall("HTTP/1.1", first))
+				want := response{status: http.StatusOK, body: answerBody, isWhole: true}
+				d.Expect(<-answered).To(gomega.Equal(want))
+				d.Expect(fetched).To(gomega.Equal(want))
+			})
+		})
+	}
+}
+
+// fetchCall is a call at any node for the answer to the first call, which has a key and was sent to node 0.
+func (d *deployment) fetchCall(version string, first rawCall) rawCall {
+	found := d.send(0, rawCall{version: "HTTP/1.1", method: http.MethodGet, path: node.PathRequests, key: first.key, lines: first.lines})
+	var status node.RequestStatus
+	d.Expect(json.Unmarshal([]byte(found.body), &status)).To(gomega.Succeed(), found.body)
+	return rawCall{version: version, method: http.MethodGet, path: node.PathRequests + "/" + status.RequestID + "/answer", key: first.key}
+}
+
 // Guards against a completion that is cut by the end of its node and looks whole to a caller of a protocol without chunks.
 func TestCompletionsHaveALength(t *testing.T) {
 	const tokens = 100 // more than net/http buffers, after which it can't add the length
--- a/node/callers.go
+++ b/node/callers.go
@@ -204,7 +204,7 @@
 	if err != nil {
 		unframed.Abort(request)
 	}
-	if view.Head != nil {
+	if view.Head != nil || n.isFromService(view.Receipt) {
 		n.writeService(writer, request, ans)
 		return
 	}
@@ -212,6 +212,13 @@
 	n.writeGeneration(writer, request, ans, stream, true, lastEventID(request))
 }
 
+// isFromService reports whether the receipt is of a request to a plain service, which
+// may have been dispatched without an answer so far.
+func (n *Node) isFromService(sealed string) bool {
+	var opened receipt.Receipt
+	return n.sealer.Open(sealed, &opened) == nil && !opened.Engine
+}
+
 // serveLookupByKey responds with the status of the request that has the key.
 func (n *Node) serveLookupByKey(writer http.ResponseWriter, request *http.Request, tenant *settings.Named) {
 	key := registry.Key{Tenant: tenant.Name, Key: request.Header.Get(HeaderIdempotencyKey)}
