--- a/node/answer_ends_test.go
+++ b/node/answer_ends_test.go
@@ -313,6 +313,32 @@
 	}
 }
 
+// Guards against an answer that another node relays and that looks whole as the node that has it ends.
+func TestRelayedAnswersOfAnEndedNodeAreNotWhole(t *testing.T) {
+	for _, version := range versions {
+		t.Run(version, func(t *testing.T) {
+			runWithScriptedReplica(t, func(d *deployment) {
+				d.serve = endlessAnswer
+				first := plainCall("HTTP/1.1")
+				first.lines = node.HeaderIdempotencyKey + ": k\r\n"
+				ended := make(chan response)
+				go func() { ended <- d.send(0, first) }()
+				time.Sleep(200 * time.Millisecond)
+				fetch := d.fetchCall(version, first)
+				fetch.meanwhile = func(net.Conn) {
+					time.Sleep(300 * time.Millisecond)
+					d.node(0).Kill()
+				}
+				got := d.send(1, fetch)
+				<-ended
+				d.Expect(got.status).To(gomega.Equal(http.StatusOK))
+				d.Expect(got.body).To(gomega.HavePrefix("bodybody"))
+				d.Expect(got.isWhole).To(gomega.BeFalse())
+			})
+		})
+	}
+}
+
 // Guards against a response that looks whole, an empty one too, to a caller that has closed its direction of the
 // connection and reads on: the node takes it for one that left, and ends the request.
 func TestCallersThatCloseTheirDirectionSeeNoWholeResponse(t *testing.T) {
