--- a/node/callers.go
+++ b/node/callers.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net/http"
+	"strconv"
 
 	"github.com/gorilla/mux"
 	"github.com/rcrowley/go-metrics"
@@ -16,6 +16,7 @@
 	"github.com/thornwalk/thornwalk/state/registry"
 	"github.com/thornwalk/thornwalk/state/settings"
 	"github.com/thornwalk/thornwalk/structs"
+	"github.com/thornwalk/thornwalk/transport/unframed"
 )
 
 // Paths of the callers' interface, in addition to those of package openai.
@@ -201,9 +202,9 @@
 	}
 	view, err := ans.Await(request.Context(), 0, 0)
 	if err != nil {
-		return
+		unframed.Abort(request)
 	}
-	if view.Head != nil {
+	if view.Head != nil || n.isFromService(view.Receipt) {
 		n.writeService(writer, request, ans)
 		return
 	}
@@ -211,6 +212,13 @@
 	n.writeGeneration(writer, request, ans, stream, true, lastEventID(request))
 }
 
+// isFromService reports whether the receipt is of a request to a plain service, which
+// may have been dispatched without an answer so far.
+func (n *Node) isFromService(sealed string) bool {
+	var opened receipt.Receipt
+	return n.sealer.Open(sealed, &opened) == nil && !opened.Engine
+}
+
 // serveLookupByKey responds with the status of the request that has the key.
 func (n *Node) serveLookupByKey(writer http.ResponseWriter, request *http.Request, tenant *settings.Named) {
 	key := registry.Key{Tenant: tenant.Name, Key: request.Header.Get(HeaderIdempotencyKey)}
@@ -288,9 +296,11 @@
 }
 
 func writeJSON(writer http.ResponseWriter, status int, value any) {
+	content := append(mustJSON(value), '\n')
 	writer.Header().Set("Content-Type", "application/json")
+	writer.Header().Set("Content-Length", strconv.Itoa(len(content)))
 	writer.WriteHeader(status)
-	_ = json.NewEncoder(writer).Encode(value) // fails only if the caller has disconnected
+	_, _ = writer.Write(content) // fails only if the caller has disconnected
 }
 
 // outcomeOf returns the outcome that an error proves.
