--- a/entry/doubt_news.go
+++ b/entry/doubt_news.go
@@ -8,8 +8,9 @@
 	"github.com/thornwalk/thornwalk/state/replicas"
 )
 
-// The scheduling node hears of failed sends of all nodes, and of reports that name another start. It tells the node that gets an assignment how long ago the
-// replica was doubted, so that a stream does not go on at a replica that another node found ended.
+// The scheduling node hears of failed sends of all nodes, and of reports that name another start. It tells the node that
+// gets an assignment how long ago the replica was doubted, so that a stream does not go on at a replica that another node
+// found ended.
 
 func (n *Node) serveAssign(ctx context.Context, request *assignRequest) (*assignReply, error) {
 	reply := n.scheduling.assign(ctx, request)
