Streams rely on what is only assumed of a replica in calm, not while replicas of its service are replaced

Cause: a connection to a replica counts as one to the known incarnation while the view of the store is recent and nothing failed at the replica as far as the node heard. The assumption then lives on as "unbroken" with the connection and those opened within 250 ms. It is wrong at a process that has just started and knows of no doubt, and at older ones that heard of none: suspected are doubts that ended with the scheduling node, and replicas that were idle at their end.

Change: the tracker keeps rows of connections that begin with a proof (unbroken) apart from those that begin with an assumption (assumed-unbroken). A service churns for 4 s after a sign that a replica of it ended or was replaced; the ages of signs are in heartbeats. Meanwhile what is only assumed allows neither a continuation nor a certain origin. The exploration has a question and a broken variant for it.

Two tests state the more precise proof: the connection that was assumed when it was opened is assumed-unbroken now, not unbroken.

--- a/coordination/incarnations/doc.go
+++ b/coordination/incarnations/doc.go
@@ -15,5 +15,9 @@
 // Guarantee: a verdict of ProofEntry, ProofAnswers or ProofReport is true, whatever is late or lost and whatever ends,
 // under the first two assumptions. ProofAssumed is wrong only if a successor started at most EntryDelay + maxViewGap
 // + maxViewAge before, and this node was told of nothing that failed at the replica since its end. ProofUnbroken is true
-// under all assumptions if no connection in its row was wrongly assumed to lead to the incarnation when it was opened.
+// under all assumptions. ProofAssumedUnbroken is if the connection at the beginning of its row was rightly assumed to lead
+// to the incarnation when it was opened; it never turns into ProofUnbroken by itself.
+//
+// Wrong assumptions come in series, as replicas of a service are mostly replaced in series. Churn tells when a series is
+// under way, so that callers do without what is only assumed.
 package incarnations
--- a/coordination/incarnations/exploration_test.go
+++ b/coordination/incarnations/exploration_test.go
@@ -53,6 +53,9 @@
 	// restored is proofs by entries if the store may be restored, without requests.
 	restored
 	assumptions
+	// chains is what follows from a connection without a break, without requests and outages of the store. The successor
+	// starts at least a tick after the end, so that nothing proven reaches over a replacement.
+	chains
 )
 
 // modelRequest is a request on a connection. The process answers it at once, and the node reads the answer late. Only
@@ -123,6 +126,8 @@
 	countsReportForLater                bool
 	ignoresDoubts                       bool
 	assumesAtOnce                       bool
+	// promotesAssumed takes a connection that was assumed to lead to the incarnation when it was opened for one that does.
+	promotesAssumed bool
 }
 
 func (m *modelState) load() *Tracker {
@@ -165,6 +170,11 @@
 	age(&t.livedUntil, ago(doubtMemory+2))
 	age(&t.known.confirmedAt, oldest)
 	age(&t.known.doubtedAt, ago(doubtMemory+1))
+	for _, alive := range []*lastAlive{&t.known.alive, &t.known.assumedAlive} {
+		if age(&alive.at, oldest); alive.at == oldest {
+			*alive = lastAlive{}
+		}
+	}
 	if t.viewAsOf <= ago(maxViewLateness+2) || t.isInterrupted {
 		t.steadySince = 0 // the next view sets it
 	} else {
@@ -309,7 +319,7 @@
 		})
 		return
 	}
-	if s.from.endedAge != never || s.from.startedAge != never {
+	if s.question != chains && (s.from.endedAge != never || s.from.startedAge != never) {
 		// Outages before the end have no effect on the entry.
 		s.addWithTracker("the store goes away, which is noticed", func(m *modelState, t *Tracker) {
 			m.isAway, m.awayFor = true, isNoticed
@@ -398,13 +408,54 @@
 			}
 		})
 	}
+	if s.question == chains {
+		s.addChains()
+		return
+	}
 	if s.question != assumptions && s.from.process() == successor && s.from.isListed && s.from.openedAge != 0 {
 		s.add("a connection leads to the successor", func(m *modelState) { m.openedAge = 0 })
 	}
 }
 
+// addChains adds what shows that a connection is alive: that it was opened, and that bytes arrived over it.
+func (s *stepper) addChains() {
+	if s.from.process() == former && s.from.isConnected {
+		s.addWithTracker("the former process is alive", func(m *modelState, t *Tracker) {
+			t.Alive(modelNow, Connection{formerRun, ago(modelMemory + 1)}, m.isListed)
+		})
+	}
+	if s.from.process() == former {
+		s.addWithTracker("a connection to the former process is opened", func(m *modelState, t *Tracker) {
+			s.variant.open(t, Connection{formerRun, modelNow}, m.isListed)
+		})
+	}
+	if s.from.process() != successor {
+		return
+	}
+	if s.from.isListed && s.from.openedAge != 0 {
+		s.addWithTracker("a connection leads to the successor", func(m *modelState, t *Tracker) {
+			m.openedAge = 0
+			s.variant.open(t, Connection{formerRun, modelNow}, m.isListed)
+		})
+	}
+	if s.from.openedAge != never {
+		s.addWithTracker("the successor is alive", func(m *modelState, t *Tracker) {
+			t.Alive(modelNow, Connection{formerRun, ago(m.openedAge)}, m.isListed)
+		})
+	}
+}
+
+func (v *trackerVariant) open(t *Tracker, connection Connection, isListed bool) {
+	t.Opened(connection, isListed)
+	if v.promotesAssumed && t.Verdict(connection.OpenedAt, connection, isListed).IsAssumed() {
+		known := t.known[connection.Incarnation]
+		known.alive.observe(connection.OpenedAt)
+		t.known[connection.Incarnation] = known
+	}
+}
+
 func (s *stepper) addRequests() {
-	if s.question == restored {
+	if s.question == restored || s.question == chains {
 		return
 	}
 	if s.from.request.isUnderWay {
@@ -468,8 +519,10 @@
 		verdict.Proof = ProofAssumed
 	}
 	switch {
-	case verdict.IsProven():
+	case verdict.IsUnbrokenFromProof():
 		return "it leads to the successor: " + string(verdict.Proof), false
+	case verdict.Proof == ProofAssumedUnbroken && question == chains:
+		return "", true
 	case verdict.Proof != ProofAssumed || question != assumptions:
 		return "", false
 	case m.isEndNoticed:
@@ -553,6 +606,16 @@
 	g.Expect(result.assumedWrongly).To(gomega.BeNumerically(">", 0))
 }
 
+// Guards against an assumption that turns into more with the connection for which it was made, so that one which is wrong
+// lasts for as long as the successor is connected.
+func TestAssumptionsStayAssumptionsInEveryOrder(t *testing.T) {
+	g := gomega.NewWithT(t)
+	result := explore(&trackerVariant{}, chains)
+	t.Logf("%d states, wrongly assumed in %d", result.states, result.assumedWrongly)
+	g.Expect(result.violation).To(gomega.BeEmpty(), result.course)
+	g.Expect(result.assumedWrongly).To(gomega.BeNumerically(">", 0))
+}
+
 // Guards against an exploration that finds nothing: each broken variant must lead to a wrong verdict.
 func TestExplorationFindsBrokenVariants(t *testing.T) {
 	for _, variant := range []*trackerVariant{
@@ -566,6 +629,7 @@
 		{name: "bytes count from their arrival", datesAnswersAtArrival: true},
 		{name: "a report counts from its arrival", datesReportsAtArrival: true},
 		{name: "a report counts for connections opened after it", countsReportForLater: true},
+		{name: "what is assumed at the opening counts as shown", question: chains, promotesAssumed: true},
 		{name: "a doubt is ignored", question: assumptions, ignoresDoubts: true},
 		{name: "an entry is assumed to be current at the store's return", question: assumptions, assumesAtOnce: true},
 	} {
--- a/coordination/incarnations/tracker.go
+++ b/coordination/incarnations/tracker.go
@@ -55,9 +55,12 @@
 	ProofAnswers Proof = "answers"
 	// ProofReport means that the process, asked after this connection was opened, stated the start of the incarnation.
 	ProofReport Proof = "report"
-	// ProofUnbroken means that a connection which leads to the incarnation, or was assumed to when it was opened, was
-	// alive less than minReplacementTime before this one was opened.
+	// ProofUnbroken means that a connection which leads to the incarnation was alive less than minReplacementTime before
+	// this one was opened.
 	ProofUnbroken Proof = "unbroken"
+	// ProofAssumedUnbroken means that a connection which was assumed to lead to the incarnation when it was opened was
+	// alive less than minReplacementTime before this one was opened, or is this one. It is wrong if that assumption was.
+	ProofAssumedUnbroken Proof = "assumed-unbroken"
 	// ProofAssumed means that a successor, if there is one, started at most EntryDelay + maxViewGap + maxViewAge before,
 	// and that nothing has failed at the incarnation since it was last known to live.
 	ProofAssumed Proof = "assumed"
@@ -75,9 +78,15 @@
 
 // IsProven reports whether the connection leads to the incarnation for certain.
 func (v Verdict) IsProven() bool {
-	return v.Proof != ProofNone && v.Proof != ProofUnbroken && v.Proof != ProofAssumed
+	return v.Proof != ProofNone && v.Proof != ProofUnbroken && !v.IsAssumed()
 }
 
+// IsAssumed reports whether nothing but an assumption shows that the connection leads to the incarnation.
+func (v Verdict) IsAssumed() bool { return v.Proof == ProofAssumed || v.Proof == ProofAssumedUnbroken }
+
+// IsUnbrokenFromProof reports whether the connection is proven or follows a proven one without a break.
+func (v Verdict) IsUnbrokenFromProof() bool { return v.IsProven() || v.Proof == ProofUnbroken }
+
 // knowledge is what is known of one incarnation beside the views of the store.
 type knowledge struct {
 	// confirmedAt is the latest instant at which it is known to have been the process at its address, by the proof; the
@@ -87,10 +96,26 @@
 	// doubtedAt is the instant of the latest sign that it may have ended, if isDoubted.
 	doubtedAt structs.Instant
 	isDoubted bool
-	// aliveAt is the latest instant at which a connection was alive that is proven or unbroken, or opened that was
-	// assumed to lead to the incarnation, if wasAlive.
-	aliveAt  structs.Instant
-	wasAlive bool
+	// alive is the latest instant at which a connection was alive that is proven or unbroken, and assumedAlive the same
+	// for connections that were assumed to lead to the incarnation when they were opened, or follow such ones.
+	alive, assumedAlive lastAlive
+}
+
+// lastAlive is the latest instant at which a connection was alive, if there is one.
+type lastAlive struct {
+	at    structs.Instant
+	isSet bool
+}
+
+func (l *lastAlive) observe(at structs.Instant) {
+	if !l.isSet || at > l.at {
+		l.at, l.isSet = at, true
+	}
+}
+
+// covers reports whether a connection was alive less than minReplacementTime before the instant, or later.
+func (l lastAlive) covers(openedAt structs.Instant) bool {
+	return l.isSet && openedAt <= l.at+minReplacementTime
 }
 
 // Tracker keeps what is known of incarnations. It is not safe for concurrent use.
@@ -189,35 +214,43 @@
 // Alive records that the process at the other end of the connection was alive at the instant. isListed is as for
 // Verdict.
 func (t *Tracker) Alive(at structs.Instant, connection Connection, isListed bool) {
-	if verdict := t.Verdict(at, connection, isListed); verdict.IsProven() || verdict.Proof == ProofUnbroken {
-		t.keepAlive(at, connection.Incarnation)
+	if verdict := t.Verdict(at, connection, isListed); verdict.Proof != ProofAssumed {
+		t.keepAlive(at, connection.Incarnation, verdict)
 	}
 }
 
-// Opened records that the connection was opened just now. What is assumed of it then holds for as long as it lives.
+// Opened records that the connection was opened just now. What is assumed of it then is assumed for as long as it lives.
 func (t *Tracker) Opened(connection Connection, isListed bool) {
-	if t.Verdict(connection.OpenedAt, connection, isListed).Proof != ProofNone {
-		t.keepAlive(connection.OpenedAt, connection.Incarnation)
-	}
+	t.keepAlive(connection.OpenedAt, connection.Incarnation, t.Verdict(connection.OpenedAt, connection, isListed))
 }
 
-func (t *Tracker) keepAlive(at structs.Instant, incarnation Incarnation) {
+// keepAlive records that a connection with the verdict was alive at the instant.
+func (t *Tracker) keepAlive(at structs.Instant, incarnation Incarnation, verdict Verdict) {
 	known := t.known[incarnation]
-	if !known.wasAlive || at > known.aliveAt {
-		known.aliveAt, known.wasAlive = at, true
+	switch {
+	case verdict.IsUnbrokenFromProof():
+		known.alive.observe(at)
+	case verdict.IsAssumed():
+		known.assumedAlive.observe(at)
+	default:
+		return
 	}
 	t.known[incarnation] = known
 }
 
-// KnownUntil returns the latest instant such that connections opened by then are proven or unbroken. It is false if
-// there is none.
-func (t *Tracker) KnownUntil(now structs.Instant, incarnation Incarnation, isListed bool) (structs.Instant, bool) {
+// KnownUntil returns the latest instant such that connections opened by then are proven or unbroken, or if assumes is
+// true, assumed to be unbroken. It is false if there is none.
+func (t *Tracker) KnownUntil(now structs.Instant, incarnation Incarnation, isListed, assumes bool) (structs.Instant, bool) {
 	until, isKnown := structs.Instant(0), false
 	if verdict := t.Verdict(now, Connection{Incarnation: incarnation, OpenedAt: math.MinInt64}, isListed); verdict.IsProven() {
 		until, isKnown = now-verdict.Age, true
 	}
-	if known := t.known[incarnation]; known.wasAlive && (!isKnown || known.aliveAt+minReplacementTime > until) {
-		until, isKnown = known.aliveAt+minReplacementTime, true
+	alive := t.known[incarnation].alive
+	if assumed := t.known[incarnation].assumedAlive; assumes && assumed.isSet {
+		alive.observe(assumed.at)
+	}
+	if alive.isSet && (!isKnown || alive.at+minReplacementTime > until) {
+		until, isKnown = alive.at+minReplacementTime, true
 	}
 	return until, isKnown
 }
@@ -252,9 +285,13 @@
 	switch {
 	case proof != ProofNone && connection.OpenedAt <= stated:
 		verdict.Proof = proof
-	case known.wasAlive && connection.OpenedAt <= known.aliveAt+minReplacementTime:
+	case known.alive.covers(connection.OpenedAt):
+		verdict.Proof = ProofUnbroken
+	case !isDoubted && proof != ProofNone && verdict.Age <= minReplacementTime:
 		verdict.Proof = ProofUnbroken
-	case !isDoubted && (isListed && t.isCurrent(now) || proof != ProofNone && verdict.Age <= minReplacementTime):
+	case known.assumedAlive.covers(connection.OpenedAt):
+		verdict.Proof = ProofAssumedUnbroken
+	case !isDoubted && isListed && t.isCurrent(now):
 		verdict.Proof = ProofAssumed
 	}
 	return verdict
--- a/coordination/incarnations/tracker_test.go
+++ b/coordination/incarnations/tracker_test.go
@@ -129,15 +129,15 @@
 	g.Expect(tracker.Verdict(now+time.Second, late, true).Proof).To(gomega.Equal(ProofNone))
 	tracker.Alive(now+time.Second, next, true)
 	g.Expect(tracker.Verdict(now+time.Second, late, true).Proof).To(gomega.Equal(ProofUnbroken))
-	until, isKnown := tracker.KnownUntil(now+time.Second, first, true)
+	until, isKnown := tracker.KnownUntil(now+time.Second, first, true, false)
 	g.Expect(isKnown).To(gomega.BeTrue())
 	g.Expect(until).To(gomega.Equal(now + time.Second + minReplacementTime))
-	_, isKnown = tracker.KnownUntil(now, Incarnation{Replica: "other"}, false)
+	_, isKnown = tracker.KnownUntil(now, Incarnation{Replica: "other"}, false, true)
 	g.Expect(isKnown).To(gomega.BeFalse())
 }
 
 // Guards against streams that can't go on once the store is away, at replicas to which connections were opened shortly
-// before, and against a doubted replica whose new connection counts as known.
+// before, against an assumption that counts as shown once its connection was alive, and against a doubted replica whose new connection counts as known.
 func TestConnectionsStayWhatTheyWereAssumedToBeWhenOpened(t *testing.T) {
 	g := gomega.NewWithT(t)
 	tracker := NewTracker()
@@ -149,10 +149,22 @@
 		tracker.Opened(connection, true)
 	}
 	later := now + time.Minute
-	g.Expect(tracker.Verdict(later, assumed, false).Proof).To(gomega.Equal(ProofUnbroken))
+	tracker.Alive(later, assumed, false)
+	g.Expect(tracker.Verdict(later, assumed, false).Proof).To(gomega.Equal(ProofAssumedUnbroken))
+	next := Connection{first, later + minReplacementTime}
+	g.Expect(tracker.Verdict(later, next, false).Proof).To(gomega.Equal(ProofAssumedUnbroken))
+	for assumes, until := range map[bool]structs.Instant{true: later + minReplacementTime, false: 10*time.Second - settleTime} {
+		knownUntil, isKnown := tracker.KnownUntil(later, first, true, assumes)
+		g.Expect(isKnown).To(gomega.BeTrue())
+		g.Expect(knownUntil).To(gomega.Equal(until))
+	}
 	g.Expect(tracker.Verdict(later, doubted, true).Proof).To(gomega.Equal(ProofNone))
-	tracker.Opened(Connection{first, later}, true)
-	g.Expect(tracker.Verdict(later, Connection{first, later}, true).Proof).To(gomega.Equal(ProofNone), "the view is old by then")
+	late := Connection{first, later + time.Second}
+	tracker.Opened(late, true)
+	g.Expect(tracker.Verdict(late.OpenedAt, late, true).Proof).To(gomega.Equal(ProofNone), "the view is old by then")
+	tracker.ConfirmByReport(now, first)
+	tracker.Alive(later, assumed, false)
+	g.Expect(tracker.Verdict(later, next, false).Proof).To(gomega.Equal(ProofUnbroken))
 }
 
 // Guards against streams that can't go on for seconds at a node that has just started, or that alone did not reach the
--- a/entry/freshness.go
+++ b/entry/freshness.go
@@ -47,6 +47,7 @@
 	if heartbeat.ReplicasAgeMS >= 0 && heartbeat.ReplicasAgeMS < staleAfter.Milliseconds() && !heartbeat.StoreUnreachable {
 		n.recordStoreReached(now)
 	}
+	n.observeChurn(sentAt, heartbeat.ChurnAgesMS)
 	if !n.isFromEarlierEra(heartbeat) {
 		n.identities.ObserveHealthy(sentAt, time.Duration(heartbeat.StoreHealthyMS)*time.Millisecond)
 	}
--- a/entry/node.go
+++ b/entry/node.go
@@ -246,7 +246,9 @@
 	n.scheduling.onPoisonTransition = n.logPoisonTransition
 	n.scheduling.onReturn = n.countReturn
 	n.scheduling.onInvalidWeight = func() { n.counter("weights.invalid").Inc(1) }
-	n.pool.OnEarlyEnd(func(incarnation replicahttp.Incarnation) { n.recordDoubt(incarnations.Incarnation(incarnation)) })
+	n.pool.OnEarlyEnd(func(incarnation replicahttp.Incarnation) {
+		n.recordEnd(incarnations.Incarnation(incarnation))
+	})
 	n.registerTenantMetrics()
 	n.registerRereadMetrics()
 	n.registerPathMetrics()
--- a/entry/replica_identity.go
+++ b/entry/replica_identity.go
@@ -35,6 +35,7 @@
 // replicaIdentities holds what this node knows of the processes at the replicas' addresses. The node's mutex guards it.
 type replicaIdentities struct {
 	*incarnations.Tracker
+	churn     *incarnations.Churn
 	reporters reporters
 	loggedAt  map[identityLine]structs.Instant
 }
@@ -48,7 +49,7 @@
 func newReplicaIdentities() *replicaIdentities {
 	tracker := incarnations.NewTracker()
 	tracker.PresumeUp()
-	return &replicaIdentities{Tracker: tracker, reporters: newReporters(), loggedAt: map[identityLine]structs.Instant{}}
+	return &replicaIdentities{Tracker: tracker, churn: incarnations.NewChurn(), reporters: newReporters(), loggedAt: map[identityLine]structs.Instant{}}
 }
 
 // forget drops what is known of the incarnations that are not kept.
@@ -213,5 +214,6 @@
 			}
 			return doubted
 		},
+		"streams.identity_churn": func() int64 { return int64(len(n.identities.churn.Ages(n.now()))) },
 	})
 }
--- a/entry/replica_paths.go
+++ b/entry/replica_paths.go
@@ -132,7 +132,7 @@
 	n.mutex.Unlock()
 	n.isPathSilent.Store(outcome == connectTimedOut)
 	if outcome == connectRefused {
-		n.recordDoubt(incarnations.Of(replica))
+		n.recordEnd(incarnations.Of(replica))
 	}
 	if outcome == connectTimedOut {
 		// A request on an open connection may be lost as well.
--- a/entry/replica_report.go
+++ b/entry/replica_report.go
@@ -75,7 +75,7 @@
 	incarnation := incarnationOf(granted.Replica)
 	if !granted.origin.IsZero() {
 		n.mutex.Lock()
-		knownUntil, isKnown := n.knownUntilLocked(incarnations.Of(granted.Replica))
+		knownUntil, isKnown := n.knownUntilLocked(granted.Replica)
 		n.mutex.Unlock()
 		if isKnown {
 			if idle := take(incarnation, maxIdle, knownUntil); idle != nil {
@@ -86,10 +86,11 @@
 	return take(incarnation, maxIdle, replicahttp.AnyTime)
 }
 
-// knownUntilLocked returns the instant such that connections to the incarnation opened by then are proven or unbroken,
-// if there is one.
-func (n *Node) knownUntilLocked(incarnation incarnations.Incarnation) (structs.Instant, bool) {
-	return n.identities.KnownUntil(n.now(), incarnation, n.isListedLocked(incarnation))
+// knownUntilLocked returns the instant such that a stream may go on over connections to the replica opened by then, if
+// there is one.
+func (n *Node) knownUntilLocked(replica replicas.Replica) (structs.Instant, bool) {
+	incarnation, now := incarnations.Of(replica), n.now()
+	return n.identities.KnownUntil(now, incarnation, n.isListedLocked(incarnation), !n.identities.churn.IsChurning(now, replica.Service))
 }
 
 // unprovableReplicas returns replicas of the origin's version over a connection to which a stream can't go on now, as
@@ -101,11 +102,11 @@
 		if replica.Service != origin.Service || replica.Version != origin.Version || replica.Draining {
 			continue
 		}
-		incarnation := incarnations.Of(replica)
-		if n.verdictLocked(incarnations.Connection{Incarnation: incarnation, OpenedAt: now}).Proof != incarnations.ProofNone || n.givesReportsLocked(replica) {
+		verdict := n.verdictLocked(incarnations.Connection{Incarnation: incarnations.Of(replica), OpenedAt: now})
+		if n.mayRelyOnLocked(verdict, replica.Service) || n.givesReportsLocked(replica) {
 			continue
 		}
-		if knownUntil, isKnown := n.knownUntilLocked(incarnation); isKnown && n.pool.HasIdle(incarnationOf(replica), knownUntil) {
+		if knownUntil, isKnown := n.knownUntilLocked(replica); isKnown && n.pool.HasIdle(incarnationOf(replica), knownUntil) {
 			continue
 		}
 		if unprovable = append(unprovable, replica.ID); len(unprovable) == maxUnprovable {
@@ -148,7 +149,7 @@
 		if conn, err = c.connect(granted, maxIdle); err != nil {
 			return nil, err
 		}
-		err = c.requireProof(conn)
+		err = c.requireProof(conn, granted)
 	}
 	if err != nil {
 		return nil, err
@@ -172,14 +173,14 @@
 			return err
 		}
 	}
-	return c.requireProof(conn)
+	return c.requireProof(conn, granted)
 }
 
 // requireProof records what is known of the incarnation at the other end of the connection, and closes it if that is
 // nothing.
-func (c *call) requireProof(conn *replicahttp.Conn) error {
+func (c *call) requireProof(conn *replicahttp.Conn, granted *grant) error {
 	c.identity = c.node.identityOf(conn)
-	if c.identity.Proof == incarnations.ProofNone {
+	if !c.node.mayRelyOn(c.identity, granted.Replica.Service) {
 		_ = conn.Close()
 		return errUnproven
 	}
@@ -229,6 +230,7 @@
 	case startedAt != replica.StartedAt:
 		n.mutex.Lock()
 		n.identities.Doubt(n.now(), incarnation)
+		n.identities.churn.Observe(n.now(), replica.Service)
 		n.identities.reporters.recordReport(n.now(), replica)
 		n.mutex.Unlock()
 		n.reportIdentity(identityReplaced, incarnation, eventlog.Event{Detail: fmt.Sprint("started at ", startedAt)})
--- a/entry/replica_report_test.go
+++ b/entry/replica_report_test.go
@@ -73,7 +73,7 @@
 		"closes":                   {reportNetwork{}, true, incarnations.ProofNone, false},
 		"closes after each answer": {reportNetwork{answer: "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 10\r\n\r\n{\"born\":7}"}, true, incarnations.ProofUnbroken, true},
 		"no reports":               {reportNetwork{answer: "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n"}, false, incarnations.ProofNone, false},
-		"no reports, assumed":      {reportNetwork{answer: "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n"}, true, incarnations.ProofUnbroken, false},
+		"no reports, assumed":      {reportNetwork{answer: "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n"}, true, incarnations.ProofAssumedUnbroken, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/entry/response.go
+++ b/entry/response.go
@@ -72,7 +72,7 @@
 	timer.Stop()
 	if answer.StatusCode == http.StatusMisdirectedRequest {
 		c.node.recordUnreachable(replica)
-		c.node.recordDoubt(incarnations.Of(replica))
+		c.node.recordEnd(incarnations.Of(replica))
 	}
 	return resultRejected, admission.Observation{}
 }
--- a/entry/uncertain_origin.go
+++ b/entry/uncertain_origin.go
@@ -46,7 +46,7 @@
 	n.mutex.Lock()
 	listed, isListed := n.table.Get(replica.ID)
 	c.origin = streams.OriginAt(replica, listed, isListed)
-	isUncertain := c.origin.Version != "" && n.verdictLocked(c.connection).Proof == incarnations.ProofNone
+	isUncertain := c.origin.Version != "" && !n.mayRelyOnLocked(n.verdictLocked(c.connection), replica.Service)
 	if isUncertain {
 		c.unresolved = unresolvedOrigin{origin: c.origin, connection: c.connection, beganAt: n.now()}
 		c.origin.Version = ""
@@ -79,8 +79,7 @@
 	if unresolved.origin.IsZero() {
 		return false
 	}
-	verdict := n.verdictLocked(unresolved.connection)
-	return verdict.IsProven() || verdict.Proof == incarnations.ProofUnbroken
+	return n.verdictLocked(unresolved.connection).IsUnbrokenFromProof()
 }
 
 // resolveOrigins records the origins that have become certain, here and at their keepers.
--- a/entry/updates.go
+++ b/entry/updates.go
@@ -93,6 +93,7 @@
 	}
 	isNewIncarnation := found && !known.IsSameIncarnation(replica)
 	if isNewIncarnation {
+		n.identities.churn.Observe(n.now(), replica.Service)
 		n.resolveDisconnects(known)
 		n.health.Reset(replica.ID)
 		n.pool.Forget(incarnationOf(known))
--- a/operator/story/identity.go
+++ b/operator/story/identity.go
@@ -19,11 +19,12 @@
 
 // statements says what the values of eventlog.Event.Identity stand for.
 var statements = map[string]string{
-	"entry":    "the store listed it after a successor would have replaced its entry",
-	"answers":  "an earlier connection to it was alive after this one was opened",
-	"report":   "it stated its start itself",
-	"unbroken": "a connection to it was alive just before this one was opened",
-	"assumed":  "its entry was read lately and nothing had failed at it since",
+	"entry":            "the store listed it after a successor would have replaced its entry",
+	"answers":          "an earlier connection to it was alive after this one was opened",
+	"report":           "it stated its start itself",
+	"unbroken":         "a connection to it was alive just before this one was opened",
+	"assumed":          "its entry was read lately and nothing had failed at it since",
+	"assumed-unbroken": "a connection that was assumed to lead to it was alive just before this one was opened",
 }
 
 // Identities describes, each in one sentence, what showed that replicas at which the stream went on, or began, were the
--- a/test/entry/replaced_in_place_test.go
+++ b/test/entry/replaced_in_place_test.go
@@ -23,6 +23,12 @@
 	// entryWriteDelay is the time from the return of the store to the write of a replica that waits for it.
 	entryWriteDelay = time.Second
 	storePoll       = 50 * time.Millisecond
+	// Engines that start again within a moment are back after quickDelay, and write their entries quickEntryDelay later.
+	// The ends of two of them are quickInterval apart.
+	quickDelay      = 300 * time.Millisecond
+	quickEntryDelay = 900 * time.Millisecond
+	quickInterval   = 150 * time.Millisecond
+	quickPasses     = 5
 	// minGoOnWithReports is the least share of resumed streams that go on if engines give reports, as for minGoOnShare.
 	minGoOnWithReports = 0.5
 )
@@ -49,11 +55,41 @@
 
 // replaceInPlace ends the engine and starts it again, with the version, after inPlaceDelay.
 func (s *inPlaceScenario) replaceInPlace(index int, version string) {
+	next := s.startInPlace(index, version, inPlaceDelay)
+	for s.isAway() {
+		time.Sleep(storePoll)
+		if !s.isAway() {
+			time.Sleep(entryWriteDelay)
+		}
+	}
+	next.Register(s.deployment.Store, "ready")
+}
+
+// replaceQuickly ends all engines and starts them again with the other version, one after the other, several times.
+func (s *inPlaceScenario) replaceQuickly() {
+	for range quickPasses {
+		for index := range mixingEngines {
+			s.mutex.Lock()
+			version := map[string]string{"v1": "v2", "v2": "v1"}[s.mixed[index].Version]
+			s.mutex.Unlock()
+			s.group.Go(func() {
+				next := s.startInPlace(index, version, quickDelay)
+				time.Sleep(quickEntryDelay)
+				next.Register(s.deployment.Store, "ready")
+			})
+			time.Sleep(quickInterval)
+		}
+	}
+}
+
+// startInPlace ends the engine and starts it again, with the version, after the delay. It returns the new one, which has
+// no entry yet.
+func (s *inPlaceScenario) startInPlace(index int, version string, delay time.Duration) *platformsim.Replica {
 	s.mutex.Lock()
 	ended := s.mixed[index]
 	s.mutex.Unlock()
 	ended.Crash()
-	time.Sleep(inPlaceDelay)
+	time.Sleep(delay)
 	next := &platformsim.Replica{
 		ID: ended.ID, Service: ended.Service, Zone: ended.Zone, Version: version, Slots: ended.Slots, Events: ended.Events, Step: ended.Step,
 		StartedAt: time.Now().UnixMilli(), GivesReports: ended.GivesReports,
@@ -63,13 +99,7 @@
 	s.mutex.Lock()
 	s.mixed[index] = next
 	s.mutex.Unlock()
-	for s.isAway() {
-		time.Sleep(storePoll)
-		if !s.isAway() {
-			time.Sleep(entryWriteDelay)
-		}
-	}
-	next.Register(s.deployment.Store, "ready")
+	return next
 }
 
 // replaceAll replaces the engines of the version by ones of the other, one after the other.
@@ -140,7 +170,12 @@
 		time.Sleep(inPlaceOutage)
 		s.fabric.Heal()
 	}},
-	"the store is down now and then": {fault: func(s *inPlaceScenario) { s.replaceDuringOutages() }},
+	"the store is down now and then":      {fault: func(s *inPlaceScenario) { s.replaceDuringOutages() }},
+	"engines start again within a moment": {fault: func(s *inPlaceScenario) { s.replaceQuickly() }},
+	"engines start again within a moment, nodes are killed in turn": {fault: func(s *inPlaceScenario) {
+		s.group.Go(func() { killNodesInTurn(s.versionsScenario) })
+		s.replaceQuickly()
+	}},
 	"the scheduling node restarts while the store is down": {fault: func(s *inPlaceScenario) {
 		s.withoutStore(func() {
 			s.group.Go(s.restartScheduler)
