A replica without a stated start is another incarnation once its entry has another version

Callers could see a stream go on at another version than the one that began it, where replicas state no start and are replaced in place.

Cause: an incarnation was told by ID and start alone, so that a successor whose entry states no start counted as the former incarnation. A replacement was no sign of churn either.

Evidence: TestOriginStaysUncertainOnceTheSuccessorIsListed fails before (v1 where nothing is certain) and passes now.

Change: without a start, the version is part of the incarnation, also of its connections. A doubt that a peer reports without a version is of the known incarnation if both state the same start.

--- a/coordination/incarnations/doc.go
+++ b/coordination/incarnations/doc.go
@@ -5,7 +5,8 @@
 //
 // Assumptions:
 //   - A connection leads to one process for as long as it lives, and one process at a time is at an address. An
-//     incarnation has an ID or a start of its own.
+//     incarnation has an ID or a start of its own, or states no start; then successors of the same version count as the
+//     same incarnation, as streams may go on at them.
 //   - A replica replaces the entry of its former incarnation once it has reached the store for EntryDelay since its
 //     start. An outage that no call of this node notices is shorter than maxViewGap, and delays it by its length.
 //     Two of them do not follow each other within that time.
--- a/coordination/incarnations/tracker.go
+++ b/coordination/incarnations/tracker.go
@@ -28,11 +28,18 @@
 	Replica string
 	// StartedAt is the start in Unix milliseconds by the replica's clock; zero if it states none.
 	StartedAt int64
+	// Version is that of the replica's software if it states no start, empty otherwise: it tells the incarnations apart
+	// between which streams must not go on.
+	Version string
 }
 
 // Of returns the incarnation that the entry describes.
 func Of(replica replicas.Replica) Incarnation {
-	return Incarnation{Replica: replica.ID, StartedAt: replica.StartedAt}
+	incarnation := Incarnation{Replica: replica.ID, StartedAt: replica.StartedAt}
+	if replica.StartedAt == 0 {
+		incarnation.Version = replica.Version
+	}
+	return incarnation
 }
 
 // Connection is a connection that was opened to the address of an incarnation while this node had its entry.
--- a/entry/doubt_news.go
+++ b/entry/doubt_news.go
@@ -22,7 +22,7 @@
 func (n *Node) serveFinish(_ context.Context, request *finishRequest) (*finishReply, error) {
 	if doubted := request.Doubted; doubted != nil {
 		n.mutex.Lock()
-		n.identities.Doubt(n.now()-max(doubted.Age, 0), incarnations.Incarnation{Replica: doubted.Replica, StartedAt: doubted.StartedAt})
+		n.identities.Doubt(n.now()-max(doubted.Age, 0), n.incarnationOfDoubt(doubted))
 		n.mutex.Unlock()
 		n.counter("streams.identity_doubts_heard").Inc(1)
 	}
@@ -30,6 +30,15 @@
 	return &finishReply{}, nil
 }
 
+// incarnationOfDoubt returns the incarnation that a peer doubts. If it states no start, it counts as the known one. The
+// caller holds the mutex.
+func (n *Node) incarnationOfDoubt(doubted *doubtedIncarnation) incarnations.Incarnation {
+	if known, found := n.table.Get(doubted.Replica); found && known.StartedAt == doubted.StartedAt {
+		return incarnations.Of(known)
+	}
+	return incarnations.Incarnation{Replica: doubted.Replica, StartedAt: doubted.StartedAt}
+}
+
 // doubtAge is doubtAgeLocked for callers that do not hold the mutex.
 func (n *Node) doubtAge(replica replicas.Replica) time.Duration {
 	n.mutex.Lock()
--- a/entry/doubt_news_test.go
+++ b/entry/doubt_news_test.go
@@ -13,8 +13,16 @@
 // Guards against a stream that goes on at a replica that another node found ended, as the news of it come after the
 // assignment.
 func TestDoubtsOfOtherNodesComeWithAssignments(t *testing.T) {
+	for name, startedAt := range map[string]int64{"": 1, "no start is stated": 0} {
+		t.Run(name, func(t *testing.T) {
+			doubtElsewhere(t, replicas.Replica{ID: "first", Service: "engines", Version: "v1", StartedAt: startedAt})
+		})
+	}
+}
+
+// doubtElsewhere has another node doubt the replica, and tells the scheduling node and the one that sends of it.
+func doubtElsewhere(t *testing.T, replica replicas.Replica) {
 	g := gomega.NewWithT(t)
-	replica := replicas.Replica{ID: "first", Service: "engines", Version: "v1", StartedAt: 1}
 	next := replica
 	next.StartedAt = 2
 	observing, scheduling, sending := newForwardingNode(replica), newForwardingNode(replica), newForwardingNode(replica)
--- a/entry/replica_churn_test.go
+++ b/entry/replica_churn_test.go
@@ -95,11 +95,19 @@
 	replica := engine("first", "v1")
 	next := replica
 	next.StartedAt, next.Position = 2, 8
+	unstated := engine("unstated", "v1")
+	unstated.StartedAt = 0
 	for name, testCase := range map[string]struct {
 		observe    func(n *Node)
 		isChurning bool
 	}{
-		"its entry is replaced":   {func(n *Node) { n.applyReplicaLocked(next) }, true},
+		"its entry is replaced": {func(n *Node) { n.applyReplicaLocked(next) }, true},
+		"an entry without a start has another version": {func(n *Node) {
+			n.table.Put(unstated)
+			other := unstated
+			other.Version, other.Position = "v2", 8
+			n.applyReplicaLocked(other)
+		}, true},
 		"its address refuses":     {func(n *Node) { _, _ = n.dialReplica(t.Context(), replica, time.Second) }, true},
 		"its entry is renewed":    {func(n *Node) { renewed := replica; renewed.Position = 8; n.applyReplicaLocked(renewed) }, false},
 		"an exchange failed":      {func(n *Node) { n.recordDoubt(incarnations.Of(replica)) }, false},
--- a/entry/uncertain_origin_test.go
+++ b/entry/uncertain_origin_test.go
@@ -9,6 +9,7 @@
 	"github.com/onsi/gomega"
 
 	"github.com/thornwalk/thornwalk/coordination/incarnations"
+	"github.com/thornwalk/thornwalk/internal/eventlog"
 	"github.com/thornwalk/thornwalk/state/catalog"
 	"github.com/thornwalk/thornwalk/state/replicas"
 	"github.com/thornwalk/thornwalk/state/streamorigins"
@@ -55,6 +56,29 @@
 	g.Expect(known.origin).To(gomega.Equal(certain))
 }
 
+// Guards against a stream that began at an unknown successor and is taken for one of the former version once the
+// successor is listed for long, where replicas state no start.
+func TestOriginStaysUncertainOnceTheSuccessorIsListed(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := 10 * time.Second
+	replica := replicas.Replica{ID: "first", Service: "engines", Version: "v1", Position: 1}
+	n := New(&Settings{Name: "self"}, Dependencies{Now: func() time.Duration { return now }, Log: eventlog.New("self", nil)})
+	n.table.Put(replica)
+	c := newStreamCall(n, replica, now)
+	c.recordOrigin(replica)
+	g.Expect(c.isOriginUncertain()).To(gomega.BeTrue())
+	successor := replica
+	successor.Version, successor.Position = "v2", 2
+	n.applyReplicaLocked(successor)
+	for end := now + 2*incarnations.EntryDelay; now < end; now += time.Second {
+		n.identities.ObserveView(now)
+	}
+	g.Expect(n.verdictLocked(incarnations.Connection{Incarnation: incarnations.Of(successor)}).Proof).To(gomega.Equal(incarnations.ProofEntry))
+	n.resolveOrigins()
+	origin, _ := n.knownOrigin(streamorigins.KeyOf("", "r1"))
+	g.Expect(origin.Version).To(gomega.BeEmpty())
+}
+
 // Guards against a stream that is taken for one of the former incarnation as its successor states another start.
 func TestOriginStaysUncertainAtAReplacedReplica(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/entry/updates.go
+++ b/entry/updates.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/thornwalk/thornwalk/coordination/admission"
+	"github.com/thornwalk/thornwalk/coordination/incarnations"
 	"github.com/thornwalk/thornwalk/internal/eventlog"
 	"github.com/thornwalk/thornwalk/outside"
 	"github.com/thornwalk/thornwalk/state/pushback"
@@ -91,7 +92,7 @@
 	if !n.table.Put(replica) {
 		return
 	}
-	isNewIncarnation := found && !known.IsSameIncarnation(replica)
+	isNewIncarnation := found && incarnations.Of(known) != incarnations.Of(replica)
 	if isNewIncarnation {
 		n.identities.churn.Observe(n.now(), replica.Service)
 		n.resolveDisconnects(known)
--- a/transport/replicahttp/pool.go
+++ b/transport/replicahttp/pool.go
@@ -59,6 +59,8 @@
 	Replica string
 	// StartedAt is its start in Unix milliseconds by the replica's clock; zero if it states none.
 	StartedAt int64
+	// Version tells incarnations apart that state no start.
+	Version string
 }
 
 // Conn is a connection to a replica, for one exchange at a time.
