The end of a replica that drained is no sign that others of its service are replaced

Callers would have been refused streams that go on, after a planned removal of replicas without reports: a draining replica that ends before its entry is removed refuses connections, which counted as a sign of churn for 4 s.

Evidence: the case "its address refuses, it drained" of TestOnlyEndsAndReplacementsAreSignsOfChurn fails before and passes now.

Change: recordEnd passes over replicas whose known entry is draining. Their incarnation is doubted as before.

--- a/entry/replica_churn.go
+++ b/entry/replica_churn.go
@@ -26,10 +26,11 @@
 	return n.mayRelyOnLocked(verdict, service)
 }
 
-// recordEnd records a sign that the incarnation has ended, and not only that an exchange with it failed.
+// recordEnd records a sign that the incarnation has ended, and not only that an exchange with it failed. The end of a
+// draining replica is no sign that others are replaced: it was to end.
 func (n *Node) recordEnd(incarnation incarnations.Incarnation) {
 	n.mutex.Lock()
-	if known, found := n.table.Get(incarnation.Replica); found {
+	if known, found := n.table.Get(incarnation.Replica); found && !known.Draining {
 		n.identities.churn.Observe(n.now(), known.Service)
 	}
 	n.mutex.Unlock()
--- a/entry/replica_churn_test.go
+++ b/entry/replica_churn_test.go
@@ -90,7 +90,7 @@
 }
 
 // Guards against a replacement that counts as no sign, and against failures of exchanges that do: a replica may be silent
-// or break off a request and live on.
+// or break off a request and live on, and one that drains is to end.
 func TestOnlyEndsAndReplacementsAreSignsOfChurn(t *testing.T) {
 	replica := engine("first", "v1")
 	next := replica
@@ -108,7 +108,13 @@
 			other.Version, other.Position = "v2", 8
 			n.applyReplicaLocked(other)
 		}, true},
-		"its address refuses":     {func(n *Node) { _, _ = n.dialReplica(t.Context(), replica, time.Second) }, true},
+		"its address refuses": {func(n *Node) { _, _ = n.dialReplica(t.Context(), replica, time.Second) }, true},
+		"its address refuses, it drained": {func(n *Node) {
+			draining := replica
+			draining.Draining, draining.Position = true, 8
+			n.applyReplicaLocked(draining)
+			_, _ = n.dialReplica(t.Context(), replica, time.Second)
+		}, false},
 		"its entry is renewed":    {func(n *Node) { renewed := replica; renewed.Position = 8; n.applyReplicaLocked(renewed) }, false},
 		"an exchange failed":      {func(n *Node) { n.recordDoubt(incarnations.Of(replica)) }, false},
 		"another replica started": {func(n *Node) { n.applyReplicaLocked(engine("second", "v1")) }, false},
