Ends of replicas are no sign of churn; a refusal that is followed by an accepted connection is

Cause: each refused connection and each idle one that closed early counted as a sign that the service churns. A crash gives such signs too, at the moment at which streams have to go on elsewhere.

Change: signs are a replacement itself: an entry replaced in place, another start reported, another server at the address, or a connection that is accepted under the entry for which one was refused before.

--- a/coordination/incarnations/churn.go
+++ b/coordination/incarnations/churn.go
@@ -11,22 +11,22 @@
 // that were replaced along with the one of the sign.
 const churnTime = EntryDelay
 
-// Churn keeps when replicas of services were last seen to end or to be replaced. Replicas of a service are mostly
-// replaced in series, so that a sign of one end is a reason not to assume that the others live on. It is not safe for
+// Churn keeps when replicas of services were last seen to be replaced in place. Replicas of a service are mostly replaced
+// in series, so that a sign of one replacement is a reason not to assume that the others live on. It is not safe for
 // concurrent use.
 type Churn struct{ latest map[string]structs.Instant }
 
 // NewChurn returns a Churn without signs.
 func NewChurn() *Churn { return &Churn{latest: map[string]structs.Instant{}} }
 
-// Observe records a sign at the instant that a replica of the service ended or was replaced.
+// Observe records a sign at the instant that a replica of the service was replaced.
 func (c *Churn) Observe(at structs.Instant, service string) {
 	if latest, found := c.latest[service]; !found || at > latest {
 		c.latest[service] = at
 	}
 }
 
-// IsChurning reports whether a replica of the service ended or was replaced within churnTime.
+// IsChurning reports whether there was a sign within churnTime that a replica of the service was replaced.
 func (c *Churn) IsChurning(now structs.Instant, service string) bool {
 	latest, found := c.latest[service]
 	return found && now-latest < churnTime
--- a/coordination/liveness/liveness.go
+++ b/coordination/liveness/liveness.go
@@ -60,7 +60,7 @@
 	// StoreHealthyMS is the time for which the sender has watched the store without failures, in
 	// milliseconds; zero if it does not watch it.
 	StoreHealthyMS int64 `msgpack:"w"`
-	// ChurnAgesMS is the time since the latest sign that a replica ended or was replaced, in milliseconds, for the services
+	// ChurnAgesMS is the time since the latest sign that a replica was replaced in place, in milliseconds, for the services
 	// of which that was recent. Nodes of earlier releases don't send it.
 	ChurnAgesMS map[string]int64 `msgpack:"ch,omitempty"`
 	// FailingReplicas lists the replicas that fail for this node.
--- a/entry/node.go
+++ b/entry/node.go
@@ -247,7 +247,7 @@
 	n.scheduling.onReturn = n.countReturn
 	n.scheduling.onInvalidWeight = func() { n.counter("weights.invalid").Inc(1) }
 	n.pool.OnEarlyEnd(func(incarnation replicahttp.Incarnation) {
-		n.recordEnd(incarnations.Incarnation(incarnation))
+		n.recordDoubt(incarnations.Incarnation(incarnation))
 	})
 	n.registerTenantMetrics()
 	n.registerRereadMetrics()
--- a/entry/replica_churn.go
+++ b/entry/replica_churn.go
@@ -4,11 +4,13 @@
 	"time"
 
 	"github.com/thornwalk/thornwalk/coordination/incarnations"
+	"github.com/thornwalk/thornwalk/state/replicas"
 	"github.com/thornwalk/thornwalk/structs"
 )
 
-// While replicas of a service end or are replaced, the entries of others may be out of date as well. Nodes tell each
-// other of it in their heartbeats, so that a process that has just started knows too.
+// While replicas of a service are replaced in place, the entries of others may be out of date as well. Nodes tell each
+// other of it in their heartbeats, so that a process that has just started knows too. A replica that ends and does not
+// come back is no sign of it.
 
 // maxChurningServices bounds the services that a heartbeat names as churning.
 const maxChurningServices = 64
@@ -26,17 +28,33 @@
 	return n.mayRelyOnLocked(verdict, service)
 }
 
-// recordEnd records a sign that the incarnation has ended, and not only that an exchange with it failed. The end of a
-// draining replica is no sign that others are replaced: it was to end.
-func (n *Node) recordEnd(incarnation incarnations.Incarnation) {
+// recordRefused records that the incarnation's address refused a connection.
+func (n *Node) recordRefused(incarnation incarnations.Incarnation) {
 	n.mutex.Lock()
-	if known, found := n.table.Get(incarnation.Replica); found && !known.Draining {
-		n.identities.churn.Observe(n.now(), known.Service)
-	}
+	n.identities.refused[incarnation] = true
 	n.mutex.Unlock()
 	n.recordDoubt(incarnation)
 }
 
+// recordAccepted records that the replica's address accepted a connection. If it refused one before, a successor that is
+// not listed yet has probably started there, and others of the service may have.
+func (n *Node) recordAccepted(replica replicas.Replica) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if incarnation := incarnations.Of(replica); n.identities.refused[incarnation] {
+		delete(n.identities.refused, incarnation)
+		n.identities.churn.Observe(n.now(), replica.Service)
+	}
+}
+
+// recordOtherServer records that another server than the incarnation is at its address.
+func (n *Node) recordOtherServer(replica replicas.Replica) {
+	n.mutex.Lock()
+	n.identities.churn.Observe(n.now(), replica.Service)
+	n.mutex.Unlock()
+	n.recordDoubt(incarnations.Of(replica))
+}
+
 // churnAges returns for each service whose replicas are being replaced the milliseconds since the latest sign of it, for
 // heartbeats. The caller holds the mutex.
 func (n *Node) churnAges(now structs.Instant) map[string]int64 {
--- a/entry/replica_identity.go
+++ b/entry/replica_identity.go
@@ -35,7 +35,9 @@
 // replicaIdentities holds what this node knows of the processes at the replicas' addresses. The node's mutex guards it.
 type replicaIdentities struct {
 	*incarnations.Tracker
-	churn     *incarnations.Churn
+	churn *incarnations.Churn
+	// refused has the incarnations whose addresses refused a connection and accepted none since.
+	refused   map[incarnations.Incarnation]bool
 	reporters reporters
 	loggedAt  map[identityLine]structs.Instant
 }
@@ -49,12 +51,13 @@
 func newReplicaIdentities() *replicaIdentities {
 	tracker := incarnations.NewTracker()
 	tracker.PresumeUp()
-	return &replicaIdentities{Tracker: tracker, churn: incarnations.NewChurn(), reporters: newReporters(), loggedAt: map[identityLine]structs.Instant{}}
+	return &replicaIdentities{Tracker: tracker, churn: incarnations.NewChurn(), refused: map[incarnations.Incarnation]bool{}, reporters: newReporters(), loggedAt: map[identityLine]structs.Instant{}}
 }
 
 // forget drops what is known of the incarnations that are not kept.
 func (i *replicaIdentities) forget(isKept func(incarnations.Incarnation) bool) {
 	i.Forget(isKept)
+	maps.DeleteFunc(i.refused, func(incarnation incarnations.Incarnation, _ bool) bool { return !isKept(incarnation) })
 	maps.DeleteFunc(i.reporters.unanswered, func(incarnation incarnations.Incarnation, _ structs.Instant) bool { return !isKept(incarnation) })
 	maps.DeleteFunc(i.loggedAt, func(line identityLine, _ structs.Instant) bool { return !isKept(line.incarnation) })
 }
--- a/entry/replica_paths.go
+++ b/entry/replica_paths.go
@@ -131,8 +131,11 @@
 	change := n.paths.RecordConnect(n.now(), replica.ID, err == nil)
 	n.mutex.Unlock()
 	n.isPathSilent.Store(outcome == connectTimedOut)
-	if outcome == connectRefused {
-		n.recordEnd(incarnations.Of(replica))
+	switch {
+	case outcome == connectRefused:
+		n.recordRefused(incarnations.Of(replica))
+	case err == nil:
+		n.recordAccepted(replica)
 	}
 	if outcome == connectTimedOut {
 		// A request on an open connection may be lost as well.
--- a/entry/response.go
+++ b/entry/response.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/thornwalk/thornwalk/coordination/admission"
-	"github.com/thornwalk/thornwalk/coordination/incarnations"
 	"github.com/thornwalk/thornwalk/state/catalog"
 	"github.com/thornwalk/thornwalk/state/memorybudget"
 	"github.com/thornwalk/thornwalk/state/replicas"
@@ -72,7 +71,7 @@
 	timer.Stop()
 	if answer.StatusCode == http.StatusMisdirectedRequest {
 		c.node.recordUnreachable(replica)
-		c.node.recordEnd(incarnations.Of(replica))
+		c.node.recordOtherServer(replica)
 	}
 	return resultRejected, admission.Observation{}
 }
--- a/test/entry/stream_versions_test.go
+++ b/test/entry/stream_versions_test.go
@@ -31,6 +31,8 @@
 	streamTries    = 4
 	streamDeadline = 3 * time.Second
 	mixingEngines  = 10
+	// crashEntryTime is how long the entry of an engine that has crashed stays.
+	crashEntryTime = 4 * time.Second
 )
 
 // callerStream is a stream as its caller sees it, over all tries.
@@ -259,6 +261,19 @@
 	}
 }
 
+// crashEngines has every second engine crash, one after the other. Their entries are gone crashEntryTime later.
+func crashEngines(s *versionsScenario) {
+	for i := 0; i < mixingEngines; i += 2 {
+		engine := s.mixed[i]
+		engine.Crash()
+		s.group.Go(func() {
+			time.Sleep(crashEntryTime)
+			s.deployment.Store.Delete("servers/" + engine.ID)
+		})
+		time.Sleep(2 * time.Second)
+	}
+}
+
 // Guards against streams that hold events of two software versions of a service, whether they go on within
 // the answer or are resumed by the caller at another node, and against resumed streams that are refused.
 func TestStreamsGoOnOnlyAtTheVersionThatBeganThem(t *testing.T) {
@@ -273,6 +288,7 @@
 		"nodes are killed in turn":          {newer: 5, breaks: 2, fault: killNodesInTurn, minGoOnShare: 0.95},
 		"all nodes are killed":              {newer: 5, breaks: 2, fault: onScenario(restartAllNodes), minGoOnShare: 0.5},
 		"the store is down":                 {newer: 5, breaks: 2, fault: onScenario(failStore), minGoOnShare: 0.95},
+		"engines crash":                     {newer: 5, breaks: 2, fault: crashEngines, minGoOnShare: 0.95},
 		"engines are replaced":              {newer: 2, breaks: 2, fault: replaceEngines, minGoOnShare: 0.5},
 		"callers don't name the first try":  {newer: 5, breaks: 2, omitsResumed: true},
 	} {
