--- a/coordination/incarnations/doc.go
+++ b/coordination/incarnations/doc.go
@@ -5,7 +5,8 @@
 //
 // Assumptions:
 //   - A connection leads to one process for as long as it lives, and one process at a time is at an address. An
-//     incarnation has an ID or a start of its own.
+//     incarnation has an ID or a start of its own, or states no start; then successors of the same version count as the
+//     same incarnation, as streams may go on at them.
 //   - A replica replaces the entry of its former incarnation once it has reached the store for EntryDelay since its
 //     start. An outage that no call of this node notices is shorter than maxViewGap, and delays it by its length.
 //     Two of them do not follow each other within that time.
@@ -15,5 +16,9 @@
 // Guarantee: a verdict of ProofEntry, ProofAnswers or ProofReport is true, whatever is late or lost and whatever ends,
 // under the first two assumptions. ProofAssumed is wrong only if a successor started at most EntryDelay + maxViewGap
 // + maxViewAge before, and this node was told of nothing that failed at the replica since its end. ProofUnbroken is true
-// under all assumptions if no connection in its row was wrongly assumed to lead to the incarnation when it was opened.
+// under all assumptions. ProofAssumedUnbroken is if the connection at the beginning of its row was rightly assumed to lead
+// to the incarnation when it was opened; it never turns into ProofUnbroken by itself.
+//
+// Wrong assumptions come in series, as replicas of a service are mostly replaced in series. Churn tells when a series is
+// under way, so that callers do without what is only assumed.
 package incarnations
