streamorigins: a version history outlasts an outage in which all replicas are known to have run

Callers that resume a stream without naming it got 503 stream-unknown from 3 s after the begin of an outage of the store until 8 s (twice the route's timeout) after its end, although the service had one version only and all its replicas served on.

Cause: the history of versions began anew with the first view that was old, and had to cover the whole window again.

Change: a time in which the view is old is a gap. It is closed for a service where every incarnation listed at its begin is still listed and known to have run until its end, by the evidence for connections (answers, a report, an unbroken row, or views 11 s later): nobody else was at its address, and no node can know another replica while none reads the store. While the gap lasts, until 3 s ago is enough, which is what a view may be old. It stays open where another node may have seen the store: in a large fleet, while a peer is silent, or if a live one has watched the store for 3 s. Doubts, restores and suspensions count as before.

Tests: the model in replacements_test.go no longer restarts the history with an outage, and doubts a replica only by a sign of its end, as the node does. That is more permissive: its checks are unchanged and hold.

--- a/coordination/incarnations/tracker.go
+++ b/coordination/incarnations/tracker.go
@@ -222,6 +222,20 @@
 	return until, isKnown
 }
 
+// RanUntil returns the latest instant until which the incarnation is known to have run, by the same evidence as ProofAnswers,
+// ProofReport and ProofUnbroken, or by the store's entry. It is false if there is none. isListed is as for Verdict.
+func (t *Tracker) RanUntil(incarnation Incarnation, isListed bool) (structs.Instant, bool) {
+	known := t.known[incarnation]
+	until, isKnown := known.confirmedAt, known.proof != ProofNone
+	if known.wasAlive && (!isKnown || known.aliveAt > until) {
+		until, isKnown = known.aliveAt, true
+	}
+	if isListed && t.hasLived && (!isKnown || t.livedUntil > until) {
+		until, isKnown = t.livedUntil, true
+	}
+	return until, isKnown
+}
+
 func (t *Tracker) confirm(at structs.Instant, incarnation Incarnation, proof Proof) {
 	known := t.known[incarnation]
 	if known.proof == ProofNone || at > known.confirmedAt {
--- a/coordination/incarnations/tracker_test.go
+++ b/coordination/incarnations/tracker_test.go
@@ -217,3 +217,30 @@
 		})
 	}
 }
+
+// Guards against an incarnation that is taken for running by what was known before it may have ended.
+func TestIncarnationIsKnownToHaveRunUntilTheLatestEvidence(t *testing.T) {
+	g := gomega.NewWithT(t)
+	tracker := NewTracker()
+	ranUntil := func(isListed bool) structs.Instant {
+		until, isKnown := tracker.RanUntil(first, isListed)
+		if !isKnown {
+			return -1
+		}
+		return until
+	}
+	observeSteadily(tracker, 0, 10*time.Second)
+	g.Expect(ranUntil(true)).To(gomega.Equal(structs.Instant(-1)), "an entry may be that of one that has ended")
+	observeSteadily(tracker, 11*time.Second, 12*time.Second)
+	g.Expect(ranUntil(true)).To(gomega.Equal(12*time.Second - 2*settleTime))
+	g.Expect(ranUntil(false)).To(gomega.Equal(structs.Instant(-1)))
+	old, recent := Connection{first, 5 * time.Second}, Connection{first, 12 * time.Second}
+	tracker.Received(9*time.Second, old, true)
+	g.Expect(ranUntil(false)).To(gomega.Equal(structs.Instant(9 * time.Second)))
+	tracker.Interrupt(13 * time.Second)
+	tracker.Alive(14*time.Second, recent, true)
+	g.Expect(ranUntil(true)).To(gomega.Equal(structs.Instant(9*time.Second)), "nothing shows where the connection leads")
+	tracker.Alive(15*time.Second, old, true)
+	tracker.Doubt(16*time.Second, first)
+	g.Expect(ranUntil(true)).To(gomega.Equal(structs.Instant(15 * time.Second)))
+}
--- a/coordination/streams/replacements_test.go
+++ b/coordination/streams/replacements_test.go
@@ -68,6 +68,7 @@
 	node    int
 	life    int
 	begunBy *courseProcess
+	begunAt structs.Instant
 	// isAssumed is true if its origin was recorded without proof.
 	isAssumed bool
 }
@@ -81,8 +82,9 @@
 type replacementVariant struct {
 	name string
 	// trustsEntries takes what the node lists for proven, and datesAnswersAtArrival the arrival of an answer for the
-	// instant of its proof. recordsEntries records the version of the entry as a certain origin.
-	trustsEntries, datesAnswersAtArrival, recordsEntries bool
+	// instant of its proof. recordsEntries records the version of the entry as a certain origin. presumesRuns takes all
+	// that a node lists for running, whatever it heard of them.
+	trustsEntries, datesAnswersAtArrival, recordsEntries, presumesRuns bool
 }
 
 type course struct {
@@ -100,6 +102,8 @@
 	proven, assumed             int
 	mixedProven, mixedAssumed   int
 	uncertain, refused, resumed int
+	// byHistory are the continuations without a record within courseWindow, and mixedByHistory those at another version.
+	byHistory, mixedByHistory int
 }
 
 func newCourse(seed uint64, variant replacementVariant) *course {
@@ -173,7 +177,6 @@
 		for i := range c.nodes {
 			if length > shortOutage || c.chance(0.5) {
 				c.nodes[i].tracker.Interrupt(c.now)
-				c.nodes[i].history.Restart()
 			}
 		}
 	}
@@ -331,7 +334,7 @@
 	}
 	c.begun++
 	proof := c.verdict(node, connection)
-	stream := &courseStream{key: streamorigins.KeyOf("", fmt.Sprint(c.begun)), node: i, life: node.life, begunBy: connection.process}
+	stream := &courseStream{key: streamorigins.KeyOf("", fmt.Sprint(c.begun)), node: i, life: node.life, begunBy: connection.process, begunAt: c.now}
 	stream.origin = streamorigins.Origin{Service: "engines", Version: connection.entry.Version}
 	stream.isAssumed = proof == incarnations.ProofAssumed
 	if proof == incarnations.ProofNone && !c.variant.recordsEntries {
@@ -369,7 +372,7 @@
 
 // goOn continues the stream in its answer, or resumes it at either node.
 func (c *course) goOn(stream *courseStream) {
-	i, origin, isAssumed := stream.node, stream.origin, stream.isAssumed
+	i, origin, isAssumed, isByHistory := stream.node, stream.origin, stream.isAssumed, false
 	if c.nodes[i].life != stream.life || c.chance(0.5) {
 		i = c.random.IntN(2)
 		var refusal Refusal
@@ -380,6 +383,7 @@
 		}
 		c.resumed++
 		// The history rests on this node's having heard of each replacement.
+		isByHistory = evidence.Knowledge == streamorigins.Unknown && c.now-stream.begunAt <= courseWindow
 		isAssumed = isAssumed || evidence.Knowledge == streamorigins.Unknown
 	}
 	node := c.nodes[i]
@@ -397,6 +401,12 @@
 	}
 	isAssumed = isAssumed || proof == incarnations.ProofAssumed
 	isMixed := connection.process.entry.Version != stream.begunBy.entry.Version
+	if isByHistory {
+		c.byHistory++
+		if isMixed {
+			c.mixedByHistory++
+		}
+	}
 	switch {
 	case isMixed && isAssumed:
 		c.mixedAssumed++
@@ -422,14 +432,31 @@
 		node.history.SetDoubted(service, false)
 		for _, entry := range node.table {
 			verdict := node.tracker.Verdict(c.now, incarnations.Connection{Incarnation: incarnations.Of(entry), OpenedAt: c.now}, true)
-			if verdict.Proof == incarnations.ProofNone {
+			if verdict.DoubtAge > 0 && !c.variant.presumesRuns {
 				node.history.SetDoubted(service, true)
 			}
 		}
+		until, isKnown := c.ranUntil(node)
+		node.history.SetRanUntil(service, until, isKnown)
 		return node.history.OnlyVersion(c.now, service, courseWindow)
 	}}
 }
 
+// ranUntil returns until when both replicas are known to have run.
+func (c *course) ranUntil(node *courseNode) (structs.Instant, bool) {
+	earliest := c.now
+	for _, entry := range node.table {
+		until, isKnown := node.tracker.RanUntil(incarnations.Of(entry), true)
+		if !isKnown && !c.variant.presumesRuns {
+			return 0, false
+		}
+		if !c.variant.presumesRuns {
+			earliest = min(earliest, until)
+		}
+	}
+	return earliest, true
+}
+
 // playCourses returns the sums over the courses of the seeds.
 func playCourses(seeds uint64, variant replacementVariant) course {
 	sum := course{}
@@ -441,14 +468,15 @@
 		sum.begun += c.begun
 		sum.proven, sum.assumed = sum.proven+c.proven, sum.assumed+c.assumed
 		sum.mixedProven, sum.mixedAssumed = sum.mixedProven+c.mixedProven, sum.mixedAssumed+c.mixedAssumed
+		sum.byHistory, sum.mixedByHistory = sum.byHistory+c.byHistory, sum.mixedByHistory+c.mixedByHistory
 		sum.uncertain, sum.refused, sum.resumed = sum.uncertain+c.uncertain, sum.refused+c.refused, sum.resumed+c.resumed
 	}
 	return sum
 }
 
 func (c *course) String() string {
-	return fmt.Sprintf("%d streams, %d of uncertain origin; %d resumed, %d refused; went on %d by proof and %d by assumption, at another version %d and %d",
-		c.begun, c.uncertain, c.resumed, c.refused, c.proven, c.assumed, c.mixedProven, c.mixedAssumed)
+	return fmt.Sprintf("%d streams, %d of uncertain origin; %d resumed, %d refused; went on %d by proof and %d by assumption, at another version %d and %d; by the history %d, at another version %d",
+		c.begun, c.uncertain, c.resumed, c.refused, c.proven, c.assumed, c.mixedProven, c.mixedAssumed, c.byHistory, c.mixedByHistory)
 }
 
 const courseSeeds = 400
@@ -463,6 +491,19 @@
 	g.Expect(sum.proven).To(gomega.BeNumerically(">", courseSeeds))
 }
 
+// Guards against streams without a record that go on at another version, because a node that did not see the store takes
+// a version for the only one of the service.
+func TestContinuationsByTheHistoryKeepTheVersionOnDrawnCourses(t *testing.T) {
+	g := gomega.NewWithT(t)
+	sum := playCourses(courseSeeds, replacementVariant{})
+	t.Log(sum.String())
+	g.Expect(sum.mixedByHistory).To(gomega.BeZero())
+	g.Expect(sum.byHistory).To(gomega.BeNumerically(">", courseSeeds/2))
+	broken := playCourses(courseSeeds, replacementVariant{name: "what a node lists is taken for running", presumesRuns: true})
+	t.Log(broken.String())
+	g.Expect(broken.mixedByHistory).To(gomega.BeNumerically(">", 0))
+}
+
 // Guards against courses that find nothing.
 func TestDrawnCoursesFindBrokenVariants(t *testing.T) {
 	for _, variant := range []replacementVariant{
--- a/entry/replica_identity.go
+++ b/entry/replica_identity.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"net"
 	"slices"
 	"time"
@@ -179,6 +180,24 @@
 	})
 }
 
+// ranUntilLocked returns the latest instant until which all known replicas of the service are known to have run. It is false
+// if there is none.
+func (n *Node) ranUntilLocked(service string) (structs.Instant, bool) {
+	earliest := structs.Instant(math.MaxInt64)
+	for _, replica := range n.table.All() {
+		if replica.Service != service {
+			continue
+		}
+		incarnation := incarnations.Of(replica)
+		until, isKnown := n.identities.RanUntil(incarnation, n.isListedLocked(incarnation))
+		if !isKnown {
+			return 0, false
+		}
+		earliest = min(earliest, until)
+	}
+	return earliest, earliest < math.MaxInt64
+}
+
 // doubtAgeLocked returns the time since the latest sign that the replica may have ended, or zero if there is none since
 // it was last known to live.
 func (n *Node) doubtAgeLocked(replica replicas.Replica) time.Duration {
--- a/entry/stream_origin.go
+++ b/entry/stream_origin.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -128,6 +129,8 @@
 	defer n.mutex.Unlock()
 	n.confirmVersionHistoryLocked()
 	n.versionHistory.SetDoubted(service, n.isAnyDoubtedLocked(service))
+	until, isKnown := n.ranUntilLocked(service)
+	n.versionHistory.SetRanUntil(service, until, isKnown)
 	window := streamLifetimeTimeouts * c.route.Timeout
 	if window <= 0 {
 		window = streamorigins.Retention
@@ -145,6 +148,22 @@
 func (n *Node) confirmVersionHistoryLocked() {
 	now := n.now()
 	n.versionHistory.Confirm(now, time.Duration(n.replicaFreshness.Age(now))*time.Millisecond)
+	if n.mayPeerSeeStoreLocked(now) {
+		n.versionHistory.MissPeers()
+	}
+}
+
+// minPeerStoreTime is for how long a peer has watched the store when this node should have its view. It is longer than the
+// time between two tries of this node to read a store that is back.
+const minPeerStoreTime = 3 * time.Second
+
+// mayPeerSeeStoreLocked reports whether another node may see the store while this one has no current view: one that it does
+// not hear, or that has watched the store for a while. A node of a large fleet does not know all others.
+func (n *Node) mayPeerSeeStoreLocked(now structs.Instant) bool {
+	live := n.members.Live(now)
+	return n.isLarge || len(live) < n.members.Known() || slices.ContainsFunc(live, func(member *liveness.Member) bool {
+		return member.StoreHealthyMS > minPeerStoreTime.Milliseconds()
+	})
 }
 
 // findOrigin looks for the stream's origin at this node and at its keepers.
--- a/entry/stream_origin_test.go
+++ b/entry/stream_origin_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"path/filepath"
 	"testing"
+	"time"
 
 	"github.com/onsi/gomega"
 	"github.com/vmihailenco/msgpack/v5"
@@ -65,3 +66,24 @@
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(answer.Knowledge).To(gomega.Equal(streamorigins.Unknown))
 }
+
+// Guards against a node that takes the store's outage for one of all nodes although another one may see the store.
+func TestOutageOfAllNodesIsToldFromAPartition(t *testing.T) {
+	for name, test := range map[string]struct {
+		peer      liveness.Heartbeat
+		silentFor time.Duration
+		maySee    bool
+	}{
+		"the peer does not see the store":     {liveness.Heartbeat{StoreUnreachable: true}, 0, false},
+		"the peer has just regained it":       {liveness.Heartbeat{StoreHealthyMS: 900}, 0, false},
+		"the peer has watched it for a while": {liveness.Heartbeat{StoreHealthyMS: 3100}, 0, true},
+		"the peer is silent":                  {liveness.Heartbeat{StoreUnreachable: true}, 500 * time.Millisecond, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			n := newForwardingNode()
+			test.peer.Name, test.peer.IntervalMS = "peer", 100
+			n.members.Observe(n.now(), test.peer)
+			gomega.NewWithT(t).Expect(n.mayPeerSeeStoreLocked(n.now() + test.silentFor)).To(gomega.Equal(test.maySee))
+		})
+	}
+}
--- a/state/streamorigins/streamorigins_test.go
+++ b/state/streamorigins/streamorigins_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -118,6 +119,18 @@
 	}
 }
 
+// missViews confirms the view each second up to the twentieth one, as an old one in the times that are given by their
+// begin and end.
+func missViews(history *VersionHistory, times ...[2]time.Duration) {
+	for at := time.Duration(0); at <= 20*time.Second; at += time.Second {
+		age := time.Second
+		if slices.ContainsFunc(times, func(missed [2]time.Duration) bool { return missed[0] <= at && at < missed[1] }) {
+			age = maxViewAge + time.Second
+		}
+		history.Confirm(at, age)
+	}
+}
+
 // Guards against a version that is taken for the only one although a stream may have begun at another.
 func TestOnlyVersionOfAService(t *testing.T) {
 	for name, testCase := range map[string]struct {
@@ -185,6 +198,72 @@
 			h.Update(9*time.Second, restarted(replicasOf("v1", "v1")))
 		}, true},
 		"no view": {func(h *VersionHistory) { h.Confirm(20*time.Second, -1) }, false},
+		"the view was old while all replicas ran": {func(h *VersionHistory) {
+			missViews(h, [2]time.Duration{13 * time.Second, 18 * time.Second})
+			h.SetRanUntil("engines", 19*time.Second, true)
+		}, true},
+		"the view is old while all replicas run": {func(h *VersionHistory) {
+			missViews(h, [2]time.Duration{13 * time.Second, 21 * time.Second})
+			h.SetRanUntil("engines", 18*time.Second, true)
+		}, true},
+		"the view was old twice while all replicas ran": {func(h *VersionHistory) {
+			missViews(h, [2]time.Duration{11 * time.Second, 14 * time.Second}, [2]time.Duration{16 * time.Second, 19 * time.Second})
+			h.SetRanUntil("engines", 19*time.Second, true)
+		}, true},
+		"a replica may have ended while the view was old": {func(h *VersionHistory) {
+			missViews(h, [2]time.Duration{13 * time.Second, 18 * time.Second})
+			h.SetRanUntil("engines", 17*time.Second, true)
+		}, false},
+		"a replica may have ended while the view is old": {func(h *VersionHistory) {
+			missViews(h, [2]time.Duration{13 * time.Second, 21 * time.Second})
+			h.SetRanUntil("engines", 16*time.Second, true)
+		}, false},
+		"a replica may have ended the second time that the view was old": {func(h *VersionHistory) {
+			missViews(h, [2]time.Duration{11 * time.Second, 14 * time.Second}, [2]time.Duration{16 * time.Second, 19 * time.Second})
+			h.SetRanUntil("engines", 15*time.Second, true)
+		}, false},
+		"it is not known how long all replicas ran": {func(h *VersionHistory) {
+			missViews(h, [2]time.Duration{13 * time.Second, 18 * time.Second})
+			h.SetRanUntil("engines", 0, false)
+		}, false},
+		"a replica was gone after the view was old": {func(h *VersionHistory) {
+			missViews(h, [2]time.Duration{13 * time.Second, 18 * time.Second})
+			h.Update(18*time.Second, replicasOf("v1", "v1")[1:])
+			h.SetRanUntil("engines", 19*time.Second, true)
+		}, false},
+		"a replica was replaced under its ID after the view was old": {func(h *VersionHistory) {
+			missViews(h, [2]time.Duration{13 * time.Second, 18 * time.Second})
+			h.Update(18*time.Second, restarted(replicasOf("v1", "v1")))
+			h.SetRanUntil("engines", 19*time.Second, true)
+		}, false},
+		"another version came while the view was old": {func(h *VersionHistory) {
+			missViews(h, [2]time.Duration{13 * time.Second, 18 * time.Second})
+			h.Update(18*time.Second, replicasOf("v1", "v1", "v2"))
+			h.SetRanUntil("engines", 19*time.Second, true)
+		}, false},
+		"another node may have seen the store while the view was old": {func(h *VersionHistory) {
+			confirmUntil(h, 0, 12*time.Second)
+			h.Confirm(13*time.Second, 5*time.Second)
+			h.MissPeers()
+			confirmUntil(h, 14*time.Second, 20*time.Second)
+			h.SetRanUntil("engines", 20*time.Second, true)
+		}, false},
+		"another node saw the store while the view was current": {func(h *VersionHistory) {
+			confirmUntil(h, 0, 20*time.Second)
+			h.MissPeers()
+		}, true},
+		"the store was restored while the view was old": {func(h *VersionHistory) {
+			missViews(h, [2]time.Duration{13 * time.Second, 18 * time.Second})
+			h.Restart()
+			h.Confirm(20*time.Second, 0)
+			h.SetRanUntil("engines", 20*time.Second, true)
+		}, false},
+		"the process was suspended while the view was old": {func(h *VersionHistory) {
+			confirmUntil(h, 0, 12*time.Second)
+			h.Confirm(13*time.Second, 5*time.Second)
+			confirmUntil(h, 18*time.Second, 20*time.Second)
+			h.SetRanUntil("engines", 20*time.Second, true)
+		}, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
--- a/state/streamorigins/versions.go
+++ b/state/streamorigins/versions.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/thornwalk/thornwalk/state/replicas"
@@ -16,6 +17,10 @@
 
 // VersionHistory knows which versions a service's replicas have had. It tells whether all streams of a service
 // began at one version, which needs no record of them. It is not safe for concurrent use.
+//
+// While the view is old, and when it becomes current again, changes may have been missed: there is a gap. A gap is closed
+// for a service if the incarnations that were listed when it began were still running when it ended: then no other process
+// was at their addresses, and nodes that don't read the store know of no other replica.
 type VersionHistory struct {
 	// listed has the versions of the replicas by service, and lastListed when those that have no replica any more
 	// were last listed.
@@ -25,27 +30,43 @@
 	// been replaced under its ID. Others may have run in between, unseen.
 	incarnations map[string]seenIncarnation
 	replacedAt   map[string]structs.Instant
-	// doubted has the services of which a replica is doubted.
-	doubted map[string]bool
-	// isComplete is true if every change since completeSince was seen.
-	isComplete    bool
-	completeSince structs.Instant
-	confirmedAt   structs.Instant
+	// goneAt has when an incarnation of the service was last found not to be listed any more.
+	goneAt map[string]structs.Instant
+	// doubted has the services of which a replica is doubted, and ranUntil the instant by service until which all listed
+	// incarnations are known to have run.
+	doubted  map[string]bool
+	ranUntil map[string]structs.Instant
+	// isFollowed is true if every change since completeSince was seen, except in the gaps. isCurrent is true if the view
+	// is; otherwise the last gap is open.
+	isFollowed, isCurrent bool
+	completeSince         structs.Instant
+	confirmedAt           structs.Instant
+	gaps                  []gap
 }
 
 type serviceVersion struct{ service, version string }
 
 // seenIncarnation is an incarnation by its start, and when it was last listed.
 type seenIncarnation struct {
+	service   string
 	startedAt int64
 	at        structs.Instant
+	isListed  bool
+}
+
+// gap is a time in which the store may have changed unseen: since the last view before it, until the view was current again.
+type gap struct {
+	began, ended structs.Instant
+	// isPartial is true if another node may have seen the store meanwhile.
+	isPartial bool
 }
 
 // NewVersionHistory returns a history that knows nothing.
 func NewVersionHistory() *VersionHistory {
 	return &VersionHistory{
 		listed: map[string]map[string]bool{}, lastListed: map[serviceVersion]structs.Instant{},
-		incarnations: map[string]seenIncarnation{}, replacedAt: map[string]structs.Instant{}, doubted: map[string]bool{},
+		incarnations: map[string]seenIncarnation{}, replacedAt: map[string]structs.Instant{}, goneAt: map[string]structs.Instant{},
+		doubted: map[string]bool{}, ranUntil: map[string]structs.Instant{},
 	}
 }
 
@@ -58,18 +79,30 @@
 	}
 	maps.DeleteFunc(h.lastListed, func(_ serviceVersion, at structs.Instant) bool { return now-at > maxHistory })
 	h.listed = map[string]map[string]bool{}
+	isListed := map[string]bool{}
 	for _, replica := range all {
 		if h.listed[replica.Service] == nil {
 			h.listed[replica.Service] = map[string]bool{}
 		}
 		h.listed[replica.Service][replica.Version] = true
+		isListed[replica.ID] = true
 		if before, found := h.incarnations[replica.ID]; found && before.startedAt != replica.StartedAt {
 			h.replacedAt[replica.Service] = now
+			h.goneAt[before.service] = now
+		}
+		h.incarnations[replica.ID] = seenIncarnation{service: replica.Service, startedAt: replica.StartedAt, at: now, isListed: true}
+	}
+	for id, seen := range h.incarnations {
+		if seen.isListed && !isListed[id] {
+			h.goneAt[seen.service] = now
+			seen.isListed = false
+			h.incarnations[id] = seen
 		}
-		h.incarnations[replica.ID] = seenIncarnation{startedAt: replica.StartedAt, at: now}
 	}
-	maps.DeleteFunc(h.incarnations, func(_ string, seen seenIncarnation) bool { return now-seen.at > maxHistory })
-	maps.DeleteFunc(h.replacedAt, func(_ string, at structs.Instant) bool { return now-at > maxHistory })
+	isOld := func(_ string, at structs.Instant) bool { return now-at > maxHistory }
+	maps.DeleteFunc(h.incarnations, func(id string, seen seenIncarnation) bool { return isOld(id, seen.at) })
+	maps.DeleteFunc(h.replacedAt, isOld)
+	maps.DeleteFunc(h.goneAt, isOld)
 }
 
 // SetDoubted states whether one of the service's replicas is doubted: it may have been replaced by one of another version
@@ -82,24 +115,48 @@
 	delete(h.doubted, service)
 }
 
+// SetRanUntil states that all listed incarnations of the service are known to have run until the instant, if isKnown.
+func (h *VersionHistory) SetRanUntil(service string, until structs.Instant, isKnown bool) {
+	if isKnown {
+		h.ranUntil[service] = until
+		return
+	}
+	delete(h.ranUntil, service)
+}
+
 // Confirm states how old the view of the replicas is; a negative age means that there is none. The history
-// starts again after a time in which changes may have been missed, also because Confirm was not called.
+// starts again after a time in which Confirm was not called.
 func (h *VersionHistory) Confirm(now structs.Instant, viewAge time.Duration) {
 	isCurrent := viewAge >= 0 && viewAge <= maxViewAge
-	if !h.isComplete || !isCurrent || now-h.confirmedAt > maxViewAge {
-		h.completeSince = now
+	switch {
+	case !h.isFollowed || now-h.confirmedAt > maxViewAge:
+		h.isFollowed, h.completeSince, h.gaps = isCurrent, now, nil
+	case h.isCurrent && !isCurrent:
+		h.gaps = append(h.gaps, gap{began: now - max(viewAge, 0)})
+	case !h.isCurrent && isCurrent:
+		h.gaps[len(h.gaps)-1].ended = now
+	}
+	h.isCurrent, h.confirmedAt = isCurrent, now
+	h.gaps = slices.DeleteFunc(h.gaps, func(past gap) bool { return past.ended > 0 && now-past.ended > maxHistory })
+}
+
+// MissPeers states that another node may see the store. A gap that is open is not closed by what is known of the listed
+// incarnations then: that node may know of others.
+func (h *VersionHistory) MissPeers() {
+	if h.isFollowed && !h.isCurrent {
+		h.gaps[len(h.gaps)-1].isPartial = true
 	}
-	h.isComplete, h.confirmedAt = isCurrent, now
 }
 
 // Restart forgets that changes were seen, for example if the list may have been replaced by an older one.
-func (h *VersionHistory) Restart() { h.isComplete = false }
+func (h *VersionHistory) Restart() { h.isFollowed = false }
 
 // OnlyVersion returns the version of all replicas that the service had in the window before now. It returns
 // false if there were several versions or none, if the version is not stated, if the history does not cover the window,
-// or if a replica is doubted or was replaced under its ID in the window. The caller calls Confirm and SetDoubted before.
+// or if a replica is doubted or was replaced under its ID in the window. The caller calls Confirm, SetDoubted and SetRanUntil
+// before.
 func (h *VersionHistory) OnlyVersion(now structs.Instant, service string, window time.Duration) (string, bool) {
-	if !h.isComplete || now-h.completeSince < window || window > maxHistory {
+	if !h.isFollowed || now-h.completeSince < window || window > maxHistory || !h.areGapsClosed(now, service, window) {
 		return "", false
 	}
 	if at, wasReplaced := h.replacedAt[service]; h.doubted[service] || wasReplaced && now-at <= window {
@@ -120,3 +177,21 @@
 	}
 	return "", false
 }
+
+// areGapsClosed reports whether no gap in the window may hide a replica of the service.
+func (h *VersionHistory) areGapsClosed(now structs.Instant, service string, window time.Duration) bool {
+	ranUntil, isKnown := h.ranUntil[service]
+	goneAt, isAnyGone := h.goneAt[service]
+	for i, past := range h.gaps {
+		ended := past.ended
+		if isOpen := i == len(h.gaps)-1 && !h.isCurrent; isOpen {
+			ended = now - maxViewAge
+		} else if now-ended >= window {
+			continue
+		}
+		if past.isPartial || !isKnown || ranUntil < ended || isAnyGone && goneAt >= past.began {
+			return false
+		}
+	}
+	return true
+}
--- a/test/entry/stream_versions_test.go
+++ b/test/entry/stream_versions_test.go
@@ -311,6 +311,48 @@
 	goOnWithOneVersion(t, mixingCase{breaks: 2, omitsResumed: true, fault: onScenario(failStore), minGoOnShare: 0.5})
 }
 
+// useNewerVersionElsewhere partitions a node from the others and the store, which list engines of the second version in
+// place of the first one until the partition ends.
+func useNewerVersionElsewhere(s *versionsScenario) {
+	first := slices.Clone(s.mixed)
+	s.fabric.Partition(hosts[:1], append([]string{"store"}, hosts[1:]...))
+	time.Sleep(3500 * time.Millisecond) // the node's view is old
+	for i := range mixingEngines {
+		s.startEngine(fmt.Sprint("x", i), "v2", breakOff(2))
+	}
+	for _, replica := range first {
+		replica.Register(s.deployment.Store, "draining")
+	}
+	time.Sleep(5 * time.Second)
+	for _, replica := range first {
+		replica.Register(s.deployment.Store, "ready")
+	}
+	for i := range mixingEngines {
+		s.deployment.Store.Delete(fmt.Sprint("servers/i-x", i))
+	}
+	time.Sleep(time.Second)
+	s.fabric.Heal()
+}
+
+// Guards against streams that their callers don't name and that go on at another version, because a node whose view of the
+// store is old takes the version that it knows for the only one.
+func TestUnnamedStreamsDoNotGoOnAtAVersionOfAnotherPartition(t *testing.T) {
+	testCase := mixingCase{breaks: 2, omitsResumed: true, fault: useNewerVersionElsewhere}
+	runMixing(t, testCase, func(s *versionsScenario) {
+		time.Sleep(10 * time.Second) // so that no stream of an earlier version can be resumed
+		s.streamRepeatedly(testCase)
+		counts, atSecond := s.counts(), 0
+		for _, stream := range s.streams {
+			if slices.Contains(stream.events.Versions, "v2") {
+				atSecond++
+			}
+		}
+		t.Logf("%+v, %d streams with events of the second version, go on %.3f of new ones", counts, atSecond, counts.goOnShare())
+		s.Expect(atSecond).To(gomega.BeNumerically(">", mixingEngines), "streams with events of the second version")
+		s.Expect(counts.mixed).To(gomega.BeNumerically("<=", mixedStreamsAllowed), "streams with events of two versions")
+	})
+}
+
 // goOnWithOneVersion plays the course at a service that has had one version for long.
 func goOnWithOneVersion(t *testing.T, testCase mixingCase) {
 	runMixing(t, testCase, func(s *versionsScenario) {
