admission: the overload of one tenant is not that of others

Callers of a tenant below its share got 503 (backlog) after a fifth of their target, although they would have started within a half of it, while another tenant sent more than the service can do. On an idle machine a request below its share waits for less than a fifth, so that nothing is seen.

Cause: with the feasible order an overload was that of a priority. The requests of the one tenant always wait for long, so the priority counted as overloaded, and the rule for overload (refuse what waited for 0.18 of its target and would start after 0.25) met the other tenant too.

Change: with tenant shares, a tenant of which several requests always wait too long is overloaded by itself and does not count for the priority; many tenants of one request each count as before. Among requests in time, those that are not overloaded are sorted first, which keeps the order consistent; the shares decide between tenants anyway. Without tenant shares nothing differs.

The new test fails before for one and two tenants of excess. The tests of coordination/admission pass, its loads of tenants among them.

--- a/coordination/admission/admission.go
+++ b/coordination/admission/admission.go
@@ -23,14 +23,15 @@
 	band    lengthBand
 	// sortLength is the effective length in the current round.
 	sortLength int
-	// startTag is the start tag by the tenant's share in the current round.
+	// tenant identifies the request's tenant. startTag is the start tag by its share in the current round.
+	tenant   tenantHash
 	startTag float64
 	share    share
 	// late is true if the request counts as late in the current round, and responseTime is its expected
 	// response time, which is zero if it is unknown or Policy.FeasibleOrder is off.
 	late         bool
 	responseTime time.Duration
-	// isOverloaded is true if its priority is overloaded in the current round.
+	// isOverloaded is true if its priority, or its tenant in that, is overloaded in the current round.
 	isOverloaded bool
 	// isConfined is true if the request is bound to a version and the service has replicas of others in the
 	// current round.
@@ -93,10 +94,12 @@
 	ledgers map[int]*shareLedger
 	// slowStart is nil until it is set; cold replicas get no requests until then.
 	slowStart *SlowStart
-	// responseTimes and overloads, by priority and as of overloadsAt, are used by Policy.FeasibleOrder.
-	responseTimes responseTimes
-	overloads     map[int]overload
-	overloadsAt   structs.Instant
+	// responseTimes and overloads, by priority and as of overloadsAt, are used by Policy.FeasibleOrder. With
+	// Policy.TenantShares tenantOverloads has the tenants that are overloaded by themselves.
+	responseTimes   responseTimes
+	overloads       map[int]overload
+	tenantOverloads map[tenantPriority]overload
+	overloadsAt     structs.Instant
 	// oldestFirst keeps the oldest of equal requests first under overload, for comparisons in tests.
 	oldestFirst bool
 }
@@ -278,7 +281,7 @@
 // Submit queues the request. It is decided by Decide. It sorts request.Doubted.
 func (s *Scheduler) Submit(now structs.Instant, request Request) {
 	pool := s.pool(request.Service)
-	queued := &queuedRequest{Request: request, submittedAt: now, lengths: pool.lengthsOf(request.Route)}
+	queued := &queuedRequest{Request: request, submittedAt: now, lengths: pool.lengthsOf(request.Route), tenant: hashOf(request.Tenant)}
 	queued.band = queued.lengths.record(request.AnswerTokens)
 	queued.suspects = s.shareSuspects(&queued.Request)
 	s.queued[request.ID] = queued
--- a/coordination/admission/feasible.go
+++ b/coordination/admission/feasible.go
@@ -94,37 +94,36 @@
 	return e.fixed + time.Duration(promptTokens)*e.perToken
 }
 
-// overload is the state of one priority of a service.
+// overload is the state of one priority of a service, or of a tenant in it.
 type overload struct {
 	// since is when requests began to wait too long.
 	since structs.Instant
-	// isLasting is true if the priority is overloaded.
+	// isLasting is true if the priority or tenant is overloaded.
 	isLasting bool
 }
 
+// tenantPriority is a tenant in one priority.
+type tenantPriority struct {
+	tenant   tenantHash
+	priority int
+}
+
 // updateOverload determines the overloaded priorities by the requests that stayed queued after a round of
-// decisions, which are sorted by priority.
+// decisions, which are sorted by priority. With tenant shares, tenants that are overloaded by themselves do not count: the
+// others would otherwise be refused for their excess.
 func (p *servicePool) updateOverload(now structs.Instant, snapshot *poolSnapshot) {
+	p.updateTenantOverloads(now, snapshot)
 	var updated map[int]overload
 	var lasting *queuedRequest
 	for _, request := range p.queue {
-		share := overloadEnterShare
-		if request.isOverloaded {
-			share = overloadLeaveShare
-		}
-		// A request that waits while slots are free waits for a suitable replica. One with little or no
-		// time left does not tell how long the others wait.
-		if request.Target <= 0 || len(request.Tried) > 0 || now-request.submittedAt <= shareOf(request.Target, share) || !snapshot.isFullFor(&request.Request) {
+		if !request.waitsTooLong(now, snapshot) || p.tenantOverloads[request.tenantPriority()].isLasting {
 			continue
 		}
 		if lasting != nil && lasting.Priority == request.Priority {
 			continue
 		}
 		state, wasAbove := p.overloads[request.Priority]
-		if !wasAbove {
-			state.since = now
-		}
-		state.isLasting = state.isLasting || now-state.since >= shareOf(request.Target, overloadEnterTime)
+		state = state.continued(now, wasAbove, request.Target)
 		if state.isLasting {
 			lasting = request
 		}
@@ -136,6 +135,50 @@
 	p.overloads, p.overloadsAt = updated, now
 }
 
+// updateTenantOverloads determines the tenants that are overloaded by themselves: those of which several requests wait too
+// long, not one as of each of many tenants that are too many together. There are none without tenant shares.
+func (p *servicePool) updateTenantOverloads(now structs.Instant, snapshot *poolSnapshot) {
+	var waiting map[tenantPriority]int
+	var updated map[tenantPriority]overload
+	for _, request := range p.queue {
+		if request.share.account == nil || !request.waitsTooLong(now, snapshot) {
+			continue
+		}
+		if waiting == nil {
+			waiting, updated = map[tenantPriority]int{}, map[tenantPriority]overload{}
+		}
+		key := request.tenantPriority()
+		if waiting[key]++; waiting[key] == 2 {
+			state, wasAbove := p.tenantOverloads[key]
+			updated[key] = state.continued(now, wasAbove, request.Target)
+		}
+	}
+	p.tenantOverloads = updated
+}
+
+func (r *queuedRequest) tenantPriority() tenantPriority { return tenantPriority{r.tenant, r.Priority} }
+
+// waitsTooLong reports whether the queued request waits for so long that it counts for an overload. A request that waits
+// while slots are free waits for a suitable replica. One with little or no time left does not tell how long the others
+// wait.
+func (r *queuedRequest) waitsTooLong(now structs.Instant, snapshot *poolSnapshot) bool {
+	share := overloadEnterShare
+	if r.isOverloaded {
+		share = overloadLeaveShare
+	}
+	return r.Target > 0 && len(r.Tried) == 0 && now-r.submittedAt > shareOf(r.Target, share) && snapshot.isFullFor(&r.Request)
+}
+
+// continued returns the state after a round in which a request with the target waits too long. wasAbove is true if one did
+// in the round before.
+func (o overload) continued(now structs.Instant, wasAbove bool, target time.Duration) overload {
+	if !wasAbove {
+		o.since = now
+	}
+	o.isLasting = o.isLasting || now-o.since >= shareOf(target, overloadEnterTime)
+	return o
+}
+
 func shareOf(target time.Duration, share float64) time.Duration {
 	return time.Duration(float64(target) * share)
 }
@@ -152,18 +195,18 @@
 // then those confined to a part of the replicas, as others can go elsewhere, then those in time before late ones,
 // then callers that returned when told before others. Requests in time are ordered by the length of their
 // responses, shortest first, but those of an underserved length band before all others. Among equals the
-// newest goes first if the priority is overloaded, as the oldest would then be served just too late.
+// newest goes first if they are overloaded, as the oldest would then be served just too late, after those that are not.
 // Otherwise, and among late ones, the one whose target ends first goes first.
 func (p *servicePool) sortFeasible(now structs.Instant) {
 	if now-p.overloadsAt > overloadRetention {
-		p.overloads = nil
+		p.overloads, p.tenantOverloads = nil, nil
 	}
 	estimate := p.responseTimes.safeEstimate()
 	for _, request := range p.queue {
 		request.sortLength = request.effectiveLength(minFeasibleServedRatio)
 		request.responseTime = estimate.of(request.PromptTokens)
 		request.late = now+request.responseTime > request.submittedAt+request.Target
-		request.isOverloaded = p.overloads[request.Priority].isLasting
+		request.isOverloaded = p.overloads[request.Priority].isLasting || p.tenantOverloads[request.tenantPriority()].isLasting
 	}
 	slices.SortStableFunc(p.queue, func(a, b *queuedRequest) int {
 		if a.Held != b.Held {
@@ -184,6 +227,9 @@
 		if !a.late && a.sortLength != b.sortLength {
 			return cmp.Compare(a.sortLength, b.sortLength)
 		}
+		if !a.late && a.isOverloaded != b.isOverloaded {
+			return trueFirst(b.isOverloaded)
+		}
 		if !a.late && a.isOverloaded && !p.oldestFirst {
 			return cmp.Compare(b.submittedAt, a.submittedAt)
 		}
--- a/coordination/admission/shares.go
+++ b/coordination/admission/shares.go
@@ -29,6 +29,8 @@
 // sent for accounting.
 type tenantHash = uint64
 
+func hashOf(tenant string) tenantHash { return xxhash.Sum64String(tenant) }
+
 type (
 	shareLedger  = fairshare.Ledger[tenantHash]
 	shareAccount = fairshare.Account[tenantHash]
@@ -91,7 +93,7 @@
 			request := queue[end]
 			if request.share.account == nil {
 				weight, _ := request.CheckedWeight()
-				request.share = share{account: ledger.Enqueue(xxhash.Sum64String(request.Tenant)), weight: weight}
+				request.share = share{account: ledger.Enqueue(hashOf(request.Tenant)), weight: weight}
 			}
 			request.share.work = work.expected(&request.Request).Seconds()
 			request.startTag = request.share.account.NextTag(request.share.work / request.share.weight)
--- a/coordination/admission/shares_test.go
+++ b/coordination/admission/shares_test.go
@@ -496,3 +496,56 @@
 		g.Expect(s.pool("s").ledgers).To(gomega.BeNil())
 	}
 }
+
+// Guards against a tenant below its share that is refused early, as if the service were overloaded for it, because another
+// tenant's requests wait for long. That one is still refused early, and so are many tenants of one request each whose sum is
+// too much.
+func TestOverloadOfOneTenantIsNotThatOfOthers(t *testing.T) {
+	const target = 600 * ms
+	for name, test := range map[string]struct {
+		waitingTenant func(i int) string
+		expected      Reason
+	}{
+		"one tenant sends too much":           {func(int) string { return "surge" }, ReasonNone},
+		"two tenants send too much":           {func(i int) string { return fmt.Sprint("surge", i%2) }, ReasonNone},
+		"many tenants send too much together": {func(i int) string { return fmt.Sprint("surge", i) }, ReasonBacklog},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			s := New()
+			s.SetPolicy(Policy{TenantShares: true, FeasibleOrder: true})
+			s.SetReplicas(0, replicasWithSlots(4))
+			count := 0
+			submit := func(now structs.Instant, tenant string) string {
+				count++
+				id := fmt.Sprint(tenant, "-", count)
+				s.Submit(now, Request{ID: id, Node: "n", Service: "s", Tenant: tenant, Weight: 1, Target: target, Deadline: 3 * time.Second, Patience: 1500 * ms})
+				return id
+			}
+			for range 4 {
+				submit(0, "surge")
+			}
+			g.Expect(s.Decide(0)).To(gomega.HaveLen(4))
+			s.pool("s").meanDuration = 40 * ms
+			now, refused := structs.Instant(0), 0
+			for i := range 60 {
+				now += 50 * ms
+				submit(now, test.waitingTenant(2*i))
+				submit(now, test.waitingTenant(2*i+1))
+				refused += len(s.Decide(now))
+			}
+			g.Expect(refused).To(gomega.BeNumerically(">", 60), "requests of the surge that are refused early")
+			submit(now, "office")
+			second := submit(now, "office")
+			decided := reasons(s.Decide(now))
+			for range 2 {
+				now += 70 * ms
+				submit(now, test.waitingTenant(count))
+				for id, reason := range reasons(s.Decide(now)) {
+					decided[id] = reason
+				}
+			}
+			g.Expect(decided[second]).To(gomega.Equal(test.expected), "it would start within a third of its target")
+		})
+	}
+}
