entry: isolated nodes of a large fleet ask for forwarders where the replicas are

What was seen: TestZoneWithoutPathsIsServedThroughManyNodesOfALargeFleet/reset once had 47 forwarded connections at one node where 46.5, a quarter of all, are allowed (load 40). Callers of the cut zone are served through few nodes, and those are the delegates, which have most to do.

Cause: a node that has lost its paths knows the delegates of other zones, and asks two random peers each second for more forwarders. Only peers in the zone of the replicas know other nodes there, which are preferred; the others name delegates that it knows already. Asked at random, they seldom bring a name, and the four delegates of the zone forward nearly all: in three traced plays 138, 132 and 126 of 171 to 173 connections, 31 to 35 each. The quarter of the check is near a fifth by chance: in 28 plays the most loaded node had 30 to 46 connections, of 158 to 194.

Change: the peers in the zones of replicas are asked first.

Tests: the check of a quarter stays. A unit test has the order of the peers.

--- a/entry/forwarding.go
+++ b/entry/forwarding.go
@@ -227,14 +227,9 @@
 	isDue := n.isLarge && n.paths.IsIsolated() && now-n.namedForwarders.at >= forwardersInterval
 	var asked []string
 	if isDue {
-		for _, member := range n.members.Live(now) {
-			if member.ForwardCapacity > 0 || member.Isolated {
-				asked = append(asked, member.Address)
-			}
-		}
+		asked = n.referrers(now)
 	}
 	n.mutex.Unlock()
-	rand.Shuffle(len(asked), func(i, j int) { asked[i], asked[j] = asked[j], asked[i] })
 	var named []reachability.Forwarder
 	for _, address := range asked[:min(len(asked), maxReferrers)] {
 		ctx, cancel := context.WithTimeout(n.ctx, forwardTimeout)
@@ -252,6 +247,29 @@
 	n.mutex.Unlock()
 }
 
+// referrers returns the addresses of the peers to ask for forwarders, in random order, but those in the zones of replicas
+// first: they know the other nodes there, which are preferred as forwarders, while others know only the delegates that this
+// node knows as well. The caller holds the mutex.
+func (n *Node) referrers(now structs.Instant) []string {
+	isNear := map[string]bool{}
+	for _, replica := range n.table.All() {
+		isNear[replica.Zone] = true
+	}
+	var near, others []string
+	for _, member := range n.members.Live(now) {
+		switch {
+		case member.ForwardCapacity > 0 && isNear[member.Zone]:
+			near = append(near, member.Address)
+		case member.ForwardCapacity > 0 || member.Isolated:
+			others = append(others, member.Address)
+		}
+	}
+	for _, group := range [][]string{near, others} {
+		rand.Shuffle(len(group), func(i, j int) { group[i], group[j] = group[j], group[i] })
+	}
+	return append(near, others...)
+}
+
 // openThroughPeer opens a connection to the replica that a peer forwards, and returns the peer's name. Its
 // error is a *forwardError of the last peer that was asked, or errNoForwarder.
 func (n *Node) openThroughPeer(ctx context.Context, replica replicas.Replica) (net.Conn, string, error) {
--- a/entry/forwarding_test.go
+++ b/entry/forwarding_test.go
@@ -42,6 +42,24 @@
 	g.Expect(n.forwarders(n.now())).To(gomega.HaveLen(1))
 }
 
+// Guards against an isolated node of a large fleet that asks peers for forwarders which know only those that it knows too.
+func TestPeersInTheZonesOfReplicasAreAskedForForwardersFirst(t *testing.T) {
+	g := gomega.NewWithT(t)
+	n := newForwardingNode(replicas.Replica{ID: "r", Zone: "west"})
+	for name, member := range map[string]liveness.Heartbeat{
+		"south": {Zone: "south", ForwardCapacity: 1}, "west1": {Zone: "west", ForwardCapacity: 1}, "west2": {Zone: "west", ForwardCapacity: 1},
+		"full": {Zone: "west"}, "isolated": {Zone: "east", Isolated: true}, "other": {Zone: "east"},
+	} {
+		member.Name, member.Address, member.IntervalMS = name, name, 100
+		n.members.Observe(n.now(), member)
+	}
+	for range 20 {
+		asked := n.referrers(n.now())
+		g.Expect(asked).To(gomega.ConsistOf("south", "west1", "west2", "isolated"))
+		g.Expect(asked[:2]).To(gomega.ConsistOf("west1", "west2"))
+	}
+}
+
 // Guards against a node that opens connections for peers to addresses that are no replica's, to replicas that
 // must get no requests, or while it can't serve them itself.
 func TestOnlyConnectionsToUsableReplicasAreForwarded(t *testing.T) {
--- a/test/entry/forwarding_large_test.go
+++ b/test/entry/forwarding_large_test.go
@@ -13,9 +13,13 @@
 )
 
 // Guards against a zone of a large fleet that has lost its paths to all replicas and is not served, because
-// its nodes know few others, and against one node that forwards the connections of all.
+// its nodes know few others, and against one node, or the delegates only, that forward the connections of all.
 func TestZoneWithoutPathsIsServedThroughManyNodesOfALargeFleet(t *testing.T) {
-	const rate = 200
+	const (
+		rate = 200
+		// maxDelegatesShare is the largest part of the connections that delegates may forward.
+		maxDelegatesShare = 0.6
+	)
 	for _, cut := range []memnet.PathCut{memnet.CutSilent, memnet.CutReset} {
 		t.Run(cut.String(), func(t *testing.T) {
 			runLargeFleet(t, largeNodes, func(s *relayScenario) {
@@ -53,15 +57,20 @@
 				s.fabric.CutPaths(cutNodes, replicaHosts, cut)
 				load(cutGraceTime)
 				tries := load(5 * time.Second)
-				total, most, forwarders := int64(0), int64(0), 0
+				total, most, byDelegates, forwarders := int64(0), int64(0), int64(0), 0
 				for _, node := range s.nodes {
-					if forwarding := s.deployment.Node(node).Status().Forwarding; forwarding > 0 {
-						total, most, forwarders = total+forwarding, max(most, forwarding), forwarders+1
+					status := s.deployment.Node(node).Status()
+					if status.Forwarding > 0 {
+						total, most, forwarders = total+status.Forwarding, max(most, status.Forwarding), forwarders+1
+					}
+					if !status.NonDelegate {
+						byDelegates += status.Forwarding
 					}
 				}
-				t.Logf("served %d of %d; %d nodes forward %d connections, one of them %d", tries.served, tries.sent, forwarders, total, most)
+				t.Logf("served %d of %d; %d nodes forward %d connections, one of them %d, delegates %d", tries.served, tries.sent, forwarders, total, most, byDelegates)
 				s.Expect(tries.sent - tries.served).To(gomega.BeNumerically("<=", tries.mayFail()))
 				s.Expect(float64(most)).To(gomega.BeNumerically("<=", float64(total)/4))
+				s.Expect(float64(byDelegates)).To(gomega.BeNumerically("<=", maxDelegatesShare*float64(total)))
 			})
 		})
 	}
