--- a/entry/replica_churn_test.go
+++ b/entry/replica_churn_test.go
@@ -113,6 +113,15 @@
 			_, _ = n.dialReplica(t.Context(), replica, time.Second)
 			n.recordConnect(replica, nil, time.Millisecond)
 		}, true},
+		"its address refuses and accepts again after its entry was written again": {func(n *Node) {
+			unstated := replica
+			unstated.ID, unstated.StartedAt = "unstated", 0
+			n.table.Put(unstated)
+			_, _ = n.dialReplica(t.Context(), unstated, time.Second)
+			unstated.Position = 8
+			n.applyReplicaLocked(unstated)
+			n.recordConnect(unstated, nil, time.Millisecond)
+		}, false},
 		"it closed an idle connection and accepts another": {func(n *Node) {
 			n.recordDoubt(incarnations.Of(replica))
 			n.recordConnect(replica, nil, time.Millisecond)
