A service churns until the store is known to list the replacements, and nodes pass on only signs of their own

Callers could see a stream go on at another version than the one that began it, once replicas of its service had been replaced and the store was away for longer than 4 s: what had been assumed before the sign counted again. And with heartbeats that take 20 ms, one sign held for 12 s at 20 nodes and 25 s at 50, as each node passed on what others had told it, younger by the way.

Cause: the 4 s are the time in which a replica replaces its entry while it reaches the store. Ages in heartbeats don't have the time under way.

Evidence: TestServiceChurnsUntilTheStoreIsReadAgain and TestSignOfChurnEndsWhereHeartbeatsTakeTime, by a reviewer.

Change: a service churns until 4 s after the latest sign and until the views of the store cover it. Heartbeats name the signs that their sender has observed. The test of heartbeats lets nodes read the store, as a sign ends only then; TestPeersTellOfReplicasThatAreReplaced states that what a peer observed is not passed on.

Result: both pass. All bounds of TestStreamsGoOnOnlyAtTheVersionThatBeganThem hold.

--- a/coordination/incarnations/tracker.go
+++ b/coordination/incarnations/tracker.go
@@ -245,6 +245,15 @@
 	t.known[incarnation] = known
 }
 
+// ListedUntil returns the instant before which no successor of a listed incarnation can have started. It is the earliest
+// one if there is none.
+func (t *Tracker) ListedUntil() structs.Instant {
+	if !t.hasCover {
+		return math.MinInt64
+	}
+	return t.coversUntil
+}
+
 // KnownUntil returns the latest instant such that connections opened by then are proven or unbroken, or if assumes is
 // true, assumed to be unbroken. It is false if there is none.
 func (t *Tracker) KnownUntil(now structs.Instant, incarnation Incarnation, isListed, assumes bool) (structs.Instant, bool) {
--- a/entry/churn_evidence_test.go
+++ b/entry/churn_evidence_test.go
@@ -46,7 +46,7 @@
 			change(&earlier)
 			n.applyReplicaLocked(earlier)
 			n.recordConnect(earlier, nil, time.Millisecond)
-			gomega.NewWithT(t).Expect(n.identities.churn.IsChurning(n.now(), "engines")).To(gomega.BeTrue())
+			gomega.NewWithT(t).Expect(n.identities.isChurning(n.now(), "engines")).To(gomega.BeTrue())
 		})
 	}
 }
@@ -85,8 +85,9 @@
 				}
 				isAny := false
 				for i, n := range nodes {
-					isAny = isAny || n.identities.churn.IsChurning(now, "engines")
+					isAny = isAny || n.identities.isChurning(now, "engines")
 					if phase := interval * time.Duration(i) / time.Duration(course.nodes); (now-phase)%interval < time.Millisecond {
+						n.identities.ObserveView(now)
 						if ages := n.churnAges(now); ages != nil {
 							underway = append(underway, message{now + course.transfer, i, ages})
 						}
@@ -203,7 +204,7 @@
 	_, err := self.serveFinish(t.Context(), &finishRequest{Doubted: doubted})
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	self.recordConnect(replica, nil, time.Millisecond)
-	g.Expect(self.identities.churn.IsChurning(self.now(), "engines")).To(gomega.BeTrue())
+	g.Expect(self.identities.isChurning(self.now(), "engines")).To(gomega.BeTrue())
 }
 
 // Guards against a doubt that is taken for a new one as the message that tells of it was sent again: the incarnation was
@@ -218,12 +219,12 @@
 	self.table.Put(replica)
 	peer.identities.Doubt(now, incarnations.Of(replica))
 	now += time.Millisecond
-	message := &finishRequest{Doubted: peer.doubtOf(replica)}
-	g.Expect(message.Doubted).NotTo(gomega.BeNil())
+	unacked := unackedFinish{message: &finishRequest{Doubted: peer.doubtOf(replica)}, since: now}
+	g.Expect(unacked.message.Doubted).NotTo(gomega.BeNil())
 	now += time.Second
 	self.identities.ConfirmByReport(now, incarnations.Of(replica))
 	now += time.Second // the message was lost and is sent again
-	_, err := self.serveFinish(t.Context(), message)
+	_, err := self.serveFinish(t.Context(), unacked.messageAt(now))
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(self.doubtAge(replica)).To(gomega.BeZero())
 }
--- a/entry/replica_churn.go
+++ b/entry/replica_churn.go
@@ -18,7 +18,12 @@
 // mayRelyOnLocked reports whether a stream may go on over a connection with the verdict to a replica of the service, or
 // have its origin recorded. What is only assumed counts unless replicas of the service are being replaced.
 func (n *Node) mayRelyOnLocked(verdict incarnations.Verdict, service string) bool {
-	return verdict.IsUnbrokenFromProof() || verdict.IsAssumed() && !n.identities.churn.IsChurning(n.now(), service)
+	return verdict.IsUnbrokenFromProof() || verdict.IsAssumed() && !n.identities.isChurning(n.now(), service)
+}
+
+// isChurning reports whether replicas of the service are being replaced, or were and the store has not been read since.
+func (i *replicaIdentities) isChurning(now structs.Instant, service string) bool {
+	return i.churn.IsChurning(now, i.ListedUntil(), service)
 }
 
 // mayRelyOn is mayRelyOnLocked for callers that do not hold the mutex.
@@ -55,11 +60,11 @@
 	n.recordDoubt(incarnations.Of(replica))
 }
 
-// churnAges returns for each service whose replicas are being replaced the milliseconds since the latest sign of it, for
-// heartbeats. The caller holds the mutex.
+// churnAges returns for each service whose replicas are being replaced the milliseconds since the latest sign of it that
+// this node has observed, for heartbeats. The caller holds the mutex.
 func (n *Node) churnAges(now structs.Instant) map[string]int64 {
 	var ages map[string]int64
-	for service, age := range n.identities.churn.Ages(now) {
+	for service, age := range n.identities.churn.OwnAges(now, n.identities.ListedUntil()) {
 		if ages == nil {
 			ages = map[string]int64{}
 		}
@@ -74,6 +79,6 @@
 // holds the mutex.
 func (n *Node) observeChurn(sentAt structs.Instant, ages map[string]int64) {
 	for service, age := range ages {
-		n.identities.churn.Observe(sentAt-time.Duration(max(age, 0))*time.Millisecond, service)
+		n.identities.churn.ObserveReported(sentAt-time.Duration(max(age, 0))*time.Millisecond, service)
 	}
 }
--- a/entry/replica_churn_test.go
+++ b/entry/replica_churn_test.go
@@ -137,7 +137,7 @@
 			n := New(&Settings{Name: "self"}, Dependencies{Network: &refusingNetwork{}, Log: log})
 			n.table.Put(replica)
 			testCase.observe(n)
-			gomega.NewWithT(t).Expect(n.identities.churn.IsChurning(n.now(), "engines")).To(gomega.Equal(testCase.isChurning))
+			gomega.NewWithT(t).Expect(n.identities.isChurning(n.now(), "engines")).To(gomega.Equal(testCase.isChurning))
 		})
 	}
 }
@@ -153,9 +153,14 @@
 	for ; now < 13*time.Second; now += time.Second {
 		started.recordFreshness(now, liveness.Heartbeat{Name: "a", ChurnAgesMS: observing.churnAges(now)})
 		observing.recordFreshness(now, liveness.Heartbeat{Name: "b", ChurnAgesMS: started.churnAges(now)})
-		g.Expect(started.churnAges(now)).To(gomega.Equal(map[string]int64{"engines": (now - 10*time.Second).Milliseconds()}))
+		g.Expect(started.identities.isChurning(now, "engines")).To(gomega.BeTrue())
+		g.Expect(observing.churnAges(now)).To(gomega.Equal(map[string]int64{"engines": (now - 10*time.Second).Milliseconds()}))
+		g.Expect(started.churnAges(now)).To(gomega.BeNil(), "what a peer observed is not passed on")
 	}
-	now = 10*time.Second + incarnations.EntryDelay
-	g.Expect(started.identities.churn.IsChurning(now, "engines")).To(gomega.BeFalse())
+	for end := now + 2*incarnations.EntryDelay; now < end; now += time.Second {
+		observing.identities.ObserveView(now)
+		started.identities.ObserveView(now)
+	}
+	g.Expect(started.identities.isChurning(now, "engines")).To(gomega.BeFalse())
 	g.Expect(observing.churnAges(now)).To(gomega.BeNil())
 }
--- a/entry/replica_identity.go
+++ b/entry/replica_identity.go
@@ -237,6 +237,6 @@
 			}
 			return doubted
 		},
-		"streams.identity_churn": func() int64 { return int64(len(n.identities.churn.Ages(n.now()))) },
+		"streams.identity_churn": func() int64 { return int64(n.identities.churn.Services(n.now(), n.identities.ListedUntil())) },
 	})
 }
--- a/entry/replica_report.go
+++ b/entry/replica_report.go
@@ -90,7 +90,7 @@
 // there is one.
 func (n *Node) knownUntilLocked(replica replicas.Replica) (structs.Instant, bool) {
 	incarnation, now := incarnations.Of(replica), n.now()
-	return n.identities.KnownUntil(now, incarnation, n.isListedLocked(incarnation), !n.identities.churn.IsChurning(now, replica.Service))
+	return n.identities.KnownUntil(now, incarnation, n.isListedLocked(incarnation), !n.identities.isChurning(now, replica.Service))
 }
 
 // unprovableReplicas returns replicas of the origin's version over a connection to which a stream can't go on now, as
