entry: a report that is cut or too long says nothing of the replica's service

Streams lost the better proof: after a report without framing that was cut, other replicas of the service were not asked any more for 30 s; after one of more than 64 kB the replica counted as ended.

Cause: an answer that does not parse counted as that of a service without reports, and any failed query as a doubt.

Change: an answer that only the end of the connection ends, and that does not parse, counts for its incarnation only; one that is too long is no doubt, as the replica answers.

--- a/entry/replica_report.go
+++ b/entry/replica_report.go
@@ -9,6 +9,7 @@
 
 	"github.com/thornwalk/thornwalk/coordination/incarnations"
 	"github.com/thornwalk/thornwalk/internal/eventlog"
+	"github.com/thornwalk/thornwalk/protocol/errkind"
 	"github.com/thornwalk/thornwalk/state/replicas"
 	"github.com/thornwalk/thornwalk/state/streamorigins"
 	"github.com/thornwalk/thornwalk/structs"
@@ -193,6 +194,14 @@
 	return n.dependencies.ParseReport != nil && n.identities.reporters.givesReports(n.now(), replica)
 }
 
+// recordUnanswered records that the incarnation gave no report, of a service whose others may.
+func (n *Node) recordUnanswered(incarnation incarnations.Incarnation) {
+	n.counter("streams.identity_reports.failed").Inc(1)
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.identities.reporters.unanswered[incarnation] = n.now()
+}
+
 // queryReport asks the process at the other end of the connection for its start, and records the answer. After an error
 // the connection is closed. A replica that gives no reports is no error.
 func (n *Node) queryReport(callerContext context.Context, conn *replicahttp.Conn, replica replicas.Replica) error {
@@ -210,15 +219,18 @@
 		return fmt.Errorf("%w: %w", errUnproven, errClosedIdle)
 	}
 	if err != nil {
-		n.counter("streams.identity_reports.failed").Inc(1)
-		n.mutex.Lock()
-		n.identities.reporters.unanswered[incarnation] = n.now()
-		n.mutex.Unlock()
-		n.recordDoubt(incarnation)
+		n.recordUnanswered(incarnation)
+		if !errors.Is(err, errkind.TooLarge) { // otherwise it lives, whoever it is
+			n.recordDoubt(incarnation)
+		}
 		return fmt.Errorf("%w: query its report: %w", errUnproven, err)
 	}
 	startedAt, err := n.dependencies.ParseReport(answer.StatusCode, answer.Body)
 	switch {
+	case err != nil && answer.StatusCode == http.StatusOK && !answer.IsOpen:
+		// The report may have been cut.
+		n.recordUnanswered(incarnation)
+		return fmt.Errorf("%w: closed within its report: %w", errUnproven, err)
 	case err != nil:
 		n.counter("streams.identity_reports.none").Inc(1)
 		n.mutex.Lock()
--- a/transport/replicahttp/query.go
+++ b/transport/replicahttp/query.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"net/http"
 
@@ -58,7 +57,7 @@
 			return nil, err
 		}
 		if int64(len(body)) > maxBody {
-			return nil, fmt.Errorf("read answer: body longer than %d bytes", maxBody)
+			return nil, errkind.New(errkind.TooLarge, "read answer: body longer than %d bytes", maxBody)
 		}
 		return &QueryAnswer{StatusCode: response.StatusCode, Header: response.Header, Body: body, IsOpen: !response.Close && c.reader.Buffered() == 0}, nil
 	}
