entry: a watch goes on while its answer arrives

Nodes took the store for lost 2 s after the wait of a watch although its answer, of up to 16 MB, was still arriving.

Cause: only complete reads counted the parts of an answer.

Change: each part gives the watch its margin again.

--- a/entry/store.go
+++ b/entry/store.go
@@ -162,7 +162,7 @@
 // read reads the store, applies the update and returns its position.
 func (n *Node) read(scope outside.Scope) (structs.StorePosition, error) {
 	timeout := n.scopeReadTimeout(scope)
-	ctx, cancel := contextWithProgress(n.ctx, timeout)
+	ctx, cancel := contextWithProgress(n.ctx, timeout, timeout)
 	defer cancel()
 	startedAt := n.now()
 	n.mutex.Lock()
@@ -193,12 +193,12 @@
 	return update.Position, nil
 }
 
-// contextWithProgress returns a context for a read of the store that ends once no part of the answer has arrived for
-// the timeout.
-func contextWithProgress(parent context.Context, timeout time.Duration) (context.Context, context.CancelFunc) {
+// contextWithProgress returns a context for a call of the store that ends once no part of the answer has arrived for
+// the timeout, or for partTimeout since another part.
+func contextWithProgress(parent context.Context, timeout, partTimeout time.Duration) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(parent)
 	timer := time.AfterFunc(timeout, func() { cancel(context.DeadlineExceeded) })
-	ctx = outside.WithReadProgress(ctx, func() { timer.Reset(timeout) })
+	ctx = outside.WithReadProgress(ctx, func() { timer.Reset(partTimeout) })
 	return ctx, func() {
 		timer.Stop()
 		cancel(nil)
@@ -270,7 +270,7 @@
 		}
 		// An update contains the whole configuration if it changed.
 		margin := max(watchMargin, transferTimeFactor*n.configurationTransferTime())
-		ctx, cancel := context.WithTimeout(n.ctx, watchDuration+margin)
+		ctx, cancel := contextWithProgress(n.ctx, watchDuration+margin, margin)
 		if !n.beginWatch(cancel) {
 			cancel()
 			return
--- a/outside/directory.go
+++ b/outside/directory.go
@@ -68,7 +68,7 @@
 // progressKey is the key of the function of WithReadProgress in a context.
 type progressKey struct{}
 
-// WithReadProgress returns a context for Directory.Read, which calls report each time that a part of the answer has
+// WithReadProgress returns a context for Directory.Read and Directory.Watch, which call report each time that a part of the answer has
 // arrived and more is to come.
 func WithReadProgress(ctx context.Context, report func()) context.Context {
 	return context.WithValue(ctx, progressKey{}, report)
