entry: a doubt that is told again has its age as of the sending

A replica that had been confirmed since counted as doubted at the scheduling node, if the news of the doubt was lost and sent again: its age was that of the first sending.

Change: the age is set at each sending.

--- a/entry/assignment.go
+++ b/entry/assignment.go
@@ -143,6 +143,7 @@
 // unackedFinish is a message about an ended request that its scheduling node has not acknowledged.
 type unackedFinish struct {
 	address string
+	// message has the age of its doubt as of since.
 	message *finishRequest
 	since   structs.Instant
 }
@@ -182,7 +183,7 @@
 // resendFinishes, up to finishRetryWindow after the request's end.
 func (n *Node) sendFinish(item unackedFinish) {
 	go func() {
-		if err := n.report(item.address, peerwire.KindFinish, item.message, &finishReply{}); err == nil {
+		if err := n.report(item.address, peerwire.KindFinish, item.messageAt(n.now()), &finishReply{}); err == nil {
 			return
 		}
 		n.mutex.Lock()
@@ -204,6 +205,17 @@
 	}
 }
 
+// messageAt returns the message with the age of its doubt as of now.
+func (u unackedFinish) messageAt(now structs.Instant) *finishRequest {
+	if u.message.Doubted == nil {
+		return u.message
+	}
+	message, doubted := *u.message, *u.message.Doubted
+	doubted.Age += now - u.since
+	message.Doubted = &doubted
+	return &message
+}
+
 // reportFirstEvent reports the start of a response to the scheduling node, in the background. It is
 // not sent again if it is lost.
 func (n *Node) reportFirstEvent(granted *grant, message *firstEventRequest) {
