admission: an overload that one tenant made up ends for the others with its own

Callers below their share could be refused after short waits for as long as another tenant sent too much, if the overload began with that tenant's first waiting request.

Cause: a priority counts as overloaded from one waiting request on and a tenant from two; once it was, waits of a twentieth of the target kept it so.

Change: once a tenant is overloaded by itself, the overload of its priority begins anew.

--- a/coordination/admission/feasible.go
+++ b/coordination/admission/feasible.go
@@ -135,6 +135,10 @@
 	p.overloads, p.overloadsAt = updated, now
 }
 
+// minOverloadRequests is the number of requests of one tenant that wait too long at once from which on the tenant counts as
+// overloaded by itself.
+const minOverloadRequests = 2
+
 // updateTenantOverloads determines the tenants that are overloaded by themselves: those of which several requests wait too
 // long, not one as of each of many tenants that are too many together. There are none without tenant shares.
 func (p *servicePool) updateTenantOverloads(now structs.Instant, snapshot *poolSnapshot) {
@@ -148,9 +152,13 @@
 			waiting, updated = map[tenantPriority]int{}, map[tenantPriority]overload{}
 		}
 		key := request.tenantPriority()
-		if waiting[key]++; waiting[key] == 2 {
+		if waiting[key]++; waiting[key] == minOverloadRequests {
 			state, wasAbove := p.tenantOverloads[key]
 			updated[key] = state.continued(now, wasAbove, request.Target)
+			if updated[key].isLasting && !state.isLasting {
+				// Its requests made up the overload of the priority, or a part of it: the others have to show theirs.
+				delete(p.overloads, key.priority)
+			}
 		}
 	}
 	p.tenantOverloads = updated
