state/replicas: without a start, the version tells incarnations apart everywhere

A replica that states no start and was replaced while it drained stayed draining in its new version: nothing was sent to it.

Cause: the incarnations of package incarnations have the version then, those of state/replicas had not.

Result: TestReplicaOfAnotherVersionIsNotLeavingAsItsFormerOneDid failed before and passes.

--- a/state/replicas/replicas.go
+++ b/state/replicas/replicas.go
@@ -37,10 +37,10 @@
 	Warmup time.Duration `msgpack:"w,omitempty" json:"warmup,omitempty"`
 }
 
-// IsSameIncarnation reports whether both are the same incarnation of the server. Incarnations are not
-// ordered: the server's clock may be set back between two starts.
+// IsSameIncarnation reports whether both are the same incarnation of the server. Without a start, the version tells
+// incarnations apart. Incarnations are not ordered: the server's clock may be set back between two starts.
 func (r *Replica) IsSameIncarnation(other Replica) bool {
-	return r.ID == other.ID && r.StartedAt == other.StartedAt
+	return r.ID == other.ID && r.StartedAt == other.StartedAt && (r.StartedAt != 0 || r.Version == other.Version)
 }
 
 // tombstone records the removal of a replica, so that older updates do not add it again.
