--- a/entry/updates.go
+++ b/entry/updates.go
@@ -92,7 +92,7 @@
 	if !n.table.Put(replica) {
 		return
 	}
-	delete(n.identities.refused, incarnations.Of(replica)) // it has started again, or refused for another reason
+	delete(n.identities.refused, incarnations.Of(replica)) // it lives, and refused for another reason
 	isNewIncarnation := found && incarnations.Of(known) != incarnations.Of(replica)
 	if isNewIncarnation {
 		n.identities.churn.Observe(n.now(), replica.Service)
