lab/soak: one way to start a replica's process and to draw a disturbance

The soak of replacements had copies of those of the soak of silence: the start of a process that runs ReplicaCommand, the kinds of other faults, and the faults of nodes and paths beside a series. Both use one now; only the changes of the configuration differ. TestProcessesSurviveOddEntries is no longer left out with -short, as no other test of processes is.

--- a/lab/soak/held_replica.go
+++ b/lab/soak/held_replica.go
@@ -97,10 +97,8 @@
 
 // heldReplica is a replica in a process of its own, which can be stopped and continued.
 type heldReplica struct {
+	*replicaProcess
 	options replicaOptions
-	command *exec.Cmd
-	input   io.WriteCloser
-	output  *json.Decoder
 
 	mutex sync.Mutex
 	// activeHolds is the number of holds in effect, heldSince the start of the first of them.
@@ -114,8 +112,15 @@
 	failure  error
 }
 
-// startHeldReplica starts the process and waits until it listens.
-func startHeldReplica(program string, options replicaOptions) (*heldReplica, error) {
+// replicaProcess is a process that runs ReplicaCommand.
+type replicaProcess struct {
+	command *exec.Cmd
+	input   io.WriteCloser
+	output  *json.Decoder
+}
+
+// startReplicaProcess starts the process, which awaits its options.
+func startReplicaProcess(program string) (*replicaProcess, error) {
 	command := exec.Command(program, ReplicaCommand)
 	command.Stderr = os.Stderr
 	// In a group of its own, the kernel sends SIGHUP and SIGCONT to a stopped process whose parent has died.
@@ -129,16 +134,26 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := command.Start(); err != nil {
-		return nil, err
+	return &replicaProcess{command: command, input: input, output: json.NewDecoder(output)}, command.Start()
+}
+
+// listen has the process listen with the options, and waits until it does.
+func (p *replicaProcess) listen(options replicaOptions) error {
+	if err := json.NewEncoder(p.input).Encode(options); err != nil {
+		return err
 	}
-	h := &heldReplica{options: options, command: command, input: input, output: json.NewDecoder(output)}
-	if err := json.NewEncoder(input).Encode(options); err != nil {
-		h.collect()
+	var listening replicaOptions
+	return p.output.Decode(&listening)
+}
+
+// startHeldReplica starts the process and waits until it listens.
+func startHeldReplica(program string, options replicaOptions) (*heldReplica, error) {
+	process, err := startReplicaProcess(program)
+	if err != nil {
 		return nil, err
 	}
-	var listening replicaOptions
-	if err := h.output.Decode(&listening); err != nil {
+	h := &heldReplica{replicaProcess: process, options: options}
+	if err := h.listen(options); err != nil {
 		h.collect()
 		return nil, fmt.Errorf("start replica %s: %w", options.ID, err)
 	}
--- a/lab/soak/odd_entries_test.go
+++ b/lab/soak/odd_entries_test.go
@@ -60,9 +60,6 @@
 // Guards against nodes that end, exceed their memory, or stop following the store, as another writer left odd entries in
 // it: beside many replicas, at the start of the nodes, in a watch, and in the complete read of a node that starts later.
 func TestProcessesSurviveOddEntries(t *testing.T) {
-	if testing.Short() {
-		t.Skip("starts processes")
-	}
 	g := gomega.NewWithT(t)
 	daemon := filepath.Join(t.TempDir(), "thornwalkd")
 	output, err := exec.Command("go", "build", "-o", daemon, "github.com/thornwalk/thornwalk/cmd/thornwalkd").CombinedOutput()
--- a/lab/soak/reincarnated_replica.go
+++ b/lab/soak/reincarnated_replica.go
@@ -1,14 +1,9 @@
 package soak
 
 import (
-	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
-	"os"
-	"os/exec"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/thornwalk/thornwalk/lab/platformsim"
@@ -19,10 +14,9 @@
 
 // incarnation is one process of a replica, from its start to its end.
 type incarnation struct {
+	*replicaProcess
 	options     replicaOptions
 	statesStart bool
-	command     *exec.Cmd
-	input       io.WriteCloser
 
 	// mutex guards what follows. endedAt is when the process was told to end, zero before; listedAt is when it wrote its
 	// entry, zero before.
@@ -39,30 +33,15 @@
 
 // startIncarnation starts the process and waits until it listens.
 func startIncarnation(program string, options replicaOptions, statesStart bool) (*incarnation, error) {
-	command := exec.Command(program, ReplicaCommand)
-	command.Stderr = os.Stderr
-	command.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
-	command.Env = append(os.Environ(), "GOMAXPROCS=1")
-	input, err := command.StdinPipe()
+	startedAt := time.Now()
+	options.StartedAt = startedAt.UnixMilli()
+	process, err := startReplicaProcess(program)
 	if err != nil {
 		return nil, err
 	}
-	output, err := command.StdoutPipe()
-	if err != nil {
-		return nil, err
-	}
-	options.StartedAt = time.Now().UnixMilli()
-	started := &incarnation{options: options, statesStart: statesStart, command: command, input: input, startedAt: time.Now(), gone: make(chan struct{})}
-	if err := command.Start(); err != nil {
-		return nil, err
-	}
-	decoder := json.NewDecoder(output)
-	var listening replicaOptions
-	err = json.NewEncoder(input).Encode(options)
-	if err == nil {
-		err = decoder.Decode(&listening)
-	}
-	go started.readRuns(decoder)
+	started := &incarnation{replicaProcess: process, options: options, statesStart: statesStart, startedAt: startedAt, gone: make(chan struct{})}
+	err = started.listen(options)
+	go started.readRuns()
 	if err != nil {
 		started.end(false)
 		return nil, fmt.Errorf("start %s: %w", options.Incarnation, err)
@@ -71,10 +50,10 @@
 }
 
 // readRuns records the runs until the process is gone.
-func (p *incarnation) readRuns(decoder *json.Decoder) {
+func (p *incarnation) readRuns() {
 	defer close(p.gone)
 	var run replicaRun
-	for decoder.Decode(&run) == nil { // a killed process may leave a part of a run
+	for p.output.Decode(&run) == nil { // a killed process may leave a part of a run
 		p.mutex.Lock()
 		p.runs = append(p.runs, run)
 		p.mutex.Unlock()
--- a/lab/soak/replaced.go
+++ b/lab/soak/replaced.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/thornwalk/thornwalk/lab/entrylab"
-	"github.com/thornwalk/thornwalk/lab/pathfault"
 )
 
 // With Options.Replaced a further service has replicas that are processes of their own, of two software versions. They
@@ -208,38 +207,13 @@
 }
 
 func (p *replacedPlan) drawDisturbance(random *rand.Rand, offset time.Duration) fault {
-	drawn := fault{offset: offset, target: random.IntN(nodeCount), onScheduler: random.Float64() < targetsSchedulerShare}
-	switch random.IntN(8) {
-	case 0:
-		drawn.kind = kindChange
-	case 1:
-		drawn.kind = kindGrow
-	case 2:
-		drawn.kind = kindHangUp
-	case 3:
-		drawn.kind = kindStop
-	case 4:
-		drawn.kind = kindKill
-	case 5:
-		drawn.kind, drawn.duration = kindFreeze, nodeSuspension
-	default:
-		drawn.kind, drawn.duration = kindPathCut, between(random, minReplacedDelay, maxReplacedDelay)
-		drawn.nodes, drawn.mode = []int{drawn.target}, pathfault.Modes[random.IntN(len(pathfault.Modes))]
-		if drawn.mode == pathfault.Reset {
-			drawn.duration = heldResetTime
-		}
-		drawn.replicas = random.Perm(len(p.versions))[:len(p.versions)/2]
-	}
-	return drawn
+	return drawDisturbance(random, offset, len(p.versions), minReplacedDelay, maxReplacedDelay, func(drawn *fault, choice int) {
+		drawn.kind = []kind{kindChange, kindGrow}[choice]
+	})
 }
 
 // kinds returns the kinds of the other faults.
-func (p replacedPlan) kinds() []kind {
-	if p.hasNodeFaults {
-		return kinds
-	}
-	return slices.DeleteFunc(slices.Clone(kinds), kind.delaysReads)
-}
+func (p replacedPlan) kinds() []kind { return kindsWith(p.hasNodeFaults) }
 
 // processes returns the number of processes of the run.
 func (p replacedPlan) processes() int { return len(p.versions) + nodeCount }
--- a/lab/soak/silence.go
+++ b/lab/soak/silence.go
@@ -173,13 +173,21 @@
 }
 
 func (p *silencePlan) drawDisturbance(random *rand.Rand, offset time.Duration) fault {
-	drawn := fault{offset: offset, target: random.IntN(nodeCount), onScheduler: random.Float64() < targetsSchedulerShare}
-	switch random.IntN(8) {
-	case 0, 1:
+	return drawDisturbance(random, offset, p.engines+p.plain, minHeldCut, maxHeldCut, func(drawn *fault, _ int) {
 		drawn.kind = kindReconfigure
 		for range minChanges + random.IntN(maxChanges-minChanges+1) {
 			drawn.changes = append(drawn.changes, changes[random.IntN(len(changes))])
 		}
+	})
+}
+
+// drawDisturbance draws a fault of a node, or of the paths of a node to half of the replicas, or a change of the
+// configuration, which drawChange draws by a choice of 0 or 1.
+func drawDisturbance(random *rand.Rand, offset time.Duration, replicas int, minCut, maxCut time.Duration, drawChange func(drawn *fault, choice int)) fault {
+	drawn := fault{offset: offset, target: random.IntN(nodeCount), onScheduler: random.Float64() < targetsSchedulerShare}
+	switch choice := random.IntN(8); choice {
+	case 0, 1:
+		drawChange(&drawn, choice)
 	case 2:
 		drawn.kind = kindHangUp
 	case 3:
@@ -189,20 +197,22 @@
 	case 5:
 		drawn.kind, drawn.duration = kindFreeze, nodeSuspension
 	default:
-		drawn.kind, drawn.duration = kindPathCut, between(random, minHeldCut, maxHeldCut)
+		drawn.kind, drawn.duration = kindPathCut, between(random, minCut, maxCut)
 		drawn.nodes, drawn.mode = []int{drawn.target}, pathfault.Modes[random.IntN(len(pathfault.Modes))]
 		if drawn.mode == pathfault.Reset {
 			drawn.duration = heldResetTime
 		}
-		all := p.engines + p.plain
-		drawn.replicas = random.Perm(all)[:all/2]
+		drawn.replicas = random.Perm(replicas)[:replicas/2]
 	}
 	return drawn
 }
 
 // kinds returns the kinds of the other faults.
-func (p *silencePlan) kinds() []kind {
-	if p.hasNodeFaults {
+func (p *silencePlan) kinds() []kind { return kindsWith(p.hasNodeFaults) }
+
+// kindsWith returns all kinds, or without those of nodes and of the store.
+func kindsWith(hasNodeFaults bool) []kind {
+	if hasNodeFaults {
 		return kinds
 	}
 	return slices.DeleteFunc(slices.Clone(kinds), kind.delaysReads)
