entry: sort the known replicas once for a resumed stream without a name

For each stream that is resumed without naming its first request, the node copied and sorted all known replicas twice, under its mutex, to look at those of one service. Once serves both questions, with groupByService as elsewhere. Nothing else changes; the tests of entry pass.

--- a/entry/replica_identity.go
+++ b/entry/replica_identity.go
@@ -178,21 +178,16 @@
 	n.reportIdentity(identityDoubted, incarnation, eventlog.Event{})
 }
 
-// isAnyDoubtedLocked reports whether a replica of the service may have ended.
-func (n *Node) isAnyDoubtedLocked(service string) bool {
-	return slices.ContainsFunc(n.table.All(), func(replica replicas.Replica) bool {
-		return replica.Service == service && n.doubtAgeLocked(replica) > 0
-	})
+// isAnyDoubtedLocked reports whether one of the replicas may have ended.
+func (n *Node) isAnyDoubtedLocked(pool []replicas.Replica) bool {
+	return slices.ContainsFunc(pool, func(replica replicas.Replica) bool { return n.doubtAgeLocked(replica) > 0 })
 }
 
-// ranUntilLocked returns the latest instant until which all known replicas of the service are known to have run. It is false
-// if there is none.
-func (n *Node) ranUntilLocked(service string) (structs.Instant, bool) {
+// ranUntilLocked returns the latest instant until which all of the replicas are known to have run. It is false if there is
+// none.
+func (n *Node) ranUntilLocked(pool []replicas.Replica) (structs.Instant, bool) {
 	earliest := structs.Instant(math.MaxInt64)
-	for _, replica := range n.table.All() {
-		if replica.Service != service {
-			continue
-		}
+	for _, replica := range pool {
 		incarnation := incarnations.Of(replica)
 		until, isKnown := n.identities.RanUntil(incarnation, n.isListedLocked(incarnation))
 		if !isKnown {
--- a/entry/stream_origin.go
+++ b/entry/stream_origin.go
@@ -129,8 +129,9 @@
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	n.confirmVersionHistoryLocked()
-	n.versionHistory.SetDoubted(service, n.isAnyDoubtedLocked(service))
-	until, isKnown := n.ranUntilLocked(service)
+	pool := groupByService(n.table.All())[service]
+	n.versionHistory.SetDoubted(service, n.isAnyDoubtedLocked(pool))
+	until, isKnown := n.ranUntilLocked(pool)
 	n.versionHistory.SetRanUntil(service, until, isKnown)
 	window := streamLifetimeTimeouts * c.route.Timeout
 	if window <= 0 {
