entry: lines tell which events each send brought, and count continuations that can't be checked

Cause of the change: the line of a send had the replica and the proof of its version, but not the events, so that a missing or repeated piece, a stream of two versions and an early end could not be told apart afterwards; and a continuation before which nothing shows whether an event is missing left no trace. Change: from_event and to_event in request.sent, the counter streams.continuation_unchecked.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -106,6 +106,7 @@
 func (c *call) resetSendState() {
 	c.lastFailure, c.failureDetail, c.lackedRoom, c.forwarder = causeNone, "", false, ""
 	c.identity = incarnations.Verdict{}
+	c.fromEvent, c.toEvent = "", ""
 }
 
 // startSend sends the request to the granted replica and waits for the head of its answer. If there is none, it returns
--- a/entry/event_order.go
+++ b/entry/event_order.go
@@ -56,3 +56,11 @@
 	r.count++
 	return nil
 }
+
+// isUncheckedContinuation reports whether the event begins a continuation of which nothing shows whether an event is
+// missing before it: the IDs so far are too few, not consecutive or no numbers.
+func (r *relayedIDs) isUncheckedContinuation(id string) bool {
+	number, isNumber := numericEventID(id)
+	isFollowing := isNumber && number == r.last+1 && !r.isIrregular
+	return r.isNewAnswer && r.count > 0 && !isFollowing && (!isNumber || r.isIrregular || r.count < minConsecutiveIDs)
+}
--- a/entry/request_log.go
+++ b/entry/request_log.go
@@ -96,6 +96,7 @@
 		event.LastEvent = c.lastEventID
 		c.node.counter("streams.continued").Inc(1)
 	}
+	event.FromEvent, event.ToEvent = c.fromEvent, c.toEvent
 	event.Revision, event.Era = granted.Replica.Position.Revision(), granted.Replica.Position.Era()
 	event.StartedAt, event.Identity, event.IdentityAgeMS = granted.Replica.StartedAt, string(c.identity.Proof), c.identity.Age.Milliseconds()
 	event.Count, event.Reason, event.Forwarder = c.sends, string(c.lastFailure), c.forwarder
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -177,10 +177,16 @@
 			continue
 		}
 		if id != "" {
+			if c.relayedIDs.isUncheckedContinuation(id) {
+				c.node.counter("streams.continuation_unchecked").Inc(1)
+			}
 			if err := c.relayedIDs.next(id); err != nil {
 				return fresh, err
 			}
-			c.lastEventID = id
+			c.lastEventID, c.toEvent = id, id
+			if c.fromEvent == "" {
+				c.fromEvent = id
+			}
 		}
 		fresh = append(fresh, event...)
 	}
--- a/entry/stream_origin.go
+++ b/entry/stream_origin.go
@@ -44,8 +44,10 @@
 	unresolved unresolvedOrigin
 	// lastEventAt is when the caller was last sent an event; zero if it was sent none.
 	lastEventAt structs.Instant
-	// relayedIDs are the IDs of the events that the caller has.
-	relayedIDs relayedIDs
+	// relayedIDs are the IDs of the events that the caller has, fromEvent and toEvent those of the first and the last one
+	// that the current send brought.
+	relayedIDs         relayedIDs
+	fromEvent, toEvent string
 }
 
 // streamOriginsReport has the origins of streams, for a node that keeps them.
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -45,7 +45,10 @@
 	// request that began it, and the ID of the last event that the caller has.
 	ResumedRequest string `json:"resumes,omitempty"`
 	LastEvent      string `json:"last_event,omitempty"`
-	Peer           string `json:"peer,omitempty"`
+	// FromEvent and ToEvent are the IDs of the first and the last event that the caller got by one send.
+	FromEvent string `json:"from_event,omitempty"`
+	ToEvent   string `json:"to_event,omitempty"`
+	Peer      string `json:"peer,omitempty"`
 	// Forwarder is the node that forwarded the connection of a send, if that was not direct.
 	Forwarder string `json:"forwarder,omitempty"`
 	// Outcome is answered, not-run or unknown for requests, and the new state for other events.
