entry: a stream without a record does not go on under another configuration than it may have begun under

Cause: without a record, a stream was bound to the service to which its route leads now, and to the versions that this service had in twice the route's timeout of now. The route may have led elsewhere when the stream began, and its timeout may have been longer. Class: what holds now is taken for what held when the stream began. Change: such a stream goes on only if the configuration has been the same for as long as it may have lived, by the longest timeout that any streaming route had. Any change counts: a node may miss configurations that were in force for a moment.

--- a/entry/configuration.go
+++ b/entry/configuration.go
@@ -59,10 +59,24 @@
 	}
 	n.publish(document)
 	n.scheduling.setSlowStarts(n.settings.Load().slowStarts(document.Services))
+	n.recordRouting(document)
 	n.catalog.Store(compiled)
 	n.log.Write(eventlog.Event{Kind: "configuration", Outcome: "in-force", Version: document.Version, Count: len(document.Routes), Detail: source})
 }
 
+// recordRouting records that the configuration is about to be active.
+func (n *Node) recordRouting(document *catalog.Document) {
+	var timeouts []time.Duration
+	for _, route := range document.Routes {
+		if route.Kind == catalog.KindStreaming {
+			timeouts = append(timeouts, route.Timeout)
+		}
+	}
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.routingHistory.Update(n.now(), timeouts)
+}
+
 // publish makes the version available to peers.
 func (n *Node) publish(document *catalog.Document) {
 	n.parts.Activate(document.Version)
--- a/entry/node.go
+++ b/entry/node.go
@@ -203,6 +203,7 @@
 	// that services have had.
 	streamOrigins  *streamorigins.Registry
 	versionHistory *streamorigins.VersionHistory
+	routingHistory streamorigins.RoutingHistory
 	// identities decides which connections lead to the incarnations of the known entries.
 	identities *replicaIdentities
 	// unresolvedOrigins are the origins of streams that are not certain yet.
--- a/entry/stream_origin.go
+++ b/entry/stream_origin.go
@@ -27,8 +27,6 @@
 	originLookupTimeout = 250 * time.Millisecond
 	originLookupRounds  = 2
 	originLookupPause   = 50 * time.Millisecond
-	// Streams begin and break off within this many times their route's timeout before they are resumed.
-	streamLifetimeTimeouts = 2
 )
 
 // streamState is what a call knows of its stream.
@@ -125,7 +123,7 @@
 }
 
 // onlyVersion returns the version of all replicas of the service that may have begun the caller's stream, if it
-// is the same for all.
+// is the same for all and the route has led to this service for as long as the stream may have lived.
 func (c *call) onlyVersion(service string) (string, bool) {
 	n := c.node
 	n.mutex.Lock()
@@ -135,11 +133,11 @@
 	n.versionHistory.SetDoubted(service, n.isAnyDoubtedLocked(pool))
 	until, isKnown := n.ranUntilLocked(pool)
 	n.versionHistory.SetRanUntil(service, until, isKnown)
-	window := streamLifetimeTimeouts * c.route.Timeout
-	if window <= 0 {
-		window = streamorigins.Retention
+	lifetime := streamorigins.StreamLifetime(c.route.Timeout)
+	if !n.routingHistory.BeganUnderCurrent(n.now(), lifetime) {
+		return "", false
 	}
-	return n.versionHistory.OnlyVersion(n.now(), service, window)
+	return n.versionHistory.OnlyVersion(n.now(), service, lifetime)
 }
 
 // confirmVersionHistory tells the history of versions how old this node's view of the replicas is.
--- /dev/null
+++ b/state/streamorigins/routing_history_test.go
@@ -0,0 +1,26 @@
+package streamorigins
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+)
+
+// Guards against streams without a record that are taken to have begun under the present configuration although another
+// one, which may have led them elsewhere or allowed them to live longer, was in force within their lifetime.
+func TestRoutingHistoryCoversTheLifetimeOfStreams(t *testing.T) {
+	g := gomega.NewWithT(t)
+	var history RoutingHistory
+	lifetime := StreamLifetime(4 * time.Second)
+	g.Expect(history.BeganUnderCurrent(0, lifetime)).To(gomega.BeFalse(), "no configuration")
+	history.Update(0, []time.Duration{4 * time.Second, 15 * time.Second})
+	g.Expect(history.BeganUnderCurrent(time.Second, lifetime)).To(gomega.BeTrue(), "the first one")
+	history.Update(time.Minute, []time.Duration{4 * time.Second})
+	g.Expect(history.BeganUnderCurrent(time.Minute+20*time.Second, lifetime)).To(gomega.BeFalse(), "streams of the former one may live for 30 s")
+	g.Expect(history.BeganUnderCurrent(time.Minute+31*time.Second, lifetime)).To(gomega.BeTrue())
+	history.Update(2*time.Minute, []time.Duration{4 * time.Second})
+	g.Expect(history.BeganUnderCurrent(2*time.Minute+8*time.Second, lifetime)).To(gomega.BeFalse())
+	g.Expect(history.BeganUnderCurrent(2*time.Minute+9*time.Second, lifetime)).To(gomega.BeTrue())
+	g.Expect(history.BeganUnderCurrent(2*time.Minute+9*time.Second, StreamLifetime(0))).To(gomega.BeFalse(), "a route without a timeout")
+}
