entry: an entry from before a refusal does not end the sign of a replacement

Callers could get a stream of two versions: a replica whose address refused a connection and then accepted one is a sign that replicas are being replaced, and it was missed if an entry of the same incarnation was read in between. Cause (TestEntryFromBeforeARefusalDoesNotEndIt): every update of the entry ended the memory of the refusal, also one that the replica wrote before it ended (it drains), and one that a restored store lists under another position. Change: only an entry that may be of a successor ends it: it states no start, so that the successor counts as the same incarnation, does not drain, and was not listed by a restore. A successor that states its start has another incarnation, whose entry is a sign itself. Left (by reading): an entry without a start that was written before the end, does not drain, and is read after the refusal.

--- a/entry/churn_evidence_test.go
+++ b/entry/churn_evidence_test.go
@@ -28,26 +28,29 @@
 // Guards against a replacement that counts as no sign as an entry that the replica wrote before it ended, or that a
 // restored store lists under another position, is read after its address refused a connection.
 func TestEntryFromBeforeARefusalDoesNotEndIt(t *testing.T) {
-	replica := engine("first", "v1")
 	for name, change := range map[string]func(*replicas.Replica){
 		"it wrote that it drains": func(r *replicas.Replica) { r.Draining = true },
 		"the store was restored": func(r *replicas.Replica) {
 			r.Position, _ = structs.NewStorePosition(1, 8)
 		},
 	} {
-		t.Run(name, func(t *testing.T) {
-			log := eventlog.New("self", nil)
-			defer log.Close()
-			n := New(&Settings{Name: "self"}, Dependencies{Network: &refusingNetwork{}, Log: log})
-			n.table.Put(replica)
-			_, _ = n.dialReplica(t.Context(), replica, time.Second)
-			earlier := replica
-			earlier.Position = 8
-			change(&earlier)
-			n.applyReplicaLocked(earlier)
-			n.recordConnect(earlier, nil, time.Millisecond)
-			gomega.NewWithT(t).Expect(n.identities.isChurning(n.now(), "engines")).To(gomega.BeTrue())
-		})
+		for _, startedAt := range []int64{0, 1} {
+			t.Run(fmt.Sprint(name, ", start ", startedAt), func(t *testing.T) {
+				log := eventlog.New("self", nil)
+				defer log.Close()
+				n := New(&Settings{Name: "self"}, Dependencies{Network: &refusingNetwork{}, Log: log})
+				replica := engine("first", "v1")
+				replica.StartedAt = startedAt
+				n.table.Put(replica)
+				_, _ = n.dialReplica(t.Context(), replica, time.Second)
+				earlier := replica
+				earlier.Position = 8
+				change(&earlier)
+				n.applyReplicaLocked(earlier)
+				n.recordConnect(earlier, nil, time.Millisecond)
+				gomega.NewWithT(t).Expect(n.identities.isChurning(n.now(), "engines")).To(gomega.BeTrue())
+			})
+		}
 	}
 }
 
--- a/entry/replica_identity.go
+++ b/entry/replica_identity.go
@@ -37,8 +37,8 @@
 type replicaIdentities struct {
 	*incarnations.Tracker
 	churn *incarnations.Churn
-	// refused has the incarnations whose addresses refused a connection and accepted none since, nor was their entry
-	// written since.
+	// refused has the incarnations whose addresses refused a connection and accepted none since, nor was an entry written
+	// that may be a successor's.
 	refused   map[incarnations.Incarnation]bool
 	reporters reporters
 	loggedAt  map[identityLine]structs.Instant
--- a/entry/updates.go
+++ b/entry/updates.go
@@ -92,7 +92,9 @@
 	if !n.table.Put(replica) {
 		return
 	}
-	delete(n.identities.refused, incarnations.Of(replica)) // it lives, and refused for another reason
+	if found && mayBeOfSuccessor(known, replica) {
+		delete(n.identities.refused, incarnations.Of(replica))
+	}
 	isNewIncarnation := found && incarnations.Of(known) != incarnations.Of(replica)
 	if isNewIncarnation {
 		n.identities.churn.Observe(n.now(), replica.Service)
@@ -110,6 +112,13 @@
 	n.log.Write(eventlog.Event{Kind: "replica", Replica: replica.ID, Service: replica.Service, Outcome: outcome, Revision: replica.Position.Revision(), Era: replica.Position.Era(), Detail: replica.Address})
 }
 
+// mayBeOfSuccessor reports whether the entry, which comes after the known one, may be that of a process that started after
+// the known one and counts as the same incarnation, as neither states a start. One that starts is not draining, and what a
+// restored store lists was written before the restore.
+func mayBeOfSuccessor(known, replica replicas.Replica) bool {
+	return replica.StartedAt == 0 && !replica.Draining && replica.Position.Era() == known.Position.Era()
+}
+
 // entryRewriteTime is how long after a store outage a replica may rewrite its expired entry, about
 // two of its heartbeats. Entries still missing then are removed.
 const entryRewriteTime = 2300 * time.Millisecond
