entry: a refused connection of one node and an accepted one of another are a sign of a replacement

Callers could get a stream of two versions while replicas are replaced in series: where one node's connection to a replica was refused and another node's was accepted, no node had the sign that replicas of the service are being replaced, and what is only assumed went on counting. Cause (TestRefusalThatAPeerHeardAndOwnConnectionAreASign): refusals were kept at the node that met them; only the doubt was told. Change: the doubt that goes to the scheduling node carries the age of the node's own refusal, and assignments carry that of the latest one (optional fields; nodes of the release before send and read none). incarnations.Refusals orders refusals and acceptances, so that a refusal that is told again is no second sign, and what came with an assignment is not told back. Result: the test passes, and TestRefusalsComeWithAssignments, TestAcceptedConnectionAfterARefusalIsASign; the recorded messages of the release before are still understood.

--- a/entry/assignment.go
+++ b/entry/assignment.go
@@ -86,6 +86,7 @@
 	if granted.DoubtAge > 0 {
 		n.identities.Doubt(n.now()-granted.DoubtAge, incarnations.Of(granted.Replica))
 	}
+	n.observeRefusal(granted.RefusalAge, incarnations.Of(granted.Replica))
 	if granted.Limit != nil {
 		n.pushback.MergeLimit(n.now(), *granted.Limit)
 	}
@@ -212,6 +213,9 @@
 	}
 	message, doubted := *u.message, *u.message.Doubted
 	doubted.Age += now - u.since
+	if doubted.RefusalAge > 0 {
+		doubted.RefusalAge += now - u.since
+	}
 	message.Doubted = &doubted
 	return &message
 }
--- a/entry/churn_evidence_test.go
+++ b/entry/churn_evidence_test.go
@@ -210,6 +210,41 @@
 	g.Expect(self.identities.isChurning(self.now(), "engines")).To(gomega.BeTrue())
 }
 
+// Guards against a replacement that counts as no sign at a node that learns of the refusal with an assignment, and against
+// refusals that nodes tell each other for ever, or that count again after the sign.
+func TestRefusalsComeWithAssignments(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := 10 * time.Second
+	replica := engine("first", "v1")
+	log := eventlog.New("self", nil)
+	defer log.Close()
+	var nodes []*Node
+	for _, name := range []string{"a", "b", "c"} {
+		n := New(&Settings{Name: name}, Dependencies{Now: func() time.Duration { return now }, Network: &refusingNetwork{}, Log: log})
+		n.table.Put(replica)
+		nodes = append(nodes, n)
+	}
+	refused, scheduling, sending := nodes[0], nodes[1], nodes[2]
+	_, _ = refused.dialReplica(t.Context(), replica, time.Second)
+	now += 10 * time.Millisecond
+	_, err := scheduling.serveFinish(t.Context(), &finishRequest{Doubted: refused.doubtOf(replica)})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(scheduling.doubtOf(replica).RefusalAge).To(gomega.BeZero(), "the peer's is told with assignments only")
+	reply := &assignReply{Replica: replica, DoubtAge: scheduling.doubtAge(replica), RefusalAge: scheduling.refusalAge(replica)}
+	sending.recordGrant(&grant{assignReply: reply, id: "g"})
+	g.Expect(sending.doubtOf(replica).RefusalAge).To(gomega.BeZero(), "what comes with assignments is not told back")
+	now += 10 * time.Millisecond
+	sending.recordConnect(replica, nil, time.Millisecond)
+	g.Expect(sending.churnAges(sending.now())).To(gomega.Equal(map[string]int64{"engines": 0}))
+	now += time.Second
+	sending.recordGrant(&grant{assignReply: &assignReply{Replica: replica, RefusalAge: scheduling.refusalAge(replica)}, id: "h"})
+	sending.recordConnect(replica, nil, time.Millisecond)
+	g.Expect(sending.churnAges(sending.now())).To(gomega.Equal(map[string]int64{"engines": 1000}), "the same refusal")
+	now += maxToldRefusalAge
+	g.Expect(scheduling.refusalAge(replica)).To(gomega.BeZero())
+	g.Expect(refused.doubtOf(replica).RefusalAge).To(gomega.BeZero())
+}
+
 // Guards against a doubt that is taken for a new one as the message that tells of it was sent again: the incarnation was
 // known to live in between.
 func TestDoubtThatIsToldLateIsAsOldAsItIs(t *testing.T) {
--- a/entry/doubt_news.go
+++ b/entry/doubt_news.go
@@ -6,6 +6,7 @@
 
 	"github.com/thornwalk/thornwalk/coordination/incarnations"
 	"github.com/thornwalk/thornwalk/state/replicas"
+	"github.com/thornwalk/thornwalk/structs"
 )
 
 // The scheduling node hears of failed sends of all nodes, and of reports that name another start. It tells the node that
@@ -15,7 +16,7 @@
 func (n *Node) serveAssign(ctx context.Context, request *assignRequest) (*assignReply, error) {
 	reply := n.scheduling.assign(ctx, request)
 	if reply.Reason == "" {
-		reply.DoubtAge = n.doubtAge(reply.Replica)
+		reply.DoubtAge, reply.RefusalAge = n.doubtAge(reply.Replica), n.refusalAge(reply.Replica)
 	}
 	return reply, nil
 }
@@ -23,7 +24,9 @@
 func (n *Node) serveFinish(_ context.Context, request *finishRequest) (*finishReply, error) {
 	if doubted := request.Doubted; doubted != nil {
 		n.mutex.Lock()
-		n.identities.Doubt(n.now()-max(doubted.Age, 0), n.incarnationOfDoubt(doubted))
+		incarnation := n.incarnationOfDoubt(doubted)
+		n.identities.Doubt(n.now()-max(doubted.Age, 0), incarnation)
+		n.observeRefusal(doubted.RefusalAge, incarnation)
 		n.mutex.Unlock()
 		n.counter("streams.identity_doubts_heard").Inc(1)
 	}
@@ -55,11 +58,44 @@
 	return n.doubtAgeLocked(replica)
 }
 
+// refusalAge returns the time since the replica's address refused a connection, here or at a peer, or zero if it did not
+// lately.
+func (n *Node) refusalAge(replica replicas.Replica) time.Duration {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.toldRefusalAge(n.identities.refusals.Latest(incarnations.Of(replica)))
+}
+
+// ownRefusalAge is refusalAge for connections of this node.
+func (n *Node) ownRefusalAge(replica replicas.Replica) time.Duration {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.toldRefusalAge(n.identities.refusals.LatestOwn(incarnations.Of(replica)))
+}
+
+// maxToldRefusalAge bounds the age of a refusal that is told to peers. Each node that connects afterwards for the first time
+// takes it for a sign of a replacement, also if the replica refused for another reason.
+const maxToldRefusalAge = 2 * incarnations.EntryDelay
+
+func (n *Node) toldRefusalAge(at structs.Instant, isRefused bool) time.Duration {
+	if age := n.now() - at; isRefused && age <= maxToldRefusalAge {
+		return max(age, 1)
+	}
+	return 0
+}
+
+// observeRefusal records a refusal of the age that a peer told of; zero means none. The caller holds the mutex.
+func (n *Node) observeRefusal(age time.Duration, incarnation incarnations.Incarnation) {
+	if age > 0 {
+		n.identities.refusals.ObserveReported(n.now()-age, incarnation)
+	}
+}
+
 // doubtOf returns the doubt of the replica's incarnation, or nil if there is none.
 func (n *Node) doubtOf(replica replicas.Replica) *doubtedIncarnation {
 	age := n.doubtAge(replica)
 	if age == 0 {
 		return nil
 	}
-	return &doubtedIncarnation{Replica: replica.ID, StartedAt: replica.StartedAt, Age: age}
+	return &doubtedIncarnation{Replica: replica.ID, StartedAt: replica.StartedAt, Age: age, RefusalAge: n.ownRefusalAge(replica)}
 }
--- a/entry/messages.go
+++ b/entry/messages.go
@@ -59,6 +59,9 @@
 	// DoubtAge is the time since the latest sign that the replica may have ended, as far as the scheduling node knows;
 	// zero if it knows of none. Nodes of earlier releases don't send it.
 	DoubtAge time.Duration `msgpack:",omitempty"`
+	// RefusalAge is the time since the replica's address refused a connection, as far as the scheduling node knows; zero
+	// if it knows of none lately. Nodes of earlier releases don't send it.
+	RefusalAge time.Duration `msgpack:",omitempty"`
 	// Limit is the replica's rate limit as the scheduling node knows it, nil if it knows of none.
 	// The assignment counts against it.
 	Limit *pushback.Report `msgpack:",omitempty"`
@@ -105,6 +108,9 @@
 	StartedAt int64
 	// Age is the time since the latest sign of it.
 	Age time.Duration
+	// RefusalAge is the time since its address refused a connection, zero if it did not lately. Nodes of earlier releases
+	// don't send it.
+	RefusalAge time.Duration `msgpack:",omitempty"`
 }
 
 // crashedIncarnation is an incarnation of a replica that crashed under a request.
--- a/entry/replica_churn.go
+++ b/entry/replica_churn.go
@@ -36,18 +36,17 @@
 // recordRefused records that the incarnation's address refused a connection.
 func (n *Node) recordRefused(incarnation incarnations.Incarnation) {
 	n.mutex.Lock()
-	n.identities.refused[incarnation] = true
+	n.identities.refusals.Observe(n.now(), incarnation)
 	n.mutex.Unlock()
 	n.recordDoubt(incarnation)
 }
 
-// recordAccepted records that the replica's address accepted a connection. If it refused one before, a successor that is
-// not listed yet has probably started there, and others of the service may have.
+// recordAccepted records that the replica's address accepted a connection. If it refused one before, of this node or of
+// one that told of it, a successor that is not listed yet has probably started there, and others of the service may have.
 func (n *Node) recordAccepted(replica replicas.Replica) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	if incarnation := incarnations.Of(replica); n.identities.refused[incarnation] {
-		delete(n.identities.refused, incarnation)
+	if n.identities.refusals.Accepted(n.now(), incarnations.Of(replica)) {
 		n.identities.churn.Observe(n.now(), replica.Service)
 	}
 }
--- a/entry/replica_identity.go
+++ b/entry/replica_identity.go
@@ -37,9 +37,9 @@
 type replicaIdentities struct {
 	*incarnations.Tracker
 	churn *incarnations.Churn
-	// refused has the incarnations whose addresses refused a connection and accepted none since, nor was an entry written
-	// that may be a successor's.
-	refused   map[incarnations.Incarnation]bool
+	// refusals are those of this node's connections and of others that peers told of. An entry that may be a successor's
+	// ends them.
+	refusals  *incarnations.Refusals
 	reporters reporters
 	loggedAt  map[identityLine]structs.Instant
 }
@@ -53,13 +53,13 @@
 func newReplicaIdentities() *replicaIdentities {
 	tracker := incarnations.NewTracker()
 	tracker.PresumeUp()
-	return &replicaIdentities{Tracker: tracker, churn: incarnations.NewChurn(), refused: map[incarnations.Incarnation]bool{}, reporters: newReporters(), loggedAt: map[identityLine]structs.Instant{}}
+	return &replicaIdentities{Tracker: tracker, churn: incarnations.NewChurn(), refusals: incarnations.NewRefusals(), reporters: newReporters(), loggedAt: map[identityLine]structs.Instant{}}
 }
 
 // forget drops what is known of the incarnations that are not kept.
 func (i *replicaIdentities) forget(isKept func(incarnations.Incarnation) bool) {
 	i.Forget(isKept)
-	maps.DeleteFunc(i.refused, func(incarnation incarnations.Incarnation, _ bool) bool { return !isKept(incarnation) })
+	i.refusals.Forget(isKept)
 	maps.DeleteFunc(i.reporters.unanswered, func(incarnation incarnations.Incarnation, _ structs.Instant) bool { return !isKept(incarnation) })
 	maps.DeleteFunc(i.loggedAt, func(line identityLine, _ structs.Instant) bool { return !isKept(line.incarnation) })
 }
--- a/entry/updates.go
+++ b/entry/updates.go
@@ -93,7 +93,7 @@
 		return
 	}
 	if found && mayBeOfSuccessor(known, replica) {
-		delete(n.identities.refused, incarnations.Of(replica))
+		n.identities.refusals.End(n.now(), incarnations.Of(replica))
 	}
 	isNewIncarnation := found && incarnations.Of(known) != incarnations.Of(replica)
 	if isNewIncarnation {
