--- a/entry/churn_evidence_test.go
+++ b/entry/churn_evidence_test.go
@@ -136,6 +136,7 @@
 	replica.StartedAt = 0
 	n.table.Put(replica)
 	n.versionHistory.Update(now, n.table.All())
+	n.routingHistory.Update(now, []time.Duration{10 * time.Second})
 	until := func(end time.Duration, hasView bool) {
 		for ; now < end; now += time.Second {
 			if hasView {
