lab/soak: half of the callers of broken streams don't name them with -versions

Cause of the change: streams without a name were played beside replacements only, where all share the same fate.

--- a/lab/soak/moved.go
+++ b/lab/soak/moved.go
@@ -79,8 +79,8 @@
 
 // sendMoved begins streams on the moved route for the duration, in the same way as sendVersioned.
 func (c *callers) sendMoved(ctx context.Context, duration time.Duration) {
-	c.sendStreams(ctx, duration, func(name string, node int) {
-		stream := c.sendStream(versionedStream{id: "m" + name, route: movedStreamsRoute, isUnnamed: true}, node)
+	c.sendStreams(ctx, duration, func(name string, number int) {
+		stream := c.sendStream(versionedStream{id: "m" + name, route: movedStreamsRoute, isUnnamed: true}, number%nodeCount)
 		c.mutex.Lock()
 		defer c.mutex.Unlock()
 		c.movedStreams = append(c.movedStreams, stream)
--- a/lab/soak/versions.go
+++ b/lab/soak/versions.go
@@ -76,10 +76,11 @@
 	return platformsim.Answer
 }
 
-// sendVersioned begins streams of the service with two versions for the duration.
+// sendVersioned begins streams of the service with two versions for the duration. The callers of half of those that break
+// off don't name them.
 func (c *callers) sendVersioned(ctx context.Context, duration time.Duration) {
-	c.sendStreams(ctx, duration, func(name string, node int) {
-		stream := c.sendStream(versionedStream{id: name, route: versionedRoute}, node)
+	c.sendStreams(ctx, duration, func(name string, number int) {
+		stream := c.sendStream(versionedStream{id: name, route: versionedRoute, isUnnamed: number%(2*brokenStreams) == 0}, number%nodeCount)
 		c.mutex.Lock()
 		defer c.mutex.Unlock()
 		c.streams = append(c.streams, stream)
@@ -87,14 +88,14 @@
 }
 
 // sendStreams begins streams for the duration, some of which break off. It returns when it started all.
-func (c *callers) sendStreams(ctx context.Context, duration time.Duration, send func(name string, node int)) {
+func (c *callers) sendStreams(ctx context.Context, duration time.Duration, send func(name string, number int)) {
 	end := time.Now().Add(duration)
 	for number := 0; time.Now().Before(end) && ctx.Err() == nil; number++ {
 		name := fmt.Sprintf("sound%06d", number)
 		if number%brokenStreams == 0 {
 			name = fmt.Sprintf("broken%06d", number)
 		}
-		c.group.Go(func() { send(name, number%nodeCount) })
+		c.group.Go(func() { send(name, number) })
 		time.Sleep(time.Second / versionedRate)
 	}
 }
