--- a/lab/platformsim/replica.go
+++ b/lab/platformsim/replica.go
@@ -44,6 +44,8 @@
 	End
 	// Spoil runs the request and sends bytes that are no answer, in the form of SetSpoiledForm.
 	Spoil
+	// SpoilMidway runs a stream and sends bytes that are no part of the answer in the middle of it.
+	SpoilMidway
 )
 
 // crashDelay is the time from the start of a run with behavior End to the crash.
@@ -128,6 +130,8 @@
 	Slots   int
 	// Events is the number of events of a streamed answer; zero means plain answers.
 	Events int
+	// EventID returns the ID of the event with the number, counted from 1; nil makes the number the ID. IDs rise.
+	EventID func(number int) int
 	// Step is the time before each event, and the duration of a plain run.
 	Step time.Duration
 	// OnRun, if not nil, is called before each run does any work, from several goroutines.
@@ -273,6 +277,9 @@
 	return first
 }
 
+// HasCrashed reports whether the replica has crashed.
+func (r *Replica) HasCrashed() bool { r.mutex.Lock(); defer r.mutex.Unlock(); return r.crashed }
+
 // crashUnderRequest crashes the replica and calls OnCrash, once even if several requests crash it at the
 // same time.
 func (r *Replica) crashUnderRequest() {
--- a/lab/platformsim/stream.go
+++ b/lab/platformsim/stream.go
@@ -10,8 +10,18 @@
 )
 
 // Event returns the text of one event of a streamed answer.
-func Event(id string, number int) string {
-	return fmt.Sprintf("id: %d\ndata: part %d of %s\n\n", number, number, id)
+func Event(id string, number int) string { return eventWithID(number, id, number) }
+
+func eventWithID(eventID int, id string, number int) string {
+	return fmt.Sprintf("id: %d\ndata: part %d of %s\n\n", eventID, number, id)
+}
+
+// idOfEvent returns the ID of the event with the number.
+func (r *Replica) idOfEvent(number int) int {
+	if r.EventID == nil {
+		return number
+	}
+	return r.EventID(number)
 }
 
 func (r *Replica) writeStream(ctx context.Context, conn net.Conn, behavior Behavior, id string, run *Run) bool {
@@ -22,19 +32,24 @@
 		framing, frame, end = "", func(text string) string { return text }, ""
 	}
 	writeText(conn, r.responseHead("200 OK", id, "text/event-stream", run)+framing+"\r\n")
-	for number := lastEvent + 1; number <= r.Events; number++ {
+	number := 1
+	for number <= r.Events && run.LastEventID != "" && r.idOfEvent(number) <= lastEvent {
+		number++
+	}
+	for ; number <= r.Events; number++ {
 		if !sleep(ctx, r.step()) {
 			return false
 		}
-		event := Event(run.LastEventID+id, number)
-		if run.LastEventID != "" {
-			event = Event(id, number)
-		}
+		event := eventWithID(r.idOfEvent(number), id, number)
 		event = versionComment(r.Version) + incarnationComment(r.Incarnation) + event
 		if (behavior == Cut || behavior == UnframedCut) && number > r.Events/2 {
 			writeText(conn, frame(event[:len(event)/2]))
 			return false
 		}
+		if behavior == SpoilMidway && number > r.Events/2 {
+			writeText(conn, "HTTP/1.1 200 OK\r\n\r\n"+event)
+			return false
+		}
 		if !writeText(conn, frame(event)) {
 			// After a suspension the write may notice the close before watchDisconnect does.
 			r.cancelRun(run)
