entry: unnamed streams outlive a change of their route

What callers saw: a stream whose caller does not name the request that began it went on at another software version, or at another service, after a configuration shortened its route's timeout, set one, or led the route to another service.

Cause: without a record a stream goes on where its service had one version for as long as the stream may have lived. That time and the service were those of the present configuration; the stream began under a former one. Class: an old fact is judged by present terms.

Evidence: TestUnnamedStreamsThatLiveLongDoNotChangeTheirVersion, which failed before in the courses of a shortened timeout (20 s to 1 s, resumed after 6 and 10 s), of one that is set, and of another service.

Change: state/streamorigins.Lifetimes keeps the terms of routes for as long as streams may live that began under them. The history has to cover the longest of these times, and all of these terms have to lead to one service.

Left: a node that has started since does not know the former terms, and a route that takes over paths of another one is taken for one of its own.

--- a/entry/stream_origin.go
+++ b/entry/stream_origin.go
@@ -10,6 +10,7 @@
 	"github.com/thornwalk/thornwalk/coordination/liveness"
 	"github.com/thornwalk/thornwalk/coordination/streams"
 	"github.com/thornwalk/thornwalk/protocol/peerwire"
+	"github.com/thornwalk/thornwalk/state/catalog"
 	"github.com/thornwalk/thornwalk/state/replicas"
 	"github.com/thornwalk/thornwalk/state/streamorigins"
 	"github.com/thornwalk/thornwalk/structs"
@@ -27,8 +28,6 @@
 	originLookupTimeout = 250 * time.Millisecond
 	originLookupRounds  = 2
 	originLookupPause   = 50 * time.Millisecond
-	// Streams begin and break off within this many times their route's timeout before they are resumed.
-	streamLifetimeTimeouts = 2
 )
 
 // streamState is what a call knows of its stream.
@@ -108,7 +107,8 @@
 	if c.route.Kind != kindStreaming || first == "" && lastEvent == "" {
 		return true
 	}
-	evidence := streams.Evidence{Services: c.route.Services(), OnlyVersion: c.onlyVersion}
+	_, formerServices := c.streamLifetime()
+	evidence := streams.Evidence{Services: c.route.Services(), FormerServices: formerServices, OnlyVersion: c.onlyVersion}
 	if first != "" {
 		c.originKey = streamorigins.KeyOf(c.tenantName(), first)
 		evidence.Origin, evidence.Knowledge = c.findOrigin(c.originKey)
@@ -124,10 +124,49 @@
 	return true
 }
 
+// streamLifetimes knows how long ago streams may have begun that are resumed. It has a mutex of its own, as a configuration
+// may have thousands of routes.
+type streamLifetimes struct {
+	mutex sync.Mutex
+	*streamorigins.Lifetimes
+}
+
+// termsOf returns what the route says of its streams.
+func termsOf(route *catalog.Route) streamorigins.RouteTerms {
+	terms := streamorigins.RouteTerms{Name: route.Name, Timeout: route.Timeout}
+	if len(route.Backends) > 0 {
+		terms.Services = route.Services()
+	}
+	return terms
+}
+
+// configureStreamLifetimes records how long the streams of the routes may live.
+func (n *Node) configureStreamLifetimes(routes []catalog.Route) {
+	var terms []streamorigins.RouteTerms
+	for i := range routes {
+		if routes[i].Kind == kindStreaming {
+			terms = append(terms, termsOf(&routes[i]))
+		}
+	}
+	n.streamLifetimes.mutex.Lock()
+	defer n.streamLifetimes.mutex.Unlock()
+	n.streamLifetimes.Configure(n.now(), terms)
+}
+
+// streamLifetime returns how long ago the stream that the caller resumes may have begun, and the services to which its
+// route led in that time.
+func (c *call) streamLifetime() (time.Duration, []string) {
+	n := c.node
+	n.streamLifetimes.mutex.Lock()
+	defer n.streamLifetimes.mutex.Unlock()
+	return n.streamLifetimes.Of(n.now(), termsOf(c.route))
+}
+
 // onlyVersion returns the version of all replicas of the service that may have begun the caller's stream, if it
 // is the same for all.
 func (c *call) onlyVersion(service string) (string, bool) {
 	n := c.node
+	lifetime, _ := c.streamLifetime()
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	n.confirmVersionHistoryLocked()
@@ -135,11 +174,7 @@
 	n.versionHistory.SetDoubted(service, n.isAnyDoubtedLocked(pool))
 	until, isKnown := n.ranUntilLocked(pool)
 	n.versionHistory.SetRanUntil(service, until, isKnown)
-	window := streamLifetimeTimeouts * c.route.Timeout
-	if window <= 0 {
-		window = streamorigins.Retention
-	}
-	return n.versionHistory.OnlyVersion(n.now(), service, window)
+	return n.versionHistory.OnlyVersion(n.now(), service, lifetime)
 }
 
 // confirmVersionHistory tells the history of versions how old this node's view of the replicas is.
