entry: streams whose callers have more time than the route don't change versions

What callers saw: a stream went on at another software version where its caller states more time than twice the route's timeout (1 s and 10 s, or a route without a timeout and 100 s), and comes back once the version that began it is gone: after it was refused for a while, without naming the first request, or with its name once the record had expired (a minute after the last event).

Cause: without a record the history of versions had to cover twice the route's timeout. Callers keep their streams for as long as they state. Class: an assumption on callers that they contradict.

Evidence: three courses of TestUnnamedStreamsThatLiveLongDoNotChangeTheirVersion and TestNamedStreamDoesNotChangeItsVersionOnceItsRecordHasExpired, which failed before.

Change: Lifetimes knows the streams whose callers state more time than their routes suggest, until that time is over; heartbeats carry the longest such time that their sender has heard of (nothing where there is none, not passed on). The history has to cover the time since the oldest of them. Callers that state less than twice their route's timeout are served as before.

Left: what a caller stated is lost if all nodes end at once; then its remaining time counts. A caller that states an hour makes unnamed streams of all callers wait for a history of ten minutes, or be refused, for that hour.

--- a/entry/handler.go
+++ b/entry/handler.go
@@ -200,6 +200,7 @@
 	timeout := defaultTimeout
 	if timeoutMS, err := strconv.ParseFloat(c.request.Header.Get(names.Deadline), 64); err == nil && timeoutMS > 0 {
 		timeout = time.Duration(timeoutMS * float64(time.Millisecond))
+		c.stateStreamTime(timeout)
 	}
 	if c.route.Timeout > 0 {
 		timeout = min(timeout, c.route.Timeout)
--- a/entry/heartbeats.go
+++ b/entry/heartbeats.go
@@ -299,6 +299,7 @@
 	heartbeat.ForwardCapacity, heartbeat.Isolated = n.forwardCapacity(), n.paths.IsIsolated()
 	heartbeat.Version, heartbeat.Evacuations = n.version(), n.evacuations.All()
 	heartbeat.ChurnAgesMS = n.churnAges(now)
+	heartbeat.LongStreamMS = n.streamLifetimes.longest(now).Milliseconds()
 	n.addEra(now, &heartbeat)
 	if summary := n.scheduling.poisonSummary(); summary.ChangeCount > 0 {
 		heartbeat.Poison = &liveness.PoisonSummary{Weight: summary.ChangeCount, Digest: summary.Digest}
--- a/entry/stream_origin.go
+++ b/entry/stream_origin.go
@@ -47,6 +47,8 @@
 	// that the current send brought.
 	relayedIDs         relayedIDs
 	fromEvent, toEvent string
+	// callerTime is the time that the caller has left for its stream, if that is more than its route suggests.
+	callerTime time.Duration
 }
 
 // streamOriginsReport has the origins of streams, for a node that keeps them.
@@ -131,6 +133,36 @@
 	*streamorigins.Lifetimes
 }
 
+// longest returns the longest time of callers that have more time than their routes suggest.
+func (l *streamLifetimes) longest(now structs.Instant) time.Duration {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.Longest(now)
+}
+
+// report records what a heartbeat says of the streams of its sender.
+func (l *streamLifetimes) report(now, sentAt structs.Instant, longest time.Duration) {
+	if longest <= 0 {
+		return
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.Report(now, sentAt, longest)
+}
+
+// stateStreamTime records how much time the caller has for its stream, if that is more than its route suggests.
+func (c *call) stateStreamTime(callerTime time.Duration) {
+	terms := streamorigins.RouteTerms{Timeout: c.route.Timeout}
+	if c.route.Kind != kindStreaming || !terms.HasMoreTime(callerTime) {
+		return
+	}
+	c.callerTime = callerTime
+	lifetimes := &c.node.streamLifetimes
+	lifetimes.mutex.Lock()
+	defer lifetimes.mutex.Unlock()
+	lifetimes.State(c.node.now(), callerTime)
+}
+
 // termsOf returns what the route says of its streams.
 func termsOf(route *catalog.Route) streamorigins.RouteTerms {
 	terms := streamorigins.RouteTerms{Name: route.Name, Timeout: route.Timeout}
@@ -159,7 +191,8 @@
 	n := c.node
 	n.streamLifetimes.mutex.Lock()
 	defer n.streamLifetimes.mutex.Unlock()
-	return n.streamLifetimes.Of(n.now(), termsOf(c.route))
+	lifetime, services := n.streamLifetimes.Of(n.now(), termsOf(c.route))
+	return max(lifetime, c.callerTime), services
 }
 
 // onlyVersion returns the version of all replicas of the service that may have begun the caller's stream, if it
--- a/state/streamorigins/lifetimes.go
+++ b/state/streamorigins/lifetimes.go
@@ -11,6 +11,12 @@
 	// lifetimeTimeouts is within how many times the timeout of its route a stream begins and breaks off before it is
 	// resumed, if its caller does not say that it has more time.
 	lifetimeTimeouts = 2
+	// maxStatedTime bounds the time of a caller that counts.
+	maxStatedTime = time.Hour
+	// statedSteps is the number of entries that are kept for the time of a caller.
+	statedSteps = 64
+	// maxReportDelay is the time from the begin of a stream to the first report of it.
+	maxReportDelay = time.Second
 )
 
 // RouteTerms is what a configuration says of the streams of one route.
@@ -34,6 +40,9 @@
 // then. It is not safe for concurrent use.
 type Lifetimes struct {
 	routes map[string]*routeHistory
+	// stated are streams of this node whose callers have more time than their routes suggest, and reported those of other
+	// nodes.
+	stated, reported longStreams
 }
 
 // routeHistory has the present terms of a route, if it isConfigured, and former ones.
@@ -86,7 +95,7 @@
 // Of returns how long ago a stream of the route that is resumed now may have begun, and the services to which the route
 // led in that time.
 func (l *Lifetimes) Of(now structs.Instant, terms RouteTerms) (time.Duration, []string) {
-	longest, services := terms.lifetime(), slices.Clone(terms.Services)
+	longest, services := max(terms.lifetime(), l.stated.age(now), l.reported.age(now)), slices.Clone(terms.Services)
 	if route := l.routes[terms.Name]; route != nil {
 		for _, past := range append(slices.Clone(route.former), formerTerms{RouteTerms: route.current, until: now}) {
 			if past.isOver(now) {
@@ -102,3 +111,64 @@
 	}
 	return longest, services
 }
+
+// HasMoreTime reports whether a caller with so much time may resume its stream later than the terms suggest.
+func (r RouteTerms) HasMoreTime(callerTime time.Duration) bool { return callerTime > r.lifetime() }
+
+// State records that a stream begins, or goes on, whose caller has more time than its route suggests.
+func (l *Lifetimes) State(now structs.Instant, callerTime time.Duration) {
+	l.stated.add(now, now, callerTime)
+}
+
+// Longest returns the longest time of the callers that have more time than their routes suggest, for other nodes; zero if
+// there are none.
+func (l *Lifetimes) Longest(now structs.Instant) time.Duration { return l.stated.longest(now) }
+
+// Report records the Longest of another node, as of the instant.
+func (l *Lifetimes) Report(now, asOf structs.Instant, longest time.Duration) {
+	if longest > 0 {
+		l.reported.add(now, asOf-maxReportDelay, longest)
+	}
+}
+
+// longStreams are the begins of streams and the ends of their callers' time, both rising. A stream that began earlier and
+// ends later than another one stands for both.
+type longStreams []longStream
+
+type longStream struct{ began, ends structs.Instant }
+
+func (s *longStreams) add(now, began structs.Instant, callerTime time.Duration) {
+	s.prune(now)
+	callerTime = min(callerTime, maxStatedTime)
+	ends, last := began+callerTime, len(*s)-1
+	switch {
+	case last >= 0 && ends <= (*s)[last].ends:
+	case last >= 0 && began-(*s)[last].began < callerTime/statedSteps:
+		(*s)[last].ends = ends
+	default:
+		*s = append(*s, longStream{began: began, ends: ends})
+	}
+}
+
+// prune drops the streams whose callers have no time left.
+func (s *longStreams) prune(now structs.Instant) {
+	*s = slices.DeleteFunc(*s, func(stream longStream) bool { return stream.ends < now })
+}
+
+func (s *longStreams) longest(now structs.Instant) time.Duration {
+	s.prune(now)
+	longest := time.Duration(0)
+	for _, stream := range *s {
+		longest = max(longest, stream.ends-stream.began)
+	}
+	return longest
+}
+
+// age returns how long ago the oldest of the streams began.
+func (s *longStreams) age(now structs.Instant) time.Duration {
+	s.prune(now)
+	if len(*s) == 0 {
+		return 0
+	}
+	return now - (*s)[0].began
+}
--- a/test/entry/stream_lifetime_test.go
+++ b/test/entry/stream_lifetime_test.go
@@ -14,8 +14,7 @@
 	"github.com/thornwalk/thornwalk/lab/platformsim"
 )
 
-// lifetimeCourse is a stream that is broken off, and resumed by its caller, which does not name the request that began
-// it, once all engines have another version.
+// lifetimeCourse is a stream that is broken off, and resumed by its caller once all engines have another version.
 type lifetimeCourse struct {
 	// timeout is the route's while the stream runs, and laterTimeout when it is resumed; zero is none.
 	timeout, laterTimeout time.Duration
@@ -23,6 +22,8 @@
 	laterService string
 	// deadline is the caller's for all tries, and resumedAfter the time from the stream's begin to its last try.
 	deadline, resumedAfter time.Duration
+	// isNamed has the caller name the request that began the stream.
+	isNamed bool
 	// retries has the caller try again and again until then.
 	retries bool
 	// keepsVersion leaves the engines as they are, so that the stream may go on.
@@ -60,6 +61,9 @@
 			request.Header.Set("X-Deadline-Ms", strconv.FormatInt((c.deadline-time.Since(started)).Milliseconds(), 10))
 			if lastEvent > 0 {
 				request.Header.Set("Last-Event-Id", strconv.Itoa(lastEvent))
+				if c.isNamed {
+					request.Header.Set("Resumes", "lifetime-0")
+				}
 			}
 		})
 		if got.status != http.StatusOK {
@@ -117,6 +121,9 @@
 		"the timeout was shortened, many tries": {timeout: 20 * time.Second, laterTimeout: time.Second, deadline: 18 * time.Second, resumedAfter: 10 * time.Second, retries: true},
 		"the timeout was removed":               {timeout: 40 * time.Second, deadline: 39 * time.Second, resumedAfter: 30 * time.Second},
 		"the timeout was set":                   {laterTimeout: time.Second, deadline: 18 * time.Second, resumedAfter: 6 * time.Second},
+		"the caller has more time":              {timeout: time.Second, laterTimeout: time.Second, deadline: 10 * time.Second, resumedAfter: 6 * time.Second},
+		"the caller has more time, many tries":  {timeout: time.Second, laterTimeout: time.Second, deadline: 10 * time.Second, resumedAfter: 9 * time.Second, retries: true},
+		"the route has no timeout":              {deadline: 100 * time.Second, resumedAfter: 80 * time.Second},
 		"the service was changed":               {timeout: 4 * time.Second, laterTimeout: 4 * time.Second, laterService: "others", deadline: 4 * time.Second, resumedAfter: 3 * time.Second, keepsVersion: true},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -133,6 +140,7 @@
 // have lived.
 func TestUnnamedStreamsThatLiveLongGoOnAtTheirVersion(t *testing.T) {
 	for name, course := range map[string]*lifetimeCourse{
+		"the caller has more time":  {timeout: time.Second, laterTimeout: time.Second, deadline: 10 * time.Second, resumedAfter: 6 * time.Second, keepsVersion: true},
 		"the timeout was shortened": {timeout: 20 * time.Second, laterTimeout: time.Second, deadline: 18 * time.Second, resumedAfter: 6 * time.Second, keepsVersion: true},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -145,3 +153,11 @@
 		})
 	}
 }
+
+// Guards against a stream that its caller names and that goes on at another version once the record of it has expired.
+func TestNamedStreamDoesNotChangeItsVersionOnceItsRecordHasExpired(t *testing.T) {
+	course := lifetimeCourse{timeout: 4 * time.Second, laterTimeout: 4 * time.Second, deadline: 100 * time.Second, resumedAfter: 80 * time.Second, isNamed: true, retries: true}
+	runWithoutEngines(t, func(s *versionsScenario) {
+		s.Expect(course.play(s).Versions).To(gomega.Equal([]string{"v1"}))
+	})
+}
