--- a/entry/stream_origin.go
+++ b/entry/stream_origin.go
@@ -10,6 +10,7 @@
 	"github.com/thornwalk/thornwalk/coordination/liveness"
 	"github.com/thornwalk/thornwalk/coordination/streams"
 	"github.com/thornwalk/thornwalk/protocol/peerwire"
+	"github.com/thornwalk/thornwalk/state/catalog"
 	"github.com/thornwalk/thornwalk/state/replicas"
 	"github.com/thornwalk/thornwalk/state/streamorigins"
 	"github.com/thornwalk/thornwalk/structs"
@@ -46,6 +47,8 @@
 	// that the current send brought.
 	relayedIDs         relayedIDs
 	fromEvent, toEvent string
+	// callerTime is the time that the caller has left for its stream, if that is more than its route suggests.
+	callerTime time.Duration
 }
 
 // streamOriginsReport has the origins of streams, for a node that keeps them.
@@ -106,7 +109,8 @@
 	if c.route.Kind != kindStreaming || first == "" && lastEvent == "" {
 		return true
 	}
-	evidence := streams.Evidence{Services: c.route.Services(), OnlyVersion: c.onlyVersion}
+	_, formerServices := c.streamLifetime()
+	evidence := streams.Evidence{Services: c.route.Services(), FormerServices: formerServices, OnlyVersion: c.onlyVersion}
 	evidence.Origin, evidence.Knowledge = c.findResumed(first)
 	origin, refusal := streams.Bind(evidence)
 	c.logResumed(origin, evidence.Knowledge, refusal)
@@ -119,10 +123,80 @@
 	return true
 }
 
+// streamLifetimes knows how long ago streams may have begun that are resumed. It has a mutex of its own, as a configuration
+// may have thousands of routes.
+type streamLifetimes struct {
+	mutex sync.Mutex
+	*streamorigins.Lifetimes
+}
+
+// longest returns the longest time of callers that have more time than their routes suggest.
+func (l *streamLifetimes) longest(now structs.Instant) time.Duration {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.Longest(now)
+}
+
+// report records what a heartbeat says of the streams of its sender.
+func (l *streamLifetimes) report(now, sentAt structs.Instant, longest time.Duration) {
+	if longest <= 0 {
+		return
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.Report(now, sentAt, longest)
+}
+
+// stateStreamTime records how much time the caller has for its stream, if that is more than its route suggests.
+func (c *call) stateStreamTime(callerTime time.Duration) {
+	terms := streamorigins.RouteTerms{Timeout: c.route.Timeout}
+	if c.route.Kind != kindStreaming || !terms.HasMoreTime(callerTime) {
+		return
+	}
+	c.callerTime = callerTime
+	lifetimes := &c.node.streamLifetimes
+	lifetimes.mutex.Lock()
+	defer lifetimes.mutex.Unlock()
+	lifetimes.State(c.node.now(), callerTime)
+}
+
+// termsOf returns what the route says of its streams.
+func termsOf(route *catalog.Route) streamorigins.RouteTerms {
+	terms := streamorigins.RouteTerms{Name: route.Name, Timeout: route.Timeout}
+	if len(route.Backends) > 0 {
+		terms.Services = route.Services()
+	}
+	return terms
+}
+
+// configureStreamLifetimes records how long the streams of the routes may live.
+func (n *Node) configureStreamLifetimes(routes []catalog.Route) {
+	var terms []streamorigins.RouteTerms
+	for i := range routes {
+		if routes[i].Kind == kindStreaming {
+			terms = append(terms, termsOf(&routes[i]))
+		}
+	}
+	n.streamLifetimes.mutex.Lock()
+	defer n.streamLifetimes.mutex.Unlock()
+	n.streamLifetimes.Configure(n.now(), terms)
+}
+
+// streamLifetime returns how long ago the stream that the caller resumes may have begun, and the services to which its
+// route led in that time.
+func (c *call) streamLifetime() (time.Duration, []string) {
+	n := c.node
+	n.streamLifetimes.mutex.Lock()
+	defer n.streamLifetimes.mutex.Unlock()
+	lifetime, services := n.streamLifetimes.Of(n.now(), termsOf(c.route))
+	return max(lifetime, c.callerTime), services
+}
+
 // onlyVersion returns the version of all replicas of the service that may have begun the caller's stream, if it
 // is the same for all and the route has led to this service for as long as the stream may have lived.
 func (c *call) onlyVersion(service string) (string, bool) {
 	n := c.node
+	lifetime, _ := c.streamLifetime()
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	n.confirmVersionHistoryLocked()
@@ -130,7 +204,6 @@
 	n.versionHistory.SetDoubted(service, n.isAnyDoubtedLocked(pool))
 	until, isKnown := n.ranUntilLocked(pool)
 	n.versionHistory.SetRanUntil(service, until, isKnown)
-	lifetime := streamorigins.StreamLifetime(c.route.Timeout)
 	if !n.routingHistory.BeganUnderCurrent(n.now(), lifetime) {
 		return "", false
 	}
