entry: a stream without a name is bound only after all of its keepers were asked

Callers could get a stream of two versions without any fault: of two streams with the same content, of which the caller's own try before may be one, the second went on at the version of the first. Cause: records by content may differ from node to node, as two streams share the key, but the search ended with the first certain answer, which the node's own record of the other stream may be. That holds for names, of which each has one origin. Evidence: TestStreamsOfTheSameContentAreNotTakenForEachOther, no record lost and no node failed: with 9 nodes 19 of 37 resumed streams, with 15 nodes 31 to 33 of 39 held events of two versions, in 3 of 3 plays; with 3 nodes, all of them keepers, none. Change: by content, only an ambiguous answer ends the search before all keepers were asked. Left: a keeper that does not answer counts as one that knows of no stream.

--- a/entry/stream_origin.go
+++ b/entry/stream_origin.go
@@ -188,7 +188,8 @@
 			}
 		}
 		origin, knowledge := c.node.knownOrigin(key)
-		if found = found.Join(streamorigins.Finding{Origin: origin, Knowledge: knowledge}); !mayLearnMore(found) {
+		found = found.Join(streamorigins.Finding{Origin: origin, Knowledge: knowledge})
+		if isSufficient(found, key, keepersOf) {
 			break
 		}
 		if found = found.Join(c.node.askKeepers(c.ctx, keepersOf, key)); !mayLearnMore(found) {
@@ -203,8 +204,15 @@
 	return !found.IsCertain() && found.Knowledge != streamorigins.Ambiguous
 }
 
-// askKeepers asks all keepers of the stream at once by the key and returns what they know, up to the first answer of one
-// that is certain of it. Certain origins don't change, so no further answer is needed.
+// isSufficient reports whether no other node need be asked for the origin by the key. A certain origin does not change, but
+// other nodes may know of another stream with the same content.
+func isSufficient(found streamorigins.Finding, key, keepersOf streamorigins.Key) bool {
+	isContent := key == keepersOf
+	return found.Knowledge == streamorigins.Ambiguous || found.IsCertain() && !isContent
+}
+
+// askKeepers asks all keepers of the stream at once by the key and returns what they know, up to the first answer that is
+// sufficient.
 func (n *Node) askKeepers(ctx context.Context, keepersOf, key streamorigins.Key) streamorigins.Finding {
 	ctx, cancel := context.WithTimeout(ctx, originLookupTimeout)
 	defer cancel()
@@ -232,7 +240,7 @@
 	}()
 	var found streamorigins.Finding
 	for answer := range answers {
-		if found = found.Join(answer); !mayLearnMore(found) {
+		if found = found.Join(answer); isSufficient(found, key, keepersOf) {
 			break
 		}
 	}
