state/streamorigins: streams with the same content are told apart

What callers saw (tests of the review, no run of real processes): a stream whose version was uncertain went on at that of another stream with the same content; and a content that was requested at least once a minute stayed ambiguous after a new version, so that its streams were refused. Cause: one entry by content for all streams that share it, joined as if they were one. Change: the registry keeps streams by key, and an index of the keys with each content; a search by content looks at all of them (Either): an uncertain or another origin among them is no proof, and each ends with its own retention. A stream that its caller does not name is recorded by the id of the request with which it was resumed. A search by name asks the keepers by content and by name, as nodes of earlier versions choose by name. TestOriginsAreKeptByContentToo looks contents up by GetByContent, with the same expectations and more.

--- a/entry/stream_origin.go
+++ b/entry/stream_origin.go
@@ -21,7 +21,7 @@
 // event. A node at which a caller resumes the stream asks its keepers.
 
 const (
-	// maxStreamOrigins bounds the origins that a node keeps, by key and by content; each takes about 200 bytes.
+	// maxStreamOrigins bounds the origins that a node keeps; each takes about 350 bytes.
 	maxStreamOrigins = 1 << 15
 	// originLookupTimeout bounds one round of questions to the keepers, and originLookupRounds the rounds, which are
 	// originLookupPause apart: the first event may have arrived so recently that the reports are still on their way.
@@ -57,10 +57,14 @@
 	streamOriginsReply  struct{}
 )
 
-// streamOriginQuestion asks for the origin of a stream.
+// streamOriginQuestion asks for the origin of the stream with the key, or of those with the content. Nodes of earlier versions
+// know no contents.
 type (
-	streamOriginQuestion struct{ Key streamorigins.Key }
-	streamOriginAnswer   struct {
+	streamOriginQuestion struct {
+		Key       streamorigins.Key
+		IsContent bool `msgpack:",omitempty"`
+	}
+	streamOriginAnswer struct {
 		Origin    streamorigins.Origin
 		Knowledge streamorigins.Knowledge
 	}
@@ -76,8 +80,8 @@
 }
 
 func (n *Node) serveStreamOrigin(_ context.Context, question *streamOriginQuestion) (*streamOriginAnswer, error) {
-	origin, knowledge := n.knownOrigin(question.Key)
-	return &streamOriginAnswer{Origin: origin, Knowledge: knowledge}, nil
+	found := n.known(originSearch{key: question.Key, isContent: question.IsContent})
+	return &streamOriginAnswer{Origin: found.Origin, Knowledge: found.Knowledge}, nil
 }
 
 // knownOrigin returns what this node itself knows of the stream's origin.
@@ -87,6 +91,13 @@
 	return n.streamOrigins.Get(n.now(), key)
 }
 
+// knownByContent returns what this node itself knows of the origin of a stream with the content.
+func (n *Node) knownByContent(content streamorigins.Key) streamorigins.Finding {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.streamOrigins.GetByContent(n.now(), content)
+}
+
 // tenantName returns the name of the request's tenant, or "" if it has none.
 func (c *call) tenantName() string {
 	if c.tenant == nil {
@@ -111,7 +122,8 @@
 	}
 	_, formerServices := c.streamLifetime()
 	evidence := streams.Evidence{Services: c.route.Services(), FormerServices: formerServices, OnlyVersion: c.onlyVersion}
-	evidence.Origin, evidence.Knowledge = c.findResumed(first)
+	found := c.findResumed(first)
+	evidence.Origin, evidence.Knowledge = found.Origin, found.Knowledge
 	origin, refusal := streams.Bind(evidence)
 	c.logResumed(origin, evidence.Knowledge, refusal)
 	if refusal != streams.RefusalNone {
@@ -238,63 +250,81 @@
 	})
 }
 
+// originSearch is what the origin of a stream is looked for by: its key, or the content of its request.
+type originSearch struct {
+	key       streamorigins.Key
+	isContent bool
+	// keeperKeys are those by which the keepers of the stream may have been chosen.
+	keeperKeys []streamorigins.Key
+}
+
+// join returns what the findings of two nodes tell together. They are about one stream only if its key was looked for.
+func (s *originSearch) join(found, other streamorigins.Finding) streamorigins.Finding {
+	if s.isContent {
+		return found.Either(other)
+	}
+	return found.Join(other)
+}
+
+// isSufficient reports whether no other node need be asked. A certain origin does not change, but other nodes may know of
+// another stream with the same content.
+func (s *originSearch) isSufficient(found streamorigins.Finding) bool {
+	return found.Knowledge == streamorigins.Ambiguous || found.IsCertain() && !s.isContent
+}
+
 // findResumed looks for the origin of the stream that the caller resumes: by the request that began it, if the caller names
 // that, else by what was requested, which is the same for all tries.
-func (c *call) findResumed(first string) (streamorigins.Origin, streamorigins.Knowledge) {
+func (c *call) findResumed(first string) streamorigins.Finding {
 	if first == "" {
-		return c.findOrigin(c.fingerprint)
+		c.originKey = streamorigins.KeyOf(c.tenantName(), c.id) // by which the caller may name it from now on
+		return c.findOrigin(originSearch{key: c.fingerprint, isContent: true, keeperKeys: []streamorigins.Key{c.fingerprint}})
 	}
 	c.originKey = streamorigins.KeyOf(c.tenantName(), first)
-	return c.findOrigin(c.originKey)
+	record := streamorigins.Record{Key: c.originKey, Content: c.fingerprint}
+	// Nodes of earlier versions choose the keepers by the key.
+	return c.findOrigin(originSearch{key: c.originKey, keeperKeys: []streamorigins.Key{record.KeeperKey(), record.Key}})
 }
 
-// findOrigin looks for the stream's origin by the key at this node and at its keepers.
-func (c *call) findOrigin(key streamorigins.Key) (streamorigins.Origin, streamorigins.Knowledge) {
-	keepersOf := streamorigins.Record{Key: key, Content: c.fingerprint}.KeeperKey()
+// known returns what this node itself knows of what is looked for.
+func (n *Node) known(search originSearch) streamorigins.Finding {
+	if search.isContent {
+		return n.knownByContent(search.key)
+	}
+	origin, knowledge := n.knownOrigin(search.key)
+	return streamorigins.Finding{Origin: origin, Knowledge: knowledge}
+}
+
+// findOrigin looks for the stream's origin at this node and at its keepers.
+func (c *call) findOrigin(search originSearch) streamorigins.Finding {
 	var found streamorigins.Finding
 	for round := range originLookupRounds {
 		if round > 0 {
 			select {
 			case <-c.ctx.Done():
-				return found.Origin, found.Knowledge
+				return found
 			case <-time.After(originLookupPause):
 			}
 		}
-		origin, knowledge := c.node.knownOrigin(key)
-		found = found.Join(streamorigins.Finding{Origin: origin, Knowledge: knowledge})
-		if isSufficient(found, key, keepersOf) {
+		if found = search.join(found, c.node.known(search)); search.isSufficient(found) {
 			break
 		}
-		if found = found.Join(c.node.askKeepers(c.ctx, keepersOf, key)); !mayLearnMore(found) {
+		if found = search.join(found, c.node.askKeepers(c.ctx, &search)); found.IsCertain() || search.isSufficient(found) {
 			break
 		}
 	}
-	return found.Origin, found.Knowledge
-}
-
-// mayLearnMore reports whether others may know more of the stream's origin.
-func mayLearnMore(found streamorigins.Finding) bool {
-	return !found.IsCertain() && found.Knowledge != streamorigins.Ambiguous
-}
-
-// isSufficient reports whether no other node need be asked for the origin by the key. A certain origin does not change, but
-// other nodes may know of another stream with the same content.
-func isSufficient(found streamorigins.Finding, key, keepersOf streamorigins.Key) bool {
-	isContent := key == keepersOf
-	return found.Knowledge == streamorigins.Ambiguous || found.IsCertain() && !isContent
+	return found
 }
 
-// askKeepers asks all keepers of the stream at once by the key and returns what they know, up to the first answer that is
-// sufficient.
-func (n *Node) askKeepers(ctx context.Context, keepersOf, key streamorigins.Key) streamorigins.Finding {
+// askKeepers asks all keepers of the stream at once and returns what they know, up to the first answer that is sufficient.
+func (n *Node) askKeepers(ctx context.Context, search *originSearch) streamorigins.Finding {
 	ctx, cancel := context.WithTimeout(ctx, originLookupTimeout)
 	defer cancel()
 	var asked sync.WaitGroup
 	answers := make(chan streamorigins.Finding)
-	for _, keeper := range n.streamKeepers(keepersOf) {
+	for _, keeper := range n.streamKeepers(search.keeperKeys...) {
 		asked.Go(func() {
-			answer := &streamOriginAnswer{}
-			if err := n.peers.Call(ctx, keeper.Address, peerwire.KindStreamOrigin, &streamOriginQuestion{Key: key}, answer); err != nil {
+			question, answer := &streamOriginQuestion{Key: search.key, IsContent: search.isContent}, &streamOriginAnswer{}
+			if err := n.peers.Call(ctx, keeper.Address, peerwire.KindStreamOrigin, question, answer); err != nil {
 				n.counter("streams.questions_failed").Inc(1)
 				return
 			}
@@ -313,15 +343,15 @@
 	}()
 	var found streamorigins.Finding
 	for answer := range answers {
-		if found = found.Join(answer); isSufficient(found, key, keepersOf) {
+		if found = search.join(found, answer); search.isSufficient(found) {
 			break
 		}
 	}
 	return found
 }
 
-// streamKeepers returns the other nodes that keep the origin of the stream with the keeper key.
-func (n *Node) streamKeepers(key streamorigins.Key) []streams.Node {
+// streamKeepers returns the other nodes that keep the origin of a stream with one of the keeper keys.
+func (n *Node) streamKeepers(keys ...streamorigins.Key) []streams.Node {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	var nodes []streams.Node
@@ -331,7 +361,15 @@
 			nodes = append(nodes, streams.Node{Name: member.Name, Zone: member.Zone, Address: member.Address})
 		}
 	}
-	return streams.Keepers(nodes, n.settings.Load().Zone, key)
+	var keepers []streams.Node
+	for _, key := range keys {
+		for _, keeper := range streams.Keepers(nodes, n.settings.Load().Zone, key) {
+			if !slices.Contains(keepers, keeper) {
+				keepers = append(keepers, keeper)
+			}
+		}
+	}
+	return keepers
 }
 
 // recordOrigin records, before the caller gets an event of the replica, at which version the stream began. Of a
--- a/state/streamorigins/finding.go
+++ b/state/streamorigins/finding.go
@@ -34,6 +34,17 @@
 	return Finding{Knowledge: Ambiguous}
 }
 
+// Either returns what is known of a stream that is the one of either finding: its origin if both have the same, and that it
+// is uncertain or ambiguous otherwise. It is commutative.
+func (f Finding) Either(other Finding) Finding {
+	joined := f.Join(other)
+	isUncertain := f.Knowledge == Known && f.Origin.Version == "" || other.Knowledge == Known && other.Origin.Version == ""
+	if isUncertain {
+		joined.Origin.Version = ""
+	}
+	return joined
+}
+
 // normalized returns the finding without an origin unless it is known. States of later versions of this program count as
 // ambiguous.
 func (f Finding) normalized() Finding {
--- a/state/streamorigins/origin.go
+++ b/state/streamorigins/origin.go
@@ -28,18 +28,17 @@
 // IsZero reports whether the stream has no origin, as its caller has no events.
 func (o Origin) IsZero() bool { return o == Origin{} }
 
-// Record is the origin of one stream. The key is zero if the stream goes on for a caller that does not name the request
-// that began it.
+// Record is the origin of one stream.
 type Record struct {
 	Key    Key    `msgpack:"k"`
 	Origin Origin `msgpack:"o"`
-	// Content is the fingerprint of the stream's request, which is the same for all tries. A caller that does not name the
-	// first one is told apart by it; two streams with the same content and other origins are ambiguous. Nodes of earlier
+	// Content is the fingerprint of the stream's request, which is the same for all tries of a caller. Nodes of earlier
 	// versions state none.
 	Content Key `msgpack:"c"`
 }
 
-// KeeperKey returns the key by which the nodes are chosen that keep the record.
+// KeeperKey returns the key by which the nodes are chosen that keep the record: a caller that does not name the request that
+// began its stream brings the content only.
 func (r Record) KeeperKey() Key {
 	if r.Content.IsZero() {
 		return r.Key
--- a/state/streamorigins/registry.go
+++ b/state/streamorigins/registry.go
@@ -40,6 +40,7 @@
 
 type entry struct {
 	finding    Finding
+	content    Key
 	recordedAt structs.Instant
 }
 
@@ -47,45 +48,72 @@
 // longest ago is dropped. It is not safe for concurrent use.
 type Registry struct {
 	entries *simplelru.LRU[Key, entry]
-	dropped int64
+	// byContent has the keys of the streams with each content.
+	byContent map[Key]map[Key]struct{}
+	dropped   int64
 }
 
 // NewRegistry returns an empty registry. The capacity is at least 1.
 func NewRegistry(capacity int) *Registry {
-	entries, _ := simplelru.NewLRU[Key, entry](max(capacity, 1), nil) // fails only for a capacity below 1
-	return &Registry{entries: entries}
+	r := &Registry{byContent: map[Key]map[Key]struct{}{}}
+	r.entries, _ = simplelru.NewLRU(max(capacity, 1), r.forgetContent) // fails only for a capacity below 1
+	return r
 }
 
-// Put joins the record with what is known of the stream's origin, by its key and by its content. It reports whether
-// nothing was known of the stream before.
+// Put joins the record with what is known of the stream's origin. It reports whether the stream was unknown before.
 func (r *Registry) Put(now structs.Instant, record Record) bool {
 	r.expire(now)
-	isUnknown := true
-	for _, key := range []Key{record.Key, record.Content} {
-		if !key.IsZero() && r.join(now, key, record.Origin) {
-			isUnknown = false
-		}
+	before, found := r.entries.Peek(record.Key)
+	after := entry{finding: before.finding.Join(findingOf(record.Origin)), content: before.content, recordedAt: now}
+	if after.content.IsZero() && !record.Content.IsZero() {
+		after.content = record.Content
+		r.addContent(record)
+	}
+	if r.entries.Add(record.Key, after) {
+		r.dropped++
 	}
-	return isUnknown
+	return !found
 }
 
-// join joins the origin with what is known by the key. It reports whether anything was.
-func (r *Registry) join(now structs.Instant, key Key, origin Origin) bool {
-	before, found := r.entries.Peek(key)
-	if r.entries.Add(key, entry{finding: before.finding.Join(findingOf(origin)), recordedAt: now}) {
-		r.dropped++
+func (r *Registry) addContent(record Record) {
+	keys := r.byContent[record.Content]
+	if keys == nil {
+		keys = map[Key]struct{}{}
+		r.byContent[record.Content] = keys
+	}
+	keys[record.Key] = struct{}{}
+}
+
+// forgetContent removes an entry that is dropped from the streams with its content.
+func (r *Registry) forgetContent(key Key, dropped entry) {
+	keys := r.byContent[dropped.content]
+	delete(keys, key)
+	if len(keys) == 0 {
+		delete(r.byContent, dropped.content)
 	}
-	return found
 }
 
-// Get returns the origin of the stream with the key or the content, which is valid only if it is known.
+// Get returns the origin of the stream, which is valid only if it is known.
 func (r *Registry) Get(now structs.Instant, key Key) (Origin, Knowledge) {
 	r.expire(now)
 	found, _ := r.entries.Peek(key)
 	return found.finding.Origin, found.finding.Knowledge
 }
 
-// Count returns the number of keys and contents that are kept.
+// GetByContent returns what is known of the streams with the content, any of which may be meant.
+func (r *Registry) GetByContent(now structs.Instant, content Key) Finding {
+	r.expire(now)
+	var all Finding
+	for key := range r.byContent[content] {
+		found, _ := r.entries.Peek(key)
+		if all = all.Either(found.finding); all.Knowledge == Ambiguous {
+			break
+		}
+	}
+	return all
+}
+
+// Count returns the number of streams.
 func (r *Registry) Count() int { return r.entries.Len() }
 
 // Dropped returns how many origins were dropped before their retention ended.
--- a/state/streamorigins/streamorigins_test.go
+++ b/state/streamorigins/streamorigins_test.go
@@ -291,20 +291,20 @@
 	first, second := Record{Key: KeyOf("tenant", "r1"), Content: content, Origin: firstOrigin}, Record{Key: KeyOf("tenant", "r2"), Content: content, Origin: secondOrigin}
 	g.Expect(first.KeeperKey()).To(gomega.Equal(second.KeeperKey()))
 	g.Expect(registry.Put(0, first)).To(gomega.BeTrue())
-	origin, knowledge := registry.Get(0, content)
-	g.Expect(knowledge).To(gomega.Equal(Known))
-	g.Expect(origin).To(gomega.Equal(firstOrigin))
-	registry.Put(0, Record{Content: content, Origin: firstOrigin})
+	g.Expect(registry.GetByContent(0, content)).To(gomega.Equal(findingOf(firstOrigin)))
 	registry.Put(0, second)
-	_, knowledge = registry.Get(0, content)
-	g.Expect(knowledge).To(gomega.Equal(Ambiguous))
+	g.Expect(registry.GetByContent(0, content).Knowledge).To(gomega.Equal(Ambiguous))
 	for key, expected := range map[Key]Origin{first.Key: firstOrigin, second.Key: secondOrigin} {
-		origin, knowledge = registry.Get(0, key)
+		origin, knowledge := registry.Get(0, key)
 		g.Expect(knowledge).To(gomega.Equal(Known))
 		g.Expect(origin).To(gomega.Equal(expected))
 	}
-	_, knowledge = registry.Get(0, Key{})
-	g.Expect(knowledge).To(gomega.Equal(Unknown))
+	_, knowledge := registry.Get(0, content)
+	g.Expect(knowledge).To(gomega.Equal(Unknown), "a content is no name")
+	registry.Put(Retention, second)
+	g.Expect(registry.GetByContent(Retention+1, content)).To(gomega.Equal(findingOf(secondOrigin)))
+	g.Expect(registry.GetByContent(3*Retention, content)).To(gomega.Equal(Finding{}))
+	g.Expect(registry.byContent).To(gomega.BeEmpty())
 }
 
 // Guards against a stream of which nobody knows the version that goes on at that of another stream with the same content, for
@@ -322,8 +322,7 @@
 			for i, record := range records {
 				registry.Put(time.Duration(i)*time.Second, record)
 			}
-			origin, knowledge := registry.Get(2*time.Second, content)
-			found := Finding{Origin: origin, Knowledge: knowledge}
+			found := registry.GetByContent(2*time.Second, content)
 			gomega.NewWithT(t).Expect(found.IsCertain()).To(gomega.BeFalse(), "%+v", found)
 		})
 	}
@@ -340,13 +339,12 @@
 	}
 	begin(0, firstOrigin)
 	begin(time.Second, secondOrigin)
-	_, knowledge := registry.Get(time.Second, content)
-	g.Expect(knowledge).To(gomega.Equal(Ambiguous))
+	g.Expect(registry.GetByContent(time.Second, content).Knowledge).To(gomega.Equal(Ambiguous))
 	last := 3 * Retention
 	for at := Retention / 2; at <= last; at += Retention / 2 {
 		begin(at, secondOrigin)
 	}
-	origin, knowledge := registry.Get(last, content)
-	g.Expect(knowledge).To(gomega.Equal(Known), "no stream of the first version was kept for %v", last-Retention)
-	g.Expect(origin).To(gomega.Equal(secondOrigin))
+	found := registry.GetByContent(last, content)
+	g.Expect(found.Knowledge).To(gomega.Equal(Known), "no stream of the first version was kept for %v", last-Retention)
+	g.Expect(found.Origin).To(gomega.Equal(secondOrigin))
 }
