state/streamorigins: a former configuration counts where others may have it

Cause: each process took its own history of configurations for that of all. Class: as before, what holds now, here, is taken for what held when the stream began. Change: what was in force before the first configuration of a process counts as another one, whose streams live for as long as records are kept; former ones are kept for as long as their streams may live; and they count as in force while a known node is not heard, or says that it has one.

--- a/entry/stream_origin.go
+++ b/entry/stream_origin.go
@@ -235,6 +235,16 @@
 	if n.mayPeerSeeStoreLocked(now) {
 		n.versionHistory.MissPeers()
 	}
+	if n.mayPeerLagLocked(now) {
+		n.routingHistory.Lag(now)
+	}
+}
+
+// mayPeerLagLocked reports whether another node may still serve by a former configuration: one that this node does not hear,
+// or that says so.
+func (n *Node) mayPeerLagLocked(now structs.Instant) bool {
+	live := n.members.Live(now)
+	return len(live) < n.members.Known() || slices.ContainsFunc(live, func(member *liveness.Member) bool { return member.Version < n.version() })
 }
 
 // minPeerStoreTime is for how long a peer has watched the store when this node should have its view. It is longer than the
--- a/state/streamorigins/routing_history.go
+++ b/state/streamorigins/routing_history.go
@@ -23,7 +23,7 @@
 // configuration, by which its route led to other services; ones that were in force for a moment only are not seen by all
 // nodes. It is not safe for concurrent use.
 type RoutingHistory struct {
-	// former has the configurations that are not in force any more.
+	// former has the configurations that are not in force any more, at least for as long as their streams may live.
 	former []formerRouting
 	// longest is the longest lifetime of streams under the current configuration, if there is one.
 	longest          time.Duration
@@ -36,18 +36,29 @@
 	longest time.Duration
 }
 
-// Update records that a configuration came into force at the instant, with the timeouts of its streaming routes.
+// Update records that a configuration came into force at the instant, with the timeouts of its streaming routes. What was in
+// force before the first one is not known; its streams are taken to live for as long as records of streams are kept.
 func (h *RoutingHistory) Update(now structs.Instant, timeouts []time.Duration) {
+	former := formerRouting{until: now, longest: Retention}
 	if h.hasConfiguration {
-		h.former = append(h.former, formerRouting{until: now, longest: h.longest})
+		former.longest = h.longest
 	}
-	h.former = slices.DeleteFunc(h.former, func(past formerRouting) bool { return now-past.until > maxHistory })
+	h.former = slices.DeleteFunc(append(h.former, former), func(past formerRouting) bool {
+		return now-past.until > max(maxHistory, past.longest)
+	})
 	h.longest, h.hasConfiguration = 0, true
 	for _, timeout := range timeouts {
 		h.longest = max(h.longest, StreamLifetime(timeout))
 	}
 }
 
+// Lag records that a former configuration may still be in force at another node at the instant.
+func (h *RoutingHistory) Lag(now structs.Instant) {
+	for i := range h.former {
+		h.former[i].until = now
+	}
+}
+
 // BeganUnderCurrent reports whether a stream that is resumed now, within the lifetime of streams of its route, can have begun
 // under the current configuration only.
 func (h *RoutingHistory) BeganUnderCurrent(now structs.Instant, lifetime time.Duration) bool {
