--- a/test/entry/moved_routes_test.go
+++ b/test/entry/moved_routes_test.go
@@ -56,12 +56,12 @@
 // them, and nodes may be killed meanwhile.
 func TestStreamsDoNotGoOnAtAnotherService(t *testing.T) {
 	for name, testCase := range map[string]mixingCase{
-		"named":                     {minGoOnShare: 0.95},
-		"callers don't name them":   {omitsResumed: true, minGoOnShare: 0.95},
-		"nodes are killed in turn":  {omitsResumed: true, fault: killNodesInTurn, minGoOnShare: 0.95},
-		"all nodes are killed":      {omitsResumed: true, fault: onScenario(restartAllNodes)},
+		"named":                    {minGoOnShare: 0.95},
+		"callers don't name them":  {omitsResumed: true, minGoOnShare: 0.95},
+		"nodes are killed in turn": {omitsResumed: true, fault: killNodesInTurn, minGoOnShare: 0.95},
+		"all nodes are killed":     {omitsResumed: true, fault: onScenario(restartAllNodes)},
 		// Meanwhile the route leads to one service at some nodes and to the other one at the rest.
-		"the store is down": {omitsResumed: true, fault: onScenario(failStore)},
+		"the store is down":         {omitsResumed: true, fault: onScenario(failStore)},
 		"a node is partitioned":     {omitsResumed: true, fault: onScenario(partitionNodesFor(3 * time.Second)), minGoOnShare: 0.5},
 		"the scheduling node fails": {omitsResumed: true, fault: onScenario(killScheduler), minGoOnShare: 0.95},
 	} {
