entry: a planned stop gives a true final answer to all that it read

Callers saw: in a stop with a grace of 8 s, requests that came late were taken, written to a replica, and cut with no answer at the end, among them ones that must not be repeated.

Cause: plain requests were taken until 6.3 s as if none took over a second, whatever their service, timeout or queue, and nothing was answered to what still ran or waited at the end: the servers were closed, and the handlers reported that the callers had left.

Evidence: TestPlannedStopAnswersWhatItTook, whose courses now have the slots that they name and a target that their requests meet (most were refused as backlog before, as the replicas' entries had two slots), and a stream that keeps the path busy.

Change: coordination/stops decides from the time since the signal, the grace, what may be repeated, the deadline and the times that this node observed of the service and route: take or refuse, until when to wait, when all have an answer. The node checks it on arrival, while a request waits for its body or a slot, and just before the write. At the end each request in progress ends by itself: "not run" if it was not written, outcome unknown (504) if it was, broken off if a part was sent; then the servers close. Such ends have the reason "stopping" and are counted in the last line of process.stop; replicas are not blamed for them. A replica gets no deadline later than the final answers.

--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -11,6 +11,7 @@
 	"github.com/thornwalk/thornwalk/coordination/admission"
 	"github.com/thornwalk/thornwalk/coordination/handover"
 	"github.com/thornwalk/thornwalk/coordination/incarnations"
+	"github.com/thornwalk/thornwalk/coordination/stops"
 	"github.com/thornwalk/thornwalk/state/loadreport"
 	"github.com/thornwalk/thornwalk/state/memorybudget"
 	"github.com/thornwalk/thornwalk/state/replicas"
@@ -81,6 +82,8 @@
 	startedAt time.Time
 	headDelay time.Duration
 	workTime  int
+	// run is what node.times observes of the send, nil for streams.
+	run *stops.Run
 	// memory is what the answer holds, and reset resets the connection to the replica.
 	memory *memorybudget.Account
 	reset  context.CancelFunc
@@ -141,11 +144,13 @@
 	endExchange := node.exchanges.begin(conn, granted.Replica)
 	sendContext, cancelSend := context.WithCancel(c.ctx)
 	memory := node.memory.Open(cancelSend)
-	begun := &send{granted: granted, forwarder: conn.Forwarder, identity: c.identity, connection: connectionOf(conn), startedAt: time.Now(), memory: memory, reset: cancelSend, release: func() {
+	begun := &send{granted: granted, forwarder: conn.Forwarder, identity: c.identity, connection: connectionOf(conn), startedAt: time.Now(), run: c.beginRun(), memory: memory, reset: cancelSend}
+	begun.release = func() {
 		cancelSend()
 		endExchange()
+		node.endRun(begun.run, false)
 		memory.Close()
-	}}
+	}
 	c.answerMemory = memory
 	c.forwarder = begun.forwarder
 	sentAt := node.now()
@@ -187,7 +192,11 @@
 
 // mayWrite reports whether the request may be written, just before it is.
 func (c *call) mayWrite() bool {
-	return c.successorToken == 0 || c.silence.maySend(c.successorToken)
+	if c.successorToken != 0 {
+		return c.silence.maySend(c.successorToken)
+	}
+	c.isGivenUp = !c.isWriteInTime()
+	return !c.isGivenUp
 }
 
 // watchCurrent makes the replica the current one, unless it is a successor, and begins to watch it; reset resets the
@@ -236,6 +245,7 @@
 	outcome, observed := c.relay(begun.answer, begun.granted.Replica, begun.startedAt)
 	observed.WorkTime, observed.HeadDelay = begun.workTime, begun.headDelay
 	c.endExchange(begun, outcome)
+	c.node.endRun(begun.run, outcome == resultAnswered || outcome == resultServerError)
 	if observed.FirstEvent > 0 {
 		c.node.recordDuration("first_event_ms", observed.FirstEvent)
 	}
@@ -310,7 +320,7 @@
 // failure.
 func (c *call) recordIncomplete(err error) result {
 	switch {
-	case c.request.Context().Err() != nil:
+	case c.request.Context().Err() != nil && !c.isStopped():
 		return resultCallerLeft
 	case c.successorToken != 0 && c.ctx.Err() != nil:
 		return resultNotNeeded
@@ -319,6 +329,8 @@
 	switch {
 	case c.successorToken == 0 && c.silence.isReplaced():
 		c.lastFailure = causeTimeout // this node reset the connection
+	case c.isStopped():
+		c.lastFailure = causeStopping // here too
 	case c.answerMemory.IsEvicted() || c.isEvicted():
 		c.lastFailure = causeMemoryFull // so did it here
 		c.resumeWrites()
@@ -371,7 +383,7 @@
 		header.Set(names.Tenant, c.tenant.Name)
 	}
 	header.Set(names.ExpectReplica, replica.ID)
-	header.Set(names.Deadline, strconv.FormatInt(max(c.remaining().Milliseconds(), 1), 10))
+	header.Set(names.Deadline, strconv.FormatInt(max(min(c.remaining(), c.node.answerTimeLeft()).Milliseconds(), 1), 10))
 	if c.lastEventID != "" {
 		header.Set(names.LastEvent, c.lastEventID)
 	}
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -56,6 +56,8 @@
 	connectionAliveAt structs.Instant
 	// lackedRoom is true if the last send was rejected by the replica for lack of room.
 	lackedRoom bool
+	// isGivenUp is true if the request was not written, or waits no longer, as the node stops.
+	isGivenUp bool
 	// refusedConnects counts the connects that were refused.
 	refusedConnects int
 	// promptTokens and outputTokens are the tokens of the request; both are zero for
@@ -139,10 +141,13 @@
 	}
 	c.logReceived(current.Version)
 	defer c.logCallerLeft()
-	ctx, cancel := context.WithTimeout(r.Context(), c.remaining())
+	deadlineContext, cancelDeadline := context.WithTimeout(r.Context(), c.remaining())
+	defer cancelDeadline()
+	ctx, end := context.WithCancelCause(deadlineContext)
+	cancel := func() { end(nil) }
 	defer cancel()
 	c.ctx = ctx
-	defer n.calls.add(c, cancel)()
+	defer n.calls.add(c, end)()
 	c.memory = n.memory.Open(c.interruptBody)
 	defer c.memory.Close()
 	if !c.readBody(current) {
@@ -153,8 +158,8 @@
 		return
 	}
 	c.computeFingerprint()
-	if !c.canFinishBeforeStop() {
-		c.endNotRun(http.StatusServiceUnavailable, reasonStopping, retryAfterStopping)
+	if !c.isTaken() {
+		c.endStopping()
 		return
 	}
 	if !c.bindResumedStream() {
@@ -164,23 +169,6 @@
 	c.serve()
 }
 
-// maxPlainResponseTime is the longest time that a plain response is expected to take.
-const maxPlainResponseTime = time.Second
-
-// canFinishBeforeStop reports whether the response will end before this process does. Until
-// rejectAfter every request is accepted, as the balancer may still send them; after that no
-// stream is, as its length is unknown.
-func (c *call) canFinishBeforeStop() bool {
-	stopped := c.node.stoppingFor()
-	if stopped < rejectAfter {
-		return true
-	}
-	if c.route.Kind == kindStreaming {
-		return false
-	}
-	return stopped+maxPlainResponseTime < c.node.settings.Load().stopGrace()-stopMargin
-}
-
 // admit determines route, tenant, service and deadline. If it returns false, it has ended the request.
 func (c *call) admit(current *catalog.Catalog) bool {
 	names := &c.node.dependencies.Headers
@@ -244,7 +232,9 @@
 	}
 	control := http.NewResponseController(c.writer)
 	_ = control.SetReadDeadline(time.Now().Add(c.remaining()))
+	wait := c.beginWait(c.interruptBody)
 	body, err := readHeld(http.MaxBytesReader(c.writer, c.request.Body, limit), c.memory, c.request.ContentLength, limit+1)
+	isGivenUp := wait.end()
 	if c.isEvicted() {
 		// The caller may read the response only once it has sent more of the body.
 		_ = control.SetReadDeadline(time.Now().Add(rejectedBodyTimeout))
@@ -256,6 +246,12 @@
 		c.body = body
 		return true
 	}
+	if isGivenUp {
+		// The caller may read the response only once it has sent more of the body.
+		_ = control.SetReadDeadline(time.Now().Add(rejectedBodyTimeout))
+		c.endStopping()
+		return false
+	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		c.writer.Header().Set("Connection", "close")
 		c.endNotRun(http.StatusRequestTimeout, "body-too-slow", 0)
@@ -303,6 +299,7 @@
 	event.IsClosed, event.RetryRefusal = c.headSent, c.retryRefusal
 	c.recordEnd(event)
 	c.node.counter("ended." + reason).Inc(1)
+	c.countStopped(event)
 	if c.headSent {
 		c.node.counter("closed." + reason).Inc(1)
 		c.abort()
--- a/entry/node.go
+++ b/entry/node.go
@@ -20,6 +20,7 @@
 	"github.com/thornwalk/thornwalk/coordination/reachability"
 	"github.com/thornwalk/thornwalk/coordination/replicahealth"
 	"github.com/thornwalk/thornwalk/coordination/staleness"
+	"github.com/thornwalk/thornwalk/coordination/stops"
 	"github.com/thornwalk/thornwalk/coordination/zones"
 	"github.com/thornwalk/thornwalk/internal/eventlog"
 	"github.com/thornwalk/thornwalk/outside"
@@ -125,6 +126,9 @@
 	exchanges *exchanges
 	// calls holds the callers' requests in progress.
 	calls activeCalls
+	// times observes how long requests take, and waits holds the requests that wait.
+	times stops.Times
+	waits waits
 	// silences holds the requests whose replica is silent.
 	silences silences
 
--- a/entry/request_log.go
+++ b/entry/request_log.go
@@ -138,5 +138,9 @@
 	}
 	event := c.newEvent("request.ended")
 	event.Outcome, event.Reason = outcomeUnknown, "caller-left"
+	if c.isStopped() { // a write to the caller was interrupted
+		event.Reason, event.IsClosed = reasonStopping, true
+		c.countStopped(event)
+	}
 	c.recordEnd(event)
 }
--- a/entry/send_failure.go
+++ b/entry/send_failure.go
@@ -30,6 +30,8 @@
 	causeInvalidResponse failureCause = "spoiled"
 	// causeMemoryFull means that this node ended the exchange, as the answer held most of its memory for answers.
 	causeMemoryFull failureCause = "memory-full"
+	// causeStopping means that this node ended the exchange, as it stops.
+	causeStopping failureCause = "stopping"
 	// causeForwarderLost means that the connection to the peer that forwarded the request broke.
 	causeForwarderLost failureCause = "forwarder-lost"
 	// causeUnproven means that nothing showed which incarnation of the replica the connection leads to, so that the
--- a/entry/serve.go
+++ b/entry/serve.go
@@ -63,7 +63,7 @@
 	for {
 		request := c.newAssignRequest(c.tried, c.sends > 0)
 		request.MayHaveRun = c.executions > 0
-		granted := c.node.requestAssignment(c.ctx, request)
+		granted := c.awaitAssignment(request)
 		c.waited += granted.Waited
 		c.node.recordDuration("place_wait_ms", granted.Waited)
 		granted.origin = c.origin
@@ -75,13 +75,14 @@
 			c.endUnassigned(granted)
 			return nil
 		}
-		if c.node.maySend(granted) {
+		c.isGivenUp = !c.isWriteInTime()
+		if !c.isGivenUp && c.node.maySend(granted) {
 			c.retryRefusal = ""
 			return granted
 		}
 		c.node.reportFinish(granted, &finishRequest{Observation: admission.Observation{CallerLeft: true}, NotRun: true, Unsent: true})
 		c.tried = append(c.tried, granted.Replica.ID)
-		if len(c.tried)-c.unproven >= maxSends {
+		if c.isGivenUp || len(c.tried)-c.unproven >= maxSends {
 			c.endUnanswered(resultNotSent)
 			return nil
 		}
@@ -124,7 +125,7 @@
 		state = c.node.probeIncarnation(granted.Replica)
 	case causeInvalidResponse:
 		return true
-	case causeForwarderLost, causeMemoryFull:
+	case causeForwarderLost, causeMemoryFull, causeStopping:
 		return false
 	case causeTimeout:
 		if c.forwarder == "" && c.node.isPathForwarded(granted.Replica.ID) {
@@ -207,7 +208,7 @@
 			Fingerprint: c.fingerprint, PromptTokens: c.promptTokens, AnswerTokens: c.expectedOutputTokens(), Tried: tried, Doubted: suspected,
 			TokensPerEvent: c.tokensPerEvent(), MaxEventGap: c.route.TargetEventGap, Yields: c.route.Priority >= minYieldPriority,
 			Deadline: c.remaining(), Parts: c.partKeys, Version: c.origin.Version,
-			Target: max(c.route.TargetLatency-c.age(), 0), Patience: c.maxQueueWait(),
+			Target: max(c.route.TargetLatency-c.age(), 0), Patience: min(c.maxQueueWait(), c.writeTimeLeft()),
 		},
 		First: isFirst, Repeat: isRetry, RequestID: tenantstats.ShortName(c.id), PushbackReports: node.pushbackReports(c.service), RejectionLimits: node.rejectionLimits(c.service),
 	}
@@ -295,7 +296,7 @@
 
 // mayRetry reports whether the request may be sent to another replica.
 func (c *call) mayRetry(outcome result, executions, tried int) bool {
-	if c.isOriginUncertain() && !c.resolveOrigin() || c.ctx.Err() != nil || tried >= maxSends || c.refusedConnects >= maxRefusedConnects || c.unproven >= maxUnproven {
+	if c.isGivenUp || c.isOriginUncertain() && !c.resolveOrigin() || c.ctx.Err() != nil || tried >= maxSends || c.refusedConnects >= maxRefusedConnects || c.unproven >= maxUnproven {
 		return false
 	}
 	switch outcome {
@@ -309,6 +310,8 @@
 // endUnanswered ends a request that is not retried.
 func (c *call) endUnanswered(outcome result) {
 	switch {
+	case c.isStopped():
+		c.endStopping()
 	case c.request.Context().Err() != nil:
 		c.end(http.StatusServiceUnavailable, outcomeForExecutions(c.executions), "caller-left")
 	case c.isEvicted():
@@ -354,6 +357,8 @@
 // endUnassigned ends a request that got no assignment.
 func (c *call) endUnassigned(granted *grant) {
 	switch {
+	case c.isStopped():
+		c.endStopping()
 	case c.request.Context().Err() != nil:
 		c.end(http.StatusServiceUnavailable, outcomeForExecutions(c.executions), "caller-left")
 	case c.isEvicted():
--- a/entry/silence_log.go
+++ b/entry/silence_log.go
@@ -15,6 +15,7 @@
 	silenceBrokeOff   = "broke-off"
 	silenceDeadline   = "deadline"
 	silenceCallerLeft = "caller-left"
+	silenceStopping   = "stopping"
 )
 
 // silence is a wait for the current replica during which a successor was looked for.
@@ -83,6 +84,8 @@
 	switch {
 	case w.winner != nil:
 		return silenceReplaced
+	case w.call.isStopped():
+		return silenceStopping
 	case w.call.request.Context().Err() != nil:
 		return silenceCallerLeft
 	case w.call.ctx.Err() != nil:
--- a/test/entry/late_stop_test.go
+++ b/test/entry/late_stop_test.go
@@ -21,9 +21,13 @@
 	lateStopCourse = 9 * time.Second
 	// crossingTime is how soon a caller notices that its request met a connection that the node was closing.
 	crossingTime = 200 * time.Millisecond
-	// A stream with longStreamStep between its events outlasts the grace.
-	longStreamStep    = 2 * time.Second
+	// A stream of longStreamEvents with longStreamStep between them outlasts the grace. Its events show that the path to the
+	// replicas is not silent, while the requests of a course wait for their answers.
+	longStreamStep    = 200 * time.Millisecond
+	longStreamEvents  = 80
 	longStreamTimeout = 20 * time.Second
+	// slowTarget is the target latency of the routes in milliseconds: the slow requests of a course meet it.
+	slowTarget = 4000
 )
 
 // lateRequest is a request that was sent while its node stopped.
@@ -77,6 +81,7 @@
 func (s *scenario) stopUnderLoad(course lateStop) []lateRequest {
 	for _, replica := range s.plainReplicas {
 		replica.Step, replica.Slots = course.step, course.slots
+		replica.Register(s.deployment.Store, "ready") // with its slots
 	}
 	s.keepRunning()
 	var group sync.WaitGroup
@@ -109,13 +114,42 @@
 	return requests
 }
 
+// lateAfter is the time since the signal after which the balancer no longer sends requests to the node.
+const lateAfter = 3 * time.Second
+
+// describeLate returns how many of the late requests had which end, and when the last one was served.
+func describeLate(requests []lateRequest, cut int) string {
+	var late, served, refused, unknown int
+	var lastServed, longestRefusal time.Duration
+	for _, request := range requests {
+		if request.sentAfter < lateAfter || !request.answered {
+			continue
+		}
+		late++
+		switch request.status {
+		case http.StatusOK:
+			served++
+			lastServed = max(lastServed, request.sentAfter)
+		case http.StatusServiceUnavailable:
+			refused++
+			longestRefusal = max(longestRefusal, request.took)
+		case http.StatusGatewayTimeout, http.StatusBadGateway:
+			unknown++
+		}
+	}
+	return fmt.Sprintf("answered of those sent later than %v: %d; served %d, the last one sent at %v; not run %d, after %v at most; outcome unknown %d; cut %d of all",
+		lateAfter, late, served, lastServed, refused, longestRefusal, unknown, cut)
+}
+
 // keepRunning begins a stream at n1 that lasts longer than the grace.
 func (s *scenario) keepRunning() {
 	for _, engine := range s.engines {
-		engine.Step = longStreamStep
+		engine.Step, engine.Events = longStreamStep, longStreamEvents
 	}
 	s.configure(func(configuration *entrylab.Configuration) {
 		for i := range configuration.Routes {
+			// A plain request of a second would wait for the others, as if it delayed the events of their streams.
+			configuration.Routes[i].Target, configuration.Routes[i].TargetGap = slowTarget, 0
 			if configuration.Routes[i].Name == "stream" {
 				configuration.Routes[i].Timeout = int(longStreamTimeout.Milliseconds())
 			}
@@ -153,6 +187,7 @@
 					}
 				}
 				s.Expect(len(requests)).To(gomega.BeNumerically(">", 100))
+				t.Log(describeLate(requests, cut))
 				s.Expect(cut).To(gomega.Equal(0), "requests that the node had read and that got no answer, of %d", len(requests))
 			})
 		})
