test/entry: more courses of a planned stop

Added: far deadlines, bodies 1.5 and 2.5 s after their heads, streams, a service that turns from 30 ms to 2.5 s at 4.5 s, and requests that cross the close of an idle connection. Each course also checks that the stream that outlasts the grace goes on until the end and is broken off, that nobody is logged as having left, and that no replica gets a deadline behind the end.

--- a/test/entry/late_stop_test.go
+++ b/test/entry/late_stop_test.go
@@ -51,11 +51,25 @@
 	return &keptCaller{scenario: s, client: &http.Client{Transport: &http.Transport{DialContext: s.dialFromCaller, MaxIdleConnsPerHost: 1}}}
 }
 
-// send sends the request once. The transport of the client repeats one itself only if no byte of it was written.
-func (k *keptCaller) send(id, path, deadlineMS, body string) (status int, answered bool) {
-	request, err := http.NewRequest(http.MethodPost, "http://"+entrylab.CallersAddress("n1")+path, strings.NewReader(body))
+// delayedBody is a body that comes some time after its head.
+type delayedBody struct {
+	io.Reader
+	delay time.Duration
+}
+
+func (b *delayedBody) Read(buffer []byte) (int, error) {
+	time.Sleep(b.delay)
+	b.delay = 0
+	return b.Reader.Read(buffer)
+}
+
+// send sends the request once, with its body after the delay. The transport of the client repeats one itself only if no byte
+// of it was written.
+func (k *keptCaller) send(id, path, deadlineMS string, bodyDelay time.Duration) (status int, answered bool) {
+	body := "body of " + id
+	request, err := http.NewRequest(http.MethodPost, "http://"+entrylab.CallersAddress("n1")+path, &delayedBody{strings.NewReader(body), bodyDelay})
 	k.scenario.Expect(err).NotTo(gomega.HaveOccurred())
-	request.GetBody = nil
+	request.ContentLength = int64(len(body))
 	request.Host = "service.example"
 	request.Header.Set("X-Attempt-Id", id)
 	request.Header.Set("X-Deadline-Ms", deadlineMS)
@@ -75,21 +89,45 @@
 	// step is the time that a request takes at the replica, which has slots of them.
 	step  time.Duration
 	slots int
+	// bodyDelay is how much later than its head a body comes, and slowStep the time that requests take from slowAfter on,
+	// zero if it does not change.
+	bodyDelay, slowStep time.Duration
 }
 
-// stopUnderLoad stops n1 while its callers go on, and returns the requests.
-func (s *scenario) stopUnderLoad(course lateStop) []lateRequest {
+// slowAfter is when the service turns slow, after the signal.
+const slowAfter = 4500 * time.Millisecond
+
+// stoppedCourse is what was seen in a course: the time of the signal, the requests after it, and the stream that lasted
+// longer than the grace.
+type stoppedCourse struct {
+	signalAt time.Time
+	requests []lateRequest
+	stream   reply
+}
+
+// stopUnderLoad stops n1 while its callers go on.
+func (s *scenario) stopUnderLoad(course lateStop) stoppedCourse {
 	for _, replica := range s.plainReplicas {
 		replica.Step, replica.Slots = course.step, course.slots
 		replica.Register(s.deployment.Store, "ready") // with its slots
 	}
-	s.keepRunning()
+	for _, host := range []string{"q1", "q2"} {
+		s.plainReplicas = append(s.plainReplicas, s.addReplica(host, shortStreams, 6, 50*time.Millisecond))
+	}
+	stream := s.keepRunning()
 	var group sync.WaitGroup
 	var mutex sync.Mutex
 	var requests []lateRequest
 	stopped := make(chan bool)
 	startedAt := time.Now()
 	go func() { s.deployment.Node("n1").Stop(); close(stopped) }()
+	if course.slowStep > 0 {
+		time.AfterFunc(slowAfter, func() {
+			for _, replica := range s.plainReplicas {
+				replica.SetStep(course.slowStep)
+			}
+		})
+	}
 	idle := make(chan *keptCaller, 1024)
 	for number := 0; time.Since(startedAt) < lateStopCourse; number++ {
 		group.Go(func() {
@@ -100,7 +138,7 @@
 				caller = s.newKeptCaller()
 			}
 			sent := lateRequest{id: fmt.Sprintf("late-%d", number), sentAfter: time.Since(startedAt)}
-			sent.status, sent.answered = caller.send(sent.id, course.path, course.deadlineMS, "body of "+sent.id)
+			sent.status, sent.answered = caller.send(sent.id, course.path, course.deadlineMS, course.bodyDelay)
 			sent.took = time.Since(startedAt) - sent.sentAfter
 			idle <- caller
 			mutex.Lock()
@@ -111,7 +149,7 @@
 	}
 	group.Wait()
 	<-stopped
-	return requests
+	return stoppedCourse{startedAt, requests, <-stream}
 }
 
 // lateAfter is the time since the signal after which the balancer no longer sends requests to the node.
@@ -141,8 +179,11 @@
 		lateAfter, late, served, lastServed, refused, longestRefusal, unknown, cut)
 }
 
+// shortStreams is a service of streams of 0.3 s, and the name of its route.
+const shortStreams = "short"
+
 // keepRunning begins a stream at n1 that lasts longer than the grace.
-func (s *scenario) keepRunning() {
+func (s *scenario) keepRunning() <-chan reply {
 	for _, engine := range s.engines {
 		engine.Step, engine.Events = longStreamStep, longStreamEvents
 	}
@@ -150,32 +191,47 @@
 		for i := range configuration.Routes {
 			// A plain request of a second would wait for the others, as if it delayed the events of their streams.
 			configuration.Routes[i].Target, configuration.Routes[i].TargetGap = slowTarget, 0
+			configuration.Routes[i].Timeout = int(longStreamTimeout.Milliseconds())
 			if configuration.Routes[i].Name == "stream" {
-				configuration.Routes[i].Timeout = int(longStreamTimeout.Milliseconds())
+				added := configuration.Routes[i]
+				added.Name, added.PathPrefix, added.Service = shortStreams, "/"+shortStreams+"/", shortStreams
+				configuration.Routes = append(configuration.Routes, added)
 			}
 		}
+		configuration.Services = append(configuration.Services, entrylab.Service{Name: shortStreams})
 	})
 	time.Sleep(time.Second)
-	go s.do("n1", http.MethodPost, "/stream/", deadline(fmt.Sprint(longStreamTimeout.Milliseconds())))
+	stream := make(chan reply, 1)
+	go func() {
+		stream <- s.do("n1", http.MethodPost, "/stream/", deadline(fmt.Sprint(longStreamTimeout.Milliseconds())))
+	}()
 	time.Sleep(10 * time.Millisecond)
+	return stream
 }
 
 // Guards against requests that a stopping node takes although it ends before their answers: they ran, and their callers got
-// nothing, also where a request must not be repeated.
+// nothing, also where a request must not be repeated; against answers that are not true; and against requests that are
+// refused for a deadline far behind the end, although they take 30 ms.
 func TestPlannedStopAnswersWhatItTook(t *testing.T) {
 	for _, course := range []lateStop{
-		{"at most once, short", "/once/", "1000", 30 * time.Millisecond, 16},
-		{"at most once, 1.5 s", "/once/", "4000", 1500 * time.Millisecond, 64},
-		{"at most once, 2.5 s", "/once/", "4000", 2500 * time.Millisecond, 64},
-		{"repeatable, 2.5 s", "/safe/", "4000", 2500 * time.Millisecond, 64},
-		{"at most once, waits for its turn", "/once/", "4000", 300 * time.Millisecond, 2},
-		{"repeatable, waits for its turn", "/safe/", "4000", 300 * time.Millisecond, 2},
+		{name: "at most once, short", path: "/once/", deadlineMS: "1000", step: 30 * time.Millisecond, slots: 16},
+		{name: "at most once, short, far deadline", path: "/once/", deadlineMS: "20000", step: 30 * time.Millisecond, slots: 16},
+		{name: "at most once, 1.5 s", path: "/once/", deadlineMS: "4000", step: 1500 * time.Millisecond, slots: 64},
+		{name: "at most once, 2.5 s", path: "/once/", deadlineMS: "4000", step: 2500 * time.Millisecond, slots: 64},
+		{name: "repeatable, 2.5 s", path: "/safe/", deadlineMS: "4000", step: 2500 * time.Millisecond, slots: 64},
+		{name: "at most once, waits for its turn", path: "/once/", deadlineMS: "4000", step: 300 * time.Millisecond, slots: 2},
+		{name: "repeatable, waits for its turn", path: "/safe/", deadlineMS: "4000", step: 300 * time.Millisecond, slots: 2},
+		{name: "body 1.5 s after its head", path: "/once/", deadlineMS: "4000", step: 30 * time.Millisecond, slots: 16, bodyDelay: 1500 * time.Millisecond},
+		{name: "body 2.5 s after its head", path: "/once/", deadlineMS: "4000", step: 30 * time.Millisecond, slots: 16, bodyDelay: 2500 * time.Millisecond},
+		{name: "streams", path: "/short/", deadlineMS: "4000", step: 30 * time.Millisecond, slots: 16},
+		{name: "at most once, turns slow", path: "/once/", deadlineMS: "6000", step: 30 * time.Millisecond, slots: 64, slowStep: 2500 * time.Millisecond},
+		{name: "repeatable, turns slow", path: "/safe/", deadlineMS: "6000", step: 30 * time.Millisecond, slots: 64, slowStep: 2500 * time.Millisecond},
 	} {
 		t.Run(course.name, func(t *testing.T) {
 			runScenario(t, func(s *scenario) {
-				requests := s.stopUnderLoad(course)
+				stopped := s.stopUnderLoad(course)
 				runs, cut := s.runCounts(), 0
-				for _, request := range requests {
+				for _, request := range stopped.requests {
 					ran := runs[request.id] > 0
 					if !request.answered && (ran || request.took > crossingTime) {
 						cut++
@@ -186,10 +242,88 @@
 						s.Expect(ran).To(gomega.BeFalse(), "%s was told that it had not run", request.id)
 					}
 				}
-				s.Expect(len(requests)).To(gomega.BeNumerically(">", 100))
-				t.Log(describeLate(requests, cut))
-				s.Expect(cut).To(gomega.Equal(0), "requests that the node had read and that got no answer, of %d", len(requests))
+				s.Expect(len(stopped.requests)).To(gomega.BeNumerically(">", 100))
+				t.Log(describeLate(stopped.requests, cut))
+				s.Expect(cut).To(gomega.Equal(0), "requests that the node had read and that got no answer, of %d", len(stopped.requests))
+				s.checkStopped(stopped)
 			})
 		})
 	}
 }
+
+// stopEnd is when a grace of 8 s is over.
+const stopEnd = 8 * time.Second
+
+// checkStopped checks that the stream went on until the end and was broken off, that no request is logged as left by its
+// caller, and that no replica got a deadline behind the end.
+func (s *scenario) checkStopped(stopped stoppedCourse) {
+	s.Expect(stopped.stream.status).To(gomega.Equal(http.StatusOK))
+	s.Expect(stopped.stream.complete).To(gomega.BeFalse(), "the stream was broken off")
+	s.Expect(stopped.stream.took).To(gomega.BeNumerically(">", 7*time.Second))
+	brokenOff := 0
+	for _, event := range s.loggedEvents("request.ended") {
+		s.Expect(event.Reason).NotTo(gomega.Equal("caller-left"), event.Request)
+		if event.Reason == "stopping" && event.IsClosed {
+			brokenOff++
+		}
+	}
+	s.Expect(brokenOff).To(gomega.Equal(1))
+	ended := s.loggedEvents("process.stop")
+	s.Expect(ended[len(ended)-1].Detail).To(gomega.ContainSubstring("broken off: 1"))
+	for _, replica := range s.plainReplicas {
+		for _, run := range replica.Runs() {
+			s.Expect(run.At.Add(run.Deadline).Sub(stopped.signalAt)).To(gomega.BeNumerically("<", stopEnd), run.ID)
+		}
+	}
+}
+
+const (
+	// idleCallers send their next request around the time at which the node closes idle connections, idleInterval apart.
+	idleCallers   = 120
+	idleInterval  = 2 * time.Millisecond
+	firstIdleSend = 2400 * time.Millisecond
+)
+
+// Guards against a request that crosses the close of its idle connection and runs although its caller gets no answer: it
+// must be answered, or not have run.
+func TestRequestThatCrossesTheCloseOfAnIdleConnectionDoesNotRun(t *testing.T) {
+	runScenario(t, func(s *scenario) {
+		for _, replica := range s.plainReplicas {
+			replica.Slots = idleCallers
+			replica.Register(s.deployment.Store, "ready")
+		}
+		stream := s.keepRunning()
+		callers := make([]*keptCaller, idleCallers)
+		for i := range callers {
+			callers[i] = s.newKeptCaller()
+			status, _ := callers[i].send(fmt.Sprint("before-", i), "/once/", "4000", 0)
+			s.Expect(status).To(gomega.Equal(http.StatusOK))
+		}
+		stopped := make(chan bool)
+		go func() { s.deployment.Node("n1").Stop(); close(stopped) }()
+		var group sync.WaitGroup
+		var mutex sync.Mutex
+		var answered, closed int
+		for i, caller := range callers {
+			group.Go(func() {
+				time.Sleep(firstIdleSend + time.Duration(i)*idleInterval)
+				id := fmt.Sprint("crossing-", i)
+				status, isAnswered := caller.send(id, "/once/", "4000", 0)
+				mutex.Lock()
+				defer mutex.Unlock()
+				if isAnswered {
+					answered++
+					s.Expect(status).To(gomega.Equal(http.StatusOK))
+				} else {
+					closed++
+					s.Expect(s.runCounts()[id]).To(gomega.BeZero(), id)
+				}
+			})
+		}
+		group.Wait()
+		s.Expect(answered + closed).To(gomega.Equal(idleCallers))
+		t.Logf("answered %d, connection closed without a run %d", answered, closed)
+		<-stopped
+		<-stream
+	})
+}
