entry: no request over connections that a leaving node forwards

Callers of a node without a path to the replicas saw requests with unknown outcome when a node that forwards connections for it stopped, although other nodes forward connections too.

Cause: idle connections through a leaving node are closed twice a second. In steady use a connection is never idle at these moments, and is taken again and again until the other node ends.

Change: a connection whose forwarder leaves is closed in place of being taken.

--- a/entry/forwarding.go
+++ b/entry/forwarding.go
@@ -346,6 +346,15 @@
 	n.pool.ForgetForwarded(func(name string) bool { return isForwarder[name] })
 }
 
+// isForwarderLeaving reports whether the node that forwards a connection stops: it may end before the answer to a request over
+// it. A connection in steady use is never idle when forgetEndingForwarders looks.
+func (n *Node) isForwarderLeaving(name string) bool {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	member, isKnown := n.members.Get(name)
+	return isKnown && member.Leaving
+}
+
 // registerForwardMetrics registers the gauge of the connections that this node forwards for peers.
 func (n *Node) registerForwardMetrics() {
 	// Registration fails only for a name in use, and a node registers once.
--- a/entry/replica_paths.go
+++ b/entry/replica_paths.go
@@ -81,8 +81,15 @@
 			return conn, directErr
 		}
 	}
-	if idle := c.takeIdle(granted, maxIdle, node.pool.TakeIdleForwarded); idle != nil {
-		return idle, nil
+	for {
+		idle := c.takeIdle(granted, maxIdle, node.pool.TakeIdleForwarded)
+		if idle == nil {
+			break
+		}
+		if !node.isForwarderLeaving(idle.Forwarder) {
+			return idle, nil
+		}
+		_ = idle.Close()
 	}
 	conn, err := node.connectThroughPeer(ctx, replica)
 	if err != nil {
