node: a planned stop answers what it gives up

What callers saw: requests in progress at the end of drain_timeout, ones that waited for a slot included, got a closed connection without an answer; which of them had run could not be told. Cause: Drain waited until the time was over and then ended the process's context, on which every response waits: an end without an answer. It also ended right after the last handler had returned, while net/http may still be writing its response (by reading). Change: requests run under a context that ends 0.5 s before the stop does; their ordinary ends answer their callers, not run or outcome unknown. Engines are not cancelled, so that answers can be fetched at other nodes by their receipts; a relay to another node is broken off, which goes on at the engine. Last of all the server is shut down, which waits for responses.

--- a/node/answer_ends_test.go
+++ b/node/answer_ends_test.go
@@ -44,6 +44,13 @@
 }
 
 func runWithScriptedReplica(t *testing.T, test func(d *deployment)) {
+	t.Helper()
+	runWithOptions(t, func(*cluster.Options) {}, test)
+}
+
+// runWithOptions is runWithScriptedReplica with changed options of the cluster.
+func runWithOptions(t *testing.T, adjust func(*cluster.Options), test func(d *deployment)) {
+	t.Helper()
 	logging.Discard()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
@@ -51,10 +58,12 @@
 		tree, err := examples.Settings("agency")
 		d.Expect(err).NotTo(gomega.HaveOccurred())
 		engine := enginesim.Spec{Generation: "g", Accelerators: 4, Slots: 8, BaseStep: 50 * time.Millisecond, ChunkTokens: 512, CacheBlocks: 100, KVTokens: 50000}
-		d.cluster, err = cluster.Start(ctx, cluster.Options{
+		options := cluster.Options{
 			Zones: []string{zone}, NodesPerZone: 2, EngineService: "ezik-servers", Model: "ezik", Engines: []enginesim.Spec{engine},
 			PlainService: plainService, Settings: tree, Host: d.fabric.Host, ListenAddress: ":0", Seed: 1,
-		})
+		}
+		adjust(&options)
+		d.cluster, err = cluster.Start(ctx, options)
 		d.Expect(err).NotTo(gomega.HaveOccurred())
 		listener, err := d.fabric.Host(replicaHost).Listen(":0")
 		d.Expect(err).NotTo(gomega.HaveOccurred())
--- a/node/backend.go
+++ b/node/backend.go
@@ -51,7 +51,7 @@
 	reader := &eventReader{node: n, request: exec.request, address: replica.Address, answer: exec.answer}
 	outcome, err := reader.read(exec.ctx, stream, err)
 	exec.tokens = reader.tokens
-	if exec.ctx.Err() != nil && outcome == structs.OutcomeUnknown {
+	if exec.ctx.Err() != nil && n.working.Err() == nil && outcome == structs.OutcomeUnknown {
 		n.cancelAtEngine(replica.Address, exec.request.ID)
 	}
 	return outcome, err
--- a/node/execute.go
+++ b/node/execute.go
@@ -124,7 +124,7 @@
 func (n *Node) newExecution(c *call) *execution {
 	id := n.newRequestID()
 	exec := &execution{call: c, plans: make(chan structs.Plan, 1), answer: answer.New(id, c.tenant.Name)}
-	exec.ctx, exec.cancel = context.WithCancel(n.ctx)
+	exec.ctx, exec.cancel = context.WithCancel(n.working)
 	exec.request = n.newSchedulerRequest(id, c)
 	return exec
 }
@@ -157,7 +157,7 @@
 // run executes the request until it has an outcome.
 func (n *Node) run(exec *execution) {
 	outcome, err := n.queueAndDispatch(exec)
-	n.finish(exec, outcome, err)
+	n.finish(exec, outcome, n.endOfWork(outcome, err))
 }
 
 // finish records the outcome and releases what the request holds.
--- a/node/identity.go
+++ b/node/identity.go
@@ -248,8 +248,8 @@
 	}
 	reader := &eventReader{node: n, request: &structs.Request{ID: opened.RequestID}, address: opened.Address, answer: resumed}
 	n.group.Go(func() {
-		outcome, err := reader.read(n.ctx, stream, nil)
-		resumed.End(outcome, err)
+		outcome, err := reader.read(n.working, stream, nil)
+		resumed.End(outcome, n.endOfWork(outcome, err))
 	})
 	return resumed, nil
 }
--- a/node/node.go
+++ b/node/node.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -18,6 +20,7 @@
 	"github.com/thornwalk/thornwalk/coordination/settingsync"
 	"github.com/thornwalk/thornwalk/coordination/shedding"
 	"github.com/thornwalk/thornwalk/internal/wait"
+	"github.com/thornwalk/thornwalk/protocol/errkind"
 	"github.com/thornwalk/thornwalk/protocol/receipt"
 	"github.com/thornwalk/thornwalk/state/answer"
 	"github.com/thornwalk/thornwalk/state/gossip"
@@ -43,7 +46,10 @@
 	started time.Time
 	ctx     context.Context
 	cancel  context.CancelFunc
-	group   sync.WaitGroup
+	// working ends when the requests in progress are given up, shortly before ctx does in a planned stop.
+	working     context.Context
+	stopWorking context.CancelFunc
+	group       sync.WaitGroup
 	// pullingSettings is true while settings are pulled from a peer.
 	pullingSettings   atomic.Bool
 	sealer            *receipt.Sealer
@@ -59,6 +65,7 @@
 	traffic           *trafficMeter
 
 	callerListener, operatorListener, peerListener net.Listener
+	callerServer                                   *http.Server
 
 	// sequence numbers the request ids of this process.
 	sequence atomic.Uint64
@@ -188,6 +195,7 @@
 // The node runs until Drain, Kill or the end of the context.
 func (n *Node) Start(ctx context.Context) error {
 	n.ctx, n.cancel = context.WithCancel(ctx)
+	n.working, n.stopWorking = context.WithCancel(n.ctx)
 	if err := n.listen(); err != nil {
 		n.cancel()
 		return err
@@ -268,30 +276,61 @@
 	n.claims.Wait()
 }
 
-// drainPollInterval is the time between checks for requests in progress.
-const drainPollInterval = 20 * time.Millisecond
+const (
+	// drainPollInterval is the time between checks for requests in progress.
+	drainPollInterval = 20 * time.Millisecond
+	// finalAnswerTime is the time before the end of a planned stop in which the callers of requests that are given up get
+	// their answers.
+	finalAnswerTime = 500 * time.Millisecond
+)
 
 // Drain stops the node in order: it announces that the node is leaving, serves
 // for the drain grace, then rejects new requests and waits until those in
-// progress have ended. It blocks until the node has stopped, and returns false if
-// the context or the drain timeout of the settings ended first.
+// progress have ended. Shortly before the drain timeout of the settings it gives
+// up the others: their callers get the outcome, and can fetch answers of engines
+// at other nodes. It blocks until the node has stopped, and returns false if
+// requests were given up or the context ended first.
 func (n *Node) Drain(ctx context.Context) bool {
 	n.draining.Store(true)
 	n.mutex.Lock()
 	n.table.SetLeaving()
 	n.mutex.Unlock()
-	deadline := time.Now().Add(n.settings.Compiled().Node.DrainTimeout)
+	deadline := time.Now().Add(n.settings.Compiled().Node.DrainTimeout - finalAnswerTime)
 	wait.Sleep(ctx, n.config.DrainGrace)
 	n.rejecting.Store(true)
-	clean := false
+	clean := n.awaitIdle(ctx, deadline)
+	final, cancel := context.WithTimeout(ctx, finalAnswerTime)
+	defer cancel()
+	if !clean && ctx.Err() == nil {
+		n.stopWorking()
+		n.awaitIdle(final, time.Now().Add(finalAnswerTime))
+	}
+	_ = n.callerServer.Shutdown(final) // until the last responses are written; Kill closes the others
+	n.Kill()
+	return clean
+}
+
+// awaitIdle waits until the node is idle. It returns false if the context ends or the deadline passes first.
+func (n *Node) awaitIdle(ctx context.Context, deadline time.Time) bool {
 	for time.Now().Before(deadline) && ctx.Err() == nil {
-		if clean = n.isIdle(); clean {
-			break
+		if n.isIdle() {
+			return true
 		}
 		wait.Sleep(ctx, drainPollInterval)
 	}
-	n.Kill()
-	return clean
+	return false
+}
+
+// errGivenUp is matched by the errors of requests that were given up at the end of a planned stop.
+var errGivenUp = errors.New("the node has stopped; another node returns the answer of an engine for the receipt")
+
+// endOfWork returns errGivenUp, of kind OutcomeUnknown, in place of the error of a request with an unknown outcome that ended
+// as the planned stop was over.
+func (n *Node) endOfWork(outcome structs.Outcome, err error) error {
+	if outcome == structs.OutcomeUnknown && n.working.Err() != nil {
+		return errkind.Wrap(errkind.OutcomeUnknown, errGivenUp)
+	}
+	return err
 }
 
 // isIdle reports whether no request is in progress and no caller is being served.
--- a/node/relay.go
+++ b/node/relay.go
@@ -77,7 +77,8 @@
 		return
 	}
 	reader := &eventReader{node: n, request: &structs.Request{ID: relayed.RequestID}, address: opened.Address, answer: relayed, lastNumber: len(view.Parts)}
-	relayed.End(reader.read(n.ctx, nil, err))
+	outcome, err := reader.read(n.working, nil, err)
+	relayed.End(outcome, n.endOfWork(outcome, err))
 }
 
 // readRelay reads the answer from another node until its end.
@@ -86,13 +87,13 @@
 	if err != nil {
 		return err
 	}
-	request, err := http.NewRequestWithContext(n.ctx, http.MethodGet, "http://"+address+PathInternalAnswers+relayed.RequestID, nil)
+	request, err := http.NewRequestWithContext(n.working, http.MethodGet, "http://"+address+PathInternalAnswers+relayed.RequestID, nil)
 	if err != nil {
 		return err
 	}
 	request.Header.Set(HeaderReceipt, authorization)
 	sender := oneshot.Sender{Network: n.callerNetwork()}
-	dialContext, cancel := context.WithCancel(n.ctx)
+	dialContext, cancel := context.WithCancel(n.working)
 	defer cancel()
 	response, err := sender.Send(dialContext, address, request)
 	if err != nil {
@@ -175,6 +176,9 @@
 			sent++
 			_ = encoder.Encode(relayLine{Part: part})
 		}
+		if errors.Is(view.Err, errGivenUp) {
+			unframed.Abort(request) // the reader goes on at the engine
+		}
 		if view.Ended {
 			end := &relayEnd{Outcome: view.Outcome}
 			if view.Err != nil {
@@ -225,7 +229,10 @@
 	forwarded.Header = request.Header.Clone()
 	forwarded.Header.Set(HeaderForwarded, n.config.Name)
 	sender := oneshot.Sender{Network: n.callerNetwork()}
-	response, err := sender.Send(request.Context(), ticket.Address, forwarded)
+	ctx, cancel := context.WithCancel(request.Context())
+	defer cancel()
+	defer context.AfterFunc(n.working, cancel)()
+	response, err := sender.Send(ctx, ticket.Address, forwarded)
 	if err != nil {
 		n.writeError(writer, errkind.New(errkind.OutcomeUnknown, "forward request to the process that issued its ticket: %v", err), "", "")
 		return true
--- a/node/serve.go
+++ b/node/serve.go
@@ -50,12 +50,12 @@
 	if n.config.CallerTLS != nil {
 		listener = tls.NewListener(listener, n.config.CallerTLS)
 	}
-	n.serveHTTP(listener, n.callerHandler())
+	n.callerServer = n.serveHTTP(listener, n.callerHandler())
 	n.serveHTTP(n.operatorListener, n.operatorHandler())
 }
 
 // serveHTTP starts a server. It closes all connections when the node's context ends.
-func (n *Node) serveHTTP(listener net.Listener, handler http.Handler) {
+func (n *Node) serveHTTP(listener net.Listener, handler http.Handler) *http.Server {
 	var responses unframed.Connections
 	server := &http.Server{
 		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
@@ -69,4 +69,5 @@
 		responses.Abort()
 		_ = server.Close()
 	})
+	return server
 }
