node: a planned stop answers requests whose bodies are on their way

What callers saw: a request whose body had not arrived when the planned stop ended got a closed connection, although the node rejects every request from the end of the drain grace on and this one had not run. Cause: the read of a body is bounded by the server's 60 s alone; that it is useless once new requests are rejected was not used. Evidence: TestPlannedStopAnswersRequestsWhoseBodiesAreOnTheirWay, case never, failed before (unexpected EOF). Change: reads of bodies end when the node begins to reject requests; 503, not run, at once. Result: the test passes; a body that comes later finds its answer at once instead of after its last byte.

--- a/node/callers.go
+++ b/node/callers.go
@@ -78,7 +78,7 @@
 }
 
 func (n *Node) serveGeneration(writer http.ResponseWriter, request *http.Request, tenant *settings.Named, chat bool) {
-	body, err := readBody(writer, request, tenant.Values.MaxBodyBytes)
+	body, err := n.readBody(writer, request, tenant.Values.MaxBodyBytes)
 	if err != nil {
 		n.writeError(writer, err, "", "")
 		return
@@ -111,7 +111,7 @@
 }
 
 func (n *Node) serveService(writer http.ResponseWriter, request *http.Request, tenant *settings.Named) {
-	body, err := readBody(writer, request, tenant.Values.MaxBodyBytes)
+	body, err := n.readBody(writer, request, tenant.Values.MaxBodyBytes)
 	if err != nil {
 		n.writeError(writer, err, "", "")
 		return
@@ -147,7 +147,7 @@
 }
 
 func (n *Node) serveTicket(writer http.ResponseWriter, _ *http.Request, tenant *settings.Named) {
-	if n.rejecting.Load() || n.draining.Load() {
+	if n.accepting.Err() != nil || n.draining.Load() {
 		n.writeError(writer, errkind.New(errkind.Stopping, "issue ticket: node %s is stopping", n.config.Name), "", "")
 		return
 	}
--- a/node/execute.go
+++ b/node/execute.go
@@ -87,7 +87,7 @@
 // call's ticket or key belongs to an earlier request, that request's answer is
 // returned instead.
 func (n *Node) startExecution(ctx context.Context, c *call) (*answer.Answer, error) {
-	if n.rejecting.Load() {
+	if n.accepting.Err() != nil {
 		return nil, errkind.New(errkind.Stopping, "start request: node %s is stopping", n.config.Name)
 	}
 	if err := faultpoint.Reach(ctx, n.deps.Faults, faultpoint.Accept, c.route); err != nil {
--- a/node/node.go
+++ b/node/node.go
@@ -70,8 +70,9 @@
 	// sequence numbers the request ids of this process.
 	sequence atomic.Uint64
 	draining atomic.Bool
-	// rejecting is true once new requests are rejected because the node stops.
-	rejecting atomic.Bool
+	// accepting ends when new requests are rejected because the node stops.
+	accepting     context.Context
+	stopAccepting context.CancelFunc
 	// joined is true once the node has tried to join the members of its zone.
 	joined atomic.Bool
 	// loadKnown is true once a load report was received, or if there are no replicas.
@@ -196,6 +197,7 @@
 func (n *Node) Start(ctx context.Context) error {
 	n.ctx, n.cancel = context.WithCancel(ctx)
 	n.working, n.stopWorking = context.WithCancel(n.ctx)
+	n.accepting, n.stopAccepting = context.WithCancel(n.ctx)
 	if err := n.listen(); err != nil {
 		n.cancel()
 		return err
@@ -297,7 +299,7 @@
 	n.mutex.Unlock()
 	deadline := time.Now().Add(n.settings.Compiled().Node.DrainTimeout - finalAnswerTime)
 	wait.Sleep(ctx, n.config.DrainGrace)
-	n.rejecting.Store(true)
+	n.stopAccepting()
 	clean := n.awaitIdle(ctx, deadline)
 	final, cancel := context.WithTimeout(ctx, finalAnswerTime)
 	defer cancel()
--- a/node/planned_stop_test.go
+++ b/node/planned_stop_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"regexp"
+	"strings"
 	"testing"
 	"time"
 
@@ -140,6 +141,25 @@
 	})
 }
 
+// Guards against a request whose body is on its way as its node stops, and that gets no answer though it has not run.
+func TestPlannedStopAnswersRequestsWhoseBodiesAreOnTheirWay(t *testing.T) {
+	call := engineCall("HTTP/1.1", false, 10)
+	head, body, _ := strings.Cut(call.text(), "\r\n\r\n")
+	for name, pause := range map[string]time.Duration{"after the node rejects requests": 2 * stopGrace, "never": 2 * stopTime} {
+		t.Run(name, func(t *testing.T) {
+			runWithOptions(t, withShortStops, func(d *deployment) {
+				done := make(chan stoppedCall, 1)
+				go func() { done <- d.sendUntilEnd(head+"\r\n\r\n"+body[:10], pause, body[10:]) }()
+				time.Sleep(200 * time.Millisecond)
+				d.node(0).Drain(context.Background())
+				got := <-done
+				d.Expect(got.status).To(gomega.Equal(http.StatusServiceUnavailable), "%v", got.err)
+				d.Expect(got.outcome).To(gomega.Equal("not-run"))
+			})
+		})
+	}
+}
+
 var eventNumber = regexp.MustCompile(`(?m)^id: (\d+)$`)
 
 // Guards against a stream that another node relays and that ends for its caller as the node that reads it from the engine
--- a/node/resolve.go
+++ b/node/resolve.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"errors"
@@ -50,9 +51,26 @@
 	return tenant, nil
 }
 
-// readBody reads the request's body of at most limit bytes.
-func readBody(writer http.ResponseWriter, request *http.Request, limit int) ([]byte, error) {
+// rejectedBodyTime is how long the rest of a body is read and dropped after its request was rejected, as the caller may read
+// the response only then.
+const rejectedBodyTime = 500 * time.Millisecond
+
+// readBody reads the request's body of at most limit bytes. It gives up with an error of kind Stopping once new requests
+// are rejected.
+func (n *Node) readBody(writer http.ResponseWriter, request *http.Request, limit int) ([]byte, error) {
+	control := http.NewResponseController(writer)
+	interrupted := make(chan struct{})
+	stop := context.AfterFunc(n.accepting, func() {
+		_ = control.SetReadDeadline(time.Unix(1, 0))
+		close(interrupted)
+	})
 	body, err := io.ReadAll(http.MaxBytesReader(writer, request.Body, int64(limit)))
+	if !stop() {
+		<-interrupted
+		_ = control.SetReadDeadline(time.Now().Add(rejectedBodyTime))
+		writer.Header().Set("Connection", "close")
+		return nil, errkind.New(errkind.Stopping, "read request body: node %s is stopping", n.config.Name)
+	}
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return nil, errkind.New(errkind.TooLarge, "request body exceeds %d bytes", limit)
