node: a planned stop waits until ends of requests are reported

What callers saw: a keyed request that ended shortly before its node did was "dispatched" for as long as other nodes kept its key, and one that had not run kept its claim, so that its key could not be used again. Cause: the node counted as idle once the caller had its answer; the updates of the registry and the release of the claim were cut by the end of the process. Change: ends that are being reported count as work, within the time of the stop.

--- a/node/claiming.go
+++ b/node/claiming.go
@@ -127,7 +127,9 @@
 
 // releaseClaim releases, in the background, the claim of a request that did not run.
 func (n *Node) releaseClaim(exec *execution) {
+	n.reporting.Add(1)
 	n.group.Go(func() {
+		defer n.reporting.Add(-1)
 		ctx, cancel := context.WithTimeout(n.ctx, releaseTimeout)
 		defer cancel()
 		_, err := n.commitClaim(ctx, &claimRequest{Tenant: exec.call.tenant.Name, Key: exec.call.key, Claim: claims.Claim{RequestID: exec.request.ID}, Release: true})
--- a/node/execute.go
+++ b/node/execute.go
@@ -162,6 +162,8 @@
 
 // finish records the outcome and releases what the request holds.
 func (n *Node) finish(exec *execution, outcome structs.Outcome, err error) {
+	n.reporting.Add(1)
+	defer n.reporting.Add(-1)
 	_ = faultpoint.Reach(exec.ctx, n.deps.Faults, faultpoint.Finish, exec.request.ID) // the outcome is final, whatever is injected here
 	exec.cancel()
 	exec.answer.End(outcome, err)
--- a/node/node.go
+++ b/node/node.go
@@ -73,6 +73,8 @@
 	// accepting ends when new requests are rejected because the node stops.
 	accepting     context.Context
 	stopAccepting context.CancelFunc
+	// reporting is the number of ended requests whose ends are being reported to others.
+	reporting atomic.Int64
 	// joined is true once the node has tried to join the members of its zone.
 	joined atomic.Bool
 	// loadKnown is true once a load report was received, or if there are no replicas.
@@ -335,11 +337,11 @@
 	return err
 }
 
-// isIdle reports whether no request is in progress and no caller is being served.
+// isIdle reports whether no request is in progress, no caller is being served and all ends of requests are reported.
 func (n *Node) isIdle() bool {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	return len(n.executions) == 0 && n.traffic.openCallers.Load() == 0
+	return len(n.executions) == 0 && n.traffic.openCallers.Load() == 0 && n.reporting.Load() == 0
 }
 
 // LiveNodes returns the number of live nodes of the zone as this node sees them,
--- a/node/planned_stop_test.go
+++ b/node/planned_stop_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -17,6 +18,7 @@
 	"github.com/thornwalk/thornwalk/lab/cluster"
 	"github.com/thornwalk/thornwalk/node"
 	"github.com/thornwalk/thornwalk/state/settings"
+	"github.com/thornwalk/thornwalk/transport/network"
 )
 
 const (
@@ -187,3 +189,44 @@
 		}
 	})
 }
+
+// slowLinks is a network on whose connections each write takes a while.
+type slowLinks struct{ network.Network }
+
+type slowConnection struct{ net.Conn }
+
+func (s slowLinks) Dial(ctx context.Context, address string) (net.Conn, error) {
+	connection, err := s.Network.Dial(ctx, address)
+	return slowConnection{connection}, err
+}
+
+func (s slowConnection) Write(content []byte) (int, error) {
+	time.Sleep(50 * time.Millisecond)
+	return s.Conn.Write(content)
+}
+
+// Guards against the end of a keyed request that is lost as its node stops right after the answer: other nodes would say
+// for as long as they keep the key that the request is in progress.
+func TestEndOfAKeyedRequestIsNotLostByAPlannedStop(t *testing.T) {
+	adjust := func(options *cluster.Options) {
+		withShortStops(options)
+		options.WrapNetwork = func(inner network.Network) network.Network { return slowLinks{inner} }
+	}
+	runWithOptions(t, adjust, func(d *deployment) {
+		d.serve = func(connection net.Conn) {
+			time.Sleep(2 * stopGrace)
+			_, _ = io.WriteString(connection, wholeAnswers["length"])
+		}
+		call := keyed(plainCall("HTTP/1.1"))
+		done := make(chan stoppedCall, 1)
+		go func() { done <- d.sendUntilEnd(call.text(), 0, "") }()
+		time.Sleep(200 * time.Millisecond)
+		d.Expect(d.node(0).Drain(context.Background())).To(gomega.BeTrue())
+		d.Expect((<-done).status).To(gomega.Equal(http.StatusOK))
+		found := d.send(1, rawCall{version: "HTTP/1.1", method: http.MethodGet, path: node.PathRequests, key: call.key, lines: call.lines})
+		var status node.RequestStatus
+		d.Expect(json.Unmarshal([]byte(found.body), &status)).To(gomega.Succeed(), found.body)
+		d.Expect(status.State).To(gomega.Equal("ended"))
+		d.Expect(status.Outcome).To(gomega.Equal("answered"))
+	})
+}
