node: connections of callers end with the next response in a planned stop

What callers saw: one that kept its connection to a stopping node got nothing but 503 over it from the end of the drain grace on, although 503 says that another node accepts the request. Cause: nothing told callers to open another connection; readiness alone was withdrawn, which the balancer reads. Evidence: TestCallersOfAStoppingNodeAreToldToOpenOtherConnections failed before. Change: Connection: close in responses from the start of the stop on, as the entry daemon does. Result: the test passes.

--- a/node/callers.go
+++ b/node/callers.go
@@ -49,11 +49,15 @@
 	return router
 }
 
-// withTenant authenticates the caller and counts open callers around serve.
+// withTenant authenticates the caller and counts open callers around serve. In a planned stop it ends the caller's
+// connection with the response, so that the next request goes to another node.
 func (n *Node) withTenant(serve func(http.ResponseWriter, *http.Request, *settings.Named)) http.HandlerFunc {
 	return func(writer http.ResponseWriter, request *http.Request) {
 		n.traffic.openCallers.Add(1)
 		defer n.traffic.openCallers.Add(-1)
+		if n.draining.Load() {
+			writer.Header().Set("Connection", "close")
+		}
 		tenant, err := n.authenticate(request)
 		if err != nil {
 			n.writeError(writer, err, "", "")
--- a/node/planned_stop_test.go
+++ b/node/planned_stop_test.go
@@ -230,3 +230,32 @@
 		d.Expect(status.Outcome).To(gomega.Equal("answered"))
 	})
 }
+
+// Guards against a caller that keeps its connection to a node that stops and gets nothing but refusals over it, as nothing
+// tells it to open another one, which the balancer would lead elsewhere.
+func TestCallersOfAStoppingNodeAreToldToOpenOtherConnections(t *testing.T) {
+	runWithOptions(t, withShortStops, func(d *deployment) {
+		d.serve = func(connection net.Conn) { _, _ = io.WriteString(connection, wholeAnswers["length"]) }
+		connection, err := d.fabric.Host(callerHost).Dial(context.Background(), d.node(0).CallerAddress())
+		d.Expect(err).NotTo(gomega.HaveOccurred())
+		defer connection.Close()
+		reader := bufio.NewReader(connection)
+		send := func() *http.Response {
+			_, err := io.WriteString(connection, plainCall("HTTP/1.1").text())
+			d.Expect(err).NotTo(gomega.HaveOccurred())
+			got, err := http.ReadResponse(reader, nil)
+			d.Expect(err).NotTo(gomega.HaveOccurred())
+			_, err = io.Copy(io.Discard, got.Body)
+			d.Expect(err).NotTo(gomega.HaveOccurred())
+			return got
+		}
+		d.Expect(send().Close).To(gomega.BeFalse())
+		stopped := make(chan bool, 1)
+		go func() { stopped <- d.node(0).Drain(context.Background()) }()
+		time.Sleep(stopGrace / 2)
+		during := send()
+		d.Expect(during.StatusCode).To(gomega.Equal(http.StatusOK))
+		d.Expect(during.Close).To(gomega.BeTrue())
+		d.Expect(<-stopped).To(gomega.BeTrue())
+	})
+}
