entry: a reload keeps the name and the addresses of the process

What callers saw: nothing so far; by an operator's error only, a settings file whose name changes under a running process. The others then took its old name for a node that had ended and gave its slots to other requests: one was sent to a full replica and ran into its deadline (504) where 503 was due. Cause: Reload stored the whole file, although its listeners, and the name under which schedulers know its requests, are those of the start. Evidence: TestReloadWithAnotherNameKeepsSlots failed before (live nodes n3 and other; 504, the latter without the check of live nodes). Change: the name, the host, the ports and the store stay; the line process.reload says that they change at the next start. Result: the test passes, and TestReloadsUnderRequestsChangeNoAnswer (eight kinds of changes, in a planned stop too), which held before apart from that.

--- a/entry/node.go
+++ b/entry/node.go
@@ -358,14 +358,20 @@
 	return nil
 }
 
-// Reload activates changed settings. Addresses do not change until a restart.
+// Reload activates changed settings. The name and the addresses do not change until a restart.
 func (n *Node) Reload(settings *Settings) {
+	kept := settings.withIdentityOf(n.settings.Load())
+	detail := ""
+	if *kept.identity() != *settings.identity() {
+		detail = "name and addresses change at the next start"
+	}
+	settings = kept
 	n.settings.Store(settings)
 	n.memory.SetLimit(settings.bufferBytes())
 	n.scheduling.setPoisonPolicy(settings.poisonPolicy())
 	n.scheduling.setRegions(settings.Regions)
 	n.scheduling.setPolicy(settings.schedulingPolicy())
-	n.log.Write(eventlog.Event{Kind: "process.reload", Outcome: "in-force"})
+	n.log.Write(eventlog.Event{Kind: "process.reload", Outcome: "in-force", Detail: detail})
 }
 
 // Ready reports whether the balancer should send requests to this node.
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -98,6 +98,25 @@
 	FirstStart bool `yaml:"first_start"`
 }
 
+// processIdentity are the settings by which others know a running process, and the addresses that it uses.
+type processIdentity struct {
+	name, callers, readiness, operators, host, store string
+	peerPort                                         int
+}
+
+func (s *Settings) identity() *processIdentity {
+	return &processIdentity{s.Name, s.Callers, s.Readiness, s.Operators, s.Host, s.Store, s.PeerPort}
+}
+
+// withIdentityOf returns the settings with the name and the addresses of the current ones. Under another name the
+// scheduling node would take the process for one that has ended and give its slots to others.
+func (s *Settings) withIdentityOf(current *Settings) *Settings {
+	kept := *s
+	kept.Name, kept.Callers, kept.Readiness, kept.Operators = current.Name, current.Callers, current.Readiness, current.Operators
+	kept.Host, kept.Store, kept.PeerPort = current.Host, current.Store, current.PeerPort
+	return &kept
+}
+
 // TenantShares is how tenants of equal priority share a service that is full.
 type TenantShares string
 
