internal/entrydaemon: a settings file that changes right after the start is applied

What operators saw: nothing; a change of the settings file without a signal in the first two seconds of a process never took effect. Cause: the first check of the file took its content for that of the start, a time that was assumed. Evidence: a trial on the code before: started, file changed, three checks, no line process.reload. Change: the content of the start is remembered by the read that gave the settings.

--- a/internal/entrydaemon/daemon.go
+++ b/internal/entrydaemon/daemon.go
@@ -14,6 +14,7 @@
 	"github.com/thornwalk/thornwalk/internal/clock"
 	"github.com/thornwalk/thornwalk/internal/eventlog"
 	"github.com/thornwalk/thornwalk/platform"
+	"github.com/thornwalk/thornwalk/protocol/errkind"
 	"github.com/thornwalk/thornwalk/transport/network"
 )
 
@@ -35,8 +36,7 @@
 	// Before anything else: an unhandled signal ends the process.
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
-	path := os.Getenv(SettingsPathVariable)
-	settings, err := entry.LoadSettings(path)
+	file, settings, err := openSettings(os.Getenv(SettingsPathVariable))
 	if err != nil {
 		return err
 	}
@@ -68,33 +68,49 @@
 				node.Stop()
 				return nil
 			}
-			reloadEntrySettings(node, path, log, true)
+			file.reload(true, log, node.Reload)
 		case <-poll.C:
 			bootClock.CheckSuspension()
-			reloadEntrySettings(node, path, log, false)
+			file.reload(false, log, node.Reload)
 		}
 	}
 }
 
-// lastSettingsContent is the content of the settings file when it was last read.
-var lastSettingsContent string
+// settingsFile is the settings file of a running process.
+type settingsFile struct {
+	path string
+	// content is what was last read, valid or not; empty if the file could not be read.
+	content string
+}
 
-// reloadEntrySettings applies the settings file if its content changed or if forced is true. Unless
-// forced, the first call only remembers the content. A file that can't be read or is invalid is
-// logged and leaves the active settings in place.
-func reloadEntrySettings(node *entry.Node, path string, log *eventlog.Log, forced bool) {
-	content, err := os.ReadFile(path)
-	if err == nil && string(content) == lastSettingsContent && !forced {
-		return
-	}
-	isFirstRead := lastSettingsContent == ""
-	lastSettingsContent = string(content)
-	settings, err := entry.LoadSettings(path)
+// openSettings reads the settings file. Its errors are those of entry.LoadSettings.
+func openSettings(path string) (*settingsFile, *entry.Settings, error) {
+	file := &settingsFile{path: path}
+	settings, _, err := file.read()
+	return file, settings, err
+}
+
+// read reads the file and reports whether its content changed since the last read.
+func (f *settingsFile) read() (settings *entry.Settings, isChanged bool, err error) {
+	content, err := os.ReadFile(f.path)
+	isChanged = string(content) != f.content
+	f.content = string(content)
 	if err != nil {
-		log.Write(eventlog.Event{Kind: "process.reload", Outcome: "kept-out", Detail: fmt.Sprint(err)})
-		return
+		return nil, isChanged, errkind.New(errkind.InvalidSettings, "settings file: %v", err)
 	}
-	if !isFirstRead || forced {
-		node.Reload(settings)
+	settings, err = entry.ParseSettings(content)
+	return settings, isChanged, err
+}
+
+// reload applies the file if its content changed or if forced is true. A file that can't be read or is invalid is logged
+// and leaves the active settings in place.
+func (f *settingsFile) reload(forced bool, log *eventlog.Log, apply func(*entry.Settings)) {
+	settings, isChanged, err := f.read()
+	switch {
+	case !isChanged && !forced:
+	case err != nil:
+		log.Write(eventlog.Event{Kind: "process.reload", Outcome: "kept-out", Detail: fmt.Sprint(err)})
+	default:
+		apply(settings)
 	}
 }
