transport/keptconn: closing kept connections loses no request

What callers saw: in a planned stop, a request that was sent over a kept connection as the node closed its idle ones could run and get no answer (LOST). Cause: net/http takes a kept connection for idle until the head of its next request is parsed. Server.SetKeepAlivesEnabled, with which the entry daemon closes idle connections 2.5 s after the signal, and Shutdown at the end, close such a connection from another goroutine; the request that is being parsed then is served, and its response written to a closed connection. Change: a server that knows of each connection whether bytes of a request were read, and closes it only if none were; a read that returns after the close fails. Both daemons use it; the calls in entry/stop.go stay as they are.

--- a/entry/node.go
+++ b/entry/node.go
@@ -32,6 +32,7 @@
 	"github.com/thornwalk/thornwalk/state/rollouts"
 	"github.com/thornwalk/thornwalk/state/streamorigins"
 	"github.com/thornwalk/thornwalk/structs"
+	"github.com/thornwalk/thornwalk/transport/keptconn"
 	"github.com/thornwalk/thornwalk/transport/network"
 	"github.com/thornwalk/thornwalk/transport/peer"
 	"github.com/thornwalk/thornwalk/transport/replicahttp"
@@ -91,9 +92,9 @@
 	ctx           context.Context
 	cancel        context.CancelFunc
 	loops         sync.WaitGroup
-	servers       []*http.Server
+	servers       []*keptconn.Server
 	// callerServer is the one of the servers that callers use.
-	callerServer *http.Server
+	callerServer *keptconn.Server
 	sequence     atomic.Uint64
 	// sendingBytes returns the bytes of updates and configuration parts being sent to peers.
 	sendingBytes func() int64
@@ -349,10 +350,11 @@
 	if err != nil {
 		return fmt.Errorf("listen at %s: %w", address, err)
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+	inner := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
 	if track != nil {
-		server.ConnContext, server.ConnState = track.add, track.observe
+		inner.ConnContext, inner.ConnState = track.add, track.observe
 	}
+	server := keptconn.NewServer(inner)
 	n.servers = append(n.servers, server)
 	go func() { _ = server.Serve(listener) }()
 	return nil
--- a/node/node.go
+++ b/node/node.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -28,6 +27,7 @@
 	"github.com/thornwalk/thornwalk/state/settings"
 	"github.com/thornwalk/thornwalk/structs"
 	"github.com/thornwalk/thornwalk/transport/backendhttp"
+	"github.com/thornwalk/thornwalk/transport/keptconn"
 	"github.com/thornwalk/thornwalk/transport/peer"
 )
 
@@ -65,7 +65,7 @@
 	traffic           *trafficMeter
 
 	callerListener, operatorListener, peerListener net.Listener
-	callerServer                                   *http.Server
+	callerServer                                   *keptconn.Server
 
 	// sequence numbers the request ids of this process.
 	sequence atomic.Uint64
--- a/node/serve.go
+++ b/node/serve.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/thornwalk/thornwalk/transport/keptconn"
 	"github.com/thornwalk/thornwalk/transport/network"
 	"github.com/thornwalk/thornwalk/transport/peer"
 	"github.com/thornwalk/thornwalk/transport/unframed"
@@ -46,24 +47,24 @@
 	server := peer.NewServer(n.traffic)
 	n.handlePeers(server)
 	n.group.Go(func() { server.Serve(n.ctx, n.peerListener) })
-	listener := n.callerListener
-	if n.config.CallerTLS != nil {
-		listener = tls.NewListener(listener, n.config.CallerTLS)
-	}
-	n.callerServer = n.serveHTTP(listener, n.callerHandler())
-	n.serveHTTP(n.operatorListener, n.operatorHandler())
+	n.callerServer = n.serveHTTP(n.callerListener, n.config.CallerTLS, n.callerHandler())
+	n.serveHTTP(n.operatorListener, nil, n.operatorHandler())
 }
 
-// serveHTTP starts a server. It closes all connections when the node's context ends.
-func (n *Node) serveHTTP(listener net.Listener, handler http.Handler) *http.Server {
+// serveHTTP starts a server, with TLS if config is not nil. It closes all connections when the node's context ends.
+func (n *Node) serveHTTP(listener net.Listener, config *tls.Config, handler http.Handler) *keptconn.Server {
 	var responses unframed.Connections
-	server := &http.Server{
+	server := keptconn.NewServer(&http.Server{
 		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		BaseContext: func(net.Listener) context.Context { return n.ctx },
 		ConnContext: responses.Add,
 		ErrorLog:    discardLog,
+	})
+	listener = server.Listen(listener)
+	if config != nil {
+		listener = tls.NewListener(listener, config)
 	}
-	n.group.Go(func() { _ = server.Serve(listener) }) // always returns an error, also after Close
+	n.group.Go(func() { _ = server.Server.Serve(listener) }) // always returns an error, also after Close
 	n.group.Go(func() {
 		<-n.ctx.Done()
 		responses.Abort()
