transport/peer: frames of calls are limited in sum

What callers saw: nothing; a peer that sends frames without end, or many calls that wait, could take the memory of every node that it reaches. Frames were limited one by one (4 MB), with 4,096 handlers a connection and any number of connections. Change: what frames hold until their handlers return is reserved in a budget of an eighth of memory_mb, 12 MB at least; above it the connections that hold most are closed, whose callers take it for a broken link.

--- a/entry/node.go
+++ b/entry/node.go
@@ -287,7 +287,7 @@
 		debug.SetMemoryLimit(int64(float64(settings.MemoryLimitMB) * memoryLimitShare * (1 << 20)))
 	}
 	peerAddress := net.JoinHostPort(settings.Host, strconv.Itoa(settings.PeerPort))
-	if err := n.listenPeers(peerAddress); err != nil {
+	if err := n.listenPeers(settings, peerAddress); err != nil {
 		return err
 	}
 	listeners := []struct {
@@ -308,7 +308,7 @@
 	return nil
 }
 
-func (n *Node) listenPeers(address string) error {
+func (n *Node) listenPeers(settings *Settings, address string) error {
 	listener, err := n.dependencies.Network.Listen(address)
 	if err != nil {
 		return fmt.Errorf("listen for peers at %s: %w", address, err)
@@ -317,6 +317,7 @@
 		return fmt.Errorf("listen for heartbeats at %s: %w", address, err)
 	}
 	server := peer.NewServer(nil)
+	server.LimitReceived(settings.receivedFrameBytes())
 	server.OnReplaced(func() { n.closeIdle("a peer replaced its connection") })
 	peer.Handle(server, peerwire.KindAssign, n.serveAssign)
 	peer.Handle(server, peerwire.KindFinish, n.serveFinish)
--- a/entry/settings.go
+++ b/entry/settings.go
@@ -317,6 +317,17 @@
 	return defaultBufferMB << 20
 }
 
+// receivedFrameShare is the share of the memory limit that frames of peers may hold until they are handled.
+const receivedFrameShare = 1.0 / 8
+
+// receivedFrameBytes returns what frames of peers may hold together until they are handled.
+func (s *Settings) receivedFrameBytes() int64 {
+	if s.MemoryLimitMB == 0 {
+		return defaultBufferMB << 20
+	}
+	return int64(float64(s.MemoryLimitMB<<20) * receivedFrameShare)
+}
+
 // stopGrace returns StopGrace as a duration.
 func (s *Settings) stopGrace() time.Duration { return time.Duration(s.StopGrace) * time.Millisecond }
 
--- a/transport/peer/server.go
+++ b/transport/peer/server.go
@@ -13,6 +13,7 @@
 
 	"github.com/thornwalk/thornwalk/protocol/errkind"
 	"github.com/thornwalk/thornwalk/protocol/peerwire"
+	"github.com/thornwalk/thornwalk/state/memorybudget"
 )
 
 // handler answers calls of one kind.
@@ -41,14 +42,29 @@
 	// sendingBytes counts the bytes of replies that are queued or being written, by kind.
 	sendingBytes map[peerwire.Kind]*atomic.Int64
 	inbound      inbound
+	// received bounds what the frames of all connections hold until their handlers have returned.
+	received *memorybudget.Budget
 }
 
+const (
+	// defaultReceivedBytes bounds received unless LimitReceived is called.
+	defaultReceivedBytes = 64 << 20
+	// heldPerByte is what a byte of a frame takes: in the buffer, which doubles as it grows, and in the message.
+	heldPerByte = 3
+	// minReceivedBytes lets one frame of any size pass.
+	minReceivedBytes = heldPerByte * (peerwire.MaxFrameBytes + 1<<16)
+)
+
 // NewServer returns a server without handlers. All handlers must be added before Serve. traffic may
 // be nil.
 func NewServer(traffic Traffic) *Server {
-	return &Server{handlers: map[peerwire.Kind]handler{}, streams: map[peerwire.Kind]streamHandler{}, traffic: traffic, sendingBytes: map[peerwire.Kind]*atomic.Int64{}, inbound: newInbound()}
+	return &Server{handlers: map[peerwire.Kind]handler{}, streams: map[peerwire.Kind]streamHandler{}, traffic: traffic, sendingBytes: map[peerwire.Kind]*atomic.Int64{}, inbound: newInbound(), received: memorybudget.New(defaultReceivedBytes)}
 }
 
+// LimitReceived sets what the frames of all connections may hold until their handlers have returned. Above it, the
+// connections that hold most are closed. A limit below that of one frame is raised.
+func (s *Server) LimitReceived(bytes int64) { s.received.SetLimit(max(bytes, minReceivedBytes)) }
+
 // OnReplaced sets the function that is called when a peer opens a connection while another of its
 // connections has been silent for SilenceTime, which shows that the peer gave that one up. It must
 // be set before Serve.
@@ -121,33 +137,56 @@
 	defer stop()
 	defer cancel()
 	defer connection.Close()
-	first, err := s.readCall(connection)
+	frames := &frameReader{connection: connection, account: s.received.Open(func() { _ = connection.Close() })}
+	defer frames.account.Close()
+	first, held, err := s.readCall(frames)
 	if err != nil {
 		return
 	}
 	if serve, isStream := s.streams[first.Kind]; isStream {
+		frames.account.Release(held)
 		s.serveStream(ctx, connection, first, serve)
 		return
 	}
-	s.serveCalls(ctx, cancel, connection, first)
+	s.serveCalls(ctx, cancel, frames, first, held)
+}
+
+// frameReader reads frames from a connection. What it has read of the current one is reserved.
+type frameReader struct {
+	connection net.Conn
+	account    *memorybudget.Account
+	held       int64
+}
+
+// Read implements io.Reader.
+func (r *frameReader) Read(into []byte) (int, error) {
+	count, err := r.connection.Read(into)
+	held := int64(count) * heldPerByte
+	if reserveErr := r.account.Reserve(held); reserveErr != nil {
+		return 0, reserveErr
+	}
+	r.held += held
+	return count, err
 }
 
-// readCall reads the next call. An error ends the connection.
-func (s *Server) readCall(connection net.Conn) (*peerwire.Envelope, error) {
-	_ = connection.SetReadDeadline(time.Now().Add(idleTimeout))
-	envelope, size, err := peerwire.ReadFrame(connection)
+// readCall reads the next call and returns what it holds, to be released after its end. An error ends the connection.
+func (s *Server) readCall(frames *frameReader) (*peerwire.Envelope, int64, error) {
+	_ = frames.connection.SetReadDeadline(time.Now().Add(idleTimeout))
+	frames.held = 0
+	envelope, size, err := peerwire.ReadFrame(frames)
 	if err != nil {
 		if errors.Is(err, errkind.BadFrame) {
-			klog.ErrorS(err, "closing peer connection after an invalid frame", "remote", connection.RemoteAddr().String())
+			klog.ErrorS(err, "closing peer connection after an invalid frame", "remote", frames.connection.RemoteAddr().String())
 		}
-		return nil, err
+		return nil, 0, err
 	}
 	s.count(envelope.Kind, false, size)
-	return envelope, nil
+	return envelope, frames.held, nil
 }
 
 // serveCalls serves the first call and all others on the connection, concurrently.
-func (s *Server) serveCalls(ctx context.Context, cancel context.CancelFunc, connection net.Conn, first *peerwire.Envelope) {
+func (s *Server) serveCalls(ctx context.Context, cancel context.CancelFunc, frames *frameReader, first *peerwire.Envelope, firstHeld int64) {
+	connection := frames.connection
 	writer := newConnectionWriter(connection, s.traffic)
 	slots := make(chan struct{}, maxHandlersPerConnection)
 	var group sync.WaitGroup
@@ -155,11 +194,12 @@
 	defer cancel()
 	lastReceived := s.inbound.add(remoteHost(connection))
 	defer s.inbound.remove(remoteHost(connection), lastReceived)
-	for call, err := first, error(nil); err == nil; call, err = s.readCall(connection) {
+	for call, held, err := first, firstHeld, error(nil); err == nil; call, held, err = s.readCall(frames) {
 		s.inbound.recordReceived(lastReceived)
 		slots <- struct{}{}
 		group.Go(func() {
 			defer func() { <-slots }()
+			defer frames.account.Release(held)
 			s.respond(ctx, writer, call)
 		})
 	}
