operator/story: explain tells the events of a stream send by send, and planned stops

What operators saw: explain printed the lines of one request; which send brought which events, and whether one is missing, came twice or is of another version, had to be put together by hand over the requests of a stream; that a planned stop ended a request, or cut it, could only be guessed from the times. Change: sentences for each send of all requests for the stream (from_event, to_event, version, start, proof), for what doesn't follow, and for planned stops of the request's nodes (time since the signal, time since the request came, outcome, or no end in the lines).

--- a/operator/story/story.go
+++ b/operator/story/story.go
@@ -24,9 +24,10 @@
 // Story is the history of one request.
 type Story struct {
 	// Request has the events of the request itself, Related those about the replicas, the nodes and
-	// the fingerprint that they name. Both are sorted by time.
+	// the fingerprint that they name. Stream has those of all requests for the same stream. All are sorted by time.
 	Request []eventlog.Event
 	Related []eventlog.Event
+	Stream  []eventlog.Event
 }
 
 // Read collects the events of the request with the ID from the logs. Text before the first brace of
@@ -57,6 +58,7 @@
 	if len(story.Request) == 0 {
 		return nil, fmt.Errorf("no line names the request %q: give the logs of every node, and the id of the try", id)
 	}
+	story.Stream = streamEvents(id, all)
 	for _, event := range all {
 		if event.Kind == "content" && fingerprints[event.Fingerprint] {
 			story.Related = append(story.Related, event) // from every node
@@ -89,8 +91,8 @@
 // maxRelatedEvents bounds the related events that Write prints; it prints the latest.
 const maxRelatedEvents = 12
 
-// Write prints the events up to the request's last one as text, then what showed which processes its replicas were, their
-// silences and the cause.
+// Write prints the events up to the request's last one as text, then what showed which processes its replicas were, which
+// events of a stream they sent, their silences, planned stops of its nodes and the cause.
 func (s *Story) Write(writer io.Writer) {
 	last := s.Request[len(s.Request)-1]
 	var related []eventlog.Event
@@ -110,8 +112,10 @@
 	for _, identity := range s.Identities() {
 		fmt.Fprintln(writer, identity)
 	}
-	for _, silence := range s.Silences() {
-		fmt.Fprintln(writer, silence)
+	for _, sentences := range [][]string{s.Pieces(), s.Silences(), s.Stops()} {
+		for _, sentence := range sentences {
+			fmt.Fprintln(writer, sentence)
+		}
 	}
 	fmt.Fprintln(writer, s.Cause())
 }
@@ -122,7 +126,7 @@
 	for _, part := range []struct{ name, value string }{
 		{"replica", event.Replica}, {"by", event.Peer}, {"forwarder", event.Forwarder}, {"outcome", event.Outcome}, {"because", event.Reason},
 		{"retry_refused", event.RetryRefusal}, {"search", event.Search}, {"successor", event.Successor},
-		{"replica_version", event.ReplicaVersion}, {"identity", event.Identity}, {"resumes", event.ResumedRequest}, {"last_event", event.LastEvent}, {"detail", event.Detail},
+		{"replica_version", event.ReplicaVersion}, {"identity", event.Identity}, {"resumes", event.ResumedRequest}, {"last_event", event.LastEvent}, {"from_event", event.FromEvent}, {"to_event", event.ToEvent}, {"detail", event.Detail},
 	} {
 		if part.value != "" {
 			text += fmt.Sprintf(" %s=%s", part.name, part.value)
