--- a/entry/node.go
+++ b/entry/node.go
@@ -33,6 +33,7 @@
 	"github.com/thornwalk/thornwalk/state/rollouts"
 	"github.com/thornwalk/thornwalk/state/streamorigins"
 	"github.com/thornwalk/thornwalk/structs"
+	"github.com/thornwalk/thornwalk/transport/keptconn"
 	"github.com/thornwalk/thornwalk/transport/network"
 	"github.com/thornwalk/thornwalk/transport/peer"
 	"github.com/thornwalk/thornwalk/transport/replicahttp"
@@ -92,9 +93,9 @@
 	ctx           context.Context
 	cancel        context.CancelFunc
 	loops         sync.WaitGroup
-	servers       []*http.Server
+	servers       []*keptconn.Server
 	// callerServer is the one of the servers that callers use.
-	callerServer *http.Server
+	callerServer *keptconn.Server
 	sequence     atomic.Uint64
 	// sendingBytes returns the bytes of updates and configuration parts being sent to peers.
 	sendingBytes func() int64
@@ -292,7 +293,7 @@
 		debug.SetMemoryLimit(int64(float64(settings.MemoryLimitMB) * memoryLimitShare * (1 << 20)))
 	}
 	peerAddress := net.JoinHostPort(settings.Host, strconv.Itoa(settings.PeerPort))
-	if err := n.listenPeers(peerAddress); err != nil {
+	if err := n.listenPeers(settings, peerAddress); err != nil {
 		return err
 	}
 	listeners := []struct {
@@ -313,7 +314,7 @@
 	return nil
 }
 
-func (n *Node) listenPeers(address string) error {
+func (n *Node) listenPeers(settings *Settings, address string) error {
 	listener, err := n.dependencies.Network.Listen(address)
 	if err != nil {
 		return fmt.Errorf("listen for peers at %s: %w", address, err)
@@ -322,6 +323,7 @@
 		return fmt.Errorf("listen for heartbeats at %s: %w", address, err)
 	}
 	server := peer.NewServer(nil)
+	server.LimitReceived(settings.receivedFrameBytes())
 	server.OnReplaced(func() { n.closeIdle("a peer replaced its connection") })
 	peer.Handle(server, peerwire.KindAssign, n.serveAssign)
 	peer.Handle(server, peerwire.KindFinish, n.serveFinish)
@@ -355,23 +357,30 @@
 	if err != nil {
 		return fmt.Errorf("listen at %s: %w", address, err)
 	}
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+	inner := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
 	if track != nil {
-		server.ConnContext, server.ConnState = track.add, track.observe
+		inner.ConnContext, inner.ConnState = track.add, track.observe
 	}
+	server := keptconn.NewServer(inner)
 	n.servers = append(n.servers, server)
 	go func() { _ = server.Serve(listener) }()
 	return nil
 }
 
-// Reload activates changed settings. Addresses do not change until a restart.
+// Reload activates changed settings. The name and the addresses do not change until a restart.
 func (n *Node) Reload(settings *Settings) {
+	kept := settings.withIdentityOf(n.settings.Load())
+	detail := ""
+	if *kept.identity() != *settings.identity() {
+		detail = "name and addresses change at the next start"
+	}
+	settings = kept
 	n.settings.Store(settings)
 	n.memory.SetLimit(settings.bufferBytes())
 	n.scheduling.setPoisonPolicy(settings.poisonPolicy())
 	n.scheduling.setRegions(settings.Regions)
 	n.scheduling.setPolicy(settings.schedulingPolicy())
-	n.log.Write(eventlog.Event{Kind: "process.reload", Outcome: "in-force"})
+	n.log.Write(eventlog.Event{Kind: "process.reload", Outcome: "in-force", Detail: detail})
 }
 
 // Ready reports whether the balancer should send requests to this node.
--- a/node/callers.go
+++ b/node/callers.go
@@ -49,11 +49,15 @@
 	return router
 }
 
-// withTenant authenticates the caller and counts open callers around serve.
+// withTenant authenticates the caller and counts open callers around serve. In a planned stop it ends the caller's
+// connection with the response, so that the next request goes to another node.
 func (n *Node) withTenant(serve func(http.ResponseWriter, *http.Request, *settings.Named)) http.HandlerFunc {
 	return func(writer http.ResponseWriter, request *http.Request) {
 		n.traffic.openCallers.Add(1)
 		defer n.traffic.openCallers.Add(-1)
+		if n.draining.Load() {
+			writer.Header().Set("Connection", "close")
+		}
 		tenant, err := n.authenticate(request)
 		if err != nil {
 			n.writeError(writer, err, "", "")
@@ -78,7 +82,7 @@
 }
 
 func (n *Node) serveGeneration(writer http.ResponseWriter, request *http.Request, tenant *settings.Named, chat bool) {
-	body, err := readBody(writer, request, tenant.Values.MaxBodyBytes)
+	body, err := n.readBody(writer, request, tenant.Values.MaxBodyBytes)
 	if err != nil {
 		n.writeError(writer, err, "", "")
 		return
@@ -111,7 +115,7 @@
 }
 
 func (n *Node) serveService(writer http.ResponseWriter, request *http.Request, tenant *settings.Named) {
-	body, err := readBody(writer, request, tenant.Values.MaxBodyBytes)
+	body, err := n.readBody(writer, request, tenant.Values.MaxBodyBytes)
 	if err != nil {
 		n.writeError(writer, err, "", "")
 		return
@@ -147,7 +151,7 @@
 }
 
 func (n *Node) serveTicket(writer http.ResponseWriter, _ *http.Request, tenant *settings.Named) {
-	if n.rejecting.Load() || n.draining.Load() {
+	if n.accepting.Err() != nil || n.draining.Load() {
 		n.writeError(writer, errkind.New(errkind.Stopping, "issue ticket: node %s is stopping", n.config.Name), "", "")
 		return
 	}
--- a/node/execute.go
+++ b/node/execute.go
@@ -87,7 +87,7 @@
 // call's ticket or key belongs to an earlier request, that request's answer is
 // returned instead.
 func (n *Node) startExecution(ctx context.Context, c *call) (*answer.Answer, error) {
-	if n.rejecting.Load() {
+	if n.accepting.Err() != nil {
 		return nil, errkind.New(errkind.Stopping, "start request: node %s is stopping", n.config.Name)
 	}
 	if err := faultpoint.Reach(ctx, n.deps.Faults, faultpoint.Accept, c.route); err != nil {
@@ -124,7 +124,7 @@
 func (n *Node) newExecution(c *call) *execution {
 	id := n.newRequestID()
 	exec := &execution{call: c, plans: make(chan structs.Plan, 1), answer: answer.New(id, c.tenant.Name)}
-	exec.ctx, exec.cancel = context.WithCancel(n.ctx)
+	exec.ctx, exec.cancel = context.WithCancel(n.working)
 	exec.request = n.newSchedulerRequest(id, c)
 	return exec
 }
@@ -157,11 +157,13 @@
 // run executes the request until it has an outcome.
 func (n *Node) run(exec *execution) {
 	outcome, err := n.queueAndDispatch(exec)
-	n.finish(exec, outcome, err)
+	n.finish(exec, outcome, n.endOfWork(outcome, err))
 }
 
 // finish records the outcome and releases what the request holds.
 func (n *Node) finish(exec *execution, outcome structs.Outcome, err error) {
+	n.reporting.Add(1)
+	defer n.reporting.Add(-1)
 	_ = faultpoint.Reach(exec.ctx, n.deps.Faults, faultpoint.Finish, exec.request.ID) // the outcome is final, whatever is injected here
 	exec.cancel()
 	exec.answer.End(outcome, err)
--- a/node/node.go
+++ b/node/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -18,6 +19,7 @@
 	"github.com/thornwalk/thornwalk/coordination/settingsync"
 	"github.com/thornwalk/thornwalk/coordination/shedding"
 	"github.com/thornwalk/thornwalk/internal/wait"
+	"github.com/thornwalk/thornwalk/protocol/errkind"
 	"github.com/thornwalk/thornwalk/protocol/receipt"
 	"github.com/thornwalk/thornwalk/state/answer"
 	"github.com/thornwalk/thornwalk/state/gossip"
@@ -25,6 +27,7 @@
 	"github.com/thornwalk/thornwalk/state/settings"
 	"github.com/thornwalk/thornwalk/structs"
 	"github.com/thornwalk/thornwalk/transport/backendhttp"
+	"github.com/thornwalk/thornwalk/transport/keptconn"
 	"github.com/thornwalk/thornwalk/transport/peer"
 )
 
@@ -43,7 +46,10 @@
 	started time.Time
 	ctx     context.Context
 	cancel  context.CancelFunc
-	group   sync.WaitGroup
+	// working ends when the requests in progress are given up, shortly before ctx does in a planned stop.
+	working     context.Context
+	stopWorking context.CancelFunc
+	group       sync.WaitGroup
 	// pullingSettings is true while settings are pulled from a peer.
 	pullingSettings   atomic.Bool
 	sealer            *receipt.Sealer
@@ -59,12 +65,16 @@
 	traffic           *trafficMeter
 
 	callerListener, operatorListener, peerListener net.Listener
+	callerServer                                   *keptconn.Server
 
 	// sequence numbers the request ids of this process.
 	sequence atomic.Uint64
 	draining atomic.Bool
-	// rejecting is true once new requests are rejected because the node stops.
-	rejecting atomic.Bool
+	// accepting ends when new requests are rejected because the node stops.
+	accepting     context.Context
+	stopAccepting context.CancelFunc
+	// reporting is the number of ended requests whose ends are being reported to others.
+	reporting atomic.Int64
 	// joined is true once the node has tried to join the members of its zone.
 	joined atomic.Bool
 	// loadKnown is true once a load report was received, or if there are no replicas.
@@ -188,6 +198,8 @@
 // The node runs until Drain, Kill or the end of the context.
 func (n *Node) Start(ctx context.Context) error {
 	n.ctx, n.cancel = context.WithCancel(ctx)
+	n.working, n.stopWorking = context.WithCancel(n.ctx)
+	n.accepting, n.stopAccepting = context.WithCancel(n.ctx)
 	if err := n.listen(); err != nil {
 		n.cancel()
 		return err
@@ -268,37 +280,68 @@
 	n.claims.Wait()
 }
 
-// drainPollInterval is the time between checks for requests in progress.
-const drainPollInterval = 20 * time.Millisecond
+const (
+	// drainPollInterval is the time between checks for requests in progress.
+	drainPollInterval = 20 * time.Millisecond
+	// finalAnswerTime is the time before the end of a planned stop in which the callers of requests that are given up get
+	// their answers.
+	finalAnswerTime = 500 * time.Millisecond
+)
 
 // Drain stops the node in order: it announces that the node is leaving, serves
 // for the drain grace, then rejects new requests and waits until those in
-// progress have ended. It blocks until the node has stopped, and returns false if
-// the context or the drain timeout of the settings ended first.
+// progress have ended. Shortly before the drain timeout of the settings it gives
+// up the others: their callers get the outcome, and can fetch answers of engines
+// at other nodes. It blocks until the node has stopped, and returns false if
+// requests were given up or the context ended first.
 func (n *Node) Drain(ctx context.Context) bool {
 	n.draining.Store(true)
 	n.mutex.Lock()
 	n.table.SetLeaving()
 	n.mutex.Unlock()
-	deadline := time.Now().Add(n.settings.Compiled().Node.DrainTimeout)
+	deadline := time.Now().Add(n.settings.Compiled().Node.DrainTimeout - finalAnswerTime)
 	wait.Sleep(ctx, n.config.DrainGrace)
-	n.rejecting.Store(true)
-	clean := false
+	n.stopAccepting()
+	clean := n.awaitIdle(ctx, deadline)
+	final, cancel := context.WithTimeout(ctx, finalAnswerTime)
+	defer cancel()
+	if !clean && ctx.Err() == nil {
+		n.stopWorking()
+		n.awaitIdle(final, time.Now().Add(finalAnswerTime))
+	}
+	_ = n.callerServer.Shutdown(final) // until the last responses are written; Kill closes the others
+	n.Kill()
+	return clean
+}
+
+// awaitIdle waits until the node is idle. It returns false if the context ends or the deadline passes first.
+func (n *Node) awaitIdle(ctx context.Context, deadline time.Time) bool {
 	for time.Now().Before(deadline) && ctx.Err() == nil {
-		if clean = n.isIdle(); clean {
-			break
+		if n.isIdle() {
+			return true
 		}
 		wait.Sleep(ctx, drainPollInterval)
 	}
-	n.Kill()
-	return clean
+	return false
+}
+
+// errGivenUp is matched by the errors of requests that were given up at the end of a planned stop.
+var errGivenUp = errors.New("the node has stopped; another node returns the answer of an engine for the receipt")
+
+// endOfWork returns errGivenUp, of kind OutcomeUnknown, in place of the error of a request with an unknown outcome that ended
+// as the planned stop was over.
+func (n *Node) endOfWork(outcome structs.Outcome, err error) error {
+	if outcome == structs.OutcomeUnknown && n.working.Err() != nil {
+		return errkind.Wrap(errkind.OutcomeUnknown, errGivenUp)
+	}
+	return err
 }
 
-// isIdle reports whether no request is in progress and no caller is being served.
+// isIdle reports whether no request is in progress, no caller is being served and all ends of requests are reported.
 func (n *Node) isIdle() bool {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	return len(n.executions) == 0 && n.traffic.openCallers.Load() == 0
+	return len(n.executions) == 0 && n.traffic.openCallers.Load() == 0 && n.reporting.Load() == 0
 }
 
 // LiveNodes returns the number of live nodes of the zone as this node sees them,
