--- a/lab/soak/stops.go
+++ b/lab/soak/stops.go
@@ -195,6 +195,9 @@
 		}
 		added := route(each.name, kind, each.stopsService.name, 1, attempts, each.isStream() && each.mayRepeat)
 		added.Timeout, added.Target = int(stopsTimeout.Milliseconds()), int(max(stopsBriefTarget, each.step).Milliseconds())
+		if !each.isStream() {
+			added.TargetGap = 0 // a gap between events has requests wait where they might delay streams
+		}
 		routes = append(routes, added)
 	}
 	return routes
