--- a/lab/soak/stops_checks.go
+++ b/lab/soak/stops_checks.go
@@ -7,6 +7,7 @@
 	"slices"
 	"sort"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/thornwalk/thornwalk/lab/platformsim"
@@ -279,19 +280,32 @@
 		names = append(names, fmt.Sprintf("%s %d", name, count))
 	}
 	sort.Strings(names)
+	checkStopsEnd(d, callers, violate)
+	result.Worst["stops"] += fmt.Sprintf("; %d stops, %d requests, tries sent to stopping nodes: %s; beside the stop of one node %d of %d served, %d required; broken rules %v",
+		len(record.stops), len(record.calls), strings.Join(names, ", "), judged.served, judged.sent, requiredAnswers(judged.sent), counts)
+}
+
+// checkStopsEnd checks that every node serves every route, without the streams that outlast the grace.
+func checkStopsEnd(d *deployment, callers *stopsCallers, violate reportViolation) {
+	var mutex sync.Mutex
+	var group sync.WaitGroup
 	for _, route := range stopsRoutes() {
 		if route.stopsService.name == stopsLasting {
 			continue
 		}
 		for node := range d.processes {
-			last := &stopsCall{name: fmt.Sprintf("st-end-%d-%s", node, route.name), route: route, ids: callers.ids, deadline: maxStopsTime}
-			if try := callers.sendTry(context.Background(), last, &callers.elsewhere, 0, node, time.Now().Add(maxStopsTime)); !try.isAnswered() {
-				violate("at the end node %d gives %d for %s", node, try.status, route.name)
-			}
+			group.Go(func() {
+				last := &stopsCall{name: fmt.Sprintf("st-end-%d-%s", node, route.name), route: route, ids: callers.ids, deadline: maxStopsTime}
+				try := callers.sendTry(context.Background(), last, &callers.elsewhere, 0, node, time.Now().Add(maxStopsTime))
+				mutex.Lock()
+				defer mutex.Unlock()
+				if !try.isAnswered() {
+					violate("at the end node %d gives %d for %s", node, try.status, route.name)
+				}
+			})
 		}
 	}
-	result.Worst["stops"] += fmt.Sprintf("; %d stops, %d requests, tries sent to stopping nodes: %s; beside the stop of one node %d of %d served, %d required; broken rules %v",
-		len(record.stops), len(record.calls), strings.Join(names, ", "), judged.served, judged.sent, requiredAnswers(judged.sent), counts)
+	group.Wait()
 }
 
 // lateName returns the name of the tally for tries that were sent before or after lastSendTime.
