--- a/lab/soak/moved.go
+++ b/lab/soak/moved.go
@@ -31,7 +31,7 @@
 )
 
 // startMoved starts the replicas of both services.
-func (d *deployment) startMoved(block string) error {
+func (d *deployment) startMoved(block string, ids platformsim.EventIDs) error {
 	for number := range movedCount * len(movedServices) {
 		listener, err := listen(hostAddress(block, firstMovedHost+number, replicaPort))
 		if err != nil {
@@ -40,8 +40,9 @@
 		d.replicaListeners = append(d.replicaListeners, listener)
 		replica := &platformsim.Replica{
 			ID: fmt.Sprintf("moved-%d", number), Service: movedServices[number%2], Address: listener.Addr().String(), Zone: "east",
-			Version: movedVersions[number%2], Slots: versionedSlots, Events: engineEvents, Step: engineStep,
+			Version: movedVersions[number%2], Slots: versionedSlots, Events: engineEvents, Step: engineStep, EventIDs: ids, NamesRuns: true,
 		}
+		replica.Incarnation = replica.ID
 		replica.SetBehavior(breakOffFirstTries)
 		go replica.Serve(listener)
 		replica.Register(d.store, "ready")
@@ -92,7 +93,7 @@
 	var mixed []string
 	var all streamTally
 	for _, stream := range c.movedStreams {
-		if len(stream.events.Versions) > 1 {
+		if stream.pieces(c.ids).mixed() != "" {
 			mixed = append(mixed, stream.id)
 		}
 		all.add(stream)
--- a/lab/soak/silence.go
+++ b/lab/soak/silence.go
@@ -15,6 +15,7 @@
 	"github.com/thornwalk/thornwalk/entry"
 	"github.com/thornwalk/thornwalk/lab/entrylab"
 	"github.com/thornwalk/thornwalk/lab/pathfault"
+	"github.com/thornwalk/thornwalk/lab/platformsim"
 )
 
 // With Options.Silence further services have replicas that are processes of their own. These are stopped and
@@ -219,11 +220,12 @@
 }
 
 // replicaOptions returns the options of the replica with the number: first the engines, then the plain ones.
-func (p *silencePlan) replicaOptions(block string, number int) replicaOptions {
+func (p *silencePlan) replicaOptions(block string, number int, ids platformsim.EventIDs) replicaOptions {
 	options := replicaOptions{
 		ID: fmt.Sprintf("held-%d", number), Address: hostAddress(block, firstHeldHost+number, replicaPort),
-		Service: heldEngines, Version: heldVersion, Slots: heldSlots, Events: heldEvents, Step: heldEventStep,
+		Service: heldEngines, Version: heldVersion, Slots: heldSlots, Events: heldEvents, Step: heldEventStep, EventIDs: ids, NamesRuns: true,
 	}
+	options.Incarnation = options.ID
 	if number >= p.engines {
 		options.Service, options.Version, options.Events, options.Step = heldPlain, "", 0, heldPlainStep
 		if (number-p.engines)%2 == 1 {
@@ -310,14 +312,15 @@
 
 // freeze suspends the node.
 func (i *injector) freeze(f fault) (heal func()) {
-	node := i.deployment.processes[f.target%nodeCount]
+	number := f.target % len(i.deployment.processes)
+	node := i.deployment.processes[number]
 	from := time.Now()
 	node.signal(syscall.SIGSTOP, false)
 	return func() {
 		node.signal(syscall.SIGCONT, false)
 		i.mutex.Lock()
 		defer i.mutex.Unlock()
-		i.frozen[f.target%nodeCount] = append(i.frozen[f.target%nodeCount], span{from, time.Now()})
+		i.frozen[number] = append(i.frozen[number], span{from, time.Now()})
 	}
 }
 
@@ -336,7 +339,7 @@
 		var status entry.Status
 		err = json.NewDecoder(response.Body).Decode(&status)
 		_ = response.Body.Close()
-		for number := range i.deployment.processes {
+		for number := range slices.Backward(i.deployment.processes) { // n1 begins the name of n10
 			if err == nil && strings.HasPrefix(status.Scheduler, nodeName(number)) {
 				f.target = number
 				if len(f.nodes) > 0 {
--- a/test/entry/stream_pieces_test.go
+++ b/test/entry/stream_pieces_test.go
@@ -127,8 +127,8 @@
 type pieceCourse struct {
 	// behave chooses how engines treat a send; nil breaks off both sends of the first try of each fifth stream.
 	behave func(*http.Request) platformsim.Behavior
-	// eventID is that of the engines.
-	eventID func(number int) int
+	// eventIDs are those of the engines.
+	eventIDs platformsim.EventIDs
 	// patience is the time without bytes after which callers leave and resume the stream at another node; zero is
 	// forever.
 	patience time.Duration
@@ -189,7 +189,7 @@
 	}
 	engine := &platformsim.Replica{
 		ID: "i-" + host, Service: "engines", Zone: []string{"east", "west"}[number%2], Version: version, Incarnation: fmt.Sprint(host, ".", s.starts),
-		Slots: pieceSlots, Events: pieceEvents, Step: pieceStep, EventID: s.course.eventID, StartedAt: startedAt.UnixMilli(),
+		Slots: pieceSlots, Events: pieceEvents, Step: pieceStep, EventIDs: s.course.eventIDs, StartedAt: startedAt.UnixMilli(),
 	}
 	s.mutex.Unlock()
 	engine.SetBehavior(s.course.behave)
@@ -406,8 +406,15 @@
 	return broken, whole, resumed
 }
 
-// unevenID rises by one at first, and by other steps later on.
-func unevenID(number int) int { return number + max(number-3, 0)*max(number-3, 0) }
+// unevenIDs rise by one at first, and by other steps later on.
+func unevenIDs() platformsim.EventIDs {
+	var ids platformsim.EventIDs
+	for number := 1; number <= pieceEvents; number++ {
+		beyond := max(number-3, 0)
+		ids = append(ids, number+beyond*beyond)
+	}
+	return ids
+}
 
 // mixBehaviors draws the behavior of each send to streams that may break off, and of some others.
 func mixBehaviors(behaviors ...platformsim.Behavior) func(*http.Request) platformsim.Behavior {
@@ -566,7 +573,7 @@
 	}},
 	"store busy, leases end":    {fault: refuseLeases},
 	"little memory":             {fault: holdMemory, adjust: func(settings *entry.Settings) { settings.BufferMB = 4 }, check: expectLittleMemory},
-	"event IDs of uneven steps": {eventID: unevenID},
+	"event IDs of uneven steps": {eventIDs: unevenIDs()},
 	"store restored":            {fault: restoreStore},
 	"planned stops": {
 		adjust: func(settings *entry.Settings) { settings.StopGrace = 2500 },
