test/entry: streams that run once, and engines that lose power together

Pieces of two runs of a stream that must not be repeated are judged too, in all courses.

Half of the engines lose power at once without a word, and others, of another version, are back at their addresses.

--- a/test/entry/stream_pieces_test.go
+++ b/test/entry/stream_pieces_test.go
@@ -34,6 +34,8 @@
 	pieceSlots      = 6
 	pieceEvents     = 8
 	pieceStep       = 60 * time.Millisecond
+	// onceStreams is the number of streams of which one must not run more than once.
+	onceStreams = 4
 	// pieceTries is the number of tries of a caller, and pieceDeadline the time for all of them.
 	pieceTries    = 6
 	pieceDeadline = 4 * time.Second
@@ -90,11 +92,13 @@
 // pieceStream is a stream as its caller sees it, over all tries.
 type pieceStream struct {
 	tries []pieceTry
+	// runsOnce is true if the stream must not run more than once.
+	runsOnce bool
 }
 
 // judge returns the rule that the stream breaks, empty if it breaks none, and whether the caller has all of it.
 func (p *pieceStream) judge() (broken string, isWhole bool) {
-	held, version := 0, ""
+	held, version, incarnation := 0, "", ""
 	for _, try := range p.tries {
 		if try.status != http.StatusOK {
 			continue
@@ -113,8 +117,10 @@
 				return "missing", false
 			case version != "" && event.version != version:
 				return "two versions", false
+			case p.runsOnce && incarnation != "" && event.incarnation != incarnation:
+				return "two runs", false
 			}
-			held, version = event.number, event.version
+			held, version, incarnation = event.number, event.version, event.incarnation
 		}
 		if try.isComplete && held < pieceEvents {
 			return "early end", false
@@ -309,14 +315,18 @@
 
 // call sends a stream and resumes it at the other nodes until it is whole.
 func (s *pieceScenario) call(first int, path string) *pieceStream {
-	stream, started := &pieceStream{}, time.Now()
+	stream, started := &pieceStream{runsOnce: first%onceStreams == 0}, time.Now()
 	began, lastID := "", 0
-	for try := range pieceTries {
+	route, tries := "resume", pieceTries
+	if stream.runsOnce {
+		route, tries = "stream", 1
+	}
+	for try := range tries {
 		left := pieceDeadline - time.Since(started)
 		if left <= 0 {
 			break
 		}
-		got := s.try(hosts[(first+try)%len(hosts)], fmt.Sprintf("%s-%d", path, try), path, left, began, lastID)
+		got := s.try(hosts[(first+try)%len(hosts)], fmt.Sprintf("%s-%d", path, try), route+"/"+path, left, began, lastID)
 		stream.tries = append(stream.tries, got)
 		pieces, _ := parsePieces(got.body)
 		if len(pieces) > 0 && got.status == http.StatusOK {
@@ -347,7 +357,7 @@
 		defer timer.Stop()
 		impatience = func() { timer.Reset(s.course.patience) }
 	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+entrylab.CallersAddress(node)+"/resume/"+path, strings.NewReader(path))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+entrylab.CallersAddress(node)+"/"+path, strings.NewReader(path))
 	s.Expect(err).NotTo(gomega.HaveOccurred())
 	request.Host = "service.example"
 	request.Header.Set("X-Attempt-Id", id)
@@ -466,6 +476,40 @@
 	}
 }
 
+// loseHalfOfPower returns a fault that ends half of the engines at once without a word to the nodes, every few seconds.
+// Others take their hosts and IDs after the time.
+func loseHalfOfPower(after time.Duration) func(*pieceScenario) {
+	return func(s *pieceScenario) { s.loseHalfOfPower(after) }
+}
+
+func (s *pieceScenario) loseHalfOfPower(after time.Duration) {
+	for s.goesOn(3 * time.Second) {
+		ended := map[int]*platformsim.Replica{}
+		var lost []string
+		for i := range pieceEngines / 2 {
+			lost = append(lost, fmt.Sprint("m", i))
+		}
+		s.fabric.Partition(lost, hosts)
+		for i := range lost {
+			if engine := s.engine(i); engine.Crash() {
+				ended[i] = engine
+			}
+		}
+		time.Sleep(after)
+		s.fabric.Heal()
+		for i, engine := range ended {
+			delay := time.Duration(s.random.IntN(300)) * time.Millisecond
+			s.group.Go(func() {
+				time.Sleep(delay)
+				next := s.startEngine(i, map[string]string{"v1": "v2", "v2": "v1"}[engine.Version])
+				time.Sleep(400 * time.Millisecond)
+				s.writeEntry(i, next)
+			})
+		}
+		time.Sleep(4 * time.Second)
+	}
+}
+
 // changeConfigurations writes configurations in quick succession, some of which change a quota and a timeout.
 func changeConfigurations(s *pieceScenario) {
 	for i := 0; s.goesOn(330 * time.Millisecond); i++ {
@@ -551,14 +595,15 @@
 }
 
 var pieceCourses = map[string]pieceCourse{
-	"calm":                 {},
-	"time of day set back": {setsClockBack: true},
-	"configurations":       {fault: changeConfigurations},
-	"resets midway":        {behave: mixBehaviors(platformsim.Cut, platformsim.Reset, platformsim.Cut, platformsim.Answer)},
-	"spoiled midway, cuts": {behave: mixBehaviors(platformsim.SpoilMidway, platformsim.Cut, platformsim.SpoilMidway, platformsim.Answer)},
-	"slow engines":         {fault: func(s *pieceScenario) { s.engine(1).SetStep(5 * pieceStep); s.engine(2).SetStep(5 * pieceStep) }},
-	"nodes lose power":     {fault: inTurn(2*time.Second, loseNodePower), patience: 800 * time.Millisecond},
-	"engines lose power":   {fault: loseEnginePower, patience: 800 * time.Millisecond},
+	"calm":                           {},
+	"time of day set back":           {setsClockBack: true},
+	"configurations":                 {fault: changeConfigurations},
+	"resets midway":                  {behave: mixBehaviors(platformsim.Cut, platformsim.Reset, platformsim.Cut, platformsim.Answer)},
+	"spoiled midway, cuts":           {behave: mixBehaviors(platformsim.SpoilMidway, platformsim.Cut, platformsim.SpoilMidway, platformsim.Answer)},
+	"slow engines":                   {fault: func(s *pieceScenario) { s.engine(1).SetStep(5 * pieceStep); s.engine(2).SetStep(5 * pieceStep) }},
+	"nodes lose power":               {fault: inTurn(2*time.Second, loseNodePower), patience: 800 * time.Millisecond},
+	"engines lose power":             {fault: loseEnginePower, patience: 800 * time.Millisecond},
+	"half of the engines lose power": {fault: loseHalfOfPower(1200 * time.Millisecond), patience: 800 * time.Millisecond},
 	"one node without a store": {fault: func(s *pieceScenario) {
 		s.fabric.Partition(hosts[:1], []string{"store"})
 		time.Sleep(9 * time.Second)
@@ -592,6 +637,13 @@
 		}
 		return text.String()
 	}
+	ofReplica := func(replica string, from, to int) string {
+		var text strings.Builder
+		for number := from; number <= to; number++ {
+			text.WriteString(platformsim.IncarnationComment + replica + "\n" + platformsim.Event("a-0", number))
+		}
+		return text.String()
+	}
 	try := func(id string, isComplete bool, body string) pieceTry {
 		return pieceTry{id: id, status: http.StatusOK, isComplete: isComplete, body: body}
 	}
@@ -609,6 +661,7 @@
 		"first one missing":  {[]pieceTry{try("a-0", false, events("a-0", "v1", 2))}, "missing"},
 		"two versions":       {[]pieceTry{first, try("a-1", false, events("a-1", "v2", 4))}, "two versions"},
 		"of another request": {[]pieceTry{first, try("a-1", false, events("a-0", "v1", 4))}, "of another request"},
+		"two replicas":       {[]pieceTry{try("a-0", true, ofReplica("m0", 1, 4)+ofReplica("m1", 5, 8))}, ""},
 		"early end":          {[]pieceTry{try("a-0", true, events("a-0", "v1", 1, 2, 3))}, "early end"},
 		"empty end":          {[]pieceTry{first, try("a-1", true, "")}, "early end"},
 		"end within a piece": {[]pieceTry{try("a-0", true, events("a-0", "v1", 1, 2)+"id: 3")}, "bytes that are no event"},
@@ -619,6 +672,10 @@
 			t.Errorf("%s: judged as %q", name, broken)
 		}
 	}
+	once := &pieceStream{tries: []pieceTry{try("a-0", true, ofReplica("m0", 1, 4)+ofReplica("m1", 5, 8))}, runsOnce: true}
+	if broken, _ := once.judge(); broken != "two runs" {
+		t.Errorf("two runs: judged as %q", broken)
+	}
 }
 
 // Guards against streams in which a piece is missing, comes twice or is of another request, that hold pieces of two
@@ -633,22 +690,37 @@
 			change(&course)
 			t.Run(name+variant, func(t *testing.T) {
 				t.Parallel()
-				playPieces(t, &course, func(s *pieceScenario) {
-					broken, whole, resumed := s.verdicts(t)
-					t.Logf("%d streams, %d whole, %d went on after they were resumed, broken: %v", len(s.streams), whole, resumed, broken)
-					s.Expect(whole).To(gomega.BeNumerically(">=", minWholeStreams))
-					if course.check != nil {
-						course.check(s)
-					}
-					for rule, count := range broken {
-						allowed := 0
-						if rule == "two versions" {
-							allowed = mixedStreamsAllowed
-						}
-						s.Expect(count).To(gomega.BeNumerically("<=", allowed), rule)
-					}
-				})
+				playPieces(t, &course, func(s *pieceScenario) { s.expectOrder(t) })
 			})
 		}
 	}
 }
+
+// expectOrder expects that no stream breaks a rule, but for the few that may hold two versions.
+func (s *pieceScenario) expectOrder(t *testing.T) {
+	broken, whole, resumed := s.verdicts(t)
+	t.Logf("%d streams, %d whole, %d went on after they were resumed, broken: %v", len(s.streams), whole, resumed, broken)
+	s.Expect(whole).To(gomega.BeNumerically(">=", minWholeStreams))
+	if s.course.check != nil {
+		s.course.check(s)
+	}
+	for rule, count := range broken {
+		allowed := 0
+		if rule == "two versions" {
+			allowed = mixedStreamsAllowed
+		}
+		s.Expect(count).To(gomega.BeNumerically("<=", allowed), rule)
+	}
+}
+
+// Guards against streams that go on at another version where many engines lose power, and others are back at their
+// addresses before anything that was under way there has been silent for long.
+func TestPiecesAreInOrderWhereEnginesLosePowerForAMoment(t *testing.T) {
+	for _, after := range []time.Duration{400 * time.Millisecond, 600 * time.Millisecond, 800 * time.Millisecond} {
+		t.Run(after.String(), func(t *testing.T) {
+			t.Parallel()
+			course := pieceCourse{fault: loseHalfOfPower(after), patience: 800 * time.Millisecond}
+			playPieces(t, &course, func(s *pieceScenario) { s.expectOrder(t) })
+		})
+	}
+}
