--- a/test/entry/stream_pieces_test.go
+++ b/test/entry/stream_pieces_test.go
@@ -617,7 +617,7 @@
 		adjust: func(settings *entry.Settings) { settings.StopGrace = 2500 },
 		fault:  inTurn(500*time.Millisecond, func(s *pieceScenario, host string) { s.deployment.Node(host).Stop(); s.startNode(host) }),
 	},
-	"slow callers": {pace: 40 * time.Millisecond},
+	"slow callers": {pace: 90 * time.Millisecond},
 	"nodes freeze": {
 		patience: 300 * time.Millisecond,
 		fault: inTurn(700*time.Millisecond, func(s *pieceScenario, host string) {
