--- a/node/planned_stop_test.go
+++ b/node/planned_stop_test.go
@@ -39,8 +39,6 @@
 	response
 	err     error
 	outcome string
-	// took is the time from the start of the stop to the end of the response.
-	took time.Duration
 }
 
 // sendUntilEnd sends the call over a connection of its own and reads until the response or the connection ends. It sends
