entry: a stop keeps to the grace that its signal began with

Callers of a stopping node saw requests cut where a second call of Stop began the grace again, or where settings with a shorter grace took effect meanwhile (the daemon handles no signals while Stop runs, so that only other callers of Stop and Reload could cause it).

Cause: Stop set its start anew, and the grace was read from the settings at each decision.

Change: the grace is that of the first call; a further one waits for its end.

--- a/entry/node.go
+++ b/entry/node.go
@@ -116,8 +116,11 @@
 	// memory bounds what requests and answers hold together.
 	memory *memorybudget.Budget
 
-	stoppingSince atomic.Int64
-	inFlight      atomic.Int64
+	// stoppingSince is when the planned stop began, zero before, and stopGrace the time that it may take.
+	stoppingSince, stopGrace atomic.Int64
+	isStopBegun              atomic.Bool
+	stopEnded                chan struct{}
+	inFlight                 atomic.Int64
 	// forwarded counts the connections that this node forwards for peers.
 	forwarded atomic.Int64
 	// isPathSilent is true if the last failed connect to a replica timed out.
@@ -232,7 +235,8 @@
 		assignments: map[string]assignment{}, peerUsage: map[string]receivedUsage{}, loggedProblems: map[string]bool{}, term: 1, storeFailedAt: -time.Hour, lastActiveAt: -time.Hour, selectedAt: -time.Hour, peersRequestedAt: -time.Hour,
 		streamOrigins: streamorigins.NewRegistry(maxStreamOrigins), versionHistory: streamorigins.NewVersionHistory(), identities: newReplicaIdentities(), unresolvedOrigins: newUnresolvedOrigins(),
 		memory: memorybudget.New(settings.bufferBytes()), callerConnections: newCallerConnections(settings.maxConnections()),
-		parts: dissemination.NewPartStore(), sendLimiter: dissemination.NewSendLimiter(settings.LinkMbps),
+		stopEnded: make(chan struct{}),
+		parts:     dissemination.NewPartStore(), sendLimiter: dissemination.NewSendLimiter(settings.LinkMbps),
 	}
 	if n.dependencies.Now == nil {
 		started := time.Now()
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -28,8 +28,16 @@
 var errStopping = errors.New("the node is stopping")
 
 // Stop stops the node gracefully and returns once it has ended. The node is not ready at once, but serves requests until
-// the balancer no longer sends any and the last response is complete, at most for StopGrace (coordination/stops).
+// the balancer no longer sends any and the last response is complete, at most for StopGrace (coordination/stops). A further
+// call waits for the first one.
 func (n *Node) Stop() {
+	if !n.isStopBegun.CompareAndSwap(false, true) {
+		<-n.stopEnded
+		return
+	}
+	defer close(n.stopEnded)
+	// The grace began with the signal: settings that change later don't change it.
+	n.stopGrace.Store(int64(n.settings.Load().stopGrace()))
 	n.stoppingSince.Store(int64(max(n.now(), 1)))
 	n.log.Write(eventlog.Event{Kind: "process.stop", Outcome: "begun", Count: int(n.inFlight.Load())})
 	n.sendHeartbeats()
@@ -86,7 +94,8 @@
 	return n.now() - time.Duration(startedAt)
 }
 
-func (n *Node) stopPlan() stops.Plan { return stops.Plan{Grace: n.settings.Load().stopGrace()} }
+// stopPlan returns the plan of the stop that goes on.
+func (n *Node) stopPlan() stops.Plan { return stops.Plan{Grace: time.Duration(n.stopGrace.Load())} }
 
 // answerTimeLeft returns the time until requests get their final answer as the node stops; the longest time if it does not.
 func (n *Node) answerTimeLeft() time.Duration {
--- a/test/entry/late_stop_test.go
+++ b/test/entry/late_stop_test.go
@@ -41,14 +41,15 @@
 	took     time.Duration
 }
 
-// keptCaller is a caller that keeps its connection to n1 for as long as it can.
+// keptCaller is a caller that keeps its connection to the node for as long as it can.
 type keptCaller struct {
 	scenario *scenario
+	node     string
 	client   *http.Client
 }
 
-func (s *scenario) newKeptCaller() *keptCaller {
-	return &keptCaller{scenario: s, client: &http.Client{Transport: &http.Transport{DialContext: s.dialFromCaller, MaxIdleConnsPerHost: 1}}}
+func (s *scenario) newKeptCaller(node string) *keptCaller {
+	return &keptCaller{scenario: s, node: node, client: &http.Client{Transport: &http.Transport{DialContext: s.dialFromCaller, MaxIdleConnsPerHost: 1}}}
 }
 
 // delayedBody is a body that comes some time after its head.
@@ -67,7 +68,7 @@
 // of it was written.
 func (k *keptCaller) send(id, path, deadlineMS string, bodyDelay time.Duration) (status int, answered bool) {
 	body := "body of " + id
-	request, err := http.NewRequest(http.MethodPost, "http://"+entrylab.CallersAddress("n1")+path, &delayedBody{strings.NewReader(body), bodyDelay})
+	request, err := http.NewRequest(http.MethodPost, "http://"+entrylab.CallersAddress(k.node)+path, &delayedBody{strings.NewReader(body), bodyDelay})
 	k.scenario.Expect(err).NotTo(gomega.HaveOccurred())
 	request.ContentLength = int64(len(body))
 	request.Host = "service.example"
@@ -115,9 +116,6 @@
 		s.plainReplicas = append(s.plainReplicas, s.addReplica(host, shortStreams, 6, 50*time.Millisecond))
 	}
 	stream := s.keepRunning()
-	var group sync.WaitGroup
-	var mutex sync.Mutex
-	var requests []lateRequest
 	stopped := make(chan bool)
 	startedAt := time.Now()
 	go func() { s.deployment.Node("n1").Stop(); close(stopped) }()
@@ -128,6 +126,17 @@
 			}
 		})
 	}
+	requests := s.sendLate("n1", course)
+	<-stopped
+	return stoppedCourse{startedAt, requests, <-stream}
+}
+
+// sendLate has callers that keep their connections send requests to the node for lateStopCourse.
+func (s *scenario) sendLate(node string, course lateStop) []lateRequest {
+	var group sync.WaitGroup
+	var mutex sync.Mutex
+	var requests []lateRequest
+	startedAt := time.Now()
 	idle := make(chan *keptCaller, 1024)
 	for number := 0; time.Since(startedAt) < lateStopCourse; number++ {
 		group.Go(func() {
@@ -135,9 +144,9 @@
 			select {
 			case caller = <-idle:
 			default:
-				caller = s.newKeptCaller()
+				caller = s.newKeptCaller(node)
 			}
-			sent := lateRequest{id: fmt.Sprintf("late-%d", number), sentAfter: time.Since(startedAt)}
+			sent := lateRequest{id: fmt.Sprintf("late-%s-%d", node, number), sentAfter: time.Since(startedAt)}
 			sent.status, sent.answered = caller.send(sent.id, course.path, course.deadlineMS, course.bodyDelay)
 			sent.took = time.Since(startedAt) - sent.sentAfter
 			idle <- caller
@@ -148,8 +157,28 @@
 		time.Sleep(lateStopInterval)
 	}
 	group.Wait()
-	<-stopped
-	return stoppedCourse{startedAt, requests, <-stream}
+	return requests
+}
+
+// checkAnswers checks that each request that its node had read got an answer that is true, and returns the number of those
+// that did not.
+func (s *scenario) checkAnswers(t *testing.T, requests []lateRequest, path string) (cut int) {
+	runs := s.runCounts()
+	for _, request := range requests {
+		ran := runs[request.id] > 0
+		if !request.answered && (ran || request.took > crossingTime) {
+			cut++
+			t.Logf("%s, sent %.2f s after the signal, got no answer in %v; ran: %t", request.id, request.sentAfter.Seconds(), request.took, ran)
+		}
+		s.Expect(runs[request.id]).To(gomega.BeNumerically("<=", 2), request.id)
+		if path == "/once/" {
+			s.Expect(runs[request.id]).To(gomega.BeNumerically("<=", 1), request.id)
+			if request.status == http.StatusServiceUnavailable {
+				s.Expect(ran).To(gomega.BeFalse(), "%s was told that it had not run", request.id)
+			}
+		}
+	}
+	return cut
 }
 
 // lateAfter is the time since the signal after which the balancer no longer sends requests to the node.
@@ -230,18 +259,7 @@
 		t.Run(course.name, func(t *testing.T) {
 			runScenario(t, func(s *scenario) {
 				stopped := s.stopUnderLoad(course)
-				runs, cut := s.runCounts(), 0
-				for _, request := range stopped.requests {
-					ran := runs[request.id] > 0
-					if !request.answered && (ran || request.took > crossingTime) {
-						cut++
-						t.Logf("%s, sent %.2f s after the signal, got no answer in %v; ran: %t", request.id, request.sentAfter.Seconds(), request.took, ran)
-					}
-					s.Expect(runs[request.id]).To(gomega.BeNumerically("<=", 2), request.id)
-					if request.status == http.StatusServiceUnavailable && course.path == "/once/" {
-						s.Expect(ran).To(gomega.BeFalse(), "%s was told that it had not run", request.id)
-					}
-				}
+				cut := s.checkAnswers(t, stopped.requests, course.path)
 				s.Expect(len(stopped.requests)).To(gomega.BeNumerically(">", 100))
 				t.Log(describeLate(stopped.requests, cut))
 				s.Expect(cut).To(gomega.Equal(0), "requests that the node had read and that got no answer, of %d", len(stopped.requests))
@@ -295,7 +313,7 @@
 		stream := s.keepRunning()
 		callers := make([]*keptCaller, idleCallers)
 		for i := range callers {
-			callers[i] = s.newKeptCaller()
+			callers[i] = s.newKeptCaller("n1")
 			status, _ := callers[i].send(fmt.Sprint("before-", i), "/once/", "4000", 0)
 			s.Expect(status).To(gomega.Equal(http.StatusOK))
 		}
