--- a/entry/doc.go
+++ b/entry/doc.go
@@ -8,7 +8,8 @@
 // (where a begun stream may go on), replica_paths.go (connections and which replicas are reached),
 // replica_identity.go and replica_report.go (which incarnation a connection leads to), headers.go (forwarded
 // headers), response.go, stream.go (events), event_order.go, answer_end.go (whether an answer is whole) and
-// request_log.go. forwarding.go has connections that peers forward, and exchanges.go finds silent paths.
+// request_log.go. stop.go and stop_waits.go decide which requests a stopping node takes and end them. forwarding.go has
+// connections that peers forward, and exchanges.go finds silent paths.
 //
 // Configuration and replicas: store.go, store_watchers.go, updates.go and configuration.go (from
 // the store), update_pull.go (from peers), freshness.go (their age), era.go (a restored store),
