entry: a replica without a start closes a gap of the view only over connections that did not break

Callers that don't name the request that began their stream could get a stream of two versions: a version counted as the only one of a service although a replica was of another one while the store was away. Replicas that state no start count as one incarnation by their version, so that v1, then v2, then v1 again within the gap looked like one that ran. Change: for them the tracker keeps the latest row of connections without a break (incarnations.row), and the history takes the time throughout which all ran (Span) in place of an instant. The row must begin before the gap, be proven, and last until the gap's end. Tests changed: SetRanUntil became SetRan, mechanically.

--- a/coordination/incarnations/tracker.go
+++ b/coordination/incarnations/tracker.go
@@ -152,10 +152,14 @@
 	livedUntil structs.Instant
 	hasLived   bool
 	known      map[Incarnation]knowledge
+	// rows has the latest row of connections that were opened for each incarnation.
+	rows map[Incarnation]row
 }
 
 // NewTracker returns a tracker that knows nothing.
-func NewTracker() *Tracker { return &Tracker{known: map[Incarnation]knowledge{}} }
+func NewTracker() *Tracker {
+	return &Tracker{known: map[Incarnation]knowledge{}, rows: map[Incarnation]row{}}
+}
 
 // ObserveView records that the known entries are those of the store as of the instant, or later ones: an instant that is too
 // late makes proofs of entries that prove nothing. Earlier views have no effect.
@@ -221,6 +225,7 @@
 // Alive records that the process at the other end of the connection was alive at the instant. isListed is as for
 // Verdict.
 func (t *Tracker) Alive(at structs.Instant, connection Connection, isListed bool) {
+	t.extendRow(at, connection)
 	if verdict := t.Verdict(at, connection, isListed); verdict.Proof != ProofAssumed {
 		t.keepAlive(at, connection.Incarnation, verdict)
 	}
@@ -285,6 +290,18 @@
 	return until, isKnown
 }
 
+// Ran returns a time throughout which one process is known to have been the incarnation. It is false if there is none. An
+// incarnation that states a start is one process. Successors of one that states none may count as the same incarnation, with
+// others in between; only connections show then that one process ran all the time. isListed is as for Verdict.
+func (t *Tracker) Ran(incarnation Incarnation, isListed bool) (since, until structs.Instant, isKnown bool) {
+	if incarnation.StartedAt != 0 {
+		until, isKnown = t.RanUntil(incarnation, isListed)
+		return math.MinInt64, until, isKnown
+	}
+	known, isKnown := t.provenRow(incarnation, isListed)
+	return known.since, known.until, isKnown
+}
+
 func (t *Tracker) confirm(at structs.Instant, incarnation Incarnation, proof Proof) {
 	known := t.known[incarnation]
 	if known.proof == ProofNone || at > known.confirmedAt {
@@ -361,4 +378,5 @@
 // Forget drops what is known of the incarnations that are not kept.
 func (t *Tracker) Forget(isKept func(Incarnation) bool) {
 	maps.DeleteFunc(t.known, func(incarnation Incarnation, _ knowledge) bool { return !isKept(incarnation) })
+	maps.DeleteFunc(t.rows, func(incarnation Incarnation, _ row) bool { return !isKept(incarnation) })
 }
--- a/coordination/streams/replacements_test.go
+++ b/coordination/streams/replacements_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -85,6 +86,10 @@
 	// instant of its proof. recordsEntries records the version of the entry as a certain origin. presumesRuns takes all
 	// that a node lists for running, whatever it heard of them.
 	trustsEntries, datesAnswersAtArrival, recordsEntries, presumesRuns bool
+	// takesVersionsForProcesses takes processes of one version at an address for one that ran all the time.
+	takesVersionsForProcesses bool
+	// omitsStarts is no broken design: the replicas state no start and give no reports.
+	omitsStarts bool
 }
 
 type course struct {
@@ -110,6 +115,9 @@
 	c := &course{variant: variant, random: rand.New(rand.NewPCG(seed, 79)), replicas: map[string]*courseReplica{}}
 	for _, id := range []string{"a", "b"} {
 		entry := replicas.Replica{ID: id, Service: "engines", Version: "v1", StartedAt: 1}
+		if variant.omitsStarts {
+			entry.StartedAt = 0
+		}
 		c.replicas[id] = &courseReplica{process: &courseProcess{entry: entry}, listed: entry}
 	}
 	for i := range c.nodes {
@@ -182,9 +190,31 @@
 	}
 }
 
+// endChance is the chance that a process ends within a step, and window the time in which a stream may have begun. Where no
+// start tells processes apart, it takes two replacements within one outage to mislead a node, and an end that it noticed counts
+// for a while.
+func (c *course) endChance(process *courseProcess) float64 {
+	switch {
+	case !c.variant.omitsStarts:
+		return 0.01
+	case c.isAway && process.entry.Version == "v2":
+		return 0.2
+	case c.isAway:
+		return 0.03
+	}
+	return 0.001
+}
+
+func (c *course) window() time.Duration {
+	if c.variant.omitsStarts {
+		return 2 * courseWindow
+	}
+	return courseWindow
+}
+
 func (c *course) moveReplica(r *courseReplica) {
 	switch {
-	case r.process != nil && c.chance(0.01):
+	case r.process != nil && c.chance(c.endChance(r.process)):
 		former := r.process
 		former.ended, r.process = true, nil
 		r.startAt = c.now + 2*courseStep + time.Duration(c.random.Int64N(int64(3*time.Second)))
@@ -193,7 +223,9 @@
 		}
 	case r.process == nil && c.now >= r.startAt:
 		next := r.listed
-		next.StartedAt = int64(c.now)
+		if !c.variant.omitsStarts {
+			next.StartedAt = int64(c.now)
+		}
 		next.Version = map[string]string{"v1": "v2", "v2": "v1"}[next.Version]
 		if c.chance(0.3) {
 			next.Version = r.listed.Version
@@ -241,7 +273,7 @@
 	}
 	for _, connection := range node.connections {
 		if !connection.process.ended && c.chance(0.1) {
-			writtenAt, isReport := c.now, c.chance(0.2)
+			writtenAt, isReport := c.now, !c.variant.omitsStarts && c.chance(0.2)
 			c.soon(i, func(node *courseNode) { c.readAnswer(node, connection, writtenAt, isReport) })
 		}
 	}
@@ -273,6 +305,7 @@
 	switch {
 	case !isReport:
 		node.tracker.Received(writtenAt, connection.Connection, c.isListed(node, connection))
+		node.tracker.Alive(writtenAt, connection.Connection, c.isListed(node, connection))
 	case connection.process.entry.StartedAt == connection.entry.StartedAt:
 		node.tracker.ConfirmByReport(writtenAt, connection.Incarnation)
 	default:
@@ -383,7 +416,7 @@
 		}
 		c.resumed++
 		// The history rests on this node's having heard of each replacement.
-		isByHistory = evidence.Knowledge == streamorigins.Unknown && c.now-stream.begunAt <= courseWindow
+		isByHistory = evidence.Knowledge == streamorigins.Unknown && c.now-stream.begunAt <= c.window()
 		isAssumed = isAssumed || evidence.Knowledge == streamorigins.Unknown
 	}
 	node := c.nodes[i]
@@ -436,25 +469,29 @@
 				node.history.SetDoubted(service, true)
 			}
 		}
-		until, isKnown := c.ranUntil(node)
-		node.history.SetRanUntil(service, until, isKnown)
-		return node.history.OnlyVersion(c.now, service, courseWindow)
+		ran, isKnown := c.ran(node)
+		node.history.SetRan(service, ran, isKnown)
+		return node.history.OnlyVersion(c.now, service, c.window())
 	}}
 }
 
-// ranUntil returns until when both replicas are known to have run.
-func (c *course) ranUntil(node *courseNode) (structs.Instant, bool) {
-	earliest := c.now
+// ran returns the time throughout which both replicas are known to have run.
+func (c *course) ran(node *courseNode) (streamorigins.Span, bool) {
+	ran := streamorigins.Span{Since: math.MinInt64, Until: c.now}
 	for _, entry := range node.table {
-		until, isKnown := node.tracker.RanUntil(incarnations.Of(entry), true)
+		since, until, isKnown := node.tracker.Ran(incarnations.Of(entry), true)
+		if c.variant.takesVersionsForProcesses {
+			since = math.MinInt64
+			until, isKnown = node.tracker.RanUntil(incarnations.Of(entry), true)
+		}
 		if !isKnown && !c.variant.presumesRuns {
-			return 0, false
+			return streamorigins.Span{}, false
 		}
 		if !c.variant.presumesRuns {
-			earliest = min(earliest, until)
+			ran = streamorigins.Span{Since: max(ran.Since, since), Until: min(ran.Until, until)}
 		}
 	}
-	return earliest, true
+	return ran, true
 }
 
 // playCourses returns the sums over the courses of the seeds.
@@ -504,6 +541,19 @@
 	g.Expect(broken.mixedByHistory).To(gomega.BeNumerically(">", 0))
 }
 
+// Guards against the same where replicas state no start, so that a former and a later process of one version count as one
+// incarnation with a process of another version in between.
+func TestContinuationsByTheHistoryKeepTheVersionWithoutStarts(t *testing.T) {
+	g := gomega.NewWithT(t)
+	sum := playCourses(courseSeeds, replacementVariant{omitsStarts: true})
+	t.Log(sum.String())
+	g.Expect(sum.mixedByHistory).To(gomega.BeZero())
+	g.Expect(sum.byHistory).To(gomega.BeNumerically(">", courseSeeds/2))
+	broken := playCourses(courseSeeds, replacementVariant{omitsStarts: true, takesVersionsForProcesses: true})
+	t.Log(broken.String())
+	g.Expect(broken.mixedByHistory).To(gomega.BeNumerically(">", sum.mixedByHistory))
+}
+
 // Guards against courses that find nothing.
 func TestDrawnCoursesFindBrokenVariants(t *testing.T) {
 	for _, variant := range []replacementVariant{
--- a/entry/replica_identity.go
+++ b/entry/replica_identity.go
@@ -10,6 +10,7 @@
 	"github.com/thornwalk/thornwalk/coordination/incarnations"
 	"github.com/thornwalk/thornwalk/internal/eventlog"
 	"github.com/thornwalk/thornwalk/state/replicas"
+	"github.com/thornwalk/thornwalk/state/streamorigins"
 	"github.com/thornwalk/thornwalk/structs"
 	"github.com/thornwalk/thornwalk/transport/replicahttp"
 )
@@ -183,19 +184,19 @@
 	return slices.ContainsFunc(pool, func(replica replicas.Replica) bool { return n.doubtAgeLocked(replica) > 0 })
 }
 
-// ranUntilLocked returns the latest instant until which all of the replicas are known to have run. It is false if there is
-// none.
-func (n *Node) ranUntilLocked(pool []replicas.Replica) (structs.Instant, bool) {
-	earliest := structs.Instant(math.MaxInt64)
+// ranLocked returns the time throughout which all of the replicas are known to have run, each as one process. It is false if
+// there is none.
+func (n *Node) ranLocked(pool []replicas.Replica) (ran streamorigins.Span, isKnown bool) {
+	ran = streamorigins.Span{Since: math.MinInt64, Until: math.MaxInt64}
 	for _, replica := range pool {
 		incarnation := incarnations.Of(replica)
-		until, isKnown := n.identities.RanUntil(incarnation, n.isListedLocked(incarnation))
+		since, until, isKnown := n.identities.Ran(incarnation, n.isListedLocked(incarnation))
 		if !isKnown {
-			return 0, false
+			return streamorigins.Span{}, false
 		}
-		earliest = min(earliest, until)
+		ran = streamorigins.Span{Since: max(ran.Since, since), Until: min(ran.Until, until)}
 	}
-	return earliest, earliest < math.MaxInt64
+	return ran, len(pool) > 0
 }
 
 // doubtAgeLocked returns the time since the latest sign that the replica may have ended, or zero if there is none since
--- a/entry/stream_origin.go
+++ b/entry/stream_origin.go
@@ -133,8 +133,8 @@
 	n.confirmVersionHistoryLocked()
 	pool := groupByService(n.table.All())[service]
 	n.versionHistory.SetDoubted(service, n.isAnyDoubtedLocked(pool))
-	until, isKnown := n.ranUntilLocked(pool)
-	n.versionHistory.SetRanUntil(service, until, isKnown)
+	ran, isKnown := n.ranLocked(pool)
+	n.versionHistory.SetRan(service, ran, isKnown)
 	window := streamLifetimeTimeouts * c.route.Timeout
 	if window <= 0 {
 		window = streamorigins.Retention
--- a/state/streamorigins/streamorigins_test.go
+++ b/state/streamorigins/streamorigins_test.go
@@ -200,53 +200,61 @@
 		"no view": {func(h *VersionHistory) { h.Confirm(20*time.Second, -1) }, false},
 		"the view was old while all replicas ran": {func(h *VersionHistory) {
 			missViews(h, [2]time.Duration{13 * time.Second, 18 * time.Second})
-			h.SetRanUntil("engines", 19*time.Second, true)
+			h.SetRan("engines", Span{Until: 19 * time.Second}, true)
 		}, true},
 		"the view is old while all replicas run": {func(h *VersionHistory) {
 			missViews(h, [2]time.Duration{13 * time.Second, 21 * time.Second})
-			h.SetRanUntil("engines", 18*time.Second, true)
+			h.SetRan("engines", Span{Until: 18 * time.Second}, true)
 		}, true},
 		"the view was old twice while all replicas ran": {func(h *VersionHistory) {
 			missViews(h, [2]time.Duration{11 * time.Second, 14 * time.Second}, [2]time.Duration{16 * time.Second, 19 * time.Second})
-			h.SetRanUntil("engines", 19*time.Second, true)
+			h.SetRan("engines", Span{Until: 19 * time.Second}, true)
 		}, true},
 		"a replica may have ended while the view was old": {func(h *VersionHistory) {
 			missViews(h, [2]time.Duration{13 * time.Second, 18 * time.Second})
-			h.SetRanUntil("engines", 17*time.Second, true)
+			h.SetRan("engines", Span{Until: 17 * time.Second}, true)
 		}, false},
 		"a replica may have ended while the view is old": {func(h *VersionHistory) {
 			missViews(h, [2]time.Duration{13 * time.Second, 21 * time.Second})
-			h.SetRanUntil("engines", 16*time.Second, true)
+			h.SetRan("engines", Span{Until: 16 * time.Second}, true)
 		}, false},
 		"a replica may have ended the second time that the view was old": {func(h *VersionHistory) {
 			missViews(h, [2]time.Duration{11 * time.Second, 14 * time.Second}, [2]time.Duration{16 * time.Second, 19 * time.Second})
-			h.SetRanUntil("engines", 15*time.Second, true)
+			h.SetRan("engines", Span{Until: 15 * time.Second}, true)
 		}, false},
+		"a replica without a start may have been replaced while the view was old": {func(h *VersionHistory) {
+			missViews(h, [2]time.Duration{13 * time.Second, 18 * time.Second})
+			h.SetRan("engines", Span{Since: 9*time.Second + 1, Until: 19 * time.Second}, true)
+		}, false},
+		"one process each ran from before the view was old": {func(h *VersionHistory) {
+			missViews(h, [2]time.Duration{13 * time.Second, 18 * time.Second})
+			h.SetRan("engines", Span{Since: 9 * time.Second, Until: 19 * time.Second}, true)
+		}, true},
 		"it is not known how long all replicas ran": {func(h *VersionHistory) {
 			missViews(h, [2]time.Duration{13 * time.Second, 18 * time.Second})
-			h.SetRanUntil("engines", 0, false)
+			h.SetRan("engines", Span{Until: 0}, false)
 		}, false},
 		"a replica was gone after the view was old": {func(h *VersionHistory) {
 			missViews(h, [2]time.Duration{13 * time.Second, 18 * time.Second})
 			h.Update(18*time.Second, replicasOf("v1", "v1")[1:])
-			h.SetRanUntil("engines", 19*time.Second, true)
+			h.SetRan("engines", Span{Until: 19 * time.Second}, true)
 		}, false},
 		"a replica was replaced under its ID after the view was old": {func(h *VersionHistory) {
 			missViews(h, [2]time.Duration{13 * time.Second, 18 * time.Second})
 			h.Update(18*time.Second, restarted(replicasOf("v1", "v1")))
-			h.SetRanUntil("engines", 19*time.Second, true)
+			h.SetRan("engines", Span{Until: 19 * time.Second}, true)
 		}, false},
 		"another version came while the view was old": {func(h *VersionHistory) {
 			missViews(h, [2]time.Duration{13 * time.Second, 18 * time.Second})
 			h.Update(18*time.Second, replicasOf("v1", "v1", "v2"))
-			h.SetRanUntil("engines", 19*time.Second, true)
+			h.SetRan("engines", Span{Until: 19 * time.Second}, true)
 		}, false},
 		"another node may have seen the store while the view was old": {func(h *VersionHistory) {
 			confirmUntil(h, 0, 12*time.Second)
 			h.Confirm(13*time.Second, 5*time.Second)
 			h.MissPeers()
 			confirmUntil(h, 14*time.Second, 20*time.Second)
-			h.SetRanUntil("engines", 20*time.Second, true)
+			h.SetRan("engines", Span{Until: 20 * time.Second}, true)
 		}, false},
 		"another node saw the store while the view was current": {func(h *VersionHistory) {
 			confirmUntil(h, 0, 20*time.Second)
@@ -256,13 +264,13 @@
 			missViews(h, [2]time.Duration{13 * time.Second, 18 * time.Second})
 			h.Restart()
 			h.Confirm(20*time.Second, 0)
-			h.SetRanUntil("engines", 20*time.Second, true)
+			h.SetRan("engines", Span{Until: 20 * time.Second}, true)
 		}, false},
 		"the process was suspended while the view was old": {func(h *VersionHistory) {
 			confirmUntil(h, 0, 12*time.Second)
 			h.Confirm(13*time.Second, 5*time.Second)
 			confirmUntil(h, 18*time.Second, 20*time.Second)
-			h.SetRanUntil("engines", 20*time.Second, true)
+			h.SetRan("engines", Span{Until: 20 * time.Second}, true)
 		}, false},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/state/streamorigins/versions.go
+++ b/state/streamorigins/versions.go
@@ -32,10 +32,10 @@
 	replacedAt   map[string]structs.Instant
 	// goneAt has when an incarnation of the service was last found not to be listed any more.
 	goneAt map[string]structs.Instant
-	// doubted has the services of which a replica is doubted, and ranUntil the instant by service until which all listed
-	// incarnations are known to have run.
-	doubted  map[string]bool
-	ranUntil map[string]structs.Instant
+	// doubted has the services of which a replica is doubted, and ran the time by service throughout which all listed
+	// incarnations are known to have run, each as one process.
+	doubted map[string]bool
+	ran     map[string]Span
 	// isFollowed is true if every change since completeSince was seen, except in the gaps. isCurrent is true if the view
 	// is; otherwise the last gap is open.
 	isFollowed, isCurrent bool
@@ -44,6 +44,9 @@
 	gaps                  []gap
 }
 
+// Span is a time with its ends.
+type Span struct{ Since, Until structs.Instant }
+
 type serviceVersion struct{ service, version string }
 
 // seenIncarnation is an incarnation by its start, and when it was last listed.
@@ -66,7 +69,7 @@
 	return &VersionHistory{
 		listed: map[string]map[string]bool{}, lastListed: map[serviceVersion]structs.Instant{},
 		incarnations: map[string]seenIncarnation{}, replacedAt: map[string]structs.Instant{}, goneAt: map[string]structs.Instant{},
-		doubted: map[string]bool{}, ranUntil: map[string]structs.Instant{},
+		doubted: map[string]bool{}, ran: map[string]Span{},
 	}
 }
 
@@ -115,13 +118,14 @@
 	delete(h.doubted, service)
 }
 
-// SetRanUntil states that all listed incarnations of the service are known to have run until the instant, if isKnown.
-func (h *VersionHistory) SetRanUntil(service string, until structs.Instant, isKnown bool) {
+// SetRan states that all listed incarnations of the service are known to have run throughout the time, each as one process,
+// if isKnown.
+func (h *VersionHistory) SetRan(service string, ran Span, isKnown bool) {
 	if isKnown {
-		h.ranUntil[service] = until
+		h.ran[service] = ran
 		return
 	}
-	delete(h.ranUntil, service)
+	delete(h.ran, service)
 }
 
 // Confirm states how old the view of the replicas is; a negative age means that there is none. The history
@@ -153,7 +157,7 @@
 
 // OnlyVersion returns the version of all replicas that the service had in the window before now. It returns
 // false if there were several versions or none, if the version is not stated, if the history does not cover the window,
-// or if a replica is doubted or was replaced under its ID in the window. The caller calls Confirm, SetDoubted and SetRanUntil
+// or if a replica is doubted or was replaced under its ID in the window. The caller calls Confirm, SetDoubted and SetRan
 // before.
 func (h *VersionHistory) OnlyVersion(now structs.Instant, service string, window time.Duration) (string, bool) {
 	if !h.isFollowed || now-h.completeSince < window || window > maxHistory || !h.areGapsClosed(now, service, window) {
@@ -180,7 +184,7 @@
 
 // areGapsClosed reports whether no gap in the window may hide a replica of the service.
 func (h *VersionHistory) areGapsClosed(now structs.Instant, service string, window time.Duration) bool {
-	ranUntil, isKnown := h.ranUntil[service]
+	ran, isKnown := h.ran[service]
 	goneAt, isAnyGone := h.goneAt[service]
 	for i, past := range h.gaps {
 		ended := past.ended
@@ -189,7 +193,7 @@
 		} else if now-ended >= window {
 			continue
 		}
-		if past.isPartial || !isKnown || ranUntil < ended || isAnyGone && goneAt >= past.began {
+		if past.isPartial || !isKnown || ran.Since > past.began || ran.Until < ended || isAnyGone && goneAt >= past.began {
 			return false
 		}
 	}
