entry: streams go on after all nodes ended at once, by origins that the store keeps while two versions serve

Cause: who began a stream was known to nodes only. Change (decision 0040, ways weighed there): while a service has several versions, the scheduling node writes the certain origins that it hears of to the store, a batch a second under a lease; a node whose keepers know nothing reads them once.

--- a/coordination/liveness/liveness.go
+++ b/coordination/liveness/liveness.go
@@ -63,6 +63,9 @@
 	// ChurnAgesMS is the time since the latest sign that a replica was replaced in place, in milliseconds, for the services
 	// of which that was recent. Nodes of earlier releases don't send it.
 	ChurnAgesMS map[string]int64 `msgpack:"ch,omitempty"`
+	// AttendedMS is the time for which at least one node has run without a break, as far as the sender knows, in
+	// milliseconds. Nodes of earlier releases don't send it.
+	AttendedMS int64 `msgpack:"at,omitempty"`
 	// FailingReplicas lists the replicas that fail for this node.
 	FailingReplicas []string `msgpack:"f"`
 	// BucketLevels are the tokens in the buckets of the tenants that are not near their full
--- a/coordination/streams/replacements_test.go
+++ b/coordination/streams/replacements_test.go
@@ -72,6 +72,8 @@
 	begunAt structs.Instant
 	// isAssumed is true if its origin was recorded without proof.
 	isAssumed bool
+	// entryVersion is the version of the entry by which the connection was opened.
+	entryVersion string
 }
 
 type later struct {
@@ -88,6 +90,11 @@
 	trustsEntries, datesAnswersAtArrival, recordsEntries, presumesRuns bool
 	// takesVersionsForProcesses takes processes of one version at an address for one that ran all the time.
 	takesVersionsForProcesses bool
+	// archivesEntries stores the version of the entry for an uncertain origin, and trustsLatest takes the origin that was stored
+	// last where two streams have one name.
+	archivesEntries, trustsLatest bool
+	// endsAll has all nodes end at once now and then, and reuses names of streams. It is no broken design.
+	endsAll bool
 	// omitsStarts is no broken design: the replicas state no start and give no reports.
 	omitsStarts bool
 }
@@ -107,12 +114,23 @@
 	proven, assumed             int
 	mixedProven, mixedAssumed   int
 	uncertain, refused, resumed int
+	// archive has the origins that the store keeps.
+	archive map[streamorigins.Key]streamorigins.Finding
+	// namesakes and stored are the streams of each name, and those of which the store has an origin.
+	namesakes map[streamorigins.Key]int
+	stored    map[streamorigins.Key]map[*courseStream]bool
+	// byArchive are the continuations by an origin in the store, and mixedByArchive those at another version although the connection
+	// was proven.
+	byArchive, mixedByArchive int
 	// byHistory are the continuations without a record within courseWindow, and mixedByHistory those at another version.
 	byHistory, mixedByHistory int
 }
 
 func newCourse(seed uint64, variant replacementVariant) *course {
-	c := &course{variant: variant, random: rand.New(rand.NewPCG(seed, 79)), replicas: map[string]*courseReplica{}}
+	c := &course{
+		variant: variant, random: rand.New(rand.NewPCG(seed, 79)), replicas: map[string]*courseReplica{},
+		archive: map[streamorigins.Key]streamorigins.Finding{}, namesakes: map[streamorigins.Key]int{}, stored: map[streamorigins.Key]map[*courseStream]bool{},
+	}
 	for _, id := range []string{"a", "b"} {
 		entry := replicas.Replica{ID: id, Service: "engines", Version: "v1", StartedAt: 1}
 		if variant.omitsStarts {
@@ -169,6 +187,11 @@
 	for _, id := range []string{"a", "b"} {
 		c.moveReplica(c.replicas[id])
 	}
+	if c.variant.endsAll && c.chance(0.02) {
+		for i := range c.nodes {
+			c.startNode(i)
+		}
+	}
 	for i := range c.nodes {
 		c.moveNode(i)
 	}
@@ -367,8 +390,14 @@
 	}
 	c.begun++
 	proof := c.verdict(node, connection)
-	stream := &courseStream{key: streamorigins.KeyOf("", fmt.Sprint(c.begun)), node: i, life: node.life, begunBy: connection.process, begunAt: c.now}
+	name := c.begun
+	if c.variant.endsAll && c.chance(0.05) {
+		name-- // a caller uses the name again
+	}
+	stream := &courseStream{key: streamorigins.KeyOf("", fmt.Sprint(name)), node: i, life: node.life, begunBy: connection.process, begunAt: c.now}
 	stream.origin = streamorigins.Origin{Service: "engines", Version: connection.entry.Version}
+	c.namesakes[stream.key]++
+	stream.entryVersion = connection.entry.Version
 	stream.isAssumed = proof == incarnations.ProofAssumed
 	if proof == incarnations.ProofNone && !c.variant.recordsEntries {
 		stream.origin.Version = ""
@@ -382,11 +411,39 @@
 func (c *course) record(stream *courseStream) {
 	record := streamorigins.Record{Key: stream.key, Origin: stream.origin}
 	c.nodes[stream.node].registry.Put(c.now, record)
+	if c.variant.endsAll {
+		c.store(stream, record)
+	}
 	if c.chance(0.8) {
 		c.soon(1-stream.node, func(node *courseNode) { node.registry.Put(c.now, record) })
 	}
 }
 
+// store has the store keep a certain origin, late. A write whose outcome is unknown is repeated.
+func (c *course) store(stream *courseStream, record streamorigins.Record) {
+	if c.variant.archivesEntries && record.Origin.Version == "" {
+		record.Origin.Version = stream.entryVersion
+	}
+	if record.Origin.Version == "" {
+		return
+	}
+	write := func() {
+		finding := streamorigins.Finding{Origin: record.Origin, Knowledge: streamorigins.Known}
+		if !c.variant.trustsLatest {
+			finding = finding.Join(c.archive[record.Key])
+		}
+		c.archive[record.Key] = finding
+		if c.stored[record.Key] == nil {
+			c.stored[record.Key] = map[*courseStream]bool{}
+		}
+		c.stored[record.Key][stream] = true
+	}
+	for range 1 + c.random.IntN(2) {
+		at := c.now + time.Duration(c.random.Int64N(int64(maxLateness)))
+		c.pending = append(c.pending, later{at, write})
+	}
+}
+
 // makeCertain records the version once a connection to the process that began the stream is proven.
 func (c *course) makeCertain(stream *courseStream) {
 	node := c.nodes[stream.node]
@@ -405,12 +462,12 @@
 
 // goOn continues the stream in its answer, or resumes it at either node.
 func (c *course) goOn(stream *courseStream) {
-	i, origin, isAssumed, isByHistory := stream.node, stream.origin, stream.isAssumed, false
+	i, origin, isAssumed, isByHistory, isByArchive := stream.node, stream.origin, stream.isAssumed, false, false
 	if c.nodes[i].life != stream.life || c.chance(0.5) {
 		i = c.random.IntN(2)
 		var refusal Refusal
 		evidence := c.evidence(c.nodes[i], stream)
-		if origin, refusal = Bind(evidence); refusal != RefusalNone {
+		if origin, refusal = Bind(evidence.Evidence); refusal != RefusalNone {
 			c.refused++
 			return
 		}
@@ -418,6 +475,7 @@
 		// The history rests on this node's having heard of each replacement.
 		isByHistory = evidence.Knowledge == streamorigins.Unknown && c.now-stream.begunAt <= c.window()
 		isAssumed = isAssumed || evidence.Knowledge == streamorigins.Unknown
+		isByArchive = evidence.isArchived
 	}
 	node := c.nodes[i]
 	connection := c.connect(node, c.id())
@@ -440,6 +498,12 @@
 			c.mixedByHistory++
 		}
 	}
+	if isByArchive && !isAssumed && len(c.stored[stream.key]) == c.namesakes[stream.key] {
+		c.byArchive++
+		if isMixed {
+			c.mixedByArchive++
+		}
+	}
 	switch {
 	case isMixed && isAssumed:
 		c.mixedAssumed++
@@ -452,7 +516,13 @@
 	}
 }
 
-func (c *course) evidence(node *courseNode, stream *courseStream) Evidence {
+// courseEvidence is the evidence on a stream; isArchived is true if it is from the store.
+type courseEvidence struct {
+	Evidence
+	isArchived bool
+}
+
+func (c *course) evidence(node *courseNode, stream *courseStream) courseEvidence {
 	finding := streamorigins.Finding{}
 	for _, asked := range c.nodes {
 		if asked == node || c.chance(0.8) {
@@ -460,7 +530,11 @@
 			finding = finding.Join(streamorigins.Finding{Origin: origin, Knowledge: knowledge})
 		}
 	}
-	return Evidence{Origin: finding.Origin, Knowledge: finding.Knowledge, Services: []string{"engines"}, OnlyVersion: func(service string) (string, bool) {
+	isArchived := finding.Knowledge == streamorigins.Unknown && !c.isAway
+	if isArchived {
+		finding = c.archive[stream.key]
+	}
+	return courseEvidence{isArchived: isArchived && finding.IsCertain(), Evidence: Evidence{Origin: finding.Origin, Knowledge: finding.Knowledge, Services: []string{"engines"}, OnlyVersion: func(service string) (string, bool) {
 		node.history.Confirm(c.now, c.viewAge(node))
 		node.history.SetDoubted(service, false)
 		for _, entry := range node.table {
@@ -472,7 +546,7 @@
 		ran, isKnown := c.ran(node)
 		node.history.SetRan(service, ran, isKnown)
 		return node.history.OnlyVersion(c.now, service, c.window())
-	}}
+	}}}
 }
 
 // ran returns the time throughout which both replicas are known to have run.
@@ -505,6 +579,7 @@
 		sum.begun += c.begun
 		sum.proven, sum.assumed = sum.proven+c.proven, sum.assumed+c.assumed
 		sum.mixedProven, sum.mixedAssumed = sum.mixedProven+c.mixedProven, sum.mixedAssumed+c.mixedAssumed
+		sum.byArchive, sum.mixedByArchive = sum.byArchive+c.byArchive, sum.mixedByArchive+c.mixedByArchive
 		sum.byHistory, sum.mixedByHistory = sum.byHistory+c.byHistory, sum.mixedByHistory+c.mixedByHistory
 		sum.uncertain, sum.refused, sum.resumed = sum.uncertain+c.uncertain, sum.refused+c.refused, sum.resumed+c.resumed
 	}
@@ -512,8 +587,8 @@
 }
 
 func (c *course) String() string {
-	return fmt.Sprintf("%d streams, %d of uncertain origin; %d resumed, %d refused; went on %d by proof and %d by assumption, at another version %d and %d; by the history %d, at another version %d",
-		c.begun, c.uncertain, c.resumed, c.refused, c.proven, c.assumed, c.mixedProven, c.mixedAssumed, c.byHistory, c.mixedByHistory)
+	return fmt.Sprintf("%d streams, %d of uncertain origin; %d resumed, %d refused; went on %d by proof and %d by assumption, at another version %d and %d; by the history %d, at another version %d; by the store %d, at another version %d",
+		c.begun, c.uncertain, c.resumed, c.refused, c.proven, c.assumed, c.mixedProven, c.mixedAssumed, c.byHistory, c.mixedByHistory, c.byArchive, c.mixedByArchive)
 }
 
 const courseSeeds = 400
@@ -554,6 +629,25 @@
 	g.Expect(broken.mixedByHistory).To(gomega.BeNumerically(">", sum.mixedByHistory))
 }
 
+// Guards against streams that go on at another version after all nodes ended at once, by an origin that the store kept: it writes
+// late and twice, is away now and then, and callers use names twice. Where the store has no origin of one of two streams with one
+// name, nobody can tell them apart; that is not judged.
+func TestContinuationsByTheStoreKeepTheVersionOnDrawnCourses(t *testing.T) {
+	g := gomega.NewWithT(t)
+	sum := playCourses(courseSeeds, replacementVariant{endsAll: true})
+	t.Log(sum.String())
+	g.Expect(sum.mixedByArchive).To(gomega.BeZero())
+	g.Expect(sum.byArchive).To(gomega.BeNumerically(">", courseSeeds))
+	for _, variant := range []replacementVariant{
+		{name: "the version of the entry is stored for an uncertain origin", endsAll: true, archivesEntries: true},
+		{name: "the latest stored origin counts", endsAll: true, trustsLatest: true},
+	} {
+		broken := playCourses(courseSeeds, variant)
+		t.Log(variant.name, broken.String())
+		g.Expect(broken.mixedByArchive).To(gomega.BeNumerically(">", 0))
+	}
+}
+
 // Guards against courses that find nothing.
 func TestDrawnCoursesFindBrokenVariants(t *testing.T) {
 	for _, variant := range []replacementVariant{
--- a/entry/freshness.go
+++ b/entry/freshness.go
@@ -48,6 +48,7 @@
 		n.recordStoreReached(now)
 	}
 	n.observeChurn(sentAt, heartbeat.ChurnAgesMS)
+	n.observeAttended(now, sentAt, heartbeat.AttendedMS)
 	if !n.isFromEarlierEra(heartbeat) {
 		n.identities.ObserveHealthy(sentAt, time.Duration(heartbeat.StoreHealthyMS)*time.Millisecond)
 	}
--- a/entry/heartbeats.go
+++ b/entry/heartbeats.go
@@ -118,6 +118,7 @@
 	n.term = term
 	n.storeFailedAt, n.watchHealthy = n.now(), false
 	n.identities.Suspended(n.now()-suspended, n.now())
+	n.attendedSince = n.now()
 	n.versionHistory.Restart()
 	n.requestRereadLocked(rereadResumed)
 	n.mutex.Unlock()
@@ -299,6 +300,7 @@
 	heartbeat.ForwardCapacity, heartbeat.Isolated = n.forwardCapacity(), n.paths.IsIsolated()
 	heartbeat.Version, heartbeat.Evacuations = n.version(), n.evacuations.All()
 	heartbeat.ChurnAgesMS = n.churnAges(now)
+	heartbeat.AttendedMS = (now - n.attendedSince).Milliseconds()
 	n.addEra(now, &heartbeat)
 	if summary := n.scheduling.poisonSummary(); summary.ChangeCount > 0 {
 		heartbeat.Poison = &liveness.PoisonSummary{Weight: summary.ChangeCount, Digest: summary.Digest}
--- a/entry/node.go
+++ b/entry/node.go
@@ -49,6 +49,8 @@
 	Rollouts outside.Rollouts
 	// PoisonRecords stores the records of poison requests; nil means that they are lost with the nodes.
 	PoisonRecords outside.PoisonRecordStore
+	// StreamOrigins stores the origins of streams; nil means that they are lost with the nodes.
+	StreamOrigins outside.StreamOriginStore
 	Headers       outside.HeaderNames
 	// ParsePushback parses the pushback signals in the head of a replica's response. Its error
 	// names each part that can't be parsed; the signals of the other parts are still returned.
@@ -201,7 +203,11 @@
 	resumedAt structs.Instant
 	// streamOrigins has the origins of streams that this node relayed or keeps, and versionHistory the versions
 	// that services have had.
-	streamOrigins  *streamorigins.Registry
+	streamOrigins *streamorigins.Registry
+	originArchive originArchive
+	// attendedSince is since when at least one node has run without a break, as far as this one knows. It may be before the
+	// start of this process.
+	attendedSince  structs.Instant
 	versionHistory *streamorigins.VersionHistory
 	// identities decides which connections lead to the incarnations of the known entries.
 	identities *replicaIdentities
@@ -300,7 +306,7 @@
 		}
 	}
 	n.callerServer = n.servers[0]
-	for _, loop := range []func(){n.watchLoop, n.readLoop, n.heartbeatLoop, n.receiveHeartbeats, n.zoneLoop, n.pathLoop, n.housekeeping, n.rolloutLoop, n.poisonSyncLoop, n.slowNodeLoop} {
+	for _, loop := range []func(){n.watchLoop, n.readLoop, n.heartbeatLoop, n.receiveHeartbeats, n.zoneLoop, n.pathLoop, n.housekeeping, n.rolloutLoop, n.poisonSyncLoop, n.originArchiveLoop, n.slowNodeLoop} {
 		n.loops.Go(loop)
 	}
 	n.log.Write(eventlog.Event{Kind: "process.start", Detail: peerAddress})
--- a/entry/stream_origin.go
+++ b/entry/stream_origin.go
@@ -62,6 +62,9 @@
 	streamOriginAnswer   struct {
 		Origin    streamorigins.Origin
 		Knowledge streamorigins.Knowledge
+		// WasUnattended is true if the node took origins from the store, and no node ran until lately. Nodes of earlier releases
+		// don't send it.
+		WasUnattended bool `msgpack:",omitempty"`
 	}
 )
 
@@ -70,13 +73,16 @@
 	defer n.mutex.Unlock()
 	for _, record := range report.Records {
 		n.streamOrigins.Put(n.now(), record)
+		n.archiveOriginLocked(record)
 	}
 	return &streamOriginsReply{}, nil
 }
 
 func (n *Node) serveStreamOrigin(_ context.Context, question *streamOriginQuestion) (*streamOriginAnswer, error) {
 	origin, knowledge := n.knownOrigin(question.Key)
-	return &streamOriginAnswer{Origin: origin, Knowledge: knowledge}, nil
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return &streamOriginAnswer{Origin: origin, Knowledge: knowledge, WasUnattended: n.originArchive.wasUsed && n.wasUnattendedLocked()}, nil
 }
 
 // knownOrigin returns what this node itself knows of the stream's origin.
@@ -170,7 +176,7 @@
 	})
 }
 
-// findOrigin looks for the stream's origin at this node and at its keepers.
+// findOrigin looks for the stream's origin at this node and at its keepers, and if none knows of the stream, in the store.
 func (c *call) findOrigin(key streamorigins.Key) (streamorigins.Origin, streamorigins.Knowledge) {
 	var found streamorigins.Finding
 	for round := range originLookupRounds {
@@ -189,6 +195,9 @@
 			break
 		}
 	}
+	if found.Knowledge == streamorigins.Unknown {
+		found = c.findArchivedOrigin(key)
+	}
 	return found.Origin, found.Knowledge
 }
 
@@ -214,6 +223,11 @@
 			if answer.Knowledge == streamorigins.Unknown {
 				return
 			}
+			if answer.WasUnattended {
+				n.mutex.Lock()
+				n.identities.churn.ObserveReported(n.attendedSince, answer.Origin.Service)
+				n.mutex.Unlock()
+			}
 			select {
 			case answers <- streamorigins.Finding{Origin: answer.Origin, Knowledge: answer.Knowledge}:
 			case <-ctx.Done():
@@ -274,17 +288,34 @@
 func (n *Node) keepOrigin(record streamorigins.Record) {
 	n.mutex.Lock()
 	n.streamOrigins.Put(n.now(), record)
+	n.archiveOriginLocked(record)
 	n.mutex.Unlock()
 	report := &streamOriginsReport{Records: []streamorigins.Record{record}}
-	for _, keeper := range n.streamKeepers(record.Key) {
+	for _, address := range n.originReceivers(record) {
 		go func() {
-			if err := n.report(keeper.Address, peerwire.KindStreamOrigins, report, &streamOriginsReply{}); err != nil {
+			if err := n.report(address, peerwire.KindStreamOrigins, report, &streamOriginsReply{}); err != nil {
 				n.counter("streams.reports_failed").Inc(1)
 			}
 		}()
 	}
 }
 
+// originReceivers returns the addresses of the other nodes that get the record: the stream's keepers, and the scheduling node if
+// it writes the record to the store.
+func (n *Node) originReceivers(record streamorigins.Record) []string {
+	var addresses []string
+	for _, keeper := range n.streamKeepers(record.Key) {
+		addresses = append(addresses, keeper.Address)
+	}
+	n.mutex.Lock()
+	isArchived := n.dependencies.StreamOrigins != nil && record.Origin.Version != "" && n.hasSeveralVersionsLocked(record.Origin.Service)
+	n.mutex.Unlock()
+	if _, scheduler := n.currentScheduler(); isArchived && scheduler != "" && !slices.Contains(addresses, scheduler) {
+		addresses = append(addresses, scheduler)
+	}
+	return addresses
+}
+
 // isOriginUncertain reports whether the caller has events of a version that is not certain, so that the
 // stream can't go on.
 func (c *call) isOriginUncertain() bool { return !c.origin.IsZero() && c.origin.Version == "" }
@@ -317,5 +348,7 @@
 	n.registerGauges(map[string]func() int64{
 		"streams.origins":         func() int64 { return int64(n.streamOrigins.Count()) },
 		"streams.origins_dropped": n.streamOrigins.Dropped,
+		"streams.archive_backlog": func() int64 { return int64(len(n.originArchive.backlog)) },
+		"streams.archive_dropped": func() int64 { return n.originArchive.dropped },
 	})
 }
--- a/entry/wire_test.go
+++ b/entry/wire_test.go
@@ -18,6 +18,7 @@
 	"github.com/thornwalk/thornwalk/coordination/liveness"
 	"github.com/thornwalk/thornwalk/state/poisonrecords"
 	"github.com/thornwalk/thornwalk/state/rollouts"
+	"github.com/thornwalk/thornwalk/state/streamorigins"
 )
 
 // Nodes of two versions run side by side while machines are replaced one after the other. The
@@ -52,12 +53,13 @@
 
 // addedMessages are the messages that the previous version does not have. They are removed from here once
 // testdata/previous has them.
-var addedMessages = map[string]bool{"forward-request": true, "forward-reply": true, "forwarders-request": true, "forwarders-reply": true}
+var addedMessages = map[string]bool{"forward-request": true, "forward-reply": true, "forwarders-request": true, "forwarders-reply": true, "stream-origins": true}
 
 // storedValues creates, by name, empty values that two versions share in the store, as JSON.
 var storedValues = map[string]func() any{
 	"rollout-record": func() any { return &rollouts.Record{} },
 	"barred":         func() any { return &[]poisonrecords.Record{} },
+	"stream-origins": func() any { return &streamorigins.Batch{} },
 }
 
 // forEachRecorded calls test for every message and stored value that the previous version has.
--- a/internal/entrydaemon/daemon.go
+++ b/internal/entrydaemon/daemon.go
@@ -53,7 +53,7 @@
 	}
 	directory := platform.NewDirectory(network.Bounded{Network: tcp, Limit: silenceLimit}, settings.Store)
 	node := entry.New(settings, entry.Dependencies{
-		Network: reached, Datagrams: tcp, Directory: directory, Revisions: directory, Rollouts: directory, PoisonRecords: directory,
+		Network: reached, Datagrams: tcp, Directory: directory, Revisions: directory, Rollouts: directory, PoisonRecords: directory, StreamOrigins: directory,
 		Headers: platform.Headers(), ParsePushback: platform.ParsePushback, ReportPath: platform.ReportPath, ParseReport: platform.ParseReport, ReadyPath: platform.ReadyPath, Now: bootClock.Now, Log: log, Incarnation: rand.Uint64(),
 	})
 	if err := node.Start(); err != nil {
--- a/lab/entrylab/entrylab.go
+++ b/lab/entrylab/entrylab.go
@@ -132,7 +132,7 @@
 	}
 	node := entry.New(settings, entry.Dependencies{
 		Sleep: sleep, Now: now,
-		Network: hostNetwork, Datagrams: d.options.Datagrams(host), Directory: directory, Revisions: directory, Rollouts: directory, PoisonRecords: directory,
+		Network: hostNetwork, Datagrams: d.options.Datagrams(host), Directory: directory, Revisions: directory, Rollouts: directory, PoisonRecords: directory, StreamOrigins: directory,
 		Headers: platform.Headers(), ParsePushback: platform.ParsePushback, ReportPath: platform.ReportPath, ParseReport: platform.ParseReport, ReadyPath: platform.ReadyPath, Log: log, Incarnation: incarnation,
 	})
 	if err := node.Start(); err != nil {
--- a/outside/directory.go
+++ b/outside/directory.go
@@ -9,6 +9,7 @@
 	"github.com/thornwalk/thornwalk/state/poisonrecords"
 	"github.com/thornwalk/thornwalk/state/replicas"
 	"github.com/thornwalk/thornwalk/state/rollouts"
+	"github.com/thornwalk/thornwalk/state/streamorigins"
 	"github.com/thornwalk/thornwalk/structs"
 )
 
@@ -126,6 +127,20 @@
 	ReadPoisonRecords(ctx context.Context) ([]poisonrecords.Record, structs.StorePosition, error)
 }
 
+// StreamOriginStore stores the origins of streams for the case that all nodes end at the same moment.
+type StreamOriginStore interface {
+	// GrantLease creates a lease, which the store ends after the TTL with all keys that have it. The error is of kind
+	// StoreUnavailable.
+	GrantLease(ctx context.Context, ttl time.Duration) (LeaseID, error)
+	// WriteStreamOrigins stores the batch under the name, which is used for no other one; a name that is taken is no
+	// error. Errors: StoreUnavailable if nothing was written, also if the lease is over, StoreUnknown if the write may have
+	// taken effect or may still do so.
+	WriteStreamOrigins(ctx context.Context, name string, batch streamorigins.Batch, lease LeaseID) error
+	// ReadStreamOrigins returns the stored batches, without those that can't be read. The error is of kind
+	// StoreUnavailable.
+	ReadStreamOrigins(ctx context.Context) ([]streamorigins.Batch, error)
+}
+
 // HeaderNames has the names of the headers that the daemon reads from requests and answers, or sets
 // itself.
 type HeaderNames struct {
--- a/state/streamorigins/versions.go
+++ b/state/streamorigins/versions.go
@@ -166,13 +166,7 @@
 	if at, wasReplaced := h.replacedAt[service]; h.doubted[service] || wasReplaced && now-at <= window {
 		return "", false
 	}
-	versions := map[string]bool{}
-	maps.Copy(versions, h.listed[service])
-	for former, listedAt := range h.lastListed {
-		if former.service == service && now-listedAt <= window {
-			versions[former.version] = true
-		}
-	}
+	versions := h.versionsWithin(now, service, window)
 	if len(versions) != 1 {
 		return "", false
 	}
@@ -182,6 +176,32 @@
 	return "", false
 }
 
+// HasSeveralVersions reports whether replicas of several versions of the service were listed in the window before now.
+func (h *VersionHistory) HasSeveralVersions(now structs.Instant, service string, window time.Duration) bool {
+	listed := h.listed[service]
+	if len(listed) > 1 {
+		return true
+	}
+	for former, listedAt := range h.lastListed {
+		if former.service == service && now-listedAt <= window && len(listed) == 1 && !listed[former.version] {
+			return true
+		}
+	}
+	return len(listed) == 0 && len(h.versionsWithin(now, service, window)) > 1
+}
+
+// versionsWithin returns the versions of the service that were listed in the window before now.
+func (h *VersionHistory) versionsWithin(now structs.Instant, service string, window time.Duration) map[string]bool {
+	versions := map[string]bool{}
+	maps.Copy(versions, h.listed[service])
+	for former, listedAt := range h.lastListed {
+		if former.service == service && now-listedAt <= window {
+			versions[former.version] = true
+		}
+	}
+	return versions
+}
+
 // areGapsClosed reports whether no gap in the window may hide a replica of the service.
 func (h *VersionHistory) areGapsClosed(now structs.Instant, service string, window time.Duration) bool {
 	ran, isKnown := h.ran[service]
