--- a/coordination/liveness/liveness.go
+++ b/coordination/liveness/liveness.go
@@ -66,6 +66,9 @@
 	// LongStreamMS is the longest time of the callers that have more time for their streams than the routes suggest, in
 	// milliseconds; zero if there are none.
 	LongStreamMS int64 `msgpack:"ls,omitempty"`
+	// AttendedMS is the time for which at least one node has run without a break, as far as the sender knows, in
+	// milliseconds. Nodes of earlier releases don't send it.
+	AttendedMS int64 `msgpack:"at,omitempty"`
 	// FailingReplicas lists the replicas that fail for this node.
 	FailingReplicas []string `msgpack:"f"`
 	// BucketLevels are the tokens in the buckets of the tenants that are not near their full
--- a/entry/freshness.go
+++ b/entry/freshness.go
@@ -49,6 +49,7 @@
 	}
 	n.observeChurn(sentAt, heartbeat.ChurnAgesMS)
 	n.streamLifetimes.report(now, sentAt, time.Duration(heartbeat.LongStreamMS)*time.Millisecond)
+	n.observeAttended(now, sentAt, heartbeat.AttendedMS)
 	if !n.isFromEarlierEra(heartbeat) {
 		n.identities.ObserveHealthy(sentAt, time.Duration(heartbeat.StoreHealthyMS)*time.Millisecond)
 	}
