coordination/stops: a short grace leaves half of it to requests

Callers saw: where the grace is 700 ms or shorter (100 ms are allowed), requests of 30 ms that were in progress at the signal ended with outcome unknown (504) at once. Cause: the final answers are 0.7 s before the end of the grace, and since requests are ended then; before, the servers waited for them for another 0.35 s. Change: at most half of the grace is kept for the final answers; nothing changes from 1.4 s on.

--- a/coordination/stops/stops.go
+++ b/coordination/stops/stops.go
@@ -33,8 +33,9 @@
 	Grace time.Duration
 }
 
-// AnswerBy returns the time since the signal at which all requests get their final answer.
-func (p Plan) AnswerBy() time.Duration { return max(p.Grace-answerMargin, 0) }
+// AnswerBy returns the time since the signal at which all requests get their final answer. Half of a short grace is left for
+// requests.
+func (p Plan) AnswerBy() time.Duration { return p.Grace - min(answerMargin, p.Grace/2) }
 
 // UnconditionalUntil returns the time since the signal until which requests are taken without regard to how long they take,
 // as their callers may have no other node.
