--- a/test/entry/equal_contents_test.go
+++ b/test/entry/equal_contents_test.go
@@ -108,3 +108,30 @@
 		})
 	}
 }
+
+// Guards against a stream whose caller names the request that began it and that is refused all the same, as the request that
+// resumes it has another body, for example none: then other nodes are asked than those that keep its record.
+func TestNamedStreamGoesOnWhateverItsCallerSendsWithIt(t *testing.T) {
+	runWithNodes(t, 40, func(s *scenario, nodes []string) {
+		wentOn, resumed := 0, 0
+		for i := range equalPairs / 3 {
+			time.Sleep(equalPause)
+			node := func(offset int) string { return nodes[(i+offset)%len(nodes)] }
+			id := fmt.Sprint("broken", i)
+			events := platformsim.ReadEvents(s.resumableStream(node(1), id, "/resume/", fmt.Sprint("content ", i), 0, "").body)
+			if events.LastID == 0 {
+				continue
+			}
+			resumed++
+			rest := platformsim.ReadEvents(s.resumableStream(node(0), fmt.Sprint("again", i), "/resume/", "", events.LastID, id).body)
+			if rest.Count > 0 {
+				wentOn++
+			}
+			events.Add(rest)
+			s.Expect(events.Versions).To(gomega.HaveLen(1))
+		}
+		t.Logf("of %d resumed streams %d went on", resumed, wentOn)
+		s.Expect(resumed).To(gomega.BeNumerically(">", minResumedEqual))
+		s.Expect(wentOn).To(gomega.Equal(resumed))
+	})
+}
