coordination/stops: a first request without an answer tells nothing of how long answers take

Callers could see a request that must not be repeated run late in a stop and end with outcome unknown: where the first requests of a kind that the node sent were rejected or broke off within milliseconds, it expected answers as fast, and took requests until shortly before the end. Cause: the time of a run without an answer counts if it exceeds the typical one, which is zero before the first answer. Evidence: TestFirstRequestWithoutAnAnswerIsNoExpectation failed: one run of 5 ms without an answer made an expectation, by which a request was taken 7 s after the signal of a grace of 8 s. Change: without an answer nothing is expected. Result: the test and those of planned stops pass.

--- a/coordination/stops/times.go
+++ b/coordination/stops/times.go
@@ -106,7 +106,7 @@
 }
 
 // End records the end of the run, unless it was recorded before. The time of one without a complete answer counts only if
-// it exceeds the typical one, as the answer would have taken even longer.
+// it exceeds the typical one, as the answer would have taken even longer. Without a typical one it tells nothing.
 func (t *Times) End(now structs.Instant, run *Run, isComplete bool) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
@@ -119,7 +119,8 @@
 		return
 	}
 	delete(observed.running, run)
-	if took := now - startedAt; isComplete || took > quantile(slices.Clone(observed.works.values), typicalShare) {
+	took, values := now-startedAt, slices.Clone(observed.works.values)
+	if isComplete || len(values) > 0 && took > quantile(values, typicalShare) {
 		observed.works.add(took)
 	}
 }
