test/entry: a stream is resumed unchecked once its route has another kind (failing, listed)

bindResumedStream goes by the kind that the route has now, while relay forwards any answer that is a stream: what the kind was when the stream began is not asked.

--- a/test/entry/equal_contents_test.go
+++ b/test/entry/equal_contents_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/onsi/gomega"
 
+	"github.com/thornwalk/thornwalk/lab/entrylab"
 	"github.com/thornwalk/thornwalk/lab/memnet"
 	"github.com/thornwalk/thornwalk/lab/platformsim"
 )
@@ -135,3 +136,37 @@
 		s.Expect(wentOn).To(gomega.Equal(resumed))
 	})
 }
+
+// Guards against a stream that goes on at another version because the kind of its route was changed since it began: what its
+// caller resumes is not checked on a route of another kind.
+func TestStreamIsNotResumedUncheckedOnARouteOfAnotherKind(t *testing.T) {
+	runWithNodes(t, 3, func(s *scenario, nodes []string) {
+		var began []platformsim.Events
+		for i := range equalPairs / 3 {
+			time.Sleep(equalPause / 10)
+			began = append(began, platformsim.ReadEvents(s.resumableStream("n1", fmt.Sprint("broken", i), "/resume/", fmt.Sprint("content ", i), 0, "").body))
+		}
+		s.configure(func(configuration *entrylab.Configuration) {
+			for i := range configuration.Routes {
+				if configuration.Routes[i].Name == "resume" {
+					configuration.Routes[i].Kind = "safe"
+				}
+			}
+		})
+		time.Sleep(time.Second)
+		mixed, resumed := 0, 0
+		for i, events := range began {
+			if events.LastID == 0 {
+				continue
+			}
+			resumed++
+			events.Add(platformsim.ReadEvents(s.resumableStream("n2", fmt.Sprint("again", i), "/resume/", fmt.Sprint("content ", i), events.LastID, fmt.Sprint("broken", i)).body))
+			if len(events.Versions) > 1 {
+				mixed++
+			}
+		}
+		t.Logf("of %d resumed streams %d hold events of two versions", resumed, mixed)
+		s.Expect(resumed).To(gomega.BeNumerically(">", 0))
+		s.Expect(mixed).To(gomega.Equal(0))
+	})
+}
