entry: named streams are kept by their names, and what a caller resumes is checked on all routes

Cause: keepers were chosen by the content even for callers that name their streams; and only routes of kind streaming checked what a caller resumes, while answers that are streams are relayed on all. Change: a record goes to three keepers an area by its key, as before, and to two by its content; each search asks its own. A resumption on a route of another kind is checked as well, and passes without a record only if the configuration has been the same for the lifetime of streams.

--- a/coordination/streams/keepers.go
+++ b/coordination/streams/keepers.go
@@ -7,25 +7,28 @@
 	"github.com/thornwalk/thornwalk/state/streamorigins"
 )
 
-// keepersPerArea is how many nodes in the zone of the node that relays a stream, and how many in all others, keep
-// its origin.
-const keepersPerArea = 3
+// Numbers of nodes in the zone of the node that relays a stream, and of nodes in all others, that keep its origin by its key
+// and by the content of its request. Callers that name their streams should not depend on the content.
+const (
+	KeepersByKey     = 3
+	KeepersByContent = 2
+)
 
 // Node is a node that may keep origins.
 type Node struct{ Name, Zone, Address string }
 
 // Keepers returns the nodes that keep the origin of a stream, for a node of the zone: those that it reports
 // to and those that it asks. They are chosen by rendezvous hashing, so that nodes which know about the same others choose
-// about the same.
-func Keepers(nodes []Node, zone string, key streamorigins.Key) []Node {
+// about the same. The number in each area is KeepersByKey or KeepersByContent.
+func Keepers(nodes []Node, zone string, key streamorigins.Key, perArea int) []Node {
 	isLocal := func(node Node) bool { return node.Zone == zone }
 	isRemote := func(node Node) bool { return node.Zone != zone }
 	hash := rendezvous.Hash(string(key[:]))
-	return slices.Concat(top(nodes, isLocal, hash), top(nodes, isRemote, hash))
+	return slices.Concat(top(nodes, isLocal, hash, perArea), top(nodes, isRemote, hash, perArea))
 }
 
 // top returns the nodes of the area with the highest weights.
-func top(nodes []Node, isInArea func(Node) bool, hash uint64) []Node {
+func top(nodes []Node, isInArea func(Node) bool, hash uint64, count int) []Node {
 	byName := map[string]Node{}
 	var names []string
 	for _, node := range nodes {
@@ -35,7 +38,7 @@
 		}
 	}
 	var chosen []Node
-	for _, name := range rendezvous.Top(names, hash, keepersPerArea) {
+	for _, name := range rendezvous.Top(names, hash, count) {
 		chosen = append(chosen, byName[name])
 	}
 	return chosen
--- a/coordination/streams/keepers_test.go
+++ b/coordination/streams/keepers_test.go
@@ -41,7 +41,7 @@
 		if i := slices.IndexFunc(left, func(node Node) bool { return node.Zone == relay.Zone }); i >= 0 {
 			asking = left[i]
 		}
-		asked := append(Keepers(without(left, func(node Node) bool { return node == asking }), asking.Zone, key), asking)
+		asked := append(Keepers(without(left, func(node Node) bool { return node == asking }), asking.Zone, key, KeepersByKey), asking)
 		if slices.ContainsFunc(asked, func(node Node) bool { return slices.Contains(keepers, node) }) {
 			found++
 		}
@@ -56,7 +56,7 @@
 		nodes := fleetOf(size, 3)
 		random := rand.New(rand.NewPCG(1, uint64(size)))
 		keepersOf := func(relay Node, key streamorigins.Key) []Node {
-			return Keepers(without(nodes, func(node Node) bool { return node == relay }), relay.Zone, key)
+			return Keepers(without(nodes, func(node Node) bool { return node == relay }), relay.Zone, key, KeepersByKey)
 		}
 		for _, killed := range []float64{0.1, 0.35, 0.6} {
 			one := survivalShare(random, nodes, killed, func(relay Node, key streamorigins.Key) []Node { return keepersOf(relay, key)[:1] })
@@ -73,10 +73,10 @@
 	nodes := fleetOf(30, 3)
 	for stream := range 300 {
 		key := streamorigins.KeyOf("tenant", fmt.Sprint(stream))
-		keepers := Keepers(without(nodes, func(node Node) bool { return node == nodes[0] }), nodes[0].Zone, key)
+		keepers := Keepers(without(nodes, func(node Node) bool { return node == nodes[0] }), nodes[0].Zone, key, KeepersByKey)
 		left := without(nodes, func(node Node) bool { return node.Zone == nodes[0].Zone })
 		for _, asking := range left {
-			asked := append(Keepers(without(left, func(node Node) bool { return node == asking }), asking.Zone, key), asking)
+			asked := append(Keepers(without(left, func(node Node) bool { return node == asking }), asking.Zone, key, KeepersByKey), asking)
 			g.Expect(slices.ContainsFunc(asked, func(node Node) bool { return slices.Contains(keepers, node) })).To(gomega.BeTrue(), asking.Name)
 		}
 	}
@@ -85,6 +85,6 @@
 // Guards against more reports the more nodes there are.
 func TestNumberOfKeepersIsBounded(t *testing.T) {
 	g := gomega.NewWithT(t)
-	g.Expect(Keepers(fleetOf(400, 7), "z1", streamorigins.KeyOf("", "r"))).To(gomega.HaveLen(2 * keepersPerArea))
-	g.Expect(Keepers(nil, "z1", streamorigins.KeyOf("", "r"))).To(gomega.BeEmpty())
+	g.Expect(Keepers(fleetOf(400, 7), "z1", streamorigins.KeyOf("", "r"), KeepersByKey)).To(gomega.HaveLen(2 * KeepersByKey))
+	g.Expect(Keepers(nil, "z1", streamorigins.KeyOf("", "r"), KeepersByKey)).To(gomega.BeEmpty())
 }
--- a/entry/stream_origin.go
+++ b/entry/stream_origin.go
@@ -123,12 +123,15 @@
 // false, it has ended the request.
 func (c *call) bindResumedStream() bool {
 	first, lastEvent := c.resumedStream()
-	if c.route.Kind != kindStreaming || first == "" && lastEvent == "" {
+	if first == "" && lastEvent == "" {
 		return true
 	}
 	_, formerServices := c.streamLifetime()
 	evidence := streams.Evidence{Services: c.route.Services(), FormerServices: formerServices, OnlyVersion: c.onlyVersion}
 	found := c.findResumed(first)
+	if c.route.Kind != kindStreaming && found.Knowledge == streamorigins.Unknown && c.beganUnderCurrent() {
+		return true // its answers need not be streams, whatever the caller sends
+	}
 	evidence.Origin, evidence.Knowledge = found.Origin, found.Knowledge
 	origin, refusal := streams.Bind(evidence)
 	c.logResumed(origin, evidence.Knowledge, refusal)
@@ -210,6 +213,14 @@
 	return max(lifetime, c.callerTime), services
 }
 
+// beganUnderCurrent reports whether what the caller resumes can have begun under the current configuration only.
+func (c *call) beganUnderCurrent() bool {
+	lifetime, _ := c.streamLifetime()
+	c.node.mutex.Lock()
+	defer c.node.mutex.Unlock()
+	return c.node.routingHistory.BeganUnderCurrent(c.node.now(), lifetime)
+}
+
 // onlyVersion returns the version of all replicas of the service that may have begun the caller's stream, if it
 // is the same for all and the route has led to this service for as long as the stream may have lived.
 func (c *call) onlyVersion(service string) (string, bool) {
@@ -270,8 +281,6 @@
 type originSearch struct {
 	key       streamorigins.Key
 	isContent bool
-	// keeperKeys are those by which the keepers of the stream may have been chosen.
-	keeperKeys []streamorigins.Key
 }
 
 // join returns what the findings of two nodes tell together. They are about one stream only if its key was looked for.
@@ -293,12 +302,10 @@
 func (c *call) findResumed(first string) streamorigins.Finding {
 	if first == "" {
 		c.originKey = streamorigins.KeyOf(c.tenantName(), c.id) // by which the caller may name it from now on
-		return c.findOrigin(originSearch{key: c.fingerprint, isContent: true, keeperKeys: []streamorigins.Key{c.fingerprint}})
+		return c.findOrigin(originSearch{key: c.fingerprint, isContent: true})
 	}
 	c.originKey = streamorigins.KeyOf(c.tenantName(), first)
-	record := streamorigins.Record{Key: c.originKey, Content: c.fingerprint}
-	// Nodes of earlier versions choose the keepers by the key.
-	return c.findOrigin(originSearch{key: c.originKey, keeperKeys: []streamorigins.Key{record.KeeperKey(), record.Key}})
+	return c.findOrigin(originSearch{key: c.originKey})
 }
 
 // known returns what this node itself knows of what is looked for.
@@ -340,7 +347,7 @@
 	defer cancel()
 	var asked sync.WaitGroup
 	answers := make(chan streamorigins.Finding)
-	for _, keeper := range n.streamKeepers(search.keeperKeys...) {
+	for _, keeper := range n.keepersOf(*search) {
 		asked.Go(func() {
 			question, answer := &streamOriginQuestion{Key: search.key, IsContent: search.isContent}, &streamOriginAnswer{}
 			if err := n.peers.Call(ctx, keeper.Address, peerwire.KindStreamOrigin, question, answer); err != nil {
@@ -374,8 +381,13 @@
 	return found
 }
 
-// streamKeepers returns the other nodes that keep the origin of a stream with one of the keeper keys.
-func (n *Node) streamKeepers(keys ...streamorigins.Key) []streams.Node {
+// streamKeepers returns the other nodes that keep the origin of the stream with the key.
+func (n *Node) streamKeepers(key streamorigins.Key) []streams.Node {
+	return n.keepersOf(originSearch{key: key})
+}
+
+// keepersOf returns the other nodes that keep what is looked for.
+func (n *Node) keepersOf(search originSearch) []streams.Node {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	var nodes []streams.Node
@@ -385,15 +397,11 @@
 			nodes = append(nodes, streams.Node{Name: member.Name, Zone: member.Zone, Address: member.Address})
 		}
 	}
-	var keepers []streams.Node
-	for _, key := range keys {
-		for _, keeper := range streams.Keepers(nodes, n.settings.Load().Zone, key) {
-			if !slices.Contains(keepers, keeper) {
-				keepers = append(keepers, keeper)
-			}
-		}
+	perArea := streams.KeepersByKey
+	if search.isContent {
+		perArea = streams.KeepersByContent
 	}
-	return keepers
+	return streams.Keepers(nodes, n.settings.Load().Zone, search.key, perArea)
 }
 
 // recordOrigin records, before the caller gets an event of the replica, at which version the stream began. Of a
@@ -437,9 +445,16 @@
 // it writes the record to the store.
 func (n *Node) originReceivers(record streamorigins.Record) []string {
 	var addresses []string
-	for _, keeper := range n.streamKeepers(record.KeeperKey()) {
+	for _, keeper := range n.streamKeepers(record.Key) {
 		addresses = append(addresses, keeper.Address)
 	}
+	if !record.Content.IsZero() {
+		for _, keeper := range n.keepersOf(originSearch{key: record.Content, isContent: true}) {
+			if !slices.Contains(addresses, keeper.Address) {
+				addresses = append(addresses, keeper.Address)
+			}
+		}
+	}
 	n.mutex.Lock()
 	isArchived := n.dependencies.StreamOrigins != nil && record.Origin.Version != "" && n.hasSeveralVersionsLocked(record.Origin.Service)
 	n.mutex.Unlock()
--- a/state/streamorigins/origin.go
+++ b/state/streamorigins/origin.go
@@ -36,12 +36,3 @@
 	// versions state none.
 	Content Key `msgpack:"c"`
 }
-
-// KeeperKey returns the key by which the nodes are chosen that keep the record: a caller that does not name the request that
-// began its stream brings the content only.
-func (r Record) KeeperKey() Key {
-	if r.Content.IsZero() {
-		return r.Key
-	}
-	return r.Content
-}
--- a/state/streamorigins/streamorigins_test.go
+++ b/state/streamorigins/streamorigins_test.go
@@ -297,7 +297,6 @@
 	registry := NewRegistry(10)
 	content := fingerprint.Of("tenant", "POST", "h", "/stream/", []byte("what was asked"))
 	first, second := Record{Key: KeyOf("tenant", "r1"), Content: content, Origin: firstOrigin}, Record{Key: KeyOf("tenant", "r2"), Content: content, Origin: secondOrigin}
-	g.Expect(first.KeeperKey()).To(gomega.Equal(second.KeeperKey()))
 	g.Expect(registry.Put(0, first)).To(gomega.BeTrue())
 	g.Expect(registry.GetByContent(0, content)).To(gomega.Equal(findingOf(firstOrigin)))
 	registry.Put(0, second)
