entry: what a stop ends with an unknown outcome is a 502

Callers were told 504 for a request that ran when its node stopped, which means at other places that its deadline was reached.

Cause: the status of the deadline was used for the end of a stop.

Evidence: TestNodeThatWakesAfterItsStopAnswers got answers, as requests in progress end by themselves since the stop answers them, but with 504, where 502 or 503 is asked.

Change: 502, as for a replica that broke off.

--- a/entry/stop.go
+++ b/entry/stop.go
@@ -142,7 +142,7 @@
 // endStopping ends a request as the node stops.
 func (c *call) endStopping() {
 	if c.executions > 0 || c.headSent {
-		c.endOutcomeUnknown(http.StatusGatewayTimeout, reasonStopping)
+		c.endOutcomeUnknown(http.StatusBadGateway, reasonStopping)
 		return
 	}
 	c.writer.Header().Set("Connection", "close")
