coordination/stops: a short grace leaves seven eighths of it to requests

Cause: the margin for the final answers was 0.7 s of any grace that has twice as much. Change: it is an eighth of the grace at most; a grace of 8 s is as before. This replaces the half that a grace below 1.4 s left.

--- a/coordination/stops/stops.go
+++ b/coordination/stops/stops.go
@@ -25,6 +25,9 @@
 	// answerMargin is the time from the final answers to the end of the grace. The process needs it to send them, and
 	// timers are late on a busy machine.
 	answerMargin = 700 * time.Millisecond
+	// answerMarginShare is the share of a short grace that the margin takes at most. Callers may expect that what runs in
+	// five sixths of the grace is not broken off.
+	answerMarginShare = 1.0 / 8
 )
 
 // Plan is the plan of one stop.
@@ -33,9 +36,10 @@
 	Grace time.Duration
 }
 
-// AnswerBy returns the time since the signal at which all requests get their final answer. Half of a short grace is left for
-// requests.
-func (p Plan) AnswerBy() time.Duration { return p.Grace - min(answerMargin, p.Grace/2) }
+// AnswerBy returns the time since the signal at which all requests get their final answer.
+func (p Plan) AnswerBy() time.Duration {
+	return p.Grace - min(answerMargin, time.Duration(answerMarginShare*float64(p.Grace)))
+}
 
 // UnconditionalUntil returns the time since the signal until which requests are taken without regard to how long they take,
 // as their callers may have no other node.
