transport/keptconn: a connection without a request is not closed before the end of a stop

What callers saw: where a caller had opened a connection to a stopping node before the balancer took that out, its first request met a closed connection 2.5 s after the signal, although such requests are taken until 2.9 s. Cause: SetKeepAlivesEnabled closed connections that have served no request yet as idle ones; net/http keeps them. Change: it closes those that have served one; Shutdown closes all. Result: TestStopDoesNotEndBeforeTheFirstRequestsOfOpenConnections, which failed on the merged code, holds. TestRequestsOfAllFormsGetAnAnswerAtTheEndOfAStop expects 502 for an unknown outcome, which that is since what a stop ends is no deadline.

--- a/transport/keptconn/keptconn.go
+++ b/transport/keptconn/keptconn.go
@@ -60,7 +60,8 @@
 	return s.isClosing
 }
 
-// SetKeepAlivesEnabled closes idle connections, and others with their next response, if enabled is false. It can't be undone.
+// SetKeepAlivesEnabled closes idle connections that have served a request, and others with their next response, if enabled is
+// false. It can't be undone.
 func (s *Server) SetKeepAlivesEnabled(enabled bool) {
 	if enabled {
 		return
@@ -69,7 +70,9 @@
 	s.isClosing = true
 	s.mutex.Unlock()
 	for _, connection := range s.connections() {
-		connection.closeIfIdle()
+		if connection.hasServed() {
+			connection.closeIfIdle()
+		}
 	}
 }
 
@@ -95,6 +98,9 @@
 	}
 	s.mutex.Unlock()
 	s.SetKeepAlivesEnabled(false)
+	for _, connection := range s.connections() {
+		connection.closeIfIdle()
+	}
 	for len(s.connections()) > 0 {
 		select {
 		case <-ctx.Done():
@@ -142,8 +148,9 @@
 	net.Conn
 	server *Server
 	mutex  sync.Mutex
-	// isIdle is true until bytes of the next request are read, and isClosed once the connection was closed as idle.
-	isIdle, isClosed bool
+	// isIdle is true until bytes of the next request are read, isUsed once a request was served, and isClosed once the
+	// connection was closed as idle.
+	isIdle, isUsed, isClosed bool
 }
 
 // Read implements net.Conn.
@@ -162,12 +169,19 @@
 func (c *conn) observe(state http.ConnState) {
 	c.mutex.Lock()
 	c.isIdle = state == http.StateIdle || c.isIdle && state == http.StateNew
+	c.isUsed = c.isUsed || state == http.StateIdle
 	c.mutex.Unlock()
 	if state == http.StateIdle && c.server.closing() {
 		c.closeIfIdle()
 	}
 }
 
+func (c *conn) hasServed() bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.isUsed
+}
+
 // closeIfIdle closes the connection unless bytes of a request were read from it.
 func (c *conn) closeIfIdle() {
 	c.mutex.Lock()
