state/streamorigins: one history of configurations

Two parts of the sitting kept former configurations, one by route and one for all of them. Any change counts for streams without a record, so that the second covers the first. Change: Lifetimes keeps the callers that have more time than their routes suggest, and no terms of routes; the evidence of a stream has no former services. The cases of the tests of former terms are played on RoutingHistory (TestFormerConfigurations*), where former services and timeouts refuse the stream in place of widening the window.

--- a/coordination/streams/binding.go
+++ b/coordination/streams/binding.go
@@ -29,9 +29,10 @@
 	// Origin and Knowledge are the result of the search for a record.
 	Origin    streamorigins.Origin
 	Knowledge streamorigins.Knowledge
-	// Services are those to which the route leads, FormerServices those to which it led while the stream may have begun.
-	Services, FormerServices []string
-	// OnlyVersion returns the version of all replicas that may have begun the stream if it is one of the service,
+	// Services are those to which the route leads.
+	Services []string
+	// OnlyVersion returns the version of all replicas that may have begun the stream if it is one of the service, and the
+	// route has led to no other,
 	// see streamorigins.VersionHistory.OnlyVersion. It is asked only if there is no record, not if that is uncertain.
 	OnlyVersion func(service string) (string, bool)
 }
@@ -51,8 +52,7 @@
 
 // bindToHistory binds a stream without a record.
 func bindToHistory(evidence Evidence) (streamorigins.Origin, Refusal) {
-	isOther := func(service string) bool { return service != evidence.Services[0] }
-	if len(evidence.Services) != 1 || slices.ContainsFunc(evidence.FormerServices, isOther) {
+	if len(evidence.Services) != 1 {
 		return streamorigins.Origin{}, RefusalUnknown // it may have begun at any of them
 	}
 	version, isOnly := evidence.OnlyVersion(evidence.Services[0])
--- a/coordination/streams/binding_test.go
+++ b/coordination/streams/binding_test.go
@@ -21,17 +21,15 @@
 		version  string
 		refusal  Refusal
 	}{
-		"recorded":                         {Evidence{Origin: known, Knowledge: streamorigins.Known, Services: []string{"engines"}, OnlyVersion: only("v2", true)}, "v1", RefusalNone},
-		"recorded at another service":      {Evidence{Origin: known, Knowledge: streamorigins.Known, Services: []string{"others"}, OnlyVersion: only("v1", true)}, "", RefusalOtherService},
-		"recorded at one of two services":  {Evidence{Origin: known, Knowledge: streamorigins.Known, Services: []string{"others", "engines"}, OnlyVersion: only("", false)}, "v1", RefusalNone},
-		"recorded without a version":       {Evidence{Origin: streamorigins.Origin{Service: "engines"}, Knowledge: streamorigins.Known, Services: []string{"engines"}, OnlyVersion: only("v1", true)}, "", RefusalNoVersion},
-		"ambiguous":                        {Evidence{Knowledge: streamorigins.Ambiguous, Services: []string{"engines"}, OnlyVersion: only("v1", true)}, "", RefusalAmbiguous},
-		"a state of a later version":       {Evidence{Knowledge: 7, Services: []string{"engines"}, OnlyVersion: only("v1", true)}, "", RefusalAmbiguous},
-		"unknown, one version":             {Evidence{Services: []string{"engines"}, OnlyVersion: only("v1", true)}, "v1", RefusalNone},
-		"unknown, several versions":        {Evidence{Services: []string{"engines"}, OnlyVersion: only("", false)}, "", RefusalUnknown},
-		"unknown, another service before":  {Evidence{Services: []string{"engines"}, FormerServices: []string{"engines", "others"}, OnlyVersion: only("v1", true)}, "", RefusalUnknown},
-		"unknown, the same service before": {Evidence{Services: []string{"engines"}, FormerServices: []string{"engines"}, OnlyVersion: only("v1", true)}, "v1", RefusalNone},
-		"unknown, at one of two services":  {Evidence{Services: []string{"engines", "others"}, OnlyVersion: only("v1", true)}, "", RefusalUnknown},
+		"recorded":                        {Evidence{Origin: known, Knowledge: streamorigins.Known, Services: []string{"engines"}, OnlyVersion: only("v2", true)}, "v1", RefusalNone},
+		"recorded at another service":     {Evidence{Origin: known, Knowledge: streamorigins.Known, Services: []string{"others"}, OnlyVersion: only("v1", true)}, "", RefusalOtherService},
+		"recorded at one of two services": {Evidence{Origin: known, Knowledge: streamorigins.Known, Services: []string{"others", "engines"}, OnlyVersion: only("", false)}, "v1", RefusalNone},
+		"recorded without a version":      {Evidence{Origin: streamorigins.Origin{Service: "engines"}, Knowledge: streamorigins.Known, Services: []string{"engines"}, OnlyVersion: only("v1", true)}, "", RefusalNoVersion},
+		"ambiguous":                       {Evidence{Knowledge: streamorigins.Ambiguous, Services: []string{"engines"}, OnlyVersion: only("v1", true)}, "", RefusalAmbiguous},
+		"a state of a later version":      {Evidence{Knowledge: 7, Services: []string{"engines"}, OnlyVersion: only("v1", true)}, "", RefusalAmbiguous},
+		"unknown, one version":            {Evidence{Services: []string{"engines"}, OnlyVersion: only("v1", true)}, "v1", RefusalNone},
+		"unknown, several versions":       {Evidence{Services: []string{"engines"}, OnlyVersion: only("", false)}, "", RefusalUnknown},
+		"unknown, at one of two services": {Evidence{Services: []string{"engines", "others"}, OnlyVersion: only("v1", true)}, "", RefusalUnknown},
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := gomega.NewWithT(t)
--- a/entry/configuration.go
+++ b/entry/configuration.go
@@ -60,7 +60,6 @@
 	n.publish(document)
 	n.scheduling.setSlowStarts(n.settings.Load().slowStarts(document.Services))
 	n.recordRouting(document)
-	n.configureStreamLifetimes(document.Routes)
 	n.catalog.Store(compiled)
 	n.log.Write(eventlog.Event{Kind: "configuration", Outcome: "in-force", Version: document.Version, Count: len(document.Routes), Detail: source})
 }
--- a/entry/node.go
+++ b/entry/node.go
@@ -104,8 +104,9 @@
 
 	catalog atomic.Pointer[catalog.Catalog]
 	// catalogMutex is held while a version is activated.
+	catalogMutex sync.Mutex
+	// streamLifetimes has a mutex of its own, as requests state their time before any other work.
 	streamLifetimes streamLifetimes
-	catalogMutex    sync.Mutex
 	// parts holds the parts of the active version. sendLimiter limits their sending, and sources
 	// are the nodes that were sent all of them.
 	parts         *dissemination.PartStore
@@ -242,7 +243,7 @@
 		pool: replicahttp.NewPool(), peers: peer.NewClient(dependencies.Network, nil),
 		table: replicas.NewTable(), evacuations: evacuations.NewTable(), rollouts: rollouts.NewTable(), members: liveness.NewTable(settings.Name), relays: liveness.NewRelays(rand.IntN), health: replicahealth.NewTracker(), paths: reachability.NewTracker(rand.Float64), pushback: pushback.NewTracker(), zones: zones.NewTracker(),
 		assignments: map[string]assignment{}, peerUsage: map[string]receivedUsage{}, loggedProblems: map[string]bool{}, term: 1, storeFailedAt: -time.Hour, lastActiveAt: -time.Hour, selectedAt: -time.Hour, peersRequestedAt: -time.Hour,
-		streamOrigins: streamorigins.NewRegistry(maxStreamOrigins), versionHistory: streamorigins.NewVersionHistory(), streamLifetimes: streamLifetimes{Lifetimes: streamorigins.NewLifetimes()}, identities: newReplicaIdentities(), unresolvedOrigins: newUnresolvedOrigins(),
+		streamOrigins: streamorigins.NewRegistry(maxStreamOrigins), versionHistory: streamorigins.NewVersionHistory(), identities: newReplicaIdentities(), unresolvedOrigins: newUnresolvedOrigins(),
 		memory: memorybudget.New(settings.bufferBytes()), callerConnections: newCallerConnections(settings.maxConnections()),
 		stopEnded: make(chan struct{}),
 		parts:     dissemination.NewPartStore(), sendLimiter: dissemination.NewSendLimiter(settings.LinkMbps),
--- a/entry/stream_origin.go
+++ b/entry/stream_origin.go
@@ -10,7 +10,6 @@
 	"github.com/thornwalk/thornwalk/coordination/liveness"
 	"github.com/thornwalk/thornwalk/coordination/streams"
 	"github.com/thornwalk/thornwalk/protocol/peerwire"
-	"github.com/thornwalk/thornwalk/state/catalog"
 	"github.com/thornwalk/thornwalk/state/replicas"
 	"github.com/thornwalk/thornwalk/state/streamorigins"
 	"github.com/thornwalk/thornwalk/structs"
@@ -126,8 +125,7 @@
 	if first == "" && lastEvent == "" {
 		return true
 	}
-	_, formerServices := c.streamLifetime()
-	evidence := streams.Evidence{Services: c.route.Services(), FormerServices: formerServices, OnlyVersion: c.onlyVersion}
+	evidence := streams.Evidence{Services: c.route.Services(), OnlyVersion: c.onlyVersion}
 	found := c.findResumed(first)
 	if c.route.Kind != kindStreaming && found.Knowledge == streamorigins.Unknown && c.beganUnderCurrent() {
 		return true // its answers need not be streams, whatever the caller sends
@@ -144,11 +142,10 @@
 	return true
 }
 
-// streamLifetimes knows how long ago streams may have begun that are resumed. It has a mutex of its own, as a configuration
-// may have thousands of routes.
+// streamLifetimes knows how long ago streams may have begun that are resumed.
 type streamLifetimes struct {
 	mutex sync.Mutex
-	*streamorigins.Lifetimes
+	streamorigins.Lifetimes
 }
 
 // longest returns the longest time of callers that have more time than their routes suggest.
@@ -170,8 +167,7 @@
 
 // stateStreamTime records how much time the caller has for its stream, if that is more than its route suggests.
 func (c *call) stateStreamTime(callerTime time.Duration) {
-	terms := streamorigins.RouteTerms{Timeout: c.route.Timeout}
-	if c.route.Kind != kindStreaming || !terms.HasMoreTime(callerTime) {
+	if c.route.Kind != kindStreaming || callerTime <= streamorigins.StreamLifetime(c.route.Timeout) {
 		return
 	}
 	c.callerTime = callerTime
@@ -181,41 +177,17 @@
 	lifetimes.State(c.node.now(), callerTime)
 }
 
-// termsOf returns what the route says of its streams.
-func termsOf(route *catalog.Route) streamorigins.RouteTerms {
-	terms := streamorigins.RouteTerms{Name: route.Name, Timeout: route.Timeout}
-	if len(route.Backends) > 0 {
-		terms.Services = route.Services()
-	}
-	return terms
-}
-
-// configureStreamLifetimes records how long the streams of the routes may live.
-func (n *Node) configureStreamLifetimes(routes []catalog.Route) {
-	var terms []streamorigins.RouteTerms
-	for i := range routes {
-		if routes[i].Kind == kindStreaming {
-			terms = append(terms, termsOf(&routes[i]))
-		}
-	}
-	n.streamLifetimes.mutex.Lock()
-	defer n.streamLifetimes.mutex.Unlock()
-	n.streamLifetimes.Configure(n.now(), terms)
-}
-
-// streamLifetime returns how long ago the stream that the caller resumes may have begun, and the services to which its
-// route led in that time.
-func (c *call) streamLifetime() (time.Duration, []string) {
+// streamLifetime returns how long ago the stream that the caller resumes may have begun.
+func (c *call) streamLifetime() time.Duration {
 	n := c.node
 	n.streamLifetimes.mutex.Lock()
 	defer n.streamLifetimes.mutex.Unlock()
-	lifetime, services := n.streamLifetimes.Of(n.now(), termsOf(c.route))
-	return max(lifetime, c.callerTime), services
+	return max(n.streamLifetimes.Of(n.now(), c.route.Timeout), c.callerTime)
 }
 
 // beganUnderCurrent reports whether what the caller resumes can have begun under the current configuration only.
 func (c *call) beganUnderCurrent() bool {
-	lifetime, _ := c.streamLifetime()
+	lifetime := c.streamLifetime()
 	c.node.mutex.Lock()
 	defer c.node.mutex.Unlock()
 	return c.node.routingHistory.BeganUnderCurrent(c.node.now(), lifetime)
@@ -225,7 +197,7 @@
 // is the same for all and the route has led to this service for as long as the stream may have lived.
 func (c *call) onlyVersion(service string) (string, bool) {
 	n := c.node
-	lifetime, _ := c.streamLifetime()
+	lifetime := c.streamLifetime()
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	n.confirmVersionHistoryLocked()
--- a/state/streamorigins/routing_history_test.go
+++ b/state/streamorigins/routing_history_test.go
@@ -49,3 +49,47 @@
 	history.Update(at, []time.Duration{2 * time.Second})
 	g.Expect(history.BeganUnderCurrent(at+5*time.Second, StreamLifetime(2*time.Second))).To(gomega.BeFalse(), "after another one")
 }
+
+// Guards against a stream that is taken for younger than it may be after configurations changed the routes, and against former
+// configurations that count for longer than streams may live under them.
+func TestFormerConfigurationsCountWhileTheirStreamsMayLive(t *testing.T) {
+	long, short := []time.Duration{20 * time.Second}, []time.Duration{time.Second}
+	for name, testCase := range map[string]struct {
+		// configurations take effect 10 s apart from each other, from two minutes on.
+		configurations [][]time.Duration
+		after, timeout time.Duration
+		began          bool
+	}{
+		"shortened":                   {[][]time.Duration{long, short}, 50 * time.Second, time.Second, false},
+		"shortened long ago":          {[][]time.Duration{long, short}, 51 * time.Second, time.Second, true},
+		"longer":                      {[][]time.Duration{short, long}, 50 * time.Second, 20 * time.Second, false},
+		"longer, long ago":            {[][]time.Duration{short, long}, 51 * time.Second, 20 * time.Second, true},
+		"shortened twice":             {[][]time.Duration{long, short, short}, 50 * time.Second, time.Second, false},
+		"the same timeout":            {[][]time.Duration{short, short}, 11 * time.Second, time.Second, false},
+		"the same timeout, long ago":  {[][]time.Duration{short, short}, 13 * time.Second, time.Second, true},
+		"without a bound before":      {[][]time.Duration{{0}, short}, 70 * time.Second, time.Second, false},
+		"no streaming route before":   {[][]time.Duration{nil, short}, 11 * time.Second, time.Second, false},
+		"no streaming route any more": {[][]time.Duration{long, nil}, 30 * time.Second, 20 * time.Second, false},
+	} {
+		var history RoutingHistory
+		history.Update(0, short)
+		start := 2 * time.Minute
+		for i, timeouts := range testCase.configurations {
+			history.Update(start+time.Duration(i)*10*time.Second, timeouts)
+		}
+		if began := history.BeganUnderCurrent(start+testCase.after, StreamLifetime(testCase.timeout)); began != testCase.began {
+			t.Errorf("%s: %v", name, began)
+		}
+	}
+}
+
+// Guards against former configurations that are kept for ever.
+func TestFormerConfigurationsAreForgotten(t *testing.T) {
+	var history RoutingHistory
+	for at := time.Duration(0); at < time.Hour; at += time.Second {
+		history.Update(at, []time.Duration{time.Second})
+	}
+	if count := len(history.former); count > int(maxHistory/time.Second)+1 {
+		t.Errorf("%d former configurations", count)
+	}
+}
