--- a/entry/stream_origin.go
+++ b/entry/stream_origin.go
@@ -4,7 +4,6 @@
 	"context"
 	"net/http"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/thornwalk/thornwalk/coordination/liveness"
@@ -19,23 +18,16 @@
 // first event records its version and reports it to the keepers of the stream, before the caller has the
 // event. A node at which a caller resumes the stream asks its keepers.
 
-const (
-	// maxStreamOrigins bounds the origins that a node keeps; each takes about 350 bytes.
-	maxStreamOrigins = 1 << 15
-	// originLookupTimeout bounds one round of questions to the keepers, and originLookupRounds the rounds, which are
-	// originLookupPause apart: the first event may have arrived so recently that the reports are still on their way.
-	originLookupTimeout = 250 * time.Millisecond
-	originLookupRounds  = 2
-	originLookupPause   = 50 * time.Millisecond
-)
+// maxStreamOrigins bounds the origins that a node keeps; each takes about 350 bytes.
+const maxStreamOrigins = 1 << 15
 
 // streamState is what a call knows of its stream.
 type streamState struct {
 	// origin is set once the caller has an event. Its version is empty if it is uncertain which one began the
 	// stream.
 	origin streamorigins.Origin
-	// originKey names the stream; it is zero before the first event, and for a resumed stream that its caller did
-	// not name. originRecordedAt is when its origin was last recorded by this call.
+	// originKey names the stream; it is zero before the first event of a new one. originRecordedAt is when its origin was
+	// last recorded by this call.
 	originKey        streamorigins.Key
 	originRecordedAt structs.Instant
 	// unresolved is what the origin is if that is uncertain and may become certain.
@@ -89,20 +81,6 @@
 	return &streamOriginAnswer{Origin: found.Origin, Knowledge: found.Knowledge, WasUnattended: n.originArchive.wasUsed && n.wasUnattendedLocked()}, nil
 }
 
-// knownOrigin returns what this node itself knows of the stream's origin.
-func (n *Node) knownOrigin(key streamorigins.Key) (streamorigins.Origin, streamorigins.Knowledge) {
-	n.mutex.Lock()
-	defer n.mutex.Unlock()
-	return n.streamOrigins.Get(n.now(), key)
-}
-
-// knownByContent returns what this node itself knows of the origin of a stream with the content.
-func (n *Node) knownByContent(content streamorigins.Key) streamorigins.Finding {
-	n.mutex.Lock()
-	defer n.mutex.Unlock()
-	return n.streamOrigins.GetByContent(n.now(), content)
-}
-
 // tenantName returns the name of the request's tenant, or "" if it has none.
 func (c *call) tenantName() string {
 	if c.tenant == nil {
@@ -142,57 +120,6 @@
 	return true
 }
 
-// streamLifetimes knows how long ago streams may have begun that are resumed.
-type streamLifetimes struct {
-	mutex sync.Mutex
-	streamorigins.Lifetimes
-}
-
-// longest returns the longest time of callers that have more time than their routes suggest.
-func (l *streamLifetimes) longest(now structs.Instant) time.Duration {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	return l.Longest(now)
-}
-
-// report records what a heartbeat says of the streams of its sender.
-func (l *streamLifetimes) report(now, sentAt structs.Instant, longest time.Duration) {
-	if longest <= 0 {
-		return
-	}
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	l.Report(now, sentAt, longest)
-}
-
-// stateStreamTime records how much time the caller has for its stream, if that is more than its route suggests.
-func (c *call) stateStreamTime(callerTime time.Duration) {
-	if c.route.Kind != kindStreaming || callerTime <= streamorigins.StreamLifetime(c.route.Timeout) {
-		return
-	}
-	c.callerTime = callerTime
-	lifetimes := &c.node.streamLifetimes
-	lifetimes.mutex.Lock()
-	defer lifetimes.mutex.Unlock()
-	lifetimes.State(c.node.now(), callerTime)
-}
-
-// streamLifetime returns how long ago the stream that the caller resumes may have begun.
-func (c *call) streamLifetime() time.Duration {
-	n := c.node
-	n.streamLifetimes.mutex.Lock()
-	defer n.streamLifetimes.mutex.Unlock()
-	return max(n.streamLifetimes.Of(n.now(), c.route.Timeout), c.callerTime)
-}
-
-// beganUnderCurrent reports whether what the caller resumes can have begun under the current configuration only.
-func (c *call) beganUnderCurrent() bool {
-	lifetime := c.streamLifetime()
-	c.node.mutex.Lock()
-	defer c.node.mutex.Unlock()
-	return c.node.routingHistory.BeganUnderCurrent(c.node.now(), lifetime)
-}
-
 // onlyVersion returns the version of all replicas of the service that may have begun the caller's stream, if it
 // is the same for all and the route has led to this service for as long as the stream may have lived.
 func (c *call) onlyVersion(service string) (string, bool) {
@@ -249,133 +176,6 @@
 	})
 }
 
-// originSearch is what the origin of a stream is looked for by: its key, or the content of its request.
-type originSearch struct {
-	key       streamorigins.Key
-	isContent bool
-}
-
-// join returns what the findings of two nodes tell together. They are about one stream only if its key was looked for.
-func (s *originSearch) join(found, other streamorigins.Finding) streamorigins.Finding {
-	if s.isContent {
-		return found.Either(other)
-	}
-	return found.Join(other)
-}
-
-// isSufficient reports whether no other node need be asked. A certain origin does not change, but other nodes may know of
-// another stream with the same content.
-func (s *originSearch) isSufficient(found streamorigins.Finding) bool {
-	return found.Knowledge == streamorigins.Ambiguous || found.IsCertain() && !s.isContent
-}
-
-// findResumed looks for the origin of the stream that the caller resumes: by the request that began it, if the caller names
-// that, else by what was requested, which is the same for all tries.
-func (c *call) findResumed(first string) streamorigins.Finding {
-	if first == "" {
-		c.originKey = streamorigins.KeyOf(c.tenantName(), c.id) // by which the caller may name it from now on
-		return c.findOrigin(originSearch{key: c.fingerprint, isContent: true})
-	}
-	c.originKey = streamorigins.KeyOf(c.tenantName(), first)
-	return c.findOrigin(originSearch{key: c.originKey})
-}
-
-// known returns what this node itself knows of what is looked for.
-func (n *Node) known(search originSearch) streamorigins.Finding {
-	if search.isContent {
-		return n.knownByContent(search.key)
-	}
-	origin, knowledge := n.knownOrigin(search.key)
-	return streamorigins.Finding{Origin: origin, Knowledge: knowledge}
-}
-
-// findOrigin looks for the stream's origin at this node and at its keepers, and if none knows of the stream, in the store.
-func (c *call) findOrigin(search originSearch) streamorigins.Finding {
-	var found streamorigins.Finding
-	for round := range originLookupRounds {
-		if round > 0 {
-			select {
-			case <-c.ctx.Done():
-				return found
-			case <-time.After(originLookupPause):
-			}
-		}
-		if found = search.join(found, c.node.known(search)); search.isSufficient(found) {
-			break
-		}
-		if found = search.join(found, c.node.askKeepers(c.ctx, &search)); found.IsCertain() || search.isSufficient(found) {
-			break
-		}
-	}
-	if found.Knowledge == streamorigins.Unknown && !search.isContent {
-		return c.findArchivedOrigin(search.key)
-	}
-	return found
-}
-
-// askKeepers asks all keepers of the stream at once and returns what they know, up to the first answer that is sufficient.
-func (n *Node) askKeepers(ctx context.Context, search *originSearch) streamorigins.Finding {
-	ctx, cancel := context.WithTimeout(ctx, originLookupTimeout)
-	defer cancel()
-	var asked sync.WaitGroup
-	answers := make(chan streamorigins.Finding)
-	for _, keeper := range n.keepersOf(*search) {
-		asked.Go(func() {
-			question, answer := &streamOriginQuestion{Key: search.key, IsContent: search.isContent}, &streamOriginAnswer{}
-			if err := n.peers.Call(ctx, keeper.Address, peerwire.KindStreamOrigin, question, answer); err != nil {
-				n.counter("streams.questions_failed").Inc(1)
-				return
-			}
-			if answer.Knowledge == streamorigins.Unknown {
-				return
-			}
-			if answer.WasUnattended {
-				n.mutex.Lock()
-				n.identities.churn.ObserveReported(n.attendedSince, answer.Origin.Service)
-				n.mutex.Unlock()
-			}
-			select {
-			case answers <- streamorigins.Finding{Origin: answer.Origin, Knowledge: answer.Knowledge}:
-			case <-ctx.Done():
-			}
-		})
-	}
-	go func() {
-		asked.Wait()
-		close(answers)
-	}()
-	var found streamorigins.Finding
-	for answer := range answers {
-		if found = search.join(found, answer); search.isSufficient(found) {
-			break
-		}
-	}
-	return found
-}
-
-// streamKeepers returns the other nodes that keep the origin of the stream with the key.
-func (n *Node) streamKeepers(key streamorigins.Key) []streams.Node {
-	return n.keepersOf(originSearch{key: key})
-}
-
-// keepersOf returns the other nodes that keep what is looked for.
-func (n *Node) keepersOf(search originSearch) []streams.Node {
-	n.mutex.Lock()
-	defer n.mutex.Unlock()
-	var nodes []streams.Node
-	// Every node of a large fleet knows the same delegates, and only some of the other nodes.
-	for _, member := range liveness.Delegates(n.members.Live(n.now())) {
-		if member.KeepsStreamOrigins {
-			nodes = append(nodes, streams.Node{Name: member.Name, Zone: member.Zone, Address: member.Address})
-		}
-	}
-	perArea := streams.KeepersByKey
-	if search.isContent {
-		perArea = streams.KeepersByContent
-	}
-	return streams.Keepers(nodes, n.settings.Load().Zone, search.key, perArea)
-}
-
 // recordOrigin records, before the caller gets an event of the replica, at which version the stream began. Of a
 // stream that goes on for long it records this again now and then.
 func (c *call) recordOrigin(replica replicas.Replica) {
@@ -413,29 +213,6 @@
 	}
 }
 
-// originReceivers returns the addresses of the other nodes that get the record: the stream's keepers, and the scheduling node if
-// it writes the record to the store.
-func (n *Node) originReceivers(record streamorigins.Record) []string {
-	var addresses []string
-	for _, keeper := range n.streamKeepers(record.Key) {
-		addresses = append(addresses, keeper.Address)
-	}
-	if !record.Content.IsZero() {
-		for _, keeper := range n.keepersOf(originSearch{key: record.Content, isContent: true}) {
-			if !slices.Contains(addresses, keeper.Address) {
-				addresses = append(addresses, keeper.Address)
-			}
-		}
-	}
-	n.mutex.Lock()
-	isArchived := n.dependencies.StreamOrigins != nil && record.Origin.Version != "" && n.hasSeveralVersionsLocked(record.Origin.Service)
-	n.mutex.Unlock()
-	if _, scheduler := n.currentScheduler(); isArchived && scheduler != "" && !slices.Contains(addresses, scheduler) {
-		addresses = append(addresses, scheduler)
-	}
-	return addresses
-}
-
 // isOriginUncertain reports whether the caller has events of a version that is not certain, so that the
 // stream can't go on.
 func (c *call) isOriginUncertain() bool { return !c.origin.IsZero() && c.origin.Version == "" }
