--- a/test/entry/equal_contents_test.go
+++ b/test/entry/equal_contents_test.go
@@ -81,6 +81,7 @@
 func TestStreamsOfTheSameContentAreNotTakenForEachOther(t *testing.T) {
 	for _, count := range []int{3, 9, 15} {
 		t.Run(fmt.Sprint(count, " nodes"), func(t *testing.T) {
+			t.Parallel()
 			runWithNodes(t, count, func(s *scenario, nodes []string) {
 				mixed, wentOn, resumed := 0, 0, 0
 				for i := range equalPairs {
--- a/test/entry/late_stop_test.go
+++ b/test/entry/late_stop_test.go
@@ -257,6 +257,7 @@
 		{name: "repeatable, turns slow", path: "/safe/", deadlineMS: "6000", step: 30 * time.Millisecond, slots: 64, slowStep: 2500 * time.Millisecond},
 	} {
 		t.Run(course.name, func(t *testing.T) {
+			t.Parallel()
 			runScenario(t, func(s *scenario) {
 				stopped := s.stopUnderLoad(course)
 				cut := s.checkAnswers(t, stopped.requests, course.path)
--- a/test/entry/stop_orders_test.go
+++ b/test/entry/stop_orders_test.go
@@ -190,6 +190,7 @@
 			{name: "repeatable, waits for its turn", path: "/safe/", deadlineMS: "4000", step: 300 * time.Millisecond, slots: 3},
 		} {
 			t.Run(order.name+"/"+course.name, func(t *testing.T) {
+				t.Parallel()
 				settings := map[string]entry.Settings{}
 				runAdjusted(t, func(started *entry.Settings) { settings[started.Name] = *started }, func(s *scenario) {
 					for _, replica := range s.plainReplicas {
