coordination/stops: the typical time is sought for broken answers only

Each plain answer that was complete copied the last 32 times of its kind, which only broken ones are compared with. Behaviour is as before; the tests of coordination/stops and those of planned stops in test/entry pass.

--- a/coordination/stops/times.go
+++ b/coordination/stops/times.go
@@ -119,12 +119,17 @@
 		return
 	}
 	delete(observed.running, run)
-	took, values := now-startedAt, slices.Clone(observed.works.values)
-	if isComplete || len(values) > 0 && took > quantile(values, typicalShare) {
+	if took := now - startedAt; isComplete || observed.exceedsTypical(took) {
 		observed.works.add(took)
 	}
 }
 
+// exceedsTypical reports whether a typical time is known that the time exceeds.
+func (o *observations) exceedsTypical(took time.Duration) bool {
+	values := slices.Clone(o.works.values)
+	return len(values) > 0 && took > quantile(values, typicalShare)
+}
+
 // Expect returns what is expected of a request of the kind.
 func (t *Times) Expect(now structs.Instant, kind Kind) Expectation {
 	t.mutex.Lock()
