--- a/lab/soak/silence_checks.go
+++ b/lab/soak/silence_checks.go
@@ -210,20 +210,24 @@
 	return run.EndedAt
 }
 
+// endingOf returns how a run ended.
+func endingOf(isCompleted, isCancelled bool, endedAt time.Time) string {
+	switch {
+	case isCompleted:
+		return "completed"
+	case isCancelled:
+		return "cancelled"
+	case endedAt.IsZero():
+		return "running"
+	}
+	return "broke off"
+}
+
 // describe returns where and when the runs ran, in seconds since the start.
 func (r *silenceRecord) describe(runs []heldRun) string {
 	var parts []string
 	for _, run := range runs {
-		ending := "broke off"
-		switch {
-		case run.Completed:
-			ending = "completed"
-		case run.Cancelled:
-			ending = "cancelled"
-		case run.EndedAt.IsZero():
-			ending = "running"
-		}
-		parts = append(parts, fmt.Sprintf("#%d %.2f-%.2f %s", run.replica, run.At.Sub(r.startedAt).Seconds(), r.endOf(run).Sub(r.startedAt).Seconds(), ending))
+		parts = append(parts, fmt.Sprintf("#%d %.2f-%.2f %s", run.replica, run.At.Sub(r.startedAt).Seconds(), r.endOf(run).Sub(r.startedAt).Seconds(), endingOf(run.Completed, run.Cancelled, run.EndedAt)))
 	}
 	return strings.Join(parts, ", ")
 }
--- a/lab/soak/stops_checks.go
+++ b/lab/soak/stops_checks.go
@@ -138,16 +138,7 @@
 	}
 	var runs []string
 	for _, run := range r.runs[try.id] {
-		ending := "broke off"
-		switch {
-		case run.Completed:
-			ending = "completed"
-		case run.Cancelled:
-			ending = "cancelled"
-		case run.EndedAt.IsZero():
-			ending = "running"
-		}
-		runs = append(runs, fmt.Sprintf("from %.2f s, %s at %.2f s", at(run.At), ending, at(run.EndedAt)))
+		runs = append(runs, fmt.Sprintf("from %.2f s, %s at %.2f s", at(run.At), endingOf(run.Completed, run.Cancelled, run.EndedAt), at(run.EndedAt)))
 	}
 	if len(runs) == 0 {
 		return text + ", did not run"
