--- a/test/entry/reload_test.go
+++ b/test/entry/reload_test.go
@@ -82,11 +82,7 @@
 			replica.Step = 3500 * time.Millisecond
 		}
 		var group sync.WaitGroup
-		for range 4 { // all slots
-			group.Go(func() {
-				s.Expect(s.do(node, http.MethodPost, "/once/", deadline("4000")).status).To(gomega.Equal(200))
-			})
-		}
+		s.takeAllSlots(&group, node)
 		time.Sleep(50 * time.Millisecond)
 		changed := settings[node]
 		changed.Name, changed.Host, changed.PeerPort = "other", "other", 1
--- a/test/entry/stop_elsewhere_test.go
+++ b/test/entry/stop_elsewhere_test.go
@@ -62,6 +62,15 @@
 	}
 }
 
+// takeAllSlots sends as many requests to the node as the plain replicas have slots.
+func (s *scenario) takeAllSlots(group *sync.WaitGroup, node string) {
+	for range 4 {
+		group.Go(func() {
+			s.Expect(s.do(node, http.MethodPost, "/once/", deadline("4000")).status).To(gomega.Equal(200))
+		})
+	}
+}
+
 // Guards against slots that stay taken after a node has stopped, as the messages on its last responses were lost.
 func TestSlotsOfANodeThatStoppedAreFree(t *testing.T) {
 	const lostLimit = 2 * time.Second // after the end, without a message
@@ -74,11 +83,7 @@
 					replica.Step = 3 * time.Second
 				}
 				var group sync.WaitGroup
-				for range 4 { // all slots
-					group.Go(func() {
-						s.Expect(s.do(node, http.MethodPost, "/once/", deadline("4000")).status).To(gomega.Equal(200))
-					})
-				}
+				s.takeAllSlots(&group, node)
 				time.Sleep(50 * time.Millisecond)
 				stopped := s.stopInBackground(node)
 				if limit > 0 {
