test/entry: two forwarders are awaited, and what runs in the background ends with its test

What was seen: TestNoRequestIsSentOverConnectionsThatALeavingNodeForwards/30ms failed at its precondition, `Expected 1 to be > 1` forwarders 2 s after the start of the load, and the whole run of the package ended with it (`deadlock: main bubble goroutine has exited`). The promise that it guards, no request lost, held.

Cause: one request of 30 ms every 30 ms needs one connection, and an idle one is used again, so the load stays with the forwarder that was drawn for it until its connection expires. The load ran until a channel was closed behind the expectation that failed.

Change: the precondition is awaited, and requests at once are sent meanwhile, which need connections of their own; two forwarders or more at the same time, half of them stopped, and the load on, as before. runInBackground ends what it started also when an expectation fails; the path courses and the watches of numbers use it as well.

--- a/test/entry/monotonic_numbers_test.go
+++ b/test/entry/monotonic_numbers_test.go
@@ -24,7 +24,7 @@
 }
 
 // watchNumbers reads the status of all nodes until done is closed and returns what fell.
-func watchNumbers(s *scenario, done chan struct{}) []string {
+func watchNumbers(s *scenario, done <-chan struct{}) []string {
 	var fallen []string
 	latest := map[*entry.Node]numbers{}
 	for {
@@ -72,9 +72,9 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			runRestore(t, func(s *restoreScenario) {
-				done, ended := make(chan struct{}), make(chan struct{})
 				var fallen []string
-				go func() { defer close(ended); fallen = watchNumbers(s.scenario, done) }()
+				endWatch := runInBackground(func(done <-chan struct{}) { fallen = watchNumbers(s.scenario, done) })
+				defer endWatch()
 				s.write("op/config", func() { s.configure(func(c *entrylab.Configuration) { c.Routes = slices.Clone(c.Routes[:4]) }) })
 				s.registerRepeatedly()
 				time.Sleep(time.Second)
@@ -82,8 +82,7 @@
 				s.repeatWritesAfterDelay()
 				s.registerRepeatedly()
 				time.Sleep(8 * time.Second)
-				close(done)
-				<-ended
+				endWatch()
 				s.Expect(fallen).To(gomega.BeEmpty())
 			})
 		})
@@ -97,7 +96,7 @@
 }
 
 // watchRollout reads the progress of the roll-out at all nodes until done is closed and returns what fell.
-func watchRollout(s *rolloutScenario, done chan struct{}) []string {
+func watchRollout(s *rolloutScenario, done <-chan struct{}) []string {
 	var fallen []string
 	latest := map[*entry.Node]rolloutProgress{}
 	for {
@@ -125,15 +124,14 @@
 	runRollout(t, func(s *rolloutScenario) {
 		s.orderRollout("v2", nil)
 		s.Expect(s.awaitRolloutState("running", 2*time.Second)).To(gomega.BeTrue())
-		done, ended := make(chan struct{}), make(chan struct{})
 		var fallen []string
-		go func() { defer close(ended); fallen = watchRollout(s, done) }()
+		endWatch := runInBackground(func(done <-chan struct{}) { fallen = watchRollout(s, done) })
+		defer endWatch()
 		time.Sleep(3 * time.Second)
 		fault(s)
 		s.awaitRolloutState("completed", 2*rolloutDuration)
 		time.Sleep(2 * time.Second)
-		close(done)
-		<-ended
+		endWatch()
 		s.Expect(s.rolloutState()).To(gomega.Equal("completed"))
 		s.Expect(fallen).To(gomega.BeEmpty())
 	})
--- a/test/entry/path_courses_test.go
+++ b/test/entry/path_courses_test.go
@@ -61,16 +61,12 @@
 
 // play cuts nodes off and disturbs others until the course ends, and waits for the replies to all requests.
 func (c *pathCourse) play() {
-	done := make(chan struct{})
-	var group sync.WaitGroup
-	group.Go(func() { c.send(done) })
+	defer runInBackground(c.send)()
 	time.Sleep(2 * time.Second)
 	for range cutsPerCourse {
 		c.cut()
 		time.Sleep(time.Duration(c.random.Int64N(int64(maxCutPause))))
 	}
-	close(done)
-	group.Wait()
 }
 
 // send sends first tries to all nodes in turn until done is closed.
--- a/test/entry/scenario_test.go
+++ b/test/entry/scenario_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -78,6 +79,20 @@
 	}
 }
 
+// runInBackground runs the function until the returned one is called, which closes done and waits. Callers defer it, since
+// what goes on behind a failed expectation would end the run of all tests. Further calls have no effect.
+func runInBackground(run func(done <-chan struct{})) (end func()) {
+	done, ended := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(ended)
+		run(done)
+	}()
+	return sync.OnceFunc(func() {
+		close(done)
+		<-ended
+	})
+}
+
 // awaitReady waits until every node is ready, at most 10 s.
 func (s *scenario) awaitReady() {
 	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
--- a/test/entry/stop_orders_test.go
+++ b/test/entry/stop_orders_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -24,7 +25,7 @@
 }
 
 // steadyLoad sends a request on the path to one of the nodes every interval until stop is closed, and returns the replies.
-func (s *scenario) steadyLoad(nodes []string, path string, interval time.Duration, stop <-chan bool) []courseReply {
+func (s *scenario) steadyLoad(nodes []string, path string, interval time.Duration, stop <-chan struct{}) []courseReply {
 	var group sync.WaitGroup
 	var mutex sync.Mutex
 	var replies []courseReply
@@ -66,27 +67,22 @@
 					replica.SetStep(work)
 					replica.Register(s.deployment.Store, "ready")
 				}
-				done := make(chan bool)
 				var replies []courseReply
-				var group sync.WaitGroup
-				group.Go(func() {
+				endLoad := runInBackground(func(done <-chan struct{}) {
 					replies = s.steadyLoad(fleetHosts[:1], "/once/", 30*time.Millisecond, done)
 				})
+				defer endLoad()
 				time.Sleep(2 * time.Second)
-				var forwarders []string
-				for _, node := range fleetHosts[1:] {
-					if s.deployment.Node(node).Status().Forwarding > 0 {
-						forwarders = append(forwarders, node)
-					}
-				}
-				s.Expect(len(forwarders)).To(gomega.BeNumerically(">", 1))
+				forwarders := s.awaitForwarders(fleetHosts[0], "/once/", 2)
 				signalAt := time.Now()
+				var stops sync.WaitGroup
 				for _, node := range forwarders[:len(forwarders)/2] {
-					group.Go(s.deployment.Node(node).Stop)
+					stops.Go(s.deployment.Node(node).Stop)
 				}
+				defer stops.Wait()
 				time.Sleep(9 * time.Second)
-				close(done)
-				group.Wait()
+				endLoad()
+				stops.Wait()
 				late, unserved := 0, 0
 				for _, got := range replies {
 					if got.sentAt.After(signalAt) {
@@ -109,6 +105,32 @@
 	}
 }
 
+// awaitForwarders waits until at least count nodes forward connections of the node at the same time, and returns them. Idle
+// connections are used again, so a steady load may stay with one forwarder: requests at once need further connections,
+// for each of which the forwarder is drawn.
+func (s *pathScenario) awaitForwarders(node, path string, count int) []string {
+	const (
+		limit          = 10 * time.Second
+		requestsAtOnce = 8
+	)
+	var forwarders []string
+	for began := time.Now(); time.Since(began) < limit; {
+		forwarders = slices.DeleteFunc(slices.Clone(fleetHosts), func(peer string) bool {
+			return peer == node || s.deployment.Node(peer).Status().Forwarding == 0
+		})
+		if len(forwarders) >= count {
+			break
+		}
+		var group sync.WaitGroup
+		for range requestsAtOnce {
+			group.Go(func() { s.do(node, http.MethodPost, path, deadline("4000")) })
+		}
+		group.Wait()
+	}
+	s.Expect(len(forwarders)).To(gomega.BeNumerically(">=", count), "nodes that forward at the same time")
+	return forwarders
+}
+
 // stopOrder is an order of planned stops and other events, which runs while callers keep their connections to all nodes.
 type stopOrder struct {
 	name string
