entry: heartbeats have integers in as few bytes as their values need

What was seen: TestStartingNodeInALargerFleetReceivesPeerListsFromFewNodes failed now and then, 60,970 bytes where 60,000 are allowed.

Cause: heartbeats got the field AttendedMS, which is set at all nodes that have run for a millisecond. The encoder of heartbeats writes each integer of 64 bits in 9 bytes, so that the field takes 12 in each of some 200 heartbeats; calls between nodes are encoded compactly already.

Change: heartbeats are encoded as calls are. Decoders take integers of any width, so that earlier versions read them.

--- a/entry/heartbeat_relay.go
+++ b/entry/heartbeat_relay.go
@@ -1,10 +1,9 @@
 package entry
 
 import (
-	"github.com/vmihailenco/msgpack/v5"
-
 	"github.com/thornwalk/thornwalk/coordination/liveness"
 	"github.com/thornwalk/thornwalk/internal/eventlog"
+	"github.com/thornwalk/thornwalk/protocol/peerwire"
 )
 
 // Heartbeats to a large zone cross its border once: one of the zone's nodes, the relay, sends them
@@ -57,7 +56,7 @@
 	relayed := heartbeat
 	relayed.RelayRequested, relayed.Relayed, relayed.WantsReply, relayed.WantsPeers = false, true, false, false
 	// The copy is about as long as the original, which fitted a datagram.
-	content, err := msgpack.Marshal(relayed)
+	content, err := peerwire.Marshal(relayed)
 	if err != nil {
 		n.counter("beats.unencodable").Inc(1)
 		return
--- a/entry/heartbeats.go
+++ b/entry/heartbeats.go
@@ -7,12 +7,11 @@
 	"strconv"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"github.com/thornwalk/thornwalk/coordination/admission"
 	"github.com/thornwalk/thornwalk/coordination/liveness"
 	"github.com/thornwalk/thornwalk/internal/eventlog"
 	"github.com/thornwalk/thornwalk/protocol/msgpackcheck"
+	"github.com/thornwalk/thornwalk/protocol/peerwire"
 	"github.com/thornwalk/thornwalk/structs"
 )
 
@@ -243,7 +242,7 @@
 // this order, the counts of requests that the scheduling node itself assigned, the smaller share
 // levels, the bucket levels and quota usage, the failing replicas and the other counts of requests.
 func encodeHeartbeat(heartbeat liveness.Heartbeat) ([]byte, error) {
-	content, err := msgpack.Marshal(heartbeat)
+	content, err := peerwire.Marshal(heartbeat)
 	if err != nil || len(content) <= maxHeartbeatBytes {
 		return content, err
 	}
@@ -255,13 +254,13 @@
 	}
 	heartbeat.InFlight = external
 	for heartbeat.ShareLevels != nil {
-		if content, err = msgpack.Marshal(heartbeat); err != nil || len(content) <= maxHeartbeatBytes {
+		if content, err = peerwire.Marshal(heartbeat); err != nil || len(content) <= maxHeartbeatBytes {
 			return content, err
 		}
 		heartbeat.ShareLevels = heartbeat.ShareLevels.LargerHalf()
 	}
 	for _, shorten := range []func(){func() { heartbeat.BucketLevels, heartbeat.Usage = nil, nil }, func() { heartbeat.FailingReplicas = nil }, func() { heartbeat.InFlight = nil }, func() {}} {
-		if content, err = msgpack.Marshal(heartbeat); err != nil || len(content) <= maxHeartbeatBytes {
+		if content, err = peerwire.Marshal(heartbeat); err != nil || len(content) <= maxHeartbeatBytes {
 			return content, err
 		}
 		shorten()
