transport/answerend: a reset that a write is told of ends no answer

What callers saw: a replica answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written. The caller got that part as a complete answer.

Cause: the kernel reports a reset once, to whichever call on the socket comes first. When that is the write of the request, the read that follows returns no bytes and no error, as at an orderly close, which is what ends a body without framing. The replica is still there, so the connection that proves its end is accepted too.

Evidence: TestAnswersThatAreResetDuringTheUploadAreNotWhole over sockets of the kernel, 15 plays a course.

Change: reads of a direct connection return io.EOF only if its writes allow that the replica closed it in order. A write in progress is interrupted for the check, so that it waits for nothing that the replica does. A write that was interrupted, or that failed with EPIPE, allows it: Linux reports EPIPE in place of ECONNRESET if the close came before the reset, as of a replica that refuses without reading the request.

Forwarded connections have the same race at the forwarder; they follow.

--- a/transport/replicahttp/pool.go
+++ b/transport/replicahttp/pool.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/thornwalk/thornwalk/structs"
+	"github.com/thornwalk/thornwalk/transport/answerend"
 	"github.com/thornwalk/thornwalk/transport/httphead"
 	"github.com/thornwalk/thornwalk/transport/network"
 )
@@ -147,10 +148,10 @@
 // start can't lead to it.
 func (p *Pool) AddDirect(opened net.Conn, incarnation Incarnation, openedAt structs.Instant) *Conn {
 	p.count(&p.opened)
-	return newConn(opened, poolKey{incarnation: incarnation}, openedAt)
+	return newConn(answerend.NewConn(opened), poolKey{incarnation: incarnation}, openedAt)
 }
 
-// AddForwarded is AddDirect for a connection that the named peer forwards.
+// AddForwarded is AddDirect for a connection that the named peer forwards, which checks how it ends.
 func (p *Pool) AddForwarded(opened net.Conn, incarnation Incarnation, openedAt structs.Instant, forwarder string) *Conn {
 	p.count(&p.opened)
 	conn := newConn(opened, poolKey{incarnation: incarnation, isForwarded: true}, openedAt)
