transport/forward: a reset at one side does not come out as an orderly end at the other

What callers saw: the part of an answer counted as whole also where a peer forwards the connection, already for requests of 40 kB.

Cause: the forwarder copies in both directions, so that the reset of the replica's connection is told to the direction that writes the request, and the one that reads the answer sees an orderly close, which it marks as such. In the same way the reset of the node's connection may be told to the direction of the answer; the replica's connection was then closed in order, so that a request that was given up may still reach it.

Evidence: 26 of 35 forwarded courses of TestAnswersThatAreResetDuringTheUploadAreNotWhole failed with the direct ones mended. TestReplicaIsResetWhenTheNodeIsResetDuringTheResponse, 30 times 200 plays: 2 connections closed in order before, 0 now.

Change: both connections of the forwarder check their ends as direct ones do.

Result: no forwarded course counts a part as whole, 48 plays of the tests in six processes at once; those that end in order are whole.

--- a/transport/forward/forward.go
+++ b/transport/forward/forward.go
@@ -4,7 +4,8 @@
 // replica ended its response or the peer failed.
 //
 // Guarantees:
-//   - A read on the node's side returns io.EOF only if the replica closed its connection properly.
+//   - A read on the node's side returns io.EOF only if the replica closed its connection in order, whichever direction of
+//     the forwarder is told of a reset.
 //   - When the node closes its connection, the replica's connection is closed; when the node resets it, or
 //     it breaks, the replica's connection is reset.
 //   - Each direction holds at most one buffer of bytes, so that a slow reader holds back the sender.
@@ -20,6 +21,7 @@
 	"time"
 
 	"github.com/thornwalk/thornwalk/protocol/errkind"
+	"github.com/thornwalk/thornwalk/transport/answerend"
 	"github.com/thornwalk/thornwalk/transport/network"
 )
 
@@ -45,6 +47,8 @@
 // Splice forwards bytes between the node's connection and the replica's until one of them ends, and closes
 // both.
 func Splice(node, replica net.Conn) {
+	// Each connection is read and written at the same time, so either direction may be told of its reset.
+	node, replica = answerend.NewConn(node), answerend.NewConn(replica)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
--- a/transport/replicahttp/upload_ends_test.go
+++ b/transport/replicahttp/upload_ends_test.go
@@ -147,7 +147,7 @@
 		bodies[size] = make([]byte, size)
 	}
 	for name, ending := range ends {
-		for _, isForwarded := range []bool{false} {
+		for _, isForwarded := range []bool{false, true} {
 			for _, size := range uploadSizes {
 				if size == 0 && ending.needsBody {
 					continue
