transport/httphead: a status below 100 is no answer

What callers saw: a replica sent an answer whose status was 000. Alone it was no answer to the caller already (502, or another replica's answer), counted as answers to other requests; with a 200 behind it the caller got the 200, which no replica in order sends.

Cause: http.ReadResponse takes any three digits for a status, also with a sign, and the readers skip each head with a status below 200 as a provisional one.

Evidence: TestCallersGetTrueEndsOfSpoiledAnswers on the commit before: 000 before an answer failed on all four routes; 000, 099 and +20 alone on the two that may not be repeated, by their violation only.

Change: one check of heads in httphead, which all readers of heads use; the violation is counted and in the line as head-invalid-status.

Statuses of 600 to 999 are not valid either, and the same section has a recipient handle them as 5xx: they are passed on where the request may not be repeated, and go on elsewhere where it may. That was so; TestStatusesAbove599AreServerErrors keeps it.

--- a/test/entry/spoiled_answers_test.go
+++ b/test/entry/spoiled_answers_test.go
@@ -59,6 +59,12 @@
 	"trailer": {func(e *scriptedExchange) {
 		e.writeEndless(e.head("200 OK", "Transfer-Encoding: chunked\r\n")+"0\r\n", "A: b\r\n")
 	}, "body-malformed"},
+	"status 000": {func(e *scriptedExchange) { e.write(e.plain("000 Odd", "", "bad")) }, "head-invalid-status"},
+	"status 000 before an answer": {func(e *scriptedExchange) {
+		e.write(e.head("000 Odd", "") + e.plain("200 OK", "", "bad"))
+	}, "head-invalid-status"},
+	"status 099":         {func(e *scriptedExchange) { e.write(e.plain("099 Odd", "", "bad")) }, "head-invalid-status"},
+	"status with a sign": {func(e *scriptedExchange) { e.write(e.plain("+20 Odd", "", "bad")) }, "head-invalid-status"},
 	"event": {func(e *scriptedExchange) {
 		e.writeEndless(e.head("200 OK", "Content-Type: text/event-stream\r\n"), "x")
 	}, "event-too-long"},
@@ -108,6 +114,37 @@
 	}
 }
 
+// Guards against a status above 599 that is replaced, and against one that ends a request which may go on elsewhere: a
+// recipient handles it as that of a server error (RFC 9110, section 15).
+func TestStatusesAbove599AreServerErrors(t *testing.T) {
+	for _, status := range []int{600, 999} {
+		for _, route := range answerRoutes {
+			t.Run(fmt.Sprint(status, route.path), func(t *testing.T) {
+				runScenario(t, func(s *scenario) {
+					replicas := s.replaceReplicas(route.service, 3, func(number int, exchange *scriptedExchange) {
+						if number > 1 {
+							route.wholeAnswer(exchange)
+							return
+						}
+						exchange.write(exchange.plain(fmt.Sprint(status, " Odd"), "", "odd"))
+					})
+					defer replicas.close()
+					got := s.do("n1", route.method, route.path, nil)
+					s.Expect(got.complete).To(gomega.BeTrue())
+					if route.mayRepeat {
+						s.Expect(got.status).To(gomega.Equal(http.StatusOK))
+						s.Expect(got.body).To(gomega.Equal(route.wholeBody(got)))
+						return
+					}
+					s.Expect(got.status).To(gomega.Equal(status))
+					s.Expect(got.body).To(gomega.Equal("odd"))
+					s.Expect(got.header.Get("X-Server-Stamp")).NotTo(gomega.BeEmpty())
+				})
+			})
+		}
+	}
+}
+
 // Guards against log lines, which repeat at length what a replica sent.
 func TestLinesOfSpoiledAnswersAreShort(t *testing.T) {
 	runScenario(t, func(s *scenario) {
--- /dev/null
+++ b/transport/httphead/check_test.go
@@ -0,0 +1,49 @@
+package httphead
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"testing"
+
+	"github.com/onsi/gomega"
+)
+
+// invalidHeads are bytes that are no head, with their violation.
+var invalidHeads = map[string]Violation{
+	"HTTP/1.1 000 Odd\r\n\r\n":                                            InvalidStatus,
+	"HTTP/1.1 000 Odd\r\n\r\n" + usualHead:                                InvalidStatus,
+	"HTTP/1.1 099 Odd\r\n\r\n":                                            InvalidStatus,
+	"HTTP/1.1 +20 Odd\r\n\r\n":                                            InvalidStatus,
+	"HTTP/1.1 -00 Odd\r\n\r\n":                                            InvalidStatus,
+	"HTTP/1.1 20 Odd\r\n\r\n":                                             Malformed,
+	"HTTP/1.1 1000 Odd\r\n\r\n":                                           Malformed,
+	"HTTP/1.1 2x0 Odd\r\n\r\n":                                            Malformed,
+	"HTTP/1.1 200 OK\r\n: b\r\n\r\n":                                      Malformed,
+	"HTTP/1.1 200 OK\r\nA\tB: c\r\n\r\n":                                  Malformed,
+	"HTTP/1.1 200 OK\r\nA\x00: b\r\n\r\n":                                 Malformed,
+	"HTTP/1.1 200 OK\r\nA\x01: b\r\n\r\n":                                 Malformed,
+	"HTTP/1.1 200 OK\r\nA\x7f: b\r\n\r\n":                                 Malformed,
+	"HTTP/1.1 200 OK\r\n\xc4: b\r\n\r\n":                                  Malformed,
+	"HTTP/1.1 200 OK\r\nA(b): c\r\n\r\n":                                  Malformed,
+	"HTTP/1.1 200 OK\r\nA: \x00\r\n\r\n":                                  Malformed,
+	"HTTP/1.1 200 OK\r\nA: b\x1f\r\n\r\n":                                 Malformed,
+	"HTTP/1.1 200 OK\r\nA: b\x7f\r\n\r\n":                                 Malformed,
+	"HTTP/1.1 200 OK\r\nA: b\rC: d\r\n\r\n":                               Malformed,
+	"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nok": Malformed,
+}
+
+// Guards against bytes that are taken for a head, and passed on, though their status shows that they are none.
+func TestBytesThatAreNoHeadAreNotRead(t *testing.T) {
+	for text, violation := range invalidHeads {
+		t.Run(fmt.Sprintf("%.60q", text), func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			reader := newScripted([]byte(text), bufferBytes)
+			reader.Begin(Limits{}.WithDefaults())
+			_, err := reader.ReadResponse(&http.Request{Method: http.MethodGet})
+			var failed *Error
+			g.Expect(errors.As(err, &failed)).To(gomega.BeTrue(), "%v", err)
+			g.Expect(failed.Violation).To(gomega.Equal(violation))
+		})
+	}
+}
--- a/transport/httphead/httphead.go
+++ b/transport/httphead/httphead.go
@@ -4,7 +4,8 @@
 // Guarantees:
 //   - No more than Limits.Bytes bytes and Limits.Lines lines of heads are held, provisional responses included.
 //   - A head that has begun ends within Limits.Duration, or fails.
-//   - A head within the limits is read as by http.ReadResponse, which leaves the same bytes unread.
+//   - A head within the limits is read as by http.ReadResponse, which leaves the same bytes unread, unless its status is not
+//     valid.
 //   - Errors don't quote more than maxQuotedBytes bytes of what the other side sent.
 package httphead
 
@@ -53,19 +54,24 @@
 	TooManyLines Violation = "head-too-many-lines"
 	TooSlow      Violation = "head-too-slow"
 	Malformed    Violation = "head-malformed"
+	// InvalidStatus means that the status is below those of provisional heads.
+	InvalidStatus Violation = "head-invalid-status"
 )
 
 // Error says what is wrong with a head. After it the connection must be closed.
 type Error struct {
 	Violation Violation
-	// Bytes is the number of bytes of heads that were read.
+	// Bytes is the number of bytes of heads that were read until a limit or the parser ended the read; otherwise zero.
 	Bytes int
-	// Detail is empty or the text of the parser's error, shortened.
+	// Detail is empty, or what is not valid or the text of the parser's error, shortened.
 	Detail string
 }
 
 func (e *Error) Error() string {
-	text := fmt.Sprintf("read head of answer: %s after %d bytes", e.Violation, e.Bytes)
+	text := "read answer: " + string(e.Violation)
+	if e.Bytes > 0 {
+		text += fmt.Sprintf(" after %d bytes", e.Bytes)
+	}
 	if e.Detail != "" {
 		text += ": " + e.Detail
 	}
@@ -93,8 +99,8 @@
 	r.source.limits, r.source.received, r.source.lines = limits, r.Buffered(), 0
 }
 
-// ReadResponse reads a head, as http.ReadResponse does. The error is of type *Error if the head is malformed or over a
-// limit, that of Limits.Reserve, or the connection's.
+// ReadResponse reads a head, as http.ReadResponse does. The error is of type *Error if the head is malformed, not valid or
+// over a limit, that of Limits.Reserve, or the connection's.
 func (r *Reader) ReadResponse(request *http.Request) (*http.Response, error) {
 	buffered, _ := r.Peek(r.Buffered())
 	err := r.source.beginHead(buffered)
@@ -106,6 +112,9 @@
 	if err != nil {
 		return nil, r.source.describe(err)
 	}
+	if err := Check(response.StatusCode); err != nil {
+		return nil, err
+	}
 	return response, nil
 }
 
@@ -242,6 +251,8 @@
 		}
 		return s.readErr
 	}
-	text := err.Error()
-	return &Error{Violation: Malformed, Bytes: s.received, Detail: fmt.Sprintf("%q", text[:min(len(text), maxQuotedBytes)])}
+	return &Error{Violation: Malformed, Bytes: s.received, Detail: quoted(err.Error())}
 }
+
+// quoted returns the text in quotes, shortened to maxQuotedBytes before.
+func quoted(text string) string { return fmt.Sprintf("%q", text[:min(len(text), maxQuotedBytes)]) }
