transport/httphead: a head in which the name of a field is no token is no answer

What callers saw: a replica sent an answer with a blank in the name of a field, or before its colon. The caller got it as an answer, with that line passed on; where the field was the length or the coding, with a body that was not the replica's; where it was the ID, without the check of the ID.

Cause: http.ReadResponse keeps names with blanks as they are, and does not recognize them as the fields that they look like. Control bytes, bytes above 126, no name at all, and NUL or control bytes in values it refuses; tests keep that.

Change: the check of heads includes the names of all fields, also of provisional heads; the violation is head-invalid-name.

--- a/test/entry/spoiled_answers_test.go
+++ b/test/entry/spoiled_answers_test.go
@@ -63,8 +63,26 @@
 	"status 000 before an answer": {func(e *scriptedExchange) {
 		e.write(e.head("000 Odd", "") + e.plain("200 OK", "", "bad"))
 	}, "head-invalid-status"},
-	"status 099":         {func(e *scriptedExchange) { e.write(e.plain("099 Odd", "", "bad")) }, "head-invalid-status"},
-	"status with a sign": {func(e *scriptedExchange) { e.write(e.plain("+20 Odd", "", "bad")) }, "head-invalid-status"},
+	"status 099":              {func(e *scriptedExchange) { e.write(e.plain("099 Odd", "", "bad")) }, "head-invalid-status"},
+	"status with a sign":      {func(e *scriptedExchange) { e.write(e.plain("+20 Odd", "", "bad")) }, "head-invalid-status"},
+	"blank in a name":         {func(e *scriptedExchange) { e.write(e.plain("200 OK", "Odd Name: x\r\n", "bad")) }, "head-invalid-name"},
+	"blank behind a name":     {func(e *scriptedExchange) { e.write(e.plain("200 OK", "Odd : x\r\n", "bad")) }, "head-invalid-name"},
+	"control byte in a name":  {func(e *scriptedExchange) { e.write(e.plain("200 OK", "Odd\x01: x\r\n", "bad")) }, "head-malformed"},
+	"control byte in a value": {func(e *scriptedExchange) { e.write(e.plain("200 OK", "Odd: \x01\r\n", "bad")) }, "head-malformed"},
+	"blank behind the length": {func(e *scriptedExchange) {
+		e.write(e.head("200 OK", "Connection: close\r\nContent-Length : 3\r\n") + "bad and more")
+		e.close()
+	}, "head-invalid-name"},
+	"blank behind the coding": {func(e *scriptedExchange) {
+		e.write(e.head("200 OK", "Connection: close\r\nTransfer-Encoding : chunked\r\n") + "3\r\nbad\r\n0\r\n\r\n")
+		e.close()
+	}, "head-invalid-name"},
+	"blank behind the name of the ID": {func(e *scriptedExchange) {
+		e.write(e.plain("200 OK", "X-Attempt-Id : of-another\r\n", "bad"))
+	}, "head-invalid-name"},
+	"blank in an interim head": {func(e *scriptedExchange) {
+		e.write("HTTP/1.1 103 Early Hints\r\nOdd Name: x\r\n\r\n" + e.plain("200 OK", "", "bad"))
+	}, "head-invalid-name"},
 	"event": {func(e *scriptedExchange) {
 		e.writeEndless(e.head("200 OK", "Content-Type: text/event-stream\r\n"), "x")
 	}, "event-too-long"},
--- a/transport/httphead/check_test.go
+++ b/transport/httphead/check_test.go
@@ -19,6 +19,11 @@
 	"HTTP/1.1 20 Odd\r\n\r\n":                                             Malformed,
 	"HTTP/1.1 1000 Odd\r\n\r\n":                                           Malformed,
 	"HTTP/1.1 2x0 Odd\r\n\r\n":                                            Malformed,
+	"HTTP/1.1 200 OK\r\nA B: c\r\n\r\n":                                   InvalidName,
+	"HTTP/1.1 200 OK\r\nA : b\r\n\r\n":                                    InvalidName,
+	"HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nokay":                   InvalidName,
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n0\r\n\r\n":     InvalidName,
+	"HTTP/1.1 103 Early Hints\r\nA B: c\r\n\r\n" + usualHead:              InvalidName,
 	"HTTP/1.1 200 OK\r\n: b\r\n\r\n":                                      Malformed,
 	"HTTP/1.1 200 OK\r\nA\tB: c\r\n\r\n":                                  Malformed,
 	"HTTP/1.1 200 OK\r\nA\x00: b\r\n\r\n":                                 Malformed,
@@ -33,7 +38,8 @@
 	"HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nok": Malformed,
 }
 
-// Guards against bytes that are taken for a head, and passed on, though their status shows that they are none.
+// Guards against bytes that are taken for a head, and passed on, though their status or the name of a field shows that
+// they are none.
 func TestBytesThatAreNoHeadAreNotRead(t *testing.T) {
 	for text, violation := range invalidHeads {
 		t.Run(fmt.Sprintf("%.60q", text), func(t *testing.T) {
--- a/transport/httphead/httphead.go
+++ b/transport/httphead/httphead.go
@@ -4,8 +4,8 @@
 // Guarantees:
 //   - No more than Limits.Bytes bytes and Limits.Lines lines of heads are held, provisional responses included.
 //   - A head that has begun ends within Limits.Duration, or fails.
-//   - A head within the limits is read as by http.ReadResponse, which leaves the same bytes unread, unless its status is not
-//     valid.
+//   - A head within the limits is read as by http.ReadResponse, which leaves the same bytes unread, unless its status or
+//     the name of a field is not valid.
 //   - Errors don't quote more than maxQuotedBytes bytes of what the other side sent.
 package httphead
 
@@ -56,6 +56,8 @@
 	Malformed    Violation = "head-malformed"
 	// InvalidStatus means that the status is below those of provisional heads.
 	InvalidStatus Violation = "head-invalid-status"
+	// InvalidName means that the name of a field is no token.
+	InvalidName Violation = "head-invalid-name"
 )
 
 // Error says what is wrong with a head. After it the connection must be closed.
@@ -112,7 +114,7 @@
 	if err != nil {
 		return nil, r.source.describe(err)
 	}
-	if err := Check(response.StatusCode); err != nil {
+	if err := Check(response.StatusCode, response.Header); err != nil {
 		return nil, err
 	}
 	return response, nil
