transport/httphead: an answer in whose trailer the name of a field is no token has no end

What callers saw: an answer in chunks with a blank in a name of its trailer was passed on as whole.

Cause: the trailer is read with the body, by the same lenient parser as a head, and behind the check of the head.

Change: the last read of a body in chunks fails if a name of the trailer is no token, by the check that heads have; the violation is trailer-invalid-name. Fields that are announced and not sent are not checked.

Result: plain answers end as those with a bad head; of a stream the part that was passed on is broken off, or goes on elsewhere.

--- a/test/entry/spoiled_answers_test.go
+++ b/test/entry/spoiled_answers_test.go
@@ -83,6 +83,9 @@
 	"blank in an interim head": {func(e *scriptedExchange) {
 		e.write("HTTP/1.1 103 Early Hints\r\nOdd Name: x\r\n\r\n" + e.plain("200 OK", "", "bad"))
 	}, "head-invalid-name"},
+	"blank in a trailer": {func(e *scriptedExchange) {
+		e.write(e.head("200 OK", "Transfer-Encoding: chunked\r\n") + "3\r\nbad\r\n0\r\nOdd Name: x\r\n\r\n")
+	}, "trailer-invalid-name"},
 	"event": {func(e *scriptedExchange) {
 		e.writeEndless(e.head("200 OK", "Content-Type: text/event-stream\r\n"), "x")
 	}, "event-too-long"},
@@ -163,6 +166,38 @@
 	}
 }
 
+// Guards against a part of a stream whose caller takes it for the whole one, as its trailer is none: what was passed on is
+// broken off, and a stream that may go on elsewhere does.
+func TestStreamsWithAnInvalidTrailerAreNotWhole(t *testing.T) {
+	for _, path := range []string{"/stream/", "/resume/"} {
+		t.Run(path, func(t *testing.T) {
+			runScenario(t, func(s *scenario) {
+				replicas := s.replaceReplicas("engines", 3, func(number int, exchange *scriptedExchange) {
+					exchange.write(exchange.head("200 OK", eventStreamLines))
+					if number > 1 {
+						exchange.events(3, 10*time.Millisecond)
+						return
+					}
+					exchange.event(1)
+					exchange.event(2)
+					exchange.write("0\r\nOdd Name: x\r\n\r\n")
+				})
+				defer replicas.close()
+				got := s.do("n1", http.MethodPost, path, nil)
+				s.Expect(got.status).To(gomega.Equal(http.StatusOK))
+				if path == "/resume/" {
+					s.Expect(got.complete).To(gomega.BeTrue())
+					s.Expect(got.body).To(gomega.Equal(streamBody(got, 3)))
+					return
+				}
+				s.Expect(got.complete).To(gomega.BeFalse())
+				s.Expect(got.body).To(gomega.Equal(streamBody(got, 2)))
+				s.Expect(s.counters("answers_invalid_trailer_invalid_name ")).To(gomega.Equal(1))
+			})
+		})
+	}
+}
+
 // Guards against log lines, which repeat at length what a replica sent.
 func TestLinesOfSpoiledAnswersAreShort(t *testing.T) {
 	runScenario(t, func(s *scenario) {
--- a/transport/httphead/check.go
+++ b/transport/httphead/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 
 	"golang.org/x/net/http/httpguts"
@@ -21,15 +22,44 @@
 	if status < minStatus {
 		return &Error{Violation: InvalidStatus, Detail: fmt.Sprintf("%03d", status)}
 	}
-	return checkNames(header)
+	return checkNames(header, InvalidName)
 }
 
-// checkNames returns an *Error if a name is no token (RFC 9110, section 5.1).
-func checkNames(fields http.Header) error {
-	for name := range fields {
-		if !httpguts.ValidHeaderFieldName(name) {
-			return &Error{Violation: InvalidName, Detail: quoted(name)}
+// checkNames returns an *Error with the violation if a name is no token (RFC 9110, section 5.1). The fields that a
+// trailer is announced to have, and does not have, are nil.
+func checkNames(fields http.Header, violation Violation) error {
+	for name, values := range fields {
+		if values != nil && !httpguts.ValidHeaderFieldName(name) {
+			return &Error{Violation: violation, Detail: quoted(name)}
 		}
 	}
 	return nil
 }
+
+// checkedBody is a body whose reads end with io.EOF only if the trailer is one.
+type checkedBody struct {
+	io.ReadCloser
+	response *http.Response
+}
+
+// Read implements io.Reader.
+func (b *checkedBody) Read(into []byte) (int, error) {
+	count, err := b.ReadCloser.Read(into)
+	if err == io.EOF {
+		if invalid := checkNames(b.response.Trailer, InvalidTrailerName); invalid != nil {
+			err = invalid
+		}
+	}
+	return count, err
+}
+
+// checkResponse checks the head, and has the trailer checked at the end of the body.
+func checkResponse(response *http.Response) error {
+	if err := Check(response.StatusCode, response.Header); err != nil {
+		return err
+	}
+	if len(response.TransferEncoding) > 0 {
+		response.Body = &checkedBody{ReadCloser: response.Body, response: response}
+	}
+	return nil
+}
--- a/transport/httphead/check_test.go
+++ b/transport/httphead/check_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"io"
 	"net/http"
 	"testing"
 
@@ -53,3 +54,39 @@
 		})
 	}
 }
+
+// trailers are fields behind the last chunk, with the violation, which is empty if there is none.
+var trailers = map[string]Violation{
+	"":                               "",
+	"A: b\r\n":                       "",
+	"A: b\r\n c\r\n":                 "",
+	"A B: c\r\n":                     InvalidTrailerName,
+	"A : b\r\n":                      InvalidTrailerName,
+	"A: b\r\nContent-Length : 2\r\n": InvalidTrailerName,
+}
+
+// Guards against an answer that counts as whole though its trailer is none.
+func TestBodiesWithAnInvalidTrailerHaveNoEnd(t *testing.T) {
+	for trailer, violation := range trailers {
+		for _, announced := range []string{"", "Trailer: A\r\n", "Trailer: A B\r\n"} {
+			t.Run(fmt.Sprintf("%q %q", trailer, announced), func(t *testing.T) {
+				g := gomega.NewWithT(t)
+				reader := newScripted([]byte("HTTP/1.1 200 OK\r\n"+announced+"Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n"+trailer+"\r\n"), bufferBytes)
+				reader.Begin(Limits{}.WithDefaults())
+				response, err := reader.ReadResponse(&http.Request{Method: http.MethodGet})
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+				content, err := io.ReadAll(response.Body)
+				g.Expect(string(content)).To(gomega.Equal("ok"))
+				if violation == "" {
+					g.Expect(err).NotTo(gomega.HaveOccurred())
+					return
+				}
+				var failed *Error
+				g.Expect(errors.As(err, &failed)).To(gomega.BeTrue(), "%v", err)
+				g.Expect(failed.Violation).To(gomega.Equal(violation))
+				_, again := response.Body.Read(make([]byte, 1))
+				g.Expect(again).To(gomega.HaveOccurred())
+			})
+		}
+	}
+}
--- a/transport/httphead/httphead.go
+++ b/transport/httphead/httphead.go
@@ -5,7 +5,7 @@
 //   - No more than Limits.Bytes bytes and Limits.Lines lines of heads are held, provisional responses included.
 //   - A head that has begun ends within Limits.Duration, or fails.
 //   - A head within the limits is read as by http.ReadResponse, which leaves the same bytes unread, unless its status or
-//     the name of a field is not valid.
+//     the name of a field is not valid. The same holds for the names of a trailer, which is read with the body.
 //   - Errors don't quote more than maxQuotedBytes bytes of what the other side sent.
 package httphead
 
@@ -56,11 +56,12 @@
 	Malformed    Violation = "head-malformed"
 	// InvalidStatus means that the status is below those of provisional heads.
 	InvalidStatus Violation = "head-invalid-status"
-	// InvalidName means that the name of a field is no token.
-	InvalidName Violation = "head-invalid-name"
+	// InvalidName and InvalidTrailerName mean that the name of a field of the head, or the trailer, is no token.
+	InvalidName        Violation = "head-invalid-name"
+	InvalidTrailerName Violation = "trailer-invalid-name"
 )
 
-// Error says what is wrong with a head. After it the connection must be closed.
+// Error says what is wrong with a head or a trailer. After it the connection must be closed.
 type Error struct {
 	Violation Violation
 	// Bytes is the number of bytes of heads that were read until a limit or the parser ended the read; otherwise zero.
@@ -102,7 +103,8 @@
 }
 
 // ReadResponse reads a head, as http.ReadResponse does. The error is of type *Error if the head is malformed, not valid or
-// over a limit, that of Limits.Reserve, or the connection's.
+// over a limit, that of Limits.Reserve, or the connection's. Reads of the body fail with an *Error if the trailer is not
+// valid.
 func (r *Reader) ReadResponse(request *http.Request) (*http.Response, error) {
 	buffered, _ := r.Peek(r.Buffered())
 	err := r.source.beginHead(buffered)
@@ -114,7 +116,7 @@
 	if err != nil {
 		return nil, r.source.describe(err)
 	}
-	if err := Check(response.StatusCode, response.Header); err != nil {
+	if err := checkResponse(response); err != nil {
 		return nil, err
 	}
 	return response, nil
--- a/transport/httphead/httphead_test.go
+++ b/transport/httphead/httphead_test.go
@@ -38,10 +38,10 @@
 // token is a name of a field (RFC 9110, section 5.6.2).
 var token = regexp.MustCompile("^[!#$%&'*+.^_`|~0-9A-Za-z-]+$")
 
-// haveTokens reports whether the names of the fields are tokens.
+// haveTokens reports whether the names of the fields are tokens. Fields that are announced only are nil.
 func haveTokens(fields http.Header) bool {
-	for name := range fields {
-		if !token.MatchString(name) {
+	for name, values := range fields {
+		if values != nil && !token.MatchString(name) {
 			return false
 		}
 	}
@@ -49,7 +49,7 @@
 }
 
 // Guards against a head within the limits that is read in another way than by the standard library, or after which
-// other bytes are left, and against heads that the standard library takes and that are none: those with a
+// other bytes are left, and against heads and trailers that the standard library takes and that are none: those with a
 // status below 100 or a name that is no token.
 func FuzzHeadsWithinTheLimitsAreReadAsByTheStandardLibrary(f *testing.F) {
 	for _, content := range []string{
@@ -58,6 +58,7 @@
 		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", "\r\n\r\n", "x", "", "HTTP/1.1 200 OK\r\n\r\r\n\r\n",
 		"HTTP/1.1 204 No Content\r\n \r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\n", "HTTP/1.1 200 OK\r\nA\x00: b\r\n\r\n",
 		"HTTP/1.1 000 Odd\r\n\r\n", "HTTP/1.1 +20 Odd\r\n\r\n", "HTTP/1.1 999 Odd\r\n\r\n", "HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nokay",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: A B\r\n\r\n2\r\nok\r\n0\r\nA B: c\r\n\r\n",
 	} {
 		for _, partBytes := range []byte{1, 3, 255} {
 			f.Add([]byte(content), partBytes)
@@ -82,7 +83,7 @@
 		}
 		gotBody, gotErr := io.ReadAll(got.Body)
 		wantBody, wantBodyErr := io.ReadAll(want.Body)
-		g.Expect(gotErr == nil).To(gomega.Equal(wantBodyErr == nil), "%v, %v", gotErr, wantBodyErr)
+		g.Expect(gotErr == nil).To(gomega.Equal(wantBodyErr == nil && haveTokens(want.Trailer)), "%v, %v", gotErr, wantBodyErr)
 		got.Body, want.Body = nil, nil
 		g.Expect(got).To(gomega.Equal(want))
 		g.Expect(gotBody).To(gomega.Equal(wantBody))
