--- a/operator/client.go
+++ b/operator/client.go
@@ -21,6 +21,7 @@
 	"github.com/thornwalk/thornwalk/protocol/errkind"
 	"github.com/thornwalk/thornwalk/protocol/openai"
 	"github.com/thornwalk/thornwalk/state/settings"
+	"github.com/thornwalk/thornwalk/transport/httphead"
 )
 
 // callTimeout bounds a call; a change of the settings may take most of it.
@@ -38,7 +39,7 @@
 func New(address, token string) *Client {
 	transport := http.DefaultTransport.(*http.Transport).Clone()
 	transport.MaxResponseHeaderBytes = maxHeadBytes
-	return &Client{address: address, token: token, http: &http.Client{Timeout: callTimeout, Transport: transport}}
+	return &Client{address: address, token: token, http: &http.Client{Timeout: callTimeout, Transport: httphead.Transport{RoundTripper: transport}}}
 }
 
 // Status returns the node's state.
--- a/transport/httphead/check.go
+++ b/transport/httphead/check.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
 
 	"golang.org/x/net/http/httpguts"
 )
@@ -63,3 +65,29 @@
 	}
 	return nil
 }
+
+// Transport is an http.RoundTripper whose answers have heads and trailers as Check requires.
+type Transport struct{ http.RoundTripper }
+
+// RoundTrip implements http.RoundTripper. Its error is of type *Error if what arrived is no head.
+func (t Transport) RoundTrip(request *http.Request) (*http.Response, error) {
+	trace := &httptrace.ClientTrace{Got1xxResponse: func(status int, header textproto.MIMEHeader) error {
+		return Check(status, http.Header(header))
+	}}
+	response, err := t.RoundTripper.RoundTrip(request.WithContext(httptrace.WithClientTrace(request.Context(), trace)))
+	if err != nil {
+		return nil, err
+	}
+	if err := checkResponse(response); err != nil {
+		_ = response.Body.Close()
+		return nil, err
+	}
+	return response, nil
+}
+
+// CloseIdleConnections closes those of the wrapped transport, as http.Client does.
+func (t Transport) CloseIdleConnections() {
+	if closer, ok := t.RoundTripper.(interface{ CloseIdleConnections() }); ok {
+		closer.CloseIdleConnections()
+	}
+}
--- a/transport/httphead/check_test.go
+++ b/transport/httphead/check_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"testing"
 
@@ -90,3 +91,46 @@
 		}
 	}
 }
+
+// Guards against heads and trailers that readers with the client of net/http take though they are none.
+func TestTransportChecksHeadsAndTrailers(t *testing.T) {
+	const chunks = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n"
+	for text, violation := range map[string]Violation{
+		usualHead:               "",
+		chunks + "A: b\r\n\r\n": "",
+		"HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n" + usualHead:   "",
+		"HTTP/1.1 000 Odd\r\n\r\n":                               InvalidStatus,
+		"HTTP/1.1 200 OK\r\nContent-Length : 2\r\n\r\nokay":      InvalidName,
+		"HTTP/1.1 103 Early Hints\r\nA B: c\r\n\r\n" + usualHead: InvalidName,
+		chunks + "A B: c\r\n\r\n":                                InvalidTrailerName,
+	} {
+		t.Run(fmt.Sprintf("%.80q", text), func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			defer listener.Close()
+			go func() {
+				connection, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				defer connection.Close()
+				_, _ = connection.Read(make([]byte, bufferBytes))
+				_, _ = io.WriteString(connection, text)
+			}()
+			client := http.Client{Transport: Transport{&http.Transport{DisableKeepAlives: true}}}
+			response, err := client.Get("http://" + listener.Addr().String())
+			if err == nil {
+				defer response.Body.Close()
+				_, err = io.ReadAll(response.Body)
+			}
+			if violation == "" {
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+				return
+			}
+			var failed *Error
+			g.Expect(errors.As(err, &failed)).To(gomega.BeTrue(), "%v", err)
+			g.Expect(failed.Violation).To(gomega.Equal(violation))
+		})
+	}
+}
