transport/answerend: one rule for answers that end with their connection

What proves that an answer without framing is whole stood twice, for the nodes and for requests that are sent once: content behind the head, and a server that accepts another connection afterwards. It stands beside the check of how the connection ended now, and both use it; so does what is an answer without framing. Behaviour is as before; the tests of transport, package node and those of spoiled and unproven answers in test/entry pass.

--- a/entry/answer_end.go
+++ b/entry/answer_end.go
@@ -2,40 +2,24 @@
 
 import (
 	"context"
-	"fmt"
-	"io"
 	"time"
 
 	"github.com/thornwalk/thornwalk/state/replicas"
+	"github.com/thornwalk/thornwalk/transport/answerend"
 	"github.com/thornwalk/thornwalk/transport/replicahttp"
 )
 
-// A length or the last chunk proves that an answer is whole. Without framing only the close of the connection ends it, and
-// the kernel closes the connections of a killed process in the same way. So such an end counts only if the replica's
-// process is still there afterwards.
-
 // endProofTimeout bounds the connect that shows whether the replica is still there; its caller waits meanwhile. A replica
 // takes longer to be replaced in place.
 const endProofTimeout = 100 * time.Millisecond
 
-// errEndNotProven is the error of an answer without framing whose replica may have ended with the connection.
-var errEndNotProven = fmt.Errorf("read answer: without framing, and the replica is not reached after the close: %w", io.ErrUnexpectedEOF)
-
-// violationEndNotProven is the name of errEndNotProven in metrics.
-const violationEndNotProven = "end-not-proven"
-
 // checkEnd returns an error if nothing proves that an answer that has ended is whole. hasContent is true if it has a body,
 // or an event.
 func (c *call) checkEnd(answer *replicahttp.Answer, replica replicas.Replica, hasContent bool) error {
-	switch {
-	case !answer.IsUnframed:
+	if !answer.IsUnframed {
 		return nil
-	case !hasContent:
-		return errNothingSent
-	case !c.isStillServing(replica):
-		return errEndNotProven
 	}
-	return nil
+	return answerend.CheckClosed(hasContent, func() bool { return c.isStillServing(replica) })
 }
 
 // isStillServing reports whether the replica's incarnation accepts a connection, direct or through a peer. A direct one is
--- a/entry/attempt.go
+++ b/entry/attempt.go
@@ -15,6 +15,7 @@
 	"github.com/thornwalk/thornwalk/state/loadreport"
 	"github.com/thornwalk/thornwalk/state/memorybudget"
 	"github.com/thornwalk/thornwalk/state/replicas"
+	"github.com/thornwalk/thornwalk/transport/answerend"
 	"github.com/thornwalk/thornwalk/transport/network"
 	"github.com/thornwalk/thornwalk/transport/replicahttp"
 )
@@ -337,7 +338,7 @@
 	case c.lastFailure == causeInvalidResponse:
 		c.failureDetail = shortened(err)
 		c.node.counter("answers.invalid." + violationOf(err)).Inc(1)
-	case errors.Is(err, errEndNotProven), errors.Is(err, errNothingSent):
+	case errors.Is(err, answerend.ErrNotServing), errors.Is(err, answerend.ErrNothingSent):
 		c.failureDetail = shortened(err)
 		c.node.counter("answers.invalid." + violationOf(err)).Inc(1)
 	}
--- a/entry/held_memory.go
+++ b/entry/held_memory.go
@@ -2,12 +2,12 @@
 
 import (
 	"errors"
-	"fmt"
 	"io"
 	"net/http"
 	"time"
 
 	"github.com/thornwalk/thornwalk/state/memorybudget"
+	"github.com/thornwalk/thornwalk/transport/answerend"
 	"github.com/thornwalk/thornwalk/transport/httphead"
 	"github.com/thornwalk/thornwalk/transport/replicahttp"
 )
@@ -39,6 +39,7 @@
 	violationEventOrder    = "event-ids-not-rising"
 	violationEventGap      = "event-missing"
 	violationNothingSent   = "nothing-before-close"
+	violationEndNotProven  = "end-not-proven"
 )
 
 // invalidAnswerError means that the bytes that a replica sent are no answer to the request.
@@ -58,8 +59,6 @@
 	errEventOrder = &invalidAnswerError{violationEventOrder}
 	// errEventGap is the error of a continuation that begins with a later event than the next one.
 	errEventGap = &invalidAnswerError{violationEventGap}
-	// errNothingSent is the error of an answer without framing whose connection was closed right after the head.
-	errNothingSent = fmt.Errorf("%w: %w", &invalidAnswerError{violationNothingSent}, io.ErrUnexpectedEOF)
 )
 
 // violationOf returns the name of what is wrong with an answer of which the read failed with err.
@@ -67,8 +66,10 @@
 	var head *httphead.Error
 	var invalid *invalidAnswerError
 	switch {
-	case errors.Is(err, errEndNotProven):
+	case errors.Is(err, answerend.ErrNotServing):
 		return violationEndNotProven
+	case errors.Is(err, answerend.ErrNothingSent):
+		return violationNothingSent
 	case errors.As(err, &head):
 		return string(head.Violation)
 	case errors.As(err, &invalid):
--- a/transport/oneshot/oneshot.go
+++ b/transport/oneshot/oneshot.go
@@ -2,9 +2,8 @@
 // transport of net/http, it never resends and follows no redirects, and its errors show whether any
 // byte was written. It doesn't reuse connections.
 //
-// Reads of a response's body end with io.EOF only if the body is complete: by its length or its last chunk; without these, if
-// it is not empty and the server accepts another connection after it closed this one, as the kernel closes the connections of
-// a killed process in the same way.
+// Reads of a response's body end with io.EOF only if the body is complete, as package answerend decides. The request is
+// written before the response is read, so that a reset is never told to a write behind the read.
 package oneshot
 
 import (
@@ -16,6 +15,7 @@
 	"net/http"
 	"time"
 
+	"github.com/thornwalk/thornwalk/transport/answerend"
 	"github.com/thornwalk/thornwalk/transport/httphead"
 	"github.com/thornwalk/thornwalk/transport/network"
 )
@@ -53,7 +53,7 @@
 		return nil, err
 	}
 	wrapped := &body{ReadCloser: response.Body, connection: connection, stopCancel: stop}
-	if response.Body != http.NoBody && response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+	if answerend.IsUnframed(response) {
 		wrapped.isStillServing = func() bool { return s.accepts(ctx, address) }
 	}
 	response.Body = wrapped
@@ -133,8 +133,10 @@
 func (b *body) Read(into []byte) (int, error) {
 	count, err := b.ReadCloser.Read(into)
 	b.hasContent = b.hasContent || count > 0
-	if err == io.EOF && b.isStillServing != nil && (!b.hasContent || !b.isStillServing()) {
-		err = io.ErrUnexpectedEOF
+	if err == io.EOF && b.isStillServing != nil {
+		if unproven := answerend.CheckClosed(b.hasContent, b.isStillServing); unproven != nil {
+			err = unproven
+		}
 	}
 	return count, err
 }
--- a/transport/replicahttp/exchange.go
+++ b/transport/replicahttp/exchange.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/thornwalk/thornwalk/protocol/errkind"
+	"github.com/thornwalk/thornwalk/transport/answerend"
 	"github.com/thornwalk/thornwalk/transport/httphead"
 )
 
@@ -80,7 +81,7 @@
 		return nil, errkind.Wrap(errkind.OutcomeUnknown, err)
 	}
 	answer.Response = response
-	answer.IsUnframed = response.Body != http.NoBody && response.ContentLength < 0 && len(response.TransferEncoding) == 0
+	answer.IsUnframed = answerend.IsUnframed(response)
 	response.Body = &bodyReader{body: response.Body, answer: answer}
 	return answer, nil
 }
