lab/platformsim: spoiled answers with heads and trailers that are none, and with a reset in a part

The replicas of the soak of spoiled answers sent none of what callers were given as answers: a status of 000 before an answer, a blank in the name of a field, behind that of the length or in one of the trailer, and a part of an answer without framing whose connection is reset. They are five more forms, drawn as the others.

--- a/lab/platformsim/spoiled.go
+++ b/lab/platformsim/spoiled.go
@@ -6,12 +6,14 @@
 	"net"
 	"strings"
 	"time"
+
+	"github.com/thornwalk/thornwalk/transport/network"
 )
 
 // SpoiledForm is a form of bytes that are no answer to the request, with behavior Spoil.
 type SpoiledForm string
 
-// Spoiled forms. All but the last three have no end; a trickling one sends a byte every trickleInterval.
+// Spoiled forms. All up to SpoiledEventLines have no end; a trickling one sends a byte every trickleInterval.
 const (
 	SpoiledFirstLine      SpoiledForm = "first line"
 	SpoiledHeaderLine     SpoiledForm = "header line"
@@ -30,13 +32,20 @@
 	SpoiledEventID        SpoiledForm = "event ID"
 	SpoiledNonsense       SpoiledForm = "nonsense"
 	SpoiledEncoding       SpoiledForm = "encoding"
+	SpoiledStatus         SpoiledForm = "status"
+	SpoiledName           SpoiledForm = "name"
+	SpoiledLengthName     SpoiledForm = "name of the length"
+	SpoiledTrailerName    SpoiledForm = "name in the trailer"
+	// SpoiledReset is a part of an answer without framing whose connection is reset.
+	SpoiledReset SpoiledForm = "reset"
 )
 
 // SpoiledForms are all forms.
 var SpoiledForms = []SpoiledForm{
 	SpoiledFirstLine, SpoiledHeaderLine, SpoiledHeaderLines, SpoiledInterimHead, SpoiledInterimHeads, SpoiledTricklingHead,
 	SpoiledOtherAnswers, SpoiledBody, SpoiledErrorBody, SpoiledChunkSize, SpoiledChunkExtension, SpoiledTrailer, SpoiledEvent,
-	SpoiledEventLines, SpoiledEventID, SpoiledNonsense, SpoiledEncoding,
+	SpoiledEventLines, SpoiledEventID, SpoiledNonsense, SpoiledEncoding, SpoiledStatus, SpoiledName, SpoiledLengthName,
+	SpoiledTrailerName, SpoiledReset,
 }
 
 // Rate and amount of bytes without end.
@@ -51,6 +60,7 @@
 type spoiledBytes struct {
 	start, part string
 	isTrickling bool
+	isReset     bool
 }
 
 // bytesOf returns the bytes of the form. head returns the head of a signed answer up to its last line.
@@ -89,6 +99,16 @@
 		return spoiledBytes{start: "nonsense\r\n\r\n"}
 	case SpoiledEncoding:
 		return spoiledBytes{start: head("200 OK", "") + "Content-Encoding: gzip\r\nContent-Length: 6\r\n\r\npacked"}
+	case SpoiledStatus:
+		return spoiledBytes{start: head("000 Odd", "") + "\r\n" + head("200 OK", "") + "Content-Length: 3\r\n\r\nbad"}
+	case SpoiledName:
+		return spoiledBytes{start: head("200 OK", "") + "Odd Name: x\r\nContent-Length: 3\r\n\r\nbad"}
+	case SpoiledLengthName:
+		return spoiledBytes{start: head("200 OK", "") + "Connection: close\r\nContent-Length : 3\r\n\r\nbad"}
+	case SpoiledTrailerName:
+		return spoiledBytes{start: head("200 OK", "") + chunked + "3\r\nbad\r\n0\r\nOdd Name: x\r\n\r\n"}
+	case SpoiledReset:
+		return spoiledBytes{start: head("200 OK", "") + "Connection: close\r\n\r\nbad", isReset: true}
 	default:
 		return spoiledBytes{part: "x"}
 	}
@@ -111,6 +131,10 @@
 	if !writeText(conn, content.start) {
 		return
 	}
+	if content.isReset {
+		network.ResetOnClose(conn) // serveConn closes it
+		return
+	}
 	if content.part == "" {
 		<-ctx.Done()
 		return
