--- a/transport/oneshot/ends_test.go
+++ b/transport/oneshot/ends_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -65,3 +67,40 @@
 		})
 	}
 }
+
+// Guards against a part of an answer that counts as complete since the server resets the connection while the request is
+// written.
+func TestAnswersThatAreResetDuringTheRequestAreNotComplete(t *testing.T) {
+	const plays = 15
+	for _, size := range []int{0, 40 << 10, 1 << 20, 8 << 20} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			defer listener.Close()
+			go func() {
+				for {
+					connection, err := listener.Accept()
+					if err != nil {
+						return
+					}
+					_, _ = http.ReadRequest(bufio.NewReader(connection))
+					_, _ = io.WriteString(connection, "HTTP/1.1 200 OK\r\n\r\npart")
+					_ = connection.(*net.TCPConn).SetLinger(0)
+					_ = connection.Close()
+				}
+			}()
+			sender, address := Sender{Network: network.TCP{}}, listener.Addr().String()
+			for range plays {
+				request, err := http.NewRequest(http.MethodPost, "http://"+address+"/", bytes.NewReader(make([]byte, size)))
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+				response, err := sender.Send(t.Context(), address, request)
+				if err == nil {
+					_, err = io.ReadAll(response.Body)
+					_ = response.Body.Close()
+				}
+				g.Expect(err).To(gomega.HaveOccurred())
+			}
+		})
+	}
+}
--- a/transport/replicahttp/query.go
+++ b/transport/replicahttp/query.go
@@ -17,8 +17,9 @@
 	IsOpen bool
 }
 
-// Query writes a request without an ID and reads its whole answer, of at most maxBody bytes. The connection stays with
-// the caller. After an error, of kind OutcomeUnknown, it is reset. The end of the context resets it too.
+// Query writes a request without an ID and reads its whole answer, of at most maxBody bytes. A body without framing ends with
+// its connection, also if the replica ends then, so its content must show whether it is whole, as a JSON object does. The
+// connection stays with the caller. After an error, of kind OutcomeUnknown, it is reset. The end of the context resets it too.
 func (p *Pool) Query(ctx context.Context, conn *Conn, request *Request, maxBody int64) (*QueryAnswer, error) {
 	stopCancel := context.AfterFunc(ctx, conn.abort)
 	answer, err := conn.query(request, maxBody)
--- a/transport/replicahttp/upload_ends_test.go
+++ b/transport/replicahttp/upload_ends_test.go
@@ -212,3 +212,23 @@
 	group.Wait()
 	g.Expect(wholes).To(gomega.BeEmpty())
 }
+
+// Guards against a query that takes the part of an answer before a reset for the whole one. It writes before it reads, so
+// that only reads are told of the reset.
+func TestQueriesThatAreResetHaveNoAnswer(t *testing.T) {
+	for name, ending := range brokenUploadEnds {
+		if ending.needsBody {
+			continue
+		}
+		t.Run(name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			replica, pool := serveUploads(t, ending), NewPool()
+			for range playsPerCourse {
+				conn, err := dialUpload(pool, replica, "")
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+				_, err = pool.Query(t.Context(), conn, &Request{Method: http.MethodGet, Target: "/report", Host: "h", Header: http.Header{}, IDHeader: "Other-Id"}, 1<<10)
+				g.Expect(err).To(gomega.HaveOccurred())
+			}
+		})
+	}
+}
