transport, test/entry: names and comments of the checks of ends

From reading the diff: the courses of uploads have named fields, the parts of an answer a name that says so, and the comment on EPIPE says whose it is.

--- a/test/entry/upload_resets_test.go
+++ b/test/entry/upload_resets_test.go
@@ -65,16 +65,17 @@
 	return most
 }
 
-// whole is the body of a whole answer, and the part before last that of one that is reset.
-func (r *uploadReplicas) whole(id string, last int) string {
+// uploadAnswerParts is the number of parts of a whole answer.
+const uploadAnswerParts = 3
+
+// body returns the first parts of the answer's body.
+func (r *uploadReplicas) body(id string, parts int) string {
 	if r.isStream {
-		return unframedBody(id, 1, last)
+		return unframedBody(id, 1, parts)
 	}
-	return strings.Repeat("whole ", last)
+	return strings.Repeat("part ", parts)
 }
 
-const uploadAnswerParts = 3
-
 func (r *uploadReplicas) serve(replica string, listener net.Listener) {
 	for {
 		conn, err := listener.Accept()
@@ -97,16 +98,16 @@
 	}
 	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Server-Stamp: %s\r\nConnection: close\r\nContent-Type: %s\r\n\r\n", id, replica, contentType)
 	if r.isFirst(id) {
-		_, _ = io.WriteString(conn, head+r.whole(id, uploadAnswerParts-1))
+		_, _ = io.WriteString(conn, head+r.body(id, uploadAnswerParts-1))
 		_ = conn.SetLinger(0)
 		return
 	}
 	_, _ = io.Copy(io.Discard, request.Body)
-	from := 0
+	from := 0 // parts that the caller has
 	if last := request.Header.Get("Last-Event-Id"); last != "" {
 		_, _ = fmt.Sscan(last, &from)
 	}
-	_, _ = io.WriteString(conn, head+strings.TrimPrefix(r.whole(id, uploadAnswerParts), r.whole(id, from)))
+	_, _ = io.WriteString(conn, head+strings.TrimPrefix(r.body(id, uploadAnswerParts), r.body(id, from)))
 }
 
 // runUploads runs the test with a node and two replicas of the service on loopback.
@@ -172,7 +173,7 @@
 						statuses[fmt.Sprint(got.status, got.complete)]++
 						if got.status == http.StatusOK && got.complete {
 							g.Expect(route.mayRepeat).To(gomega.BeTrue(), "only a part was sent")
-							g.Expect(got.body).To(gomega.Equal(replicas.whole(id, uploadAnswerParts)))
+							g.Expect(got.body).To(gomega.Equal(replicas.body(id, uploadAnswerParts)))
 						}
 					}
 					t.Log(statuses)
--- a/transport/answerend/conn.go
+++ b/transport/answerend/conn.go
@@ -55,7 +55,7 @@
 
 // isClosedInOrder reports whether the writes allow that the server closed the connection in order.
 func (c *Conn) isClosedInOrder() bool {
-	if !c.writing.TryLock() {
+	if !c.writing.TryLock() { // a write is in progress
 		_ = c.SetWriteDeadline(time.Unix(1, 0))
 		c.writing.Lock()
 	}
@@ -64,8 +64,8 @@
 }
 
 // isFailureAfterClose reports whether the error is one of a write to a server that closed the connection in order: the
-// write was interrupted, or the server then reset the connection for what it doesn't read, which the kernel reports as
-// EPIPE and not as ECONNRESET.
+// write was interrupted, or the server reset the connection after the close, as it doesn't read the request. Linux reports
+// that as EPIPE, and a reset without a close as ECONNRESET.
 func isFailureAfterClose(err error) bool {
 	return errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, syscall.EPIPE) || errors.Is(err, io.ErrClosedPipe)
 }
--- a/transport/replicahttp/upload_ends_test.go
+++ b/transport/replicahttp/upload_ends_test.go
@@ -46,32 +46,35 @@
 
 // brokenUploadEnds end with a reset in the middle of an answer without framing.
 var brokenUploadEnds = map[string]uploadEnd{
-	"reset at once":              {unframedHead + answerPart, reset, false},
-	"reset later":                {unframedHead + answerPart, func(conn net.Conn) { time.Sleep(2 * time.Millisecond); reset(conn) }, false},
-	"reset behind the head":      {unframedHead, reset, false},
-	"reset while it is read":     {unframedHead + answerPart, func(conn net.Conn) { readSome(conn); reset(conn) }, false},
-	"closed with unread content": {unframedHead + answerPart, func(conn net.Conn) { _, _ = conn.Read(make([]byte, 1)); _ = conn.Close() }, true},
-	"HTTP/1.0":                   {"HTTP/1.0 200 OK\r\nId: me\r\n\r\n" + answerPart, reset, false},
+	"reset at once":          {answer: unframedHead + answerPart, end: reset},
+	"reset later":            {answer: unframedHead + answerPart, end: func(conn net.Conn) { time.Sleep(2 * time.Millisecond); reset(conn) }},
+	"reset behind the head":  {answer: unframedHead, end: reset},
+	"reset while it is read": {answer: unframedHead + answerPart, end: func(conn net.Conn) { readSome(conn); reset(conn) }},
+	"closed with unread content": {answer: unframedHead + answerPart, needsBody: true, end: func(conn net.Conn) {
+		_, _ = conn.Read(make([]byte, 1)) // more has arrived
+		_ = conn.Close()
+	}},
+	"HTTP/1.0": {answer: "HTTP/1.0 200 OK\r\nId: me\r\n\r\n" + answerPart, end: reset},
 }
 
 // wholeUploadEnds end an answer in order, or have a framing of their own.
 var wholeUploadEnds = map[string]uploadEnd{
-	"the request is read": {unframedHead + answerPart, func(conn net.Conn) {
+	"the request is read": {answer: unframedHead + answerPart, end: func(conn net.Conn) {
 		_ = conn.(*net.TCPConn).CloseWrite()
 		_, _ = io.Copy(io.Discard, conn)
 		_ = conn.Close()
-	}, false},
-	"the request is not read": {unframedHead + answerPart, func(conn net.Conn) {
+	}},
+	"the request is not read": {answer: unframedHead + answerPart, end: func(conn net.Conn) {
 		_ = conn.(*net.TCPConn).CloseWrite()
 		time.Sleep(100 * time.Millisecond)
 		_ = conn.Close()
-	}, false},
-	"closed at once": {unframedHead + answerPart, func(conn net.Conn) {
+	}},
+	"closed at once": {answer: unframedHead + answerPart, end: func(conn net.Conn) {
 		_ = conn.(*net.TCPConn).CloseWrite()
 		_ = conn.Close()
-	}, false},
-	"with a length, reset": {"HTTP/1.1 200 OK\r\nId: me\r\nContent-Length: 14\r\n\r\n" + answerPart, reset, false},
-	"in chunks, reset":     {"HTTP/1.1 200 OK\r\nId: me\r\nTransfer-Encoding: chunked\r\n\r\ne\r\n" + answerPart + "\r\n0\r\n\r\n", reset, false},
+	}},
+	"with a length, reset": {answer: "HTTP/1.1 200 OK\r\nId: me\r\nContent-Length: 14\r\n\r\n" + answerPart, end: reset},
+	"in chunks, reset":     {answer: "HTTP/1.1 200 OK\r\nId: me\r\nTransfer-Encoding: chunked\r\n\r\ne\r\n" + answerPart + "\r\n0\r\n\r\n", end: reset},
 }
 
 // readSome reads a part of the request, if there is one.
