transport/network: one type passes on the options of a wrapped connection

answerend.Conn and forward.Conn had the same two methods. Behaviour is as before; the tests of transport and those of forwarded connections in test/entry pass.

--- a/transport/answerend/conn.go
+++ b/transport/answerend/conn.go
@@ -9,6 +9,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/thornwalk/thornwalk/transport/network"
 )
 
 // Conn is a connection to a server that may answer, and end the connection, while a request is still being written to it.
@@ -20,14 +22,14 @@
 //
 // One goroutine may read while others write.
 type Conn struct {
-	net.Conn
+	network.Wrapped
 	// writing is held during a write and guards writeErr, the first error of a write.
 	writing  sync.Mutex
 	writeErr error
 }
 
 // NewConn returns the connection with checked ends.
-func NewConn(connection net.Conn) *Conn { return &Conn{Conn: connection} }
+func NewConn(connection net.Conn) *Conn { return &Conn{Wrapped: network.Wrapped{Conn: connection}} }
 
 // ErrBroken is the error of a read whose connection broke, as a write of the request was told.
 var ErrBroken = fmt.Errorf("read answer: the connection broke while the request was written: %w", syscall.ECONNRESET)
@@ -69,19 +71,3 @@
 func isFailureAfterClose(err error) bool {
 	return errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, syscall.EPIPE) || errors.Is(err, io.ErrClosedPipe)
 }
-
-// SetLinger sets what happens to unsent bytes at the close, as for a TCP connection.
-func (c *Conn) SetLinger(seconds int) error {
-	if withLinger, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
-		return withLinger.SetLinger(seconds)
-	}
-	return errors.ErrUnsupported
-}
-
-// SyscallConn implements syscall.Conn. Its error is errors.ErrUnsupported if the connection has no file descriptor.
-func (c *Conn) SyscallConn() (syscall.RawConn, error) {
-	if withRaw, ok := c.Conn.(syscall.Conn); ok {
-		return withRaw.SyscallConn()
-	}
-	return nil, errors.ErrUnsupported
-}
--- a/transport/forward/forward.go
+++ b/transport/forward/forward.go
@@ -114,7 +114,7 @@
 
 // Conn is the node's side of a forwarded connection.
 type Conn struct {
-	net.Conn
+	network.Wrapped
 	reader *bufio.Reader
 	// left is the number of unread bytes of the current block.
 	left int
@@ -124,7 +124,7 @@
 
 // NewConn returns the node's side of a forwarded connection over the established connection to the peer.
 func NewConn(connection net.Conn) *Conn {
-	return &Conn{Conn: connection, reader: bufio.NewReader(connection)}
+	return &Conn{Wrapped: network.Wrapped{Conn: connection}, reader: bufio.NewReader(connection)}
 }
 
 // Read implements net.Conn. Its error is io.EOF if the replica closed its connection, ECONNRESET if that
@@ -180,21 +180,3 @@
 
 // Buffered returns the number of bytes that can be read without blocking, lengths included.
 func (c *Conn) Buffered() int { return c.left + c.reader.Buffered() }
-
-// SetLinger sets what happens to unsent bytes at the close of the connection to the peer, as for a TCP
-// connection.
-func (c *Conn) SetLinger(seconds int) error {
-	if withLinger, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
-		return withLinger.SetLinger(seconds)
-	}
-	return errors.ErrUnsupported
-}
-
-// SyscallConn implements syscall.Conn. Its error is errors.ErrUnsupported if the connection to the peer has
-// no file descriptor.
-func (c *Conn) SyscallConn() (syscall.RawConn, error) {
-	if withRaw, ok := c.Conn.(syscall.Conn); ok {
-		return withRaw.SyscallConn()
-	}
-	return nil, errors.ErrUnsupported
-}
