lab/soak: the proxy before a stand-in passes resets on

Cause: daemons reach the replicas of a soak through a proxy, which closed the connection in order whichever way the other side ended. So the nodes got a close, which ends an answer without framing, and no soak could show what a reset leads to.

Change: a reset at one side is one at the other, checked as at the product's forwarder.

--- a/lab/soak/proxy.go
+++ b/lab/soak/proxy.go
@@ -1,9 +1,14 @@
 package soak
 
 import (
+	"errors"
 	"io"
 	"net"
 	"sync"
+	"syscall"
+
+	"github.com/thornwalk/thornwalk/transport/answerend"
+	"github.com/thornwalk/thornwalk/transport/network"
 )
 
 // mode is how a proxy treats connections.
@@ -18,7 +23,8 @@
 	modeHang
 )
 
-// proxy forwards connections from daemons to one stand-in. It is safe for concurrent use.
+// proxy forwards connections from daemons to one stand-in. A reset on one side is one on the other. It is safe for
+// concurrent use.
 type proxy struct {
 	listener net.Listener
 	target   string
@@ -100,18 +106,19 @@
 		return
 	}
 	defer p.closeConn(server)
-	done := make(chan struct{}, 2)
-	for _, pair := range [][2]net.Conn{{client, server}, {server, client}} {
-		go func() {
-			p.copyBytes(pair[0], pair[1])
-			done <- struct{}{}
-		}()
+	done := make(chan error, 2)
+	near, far := answerend.NewConn(client), answerend.NewConn(server)
+	for _, pair := range [][2]net.Conn{{near, far}, {far, near}} {
+		go func() { done <- p.copyBytes(pair[0], pair[1]) }()
+	}
+	if errors.Is(<-done, syscall.ECONNRESET) {
+		network.ResetOnClose(client)
+		network.ResetOnClose(server)
 	}
-	<-done
 }
 
-// copyBytes copies in one direction until either side closes. In modeHang it blocks.
-func (p *proxy) copyBytes(from io.Reader, to io.Writer) {
+// copyBytes copies in one direction until either side ends, and returns its error. In modeHang it blocks.
+func (p *proxy) copyBytes(from io.Reader, to io.Writer) error {
 	buffer := make([]byte, 16<<10)
 	for {
 		count, err := from.Read(buffer)
@@ -121,11 +128,11 @@
 		<-flowing
 		if count > 0 {
 			if _, err := to.Write(buffer[:count]); err != nil {
-				return
+				return err
 			}
 		}
 		if err != nil {
-			return
+			return err
 		}
 	}
 }
